--- /dev/null
+++ b/src/consensus/raft_node.cc
@@ -0,0 +1,674 @@
+#include "consensus/raft_node.h"
+
+#include <algorithm>
+
+#include "wire/codec.h"
+
+namespace larchlever::consensus {
+
+namespace {
+
+size_t majority(size_t voters) { return voters / 2 + 1; }
+
+bool contains(const std::vector<wire::ReplicaAddress>& list, int64_t id) {
+  return std::any_of(list.begin(), list.end(), [id](const auto& item) { return item.replica_id == id; });
+}
+
+/// Number of voters that stand in exactly one of the two sets.
+size_t voters_changed(const wire::ReplicaSet& before, const wire::ReplicaSet& after) {
+  size_t changed = 0;
+  for (const auto& voter : before.voters) {
+    changed += contains(after.voters, voter.replica_id) ? 0 : 1;
+  }
+  for (const auto& voter : after.voters) {
+    changed += contains(before.voters, voter.replica_id) ? 0 : 1;
+  }
+  return changed;
+}
+
+}  // namespace
+
+RaftNode::RaftNode(ReplicaId replica_id, const RaftOptions& options, PersistedState persisted, uint64_t seed,
+                   TimePoint now)
+    : id_(replica_id),
+      options_(options),
+      random_(seed),
+      log_(persisted.snapshot, std::move(persisted.entries)),
+      snapshot_{persisted.snapshot, std::move(persisted.snapshot_state), false},
+      hard_state_(persisted.hard_state),
+      commit_index_(persisted.snapshot.index),
+      taken_index_(persisted.snapshot.index),
+      synced_index_(log_.last_index()) {
+  if (persisted.snapshot.index > 0) {
+    installed_ = snapshot_;
+  }
+  // A restarted replica has forgotten which leader it heard last, so it grants no vote for one election timeout:
+  // a leader that counted its answer may still hold the lease.
+  last_leader_contact_ = now;
+  const bool has_peers = is_voter() && log_.replicas().voters.size() > 1;
+  restart_check_pending_ = has_peers;
+  restart_check_deadline_ = now + options_.restart_check;
+  reset_election_timer(now);
+}
+
+PersistedState RaftNode::bootstrap(const wire::ReplicaAddress& first_voter) {
+  PersistedState state;
+  state.hard_state.term = 1;
+  wire::ReplicaSet replicas;
+  replicas.voters.push_back(first_voter);
+  wire::LogEntry entry;
+  entry.term = 1;
+  entry.index = 1;
+  entry.kind = wire::EntryKind::REPLICA_SET;
+  entry.payload = wire::encode(replicas);
+  state.entries.push_back(std::move(entry));
+  return state;
+}
+
+bool RaftNode::is_voter() const { return contains(log_.replicas().voters, id_.value()); }
+
+void RaftNode::reset_election_timer(TimePoint now) {
+  const auto spread = (options_.election_timeout_max - options_.election_timeout_min).count();
+  std::uniform_int_distribution<int64_t> jitter(0, std::max<int64_t>(spread, 1));
+  election_deadline_ = now + options_.election_timeout_min + Duration(jitter(random_));
+}
+
+void RaftNode::persist_hard_state() { output_.hard_state = hard_state_; }
+
+wire::RaftMessage& RaftNode::outgoing(int64_t to, bool after_sync) {
+  auto& list = after_sync ? output_.messages_after_sync : output_.messages;
+  auto& message = list.emplace_back();
+  message.from_replica = id_.value();
+  message.to_replica = to;
+  return message;
+}
+
+void RaftNode::become_follower(TimePoint now, int64_t term, int64_t leader) {
+  if (term > hard_state_.term) {
+    hard_state_.term = term;
+    hard_state_.voted_for = 0;
+    persist_hard_state();
+  }
+  role_ = Role::kFollower;
+  leader_ = leader;
+  votes_.clear();
+  progress_.clear();
+  reset_election_timer(now);
+}
+
+// ---------------------------------------------------------------- elections
+
+void RaftNode::tick(TimePoint now) {
+  if (restart_check_pending_ && now >= restart_check_deadline_) {
+    // No leader spoke up within the check: the whole set may be restarting, and waiting longer would stop it for good.
+    restart_check_pending_ = false;
+  }
+  if (role_ == Role::kLeader) {
+    check_quorum(now);
+    if (role_ == Role::kLeader && now >= next_heartbeat_) {
+      next_heartbeat_ = now + options_.heartbeat_interval;
+      for (const auto& [replica, progress] : progress_) {
+        send_append(now, replica, true);
+      }
+    }
+    return;
+  }
+  if (now >= election_deadline_ && is_voter() && may_vote()) {
+    campaign(now, true, false);
+  }
+}
+
+void RaftNode::campaign(TimePoint now, bool pre_vote, bool transfer) {
+  reset_election_timer(now);
+  leader_ = 0;
+  votes_.clear();
+  votes_[id_.value()] = true;
+  role_ = pre_vote ? Role::kPreCandidate : Role::kCandidate;
+  if (!pre_vote) {
+    ++stats_.elections_started;
+    ++hard_state_.term;
+    hard_state_.voted_for = id_.value();
+    persist_hard_state();
+  }
+  for (const auto& voter : log_.replicas().voters) {
+    if (voter.replica_id == id_.value()) {
+      continue;
+    }
+    // Our own vote must be on disk before anybody counts on it, so real vote requests wait for the sync.
+    auto& message = outgoing(voter.replica_id, !pre_vote);
+    wire::VoteRequest request;
+    request.term = pre_vote ? hard_state_.term + 1 : hard_state_.term;
+    request.last_index = log_.last_index();
+    request.last_term = log_.last_term();
+    request.pre_vote = pre_vote;
+    request.transfer = transfer;
+    message.__set_vote_request(request);
+  }
+  if (!pre_vote && log_.replicas().voters.size() == 1) {
+    // A single voter may lead once its own vote is stored; `synced` tallies again.
+    return;
+  }
+  tally_votes(now);
+}
+
+void RaftNode::tally_votes(TimePoint now) {
+  size_t granted = 0;
+  for (const auto& voter : log_.replicas().voters) {
+    const auto vote = votes_.find(voter.replica_id);
+    granted += (vote != votes_.end() && vote->second) ? 1 : 0;
+  }
+  if (granted < majority(log_.replicas().voters.size())) {
+    return;
+  }
+  if (role_ == Role::kPreCandidate) {
+    campaign(now, false, false);
+  } else if (role_ == Role::kCandidate) {
+    become_leader(now);
+  }
+}
+
+bool RaftNode::heard_leader_recently(TimePoint now) const {
+  return role_ == Role::kLeader ? has_lease(now) : now < last_leader_contact_ + options_.election_timeout_min;
+}
+
+bool RaftNode::log_is_up_to_date(const wire::VoteRequest& request) const {
+  if (request.last_term != log_.last_term()) {
+    return request.last_term > log_.last_term();
+  }
+  return request.last_index >= log_.last_index();
+}
+
+void RaftNode::handle_vote_request(TimePoint now, int64_t from, const wire::VoteRequest& request) {
+  // Deaf to candidates while a leader is in touch: this is what makes the leader's lease sound, and it keeps a
+  // replica that was cut off from disturbing the rest on its return. A planned hand-over is exempt because the old
+  // leader gave its lease up before it asked.
+  const bool deaf = !may_vote() || (!request.transfer && heard_leader_recently(now));
+  if (!deaf && !request.pre_vote && request.term > hard_state_.term) {
+    become_follower(now, request.term, 0);
+  }
+  bool granted = false;
+  if (!deaf && log_is_up_to_date(request)) {
+    if (request.pre_vote) {
+      granted = request.term > hard_state_.term;
+    } else if (request.term == hard_state_.term && role_ == Role::kFollower &&
+               (hard_state_.voted_for == 0 || hard_state_.voted_for == from)) {
+      granted = true;
+      hard_state_.voted_for = from;
+      persist_hard_state();
+      reset_election_timer(now);
+    }
+  }
+  auto& message = outgoing(from, true);
+  wire::VoteReply reply;
+  reply.term = request.pre_vote && granted ? request.term : hard_state_.term;
+  reply.granted = granted;
+  reply.pre_vote = request.pre_vote;
+  message.__set_vote_reply(reply);
+}
+
+void RaftNode::handle_vote_reply(TimePoint now, int64_t from, const wire::VoteReply& reply) {
+  const bool expected = reply.pre_vote ? role_ == Role::kPreCandidate : role_ == Role::kCandidate;
+  if (!expected) {
+    return;
+  }
+  const int64_t asked_term = reply.pre_vote ? hard_state_.term + 1 : hard_state_.term;
+  if (!reply.granted) {
+    if (reply.term > hard_state_.term) {
+      become_follower(now, reply.term, 0);
+    }
+    return;
+  }
+  if (reply.term == asked_term) {
+    votes_[from] = true;
+    tally_votes(now);
+  }
+}
+
+void RaftNode::become_leader(TimePoint now) {
+  role_ = Role::kLeader;
+  leader_ = id_.value();
+  lease_given_up_ = false;
+  rolled_back_.clear();
+  ++stats_.terms_led;
+  progress_.clear();
+  sync_progress_table();
+  quorum_deadline_ = now + options_.election_timeout_max;
+  append_local(wire::EntryKind::NOOP, "");
+  term_start_index_ = log_.last_index();
+  next_heartbeat_ = now + options_.heartbeat_interval;
+  replicate(now);
+}
+
+// -------------------------------------------------------------- replication
+
+void RaftNode::append_local(wire::EntryKind::type kind, std::string payload) {
+  wire::LogEntry entry;
+  entry.term = hard_state_.term;
+  entry.index = log_.last_index() + 1;
+  entry.kind = kind;
+  entry.payload = std::move(payload);
+  output_.entries.push_back(entry);
+  log_.append(std::move(entry));
+}
+
+std::optional<int64_t> RaftNode::propose(TimePoint now, std::string payload) {
+  if (role_ != Role::kLeader || lease_given_up_) {
+    return std::nullopt;
+  }
+  append_local(wire::EntryKind::COMMAND, std::move(payload));
+  replicate(now);
+  return log_.last_index();
+}
+
+std::optional<int64_t> RaftNode::propose_replicas(TimePoint now, const wire::ReplicaSet& replicas) {
+  // Two safeguards: no second change while one is open, and none before this term's first entry is committed,
+  // else a deposed leader's change and ours could each find a majority that the other does not see.
+  const bool settled = !replica_change_pending() && commit_index_ >= term_start_index_;
+  if (role_ != Role::kLeader || lease_given_up_ || !settled || voters_changed(log_.replicas(), replicas) > 1) {
+    return std::nullopt;
+  }
+  append_local(wire::EntryKind::REPLICA_SET, wire::encode(replicas));
+  sync_progress_table();
+  replicate(now);
+  return log_.last_index();
+}
+
+void RaftNode::sync_progress_table() {
+  const auto& replicas = log_.replicas();
+  std::set<int64_t> wanted;
+  for (const auto* list : {&replicas.voters, &replicas.learners}) {
+    for (const auto& replica : *list) {
+      if (replica.replica_id != id_.value()) {
+        wanted.insert(replica.replica_id);
+      }
+    }
+  }
+  std::erase_if(progress_, [&wanted](const auto& item) { return !wanted.contains(item.first); });
+  for (const int64_t replica : wanted) {
+    if (!progress_.contains(replica)) {
+      progress_[replica].next_index = log_.last_index() + 1;
+    }
+  }
+}
+
+void RaftNode::replicate(TimePoint now) {
+  for (const auto& [replica, progress] : progress_) {
+    send_append(now, replica, false);
+  }
+}
+
+void RaftNode::send_append(TimePoint now, int64_t to, bool heartbeat) {
+  Progress& progress = progress_[to];
+  if (rolled_back_.contains(to)) {
+    if (heartbeat) {
+      wire::IdentityRejection rejection;
+      rejection.term = hard_state_.term;
+      outgoing(to, false).__set_identity_rejection(rejection);
+    }
+    return;
+  }
+  if (heartbeat) {
+    // Nothing came back since the last beat: what was in flight counts as lost and is sent again.
+    const bool stalled = progress.appends_in_flight > 0 && now - progress.last_reply > 2 * options_.heartbeat_interval;
+    if (stalled) {
+      progress.appends_in_flight = 0;
+      progress.next_index = progress.match_index > 0 ? progress.match_index + 1 : progress.next_index;
+    }
+  } else if (progress.next_index > log_.last_index() || progress.appends_in_flight >= options_.appends_in_flight) {
+    return;
+  }
+  if (progress.next_index < log_.first_index()) {
+    send_snapshot(now, to, progress);
+    return;
+  }
+  auto& message = outgoing(to, false);
+  wire::AppendRequest request;
+  request.term = hard_state_.term;
+  request.previous_index = progress.next_index - 1;
+  request.previous_term = log_.term_at(progress.next_index - 1);
+  request.commit_index = commit_index_;
+  request.sent_at_us = to_microseconds(now);
+  if (progress.appends_in_flight < options_.appends_in_flight) {
+    request.entries = log_.slice(progress.next_index, options_.entries_per_append, options_.bytes_per_append);
+  }
+  if (!request.entries.empty()) {
+    // Optimistic: the next append continues from here, a refusal takes it back.
+    progress.next_index += static_cast<int64_t>(request.entries.size());
+    ++progress.appends_in_flight;
+  }
+  message.append_request = std::move(request);
+  message.__isset.append_request = true;
+}
+
+void RaftNode::send_snapshot(TimePoint now, int64_t to, Progress& progress) {
+  if (progress.snapshot_in_flight && now - progress.snapshot_sent < 10 * options_.heartbeat_interval) {
+    return;
+  }
+  progress.snapshot_in_flight = true;
+  progress.snapshot_sent = now;
+  ++stats_.snapshots_sent;
+  auto& message = outgoing(to, false);
+  wire::SnapshotRequest request;
+  request.term = hard_state_.term;
+  request.header = snapshot_.header;
+  request.state = snapshot_.state;
+  request.sent_at_us = to_microseconds(now);
+  message.snapshot_request = std::move(request);
+  message.__isset.snapshot_request = true;
+}
+
+wire::AppendReply& RaftNode::append_reply_to(int64_t to, bool success, int64_t match, int64_t sent_at_us) {
+  // After the sync, always: a success promises that the entries survive a restart.
+  auto& message = outgoing(to, true);
+  wire::AppendReply reply;
+  reply.term = hard_state_.term;
+  reply.success = success;
+  reply.match_index = match;
+  reply.sent_at_us = sent_at_us;
+  message.__set_append_reply(reply);
+  return message.append_reply;
+}
+
+void RaftNode::handle_append_request(TimePoint now, int64_t from, const wire::AppendRequest& request) {
+  if (request.term < hard_state_.term) {
+    append_reply_to(from, false, log_.last_index(), request.sent_at_us);
+    return;
+  }
+  become_follower(now, request.term, from);
+  last_leader_contact_ = now;
+  // A leader is in touch and will say whether our disk lost anything: give it time to.
+  restart_check_deadline_ = now + options_.restart_check;
+  if (request.previous_index < log_.snapshot().index) {
+    // Everything up to our snapshot is committed, so it matches by definition.
+    append_reply_to(from, true, log_.snapshot().index, request.sent_at_us);
+    return;
+  }
+  if (log_.term_at(request.previous_index) != request.previous_term) {
+    const int64_t hint = std::min(log_.last_index(), request.previous_index - 1);
+    append_reply_to(from, false, std::max(hint, commit_index_), request.sent_at_us);
+    return;
+  }
+  for (const auto& entry : request.entries) {
+    const int64_t known_term = log_.term_at(entry.index);
+    if (known_term == entry.term || entry.index <= log_.snapshot().index) {
+      continue;
+    }
+    if (known_term != -1) {
+      log_.truncate_from(entry.index);
+      synced_index_ = std::min(synced_index_, entry.index - 1);
+      for (auto& [ticket, last] : unsynced_) {
+        last = std::min(last, entry.index - 1);
+      }
+      std::erase_if(output_.entries, [&entry](const auto& pending) { return pending.index >= entry.index; });
+    }
+    log_.append(entry);
+    output_.entries.push_back(entry);
+  }
+  const int64_t match = request.previous_index + static_cast<int64_t>(request.entries.size());
+  commit_index_ = std::max(commit_index_, std::min(request.commit_index, match));
+  if (match >= request.commit_index) {
+    // The leader has seen us hold all that was committed when it sent this: nothing acknowledged is missing.
+    restart_check_pending_ = false;
+  }
+  append_reply_to(from, true, match, request.sent_at_us);
+}
+
+void RaftNode::handle_append_reply(TimePoint now, int64_t from, const wire::AppendReply& reply) {
+  if (reply.term > hard_state_.term) {
+    become_follower(now, reply.term, 0);
+    return;
+  }
+  const auto found = progress_.find(from);
+  if (role_ != Role::kLeader || found == progress_.end() || reply.term != hard_state_.term) {
+    return;
+  }
+  Progress& progress = found->second;
+  const bool newest = reply.sent_at_us >= progress.lease_contact_us;
+  progress.last_reply = now;
+  progress.replied = true;
+  if (!reply.success && newest && reply.match_index < progress.match_index) {
+    // It acknowledged more, on disk, than it now has: the disk was rolled back. Its acknowledgements and votes are
+    // worth nothing any more; only a new identity may come back.
+    ++stats_.rollbacks_detected;
+    rolled_back_.insert(from);
+    progress.match_index = 0;
+    return;
+  }
+  progress.lease_contact_us = std::max(progress.lease_contact_us, reply.sent_at_us);
+  if (progress.appends_in_flight > 0) {
+    --progress.appends_in_flight;
+  }
+  if (!reply.success) {
+    progress.next_index = std::max(progress.match_index + 1, std::min(progress.next_index, reply.match_index + 1));
+    progress.appends_in_flight = 0;
+    send_append(now, from, true);
+    return;
+  }
+  if (reply.match_index > progress.match_index) {
+    progress.match_index = reply.match_index;
+    progress.snapshot_in_flight = false;
+    progress.next_index = std::max(progress.next_index, progress.match_index + 1);
+    advance_commit();
+  }
+  send_append(now, from, false);
+}
+
+void RaftNode::advance_commit() {
+  std::vector<int64_t> matches;
+  for (const auto& voter : log_.replicas().voters) {
+    matches.push_back(voter.replica_id == id_.value() ? synced_index_ : match_index(ReplicaId(voter.replica_id)));
+  }
+  if (matches.empty()) {
+    return;
+  }
+  std::sort(matches.begin(), matches.end(), std::greater<>());
+  const int64_t candidate = matches[majority(matches.size()) - 1];
+  // Only an entry of our own term commits by counting; older ones commit with it.
+  if (candidate > commit_index_ && log_.term_at(candidate) == hard_state_.term) {
+    commit_index_ = candidate;
+  }
+}
+
+void RaftNode::handle_snapshot_request(TimePoint now, int64_t from, const wire::SnapshotRequest& request) {
+  if (request.term < hard_state_.term) {
+    append_reply_to(from, false, log_.last_index(), request.sent_at_us);
+    return;
+  }
+  become_follower(now, request.term, from);
+  last_leader_contact_ = now;
+  // A leader is in touch and will say whether our disk lost anything: give it time to.
+  restart_check_deadline_ = now + options_.restart_check;
+  if (request.header.index > commit_index_) {
+    ++stats_.snapshots_installed;
+    snapshot_ = Snapshot{request.header, request.state, true};
+    log_.reset(request.header);
+    output_.entries.clear();
+    output_.snapshot = snapshot_;
+    output_.hard_state = hard_state_;
+    installed_ = snapshot_;
+    commit_index_ = request.header.index;
+    taken_index_ = request.header.index;
+    synced_index_ = 0;
+    for (auto& [ticket, last] : unsynced_) {
+      last = 0;
+    }
+    restart_check_pending_ = false;
+  }
+  append_reply_to(from, true, std::max(commit_index_, request.header.index), request.sent_at_us);
+}
+
+void RaftNode::handle_hand_over(TimePoint now, const wire::HandOverRequest& request) {
+  if (request.term == hard_state_.term && role_ == Role::kFollower && is_voter() && may_vote()) {
+    campaign(now, false, true);
+  }
+}
+
+void RaftNode::step(TimePoint now, const wire::RaftMessage& message) {
+  if (message.to_replica != id_.value()) {
+    ++stats_.messages_for_other_identity;
+    return;
+  }
+  if (identity_rejected_) {
+    return;
+  }
+  const int64_t from = message.from_replica;
+  if (message.__isset.identity_rejection) {
+    if (message.identity_rejection.term >= hard_state_.term) {
+      identity_rejected_ = true;
+      become_follower(now, message.identity_rejection.term, 0);
+    }
+  } else if (message.__isset.vote_request) {
+    handle_vote_request(now, from, message.vote_request);
+  } else if (message.__isset.vote_reply) {
+    handle_vote_reply(now, from, message.vote_reply);
+  } else if (message.__isset.append_request) {
+    handle_append_request(now, from, message.append_request);
+  } else if (message.__isset.append_reply) {
+    handle_append_reply(now, from, message.append_reply);
+  } else if (message.__isset.snapshot_request) {
+    handle_snapshot_request(now, from, message.snapshot_request);
+  } else if (message.__isset.hand_over_request) {
+    handle_hand_over(now, message.hand_over_request);
+  }
+}
+
+void RaftNode::synced(TimePoint now, int64_t ticket) {
+  while (!unsynced_.empty() && unsynced_.front().first <= ticket) {
+    synced_index_ = std::max(synced_index_, std::min(unsynced_.front().second, log_.last_index()));
+    unsynced_.pop_front();
+  }
+  if (role_ == Role::kCandidate) {
+    tally_votes(now);
+  } else if (role_ == Role::kLeader) {
+    advance_commit();
+  }
+}
+
+RaftOutput RaftNode::take_output() {
+  RaftOutput result = std::move(output_);
+  output_ = RaftOutput();
+  result.ticket = next_ticket_++;
+  if (result.needs_sync()) {
+    unsynced_.emplace_back(result.ticket, log_.last_index());
+  }
+  return result;
+}
+
+std::vector<wire::LogEntry> RaftNode::take_committed() {
+  std::vector<wire::LogEntry> result;
+  for (; taken_index_ < commit_index_; ++taken_index_) {
+    result.push_back(log_.at(taken_index_ + 1));
+  }
+  return result;
+}
+
+std::optional<Snapshot> RaftNode::take_installed_snapshot() {
+  auto result = std::move(installed_);
+  installed_.reset();
+  return result;
+}
+
+void RaftNode::compact(int64_t index, std::string state, int64_t trailing) {
+  if (index <= snapshot_.header.index || index > taken_index_) {
+    return;
+  }
+  Snapshot snapshot;
+  snapshot.header.index = index;
+  snapshot.header.term = log_.term_at(index);
+  snapshot.header.replicas = log_.replicas_at(index);
+  snapshot.state = std::move(state);
+  snapshot_ = snapshot;
+  output_.snapshot = std::move(snapshot);
+  output_.hard_state = hard_state_;
+  log_.compact(std::max(log_.snapshot().index, index - trailing));
+}
+
+// --------------------------------------------------------- leases and quorum
+
+TimePoint RaftNode::quorum_contact(TimePoint now) const {
+  std::vector<int64_t> contacts;
+  for (const auto& voter : log_.replicas().voters) {
+    if (voter.replica_id == id_.value()) {
+      contacts.push_back(to_microseconds(now));
+      continue;
+    }
+    const auto found = progress_.find(voter.replica_id);
+    contacts.push_back(found == progress_.end() ? -1 : found->second.lease_contact_us);
+  }
+  std::sort(contacts.begin(), contacts.end(), std::greater<>());
+  const int64_t contact = contacts.empty() ? -1 : contacts[majority(contacts.size()) - 1];
+  return contact < 0 ? TimePoint::min() : from_microseconds(contact);
+}
+
+bool RaftNode::has_lease(TimePoint now) const {
+  if (role_ != Role::kLeader || lease_given_up_) {
+    return false;
+  }
+  const TimePoint contact = quorum_contact(now);
+  if (contact == TimePoint::min()) {
+    return false;
+  }
+  // Counted from the send time of what a quorum answered, and shorter than the voters' silence by the drift bound.
+  const auto lease =
+      static_cast<int64_t>(static_cast<double>(options_.election_timeout_min.count()) * (1.0 - 2 * kMaximumClockDrift));
+  return now < contact + Duration(lease);
+}
+
+bool RaftNode::is_ready_leader(TimePoint now) const {
+  return has_lease(now) && commit_index_ >= term_start_index_ && taken_index_ >= term_start_index_;
+}
+
+void RaftNode::check_quorum(TimePoint now) {
+  const TimePoint contact = quorum_contact(now);
+  // A leader that gave its lease up and was not succeeded in time steps down, and an ordinary election follows.
+  if (contact != TimePoint::min() && !lease_given_up_) {
+    quorum_deadline_ = std::max(quorum_deadline_, contact + options_.election_timeout_max);
+  }
+  const bool removed = !is_voter() && commit_index_ >= log_.replicas_index();
+  if (now >= quorum_deadline_ || removed) {
+    ++stats_.stepped_down_without_quorum;
+    become_follower(now, hard_state_.term, 0);
+  }
+}
+
+bool RaftNode::hand_over(TimePoint now) {
+  if (role_ != Role::kLeader) {
+    return false;
+  }
+  int64_t best = 0;
+  int64_t best_match = -1;
+  for (const auto& voter : log_.replicas().voters) {
+    const auto found = progress_.find(voter.replica_id);
+    if (found == progress_.end() || !found->second.replied || rolled_back_.contains(voter.replica_id)) {
+      continue;
+    }
+    const bool fresh = now - found->second.last_reply < options_.election_timeout_min;
+    if (fresh && found->second.match_index > best_match) {
+      best = voter.replica_id;
+      best_match = found->second.match_index;
+    }
+  }
+  if (best_match < commit_index_) {
+    return false;
+  }
+  lease_given_up_ = true;
+  wire::HandOverRequest request;
+  request.term = hard_state_.term;
+  outgoing(best, false).__set_hand_over_request(request);
+  return true;
+}
+
+int64_t RaftNode::match_index(ReplicaId replica) const {
+  const auto found = progress_.find(replica.value());
+  return found == progress_.end() ? 0 : found->second.match_index;
+}
+
+std::optional<TimePoint> RaftNode::last_contact(ReplicaId replica) const {
+  const auto found = progress_.find(replica.value());
+  if (found == progress_.end() || !found->second.replied) {
+    return std::nullopt;
+  }
+  return found->second.last_reply;
+}
+
+}  // namespace larchlever::consensus
--- /dev/null
+++ b/src/core/admission/admission_controller.h
@@ -0,0 +1,82 @@
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <string>
+#include <vector>
+
+#include "core/base/time.h"
+
+namespace larchlever::admission {
+
+using TicketId = uint64_t;
+
+enum class AdmissionVerdict {
+  kAdmitted,
+  kQueued,
+  kRefusedQueueFull,
+  kRefusedDeadline,  ///< Would not be served before its deadline, judged by the queue before it.
+};
+
+struct AdmissionStats {
+  uint64_t admitted = 0;
+  uint64_t queued = 0;
+  uint64_t refused_full = 0;
+  uint64_t refused_deadline = 0;
+  uint64_t expired = 0;
+};
+
+/// An entry's gate before routing: per tenant a concurrency budget (a lease from the leader) and a bounded queue,
+/// ordered by priority, then by arrival.
+///
+/// A ticket is admitted at once, queued, or refused at once. A queued ticket later appears exactly once in
+/// `take_admitted` or `take_expired`, unless it is cancelled. Deterministic; single-threaded.
+class AdmissionController {
+ public:
+  explicit AdmissionController(size_t queue_limit) : queue_limit_(queue_limit) {}
+
+  AdmissionVerdict enter(TimePoint now, TicketId ticket, const std::string& tenant, int priority, TimePoint deadline);
+  /// An admitted ticket ended. `service_time` feeds the waiting-time estimate.
+  void leave(const std::string& tenant, Duration service_time);
+  /// A queued ticket's caller went away.
+  void cancel(TicketId ticket);
+  /// A new grant for the tenant, valid until `expires`; when it runs out the budget is zero.
+  void set_budget(const std::string& tenant, int concurrent, TimePoint expires);
+
+  std::vector<TicketId> take_admitted(TimePoint now);
+  std::vector<TicketId> take_expired(TimePoint now);
+
+  struct Load {
+    int running = 0;
+    int waiting = 0;
+    int held = 0;
+  };
+  /// Load per tenant that has any, and the unexpired budget it holds.
+  std::map<std::string, Load> loads(TimePoint now) const;
+  const AdmissionStats& stats() const { return stats_; }
+
+ private:
+  struct Waiter {
+    TicketId ticket = 0;
+    TimePoint deadline{};
+  };
+  struct TenantGate {
+    int budget = 0;
+    TimePoint budget_expires{};
+    int running = 0;
+    /// Highest priority first, then arrival order.
+    std::multimap<int, Waiter, std::greater<>> queue;
+    double mean_service_us = 0;
+  };
+
+  static int usable_budget(const TenantGate& gate, TimePoint now) {
+    return now < gate.budget_expires ? gate.budget : 0;
+  }
+  static Duration expected_wait(const TenantGate& gate, TimePoint now, int priority);
+
+  size_t queue_limit_;
+  std::map<std::string, TenantGate> gates_;
+  AdmissionStats stats_;
+};
+
+}  // namespace larchlever::admission
--- /dev/null
+++ b/src/core/admission/budget_allocator.h
@@ -0,0 +1,41 @@
+#pragma once
+
+#include <map>
+#include <string>
+
+#include "core/base/time.h"
+
+namespace larchlever::admission {
+
+/// Splits each tenant's fleet-wide concurrency among the entries that admit for it, by recent demand. What entries
+/// hold under unexpired grants, together with what they report running, never exceeds the tenant's limit by more than
+/// what was already running when the limit was lowered.
+///
+/// The leader's soft state: after a change of leader it is rebuilt from what entries report they still hold.
+/// Single-threaded.
+class BudgetAllocator {
+ public:
+  struct Report {
+    int running = 0;
+    int waiting = 0;
+    int held = 0;  ///< Concurrency that the entry still holds by an earlier grant.
+  };
+
+  /// Decides what `node` may hold of `tenant` until `expires`. While `may_raise` is false (a new leader does not know
+  /// all grants of its predecessor yet) a node gets no more than it holds already.
+  int grant(TimePoint now, const std::string& tenant, int limit, const std::string& node, const Report& report,
+            TimePoint expires, bool may_raise);
+  void forget_node(const std::string& node);
+  void clear() { tenants_.clear(); }
+
+ private:
+  struct Share {
+    int granted = 0;
+    int demand = 0;
+    TimePoint expires{};
+  };
+
+  std::map<std::string, std::map<std::string, Share>> tenants_;
+};
+
+}  // namespace larchlever::admission
--- /dev/null
+++ b/src/core/control/control_leader.h
@@ -0,0 +1,119 @@
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "consensus/raft_node.h"
+#include "core/admission/budget_allocator.h"
+#include "core/control/control_options.h"
+#include "core/control/control_state.h"
+#include "core/control/group_supervisor.h"
+#include "core/control/presence_table.h"
+#include "core/control/replica_supervisor.h"
+#include "core/membership/node_directory.h"
+#include "core/membership/watch_assignment.h"
+
+namespace larchlever::control {
+
+struct LeaderStats {
+  uint64_t heartbeats = 0;
+  uint64_t stale_heartbeats = 0;
+  uint64_t full_copies_sent = 0;
+  uint64_t claims = 0;
+  uint64_t claim_batches = 0;
+};
+
+/// What the leader of the region's log does besides replicating: answers heartbeats with configuration, leases,
+/// budgets and watch lists; decides claims; carries operators' changes to "in force"; supervises groups and replicas.
+///
+/// All its state is soft and belongs to one leadership. `RaftNode::is_ready_leader` must hold at every call that
+/// grants anything (the owner checks). Single-threaded, deterministic.
+class ControlLeader {
+ public:
+  ControlLeader(const ControlOptions& options, std::string node);
+
+  /// A leadership begins: soft state is forgotten and leases of the predecessor are waited out.
+  void start(TimePoint now);
+
+  /// Something to append to the log, with whom to answer once it is applied.
+  struct Proposal {
+    wire::Command command;
+    std::vector<std::pair<std::string, int64_t>> claim_requests;       ///< node, request id; in the order of claims
+    std::vector<std::pair<std::string, int64_t>> resolution_requests;  ///< node, request id
+    std::optional<std::pair<std::string, int64_t>> operator_request;
+  };
+  struct Outputs {
+    std::vector<Proposal> proposals;
+    std::vector<EngineOrder> orders;
+    std::optional<wire::ReplicaSet> replicas;
+    std::vector<wire::Envelope> envelopes;
+  };
+
+  wire::HeartbeatReply heartbeat(TimePoint now, const wire::Envelope& envelope, const consensus::RaftNode& raft,
+                                 const ControlState& state);
+  void claim_request(const std::string& node, const wire::ClaimRequest& request);
+  void resolution_request(const std::string& node, const wire::ResolutionRequest& request);
+  void operator_request(TimePoint now, const std::string& node, const wire::OperatorRequest& request,
+                        const consensus::RaftNode& raft, const ControlState& state);
+  /// The platform's membership list: hints on which machines exist and which are leaving.
+  void membership_list(const std::vector<wire::Machine>& machines);
+  void order_result(const OrderResult& result) { groups_.order_result(result); }
+
+  /// A proposal stands in the log at `index`.
+  void proposed(int64_t index, Proposal proposal);
+  /// The log entry at `index` was applied with this result.
+  void applied(TimePoint now, int64_t index, const ApplyResult& result);
+  void tick(TimePoint now, const consensus::RaftNode& raft, const ControlState& state);
+  Outputs take_outputs();
+
+  const LeaderStats& stats() const { return stats_; }
+  const GroupSupervisor& groups() const { return groups_; }
+  const membership::NodeDirectory& nodes() const { return nodes_; }
+  const PresenceTable& presence() const { return presence_; }
+
+ private:
+  struct PendingChange {
+    std::string node;
+    int64_t request_id = 0;
+    wire::ChangeAnswer answer;
+    TimePoint deadline{};
+  };
+
+  void note_sightings(TimePoint now, const std::string& node, const wire::Heartbeat& heartbeat);
+  void fill_records(const wire::Heartbeat& heartbeat, const ControlState& state, wire::HeartbeatReply& reply);
+  void fill_budgets(TimePoint now, TimePoint until, const std::string& node, const wire::Heartbeat& heartbeat,
+                    const ControlState& state, wire::HeartbeatReply& reply);
+  void update_watches(TimePoint now, const ControlState& state);
+  void propose_observations(const ControlState& state);
+  void propose_entry_losses(TimePoint now);
+  void answer_changes(TimePoint now);
+  void propose(wire::Command command);
+  void track_change(TimePoint now, const std::string& node, int64_t request_id, const wire::ChangeAnswer& answer);
+  wire::OperatorReply& operator_reply(const std::string& node, int64_t request_id);
+  wire::StatusReport status(TimePoint now, const consensus::RaftNode& raft, const ControlState& state) const;
+  wire::Envelope& envelope_to(const std::string& node);
+
+  ControlOptions options_;
+  std::string node_;
+  TimePoint quiet_until_{};
+  membership::NodeDirectory nodes_;
+  PresenceTable presence_;
+  GroupSupervisor groups_;
+  ReplicaSupervisor replicas_;
+  admission::BudgetAllocator budgets_;
+  std::map<std::string, wire::Machine> hints_;
+  std::map<std::string, std::map<int64_t, TimePoint>> reply_times_;
+  membership::WatchAssignment watches_;
+  std::vector<std::string> watch_basis_;
+  int64_t watch_version_ = 0;
+  std::vector<PendingChange> pending_changes_;
+  Proposal claim_batch_;
+  std::map<int64_t, Proposal> in_flight_;
+  Outputs outputs_;
+  LeaderStats stats_;
+};
+
+}  // namespace larchlever::control
--- /dev/null
+++ b/src/core/control/control_state.h
@@ -0,0 +1,82 @@
+#pragma once
+
+#include <cstdint>
+#include <deque>
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "core/base/ids.h"
+#include "core/config/change_validation.h"
+#include "core/config/record_table.h"
+#include "core/ledger/claim_table.h"
+#include "larchlever_types.h"
+
+namespace larchlever::control {
+
+/// What applying one log entry produced, for whoever proposed it.
+struct ApplyResult {
+  std::optional<wire::ChangeAnswer> change_answer;
+  std::vector<ledger::ClaimDecision> claim_decisions;
+  std::optional<int64_t> created_group;
+};
+
+/// The replicated state of a region: configuration records, machines, groups, claims, operators' answers and the audit
+/// trail. Applying the same entries in the same order gives the same state on every replica; rules that must hold
+/// whoever proposes (exclusive machines, lifecycle order, certification) are enforced here, at apply time.
+///
+/// Deterministic, no I/O, no clock: time comes with the commands. Single-threaded.
+class ControlState {
+ public:
+  static constexpr size_t kAuditRecords = 20'000;
+  static constexpr size_t kRememberedAnswers = 50'000;
+  static constexpr size_t kTombstones = 2'000;
+
+  /// Applies the command at log index `index`; indexes must rise. Never throws; a command that no longer fits the
+  /// state changes nothing.
+  ApplyResult apply(int64_t index, const wire::Command& command);
+
+  int64_t applied_index() const { return applied_index_; }
+  int64_t clock_ms() const { return clock_ms_; }
+  const config::RecordTable& records() const { return records_; }
+  const std::map<std::string, wire::Machine>& machines() const { return machines_; }
+  const std::map<int64_t, wire::Group>& groups() const { return groups_; }
+  const ledger::ClaimTable& claims() const { return claims_; }
+  const std::deque<wire::AuditRecord>& audit() const { return audit_; }
+  const wire::ChangeAnswer* find_answer(const std::string& command_id) const;
+  wire::FleetParameters fleet_parameters() const;
+  config::FleetShape fleet_shape() const;
+  /// The verdict that a change would get now; for dry runs and for validation before the log.
+  wire::ChangeAnswer evaluate(const wire::ConfigurationChange& change) const;
+
+  std::string snapshot() const;
+  /// False when the bytes are unreadable; the state is then unchanged.
+  bool restore(const std::string& snapshot);
+
+ private:
+  wire::ChangeAnswer apply_change(Revision revision, const wire::ConfigurationChange& change);
+  wire::ChangeAnswer apply_drain(Revision revision, const wire::MachineDrain& drain);
+  void apply_observation(Revision revision, const wire::Machine& observed);
+  std::optional<int64_t> apply_creation(Revision revision, const wire::GroupCreation& creation);
+  void apply_transition(Revision revision, const wire::GroupTransition& transition);
+  void apply_release(Revision revision, const wire::MachineRelease& release);
+  void start_release(Revision revision, wire::Group& group);
+  void finish_release(Revision revision, int64_t group_id);
+  void store_group(Revision revision, const wire::Group& group);
+  void remember_answer(const std::string& operator_name, const std::string& command_id,
+                       const wire::ChangeAnswer& answer, std::vector<wire::KeyRevision> changed_from);
+
+  int64_t applied_index_ = 0;
+  int64_t clock_ms_ = 0;
+  int64_t next_group_id_ = 1;
+  config::RecordTable records_;
+  std::map<std::string, wire::Machine> machines_;
+  std::map<int64_t, wire::Group> groups_;
+  ledger::ClaimTable claims_;
+  std::map<std::string, wire::ChangeAnswer> answers_;
+  std::deque<std::string> answer_order_;
+  std::deque<wire::AuditRecord> audit_;
+};
+
+}  // namespace larchlever::control
--- /dev/null
+++ b/src/core/control/group_supervisor.cc
@@ -0,0 +1,285 @@
+#include "core/control/group_supervisor.h"
+
+#include <algorithm>
+
+namespace larchlever::control {
+
+void GroupSupervisor::start(TimePoint now, TimePoint quiet_until) {
+  started_ = now;
+  quiet_until_ = quiet_until;
+  next_plan_ = quiet_until;
+  lease_until_.clear();
+  draining_since_.clear();
+  loads_.clear();
+  releases_.clear();
+  last_plan_ = placement::Plan();
+}
+
+GroupSupervisor::Actions GroupSupervisor::tick(TimePoint now, int64_t term, const ControlState& state,
+                                               const PresenceTable& presence) {
+  Actions actions;
+  if (now < quiet_until_) {
+    return actions;
+  }
+  term_ = term;
+  loads_in_progress_ = 0;
+  for (const auto& [id, group] : state.groups()) {
+    loads_in_progress_ += group.state == wire::GroupState::LOADING ? 1 : 0;
+  }
+  for (const auto& [id, group] : state.groups()) {
+    supervise(now, group, state, presence, actions);
+  }
+  // Plans only on a settled state: a plan made while transitions are under way would count machines twice.
+  if (actions.proposals.empty() && now >= next_plan_) {
+    next_plan_ = now + options_.planning_interval;
+    run_planner(state, presence, now, actions);
+  }
+  const auto forget = [&state](const auto& item) { return !state.groups().contains(item.first.second); };
+  std::erase_if(loads_, forget);
+  std::erase_if(releases_, forget);
+  return actions;
+}
+
+void GroupSupervisor::supervise(TimePoint now, const wire::Group& group, const ControlState& state,
+                                const PresenceTable& presence, Actions& actions) {
+  if (group.state == wire::GroupState::RELEASING) {
+    release(now, group, state, presence, actions);
+    return;
+  }
+  if (member_lost(now, group, state, presence)) {
+    ++stats_.groups_lost;
+    propose_transition(group, wire::GroupState::RELEASING, actions);
+    return;
+  }
+  switch (group.state) {
+    case wire::GroupState::PLANNED:
+      load(now, group, state, actions);
+      break;
+    case wire::GroupState::LOADING:
+      if (all_loaded(group, presence)) {
+        propose_transition(group, wire::GroupState::READY, actions);
+      }
+      break;
+    case wire::GroupState::READY:
+      propose_transition(group, wire::GroupState::SERVING, actions);
+      break;
+    case wire::GroupState::DRAINING:
+      if (is_drained(now, group, presence)) {
+        ++stats_.groups_drained;
+        propose_transition(group, wire::GroupState::RELEASING, actions);
+      }
+      break;
+    default:
+      break;
+  }
+}
+
+bool GroupSupervisor::member_lost(TimePoint now, const wire::Group& group, const ControlState& state,
+                                  const PresenceTable& presence) const {
+  // A new leader has seen nobody yet: machines get one bound from its first tick on to show up.
+  const bool settled = now >= quiet_until_ + options_.presence_bound;
+  for (size_t rank = 0; rank < group.machines.size(); ++rank) {
+    const std::string& id = group.machines[rank];
+    const auto machine = state.machines().find(id);
+    if (machine == state.machines().end() || machine->second.incarnation != group.incarnations[rank]) {
+      return true;
+    }
+    const auto* sighting = presence.find(id);
+    if (sighting != nullptr && sighting->incarnation != group.incarnations[rank] && sighting->seen_at > started_) {
+      return true;
+    }
+    if (settled && !presence.is_present(id, group.incarnations[rank], now, options_.presence_bound)) {
+      return true;
+    }
+  }
+  return false;
+}
+
+bool GroupSupervisor::all_loaded(const wire::Group& group, const PresenceTable& presence) const {
+  return std::all_of(group.machines.begin(), group.machines.end(), [&](const auto& id) {
+    const auto* sighting = presence.find(id);
+    return sighting != nullptr && sighting->loaded && sighting->group_id == group.id && sighting->epoch == group.epoch;
+  });
+}
+
+bool GroupSupervisor::is_drained(TimePoint now, const wire::Group& group, const PresenceTable& presence) {
+  if (!leases_ended(now, group.id)) {
+    return false;
+  }
+  const TimePoint since = draining_since_.try_emplace(group.id, now).first->second;
+  if (now - since >= options_.drain_timeout) {
+    return true;
+  }
+  // Idle only counts when seen after the last lease ended: before that an entry may still have dispatched. One
+  // presence bound covers a dispatch that was on its way when its lease ended.
+  const auto* sighting = presence.find(group.machines.front());
+  return sighting != nullptr && sighting->seen_at > since + options_.presence_bound && sighting->load == 0;
+}
+
+bool GroupSupervisor::leases_ended(TimePoint now, int64_t group_id) const {
+  const auto found = lease_until_.find(group_id);
+  return now >= quiet_until_ && (found == lease_until_.end() || now >= found->second);
+}
+
+void GroupSupervisor::load(TimePoint now, const wire::Group& group, const ControlState& state, Actions& actions) {
+  const bool begun = loads_.contains(OrderKey(group.machines.front(), group.epoch));
+  if (!begun && loads_in_progress_ >= state.fleet_parameters().max_concurrent_loads) {
+    return;  // The weight store is rate-limited: groups wait here rather than all load slowly.
+  }
+  ++loads_in_progress_;
+  bool all_done = true;
+  for (size_t rank = 0; rank < group.machines.size(); ++rank) {
+    all_done = send_order(now, OrderKind::kLoad, group, rank, state, actions) && all_done;
+  }
+  if (all_done) {
+    propose_transition(group, wire::GroupState::LOADING, actions);
+  }
+}
+
+void GroupSupervisor::release(TimePoint now, const wire::Group& group, const ControlState& state,
+                              const PresenceTable& presence, Actions& actions) {
+  if (!leases_ended(now, group.id)) {
+    return;
+  }
+  for (size_t rank = 0; rank < group.machines.size(); ++rank) {
+    const auto found = state.machines().find(group.machines[rank]);
+    if (found == state.machines().end() || found->second.group_id != group.id) {
+      continue;
+    }
+    const wire::Machine& machine = found->second;
+    const bool incarnation_dead = machine.incarnation != group.incarnations[rank];
+    const bool reachable = presence.is_present(machine.id, machine.incarnation, now, options_.presence_bound);
+    const bool confirmed =
+        incarnation_dead || (reachable && send_order(now, OrderKind::kRelease, group, rank, state, actions));
+    if (confirmed) {
+      wire::Command command;
+      wire::MachineRelease released;
+      released.machine = machine.id;
+      released.group_id = group.id;
+      released.epoch = group.epoch;
+      command.__set_machine_release(released);
+      actions.proposals.push_back(std::move(command));
+    }
+  }
+}
+
+bool GroupSupervisor::send_order(TimePoint now, OrderKind kind, const wire::Group& group, size_t rank,
+                                 const ControlState& state, Actions& actions) {
+  auto& table = kind == OrderKind::kLoad ? loads_ : releases_;
+  OrderProgress& progress = table[OrderKey(group.machines[rank], group.epoch)];
+  if (progress.done) {
+    return true;
+  }
+  if (progress.sent_at != TimePoint::min() && now - progress.sent_at < options_.order_retry) {
+    return false;
+  }
+  progress.sent_at = now;
+  ++stats_.orders_sent;
+  EngineOrder order;
+  order.kind = kind;
+  order.machine = group.machines[rank];
+  order.endpoint = state.machines().at(order.machine).endpoint;
+  order.incarnation = group.incarnations[rank];
+  order.group_id = group.id;
+  order.epoch = group.epoch;
+  order.term = term_;
+  order.model = group.model;
+  order.version = group.version;
+  order.adapters = group.adapters;
+  order.members = group.machines;
+  order.rank = static_cast<int>(rank);
+  actions.orders.push_back(std::move(order));
+  return false;
+}
+
+void GroupSupervisor::order_result(const OrderResult& result) {
+  auto& table = result.kind == OrderKind::kLoad ? loads_ : releases_;
+  const auto found = table.find(OrderKey(result.machine, result.epoch));
+  if (found == table.end()) {
+    return;
+  }
+  stats_.orders_fenced += result.verdict == OrderVerdict::kFenced ? 1 : 0;
+  // A machine that has accepted a newer epoch, or restarted, holds nothing of this one: released all the same.
+  const bool holds_nothing = result.kind == OrderKind::kRelease && (result.verdict == OrderVerdict::kFenced ||
+                                                                    result.verdict == OrderVerdict::kWrongIncarnation);
+  found->second.done = found->second.done || result.verdict == OrderVerdict::kDone || holds_nothing;
+}
+
+void GroupSupervisor::propose_transition(const wire::Group& group, wire::GroupState::type to, Actions& actions) {
+  wire::Command command;
+  wire::GroupTransition transition;
+  transition.group_id = group.id;
+  transition.epoch = group.epoch;
+  transition.to = to;
+  command.__set_group_transition(transition);
+  actions.proposals.push_back(std::move(command));
+}
+
+void GroupSupervisor::run_planner(const ControlState& state, const PresenceTable& presence, TimePoint now,
+                                  Actions& actions) {
+  placement::PlanningInput input{state.machines(),
+                                 state.groups(),
+                                 config::read_all<wire::Template>(state.records(), config::kTemplatePrefix),
+                                 config::read_all<wire::Tenant>(state.records(), config::kTenantPrefix),
+                                 state.fleet_parameters(),
+                                 {}};
+  for (const auto& [id, machine] : state.machines()) {
+    if (presence.is_present(id, machine.incarnation, now, options_.presence_bound)) {
+      input.present.insert(id);
+    }
+  }
+  auto policy = placement::make_policy(input.parameters.placement_policy);
+  if (policy == nullptr) {
+    policy = placement::make_policy("spare_aware");
+  }
+  ++stats_.plans;
+  last_plan_ = placement::plan(input, *policy);
+  for (const auto& planned : last_plan_.create) {
+    ++stats_.groups_created;
+    wire::Command command;
+    wire::GroupCreation creation;
+    creation.template_name = planned.template_name;
+    creation.zone = planned.zone;
+    creation.domain = planned.domain;
+    creation.machines = planned.machines;
+    command.__set_group_creation(creation);
+    actions.proposals.push_back(std::move(command));
+  }
+  for (const int64_t id : last_plan_.drain) {
+    const wire::Group& group = state.groups().at(id);
+    propose_transition(
+        group, group.state == wire::GroupState::SERVING ? wire::GroupState::DRAINING : wire::GroupState::RELEASING,
+        actions);
+  }
+}
+
+std::vector<wire::GroupLease> GroupSupervisor::grant_leases(TimePoint now, TimePoint until, const ControlState& state,
+                                                            const PresenceTable& presence) {
+  std::vector<wire::GroupLease> leases;
+  for (const auto& [id, group] : state.groups()) {
+    if (group.state != wire::GroupState::SERVING) {
+      continue;
+    }
+    bool complete = true;
+    for (size_t rank = 0; rank < group.machines.size() && complete; ++rank) {
+      const auto* sighting = presence.find(group.machines[rank]);
+      complete = presence.is_present(group.machines[rank], group.incarnations[rank], now, options_.presence_bound) &&
+                 sighting->group_id == group.id && sighting->epoch == group.epoch;
+    }
+    if (!complete) {
+      continue;
+    }
+    TimePoint& lease = lease_until_[id];
+    lease = std::max(lease, until);
+    wire::GroupLease granted;
+    granted.group_id = id;
+    granted.epoch = group.epoch;
+    granted.load = presence.find(group.machines.front())->load;
+    leases.push_back(granted);
+  }
+  std::erase_if(lease_until_,
+                [&](const auto& item) { return item.second < now && !state.groups().contains(item.first); });
+  return leases;
+}
+
+}  // namespace larchlever::control
--- /dev/null
+++ b/src/core/membership/node_directory.h
@@ -0,0 +1,50 @@
+#pragma once
+
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "core/base/ids.h"
+#include "core/base/time.h"
+
+namespace larchlever::membership {
+
+/// One of our own nodes, as the leader knows it from its heartbeats.
+struct NodeRow {
+  std::string node;
+  std::string zone;
+  Incarnation incarnation;
+  TimePoint last_heard{};
+  Revision applied_revision;
+  /// Until when the node may serve by what it holds, by the leader's count.
+  TimePoint configuration_lease_until = TimePoint::min();
+  bool leaving = false;
+  ReplicaId replica_id;
+  std::string peer_address;
+  std::string service_address;
+};
+
+enum class Arrival { kKnown, kNew, kNewIncarnation, kStale };
+
+/// The leader's table of nodes. Soft state: a new leader fills it from heartbeats. Single-threaded.
+class NodeDirectory {
+ public:
+  /// Notes a heartbeat. Returns null when it stems from an incarnation older than the one known: a process that was
+  /// replaced and came back as if nothing had happened.
+  NodeRow* heard(TimePoint now, const std::string& node, Incarnation incarnation, Arrival& arrival);
+  const std::map<std::string, NodeRow>& rows() const { return rows_; }
+  NodeRow* find(const std::string& node);
+  /// Nodes heard within `timeout` that are not leaving.
+  std::vector<const NodeRow*> live(TimePoint now, Duration timeout) const;
+  /// Nodes that hold an unexpired configuration lease but have not confirmed `revision`.
+  std::vector<std::string> unconfirmed(TimePoint now, Revision revision) const;
+  /// Forgets nodes that have been silent for `timeout` and hold no lease; returns them.
+  std::vector<NodeRow> forget_silent(TimePoint now, Duration timeout);
+  void clear() { rows_.clear(); }
+
+ private:
+  std::map<std::string, NodeRow> rows_;
+};
+
+}  // namespace larchlever::membership
--- /dev/null
+++ b/src/core/node/entry_agent.cc
@@ -0,0 +1,142 @@
+#include "core/node/entry_agent.h"
+
+#include <algorithm>
+
+namespace larchlever::node {
+
+namespace {
+
+constexpr size_t kRememberedHeartbeats = 64;
+/// Unanswered heartbeats before another control node is tried.
+constexpr int kPatience = 2;
+
+}  // namespace
+
+EntryAgent::EntryAgent(const control::ControlOptions& options, NodeIdentity identity,
+                       std::vector<std::string> control_nodes, routing::RoutingPolicy policy, size_t queue_limit,
+                       uint64_t seed)
+    : options_(options),
+      identity_(std::move(identity)),
+      control_nodes_(std::move(control_nodes)),
+      router_(policy, seed),
+      admission_(queue_limit) {
+  rotate_leader();
+}
+
+void EntryAgent::rotate_leader() {
+  if (!control_nodes_.empty()) {
+    leader_ = control_nodes_[next_control_node_++ % control_nodes_.size()];
+  }
+}
+
+void EntryAgent::hint_leader(const std::string& node) {
+  if (!node.empty() && node != leader_) {
+    leader_ = node;
+    ++stats_.leader_changes;
+    next_heartbeat_ = TimePoint::min();
+  }
+}
+
+std::optional<wire::Envelope> EntryAgent::tick(TimePoint now, ReplicaId replica_id) {
+  if (now < next_heartbeat_ || leader_.empty()) {
+    return std::nullopt;
+  }
+  const bool silent =
+      sequence_ > 0 && now - std::max(last_reply_, TimePoint()) > kPatience * options_.heartbeat_interval;
+  if (silent && sequence_ % kPatience == 0) {
+    rotate_leader();
+  }
+  next_heartbeat_ = now + options_.heartbeat_interval;
+  wire::Envelope envelope;
+  envelope.from_node = identity_.node;
+  envelope.from_incarnation = identity_.incarnation.value();
+  envelope.to_node = leader_;
+  wire::Heartbeat heartbeat;
+  heartbeat.sequence = ++sequence_;
+  heartbeat.acknowledged_sequence = acknowledged_sequence_;
+  heartbeat.zone = identity_.zone;
+  heartbeat.applied_revision = records_.revision().value();
+  heartbeat.watch_version = watch_version_;
+  heartbeat.leaving = leaving_;
+  heartbeat.replica_id = replica_id.value();
+  heartbeat.peer_address = identity_.peer_address;
+  heartbeat.service_address = identity_.service_address;
+  for (auto& [machine, sample] : samples_) {
+    // A finding goes into several heartbeats, so that one lost on the way costs no presence.
+    wire::MachineSighting sighting = sample.sighting;
+    sighting.seen_ago_ms = static_cast<int32_t>(std::chrono::ceil<milliseconds>(now - sample.asked_at).count());
+    if (now - sample.asked_at <= 4 * options_.heartbeat_interval) {
+      heartbeat.sightings.push_back(std::move(sighting));
+    }
+  }
+  for (const auto& [tenant, load] : admission_.loads(now)) {
+    wire::TenantDemand demand;
+    demand.tenant = tenant;
+    demand.running = load.running;
+    demand.waiting = load.waiting;
+    demand.held = load.held;
+    heartbeat.demand.push_back(std::move(demand));
+  }
+  envelope.heartbeat = std::move(heartbeat);
+  envelope.__isset.heartbeat = true;
+  sent_at_[sequence_] = now;
+  while (sent_at_.size() > kRememberedHeartbeats) {
+    sent_at_.erase(sent_at_.begin());
+  }
+  ++stats_.heartbeats_sent;
+  return envelope;
+}
+
+void EntryAgent::heartbeat_reply(TimePoint now, const wire::Envelope& envelope) {
+  const wire::HeartbeatReply& reply = envelope.heartbeat_reply;
+  if (reply.not_leader) {
+    if (!reply.leader.empty()) {
+      hint_leader(reply.leader);
+    }
+    return;
+  }
+  const auto sent = sent_at_.find(reply.sequence);
+  const bool stale = sent == sent_at_.end() || reply.lease_ms <= 0 || reply.sequence <= acknowledged_sequence_ ||
+                     Revision(reply.revision) < records_.revision();
+  if (stale) {
+    ++stats_.stale_replies;
+    return;
+  }
+  ++stats_.replies;
+  acknowledged_sequence_ = reply.sequence;
+  last_reply_ = now;
+  leader_ = envelope.from_node;
+  const TimePoint sent_at = sent->second;
+  sent_at_.erase(sent_at_.begin(), std::next(sent));
+  const bool changed = Revision(reply.revision) > records_.revision();
+  stats_.full_copies += reply.full ? 1 : 0;
+  if (changed || reply.full) {
+    records_.install(reply.records, reply.full, Revision(reply.revision));
+    router_.set_table(routing::RoutingTable(records_));
+    // Confirm at once: the operator's change is in force when the last holder of a lease has said so.
+    next_heartbeat_ = TimePoint::min();
+  }
+  // Leases count from the moment the heartbeat left: the leader's own count starts later, so it ends later.
+  const TimePoint until = sent_at + milliseconds(reply.lease_ms);
+  router_.set_configuration_lease(std::max(router_.configuration_lease_until(), until));
+  router_.set_leases(reply.leases, sent_at + milliseconds(reply.serve_lease_ms));
+  for (const auto& budget : reply.budgets) {
+    admission_.set_budget(budget.tenant, budget.concurrent, until);
+  }
+  if (reply.watch_version != watch_version_) {
+    watch_version_ = reply.watch_version;
+    watches_ = reply.watches;
+    std::erase_if(samples_, [this](const auto& item) {
+      return std::none_of(watches_.begin(), watches_.end(),
+                          [&item](const auto& target) { return target.machine == item.first; });
+    });
+  }
+}
+
+void EntryAgent::sighting(TimePoint asked_at, const wire::MachineSighting& sighting) {
+  Sample& sample = samples_[sighting.machine];
+  sample.asked_at = asked_at;
+  sample.sighting = sighting;
+}
+
+}  // namespace larchlever::node
--- /dev/null
+++ b/src/core/node/entry_agent.h
@@ -0,0 +1,97 @@
+#pragma once
+
+#include <cstdint>
+#include <deque>
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "core/admission/admission_controller.h"
+#include "core/base/ids.h"
+#include "core/base/time.h"
+#include "core/config/record_table.h"
+#include "core/control/control_options.h"
+#include "core/routing/router.h"
+#include "larchlever_types.h"
+
+namespace larchlever::node {
+
+/// Who a node is, from its settings and its start.
+struct NodeIdentity {
+  std::string node;
+  std::string zone;
+  /// Rises with every start of the process.
+  Incarnation incarnation;
+  std::string peer_address;
+  std::string service_address;
+};
+
+struct EntryStats {
+  uint64_t heartbeats_sent = 0;
+  uint64_t replies = 0;
+  uint64_t stale_replies = 0;
+  uint64_t full_copies = 0;
+  uint64_t leader_changes = 0;
+};
+
+/// The entry's side of the control plane: reports to the leader, installs configuration and holds leases.
+///
+/// Guarantees: the router dispatches nothing unless a lease from the leader covers this moment, counted from when the
+/// renewal was *sent*; the configuration never goes back to an older revision. Single-threaded, deterministic.
+class EntryAgent {
+ public:
+  /// `control_nodes` are asked in turn until one names the leader.
+  EntryAgent(const control::ControlOptions& options, NodeIdentity identity, std::vector<std::string> control_nodes,
+             routing::RoutingPolicy policy, size_t queue_limit, uint64_t seed);
+
+  /// A heartbeat to send, if one is due.
+  std::optional<wire::Envelope> tick(TimePoint now, ReplicaId replica_id);
+  void heartbeat_reply(TimePoint now, const wire::Envelope& envelope);
+  /// What a poll of a watched machine found. `asked_at` is when the poll was sent: the machine was alive then or later.
+  void sighting(TimePoint asked_at, const wire::MachineSighting& sighting);
+  /// This node is stopping: it announces so and gets no more budgets.
+  void set_leaving() { leaving_ = true; }
+  /// The replicated log, where this node holds a replica, knows the leader at once.
+  void hint_leader(const std::string& node);
+
+  const std::string& leader() const { return leader_; }
+  const config::RecordTable& records() const { return records_; }
+  Revision revision() const { return records_.revision(); }
+  bool has_configuration_lease(TimePoint now) const { return now < router_.configuration_lease_until(); }
+  routing::Router& router() { return router_; }
+  const routing::Router& router() const { return router_; }
+  admission::AdmissionController& admission() { return admission_; }
+  const std::vector<wire::WatchTarget>& watches() const { return watches_; }
+  int64_t watch_version() const { return watch_version_; }
+  const NodeIdentity& identity() const { return identity_; }
+  const EntryStats& stats() const { return stats_; }
+
+ private:
+  void rotate_leader();
+
+  control::ControlOptions options_;
+  NodeIdentity identity_;
+  std::vector<std::string> control_nodes_;
+  size_t next_control_node_ = 0;
+  std::string leader_;
+  config::RecordTable records_;
+  routing::Router router_;
+  admission::AdmissionController admission_;
+  bool leaving_ = false;
+  int64_t sequence_ = 0;
+  int64_t acknowledged_sequence_ = 0;
+  TimePoint next_heartbeat_ = TimePoint::min();
+  TimePoint last_reply_ = TimePoint::min();
+  std::map<int64_t, TimePoint> sent_at_;
+  struct Sample {
+    TimePoint asked_at{};
+    wire::MachineSighting sighting;
+  };
+  std::map<std::string, Sample> samples_;
+  std::vector<wire::WatchTarget> watches_;
+  int64_t watch_version_ = 0;
+  EntryStats stats_;
+};
+
+}  // namespace larchlever::node
--- /dev/null
+++ b/src/core/node/node_controller.cc
@@ -0,0 +1,317 @@
+#include "core/node/node_controller.h"
+
+#include <algorithm>
+
+#include "wire/codec.h"
+
+namespace larchlever::node {
+
+namespace {
+
+constexpr Duration kHandOverRetry = milliseconds(500);
+
+}  // namespace
+
+NodeController::NodeController(const NodeControllerOptions& options, NodeIdentity identity, TimePoint)
+    : options_(options),
+      node_(identity.node),
+      incarnation_(identity.incarnation),
+      entry_(options.control, std::move(identity), options.control_nodes, options.routing_policy, options.queue_limit,
+             options.seed),
+      leader_(options.control, node_) {}
+
+void NodeController::start_replica(TimePoint now, ReplicaId replica_id, consensus::PersistedState persisted) {
+  state_ = control::ControlState();
+  led_term_ = -1;
+  last_snapshot_index_ = persisted.snapshot.index;
+  raft_.emplace(replica_id, options_.raft, std::move(persisted), options_.seed, now);
+}
+
+void NodeController::replica_failed() { raft_.reset(); }
+
+// ------------------------------------------------------------------- inputs
+
+void NodeController::tick(TimePoint now, int64_t wall_ms) {
+  wall_ms_ = wall_ms;
+  if (raft_) {
+    raft_->tick(now);
+    entry_.hint_leader(leader_node());
+  }
+  if (leaving_ && raft_ && raft_->is_leader() && now >= next_hand_over_) {
+    next_hand_over_ = now + kHandOverRetry;
+    raft_->hand_over(now);
+  }
+  if (auto heartbeat = entry_.tick(now, raft_ ? raft_->id() : ReplicaId())) {
+    send(now, std::move(*heartbeat));
+  }
+  resend_pending(now);
+  if (acts_as_leader(now) && led_term_ == raft_->term()) {
+    leader_.tick(now, *raft_, state_);
+  }
+  process(now);
+}
+
+void NodeController::receive(TimePoint now, wire::Envelope envelope) {
+  if (envelope.__isset.raft) {
+    if (raft_) {
+      raft_->step(now, envelope.raft);
+    }
+  } else if (envelope.__isset.heartbeat) {
+    handle_heartbeat(now, envelope);
+  } else if (envelope.__isset.heartbeat_reply) {
+    entry_.heartbeat_reply(now, envelope);
+  } else if (envelope.__isset.claim_request) {
+    if (acts_as_leader(now)) {
+      leader_.claim_request(envelope.from_node, envelope.claim_request);
+    }
+  } else if (envelope.__isset.resolution) {
+    if (acts_as_leader(now)) {
+      leader_.resolution_request(envelope.from_node, envelope.resolution);
+    }
+  } else if (envelope.__isset.operator_request) {
+    handle_operator_request(now, envelope);
+  } else {
+    handle_reply(envelope);
+  }
+  process(now);
+}
+
+void NodeController::synced(TimePoint now, int64_t ticket) {
+  if (raft_) {
+    raft_->synced(now, ticket);
+    process(now);
+  }
+}
+
+void NodeController::handle_heartbeat(TimePoint now, const wire::Envelope& envelope) {
+  wire::Envelope answer;
+  answer.to_node = envelope.from_node;
+  answer.__isset.heartbeat_reply = true;
+  if (acts_as_leader(now) && led_term_ == raft_->term()) {
+    answer.heartbeat_reply = leader_.heartbeat(now, envelope, *raft_, state_);
+  } else {
+    answer.heartbeat_reply.not_leader = true;
+    answer.heartbeat_reply.sequence = envelope.heartbeat.sequence;
+    answer.heartbeat_reply.leader = leader_node();
+  }
+  send(now, std::move(answer));
+}
+
+void NodeController::handle_operator_request(TimePoint now, const wire::Envelope& envelope) {
+  if (acts_as_leader(now) && led_term_ == raft_->term()) {
+    leader_.operator_request(now, envelope.from_node, envelope.operator_request, *raft_, state_);
+  }
+  // Otherwise silent: the asking node repeats the request to whoever leads by then.
+}
+
+void NodeController::handle_reply(const wire::Envelope& envelope) {
+  if (envelope.__isset.claim_reply) {
+    const auto found = claims_.find(envelope.claim_reply.request_id);
+    if (found == claims_.end() || !envelope.claim_reply.decided) {
+      return;
+    }
+    ClaimOutcome outcome;
+    outcome.request_id = found->first;
+    outcome.decided = true;
+    outcome.granted = envelope.claim_reply.granted;
+    outcome.standing = envelope.claim_reply.standing;
+    outcome.expired_key = !envelope.claim_reply.message.empty();
+    outputs_.claim_outcomes.push_back(std::move(outcome));
+    claims_.erase(found);
+  } else if (envelope.__isset.resolution_reply) {
+    resolutions_.erase(envelope.resolution_reply.request_id);
+  } else if (envelope.__isset.operator_reply) {
+    if (operator_requests_.erase(envelope.operator_reply.request_id) > 0) {
+      outputs_.operator_replies.push_back(envelope.operator_reply);
+    }
+  }
+}
+
+// ----------------------------------------------------- requests to the leader
+
+int64_t NodeController::submit_operator_request(TimePoint now, wire::OperatorRequest request, TimePoint deadline) {
+  const int64_t id = next_request_id_++;
+  request.request_id = id;
+  operator_requests_[id] = {std::move(request), deadline, TimePoint::min()};
+  resend_pending(now);
+  process(now);
+  return id;
+}
+
+int64_t NodeController::submit_claim(TimePoint now, wire::Claim claim, TimePoint deadline) {
+  const int64_t id = next_request_id_++;
+  claim.entry = node_;
+  claim.entry_incarnation = incarnation_.value();
+  claim.nonce = id;
+  wire::ClaimRequest request;
+  request.request_id = id;
+  request.claim = std::move(claim);
+  claims_[id] = {std::move(request), deadline, TimePoint::min()};
+  resend_pending(now);
+  process(now);
+  return id;
+}
+
+void NodeController::resolve_claim(TimePoint now, wire::ClaimResolution resolution) {
+  const int64_t id = next_request_id_++;
+  resolution.entry = node_;
+  resolution.entry_incarnation = incarnation_.value();
+  wire::ResolutionRequest request;
+  request.request_id = id;
+  request.resolution = std::move(resolution);
+  resolutions_[id] = {std::move(request), TimePoint::max(), TimePoint::min()};
+  resend_pending(now);
+  process(now);
+}
+
+wire::Envelope NodeController::to_leader() const {
+  wire::Envelope envelope;
+  envelope.to_node = entry_.leader();
+  return envelope;
+}
+
+void NodeController::resend_pending(TimePoint now) {
+  const auto due = [&](const auto& pending) {
+    return pending.sent_at == TimePoint::min() || now - pending.sent_at >= options_.request_retry;
+  };
+  for (auto item = operator_requests_.begin(); item != operator_requests_.end();) {
+    auto& pending = item->second;
+    if (now >= pending.deadline) {
+      wire::OperatorReply reply;
+      reply.request_id = item->first;
+      outputs_.operator_replies.push_back(std::move(reply));
+      item = operator_requests_.erase(item);
+      continue;
+    }
+    if (due(pending)) {
+      pending.sent_at = now;
+      auto envelope = to_leader();
+      envelope.__set_operator_request(pending.request);
+      send(now, std::move(envelope));
+    }
+    ++item;
+  }
+  for (auto item = claims_.begin(); item != claims_.end();) {
+    auto& pending = item->second;
+    if (now >= pending.deadline) {
+      ClaimOutcome outcome;
+      outcome.request_id = item->first;
+      outputs_.claim_outcomes.push_back(std::move(outcome));
+      item = claims_.erase(item);
+      continue;
+    }
+    if (due(pending)) {
+      pending.sent_at = now;
+      auto envelope = to_leader();
+      envelope.__set_claim_request(pending.request);
+      send(now, std::move(envelope));
+    }
+    ++item;
+  }
+  for (auto& [id, pending] : resolutions_) {
+    if (due(pending)) {
+      pending.sent_at = now;
+      auto envelope = to_leader();
+      envelope.__set_resolution(pending.request);
+      send(now, std::move(envelope));
+    }
+  }
+}
+
+// ------------------------------------------------------------------ outputs
+
+std::string NodeController::leader_node() const {
+  if (!raft_) {
+    return "";
+  }
+  for (const auto& voter : raft_->replicas().voters) {
+    if (voter.replica_id == raft_->leader().value()) {
+      return voter.node;
+    }
+  }
+  return "";
+}
+
+void NodeController::send(TimePoint, wire::Envelope envelope) {
+  envelope.from_node = node_;
+  envelope.from_incarnation = incarnation_.value();
+  if (envelope.to_node == node_) {
+    loopback_.push_back(std::move(envelope));
+  } else if (!envelope.to_node.empty()) {
+    outputs_.envelopes.push_back(std::move(envelope));
+  }
+}
+
+void NodeController::apply_committed(TimePoint now) {
+  if (auto snapshot = raft_->take_installed_snapshot()) {
+    state_.restore(snapshot->state);
+    last_snapshot_index_ = snapshot->header.index;
+  }
+  for (const auto& entry : raft_->take_committed()) {
+    if (entry.kind != wire::EntryKind::COMMAND) {
+      continue;
+    }
+    const auto command = wire::decode<wire::Command>(entry.payload);
+    if (command) {
+      leader_.applied(now, entry.index, state_.apply(entry.index, *command));
+    }
+  }
+  if (state_.applied_index() - last_snapshot_index_ >= options_.control.snapshot_interval) {
+    last_snapshot_index_ = state_.applied_index();
+    raft_->compact(state_.applied_index(), state_.snapshot(), options_.control.snapshot_trailing);
+  }
+}
+
+void NodeController::carry_leader_outputs(TimePoint now) {
+  auto leader_outputs = leader_.take_outputs();
+  if (!acts_as_leader(now)) {
+    return;  // Deposed in the meantime: nothing of this leaves.
+  }
+  for (auto& proposal : leader_outputs.proposals) {
+    proposal.command.at_ms = std::max(wall_ms_, state_.clock_ms());
+    if (const auto index = raft_->propose(now, wire::encode(proposal.command))) {
+      leader_.proposed(*index, std::move(proposal));
+    }
+  }
+  if (leader_outputs.replicas) {
+    raft_->propose_replicas(now, *leader_outputs.replicas);
+  }
+  for (auto& envelope : leader_outputs.envelopes) {
+    send(now, std::move(envelope));
+  }
+  outputs_.orders.insert(outputs_.orders.end(), leader_outputs.orders.begin(), leader_outputs.orders.end());
+}
+
+void NodeController::process(TimePoint now) {
+  if (raft_) {
+    if (raft_->is_leader() && led_term_ != raft_->term()) {
+      led_term_ = raft_->term();
+      leader_.start(now);
+    }
+    apply_committed(now);
+    carry_leader_outputs(now);
+    auto output = raft_->take_output();
+    if (!output.empty()) {
+      outputs_.storage.push_back(std::move(output));
+    }
+  }
+  std::vector<wire::Envelope> local = std::move(loopback_);
+  loopback_.clear();
+  for (auto& envelope : local) {
+    receive(now, std::move(envelope));
+  }
+}
+
+void NodeController::begin_leaving(TimePoint now) {
+  leaving_ = true;
+  entry_.set_leaving();
+  next_hand_over_ = now;
+}
+
+NodeOutputs NodeController::take_outputs() {
+  NodeOutputs result = std::move(outputs_);
+  outputs_ = NodeOutputs();
+  return result;
+}
+
+}  // namespace larchlever::node
--- /dev/null
+++ b/src/core/placement/group_lifecycle.cc
@@ -0,0 +1,138 @@
+#include "core/placement/group_lifecycle.h"
+
+#include <array>
+#include <boost/msm/back/state_machine.hpp>
+#include <boost/msm/front/functor_row.hpp>
+#include <boost/msm/front/state_machine_def.hpp>
+
+namespace larchlever::placement {
+
+namespace {
+
+namespace front = boost::msm::front;
+using front::none;
+using front::Row;
+
+struct Planned : front::state<> {};
+struct Loading : front::state<> {};
+struct Ready : front::state<> {};
+struct Serving : front::state<> {};
+struct Draining : front::state<> {};
+struct Releasing : front::state<> {};
+struct Gone : front::state<> {};
+
+struct OrdersSent {};
+struct AllLoaded {};
+struct Serve {};
+struct Drain {};
+struct Drained {};
+struct MemberLost {};
+struct AllReleased {};
+
+// The names below are fixed by Boost.MSM's front end.
+// NOLINTBEGIN(readability-identifier-naming)
+struct LifecycleDefinition : front::state_machine_def<LifecycleDefinition> {
+  using initial_state = Planned;
+  struct transition_table
+      : boost::mpl::vector<
+            Row<Planned, OrdersSent, Loading, none, none>, Row<Planned, Drain, Releasing, none, none>,
+            Row<Planned, MemberLost, Releasing, none, none>, Row<Loading, AllLoaded, Ready, none, none>,
+            Row<Loading, Drain, Releasing, none, none>, Row<Loading, MemberLost, Releasing, none, none>,
+            Row<Ready, Serve, Serving, none, none>, Row<Ready, Drain, Releasing, none, none>,
+            Row<Ready, MemberLost, Releasing, none, none>, Row<Serving, Drain, Draining, none, none>,
+            Row<Serving, MemberLost, Releasing, none, none>, Row<Draining, Drained, Releasing, none, none>,
+            Row<Draining, MemberLost, Releasing, none, none>, Row<Releasing, AllReleased, Gone, none, none>> {};
+
+  template <typename Machine, typename Event>
+  void no_transition(const Event&, Machine&, int) {}
+};
+// NOLINTEND(readability-identifier-naming)
+
+using Lifecycle = boost::msm::back::state_machine<LifecycleDefinition>;
+
+constexpr size_t kStates = 7;
+constexpr size_t kEvents = 7;
+
+void process(Lifecycle& machine, GroupEvent event) {
+  switch (event) {
+    case GroupEvent::kOrdersSent:
+      machine.process_event(OrdersSent{});
+      break;
+    case GroupEvent::kAllLoaded:
+      machine.process_event(AllLoaded{});
+      break;
+    case GroupEvent::kServe:
+      machine.process_event(Serve{});
+      break;
+    case GroupEvent::kDrain:
+      machine.process_event(Drain{});
+      break;
+    case GroupEvent::kDrained:
+      machine.process_event(Drained{});
+      break;
+    case GroupEvent::kMemberLost:
+      machine.process_event(MemberLost{});
+      break;
+    case GroupEvent::kAllReleased:
+      machine.process_event(AllReleased{});
+      break;
+  }
+}
+
+/// The machine's transitions as a table, worked out once by walking the machine from its start: the records hold only
+/// the state's number, and MSM has no way to start a machine in a given state.
+class TransitionTable {
+ public:
+  TransitionTable() {
+    Lifecycle machine;
+    machine.start();
+    explore(machine);
+  }
+
+  std::optional<wire::GroupState::type> next(size_t state, size_t event) const {
+    const int next = table_.at(state).at(event);
+    return next < 0 ? std::nullopt : std::optional(static_cast<wire::GroupState::type>(next));
+  }
+
+ private:
+  // MSM numbers states in the order of the table's sources, then targets: the same order as wire::GroupState.
+  void explore(const Lifecycle& machine) {
+    const auto state = static_cast<size_t>(machine.current_state()[0]);
+    if (seen_.at(state)) {
+      return;
+    }
+    seen_.at(state) = true;
+    for (size_t event = 0; event < kEvents; ++event) {
+      Lifecycle copy = machine;
+      process(copy, static_cast<GroupEvent>(event));
+      const int after = copy.current_state()[0];
+      table_.at(state).at(event) = after == static_cast<int>(state) ? -1 : after;
+      explore(copy);
+    }
+  }
+
+  std::array<std::array<int, kEvents>, kStates> table_{};
+  std::array<bool, kStates> seen_{};
+};
+
+const TransitionTable& transitions() {
+  static const TransitionTable table;
+  return table;
+}
+
+}  // namespace
+
+std::optional<wire::GroupState::type> next_state(wire::GroupState::type state, GroupEvent event) {
+  return transitions().next(static_cast<size_t>(state), static_cast<size_t>(event));
+}
+
+std::optional<GroupEvent> event_between(wire::GroupState::type from, wire::GroupState::type to) {
+  for (size_t event = 0; event < kEvents; ++event) {
+    if (next_state(from, static_cast<GroupEvent>(event)) == to) {
+      return static_cast<GroupEvent>(event);
+    }
+  }
+  return std::nullopt;
+}
+
+}  // namespace larchlever::placement
--- /dev/null
+++ b/src/core/placement/planner.cc
@@ -0,0 +1,326 @@
+#include "core/placement/planner.h"
+
+#include <algorithm>
+#include <cmath>
+#include <optional>
+#include <tuple>
+
+namespace larchlever::placement {
+
+namespace {
+
+/// A domain that keeps this many spare machines for each of its groups can replace a lost one at once.
+constexpr size_t kSparesPerDomain = 1;
+
+bool is_usable(const PlanningInput& input, const wire::Machine& machine) {
+  return machine.state == wire::MachineState::FREE && !machine.leaving && input.present.contains(machine.id);
+}
+
+bool is_active(const wire::Group& group) { return group.state <= wire::GroupState::SERVING; }
+
+bool is_current(const wire::Group& group, const std::map<std::string, const wire::Template*>& templates) {
+  const auto found = templates.find(group.template_name);
+  if (found == templates.end()) {
+    return false;
+  }
+  const wire::Template& shape = *found->second;
+  return group.model == shape.model && group.version == shape.version && group.adapters == shape.adapters &&
+         group.machines.size() == static_cast<size_t>(shape.machines_per_group);
+}
+
+std::map<std::string, DomainView> domain_views(const PlanningInput& input) {
+  std::map<std::string, DomainView> domains;
+  for (const auto& [id, machine] : input.machines) {
+    DomainView& view = domains[machine.domain];
+    view.domain = machine.domain;
+    view.zone = machine.zone;
+    ++view.total;
+    if (is_usable(input, machine)) {
+      view.free.push_back(&machine);
+    }
+  }
+  for (const auto& [id, group] : input.groups) {
+    domains[group.domain].groups += is_active(group) ? 1 : 0;
+  }
+  return domains;
+}
+
+/// The `size` free machines to use, those that already hold the weights first: they need nothing from the store.
+std::vector<std::string> pick_machines(const DomainView& domain, size_t size, const std::string& weights) {
+  std::vector<const wire::Machine*> candidates = domain.free;
+  std::stable_sort(candidates.begin(), candidates.end(), [&weights](const auto* left, const auto* right) {
+    return (left->weights == weights) > (right->weights == weights);
+  });
+  std::vector<std::string> result;
+  for (size_t position = 0; position < size; ++position) {
+    result.push_back(candidates[position]->id);
+  }
+  return result;
+}
+
+class FirstFit : public PlacementPolicy {
+ public:
+  std::string_view name() const override { return "first_fit"; }
+  size_t choose(const std::vector<const DomainView*>&, size_t, const wire::FleetParameters&) const override {
+    return 0;
+  }
+};
+
+/// The domain with the smallest remainder: large holes stay whole for large groups.
+class BestFit : public PlacementPolicy {
+ public:
+  std::string_view name() const override { return "best_fit"; }
+  size_t choose(const std::vector<const DomainView*>& domains, size_t, const wire::FleetParameters&) const override {
+    const auto best = std::min_element(domains.begin(), domains.end(), [](const auto* left, const auto* right) {
+      return left->free.size() < right->free.size();
+    });
+    return static_cast<size_t>(best - domains.begin());
+  }
+};
+
+/// Weighs a spare machine left beside the group (quick recovery after a loss) against the remainder that no further
+/// group of this size can use (idle machines).
+class SpareAware : public PlacementPolicy {
+ public:
+  std::string_view name() const override { return "spare_aware"; }
+  size_t choose(const std::vector<const DomainView*>& domains, size_t size,
+                const wire::FleetParameters& parameters) const override {
+    const auto cost = [&](const DomainView& domain) {
+      const size_t remainder = domain.free.size() - size;
+      const size_t unusable = remainder % size;
+      const bool keeps_spare = remainder >= kSparesPerDomain;
+      const double downtime = keeps_spare ? 0.0 : 1.0;
+      const double idle = static_cast<double>(unusable) / static_cast<double>(size);
+      const double weight = parameters.downtime_weight / 100.0;
+      return std::tuple(weight * downtime + (1.0 - weight) * idle, domain.free.size());
+    };
+    const auto best = std::min_element(domains.begin(), domains.end(), [&cost](const auto* left, const auto* right) {
+      return cost(*left) < cost(*right);
+    });
+    return static_cast<size_t>(best - domains.begin());
+  }
+};
+
+/// Adds groups where demand exceeds what stands, drains where it is the other way round.
+class PlanningPass {
+ public:
+  PlanningPass(const PlanningInput& input, const PlacementPolicy& policy)
+      : input_(input), policy_(policy), domains_(domain_views(input)) {
+    for (const auto& item : input.templates) {
+      templates_[item.name] = &item;
+    }
+  }
+
+  Plan run() {
+    drain_leaving();
+    auto demands = desired_groups(input_);
+    // Larger groups first: they have the fewest places to go.
+    std::stable_sort(demands.begin(), demands.end(), [this](const Demand& left, const Demand& right) {
+      return templates_[left.template_name]->machines_per_group > templates_[right.template_name]->machines_per_group;
+    });
+    std::set<std::pair<std::string, std::string>> wanted;
+    for (const auto& demand : demands) {
+      wanted.insert({demand.template_name, demand.zone});
+      satisfy(demand);
+    }
+    drain_unwanted(wanted);
+    plan_.stranded_accelerators = count_stranded();
+    return std::move(plan_);
+  }
+
+ private:
+  bool already_draining(int64_t id) const {
+    return std::find(plan_.drain.begin(), plan_.drain.end(), id) != plan_.drain.end();
+  }
+
+  void drain_leaving() {
+    for (const auto& [id, group] : input_.groups) {
+      const bool leaving = std::any_of(group.machines.begin(), group.machines.end(), [this](const auto& machine) {
+        const auto found = input_.machines.find(machine);
+        return found != input_.machines.end() && found->second.leaving;
+      });
+      if (leaving && is_active(group)) {
+        plan_.drain.push_back(id);
+      }
+    }
+  }
+
+  void satisfy(const Demand& demand) {
+    std::vector<const wire::Group*> current;
+    std::vector<const wire::Group*> outdated;
+    for (const auto& [id, group] : input_.groups) {
+      const bool here = group.template_name == demand.template_name && group.zone == demand.zone;
+      if (here && is_active(group) && !already_draining(id)) {
+        (is_current(group, templates_) ? current : outdated).push_back(&group);
+      }
+    }
+    int missing = demand.groups - static_cast<int>(current.size());
+    while (missing > 0 && place(demand)) {
+      --missing;
+    }
+    for (int surplus = -missing; surplus > 0; --surplus) {
+      plan_.drain.push_back(current.back()->id);
+      current.pop_back();
+    }
+    replace_outdated(outdated, current, missing);
+    if (missing > 0) {
+      plan_.unmet[demand.zone] += missing;
+      unmet_sizes_[demand.zone].push_back(static_cast<size_t>(templates_[demand.template_name]->machines_per_group));
+    }
+  }
+
+  /// Outdated groups serve on until new ones stand in for them; where there is no room for both, one at a time makes
+  /// way.
+  void replace_outdated(const std::vector<const wire::Group*>& outdated, const std::vector<const wire::Group*>& current,
+                        int missing) {
+    const bool all_serving = std::all_of(current.begin(), current.end(),
+                                         [](const auto* group) { return group->state == wire::GroupState::SERVING; });
+    if (outdated.empty() || !all_serving) {
+      return;
+    }
+    if (missing <= 0) {
+      for (const auto* group : outdated) {
+        plan_.drain.push_back(group->id);
+      }
+    } else {
+      plan_.drain.push_back(outdated.front()->id);
+    }
+  }
+
+  bool place(const Demand& demand) {
+    const wire::Template& shape = *templates_[demand.template_name];
+    const auto size = static_cast<size_t>(shape.machines_per_group);
+    std::vector<const DomainView*> fitting;
+    for (const auto& [name, domain] : domains_) {
+      if (domain.zone == demand.zone && domain.free.size() >= size) {
+        fitting.push_back(&domain);
+      }
+    }
+    if (fitting.empty()) {
+      return false;
+    }
+    DomainView& domain = domains_[fitting[policy_.choose(fitting, size, input_.parameters)]->domain];
+    PlannedGroup group;
+    group.template_name = demand.template_name;
+    group.zone = demand.zone;
+    group.domain = domain.domain;
+    group.machines = pick_machines(domain, size, shape.model + "@" + shape.version);
+    std::erase_if(domain.free, [&group](const auto* machine) {
+      return std::find(group.machines.begin(), group.machines.end(), machine->id) != group.machines.end();
+    });
+    ++domain.groups;
+    plan_.create.push_back(std::move(group));
+    return true;
+  }
+
+  void drain_unwanted(const std::set<std::pair<std::string, std::string>>& wanted) {
+    for (const auto& [id, group] : input_.groups) {
+      if (is_active(group) && !wanted.contains({group.template_name, group.zone}) && !already_draining(id)) {
+        plan_.drain.push_back(id);
+      }
+    }
+  }
+
+  int64_t count_stranded() const {
+    int64_t stranded = 0;
+    for (const auto& [name, domain] : domains_) {
+      if (!unmet_sizes_.contains(domain.zone)) {
+        continue;
+      }
+      for (const auto* machine : domain.free) {
+        stranded += machine->accelerators;
+      }
+    }
+    return stranded;
+  }
+
+  const PlanningInput& input_;
+  const PlacementPolicy& policy_;
+  std::map<std::string, DomainView> domains_;
+  std::map<std::string, const wire::Template*> templates_;
+  std::map<std::string, std::vector<size_t>> unmet_sizes_;
+  Plan plan_;
+};
+
+/// Free and taken machines per zone: the ground on which shares are split.
+std::map<std::string, int> machines_per_zone(const PlanningInput& input) {
+  std::map<std::string, int> result;
+  for (const auto& [id, machine] : input.machines) {
+    ++result[machine.zone];
+  }
+  return result;
+}
+
+}  // namespace
+
+std::vector<Demand> desired_groups(const PlanningInput& input) {
+  const auto zone_sizes = machines_per_zone(input);
+  std::map<std::string, const wire::Template*> templates;
+  for (const auto& item : input.templates) {
+    templates[item.name] = &item;
+  }
+  std::map<std::pair<std::string, std::string>, double> wanted;
+  for (const auto& tenant : input.tenants) {
+    int permitted = 0;
+    for (const auto& zone : tenant.zones) {
+      const auto size = zone_sizes.find(zone);
+      permitted += size == zone_sizes.end() ? 0 : size->second;
+    }
+    const auto shape = templates.find(tenant.template_name);
+    if (permitted == 0 || shape == templates.end()) {
+      continue;
+    }
+    const double machines = static_cast<double>(input.machines.size()) * tenant.share_percent / 100.0;
+    const double groups = std::min<double>(machines, permitted) / shape->second->machines_per_group;
+    for (const auto& zone : tenant.zones) {
+      if (const auto size = zone_sizes.find(zone); size != zone_sizes.end()) {
+        wanted[{tenant.template_name, zone}] += groups * size->second / permitted;
+      }
+    }
+  }
+  std::map<std::pair<std::string, std::string>, int> rounded;
+  for (const auto& [key, groups] : wanted) {
+    constexpr double kRoundingGuard = 1e-9;
+    rounded[key] = static_cast<int>(std::floor(groups + 0.5 + kRoundingGuard));
+  }
+  for (const auto& tenant : input.tenants) {
+    std::pair<std::string, std::string> widest;
+    double best = -1;
+    bool served = false;
+    for (const auto& zone : tenant.zones) {
+      const auto found = wanted.find({tenant.template_name, zone});
+      served = served || (found != wanted.end() && rounded[found->first] > 0);
+      if (found != wanted.end() && found->second > best) {
+        best = found->second;
+        widest = found->first;
+      }
+    }
+    if (!served && best >= 0) {
+      rounded[widest] = 1;
+    }
+  }
+  std::vector<Demand> result;
+  for (const auto& [key, groups] : rounded) {
+    if (groups > 0) {
+      result.push_back(Demand{key.first, key.second, groups});
+    }
+  }
+  return result;
+}
+
+std::unique_ptr<PlacementPolicy> make_policy(std::string_view name) {
+  if (name == "first_fit") {
+    return std::make_unique<FirstFit>();
+  }
+  if (name == "best_fit") {
+    return std::make_unique<BestFit>();
+  }
+  if (name == "spare_aware") {
+    return std::make_unique<SpareAware>();
+  }
+  return nullptr;
+}
+
+Plan plan(const PlanningInput& input, const PlacementPolicy& policy) { return PlanningPass(input, policy).run(); }
+
+}  // namespace larchlever::placement
--- /dev/null
+++ b/src/core/routing/router.cc
@@ -0,0 +1,153 @@
+#include "core/routing/router.h"
+
+#include <xxhash.h>
+
+#include <algorithm>
+#include <cmath>
+
+namespace larchlever::routing {
+
+namespace {
+
+/// A group may hold this multiple of the mean load before affinity gives way to the next choice.
+constexpr double kLoadBound = 1.25;
+constexpr size_t kPrefixBytes = 512;
+
+}  // namespace
+
+std::optional<RoutingPolicy> parse_routing_policy(std::string_view name) {
+  static const std::map<std::string_view, RoutingPolicy> policies = {
+      {"round_robin", RoutingPolicy::kRoundRobin},
+      {"least_load", RoutingPolicy::kLeastLoad},
+      {"power_of_two", RoutingPolicy::kPowerOfTwo},
+      {"prefix_affinity", RoutingPolicy::kPrefixAffinity},
+  };
+  const auto found = policies.find(name);
+  return found == policies.end() ? std::nullopt : std::optional(found->second);
+}
+
+uint64_t hash_prefix(std::string_view tenant, std::string_view prompt) {
+  const uint64_t salt = XXH3_64bits(tenant.data(), tenant.size());
+  const std::string_view head = prompt.substr(0, kPrefixBytes);
+  return XXH3_64bits_withSeed(head.data(), head.size(), salt) | 1U;
+}
+
+void Router::set_leases(const std::vector<wire::GroupLease>& leases, TimePoint until) {
+  std::map<int64_t, Lease> renewed;
+  for (const auto& granted : leases) {
+    Lease lease;
+    lease.epoch = granted.epoch;
+    lease.until = until;
+    lease.reported_load = granted.load;
+    const auto own = outstanding_.find(granted.group_id);
+    lease.own_at_report = own == outstanding_.end() ? 0 : own->second;
+    renewed[granted.group_id] = lease;
+  }
+  leases_ = std::move(renewed);
+}
+
+void Router::finished(int64_t group_id) {
+  const auto found = outstanding_.find(group_id);
+  if (found != outstanding_.end() && --found->second <= 0) {
+    outstanding_.erase(found);
+  }
+}
+
+bool Router::may_dispatch(TimePoint now, int64_t group_id, int32_t epoch) const {
+  const auto lease = leases_.find(group_id);
+  return now < configuration_lease_until_ && lease != leases_.end() && lease->second.epoch == epoch &&
+         now < lease->second.until;
+}
+
+size_t Router::leased_groups(TimePoint now) const {
+  return static_cast<size_t>(
+      std::count_if(leases_.begin(), leases_.end(), [now](const auto& item) { return now < item.second.until; }));
+}
+
+int Router::estimated_load(int64_t group_id) const {
+  const auto own = outstanding_.find(group_id);
+  const int own_now = own == outstanding_.end() ? 0 : own->second;
+  const auto lease = leases_.find(group_id);
+  if (lease == leases_.end()) {
+    return own_now;
+  }
+  // The report lags. What we had in flight when it came is in it (or soon will be); count our own part afresh.
+  return std::max(lease->second.reported_load - lease->second.own_at_report, 0) + own_now;
+}
+
+RouteDecision Router::route(TimePoint now, const RouteQuery& query) {
+  if (now >= configuration_lease_until_) {
+    return {RouteVerdict::kNoConfigurationLease, nullptr};
+  }
+  const TenantView* tenant = table_.find_tenant(query.tenant);
+  if (tenant == nullptr) {
+    return {RouteVerdict::kUnknownTenant, nullptr};
+  }
+  if (!tenant->has_template || tenant->shape.model != query.model) {
+    return {RouteVerdict::kUnknownModel, nullptr};
+  }
+  if (!tenant->permits_adapter(query.adapter)) {
+    return {RouteVerdict::kAdapterNotPermitted, nullptr};
+  }
+  std::vector<const wire::Group*> candidates;
+  for (const auto& group : table_.groups_of(tenant->tenant.template_name)) {
+    const bool has_adapter = query.adapter.empty() || std::find(group.adapters.begin(), group.adapters.end(),
+                                                                query.adapter) != group.adapters.end();
+    if (tenant->permits_zone(group.zone) && has_adapter && may_dispatch(now, group.id, group.epoch) &&
+        !query.excluded.contains(group.id)) {
+      candidates.push_back(&group);
+    }
+  }
+  if (candidates.empty()) {
+    return {RouteVerdict::kNoGroupAvailable, nullptr};
+  }
+  return {RouteVerdict::kDispatch, choose(candidates, query.prefix_hash)};
+}
+
+const wire::Group* Router::choose(const std::vector<const wire::Group*>& candidates, uint64_t prefix_hash) {
+  switch (policy_) {
+    case RoutingPolicy::kRoundRobin:
+      return candidates[next_++ % candidates.size()];
+    case RoutingPolicy::kLeastLoad:
+      return *std::min_element(candidates.begin(), candidates.end(), [this](const auto* left, const auto* right) {
+        return estimated_load(left->id) < estimated_load(right->id);
+      });
+    case RoutingPolicy::kPowerOfTwo:
+      return choose_of_two(candidates);
+    case RoutingPolicy::kPrefixAffinity:
+      return prefix_hash == 0 ? choose_of_two(candidates) : choose_by_affinity(candidates, prefix_hash);
+  }
+  return candidates.front();
+}
+
+const wire::Group* Router::choose_of_two(const std::vector<const wire::Group*>& candidates) {
+  std::uniform_int_distribution<size_t> pick(0, candidates.size() - 1);
+  const auto* first = candidates[pick(random_)];
+  const auto* second = candidates[pick(random_)];
+  return estimated_load(second->id) < estimated_load(first->id) ? second : first;
+}
+
+const wire::Group* Router::choose_by_affinity(const std::vector<const wire::Group*>& candidates,
+                                              uint64_t prefix_hash) const {
+  // Rendezvous hashing: every entry ranks the groups alike for a prefix without sharing any state; the load bound
+  // sends what is too much for the first choice to the second, and so on.
+  int total = 0;
+  std::vector<std::pair<uint64_t, const wire::Group*>> ranked;
+  ranked.reserve(candidates.size());
+  for (const auto* group : candidates) {
+    total += estimated_load(group->id);
+    ranked.emplace_back(XXH3_64bits_withSeed(&group->id, sizeof(group->id), prefix_hash), group);
+  }
+  const int bound = static_cast<int>(std::ceil(kLoadBound * (total + 1) / static_cast<double>(candidates.size())));
+  const wire::Group* best = nullptr;
+  uint64_t best_weight = 0;
+  for (const auto& [weight, group] : ranked) {
+    if (estimated_load(group->id) < bound && (best == nullptr || weight > best_weight)) {
+      best = group;
+      best_weight = weight;
+    }
+  }
+  return best == nullptr ? candidates.front() : best;
+}
+
+}  // namespace larchlever::routing
--- /dev/null
+++ b/src/core/routing/routing_table.h
@@ -0,0 +1,44 @@
+#pragma once
+
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "core/config/record_table.h"
+#include "larchlever_types.h"
+
+namespace larchlever::routing {
+
+/// A tenant together with the template it uses.
+struct TenantView {
+  wire::Tenant tenant;
+  wire::Template shape;
+  bool has_template = false;
+
+  bool permits_zone(const std::string& zone) const;
+  bool permits_adapter(const std::string& adapter) const;
+  wire::RepeatPolicy::type repeat_policy() const;
+};
+
+/// The configuration in the form that routing reads: tenants, groups by template, services by path. Rebuilt whenever
+/// the records change; a value type.
+class RoutingTable {
+ public:
+  RoutingTable() = default;
+  explicit RoutingTable(const config::RecordTable& records);
+
+  const TenantView* find_tenant(const std::string& name) const;
+  const std::vector<wire::Group>& groups_of(const std::string& template_name) const;
+  /// The service with the longest path prefix of `path`, or null.
+  const wire::Service* find_service(std::string_view path) const;
+  const std::map<std::string, TenantView>& tenants() const { return tenants_; }
+  std::vector<std::string> models() const;
+
+ private:
+  std::map<std::string, TenantView> tenants_;
+  std::map<std::string, std::vector<wire::Group>> groups_;
+  std::vector<wire::Service> services_;
+};
+
+}  // namespace larchlever::routing
--- /dev/null
+++ b/src/storage/data_folder.cc
@@ -0,0 +1,498 @@
+#include "storage/data_folder.h"
+
+#include <fcntl.h>
+#include <sys/file.h>
+#include <unistd.h>
+#include <xxhash.h>
+
+#include <algorithm>
+#include <cerrno>
+#include <charconv>
+#include <cstring>
+#include <fstream>
+#include <sstream>
+
+#include "wire/codec.h"
+
+namespace larchlever::storage {
+
+namespace {
+
+namespace fs = std::filesystem;
+
+constexpr const char* kIdentityFile = "identity";
+constexpr const char* kSnapshotPrefix = "snapshot-";
+constexpr const char* kSegmentPrefix = "log-";
+constexpr size_t kChecksumSize = 16;
+
+StorageError make_error(StorageErrorKind kind, std::string message) { return StorageError{kind, std::move(message)}; }
+
+std::string read_file(const fs::path& path) {
+  std::ifstream file(path, std::ios::binary);
+  std::ostringstream content;
+  content << file.rdbuf();
+  return content.str();
+}
+
+std::string with_checksum(std::string_view content) {
+  char digest[kChecksumSize + 1];
+  std::snprintf(digest, sizeof(digest), "%016llx",
+                static_cast<unsigned long long>(XXH3_64bits(content.data(), content.size())));
+  return std::string(digest, kChecksumSize) + std::string(content);
+}
+
+std::optional<std::string> without_checksum(const std::string& content) {
+  if (content.size() < kChecksumSize || with_checksum(std::string_view(content).substr(kChecksumSize)) != content) {
+    return std::nullopt;
+  }
+  return content.substr(kChecksumSize);
+}
+
+/// Numbers of the files called `prefix`NUMBER, ascending.
+std::vector<uint64_t> numbered_files(const fs::path& folder, std::string_view prefix) {
+  std::vector<uint64_t> numbers;
+  for (const auto& item : fs::directory_iterator(folder)) {
+    const std::string name = item.path().filename().string();
+    uint64_t number = 0;
+    if (name.starts_with(prefix)) {
+      const char* end = name.data() + name.size();
+      const auto parsed = std::from_chars(name.data() + prefix.size(), end, number);
+      if (parsed.ec == std::errc() && parsed.ptr == end) {
+        numbers.push_back(number);
+      }
+    }
+  }
+  std::sort(numbers.begin(), numbers.end());
+  return numbers;
+}
+
+}  // namespace
+
+const char* to_string(StorageErrorKind kind) {
+  switch (kind) {
+    case StorageErrorKind::kNone:
+      return "none";
+    case StorageErrorKind::kCannotOpen:
+      return "cannot_open";
+    case StorageErrorKind::kLocked:
+      return "locked";
+    case StorageErrorKind::kCorruptRecord:
+      return "corrupt_record";
+    case StorageErrorKind::kCorruptSnapshot:
+      return "corrupt_snapshot";
+    case StorageErrorKind::kMissingSegment:
+      return "missing_segment";
+    case StorageErrorKind::kDiskFull:
+      return "disk_full";
+    case StorageErrorKind::kSyncFailed:
+      return "sync_failed";
+    case StorageErrorKind::kWriteFailed:
+      return "write_failed";
+  }
+  return "unknown";
+}
+
+DataFolder::DataFolder(fs::path path, FileSystem& file_system) : path_(std::move(path)), file_system_(file_system) {}
+
+DataFolder::~DataFolder() {
+  for (const int descriptor : {segment_descriptor_, lock_descriptor_}) {
+    if (descriptor >= 0) {
+      ::close(descriptor);
+    }
+  }
+}
+
+std::unique_ptr<DataFolder> DataFolder::open(const fs::path& path, FileSystem& file_system, StorageError& error) {
+  std::error_code code;
+  fs::create_directories(path, code);
+  if (code) {
+    error = make_error(StorageErrorKind::kCannotOpen, "cannot create data folder " + path.string() + ": " +
+                                                          code.message() + "; check the path and its permissions");
+    return nullptr;
+  }
+  std::unique_ptr<DataFolder> folder(new DataFolder(path, file_system));
+  auto failure = folder->lock();
+  if (!failure) {
+    failure = folder->recover();
+  }
+  if (failure) {
+    error = *failure;
+    return nullptr;
+  }
+  return folder;
+}
+
+std::optional<StorageError> DataFolder::lock() {
+  lock_descriptor_ = ::open((path_ / "lock").c_str(), O_RDWR | O_CREAT | O_CLOEXEC, 0644);
+  if (lock_descriptor_ < 0) {
+    return make_error(StorageErrorKind::kCannotOpen,
+                      "cannot write in data folder " + path_.string() + "; check its permissions");
+  }
+  if (::flock(lock_descriptor_, LOCK_EX | LOCK_NB) != 0) {
+    return make_error(StorageErrorKind::kLocked, "data folder " + path_.string() +
+                                                     " is in use by another process; stop that process or give this "
+                                                     "node a folder of its own");
+  }
+  return std::nullopt;
+}
+
+// ----------------------------------------------------------------- recovery
+
+std::optional<StorageError> DataFolder::recover() {
+  if (auto error = read_identity()) {
+    return error;
+  }
+  if (auto error = recover_snapshot()) {
+    return error;
+  }
+  const auto segments = numbered_files(path_, kSegmentPrefix);
+  for (size_t position = 0; position < segments.size(); ++position) {
+    if (position > 0 && segments[position] != segments[position - 1] + 1) {
+      return make_error(StorageErrorKind::kMissingSegment,
+                        "segment " + std::to_string(segments[position - 1] + 1) + " is missing in " + path_.string() +
+                            "; move the folder away and restart: the replica returns under a new identity");
+    }
+    if (auto error = recover_segment(segments[position], position + 1 == segments.size())) {
+      return error;
+    }
+  }
+  // An entry of an older term than the snapshot's last one stems from a log that the snapshot replaced.
+  if (!recovered_.entries.empty() && recovered_.entries.front().term < recovered_.snapshot.term) {
+    recovered_.entries.clear();
+  }
+  hard_state_ = recovered_.hard_state;
+  return start_segment(segments.empty() ? 1 : segments.back() + 1);
+}
+
+std::optional<StorageError> DataFolder::read_identity() {
+  const fs::path file = path_ / kIdentityFile;
+  if (!fs::exists(file)) {
+    return std::nullopt;
+  }
+  const auto content = without_checksum(read_file(file));
+  if (!content) {
+    return make_error(StorageErrorKind::kCorruptRecord, "identity file in " + path_.string() +
+                                                            " is damaged; move the folder away and restart: the " +
+                                                            "replica returns under a new identity");
+  }
+  replica_id_ = ReplicaId(std::stoll(*content));
+  return std::nullopt;
+}
+
+std::optional<StorageError> DataFolder::recover_snapshot() {
+  const auto snapshots = numbered_files(path_, kSnapshotPrefix);
+  if (snapshots.empty()) {
+    return std::nullopt;
+  }
+  // Older snapshots are no substitute: the log behind the newest one may be gone already.
+  const auto content = without_checksum(read_file(path_ / (kSnapshotPrefix + std::to_string(snapshots.back()))));
+  const auto stored = content ? wire::decode<wire::SnapshotRequest>(*content) : std::nullopt;
+  if (!stored) {
+    return make_error(StorageErrorKind::kCorruptSnapshot,
+                      "snapshot " + std::to_string(snapshots.back()) + " in " + path_.string() +
+                          " is damaged; move the folder away and restart: the replica returns under a new identity");
+  }
+  recovered_.snapshot = stored->header;
+  recovered_.snapshot_state = stored->state;
+  snapshot_index_ = stored->header.index;
+  return std::nullopt;
+}
+
+std::optional<StorageError> DataFolder::recover_segment(uint64_t number, bool is_last) {
+  const std::string file = read_file(segment_path(number));
+  uint64_t offset = 0;
+  while (offset < file.size()) {
+    const auto record = decode_record(file, offset);
+    if (!record) {
+      break;
+    }
+    if (auto error = apply_record(*record, number)) {
+      return error;
+    }
+    offset += record->size_on_disk;
+  }
+  if (offset == file.size()) {
+    return std::nullopt;
+  }
+  // A later intact record that was written after `offset` had been synced proves that the damage is no unfinished
+  // write: the replica may have acknowledged what is gone, so it must not take part.
+  bool acknowledged = !is_last;
+  for (uint64_t probe = offset + 1; probe < file.size() && !acknowledged; ++probe) {
+    const auto record = decode_record(file, probe);
+    acknowledged = record && record->synced_before > offset;
+  }
+  if (acknowledged) {
+    return make_error(StorageErrorKind::kCorruptRecord,
+                      "record at byte " + std::to_string(offset) + " of " + segment_path(number).string() +
+                          " is damaged; move the folder away and restart: the replica returns under a new identity");
+  }
+  ++stats_.torn_tails_cut;
+  std::error_code code;
+  fs::resize_file(segment_path(number), offset, code);
+  if (code) {
+    return make_error(StorageErrorKind::kWriteFailed,
+                      "cannot cut the unfinished tail of " + segment_path(number).string() + ": " + code.message());
+  }
+  return std::nullopt;
+}
+
+std::optional<StorageError> DataFolder::apply_record(const StoredRecord& record, uint64_t segment) {
+  const auto damaged = [this, segment] {
+    return make_error(StorageErrorKind::kCorruptRecord,
+                      "unreadable record in " + segment_path(segment).string() +
+                          "; move the folder away and restart: the replica returns under a new identity");
+  };
+  if (record.type == RecordType::kReset) {
+    recovered_.entries.clear();
+    return std::nullopt;
+  }
+  if (record.type == RecordType::kHardState) {
+    const auto state = wire::decode<wire::HardState>(record.payload);
+    if (!state) {
+      return damaged();
+    }
+    recovered_.hard_state = *state;
+    return std::nullopt;
+  }
+  auto entry = wire::decode<wire::LogEntry>(record.payload);
+  if (!entry) {
+    return damaged();
+  }
+  last_entry_of_segment_[segment] = std::max(last_entry_of_segment_[segment], entry->index);
+  auto& entries = recovered_.entries;
+  while (!entries.empty() && entries.back().index >= entry->index) {
+    entries.pop_back();
+  }
+  const int64_t expected = entries.empty() ? recovered_.snapshot.index + 1 : entries.back().index + 1;
+  if (entry->index > expected) {
+    return damaged();
+  }
+  if (entry->index == expected) {
+    entries.push_back(std::move(*entry));
+  }
+  return std::nullopt;
+}
+
+// ------------------------------------------------------------------ writing
+
+fs::path DataFolder::segment_path(uint64_t number) const { return path_ / (kSegmentPrefix + std::to_string(number)); }
+
+std::optional<StorageError> DataFolder::start_segment(uint64_t number) {
+  if (segment_descriptor_ >= 0) {
+    ::close(segment_descriptor_);
+  }
+  segment_descriptor_ = ::open(segment_path(number).c_str(), O_WRONLY | O_CREAT | O_TRUNC | O_APPEND | O_CLOEXEC, 0644);
+  if (segment_descriptor_ < 0) {
+    return make_error(errno == ENOSPC ? StorageErrorKind::kDiskFull : StorageErrorKind::kCannotOpen,
+                      "cannot create " + segment_path(number).string() + ": " + std::strerror(errno) +
+                          "; free space or check permissions, then restart");
+  }
+  segment_number_ = number;
+  segment_offset_ = 0;
+  synced_offset_ = 0;
+  // Every segment begins with the hard state, so that older ones can be removed.
+  std::string bytes;
+  encode_record(bytes, 0, RecordType::kHardState, 0, wire::encode(hard_state_));
+  if (auto error = flush(bytes)) {
+    return error;
+  }
+  return sync_folder();
+}
+
+std::optional<StorageError> DataFolder::write(const std::vector<const consensus::RaftOutput*>& batch) {
+  if (fatal_) {
+    return fatal_;
+  }
+  ++stats_.batches;
+  std::string bytes;
+  for (const auto* output : batch) {
+    if (output->snapshot) {
+      // What came before belongs to the old segment; the snapshot then opens a new one.
+      std::optional<StorageError> error = bytes.empty() ? std::nullopt : flush(bytes);
+      bytes.clear();
+      if (!error) {
+        error = write_snapshot(*output->snapshot);
+      }
+      if (error) {
+        return error;
+      }
+    }
+    if (output->hard_state) {
+      hard_state_ = *output->hard_state;
+      encode_record(bytes, segment_offset_ + bytes.size(), RecordType::kHardState, synced_offset_,
+                    wire::encode(hard_state_));
+      ++stats_.records;
+    }
+    for (const auto& entry : output->entries) {
+      encode_record(bytes, segment_offset_ + bytes.size(), RecordType::kEntry, synced_offset_, wire::encode(entry));
+      auto& last = last_entry_of_segment_[segment_number_];
+      last = std::max(last, entry.index);
+      ++stats_.records;
+    }
+  }
+  if (bytes.empty()) {
+    return std::nullopt;
+  }
+  if (auto error = flush(bytes)) {
+    return error;
+  }
+  return segment_offset_ >= kSegmentSize ? start_segment(segment_number_ + 1) : std::nullopt;
+}
+
+std::optional<StorageError> DataFolder::flush(std::string_view bytes) {
+  size_t written = 0;
+  while (written < bytes.size()) {
+    const ssize_t count = file_system_.write(segment_descriptor_, bytes.data() + written, bytes.size() - written);
+    if (count < 0 && errno == EINTR) {
+      continue;
+    }
+    if (count <= 0) {
+      const bool full = errno == ENOSPC || errno == EDQUOT;
+      // The half-written batch must not be read back as a record, nor must the next one follow a gap.
+      const bool cut = ::ftruncate(segment_descriptor_, static_cast<off_t>(segment_offset_)) == 0;
+      auto error = make_error(full ? StorageErrorKind::kDiskFull : StorageErrorKind::kWriteFailed,
+                              "cannot append to " + segment_path(segment_number_).string() + ": " +
+                                  std::strerror(errno) + "; free space on the data disk, then restart the node");
+      if (!cut || !full) {
+        fatal_ = error;
+      }
+      return error;
+    }
+    written += static_cast<size_t>(count);
+  }
+  segment_offset_ += bytes.size();
+  stats_.bytes += bytes.size();
+  if (auto error = sync_descriptor(segment_descriptor_, segment_path(segment_number_).string())) {
+    return error;
+  }
+  synced_offset_ = segment_offset_;
+  return std::nullopt;
+}
+
+std::optional<StorageError> DataFolder::sync_descriptor(int descriptor, const std::string& what) {
+  ++stats_.syncs;
+  if (file_system_.sync(descriptor) != 0) {
+    fatal_ = make_error(StorageErrorKind::kSyncFailed,
+                        "cannot sync " + what + ": " + std::strerror(errno) +
+                            "; check the disk; the replica stays out until the node is restarted");
+    return fatal_;
+  }
+  return std::nullopt;
+}
+
+std::optional<StorageError> DataFolder::sync_folder() {
+  const int descriptor = ::open(path_.c_str(), O_RDONLY | O_DIRECTORY | O_CLOEXEC);
+  if (descriptor < 0 || ::fsync(descriptor) != 0) {
+    fatal_ = make_error(StorageErrorKind::kSyncFailed, "cannot sync folder " + path_.string() + "; check the disk");
+  }
+  if (descriptor >= 0) {
+    ::close(descriptor);
+  }
+  return fatal_;
+}
+
+std::optional<StorageError> DataFolder::write_file_atomically(const fs::path& target, std::string_view content) {
+  const fs::path temporary = target.string() + ".new";
+  const int descriptor = ::open(temporary.c_str(), O_WRONLY | O_CREAT | O_TRUNC | O_CLOEXEC, 0644);
+  std::optional<StorageError> error;
+  size_t written = 0;
+  while (descriptor >= 0 && written < content.size()) {
+    const ssize_t count = file_system_.write(descriptor, content.data() + written, content.size() - written);
+    if (count <= 0) {
+      break;
+    }
+    written += static_cast<size_t>(count);
+  }
+  if (descriptor < 0 || written < content.size()) {
+    error = make_error(errno == ENOSPC ? StorageErrorKind::kDiskFull : StorageErrorKind::kWriteFailed,
+                       "cannot write " + temporary.string() + ": " + std::strerror(errno) +
+                           "; free space on the data disk, then restart the node");
+  } else {
+    error = sync_descriptor(descriptor, temporary.string());
+  }
+  if (descriptor >= 0) {
+    ::close(descriptor);
+  }
+  std::error_code code;
+  if (error) {
+    fs::remove(temporary, code);
+    return error;
+  }
+  fs::rename(temporary, target, code);
+  if (code) {
+    return make_error(StorageErrorKind::kWriteFailed, "cannot rename " + temporary.string() + ": " + code.message());
+  }
+  return sync_folder();
+}
+
+std::optional<StorageError> DataFolder::write_snapshot(const consensus::Snapshot& snapshot) {
+  wire::SnapshotRequest stored;
+  stored.header = snapshot.header;
+  stored.state = snapshot.state;
+  const fs::path target = path_ / (kSnapshotPrefix + std::to_string(snapshot.header.index));
+  if (auto error = write_file_atomically(target, with_checksum(wire::encode(stored)))) {
+    return error;
+  }
+  ++stats_.snapshots;
+  snapshot_index_ = snapshot.header.index;
+  if (auto error = start_segment(segment_number_ + 1)) {
+    return error;
+  }
+  if (snapshot.replaces_log) {
+    // The snapshot goes first: were the old entries voided before it is in place, a crash in between would lose
+    // entries that this replica has acknowledged. Stale entries behind it are recognised by their term instead.
+    std::string bytes;
+    encode_record(bytes, segment_offset_, RecordType::kReset, synced_offset_, "");
+    if (auto error = flush(bytes)) {
+      return error;
+    }
+  }
+  remove_obsolete_files();
+  return std::nullopt;
+}
+
+void DataFolder::remove_obsolete_files() {
+  std::error_code code;
+  for (const uint64_t number : numbered_files(path_, kSegmentPrefix)) {
+    const bool covered = number < segment_number_ && last_entry_of_segment_[number] <= snapshot_index_;
+    if (!covered) {
+      break;
+    }
+    fs::remove(segment_path(number), code);
+    last_entry_of_segment_.erase(number);
+  }
+  for (const uint64_t number : numbered_files(path_, kSnapshotPrefix)) {
+    if (static_cast<int64_t>(number) < snapshot_index_) {
+      fs::remove(path_ / (kSnapshotPrefix + std::to_string(number)), code);
+    }
+  }
+}
+
+std::optional<StorageError> DataFolder::assign_identity(ReplicaId replica_id) {
+  if (replica_id_.value() != 0) {
+    // The retired log is kept for inspection, out of recovery's sight.
+    const fs::path retired = path_ / ("retired-" + std::to_string(replica_id_.value()));
+    std::error_code code;
+    fs::create_directories(retired, code);
+    for (const char* prefix : {kSegmentPrefix, kSnapshotPrefix}) {
+      for (const uint64_t number : numbered_files(path_, prefix)) {
+        const std::string name = prefix + std::to_string(number);
+        fs::rename(path_ / name, retired / name, code);
+      }
+    }
+    recovered_ = consensus::PersistedState();
+    last_entry_of_segment_.clear();
+    hard_state_ = wire::HardState();
+    snapshot_index_ = 0;
+    if (auto error = start_segment(1)) {
+      return error;
+    }
+  }
+  if (auto error = write_file_atomically(path_ / kIdentityFile, with_checksum(std::to_string(replica_id.value())))) {
+    return error;
+  }
+  replica_id_ = replica_id;
+  return std::nullopt;
+}
+
+}  // namespace larchlever::storage
--- /dev/null
+++ b/src/storage/data_folder.h
@@ -0,0 +1,94 @@
+#pragma once
+
+#include <cstdint>
+#include <filesystem>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "consensus/raft_node.h"
+#include "core/base/ids.h"
+#include "storage/file_system.h"
+#include "storage/record_format.h"
+#include "storage/storage_error.h"
+
+namespace larchlever::storage {
+
+struct StorageStats {
+  uint64_t batches = 0;
+  uint64_t records = 0;
+  uint64_t bytes = 0;
+  uint64_t syncs = 0;
+  uint64_t snapshots = 0;
+  uint64_t torn_tails_cut = 0;
+};
+
+/// The durable state of one control replica: an identity, a segmented log with checksums and the newest snapshot,
+/// in one folder.
+///
+/// Guarantees: what `write` reported as written survives a restart; a batch that failed leaves no trace that recovery
+/// would read as acknowledged; a folder with damaged acknowledged records does not open. After a failed sync the
+/// object refuses all further work, because the kernel may have dropped the pages and would report the next sync as
+/// good.
+///
+/// Thread rules: one thread at a time; blocks on the disk.
+class DataFolder {
+ public:
+  static constexpr uint64_t kSegmentSize = 8U << 20U;
+
+  /// Opens `path`, creating it when absent, and recovers its content. On failure returns null and fills `error`.
+  /// `file_system` must outlive the folder.
+  static std::unique_ptr<DataFolder> open(const std::filesystem::path& path, FileSystem& file_system,
+                                          StorageError& error);
+  ~DataFolder();
+  DataFolder(const DataFolder&) = delete;
+  DataFolder& operator=(const DataFolder&) = delete;
+
+  /// Identity of this folder; zero when none was ever given (a fresh or replaced disk).
+  ReplicaId replica_id() const { return replica_id_; }
+  /// Gives a fresh folder its identity, synced. Old content under another identity is set aside first.
+  std::optional<StorageError> assign_identity(ReplicaId replica_id);
+  /// What recovery found; moves it out, so call once.
+  consensus::PersistedState take_recovered() { return std::move(recovered_); }
+
+  /// Writes a batch and syncs it once. Several outputs may share one sync: group commit.
+  std::optional<StorageError> write(const std::vector<const consensus::RaftOutput*>& batch);
+  const StorageStats& stats() const { return stats_; }
+
+ private:
+  DataFolder(std::filesystem::path path, FileSystem& file_system);
+
+  std::optional<StorageError> lock();
+  std::optional<StorageError> recover();
+  std::optional<StorageError> read_identity();
+  std::optional<StorageError> recover_snapshot();
+  std::optional<StorageError> recover_segment(uint64_t number, bool is_last);
+  std::optional<StorageError> apply_record(const StoredRecord& record, uint64_t segment);
+  std::optional<StorageError> start_segment(uint64_t number);
+  std::optional<StorageError> write_snapshot(const consensus::Snapshot& snapshot);
+  std::optional<StorageError> write_file_atomically(const std::filesystem::path& target, std::string_view content);
+  std::optional<StorageError> flush(std::string_view bytes);
+  std::optional<StorageError> sync_descriptor(int descriptor, const std::string& what);
+  std::optional<StorageError> sync_folder();
+  void remove_obsolete_files();
+  std::filesystem::path segment_path(uint64_t number) const;
+
+  std::filesystem::path path_;
+  FileSystem& file_system_;
+  int lock_descriptor_ = -1;
+  int segment_descriptor_ = -1;
+  uint64_t segment_number_ = 0;
+  uint64_t segment_offset_ = 0;
+  uint64_t synced_offset_ = 0;
+  std::map<uint64_t, int64_t> last_entry_of_segment_;
+  int64_t snapshot_index_ = 0;
+  wire::HardState hard_state_;
+  ReplicaId replica_id_;
+  consensus::PersistedState recovered_;
+  std::optional<StorageError> fatal_;
+  StorageStats stats_;
+};
+
+}  // namespace larchlever::storage
--- /dev/null
+++ b/src/storage/record_format.h
@@ -0,0 +1,38 @@
+#pragma once
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <string_view>
+
+namespace larchlever::storage {
+
+enum class RecordType : uint8_t {
+  kHardState = 1,
+  kEntry = 2,
+  /// A snapshot from the leader replaced the log: entries stored earlier are void.
+  kReset = 3,
+};
+
+/// One checksummed record of a segment file. The checksum covers the record's own offset, so bytes found elsewhere
+/// never pass for a record.
+struct StoredRecord {
+  RecordType type = RecordType::kEntry;
+  /// File offset known to be synced when this record was written. A damaged record before that offset had been
+  /// acknowledged (corruption); one at or after it may be an unfinished write (torn tail).
+  uint64_t synced_before = 0;
+  std::string_view payload;
+  size_t size_on_disk = 0;
+};
+
+constexpr size_t kRecordHeaderSize = 4 + 1 + 8 + 8;
+constexpr uint32_t kMaximumRecordPayload = 64U << 20U;
+
+/// Appends the encoded record, which will stand at `offset` of its file, to `out`.
+void encode_record(std::string& out, uint64_t offset, RecordType type, uint64_t synced_before,
+                   std::string_view payload);
+
+/// Decodes the record at `offset` of `file`; nothing when it is incomplete or its checksum fails.
+std::optional<StoredRecord> decode_record(std::string_view file, uint64_t offset);
+
+}  // namespace larchlever::storage
--- /dev/null
+++ b/src/wire/codec.cc
@@ -0,0 +1,71 @@
+#include "wire/codec.h"
+
+#include <thrift/protocol/TCompactProtocol.h>
+#include <thrift/transport/TBufferTransports.h>
+
+#include <algorithm>
+#include <memory>
+
+namespace larchlever::wire {
+
+namespace {
+
+using apache::thrift::TConfiguration;
+using apache::thrift::protocol::TCompactProtocolT;
+using apache::thrift::transport::TMemoryBuffer;
+
+constexpr int kMaximumDepth = 32;
+constexpr int kMinimumMessageSize = 64;
+
+}  // namespace
+
+template <typename Message>
+std::string encode(const Message& message) {
+  auto buffer = std::make_shared<TMemoryBuffer>();
+  TCompactProtocolT<TMemoryBuffer> protocol(buffer);
+  message.write(&protocol);
+  return buffer->getBufferAsString();
+}
+
+template <typename Message>
+std::optional<Message> decode(std::string_view bytes) {
+  try {
+    const int limit = std::max<int>(kMinimumMessageSize, static_cast<int>(bytes.size()) + kMinimumMessageSize);
+    auto configuration = std::make_shared<TConfiguration>(limit, limit, kMaximumDepth);
+    // The buffer only observes the bytes: TMemoryBuffer never writes under the OBSERVE policy.
+    auto* data = reinterpret_cast<uint8_t*>(const_cast<char*>(bytes.data()));
+    auto buffer = std::make_shared<TMemoryBuffer>(data, static_cast<uint32_t>(bytes.size()), TMemoryBuffer::OBSERVE,
+                                                  configuration);
+    TCompactProtocolT<TMemoryBuffer> protocol(buffer, limit, limit);
+    Message message;
+    message.read(&protocol);
+    return message;
+  } catch (const std::exception&) {
+    return std::nullopt;
+  }
+}
+
+#define LARCHLEVER_CODEC(Type)                    \
+  template std::string encode<Type>(const Type&); \
+  template std::optional<Type> decode<Type>(std::string_view);
+
+LARCHLEVER_CODEC(Envelope)
+LARCHLEVER_CODEC(Command)
+LARCHLEVER_CODEC(ControlSnapshot)
+LARCHLEVER_CODEC(ReplicaSet)
+LARCHLEVER_CODEC(LogEntry)
+LARCHLEVER_CODEC(HardState)
+LARCHLEVER_CODEC(SnapshotHeader)
+LARCHLEVER_CODEC(SnapshotRequest)
+LARCHLEVER_CODEC(Template)
+LARCHLEVER_CODEC(Tenant)
+LARCHLEVER_CODEC(Service)
+LARCHLEVER_CODEC(FleetParameters)
+LARCHLEVER_CODEC(Group)
+LARCHLEVER_CODEC(Record)
+LARCHLEVER_CODEC(Heartbeat)
+LARCHLEVER_CODEC(HeartbeatReply)
+
+#undef LARCHLEVER_CODEC
+
+}  // namespace larchlever::wire
--- /dev/null
+++ b/src/wire/larchlever.thrift
@@ -0,0 +1,490 @@
+/**
+ * Messages between larchlever's own processes, and the records that live in the
+ * replicated log and its snapshots. Regenerate with scripts/generate-wire.
+ */
+namespace cpp larchlever.wire
+
+// ---------------------------------------------------------------- consensus
+
+/** One durable identity of a control replica: a node plus the identity of its data folder. */
+struct ReplicaAddress {
+  1: i64 replica_id,
+  2: string node,
+  3: string zone,
+}
+
+struct ReplicaSet {
+  1: list<ReplicaAddress> voters,
+  2: list<ReplicaAddress> learners,
+}
+
+enum EntryKind { NOOP = 0, COMMAND = 1, REPLICA_SET = 2 }
+
+struct LogEntry {
+  1: i64 term,
+  2: i64 index,
+  3: EntryKind kind,
+  4: binary payload,
+}
+
+struct HardState {
+  1: i64 term,
+  2: i64 voted_for,
+}
+
+struct SnapshotHeader {
+  1: i64 index,
+  2: i64 term,
+  3: ReplicaSet replicas,
+}
+
+struct VoteRequest {
+  1: i64 term,
+  2: i64 last_index,
+  3: i64 last_term,
+  4: bool pre_vote,
+  /** Set by a planned hand-over: the voter need not wait for its leader to fall silent. */
+  5: bool transfer,
+}
+
+struct VoteReply {
+  1: i64 term,
+  2: bool granted,
+  3: bool pre_vote,
+}
+
+struct AppendRequest {
+  1: i64 term,
+  2: i64 previous_index,
+  3: i64 previous_term,
+  4: i64 commit_index,
+  5: list<LogEntry> entries,
+  /** Leader's send time in its own clock, echoed by the reply for its lease. */
+  6: i64 sent_at_us,
+}
+
+struct AppendReply {
+  1: i64 term,
+  2: bool success,
+  /** On success the last index known to match; otherwise where to continue from. */
+  3: i64 match_index,
+  4: i64 sent_at_us,
+}
+
+struct SnapshotRequest {
+  1: i64 term,
+  2: SnapshotHeader header,
+  3: binary state,
+  4: i64 sent_at_us,
+}
+
+struct HandOverRequest {
+  1: i64 term,
+}
+
+/** The leader found that the receiver's disk lost acknowledged entries: this identity must not take part again. */
+struct IdentityRejection {
+  1: i64 term,
+}
+
+struct RaftMessage {
+  1: i64 from_replica,
+  2: i64 to_replica,
+  3: optional VoteRequest vote_request,
+  4: optional VoteReply vote_reply,
+  5: optional AppendRequest append_request,
+  6: optional AppendReply append_reply,
+  7: optional SnapshotRequest snapshot_request,
+  8: optional HandOverRequest hand_over_request,
+  9: optional IdentityRejection identity_rejection,
+}
+
+// ------------------------------------------------------------ configuration
+
+enum RepeatPolicy { UNSAFE = 0, SAFE = 1 }
+
+/** Shape of the groups that serve one model version. */
+struct Template {
+  1: string name,
+  2: string model,
+  3: string version,
+  4: list<string> adapters,
+  5: i32 machines_per_group,
+  6: RepeatPolicy repeat,
+}
+
+/** One tenant's parameters. */
+struct Tenant {
+  1: string name,
+  2: string template_name,
+  3: list<string> zones,
+  4: list<string> adapters,
+  5: i32 share_percent,
+  6: i32 max_concurrent,
+  7: i32 priority,
+  8: optional RepeatPolicy repeat,
+}
+
+/** A plain service, addressed by path prefix. */
+struct Service {
+  1: string name,
+  2: string path_prefix,
+  3: list<string> endpoints,
+  4: list<string> zones,
+}
+
+/** Fleet-wide parameters. */
+struct FleetParameters {
+  1: string placement_policy,
+  /** 0..100: weight of group downtime against stranded accelerators. */
+  2: i32 downtime_weight,
+  3: i32 max_concurrent_loads,
+  4: i32 claim_window_seconds,
+}
+
+enum GroupState { PLANNED = 0, LOADING = 1, READY = 2, SERVING = 3, DRAINING = 4, RELEASING = 5, GONE = 6 }
+
+struct Group {
+  1: i64 id,
+  2: i32 epoch,
+  3: GroupState state,
+  4: string template_name,
+  5: string model,
+  6: string version,
+  7: list<string> adapters,
+  8: string zone,
+  9: string domain,
+  10: list<string> machines,
+  /** Incarnation of each machine, in the order of `machines`, that this epoch was formed with. */
+  11: list<i64> incarnations,
+  /** host:port of the first machine, which takes the requests. */
+  12: string endpoint,
+  13: i64 changed_at_ms,
+}
+
+/** One versioned value: the unit of configuration change and of distribution to entries. */
+struct Record {
+  1: string key,
+  2: i64 revision,
+  3: bool deleted,
+  4: binary value,
+}
+
+// ----------------------------------------------------------- log commands
+
+struct KeyRevision {
+  1: string key,
+  2: i64 revision,
+}
+
+struct KeyWrite {
+  1: string key,
+  2: bool remove,
+  3: binary value,
+}
+
+struct ConfigurationChange {
+  1: string operator_name,
+  2: string command_id,
+  /** Revision of every key the operator read; zero means "absent". */
+  3: list<KeyRevision> reads,
+  4: list<KeyWrite> writes,
+}
+
+enum Verdict { ACCEPTED = 0, CONFLICT = 1, INVALID = 2, UNKNOWN = 3 }
+
+struct ChangeAnswer {
+  1: Verdict verdict,
+  2: i64 revision,
+  3: string message,
+}
+
+struct AuditRecord {
+  1: string operator_name,
+  2: string command_id,
+  3: i64 revision,
+  4: Verdict verdict,
+  5: list<KeyRevision> changed_from,
+  6: i64 at_ms,
+  7: string message,
+}
+
+enum MachineState { FREE = 0, OWNED = 1, RELEASING = 2, LEAVING = 3 }
+
+struct Machine {
+  1: string id,
+  2: string zone,
+  3: string domain,
+  4: i32 accelerators,
+  5: string endpoint,
+  6: i64 incarnation,
+  7: bool checks_fences,
+  8: MachineState state,
+  9: i64 group_id,
+  10: i32 epoch,
+  /** "model@version" whose weights the machine last loaded. */
+  11: string weights,
+  /** The membership list or an operator says that this machine is leaving. */
+  12: bool leaving,
+}
+
+/** What was seen of a machine; registers it or moves it to a new incarnation. */
+struct MachineObservation {
+  1: Machine machine,
+}
+
+struct GroupCreation {
+  1: string template_name,
+  2: string zone,
+  3: string domain,
+  4: list<string> machines,
+}
+
+struct GroupTransition {
+  1: i64 group_id,
+  2: i32 epoch,
+  3: GroupState to,
+}
+
+/** A machine confirmed that it holds nothing of (group, epoch), or its incarnation is dead. */
+struct MachineRelease {
+  1: string machine,
+  2: i64 group_id,
+  3: i32 epoch,
+}
+
+enum ClaimState { IN_PROGRESS = 0, RAN = 1, NOT_RUN = 2, UNKNOWN = 3 }
+
+struct Claim {
+  1: string tenant,
+  2: string key,
+  3: i64 body_digest,
+  4: string entry,
+  5: i64 entry_incarnation,
+  6: i64 claimed_at_ms,
+  7: ClaimState state,
+  8: i32 answer_status,
+  9: binary answer_body,
+  10: string answer_content_type,
+  /** Tells one request of an entry from another, so that a repeated claim message is answered alike. */
+  11: i64 nonce,
+}
+
+struct ClaimBatch {
+  1: list<Claim> claims,
+}
+
+struct ClaimResolution {
+  1: string tenant,
+  2: string key,
+  3: string entry,
+  4: i64 entry_incarnation,
+  5: ClaimState state,
+  6: i32 answer_status,
+  7: binary answer_body,
+  8: string answer_content_type,
+  9: i64 nonce,
+  10: i64 claimed_at_ms,
+}
+
+/** The incarnation of an entry ended: what it had in progress has an unknown outcome. */
+struct EntryLoss {
+  1: string entry,
+  2: i64 incarnation,
+}
+
+struct MachineDrain {
+  1: string operator_name,
+  2: string command_id,
+  3: string machine,
+  4: bool leaving,
+}
+
+struct Command {
+  /** Leader's wall clock, carried for expiry and audit; never decreases along the log. */
+  1: i64 at_ms,
+  2: optional ConfigurationChange change,
+  3: optional MachineObservation machine_observation,
+  4: optional GroupCreation group_creation,
+  5: optional GroupTransition group_transition,
+  6: optional MachineRelease machine_release,
+  7: optional ClaimBatch claims,
+  8: optional list<ClaimResolution> resolutions,
+  9: optional EntryLoss entry_loss,
+  10: optional MachineDrain drain,
+}
+
+struct CommandAnswer {
+  1: string command_id,
+  2: ChangeAnswer answer,
+}
+
+/** The whole replicated state, as stored in snapshots. */
+struct ControlSnapshot {
+  1: i64 applied_index,
+  2: list<Record> records,
+  3: list<Machine> machines,
+  4: list<Claim> claims,
+  5: list<AuditRecord> audit,
+  6: list<CommandAnswer> answers,
+  7: i64 next_group_id,
+  8: i64 clock_ms,
+  9: i64 oldest_delta_revision,
+}
+
+// --------------------------------------------------------- node to control
+
+struct MachineSighting {
+  1: string machine,
+  2: i64 incarnation,
+  3: i32 seen_ago_ms,
+  4: i64 group_id,
+  5: i32 epoch,
+  /** The machine holds the weights of (group_id, epoch). */
+  6: bool loaded,
+  /** Requests running or waiting in the engine; counted on the group's first machine. */
+  7: i32 load,
+}
+
+struct TenantDemand {
+  1: string tenant,
+  2: i32 running,
+  3: i32 waiting,
+  /** Concurrency that the node still holds under an earlier grant. */
+  4: i32 held,
+}
+
+struct Heartbeat {
+  1: i64 sequence,
+  2: string zone,
+  3: i64 applied_revision,
+  4: i64 watch_version,
+  5: list<MachineSighting> sightings,
+  6: list<TenantDemand> demand,
+  7: bool leaving,
+  /** Identity of the data folder; zero on a diskless node. */
+  8: i64 replica_id,
+  9: string peer_address,
+  /** Sequence of the newest reply that the node had received when it sent this; zero for none. */
+  10: i64 acknowledged_sequence,
+  11: string service_address,
+}
+
+struct GroupLease {
+  1: i64 group_id,
+  2: i32 epoch,
+  /** Requests in the engine when it was last seen. */
+  3: i32 load,
+}
+
+struct TenantBudget {
+  1: string tenant,
+  2: i32 concurrent,
+}
+
+struct WatchTarget {
+  1: string machine,
+  2: string endpoint,
+}
+
+struct HeartbeatReply {
+  1: i64 sequence,
+  /** The sender does not lead: the node to ask instead, if known. */
+  2: bool not_leader,
+  3: string leader,
+  4: i64 term,
+  5: i64 revision,
+  6: bool full,
+  7: list<Record> records,
+  8: i32 lease_ms,
+  9: list<GroupLease> leases,
+  10: list<TenantBudget> budgets,
+  11: i64 watch_version,
+  12: list<WatchTarget> watches,
+  13: i32 serve_lease_ms,
+}
+
+struct ClaimRequest {
+  1: i64 request_id,
+  2: Claim claim,
+}
+
+/** Answer to a claim: granted, or the claim that stands in its way. */
+struct ClaimReply {
+  1: i64 request_id,
+  2: bool decided,
+  3: bool granted,
+  4: Claim standing,
+  5: string message,
+}
+
+struct ResolutionRequest {
+  1: i64 request_id,
+  2: ClaimResolution resolution,
+}
+
+/** The resolution is committed. */
+struct ResolutionReply {
+  1: i64 request_id,
+}
+
+enum OperatorAction { APPLY = 0, GET = 1, STATUS = 2, AUDIT = 3, DRAIN = 4 }
+
+struct OperatorRequest {
+  1: i64 request_id,
+  2: OperatorAction action,
+  3: optional ConfigurationChange change,
+  4: bool dry_run,
+  5: string prefix,
+  6: optional MachineDrain drain,
+  7: i64 minimum_revision,
+}
+
+struct NodeStatus {
+  1: string node,
+  2: string zone,
+  3: i64 incarnation,
+  4: i64 revision,
+  5: bool live,
+  6: bool leaving,
+  7: i64 replica_id,
+  8: string service_address,
+}
+
+struct StatusReport {
+  1: string leader,
+  2: i64 term,
+  3: i64 commit_index,
+  4: ReplicaSet replicas,
+  5: list<NodeStatus> nodes,
+  6: list<Machine> machines,
+  7: list<Group> groups,
+  8: i64 stranded_accelerators,
+}
+
+struct OperatorReply {
+  1: i64 request_id,
+  2: bool not_leader,
+  3: string leader,
+  4: ChangeAnswer answer,
+  5: bool in_force,
+  6: list<string> missing_nodes,
+  7: list<Record> records,
+  8: list<AuditRecord> audit,
+  9: optional StatusReport status,
+}
+
+struct Envelope {
+  1: string from_node,
+  2: i64 from_incarnation,
+  3: string to_node,
+  4: optional RaftMessage raft,
+  5: optional Heartbeat heartbeat,
+  6: optional HeartbeatReply heartbeat_reply,
+  7: optional ClaimRequest claim_request,
+  8: optional ClaimReply claim_reply,
+  9: optional ResolutionRequest resolution,
+  10: optional OperatorRequest operator_request,
+  11: optional OperatorReply operator_reply,
+  12: optional ResolutionReply resolution_reply,
+}
