--- /dev/null
+++ b/src/cli/demo_command.cc
@@ -0,0 +1,278 @@
+#include <unistd.h>
+
+#include <boost/asio.hpp>
+#include <csignal>
+#include <filesystem>
+#include <iostream>
+#include <random>
+
+#include "cli/command_line.h"
+#include "cli/flags.h"
+#include "emulator/emulated_fleet.h"
+#include "node/logging.h"
+#include "node/node_process.h"
+#include "settings/change_file.h"
+#include "settings/node_settings.h"
+#include "storage/data_folder.h"
+
+namespace larchlever::cli {
+
+namespace asio = boost::asio;
+namespace fs = std::filesystem;
+
+namespace {
+
+constexpr int kNodes = 9;
+constexpr int kControlNodes = 5;
+constexpr int kZones = 3;
+constexpr auto kAwait = asio::as_tuple(asio::use_awaitable);
+constexpr const char* kZoneNames[kZones] = {"ljubljana", "celje", "koper"};
+
+constexpr const char* kFleetText = R"(
+[fleet]
+membership_lag_ms = 1000
+weight_transfers_at_once = 6
+weight_transfer_ms = 500
+
+[zone ljubljana]
+domains = 2
+machines_per_domain = 3
+kind = fenced
+
+[zone celje]
+domains = 2
+machines_per_domain = 2
+kind = fenced
+
+[zone koper]
+domains = 1
+machines_per_domain = 3
+kind = basic
+
+[service forms]
+zone = ljubljana
+ports = 0, 0, 0
+)";
+
+constexpr const char* kChangeText = R"(
+[template census]
+model = census
+version = 1
+adapters = letters, codes
+machines_per_group = 2
+repeat = unsafe
+
+[tenant ljubljana-office]
+template = census
+zones = ljubljana
+adapters = letters, codes
+share_percent = 40
+max_concurrent = 64
+
+[tenant coast-office]
+template = census
+zones = celje, koper
+adapters = letters
+share_percent = 40
+max_concurrent = 32
+
+[parameter fleet]
+placement_policy = spare_aware
+downtime_weight = 70
+)";
+
+std::string address(int group, int node) {
+  const int port = FLAGS_port_base == 0 ? 0 : FLAGS_port_base + 100 * group + node;
+  return "127.0.0.1:" + std::to_string(port);
+}
+
+/// Finds free ports for the control nodes' peer links, which must be known before the nodes start.
+std::string peer_address(int node) {
+  if (FLAGS_port_base != 0) {
+    return address(2, node);
+  }
+  asio::io_context context;
+  asio::ip::tcp::acceptor probe(context, {asio::ip::make_address("127.0.0.1"), 0});
+  return "127.0.0.1:" + std::to_string(probe.local_endpoint().port());
+}
+
+std::string node_name(int node) { return "n" + std::to_string(node); }
+
+settings::NodeSettings node_settings(int node, const std::map<std::string, std::string>& control_nodes,
+                                     const fs::path& data, const std::string& membership_list) {
+  settings::NodeSettings settings;
+  settings.name = node_name(node);
+  settings.zone = kZoneNames[(node - 1) % kZones];
+  settings.control_nodes = control_nodes;
+  for (const auto& [name, endpoint] : control_nodes) {
+    settings.controller.control_nodes.push_back(name);
+  }
+  const auto peer = control_nodes.find(settings.name);
+  settings.peer_address = peer == control_nodes.end() ? peer_address(node) : peer->second;
+  settings.service_address = address(0, node);
+  settings.admin_address = address(1, node);
+  if (peer != control_nodes.end()) {
+    settings.data_folder = data / settings.name;
+  }
+  settings.membership_list = membership_list;
+  settings.kinds_without_fences = {"basic"};
+  return settings;
+}
+
+bool begin_region(const settings::NodeSettings& first, std::string& error) {
+  storage::FileSystem file_system;
+  storage::StorageError failure;
+  auto folder = storage::DataFolder::open(first.data_folder, file_system, failure);
+  if (folder == nullptr) {
+    error = failure.message;
+    return false;
+  }
+  if (folder->replica_id() != ReplicaId()) {
+    return true;  // An earlier demo's data: go on with it.
+  }
+  std::random_device source;
+  wire::ReplicaAddress address;
+  address.replica_id = static_cast<int64_t>(((static_cast<uint64_t>(source()) << 32U) | source()) >> 1U);
+  address.node = first.name;
+  address.zone = first.zone;
+  const auto state = consensus::RaftNode::bootstrap(address);
+  consensus::RaftOutput output;
+  output.hard_state = state.hard_state;
+  output.entries = state.entries;
+  auto problem = folder->assign_identity(ReplicaId(address.replica_id));
+  if (!problem) {
+    problem = folder->write({&output});
+  }
+  error = problem ? problem->message : "";
+  return !problem;
+}
+
+std::string change_text(const emulator::EmulatedFleet& fleet) {
+  std::string text = kChangeText;
+  text += "\n[service forms]\npath_prefix = /forms\nzones = ljubljana\nendpoints = ";
+  for (const auto& endpoint : fleet.service_endpoints("forms")) {
+    text += endpoint + ", ";
+  }
+  return text + "\n";
+}
+
+class Demo {
+ public:
+  explicit Demo(asio::io_context& context) : context_(context) {}
+
+  bool start(std::string& error) {
+    std::vector<std::string> faults;
+    auto fleet = emulator::parse_fleet_settings(kFleetText, faults);
+    fleet_ = std::make_unique<emulator::EmulatedFleet>(context_.get_executor(), std::move(*fleet));
+    if (!fleet_->start(error)) {
+      return false;
+    }
+    data_ = FLAGS_data.empty() ? fs::temp_directory_path() / ("larchlever-demo-" + std::to_string(::getpid()))
+                               : fs::path(FLAGS_data);
+    std::map<std::string, std::string> control_nodes;
+    for (int node = 1; node <= kControlNodes; ++node) {
+      control_nodes[node_name(node)] = peer_address(node);
+    }
+    for (int node = 1; node <= kNodes; ++node) {
+      auto settings = node_settings(node, control_nodes, data_, fleet_->membership_endpoint());
+      if (node == 1 && !begin_region(settings, error)) {
+        return false;
+      }
+      nodes_.push_back(std::make_unique<node::NodeProcess>(context_.get_executor(), std::move(settings)));
+      if (!nodes_.back()->start(error)) {
+        return false;
+      }
+    }
+    return true;
+  }
+
+  asio::awaitable<void> configure() {
+    std::vector<std::string> faults;
+    const auto writes = settings::parse_change_file(change_text(*fleet_), faults);
+    auto& runtime = nodes_.back()->runtime();
+    wire::OperatorRequest read;
+    read.action = wire::OperatorAction::GET;
+    const auto present = co_await runtime.operator_request(read, std::chrono::seconds(30));
+    wire::OperatorRequest apply;
+    apply.action = wire::OperatorAction::APPLY;
+    apply.change.operator_name = "demo";
+    apply.change.command_id = "demo-" + std::to_string(node::NodeRuntime::wall_ms());
+    apply.change.writes = *writes;
+    for (const auto& write : *writes) {
+      wire::KeyRevision revision;
+      revision.key = write.key;
+      for (const auto& record : present.records) {
+        revision.revision = record.key == write.key ? record.revision : revision.revision;
+      }
+      apply.change.reads.push_back(std::move(revision));
+    }
+    apply.__isset.change = true;
+    const auto reply = co_await runtime.operator_request(apply, std::chrono::seconds(30));
+    if (reply.answer.verdict != wire::Verdict::ACCEPTED || reply.leader.empty()) {
+      std::cout << "the example templates were not accepted: " << reply.answer.message << std::endl;
+      co_return;
+    }
+    co_await wait_for_groups();
+    print_addresses();
+  }
+
+  void stop() {
+    for (auto& node : nodes_) {
+      node->stop();
+    }
+    if (FLAGS_data.empty()) {
+      std::error_code ignored;
+      fs::remove_all(data_, ignored);
+    }
+  }
+
+ private:
+  asio::awaitable<void> wait_for_groups() {
+    asio::steady_timer timer(context_);
+    while (nodes_.back()->runtime().controller().entry().router().leased_groups(node::NodeRuntime::now()) < 3) {
+      timer.expires_after(std::chrono::milliseconds(50));
+      co_await timer.async_wait(kAwait);
+    }
+  }
+
+  void print_addresses() const {
+    std::cout << "larchlever demo: " << kNodes << " nodes before " << fleet_->machines().size()
+              << " stand-in machines, data in " << data_.string() << "\n";
+    for (const auto& node : nodes_) {
+      std::cout << "  " << node->settings().name << "  zone " << node->settings().zone << "  service http://"
+                << node->service_address() << "  admin " << node->admin_address() << "\n";
+    }
+    std::cout << "  membership list and faults http://" << fleet_->membership_endpoint() << "\nready" << std::endl;
+  }
+
+  asio::io_context& context_;
+  fs::path data_;
+  std::unique_ptr<emulator::EmulatedFleet> fleet_;
+  std::vector<std::unique_ptr<node::NodeProcess>> nodes_;
+};
+
+}  // namespace
+
+int run_demo() {
+  node::configure_logging("warn", "");
+  asio::io_context context(1);
+  Demo demo(context);
+  std::string error;
+  if (!demo.start(error)) {
+    std::cerr << "larchlever: " << error << "\n";
+    return kExitFailed;
+  }
+  asio::co_spawn(context, demo.configure(), asio::detached);
+  asio::signal_set signals(context, SIGTERM, SIGINT);
+  signals.async_wait([&](boost::system::error_code, int) { context.stop(); });
+  asio::steady_timer limit(context);
+  if (FLAGS_seconds > 0) {
+    limit.expires_after(std::chrono::seconds(FLAGS_seconds));
+    limit.async_wait([&](boost::system::error_code) { context.stop(); });
+  }
+  context.run();
+  demo.stop();
+  return kExitDone;
+}
+
+}  // namespace larchlever::cli
--- /dev/null
+++ b/src/cli/flags.h
@@ -0,0 +1,14 @@
+#pragma once
+
+#include <gflags/gflags.h>
+
+DECLARE_string(settings);
+DECLARE_string(node);
+DECLARE_string(output);
+DECLARE_string(operator_name);
+DECLARE_string(command_id);
+DECLARE_bool(dry_run);
+DECLARE_bool(undo);
+DECLARE_int32(port_base);
+DECLARE_int32(seconds);
+DECLARE_string(data);
--- /dev/null
+++ b/src/cli/main.cc
@@ -0,0 +1,20 @@
+#include <gflags/gflags.h>
+
+#include <exception>
+#include <iostream>
+#include <string>
+#include <vector>
+
+#include "cli/command_line.h"
+
+int main(int argc, char** argv) {
+  try {
+    gflags::SetUsageMessage("larchlever COMMAND [ARGUMENTS]; 'larchlever help' lists the commands");
+    gflags::SetVersionString(LARCHLEVER_VERSION);
+    gflags::ParseCommandLineFlags(&argc, &argv, true);
+    return larchlever::cli::run(std::vector<std::string>(argv + 1, argv + argc));
+  } catch (const std::exception& problem) {
+    std::cerr << "larchlever: " << problem.what() << "\n";
+    return larchlever::cli::kExitFailed;
+  }
+}
--- /dev/null
+++ b/src/cli/serve_commands.cc
@@ -0,0 +1,143 @@
+#include <boost/asio.hpp>
+#include <csignal>
+#include <filesystem>
+#include <iostream>
+#include <random>
+
+#include "cli/command_line.h"
+#include "cli/flags.h"
+#include "emulator/emulated_fleet.h"
+#include "node/logging.h"
+#include "node/node_process.h"
+#include "settings/node_settings.h"
+#include "storage/data_folder.h"
+
+namespace larchlever::cli {
+
+namespace asio = boost::asio;
+
+namespace {
+
+void print_faults(const std::vector<std::string>& faults) {
+  for (const auto& fault : faults) {
+    std::cerr << FLAGS_settings << ": " << fault << "\n";
+  }
+}
+
+std::optional<settings::NodeSettings> load_settings() {
+  std::vector<std::string> faults;
+  if (FLAGS_settings.empty()) {
+    std::cerr << "larchlever: name the settings file with --settings FILE\n";
+    return std::nullopt;
+  }
+  const auto text = settings::read_text_file(FLAGS_settings, faults);
+  auto parsed = text ? settings::parse_node_settings(*text, faults) : std::nullopt;
+  print_faults(faults);
+  return parsed;
+}
+
+}  // namespace
+
+int run_check_settings() {
+  if (!load_settings()) {
+    return kExitInvalid;
+  }
+  std::cout << FLAGS_settings << ": no faults\n";
+  return kExitDone;
+}
+
+int run_bootstrap() {
+  const auto parsed = load_settings();
+  if (!parsed) {
+    return kExitInvalid;
+  }
+  if (parsed->data_folder.empty()) {
+    std::cerr << "larchlever: this node has no data folder; bootstrap a node that has one\n";
+    return kExitInvalid;
+  }
+  storage::FileSystem file_system;
+  storage::StorageError error;
+  auto folder = storage::DataFolder::open(parsed->data_folder, file_system, error);
+  if (folder == nullptr) {
+    std::cerr << "larchlever: " << error.message << "\n";
+    return kExitFailed;
+  }
+  if (folder->replica_id() != ReplicaId()) {
+    std::cerr << "larchlever: data folder " << parsed->data_folder
+              << " already belongs to a region; bootstrap only the first node of a new one\n";
+    return kExitInvalid;
+  }
+  std::random_device source;
+  wire::ReplicaAddress first;
+  first.replica_id = static_cast<int64_t>(((static_cast<uint64_t>(source()) << 32U) | source()) >> 1U);
+  first.node = parsed->name;
+  first.zone = parsed->zone;
+  const auto state = consensus::RaftNode::bootstrap(first);
+  consensus::RaftOutput output;
+  output.hard_state = state.hard_state;
+  output.entries = state.entries;
+  auto problem = folder->assign_identity(ReplicaId(first.replica_id));
+  if (!problem) {
+    problem = folder->write({&output});
+  }
+  if (problem) {
+    std::cerr << "larchlever: " << problem->message << "\n";
+    return kExitFailed;
+  }
+  std::cout << "region begun in " << parsed->data_folder << "; start this node, then the others\n";
+  return kExitDone;
+}
+
+int run_serve() {
+  const auto parsed = load_settings();
+  if (!parsed) {
+    return kExitInvalid;
+  }
+  node::configure_logging(parsed->log_level, parsed->log_file);
+  asio::io_context context(1);
+  node::NodeProcess process(context.get_executor(), *parsed);
+  std::string error;
+  if (!process.start(error)) {
+    std::cerr << "larchlever: " << error << "\n";
+    return kExitFailed;
+  }
+  asio::signal_set signals(context, SIGTERM, SIGINT);
+  signals.async_wait([&](boost::system::error_code code, int) {
+    if (!code) {
+      asio::co_spawn(
+          context,
+          [&]() -> asio::awaitable<void> {
+            co_await process.drain();
+            process.stop();
+            context.stop();
+          },
+          asio::detached);
+    }
+  });
+  context.run();
+  return kExitDone;
+}
+
+int run_emulate() {
+  std::vector<std::string> faults;
+  const auto text = settings::read_text_file(FLAGS_settings, faults);
+  const auto parsed = text ? emulator::parse_fleet_settings(*text, faults) : std::nullopt;
+  print_faults(faults);
+  if (!parsed) {
+    return kExitInvalid;
+  }
+  asio::io_context context(1);
+  emulator::EmulatedFleet fleet(context.get_executor(), *parsed);
+  std::string error;
+  if (!fleet.start(error)) {
+    std::cerr << "larchlever: " << error << "\n";
+    return kExitFailed;
+  }
+  std::cout << "membership list at " << fleet.membership_endpoint() << std::endl;
+  asio::signal_set signals(context, SIGTERM, SIGINT);
+  signals.async_wait([&](boost::system::error_code, int) { context.stop(); });
+  context.run();
+  return kExitDone;
+}
+
+}  // namespace larchlever::cli
--- a/src/core/config/change_validation.cc
+++ b/src/core/config/change_validation.cc
@@ -158,7 +158,8 @@
 Certification certify(const RecordTable& table, const wire::ConfigurationChange& change) {
   for (const auto& read : change.reads) {
     const Revision present = table.revision_of(read.key);
-    if (present != Revision(read.revision)) {
+    const bool absent_as_read = read.revision == 0 && table.find(read.key) == nullptr;
+    if (!absent_as_read && present != Revision(read.revision)) {
       return Certification{false, read.key, present};
     }
   }
@@ -166,7 +167,7 @@
   for (const auto& write : change.writes) {
     const bool was_read = std::any_of(change.reads.begin(), change.reads.end(),
                                       [&write](const auto& read) { return read.key == write.key; });
-    if (!was_read && table.revision_of(write.key) != Revision()) {
+    if (!was_read && table.find(write.key) != nullptr) {
       return Certification{false, write.key, table.revision_of(write.key)};
     }
   }
--- a/src/core/control/control_leader.cc
+++ b/src/core/control/control_leader.cc
@@ -10,6 +10,7 @@
 constexpr size_t kClaimBatchesInFlight = 4;
 constexpr size_t kRememberedReplies = 64;
 constexpr size_t kAuditPage = 500;
+constexpr Duration kSupervisionInterval = milliseconds(20);
 
 }  // namespace
 
@@ -32,6 +33,7 @@
   outputs_ = Outputs();
   groups_.start(now, quiet_until_);
   replicas_.start(now);
+  next_supervision_ = now;
   // Watch versions must differ between leaderships, else a node would take an old list for the present one.
   watch_version_ = to_microseconds(now);
 }
@@ -400,9 +402,10 @@
     claim_batch_ = Proposal();
   }
   // Supervision waits for its own earlier proposals, so that it always judges a state that includes them.
-  if (!supervising) {
+  if (!supervising || now < next_supervision_) {
     return;
   }
+  next_supervision_ = now + kSupervisionInterval;
   propose_observations(state);
   propose_entry_losses(now);
   auto actions = groups_.tick(now, raft.term(), state, presence_);
--- a/src/core/control/control_leader.h
+++ b/src/core/control/control_leader.h
@@ -109,6 +109,7 @@
   membership::WatchAssignment watches_;
   std::vector<std::string> watch_basis_;
   int64_t watch_version_ = 0;
+  TimePoint next_supervision_{};
   std::vector<PendingChange> pending_changes_;
   Proposal claim_batch_;
   std::map<int64_t, Proposal> in_flight_;
--- a/src/core/node/node_controller.cc
+++ b/src/core/node/node_controller.cc
@@ -54,6 +54,7 @@
 void NodeController::receive(TimePoint now, wire::Envelope envelope) {
   if (envelope.__isset.raft) {
     if (raft_) {
+      replica_nodes_[envelope.raft.from_replica] = envelope.from_node;
       raft_->step(now, envelope.raft);
     }
   } else if (envelope.__isset.heartbeat) {
@@ -76,13 +77,37 @@
   process(now);
 }
 
-void NodeController::synced(TimePoint now, int64_t ticket) {
+void NodeController::written(TimePoint now, consensus::RaftOutput batch) {
   if (raft_) {
-    raft_->synced(now, ticket);
+    send_raft(now, batch.messages_after_sync);
+    raft_->synced(now, batch.ticket);
     process(now);
   }
 }
 
+void NodeController::note_replicas() {
+  for (const auto* list : {&raft_->replicas().voters, &raft_->replicas().learners}) {
+    for (const auto& replica : *list) {
+      replica_nodes_[replica.replica_id] = replica.node;
+    }
+  }
+}
+
+void NodeController::send_raft(TimePoint now, std::vector<wire::RaftMessage>& messages) {
+  for (auto& message : messages) {
+    const auto node = replica_nodes_.find(message.to_replica);
+    if (node == replica_nodes_.end()) {
+      continue;
+    }
+    wire::Envelope envelope;
+    envelope.to_node = node->second;
+    envelope.raft = std::move(message);
+    envelope.__isset.raft = true;
+    send(now, std::move(envelope));
+  }
+  messages.clear();
+}
+
 void NodeController::handle_heartbeat(TimePoint now, const wire::Envelope& envelope) {
   wire::Envelope answer;
   answer.to_node = envelope.from_node;
@@ -290,7 +315,9 @@
     }
     apply_committed(now);
     carry_leader_outputs(now);
+    note_replicas();
     auto output = raft_->take_output();
+    send_raft(now, output.messages);
     if (!output.empty()) {
       outputs_.storage.push_back(std::move(output));
     }
--- a/src/core/node/node_controller.h
+++ b/src/core/node/node_controller.h
@@ -37,6 +37,7 @@
 
 struct NodeOutputs {
   std::vector<wire::Envelope> envelopes;
+  /// To be written in this order, each then handed back to `NodeController::written`.
   std::vector<consensus::RaftOutput> storage;
   std::vector<control::EngineOrder> orders;
   std::vector<ClaimOutcome> claim_outcomes;
@@ -60,7 +61,8 @@
   /// To be called at least every few milliseconds. `wall_ms` is the wall clock, used only for expiry and the audit.
   void tick(TimePoint now, int64_t wall_ms);
   void receive(TimePoint now, wire::Envelope envelope);
-  void synced(TimePoint now, int64_t ticket);
+  /// A batch from `NodeOutputs::storage`, and all before it, are on disk: what waited for that may leave now.
+  void written(TimePoint now, consensus::RaftOutput batch);
   void order_result(const control::OrderResult& result) { leader_.order_result(result); }
   void sighting(TimePoint asked_at, const wire::MachineSighting& sighting) { entry_.sighting(asked_at, sighting); }
   void membership_list(const std::vector<wire::Machine>& machines) { leader_.membership_list(machines); }
@@ -103,6 +105,8 @@
   void handle_operator_request(TimePoint now, const wire::Envelope& envelope);
   void handle_reply(const wire::Envelope& envelope);
   void resend_pending(TimePoint now);
+  void send_raft(TimePoint now, std::vector<wire::RaftMessage>& messages);
+  void note_replicas();
   void send(TimePoint now, wire::Envelope envelope);
   wire::Envelope to_leader() const;
   std::string leader_node() const;
@@ -123,6 +127,8 @@
   std::map<int64_t, Pending<wire::OperatorRequest>> operator_requests_;
   std::map<int64_t, Pending<wire::ClaimRequest>> claims_;
   std::map<int64_t, Pending<wire::ResolutionRequest>> resolutions_;
+  /// Node of each replica that was named in a replica set or spoke to us.
+  std::map<int64_t, std::string> replica_nodes_;
   std::vector<wire::Envelope> loopback_;
   NodeOutputs outputs_;
 };
--- /dev/null
+++ b/src/core/requests/retry_state.h
@@ -0,0 +1,56 @@
+#pragma once
+
+#include <map>
+#include <set>
+#include <string>
+
+#include "core/base/time.h"
+#include "core/requests/outcome.h"
+
+namespace larchlever::requests {
+
+/// Retries a tenant may spend: a fraction of its requests, with a small reserve so that a quiet tenant can retry too.
+class RetryBudget {
+ public:
+  explicit RetryBudget(int percent) : percent_(percent) {}
+  void request_started(const std::string& tenant);
+  /// Takes one retry; false when the budget is spent.
+  bool take(const std::string& tenant);
+
+ private:
+  int percent_;
+  std::map<std::string, int> hundredths_;
+};
+
+/// How one attempt at a back end ended, seen from the entry.
+enum class AttemptResult {
+  kNotSent,           ///< No byte left, e.g. the connection failed.
+  kRefusedUnstarted,  ///< The back end answered that it did not start the request.
+  kLostAfterSend,     ///< Bytes may have left and no whole answer came.
+  kCutInStream,       ///< Part of the answer came; its offset is known.
+};
+
+/// Decides what may follow a failed attempt of one request.
+///
+/// Rules: an attempt that provably did not run may be repeated elsewhere; one that may have run only if the request is
+/// safe; never past the deadline, the attempt limit or the tenant's retry budget. Pure.
+class RetryState {
+ public:
+  RetryState(bool safe, int most_attempts, TimePoint deadline)
+      : safe_(safe), most_attempts_(most_attempts), deadline_(deadline) {}
+
+  /// Notes a failed attempt; true when another may start now.
+  bool may_retry(TimePoint now, AttemptResult result, const std::string& tenant, RetryBudget& budget);
+  /// Outcome to report if the request ends here.
+  Outcome outcome() const { return may_have_run_ ? Outcome::kUnknown : Outcome::kNotRun; }
+  int attempts() const { return attempts_; }
+
+ private:
+  bool safe_;
+  int most_attempts_;
+  TimePoint deadline_;
+  int attempts_ = 0;
+  bool may_have_run_ = false;
+};
+
+}  // namespace larchlever::requests
--- /dev/null
+++ b/src/emulator/emulated_fleet.h
@@ -0,0 +1,77 @@
+#pragma once
+
+#include <boost/asio.hpp>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "emulator/emulated_machine.h"
+#include "emulator/execution_log.h"
+#include "emulator/plain_service.h"
+#include "emulator/weight_store.h"
+#include "net/http_server.h"
+
+namespace larchlever::emulator {
+
+struct EmulatedService {
+  std::string name;
+  std::string zone;
+  std::vector<uint16_t> ports;
+};
+
+/// What to stand in for; read from an INI file.
+struct FleetSettings {
+  std::string address = "127.0.0.1";
+  uint16_t membership_port = 0;
+  std::chrono::milliseconds membership_lag{2000};
+  uint16_t weight_store_port = 0;
+  WeightStoreOptions weight_store;
+  std::vector<MachineOptions> machines;
+  std::vector<EmulatedService> services;
+};
+
+std::optional<FleetSettings> parse_fleet_settings(const std::string& text, std::vector<std::string>& errors);
+
+/// All stand-ins of one process: engines' machines, plain services, weight store, membership list. The membership port
+/// also takes faults (POST /emulator/fault?machine=ID&action=die|pause|resume|return|leave) and serves the execution
+/// log (GET /emulator/log), which belongs to the test bench and not to any published protocol.
+class EmulatedFleet : public net::HttpHandler {
+ public:
+  EmulatedFleet(boost::asio::any_io_executor executor, FleetSettings settings);
+
+  bool start(std::string& error);
+  boost::asio::awaitable<void> handle(net::HttpExchange& exchange) override;
+  /// Applies a fault; false for an unknown machine or action.
+  bool fault(const std::string& machine, const std::string& action);
+
+  std::string membership_endpoint() const;
+  std::vector<std::string> service_endpoints(const std::string& name) const;
+  const ExecutionLog& log() const { return log_; }
+  EmulatedMachine* find(const std::string& id);
+  const std::vector<std::unique_ptr<EmulatedMachine>>& machines() const { return machines_; }
+
+ private:
+  struct Listed {
+    std::string id;
+    bool leaving = false;
+    bool gone = false;
+  };
+
+  std::string member_list() const;
+  std::string log_as_json(size_t from) const;
+  void publish_later(const std::string& machine, bool leaving, bool gone);
+
+  boost::asio::any_io_executor executor_;
+  FleetSettings settings_;
+  ExecutionLog log_;
+  WeightStore store_;
+  std::vector<std::unique_ptr<EmulatedMachine>> machines_;
+  std::vector<std::unique_ptr<PlainService>> services_;
+  std::map<std::string, std::vector<std::string>> service_endpoints_;
+  std::vector<std::unique_ptr<net::HttpServer>> servers_;
+  std::map<std::string, Listed> listed_;
+  uint16_t membership_port_ = 0;
+};
+
+}  // namespace larchlever::emulator
--- /dev/null
+++ b/src/emulator/emulated_machine.cc
@@ -0,0 +1,465 @@
+#include "emulator/emulated_machine.h"
+
+#include <xxhash.h>
+
+#include "emulator/plain_service.h"
+#include "emulator/prompt_text.h"
+
+namespace larchlever::emulator {
+
+namespace asio = boost::asio;
+namespace json = boost::json;
+
+namespace {
+
+constexpr auto kAwait = asio::as_tuple(asio::use_awaitable);
+constexpr auto kEngineTick = std::chrono::milliseconds(2);
+constexpr auto kPausePoll = std::chrono::milliseconds(20);
+constexpr auto kWeightTimeout = std::chrono::seconds(30);
+constexpr auto kWeightRetry = std::chrono::milliseconds(300);
+constexpr int kDefaultOutputTokens = 32;
+constexpr int kLargestOutputTokens = 4096;
+
+TimePoint engine_now() {
+  const auto now = std::chrono::steady_clock::now().time_since_epoch();
+  return TimePoint(std::chrono::duration_cast<Duration>(now));
+}
+
+int64_t new_incarnation() {
+  static int64_t last = 0;
+  const auto now = std::chrono::system_clock::now().time_since_epoch();
+  last = std::max(last + 1, std::chrono::duration_cast<std::chrono::microseconds>(now).count());
+  return last;
+}
+
+net::HttpResponse json_response(int status, const json::object& body) {
+  net::HttpResponse response;
+  response.status = status;
+  response.headers.add("Content-Type", "application/json");
+  response.body = json::serialize(body);
+  return response;
+}
+
+/// Refusal of a request that the engine did not start; the entry may run it elsewhere.
+net::HttpResponse refusal(int status, const char* reason) {
+  auto response = json_response(status, {{"error", reason}});
+  response.headers.add("X-Engine-Started", "no");
+  return response;
+}
+
+int64_t number(const json::object& object, const char* key, int64_t fallback) {
+  const auto* value = object.if_contains(key);
+  return value != nullptr && value->is_int64() ? value->as_int64() : fallback;
+}
+
+std::string text(const json::object& object, const char* key) {
+  const auto* value = object.if_contains(key);
+  return value != nullptr && value->is_string() ? std::string(value->as_string()) : std::string();
+}
+
+json::object parse_object(const std::string& body) {
+  boost::system::error_code error;
+  const auto value = json::parse(body, error);
+  return !error && value.is_object() ? value.as_object() : json::object();
+}
+
+int64_t header_number(const net::HttpRequest& request, const char* name, int64_t fallback) {
+  const auto value = std::string(request.headers.find(name));
+  return value.empty() ? fallback : std::atoll(value.c_str());
+}
+
+/// Everything that the model reads, as one text.
+std::string prompt_of(const json::object& body) {
+  std::string prompt = text(body, "prompt");
+  if (const auto* messages = body.if_contains("messages"); messages != nullptr && messages->is_array()) {
+    for (const auto& message : messages->as_array()) {
+      if (message.is_object()) {
+        prompt += text(message.as_object(), "role") + ":" + text(message.as_object(), "content") + "\n";
+      }
+    }
+  }
+  return prompt;
+}
+
+}  // namespace
+
+EmulatedMachine::EmulatedMachine(asio::any_io_executor executor, MachineOptions options, ExecutionLog& log,
+                                 Lookup lookup)
+    : executor_(executor),
+      options_(std::move(options)),
+      log_(log),
+      lookup_(std::move(lookup)),
+      client_(executor),
+      engine_(options_.engine) {}
+
+EmulatedMachine::~EmulatedMachine() {
+  *alive_token_ = false;
+  fail_streams();
+}
+
+bool EmulatedMachine::start(std::string& error) {
+  server_ = std::make_unique<net::HttpServer>(executor_, net::HttpServerOptions(), *this);
+  const auto port = server_->listen(options_.address, options_.port, error);
+  if (!port) {
+    return false;
+  }
+  options_.port = *port;
+  incarnation_ = new_incarnation();
+  group_id_ = 0;
+  epoch_ = 0;
+  newest_epoch_ = 0;
+  newest_term_ = 0;
+  loaded_ = false;
+  weights_.clear();
+  members_.clear();
+  engine_.clear();
+  load_samples_.clear();
+  condition_ = MachineCondition::kAlive;
+  asio::co_spawn(executor_, run_engine(), asio::detached);
+  return true;
+}
+
+void EmulatedMachine::die() {
+  condition_ = MachineCondition::kDead;
+  incarnation_ = 0;
+  fail_streams();
+  if (server_) {
+    server_->close_all();
+  }
+}
+
+void EmulatedMachine::pause() {
+  if (condition_ == MachineCondition::kAlive) {
+    condition_ = MachineCondition::kPaused;
+  }
+}
+
+void EmulatedMachine::resume() {
+  if (condition_ == MachineCondition::kPaused) {
+    condition_ = MachineCondition::kAlive;
+  }
+}
+
+void EmulatedMachine::fail_streams() {
+  for (auto& [id, stream] : streams_) {
+    stream->failed = true;
+    stream->wake.cancel();
+  }
+  streams_.clear();
+}
+
+bool EmulatedMachine::replica_is_whole() const {
+  return std::all_of(members_.begin(), members_.end(), [this](const auto& id) {
+    const auto* member = lookup_(id);
+    return member != nullptr && member->condition() == MachineCondition::kAlive && member->loaded() &&
+           member->epoch() == epoch_;
+  });
+}
+
+bool EmulatedMachine::replica_is_broken() const {
+  return std::any_of(members_.begin(), members_.end(), [this](const auto& id) {
+    const auto* member = lookup_(id);
+    return member == nullptr || member->condition() == MachineCondition::kDead || member->epoch() != epoch_;
+  });
+}
+
+asio::awaitable<void> EmulatedMachine::wait_while_paused() {
+  while (condition_ == MachineCondition::kPaused) {
+    asio::steady_timer timer(executor_, kPausePoll);
+    co_await timer.async_wait(kAwait);
+  }
+}
+
+void EmulatedMachine::sample_load() {
+  const auto now = std::chrono::steady_clock::now();
+  load_samples_.emplace_back(now, static_cast<int>(engine_.running() + engine_.waiting()));
+  while (load_samples_.size() > 1 && load_samples_[1].first + options_.load_report_lag <= now) {
+    load_samples_.pop_front();
+  }
+}
+
+asio::awaitable<void> EmulatedMachine::run_engine() {
+  const auto token = alive_token_;
+  const int64_t incarnation = incarnation_;
+  asio::steady_timer timer(executor_);
+  while (*token && incarnation_ == incarnation && condition_ != MachineCondition::kDead) {
+    sample_load();
+    if (!streams_.empty() && replica_is_broken()) {
+      fail_streams();
+      engine_.clear();
+    }
+    if (condition_ == MachineCondition::kAlive && rank_ == 0 && replica_is_whole()) {
+      for (const auto& produced : engine_.advance(engine_now())) {
+        const auto stream = streams_.find(produced.request);
+        if (stream != streams_.end()) {
+          stream->second->tokens.push_back(produced);
+          stream->second->wake.cancel();
+        }
+      }
+    }
+    timer.expires_after(kEngineTick);
+    co_await timer.async_wait(kAwait);
+  }
+}
+
+asio::awaitable<void> EmulatedMachine::handle(net::HttpExchange& exchange) {
+  co_await wait_while_paused();
+  const auto path = exchange.request().path();
+  if (condition_ == MachineCondition::kDead) {
+    co_return;
+  }
+  if (path == "/engine/state") {
+    co_await answer_state(exchange);
+  } else if (path == "/engine/orders") {
+    co_await answer_order(exchange);
+  } else if (path == "/engine/cache-events") {
+    co_await answer_cache_events(exchange);
+  } else if (path == "/engine/kv/export" || path == "/engine/kv/import") {
+    co_await answer_kv(exchange, path == "/engine/kv/import");
+  } else if (path == "/v1/chat/completions" || path == "/v1/completions") {
+    co_await answer_generate(exchange);
+  } else {
+    co_await exchange.respond(refusal(404, "no such path"));
+  }
+}
+
+asio::awaitable<void> EmulatedMachine::answer_state(net::HttpExchange& exchange) {
+  json::object state;
+  state["machine"] = options_.id;
+  state["incarnation"] = incarnation_;
+  state["zone"] = options_.zone;
+  state["domain"] = options_.domain;
+  state["kind"] = options_.kind;
+  state["accelerators"] = options_.accelerators;
+  state["group"] = group_id_;
+  state["epoch"] = epoch_;
+  state["rank"] = rank_;
+  state["loaded"] = loaded_;
+  state["weights"] = weights_;
+  state["load"] = load_samples_.empty() ? 0 : load_samples_.front().second;
+  co_await exchange.respond(json_response(200, state));
+}
+
+asio::awaitable<void> EmulatedMachine::answer_order(net::HttpExchange& exchange) {
+  const json::object order = parse_object(exchange.request().body);
+  const int64_t epoch = number(order, "epoch", 0);
+  const int64_t term = number(order, "term", 0);
+  const int64_t wanted_incarnation = number(order, "incarnation", 0);
+  if (wanted_incarnation != 0 && wanted_incarnation != incarnation_) {
+    json::object answer;
+    answer["error"] = "another incarnation";
+    answer["incarnation"] = incarnation_;
+    co_await exchange.respond(json_response(410, answer));
+    co_return;
+  }
+  const bool old = epoch < newest_epoch_ || (epoch == newest_epoch_ && term < newest_term_);
+  if (options_.kind == "fenced" && old) {
+    json::object answer;
+    answer["error"] = "fenced";
+    answer["epoch"] = newest_epoch_;
+    co_await exchange.respond(json_response(409, answer));
+    co_return;
+  }
+  newest_epoch_ = epoch;
+  newest_term_ = term;
+  const std::string kind = text(order, "kind");
+  if (kind == "release") {
+    if (epoch_ == epoch || options_.kind != "fenced") {
+      fail_streams();
+      engine_.clear();
+      group_id_ = 0;
+      epoch_ = 0;
+      loaded_ = false;
+      members_.clear();
+    }
+  } else if (kind == "load") {
+    const bool repeated = epoch_ == epoch && group_id_ == number(order, "group", 0);
+    if (!repeated) {
+      fail_streams();
+      engine_.clear();
+      group_id_ = number(order, "group", 0);
+      epoch_ = epoch;
+      rank_ = static_cast<int>(number(order, "rank", 0));
+      wanted_weights_ = text(order, "model") + "@" + text(order, "version");
+      members_.clear();
+      if (const auto* members = order.if_contains("members"); members != nullptr && members->is_array()) {
+        for (const auto& member : members->as_array()) {
+          members_.emplace_back(member.as_string());
+        }
+      }
+      loaded_ = weights_ == wanted_weights_;
+      if (!loaded_) {
+        asio::co_spawn(executor_, load_weights(incarnation_, epoch_), asio::detached);
+      }
+    }
+  } else if (kind == "role") {
+    rank_ = static_cast<int>(number(order, "rank", rank_));
+  } else {
+    co_await exchange.respond(refusal(400, "unknown kind of order"));
+    co_return;
+  }
+  json::object answer;
+  answer["done"] = true;
+  answer["epoch"] = epoch_;
+  co_await exchange.respond(json_response(200, answer));
+}
+
+asio::awaitable<void> EmulatedMachine::load_weights(int64_t incarnation, int64_t epoch) {
+  const auto token = alive_token_;
+  const auto current = [&] {
+    return *token && condition_ != MachineCondition::kDead && incarnation_ == incarnation && epoch_ == epoch;
+  };
+  while (current()) {
+    bool received = options_.weight_store.empty();
+    if (!received) {
+      std::string path = wanted_weights_;
+      std::replace(path.begin(), path.end(), '@', '/');
+      net::HttpRequest request;
+      request.target = "/weights/" + path;
+      const auto result = co_await client_.fetch(options_.weight_store, request, kWeightTimeout);
+      if (!*token) {
+        co_return;
+      }
+      received = result.response && result.response->status == 200;
+    }
+    co_await wait_while_paused();
+    if (received && current()) {
+      weights_ = wanted_weights_;
+      loaded_ = true;
+      co_return;
+    }
+    asio::steady_timer timer(executor_, kWeightRetry);
+    co_await timer.async_wait(kAwait);
+  }
+}
+
+asio::awaitable<void> EmulatedMachine::answer_cache_events(net::HttpExchange& exchange) {
+  const std::string since = query_parameter(exchange.request().target, "since");
+  asio::steady_timer timer(executor_, options_.cache_event_lag);
+  co_await timer.async_wait(kAwait);
+  int64_t oldest = 0;
+  json::array events;
+  for (const auto& event : engine_.cache_events(std::atoll(since.c_str()), oldest)) {
+    json::object item;
+    item["sequence"] = event.sequence;
+    item["added"] = event.added;
+    item["block"] = event.block;
+    events.push_back(std::move(item));
+  }
+  json::object answer;
+  answer["oldest"] = oldest;
+  answer["events"] = std::move(events);
+  co_await exchange.respond(json_response(200, answer));
+}
+
+asio::awaitable<void> EmulatedMachine::answer_kv(net::HttpExchange& exchange, bool import) {
+  json::array blocks;
+  if (import) {
+    const json::object body = parse_object(exchange.request().body);
+    std::vector<uint64_t> received;
+    if (const auto* list = body.if_contains("blocks"); list != nullptr && list->is_array()) {
+      for (const auto& block : list->as_array()) {
+        received.push_back(block.is_uint64() ? block.as_uint64() : static_cast<uint64_t>(block.to_number<int64_t>()));
+      }
+    }
+    engine_.import_blocks(received);
+  }
+  for (const uint64_t block : engine_.cached_blocks()) {
+    blocks.emplace_back(block);
+  }
+  json::object answer;
+  answer["blocks"] = std::move(blocks);
+  co_await exchange.respond(json_response(200, answer));
+}
+
+asio::awaitable<void> EmulatedMachine::answer_generate(net::HttpExchange& exchange) {
+  const auto& request = exchange.request();
+  const bool in_service = group_id_ != 0 && loaded_ && rank_ == 0 && replica_is_whole();
+  if (!in_service) {
+    co_await exchange.respond(refusal(503, "no replica here"));
+    co_return;
+  }
+  const bool other_epoch =
+      header_number(request, "x-group", group_id_) != group_id_ || header_number(request, "x-epoch", epoch_) != epoch_;
+  if (options_.kind == "fenced" && other_epoch) {
+    co_await exchange.respond(refusal(409, "another group or epoch"));
+    co_return;
+  }
+  const json::object body = parse_object(request.body);
+  const std::string prompt = prompt_of(body);
+  const std::string request_id = std::string(request.headers.find("x-request-id"));
+  EngineRequest work;
+  work.id = next_stream_++;
+  work.priority = static_cast<int>(header_number(request, "x-priority", 5));
+  work.prompt_tokens = count_tokens(prompt);
+  work.output_tokens =
+      static_cast<int>(std::clamp<int64_t>(number(body, "max_tokens", kDefaultOutputTokens), 1, kLargestOutputTokens));
+  work.first_offset = static_cast<int>(header_number(request, "x-resume-from", 0));
+  work.prefix_blocks = prefix_blocks(prompt, options_.engine.tokens_per_block);
+
+  Execution execution;
+  execution.request_id = request_id;
+  execution.key = std::string(request.headers.find("idempotency-key"));
+  execution.machine = options_.id;
+  execution.zone = options_.zone;
+  execution.tenant = std::string(request.headers.find("x-tenant"));
+  execution.body_digest = static_cast<int64_t>(XXH3_64bits(request.body.data(), request.body.size()));
+  const size_t position = log_.start(std::move(execution));
+
+  auto stream = std::make_shared<Stream>(executor_);
+  const uint64_t id = work.id;
+  streams_[id] = stream;
+  exchange.watch_caller([this, id, stream, token = alive_token_] {
+    stream->failed = true;
+    stream->wake.cancel();
+    if (*token) {
+      engine_.cancel(id);
+      streams_.erase(id);
+    }
+  });
+  engine_.submit(engine_now(), std::move(work));
+
+  net::HttpResponse head;
+  head.headers.add("Content-Type", "text/event-stream");
+  head.headers.add("X-Request-Id", request_id);
+  bool open = co_await exchange.begin_stream(head);
+  bool last = false;
+  while (open && !last && !stream->failed) {
+    if (stream->tokens.empty()) {
+      stream->wake.expires_after(std::chrono::seconds(1));
+      co_await stream->wake.async_wait(kAwait);
+      continue;
+    }
+    co_await wait_while_paused();
+    std::string events;
+    while (!stream->tokens.empty() && !last) {
+      const TokenProduced token = stream->tokens.front();
+      stream->tokens.pop_front();
+      last = token.last;
+      log_.produced(position);
+      json::object delta;
+      delta["content"] = token_text(prompt, token.offset);
+      json::object choice;
+      choice["index"] = 0;
+      choice["delta"] = delta;
+      json::object event;
+      event["id"] = request_id;
+      event["object"] = "chat.completion.chunk";
+      event["choices"] = json::array{choice};
+      events += "id: " + request_id + ":" + std::to_string(token.offset) + "\ndata: " + json::serialize(event) + "\n\n";
+    }
+    if (last) {
+      events += "data: [DONE]\n\n";
+      log_.completed(position);
+    }
+    open = co_await exchange.write_piece(events);
+  }
+  streams_.erase(id);
+  if (open && last) {
+    co_await exchange.end_stream();
+  } else {
+    engine_.cancel(id);
+  }
+}
+
+}  // namespace larchlever::emulator
--- /dev/null
+++ b/src/emulator/emulated_machine.h
@@ -0,0 +1,113 @@
+#pragma once
+
+#include <boost/asio.hpp>
+#include <boost/json.hpp>
+#include <cstdint>
+#include <deque>
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "emulator/engine_model.h"
+#include "emulator/execution_log.h"
+#include "net/http_client.h"
+#include "net/http_server.h"
+
+namespace larchlever::emulator {
+
+struct MachineOptions {
+  std::string id;
+  std::string zone;
+  std::string domain;
+  int accelerators = 8;
+  /// "fenced" engines refuse orders and requests of old epochs; "basic" ones obey whoever speaks.
+  std::string kind = "fenced";
+  std::string address = "127.0.0.1";
+  uint16_t port = 0;
+  std::string weight_store;
+  std::chrono::milliseconds load_report_lag{300};
+  std::chrono::milliseconds cache_event_lag{500};
+  EngineModelOptions engine;
+};
+
+enum class MachineCondition { kAlive, kPaused, kDead };
+
+/// Stand-in of one machine of a model engine, on a port of its own.
+///
+/// Its published protocol: GET /engine/state, POST /engine/orders (load, release, role), GET
+/// /engine/cache-events?since=N (late and with gaps), POST /engine/kv/export and /engine/kv/import, and, on the first
+/// machine of a group, POST /v1/chat/completions and /v1/completions as an event stream that can be resumed and is
+/// cancelled by closing it. A replica needs all its machines: while one is dead or paused the first machine produces
+/// nothing, and a dead member ends its streams. One executor; not thread-safe.
+class EmulatedMachine : public net::HttpHandler {
+ public:
+  using Lookup = std::function<EmulatedMachine*(const std::string&)>;
+
+  EmulatedMachine(boost::asio::any_io_executor executor, MachineOptions options, ExecutionLog& log, Lookup lookup);
+  ~EmulatedMachine() override;
+
+  /// Starts (again): a new incarnation that holds nothing.
+  bool start(std::string& error);
+  void die();
+  void pause();
+  /// Goes on after a pause as if nothing had happened: the same incarnation with all it held.
+  void resume();
+
+  boost::asio::awaitable<void> handle(net::HttpExchange& exchange) override;
+
+  MachineCondition condition() const { return condition_; }
+  const MachineOptions& options() const { return options_; }
+  std::string endpoint() const { return options_.address + ":" + std::to_string(options_.port); }
+  int64_t incarnation() const { return incarnation_; }
+  int64_t group_id() const { return group_id_; }
+  int64_t epoch() const { return epoch_; }
+  bool loaded() const { return loaded_; }
+
+ private:
+  struct Stream {
+    std::deque<TokenProduced> tokens;
+    boost::asio::steady_timer wake;
+    bool failed = false;
+    explicit Stream(const boost::asio::any_io_executor& executor) : wake(executor) {}
+  };
+
+  boost::asio::awaitable<void> answer_state(net::HttpExchange& exchange);
+  boost::asio::awaitable<void> answer_order(net::HttpExchange& exchange);
+  boost::asio::awaitable<void> answer_generate(net::HttpExchange& exchange);
+  boost::asio::awaitable<void> answer_cache_events(net::HttpExchange& exchange);
+  boost::asio::awaitable<void> answer_kv(net::HttpExchange& exchange, bool import);
+  boost::asio::awaitable<void> load_weights(int64_t incarnation, int64_t epoch);
+  boost::asio::awaitable<void> run_engine();
+  boost::asio::awaitable<void> wait_while_paused();
+  bool replica_is_whole() const;
+  bool replica_is_broken() const;
+  void fail_streams();
+  void sample_load();
+
+  boost::asio::any_io_executor executor_;
+  MachineOptions options_;
+  ExecutionLog& log_;
+  Lookup lookup_;
+  net::HttpClient client_;
+  std::unique_ptr<net::HttpServer> server_;
+  MachineCondition condition_ = MachineCondition::kDead;
+  int64_t incarnation_ = 0;
+  int64_t group_id_ = 0;
+  int64_t epoch_ = 0;
+  int64_t newest_epoch_ = 0;
+  int64_t newest_term_ = 0;
+  int rank_ = 0;
+  bool loaded_ = false;
+  std::string weights_;
+  std::string wanted_weights_;
+  std::vector<std::string> members_;
+  EngineModel engine_;
+  std::map<uint64_t, std::shared_ptr<Stream>> streams_;
+  uint64_t next_stream_ = 1;
+  std::deque<std::pair<std::chrono::steady_clock::time_point, int>> load_samples_;
+  std::shared_ptr<bool> alive_token_ = std::make_shared<bool>(true);
+};
+
+}  // namespace larchlever::emulator
--- /dev/null
+++ b/src/emulator/engine_model.h
@@ -0,0 +1,96 @@
+#pragma once
+
+#include <cstdint>
+#include <list>
+#include <map>
+#include <optional>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+#include "core/base/time.h"
+
+namespace larchlever::emulator {
+
+/// Speed and size of a modelled replica.
+struct EngineModelOptions {
+  size_t most_running = 64;
+  Duration step_base = milliseconds(12);
+  Duration step_per_sequence = microseconds(150);
+  /// Time to compute one prompt token that is not in the cache.
+  Duration prefill_per_token = microseconds(50);
+  size_t cache_blocks = 4096;
+  int tokens_per_block = 16;
+};
+
+struct EngineRequest {
+  uint64_t id = 0;
+  int priority = 5;  ///< Higher runs first.
+  int prompt_tokens = 0;
+  int output_tokens = 0;
+  int first_offset = 0;  ///< Tokens before it are not produced again: a resumed stream.
+  /// Chained hashes of the prompt's leading blocks.
+  std::vector<uint64_t> prefix_blocks;
+};
+
+struct TokenProduced {
+  uint64_t request = 0;
+  int offset = 0;
+  bool last = false;
+};
+
+struct CacheEvent {
+  int64_t sequence = 0;
+  bool added = false;
+  uint64_t block = 0;
+};
+
+/// A replica's engine in virtual time: continuous batching with priorities, prefill of what the prefix cache lacks, and
+/// least-recently-used eviction. The HTTP stand-in drives it by the clock, the simulator by virtual time.
+/// Deterministic; single-threaded.
+class EngineModel {
+ public:
+  explicit EngineModel(const EngineModelOptions& options) : options_(options) {}
+
+  void submit(TimePoint now, EngineRequest request);
+  /// Stops a request wherever it is; false when unknown.
+  bool cancel(uint64_t id);
+  /// Runs all steps that end by `now`; tokens in the order produced.
+  std::vector<TokenProduced> advance(TimePoint now);
+  /// When the step under way ends; nothing while idle.
+  std::optional<TimePoint> next_step_end() const;
+
+  size_t running() const { return running_.size(); }
+  size_t waiting() const { return waiting_.size(); }
+  uint64_t cached_prompt_tokens() const { return cached_prompt_tokens_; }
+  uint64_t total_prompt_tokens() const { return total_prompt_tokens_; }
+
+  /// Cache changes after `since`; `oldest` is the first sequence still held: a gap if it exceeds since + 1.
+  std::vector<CacheEvent> cache_events(int64_t since, int64_t& oldest) const;
+  std::vector<uint64_t> cached_blocks() const;
+  void import_blocks(const std::vector<uint64_t>& blocks);
+  void clear();
+
+ private:
+  struct Running {
+    EngineRequest request;
+    int next_offset = 0;
+  };
+
+  void start_step(TimePoint now);
+  int cached_prefix_tokens(const EngineRequest& request);
+  void touch(uint64_t block);
+
+  EngineModelOptions options_;
+  std::vector<Running> running_;
+  std::multimap<int, EngineRequest, std::greater<>> waiting_;
+  std::optional<TimePoint> step_end_;
+  std::list<uint64_t> recency_;
+  std::unordered_map<uint64_t, std::list<uint64_t>::iterator> blocks_;
+  std::vector<CacheEvent> events_;
+  int64_t next_event_ = 1;
+  uint64_t cached_prompt_tokens_ = 0;
+  uint64_t total_prompt_tokens_ = 0;
+};
+
+}  // namespace larchlever::emulator
--- /dev/null
+++ b/src/emulator/execution_log.h
@@ -0,0 +1,36 @@
+#pragma once
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+namespace larchlever::emulator {
+
+/// One request that a stand-in truly started.
+struct Execution {
+  std::string request_id;
+  std::string key;      ///< The caller's idempotency key, if it reached the back end.
+  std::string machine;  ///< Or the service's endpoint.
+  std::string zone;
+  std::string tenant;
+  int64_t body_digest = 0;
+  int64_t produced = 0;
+  bool completed = false;
+};
+
+/// What truly ran, kept by the stand-ins independently of anything that the system under test claims.
+class ExecutionLog {
+ public:
+  size_t start(Execution execution) {
+    executions_.push_back(std::move(execution));
+    return executions_.size() - 1;
+  }
+  void produced(size_t position) { ++executions_[position].produced; }
+  void completed(size_t position) { executions_[position].completed = true; }
+  const std::vector<Execution>& all() const { return executions_; }
+
+ private:
+  std::vector<Execution> executions_;
+};
+
+}  // namespace larchlever::emulator
--- /dev/null
+++ b/src/emulator/weight_store.h
@@ -0,0 +1,33 @@
+#pragma once
+
+#include <boost/asio/any_io_executor.hpp>
+#include <chrono>
+#include <cstdint>
+
+#include "net/http_server.h"
+
+namespace larchlever::emulator {
+
+struct WeightStoreOptions {
+  int transfers_at_once = 8;
+  std::chrono::milliseconds transfer_time{400};
+};
+
+/// Stand-in of the weight store: GET /weights/MODEL/VERSION answers after the transfer's time; more transfers at once
+/// than allowed are refused with 429 and Retry-After.
+class WeightStore : public net::HttpHandler {
+ public:
+  WeightStore(boost::asio::any_io_executor executor, WeightStoreOptions options);
+  boost::asio::awaitable<void> handle(net::HttpExchange& exchange) override;
+  uint64_t transfers() const { return transfers_; }
+  uint64_t refused() const { return refused_; }
+
+ private:
+  boost::asio::any_io_executor executor_;
+  WeightStoreOptions options_;
+  int active_ = 0;
+  uint64_t transfers_ = 0;
+  uint64_t refused_ = 0;
+};
+
+}  // namespace larchlever::emulator
--- /dev/null
+++ b/src/net/frame.cc
@@ -0,0 +1,49 @@
+#include <xxhash.h>
+
+#include <cstring>
+
+#include "net/peer_transport.h"
+
+namespace larchlever::net {
+
+namespace {
+
+constexpr uint32_t kMagic = 0x4C4C4531;  // "LLE1"
+constexpr size_t kFrameHeaderSize = 16;
+constexpr uint32_t kLargestFrame = 128U << 20U;
+
+}  // namespace
+
+std::string encode_frame(std::string_view payload) {
+  std::string frame(kFrameHeaderSize, '\0');
+  const auto length = static_cast<uint32_t>(payload.size());
+  const uint64_t checksum = XXH3_64bits(payload.data(), payload.size());
+  std::memcpy(frame.data(), &kMagic, sizeof(kMagic));
+  std::memcpy(frame.data() + 4, &length, sizeof(length));
+  std::memcpy(frame.data() + 8, &checksum, sizeof(checksum));
+  frame.append(payload);
+  return frame;
+}
+
+FrameStatus decode_frame(std::string_view bytes, std::string_view& payload, size_t& size) {
+  if (bytes.size() < kFrameHeaderSize) {
+    return FrameStatus::kIncomplete;
+  }
+  uint32_t magic = 0;
+  uint32_t length = 0;
+  uint64_t checksum = 0;
+  std::memcpy(&magic, bytes.data(), sizeof(magic));
+  std::memcpy(&length, bytes.data() + 4, sizeof(length));
+  std::memcpy(&checksum, bytes.data() + 8, sizeof(checksum));
+  if (magic != kMagic || length > kLargestFrame) {
+    return FrameStatus::kBad;
+  }
+  if (bytes.size() - kFrameHeaderSize < length) {
+    return FrameStatus::kIncomplete;
+  }
+  payload = bytes.substr(kFrameHeaderSize, length);
+  size = kFrameHeaderSize + length;
+  return XXH3_64bits(payload.data(), payload.size()) == checksum ? FrameStatus::kComplete : FrameStatus::kBad;
+}
+
+}  // namespace larchlever::net
--- /dev/null
+++ b/src/net/http_client.cc
@@ -0,0 +1,263 @@
+#include "net/http_client.h"
+
+#include <boost/asio.hpp>
+#include <boost/beast/core.hpp>
+#include <boost/beast/http.hpp>
+#include <deque>
+#include <map>
+
+namespace larchlever::net {
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+namespace http = beast::http;
+
+namespace {
+
+constexpr auto kAwait = asio::as_tuple(asio::use_awaitable);
+constexpr size_t kIdlePerEndpoint = 64;
+constexpr size_t kPieceSize = 16 * 1024;
+constexpr uint64_t kLargestHead = 64 * 1024;
+
+using Parser = http::response_parser<http::buffer_body>;
+
+struct Connection {
+  explicit Connection(const asio::any_io_executor& executor) : stream(executor) {}
+  beast::tcp_stream stream;
+  beast::flat_buffer buffer;
+};
+
+http::request<http::string_body> to_beast(const std::string& endpoint, const HttpRequest& request) {
+  http::request<http::string_body> message;
+  message.method_string(request.method);
+  message.target(request.target);
+  message.version(11);
+  for (const auto& [name, value] : request.headers.all()) {
+    message.insert(name, value);
+  }
+  if (!request.headers.contains("host")) {
+    message.set(http::field::host, endpoint);
+  }
+  message.body() = request.body;
+  const bool has_body_method = request.method == "POST" || request.method == "PUT" || request.method == "PATCH";
+  if (!request.body.empty() || has_body_method) {
+    message.content_length(request.body.size());
+  }
+  return message;
+}
+
+/// True when the peer closed an idle connection, or sent something nobody asked for.
+bool is_stale(asio::ip::tcp::socket& socket) {
+  char byte = 0;
+  socket.non_blocking(true);
+  beast::error_code error;
+  socket.receive(asio::buffer(&byte, 1), asio::socket_base::message_peek, error);
+  return error != asio::error::would_block;
+}
+
+}  // namespace
+
+struct HttpClient::Implementation : std::enable_shared_from_this<HttpClient::Implementation> {
+  explicit Implementation(asio::any_io_executor given) : executor(std::move(given)) {}
+
+  std::unique_ptr<Connection> take_idle(const std::string& endpoint) {
+    auto& list = idle[endpoint];
+    while (!list.empty()) {
+      auto connection = std::move(list.back());
+      list.pop_back();
+      if (!is_stale(connection->stream.socket())) {
+        ++stats.reused;
+        return connection;
+      }
+    }
+    return nullptr;
+  }
+
+  void keep(const std::string& endpoint, std::unique_ptr<Connection> connection) {
+    auto& list = idle[endpoint];
+    if (list.size() < kIdlePerEndpoint) {
+      connection->stream.expires_never();
+      list.push_back(std::move(connection));
+    }
+  }
+
+  asio::any_io_executor executor;
+  std::map<std::string, std::deque<std::unique_ptr<Connection>>> idle;
+  HttpClientStats stats;
+};
+
+namespace {
+
+/// Calls back with the connection when a whole answer was read and the connection may be kept.
+using KeepConnection = std::function<void(std::unique_ptr<Connection>)>;
+
+class BeastClientStream : public ClientStream {
+ public:
+  BeastClientStream(std::unique_ptr<Connection> connection, std::unique_ptr<Parser> parser, KeepConnection keep)
+      : connection_(std::move(connection)), parser_(std::move(parser)), keep_(std::move(keep)) {
+    const auto& message = parser_->get();
+    head_.status = message.result_int();
+    head_.reason = std::string(message.reason());
+    for (const auto& field : message) {
+      head_.headers.add(std::string(field.name_string()), std::string(field.value()));
+    }
+    finish_if_done();
+  }
+  ~BeastClientStream() override { close(); }
+
+  const HttpResponse& head() const override { return head_; }
+
+  asio::awaitable<std::string> read_some(std::chrono::milliseconds timeout) override {
+    std::string piece;
+    while (piece.empty() && connection_ != nullptr && !parser_->is_done()) {
+      piece.resize(kPieceSize);
+      auto& body = parser_->get().body();
+      body.data = piece.data();
+      body.size = piece.size();
+      connection_->stream.expires_after(timeout);
+      auto [error, count] = co_await http::async_read_some(connection_->stream, connection_->buffer, *parser_, kAwait);
+      piece.resize(piece.size() - body.size);
+      if (error && error != http::error::need_buffer) {
+        error_ = error.message();
+        close();
+        break;
+      }
+    }
+    finish_if_done();
+    co_return piece;
+  }
+
+  bool complete() const override { return complete_; }
+  bool delimited_by_close() const override { return delimited_by_close_; }
+  const std::string& error() const override { return error_; }
+
+  void close() override {
+    if (connection_ != nullptr) {
+      beast::error_code ignored;
+      connection_->stream.cancel();
+      connection_->stream.socket().close(ignored);
+      if (!reading_done_) {
+        reading_done_ = true;
+      }
+    }
+  }
+
+ private:
+  void finish_if_done() {
+    delimited_by_close_ = delimited_by_close_ || parser_->need_eof();
+    if (!parser_->is_done() || complete_ || reading_done_) {
+      return;
+    }
+    complete_ = true;
+    reading_done_ = true;
+    if (parser_->keep_alive() && keep_) {
+      keep_(std::move(connection_));
+    }
+  }
+
+  std::unique_ptr<Connection> connection_;
+  std::unique_ptr<Parser> parser_;
+  KeepConnection keep_;
+  HttpResponse head_;
+  std::string error_;
+  bool complete_ = false;
+  bool reading_done_ = false;
+  bool delimited_by_close_ = false;
+};
+
+}  // namespace
+
+HttpClient::HttpClient(asio::any_io_executor executor)
+    : implementation_(std::make_shared<Implementation>(std::move(executor))) {}
+
+HttpClient::~HttpClient() = default;
+
+const HttpClientStats& HttpClient::stats() const { return implementation_->stats; }
+
+asio::awaitable<OpenResult> HttpClient::open(const std::string& endpoint, const HttpRequest& request,
+                                             const OpenOptions& options) {
+  const auto timeout = options.timeout;
+  auto self = implementation_;
+  OpenResult result;
+  std::unique_ptr<Connection> connection;
+  if (!options.fresh_connection) {
+    connection = self->take_idle(endpoint);
+  }
+  if (connection == nullptr) {
+    const auto [host, port] = split_endpoint(endpoint);
+    beast::error_code invalid;
+    const auto address = asio::ip::make_address(host, invalid);
+    if (host.empty() || invalid) {
+      result.error = "bad endpoint '" + endpoint + "'; endpoints are IP:PORT";
+      co_return result;
+    }
+    connection = std::make_unique<Connection>(self->executor);
+    connection->stream.expires_after(timeout);
+    const asio::ip::tcp::endpoint target(address, static_cast<uint16_t>(std::stoi(port)));
+    auto [error] = co_await connection->stream.async_connect(target, kAwait);
+    if (error) {
+      ++self->stats.failures;
+      result.error = "cannot connect to " + endpoint + ": " + error.message();
+      co_return result;
+    }
+    ++self->stats.connections;
+    beast::error_code ignored;
+    connection->stream.socket().set_option(asio::ip::tcp::no_delay(true), ignored);
+  }
+  if (options.may_send && !options.may_send()) {
+    result.error = "the right to send to " + endpoint + " ended while connecting";
+    co_return result;
+  }
+  connection->stream.expires_after(timeout);
+  auto message = to_beast(endpoint, request);
+  result.state = SendState::kMaybeSent;
+  auto [write_error, written] = co_await http::async_write(connection->stream, message, kAwait);
+  if (write_error) {
+    ++self->stats.failures;
+    result.error = "sending to " + endpoint + " failed: " + write_error.message();
+    co_return result;
+  }
+  auto parser = std::make_unique<Parser>();
+  parser->body_limit(boost::none);
+  parser->header_limit(kLargestHead);
+  parser->skip(request.method == "HEAD");
+  auto [read_error, count] = co_await http::async_read_header(connection->stream, connection->buffer, *parser, kAwait);
+  if (read_error) {
+    ++self->stats.failures;
+    result.error = "no answer from " + endpoint + ": " + read_error.message();
+    co_return result;
+  }
+  result.state = SendState::kAnswered;
+  KeepConnection keep = [self, endpoint](std::unique_ptr<Connection> kept) { self->keep(endpoint, std::move(kept)); };
+  result.stream = std::make_unique<BeastClientStream>(std::move(connection), std::move(parser), std::move(keep));
+  co_return result;
+}
+
+asio::awaitable<FetchResult> HttpClient::fetch(const std::string& endpoint, const HttpRequest& request,
+                                               std::chrono::milliseconds timeout) {
+  FetchResult result;
+  OpenOptions options;
+  options.timeout = timeout;
+  OpenResult opened = co_await open(endpoint, request, options);
+  result.state = opened.state;
+  result.error = opened.error;
+  if (opened.stream == nullptr) {
+    co_return result;
+  }
+  HttpResponse response = opened.stream->head();
+  while (true) {
+    std::string piece = co_await opened.stream->read_some(timeout);
+    if (piece.empty()) {
+      break;
+    }
+    response.body += piece;
+  }
+  if (!opened.stream->complete()) {
+    result.error = "answer from " + endpoint + " broke off: " + opened.stream->error();
+    co_return result;
+  }
+  result.response = std::move(response);
+  co_return result;
+}
+
+}  // namespace larchlever::net
--- /dev/null
+++ b/src/net/http_server.cc
@@ -0,0 +1,368 @@
+#include "net/http_server.h"
+
+#include <boost/asio.hpp>
+#include <boost/beast/core.hpp>
+#include <boost/beast/http.hpp>
+#include <set>
+
+namespace larchlever::net {
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+namespace http = beast::http;
+
+namespace {
+
+constexpr auto kAwait = asio::as_tuple(asio::use_awaitable);
+using RequestParser = http::request_parser<http::string_body>;
+
+std::string problem_body(int status, std::string_view title, std::string_view remedy) {
+  return "{\"type\":\"about:blank\",\"status\":" + std::to_string(status) + ",\"title\":\"" + std::string(title) +
+         "\",\"remedy\":\"" + std::string(remedy) + "\",\"outcome\":\"not-run\"}";
+}
+
+HttpResponse problem(int status, std::string_view title, std::string_view remedy) {
+  HttpResponse response;
+  response.status = status;
+  response.headers.add("Content-Type", "application/problem+json");
+  response.headers.add("Larchlever-Outcome", "not-run");
+  response.body = problem_body(status, title, remedy);
+  return response;
+}
+
+}  // namespace
+
+struct HttpServer::Implementation : std::enable_shared_from_this<HttpServer::Implementation> {
+  Implementation(asio::any_io_executor given, HttpServerOptions given_options, HttpHandler& given_handler)
+      : executor(std::move(given)), options(given_options), handler(&given_handler), acceptor(executor) {}
+
+  asio::awaitable<void> accept_loop();
+  asio::awaitable<void> serve(std::shared_ptr<beast::tcp_stream> stream);
+
+  asio::any_io_executor executor;
+  HttpServerOptions options;
+  HttpHandler* handler;
+  asio::ip::tcp::acceptor acceptor;
+  bool draining = false;
+  bool closed = false;
+  std::set<std::shared_ptr<beast::tcp_stream>> streams;
+  HttpServerStats stats;
+};
+
+namespace {
+
+class BeastExchange : public HttpExchange, public std::enable_shared_from_this<BeastExchange> {
+ public:
+  BeastExchange(std::shared_ptr<beast::tcp_stream> stream, const HttpServerOptions& options,
+                http::request<http::string_body> message)
+      : stream_(std::move(stream)), options_(options), keep_alive_(message.keep_alive()), version_(message.version()) {
+    request_.method = std::string(message.method_string());
+    request_.target = std::string(message.target());
+    for (const auto& field : message) {
+      request_.headers.add(std::string(field.name_string()), std::string(field.value()));
+    }
+    request_.body = std::move(message.body());
+  }
+
+  const HttpRequest& request() const override { return request_; }
+
+  asio::awaitable<void> respond(HttpResponse response) override {
+    http::response<http::string_body> message;
+    fill_head(response, message);
+    message.body() = std::move(response.body);
+    const bool no_body = response.status == 204 || response.status == 304;
+    if (!no_body) {
+      message.content_length(request_.method == "HEAD" && response.headers.contains("content-length")
+                                 ? std::stoull(std::string(response.headers.find("content-length")))
+                                 : message.body().size());
+    }
+    http::response_serializer<http::string_body> serializer(message);
+    stream_->expires_after(options_.write_timeout);
+    beast::error_code error;
+    if (request_.method == "HEAD") {
+      std::tie(error, std::ignore) = co_await http::async_write_header(*stream_, serializer, kAwait);
+    } else {
+      std::tie(error, std::ignore) = co_await http::async_write(*stream_, serializer, kAwait);
+    }
+    finished_ = !error;
+    gone_ = gone_ || static_cast<bool>(error);
+  }
+
+  asio::awaitable<bool> begin_stream(const HttpResponse& head) override {
+    const bool has_length = head.headers.contains("content-length");
+    if (version_ < 11 && !has_length) {
+      gathered_ = head;
+      co_return !gone_;
+    }
+    http::response<http::empty_body> message;
+    fill_head(head, message);
+    chunked_ = !has_length;
+    if (has_length) {
+      message.set(http::field::content_length, std::string(head.headers.find("content-length")));
+    } else {
+      message.chunked(true);
+    }
+    http::response_serializer<http::empty_body> serializer(message);
+    stream_->expires_after(options_.write_timeout);
+    auto [error, count] = co_await http::async_write_header(*stream_, serializer, kAwait);
+    gone_ = gone_ || static_cast<bool>(error);
+    co_return !gone_;
+  }
+
+  asio::awaitable<bool> write_piece(std::string_view piece) override {
+    if (gathered_) {
+      gathered_->body.append(piece);
+      co_return !gone_;
+    }
+    if (!gone_ && !piece.empty()) {
+      stream_->expires_after(options_.write_timeout);
+      const asio::const_buffer data(piece.data(), piece.size());
+      beast::error_code error;
+      if (chunked_) {
+        std::tie(error, std::ignore) = co_await asio::async_write(*stream_, http::make_chunk(data), kAwait);
+      } else {
+        std::tie(error, std::ignore) = co_await asio::async_write(*stream_, data, kAwait);
+      }
+      gone_ = gone_ || static_cast<bool>(error);
+    }
+    co_return !gone_;
+  }
+
+  asio::awaitable<void> end_stream() override {
+    if (gathered_) {
+      HttpResponse whole = std::move(*gathered_);
+      gathered_.reset();
+      co_await respond(std::move(whole));
+      co_return;
+    }
+    if (gone_) {
+      co_return;
+    }
+    finished_ = true;
+    if (chunked_) {
+      stream_->expires_after(options_.write_timeout);
+      auto [error, count] = co_await asio::async_write(*stream_, http::make_chunk_last(), kAwait);
+      finished_ = !error;
+    }
+  }
+
+  void watch_caller(std::function<void()> on_gone) override {
+    asio::co_spawn(stream_->get_executor(), watch(shared_from_this(), std::move(on_gone)), asio::detached);
+  }
+
+  bool caller_gone() const override { return gone_; }
+  /// A whole answer was sent, so the connection can carry another request.
+  bool finished() const { return finished_; }
+  bool keep_alive() const { return keep_alive_; }
+  void close_after() { keep_alive_ = false; }
+  void end_watch() {
+    watching_ended_ = true;
+    beast::error_code ignored;
+    if (watch_pending_) {
+      watch_signal_->cancel(ignored);
+    }
+  }
+
+ private:
+  static asio::awaitable<void> watch(std::shared_ptr<BeastExchange> self, std::function<void()> on_gone) {
+    // A second descriptor for the same socket, so that waiting here never disturbs the stream's own operations.
+    const int copy = ::dup(self->stream_->socket().native_handle());
+    if (copy < 0) {
+      co_return;
+    }
+    self->watch_signal_ = std::make_unique<asio::posix::stream_descriptor>(self->stream_->get_executor(), copy);
+    self->watch_pending_ = true;
+    auto [error] = co_await self->watch_signal_->async_wait(asio::posix::stream_descriptor::wait_read, kAwait);
+    self->watch_pending_ = false;
+    if (error || self->watching_ended_) {
+      co_return;
+    }
+    char byte = 0;
+    const ssize_t count = ::recv(copy, &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+    const bool closed = count == 0 || (count < 0 && errno != EAGAIN && errno != EWOULDBLOCK);
+    if (closed) {
+      self->gone_ = true;
+      on_gone();
+    }
+  }
+
+  template <typename Message>
+  void fill_head(const HttpResponse& response, Message& message) {
+    message.result(static_cast<unsigned>(response.status));
+    if (!response.reason.empty()) {
+      message.reason(response.reason);
+    }
+    message.version(version_);
+    for (const auto& [name, value] : response.headers.all()) {
+      if (!is_hop_by_hop(name, response.headers) && !equals_ignoring_case(name, "content-length")) {
+        message.insert(name, value);
+      }
+    }
+    message.keep_alive(keep_alive_);
+  }
+
+  std::shared_ptr<beast::tcp_stream> stream_;
+  const HttpServerOptions& options_;
+  HttpRequest request_;
+  bool keep_alive_ = false;
+  unsigned version_ = 11;
+  bool gone_ = false;
+  bool chunked_ = true;
+  std::optional<HttpResponse> gathered_;
+  bool finished_ = false;
+  bool watching_ended_ = false;
+  bool watch_pending_ = false;
+  std::unique_ptr<asio::posix::stream_descriptor> watch_signal_;
+};
+
+}  // namespace
+
+asio::awaitable<void> HttpServer::Implementation::accept_loop() {
+  auto self = shared_from_this();
+  while (acceptor.is_open()) {
+    asio::ip::tcp::socket socket(executor);
+    auto [error] = co_await acceptor.async_accept(socket, kAwait);
+    if (error == asio::error::operation_aborted || !acceptor.is_open()) {
+      co_return;
+    }
+    if (error) {
+      // Out of descriptors, most likely: breathe instead of spinning.
+      asio::steady_timer pause(executor, std::chrono::milliseconds(50));
+      co_await pause.async_wait(kAwait);
+      continue;
+    }
+    if (stats.open_connections >= static_cast<int64_t>(options.most_connections)) {
+      ++stats.refused_connections;
+      continue;
+    }
+    beast::error_code ignored;
+    socket.set_option(asio::ip::tcp::no_delay(true), ignored);
+    auto stream = std::make_shared<beast::tcp_stream>(std::move(socket));
+    streams.insert(stream);
+    ++stats.connections;
+    ++stats.open_connections;
+    asio::co_spawn(
+        executor,
+        [self, stream]() -> asio::awaitable<void> {
+          co_await self->serve(stream);
+          self->streams.erase(stream);
+          --self->stats.open_connections;
+        },
+        asio::detached);
+  }
+}
+
+asio::awaitable<void> HttpServer::Implementation::serve(std::shared_ptr<beast::tcp_stream> stream) {
+  beast::flat_buffer buffer;
+  bool first = true;
+  while (!closed) {
+    RequestParser parser;
+    parser.header_limit(static_cast<uint32_t>(options.largest_head));
+    parser.body_limit(options.largest_body);
+    stream->expires_after(first ? options.head_timeout : options.idle_timeout);
+    first = false;
+    auto [head_error, head_size] = co_await http::async_read_header(*stream, buffer, parser, kAwait);
+    beast::error_code error = head_error;
+    if (!error) {
+      stream->expires_after(options.body_timeout);
+      auto [body_error, body_size] = co_await http::async_read(*stream, buffer, parser, kAwait);
+      error = body_error;
+    }
+    if (error == http::error::end_of_stream || closed) {
+      break;
+    }
+    if (error) {
+      const bool large = error == http::error::body_limit || error == http::error::header_limit ||
+                         error == http::error::buffer_overflow;
+      const bool late = error == beast::error::timeout;
+      const bool torn =
+          !large && !late && error.category() != http::make_error_code(http::error::bad_target).category();
+      stats.too_large += large ? 1 : 0;
+      stats.timeouts += late ? 1 : 0;
+      stats.malformed += (!large && !late) ? 1 : 0;
+      if (!torn && !late) {
+        http::request<http::string_body> empty;
+        auto exchange = std::make_shared<BeastExchange>(stream, options, std::move(empty));
+        exchange->close_after();
+        auto answer = large ? problem(413, "request too large", "send a smaller head or body")
+                            : problem(400, "malformed HTTP request", "send a valid HTTP/1.1 request");
+        co_await exchange->respond(std::move(answer));
+      }
+      break;
+    }
+    ++stats.requests;
+    ++stats.active_requests;
+    auto exchange = std::make_shared<BeastExchange>(stream, options, parser.release());
+    if (draining) {
+      exchange->close_after();
+    }
+    stream->expires_never();
+    bool failed = false;
+    try {
+      co_await handler->handle(*exchange);
+    } catch (const std::exception&) {
+      failed = true;
+    }
+    exchange->end_watch();
+    --stats.active_requests;
+    if (failed || !exchange->finished() || !exchange->keep_alive() || draining) {
+      break;
+    }
+  }
+  beast::error_code ignored;
+  stream->socket().shutdown(asio::ip::tcp::socket::shutdown_send, ignored);
+  stream->close();
+}
+
+HttpServer::HttpServer(asio::any_io_executor executor, HttpServerOptions options, HttpHandler& handler)
+    : implementation_(std::make_shared<Implementation>(std::move(executor), options, handler)) {}
+
+HttpServer::~HttpServer() { close_all(); }
+
+std::optional<uint16_t> HttpServer::listen(const std::string& address, uint16_t port, std::string& error) {
+  auto& self = *implementation_;
+  beast::error_code code;
+  const auto ip = asio::ip::make_address(address, code);
+  const asio::ip::tcp::endpoint endpoint(ip, port);
+  if (!code) {
+    self.acceptor.open(endpoint.protocol(), code);
+  }
+  if (!code) {
+    self.acceptor.set_option(asio::socket_base::reuse_address(true), code);
+  }
+  if (!code) {
+    self.acceptor.bind(endpoint, code);
+  }
+  if (!code) {
+    self.acceptor.listen(asio::socket_base::max_listen_connections, code);
+  }
+  if (code) {
+    error = "cannot listen on " + address + ":" + std::to_string(port) + ": " + code.message() +
+            "; free the port or change the address";
+    return std::nullopt;
+  }
+  self.closed = false;
+  self.draining = false;
+  asio::co_spawn(self.executor, self.accept_loop(), asio::detached);
+  return self.acceptor.local_endpoint().port();
+}
+
+void HttpServer::stop_accepting() {
+  beast::error_code ignored;
+  implementation_->draining = true;
+  implementation_->acceptor.close(ignored);
+}
+
+void HttpServer::close_all() {
+  beast::error_code ignored;
+  implementation_->closed = true;
+  implementation_->acceptor.close(ignored);
+  for (const auto& stream : implementation_->streams) {
+    stream->cancel();
+    stream->socket().close(ignored);
+  }
+}
+
+const HttpServerStats& HttpServer::stats() const { return implementation_->stats; }
+
+}  // namespace larchlever::net
--- /dev/null
+++ b/src/net/peer_transport.cc
@@ -0,0 +1,294 @@
+#include "net/peer_transport.h"
+
+#include <netinet/tcp.h>
+
+#include <boost/asio.hpp>
+#include <deque>
+#include <set>
+
+#include "net/http_types.h"
+#include "wire/codec.h"
+
+namespace larchlever::net {
+
+namespace asio = boost::asio;
+using asio::ip::tcp;
+
+namespace {
+
+constexpr auto kAwait = asio::as_tuple(asio::use_awaitable);
+constexpr size_t kLargestQueue = 96U << 20U;
+constexpr size_t kReadSize = 64 * 1024;
+constexpr auto kRedialPause = std::chrono::milliseconds(150);
+constexpr auto kConnectTimeout = std::chrono::milliseconds(1500);
+
+struct Link {
+  explicit Link(const asio::any_io_executor& executor) : socket(executor) {}
+  tcp::socket socket;
+  std::string node;
+  std::deque<std::string> queue;
+  size_t queued_bytes = 0;
+  bool connected = false;
+  bool writing = false;
+  bool closed = false;
+};
+
+using LinkPointer = std::shared_ptr<Link>;
+
+/// No delay for small messages; and a peer that vanished without a word is noticed by its missing acknowledgements.
+void configure(tcp::socket& socket) {
+  boost::system::error_code ignored;
+  socket.set_option(tcp::no_delay(true), ignored);
+  const unsigned int timeout_ms = 5000;
+  ::setsockopt(socket.native_handle(), IPPROTO_TCP, TCP_USER_TIMEOUT, &timeout_ms, sizeof(timeout_ms));
+}
+
+}  // namespace
+
+struct PeerTransport::Implementation : std::enable_shared_from_this<PeerTransport::Implementation> {
+  Implementation(asio::any_io_executor given, Receiver given_receiver)
+      : executor(std::move(given)), receiver(std::move(given_receiver)), acceptor(executor) {}
+
+  asio::awaitable<void> accept_loop();
+  asio::awaitable<void> read_loop(LinkPointer link);
+  asio::awaitable<void> write_loop(LinkPointer link);
+  asio::awaitable<void> dial(LinkPointer link, std::string endpoint);
+  /// False when the link sent something that is no frame of ours.
+  bool consume(const LinkPointer& link, std::string& buffer);
+  void close(const LinkPointer& link);
+  void enqueue(const LinkPointer& link, std::string frame);
+
+  asio::any_io_executor executor;
+  Receiver receiver;
+  tcp::acceptor acceptor;
+  std::map<std::string, std::string> addresses;
+  std::map<std::string, LinkPointer> by_node;
+  std::map<std::string, std::chrono::steady_clock::time_point> redial_after;
+  std::set<LinkPointer> links;
+  bool stopped = false;
+  PeerStats stats;
+};
+
+asio::awaitable<void> PeerTransport::Implementation::accept_loop() {
+  auto self = shared_from_this();
+  while (acceptor.is_open()) {
+    auto link = std::make_shared<Link>(executor);
+    auto [error] = co_await acceptor.async_accept(link->socket, kAwait);
+    if (error == asio::error::operation_aborted || stopped) {
+      co_return;
+    }
+    if (error) {
+      asio::steady_timer pause(executor, std::chrono::milliseconds(50));
+      co_await pause.async_wait(kAwait);
+      continue;
+    }
+    configure(link->socket);
+    link->connected = true;
+    links.insert(link);
+    asio::co_spawn(executor, read_loop(link), asio::detached);
+  }
+}
+
+bool PeerTransport::Implementation::consume(const LinkPointer& link, std::string& buffer) {
+  size_t consumed = 0;
+  while (true) {
+    std::string_view payload;
+    size_t size = 0;
+    const auto status = decode_frame(std::string_view(buffer).substr(consumed), payload, size);
+    if (status == FrameStatus::kIncomplete) {
+      break;
+    }
+    auto envelope = status == FrameStatus::kComplete ? wire::decode<wire::Envelope>(payload) : std::nullopt;
+    if (!envelope || envelope->from_node.empty()) {
+      ++stats.bad_frames;
+      return false;
+    }
+    ++stats.frames_received;
+    consumed += size;
+    if (link->node != envelope->from_node) {
+      link->node = envelope->from_node;
+      by_node[link->node] = link;
+    }
+    receiver(std::move(*envelope));
+  }
+  buffer.erase(0, consumed);
+  return true;
+}
+
+asio::awaitable<void> PeerTransport::Implementation::read_loop(LinkPointer link) {
+  auto self = shared_from_this();
+  std::string buffer;
+  std::string piece(kReadSize, '\0');
+  while (!link->closed) {
+    auto [error, count] = co_await link->socket.async_read_some(asio::buffer(piece), kAwait);
+    if (error) {
+      break;
+    }
+    stats.bytes_received += count;
+    buffer.append(piece.data(), count);
+    if (!consume(link, buffer)) {
+      break;
+    }
+  }
+  close(link);
+}
+
+asio::awaitable<void> PeerTransport::Implementation::write_loop(LinkPointer link) {
+  auto self = shared_from_this();
+  while (!link->queue.empty() && !link->closed) {
+    // One write for everything that waits: fewer system calls when messages come in bursts.
+    std::vector<std::string> batch(std::make_move_iterator(link->queue.begin()),
+                                   std::make_move_iterator(link->queue.end()));
+    link->queue.clear();
+    link->queued_bytes = 0;
+    std::vector<asio::const_buffer> buffers;
+    buffers.reserve(batch.size());
+    for (const auto& frame : batch) {
+      buffers.push_back(asio::buffer(frame));
+    }
+    auto [error, count] = co_await asio::async_write(link->socket, buffers, kAwait);
+    if (error) {
+      close(link);
+      break;
+    }
+    stats.bytes_sent += count;
+    stats.frames_sent += batch.size();
+  }
+  link->writing = false;
+}
+
+void PeerTransport::Implementation::close(const LinkPointer& link) {
+  if (link->closed) {
+    return;
+  }
+  link->closed = true;
+  stats.dropped += link->queue.size();
+  boost::system::error_code ignored;
+  link->socket.close(ignored);
+  const auto found = by_node.find(link->node);
+  if (found != by_node.end() && found->second == link) {
+    by_node.erase(found);
+  }
+  links.erase(link);
+}
+
+void PeerTransport::Implementation::enqueue(const LinkPointer& link, std::string frame) {
+  if (link->queued_bytes + frame.size() > kLargestQueue) {
+    ++stats.dropped;
+    return;
+  }
+  link->queued_bytes += frame.size();
+  link->queue.push_back(std::move(frame));
+  if (link->connected && !link->writing) {
+    link->writing = true;
+    asio::co_spawn(executor, write_loop(link), asio::detached);
+  }
+}
+
+asio::awaitable<void> PeerTransport::Implementation::dial(LinkPointer link, std::string endpoint) {
+  auto self = shared_from_this();
+  const auto [host, port] = split_endpoint(endpoint);
+  boost::system::error_code invalid;
+  const auto address = asio::ip::make_address(host, invalid);
+  if (invalid) {
+    close(link);
+    co_return;
+  }
+  asio::steady_timer timer(executor, kConnectTimeout);
+  timer.async_wait([link](boost::system::error_code error) {
+    if (!error && !link->connected) {
+      boost::system::error_code ignored;
+      link->socket.close(ignored);
+    }
+  });
+  const tcp::endpoint target(address, static_cast<uint16_t>(std::stoi(port)));
+  auto [error] = co_await link->socket.async_connect(target, kAwait);
+  timer.cancel();
+  if (error || link->closed) {
+    ++stats.connect_failures;
+    redial_after[link->node] = std::chrono::steady_clock::now() + kRedialPause;
+    close(link);
+    co_return;
+  }
+  ++stats.connects;
+  configure(link->socket);
+  link->connected = true;
+  if (!link->queue.empty() && !link->writing) {
+    link->writing = true;
+    asio::co_spawn(executor, write_loop(link), asio::detached);
+  }
+  co_await read_loop(link);
+}
+
+PeerTransport::PeerTransport(asio::any_io_executor executor, Receiver receiver)
+    : implementation_(std::make_shared<Implementation>(std::move(executor), std::move(receiver))) {}
+
+PeerTransport::~PeerTransport() { close_all(); }
+
+std::optional<uint16_t> PeerTransport::listen(const std::string& address, uint16_t port, std::string& error) {
+  auto& self = *implementation_;
+  boost::system::error_code code;
+  const tcp::endpoint endpoint(asio::ip::make_address(address, code), port);
+  if (!code) {
+    self.acceptor.open(endpoint.protocol(), code);
+  }
+  if (!code) {
+    self.acceptor.set_option(asio::socket_base::reuse_address(true), code);
+  }
+  if (!code) {
+    self.acceptor.bind(endpoint, code);
+  }
+  if (!code) {
+    self.acceptor.listen(asio::socket_base::max_listen_connections, code);
+  }
+  if (code) {
+    error = "cannot listen for peers on " + address + ":" + std::to_string(port) + ": " + code.message() +
+            "; free the port or change [node] peer_address";
+    return std::nullopt;
+  }
+  asio::co_spawn(self.executor, self.accept_loop(), asio::detached);
+  return self.acceptor.local_endpoint().port();
+}
+
+void PeerTransport::set_address(const std::string& node, const std::string& endpoint) {
+  implementation_->addresses[node] = endpoint;
+}
+
+void PeerTransport::send(const larchlever::wire::Envelope& envelope) {
+  auto& self = *implementation_;
+  if (self.stopped) {
+    return;
+  }
+  const std::string& node = envelope.to_node;
+  auto found = self.by_node.find(node);
+  if (found == self.by_node.end()) {
+    const auto address = self.addresses.find(node);
+    const auto pause = self.redial_after.find(node);
+    const bool too_soon = pause != self.redial_after.end() && std::chrono::steady_clock::now() < pause->second;
+    if (address == self.addresses.end() || too_soon) {
+      ++self.stats.dropped;
+      return;
+    }
+    auto link = std::make_shared<Link>(self.executor);
+    link->node = node;
+    self.links.insert(link);
+    found = self.by_node.emplace(node, link).first;
+    asio::co_spawn(self.executor, self.dial(link, address->second), asio::detached);
+  }
+  self.enqueue(found->second, encode_frame(wire::encode(envelope)));
+}
+
+void PeerTransport::close_all() {
+  auto& self = *implementation_;
+  self.stopped = true;
+  boost::system::error_code ignored;
+  self.acceptor.close(ignored);
+  const auto links = self.links;
+  for (const auto& link : links) {
+    self.close(link);
+  }
+}
+
+const PeerStats& PeerTransport::stats() const { return implementation_->stats; }
+
+}  // namespace larchlever::net
--- /dev/null
+++ b/src/net/peer_transport.h
@@ -0,0 +1,59 @@
+#pragma once
+
+#include <boost/asio/any_io_executor.hpp>
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+
+#include "larchlever_types.h"
+
+namespace larchlever::net {
+
+struct PeerStats {
+  uint64_t frames_sent = 0;
+  uint64_t frames_received = 0;
+  uint64_t bytes_sent = 0;
+  uint64_t bytes_received = 0;
+  uint64_t bad_frames = 0;
+  uint64_t dropped = 0;
+  uint64_t connects = 0;
+  uint64_t connect_failures = 0;
+};
+
+/// Messages between our own processes: length-prefixed, checksummed frames with one Thrift Envelope each, over TCP.
+/// Best effort: a message may be lost, never altered nor taken for another. Answers travel back over the connection
+/// that the question came by, so a node needs the addresses only of those it asks. One executor; not thread-safe.
+class PeerTransport {
+ public:
+  using Receiver = std::function<void(larchlever::wire::Envelope)>;
+
+  PeerTransport(boost::asio::any_io_executor executor, Receiver receiver);
+  ~PeerTransport();
+  PeerTransport(const PeerTransport&) = delete;
+  PeerTransport& operator=(const PeerTransport&) = delete;
+
+  /// Binds and accepts peers; as HttpServer::listen.
+  std::optional<uint16_t> listen(const std::string& address, uint16_t port, std::string& error);
+  /// Where to dial a node, as IP:PORT.
+  void set_address(const std::string& node, const std::string& endpoint);
+  void send(const larchlever::wire::Envelope& envelope);
+  void close_all();
+  const PeerStats& stats() const;
+
+ private:
+  struct Implementation;
+  std::shared_ptr<Implementation> implementation_;
+};
+
+/// Frame around a payload, as sent; for tests and the fuzz target too.
+std::string encode_frame(std::string_view payload);
+
+enum class FrameStatus { kComplete, kIncomplete, kBad };
+
+/// Finds the frame at the start of `bytes`. On kComplete `payload` views its content and `size` is its whole length.
+FrameStatus decode_frame(std::string_view bytes, std::string_view& payload, size_t& size);
+
+}  // namespace larchlever::net
--- /dev/null
+++ b/src/node/logging.h
@@ -0,0 +1,20 @@
+#pragma once
+
+#include <initializer_list>
+#include <string>
+#include <string_view>
+#include <utility>
+
+namespace larchlever::node {
+
+/// Sets up log4cplus: to standard error, or appending to `file` when one is named. Level: debug, info, warn, error,
+/// off.
+void configure_logging(const std::string& level, const std::string& file);
+
+using LogFields = std::initializer_list<std::pair<std::string_view, std::string>>;
+
+/// One line per change of state: `event` and its fields as key=value.
+void log_event(std::string_view node, std::string_view event, LogFields fields);
+void log_problem(std::string_view node, std::string_view event, LogFields fields);
+
+}  // namespace larchlever::node
--- /dev/null
+++ b/src/node/node_runtime.cc
@@ -0,0 +1,490 @@
+#include "node/node_runtime.h"
+
+#include <boost/json.hpp>
+#include <random>
+
+#include "node/logging.h"
+
+namespace larchlever::node {
+
+namespace asio = boost::asio;
+namespace json = boost::json;
+
+namespace {
+
+constexpr auto kAwait = asio::as_tuple(asio::use_awaitable);
+constexpr auto kTickInterval = std::chrono::milliseconds(5);
+constexpr auto kPollInterval = std::chrono::milliseconds(400);
+constexpr auto kPollTimeout = std::chrono::milliseconds(900);
+constexpr auto kOrderTimeout = std::chrono::milliseconds(900);
+constexpr auto kMembershipInterval = std::chrono::milliseconds(1000);
+constexpr auto kMembershipTimeout = std::chrono::milliseconds(2000);
+
+std::string text(const json::object& object, const char* key) {
+  const auto* value = object.if_contains(key);
+  return value != nullptr && value->is_string() ? std::string(value->as_string()) : std::string();
+}
+
+int64_t number(const json::object& object, const char* key) {
+  const auto* value = object.if_contains(key);
+  return value != nullptr && value->is_int64() ? value->as_int64() : 0;
+}
+
+json::object parse_object(const std::string& body) {
+  boost::system::error_code error;
+  const auto value = json::parse(body, error);
+  return !error && value.is_object() ? value.as_object() : json::object();
+}
+
+ReplicaId new_replica_id() {
+  std::random_device source;
+  const auto high = static_cast<uint64_t>(source()) << 32U;
+  return ReplicaId(static_cast<int64_t>((high | source()) >> 1U));
+}
+
+}  // namespace
+
+TimePoint NodeRuntime::now() {
+  return TimePoint(std::chrono::duration_cast<Duration>(std::chrono::steady_clock::now().time_since_epoch()));
+}
+
+int64_t NodeRuntime::wall_ms() {
+  return std::chrono::duration_cast<milliseconds>(std::chrono::system_clock::now().time_since_epoch()).count();
+}
+
+NodeRuntime::NodeRuntime(asio::any_io_executor executor, const settings::NodeSettings& settings)
+    : executor_(executor),
+      settings_(settings),
+      transport_(executor,
+                 [this](wire::Envelope envelope) {
+                   controller_->receive(now(), std::move(envelope));
+                   pump();
+                 }),
+      client_(executor) {}
+
+NodeRuntime::~NodeRuntime() { stop(); }
+
+bool NodeRuntime::start(const std::string& service_address, std::string& error) {
+  const auto [host, port] = net::split_endpoint(settings_.peer_address);
+  const auto bound = transport_.listen(host, static_cast<uint16_t>(std::stoi(port)), error);
+  if (!bound) {
+    return false;
+  }
+  peer_address_ = host + ":" + std::to_string(*bound);
+  NodeIdentity identity;
+  identity.node = settings_.name;
+  identity.zone = settings_.zone;
+  // Rises with every start as long as the wall clock does not jump back by more than the restart took.
+  identity.incarnation = Incarnation(
+      std::chrono::duration_cast<microseconds>(std::chrono::system_clock::now().time_since_epoch()).count());
+  identity.peer_address = peer_address_;
+  identity.service_address = service_address;
+  auto options = settings_.controller;
+  options.seed = std::random_device()();
+  controller_ = std::make_unique<NodeController>(options, identity, now());
+  for (const auto& [node, endpoint] : settings_.control_nodes) {
+    if (node != settings_.name) {
+      transport_.set_address(node, endpoint);
+    }
+  }
+  if (!settings_.data_folder.empty() && !open_data_folder(error)) {
+    return false;
+  }
+  asio::co_spawn(executor_, tick_loop(), asio::detached);
+  asio::co_spawn(executor_, poll_loop(), asio::detached);
+  if (!settings_.membership_list.empty()) {
+    asio::co_spawn(executor_, membership_loop(), asio::detached);
+  }
+  return true;
+}
+
+bool NodeRuntime::open_data_folder(std::string& error) {
+  storage::StorageError failure;
+  auto folder = storage::DataFolder::open(settings_.data_folder, file_system_, failure);
+  if (folder == nullptr) {
+    error = failure.message;
+    return false;
+  }
+  if (folder->replica_id() == ReplicaId()) {
+    if (const auto problem = folder->assign_identity(new_replica_id())) {
+      error = problem->message;
+      return false;
+    }
+    log_event(settings_.name, "replica_identity_assigned", {{"replica", std::to_string(folder->replica_id().value())}});
+  }
+  const ReplicaId id = folder->replica_id();
+  controller_->start_replica(now(), id, folder->take_recovered());
+  start_worker(std::move(folder));
+  return true;
+}
+
+void NodeRuntime::start_worker(std::unique_ptr<storage::DataFolder> folder) {
+  const std::weak_ptr<bool> alive = alive_;
+  worker_ = std::make_unique<StorageWorker>(
+      std::move(folder),
+      [this, alive](std::vector<consensus::RaftOutput> batches) {
+        asio::post(executor_, [this, alive, batches = std::move(batches)]() mutable {
+          if (!alive.expired()) {
+            on_written(std::move(batches));
+          }
+        });
+      },
+      [this, alive](storage::StorageError problem) {
+        asio::post(executor_, [this, alive, problem = std::move(problem)] {
+          if (!alive.expired()) {
+            replica_problem_ = problem.message;
+            log_problem(settings_.name, "replica_stopped",
+                        {{"kind", storage::to_string(problem.kind)}, {"reason", problem.message}});
+            controller_->replica_failed();
+          }
+        });
+      });
+}
+
+void NodeRuntime::renew_identity() {
+  auto folder = worker_->stop();
+  worker_.reset();
+  const ReplicaId id = new_replica_id();
+  if (folder == nullptr || folder->assign_identity(id)) {
+    controller_->replica_failed();
+    return;
+  }
+  log_problem(settings_.name, "replica_identity_renewed",
+              {{"reason", "the disk had lost acknowledged entries"}, {"replica", std::to_string(id.value())}});
+  controller_->start_replica(now(), id, {});
+  start_worker(std::move(folder));
+}
+
+void NodeRuntime::stop() {
+  *alive_ = false;
+  alive_.reset();
+  transport_.close_all();
+  worker_.reset();
+  const auto wake = [](auto& waiters) {
+    for (auto& [id, waiter] : waiters) {
+      waiter->timer.cancel();
+    }
+  };
+  wake(admission_waiters_);
+  wake(claim_waiters_);
+  wake(operator_waiters_);
+  alive_ = std::make_shared<bool>(false);
+}
+
+void NodeRuntime::begin_leaving() {
+  controller_->begin_leaving(now());
+  pump();
+}
+
+storage::StorageStats NodeRuntime::storage_stats() const {
+  return worker_ ? worker_->stats() : storage::StorageStats();
+}
+
+// ------------------------------------------------------ carrying the outputs
+
+void NodeRuntime::on_written(std::vector<consensus::RaftOutput> batches) {
+  for (auto& batch : batches) {
+    controller_->written(now(), std::move(batch));
+  }
+  pump();
+}
+
+void NodeRuntime::pump() {
+  auto outputs = controller_->take_outputs();
+  for (const auto& envelope : outputs.envelopes) {
+    transport_.send(envelope);
+  }
+  for (auto& output : outputs.storage) {
+    if (worker_) {
+      worker_->submit(std::move(output));
+    }
+  }
+  for (auto& order : outputs.orders) {
+    asio::co_spawn(executor_, send_order(std::move(order)), asio::detached);
+  }
+  for (auto& outcome : outputs.claim_outcomes) {
+    if (const auto waiter = claim_waiters_.find(outcome.request_id); waiter != claim_waiters_.end()) {
+      waiter->second->result = std::move(outcome);
+      waiter->second->timer.cancel();
+    }
+  }
+  for (auto& reply : outputs.operator_replies) {
+    if (const auto waiter = operator_waiters_.find(reply.request_id); waiter != operator_waiters_.end()) {
+      waiter->second->result = std::move(reply);
+      waiter->second->timer.cancel();
+    }
+  }
+}
+
+void NodeRuntime::report_changes() {
+  const auto& entry = controller_->entry();
+  const bool has_lease = entry.has_configuration_lease(now());
+  const bool leads = controller_->acts_as_leader(now());
+  if (entry.leader() != last_leader_) {
+    last_leader_ = entry.leader();
+    log_event(settings_.name, "leader_followed", {{"leader", last_leader_}});
+  }
+  if (leads != was_leader_) {
+    was_leader_ = leads;
+    log_event(settings_.name, leads ? "leadership_begun" : "leadership_ended",
+              {{"term", std::to_string(controller_->raft() ? controller_->raft()->term() : 0)}});
+  }
+  if (has_lease != had_lease_) {
+    had_lease_ = has_lease;
+    log_event(settings_.name, has_lease ? "configuration_lease_gained" : "configuration_lease_lost",
+              {{"revision", std::to_string(entry.revision().value())}});
+  }
+}
+
+asio::awaitable<void> NodeRuntime::tick_loop() {
+  const auto alive = alive_;
+  asio::steady_timer timer(executor_);
+  while (*alive) {
+    controller_->tick(now(), wall_ms());
+    pump();
+    settle_admission();
+    report_changes();
+    if (controller_->needs_new_identity() && worker_) {
+      renew_identity();
+    }
+    timer.expires_after(kTickInterval);
+    co_await timer.async_wait(kAwait);
+  }
+}
+
+// -------------------------------------------------------------- back ends
+
+asio::awaitable<void> NodeRuntime::poll_loop() {
+  const auto alive = alive_;
+  asio::steady_timer timer(executor_);
+  while (*alive) {
+    for (const auto& target : controller_->entry().watches()) {
+      if (!polling_[target.machine]) {
+        polling_[target.machine] = true;
+        asio::co_spawn(executor_, poll_machine(target), asio::detached);
+      }
+    }
+    timer.expires_after(kPollInterval);
+    co_await timer.async_wait(kAwait);
+  }
+}
+
+asio::awaitable<void> NodeRuntime::poll_machine(wire::WatchTarget target) {
+  const auto alive = alive_;
+  net::HttpRequest request;
+  request.target = "/engine/state";
+  const TimePoint asked_at = now();
+  const auto result = co_await client_.fetch(target.endpoint, request, kPollTimeout);
+  if (!*alive) {
+    co_return;
+  }
+  polling_[target.machine] = false;
+  ++stats_.polls;
+  if (!result.response || result.response->status != 200) {
+    ++stats_.poll_failures;
+    co_return;
+  }
+  const auto state = parse_object(result.response->body);
+  const auto listed = listed_.find(target.machine);
+  const bool elsewhere = listed != listed_.end() &&
+                         (text(state, "zone") != listed->second.zone || text(state, "domain") != listed->second.domain);
+  if (text(state, "machine") != target.machine || elsewhere) {
+    // Somebody else answers at this address, or the machine is not where the platform says: not seen.
+    ++stats_.poll_mismatches;
+    co_return;
+  }
+  wire::MachineSighting sighting;
+  sighting.machine = target.machine;
+  sighting.incarnation = number(state, "incarnation");
+  sighting.group_id = number(state, "group");
+  sighting.epoch = static_cast<int32_t>(number(state, "epoch"));
+  const auto* loaded = state.if_contains("loaded");
+  sighting.loaded = loaded != nullptr && loaded->is_bool() && loaded->as_bool();
+  sighting.load = static_cast<int32_t>(number(state, "load"));
+  controller_->sighting(asked_at, sighting);
+}
+
+asio::awaitable<void> NodeRuntime::membership_loop() {
+  const auto alive = alive_;
+  asio::steady_timer timer(executor_);
+  while (*alive) {
+    net::HttpRequest request;
+    request.target = "/members";
+    const auto result = co_await client_.fetch(settings_.membership_list, request, kMembershipTimeout);
+    if (!*alive) {
+      co_return;
+    }
+    const auto body = result.response ? parse_object(result.response->body) : json::object();
+    std::vector<wire::Machine> machines;
+    std::set<std::string> leaving;
+    if (const auto* members = body.if_contains("members"); members != nullptr && members->is_array()) {
+      for (const auto& item : members->as_array()) {
+        if (!item.is_object()) {
+          continue;
+        }
+        const auto& member = item.as_object();
+        wire::Machine machine;
+        machine.id = text(member, "id");
+        machine.endpoint = text(member, "address");
+        machine.zone = text(member, "zone");
+        machine.domain = text(member, "domain");
+        machine.accelerators = static_cast<int32_t>(number(member, "accelerators"));
+        machine.checks_fences = !settings_.kinds_without_fences.contains(text(member, "kind"));
+        machine.leaving = text(member, "state") == "leaving";
+        if (machine.leaving) {
+          leaving.insert(machine.endpoint);
+        }
+        listed_[machine.id] = machine;
+        machines.push_back(std::move(machine));
+      }
+    }
+    controller_->membership_list(machines);
+    endpoints_.set_leaving(std::move(leaving));
+    timer.expires_after(kMembershipInterval);
+    co_await timer.async_wait(kAwait);
+  }
+}
+
+asio::awaitable<void> NodeRuntime::send_order(control::EngineOrder order) {
+  const auto alive = alive_;
+  json::array members(order.members.begin(), order.members.end());
+  json::array adapters(order.adapters.begin(), order.adapters.end());
+  json::object body;
+  body["kind"] = order.kind == control::OrderKind::kLoad ? "load" : "release";
+  body["group"] = order.group_id;
+  body["epoch"] = order.epoch;
+  body["term"] = order.term;
+  body["incarnation"] = order.incarnation;
+  body["rank"] = order.rank;
+  body["model"] = order.model;
+  body["version"] = order.version;
+  body["adapters"] = adapters;
+  body["members"] = members;
+  net::HttpRequest request;
+  request.method = "POST";
+  request.target = "/engine/orders";
+  request.headers.add("Content-Type", "application/json");
+  request.body = json::serialize(body);
+  // Sent only while this node leads with a valid lease: engines that check no fence depend on it.
+  net::OpenOptions options;
+  options.timeout = kOrderTimeout;
+  options.fresh_connection = true;
+  options.may_send = [this, alive] { return *alive && controller_->acts_as_leader(now()); };
+  auto opened = co_await client_.open(order.endpoint, request, options);
+  if (!*alive) {
+    co_return;
+  }
+  control::OrderResult result;
+  result.kind = order.kind;
+  result.machine = order.machine;
+  result.group_id = order.group_id;
+  result.epoch = order.epoch;
+  if (opened.stream != nullptr) {
+    const int status = opened.stream->head().status;
+    result.verdict = status == 200   ? control::OrderVerdict::kDone
+                     : status == 409 ? control::OrderVerdict::kFenced
+                     : status == 410 ? control::OrderVerdict::kWrongIncarnation
+                                     : control::OrderVerdict::kUnreachable;
+  }
+  stats_.order_failures += result.verdict == control::OrderVerdict::kDone ? 0 : 1;
+  controller_->order_result(result);
+}
+
+// ------------------------------------------------------------ what waits here
+
+void NodeRuntime::settle_admission() {
+  auto& gate = controller_->entry().admission();
+  const auto finish = [this](uint64_t ticket, Admission verdict) {
+    if (const auto waiter = admission_waiters_.find(ticket); waiter != admission_waiters_.end()) {
+      waiter->second->result = verdict;
+      waiter->second->timer.cancel();
+    }
+  };
+  for (const auto ticket : gate.take_expired(now())) {
+    finish(ticket, Admission::kDeadline);
+  }
+  for (const auto ticket : gate.take_admitted(now())) {
+    finish(ticket, Admission::kAdmitted);
+  }
+}
+
+asio::awaitable<NodeRuntime::Admission> NodeRuntime::admit(std::string tenant, int priority, TimePoint deadline,
+                                                           const std::function<bool()>& cancelled) {
+  auto& gate = controller_->entry().admission();
+  const uint64_t ticket = next_ticket_++;
+  switch (gate.enter(now(), ticket, tenant, priority, deadline)) {
+    case admission::AdmissionVerdict::kAdmitted:
+      co_return Admission::kAdmitted;
+    case admission::AdmissionVerdict::kRefusedQueueFull:
+      co_return Admission::kQueueFull;
+    case admission::AdmissionVerdict::kRefusedDeadline:
+      co_return Admission::kDeadline;
+    case admission::AdmissionVerdict::kQueued:
+      break;
+  }
+  const auto alive = alive_;
+  auto waiter = std::make_shared<Waiter<Admission>>(executor_);
+  admission_waiters_[ticket] = waiter;
+  while (*alive && !waiter->result && !cancelled()) {
+    waiter->timer.expires_after(std::chrono::milliseconds(100));
+    co_await waiter->timer.async_wait(kAwait);
+  }
+  if (!*alive) {
+    co_return Admission::kCallerGone;
+  }
+  admission_waiters_.erase(ticket);
+  if (!waiter->result) {
+    gate.cancel(ticket);
+    co_return Admission::kCallerGone;
+  }
+  co_return *waiter->result;
+}
+
+void NodeRuntime::leave(const std::string& tenant, Duration service_time) {
+  controller_->entry().admission().leave(tenant, service_time);
+  settle_admission();
+}
+
+asio::awaitable<ClaimOutcome> NodeRuntime::claim(wire::Claim claim, TimePoint deadline) {
+  const auto alive = alive_;
+  auto waiter = std::make_shared<Waiter<ClaimOutcome>>(executor_);
+  const int64_t id = controller_->submit_claim(now(), std::move(claim), deadline);
+  claim_waiters_[id] = waiter;
+  pump();
+  while (*alive && !waiter->result) {
+    waiter->timer.expires_after(std::chrono::seconds(1));
+    co_await waiter->timer.async_wait(kAwait);
+  }
+  if (!*alive) {
+    co_return ClaimOutcome{};
+  }
+  claim_waiters_.erase(id);
+  ClaimOutcome outcome = std::move(*waiter->result);
+  outcome.request_id = id;
+  co_return outcome;
+}
+
+void NodeRuntime::resolve(wire::ClaimResolution resolution) {
+  controller_->resolve_claim(now(), std::move(resolution));
+  pump();
+}
+
+asio::awaitable<wire::OperatorReply> NodeRuntime::operator_request(wire::OperatorRequest request,
+                                                                   std::chrono::milliseconds timeout) {
+  const auto alive = alive_;
+  auto waiter = std::make_shared<Waiter<wire::OperatorReply>>(executor_);
+  const int64_t id = controller_->submit_operator_request(now(), std::move(request), now() + timeout);
+  operator_waiters_[id] = waiter;
+  pump();
+  while (*alive && !waiter->result) {
+    waiter->timer.expires_after(std::chrono::seconds(1));
+    co_await waiter->timer.async_wait(kAwait);
+  }
+  if (!*alive) {
+    co_return wire::OperatorReply();
+  }
+  operator_waiters_.erase(id);
+  co_return std::move(*waiter->result);
+}
+
+}  // namespace larchlever::node
--- /dev/null
+++ b/src/node/node_runtime.h
@@ -0,0 +1,118 @@
+#pragma once
+
+#include <boost/asio.hpp>
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+
+#include "core/node/node_controller.h"
+#include "core/requests/endpoint_selector.h"
+#include "net/http_client.h"
+#include "net/peer_transport.h"
+#include "node/storage_worker.h"
+#include "settings/node_settings.h"
+
+namespace larchlever::node {
+
+struct RuntimeStats {
+  uint64_t order_failures = 0;
+  uint64_t polls = 0;
+  uint64_t poll_failures = 0;
+  uint64_t poll_mismatches = 0;
+};
+
+/// Drives a NodeController in real time: clock, peer links, data folder, orders and polls towards the engines, and the
+/// platform's membership list. What waits for the controller (admission, claims, operators' answers) waits here.
+///
+/// Runs on one executor, which must not be served by more than one thread; the data folder has a thread of its own.
+class NodeRuntime {
+ public:
+  NodeRuntime(boost::asio::any_io_executor executor, const settings::NodeSettings& settings);
+  ~NodeRuntime();
+  NodeRuntime(const NodeRuntime&) = delete;
+  NodeRuntime& operator=(const NodeRuntime&) = delete;
+
+  /// Binds the peer address and opens the data folder. `service_address` is what callers reach this node by. False
+  /// with `error` set when the node cannot run.
+  bool start(const std::string& service_address, std::string& error);
+  /// Drops everything at once, as when the process dies.
+  void stop();
+  void begin_leaving();
+
+  static TimePoint now();
+  static int64_t wall_ms();
+
+  enum class Admission { kAdmitted, kQueueFull, kDeadline, kCallerGone };
+  /// Waits for the tenant's concurrency; `cancelled` is asked whenever the wait is woken.
+  boost::asio::awaitable<Admission> admit(std::string tenant, int priority, TimePoint deadline,
+                                          const std::function<bool()>& cancelled);
+  void leave(const std::string& tenant, Duration service_time);
+  boost::asio::awaitable<ClaimOutcome> claim(wire::Claim claim, TimePoint deadline);
+  void resolve(wire::ClaimResolution resolution);
+  boost::asio::awaitable<wire::OperatorReply> operator_request(wire::OperatorRequest request,
+                                                               std::chrono::milliseconds timeout);
+
+  NodeController& controller() { return *controller_; }
+  net::HttpClient& client() { return client_; }
+  requests::EndpointSelector& endpoints() { return endpoints_; }
+  const settings::NodeSettings& settings() const { return settings_; }
+  const net::PeerStats& peer_stats() const { return transport_.stats(); }
+  const RuntimeStats& stats() const { return stats_; }
+  storage::StorageStats storage_stats() const;
+  std::string peer_address() const { return peer_address_; }
+  void set_peer_address(const std::string& node, const std::string& endpoint) {
+    transport_.set_address(node, endpoint);
+  }
+  const std::string& replica_problem() const { return replica_problem_; }
+  boost::asio::any_io_executor executor() { return executor_; }
+
+ private:
+  template <typename Result>
+  struct Waiter {
+    explicit Waiter(const boost::asio::any_io_executor& executor) : timer(executor) {}
+    boost::asio::steady_timer timer;
+    std::optional<Result> result;
+  };
+  template <typename Result>
+  using Waiters = std::map<int64_t, std::shared_ptr<Waiter<Result>>>;
+
+  bool open_data_folder(std::string& error);
+  void start_worker(std::unique_ptr<storage::DataFolder> folder);
+  void renew_identity();
+  void pump();
+  void on_written(std::vector<consensus::RaftOutput> batches);
+  void report_changes();
+  boost::asio::awaitable<void> tick_loop();
+  boost::asio::awaitable<void> poll_loop();
+  boost::asio::awaitable<void> poll_machine(wire::WatchTarget target);
+  boost::asio::awaitable<void> membership_loop();
+  boost::asio::awaitable<void> send_order(control::EngineOrder order);
+  void settle_admission();
+
+  boost::asio::any_io_executor executor_;
+  settings::NodeSettings settings_;
+  net::PeerTransport transport_;
+  net::HttpClient client_;
+  storage::FileSystem file_system_;
+  std::unique_ptr<NodeController> controller_;
+  std::unique_ptr<StorageWorker> worker_;
+  requests::EndpointSelector endpoints_;
+  std::map<std::string, wire::Machine> listed_;
+  std::map<std::string, bool> polling_;
+  std::string peer_address_;
+  std::string replica_problem_;
+  std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
+  uint64_t next_ticket_ = 1;
+  std::map<uint64_t, std::shared_ptr<Waiter<Admission>>> admission_waiters_;
+  Waiters<ClaimOutcome> claim_waiters_;
+  Waiters<wire::OperatorReply> operator_waiters_;
+  std::string last_leader_;
+  bool had_lease_ = false;
+  bool was_leader_ = false;
+  int64_t last_revision_ = 0;
+  RuntimeStats stats_;
+};
+
+}  // namespace larchlever::node
--- /dev/null
+++ b/src/node/storage_worker.cc
@@ -0,0 +1,67 @@
+#include "node/storage_worker.h"
+
+namespace larchlever::node {
+
+StorageWorker::StorageWorker(std::unique_ptr<storage::DataFolder> folder, OnWritten on_written, OnFailure on_failure)
+    : folder_(std::move(folder)), on_written_(std::move(on_written)), on_failure_(std::move(on_failure)) {
+  thread_ = std::thread([this] { run(); });
+}
+
+StorageWorker::~StorageWorker() { stop(); }
+
+void StorageWorker::submit(consensus::RaftOutput batch) {
+  {
+    const std::lock_guard lock(mutex_);
+    queue_.push_back(std::move(batch));
+  }
+  wake_.notify_one();
+}
+
+std::unique_ptr<storage::DataFolder> StorageWorker::stop() {
+  {
+    const std::lock_guard lock(mutex_);
+    stopping_ = true;
+  }
+  wake_.notify_one();
+  if (thread_.joinable()) {
+    thread_.join();
+  }
+  return std::move(folder_);
+}
+
+storage::StorageStats StorageWorker::stats() const {
+  const std::lock_guard lock(mutex_);
+  return stats_;
+}
+
+void StorageWorker::run() {
+  while (true) {
+    std::vector<consensus::RaftOutput> batches;
+    {
+      std::unique_lock lock(mutex_);
+      wake_.wait(lock, [this] { return stopping_ || !queue_.empty(); });
+      if (queue_.empty()) {
+        return;
+      }
+      batches.assign(std::make_move_iterator(queue_.begin()), std::make_move_iterator(queue_.end()));
+      queue_.clear();
+    }
+    std::vector<const consensus::RaftOutput*> pointers;
+    pointers.reserve(batches.size());
+    for (const auto& batch : batches) {
+      pointers.push_back(&batch);
+    }
+    const auto error = folder_->write(pointers);
+    {
+      const std::lock_guard lock(mutex_);
+      stats_ = folder_->stats();
+    }
+    if (error) {
+      on_failure_(*error);
+      return;
+    }
+    on_written_(std::move(batches));
+  }
+}
+
+}  // namespace larchlever::node
--- /dev/null
+++ b/src/settings/ini_document.cc
@@ -0,0 +1,202 @@
+#include "settings/ini_document.h"
+
+#include <arpa/inet.h>
+#include <ini.h>
+
+#include <algorithm>
+#include <charconv>
+
+namespace larchlever::settings {
+
+namespace {
+
+std::string_view trim(std::string_view text) {
+  while (!text.empty() && (text.front() == ' ' || text.front() == '\t')) {
+    text.remove_prefix(1);
+  }
+  while (!text.empty() && (text.back() == ' ' || text.back() == '\t' || text.back() == '\r')) {
+    text.remove_suffix(1);
+  }
+  return text;
+}
+
+struct ParseState {
+  std::vector<IniDocument::Section>* sections;
+  std::vector<std::string>* errors;
+};
+
+IniDocument::Section& section_called(std::vector<IniDocument::Section>& sections, const std::string& name) {
+  const auto found =
+      std::find_if(sections.begin(), sections.end(), [&name](const auto& section) { return section.name == name; });
+  if (found != sections.end()) {
+    return *found;
+  }
+  sections.push_back({name, {}});
+  return sections.back();
+}
+
+int on_value(void* user, const char* section, const char* name, const char* value) {
+  auto& state = *static_cast<ParseState*>(user);
+  auto& target = section_called(*state.sections, section);
+  if (!target.values.emplace(name, std::string(trim(value))).second) {
+    state.errors->push_back("[" + target.name + "] " + name + ": given twice; keep one of the lines");
+  }
+  return 1;
+}
+
+bool parse_integer(std::string_view text, int64_t& value) {
+  const auto result = std::from_chars(text.data(), text.data() + text.size(), value);
+  return result.ec == std::errc() && result.ptr == text.data() + text.size();
+}
+
+}  // namespace
+
+IniDocument IniDocument::parse(const std::string& text, std::vector<std::string>& errors) {
+  IniDocument document;
+  ParseState state{&document.sections_, &errors};
+  if (text.find('\0') != std::string::npos) {
+    errors.emplace_back("the file contains a NUL byte; settings are plain text");
+    return document;
+  }
+  const int line = ini_parse_string(text.c_str(), on_value, &state);
+  if (line > 0) {
+    errors.push_back("line " + std::to_string(line) + ": neither '[section]' nor 'key = value'; correct the line");
+  }
+  return document;
+}
+
+const IniDocument::Section* IniDocument::find(std::string_view name) const {
+  const auto found =
+      std::find_if(sections_.begin(), sections_.end(), [name](const auto& section) { return section.name == name; });
+  return found == sections_.end() ? nullptr : &*found;
+}
+
+SectionReader::SectionReader(std::string name, const IniDocument::Section* section, std::vector<std::string>& errors)
+    : name_(std::move(name)), section_(section), errors_(errors) {}
+
+const std::string* SectionReader::find(const std::string& key) {
+  known_.insert(key);
+  if (section_ == nullptr) {
+    return nullptr;
+  }
+  const auto found = section_->values.find(key);
+  return found == section_->values.end() ? nullptr : &found->second;
+}
+
+void SectionReader::fault(const std::string& key, const std::string& value, const std::string& remedy) {
+  errors_.push_back("[" + name_ + "] " + key + " = '" + value + "': " + remedy);
+}
+
+std::string SectionReader::text(const std::string& key, const std::string& fallback) {
+  const auto* value = find(key);
+  return value == nullptr ? fallback : *value;
+}
+
+std::string SectionReader::required_text(const std::string& key) {
+  const auto* value = find(key);
+  if (value == nullptr || value->empty()) {
+    fault(key, "", "missing; add the line '" + key + " = ...'");
+    return "";
+  }
+  return *value;
+}
+
+int64_t SectionReader::integer(const std::string& key, int64_t fallback, int64_t least, int64_t most) {
+  const auto* value = find(key);
+  if (value == nullptr) {
+    return fallback;
+  }
+  int64_t number = 0;
+  if (!parse_integer(*value, number)) {
+    fault(key, *value, "not a whole number; write digits only, the unit is in the key's name");
+    return fallback;
+  }
+  if (number < least || number > most) {
+    fault(key, *value, "out of range; choose " + std::to_string(least) + " to " + std::to_string(most));
+    return fallback;
+  }
+  return number;
+}
+
+std::string SectionReader::address(const std::string& key, bool required) {
+  const auto* value = find(key);
+  if (value == nullptr || value->empty()) {
+    if (required) {
+      fault(key, "", "missing; add IP:PORT");
+    }
+    return "";
+  }
+  if (!is_ip_endpoint(*value)) {
+    fault(key, *value, "not an address; write IP:PORT with a literal IP, for example 10.0.0.1:7400");
+  }
+  return *value;
+}
+
+std::vector<std::string> SectionReader::list(const std::string& key) {
+  const auto* value = find(key);
+  return value == nullptr ? std::vector<std::string>() : split_list(*value);
+}
+
+std::string SectionReader::choice(const std::string& key, const std::string& fallback,
+                                  const std::vector<std::string>& allowed) {
+  const auto* value = find(key);
+  if (value == nullptr) {
+    return fallback;
+  }
+  if (std::find(allowed.begin(), allowed.end(), *value) == allowed.end()) {
+    std::string names;
+    for (const auto& name : allowed) {
+      names += (names.empty() ? "" : ", ") + name;
+    }
+    fault(key, *value, "unknown choice; use one of " + names);
+    return fallback;
+  }
+  return *value;
+}
+
+bool SectionReader::flag(const std::string& key, bool fallback) {
+  return choice(key, fallback ? "yes" : "no", {"yes", "no"}) == "yes";
+}
+
+void SectionReader::finish() {
+  if (section_ == nullptr) {
+    return;
+  }
+  for (const auto& [key, value] : section_->values) {
+    if (!known_.contains(key)) {
+      fault(key, value, "unknown key; remove it or correct its spelling");
+    }
+  }
+}
+
+bool is_ip_endpoint(std::string_view text) {
+  const size_t colon = text.rfind(':');
+  if (colon == std::string_view::npos) {
+    return false;
+  }
+  int64_t port = -1;
+  if (!parse_integer(text.substr(colon + 1), port) || port < 0 || port > 65535) {
+    return false;
+  }
+  std::string host(text.substr(0, colon));
+  unsigned char buffer[sizeof(in6_addr)];
+  if (host.size() > 2 && host.front() == '[' && host.back() == ']') {
+    return inet_pton(AF_INET6, host.substr(1, host.size() - 2).c_str(), buffer) == 1;
+  }
+  return inet_pton(AF_INET, host.c_str(), buffer) == 1;
+}
+
+std::vector<std::string> split_list(std::string_view text) {
+  std::vector<std::string> items;
+  while (!text.empty()) {
+    const size_t comma = text.find(',');
+    const std::string_view item = trim(text.substr(0, comma));
+    if (!item.empty()) {
+      items.emplace_back(item);
+    }
+    text = comma == std::string_view::npos ? std::string_view() : text.substr(comma + 1);
+  }
+  return items;
+}
+
+}  // namespace larchlever::settings
