Add the simulator: fault schedules in virtual time over the daemon's own logic

Cause: nothing proved the control logic under faults. Change: virtual network, disks, clocks and machines; callers, racing operators, a seeded fault injector, an invariant monitor, seven planted defects that the tests require it to catch.

--- a/src/cli/command_line.cc
+++ b/src/cli/command_line.cc
@@ -16,6 +16,8 @@
 DEFINE_int32(port_base, 7200, "demo: first of the ports used on loopback; 0 takes free ones");
 DEFINE_int32(seconds, 0, "demo: end after this many seconds; 0 runs until interrupted");
 DEFINE_string(data, "", "demo: folder for the nodes' data; default: a temporary one");
+DEFINE_int64(first_seed, 1, "simulate: first seed");
+DEFINE_int64(runs, 100, "simulate: number of seeds");
 
 namespace larchlever::cli {
 
@@ -47,6 +49,9 @@
       {"drain",
        {"empty a machine for a planned stop: drain MACHINE [--undo]",
         [](const auto& arguments) { return run_drain(arguments); }}},
+      {"simulate",
+       {"run fault schedules in virtual time: [--first_seed=N] [--runs=N]",
+        [](const auto&) { return run_simulate(); }}},
       {"audit", {"changes made, by whom and with which verdict", [](const auto&) { return run_audit(); }}},
   };
   return table;
--- a/src/cli/command_line.h
+++ b/src/cli/command_line.h
@@ -32,5 +32,6 @@
 int run_machines();
 int run_drain(const std::vector<std::string>& arguments);
 int run_audit();
+int run_simulate();
 
 }  // namespace larchlever::cli
--- a/src/cli/flags.h
+++ b/src/cli/flags.h
@@ -12,3 +12,5 @@
 DECLARE_int32(port_base);
 DECLARE_int32(seconds);
 DECLARE_string(data);
+DECLARE_int64(first_seed);
+DECLARE_int64(runs);
--- a/src/cli/operator_commands.cc
+++ b/src/cli/operator_commands.cc
@@ -87,13 +87,13 @@
 }
 
 const char* group_state_name(wire::GroupState::type state) {
-  static const char* const kNames[] = {"planned", "loading", "ready", "serving", "draining", "releasing", "gone"};
-  return kNames[state];
+  static const char* const names[] = {"planned", "loading", "ready", "serving", "draining", "releasing", "gone"};
+  return names[state];
 }
 
 const char* machine_state_name(const wire::Machine& machine) {
-  static const char* const kNames[] = {"free", "owned", "releasing", "leaving"};
-  return machine.leaving && machine.state == wire::MachineState::FREE ? "leaving" : kNames[machine.state];
+  static const char* const names[] = {"free", "owned", "releasing", "leaving"};
+  return machine.leaving && machine.state == wire::MachineState::FREE ? "leaving" : names[machine.state];
 }
 
 /// Prints rows under headings, or as a JSON list of objects.
--- a/src/consensus/raft_node.cc
+++ b/src/consensus/raft_node.cc
@@ -28,9 +28,10 @@
 
 }  // namespace
 
-RaftNode::RaftNode(ReplicaId replica_id, const RaftOptions& options, PersistedState persisted, uint64_t seed,
-                   TimePoint now)
+RaftNode::RaftNode(ReplicaId replica_id, Incarnation boot, const RaftOptions& options, PersistedState persisted,
+                   uint64_t seed, TimePoint now)
     : id_(replica_id),
+      boot_(boot),
       options_(options),
       random_(seed),
       log_(persisted.snapshot, std::move(persisted.entries)),
@@ -365,6 +366,9 @@
   reply.success = success;
   reply.match_index = match;
   reply.sent_at_us = sent_at_us;
+  reply.last_index = log_.last_index();
+  reply.boot = boot_.value();
+  reply.order = next_reply_++;
   message.__set_append_reply(reply);
   return message.append_reply;
 }
@@ -423,12 +427,13 @@
     return;
   }
   Progress& progress = found->second;
-  const bool newest = reply.sent_at_us >= progress.lease_contact_us;
+  const std::pair<int64_t, int64_t> reply_number(reply.boot, reply.order);
   progress.last_reply = now;
   progress.replied = true;
-  if (!reply.success && newest && reply.match_index < progress.match_index) {
-    // It acknowledged more, on disk, than it now has: the disk was rolled back. Its acknowledgements and votes are
-    // worth nothing any more; only a new identity may come back.
+  if (!reply.success && reply_number > progress.match_reply && reply.last_index < progress.match_index) {
+    // It acknowledged more, on disk, than it held when it gave this later reply: the disk was rolled back. Its
+    // acknowledgements and votes are worth nothing any more; only a new identity may come back. The replies' numbers
+    // matter: a refusal given before the acknowledgement may arrive after it.
     ++stats_.rollbacks_detected;
     rolled_back_.insert(from);
     progress.match_index = 0;
@@ -444,6 +449,7 @@
     send_append(now, from, true);
     return;
   }
+  progress.match_reply = std::max(progress.match_reply, reply_number);
   if (reply.match_index > progress.match_index) {
     progress.match_index = reply.match_index;
     progress.snapshot_in_flight = false;
@@ -478,7 +484,10 @@
   last_leader_contact_ = now;
   // A leader is in touch and will say whether our disk lost anything: give it time to.
   restart_check_deadline_ = now + options_.restart_check;
-  if (request.header.index > commit_index_) {
+  if (log_.term_at(request.header.index) == request.header.term) {
+    // Our log already contains what the snapshot covers, and perhaps acknowledged entries after it: keep them.
+    commit_index_ = std::max(commit_index_, request.header.index);
+  } else if (request.header.index > commit_index_) {
     ++stats_.snapshots_installed;
     snapshot_ = Snapshot{request.header, request.state, true};
     log_.reset(request.header);
--- a/src/consensus/raft_node.h
+++ b/src/consensus/raft_node.h
@@ -82,8 +82,10 @@
 /// Thread rules: none of its own; the owner serialises all calls.
 class RaftNode {
  public:
-  /// `replica_id` is the identity stored in the data folder. `seed` feeds the election timer only.
-  RaftNode(ReplicaId replica_id, const RaftOptions& options, PersistedState persisted, uint64_t seed, TimePoint now);
+  /// `replica_id` is the identity stored in the data folder, `boot` must rise with every start of this replica. `seed`
+  /// feeds the election timer only.
+  RaftNode(ReplicaId replica_id, Incarnation boot, const RaftOptions& options, PersistedState persisted, uint64_t seed,
+           TimePoint now);
 
   /// Makes the first log of a new fleet: one voter. To be persisted before the node is constructed.
   static PersistedState bootstrap(const wire::ReplicaAddress& first_voter);
@@ -141,6 +143,8 @@
   struct Progress {
     int64_t next_index = 1;
     int64_t match_index = 0;
+    /// Start and number of the reply that last confirmed a match.
+    std::pair<int64_t, int64_t> match_reply{0, 0};
     size_t appends_in_flight = 0;
     int64_t lease_contact_us = -1;  ///< Our clock when the newest answered append was sent.
     TimePoint last_reply{};
@@ -175,6 +179,8 @@
   wire::AppendReply& append_reply_to(int64_t to, bool success, int64_t match, int64_t sent_at_us);
 
   ReplicaId id_;
+  Incarnation boot_;
+  int64_t next_reply_ = 1;
   RaftOptions options_;
   std::mt19937_64 random_;
   ReplicatedLog log_;
--- a/src/core/control/control_leader.cc
+++ b/src/core/control/control_leader.cc
@@ -283,9 +283,14 @@
 // ------------------------------------------------------- machines and nodes
 
 void ControlLeader::membership_list(const std::vector<wire::Machine>& machines) {
+  std::set<std::string> leaving;
   for (const auto& machine : machines) {
     hints_[machine.id] = machine;
+    if (machine.leaving) {
+      leaving.insert(machine.id);
+    }
   }
+  groups_.set_leaving(std::move(leaving));
 }
 
 void ControlLeader::update_watches(TimePoint now, const ControlState& state) {
@@ -354,15 +359,21 @@
   outputs_.proposals.push_back(std::move(proposal));
 }
 
-void ControlLeader::proposed(int64_t index, Proposal proposal) { in_flight_[index] = std::move(proposal); }
+void ControlLeader::proposed(int64_t index, int64_t term, Proposal proposal) {
+  proposal.term = term;
+  in_flight_[index] = std::move(proposal);
+}
 
-void ControlLeader::applied(TimePoint now, int64_t index, const ApplyResult& result) {
+void ControlLeader::applied(TimePoint now, int64_t index, int64_t term, const ApplyResult& result) {
   const auto found = in_flight_.find(index);
   if (found == in_flight_.end()) {
     return;
   }
   const Proposal proposal = std::move(found->second);
   in_flight_.erase(found);
+  if (proposal.term != term) {
+    return;
+  }
   for (size_t position = 0; position < proposal.claim_requests.size(); ++position) {
     const auto& [node, request_id] = proposal.claim_requests[position];
     const auto& decision = result.claim_decisions[position];
--- a/src/core/control/control_leader.h
+++ b/src/core/control/control_leader.h
@@ -44,6 +44,7 @@
     std::vector<std::pair<std::string, int64_t>> claim_requests;       ///< node, request id; in the order of claims
     std::vector<std::pair<std::string, int64_t>> resolution_requests;  ///< node, request id
     std::optional<std::pair<std::string, int64_t>> operator_request;
+    int64_t term = 0;
   };
   struct Outputs {
     std::vector<Proposal> proposals;
@@ -62,10 +63,11 @@
   void membership_list(const std::vector<wire::Machine>& machines);
   void order_result(const OrderResult& result) { groups_.order_result(result); }
 
-  /// A proposal stands in the log at `index`.
-  void proposed(int64_t index, Proposal proposal);
-  /// The log entry at `index` was applied with this result.
-  void applied(TimePoint now, int64_t index, const ApplyResult& result);
+  /// A proposal stands in the log at `index`, appended in `term`.
+  void proposed(int64_t index, int64_t term, Proposal proposal);
+  /// The log entry at `index`, of `term`, was applied with this result. An entry of another term than the proposal's is
+  /// another leader's: ours was overwritten, and whoever waits for it must ask again.
+  void applied(TimePoint now, int64_t index, int64_t term, const ApplyResult& result);
   void tick(TimePoint now, const consensus::RaftNode& raft, const ControlState& state);
   Outputs take_outputs();
 
--- a/src/core/control/control_state.cc
+++ b/src/core/control/control_state.cc
@@ -1,5 +1,7 @@
 #include "core/control/control_state.h"
 
+#include <xxhash.h>
+
 #include <algorithm>
 #include <set>
 
@@ -63,6 +65,11 @@
   return result;
 }
 
+void ControlState::extend_history(int64_t index, std::string_view payload) {
+  const uint64_t seed = history_digest_ ^ static_cast<uint64_t>(index);
+  history_digest_ = XXH3_64bits_withSeed(payload.data(), payload.size(), seed);
+}
+
 // ------------------------------------------------------------ configuration
 
 const wire::ChangeAnswer* ControlState::find_answer(const std::string& command_id) const {
@@ -334,6 +341,7 @@
   }
   snapshot.next_group_id = next_group_id_;
   snapshot.clock_ms = clock_ms_;
+  snapshot.history_digest = static_cast<int64_t>(history_digest_);
   snapshot.oldest_delta_revision = records_.oldest_delta().value();
   return wire::encode(snapshot);
 }
@@ -347,6 +355,7 @@
   applied_index_ = snapshot->applied_index;
   clock_ms_ = snapshot->clock_ms;
   next_group_id_ = snapshot->next_group_id;
+  history_digest_ = static_cast<uint64_t>(snapshot->history_digest);
   records_.restore(snapshot->records, Revision(snapshot->oldest_delta_revision),
                    Revision(snapshot->oldest_delta_revision));
   for (const auto& machine : snapshot->machines) {
--- a/src/core/control/control_state.h
+++ b/src/core/control/control_state.h
@@ -5,6 +5,7 @@
 #include <map>
 #include <optional>
 #include <string>
+#include <string_view>
 #include <vector>
 
 #include "core/base/ids.h"
@@ -37,6 +38,11 @@
   /// state changes nothing.
   ApplyResult apply(int64_t index, const wire::Command& command);
 
+  /// Chains the raw bytes of the entry just applied into the history digest.
+  void extend_history(int64_t index, std::string_view payload);
+  /// Equal on all replicas that applied the same entries; tells apart replicas that did not.
+  uint64_t history_digest() const { return history_digest_; }
+
   int64_t applied_index() const { return applied_index_; }
   int64_t clock_ms() const { return clock_ms_; }
   const config::RecordTable& records() const { return records_; }
@@ -70,6 +76,7 @@
   int64_t applied_index_ = 0;
   int64_t clock_ms_ = 0;
   int64_t next_group_id_ = 1;
+  uint64_t history_digest_ = 0;
   config::RecordTable records_;
   std::map<std::string, wire::Machine> machines_;
   std::map<int64_t, wire::Group> groups_;
--- a/src/core/control/group_supervisor.cc
+++ b/src/core/control/group_supervisor.cc
@@ -263,7 +263,8 @@
     bool complete = true;
     for (size_t rank = 0; rank < group.machines.size() && complete; ++rank) {
       const auto* sighting = presence.find(group.machines[rank]);
-      complete = presence.is_present(group.machines[rank], group.incarnations[rank], now, options_.presence_bound) &&
+      complete = !leaving_.contains(group.machines[rank]) &&
+                 presence.is_present(group.machines[rank], group.incarnations[rank], now, options_.presence_bound) &&
                  sighting->group_id == group.id && sighting->epoch == group.epoch;
     }
     if (!complete) {
--- a/src/core/control/group_supervisor.h
+++ b/src/core/control/group_supervisor.h
@@ -49,6 +49,9 @@
   Actions tick(TimePoint now, int64_t term, const ControlState& state, const PresenceTable& presence);
   void order_result(const OrderResult& result);
 
+  /// Machines that the platform calls leaving: their groups get no lease, hence no new work, from now on.
+  void set_leaving(std::set<std::string> machines) { leaving_ = std::move(machines); }
+
   /// Grants every open group until `until` (leader's count, drift included) and lists the grants.
   std::vector<wire::GroupLease> grant_leases(TimePoint now, TimePoint until, const ControlState& state,
                                              const PresenceTable& presence);
@@ -86,6 +89,7 @@
   int64_t term_ = 0;
   int loads_in_progress_ = 0;
   std::map<int64_t, TimePoint> lease_until_;
+  std::set<std::string> leaving_;
   std::map<int64_t, TimePoint> draining_since_;
   std::map<OrderKey, OrderProgress> loads_;
   std::map<OrderKey, OrderProgress> releases_;
--- a/src/core/node/entry_agent.cc
+++ b/src/core/node/entry_agent.cc
@@ -19,7 +19,9 @@
       identity_(std::move(identity)),
       control_nodes_(std::move(control_nodes)),
       router_(policy, seed),
-      admission_(queue_limit) {
+      admission_(queue_limit),
+      // As for request ids: a late reply to the process before this one must match nothing.
+      sequence_(identity_.incarnation.value()) {
   rotate_leader();
 }
 
--- a/src/core/node/entry_agent.h
+++ b/src/core/node/entry_agent.h
@@ -21,7 +21,8 @@
 struct NodeIdentity {
   std::string node;
   std::string zone;
-  /// Rises with every start of the process.
+  /// Rises with every start of the process, by more than the messages that the process before it sent: the daemon
+  /// takes microseconds of the wall clock.
   Incarnation incarnation;
   std::string peer_address;
   std::string service_address;
@@ -79,7 +80,7 @@
   routing::Router router_;
   admission::AdmissionController admission_;
   bool leaving_ = false;
-  int64_t sequence_ = 0;
+  int64_t sequence_;
   int64_t acknowledged_sequence_ = 0;
   TimePoint next_heartbeat_ = TimePoint::min();
   TimePoint last_reply_ = TimePoint::min();
--- a/src/core/node/node_controller.cc
+++ b/src/core/node/node_controller.cc
@@ -16,6 +16,9 @@
     : options_(options),
       node_(identity.node),
       incarnation_(identity.incarnation),
+      // Never the same in two incarnations: an answer that was under way when the process restarted must not pass for
+      // the answer to a new request.
+      next_request_id_(identity.incarnation.value()),
       entry_(options.control, std::move(identity), options.control_nodes, options.routing_policy, options.queue_limit,
              options.seed),
       leader_(options.control, node_) {}
@@ -24,7 +27,7 @@
   state_ = control::ControlState();
   led_term_ = -1;
   last_snapshot_index_ = persisted.snapshot.index;
-  raft_.emplace(replica_id, options_.raft, std::move(persisted), options_.seed, now);
+  raft_.emplace(replica_id, incarnation_, options_.raft, std::move(persisted), options_.seed, now);
 }
 
 void NodeController::replica_failed() { raft_.reset(); }
@@ -278,7 +281,9 @@
     }
     const auto command = wire::decode<wire::Command>(entry.payload);
     if (command) {
-      leader_.applied(now, entry.index, state_.apply(entry.index, *command));
+      const auto result = state_.apply(entry.index, *command);
+      state_.extend_history(entry.index, entry.payload);
+      leader_.applied(now, entry.index, entry.term, result);
     }
   }
   if (state_.applied_index() - last_snapshot_index_ >= options_.control.snapshot_interval) {
@@ -295,7 +300,7 @@
   for (auto& proposal : leader_outputs.proposals) {
     proposal.command.at_ms = std::max(wall_ms_, state_.clock_ms());
     if (const auto index = raft_->propose(now, wire::encode(proposal.command))) {
-      leader_.proposed(*index, std::move(proposal));
+      leader_.proposed(*index, raft_->term(), std::move(proposal));
     }
   }
   if (leader_outputs.replicas) {
--- a/src/core/node/node_controller.h
+++ b/src/core/node/node_controller.h
@@ -114,6 +114,7 @@
   NodeControllerOptions options_;
   std::string node_;
   Incarnation incarnation_;
+  int64_t next_request_id_;
   EntryAgent entry_;
   control::ControlState state_;
   control::ControlLeader leader_;
@@ -121,7 +122,6 @@
   int64_t led_term_ = -1;
   int64_t wall_ms_ = 0;
   int64_t last_snapshot_index_ = 0;
-  int64_t next_request_id_ = 1;
   bool leaving_ = false;
   TimePoint next_hand_over_{};
   std::map<int64_t, Pending<wire::OperatorRequest>> operator_requests_;
--- a/src/net/http_client.cc
+++ b/src/net/http_client.cc
@@ -96,7 +96,7 @@
   BeastClientStream(std::unique_ptr<Connection> connection, std::unique_ptr<Parser> parser, KeepConnection keep)
       : connection_(std::move(connection)), parser_(std::move(parser)), keep_(std::move(keep)) {
     const auto& message = parser_->get();
-    head_.status = message.result_int();
+    head_.status = static_cast<int>(message.result_int());
     head_.reason = std::string(message.reason());
     for (const auto& field : message) {
       head_.headers.add(std::string(field.name_string()), std::string(field.value()));
--- a/src/node/model_call.cc
+++ b/src/node/model_call.cc
@@ -84,7 +84,9 @@
   if (call.model.empty()) {
     return fail(problem, 400, "no model named", "set \"model\" to MODEL or MODEL:ADAPTER");
   }
-  if (call.chat ? !read_messages(body, call.prompt) : (call.prompt = text(body, "prompt")).empty()) {
+  call.prompt = text(body, "prompt");
+  const bool has_prompt = call.chat ? read_messages(body, call.prompt) : !call.prompt.empty();
+  if (!has_prompt) {
     return fail(problem, 400, call.chat ? "messages are missing or malformed" : "prompt is missing",
                 call.chat ? "send \"messages\" as a list of {role, content}" : "send \"prompt\" as a text");
   }
--- a/src/node/node_runtime.h
+++ b/src/node/node_runtime.h
@@ -111,7 +111,6 @@
   std::string last_leader_;
   bool had_lease_ = false;
   bool was_leader_ = false;
-  int64_t last_revision_ = 0;
   RuntimeStats stats_;
 };
 
--- a/src/settings/node_settings.cc
+++ b/src/settings/node_settings.cc
@@ -133,10 +133,10 @@
 std::optional<NodeSettings> parse_node_settings(const std::string& text, std::vector<std::string>& errors) {
   const size_t faults_before = errors.size();
   const IniDocument document = IniDocument::parse(text, errors);
-  static const std::set<std::string> kSections = {"node",      "control_nodes", "platform", "control",
-                                                  "consensus", "requests",      "log"};
+  static const std::set<std::string> sections = {"node",      "control_nodes", "platform", "control",
+                                                 "consensus", "requests",      "log"};
   for (const auto& section : document.sections()) {
-    if (!kSections.contains(section.name)) {
+    if (!sections.contains(section.name)) {
       errors.push_back("[" + section.name + "]: unknown section; remove it or correct its spelling");
     }
   }
--- /dev/null
+++ b/src/simulation/event_queue.h
@@ -0,0 +1,50 @@
+#pragma once
+
+#include <cstdint>
+#include <functional>
+#include <queue>
+#include <vector>
+
+#include "core/base/time.h"
+
+namespace larchlever::simulation {
+
+/// Virtual time: actions run in the order of their times, and of their scheduling where times are equal.
+class EventQueue {
+ public:
+  TimePoint now() const { return now_; }
+  void at(TimePoint time, std::function<void()> action) {
+    events_.push(Event{time < now_ ? now_ : time, next_++, std::move(action)});
+  }
+  void after(Duration delay, std::function<void()> action) { at(now_ + delay, std::move(action)); }
+  /// Runs everything up to `end`; false once `stop` says so.
+  void run_until(TimePoint end, const std::function<bool()>& stop) {
+    while (!events_.empty() && events_.top().time <= end && !stop()) {
+      // The action may schedule more, so it leaves the queue before it runs.
+      auto action = std::move(const_cast<Event&>(events_.top()).action);
+      now_ = events_.top().time;
+      events_.pop();
+      ++executed_;
+      action();
+    }
+    if (!stop()) {
+      now_ = end;
+    }
+  }
+  uint64_t executed() const { return executed_; }
+
+ private:
+  struct Event {
+    TimePoint time;
+    uint64_t order;
+    std::function<void()> action;
+    bool operator<(const Event& other) const { return time != other.time ? time > other.time : order > other.order; }
+  };
+
+  std::priority_queue<Event> events_;
+  TimePoint now_{};
+  uint64_t next_ = 0;
+  uint64_t executed_ = 0;
+};
+
+}  // namespace larchlever::simulation
--- /dev/null
+++ b/src/simulation/simulated_fleet.h
@@ -0,0 +1,152 @@
+#pragma once
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <random>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "core/node/node_controller.h"
+#include "simulation/event_queue.h"
+#include "simulation/invariant_monitor.h"
+#include "simulation/simulated_machine.h"
+#include "simulation/virtual_disk.h"
+
+namespace larchlever::simulation {
+
+/// A zone of the simulated fleet.
+struct ZoneShape {
+  std::string name;
+  int domains = 2;
+  int machines_per_domain = 3;
+  int accelerators = 8;
+  bool checks_fences = true;
+};
+
+/// Defects that can be switched on, to see that the monitor catches them.
+struct PlantedDefects {
+  bool entries_ignore_leases = false;   ///< Dispatch by the table held, lease or not.
+  bool entries_ignore_zones = false;    ///< Dispatch to any group of the template.
+  bool lying_disk = false;              ///< Writes are acknowledged before they are synced.
+  bool dispatch_without_claim = false;  ///< A keyed request runs without asking a quorum.
+  bool unknown_told_as_not_run = false;
+  bool in_force_at_commit = false;  ///< A change counts as in force once committed.
+  bool reads_from_any_node = false;
+};
+
+struct FleetOptions {
+  std::vector<ZoneShape> zones;
+  int nodes = 6;
+  int disks = 4;
+  node::NodeControllerOptions controller;
+  Duration tick = milliseconds(20);
+  Duration network_delay = microseconds(500);
+  Duration network_jitter = milliseconds(2);
+  Duration disk_sync = milliseconds(2);
+  Duration load_time = milliseconds(800);
+  Duration poll_interval = milliseconds(400);
+  Duration membership_lag = seconds(2);
+  double clock_drift = 0.004;
+  PlantedDefects defects;
+  uint64_t seed = 1;
+};
+
+/// State of the links between nodes.
+struct NetworkFaults {
+  double loss = 0;
+  double duplication = 0;
+  Duration extra_delay{};
+  /// One-way cuts: messages from first to second are dropped.
+  std::set<std::pair<std::string, std::string>> cuts;
+};
+
+struct SimulatedNode {
+  std::string name;
+  std::string zone;
+  bool has_disk = false;
+  bool running = false;
+  TimePoint paused_until = TimePoint::min();
+  double clock_rate = 1.0;
+  int64_t incarnation = 0;
+  uint64_t generation = 0;
+  bool syncing = false;
+  std::unique_ptr<node::NodeController> controller;
+  VirtualDisk disk;
+  std::vector<std::function<void()>> held;  ///< What arrived while the node was paused.
+};
+
+/// Nodes, machines and the network between them in virtual time. The nodes run the daemon's own NodeController; only
+/// network, disk, clock and back ends are simulated. Deterministic for a seed; single-threaded.
+class SimulatedFleet {
+ public:
+  SimulatedFleet(const FleetOptions& options, EventQueue& queue, InvariantMonitor& monitor);
+
+  /// Bootstraps the region on the first node and starts everything.
+  void start();
+
+  void crash(const std::string& node);
+  void restart(const std::string& node);
+  void pause(const std::string& node, Duration duration);
+  /// The node's disk is replaced by an empty one; the node must be down.
+  void lose_disk(const std::string& node);
+  bool roll_back_disk(const std::string& node);
+  NetworkFaults& network() { return network_; }
+
+  std::map<std::string, SimulatedNode>& nodes() { return nodes_; }
+  std::map<std::string, SimulatedMachine>& machines() { return machines_; }
+  SimulatedNode* leader();
+  TimePoint local_now(const SimulatedNode& node) const;
+  bool is_up(const SimulatedNode& node) const { return node.running && queue_.now() >= node.paused_until; }
+  std::mt19937_64& random() { return random_; }
+  const FleetOptions& options() const { return options_; }
+  EventQueue& queue() { return queue_; }
+  InvariantMonitor& monitor() { return monitor_; }
+  Duration random_delay();
+  /// Carries out whatever the node's controller has put out. To be called after every input to a controller.
+  void pump(SimulatedNode& node);
+
+  /// Sends a request to a group's first machine; `done` gets whether it ran there (or nothing if that stays unknown).
+  enum class RunResult { kRan, kRefused, kLost };
+  void run_request(SimulatedNode& node, const wire::Group& group, const std::string& tenant,
+                   const std::string& request_id, const std::string& key, Duration service_time,
+                   std::function<void(RunResult)> done);
+
+  std::function<void(SimulatedNode&, const node::ClaimOutcome&)> on_claim;
+  std::function<void(SimulatedNode&, const wire::OperatorReply&)> on_operator_reply;
+  std::function<void(SimulatedNode&)> on_tick;
+
+  uint64_t messages() const { return messages_; }
+  uint64_t bytes_of(const wire::Envelope& envelope) const;
+
+ private:
+  void start_node(SimulatedNode& node);
+  void tick(const std::string& name, uint64_t generation);
+  void deliver(const std::string& to, wire::Envelope envelope);
+  void transmit(const wire::Envelope& envelope);
+  void start_sync(SimulatedNode& node);
+  void poll(const std::string& name, uint64_t generation);
+  void publish_members(const std::string& name, uint64_t generation);
+  void send_order(SimulatedNode& node, const control::EngineOrder& order);
+  void check(SimulatedNode& node);
+  bool machine_link_is_cut(const std::string& node) const;
+  /// Runs `action` on the node now, when its pause ends, or never if that incarnation has ended.
+  void on_node(const std::string& name, uint64_t generation, std::function<void(SimulatedNode&)> action);
+  double chance() { return std::uniform_real_distribution<double>(0, 1)(random_); }
+
+  FleetOptions options_;
+  EventQueue& queue_;
+  InvariantMonitor& monitor_;
+  std::mt19937_64 random_;
+  std::map<std::string, SimulatedNode> nodes_;
+  std::map<std::string, SimulatedMachine> machines_;
+  NetworkFaults network_;
+  int64_t next_incarnation_ = 1;
+  int64_t next_replica_ = 1000;
+  uint64_t messages_ = 0;
+};
+
+}  // namespace larchlever::simulation
--- /dev/null
+++ b/src/simulation/simulated_machine.cc
@@ -0,0 +1,83 @@
+#include "simulation/simulated_machine.h"
+
+#include <algorithm>
+
+namespace larchlever::simulation {
+
+control::OrderVerdict SimulatedMachine::obey(const control::EngineOrder& order, TimePoint now, Duration load_time) {
+  if (order.incarnation != incarnation) {
+    return control::OrderVerdict::kWrongIncarnation;
+  }
+  const bool old = order.epoch < newest_epoch || (order.epoch == newest_epoch && order.term < newest_term);
+  if (checks_fences && old) {
+    return control::OrderVerdict::kFenced;
+  }
+  newest_epoch = order.epoch;
+  newest_term = order.term;
+  if (order.kind == control::OrderKind::kRelease) {
+    if (epoch == order.epoch || !checks_fences) {
+      group_id = 0;
+      epoch = 0;
+      load = 0;
+      loaded_at = TimePoint::max();
+    }
+    return control::OrderVerdict::kDone;
+  }
+  if (epoch == order.epoch && group_id == order.group_id) {
+    return control::OrderVerdict::kDone;
+  }
+  group_id = order.group_id;
+  epoch = order.epoch;
+  load = 0;
+  const std::string wanted = order.model + "@" + order.version;
+  loaded_at = weights == wanted ? now : now + load_time;
+  weights = wanted;
+  return control::OrderVerdict::kDone;
+}
+
+wire::MachineSighting SimulatedMachine::state(TimePoint now) const {
+  wire::MachineSighting sighting;
+  sighting.machine = id;
+  sighting.incarnation = incarnation;
+  sighting.group_id = group_id;
+  sighting.epoch = epoch;
+  sighting.loaded = group_id != 0 && now >= loaded_at;
+  sighting.load = load;
+  return sighting;
+}
+
+void SimulatedMachine::die(TimePoint now) {
+  alive = false;
+  paused = false;
+  unavailable_since = std::min(unavailable_since, now);
+}
+
+void SimulatedMachine::come_back(TimePoint) {
+  alive = true;
+  paused = false;
+  unavailable_since = TimePoint::max();
+  ++incarnation;
+  group_id = 0;
+  epoch = 0;
+  newest_epoch = 0;
+  newest_term = 0;
+  load = 0;
+  weights.clear();
+  loaded_at = TimePoint::max();
+}
+
+void SimulatedMachine::pause(TimePoint now) {
+  if (alive && !paused) {
+    paused = true;
+    unavailable_since = now;
+  }
+}
+
+void SimulatedMachine::resume() {
+  if (alive && paused) {
+    paused = false;
+    unavailable_since = TimePoint::max();
+  }
+}
+
+}  // namespace larchlever::simulation
--- /dev/null
+++ b/src/simulation/workload.h
@@ -0,0 +1,88 @@
+#pragma once
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "simulation/simulated_fleet.h"
+
+namespace larchlever::simulation {
+
+struct WorkloadOptions {
+  Duration request_interval = milliseconds(120);
+  Duration change_interval = milliseconds(900);
+  Duration service_time = milliseconds(150);
+  int operators = 2;
+  std::vector<std::string> tenants;
+};
+
+struct WorkloadStats {
+  uint64_t requests = 0;
+  uint64_t ran = 0;
+  uint64_t not_run = 0;
+  uint64_t unknown = 0;
+  uint64_t replayed = 0;
+  uint64_t changes = 0;
+  uint64_t accepted = 0;
+  uint64_t conflicts = 0;
+  uint64_t in_force = 0;
+};
+
+/// Callers who send and resend keyed requests through several nodes, and operators who race each other and resend
+/// commands whose answers they lost. It does in virtual time what the callers' front does in the daemon, with the same
+/// claims, routing and outcomes.
+class Workload {
+ public:
+  Workload(const WorkloadOptions& options, SimulatedFleet& fleet);
+
+  /// Keeps sending until `end`.
+  void start(TimePoint end);
+  /// Sends one change to `tenant` and resends it until answered; `done` gets the answer.
+  void apply_change(const std::string& tenant, std::function<void(const wire::OperatorReply&)> done);
+  /// Applies the first templates; `done` once they are in force.
+  void configure(const std::vector<wire::KeyWrite>& writes, std::function<void()> done);
+  /// Resends every command that was answered: the answers must be the same.
+  void resend_all();
+
+  const WorkloadStats& stats() const { return stats_; }
+
+ private:
+  struct Request {
+    std::string tenant;
+    std::string key;
+    std::string id;
+    int sends_left = 0;
+    int attempts_left = 3;
+    int64_t nonce = 0;
+    std::set<int64_t> tried;
+  };
+  using RequestPointer = std::shared_ptr<Request>;
+  using ReplyHandler = std::function<void(const wire::OperatorReply&)>;
+
+  void next_request(TimePoint end);
+  void next_change(TimePoint end, int operator_number);
+  SimulatedNode* any_node();
+  void send(SimulatedNode& node, const RequestPointer& request);
+  void dispatch(SimulatedNode& node, const RequestPointer& request);
+  void plant_dispatch_defects(const routing::Router& router, const routing::TenantView* tenant,
+                              routing::RouteDecision& decision);
+  void finish(SimulatedNode& node, const RequestPointer& request, wire::ClaimState::type state);
+  void resend_later(const RequestPointer& request);
+  void claim_decided(SimulatedNode& node, const node::ClaimOutcome& outcome);
+  void operate(const wire::OperatorRequest& request, const ReplyHandler& handler, int tries);
+  void send_change(const wire::ConfigurationChange& change, const ReplyHandler& handler);
+  void note_answer(const wire::ConfigurationChange& change, const wire::OperatorReply& reply);
+
+  WorkloadOptions options_;
+  SimulatedFleet& fleet_;
+  std::map<std::pair<std::string, int64_t>, RequestPointer> claims_;
+  std::map<std::pair<std::string, int64_t>, ReplyHandler> replies_;
+  std::map<std::string, wire::ConfigurationChange> answered_;
+  int64_t next_id_ = 1;
+  WorkloadStats stats_;
+};
+
+}  // namespace larchlever::simulation
--- a/src/wire/gen-cpp/larchlever_types.cpp
+++ b/src/wire/gen-cpp/larchlever_types.cpp
@@ -1576,6 +1576,18 @@
 void AppendReply::__set_sent_at_us(const int64_t val) {
   this->sent_at_us = val;
 }
+
+void AppendReply::__set_last_index(const int64_t val) {
+  this->last_index = val;
+}
+
+void AppendReply::__set_boot(const int64_t val) {
+  this->boot = val;
+}
+
+void AppendReply::__set_order(const int64_t val) {
+  this->order = val;
+}
 std::ostream& operator<<(std::ostream& out, const AppendReply& obj)
 {
   obj.printTo(out);
@@ -1636,6 +1648,30 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->last_index);
+          this->__isset.last_index = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 6:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->boot);
+          this->__isset.boot = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 7:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->order);
+          this->__isset.order = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -1669,6 +1705,18 @@
   xfer += oprot->writeI64(this->sent_at_us);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("last_index", ::apache::thrift::protocol::T_I64, 5);
+  xfer += oprot->writeI64(this->last_index);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("boot", ::apache::thrift::protocol::T_I64, 6);
+  xfer += oprot->writeI64(this->boot);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("order", ::apache::thrift::protocol::T_I64, 7);
+  xfer += oprot->writeI64(this->order);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -1680,6 +1728,9 @@
   swap(a.success, b.success);
   swap(a.match_index, b.match_index);
   swap(a.sent_at_us, b.sent_at_us);
+  swap(a.last_index, b.last_index);
+  swap(a.boot, b.boot);
+  swap(a.order, b.order);
   swap(a.__isset, b.__isset);
 }
 
@@ -1688,6 +1739,9 @@
   success = other51.success;
   match_index = other51.match_index;
   sent_at_us = other51.sent_at_us;
+  last_index = other51.last_index;
+  boot = other51.boot;
+  order = other51.order;
   __isset = other51.__isset;
 }
 AppendReply::AppendReply(AppendReply&& other52) noexcept {
@@ -1695,6 +1749,9 @@
   success = other52.success;
   match_index = other52.match_index;
   sent_at_us = other52.sent_at_us;
+  last_index = other52.last_index;
+  boot = other52.boot;
+  order = other52.order;
   __isset = other52.__isset;
 }
 AppendReply& AppendReply::operator=(const AppendReply& other53) noexcept {
@@ -1702,6 +1759,9 @@
   success = other53.success;
   match_index = other53.match_index;
   sent_at_us = other53.sent_at_us;
+  last_index = other53.last_index;
+  boot = other53.boot;
+  order = other53.order;
   __isset = other53.__isset;
   return *this;
 }
@@ -1710,6 +1770,9 @@
   success = other54.success;
   match_index = other54.match_index;
   sent_at_us = other54.sent_at_us;
+  last_index = other54.last_index;
+  boot = other54.boot;
+  order = other54.order;
   __isset = other54.__isset;
   return *this;
 }
@@ -1720,6 +1783,9 @@
   out << ", " << "success=" << to_string(success);
   out << ", " << "match_index=" << to_string(match_index);
   out << ", " << "sent_at_us=" << to_string(sent_at_us);
+  out << ", " << "last_index=" << to_string(last_index);
+  out << ", " << "boot=" << to_string(boot);
+  out << ", " << "order=" << to_string(order);
   out << ")";
 }
 
@@ -7220,6 +7286,10 @@
 void ControlSnapshot::__set_oldest_delta_revision(const int64_t val) {
   this->oldest_delta_revision = val;
 }
+
+void ControlSnapshot::__set_history_digest(const int64_t val) {
+  this->history_digest = val;
+}
 std::ostream& operator<<(std::ostream& out, const ControlSnapshot& obj)
 {
   obj.printTo(out);
@@ -7380,6 +7450,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 10:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->history_digest);
+          this->__isset.history_digest = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -7473,6 +7551,10 @@
   xfer += oprot->writeI64(this->oldest_delta_revision);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("history_digest", ::apache::thrift::protocol::T_I64, 10);
+  xfer += oprot->writeI64(this->history_digest);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -7489,6 +7571,7 @@
   swap(a.next_group_id, b.next_group_id);
   swap(a.clock_ms, b.clock_ms);
   swap(a.oldest_delta_revision, b.oldest_delta_revision);
+  swap(a.history_digest, b.history_digest);
   swap(a.__isset, b.__isset);
 }
 
@@ -7502,6 +7585,7 @@
   next_group_id = other286.next_group_id;
   clock_ms = other286.clock_ms;
   oldest_delta_revision = other286.oldest_delta_revision;
+  history_digest = other286.history_digest;
   __isset = other286.__isset;
 }
 ControlSnapshot::ControlSnapshot(ControlSnapshot&& other287) noexcept {
@@ -7514,6 +7598,7 @@
   next_group_id = other287.next_group_id;
   clock_ms = other287.clock_ms;
   oldest_delta_revision = other287.oldest_delta_revision;
+  history_digest = other287.history_digest;
   __isset = other287.__isset;
 }
 ControlSnapshot& ControlSnapshot::operator=(const ControlSnapshot& other288) {
@@ -7526,6 +7611,7 @@
   next_group_id = other288.next_group_id;
   clock_ms = other288.clock_ms;
   oldest_delta_revision = other288.oldest_delta_revision;
+  history_digest = other288.history_digest;
   __isset = other288.__isset;
   return *this;
 }
@@ -7539,6 +7625,7 @@
   next_group_id = other289.next_group_id;
   clock_ms = other289.clock_ms;
   oldest_delta_revision = other289.oldest_delta_revision;
+  history_digest = other289.history_digest;
   __isset = other289.__isset;
   return *this;
 }
@@ -7554,6 +7641,7 @@
   out << ", " << "next_group_id=" << to_string(next_group_id);
   out << ", " << "clock_ms=" << to_string(clock_ms);
   out << ", " << "oldest_delta_revision=" << to_string(oldest_delta_revision);
+  out << ", " << "history_digest=" << to_string(history_digest);
   out << ")";
 }
 
--- a/src/wire/gen-cpp/larchlever_types.h
+++ b/src/wire/gen-cpp/larchlever_types.h
@@ -743,11 +743,14 @@
 std::ostream& operator<<(std::ostream& out, const AppendRequest& obj);
 
 typedef struct _AppendReply__isset {
-  _AppendReply__isset() : term(false), success(false), match_index(false), sent_at_us(false) {}
+  _AppendReply__isset() : term(false), success(false), match_index(false), sent_at_us(false), last_index(false), boot(false), order(false) {}
   bool term :1;
   bool success :1;
   bool match_index :1;
   bool sent_at_us :1;
+  bool last_index :1;
+  bool boot :1;
+  bool order :1;
 } _AppendReply__isset;
 
 class AppendReply : public virtual ::apache::thrift::TBase {
@@ -761,7 +764,10 @@
               : term(0),
                 success(0),
                 match_index(0),
-                sent_at_us(0) {
+                sent_at_us(0),
+                last_index(0),
+                boot(0),
+                order(0) {
   }
 
   virtual ~AppendReply() noexcept;
@@ -772,6 +778,18 @@
    */
   int64_t match_index;
   int64_t sent_at_us;
+  /**
+   * Last entry that the sender holds; with `boot` and `order` it shows a disk that lost acknowledged entries.
+   */
+  int64_t last_index;
+  /**
+   * Start of the sender's process; rises with every start.
+   */
+  int64_t boot;
+  /**
+   * Counts the sender's replies since that start: tells a late reply from a newer one.
+   */
+  int64_t order;
 
   _AppendReply__isset __isset;
 
@@ -783,6 +801,12 @@
 
   void __set_sent_at_us(const int64_t val);
 
+  void __set_last_index(const int64_t val);
+
+  void __set_boot(const int64_t val);
+
+  void __set_order(const int64_t val);
+
   bool operator == (const AppendReply & rhs) const
   {
     if (!(term == rhs.term))
@@ -793,6 +817,12 @@
       return false;
     if (!(sent_at_us == rhs.sent_at_us))
       return false;
+    if (!(last_index == rhs.last_index))
+      return false;
+    if (!(boot == rhs.boot))
+      return false;
+    if (!(order == rhs.order))
+      return false;
     return true;
   }
   bool operator != (const AppendReply &rhs) const {
@@ -2879,7 +2909,7 @@
 std::ostream& operator<<(std::ostream& out, const CommandAnswer& obj);
 
 typedef struct _ControlSnapshot__isset {
-  _ControlSnapshot__isset() : applied_index(false), records(false), machines(false), claims(false), audit(false), answers(false), next_group_id(false), clock_ms(false), oldest_delta_revision(false) {}
+  _ControlSnapshot__isset() : applied_index(false), records(false), machines(false), claims(false), audit(false), answers(false), next_group_id(false), clock_ms(false), oldest_delta_revision(false), history_digest(false) {}
   bool applied_index :1;
   bool records :1;
   bool machines :1;
@@ -2889,6 +2919,7 @@
   bool next_group_id :1;
   bool clock_ms :1;
   bool oldest_delta_revision :1;
+  bool history_digest :1;
 } _ControlSnapshot__isset;
 
 /**
@@ -2905,7 +2936,8 @@
                   : applied_index(0),
                     next_group_id(0),
                     clock_ms(0),
-                    oldest_delta_revision(0) {
+                    oldest_delta_revision(0),
+                    history_digest(0) {
   }
 
   virtual ~ControlSnapshot() noexcept;
@@ -2918,6 +2950,10 @@
   int64_t next_group_id;
   int64_t clock_ms;
   int64_t oldest_delta_revision;
+  /**
+   * Chained hash of every command applied: equal on all replicas at the same index.
+   */
+  int64_t history_digest;
 
   _ControlSnapshot__isset __isset;
 
@@ -2939,6 +2975,8 @@
 
   void __set_oldest_delta_revision(const int64_t val);
 
+  void __set_history_digest(const int64_t val);
+
   bool operator == (const ControlSnapshot & rhs) const
   {
     if (!(applied_index == rhs.applied_index))
@@ -2959,6 +2997,8 @@
       return false;
     if (!(oldest_delta_revision == rhs.oldest_delta_revision))
       return false;
+    if (!(history_digest == rhs.history_digest))
+      return false;
     return true;
   }
   bool operator != (const ControlSnapshot &rhs) const {
--- a/src/wire/larchlever.thrift
+++ b/src/wire/larchlever.thrift
@@ -69,6 +69,12 @@
   /** On success the last index known to match; otherwise where to continue from. */
   3: i64 match_index,
   4: i64 sent_at_us,
+  /** Last entry that the sender holds; with `boot` and `order` it shows a disk that lost acknowledged entries. */
+  5: i64 last_index,
+  /** Start of the sender's process; rises with every start. */
+  6: i64 boot,
+  /** Counts the sender's replies since that start: tells a late reply from a newer one. */
+  7: i64 order,
 }
 
 struct SnapshotRequest {
@@ -330,6 +336,8 @@
   7: i64 next_group_id,
   8: i64 clock_ms,
   9: i64 oldest_delta_revision,
+  /** Chained hash of every command applied: equal on all replicas at the same index. */
+  10: i64 history_digest,
 }
 
 // --------------------------------------------------------- node to control
