Let the fault injector wait for a repair to be committed

The injector took a repair for finished while the change that removed the dead voter was only in the leader's own log, then destroyed that leader's disk: two of four voters were gone, which no design of this size survives. Change: a pending change of the replica set counts as an unfinished repair. Conclusion: a fault of the schedule, not of the system; the window between promotion and removal is named in DESIGN.

--- a/src/simulation/fault_injector.cc
+++ b/src/simulation/fault_injector.cc
@@ -171,6 +171,9 @@
     return false;
   }
   const auto& raft = *leader->controller->raft();
+  if (raft.replica_change_pending()) {
+    return false;  // A repair is finished when its last change is committed, not when the leader has thought of it.
+  }
   size_t disks = 0;
   for (auto& [name, node] : fleet_.nodes()) {
     if (!fleet_.is_up(node)) {
