--- a/src/cli/command_line.cc
+++ b/src/cli/command_line.cc
@@ -18,6 +18,13 @@
 DEFINE_string(data, "", "demo: folder for the nodes' data; default: a temporary one");
 DEFINE_int64(first_seed, 1, "simulate: first seed");
 DEFINE_int64(runs, 100, "simulate: number of seeds");
+DEFINE_string(targets, "", "load: service addresses of nodes on loopback, separated by commas");
+DEFINE_string(tenants, "", "load: tenants to send for, separated by commas");
+DEFINE_string(model, "census", "load: model to ask for");
+DEFINE_string(service_path, "", "load: path of a plain service; empty for none");
+DEFINE_string(execution_log, "", "load: the stand-ins' membership address, to check the history against what ran");
+DEFINE_int32(callers, 16, "load: callers at once");
+DEFINE_int64(requests, 1000, "load: requests in all");
 
 namespace larchlever::cli {
 
@@ -49,6 +56,7 @@
       {"drain",
        {"empty a machine for a planned stop: drain MACHINE [--undo]",
         [](const auto& arguments) { return run_drain(arguments); }}},
+      {"load", {"send requests to nodes on loopback and check what came back", [](const auto&) { return run_load(); }}},
       {"simulate",
        {"run fault schedules in virtual time: [--first_seed=N] [--runs=N]",
         [](const auto&) { return run_simulate(); }}},
--- a/src/cli/command_line.h
+++ b/src/cli/command_line.h
@@ -33,5 +33,6 @@
 int run_drain(const std::vector<std::string>& arguments);
 int run_audit();
 int run_simulate();
+int run_load();
 
 }  // namespace larchlever::cli
--- a/src/cli/operator_commands.cc
+++ b/src/cli/operator_commands.cc
@@ -101,17 +101,20 @@
  public:
   explicit Table(std::vector<std::string> headings) : headings_(std::move(headings)) {}
   void add(std::vector<std::string> row) { rows_.push_back(std::move(row)); }
+  json::array as_json() const {
+    json::array list;
+    for (const auto& row : rows_) {
+      json::object object;
+      for (size_t column = 0; column < row.size(); ++column) {
+        object[headings_[column]] = row[column];
+      }
+      list.push_back(std::move(object));
+    }
+    return list;
+  }
   void print() const {
     if (FLAGS_output == "json") {
-      json::array list;
-      for (const auto& row : rows_) {
-        json::object object;
-        for (size_t column = 0; column < row.size(); ++column) {
-          object[headings_[column]] = row[column];
-        }
-        list.push_back(std::move(object));
-      }
-      std::cout << json::serialize(list) << "\n";
+      std::cout << json::serialize(as_json()) << "\n";
       return;
     }
     std::vector<size_t> widths;
@@ -317,14 +320,25 @@
     }
     std::cout << "\n\n";
   }
-  Table table({"node", "zone", "state", "revision", "replica", "service"});
+  Table table({"node", "zone", "state", "revision", "replica", "identity", "service"});
   for (const auto& node : status->nodes) {
     const std::string replica = node.replica_id == 0 ? "-" : voters.contains(node.replica_id) ? "voter" : "standby";
     table.add({node.node, node.zone,
                node.leaving ? "leaving"
                : node.live  ? "live"
                             : "silent",
-               std::to_string(node.revision), replica, node.service_address});
+               std::to_string(node.revision), replica, node.replica_id == 0 ? "-" : std::to_string(node.replica_id),
+               node.service_address});
+  }
+  if (FLAGS_output == "json") {
+    std::cout << json::serialize(json::object{{"leader", status->leader},
+                                              {"term", status->term},
+                                              {"committed", status->commit_index},
+                                              {"voters", status->replicas.voters.size()},
+                                              {"stranded_accelerators", status->stranded_accelerators},
+                                              {"nodes", table.as_json()}})
+              << "\n";
+    return kExitDone;
   }
   table.print();
   return kExitDone;
--- a/src/cli/serve_commands.cc
+++ b/src/cli/serve_commands.cc
@@ -133,6 +133,13 @@
     std::cerr << "larchlever: " << error << "\n";
     return kExitFailed;
   }
+  for (const auto& service : parsed->services) {
+    std::cout << "service " << service.name << " at ";
+    for (const auto& endpoint : fleet.service_endpoints(service.name)) {
+      std::cout << endpoint << ", ";
+    }
+    std::cout << "\n";
+  }
   std::cout << "membership list at " << fleet.membership_endpoint() << std::endl;
   asio::signal_set signals(context, SIGTERM, SIGINT);
   signals.async_wait([&](boost::system::error_code, int) { context.stop(); });
--- a/src/emulator/emulated_fleet.cc
+++ b/src/emulator/emulated_fleet.cc
@@ -166,7 +166,8 @@
                                 {"machine", item.machine},
                                 {"zone", item.zone},
                                 {"tenant", item.tenant},
-                                {"body", item.body_digest},
+                                {"tag", item.tag},
+                                {"started_ms", item.started_ms},
                                 {"produced", item.produced},
                                 {"completed", item.completed}});
   }
--- a/src/emulator/emulated_machine.cc
+++ b/src/emulator/emulated_machine.cc
@@ -1,7 +1,5 @@
 #include "emulator/emulated_machine.h"
 
-#include <xxhash.h>
-
 #include "emulator/plain_service.h"
 #include "emulator/prompt_text.h"
 
@@ -403,7 +401,7 @@
   execution.machine = options_.id;
   execution.zone = options_.zone;
   execution.tenant = std::string(request.headers.find("x-tenant"));
-  execution.body_digest = static_cast<int64_t>(XXH3_64bits(request.body.data(), request.body.size()));
+  execution.tag = text(body, "user");
   const size_t position = log_.start(std::move(execution));
 
   auto stream = std::make_shared<Stream>(executor_);
--- a/src/emulator/execution_log.h
+++ b/src/emulator/execution_log.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <chrono>
 #include <cstdint>
 #include <string>
 #include <vector>
@@ -13,7 +14,9 @@
   std::string machine;  ///< Or the service's endpoint.
   std::string zone;
   std::string tenant;
-  int64_t body_digest = 0;
+  /// What the caller put into the request to recognise it: "user" of a model request, the body of a plain one.
+  std::string tag;
+  int64_t started_ms = 0;  ///< Wall clock.
   int64_t produced = 0;
   bool completed = false;
 };
@@ -22,6 +25,8 @@
 class ExecutionLog {
  public:
   size_t start(Execution execution) {
+    const auto now = std::chrono::system_clock::now().time_since_epoch();
+    execution.started_ms = std::chrono::duration_cast<std::chrono::milliseconds>(now).count();
     executions_.push_back(std::move(execution));
     return executions_.size() - 1;
   }
--- a/src/emulator/plain_service.cc
+++ b/src/emulator/plain_service.cc
@@ -1,7 +1,5 @@
 #include "emulator/plain_service.h"
 
-#include <xxhash.h>
-
 #include <boost/asio.hpp>
 #include <boost/json.hpp>
 
@@ -9,6 +7,12 @@
 
 namespace asio = boost::asio;
 
+namespace {
+
+constexpr size_t kLongestTag = 128;
+
+}  // namespace
+
 std::string query_parameter(const std::string& target, const std::string& name) {
   const size_t question = target.find('?');
   size_t start = question == std::string::npos ? target.size() : question + 1;
@@ -33,7 +37,9 @@
   execution.key = std::string(request.headers.find("idempotency-key"));
   execution.machine = name_;
   execution.zone = zone_;
-  execution.body_digest = static_cast<int64_t>(XXH3_64bits(request.body.data(), request.body.size()));
+  const auto path = request.path();
+  execution.tag =
+      request.body.empty() ? std::string(path.substr(path.rfind('/') + 1)) : request.body.substr(0, kLongestTag);
   const size_t position = log_.start(std::move(execution));
   const std::string delay = query_parameter(request.target, "delay_ms");
   if (!delay.empty()) {
--- /dev/null
+++ b/src/load/history.cc
@@ -0,0 +1,64 @@
+#include "load/history.h"
+
+#include <map>
+#include <set>
+
+namespace larchlever::load {
+
+namespace {
+
+/// Callers and stand-ins read the same wall clock, rounded to milliseconds.
+constexpr int64_t kClockRounding = 2;
+
+std::string name_of(const HistoryRecord& record) {
+  return "request " + record.tag + (record.key.empty() ? "" : " (key " + record.key + ")") + " through " + record.node;
+}
+
+}  // namespace
+
+std::vector<std::string> check_history(const std::vector<HistoryRecord>& history,
+                                       const std::vector<ExecutionRecord>& executions) {
+  std::vector<std::string> faults;
+  std::map<std::string, std::vector<const ExecutionRecord*>> by_tag;
+  for (const auto& execution : executions) {
+    by_tag[execution.tag].push_back(&execution);
+  }
+  std::set<std::string> doubled;
+  std::map<std::string, int64_t> last_sent;
+  for (const auto& record : history) {
+    auto& last = last_sent[record.tag];
+    last = std::max(last, record.sent_ms);
+  }
+  for (const auto& record : history) {
+    const auto& runs = by_tag[record.tag];
+    if (!record.safe && runs.size() > 1 && doubled.insert(record.tag).second) {
+      faults.push_back("doubled: " + name_of(record) + " ran " + std::to_string(runs.size()) + " times, on " +
+                       runs[0]->machine + " and " + runs[1]->machine);
+    }
+    const bool success = record.status >= 200 && record.status < 300;
+    if (success && record.whole && record.answer != record.expected) {
+      faults.push_back("crossed or truncated: " + name_of(record) + " got '" + record.answer + "' instead of '" +
+                       record.expected + "'");
+    }
+    if (success && record.whole && runs.empty()) {
+      faults.push_back("invented: " + name_of(record) + " was answered but never ran");
+    }
+    if (record.outcome != "not-run") {
+      continue;
+    }
+    for (const auto* run : runs) {
+      // Later sendings of the same request may run it; what had started when the caller was told may not exist, nor
+      // may anything start when no sending followed.
+      const bool before = run->started_ms + kClockRounding < record.done_ms && run->started_ms >= record.sent_ms;
+      const bool earlier = run->started_ms < record.sent_ms;
+      const bool after_the_last = record.sent_ms == last_sent[record.tag] && run->started_ms > record.done_ms;
+      if (before || earlier || after_the_last) {
+        faults.push_back("false not-run: " + name_of(record) + " ran on " + run->machine);
+        break;
+      }
+    }
+  }
+  return faults;
+}
+
+}  // namespace larchlever::load
--- /dev/null
+++ b/src/load/history.h
@@ -0,0 +1,41 @@
+#pragma once
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+namespace larchlever::load {
+
+/// One sending of a request and what its caller was told.
+struct HistoryRecord {
+  std::string tag;  ///< Names the request; equal for all its sendings.
+  std::string key;  ///< Idempotency key, if any.
+  bool safe = false;
+  std::string node;
+  std::string expected;  ///< The answer that is right for this request.
+  int64_t sent_ms = 0;   ///< Wall clock.
+  int64_t done_ms = 0;
+  int status = 0;  ///< Zero when no answer came.
+  std::string outcome;
+  bool whole = false;  ///< The answer came to its proper end.
+  std::string answer;
+};
+
+/// What the stand-ins say truly ran.
+struct ExecutionRecord {
+  std::string tag;
+  std::string key;
+  std::string machine;
+  std::string zone;
+  std::string tenant;
+  int64_t started_ms = 0;
+  bool completed = false;
+};
+
+/// Checks a history of callers against the stand-ins' execution log: unsafe requests at most once, every whole answer
+/// the right one, no request run by the time its caller was told that it had not, none completed as "ran" that never
+/// ran. Returns one line per fault. Pure.
+std::vector<std::string> check_history(const std::vector<HistoryRecord>& history,
+                                       const std::vector<ExecutionRecord>& executions);
+
+}  // namespace larchlever::load
--- a/src/net/peer_transport.cc
+++ b/src/net/peer_transport.cc
@@ -21,6 +21,9 @@
 constexpr size_t kReadSize = 64 * 1024;
 constexpr auto kRedialPause = std::chrono::milliseconds(150);
 constexpr auto kConnectTimeout = std::chrono::milliseconds(1500);
+/// Peers answer within milliseconds. A link that carries our messages but brings nothing back is dead in one direction,
+/// which TCP does not notice when a box in between swallows the bytes: it is dropped and dialled anew.
+constexpr auto kSilenceLimit = std::chrono::milliseconds(2000);
 
 struct Link {
   explicit Link(const asio::any_io_executor& executor) : socket(executor) {}
@@ -31,6 +34,8 @@
   bool connected = false;
   bool writing = false;
   bool closed = false;
+  /// When the first message left since something last came back; nothing while the peer answers.
+  std::optional<std::chrono::steady_clock::time_point> unanswered_since;
 };
 
 using LinkPointer = std::shared_ptr<Link>;
@@ -125,6 +130,7 @@
       break;
     }
     stats.bytes_received += count;
+    link->unanswered_since.reset();
     buffer.append(piece.data(), count);
     if (!consume(link, buffer)) {
       break;
@@ -260,11 +266,18 @@
     return;
   }
   const std::string& node = envelope.to_node;
+  const auto now = std::chrono::steady_clock::now();
   auto found = self.by_node.find(node);
+  if (found != self.by_node.end() && found->second->unanswered_since &&
+      now - *found->second->unanswered_since > kSilenceLimit) {
+    ++self.stats.silent_links;
+    self.close(LinkPointer(found->second));
+    found = self.by_node.end();
+  }
   if (found == self.by_node.end()) {
     const auto address = self.addresses.find(node);
     const auto pause = self.redial_after.find(node);
-    const bool too_soon = pause != self.redial_after.end() && std::chrono::steady_clock::now() < pause->second;
+    const bool too_soon = pause != self.redial_after.end() && now < pause->second;
     if (address == self.addresses.end() || too_soon) {
       ++self.stats.dropped;
       return;
@@ -275,6 +288,9 @@
     found = self.by_node.emplace(node, link).first;
     asio::co_spawn(self.executor, self.dial(link, address->second), asio::detached);
   }
+  if (!found->second->unanswered_since) {
+    found->second->unanswered_since = now;
+  }
   self.enqueue(found->second, encode_frame(wire::encode(envelope)));
 }
 
--- a/src/net/peer_transport.h
+++ b/src/net/peer_transport.h
@@ -21,6 +21,7 @@
   uint64_t dropped = 0;
   uint64_t connects = 0;
   uint64_t connect_failures = 0;
+  uint64_t silent_links = 0;
 };
 
 /// Messages between our own processes: length-prefixed, checksummed frames with one Thrift Envelope each, over TCP.
--- a/src/node/metrics.cc
+++ b/src/node/metrics.cc
@@ -89,6 +89,7 @@
   list.counter("peer_bytes_sent_total", "Bytes sent to other nodes", peers.bytes_sent);
   list.counter("peer_bytes_received_total", "Bytes received from other nodes", peers.bytes_received);
   list.counter("peer_frames_sent_total", "Messages sent to other nodes", peers.frames_sent);
+  list.counter("peer_silent_links_total", "Links dropped because nothing came back", peers.silent_links);
   list.counter("peer_bad_frames_total", "Frames that were not ours or damaged", peers.bad_frames);
   list.counter("engine_polls_total", "Polls of watched machines", runtime.stats().polls);
   list.counter("engine_poll_failures_total", "Polls without an answer", runtime.stats().poll_failures);
--- a/src/node/model_call.h
+++ b/src/node/model_call.h
@@ -6,6 +6,7 @@
 
 #include "core/routing/routing_table.h"
 #include "net/http_types.h"
+#include "node/front_answers.h"
 
 namespace larchlever::node {
 
@@ -26,14 +27,6 @@
   std::string engine_body;
 };
 
-/// An answer that tells the caller what went wrong and what to do.
-struct Problem {
-  int status = 400;
-  std::string title;
-  std::string remedy;
-  int retry_after_seconds = 0;
-};
-
 /// Reads a call of /v1/chat/completions or /v1/completions. Returns nothing and fills `problem` for malformed JSON,
 /// missing fields or an unknown tenant.
 std::optional<ModelCall> parse_model_call(const net::HttpRequest& request, const routing::RoutingTable& table,
--- /dev/null
+++ b/tests/integration/process_fleet.cc
@@ -0,0 +1,462 @@
+#include "process_fleet.h"
+
+#include <fcntl.h>
+#include <gtest/gtest.h>
+#include <spawn.h>
+#include <sys/wait.h>
+#include <unistd.h>
+
+#include <boost/json.hpp>
+#include <csignal>
+#include <fstream>
+#include <sstream>
+
+extern char** environ;
+
+namespace larchlever::integration {
+
+namespace asio = boost::asio;
+namespace json = boost::json;
+namespace fs = std::filesystem;
+
+namespace {
+
+constexpr const char* kZones[] = {"ljubljana", "celje", "koper"};
+
+constexpr const char* kStandIns = R"(
+[fleet]
+membership_lag_ms = 500
+weight_transfers_at_once = 8
+weight_transfer_ms = 150
+[zone ljubljana]
+domains = 2
+machines_per_domain = 3
+step_us = 4000
+[zone celje]
+domains = 2
+machines_per_domain = 3
+step_us = 4000
+[zone koper]
+domains = 1
+machines_per_domain = 3
+kind = basic
+step_us = 4000
+[service forms]
+zone = ljubljana
+ports = 0, 0, 0
+)";
+
+constexpr const char* kTemplates = R"(
+[template census]
+model = census
+version = 1
+adapters = letters
+machines_per_group = 2
+[tenant north]
+template = census
+zones = ljubljana
+adapters = letters
+share_percent = 40
+max_concurrent = 64
+[tenant south]
+template = census
+zones = celje, koper
+share_percent = 40
+max_concurrent = 64
+)";
+
+std::string read_file(const fs::path& path) {
+  std::ifstream file(path);
+  std::ostringstream content;
+  content << file.rdbuf();
+  return content.str();
+}
+
+void write_file(const fs::path& path, const std::string& content) { std::ofstream(path) << content; }
+
+/// Value of `key=` in the last line of `text` that contains `event`.
+std::string field_of(const std::string& text, const std::string& event, const std::string& key) {
+  const size_t line = text.rfind("event=" + event + " ");
+  if (line == std::string::npos) {
+    return "";
+  }
+  const size_t start = text.find(" " + key + "=", line);
+  const size_t end = text.find_first_of(" \n", start + key.size() + 2);
+  return start == std::string::npos || end == std::string::npos
+             ? ""
+             : text.substr(start + key.size() + 2, end - start - key.size() - 2);
+}
+
+}  // namespace
+
+ProcessFleet::ProcessFleet(const FleetOptions& options) : options_(options), work_(asio::make_work_guard(context_)) {
+  std::string pattern = (fs::temp_directory_path() / "larchlever-test-XXXXXX").string();
+  folder_ = ::mkdtemp(pattern.data());
+  thread_ = std::thread([this] { context_.run(); });
+  client_ = std::make_unique<net::HttpClient>(context_.get_executor());
+}
+
+ProcessFleet::~ProcessFleet() {
+  for (auto& [name, process] : processes_) {
+    if (process.pid > 0) {
+      ::kill(process.pid, SIGKILL);
+      ::waitpid(process.pid, nullptr, 0);
+    }
+  }
+  if (stand_ins_ > 0) {
+    ::kill(stand_ins_, SIGKILL);
+    ::waitpid(stand_ins_, nullptr, 0);
+  }
+  if (testing::Test::HasFailure()) {
+    for (const auto& item : fs::directory_iterator(folder_)) {
+      if (item.path().extension() == ".log") {
+        const std::string text = read_file(item.path());
+        std::cerr << "==== " << item.path().filename().string() << "\n"
+                  << text.substr(text.size() > 3000 ? text.size() - 3000 : 0) << "\n";
+      }
+    }
+  }
+  asio::post(context_, [this] {
+    proxies_.clear();
+    client_.reset();
+    context_.stop();
+  });
+  thread_.join();
+  std::error_code ignored;
+  fs::remove_all(folder_, ignored);
+}
+
+bool ProcessFleet::eventually(const std::function<bool()>& condition, std::chrono::seconds deadline) {
+  const auto end = std::chrono::steady_clock::now() + deadline;
+  while (std::chrono::steady_clock::now() < end) {
+    if (condition()) {
+      return true;
+    }
+    std::this_thread::sleep_for(std::chrono::milliseconds(50));
+  }
+  return false;
+}
+
+std::vector<std::string> ProcessFleet::node_names() const {
+  std::vector<std::string> names;
+  for (int node = 1; node <= options_.nodes; ++node) {
+    names.push_back("n" + std::to_string(node));
+  }
+  return names;
+}
+
+int ProcessFleet::spawn(const std::vector<std::string>& arguments, const fs::path& output) {
+  std::vector<std::string> words = {LARCHLEVER_BINARY};
+  words.insert(words.end(), arguments.begin(), arguments.end());
+  std::vector<char*> pointers;
+  for (auto& word : words) {
+    pointers.push_back(word.data());
+  }
+  pointers.push_back(nullptr);
+  posix_spawn_file_actions_t actions;
+  posix_spawn_file_actions_init(&actions);
+  posix_spawn_file_actions_addopen(&actions, 1, output.c_str(), O_WRONLY | O_CREAT | O_TRUNC, 0644);
+  posix_spawn_file_actions_adddup2(&actions, 1, 2);
+  int pid = -1;
+  const int failure = ::posix_spawn(&pid, LARCHLEVER_BINARY, &actions, nullptr, pointers.data(), environ);
+  posix_spawn_file_actions_destroy(&actions);
+  return failure == 0 ? pid : -1;
+}
+
+CommandResult ProcessFleet::command(const std::vector<std::string>& arguments) {
+  const fs::path output = folder_ / "command.out";
+  CommandResult result;
+  const int pid = spawn(arguments, output);
+  int status = 0;
+  if (pid > 0 && ::waitpid(pid, &status, 0) == pid && WIFEXITED(status)) {
+    result.exit_code = WEXITSTATUS(status);
+  }
+  result.output = read_file(output);
+  return result;
+}
+
+std::string ProcessFleet::admin_list() const {
+  std::string list;
+  for (const auto& [node, address] : admins_) {
+    list += (list.empty() ? "" : ",") + address;
+  }
+  return list;
+}
+
+CommandResult ProcessFleet::operate(const std::vector<std::string>& arguments) {
+  std::vector<std::string> words = arguments;
+  words.push_back("--node=" + admin_list());
+  return command(words);
+}
+
+void ProcessFleet::start_stand_ins() {
+  write_file(folder_ / "stand-ins.ini", kStandIns);
+  const fs::path output = folder_ / "stand-ins.log";
+  stand_ins_ = spawn({"emulate", "--settings=" + (folder_ / "stand-ins.ini").string()}, output);
+  ASSERT_TRUE(eventually([&] { return read_file(output).find("membership list at ") != std::string::npos; }));
+  const std::string text = read_file(output);
+  std::istringstream lines(text);
+  std::string line;
+  while (std::getline(lines, line)) {
+    if (line.starts_with("membership list at ")) {
+      membership_ = line.substr(19);
+    } else if (line.starts_with("service forms at ")) {
+      service_ports_ = line.substr(17);
+    }
+  }
+}
+
+void ProcessFleet::write_settings(const std::string& node) {
+  const int number = std::stoi(node.substr(1));
+  const fs::path log = folder_ / (node + "-" + std::to_string(processes_[node].starts) + ".log");
+  processes_[node].log = log;
+  std::ostringstream text;
+  text << "[node]\nname = " << node << "\nzone = " << kZones[(number - 1) % 3]
+       << "\npeer_address = 127.0.0.1:0\nservice_address = 127.0.0.1:0\nadmin_address = 127.0.0.1:0\n"
+       << "unready_before_drain_ms = 300\n";
+  if (number <= options_.disks) {
+    text << "data_folder = " << (folder_ / ("data-" + node)).string() << "\n";
+  }
+  text << "[control_nodes]\n";
+  for (int control = 1; control <= options_.disks; ++control) {
+    text << "n" << control << " = " << proxy_addresses_[{node, "n" + std::to_string(control)}] << "\n";
+  }
+  text << "[platform]\nmembership_list = " << membership_
+       << "\nkinds_without_fences = basic\n[log]\nfile = " << log.string() << "\n"
+       << options_.node_settings;
+  write_file(folder_ / (node + ".ini"), text.str());
+}
+
+void ProcessFleet::read_addresses(const std::string& node) {
+  const auto& log = processes_[node].log;
+  ASSERT_TRUE(eventually([&] { return !field_of(read_file(log), "started", "data").empty(); })) << node;
+  const std::string text = read_file(log);
+  services_[node] = field_of(text, "started", "service");
+  admins_[node] = field_of(text, "started", "admin");
+  peers_[node] = field_of(text, "started", "peer");
+  asio::post(context_, asio::use_future([this, node] {
+               for (auto& [link, proxy] : proxies_) {
+                 if (link.second == node) {
+                   proxy->set_upstream(peers_[node]);
+                 }
+               }
+             }))
+      .get();
+}
+
+void ProcessFleet::start_node(const std::string& node) {
+  ++processes_[node].starts;
+  write_settings(node);
+  processes_[node].pid =
+      spawn({"serve", "--settings=" + (folder_ / (node + ".ini")).string()}, folder_ / (node + "-output.log"));
+  read_addresses(node);
+}
+
+void ProcessFleet::start() {
+  start_stand_ins();
+  asio::post(context_, asio::use_future([this] {
+               for (const auto& node : node_names()) {
+                 for (int control = 1; control <= options_.disks; ++control) {
+                   const std::pair<std::string, std::string> link(node, "n" + std::to_string(control));
+                   proxies_[link] = std::make_unique<load::FaultProxy>(context_.get_executor());
+                   proxy_addresses_[link] = proxies_[link]->listen();
+                 }
+               }
+             }))
+      .get();
+  write_settings("n1");
+  const auto begun = command({"bootstrap", "--settings=" + (folder_ / "n1.ini").string()});
+  ASSERT_EQ(begun.exit_code, 0) << begun.output;
+  for (const auto& node : node_names()) {
+    start_node(node);
+  }
+  write_file(folder_ / "templates.ini",
+             std::string(kTemplates) +
+                 "[service forms]\npath_prefix = /forms\nzones = ljubljana\nendpoints = " + service_ports_ + "\n");
+  CommandResult applied;
+  const std::string file = (folder_ / "templates.ini").string();
+  ASSERT_TRUE(eventually([&] {
+    applied = operate({"apply", file, "--operator_name=test", "--command_id=templates"});
+    return applied.exit_code == 0;
+  })) << applied.output;
+  ASSERT_TRUE(eventually([&] { return serving_groups() >= 4; })) << operate({"groups"}).output;
+  const int expected_voters = options_.disks % 2 == 1 ? options_.disks : options_.disks - 1;
+  ASSERT_TRUE(eventually([&] { return static_cast<int>(voters().size()) == expected_voters; }));
+}
+
+void ProcessFleet::kill_node(const std::string& node, int signal) {
+  auto& process = processes_[node];
+  ::kill(process.pid, signal);
+  if (signal == SIGKILL) {
+    ::waitpid(process.pid, nullptr, 0);
+    process.pid = -1;
+  }
+}
+
+int ProcessFleet::wait_for_exit(const std::string& node) {
+  int status = 0;
+  ::waitpid(processes_[node].pid, &status, 0);
+  processes_[node].pid = -1;
+  return WIFEXITED(status) ? WEXITSTATUS(status) : -1;
+}
+
+void ProcessFleet::wipe_data(const std::string& node) { fs::remove_all(folder_ / ("data-" + node)); }
+
+net::FetchResult ProcessFleet::fetch_endpoint(const std::string& endpoint, const net::HttpRequest& request) {
+  return on_context(
+      [](net::HttpClient& client, std::string target, net::HttpRequest message) -> asio::awaitable<net::FetchResult> {
+        auto result = co_await client.fetch(target, message, std::chrono::seconds(30));
+        co_return result;
+      }(*client_, endpoint, request));
+}
+
+net::FetchResult ProcessFleet::fetch(const std::string& node, const net::HttpRequest& request) {
+  return fetch_endpoint(services_.at(node), request);
+}
+
+net::HttpRequest ProcessFleet::model_request(const std::string& prompt, int tokens, bool stream,
+                                             const std::string& key) {
+  net::HttpRequest request;
+  request.method = "POST";
+  request.target = "/v1/chat/completions";
+  request.headers.add("Larchlever-Tenant", "north");
+  if (!key.empty()) {
+    request.headers.add("Idempotency-Key", key);
+  }
+  json::object message{{"role", "user"}, {"content", prompt}};
+  request.body = json::serialize(json::object{{"model", "census"},
+                                              {"max_tokens", tokens},
+                                              {"stream", stream},
+                                              {"user", prompt},
+                                              {"messages", json::array{message}}});
+  return request;
+}
+
+bool ProcessFleet::fault(const std::string& machine, const std::string& action) {
+  net::HttpRequest request;
+  request.method = "POST";
+  request.target = "/emulator/fault?machine=" + machine + "&action=" + action;
+  const auto result = fetch_endpoint(membership_, request);
+  return result.response && result.response->status == 200;
+}
+
+std::vector<load::ExecutionRecord> ProcessFleet::executions() {
+  std::string error;
+  auto result = on_context([](net::HttpClient& client, std::string endpoint,
+                              std::string& problem) -> asio::awaitable<std::vector<load::ExecutionRecord>> {
+    auto list = co_await load::fetch_executions(client, endpoint, problem);
+    co_return list;
+  }(*client_, membership_, error));
+  EXPECT_EQ(error, "");
+  return result;
+}
+
+std::vector<std::string> ProcessFleet::run_load(load::LoadOptions options, load::LoadReport& report,
+                                                const std::function<void()>& meanwhile) {
+  if (options.nodes.empty()) {
+    for (const auto& [node, address] : services_) {
+      options.nodes.push_back(address);
+    }
+  }
+  options.tenants = {"north", "south"};
+  options.model = "census";
+  load::LoadGenerator generator(context_.get_executor(), options);
+  auto done = asio::co_spawn(context_, generator.run(), asio::use_future);
+  if (meanwhile) {
+    meanwhile();
+  }
+  done.get();
+  report = generator.report();
+  return load::check_history(generator.history(), executions());
+}
+
+namespace {
+
+json::value parse_output(const CommandResult& result) {
+  boost::system::error_code error;
+  const auto value = json::parse(result.output, error);
+  return error ? json::value() : value;
+}
+
+}  // namespace
+
+int ProcessFleet::serving_groups() {
+  const auto list = parse_output(operate({"groups", "--output=json"}));
+  int serving = 0;
+  if (list.is_array()) {
+    for (const auto& group : list.as_array()) {
+      serving += group.at("state").as_string() == "serving" ? 1 : 0;
+    }
+  }
+  return serving;
+}
+
+bool ProcessFleet::serves_with(const std::string& machine) {
+  const auto list = parse_output(operate({"groups", "--output=json"}));
+  if (!list.is_array()) {
+    return true;
+  }
+  return std::any_of(list.as_array().begin(), list.as_array().end(), [&machine](const json::value& group) {
+    return group.at("state").as_string() == "serving" &&
+           std::string(group.at("machines").as_string()).find(machine) != std::string::npos;
+  });
+}
+
+std::vector<std::string> ProcessFleet::voters() {
+  const auto status = parse_output(operate({"status", "--output=json"}));
+  std::vector<std::string> voters;
+  if (!status.is_object()) {
+    return voters;
+  }
+  for (const auto& node : status.at("nodes").as_array()) {
+    if (node.at("replica").as_string() == "voter") {
+      voters.emplace_back(std::string(node.at("node").as_string()) + "/" +
+                          std::string(node.at("identity").as_string()));
+    }
+  }
+  // A replica set with a member that no node carries any more is still under repair.
+  return static_cast<size_t>(status.at("voters").to_number<int64_t>()) == voters.size() ? voters
+                                                                                        : std::vector<std::string>();
+}
+
+std::string ProcessFleet::leader() {
+  const std::string output = operate({"status"}).output;
+  const std::string prefix = "leader ";
+  return output.starts_with(prefix) ? output.substr(prefix.size(), output.find(' ', prefix.size()) - prefix.size())
+                                    : "";
+}
+
+void ProcessFleet::set_link_faults(const std::string& from, const std::string& to, const load::ProxyFaults& faults) {
+  asio::post(context_, asio::use_future([this, from, to, faults] {
+               const auto found = proxies_.find({from, to});
+               if (found != proxies_.end()) {
+                 found->second->set_faults(faults);
+               }
+             }))
+      .get();
+}
+
+void ProcessFleet::cut_off(const std::string& node, bool outgoing, bool incoming) {
+  for (const auto& other : node_names()) {
+    load::ProxyFaults own;
+    own.drop_upstream = outgoing;
+    own.drop_downstream = incoming;
+    set_link_faults(node, other, own);
+    load::ProxyFaults theirs;
+    theirs.drop_upstream = incoming;
+    theirs.drop_downstream = outgoing;
+    set_link_faults(other, node, theirs);
+  }
+}
+
+void ProcessFleet::heal_links() {
+  asio::post(context_, asio::use_future([this] {
+               for (auto& [link, proxy] : proxies_) {
+                 proxy->set_faults({});
+                 proxy->reset_all();
+               }
+             }))
+      .get();
+}
+
+}  // namespace larchlever::integration
--- /dev/null
+++ b/tests/unit/control_state_test.cc
@@ -0,0 +1,218 @@
+#include "core/control/control_state.h"
+
+#include <gtest/gtest.h>
+
+#include "core/control/control_leader.h"
+#include "core/placement/planner.h"
+#include "wire/codec.h"
+
+namespace larchlever::control {
+namespace {
+
+wire::Tenant make_tenant(const std::string& name, int share) {
+  wire::Tenant tenant;
+  tenant.name = name;
+  tenant.template_name = "main";
+  tenant.zones = {"a"};
+  tenant.share_percent = share;
+  tenant.max_concurrent = 8;
+  return tenant;
+}
+
+wire::KeyWrite write(const std::string& key, std::string value) {
+  wire::KeyWrite item;
+  item.key = key;
+  item.value = std::move(value);
+  return item;
+}
+
+class ControlStateTest : public testing::Test {
+ protected:
+  void SetUp() override {
+    for (int number = 1; number <= 6; ++number) {
+      wire::Command command;
+      wire::MachineObservation seen;
+      seen.machine.id = "m" + std::to_string(number);
+      seen.machine.zone = "a";
+      seen.machine.domain = number <= 3 ? "d1" : "d2";
+      seen.machine.accelerators = 8;
+      seen.machine.incarnation = 1;
+      command.__set_machine_observation(seen);
+      apply(command);
+    }
+    wire::Template shape;
+    shape.name = "main";
+    shape.model = "model";
+    shape.version = "1";
+    shape.machines_per_group = 2;
+    EXPECT_EQ(change("setup", {write("template/main", wire::encode(shape)),
+                               write("tenant/one", wire::encode(make_tenant("one", 30)))})
+                  .verdict,
+              wire::Verdict::ACCEPTED);
+  }
+
+  ApplyResult apply(const wire::Command& command) { return state_.apply(++index_, command); }
+
+  wire::ChangeAnswer change(const std::string& id, std::vector<wire::KeyWrite> writes,
+                            std::vector<wire::KeyRevision> reads = {}) {
+    wire::Command command;
+    command.__isset.change = true;
+    command.change.command_id = id;
+    command.change.operator_name = "test";
+    command.change.writes = std::move(writes);
+    command.change.reads = std::move(reads);
+    return *apply(command).change_answer;
+  }
+
+  wire::KeyRevision read(const std::string& key) {
+    wire::KeyRevision revision;
+    revision.key = key;
+    revision.revision = state_.records().revision_of(key).value();
+    return revision;
+  }
+
+  std::optional<int64_t> create(std::vector<std::string> machines, const std::string& domain = "d1") {
+    wire::Command command;
+    command.__isset.group_creation = true;
+    command.group_creation.template_name = "main";
+    command.group_creation.zone = "a";
+    command.group_creation.domain = domain;
+    command.group_creation.machines = std::move(machines);
+    return apply(command).created_group;
+  }
+
+  int64_t index_ = 0;
+  ControlState state_;
+};
+
+TEST_F(ControlStateTest, FirstCommitterWinsPerKey) {
+  const auto base = read("tenant/one");
+  EXPECT_EQ(change("a", {write("tenant/one", wire::encode(make_tenant("one", 20)))}, {base}).verdict,
+            wire::Verdict::ACCEPTED);
+  const auto loser = change("b", {write("tenant/one", wire::encode(make_tenant("one", 10)))}, {base});
+  EXPECT_EQ(loser.verdict, wire::Verdict::CONFLICT);
+  EXPECT_NE(loser.message.find("read it again"), std::string::npos);
+  EXPECT_EQ(change("c", {write("tenant/two", wire::encode(make_tenant("two", 10)))}).verdict, wire::Verdict::ACCEPTED)
+      << "another key does not conflict";
+  EXPECT_EQ(change("d", {write("tenant/two", wire::encode(make_tenant("two", 5)))}).verdict, wire::Verdict::CONFLICT)
+      << "a blind write may only create";
+}
+
+TEST_F(ControlStateTest, AResentCommandGetsItsFirstAnswerAlsoAfterASnapshot) {
+  const auto base = read("tenant/one");
+  const auto first = change("a", {write("tenant/one", wire::encode(make_tenant("one", 20)))}, {base});
+  const auto refused = change("b", {write("tenant/one", wire::encode(make_tenant("one", 10)))}, {base});
+  ControlState copy;
+  ASSERT_TRUE(copy.restore(state_.snapshot()));
+  state_ = copy;
+  EXPECT_EQ(change("a", {write("tenant/one", wire::encode(make_tenant("one", 20)))}, {base}).revision, first.revision);
+  EXPECT_EQ(change("b", {write("tenant/one", wire::encode(make_tenant("one", 10)))}, {base}).verdict, refused.verdict);
+  EXPECT_EQ(state_.audit().size(), 3U);
+}
+
+TEST_F(ControlStateTest, RefusesInvalidChangesWithARemedyAndChangesNothing) {
+  const auto revision = state_.records().revision();
+  auto stranger = make_tenant("two", 10);
+  stranger.zones = {"nowhere"};
+  const auto zone = change("a", {write("tenant/two", wire::encode(stranger))});
+  EXPECT_EQ(zone.verdict, wire::Verdict::INVALID);
+  EXPECT_NE(zone.message.find("unknown zone"), std::string::npos);
+  const auto shares = change("b", {write("tenant/two", wire::encode(make_tenant("two", 80)))});
+  EXPECT_EQ(shares.verdict, wire::Verdict::INVALID);
+  EXPECT_NE(shares.message.find("100 %"), std::string::npos);
+  wire::KeyWrite removal;
+  removal.key = "template/main";
+  removal.remove = true;
+  EXPECT_EQ(change("c", {removal}, {read("template/main")}).verdict, wire::Verdict::INVALID)
+      << "a tenant still uses it";
+  EXPECT_EQ(change("d", {write("group/1", "x")}).verdict, wire::Verdict::INVALID);
+  EXPECT_EQ(state_.records().revision(), revision);
+}
+
+TEST_F(ControlStateTest, AMachineServesOneGroupUntilItsReleaseIsConfirmed) {
+  const auto group = create({"m1", "m2"});
+  ASSERT_TRUE(group);
+  EXPECT_FALSE(create({"m2", "m3"})) << "m2 is taken";
+  EXPECT_FALSE(create({"m3", "m4"})) << "two domains";
+  EXPECT_FALSE(create({"m3", "m3"})) << "one machine twice";
+  wire::Command lost;
+  lost.__isset.group_transition = true;
+  lost.group_transition.group_id = *group;
+  lost.group_transition.epoch = static_cast<int32_t>(*group);
+  lost.group_transition.to = wire::GroupState::RELEASING;
+  apply(lost);
+  EXPECT_FALSE(create({"m2", "m3"})) << "not released yet";
+  wire::Command release;
+  release.__isset.machine_release = true;
+  release.machine_release.machine = "m2";
+  release.machine_release.group_id = *group;
+  release.machine_release.epoch = static_cast<int32_t>(*group) + 1;
+  apply(release);
+  EXPECT_FALSE(create({"m2", "m3"})) << "a release of another epoch";
+  release.machine_release.epoch = static_cast<int32_t>(*group);
+  apply(release);
+  EXPECT_TRUE(create({"m2", "m3"}));
+}
+
+TEST_F(ControlStateTest, ANewIncarnationEndsTheGroup) {
+  const auto group = create({"m1", "m2"});
+  wire::Command seen;
+  wire::MachineObservation observation;
+  observation.machine = state_.machines().at("m1");
+  observation.machine.incarnation = 2;
+  seen.__set_machine_observation(observation);
+  apply(seen);
+  EXPECT_EQ(state_.groups().at(*group).state, wire::GroupState::RELEASING);
+}
+
+TEST(ControlLeader, AnotherLeadersEntryAtTheSameIndexIsNotItsOwn) {
+  ControlLeader leader(ControlOptions(), "n1");
+  leader.start(TimePoint(seconds(1)));
+  wire::ClaimRequest request;
+  request.request_id = 5;
+  ControlLeader::Proposal proposal;
+  proposal.command.claims.claims.push_back(request.claim);
+  proposal.claim_requests.emplace_back("n2", request.request_id);
+  leader.proposed(10, 3, proposal);
+  leader.applied(TimePoint(seconds(2)), 10, 4, ApplyResult());
+  EXPECT_TRUE(leader.take_outputs().envelopes.empty());
+}
+
+TEST(Planner, PrefersAWarmMachineAndLeavesASpare) {
+  std::map<std::string, wire::Machine> machines;
+  const auto add = [&machines](const std::string& domain, int count) {
+    for (int number = 1; number <= count; ++number) {
+      wire::Machine machine;
+      machine.domain = domain;
+      machine.id = domain + std::to_string(number);
+      machine.zone = "a";
+      machine.accelerators = 8;
+      machines[machine.id] = machine;
+    }
+  };
+  add("tight", 2);
+  add("wide", 3);
+  machines["wide3"].weights = "model@1";
+  wire::Template shape;
+  shape.name = "main";
+  shape.model = "model";
+  shape.version = "1";
+  shape.machines_per_group = 2;
+  placement::PlanningInput input{machines, {}, {shape}, {make_tenant("one", 40)}, {}, {}};
+  const std::map<int64_t, wire::Group> none;
+  placement::PlanningInput usable{machines, none, {shape}, {make_tenant("one", 40)}, {}, {}};
+  for (const auto& [id, machine] : machines) {
+    usable.present.insert(id);
+  }
+  usable.parameters.downtime_weight = 100;
+  const auto spare = placement::plan(usable, *placement::make_policy("spare_aware"));
+  ASSERT_EQ(spare.create.size(), 1U);
+  EXPECT_EQ(spare.create[0].domain, "wide");
+  EXPECT_EQ(spare.create[0].machines.front(), "wide3") << "it already holds the weights";
+  usable.parameters.downtime_weight = 0;
+  EXPECT_EQ(placement::plan(usable, *placement::make_policy("spare_aware")).create[0].domain, "tight");
+  EXPECT_EQ(placement::plan(usable, *placement::make_policy("best_fit")).create[0].domain, "tight");
+}
+
+}  // namespace
+}  // namespace larchlever::control
--- /dev/null
+++ b/tests/unit/data_folder_test.cc
@@ -0,0 +1,241 @@
+#include "storage/data_folder.h"
+
+#include <gtest/gtest.h>
+#include <unistd.h>
+
+#include <cerrno>
+#include <fstream>
+
+namespace larchlever::storage {
+namespace {
+
+namespace fs = std::filesystem;
+
+class FailingFileSystem : public FileSystem {
+ public:
+  ssize_t write(int descriptor, const void* data, size_t size) override {
+    if (full) {
+      // A full disk takes a part before it refuses.
+      if (partial) {
+        partial = false;
+        return FileSystem::write(descriptor, data, size / 2);
+      }
+      errno = ENOSPC;
+      return -1;
+    }
+    return FileSystem::write(descriptor, data, size);
+  }
+  int sync(int descriptor) override {
+    if (sync_fails) {
+      errno = EIO;
+      return -1;
+    }
+    return FileSystem::sync(descriptor);
+  }
+  bool full = false;
+  bool partial = false;
+  bool sync_fails = false;
+};
+
+class DataFolderTest : public testing::Test {
+ protected:
+  void SetUp() override {
+    std::string pattern = (fs::temp_directory_path() / "larchlever-data-XXXXXX").string();
+    path_ = ::mkdtemp(pattern.data());
+  }
+  void TearDown() override { fs::remove_all(path_); }
+
+  std::unique_ptr<DataFolder> open() { return DataFolder::open(path_, files_, error_); }
+
+  static consensus::RaftOutput batch(int64_t first, int64_t last, int64_t term, const std::string& payload = "x") {
+    consensus::RaftOutput output;
+    for (int64_t index = first; index <= last; ++index) {
+      wire::LogEntry entry;
+      entry.index = index;
+      entry.term = term;
+      entry.kind = wire::EntryKind::COMMAND;
+      entry.payload = payload + std::to_string(index);
+      output.entries.push_back(entry);
+    }
+    wire::HardState state;
+    state.term = term;
+    state.voted_for = 7;
+    output.hard_state = state;
+    return output;
+  }
+
+  fs::path newest_segment() const {
+    fs::path newest;
+    for (const auto& item : fs::directory_iterator(path_)) {
+      const bool segment = item.path().filename().string().starts_with("log-");
+      if (segment && fs::file_size(item.path()) > 100 && (newest.empty() || item.path() > newest)) {
+        newest = item.path();
+      }
+    }
+    return newest;
+  }
+
+  void write_entries() {
+    auto folder = open();
+    ASSERT_NE(folder, nullptr) << error_.message;
+    for (int64_t index = 1; index <= 20; index += 5) {
+      const auto output = batch(index, index + 4, 3);
+      ASSERT_FALSE(folder->write({&output}));
+    }
+  }
+
+  fs::path path_;
+  FailingFileSystem files_;
+  StorageError error_;
+};
+
+TEST_F(DataFolderTest, ReturnsWhatWasWritten) {
+  write_entries();
+  auto folder = open();
+  ASSERT_NE(folder, nullptr) << error_.message;
+  const auto state = folder->take_recovered();
+  ASSERT_EQ(state.entries.size(), 20U);
+  EXPECT_EQ(state.entries.back().payload, "x20");
+  EXPECT_EQ(state.hard_state.term, 3);
+  EXPECT_EQ(state.hard_state.voted_for, 7);
+}
+
+TEST_F(DataFolderTest, OverwrittenSuffixStaysOverwritten) {
+  write_entries();
+  {
+    auto folder = open();
+    const auto output = batch(11, 12, 4, "new");
+    ASSERT_FALSE(folder->write({&output}));
+  }
+  const auto state = open()->take_recovered();
+  ASSERT_EQ(state.entries.size(), 12U);
+  EXPECT_EQ(state.entries[10].payload, "new11");
+  EXPECT_EQ(state.entries[10].term, 4);
+}
+
+TEST_F(DataFolderTest, CutsATornTailAndGoesOn) {
+  write_entries();
+  const auto segment = newest_segment();
+  fs::resize_file(segment, fs::file_size(segment) - 5);
+  {
+    auto folder = open();
+    ASSERT_NE(folder, nullptr) << error_.message;
+    EXPECT_EQ(folder->stats().torn_tails_cut, 1U);
+    const auto state = folder->take_recovered();
+    EXPECT_EQ(state.entries.size(), 19U);
+    const auto output = batch(20, 21, 5);
+    ASSERT_FALSE(folder->write({&output}));
+  }
+  EXPECT_EQ(open()->take_recovered().entries.size(), 21U);
+}
+
+TEST_F(DataFolderTest, RefusesDamageBeforeWhatWasAcknowledged) {
+  write_entries();
+  const auto segment = newest_segment();
+  {
+    std::fstream file(segment, std::ios::in | std::ios::out | std::ios::binary);
+    file.seekp(120);
+    file.put('\x5a');
+  }
+  EXPECT_EQ(open(), nullptr);
+  EXPECT_EQ(error_.kind, StorageErrorKind::kCorruptRecord);
+  EXPECT_NE(error_.message.find("new identity"), std::string::npos) << error_.message;
+}
+
+TEST_F(DataFolderTest, RefusesADamagedSnapshotAndAMissingSegment) {
+  {
+    auto folder = open();
+    auto output = batch(1, 10, 1);
+    ASSERT_FALSE(folder->write({&output}));
+    consensus::RaftOutput snapshot;
+    snapshot.snapshot.emplace();
+    snapshot.snapshot->header.index = 8;
+    snapshot.snapshot->header.term = 1;
+    snapshot.snapshot->state = "state at eight";
+    ASSERT_FALSE(folder->write({&snapshot}));
+  }
+  {
+    const auto state = open()->take_recovered();
+    EXPECT_EQ(state.snapshot.index, 8);
+    EXPECT_EQ(state.snapshot_state, "state at eight");
+    ASSERT_EQ(state.entries.size(), 2U);
+    EXPECT_EQ(state.entries.front().index, 9);
+  }
+  {
+    std::fstream file(path_ / "snapshot-8", std::ios::in | std::ios::out | std::ios::binary);
+    file.seekp(20);
+    file.put('\x5a');
+  }
+  EXPECT_EQ(open(), nullptr);
+  EXPECT_EQ(error_.kind, StorageErrorKind::kCorruptSnapshot);
+}
+
+TEST_F(DataFolderTest, ASnapshotFromTheLeaderVoidsWhatItReplaced) {
+  write_entries();
+  {
+    auto folder = open();
+    consensus::RaftOutput install;
+    install.snapshot.emplace();
+    install.snapshot->header.index = 15;
+    install.snapshot->header.term = 9;
+    install.snapshot->replaces_log = true;
+    ASSERT_FALSE(folder->write({&install}));
+  }
+  const auto state = open()->take_recovered();
+  EXPECT_EQ(state.snapshot.index, 15);
+  EXPECT_TRUE(state.entries.empty());
+}
+
+TEST_F(DataFolderTest, AFullDiskLeavesNothingOfTheBatch) {
+  write_entries();
+  {
+    auto folder = open();
+    files_.full = true;
+    files_.partial = true;
+    const auto output = batch(21, 40, 3);
+    const auto failure = folder->write({&output});
+    ASSERT_TRUE(failure);
+    EXPECT_EQ(failure->kind, StorageErrorKind::kDiskFull);
+    files_.full = false;
+  }
+  EXPECT_EQ(open()->take_recovered().entries.size(), 20U);
+}
+
+TEST_F(DataFolderTest, AFailedSyncIsFinal) {
+  auto folder = open();
+  const auto output = batch(1, 2, 1);
+  files_.sync_fails = true;
+  ASSERT_TRUE(folder->write({&output}));
+  files_.sync_fails = false;
+  const auto again = folder->write({&output});
+  ASSERT_TRUE(again);
+  EXPECT_EQ(again->kind, StorageErrorKind::kSyncFailed);
+}
+
+TEST_F(DataFolderTest, KeepsItsIdentityAndSetsRetiredLogsAside) {
+  {
+    auto folder = open();
+    EXPECT_EQ(folder->replica_id(), ReplicaId());
+    ASSERT_FALSE(folder->assign_identity(ReplicaId(41)));
+    const auto output = batch(1, 5, 2);
+    ASSERT_FALSE(folder->write({&output}));
+  }
+  {
+    auto folder = open();
+    EXPECT_EQ(folder->replica_id(), ReplicaId(41));
+    ASSERT_FALSE(folder->assign_identity(ReplicaId(42)));
+  }
+  auto folder = open();
+  EXPECT_EQ(folder->replica_id(), ReplicaId(42));
+  EXPECT_TRUE(folder->take_recovered().entries.empty());
+  EXPECT_TRUE(fs::exists(path_ / "retired-41"));
+}
+
+TEST_F(DataFolderTest, OneProcessAtATime) {
+  auto folder = open();
+  EXPECT_EQ(open(), nullptr);
+  EXPECT_EQ(error_.kind, StorageErrorKind::kLocked);
+}
+
+}  // namespace
+}  // namespace larchlever::storage
--- /dev/null
+++ b/tests/unit/raft_node_test.cc
@@ -0,0 +1,179 @@
+#include "consensus/raft_node.h"
+
+#include <gtest/gtest.h>
+
+#include <map>
+
+namespace larchlever::consensus {
+namespace {
+
+/// Three voters whose messages are carried by hand.
+class RaftTrio : public testing::Test {
+ protected:
+  void SetUp() override {
+    wire::ReplicaSet voters;
+    for (int64_t id = 1; id <= 3; ++id) {
+      wire::ReplicaAddress address;
+      address.replica_id = id;
+      address.node = "n" + std::to_string(id);
+      voters.voters.push_back(address);
+    }
+    PersistedState state;
+    state.snapshot.replicas = voters;
+    for (int64_t id = 1; id <= 3; ++id) {
+      nodes_.emplace(id, RaftNode(ReplicaId(id), Incarnation(1), options_, state, static_cast<uint64_t>(id), now_));
+    }
+  }
+
+  /// Runs `duration`, delivering everything except to or from those in `cut_`.
+  void run(Duration duration) {
+    const TimePoint end = now_ + duration;
+    while (now_ < end) {
+      now_ += milliseconds(10);
+      for (auto& [id, node] : nodes_) {
+        node.tick(now_);
+      }
+      for (int round = 0; round < 4; ++round) {
+        deliver();
+      }
+    }
+  }
+
+  void deliver() {
+    std::vector<wire::RaftMessage> messages;
+    for (auto& [id, node] : nodes_) {
+      auto output = node.take_output();
+      messages.insert(messages.end(), output.messages.begin(), output.messages.end());
+      messages.insert(messages.end(), output.messages_after_sync.begin(), output.messages_after_sync.end());
+      node.synced(now_, output.ticket);
+      node.take_committed();
+    }
+    for (const auto& message : messages) {
+      if (!cut_.contains(message.from_replica) && !cut_.contains(message.to_replica)) {
+        nodes_.at(message.to_replica).step(now_, message);
+      }
+    }
+  }
+
+  RaftNode* leader() {
+    for (auto& [id, node] : nodes_) {
+      if (!cut_.contains(id) && node.has_lease(now_)) {
+        return &node;
+      }
+    }
+    return nullptr;
+  }
+
+  RaftOptions options_;
+  TimePoint now_ = TimePoint(seconds(100));
+  std::map<int64_t, RaftNode> nodes_;
+  std::set<int64_t> cut_;
+};
+
+TEST_F(RaftTrio, ElectsOneLeaderAndCommits) {
+  run(seconds(5));
+  auto* chosen = leader();
+  ASSERT_NE(chosen, nullptr);
+  const auto index = chosen->propose(now_, "command");
+  ASSERT_TRUE(index);
+  run(milliseconds(500));
+  for (auto& [id, node] : nodes_) {
+    EXPECT_GE(node.commit_index(), *index);
+  }
+}
+
+TEST_F(RaftTrio, ACutOffLeaderLosesItsLeaseBeforeAnotherIsElected) {
+  run(seconds(5));
+  auto* old_leader = leader();
+  ASSERT_NE(old_leader, nullptr);
+  cut_.insert(old_leader->id().value());
+  bool both = false;
+  for (int step = 0; step < 500; ++step) {
+    run(milliseconds(10));
+    both = both || (old_leader->has_lease(now_) && leader() != nullptr);
+  }
+  EXPECT_FALSE(both);
+  ASSERT_NE(leader(), nullptr);
+  EXPECT_FALSE(old_leader->is_leader());
+  const int64_t term = leader()->term();
+  cut_.clear();
+  run(seconds(3));
+  // Pre-vote: the one that was cut off did not raise its term, so its return deposes nobody.
+  EXPECT_EQ(leader()->term(), term);
+}
+
+TEST_F(RaftTrio, ARestartedVoterDoesNotVoteAtOnce) {
+  run(seconds(5));
+  auto* chosen = leader();
+  const int64_t voter = chosen->id().value() == 1 ? 2 : 1;
+  RaftNode restarted(ReplicaId(voter), Incarnation(2), options_, PersistedState(), 9, now_);
+  wire::RaftMessage message;
+  message.from_replica = 3;
+  message.to_replica = voter;
+  wire::VoteRequest request;
+  request.term = 50;
+  request.last_index = 1000;
+  request.last_term = 49;
+  message.__set_vote_request(request);
+  restarted.step(now_, message);
+  const auto output = restarted.take_output();
+  ASSERT_EQ(output.messages_after_sync.size(), 1U);
+  EXPECT_FALSE(output.messages_after_sync[0].vote_reply.granted);
+}
+
+TEST_F(RaftTrio, HandsOverWithoutALeaderlessWait) {
+  run(seconds(5));
+  auto* old_leader = leader();
+  ASSERT_NE(old_leader, nullptr);
+  ASSERT_TRUE(old_leader->hand_over(now_));
+  EXPECT_FALSE(old_leader->has_lease(now_));
+  run(milliseconds(200));
+  ASSERT_NE(leader(), nullptr);
+  EXPECT_NE(leader()->id(), old_leader->id());
+}
+
+TEST_F(RaftTrio, ALateRefusalIsNotARollback) {
+  run(seconds(5));
+  auto* chosen = leader();
+  ASSERT_NE(chosen, nullptr);
+  const int64_t follower = chosen->id().value() == 1 ? 2 : 1;
+  chosen->propose(now_, "command");
+  run(milliseconds(300));
+  wire::RaftMessage late;
+  late.from_replica = follower;
+  late.to_replica = chosen->id().value();
+  wire::AppendReply reply;
+  reply.term = chosen->term();
+  reply.success = false;
+  reply.match_index = 0;
+  reply.last_index = 0;
+  reply.sent_at_us = to_microseconds(now_);
+  reply.boot = 1;
+  reply.order = 1;  // Given before the acknowledgements that the leader already has.
+  late.__set_append_reply(reply);
+  chosen->step(now_, late);
+  EXPECT_TRUE(chosen->rolled_back().empty());
+  reply.boot = 2;  // Given by a later start of the same identity: its disk has lost entries.
+  late.__set_append_reply(reply);
+  chosen->step(now_, late);
+  EXPECT_TRUE(chosen->rolled_back().contains(follower));
+}
+
+TEST_F(RaftTrio, ChangesOneReplicaAtATime) {
+  run(seconds(5));
+  auto* chosen = leader();
+  ASSERT_NE(chosen, nullptr);
+  auto two_gone = chosen->replicas();
+  two_gone.voters.resize(1);
+  EXPECT_FALSE(chosen->propose_replicas(now_, two_gone));
+  auto one_more = chosen->replicas();
+  wire::ReplicaAddress learner;
+  learner.replica_id = 9;
+  learner.node = "n9";
+  one_more.learners.push_back(learner);
+  EXPECT_TRUE(chosen->propose_replicas(now_, one_more));
+  EXPECT_FALSE(chosen->propose_replicas(now_, one_more)) << "a second change while one is open";
+}
+
+}  // namespace
+}  // namespace larchlever::consensus
--- /dev/null
+++ b/tests/unit/settings_test.cc
@@ -0,0 +1,122 @@
+#include <gtest/gtest.h>
+
+#include "core/config/record_table.h"
+#include "load/history.h"
+#include "settings/change_file.h"
+#include "settings/node_settings.h"
+#include "wire/codec.h"
+
+namespace larchlever::settings {
+namespace {
+
+constexpr const char* kGood = R"(
+[node]
+name = n1
+zone = a
+peer_address = 127.0.0.1:7401
+service_address = 127.0.0.1:7201
+admin_address = 127.0.0.1:7301
+data_folder = /var/lib/larchlever
+[control_nodes]
+n1 = 127.0.0.1:7401
+n2 = 127.0.0.1:7402
+)";
+
+TEST(NodeSettings, AcceptsAGoodFileWithDefaults) {
+  std::vector<std::string> errors;
+  const auto settings = parse_node_settings(kGood, errors);
+  ASSERT_TRUE(settings) << errors.front();
+  EXPECT_EQ(settings->control_nodes.size(), 2U);
+  EXPECT_EQ(settings->controller.control.heartbeat_interval, milliseconds(250));
+}
+
+TEST(NodeSettings, ReportsEveryFaultAtOnceWithSectionKeyValueAndRemedy) {
+  std::vector<std::string> errors;
+  const std::string text = std::string(kGood) +
+                           "[control]\nheartbeat_ms = soon\nlease = 4\nconfiguration_lease_ms = 100\n"
+                           "[requests]\nrouting_policy = best\nmost_attempts = 99\n[colour]\nx = 1\n";
+  EXPECT_FALSE(parse_node_settings(text, errors));
+  std::string all;
+  for (const auto& error : errors) {
+    all += error + "\n";
+  }
+  for (const char* expected :
+       {"[control] heartbeat_ms = 'soon': not a whole number", "[control] lease = '4': unknown key",
+        "shorter than two heartbeats", "[requests] routing_policy = 'best': unknown choice",
+        "[requests] most_attempts = '99': out of range; choose 1 to 10", "[colour]: unknown section"}) {
+    EXPECT_NE(all.find(expected), std::string::npos) << expected << "\nin\n" << all;
+  }
+}
+
+TEST(NodeSettings, RefusesAControlNodeWithoutADataFolder) {
+  std::vector<std::string> errors;
+  std::string text = kGood;
+  text.replace(text.find("data_folder"), std::string("data_folder = /var/lib/larchlever").size(), "");
+  EXPECT_FALSE(parse_node_settings(text, errors));
+  ASSERT_FALSE(errors.empty());
+  EXPECT_NE(errors.front().find("data_folder"), std::string::npos);
+}
+
+TEST(ChangeFile, RoundTripsThroughItsText) {
+  std::vector<std::string> errors;
+  const std::string text =
+      "[tenant north]\ntemplate = census\nzones = a, b\nadapters = x\nshare_percent = 12\nmax_concurrent = 9\n"
+      "priority = 3\nrepeat = safe\n";
+  const auto writes = parse_change_file(text, errors);
+  ASSERT_TRUE(writes) << errors.front();
+  wire::Record record;
+  record.key = writes->front().key;
+  record.value = writes->front().value;
+  EXPECT_EQ(format_record(record), text);
+}
+
+TEST(ChangeFile, SurvivesGarbage) {
+  uint64_t state = 12345;
+  for (int round = 0; round < 3000; ++round) {
+    std::string text;
+    for (int position = 0; position < 60; ++position) {
+      state = state * 6364136223846793005ULL + 1442695040888963407ULL;
+      text += "[]=;\n tenantemplz1,\"\\\x80\xff"[(state >> 33U) % 23];
+    }
+    std::vector<std::string> errors;
+    parse_change_file(text, errors);
+    parse_node_settings(text, errors);
+    wire::decode<wire::Envelope>(text);
+    wire::decode<wire::Command>(text);
+  }
+}
+
+TEST(History, CatchesEachKindOfFault) {
+  using load::check_history;
+  using load::ExecutionRecord;
+  using load::HistoryRecord;
+  HistoryRecord record;
+  record.tag = "t";
+  record.key = "t";
+  record.node = "n1";
+  record.expected = "right";
+  record.answer = "right";
+  record.status = 200;
+  record.whole = true;
+  record.outcome = "ran";
+  record.sent_ms = 100;
+  record.done_ms = 200;
+  ExecutionRecord run;
+  run.tag = "t";
+  run.machine = "m1";
+  run.started_ms = 150;
+  EXPECT_TRUE(check_history({record}, {run}).empty());
+  EXPECT_EQ(check_history({record}, {run, run}).size(), 1U) << "doubled";
+  EXPECT_EQ(check_history({record}, {}).size(), 1U) << "invented";
+  auto crossed = record;
+  crossed.answer = "wrong";
+  EXPECT_EQ(check_history({crossed}, {run}).size(), 1U) << "crossed";
+  auto denied = record;
+  denied.outcome = "not-run";
+  denied.status = 503;
+  EXPECT_EQ(check_history({denied}, {run}).size(), 1U) << "false not-run";
+  EXPECT_TRUE(check_history({denied}, {}).empty());
+}
+
+}  // namespace
+}  // namespace larchlever::settings
