Add experiments, scale runs, benchmarks and examples in both users' sizes

Cause: no figure said which policies serve the users' measures, nor what the target size costs. The routing decision looks each group up once instead of three times.

--- a/src/cli/command_line.cc
+++ b/src/cli/command_line.cc
@@ -18,6 +18,9 @@
 DEFINE_string(data, "", "demo: folder for the nodes' data; default: a temporary one");
 DEFINE_int64(first_seed, 1, "simulate: first seed");
 DEFINE_int64(runs, 100, "simulate: number of seeds");
+DEFINE_string(experiment, "", "simulate: experiment file to run instead of fault schedules");
+DEFINE_string(out, "", "simulate: folder for an experiment's CSV, JSON and SVG files");
+DEFINE_int32(hollow, 0, "simulate: measure fleets of hollow nodes, up to this many nodes");
 DEFINE_string(targets, "", "load: service addresses of nodes on loopback, separated by commas");
 DEFINE_string(tenants, "", "load: tenants to send for, separated by commas");
 DEFINE_string(model, "census", "load: model to ask for");
@@ -57,6 +60,7 @@
        {"empty a machine for a planned stop: drain MACHINE [--undo]",
         [](const auto& arguments) { return run_drain(arguments); }}},
       {"load", {"send requests to nodes on loopback and check what came back", [](const auto&) { return run_load(); }}},
+      {"bench", {"measure this build against its budgets", [](const auto&) { return run_bench(); }}},
       {"simulate",
        {"run fault schedules in virtual time: [--first_seed=N] [--runs=N]",
         [](const auto&) { return run_simulate(); }}},
--- a/src/cli/command_line.h
+++ b/src/cli/command_line.h
@@ -34,5 +34,6 @@
 int run_audit();
 int run_simulate();
 int run_load();
+int run_bench();
 
 }  // namespace larchlever::cli
--- a/src/cli/demo_command.cc
+++ b/src/cli/demo_command.cc
@@ -4,16 +4,15 @@
 #include <csignal>
 #include <filesystem>
 #include <iostream>
-#include <random>
 
 #include "cli/command_line.h"
 #include "cli/flags.h"
+#include "cli/region_start.h"
 #include "emulator/emulated_fleet.h"
 #include "node/logging.h"
 #include "node/node_process.h"
 #include "settings/change_file.h"
 #include "settings/node_settings.h"
-#include "storage/data_folder.h"
 
 namespace larchlever::cli {
 
@@ -119,34 +118,6 @@
   return settings;
 }
 
-bool begin_region(const settings::NodeSettings& first, std::string& error) {
-  storage::FileSystem file_system;
-  storage::StorageError failure;
-  auto folder = storage::DataFolder::open(first.data_folder, file_system, failure);
-  if (folder == nullptr) {
-    error = failure.message;
-    return false;
-  }
-  if (folder->replica_id() != ReplicaId()) {
-    return true;  // An earlier demo's data: go on with it.
-  }
-  std::random_device source;
-  wire::ReplicaAddress address;
-  address.replica_id = static_cast<int64_t>(((static_cast<uint64_t>(source()) << 32U) | source()) >> 1U);
-  address.node = first.name;
-  address.zone = first.zone;
-  const auto state = consensus::RaftNode::bootstrap(address);
-  consensus::RaftOutput output;
-  output.hard_state = state.hard_state;
-  output.entries = state.entries;
-  auto problem = folder->assign_identity(ReplicaId(address.replica_id));
-  if (!problem) {
-    problem = folder->write({&output});
-  }
-  error = problem ? problem->message : "";
-  return !problem;
-}
-
 std::string change_text(const emulator::EmulatedFleet& fleet) {
   std::string text = kChangeText;
   text += "\n[service forms]\npath_prefix = /forms\nzones = ljubljana\nendpoints = ";
--- a/src/cli/flags.h
+++ b/src/cli/flags.h
@@ -21,3 +21,6 @@
 DECLARE_string(execution_log);
 DECLARE_int32(callers);
 DECLARE_int64(requests);
+DECLARE_string(experiment);
+DECLARE_string(out);
+DECLARE_int32(hollow);
--- a/src/cli/serve_commands.cc
+++ b/src/cli/serve_commands.cc
@@ -1,16 +1,14 @@
 #include <boost/asio.hpp>
 #include <csignal>
-#include <filesystem>
 #include <iostream>
-#include <random>
 
 #include "cli/command_line.h"
 #include "cli/flags.h"
+#include "cli/region_start.h"
 #include "emulator/emulated_fleet.h"
 #include "node/logging.h"
 #include "node/node_process.h"
 #include "settings/node_settings.h"
-#include "storage/data_folder.h"
 
 namespace larchlever::cli {
 
@@ -55,33 +53,9 @@
     std::cerr << "larchlever: this node has no data folder; bootstrap a node that has one\n";
     return kExitInvalid;
   }
-  storage::FileSystem file_system;
-  storage::StorageError error;
-  auto folder = storage::DataFolder::open(parsed->data_folder, file_system, error);
-  if (folder == nullptr) {
-    std::cerr << "larchlever: " << error.message << "\n";
-    return kExitFailed;
-  }
-  if (folder->replica_id() != ReplicaId()) {
-    std::cerr << "larchlever: data folder " << parsed->data_folder
-              << " already belongs to a region; bootstrap only the first node of a new one\n";
-    return kExitInvalid;
-  }
-  std::random_device source;
-  wire::ReplicaAddress first;
-  first.replica_id = static_cast<int64_t>(((static_cast<uint64_t>(source()) << 32U) | source()) >> 1U);
-  first.node = parsed->name;
-  first.zone = parsed->zone;
-  const auto state = consensus::RaftNode::bootstrap(first);
-  consensus::RaftOutput output;
-  output.hard_state = state.hard_state;
-  output.entries = state.entries;
-  auto problem = folder->assign_identity(ReplicaId(first.replica_id));
-  if (!problem) {
-    problem = folder->write({&output});
-  }
-  if (problem) {
-    std::cerr << "larchlever: " << problem->message << "\n";
+  std::string error;
+  if (!begin_region(*parsed, error, false)) {
+    std::cerr << "larchlever: " << error << "\n";
     return kExitFailed;
   }
   std::cout << "region begun in " << parsed->data_folder << "; start this node, then the others\n";
--- a/src/cli/simulate_command.cc
+++ b/src/cli/simulate_command.cc
@@ -1,6 +1,8 @@
 #include <algorithm>
 #include <atomic>
 #include <chrono>
+#include <filesystem>
+#include <fstream>
 #include <iostream>
 #include <map>
 #include <mutex>
@@ -8,6 +10,8 @@
 
 #include "cli/command_line.h"
 #include "cli/flags.h"
+#include "simulation/experiment.h"
+#include "simulation/scale_run.h"
 #include "simulation/simulation_run.h"
 
 namespace larchlever::cli {
@@ -78,9 +82,58 @@
   std::map<std::string, uint64_t> faults_;
 };
 
+int run_experiment_file() {
+  std::vector<std::string> errors;
+  const auto experiment = simulation::parse_experiment(FLAGS_experiment, errors);
+  for (const auto& error : errors) {
+    std::cerr << FLAGS_experiment << ": " << error << "\n";
+  }
+  if (!experiment) {
+    return kExitInvalid;
+  }
+  const auto rows = simulation::run_experiment(*experiment);
+  std::cout << simulation::experiment_csv(rows);
+  if (!FLAGS_out.empty()) {
+    const std::filesystem::path folder = FLAGS_out;
+    std::filesystem::create_directories(folder);
+    std::ofstream(folder / (experiment->name + ".csv")) << simulation::experiment_csv(rows);
+    std::ofstream(folder / (experiment->name + ".json")) << simulation::experiment_json(*experiment, rows);
+    for (const auto& [measure, spread] : rows.front().measures) {
+      if (measure != "violations") {
+        std::ofstream(folder / (experiment->name + "-" + measure + ".svg"))
+            << simulation::experiment_svg(*experiment, rows, measure);
+      }
+    }
+  }
+  return kExitDone;
+}
+
+int run_scale_sizes() {
+  constexpr int kTargetNodes = 340;
+  constexpr int kTargetMachines = 1400;
+  std::vector<simulation::ScaleResult> results;
+  for (const int nodes : {9, 40, 100, 200, kTargetNodes}) {
+    if (nodes > FLAGS_hollow) {
+      break;
+    }
+    const int machines = std::max(48, nodes * kTargetMachines / kTargetNodes);
+    const int zones = nodes < 100 ? 3 : 15;
+    results.push_back(simulation::run_scale(nodes, machines, zones, 10));
+    std::cerr << "measured " << nodes << " nodes\n";
+  }
+  std::cout << simulation::scale_csv(results);
+  return kExitDone;
+}
+
 }  // namespace
 
 int run_simulate() {
+  if (!FLAGS_experiment.empty()) {
+    return run_experiment_file();
+  }
+  if (FLAGS_hollow > 0) {
+    return run_scale_sizes();
+  }
   const auto started = std::chrono::steady_clock::now();
   SeedRuns runs;
   runs.run(static_cast<uint64_t>(FLAGS_first_seed), static_cast<uint64_t>(FLAGS_runs),
--- a/src/core/routing/router.cc
+++ b/src/core/routing/router.cc
@@ -33,7 +33,7 @@
 }
 
 void Router::set_leases(const std::vector<wire::GroupLease>& leases, TimePoint until) {
-  std::map<int64_t, Lease> renewed;
+  std::unordered_map<int64_t, Lease> renewed;
   for (const auto& granted : leases) {
     Lease lease;
     lease.epoch = granted.epoch;
@@ -64,15 +64,11 @@
       std::count_if(leases_.begin(), leases_.end(), [now](const auto& item) { return now < item.second.until; }));
 }
 
-int Router::estimated_load(int64_t group_id) const {
+int Router::estimated_load(int64_t group_id, const Lease& lease) const {
   const auto own = outstanding_.find(group_id);
   const int own_now = own == outstanding_.end() ? 0 : own->second;
-  const auto lease = leases_.find(group_id);
-  if (lease == leases_.end()) {
-    return own_now;
-  }
   // The report lags. What we had in flight when it came is in it (or soon will be); count our own part afresh.
-  return std::max(lease->second.reported_load - lease->second.own_at_report, 0) + own_now;
+  return std::max(lease.reported_load - lease.own_at_report, 0) + own_now;
 }
 
 RouteDecision Router::route(TimePoint now, const RouteQuery& query) {
@@ -89,65 +85,66 @@
   if (!tenant->permits_adapter(query.adapter)) {
     return {RouteVerdict::kAdapterNotPermitted, nullptr};
   }
-  std::vector<const wire::Group*> candidates;
+  candidates_.clear();
   for (const auto& group : table_.groups_of(tenant->tenant.template_name)) {
+    const auto lease = leases_.find(group.id);
+    const bool leased = lease != leases_.end() && lease->second.epoch == group.epoch && now < lease->second.until;
     const bool has_adapter = query.adapter.empty() || std::find(group.adapters.begin(), group.adapters.end(),
                                                                 query.adapter) != group.adapters.end();
-    if (tenant->permits_zone(group.zone) && has_adapter && may_dispatch(now, group.id, group.epoch) &&
-        !query.excluded.contains(group.id)) {
-      candidates.push_back(&group);
+    if (leased && has_adapter && tenant->permits_zone(group.zone) && !query.excluded.contains(group.id)) {
+      candidates_.push_back({&group, estimated_load(group.id, lease->second)});
     }
   }
-  if (candidates.empty()) {
+  if (candidates_.empty()) {
     return {RouteVerdict::kNoGroupAvailable, nullptr};
   }
-  return {RouteVerdict::kDispatch, choose(candidates, query.prefix_hash)};
+  return {RouteVerdict::kDispatch, choose(candidates_, query.prefix_hash)};
 }
 
-const wire::Group* Router::choose(const std::vector<const wire::Group*>& candidates, uint64_t prefix_hash) {
+const wire::Group* Router::choose(const std::vector<Candidate>& candidates, uint64_t prefix_hash) {
   switch (policy_) {
     case RoutingPolicy::kRoundRobin:
-      return candidates[next_++ % candidates.size()];
+      return candidates[next_++ % candidates.size()].group;
     case RoutingPolicy::kLeastLoad:
-      return *std::min_element(candidates.begin(), candidates.end(), [this](const auto* left, const auto* right) {
-        return estimated_load(left->id) < estimated_load(right->id);
-      });
+      return std::min_element(candidates.begin(), candidates.end(),
+                              [](const auto& left, const auto& right) { return left.load < right.load; })
+          ->group;
     case RoutingPolicy::kPowerOfTwo:
       return choose_of_two(candidates);
     case RoutingPolicy::kPrefixAffinity:
       return prefix_hash == 0 ? choose_of_two(candidates) : choose_by_affinity(candidates, prefix_hash);
   }
-  return candidates.front();
+  return candidates.front().group;
 }
 
-const wire::Group* Router::choose_of_two(const std::vector<const wire::Group*>& candidates) {
+const wire::Group* Router::choose_of_two(const std::vector<Candidate>& candidates) {
   std::uniform_int_distribution<size_t> pick(0, candidates.size() - 1);
-  const auto* first = candidates[pick(random_)];
-  const auto* second = candidates[pick(random_)];
-  return estimated_load(second->id) < estimated_load(first->id) ? second : first;
+  const auto& first = candidates[pick(random_)];
+  const auto& second = candidates[pick(random_)];
+  return second.load < first.load ? second.group : first.group;
 }
 
-const wire::Group* Router::choose_by_affinity(const std::vector<const wire::Group*>& candidates,
-                                              uint64_t prefix_hash) const {
+const wire::Group* Router::choose_by_affinity(const std::vector<Candidate>& candidates, uint64_t prefix_hash) {
   // Rendezvous hashing: every entry ranks the groups alike for a prefix without sharing any state; the load bound
   // sends what is too much for the first choice to the second, and so on.
   int total = 0;
-  std::vector<std::pair<uint64_t, const wire::Group*>> ranked;
-  ranked.reserve(candidates.size());
-  for (const auto* group : candidates) {
-    total += estimated_load(group->id);
-    ranked.emplace_back(XXH3_64bits_withSeed(&group->id, sizeof(group->id), prefix_hash), group);
+  for (const auto& candidate : candidates) {
+    total += candidate.load;
   }
   const int bound = static_cast<int>(std::ceil(kLoadBound * (total + 1) / static_cast<double>(candidates.size())));
-  const wire::Group* best = nullptr;
+  const wire::Group* best = candidates.front().group;
   uint64_t best_weight = 0;
-  for (const auto& [weight, group] : ranked) {
-    if (estimated_load(group->id) < bound && (best == nullptr || weight > best_weight)) {
-      best = group;
+  for (const auto& candidate : candidates) {
+    if (candidate.load >= bound) {
+      continue;
+    }
+    const uint64_t weight = XXH3_64bits_withSeed(&candidate.group->id, sizeof(candidate.group->id), prefix_hash);
+    if (weight >= best_weight) {
+      best = candidate.group;
       best_weight = weight;
     }
   }
-  return best == nullptr ? candidates.front() : best;
+  return best;
 }
 
 }  // namespace larchlever::routing
--- a/src/core/routing/router.h
+++ b/src/core/routing/router.h
@@ -7,6 +7,7 @@
 #include <set>
 #include <string>
 #include <string_view>
+#include <unordered_map>
 #include <vector>
 
 #include "core/base/time.h"
@@ -78,18 +79,24 @@
     int own_at_report = 0;
   };
 
-  int estimated_load(int64_t group_id) const;
-  const wire::Group* choose(const std::vector<const wire::Group*>& candidates, uint64_t prefix_hash);
-  const wire::Group* choose_by_affinity(const std::vector<const wire::Group*>& candidates, uint64_t prefix_hash) const;
-  const wire::Group* choose_of_two(const std::vector<const wire::Group*>& candidates);
+  struct Candidate {
+    const wire::Group* group = nullptr;
+    int load = 0;
+  };
+
+  int estimated_load(int64_t group_id, const Lease& lease) const;
+  const wire::Group* choose(const std::vector<Candidate>& candidates, uint64_t prefix_hash);
+  static const wire::Group* choose_by_affinity(const std::vector<Candidate>& candidates, uint64_t prefix_hash);
+  const wire::Group* choose_of_two(const std::vector<Candidate>& candidates);
 
   RoutingPolicy policy_;
   std::mt19937_64 random_;
   RoutingTable table_;
   TimePoint configuration_lease_until_ = TimePoint::min();
-  std::map<int64_t, Lease> leases_;
-  std::map<int64_t, int> outstanding_;
+  std::unordered_map<int64_t, Lease> leases_;
+  std::unordered_map<int64_t, int> outstanding_;
   size_t next_ = 0;
+  std::vector<Candidate> candidates_;  ///< Kept between calls for its memory only.
 };
 
 /// Hash of the leading part of a prompt, salted by tenant so that tenants never share a cached prefix by accident.
--- /dev/null
+++ b/src/simulation/deployment.cc
@@ -0,0 +1,89 @@
+#include "simulation/deployment.h"
+
+#include "settings/change_file.h"
+#include "settings/node_settings.h"
+#include "wire/codec.h"
+
+namespace larchlever::simulation {
+
+namespace {
+
+constexpr int kScaleDomain = 32;
+constexpr int kScaleGroup = 16;
+constexpr int kScaleTenants = 20;
+
+}  // namespace
+
+std::optional<Deployment> parse_deployment(const settings::IniDocument& document, const std::string& folder,
+                                           std::vector<std::string>& errors) {
+  const size_t faults_before = errors.size();
+  Deployment deployment;
+  settings::SectionReader reader("deployment", document.find("deployment"), errors);
+  deployment.name = reader.required_text("name");
+  deployment.nodes = static_cast<int>(reader.integer("nodes", 9, 1, 1000));
+  deployment.disks = static_cast<int>(reader.integer("disks", 5, 1, 1000));
+  const std::string changes = reader.required_text("changes");
+  reader.finish();
+  for (const auto& section : document.sections()) {
+    if (!section.name.starts_with("zone ")) {
+      continue;
+    }
+    settings::SectionReader zone(section.name, &section, errors);
+    ZoneShape shape;
+    shape.name = section.name.substr(5);
+    shape.domains = static_cast<int>(zone.integer("domains", 1, 1, 1000));
+    shape.machines_per_domain = static_cast<int>(zone.integer("machines_per_domain", 8, 1, 1000));
+    shape.accelerators = static_cast<int>(zone.integer("accelerators", 8, 1, 64));
+    shape.checks_fences = zone.choice("kind", "fenced", {"fenced", "basic"}) == "fenced";
+    zone.finish();
+    deployment.zones.push_back(std::move(shape));
+  }
+  if (const auto text = settings::read_text_file(folder + "/" + changes, errors)) {
+    if (auto writes = settings::parse_change_file(*text, errors)) {
+      deployment.configuration = std::move(*writes);
+    }
+  }
+  return errors.size() > faults_before ? std::nullopt : std::optional(std::move(deployment));
+}
+
+Deployment uniform_deployment(int nodes, int machines, int zones) {
+  Deployment deployment;
+  deployment.name = "uniform";
+  deployment.nodes = nodes;
+  deployment.disks = 5;
+  const int domains = std::max(1, machines / kScaleDomain / zones);
+  std::vector<std::string> names;
+  for (int number = 1; number <= zones; ++number) {
+    ZoneShape zone;
+    zone.name = "z" + std::to_string(number);
+    zone.domains = domains;
+    zone.machines_per_domain = machines / zones / domains;
+    zone.accelerators = 4;
+    names.push_back(zone.name);
+    deployment.zones.push_back(zone);
+  }
+  wire::Template shape;
+  shape.name = "main";
+  shape.model = "model";
+  shape.version = "1";
+  shape.machines_per_group = kScaleGroup;
+  wire::KeyWrite write;
+  write.key = "template/main";
+  write.value = wire::encode(shape);
+  deployment.configuration.push_back(write);
+  for (int number = 1; number <= kScaleTenants; ++number) {
+    wire::Tenant tenant;
+    tenant.name = "t" + std::to_string(number);
+    tenant.template_name = "main";
+    tenant.zones = {names[static_cast<size_t>(number) % names.size()],
+                    names[static_cast<size_t>(number + 1) % names.size()]};
+    tenant.share_percent = 80 / kScaleTenants;
+    tenant.max_concurrent = 2000;
+    write.key = "tenant/" + tenant.name;
+    write.value = wire::encode(tenant);
+    deployment.configuration.push_back(write);
+  }
+  return deployment;
+}
+
+}  // namespace larchlever::simulation
--- /dev/null
+++ b/src/simulation/experiment.cc
@@ -0,0 +1,178 @@
+#include "simulation/experiment.h"
+
+#include <algorithm>
+#include <atomic>
+#include <filesystem>
+#include <mutex>
+#include <sstream>
+#include <thread>
+
+#include "settings/node_settings.h"
+#include "simulation/placement_experiment.h"
+
+namespace larchlever::simulation {
+
+namespace {
+
+struct Trial {
+  std::string label;
+  std::string policy;
+  int64_t weight = 50;
+  uint64_t seed = 1;
+};
+
+std::vector<Trial> make_trials(const Experiment& experiment) {
+  std::vector<Trial> trials;
+  for (const auto& policy : experiment.policies) {
+    const bool weighted = experiment.kind == "placement" && policy == "spare_aware" && !experiment.weights.empty();
+    const auto weights = weighted ? experiment.weights : std::vector<int64_t>{50};
+    for (const int64_t weight : weights) {
+      std::string label = policy;
+      if (weighted) {
+        label += "/" + std::to_string(weight);
+      }
+      for (int seed = 1; seed <= experiment.seeds; ++seed) {
+        trials.push_back({label, policy, weight, static_cast<uint64_t>(seed)});
+      }
+    }
+  }
+  return trials;
+}
+
+Spread spread_of(std::vector<double> values) {
+  std::sort(values.begin(), values.end());
+  return {values[values.size() / 2], values.front(), values.back()};
+}
+
+}  // namespace
+
+std::optional<Experiment> parse_experiment(const std::string& path, std::vector<std::string>& errors) {
+  const auto text = settings::read_text_file(path, errors);
+  if (!text) {
+    return std::nullopt;
+  }
+  const size_t faults_before = errors.size();
+  const auto document = settings::IniDocument::parse(*text, errors);
+  Experiment experiment;
+  settings::SectionReader reader("experiment", document.find("experiment"), errors);
+  experiment.name = reader.required_text("name");
+  experiment.kind = reader.choice("kind", "placement", {"placement", "routing"});
+  experiment.policies = reader.list("policies");
+  for (const auto& weight : reader.list("downtime_weights")) {
+    experiment.weights.push_back(std::atoll(weight.c_str()));
+  }
+  experiment.seeds = static_cast<int>(reader.integer("seeds", 10, 1, 10'000));
+  experiment.duration_seconds = reader.integer("duration_s", 1800, 1, 864'000);
+  experiment.seconds_between_failures = reader.integer("seconds_between_failures", 60, 1, 864'000);
+  experiment.repair_seconds = reader.integer("repair_s", 300, 1, 864'000);
+  experiment.requests_per_second = reader.integer("requests_per_second", 60, 1, 100'000);
+  reader.finish();
+  if (experiment.kind == "placement") {
+    const std::string folder = std::filesystem::path(path).parent_path().string();
+    if (auto deployment = parse_deployment(document, folder.empty() ? "." : folder, errors)) {
+      experiment.deployment = std::move(*deployment);
+    }
+  }
+  return errors.size() > faults_before ? std::nullopt : std::optional(std::move(experiment));
+}
+
+std::vector<ExperimentRow> run_experiment(const Experiment& experiment) {
+  const auto trials = make_trials(experiment);
+  std::vector<std::map<std::string, double>> results(trials.size());
+  std::atomic<size_t> next{0};
+  std::vector<std::thread> workers;
+  for (unsigned number = 0; number < std::max(1U, std::thread::hardware_concurrency()); ++number) {
+    workers.emplace_back([&] {
+      for (size_t position = next++; position < trials.size(); position = next++) {
+        const Trial& trial = trials[position];
+        results[position] = experiment.kind == "placement"
+                                ? run_placement(experiment, trial.policy, trial.weight, trial.seed)
+                                : run_routing(experiment, trial.policy, trial.seed);
+      }
+    });
+  }
+  for (auto& worker : workers) {
+    worker.join();
+  }
+  std::vector<std::string> order;
+  std::map<std::string, std::map<std::string, std::vector<double>>> samples;
+  for (size_t position = 0; position < trials.size(); ++position) {
+    if (!samples.contains(trials[position].label)) {
+      order.push_back(trials[position].label);
+    }
+    for (const auto& [measure, value] : results[position]) {
+      samples[trials[position].label][measure].push_back(value);
+    }
+  }
+  std::vector<ExperimentRow> rows;
+  for (const auto& label : order) {
+    ExperimentRow row;
+    row.policy = label;
+    for (const auto& [measure, values] : samples[label]) {
+      row.measures[measure] = spread_of(values);
+    }
+    rows.push_back(std::move(row));
+  }
+  return rows;
+}
+
+std::string experiment_csv(const std::vector<ExperimentRow>& rows) {
+  std::ostringstream out;
+  out << "policy,measure,median,least,greatest\n";
+  for (const auto& row : rows) {
+    for (const auto& [measure, spread] : row.measures) {
+      out << row.policy << "," << measure << "," << spread.median << "," << spread.least << "," << spread.greatest
+          << "\n";
+    }
+  }
+  return out.str();
+}
+
+std::string experiment_json(const Experiment& experiment, const std::vector<ExperimentRow>& rows) {
+  std::ostringstream out;
+  out << "{\"experiment\":\"" << experiment.name << "\",\"seeds\":" << experiment.seeds << ",\"rows\":[";
+  for (size_t position = 0; position < rows.size(); ++position) {
+    out << (position == 0 ? "" : ",") << "{\"policy\":\"" << rows[position].policy << "\",\"measures\":{";
+    bool first = true;
+    for (const auto& [measure, spread] : rows[position].measures) {
+      out << (first ? "" : ",") << "\"" << measure << "\":{\"median\":" << spread.median
+          << ",\"least\":" << spread.least << ",\"greatest\":" << spread.greatest << "}";
+      first = false;
+    }
+    out << "}}";
+  }
+  out << "]}\n";
+  return out.str();
+}
+
+std::string experiment_svg(const Experiment& experiment, const std::vector<ExperimentRow>& rows,
+                           const std::string& measure) {
+  constexpr int kRowHeight = 34;
+  constexpr int kLeft = 150;
+  constexpr int kWidth = 480;
+  double largest = 1e-9;
+  for (const auto& row : rows) {
+    largest = std::max(largest, row.measures.at(measure).greatest);
+  }
+  const auto x_of = [&](double value) { return kLeft + kWidth * value / largest; };
+  std::ostringstream out;
+  const int height = 60 + kRowHeight * static_cast<int>(rows.size());
+  out << "<svg xmlns=\"http://www.w3.org/2000/svg\" width=\"760\" height=\"" << height
+      << "\" font-family=\"sans-serif\" font-size=\"13\"><rect width=\"760\" height=\"" << height
+      << "\" fill=\"white\"/><text x=\"10\" y=\"24\" font-size=\"15\">" << experiment.name << ": " << measure
+      << " (median, least to greatest of " << experiment.seeds << " seeds)</text>\n";
+  int y = 50;
+  for (const auto& row : rows) {
+    const auto& spread = row.measures.at(measure);
+    out << "<text x=\"10\" y=\"" << y + 15 << "\">" << row.policy << "</text><rect x=\"" << kLeft << "\" y=\"" << y
+        << "\" width=\"" << x_of(spread.median) - kLeft << "\" height=\"20\" fill=\"#4477aa\"/><line x1=\""
+        << x_of(spread.least) << "\" x2=\"" << x_of(spread.greatest) << "\" y1=\"" << y + 10 << "\" y2=\"" << y + 10
+        << "\" stroke=\"#222\" stroke-width=\"2\"/><text x=\"" << x_of(spread.greatest) + 8 << "\" y=\"" << y + 15
+        << "\">" << spread.median << "</text>\n";
+    y += kRowHeight;
+  }
+  out << "</svg>\n";
+  return out.str();
+}
+
+}  // namespace larchlever::simulation
--- a/src/simulation/simulated_fleet.cc
+++ b/src/simulation/simulated_fleet.cc
@@ -1,6 +1,7 @@
 #include "simulation/simulated_fleet.h"
 
 #include <algorithm>
+#include <ctime>
 
 #include "wire/codec.h"
 
@@ -9,9 +10,16 @@
 namespace {
 
 constexpr int64_t kWallClockStart = 1'700'000'000'000;
+constexpr size_t kFrameHeader = 16;
 constexpr int64_t kIncarnationStep = 1'000'000;
 constexpr Duration kMembershipInterval = seconds(1);
 
+int64_t thread_time_ns() {
+  timespec time{};
+  ::clock_gettime(CLOCK_THREAD_CPUTIME_ID, &time);
+  return time.tv_sec * 1'000'000'000LL + time.tv_nsec;
+}
+
 }  // namespace
 
 SimulatedFleet::SimulatedFleet(const FleetOptions& options, EventQueue& queue, InvariantMonitor& monitor)
@@ -77,7 +85,6 @@
   node.running = true;
   node.paused_until = TimePoint::min();
   node.syncing = false;
-  node.held.clear();
   ++node.generation;
   next_incarnation_ += kIncarnationStep;
   node.incarnation = next_incarnation_;
@@ -110,7 +117,6 @@
   node.running = false;
   ++node.generation;
   node.controller.reset();
-  node.held.clear();
   const size_t in_flight = node.disk.in_flight();
   node.disk.crash(in_flight == 0 ? 0 : std::uniform_int_distribution<size_t>(0, in_flight)(random_));
 }
@@ -158,7 +164,7 @@
 
 void SimulatedFleet::tick(const std::string& name, uint64_t generation) {
   on_node(name, generation, [this, name, generation](SimulatedNode& node) {
-    node.controller->tick(local_now(node), kWallClockStart + to_microseconds(queue_.now()) / 1000);
+    book(node, [&] { node.controller->tick(local_now(node), kWallClockStart + to_microseconds(queue_.now()) / 1000); });
     pump(node);
     if (on_tick) {
       on_tick(node);
@@ -192,10 +198,27 @@
 
 // ------------------------------------------------------------------ network
 
-uint64_t SimulatedFleet::bytes_of(const wire::Envelope& envelope) const { return wire::encode(envelope).size() + 16; }
+void SimulatedFleet::book(SimulatedNode& node, const std::function<void()>& work) {
+  if (!options_.measure) {
+    work();
+    return;
+  }
+  const int64_t before = thread_time_ns();
+  work();
+  node.cost.processor_ns += thread_time_ns() - before;
+}
 
-void SimulatedFleet::transmit(const wire::Envelope& envelope) {
+void SimulatedFleet::transmit(SimulatedNode& from, const wire::Envelope& envelope) {
   ++messages_;
+  if (options_.measure) {
+    std::string bytes;
+    book(from, [&] { bytes = wire::encode(envelope); });
+    from.cost.bytes_sent += bytes.size() + kFrameHeader;
+    ++from.cost.messages_sent;
+    SimulatedNode& to = nodes_.at(envelope.to_node);
+    to.cost.bytes_received += bytes.size() + kFrameHeader;
+    book(to, [&] { wire::decode<wire::Envelope>(bytes); });
+  }
   if (network_.cuts.contains({envelope.from_node, envelope.to_node}) || chance() < network_.loss) {
     return;
   }
@@ -211,7 +234,7 @@
     return;
   }
   on_node(to, found->second.generation, [this, envelope = std::move(envelope)](SimulatedNode& node) {
-    node.controller->receive(local_now(node), envelope);
+    book(node, [&] { node.controller->receive(local_now(node), envelope); });
     pump(node);
   });
 }
@@ -219,7 +242,7 @@
 void SimulatedFleet::pump(SimulatedNode& node) {
   auto outputs = node.controller->take_outputs();
   for (const auto& envelope : outputs.envelopes) {
-    transmit(envelope);
+    transmit(node, envelope);
   }
   for (auto& batch : outputs.storage) {
     node.disk.submit(batch);
@@ -265,7 +288,8 @@
     target.syncing = false;
     on_node(name, generation, [this, identity, batch = std::move(batch)](SimulatedNode& running) {
       if (running.disk.replica_id() == identity && !options_.defects.lying_disk) {
-        running.controller->written(local_now(running), batch);
+        ++running.cost.synced_batches;
+        book(running, [&] { running.controller->written(local_now(running), batch); });
         pump(running);
       }
     });
--- a/src/simulation/simulated_fleet.h
+++ b/src/simulation/simulated_fleet.h
@@ -52,9 +52,20 @@
   Duration membership_lag = seconds(2);
   double clock_drift = 0.004;
   PlantedDefects defects;
+  /// Count bytes as encoded on the wire and processor time per node; slower.
+  bool measure = false;
   uint64_t seed = 1;
 };
 
+/// What one node cost so far.
+struct NodeCost {
+  uint64_t bytes_sent = 0;
+  uint64_t bytes_received = 0;
+  uint64_t messages_sent = 0;
+  uint64_t synced_batches = 0;
+  int64_t processor_ns = 0;
+};
+
 /// State of the links between nodes.
 struct NetworkFaults {
   double loss = 0;
@@ -76,7 +87,7 @@
   bool syncing = false;
   std::unique_ptr<node::NodeController> controller;
   VirtualDisk disk;
-  std::vector<std::function<void()>> held;  ///< What arrived while the node was paused.
+  NodeCost cost;
 };
 
 /// Nodes, machines and the network between them in virtual time. The nodes run the daemon's own NodeController; only
@@ -120,13 +131,14 @@
   std::function<void(SimulatedNode&)> on_tick;
 
   uint64_t messages() const { return messages_; }
-  uint64_t bytes_of(const wire::Envelope& envelope) const;
 
  private:
   void start_node(SimulatedNode& node);
   void tick(const std::string& name, uint64_t generation);
   void deliver(const std::string& to, wire::Envelope envelope);
-  void transmit(const wire::Envelope& envelope);
+  void transmit(SimulatedNode& from, const wire::Envelope& envelope);
+  /// Runs `work` and books its processor time on the node.
+  void book(SimulatedNode& node, const std::function<void()>& work);
   void start_sync(SimulatedNode& node);
   void poll(const std::string& name, uint64_t generation);
   void publish_members(const std::string& name, uint64_t generation);
