--- a/src/cli/bench_command.cc
+++ b/src/cli/bench_command.cc
@@ -33,7 +33,6 @@
 namespace {
 
 using Clock = std::chrono::steady_clock;
-constexpr auto kAwait = asio::as_tuple(asio::use_awaitable);
 
 double elapsed_ms(Clock::time_point since) {
   return std::chrono::duration<double, std::milli>(Clock::now() - since).count();
@@ -206,18 +205,20 @@
             << claims / elapsed_ms(began) * 1000 << " /s\n";
 }
 
-/// A node, its back ends and callers, each on a thread of its own.
+constexpr int kSideThreads = 3;
+constexpr const char* kBackEnds =
+    "[fleet]\nmembership_lag_ms = 0\nweight_transfer_ms = 0\n[zone a]\nmachines_per_domain = 1\nstep_us = 20\n"
+    "step_per_sequence_us = 0\nprefill_per_token_us = 0\nmost_running = 4096\n[service s]\nzone = a\nports = 0\n";
+
+/// A node on one thread, with back ends and callers on several, so that the node is what limits.
 class PathBench {
  public:
-  explicit PathBench(const fs::path& folder) : node_context_(1), back_context_(1), call_context_(1) {
-    std::vector<std::string> faults;
-    auto fleet_settings = emulator::parse_fleet_settings(
-        "[fleet]\nmembership_lag_ms = 0\nweight_transfer_ms = 0\n[zone a]\nmachines_per_domain = 1\nstep_us = 20\n"
-        "step_per_sequence_us = 0\nprefill_per_token_us = 0\nmost_running = 4096\n[service s]\nzone = a\nports = 0\n",
-        faults);
-    fleet_ = std::make_unique<emulator::EmulatedFleet>(back_context_.get_executor(), std::move(*fleet_settings));
+  explicit PathBench(const fs::path& folder) : node_context_(1) {
     std::string error;
-    fleet_->start(error);
+    for (int side = 0; side < kSideThreads; ++side) {
+      sides_.push_back(std::make_unique<Side>());
+      sides_.back()->fleet->start(error);
+    }
     settings::NodeSettings settings;
     settings.name = "n1";
     settings.zone = "a";
@@ -227,25 +228,20 @@
     settings.data_folder = folder;
     settings.control_nodes = {{"n1", "127.0.0.1:1"}};
     settings.controller.control_nodes = {"n1"};
-    settings.membership_list = fleet_->membership_endpoint();
+    settings.membership_list = sides_.front()->fleet->membership_endpoint();
     begin_region(settings, error);
     node_ = std::make_unique<node::NodeProcess>(node_context_.get_executor(), settings);
     node_->start(error);
     node_thread_ = std::thread([this] { node_context_.run(); });
-    back_thread_ = std::thread([this] { back_context_.run(); });
-    call_thread_ = std::thread([this] {
-      const auto work = asio::make_work_guard(call_context_);
-      call_context_.run();
-    });
+    for (auto& side : sides_) {
+      side->run();
+    }
   }
 
   ~PathBench() {
     node_context_.stop();
-    back_context_.stop();
-    call_context_.stop();
     node_thread_.join();
-    back_thread_.join();
-    call_thread_.join();
+    sides_.clear();
     node_->stop();
   }
 
@@ -255,7 +251,7 @@
         "[template m]\nmodel = m\nversion = 1\nmachines_per_group = 1\nrepeat = safe\n[tenant t]\ntemplate = m\nzones "
         "= a\n"
         "share_percent = 100\nmax_concurrent = 10000\n[service s]\npath_prefix = /s\nzones = a\nendpoints = " +
-        fleet_->service_endpoints("s").front() + "\n";
+        endpoints() + "\n";
     wire::OperatorRequest apply;
     apply.action = wire::OperatorAction::APPLY;
     apply.change.command_id = "bench";
@@ -287,61 +283,113 @@
     std::vector<double> latency_ms;
   };
 
-  /// `connections` callers send `request` to `endpoint` in closed loops.
+  /// `connections` callers, spread over the caller threads, send `request` to `endpoint` in closed loops.
   Result run(const std::string& endpoint, const net::HttpRequest& request, int connections, uint64_t total) {
-    Result result;
-    net::HttpClient client(call_context_.get_executor());
-    uint64_t started = 0;
-    int running = connections;
-    std::promise<void> done;
     const int64_t cpu_before = thread_time_ns(node_thread_);
     const auto began = Clock::now();
-    for (int number = 0; number < connections; ++number) {
-      asio::co_spawn(
-          call_context_,
-          [&]() -> asio::awaitable<void> {
-            net::OpenOptions options;
-            while (started < total) {
-              ++started;
-              const auto sent = Clock::now();
-              auto opened = co_await client.open(endpoint, request, options);
-              while (opened.stream != nullptr) {
-                std::string piece = co_await opened.stream->read_some(options.timeout);
-                if (piece.empty()) {
-                  break;
-                }
-                result.bytes += piece.size();
-              }
-              if (opened.stream != nullptr && opened.stream->head().status == 200) {
-                ++result.requests;
-                result.latency_ms.push_back(elapsed_ms(sent));
-              }
-            }
-            if (--running == 0) {
-              done.set_value();
-            }
-          },
-          asio::detached);
+    const int threads = std::min(connections, kSideThreads);
+    std::vector<Result> parts(static_cast<size_t>(threads));
+    std::vector<std::future<void>> done;
+    for (int thread = 0; thread < threads; ++thread) {
+      done.push_back(asio::co_spawn(sides_[static_cast<size_t>(thread)]->call_context,
+                                    callers(endpoint, request, connections / threads,
+                                            total / static_cast<uint64_t>(threads), parts[static_cast<size_t>(thread)]),
+                                    asio::use_future));
+    }
+    for (auto& part : done) {
+      part.get();
     }
-    done.get_future().get();
+    Result result;
     result.seconds = elapsed_ms(began) / 1000;
+    for (const auto& part : parts) {
+      result.requests += part.requests;
+      result.bytes += part.bytes;
+      result.latency_ms.insert(result.latency_ms.end(), part.latency_ms.begin(), part.latency_ms.end());
+    }
     result.node_cpu_us = static_cast<double>(thread_time_ns(node_thread_) - cpu_before) / 1000.0 /
                          static_cast<double>(std::max<uint64_t>(result.requests, 1));
     return result;
   }
 
   std::string node_address() const { return node_->service_address(); }
-  std::string back_address() const { return fleet_->service_endpoints("s").front(); }
+  std::string back_address() const { return sides_.front()->fleet->service_endpoints("s").front(); }
 
  private:
+  /// Back ends on one thread and callers on another.
+  struct Side {
+    Side() : back_context(1), call_context(1) {
+      std::vector<std::string> faults;
+      fleet = std::make_unique<emulator::EmulatedFleet>(back_context.get_executor(),
+                                                        *emulator::parse_fleet_settings(kBackEnds, faults));
+    }
+    ~Side() {
+      back_context.stop();
+      call_context.stop();
+      back_thread.join();
+      call_thread.join();
+    }
+    void run() {
+      back_thread = std::thread([this] { back_context.run(); });
+      call_thread = std::thread([this] {
+        const auto work = asio::make_work_guard(call_context);
+        call_context.run();
+      });
+    }
+    asio::io_context back_context;
+    asio::io_context call_context;
+    std::unique_ptr<emulator::EmulatedFleet> fleet;
+    std::thread back_thread;
+    std::thread call_thread;
+  };
+
+  static asio::awaitable<void> callers(std::string endpoint, net::HttpRequest request, int connections, uint64_t total,
+                                       Result& result) {
+    const auto executor = co_await asio::this_coro::executor;
+    net::HttpClient client(executor);
+    uint64_t started = 0;
+    int running = connections;
+    asio::steady_timer finished(executor, Clock::time_point::max());
+    const auto one_caller = [&]() -> asio::awaitable<void> {
+      net::OpenOptions options;
+      while (started < total) {
+        ++started;
+        const auto sent = Clock::now();
+        auto opened = co_await client.open(endpoint, request, options);
+        while (opened.stream != nullptr) {
+          std::string piece = co_await opened.stream->read_some(options.timeout);
+          if (piece.empty()) {
+            break;
+          }
+          result.bytes += piece.size();
+        }
+        if (opened.stream != nullptr && opened.stream->head().status == 200) {
+          ++result.requests;
+          result.latency_ms.push_back(elapsed_ms(sent));
+        }
+      }
+      --running;
+      finished.cancel();
+    };
+    for (int number = 0; number < connections; ++number) {
+      asio::co_spawn(executor, one_caller(), asio::detached);
+    }
+    while (running > 0) {
+      co_await finished.async_wait(asio::as_tuple(asio::use_awaitable));
+    }
+  }
+
+  std::string endpoints() const {
+    std::string list;
+    for (const auto& side : sides_) {
+      list += side->fleet->service_endpoints("s").front() + ", ";
+    }
+    return list;
+  }
+
   asio::io_context node_context_;
-  asio::io_context back_context_;
-  asio::io_context call_context_;
-  std::unique_ptr<emulator::EmulatedFleet> fleet_;
   std::unique_ptr<node::NodeProcess> node_;
   std::thread node_thread_;
-  std::thread back_thread_;
-  std::thread call_thread_;
+  std::vector<std::unique_ptr<Side>> sides_;
 };
 
 void bench_path(const fs::path& folder) {
@@ -360,7 +408,7 @@
   const double added99 = load::percentile(through.latency_ms, 99) - load::percentile(direct.latency_ms, 99);
   print("added latency, 1 KB request, p50", "<= 0.2 ms", added50, "ms", added50 <= 0.2);
   print("added latency, 1 KB request, p99", "<= 2 ms", added99, "ms", added99 <= 2);
-  const auto many = bench.run(bench.node_address(), small, 64, 60'000);
+  const auto many = bench.run(bench.node_address(), small, 63, 60'000);
   const double rate = static_cast<double>(many.requests) / many.seconds;
   print("small requests through one entry (one thread)", ">= 15000 /s", rate, "/s", rate >= 15'000);
   std::cout << "    node processor time per small request " << many.node_cpu_us << " us, by which one thread carries "
@@ -370,7 +418,7 @@
   stream.target = "/v1/chat/completions";
   stream.headers.add("Larchlever-Tenant", "t");
   stream.body = R"({"model":"m","stream":true,"max_tokens":2000,"messages":[{"role":"user","content":"go"}]})";
-  const auto relayed = bench.run(bench.node_address(), stream, 32, 200);
+  const auto relayed = bench.run(bench.node_address(), stream, 33, 300);
   constexpr double kEventsPerStream = 2001;
   const double events = static_cast<double>(relayed.requests) * kEventsPerStream / relayed.seconds;
   print("SSE events relayed by one entry (one thread)", ">= 150000 /s", events, "/s", events >= 150'000);
