--- a/src/cli/bench_command.cc
+++ b/src/cli/bench_command.cc
@@ -54,25 +54,10 @@
 
 /// Routing decision over ninety groups.
 void bench_routing() {
-  config::RecordTable records;
-  wire::Template shape;
-  shape.name = "main";
-  shape.model = "model";
-  records.put("template/main", wire::encode(shape), Revision(1));
-  wire::Tenant tenant;
-  tenant.name = "t";
-  tenant.template_name = "main";
-  tenant.zones = {"a"};
-  records.put("tenant/t", wire::encode(tenant), Revision(2));
+  constexpr int kGroups = 90;
+  const auto records = simulation::routing_records(kGroups);
   std::vector<wire::GroupLease> leases;
-  for (int64_t id = 1; id <= 90; ++id) {
-    wire::Group group;
-    group.id = id;
-    group.epoch = 1;
-    group.state = wire::GroupState::SERVING;
-    group.template_name = "main";
-    group.zone = "a";
-    records.put(config::group_key(id), wire::encode(group), Revision(2 + id));
+  for (int64_t id = 1; id <= kGroups; ++id) {
     wire::GroupLease lease;
     lease.group_id = id;
     lease.epoch = 1;
--- a/src/consensus/raft_node.cc
+++ b/src/consensus/raft_node.cc
@@ -2,14 +2,13 @@
 
 #include <algorithm>
 
+#include "consensus/quorum.h"
 #include "wire/codec.h"
 
 namespace larchlever::consensus {
 
 namespace {
 
-size_t majority(size_t voters) { return voters / 2 + 1; }
-
 bool contains(const std::vector<wire::ReplicaAddress>& list, int64_t id) {
   return std::any_of(list.begin(), list.end(), [id](const auto& item) { return item.replica_id == id; });
 }
@@ -97,149 +96,6 @@
   reset_election_timer(now);
 }
 
-// ---------------------------------------------------------------- elections
-
-void RaftNode::tick(TimePoint now) {
-  if (restart_check_pending_ && now >= restart_check_deadline_) {
-    // No leader spoke up within the check: the whole set may be restarting, and waiting longer would stop it for good.
-    restart_check_pending_ = false;
-  }
-  if (role_ == Role::kLeader) {
-    check_quorum(now);
-    if (role_ == Role::kLeader && now >= next_heartbeat_) {
-      next_heartbeat_ = now + options_.heartbeat_interval;
-      for (const auto& [replica, progress] : progress_) {
-        send_append(now, replica, true);
-      }
-    }
-    return;
-  }
-  if (now >= election_deadline_ && is_voter() && may_vote()) {
-    campaign(now, true, false);
-  }
-}
-
-void RaftNode::campaign(TimePoint now, bool pre_vote, bool transfer) {
-  reset_election_timer(now);
-  leader_ = 0;
-  votes_.clear();
-  votes_[id_.value()] = true;
-  role_ = pre_vote ? Role::kPreCandidate : Role::kCandidate;
-  if (!pre_vote) {
-    ++stats_.elections_started;
-    ++hard_state_.term;
-    hard_state_.voted_for = id_.value();
-    persist_hard_state();
-  }
-  for (const auto& voter : log_.replicas().voters) {
-    if (voter.replica_id == id_.value()) {
-      continue;
-    }
-    // Our own vote must be on disk before anybody counts on it, so real vote requests wait for the sync.
-    auto& message = outgoing(voter.replica_id, !pre_vote);
-    wire::VoteRequest request;
-    request.term = pre_vote ? hard_state_.term + 1 : hard_state_.term;
-    request.last_index = log_.last_index();
-    request.last_term = log_.last_term();
-    request.pre_vote = pre_vote;
-    request.transfer = transfer;
-    message.__set_vote_request(request);
-  }
-  if (!pre_vote && log_.replicas().voters.size() == 1) {
-    // A single voter may lead once its own vote is stored; `synced` tallies again.
-    return;
-  }
-  tally_votes(now);
-}
-
-void RaftNode::tally_votes(TimePoint now) {
-  size_t granted = 0;
-  for (const auto& voter : log_.replicas().voters) {
-    const auto vote = votes_.find(voter.replica_id);
-    granted += (vote != votes_.end() && vote->second) ? 1 : 0;
-  }
-  if (granted < majority(log_.replicas().voters.size())) {
-    return;
-  }
-  if (role_ == Role::kPreCandidate) {
-    campaign(now, false, false);
-  } else if (role_ == Role::kCandidate) {
-    become_leader(now);
-  }
-}
-
-bool RaftNode::heard_leader_recently(TimePoint now) const {
-  return role_ == Role::kLeader ? has_lease(now) : now < last_leader_contact_ + options_.election_timeout_min;
-}
-
-bool RaftNode::log_is_up_to_date(const wire::VoteRequest& request) const {
-  if (request.last_term != log_.last_term()) {
-    return request.last_term > log_.last_term();
-  }
-  return request.last_index >= log_.last_index();
-}
-
-void RaftNode::handle_vote_request(TimePoint now, int64_t from, const wire::VoteRequest& request) {
-  // Deaf to candidates while a leader is in touch: this is what makes the leader's lease sound, and it keeps a
-  // replica that was cut off from disturbing the rest on its return. A planned hand-over is exempt because the old
-  // leader gave its lease up before it asked.
-  const bool deaf = !may_vote() || (!request.transfer && heard_leader_recently(now));
-  if (!deaf && !request.pre_vote && request.term > hard_state_.term) {
-    become_follower(now, request.term, 0);
-  }
-  bool granted = false;
-  if (!deaf && log_is_up_to_date(request)) {
-    if (request.pre_vote) {
-      granted = request.term > hard_state_.term;
-    } else if (request.term == hard_state_.term && role_ == Role::kFollower &&
-               (hard_state_.voted_for == 0 || hard_state_.voted_for == from)) {
-      granted = true;
-      hard_state_.voted_for = from;
-      persist_hard_state();
-      reset_election_timer(now);
-    }
-  }
-  auto& message = outgoing(from, true);
-  wire::VoteReply reply;
-  reply.term = request.pre_vote && granted ? request.term : hard_state_.term;
-  reply.granted = granted;
-  reply.pre_vote = request.pre_vote;
-  message.__set_vote_reply(reply);
-}
-
-void RaftNode::handle_vote_reply(TimePoint now, int64_t from, const wire::VoteReply& reply) {
-  const bool expected = reply.pre_vote ? role_ == Role::kPreCandidate : role_ == Role::kCandidate;
-  if (!expected) {
-    return;
-  }
-  const int64_t asked_term = reply.pre_vote ? hard_state_.term + 1 : hard_state_.term;
-  if (!reply.granted) {
-    if (reply.term > hard_state_.term) {
-      become_follower(now, reply.term, 0);
-    }
-    return;
-  }
-  if (reply.term == asked_term) {
-    votes_[from] = true;
-    tally_votes(now);
-  }
-}
-
-void RaftNode::become_leader(TimePoint now) {
-  role_ = Role::kLeader;
-  leader_ = id_.value();
-  lease_given_up_ = false;
-  rolled_back_.clear();
-  ++stats_.terms_led;
-  progress_.clear();
-  sync_progress_table();
-  quorum_deadline_ = now + options_.election_timeout_max;
-  append_local(wire::EntryKind::NOOP, "");
-  term_start_index_ = log_.last_index();
-  next_heartbeat_ = now + options_.heartbeat_interval;
-  replicate(now);
-}
-
 // -------------------------------------------------------------- replication
 
 void RaftNode::append_local(wire::EntryKind::type kind, std::string payload) {
--- a/src/core/control/group_supervisor.cc
+++ b/src/core/control/group_supervisor.cc
@@ -11,6 +11,15 @@
 
 }  // namespace
 
+placement::PlanningInput planning_input(const ControlState& state) {
+  return {state.machines(),
+          state.groups(),
+          config::read_all<wire::Template>(state.records(), config::kTemplatePrefix),
+          config::read_all<wire::Tenant>(state.records(), config::kTenantPrefix),
+          state.fleet_parameters(),
+          {}};
+}
+
 void GroupSupervisor::start(TimePoint now, TimePoint quiet_until) {
   started_ = now;
   quiet_until_ = quiet_until;
@@ -227,12 +236,7 @@
 
 void GroupSupervisor::run_planner(const ControlState& state, const PresenceTable& presence, TimePoint now,
                                   Actions& actions) {
-  placement::PlanningInput input{state.machines(),
-                                 state.groups(),
-                                 config::read_all<wire::Template>(state.records(), config::kTemplatePrefix),
-                                 config::read_all<wire::Tenant>(state.records(), config::kTenantPrefix),
-                                 state.fleet_parameters(),
-                                 {}};
+  placement::PlanningInput input = planning_input(state);
   for (const auto& [id, machine] : state.machines()) {
     if (presence.is_present(id, machine.incarnation, now, options_.presence_bound)) {
       input.present.insert(id);
--- a/src/core/control/group_supervisor.h
+++ b/src/core/control/group_supervisor.h
@@ -16,6 +16,9 @@
 
 namespace larchlever::control {
 
+/// What a planning pass looks at, borrowed from `state`, with no machine marked present yet.
+placement::PlanningInput planning_input(const ControlState& state);
+
 struct GroupStats {
   uint64_t groups_created = 0;
   uint64_t groups_lost = 0;
--- a/src/net/http_server.cc
+++ b/src/net/http_server.cc
@@ -5,6 +5,8 @@
 #include <boost/beast/http.hpp>
 #include <set>
 
+#include "net/listener.h"
+
 namespace larchlever::net {
 
 namespace asio = boost::asio;
@@ -321,30 +323,14 @@
 
 std::optional<uint16_t> HttpServer::listen(const std::string& address, uint16_t port, std::string& error) {
   auto& self = *implementation_;
-  beast::error_code code;
-  const auto ip = asio::ip::make_address(address, code);
-  const asio::ip::tcp::endpoint endpoint(ip, port);
-  if (!code) {
-    self.acceptor.open(endpoint.protocol(), code);
-  }
-  if (!code) {
-    self.acceptor.set_option(asio::socket_base::reuse_address(true), code);
-  }
-  if (!code) {
-    self.acceptor.bind(endpoint, code);
-  }
-  if (!code) {
-    self.acceptor.listen(asio::socket_base::max_listen_connections, code);
-  }
-  if (code) {
-    error = "cannot listen on " + address + ":" + std::to_string(port) + ": " + code.message() +
-            "; free the port or change the address";
+  const auto bound = start_listening(self.acceptor, address, port, error);
+  if (!bound) {
     return std::nullopt;
   }
   self.closed = false;
   self.draining = false;
   asio::co_spawn(self.executor, self.accept_loop(), asio::detached);
-  return self.acceptor.local_endpoint().port();
+  return bound;
 }
 
 void HttpServer::stop_accepting() {
--- a/src/net/peer_transport.cc
+++ b/src/net/peer_transport.cc
@@ -8,6 +8,7 @@
 
 #include "net/frame.h"
 #include "net/http_types.h"
+#include "net/listener.h"
 #include "wire/codec.h"
 
 namespace larchlever::net {
@@ -234,27 +235,12 @@
 
 std::optional<uint16_t> PeerTransport::listen(const std::string& address, uint16_t port, std::string& error) {
   auto& self = *implementation_;
-  boost::system::error_code code;
-  const tcp::endpoint endpoint(asio::ip::make_address(address, code), port);
-  if (!code) {
-    self.acceptor.open(endpoint.protocol(), code);
-  }
-  if (!code) {
-    self.acceptor.set_option(asio::socket_base::reuse_address(true), code);
-  }
-  if (!code) {
-    self.acceptor.bind(endpoint, code);
-  }
-  if (!code) {
-    self.acceptor.listen(asio::socket_base::max_listen_connections, code);
-  }
-  if (code) {
-    error = "cannot listen for peers on " + address + ":" + std::to_string(port) + ": " + code.message() +
-            "; free the port or change [node] peer_address";
+  const auto bound = start_listening(self.acceptor, address, port, error);
+  if (!bound) {
     return std::nullopt;
   }
   asio::co_spawn(self.executor, self.accept_loop(), asio::detached);
-  return self.acceptor.local_endpoint().port();
+  return bound;
 }
 
 void PeerTransport::set_address(const std::string& node, const std::string& endpoint) {
--- a/src/simulation/deployment.cc
+++ b/src/simulation/deployment.cc
@@ -86,4 +86,27 @@
   return deployment;
 }
 
+config::RecordTable routing_records(int groups) {
+  config::RecordTable records;
+  wire::Template shape;
+  shape.name = "main";
+  shape.model = "model";
+  records.put("template/main", wire::encode(shape), Revision(1));
+  wire::Tenant tenant;
+  tenant.name = "t";
+  tenant.template_name = "main";
+  tenant.zones = {"a"};
+  records.put("tenant/t", wire::encode(tenant), Revision(2));
+  for (int64_t id = 1; id <= groups; ++id) {
+    wire::Group group;
+    group.id = id;
+    group.epoch = 1;
+    group.state = wire::GroupState::SERVING;
+    group.template_name = "main";
+    group.zone = "a";
+    records.put(config::group_key(id), wire::encode(group), Revision(2 + id));
+  }
+  return records;
+}
+
 }  // namespace larchlever::simulation
--- a/src/simulation/deployment.h
+++ b/src/simulation/deployment.h
@@ -26,4 +26,7 @@
 /// A fleet of any size made alike in all zones, for scale runs: `machines` in domains of 32, groups of 16.
 Deployment uniform_deployment(int nodes, int machines, int zones);
 
+/// Records of one tenant "t" and one model "model" with that many serving groups, epoch 1, for measuring routing.
+config::RecordTable routing_records(int groups);
+
 }  // namespace larchlever::simulation
--- a/src/simulation/placement_experiment.cc
+++ b/src/simulation/placement_experiment.cc
@@ -23,12 +23,7 @@
       return;
     }
     const auto& state = leader->controller->state();
-    placement::PlanningInput input{state.machines(),
-                                   state.groups(),
-                                   config::read_all<wire::Template>(state.records(), config::kTemplatePrefix),
-                                   config::read_all<wire::Tenant>(state.records(), config::kTenantPrefix),
-                                   state.fleet_parameters(),
-                                   {}};
+    const auto input = control::planning_input(state);
     std::map<std::string, int> missing_by_zone;
     for (const auto& demand : placement::desired_groups(input)) {
       int serving = 0;
--- a/src/simulation/routing_experiment.cc
+++ b/src/simulation/routing_experiment.cc
@@ -6,7 +6,6 @@
 #include "emulator/engine_model.h"
 #include "simulation/event_queue.h"
 #include "simulation/experiment_runs.h"
-#include "wire/codec.h"
 
 namespace larchlever::simulation {
 
@@ -42,7 +41,7 @@
       engines_.emplace_back(options);
       loads_.emplace_back();
     }
-    const auto records = make_records();
+    const auto records = routing_records(kGroups);
     for (int entry = 0; entry < kEntries; ++entry) {
       routers_.emplace_back(policy, seed + static_cast<uint64_t>(entry));
       routers_.back().set_table(routing::RoutingTable(records));
@@ -79,29 +78,6 @@
     bool started = false;
   };
 
-  static config::RecordTable make_records() {
-    config::RecordTable records;
-    wire::Template shape;
-    shape.name = "main";
-    shape.model = "model";
-    records.put("template/main", wire::encode(shape), Revision(1));
-    wire::Tenant tenant;
-    tenant.name = "t";
-    tenant.template_name = "main";
-    tenant.zones = {"a"};
-    records.put("tenant/t", wire::encode(tenant), Revision(2));
-    for (int64_t id = 1; id <= kGroups; ++id) {
-      wire::Group group;
-      group.id = id;
-      group.epoch = 1;
-      group.state = wire::GroupState::SERVING;
-      group.template_name = "main";
-      group.zone = "a";
-      records.put(config::group_key(id), wire::encode(group), Revision(2 + id));
-    }
-    return records;
-  }
-
   /// Entries learn the engines' load as it was some time ago.
   void report() {
     for (size_t group = 0; group < engines_.size(); ++group) {
--- a/src/simulation/simulation_run.cc
+++ b/src/simulation/simulation_run.cc
@@ -55,12 +55,7 @@
     return;
   }
   const auto& state = leader->controller->state();
-  placement::PlanningInput input{state.machines(),
-                                 state.groups(),
-                                 config::read_all<wire::Template>(state.records(), config::kTemplatePrefix),
-                                 config::read_all<wire::Tenant>(state.records(), config::kTenantPrefix),
-                                 state.fleet_parameters(),
-                                 {}};
+  auto input = control::planning_input(state);
   for (const auto& [id, machine] : state.machines()) {
     input.present.insert(id);
   }
