--- a/src/simulation/scale_run.cc
+++ b/src/simulation/scale_run.cc
@@ -1,5 +1,6 @@
 #include "simulation/scale_run.h"
 
+#include <algorithm>
 #include <fstream>
 #include <functional>
 #include <sstream>
@@ -131,6 +132,27 @@
   return roles;
 }
 
+void measure_changes(ScaleWorld& world, ScaleResult& result) {
+  constexpr int kChanges = 100;
+  std::vector<double> samples;
+  for (int change = 0; change < kChanges; ++change) {
+    samples.push_back(to_ms(world.change()));
+    world.run(milliseconds(37));
+  }
+  std::sort(samples.begin(), samples.end());
+  result.change_in_force_p50_ms = samples[kChanges / 2];
+  result.change_in_force_p99_ms = samples[kChanges - 1];
+  auto& cuts = world.fleet().network().cuts;
+  const std::string lone = world.fleet().nodes().rbegin()->first;
+  for (const auto& [name, node] : world.fleet().nodes()) {
+    cuts.insert({name, lone});
+    cuts.insert({lone, name});
+  }
+  result.change_with_cut_off_entry_ms = to_ms(world.change());
+  cuts.clear();
+  world.run(seconds(3));
+}
+
 }  // namespace
 
 ScaleResult run_scale(int nodes, int machines, int zones, double seconds_measured) {
@@ -141,7 +163,7 @@
   result.groups = world.serving();
   result.resident_mb_per_node = world.resident_per_node();
   result.roles = measure_roles(world, seconds_measured);
-  result.change_in_force_ms = to_ms(world.change());
+  measure_changes(world, result);
   if (auto* leader = world.fleet().leader()) {
     result.snapshot_bytes = static_cast<double>(leader->controller->state().snapshot().size());
     world.fleet().crash(leader->name);
@@ -171,12 +193,14 @@
 std::string scale_csv(const std::vector<ScaleResult>& results) {
   std::ostringstream out;
   out << "nodes,machines,groups,role,bytes_sent_per_s,bytes_received_per_s,messages_sent_per_s,processor_percent,"
-         "change_in_force_ms,leader_loss_to_change_ms,zone_loss_to_steady_ms,snapshot_bytes,resident_mb_per_node\n";
+         "change_in_force_p50_ms,change_in_force_p99_ms,change_with_cut_off_entry_ms,leader_loss_to_change_ms,zone_"
+         "loss_to_steady_ms,snapshot_bytes,resident_mb_per_node\n";
   for (const auto& result : results) {
     for (const auto& role : result.roles) {
       out << result.nodes << "," << result.machines << "," << result.groups << "," << role.role << ","
           << role.bytes_sent << "," << role.bytes_received << "," << role.messages_sent << "," << role.processor_percent
-          << "," << result.change_in_force_ms << "," << result.leader_loss_to_change_ms << ","
+          << "," << result.change_in_force_p50_ms << "," << result.change_in_force_p99_ms << ","
+          << result.change_with_cut_off_entry_ms << "," << result.leader_loss_to_change_ms << ","
           << result.zone_loss_to_steady_ms << "," << result.snapshot_bytes << "," << result.resident_mb_per_node
           << "\n";
     }
--- a/src/simulation/scale_run.h
+++ b/src/simulation/scale_run.h
@@ -21,7 +21,10 @@
   int machines = 0;
   int groups = 0;
   std::vector<RoleCost> roles;
-  double change_in_force_ms = -1;
+  double change_in_force_p50_ms = -1;
+  double change_in_force_p99_ms = -1;
+  /// With one entry cut off from everybody since just before the change.
+  double change_with_cut_off_entry_ms = -1;
   double leader_loss_to_change_ms = -1;
   double zone_loss_to_steady_ms = -1;
   double snapshot_bytes = 0;
