Give a new learner time to answer, and let the last node of a region stop

And a leader with nobody to hand over to waited out the whole drain time at a planned stop. Change: silence counts from when the replica joined the set; a stopping node gives hand-over and open claims 5 s. Conclusion: repair no longer depends on a learner answering within one supervision interval.

--- a/src/core/control/replica_supervisor.cc
+++ b/src/core/control/replica_supervisor.cc
@@ -37,12 +37,26 @@
   if (replaced || raft.rolled_back().contains(replica.replica_id)) {
     return true;
   }
-  const TimePoint heard = raft.last_contact(ReplicaId(replica.replica_id)).value_or(started_);
-  return now - std::max(heard, started_) > options_.replica_timeout;
+  const auto since = member_since_.find(replica.replica_id);
+  const TimePoint silent_from = std::max(raft.last_contact(ReplicaId(replica.replica_id)).value_or(started_),
+                                         since == member_since_.end() ? now : since->second);
+  return now - silent_from > options_.replica_timeout;
+}
+
+void ReplicaSupervisor::note_members(TimePoint now, const wire::ReplicaSet& replicas) {
+  std::map<int64_t, TimePoint> members;
+  for (const auto* list : {&replicas.voters, &replicas.learners}) {
+    for (const auto& replica : *list) {
+      const auto known = member_since_.find(replica.replica_id);
+      members[replica.replica_id] = known == member_since_.end() ? now : known->second;
+    }
+  }
+  member_since_ = std::move(members);
 }
 
 std::optional<wire::ReplicaSet> ReplicaSupervisor::next_change(TimePoint now, const consensus::RaftNode& raft,
-                                                               const membership::NodeDirectory& nodes) const {
+                                                               const membership::NodeDirectory& nodes) {
+  note_members(now, raft.replicas());
   if (raft.replica_change_pending()) {
     return std::nullopt;
   }
--- a/src/core/control/replica_supervisor.h
+++ b/src/core/control/replica_supervisor.h
@@ -20,17 +20,24 @@
  public:
   explicit ReplicaSupervisor(const ControlOptions& options) : options_(options) {}
 
-  void start(TimePoint now) { started_ = now; }
+  void start(TimePoint now) {
+    started_ = now;
+    member_since_.clear();
+  }
   /// The next replica set to propose, if any.
   std::optional<wire::ReplicaSet> next_change(TimePoint now, const consensus::RaftNode& raft,
-                                              const membership::NodeDirectory& nodes) const;
+                                              const membership::NodeDirectory& nodes);
 
  private:
   bool is_lost(TimePoint now, const wire::ReplicaAddress& replica, const consensus::RaftNode& raft,
                const std::map<std::string, int64_t>& identities) const;
 
+  void note_members(TimePoint now, const wire::ReplicaSet& replicas);
+
   ControlOptions options_;
   TimePoint started_{};
+  /// When this leadership first saw each replica in the set: a new one has that long had the chance to answer.
+  std::map<int64_t, TimePoint> member_since_;
 };
 
 }  // namespace larchlever::control
--- a/src/core/node/node_controller.cc
+++ b/src/core/node/node_controller.cc
@@ -9,6 +9,7 @@
 namespace {
 
 constexpr Duration kHandOverRetry = milliseconds(500);
+constexpr Duration kLeavingPatience = seconds(5);
 
 }  // namespace
 
@@ -338,6 +339,12 @@
   leaving_ = true;
   entry_.set_leaving();
   next_hand_over_ = now;
+  leaving_since_ = now;
+}
+
+bool NodeController::may_stop(TimePoint now) const {
+  const bool settled = resolutions_.empty() && !(raft_ && raft_->is_leader());
+  return settled || now >= leaving_since_ + kLeavingPatience;
 }
 
 NodeOutputs NodeController::take_outputs() {
--- a/src/core/node/node_controller.h
+++ b/src/core/node/node_controller.h
@@ -77,8 +77,9 @@
 
   /// The process is about to stop: leadership is handed over and the leader told to count on this node no more.
   void begin_leaving(TimePoint now);
-  /// Everything that must reach a quorum before the process ends has reached it.
-  bool may_stop() const { return resolutions_.empty() && !(raft_ && raft_->is_leader()); }
+  /// Everything that must reach a quorum before the process ends has reached it, and another leads; or that was tried
+  /// for long enough, as when the whole region is being stopped and nobody is left to take over.
+  bool may_stop(TimePoint now) const;
 
   NodeOutputs take_outputs();
 
@@ -124,6 +125,7 @@
   int64_t last_snapshot_index_ = 0;
   bool leaving_ = false;
   TimePoint next_hand_over_{};
+  TimePoint leaving_since_{};
   std::map<int64_t, Pending<wire::OperatorRequest>> operator_requests_;
   std::map<int64_t, Pending<wire::ClaimRequest>> claims_;
   std::map<int64_t, Pending<wire::ResolutionRequest>> resolutions_;
--- a/src/node/node_process.cc
+++ b/src/node/node_process.cc
@@ -67,7 +67,7 @@
     co_await timer.async_wait(await);
   }
   runtime_.begin_leaving();
-  while (!runtime_.controller().may_stop() && NodeRuntime::now() < deadline) {
+  while (!runtime_.controller().may_stop(NodeRuntime::now()) && NodeRuntime::now() < deadline) {
     timer.expires_after(kDrainPoll);
     co_await timer.async_wait(await);
   }
--- /dev/null
+++ b/tests/unit/replica_supervisor_test.cc
@@ -0,0 +1,52 @@
+#include "core/control/replica_supervisor.h"
+
+#include <gtest/gtest.h>
+
+namespace larchlever::control {
+namespace {
+
+/// A leader of one voter, long in office, and a node with a fresh disk.
+TEST(ReplicaSupervisor, GivesANewLearnerTimeToAnswer) {
+  TimePoint now = TimePoint(seconds(100));
+  wire::ReplicaAddress address;
+  address.replica_id = 1;
+  address.node = "n1";
+  consensus::RaftNode raft(ReplicaId(1), Incarnation(1), consensus::RaftOptions(),
+                           consensus::RaftNode::bootstrap(address), 1, now);
+  const auto run = [&](Duration duration) {
+    const TimePoint end = now + duration;
+    while (now < end) {
+      now += milliseconds(20);
+      raft.tick(now);
+      const auto output = raft.take_output();
+      raft.synced(now, output.ticket);
+      raft.take_committed();
+    }
+  };
+  ControlOptions options;
+  options.replica_timeout = seconds(2);
+  ReplicaSupervisor supervisor(options);
+  run(seconds(3));
+  supervisor.start(now);
+  run(seconds(30));
+  membership::NodeDirectory nodes;
+  membership::Arrival arrival{};
+  for (int64_t number = 2; number <= 3; ++number) {
+    auto* row = nodes.heard(now, "n" + std::to_string(number), Incarnation(1), arrival);
+    row->replica_id = ReplicaId(number);
+    row->zone = "a";
+  }
+  const auto added = supervisor.next_change(now, raft, nodes);
+  ASSERT_TRUE(added);
+  ASSERT_EQ(added->learners.size(), 1U);
+  ASSERT_TRUE(raft.propose_replicas(now, *added));
+  run(milliseconds(100));
+  EXPECT_FALSE(supervisor.next_change(now, raft, nodes)) << "it was just added and may still answer";
+  run(seconds(3));
+  const auto removed = supervisor.next_change(now, raft, nodes);
+  ASSERT_TRUE(removed) << "silent for longer than the timeout";
+  EXPECT_TRUE(removed->learners.empty());
+}
+
+}  // namespace
+}  // namespace larchlever::control
