Give back counts and budgets however a request ends

Cause: read-through: a request that ended by an exception left its place in the tenant's budget and in the drain's count taken for ever. Change: both are given back at the end of the scope. Conclusion: no visible change for requests that end well.

--- a/src/node/model_front.cc
+++ b/src/node/model_front.cc
@@ -3,6 +3,7 @@
 #include <boost/json.hpp>
 #include <map>
 
+#include "core/base/scope_exit.h"
 #include "core/requests/stream_verifier.h"
 
 namespace larchlever::node {
@@ -119,8 +120,8 @@
     co_return;
   }
   const TimePoint served = NodeRuntime::now();
+  const ScopeExit give_back([this, call, served] { runtime_.leave(call->model.tenant, NodeRuntime::now() - served); });
   co_await serve_model(*call);
-  runtime_.leave(call->model.tenant, NodeRuntime::now() - served);
 }
 
 asio::awaitable<void> ModelFront::serve_model(Call& call) {
--- a/src/node/request_front.cc
+++ b/src/node/request_front.cc
@@ -2,6 +2,8 @@
 
 #include <boost/json.hpp>
 
+#include "core/base/scope_exit.h"
+
 namespace larchlever::node {
 
 namespace asio = boost::asio;
@@ -29,6 +31,7 @@
     co_return;
   }
   ++active_;
+  const ScopeExit count_down([this] { --active_; });
   if (path == "/v1/chat/completions" || path == "/v1/completions") {
     co_await models_.handle(exchange);
   } else if (path == "/v1/models") {
@@ -36,7 +39,6 @@
   } else {
     co_await services_.handle(exchange);
   }
-  --active_;
 }
 
 asio::awaitable<void> RequestFront::list_models(net::HttpExchange& exchange) {
