--- a/src/cli/command_line.cc
+++ b/src/cli/command_line.cc
@@ -41,6 +41,9 @@
 const std::map<std::string, Subcommand>& subcommands() {
   static const std::map<std::string, Subcommand> table = {
       {"serve", {"run one node: --settings FILE", [](const auto&) { return run_serve(); }}},
+      {"fleet-node",
+       {"run one node before back ends that register themselves: --settings FILE",
+        [](const auto&) { return run_fleet_node(); }}},
       {"bootstrap",
        {"make the first data folder of a new region: --settings FILE", [](const auto&) { return run_bootstrap(); }}},
       {"check-settings",
--- a/src/cli/command_line.h
+++ b/src/cli/command_line.h
@@ -21,6 +21,7 @@
 
 // The subcommands, each in a unit of its own.
 int run_serve();
+int run_fleet_node();
 int run_bootstrap();
 int run_check_settings();
 int run_demo();
--- a/src/cli/region_start.cc
+++ b/src/cli/region_start.cc
@@ -1,7 +1,6 @@
 #include "cli/region_start.h"
 
-#include <random>
-
+#include "node/replica_storage.h"
 #include "storage/data_folder.h"
 
 namespace larchlever::cli {
@@ -19,19 +18,11 @@
         "data folder " + first.data_folder + " already belongs to a region; bootstrap only the first node of a new one";
     return may_exist;
   }
-  std::random_device source;
   wire::ReplicaAddress address;
-  address.replica_id = static_cast<int64_t>(((static_cast<uint64_t>(source()) << 32U) | source()) >> 1U);
+  address.replica_id = node::new_replica_id().value();
   address.node = first.name;
   address.zone = first.zone;
-  const auto state = consensus::RaftNode::bootstrap(address);
-  consensus::RaftOutput output;
-  output.hard_state = state.hard_state;
-  output.entries = state.entries;
-  auto problem = folder->assign_identity(ReplicaId(address.replica_id));
-  if (!problem) {
-    problem = folder->write({&output});
-  }
+  const auto problem = node::found_cluster(*folder, address);
   error = problem ? problem->message : "";
   return !problem;
 }
--- a/src/cli/serve_commands.cc
+++ b/src/cli/serve_commands.cc
@@ -1,13 +1,17 @@
 #include <boost/asio.hpp>
 #include <csignal>
+#include <filesystem>
 #include <iostream>
 
 #include "cli/command_line.h"
 #include "cli/flags.h"
 #include "cli/region_start.h"
 #include "emulator/emulated_fleet.h"
+#include "node/dialect.h"
+#include "node/fleet_process.h"
 #include "node/logging.h"
 #include "node/node_process.h"
+#include "settings/fleet_settings.h"
 #include "settings/node_settings.h"
 
 namespace larchlever::cli {
@@ -92,6 +96,111 @@
   return kExitDone;
 }
 
+namespace {
+
+constexpr auto kSettingsCheckInterval = std::chrono::seconds(1);
+
+std::optional<settings::FleetSettings> load_fleet_settings() {
+  std::vector<std::string> faults;
+  const auto text = settings::read_text_file(FLAGS_settings, faults);
+  auto parsed = text ? settings::parse_fleet_settings(*text, faults) : std::nullopt;
+  if (parsed && node::find_dialect(parsed->dialect) == nullptr) {
+    faults.push_back("[node] dialect = '" + parsed->dialect + "': unknown; use larchlever, or the name of an adapter");
+    parsed.reset();
+  }
+  print_faults(faults);
+  return parsed;
+}
+
+/// Runs one node of a registered fleet until it is told to stop, and hands it its settings whenever they change.
+class FleetNodeRunner {
+ public:
+  explicit FleetNodeRunner(const settings::FleetSettings& settings)
+      : context_(1), signals_(context_, SIGTERM, SIGINT, SIGHUP), check_timer_(context_) {
+    process_ = settings.role == settings::FleetRole::kEntry
+                   ? node::make_entry_process(context_.get_executor(), settings)
+                   : node::make_control_process(context_.get_executor(), settings);
+  }
+
+  int run() {
+    std::string error;
+    if (!process_->start(error)) {
+      std::cerr << "larchlever: " << error << "\n";
+      return kExitFailed;
+    }
+    written_at_ = settings_time();
+    await_signal();
+    await_check();
+    context_.run();
+    return kExitDone;
+  }
+
+ private:
+  static std::filesystem::file_time_type settings_time() {
+    std::error_code ignored;
+    return std::filesystem::last_write_time(FLAGS_settings, ignored);
+  }
+
+  void reload() {
+    written_at_ = settings_time();
+    if (const auto settings = load_fleet_settings()) {
+      process_->reload(*settings);
+    }
+  }
+
+  void await_signal() {
+    signals_.async_wait([this](boost::system::error_code code, int signal) {
+      if (code) {
+        return;
+      }
+      if (signal == SIGHUP) {
+        reload();
+        await_signal();
+        return;
+      }
+      asio::co_spawn(context_, stop(), asio::detached);
+    });
+  }
+
+  /// The file may also change without a signal.
+  void await_check() {
+    check_timer_.expires_after(kSettingsCheckInterval);
+    check_timer_.async_wait([this](boost::system::error_code code) {
+      if (code) {
+        return;
+      }
+      if (settings_time() != written_at_) {
+        reload();
+      }
+      await_check();
+    });
+  }
+
+  asio::awaitable<void> stop() {
+    co_await process_->drain();
+    process_->stop();
+    context_.stop();
+  }
+
+  asio::io_context context_;
+  asio::signal_set signals_;
+  asio::steady_timer check_timer_;
+  std::filesystem::file_time_type written_at_;
+  std::unique_ptr<node::FleetProcess> process_;
+};
+
+}  // namespace
+
+int run_fleet_node() {
+  const auto settings = load_fleet_settings();
+  if (!settings) {
+    return kExitInvalid;
+  }
+  std::signal(SIGPIPE, SIG_IGN);
+  node::configure_logging(settings->log_level, "");
+  return FleetNodeRunner(*settings).run();
+}
+
 int run_emulate() {
   std::vector<std::string> faults;
   const auto text = settings::read_text_file(FLAGS_settings, faults);
--- a/src/consensus/raft_node.cc
+++ b/src/consensus/raft_node.cc
@@ -49,6 +49,9 @@
   restart_check_pending_ = has_peers;
   restart_check_deadline_ = now + options_.restart_check;
   reset_election_timer(now);
+  if (is_voter() && !has_peers) {
+    election_deadline_ = now;  // The only voter: nobody else can lead, so there is nothing to wait for.
+  }
 }
 
 PersistedState RaftNode::bootstrap(const wire::ReplicaAddress& first_voter) {
--- a/src/core/control/control_options.h
+++ b/src/core/control/control_options.h
@@ -20,6 +20,8 @@
   Duration node_forget = seconds(10);
   /// A voter silent for this long is replaced when another disk is free.
   Duration replica_timeout = seconds(8);
+  /// Voters that a repair never goes below, whatever is lost.
+  size_t minimum_voters = 1;
   Duration planning_interval = milliseconds(500);
   /// An order to an engine that is not answered in this time is sent again.
   Duration order_retry = milliseconds(1000);
--- /dev/null
+++ b/src/core/document/configuration_document.cc
@@ -0,0 +1,300 @@
+#include "core/document/configuration_document.h"
+
+#include <boost/json.hpp>
+#include <set>
+#include <stdexcept>
+
+namespace larchlever::document {
+
+namespace json = boost::json;
+
+namespace {
+
+/// Ends the reading of a document; its text becomes the DocumentError.
+class InvalidDocument : public std::runtime_error {
+ public:
+  using std::runtime_error::runtime_error;
+};
+
+Duration from_milliseconds(double value) { return Duration(static_cast<int64_t>(value * 1000.0)); }
+Duration from_seconds(double value) { return Duration(static_cast<int64_t>(value * 1e6)); }
+
+/// Typed access to the fields of one JSON object. `place` names the object in messages.
+class FieldReader {
+ public:
+  FieldReader(const json::value& value, std::string place) : place_(std::move(place)) {
+    if (!value.is_object()) {
+      throw InvalidDocument(place_ + " is not an object; send an object with named fields");
+    }
+    object_ = &value.as_object();
+  }
+
+  const json::value* find(const char* key) const {
+    const auto* value = object_->if_contains(key);
+    return value == nullptr || value->is_null() ? nullptr : value;
+  }
+
+  std::string text(const char* key) const {
+    const auto* value = find(key);
+    if (value == nullptr) {
+      return "";
+    }
+    if (!value->is_string()) {
+      refuse(key, "a text");
+    }
+    return std::string(value->as_string());
+  }
+
+  double number(const char* key, double fallback) const {
+    const auto* value = find(key);
+    if (value == nullptr) {
+      return fallback;
+    }
+    if (!value->is_number()) {
+      refuse(key, "a number");
+    }
+    return value->to_number<double>();
+  }
+
+  int integer(const char* key, int fallback) const { return static_cast<int>(number(key, fallback)); }
+
+  bool flag(const char* key) const {
+    const auto* value = find(key);
+    if (value != nullptr && !value->is_bool()) {
+      refuse(key, "true or false");
+    }
+    return value != nullptr && value->as_bool();
+  }
+
+  /// The list under `key`; an empty one when it is absent.
+  const json::array& list(const char* key) const {
+    static const json::array empty;
+    const auto* value = find(key);
+    if (value == nullptr) {
+      return empty;
+    }
+    if (!value->is_array()) {
+      refuse(key, "a list");
+    }
+    return value->as_array();
+  }
+
+  const std::string& place() const { return place_; }
+
+ private:
+  [[noreturn]] void refuse(const char* key, const char* expected) const {
+    throw InvalidDocument(place_ + "." + key + " must be " + expected + "; correct its type");
+  }
+
+  std::string place_;
+  const json::object* object_ = nullptr;
+};
+
+Repeatability read_repeatability(const FieldReader& route) {
+  const auto type = route.text("type");
+  if (type == "idempotent") {
+    return Repeatability::kIdempotent;
+  }
+  if (type == "streaming") {
+    return Repeatability::kStreaming;
+  }
+  if (type == "non_idempotent" || type.empty()) {
+    return Repeatability::kNonIdempotent;
+  }
+  throw InvalidDocument(route.place() + ".type '" + type + "' is unknown; use idempotent, non_idempotent or streaming");
+}
+
+std::vector<WeightedService> read_route_services(const FieldReader& route) {
+  std::vector<WeightedService> services;
+  double total = 0;
+  for (const auto& item : route.list("backends")) {
+    const FieldReader backend(item, route.place() + ".backends");
+    services.push_back({backend.text("service"), backend.number("weight", 0)});
+    if (services.back().weight < 0) {
+      throw InvalidDocument(route.place() + " has a negative weight; weights are 0 or more");
+    }
+    total += services.back().weight;
+  }
+  if (services.empty()) {
+    services.push_back({route.text("service"), 1});
+    total = 1;
+  }
+  if (total <= 0) {
+    throw InvalidDocument(route.place() + ": the weights add up to 0; give one service a weight above 0");
+  }
+  return services;
+}
+
+Route read_route(const json::value& value, size_t position) {
+  const FieldReader reader(value, "routes[" + std::to_string(position) + "]");
+  Route route;
+  route.name = reader.text("name");
+  route.host = reader.text("host");
+  route.path_prefix = reader.text("path_prefix");
+  route.repeatability = read_repeatability(reader);
+  route.timeout = from_milliseconds(reader.number("timeout_ms", 0));
+  route.target_latency = from_milliseconds(reader.number("target_latency_ms", 0));
+  route.target_gap = from_milliseconds(reader.number("target_gap_ms", 0));
+  route.priority = reader.integer("priority", 0);
+  route.max_attempts = std::max(1, reader.integer("max_attempts", 1));
+  route.is_public = reader.flag("public");
+  route.resumable = reader.flag("resumable");
+  route.services = read_route_services(reader);
+  if (route.timeout <= Duration::zero()) {
+    throw InvalidDocument(reader.place() + ".timeout_ms must be above 0; say how long a request may be held");
+  }
+  return route;
+}
+
+ModelSpec read_model(const json::value& value, const std::string& place) {
+  const FieldReader reader(value, place + ".models");
+  ModelSpec model;
+  model.name = reader.text("name");
+  model.size = std::max(1, reader.integer("size", 1));
+  model.fraction = reader.number("fraction", 0);
+  model.pace = reader.number("pace", 1);
+  model.load_time = from_seconds(reader.number("load_s", 0));
+  model.warm_time = from_seconds(reader.number("warm_s", 0));
+  return model;
+}
+
+EngineSpec read_engine(const json::value& value, const std::string& place) {
+  const FieldReader reader(value, place);
+  EngineSpec engine;
+  engine.slots = std::max(1, reader.integer("slots", 1));
+  engine.kv_capacity = static_cast<int64_t>(reader.number("kv_capacity", 0));
+  engine.step_ms = reader.number("step_ms", 1);
+  engine.per_sequence_ms = reader.number("per_seq_ms", 0);
+  engine.context_per_thousand_ms = reader.number("context_per_k", 0);
+  engine.read_tokens_per_second = std::max(1.0, reader.number("read_per_s", 1e6));
+  engine.steps_per_pass = std::max(1, reader.integer("stride", 1));
+  engine.chunk_tokens = std::max(1, reader.integer("chunk", 1 << 30));
+  engine.loads_per_second = reader.number("loads_per_s", 1e6);
+  engine.loads_at_once = std::max(1, reader.integer("loads_at_once", 1 << 20));
+  engine.form_time = from_milliseconds(reader.number("form_ms", 0));
+  if (const auto* usual = reader.find("usual")) {
+    const FieldReader usual_reader(*usual, place + ".usual");
+    engine.usual_prompt = usual_reader.number("prompt", 0);
+    engine.usual_answer = usual_reader.number("answer", 0);
+  }
+  for (const auto& model : reader.list("models")) {
+    engine.models.push_back(read_model(model, place));
+  }
+  return engine;
+}
+
+ServiceSpec read_service(const json::value& value, size_t position) {
+  const std::string place = "services[" + std::to_string(position) + "]";
+  const FieldReader reader(value, place);
+  ServiceSpec service;
+  service.name = reader.text("name");
+  service.health_path = reader.text("health_path");
+  service.max_connections = reader.integer("max_connections", 0);
+  if (const auto* engine = reader.find("engine")) {
+    service.engine = read_engine(*engine, place + ".engine");
+  }
+  return service;
+}
+
+CallerLimits read_limits(const json::value& value) {
+  const FieldReader reader(value, "limits");
+  CallerLimits limits;
+  limits.max_header_bytes = static_cast<size_t>(reader.number("max_header_bytes", 16 * 1024));
+  limits.max_body_bytes = static_cast<size_t>(reader.number("max_body_bytes", 4 * 1024 * 1024));
+  limits.header_timeout = from_milliseconds(reader.number("header_timeout_ms", 3000));
+  limits.idle_timeout = from_milliseconds(reader.number("idle_timeout_ms", 15000));
+  return limits;
+}
+
+std::vector<TenantSpec> read_tenants(const json::array& list) {
+  std::vector<TenantSpec> tenants;
+  std::map<std::string, std::string> holders;
+  for (const auto& item : list) {
+    const FieldReader reader(item, "tenants[" + std::to_string(tenants.size()) + "]");
+    TenantSpec tenant;
+    tenant.name = reader.text("name");
+    tenant.priority = reader.integer("priority", -1);
+    for (const auto& key : reader.list("api_keys")) {
+      if (!key.is_string()) {
+        throw InvalidDocument(reader.place() + ".api_keys holds something that is no text; send texts");
+      }
+      tenant.api_keys.emplace_back(key.as_string());
+      const auto [holder, is_new] = holders.emplace(tenant.api_keys.back(), tenant.name);
+      if (!is_new && holder->second != tenant.name) {
+        throw InvalidDocument("tenants '" + holder->second + "' and '" + tenant.name +
+                              "' share a key; give each tenant keys of its own");
+      }
+    }
+    tenants.push_back(std::move(tenant));
+  }
+  return tenants;
+}
+
+void check_routes(const ConfigurationDocument& document) {
+  std::set<std::pair<std::string, std::string>> places;
+  for (const auto& route : document.routes) {
+    if (!places.emplace(route.host, route.path_prefix).second) {
+      throw InvalidDocument("two routes share host '" + route.host + "' and prefix '" + route.path_prefix +
+                            "'; remove one of them");
+    }
+    for (const auto& target : route.services) {
+      if (!document.services.contains(target.service)) {
+        throw InvalidDocument("route '" + route.name + "' names the unknown service '" + target.service +
+                              "'; add the service or correct the name");
+      }
+    }
+  }
+}
+
+std::shared_ptr<const ConfigurationDocument> read_document(const json::value& value) {
+  const FieldReader reader(value, "document");
+  auto document = std::make_shared<ConfigurationDocument>();
+  const auto* version = reader.find("version");
+  if (version == nullptr || !version->is_int64()) {
+    throw InvalidDocument("document.version must be a whole number; send the version that the document has");
+  }
+  document->version = version->as_int64();
+  for (const auto& route : reader.list("routes")) {
+    document->routes.push_back(read_route(route, document->routes.size()));
+  }
+  size_t position = 0;
+  for (const auto& item : reader.list("services")) {
+    auto service = read_service(item, position++);
+    const std::string name = service.name;
+    document->services[name] = std::move(service);
+  }
+  if (const auto* limits = reader.find("limits")) {
+    document->limits = read_limits(*limits);
+  }
+  if (reader.find("tenants") != nullptr) {
+    document->tenants = read_tenants(reader.list("tenants"));
+  }
+  check_routes(*document);
+  return document;
+}
+
+}  // namespace
+
+const ModelSpec* EngineSpec::find_model(std::string_view name) const {
+  for (const auto& model : models) {
+    if (model.name == name) {
+      return &model;
+    }
+  }
+  return nullptr;
+}
+
+ParsedDocument parse_document(std::string_view json_text) {
+  boost::system::error_code error;
+  const auto value = json::parse(json::string_view(json_text.data(), json_text.size()), error);
+  if (error) {
+    return {nullptr, {"the document is not readable JSON (" + error.message() + "); send it whole"}};
+  }
+  try {
+    return {read_document(value), {}};
+  } catch (const InvalidDocument& invalid) {
+    return {nullptr, {invalid.what()}};
+  }
+}
+
+}  // namespace larchlever::document
--- /dev/null
+++ b/src/core/fleet/dispatcher.cc
@@ -0,0 +1,229 @@
+#include "core/fleet/dispatcher.h"
+
+#include <algorithm>
+
+namespace larchlever::fleet {
+
+namespace {
+
+/// A target that made progress more recently than this for another request is not taken for dead.
+constexpr Duration kRecentProgress = milliseconds(700);
+/// Share of the budget that entries use: they learn of each other with a delay.
+constexpr double kBudgetShare = 0.7;
+/// Requests beyond the slots that a head may hold waiting, as a share of its slots.
+constexpr double kWaitingShare = 0.15;
+/// What a target in another zone costs, in requests in flight.
+constexpr double kOtherZoneCost = 1.0;
+
+}  // namespace
+
+Dispatcher::Dispatcher(const FleetOptions& options, std::string zone, uint64_t seed)
+    : options_(options), zone_(std::move(zone)), random_(seed) {}
+
+void Dispatcher::update_state(const wire::FleetState& state) {
+  instances_.clear();
+  for (const auto& instance : state.instances) {
+    instances_[instance.id] = instance;
+  }
+  groups_ = state.groups;
+  std::set<std::string> known;
+  for (const auto& group : groups_) {
+    known.insert(group.name);
+  }
+  std::erase_if(health_, [&](const auto& item) {
+    return item.second.in_flight == 0 && !known.contains(item.first) && !instances_.contains(item.first);
+  });
+}
+
+void Dispatcher::update_loads(const std::vector<wire::GroupLoad>& total) {
+  for (auto& [key, health] : health_) {
+    health.others = 0;
+  }
+  for (const auto& load : total) {
+    Health& health = health_[load.group];
+    health.others = std::max(0, load.in_flight - health.reported);
+  }
+}
+
+const std::string& Dispatcher::choose_service(const document::Route& route) {
+  double total = 0;
+  for (const auto& target : route.services) {
+    total += target.weight;
+  }
+  double draw = std::uniform_real_distribution<double>(0, total)(random_);
+  for (const auto& target : route.services) {
+    draw -= target.weight;
+    if (target.weight > 0 && draw <= 0) {
+      return target.service;
+    }
+  }
+  return route.services.back().service;
+}
+
+double Dispatcher::cost_of(const std::string& key, const std::string& zone) {
+  const Health& health = health_[key];
+  const double tie_break = std::uniform_real_distribution<double>(0, 1)(random_);
+  return health.in_flight + health.others + (zone == zone_ ? 0.0 : kOtherZoneCost) + tie_break;
+}
+
+Choice Dispatcher::choose_group(TimePoint now, const document::ServiceSpec& service, const std::string& model,
+                                const std::set<std::string>& excluded) {
+  Choice choice;
+  choice.failure = ChoiceFailure::kNoTarget;
+  const double most = service.engine->slots * (1.0 + kWaitingShare);
+  double best_cost = 0;
+  for (const auto& group : groups_) {
+    const bool fits = group.phase == wire::GroupPhase::OPEN && group.service_name == service.name &&
+                      group.model == model && !excluded.contains(group.name);
+    const auto head = fits ? instances_.find(group.members.front()) : instances_.end();
+    if (head == instances_.end() || head->second.state != wire::InstanceState::READY) {
+      continue;
+    }
+    const Health& health = health_[group.name];
+    if (now < health.avoid_until) {
+      continue;
+    }
+    if (health.in_flight + health.others >= most) {
+      choice.failure = choice.target ? ChoiceFailure::kNone : ChoiceFailure::kAllBusy;
+      continue;
+    }
+    const double cost = cost_of(group.name, head->second.zone);
+    if (!choice.target || cost < best_cost) {
+      best_cost = cost;
+      choice.target = Target{group.name, service.name, group.name, head->second.id, head->second.address};
+      choice.failure = ChoiceFailure::kNone;
+    }
+  }
+  return choice;
+}
+
+Choice Dispatcher::choose_instance(TimePoint now, const document::ServiceSpec& service,
+                                   const std::set<std::string>& excluded) {
+  Choice choice;
+  choice.failure = ChoiceFailure::kNoTarget;
+  double best_cost = 0;
+  bool best_doubtful = true;
+  for (const auto& [id, instance] : instances_) {
+    const bool fits =
+        instance.service_name == service.name && instance.state == wire::InstanceState::READY && !excluded.contains(id);
+    if (!fits) {
+      continue;
+    }
+    // Doubtful instances are better than none: they may only be cut off from the control replicas.
+    const bool doubtful = instance.silent || now < health_[id].avoid_until;
+    const double cost = cost_of(id, instance.zone);
+    const bool better =
+        !choice.target || (best_doubtful && !doubtful) || (best_doubtful == doubtful && cost < best_cost);
+    if (better) {
+      best_cost = cost;
+      best_doubtful = doubtful;
+      choice.target = Target{id, service.name, "", id, instance.address};
+      choice.failure = ChoiceFailure::kNone;
+    }
+  }
+  return choice;
+}
+
+Choice Dispatcher::choose(TimePoint now, const document::ServiceSpec& service, const std::string& model,
+                          const std::set<std::string>& excluded) {
+  return service.engine ? choose_group(now, service, model, excluded) : choose_instance(now, service, excluded);
+}
+
+void Dispatcher::begin(TimePoint now, const Target& target) {
+  Health& health = health_[target.key];
+  if (health.in_flight++ == 0) {
+    health.busy_since = now;
+  }
+}
+
+void Dispatcher::end(const Target& target) {
+  Health& health = health_[target.key];
+  health.in_flight = std::max(0, health.in_flight - 1);
+}
+
+void Dispatcher::note_progress(TimePoint now, const Target& target) { health_[target.key].last_progress = now; }
+
+bool Dispatcher::note_failure(TimePoint now, const Target& target) {
+  Health& health = health_[target.key];
+  const bool alive = health.last_progress != TimePoint::min() && now - health.last_progress < kRecentProgress;
+  if (alive) {
+    return false;
+  }
+  health.avoid_until = now + kAvoidance;
+  return true;
+}
+
+std::vector<std::string> Dispatcher::stalled_groups(TimePoint now, Duration patience) const {
+  std::vector<std::string> result;
+  for (const auto& group : groups_) {
+    const auto found = health_.find(group.name);
+    if (found == health_.end() || found->second.in_flight == 0 || now < found->second.avoid_until) {
+      continue;
+    }
+    const Health& health = found->second;
+    if (now - std::max(health.busy_since, health.last_progress) > patience) {
+      result.push_back(group.name);
+    }
+  }
+  return result;
+}
+
+void Dispatcher::forget_old(TimePoint now, Budget& budget) const {
+  for (auto* times : {&budget.requests, &budget.retries}) {
+    while (!times->empty() && now - times->front() > options_.retry_window) {
+      times->pop_front();
+    }
+  }
+}
+
+void Dispatcher::note_request(TimePoint now, const std::string& service) {
+  Budget& budget = budgets_[service];
+  forget_old(now, budget);
+  budget.requests.push_back(now);
+}
+
+bool Dispatcher::take_retry(TimePoint now, const std::string& service) {
+  Budget& budget = budgets_[service];
+  forget_old(now, budget);
+  const double allowed = kBudgetShare * (options_.retry_ratio * static_cast<double>(budget.requests.size()) +
+                                         options_.retry_slack / serving_nodes_);
+  if (static_cast<double>(budget.retries.size()) + 1 > allowed) {
+    return false;
+  }
+  budget.retries.push_back(now);
+  return true;
+}
+
+std::vector<wire::GroupLoad> Dispatcher::take_loads() {
+  std::vector<wire::GroupLoad> result;
+  for (auto& [key, health] : health_) {
+    health.reported = health.in_flight;
+    if (health.in_flight > 0) {
+      wire::GroupLoad load;
+      load.group = key;
+      load.in_flight = health.in_flight;
+      result.push_back(std::move(load));
+    }
+  }
+  return result;
+}
+
+std::vector<wire::InstanceFailure> Dispatcher::failures(TimePoint now) const {
+  std::vector<wire::InstanceFailure> result;
+  for (const auto& group : groups_) {
+    const auto health = health_.find(group.name);
+    if (health != health_.end() && now < health->second.avoid_until) {
+      wire::InstanceFailure failure;
+      failure.group = group.name;
+      result.push_back(std::move(failure));
+    }
+  }
+  return result;
+}
+
+bool Dispatcher::is_current(const Target& target) const {
+  const auto found = instances_.find(target.instance_id);
+  return found != instances_.end() && found->second.state == wire::InstanceState::READY;
+}
+
+}  // namespace larchlever::fleet
--- /dev/null
+++ b/src/core/fleet/dispatcher.h
@@ -0,0 +1,111 @@
+#pragma once
+
+#include <cstdint>
+#include <deque>
+#include <map>
+#include <optional>
+#include <random>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "core/base/time.h"
+#include "core/document/configuration_document.h"
+#include "core/fleet/fleet_options.h"
+#include "larchlever_types.h"
+
+namespace larchlever::fleet {
+
+/// Where a request may be sent: a plain instance, or the head of an open group.
+struct Target {
+  /// The group's name, or the instance's id where there is no group. Load and failures are counted under it.
+  std::string key;
+  std::string service;
+  std::string group;
+  std::string instance_id;
+  std::string address;
+};
+
+enum class ChoiceFailure { kNone, kNoTarget, kAllBusy };
+
+/// How long a target is avoided after it failed; the leader has decided about it by then.
+constexpr Duration kAvoidance = seconds(2);
+
+struct Choice {
+  std::optional<Target> target;
+  ChoiceFailure failure = ChoiceFailure::kNone;
+};
+
+/// An entry's choice of where each request goes, by the fleet's state, the load that all entries report, and what it
+/// saw itself. Single-threaded, deterministic for a given seed.
+class Dispatcher {
+ public:
+  Dispatcher(const FleetOptions& options, std::string zone, uint64_t seed);
+
+  void update_state(const wire::FleetState& state);
+  /// Loads over all entries, of which `reported` was this entry's own part.
+  void update_loads(const std::vector<wire::GroupLoad>& total);
+  void set_serving_nodes(int count) { serving_nodes_ = count < 1 ? 1 : count; }
+
+  /// The service of a route for one request, drawn by weight.
+  const std::string& choose_service(const document::Route& route);
+  /// The least loaded target that is not excluded. `model` is empty for plain services.
+  Choice choose(TimePoint now, const document::ServiceSpec& service, const std::string& model,
+                const std::set<std::string>& excluded);
+  /// Brackets one sending; the load counts between them.
+  void begin(TimePoint now, const Target& target);
+  void end(const Target& target);
+  /// The target answered or made progress.
+  void note_progress(TimePoint now, const Target& target);
+  /// The target refused, reset or stood still. True when it is now to be avoided: what else is under way there will not
+  /// come back either.
+  bool note_failure(TimePoint now, const Target& target);
+
+  /// Groups where requests of this entry wait although none made progress for too long.
+  std::vector<std::string> stalled_groups(TimePoint now, Duration patience) const;
+  /// The group is to be avoided for a while.
+  void avoid(TimePoint now, const std::string& key) { health_[key].avoid_until = now + kAvoidance; }
+
+  /// Counts a request, and says whether one more sending of it fits this entry's part of the retry budget.
+  void note_request(TimePoint now, const std::string& service);
+  bool take_retry(TimePoint now, const std::string& service);
+
+  /// This entry's in-flight requests per group, to be reported.
+  std::vector<wire::GroupLoad> take_loads();
+  /// Groups that this entry avoids now.
+  std::vector<wire::InstanceFailure> failures(TimePoint now) const;
+  /// True while `target` may still be used: its instance is neither leaving nor gone.
+  bool is_current(const Target& target) const;
+
+ private:
+  struct Health {
+    int in_flight = 0;
+    int reported = 0;
+    int others = 0;
+    /// Since when at least one request has been in flight.
+    TimePoint busy_since = TimePoint::min();
+    TimePoint last_progress = TimePoint::min();
+    TimePoint avoid_until = TimePoint::min();
+  };
+  struct Budget {
+    std::deque<TimePoint> requests;
+    std::deque<TimePoint> retries;
+  };
+
+  double cost_of(const std::string& key, const std::string& zone);
+  Choice choose_group(TimePoint now, const document::ServiceSpec& service, const std::string& model,
+                      const std::set<std::string>& excluded);
+  Choice choose_instance(TimePoint now, const document::ServiceSpec& service, const std::set<std::string>& excluded);
+  void forget_old(TimePoint now, Budget& budget) const;
+
+  FleetOptions options_;
+  std::string zone_;
+  std::mt19937_64 random_;
+  int serving_nodes_ = 1;
+  std::map<std::string, wire::Instance> instances_;
+  std::vector<wire::EngineGroup> groups_;
+  std::map<std::string, Health> health_;
+  std::map<std::string, Budget> budgets_;
+};
+
+}  // namespace larchlever::fleet
--- /dev/null
+++ b/src/core/fleet/document_log.h
@@ -0,0 +1,35 @@
+#pragma once
+
+#include <cstdint>
+#include <memory>
+#include <string>
+#include <string_view>
+
+#include "core/document/configuration_document.h"
+#include "larchlever_types.h"
+
+namespace larchlever::fleet {
+
+/// The replicated state of a registered fleet: the configuration document with the highest version ever committed.
+/// Applying the same entries in the same order gives the same state on every replica. No clock, no I/O.
+class DocumentLog {
+ public:
+  /// Applies a committed command; a document whose version is not above the held one changes nothing.
+  void apply(int64_t index, std::string_view payload);
+  std::string snapshot() const;
+  /// False when the bytes are unreadable; the state is then unchanged.
+  bool restore(std::string_view bytes);
+
+  int64_t applied_index() const { return applied_index_; }
+  int64_t version() const { return change_.version; }
+  const std::string& content() const { return change_.content; }
+  /// Null before the first document.
+  const std::shared_ptr<const document::ConfigurationDocument>& parsed() const { return parsed_; }
+
+ private:
+  int64_t applied_index_ = 0;
+  wire::DocumentChange change_;
+  std::shared_ptr<const document::ConfigurationDocument> parsed_;
+};
+
+}  // namespace larchlever::fleet
--- /dev/null
+++ b/src/core/fleet/fleet_controller.h
@@ -0,0 +1,97 @@
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "consensus/raft_node.h"
+#include "core/fleet/document_log.h"
+#include "core/fleet/fleet_leader.h"
+#include "core/fleet/fleet_subscription.h"
+
+namespace larchlever::fleet {
+
+struct FleetControllerOutputs {
+  std::vector<wire::Envelope> envelopes;
+  /// To be written in this order, each then handed back to `FleetController::written`.
+  std::vector<consensus::RaftOutput> storage;
+  std::vector<InstanceOrder> orders;
+  /// Answers to calls submitted here.
+  std::vector<wire::ControlCallReply> replies;
+};
+
+/// All decisions of one control replica of a registered fleet: its part of the replicated log, the leader's work while
+/// it leads, and the forwarding of calls to whoever does.
+///
+/// Inputs are methods that take the time; outputs are collected until `take_outputs`. Nothing here reads a clock or
+/// touches a file or socket. Single-threaded, deterministic.
+class FleetController {
+ public:
+  FleetController(const FleetOptions& options, const FleetIdentity& identity, std::vector<std::string> seeds,
+                  uint64_t random_seed);
+
+  /// Joins the log under the data folder's identity; `boot` rises with every call. May be called again after
+  /// `replica_failed`.
+  void start_replica(TimePoint now, ReplicaId replica_id, Incarnation boot, consensus::PersistedState persisted);
+  void replica_failed() { raft_.reset(); }
+
+  void tick(TimePoint now);
+  void receive(TimePoint now, const wire::Envelope& envelope);
+  void written(TimePoint now, consensus::RaftOutput batch);
+  void order_result(TimePoint now, const InstanceOrderResult& result) { leader_.order_result(now, result); }
+  /// Takes a call of an instance or operator; the answer comes in `replies` under the returned id, at the latest after
+  /// `FleetOptions::call_patience`.
+  int64_t submit(TimePoint now, wire::ControlCall call);
+
+  void begin_leaving() { leaving_ = true; }
+  /// Peer addresses learned from settings.
+  void add_peers(const std::vector<std::string>& peers) { subscription_.add_peers(peers); }
+  bool is_leader(TimePoint now) const;
+  bool needs_new_identity() const { return raft_ && raft_->identity_rejected(); }
+  /// Sends nothing of an order once this fails: another leader may act by now.
+  bool may_order(TimePoint now) const { return is_leader(now); }
+  const DocumentLog& log() const { return log_; }
+  const consensus::RaftNode* raft() const { return raft_ ? &*raft_ : nullptr; }
+  const FleetSubscription& subscription() const { return subscription_; }
+  FleetControllerOutputs take_outputs();
+
+ private:
+  struct PendingCall {
+    wire::ControlCall call;
+    TimePoint deadline{};
+    TimePoint next_send{};
+  };
+
+  std::string leader_node() const;
+  void send(wire::Envelope envelope);
+  void send_raft(std::vector<wire::RaftMessage>& messages);
+  void note_replicas();
+  void handle_heartbeat(TimePoint now, const wire::Envelope& envelope);
+  void handle_call(TimePoint now, const wire::Envelope& envelope);
+  void handle_reply(const wire::ControlCallReply& reply);
+  void resend_calls(TimePoint now);
+  void apply_committed();
+  void carry_leader_outputs(TimePoint now);
+  void process(TimePoint now);
+
+  FleetOptions options_;
+  FleetIdentity identity_;
+  uint64_t random_seed_;
+  FleetSubscription subscription_;
+  FleetLeader leader_;
+  std::optional<consensus::RaftNode> raft_;
+  DocumentLog log_;
+  int64_t led_term_ = -1;
+  int64_t last_snapshot_index_ = 0;
+  bool leaving_ = false;
+  TimePoint next_hand_over_ = TimePoint::min();
+  int64_t next_call_id_ = 1;
+  std::map<int64_t, PendingCall> calls_;
+  std::map<int64_t, std::string> replica_nodes_;
+  std::vector<wire::Envelope> loopback_;
+  FleetControllerOutputs outputs_;
+};
+
+}  // namespace larchlever::fleet
--- /dev/null
+++ b/src/core/fleet/fleet_leader.cc
@@ -0,0 +1,360 @@
+#include "core/fleet/fleet_leader.h"
+
+#include <algorithm>
+
+#include "core/fleet/registration.h"
+
+namespace larchlever::fleet {
+
+namespace {
+
+/// How long a new leader gathers the copies of its predecessor's state before it acts on groups.
+constexpr Duration kCollectingTime = milliseconds(700);
+constexpr Duration kSupervisionInterval = milliseconds(50);
+/// A push that brought no confirmation in this time is repeated.
+constexpr Duration kPushRetry = milliseconds(300);
+/// How long an entry's word against a group counts.
+constexpr Duration kAccusationMemory = seconds(3);
+/// Subscribers silent for this long are forgotten.
+constexpr Duration kSubscriberMemory = seconds(30);
+
+constexpr int kOk = 200;
+constexpr int kBadRequest = 400;
+constexpr int kUnavailable = 503;
+
+std::string error_body(const std::string& message) {
+  std::string escaped;
+  for (const char character : message) {
+    escaped += character == '"' || character == '\\' ? '\'' : character;
+  }
+  return R"({"error":")" + escaped + R"("})";
+}
+
+}  // namespace
+
+FleetLeader::FleetLeader(const FleetOptions& options, FleetIdentity identity)
+    : options_(options),
+      identity_(std::move(identity)),
+      instances_(options.instance_silence),
+      groups_(options),
+      replicas_(options.control) {}
+
+void FleetLeader::start(TimePoint now, int64_t term, const wire::FleetState& copy) {
+  term_ = term;
+  version_ = 1;
+  collecting_until_ = now + kCollectingTime;
+  instances_.start(now, copy.instances);
+  groups_.start(now, term, copy.groups);
+  nodes_.clear();
+  incarnations_.clear();
+  replicas_.start(now);
+  subscribers_.clear();
+  loads_.clear();
+  accusations_.clear();
+  waiting_.clear();
+  pending_documents_.clear();
+  open_calls_.clear();
+  outputs_ = Outputs();
+}
+
+// ------------------------------------------------------------------- nodes
+
+void FleetLeader::note_report(TimePoint now, const wire::Envelope& envelope) {
+  const auto& report = envelope.fleet_heartbeat;
+  Subscriber& subscriber = subscribers_[envelope.from_node];
+  subscriber.last_heard = now;
+  subscriber.serves_requests = report.serves_requests && !report.leaving;
+  subscriber.document_version = report.document_version;
+  subscriber.state_held = {report.held_term, report.held_version};
+  subscriber.loads.clear();
+  for (const auto& load : report.loads) {
+    subscriber.loads[load.group] = load.in_flight;
+  }
+  for (const auto& failure : report.failures) {
+    note_failure(now, envelope.from_node, failure.group);
+  }
+  if (report.traffic_seen) {
+    groups_.note_traffic();
+  }
+  if (report.__isset.held_state && is_collecting(now)) {
+    instances_.merge(now, report.held_state.instances);
+    groups_.merge(now, report.held_state.groups);
+  }
+}
+
+void FleetLeader::note_failure(TimePoint now, const std::string& node, const std::string& group) {
+  auto& accusers = accusations_[group];
+  accusers[node] = now;
+  std::erase_if(accusers, [now](const auto& item) { return now - item.second > kAccusationMemory; });
+  const auto& rows = instances_.rows();
+  const bool member_silent = std::any_of(rows.begin(), rows.end(), [&](const auto& item) {
+    return item.second.instance.silent && item.second.instance.membership.group == group;
+  });
+  if (accusers.size() >= 2 || member_silent) {
+    groups_.note_failure(now, group);
+  }
+}
+
+Incarnation FleetLeader::rank_incarnation(const std::string& node, int64_t incarnation) {
+  auto& seen = incarnations_[node];
+  const auto found = std::find(seen.begin(), seen.end(), incarnation);
+  const auto rank = found - seen.begin() + 1;
+  if (found == seen.end()) {
+    seen.push_back(incarnation);
+  }
+  return Incarnation(rank);
+}
+
+void FleetLeader::heartbeat(TimePoint now, const wire::Envelope& envelope, const consensus::RaftNode& raft,
+                            const DocumentLog& log) {
+  const auto& report = envelope.fleet_heartbeat;
+  auto arrival = membership::Arrival::kKnown;
+  auto* row =
+      nodes_.heard(now, envelope.from_node, rank_incarnation(envelope.from_node, envelope.from_incarnation), arrival);
+  if (row == nullptr) {
+    return;
+  }
+  row->zone = report.zone;
+  row->replica_id = ReplicaId(report.replica_id);
+  row->leaving = report.leaving;
+  row->peer_address = envelope.from_node;
+  row->service_address = report.control_address;
+  if (arrival != membership::Arrival::kKnown) {
+    subscribers_.erase(envelope.from_node);
+  }
+  note_report(now, envelope);
+  send_update(now, envelope.from_node, report.sequence, raft, log);
+}
+
+void FleetLeader::send_update(TimePoint now, const std::string& node, int64_t sequence, const consensus::RaftNode& raft,
+                              const DocumentLog& log) {
+  Subscriber& subscriber = subscribers_[node];
+  wire::Envelope envelope;
+  envelope.to_node = node;
+  envelope.__isset.fleet_update = true;
+  auto& update = envelope.fleet_update;
+  update.sequence = sequence;
+  update.term = term_;
+  update.leader = identity_.peer_address;
+  update.document_version = log.version();
+  update.wants_state = is_collecting(now);
+  for (const auto* list : {&raft.replicas().voters, &raft.replicas().learners}) {
+    for (const auto& replica : *list) {
+      update.control_peers.push_back(replica.node);
+    }
+  }
+  const bool repeat = now - subscriber.sent_at > kPushRetry;
+  if (subscriber.document_version < log.version() && (repeat || subscriber.document_sent < log.version())) {
+    update.__set_document(log.content());
+    subscriber.document_sent = log.version();
+    subscriber.sent_at = now;
+  }
+  const bool behind = subscriber.state_held < std::pair(term_, version_);
+  if (!is_collecting(now) && behind && (repeat || subscriber.state_sent < version_)) {
+    wire::FleetState state;
+    state.term = term_;
+    state.version = version_;
+    state.instances = instances_.snapshot();
+    state.groups = groups_.snapshot();
+    update.__set_state(std::move(state));
+    subscriber.state_sent = version_;
+    subscriber.sent_at = now;
+  }
+  for (const auto& [group, in_flight] : loads_) {
+    wire::GroupLoad load;
+    load.group = group;
+    load.in_flight = in_flight;
+    update.loads.push_back(std::move(load));
+  }
+  for (const auto& [name, other] : subscribers_) {
+    update.serving_nodes += other.serves_requests && now - other.last_heard < options_.node_timeout ? 1 : 0;
+  }
+  outputs_.envelopes.push_back(std::move(envelope));
+}
+
+void FleetLeader::push_news(TimePoint now, const consensus::RaftNode& raft, const DocumentLog& log) {
+  std::erase_if(subscribers_, [&](const auto& item) { return now - item.second.last_heard > kSubscriberMemory; });
+  for (const auto& [node, subscriber] : subscribers_) {
+    const bool live = now - subscriber.last_heard < options_.node_timeout;
+    const bool news =
+        subscriber.document_sent < log.version() || (!is_collecting(now) && subscriber.state_sent < version_);
+    if (live && news) {
+      send_update(now, node, 0, raft, log);
+    }
+  }
+}
+
+void FleetLeader::update_loads(TimePoint now) {
+  loads_.clear();
+  for (const auto& [node, subscriber] : subscribers_) {
+    if (now - subscriber.last_heard > options_.node_timeout) {
+      continue;
+    }
+    for (const auto& [group, in_flight] : subscriber.loads) {
+      loads_[group] += in_flight;
+    }
+  }
+  groups_.note_loads(loads_);
+}
+
+// ------------------------------------------------------------------- calls
+
+void FleetLeader::answer(const std::string& key, const wire::ControlCall& call, int status, std::string body) {
+  wire::ControlCallReply reply;
+  reply.id = call.id;
+  reply.status = status;
+  reply.body = std::move(body);
+  outputs_.replies.emplace_back(key, std::move(reply));
+  open_calls_.erase(key);
+}
+
+void FleetLeader::call(TimePoint now, const std::string& key, const wire::ControlCall& call,
+                       const consensus::RaftNode& raft, const DocumentLog& log) {
+  if (!open_calls_.emplace(key, call).second) {
+    return;  // Repeated while its first arrival is still waiting.
+  }
+  switch (call.kind) {
+    case wire::ControlCallKind::HEARTBEAT:
+    case wire::ControlCallKind::DEREGISTER:
+      register_instance(now, key, call);
+      break;
+    case wire::ControlCallKind::PUT_DOCUMENT:
+      put_document(key, call, raft, log);
+      break;
+    case wire::ControlCallKind::GET_DOCUMENT:
+      if (log.version() == 0) {
+        answer(key, call, kUnavailable, error_body("no document was accepted yet; send one"));
+      } else {
+        answer(key, call, kOk, log.content());
+      }
+      break;
+  }
+}
+
+void FleetLeader::register_instance(TimePoint now, const std::string& key, const wire::ControlCall& call) {
+  bool changed = false;
+  bool leaving = true;
+  if (call.kind == wire::ControlCallKind::DEREGISTER) {
+    changed = instances_.deregister(now, call.instance_id);
+  } else {
+    std::string error;
+    const auto report = parse_registration(call.instance_id, call.body, error);
+    if (!report) {
+      answer(key, call, kBadRequest, error_body(error));
+      return;
+    }
+    leaving = report->state == wire::InstanceState::DRAINING;
+    changed = instances_.heard(now, *report);
+  }
+  version_ += changed ? 1 : 0;
+  if (leaving) {
+    // Acknowledged only once every live node knows: from then on no new work may reach the instance.
+    waiting_.push_back({key, version_, now});
+  } else {
+    answer(key, call, kOk, "{}");
+  }
+}
+
+void FleetLeader::put_document(const std::string& key, const wire::ControlCall& call, const consensus::RaftNode& raft,
+                               const DocumentLog& log) {
+  const auto parsed = document::parse_document(call.body);
+  if (parsed.document == nullptr) {
+    answer(key, call, kBadRequest, error_body(parsed.error.message));
+    return;
+  }
+  if (raft.replicas().voters.size() < options_.minimum_voters) {
+    answer(key, call, kUnavailable, error_body("the log has too few voters yet; send the document again"));
+    return;
+  }
+  if (parsed.document->version <= log.version()) {
+    answer(key, call, kOk, "{}");
+    return;
+  }
+  wire::DocumentChange change;
+  change.version = parsed.document->version;
+  change.content = call.body;
+  outputs_.proposals.emplace_back(std::move(change), key);
+}
+
+void FleetLeader::proposed(const std::string& key, std::optional<int64_t> index, int64_t term) {
+  const auto call = open_calls_.find(key);
+  if (call == open_calls_.end()) {
+    return;
+  }
+  if (!index) {
+    const wire::ControlCall copy = call->second;
+    answer(key, copy, kUnavailable, error_body("leadership ended; send the document again"));
+    return;
+  }
+  pending_documents_[*index] = {key, term};
+}
+
+void FleetLeader::applied(int64_t index, int64_t term) {
+  const auto pending = pending_documents_.find(index);
+  if (pending == pending_documents_.end()) {
+    return;
+  }
+  const auto [key, proposed_term] = pending->second;
+  pending_documents_.erase(pending);
+  const auto call = open_calls_.find(key);
+  if (call == open_calls_.end()) {
+    return;
+  }
+  const wire::ControlCall copy = call->second;
+  if (term == proposed_term) {
+    answer(key, copy, kOk, "{}");
+  } else {
+    answer(key, copy, kUnavailable, error_body("leadership changed; send the document again"));
+  }
+}
+
+void FleetLeader::answer_confirmed(TimePoint now) {
+  std::vector<WaitingCall> still_waiting;
+  for (const auto& waiting : waiting_) {
+    const auto call = open_calls_.find(waiting.key);
+    if (call == open_calls_.end()) {
+      continue;
+    }
+    bool confirmed = !is_collecting(now);
+    bool published = confirmed;
+    for (const auto& [node, subscriber] : subscribers_) {
+      const bool live = now - subscriber.last_heard < options_.node_timeout;
+      const bool holds = subscriber.state_held >= std::pair(term_, waiting.version);
+      confirmed = confirmed && (holds || !live);
+      published = published && (subscriber.state_sent >= waiting.version || !live);
+    }
+    const bool patience_over = now - waiting.since > options_.confirmation_patience;
+    if (confirmed || (published && patience_over)) {
+      const wire::ControlCall copy = call->second;
+      answer(waiting.key, copy, kOk, "{}");
+    } else {
+      still_waiting.push_back(waiting);
+    }
+  }
+  waiting_ = std::move(still_waiting);
+}
+
+// -------------------------------------------------------------------- time
+
+void FleetLeader::tick(TimePoint now, const consensus::RaftNode& raft, const DocumentLog& log) {
+  if (now >= next_supervision_) {
+    next_supervision_ = now + kSupervisionInterval;
+    outputs_.replicas = replicas_.next_change(now, raft, nodes_);
+    update_loads(now);
+    version_ += instances_.tick(now) ? 1 : 0;
+  }
+  if (!is_collecting(now) && log.parsed() != nullptr) {
+    version_ += groups_.tick(now, *log.parsed(), instances_) ? 1 : 0;
+    outputs_.orders = groups_.take_orders();
+  }
+  push_news(now, raft, log);
+  answer_confirmed(now);
+}
+
+FleetLeader::Outputs FleetLeader::take_outputs() {
+  Outputs result = std::move(outputs_);
+  outputs_ = Outputs();
+  return result;
+}
+
+}  // namespace larchlever::fleet
--- /dev/null
+++ b/src/core/fleet/fleet_leader.h
@@ -0,0 +1,116 @@
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "consensus/raft_node.h"
+#include "core/control/replica_supervisor.h"
+#include "core/fleet/document_log.h"
+#include "core/fleet/fleet_options.h"
+#include "core/fleet/fleet_subscription.h"
+#include "core/fleet/group_supervisor.h"
+#include "core/fleet/instance_directory.h"
+#include "core/membership/node_directory.h"
+
+namespace larchlever::fleet {
+
+/// What the leader of a registered fleet does besides replicating: answers nodes' heartbeats, instances' registrations
+/// and operators' calls; supervises groups and the log's voters; pushes news to every node.
+///
+/// All its state is soft and belongs to one leadership; it starts from the copies that the nodes hold.
+/// `RaftNode::is_ready_leader` must hold at every call (the owner checks). Single-threaded, deterministic.
+class FleetLeader {
+ public:
+  FleetLeader(const FleetOptions& options, FleetIdentity identity);
+
+  struct Outputs {
+    std::vector<wire::Envelope> envelopes;
+    std::vector<InstanceOrder> orders;
+    std::optional<wire::ReplicaSet> replicas;
+    /// Documents to append to the log, with the call that waits for each.
+    std::vector<std::pair<wire::DocumentChange, std::string>> proposals;
+    /// Answers to calls, by call key.
+    std::vector<std::pair<std::string, wire::ControlCallReply>> replies;
+  };
+
+  /// A leadership begins; `copy` is the state that this node held as a subscriber.
+  void start(TimePoint now, int64_t term, const wire::FleetState& copy);
+  void heartbeat(TimePoint now, const wire::Envelope& envelope, const consensus::RaftNode& raft,
+                 const DocumentLog& log);
+  /// `key` identifies the call in the answers; the same call may arrive again under the same key.
+  void call(TimePoint now, const std::string& key, const wire::ControlCall& call, const consensus::RaftNode& raft,
+            const DocumentLog& log);
+  void order_result(TimePoint now, const InstanceOrderResult& result) { groups_.order_result(now, result); }
+  /// The document of `key` was appended to the log, or could not be.
+  void proposed(const std::string& key, std::optional<int64_t> index, int64_t term);
+  /// The entry at `index`, of `term`, was applied.
+  void applied(int64_t index, int64_t term);
+  void tick(TimePoint now, const consensus::RaftNode& raft, const DocumentLog& log);
+  Outputs take_outputs();
+
+  const InstanceDirectory& instances() const { return instances_; }
+
+ private:
+  struct Subscriber {
+    TimePoint last_heard{};
+    bool serves_requests = false;
+    int64_t document_version = 0;
+    std::pair<int64_t, int64_t> state_held{0, 0};
+    /// What was last sent to it, and when.
+    int64_t document_sent = 0;
+    int64_t state_sent = 0;
+    TimePoint sent_at{};
+    std::map<std::string, int> loads;
+  };
+  /// A call answered once every live node confirmed a version of the state.
+  struct WaitingCall {
+    std::string key;
+    int64_t version = 0;
+    TimePoint since{};
+  };
+  struct PendingDocument {
+    std::string key;
+    int64_t term = 0;
+  };
+
+  /// Incarnations come from clocks that may be set back, so their order is the order of first arrival.
+  Incarnation rank_incarnation(const std::string& node, int64_t incarnation);
+  bool is_collecting(TimePoint now) const { return now < collecting_until_; }
+  void note_report(TimePoint now, const wire::Envelope& envelope);
+  /// Takes an entry's word against a group; believed once another entry or a silent member bears it out.
+  void note_failure(TimePoint now, const std::string& node, const std::string& group);
+  void put_document(const std::string& key, const wire::ControlCall& call, const consensus::RaftNode& raft,
+                    const DocumentLog& log);
+  void register_instance(TimePoint now, const std::string& key, const wire::ControlCall& call);
+  void answer(const std::string& key, const wire::ControlCall& call, int status, std::string body = {});
+  void send_update(TimePoint now, const std::string& node, int64_t sequence, const consensus::RaftNode& raft,
+                   const DocumentLog& log);
+  void push_news(TimePoint now, const consensus::RaftNode& raft, const DocumentLog& log);
+  void answer_confirmed(TimePoint now);
+  void update_loads(TimePoint now);
+
+  FleetOptions options_;
+  FleetIdentity identity_;
+  int64_t term_ = 0;
+  int64_t version_ = 0;
+  TimePoint collecting_until_{};
+  TimePoint next_supervision_{};
+  InstanceDirectory instances_;
+  GroupSupervisor groups_;
+  membership::NodeDirectory nodes_;
+  control::ReplicaSupervisor replicas_;
+  std::map<std::string, Subscriber> subscribers_;
+  std::map<std::string, std::vector<int64_t>> incarnations_;
+  std::map<std::string, int> loads_;
+  /// Per group, which entries reported its failure, and when last.
+  std::map<std::string, std::map<std::string, TimePoint>> accusations_;
+  std::vector<WaitingCall> waiting_;
+  std::map<int64_t, PendingDocument> pending_documents_;
+  std::map<std::string, wire::ControlCall> open_calls_;
+  Outputs outputs_;
+};
+
+}  // namespace larchlever::fleet
--- /dev/null
+++ b/src/core/fleet/fleet_options.h
@@ -0,0 +1,47 @@
+#pragma once
+
+#include <cstddef>
+#include <cstdint>
+#include <string>
+
+#include "consensus/raft_node.h"
+#include "core/base/time.h"
+#include "core/control/control_options.h"
+
+namespace larchlever::fleet {
+
+/// Times and bounds of a fleet whose back ends register themselves. Derived from the settings; see
+/// settings/fleet_settings.h.
+struct FleetOptions {
+  /// How often a node reports to the leader.
+  Duration heartbeat_interval = milliseconds(200);
+  /// A heartbeat unanswered for this long is sent to another control replica.
+  Duration heartbeat_patience = milliseconds(500);
+  /// A node not heard for this long is not waited for and takes no share of budgets.
+  Duration node_timeout = milliseconds(1200);
+  /// How long a node may serve keyed requests by what it holds, counted from when it asked.
+  Duration document_lease = milliseconds(4500);
+  /// A registered instance not heard for this long is called silent.
+  Duration instance_silence = milliseconds(2800);
+  /// A head that lost a member stands still for this long and is broken then.
+  Duration stall_time = seconds(5);
+  /// An order without a confirmed effect is sent again after this time.
+  Duration order_retry = milliseconds(800);
+  /// Longest wait for nodes to confirm that they know an instance is leaving.
+  Duration confirmation_patience = milliseconds(600);
+  /// A control call that no leader answered in this time is given up.
+  Duration call_patience = milliseconds(900);
+  /// Window over which loads of weights are limited.
+  Duration load_window = seconds(5);
+  /// No document is acknowledged before the log has this many voters.
+  size_t minimum_voters = 1;
+  /// Replication of the log and repair of its voters.
+  consensus::RaftOptions raft;
+  control::ControlOptions control;
+  /// Retries that one service may get in a window, over all nodes.
+  double retry_ratio = 0.2;
+  double retry_slack = 10;
+  Duration retry_window = seconds(10);
+};
+
+}  // namespace larchlever::fleet
--- /dev/null
+++ b/src/core/fleet/fleet_subscription.cc
@@ -0,0 +1,126 @@
+#include "core/fleet/fleet_subscription.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace larchlever::fleet {
+
+namespace {
+
+/// Unanswered questions remembered; an answer to an older one extends no lease.
+constexpr size_t kRememberedQuestions = 64;
+
+std::pair<int64_t, int64_t> order_of(const wire::FleetState& state) { return {state.term, state.version}; }
+
+}  // namespace
+
+FleetSubscription::FleetSubscription(const FleetOptions& options, FleetIdentity identity,
+                                     std::vector<std::string> seeds)
+    : options_(options), identity_(std::move(identity)) {
+  add_peers(seeds);
+}
+
+void FleetSubscription::add_peers(const std::vector<std::string>& peers) {
+  for (const auto& peer : peers) {
+    if (!peer.empty() && std::find(peers_.begin(), peers_.end(), peer) == peers_.end()) {
+      peers_.push_back(peer);
+    }
+  }
+}
+
+void FleetSubscription::choose_next_target() {
+  if (peers_.empty()) {
+    return;
+  }
+  leader_ = peers_[next_peer_++ % peers_.size()];
+}
+
+void FleetSubscription::hint_leader(const std::string& leader) {
+  if (!leader.empty() && leader != leader_) {
+    add_peers({leader});
+    leader_ = leader;
+    next_heartbeat_ = TimePoint::min();
+    target_since_ = TimePoint::min();
+  }
+}
+
+std::optional<wire::Envelope> FleetSubscription::tick(TimePoint now, const wire::FleetHeartbeat& content) {
+  if (now < next_heartbeat_) {
+    return std::nullopt;
+  }
+  if (target_since_ == TimePoint::min()) {
+    target_since_ = now;
+  }
+  const TimePoint answered = std::max(last_answer_, target_since_);
+  if (leader_.empty() || now - answered > options_.heartbeat_patience) {
+    choose_next_target();
+    target_since_ = now;
+  }
+  next_heartbeat_ = now + options_.heartbeat_interval;
+  wire::Envelope envelope;
+  envelope.to_node = leader_;
+  envelope.__set_fleet_heartbeat(content);
+  auto& heartbeat = envelope.fleet_heartbeat;
+  heartbeat.sequence = next_sequence_++;
+  heartbeat.zone = identity_.zone;
+  heartbeat.control_address = identity_.control_address;
+  heartbeat.serves_requests = identity_.serves_requests;
+  heartbeat.document_version = document_version_;
+  heartbeat.held_term = state_.term;
+  heartbeat.held_version = state_.version;
+  if (std::exchange(send_state_, false)) {
+    heartbeat.__set_held_state(state_);
+  }
+  asked_at_[heartbeat.sequence] = now;
+  if (asked_at_.size() > kRememberedQuestions) {
+    asked_at_.erase(asked_at_.begin());
+  }
+  return envelope;
+}
+
+bool FleetSubscription::receive(TimePoint now, const wire::Envelope& envelope) {
+  const auto& update = envelope.fleet_update;
+  add_peers(update.control_peers);
+  if (update.not_leader) {
+    if (envelope.from_node != leader_) {
+      return false;
+    }
+    if (update.leader.empty() || update.leader == leader_) {
+      choose_next_target();
+      target_since_ = now;
+    } else {
+      hint_leader(update.leader);
+    }
+    return false;
+  }
+  last_answer_ = now;
+  leader_ = envelope.from_node;
+  loads_ = update.loads;
+  serving_nodes_ = std::max(1, update.serving_nodes);
+  send_state_ = update.wants_state && state_.term > 0;
+  bool changed = false;
+  if (update.__isset.document && update.document_version > document_version_) {
+    document_version_ = update.document_version;
+    document_ = update.document;
+    changed = true;
+  }
+  if (update.__isset.state && order_of(update.state) > order_of(state_)) {
+    state_ = update.state;
+    changed = true;
+  }
+  const auto asked = asked_at_.find(update.sequence);
+  if (asked != asked_at_.end() && document_version_ >= update.document_version) {
+    lease_from_ = std::max(lease_from_, asked->second);
+    asked_at_.erase(asked_at_.begin(), std::next(asked));
+  }
+  if (changed || send_state_) {
+    next_heartbeat_ = TimePoint::min();  // Confirm at once: calls may wait for it.
+  }
+  return changed;
+}
+
+bool FleetSubscription::has_lease(TimePoint now) const {
+  return lease_from_ != TimePoint::min() && document_version_ > 0 && now - lease_from_ < options_.document_lease;
+}
+
+}  // namespace larchlever::fleet
--- /dev/null
+++ b/src/core/fleet/group_formation.cc
@@ -0,0 +1,165 @@
+// The part of GroupSupervisor that chooses which free instances become which group.
+
+#include <algorithm>
+
+#include "core/fleet/group_supervisor.h"
+
+namespace larchlever::fleet {
+
+namespace {
+
+using FreeByDomain = std::map<std::string, std::vector<const wire::Instance*>>;
+
+/// Keeps a model of no stated share from being infinitely covered.
+constexpr double kSmallestFraction = 1e-6;
+
+bool has_staged(const wire::Instance& instance, const std::string& model) {
+  const auto& staged = instance.staged_models;
+  return std::find(staged.begin(), staged.end(), model) != staged.end();
+}
+
+/// Members for a group of `model` out of one domain's free instances: those that hold the weights come first.
+struct Candidate {
+  std::vector<const wire::Instance*> members;
+  size_t loads = 0;
+  size_t left_over = 0;
+};
+
+Candidate candidate_from(std::vector<const wire::Instance*> free, const document::ModelSpec& model) {
+  std::stable_partition(free.begin(), free.end(),
+                        [&model](const auto* instance) { return has_staged(*instance, model.name); });
+  Candidate candidate;
+  candidate.left_over = free.size() - static_cast<size_t>(model.size);
+  free.resize(static_cast<size_t>(model.size));
+  candidate.loads = static_cast<size_t>(std::count_if(
+      free.begin(), free.end(), [&model](const auto* instance) { return !has_staged(*instance, model.name); }));
+  candidate.members = std::move(free);
+  return candidate;
+}
+
+/// The domain where the group costs the fewest loads and then leaves the fewest instances over.
+std::optional<Candidate> best_candidate(const FreeByDomain& free, const document::ModelSpec& model) {
+  std::optional<Candidate> best;
+  for (const auto& [domain, instances] : free) {
+    if (instances.size() < static_cast<size_t>(model.size)) {
+      continue;
+    }
+    auto candidate = candidate_from(instances, model);
+    const bool better = !best || candidate.loads < best->loads ||
+                        (candidate.loads == best->loads && candidate.left_over < best->left_over);
+    if (better) {
+      best = std::move(candidate);
+    }
+  }
+  return best;
+}
+
+}  // namespace
+
+size_t GroupSupervisor::loads_under_way(const InstanceDirectory& directory) const {
+  size_t loads = 0;
+  for (const auto& [name, record] : records_) {
+    if (record.group.phase != wire::GroupPhase::JOINING) {
+      continue;
+    }
+    for (const auto& id : record.group.members) {
+      const auto* member = directory.find(id);
+      const bool ready = reports_ready(member, record.group);
+      loads += member != nullptr && !ready && !has_staged(*member, record.group.model) ? 1 : 0;
+    }
+  }
+  return loads;
+}
+
+bool GroupSupervisor::may_load(TimePoint now, const document::EngineSpec& engine, size_t loads_under_way,
+                               size_t loads) {
+  if (loads > 0 && now < cold_loads_after_) {
+    return false;
+  }
+  if (loads > 0 && loads_under_way >= static_cast<size_t>(engine.loads_at_once)) {
+    return false;
+  }
+  if (!traffic_seen_) {
+    return true;
+  }
+  while (!load_starts_.empty() && now - load_starts_.front() > options_.load_window) {
+    load_starts_.pop_front();
+  }
+  const double window_seconds = std::chrono::duration<double>(options_.load_window).count();
+  const auto most = static_cast<size_t>(std::max(1.0, engine.loads_per_second * window_seconds));
+  return load_starts_.size() + loads <= std::max(most, loads);
+}
+
+bool GroupSupervisor::form_one(TimePoint now, const std::string& service, const document::EngineSpec& engine,
+                               const InstanceDirectory& directory) {
+  FreeByDomain free;
+  std::map<std::string, size_t> held;
+  for (const auto& [id, row] : directory.rows()) {
+    const auto& instance = row.instance;
+    const bool usable = row.heard_here && instance.service_name == service && !instance.silent &&
+                        instance.state == wire::InstanceState::READY;
+    if (!usable) {
+      continue;
+    }
+    const auto* owner = owner_of(id);
+    if (owner != nullptr) {
+      ++held[owner->model];
+      continue;
+    }
+    const auto& membership = instance.membership;
+    const bool unattached = membership.group.empty() || membership.state == wire::MembershipState::NONE ||
+                            dissolved_.contains(membership.group);
+    if (unattached) {
+      free[instance.domain].push_back(&instance);
+    }
+  }
+  std::vector<const document::ModelSpec*> by_need;
+  for (const auto& model : engine.models) {
+    by_need.push_back(&model);
+  }
+  const auto coverage = [&](const document::ModelSpec& model) {
+    return static_cast<double>(held[model.name]) / std::max(model.fraction, kSmallestFraction);
+  };
+  std::stable_sort(by_need.begin(), by_need.end(),
+                   [&](const auto* left, const auto* right) { return coverage(*left) < coverage(*right); });
+  for (const auto* model : by_need) {
+    const auto candidate = best_candidate(free, *model);
+    if (!candidate) {
+      continue;
+    }
+    if (!may_load(now, engine, loads_under_way(directory), candidate->loads)) {
+      return false;
+    }
+    load_starts_.insert(load_starts_.end(), candidate->loads, now);
+    Record record;
+    record.group.name = "g" + std::to_string(term_) + "-" + std::to_string(next_number_);
+    record.group.epoch = (term_ << kEpochTermShift) + next_number_;
+    ++next_number_;
+    record.group.service_name = service;
+    record.group.model = model->name;
+    record.group.phase = wire::GroupPhase::JOINING;
+    for (const auto* member : candidate->members) {
+      record.group.members.push_back(member->id);
+    }
+    record.since = now;
+    for (const auto& id : record.group.members) {
+      send(now, order_for(OrderKind::kJoin, record, id), directory);
+    }
+    records_[record.group.name] = std::move(record);
+    return true;
+  }
+  return false;
+}
+
+bool GroupSupervisor::form_groups(TimePoint now, const document::ConfigurationDocument& document,
+                                  const InstanceDirectory& directory) {
+  bool formed = false;
+  for (const auto& [name, service] : document.services) {
+    while (service.engine && form_one(now, name, *service.engine, directory)) {
+      formed = true;
+    }
+  }
+  return formed;
+}
+
+}  // namespace larchlever::fleet
--- /dev/null
+++ b/src/core/fleet/group_supervisor.cc
@@ -0,0 +1,362 @@
+#include "core/fleet/group_supervisor.h"
+
+#include <algorithm>
+
+namespace larchlever::fleet {
+
+namespace {
+
+/// A group that does not come together in this time is given up.
+constexpr Duration kJoiningPatience = seconds(60);
+/// Longest wait for the requests in flight of a group whose member leaves as planned.
+constexpr Duration kDrainingPatience = seconds(9);
+/// Shortest time that a draining group is kept, so that every entry has heard of it.
+constexpr Duration kDrainingMinimum = milliseconds(500);
+/// A head that did not confirm its leave in this time may be out of reach; a member is asked to leave as well.
+constexpr Duration kHeadPatience = milliseconds(1500);
+/// Added to the stall time: clocks drift and answers travel.
+constexpr Duration kStallMargin = milliseconds(700);
+/// After a change of leadership, groups that nobody told us of are adopted once every instance had time to report.
+constexpr Duration kAdoptionDelay = seconds(3);
+
+/// Loads ordered by the previous leader count in the same window; this long none is added to them.
+constexpr Duration kPredecessorLoads = seconds(3);
+
+bool reports(const wire::Instance& instance, const wire::EngineGroup& group) {
+  return instance.membership.group == group.name && instance.membership.epoch == group.epoch;
+}
+
+bool reports(const wire::Instance* instance, const wire::EngineGroup& group, wire::MembershipState::type state) {
+  return instance != nullptr && reports(*instance, group) && instance->membership.state == state;
+}
+
+bool can_take_work(const wire::Instance* instance) {
+  return instance != nullptr && instance->state == wire::InstanceState::READY && !instance->silent;
+}
+
+bool is_success(int status) { return status >= 200 && status < 300; }
+
+/// Another instance registered at the address, so the process behind `id` has ended.
+bool is_replaced(const std::string& id, const InstanceDirectory& directory) {
+  const auto* instance = directory.find(id);
+  if (instance == nullptr) {
+    return false;
+  }
+  return std::any_of(directory.rows().begin(), directory.rows().end(), [&](const auto& item) {
+    const auto& other = item.second.instance;
+    return other.id != id && other.address == instance->address && other.state != wire::InstanceState::GONE;
+  });
+}
+
+}  // namespace
+
+bool reports_ready(const wire::Instance* instance, const wire::EngineGroup& group) {
+  return reports(instance, group, wire::MembershipState::READY);
+}
+
+void GroupSupervisor::start(TimePoint now, int64_t term, const std::vector<wire::EngineGroup>& inherited) {
+  term_ = term;
+  next_number_ = 1;
+  started_ = now;
+  records_.clear();
+  dissolved_.clear();
+  sent_at_.clear();
+  load_starts_.clear();
+  orders_.clear();
+  cold_loads_after_ = inherited.empty() ? now : now + kPredecessorLoads;
+  merge(now, inherited);
+}
+
+void GroupSupervisor::merge(TimePoint now, const std::vector<wire::EngineGroup>& inherited) {
+  for (const auto& group : inherited) {
+    if (dissolved_.contains(group.name)) {
+      continue;
+    }
+    auto [item, is_new] = records_.try_emplace(group.name);
+    if (is_new) {
+      item->second.group = group;
+      item->second.since = now;
+      item->second.may_be_open = true;
+    }
+  }
+}
+
+void GroupSupervisor::note_failure(TimePoint, const std::string& group) {
+  if (const auto found = records_.find(group); found != records_.end()) {
+    found->second.failed = true;
+  }
+}
+
+void GroupSupervisor::order_result(TimePoint now, const InstanceOrderResult& result) {
+  const auto found = records_.find(result.order.group);
+  if (found == records_.end() || result.order.kind != OrderKind::kLeave || !is_success(result.status)) {
+    return;  // Joins and opens are confirmed by what the instances report, never by an answer.
+  }
+  Record& record = found->second;
+  if (record.group.members.front() == result.order.instance_id) {
+    record.head_left = true;
+  } else {
+    record.member_left_at = std::min(record.member_left_at, now);
+  }
+}
+
+void GroupSupervisor::set_phase(TimePoint now, Record& record, wire::GroupPhase::type phase) {
+  record.group.phase = phase;
+  record.since = now;
+}
+
+InstanceOrder GroupSupervisor::order_for(OrderKind kind, const Record& record, const std::string& instance_id) const {
+  InstanceOrder order;
+  order.kind = kind;
+  order.instance_id = instance_id;
+  order.group = record.group.name;
+  order.epoch = record.group.epoch;
+  order.fence = term_;
+  order.model = record.group.model;
+  order.members = record.group.members;
+  return order;
+}
+
+void GroupSupervisor::send(TimePoint now, const InstanceOrder& order, const InstanceDirectory& directory) {
+  const auto* instance = directory.find(order.instance_id);
+  if (instance == nullptr) {
+    return;
+  }
+  const std::string key = std::to_string(static_cast<int>(order.kind)) + order.instance_id + order.group;
+  const auto [sent, is_first] = sent_at_.try_emplace(key, now);
+  if (!is_first && now - sent->second < options_.order_retry) {
+    return;
+  }
+  sent->second = now;
+  orders_.push_back(order);
+  orders_.back().address = instance->address;
+}
+
+bool GroupSupervisor::advance_joining(TimePoint now, Record& record, const InstanceDirectory& directory) {
+  size_t ready = 0;
+  bool lost = now - record.since > kJoiningPatience || record.failed;
+  for (const auto& id : record.group.members) {
+    const auto* member = directory.find(id);
+    lost = lost || !can_take_work(member);
+    ready += reports_ready(member, record.group) ? 1 : 0;
+  }
+  if (lost) {
+    if (record.may_be_open) {
+      set_phase(now, record, wire::GroupPhase::DISSOLVING);
+      return true;
+    }
+    record.head_left = true;  // Never opened: its members are free at once.
+    set_phase(now, record, wire::GroupPhase::DISSOLVING);
+    return true;
+  }
+  if (ready == record.group.members.size()) {
+    record.may_be_open = true;
+    set_phase(now, record, wire::GroupPhase::OPENING);
+    send(now, order_for(OrderKind::kOpen, record, record.group.members.front()), directory);
+    return true;
+  }
+  for (const auto& id : record.group.members) {
+    if (!reports(*directory.find(id), record.group)) {
+      send(now, order_for(OrderKind::kJoin, record, id), directory);
+    }
+  }
+  return false;
+}
+
+bool GroupSupervisor::advance_opening(TimePoint now, Record& record, const InstanceDirectory& directory) {
+  const bool complete = std::all_of(record.group.members.begin(), record.group.members.end(), [&](const auto& id) {
+    const auto* member = directory.find(id);
+    return can_take_work(member) && reports(*member, record.group) &&
+           member->membership.state != wire::MembershipState::BROKEN;
+  });
+  if (!complete || record.failed) {
+    set_phase(now, record, wire::GroupPhase::DISSOLVING);
+    return true;
+  }
+  const auto& head = record.group.members.front();
+  if (reports(directory.find(head), record.group, wire::MembershipState::OPEN)) {
+    set_phase(now, record, wire::GroupPhase::OPEN);
+    return true;
+  }
+  send(now, order_for(OrderKind::kOpen, record, head), directory);
+  return false;
+}
+
+bool GroupSupervisor::advance_open(TimePoint now, Record& record, const InstanceDirectory& directory) {
+  bool broken = record.failed;
+  bool leaving = false;
+  bool silent = false;
+  for (const auto& id : record.group.members) {
+    const auto* member = directory.find(id);
+    if (member == nullptr) {
+      broken = true;
+      continue;
+    }
+    const bool gone = member->state == wire::InstanceState::GONE;
+    broken = broken || (gone && is_replaced(id, directory));
+    broken = broken || (!gone && !reports(*member, record.group));
+    leaving = leaving || member->state != wire::InstanceState::READY;
+    silent = silent || member->silent;
+  }
+  broken = broken || reports(directory.find(record.group.members.front()), record.group, wire::MembershipState::BROKEN);
+  const auto loads = in_flight_.find(record.group.name);
+  const bool idle = loads == in_flight_.end() || loads->second == 0;
+  if (broken || (silent && idle)) {
+    set_phase(now, record, wire::GroupPhase::DISSOLVING);
+    return true;
+  }
+  if (leaving) {
+    set_phase(now, record, wire::GroupPhase::DRAINING);
+    return true;
+  }
+  return false;
+}
+
+bool GroupSupervisor::advance_draining(TimePoint now, Record& record) {
+  const auto loads = in_flight_.find(record.group.name);
+  const bool idle = loads == in_flight_.end() || loads->second == 0;
+  const Duration age = now - record.since;
+  if (record.failed || age > kDrainingPatience || (idle && age > kDrainingMinimum)) {
+    set_phase(now, record, wire::GroupPhase::DISSOLVING);
+    return true;
+  }
+  return false;
+}
+
+void GroupSupervisor::order_leave(TimePoint now, const Record& record, const InstanceDirectory& directory) {
+  const auto& members = record.group.members;
+  send(now, order_for(OrderKind::kLeave, record, members.front()), directory);
+  const auto* head = directory.find(members.front());
+  if (can_take_work(head) && now - record.since < kHeadPatience) {
+    return;
+  }
+  for (size_t rank = 1; rank < members.size(); ++rank) {
+    if (can_take_work(directory.find(members[rank]))) {
+      send(now, order_for(OrderKind::kLeave, record, members[rank]), directory);
+      return;
+    }
+  }
+}
+
+bool GroupSupervisor::is_dissolved(TimePoint now, const Record& record, const InstanceDirectory& directory) const {
+  if (record.head_left) {
+    return true;
+  }
+  const bool stalled =
+      record.member_left_at != TimePoint::max() && now - record.member_left_at > options_.stall_time + kStallMargin;
+  if (stalled) {
+    return true;
+  }
+  const auto& head_id = record.group.members.front();
+  const auto head = directory.rows().find(head_id);
+  if (head == directory.rows().end()) {
+    return false;
+  }
+  if (is_replaced(head_id, directory)) {
+    return true;
+  }
+  if (!head->second.heard_here || head->second.instance.state == wire::InstanceState::GONE) {
+    return false;
+  }
+  const auto& membership = head->second.instance.membership;
+  // A head that only reports itself ready may still carry out an order to open that is under way.
+  return !reports(head->second.instance, record.group) || membership.state == wire::MembershipState::BROKEN;
+}
+
+bool GroupSupervisor::advance(TimePoint now, Record& record, const InstanceDirectory& directory) {
+  switch (record.group.phase) {
+    case wire::GroupPhase::JOINING:
+      return advance_joining(now, record, directory);
+    case wire::GroupPhase::OPENING:
+      return advance_opening(now, record, directory);
+    case wire::GroupPhase::OPEN:
+      return advance_open(now, record, directory);
+    case wire::GroupPhase::DRAINING:
+      return advance_draining(now, record);
+    case wire::GroupPhase::DISSOLVING:
+      if (!is_dissolved(now, record, directory)) {
+        order_leave(now, record, directory);
+      }
+      return false;
+  }
+  return false;
+}
+
+bool GroupSupervisor::adopt_unknown(TimePoint now, const InstanceDirectory& directory) {
+  if (now - started_ < kAdoptionDelay) {
+    return false;
+  }
+  bool adopted = false;
+  for (const auto& [id, row] : directory.rows()) {
+    const auto& membership = row.instance.membership;
+    const bool known = membership.group.empty() || membership.state == wire::MembershipState::NONE ||
+                       records_.contains(membership.group) || dissolved_.contains(membership.group);
+    if (known || !row.heard_here || row.instance.state == wire::InstanceState::GONE) {
+      continue;
+    }
+    Record record;
+    record.group.name = membership.group;
+    record.group.epoch = membership.epoch;
+    record.group.service_name = row.instance.service_name;
+    record.group.phase = wire::GroupPhase::DISSOLVING;
+    record.group.members = {""};  // The head, until found.
+    for (const auto& [other_id, other] : directory.rows()) {
+      if (!reports(other.instance, record.group) || other.instance.state == wire::InstanceState::GONE) {
+        continue;
+      }
+      if (other.instance.membership.rank == 0) {
+        record.group.members.front() = other_id;
+      } else {
+        record.group.members.push_back(other_id);
+      }
+    }
+    record.since = now;
+    records_[record.group.name] = std::move(record);
+    adopted = true;
+  }
+  return adopted;
+}
+
+bool GroupSupervisor::tick(TimePoint now, const document::ConfigurationDocument& document,
+                           const InstanceDirectory& directory) {
+  bool changed = adopt_unknown(now, directory);
+  for (auto item = records_.begin(); item != records_.end();) {
+    Record& record = item->second;
+    changed = advance(now, record, directory) || changed;
+    if (record.group.phase == wire::GroupPhase::DISSOLVING && is_dissolved(now, record, directory)) {
+      dissolved_.insert(record.group.name);
+      item = records_.erase(item);
+      changed = true;
+    } else {
+      ++item;
+    }
+  }
+  return form_groups(now, document, directory) || changed;
+}
+
+std::vector<InstanceOrder> GroupSupervisor::take_orders() {
+  auto result = std::move(orders_);
+  orders_.clear();
+  return result;
+}
+
+std::vector<wire::EngineGroup> GroupSupervisor::snapshot() const {
+  std::vector<wire::EngineGroup> result;
+  result.reserve(records_.size());
+  for (const auto& [name, record] : records_) {
+    result.push_back(record.group);
+  }
+  return result;
+}
+
+const wire::EngineGroup* GroupSupervisor::owner_of(const std::string& instance_id) const {
+  for (const auto& [name, record] : records_) {
+    const auto& members = record.group.members;
+    if (std::find(members.begin(), members.end(), instance_id) != members.end()) {
+      return &record.group;
+    }
+  }
+  return nullptr;
+}
+
+}  // namespace larchlever::fleet
--- /dev/null
+++ b/src/core/fleet/instance_directory.h
@@ -0,0 +1,51 @@
+#pragma once
+
+#include <map>
+#include <string>
+#include <vector>
+
+#include "core/base/time.h"
+#include "larchlever_types.h"
+
+namespace larchlever::fleet {
+
+struct InstanceRow {
+  wire::Instance instance;
+  TimePoint last_heard{};
+  /// False while the row is only inherited from the previous leader's copy.
+  bool heard_here = false;
+};
+
+/// The leader's table of registered instances.
+///
+/// Guarantees: an instance's state never goes back (ready, draining, gone), whatever arrives late; reports of one
+/// instance take effect in the order of their call numbers; an address belongs to the instance that registered there
+/// last. Single-threaded, deterministic.
+class InstanceDirectory {
+ public:
+  explicit InstanceDirectory(Duration silence) : silence_(silence) {}
+
+  /// A leadership begins with the copy of the previous leader's state. Nobody counts as silent at first.
+  void start(TimePoint now, const std::vector<wire::Instance>& inherited);
+  /// Adds rows of a copy that arrived later; rows that are known already only move forward.
+  void merge(TimePoint now, const std::vector<wire::Instance>& inherited);
+  /// Notes a heartbeat. True when it changed something that subscribers must know.
+  bool heard(TimePoint now, const wire::Instance& report);
+  /// The instance said that it leaves for good. True when that is news.
+  bool deregister(TimePoint now, const std::string& id);
+  /// Marks instances silent or heard again, and forgets those long gone. True when something changed. When more than
+  /// half of all ready instances are silent at once, it is we who are cut off: nothing is marked.
+  bool tick(TimePoint now);
+
+  const std::map<std::string, InstanceRow>& rows() const { return rows_; }
+  const wire::Instance* find(const std::string& id) const;
+  std::vector<wire::Instance> snapshot() const;
+
+ private:
+  void retire_previous_holder(const wire::Instance& instance);
+
+  Duration silence_;
+  std::map<std::string, InstanceRow> rows_;
+};
+
+}  // namespace larchlever::fleet
--- /dev/null
+++ b/src/core/requests/event_stream.cc
@@ -0,0 +1,54 @@
+#include "core/requests/event_stream.h"
+
+#include <charconv>
+
+namespace larchlever::requests {
+
+namespace {
+
+constexpr std::string_view kEventEnd = "\n\n";
+constexpr std::string_view kIdField = "id:";
+
+/// The id of one event; nothing when it has none or it is no number.
+std::optional<int64_t> id_of(std::string_view event) {
+  while (!event.empty()) {
+    std::string_view line = event.substr(0, event.find('\n'));
+    event.remove_prefix(std::min(event.size(), line.size() + 1));
+    if (!line.starts_with(kIdField)) {
+      continue;
+    }
+    line.remove_prefix(kIdField.size());
+    while (line.starts_with(' ')) {
+      line.remove_prefix(1);
+    }
+    int64_t id = 0;
+    const auto [end, error] = std::from_chars(line.data(), line.data() + line.size(), id);
+    return error == std::errc() ? std::optional(id) : std::nullopt;
+  }
+  return std::nullopt;
+}
+
+}  // namespace
+
+std::string EventStream::take(std::string_view bytes) {
+  pending_.append(bytes);
+  std::string whole;
+  size_t begin = 0;
+  for (size_t end = pending_.find(kEventEnd); end != std::string::npos; end = pending_.find(kEventEnd, begin)) {
+    const auto event = std::string_view(pending_).substr(begin, end + kEventEnd.size() - begin);
+    begin = end + kEventEnd.size();
+    const auto id = id_of(event);
+    if (id && last_id_ && *id <= *last_id_) {
+      continue;
+    }
+    if (id) {
+      has_gap_ = has_gap_ || (last_id_ && *id != *last_id_ + 1);
+      last_id_ = id;
+    }
+    whole.append(event);
+  }
+  pending_.erase(0, begin);
+  return whole;
+}
+
+}  // namespace larchlever::requests
--- a/src/net/http_client.cc
+++ b/src/net/http_client.cc
@@ -1,11 +1,15 @@
 #include "net/http_client.h"
 
+#include <netinet/tcp.h>
+
 #include <boost/asio.hpp>
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
 #include <deque>
 #include <map>
 
+#include "core/base/scope_exit.h"
+
 namespace larchlever::net {
 
 namespace asio = boost::asio;
@@ -21,12 +25,38 @@
 
 using Parser = http::response_parser<http::buffer_body>;
 
+/// A kept connection is given up this long before its server says that it closes it.
+constexpr auto kKeepAliveMargin = std::chrono::milliseconds(300);
+/// Kept connections are not used after this long when the server names no time.
+constexpr auto kDefaultKeepAlive = std::chrono::seconds(20);
+/// A peer that acknowledges nothing for this long is taken for gone.
+constexpr unsigned int kUserTimeoutMs = 4000;
+
 struct Connection {
   explicit Connection(const asio::any_io_executor& executor) : stream(executor) {}
   beast::tcp_stream stream;
   beast::flat_buffer buffer;
+  std::chrono::steady_clock::time_point usable_until = std::chrono::steady_clock::time_point::max();
 };
 
+/// Until when a connection may be used again, by the answer's `Keep-Alive: timeout=N`.
+std::chrono::steady_clock::time_point usable_until(std::string_view keep_alive) {
+  const auto now = std::chrono::steady_clock::now();
+  const size_t position = keep_alive.find("timeout=");
+  if (position == std::string_view::npos) {
+    return now + kDefaultKeepAlive;
+  }
+  const int64_t timeout_seconds = std::strtol(keep_alive.data() + position + 8, nullptr, 10);
+  return now + std::chrono::seconds(timeout_seconds) - kKeepAliveMargin;
+}
+
+/// While the request is under way, a cancellation drops its connection.
+void watch_cancellation(const OpenOptions& options, Connection& connection) {
+  if (options.cancellation) {
+    options.cancellation->set_action([&connection] { connection.stream.cancel(); });
+  }
+}
+
 http::request<http::string_body> to_beast(const std::string& endpoint, const HttpRequest& request) {
   http::request<http::string_body> message;
   message.method_string(request.method);
@@ -65,7 +95,8 @@
     while (!list.empty()) {
       auto connection = std::move(list.back());
       list.pop_back();
-      if (!is_stale(connection->stream.socket())) {
+      const bool expired = std::chrono::steady_clock::now() >= connection->usable_until;
+      if (!expired && !is_stale(connection->stream.socket())) {
         ++stats.reused;
         return connection;
       }
@@ -148,7 +179,9 @@
     }
     complete_ = true;
     reading_done_ = true;
-    if (parser_->keep_alive() && keep_) {
+    // Bytes behind a whole answer belong to no request: such a connection is not used again.
+    if (parser_->keep_alive() && keep_ && connection_->buffer.size() == 0) {
+      connection_->usable_until = usable_until(head_.headers.find("keep-alive"));
       keep_(std::move(connection_));
     }
   }
@@ -190,7 +223,8 @@
       co_return result;
     }
     connection = std::make_unique<Connection>(self->executor);
-    connection->stream.expires_after(timeout);
+    connection->stream.expires_after(std::min(timeout, options.connect_timeout));
+    watch_cancellation(options, *connection);
     const asio::ip::tcp::endpoint target(address, static_cast<uint16_t>(std::stoi(port)));
     auto [error] = co_await connection->stream.async_connect(target, kAwait);
     if (error) {
@@ -201,6 +235,18 @@
     ++self->stats.connections;
     beast::error_code ignored;
     connection->stream.socket().set_option(asio::ip::tcp::no_delay(true), ignored);
+    ::setsockopt(connection->stream.socket().native_handle(), IPPROTO_TCP, TCP_USER_TIMEOUT, &kUserTimeoutMs,
+                 sizeof(kUserTimeoutMs));
+  }
+  const ScopeExit forget([&options] {
+    if (options.cancellation) {
+      options.cancellation->set_action(nullptr);
+    }
+  });
+  watch_cancellation(options, *connection);
+  if (options.cancellation && options.cancellation->cancelled()) {
+    result.error = "cancelled before anything was sent to " + endpoint;
+    co_return result;
   }
   if (options.may_send && !options.may_send()) {
     result.error = "the right to send to " + endpoint + " ended while connecting";
--- a/src/net/http_client.h
+++ b/src/net/http_client.h
@@ -52,8 +52,30 @@
   std::string error;
 };
 
+/// Ends a request from outside, whether it is still connecting, waiting for the answer's head or reading the body.
+class Cancellation {
+ public:
+  void cancel() {
+    cancelled_ = true;
+    if (on_cancel_) {
+      on_cancel_();
+    }
+  }
+  bool cancelled() const { return cancelled_; }
+  /// What drops the connection at hand; set by the client.
+  void set_action(std::function<void()> on_cancel) { on_cancel_ = std::move(on_cancel); }
+
+ private:
+  bool cancelled_ = false;
+  std::function<void()> on_cancel_;
+};
+
 struct OpenOptions {
+  /// Longest wait for the answer's head.
   std::chrono::milliseconds timeout{10'000};
+  /// Longest wait for a new connection.
+  std::chrono::milliseconds connect_timeout{10'000};
+  std::shared_ptr<Cancellation> cancellation;
   /// Avoid kept connections, whose peer may close them just as the request leaves: then a failure to connect proves
   /// that nothing was sent.
   bool fresh_connection = false;
--- a/src/net/http_server.cc
+++ b/src/net/http_server.cc
@@ -23,6 +23,20 @@
          "\",\"remedy\":\"" + std::string(remedy) + "\",\"outcome\":\"not-run\"}";
 }
 
+constexpr size_t kHeadReadSize = 4096;
+constexpr int kBadRequestStatus = 400;
+constexpr int kBodyTooLargeStatus = 413;
+constexpr int kHeadTooLargeStatus = 431;
+
+std::string_view bytes_of(const beast::flat_buffer& buffer) {
+  return {static_cast<const char*>(buffer.data().data()), buffer.size()};
+}
+
+/// Position of the empty line that ends a head; npos while it is incomplete.
+size_t head_end(const beast::flat_buffer& buffer) { return bytes_of(buffer).find("\r\n\r\n"); }
+
+std::string_view head_of(const beast::flat_buffer& buffer) { return bytes_of(buffer).substr(0, head_end(buffer)); }
+
 HttpResponse problem(int status, std::string_view title, std::string_view remedy) {
   HttpResponse response;
   response.status = status;
@@ -40,6 +54,9 @@
 
   asio::awaitable<void> accept_loop();
   asio::awaitable<void> serve(std::shared_ptr<beast::tcp_stream> stream);
+  asio::awaitable<beast::error_code> read_head_bytes(beast::tcp_stream& stream, beast::flat_buffer& buffer,
+                                                     bool is_first);
+  asio::awaitable<void> refuse(std::shared_ptr<beast::tcp_stream> stream, int status, std::string title);
 
   asio::any_io_executor executor;
   HttpServerOptions options;
@@ -48,6 +65,7 @@
   bool draining = false;
   bool closed = false;
   std::set<std::shared_ptr<beast::tcp_stream>> streams;
+  std::set<std::shared_ptr<beast::tcp_stream>> idle;
   HttpServerStats stats;
 };
 
@@ -204,7 +222,8 @@
   }
 
   std::shared_ptr<beast::tcp_stream> stream_;
-  const HttpServerOptions& options_;
+  /// A copy: the server's options may change while the request is served.
+  HttpServerOptions options_;
   HttpRequest request_;
   bool keep_alive_ = false;
   unsigned version_ = 11;
@@ -254,6 +273,38 @@
   }
 }
 
+asio::awaitable<beast::error_code> HttpServer::Implementation::read_head_bytes(beast::tcp_stream& stream,
+                                                                               beast::flat_buffer& buffer,
+                                                                               bool is_first) {
+  stream.expires_after(is_first ? options.head_timeout : options.idle_timeout);
+  bool started = buffer.size() > 0;
+  while (head_end(buffer) == std::string_view::npos) {
+    if (buffer.size() > options.largest_head) {
+      co_return http::error::header_limit;
+    }
+    if (!started && buffer.size() > 0) {
+      started = true;
+      stream.expires_after(options.head_timeout);
+    }
+    const auto space = buffer.prepare(kHeadReadSize);
+    auto [error, count] = co_await stream.async_read_some(space, kAwait);
+    buffer.commit(count);
+    if (error) {
+      co_return buffer.size() == 0 && error == asio::error::eof ? beast::error_code(http::error::end_of_stream) : error;
+    }
+  }
+  co_return beast::error_code();
+}
+
+asio::awaitable<void> HttpServer::Implementation::refuse(std::shared_ptr<beast::tcp_stream> stream, int status,
+                                                         std::string title) {
+  http::request<http::string_body> empty;
+  auto exchange = std::make_shared<BeastExchange>(stream, options, std::move(empty));
+  exchange->close_after();
+  auto answer = problem(status, title, "send a valid HTTP/1.1 request within the limits");
+  co_await exchange->respond(std::move(answer));
+}
+
 asio::awaitable<void> HttpServer::Implementation::serve(std::shared_ptr<beast::tcp_stream> stream) {
   beast::flat_buffer buffer;
   bool first = true;
@@ -261,34 +312,38 @@
     RequestParser parser;
     parser.header_limit(static_cast<uint32_t>(options.largest_head));
     parser.body_limit(options.largest_body);
-    stream->expires_after(first ? options.head_timeout : options.idle_timeout);
+    idle.insert(stream);
+    beast::error_code error = co_await read_head_bytes(*stream, buffer, first);
+    idle.erase(stream);
     first = false;
-    auto [head_error, head_size] = co_await http::async_read_header(*stream, buffer, parser, kAwait);
-    beast::error_code error = head_error;
     if (!error) {
+      if (const auto fault = find_head_fault(head_of(buffer))) {
+        ++stats.malformed;
+        co_await refuse(stream, kBadRequestStatus, *fault);
+        break;
+      }
       stream->expires_after(options.body_timeout);
-      auto [body_error, body_size] = co_await http::async_read(*stream, buffer, parser, kAwait);
-      error = body_error;
+      auto [read_error, read_size] = co_await http::async_read(*stream, buffer, parser, kAwait);
+      error = read_error;
     }
     if (error == http::error::end_of_stream || closed) {
       break;
     }
     if (error) {
-      const bool large = error == http::error::body_limit || error == http::error::header_limit ||
-                         error == http::error::buffer_overflow;
+      const bool large_body = error == http::error::body_limit;
+      const bool large_head = error == http::error::header_limit || error == http::error::buffer_overflow;
       const bool late = error == beast::error::timeout;
-      const bool torn =
-          !large && !late && error.category() != http::make_error_code(http::error::bad_target).category();
-      stats.too_large += large ? 1 : 0;
+      const bool malformed =
+          !large_body && !large_head && error.category() == http::make_error_code(http::error::bad_target).category();
+      stats.too_large += large_body || large_head ? 1 : 0;
       stats.timeouts += late ? 1 : 0;
-      stats.malformed += (!large && !late) ? 1 : 0;
-      if (!torn && !late) {
-        http::request<http::string_body> empty;
-        auto exchange = std::make_shared<BeastExchange>(stream, options, std::move(empty));
-        exchange->close_after();
-        auto answer = large ? problem(413, "request too large", "send a smaller head or body")
-                            : problem(400, "malformed HTTP request", "send a valid HTTP/1.1 request");
-        co_await exchange->respond(std::move(answer));
+      stats.malformed += malformed ? 1 : 0;
+      if (large_body) {
+        co_await refuse(stream, kBodyTooLargeStatus, "request body too large");
+      } else if (large_head) {
+        co_await refuse(stream, kHeadTooLargeStatus, "request head too large");
+      } else if (malformed) {
+        co_await refuse(stream, kBadRequestStatus, "malformed HTTP request");
       }
       break;
     }
@@ -349,6 +404,17 @@
   }
 }
 
+void HttpServer::set_options(const HttpServerOptions& options) { implementation_->options = options; }
+
+void HttpServer::begin_draining() { implementation_->draining = true; }
+
+void HttpServer::close_idle() {
+  const auto idle = implementation_->idle;
+  for (const auto& stream : idle) {
+    stream->cancel();
+  }
+}
+
 const HttpServerStats& HttpServer::stats() const { return implementation_->stats; }
 
 }  // namespace larchlever::net
--- a/src/net/http_server.h
+++ b/src/net/http_server.h
@@ -63,6 +63,11 @@
   int64_t active_requests = 0;
 };
 
+/// A head that must not be forwarded, because servers may read it differently; the text names the fault.
+/// Refused: folded header lines, transfer codings other than chunked, HTTP/1.1 without exactly one Host, a
+/// Content-Length beside a transfer coding.
+std::optional<std::string> find_head_fault(std::string_view head);
+
 /// Minimal HTTP/1.1 server on Asio and Beast: keep-alive, limits on heads, bodies and times, one request at a time per
 /// connection (pipelined ones wait their turn). Malformed input gets a typed 4xx answer and the connection is closed.
 /// One executor; not thread-safe.
@@ -75,6 +80,12 @@
 
   /// Binds and starts accepting. Port 0 takes a free one. Returns the port, or nothing with `error` set.
   std::optional<uint16_t> listen(const std::string& address, uint16_t port, std::string& error);
+  /// Limits for connections and requests that come from now on.
+  void set_options(const HttpServerOptions& options);
+  /// From now on every answer says `Connection: close`; new connections are still served.
+  void begin_draining();
+  /// Closes connections on which no request is being read or served.
+  void close_idle();
   /// New connections are refused and kept ones closed after their present request.
   void stop_accepting();
   /// Drops everything at once, as when the process dies.
--- a/src/net/listener.cc
+++ b/src/net/listener.cc
@@ -2,6 +2,9 @@
 
 #include <boost/asio.hpp>
 
+#include "net/http_server.h"
+#include "net/http_types.h"
+
 namespace larchlever::net {
 
 namespace asio = boost::asio;
@@ -30,4 +33,10 @@
   return acceptor.local_endpoint().port();
 }
 
+std::optional<std::string> listen_on(HttpServer& server, const std::string& address, std::string& error) {
+  const auto [host, port] = split_endpoint(address);
+  const auto bound = server.listen(host, static_cast<uint16_t>(std::stoi(port)), error);
+  return bound ? std::optional(host + ":" + std::to_string(*bound)) : std::nullopt;
+}
+
 }  // namespace larchlever::net
--- a/src/net/listener.h
+++ b/src/net/listener.h
@@ -12,4 +12,9 @@
 std::optional<uint16_t> start_listening(boost::asio::ip::tcp::acceptor& acceptor, const std::string& address,
                                         uint16_t port, std::string& error);
 
+class HttpServer;
+
+/// Listens on `address`, IP:PORT. Returns the address bound, or nothing with `error` set.
+std::optional<std::string> listen_on(HttpServer& server, const std::string& address, std::string& error);
+
 }  // namespace larchlever::net
--- a/src/net/peer_transport.cc
+++ b/src/net/peer_transport.cc
@@ -262,10 +262,14 @@
     found = self.by_node.end();
   }
   if (found == self.by_node.end()) {
-    const auto address = self.addresses.find(node);
+    const auto named = self.addresses.find(node);
+    // Where no address was set, the node may be named by its endpoint.
+    const std::string endpoint = named != self.addresses.end()        ? named->second
+                                 : split_endpoint(node).first.empty() ? std::string()
+                                                                      : node;
     const auto pause = self.redial_after.find(node);
     const bool too_soon = pause != self.redial_after.end() && now < pause->second;
-    if (address == self.addresses.end() || too_soon) {
+    if (endpoint.empty() || too_soon) {
       ++self.stats.dropped;
       return;
     }
@@ -273,7 +277,7 @@
     link->node = node;
     self.links.insert(link);
     found = self.by_node.emplace(node, link).first;
-    asio::co_spawn(self.executor, self.dial(link, address->second), asio::detached);
+    asio::co_spawn(self.executor, self.dial(link, endpoint), asio::detached);
   }
   if (!found->second->unanswered_since) {
     found->second->unanswered_since = now;
--- /dev/null
+++ b/src/node/control_process.cc
@@ -0,0 +1,319 @@
+#include <boost/asio.hpp>
+#include <boost/json.hpp>
+#include <random>
+
+#include "net/http_client.h"
+#include "net/listener.h"
+#include "net/peer_transport.h"
+#include "node/clock.h"
+#include "node/control_api.h"
+#include "node/dialect.h"
+#include "node/fleet_process.h"
+#include "node/logging.h"
+#include "node/replica_storage.h"
+
+namespace larchlever::node {
+
+namespace asio = boost::asio;
+namespace json = boost::json;
+
+namespace {
+
+constexpr auto kAwait = asio::as_tuple(asio::use_awaitable);
+constexpr auto kTickInterval = std::chrono::milliseconds(20);
+constexpr auto kOrderTimeout = std::chrono::milliseconds(800);
+constexpr auto kOrderConnectTimeout = std::chrono::milliseconds(400);
+/// Pause before a failed data folder is opened again: a full disk may have room by then.
+constexpr auto kReopenPause = std::chrono::milliseconds(500);
+/// Longest wait of a stopping leader for somebody else to lead.
+constexpr auto kHandOverPatience = std::chrono::milliseconds(1500);
+
+std::string_view operation_name(fleet::OrderKind kind) {
+  switch (kind) {
+    case fleet::OrderKind::kJoin:
+      return "join";
+    case fleet::OrderKind::kOpen:
+      return "open";
+    case fleet::OrderKind::kClose:
+      return "close";
+    case fleet::OrderKind::kLeave:
+      return "leave";
+    case fleet::OrderKind::kStage:
+      return "phase";
+  }
+  return "";
+}
+
+std::string order_body(const fleet::InstanceOrder& order) {
+  json::object body;
+  body["operation"] = operation_name(order.kind);
+  body["fencing_token"] = order.fence;
+  body["group"] = order.group;
+  body["epoch"] = order.epoch;
+  if (order.kind == fleet::OrderKind::kJoin) {
+    body["model"] = order.model;
+    body["members"] = json::array(order.members.begin(), order.members.end());
+  }
+  if (order.kind == fleet::OrderKind::kStage) {
+    body["model"] = order.model;
+  }
+  return json::serialize(body);
+}
+
+/// Drives a FleetController in real time: clock, peer links, data folder, control calls and orders to engines.
+class ControlProcess : public FleetProcess {
+ public:
+  ControlProcess(asio::any_io_executor executor, const settings::FleetSettings& settings)
+      : executor_(executor),
+        settings_(settings),
+        dialect_(*find_dialect(settings.dialect)),
+        identity_(make_fleet_identity(settings)),
+        controller_(settings.options, identity_, settings.seed_peers, std::random_device()()),
+        transport_(executor,
+                   [this](wire::Envelope envelope) {
+                     controller_.receive(monotonic_now(), envelope);
+                     pump();
+                   }),
+        storage_(
+            executor, settings.data_folder,
+            [this](std::vector<consensus::RaftOutput> batches) { on_written(std::move(batches)); },
+            [this](const std::string& reason) { on_storage_failure(reason); }),
+        client_(executor),
+        api_(executor, [this](wire::ControlCall call) { return controller_.submit(monotonic_now(), std::move(call)); }),
+        server_(executor, net::HttpServerOptions(), api_) {}
+  ~ControlProcess() override { stop(); }
+
+  bool start(std::string& error) override;
+  void reload(const settings::FleetSettings& settings) override {
+    controller_.add_peers(settings.seed_peers);
+    log_event(settings_.name, "settings_reloaded", {{"seeds", std::to_string(settings.seeds.size())}});
+  }
+  asio::awaitable<void> drain() override;
+  void stop() override {
+    *alive_ = false;
+    server_.close_all();
+    transport_.close_all();
+    storage_.close();
+  }
+
+ private:
+  void start_replica(ReplicaStorage::Opened opened) {
+    log_event(settings_.name, "replica_started",
+              {{"replica", std::to_string(opened.replica_id.value())},
+               {"entries", std::to_string(opened.persisted.entries.size())}});
+    controller_.start_replica(monotonic_now(), opened.replica_id, opened.boot, std::move(opened.persisted));
+  }
+  void on_written(std::vector<consensus::RaftOutput> batches);
+  void on_storage_failure(const std::string& reason);
+  asio::awaitable<void> reopen_storage();
+  void renew_identity();
+  void pump();
+  void report_changes();
+  asio::awaitable<void> tick_loop();
+  asio::awaitable<void> send_order(fleet::InstanceOrder order);
+
+  asio::any_io_executor executor_;
+  settings::FleetSettings settings_;
+  const Dialect& dialect_;
+  fleet::FleetIdentity identity_;
+  fleet::FleetController controller_;
+  net::PeerTransport transport_;
+  ReplicaStorage storage_;
+  net::HttpClient client_;
+  ControlApi api_;
+  net::HttpServer server_;
+  bool was_leader_ = false;
+  int64_t known_version_ = 0;
+  size_t known_voters_ = 0;
+  std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
+};
+
+bool ControlProcess::start(std::string& error) {
+  const auto [host, port] = net::split_endpoint(settings_.peer_address);
+  if (!transport_.listen(host, static_cast<uint16_t>(std::stoi(port)), error)) {
+    return false;
+  }
+  std::optional<wire::ReplicaAddress> founder;
+  if (settings_.founds_cluster()) {
+    founder.emplace();
+    founder->replica_id = new_replica_id().value();
+    founder->node = settings_.peer_address;
+    founder->zone = settings_.zone;
+  }
+  auto opened = storage_.open(founder, error);
+  if (!net::listen_on(server_, settings_.control_address, error)) {
+    return false;
+  }
+  if (opened) {
+    start_replica(std::move(*opened));
+  } else {
+    on_storage_failure(error);
+  }
+  asio::co_spawn(executor_, tick_loop(), asio::detached);
+  log_event(settings_.name, "started",
+            {{"role", "control"},
+             {"zone", settings_.zone},
+             {"peer", settings_.peer_address},
+             {"founds_cluster", founder ? "yes" : "no"}});
+  return true;
+}
+
+void ControlProcess::on_written(std::vector<consensus::RaftOutput> batches) {
+  for (auto& batch : batches) {
+    controller_.written(monotonic_now(), std::move(batch));
+  }
+  pump();
+}
+
+void ControlProcess::on_storage_failure(const std::string& reason) {
+  log_problem(settings_.name, "replica_stopped", {{"reason", reason}});
+  controller_.replica_failed();
+  asio::co_spawn(executor_, reopen_storage(), asio::detached);
+}
+
+asio::awaitable<void> ControlProcess::reopen_storage() {
+  const auto alive = alive_;
+  asio::steady_timer timer(executor_);
+  while (*alive) {
+    timer.expires_after(kReopenPause);
+    co_await timer.async_wait(kAwait);
+    if (!*alive) {
+      co_return;
+    }
+    storage_.close();
+    std::string error;
+    auto opened = storage_.open(std::nullopt, error);
+    if (opened) {
+      start_replica(std::move(*opened));
+      co_return;
+    }
+    log_problem(settings_.name, "data_folder_unusable", {{"reason", error}});
+  }
+}
+
+void ControlProcess::renew_identity() {
+  std::string error;
+  auto opened = storage_.renew_identity(error);
+  if (!opened) {
+    on_storage_failure(error);
+    return;
+  }
+  log_problem(settings_.name, "replica_identity_renewed", {{"reason", "the disk had lost acknowledged entries"}});
+  start_replica(std::move(*opened));
+}
+
+void ControlProcess::pump() {
+  auto outputs = controller_.take_outputs();
+  for (const auto& envelope : outputs.envelopes) {
+    transport_.send(envelope);
+  }
+  for (auto& batch : outputs.storage) {
+    storage_.submit(std::move(batch));
+  }
+  for (auto& order : outputs.orders) {
+    asio::co_spawn(executor_, send_order(std::move(order)), asio::detached);
+  }
+  for (const auto& reply : outputs.replies) {
+    api_.complete(reply);
+  }
+}
+
+void ControlProcess::report_changes() {
+  const bool leads = controller_.is_leader(monotonic_now());
+  const auto* raft = controller_.raft();
+  if (leads != was_leader_) {
+    was_leader_ = leads;
+    log_event(settings_.name, leads ? "leadership_begun" : "leadership_ended",
+              {{"term", std::to_string(raft == nullptr ? 0 : raft->term())}});
+  }
+  if (controller_.log().version() != known_version_) {
+    known_version_ = controller_.log().version();
+    log_event(settings_.name, "document_committed", {{"version", std::to_string(known_version_)}});
+  }
+  if (raft != nullptr && raft->replicas().voters.size() != known_voters_) {
+    known_voters_ = raft->replicas().voters.size();
+    log_event(settings_.name, "voters_changed", {{"voters", std::to_string(known_voters_)}});
+  }
+}
+
+asio::awaitable<void> ControlProcess::tick_loop() {
+  const auto alive = alive_;
+  asio::steady_timer timer(executor_);
+  while (*alive) {
+    controller_.tick(monotonic_now());
+    pump();
+    report_changes();
+    if (controller_.needs_new_identity()) {
+      renew_identity();
+    }
+    timer.expires_after(kTickInterval);
+    co_await timer.async_wait(kAwait);
+  }
+}
+
+asio::awaitable<void> ControlProcess::send_order(fleet::InstanceOrder order) {
+  const auto alive = alive_;
+  net::HttpRequest request;
+  request.method = "POST";
+  request.target = dialect_.order_path;
+  request.headers.add("Content-Type", "application/json");
+  request.headers.add(dialect_.expect_instance, order.instance_id);
+  request.body = order_body(order);
+  net::OpenOptions options;
+  options.timeout = kOrderTimeout;
+  options.connect_timeout = kOrderConnectTimeout;
+  options.may_send = [this, alive] { return *alive && controller_.may_order(monotonic_now()); };
+  auto opened = co_await client_.open(order.address, request, options);
+  if (!*alive) {
+    co_return;
+  }
+  fleet::InstanceOrderResult result;
+  result.order = std::move(order);
+  if (opened.stream != nullptr) {
+    result.status = opened.stream->head().status;
+    const std::string body = co_await opened.stream->read_some(kOrderTimeout);
+    if (!*alive) {
+      co_return;
+    }
+  }
+  log_event(settings_.name, "order_answered",
+            {{"operation", std::string(operation_name(result.order.kind))},
+             {"instance", result.order.instance_id},
+             {"group", result.order.group},
+             {"epoch", std::to_string(result.order.epoch)},
+             {"status", std::to_string(result.status)}});
+  controller_.order_result(monotonic_now(), result);
+}
+
+asio::awaitable<void> ControlProcess::drain() {
+  asio::steady_timer timer(executor_);
+  const auto deadline = std::chrono::steady_clock::now() + kHandOverPatience;
+  controller_.begin_leaving();
+  log_event(settings_.name, "draining", {{"leads", was_leader_ ? "yes" : "no"}});
+  do {
+    timer.expires_after(kTickInterval);
+    co_await timer.async_wait(kAwait);
+  } while (controller_.raft() != nullptr && controller_.raft()->is_leader() &&
+           std::chrono::steady_clock::now() < deadline);
+}
+
+}  // namespace
+
+std::unique_ptr<FleetProcess> make_control_process(asio::any_io_executor executor,
+                                                   const settings::FleetSettings& settings) {
+  return std::make_unique<ControlProcess>(std::move(executor), settings);
+}
+
+fleet::FleetIdentity make_fleet_identity(const settings::FleetSettings& settings) {
+  fleet::FleetIdentity identity;
+  identity.peer_address = settings.peer_address;
+  identity.zone = settings.zone;
+  identity.control_address = settings.control_address;
+  identity.serves_requests = settings.role == settings::FleetRole::kEntry;
+  identity.incarnation = Incarnation(
+      std::chrono::duration_cast<std::chrono::microseconds>(std::chrono::system_clock::now().time_since_epoch())
+          .count());
+  return identity;
+}
+
+}  // namespace larchlever::node
--- /dev/null
+++ b/src/node/dialect.h
@@ -0,0 +1,34 @@
+#pragma once
+
+#include <string>
+
+namespace larchlever::node {
+
+/// The names under which callers and engines exchange what the product needs of a request. The defaults are the
+/// product's own; an adapter may supply others.
+struct Dialect {
+  std::string request_id = "Larchlever-Request-Id";
+  std::string deadline_ms = "Larchlever-Deadline-Ms";
+  std::string api_key = "Larchlever-Key";
+  std::string tenant = "Larchlever-Tenant";
+  std::string expect_instance = "Larchlever-Expect-Instance";
+  std::string instance = "Larchlever-Instance";
+  /// Present when the server did not run the request.
+  std::string not_run = "Larchlever-Not-Run";
+  /// The server's signature over an answer; a success without it is none.
+  std::string signature = "Larchlever-Signature";
+  std::string model = "Larchlever-Model";
+  std::string token_counts = "Larchlever-Tokens";
+  std::string length_hint = "Larchlever-Length-Hint";
+  std::string priority_class = "Larchlever-Priority";
+  std::string last_event_id = "Last-Event-Id";
+  /// The server at fault when a head turns a request away.
+  std::string faulty_server = "At-Server";
+  /// Where engines take orders.
+  std::string order_path = "/engine/orders";
+};
+
+/// The dialect named in the settings; null when there is none of that name.
+const Dialect* find_dialect(const std::string& name);
+
+}  // namespace larchlever::node
--- /dev/null
+++ b/src/node/entry_process.cc
@@ -0,0 +1,202 @@
+#include <boost/asio.hpp>
+#include <random>
+
+#include "net/http_server.h"
+#include "net/listener.h"
+#include "net/peer_transport.h"
+#include "node/clock.h"
+#include "node/fleet_process.h"
+#include "node/logging.h"
+#include "node/request_relay.h"
+
+namespace larchlever::node {
+
+namespace asio = boost::asio;
+
+namespace {
+
+constexpr auto kAwait = asio::as_tuple(asio::use_awaitable);
+constexpr auto kTickInterval = std::chrono::milliseconds(25);
+/// How long a stopping entry still gets new connections: the balancer asks once a second and wants two misses.
+constexpr auto kBalancerReaction = std::chrono::milliseconds(2500);
+/// Kept back of the grace, for closing down.
+constexpr auto kStopReserve = std::chrono::milliseconds(500);
+constexpr int kOk = 200;
+constexpr int kUnavailable = 503;
+
+/// Answers the balancer's question whether this entry wants new connections.
+class ReadinessHandler : public net::HttpHandler {
+ public:
+  explicit ReadinessHandler(std::function<bool()> is_ready) : is_ready_(std::move(is_ready)) {}
+
+  asio::awaitable<void> handle(net::HttpExchange& exchange) override {
+    net::HttpResponse response;
+    response.status = is_ready_() ? kOk : kUnavailable;
+    response.headers.add("Content-Type", "text/plain");
+    response.body = response.status == kOk ? "ready\n" : "not ready\n";
+    co_await exchange.respond(std::move(response));
+  }
+
+ private:
+  std::function<bool()> is_ready_;
+};
+
+/// Serves callers, and keeps its copy of configuration and fleet fresh through the subscription.
+class EntryProcess : public FleetProcess {
+ public:
+  EntryProcess(asio::any_io_executor executor, const settings::FleetSettings& settings)
+      : executor_(executor),
+        settings_(settings),
+        identity_(make_fleet_identity(settings)),
+        state_(settings.options, identity_, settings.seed_peers, std::random_device()()),
+        transport_(executor, [this](wire::Envelope envelope) { receive(envelope); }),
+        relay_(executor, *find_dialect(settings.dialect), state_),
+        callers_(executor, net::HttpServerOptions(), relay_),
+        readiness_([this] { return is_ready(); }),
+        balancer_(executor, net::HttpServerOptions(), readiness_) {}
+  ~EntryProcess() override { stop(); }
+
+  bool start(std::string& error) override {
+    const auto [host, port] = net::split_endpoint(settings_.peer_address);
+    if (!transport_.listen(host, static_cast<uint16_t>(std::stoi(port)), error) ||
+        !net::listen_on(callers_, settings_.caller_address, error) ||
+        !net::listen_on(balancer_, settings_.ready_address, error)) {
+      return false;
+    }
+    asio::co_spawn(executor_, tick_loop(), asio::detached);
+    log_event(settings_.name, "started",
+              {{"role", "entry"}, {"zone", settings_.zone}, {"peer", settings_.peer_address}});
+    return true;
+  }
+
+  void reload(const settings::FleetSettings& settings) override {
+    state_.subscription.add_peers(settings.seed_peers);
+    log_event(settings_.name, "settings_reloaded", {{"seeds", std::to_string(settings.seeds.size())}});
+  }
+
+  asio::awaitable<void> drain() override;
+
+  void stop() override {
+    *alive_ = false;
+    callers_.close_all();
+    balancer_.close_all();
+    transport_.close_all();
+  }
+
+ private:
+  bool is_ready() const { return !leaving_ && state_.subscription.has_lease(monotonic_now()); }
+  asio::awaitable<void> tick_loop();
+  void tick();
+  void receive(const wire::Envelope& envelope);
+  void adopt_document();
+
+  asio::any_io_executor executor_;
+  settings::FleetSettings settings_;
+  fleet::FleetIdentity identity_;
+  EntryState state_;
+  net::PeerTransport transport_;
+  RequestRelay relay_;
+  net::HttpServer callers_;
+  ReadinessHandler readiness_;
+  net::HttpServer balancer_;
+  int64_t document_version_ = 0;
+  bool had_lease_ = false;
+  bool leaving_ = false;
+  std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
+};
+
+void EntryProcess::receive(const wire::Envelope& envelope) {
+  if (!envelope.__isset.fleet_update) {
+    return;
+  }
+  const bool changed = state_.subscription.receive(monotonic_now(), envelope);
+  if (changed) {
+    state_.dispatcher.update_state(state_.subscription.state());
+    adopt_document();
+  }
+  state_.dispatcher.update_loads(state_.subscription.loads());
+  state_.dispatcher.set_serving_nodes(state_.subscription.serving_nodes());
+  if (changed) {
+    tick();  // Confirms what was learned without waiting for the next tick.
+  }
+}
+
+void EntryProcess::adopt_document() {
+  if (state_.subscription.document_version() == document_version_) {
+    return;
+  }
+  const auto parsed = document::parse_document(state_.subscription.document());
+  if (parsed.document == nullptr) {
+    log_problem(settings_.name, "document_unreadable", {{"reason", parsed.error.message}});
+    return;
+  }
+  document_version_ = state_.subscription.document_version();
+  state_.routes = std::make_shared<document::RouteTable>(parsed.document);
+  const auto& limits = parsed.document->limits;
+  net::HttpServerOptions options;
+  options.largest_head = limits.max_header_bytes;
+  options.largest_body = limits.max_body_bytes;
+  options.head_timeout = std::chrono::duration_cast<std::chrono::milliseconds>(limits.header_timeout);
+  options.idle_timeout = std::chrono::duration_cast<std::chrono::milliseconds>(limits.idle_timeout);
+  callers_.set_options(options);
+  log_event(settings_.name, "document_in_force", {{"version", std::to_string(document_version_)}});
+}
+
+void EntryProcess::tick() {
+  const TimePoint now = monotonic_now();
+  wire::FleetHeartbeat content;
+  content.loads = state_.dispatcher.take_loads();
+  content.failures = state_.dispatcher.failures(now);
+  content.leaving = leaving_;
+  content.traffic_seen = state_.traffic_seen;
+  if (auto heartbeat = state_.subscription.tick(now, content)) {
+    heartbeat->from_node = identity_.peer_address;
+    heartbeat->from_incarnation = identity_.incarnation.value();
+    transport_.send(*heartbeat);
+  }
+  const bool has_lease = state_.subscription.has_lease(now);
+  if (has_lease != had_lease_) {
+    had_lease_ = has_lease;
+    log_event(settings_.name, has_lease ? "document_lease_gained" : "document_lease_lost",
+              {{"version", std::to_string(document_version_)}, {"leader", state_.subscription.leader()}});
+  }
+}
+
+asio::awaitable<void> EntryProcess::tick_loop() {
+  const auto alive = alive_;
+  asio::steady_timer timer(executor_);
+  while (*alive) {
+    tick();
+    relay_.abandon_stalled(monotonic_now());
+    timer.expires_after(kTickInterval);
+    co_await timer.async_wait(kAwait);
+  }
+}
+
+asio::awaitable<void> EntryProcess::drain() {
+  asio::steady_timer timer(executor_);
+  const auto deadline = std::chrono::steady_clock::now() +
+                        std::chrono::duration_cast<std::chrono::milliseconds>(settings_.stop_grace) - kStopReserve;
+  leaving_ = true;
+  callers_.begin_draining();
+  log_event(settings_.name, "draining", {{"requests", std::to_string(callers_.stats().active_requests)}});
+  // The balancer reacts late: what it still sends here is served.
+  timer.expires_after(kBalancerReaction);
+  co_await timer.async_wait(kAwait);
+  while (callers_.stats().active_requests > 0 && std::chrono::steady_clock::now() < deadline) {
+    timer.expires_after(kTickInterval);
+    co_await timer.async_wait(kAwait);
+  }
+  callers_.stop_accepting();
+  callers_.close_idle();
+  log_event(settings_.name, "drained", {{"requests_left", std::to_string(callers_.stats().active_requests)}});
+}
+
+}  // namespace
+
+std::unique_ptr<FleetProcess> make_entry_process(asio::any_io_executor executor,
+                                                 const settings::FleetSettings& settings) {
+  return std::make_unique<EntryProcess>(std::move(executor), settings);
+}
+
+}  // namespace larchlever::node
--- /dev/null
+++ b/src/node/entry_state.h
@@ -0,0 +1,44 @@
+#pragma once
+
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+
+#include "core/document/route_table.h"
+#include "core/fleet/dispatcher.h"
+#include "core/fleet/fleet_subscription.h"
+#include "net/http_client.h"
+
+namespace larchlever::node {
+
+/// Requests and their ends, as an entry counts them.
+struct EntryCounters {
+  uint64_t requests = 0;
+  uint64_t served = 0;
+  uint64_t refused = 0;
+  uint64_t failed = 0;
+  uint64_t denied = 0;
+  uint64_t caller_gone = 0;
+  uint64_t retries = 0;
+  uint64_t resumed = 0;
+  uint64_t stalls = 0;
+};
+
+/// What an entry's parts share on its one thread.
+struct EntryState {
+  EntryState(const fleet::FleetOptions& options, const fleet::FleetIdentity& identity,
+             const std::vector<std::string>& seeds, uint64_t random_seed)
+      : subscription(options, identity, seeds), dispatcher(options, identity.zone, random_seed) {}
+
+  fleet::FleetSubscription subscription;
+  fleet::Dispatcher dispatcher;
+  /// Null until the first document arrived.
+  std::shared_ptr<const document::RouteTable> routes;
+  /// What is under way at each target, so that all of it can be given up at once when the target turns out dead.
+  std::map<std::string, std::set<std::shared_ptr<net::Cancellation>>> under_way;
+  EntryCounters counters;
+  bool traffic_seen = false;
+};
+
+}  // namespace larchlever::node
--- a/src/node/logging.cc
+++ b/src/node/logging.cc
@@ -44,7 +44,7 @@
   log.removeAllAppenders();
   log4cplus::SharedAppenderPtr appender;
   if (file.empty()) {
-    appender = new log4cplus::ConsoleAppender(/*logToStdErr=*/true, /*immediateFlush=*/true);
+    appender = new log4cplus::ConsoleAppender(/*logToStdErr=*/false, /*immediateFlush=*/true);
   } else {
     appender = new log4cplus::FileAppender(file, std::ios_base::app);
   }
--- a/src/node/logging.h
+++ b/src/node/logging.h
@@ -7,7 +7,7 @@
 
 namespace larchlever::node {
 
-/// Sets up log4cplus: to standard error, or appending to `file` when one is named. Level: debug, info, warn, error,
+/// Sets up log4cplus: to standard output, or appending to `file` when one is named. Level: debug, info, warn, error,
 /// off.
 void configure_logging(const std::string& level, const std::string& file);
 
--- a/src/node/node_process.cc
+++ b/src/node/node_process.cc
@@ -1,5 +1,6 @@
 #include "node/node_process.h"
 
+#include "net/listener.h"
 #include "node/logging.h"
 
 namespace larchlever::node {
@@ -18,12 +19,6 @@
   return options;
 }
 
-std::optional<std::string> listen(net::HttpServer& server, const std::string& address, std::string& error) {
-  const auto [host, port] = net::split_endpoint(address);
-  const auto bound = server.listen(host, static_cast<uint16_t>(std::stoi(port)), error);
-  return bound ? std::optional(host + ":" + std::to_string(*bound)) : std::nullopt;
-}
-
 }  // namespace
 
 NodeProcess::NodeProcess(asio::any_io_executor executor, settings::NodeSettings settings)
@@ -36,8 +31,8 @@
       operators_(executor, net::HttpServerOptions(), admin_) {}
 
 bool NodeProcess::start(std::string& error) {
-  const auto service = listen(callers_, settings_.service_address, error);
-  const auto admin = service ? listen(operators_, settings_.admin_address, error) : std::nullopt;
+  const auto service = net::listen_on(callers_, settings_.service_address, error);
+  const auto admin = service ? net::listen_on(operators_, settings_.admin_address, error) : std::nullopt;
   if (!admin || !runtime_.start(*service, error)) {
     return false;
   }
--- a/src/node/node_runtime.cc
+++ b/src/node/node_runtime.cc
@@ -3,7 +3,9 @@
 #include <boost/json.hpp>
 #include <random>
 
+#include "node/clock.h"
 #include "node/logging.h"
+#include "node/replica_storage.h"
 
 namespace larchlever::node {
 
@@ -36,17 +38,9 @@
   return !error && value.is_object() ? value.as_object() : json::object();
 }
 
-ReplicaId new_replica_id() {
-  std::random_device source;
-  const auto high = static_cast<uint64_t>(source()) << 32U;
-  return ReplicaId(static_cast<int64_t>((high | source()) >> 1U));
-}
-
 }  // namespace
 
-TimePoint NodeRuntime::now() {
-  return TimePoint(std::chrono::duration_cast<Duration>(std::chrono::steady_clock::now().time_since_epoch()));
-}
+TimePoint NodeRuntime::now() { return monotonic_now(); }
 
 int64_t NodeRuntime::wall_ms() {
   return std::chrono::duration_cast<milliseconds>(std::chrono::system_clock::now().time_since_epoch()).count();
--- /dev/null
+++ b/src/node/request_relay.cc
@@ -0,0 +1,474 @@
+#include "node/request_relay.h"
+
+#include <boost/asio.hpp>
+#include <charconv>
+
+#include "core/base/scope_exit.h"
+#include "node/clock.h"
+#include "node/logging.h"
+
+namespace larchlever::node {
+
+namespace asio = boost::asio;
+using std::chrono::duration_cast;
+
+namespace {
+
+constexpr auto kAwait = asio::as_tuple(asio::use_awaitable);
+/// A connection that does not come up in this time counts as not made; nothing was sent.
+constexpr auto kConnectTimeout = std::chrono::milliseconds(400);
+/// Pause before looking for a target again.
+constexpr auto kTargetPause = std::chrono::milliseconds(20);
+/// Part of the latency objective that a request may wait for a place before it is refused.
+constexpr int kWaitingPart = 5;
+/// A group that brings nothing to any of this entry's requests for this long stands still.
+constexpr Duration kGroupStall = milliseconds(900);
+/// A single stream may pause longer, as long as its group makes progress; callers leave after two seconds.
+constexpr Duration kStreamPause = milliseconds(1600);
+/// Times to come back after that refused requests are told, in seconds.
+constexpr double kBackWhenBusy = 0.3;
+constexpr double kBackWhenUnavailable = 0.5;
+constexpr int kMostSendings = 6;
+
+constexpr int kUnauthorized = 401;
+constexpr int kNotFound = 404;
+constexpr int kTooManyRequests = 429;
+constexpr int kMisdirected = 421;
+constexpr int kBadGateway = 502;
+constexpr int kUnavailable = 503;
+constexpr int kGatewayTimeout = 504;
+
+bool is_success(int status) { return status >= 200 && status < 300; }
+
+std::optional<int64_t> parse_number(std::string_view text) {
+  int64_t number = 0;
+  const auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), number);
+  return error == std::errc() && end == text.data() + text.size() ? std::optional(number) : std::nullopt;
+}
+
+std::string seconds_text(double value) {
+  std::string text = std::to_string(value);
+  return text.substr(0, text.find('.') + 3);
+}
+
+std::chrono::milliseconds to_milliseconds(Duration duration) {
+  return std::max(std::chrono::milliseconds(1), duration_cast<std::chrono::milliseconds>(duration));
+}
+
+}  // namespace
+
+RequestRelay::RequestRelay(asio::any_io_executor executor, const Dialect& dialect, EntryState& state)
+    : executor_(executor), dialect_(dialect), state_(state), client_(executor) {}
+
+asio::awaitable<void> RequestRelay::handle(net::HttpExchange& exchange) {
+  RelayedRequest request;
+  request.exchange = &exchange;
+  request.received = monotonic_now();
+  ++state_.counters.requests;
+  state_.traffic_seen = true;
+  if (auto refusal = identify(request)) {
+    co_await refuse(request, std::move(*refusal));
+    co_return;
+  }
+  exchange.watch_caller([&request] {
+    request.caller_gone = true;
+    if (request.cancellation) {
+      request.cancellation->cancel();
+    }
+  });
+  co_await relay(request);
+}
+
+// ---------------------------------------------------------------- identify
+
+std::optional<RequestRelay::Refusal> RequestRelay::identify(RelayedRequest& request) {
+  const auto& incoming = request.exchange->request();
+  request.routes = state_.routes;
+  request.id = std::string(incoming.headers.find(dialect_.request_id));
+  request.model = std::string(incoming.headers.find(dialect_.model));
+  if (request.routes == nullptr || !state_.subscription.has_lease(request.received)) {
+    return Refusal{kUnavailable, "this node holds no confirmed configuration", kBackWhenUnavailable};
+  }
+  request.route = request.routes->find_route(incoming.headers.find("host"), incoming.path());
+  if (request.route == nullptr) {
+    return Refusal{kNotFound, "no route for this host and path", 0};
+  }
+  if (auto refusal = authorise(request, incoming.headers.find(dialect_.api_key))) {
+    return refusal;
+  }
+  const auto& services = request.routes->document().services;
+  request.service = &services.at(state_.dispatcher.choose_service(*request.route));
+  Duration held = request.route->timeout;
+  if (const auto deadline_ms = parse_number(incoming.headers.find(dialect_.deadline_ms))) {
+    held = std::min(held, Duration(milliseconds(*deadline_ms)));
+  }
+  request.due = request.received + held;
+  state_.dispatcher.note_request(request.received, request.service->name);
+  return std::nullopt;
+}
+
+std::optional<RequestRelay::Refusal> RequestRelay::authorise(RelayedRequest& request, std::string_view key) {
+  if (!request.routes->document().tenants || request.route->is_public) {
+    return std::nullopt;
+  }
+  request.tenant = request.routes->find_tenant(key);
+  if (request.tenant == nullptr) {
+    return Refusal{kUnauthorized, "unknown key; send the tenant's key", 0};
+  }
+  return std::nullopt;
+}
+
+// -------------------------------------------------------------- send, retry
+
+asio::awaitable<void> RequestRelay::relay(RelayedRequest& request) {
+  while (true) {
+    auto target = co_await find_target(request);
+    if (!target) {
+      co_return;  // Refused, given up or gone: answered already.
+    }
+    const Sending result = co_await send(request, *target);
+    if (result == Sending::kAnswered) {
+      co_return;
+    }
+    const TimePoint now = monotonic_now();
+    request.excluded.insert(target->key);
+    if (result == Sending::kServerError) {
+      request.may_have_run = true;
+      ++request.runs;  // The retry was taken from the budget when the answer was put aside.
+      ++state_.counters.retries;
+      continue;
+    }
+    if (result != Sending::kNotRun) {
+      request.may_have_run = true;
+      // A stream that brought no event was still waiting for its first token, most likely.
+      const bool began =
+          request.events.last_id() || request.route->repeatability != document::Repeatability::kStreaming;
+      request.runs += began ? 1 : 0;
+      const bool again = request.route->may_repeat() && request.runs < request.route->max_attempts;
+      if (!again) {
+        co_await give_up(request);
+        co_return;
+      }
+    }
+    if (!may_send_again(request, now)) {
+      co_await give_up(request);
+      co_return;
+    }
+    ++state_.counters.retries;
+  }
+}
+
+bool RequestRelay::may_send_again(RelayedRequest& request, TimePoint now) {
+  // A sending that never left used none of the budget, which counts arrivals at servers.
+  return now < request.due && request.sent < kMostSendings && !request.caller_gone &&
+         (request.sent == 0 || state_.dispatcher.take_retry(now, request.service->name));
+}
+
+asio::awaitable<std::optional<fleet::Target>> RequestRelay::find_target(RelayedRequest& request) {
+  const TimePoint wait_until =
+      request.head_sent ? request.due
+                        : std::min(request.due, request.received + request.route->target_latency / kWaitingPart);
+  asio::steady_timer timer(executor_);
+  while (true) {
+    const TimePoint now = monotonic_now();
+    if (request.caller_gone) {
+      ++state_.counters.caller_gone;
+      co_return std::nullopt;
+    }
+    auto choice = state_.dispatcher.choose(now, *request.service, request.model, request.excluded);
+    if (choice.target) {
+      co_return choice.target;
+    }
+    if (now >= wait_until) {
+      if (request.head_sent || request.may_have_run) {
+        co_await give_up(request);
+      } else {
+        const bool busy = choice.failure == fleet::ChoiceFailure::kAllBusy;
+        Refusal refusal{kUnavailable, busy ? "all places are taken" : "no server is available",
+                        busy ? kBackWhenBusy : kBackWhenUnavailable};
+        co_await refuse(request, std::move(refusal));
+      }
+      co_return std::nullopt;
+    }
+    timer.expires_after(kTargetPause);
+    co_await timer.async_wait(kAwait);
+  }
+}
+
+asio::awaitable<RequestRelay::Sending> RequestRelay::send(RelayedRequest& request, const fleet::Target& target) {
+  auto cancellation = std::make_shared<net::Cancellation>();
+  request.cancellation = cancellation;
+  state_.dispatcher.begin(monotonic_now(), target);
+  state_.under_way[target.key].insert(cancellation);
+  const ScopeExit finish([this, &request, &target, cancellation] {
+    state_.dispatcher.end(target);
+    state_.under_way[target.key].erase(cancellation);
+    request.cancellation.reset();
+  });
+  co_return co_await send_once(request, target);
+}
+
+net::HttpRequest RequestRelay::upstream_request(const RelayedRequest& request, const fleet::Target& target,
+                                                TimePoint now) const {
+  const auto& incoming = request.exchange->request();
+  net::HttpRequest outgoing;
+  outgoing.method = incoming.method;
+  outgoing.target = incoming.target;
+  outgoing.body = incoming.body;
+  for (const auto& [name, value] : incoming.headers.all()) {
+    if (!net::is_hop_by_hop(name, incoming.headers) && !net::equals_ignoring_case(name, "content-length")) {
+      outgoing.headers.add(name, value);
+    }
+  }
+  outgoing.headers.remove(dialect_.api_key);
+  outgoing.headers.remove(dialect_.tenant);
+  outgoing.headers.remove(dialect_.priority_class);
+  outgoing.headers.set(dialect_.deadline_ms, std::to_string(to_milliseconds(request.due - now).count()));
+  outgoing.headers.set(dialect_.expect_instance, target.instance_id);
+  if (request.tenant != nullptr) {
+    outgoing.headers.set(dialect_.tenant, request.tenant->name);
+  }
+  if (request.events.last_id()) {
+    outgoing.headers.set(dialect_.last_event_id, std::to_string(*request.events.last_id()));
+  }
+  return outgoing;
+}
+
+std::chrono::milliseconds RequestRelay::patience(const RelayedRequest& request, TimePoint now) const {
+  const Duration left = request.due - now;
+  if (request.route->repeatability != document::Repeatability::kStreaming || !request.route->may_repeat()) {
+    return to_milliseconds(left);
+  }
+  return to_milliseconds(request.events.last_id() ? std::min(left, kStreamPause) : left);
+}
+
+bool RequestRelay::is_not_run(const net::HttpResponse& head) const {
+  return head.status == kMisdirected || head.headers.contains(dialect_.not_run);
+}
+
+asio::awaitable<RequestRelay::Sending> RequestRelay::send_once(RelayedRequest& request, const fleet::Target& target) {
+  const TimePoint now = monotonic_now();
+  const auto outgoing = upstream_request(request, target, now);
+  net::OpenOptions options;
+  options.timeout = patience(request, now);
+  options.connect_timeout = kConnectTimeout;
+  options.cancellation = request.cancellation;
+  auto opened = co_await client_.open(target.address, outgoing, options);
+  request.sent += opened.state == net::SendState::kNotSent ? 0 : 1;
+  if (request.caller_gone) {
+    ++state_.counters.caller_gone;
+    co_return Sending::kAnswered;
+  }
+  if (opened.stream == nullptr) {
+    const TimePoint failed_at = monotonic_now();
+    if (failed_at < request.due) {
+      note_failure(target, failed_at);
+    }
+    log_event("", "sending_failed", {{"request", request.id}, {"target", target.key}, {"reason", opened.error}});
+    co_return opened.state == net::SendState::kNotSent ? Sending::kNotRun : Sending::kMayHaveRun;
+  }
+  const auto& head = opened.stream->head();
+  const auto echoed = head.headers.find(dialect_.request_id);
+  if (!echoed.empty() && echoed != request.id) {
+    log_problem("", "answer_of_another_request", {{"request", request.id}, {"target", target.key}});
+    co_return Sending::kMayHaveRun;
+  }
+  if (is_not_run(head)) {
+    log_event("", "sending_refused",
+              {{"request", request.id}, {"target", target.key}, {"status", std::to_string(head.status)}});
+    if (!target.group.empty() && (head.status == kMisdirected || head.headers.contains(dialect_.faulty_server))) {
+      note_failure(target, monotonic_now());
+    }
+    co_return Sending::kNotRun;
+  }
+  request.cancellation->set_action([stream = opened.stream.get()] { stream->close(); });
+  const ScopeExit forget([cancellation = request.cancellation] { cancellation->set_action(nullptr); });
+  const bool is_stream = request.route->repeatability == document::Repeatability::kStreaming && is_success(head.status);
+  if (is_stream) {
+    co_return co_await relay_events(request, target, *opened.stream);
+  }
+  co_return co_await relay_whole(request, target, *opened.stream);
+}
+
+void RequestRelay::note_failure(const fleet::Target& target, TimePoint now) {
+  if (!state_.dispatcher.note_failure(now, target)) {
+    return;
+  }
+  ++state_.counters.stalls;
+  if (target.group.empty()) {
+    return;
+  }
+  cancel_all_at(target.key);
+}
+
+void RequestRelay::cancel_all_at(const std::string& key) {
+  // What waits there waits for the same dead head.
+  const auto under_way = state_.under_way[key];
+  for (const auto& cancellation : under_way) {
+    cancellation->cancel();
+  }
+}
+
+void RequestRelay::abandon_stalled(TimePoint now) {
+  for (const auto& group : state_.dispatcher.stalled_groups(now, kGroupStall)) {
+    ++state_.counters.stalls;
+    log_event("", "group_stalled", {{"group", group}, {"requests", std::to_string(state_.under_way[group].size())}});
+    state_.dispatcher.avoid(now, group);
+    cancel_all_at(group);
+  }
+}
+
+// ------------------------------------------------------------------- relay
+
+asio::awaitable<RequestRelay::Sending> RequestRelay::relay_whole(RelayedRequest& request, const fleet::Target& target,
+                                                                 net::ClientStream& stream) {
+  net::HttpResponse response = stream.head();
+  while (true) {
+    const TimePoint now = monotonic_now();
+    if (now >= request.due) {
+      break;
+    }
+    std::string piece = co_await stream.read_some(to_milliseconds(request.due - now));
+    if (piece.empty()) {
+      break;
+    }
+    response.body += piece;
+  }
+  if (request.caller_gone) {
+    ++state_.counters.caller_gone;
+    co_return Sending::kAnswered;
+  }
+  if (!stream.complete()) {
+    log_event("", "answer_broke_off", {{"request", request.id}, {"target", target.key}, {"reason", stream.error()}});
+    co_return Sending::kMayHaveRun;
+  }
+  state_.dispatcher.note_progress(monotonic_now(), target);
+  const bool unsigned_success = is_success(response.status) && !response.headers.contains(dialect_.signature);
+  if (unsigned_success) {
+    co_return Sending::kMayHaveRun;
+  }
+  const bool worth_another = response.status >= 500 && request.route->may_repeat() && !request.head_sent &&
+                             request.runs + 1 < request.route->max_attempts && may_send_again(request, monotonic_now());
+  if (worth_another) {
+    co_return Sending::kServerError;
+  }
+  if (request.head_sent) {
+    co_return Sending::kMayHaveRun;  // A continuation was refused: the answer under way cannot carry it.
+  }
+  const int status = response.status;
+  state_.counters.served += is_success(status) ? 1 : 0;
+  state_.counters.failed += is_success(status) ? 0 : 1;
+  if (!is_success(status)) {
+    log_end(request, status, "the server's answer");
+  }
+  co_await request.exchange->respond(std::move(response));
+  co_return Sending::kAnswered;
+}
+
+asio::awaitable<RequestRelay::Sending> RequestRelay::relay_events(RelayedRequest& request, const fleet::Target& target,
+                                                                  net::ClientStream& stream) {
+  request.events.restart();
+  while (true) {
+    const TimePoint now = monotonic_now();
+    std::string piece;
+    if (now < request.due) {
+      piece = co_await stream.read_some(patience(request, now));
+    }
+    if (request.caller_gone) {
+      ++state_.counters.caller_gone;
+      co_return Sending::kAnswered;
+    }
+    if (piece.empty()) {
+      break;
+    }
+    state_.dispatcher.note_progress(monotonic_now(), target);
+    const std::string events = request.events.take(piece);
+    if (events.empty()) {
+      continue;
+    }
+    if (!request.head_sent) {
+      request.head_sent = true;
+      if (!co_await request.exchange->begin_stream(stream.head())) {
+        co_return Sending::kAnswered;
+      }
+    }
+    if (!co_await request.exchange->write_piece(events)) {
+      co_return Sending::kAnswered;
+    }
+  }
+  const bool whole = stream.complete() && request.events.pending().empty() && !request.events.has_gap();
+  if (whole && request.head_sent) {
+    ++state_.counters.served;
+    co_await request.exchange->end_stream();
+    co_return Sending::kAnswered;
+  }
+  const TimePoint now = monotonic_now();
+  log_event("", "stream_broke_off",
+            {{"request", request.id},
+             {"target", target.key},
+             {"reason", stream.error()},
+             {"last_event", request.events.last_id() ? std::to_string(*request.events.last_id()) : "none"}});
+  if (now < request.due) {
+    note_failure(target, now);
+  }
+  ++state_.counters.resumed;
+  co_return Sending::kMayHaveRun;
+}
+
+// -------------------------------------------------------------------- ends
+
+void RequestRelay::log_end(const RelayedRequest& request, int status, const std::string& reason) const {
+  const auto held = duration_cast<std::chrono::milliseconds>(monotonic_now() - request.received).count();
+  log_event("", "request_ended",
+            {{"request", request.id},
+             {"route", request.route == nullptr ? "" : request.route->name},
+             {"status", std::to_string(status)},
+             {"held_ms", std::to_string(held)},
+             {"sent", std::to_string(request.sent)},
+             {"runs", std::to_string(request.runs)},
+             {"reason", reason}});
+}
+
+asio::awaitable<void> RequestRelay::refuse(RelayedRequest& request, Refusal refusal) {
+  net::HttpResponse response;
+  response.status = refusal.status;
+  response.headers.add("Content-Type", "application/problem+json");
+  response.headers.add("Larchlever-Outcome", "not-run");
+  if (refusal.retry_after_seconds > 0) {
+    response.headers.add("Retry-After", seconds_text(refusal.retry_after_seconds));
+  }
+  response.body = "{\"status\":" + std::to_string(refusal.status) + ",\"title\":\"" + refusal.title + "\"}";
+  const bool is_promise = refusal.status == kUnavailable || refusal.status == kTooManyRequests;
+  state_.counters.refused += is_promise ? 1 : 0;
+  state_.counters.denied += is_promise ? 0 : 1;
+  log_end(request, refusal.status, refusal.title);
+  co_await request.exchange->respond(std::move(response));
+}
+
+asio::awaitable<void> RequestRelay::give_up(RelayedRequest& request) {
+  if (request.caller_gone) {
+    ++state_.counters.caller_gone;
+    co_return;
+  }
+  if (request.head_sent) {
+    ++state_.counters.failed;
+    log_end(request, 0, "the stream could not be continued; cut");
+    co_return;  // The connection is cut, so the caller sees that the answer broke off.
+  }
+  const TimePoint now = monotonic_now();
+  if (!request.may_have_run) {
+    Refusal refusal{kUnavailable, "no server took the request", kBackWhenBusy};
+    co_await refuse(request, std::move(refusal));
+    co_return;
+  }
+  net::HttpResponse response;
+  response.status = now >= request.due ? kGatewayTimeout : kBadGateway;
+  response.headers.add("Content-Type", "application/problem+json");
+  response.headers.add("Larchlever-Outcome", "unknown");
+  response.body = "{\"status\":" + std::to_string(response.status) + ",\"title\":\"the answer was lost\"}";
+  ++state_.counters.failed;
+  log_end(request, response.status, "the answer was lost");
+  co_await request.exchange->respond(std::move(response));
+}
+
+}  // namespace larchlever::node
--- /dev/null
+++ b/src/node/request_relay.h
@@ -0,0 +1,96 @@
+#pragma once
+
+#include <boost/asio/any_io_executor.hpp>
+#include <memory>
+#include <optional>
+#include <set>
+#include <string>
+
+#include "core/requests/event_stream.h"
+#include "net/http_client.h"
+#include "net/http_server.h"
+#include "node/dialect.h"
+#include "node/entry_state.h"
+
+namespace larchlever::node {
+
+/// A caller's request on its way: identified, and then sent until it is answered.
+struct RelayedRequest {
+  net::HttpExchange* exchange = nullptr;
+  std::shared_ptr<const document::RouteTable> routes;
+  const document::Route* route = nullptr;
+  const document::TenantSpec* tenant = nullptr;  ///< Null on public routes.
+  const document::ServiceSpec* service = nullptr;
+  std::string id;
+  std::string model;
+  TimePoint received{};
+  /// The final answer is due by then: the caller's deadline or the route's timeout.
+  TimePoint due{};
+  std::set<std::string> excluded;
+  /// Sendings, and those of them that a server may have begun to run.
+  int sent = 0;
+  int runs = 0;
+  /// No server is proved not to have run it: a promise that it did not run is no longer possible.
+  bool may_have_run = false;
+  bool caller_gone = false;
+  /// The sending under way.
+  std::shared_ptr<net::Cancellation> cancellation;
+  requests::EventStream events;
+  bool head_sent = false;
+};
+
+/// Serves callers of a registered fleet: finds route and tenant, sends each request to a server, retries and resumes
+/// within the route's rules and the shared budgets, and relays the answer.
+///
+/// Guarantees: a request that may not be repeated is sent again only when no byte left or the server proved that it did
+/// not run; 429, 503, 408 and 421 are answered only to requests that did not run; a broken answer never looks whole.
+/// One executor; not thread-safe.
+class RequestRelay : public net::HttpHandler {
+ public:
+  RequestRelay(boost::asio::any_io_executor executor, const Dialect& dialect, EntryState& state);
+
+  boost::asio::awaitable<void> handle(net::HttpExchange& exchange) override;
+  /// Gives up what waits at groups that stand still, so that it is sent elsewhere. To be called every few ticks.
+  void abandon_stalled(TimePoint now);
+
+ private:
+  /// What one sending came to.
+  enum class Sending {
+    kAnswered,    ///< The caller has its final answer, or is gone.
+    kNotRun,      ///< Proved: no server ran it.
+    kMayHaveRun,  ///< It may be running, or its answer was lost.
+    kServerError  ///< The server ran it and failed; its answer is kept.
+  };
+  struct Refusal {
+    int status = 503;
+    std::string title;
+    double retry_after_seconds = 0;
+  };
+
+  std::optional<Refusal> identify(RelayedRequest& request);
+  std::optional<Refusal> authorise(RelayedRequest& request, std::string_view key);
+  boost::asio::awaitable<void> relay(RelayedRequest& request);
+  boost::asio::awaitable<std::optional<fleet::Target>> find_target(RelayedRequest& request);
+  boost::asio::awaitable<Sending> send(RelayedRequest& request, const fleet::Target& target);
+  boost::asio::awaitable<Sending> send_once(RelayedRequest& request, const fleet::Target& target);
+  boost::asio::awaitable<Sending> relay_whole(RelayedRequest& request, const fleet::Target& target,
+                                              net::ClientStream& stream);
+  boost::asio::awaitable<Sending> relay_events(RelayedRequest& request, const fleet::Target& target,
+                                               net::ClientStream& stream);
+  boost::asio::awaitable<void> refuse(RelayedRequest& request, Refusal refusal);
+  boost::asio::awaitable<void> give_up(RelayedRequest& request);
+  net::HttpRequest upstream_request(const RelayedRequest& request, const fleet::Target& target, TimePoint now) const;
+  bool is_not_run(const net::HttpResponse& head) const;
+  bool may_send_again(RelayedRequest& request, TimePoint now);
+  void note_failure(const fleet::Target& target, TimePoint now);
+  void cancel_all_at(const std::string& key);
+  std::chrono::milliseconds patience(const RelayedRequest& request, TimePoint now) const;
+  void log_end(const RelayedRequest& request, int status, const std::string& reason) const;
+
+  boost::asio::any_io_executor executor_;
+  const Dialect& dialect_;
+  EntryState& state_;
+  net::HttpClient client_;
+};
+
+}  // namespace larchlever::node
--- /dev/null
+++ b/src/settings/fleet_settings.cc
@@ -0,0 +1,116 @@
+#include "settings/fleet_settings.h"
+
+#include <algorithm>
+#include <set>
+
+#include "settings/ini_document.h"
+
+namespace larchlever::settings {
+
+namespace {
+
+/// Of the time in which a revoked key must stop working, what is left for sending a request on after the check.
+constexpr Duration kRevocationMargin = milliseconds(500);
+/// An instance is silent once two of its heartbeats are overdue.
+constexpr int kMissedHeartbeats = 2;
+constexpr Duration kHeartbeatSlack = milliseconds(300);
+/// A replacement must be a voter well within the time in which it counts as lost.
+constexpr int kReplicaTimeoutShare = 3;
+
+std::string host_of(const std::string& endpoint) { return endpoint.substr(0, endpoint.rfind(':')); }
+
+void read_node(const IniDocument& document, FleetSettings& settings, std::vector<std::string>& errors) {
+  SectionReader node("node", document.find("node"), errors);
+  settings.name = node.required_text("name");
+  settings.zone = node.required_text("zone");
+  const auto role = node.choice("role", "entry", {"entry", "control"});
+  settings.role = role == "control" ? FleetRole::kControl : FleetRole::kEntry;
+  settings.peer_address = node.address("peer_address", true);
+  const bool is_entry = settings.role == FleetRole::kEntry;
+  settings.caller_address = node.address("caller_address", is_entry);
+  settings.ready_address = node.address("ready_address", is_entry);
+  settings.control_address = node.address("control_address", !is_entry);
+  settings.metrics_address = node.address("metrics_address", false);
+  settings.data_folder = node.text("data_folder", "");
+  settings.dialect = node.text("dialect", settings.dialect);
+  if (!is_entry && settings.data_folder.empty()) {
+    node.fault("data_folder", "", "missing; a control replica keeps the log on disk, name a folder");
+  }
+  node.finish();
+}
+
+void read_cluster(const IniDocument& document, FleetSettings& settings, std::vector<std::string>& errors) {
+  SectionReader cluster("cluster", document.find("cluster"), errors);
+  settings.seeds = cluster.list("seeds");
+  const auto peer_port = cluster.integer("peer_port", 0, 1, 65535);
+  settings.first_start = cluster.flag("first_start", false);
+  const auto losses = cluster.integer("tolerated_losses", 0, 0, 8);
+  settings.options.minimum_voters = static_cast<size_t>(2 * losses + 1);
+  settings.options.control.minimum_voters = settings.options.minimum_voters;
+  if (settings.seeds.empty()) {
+    cluster.fault("seeds", "", "missing; list the control addresses of up to three control replicas");
+  }
+  for (const auto& seed : settings.seeds) {
+    if (!is_ip_endpoint(seed)) {
+      cluster.fault("seeds", seed, "not IP:PORT; list control addresses");
+      continue;
+    }
+    settings.seed_peers.push_back(host_of(seed) + ":" + std::to_string(peer_port));
+  }
+  cluster.finish();
+}
+
+void read_bounds(const IniDocument& document, FleetSettings& settings, std::vector<std::string>& errors) {
+  SectionReader bounds("bounds", document.find("bounds"), errors);
+  auto& options = settings.options;
+  options.document_lease = bounds.duration("revocation", seconds(5)) - kRevocationMargin;
+  options.instance_silence =
+      kMissedHeartbeats * bounds.duration("instance_heartbeat", milliseconds(1200)) + kHeartbeatSlack;
+  options.stall_time = bounds.duration("stall", seconds(5));
+  options.control.replica_timeout = bounds.duration("catch_up", seconds(4)) / kReplicaTimeoutShare;
+  options.load_window = bounds.duration("load_window", seconds(5));
+  options.retry_window = bounds.duration("retry_window", seconds(10));
+  options.retry_ratio = bounds.fraction("retry_ratio", 0.2);
+  options.retry_slack = bounds.fraction("retry_slack", 10);
+  settings.stop_grace = bounds.duration("stop_grace", seconds(8));
+  if (options.document_lease < 3 * options.heartbeat_interval) {
+    bounds.fault("revocation", "", "too short for a lease of three heartbeats; raise it");
+  }
+  bounds.finish();
+}
+
+void read_log(const IniDocument& document, FleetSettings& settings, std::vector<std::string>& errors) {
+  SectionReader reader("log", document.find("log"), errors);
+  settings.log_level = reader.choice("level", "info", {"debug", "info", "warn", "error", "off"});
+  reader.finish();
+}
+
+}  // namespace
+
+bool FleetSettings::founds_cluster() const {
+  const auto lowest = std::min_element(seeds.begin(), seeds.end());
+  return first_start && lowest != seeds.end() && *lowest == control_address;
+}
+
+std::optional<FleetSettings> parse_fleet_settings(const std::string& text, std::vector<std::string>& errors) {
+  const size_t faults_before = errors.size();
+  const IniDocument document = IniDocument::parse(text, errors);
+  static const std::set<std::string> sections = {"node", "cluster", "bounds", "log"};
+  for (const auto& section : document.sections()) {
+    if (!sections.contains(section.name)) {
+      errors.push_back("[" + section.name + "]: unknown section; remove it or correct its spelling");
+    }
+  }
+  FleetSettings settings;
+  read_node(document, settings, errors);
+  read_cluster(document, settings, errors);
+  read_bounds(document, settings, errors);
+  read_log(document, settings, errors);
+  // A document may be large and the log short: snapshots are cheap, entries are not.
+  settings.options.control.snapshot_interval = 64;
+  settings.options.control.snapshot_trailing = 16;
+  settings.options.control.node_timeout = settings.options.node_timeout;
+  return errors.size() > faults_before ? std::nullopt : std::optional(std::move(settings));
+}
+
+}  // namespace larchlever::settings
--- a/src/settings/ini_document.cc
+++ b/src/settings/ini_document.cc
@@ -5,6 +5,7 @@
 
 #include <algorithm>
 #include <charconv>
+#include <cstdlib>
 
 namespace larchlever::settings {
 
@@ -118,6 +119,36 @@
   return number;
 }
 
+double SectionReader::fraction(const std::string& key, double fallback) {
+  const auto* value = find(key);
+  if (value == nullptr) {
+    return fallback;
+  }
+  char* end = nullptr;
+  const double number = std::strtod(value->c_str(), &end);
+  if (value->empty() || *end != '\0' || !(number >= 0)) {
+    fault(key, *value, "not a number of 0 or more; write for example 0.2");
+    return fallback;
+  }
+  return number;
+}
+
+std::chrono::microseconds SectionReader::duration(const std::string& key, std::chrono::microseconds fallback) {
+  const auto* value = find(key);
+  if (value == nullptr) {
+    return fallback;
+  }
+  char* end = nullptr;
+  const double number = std::strtod(value->c_str(), &end);
+  const std::string_view unit = end;
+  const bool valid = end != value->c_str() && (unit == "ms" || unit == "s") && number > 0;
+  if (!valid) {
+    fault(key, *value, "not a time above 0; write a number with its unit, for example 2500ms or 2.5s");
+    return fallback;
+  }
+  return std::chrono::microseconds(static_cast<int64_t>(number * (unit == "s" ? 1e6 : 1e3)));
+}
+
 std::string SectionReader::address(const std::string& key, bool required) {
   const auto* value = find(key);
   if (value == nullptr || value->empty()) {
@@ -155,7 +186,8 @@
 }
 
 bool SectionReader::flag(const std::string& key, bool fallback) {
-  return choice(key, fallback ? "yes" : "no", {"yes", "no"}) == "yes";
+  const auto value = choice(key, fallback ? "yes" : "no", {"yes", "no", "true", "false"});
+  return value == "yes" || value == "true";
 }
 
 void SectionReader::finish() {
--- a/src/settings/ini_document.h
+++ b/src/settings/ini_document.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <chrono>
 #include <cstdint>
 #include <map>
 #include <set>
@@ -37,6 +38,10 @@
   std::string text(const std::string& key, const std::string& fallback);
   std::string required_text(const std::string& key);
   int64_t integer(const std::string& key, int64_t fallback, int64_t least, int64_t most);
+  /// A number that may have a fraction, not below 0.
+  double fraction(const std::string& key, double fallback);
+  /// A time as NUMBERms or NUMBERs, for example 2500ms or 2.5s; above 0.
+  std::chrono::microseconds duration(const std::string& key, std::chrono::microseconds fallback);
   /// IP:PORT with a literal IP address; empty when absent and not required.
   std::string address(const std::string& key, bool required);
   std::vector<std::string> list(const std::string& key);
