--- a/src/wire/gen-cpp/larchlever_types.cpp
+++ b/src/wire/gen-cpp/larchlever_types.cpp
@@ -246,6 +246,142 @@
   }
 }
 
+int _kInstanceStateValues[] = {
+  InstanceState::READY,
+  InstanceState::DRAINING,
+  InstanceState::GONE
+};
+const char* _kInstanceStateNames[] = {
+  "READY",
+  "DRAINING",
+  "GONE"
+};
+const std::map<int, const char*> _InstanceState_VALUES_TO_NAMES(::apache::thrift::TEnumIterator(3, _kInstanceStateValues, _kInstanceStateNames), ::apache::thrift::TEnumIterator(-1, nullptr, nullptr));
+
+std::ostream& operator<<(std::ostream& out, const InstanceState::type& val) {
+  std::map<int, const char*>::const_iterator it = _InstanceState_VALUES_TO_NAMES.find(val);
+  if (it != _InstanceState_VALUES_TO_NAMES.end()) {
+    out << it->second;
+  } else {
+    out << static_cast<int>(val);
+  }
+  return out;
+}
+
+std::string to_string(const InstanceState::type& val) {
+  std::map<int, const char*>::const_iterator it = _InstanceState_VALUES_TO_NAMES.find(val);
+  if (it != _InstanceState_VALUES_TO_NAMES.end()) {
+    return std::string(it->second);
+  } else {
+    return std::to_string(static_cast<int>(val));
+  }
+}
+
+int _kMembershipStateValues[] = {
+  MembershipState::NONE,
+  MembershipState::JOINING,
+  MembershipState::READY,
+  MembershipState::OPEN,
+  MembershipState::CLOSING,
+  MembershipState::BROKEN
+};
+const char* _kMembershipStateNames[] = {
+  "NONE",
+  "JOINING",
+  "READY",
+  "OPEN",
+  "CLOSING",
+  "BROKEN"
+};
+const std::map<int, const char*> _MembershipState_VALUES_TO_NAMES(::apache::thrift::TEnumIterator(6, _kMembershipStateValues, _kMembershipStateNames), ::apache::thrift::TEnumIterator(-1, nullptr, nullptr));
+
+std::ostream& operator<<(std::ostream& out, const MembershipState::type& val) {
+  std::map<int, const char*>::const_iterator it = _MembershipState_VALUES_TO_NAMES.find(val);
+  if (it != _MembershipState_VALUES_TO_NAMES.end()) {
+    out << it->second;
+  } else {
+    out << static_cast<int>(val);
+  }
+  return out;
+}
+
+std::string to_string(const MembershipState::type& val) {
+  std::map<int, const char*>::const_iterator it = _MembershipState_VALUES_TO_NAMES.find(val);
+  if (it != _MembershipState_VALUES_TO_NAMES.end()) {
+    return std::string(it->second);
+  } else {
+    return std::to_string(static_cast<int>(val));
+  }
+}
+
+int _kGroupPhaseValues[] = {
+  GroupPhase::JOINING,
+  GroupPhase::OPENING,
+  GroupPhase::OPEN,
+  GroupPhase::DRAINING,
+  GroupPhase::DISSOLVING
+};
+const char* _kGroupPhaseNames[] = {
+  "JOINING",
+  "OPENING",
+  "OPEN",
+  "DRAINING",
+  "DISSOLVING"
+};
+const std::map<int, const char*> _GroupPhase_VALUES_TO_NAMES(::apache::thrift::TEnumIterator(5, _kGroupPhaseValues, _kGroupPhaseNames), ::apache::thrift::TEnumIterator(-1, nullptr, nullptr));
+
+std::ostream& operator<<(std::ostream& out, const GroupPhase::type& val) {
+  std::map<int, const char*>::const_iterator it = _GroupPhase_VALUES_TO_NAMES.find(val);
+  if (it != _GroupPhase_VALUES_TO_NAMES.end()) {
+    out << it->second;
+  } else {
+    out << static_cast<int>(val);
+  }
+  return out;
+}
+
+std::string to_string(const GroupPhase::type& val) {
+  std::map<int, const char*>::const_iterator it = _GroupPhase_VALUES_TO_NAMES.find(val);
+  if (it != _GroupPhase_VALUES_TO_NAMES.end()) {
+    return std::string(it->second);
+  } else {
+    return std::to_string(static_cast<int>(val));
+  }
+}
+
+int _kControlCallKindValues[] = {
+  ControlCallKind::HEARTBEAT,
+  ControlCallKind::DEREGISTER,
+  ControlCallKind::PUT_DOCUMENT,
+  ControlCallKind::GET_DOCUMENT
+};
+const char* _kControlCallKindNames[] = {
+  "HEARTBEAT",
+  "DEREGISTER",
+  "PUT_DOCUMENT",
+  "GET_DOCUMENT"
+};
+const std::map<int, const char*> _ControlCallKind_VALUES_TO_NAMES(::apache::thrift::TEnumIterator(4, _kControlCallKindValues, _kControlCallKindNames), ::apache::thrift::TEnumIterator(-1, nullptr, nullptr));
+
+std::ostream& operator<<(std::ostream& out, const ControlCallKind::type& val) {
+  std::map<int, const char*>::const_iterator it = _ControlCallKind_VALUES_TO_NAMES.find(val);
+  if (it != _ControlCallKind_VALUES_TO_NAMES.end()) {
+    out << it->second;
+  } else {
+    out << static_cast<int>(val);
+  }
+  return out;
+}
+
+std::string to_string(const ControlCallKind::type& val) {
+  std::map<int, const char*>::const_iterator it = _ControlCallKind_VALUES_TO_NAMES.find(val);
+  if (it != _ControlCallKind_VALUES_TO_NAMES.end()) {
+    return std::string(it->second);
+  } else {
+    return std::to_string(static_cast<int>(val));
+  }
+}
+
 
 ReplicaAddress::~ReplicaAddress() noexcept {
 }
@@ -6787,6 +6923,129 @@
 }
 
 
+DocumentChange::~DocumentChange() noexcept {
+}
+
+
+void DocumentChange::__set_version(const int64_t val) {
+  this->version = val;
+}
+
+void DocumentChange::__set_content(const std::string& val) {
+  this->content = val;
+}
+std::ostream& operator<<(std::ostream& out, const DocumentChange& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t DocumentChange::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->version);
+          this->__isset.version = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readBinary(this->content);
+          this->__isset.content = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t DocumentChange::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("DocumentChange");
+
+  xfer += oprot->writeFieldBegin("version", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeI64(this->version);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("content", ::apache::thrift::protocol::T_STRING, 2);
+  xfer += oprot->writeBinary(this->content);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(DocumentChange &a, DocumentChange &b) {
+  using ::std::swap;
+  swap(a.version, b.version);
+  swap(a.content, b.content);
+  swap(a.__isset, b.__isset);
+}
+
+DocumentChange::DocumentChange(const DocumentChange& other242) {
+  version = other242.version;
+  content = other242.content;
+  __isset = other242.__isset;
+}
+DocumentChange::DocumentChange(DocumentChange&& other243) noexcept {
+  version = other243.version;
+  content = std::move(other243.content);
+  __isset = other243.__isset;
+}
+DocumentChange& DocumentChange::operator=(const DocumentChange& other244) {
+  version = other244.version;
+  content = other244.content;
+  __isset = other244.__isset;
+  return *this;
+}
+DocumentChange& DocumentChange::operator=(DocumentChange&& other245) noexcept {
+  version = other245.version;
+  content = std::move(other245.content);
+  __isset = other245.__isset;
+  return *this;
+}
+void DocumentChange::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "DocumentChange(";
+  out << "version=" << to_string(version);
+  out << ", " << "content=" << to_string(content);
+  out << ")";
+}
+
+
 Command::~Command() noexcept {
 }
 
@@ -6839,6 +7098,11 @@
   this->drain = val;
 __isset.drain = true;
 }
+
+void Command::__set_document(const DocumentChange& val) {
+  this->document = val;
+__isset.document = true;
+}
 std::ostream& operator<<(std::ostream& out, const Command& obj)
 {
   obj.printTo(out);
@@ -6927,14 +7191,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->resolutions.clear();
-            uint32_t _size242;
-            ::apache::thrift::protocol::TType _etype245;
-            xfer += iprot->readListBegin(_etype245, _size242);
-            this->resolutions.resize(_size242);
-            uint32_t _i246;
-            for (_i246 = 0; _i246 < _size242; ++_i246)
+            uint32_t _size246;
+            ::apache::thrift::protocol::TType _etype249;
+            xfer += iprot->readListBegin(_etype249, _size246);
+            this->resolutions.resize(_size246);
+            uint32_t _i250;
+            for (_i250 = 0; _i250 < _size246; ++_i250)
             {
-              xfer += this->resolutions[_i246].read(iprot);
+              xfer += this->resolutions[_i250].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -6959,6 +7223,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 11:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->document.read(iprot);
+          this->__isset.document = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -7014,10 +7286,10 @@
     xfer += oprot->writeFieldBegin("resolutions", ::apache::thrift::protocol::T_LIST, 8);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->resolutions.size()));
-      std::vector<ClaimResolution> ::const_iterator _iter247;
-      for (_iter247 = this->resolutions.begin(); _iter247 != this->resolutions.end(); ++_iter247)
+      std::vector<ClaimResolution> ::const_iterator _iter251;
+      for (_iter251 = this->resolutions.begin(); _iter251 != this->resolutions.end(); ++_iter251)
       {
-        xfer += (*_iter247).write(oprot);
+        xfer += (*_iter251).write(oprot);
       }
       xfer += oprot->writeListEnd();
     }
@@ -7033,6 +7305,11 @@
     xfer += this->drain.write(oprot);
     xfer += oprot->writeFieldEnd();
   }
+  if (this->__isset.document) {
+    xfer += oprot->writeFieldBegin("document", ::apache::thrift::protocol::T_STRUCT, 11);
+    xfer += this->document.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -7050,61 +7327,66 @@
   swap(a.resolutions, b.resolutions);
   swap(a.entry_loss, b.entry_loss);
   swap(a.drain, b.drain);
+  swap(a.document, b.document);
   swap(a.__isset, b.__isset);
 }
 
-Command::Command(const Command& other248) {
-  at_ms = other248.at_ms;
-  change = other248.change;
-  machine_observation = other248.machine_observation;
-  group_creation = other248.group_creation;
-  group_transition = other248.group_transition;
-  machine_release = other248.machine_release;
-  claims = other248.claims;
-  resolutions = other248.resolutions;
-  entry_loss = other248.entry_loss;
-  drain = other248.drain;
-  __isset = other248.__isset;
-}
-Command::Command(Command&& other249) noexcept {
-  at_ms = other249.at_ms;
-  change = std::move(other249.change);
-  machine_observation = std::move(other249.machine_observation);
-  group_creation = std::move(other249.group_creation);
-  group_transition = std::move(other249.group_transition);
-  machine_release = std::move(other249.machine_release);
-  claims = std::move(other249.claims);
-  resolutions = std::move(other249.resolutions);
-  entry_loss = std::move(other249.entry_loss);
-  drain = std::move(other249.drain);
-  __isset = other249.__isset;
-}
-Command& Command::operator=(const Command& other250) {
-  at_ms = other250.at_ms;
-  change = other250.change;
-  machine_observation = other250.machine_observation;
-  group_creation = other250.group_creation;
-  group_transition = other250.group_transition;
-  machine_release = other250.machine_release;
-  claims = other250.claims;
-  resolutions = other250.resolutions;
-  entry_loss = other250.entry_loss;
-  drain = other250.drain;
-  __isset = other250.__isset;
-  return *this;
-}
-Command& Command::operator=(Command&& other251) noexcept {
-  at_ms = other251.at_ms;
-  change = std::move(other251.change);
-  machine_observation = std::move(other251.machine_observation);
-  group_creation = std::move(other251.group_creation);
-  group_transition = std::move(other251.group_transition);
-  machine_release = std::move(other251.machine_release);
-  claims = std::move(other251.claims);
-  resolutions = std::move(other251.resolutions);
-  entry_loss = std::move(other251.entry_loss);
-  drain = std::move(other251.drain);
-  __isset = other251.__isset;
+Command::Command(const Command& other252) {
+  at_ms = other252.at_ms;
+  change = other252.change;
+  machine_observation = other252.machine_observation;
+  group_creation = other252.group_creation;
+  group_transition = other252.group_transition;
+  machine_release = other252.machine_release;
+  claims = other252.claims;
+  resolutions = other252.resolutions;
+  entry_loss = other252.entry_loss;
+  drain = other252.drain;
+  document = other252.document;
+  __isset = other252.__isset;
+}
+Command::Command(Command&& other253) noexcept {
+  at_ms = other253.at_ms;
+  change = std::move(other253.change);
+  machine_observation = std::move(other253.machine_observation);
+  group_creation = std::move(other253.group_creation);
+  group_transition = std::move(other253.group_transition);
+  machine_release = std::move(other253.machine_release);
+  claims = std::move(other253.claims);
+  resolutions = std::move(other253.resolutions);
+  entry_loss = std::move(other253.entry_loss);
+  drain = std::move(other253.drain);
+  document = std::move(other253.document);
+  __isset = other253.__isset;
+}
+Command& Command::operator=(const Command& other254) {
+  at_ms = other254.at_ms;
+  change = other254.change;
+  machine_observation = other254.machine_observation;
+  group_creation = other254.group_creation;
+  group_transition = other254.group_transition;
+  machine_release = other254.machine_release;
+  claims = other254.claims;
+  resolutions = other254.resolutions;
+  entry_loss = other254.entry_loss;
+  drain = other254.drain;
+  document = other254.document;
+  __isset = other254.__isset;
+  return *this;
+}
+Command& Command::operator=(Command&& other255) noexcept {
+  at_ms = other255.at_ms;
+  change = std::move(other255.change);
+  machine_observation = std::move(other255.machine_observation);
+  group_creation = std::move(other255.group_creation);
+  group_transition = std::move(other255.group_transition);
+  machine_release = std::move(other255.machine_release);
+  claims = std::move(other255.claims);
+  resolutions = std::move(other255.resolutions);
+  entry_loss = std::move(other255.entry_loss);
+  drain = std::move(other255.drain);
+  document = std::move(other255.document);
+  __isset = other255.__isset;
   return *this;
 }
 void Command::printTo(std::ostream& out) const {
@@ -7120,6 +7402,7 @@
   out << ", " << "resolutions="; (__isset.resolutions ? (out << to_string(resolutions)) : (out << "<null>"));
   out << ", " << "entry_loss="; (__isset.entry_loss ? (out << to_string(entry_loss)) : (out << "<null>"));
   out << ", " << "drain="; (__isset.drain ? (out << to_string(drain)) : (out << "<null>"));
+  out << ", " << "document="; (__isset.document ? (out << to_string(document)) : (out << "<null>"));
   out << ")";
 }
 
@@ -7216,26 +7499,26 @@
   swap(a.__isset, b.__isset);
 }
 
-CommandAnswer::CommandAnswer(const CommandAnswer& other252) {
-  command_id = other252.command_id;
-  answer = other252.answer;
-  __isset = other252.__isset;
+CommandAnswer::CommandAnswer(const CommandAnswer& other256) {
+  command_id = other256.command_id;
+  answer = other256.answer;
+  __isset = other256.__isset;
 }
-CommandAnswer::CommandAnswer(CommandAnswer&& other253) noexcept {
-  command_id = std::move(other253.command_id);
-  answer = std::move(other253.answer);
-  __isset = other253.__isset;
+CommandAnswer::CommandAnswer(CommandAnswer&& other257) noexcept {
+  command_id = std::move(other257.command_id);
+  answer = std::move(other257.answer);
+  __isset = other257.__isset;
 }
-CommandAnswer& CommandAnswer::operator=(const CommandAnswer& other254) {
-  command_id = other254.command_id;
-  answer = other254.answer;
-  __isset = other254.__isset;
+CommandAnswer& CommandAnswer::operator=(const CommandAnswer& other258) {
+  command_id = other258.command_id;
+  answer = other258.answer;
+  __isset = other258.__isset;
   return *this;
 }
-CommandAnswer& CommandAnswer::operator=(CommandAnswer&& other255) noexcept {
-  command_id = std::move(other255.command_id);
-  answer = std::move(other255.answer);
-  __isset = other255.__isset;
+CommandAnswer& CommandAnswer::operator=(CommandAnswer&& other259) noexcept {
+  command_id = std::move(other259.command_id);
+  answer = std::move(other259.answer);
+  __isset = other259.__isset;
   return *this;
 }
 void CommandAnswer::printTo(std::ostream& out) const {
@@ -7330,14 +7613,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->records.clear();
-            uint32_t _size256;
-            ::apache::thrift::protocol::TType _etype259;
-            xfer += iprot->readListBegin(_etype259, _size256);
-            this->records.resize(_size256);
-            uint32_t _i260;
-            for (_i260 = 0; _i260 < _size256; ++_i260)
+            uint32_t _size260;
+            ::apache::thrift::protocol::TType _etype263;
+            xfer += iprot->readListBegin(_etype263, _size260);
+            this->records.resize(_size260);
+            uint32_t _i264;
+            for (_i264 = 0; _i264 < _size260; ++_i264)
             {
-              xfer += this->records[_i260].read(iprot);
+              xfer += this->records[_i264].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -7350,14 +7633,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->machines.clear();
-            uint32_t _size261;
-            ::apache::thrift::protocol::TType _etype264;
-            xfer += iprot->readListBegin(_etype264, _size261);
-            this->machines.resize(_size261);
-            uint32_t _i265;
-            for (_i265 = 0; _i265 < _size261; ++_i265)
+            uint32_t _size265;
+            ::apache::thrift::protocol::TType _etype268;
+            xfer += iprot->readListBegin(_etype268, _size265);
+            this->machines.resize(_size265);
+            uint32_t _i269;
+            for (_i269 = 0; _i269 < _size265; ++_i269)
             {
-              xfer += this->machines[_i265].read(iprot);
+              xfer += this->machines[_i269].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -7370,14 +7653,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->claims.clear();
-            uint32_t _size266;
-            ::apache::thrift::protocol::TType _etype269;
-            xfer += iprot->readListBegin(_etype269, _size266);
-            this->claims.resize(_size266);
-            uint32_t _i270;
-            for (_i270 = 0; _i270 < _size266; ++_i270)
+            uint32_t _size270;
+            ::apache::thrift::protocol::TType _etype273;
+            xfer += iprot->readListBegin(_etype273, _size270);
+            this->claims.resize(_size270);
+            uint32_t _i274;
+            for (_i274 = 0; _i274 < _size270; ++_i274)
             {
-              xfer += this->claims[_i270].read(iprot);
+              xfer += this->claims[_i274].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -7390,14 +7673,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->audit.clear();
-            uint32_t _size271;
-            ::apache::thrift::protocol::TType _etype274;
-            xfer += iprot->readListBegin(_etype274, _size271);
-            this->audit.resize(_size271);
-            uint32_t _i275;
-            for (_i275 = 0; _i275 < _size271; ++_i275)
+            uint32_t _size275;
+            ::apache::thrift::protocol::TType _etype278;
+            xfer += iprot->readListBegin(_etype278, _size275);
+            this->audit.resize(_size275);
+            uint32_t _i279;
+            for (_i279 = 0; _i279 < _size275; ++_i279)
             {
-              xfer += this->audit[_i275].read(iprot);
+              xfer += this->audit[_i279].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -7410,14 +7693,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->answers.clear();
-            uint32_t _size276;
-            ::apache::thrift::protocol::TType _etype279;
-            xfer += iprot->readListBegin(_etype279, _size276);
-            this->answers.resize(_size276);
-            uint32_t _i280;
-            for (_i280 = 0; _i280 < _size276; ++_i280)
+            uint32_t _size280;
+            ::apache::thrift::protocol::TType _etype283;
+            xfer += iprot->readListBegin(_etype283, _size280);
+            this->answers.resize(_size280);
+            uint32_t _i284;
+            for (_i284 = 0; _i284 < _size280; ++_i284)
             {
-              xfer += this->answers[_i280].read(iprot);
+              xfer += this->answers[_i284].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -7482,10 +7765,10 @@
   xfer += oprot->writeFieldBegin("records", ::apache::thrift::protocol::T_LIST, 2);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->records.size()));
-    std::vector<Record> ::const_iterator _iter281;
-    for (_iter281 = this->records.begin(); _iter281 != this->records.end(); ++_iter281)
+    std::vector<Record> ::const_iterator _iter285;
+    for (_iter285 = this->records.begin(); _iter285 != this->records.end(); ++_iter285)
     {
-      xfer += (*_iter281).write(oprot);
+      xfer += (*_iter285).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -7494,10 +7777,10 @@
   xfer += oprot->writeFieldBegin("machines", ::apache::thrift::protocol::T_LIST, 3);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->machines.size()));
-    std::vector<Machine> ::const_iterator _iter282;
-    for (_iter282 = this->machines.begin(); _iter282 != this->machines.end(); ++_iter282)
+    std::vector<Machine> ::const_iterator _iter286;
+    for (_iter286 = this->machines.begin(); _iter286 != this->machines.end(); ++_iter286)
     {
-      xfer += (*_iter282).write(oprot);
+      xfer += (*_iter286).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -7506,10 +7789,10 @@
   xfer += oprot->writeFieldBegin("claims", ::apache::thrift::protocol::T_LIST, 4);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->claims.size()));
-    std::vector<Claim> ::const_iterator _iter283;
-    for (_iter283 = this->claims.begin(); _iter283 != this->claims.end(); ++_iter283)
+    std::vector<Claim> ::const_iterator _iter287;
+    for (_iter287 = this->claims.begin(); _iter287 != this->claims.end(); ++_iter287)
     {
-      xfer += (*_iter283).write(oprot);
+      xfer += (*_iter287).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -7518,10 +7801,10 @@
   xfer += oprot->writeFieldBegin("audit", ::apache::thrift::protocol::T_LIST, 5);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->audit.size()));
-    std::vector<AuditRecord> ::const_iterator _iter284;
-    for (_iter284 = this->audit.begin(); _iter284 != this->audit.end(); ++_iter284)
+    std::vector<AuditRecord> ::const_iterator _iter288;
+    for (_iter288 = this->audit.begin(); _iter288 != this->audit.end(); ++_iter288)
     {
-      xfer += (*_iter284).write(oprot);
+      xfer += (*_iter288).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -7530,10 +7813,10 @@
   xfer += oprot->writeFieldBegin("answers", ::apache::thrift::protocol::T_LIST, 6);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->answers.size()));
-    std::vector<CommandAnswer> ::const_iterator _iter285;
-    for (_iter285 = this->answers.begin(); _iter285 != this->answers.end(); ++_iter285)
+    std::vector<CommandAnswer> ::const_iterator _iter289;
+    for (_iter289 = this->answers.begin(); _iter289 != this->answers.end(); ++_iter289)
     {
-      xfer += (*_iter285).write(oprot);
+      xfer += (*_iter289).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -7575,58 +7858,58 @@
   swap(a.__isset, b.__isset);
 }
 
-ControlSnapshot::ControlSnapshot(const ControlSnapshot& other286) {
-  applied_index = other286.applied_index;
-  records = other286.records;
-  machines = other286.machines;
-  claims = other286.claims;
-  audit = other286.audit;
-  answers = other286.answers;
-  next_group_id = other286.next_group_id;
-  clock_ms = other286.clock_ms;
-  oldest_delta_revision = other286.oldest_delta_revision;
-  history_digest = other286.history_digest;
-  __isset = other286.__isset;
-}
-ControlSnapshot::ControlSnapshot(ControlSnapshot&& other287) noexcept {
-  applied_index = other287.applied_index;
-  records = std::move(other287.records);
-  machines = std::move(other287.machines);
-  claims = std::move(other287.claims);
-  audit = std::move(other287.audit);
-  answers = std::move(other287.answers);
-  next_group_id = other287.next_group_id;
-  clock_ms = other287.clock_ms;
-  oldest_delta_revision = other287.oldest_delta_revision;
-  history_digest = other287.history_digest;
-  __isset = other287.__isset;
-}
-ControlSnapshot& ControlSnapshot::operator=(const ControlSnapshot& other288) {
-  applied_index = other288.applied_index;
-  records = other288.records;
-  machines = other288.machines;
-  claims = other288.claims;
-  audit = other288.audit;
-  answers = other288.answers;
-  next_group_id = other288.next_group_id;
-  clock_ms = other288.clock_ms;
-  oldest_delta_revision = other288.oldest_delta_revision;
-  history_digest = other288.history_digest;
-  __isset = other288.__isset;
-  return *this;
-}
-ControlSnapshot& ControlSnapshot::operator=(ControlSnapshot&& other289) noexcept {
-  applied_index = other289.applied_index;
-  records = std::move(other289.records);
-  machines = std::move(other289.machines);
-  claims = std::move(other289.claims);
-  audit = std::move(other289.audit);
-  answers = std::move(other289.answers);
-  next_group_id = other289.next_group_id;
-  clock_ms = other289.clock_ms;
-  oldest_delta_revision = other289.oldest_delta_revision;
-  history_digest = other289.history_digest;
-  __isset = other289.__isset;
+ControlSnapshot::ControlSnapshot(const ControlSnapshot& other290) {
+  applied_index = other290.applied_index;
+  records = other290.records;
+  machines = other290.machines;
+  claims = other290.claims;
+  audit = other290.audit;
+  answers = other290.answers;
+  next_group_id = other290.next_group_id;
+  clock_ms = other290.clock_ms;
+  oldest_delta_revision = other290.oldest_delta_revision;
+  history_digest = other290.history_digest;
+  __isset = other290.__isset;
+}
+ControlSnapshot::ControlSnapshot(ControlSnapshot&& other291) noexcept {
+  applied_index = other291.applied_index;
+  records = std::move(other291.records);
+  machines = std::move(other291.machines);
+  claims = std::move(other291.claims);
+  audit = std::move(other291.audit);
+  answers = std::move(other291.answers);
+  next_group_id = other291.next_group_id;
+  clock_ms = other291.clock_ms;
+  oldest_delta_revision = other291.oldest_delta_revision;
+  history_digest = other291.history_digest;
+  __isset = other291.__isset;
+}
+ControlSnapshot& ControlSnapshot::operator=(const ControlSnapshot& other292) {
+  applied_index = other292.applied_index;
+  records = other292.records;
+  machines = other292.machines;
+  claims = other292.claims;
+  audit = other292.audit;
+  answers = other292.answers;
+  next_group_id = other292.next_group_id;
+  clock_ms = other292.clock_ms;
+  oldest_delta_revision = other292.oldest_delta_revision;
+  history_digest = other292.history_digest;
+  __isset = other292.__isset;
+  return *this;
+}
+ControlSnapshot& ControlSnapshot::operator=(ControlSnapshot&& other293) noexcept {
+  applied_index = other293.applied_index;
+  records = std::move(other293.records);
+  machines = std::move(other293.machines);
+  claims = std::move(other293.claims);
+  audit = std::move(other293.audit);
+  answers = std::move(other293.answers);
+  next_group_id = other293.next_group_id;
+  clock_ms = other293.clock_ms;
+  oldest_delta_revision = other293.oldest_delta_revision;
+  history_digest = other293.history_digest;
+  __isset = other293.__isset;
   return *this;
 }
 void ControlSnapshot::printTo(std::ostream& out) const {
@@ -7823,46 +8106,46 @@
   swap(a.__isset, b.__isset);
 }
 
-MachineSighting::MachineSighting(const MachineSighting& other290) {
-  machine = other290.machine;
-  incarnation = other290.incarnation;
-  seen_ago_ms = other290.seen_ago_ms;
-  group_id = other290.group_id;
-  epoch = other290.epoch;
-  loaded = other290.loaded;
-  load = other290.load;
-  __isset = other290.__isset;
+MachineSighting::MachineSighting(const MachineSighting& other294) {
+  machine = other294.machine;
+  incarnation = other294.incarnation;
+  seen_ago_ms = other294.seen_ago_ms;
+  group_id = other294.group_id;
+  epoch = other294.epoch;
+  loaded = other294.loaded;
+  load = other294.load;
+  __isset = other294.__isset;
 }
-MachineSighting::MachineSighting(MachineSighting&& other291) noexcept {
-  machine = std::move(other291.machine);
-  incarnation = other291.incarnation;
-  seen_ago_ms = other291.seen_ago_ms;
-  group_id = other291.group_id;
-  epoch = other291.epoch;
-  loaded = other291.loaded;
-  load = other291.load;
-  __isset = other291.__isset;
+MachineSighting::MachineSighting(MachineSighting&& other295) noexcept {
+  machine = std::move(other295.machine);
+  incarnation = other295.incarnation;
+  seen_ago_ms = other295.seen_ago_ms;
+  group_id = other295.group_id;
+  epoch = other295.epoch;
+  loaded = other295.loaded;
+  load = other295.load;
+  __isset = other295.__isset;
 }
-MachineSighting& MachineSighting::operator=(const MachineSighting& other292) {
-  machine = other292.machine;
-  incarnation = other292.incarnation;
-  seen_ago_ms = other292.seen_ago_ms;
-  group_id = other292.group_id;
-  epoch = other292.epoch;
-  loaded = other292.loaded;
-  load = other292.load;
-  __isset = other292.__isset;
+MachineSighting& MachineSighting::operator=(const MachineSighting& other296) {
+  machine = other296.machine;
+  incarnation = other296.incarnation;
+  seen_ago_ms = other296.seen_ago_ms;
+  group_id = other296.group_id;
+  epoch = other296.epoch;
+  loaded = other296.loaded;
+  load = other296.load;
+  __isset = other296.__isset;
   return *this;
 }
-MachineSighting& MachineSighting::operator=(MachineSighting&& other293) noexcept {
-  machine = std::move(other293.machine);
-  incarnation = other293.incarnation;
-  seen_ago_ms = other293.seen_ago_ms;
-  group_id = other293.group_id;
-  epoch = other293.epoch;
-  loaded = other293.loaded;
-  load = other293.load;
-  __isset = other293.__isset;
+MachineSighting& MachineSighting::operator=(MachineSighting&& other297) noexcept {
+  machine = std::move(other297.machine);
+  incarnation = other297.incarnation;
+  seen_ago_ms = other297.seen_ago_ms;
+  group_id = other297.group_id;
+  epoch = other297.epoch;
+  loaded = other297.loaded;
+  load = other297.load;
+  __isset = other297.__isset;
   return *this;
 }
 void MachineSighting::printTo(std::ostream& out) const {
@@ -8005,34 +8288,34 @@
   swap(a.__isset, b.__isset);
 }
 
-TenantDemand::TenantDemand(const TenantDemand& other294) {
-  tenant = other294.tenant;
-  running = other294.running;
-  waiting = other294.waiting;
-  held = other294.held;
-  __isset = other294.__isset;
-}
-TenantDemand::TenantDemand(TenantDemand&& other295) noexcept {
-  tenant = std::move(other295.tenant);
-  running = other295.running;
-  waiting = other295.waiting;
-  held = other295.held;
-  __isset = other295.__isset;
-}
-TenantDemand& TenantDemand::operator=(const TenantDemand& other296) {
-  tenant = other296.tenant;
-  running = other296.running;
-  waiting = other296.waiting;
-  held = other296.held;
-  __isset = other296.__isset;
+TenantDemand::TenantDemand(const TenantDemand& other298) {
+  tenant = other298.tenant;
+  running = other298.running;
+  waiting = other298.waiting;
+  held = other298.held;
+  __isset = other298.__isset;
+}
+TenantDemand::TenantDemand(TenantDemand&& other299) noexcept {
+  tenant = std::move(other299.tenant);
+  running = other299.running;
+  waiting = other299.waiting;
+  held = other299.held;
+  __isset = other299.__isset;
+}
+TenantDemand& TenantDemand::operator=(const TenantDemand& other300) {
+  tenant = other300.tenant;
+  running = other300.running;
+  waiting = other300.waiting;
+  held = other300.held;
+  __isset = other300.__isset;
   return *this;
 }
-TenantDemand& TenantDemand::operator=(TenantDemand&& other297) noexcept {
-  tenant = std::move(other297.tenant);
-  running = other297.running;
-  waiting = other297.waiting;
-  held = other297.held;
-  __isset = other297.__isset;
+TenantDemand& TenantDemand::operator=(TenantDemand&& other301) noexcept {
+  tenant = std::move(other301.tenant);
+  running = other301.running;
+  waiting = other301.waiting;
+  held = other301.held;
+  __isset = other301.__isset;
   return *this;
 }
 void TenantDemand::printTo(std::ostream& out) const {
@@ -8157,14 +8440,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->sightings.clear();
-            uint32_t _size298;
-            ::apache::thrift::protocol::TType _etype301;
-            xfer += iprot->readListBegin(_etype301, _size298);
-            this->sightings.resize(_size298);
-            uint32_t _i302;
-            for (_i302 = 0; _i302 < _size298; ++_i302)
+            uint32_t _size302;
+            ::apache::thrift::protocol::TType _etype305;
+            xfer += iprot->readListBegin(_etype305, _size302);
+            this->sightings.resize(_size302);
+            uint32_t _i306;
+            for (_i306 = 0; _i306 < _size302; ++_i306)
             {
-              xfer += this->sightings[_i302].read(iprot);
+              xfer += this->sightings[_i306].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -8177,14 +8460,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->demand.clear();
-            uint32_t _size303;
-            ::apache::thrift::protocol::TType _etype306;
-            xfer += iprot->readListBegin(_etype306, _size303);
-            this->demand.resize(_size303);
-            uint32_t _i307;
-            for (_i307 = 0; _i307 < _size303; ++_i307)
+            uint32_t _size307;
+            ::apache::thrift::protocol::TType _etype310;
+            xfer += iprot->readListBegin(_etype310, _size307);
+            this->demand.resize(_size307);
+            uint32_t _i311;
+            for (_i311 = 0; _i311 < _size307; ++_i311)
             {
-              xfer += this->demand[_i307].read(iprot);
+              xfer += this->demand[_i311].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -8269,10 +8552,10 @@
   xfer += oprot->writeFieldBegin("sightings", ::apache::thrift::protocol::T_LIST, 5);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->sightings.size()));
-    std::vector<MachineSighting> ::const_iterator _iter308;
-    for (_iter308 = this->sightings.begin(); _iter308 != this->sightings.end(); ++_iter308)
+    std::vector<MachineSighting> ::const_iterator _iter312;
+    for (_iter312 = this->sightings.begin(); _iter312 != this->sightings.end(); ++_iter312)
     {
-      xfer += (*_iter308).write(oprot);
+      xfer += (*_iter312).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -8281,10 +8564,10 @@
   xfer += oprot->writeFieldBegin("demand", ::apache::thrift::protocol::T_LIST, 6);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->demand.size()));
-    std::vector<TenantDemand> ::const_iterator _iter309;
-    for (_iter309 = this->demand.begin(); _iter309 != this->demand.end(); ++_iter309)
+    std::vector<TenantDemand> ::const_iterator _iter313;
+    for (_iter313 = this->demand.begin(); _iter313 != this->demand.end(); ++_iter313)
     {
-      xfer += (*_iter309).write(oprot);
+      xfer += (*_iter313).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -8331,62 +8614,62 @@
   swap(a.__isset, b.__isset);
 }
 
-Heartbeat::Heartbeat(const Heartbeat& other310) {
-  sequence = other310.sequence;
-  zone = other310.zone;
-  applied_revision = other310.applied_revision;
-  watch_version = other310.watch_version;
-  sightings = other310.sightings;
-  demand = other310.demand;
-  leaving = other310.leaving;
-  replica_id = other310.replica_id;
-  peer_address = other310.peer_address;
-  acknowledged_sequence = other310.acknowledged_sequence;
-  service_address = other310.service_address;
-  __isset = other310.__isset;
-}
-Heartbeat::Heartbeat(Heartbeat&& other311) noexcept {
-  sequence = other311.sequence;
-  zone = std::move(other311.zone);
-  applied_revision = other311.applied_revision;
-  watch_version = other311.watch_version;
-  sightings = std::move(other311.sightings);
-  demand = std::move(other311.demand);
-  leaving = other311.leaving;
-  replica_id = other311.replica_id;
-  peer_address = std::move(other311.peer_address);
-  acknowledged_sequence = other311.acknowledged_sequence;
-  service_address = std::move(other311.service_address);
-  __isset = other311.__isset;
-}
-Heartbeat& Heartbeat::operator=(const Heartbeat& other312) {
-  sequence = other312.sequence;
-  zone = other312.zone;
-  applied_revision = other312.applied_revision;
-  watch_version = other312.watch_version;
-  sightings = other312.sightings;
-  demand = other312.demand;
-  leaving = other312.leaving;
-  replica_id = other312.replica_id;
-  peer_address = other312.peer_address;
-  acknowledged_sequence = other312.acknowledged_sequence;
-  service_address = other312.service_address;
-  __isset = other312.__isset;
-  return *this;
-}
-Heartbeat& Heartbeat::operator=(Heartbeat&& other313) noexcept {
-  sequence = other313.sequence;
-  zone = std::move(other313.zone);
-  applied_revision = other313.applied_revision;
-  watch_version = other313.watch_version;
-  sightings = std::move(other313.sightings);
-  demand = std::move(other313.demand);
-  leaving = other313.leaving;
-  replica_id = other313.replica_id;
-  peer_address = std::move(other313.peer_address);
-  acknowledged_sequence = other313.acknowledged_sequence;
-  service_address = std::move(other313.service_address);
-  __isset = other313.__isset;
+Heartbeat::Heartbeat(const Heartbeat& other314) {
+  sequence = other314.sequence;
+  zone = other314.zone;
+  applied_revision = other314.applied_revision;
+  watch_version = other314.watch_version;
+  sightings = other314.sightings;
+  demand = other314.demand;
+  leaving = other314.leaving;
+  replica_id = other314.replica_id;
+  peer_address = other314.peer_address;
+  acknowledged_sequence = other314.acknowledged_sequence;
+  service_address = other314.service_address;
+  __isset = other314.__isset;
+}
+Heartbeat::Heartbeat(Heartbeat&& other315) noexcept {
+  sequence = other315.sequence;
+  zone = std::move(other315.zone);
+  applied_revision = other315.applied_revision;
+  watch_version = other315.watch_version;
+  sightings = std::move(other315.sightings);
+  demand = std::move(other315.demand);
+  leaving = other315.leaving;
+  replica_id = other315.replica_id;
+  peer_address = std::move(other315.peer_address);
+  acknowledged_sequence = other315.acknowledged_sequence;
+  service_address = std::move(other315.service_address);
+  __isset = other315.__isset;
+}
+Heartbeat& Heartbeat::operator=(const Heartbeat& other316) {
+  sequence = other316.sequence;
+  zone = other316.zone;
+  applied_revision = other316.applied_revision;
+  watch_version = other316.watch_version;
+  sightings = other316.sightings;
+  demand = other316.demand;
+  leaving = other316.leaving;
+  replica_id = other316.replica_id;
+  peer_address = other316.peer_address;
+  acknowledged_sequence = other316.acknowledged_sequence;
+  service_address = other316.service_address;
+  __isset = other316.__isset;
+  return *this;
+}
+Heartbeat& Heartbeat::operator=(Heartbeat&& other317) noexcept {
+  sequence = other317.sequence;
+  zone = std::move(other317.zone);
+  applied_revision = other317.applied_revision;
+  watch_version = other317.watch_version;
+  sightings = std::move(other317.sightings);
+  demand = std::move(other317.demand);
+  leaving = other317.leaving;
+  replica_id = other317.replica_id;
+  peer_address = std::move(other317.peer_address);
+  acknowledged_sequence = other317.acknowledged_sequence;
+  service_address = std::move(other317.service_address);
+  __isset = other317.__isset;
   return *this;
 }
 void Heartbeat::printTo(std::ostream& out) const {
@@ -8516,30 +8799,30 @@
   swap(a.__isset, b.__isset);
 }
 
-GroupLease::GroupLease(const GroupLease& other314) noexcept {
-  group_id = other314.group_id;
-  epoch = other314.epoch;
-  load = other314.load;
-  __isset = other314.__isset;
+GroupLease::GroupLease(const GroupLease& other318) noexcept {
+  group_id = other318.group_id;
+  epoch = other318.epoch;
+  load = other318.load;
+  __isset = other318.__isset;
 }
-GroupLease::GroupLease(GroupLease&& other315) noexcept {
-  group_id = other315.group_id;
-  epoch = other315.epoch;
-  load = other315.load;
-  __isset = other315.__isset;
+GroupLease::GroupLease(GroupLease&& other319) noexcept {
+  group_id = other319.group_id;
+  epoch = other319.epoch;
+  load = other319.load;
+  __isset = other319.__isset;
 }
-GroupLease& GroupLease::operator=(const GroupLease& other316) noexcept {
-  group_id = other316.group_id;
-  epoch = other316.epoch;
-  load = other316.load;
-  __isset = other316.__isset;
+GroupLease& GroupLease::operator=(const GroupLease& other320) noexcept {
+  group_id = other320.group_id;
+  epoch = other320.epoch;
+  load = other320.load;
+  __isset = other320.__isset;
   return *this;
 }
-GroupLease& GroupLease::operator=(GroupLease&& other317) noexcept {
-  group_id = other317.group_id;
-  epoch = other317.epoch;
-  load = other317.load;
-  __isset = other317.__isset;
+GroupLease& GroupLease::operator=(GroupLease&& other321) noexcept {
+  group_id = other321.group_id;
+  epoch = other321.epoch;
+  load = other321.load;
+  __isset = other321.__isset;
   return *this;
 }
 void GroupLease::printTo(std::ostream& out) const {
@@ -8644,26 +8927,26 @@
   swap(a.__isset, b.__isset);
 }
 
-TenantBudget::TenantBudget(const TenantBudget& other318) {
-  tenant = other318.tenant;
-  concurrent = other318.concurrent;
-  __isset = other318.__isset;
+TenantBudget::TenantBudget(const TenantBudget& other322) {
+  tenant = other322.tenant;
+  concurrent = other322.concurrent;
+  __isset = other322.__isset;
 }
-TenantBudget::TenantBudget(TenantBudget&& other319) noexcept {
-  tenant = std::move(other319.tenant);
-  concurrent = other319.concurrent;
-  __isset = other319.__isset;
+TenantBudget::TenantBudget(TenantBudget&& other323) noexcept {
+  tenant = std::move(other323.tenant);
+  concurrent = other323.concurrent;
+  __isset = other323.__isset;
 }
-TenantBudget& TenantBudget::operator=(const TenantBudget& other320) {
-  tenant = other320.tenant;
-  concurrent = other320.concurrent;
-  __isset = other320.__isset;
+TenantBudget& TenantBudget::operator=(const TenantBudget& other324) {
+  tenant = other324.tenant;
+  concurrent = other324.concurrent;
+  __isset = other324.__isset;
   return *this;
 }
-TenantBudget& TenantBudget::operator=(TenantBudget&& other321) noexcept {
-  tenant = std::move(other321.tenant);
-  concurrent = other321.concurrent;
-  __isset = other321.__isset;
+TenantBudget& TenantBudget::operator=(TenantBudget&& other325) noexcept {
+  tenant = std::move(other325.tenant);
+  concurrent = other325.concurrent;
+  __isset = other325.__isset;
   return *this;
 }
 void TenantBudget::printTo(std::ostream& out) const {
@@ -8767,26 +9050,26 @@
   swap(a.__isset, b.__isset);
 }
 
-WatchTarget::WatchTarget(const WatchTarget& other322) {
-  machine = other322.machine;
-  endpoint = other322.endpoint;
-  __isset = other322.__isset;
+WatchTarget::WatchTarget(const WatchTarget& other326) {
+  machine = other326.machine;
+  endpoint = other326.endpoint;
+  __isset = other326.__isset;
 }
-WatchTarget::WatchTarget(WatchTarget&& other323) noexcept {
-  machine = std::move(other323.machine);
-  endpoint = std::move(other323.endpoint);
-  __isset = other323.__isset;
+WatchTarget::WatchTarget(WatchTarget&& other327) noexcept {
+  machine = std::move(other327.machine);
+  endpoint = std::move(other327.endpoint);
+  __isset = other327.__isset;
 }
-WatchTarget& WatchTarget::operator=(const WatchTarget& other324) {
-  machine = other324.machine;
-  endpoint = other324.endpoint;
-  __isset = other324.__isset;
+WatchTarget& WatchTarget::operator=(const WatchTarget& other328) {
+  machine = other328.machine;
+  endpoint = other328.endpoint;
+  __isset = other328.__isset;
   return *this;
 }
-WatchTarget& WatchTarget::operator=(WatchTarget&& other325) noexcept {
-  machine = std::move(other325.machine);
-  endpoint = std::move(other325.endpoint);
-  __isset = other325.__isset;
+WatchTarget& WatchTarget::operator=(WatchTarget&& other329) noexcept {
+  machine = std::move(other329.machine);
+  endpoint = std::move(other329.endpoint);
+  __isset = other329.__isset;
   return *this;
 }
 void WatchTarget::printTo(std::ostream& out) const {
@@ -8933,14 +9216,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->records.clear();
-            uint32_t _size326;
-            ::apache::thrift::protocol::TType _etype329;
-            xfer += iprot->readListBegin(_etype329, _size326);
-            this->records.resize(_size326);
-            uint32_t _i330;
-            for (_i330 = 0; _i330 < _size326; ++_i330)
+            uint32_t _size330;
+            ::apache::thrift::protocol::TType _etype333;
+            xfer += iprot->readListBegin(_etype333, _size330);
+            this->records.resize(_size330);
+            uint32_t _i334;
+            for (_i334 = 0; _i334 < _size330; ++_i334)
             {
-              xfer += this->records[_i330].read(iprot);
+              xfer += this->records[_i334].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -8961,14 +9244,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->leases.clear();
-            uint32_t _size331;
-            ::apache::thrift::protocol::TType _etype334;
-            xfer += iprot->readListBegin(_etype334, _size331);
-            this->leases.resize(_size331);
-            uint32_t _i335;
-            for (_i335 = 0; _i335 < _size331; ++_i335)
+            uint32_t _size335;
+            ::apache::thrift::protocol::TType _etype338;
+            xfer += iprot->readListBegin(_etype338, _size335);
+            this->leases.resize(_size335);
+            uint32_t _i339;
+            for (_i339 = 0; _i339 < _size335; ++_i339)
             {
-              xfer += this->leases[_i335].read(iprot);
+              xfer += this->leases[_i339].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -8981,14 +9264,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->budgets.clear();
-            uint32_t _size336;
-            ::apache::thrift::protocol::TType _etype339;
-            xfer += iprot->readListBegin(_etype339, _size336);
-            this->budgets.resize(_size336);
-            uint32_t _i340;
-            for (_i340 = 0; _i340 < _size336; ++_i340)
+            uint32_t _size340;
+            ::apache::thrift::protocol::TType _etype343;
+            xfer += iprot->readListBegin(_etype343, _size340);
+            this->budgets.resize(_size340);
+            uint32_t _i344;
+            for (_i344 = 0; _i344 < _size340; ++_i344)
             {
-              xfer += this->budgets[_i340].read(iprot);
+              xfer += this->budgets[_i344].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -9009,14 +9292,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->watches.clear();
-            uint32_t _size341;
-            ::apache::thrift::protocol::TType _etype344;
-            xfer += iprot->readListBegin(_etype344, _size341);
-            this->watches.resize(_size341);
-            uint32_t _i345;
-            for (_i345 = 0; _i345 < _size341; ++_i345)
+            uint32_t _size345;
+            ::apache::thrift::protocol::TType _etype348;
+            xfer += iprot->readListBegin(_etype348, _size345);
+            this->watches.resize(_size345);
+            uint32_t _i349;
+            for (_i349 = 0; _i349 < _size345; ++_i349)
             {
-              xfer += this->watches[_i345].read(iprot);
+              xfer += this->watches[_i349].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -9077,10 +9360,10 @@
   xfer += oprot->writeFieldBegin("records", ::apache::thrift::protocol::T_LIST, 7);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->records.size()));
-    std::vector<Record> ::const_iterator _iter346;
-    for (_iter346 = this->records.begin(); _iter346 != this->records.end(); ++_iter346)
+    std::vector<Record> ::const_iterator _iter350;
+    for (_iter350 = this->records.begin(); _iter350 != this->records.end(); ++_iter350)
     {
-      xfer += (*_iter346).write(oprot);
+      xfer += (*_iter350).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -9093,10 +9376,10 @@
   xfer += oprot->writeFieldBegin("leases", ::apache::thrift::protocol::T_LIST, 9);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->leases.size()));
-    std::vector<GroupLease> ::const_iterator _iter347;
-    for (_iter347 = this->leases.begin(); _iter347 != this->leases.end(); ++_iter347)
+    std::vector<GroupLease> ::const_iterator _iter351;
+    for (_iter351 = this->leases.begin(); _iter351 != this->leases.end(); ++_iter351)
     {
-      xfer += (*_iter347).write(oprot);
+      xfer += (*_iter351).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -9105,10 +9388,10 @@
   xfer += oprot->writeFieldBegin("budgets", ::apache::thrift::protocol::T_LIST, 10);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->budgets.size()));
-    std::vector<TenantBudget> ::const_iterator _iter348;
-    for (_iter348 = this->budgets.begin(); _iter348 != this->budgets.end(); ++_iter348)
+    std::vector<TenantBudget> ::const_iterator _iter352;
+    for (_iter352 = this->budgets.begin(); _iter352 != this->budgets.end(); ++_iter352)
     {
-      xfer += (*_iter348).write(oprot);
+      xfer += (*_iter352).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -9121,10 +9404,10 @@
   xfer += oprot->writeFieldBegin("watches", ::apache::thrift::protocol::T_LIST, 12);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->watches.size()));
-    std::vector<WatchTarget> ::const_iterator _iter349;
-    for (_iter349 = this->watches.begin(); _iter349 != this->watches.end(); ++_iter349)
+    std::vector<WatchTarget> ::const_iterator _iter353;
+    for (_iter353 = this->watches.begin(); _iter353 != this->watches.end(); ++_iter353)
     {
-      xfer += (*_iter349).write(oprot);
+      xfer += (*_iter353).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -9157,70 +9440,70 @@
   swap(a.__isset, b.__isset);
 }
 
-HeartbeatReply::HeartbeatReply(const HeartbeatReply& other350) {
-  sequence = other350.sequence;
-  not_leader = other350.not_leader;
-  leader = other350.leader;
-  term = other350.term;
-  revision = other350.revision;
-  full = other350.full;
-  records = other350.records;
-  lease_ms = other350.lease_ms;
-  leases = other350.leases;
-  budgets = other350.budgets;
-  watch_version = other350.watch_version;
-  watches = other350.watches;
-  serve_lease_ms = other350.serve_lease_ms;
-  __isset = other350.__isset;
-}
-HeartbeatReply::HeartbeatReply(HeartbeatReply&& other351) noexcept {
-  sequence = other351.sequence;
-  not_leader = other351.not_leader;
-  leader = std::move(other351.leader);
-  term = other351.term;
-  revision = other351.revision;
-  full = other351.full;
-  records = std::move(other351.records);
-  lease_ms = other351.lease_ms;
-  leases = std::move(other351.leases);
-  budgets = std::move(other351.budgets);
-  watch_version = other351.watch_version;
-  watches = std::move(other351.watches);
-  serve_lease_ms = other351.serve_lease_ms;
-  __isset = other351.__isset;
-}
-HeartbeatReply& HeartbeatReply::operator=(const HeartbeatReply& other352) {
-  sequence = other352.sequence;
-  not_leader = other352.not_leader;
-  leader = other352.leader;
-  term = other352.term;
-  revision = other352.revision;
-  full = other352.full;
-  records = other352.records;
-  lease_ms = other352.lease_ms;
-  leases = other352.leases;
-  budgets = other352.budgets;
-  watch_version = other352.watch_version;
-  watches = other352.watches;
-  serve_lease_ms = other352.serve_lease_ms;
-  __isset = other352.__isset;
-  return *this;
-}
-HeartbeatReply& HeartbeatReply::operator=(HeartbeatReply&& other353) noexcept {
-  sequence = other353.sequence;
-  not_leader = other353.not_leader;
-  leader = std::move(other353.leader);
-  term = other353.term;
-  revision = other353.revision;
-  full = other353.full;
-  records = std::move(other353.records);
-  lease_ms = other353.lease_ms;
-  leases = std::move(other353.leases);
-  budgets = std::move(other353.budgets);
-  watch_version = other353.watch_version;
-  watches = std::move(other353.watches);
-  serve_lease_ms = other353.serve_lease_ms;
-  __isset = other353.__isset;
+HeartbeatReply::HeartbeatReply(const HeartbeatReply& other354) {
+  sequence = other354.sequence;
+  not_leader = other354.not_leader;
+  leader = other354.leader;
+  term = other354.term;
+  revision = other354.revision;
+  full = other354.full;
+  records = other354.records;
+  lease_ms = other354.lease_ms;
+  leases = other354.leases;
+  budgets = other354.budgets;
+  watch_version = other354.watch_version;
+  watches = other354.watches;
+  serve_lease_ms = other354.serve_lease_ms;
+  __isset = other354.__isset;
+}
+HeartbeatReply::HeartbeatReply(HeartbeatReply&& other355) noexcept {
+  sequence = other355.sequence;
+  not_leader = other355.not_leader;
+  leader = std::move(other355.leader);
+  term = other355.term;
+  revision = other355.revision;
+  full = other355.full;
+  records = std::move(other355.records);
+  lease_ms = other355.lease_ms;
+  leases = std::move(other355.leases);
+  budgets = std::move(other355.budgets);
+  watch_version = other355.watch_version;
+  watches = std::move(other355.watches);
+  serve_lease_ms = other355.serve_lease_ms;
+  __isset = other355.__isset;
+}
+HeartbeatReply& HeartbeatReply::operator=(const HeartbeatReply& other356) {
+  sequence = other356.sequence;
+  not_leader = other356.not_leader;
+  leader = other356.leader;
+  term = other356.term;
+  revision = other356.revision;
+  full = other356.full;
+  records = other356.records;
+  lease_ms = other356.lease_ms;
+  leases = other356.leases;
+  budgets = other356.budgets;
+  watch_version = other356.watch_version;
+  watches = other356.watches;
+  serve_lease_ms = other356.serve_lease_ms;
+  __isset = other356.__isset;
+  return *this;
+}
+HeartbeatReply& HeartbeatReply::operator=(HeartbeatReply&& other357) noexcept {
+  sequence = other357.sequence;
+  not_leader = other357.not_leader;
+  leader = std::move(other357.leader);
+  term = other357.term;
+  revision = other357.revision;
+  full = other357.full;
+  records = std::move(other357.records);
+  lease_ms = other357.lease_ms;
+  leases = std::move(other357.leases);
+  budgets = std::move(other357.budgets);
+  watch_version = other357.watch_version;
+  watches = std::move(other357.watches);
+  serve_lease_ms = other357.serve_lease_ms;
+  __isset = other357.__isset;
   return *this;
 }
 void HeartbeatReply::printTo(std::ostream& out) const {
@@ -9335,26 +9618,26 @@
   swap(a.__isset, b.__isset);
 }
 
-ClaimRequest::ClaimRequest(const ClaimRequest& other354) {
-  request_id = other354.request_id;
-  claim = other354.claim;
-  __isset = other354.__isset;
+ClaimRequest::ClaimRequest(const ClaimRequest& other358) {
+  request_id = other358.request_id;
+  claim = other358.claim;
+  __isset = other358.__isset;
 }
-ClaimRequest::ClaimRequest(ClaimRequest&& other355) noexcept {
-  request_id = other355.request_id;
-  claim = std::move(other355.claim);
-  __isset = other355.__isset;
+ClaimRequest::ClaimRequest(ClaimRequest&& other359) noexcept {
+  request_id = other359.request_id;
+  claim = std::move(other359.claim);
+  __isset = other359.__isset;
 }
-ClaimRequest& ClaimRequest::operator=(const ClaimRequest& other356) {
-  request_id = other356.request_id;
-  claim = other356.claim;
-  __isset = other356.__isset;
+ClaimRequest& ClaimRequest::operator=(const ClaimRequest& other360) {
+  request_id = other360.request_id;
+  claim = other360.claim;
+  __isset = other360.__isset;
   return *this;
 }
-ClaimRequest& ClaimRequest::operator=(ClaimRequest&& other357) noexcept {
-  request_id = other357.request_id;
-  claim = std::move(other357.claim);
-  __isset = other357.__isset;
+ClaimRequest& ClaimRequest::operator=(ClaimRequest&& other361) noexcept {
+  request_id = other361.request_id;
+  claim = std::move(other361.claim);
+  __isset = other361.__isset;
   return *this;
 }
 void ClaimRequest::printTo(std::ostream& out) const {
@@ -9509,38 +9792,38 @@
   swap(a.__isset, b.__isset);
 }
 
-ClaimReply::ClaimReply(const ClaimReply& other358) {
-  request_id = other358.request_id;
-  decided = other358.decided;
-  granted = other358.granted;
-  standing = other358.standing;
-  message = other358.message;
-  __isset = other358.__isset;
-}
-ClaimReply::ClaimReply(ClaimReply&& other359) noexcept {
-  request_id = other359.request_id;
-  decided = other359.decided;
-  granted = other359.granted;
-  standing = std::move(other359.standing);
-  message = std::move(other359.message);
-  __isset = other359.__isset;
+ClaimReply::ClaimReply(const ClaimReply& other362) {
+  request_id = other362.request_id;
+  decided = other362.decided;
+  granted = other362.granted;
+  standing = other362.standing;
+  message = other362.message;
+  __isset = other362.__isset;
 }
-ClaimReply& ClaimReply::operator=(const ClaimReply& other360) {
-  request_id = other360.request_id;
-  decided = other360.decided;
-  granted = other360.granted;
-  standing = other360.standing;
-  message = other360.message;
-  __isset = other360.__isset;
+ClaimReply::ClaimReply(ClaimReply&& other363) noexcept {
+  request_id = other363.request_id;
+  decided = other363.decided;
+  granted = other363.granted;
+  standing = std::move(other363.standing);
+  message = std::move(other363.message);
+  __isset = other363.__isset;
+}
+ClaimReply& ClaimReply::operator=(const ClaimReply& other364) {
+  request_id = other364.request_id;
+  decided = other364.decided;
+  granted = other364.granted;
+  standing = other364.standing;
+  message = other364.message;
+  __isset = other364.__isset;
   return *this;
 }
-ClaimReply& ClaimReply::operator=(ClaimReply&& other361) noexcept {
-  request_id = other361.request_id;
-  decided = other361.decided;
-  granted = other361.granted;
-  standing = std::move(other361.standing);
-  message = std::move(other361.message);
-  __isset = other361.__isset;
+ClaimReply& ClaimReply::operator=(ClaimReply&& other365) noexcept {
+  request_id = other365.request_id;
+  decided = other365.decided;
+  granted = other365.granted;
+  standing = std::move(other365.standing);
+  message = std::move(other365.message);
+  __isset = other365.__isset;
   return *this;
 }
 void ClaimReply::printTo(std::ostream& out) const {
@@ -9647,26 +9930,26 @@
   swap(a.__isset, b.__isset);
 }
 
-ResolutionRequest::ResolutionRequest(const ResolutionRequest& other362) {
-  request_id = other362.request_id;
-  resolution = other362.resolution;
-  __isset = other362.__isset;
+ResolutionRequest::ResolutionRequest(const ResolutionRequest& other366) {
+  request_id = other366.request_id;
+  resolution = other366.resolution;
+  __isset = other366.__isset;
 }
-ResolutionRequest::ResolutionRequest(ResolutionRequest&& other363) noexcept {
-  request_id = other363.request_id;
-  resolution = std::move(other363.resolution);
-  __isset = other363.__isset;
+ResolutionRequest::ResolutionRequest(ResolutionRequest&& other367) noexcept {
+  request_id = other367.request_id;
+  resolution = std::move(other367.resolution);
+  __isset = other367.__isset;
 }
-ResolutionRequest& ResolutionRequest::operator=(const ResolutionRequest& other364) {
-  request_id = other364.request_id;
-  resolution = other364.resolution;
-  __isset = other364.__isset;
+ResolutionRequest& ResolutionRequest::operator=(const ResolutionRequest& other368) {
+  request_id = other368.request_id;
+  resolution = other368.resolution;
+  __isset = other368.__isset;
   return *this;
 }
-ResolutionRequest& ResolutionRequest::operator=(ResolutionRequest&& other365) noexcept {
-  request_id = other365.request_id;
-  resolution = std::move(other365.resolution);
-  __isset = other365.__isset;
+ResolutionRequest& ResolutionRequest::operator=(ResolutionRequest&& other369) noexcept {
+  request_id = other369.request_id;
+  resolution = std::move(other369.resolution);
+  __isset = other369.__isset;
   return *this;
 }
 void ResolutionRequest::printTo(std::ostream& out) const {
@@ -9753,22 +10036,22 @@
   swap(a.__isset, b.__isset);
 }
 
-ResolutionReply::ResolutionReply(const ResolutionReply& other366) noexcept {
-  request_id = other366.request_id;
-  __isset = other366.__isset;
+ResolutionReply::ResolutionReply(const ResolutionReply& other370) noexcept {
+  request_id = other370.request_id;
+  __isset = other370.__isset;
 }
-ResolutionReply::ResolutionReply(ResolutionReply&& other367) noexcept {
-  request_id = other367.request_id;
-  __isset = other367.__isset;
+ResolutionReply::ResolutionReply(ResolutionReply&& other371) noexcept {
+  request_id = other371.request_id;
+  __isset = other371.__isset;
 }
-ResolutionReply& ResolutionReply::operator=(const ResolutionReply& other368) noexcept {
-  request_id = other368.request_id;
-  __isset = other368.__isset;
+ResolutionReply& ResolutionReply::operator=(const ResolutionReply& other372) noexcept {
+  request_id = other372.request_id;
+  __isset = other372.__isset;
   return *this;
 }
-ResolutionReply& ResolutionReply::operator=(ResolutionReply&& other369) noexcept {
-  request_id = other369.request_id;
-  __isset = other369.__isset;
+ResolutionReply& ResolutionReply::operator=(ResolutionReply&& other373) noexcept {
+  request_id = other373.request_id;
+  __isset = other373.__isset;
   return *this;
 }
 void ResolutionReply::printTo(std::ostream& out) const {
@@ -9850,9 +10133,9 @@
         break;
       case 2:
         if (ftype == ::apache::thrift::protocol::T_I32) {
-          int32_t ecast370;
-          xfer += iprot->readI32(ecast370);
-          this->action = static_cast<OperatorAction::type>(ecast370);
+          int32_t ecast374;
+          xfer += iprot->readI32(ecast374);
+          this->action = static_cast<OperatorAction::type>(ecast374);
           this->__isset.action = true;
         } else {
           xfer += iprot->skip(ftype);
@@ -9962,46 +10245,46 @@
   swap(a.__isset, b.__isset);
 }
 
-OperatorRequest::OperatorRequest(const OperatorRequest& other371) {
-  request_id = other371.request_id;
-  action = other371.action;
-  change = other371.change;
-  dry_run = other371.dry_run;
-  prefix = other371.prefix;
-  drain = other371.drain;
-  minimum_revision = other371.minimum_revision;
-  __isset = other371.__isset;
+OperatorRequest::OperatorRequest(const OperatorRequest& other375) {
+  request_id = other375.request_id;
+  action = other375.action;
+  change = other375.change;
+  dry_run = other375.dry_run;
+  prefix = other375.prefix;
+  drain = other375.drain;
+  minimum_revision = other375.minimum_revision;
+  __isset = other375.__isset;
 }
-OperatorRequest::OperatorRequest(OperatorRequest&& other372) noexcept {
-  request_id = other372.request_id;
-  action = other372.action;
-  change = std::move(other372.change);
-  dry_run = other372.dry_run;
-  prefix = std::move(other372.prefix);
-  drain = std::move(other372.drain);
-  minimum_revision = other372.minimum_revision;
-  __isset = other372.__isset;
+OperatorRequest::OperatorRequest(OperatorRequest&& other376) noexcept {
+  request_id = other376.request_id;
+  action = other376.action;
+  change = std::move(other376.change);
+  dry_run = other376.dry_run;
+  prefix = std::move(other376.prefix);
+  drain = std::move(other376.drain);
+  minimum_revision = other376.minimum_revision;
+  __isset = other376.__isset;
 }
-OperatorRequest& OperatorRequest::operator=(const OperatorRequest& other373) {
-  request_id = other373.request_id;
-  action = other373.action;
-  change = other373.change;
-  dry_run = other373.dry_run;
-  prefix = other373.prefix;
-  drain = other373.drain;
-  minimum_revision = other373.minimum_revision;
-  __isset = other373.__isset;
+OperatorRequest& OperatorRequest::operator=(const OperatorRequest& other377) {
+  request_id = other377.request_id;
+  action = other377.action;
+  change = other377.change;
+  dry_run = other377.dry_run;
+  prefix = other377.prefix;
+  drain = other377.drain;
+  minimum_revision = other377.minimum_revision;
+  __isset = other377.__isset;
   return *this;
 }
-OperatorRequest& OperatorRequest::operator=(OperatorRequest&& other374) noexcept {
-  request_id = other374.request_id;
-  action = other374.action;
-  change = std::move(other374.change);
-  dry_run = other374.dry_run;
-  prefix = std::move(other374.prefix);
-  drain = std::move(other374.drain);
-  minimum_revision = other374.minimum_revision;
-  __isset = other374.__isset;
+OperatorRequest& OperatorRequest::operator=(OperatorRequest&& other378) noexcept {
+  request_id = other378.request_id;
+  action = other378.action;
+  change = std::move(other378.change);
+  dry_run = other378.dry_run;
+  prefix = std::move(other378.prefix);
+  drain = std::move(other378.drain);
+  minimum_revision = other378.minimum_revision;
+  __isset = other378.__isset;
   return *this;
 }
 void OperatorRequest::printTo(std::ostream& out) const {
@@ -10212,50 +10495,50 @@
   swap(a.__isset, b.__isset);
 }
 
-NodeStatus::NodeStatus(const NodeStatus& other375) {
-  node = other375.node;
-  zone = other375.zone;
-  incarnation = other375.incarnation;
-  revision = other375.revision;
-  live = other375.live;
-  leaving = other375.leaving;
-  replica_id = other375.replica_id;
-  service_address = other375.service_address;
-  __isset = other375.__isset;
-}
-NodeStatus::NodeStatus(NodeStatus&& other376) noexcept {
-  node = std::move(other376.node);
-  zone = std::move(other376.zone);
-  incarnation = other376.incarnation;
-  revision = other376.revision;
-  live = other376.live;
-  leaving = other376.leaving;
-  replica_id = other376.replica_id;
-  service_address = std::move(other376.service_address);
-  __isset = other376.__isset;
-}
-NodeStatus& NodeStatus::operator=(const NodeStatus& other377) {
-  node = other377.node;
-  zone = other377.zone;
-  incarnation = other377.incarnation;
-  revision = other377.revision;
-  live = other377.live;
-  leaving = other377.leaving;
-  replica_id = other377.replica_id;
-  service_address = other377.service_address;
-  __isset = other377.__isset;
+NodeStatus::NodeStatus(const NodeStatus& other379) {
+  node = other379.node;
+  zone = other379.zone;
+  incarnation = other379.incarnation;
+  revision = other379.revision;
+  live = other379.live;
+  leaving = other379.leaving;
+  replica_id = other379.replica_id;
+  service_address = other379.service_address;
+  __isset = other379.__isset;
+}
+NodeStatus::NodeStatus(NodeStatus&& other380) noexcept {
+  node = std::move(other380.node);
+  zone = std::move(other380.zone);
+  incarnation = other380.incarnation;
+  revision = other380.revision;
+  live = other380.live;
+  leaving = other380.leaving;
+  replica_id = other380.replica_id;
+  service_address = std::move(other380.service_address);
+  __isset = other380.__isset;
+}
+NodeStatus& NodeStatus::operator=(const NodeStatus& other381) {
+  node = other381.node;
+  zone = other381.zone;
+  incarnation = other381.incarnation;
+  revision = other381.revision;
+  live = other381.live;
+  leaving = other381.leaving;
+  replica_id = other381.replica_id;
+  service_address = other381.service_address;
+  __isset = other381.__isset;
   return *this;
 }
-NodeStatus& NodeStatus::operator=(NodeStatus&& other378) noexcept {
-  node = std::move(other378.node);
-  zone = std::move(other378.zone);
-  incarnation = other378.incarnation;
-  revision = other378.revision;
-  live = other378.live;
-  leaving = other378.leaving;
-  replica_id = other378.replica_id;
-  service_address = std::move(other378.service_address);
-  __isset = other378.__isset;
+NodeStatus& NodeStatus::operator=(NodeStatus&& other382) noexcept {
+  node = std::move(other382.node);
+  zone = std::move(other382.zone);
+  incarnation = other382.incarnation;
+  revision = other382.revision;
+  live = other382.live;
+  leaving = other382.leaving;
+  replica_id = other382.replica_id;
+  service_address = std::move(other382.service_address);
+  __isset = other382.__isset;
   return *this;
 }
 void NodeStatus::printTo(std::ostream& out) const {
@@ -10372,14 +10655,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->nodes.clear();
-            uint32_t _size379;
-            ::apache::thrift::protocol::TType _etype382;
-            xfer += iprot->readListBegin(_etype382, _size379);
-            this->nodes.resize(_size379);
-            uint32_t _i383;
-            for (_i383 = 0; _i383 < _size379; ++_i383)
+            uint32_t _size383;
+            ::apache::thrift::protocol::TType _etype386;
+            xfer += iprot->readListBegin(_etype386, _size383);
+            this->nodes.resize(_size383);
+            uint32_t _i387;
+            for (_i387 = 0; _i387 < _size383; ++_i387)
             {
-              xfer += this->nodes[_i383].read(iprot);
+              xfer += this->nodes[_i387].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -10392,14 +10675,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->machines.clear();
-            uint32_t _size384;
-            ::apache::thrift::protocol::TType _etype387;
-            xfer += iprot->readListBegin(_etype387, _size384);
-            this->machines.resize(_size384);
-            uint32_t _i388;
-            for (_i388 = 0; _i388 < _size384; ++_i388)
+            uint32_t _size388;
+            ::apache::thrift::protocol::TType _etype391;
+            xfer += iprot->readListBegin(_etype391, _size388);
+            this->machines.resize(_size388);
+            uint32_t _i392;
+            for (_i392 = 0; _i392 < _size388; ++_i392)
             {
-              xfer += this->machines[_i388].read(iprot);
+              xfer += this->machines[_i392].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -10412,14 +10695,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->groups.clear();
-            uint32_t _size389;
-            ::apache::thrift::protocol::TType _etype392;
-            xfer += iprot->readListBegin(_etype392, _size389);
-            this->groups.resize(_size389);
-            uint32_t _i393;
-            for (_i393 = 0; _i393 < _size389; ++_i393)
+            uint32_t _size393;
+            ::apache::thrift::protocol::TType _etype396;
+            xfer += iprot->readListBegin(_etype396, _size393);
+            this->groups.resize(_size393);
+            uint32_t _i397;
+            for (_i397 = 0; _i397 < _size393; ++_i397)
             {
-              xfer += this->groups[_i393].read(iprot);
+              xfer += this->groups[_i397].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -10472,10 +10755,10 @@
   xfer += oprot->writeFieldBegin("nodes", ::apache::thrift::protocol::T_LIST, 5);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->nodes.size()));
-    std::vector<NodeStatus> ::const_iterator _iter394;
-    for (_iter394 = this->nodes.begin(); _iter394 != this->nodes.end(); ++_iter394)
+    std::vector<NodeStatus> ::const_iterator _iter398;
+    for (_iter398 = this->nodes.begin(); _iter398 != this->nodes.end(); ++_iter398)
     {
-      xfer += (*_iter394).write(oprot);
+      xfer += (*_iter398).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -10484,10 +10767,10 @@
   xfer += oprot->writeFieldBegin("machines", ::apache::thrift::protocol::T_LIST, 6);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->machines.size()));
-    std::vector<Machine> ::const_iterator _iter395;
-    for (_iter395 = this->machines.begin(); _iter395 != this->machines.end(); ++_iter395)
+    std::vector<Machine> ::const_iterator _iter399;
+    for (_iter399 = this->machines.begin(); _iter399 != this->machines.end(); ++_iter399)
     {
-      xfer += (*_iter395).write(oprot);
+      xfer += (*_iter399).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -10496,10 +10779,10 @@
   xfer += oprot->writeFieldBegin("groups", ::apache::thrift::protocol::T_LIST, 7);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->groups.size()));
-    std::vector<Group> ::const_iterator _iter396;
-    for (_iter396 = this->groups.begin(); _iter396 != this->groups.end(); ++_iter396)
+    std::vector<Group> ::const_iterator _iter400;
+    for (_iter400 = this->groups.begin(); _iter400 != this->groups.end(); ++_iter400)
     {
-      xfer += (*_iter396).write(oprot);
+      xfer += (*_iter400).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -10527,50 +10810,50 @@
   swap(a.__isset, b.__isset);
 }
 
-StatusReport::StatusReport(const StatusReport& other397) {
-  leader = other397.leader;
-  term = other397.term;
-  commit_index = other397.commit_index;
-  replicas = other397.replicas;
-  nodes = other397.nodes;
-  machines = other397.machines;
-  groups = other397.groups;
-  stranded_accelerators = other397.stranded_accelerators;
-  __isset = other397.__isset;
-}
-StatusReport::StatusReport(StatusReport&& other398) noexcept {
-  leader = std::move(other398.leader);
-  term = other398.term;
-  commit_index = other398.commit_index;
-  replicas = std::move(other398.replicas);
-  nodes = std::move(other398.nodes);
-  machines = std::move(other398.machines);
-  groups = std::move(other398.groups);
-  stranded_accelerators = other398.stranded_accelerators;
-  __isset = other398.__isset;
-}
-StatusReport& StatusReport::operator=(const StatusReport& other399) {
-  leader = other399.leader;
-  term = other399.term;
-  commit_index = other399.commit_index;
-  replicas = other399.replicas;
-  nodes = other399.nodes;
-  machines = other399.machines;
-  groups = other399.groups;
-  stranded_accelerators = other399.stranded_accelerators;
-  __isset = other399.__isset;
-  return *this;
-}
-StatusReport& StatusReport::operator=(StatusReport&& other400) noexcept {
-  leader = std::move(other400.leader);
-  term = other400.term;
-  commit_index = other400.commit_index;
-  replicas = std::move(other400.replicas);
-  nodes = std::move(other400.nodes);
-  machines = std::move(other400.machines);
-  groups = std::move(other400.groups);
-  stranded_accelerators = other400.stranded_accelerators;
-  __isset = other400.__isset;
+StatusReport::StatusReport(const StatusReport& other401) {
+  leader = other401.leader;
+  term = other401.term;
+  commit_index = other401.commit_index;
+  replicas = other401.replicas;
+  nodes = other401.nodes;
+  machines = other401.machines;
+  groups = other401.groups;
+  stranded_accelerators = other401.stranded_accelerators;
+  __isset = other401.__isset;
+}
+StatusReport::StatusReport(StatusReport&& other402) noexcept {
+  leader = std::move(other402.leader);
+  term = other402.term;
+  commit_index = other402.commit_index;
+  replicas = std::move(other402.replicas);
+  nodes = std::move(other402.nodes);
+  machines = std::move(other402.machines);
+  groups = std::move(other402.groups);
+  stranded_accelerators = other402.stranded_accelerators;
+  __isset = other402.__isset;
+}
+StatusReport& StatusReport::operator=(const StatusReport& other403) {
+  leader = other403.leader;
+  term = other403.term;
+  commit_index = other403.commit_index;
+  replicas = other403.replicas;
+  nodes = other403.nodes;
+  machines = other403.machines;
+  groups = other403.groups;
+  stranded_accelerators = other403.stranded_accelerators;
+  __isset = other403.__isset;
+  return *this;
+}
+StatusReport& StatusReport::operator=(StatusReport&& other404) noexcept {
+  leader = std::move(other404.leader);
+  term = other404.term;
+  commit_index = other404.commit_index;
+  replicas = std::move(other404.replicas);
+  nodes = std::move(other404.nodes);
+  machines = std::move(other404.machines);
+  groups = std::move(other404.groups);
+  stranded_accelerators = other404.stranded_accelerators;
+  __isset = other404.__isset;
   return *this;
 }
 void StatusReport::printTo(std::ostream& out) const {
@@ -10700,14 +10983,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->missing_nodes.clear();
-            uint32_t _size401;
-            ::apache::thrift::protocol::TType _etype404;
-            xfer += iprot->readListBegin(_etype404, _size401);
-            this->missing_nodes.resize(_size401);
-            uint32_t _i405;
-            for (_i405 = 0; _i405 < _size401; ++_i405)
+            uint32_t _size405;
+            ::apache::thrift::protocol::TType _etype408;
+            xfer += iprot->readListBegin(_etype408, _size405);
+            this->missing_nodes.resize(_size405);
+            uint32_t _i409;
+            for (_i409 = 0; _i409 < _size405; ++_i409)
             {
-              xfer += iprot->readString(this->missing_nodes[_i405]);
+              xfer += iprot->readString(this->missing_nodes[_i409]);
             }
             xfer += iprot->readListEnd();
           }
@@ -10720,14 +11003,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->records.clear();
-            uint32_t _size406;
-            ::apache::thrift::protocol::TType _etype409;
-            xfer += iprot->readListBegin(_etype409, _size406);
-            this->records.resize(_size406);
-            uint32_t _i410;
-            for (_i410 = 0; _i410 < _size406; ++_i410)
+            uint32_t _size410;
+            ::apache::thrift::protocol::TType _etype413;
+            xfer += iprot->readListBegin(_etype413, _size410);
+            this->records.resize(_size410);
+            uint32_t _i414;
+            for (_i414 = 0; _i414 < _size410; ++_i414)
             {
-              xfer += this->records[_i410].read(iprot);
+              xfer += this->records[_i414].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -10740,14 +11023,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->audit.clear();
-            uint32_t _size411;
-            ::apache::thrift::protocol::TType _etype414;
-            xfer += iprot->readListBegin(_etype414, _size411);
-            this->audit.resize(_size411);
-            uint32_t _i415;
-            for (_i415 = 0; _i415 < _size411; ++_i415)
+            uint32_t _size415;
+            ::apache::thrift::protocol::TType _etype418;
+            xfer += iprot->readListBegin(_etype418, _size415);
+            this->audit.resize(_size415);
+            uint32_t _i419;
+            for (_i419 = 0; _i419 < _size415; ++_i419)
             {
-              xfer += this->audit[_i415].read(iprot);
+              xfer += this->audit[_i419].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -10804,10 +11087,10 @@
   xfer += oprot->writeFieldBegin("missing_nodes", ::apache::thrift::protocol::T_LIST, 6);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->missing_nodes.size()));
-    std::vector<std::string> ::const_iterator _iter416;
-    for (_iter416 = this->missing_nodes.begin(); _iter416 != this->missing_nodes.end(); ++_iter416)
+    std::vector<std::string> ::const_iterator _iter420;
+    for (_iter420 = this->missing_nodes.begin(); _iter420 != this->missing_nodes.end(); ++_iter420)
     {
-      xfer += oprot->writeString((*_iter416));
+      xfer += oprot->writeString((*_iter420));
     }
     xfer += oprot->writeListEnd();
   }
@@ -10816,10 +11099,10 @@
   xfer += oprot->writeFieldBegin("records", ::apache::thrift::protocol::T_LIST, 7);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->records.size()));
-    std::vector<Record> ::const_iterator _iter417;
-    for (_iter417 = this->records.begin(); _iter417 != this->records.end(); ++_iter417)
+    std::vector<Record> ::const_iterator _iter421;
+    for (_iter421 = this->records.begin(); _iter421 != this->records.end(); ++_iter421)
     {
-      xfer += (*_iter417).write(oprot);
+      xfer += (*_iter421).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -10828,10 +11111,10 @@
   xfer += oprot->writeFieldBegin("audit", ::apache::thrift::protocol::T_LIST, 8);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->audit.size()));
-    std::vector<AuditRecord> ::const_iterator _iter418;
-    for (_iter418 = this->audit.begin(); _iter418 != this->audit.end(); ++_iter418)
+    std::vector<AuditRecord> ::const_iterator _iter422;
+    for (_iter422 = this->audit.begin(); _iter422 != this->audit.end(); ++_iter422)
     {
-      xfer += (*_iter418).write(oprot);
+      xfer += (*_iter422).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -10861,54 +11144,54 @@
   swap(a.__isset, b.__isset);
 }
 
-OperatorReply::OperatorReply(const OperatorReply& other419) {
-  request_id = other419.request_id;
-  not_leader = other419.not_leader;
-  leader = other419.leader;
-  answer = other419.answer;
-  in_force = other419.in_force;
-  missing_nodes = other419.missing_nodes;
-  records = other419.records;
-  audit = other419.audit;
-  status = other419.status;
-  __isset = other419.__isset;
-}
-OperatorReply::OperatorReply(OperatorReply&& other420) noexcept {
-  request_id = other420.request_id;
-  not_leader = other420.not_leader;
-  leader = std::move(other420.leader);
-  answer = std::move(other420.answer);
-  in_force = other420.in_force;
-  missing_nodes = std::move(other420.missing_nodes);
-  records = std::move(other420.records);
-  audit = std::move(other420.audit);
-  status = std::move(other420.status);
-  __isset = other420.__isset;
-}
-OperatorReply& OperatorReply::operator=(const OperatorReply& other421) {
-  request_id = other421.request_id;
-  not_leader = other421.not_leader;
-  leader = other421.leader;
-  answer = other421.answer;
-  in_force = other421.in_force;
-  missing_nodes = other421.missing_nodes;
-  records = other421.records;
-  audit = other421.audit;
-  status = other421.status;
-  __isset = other421.__isset;
-  return *this;
-}
-OperatorReply& OperatorReply::operator=(OperatorReply&& other422) noexcept {
-  request_id = other422.request_id;
-  not_leader = other422.not_leader;
-  leader = std::move(other422.leader);
-  answer = std::move(other422.answer);
-  in_force = other422.in_force;
-  missing_nodes = std::move(other422.missing_nodes);
-  records = std::move(other422.records);
-  audit = std::move(other422.audit);
-  status = std::move(other422.status);
-  __isset = other422.__isset;
+OperatorReply::OperatorReply(const OperatorReply& other423) {
+  request_id = other423.request_id;
+  not_leader = other423.not_leader;
+  leader = other423.leader;
+  answer = other423.answer;
+  in_force = other423.in_force;
+  missing_nodes = other423.missing_nodes;
+  records = other423.records;
+  audit = other423.audit;
+  status = other423.status;
+  __isset = other423.__isset;
+}
+OperatorReply::OperatorReply(OperatorReply&& other424) noexcept {
+  request_id = other424.request_id;
+  not_leader = other424.not_leader;
+  leader = std::move(other424.leader);
+  answer = std::move(other424.answer);
+  in_force = other424.in_force;
+  missing_nodes = std::move(other424.missing_nodes);
+  records = std::move(other424.records);
+  audit = std::move(other424.audit);
+  status = std::move(other424.status);
+  __isset = other424.__isset;
+}
+OperatorReply& OperatorReply::operator=(const OperatorReply& other425) {
+  request_id = other425.request_id;
+  not_leader = other425.not_leader;
+  leader = other425.leader;
+  answer = other425.answer;
+  in_force = other425.in_force;
+  missing_nodes = other425.missing_nodes;
+  records = other425.records;
+  audit = other425.audit;
+  status = other425.status;
+  __isset = other425.__isset;
+  return *this;
+}
+OperatorReply& OperatorReply::operator=(OperatorReply&& other426) noexcept {
+  request_id = other426.request_id;
+  not_leader = other426.not_leader;
+  leader = std::move(other426.leader);
+  answer = std::move(other426.answer);
+  in_force = other426.in_force;
+  missing_nodes = std::move(other426.missing_nodes);
+  records = std::move(other426.records);
+  audit = std::move(other426.audit);
+  status = std::move(other426.status);
+  __isset = other426.__isset;
   return *this;
 }
 void OperatorReply::printTo(std::ostream& out) const {
@@ -10927,74 +11210,230 @@
 }
 
 
-Envelope::~Envelope() noexcept {
+GroupMembership::~GroupMembership() noexcept {
 }
 
 
-void Envelope::__set_from_node(const std::string& val) {
-  this->from_node = val;
+void GroupMembership::__set_group(const std::string& val) {
+  this->group = val;
 }
 
-void Envelope::__set_from_incarnation(const int64_t val) {
-  this->from_incarnation = val;
+void GroupMembership::__set_epoch(const int64_t val) {
+  this->epoch = val;
 }
 
-void Envelope::__set_to_node(const std::string& val) {
-  this->to_node = val;
+void GroupMembership::__set_rank(const int32_t val) {
+  this->rank = val;
 }
 
-void Envelope::__set_raft(const RaftMessage& val) {
-  this->raft = val;
-__isset.raft = true;
+void GroupMembership::__set_state(const MembershipState::type val) {
+  this->state = val;
+}
+std::ostream& operator<<(std::ostream& out, const GroupMembership& obj)
+{
+  obj.printTo(out);
+  return out;
 }
 
-void Envelope::__set_heartbeat(const Heartbeat& val) {
-  this->heartbeat = val;
-__isset.heartbeat = true;
+
+uint32_t GroupMembership::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->group);
+          this->__isset.group = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->epoch);
+          this->__isset.epoch = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->rank);
+          this->__isset.rank = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          int32_t ecast427;
+          xfer += iprot->readI32(ecast427);
+          this->state = static_cast<MembershipState::type>(ecast427);
+          this->__isset.state = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
 }
 
-void Envelope::__set_heartbeat_reply(const HeartbeatReply& val) {
-  this->heartbeat_reply = val;
-__isset.heartbeat_reply = true;
+uint32_t GroupMembership::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("GroupMembership");
+
+  xfer += oprot->writeFieldBegin("group", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->group);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("epoch", ::apache::thrift::protocol::T_I64, 2);
+  xfer += oprot->writeI64(this->epoch);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("rank", ::apache::thrift::protocol::T_I32, 3);
+  xfer += oprot->writeI32(this->rank);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("state", ::apache::thrift::protocol::T_I32, 4);
+  xfer += oprot->writeI32(static_cast<int32_t>(this->state));
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
 }
 
-void Envelope::__set_claim_request(const ClaimRequest& val) {
-  this->claim_request = val;
-__isset.claim_request = true;
+void swap(GroupMembership &a, GroupMembership &b) {
+  using ::std::swap;
+  swap(a.group, b.group);
+  swap(a.epoch, b.epoch);
+  swap(a.rank, b.rank);
+  swap(a.state, b.state);
+  swap(a.__isset, b.__isset);
 }
 
-void Envelope::__set_claim_reply(const ClaimReply& val) {
-  this->claim_reply = val;
-__isset.claim_reply = true;
+GroupMembership::GroupMembership(const GroupMembership& other428) {
+  group = other428.group;
+  epoch = other428.epoch;
+  rank = other428.rank;
+  state = other428.state;
+  __isset = other428.__isset;
+}
+GroupMembership::GroupMembership(GroupMembership&& other429) noexcept {
+  group = std::move(other429.group);
+  epoch = other429.epoch;
+  rank = other429.rank;
+  state = other429.state;
+  __isset = other429.__isset;
+}
+GroupMembership& GroupMembership::operator=(const GroupMembership& other430) {
+  group = other430.group;
+  epoch = other430.epoch;
+  rank = other430.rank;
+  state = other430.state;
+  __isset = other430.__isset;
+  return *this;
+}
+GroupMembership& GroupMembership::operator=(GroupMembership&& other431) noexcept {
+  group = std::move(other431.group);
+  epoch = other431.epoch;
+  rank = other431.rank;
+  state = other431.state;
+  __isset = other431.__isset;
+  return *this;
+}
+void GroupMembership::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "GroupMembership(";
+  out << "group=" << to_string(group);
+  out << ", " << "epoch=" << to_string(epoch);
+  out << ", " << "rank=" << to_string(rank);
+  out << ", " << "state=" << to_string(state);
+  out << ")";
 }
 
-void Envelope::__set_resolution(const ResolutionRequest& val) {
-  this->resolution = val;
-__isset.resolution = true;
+
+Instance::~Instance() noexcept {
 }
 
-void Envelope::__set_operator_request(const OperatorRequest& val) {
-  this->operator_request = val;
-__isset.operator_request = true;
+
+void Instance::__set_id(const std::string& val) {
+  this->id = val;
 }
 
-void Envelope::__set_operator_reply(const OperatorReply& val) {
-  this->operator_reply = val;
-__isset.operator_reply = true;
+void Instance::__set_service_name(const std::string& val) {
+  this->service_name = val;
 }
 
-void Envelope::__set_resolution_reply(const ResolutionReply& val) {
-  this->resolution_reply = val;
-__isset.resolution_reply = true;
+void Instance::__set_address(const std::string& val) {
+  this->address = val;
 }
-std::ostream& operator<<(std::ostream& out, const Envelope& obj)
+
+void Instance::__set_zone(const std::string& val) {
+  this->zone = val;
+}
+
+void Instance::__set_domain(const std::string& val) {
+  this->domain = val;
+}
+
+void Instance::__set_state(const InstanceState::type val) {
+  this->state = val;
+}
+
+void Instance::__set_slots(const int32_t val) {
+  this->slots = val;
+}
+
+void Instance::__set_call_number(const int64_t val) {
+  this->call_number = val;
+}
+
+void Instance::__set_staged_models(const std::vector<std::string> & val) {
+  this->staged_models = val;
+}
+
+void Instance::__set_membership(const GroupMembership& val) {
+  this->membership = val;
+}
+
+void Instance::__set_silent(const bool val) {
+  this->silent = val;
+}
+std::ostream& operator<<(std::ostream& out, const Instance& obj)
 {
   obj.printTo(out);
   return out;
 }
 
 
-uint32_t Envelope::read(::apache::thrift::protocol::TProtocol* iprot) {
+uint32_t Instance::read(::apache::thrift::protocol::TProtocol* iprot) {
 
   ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
   uint32_t xfer = 0;
@@ -11017,75 +11456,2432 @@
     {
       case 1:
         if (ftype == ::apache::thrift::protocol::T_STRING) {
-          xfer += iprot->readString(this->from_node);
-          this->__isset.from_node = true;
+          xfer += iprot->readString(this->id);
+          this->__isset.id = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
       case 2:
-        if (ftype == ::apache::thrift::protocol::T_I64) {
-          xfer += iprot->readI64(this->from_incarnation);
-          this->__isset.from_incarnation = true;
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->service_name);
+          this->__isset.service_name = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
       case 3:
         if (ftype == ::apache::thrift::protocol::T_STRING) {
-          xfer += iprot->readString(this->to_node);
-          this->__isset.to_node = true;
+          xfer += iprot->readString(this->address);
+          this->__isset.address = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
       case 4:
-        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
-          xfer += this->raft.read(iprot);
-          this->__isset.raft = true;
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->zone);
+          this->__isset.zone = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
       case 5:
-        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
-          xfer += this->heartbeat.read(iprot);
-          this->__isset.heartbeat = true;
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->domain);
+          this->__isset.domain = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
       case 6:
-        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
-          xfer += this->heartbeat_reply.read(iprot);
-          this->__isset.heartbeat_reply = true;
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          int32_t ecast432;
+          xfer += iprot->readI32(ecast432);
+          this->state = static_cast<InstanceState::type>(ecast432);
+          this->__isset.state = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
       case 7:
-        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
-          xfer += this->claim_request.read(iprot);
-          this->__isset.claim_request = true;
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->slots);
+          this->__isset.slots = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
       case 8:
-        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
-          xfer += this->claim_reply.read(iprot);
-          this->__isset.claim_reply = true;
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->call_number);
+          this->__isset.call_number = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
       case 9:
-        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
-          xfer += this->resolution.read(iprot);
-          this->__isset.resolution = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->staged_models.clear();
+            uint32_t _size433;
+            ::apache::thrift::protocol::TType _etype436;
+            xfer += iprot->readListBegin(_etype436, _size433);
+            this->staged_models.resize(_size433);
+            uint32_t _i437;
+            for (_i437 = 0; _i437 < _size433; ++_i437)
+            {
+              xfer += iprot->readString(this->staged_models[_i437]);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.staged_models = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 10:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->membership.read(iprot);
+          this->__isset.membership = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 11:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->silent);
+          this->__isset.silent = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t Instance::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("Instance");
+
+  xfer += oprot->writeFieldBegin("id", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->id);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("service_name", ::apache::thrift::protocol::T_STRING, 2);
+  xfer += oprot->writeString(this->service_name);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("address", ::apache::thrift::protocol::T_STRING, 3);
+  xfer += oprot->writeString(this->address);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("zone", ::apache::thrift::protocol::T_STRING, 4);
+  xfer += oprot->writeString(this->zone);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("domain", ::apache::thrift::protocol::T_STRING, 5);
+  xfer += oprot->writeString(this->domain);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("state", ::apache::thrift::protocol::T_I32, 6);
+  xfer += oprot->writeI32(static_cast<int32_t>(this->state));
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("slots", ::apache::thrift::protocol::T_I32, 7);
+  xfer += oprot->writeI32(this->slots);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("call_number", ::apache::thrift::protocol::T_I64, 8);
+  xfer += oprot->writeI64(this->call_number);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("staged_models", ::apache::thrift::protocol::T_LIST, 9);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->staged_models.size()));
+    std::vector<std::string> ::const_iterator _iter438;
+    for (_iter438 = this->staged_models.begin(); _iter438 != this->staged_models.end(); ++_iter438)
+    {
+      xfer += oprot->writeString((*_iter438));
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("membership", ::apache::thrift::protocol::T_STRUCT, 10);
+  xfer += this->membership.write(oprot);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("silent", ::apache::thrift::protocol::T_BOOL, 11);
+  xfer += oprot->writeBool(this->silent);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(Instance &a, Instance &b) {
+  using ::std::swap;
+  swap(a.id, b.id);
+  swap(a.service_name, b.service_name);
+  swap(a.address, b.address);
+  swap(a.zone, b.zone);
+  swap(a.domain, b.domain);
+  swap(a.state, b.state);
+  swap(a.slots, b.slots);
+  swap(a.call_number, b.call_number);
+  swap(a.staged_models, b.staged_models);
+  swap(a.membership, b.membership);
+  swap(a.silent, b.silent);
+  swap(a.__isset, b.__isset);
+}
+
+Instance::Instance(const Instance& other439) {
+  id = other439.id;
+  service_name = other439.service_name;
+  address = other439.address;
+  zone = other439.zone;
+  domain = other439.domain;
+  state = other439.state;
+  slots = other439.slots;
+  call_number = other439.call_number;
+  staged_models = other439.staged_models;
+  membership = other439.membership;
+  silent = other439.silent;
+  __isset = other439.__isset;
+}
+Instance::Instance(Instance&& other440) noexcept {
+  id = std::move(other440.id);
+  service_name = std::move(other440.service_name);
+  address = std::move(other440.address);
+  zone = std::move(other440.zone);
+  domain = std::move(other440.domain);
+  state = other440.state;
+  slots = other440.slots;
+  call_number = other440.call_number;
+  staged_models = std::move(other440.staged_models);
+  membership = std::move(other440.membership);
+  silent = other440.silent;
+  __isset = other440.__isset;
+}
+Instance& Instance::operator=(const Instance& other441) {
+  id = other441.id;
+  service_name = other441.service_name;
+  address = other441.address;
+  zone = other441.zone;
+  domain = other441.domain;
+  state = other441.state;
+  slots = other441.slots;
+  call_number = other441.call_number;
+  staged_models = other441.staged_models;
+  membership = other441.membership;
+  silent = other441.silent;
+  __isset = other441.__isset;
+  return *this;
+}
+Instance& Instance::operator=(Instance&& other442) noexcept {
+  id = std::move(other442.id);
+  service_name = std::move(other442.service_name);
+  address = std::move(other442.address);
+  zone = std::move(other442.zone);
+  domain = std::move(other442.domain);
+  state = other442.state;
+  slots = other442.slots;
+  call_number = other442.call_number;
+  staged_models = std::move(other442.staged_models);
+  membership = std::move(other442.membership);
+  silent = other442.silent;
+  __isset = other442.__isset;
+  return *this;
+}
+void Instance::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "Instance(";
+  out << "id=" << to_string(id);
+  out << ", " << "service_name=" << to_string(service_name);
+  out << ", " << "address=" << to_string(address);
+  out << ", " << "zone=" << to_string(zone);
+  out << ", " << "domain=" << to_string(domain);
+  out << ", " << "state=" << to_string(state);
+  out << ", " << "slots=" << to_string(slots);
+  out << ", " << "call_number=" << to_string(call_number);
+  out << ", " << "staged_models=" << to_string(staged_models);
+  out << ", " << "membership=" << to_string(membership);
+  out << ", " << "silent=" << to_string(silent);
+  out << ")";
+}
+
+
+EngineGroup::~EngineGroup() noexcept {
+}
+
+
+void EngineGroup::__set_name(const std::string& val) {
+  this->name = val;
+}
+
+void EngineGroup::__set_epoch(const int64_t val) {
+  this->epoch = val;
+}
+
+void EngineGroup::__set_service_name(const std::string& val) {
+  this->service_name = val;
+}
+
+void EngineGroup::__set_model(const std::string& val) {
+  this->model = val;
+}
+
+void EngineGroup::__set_members(const std::vector<std::string> & val) {
+  this->members = val;
+}
+
+void EngineGroup::__set_phase(const GroupPhase::type val) {
+  this->phase = val;
+}
+std::ostream& operator<<(std::ostream& out, const EngineGroup& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t EngineGroup::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->name);
+          this->__isset.name = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->epoch);
+          this->__isset.epoch = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->service_name);
+          this->__isset.service_name = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->model);
+          this->__isset.model = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->members.clear();
+            uint32_t _size443;
+            ::apache::thrift::protocol::TType _etype446;
+            xfer += iprot->readListBegin(_etype446, _size443);
+            this->members.resize(_size443);
+            uint32_t _i447;
+            for (_i447 = 0; _i447 < _size443; ++_i447)
+            {
+              xfer += iprot->readString(this->members[_i447]);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.members = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 6:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          int32_t ecast448;
+          xfer += iprot->readI32(ecast448);
+          this->phase = static_cast<GroupPhase::type>(ecast448);
+          this->__isset.phase = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t EngineGroup::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("EngineGroup");
+
+  xfer += oprot->writeFieldBegin("name", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->name);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("epoch", ::apache::thrift::protocol::T_I64, 2);
+  xfer += oprot->writeI64(this->epoch);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("service_name", ::apache::thrift::protocol::T_STRING, 3);
+  xfer += oprot->writeString(this->service_name);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("model", ::apache::thrift::protocol::T_STRING, 4);
+  xfer += oprot->writeString(this->model);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("members", ::apache::thrift::protocol::T_LIST, 5);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->members.size()));
+    std::vector<std::string> ::const_iterator _iter449;
+    for (_iter449 = this->members.begin(); _iter449 != this->members.end(); ++_iter449)
+    {
+      xfer += oprot->writeString((*_iter449));
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("phase", ::apache::thrift::protocol::T_I32, 6);
+  xfer += oprot->writeI32(static_cast<int32_t>(this->phase));
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(EngineGroup &a, EngineGroup &b) {
+  using ::std::swap;
+  swap(a.name, b.name);
+  swap(a.epoch, b.epoch);
+  swap(a.service_name, b.service_name);
+  swap(a.model, b.model);
+  swap(a.members, b.members);
+  swap(a.phase, b.phase);
+  swap(a.__isset, b.__isset);
+}
+
+EngineGroup::EngineGroup(const EngineGroup& other450) {
+  name = other450.name;
+  epoch = other450.epoch;
+  service_name = other450.service_name;
+  model = other450.model;
+  members = other450.members;
+  phase = other450.phase;
+  __isset = other450.__isset;
+}
+EngineGroup::EngineGroup(EngineGroup&& other451) noexcept {
+  name = std::move(other451.name);
+  epoch = other451.epoch;
+  service_name = std::move(other451.service_name);
+  model = std::move(other451.model);
+  members = std::move(other451.members);
+  phase = other451.phase;
+  __isset = other451.__isset;
+}
+EngineGroup& EngineGroup::operator=(const EngineGroup& other452) {
+  name = other452.name;
+  epoch = other452.epoch;
+  service_name = other452.service_name;
+  model = other452.model;
+  members = other452.members;
+  phase = other452.phase;
+  __isset = other452.__isset;
+  return *this;
+}
+EngineGroup& EngineGroup::operator=(EngineGroup&& other453) noexcept {
+  name = std::move(other453.name);
+  epoch = other453.epoch;
+  service_name = std::move(other453.service_name);
+  model = std::move(other453.model);
+  members = std::move(other453.members);
+  phase = other453.phase;
+  __isset = other453.__isset;
+  return *this;
+}
+void EngineGroup::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "EngineGroup(";
+  out << "name=" << to_string(name);
+  out << ", " << "epoch=" << to_string(epoch);
+  out << ", " << "service_name=" << to_string(service_name);
+  out << ", " << "model=" << to_string(model);
+  out << ", " << "members=" << to_string(members);
+  out << ", " << "phase=" << to_string(phase);
+  out << ")";
+}
+
+
+FleetState::~FleetState() noexcept {
+}
+
+
+void FleetState::__set_term(const int64_t val) {
+  this->term = val;
+}
+
+void FleetState::__set_version(const int64_t val) {
+  this->version = val;
+}
+
+void FleetState::__set_instances(const std::vector<Instance> & val) {
+  this->instances = val;
+}
+
+void FleetState::__set_groups(const std::vector<EngineGroup> & val) {
+  this->groups = val;
+}
+std::ostream& operator<<(std::ostream& out, const FleetState& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t FleetState::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->term);
+          this->__isset.term = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->version);
+          this->__isset.version = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->instances.clear();
+            uint32_t _size454;
+            ::apache::thrift::protocol::TType _etype457;
+            xfer += iprot->readListBegin(_etype457, _size454);
+            this->instances.resize(_size454);
+            uint32_t _i458;
+            for (_i458 = 0; _i458 < _size454; ++_i458)
+            {
+              xfer += this->instances[_i458].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.instances = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->groups.clear();
+            uint32_t _size459;
+            ::apache::thrift::protocol::TType _etype462;
+            xfer += iprot->readListBegin(_etype462, _size459);
+            this->groups.resize(_size459);
+            uint32_t _i463;
+            for (_i463 = 0; _i463 < _size459; ++_i463)
+            {
+              xfer += this->groups[_i463].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.groups = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t FleetState::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("FleetState");
+
+  xfer += oprot->writeFieldBegin("term", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeI64(this->term);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("version", ::apache::thrift::protocol::T_I64, 2);
+  xfer += oprot->writeI64(this->version);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("instances", ::apache::thrift::protocol::T_LIST, 3);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->instances.size()));
+    std::vector<Instance> ::const_iterator _iter464;
+    for (_iter464 = this->instances.begin(); _iter464 != this->instances.end(); ++_iter464)
+    {
+      xfer += (*_iter464).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("groups", ::apache::thrift::protocol::T_LIST, 4);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->groups.size()));
+    std::vector<EngineGroup> ::const_iterator _iter465;
+    for (_iter465 = this->groups.begin(); _iter465 != this->groups.end(); ++_iter465)
+    {
+      xfer += (*_iter465).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(FleetState &a, FleetState &b) {
+  using ::std::swap;
+  swap(a.term, b.term);
+  swap(a.version, b.version);
+  swap(a.instances, b.instances);
+  swap(a.groups, b.groups);
+  swap(a.__isset, b.__isset);
+}
+
+FleetState::FleetState(const FleetState& other466) {
+  term = other466.term;
+  version = other466.version;
+  instances = other466.instances;
+  groups = other466.groups;
+  __isset = other466.__isset;
+}
+FleetState::FleetState(FleetState&& other467) noexcept {
+  term = other467.term;
+  version = other467.version;
+  instances = std::move(other467.instances);
+  groups = std::move(other467.groups);
+  __isset = other467.__isset;
+}
+FleetState& FleetState::operator=(const FleetState& other468) {
+  term = other468.term;
+  version = other468.version;
+  instances = other468.instances;
+  groups = other468.groups;
+  __isset = other468.__isset;
+  return *this;
+}
+FleetState& FleetState::operator=(FleetState&& other469) noexcept {
+  term = other469.term;
+  version = other469.version;
+  instances = std::move(other469.instances);
+  groups = std::move(other469.groups);
+  __isset = other469.__isset;
+  return *this;
+}
+void FleetState::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "FleetState(";
+  out << "term=" << to_string(term);
+  out << ", " << "version=" << to_string(version);
+  out << ", " << "instances=" << to_string(instances);
+  out << ", " << "groups=" << to_string(groups);
+  out << ")";
+}
+
+
+GroupLoad::~GroupLoad() noexcept {
+}
+
+
+void GroupLoad::__set_group(const std::string& val) {
+  this->group = val;
+}
+
+void GroupLoad::__set_in_flight(const int32_t val) {
+  this->in_flight = val;
+}
+std::ostream& operator<<(std::ostream& out, const GroupLoad& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t GroupLoad::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->group);
+          this->__isset.group = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->in_flight);
+          this->__isset.in_flight = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t GroupLoad::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("GroupLoad");
+
+  xfer += oprot->writeFieldBegin("group", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->group);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("in_flight", ::apache::thrift::protocol::T_I32, 2);
+  xfer += oprot->writeI32(this->in_flight);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(GroupLoad &a, GroupLoad &b) {
+  using ::std::swap;
+  swap(a.group, b.group);
+  swap(a.in_flight, b.in_flight);
+  swap(a.__isset, b.__isset);
+}
+
+GroupLoad::GroupLoad(const GroupLoad& other470) {
+  group = other470.group;
+  in_flight = other470.in_flight;
+  __isset = other470.__isset;
+}
+GroupLoad::GroupLoad(GroupLoad&& other471) noexcept {
+  group = std::move(other471.group);
+  in_flight = other471.in_flight;
+  __isset = other471.__isset;
+}
+GroupLoad& GroupLoad::operator=(const GroupLoad& other472) {
+  group = other472.group;
+  in_flight = other472.in_flight;
+  __isset = other472.__isset;
+  return *this;
+}
+GroupLoad& GroupLoad::operator=(GroupLoad&& other473) noexcept {
+  group = std::move(other473.group);
+  in_flight = other473.in_flight;
+  __isset = other473.__isset;
+  return *this;
+}
+void GroupLoad::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "GroupLoad(";
+  out << "group=" << to_string(group);
+  out << ", " << "in_flight=" << to_string(in_flight);
+  out << ")";
+}
+
+
+ModelDemand::~ModelDemand() noexcept {
+}
+
+
+void ModelDemand::__set_service_name(const std::string& val) {
+  this->service_name = val;
+}
+
+void ModelDemand::__set_model(const std::string& val) {
+  this->model = val;
+}
+
+void ModelDemand::__set_received(const int32_t val) {
+  this->received = val;
+}
+
+void ModelDemand::__set_refused(const int32_t val) {
+  this->refused = val;
+}
+std::ostream& operator<<(std::ostream& out, const ModelDemand& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t ModelDemand::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->service_name);
+          this->__isset.service_name = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->model);
+          this->__isset.model = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->received);
+          this->__isset.received = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->refused);
+          this->__isset.refused = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t ModelDemand::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("ModelDemand");
+
+  xfer += oprot->writeFieldBegin("service_name", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->service_name);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("model", ::apache::thrift::protocol::T_STRING, 2);
+  xfer += oprot->writeString(this->model);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("received", ::apache::thrift::protocol::T_I32, 3);
+  xfer += oprot->writeI32(this->received);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("refused", ::apache::thrift::protocol::T_I32, 4);
+  xfer += oprot->writeI32(this->refused);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(ModelDemand &a, ModelDemand &b) {
+  using ::std::swap;
+  swap(a.service_name, b.service_name);
+  swap(a.model, b.model);
+  swap(a.received, b.received);
+  swap(a.refused, b.refused);
+  swap(a.__isset, b.__isset);
+}
+
+ModelDemand::ModelDemand(const ModelDemand& other474) {
+  service_name = other474.service_name;
+  model = other474.model;
+  received = other474.received;
+  refused = other474.refused;
+  __isset = other474.__isset;
+}
+ModelDemand::ModelDemand(ModelDemand&& other475) noexcept {
+  service_name = std::move(other475.service_name);
+  model = std::move(other475.model);
+  received = other475.received;
+  refused = other475.refused;
+  __isset = other475.__isset;
+}
+ModelDemand& ModelDemand::operator=(const ModelDemand& other476) {
+  service_name = other476.service_name;
+  model = other476.model;
+  received = other476.received;
+  refused = other476.refused;
+  __isset = other476.__isset;
+  return *this;
+}
+ModelDemand& ModelDemand::operator=(ModelDemand&& other477) noexcept {
+  service_name = std::move(other477.service_name);
+  model = std::move(other477.model);
+  received = other477.received;
+  refused = other477.refused;
+  __isset = other477.__isset;
+  return *this;
+}
+void ModelDemand::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "ModelDemand(";
+  out << "service_name=" << to_string(service_name);
+  out << ", " << "model=" << to_string(model);
+  out << ", " << "received=" << to_string(received);
+  out << ", " << "refused=" << to_string(refused);
+  out << ")";
+}
+
+
+InstanceFailure::~InstanceFailure() noexcept {
+}
+
+
+void InstanceFailure::__set_instance_id(const std::string& val) {
+  this->instance_id = val;
+}
+
+void InstanceFailure::__set_group(const std::string& val) {
+  this->group = val;
+}
+std::ostream& operator<<(std::ostream& out, const InstanceFailure& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t InstanceFailure::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->instance_id);
+          this->__isset.instance_id = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->group);
+          this->__isset.group = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t InstanceFailure::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("InstanceFailure");
+
+  xfer += oprot->writeFieldBegin("instance_id", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->instance_id);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("group", ::apache::thrift::protocol::T_STRING, 2);
+  xfer += oprot->writeString(this->group);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(InstanceFailure &a, InstanceFailure &b) {
+  using ::std::swap;
+  swap(a.instance_id, b.instance_id);
+  swap(a.group, b.group);
+  swap(a.__isset, b.__isset);
+}
+
+InstanceFailure::InstanceFailure(const InstanceFailure& other478) {
+  instance_id = other478.instance_id;
+  group = other478.group;
+  __isset = other478.__isset;
+}
+InstanceFailure::InstanceFailure(InstanceFailure&& other479) noexcept {
+  instance_id = std::move(other479.instance_id);
+  group = std::move(other479.group);
+  __isset = other479.__isset;
+}
+InstanceFailure& InstanceFailure::operator=(const InstanceFailure& other480) {
+  instance_id = other480.instance_id;
+  group = other480.group;
+  __isset = other480.__isset;
+  return *this;
+}
+InstanceFailure& InstanceFailure::operator=(InstanceFailure&& other481) noexcept {
+  instance_id = std::move(other481.instance_id);
+  group = std::move(other481.group);
+  __isset = other481.__isset;
+  return *this;
+}
+void InstanceFailure::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "InstanceFailure(";
+  out << "instance_id=" << to_string(instance_id);
+  out << ", " << "group=" << to_string(group);
+  out << ")";
+}
+
+
+FleetHeartbeat::~FleetHeartbeat() noexcept {
+}
+
+
+void FleetHeartbeat::__set_sequence(const int64_t val) {
+  this->sequence = val;
+}
+
+void FleetHeartbeat::__set_zone(const std::string& val) {
+  this->zone = val;
+}
+
+void FleetHeartbeat::__set_replica_id(const int64_t val) {
+  this->replica_id = val;
+}
+
+void FleetHeartbeat::__set_control_address(const std::string& val) {
+  this->control_address = val;
+}
+
+void FleetHeartbeat::__set_document_version(const int64_t val) {
+  this->document_version = val;
+}
+
+void FleetHeartbeat::__set_held_term(const int64_t val) {
+  this->held_term = val;
+}
+
+void FleetHeartbeat::__set_held_version(const int64_t val) {
+  this->held_version = val;
+}
+
+void FleetHeartbeat::__set_loads(const std::vector<GroupLoad> & val) {
+  this->loads = val;
+}
+
+void FleetHeartbeat::__set_demand(const std::vector<ModelDemand> & val) {
+  this->demand = val;
+}
+
+void FleetHeartbeat::__set_failures(const std::vector<InstanceFailure> & val) {
+  this->failures = val;
+}
+
+void FleetHeartbeat::__set_leaving(const bool val) {
+  this->leaving = val;
+}
+
+void FleetHeartbeat::__set_serves_requests(const bool val) {
+  this->serves_requests = val;
+}
+
+void FleetHeartbeat::__set_traffic_seen(const bool val) {
+  this->traffic_seen = val;
+}
+
+void FleetHeartbeat::__set_held_state(const FleetState& val) {
+  this->held_state = val;
+__isset.held_state = true;
+}
+std::ostream& operator<<(std::ostream& out, const FleetHeartbeat& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t FleetHeartbeat::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->sequence);
+          this->__isset.sequence = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->zone);
+          this->__isset.zone = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->replica_id);
+          this->__isset.replica_id = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->control_address);
+          this->__isset.control_address = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->document_version);
+          this->__isset.document_version = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 6:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->held_term);
+          this->__isset.held_term = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 7:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->held_version);
+          this->__isset.held_version = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 8:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->loads.clear();
+            uint32_t _size482;
+            ::apache::thrift::protocol::TType _etype485;
+            xfer += iprot->readListBegin(_etype485, _size482);
+            this->loads.resize(_size482);
+            uint32_t _i486;
+            for (_i486 = 0; _i486 < _size482; ++_i486)
+            {
+              xfer += this->loads[_i486].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.loads = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 9:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->demand.clear();
+            uint32_t _size487;
+            ::apache::thrift::protocol::TType _etype490;
+            xfer += iprot->readListBegin(_etype490, _size487);
+            this->demand.resize(_size487);
+            uint32_t _i491;
+            for (_i491 = 0; _i491 < _size487; ++_i491)
+            {
+              xfer += this->demand[_i491].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.demand = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 10:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->failures.clear();
+            uint32_t _size492;
+            ::apache::thrift::protocol::TType _etype495;
+            xfer += iprot->readListBegin(_etype495, _size492);
+            this->failures.resize(_size492);
+            uint32_t _i496;
+            for (_i496 = 0; _i496 < _size492; ++_i496)
+            {
+              xfer += this->failures[_i496].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.failures = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 11:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->leaving);
+          this->__isset.leaving = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 12:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->serves_requests);
+          this->__isset.serves_requests = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 13:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->traffic_seen);
+          this->__isset.traffic_seen = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 14:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->held_state.read(iprot);
+          this->__isset.held_state = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t FleetHeartbeat::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("FleetHeartbeat");
+
+  xfer += oprot->writeFieldBegin("sequence", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeI64(this->sequence);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("zone", ::apache::thrift::protocol::T_STRING, 2);
+  xfer += oprot->writeString(this->zone);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("replica_id", ::apache::thrift::protocol::T_I64, 3);
+  xfer += oprot->writeI64(this->replica_id);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("control_address", ::apache::thrift::protocol::T_STRING, 4);
+  xfer += oprot->writeString(this->control_address);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("document_version", ::apache::thrift::protocol::T_I64, 5);
+  xfer += oprot->writeI64(this->document_version);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("held_term", ::apache::thrift::protocol::T_I64, 6);
+  xfer += oprot->writeI64(this->held_term);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("held_version", ::apache::thrift::protocol::T_I64, 7);
+  xfer += oprot->writeI64(this->held_version);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("loads", ::apache::thrift::protocol::T_LIST, 8);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->loads.size()));
+    std::vector<GroupLoad> ::const_iterator _iter497;
+    for (_iter497 = this->loads.begin(); _iter497 != this->loads.end(); ++_iter497)
+    {
+      xfer += (*_iter497).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("demand", ::apache::thrift::protocol::T_LIST, 9);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->demand.size()));
+    std::vector<ModelDemand> ::const_iterator _iter498;
+    for (_iter498 = this->demand.begin(); _iter498 != this->demand.end(); ++_iter498)
+    {
+      xfer += (*_iter498).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("failures", ::apache::thrift::protocol::T_LIST, 10);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->failures.size()));
+    std::vector<InstanceFailure> ::const_iterator _iter499;
+    for (_iter499 = this->failures.begin(); _iter499 != this->failures.end(); ++_iter499)
+    {
+      xfer += (*_iter499).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("leaving", ::apache::thrift::protocol::T_BOOL, 11);
+  xfer += oprot->writeBool(this->leaving);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("serves_requests", ::apache::thrift::protocol::T_BOOL, 12);
+  xfer += oprot->writeBool(this->serves_requests);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("traffic_seen", ::apache::thrift::protocol::T_BOOL, 13);
+  xfer += oprot->writeBool(this->traffic_seen);
+  xfer += oprot->writeFieldEnd();
+
+  if (this->__isset.held_state) {
+    xfer += oprot->writeFieldBegin("held_state", ::apache::thrift::protocol::T_STRUCT, 14);
+    xfer += this->held_state.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(FleetHeartbeat &a, FleetHeartbeat &b) {
+  using ::std::swap;
+  swap(a.sequence, b.sequence);
+  swap(a.zone, b.zone);
+  swap(a.replica_id, b.replica_id);
+  swap(a.control_address, b.control_address);
+  swap(a.document_version, b.document_version);
+  swap(a.held_term, b.held_term);
+  swap(a.held_version, b.held_version);
+  swap(a.loads, b.loads);
+  swap(a.demand, b.demand);
+  swap(a.failures, b.failures);
+  swap(a.leaving, b.leaving);
+  swap(a.serves_requests, b.serves_requests);
+  swap(a.traffic_seen, b.traffic_seen);
+  swap(a.held_state, b.held_state);
+  swap(a.__isset, b.__isset);
+}
+
+FleetHeartbeat::FleetHeartbeat(const FleetHeartbeat& other500) {
+  sequence = other500.sequence;
+  zone = other500.zone;
+  replica_id = other500.replica_id;
+  control_address = other500.control_address;
+  document_version = other500.document_version;
+  held_term = other500.held_term;
+  held_version = other500.held_version;
+  loads = other500.loads;
+  demand = other500.demand;
+  failures = other500.failures;
+  leaving = other500.leaving;
+  serves_requests = other500.serves_requests;
+  traffic_seen = other500.traffic_seen;
+  held_state = other500.held_state;
+  __isset = other500.__isset;
+}
+FleetHeartbeat::FleetHeartbeat(FleetHeartbeat&& other501) noexcept {
+  sequence = other501.sequence;
+  zone = std::move(other501.zone);
+  replica_id = other501.replica_id;
+  control_address = std::move(other501.control_address);
+  document_version = other501.document_version;
+  held_term = other501.held_term;
+  held_version = other501.held_version;
+  loads = std::move(other501.loads);
+  demand = std::move(other501.demand);
+  failures = std::move(other501.failures);
+  leaving = other501.leaving;
+  serves_requests = other501.serves_requests;
+  traffic_seen = other501.traffic_seen;
+  held_state = std::move(other501.held_state);
+  __isset = other501.__isset;
+}
+FleetHeartbeat& FleetHeartbeat::operator=(const FleetHeartbeat& other502) {
+  sequence = other502.sequence;
+  zone = other502.zone;
+  replica_id = other502.replica_id;
+  control_address = other502.control_address;
+  document_version = other502.document_version;
+  held_term = other502.held_term;
+  held_version = other502.held_version;
+  loads = other502.loads;
+  demand = other502.demand;
+  failures = other502.failures;
+  leaving = other502.leaving;
+  serves_requests = other502.serves_requests;
+  traffic_seen = other502.traffic_seen;
+  held_state = other502.held_state;
+  __isset = other502.__isset;
+  return *this;
+}
+FleetHeartbeat& FleetHeartbeat::operator=(FleetHeartbeat&& other503) noexcept {
+  sequence = other503.sequence;
+  zone = std::move(other503.zone);
+  replica_id = other503.replica_id;
+  control_address = std::move(other503.control_address);
+  document_version = other503.document_version;
+  held_term = other503.held_term;
+  held_version = other503.held_version;
+  loads = std::move(other503.loads);
+  demand = std::move(other503.demand);
+  failures = std::move(other503.failures);
+  leaving = other503.leaving;
+  serves_requests = other503.serves_requests;
+  traffic_seen = other503.traffic_seen;
+  held_state = std::move(other503.held_state);
+  __isset = other503.__isset;
+  return *this;
+}
+void FleetHeartbeat::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "FleetHeartbeat(";
+  out << "sequence=" << to_string(sequence);
+  out << ", " << "zone=" << to_string(zone);
+  out << ", " << "replica_id=" << to_string(replica_id);
+  out << ", " << "control_address=" << to_string(control_address);
+  out << ", " << "document_version=" << to_string(document_version);
+  out << ", " << "held_term=" << to_string(held_term);
+  out << ", " << "held_version=" << to_string(held_version);
+  out << ", " << "loads=" << to_string(loads);
+  out << ", " << "demand=" << to_string(demand);
+  out << ", " << "failures=" << to_string(failures);
+  out << ", " << "leaving=" << to_string(leaving);
+  out << ", " << "serves_requests=" << to_string(serves_requests);
+  out << ", " << "traffic_seen=" << to_string(traffic_seen);
+  out << ", " << "held_state="; (__isset.held_state ? (out << to_string(held_state)) : (out << "<null>"));
+  out << ")";
+}
+
+
+FleetUpdate::~FleetUpdate() noexcept {
+}
+
+
+void FleetUpdate::__set_sequence(const int64_t val) {
+  this->sequence = val;
+}
+
+void FleetUpdate::__set_not_leader(const bool val) {
+  this->not_leader = val;
+}
+
+void FleetUpdate::__set_leader(const std::string& val) {
+  this->leader = val;
+}
+
+void FleetUpdate::__set_control_peers(const std::vector<std::string> & val) {
+  this->control_peers = val;
+}
+
+void FleetUpdate::__set_term(const int64_t val) {
+  this->term = val;
+}
+
+void FleetUpdate::__set_document_version(const int64_t val) {
+  this->document_version = val;
+}
+
+void FleetUpdate::__set_document(const std::string& val) {
+  this->document = val;
+__isset.document = true;
+}
+
+void FleetUpdate::__set_state(const FleetState& val) {
+  this->state = val;
+__isset.state = true;
+}
+
+void FleetUpdate::__set_loads(const std::vector<GroupLoad> & val) {
+  this->loads = val;
+}
+
+void FleetUpdate::__set_serving_nodes(const int32_t val) {
+  this->serving_nodes = val;
+}
+
+void FleetUpdate::__set_wants_state(const bool val) {
+  this->wants_state = val;
+}
+std::ostream& operator<<(std::ostream& out, const FleetUpdate& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t FleetUpdate::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->sequence);
+          this->__isset.sequence = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->not_leader);
+          this->__isset.not_leader = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->leader);
+          this->__isset.leader = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->control_peers.clear();
+            uint32_t _size504;
+            ::apache::thrift::protocol::TType _etype507;
+            xfer += iprot->readListBegin(_etype507, _size504);
+            this->control_peers.resize(_size504);
+            uint32_t _i508;
+            for (_i508 = 0; _i508 < _size504; ++_i508)
+            {
+              xfer += iprot->readString(this->control_peers[_i508]);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.control_peers = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->term);
+          this->__isset.term = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 6:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->document_version);
+          this->__isset.document_version = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 7:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readBinary(this->document);
+          this->__isset.document = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 8:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->state.read(iprot);
+          this->__isset.state = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 9:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->loads.clear();
+            uint32_t _size509;
+            ::apache::thrift::protocol::TType _etype512;
+            xfer += iprot->readListBegin(_etype512, _size509);
+            this->loads.resize(_size509);
+            uint32_t _i513;
+            for (_i513 = 0; _i513 < _size509; ++_i513)
+            {
+              xfer += this->loads[_i513].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.loads = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 10:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->serving_nodes);
+          this->__isset.serving_nodes = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 11:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->wants_state);
+          this->__isset.wants_state = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t FleetUpdate::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("FleetUpdate");
+
+  xfer += oprot->writeFieldBegin("sequence", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeI64(this->sequence);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("not_leader", ::apache::thrift::protocol::T_BOOL, 2);
+  xfer += oprot->writeBool(this->not_leader);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("leader", ::apache::thrift::protocol::T_STRING, 3);
+  xfer += oprot->writeString(this->leader);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("control_peers", ::apache::thrift::protocol::T_LIST, 4);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->control_peers.size()));
+    std::vector<std::string> ::const_iterator _iter514;
+    for (_iter514 = this->control_peers.begin(); _iter514 != this->control_peers.end(); ++_iter514)
+    {
+      xfer += oprot->writeString((*_iter514));
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("term", ::apache::thrift::protocol::T_I64, 5);
+  xfer += oprot->writeI64(this->term);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("document_version", ::apache::thrift::protocol::T_I64, 6);
+  xfer += oprot->writeI64(this->document_version);
+  xfer += oprot->writeFieldEnd();
+
+  if (this->__isset.document) {
+    xfer += oprot->writeFieldBegin("document", ::apache::thrift::protocol::T_STRING, 7);
+    xfer += oprot->writeBinary(this->document);
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.state) {
+    xfer += oprot->writeFieldBegin("state", ::apache::thrift::protocol::T_STRUCT, 8);
+    xfer += this->state.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
+  xfer += oprot->writeFieldBegin("loads", ::apache::thrift::protocol::T_LIST, 9);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->loads.size()));
+    std::vector<GroupLoad> ::const_iterator _iter515;
+    for (_iter515 = this->loads.begin(); _iter515 != this->loads.end(); ++_iter515)
+    {
+      xfer += (*_iter515).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("serving_nodes", ::apache::thrift::protocol::T_I32, 10);
+  xfer += oprot->writeI32(this->serving_nodes);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("wants_state", ::apache::thrift::protocol::T_BOOL, 11);
+  xfer += oprot->writeBool(this->wants_state);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(FleetUpdate &a, FleetUpdate &b) {
+  using ::std::swap;
+  swap(a.sequence, b.sequence);
+  swap(a.not_leader, b.not_leader);
+  swap(a.leader, b.leader);
+  swap(a.control_peers, b.control_peers);
+  swap(a.term, b.term);
+  swap(a.document_version, b.document_version);
+  swap(a.document, b.document);
+  swap(a.state, b.state);
+  swap(a.loads, b.loads);
+  swap(a.serving_nodes, b.serving_nodes);
+  swap(a.wants_state, b.wants_state);
+  swap(a.__isset, b.__isset);
+}
+
+FleetUpdate::FleetUpdate(const FleetUpdate& other516) {
+  sequence = other516.sequence;
+  not_leader = other516.not_leader;
+  leader = other516.leader;
+  control_peers = other516.control_peers;
+  term = other516.term;
+  document_version = other516.document_version;
+  document = other516.document;
+  state = other516.state;
+  loads = other516.loads;
+  serving_nodes = other516.serving_nodes;
+  wants_state = other516.wants_state;
+  __isset = other516.__isset;
+}
+FleetUpdate::FleetUpdate(FleetUpdate&& other517) noexcept {
+  sequence = other517.sequence;
+  not_leader = other517.not_leader;
+  leader = std::move(other517.leader);
+  control_peers = std::move(other517.control_peers);
+  term = other517.term;
+  document_version = other517.document_version;
+  document = std::move(other517.document);
+  state = std::move(other517.state);
+  loads = std::move(other517.loads);
+  serving_nodes = other517.serving_nodes;
+  wants_state = other517.wants_state;
+  __isset = other517.__isset;
+}
+FleetUpdate& FleetUpdate::operator=(const FleetUpdate& other518) {
+  sequence = other518.sequence;
+  not_leader = other518.not_leader;
+  leader = other518.leader;
+  control_peers = other518.control_peers;
+  term = other518.term;
+  document_version = other518.document_version;
+  document = other518.document;
+  state = other518.state;
+  loads = other518.loads;
+  serving_nodes = other518.serving_nodes;
+  wants_state = other518.wants_state;
+  __isset = other518.__isset;
+  return *this;
+}
+FleetUpdate& FleetUpdate::operator=(FleetUpdate&& other519) noexcept {
+  sequence = other519.sequence;
+  not_leader = other519.not_leader;
+  leader = std::move(other519.leader);
+  control_peers = std::move(other519.control_peers);
+  term = other519.term;
+  document_version = other519.document_version;
+  document = std::move(other519.document);
+  state = std::move(other519.state);
+  loads = std::move(other519.loads);
+  serving_nodes = other519.serving_nodes;
+  wants_state = other519.wants_state;
+  __isset = other519.__isset;
+  return *this;
+}
+void FleetUpdate::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "FleetUpdate(";
+  out << "sequence=" << to_string(sequence);
+  out << ", " << "not_leader=" << to_string(not_leader);
+  out << ", " << "leader=" << to_string(leader);
+  out << ", " << "control_peers=" << to_string(control_peers);
+  out << ", " << "term=" << to_string(term);
+  out << ", " << "document_version=" << to_string(document_version);
+  out << ", " << "document="; (__isset.document ? (out << to_string(document)) : (out << "<null>"));
+  out << ", " << "state="; (__isset.state ? (out << to_string(state)) : (out << "<null>"));
+  out << ", " << "loads=" << to_string(loads);
+  out << ", " << "serving_nodes=" << to_string(serving_nodes);
+  out << ", " << "wants_state=" << to_string(wants_state);
+  out << ")";
+}
+
+
+ControlCall::~ControlCall() noexcept {
+}
+
+
+void ControlCall::__set_id(const int64_t val) {
+  this->id = val;
+}
+
+void ControlCall::__set_kind(const ControlCallKind::type val) {
+  this->kind = val;
+}
+
+void ControlCall::__set_instance_id(const std::string& val) {
+  this->instance_id = val;
+}
+
+void ControlCall::__set_body(const std::string& val) {
+  this->body = val;
+}
+std::ostream& operator<<(std::ostream& out, const ControlCall& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t ControlCall::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->id);
+          this->__isset.id = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          int32_t ecast520;
+          xfer += iprot->readI32(ecast520);
+          this->kind = static_cast<ControlCallKind::type>(ecast520);
+          this->__isset.kind = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->instance_id);
+          this->__isset.instance_id = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readBinary(this->body);
+          this->__isset.body = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t ControlCall::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("ControlCall");
+
+  xfer += oprot->writeFieldBegin("id", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeI64(this->id);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("kind", ::apache::thrift::protocol::T_I32, 2);
+  xfer += oprot->writeI32(static_cast<int32_t>(this->kind));
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("instance_id", ::apache::thrift::protocol::T_STRING, 3);
+  xfer += oprot->writeString(this->instance_id);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("body", ::apache::thrift::protocol::T_STRING, 4);
+  xfer += oprot->writeBinary(this->body);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(ControlCall &a, ControlCall &b) {
+  using ::std::swap;
+  swap(a.id, b.id);
+  swap(a.kind, b.kind);
+  swap(a.instance_id, b.instance_id);
+  swap(a.body, b.body);
+  swap(a.__isset, b.__isset);
+}
+
+ControlCall::ControlCall(const ControlCall& other521) {
+  id = other521.id;
+  kind = other521.kind;
+  instance_id = other521.instance_id;
+  body = other521.body;
+  __isset = other521.__isset;
+}
+ControlCall::ControlCall(ControlCall&& other522) noexcept {
+  id = other522.id;
+  kind = other522.kind;
+  instance_id = std::move(other522.instance_id);
+  body = std::move(other522.body);
+  __isset = other522.__isset;
+}
+ControlCall& ControlCall::operator=(const ControlCall& other523) {
+  id = other523.id;
+  kind = other523.kind;
+  instance_id = other523.instance_id;
+  body = other523.body;
+  __isset = other523.__isset;
+  return *this;
+}
+ControlCall& ControlCall::operator=(ControlCall&& other524) noexcept {
+  id = other524.id;
+  kind = other524.kind;
+  instance_id = std::move(other524.instance_id);
+  body = std::move(other524.body);
+  __isset = other524.__isset;
+  return *this;
+}
+void ControlCall::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "ControlCall(";
+  out << "id=" << to_string(id);
+  out << ", " << "kind=" << to_string(kind);
+  out << ", " << "instance_id=" << to_string(instance_id);
+  out << ", " << "body=" << to_string(body);
+  out << ")";
+}
+
+
+ControlCallReply::~ControlCallReply() noexcept {
+}
+
+
+void ControlCallReply::__set_id(const int64_t val) {
+  this->id = val;
+}
+
+void ControlCallReply::__set_status(const int32_t val) {
+  this->status = val;
+}
+
+void ControlCallReply::__set_body(const std::string& val) {
+  this->body = val;
+}
+std::ostream& operator<<(std::ostream& out, const ControlCallReply& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t ControlCallReply::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->id);
+          this->__isset.id = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->status);
+          this->__isset.status = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readBinary(this->body);
+          this->__isset.body = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t ControlCallReply::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("ControlCallReply");
+
+  xfer += oprot->writeFieldBegin("id", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeI64(this->id);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("status", ::apache::thrift::protocol::T_I32, 2);
+  xfer += oprot->writeI32(this->status);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("body", ::apache::thrift::protocol::T_STRING, 3);
+  xfer += oprot->writeBinary(this->body);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(ControlCallReply &a, ControlCallReply &b) {
+  using ::std::swap;
+  swap(a.id, b.id);
+  swap(a.status, b.status);
+  swap(a.body, b.body);
+  swap(a.__isset, b.__isset);
+}
+
+ControlCallReply::ControlCallReply(const ControlCallReply& other525) {
+  id = other525.id;
+  status = other525.status;
+  body = other525.body;
+  __isset = other525.__isset;
+}
+ControlCallReply::ControlCallReply(ControlCallReply&& other526) noexcept {
+  id = other526.id;
+  status = other526.status;
+  body = std::move(other526.body);
+  __isset = other526.__isset;
+}
+ControlCallReply& ControlCallReply::operator=(const ControlCallReply& other527) {
+  id = other527.id;
+  status = other527.status;
+  body = other527.body;
+  __isset = other527.__isset;
+  return *this;
+}
+ControlCallReply& ControlCallReply::operator=(ControlCallReply&& other528) noexcept {
+  id = other528.id;
+  status = other528.status;
+  body = std::move(other528.body);
+  __isset = other528.__isset;
+  return *this;
+}
+void ControlCallReply::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "ControlCallReply(";
+  out << "id=" << to_string(id);
+  out << ", " << "status=" << to_string(status);
+  out << ", " << "body=" << to_string(body);
+  out << ")";
+}
+
+
+Envelope::~Envelope() noexcept {
+}
+
+
+void Envelope::__set_from_node(const std::string& val) {
+  this->from_node = val;
+}
+
+void Envelope::__set_from_incarnation(const int64_t val) {
+  this->from_incarnation = val;
+}
+
+void Envelope::__set_to_node(const std::string& val) {
+  this->to_node = val;
+}
+
+void Envelope::__set_raft(const RaftMessage& val) {
+  this->raft = val;
+__isset.raft = true;
+}
+
+void Envelope::__set_heartbeat(const Heartbeat& val) {
+  this->heartbeat = val;
+__isset.heartbeat = true;
+}
+
+void Envelope::__set_heartbeat_reply(const HeartbeatReply& val) {
+  this->heartbeat_reply = val;
+__isset.heartbeat_reply = true;
+}
+
+void Envelope::__set_claim_request(const ClaimRequest& val) {
+  this->claim_request = val;
+__isset.claim_request = true;
+}
+
+void Envelope::__set_claim_reply(const ClaimReply& val) {
+  this->claim_reply = val;
+__isset.claim_reply = true;
+}
+
+void Envelope::__set_resolution(const ResolutionRequest& val) {
+  this->resolution = val;
+__isset.resolution = true;
+}
+
+void Envelope::__set_operator_request(const OperatorRequest& val) {
+  this->operator_request = val;
+__isset.operator_request = true;
+}
+
+void Envelope::__set_operator_reply(const OperatorReply& val) {
+  this->operator_reply = val;
+__isset.operator_reply = true;
+}
+
+void Envelope::__set_resolution_reply(const ResolutionReply& val) {
+  this->resolution_reply = val;
+__isset.resolution_reply = true;
+}
+
+void Envelope::__set_fleet_heartbeat(const FleetHeartbeat& val) {
+  this->fleet_heartbeat = val;
+__isset.fleet_heartbeat = true;
+}
+
+void Envelope::__set_fleet_update(const FleetUpdate& val) {
+  this->fleet_update = val;
+__isset.fleet_update = true;
+}
+
+void Envelope::__set_control_call(const ControlCall& val) {
+  this->control_call = val;
+__isset.control_call = true;
+}
+
+void Envelope::__set_control_call_reply(const ControlCallReply& val) {
+  this->control_call_reply = val;
+__isset.control_call_reply = true;
+}
+std::ostream& operator<<(std::ostream& out, const Envelope& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t Envelope::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->from_node);
+          this->__isset.from_node = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->from_incarnation);
+          this->__isset.from_incarnation = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->to_node);
+          this->__isset.to_node = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->raft.read(iprot);
+          this->__isset.raft = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->heartbeat.read(iprot);
+          this->__isset.heartbeat = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 6:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->heartbeat_reply.read(iprot);
+          this->__isset.heartbeat_reply = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 7:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->claim_request.read(iprot);
+          this->__isset.claim_request = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 8:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->claim_reply.read(iprot);
+          this->__isset.claim_reply = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 9:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->resolution.read(iprot);
+          this->__isset.resolution = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
         break;
       case 10:
         if (ftype == ::apache::thrift::protocol::T_STRUCT) {
@@ -11111,6 +13907,38 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 13:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->fleet_heartbeat.read(iprot);
+          this->__isset.fleet_heartbeat = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 14:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->fleet_update.read(iprot);
+          this->__isset.fleet_update = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 15:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->control_call.read(iprot);
+          this->__isset.control_call = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 16:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->control_call_reply.read(iprot);
+          this->__isset.control_call_reply = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -11185,6 +14013,26 @@
     xfer += this->resolution_reply.write(oprot);
     xfer += oprot->writeFieldEnd();
   }
+  if (this->__isset.fleet_heartbeat) {
+    xfer += oprot->writeFieldBegin("fleet_heartbeat", ::apache::thrift::protocol::T_STRUCT, 13);
+    xfer += this->fleet_heartbeat.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.fleet_update) {
+    xfer += oprot->writeFieldBegin("fleet_update", ::apache::thrift::protocol::T_STRUCT, 14);
+    xfer += this->fleet_update.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.control_call) {
+    xfer += oprot->writeFieldBegin("control_call", ::apache::thrift::protocol::T_STRUCT, 15);
+    xfer += this->control_call.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.control_call_reply) {
+    xfer += oprot->writeFieldBegin("control_call_reply", ::apache::thrift::protocol::T_STRUCT, 16);
+    xfer += this->control_call_reply.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -11204,69 +14052,89 @@
   swap(a.operator_request, b.operator_request);
   swap(a.operator_reply, b.operator_reply);
   swap(a.resolution_reply, b.resolution_reply);
+  swap(a.fleet_heartbeat, b.fleet_heartbeat);
+  swap(a.fleet_update, b.fleet_update);
+  swap(a.control_call, b.control_call);
+  swap(a.control_call_reply, b.control_call_reply);
   swap(a.__isset, b.__isset);
 }
 
-Envelope::Envelope(const Envelope& other423) {
-  from_node = other423.from_node;
-  from_incarnation = other423.from_incarnation;
-  to_node = other423.to_node;
-  raft = other423.raft;
-  heartbeat = other423.heartbeat;
-  heartbeat_reply = other423.heartbeat_reply;
-  claim_request = other423.claim_request;
-  claim_reply = other423.claim_reply;
-  resolution = other423.resolution;
-  operator_request = other423.operator_request;
-  operator_reply = other423.operator_reply;
-  resolution_reply = other423.resolution_reply;
-  __isset = other423.__isset;
-}
-Envelope::Envelope(Envelope&& other424) noexcept {
-  from_node = std::move(other424.from_node);
-  from_incarnation = other424.from_incarnation;
-  to_node = std::move(other424.to_node);
-  raft = std::move(other424.raft);
-  heartbeat = std::move(other424.heartbeat);
-  heartbeat_reply = std::move(other424.heartbeat_reply);
-  claim_request = std::move(other424.claim_request);
-  claim_reply = std::move(other424.claim_reply);
-  resolution = std::move(other424.resolution);
-  operator_request = std::move(other424.operator_request);
-  operator_reply = std::move(other424.operator_reply);
-  resolution_reply = std::move(other424.resolution_reply);
-  __isset = other424.__isset;
-}
-Envelope& Envelope::operator=(const Envelope& other425) {
-  from_node = other425.from_node;
-  from_incarnation = other425.from_incarnation;
-  to_node = other425.to_node;
-  raft = other425.raft;
-  heartbeat = other425.heartbeat;
-  heartbeat_reply = other425.heartbeat_reply;
-  claim_request = other425.claim_request;
-  claim_reply = other425.claim_reply;
-  resolution = other425.resolution;
-  operator_request = other425.operator_request;
-  operator_reply = other425.operator_reply;
-  resolution_reply = other425.resolution_reply;
-  __isset = other425.__isset;
+Envelope::Envelope(const Envelope& other529) {
+  from_node = other529.from_node;
+  from_incarnation = other529.from_incarnation;
+  to_node = other529.to_node;
+  raft = other529.raft;
+  heartbeat = other529.heartbeat;
+  heartbeat_reply = other529.heartbeat_reply;
+  claim_request = other529.claim_request;
+  claim_reply = other529.claim_reply;
+  resolution = other529.resolution;
+  operator_request = other529.operator_request;
+  operator_reply = other529.operator_reply;
+  resolution_reply = other529.resolution_reply;
+  fleet_heartbeat = other529.fleet_heartbeat;
+  fleet_update = other529.fleet_update;
+  control_call = other529.control_call;
+  control_call_reply = other529.control_call_reply;
+  __isset = other529.__isset;
+}
+Envelope::Envelope(Envelope&& other530) noexcept {
+  from_node = std::move(other530.from_node);
+  from_incarnation = other530.from_incarnation;
+  to_node = std::move(other530.to_node);
+  raft = std::move(other530.raft);
+  heartbeat = std::move(other530.heartbeat);
+  heartbeat_reply = std::move(other530.heartbeat_reply);
+  claim_request = std::move(other530.claim_request);
+  claim_reply = std::move(other530.claim_reply);
+  resolution = std::move(other530.resolution);
+  operator_request = std::move(other530.operator_request);
+  operator_reply = std::move(other530.operator_reply);
+  resolution_reply = std::move(other530.resolution_reply);
+  fleet_heartbeat = std::move(other530.fleet_heartbeat);
+  fleet_update = std::move(other530.fleet_update);
+  control_call = std::move(other530.control_call);
+  control_call_reply = std::move(other530.control_call_reply);
+  __isset = other530.__isset;
+}
+Envelope& Envelope::operator=(const Envelope& other531) {
+  from_node = other531.from_node;
+  from_incarnation = other531.from_incarnation;
+  to_node = other531.to_node;
+  raft = other531.raft;
+  heartbeat = other531.heartbeat;
+  heartbeat_reply = other531.heartbeat_reply;
+  claim_request = other531.claim_request;
+  claim_reply = other531.claim_reply;
+  resolution = other531.resolution;
+  operator_request = other531.operator_request;
+  operator_reply = other531.operator_reply;
+  resolution_reply = other531.resolution_reply;
+  fleet_heartbeat = other531.fleet_heartbeat;
+  fleet_update = other531.fleet_update;
+  control_call = other531.control_call;
+  control_call_reply = other531.control_call_reply;
+  __isset = other531.__isset;
   return *this;
 }
-Envelope& Envelope::operator=(Envelope&& other426) noexcept {
-  from_node = std::move(other426.from_node);
-  from_incarnation = other426.from_incarnation;
-  to_node = std::move(other426.to_node);
-  raft = std::move(other426.raft);
-  heartbeat = std::move(other426.heartbeat);
-  heartbeat_reply = std::move(other426.heartbeat_reply);
-  claim_request = std::move(other426.claim_request);
-  claim_reply = std::move(other426.claim_reply);
-  resolution = std::move(other426.resolution);
-  operator_request = std::move(other426.operator_request);
-  operator_reply = std::move(other426.operator_reply);
-  resolution_reply = std::move(other426.resolution_reply);
-  __isset = other426.__isset;
+Envelope& Envelope::operator=(Envelope&& other532) noexcept {
+  from_node = std::move(other532.from_node);
+  from_incarnation = other532.from_incarnation;
+  to_node = std::move(other532.to_node);
+  raft = std::move(other532.raft);
+  heartbeat = std::move(other532.heartbeat);
+  heartbeat_reply = std::move(other532.heartbeat_reply);
+  claim_request = std::move(other532.claim_request);
+  claim_reply = std::move(other532.claim_reply);
+  resolution = std::move(other532.resolution);
+  operator_request = std::move(other532.operator_request);
+  operator_reply = std::move(other532.operator_reply);
+  resolution_reply = std::move(other532.resolution_reply);
+  fleet_heartbeat = std::move(other532.fleet_heartbeat);
+  fleet_update = std::move(other532.fleet_update);
+  control_call = std::move(other532.control_call);
+  control_call_reply = std::move(other532.control_call_reply);
+  __isset = other532.__isset;
   return *this;
 }
 void Envelope::printTo(std::ostream& out) const {
@@ -11284,6 +14152,10 @@
   out << ", " << "operator_request="; (__isset.operator_request ? (out << to_string(operator_request)) : (out << "<null>"));
   out << ", " << "operator_reply="; (__isset.operator_reply ? (out << to_string(operator_reply)) : (out << "<null>"));
   out << ", " << "resolution_reply="; (__isset.resolution_reply ? (out << to_string(resolution_reply)) : (out << "<null>"));
+  out << ", " << "fleet_heartbeat="; (__isset.fleet_heartbeat ? (out << to_string(fleet_heartbeat)) : (out << "<null>"));
+  out << ", " << "fleet_update="; (__isset.fleet_update ? (out << to_string(fleet_update)) : (out << "<null>"));
+  out << ", " << "control_call="; (__isset.control_call ? (out << to_string(control_call)) : (out << "<null>"));
+  out << ", " << "control_call_reply="; (__isset.control_call_reply ? (out << to_string(control_call_reply)) : (out << "<null>"));
   out << ")";
 }
 
