--- a/src/wire/gen-cpp/larchlever_types.h
+++ b/src/wire/gen-cpp/larchlever_types.h
@@ -127,6 +127,68 @@
 
 std::string to_string(const OperatorAction::type& val);
 
+struct InstanceState {
+  enum type {
+    READY = 0,
+    DRAINING = 1,
+    GONE = 2
+  };
+};
+
+extern const std::map<int, const char*> _InstanceState_VALUES_TO_NAMES;
+
+std::ostream& operator<<(std::ostream& out, const InstanceState::type& val);
+
+std::string to_string(const InstanceState::type& val);
+
+struct MembershipState {
+  enum type {
+    NONE = 0,
+    JOINING = 1,
+    READY = 2,
+    OPEN = 3,
+    CLOSING = 4,
+    BROKEN = 5
+  };
+};
+
+extern const std::map<int, const char*> _MembershipState_VALUES_TO_NAMES;
+
+std::ostream& operator<<(std::ostream& out, const MembershipState::type& val);
+
+std::string to_string(const MembershipState::type& val);
+
+struct GroupPhase {
+  enum type {
+    JOINING = 0,
+    OPENING = 1,
+    OPEN = 2,
+    DRAINING = 3,
+    DISSOLVING = 4
+  };
+};
+
+extern const std::map<int, const char*> _GroupPhase_VALUES_TO_NAMES;
+
+std::ostream& operator<<(std::ostream& out, const GroupPhase::type& val);
+
+std::string to_string(const GroupPhase::type& val);
+
+struct ControlCallKind {
+  enum type {
+    HEARTBEAT = 0,
+    DEREGISTER = 1,
+    PUT_DOCUMENT = 2,
+    GET_DOCUMENT = 3
+  };
+};
+
+extern const std::map<int, const char*> _ControlCallKind_VALUES_TO_NAMES;
+
+std::ostream& operator<<(std::ostream& out, const ControlCallKind::type& val);
+
+std::string to_string(const ControlCallKind::type& val);
+
 class ReplicaAddress;
 
 class ReplicaSet;
@@ -195,6 +257,8 @@
 
 class MachineDrain;
 
+class DocumentChange;
+
 class Command;
 
 class CommandAnswer;
@@ -231,6 +295,28 @@
 
 class OperatorReply;
 
+class GroupMembership;
+
+class Instance;
+
+class EngineGroup;
+
+class FleetState;
+
+class GroupLoad;
+
+class ModelDemand;
+
+class InstanceFailure;
+
+class FleetHeartbeat;
+
+class FleetUpdate;
+
+class ControlCall;
+
+class ControlCallReply;
+
 class Envelope;
 
 typedef struct _ReplicaAddress__isset {
@@ -2737,8 +2823,63 @@
 
 std::ostream& operator<<(std::ostream& out, const MachineDrain& obj);
 
+typedef struct _DocumentChange__isset {
+  _DocumentChange__isset() : version(false), content(false) {}
+  bool version :1;
+  bool content :1;
+} _DocumentChange__isset;
+
+/**
+ * A whole configuration document, as the operator sent it, under the version that it carries.
+ */
+class DocumentChange : public virtual ::apache::thrift::TBase {
+ public:
+
+  DocumentChange(const DocumentChange&);
+  DocumentChange(DocumentChange&&) noexcept;
+  DocumentChange& operator=(const DocumentChange&);
+  DocumentChange& operator=(DocumentChange&&) noexcept;
+  DocumentChange() noexcept
+                 : version(0),
+                   content() {
+  }
+
+  virtual ~DocumentChange() noexcept;
+  int64_t version;
+  std::string content;
+
+  _DocumentChange__isset __isset;
+
+  void __set_version(const int64_t val);
+
+  void __set_content(const std::string& val);
+
+  bool operator == (const DocumentChange & rhs) const
+  {
+    if (!(version == rhs.version))
+      return false;
+    if (!(content == rhs.content))
+      return false;
+    return true;
+  }
+  bool operator != (const DocumentChange &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const DocumentChange & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(DocumentChange &a, DocumentChange &b);
+
+std::ostream& operator<<(std::ostream& out, const DocumentChange& obj);
+
 typedef struct _Command__isset {
-  _Command__isset() : at_ms(false), change(false), machine_observation(false), group_creation(false), group_transition(false), machine_release(false), claims(false), resolutions(false), entry_loss(false), drain(false) {}
+  _Command__isset() : at_ms(false), change(false), machine_observation(false), group_creation(false), group_transition(false), machine_release(false), claims(false), resolutions(false), entry_loss(false), drain(false), document(false) {}
   bool at_ms :1;
   bool change :1;
   bool machine_observation :1;
@@ -2749,6 +2890,7 @@
   bool resolutions :1;
   bool entry_loss :1;
   bool drain :1;
+  bool document :1;
 } _Command__isset;
 
 class Command : public virtual ::apache::thrift::TBase {
@@ -2776,6 +2918,7 @@
   std::vector<ClaimResolution>  resolutions;
   EntryLoss entry_loss;
   MachineDrain drain;
+  DocumentChange document;
 
   _Command__isset __isset;
 
@@ -2799,6 +2942,8 @@
 
   void __set_drain(const MachineDrain& val);
 
+  void __set_document(const DocumentChange& val);
+
   bool operator == (const Command & rhs) const
   {
     if (!(at_ms == rhs.at_ms))
@@ -2839,6 +2984,10 @@
       return false;
     else if (__isset.drain && !(drain == rhs.drain))
       return false;
+    if (__isset.document != rhs.__isset.document)
+      return false;
+    else if (__isset.document && !(document == rhs.document))
+      return false;
     return true;
   }
   bool operator != (const Command &rhs) const {
@@ -4192,118 +4341,1090 @@
 
 std::ostream& operator<<(std::ostream& out, const OperatorReply& obj);
 
-typedef struct _Envelope__isset {
-  _Envelope__isset() : from_node(false), from_incarnation(false), to_node(false), raft(false), heartbeat(false), heartbeat_reply(false), claim_request(false), claim_reply(false), resolution(false), operator_request(false), operator_reply(false), resolution_reply(false) {}
-  bool from_node :1;
-  bool from_incarnation :1;
-  bool to_node :1;
-  bool raft :1;
-  bool heartbeat :1;
-  bool heartbeat_reply :1;
-  bool claim_request :1;
-  bool claim_reply :1;
-  bool resolution :1;
-  bool operator_request :1;
-  bool operator_reply :1;
-  bool resolution_reply :1;
-} _Envelope__isset;
+typedef struct _GroupMembership__isset {
+  _GroupMembership__isset() : group(false), epoch(false), rank(false), state(false) {}
+  bool group :1;
+  bool epoch :1;
+  bool rank :1;
+  bool state :1;
+} _GroupMembership__isset;
 
-class Envelope : public virtual ::apache::thrift::TBase {
+/**
+ * The group that an instance says it belongs to.
+ */
+class GroupMembership : public virtual ::apache::thrift::TBase {
  public:
 
-  Envelope(const Envelope&);
-  Envelope(Envelope&&) noexcept;
-  Envelope& operator=(const Envelope&);
-  Envelope& operator=(Envelope&&) noexcept;
-  Envelope() noexcept
-           : from_node(),
-             from_incarnation(0),
-             to_node() {
+  GroupMembership(const GroupMembership&);
+  GroupMembership(GroupMembership&&) noexcept;
+  GroupMembership& operator=(const GroupMembership&);
+  GroupMembership& operator=(GroupMembership&&) noexcept;
+  GroupMembership() noexcept
+                  : group(),
+                    epoch(0),
+                    rank(0),
+                    state(static_cast<MembershipState::type>(0)) {
   }
 
-  virtual ~Envelope() noexcept;
-  std::string from_node;
-  int64_t from_incarnation;
-  std::string to_node;
-  RaftMessage raft;
-  Heartbeat heartbeat;
-  HeartbeatReply heartbeat_reply;
-  ClaimRequest claim_request;
-  ClaimReply claim_reply;
-  ResolutionRequest resolution;
-  OperatorRequest operator_request;
-  OperatorReply operator_reply;
-  ResolutionReply resolution_reply;
+  virtual ~GroupMembership() noexcept;
+  std::string group;
+  int64_t epoch;
+  int32_t rank;
+  /**
+   * 
+   * @see MembershipState
+   */
+  MembershipState::type state;
 
-  _Envelope__isset __isset;
+  _GroupMembership__isset __isset;
 
-  void __set_from_node(const std::string& val);
+  void __set_group(const std::string& val);
 
-  void __set_from_incarnation(const int64_t val);
+  void __set_epoch(const int64_t val);
 
-  void __set_to_node(const std::string& val);
+  void __set_rank(const int32_t val);
 
-  void __set_raft(const RaftMessage& val);
+  void __set_state(const MembershipState::type val);
 
-  void __set_heartbeat(const Heartbeat& val);
+  bool operator == (const GroupMembership & rhs) const
+  {
+    if (!(group == rhs.group))
+      return false;
+    if (!(epoch == rhs.epoch))
+      return false;
+    if (!(rank == rhs.rank))
+      return false;
+    if (!(state == rhs.state))
+      return false;
+    return true;
+  }
+  bool operator != (const GroupMembership &rhs) const {
+    return !(*this == rhs);
+  }
 
-  void __set_heartbeat_reply(const HeartbeatReply& val);
+  bool operator < (const GroupMembership & ) const;
 
-  void __set_claim_request(const ClaimRequest& val);
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
 
-  void __set_claim_reply(const ClaimReply& val);
+  virtual void printTo(std::ostream& out) const;
+};
 
-  void __set_resolution(const ResolutionRequest& val);
+void swap(GroupMembership &a, GroupMembership &b);
 
-  void __set_operator_request(const OperatorRequest& val);
+std::ostream& operator<<(std::ostream& out, const GroupMembership& obj);
 
-  void __set_operator_reply(const OperatorReply& val);
+typedef struct _Instance__isset {
+  _Instance__isset() : id(false), service_name(false), address(false), zone(false), domain(false), state(false), slots(false), call_number(false), staged_models(false), membership(false), silent(false) {}
+  bool id :1;
+  bool service_name :1;
+  bool address :1;
+  bool zone :1;
+  bool domain :1;
+  bool state :1;
+  bool slots :1;
+  bool call_number :1;
+  bool staged_models :1;
+  bool membership :1;
+  bool silent :1;
+} _Instance__isset;
 
-  void __set_resolution_reply(const ResolutionReply& val);
+/**
+ * One start of a back end, as it registered itself.
+ */
+class Instance : public virtual ::apache::thrift::TBase {
+ public:
 
-  bool operator == (const Envelope & rhs) const
+  Instance(const Instance&);
+  Instance(Instance&&) noexcept;
+  Instance& operator=(const Instance&);
+  Instance& operator=(Instance&&) noexcept;
+  Instance() noexcept
+           : id(),
+             service_name(),
+             address(),
+             zone(),
+             domain(),
+             state(static_cast<InstanceState::type>(0)),
+             slots(0),
+             call_number(0),
+             silent(0) {
+  }
+
+  virtual ~Instance() noexcept;
+  std::string id;
+  std::string service_name;
+  std::string address;
+  std::string zone;
+  std::string domain;
+  /**
+   * 
+   * @see InstanceState
+   */
+  InstanceState::type state;
+  int32_t slots;
+  /**
+   * Rises with every registration call of the instance.
+   */
+  int64_t call_number;
+  std::vector<std::string>  staged_models;
+  GroupMembership membership;
+  /**
+   * Its registrations stopped; it may be down, or only cut off from the control replicas.
+   */
+  bool silent;
+
+  _Instance__isset __isset;
+
+  void __set_id(const std::string& val);
+
+  void __set_service_name(const std::string& val);
+
+  void __set_address(const std::string& val);
+
+  void __set_zone(const std::string& val);
+
+  void __set_domain(const std::string& val);
+
+  void __set_state(const InstanceState::type val);
+
+  void __set_slots(const int32_t val);
+
+  void __set_call_number(const int64_t val);
+
+  void __set_staged_models(const std::vector<std::string> & val);
+
+  void __set_membership(const GroupMembership& val);
+
+  void __set_silent(const bool val);
+
+  bool operator == (const Instance & rhs) const
   {
-    if (!(from_node == rhs.from_node))
-      return false;
-    if (!(from_incarnation == rhs.from_incarnation))
-      return false;
-    if (!(to_node == rhs.to_node))
-      return false;
-    if (__isset.raft != rhs.__isset.raft)
+    if (!(id == rhs.id))
       return false;
-    else if (__isset.raft && !(raft == rhs.raft))
+    if (!(service_name == rhs.service_name))
       return false;
-    if (__isset.heartbeat != rhs.__isset.heartbeat)
+    if (!(address == rhs.address))
       return false;
-    else if (__isset.heartbeat && !(heartbeat == rhs.heartbeat))
+    if (!(zone == rhs.zone))
       return false;
-    if (__isset.heartbeat_reply != rhs.__isset.heartbeat_reply)
+    if (!(domain == rhs.domain))
       return false;
-    else if (__isset.heartbeat_reply && !(heartbeat_reply == rhs.heartbeat_reply))
+    if (!(state == rhs.state))
       return false;
-    if (__isset.claim_request != rhs.__isset.claim_request)
+    if (!(slots == rhs.slots))
       return false;
-    else if (__isset.claim_request && !(claim_request == rhs.claim_request))
+    if (!(call_number == rhs.call_number))
       return false;
-    if (__isset.claim_reply != rhs.__isset.claim_reply)
+    if (!(staged_models == rhs.staged_models))
       return false;
-    else if (__isset.claim_reply && !(claim_reply == rhs.claim_reply))
+    if (!(membership == rhs.membership))
       return false;
-    if (__isset.resolution != rhs.__isset.resolution)
+    if (!(silent == rhs.silent))
       return false;
-    else if (__isset.resolution && !(resolution == rhs.resolution))
+    return true;
+  }
+  bool operator != (const Instance &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const Instance & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(Instance &a, Instance &b);
+
+std::ostream& operator<<(std::ostream& out, const Instance& obj);
+
+typedef struct _EngineGroup__isset {
+  _EngineGroup__isset() : name(false), epoch(false), service_name(false), model(false), members(false), phase(false) {}
+  bool name :1;
+  bool epoch :1;
+  bool service_name :1;
+  bool model :1;
+  bool members :1;
+  bool phase :1;
+} _EngineGroup__isset;
+
+/**
+ * A replica of a model over several instances; the first member is the head and takes the requests.
+ */
+class EngineGroup : public virtual ::apache::thrift::TBase {
+ public:
+
+  EngineGroup(const EngineGroup&);
+  EngineGroup(EngineGroup&&) noexcept;
+  EngineGroup& operator=(const EngineGroup&);
+  EngineGroup& operator=(EngineGroup&&) noexcept;
+  EngineGroup() noexcept
+              : name(),
+                epoch(0),
+                service_name(),
+                model(),
+                phase(static_cast<GroupPhase::type>(0)) {
+  }
+
+  virtual ~EngineGroup() noexcept;
+  std::string name;
+  int64_t epoch;
+  std::string service_name;
+  std::string model;
+  std::vector<std::string>  members;
+  /**
+   * 
+   * @see GroupPhase
+   */
+  GroupPhase::type phase;
+
+  _EngineGroup__isset __isset;
+
+  void __set_name(const std::string& val);
+
+  void __set_epoch(const int64_t val);
+
+  void __set_service_name(const std::string& val);
+
+  void __set_model(const std::string& val);
+
+  void __set_members(const std::vector<std::string> & val);
+
+  void __set_phase(const GroupPhase::type val);
+
+  bool operator == (const EngineGroup & rhs) const
+  {
+    if (!(name == rhs.name))
       return false;
-    if (__isset.operator_request != rhs.__isset.operator_request)
+    if (!(epoch == rhs.epoch))
       return false;
-    else if (__isset.operator_request && !(operator_request == rhs.operator_request))
+    if (!(service_name == rhs.service_name))
       return false;
-    if (__isset.operator_reply != rhs.__isset.operator_reply)
+    if (!(model == rhs.model))
       return false;
-    else if (__isset.operator_reply && !(operator_reply == rhs.operator_reply))
+    if (!(members == rhs.members))
       return false;
-    if (__isset.resolution_reply != rhs.__isset.resolution_reply)
+    if (!(phase == rhs.phase))
       return false;
-    else if (__isset.resolution_reply && !(resolution_reply == rhs.resolution_reply))
+    return true;
+  }
+  bool operator != (const EngineGroup &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const EngineGroup & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(EngineGroup &a, EngineGroup &b);
+
+std::ostream& operator<<(std::ostream& out, const EngineGroup& obj);
+
+typedef struct _FleetState__isset {
+  _FleetState__isset() : term(false), version(false), instances(false), groups(false) {}
+  bool term :1;
+  bool version :1;
+  bool instances :1;
+  bool groups :1;
+} _FleetState__isset;
+
+/**
+ * The leader's soft state, as its subscribers copy it. Ordered by (term, version).
+ */
+class FleetState : public virtual ::apache::thrift::TBase {
+ public:
+
+  FleetState(const FleetState&);
+  FleetState(FleetState&&) noexcept;
+  FleetState& operator=(const FleetState&);
+  FleetState& operator=(FleetState&&) noexcept;
+  FleetState() noexcept
+             : term(0),
+               version(0) {
+  }
+
+  virtual ~FleetState() noexcept;
+  int64_t term;
+  int64_t version;
+  std::vector<Instance>  instances;
+  std::vector<EngineGroup>  groups;
+
+  _FleetState__isset __isset;
+
+  void __set_term(const int64_t val);
+
+  void __set_version(const int64_t val);
+
+  void __set_instances(const std::vector<Instance> & val);
+
+  void __set_groups(const std::vector<EngineGroup> & val);
+
+  bool operator == (const FleetState & rhs) const
+  {
+    if (!(term == rhs.term))
+      return false;
+    if (!(version == rhs.version))
+      return false;
+    if (!(instances == rhs.instances))
+      return false;
+    if (!(groups == rhs.groups))
+      return false;
+    return true;
+  }
+  bool operator != (const FleetState &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const FleetState & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(FleetState &a, FleetState &b);
+
+std::ostream& operator<<(std::ostream& out, const FleetState& obj);
+
+typedef struct _GroupLoad__isset {
+  _GroupLoad__isset() : group(false), in_flight(false) {}
+  bool group :1;
+  bool in_flight :1;
+} _GroupLoad__isset;
+
+class GroupLoad : public virtual ::apache::thrift::TBase {
+ public:
+
+  GroupLoad(const GroupLoad&);
+  GroupLoad(GroupLoad&&) noexcept;
+  GroupLoad& operator=(const GroupLoad&);
+  GroupLoad& operator=(GroupLoad&&) noexcept;
+  GroupLoad() noexcept
+            : group(),
+              in_flight(0) {
+  }
+
+  virtual ~GroupLoad() noexcept;
+  std::string group;
+  int32_t in_flight;
+
+  _GroupLoad__isset __isset;
+
+  void __set_group(const std::string& val);
+
+  void __set_in_flight(const int32_t val);
+
+  bool operator == (const GroupLoad & rhs) const
+  {
+    if (!(group == rhs.group))
+      return false;
+    if (!(in_flight == rhs.in_flight))
+      return false;
+    return true;
+  }
+  bool operator != (const GroupLoad &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const GroupLoad & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(GroupLoad &a, GroupLoad &b);
+
+std::ostream& operator<<(std::ostream& out, const GroupLoad& obj);
+
+typedef struct _ModelDemand__isset {
+  _ModelDemand__isset() : service_name(false), model(false), received(false), refused(false) {}
+  bool service_name :1;
+  bool model :1;
+  bool received :1;
+  bool refused :1;
+} _ModelDemand__isset;
+
+/**
+ * Requests for a model that a node received since its previous heartbeat, and how many it had to refuse.
+ */
+class ModelDemand : public virtual ::apache::thrift::TBase {
+ public:
+
+  ModelDemand(const ModelDemand&);
+  ModelDemand(ModelDemand&&) noexcept;
+  ModelDemand& operator=(const ModelDemand&);
+  ModelDemand& operator=(ModelDemand&&) noexcept;
+  ModelDemand() noexcept
+              : service_name(),
+                model(),
+                received(0),
+                refused(0) {
+  }
+
+  virtual ~ModelDemand() noexcept;
+  std::string service_name;
+  std::string model;
+  int32_t received;
+  int32_t refused;
+
+  _ModelDemand__isset __isset;
+
+  void __set_service_name(const std::string& val);
+
+  void __set_model(const std::string& val);
+
+  void __set_received(const int32_t val);
+
+  void __set_refused(const int32_t val);
+
+  bool operator == (const ModelDemand & rhs) const
+  {
+    if (!(service_name == rhs.service_name))
+      return false;
+    if (!(model == rhs.model))
+      return false;
+    if (!(received == rhs.received))
+      return false;
+    if (!(refused == rhs.refused))
+      return false;
+    return true;
+  }
+  bool operator != (const ModelDemand &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const ModelDemand & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(ModelDemand &a, ModelDemand &b);
+
+std::ostream& operator<<(std::ostream& out, const ModelDemand& obj);
+
+typedef struct _InstanceFailure__isset {
+  _InstanceFailure__isset() : instance_id(false), group(false) {}
+  bool instance_id :1;
+  bool group :1;
+} _InstanceFailure__isset;
+
+/**
+ * An entry's own evidence against an instance: it refused connections, reset or stood still.
+ */
+class InstanceFailure : public virtual ::apache::thrift::TBase {
+ public:
+
+  InstanceFailure(const InstanceFailure&);
+  InstanceFailure(InstanceFailure&&) noexcept;
+  InstanceFailure& operator=(const InstanceFailure&);
+  InstanceFailure& operator=(InstanceFailure&&) noexcept;
+  InstanceFailure() noexcept
+                  : instance_id(),
+                    group() {
+  }
+
+  virtual ~InstanceFailure() noexcept;
+  std::string instance_id;
+  std::string group;
+
+  _InstanceFailure__isset __isset;
+
+  void __set_instance_id(const std::string& val);
+
+  void __set_group(const std::string& val);
+
+  bool operator == (const InstanceFailure & rhs) const
+  {
+    if (!(instance_id == rhs.instance_id))
+      return false;
+    if (!(group == rhs.group))
+      return false;
+    return true;
+  }
+  bool operator != (const InstanceFailure &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const InstanceFailure & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(InstanceFailure &a, InstanceFailure &b);
+
+std::ostream& operator<<(std::ostream& out, const InstanceFailure& obj);
+
+typedef struct _FleetHeartbeat__isset {
+  _FleetHeartbeat__isset() : sequence(false), zone(false), replica_id(false), control_address(false), document_version(false), held_term(false), held_version(false), loads(false), demand(false), failures(false), leaving(false), serves_requests(false), traffic_seen(false), held_state(false) {}
+  bool sequence :1;
+  bool zone :1;
+  bool replica_id :1;
+  bool control_address :1;
+  bool document_version :1;
+  bool held_term :1;
+  bool held_version :1;
+  bool loads :1;
+  bool demand :1;
+  bool failures :1;
+  bool leaving :1;
+  bool serves_requests :1;
+  bool traffic_seen :1;
+  bool held_state :1;
+} _FleetHeartbeat__isset;
+
+class FleetHeartbeat : public virtual ::apache::thrift::TBase {
+ public:
+
+  FleetHeartbeat(const FleetHeartbeat&);
+  FleetHeartbeat(FleetHeartbeat&&) noexcept;
+  FleetHeartbeat& operator=(const FleetHeartbeat&);
+  FleetHeartbeat& operator=(FleetHeartbeat&&) noexcept;
+  FleetHeartbeat() noexcept
+                 : sequence(0),
+                   zone(),
+                   replica_id(0),
+                   control_address(),
+                   document_version(0),
+                   held_term(0),
+                   held_version(0),
+                   leaving(0),
+                   serves_requests(0),
+                   traffic_seen(0) {
+  }
+
+  virtual ~FleetHeartbeat() noexcept;
+  int64_t sequence;
+  std::string zone;
+  /**
+   * Identity of the data folder; zero on a node without a disk.
+   */
+  int64_t replica_id;
+  /**
+   * Where the node serves control calls, IP:PORT; empty when it does not.
+   */
+  std::string control_address;
+  int64_t document_version;
+  int64_t held_term;
+  int64_t held_version;
+  std::vector<GroupLoad>  loads;
+  std::vector<ModelDemand>  demand;
+  std::vector<InstanceFailure>  failures;
+  bool leaving;
+  bool serves_requests;
+  /**
+   * The node has seen at least one caller's request since it started.
+   */
+  bool traffic_seen;
+  /**
+   * The copy held, sent when the leader asked for it.
+   */
+  FleetState held_state;
+
+  _FleetHeartbeat__isset __isset;
+
+  void __set_sequence(const int64_t val);
+
+  void __set_zone(const std::string& val);
+
+  void __set_replica_id(const int64_t val);
+
+  void __set_control_address(const std::string& val);
+
+  void __set_document_version(const int64_t val);
+
+  void __set_held_term(const int64_t val);
+
+  void __set_held_version(const int64_t val);
+
+  void __set_loads(const std::vector<GroupLoad> & val);
+
+  void __set_demand(const std::vector<ModelDemand> & val);
+
+  void __set_failures(const std::vector<InstanceFailure> & val);
+
+  void __set_leaving(const bool val);
+
+  void __set_serves_requests(const bool val);
+
+  void __set_traffic_seen(const bool val);
+
+  void __set_held_state(const FleetState& val);
+
+  bool operator == (const FleetHeartbeat & rhs) const
+  {
+    if (!(sequence == rhs.sequence))
+      return false;
+    if (!(zone == rhs.zone))
+      return false;
+    if (!(replica_id == rhs.replica_id))
+      return false;
+    if (!(control_address == rhs.control_address))
+      return false;
+    if (!(document_version == rhs.document_version))
+      return false;
+    if (!(held_term == rhs.held_term))
+      return false;
+    if (!(held_version == rhs.held_version))
+      return false;
+    if (!(loads == rhs.loads))
+      return false;
+    if (!(demand == rhs.demand))
+      return false;
+    if (!(failures == rhs.failures))
+      return false;
+    if (!(leaving == rhs.leaving))
+      return false;
+    if (!(serves_requests == rhs.serves_requests))
+      return false;
+    if (!(traffic_seen == rhs.traffic_seen))
+      return false;
+    if (__isset.held_state != rhs.__isset.held_state)
+      return false;
+    else if (__isset.held_state && !(held_state == rhs.held_state))
+      return false;
+    return true;
+  }
+  bool operator != (const FleetHeartbeat &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const FleetHeartbeat & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(FleetHeartbeat &a, FleetHeartbeat &b);
+
+std::ostream& operator<<(std::ostream& out, const FleetHeartbeat& obj);
+
+typedef struct _FleetUpdate__isset {
+  _FleetUpdate__isset() : sequence(false), not_leader(false), leader(false), control_peers(false), term(false), document_version(false), document(false), state(false), loads(false), serving_nodes(false), wants_state(false) {}
+  bool sequence :1;
+  bool not_leader :1;
+  bool leader :1;
+  bool control_peers :1;
+  bool term :1;
+  bool document_version :1;
+  bool document :1;
+  bool state :1;
+  bool loads :1;
+  bool serving_nodes :1;
+  bool wants_state :1;
+} _FleetUpdate__isset;
+
+/**
+ * Answer to a heartbeat (sequence set), or a push of news (sequence zero).
+ */
+class FleetUpdate : public virtual ::apache::thrift::TBase {
+ public:
+
+  FleetUpdate(const FleetUpdate&);
+  FleetUpdate(FleetUpdate&&) noexcept;
+  FleetUpdate& operator=(const FleetUpdate&);
+  FleetUpdate& operator=(FleetUpdate&&) noexcept;
+  FleetUpdate() noexcept
+              : sequence(0),
+                not_leader(0),
+                leader(),
+                term(0),
+                document_version(0),
+                document(),
+                serving_nodes(0),
+                wants_state(0) {
+  }
+
+  virtual ~FleetUpdate() noexcept;
+  int64_t sequence;
+  bool not_leader;
+  /**
+   * Peer address of the leader, as far as the sender knows.
+   */
+  std::string leader;
+  /**
+   * Peer addresses of all control replicas known.
+   */
+  std::vector<std::string>  control_peers;
+  int64_t term;
+  int64_t document_version;
+  std::string document;
+  FleetState state;
+  /**
+   * Requests in flight per group, over all nodes.
+   */
+  std::vector<GroupLoad>  loads;
+  /**
+   * Nodes that serve requests now; budgets that all share are split by it.
+   */
+  int32_t serving_nodes;
+  /**
+   * The leader lacks its predecessor's state and asks for the copy held.
+   */
+  bool wants_state;
+
+  _FleetUpdate__isset __isset;
+
+  void __set_sequence(const int64_t val);
+
+  void __set_not_leader(const bool val);
+
+  void __set_leader(const std::string& val);
+
+  void __set_control_peers(const std::vector<std::string> & val);
+
+  void __set_term(const int64_t val);
+
+  void __set_document_version(const int64_t val);
+
+  void __set_document(const std::string& val);
+
+  void __set_state(const FleetState& val);
+
+  void __set_loads(const std::vector<GroupLoad> & val);
+
+  void __set_serving_nodes(const int32_t val);
+
+  void __set_wants_state(const bool val);
+
+  bool operator == (const FleetUpdate & rhs) const
+  {
+    if (!(sequence == rhs.sequence))
+      return false;
+    if (!(not_leader == rhs.not_leader))
+      return false;
+    if (!(leader == rhs.leader))
+      return false;
+    if (!(control_peers == rhs.control_peers))
+      return false;
+    if (!(term == rhs.term))
+      return false;
+    if (!(document_version == rhs.document_version))
+      return false;
+    if (__isset.document != rhs.__isset.document)
+      return false;
+    else if (__isset.document && !(document == rhs.document))
+      return false;
+    if (__isset.state != rhs.__isset.state)
+      return false;
+    else if (__isset.state && !(state == rhs.state))
+      return false;
+    if (!(loads == rhs.loads))
+      return false;
+    if (!(serving_nodes == rhs.serving_nodes))
+      return false;
+    if (!(wants_state == rhs.wants_state))
+      return false;
+    return true;
+  }
+  bool operator != (const FleetUpdate &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const FleetUpdate & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(FleetUpdate &a, FleetUpdate &b);
+
+std::ostream& operator<<(std::ostream& out, const FleetUpdate& obj);
+
+typedef struct _ControlCall__isset {
+  _ControlCall__isset() : id(false), kind(false), instance_id(false), body(false) {}
+  bool id :1;
+  bool kind :1;
+  bool instance_id :1;
+  bool body :1;
+} _ControlCall__isset;
+
+/**
+ * A call of an instance or operator, forwarded to the leader by the replica that received it.
+ */
+class ControlCall : public virtual ::apache::thrift::TBase {
+ public:
+
+  ControlCall(const ControlCall&);
+  ControlCall(ControlCall&&) noexcept;
+  ControlCall& operator=(const ControlCall&);
+  ControlCall& operator=(ControlCall&&) noexcept;
+  ControlCall() noexcept
+              : id(0),
+                kind(static_cast<ControlCallKind::type>(0)),
+                instance_id(),
+                body() {
+  }
+
+  virtual ~ControlCall() noexcept;
+  int64_t id;
+  /**
+   * 
+   * @see ControlCallKind
+   */
+  ControlCallKind::type kind;
+  std::string instance_id;
+  std::string body;
+
+  _ControlCall__isset __isset;
+
+  void __set_id(const int64_t val);
+
+  void __set_kind(const ControlCallKind::type val);
+
+  void __set_instance_id(const std::string& val);
+
+  void __set_body(const std::string& val);
+
+  bool operator == (const ControlCall & rhs) const
+  {
+    if (!(id == rhs.id))
+      return false;
+    if (!(kind == rhs.kind))
+      return false;
+    if (!(instance_id == rhs.instance_id))
+      return false;
+    if (!(body == rhs.body))
+      return false;
+    return true;
+  }
+  bool operator != (const ControlCall &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const ControlCall & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(ControlCall &a, ControlCall &b);
+
+std::ostream& operator<<(std::ostream& out, const ControlCall& obj);
+
+typedef struct _ControlCallReply__isset {
+  _ControlCallReply__isset() : id(false), status(false), body(false) {}
+  bool id :1;
+  bool status :1;
+  bool body :1;
+} _ControlCallReply__isset;
+
+class ControlCallReply : public virtual ::apache::thrift::TBase {
+ public:
+
+  ControlCallReply(const ControlCallReply&);
+  ControlCallReply(ControlCallReply&&) noexcept;
+  ControlCallReply& operator=(const ControlCallReply&);
+  ControlCallReply& operator=(ControlCallReply&&) noexcept;
+  ControlCallReply() noexcept
+                   : id(0),
+                     status(0),
+                     body() {
+  }
+
+  virtual ~ControlCallReply() noexcept;
+  int64_t id;
+  int32_t status;
+  std::string body;
+
+  _ControlCallReply__isset __isset;
+
+  void __set_id(const int64_t val);
+
+  void __set_status(const int32_t val);
+
+  void __set_body(const std::string& val);
+
+  bool operator == (const ControlCallReply & rhs) const
+  {
+    if (!(id == rhs.id))
+      return false;
+    if (!(status == rhs.status))
+      return false;
+    if (!(body == rhs.body))
+      return false;
+    return true;
+  }
+  bool operator != (const ControlCallReply &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const ControlCallReply & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(ControlCallReply &a, ControlCallReply &b);
+
+std::ostream& operator<<(std::ostream& out, const ControlCallReply& obj);
+
+typedef struct _Envelope__isset {
+  _Envelope__isset() : from_node(false), from_incarnation(false), to_node(false), raft(false), heartbeat(false), heartbeat_reply(false), claim_request(false), claim_reply(false), resolution(false), operator_request(false), operator_reply(false), resolution_reply(false), fleet_heartbeat(false), fleet_update(false), control_call(false), control_call_reply(false) {}
+  bool from_node :1;
+  bool from_incarnation :1;
+  bool to_node :1;
+  bool raft :1;
+  bool heartbeat :1;
+  bool heartbeat_reply :1;
+  bool claim_request :1;
+  bool claim_reply :1;
+  bool resolution :1;
+  bool operator_request :1;
+  bool operator_reply :1;
+  bool resolution_reply :1;
+  bool fleet_heartbeat :1;
+  bool fleet_update :1;
+  bool control_call :1;
+  bool control_call_reply :1;
+} _Envelope__isset;
+
+class Envelope : public virtual ::apache::thrift::TBase {
+ public:
+
+  Envelope(const Envelope&);
+  Envelope(Envelope&&) noexcept;
+  Envelope& operator=(const Envelope&);
+  Envelope& operator=(Envelope&&) noexcept;
+  Envelope() noexcept
+           : from_node(),
+             from_incarnation(0),
+             to_node() {
+  }
+
+  virtual ~Envelope() noexcept;
+  std::string from_node;
+  int64_t from_incarnation;
+  std::string to_node;
+  RaftMessage raft;
+  Heartbeat heartbeat;
+  HeartbeatReply heartbeat_reply;
+  ClaimRequest claim_request;
+  ClaimReply claim_reply;
+  ResolutionRequest resolution;
+  OperatorRequest operator_request;
+  OperatorReply operator_reply;
+  ResolutionReply resolution_reply;
+  FleetHeartbeat fleet_heartbeat;
+  FleetUpdate fleet_update;
+  ControlCall control_call;
+  ControlCallReply control_call_reply;
+
+  _Envelope__isset __isset;
+
+  void __set_from_node(const std::string& val);
+
+  void __set_from_incarnation(const int64_t val);
+
+  void __set_to_node(const std::string& val);
+
+  void __set_raft(const RaftMessage& val);
+
+  void __set_heartbeat(const Heartbeat& val);
+
+  void __set_heartbeat_reply(const HeartbeatReply& val);
+
+  void __set_claim_request(const ClaimRequest& val);
+
+  void __set_claim_reply(const ClaimReply& val);
+
+  void __set_resolution(const ResolutionRequest& val);
+
+  void __set_operator_request(const OperatorRequest& val);
+
+  void __set_operator_reply(const OperatorReply& val);
+
+  void __set_resolution_reply(const ResolutionReply& val);
+
+  void __set_fleet_heartbeat(const FleetHeartbeat& val);
+
+  void __set_fleet_update(const FleetUpdate& val);
+
+  void __set_control_call(const ControlCall& val);
+
+  void __set_control_call_reply(const ControlCallReply& val);
+
+  bool operator == (const Envelope & rhs) const
+  {
+    if (!(from_node == rhs.from_node))
+      return false;
+    if (!(from_incarnation == rhs.from_incarnation))
+      return false;
+    if (!(to_node == rhs.to_node))
+      return false;
+    if (__isset.raft != rhs.__isset.raft)
+      return false;
+    else if (__isset.raft && !(raft == rhs.raft))
+      return false;
+    if (__isset.heartbeat != rhs.__isset.heartbeat)
+      return false;
+    else if (__isset.heartbeat && !(heartbeat == rhs.heartbeat))
+      return false;
+    if (__isset.heartbeat_reply != rhs.__isset.heartbeat_reply)
+      return false;
+    else if (__isset.heartbeat_reply && !(heartbeat_reply == rhs.heartbeat_reply))
+      return false;
+    if (__isset.claim_request != rhs.__isset.claim_request)
+      return false;
+    else if (__isset.claim_request && !(claim_request == rhs.claim_request))
+      return false;
+    if (__isset.claim_reply != rhs.__isset.claim_reply)
+      return false;
+    else if (__isset.claim_reply && !(claim_reply == rhs.claim_reply))
+      return false;
+    if (__isset.resolution != rhs.__isset.resolution)
+      return false;
+    else if (__isset.resolution && !(resolution == rhs.resolution))
+      return false;
+    if (__isset.operator_request != rhs.__isset.operator_request)
+      return false;
+    else if (__isset.operator_request && !(operator_request == rhs.operator_request))
+      return false;
+    if (__isset.operator_reply != rhs.__isset.operator_reply)
+      return false;
+    else if (__isset.operator_reply && !(operator_reply == rhs.operator_reply))
+      return false;
+    if (__isset.resolution_reply != rhs.__isset.resolution_reply)
+      return false;
+    else if (__isset.resolution_reply && !(resolution_reply == rhs.resolution_reply))
+      return false;
+    if (__isset.fleet_heartbeat != rhs.__isset.fleet_heartbeat)
+      return false;
+    else if (__isset.fleet_heartbeat && !(fleet_heartbeat == rhs.fleet_heartbeat))
+      return false;
+    if (__isset.fleet_update != rhs.__isset.fleet_update)
+      return false;
+    else if (__isset.fleet_update && !(fleet_update == rhs.fleet_update))
+      return false;
+    if (__isset.control_call != rhs.__isset.control_call)
+      return false;
+    else if (__isset.control_call && !(control_call == rhs.control_call))
+      return false;
+    if (__isset.control_call_reply != rhs.__isset.control_call_reply)
+      return false;
+    else if (__isset.control_call_reply && !(control_call_reply == rhs.control_call_reply))
       return false;
     return true;
   }
--- a/src/wire/larchlever.thrift
+++ b/src/wire/larchlever.thrift
@@ -306,6 +306,12 @@
   4: bool leaving,
 }
 
+/** A whole configuration document, as the operator sent it, under the version that it carries. */
+struct DocumentChange {
+  1: i64 version,
+  2: binary content,
+}
+
 struct Command {
   /** Leader's wall clock, carried for expiry and audit; never decreases along the log. */
   1: i64 at_ms,
@@ -318,6 +324,7 @@
   8: optional list<ClaimResolution> resolutions,
   9: optional EntryLoss entry_loss,
   10: optional MachineDrain drain,
+  11: optional DocumentChange document,
 }
 
 struct CommandAnswer {
@@ -482,6 +489,133 @@
   9: optional StatusReport status,
 }
 
+// ------------------------------------------------- registered instances
+
+enum InstanceState { READY = 0, DRAINING = 1, GONE = 2 }
+
+enum MembershipState { NONE = 0, JOINING = 1, READY = 2, OPEN = 3, CLOSING = 4, BROKEN = 5 }
+
+/** The group that an instance says it belongs to. */
+struct GroupMembership {
+  1: string group,
+  2: i64 epoch,
+  3: i32 rank,
+  4: MembershipState state,
+}
+
+/** One start of a back end, as it registered itself. */
+struct Instance {
+  1: string id,
+  2: string service_name,
+  3: string address,
+  4: string zone,
+  5: string domain,
+  6: InstanceState state,
+  7: i32 slots,
+  /** Rises with every registration call of the instance. */
+  8: i64 call_number,
+  9: list<string> staged_models,
+  10: GroupMembership membership,
+  /** Its registrations stopped; it may be down, or only cut off from the control replicas. */
+  11: bool silent,
+}
+
+enum GroupPhase { JOINING = 0, OPENING = 1, OPEN = 2, DRAINING = 3, DISSOLVING = 4 }
+
+/** A replica of a model over several instances; the first member is the head and takes the requests. */
+struct EngineGroup {
+  1: string name,
+  2: i64 epoch,
+  3: string service_name,
+  4: string model,
+  5: list<string> members,
+  6: GroupPhase phase,
+}
+
+/** The leader's soft state, as its subscribers copy it. Ordered by (term, version). */
+struct FleetState {
+  1: i64 term,
+  2: i64 version,
+  3: list<Instance> instances,
+  4: list<EngineGroup> groups,
+}
+
+struct GroupLoad {
+  1: string group,
+  2: i32 in_flight,
+}
+
+/** Requests for a model that a node received since its previous heartbeat, and how many it had to refuse. */
+struct ModelDemand {
+  1: string service_name,
+  2: string model,
+  3: i32 received,
+  4: i32 refused,
+}
+
+/** An entry's own evidence against an instance: it refused connections, reset or stood still. */
+struct InstanceFailure {
+  1: string instance_id,
+  2: string group,
+}
+
+struct FleetHeartbeat {
+  1: i64 sequence,
+  2: string zone,
+  /** Identity of the data folder; zero on a node without a disk. */
+  3: i64 replica_id,
+  /** Where the node serves control calls, IP:PORT; empty when it does not. */
+  4: string control_address,
+  5: i64 document_version,
+  6: i64 held_term,
+  7: i64 held_version,
+  8: list<GroupLoad> loads,
+  9: list<ModelDemand> demand,
+  10: list<InstanceFailure> failures,
+  11: bool leaving,
+  12: bool serves_requests,
+  /** The node has seen at least one caller's request since it started. */
+  13: bool traffic_seen,
+  /** The copy held, sent when the leader asked for it. */
+  14: optional FleetState held_state,
+}
+
+/** Answer to a heartbeat (sequence set), or a push of news (sequence zero). */
+struct FleetUpdate {
+  1: i64 sequence,
+  2: bool not_leader,
+  /** Peer address of the leader, as far as the sender knows. */
+  3: string leader,
+  /** Peer addresses of all control replicas known. */
+  4: list<string> control_peers,
+  5: i64 term,
+  6: i64 document_version,
+  7: optional binary document,
+  8: optional FleetState state,
+  /** Requests in flight per group, over all nodes. */
+  9: list<GroupLoad> loads,
+  /** Nodes that serve requests now; budgets that all share are split by it. */
+  10: i32 serving_nodes,
+  /** The leader lacks its predecessor's state and asks for the copy held. */
+  11: bool wants_state,
+}
+
+enum ControlCallKind { HEARTBEAT = 0, DEREGISTER = 1, PUT_DOCUMENT = 2, GET_DOCUMENT = 3 }
+
+/** A call of an instance or operator, forwarded to the leader by the replica that received it. */
+struct ControlCall {
+  1: i64 id,
+  2: ControlCallKind kind,
+  3: string instance_id,
+  4: binary body,
+}
+
+struct ControlCallReply {
+  1: i64 id,
+  2: i32 status,
+  3: binary body,
+}
+
 struct Envelope {
   1: string from_node,
   2: i64 from_incarnation,
@@ -495,4 +629,8 @@
   10: optional OperatorRequest operator_request,
   11: optional OperatorReply operator_reply,
   12: optional ResolutionReply resolution_reply,
+  13: optional FleetHeartbeat fleet_heartbeat,
+  14: optional FleetUpdate fleet_update,
+  15: optional ControlCall control_call,
+  16: optional ControlCallReply control_call_reply,
 }
