Believe a group dead only when no entry sees it progress; keep staged spares

Cause: overloaded groups brought one entry's requests nothing for 0.9 s; two such entries had the leader dissolve groups that were serving, which overloaded the rest. A cancelled request also touched a connection that opening had already dropped. Change: entries report the age of progress per group, accusations need none anywhere; an eighth of the servers stays free and staged for the largest model; a cancellation forgets its connection however opening ends.

--- a/src/core/fleet/dispatcher.cc
+++ b/src/core/fleet/dispatcher.cc
@@ -8,6 +8,9 @@
 
 /// A target that made progress more recently than this for another request is not taken for dead.
 constexpr Duration kRecentProgress = milliseconds(700);
+/// Progress older than this is not reported.
+constexpr Duration kReportedProgress = seconds(3);
+constexpr int32_t kNoProgress = -1;
 /// Share of the budget that entries use: they learn of each other with a delay.
 constexpr double kBudgetShare = 0.7;
 /// Requests beyond the slots that a head may hold waiting, as a share of its slots.
@@ -194,14 +197,17 @@
   return true;
 }
 
-std::vector<wire::GroupLoad> Dispatcher::take_loads() {
+std::vector<wire::GroupLoad> Dispatcher::take_loads(TimePoint now) {
   std::vector<wire::GroupLoad> result;
   for (auto& [key, health] : health_) {
     health.reported = health.in_flight;
-    if (health.in_flight > 0) {
+    const bool progressed = health.last_progress != TimePoint::min() && now - health.last_progress < kReportedProgress;
+    if (health.in_flight > 0 || progressed) {
       wire::GroupLoad load;
       load.group = key;
       load.in_flight = health.in_flight;
+      load.progress_age_ms =
+          progressed ? static_cast<int32_t>((now - health.last_progress) / milliseconds(1)) : kNoProgress;
       result.push_back(std::move(load));
     }
   }
--- a/src/core/fleet/dispatcher.h
+++ b/src/core/fleet/dispatcher.h
@@ -71,7 +71,7 @@
   bool take_retry(TimePoint now, const std::string& service);
 
   /// This entry's in-flight requests per group, to be reported.
-  std::vector<wire::GroupLoad> take_loads();
+  std::vector<wire::GroupLoad> take_loads(TimePoint now);
   /// Groups that this entry avoids now.
   std::vector<wire::InstanceFailure> failures(TimePoint now) const;
   /// True while `target` may still be used: its instance is neither leaving nor gone.
--- a/src/core/fleet/fleet_leader.cc
+++ b/src/core/fleet/fleet_leader.cc
@@ -15,6 +15,8 @@
 constexpr Duration kPushRetry = milliseconds(300);
 /// How long an entry's word against a group counts.
 constexpr Duration kAccusationMemory = seconds(3);
+/// A group that any entry saw make progress this recently is not dead, only slow for others.
+constexpr Duration kAliveProgress = milliseconds(800);
 /// Subscribers silent for this long are forgotten.
 constexpr Duration kSubscriberMemory = seconds(30);
 
@@ -51,6 +53,7 @@
   subscribers_.clear();
   loads_.clear();
   accusations_.clear();
+  progress_.clear();
   waiting_.clear();
   pending_documents_.clear();
   open_calls_.clear();
@@ -69,6 +72,10 @@
   subscriber.loads.clear();
   for (const auto& load : report.loads) {
     subscriber.loads[load.group] = load.in_flight;
+    if (load.progress_age_ms >= 0) {
+      TimePoint& progress = progress_.try_emplace(load.group, TimePoint::min()).first->second;
+      progress = std::max(progress, now - milliseconds(load.progress_age_ms));
+    }
   }
   for (const auto& failure : report.failures) {
     note_failure(now, envelope.from_node, failure.group);
@@ -90,7 +97,9 @@
   const bool member_silent = std::any_of(rows.begin(), rows.end(), [&](const auto& item) {
     return item.second.instance.silent && item.second.instance.membership.group == group;
   });
-  if (accusers.size() >= 2 || member_silent) {
+  const auto progress = progress_.find(group);
+  const bool alive = progress != progress_.end() && now - progress->second < kAliveProgress;
+  if (!alive && (accusers.size() >= 2 || member_silent)) {
     groups_.note_failure(now, group);
   }
 }
--- a/src/core/fleet/fleet_leader.h
+++ b/src/core/fleet/fleet_leader.h
@@ -107,6 +107,8 @@
   std::map<std::string, int> loads_;
   /// Per group, which entries reported its failure, and when last.
   std::map<std::string, std::map<std::string, TimePoint>> accusations_;
+  /// When any entry last saw progress of a group.
+  std::map<std::string, TimePoint> progress_;
   std::vector<WaitingCall> waiting_;
   std::map<int64_t, PendingDocument> pending_documents_;
   std::map<std::string, wire::ControlCall> open_calls_;
--- a/src/core/fleet/group_formation.cc
+++ b/src/core/fleet/group_formation.cc
@@ -12,6 +12,12 @@
 
 /// Keeps a model of no stated share from being infinitely covered.
 constexpr double kSmallestFraction = 1e-6;
+/// Share of the servers kept out of groups, to replace members that are lost.
+constexpr double kSpareShare = 0.125;
+/// Lets a target that is a hair under a whole group count as one.
+constexpr double kRounding = 0.5;
+/// A spare that has not reported its weights in this time is ordered again.
+constexpr Duration kStagingPatience = seconds(25);
 
 bool has_staged(const wire::Instance& instance, const std::string& model) {
   const auto& staged = instance.staged_models;
@@ -37,7 +43,8 @@
   return candidate;
 }
 
-/// The domain where the group costs the fewest loads and then leaves the fewest instances over.
+/// The domain where the group costs the fewest loads and then leaves the most instances over, so that spares are
+/// spread.
 std::optional<Candidate> best_candidate(const FreeByDomain& free, const document::ModelSpec& model) {
   std::optional<Candidate> best;
   for (const auto& [domain, instances] : free) {
@@ -46,7 +53,7 @@
     }
     auto candidate = candidate_from(instances, model);
     const bool better = !best || candidate.loads < best->loads ||
-                        (candidate.loads == best->loads && candidate.left_over < best->left_over);
+                        (candidate.loads == best->loads && candidate.left_over > best->left_over);
     if (better) {
       best = std::move(candidate);
     }
@@ -54,6 +61,22 @@
   return best;
 }
 
+/// The model whose groups are the hardest to complete.
+const document::ModelSpec* largest_model(const document::EngineSpec& engine) {
+  const document::ModelSpec* largest = nullptr;
+  for (const auto& model : engine.models) {
+    if (largest == nullptr || model.size > largest->size) {
+      largest = &model;
+    }
+  }
+  return largest;
+}
+
+/// Servers that a model should hold, out of `servers` in all; the rest are spares.
+double wanted_servers(const document::ModelSpec& model, size_t servers) {
+  return model.fraction * static_cast<double>(servers) * (1.0 - kSpareShare);
+}
+
 }  // namespace
 
 size_t GroupSupervisor::loads_under_way(const InstanceDirectory& directory) const {
@@ -68,7 +91,7 @@
       loads += member != nullptr && !ready && !has_staged(*member, record.group.model) ? 1 : 0;
     }
   }
-  return loads;
+  return loads + staging_.size();
 }
 
 bool GroupSupervisor::may_load(TimePoint now, const document::EngineSpec& engine, size_t loads_under_way,
@@ -90,10 +113,9 @@
   return load_starts_.size() + loads <= std::max(most, loads);
 }
 
-bool GroupSupervisor::form_one(TimePoint now, const std::string& service, const document::EngineSpec& engine,
-                               const InstanceDirectory& directory) {
-  FreeByDomain free;
-  std::map<std::string, size_t> held;
+GroupSupervisor::ServiceView GroupSupervisor::view_of(const std::string& service,
+                                                      const InstanceDirectory& directory) const {
+  ServiceView view;
   for (const auto& [id, row] : directory.rows()) {
     const auto& instance = row.instance;
     const bool usable = row.heard_here && instance.service_name == service && !instance.silent &&
@@ -101,29 +123,70 @@
     if (!usable) {
       continue;
     }
+    ++view.servers;
     const auto* owner = owner_of(id);
     if (owner != nullptr) {
-      ++held[owner->model];
+      ++view.held[owner->model];
       continue;
     }
     const auto& membership = instance.membership;
     const bool unattached = membership.group.empty() || membership.state == wire::MembershipState::NONE ||
                             dissolved_.contains(membership.group);
     if (unattached) {
-      free[instance.domain].push_back(&instance);
+      view.free_by_domain[instance.domain].push_back(&instance);
     }
   }
+  return view;
+}
+
+void GroupSupervisor::stage_spares(TimePoint now, const std::string& service, const document::EngineSpec& engine,
+                                   const InstanceDirectory& directory) {
+  const auto view = view_of(service, directory);
+  std::erase_if(staging_, [&](const auto& item) { return now - item.second > kStagingPatience; });
+  const auto* largest = largest_model(engine);
+  for (const auto& [domain, free] : view.free_by_domain) {
+    for (const auto* instance : free) {
+      if (!instance->staged_models.empty()) {
+        staging_.erase(instance->id);
+      }
+      const bool idle = instance->staged_models.empty() && !staging_.contains(instance->id);
+      if (!idle || largest == nullptr || !may_load(now, engine, loads_under_way(directory), 1)) {
+        continue;
+      }
+      load_starts_.push_back(now);
+      staging_[instance->id] = now;
+      InstanceOrder order;
+      order.kind = OrderKind::kStage;
+      order.instance_id = instance->id;
+      order.fence = term_;
+      order.model = largest->name;
+      send(now, order, directory);
+    }
+  }
+}
+
+bool GroupSupervisor::form_one(TimePoint now, const std::string& service, const document::EngineSpec& engine,
+                               const InstanceDirectory& directory) {
+  const auto view = view_of(service, directory);
   std::vector<const document::ModelSpec*> by_need;
   for (const auto& model : engine.models) {
     by_need.push_back(&model);
   }
   const auto coverage = [&](const document::ModelSpec& model) {
-    return static_cast<double>(held[model.name]) / std::max(model.fraction, kSmallestFraction);
+    const auto held = view.held.find(model.name);
+    const size_t servers = held == view.held.end() ? 0 : held->second;
+    return static_cast<double>(servers) / std::max(model.fraction, kSmallestFraction);
   };
   std::stable_sort(by_need.begin(), by_need.end(),
                    [&](const auto* left, const auto* right) { return coverage(*left) < coverage(*right); });
   for (const auto* model : by_need) {
-    const auto candidate = best_candidate(free, *model);
+    const auto held = view.held.find(model->name);
+    const double next_size = static_cast<double>(model->size + (held == view.held.end() ? 0 : held->second));
+    const bool is_first = held == view.held.end();
+    if (!is_first && next_size > wanted_servers(*model, view.servers) + kRounding) {
+      continue;
+    }
+    const auto candidate = best_candidate(view.free_by_domain, *model);
     if (!candidate) {
       continue;
     }
@@ -155,9 +218,13 @@
                                   const InstanceDirectory& directory) {
   bool formed = false;
   for (const auto& [name, service] : document.services) {
-    while (service.engine && form_one(now, name, *service.engine, directory)) {
+    if (!service.engine) {
+      continue;
+    }
+    while (form_one(now, name, *service.engine, directory)) {
       formed = true;
     }
+    stage_spares(now, name, *service.engine, directory);
   }
   return formed;
 }
--- a/src/core/fleet/group_supervisor.cc
+++ b/src/core/fleet/group_supervisor.cc
@@ -61,6 +61,7 @@
   records_.clear();
   dissolved_.clear();
   sent_at_.clear();
+  staging_.clear();
   load_starts_.clear();
   orders_.clear();
   cold_loads_after_ = inherited.empty() ? now : now + kPredecessorLoads;
@@ -230,6 +231,9 @@
   if (can_take_work(head) && now - record.since < kHeadPatience) {
     return;
   }
+  if (record.member_left_at != TimePoint::max()) {
+    return;  // One is enough: the head stands still without it.
+  }
   for (size_t rank = 1; rank < members.size(); ++rank) {
     if (can_take_work(directory.find(members[rank]))) {
       send(now, order_for(OrderKind::kLeave, record, members[rank]), directory);
--- a/src/core/fleet/group_supervisor.h
+++ b/src/core/fleet/group_supervisor.h
@@ -97,8 +97,18 @@
   void set_phase(TimePoint now, Record& record, wire::GroupPhase::type phase);
   bool adopt_unknown(TimePoint now, const InstanceDirectory& directory);
   bool form_groups(TimePoint now, const document::ConfigurationDocument& document, const InstanceDirectory& directory);
+  /// The instances of one service: who is free, by fabric domain, and how many each model holds.
+  struct ServiceView {
+    std::map<std::string, std::vector<const wire::Instance*>> free_by_domain;
+    std::map<std::string, size_t> held;
+    size_t servers = 0;
+  };
+  ServiceView view_of(const std::string& service, const InstanceDirectory& directory) const;
   bool form_one(TimePoint now, const std::string& service, const document::EngineSpec& engine,
                 const InstanceDirectory& directory);
+  /// Has free instances load the weights that their domain's next repair will need.
+  void stage_spares(TimePoint now, const std::string& service, const document::EngineSpec& engine,
+                    const InstanceDirectory& directory);
   bool may_load(TimePoint now, const document::EngineSpec& engine, size_t loads_under_way, size_t loads);
   size_t loads_under_way(const InstanceDirectory& directory) const;
   void send(TimePoint now, const InstanceOrder& order, const InstanceDirectory& directory);
@@ -116,6 +126,8 @@
   std::set<std::string> dissolved_;
   std::map<std::string, int> in_flight_;
   std::map<std::string, TimePoint> sent_at_;
+  /// Spare instances that were ordered to load a model, and when.
+  std::map<std::string, TimePoint> staging_;
   std::deque<TimePoint> load_starts_;
   std::vector<InstanceOrder> orders_;
 };
--- a/src/net/http_client.cc
+++ b/src/net/http_client.cc
@@ -211,6 +211,11 @@
   auto self = implementation_;
   OpenResult result;
   std::unique_ptr<Connection> connection;
+  const ScopeExit forget([&options] {
+    if (options.cancellation) {
+      options.cancellation->set_action(nullptr);
+    }
+  });
   if (!options.fresh_connection) {
     connection = self->take_idle(endpoint);
   }
@@ -238,11 +243,6 @@
     ::setsockopt(connection->stream.socket().native_handle(), IPPROTO_TCP, TCP_USER_TIMEOUT, &kUserTimeoutMs,
                  sizeof(kUserTimeoutMs));
   }
-  const ScopeExit forget([&options] {
-    if (options.cancellation) {
-      options.cancellation->set_action(nullptr);
-    }
-  });
   watch_cancellation(options, *connection);
   if (options.cancellation && options.cancellation->cancelled()) {
     result.error = "cancelled before anything was sent to " + endpoint;
--- a/src/node/entry_process.cc
+++ b/src/node/entry_process.cc
@@ -145,7 +145,7 @@
 void EntryProcess::tick() {
   const TimePoint now = monotonic_now();
   wire::FleetHeartbeat content;
-  content.loads = state_.dispatcher.take_loads();
+  content.loads = state_.dispatcher.take_loads(now);
   content.failures = state_.dispatcher.failures(now);
   content.leaving = leaving_;
   content.traffic_seen = state_.traffic_seen;
--- a/src/wire/gen-cpp/larchlever_types.cpp
+++ b/src/wire/gen-cpp/larchlever_types.cpp
@@ -12173,6 +12173,10 @@
 void GroupLoad::__set_in_flight(const int32_t val) {
   this->in_flight = val;
 }
+
+void GroupLoad::__set_progress_age_ms(const int32_t val) {
+  this->progress_age_ms = val;
+}
 std::ostream& operator<<(std::ostream& out, const GroupLoad& obj)
 {
   obj.printTo(out);
@@ -12217,6 +12221,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->progress_age_ms);
+          this->__isset.progress_age_ms = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -12242,6 +12254,10 @@
   xfer += oprot->writeI32(this->in_flight);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("progress_age_ms", ::apache::thrift::protocol::T_I32, 3);
+  xfer += oprot->writeI32(this->progress_age_ms);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -12251,28 +12267,33 @@
   using ::std::swap;
   swap(a.group, b.group);
   swap(a.in_flight, b.in_flight);
+  swap(a.progress_age_ms, b.progress_age_ms);
   swap(a.__isset, b.__isset);
 }
 
 GroupLoad::GroupLoad(const GroupLoad& other470) {
   group = other470.group;
   in_flight = other470.in_flight;
+  progress_age_ms = other470.progress_age_ms;
   __isset = other470.__isset;
 }
 GroupLoad::GroupLoad(GroupLoad&& other471) noexcept {
   group = std::move(other471.group);
   in_flight = other471.in_flight;
+  progress_age_ms = other471.progress_age_ms;
   __isset = other471.__isset;
 }
 GroupLoad& GroupLoad::operator=(const GroupLoad& other472) {
   group = other472.group;
   in_flight = other472.in_flight;
+  progress_age_ms = other472.progress_age_ms;
   __isset = other472.__isset;
   return *this;
 }
 GroupLoad& GroupLoad::operator=(GroupLoad&& other473) noexcept {
   group = std::move(other473.group);
   in_flight = other473.in_flight;
+  progress_age_ms = other473.progress_age_ms;
   __isset = other473.__isset;
   return *this;
 }
@@ -12281,6 +12302,7 @@
   out << "GroupLoad(";
   out << "group=" << to_string(group);
   out << ", " << "in_flight=" << to_string(in_flight);
+  out << ", " << "progress_age_ms=" << to_string(progress_age_ms);
   out << ")";
 }
 
--- a/src/wire/gen-cpp/larchlever_types.h
+++ b/src/wire/gen-cpp/larchlever_types.h
@@ -4694,9 +4694,10 @@
 std::ostream& operator<<(std::ostream& out, const FleetState& obj);
 
 typedef struct _GroupLoad__isset {
-  _GroupLoad__isset() : group(false), in_flight(false) {}
+  _GroupLoad__isset() : group(false), in_flight(false), progress_age_ms(false) {}
   bool group :1;
   bool in_flight :1;
+  bool progress_age_ms :1;
 } _GroupLoad__isset;
 
 class GroupLoad : public virtual ::apache::thrift::TBase {
@@ -4708,12 +4709,17 @@
   GroupLoad& operator=(GroupLoad&&) noexcept;
   GroupLoad() noexcept
             : group(),
-              in_flight(0) {
+              in_flight(0),
+              progress_age_ms(0) {
   }
 
   virtual ~GroupLoad() noexcept;
   std::string group;
   int32_t in_flight;
+  /**
+   * Milliseconds since the sender last saw an event or answer of the group; negative when it saw none.
+   */
+  int32_t progress_age_ms;
 
   _GroupLoad__isset __isset;
 
@@ -4721,12 +4727,16 @@
 
   void __set_in_flight(const int32_t val);
 
+  void __set_progress_age_ms(const int32_t val);
+
   bool operator == (const GroupLoad & rhs) const
   {
     if (!(group == rhs.group))
       return false;
     if (!(in_flight == rhs.in_flight))
       return false;
+    if (!(progress_age_ms == rhs.progress_age_ms))
+      return false;
     return true;
   }
   bool operator != (const GroupLoad &rhs) const {
--- a/src/wire/larchlever.thrift
+++ b/src/wire/larchlever.thrift
@@ -543,6 +543,8 @@
 struct GroupLoad {
   1: string group,
   2: i32 in_flight,
+  /** Milliseconds since the sender last saw an event or answer of the group; negative when it saw none. */
+  3: i32 progress_age_ms,
 }
 
 /** Requests for a model that a node received since its previous heartbeat, and how many it had to refuse. */
