Load widely before traffic, fill heads to 92 in 100, log the fleet's summary

Cause: loads begun before the first request are cheap, yet only six ran at once, so a third of the fleet loaded at full price; heads filled beyond their slots made requests wait past their objective.

--- a/src/core/fleet/dispatcher.cc
+++ b/src/core/fleet/dispatcher.cc
@@ -13,8 +13,9 @@
 constexpr int32_t kNoProgress = -1;
 /// Share of the budget that entries use: they learn of each other with a delay.
 constexpr double kBudgetShare = 0.7;
-/// Requests beyond the slots that a head may hold waiting, as a share of its slots.
-constexpr double kWaitingShare = 0.15;
+/// Share of a head's slots that may be filled: the loads of other entries are known with a delay, and what finds no
+/// slot waits long past its objective.
+constexpr double kFilledShare = 0.92;
 /// What a target in another zone costs, in requests in flight.
 constexpr double kOtherZoneCost = 1.0;
 
@@ -73,7 +74,7 @@
                                 const std::set<std::string>& excluded) {
   Choice choice;
   choice.failure = ChoiceFailure::kNoTarget;
-  const double most = service.engine->slots * (1.0 + kWaitingShare);
+  const double most = service.engine->slots * kFilledShare;
   double best_cost = 0;
   for (const auto& group : groups_) {
     const bool fits = group.phase == wire::GroupPhase::OPEN && group.service_name == service.name &&
--- a/src/core/fleet/fleet_controller.h
+++ b/src/core/fleet/fleet_controller.h
@@ -53,6 +53,8 @@
   /// Sends nothing of an order once this fails: another leader may act by now.
   bool may_order(TimePoint now) const { return is_leader(now); }
   const DocumentLog& log() const { return log_; }
+  /// The leader's view; only meaningful while `is_leader`.
+  const FleetLeader& leader_view() const { return leader_; }
   const consensus::RaftNode* raft() const { return raft_ ? &*raft_ : nullptr; }
   const FleetSubscription& subscription() const { return subscription_; }
   FleetControllerOutputs take_outputs();
--- a/src/core/fleet/fleet_leader.h
+++ b/src/core/fleet/fleet_leader.h
@@ -52,6 +52,9 @@
   Outputs take_outputs();
 
   const InstanceDirectory& instances() const { return instances_; }
+  std::vector<wire::EngineGroup> groups() const { return groups_.snapshot(); }
+  /// Requests in flight per group, over all entries.
+  const std::map<std::string, int>& loads() const { return loads_; }
 
  private:
   struct Subscriber {
--- a/src/core/fleet/group_formation.cc
+++ b/src/core/fleet/group_formation.cc
@@ -94,16 +94,23 @@
   return loads + staging_.size();
 }
 
-bool GroupSupervisor::may_load(TimePoint now, const document::EngineSpec& engine, size_t loads_under_way,
+bool GroupSupervisor::may_load(TimePoint now, const document::EngineSpec& engine, const InstanceDirectory& directory,
                                size_t loads) {
+  const size_t loads_under_way = this->loads_under_way(directory);
+  const auto& rows = directory.rows();
+  const auto loads_finished = static_cast<size_t>(std::count_if(
+      rows.begin(), rows.end(), [](const auto& item) { return !item.second.instance.staged_models.empty(); }));
   if (loads > 0 && now < cold_loads_after_) {
     return false;
   }
-  if (loads > 0 && loads_under_way >= static_cast<size_t>(engine.loads_at_once)) {
-    return false;
-  }
+  const auto at_once = static_cast<size_t>(engine.loads_at_once);
   if (!traffic_seen_) {
-    return true;
+    // Loads begun before the first request are cheap, also those that end after it. The more of the fleet is loaded,
+    // the more are begun at once: the store's throughput stays the same, and fewer are left for when they are dear.
+    return loads == 0 || loads_under_way < at_once + loads_finished;
+  }
+  if (loads > 0 && loads_under_way >= at_once) {
+    return false;
   }
   while (!load_starts_.empty() && now - load_starts_.front() > options_.load_window) {
     load_starts_.pop_front();
@@ -150,7 +157,7 @@
         staging_.erase(instance->id);
       }
       const bool idle = instance->staged_models.empty() && !staging_.contains(instance->id);
-      if (!idle || largest == nullptr || !may_load(now, engine, loads_under_way(directory), 1)) {
+      if (!idle || largest == nullptr || !may_load(now, engine, directory, 1)) {
         continue;
       }
       load_starts_.push_back(now);
@@ -190,7 +197,7 @@
     if (!candidate) {
       continue;
     }
-    if (!may_load(now, engine, loads_under_way(directory), candidate->loads)) {
+    if (!may_load(now, engine, directory, candidate->loads)) {
       return false;
     }
     load_starts_.insert(load_starts_.end(), candidate->loads, now);
--- a/src/core/fleet/group_supervisor.h
+++ b/src/core/fleet/group_supervisor.h
@@ -109,7 +109,7 @@
   /// Has free instances load the weights that their domain's next repair will need.
   void stage_spares(TimePoint now, const std::string& service, const document::EngineSpec& engine,
                     const InstanceDirectory& directory);
-  bool may_load(TimePoint now, const document::EngineSpec& engine, size_t loads_under_way, size_t loads);
+  bool may_load(TimePoint now, const document::EngineSpec& engine, const InstanceDirectory& directory, size_t loads);
   size_t loads_under_way(const InstanceDirectory& directory) const;
   void send(TimePoint now, const InstanceOrder& order, const InstanceDirectory& directory);
   InstanceOrder order_for(OrderKind kind, const Record& record, const std::string& instance_id) const;
--- a/src/node/control_process.cc
+++ b/src/node/control_process.cc
@@ -23,6 +23,8 @@
 constexpr auto kTickInterval = std::chrono::milliseconds(20);
 constexpr auto kOrderTimeout = std::chrono::milliseconds(800);
 constexpr auto kOrderConnectTimeout = std::chrono::milliseconds(400);
+/// How often the leader logs a summary of the fleet.
+constexpr Duration kFleetReportInterval = seconds(1);
 /// Pause before a failed data folder is opened again: a full disk may have room by then.
 constexpr auto kReopenPause = std::chrono::milliseconds(500);
 /// Longest wait of a stopping leader for somebody else to lead.
@@ -109,6 +111,8 @@
   void renew_identity();
   void pump();
   void report_changes();
+  void report_fleet();
+  void report_instances();
   asio::awaitable<void> tick_loop();
   asio::awaitable<void> send_order(fleet::InstanceOrder order);
 
@@ -123,6 +127,9 @@
   ControlApi api_;
   net::HttpServer server_;
   bool was_leader_ = false;
+  TimePoint next_fleet_report_{};
+  /// State and silence of each instance as last logged.
+  std::map<std::string, std::pair<wire::InstanceState::type, bool>> reported_instances_;
   int64_t known_version_ = 0;
   size_t known_voters_ = 0;
   std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
@@ -236,6 +243,73 @@
   }
 }
 
+void ControlProcess::report_instances() {
+  if (!controller_.is_leader(monotonic_now())) {
+    reported_instances_.clear();
+    return;
+  }
+  const auto& rows = controller_.leader_view().instances().rows();
+  std::erase_if(reported_instances_, [&rows](const auto& item) { return !rows.contains(item.first); });
+  for (const auto& [id, row] : rows) {
+    const std::pair state(row.instance.state, row.instance.silent);
+    const auto [reported, is_new] = reported_instances_.try_emplace(id, state);
+    if (!is_new && reported->second == state) {
+      continue;
+    }
+    reported->second = state;
+    log_event(settings_.name, "instance_changed",
+              {{"instance", id},
+               {"service", row.instance.service_name},
+               {"zone", row.instance.zone},
+               {"domain", row.instance.domain},
+               {"address", row.instance.address},
+               {"state", wire::to_string(state.first)},
+               {"silent", state.second ? "yes" : "no"}});
+  }
+}
+
+void ControlProcess::report_fleet() {
+  const TimePoint now = monotonic_now();
+  if (now < next_fleet_report_ || !controller_.is_leader(now)) {
+    return;
+  }
+  next_fleet_report_ = now + kFleetReportInterval;
+  const auto& view = controller_.leader_view();
+  size_t grouped = 0;
+  size_t serving = 0;
+  std::map<std::string, int> groups;
+  std::map<std::string, int> loads;
+  for (const auto& group : view.groups()) {
+    grouped += group.members.size();
+    const bool open = group.phase == wire::GroupPhase::OPEN;
+    serving += open ? group.members.size() : 0;
+    ++groups[group.model + (open ? "" : "/" + wire::to_string(group.phase))];
+    const auto load = view.loads().find(group.name);
+    loads[group.model] += load == view.loads().end() ? 0 : load->second;
+  }
+  size_t ready = 0;
+  size_t silent = 0;
+  for (const auto& [id, row] : view.instances().rows()) {
+    ready += row.instance.state == wire::InstanceState::READY && !row.instance.silent ? 1 : 0;
+    silent += row.instance.silent && row.instance.state != wire::InstanceState::GONE ? 1 : 0;
+  }
+  std::string group_text;
+  for (const auto& [model, count] : groups) {
+    group_text += (group_text.empty() ? "" : ",") + model + ":" + std::to_string(count);
+  }
+  std::string load_text;
+  for (const auto& [model, count] : loads) {
+    load_text += (load_text.empty() ? "" : ",") + model + ":" + std::to_string(count);
+  }
+  log_event(settings_.name, "fleet_summary",
+            {{"ready", std::to_string(ready)},
+             {"silent", std::to_string(silent)},
+             {"in_groups", std::to_string(grouped)},
+             {"serving", std::to_string(serving)},
+             {"groups", group_text},
+             {"in_flight", load_text}});
+}
+
 asio::awaitable<void> ControlProcess::tick_loop() {
   const auto alive = alive_;
   asio::steady_timer timer(executor_);
@@ -243,6 +317,8 @@
     controller_.tick(monotonic_now());
     pump();
     report_changes();
+    report_instances();
+    report_fleet();
     if (controller_.needs_new_identity()) {
       renew_identity();
     }
