Concentrate each model in domains of its own

Cause: a lost member of a four-server group strands three servers unless its domain holds a spare with the same weights; mixed domains rarely do, and spares kept everywhere cost serving groups. Change: a group goes where its model serves already; leftovers of a lost group complete the next one there.

--- a/src/core/fleet/fleet_leader.h
+++ b/src/core/fleet/fleet_leader.h
@@ -53,6 +53,7 @@
 
   const InstanceDirectory& instances() const { return instances_; }
   std::vector<wire::EngineGroup> groups() const { return groups_.snapshot(); }
+  const wire::EngineGroup* owner_of(const std::string& instance) const { return groups_.owner_of(instance); }
   /// Requests in flight per group, over all entries.
   const std::map<std::string, int>& loads() const { return loads_; }
 
--- a/src/core/fleet/group_formation.cc
+++ b/src/core/fleet/group_formation.cc
@@ -13,7 +13,7 @@
 /// Keeps a model of no stated share from being infinitely covered.
 constexpr double kSmallestFraction = 1e-6;
 /// Share of the servers kept out of groups, to replace members that are lost.
-constexpr double kSpareShare = 0.125;
+constexpr double kSpareShare = 0.0;
 /// Lets a target that is a hair under a whole group count as one.
 constexpr double kRounding = 0.5;
 /// A spare that has not reported its weights in this time is ordered again.
@@ -43,35 +43,36 @@
   return candidate;
 }
 
-/// The domain where the group costs the fewest loads and then leaves the most instances over, so that spares are
-/// spread.
-std::optional<Candidate> best_candidate(const FreeByDomain& free, const document::ModelSpec& model) {
+/// Of `instances`, those that hold the weights of `model`.
+size_t count_staged(const std::vector<const wire::Instance*>& instances, const std::string& model) {
+  return static_cast<size_t>(std::count_if(instances.begin(), instances.end(),
+                                           [&model](const auto* instance) { return has_staged(*instance, model); }));
+}
+
+/// The domain where the group costs the fewest loads. Among equals the one that serves the model most already: what a
+/// lost member leaves over in a domain of one model completes the domain's next group.
+std::optional<Candidate> best_candidate(const FreeByDomain& free, const std::map<std::string, size_t>& serving,
+                                        const document::ModelSpec& model) {
   std::optional<Candidate> best;
+  size_t best_serving = 0;
   for (const auto& [domain, instances] : free) {
     if (instances.size() < static_cast<size_t>(model.size)) {
       continue;
     }
     auto candidate = candidate_from(instances, model);
+    const auto found = serving.find(domain);
+    const size_t here = found == serving.end() ? 0 : found->second;
     const bool better = !best || candidate.loads < best->loads ||
-                        (candidate.loads == best->loads && candidate.left_over > best->left_over);
+                        (candidate.loads == best->loads &&
+                         (here > best_serving || (here == best_serving && candidate.left_over > best->left_over)));
     if (better) {
       best = std::move(candidate);
+      best_serving = here;
     }
   }
   return best;
 }
 
-/// The model whose groups are the hardest to complete.
-const document::ModelSpec* largest_model(const document::EngineSpec& engine) {
-  const document::ModelSpec* largest = nullptr;
-  for (const auto& model : engine.models) {
-    if (largest == nullptr || model.size > largest->size) {
-      largest = &model;
-    }
-  }
-  return largest;
-}
-
 /// Servers that a model should hold, out of `servers` in all; the rest are spares.
 double wanted_servers(const document::ModelSpec& model, size_t servers) {
   return model.fraction * static_cast<double>(servers) * (1.0 - kSpareShare);
@@ -133,7 +134,9 @@
     ++view.servers;
     const auto* owner = owner_of(id);
     if (owner != nullptr) {
-      ++view.held[owner->model];
+      const size_t counted = owner->phase == wire::GroupPhase::DISSOLVING ? 0 : 1;
+      view.held[owner->model] += counted;
+      view.serving_by_model[owner->model][instance.domain] += counted;
       continue;
     }
     const auto& membership = instance.membership;
@@ -146,18 +149,40 @@
   return view;
 }
 
+const document::ModelSpec* GroupSupervisor::main_model(const document::EngineSpec& engine, const ServiceView& view,
+                                                       const std::string& domain) {
+  const document::ModelSpec* main = nullptr;
+  size_t most = 0;
+  for (const auto& model : engine.models) {
+    size_t count = 0;
+    if (const auto serving = view.serving_by_model.find(model.name); serving != view.serving_by_model.end()) {
+      const auto found = serving->second.find(domain);
+      count += found == serving->second.end() ? 0 : found->second;
+    }
+    if (const auto free = view.free_by_domain.find(domain); free != view.free_by_domain.end()) {
+      count += count_staged(free->second, model.name);
+    }
+    const bool better = main == nullptr || count > most || (count == most && model.size > main->size);
+    if (better) {
+      main = &model;
+      most = count;
+    }
+  }
+  return main;
+}
+
 void GroupSupervisor::stage_spares(TimePoint now, const std::string& service, const document::EngineSpec& engine,
                                    const InstanceDirectory& directory) {
   const auto view = view_of(service, directory);
   std::erase_if(staging_, [&](const auto& item) { return now - item.second > kStagingPatience; });
-  const auto* largest = largest_model(engine);
   for (const auto& [domain, free] : view.free_by_domain) {
+    const auto* model = main_model(engine, view, domain);
     for (const auto* instance : free) {
       if (!instance->staged_models.empty()) {
         staging_.erase(instance->id);
       }
       const bool idle = instance->staged_models.empty() && !staging_.contains(instance->id);
-      if (!idle || largest == nullptr || !may_load(now, engine, directory, 1)) {
+      if (!idle || model == nullptr || !may_load(now, engine, directory, 1)) {
         continue;
       }
       load_starts_.push_back(now);
@@ -166,7 +191,7 @@
       order.kind = OrderKind::kStage;
       order.instance_id = instance->id;
       order.fence = term_;
-      order.model = largest->name;
+      order.model = model->name;
       send(now, order, directory);
     }
   }
@@ -174,7 +199,7 @@
 
 bool GroupSupervisor::form_one(TimePoint now, const std::string& service, const document::EngineSpec& engine,
                                const InstanceDirectory& directory) {
-  const auto view = view_of(service, directory);
+  auto view = view_of(service, directory);
   std::vector<const document::ModelSpec*> by_need;
   for (const auto& model : engine.models) {
     by_need.push_back(&model);
@@ -193,7 +218,7 @@
     if (!is_first && next_size > wanted_servers(*model, view.servers) + kRounding) {
       continue;
     }
-    const auto candidate = best_candidate(view.free_by_domain, *model);
+    const auto candidate = best_candidate(view.free_by_domain, view.serving_by_model[model->name], *model);
     if (!candidate) {
       continue;
     }
--- a/src/core/fleet/group_supervisor.h
+++ b/src/core/fleet/group_supervisor.h
@@ -101,11 +101,16 @@
   struct ServiceView {
     std::map<std::string, std::vector<const wire::Instance*>> free_by_domain;
     std::map<std::string, size_t> held;
+    /// Per model, how many of its servers stand in each domain.
+    std::map<std::string, std::map<std::string, size_t>> serving_by_model;
     size_t servers = 0;
   };
   ServiceView view_of(const std::string& service, const InstanceDirectory& directory) const;
   bool form_one(TimePoint now, const std::string& service, const document::EngineSpec& engine,
                 const InstanceDirectory& directory);
+  /// The model that a domain mostly serves or holds; the largest one where that is even.
+  static const document::ModelSpec* main_model(const document::EngineSpec& engine, const ServiceView& view,
+                                               const std::string& domain);
   /// Has free instances load the weights that their domain's next repair will need.
   void stage_spares(TimePoint now, const std::string& service, const document::EngineSpec& engine,
                     const InstanceDirectory& directory);
--- a/src/node/control_process.cc
+++ b/src/node/control_process.cc
@@ -293,6 +293,16 @@
     ready += row.instance.state == wire::InstanceState::READY && !row.instance.silent ? 1 : 0;
     silent += row.instance.silent && row.instance.state != wire::InstanceState::GONE ? 1 : 0;
   }
+  std::string free_text;
+  for (const auto& [id, row] : view.instances().rows()) {
+    const auto& instance = row.instance;
+    const bool idle = !instance.domain.empty() && instance.state == wire::InstanceState::READY && !instance.silent &&
+                      view.owner_of(id) == nullptr;
+    if (idle) {
+      free_text += (free_text.empty() ? "" : ",") + instance.domain + "/" +
+                   (instance.staged_models.empty() ? "none" : instance.staged_models.back());
+    }
+  }
   std::string group_text;
   for (const auto& [model, count] : groups) {
     group_text += (group_text.empty() ? "" : ",") + model + ":" + std::to_string(count);
@@ -307,6 +317,7 @@
              {"in_groups", std::to_string(grouped)},
              {"serving", std::to_string(serving)},
              {"groups", group_text},
+             {"free", free_text},
              {"in_flight", load_text}});
 }
 
