Fill groups by a forecast of the first event

Cause: groups filled to their slots read prompts with a standing queue, so nearly everything was late once a few groups were lost. Change: the engine's cost model, with the sizes that requests state, says how many a group may hold for its objective. Conclusion: kept; the forecast misses a fixed part of the first event, to be measured next.

--- /dev/null
+++ b/src/core/engine/cost_model.cc
@@ -0,0 +1,60 @@
+#include "core/engine/cost_model.h"
+
+#include <algorithm>
+
+namespace larchlever::engine {
+
+namespace {
+
+/// Part of the latency objective that the engine may use; the rest is for the network and for late knowledge of loads.
+constexpr double kObjectiveShare = 0.75;
+/// A request waits for half of the pass under way, on average, and then for its own.
+constexpr double kPassesAlone = 1.5;
+/// Reading loads from here on count as this, where the formula for queues has no meaning.
+constexpr double kSaturated = 0.97;
+/// How fast the means follow: the share of one request.
+constexpr double kNewShare = 0.02;
+
+Duration from_milliseconds(double value) { return Duration(static_cast<int64_t>(value * 1000.0)); }
+
+}  // namespace
+
+GroupForecast forecast(const document::EngineSpec& engine, const document::ModelSpec& model, const RequestSizes& sizes,
+                       int running) {
+  const double count = running;
+  const double context = count * (sizes.prompt + sizes.answer / 2);
+  const double step_ms =
+      engine.step_ms + engine.per_sequence_ms * count + engine.context_per_thousand_ms * context / 1000.0;
+  const double passes_per_answer = std::max(1.0, sizes.answer / engine.steps_per_pass);
+  const double arrivals_per_pass = count / passes_per_answer;
+  const double reading_ms = arrivals_per_pass * sizes.prompt * 1000.0 / engine.read_tokens_per_second;
+  const double pass_ms = model.pace * (engine.steps_per_pass * step_ms + reading_ms);
+  GroupForecast result;
+  result.pass = from_milliseconds(pass_ms);
+  result.reading_load = arrivals_per_pass * sizes.prompt / engine.chunk_tokens;
+  const double load = std::min(result.reading_load, kSaturated);
+  // Prompts differ much in size, so the wait of a queue with random service times is taken.
+  result.first_event = from_milliseconds(pass_ms * (kPassesAlone + load / (1.0 - load)));
+  return result;
+}
+
+int most_running(const document::EngineSpec& engine, const document::ModelSpec& model, const RequestSizes& sizes,
+                 Duration target) {
+  const auto bound = Duration(static_cast<int64_t>(static_cast<double>(target.count()) * kObjectiveShare));
+  int most = 1;
+  while (most < engine.slots && forecast(engine, model, sizes, most + 1).first_event <= bound) {
+    ++most;
+  }
+  return most;
+}
+
+void SizeEstimate::note(double prompt_tokens, double answer_tokens) {
+  const double share = std::max(kNewShare, 1.0 / (weight_ + 1.0));
+  mean_.prompt += share * (prompt_tokens - mean_.prompt);
+  mean_.answer += share * (answer_tokens - mean_.answer);
+  weight_ += 1.0;
+}
+
+RequestSizes SizeEstimate::sizes(const RequestSizes& usual) const { return weight_ > 0 ? mean_ : usual; }
+
+}  // namespace larchlever::engine
--- /dev/null
+++ b/src/core/engine/cost_model.h
@@ -0,0 +1,45 @@
+#pragma once
+
+#include "core/base/time.h"
+#include "core/document/configuration_document.h"
+
+/// Predictions of what an engine group does under load, from the cost model in the configuration document.
+namespace larchlever::engine {
+
+/// Mean sizes of the requests that a model gets, in tokens.
+struct RequestSizes {
+  double prompt = 0;
+  double answer = 0;
+};
+
+/// Steady state of a group that always has `running` requests.
+struct GroupForecast {
+  /// One pass over all running requests; the pause between two events of a stream.
+  Duration pass{};
+  /// From the arrival of a request to its first event.
+  Duration first_event{};
+  /// Prompt tokens that arrive in a pass, as a share of what a pass reads; at 1 and above the queue grows.
+  double reading_load = 0;
+};
+
+GroupForecast forecast(const document::EngineSpec& engine, const document::ModelSpec& model, const RequestSizes& sizes,
+                       int running);
+
+/// The most requests that a group may hold so that the next one's first event is expected within `target`; between 1
+/// and the engine's slots.
+int most_running(const document::EngineSpec& engine, const document::ModelSpec& model, const RequestSizes& sizes,
+                 Duration target);
+
+/// Running means of the sizes, as the requests' own statements give them.
+class SizeEstimate {
+ public:
+  void note(double prompt_tokens, double answer_tokens);
+  /// `usual` counts for what was not seen yet.
+  RequestSizes sizes(const RequestSizes& usual) const;
+
+ private:
+  RequestSizes mean_;
+  double weight_ = 0;
+};
+
+}  // namespace larchlever::engine
--- a/src/core/fleet/dispatcher.cc
+++ b/src/core/fleet/dispatcher.cc
@@ -13,8 +13,7 @@
 constexpr int32_t kNoProgress = -1;
 /// Share of the budget that entries use: they learn of each other with a delay.
 constexpr double kBudgetShare = 0.7;
-/// Share of a head's slots that may be filled: the loads of other entries are known with a delay, and what finds no
-/// slot waits long past its objective.
+/// Share of a head's slots that may be filled: the loads of other entries are known with a delay.
 constexpr double kFilledShare = 0.92;
 /// What a target in another zone costs, in requests in flight.
 constexpr double kOtherZoneCost = 1.0;
@@ -70,15 +69,33 @@
   return health.in_flight + health.others + (zone == zone_ ? 0.0 : kOtherZoneCost) + tie_break;
 }
 
-Choice Dispatcher::choose_group(TimePoint now, const document::ServiceSpec& service, const std::string& model,
+void Dispatcher::note_sizes(const std::string& service, const std::string& model, double prompt_tokens,
+                            double answer_tokens) {
+  sizes_[{service, model}].note(prompt_tokens, answer_tokens);
+}
+
+int Dispatcher::most_in_flight(const document::ServiceSpec& service, const Demand& demand) const {
+  const auto& engine = *service.engine;
+  const int filled = std::max(1, static_cast<int>(engine.slots * kFilledShare));
+  const auto* model = engine.find_model(demand.model);
+  if (model == nullptr || demand.target_latency <= Duration::zero()) {
+    return filled;
+  }
+  const engine::RequestSizes usual{engine.usual_prompt, engine.usual_answer};
+  const auto estimate = sizes_.find({service.name, demand.model});
+  const auto sizes = estimate == sizes_.end() ? usual : estimate->second.sizes(usual);
+  return std::min(filled, engine::most_running(engine, *model, sizes, demand.target_latency));
+}
+
+Choice Dispatcher::choose_group(TimePoint now, const document::ServiceSpec& service, const Demand& demand,
                                 const std::set<std::string>& excluded) {
   Choice choice;
   choice.failure = ChoiceFailure::kNoTarget;
-  const double most = service.engine->slots * kFilledShare;
+  const int most = most_in_flight(service, demand);
   double best_cost = 0;
   for (const auto& group : groups_) {
     const bool fits = group.phase == wire::GroupPhase::OPEN && group.service_name == service.name &&
-                      group.model == model && !excluded.contains(group.name);
+                      group.model == demand.model && !excluded.contains(group.name);
     const auto head = fits ? instances_.find(group.members.front()) : instances_.end();
     if (head == instances_.end() || head->second.state != wire::InstanceState::READY) {
       continue;
@@ -128,9 +145,9 @@
   return choice;
 }
 
-Choice Dispatcher::choose(TimePoint now, const document::ServiceSpec& service, const std::string& model,
+Choice Dispatcher::choose(TimePoint now, const document::ServiceSpec& service, const Demand& demand,
                           const std::set<std::string>& excluded) {
-  return service.engine ? choose_group(now, service, model, excluded) : choose_instance(now, service, excluded);
+  return service.engine ? choose_group(now, service, demand, excluded) : choose_instance(now, service, excluded);
 }
 
 void Dispatcher::begin(TimePoint now, const Target& target) {
--- a/src/core/fleet/dispatcher.h
+++ b/src/core/fleet/dispatcher.h
@@ -11,6 +11,7 @@
 
 #include "core/base/time.h"
 #include "core/document/configuration_document.h"
+#include "core/engine/cost_model.h"
 #include "core/fleet/fleet_options.h"
 #include "larchlever_types.h"
 
@@ -26,6 +27,13 @@
   std::string address;
 };
 
+/// What a request asks of an engine service; ignored for plain ones.
+struct Demand {
+  std::string model;
+  /// Time to the first event that its route aims at.
+  Duration target_latency{};
+};
+
 enum class ChoiceFailure { kNone, kNoTarget, kAllBusy };
 
 /// How long a target is avoided after it failed; the leader has decided about it by then.
@@ -49,9 +57,12 @@
 
   /// The service of a route for one request, drawn by weight.
   const std::string& choose_service(const document::Route& route);
-  /// The least loaded target that is not excluded. `model` is empty for plain services.
-  Choice choose(TimePoint now, const document::ServiceSpec& service, const std::string& model,
+  /// The least loaded target that is not excluded. Groups are filled only so far that the demand's objective
+  /// is expected to hold.
+  Choice choose(TimePoint now, const document::ServiceSpec& service, const Demand& demand,
                 const std::set<std::string>& excluded);
+  /// A request for a model arrived, with its own statement of prompt and answer, in tokens.
+  void note_sizes(const std::string& service, const std::string& model, double prompt_tokens, double answer_tokens);
   /// Brackets one sending; the load counts between them.
   void begin(TimePoint now, const Target& target);
   void end(const Target& target);
@@ -93,8 +104,9 @@
   };
 
   double cost_of(const std::string& key, const std::string& zone);
-  Choice choose_group(TimePoint now, const document::ServiceSpec& service, const std::string& model,
+  Choice choose_group(TimePoint now, const document::ServiceSpec& service, const Demand& demand,
                       const std::set<std::string>& excluded);
+  int most_in_flight(const document::ServiceSpec& service, const Demand& demand) const;
   Choice choose_instance(TimePoint now, const document::ServiceSpec& service, const std::set<std::string>& excluded);
   void forget_old(TimePoint now, Budget& budget) const;
 
@@ -106,6 +118,8 @@
   std::vector<wire::EngineGroup> groups_;
   std::map<std::string, Health> health_;
   std::map<std::string, Budget> budgets_;
+  /// Sizes of the requests for each model, by service and model.
+  std::map<std::pair<std::string, std::string>, engine::SizeEstimate> sizes_;
 };
 
 }  // namespace larchlever::fleet
--- a/src/node/request_relay.cc
+++ b/src/node/request_relay.cc
@@ -103,10 +103,27 @@
     held = std::min(held, Duration(milliseconds(*deadline_ms)));
   }
   request.due = request.received + held;
+  note_sizes(request);
   state_.dispatcher.note_request(request.received, request.service->name);
   return std::nullopt;
 }
 
+void RequestRelay::note_sizes(const RelayedRequest& request) {
+  const auto& headers = request.exchange->request().headers;
+  const auto counts = headers.find(dialect_.token_counts);
+  const size_t comma = counts.find(',');
+  if (request.model.empty() || comma == std::string_view::npos) {
+    return;
+  }
+  const auto prompt = parse_number(counts.substr(0, comma));
+  const auto most_out = parse_number(counts.substr(comma + 1));
+  const auto hint = parse_number(headers.find(dialect_.length_hint));
+  if (prompt && (hint || most_out)) {
+    state_.dispatcher.note_sizes(request.service->name, request.model, static_cast<double>(*prompt),
+                                 static_cast<double>(hint ? *hint : *most_out));
+  }
+}
+
 std::optional<RequestRelay::Refusal> RequestRelay::authorise(RelayedRequest& request, std::string_view key) {
   if (!request.routes->document().tenants || request.route->is_public) {
     return std::nullopt;
@@ -168,6 +185,7 @@
   const TimePoint wait_until =
       request.head_sent ? request.due
                         : std::min(request.due, request.received + request.route->target_latency / kWaitingPart);
+  const fleet::Demand demand{request.model, request.route->target_latency};
   asio::steady_timer timer(executor_);
   while (true) {
     const TimePoint now = monotonic_now();
@@ -175,7 +193,7 @@
       ++state_.counters.caller_gone;
       co_return std::nullopt;
     }
-    auto choice = state_.dispatcher.choose(now, *request.service, request.model, request.excluded);
+    auto choice = state_.dispatcher.choose(now, *request.service, demand, request.excluded);
     if (choice.target) {
       co_return choice.target;
     }
