Take the better of two groups drawn by lot

Cause: nine entries chose the least loaded group by loads 200 ms old, all the same one: requests waited 0.5 to 1.7 s at groups thought to hold none to three (log of request ends). Change: two candidates by lot, the better wins; loads every 100 ms.

--- a/src/core/fleet/dispatcher.cc
+++ b/src/core/fleet/dispatcher.cc
@@ -89,10 +89,9 @@
 
 Choice Dispatcher::choose_group(TimePoint now, const document::ServiceSpec& service, const Demand& demand,
                                 const std::set<std::string>& excluded) {
-  Choice choice;
-  choice.failure = ChoiceFailure::kNoTarget;
   const int most = most_in_flight(service, demand);
-  double best_cost = 0;
+  bool any_busy = false;
+  std::vector<std::pair<const wire::EngineGroup*, const wire::Instance*>> open;
   for (const auto& group : groups_) {
     const bool fits = group.phase == wire::GroupPhase::OPEN && group.service_name == service.name &&
                       group.model == demand.model && !excluded.contains(group.name);
@@ -105,16 +104,28 @@
       continue;
     }
     if (health.in_flight + health.others >= most) {
-      choice.failure = choice.target ? ChoiceFailure::kNone : ChoiceFailure::kAllBusy;
+      any_busy = true;
       continue;
     }
-    const double cost = cost_of(group.name, head->second.zone);
-    if (!choice.target || cost < best_cost) {
-      best_cost = cost;
-      choice.target = Target{group.name, service.name, group.name, head->second.id, head->second.address};
-      choice.failure = ChoiceFailure::kNone;
-    }
+    open.emplace_back(&group, &head->second);
+  }
+  Choice choice;
+  if (open.empty()) {
+    choice.failure = any_busy ? ChoiceFailure::kAllBusy : ChoiceFailure::kNoTarget;
+    return choice;
+  }
+  // The better of two drawn by lot: were all entries to take the least loaded by what they last heard, they would all
+  // take the same one.
+  std::shuffle(open.begin(), open.end(), random_);
+  size_t best = 0;
+  if (open.size() > 1) {
+    best = cost_of(open[0].first->name, open[0].second->zone) <= cost_of(open[1].first->name, open[1].second->zone) ? 0
+                                                                                                                    : 1;
   }
+  const auto& [group, head] = open[best];
+  const Health& health = health_[group->name];
+  choice.target =
+      Target{group->name, service.name, group->name, head->id, head->address, health.in_flight + health.others, most};
   return choice;
 }
 
@@ -138,7 +149,7 @@
     if (better) {
       best_cost = cost;
       best_doubtful = doubtful;
-      choice.target = Target{id, service.name, "", id, instance.address};
+      choice.target = Target{id, service.name, "", id, instance.address, health_[id].in_flight, 0};
       choice.failure = ChoiceFailure::kNone;
     }
   }
--- a/src/core/fleet/fleet_options.h
+++ b/src/core/fleet/fleet_options.h
@@ -14,7 +14,7 @@
 /// settings/fleet_settings.h.
 struct FleetOptions {
   /// How often a node reports to the leader.
-  Duration heartbeat_interval = milliseconds(200);
+  Duration heartbeat_interval = milliseconds(100);
   /// A heartbeat unanswered for this long is sent to another control replica.
   Duration heartbeat_patience = milliseconds(500);
   /// A node not heard for this long is not waited for and takes no share of budgets.
--- a/src/node/request_relay.cc
+++ b/src/node/request_relay.cc
@@ -46,6 +46,10 @@
   return error == std::errc() && end == text.data() + text.size() ? std::optional(number) : std::nullopt;
 }
 
+int64_t milliseconds_between(TimePoint from, TimePoint to) {
+  return duration_cast<std::chrono::milliseconds>(to - from).count();
+}
+
 std::string seconds_text(double value) {
   std::string text = std::to_string(value);
   return text.substr(0, text.find('.') + 3);
@@ -216,6 +220,9 @@
 asio::awaitable<RequestRelay::Sending> RequestRelay::send(RelayedRequest& request, const fleet::Target& target) {
   auto cancellation = std::make_shared<net::Cancellation>();
   request.cancellation = cancellation;
+  request.last_target = target.key;
+  request.load_at_choice = target.in_flight;
+  request.most_at_choice = target.most_in_flight;
   state_.dispatcher.begin(monotonic_now(), target);
   state_.under_way[target.key].insert(cancellation);
   const ScopeExit finish([this, &request, &target, cancellation] {
@@ -376,9 +383,7 @@
   const int status = response.status;
   state_.counters.served += is_success(status) ? 1 : 0;
   state_.counters.failed += is_success(status) ? 0 : 1;
-  if (!is_success(status)) {
-    log_end(request, status, "the server's answer");
-  }
+  log_end(request, status, "the server's answer");
   co_await request.exchange->respond(std::move(response));
   co_return Sending::kAnswered;
 }
@@ -406,6 +411,7 @@
     }
     if (!request.head_sent) {
       request.head_sent = true;
+      request.first_event = monotonic_now();
       if (!co_await request.exchange->begin_stream(stream.head())) {
         co_return Sending::kAnswered;
       }
@@ -417,6 +423,7 @@
   const bool whole = stream.complete() && request.events.pending().empty() && !request.events.has_gap();
   if (whole && request.head_sent) {
     ++state_.counters.served;
+    log_end(request, stream.head().status, "the whole stream");
     co_await request.exchange->end_stream();
     co_return Sending::kAnswered;
   }
@@ -436,12 +443,17 @@
 // -------------------------------------------------------------------- ends
 
 void RequestRelay::log_end(const RelayedRequest& request, int status, const std::string& reason) const {
-  const auto held = duration_cast<std::chrono::milliseconds>(monotonic_now() - request.received).count();
+  const auto held = milliseconds_between(request.received, monotonic_now());
+  const auto first = request.head_sent ? milliseconds_between(request.received, request.first_event) : held;
   log_event("", "request_ended",
             {{"request", request.id},
              {"route", request.route == nullptr ? "" : request.route->name},
              {"status", std::to_string(status)},
              {"held_ms", std::to_string(held)},
+             {"first_ms", std::to_string(first)},
+             {"target", request.last_target},
+             {"load", std::to_string(request.load_at_choice)},
+             {"most", std::to_string(request.most_at_choice)},
              {"sent", std::to_string(request.sent)},
              {"runs", std::to_string(request.runs)},
              {"reason", reason}});
--- a/src/node/request_relay.h
+++ b/src/node/request_relay.h
@@ -37,6 +37,11 @@
   std::shared_ptr<net::Cancellation> cancellation;
   requests::EventStream events;
   bool head_sent = false;
+  /// When the first event or the whole answer arrived.
+  TimePoint first_event{};
+  std::string last_target;
+  int load_at_choice = 0;
+  int most_at_choice = 0;
 };
 
 /// Serves callers of a registered fleet: finds route and tenant, sends each request to a server, retries and resumes
