Adopt groups whose memory alone was lost; elect after 0.6 s; stop accepting in time

Change: a group of which all members report and whose head is open is taken over as it stands; the log's timers fit one region; after the balancer's reaction a stopping entry accepts nothing and closes resting connections.

--- a/src/core/fleet/group_supervisor.cc
+++ b/src/core/fleet/group_supervisor.cc
@@ -286,10 +286,38 @@
   return false;
 }
 
-bool GroupSupervisor::adopt_unknown(TimePoint now, const InstanceDirectory& directory) {
-  if (now - started_ < kAdoptionDelay) {
-    return false;
+GroupSupervisor::Record GroupSupervisor::reported_group(const wire::Instance& instance,
+                                                        const InstanceDirectory& directory) {
+  Record record;
+  record.group.name = instance.membership.group;
+  record.group.epoch = instance.membership.epoch;
+  record.group.service_name = instance.service_name;
+  record.group.model = instance.model;
+  std::map<int32_t, std::string> by_rank;
+  for (const auto& [id, row] : directory.rows()) {
+    if (row.heard_here && reports(row.instance, record.group) && row.instance.state != wire::InstanceState::GONE) {
+      by_rank[row.instance.membership.rank] = id;
+    }
   }
+  by_rank.try_emplace(0, "");
+  for (const auto& [rank, id] : by_rank) {
+    record.group.members.push_back(id);
+  }
+  return record;
+}
+
+bool GroupSupervisor::is_intact(const wire::EngineGroup& group, const document::ConfigurationDocument& document,
+                                const InstanceDirectory& directory) {
+  const auto service = document.services.find(group.service_name);
+  const auto* model = service == document.services.end() || !service->second.engine
+                          ? nullptr
+                          : service->second.engine->find_model(group.model);
+  return model != nullptr && group.members.size() == static_cast<size_t>(model->size) &&
+         reports(directory.find(group.members.front()), group, wire::MembershipState::OPEN);
+}
+
+bool GroupSupervisor::adopt_unknown(TimePoint now, const document::ConfigurationDocument& document,
+                                    const InstanceDirectory& directory) {
   bool adopted = false;
   for (const auto& [id, row] : directory.rows()) {
     const auto& membership = row.instance.membership;
@@ -298,22 +326,13 @@
     if (known || !row.heard_here || row.instance.state == wire::InstanceState::GONE) {
       continue;
     }
-    Record record;
-    record.group.name = membership.group;
-    record.group.epoch = membership.epoch;
-    record.group.service_name = row.instance.service_name;
-    record.group.phase = wire::GroupPhase::DISSOLVING;
-    record.group.members = {""};  // The head, until found.
-    for (const auto& [other_id, other] : directory.rows()) {
-      if (!reports(other.instance, record.group) || other.instance.state == wire::InstanceState::GONE) {
-        continue;
-      }
-      if (other.instance.membership.rank == 0) {
-        record.group.members.front() = other_id;
-      } else {
-        record.group.members.push_back(other_id);
-      }
+    Record record = reported_group(row.instance, directory);
+    const bool intact = is_intact(record.group, document, directory);
+    if (!intact && now - started_ < kAdoptionDelay) {
+      continue;  // Other members may still report.
     }
+    record.group.phase = intact ? wire::GroupPhase::OPEN : wire::GroupPhase::DISSOLVING;
+    record.may_be_open = true;
     record.since = now;
     records_[record.group.name] = std::move(record);
     adopted = true;
@@ -323,7 +342,7 @@
 
 bool GroupSupervisor::tick(TimePoint now, const document::ConfigurationDocument& document,
                            const InstanceDirectory& directory) {
-  bool changed = adopt_unknown(now, directory);
+  bool changed = adopt_unknown(now, document, directory);
   for (auto item = records_.begin(); item != records_.end();) {
     Record& record = item->second;
     changed = advance(now, record, directory) || changed;
--- a/src/core/fleet/group_supervisor.h
+++ b/src/core/fleet/group_supervisor.h
@@ -95,7 +95,14 @@
   void order_leave(TimePoint now, const Record& record, const InstanceDirectory& directory);
   bool is_dissolved(TimePoint now, const Record& record, const InstanceDirectory& directory) const;
   void set_phase(TimePoint now, Record& record, wire::GroupPhase::type phase);
-  bool adopt_unknown(TimePoint now, const InstanceDirectory& directory);
+  /// Takes over groups that instances report and no predecessor told of, as after the loss of all control replicas.
+  bool adopt_unknown(TimePoint now, const document::ConfigurationDocument& document,
+                     const InstanceDirectory& directory);
+  /// A record of the group that `instance` reports, with every member found; the head is empty when it is not known.
+  static Record reported_group(const wire::Instance& instance, const InstanceDirectory& directory);
+  /// All members of the group are known and its head is open: nothing but the memory of it was lost.
+  static bool is_intact(const wire::EngineGroup& group, const document::ConfigurationDocument& document,
+                        const InstanceDirectory& directory);
   bool form_groups(TimePoint now, const document::ConfigurationDocument& document, const InstanceDirectory& directory);
   /// The instances of one service: who is free, by fabric domain, and how many each model holds.
   struct ServiceView {
--- a/src/core/fleet/registration.cc
+++ b/src/core/fleet/registration.cc
@@ -48,6 +48,13 @@
   }
 }
 
+void read_model(const json::object& body, wire::Instance& instance) {
+  const auto* models = body.if_contains("models");
+  if (models != nullptr && models->is_array() && !models->as_array().empty() && models->as_array()[0].is_object()) {
+    instance.model = text(models->as_array()[0].as_object(), "name");
+  }
+}
+
 void read_membership(const json::object& body, wire::Instance& instance) {
   const auto* group = body.if_contains("group");
   if (group == nullptr || !group->is_object()) {
@@ -81,6 +88,7 @@
   instance.call_number = number(object, "call_seq");
   instance.state = text(object, "state") == "draining" ? wire::InstanceState::DRAINING : wire::InstanceState::READY;
   read_staged(object, instance);
+  read_model(object, instance);
   read_membership(object, instance);
   if (instance.service_name.empty() || instance.address.empty()) {
     error = "the heartbeat names no service or no address; send both";
--- a/src/node/entry_process.cc
+++ b/src/node/entry_process.cc
@@ -183,12 +183,12 @@
   // The balancer reacts late: what it still sends here is served.
   timer.expires_after(kBalancerReaction);
   co_await timer.async_wait(kAwait);
+  callers_.stop_accepting();
+  callers_.close_idle();
   while (callers_.stats().active_requests > 0 && std::chrono::steady_clock::now() < deadline) {
     timer.expires_after(kTickInterval);
     co_await timer.async_wait(kAwait);
   }
-  callers_.stop_accepting();
-  callers_.close_idle();
   log_event(settings_.name, "drained", {{"requests_left", std::to_string(callers_.stats().active_requests)}});
 }
 
--- a/src/settings/fleet_settings.cc
+++ b/src/settings/fleet_settings.cc
@@ -17,6 +17,10 @@
 /// A replacement must be a voter well within the time in which it counts as lost.
 constexpr int kReplicaTimeoutShare = 3;
 
+/// Control replicas stand close to each other, so a leader is missed soon.
+constexpr Duration kLogHeartbeat = milliseconds(80);
+constexpr Duration kElectionTimeout = milliseconds(600);
+
 std::string host_of(const std::string& endpoint) { return endpoint.substr(0, endpoint.rfind(':')); }
 
 void read_node(const IniDocument& document, FleetSettings& settings, std::vector<std::string>& errors) {
@@ -110,6 +114,10 @@
   settings.options.control.snapshot_interval = 64;
   settings.options.control.snapshot_trailing = 16;
   settings.options.control.node_timeout = settings.options.node_timeout;
+  settings.options.raft.heartbeat_interval = kLogHeartbeat;
+  settings.options.raft.election_timeout_min = kElectionTimeout;
+  settings.options.raft.election_timeout_max = kElectionTimeout + kElectionTimeout / 2;
+  settings.options.raft.restart_check = kElectionTimeout + kElectionTimeout / 5;
   return errors.size() > faults_before ? std::nullopt : std::optional(std::move(settings));
 }
 
--- a/src/wire/gen-cpp/larchlever_types.cpp
+++ b/src/wire/gen-cpp/larchlever_types.cpp
@@ -11426,6 +11426,10 @@
 void Instance::__set_silent(const bool val) {
   this->silent = val;
 }
+
+void Instance::__set_model(const std::string& val) {
+  this->model = val;
+}
 std::ostream& operator<<(std::ostream& out, const Instance& obj)
 {
   obj.printTo(out);
@@ -11556,6 +11560,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 12:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->model);
+          this->__isset.model = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -11625,6 +11637,10 @@
   xfer += oprot->writeBool(this->silent);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("model", ::apache::thrift::protocol::T_STRING, 12);
+  xfer += oprot->writeString(this->model);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -11643,6 +11659,7 @@
   swap(a.staged_models, b.staged_models);
   swap(a.membership, b.membership);
   swap(a.silent, b.silent);
+  swap(a.model, b.model);
   swap(a.__isset, b.__isset);
 }
 
@@ -11658,6 +11675,7 @@
   staged_models = other439.staged_models;
   membership = other439.membership;
   silent = other439.silent;
+  model = other439.model;
   __isset = other439.__isset;
 }
 Instance::Instance(Instance&& other440) noexcept {
@@ -11672,6 +11690,7 @@
   staged_models = std::move(other440.staged_models);
   membership = std::move(other440.membership);
   silent = other440.silent;
+  model = std::move(other440.model);
   __isset = other440.__isset;
 }
 Instance& Instance::operator=(const Instance& other441) {
@@ -11686,6 +11705,7 @@
   staged_models = other441.staged_models;
   membership = other441.membership;
   silent = other441.silent;
+  model = other441.model;
   __isset = other441.__isset;
   return *this;
 }
@@ -11701,6 +11721,7 @@
   staged_models = std::move(other442.staged_models);
   membership = std::move(other442.membership);
   silent = other442.silent;
+  model = std::move(other442.model);
   __isset = other442.__isset;
   return *this;
 }
@@ -11718,6 +11739,7 @@
   out << ", " << "staged_models=" << to_string(staged_models);
   out << ", " << "membership=" << to_string(membership);
   out << ", " << "silent=" << to_string(silent);
+  out << ", " << "model=" << to_string(model);
   out << ")";
 }
 
--- a/src/wire/gen-cpp/larchlever_types.h
+++ b/src/wire/gen-cpp/larchlever_types.h
@@ -4415,7 +4415,7 @@
 std::ostream& operator<<(std::ostream& out, const GroupMembership& obj);
 
 typedef struct _Instance__isset {
-  _Instance__isset() : id(false), service_name(false), address(false), zone(false), domain(false), state(false), slots(false), call_number(false), staged_models(false), membership(false), silent(false) {}
+  _Instance__isset() : id(false), service_name(false), address(false), zone(false), domain(false), state(false), slots(false), call_number(false), staged_models(false), membership(false), silent(false), model(false) {}
   bool id :1;
   bool service_name :1;
   bool address :1;
@@ -4427,6 +4427,7 @@
   bool staged_models :1;
   bool membership :1;
   bool silent :1;
+  bool model :1;
 } _Instance__isset;
 
 /**
@@ -4448,7 +4449,8 @@
              state(static_cast<InstanceState::type>(0)),
              slots(0),
              call_number(0),
-             silent(0) {
+             silent(0),
+             model() {
   }
 
   virtual ~Instance() noexcept;
@@ -4473,6 +4475,10 @@
    * Its registrations stopped; it may be down, or only cut off from the control replicas.
    */
   bool silent;
+  /**
+   * The model whose weights the instance holds in its accelerators; empty when it holds none.
+   */
+  std::string model;
 
   _Instance__isset __isset;
 
@@ -4498,6 +4504,8 @@
 
   void __set_silent(const bool val);
 
+  void __set_model(const std::string& val);
+
   bool operator == (const Instance & rhs) const
   {
     if (!(id == rhs.id))
@@ -4522,6 +4530,8 @@
       return false;
     if (!(silent == rhs.silent))
       return false;
+    if (!(model == rhs.model))
+      return false;
     return true;
   }
   bool operator != (const Instance &rhs) const {
--- a/src/wire/larchlever.thrift
+++ b/src/wire/larchlever.thrift
@@ -518,6 +518,8 @@
   10: GroupMembership membership,
   /** Its registrations stopped; it may be down, or only cut off from the control replicas. */
   11: bool silent,
+  /** The model whose weights the instance holds in its accelerators; empty when it holds none. */
+  12: string model,
 }
 
 enum GroupPhase { JOINING = 0, OPENING = 1, OPEN = 2, DRAINING = 3, DISSOLVING = 4 }
