Check a registered fleet in virtual time; keep late orders from opening dissolved groups

Change: only an instance heard at the address proves the earlier one ended; inherited groups that never opened are formed anew; a head with unanswered orders is fenced by a higher epoch before its members are given away. The simulation runs the daemon's FleetController and FleetSubscription with kills, cuts, wiped disks, dying servers and late orders; planted defects are caught.

--- a/src/core/fleet/group_formation.cc
+++ b/src/core/fleet/group_formation.cc
@@ -227,9 +227,8 @@
     }
     load_starts_.insert(load_starts_.end(), candidate->loads, now);
     Record record;
-    record.group.name = "g" + std::to_string(term_) + "-" + std::to_string(next_number_);
-    record.group.epoch = (term_ << kEpochTermShift) + next_number_;
-    ++next_number_;
+    record.group.epoch = next_epoch();
+    record.group.name = "g" + std::to_string(term_) + "-" + std::to_string(record.group.epoch & kEpochNumberMask);
     record.group.service_name = service;
     record.group.model = model->name;
     record.group.phase = wire::GroupPhase::JOINING;
@@ -237,10 +236,10 @@
       record.group.members.push_back(member->id);
     }
     record.since = now;
-    for (const auto& id : record.group.members) {
-      send(now, order_for(OrderKind::kJoin, record, id), directory);
+    const auto& stored = records_[record.group.name] = std::move(record);
+    for (const auto& id : stored.group.members) {
+      send(now, order_for(OrderKind::kJoin, stored, id), directory);
     }
-    records_[record.group.name] = std::move(record);
     return true;
   }
   return false;
--- a/src/core/fleet/group_supervisor.cc
+++ b/src/core/fleet/group_supervisor.cc
@@ -19,6 +19,8 @@
 /// After a change of leadership, groups that nobody told us of are adopted once every instance had time to report.
 constexpr Duration kAdoptionDelay = seconds(3);
 
+/// Names the group of one that fences a head.
+constexpr const char* kFenceSuffix = "-fence";
 /// Loads ordered by the previous leader count in the same window; this long none is added to them.
 constexpr Duration kPredecessorLoads = seconds(3);
 
@@ -34,9 +36,15 @@
   return instance != nullptr && instance->state == wire::InstanceState::READY && !instance->silent;
 }
 
+/// The instance's state does not fit the order: it is in no such group.
+constexpr int kConflict = 409;
+/// The instance has seen a higher epoch or fence.
+constexpr int kFenced = 412;
+
 bool is_success(int status) { return status >= 200 && status < 300; }
 
-/// Another instance registered at the address, so the process behind `id` has ended.
+/// Another instance was heard at the address, so the process behind `id` has ended. A row that only a copy names proves
+/// nothing: the copy may be older than `id`.
 bool is_replaced(const std::string& id, const InstanceDirectory& directory) {
   const auto* instance = directory.find(id);
   if (instance == nullptr) {
@@ -44,7 +52,8 @@
   }
   return std::any_of(directory.rows().begin(), directory.rows().end(), [&](const auto& item) {
     const auto& other = item.second.instance;
-    return other.id != id && other.address == instance->address && other.state != wire::InstanceState::GONE;
+    return other.id != id && item.second.heard_here && other.address == instance->address &&
+           other.state != wire::InstanceState::GONE;
   });
 }
 
@@ -78,6 +87,12 @@
       item->second.group = group;
       item->second.since = now;
       item->second.may_be_open = true;
+      item->second.unanswered_head_orders = 1;  // What the predecessor sent is not known.
+      if (group.phase == wire::GroupPhase::JOINING) {
+        // The predecessor may have given these members to another group, by orders that are still under way: opened
+        // under its old epoch, the group could lose a member to them. Formed anew, it has an epoch above theirs.
+        item->second.group.phase = wire::GroupPhase::DISSOLVING;
+      }
     }
   }
 }
@@ -90,11 +105,20 @@
 
 void GroupSupervisor::order_result(TimePoint now, const InstanceOrderResult& result) {
   const auto found = records_.find(result.order.group);
-  if (found == records_.end() || result.order.kind != OrderKind::kLeave || !is_success(result.status)) {
-    return;  // Joins and opens are confirmed by what the instances report, never by an answer.
+  if (found == records_.end()) {
+    return;
   }
   Record& record = found->second;
-  if (record.group.members.front() == result.order.instance_id) {
+  const bool to_head = record.group.members.front() == result.order.instance_id;
+  const bool ranks = result.order.kind == OrderKind::kJoin || result.order.kind == OrderKind::kOpen;
+  if (ranks && to_head && result.status != 0) {
+    --record.unanswered_head_orders;
+  }
+  const bool left = is_success(result.status) || result.status == kConflict || result.status == kFenced;
+  if (result.order.kind != OrderKind::kLeave || !left) {
+    return;  // Joins and opens are confirmed by what the instances report, never by an answer.
+  }
+  if (to_head) {
     record.head_left = true;
   } else {
     record.member_left_at = std::min(record.member_left_at, now);
@@ -131,6 +155,29 @@
   sent->second = now;
   orders_.push_back(order);
   orders_.back().address = instance->address;
+  const auto record = records_.find(order.group);
+  const bool ranks = order.kind == OrderKind::kJoin || order.kind == OrderKind::kOpen;
+  if (ranks && record != records_.end() && record->second.group.members.front() == order.instance_id) {
+    ++record->second.unanswered_head_orders;
+  }
+}
+
+void GroupSupervisor::fence_head(TimePoint now, Record& record, const InstanceDirectory& directory) {
+  const auto& head = record.group.members.front();
+  if (record.fence_epoch == 0) {
+    record.fence_epoch = next_epoch();
+  }
+  const auto* instance = directory.find(head);
+  if (instance != nullptr && instance->membership.epoch >= record.fence_epoch) {
+    record.head_fenced = true;
+    return;
+  }
+  InstanceOrder order = order_for(OrderKind::kJoin, record, head);
+  order.group = record.group.name + kFenceSuffix;
+  order.epoch = record.fence_epoch;
+  order.members = {head};
+  dissolved_.insert(order.group);
+  send(now, order, directory);
 }
 
 bool GroupSupervisor::advance_joining(TimePoint now, Record& record, const InstanceDirectory& directory) {
@@ -244,7 +291,7 @@
 
 bool GroupSupervisor::is_dissolved(TimePoint now, const Record& record, const InstanceDirectory& directory) const {
   if (record.head_left) {
-    return true;
+    return !record.may_be_open || record.unanswered_head_orders <= 0 || record.head_fenced;
   }
   const bool stalled =
       record.member_left_at != TimePoint::max() && now - record.member_left_at > options_.stall_time + kStallMargin;
@@ -263,8 +310,13 @@
     return false;
   }
   const auto& membership = head->second.instance.membership;
-  // A head that only reports itself ready may still carry out an order to open that is under way.
-  return !reports(head->second.instance, record.group) || membership.state == wire::MembershipState::BROKEN;
+  if (membership.state == wire::MembershipState::BROKEN && reports(head->second.instance, record.group)) {
+    return true;
+  }
+  // A head that only reports itself ready may still carry out an order to open that is under way; one that reports
+  // another epoch above ours can no longer.
+  return membership.epoch > record.group.epoch ||
+         (!reports(head->second.instance, record.group) && record.unanswered_head_orders <= 0);
 }
 
 bool GroupSupervisor::advance(TimePoint now, Record& record, const InstanceDirectory& directory) {
@@ -278,7 +330,12 @@
     case wire::GroupPhase::DRAINING:
       return advance_draining(now, record);
     case wire::GroupPhase::DISSOLVING:
-      if (!is_dissolved(now, record, directory)) {
+      if (is_dissolved(now, record, directory)) {
+        return false;
+      }
+      if (record.head_left) {
+        fence_head(now, record, directory);
+      } else {
         order_leave(now, record, directory);
       }
       return false;
@@ -333,6 +390,7 @@
     }
     record.group.phase = intact ? wire::GroupPhase::OPEN : wire::GroupPhase::DISSOLVING;
     record.may_be_open = true;
+    record.unanswered_head_orders = 1;
     record.since = now;
     records_[record.group.name] = std::move(record);
     adopted = true;
--- a/src/core/fleet/group_supervisor.h
+++ b/src/core/fleet/group_supervisor.h
@@ -38,6 +38,7 @@
 
 /// Epochs carry the leader's term above this bit, so that every leadership's epochs exceed those of the ones before.
 constexpr int kEpochTermShift = 20;
+constexpr int64_t kEpochNumberMask = (int64_t{1} << kEpochTermShift) - 1;
 
 /// True when `instance` (may be null) says that it is ready as a member of `group`.
 bool reports_ready(const wire::Instance* instance, const wire::EngineGroup& group);
@@ -46,7 +47,8 @@
 ///
 /// Guarantees, whatever is lost or carried out late:
 /// - a group is opened only after every member reported that it is ready under the group's name and epoch;
-/// - an instance is given to another group only after its old head confirmed that it left, or reported itself broken,
+/// - an instance is given to another group only after its old head confirmed that it left (and, where orders to it are
+///   unanswered, that it saw a higher epoch, so that they can no longer open it), or reported itself broken,
 /// or
 ///   is replaced at its address, or one of its members confirmed that it left longer than the stall time ago (a head
 ///   that misses a member stands still and is broken by then).
@@ -85,6 +87,11 @@
     /// When a member that is not the head confirmed that it left.
     TimePoint member_left_at = TimePoint::max();
     bool head_left = false;
+    /// Orders to join or open that the head may still carry out: sent, and not answered.
+    int unanswered_head_orders = 0;
+    /// Epoch of the group of its own that the head was given after it left, to fence those orders; 0 for none.
+    int64_t fence_epoch = 0;
+    bool head_fenced = false;
   };
 
   bool advance(TimePoint now, Record& record, const InstanceDirectory& directory);
@@ -93,6 +100,9 @@
   bool advance_open(TimePoint now, Record& record, const InstanceDirectory& directory);
   bool advance_draining(TimePoint now, Record& record);
   void order_leave(TimePoint now, const Record& record, const InstanceDirectory& directory);
+  /// Gives a head that left an epoch above its old group's, so that late orders cannot open that group again.
+  void fence_head(TimePoint now, Record& record, const InstanceDirectory& directory);
+  int64_t next_epoch() { return (term_ << kEpochTermShift) + next_number_++; }
   bool is_dissolved(TimePoint now, const Record& record, const InstanceDirectory& directory) const;
   void set_phase(TimePoint now, Record& record, wire::GroupPhase::type phase);
   /// Takes over groups that instances report and no predecessor told of, as after the loss of all control replicas.
--- a/src/core/fleet/instance_directory.cc
+++ b/src/core/fleet/instance_directory.cc
@@ -54,6 +54,10 @@
   if (report.call_number < row.instance.call_number || row.instance.state == wire::InstanceState::GONE) {
     return false;
   }
+  if (!row.heard_here) {
+    // A copy may still name an earlier holder of the address.
+    retire_previous_holder(report);
+  }
   row.last_heard = now;
   row.heard_here = true;
   wire::Instance next = report;
--- /dev/null
+++ b/src/simulation/simulated_instance.cc
@@ -0,0 +1,104 @@
+#include "simulation/simulated_instance.h"
+
+#include <algorithm>
+
+namespace larchlever::simulation {
+
+namespace {
+
+constexpr int kOk = 200;
+constexpr int kBegun = 202;
+constexpr int kConflict = 409;
+constexpr int kFenced = 412;
+
+}  // namespace
+
+SimulatedInstance::SimulatedInstance(std::string id, std::string address, std::string domain,
+                                     std::vector<std::string> staged)
+    : id_(std::move(id)), address_(std::move(address)), domain_(std::move(domain)), staged_(std::move(staged)) {}
+
+void SimulatedInstance::set_state(wire::MembershipState::type state) {
+  membership_.state = state;
+  has_news_ = true;
+}
+
+int SimulatedInstance::carry_out(TimePoint now, const fleet::InstanceOrder& order, Duration join_time) {
+  advance(now);
+  if (order.kind == fleet::OrderKind::kStage) {
+    staged_ = {order.model};
+    has_news_ = true;
+    return kBegun;
+  }
+  const bool mine = membership_.group == order.group && membership_.epoch == order.epoch;
+  if (order.kind == fleet::OrderKind::kJoin) {
+    if (mine && members_ == order.members) {
+      return kOk;
+    }
+    if (order.epoch < highest_epoch_ || mine) {
+      return kFenced;
+    }
+    highest_epoch_ = order.epoch;
+    members_ = order.members;
+    model_ = order.model;
+    membership_.group = order.group;
+    membership_.epoch = order.epoch;
+    membership_.rank = static_cast<int32_t>(std::find(members_.begin(), members_.end(), id_) - members_.begin());
+    ready_at_ = now + join_time;
+    incomplete_since_ = TimePoint::max();
+    set_state(wire::MembershipState::JOINING);
+    return kBegun;
+  }
+  if (!mine) {
+    return kConflict;
+  }
+  if (order.kind == fleet::OrderKind::kLeave) {
+    membership_ = {};
+    members_.clear();
+    has_news_ = true;
+    return kOk;
+  }
+  if (order.kind == fleet::OrderKind::kOpen) {
+    if (membership_.state == wire::MembershipState::OPEN) {
+      return kOk;
+    }
+    if (membership_.state != wire::MembershipState::READY || membership_.rank != 0) {
+      return kConflict;
+    }
+    set_state(wire::MembershipState::OPEN);
+    return kBegun;
+  }
+  return kConflict;
+}
+
+void SimulatedInstance::advance(TimePoint now) {
+  if (membership_.state == wire::MembershipState::JOINING && now >= ready_at_) {
+    staged_ = {model_};
+    was_ready_.emplace(membership_.group, membership_.epoch);
+    set_state(wire::MembershipState::READY);
+  }
+}
+
+void SimulatedInstance::note_incomplete(TimePoint now, Duration stall) {
+  incomplete_since_ = std::min(incomplete_since_, now);
+  if (is_open_head() && now - incomplete_since_ >= stall) {
+    set_state(wire::MembershipState::BROKEN);
+  }
+}
+
+wire::Instance SimulatedInstance::report() {
+  has_news_ = false;
+  wire::Instance instance;
+  instance.id = id_;
+  instance.service_name = "engines";
+  instance.address = address_;
+  instance.zone = "a";
+  instance.domain = domain_;
+  instance.state = draining ? wire::InstanceState::DRAINING : wire::InstanceState::READY;
+  instance.call_number = ++call_number_;
+  instance.staged_models = staged_;
+  instance.model = model_;
+  instance.membership = membership_;
+  return instance;
+}
+
+}  // namespace larchlever::simulation
--- /dev/null
+++ b/tests/unit/registered_fleet_test.cc
@@ -0,0 +1,83 @@
+#include "simulation/registered_fleet.h"
+
+#include <gtest/gtest.h>
+
+#include <functional>
+#include <string>
+
+namespace larchlever::simulation {
+namespace {
+
+constexpr uint64_t kSeeds = 40;
+constexpr uint64_t kSeedsForADefect = 60;
+
+TEST(RegisteredFleet, KeepsItsPromisesUnderFaults) {
+  for (uint64_t seed = 1; seed <= kSeeds; ++seed) {
+    RegisteredFleetOptions options;
+    options.seed = seed;
+    const auto result = RegisteredFleet(options).run();
+    ASSERT_TRUE(result.violations.empty()) << "seed " << seed << ": " << result.violations.front();
+    EXPECT_GT(result.documents_acknowledged, 5U) << "seed " << seed;
+    EXPECT_GT(result.groups_opened, 5U) << "seed " << seed;
+    EXPECT_GT(result.faults, 20U) << "seed " << seed;
+  }
+}
+
+/// Seeds that once broke a promise: a copy named an earlier holder of an address (16), a predecessor's orders took a
+/// member out of a group that its successor opened (497), late orders opened a dissolved group again (388).
+TEST(RegisteredFleet, KeepsItsPromisesOnSeedsThatOnceFailed) {
+  for (const uint64_t seed : {16U, 388U, 497U}) {
+    RegisteredFleetOptions options;
+    options.seed = seed;
+    const auto result = RegisteredFleet(options).run();
+    EXPECT_TRUE(result.violations.empty()) << "seed " << seed << ": " << result.violations.front();
+  }
+}
+
+TEST(RegisteredFleet, GivesTheSameRunForTheSameSeed) {
+  RegisteredFleetOptions options;
+  options.seed = 5;
+  const auto first = RegisteredFleet(options).run();
+  const auto second = RegisteredFleet(options).run();
+  EXPECT_EQ(first.groups_opened, second.groups_opened);
+  EXPECT_EQ(first.documents_acknowledged, second.documents_acknowledged);
+  EXPECT_EQ(first.faults, second.faults);
+}
+
+std::string first_violation(const std::function<void(RegisteredFleetOptions&)>& plant) {
+  for (uint64_t seed = 1; seed <= kSeedsForADefect; ++seed) {
+    RegisteredFleetOptions options;
+    options.seed = seed;
+    plant(options);
+    const auto result = RegisteredFleet(options).run();
+    if (!result.violations.empty()) {
+      return result.violations.front();
+    }
+  }
+  return "";
+}
+
+TEST(RegisteredFleet, CatchesEntriesThatIgnoreTheirLease) {
+  const auto violation = first_violation([](auto& options) { options.entries_ignore_leases = true; });
+  EXPECT_NE(violation.find("LEASE"), std::string::npos) << violation;
+}
+
+TEST(RegisteredFleet, CatchesMembersFreedBeforeTheirHeadStands) {
+  // A head that misses a member goes on for longer than the supervisor believes.
+  const auto violation = first_violation([](auto& options) {
+    options.fleet.stall_time = milliseconds(100);
+    options.late_orders = 0.5;
+  });
+  EXPECT_NE(violation.find("TWO"), std::string::npos) << violation;
+}
+
+TEST(RegisteredFleet, CatchesDisksThatLie) {
+  const auto violation = first_violation([](auto& options) {
+    options.lying_disks = true;
+    options.mean_fault_interval = milliseconds(400);
+  });
+  EXPECT_FALSE(violation.empty());
+}
+
+}  // namespace
+}  // namespace larchlever::simulation
