--- a/src/core/fleet/group_formation.cc
+++ b/src/core/fleet/group_formation.cc
@@ -92,7 +92,12 @@
       loads += member != nullptr && !ready && !has_staged(*member, record.group.model) ? 1 : 0;
     }
   }
-  return loads + staging_.size();
+  for (const auto& [id, since] : staging_) {
+    const auto* instance = directory.find(id);
+    const bool loading = instance != nullptr && instance->staged_models.empty() && owner_of(id) == nullptr;
+    loads += loading ? 1 : 0;
+  }
+  return loads;
 }
 
 bool GroupSupervisor::may_load(TimePoint now, const document::EngineSpec& engine, const InstanceDirectory& directory,
