--- a/src/core/fleet/dispatcher.cc
+++ b/src/core/fleet/dispatcher.cc
@@ -185,16 +185,17 @@
   return true;
 }
 
-std::vector<std::string> Dispatcher::stalled_groups(TimePoint now, Duration patience) const {
-  std::vector<std::string> result;
+std::vector<Target> Dispatcher::stalled_groups(TimePoint now, Duration patience, Duration patience_each) const {
+  std::vector<Target> result;
   for (const auto& group : groups_) {
     const auto found = health_.find(group.name);
     if (found == health_.end() || found->second.in_flight == 0 || now < found->second.avoid_until) {
       continue;
     }
     const Health& health = found->second;
-    if (now - std::max(health.busy_since, health.last_progress) > patience) {
-      result.push_back(group.name);
+    if (now - std::max(health.busy_since, health.last_progress) > patience + health.in_flight * patience_each) {
+      result.push_back(
+          Target{group.name, group.service_name, group.name, group.members.front(), "", health.in_flight, 0});
     }
   }
   return result;
@@ -214,15 +215,19 @@
   budget.requests.push_back(now);
 }
 
-bool Dispatcher::take_retry(TimePoint now, const std::string& service) {
+int Dispatcher::retries_left(TimePoint now, const std::string& service) {
   Budget& budget = budgets_[service];
   forget_old(now, budget);
   const double allowed = kBudgetShare * (options_.retry_ratio * static_cast<double>(budget.requests.size()) +
                                          options_.retry_slack / serving_nodes_);
-  if (static_cast<double>(budget.retries.size()) + 1 > allowed) {
+  return static_cast<int>(allowed) - static_cast<int>(budget.retries.size());
+}
+
+bool Dispatcher::take_retry(TimePoint now, const std::string& service) {
+  if (retries_left(now, service) < 1) {
     return false;
   }
-  budget.retries.push_back(now);
+  budgets_[service].retries.push_back(now);
   return true;
 }
 
--- a/src/core/fleet/dispatcher.h
+++ b/src/core/fleet/dispatcher.h
@@ -75,14 +75,17 @@
   /// come back either.
   bool note_failure(TimePoint now, const Target& target);
 
-  /// Groups where requests of this entry wait although none made progress for too long.
-  std::vector<std::string> stalled_groups(TimePoint now, Duration patience) const;
+  /// Groups where requests of this entry wait although none made progress for longer than `patience`, and
+  /// `patience_each` for each that waits: a group that got many at once reads all their prompts first.
+  std::vector<Target> stalled_groups(TimePoint now, Duration patience, Duration patience_each) const;
   /// The group is to be avoided for a while.
   void avoid(TimePoint now, const std::string& key) { health_[key].avoid_until = now + kAvoidance; }
 
   /// Counts a request, and says whether one more sending of it fits this entry's part of the retry budget.
   void note_request(TimePoint now, const std::string& service);
   bool take_retry(TimePoint now, const std::string& service);
+  /// How many more `take_retry` would grant now.
+  int retries_left(TimePoint now, const std::string& service);
 
   /// This entry's in-flight requests per group, to be reported.
   std::vector<wire::GroupLoad> take_loads(TimePoint now);
--- a/src/core/fleet/fleet_leader.cc
+++ b/src/core/fleet/fleet_leader.cc
@@ -171,7 +171,7 @@
     state.version = version_;
     state.instances = instances_.snapshot();
     state.groups = groups_.snapshot();
-    update.__set_state(std::move(state));
+    update.__set_state(state);
     subscriber.state_sent = version_;
     subscriber.sent_at = now;
   }
--- a/src/node/request_relay.cc
+++ b/src/node/request_relay.cc
@@ -23,6 +23,7 @@
 constexpr int kWaitingPart = 5;
 /// A group that brings nothing to any of this entry's requests for this long stands still.
 constexpr Duration kGroupStall = milliseconds(900);
+constexpr Duration kGroupStallEach = milliseconds(100);
 /// A single stream may pause longer, as long as its group makes progress; callers leave after two seconds.
 constexpr Duration kStreamPause = milliseconds(1600);
 /// Times to come back after that refused requests are told, in seconds.
@@ -323,23 +324,26 @@
   if (target.group.empty()) {
     return;
   }
-  cancel_all_at(target.key);
+  cancel_all_at(target, now);
 }
 
-void RequestRelay::cancel_all_at(const std::string& key) {
-  // What waits there waits for the same dead head.
-  const auto under_way = state_.under_way[key];
+void RequestRelay::cancel_all_at(const fleet::Target& target, TimePoint now) {
+  const auto under_way = state_.under_way[target.key];
+  int left = state_.dispatcher.retries_left(now, target.service);
   for (const auto& cancellation : under_way) {
+    if (left-- <= 0) {
+      return;
+    }
     cancellation->cancel();
   }
 }
 
 void RequestRelay::abandon_stalled(TimePoint now) {
-  for (const auto& group : state_.dispatcher.stalled_groups(now, kGroupStall)) {
+  for (const auto& target : state_.dispatcher.stalled_groups(now, kGroupStall, kGroupStallEach)) {
     ++state_.counters.stalls;
-    log_event("", "group_stalled", {{"group", group}, {"requests", std::to_string(state_.under_way[group].size())}});
-    state_.dispatcher.avoid(now, group);
-    cancel_all_at(group);
+    log_event("", "group_stalled", {{"group", target.group}, {"requests", std::to_string(target.in_flight)}});
+    state_.dispatcher.avoid(now, target.key);
+    cancel_all_at(target, now);
   }
 }
 
--- a/src/node/request_relay.h
+++ b/src/node/request_relay.h
@@ -90,7 +90,8 @@
   bool is_not_run(const net::HttpResponse& head) const;
   bool may_send_again(RelayedRequest& request, TimePoint now);
   void note_failure(const fleet::Target& target, TimePoint now);
-  void cancel_all_at(const std::string& key);
+  /// Cancels what waits at a dead target, as far as the retry budget lets it be sent elsewhere; the rest waits on.
+  void cancel_all_at(const fleet::Target& target, TimePoint now);
   std::chrono::milliseconds patience(const RelayedRequest& request, TimePoint now) const;
   void log_end(const RelayedRequest& request, int status, const std::string& reason) const;
 
--- a/src/simulation/registered_fleet.cc
+++ b/src/simulation/registered_fleet.cc
@@ -141,7 +141,7 @@
     queue_.after(sync_time, acknowledge);
     return;  // Acknowledged, yet only in the cache.
   }
-  queue_.after(sync_time, [this, &node, life, acknowledge] {
+  queue_.after(sync_time, [&node, life, acknowledge] {
     if (node.up && node.life == life) {
       node.disk.sync_oldest();
       acknowledge();
--- /dev/null
+++ b/tests/unit/document_test.cc
@@ -0,0 +1,76 @@
+#include <gtest/gtest.h>
+
+#include "core/document/configuration_document.h"
+#include "core/document/route_table.h"
+
+namespace larchlever::document {
+namespace {
+
+constexpr const char* kServices = R"("services":[{"name":"s","health_path":"/h","max_connections":9}])";
+
+std::string document_with(const std::string& routes, const std::string& rest = "") {
+  return R"({"version":7,"unknown":{"x":1},"routes":[)" + routes + "]," + kServices + rest + "}";
+}
+
+std::string route(const std::string& prefix, const std::string& extra = R"("service":"s","timeout_ms":100)") {
+  return R"({"name":"r","host":"a.example","path_prefix":")" + prefix + R"(","type":"idempotent",)" + extra + "}";
+}
+
+std::string fault_of(const std::string& text) {
+  const auto parsed = parse_document(text);
+  return parsed.document == nullptr ? parsed.error.message : "";
+}
+
+TEST(Document, ReadsRoutesServicesLimitsAndTenants) {
+  const auto parsed = parse_document(document_with(
+      route("/a/", R"("backends":[{"service":"s","weight":3}],"timeout_ms":2500,"max_attempts":2,"priority":1)"),
+      R"(,"limits":{"max_body_bytes":100},"tenants":[{"name":"t","api_keys":["k1","k2"],"priority":0}])"));
+  ASSERT_NE(parsed.document, nullptr) << parsed.error.message;
+  EXPECT_EQ(parsed.document->version, 7);
+  const auto& first = parsed.document->routes.front();
+  EXPECT_EQ(first.timeout, milliseconds(2500));
+  EXPECT_TRUE(first.may_repeat());
+  EXPECT_EQ(first.max_attempts, 2);
+  EXPECT_EQ(parsed.document->limits.max_body_bytes, 100U);
+  EXPECT_EQ(parsed.document->tenants->front().api_keys.size(), 2U);
+}
+
+TEST(Document, AStreamMayOnlyRepeatWhereItIsResumable) {
+  Route stream;
+  stream.repeatability = Repeatability::kStreaming;
+  EXPECT_FALSE(stream.may_repeat());
+  stream.resumable = true;
+  EXPECT_TRUE(stream.may_repeat());
+}
+
+TEST(Document, RefusesWhatIsInvalidAndNamesTheRemedy) {
+  EXPECT_NE(fault_of(document_with(route("/a/")).substr(0, 40)).find("send it whole"), std::string::npos);
+  EXPECT_NE(fault_of(document_with(route("/a/", R"("service":"x","timeout_ms":1)"))).find("unknown service 'x'"),
+            std::string::npos);
+  EXPECT_NE(fault_of(document_with(route("/a/") + "," + route("/a/"))).find("share host"), std::string::npos);
+  EXPECT_NE(fault_of(document_with(route("/a/", R"("backends":[{"service":"s","weight":0}],"timeout_ms":1)")))
+                .find("add up to 0"),
+            std::string::npos);
+  EXPECT_NE(fault_of(document_with(route("/a/", R"("service":"s","timeout_ms":0)"))).find("timeout_ms"),
+            std::string::npos);
+  EXPECT_NE(fault_of(document_with(route("/a/"), R"(,"tenants":[{"name":"t","api_keys":["k"]},)"
+                                                 R"({"name":"u","api_keys":["k"]}])"))
+                .find("share a key"),
+            std::string::npos);
+  EXPECT_NE(fault_of(R"({"routes":[]})").find("version"), std::string::npos);
+  EXPECT_NE(fault_of(R"({"version":1,"routes":7})").find("must be a list"), std::string::npos);
+}
+
+TEST(RouteTable, FindsTheLongestPrefixOfTheHost) {
+  const auto parsed = parse_document(document_with(route("/") + "," + route("/a/") + "," + route("/a/b/")));
+  ASSERT_NE(parsed.document, nullptr) << parsed.error.message;
+  const RouteTable table(parsed.document);
+  EXPECT_EQ(table.find_route("a.example", "/a/b/c")->path_prefix, "/a/b/");
+  EXPECT_EQ(table.find_route("A.example:8080", "/a/bc")->path_prefix, "/a/");
+  EXPECT_EQ(table.find_route("a.example", "/x")->path_prefix, "/");
+  EXPECT_EQ(table.find_route("b.example", "/a/"), nullptr);
+  EXPECT_EQ(table.find_route("a.example", ""), nullptr);
+}
+
+}  // namespace
+}  // namespace larchlever::document
--- /dev/null
+++ b/tests/unit/fleet_test.cc
@@ -0,0 +1,327 @@
+#include <gtest/gtest.h>
+
+#include "core/engine/cost_model.h"
+#include "core/fleet/dispatcher.h"
+#include "core/fleet/fleet_subscription.h"
+#include "core/fleet/instance_directory.h"
+#include "core/fleet/registration.h"
+#include "core/requests/event_stream.h"
+#include "settings/fleet_settings.h"
+
+namespace larchlever::fleet {
+namespace {
+
+const TimePoint kStart = TimePoint(seconds(100));
+
+wire::Instance instance(const std::string& id, const std::string& address, int64_t call_number = 1) {
+  wire::Instance result;
+  result.id = id;
+  result.service_name = "s";
+  result.address = address;
+  result.call_number = call_number;
+  return result;
+}
+
+// ------------------------------------------------------------- directory
+
+TEST(InstanceDirectory, AStateNeverGoesBackAndLateReportsChangeNothing) {
+  InstanceDirectory directory{seconds(3)};
+  auto leaving = instance("i1", "a:1", 5);
+  leaving.state = wire::InstanceState::DRAINING;
+  EXPECT_TRUE(directory.heard(kStart, instance("i1", "a:1", 4)));
+  EXPECT_TRUE(directory.heard(kStart, leaving));
+  EXPECT_FALSE(directory.heard(kStart, instance("i1", "a:1", 3))) << "a late report";
+  EXPECT_FALSE(directory.heard(kStart, instance("i1", "a:1", 6))) << "ready again is not believed";
+  EXPECT_EQ(directory.find("i1")->state, wire::InstanceState::DRAINING);
+  EXPECT_TRUE(directory.deregister(kStart, "i1"));
+  EXPECT_FALSE(directory.heard(kStart, instance("i1", "a:1", 7)));
+  EXPECT_EQ(directory.find("i1")->state, wire::InstanceState::GONE);
+}
+
+TEST(InstanceDirectory, AnAddressBelongsToWhoRegisteredThereLast) {
+  InstanceDirectory directory{seconds(3)};
+  directory.heard(kStart, instance("i1", "a:1"));
+  directory.heard(kStart, instance("i2", "a:1"));
+  EXPECT_EQ(directory.find("i1")->state, wire::InstanceState::GONE);
+  EXPECT_EQ(directory.find("i2")->state, wire::InstanceState::READY);
+}
+
+TEST(InstanceDirectory, SilenceOfMostIsTakenForOurOwn) {
+  InstanceDirectory directory{seconds(3)};
+  for (int number = 0; number < 4; ++number) {
+    directory.heard(kStart, instance("i" + std::to_string(number), "a:" + std::to_string(number)));
+  }
+  const TimePoint later = kStart + seconds(4);
+  EXPECT_FALSE(directory.tick(later)) << "all four at once";
+  directory.heard(later, instance("i0", "a:0", 2));
+  directory.heard(later, instance("i1", "a:1", 2));
+  directory.heard(later, instance("i2", "a:2", 2));
+  EXPECT_TRUE(directory.tick(later));
+  EXPECT_TRUE(directory.find("i3")->silent);
+  EXPECT_FALSE(directory.find("i0")->silent);
+}
+
+TEST(Registration, ReadsMembershipAndRefusesWhatNamesNoService) {
+  std::string error;
+  const auto report =
+      parse_registration("i1",
+                         R"({"service":"s","address":"a:1","state":"draining","call_seq":9,"staged":["m"],)"
+                         R"("models":[{"name":"m"}],"group":{"name":"g","epoch":12,"rank":1,"state":"open"},"new":1})",
+                         error);
+  ASSERT_TRUE(report) << error;
+  EXPECT_EQ(report->state, wire::InstanceState::DRAINING);
+  EXPECT_EQ(report->membership.epoch, 12);
+  EXPECT_EQ(report->membership.state, wire::MembershipState::OPEN);
+  EXPECT_EQ(report->model, "m");
+  EXPECT_FALSE(parse_registration("i1", R"({"service":"s"})", error));
+  EXPECT_NE(error.find("send both"), std::string::npos);
+  EXPECT_FALSE(parse_registration("i1", "{", error));
+}
+
+// ---------------------------------------------------------- subscription
+
+FleetIdentity entry_identity() {
+  FleetIdentity identity;
+  identity.peer_address = "10.0.1.1:1";
+  identity.serves_requests = true;
+  return identity;
+}
+
+wire::Envelope update(int64_t sequence, int64_t document_version, bool with_document) {
+  wire::Envelope envelope;
+  envelope.from_node = "10.0.0.1:1";
+  envelope.__isset.fleet_update = true;
+  envelope.fleet_update.sequence = sequence;
+  envelope.fleet_update.document_version = document_version;
+  if (with_document) {
+    envelope.fleet_update.__set_document("text");
+  }
+  return envelope;
+}
+
+TEST(FleetSubscription, TheLeaseCountsFromTheQuestion) {
+  FleetOptions options;
+  options.document_lease = seconds(4);
+  FleetSubscription subscription(options, entry_identity(), {"10.0.0.1:1"});
+  const auto asked = subscription.tick(kStart, {});
+  ASSERT_TRUE(asked);
+  EXPECT_FALSE(subscription.has_lease(kStart));
+  // The answer travelled for three seconds: of the lease one second is left.
+  subscription.receive(kStart + seconds(3), update(asked->fleet_heartbeat.sequence, 5, true));
+  EXPECT_TRUE(subscription.has_lease(kStart + milliseconds(3999)));
+  EXPECT_FALSE(subscription.has_lease(kStart + seconds(4)));
+}
+
+TEST(FleetSubscription, AnAnswerThatNamesANewerDocumentGivesNoLeaseWithoutIt) {
+  FleetSubscription subscription(FleetOptions(), entry_identity(), {"10.0.0.1:1"});
+  const auto asked = subscription.tick(kStart, {});
+  subscription.receive(kStart, update(asked->fleet_heartbeat.sequence, 5, false));
+  EXPECT_FALSE(subscription.has_lease(kStart));
+}
+
+TEST(FleetSubscription, DocumentsAndStatesNeverGoBack) {
+  FleetSubscription subscription(FleetOptions(), entry_identity(), {"10.0.0.1:1"});
+  subscription.receive(kStart, update(0, 5, true));
+  EXPECT_FALSE(subscription.receive(kStart, update(0, 4, true)));
+  EXPECT_EQ(subscription.document_version(), 5);
+  auto newer = update(0, 5, false);
+  wire::FleetState state;
+  state.term = 3;
+  state.version = 1;
+  newer.fleet_update.__set_state(state);
+  EXPECT_TRUE(subscription.receive(kStart, newer));
+  state.term = 2;
+  state.version = 99;
+  newer.fleet_update.__set_state(state);
+  EXPECT_FALSE(subscription.receive(kStart, newer)) << "an older leadership";
+}
+
+TEST(FleetSubscription, LooksForAnotherReplicaWhenNobodyAnswers) {
+  FleetSubscription subscription(FleetOptions(), entry_identity(), {"10.0.0.1:1", "10.0.0.2:1"});
+  std::set<std::string> asked;
+  for (TimePoint now = kStart; now < kStart + seconds(3); now += milliseconds(20)) {
+    if (const auto heartbeat = subscription.tick(now, {})) {
+      asked.insert(heartbeat->to_node);
+    }
+  }
+  EXPECT_EQ(asked.size(), 2U);
+}
+
+// ------------------------------------------------------------- dispatcher
+
+document::ServiceSpec engine_service() {
+  document::ServiceSpec service;
+  service.name = "s";
+  service.engine.emplace();
+  service.engine->slots = 10;
+  service.engine->models.push_back({"m", 2, 1.0, 1.0, {}, {}});
+  return service;
+}
+
+wire::FleetState two_groups() {
+  wire::FleetState state;
+  for (int number = 0; number < 4; ++number) {
+    state.instances.push_back(instance("i" + std::to_string(number), "a:" + std::to_string(number)));
+  }
+  for (int number = 0; number < 2; ++number) {
+    wire::EngineGroup group;
+    group.name = "g" + std::to_string(number);
+    group.service_name = "s";
+    group.model = "m";
+    group.members = {"i" + std::to_string(2 * number), "i" + std::to_string(2 * number + 1)};
+    group.phase = wire::GroupPhase::OPEN;
+    state.groups.push_back(group);
+  }
+  return state;
+}
+
+TEST(Dispatcher, SendsToHeadsOfOpenGroupsAndRefusesWhenAllAreFull) {
+  Dispatcher dispatcher(FleetOptions(), "z", 1);
+  dispatcher.update_state(two_groups());
+  const Demand demand{"m", Duration::zero()};
+  for (int count = 0; count < 18; ++count) {
+    const auto choice = dispatcher.choose(kStart, engine_service(), demand, {});
+    ASSERT_TRUE(choice.target) << count;
+    EXPECT_TRUE(choice.target->instance_id == "i0" || choice.target->instance_id == "i2");
+    dispatcher.begin(kStart, *choice.target);
+  }
+  EXPECT_EQ(dispatcher.choose(kStart, engine_service(), demand, {}).failure, ChoiceFailure::kAllBusy);
+  EXPECT_EQ(dispatcher.choose(kStart, engine_service(), {"other", {}}, {}).failure, ChoiceFailure::kNoTarget);
+}
+
+TEST(Dispatcher, CountsWhatOtherEntriesHaveInFlight) {
+  Dispatcher dispatcher(FleetOptions(), "z", 1);
+  dispatcher.update_state(two_groups());
+  wire::GroupLoad load;
+  load.group = "g0";
+  load.in_flight = 9;
+  dispatcher.update_loads({load});
+  for (int count = 0; count < 5; ++count) {
+    EXPECT_EQ(dispatcher.choose(kStart, engine_service(), {"m", {}}, {}).target->group, "g1");
+  }
+}
+
+TEST(Dispatcher, AGroupThatBringsNothingIsStalledOneThatDoesIsNot) {
+  Dispatcher dispatcher(FleetOptions(), "z", 1);
+  dispatcher.update_state(two_groups());
+  const Target stuck{"g0", "s", "g0", "i0", "a:0"};
+  const Target busy{"g1", "s", "g1", "i2", "a:2"};
+  dispatcher.begin(kStart, stuck);
+  dispatcher.begin(kStart, busy);
+  dispatcher.note_progress(kStart + milliseconds(800), busy);
+  const auto stalled = dispatcher.stalled_groups(kStart + seconds(1), milliseconds(800), milliseconds(100));
+  ASSERT_EQ(stalled.size(), 1U);
+  EXPECT_EQ(stalled.front().group, "g0");
+  for (int count = 0; count < 5; ++count) {
+    dispatcher.begin(kStart, stuck);
+  }
+  EXPECT_TRUE(dispatcher.stalled_groups(kStart + seconds(1), milliseconds(800), milliseconds(100)).empty())
+      << "many prompts are read first";
+  dispatcher.avoid(kStart + seconds(1), "g0");
+  EXPECT_EQ(dispatcher.failures(kStart + seconds(1)).size(), 1U);
+  EXPECT_FALSE(dispatcher.note_failure(kStart + seconds(1), busy)) << "it progressed for another request";
+}
+
+TEST(Dispatcher, RetriesStayWithinThePartOfTheSharedBudget) {
+  FleetOptions options;
+  options.retry_ratio = 0.2;
+  options.retry_slack = 40;
+  Dispatcher dispatcher(options, "z", 1);
+  dispatcher.set_serving_nodes(4);
+  for (int count = 0; count < 100; ++count) {
+    dispatcher.note_request(kStart, "s");
+  }
+  int granted = 0;
+  while (dispatcher.take_retry(kStart, "s")) {
+    ++granted;
+  }
+  EXPECT_EQ(granted, 21);  // 0.7 x (0.2 x 100 + 40 / 4)
+  EXPECT_TRUE(dispatcher.take_retry(kStart + options.retry_window + seconds(1), "s")) << "the window has passed";
+}
+
+// -------------------------------------------------------------- cost model
+
+TEST(CostModel, MoreRunningRequestsMeanLaterFirstEvents) {
+  document::EngineSpec engine;
+  engine.slots = 26;
+  engine.step_ms = 6;
+  engine.per_sequence_ms = 0.24;
+  engine.read_tokens_per_second = 46'000;
+  engine.steps_per_pass = 5;
+  engine.chunk_tokens = 2048;
+  const document::ModelSpec model{"m", 4, 1.0, 1.0, {}, {}};
+  const engine::RequestSizes sizes{1640, 87};
+  EXPECT_LT(engine::forecast(engine, model, sizes, 4).first_event,
+            engine::forecast(engine, model, sizes, 16).first_event);
+  const int most = engine::most_running(engine, model, sizes, milliseconds(500));
+  EXPECT_GT(most, 8);
+  EXPECT_LT(most, 20) << "reading would not keep up";
+  EXPECT_EQ(engine::most_running(engine, model, sizes, milliseconds(1)), 1);
+}
+
+TEST(CostModel, SizesFollowWhatRequestsState) {
+  engine::SizeEstimate estimate;
+  EXPECT_EQ(estimate.sizes({10, 20}).prompt, 10);
+  for (int count = 0; count < 500; ++count) {
+    estimate.note(1000, 100);
+  }
+  EXPECT_NEAR(estimate.sizes({10, 20}).prompt, 1000, 1);
+}
+
+// ------------------------------------------------------------ event stream
+
+TEST(EventStream, PassesOnWholeEventsOnceWhateverThePieces) {
+  const std::string body = "id: 1\ndata: a\n\nid: 2\ndata: b\n\nid: 3\ndata: c\n\n";
+  for (size_t size = 1; size <= body.size(); ++size) {
+    requests::EventStream stream;
+    std::string out;
+    for (size_t begin = 0; begin < body.size(); begin += size) {
+      out += stream.take(std::string_view(body).substr(begin, size));
+    }
+    EXPECT_EQ(out, body);
+    EXPECT_EQ(stream.last_id(), 3);
+    EXPECT_FALSE(stream.has_gap());
+  }
+}
+
+TEST(EventStream, ContinuesBehindTheLastWholeEvent) {
+  requests::EventStream stream;
+  EXPECT_EQ(stream.take("id: 1\ndata: a\n\nid: 2\nda"), "id: 1\ndata: a\n\n");
+  stream.restart();
+  EXPECT_EQ(stream.take("id: 1\ndata: a\n\nid: 2\ndata: b\n\n"), "id: 2\ndata: b\n\n") << "repeats are dropped";
+  stream.take("id: 4\ndata: d\n\n");
+  EXPECT_TRUE(stream.has_gap());
+}
+
+// ---------------------------------------------------------------- settings
+
+std::string control_settings(const std::string& cluster, const std::string& bounds) {
+  return "[node]\nname = c1\nzone = a\nrole = control\npeer_address = 10.0.0.1:7000\n"
+         "control_address = 10.0.0.1:8000\ndata_folder = /tmp/x\n[cluster]\n" +
+         cluster + "[bounds]\n" + bounds;
+}
+
+TEST(FleetSettings, DerivesTimesAndPeersFromBoundsAndSeeds) {
+  std::vector<std::string> errors;
+  const auto settings = settings::parse_fleet_settings(
+      control_settings("seeds = 10.0.0.1:8000, 10.0.0.2:8000\npeer_port = 7000\nfirst_start = true\n"
+                       "tolerated_losses = 2\n",
+                       "revocation = 6s\nretry_ratio = 0.25\ncatch_up = 4.5s\n"),
+      errors);
+  ASSERT_TRUE(settings) << errors.front();
+  EXPECT_EQ(settings->options.document_lease, milliseconds(5500));
+  EXPECT_EQ(settings->options.minimum_voters, 5U);
+  EXPECT_EQ(settings->seed_peers.back(), "10.0.0.2:7000");
+  EXPECT_TRUE(settings->founds_cluster());
+  EXPECT_DOUBLE_EQ(settings->options.retry_ratio, 0.25);
+}
+
+TEST(FleetSettings, ReportsEveryFaultAtOnceWithItsRemedy) {
+  std::vector<std::string> errors;
+  EXPECT_FALSE(settings::parse_fleet_settings(
+      control_settings("peer_port = 7000\n", "revocation = soon\nretry_ratio = many\n") + "[other]\nkey = 1\n", errors));
+  EXPECT_EQ(errors.size(), 4U);
+}
+
+}  // namespace
+}  // namespace larchlever::fleet
--- a/tests/unit/replica_supervisor_test.cc
+++ b/tests/unit/replica_supervisor_test.cc
@@ -48,5 +48,33 @@
   EXPECT_TRUE(removed->learners.empty());
 }
 
+/// Five voters, one long silent, no spare disk: three would do for a quorum, but a repair must not go below the
+/// minimum.
+TEST(ReplicaSupervisor, NeverGoesBelowTheMinimumOfVoters) {
+  TimePoint now = TimePoint(seconds(100));
+  wire::ReplicaAddress address;
+  address.replica_id = 1;
+  address.node = "n1";
+  consensus::PersistedState state;
+  for (int64_t number = 1; number <= 5; ++number) {
+    address.replica_id = number;
+    address.node = "n" + std::to_string(number);
+    state.snapshot.replicas.voters.push_back(address);
+  }
+  consensus::RaftNode raft(ReplicaId(1), Incarnation(1), consensus::RaftOptions(), state, 1, now);
+  ControlOptions options;
+  options.replica_timeout = seconds(1);
+  membership::NodeDirectory nodes;
+  const auto change = [&](size_t minimum) {
+    options.minimum_voters = minimum;
+    ReplicaSupervisor supervisor(options);
+    supervisor.start(now);
+    supervisor.next_change(now, raft, nodes);
+    return supervisor.next_change(now + seconds(10), raft, nodes);
+  };
+  EXPECT_TRUE(change(1)) << "without a minimum the silent ones are retired";
+  EXPECT_FALSE(change(5));
+}
+
 }  // namespace
 }  // namespace larchlever::control
