--- a/src/core/control/replica_supervisor.cc
+++ b/src/core/control/replica_supervisor.cc
@@ -89,8 +89,8 @@
       ++live_voters;
     }
   }
-  const size_t target = std::max(options_.minimum_voters,
-                                 target_voters(live_voters + next.learners.size() + free_disks.size()));
+  const size_t target =
+      std::max(options_.minimum_voters, target_voters(live_voters + next.learners.size() + free_disks.size()));
   if (live_voters < target) {
     for (const auto& learner : next.learners) {
       // Promoted only when it holds everything committed: from then on losing another copy loses nothing.
--- a/tests/unit/fleet_test.cc
+++ b/tests/unit/fleet_test.cc
@@ -319,7 +319,8 @@
 TEST(FleetSettings, ReportsEveryFaultAtOnceWithItsRemedy) {
   std::vector<std::string> errors;
   EXPECT_FALSE(settings::parse_fleet_settings(
-      control_settings("peer_port = 7000\n", "revocation = soon\nretry_ratio = many\n") + "[other]\nkey = 1\n", errors));
+      control_settings("peer_port = 7000\n", "revocation = soon\nretry_ratio = many\n") + "[other]\nkey = 1\n",
+      errors));
   EXPECT_EQ(errors.size(), 4U);
 }
 
