Read outside JSON in one place, without exceptions and within ranges

Cause: small JSON readers stood in four places, and the newest one threw on a heartbeat with a fractional number, which would have ended the leader; document numbers beyond an int were cast unchecked. Change: core/base/json_fields serves all four; numbers out of range are clamped or ignored; unused code of the session removed; the order that stages a model takes its name from the dialect. Tests: Registration.NumbersOutOfRangeAreNoReasonToStop, Document.BringsNumbersIntoRange.

--- /dev/null
+++ b/src/core/base/json_fields.h
@@ -0,0 +1,34 @@
+#pragma once
+
+#include <boost/json.hpp>
+#include <cstdint>
+#include <string>
+#include <string_view>
+
+/// Reading of JSON that comes from outside: whatever is missing, of another type or out of range gives the fallback,
+/// nothing throws.
+namespace larchlever {
+
+/// The object that `body` holds; an empty one when it is unreadable or no object.
+inline boost::json::object parse_json_object(std::string_view body) {
+  boost::system::error_code error;
+  auto value = boost::json::parse(boost::json::string_view(body.data(), body.size()), error);
+  return !error && value.is_object() ? std::move(value.as_object()) : boost::json::object();
+}
+
+inline std::string text_field(const boost::json::object& object, const char* key) {
+  const auto* value = object.if_contains(key);
+  return value != nullptr && value->is_string() ? std::string(value->as_string()) : std::string();
+}
+
+inline int64_t integer_field(const boost::json::object& object, const char* key, int64_t fallback = 0) {
+  const auto* value = object.if_contains(key);
+  if (value == nullptr || !value->is_number()) {
+    return fallback;
+  }
+  boost::system::error_code inexact;
+  const auto number = value->to_number<int64_t>(inexact);
+  return inexact ? fallback : number;
+}
+
+}  // namespace larchlever
--- a/src/core/document/configuration_document.cc
+++ b/src/core/document/configuration_document.cc
@@ -1,5 +1,6 @@
 #include "core/document/configuration_document.h"
 
+#include <algorithm>
 #include <boost/json.hpp>
 #include <set>
 #include <stdexcept>
@@ -16,8 +17,17 @@
   using std::runtime_error::runtime_error;
 };
 
-Duration from_milliseconds(double value) { return Duration(static_cast<int64_t>(value * 1000.0)); }
-Duration from_seconds(double value) { return Duration(static_cast<int64_t>(value * 1e6)); }
+/// Numbers from outside are brought into ranges that every later computation bears.
+constexpr double kLargestInteger = 2e9;
+constexpr double kLongestMicroseconds = 1e13;
+constexpr double kLargestBytes = 1e12;
+
+Duration from_microseconds_clamped(double value) {
+  return Duration(static_cast<int64_t>(std::clamp(value, -kLongestMicroseconds, kLongestMicroseconds)));
+}
+Duration from_milliseconds(double value) { return from_microseconds_clamped(value * 1000.0); }
+Duration from_seconds(double value) { return from_microseconds_clamped(value * 1e6); }
+size_t to_bytes(double value) { return static_cast<size_t>(std::clamp(value, 0.0, kLargestBytes)); }
 
 /// Typed access to the fields of one JSON object. `place` names the object in messages.
 class FieldReader {
@@ -56,7 +66,9 @@
     return value->to_number<double>();
   }
 
-  int integer(const char* key, int fallback) const { return static_cast<int>(number(key, fallback)); }
+  int integer(const char* key, int fallback) const {
+    return static_cast<int>(std::clamp(number(key, fallback), -kLargestInteger, kLargestInteger));
+  }
 
   bool flag(const char* key) const {
     const auto* value = find(key);
@@ -162,7 +174,7 @@
   const FieldReader reader(value, place);
   EngineSpec engine;
   engine.slots = std::max(1, reader.integer("slots", 1));
-  engine.kv_capacity = static_cast<int64_t>(reader.number("kv_capacity", 0));
+  engine.kv_capacity = static_cast<int64_t>(to_bytes(reader.number("kv_capacity", 0)));
   engine.step_ms = reader.number("step_ms", 1);
   engine.per_sequence_ms = reader.number("per_seq_ms", 0);
   engine.context_per_thousand_ms = reader.number("context_per_k", 0);
@@ -199,8 +211,8 @@
 CallerLimits read_limits(const json::value& value) {
   const FieldReader reader(value, "limits");
   CallerLimits limits;
-  limits.max_header_bytes = static_cast<size_t>(reader.number("max_header_bytes", 16 * 1024));
-  limits.max_body_bytes = static_cast<size_t>(reader.number("max_body_bytes", 4 * 1024 * 1024));
+  limits.max_header_bytes = to_bytes(reader.number("max_header_bytes", 16 * 1024));
+  limits.max_body_bytes = to_bytes(reader.number("max_body_bytes", 4 * 1024 * 1024));
   limits.header_timeout = from_milliseconds(reader.number("header_timeout_ms", 3000));
   limits.idle_timeout = from_milliseconds(reader.number("idle_timeout_ms", 15000));
   return limits;
--- a/src/core/fleet/dispatcher.cc
+++ b/src/core/fleet/dispatcher.cc
@@ -261,9 +261,4 @@
   return result;
 }
 
-bool Dispatcher::is_current(const Target& target) const {
-  const auto found = instances_.find(target.instance_id);
-  return found != instances_.end() && found->second.state == wire::InstanceState::READY;
-}
-
 }  // namespace larchlever::fleet
--- a/src/core/fleet/dispatcher.h
+++ b/src/core/fleet/dispatcher.h
@@ -91,8 +91,6 @@
   std::vector<wire::GroupLoad> take_loads(TimePoint now);
   /// Groups that this entry avoids now.
   std::vector<wire::InstanceFailure> failures(TimePoint now) const;
-  /// True while `target` may still be used: its instance is neither leaving nor gone.
-  bool is_current(const Target& target) const;
 
  private:
   struct Health {
--- a/src/core/fleet/group_supervisor.h
+++ b/src/core/fleet/group_supervisor.h
@@ -15,7 +15,7 @@
 
 namespace larchlever::fleet {
 
-enum class OrderKind { kJoin, kOpen, kClose, kLeave, kStage };
+enum class OrderKind { kJoin, kOpen, kLeave, kStage };
 
 /// One order to one instance. Epoch and fence rise with every leadership, so that an order of an earlier leader that is
 /// carried out late is refused or touches only a group that exists no more.
--- a/src/core/fleet/registration.cc
+++ b/src/core/fleet/registration.cc
@@ -2,22 +2,14 @@
 
 #include <boost/json.hpp>
 
+#include "core/base/json_fields.h"
+
 namespace larchlever::fleet {
 
 namespace json = boost::json;
 
 namespace {
 
-std::string text(const json::object& object, const char* key) {
-  const auto* value = object.if_contains(key);
-  return value != nullptr && value->is_string() ? std::string(value->as_string()) : std::string();
-}
-
-int64_t number(const json::object& object, const char* key) {
-  const auto* value = object.if_contains(key);
-  return value != nullptr && value->is_number() ? value->to_number<int64_t>() : 0;
-}
-
 wire::MembershipState::type parse_state(const std::string& state) {
   if (state == "joining") {
     return wire::MembershipState::JOINING;
@@ -43,7 +35,7 @@
     if (item.is_string()) {
       instance.staged_models.emplace_back(item.as_string());
     } else if (item.is_object()) {
-      instance.staged_models.push_back(text(item.as_object(), "name"));
+      instance.staged_models.push_back(text_field(item.as_object(), "name"));
     }
   }
 }
@@ -51,7 +43,7 @@
 void read_model(const json::object& body, wire::Instance& instance) {
   const auto* models = body.if_contains("models");
   if (models != nullptr && models->is_array() && !models->as_array().empty() && models->as_array()[0].is_object()) {
-    instance.model = text(models->as_array()[0].as_object(), "name");
+    instance.model = text_field(models->as_array()[0].as_object(), "name");
   }
 }
 
@@ -61,10 +53,10 @@
     return;
   }
   const auto& object = group->as_object();
-  instance.membership.group = text(object, "name");
-  instance.membership.epoch = number(object, "epoch");
-  instance.membership.rank = static_cast<int32_t>(number(object, "rank"));
-  instance.membership.state = parse_state(text(object, "state"));
+  instance.membership.group = text_field(object, "name");
+  instance.membership.epoch = integer_field(object, "epoch");
+  instance.membership.rank = static_cast<int32_t>(integer_field(object, "rank"));
+  instance.membership.state = parse_state(text_field(object, "state"));
 }
 
 }  // namespace
@@ -80,13 +72,14 @@
   const auto& object = value.as_object();
   wire::Instance instance;
   instance.id = instance_id;
-  instance.service_name = text(object, "service");
-  instance.address = text(object, "address");
-  instance.zone = text(object, "zone");
-  instance.domain = text(object, "domain");
-  instance.slots = static_cast<int32_t>(number(object, "slots"));
-  instance.call_number = number(object, "call_seq");
-  instance.state = text(object, "state") == "draining" ? wire::InstanceState::DRAINING : wire::InstanceState::READY;
+  instance.service_name = text_field(object, "service");
+  instance.address = text_field(object, "address");
+  instance.zone = text_field(object, "zone");
+  instance.domain = text_field(object, "domain");
+  instance.slots = static_cast<int32_t>(integer_field(object, "slots"));
+  instance.call_number = integer_field(object, "call_seq");
+  instance.state =
+      text_field(object, "state") == "draining" ? wire::InstanceState::DRAINING : wire::InstanceState::READY;
   read_staged(object, instance);
   read_model(object, instance);
   read_membership(object, instance);
--- a/src/emulator/emulated_machine.cc
+++ b/src/emulator/emulated_machine.cc
@@ -1,5 +1,6 @@
 #include "emulator/emulated_machine.h"
 
+#include "core/base/json_fields.h"
 #include "emulator/plain_service.h"
 #include "emulator/prompt_text.h"
 
@@ -45,22 +46,6 @@
   return response;
 }
 
-int64_t number(const json::object& object, const char* key, int64_t fallback) {
-  const auto* value = object.if_contains(key);
-  return value != nullptr && value->is_int64() ? value->as_int64() : fallback;
-}
-
-std::string text(const json::object& object, const char* key) {
-  const auto* value = object.if_contains(key);
-  return value != nullptr && value->is_string() ? std::string(value->as_string()) : std::string();
-}
-
-json::object parse_object(const std::string& body) {
-  boost::system::error_code error;
-  const auto value = json::parse(body, error);
-  return !error && value.is_object() ? value.as_object() : json::object();
-}
-
 int64_t header_number(const net::HttpRequest& request, const char* name, int64_t fallback) {
   const auto value = std::string(request.headers.find(name));
   return value.empty() ? fallback : std::atoll(value.c_str());
@@ -68,11 +53,11 @@
 
 /// Everything that the model reads, as one text.
 std::string prompt_of(const json::object& body) {
-  std::string prompt = text(body, "prompt");
+  std::string prompt = text_field(body, "prompt");
   if (const auto* messages = body.if_contains("messages"); messages != nullptr && messages->is_array()) {
     for (const auto& message : messages->as_array()) {
       if (message.is_object()) {
-        prompt += text(message.as_object(), "role") + ":" + text(message.as_object(), "content") + "\n";
+        prompt += text_field(message.as_object(), "role") + ":" + text_field(message.as_object(), "content") + "\n";
       }
     }
   }
@@ -239,10 +224,10 @@
 }
 
 asio::awaitable<void> EmulatedMachine::answer_order(net::HttpExchange& exchange) {
-  const json::object order = parse_object(exchange.request().body);
-  const int64_t epoch = number(order, "epoch", 0);
-  const int64_t term = number(order, "term", 0);
-  const int64_t wanted_incarnation = number(order, "incarnation", 0);
+  const json::object order = parse_json_object(exchange.request().body);
+  const int64_t epoch = integer_field(order, "epoch", 0);
+  const int64_t term = integer_field(order, "term", 0);
+  const int64_t wanted_incarnation = integer_field(order, "incarnation", 0);
   if (wanted_incarnation != 0 && wanted_incarnation != incarnation_) {
     json::object answer;
     answer["error"] = "another incarnation";
@@ -260,7 +245,7 @@
   }
   newest_epoch_ = epoch;
   newest_term_ = term;
-  const std::string kind = text(order, "kind");
+  const std::string kind = text_field(order, "kind");
   if (kind == "release") {
     if (epoch_ == epoch || options_.kind != "fenced") {
       fail_streams();
@@ -271,14 +256,14 @@
       members_.clear();
     }
   } else if (kind == "load") {
-    const bool repeated = epoch_ == epoch && group_id_ == number(order, "group", 0);
+    const bool repeated = epoch_ == epoch && group_id_ == integer_field(order, "group", 0);
     if (!repeated) {
       fail_streams();
       engine_.clear();
-      group_id_ = number(order, "group", 0);
+      group_id_ = integer_field(order, "group", 0);
       epoch_ = epoch;
-      rank_ = static_cast<int>(number(order, "rank", 0));
-      wanted_weights_ = text(order, "model") + "@" + text(order, "version");
+      rank_ = static_cast<int>(integer_field(order, "rank", 0));
+      wanted_weights_ = text_field(order, "model") + "@" + text_field(order, "version");
       members_.clear();
       if (const auto* members = order.if_contains("members"); members != nullptr && members->is_array()) {
         for (const auto& member : members->as_array()) {
@@ -291,7 +276,7 @@
       }
     }
   } else if (kind == "role") {
-    rank_ = static_cast<int>(number(order, "rank", rank_));
+    rank_ = static_cast<int>(integer_field(order, "rank", rank_));
   } else {
     co_await exchange.respond(refusal(400, "unknown kind of order"));
     co_return;
@@ -353,7 +338,7 @@
 asio::awaitable<void> EmulatedMachine::answer_kv(net::HttpExchange& exchange, bool import) {
   json::array blocks;
   if (import) {
-    const json::object body = parse_object(exchange.request().body);
+    const json::object body = parse_json_object(exchange.request().body);
     std::vector<uint64_t> received;
     if (const auto* list = body.if_contains("blocks"); list != nullptr && list->is_array()) {
       for (const auto& block : list->as_array()) {
@@ -383,15 +368,15 @@
     co_await exchange.respond(refusal(409, "another group or epoch"));
     co_return;
   }
-  const json::object body = parse_object(request.body);
+  const json::object body = parse_json_object(request.body);
   const std::string prompt = prompt_of(body);
   const std::string request_id = std::string(request.headers.find("x-request-id"));
   EngineRequest work;
   work.id = next_stream_++;
   work.priority = static_cast<int>(header_number(request, "x-priority", 5));
   work.prompt_tokens = count_tokens(prompt);
-  work.output_tokens =
-      static_cast<int>(std::clamp<int64_t>(number(body, "max_tokens", kDefaultOutputTokens), 1, kLargestOutputTokens));
+  work.output_tokens = static_cast<int>(
+      std::clamp<int64_t>(integer_field(body, "max_tokens", kDefaultOutputTokens), 1, kLargestOutputTokens));
   work.first_offset = static_cast<int>(header_number(request, "x-resume-from", 0));
   work.prefix_blocks = prefix_blocks(prompt, options_.engine.tokens_per_block);
 
@@ -401,7 +386,7 @@
   execution.machine = options_.id;
   execution.zone = options_.zone;
   execution.tenant = std::string(request.headers.find("x-tenant"));
-  execution.tag = text(body, "user");
+  execution.tag = text_field(body, "user");
   const size_t position = log_.start(std::move(execution));
 
   auto stream = std::make_shared<Stream>(executor_);
--- a/src/node/control_process.cc
+++ b/src/node/control_process.cc
@@ -30,25 +30,23 @@
 /// Longest wait of a stopping leader for somebody else to lead.
 constexpr auto kHandOverPatience = std::chrono::milliseconds(1500);
 
-std::string_view operation_name(fleet::OrderKind kind) {
+std::string_view operation_name(const Dialect& dialect, fleet::OrderKind kind) {
   switch (kind) {
     case fleet::OrderKind::kJoin:
       return "join";
     case fleet::OrderKind::kOpen:
       return "open";
-    case fleet::OrderKind::kClose:
-      return "close";
     case fleet::OrderKind::kLeave:
       return "leave";
     case fleet::OrderKind::kStage:
-      return "phase";
+      return dialect.stage_operation;
   }
   return "";
 }
 
-std::string order_body(const fleet::InstanceOrder& order) {
+std::string order_body(const Dialect& dialect, const fleet::InstanceOrder& order) {
   json::object body;
-  body["operation"] = operation_name(order.kind);
+  body["operation"] = operation_name(dialect, order.kind);
   body["fencing_token"] = order.fence;
   body["group"] = order.group;
   body["epoch"] = order.epoch;
@@ -345,7 +343,7 @@
   request.target = dialect_.order_path;
   request.headers.add("Content-Type", "application/json");
   request.headers.add(dialect_.expect_instance, order.instance_id);
-  request.body = order_body(order);
+  request.body = order_body(dialect_, order);
   net::OpenOptions options;
   options.timeout = kOrderTimeout;
   options.connect_timeout = kOrderConnectTimeout;
@@ -364,7 +362,7 @@
     }
   }
   log_event(settings_.name, "order_answered",
-            {{"operation", std::string(operation_name(result.order.kind))},
+            {{"operation", std::string(operation_name(dialect_, result.order.kind))},
              {"instance", result.order.instance_id},
              {"group", result.order.group},
              {"epoch", std::to_string(result.order.epoch)},
--- a/src/node/dialect.h
+++ b/src/node/dialect.h
@@ -26,6 +26,8 @@
   std::string faulty_server = "At-Server";
   /// Where engines take orders.
   std::string order_path = "/engine/orders";
+  /// What the order to load a model onto the host, without joining a group, is called.
+  std::string stage_operation = "stage";
 };
 
 /// The dialect named in the settings; null when there is none of that name.
--- a/src/node/model_call.cc
+++ b/src/node/model_call.cc
@@ -5,6 +5,8 @@
 #include <algorithm>
 #include <boost/json.hpp>
 
+#include "core/base/json_fields.h"
+
 namespace larchlever::node {
 
 namespace json = boost::json;
@@ -14,11 +16,6 @@
 constexpr size_t kLongestKey = 256;
 constexpr size_t kDeepestJson = 32;
 
-std::string text(const json::object& object, const char* key) {
-  const auto* value = object.if_contains(key);
-  return value != nullptr && value->is_string() ? std::string(value->as_string()) : std::string();
-}
-
 /// The whole prompt as one text, for the prefix hash; false when a message is not of the expected shape.
 bool read_messages(const json::object& body, std::string& prompt) {
   const auto* messages = body.if_contains("messages");
@@ -26,10 +23,10 @@
     return false;
   }
   for (const auto& message : messages->as_array()) {
-    if (!message.is_object() || text(message.as_object(), "role").empty()) {
+    if (!message.is_object() || text_field(message.as_object(), "role").empty()) {
       return false;
     }
-    prompt += text(message.as_object(), "role") + ":" + text(message.as_object(), "content") + "\n";
+    prompt += text_field(message.as_object(), "role") + ":" + text_field(message.as_object(), "content") + "\n";
   }
   return true;
 }
@@ -77,14 +74,14 @@
     return fail(problem, 403, "unknown tenant '" + call.tenant + "'",
                 "name your tenant in the Larchlever-Tenant header, as your operator set it up");
   }
-  const std::string model = text(body, "model");
+  const std::string model = text_field(body, "model");
   const size_t colon = model.find(':');
   call.model = model.substr(0, colon);
   call.adapter = colon == std::string::npos ? "" : model.substr(colon + 1);
   if (call.model.empty()) {
     return fail(problem, 400, "no model named", "set \"model\" to MODEL or MODEL:ADAPTER");
   }
-  call.prompt = text(body, "prompt");
+  call.prompt = text_field(body, "prompt");
   const bool has_prompt = call.chat ? read_messages(body, call.prompt) : !call.prompt.empty();
   if (!has_prompt) {
     return fail(problem, 400, call.chat ? "messages are missing or malformed" : "prompt is missing",
--- a/src/node/node_runtime.cc
+++ b/src/node/node_runtime.cc
@@ -3,6 +3,7 @@
 #include <boost/json.hpp>
 #include <random>
 
+#include "core/base/json_fields.h"
 #include "node/clock.h"
 #include "node/logging.h"
 #include "node/replica_storage.h"
@@ -22,22 +23,6 @@
 constexpr auto kMembershipInterval = std::chrono::milliseconds(1000);
 constexpr auto kMembershipTimeout = std::chrono::milliseconds(2000);
 
-std::string text(const json::object& object, const char* key) {
-  const auto* value = object.if_contains(key);
-  return value != nullptr && value->is_string() ? std::string(value->as_string()) : std::string();
-}
-
-int64_t number(const json::object& object, const char* key) {
-  const auto* value = object.if_contains(key);
-  return value != nullptr && value->is_int64() ? value->as_int64() : 0;
-}
-
-json::object parse_object(const std::string& body) {
-  boost::system::error_code error;
-  const auto value = json::parse(body, error);
-  return !error && value.is_object() ? value.as_object() : json::object();
-}
-
 }  // namespace
 
 TimePoint NodeRuntime::now() { return monotonic_now(); }
@@ -278,23 +263,23 @@
     ++stats_.poll_failures;
     co_return;
   }
-  const auto state = parse_object(result.response->body);
+  const auto state = parse_json_object(result.response->body);
   const auto listed = listed_.find(target.machine);
-  const bool elsewhere = listed != listed_.end() &&
-                         (text(state, "zone") != listed->second.zone || text(state, "domain") != listed->second.domain);
-  if (text(state, "machine") != target.machine || elsewhere) {
+  const bool elsewhere = listed != listed_.end() && (text_field(state, "zone") != listed->second.zone ||
+                                                     text_field(state, "domain") != listed->second.domain);
+  if (text_field(state, "machine") != target.machine || elsewhere) {
     // Somebody else answers at this address, or the machine is not where the platform says: not seen.
     ++stats_.poll_mismatches;
     co_return;
   }
   wire::MachineSighting sighting;
   sighting.machine = target.machine;
-  sighting.incarnation = number(state, "incarnation");
-  sighting.group_id = number(state, "group");
-  sighting.epoch = static_cast<int32_t>(number(state, "epoch"));
+  sighting.incarnation = integer_field(state, "incarnation");
+  sighting.group_id = integer_field(state, "group");
+  sighting.epoch = static_cast<int32_t>(integer_field(state, "epoch"));
   const auto* loaded = state.if_contains("loaded");
   sighting.loaded = loaded != nullptr && loaded->is_bool() && loaded->as_bool();
-  sighting.load = static_cast<int32_t>(number(state, "load"));
+  sighting.load = static_cast<int32_t>(integer_field(state, "load"));
   controller_->sighting(asked_at, sighting);
 }
 
@@ -308,7 +293,7 @@
     if (!*alive) {
       co_return;
     }
-    const auto body = result.response ? parse_object(result.response->body) : json::object();
+    const auto body = result.response ? parse_json_object(result.response->body) : json::object();
     std::vector<wire::Machine> machines;
     std::set<std::string> leaving;
     if (const auto* members = body.if_contains("members"); members != nullptr && members->is_array()) {
@@ -318,13 +303,13 @@
         }
         const auto& member = item.as_object();
         wire::Machine machine;
-        machine.id = text(member, "id");
-        machine.endpoint = text(member, "address");
-        machine.zone = text(member, "zone");
-        machine.domain = text(member, "domain");
-        machine.accelerators = static_cast<int32_t>(number(member, "accelerators"));
-        machine.checks_fences = !settings_.kinds_without_fences.contains(text(member, "kind"));
-        machine.leaving = text(member, "state") == "leaving";
+        machine.id = text_field(member, "id");
+        machine.endpoint = text_field(member, "address");
+        machine.zone = text_field(member, "zone");
+        machine.domain = text_field(member, "domain");
+        machine.accelerators = static_cast<int32_t>(integer_field(member, "accelerators"));
+        machine.checks_fences = !settings_.kinds_without_fences.contains(text_field(member, "kind"));
+        machine.leaving = text_field(member, "state") == "leaving";
         if (machine.leaving) {
           leaving.insert(machine.endpoint);
         }
--- a/tests/unit/document_test.cc
+++ b/tests/unit/document_test.cc
@@ -61,6 +61,14 @@
   EXPECT_NE(fault_of(R"({"version":1,"routes":7})").find("must be a list"), std::string::npos);
 }
 
+TEST(Document, BringsNumbersIntoRange) {
+  const auto parsed = parse_document(document_with(
+      route("/a/", R"("service":"s","timeout_ms":1e300,"max_attempts":1e300)"), R"(,"limits":{"max_body_bytes":-5})"));
+  ASSERT_NE(parsed.document, nullptr) << parsed.error.message;
+  EXPECT_GT(parsed.document->routes.front().timeout, Duration::zero());
+  EXPECT_EQ(parsed.document->limits.max_body_bytes, 0U);
+}
+
 TEST(RouteTable, FindsTheLongestPrefixOfTheHost) {
   const auto parsed = parse_document(document_with(route("/") + "," + route("/a/") + "," + route("/a/b/")));
   ASSERT_NE(parsed.document, nullptr) << parsed.error.message;
--- a/tests/unit/fleet_test.cc
+++ b/tests/unit/fleet_test.cc
@@ -78,6 +78,14 @@
   EXPECT_FALSE(parse_registration("i1", "{", error));
 }
 
+TEST(Registration, NumbersOutOfRangeAreNoReasonToStop) {
+  std::string error;
+  const auto report =
+      parse_registration("i1", R"({"service":"s","address":"a:1","call_seq":1.5,"slots":1e300})", error);
+  ASSERT_TRUE(report) << error;
+  EXPECT_EQ(report->call_number, 0);
+}
+
 // ---------------------------------------------------------- subscription
 
 FleetIdentity entry_identity() {
