--- a/src/simulation/registered_fleet.cc
+++ b/src/simulation/registered_fleet.cc
@@ -301,6 +301,11 @@
   carry_outputs(node);
 }
 
+void RegisteredFleet::keep_beating(Place& place) {
+  beat(place);
+  queue_.after(kBeatInterval, [this, &place] { keep_beating(place); });
+}
+
 // ------------------------------------------------------------------- checks
 
 void RegisteredFleet::check_join(const SimulatedInstance& instance, const fleet::InstanceOrder& order) {
@@ -545,12 +550,7 @@
     place.instance = std::make_unique<SimulatedInstance>("i" + std::to_string(next_instance_++), place.address,
                                                          place.domain, std::vector<std::string>());
     const Duration offset = milliseconds(draw(0, 1200));
-    const std::shared_ptr<std::function<void()>> loop = std::make_shared<std::function<void()>>();
-    *loop = [this, &place, loop] {
-      beat(place);
-      queue_.after(kBeatInterval, *loop);
-    };
-    queue_.after(offset, *loop);
+    queue_.after(offset, [this, &place] { keep_beating(place); });
   }
   queue_.after(kTick, [this] { tick(); });
   queue_.after(milliseconds(600), [this] { put_document(next_version_++); });
--- a/src/simulation/registered_fleet.h
+++ b/src/simulation/registered_fleet.h
@@ -98,6 +98,8 @@
   int execute(const fleet::InstanceOrder& order);
   void tick();
   void beat(Place& place);
+  /// Sends a heartbeat now and at every interval from now on.
+  void keep_beating(Place& place);
   void put_document(int64_t version);
   void strike();
   void strike_control();
