--- a/src/core/document/configuration_document.cc
+++ b/src/core/document/configuration_document.cc
@@ -183,6 +183,7 @@
   engine.chunk_tokens = std::max(1, reader.integer("chunk", 1 << 30));
   engine.loads_per_second = reader.number("loads_per_s", 1e6);
   engine.loads_at_once = std::max(1, reader.integer("loads_at_once", 1 << 20));
+  engine.staged_per_host = reader.integer("cached_prefixes", 0);
   engine.form_time = from_milliseconds(reader.number("form_ms", 0));
   if (const auto* usual = reader.find("usual")) {
     const FieldReader usual_reader(*usual, place + ".usual");
--- a/src/core/document/configuration_document.h
+++ b/src/core/document/configuration_document.h
@@ -71,6 +71,8 @@
   int chunk_tokens = 1;
   double loads_per_second = 1;
   int loads_at_once = 1;
+  /// Models whose weights a host keeps besides those in the accelerators; 0 when hosts keep none.
+  int staged_per_host = 0;
   /// How long an opened head takes until it serves.
   Duration form_time{};
   /// Mean tokens of prompt and answer.
--- a/src/core/engine/cost_model.cc
+++ b/src/core/engine/cost_model.cc
@@ -17,6 +17,10 @@
 
 Duration from_milliseconds(double value) { return Duration(static_cast<int64_t>(value * 1000.0)); }
 
+double passes_of(const document::EngineSpec& engine, const RequestSizes& sizes) {
+  return std::max(1.0, sizes.answer / engine.steps_per_pass);
+}
+
 }  // namespace
 
 GroupForecast forecast(const document::EngineSpec& engine, const document::ModelSpec& model, const RequestSizes& sizes,
@@ -25,7 +29,7 @@
   const double context = count * (sizes.prompt + sizes.answer / 2);
   const double step_ms =
       engine.step_ms + engine.per_sequence_ms * count + engine.context_per_thousand_ms * context / 1000.0;
-  const double passes_per_answer = std::max(1.0, sizes.answer / engine.steps_per_pass);
+  const double passes_per_answer = passes_of(engine, sizes);
   const double arrivals_per_pass = count / passes_per_answer;
   const double reading_ms = arrivals_per_pass * sizes.prompt * 1000.0 / engine.read_tokens_per_second;
   const double pass_ms = model.pace * (engine.steps_per_pass * step_ms + reading_ms);
@@ -48,6 +52,13 @@
   return most;
 }
 
+double sustainable_rate(const document::EngineSpec& engine, const document::ModelSpec& model, const RequestSizes& sizes,
+                        Duration target) {
+  const int running = target > Duration::zero() ? most_running(engine, model, sizes, target) : engine.slots;
+  const double pass_seconds = std::chrono::duration<double>(forecast(engine, model, sizes, running).pass).count();
+  return running / std::max(1e-6, passes_of(engine, sizes) * pass_seconds);
+}
+
 void SizeEstimate::note(double prompt_tokens, double answer_tokens) {
   const double share = std::max(kNewShare, 1.0 / (weight_ + 1.0));
   mean_.prompt += share * (prompt_tokens - mean_.prompt);
--- a/src/core/engine/cost_model.h
+++ b/src/core/engine/cost_model.h
@@ -30,6 +30,10 @@
 int most_running(const document::EngineSpec& engine, const document::ModelSpec& model, const RequestSizes& sizes,
                  Duration target);
 
+/// Requests a second that a group serves when it holds `most_running` of them all the time.
+double sustainable_rate(const document::EngineSpec& engine, const document::ModelSpec& model, const RequestSizes& sizes,
+                        Duration target);
+
 /// Running means of the sizes, as the requests' own statements give them.
 class SizeEstimate {
  public:
--- a/src/core/fleet/dispatcher.cc
+++ b/src/core/fleet/dispatcher.cc
@@ -38,13 +38,12 @@
   });
 }
 
-void Dispatcher::update_loads(const std::vector<wire::GroupLoad>& total) {
+void Dispatcher::update_loads(const std::vector<wire::GroupLoad>& others) {
   for (auto& [key, health] : health_) {
     health.others = 0;
   }
-  for (const auto& load : total) {
-    Health& health = health_[load.group];
-    health.others = std::max(0, load.in_flight - health.reported);
+  for (const auto& load : others) {
+    health_[load.group].others = load.in_flight;
   }
 }
 
@@ -69,9 +68,24 @@
   return health.in_flight + health.others + (zone == zone_ ? 0.0 : kOtherZoneCost) + tie_break;
 }
 
-void Dispatcher::note_sizes(const std::string& service, const std::string& model, double prompt_tokens,
-                            double answer_tokens) {
-  sizes_[{service, model}].note(prompt_tokens, answer_tokens);
+void Dispatcher::note_demand(const std::string& service, const Demand& demand, const engine::RequestSizes& sizes) {
+  sizes_[{service, demand.model}].note(sizes.prompt, sizes.answer);
+  wire::ModelDemand& total = demand_[{service, demand.model}];
+  total.service_name = service;
+  total.model = demand.model;
+  ++total.received;
+  total.prompt_tokens += static_cast<int64_t>(sizes.prompt);
+  total.answer_tokens += static_cast<int64_t>(sizes.answer);
+  const auto target_ms = static_cast<int32_t>(demand.target_latency / milliseconds(1));
+  total.target_latency_ms = total.target_latency_ms == 0 ? target_ms : std::min(total.target_latency_ms, target_ms);
+}
+
+std::vector<wire::ModelDemand> Dispatcher::demand_totals() const {
+  std::vector<wire::ModelDemand> result;
+  for (const auto& [key, total] : demand_) {
+    result.push_back(total);
+  }
+  return result;
 }
 
 int Dispatcher::most_in_flight(const document::ServiceSpec& service, const Demand& demand) const {
@@ -231,10 +245,9 @@
   return true;
 }
 
-std::vector<wire::GroupLoad> Dispatcher::take_loads(TimePoint now) {
+std::vector<wire::GroupLoad> Dispatcher::loads(TimePoint now) const {
   std::vector<wire::GroupLoad> result;
-  for (auto& [key, health] : health_) {
-    health.reported = health.in_flight;
+  for (const auto& [key, health] : health_) {
     const bool progressed = health.last_progress != TimePoint::min() && now - health.last_progress < kReportedProgress;
     if (health.in_flight > 0 || progressed) {
       wire::GroupLoad load;
--- a/src/core/fleet/dispatcher.h
+++ b/src/core/fleet/dispatcher.h
@@ -54,8 +54,8 @@
   Dispatcher(const FleetOptions& options, std::string zone, uint64_t seed);
 
   void update_state(const wire::FleetState& state);
-  /// Loads over all entries, of which `reported` was this entry's own part.
-  void update_loads(const std::vector<wire::GroupLoad>& total);
+  /// Requests in flight per group at all other entries.
+  void update_loads(const std::vector<wire::GroupLoad>& others);
   void set_serving_nodes(int count) { serving_nodes_ = count < 1 ? 1 : count; }
 
   /// The service of a route for one request, drawn by weight.
@@ -65,7 +65,9 @@
   Choice choose(TimePoint now, const document::ServiceSpec& service, const Demand& demand,
                 const std::set<std::string>& excluded);
   /// A request for a model arrived, with its own statement of prompt and answer, in tokens.
-  void note_sizes(const std::string& service, const std::string& model, double prompt_tokens, double answer_tokens);
+  void note_demand(const std::string& service, const Demand& demand, const engine::RequestSizes& sizes);
+  /// Totals of what `note_demand` was told since the start, to be reported.
+  std::vector<wire::ModelDemand> demand_totals() const;
   /// Brackets one sending; the load counts between them.
   void begin(TimePoint now, const Target& target);
   void end(const Target& target);
@@ -88,14 +90,13 @@
   int retries_left(TimePoint now, const std::string& service);
 
   /// This entry's in-flight requests per group, to be reported.
-  std::vector<wire::GroupLoad> take_loads(TimePoint now);
+  std::vector<wire::GroupLoad> loads(TimePoint now) const;
   /// Groups that this entry avoids now.
   std::vector<wire::InstanceFailure> failures(TimePoint now) const;
 
  private:
   struct Health {
     int in_flight = 0;
-    int reported = 0;
     int others = 0;
     /// Since when at least one request has been in flight.
     TimePoint busy_since = TimePoint::min();
@@ -124,6 +125,7 @@
   std::map<std::string, Budget> budgets_;
   /// Sizes of the requests for each model, by service and model.
   std::map<std::pair<std::string, std::string>, engine::SizeEstimate> sizes_;
+  std::map<std::pair<std::string, std::string>, wire::ModelDemand> demand_;
 };
 
 }  // namespace larchlever::fleet
--- a/src/core/fleet/fleet_controller.cc
+++ b/src/core/fleet/fleet_controller.cc
@@ -242,6 +242,7 @@
     send(std::move(envelope));
   }
   outputs_.orders.insert(outputs_.orders.end(), outputs.orders.begin(), outputs.orders.end());
+  outputs_.decisions.insert(outputs_.decisions.end(), outputs.decisions.begin(), outputs.decisions.end());
 }
 
 void FleetController::process(TimePoint now) {
--- a/src/core/fleet/fleet_controller.h
+++ b/src/core/fleet/fleet_controller.h
@@ -18,6 +18,7 @@
   /// To be written in this order, each then handed back to `FleetController::written`.
   std::vector<consensus::RaftOutput> storage;
   std::vector<InstanceOrder> orders;
+  std::vector<GroupDecision> decisions;
   /// Answers to calls submitted here.
   std::vector<wire::ControlCallReply> replies;
 };
--- a/src/core/fleet/fleet_leader.cc
+++ b/src/core/fleet/fleet_leader.cc
@@ -84,6 +84,7 @@
   if (report.traffic_seen) {
     groups_.note_traffic();
   }
+  groups_.demand().note_totals(now, envelope.from_node, report.demand);
   if (report.__isset.held_state && is_collecting(now)) {
     instances_.merge(now, report.held_state.instances);
     const std::pair order(report.held_state.term, report.held_state.version);
@@ -136,6 +137,7 @@
   row->service_address = report.control_address;
   if (arrival != membership::Arrival::kKnown) {
     subscribers_.erase(envelope.from_node);
+    groups_.demand().forget_node(envelope.from_node);
   }
   note_report(now, envelope);
   send_update(now, envelope.from_node, report.sequence, raft, log);
@@ -177,8 +179,9 @@
   }
   for (const auto& [group, in_flight] : loads_) {
     wire::GroupLoad load;
+    const auto own = subscriber.loads.find(group);
     load.group = group;
-    load.in_flight = in_flight;
+    load.in_flight = std::max(0, in_flight - (own == subscriber.loads.end() ? 0 : own->second));
     update.loads.push_back(std::move(load));
   }
   for (const auto& [name, other] : subscribers_) {
@@ -361,6 +364,7 @@
   if (!is_collecting(now) && log.parsed() != nullptr) {
     version_ += groups_.tick(now, *log.parsed(), instances_) ? 1 : 0;
     outputs_.orders = groups_.take_orders();
+    outputs_.decisions = groups_.take_decisions();
   }
   push_news(now, raft, log);
   answer_confirmed(now);
--- a/src/core/fleet/fleet_leader.h
+++ b/src/core/fleet/fleet_leader.h
@@ -29,6 +29,7 @@
   struct Outputs {
     std::vector<wire::Envelope> envelopes;
     std::vector<InstanceOrder> orders;
+    std::vector<GroupDecision> decisions;
     std::optional<wire::ReplicaSet> replicas;
     /// Documents to append to the log, with the call that waits for each.
     std::vector<std::pair<wire::DocumentChange, std::string>> proposals;
--- /dev/null
+++ b/src/core/fleet/group_planner.cc
@@ -0,0 +1,252 @@
+#include "core/fleet/group_planner.h"
+
+#include <algorithm>
+#include <limits>
+#include <tuple>
+
+namespace larchlever::fleet {
+
+namespace {
+
+/// Keeps the pressure of a model without groups finite, and in order of need.
+constexpr double kNoGroups = 1e-3;
+/// Giving up a group must lower the highest pressure at least to this share of it.
+constexpr double kWorthwhileRelief = 0.95;
+/// A group may exceed its model's part of the servers by this share of its size.
+constexpr double kOvershoot = 0.5;
+
+}  // namespace
+
+bool PlannedServer::has_staged(const std::string& model) const {
+  return std::find(staged_models.begin(), staged_models.end(), model) != staged_models.end();
+}
+
+GroupPlanner::GroupPlanner(PlannerInput input) : input_(std::move(input)) {
+  for (size_t index = 0; index < input_.servers.size(); ++index) {
+    by_domain_[input_.servers[index].domain].push_back(index);
+  }
+  for (auto& group : input_.groups) {
+    groups_[group.name] = group;
+  }
+}
+
+double GroupPlanner::groups_held(const std::string& model) const {
+  return static_cast<double>(std::count_if(groups_.begin(), groups_.end(), [&](const auto& item) {
+    return item.second.counts && item.second.model == model;
+  }));
+}
+
+double GroupPlanner::pressure(const ModelNeed& need, double groups) const {
+  return need.groups_needed / std::max(groups, kNoGroups);
+}
+
+std::vector<const ModelNeed*> GroupPlanner::by_pressure() const {
+  std::vector<const ModelNeed*> result;
+  for (const auto& need : input_.needs) {
+    result.push_back(&need);
+  }
+  std::stable_sort(result.begin(), result.end(), [this](const auto* left, const auto* right) {
+    return pressure(*left, groups_held(left->model->name)) > pressure(*right, groups_held(right->model->name));
+  });
+  return result;
+}
+
+double GroupPlanner::target_servers(const ModelNeed& need) const {
+  double needed_in_all = 0;
+  for (const auto& other : input_.needs) {
+    needed_in_all += other.groups_needed * other.model->size;
+  }
+  const double share = needed_in_all > 0 ? need.groups_needed * need.model->size / needed_in_all : 0;
+  return share * static_cast<double>(input_.servers.size());
+}
+
+bool GroupPlanner::may_grow(const ModelNeed& need) const {
+  const double held = groups_held(need.model->name);
+  const double size = need.model->size;
+  return held == 0 || (held + 1) * size <= target_servers(need) + kOvershoot * size;
+}
+
+size_t GroupPlanner::largest_groups(size_t free_servers) const {
+  int largest = 1;
+  for (const auto& need : input_.needs) {
+    largest = std::max(largest, need.model->size);
+  }
+  return free_servers / static_cast<size_t>(largest);
+}
+
+std::optional<GroupPlan> GroupPlanner::best_plan(const document::ModelSpec& model) const {
+  const auto size = static_cast<size_t>(model.size);
+  std::optional<GroupPlan> best;
+  // Fewest loads; then fewest places taken from the largest model; then the domain that serves the model least, so that
+  // the loss of a domain costs each model little; then the emptiest domain.
+  std::tuple<size_t, size_t, size_t, size_t> best_cost;
+  for (const auto& [domain, indexes] : by_domain_) {
+    const auto reserved = input_.reserved_domains.find(domain);
+    if (reserved != input_.reserved_domains.end() && reserved->second != model.name) {
+      continue;
+    }
+    std::vector<const PlannedServer*> free;
+    size_t serving_here = 0;
+    for (const size_t index : indexes) {
+      const auto& server = input_.servers[index];
+      if (server.group.empty()) {
+        free.push_back(&server);
+        continue;
+      }
+      const auto group = groups_.find(server.group);
+      serving_here += group != groups_.end() && group->second.counts && group->second.model == model.name ? 1 : 0;
+    }
+    if (free.size() < size) {
+      continue;
+    }
+    const auto rank = [&model](const PlannedServer* server) {
+      return server->loaded_model == model.name ? 0 : server->has_staged(model.name) ? 1 : 2;
+    };
+    std::stable_sort(free.begin(), free.end(),
+                     [&rank](const auto* left, const auto* right) { return rank(left) < rank(right); });
+    const size_t large_before = largest_groups(free.size());
+    const size_t left_over = free.size() - size;
+    free.resize(size);
+    const auto loads = static_cast<size_t>(std::count_if(
+        free.begin(), free.end(), [&model](const auto* server) { return !server->is_warm_for(model.name); }));
+    const size_t large_lost = large_before - largest_groups(left_over);
+    const std::tuple cost(loads, large_lost, serving_here, indexes.size() - left_over);
+    if (best && cost >= best_cost) {
+      continue;
+    }
+    best_cost = cost;
+    best.emplace();
+    best->model = &model;
+    best->loads = loads;
+    for (const auto* server : free) {
+      best->members.push_back(server->id);
+    }
+  }
+  return best;
+}
+
+std::optional<GroupPlan> GroupPlanner::next_group() const {
+  for (const auto* need : by_pressure()) {
+    if (!may_grow(*need)) {
+      continue;
+    }
+    auto plan = best_plan(*need->model);
+    if (plan && (plan->loads == 0 || input_.cold_groups_allowed)) {
+      return plan;
+    }
+  }
+  return std::nullopt;
+}
+
+void GroupPlanner::note_formed(const GroupPlan& plan, const std::string& group) {
+  groups_[group] = {group, plan.model->name, false, true, false};
+  for (auto& server : input_.servers) {
+    if (std::find(plan.members.begin(), plan.members.end(), server.id) != plan.members.end()) {
+      server.group = group;
+    }
+  }
+}
+
+std::vector<std::string> GroupPlanner::donors_in(const std::string& domain, const document::ModelSpec& model,
+                                                 const std::string& donor) const {
+  size_t warm = 0;
+  std::map<std::string, size_t> warm_by_group;
+  for (const size_t index : by_domain_.at(domain)) {
+    const auto& server = input_.servers[index];
+    if (!server.is_warm_for(model.name)) {
+      continue;
+    }
+    const auto group = groups_.find(server.group);
+    if (server.group.empty()) {
+      ++warm;
+    } else if (group != groups_.end() && group->second.is_open && group->second.model == donor) {
+      ++warm_by_group[server.group];
+    }
+  }
+  std::vector<std::pair<size_t, std::string>> candidates;
+  for (const auto& [name, count] : warm_by_group) {
+    candidates.emplace_back(count, name);
+  }
+  std::sort(candidates.rbegin(), candidates.rend());
+  std::vector<std::string> result;
+  for (const auto& [count, name] : candidates) {
+    if (warm >= static_cast<size_t>(model.size)) {
+      break;
+    }
+    warm += count;
+    result.push_back(name);
+  }
+  return warm >= static_cast<size_t>(model.size) ? result : std::vector<std::string>();
+}
+
+std::optional<GiveUpPlan> GroupPlanner::groups_to_give_up() const {
+  const bool under_way =
+      std::any_of(groups_.begin(), groups_.end(), [](const auto& item) { return item.second.is_given_up; });
+  if (under_way || !input_.reserved_domains.empty() || input_.needs.size() < 2) {
+    return std::nullopt;
+  }
+  const auto* needy = by_pressure().front();
+  const double held = groups_held(needy->model->name);
+  std::optional<GiveUpPlan> result;
+  double best = pressure(*needy, held) * kWorthwhileRelief;
+  for (const auto& donor : input_.needs) {
+    if (donor.model == needy->model) {
+      continue;
+    }
+    for (const auto& [domain, indexes] : by_domain_) {
+      auto given_up = donors_in(domain, *needy->model, donor.model->name);
+      const double left = groups_held(donor.model->name) - static_cast<double>(given_up.size());
+      const double after = std::max(pressure(*needy, held + 1), pressure(donor, left));
+      if (!given_up.empty() && left >= 1 && after < best) {
+        best = after;
+        result = GiveUpPlan{std::move(given_up), domain, needy->model->name};
+      }
+    }
+  }
+  return result;
+}
+
+const document::ModelSpec* GroupPlanner::standby_model(const PlannedServer& server) const {
+  const document::ModelSpec* best = nullptr;
+  double most = -1;
+  for (const auto& need : input_.needs) {
+    const double servers = need.groups_needed * need.model->size;
+    if (need.model->name != server.loaded_model && servers > most) {
+      most = servers;
+      best = need.model;
+    }
+  }
+  return best;
+}
+
+std::vector<StagingPlan> GroupPlanner::stagings() const {
+  std::vector<StagingPlan> needed;
+  std::vector<StagingPlan> for_larger_models;
+  std::vector<StagingPlan> precautions;
+  const auto order = by_pressure();
+  for (const auto& server : input_.servers) {
+    const auto group = groups_.find(server.group);
+    const bool settled = server.group.empty() || (group != groups_.end() && group->second.is_open);
+    if (!settled) {
+      continue;
+    }
+    if (server.loaded_model.empty() && server.staged_models.empty()) {
+      needed.push_back({server.id, order.front()->model->name, true});
+      continue;
+    }
+    const auto* standby = standby_model(server);
+    if (server.loaded_model.empty() || standby == nullptr || server.has_staged(standby->name)) {
+      continue;
+    }
+    const auto* loaded = std::find_if(input_.needs.data(), input_.needs.data() + input_.needs.size(),
+                                      [&](const auto& need) { return need.model->name == server.loaded_model; });
+    const bool is_larger = loaded == input_.needs.data() + input_.needs.size() || standby->size > loaded->model->size;
+    auto& list = is_larger ? for_larger_models : precautions;
+    list.push_back({server.id, standby->name, is_larger});
+  }
+  needed.insert(needed.end(), for_larger_models.begin(), for_larger_models.end());
+  needed.insert(needed.end(), precautions.begin(), precautions.end());
+  return needed;
+}
+
+}  // namespace larchlever::fleet
--- a/src/core/fleet/group_supervisor.cc
+++ b/src/core/fleet/group_supervisor.cc
@@ -19,10 +19,10 @@
 /// After a change of leadership, groups that nobody told us of are adopted once every instance had time to report.
 constexpr Duration kAdoptionDelay = seconds(3);
 
+/// A member of a group that failed is not given to another group before it was heard again; by then it is silent.
+constexpr Duration kSuspicionMemory = seconds(5);
 /// Names the group of one that fences a head.
 constexpr const char* kFenceSuffix = "-fence";
-/// Loads ordered by the previous leader count in the same window; this long none is added to them.
-constexpr Duration kPredecessorLoads = seconds(3);
 
 bool reports(const wire::Instance& instance, const wire::EngineGroup& group) {
   return instance.membership.group == group.name && instance.membership.epoch == group.epoch;
@@ -59,6 +59,32 @@
 
 }  // namespace
 
+const char* to_string(GroupReason reason) {
+  switch (reason) {
+    case GroupReason::kPlanned:
+      return "planned";
+    case GroupReason::kAllReady:
+      return "all members ready";
+    case GroupReason::kHeadOpen:
+      return "head open";
+    case GroupReason::kNotComplete:
+      return "not complete";
+    case GroupReason::kEntriesReport:
+      return "entries report a failure";
+    case GroupReason::kMemberLost:
+      return "member lost";
+    case GroupReason::kMemberLeaves:
+      return "member leaves";
+    case GroupReason::kGivenUp:
+      return "given up for another model";
+    case GroupReason::kDrained:
+      return "drained";
+    case GroupReason::kReleased:
+      return "released";
+  }
+  return "";
+}
+
 bool reports_ready(const wire::Instance* instance, const wire::EngineGroup& group) {
   return reports(instance, group, wire::MembershipState::READY);
 }
@@ -70,16 +96,20 @@
   dissolved_.clear();
   sent_at_.clear();
   staging_.clear();
-  load_starts_.clear();
   orders_.clear();
+  decisions_.clear();
+  reservations_.clear();
+  demand_.start();
+  suspects_.clear();
   inherit(now, inherited);
 }
 
 void GroupSupervisor::inherit(TimePoint now, const std::vector<wire::EngineGroup>& inherited) {
   records_.clear();
-  cold_loads_after_ = inherited.empty() ? now : now + kPredecessorLoads;
+  owners_.clear();
+  limiter_.start(now, !inherited.empty());
   for (const auto& group : inherited) {
-    Record& record = records_[group.name];
+    Record record;
     record.group = group;
     record.since = now;
     record.may_be_open = true;
@@ -89,7 +119,21 @@
       // under its old epoch, the group could lose a member to them. Formed anew, it has an epoch above theirs.
       record.group.phase = wire::GroupPhase::DISSOLVING;
     }
+    add_record(std::move(record));
+  }
+}
+
+void GroupSupervisor::add_record(Record record) {
+  for (const auto& member : record.group.members) {
+    owners_[member] = record.group.name;
   }
+  records_[record.group.name] = std::move(record);
+}
+
+std::map<std::string, GroupSupervisor::Record>::iterator GroupSupervisor::erase_record(
+    std::map<std::string, Record>::iterator item) {
+  std::erase_if(owners_, [&item](const auto& owner) { return owner.second == item->first; });
+  return records_.erase(item);
 }
 
 void GroupSupervisor::note_failure(TimePoint, const std::string& group) {
@@ -99,6 +143,9 @@
 }
 
 void GroupSupervisor::order_result(TimePoint now, const InstanceOrderResult& result) {
+  if (result.status != 0) {
+    suspects_.erase(result.order.instance_id);
+  }
   const auto found = records_.find(result.order.group);
   if (found == records_.end()) {
     return;
@@ -120,9 +167,10 @@
   }
 }
 
-void GroupSupervisor::set_phase(TimePoint now, Record& record, wire::GroupPhase::type phase) {
+void GroupSupervisor::set_phase(TimePoint now, Record& record, wire::GroupPhase::type phase, GroupReason reason) {
   record.group.phase = phase;
   record.since = now;
+  decisions_.push_back({record.group, reason});
 }
 
 InstanceOrder GroupSupervisor::order_for(OrderKind kind, const Record& record, const std::string& instance_id) const {
@@ -184,17 +232,13 @@
     ready += reports_ready(member, record.group) ? 1 : 0;
   }
   if (lost) {
-    if (record.may_be_open) {
-      set_phase(now, record, wire::GroupPhase::DISSOLVING);
-      return true;
-    }
-    record.head_left = true;  // Never opened: its members are free at once.
-    set_phase(now, record, wire::GroupPhase::DISSOLVING);
+    record.head_left = record.head_left || !record.may_be_open;  // Never opened: its members are free at once.
+    set_phase(now, record, wire::GroupPhase::DISSOLVING, GroupReason::kNotComplete);
     return true;
   }
   if (ready == record.group.members.size()) {
     record.may_be_open = true;
-    set_phase(now, record, wire::GroupPhase::OPENING);
+    set_phase(now, record, wire::GroupPhase::OPENING, GroupReason::kAllReady);
     send(now, order_for(OrderKind::kOpen, record, record.group.members.front()), directory);
     return true;
   }
@@ -213,12 +257,13 @@
            member->membership.state != wire::MembershipState::BROKEN;
   });
   if (!complete || record.failed) {
-    set_phase(now, record, wire::GroupPhase::DISSOLVING);
+    set_phase(now, record, wire::GroupPhase::DISSOLVING,
+              complete ? GroupReason::kEntriesReport : GroupReason::kNotComplete);
     return true;
   }
   const auto& head = record.group.members.front();
   if (reports(directory.find(head), record.group, wire::MembershipState::OPEN)) {
-    set_phase(now, record, wire::GroupPhase::OPEN);
+    set_phase(now, record, wire::GroupPhase::OPEN, GroupReason::kHeadOpen);
     return true;
   }
   send(now, order_for(OrderKind::kOpen, record, head), directory);
@@ -245,11 +290,13 @@
   const auto loads = in_flight_.find(record.group.name);
   const bool idle = loads == in_flight_.end() || loads->second == 0;
   if (broken || (silent && idle)) {
-    set_phase(now, record, wire::GroupPhase::DISSOLVING);
+    suspect_members(now, record);
+    set_phase(now, record, wire::GroupPhase::DISSOLVING,
+              record.failed ? GroupReason::kEntriesReport : GroupReason::kMemberLost);
     return true;
   }
   if (leaving) {
-    set_phase(now, record, wire::GroupPhase::DRAINING);
+    set_phase(now, record, wire::GroupPhase::DRAINING, GroupReason::kMemberLeaves);
     return true;
   }
   return false;
@@ -260,14 +307,37 @@
   const bool idle = loads == in_flight_.end() || loads->second == 0;
   const Duration age = now - record.since;
   if (record.failed || age > kDrainingPatience || (idle && age > kDrainingMinimum)) {
-    set_phase(now, record, wire::GroupPhase::DISSOLVING);
+    set_phase(now, record, wire::GroupPhase::DISSOLVING, GroupReason::kDrained);
     return true;
   }
   return false;
 }
 
+void GroupSupervisor::suspect_members(TimePoint now, const Record& record) {
+  for (const auto& member : record.group.members) {
+    suspects_[member] = now;
+  }
+}
+
+void GroupSupervisor::clear_suspects(TimePoint now, const InstanceDirectory& directory) {
+  std::erase_if(suspects_, [&](const auto& item) {
+    const auto row = directory.rows().find(item.first);
+    const bool heard = row != directory.rows().end() && row->second.last_heard > item.second;
+    return heard || now - item.second > kSuspicionMemory;
+  });
+}
+
 void GroupSupervisor::order_leave(TimePoint now, const Record& record, const InstanceDirectory& directory) {
   const auto& members = record.group.members;
+  if (record.failed) {
+    // One of them is dead: who answers is not, and the head stands still without any of them.
+    for (const auto& member : members) {
+      if (can_take_work(directory.find(member))) {
+        send(now, order_for(OrderKind::kLeave, record, member), directory);
+      }
+    }
+    return;
+  }
   send(now, order_for(OrderKind::kLeave, record, members.front()), directory);
   const auto* head = directory.find(members.front());
   if (can_take_work(head) && now - record.since < kHeadPatience) {
@@ -390,7 +460,7 @@
     record.may_be_open = true;
     record.unanswered_head_orders = 1;
     record.since = now;
-    records_[record.group.name] = std::move(record);
+    add_record(std::move(record));
     adopted = true;
   }
   return adopted;
@@ -399,12 +469,14 @@
 bool GroupSupervisor::tick(TimePoint now, const document::ConfigurationDocument& document,
                            const InstanceDirectory& directory) {
   bool changed = adopt_unknown(now, document, directory);
+  clear_suspects(now, directory);
   for (auto item = records_.begin(); item != records_.end();) {
     Record& record = item->second;
     changed = advance(now, record, directory) || changed;
     if (record.group.phase == wire::GroupPhase::DISSOLVING && is_dissolved(now, record, directory)) {
       dissolved_.insert(record.group.name);
-      item = records_.erase(item);
+      decisions_.push_back({record.group, GroupReason::kReleased, true});
+      item = erase_record(item);
       changed = true;
     } else {
       ++item;
@@ -429,13 +501,9 @@
 }
 
 const wire::EngineGroup* GroupSupervisor::owner_of(const std::string& instance_id) const {
-  for (const auto& [name, record] : records_) {
-    const auto& members = record.group.members;
-    if (std::find(members.begin(), members.end(), instance_id) != members.end()) {
-      return &record.group;
-    }
-  }
-  return nullptr;
+  const auto owner = owners_.find(instance_id);
+  const auto record = owner == owners_.end() ? records_.end() : records_.find(owner->second);
+  return record == records_.end() ? nullptr : &record->second.group;
 }
 
 }  // namespace larchlever::fleet
--- a/src/core/fleet/group_supervisor.h
+++ b/src/core/fleet/group_supervisor.h
@@ -1,16 +1,19 @@
 #pragma once
 
 #include <cstdint>
-#include <deque>
 #include <map>
 #include <set>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "core/base/time.h"
 #include "core/document/configuration_document.h"
+#include "core/fleet/demand_tracker.h"
 #include "core/fleet/fleet_options.h"
+#include "core/fleet/group_planner.h"
 #include "core/fleet/instance_directory.h"
+#include "core/fleet/load_limiter.h"
 #include "larchlever_types.h"
 
 namespace larchlever::fleet {
@@ -36,6 +39,28 @@
   int status = 0;
 };
 
+/// Why a group entered its phase.
+enum class GroupReason {
+  kPlanned,        ///< The planner asked for it.
+  kAllReady,       ///< Every member reported that it is ready.
+  kHeadOpen,       ///< The head reported that it is open.
+  kNotComplete,    ///< A member was lost, or did not get ready in time.
+  kEntriesReport,  ///< Entries saw its head fail or stand still.
+  kMemberLost,     ///< A member is gone, replaced, silent, or reports another group.
+  kMemberLeaves,   ///< A member is about to stop.
+  kGivenUp,        ///< Its servers are wanted for another model.
+  kDrained,        ///< Nothing is in flight any more, or for too long.
+  kReleased        ///< Its members are free.
+};
+const char* to_string(GroupReason reason);
+
+/// One change of a group, to be logged.
+struct GroupDecision {
+  wire::EngineGroup group;
+  GroupReason reason = GroupReason::kPlanned;
+  bool is_released = false;
+};
+
 /// Epochs carry the leader's term above this bit, so that every leadership's epochs exceed those of the ones before.
 constexpr int kEpochTermShift = 20;
 constexpr int64_t kEpochNumberMask = (int64_t{1} << kEpochTermShift) - 1;
@@ -43,20 +68,20 @@
 /// True when `instance` (may be null) says that it is ready as a member of `group`.
 bool reports_ready(const wire::Instance* instance, const wire::EngineGroup& group);
 
-/// Forms groups of instances for the models of the engine services, opens them, and dissolves those that lost a member.
+/// Forms groups of instances for the models of the engine services as GroupPlanner plans them, opens them, and
+/// dissolves those that lost a member.
 ///
 /// Guarantees, whatever is lost or carried out late:
 /// - a group is opened only after every member reported that it is ready under the group's name and epoch;
 /// - an instance is given to another group only after its old head confirmed that it left (and, where orders to it are
-///   unanswered, that it saw a higher epoch, so that they can no longer open it), or reported itself broken,
-/// or
-///   is replaced at its address, or one of its members confirmed that it left longer than the stall time ago (a head
-///   that misses a member stands still and is broken by then).
+///   unanswered, that it saw a higher epoch, so that they can no longer open it), or reported itself broken, or is
+///   replaced at its address, or one of its members confirmed that it left longer than the stall time ago (a head that
+///   misses a member stands still and is broken by then).
 ///
 /// Single-threaded, deterministic; holds soft state of one leadership.
 class GroupSupervisor {
  public:
-  explicit GroupSupervisor(const FleetOptions& options) : options_(options) {}
+  explicit GroupSupervisor(const FleetOptions& options) : options_(options), limiter_(options.load_window) {}
 
   /// A leadership begins in `term` with the previous leader's groups. Their loads may have started just now.
   void start(TimePoint now, int64_t term, const std::vector<wire::EngineGroup>& inherited);
@@ -67,12 +92,16 @@
   /// Requests in flight per group, over all entries.
   void note_loads(std::map<std::string, int> in_flight) { in_flight_ = std::move(in_flight); }
   /// Before the first request, loads are not rationed by their rate.
-  void note_traffic() { traffic_seen_ = true; }
+  void note_traffic() { limiter_.note_traffic(); }
+  /// The demand that groups are shared out by.
+  DemandTracker& demand() { return demand_; }
   void order_result(TimePoint now, const InstanceOrderResult& result);
   /// Advances every group; true when subscribers must learn of it.
   bool tick(TimePoint now, const document::ConfigurationDocument& document, const InstanceDirectory& directory);
 
   std::vector<InstanceOrder> take_orders();
+  /// What was decided about groups since the last call, in order.
+  std::vector<GroupDecision> take_decisions() { return std::exchange(decisions_, {}); }
   std::vector<wire::EngineGroup> snapshot() const;
   /// The group that owns an instance; null when it is free.
   const wire::EngineGroup* owner_of(const std::string& instance_id) const;
@@ -84,6 +113,8 @@
     /// An order to open may have been sent, so the head may be open whatever it last reported.
     bool may_be_open = false;
     bool failed = false;
+    /// Drained so that another model gets its servers.
+    bool is_given_up = false;
     /// When a member that is not the head confirmed that it left.
     TimePoint member_left_at = TimePoint::max();
     bool head_left = false;
@@ -99,12 +130,15 @@
   bool advance_opening(TimePoint now, Record& record, const InstanceDirectory& directory);
   bool advance_open(TimePoint now, Record& record, const InstanceDirectory& directory);
   bool advance_draining(TimePoint now, Record& record);
+  /// The group failed: until a member is heard again, it may be the one that died.
+  void suspect_members(TimePoint now, const Record& record);
+  void clear_suspects(TimePoint now, const InstanceDirectory& directory);
   void order_leave(TimePoint now, const Record& record, const InstanceDirectory& directory);
   /// Gives a head that left an epoch above its old group's, so that late orders cannot open that group again.
   void fence_head(TimePoint now, Record& record, const InstanceDirectory& directory);
   int64_t next_epoch() { return (term_ << kEpochTermShift) + next_number_++; }
   bool is_dissolved(TimePoint now, const Record& record, const InstanceDirectory& directory) const;
-  void set_phase(TimePoint now, Record& record, wire::GroupPhase::type phase);
+  void set_phase(TimePoint now, Record& record, wire::GroupPhase::type phase, GroupReason reason);
   /// Takes over groups that instances report and no predecessor told of, as after the loss of all control replicas.
   bool adopt_unknown(TimePoint now, const document::ConfigurationDocument& document,
                      const InstanceDirectory& directory);
@@ -113,24 +147,22 @@
   /// All members of the group are known and its head is open: nothing but the memory of it was lost.
   static bool is_intact(const wire::EngineGroup& group, const document::ConfigurationDocument& document,
                         const InstanceDirectory& directory);
+  void add_record(Record record);
+  std::map<std::string, Record>::iterator erase_record(std::map<std::string, Record>::iterator item);
   bool form_groups(TimePoint now, const document::ConfigurationDocument& document, const InstanceDirectory& directory);
-  /// The instances of one service: who is free, by fabric domain, and how many each model holds.
-  struct ServiceView {
-    std::map<std::string, std::vector<const wire::Instance*>> free_by_domain;
-    std::map<std::string, size_t> held;
-    /// Per model, how many of its servers stand in each domain.
-    std::map<std::string, std::map<std::string, size_t>> serving_by_model;
-    size_t servers = 0;
-  };
-  ServiceView view_of(const std::string& service, const InstanceDirectory& directory) const;
-  bool form_one(TimePoint now, const std::string& service, const document::EngineSpec& engine,
-                const InstanceDirectory& directory);
-  /// The model that a domain mostly serves or holds; the largest one where that is even.
-  static const document::ModelSpec* main_model(const document::EngineSpec& engine, const ServiceView& view,
-                                               const std::string& domain);
-  /// Has free instances load the weights that their domain's next repair will need.
-  void stage_spares(TimePoint now, const std::string& service, const document::EngineSpec& engine,
+  bool plan_service(TimePoint now, const std::string& service, const document::EngineSpec& engine,
                     const InstanceDirectory& directory);
+  bool give_up_groups(TimePoint now, const GroupPlanner& planner);
+  PlannerInput planner_input(TimePoint now, const std::string& service, const document::EngineSpec& engine,
+                             const InstanceDirectory& directory);
+  /// By measured demand; by the configured fractions until enough of it was seen.
+  std::vector<ModelNeed> needs_of(TimePoint now, const std::string& service, const document::EngineSpec& engine,
+                                  size_t servers);
+  std::string form_group(TimePoint now, const std::string& service, const GroupPlan& plan,
+                         const InstanceDirectory& directory);
+  void stage_weights(TimePoint now, const document::EngineSpec& engine, const std::vector<StagingPlan>& plans,
+                     const InstanceDirectory& directory);
+  void forget_finished_stagings(TimePoint now, const document::EngineSpec& engine, const InstanceDirectory& directory);
   bool may_load(TimePoint now, const document::EngineSpec& engine, const InstanceDirectory& directory, size_t loads);
   size_t loads_under_way(const InstanceDirectory& directory) const;
   void send(TimePoint now, const InstanceOrder& order, const InstanceDirectory& directory);
@@ -140,18 +172,31 @@
   int64_t term_ = 0;
   int64_t next_number_ = 1;
   TimePoint started_{};
-  bool traffic_seen_ = false;
-  /// The previous leader's last loads have left the window by then.
-  TimePoint cold_loads_after_{};
+  LoadLimiter limiter_;
+  DemandTracker demand_;
   std::map<std::string, Record> records_;
+  /// The group that each instance belongs to.
+  std::map<std::string, std::string> owners_;
   /// Groups known to be dissolved whose names instances may still report.
   std::set<std::string> dissolved_;
   std::map<std::string, int> in_flight_;
   std::map<std::string, TimePoint> sent_at_;
-  /// Spare instances that were ordered to load a model, and when.
-  std::map<std::string, TimePoint> staging_;
-  std::deque<TimePoint> load_starts_;
+  /// Members of groups that failed, and when.
+  std::map<std::string, TimePoint> suspects_;
+  /// Domains where servers were given up for a model, so that no other takes them in the meantime.
+  struct Reservation {
+    std::string model;
+    TimePoint until{};
+  };
+  std::map<std::string, Reservation> reservations_;
+  /// Weights that instances were ordered to load onto their hosts and did not report yet.
+  struct Staging {
+    std::string model;
+    TimePoint since{};
+  };
+  std::map<std::string, Staging> staging_;
   std::vector<InstanceOrder> orders_;
+  std::vector<GroupDecision> decisions_;
 };
 
 }  // namespace larchlever::fleet
--- a/src/core/fleet/instance_directory.cc
+++ b/src/core/fleet/instance_directory.cc
@@ -63,6 +63,9 @@
   wire::Instance next = report;
   next.state = std::max(row.instance.state, report.state);
   next.silent = false;
+  if (next.model.empty()) {
+    next.model = row.instance.model;
+  }
   const bool changed = differs(row.instance, next);
   row.instance = std::move(next);
   return changed;
--- a/src/node/control_process.cc
+++ b/src/node/control_process.cc
@@ -60,6 +60,14 @@
   return json::serialize(body);
 }
 
+std::string joined(const std::vector<std::string>& items) {
+  std::string result;
+  for (const auto& item : items) {
+    result += (result.empty() ? "" : ",") + item;
+  }
+  return result;
+}
+
 /// Drives a FleetController in real time: clock, peer links, data folder, control calls and orders to engines.
 class ControlProcess : public FleetProcess {
  public:
@@ -109,6 +117,7 @@
   void renew_identity();
   void pump();
   void report_changes();
+  void report_decision(const fleet::GroupDecision& decision) const;
   void report_fleet();
   void report_instances();
   asio::awaitable<void> tick_loop();
@@ -126,8 +135,15 @@
   net::HttpServer server_;
   bool was_leader_ = false;
   TimePoint next_fleet_report_{};
-  /// State and silence of each instance as last logged.
-  std::map<std::string, std::pair<wire::InstanceState::type, bool>> reported_instances_;
+  /// What was last logged of an instance; a difference is logged.
+  struct ReportedInstance {
+    wire::InstanceState::type state = wire::InstanceState::READY;
+    bool silent = false;
+    std::string model;
+    std::vector<std::string> staged_models;
+    bool operator==(const ReportedInstance&) const = default;
+  };
+  std::map<std::string, ReportedInstance> reported_instances_;
   int64_t known_version_ = 0;
   size_t known_voters_ = 0;
   std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
@@ -218,6 +234,9 @@
   for (auto& order : outputs.orders) {
     asio::co_spawn(executor_, send_order(std::move(order)), asio::detached);
   }
+  for (const auto& decision : outputs.decisions) {
+    report_decision(decision);
+  }
   for (const auto& reply : outputs.replies) {
     api_.complete(reply);
   }
@@ -241,6 +260,16 @@
   }
 }
 
+void ControlProcess::report_decision(const fleet::GroupDecision& decision) const {
+  log_event(settings_.name, "group_changed",
+            {{"group", decision.group.name},
+             {"epoch", std::to_string(decision.group.epoch)},
+             {"model", decision.group.model},
+             {"phase", decision.is_released ? "RELEASED" : wire::to_string(decision.group.phase)},
+             {"reason", fleet::to_string(decision.reason)},
+             {"members", joined(decision.group.members)}});
+}
+
 void ControlProcess::report_instances() {
   if (!controller_.is_leader(monotonic_now())) {
     reported_instances_.clear();
@@ -249,7 +278,8 @@
   const auto& rows = controller_.leader_view().instances().rows();
   std::erase_if(reported_instances_, [&rows](const auto& item) { return !rows.contains(item.first); });
   for (const auto& [id, row] : rows) {
-    const std::pair state(row.instance.state, row.instance.silent);
+    const ReportedInstance state{row.instance.state, row.instance.silent, row.instance.model,
+                                 row.instance.staged_models};
     const auto [reported, is_new] = reported_instances_.try_emplace(id, state);
     if (!is_new && reported->second == state) {
       continue;
@@ -261,8 +291,10 @@
                {"zone", row.instance.zone},
                {"domain", row.instance.domain},
                {"address", row.instance.address},
-               {"state", wire::to_string(state.first)},
-               {"silent", state.second ? "yes" : "no"}});
+               {"state", wire::to_string(state.state)},
+               {"silent", state.silent ? "yes" : "no"},
+               {"model", state.model},
+               {"staged", joined(state.staged_models)}});
   }
 }
 
@@ -298,6 +330,7 @@
                       view.owner_of(id) == nullptr;
     if (idle) {
       free_text += (free_text.empty() ? "" : ",") + instance.domain + "/" +
+                   (instance.model.empty() ? "none" : instance.model) + "/" +
                    (instance.staged_models.empty() ? "none" : instance.staged_models.back());
     }
   }
--- a/src/node/entry_process.cc
+++ b/src/node/entry_process.cc
@@ -145,7 +145,8 @@
 void EntryProcess::tick() {
   const TimePoint now = monotonic_now();
   wire::FleetHeartbeat content;
-  content.loads = state_.dispatcher.take_loads(now);
+  content.loads = state_.dispatcher.loads(now);
+  content.demand = state_.dispatcher.demand_totals();
   content.failures = state_.dispatcher.failures(now);
   content.leaving = leaving_;
   content.traffic_seen = state_.traffic_seen;
--- a/src/node/request_relay.cc
+++ b/src/node/request_relay.cc
@@ -108,12 +108,12 @@
     held = std::min(held, Duration(milliseconds(*deadline_ms)));
   }
   request.due = request.received + held;
-  note_sizes(request);
+  note_demand(request);
   state_.dispatcher.note_request(request.received, request.service->name);
   return std::nullopt;
 }
 
-void RequestRelay::note_sizes(const RelayedRequest& request) {
+void RequestRelay::note_demand(const RelayedRequest& request) {
   const auto& headers = request.exchange->request().headers;
   const auto counts = headers.find(dialect_.token_counts);
   const size_t comma = counts.find(',');
@@ -124,8 +124,8 @@
   const auto most_out = parse_number(counts.substr(comma + 1));
   const auto hint = parse_number(headers.find(dialect_.length_hint));
   if (prompt && (hint || most_out)) {
-    state_.dispatcher.note_sizes(request.service->name, request.model, static_cast<double>(*prompt),
-                                 static_cast<double>(hint ? *hint : *most_out));
+    const engine::RequestSizes sizes{static_cast<double>(*prompt), static_cast<double>(hint ? *hint : *most_out)};
+    state_.dispatcher.note_demand(request.service->name, {request.model, request.route->target_latency}, sizes);
   }
 }
 
--- a/src/node/request_relay.h
+++ b/src/node/request_relay.h
@@ -74,8 +74,8 @@
 
   std::optional<Refusal> identify(RelayedRequest& request);
   std::optional<Refusal> authorise(RelayedRequest& request, std::string_view key);
-  /// Takes the request's own statement of its size, for the forecasts of load.
-  void note_sizes(const RelayedRequest& request);
+  /// Takes the request's own statement of its size, for the forecasts of load and the shares of models.
+  void note_demand(const RelayedRequest& request);
   boost::asio::awaitable<void> relay(RelayedRequest& request);
   boost::asio::awaitable<std::optional<fleet::Target>> find_target(RelayedRequest& request);
   boost::asio::awaitable<Sending> send(RelayedRequest& request, const fleet::Target& target);
--- a/src/simulation/registered_fleet.cc
+++ b/src/simulation/registered_fleet.cc
@@ -25,7 +25,7 @@
   return R"({"version":)" + std::to_string(version) +
          R"(,"routes":[],"services":[{"name":"engines","health_path":"/","max_connections":100,"engine":{"slots":8,)"
          R"("models":[{"name":"large","size":4,"fraction":0.7},{"name":"small","size":2,"fraction":0.3}],)"
-         R"("loads_per_s":4,"loads_at_once":6}}]})";
+         R"("loads_per_s":4,"loads_at_once":6,"cached_prefixes":1}}]})";
 }
 
 }  // namespace
@@ -222,8 +222,9 @@
   if (instance == nullptr) {
     return 0;
   }
-  const bool warm =
+  const bool staged =
       std::find(instance->staged().begin(), instance->staged().end(), order.model) != instance->staged().end();
+  const bool warm = staged || instance->model() == order.model;
   const bool was_open = instance->is_open_head();
   const SimulatedInstance before = *instance;
   const int status = instance->carry_out(queue_.now(), order, warm ? kWarmJoin : kColdJoin);
--- a/src/simulation/simulated_instance.h
+++ b/src/simulation/simulated_instance.h
@@ -30,6 +30,8 @@
   const std::string& address() const { return address_; }
   const std::string& domain() const { return domain_; }
   const std::vector<std::string>& staged() const { return staged_; }
+  /// The model of its last group since it started.
+  const std::string& model() const { return model_; }
   const wire::GroupMembership& membership() const { return membership_; }
   const std::vector<std::string>& members() const { return members_; }
   bool is_open_head() const { return membership_.rank == 0 && membership_.state == wire::MembershipState::OPEN; }
--- a/src/wire/gen-cpp/larchlever_types.cpp
+++ b/src/wire/gen-cpp/larchlever_types.cpp
@@ -12341,12 +12341,20 @@
   this->model = val;
 }
 
-void ModelDemand::__set_received(const int32_t val) {
+void ModelDemand::__set_received(const int64_t val) {
   this->received = val;
 }
 
-void ModelDemand::__set_refused(const int32_t val) {
-  this->refused = val;
+void ModelDemand::__set_prompt_tokens(const int64_t val) {
+  this->prompt_tokens = val;
+}
+
+void ModelDemand::__set_answer_tokens(const int64_t val) {
+  this->answer_tokens = val;
+}
+
+void ModelDemand::__set_target_latency_ms(const int32_t val) {
+  this->target_latency_ms = val;
 }
 std::ostream& operator<<(std::ostream& out, const ModelDemand& obj)
 {
@@ -12393,17 +12401,33 @@
         }
         break;
       case 3:
-        if (ftype == ::apache::thrift::protocol::T_I32) {
-          xfer += iprot->readI32(this->received);
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->received);
           this->__isset.received = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
       case 4:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->prompt_tokens);
+          this->__isset.prompt_tokens = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->answer_tokens);
+          this->__isset.answer_tokens = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 6:
         if (ftype == ::apache::thrift::protocol::T_I32) {
-          xfer += iprot->readI32(this->refused);
-          this->__isset.refused = true;
+          xfer += iprot->readI32(this->target_latency_ms);
+          this->__isset.target_latency_ms = true;
         } else {
           xfer += iprot->skip(ftype);
         }
@@ -12433,12 +12457,20 @@
   xfer += oprot->writeString(this->model);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("received", ::apache::thrift::protocol::T_I32, 3);
-  xfer += oprot->writeI32(this->received);
+  xfer += oprot->writeFieldBegin("received", ::apache::thrift::protocol::T_I64, 3);
+  xfer += oprot->writeI64(this->received);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("prompt_tokens", ::apache::thrift::protocol::T_I64, 4);
+  xfer += oprot->writeI64(this->prompt_tokens);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("answer_tokens", ::apache::thrift::protocol::T_I64, 5);
+  xfer += oprot->writeI64(this->answer_tokens);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("refused", ::apache::thrift::protocol::T_I32, 4);
-  xfer += oprot->writeI32(this->refused);
+  xfer += oprot->writeFieldBegin("target_latency_ms", ::apache::thrift::protocol::T_I32, 6);
+  xfer += oprot->writeI32(this->target_latency_ms);
   xfer += oprot->writeFieldEnd();
 
   xfer += oprot->writeFieldStop();
@@ -12451,7 +12483,9 @@
   swap(a.service_name, b.service_name);
   swap(a.model, b.model);
   swap(a.received, b.received);
-  swap(a.refused, b.refused);
+  swap(a.prompt_tokens, b.prompt_tokens);
+  swap(a.answer_tokens, b.answer_tokens);
+  swap(a.target_latency_ms, b.target_latency_ms);
   swap(a.__isset, b.__isset);
 }
 
@@ -12459,21 +12493,27 @@
   service_name = other474.service_name;
   model = other474.model;
   received = other474.received;
-  refused = other474.refused;
+  prompt_tokens = other474.prompt_tokens;
+  answer_tokens = other474.answer_tokens;
+  target_latency_ms = other474.target_latency_ms;
   __isset = other474.__isset;
 }
 ModelDemand::ModelDemand(ModelDemand&& other475) noexcept {
   service_name = std::move(other475.service_name);
   model = std::move(other475.model);
   received = other475.received;
-  refused = other475.refused;
+  prompt_tokens = other475.prompt_tokens;
+  answer_tokens = other475.answer_tokens;
+  target_latency_ms = other475.target_latency_ms;
   __isset = other475.__isset;
 }
 ModelDemand& ModelDemand::operator=(const ModelDemand& other476) {
   service_name = other476.service_name;
   model = other476.model;
   received = other476.received;
-  refused = other476.refused;
+  prompt_tokens = other476.prompt_tokens;
+  answer_tokens = other476.answer_tokens;
+  target_latency_ms = other476.target_latency_ms;
   __isset = other476.__isset;
   return *this;
 }
@@ -12481,7 +12521,9 @@
   service_name = std::move(other477.service_name);
   model = std::move(other477.model);
   received = other477.received;
-  refused = other477.refused;
+  prompt_tokens = other477.prompt_tokens;
+  answer_tokens = other477.answer_tokens;
+  target_latency_ms = other477.target_latency_ms;
   __isset = other477.__isset;
   return *this;
 }
@@ -12491,7 +12533,9 @@
   out << "service_name=" << to_string(service_name);
   out << ", " << "model=" << to_string(model);
   out << ", " << "received=" << to_string(received);
-  out << ", " << "refused=" << to_string(refused);
+  out << ", " << "prompt_tokens=" << to_string(prompt_tokens);
+  out << ", " << "answer_tokens=" << to_string(answer_tokens);
+  out << ", " << "target_latency_ms=" << to_string(target_latency_ms);
   out << ")";
 }
 
--- a/src/wire/gen-cpp/larchlever_types.h
+++ b/src/wire/gen-cpp/larchlever_types.h
@@ -4476,7 +4476,7 @@
    */
   bool silent;
   /**
-   * The model whose weights the instance holds in its accelerators; empty when it holds none.
+   * The model of the instance's last group since its start, whose weights it still holds; empty when it had none.
    */
   std::string model;
 
@@ -4766,15 +4766,17 @@
 std::ostream& operator<<(std::ostream& out, const GroupLoad& obj);
 
 typedef struct _ModelDemand__isset {
-  _ModelDemand__isset() : service_name(false), model(false), received(false), refused(false) {}
+  _ModelDemand__isset() : service_name(false), model(false), received(false), prompt_tokens(false), answer_tokens(false), target_latency_ms(false) {}
   bool service_name :1;
   bool model :1;
   bool received :1;
-  bool refused :1;
+  bool prompt_tokens :1;
+  bool answer_tokens :1;
+  bool target_latency_ms :1;
 } _ModelDemand__isset;
 
 /**
- * Requests for a model that a node received since its previous heartbeat, and how many it had to refuse.
+ * Requests for a model that a node received since it started: totals, so that a lost report loses nothing.
  */
 class ModelDemand : public virtual ::apache::thrift::TBase {
  public:
@@ -4787,14 +4789,24 @@
               : service_name(),
                 model(),
                 received(0),
-                refused(0) {
+                prompt_tokens(0),
+                answer_tokens(0),
+                target_latency_ms(0) {
   }
 
   virtual ~ModelDemand() noexcept;
   std::string service_name;
   std::string model;
-  int32_t received;
-  int32_t refused;
+  int64_t received;
+  int64_t prompt_tokens;
+  /**
+   * As far as the requests themselves foretold them.
+   */
+  int64_t answer_tokens;
+  /**
+   * Shortest time to the first event that their routes aim at.
+   */
+  int32_t target_latency_ms;
 
   _ModelDemand__isset __isset;
 
@@ -4802,9 +4814,13 @@
 
   void __set_model(const std::string& val);
 
-  void __set_received(const int32_t val);
+  void __set_received(const int64_t val);
 
-  void __set_refused(const int32_t val);
+  void __set_prompt_tokens(const int64_t val);
+
+  void __set_answer_tokens(const int64_t val);
+
+  void __set_target_latency_ms(const int32_t val);
 
   bool operator == (const ModelDemand & rhs) const
   {
@@ -4814,7 +4830,11 @@
       return false;
     if (!(received == rhs.received))
       return false;
-    if (!(refused == rhs.refused))
+    if (!(prompt_tokens == rhs.prompt_tokens))
+      return false;
+    if (!(answer_tokens == rhs.answer_tokens))
+      return false;
+    if (!(target_latency_ms == rhs.target_latency_ms))
       return false;
     return true;
   }
@@ -5087,7 +5107,7 @@
   std::string document;
   FleetState state;
   /**
-   * Requests in flight per group, over all nodes.
+   * Requests in flight per group at all nodes but the receiver.
    */
   std::vector<GroupLoad>  loads;
   /**
--- a/src/wire/larchlever.thrift
+++ b/src/wire/larchlever.thrift
@@ -518,7 +518,7 @@
   10: GroupMembership membership,
   /** Its registrations stopped; it may be down, or only cut off from the control replicas. */
   11: bool silent,
-  /** The model whose weights the instance holds in its accelerators; empty when it holds none. */
+  /** The model of the instance's last group since its start, whose weights it still holds; empty when it had none. */
   12: string model,
 }
 
@@ -549,12 +549,16 @@
   3: i32 progress_age_ms,
 }
 
-/** Requests for a model that a node received since its previous heartbeat, and how many it had to refuse. */
+/** Requests for a model that a node received since it started: totals, so that a lost report loses nothing. */
 struct ModelDemand {
   1: string service_name,
   2: string model,
-  3: i32 received,
-  4: i32 refused,
+  3: i64 received,
+  4: i64 prompt_tokens,
+  /** As far as the requests themselves foretold them. */
+  5: i64 answer_tokens,
+  /** Shortest time to the first event that their routes aim at. */
+  6: i32 target_latency_ms,
 }
 
 /** An entry's own evidence against an instance: it refused connections, reset or stood still. */
@@ -596,7 +600,7 @@
   6: i64 document_version,
   7: optional binary document,
   8: optional FleetState state,
-  /** Requests in flight per group, over all nodes. */
+  /** Requests in flight per group at all nodes but the receiver. */
   9: list<GroupLoad> loads,
   /** Nodes that serve requests now; budgets that all share are split by it. */
   10: i32 serving_nodes,
