Count voters whose disk was lost as holding no lease, and campaign quickly until a leader was heard

Change: a replica that is asked as the identity its disk had before says so; such a voter holds no lease and casts no vote; campaigns follow quickly until a leader was heard. Tests: RaftTrio.AVoterThatLostItsDiskIsNotWaitedForAndNotCounted, AMajorityOfLostDisksIsNoMajority.

--- a/src/consensus/raft_elections.cc
+++ b/src/consensus/raft_elections.cc
@@ -32,10 +32,29 @@
   return !heard_leader_since_start_ && !identity_rejected_ && now < started_ + silence;
 }
 
+bool RaftNode::restarts_with_others(TimePoint now) const {
+  const Duration silence = std::max(options_.election_timeout_min, options_.restart_check);
+  return !heard_leader_since_start_ && now < started_ + silence + options_.election_timeout_max;
+}
+
+void RaftNode::disown_identity(const wire::RaftMessage& message) {
+  if (!message.__isset.vote_request) {
+    return;
+  }
+  auto& answer = outgoing(message.from_replica, false);
+  answer.from_replica = message.to_replica;
+  wire::VoteReply reply;
+  reply.term = message.vote_request.term;
+  reply.pre_vote = message.vote_request.pre_vote;
+  reply.voter_gone = true;
+  answer.__set_vote_reply(reply);
+}
+
 void RaftNode::campaign(TimePoint now, bool pre_vote, bool transfer) {
   reset_election_timer(now);
   leader_ = 0;
   votes_.clear();
+  gone_voters_.clear();
   votes_[id_.value()] = in_restart_silence(now);
   role_ = pre_vote ? Role::kPreCandidate : Role::kCandidate;
   if (!pre_vote) {
@@ -74,7 +93,11 @@
     granted += vote != votes_.end() ? 1 : 0;
     unconditional += vote != votes_.end() && !vote->second ? 1 : 0;
   }
-  if (unconditional < majority(voters.size()) && granted < voters.size()) {
+  // Who is gone holds no lease, yet its vote is not replaced: what was committed stands on a majority.
+  const auto gone = static_cast<size_t>(std::count_if(
+      voters.begin(), voters.end(), [this](const auto& voter) { return gone_voters_.contains(voter.replica_id); }));
+  const bool unanimous = granted + gone == voters.size() && granted >= majority(voters.size());
+  if (unconditional < majority(voters.size()) && !unanimous) {
     return;
   }
   if (role_ == Role::kPreCandidate) {
@@ -131,6 +154,11 @@
   if (!expected) {
     return;
   }
+  if (reply.voter_gone) {
+    gone_voters_.insert(from);
+    tally_votes(now);
+    return;
+  }
   const int64_t asked_term = reply.pre_vote ? hard_state_.term + 1 : hard_state_.term;
   if (!reply.granted && !reply.granted_if_unanimous) {
     if (reply.term > hard_state_.term) {
--- a/src/consensus/raft_node.cc
+++ b/src/consensus/raft_node.cc
@@ -72,7 +72,7 @@
 bool RaftNode::is_voter() const { return contains(log_.replicas().voters, id_.value()); }
 
 void RaftNode::reset_election_timer(TimePoint now) {
-  const bool restarting = in_restart_silence(now);
+  const bool restarting = restarts_with_others(now);
   const Duration least = restarting ? options_.restart_campaign_min : options_.election_timeout_min;
   const Duration most = restarting ? options_.restart_campaign_max : options_.election_timeout_max;
   std::uniform_int_distribution<int64_t> jitter(0, std::max<int64_t>((most - least).count(), 1));
@@ -98,6 +98,7 @@
   role_ = Role::kFollower;
   leader_ = leader;
   votes_.clear();
+  gone_voters_.clear();
   progress_.clear();
   reset_election_timer(now);
 }
@@ -381,6 +382,7 @@
 void RaftNode::step(TimePoint now, const wire::RaftMessage& message) {
   if (message.to_replica != id_.value()) {
     ++stats_.messages_for_other_identity;
+    disown_identity(message);
     return;
   }
   if (identity_rejected_) {
--- a/src/consensus/raft_node.h
+++ b/src/consensus/raft_node.h
@@ -135,6 +135,11 @@
   /// Restarted a moment ago and not heard from a leader since. A leader that counted an earlier answer of ours may hold
   /// its lease; unless every voter votes, which a leader that holds one does not, it must run out first.
   bool in_restart_silence(TimePoint now) const;
+  /// No leader was heard since the start, and others may have started as late: campaigns follow each other quickly.
+  bool restarts_with_others(TimePoint now) const;
+  /// Answers a candidate that asked an identity which this address had before it lost its disk. Data folders do not
+  /// move between addresses, so that replica runs nowhere.
+  void disown_identity(const wire::RaftMessage& message);
   /// A leader proved that this replica's disk lost acknowledged entries. The owner must give the data folder a new
   /// identity and come back as a learner; this object takes part in nothing any more.
   bool identity_rejected() const { return identity_rejected_; }
@@ -212,6 +217,8 @@
   bool lease_given_up_ = false;
   /// Votes granted, by replica; true when they hold only if all voters grant theirs.
   std::map<int64_t, bool> votes_;
+  /// Voters at whose address another identity answered in this campaign.
+  std::set<int64_t> gone_voters_;
   std::map<int64_t, Progress> progress_;
   std::set<int64_t> rolled_back_;
   int64_t synced_index_ = 0;
--- a/src/wire/gen-cpp/larchlever_types.cpp
+++ b/src/wire/gen-cpp/larchlever_types.cpp
@@ -1336,6 +1336,10 @@
 void VoteReply::__set_granted_if_unanimous(const bool val) {
   this->granted_if_unanimous = val;
 }
+
+void VoteReply::__set_voter_gone(const bool val) {
+  this->voter_gone = val;
+}
 std::ostream& operator<<(std::ostream& out, const VoteReply& obj)
 {
   obj.printTo(out);
@@ -1396,6 +1400,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->voter_gone);
+          this->__isset.voter_gone = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -1429,6 +1441,10 @@
   xfer += oprot->writeBool(this->granted_if_unanimous);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("voter_gone", ::apache::thrift::protocol::T_BOOL, 5);
+  xfer += oprot->writeBool(this->voter_gone);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -1440,6 +1456,7 @@
   swap(a.granted, b.granted);
   swap(a.pre_vote, b.pre_vote);
   swap(a.granted_if_unanimous, b.granted_if_unanimous);
+  swap(a.voter_gone, b.voter_gone);
   swap(a.__isset, b.__isset);
 }
 
@@ -1448,6 +1465,7 @@
   granted = other37.granted;
   pre_vote = other37.pre_vote;
   granted_if_unanimous = other37.granted_if_unanimous;
+  voter_gone = other37.voter_gone;
   __isset = other37.__isset;
 }
 VoteReply::VoteReply(VoteReply&& other38) noexcept {
@@ -1455,6 +1473,7 @@
   granted = other38.granted;
   pre_vote = other38.pre_vote;
   granted_if_unanimous = other38.granted_if_unanimous;
+  voter_gone = other38.voter_gone;
   __isset = other38.__isset;
 }
 VoteReply& VoteReply::operator=(const VoteReply& other39) noexcept {
@@ -1462,6 +1481,7 @@
   granted = other39.granted;
   pre_vote = other39.pre_vote;
   granted_if_unanimous = other39.granted_if_unanimous;
+  voter_gone = other39.voter_gone;
   __isset = other39.__isset;
   return *this;
 }
@@ -1470,6 +1490,7 @@
   granted = other40.granted;
   pre_vote = other40.pre_vote;
   granted_if_unanimous = other40.granted_if_unanimous;
+  voter_gone = other40.voter_gone;
   __isset = other40.__isset;
   return *this;
 }
@@ -1480,6 +1501,7 @@
   out << ", " << "granted=" << to_string(granted);
   out << ", " << "pre_vote=" << to_string(pre_vote);
   out << ", " << "granted_if_unanimous=" << to_string(granted_if_unanimous);
+  out << ", " << "voter_gone=" << to_string(voter_gone);
   out << ")";
 }
 
--- a/src/wire/gen-cpp/larchlever_types.h
+++ b/src/wire/gen-cpp/larchlever_types.h
@@ -688,11 +688,12 @@
 std::ostream& operator<<(std::ostream& out, const VoteRequest& obj);
 
 typedef struct _VoteReply__isset {
-  _VoteReply__isset() : term(false), granted(false), pre_vote(false), granted_if_unanimous(false) {}
+  _VoteReply__isset() : term(false), granted(false), pre_vote(false), granted_if_unanimous(false), voter_gone(false) {}
   bool term :1;
   bool granted :1;
   bool pre_vote :1;
   bool granted_if_unanimous :1;
+  bool voter_gone :1;
 } _VoteReply__isset;
 
 class VoteReply : public virtual ::apache::thrift::TBase {
@@ -706,7 +707,8 @@
             : term(0),
               granted(0),
               pre_vote(0),
-              granted_if_unanimous(0) {
+              granted_if_unanimous(0),
+              voter_gone(0) {
   }
 
   virtual ~VoteReply() noexcept;
@@ -717,6 +719,10 @@
    * The voter restarted so recently that a leader may still count on its word: its vote counts only where all vote.
    */
   bool granted_if_unanimous;
+  /**
+   * The voter's disk was lost: another identity runs at its address, so it holds no lease and will never vote.
+   */
+  bool voter_gone;
 
   _VoteReply__isset __isset;
 
@@ -728,6 +734,8 @@
 
   void __set_granted_if_unanimous(const bool val);
 
+  void __set_voter_gone(const bool val);
+
   bool operator == (const VoteReply & rhs) const
   {
     if (!(term == rhs.term))
@@ -738,6 +746,8 @@
       return false;
     if (!(granted_if_unanimous == rhs.granted_if_unanimous))
       return false;
+    if (!(voter_gone == rhs.voter_gone))
+      return false;
     return true;
   }
   bool operator != (const VoteReply &rhs) const {
--- a/src/wire/larchlever.thrift
+++ b/src/wire/larchlever.thrift
@@ -53,6 +53,8 @@
   3: bool pre_vote,
   /** The voter restarted so recently that a leader may still count on its word: its vote counts only where all vote. */
   4: bool granted_if_unanimous,
+  /** The voter's disk was lost: another identity runs at its address, so it holds no lease and will never vote. */
+  5: bool voter_gone,
 }
 
 struct AppendRequest {
--- a/tests/unit/raft_node_test.cc
+++ b/tests/unit/raft_node_test.cc
@@ -71,6 +71,12 @@
         RaftNode(ReplicaId(id), Incarnation(++boots_), options_, stored_[id], static_cast<uint64_t>(id), now_);
   }
 
+  /// The replica comes back at its address with an empty disk, under a new identity.
+  void lose_disk(int64_t id) {
+    stored_[id] = PersistedState();
+    nodes_.at(id) = RaftNode(ReplicaId(id + 100), Incarnation(1), options_, PersistedState(), 7, now_);
+  }
+
   RaftNode* leader() {
     for (auto& [id, node] : nodes_) {
       if (!cut_.contains(id) && node.has_lease(now_)) {
@@ -103,6 +109,20 @@
   EXPECT_NE(leader(), nullptr);
 }
 
+TEST_F(RaftTrio, AVoterThatLostItsDiskIsNotWaitedForAndNotCounted) {
+  // Another identity answers at its address.
+  lose_disk(3);
+  run(milliseconds(450));
+  EXPECT_NE(leader(), nullptr) << "the two that are left are a majority, and nobody can hold a lease";
+}
+
+TEST_F(RaftTrio, AMajorityOfLostDisksIsNoMajority) {
+  lose_disk(2);
+  lose_disk(3);
+  run(seconds(5));
+  EXPECT_EQ(leader(), nullptr);
+}
+
 TEST_F(RaftTrio, RestartedVotersDoNotDeposeALeader) {
   run(seconds(5));
   auto* chosen = leader();
