Do not spend weights that a more pressed model needs; stage where the fewest are lacking

Change: as the title says. Tests: GroupPlanner.DoesNotSpendWeightsThatAMorePressedModelNeeds, StagesFirstWhereTheFewestAreLacking.

--- a/src/core/fleet/group_planner.cc
+++ b/src/core/fleet/group_planner.cc
@@ -24,6 +24,7 @@
 GroupPlanner::GroupPlanner(PlannerInput input) : input_(std::move(input)) {
   for (size_t index = 0; index < input_.servers.size(); ++index) {
     by_domain_[input_.servers[index].domain].push_back(index);
+    domains_[input_.servers[index].id] = input_.servers[index].domain;
   }
   for (auto& group : input_.groups) {
     groups_[group.name] = group;
@@ -125,15 +126,40 @@
   return best;
 }
 
+bool GroupPlanner::wastes_weights(const GroupPlan& plan) const {
+  if (input_.cold_groups_allowed) {
+    return false;
+  }
+  std::map<std::string, double> pressures;
+  for (const auto& need : input_.needs) {
+    pressures[need.model->name] = pressure(need, groups_held(need.model->name));
+  }
+  return std::any_of(input_.servers.begin(), input_.servers.end(), [&](const auto& server) {
+    const bool is_member = std::find(plan.members.begin(), plan.members.end(), server.id) != plan.members.end();
+    const bool keeps = server.loaded_model == plan.model->name || server.has_staged(server.loaded_model);
+    const auto lost = pressures.find(server.loaded_model);
+    return is_member && !keeps && lost != pressures.end() && lost->second > pressures[plan.model->name];
+  });
+}
+
+size_t GroupPlanner::warm_free_servers(const std::string& domain, const std::string& model) const {
+  const auto& indexes = by_domain_.at(domain);
+  return static_cast<size_t>(std::count_if(indexes.begin(), indexes.end(), [&](size_t index) {
+    const auto& server = input_.servers[index];
+    return server.group.empty() && server.is_warm_for(model);
+  }));
+}
+
 std::optional<GroupPlan> GroupPlanner::next_group() const {
   for (const auto* need : by_pressure()) {
     if (!may_grow(*need)) {
       continue;
     }
     auto plan = best_plan(*need->model);
-    if (plan && (plan->loads == 0 || input_.cold_groups_allowed)) {
-      return plan;
+    if (!plan || (plan->loads > 0 && !input_.cold_groups_allowed) || wastes_weights(*plan)) {
+      continue;
     }
+    return plan;
   }
   return std::nullopt;
 }
@@ -244,6 +270,11 @@
     auto& list = is_larger ? for_larger_models : precautions;
     list.push_back({server.id, standby->name, is_larger});
   }
+  // First where the fewest are lacking for a group.
+  std::stable_sort(needed.begin(), needed.end(), [this](const auto& left, const auto& right) {
+    return warm_free_servers(domains_.at(left.server), left.model) >
+           warm_free_servers(domains_.at(right.server), right.model);
+  });
   needed.insert(needed.end(), for_larger_models.begin(), for_larger_models.end());
   needed.insert(needed.end(), precautions.begin(), precautions.end());
   return needed;
--- a/src/core/fleet/group_planner.h
+++ b/src/core/fleet/group_planner.h
@@ -110,6 +110,10 @@
   /// Servers that the model should have when all of them are shared out by need.
   double target_servers(const ModelNeed& need) const;
   bool may_grow(const ModelNeed& need) const;
+  /// A member would lose the weights of a model that is more pressed than the plan's: loads are dearer than idleness.
+  bool wastes_weights(const GroupPlan& plan) const;
+  /// Free servers of a domain that need no load for the model.
+  size_t warm_free_servers(const std::string& domain, const std::string& model) const;
   std::optional<GroupPlan> best_plan(const document::ModelSpec& model) const;
   /// Groups of the largest model that `free_servers` could still form.
   size_t largest_groups(size_t free_servers) const;
@@ -121,6 +125,7 @@
 
   PlannerInput input_;
   std::map<std::string, ServerIndex> by_domain_;
+  std::map<std::string, std::string> domains_;
   std::map<std::string, PlannedGroup> groups_;
 };
 
--- a/tests/unit/group_planner_test.cc
+++ b/tests/unit/group_planner_test.cc
@@ -130,6 +130,34 @@
   EXPECT_FALSE(GroupPlanner(input).next_group());
 }
 
+TEST(GroupPlanner, DoesNotSpendWeightsThatAMorePressedModelNeeds) {
+  const TwoModels models;
+  PlannerInput input;
+  input.servers = {server("i0", "d0", "large", "small"), server("i1", "d0", "large", "small"), server("i2", "d1")};
+  input.needs = {{&models.large, 2}, {&models.small, 1}};
+  input.groups = {{"l0", "large", true, true, false}, {"s0", "small", true, true, false}};
+  input.cold_groups_allowed = false;
+  EXPECT_FALSE(GroupPlanner(input).next_group()) << "two of the four that a large group takes";
+  input.needs[1].groups_needed = 3;
+  ASSERT_TRUE(GroupPlanner(input).next_group()) << "the small model is worse off";
+  input.needs[1].groups_needed = 1;
+  input.servers[0] = server("i0", "d0", "small", "large");
+  input.servers[1] = server("i1", "d0", "small", "large");
+  input.servers.push_back(server("i3", "d1"));
+  input.servers.push_back(server("i4", "d1"));
+  EXPECT_TRUE(GroupPlanner(input).next_group()) << "nothing is lost: the hosts keep the large weights";
+}
+
+TEST(GroupPlanner, StagesFirstWhereTheFewestAreLacking) {
+  const TwoModels models;
+  PlannerInput input;
+  input.servers = {server("i0", "d0"), server("i1", "d1"), server("i2", "d1", "large"), server("i3", "d1", "large")};
+  input.needs = {{&models.large, 1}};
+  const auto stagings = GroupPlanner(input).stagings();
+  ASSERT_FALSE(stagings.empty());
+  EXPECT_EQ(stagings.front().server, "i1");
+}
+
 TEST(GroupPlanner, HostsHoldTheWeightsOfTheOtherModel) {
   const TwoModels models;
   PlannerInput input;
