Send to the group with the earliest expected first event; leave quiet groups alone

Ruled out: pauses of healthy groups (at most 284 ms, the cost model's pass with a whole chunk each step). Change: entries report streams and waiting prompt tokens per group beside requests in flight; a group whose streams pause beyond the longest pass gets nothing new and is given up after twice that; of three groups drawn by lot the one with the earliest expected first event is taken; TargetHealth holds a target's load and signs of life. Tests: target_health_test; the fixture of GroupPlanner.DoesNotSpendWeightsThatAMorePressedModelNeeds named groups without their servers and had not been run: completed.

--- a/src/core/engine/cost_model.cc
+++ b/src/core/engine/cost_model.cc
@@ -10,6 +10,8 @@
 constexpr double kObjectiveShare = 0.75;
 /// A request waits for half of the pass under way, on average, and then for its own.
 constexpr double kPassesAlone = 1.5;
+/// What is left, on average, of the pass that a request meets.
+constexpr double kPassUnderWay = 0.5;
 /// Reading loads from here on count as this, where the formula for queues has no meaning.
 constexpr double kSaturated = 0.97;
 /// How fast the means follow: the share of one request.
@@ -52,6 +54,23 @@
   return most;
 }
 
+Duration longest_pass(const document::EngineSpec& engine, const document::ModelSpec& model) {
+  const double step_ms = engine.step_ms + engine.per_sequence_ms * engine.slots;
+  const double reading_ms = engine.chunk_tokens * 1000.0 / engine.read_tokens_per_second;
+  return from_milliseconds(model.pace * engine.steps_per_pass * (step_ms + reading_ms));
+}
+
+Duration expected_first_event(const document::EngineSpec& engine, const document::ModelSpec& model, int running,
+                              double waiting_tokens, double prompt_tokens) {
+  const double step_ms = engine.step_ms + engine.per_sequence_ms * running;
+  const double writing_ms = engine.steps_per_pass * step_ms;
+  const double tokens = waiting_tokens + prompt_tokens;
+  const double reading_ms = tokens * 1000.0 / engine.read_tokens_per_second;
+  // While prompts are read, every pass also writes; then comes the pass that writes the first event.
+  const double passes = 1.0 + tokens / (static_cast<double>(engine.chunk_tokens) * engine.steps_per_pass);
+  return from_milliseconds(model.pace * (writing_ms * (kPassUnderWay + passes) + reading_ms));
+}
+
 double sustainable_rate(const document::EngineSpec& engine, const document::ModelSpec& model, const RequestSizes& sizes,
                         Duration target) {
   const int running = target > Duration::zero() ? most_running(engine, model, sizes, target) : engine.slots;
--- a/src/core/engine/cost_model.h
+++ b/src/core/engine/cost_model.h
@@ -30,6 +30,14 @@
 int most_running(const document::EngineSpec& engine, const document::ModelSpec& model, const RequestSizes& sizes,
                  Duration target);
 
+/// The longest that a group with all its slots taken lets its streams pause: a pass that reads a whole chunk each step.
+Duration longest_pass(const document::EngineSpec& engine, const document::ModelSpec& model);
+
+/// Time to the first event of a request of `prompt_tokens` that arrives at a group that has `running` requests, of
+/// whose prompts `waiting_tokens` are still to be read.
+Duration expected_first_event(const document::EngineSpec& engine, const document::ModelSpec& model, int running,
+                              double waiting_tokens, double prompt_tokens);
+
 /// Requests a second that a group serves when it holds `most_running` of them all the time.
 double sustainable_rate(const document::EngineSpec& engine, const document::ModelSpec& model, const RequestSizes& sizes,
                         Duration target);
--- a/src/core/fleet/dispatcher.cc
+++ b/src/core/fleet/dispatcher.cc
@@ -11,12 +11,22 @@
 /// Progress older than this is not reported.
 constexpr Duration kReportedProgress = seconds(3);
 constexpr int32_t kNoProgress = -1;
+/// A healthy group's pause may be this much of the cost model's longest pass, and this time on the way.
+constexpr int kPausePercent = 120;
+constexpr Duration kPauseSlack = milliseconds(40);
+constexpr Duration kUnknownPause = seconds(1);
+/// A group whose streams pause for this many times the longest pause stands still.
+constexpr int kStallPauses = 2;
 /// Share of the budget that entries use: they learn of each other with a delay.
 constexpr double kBudgetShare = 0.7;
 /// Share of a head's slots that may be filled: the loads of other entries are known with a delay.
 constexpr double kFilledShare = 0.92;
-/// What a target in another zone costs, in requests in flight.
+/// What a target in another zone costs, in requests in flight, and in milliseconds to the first event.
 constexpr double kOtherZoneCost = 1.0;
+constexpr double kOtherZoneMs = 2.0;
+/// Groups drawn by lot, of which the best is taken: were all entries to take the best of all by what they last heard,
+/// they would all take the same one.
+constexpr size_t kGroupsCompared = 3;
 
 }  // namespace
 
@@ -34,16 +44,41 @@
     known.insert(group.name);
   }
   std::erase_if(health_, [&](const auto& item) {
-    return item.second.in_flight == 0 && !known.contains(item.first) && !instances_.contains(item.first);
+    return item.second.in_flight() == 0 && !known.contains(item.first) && !instances_.contains(item.first);
   });
 }
 
-void Dispatcher::update_loads(const std::vector<wire::GroupLoad>& others) {
+void Dispatcher::update_services(const std::map<std::string, document::ServiceSpec>& services) {
+  longest_pauses_.clear();
+  for (const auto& [name, service] : services) {
+    if (!service.engine) {
+      continue;
+    }
+    for (const auto& model : service.engine->models) {
+      longest_pauses_[{name, model.name}] =
+          engine::longest_pass(*service.engine, model) * kPausePercent / 100 + kPauseSlack;
+    }
+  }
+}
+
+Duration Dispatcher::longest_pause(const std::string& service, const std::string& model) const {
+  const auto found = longest_pauses_.find({service, model});
+  return found == longest_pauses_.end() ? kUnknownPause : found->second;
+}
+
+void Dispatcher::update_loads(TimePoint now, const std::vector<wire::GroupLoad>& others) {
   for (auto& [key, health] : health_) {
-    health.others = 0;
+    health.set_others({});
   }
   for (const auto& load : others) {
-    health_[load.group].others = load.in_flight;
+    OthersLoad of_others;
+    of_others.in_flight = load.in_flight;
+    of_others.streaming = load.streaming;
+    of_others.waiting_tokens = static_cast<double>(load.waiting_tokens);
+    if (load.progress_age_ms != kNoProgress) {
+      of_others.last_progress = now - milliseconds(load.progress_age_ms);
+    }
+    health_[load.group].set_others(of_others);
   }
 }
 
@@ -63,9 +98,8 @@
 }
 
 double Dispatcher::cost_of(const std::string& key, const std::string& zone) {
-  const Health& health = health_[key];
   const double tie_break = std::uniform_real_distribution<double>(0, 1)(random_);
-  return health.in_flight + health.others + (zone == zone_ ? 0.0 : kOtherZoneCost) + tie_break;
+  return health_[key].total_in_flight() + (zone == zone_ ? 0.0 : kOtherZoneCost) + tie_break;
 }
 
 void Dispatcher::note_demand(const std::string& service, const Demand& demand, const engine::RequestSizes& sizes) {
@@ -101,11 +135,40 @@
   return std::min(filled, engine::most_running(engine, *model, sizes, demand.target_latency));
 }
 
+double Dispatcher::cost_of_group(const document::ServiceSpec& service, const Demand& demand,
+                                 const OpenGroup& candidate) const {
+  const auto& [group, head] = candidate;
+  const auto* model = service.engine->find_model(group->model);
+  const auto found = health_.find(group->name);
+  if (model == nullptr || found == health_.end()) {
+    return 0;
+  }
+  const auto first_event = engine::expected_first_event(*service.engine, *model, found->second.total_in_flight(),
+                                                        found->second.total_waiting_tokens(), demand.prompt_tokens);
+  return std::chrono::duration<double, std::milli>(first_event).count() + (head->zone == zone_ ? 0.0 : kOtherZoneMs);
+}
+
+size_t Dispatcher::better_of_few(const document::ServiceSpec& service, const Demand& demand,
+                                 std::vector<OpenGroup>& open) {
+  std::shuffle(open.begin(), open.end(), random_);
+  size_t best = 0;
+  double best_cost = cost_of_group(service, demand, open[0]);
+  for (size_t index = 1; index < std::min(open.size(), kGroupsCompared); ++index) {
+    const double cost = cost_of_group(service, demand, open[index]);
+    if (cost < best_cost) {
+      best_cost = cost;
+      best = index;
+    }
+  }
+  return best;
+}
+
 Choice Dispatcher::choose_group(TimePoint now, const document::ServiceSpec& service, const Demand& demand,
                                 const std::set<std::string>& excluded) {
   const int most = most_in_flight(service, demand);
   bool any_busy = false;
-  std::vector<std::pair<const wire::EngineGroup*, const wire::Instance*>> open;
+  std::vector<OpenGroup> open;
+  std::vector<OpenGroup> quiet;
   for (const auto& group : groups_) {
     const bool fits = group.phase == wire::GroupPhase::OPEN && group.service_name == service.name &&
                       group.model == demand.model && !excluded.contains(group.name);
@@ -113,33 +176,29 @@
     if (head == instances_.end() || head->second.state != wire::InstanceState::READY) {
       continue;
     }
-    const Health& health = health_[group.name];
-    if (now < health.avoid_until) {
+    const TargetHealth& health = health_[group.name];
+    if (health.is_avoided(now)) {
       continue;
     }
-    if (health.in_flight + health.others >= most) {
+    if (health.total_in_flight() >= most) {
       any_busy = true;
       continue;
     }
-    open.emplace_back(&group, &head->second);
+    auto& list = health.is_quiet(now, longest_pause(service.name, group.model)) ? quiet : open;
+    list.emplace_back(&group, &head->second);
+  }
+  if (open.empty()) {
+    open = std::move(quiet);  // Better than none: all may pause for a reason of their own.
   }
   Choice choice;
   if (open.empty()) {
     choice.failure = any_busy ? ChoiceFailure::kAllBusy : ChoiceFailure::kNoTarget;
     return choice;
   }
-  // The better of two drawn by lot: were all entries to take the least loaded by what they last heard, they would all
-  // take the same one.
-  std::shuffle(open.begin(), open.end(), random_);
-  size_t best = 0;
-  if (open.size() > 1) {
-    best = cost_of(open[0].first->name, open[0].second->zone) <= cost_of(open[1].first->name, open[1].second->zone) ? 0
-                                                                                                                    : 1;
-  }
+  const size_t best = better_of_few(service, demand, open);
   const auto& [group, head] = open[best];
-  const Health& health = health_[group->name];
-  choice.target =
-      Target{group->name, service.name, group->name, head->id, head->address, health.in_flight + health.others, most};
+  choice.target = Target{
+      group->name, service.name, group->name, head->id, head->address, health_[group->name].total_in_flight(), most};
   return choice;
 }
 
@@ -156,14 +215,14 @@
       continue;
     }
     // Doubtful instances are better than none: they may only be cut off from the control replicas.
-    const bool doubtful = instance.silent || now < health_[id].avoid_until;
+    const bool doubtful = instance.silent || health_[id].is_avoided(now);
     const double cost = cost_of(id, instance.zone);
     const bool better =
         !choice.target || (best_doubtful && !doubtful) || (best_doubtful == doubtful && cost < best_cost);
     if (better) {
       best_cost = cost;
       best_doubtful = doubtful;
-      choice.target = Target{id, service.name, "", id, instance.address, health_[id].in_flight, 0};
+      choice.target = Target{id, service.name, "", id, instance.address, health_[id].in_flight(), 0};
       choice.failure = ChoiceFailure::kNone;
     }
   }
@@ -175,27 +234,24 @@
   return service.engine ? choose_group(now, service, demand, excluded) : choose_instance(now, service, excluded);
 }
 
-void Dispatcher::begin(TimePoint now, const Target& target) {
-  Health& health = health_[target.key];
-  if (health.in_flight++ == 0) {
-    health.busy_since = now;
-  }
+void Dispatcher::begin(TimePoint now, const Target& target, const SendingMark& mark) {
+  health_[target.key].begin(now, mark);
 }
 
-void Dispatcher::end(const Target& target) {
-  Health& health = health_[target.key];
-  health.in_flight = std::max(0, health.in_flight - 1);
-}
+void Dispatcher::end(const Target& target, const SendingMark& mark) { health_[target.key].end(mark); }
 
-void Dispatcher::note_progress(TimePoint now, const Target& target) { health_[target.key].last_progress = now; }
+void Dispatcher::note_progress(TimePoint now, const Target& target) { health_[target.key].note_progress(now); }
+
+void Dispatcher::note_first_event(TimePoint now, const Target& target, SendingMark& mark) {
+  health_[target.key].note_first_event(now, mark);
+}
 
 bool Dispatcher::note_failure(TimePoint now, const Target& target) {
-  Health& health = health_[target.key];
-  const bool alive = health.last_progress != TimePoint::min() && now - health.last_progress < kRecentProgress;
-  if (alive) {
+  TargetHealth& health = health_[target.key];
+  if (health.progressed_within(now, kRecentProgress)) {
     return false;
   }
-  health.avoid_until = now + kAvoidance;
+  health.avoid_until(now + kAvoidance);
   return true;
 }
 
@@ -203,13 +259,17 @@
   std::vector<Target> result;
   for (const auto& group : groups_) {
     const auto found = health_.find(group.name);
-    if (found == health_.end() || found->second.in_flight == 0 || now < found->second.avoid_until) {
+    if (found == health_.end() || found->second.in_flight() == 0 || found->second.is_avoided(now)) {
       continue;
     }
-    const Health& health = found->second;
-    if (now - std::max(health.busy_since, health.last_progress) > patience + health.in_flight * patience_each) {
+    const TargetHealth& health = found->second;
+    Duration allowed = patience + health.in_flight() * patience_each;
+    if (health.streaming() > 0) {
+      allowed = std::min(allowed, kStallPauses * longest_pause(group.service_name, group.model));
+    }
+    if (health.silence(now) > allowed) {
       result.push_back(
-          Target{group.name, group.service_name, group.name, group.members.front(), "", health.in_flight, 0});
+          Target{group.name, group.service_name, group.name, group.members.front(), "", health.in_flight(), 0});
     }
   }
   return result;
@@ -248,15 +308,18 @@
 std::vector<wire::GroupLoad> Dispatcher::loads(TimePoint now) const {
   std::vector<wire::GroupLoad> result;
   for (const auto& [key, health] : health_) {
-    const bool progressed = health.last_progress != TimePoint::min() && now - health.last_progress < kReportedProgress;
-    if (health.in_flight > 0 || progressed) {
-      wire::GroupLoad load;
-      load.group = key;
-      load.in_flight = health.in_flight;
-      load.progress_age_ms =
-          progressed ? static_cast<int32_t>((now - health.last_progress) / milliseconds(1)) : kNoProgress;
-      result.push_back(std::move(load));
+    const bool progressed = health.progressed_within(now, kReportedProgress);
+    if (health.in_flight() == 0 && !progressed) {
+      continue;
     }
+    wire::GroupLoad load;
+    load.group = key;
+    load.in_flight = health.in_flight();
+    load.streaming = health.streaming();
+    load.waiting_tokens = static_cast<int64_t>(health.waiting_tokens());
+    load.progress_age_ms =
+        progressed ? static_cast<int32_t>((now - health.last_progress()) / milliseconds(1)) : kNoProgress;
+    result.push_back(std::move(load));
   }
   return result;
 }
@@ -265,7 +328,7 @@
   std::vector<wire::InstanceFailure> result;
   for (const auto& group : groups_) {
     const auto health = health_.find(group.name);
-    if (health != health_.end() && now < health->second.avoid_until) {
+    if (health != health_.end() && health->second.is_avoided(now)) {
       wire::InstanceFailure failure;
       failure.group = group.name;
       result.push_back(std::move(failure));
--- a/src/core/fleet/dispatcher.h
+++ b/src/core/fleet/dispatcher.h
@@ -13,6 +13,7 @@
 #include "core/document/configuration_document.h"
 #include "core/engine/cost_model.h"
 #include "core/fleet/fleet_options.h"
+#include "core/fleet/target_health.h"
 #include "larchlever_types.h"
 
 namespace larchlever::fleet {
@@ -35,6 +36,7 @@
   std::string model;
   /// Time to the first event that its route aims at.
   Duration target_latency{};
+  double prompt_tokens = 0;
 };
 
 enum class ChoiceFailure { kNone, kNoTarget, kAllBusy };
@@ -54,8 +56,9 @@
   Dispatcher(const FleetOptions& options, std::string zone, uint64_t seed);
 
   void update_state(const wire::FleetState& state);
-  /// Requests in flight per group at all other entries.
-  void update_loads(const std::vector<wire::GroupLoad>& others);
+  void update_services(const std::map<std::string, document::ServiceSpec>& services);
+  /// What all other entries have under way per group, as of `now`.
+  void update_loads(TimePoint now, const std::vector<wire::GroupLoad>& others);
   void set_serving_nodes(int count) { serving_nodes_ = count < 1 ? 1 : count; }
 
   /// The service of a route for one request, drawn by weight.
@@ -69,19 +72,22 @@
   /// Totals of what `note_demand` was told since the start, to be reported.
   std::vector<wire::ModelDemand> demand_totals() const;
   /// Brackets one sending; the load counts between them.
-  void begin(TimePoint now, const Target& target);
-  void end(const Target& target);
+  void begin(TimePoint now, const Target& target, const SendingMark& mark = {});
+  void end(const Target& target, const SendingMark& mark = {});
   /// The target answered or made progress.
   void note_progress(TimePoint now, const Target& target);
+  /// The sending's first event arrived.
+  void note_first_event(TimePoint now, const Target& target, SendingMark& mark);
   /// The target refused, reset or stood still. True when it is now to be avoided: what else is under way there will not
   /// come back either.
   bool note_failure(TimePoint now, const Target& target);
 
   /// Groups where requests of this entry wait although none made progress for longer than `patience`, and
-  /// `patience_each` for each that waits: a group that got many at once reads all their prompts first.
+  /// `patience_each` for each that waits: a group that got many at once reads all their prompts first. Less patience
+  /// is shown where streams had begun.
   std::vector<Target> stalled_groups(TimePoint now, Duration patience, Duration patience_each) const;
   /// The group is to be avoided for a while.
-  void avoid(TimePoint now, const std::string& key) { health_[key].avoid_until = now + kAvoidance; }
+  void avoid(TimePoint now, const std::string& key) { health_[key].avoid_until(now + kAvoidance); }
 
   /// Counts a request, and says whether one more sending of it fits this entry's part of the retry budget.
   void note_request(TimePoint now, const std::string& service);
@@ -95,20 +101,19 @@
   std::vector<wire::InstanceFailure> failures(TimePoint now) const;
 
  private:
-  struct Health {
-    int in_flight = 0;
-    int others = 0;
-    /// Since when at least one request has been in flight.
-    TimePoint busy_since = TimePoint::min();
-    TimePoint last_progress = TimePoint::min();
-    TimePoint avoid_until = TimePoint::min();
-  };
   struct Budget {
     std::deque<TimePoint> requests;
     std::deque<TimePoint> retries;
   };
 
   double cost_of(const std::string& key, const std::string& zone);
+  /// Longest pause between events of a healthy group of this service and model.
+  Duration longest_pause(const std::string& service, const std::string& model) const;
+  /// An open group and its head.
+  using OpenGroup = std::pair<const wire::EngineGroup*, const wire::Instance*>;
+  /// Expected time to the first event there, in milliseconds.
+  double cost_of_group(const document::ServiceSpec& service, const Demand& demand, const OpenGroup& candidate) const;
+  size_t better_of_few(const document::ServiceSpec& service, const Demand& demand, std::vector<OpenGroup>& open);
   Choice choose_group(TimePoint now, const document::ServiceSpec& service, const Demand& demand,
                       const std::set<std::string>& excluded);
   int most_in_flight(const document::ServiceSpec& service, const Demand& demand) const;
@@ -121,7 +126,9 @@
   int serving_nodes_ = 1;
   std::map<std::string, wire::Instance> instances_;
   std::vector<wire::EngineGroup> groups_;
-  std::map<std::string, Health> health_;
+  std::map<std::string, TargetHealth> health_;
+  /// Longest pauses by service and model, from the cost models in force.
+  std::map<std::pair<std::string, std::string>, Duration> longest_pauses_;
   std::map<std::string, Budget> budgets_;
   /// Sizes of the requests for each model, by service and model.
   std::map<std::pair<std::string, std::string>, engine::SizeEstimate> sizes_;
--- a/src/core/fleet/fleet_leader.cc
+++ b/src/core/fleet/fleet_leader.cc
@@ -16,7 +16,7 @@
 /// How long an entry's word against a group counts.
 constexpr Duration kAccusationMemory = seconds(3);
 /// A group that any entry saw make progress this recently is not dead, only slow for others.
-constexpr Duration kAliveProgress = milliseconds(800);
+constexpr Duration kAliveProgress = milliseconds(500);
 /// Subscribers silent for this long are forgotten.
 constexpr Duration kSubscriberMemory = seconds(30);
 
@@ -72,7 +72,7 @@
   subscriber.state_held = {report.held_term, report.held_version};
   subscriber.loads.clear();
   for (const auto& load : report.loads) {
-    subscriber.loads[load.group] = load.in_flight;
+    subscriber.loads[load.group] = load;
     if (load.progress_age_ms >= 0) {
       TimePoint& progress = progress_.try_emplace(load.group, TimePoint::min()).first->second;
       progress = std::max(progress, now - milliseconds(load.progress_age_ms));
@@ -178,19 +178,30 @@
     subscriber.state_sent = version_;
     subscriber.sent_at = now;
   }
-  for (const auto& [group, in_flight] : loads_) {
-    wire::GroupLoad load;
-    const auto own = subscriber.loads.find(group);
-    load.group = group;
-    load.in_flight = std::max(0, in_flight - (own == subscriber.loads.end() ? 0 : own->second));
-    update.loads.push_back(std::move(load));
-  }
+  add_loads_of_others(now, subscriber, update);
   for (const auto& [name, other] : subscribers_) {
     update.serving_nodes += other.serves_requests && now - other.last_heard < options_.node_timeout ? 1 : 0;
   }
   outputs_.envelopes.push_back(std::move(envelope));
 }
 
+void FleetLeader::add_loads_of_others(TimePoint now, const Subscriber& subscriber, wire::FleetUpdate& update) const {
+  for (const auto& [group, total] : loads_) {
+    const auto own = subscriber.loads.find(group);
+    const wire::GroupLoad none;
+    const auto& mine = own == subscriber.loads.end() ? none : own->second;
+    wire::GroupLoad load;
+    load.group = group;
+    load.in_flight = std::max(0, total.in_flight - mine.in_flight);
+    load.streaming = std::max(0, total.streaming - mine.streaming);
+    load.waiting_tokens = std::max<int64_t>(0, total.waiting_tokens - mine.waiting_tokens);
+    const auto progress = progress_.find(group);
+    load.progress_age_ms =
+        progress == progress_.end() ? -1 : static_cast<int32_t>((now - progress->second) / milliseconds(1));
+    update.loads.push_back(std::move(load));
+  }
+}
+
 bool FleetLeader::may_publish_to(TimePoint now, const Subscriber& subscriber) const {
   // While copies are collected, who holds none is better off with an older one; who holds a newer one keeps it.
   return !is_collecting(now) || subscriber.state_held < inherited_;
@@ -214,11 +225,18 @@
     if (now - subscriber.last_heard > options_.node_timeout) {
       continue;
     }
-    for (const auto& [group, in_flight] : subscriber.loads) {
-      loads_[group] += in_flight;
+    for (const auto& [group, load] : subscriber.loads) {
+      auto& total = loads_[group];
+      total.in_flight += load.in_flight;
+      total.streaming += load.streaming;
+      total.waiting_tokens += load.waiting_tokens;
     }
   }
-  groups_.note_loads(loads_);
+  std::map<std::string, int> in_flight;
+  for (const auto& [group, total] : loads_) {
+    in_flight[group] = total.in_flight;
+  }
+  groups_.note_loads(std::move(in_flight));
 }
 
 // ------------------------------------------------------------------- calls
--- a/src/core/fleet/fleet_leader.h
+++ b/src/core/fleet/fleet_leader.h
@@ -55,8 +55,8 @@
   const InstanceDirectory& instances() const { return instances_; }
   std::vector<wire::EngineGroup> groups() const { return groups_.snapshot(); }
   const wire::EngineGroup* owner_of(const std::string& instance) const { return groups_.owner_of(instance); }
-  /// Requests in flight per group, over all entries.
-  const std::map<std::string, int>& loads() const { return loads_; }
+  /// What is under way per group, over all entries.
+  const std::map<std::string, wire::GroupLoad>& loads() const { return loads_; }
 
  private:
   struct Subscriber {
@@ -68,7 +68,7 @@
     int64_t document_sent = 0;
     int64_t state_sent = 0;
     TimePoint sent_at{};
-    std::map<std::string, int> loads;
+    std::map<std::string, wire::GroupLoad> loads;
   };
   /// A call answered once every live node confirmed a version of the state.
   struct WaitingCall {
@@ -93,6 +93,7 @@
   void answer(const std::string& key, const wire::ControlCall& call, int status, std::string body = {});
   void send_update(TimePoint now, const std::string& node, int64_t sequence, const consensus::RaftNode& raft,
                    const DocumentLog& log);
+  void add_loads_of_others(TimePoint now, const Subscriber& subscriber, wire::FleetUpdate& update) const;
   bool may_publish_to(TimePoint now, const Subscriber& subscriber) const;
   void push_news(TimePoint now, const consensus::RaftNode& raft, const DocumentLog& log);
   void answer_confirmed(TimePoint now);
@@ -112,7 +113,7 @@
   control::ReplicaSupervisor replicas_;
   std::map<std::string, Subscriber> subscribers_;
   std::map<std::string, std::vector<int64_t>> incarnations_;
-  std::map<std::string, int> loads_;
+  std::map<std::string, wire::GroupLoad> loads_;
   /// Per group, which entries reported its failure, and when last.
   std::map<std::string, std::map<std::string, TimePoint>> accusations_;
   /// When any entry last saw progress of a group.
--- /dev/null
+++ b/src/core/fleet/target_health.cc
@@ -0,0 +1,60 @@
+#include "core/fleet/target_health.h"
+
+#include <algorithm>
+
+namespace larchlever::fleet {
+
+namespace {
+
+/// What others saw is known this much later.
+constexpr Duration kNewsDelay = milliseconds(250);
+
+}  // namespace
+
+void TargetHealth::begin(TimePoint now, const SendingMark& mark) {
+  if (in_flight_++ == 0) {
+    busy_since_ = now;
+  }
+  waiting_tokens_ += mark.prompt_tokens;
+}
+
+void TargetHealth::note_first_event(TimePoint now, SendingMark& mark) {
+  if (mark.is_streaming) {
+    return;
+  }
+  mark.is_streaming = true;
+  waiting_tokens_ -= mark.prompt_tokens;
+  if (streaming_++ == 0) {
+    streaming_since_ = now;
+  }
+}
+
+void TargetHealth::end(const SendingMark& mark) {
+  in_flight_ = std::max(0, in_flight_ - 1);
+  if (mark.is_streaming) {
+    streaming_ = std::max(0, streaming_ - 1);
+  } else {
+    waiting_tokens_ -= mark.prompt_tokens;
+  }
+  if (in_flight_ == 0) {
+    waiting_tokens_ = 0;  // Rounding must not add up.
+  }
+}
+
+bool TargetHealth::progressed_within(TimePoint now, Duration age) const {
+  return last_progress_ != TimePoint::min() && now - last_progress_ < age;
+}
+
+bool TargetHealth::is_quiet(TimePoint now, Duration longest_pause) const {
+  if (streaming_ > 0) {
+    return now - std::max(streaming_since_, last_progress_) > longest_pause;
+  }
+  const bool others_stream = others_.streaming > 0 && others_.last_progress != TimePoint::min();
+  return others_stream && now - std::max(others_.last_progress, last_progress_) > longest_pause + kNewsDelay;
+}
+
+Duration TargetHealth::silence(TimePoint now) const {
+  return in_flight_ == 0 ? Duration::zero() : now - std::max(busy_since_, last_progress_);
+}
+
+}  // namespace larchlever::fleet
--- /dev/null
+++ b/src/core/fleet/target_health.h
@@ -0,0 +1,60 @@
+#pragma once
+
+#include "core/base/time.h"
+
+namespace larchlever::fleet {
+
+/// One sending of a request, from when it leaves to its end.
+struct SendingMark {
+  double prompt_tokens = 0;
+  /// Its first event arrived.
+  bool is_streaming = false;
+};
+
+/// What other entries have under way at a target, as the leader last told.
+struct OthersLoad {
+  int in_flight = 0;
+  int streaming = 0;
+  double waiting_tokens = 0;
+  /// When any of them last saw progress; the origin of time when none did of late.
+  TimePoint last_progress = TimePoint::min();
+};
+
+/// Load and signs of life of one target (a plain instance, or a group's head), as one entry sees them.
+/// Single-threaded, deterministic.
+class TargetHealth {
+ public:
+  void begin(TimePoint now, const SendingMark& mark);
+  void note_first_event(TimePoint now, SendingMark& mark);
+  void note_progress(TimePoint now) { last_progress_ = now; }
+  void end(const SendingMark& mark);
+  void set_others(const OthersLoad& others) { others_ = others; }
+  void avoid_until(TimePoint until) { avoid_until_ = until; }
+
+  int in_flight() const { return in_flight_; }
+  int streaming() const { return streaming_; }
+  double waiting_tokens() const { return waiting_tokens_; }
+  int total_in_flight() const { return in_flight_ + others_.in_flight; }
+  /// Prompt tokens, over all entries, of requests that wait for their first event.
+  double total_waiting_tokens() const { return waiting_tokens_ + others_.waiting_tokens; }
+  TimePoint last_progress() const { return last_progress_; }
+  bool is_avoided(TimePoint now) const { return now < avoid_until_; }
+  bool progressed_within(TimePoint now, Duration age) const;
+  /// Streams go on there, yet none brought anything for longer than `longest_pause`, whoever watches.
+  bool is_quiet(TimePoint now, Duration longest_pause) const;
+  /// This entry's own requests have waited this long since it last saw progress; zero when it has none there.
+  Duration silence(TimePoint now) const;
+
+ private:
+  int in_flight_ = 0;
+  int streaming_ = 0;
+  double waiting_tokens_ = 0;
+  /// Since when at least one request, or one stream, has been under way.
+  TimePoint busy_since_ = TimePoint::min();
+  TimePoint streaming_since_ = TimePoint::min();
+  TimePoint last_progress_ = TimePoint::min();
+  TimePoint avoid_until_ = TimePoint::min();
+  OthersLoad others_;
+};
+
+}  // namespace larchlever::fleet
--- a/src/node/control_process.cc
+++ b/src/node/control_process.cc
@@ -337,7 +337,7 @@
     serving += open ? group.members.size() : 0;
     ++groups[group.model + (open ? "" : "/" + wire::to_string(group.phase))];
     const auto load = view.loads().find(group.name);
-    loads[group.model] += load == view.loads().end() ? 0 : load->second;
+    loads[group.model] += load == view.loads().end() ? 0 : load->second.in_flight;
   }
   size_t ready = 0;
   size_t silent = 0;
--- a/src/node/entry_process.cc
+++ b/src/node/entry_process.cc
@@ -114,7 +114,7 @@
     state_.dispatcher.update_state(state_.subscription.state());
     adopt_document();
   }
-  state_.dispatcher.update_loads(state_.subscription.loads());
+  state_.dispatcher.update_loads(monotonic_now(), state_.subscription.loads());
   state_.dispatcher.set_serving_nodes(state_.subscription.serving_nodes());
   if (changed) {
     tick();  // Confirms what was learned without waiting for the next tick.
@@ -132,6 +132,7 @@
   }
   document_version_ = state_.subscription.document_version();
   state_.routes = std::make_shared<document::RouteTable>(parsed.document);
+  state_.dispatcher.update_services(parsed.document->services);
   const auto& limits = parsed.document->limits;
   net::HttpServerOptions options;
   options.largest_head = limits.max_header_bytes;
--- a/src/node/request_relay.cc
+++ b/src/node/request_relay.cc
@@ -113,7 +113,7 @@
   return std::nullopt;
 }
 
-void RequestRelay::note_demand(const RelayedRequest& request) {
+void RequestRelay::note_demand(RelayedRequest& request) {
   const auto& headers = request.exchange->request().headers;
   const auto counts = headers.find(dialect_.token_counts);
   const size_t comma = counts.find(',');
@@ -123,9 +123,11 @@
   const auto prompt = parse_number(counts.substr(0, comma));
   const auto most_out = parse_number(counts.substr(comma + 1));
   const auto hint = parse_number(headers.find(dialect_.length_hint));
+  request.prompt_tokens = static_cast<double>(prompt.value_or(0));
   if (prompt && (hint || most_out)) {
     const engine::RequestSizes sizes{static_cast<double>(*prompt), static_cast<double>(hint ? *hint : *most_out)};
-    state_.dispatcher.note_demand(request.service->name, {request.model, request.route->target_latency}, sizes);
+    state_.dispatcher.note_demand(request.service->name, {request.model, request.route->target_latency, sizes.prompt},
+                                  sizes);
   }
 }
 
@@ -190,7 +192,7 @@
   const TimePoint wait_until =
       request.head_sent ? request.due
                         : std::min(request.due, request.received + request.route->target_latency / kWaitingPart);
-  const fleet::Demand demand{request.model, request.route->target_latency};
+  const fleet::Demand demand{request.model, request.route->target_latency, request.prompt_tokens};
   asio::steady_timer timer(executor_);
   while (true) {
     const TimePoint now = monotonic_now();
@@ -224,10 +226,11 @@
   request.last_target = target.key;
   request.load_at_choice = target.in_flight;
   request.most_at_choice = target.most_in_flight;
-  state_.dispatcher.begin(monotonic_now(), target);
+  request.mark = {target.group.empty() ? 0 : request.prompt_tokens, false};
+  state_.dispatcher.begin(monotonic_now(), target, request.mark);
   state_.under_way[target.key].insert(cancellation);
   const ScopeExit finish([this, &request, &target, cancellation] {
-    state_.dispatcher.end(target);
+    state_.dispatcher.end(target, request.mark);
     state_.under_way[target.key].erase(cancellation);
     request.cancellation.reset();
   });
@@ -392,6 +395,15 @@
   co_return Sending::kAnswered;
 }
 
+void RequestRelay::note_piece(RelayedRequest& request, const fleet::Target& target, TimePoint now) {
+  state_.dispatcher.note_progress(now, target);
+  state_.dispatcher.note_first_event(now, target, request.mark);
+  if (request.head_sent) {
+    request.longest_pause = std::max(request.longest_pause, now - request.last_piece);
+  }
+  request.last_piece = now;
+}
+
 asio::awaitable<RequestRelay::Sending> RequestRelay::relay_events(RelayedRequest& request, const fleet::Target& target,
                                                                   net::ClientStream& stream) {
   request.events.restart();
@@ -408,7 +420,7 @@
     if (piece.empty()) {
       break;
     }
-    state_.dispatcher.note_progress(monotonic_now(), target);
+    note_piece(request, target, monotonic_now());
     const std::string events = request.events.take(piece);
     if (events.empty()) {
       continue;
@@ -455,6 +467,7 @@
              {"status", std::to_string(status)},
              {"held_ms", std::to_string(held)},
              {"first_ms", std::to_string(first)},
+             {"pause_ms", std::to_string(request.longest_pause / milliseconds(1))},
              {"target", request.last_target},
              {"load", std::to_string(request.load_at_choice)},
              {"most", std::to_string(request.most_at_choice)},
--- a/src/node/request_relay.h
+++ b/src/node/request_relay.h
@@ -40,6 +40,12 @@
   /// When the first event or the whole answer arrived.
   TimePoint first_event{};
   std::string last_target;
+  /// Load that the sending under way puts on its target.
+  fleet::SendingMark mark;
+  double prompt_tokens = 0;
+  /// Longest pause between two pieces of the stream that was passed on.
+  Duration longest_pause{};
+  TimePoint last_piece{};
   int load_at_choice = 0;
   int most_at_choice = 0;
 };
@@ -75,7 +81,9 @@
   std::optional<Refusal> identify(RelayedRequest& request);
   std::optional<Refusal> authorise(RelayedRequest& request, std::string_view key);
   /// Takes the request's own statement of its size, for the forecasts of load and the shares of models.
-  void note_demand(const RelayedRequest& request);
+  void note_demand(RelayedRequest& request);
+  /// Bytes of a stream arrived.
+  void note_piece(RelayedRequest& request, const fleet::Target& target, TimePoint now);
   boost::asio::awaitable<void> relay(RelayedRequest& request);
   boost::asio::awaitable<std::optional<fleet::Target>> find_target(RelayedRequest& request);
   boost::asio::awaitable<Sending> send(RelayedRequest& request, const fleet::Target& target);
--- a/src/wire/gen-cpp/larchlever_types.cpp
+++ b/src/wire/gen-cpp/larchlever_types.cpp
@@ -12240,6 +12240,14 @@
   this->in_flight = val;
 }
 
+void GroupLoad::__set_streaming(const int32_t val) {
+  this->streaming = val;
+}
+
+void GroupLoad::__set_waiting_tokens(const int64_t val) {
+  this->waiting_tokens = val;
+}
+
 void GroupLoad::__set_progress_age_ms(const int32_t val) {
   this->progress_age_ms = val;
 }
@@ -12287,6 +12295,22 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->streaming);
+          this->__isset.streaming = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->waiting_tokens);
+          this->__isset.waiting_tokens = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       case 3:
         if (ftype == ::apache::thrift::protocol::T_I32) {
           xfer += iprot->readI32(this->progress_age_ms);
@@ -12324,6 +12348,14 @@
   xfer += oprot->writeI32(this->progress_age_ms);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("streaming", ::apache::thrift::protocol::T_I32, 4);
+  xfer += oprot->writeI32(this->streaming);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("waiting_tokens", ::apache::thrift::protocol::T_I64, 5);
+  xfer += oprot->writeI64(this->waiting_tokens);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -12333,6 +12365,8 @@
   using ::std::swap;
   swap(a.group, b.group);
   swap(a.in_flight, b.in_flight);
+  swap(a.streaming, b.streaming);
+  swap(a.waiting_tokens, b.waiting_tokens);
   swap(a.progress_age_ms, b.progress_age_ms);
   swap(a.__isset, b.__isset);
 }
@@ -12340,18 +12374,24 @@
 GroupLoad::GroupLoad(const GroupLoad& other470) {
   group = other470.group;
   in_flight = other470.in_flight;
+  streaming = other470.streaming;
+  waiting_tokens = other470.waiting_tokens;
   progress_age_ms = other470.progress_age_ms;
   __isset = other470.__isset;
 }
 GroupLoad::GroupLoad(GroupLoad&& other471) noexcept {
   group = std::move(other471.group);
   in_flight = other471.in_flight;
+  streaming = other471.streaming;
+  waiting_tokens = other471.waiting_tokens;
   progress_age_ms = other471.progress_age_ms;
   __isset = other471.__isset;
 }
 GroupLoad& GroupLoad::operator=(const GroupLoad& other472) {
   group = other472.group;
   in_flight = other472.in_flight;
+  streaming = other472.streaming;
+  waiting_tokens = other472.waiting_tokens;
   progress_age_ms = other472.progress_age_ms;
   __isset = other472.__isset;
   return *this;
@@ -12359,6 +12399,8 @@
 GroupLoad& GroupLoad::operator=(GroupLoad&& other473) noexcept {
   group = std::move(other473.group);
   in_flight = other473.in_flight;
+  streaming = other473.streaming;
+  waiting_tokens = other473.waiting_tokens;
   progress_age_ms = other473.progress_age_ms;
   __isset = other473.__isset;
   return *this;
@@ -12368,6 +12410,8 @@
   out << "GroupLoad(";
   out << "group=" << to_string(group);
   out << ", " << "in_flight=" << to_string(in_flight);
+  out << ", " << "streaming=" << to_string(streaming);
+  out << ", " << "waiting_tokens=" << to_string(waiting_tokens);
   out << ", " << "progress_age_ms=" << to_string(progress_age_ms);
   out << ")";
 }
--- a/src/wire/gen-cpp/larchlever_types.h
+++ b/src/wire/gen-cpp/larchlever_types.h
@@ -4724,9 +4724,11 @@
 std::ostream& operator<<(std::ostream& out, const FleetState& obj);
 
 typedef struct _GroupLoad__isset {
-  _GroupLoad__isset() : group(false), in_flight(false), progress_age_ms(false) {}
+  _GroupLoad__isset() : group(false), in_flight(false), streaming(false), waiting_tokens(false), progress_age_ms(false) {}
   bool group :1;
   bool in_flight :1;
+  bool streaming :1;
+  bool waiting_tokens :1;
   bool progress_age_ms :1;
 } _GroupLoad__isset;
 
@@ -4740,12 +4742,22 @@
   GroupLoad() noexcept
             : group(),
               in_flight(0),
+              streaming(0),
+              waiting_tokens(0),
               progress_age_ms(0) {
   }
 
   virtual ~GroupLoad() noexcept;
   std::string group;
   int32_t in_flight;
+  /**
+   * Of them, streams that brought their first event.
+   */
+  int32_t streaming;
+  /**
+   * Prompt tokens of the others.
+   */
+  int64_t waiting_tokens;
   /**
    * Milliseconds since the sender last saw an event or answer of the group; negative when it saw none.
    */
@@ -4757,6 +4769,10 @@
 
   void __set_in_flight(const int32_t val);
 
+  void __set_streaming(const int32_t val);
+
+  void __set_waiting_tokens(const int64_t val);
+
   void __set_progress_age_ms(const int32_t val);
 
   bool operator == (const GroupLoad & rhs) const
@@ -4765,6 +4781,10 @@
       return false;
     if (!(in_flight == rhs.in_flight))
       return false;
+    if (!(streaming == rhs.streaming))
+      return false;
+    if (!(waiting_tokens == rhs.waiting_tokens))
+      return false;
     if (!(progress_age_ms == rhs.progress_age_ms))
       return false;
     return true;
--- a/src/wire/larchlever.thrift
+++ b/src/wire/larchlever.thrift
@@ -549,6 +549,10 @@
 struct GroupLoad {
   1: string group,
   2: i32 in_flight,
+  /** Of them, streams that brought their first event. */
+  4: i32 streaming,
+  /** Prompt tokens of the others. */
+  5: i64 waiting_tokens,
   /** Milliseconds since the sender last saw an event or answer of the group; negative when it saw none. */
   3: i32 progress_age_ms,
 }
--- a/tests/unit/fleet_test.cc
+++ b/tests/unit/fleet_test.cc
@@ -222,7 +222,7 @@
   wire::GroupLoad load;
   load.group = "g0";
   load.in_flight = 9;
-  dispatcher.update_loads({load});
+  dispatcher.update_loads(kStart, {load});
   for (int count = 0; count < 5; ++count) {
     EXPECT_EQ(dispatcher.choose(kStart, engine_service(), {"m", {}}, {}).target->group, "g1");
   }
--- a/tests/unit/group_planner_test.cc
+++ b/tests/unit/group_planner_test.cc
@@ -136,6 +136,12 @@
   input.servers = {server("i0", "d0", "large", "small"), server("i1", "d0", "large", "small"), server("i2", "d1")};
   input.needs = {{&models.large, 2}, {&models.small, 1}};
   input.groups = {{"l0", "large", true, true, false}, {"s0", "small", true, true, false}};
+  for (int number = 0; number < 4; ++number) {
+    input.servers.push_back(server("l" + std::to_string(number), "d2", "large", "small", "l0"));
+  }
+  for (int number = 0; number < 2; ++number) {
+    input.servers.push_back(server("s" + std::to_string(number), "d2", "small", "large", "s0"));
+  }
   input.cold_groups_allowed = false;
   EXPECT_FALSE(GroupPlanner(input).next_group()) << "two of the four that a large group takes";
   input.needs[1].groups_needed = 3;
--- /dev/null
+++ b/tests/unit/target_health_test.cc
@@ -0,0 +1,74 @@
+#include "core/fleet/target_health.h"
+
+#include <gtest/gtest.h>
+
+#include "core/engine/cost_model.h"
+
+namespace larchlever::fleet {
+namespace {
+
+const TimePoint kStart = TimePoint(seconds(100));
+constexpr Duration kLongestPause = milliseconds(300);
+
+TEST(TargetHealth, CountsWaitingPromptsAndStreams) {
+  TargetHealth health;
+  SendingMark first{1000, false};
+  SendingMark second{500, false};
+  health.begin(kStart, first);
+  health.begin(kStart, second);
+  EXPECT_EQ(health.in_flight(), 2);
+  EXPECT_DOUBLE_EQ(health.waiting_tokens(), 1500);
+  health.note_first_event(kStart, first);
+  health.note_first_event(kStart, first);
+  EXPECT_EQ(health.streaming(), 1) << "later events change nothing";
+  EXPECT_DOUBLE_EQ(health.waiting_tokens(), 500);
+  health.end(first);
+  health.end(second);
+  EXPECT_EQ(health.in_flight(), 0);
+  EXPECT_EQ(health.streaming(), 0);
+  EXPECT_DOUBLE_EQ(health.waiting_tokens(), 0);
+}
+
+TEST(TargetHealth, IsQuietOnlyWhenAStreamPausesForTooLong) {
+  TargetHealth health;
+  SendingMark mark{1000, false};
+  health.begin(kStart, mark);
+  EXPECT_FALSE(health.is_quiet(kStart + seconds(5), kLongestPause)) << "prompts may take long to read";
+  health.note_first_event(kStart, mark);
+  EXPECT_FALSE(health.is_quiet(kStart + milliseconds(290), kLongestPause));
+  EXPECT_TRUE(health.is_quiet(kStart + milliseconds(310), kLongestPause));
+  health.note_progress(kStart + milliseconds(320));
+  EXPECT_FALSE(health.is_quiet(kStart + milliseconds(600), kLongestPause));
+}
+
+TEST(TargetHealth, BelievesOtherEntriesWhereItHasNoStreamOfItsOwn) {
+  TargetHealth health;
+  OthersLoad others;
+  others.in_flight = 3;
+  others.streaming = 2;
+  others.last_progress = kStart;
+  health.set_others(others);
+  EXPECT_EQ(health.total_in_flight(), 3);
+  EXPECT_FALSE(health.is_quiet(kStart + milliseconds(400), kLongestPause)) << "their news are late";
+  EXPECT_TRUE(health.is_quiet(kStart + milliseconds(600), kLongestPause));
+}
+
+TEST(CostModel, AFirstEventWaitsForThePromptsBeforeIt) {
+  document::EngineSpec engine;
+  engine.slots = 26;
+  engine.step_ms = 6;
+  engine.per_sequence_ms = 0.24;
+  engine.read_tokens_per_second = 46'000;
+  engine.steps_per_pass = 5;
+  engine.chunk_tokens = 2048;
+  const document::ModelSpec model{"m", 4, 1.0, 1.0, {}, {}};
+  const auto alone = engine::expected_first_event(engine, model, 0, 0, 1000);
+  EXPECT_GT(alone, milliseconds(50));
+  EXPECT_LT(alone, milliseconds(100));
+  EXPECT_GT(engine::expected_first_event(engine, model, 0, 10'000, 1000), alone + milliseconds(200));
+  EXPECT_GT(engine::expected_first_event(engine, model, 10, 0, 1000), alone);
+  EXPECT_GT(engine::longest_pass(engine, model), milliseconds(250)) << "each step may read a whole chunk";
+}
+
+}  // namespace
+}  // namespace larchlever::fleet
