--- a/tests/unit/group_planner_test.cc
+++ b/tests/unit/group_planner_test.cc
@@ -146,7 +146,8 @@
   EXPECT_FALSE(GroupPlanner(input).next_group()) << "two of the four that a large group takes";
   input.needs[1].groups_needed = 3;
   ASSERT_TRUE(GroupPlanner(input).next_group()) << "the small model is worse off";
-  input.needs[1].groups_needed = 1;
+  input.needs[1].groups_needed = 1.5;
+  EXPECT_FALSE(GroupPlanner(input).next_group());
   input.servers[0] = server("i0", "d0", "small", "large");
   input.servers[1] = server("i1", "d0", "small", "large");
   input.servers.push_back(server("i3", "d1"));
