--- a/src/core/fleet/fleet_leader.cc
+++ b/src/core/fleet/fleet_leader.cc
@@ -11,6 +11,9 @@
 /// How long a new leader gathers the copies of its predecessor's state before it acts on groups.
 constexpr Duration kCollectingTime = milliseconds(700);
 constexpr Duration kSupervisionInterval = milliseconds(50);
+constexpr Duration kGroupInterval = milliseconds(40);
+/// Changes within this time go out together, unless a call waits for them.
+constexpr Duration kPushInterval = milliseconds(40);
 /// A push that brought no confirmation in this time is repeated.
 constexpr Duration kPushRetry = milliseconds(300);
 /// How long an entry's word against a group counts.
@@ -44,6 +47,8 @@
 void FleetLeader::start(TimePoint now, int64_t term, const wire::FleetState& copy) {
   term_ = term;
   version_ = 1;
+  history_.start(term);
+  next_push_ = now;
   collecting_until_ = now + kCollectingTime;
   instances_.start(now, copy.instances);
   inherited_ = {copy.term, copy.version};
@@ -167,17 +172,7 @@
     subscriber.document_sent = log.version();
     subscriber.sent_at = now;
   }
-  const bool behind = subscriber.state_held < std::pair(term_, version_);
-  if (may_publish_to(now, subscriber) && behind && (repeat || subscriber.state_sent < version_)) {
-    wire::FleetState state;
-    state.term = term_;
-    state.version = version_;
-    state.instances = instances_.snapshot();
-    state.groups = groups_.snapshot();
-    update.__set_state(state);
-    subscriber.state_sent = version_;
-    subscriber.sent_at = now;
-  }
+  add_state(now, subscriber, update);
   add_loads_of_others(now, subscriber, update);
   for (const auto& [name, other] : subscribers_) {
     update.serving_nodes += other.serves_requests && now - other.last_heard < options_.node_timeout ? 1 : 0;
@@ -185,6 +180,28 @@
   outputs_.envelopes.push_back(std::move(envelope));
 }
 
+void FleetLeader::add_state(TimePoint now, Subscriber& subscriber, wire::FleetUpdate& update) {
+  const bool repeat = now - subscriber.state_sent_at > kPushRetry;
+  const bool behind = subscriber.state_held < std::pair(term_, version_);
+  if (!may_publish_to(now, subscriber) || !behind || (!repeat && subscriber.state_sent >= version_)) {
+    return;
+  }
+  if (history_.version() < version_) {
+    history_.record(version_, instances_.snapshot(), groups_.snapshot());
+  }
+  // What was sent a moment ago is on its way in order. Without a confirmation in time, only what was confirmed counts.
+  const int64_t confirmed = subscriber.state_held.first == term_ ? subscriber.state_held.second : 0;
+  const int64_t base = repeat ? confirmed : std::max(confirmed, subscriber.state_sent);
+  if (base > 0) {
+    update.__set_state_change(history_.since(base));
+  } else {
+    update.__set_state(history_.full());
+  }
+  update.wants_confirmation = !waiting_.empty();
+  subscriber.state_sent = version_;
+  subscriber.state_sent_at = now;
+}
+
 void FleetLeader::add_loads_of_others(TimePoint now, const Subscriber& subscriber, wire::FleetUpdate& update) const {
   for (const auto& [group, total] : loads_) {
     const auto own = subscriber.loads.find(group);
@@ -385,12 +402,16 @@
     update_loads(now);
     version_ += instances_.tick(now) ? 1 : 0;
   }
-  if (!is_collecting(now) && log.parsed() != nullptr) {
+  if (!is_collecting(now) && log.parsed() != nullptr && now >= next_group_tick_) {
+    next_group_tick_ = now + kGroupInterval;
     version_ += groups_.tick(now, *log.parsed(), instances_) ? 1 : 0;
     outputs_.orders = groups_.take_orders();
     outputs_.decisions = groups_.take_decisions();
   }
-  push_news(now, raft, log);
+  if (now >= next_push_ || !waiting_.empty()) {
+    next_push_ = now + kPushInterval;
+    push_news(now, raft, log);
+  }
   answer_confirmed(now);
 }
 
--- a/src/core/fleet/fleet_leader.h
+++ b/src/core/fleet/fleet_leader.h
@@ -13,6 +13,7 @@
 #include "core/fleet/fleet_subscription.h"
 #include "core/fleet/group_supervisor.h"
 #include "core/fleet/instance_directory.h"
+#include "core/fleet/state_history.h"
 #include "core/membership/node_directory.h"
 
 namespace larchlever::fleet {
@@ -68,6 +69,7 @@
     int64_t document_sent = 0;
     int64_t state_sent = 0;
     TimePoint sent_at{};
+    TimePoint state_sent_at{};
     std::map<std::string, wire::GroupLoad> loads;
   };
   /// A call answered once every live node confirmed a version of the state.
@@ -93,6 +95,8 @@
   void answer(const std::string& key, const wire::ControlCall& call, int status, std::string body = {});
   void send_update(TimePoint now, const std::string& node, int64_t sequence, const consensus::RaftNode& raft,
                    const DocumentLog& log);
+  /// Attaches what the subscriber lacks of the fleet's state, as rows that changed where it holds some of this term.
+  void add_state(TimePoint now, Subscriber& subscriber, wire::FleetUpdate& update);
   void add_loads_of_others(TimePoint now, const Subscriber& subscriber, wire::FleetUpdate& update) const;
   bool may_publish_to(TimePoint now, const Subscriber& subscriber) const;
   void push_news(TimePoint now, const consensus::RaftNode& raft, const DocumentLog& log);
@@ -103,10 +107,13 @@
   FleetIdentity identity_;
   int64_t term_ = 0;
   int64_t version_ = 0;
+  StateHistory history_;
+  TimePoint next_push_{};
   /// Order of the copy that the groups were taken from.
   std::pair<int64_t, int64_t> inherited_{0, 0};
   TimePoint collecting_until_{};
   TimePoint next_supervision_{};
+  TimePoint next_group_tick_{};
   InstanceDirectory instances_;
   GroupSupervisor groups_;
   membership::NodeDirectory nodes_;
--- a/src/core/fleet/fleet_subscription.cc
+++ b/src/core/fleet/fleet_subscription.cc
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <utility>
 
+#include "core/fleet/state_history.h"
+
 namespace larchlever::fleet {
 
 namespace {
@@ -108,13 +110,16 @@
     state_ = update.state;
     changed = true;
   }
+  if (update.__isset.state_change) {
+    changed = apply_change(state_, update.state_change) || changed;
+  }
   const auto asked = asked_at_.find(update.sequence);
   if (asked != asked_at_.end() && document_version_ >= update.document_version) {
     lease_from_ = std::max(lease_from_, asked->second);
     asked_at_.erase(asked_at_.begin(), std::next(asked));
   }
-  if (changed || send_state_) {
-    next_heartbeat_ = TimePoint::min();  // Confirm at once: calls may wait for it.
+  if (update.wants_confirmation || update.__isset.document || send_state_) {
+    next_heartbeat_ = TimePoint::min();
   }
   return changed;
 }
--- a/src/core/fleet/group_planner.cc
+++ b/src/core/fleet/group_planner.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <limits>
+#include <set>
 #include <tuple>
 
 namespace larchlever::fleet {
@@ -232,6 +233,32 @@
   return result;
 }
 
+const document::ModelSpec* GroupPlanner::spare_model(
+    const std::string& domain, const std::map<std::string, std::map<std::string, size_t>>& planned) const {
+  const document::ModelSpec* best = nullptr;
+  double fewest = std::numeric_limits<double>::max();
+  for (const auto* need : by_pressure()) {
+    const auto& name = need->model->name;
+    std::set<std::string> groups_here;
+    for (const size_t index : by_domain_.at(domain)) {
+      const auto group = groups_.find(input_.servers[index].group);
+      if (group != groups_.end() && group->second.model == name) {
+        groups_here.insert(group->first);
+      }
+    }
+    const auto of_domain = planned.find(domain);
+    const bool is_planned = of_domain != planned.end() && of_domain->second.contains(name);
+    const size_t spares = warm_free_servers(domain, name) + (is_planned ? of_domain->second.at(name) : 0);
+    const double spares_per_group =
+        static_cast<double>(spares) / std::max<double>(1.0, static_cast<double>(groups_here.size()));
+    if (spares_per_group < fewest) {
+      fewest = spares_per_group;
+      best = need->model;
+    }
+  }
+  return best;
+}
+
 const document::ModelSpec* GroupPlanner::standby_model(const PlannedServer& server) const {
   const document::ModelSpec* best = nullptr;
   double most = -1;
@@ -249,7 +276,7 @@
   std::vector<StagingPlan> needed;
   std::vector<StagingPlan> for_larger_models;
   std::vector<StagingPlan> precautions;
-  const auto order = by_pressure();
+  std::map<std::string, std::map<std::string, size_t>> planned;
   for (const auto& server : input_.servers) {
     const auto group = groups_.find(server.group);
     const bool settled = server.group.empty() || (group != groups_.end() && group->second.is_open);
@@ -257,7 +284,9 @@
       continue;
     }
     if (server.loaded_model.empty() && server.staged_models.empty()) {
-      needed.push_back({server.id, order.front()->model->name, true});
+      const auto& model = spare_model(server.domain, planned)->name;
+      ++planned[server.domain][model];
+      needed.push_back({server.id, model, true});
       continue;
     }
     const auto* standby = standby_model(server);
--- a/src/core/fleet/group_planner.h
+++ b/src/core/fleet/group_planner.h
@@ -120,6 +120,9 @@
   /// Open groups of `donor` in one domain that would let a group of `model` form there without a load; empty if none.
   std::vector<std::string> donors_in(const std::string& domain, const document::ModelSpec& model,
                                      const std::string& donor) const;
+  /// The model whose weights a server that holds none should get: the one that its domain's spares can help least.
+  const document::ModelSpec* spare_model(const std::string& domain,
+                                         const std::map<std::string, std::map<std::string, size_t>>& planned) const;
   /// The model that a server should hold besides the one it serves.
   const document::ModelSpec* standby_model(const PlannedServer& server) const;
 
--- /dev/null
+++ b/src/core/fleet/state_history.h
@@ -0,0 +1,47 @@
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <string>
+#include <vector>
+
+#include "larchlever_types.h"
+
+namespace larchlever::fleet {
+
+/// The fleet's state as one leadership published it, with the version at which each row last changed, so that a
+/// subscriber that holds an earlier version gets only the rows that differ.
+/// Single-threaded, deterministic.
+class StateHistory {
+ public:
+  /// A leadership begins with nothing published.
+  void start(int64_t term);
+  /// Publishes the state as of `version`, which must exceed all before.
+  void record(int64_t version, const std::vector<wire::Instance>& instances,
+              const std::vector<wire::EngineGroup>& groups);
+  /// The last version recorded; 0 for none.
+  int64_t version() const { return version_; }
+  wire::FleetState full() const;
+  /// What changed since `version` of the same term.
+  wire::FleetStateChange since(int64_t version) const;
+
+ private:
+  template <typename Row>
+  struct Versioned {
+    Row row;
+    int64_t changed_at = 0;
+  };
+
+  int64_t term_ = 0;
+  int64_t version_ = 0;
+  std::map<std::string, Versioned<wire::Instance>> instances_;
+  std::map<std::string, Versioned<wire::EngineGroup>> groups_;
+  /// At which version rows were removed. Bounded by what one leadership sees come and go.
+  std::map<std::string, int64_t> removed_instances_;
+  std::map<std::string, int64_t> removed_groups_;
+};
+
+/// Brings a copy up to date. False, and no effect, when `change` does not follow on what `state` holds.
+bool apply_change(wire::FleetState& state, const wire::FleetStateChange& change);
+
+}  // namespace larchlever::fleet
--- a/src/wire/gen-cpp/larchlever_types.cpp
+++ b/src/wire/gen-cpp/larchlever_types.cpp
@@ -12228,6 +12228,319 @@
 }
 
 
+FleetStateChange::~FleetStateChange() noexcept {
+}
+
+
+void FleetStateChange::__set_term(const int64_t val) {
+  this->term = val;
+}
+
+void FleetStateChange::__set_from_version(const int64_t val) {
+  this->from_version = val;
+}
+
+void FleetStateChange::__set_version(const int64_t val) {
+  this->version = val;
+}
+
+void FleetStateChange::__set_instances(const std::vector<Instance> & val) {
+  this->instances = val;
+}
+
+void FleetStateChange::__set_removed_instances(const std::vector<std::string> & val) {
+  this->removed_instances = val;
+}
+
+void FleetStateChange::__set_groups(const std::vector<EngineGroup> & val) {
+  this->groups = val;
+}
+
+void FleetStateChange::__set_removed_groups(const std::vector<std::string> & val) {
+  this->removed_groups = val;
+}
+std::ostream& operator<<(std::ostream& out, const FleetStateChange& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t FleetStateChange::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->term);
+          this->__isset.term = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->from_version);
+          this->__isset.from_version = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->version);
+          this->__isset.version = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->instances.clear();
+            uint32_t _size470;
+            ::apache::thrift::protocol::TType _etype473;
+            xfer += iprot->readListBegin(_etype473, _size470);
+            this->instances.resize(_size470);
+            uint32_t _i474;
+            for (_i474 = 0; _i474 < _size470; ++_i474)
+            {
+              xfer += this->instances[_i474].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.instances = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->removed_instances.clear();
+            uint32_t _size475;
+            ::apache::thrift::protocol::TType _etype478;
+            xfer += iprot->readListBegin(_etype478, _size475);
+            this->removed_instances.resize(_size475);
+            uint32_t _i479;
+            for (_i479 = 0; _i479 < _size475; ++_i479)
+            {
+              xfer += iprot->readString(this->removed_instances[_i479]);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.removed_instances = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 6:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->groups.clear();
+            uint32_t _size480;
+            ::apache::thrift::protocol::TType _etype483;
+            xfer += iprot->readListBegin(_etype483, _size480);
+            this->groups.resize(_size480);
+            uint32_t _i484;
+            for (_i484 = 0; _i484 < _size480; ++_i484)
+            {
+              xfer += this->groups[_i484].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.groups = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 7:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->removed_groups.clear();
+            uint32_t _size485;
+            ::apache::thrift::protocol::TType _etype488;
+            xfer += iprot->readListBegin(_etype488, _size485);
+            this->removed_groups.resize(_size485);
+            uint32_t _i489;
+            for (_i489 = 0; _i489 < _size485; ++_i489)
+            {
+              xfer += iprot->readString(this->removed_groups[_i489]);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.removed_groups = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t FleetStateChange::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("FleetStateChange");
+
+  xfer += oprot->writeFieldBegin("term", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeI64(this->term);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("from_version", ::apache::thrift::protocol::T_I64, 2);
+  xfer += oprot->writeI64(this->from_version);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("version", ::apache::thrift::protocol::T_I64, 3);
+  xfer += oprot->writeI64(this->version);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("instances", ::apache::thrift::protocol::T_LIST, 4);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->instances.size()));
+    std::vector<Instance> ::const_iterator _iter490;
+    for (_iter490 = this->instances.begin(); _iter490 != this->instances.end(); ++_iter490)
+    {
+      xfer += (*_iter490).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("removed_instances", ::apache::thrift::protocol::T_LIST, 5);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->removed_instances.size()));
+    std::vector<std::string> ::const_iterator _iter491;
+    for (_iter491 = this->removed_instances.begin(); _iter491 != this->removed_instances.end(); ++_iter491)
+    {
+      xfer += oprot->writeString((*_iter491));
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("groups", ::apache::thrift::protocol::T_LIST, 6);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->groups.size()));
+    std::vector<EngineGroup> ::const_iterator _iter492;
+    for (_iter492 = this->groups.begin(); _iter492 != this->groups.end(); ++_iter492)
+    {
+      xfer += (*_iter492).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("removed_groups", ::apache::thrift::protocol::T_LIST, 7);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->removed_groups.size()));
+    std::vector<std::string> ::const_iterator _iter493;
+    for (_iter493 = this->removed_groups.begin(); _iter493 != this->removed_groups.end(); ++_iter493)
+    {
+      xfer += oprot->writeString((*_iter493));
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(FleetStateChange &a, FleetStateChange &b) {
+  using ::std::swap;
+  swap(a.term, b.term);
+  swap(a.from_version, b.from_version);
+  swap(a.version, b.version);
+  swap(a.instances, b.instances);
+  swap(a.removed_instances, b.removed_instances);
+  swap(a.groups, b.groups);
+  swap(a.removed_groups, b.removed_groups);
+  swap(a.__isset, b.__isset);
+}
+
+FleetStateChange::FleetStateChange(const FleetStateChange& other494) {
+  term = other494.term;
+  from_version = other494.from_version;
+  version = other494.version;
+  instances = other494.instances;
+  removed_instances = other494.removed_instances;
+  groups = other494.groups;
+  removed_groups = other494.removed_groups;
+  __isset = other494.__isset;
+}
+FleetStateChange::FleetStateChange(FleetStateChange&& other495) noexcept {
+  term = other495.term;
+  from_version = other495.from_version;
+  version = other495.version;
+  instances = std::move(other495.instances);
+  removed_instances = std::move(other495.removed_instances);
+  groups = std::move(other495.groups);
+  removed_groups = std::move(other495.removed_groups);
+  __isset = other495.__isset;
+}
+FleetStateChange& FleetStateChange::operator=(const FleetStateChange& other496) {
+  term = other496.term;
+  from_version = other496.from_version;
+  version = other496.version;
+  instances = other496.instances;
+  removed_instances = other496.removed_instances;
+  groups = other496.groups;
+  removed_groups = other496.removed_groups;
+  __isset = other496.__isset;
+  return *this;
+}
+FleetStateChange& FleetStateChange::operator=(FleetStateChange&& other497) noexcept {
+  term = other497.term;
+  from_version = other497.from_version;
+  version = other497.version;
+  instances = std::move(other497.instances);
+  removed_instances = std::move(other497.removed_instances);
+  groups = std::move(other497.groups);
+  removed_groups = std::move(other497.removed_groups);
+  __isset = other497.__isset;
+  return *this;
+}
+void FleetStateChange::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "FleetStateChange(";
+  out << "term=" << to_string(term);
+  out << ", " << "from_version=" << to_string(from_version);
+  out << ", " << "version=" << to_string(version);
+  out << ", " << "instances=" << to_string(instances);
+  out << ", " << "removed_instances=" << to_string(removed_instances);
+  out << ", " << "groups=" << to_string(groups);
+  out << ", " << "removed_groups=" << to_string(removed_groups);
+  out << ")";
+}
+
+
 GroupLoad::~GroupLoad() noexcept {
 }
 
@@ -12371,38 +12684,38 @@
   swap(a.__isset, b.__isset);
 }
 
-GroupLoad::GroupLoad(const GroupLoad& other470) {
-  group = other470.group;
-  in_flight = other470.in_flight;
-  streaming = other470.streaming;
-  waiting_tokens = other470.waiting_tokens;
-  progress_age_ms = other470.progress_age_ms;
-  __isset = other470.__isset;
-}
-GroupLoad::GroupLoad(GroupLoad&& other471) noexcept {
-  group = std::move(other471.group);
-  in_flight = other471.in_flight;
-  streaming = other471.streaming;
-  waiting_tokens = other471.waiting_tokens;
-  progress_age_ms = other471.progress_age_ms;
-  __isset = other471.__isset;
-}
-GroupLoad& GroupLoad::operator=(const GroupLoad& other472) {
-  group = other472.group;
-  in_flight = other472.in_flight;
-  streaming = other472.streaming;
-  waiting_tokens = other472.waiting_tokens;
-  progress_age_ms = other472.progress_age_ms;
-  __isset = other472.__isset;
-  return *this;
-}
-GroupLoad& GroupLoad::operator=(GroupLoad&& other473) noexcept {
-  group = std::move(other473.group);
-  in_flight = other473.in_flight;
-  streaming = other473.streaming;
-  waiting_tokens = other473.waiting_tokens;
-  progress_age_ms = other473.progress_age_ms;
-  __isset = other473.__isset;
+GroupLoad::GroupLoad(const GroupLoad& other498) {
+  group = other498.group;
+  in_flight = other498.in_flight;
+  streaming = other498.streaming;
+  waiting_tokens = other498.waiting_tokens;
+  progress_age_ms = other498.progress_age_ms;
+  __isset = other498.__isset;
+}
+GroupLoad::GroupLoad(GroupLoad&& other499) noexcept {
+  group = std::move(other499.group);
+  in_flight = other499.in_flight;
+  streaming = other499.streaming;
+  waiting_tokens = other499.waiting_tokens;
+  progress_age_ms = other499.progress_age_ms;
+  __isset = other499.__isset;
+}
+GroupLoad& GroupLoad::operator=(const GroupLoad& other500) {
+  group = other500.group;
+  in_flight = other500.in_flight;
+  streaming = other500.streaming;
+  waiting_tokens = other500.waiting_tokens;
+  progress_age_ms = other500.progress_age_ms;
+  __isset = other500.__isset;
+  return *this;
+}
+GroupLoad& GroupLoad::operator=(GroupLoad&& other501) noexcept {
+  group = std::move(other501.group);
+  in_flight = other501.in_flight;
+  streaming = other501.streaming;
+  waiting_tokens = other501.waiting_tokens;
+  progress_age_ms = other501.progress_age_ms;
+  __isset = other501.__isset;
   return *this;
 }
 void GroupLoad::printTo(std::ostream& out) const {
@@ -12577,42 +12890,42 @@
   swap(a.__isset, b.__isset);
 }
 
-ModelDemand::ModelDemand(const ModelDemand& other474) {
-  service_name = other474.service_name;
-  model = other474.model;
-  received = other474.received;
-  prompt_tokens = other474.prompt_tokens;
-  answer_tokens = other474.answer_tokens;
-  target_latency_ms = other474.target_latency_ms;
-  __isset = other474.__isset;
-}
-ModelDemand::ModelDemand(ModelDemand&& other475) noexcept {
-  service_name = std::move(other475.service_name);
-  model = std::move(other475.model);
-  received = other475.received;
-  prompt_tokens = other475.prompt_tokens;
-  answer_tokens = other475.answer_tokens;
-  target_latency_ms = other475.target_latency_ms;
-  __isset = other475.__isset;
-}
-ModelDemand& ModelDemand::operator=(const ModelDemand& other476) {
-  service_name = other476.service_name;
-  model = other476.model;
-  received = other476.received;
-  prompt_tokens = other476.prompt_tokens;
-  answer_tokens = other476.answer_tokens;
-  target_latency_ms = other476.target_latency_ms;
-  __isset = other476.__isset;
-  return *this;
-}
-ModelDemand& ModelDemand::operator=(ModelDemand&& other477) noexcept {
-  service_name = std::move(other477.service_name);
-  model = std::move(other477.model);
-  received = other477.received;
-  prompt_tokens = other477.prompt_tokens;
-  answer_tokens = other477.answer_tokens;
-  target_latency_ms = other477.target_latency_ms;
-  __isset = other477.__isset;
+ModelDemand::ModelDemand(const ModelDemand& other502) {
+  service_name = other502.service_name;
+  model = other502.model;
+  received = other502.received;
+  prompt_tokens = other502.prompt_tokens;
+  answer_tokens = other502.answer_tokens;
+  target_latency_ms = other502.target_latency_ms;
+  __isset = other502.__isset;
+}
+ModelDemand::ModelDemand(ModelDemand&& other503) noexcept {
+  service_name = std::move(other503.service_name);
+  model = std::move(other503.model);
+  received = other503.received;
+  prompt_tokens = other503.prompt_tokens;
+  answer_tokens = other503.answer_tokens;
+  target_latency_ms = other503.target_latency_ms;
+  __isset = other503.__isset;
+}
+ModelDemand& ModelDemand::operator=(const ModelDemand& other504) {
+  service_name = other504.service_name;
+  model = other504.model;
+  received = other504.received;
+  prompt_tokens = other504.prompt_tokens;
+  answer_tokens = other504.answer_tokens;
+  target_latency_ms = other504.target_latency_ms;
+  __isset = other504.__isset;
+  return *this;
+}
+ModelDemand& ModelDemand::operator=(ModelDemand&& other505) noexcept {
+  service_name = std::move(other505.service_name);
+  model = std::move(other505.model);
+  received = other505.received;
+  prompt_tokens = other505.prompt_tokens;
+  answer_tokens = other505.answer_tokens;
+  target_latency_ms = other505.target_latency_ms;
+  __isset = other505.__isset;
   return *this;
 }
 void ModelDemand::printTo(std::ostream& out) const {
@@ -12720,26 +13033,26 @@
   swap(a.__isset, b.__isset);
 }
 
-InstanceFailure::InstanceFailure(const InstanceFailure& other478) {
-  instance_id = other478.instance_id;
-  group = other478.group;
-  __isset = other478.__isset;
+InstanceFailure::InstanceFailure(const InstanceFailure& other506) {
+  instance_id = other506.instance_id;
+  group = other506.group;
+  __isset = other506.__isset;
 }
-InstanceFailure::InstanceFailure(InstanceFailure&& other479) noexcept {
-  instance_id = std::move(other479.instance_id);
-  group = std::move(other479.group);
-  __isset = other479.__isset;
+InstanceFailure::InstanceFailure(InstanceFailure&& other507) noexcept {
+  instance_id = std::move(other507.instance_id);
+  group = std::move(other507.group);
+  __isset = other507.__isset;
 }
-InstanceFailure& InstanceFailure::operator=(const InstanceFailure& other480) {
-  instance_id = other480.instance_id;
-  group = other480.group;
-  __isset = other480.__isset;
+InstanceFailure& InstanceFailure::operator=(const InstanceFailure& other508) {
+  instance_id = other508.instance_id;
+  group = other508.group;
+  __isset = other508.__isset;
   return *this;
 }
-InstanceFailure& InstanceFailure::operator=(InstanceFailure&& other481) noexcept {
-  instance_id = std::move(other481.instance_id);
-  group = std::move(other481.group);
-  __isset = other481.__isset;
+InstanceFailure& InstanceFailure::operator=(InstanceFailure&& other509) noexcept {
+  instance_id = std::move(other509.instance_id);
+  group = std::move(other509.group);
+  __isset = other509.__isset;
   return *this;
 }
 void InstanceFailure::printTo(std::ostream& out) const {
@@ -12899,14 +13212,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->loads.clear();
-            uint32_t _size482;
-            ::apache::thrift::protocol::TType _etype485;
-            xfer += iprot->readListBegin(_etype485, _size482);
-            this->loads.resize(_size482);
-            uint32_t _i486;
-            for (_i486 = 0; _i486 < _size482; ++_i486)
+            uint32_t _size510;
+            ::apache::thrift::protocol::TType _etype513;
+            xfer += iprot->readListBegin(_etype513, _size510);
+            this->loads.resize(_size510);
+            uint32_t _i514;
+            for (_i514 = 0; _i514 < _size510; ++_i514)
             {
-              xfer += this->loads[_i486].read(iprot);
+              xfer += this->loads[_i514].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -12919,14 +13232,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->demand.clear();
-            uint32_t _size487;
-            ::apache::thrift::protocol::TType _etype490;
-            xfer += iprot->readListBegin(_etype490, _size487);
-            this->demand.resize(_size487);
-            uint32_t _i491;
-            for (_i491 = 0; _i491 < _size487; ++_i491)
+            uint32_t _size515;
+            ::apache::thrift::protocol::TType _etype518;
+            xfer += iprot->readListBegin(_etype518, _size515);
+            this->demand.resize(_size515);
+            uint32_t _i519;
+            for (_i519 = 0; _i519 < _size515; ++_i519)
             {
-              xfer += this->demand[_i491].read(iprot);
+              xfer += this->demand[_i519].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -12939,14 +13252,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->failures.clear();
-            uint32_t _size492;
-            ::apache::thrift::protocol::TType _etype495;
-            xfer += iprot->readListBegin(_etype495, _size492);
-            this->failures.resize(_size492);
-            uint32_t _i496;
-            for (_i496 = 0; _i496 < _size492; ++_i496)
+            uint32_t _size520;
+            ::apache::thrift::protocol::TType _etype523;
+            xfer += iprot->readListBegin(_etype523, _size520);
+            this->failures.resize(_size520);
+            uint32_t _i524;
+            for (_i524 = 0; _i524 < _size520; ++_i524)
             {
-              xfer += this->failures[_i496].read(iprot);
+              xfer += this->failures[_i524].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -13035,10 +13348,10 @@
   xfer += oprot->writeFieldBegin("loads", ::apache::thrift::protocol::T_LIST, 8);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->loads.size()));
-    std::vector<GroupLoad> ::const_iterator _iter497;
-    for (_iter497 = this->loads.begin(); _iter497 != this->loads.end(); ++_iter497)
+    std::vector<GroupLoad> ::const_iterator _iter525;
+    for (_iter525 = this->loads.begin(); _iter525 != this->loads.end(); ++_iter525)
     {
-      xfer += (*_iter497).write(oprot);
+      xfer += (*_iter525).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -13047,10 +13360,10 @@
   xfer += oprot->writeFieldBegin("demand", ::apache::thrift::protocol::T_LIST, 9);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->demand.size()));
-    std::vector<ModelDemand> ::const_iterator _iter498;
-    for (_iter498 = this->demand.begin(); _iter498 != this->demand.end(); ++_iter498)
+    std::vector<ModelDemand> ::const_iterator _iter526;
+    for (_iter526 = this->demand.begin(); _iter526 != this->demand.end(); ++_iter526)
     {
-      xfer += (*_iter498).write(oprot);
+      xfer += (*_iter526).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -13059,10 +13372,10 @@
   xfer += oprot->writeFieldBegin("failures", ::apache::thrift::protocol::T_LIST, 10);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->failures.size()));
-    std::vector<InstanceFailure> ::const_iterator _iter499;
-    for (_iter499 = this->failures.begin(); _iter499 != this->failures.end(); ++_iter499)
+    std::vector<InstanceFailure> ::const_iterator _iter527;
+    for (_iter527 = this->failures.begin(); _iter527 != this->failures.end(); ++_iter527)
     {
-      xfer += (*_iter499).write(oprot);
+      xfer += (*_iter527).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -13109,74 +13422,74 @@
   swap(a.__isset, b.__isset);
 }
 
-FleetHeartbeat::FleetHeartbeat(const FleetHeartbeat& other500) {
-  sequence = other500.sequence;
-  zone = other500.zone;
-  replica_id = other500.replica_id;
-  control_address = other500.control_address;
-  document_version = other500.document_version;
-  held_term = other500.held_term;
-  held_version = other500.held_version;
-  loads = other500.loads;
-  demand = other500.demand;
-  failures = other500.failures;
-  leaving = other500.leaving;
-  serves_requests = other500.serves_requests;
-  traffic_seen = other500.traffic_seen;
-  held_state = other500.held_state;
-  __isset = other500.__isset;
+FleetHeartbeat::FleetHeartbeat(const FleetHeartbeat& other528) {
+  sequence = other528.sequence;
+  zone = other528.zone;
+  replica_id = other528.replica_id;
+  control_address = other528.control_address;
+  document_version = other528.document_version;
+  held_term = other528.held_term;
+  held_version = other528.held_version;
+  loads = other528.loads;
+  demand = other528.demand;
+  failures = other528.failures;
+  leaving = other528.leaving;
+  serves_requests = other528.serves_requests;
+  traffic_seen = other528.traffic_seen;
+  held_state = other528.held_state;
+  __isset = other528.__isset;
 }
-FleetHeartbeat::FleetHeartbeat(FleetHeartbeat&& other501) noexcept {
-  sequence = other501.sequence;
-  zone = std::move(other501.zone);
-  replica_id = other501.replica_id;
-  control_address = std::move(other501.control_address);
-  document_version = other501.document_version;
-  held_term = other501.held_term;
-  held_version = other501.held_version;
-  loads = std::move(other501.loads);
-  demand = std::move(other501.demand);
-  failures = std::move(other501.failures);
-  leaving = other501.leaving;
-  serves_requests = other501.serves_requests;
-  traffic_seen = other501.traffic_seen;
-  held_state = std::move(other501.held_state);
-  __isset = other501.__isset;
+FleetHeartbeat::FleetHeartbeat(FleetHeartbeat&& other529) noexcept {
+  sequence = other529.sequence;
+  zone = std::move(other529.zone);
+  replica_id = other529.replica_id;
+  control_address = std::move(other529.control_address);
+  document_version = other529.document_version;
+  held_term = other529.held_term;
+  held_version = other529.held_version;
+  loads = std::move(other529.loads);
+  demand = std::move(other529.demand);
+  failures = std::move(other529.failures);
+  leaving = other529.leaving;
+  serves_requests = other529.serves_requests;
+  traffic_seen = other529.traffic_seen;
+  held_state = std::move(other529.held_state);
+  __isset = other529.__isset;
 }
-FleetHeartbeat& FleetHeartbeat::operator=(const FleetHeartbeat& other502) {
-  sequence = other502.sequence;
-  zone = other502.zone;
-  replica_id = other502.replica_id;
-  control_address = other502.control_address;
-  document_version = other502.document_version;
-  held_term = other502.held_term;
-  held_version = other502.held_version;
-  loads = other502.loads;
-  demand = other502.demand;
-  failures = other502.failures;
-  leaving = other502.leaving;
-  serves_requests = other502.serves_requests;
-  traffic_seen = other502.traffic_seen;
-  held_state = other502.held_state;
-  __isset = other502.__isset;
+FleetHeartbeat& FleetHeartbeat::operator=(const FleetHeartbeat& other530) {
+  sequence = other530.sequence;
+  zone = other530.zone;
+  replica_id = other530.replica_id;
+  control_address = other530.control_address;
+  document_version = other530.document_version;
+  held_term = other530.held_term;
+  held_version = other530.held_version;
+  loads = other530.loads;
+  demand = other530.demand;
+  failures = other530.failures;
+  leaving = other530.leaving;
+  serves_requests = other530.serves_requests;
+  traffic_seen = other530.traffic_seen;
+  held_state = other530.held_state;
+  __isset = other530.__isset;
   return *this;
 }
-FleetHeartbeat& FleetHeartbeat::operator=(FleetHeartbeat&& other503) noexcept {
-  sequence = other503.sequence;
-  zone = std::move(other503.zone);
-  replica_id = other503.replica_id;
-  control_address = std::move(other503.control_address);
-  document_version = other503.document_version;
-  held_term = other503.held_term;
-  held_version = other503.held_version;
-  loads = std::move(other503.loads);
-  demand = std::move(other503.demand);
-  failures = std::move(other503.failures);
-  leaving = other503.leaving;
-  serves_requests = other503.serves_requests;
-  traffic_seen = other503.traffic_seen;
-  held_state = std::move(other503.held_state);
-  __isset = other503.__isset;
+FleetHeartbeat& FleetHeartbeat::operator=(FleetHeartbeat&& other531) noexcept {
+  sequence = other531.sequence;
+  zone = std::move(other531.zone);
+  replica_id = other531.replica_id;
+  control_address = std::move(other531.control_address);
+  document_version = other531.document_version;
+  held_term = other531.held_term;
+  held_version = other531.held_version;
+  loads = std::move(other531.loads);
+  demand = std::move(other531.demand);
+  failures = std::move(other531.failures);
+  leaving = other531.leaving;
+  serves_requests = other531.serves_requests;
+  traffic_seen = other531.traffic_seen;
+  held_state = std::move(other531.held_state);
+  __isset = other531.__isset;
   return *this;
 }
 void FleetHeartbeat::printTo(std::ostream& out) const {
@@ -13249,6 +13562,15 @@
 void FleetUpdate::__set_wants_state(const bool val) {
   this->wants_state = val;
 }
+
+void FleetUpdate::__set_state_change(const FleetStateChange& val) {
+  this->state_change = val;
+__isset.state_change = true;
+}
+
+void FleetUpdate::__set_wants_confirmation(const bool val) {
+  this->wants_confirmation = val;
+}
 std::ostream& operator<<(std::ostream& out, const FleetUpdate& obj)
 {
   obj.printTo(out);
@@ -13305,14 +13627,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->control_peers.clear();
-            uint32_t _size504;
-            ::apache::thrift::protocol::TType _etype507;
-            xfer += iprot->readListBegin(_etype507, _size504);
-            this->control_peers.resize(_size504);
-            uint32_t _i508;
-            for (_i508 = 0; _i508 < _size504; ++_i508)
+            uint32_t _size532;
+            ::apache::thrift::protocol::TType _etype535;
+            xfer += iprot->readListBegin(_etype535, _size532);
+            this->control_peers.resize(_size532);
+            uint32_t _i536;
+            for (_i536 = 0; _i536 < _size532; ++_i536)
             {
-              xfer += iprot->readString(this->control_peers[_i508]);
+              xfer += iprot->readString(this->control_peers[_i536]);
             }
             xfer += iprot->readListEnd();
           }
@@ -13357,14 +13679,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->loads.clear();
-            uint32_t _size509;
-            ::apache::thrift::protocol::TType _etype512;
-            xfer += iprot->readListBegin(_etype512, _size509);
-            this->loads.resize(_size509);
-            uint32_t _i513;
-            for (_i513 = 0; _i513 < _size509; ++_i513)
+            uint32_t _size537;
+            ::apache::thrift::protocol::TType _etype540;
+            xfer += iprot->readListBegin(_etype540, _size537);
+            this->loads.resize(_size537);
+            uint32_t _i541;
+            for (_i541 = 0; _i541 < _size537; ++_i541)
             {
-              xfer += this->loads[_i513].read(iprot);
+              xfer += this->loads[_i541].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -13389,6 +13711,22 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 12:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->state_change.read(iprot);
+          this->__isset.state_change = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 13:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->wants_confirmation);
+          this->__isset.wants_confirmation = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -13421,10 +13759,10 @@
   xfer += oprot->writeFieldBegin("control_peers", ::apache::thrift::protocol::T_LIST, 4);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->control_peers.size()));
-    std::vector<std::string> ::const_iterator _iter514;
-    for (_iter514 = this->control_peers.begin(); _iter514 != this->control_peers.end(); ++_iter514)
+    std::vector<std::string> ::const_iterator _iter542;
+    for (_iter542 = this->control_peers.begin(); _iter542 != this->control_peers.end(); ++_iter542)
     {
-      xfer += oprot->writeString((*_iter514));
+      xfer += oprot->writeString((*_iter542));
     }
     xfer += oprot->writeListEnd();
   }
@@ -13451,10 +13789,10 @@
   xfer += oprot->writeFieldBegin("loads", ::apache::thrift::protocol::T_LIST, 9);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->loads.size()));
-    std::vector<GroupLoad> ::const_iterator _iter515;
-    for (_iter515 = this->loads.begin(); _iter515 != this->loads.end(); ++_iter515)
+    std::vector<GroupLoad> ::const_iterator _iter543;
+    for (_iter543 = this->loads.begin(); _iter543 != this->loads.end(); ++_iter543)
     {
-      xfer += (*_iter515).write(oprot);
+      xfer += (*_iter543).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -13468,6 +13806,15 @@
   xfer += oprot->writeBool(this->wants_state);
   xfer += oprot->writeFieldEnd();
 
+  if (this->__isset.state_change) {
+    xfer += oprot->writeFieldBegin("state_change", ::apache::thrift::protocol::T_STRUCT, 12);
+    xfer += this->state_change.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
+  xfer += oprot->writeFieldBegin("wants_confirmation", ::apache::thrift::protocol::T_BOOL, 13);
+  xfer += oprot->writeBool(this->wants_confirmation);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -13486,65 +13833,75 @@
   swap(a.loads, b.loads);
   swap(a.serving_nodes, b.serving_nodes);
   swap(a.wants_state, b.wants_state);
+  swap(a.state_change, b.state_change);
+  swap(a.wants_confirmation, b.wants_confirmation);
   swap(a.__isset, b.__isset);
 }
 
-FleetUpdate::FleetUpdate(const FleetUpdate& other516) {
-  sequence = other516.sequence;
-  not_leader = other516.not_leader;
-  leader = other516.leader;
-  control_peers = other516.control_peers;
-  term = other516.term;
-  document_version = other516.document_version;
-  document = other516.document;
-  state = other516.state;
-  loads = other516.loads;
-  serving_nodes = other516.serving_nodes;
-  wants_state = other516.wants_state;
-  __isset = other516.__isset;
-}
-FleetUpdate::FleetUpdate(FleetUpdate&& other517) noexcept {
-  sequence = other517.sequence;
-  not_leader = other517.not_leader;
-  leader = std::move(other517.leader);
-  control_peers = std::move(other517.control_peers);
-  term = other517.term;
-  document_version = other517.document_version;
-  document = std::move(other517.document);
-  state = std::move(other517.state);
-  loads = std::move(other517.loads);
-  serving_nodes = other517.serving_nodes;
-  wants_state = other517.wants_state;
-  __isset = other517.__isset;
-}
-FleetUpdate& FleetUpdate::operator=(const FleetUpdate& other518) {
-  sequence = other518.sequence;
-  not_leader = other518.not_leader;
-  leader = other518.leader;
-  control_peers = other518.control_peers;
-  term = other518.term;
-  document_version = other518.document_version;
-  document = other518.document;
-  state = other518.state;
-  loads = other518.loads;
-  serving_nodes = other518.serving_nodes;
-  wants_state = other518.wants_state;
-  __isset = other518.__isset;
-  return *this;
-}
-FleetUpdate& FleetUpdate::operator=(FleetUpdate&& other519) noexcept {
-  sequence = other519.sequence;
-  not_leader = other519.not_leader;
-  leader = std::move(other519.leader);
-  control_peers = std::move(other519.control_peers);
-  term = other519.term;
-  document_version = other519.document_version;
-  document = std::move(other519.document);
-  state = std::move(other519.state);
-  loads = std::move(other519.loads);
-  serving_nodes = other519.serving_nodes;
-  wants_state = other519.wants_state;
-  __isset = other519.__isset;
+FleetUpdate::FleetUpdate(const FleetUpdate& other544) {
+  sequence = other544.sequence;
+  not_leader = other544.not_leader;
+  leader = other544.leader;
+  control_peers = other544.control_peers;
+  term = other544.term;
+  document_version = other544.document_version;
+  document = other544.document;
+  state = other544.state;
+  loads = other544.loads;
+  serving_nodes = other544.serving_nodes;
+  wants_state = other544.wants_state;
+  state_change = other544.state_change;
+  wants_confirmation = other544.wants_confirmation;
+  __isset = other544.__isset;
+}
+FleetUpdate::FleetUpdate(FleetUpdate&& other545) noexcept {
+  sequence = other545.sequence;
+  not_leader = other545.not_leader;
+  leader = std::move(other545.leader);
+  control_peers = std::move(other545.control_peers);
+  term = other545.term;
+  document_version = other545.document_version;
+  document = std::move(other545.document);
+  state = std::move(other545.state);
+  loads = std::move(other545.loads);
+  serving_nodes = other545.serving_nodes;
+  wants_state = other545.wants_state;
+  state_change = std::move(other545.state_change);
+  wants_confirmation = other545.wants_confirmation;
+  __isset = other545.__isset;
+}
+FleetUpdate& FleetUpdate::operator=(const FleetUpdate& other546) {
+  sequence = other546.sequence;
+  not_leader = other546.not_leader;
+  leader = other546.leader;
+  control_peers = other546.control_peers;
+  term = other546.term;
+  document_version = other546.document_version;
+  document = other546.document;
+  state = other546.state;
+  loads = other546.loads;
+  serving_nodes = other546.serving_nodes;
+  wants_state = other546.wants_state;
+  state_change = other546.state_change;
+  wants_confirmation = other546.wants_confirmation;
+  __isset = other546.__isset;
+  return *this;
+}
+FleetUpdate& FleetUpdate::operator=(FleetUpdate&& other547) noexcept {
+  sequence = other547.sequence;
+  not_leader = other547.not_leader;
+  leader = std::move(other547.leader);
+  control_peers = std::move(other547.control_peers);
+  term = other547.term;
+  document_version = other547.document_version;
+  document = std::move(other547.document);
+  state = std::move(other547.state);
+  loads = std::move(other547.loads);
+  serving_nodes = other547.serving_nodes;
+  wants_state = other547.wants_state;
+  state_change = std::move(other547.state_change);
+  wants_confirmation = other547.wants_confirmation;
+  __isset = other547.__isset;
   return *this;
 }
 void FleetUpdate::printTo(std::ostream& out) const {
@@ -13561,6 +13918,8 @@
   out << ", " << "loads=" << to_string(loads);
   out << ", " << "serving_nodes=" << to_string(serving_nodes);
   out << ", " << "wants_state=" << to_string(wants_state);
+  out << ", " << "state_change="; (__isset.state_change ? (out << to_string(state_change)) : (out << "<null>"));
+  out << ", " << "wants_confirmation=" << to_string(wants_confirmation);
   out << ")";
 }
 
@@ -13622,9 +13981,9 @@
         break;
       case 2:
         if (ftype == ::apache::thrift::protocol::T_I32) {
-          int32_t ecast520;
-          xfer += iprot->readI32(ecast520);
-          this->kind = static_cast<ControlCallKind::type>(ecast520);
+          int32_t ecast548;
+          xfer += iprot->readI32(ecast548);
+          this->kind = static_cast<ControlCallKind::type>(ecast548);
           this->__isset.kind = true;
         } else {
           xfer += iprot->skip(ftype);
@@ -13693,34 +14052,34 @@
   swap(a.__isset, b.__isset);
 }
 
-ControlCall::ControlCall(const ControlCall& other521) {
-  id = other521.id;
-  kind = other521.kind;
-  instance_id = other521.instance_id;
-  body = other521.body;
-  __isset = other521.__isset;
+ControlCall::ControlCall(const ControlCall& other549) {
+  id = other549.id;
+  kind = other549.kind;
+  instance_id = other549.instance_id;
+  body = other549.body;
+  __isset = other549.__isset;
 }
-ControlCall::ControlCall(ControlCall&& other522) noexcept {
-  id = other522.id;
-  kind = other522.kind;
-  instance_id = std::move(other522.instance_id);
-  body = std::move(other522.body);
-  __isset = other522.__isset;
+ControlCall::ControlCall(ControlCall&& other550) noexcept {
+  id = other550.id;
+  kind = other550.kind;
+  instance_id = std::move(other550.instance_id);
+  body = std::move(other550.body);
+  __isset = other550.__isset;
 }
-ControlCall& ControlCall::operator=(const ControlCall& other523) {
-  id = other523.id;
-  kind = other523.kind;
-  instance_id = other523.instance_id;
-  body = other523.body;
-  __isset = other523.__isset;
+ControlCall& ControlCall::operator=(const ControlCall& other551) {
+  id = other551.id;
+  kind = other551.kind;
+  instance_id = other551.instance_id;
+  body = other551.body;
+  __isset = other551.__isset;
   return *this;
 }
-ControlCall& ControlCall::operator=(ControlCall&& other524) noexcept {
-  id = other524.id;
-  kind = other524.kind;
-  instance_id = std::move(other524.instance_id);
-  body = std::move(other524.body);
-  __isset = other524.__isset;
+ControlCall& ControlCall::operator=(ControlCall&& other552) noexcept {
+  id = other552.id;
+  kind = other552.kind;
+  instance_id = std::move(other552.instance_id);
+  body = std::move(other552.body);
+  __isset = other552.__isset;
   return *this;
 }
 void ControlCall::printTo(std::ostream& out) const {
@@ -13843,30 +14202,30 @@
   swap(a.__isset, b.__isset);
 }
 
-ControlCallReply::ControlCallReply(const ControlCallReply& other525) {
-  id = other525.id;
-  status = other525.status;
-  body = other525.body;
-  __isset = other525.__isset;
+ControlCallReply::ControlCallReply(const ControlCallReply& other553) {
+  id = other553.id;
+  status = other553.status;
+  body = other553.body;
+  __isset = other553.__isset;
 }
-ControlCallReply::ControlCallReply(ControlCallReply&& other526) noexcept {
-  id = other526.id;
-  status = other526.status;
-  body = std::move(other526.body);
-  __isset = other526.__isset;
+ControlCallReply::ControlCallReply(ControlCallReply&& other554) noexcept {
+  id = other554.id;
+  status = other554.status;
+  body = std::move(other554.body);
+  __isset = other554.__isset;
 }
-ControlCallReply& ControlCallReply::operator=(const ControlCallReply& other527) {
-  id = other527.id;
-  status = other527.status;
-  body = other527.body;
-  __isset = other527.__isset;
+ControlCallReply& ControlCallReply::operator=(const ControlCallReply& other555) {
+  id = other555.id;
+  status = other555.status;
+  body = other555.body;
+  __isset = other555.__isset;
   return *this;
 }
-ControlCallReply& ControlCallReply::operator=(ControlCallReply&& other528) noexcept {
-  id = other528.id;
-  status = other528.status;
-  body = std::move(other528.body);
-  __isset = other528.__isset;
+ControlCallReply& ControlCallReply::operator=(ControlCallReply&& other556) noexcept {
+  id = other556.id;
+  status = other556.status;
+  body = std::move(other556.body);
+  __isset = other556.__isset;
   return *this;
 }
 void ControlCallReply::printTo(std::ostream& out) const {
@@ -14235,82 +14594,82 @@
   swap(a.__isset, b.__isset);
 }
 
-Envelope::Envelope(const Envelope& other529) {
-  from_node = other529.from_node;
-  from_incarnation = other529.from_incarnation;
-  to_node = other529.to_node;
-  raft = other529.raft;
-  heartbeat = other529.heartbeat;
-  heartbeat_reply = other529.heartbeat_reply;
-  claim_request = other529.claim_request;
-  claim_reply = other529.claim_reply;
-  resolution = other529.resolution;
-  operator_request = other529.operator_request;
-  operator_reply = other529.operator_reply;
-  resolution_reply = other529.resolution_reply;
-  fleet_heartbeat = other529.fleet_heartbeat;
-  fleet_update = other529.fleet_update;
-  control_call = other529.control_call;
-  control_call_reply = other529.control_call_reply;
-  __isset = other529.__isset;
-}
-Envelope::Envelope(Envelope&& other530) noexcept {
-  from_node = std::move(other530.from_node);
-  from_incarnation = other530.from_incarnation;
-  to_node = std::move(other530.to_node);
-  raft = std::move(other530.raft);
-  heartbeat = std::move(other530.heartbeat);
-  heartbeat_reply = std::move(other530.heartbeat_reply);
-  claim_request = std::move(other530.claim_request);
-  claim_reply = std::move(other530.claim_reply);
-  resolution = std::move(other530.resolution);
-  operator_request = std::move(other530.operator_request);
-  operator_reply = std::move(other530.operator_reply);
-  resolution_reply = std::move(other530.resolution_reply);
-  fleet_heartbeat = std::move(other530.fleet_heartbeat);
-  fleet_update = std::move(other530.fleet_update);
-  control_call = std::move(other530.control_call);
-  control_call_reply = std::move(other530.control_call_reply);
-  __isset = other530.__isset;
-}
-Envelope& Envelope::operator=(const Envelope& other531) {
-  from_node = other531.from_node;
-  from_incarnation = other531.from_incarnation;
-  to_node = other531.to_node;
-  raft = other531.raft;
-  heartbeat = other531.heartbeat;
-  heartbeat_reply = other531.heartbeat_reply;
-  claim_request = other531.claim_request;
-  claim_reply = other531.claim_reply;
-  resolution = other531.resolution;
-  operator_request = other531.operator_request;
-  operator_reply = other531.operator_reply;
-  resolution_reply = other531.resolution_reply;
-  fleet_heartbeat = other531.fleet_heartbeat;
-  fleet_update = other531.fleet_update;
-  control_call = other531.control_call;
-  control_call_reply = other531.control_call_reply;
-  __isset = other531.__isset;
-  return *this;
-}
-Envelope& Envelope::operator=(Envelope&& other532) noexcept {
-  from_node = std::move(other532.from_node);
-  from_incarnation = other532.from_incarnation;
-  to_node = std::move(other532.to_node);
-  raft = std::move(other532.raft);
-  heartbeat = std::move(other532.heartbeat);
-  heartbeat_reply = std::move(other532.heartbeat_reply);
-  claim_request = std::move(other532.claim_request);
-  claim_reply = std::move(other532.claim_reply);
-  resolution = std::move(other532.resolution);
-  operator_request = std::move(other532.operator_request);
-  operator_reply = std::move(other532.operator_reply);
-  resolution_reply = std::move(other532.resolution_reply);
-  fleet_heartbeat = std::move(other532.fleet_heartbeat);
-  fleet_update = std::move(other532.fleet_update);
-  control_call = std::move(other532.control_call);
-  control_call_reply = std::move(other532.control_call_reply);
-  __isset = other532.__isset;
+Envelope::Envelope(const Envelope& other557) {
+  from_node = other557.from_node;
+  from_incarnation = other557.from_incarnation;
+  to_node = other557.to_node;
+  raft = other557.raft;
+  heartbeat = other557.heartbeat;
+  heartbeat_reply = other557.heartbeat_reply;
+  claim_request = other557.claim_request;
+  claim_reply = other557.claim_reply;
+  resolution = other557.resolution;
+  operator_request = other557.operator_request;
+  operator_reply = other557.operator_reply;
+  resolution_reply = other557.resolution_reply;
+  fleet_heartbeat = other557.fleet_heartbeat;
+  fleet_update = other557.fleet_update;
+  control_call = other557.control_call;
+  control_call_reply = other557.control_call_reply;
+  __isset = other557.__isset;
+}
+Envelope::Envelope(Envelope&& other558) noexcept {
+  from_node = std::move(other558.from_node);
+  from_incarnation = other558.from_incarnation;
+  to_node = std::move(other558.to_node);
+  raft = std::move(other558.raft);
+  heartbeat = std::move(other558.heartbeat);
+  heartbeat_reply = std::move(other558.heartbeat_reply);
+  claim_request = std::move(other558.claim_request);
+  claim_reply = std::move(other558.claim_reply);
+  resolution = std::move(other558.resolution);
+  operator_request = std::move(other558.operator_request);
+  operator_reply = std::move(other558.operator_reply);
+  resolution_reply = std::move(other558.resolution_reply);
+  fleet_heartbeat = std::move(other558.fleet_heartbeat);
+  fleet_update = std::move(other558.fleet_update);
+  control_call = std::move(other558.control_call);
+  control_call_reply = std::move(other558.control_call_reply);
+  __isset = other558.__isset;
+}
+Envelope& Envelope::operator=(const Envelope& other559) {
+  from_node = other559.from_node;
+  from_incarnation = other559.from_incarnation;
+  to_node = other559.to_node;
+  raft = other559.raft;
+  heartbeat = other559.heartbeat;
+  heartbeat_reply = other559.heartbeat_reply;
+  claim_request = other559.claim_request;
+  claim_reply = other559.claim_reply;
+  resolution = other559.resolution;
+  operator_request = other559.operator_request;
+  operator_reply = other559.operator_reply;
+  resolution_reply = other559.resolution_reply;
+  fleet_heartbeat = other559.fleet_heartbeat;
+  fleet_update = other559.fleet_update;
+  control_call = other559.control_call;
+  control_call_reply = other559.control_call_reply;
+  __isset = other559.__isset;
+  return *this;
+}
+Envelope& Envelope::operator=(Envelope&& other560) noexcept {
+  from_node = std::move(other560.from_node);
+  from_incarnation = other560.from_incarnation;
+  to_node = std::move(other560.to_node);
+  raft = std::move(other560.raft);
+  heartbeat = std::move(other560.heartbeat);
+  heartbeat_reply = std::move(other560.heartbeat_reply);
+  claim_request = std::move(other560.claim_request);
+  claim_reply = std::move(other560.claim_reply);
+  resolution = std::move(other560.resolution);
+  operator_request = std::move(other560.operator_request);
+  operator_reply = std::move(other560.operator_reply);
+  resolution_reply = std::move(other560.resolution_reply);
+  fleet_heartbeat = std::move(other560.fleet_heartbeat);
+  fleet_update = std::move(other560.fleet_update);
+  control_call = std::move(other560.control_call);
+  control_call_reply = std::move(other560.control_call_reply);
+  __isset = other560.__isset;
   return *this;
 }
 void Envelope::printTo(std::ostream& out) const {
--- a/src/wire/gen-cpp/larchlever_types.h
+++ b/src/wire/gen-cpp/larchlever_types.h
@@ -303,6 +303,8 @@
 
 class FleetState;
 
+class FleetStateChange;
+
 class GroupLoad;
 
 class ModelDemand;
@@ -4723,6 +4725,95 @@
 
 std::ostream& operator<<(std::ostream& out, const FleetState& obj);
 
+typedef struct _FleetStateChange__isset {
+  _FleetStateChange__isset() : term(false), from_version(false), version(false), instances(false), removed_instances(false), groups(false), removed_groups(false) {}
+  bool term :1;
+  bool from_version :1;
+  bool version :1;
+  bool instances :1;
+  bool removed_instances :1;
+  bool groups :1;
+  bool removed_groups :1;
+} _FleetStateChange__isset;
+
+/**
+ * Rows of the fleet's state that changed between two versions of one term.
+ */
+class FleetStateChange : public virtual ::apache::thrift::TBase {
+ public:
+
+  FleetStateChange(const FleetStateChange&);
+  FleetStateChange(FleetStateChange&&) noexcept;
+  FleetStateChange& operator=(const FleetStateChange&);
+  FleetStateChange& operator=(FleetStateChange&&) noexcept;
+  FleetStateChange() noexcept
+                   : term(0),
+                     from_version(0),
+                     version(0) {
+  }
+
+  virtual ~FleetStateChange() noexcept;
+  int64_t term;
+  /**
+   * Applies to copies of this version or a later one.
+   */
+  int64_t from_version;
+  int64_t version;
+  std::vector<Instance>  instances;
+  std::vector<std::string>  removed_instances;
+  std::vector<EngineGroup>  groups;
+  std::vector<std::string>  removed_groups;
+
+  _FleetStateChange__isset __isset;
+
+  void __set_term(const int64_t val);
+
+  void __set_from_version(const int64_t val);
+
+  void __set_version(const int64_t val);
+
+  void __set_instances(const std::vector<Instance> & val);
+
+  void __set_removed_instances(const std::vector<std::string> & val);
+
+  void __set_groups(const std::vector<EngineGroup> & val);
+
+  void __set_removed_groups(const std::vector<std::string> & val);
+
+  bool operator == (const FleetStateChange & rhs) const
+  {
+    if (!(term == rhs.term))
+      return false;
+    if (!(from_version == rhs.from_version))
+      return false;
+    if (!(version == rhs.version))
+      return false;
+    if (!(instances == rhs.instances))
+      return false;
+    if (!(removed_instances == rhs.removed_instances))
+      return false;
+    if (!(groups == rhs.groups))
+      return false;
+    if (!(removed_groups == rhs.removed_groups))
+      return false;
+    return true;
+  }
+  bool operator != (const FleetStateChange &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const FleetStateChange & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(FleetStateChange &a, FleetStateChange &b);
+
+std::ostream& operator<<(std::ostream& out, const FleetStateChange& obj);
+
 typedef struct _GroupLoad__isset {
   _GroupLoad__isset() : group(false), in_flight(false), streaming(false), waiting_tokens(false), progress_age_ms(false) {}
   bool group :1;
@@ -5096,7 +5187,7 @@
 std::ostream& operator<<(std::ostream& out, const FleetHeartbeat& obj);
 
 typedef struct _FleetUpdate__isset {
-  _FleetUpdate__isset() : sequence(false), not_leader(false), leader(false), control_peers(false), term(false), document_version(false), document(false), state(false), loads(false), serving_nodes(false), wants_state(false) {}
+  _FleetUpdate__isset() : sequence(false), not_leader(false), leader(false), control_peers(false), term(false), document_version(false), document(false), state(false), loads(false), serving_nodes(false), wants_state(false), state_change(false), wants_confirmation(false) {}
   bool sequence :1;
   bool not_leader :1;
   bool leader :1;
@@ -5108,6 +5199,8 @@
   bool loads :1;
   bool serving_nodes :1;
   bool wants_state :1;
+  bool state_change :1;
+  bool wants_confirmation :1;
 } _FleetUpdate__isset;
 
 /**
@@ -5128,7 +5221,8 @@
                 document_version(0),
                 document(),
                 serving_nodes(0),
-                wants_state(0) {
+                wants_state(0),
+                wants_confirmation(0) {
   }
 
   virtual ~FleetUpdate() noexcept;
@@ -5158,6 +5252,14 @@
    * The leader lacks its predecessor's state and asks for the copy held.
    */
   bool wants_state;
+  /**
+   * Sent instead of the state to who holds an earlier version of the same term.
+   */
+  FleetStateChange state_change;
+  /**
+   * A call waits until all nodes hold this version: confirm at once rather than with the next heartbeat.
+   */
+  bool wants_confirmation;
 
   _FleetUpdate__isset __isset;
 
@@ -5183,6 +5285,10 @@
 
   void __set_wants_state(const bool val);
 
+  void __set_state_change(const FleetStateChange& val);
+
+  void __set_wants_confirmation(const bool val);
+
   bool operator == (const FleetUpdate & rhs) const
   {
     if (!(sequence == rhs.sequence))
@@ -5211,6 +5317,12 @@
       return false;
     if (!(wants_state == rhs.wants_state))
       return false;
+    if (__isset.state_change != rhs.__isset.state_change)
+      return false;
+    else if (__isset.state_change && !(state_change == rhs.state_change))
+      return false;
+    if (!(wants_confirmation == rhs.wants_confirmation))
+      return false;
     return true;
   }
   bool operator != (const FleetUpdate &rhs) const {
--- a/src/wire/larchlever.thrift
+++ b/src/wire/larchlever.thrift
@@ -546,6 +546,18 @@
   4: list<EngineGroup> groups,
 }
 
+/** Rows of the fleet's state that changed between two versions of one term. */
+struct FleetStateChange {
+  1: i64 term,
+  /** Applies to copies of this version or a later one. */
+  2: i64 from_version,
+  3: i64 version,
+  4: list<Instance> instances,
+  5: list<string> removed_instances,
+  6: list<EngineGroup> groups,
+  7: list<string> removed_groups,
+}
+
 struct GroupLoad {
   1: string group,
   2: i32 in_flight,
@@ -614,6 +626,10 @@
   10: i32 serving_nodes,
   /** The leader lacks its predecessor's state and asks for the copy held. */
   11: bool wants_state,
+  /** Sent instead of the state to who holds an earlier version of the same term. */
+  12: optional FleetStateChange state_change,
+  /** A call waits until all nodes hold this version: confirm at once rather than with the next heartbeat. */
+  13: bool wants_confirmation,
 }
 
 enum ControlCallKind { HEARTBEAT = 0, DEREGISTER = 1, PUT_DOCUMENT = 2, GET_DOCUMENT = 3 }
--- /dev/null
+++ b/tests/unit/state_history_test.cc
@@ -0,0 +1,90 @@
+#include "core/fleet/state_history.h"
+
+#include <gtest/gtest.h>
+
+#include <random>
+
+namespace larchlever::fleet {
+namespace {
+
+wire::Instance instance(const std::string& id, int64_t call_number = 1) {
+  wire::Instance result;
+  result.id = id;
+  result.call_number = call_number;
+  return result;
+}
+
+wire::EngineGroup group(const std::string& name, wire::GroupPhase::type phase) {
+  wire::EngineGroup result;
+  result.name = name;
+  result.phase = phase;
+  return result;
+}
+
+TEST(StateHistory, TellsOnlyWhatChangedSinceAVersion) {
+  StateHistory history;
+  history.start(7);
+  history.record(1, {instance("i1"), instance("i2")}, {group("g1", wire::GroupPhase::JOINING)});
+  history.record(2, {instance("i1", 9), instance("i3")}, {group("g1", wire::GroupPhase::OPEN)});
+  const auto change = history.since(1);
+  ASSERT_EQ(change.instances.size(), 1U) << "a call number alone is no news";
+  EXPECT_EQ(change.instances.front().id, "i3");
+  ASSERT_EQ(change.removed_instances.size(), 1U);
+  EXPECT_EQ(change.removed_instances.front(), "i2");
+  ASSERT_EQ(change.groups.size(), 1U);
+  EXPECT_EQ(change.groups.front().phase, wire::GroupPhase::OPEN);
+  EXPECT_TRUE(history.since(2).instances.empty());
+}
+
+TEST(StateHistory, ACopyTakesOnlyChangesThatFollowOnIt) {
+  StateHistory history;
+  history.start(7);
+  history.record(1, {instance("i1")}, {});
+  wire::FleetState copy = history.full();
+  history.record(2, {instance("i1"), instance("i2")}, {});
+  history.record(3, {instance("i1"), instance("i2"), instance("i3")}, {});
+  EXPECT_FALSE(apply_change(copy, history.since(2))) << "the change before it was lost";
+  auto of_other_term = history.since(1);
+  of_other_term.term = 8;
+  EXPECT_FALSE(apply_change(copy, of_other_term));
+  EXPECT_TRUE(apply_change(copy, history.since(1)));
+  EXPECT_EQ(copy.version, 3);
+  EXPECT_EQ(copy.instances.size(), 3U);
+  EXPECT_FALSE(apply_change(copy, history.since(1))) << "known already";
+}
+
+TEST(StateHistory, CopiesThatMissChangesCatchUpWhateverTheOrder) {
+  std::mt19937 random(20261202);
+  const auto draw = [&random](int most) { return std::uniform_int_distribution<int>(0, most)(random); };
+  StateHistory history;
+  history.start(1);
+  wire::FleetState copy;
+  copy.term = 1;
+  std::map<std::string, wire::Instance> present;
+  for (int64_t version = 1; version <= 300; ++version) {
+    const std::string id = "i" + std::to_string(draw(12));
+    if (draw(3) == 0) {
+      present.erase(id);
+    } else {
+      present[id] = instance(id);
+      present[id].silent = draw(1) == 1;
+    }
+    std::vector<wire::Instance> rows;
+    for (const auto& [key, row] : present) {
+      rows.push_back(row);
+    }
+    history.record(version, rows, {});
+    if (draw(2) > 0) {
+      continue;  // Lost on the way.
+    }
+    apply_change(copy, history.since(copy.version));
+    ASSERT_EQ(copy.version, version);
+    ASSERT_EQ(copy.instances.size(), rows.size());
+    for (const auto& row : copy.instances) {
+      ASSERT_EQ(row, present.at(row.id));
+    }
+  }
+}
+
+}  // namespace
+}  // namespace larchlever::fleet
