Compress large documents on the way to nodes and into the log

Ruled out: the processor (at most 0.057 core), the state's rows (sent as differences since the round before). Test: DocumentLog.StoresLargeDocumentsCompressedAndRestoresThem.

--- a/src/core/fleet/document_log.cc
+++ b/src/core/fleet/document_log.cc
@@ -1,9 +1,33 @@
 #include "core/fleet/document_log.h"
 
+#include "core/base/compression.h"
 #include "wire/codec.h"
 
 namespace larchlever::fleet {
 
+namespace {
+
+/// Smaller documents are sent as they are.
+constexpr size_t kWorthCompressing = 4096;
+
+}  // namespace
+
+wire::DocumentChange pack_document(int64_t version, std::string content) {
+  wire::DocumentChange change;
+  change.version = version;
+  if (content.size() < kWorthCompressing) {
+    change.content = std::move(content);
+    return change;
+  }
+  change.content_size = static_cast<int64_t>(content.size());
+  change.compressed_content = compress(content);
+  return change;
+}
+
+std::optional<std::string> unpack_document(const std::string& content, const std::string& compressed, int64_t size) {
+  return compressed.empty() ? std::optional(content) : decompress(compressed, static_cast<size_t>(size));
+}
+
 void DocumentLog::apply(int64_t index, std::string_view payload) {
   applied_index_ = index;
   auto command = wire::decode<wire::Command>(payload);
@@ -11,8 +35,18 @@
   if (!newer) {
     return;
   }
-  change_ = std::move(command->document);
-  parsed_ = document::parse_document(change_.content).document;
+  hold(std::move(command->document));
+}
+
+bool DocumentLog::hold(wire::DocumentChange change) {
+  auto content = unpack_document(change.content, change.compressed_content, change.content_size);
+  if (!content) {
+    return false;
+  }
+  change_ = std::move(change);
+  content_ = std::move(*content);
+  parsed_ = document::parse_document(content_).document;
+  return true;
 }
 
 std::string DocumentLog::snapshot() const { return wire::encode(change_); }
@@ -22,9 +56,7 @@
   if (!change) {
     return false;
   }
-  change_ = std::move(*change);
-  parsed_ = document::parse_document(change_.content).document;
-  return true;
+  return hold(std::move(*change));
 }
 
 }  // namespace larchlever::fleet
--- a/src/core/fleet/document_log.h
+++ b/src/core/fleet/document_log.h
@@ -2,6 +2,7 @@
 
 #include <cstdint>
 #include <memory>
+#include <optional>
 #include <string>
 #include <string_view>
 
@@ -10,6 +11,11 @@
 
 namespace larchlever::fleet {
 
+/// A document as it goes into the log: compressed when it is large.
+wire::DocumentChange pack_document(int64_t version, std::string content);
+/// The content that was packed; nothing when it is damaged.
+std::optional<std::string> unpack_document(const std::string& content, const std::string& compressed, int64_t size);
+
 /// The replicated state of a registered fleet: the configuration document with the highest version ever committed.
 /// Applying the same entries in the same order gives the same state on every replica. No clock, no I/O.
 class DocumentLog {
@@ -22,13 +28,19 @@
 
   int64_t applied_index() const { return applied_index_; }
   int64_t version() const { return change_.version; }
-  const std::string& content() const { return change_.content; }
+  const std::string& content() const { return content_; }
+  /// The document as it is stored and sent: compressed where that is worth it.
+  const wire::DocumentChange& packed() const { return change_; }
   /// Null before the first document.
   const std::shared_ptr<const document::ConfigurationDocument>& parsed() const { return parsed_; }
 
  private:
   int64_t applied_index_ = 0;
+  /// Takes the document if it can be read.
+  bool hold(wire::DocumentChange change);
+
   wire::DocumentChange change_;
+  std::string content_;
   std::shared_ptr<const document::ConfigurationDocument> parsed_;
 };
 
--- a/src/core/fleet/fleet_leader.cc
+++ b/src/core/fleet/fleet_leader.cc
@@ -168,7 +168,13 @@
   }
   const bool repeat = now - subscriber.sent_at > kPushRetry;
   if (subscriber.document_version < log.version() && (repeat || subscriber.document_sent < log.version())) {
-    update.__set_document(log.content());
+    const auto& packed = log.packed();
+    if (packed.compressed_content.empty()) {
+      update.__set_document(packed.content);
+    } else {
+      update.__set_compressed_document(packed.compressed_content);
+      update.document_size = packed.content_size;
+    }
     subscriber.document_sent = log.version();
     subscriber.sent_at = now;
   }
@@ -329,10 +335,7 @@
     answer(key, call, kOk, "{}");
     return;
   }
-  wire::DocumentChange change;
-  change.version = parsed.document->version;
-  change.content = call.body;
-  outputs_.proposals.emplace_back(std::move(change), key);
+  outputs_.proposals.emplace_back(pack_document(parsed.document->version, call.body), key);
 }
 
 void FleetLeader::proposed(const std::string& key, std::optional<int64_t> index, int64_t term) {
--- a/src/core/fleet/fleet_subscription.cc
+++ b/src/core/fleet/fleet_subscription.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <utility>
 
+#include "core/fleet/document_log.h"
 #include "core/fleet/state_history.h"
 
 namespace larchlever::fleet {
@@ -101,10 +102,13 @@
   serving_nodes_ = std::max(1, update.serving_nodes);
   send_state_ = update.wants_state && state_.term > 0;
   bool changed = false;
-  if (update.__isset.document && update.document_version > document_version_) {
-    document_version_ = update.document_version;
-    document_ = update.document;
-    changed = true;
+  const bool has_document = update.__isset.document || update.__isset.compressed_document;
+  if (has_document && update.document_version > document_version_) {
+    if (auto content = unpack_document(update.document, update.compressed_document, update.document_size)) {
+      document_version_ = update.document_version;
+      document_ = std::move(*content);
+      changed = true;
+    }
   }
   if (update.__isset.state && order_of(update.state) > order_of(state_)) {
     state_ = update.state;
@@ -118,7 +122,7 @@
     lease_from_ = std::max(lease_from_, asked->second);
     asked_at_.erase(asked_at_.begin(), std::next(asked));
   }
-  if (update.wants_confirmation || update.__isset.document || send_state_) {
+  if (update.wants_confirmation || has_document || send_state_) {
     next_heartbeat_ = TimePoint::min();
   }
   return changed;
--- a/src/wire/gen-cpp/larchlever_types.cpp
+++ b/src/wire/gen-cpp/larchlever_types.cpp
@@ -6978,6 +6978,14 @@
 void DocumentChange::__set_content(const std::string& val) {
   this->content = val;
 }
+
+void DocumentChange::__set_compressed_content(const std::string& val) {
+  this->compressed_content = val;
+}
+
+void DocumentChange::__set_content_size(const int64_t val) {
+  this->content_size = val;
+}
 std::ostream& operator<<(std::ostream& out, const DocumentChange& obj)
 {
   obj.printTo(out);
@@ -7022,6 +7030,22 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readBinary(this->compressed_content);
+          this->__isset.compressed_content = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->content_size);
+          this->__isset.content_size = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -7047,6 +7071,14 @@
   xfer += oprot->writeBinary(this->content);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("compressed_content", ::apache::thrift::protocol::T_STRING, 3);
+  xfer += oprot->writeBinary(this->compressed_content);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("content_size", ::apache::thrift::protocol::T_I64, 4);
+  xfer += oprot->writeI64(this->content_size);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -7056,28 +7088,38 @@
   using ::std::swap;
   swap(a.version, b.version);
   swap(a.content, b.content);
+  swap(a.compressed_content, b.compressed_content);
+  swap(a.content_size, b.content_size);
   swap(a.__isset, b.__isset);
 }
 
 DocumentChange::DocumentChange(const DocumentChange& other242) {
   version = other242.version;
   content = other242.content;
+  compressed_content = other242.compressed_content;
+  content_size = other242.content_size;
   __isset = other242.__isset;
 }
 DocumentChange::DocumentChange(DocumentChange&& other243) noexcept {
   version = other243.version;
   content = std::move(other243.content);
+  compressed_content = std::move(other243.compressed_content);
+  content_size = other243.content_size;
   __isset = other243.__isset;
 }
 DocumentChange& DocumentChange::operator=(const DocumentChange& other244) {
   version = other244.version;
   content = other244.content;
+  compressed_content = other244.compressed_content;
+  content_size = other244.content_size;
   __isset = other244.__isset;
   return *this;
 }
 DocumentChange& DocumentChange::operator=(DocumentChange&& other245) noexcept {
   version = other245.version;
   content = std::move(other245.content);
+  compressed_content = std::move(other245.compressed_content);
+  content_size = other245.content_size;
   __isset = other245.__isset;
   return *this;
 }
@@ -7086,6 +7128,8 @@
   out << "DocumentChange(";
   out << "version=" << to_string(version);
   out << ", " << "content=" << to_string(content);
+  out << ", " << "compressed_content=" << to_string(compressed_content);
+  out << ", " << "content_size=" << to_string(content_size);
   out << ")";
 }
 
@@ -13571,6 +13615,15 @@
 void FleetUpdate::__set_wants_confirmation(const bool val) {
   this->wants_confirmation = val;
 }
+
+void FleetUpdate::__set_compressed_document(const std::string& val) {
+  this->compressed_document = val;
+__isset.compressed_document = true;
+}
+
+void FleetUpdate::__set_document_size(const int64_t val) {
+  this->document_size = val;
+}
 std::ostream& operator<<(std::ostream& out, const FleetUpdate& obj)
 {
   obj.printTo(out);
@@ -13727,6 +13780,22 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 14:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readBinary(this->compressed_document);
+          this->__isset.compressed_document = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 15:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->document_size);
+          this->__isset.document_size = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -13815,6 +13884,15 @@
   xfer += oprot->writeBool(this->wants_confirmation);
   xfer += oprot->writeFieldEnd();
 
+  if (this->__isset.compressed_document) {
+    xfer += oprot->writeFieldBegin("compressed_document", ::apache::thrift::protocol::T_STRING, 14);
+    xfer += oprot->writeBinary(this->compressed_document);
+    xfer += oprot->writeFieldEnd();
+  }
+  xfer += oprot->writeFieldBegin("document_size", ::apache::thrift::protocol::T_I64, 15);
+  xfer += oprot->writeI64(this->document_size);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -13835,6 +13913,8 @@
   swap(a.wants_state, b.wants_state);
   swap(a.state_change, b.state_change);
   swap(a.wants_confirmation, b.wants_confirmation);
+  swap(a.compressed_document, b.compressed_document);
+  swap(a.document_size, b.document_size);
   swap(a.__isset, b.__isset);
 }
 
@@ -13852,6 +13932,8 @@
   wants_state = other544.wants_state;
   state_change = other544.state_change;
   wants_confirmation = other544.wants_confirmation;
+  compressed_document = other544.compressed_document;
+  document_size = other544.document_size;
   __isset = other544.__isset;
 }
 FleetUpdate::FleetUpdate(FleetUpdate&& other545) noexcept {
@@ -13868,6 +13950,8 @@
   wants_state = other545.wants_state;
   state_change = std::move(other545.state_change);
   wants_confirmation = other545.wants_confirmation;
+  compressed_document = std::move(other545.compressed_document);
+  document_size = other545.document_size;
   __isset = other545.__isset;
 }
 FleetUpdate& FleetUpdate::operator=(const FleetUpdate& other546) {
@@ -13884,6 +13968,8 @@
   wants_state = other546.wants_state;
   state_change = other546.state_change;
   wants_confirmation = other546.wants_confirmation;
+  compressed_document = other546.compressed_document;
+  document_size = other546.document_size;
   __isset = other546.__isset;
   return *this;
 }
@@ -13901,6 +13987,8 @@
   wants_state = other547.wants_state;
   state_change = std::move(other547.state_change);
   wants_confirmation = other547.wants_confirmation;
+  compressed_document = std::move(other547.compressed_document);
+  document_size = other547.document_size;
   __isset = other547.__isset;
   return *this;
 }
@@ -13920,6 +14008,8 @@
   out << ", " << "wants_state=" << to_string(wants_state);
   out << ", " << "state_change="; (__isset.state_change ? (out << to_string(state_change)) : (out << "<null>"));
   out << ", " << "wants_confirmation=" << to_string(wants_confirmation);
+  out << ", " << "compressed_document="; (__isset.compressed_document ? (out << to_string(compressed_document)) : (out << "<null>"));
+  out << ", " << "document_size=" << to_string(document_size);
   out << ")";
 }
 
--- a/src/wire/gen-cpp/larchlever_types.h
+++ b/src/wire/gen-cpp/larchlever_types.h
@@ -2846,9 +2846,11 @@
 std::ostream& operator<<(std::ostream& out, const MachineDrain& obj);
 
 typedef struct _DocumentChange__isset {
-  _DocumentChange__isset() : version(false), content(false) {}
+  _DocumentChange__isset() : version(false), content(false), compressed_content(false), content_size(false) {}
   bool version :1;
   bool content :1;
+  bool compressed_content :1;
+  bool content_size :1;
 } _DocumentChange__isset;
 
 /**
@@ -2863,12 +2865,22 @@
   DocumentChange& operator=(DocumentChange&&) noexcept;
   DocumentChange() noexcept
                  : version(0),
-                   content() {
+                   content(),
+                   compressed_content(),
+                   content_size(0) {
   }
 
   virtual ~DocumentChange() noexcept;
   int64_t version;
+  /**
+   * Empty when the content is compressed.
+   */
   std::string content;
+  std::string compressed_content;
+  /**
+   * Size of the content before it was compressed.
+   */
+  int64_t content_size;
 
   _DocumentChange__isset __isset;
 
@@ -2876,12 +2888,20 @@
 
   void __set_content(const std::string& val);
 
+  void __set_compressed_content(const std::string& val);
+
+  void __set_content_size(const int64_t val);
+
   bool operator == (const DocumentChange & rhs) const
   {
     if (!(version == rhs.version))
       return false;
     if (!(content == rhs.content))
       return false;
+    if (!(compressed_content == rhs.compressed_content))
+      return false;
+    if (!(content_size == rhs.content_size))
+      return false;
     return true;
   }
   bool operator != (const DocumentChange &rhs) const {
@@ -5187,7 +5207,7 @@
 std::ostream& operator<<(std::ostream& out, const FleetHeartbeat& obj);
 
 typedef struct _FleetUpdate__isset {
-  _FleetUpdate__isset() : sequence(false), not_leader(false), leader(false), control_peers(false), term(false), document_version(false), document(false), state(false), loads(false), serving_nodes(false), wants_state(false), state_change(false), wants_confirmation(false) {}
+  _FleetUpdate__isset() : sequence(false), not_leader(false), leader(false), control_peers(false), term(false), document_version(false), document(false), state(false), loads(false), serving_nodes(false), wants_state(false), state_change(false), wants_confirmation(false), compressed_document(false), document_size(false) {}
   bool sequence :1;
   bool not_leader :1;
   bool leader :1;
@@ -5201,6 +5221,8 @@
   bool wants_state :1;
   bool state_change :1;
   bool wants_confirmation :1;
+  bool compressed_document :1;
+  bool document_size :1;
 } _FleetUpdate__isset;
 
 /**
@@ -5222,7 +5244,9 @@
                 document(),
                 serving_nodes(0),
                 wants_state(0),
-                wants_confirmation(0) {
+                wants_confirmation(0),
+                compressed_document(),
+                document_size(0) {
   }
 
   virtual ~FleetUpdate() noexcept;
@@ -5260,6 +5284,11 @@
    * A call waits until all nodes hold this version: confirm at once rather than with the next heartbeat.
    */
   bool wants_confirmation;
+  /**
+   * Instead of `document` where that is large; compressed as in DocumentChange.
+   */
+  std::string compressed_document;
+  int64_t document_size;
 
   _FleetUpdate__isset __isset;
 
@@ -5289,6 +5318,10 @@
 
   void __set_wants_confirmation(const bool val);
 
+  void __set_compressed_document(const std::string& val);
+
+  void __set_document_size(const int64_t val);
+
   bool operator == (const FleetUpdate & rhs) const
   {
     if (!(sequence == rhs.sequence))
@@ -5323,6 +5356,12 @@
       return false;
     if (!(wants_confirmation == rhs.wants_confirmation))
       return false;
+    if (__isset.compressed_document != rhs.__isset.compressed_document)
+      return false;
+    else if (__isset.compressed_document && !(compressed_document == rhs.compressed_document))
+      return false;
+    if (!(document_size == rhs.document_size))
+      return false;
     return true;
   }
   bool operator != (const FleetUpdate &rhs) const {
--- a/src/wire/larchlever.thrift
+++ b/src/wire/larchlever.thrift
@@ -313,7 +313,11 @@
 /** A whole configuration document, as the operator sent it, under the version that it carries. */
 struct DocumentChange {
   1: i64 version,
+  /** Empty when the content is compressed. */
   2: binary content,
+  3: binary compressed_content,
+  /** Size of the content before it was compressed. */
+  4: i64 content_size,
 }
 
 struct Command {
@@ -630,6 +634,9 @@
   12: optional FleetStateChange state_change,
   /** A call waits until all nodes hold this version: confirm at once rather than with the next heartbeat. */
   13: bool wants_confirmation,
+  /** Instead of `document` where that is large; compressed as in DocumentChange. */
+  14: optional binary compressed_document,
+  15: i64 document_size,
 }
 
 enum ControlCallKind { HEARTBEAT = 0, DEREGISTER = 1, PUT_DOCUMENT = 2, GET_DOCUMENT = 3 }
--- a/tests/unit/document_test.cc
+++ b/tests/unit/document_test.cc
@@ -2,10 +2,32 @@
 
 #include "core/document/configuration_document.h"
 #include "core/document/route_table.h"
+#include "core/fleet/document_log.h"
+#include "wire/codec.h"
 
 namespace larchlever::document {
 namespace {
 
+TEST(DocumentLog, StoresLargeDocumentsCompressedAndRestoresThem) {
+  std::string content = R"({"version":3,"routes":[],"services":[],"note":")";
+  content += std::string(20'000, 'x') + "\"}";
+  const auto packed = fleet::pack_document(3, content);
+  EXPECT_LT(packed.compressed_content.size(), content.size() / 10);
+  EXPECT_EQ(fleet::unpack_document(packed.content, packed.compressed_content, packed.content_size), content);
+  EXPECT_FALSE(fleet::unpack_document("", packed.compressed_content, packed.content_size + 1));
+  EXPECT_FALSE(fleet::unpack_document("", packed.compressed_content.substr(10), packed.content_size));
+  EXPECT_EQ(fleet::pack_document(1, "small").content, "small");
+  wire::Command command;
+  command.__set_document(packed);
+  fleet::DocumentLog log;
+  log.apply(1, wire::encode(command));
+  EXPECT_EQ(log.content(), content);
+  fleet::DocumentLog restored;
+  ASSERT_TRUE(restored.restore(log.snapshot()));
+  EXPECT_EQ(restored.content(), content);
+  EXPECT_EQ(restored.version(), 3);
+}
+
 constexpr const char* kServices = R"("services":[{"name":"s","health_path":"/h","max_connections":9}])";
 
 std::string document_with(const std::string& routes, const std::string& rest = "") {
