Give each entry its part of a group's free places; stage precautions while the store is idle

Servers that had moved to the large model held its weights twice and could not move back. Change: every 0.1 s an entry draws how many requests it may send to each group: its part of the free places, handed out twice over; precautionary stagings go on while they take less than a third of what the store bears. Tests: Dispatcher.TakesOnlyItsPartOfTheFreePlacesAtATime.

--- a/src/core/fleet/dispatcher.cc
+++ b/src/core/fleet/dispatcher.cc
@@ -1,6 +1,7 @@
 #include "core/fleet/dispatcher.h"
 
 #include <algorithm>
+#include <cmath>
 
 namespace larchlever::fleet {
 
@@ -24,6 +25,10 @@
 /// What a target in another zone costs, in requests in flight, and in milliseconds to the first event.
 constexpr double kOtherZoneCost = 1.0;
 constexpr double kOtherZoneMs = 2.0;
+/// Not every entry uses its part of the free places: this many times as many are handed out.
+constexpr double kOverbooking = 2.0;
+/// Loads of other entries are this old, and permits are drawn anew as often.
+constexpr Duration kPermitInterval = milliseconds(100);
 /// Groups drawn by lot, of which the best is taken: were all entries to take the best of all by what they last heard,
 /// they would all take the same one.
 constexpr size_t kGroupsCompared = 3;
@@ -163,8 +168,28 @@
   return best;
 }
 
+void Dispatcher::draw_permits(TimePoint now, const document::ServiceSpec& service, const Demand& demand) {
+  const auto [drawn, is_first] = permits_drawn_.try_emplace({service.name, demand.model}, now);
+  if (!is_first && now - drawn->second < kPermitInterval) {
+    return;
+  }
+  drawn->second = now;
+  const int most = most_in_flight(service, demand);
+  for (const auto& group : groups_) {
+    if (group.service_name != service.name || group.model != demand.model) {
+      continue;
+    }
+    TargetHealth& health = health_[group.name];
+    const double part = std::max(0.0, kOverbooking * (most - health.total_in_flight()) / serving_nodes_);
+    const double whole = std::floor(part);
+    const bool one_more = std::uniform_real_distribution<double>(0, 1)(random_) < part - whole;
+    health.set_permits(static_cast<int>(whole) + (one_more ? 1 : 0));
+  }
+}
+
 Choice Dispatcher::choose_group(TimePoint now, const document::ServiceSpec& service, const Demand& demand,
                                 const std::set<std::string>& excluded) {
+  draw_permits(now, service, demand);
   const int most = most_in_flight(service, demand);
   bool any_busy = false;
   std::vector<OpenGroup> open;
@@ -180,7 +205,7 @@
     if (health.is_avoided(now)) {
       continue;
     }
-    if (health.total_in_flight() >= most) {
+    if (health.total_in_flight() >= most || !health.has_permit()) {
       any_busy = true;
       continue;
     }
--- a/src/core/fleet/dispatcher.h
+++ b/src/core/fleet/dispatcher.h
@@ -114,6 +114,9 @@
   /// Expected time to the first event there, in milliseconds.
   double cost_of_group(const document::ServiceSpec& service, const Demand& demand, const OpenGroup& candidate) const;
   size_t better_of_few(const document::ServiceSpec& service, const Demand& demand, std::vector<OpenGroup>& open);
+  /// Draws this entry's part of the free places of each group of the model. All entries know the same free places at
+  /// the same time: were each to take them, a group would get many times what it has room for.
+  void draw_permits(TimePoint now, const document::ServiceSpec& service, const Demand& demand);
   Choice choose_group(TimePoint now, const document::ServiceSpec& service, const Demand& demand,
                       const std::set<std::string>& excluded);
   int most_in_flight(const document::ServiceSpec& service, const Demand& demand) const;
@@ -130,6 +133,8 @@
   /// Longest pauses by service and model, from the cost models in force.
   std::map<std::pair<std::string, std::string>, Duration> longest_pauses_;
   std::map<std::string, Budget> budgets_;
+  /// When permits for a service's model were last drawn.
+  std::map<std::pair<std::string, std::string>, TimePoint> permits_drawn_;
   /// Sizes of the requests for each model, by service and model.
   std::map<std::pair<std::string, std::string>, engine::SizeEstimate> sizes_;
   std::map<std::pair<std::string, std::string>, wire::ModelDemand> demand_;
--- a/src/core/fleet/group_formation.cc
+++ b/src/core/fleet/group_formation.cc
@@ -13,6 +13,8 @@
 constexpr double kIdleNeed = 0.25;
 /// How long servers that were given up are kept for the model that wants them, once the last of them is free.
 constexpr Duration kReservationTime = milliseconds(400);
+/// Part of the loads that the store bears at once that precautions may take.
+constexpr int kPrecautionPart = 3;
 /// A staging that was not reported within this many load times is ordered again.
 constexpr int kStagingPatience = 2;
 
@@ -155,7 +157,9 @@
                                     const std::vector<StagingPlan>& plans, const InstanceDirectory& directory) {
   forget_finished_stagings(now, engine, directory);
   for (const auto& plan : plans) {
-    const bool worthwhile = plan.is_urgent || !limiter_.traffic_seen();
+    // Precautions only while the store has little else to do.
+    const auto spare_loads = static_cast<size_t>(engine.loads_at_once / kPrecautionPart);
+    const bool worthwhile = plan.is_urgent || !limiter_.traffic_seen() || loads_under_way(directory) < spare_loads;
     if (staging_.contains(plan.server) || !worthwhile) {
       continue;
     }
--- a/src/core/fleet/target_health.cc
+++ b/src/core/fleet/target_health.cc
@@ -16,6 +16,7 @@
     busy_since_ = now;
   }
   waiting_tokens_ += mark.prompt_tokens;
+  --permits_;
 }
 
 void TargetHealth::note_first_event(TimePoint now, SendingMark& mark) {
@@ -31,6 +32,7 @@
 
 void TargetHealth::end(const SendingMark& mark) {
   in_flight_ = std::max(0, in_flight_ - 1);
+  ++permits_;
   if (mark.is_streaming) {
     streaming_ = std::max(0, streaming_ - 1);
   } else {
--- a/src/core/fleet/target_health.h
+++ b/src/core/fleet/target_health.h
@@ -29,6 +29,9 @@
   void note_progress(TimePoint now) { last_progress_ = now; }
   void end(const SendingMark& mark);
   void set_others(const OthersLoad& others) { others_ = others; }
+  /// How many more requests this entry may send there until its part of the free places is drawn anew.
+  void set_permits(int permits) { permits_ = permits; }
+  bool has_permit() const { return permits_ > 0; }
   void avoid_until(TimePoint until) { avoid_until_ = until; }
 
   int in_flight() const { return in_flight_; }
@@ -49,6 +52,7 @@
   int in_flight_ = 0;
   int streaming_ = 0;
   double waiting_tokens_ = 0;
+  int permits_ = 0;
   /// Since when at least one request, or one stream, has been under way.
   TimePoint busy_since_ = TimePoint::min();
   TimePoint streaming_since_ = TimePoint::min();
--- a/tests/unit/fleet_test.cc
+++ b/tests/unit/fleet_test.cc
@@ -216,6 +216,30 @@
   EXPECT_EQ(dispatcher.choose(kStart, engine_service(), {"other", {}}, {}).failure, ChoiceFailure::kNoTarget);
 }
 
+TEST(Dispatcher, TakesOnlyItsPartOfTheFreePlacesAtATime) {
+  Dispatcher dispatcher(FleetOptions(), "z", 1);
+  dispatcher.update_state(two_groups());
+  dispatcher.set_serving_nodes(20);
+  const auto send_all = [&dispatcher](TimePoint now) {
+    int sent = 0;
+    for (auto choice = dispatcher.choose(now, engine_service(), {"m", {}}, {}); choice.target;
+         choice = dispatcher.choose(now, engine_service(), {"m", {}}, {})) {
+      dispatcher.begin(now, *choice.target);
+      ++sent;
+    }
+    return sent;
+  };
+  // Two groups with nine free places each, twenty entries, handed out twice: one place a group, more or less.
+  const int at_first = send_all(kStart);
+  EXPECT_LE(at_first, 2);
+  EXPECT_EQ(send_all(kStart + milliseconds(50)), 0);
+  int later = 0;
+  for (int round = 1; round <= 10; ++round) {
+    later += send_all(kStart + milliseconds(100) * round);
+  }
+  EXPECT_GT(later, 4) << "drawn anew";
+}
+
 TEST(Dispatcher, CountsWhatOtherEntriesHaveInFlight) {
   Dispatcher dispatcher(FleetOptions(), "z", 1);
   dispatcher.update_state(two_groups());
