--- a/src/core/fleet/group_formation.cc
+++ b/src/core/fleet/group_formation.cc
@@ -130,7 +130,7 @@
   record.group.phase = wire::GroupPhase::JOINING;
   record.group.members = plan.members;
   record.since = now;
-  const std::string name = record.group.name;
+  std::string name = record.group.name;
   decisions_.push_back({record.group, GroupReason::kPlanned});
   add_record(std::move(record));
   if (const auto* head = directory.find(plan.members.front())) {
