Let one piece serve both control planes' peers, and say things once

Cause: read-through of the change. Twice: finding the leader's address and addressing log messages, in FleetController as in NodeController; comparing two reports of an instance, in the directory and in the history; whether a group is idle. Work done twice: two draws for the election timer per append (one before this change), the limit of a model's groups per choice, the leader's address per waiting call. A copy of the whole call, body and all, was kept and copied again only for its id. Unused: a time that note_failure ignored. Change: ReplicaRoutes and RaftNode::leader_node serve both controllers; says_the_same serves directory and history; the rest is removed. Behaviour stays as it is. Conclusion: none.

--- a/src/consensus/raft_elections.cc
+++ b/src/consensus/raft_elections.cc
@@ -27,14 +27,16 @@
   }
 }
 
+TimePoint RaftNode::restart_silence_end() const {
+  return started_ + std::max(options_.election_timeout_min, options_.restart_check);
+}
+
 bool RaftNode::in_restart_silence(TimePoint now) const {
-  const Duration silence = std::max(options_.election_timeout_min, options_.restart_check);
-  return !heard_leader_since_start_ && !identity_rejected_ && now < started_ + silence;
+  return !heard_leader_since_start_ && !identity_rejected_ && now < restart_silence_end();
 }
 
 bool RaftNode::restarts_with_others(TimePoint now) const {
-  const Duration silence = std::max(options_.election_timeout_min, options_.restart_check);
-  return !heard_leader_since_start_ && now < started_ + silence + options_.election_timeout_max;
+  return !heard_leader_since_start_ && now < restart_silence_end() + options_.election_timeout_max;
 }
 
 void RaftNode::disown_identity(const wire::RaftMessage& message) {
--- a/src/consensus/raft_node.cc
+++ b/src/consensus/raft_node.cc
@@ -69,6 +69,15 @@
   return state;
 }
 
+std::string RaftNode::leader_node() const {
+  for (const auto& voter : log_.replicas().voters) {
+    if (voter.replica_id == leader_) {
+      return voter.node;
+    }
+  }
+  return "";
+}
+
 bool RaftNode::is_voter() const { return contains(log_.replicas().voters, id_.value()); }
 
 void RaftNode::reset_election_timer(TimePoint now) {
@@ -241,7 +250,6 @@
   heard_leader_since_start_ = true;
   // The leader will say whether our disk lost anything: give it time to.
   restart_check_deadline_ = now + options_.restart_check;
-  reset_election_timer(now);
 }
 
 void RaftNode::handle_append_request(TimePoint now, int64_t from, const wire::AppendRequest& request) {
@@ -249,8 +257,8 @@
     append_reply_to(from, false, log_.last_index(), request.sent_at_us);
     return;
   }
-  become_follower(now, request.term, from);
   note_leader_contact(now);
+  become_follower(now, request.term, from);
   if (request.previous_index < log_.snapshot().index) {
     // Everything up to our snapshot is committed, so it matches by definition.
     append_reply_to(from, true, log_.snapshot().index, request.sent_at_us);
@@ -349,8 +357,8 @@
     append_reply_to(from, false, log_.last_index(), request.sent_at_us);
     return;
   }
-  become_follower(now, request.term, from);
   note_leader_contact(now);
+  become_follower(now, request.term, from);
   if (log_.term_at(request.header.index) == request.header.term) {
     // Our log already contains what the snapshot covers, and perhaps acknowledged entries after it: keep them.
     commit_index_ = std::max(commit_index_, request.header.index);
--- a/src/consensus/raft_node.h
+++ b/src/consensus/raft_node.h
@@ -123,6 +123,8 @@
   bool is_ready_leader(TimePoint now) const;
   ReplicaId id() const { return id_; }
   ReplicaId leader() const { return ReplicaId(leader_); }
+  /// Peer address of the leader; empty while none is known.
+  std::string leader_node() const;
   int64_t term() const { return hard_state_.term; }
   int64_t commit_index() const { return commit_index_; }
   int64_t first_index() const { return log_.first_index(); }
@@ -135,6 +137,7 @@
   /// Restarted a moment ago and not heard from a leader since. A leader that counted an earlier answer of ours may hold
   /// its lease; unless every voter votes, which a leader that holds one does not, it must run out first.
   bool in_restart_silence(TimePoint now) const;
+  TimePoint restart_silence_end() const;
   /// No leader was heard since the start, and others may have started as late: campaigns follow each other quickly.
   bool restarts_with_others(TimePoint now) const;
   /// Answers a candidate that asked an identity which this address had before it lost its disk. Data folders do not
@@ -170,6 +173,7 @@
   void campaign(TimePoint now, bool pre_vote, bool transfer);
   void tally_votes(TimePoint now);
   void reset_election_timer(TimePoint now);
+  /// A leader spoke; to be noted before its term is taken over, which sets the election timer by it.
   void note_leader_contact(TimePoint now);
   void handle_vote_request(TimePoint now, int64_t from, const wire::VoteRequest& request);
   void handle_vote_reply(TimePoint now, int64_t from, const wire::VoteReply& reply);
--- a/src/core/fleet/dispatcher.cc
+++ b/src/core/fleet/dispatcher.cc
@@ -11,7 +11,6 @@
 constexpr Duration kRecentProgress = milliseconds(700);
 /// Progress older than this is not reported.
 constexpr Duration kReportedProgress = seconds(3);
-constexpr int32_t kNoProgress = -1;
 /// A healthy group's pause may be this much of the cost model's longest pass, and this time on the way.
 constexpr int kPausePercent = 120;
 constexpr Duration kPauseSlack = milliseconds(40);
@@ -80,7 +79,7 @@
     of_others.in_flight = load.in_flight;
     of_others.streaming = load.streaming;
     of_others.waiting_tokens = static_cast<double>(load.waiting_tokens);
-    if (load.progress_age_ms != kNoProgress) {
+    if (load.progress_age_ms != kNoProgressAge) {
       of_others.last_progress = now - milliseconds(load.progress_age_ms);
     }
     health_[load.group].set_others(of_others);
@@ -168,15 +167,14 @@
   return best;
 }
 
-void Dispatcher::draw_permits(TimePoint now, const document::ServiceSpec& service, const Demand& demand) {
-  const auto [drawn, is_first] = permits_drawn_.try_emplace({service.name, demand.model}, now);
+void Dispatcher::draw_permits(TimePoint now, const std::string& service, const std::string& model, int most) {
+  const auto [drawn, is_first] = permits_drawn_.try_emplace({service, model}, now);
   if (!is_first && now - drawn->second < kPermitInterval) {
     return;
   }
   drawn->second = now;
-  const int most = most_in_flight(service, demand);
   for (const auto& group : groups_) {
-    if (group.service_name != service.name || group.model != demand.model) {
+    if (group.service_name != service || group.model != model) {
       continue;
     }
     TargetHealth& health = health_[group.name];
@@ -189,8 +187,8 @@
 
 Choice Dispatcher::choose_group(TimePoint now, const document::ServiceSpec& service, const Demand& demand,
                                 const std::set<std::string>& excluded) {
-  draw_permits(now, service, demand);
   const int most = most_in_flight(service, demand);
+  draw_permits(now, service.name, demand.model, most);
   bool any_busy = false;
   std::vector<OpenGroup> open;
   std::vector<OpenGroup> quiet;
@@ -343,7 +341,7 @@
     load.streaming = health.streaming();
     load.waiting_tokens = static_cast<int64_t>(health.waiting_tokens());
     load.progress_age_ms =
-        progressed ? static_cast<int32_t>((now - health.last_progress()) / milliseconds(1)) : kNoProgress;
+        progressed ? static_cast<int32_t>((now - health.last_progress()) / milliseconds(1)) : kNoProgressAge;
     result.push_back(std::move(load));
   }
   return result;
--- a/src/core/fleet/dispatcher.h
+++ b/src/core/fleet/dispatcher.h
@@ -114,9 +114,10 @@
   /// Expected time to the first event there, in milliseconds.
   double cost_of_group(const document::ServiceSpec& service, const Demand& demand, const OpenGroup& candidate) const;
   size_t better_of_few(const document::ServiceSpec& service, const Demand& demand, std::vector<OpenGroup>& open);
-  /// Draws this entry's part of the free places of each group of the model. All entries know the same free places at
-  /// the same time: were each to take them, a group would get many times what it has room for.
-  void draw_permits(TimePoint now, const document::ServiceSpec& service, const Demand& demand);
+  /// Draws this entry's part of the free places of each group of the model, each of which holds `most`. All entries
+  /// know the same free places at the same time: were each to take them, a group would get many times what it has room
+  /// for.
+  void draw_permits(TimePoint now, const std::string& service, const std::string& model, int most);
   Choice choose_group(TimePoint now, const document::ServiceSpec& service, const Demand& demand,
                       const std::set<std::string>& excluded);
   int most_in_flight(const document::ServiceSpec& service, const Demand& demand) const;
--- a/src/core/fleet/fleet_controller.cc
+++ b/src/core/fleet/fleet_controller.cc
@@ -43,18 +43,6 @@
   return raft_ && raft_->is_ready_leader(now) && led_term_ == raft_->term();
 }
 
-std::string FleetController::leader_node() const {
-  if (!raft_) {
-    return "";
-  }
-  for (const auto& voter : raft_->replicas().voters) {
-    if (voter.replica_id == raft_->leader().value()) {
-      return voter.node;
-    }
-  }
-  return "";
-}
-
 // ------------------------------------------------------------------- inputs
 
 void FleetController::tick(TimePoint now) {
@@ -82,7 +70,7 @@
 void FleetController::receive(TimePoint now, const wire::Envelope& envelope) {
   if (envelope.__isset.raft) {
     if (raft_) {
-      replica_nodes_[envelope.raft.from_replica] = envelope.from_node;
+      replica_routes_.note(envelope.raft.from_replica, envelope.from_node);
       raft_->step(now, envelope.raft);
     }
   } else if (envelope.__isset.fleet_heartbeat) {
@@ -99,7 +87,7 @@
 
 void FleetController::written(TimePoint now, consensus::RaftOutput batch) {
   if (raft_) {
-    send_raft(batch.messages_after_sync);
+    send_raft(std::move(batch.messages_after_sync));
     raft_->synced(now, batch.ticket);
     process(now);
   }
@@ -143,6 +131,8 @@
 }
 
 void FleetController::resend_calls(TimePoint now) {
+  const std::string known_leader = leader_node();
+  const std::string& leader = known_leader.empty() ? subscription_.leader() : known_leader;
   for (auto item = calls_.begin(); item != calls_.end();) {
     PendingCall& pending = item->second;
     if (now >= pending.deadline) {
@@ -153,7 +143,6 @@
       item = calls_.erase(item);
       continue;
     }
-    const std::string leader = leader_node().empty() ? subscription_.leader() : leader_node();
     if (now >= pending.next_send && !leader.empty()) {
       pending.next_send = now + kCallRetry;
       wire::Envelope envelope;
@@ -177,25 +166,17 @@
   }
 }
 
-void FleetController::send_raft(std::vector<wire::RaftMessage>& messages) {
-  for (auto& message : messages) {
-    const auto node = replica_nodes_.find(message.to_replica);
-    if (node == replica_nodes_.end()) {
-      continue;
-    }
-    wire::Envelope envelope;
-    envelope.to_node = node->second;
-    envelope.__set_raft(message);
+void FleetController::send_raft(std::vector<wire::RaftMessage> messages) {
+  for (auto& envelope : replica_routes_.address(std::move(messages))) {
     send(std::move(envelope));
   }
-  messages.clear();
 }
 
 void FleetController::note_replicas() {
+  replica_routes_.note_all(raft_->replicas());
   std::vector<std::string> nodes;
   for (const auto* list : {&raft_->replicas().voters, &raft_->replicas().learners}) {
     for (const auto& replica : *list) {
-      replica_nodes_[replica.replica_id] = replica.node;
       nodes.push_back(replica.node);
     }
   }
@@ -255,7 +236,7 @@
     carry_leader_outputs(now);
     note_replicas();
     auto output = raft_->take_output();
-    send_raft(output.messages);
+    send_raft(std::exchange(output.messages, {}));
     if (!output.empty()) {
       outputs_.storage.push_back(std::move(output));
     }
--- a/src/core/fleet/fleet_controller.h
+++ b/src/core/fleet/fleet_controller.h
@@ -7,6 +7,7 @@
 #include <vector>
 
 #include "consensus/raft_node.h"
+#include "consensus/replica_routes.h"
 #include "core/fleet/document_log.h"
 #include "core/fleet/fleet_leader.h"
 #include "core/fleet/fleet_subscription.h"
@@ -69,9 +70,9 @@
     TimePoint next_send{};
   };
 
-  std::string leader_node() const;
+  std::string leader_node() const { return raft_ ? raft_->leader_node() : ""; }
   void send(wire::Envelope envelope);
-  void send_raft(std::vector<wire::RaftMessage>& messages);
+  void send_raft(std::vector<wire::RaftMessage> messages);
   void note_replicas();
   void handle_heartbeat(TimePoint now, const wire::Envelope& envelope);
   void handle_call(TimePoint now, const wire::Envelope& envelope);
@@ -94,7 +95,7 @@
   TimePoint next_hand_over_ = TimePoint::min();
   int64_t next_call_id_ = 1;
   std::map<int64_t, PendingCall> calls_;
-  std::map<int64_t, std::string> replica_nodes_;
+  consensus::ReplicaRoutes replica_routes_;
   std::vector<wire::Envelope> loopback_;
   FleetControllerOutputs outputs_;
 };
--- a/src/core/fleet/fleet_leader.cc
+++ b/src/core/fleet/fleet_leader.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 
 #include "core/fleet/registration.h"
+#include "core/fleet/target_health.h"
 
 namespace larchlever::fleet {
 
@@ -78,7 +79,7 @@
   subscriber.loads.clear();
   for (const auto& load : report.loads) {
     subscriber.loads[load.group] = load;
-    if (load.progress_age_ms >= 0) {
+    if (load.progress_age_ms != kNoProgressAge) {
       TimePoint& progress = progress_.try_emplace(load.group, TimePoint::min()).first->second;
       progress = std::max(progress, now - milliseconds(load.progress_age_ms));
     }
@@ -113,7 +114,7 @@
   const auto progress = progress_.find(group);
   const bool alive = progress != progress_.end() && now - progress->second < kAliveProgress;
   if (!alive && (accusers.size() >= 2 || member_silent)) {
-    groups_.note_failure(now, group);
+    groups_.note_failure(group);
   }
 }
 
@@ -166,7 +167,7 @@
       update.control_peers.push_back(replica.node);
     }
   }
-  const bool repeat = now - subscriber.sent_at > kPushRetry;
+  const bool repeat = now - subscriber.document_sent_at > kPushRetry;
   if (subscriber.document_version < log.version() && (repeat || subscriber.document_sent < log.version())) {
     const auto& packed = log.packed();
     if (packed.compressed_content.empty()) {
@@ -176,7 +177,7 @@
       update.document_size = packed.content_size;
     }
     subscriber.document_sent = log.version();
-    subscriber.sent_at = now;
+    subscriber.document_sent_at = now;
   }
   add_state(now, subscriber, update);
   add_loads_of_others(now, subscriber, update);
@@ -220,7 +221,7 @@
     load.waiting_tokens = std::max<int64_t>(0, total.waiting_tokens - mine.waiting_tokens);
     const auto progress = progress_.find(group);
     load.progress_age_ms =
-        progress == progress_.end() ? -1 : static_cast<int32_t>((now - progress->second) / milliseconds(1));
+        progress == progress_.end() ? kNoProgressAge : static_cast<int32_t>((now - progress->second) / milliseconds(1));
     update.loads.push_back(std::move(load));
   }
 }
@@ -264,18 +265,22 @@
 
 // ------------------------------------------------------------------- calls
 
-void FleetLeader::answer(const std::string& key, const wire::ControlCall& call, int status, std::string body) {
+void FleetLeader::answer(const std::string& key, int status, std::string body) {
+  const auto call = open_calls_.find(key);
+  if (call == open_calls_.end()) {
+    return;
+  }
   wire::ControlCallReply reply;
-  reply.id = call.id;
+  reply.id = call->second;
   reply.status = status;
   reply.body = std::move(body);
   outputs_.replies.emplace_back(key, std::move(reply));
-  open_calls_.erase(key);
+  open_calls_.erase(call);
 }
 
 void FleetLeader::call(TimePoint now, const std::string& key, const wire::ControlCall& call,
                        const consensus::RaftNode& raft, const DocumentLog& log) {
-  if (!open_calls_.emplace(key, call).second) {
+  if (!open_calls_.emplace(key, call.id).second) {
     return;  // Repeated while its first arrival is still waiting.
   }
   switch (call.kind) {
@@ -288,9 +293,9 @@
       break;
     case wire::ControlCallKind::GET_DOCUMENT:
       if (log.version() == 0) {
-        answer(key, call, kUnavailable, error_body("no document was accepted yet; send one"));
+        answer(key, kUnavailable, error_body("no document was accepted yet; send one"));
       } else {
-        answer(key, call, kOk, log.content());
+        answer(key, kOk, log.content());
       }
       break;
   }
@@ -305,7 +310,7 @@
     std::string error;
     const auto report = parse_registration(call.instance_id, call.body, error);
     if (!report) {
-      answer(key, call, kBadRequest, error_body(error));
+      answer(key, kBadRequest, error_body(error));
       return;
     }
     leaving = report->state == wire::InstanceState::DRAINING;
@@ -316,7 +321,7 @@
     // Acknowledged only once every live node knows: from then on no new work may reach the instance.
     waiting_.push_back({key, version_, now});
   } else {
-    answer(key, call, kOk, "{}");
+    answer(key, kOk, "{}");
   }
 }
 
@@ -324,28 +329,23 @@
                                const DocumentLog& log) {
   const auto parsed = document::parse_document(call.body);
   if (parsed.document == nullptr) {
-    answer(key, call, kBadRequest, error_body(parsed.error.message));
+    answer(key, kBadRequest, error_body(parsed.error.message));
     return;
   }
   if (raft.replicas().voters.size() < options_.minimum_voters) {
-    answer(key, call, kUnavailable, error_body("the log has too few voters yet; send the document again"));
+    answer(key, kUnavailable, error_body("the log has too few voters yet; send the document again"));
     return;
   }
   if (parsed.document->version <= log.version()) {
-    answer(key, call, kOk, "{}");
+    answer(key, kOk, "{}");
     return;
   }
   outputs_.proposals.emplace_back(pack_document(parsed.document->version, call.body), key);
 }
 
 void FleetLeader::proposed(const std::string& key, std::optional<int64_t> index, int64_t term) {
-  const auto call = open_calls_.find(key);
-  if (call == open_calls_.end()) {
-    return;
-  }
   if (!index) {
-    const wire::ControlCall copy = call->second;
-    answer(key, copy, kUnavailable, error_body("leadership ended; send the document again"));
+    answer(key, kUnavailable, error_body("leadership ended; send the document again"));
     return;
   }
   pending_documents_[*index] = {key, term};
@@ -358,23 +358,17 @@
   }
   const auto [key, proposed_term] = pending->second;
   pending_documents_.erase(pending);
-  const auto call = open_calls_.find(key);
-  if (call == open_calls_.end()) {
-    return;
-  }
-  const wire::ControlCall copy = call->second;
   if (term == proposed_term) {
-    answer(key, copy, kOk, "{}");
+    answer(key, kOk, "{}");
   } else {
-    answer(key, copy, kUnavailable, error_body("leadership changed; send the document again"));
+    answer(key, kUnavailable, error_body("leadership changed; send the document again"));
   }
 }
 
 void FleetLeader::answer_confirmed(TimePoint now) {
   std::vector<WaitingCall> still_waiting;
   for (const auto& waiting : waiting_) {
-    const auto call = open_calls_.find(waiting.key);
-    if (call == open_calls_.end()) {
+    if (!open_calls_.contains(waiting.key)) {
       continue;
     }
     bool confirmed = !is_collecting(now);
@@ -387,8 +381,7 @@
     }
     const bool patience_over = now - waiting.since > options_.confirmation_patience;
     if (confirmed || (published && patience_over)) {
-      const wire::ControlCall copy = call->second;
-      answer(waiting.key, copy, kOk, "{}");
+      answer(waiting.key, kOk, "{}");
     } else {
       still_waiting.push_back(waiting);
     }
--- a/src/core/fleet/fleet_leader.h
+++ b/src/core/fleet/fleet_leader.h
@@ -67,8 +67,8 @@
     std::pair<int64_t, int64_t> state_held{0, 0};
     /// What was last sent to it, and when.
     int64_t document_sent = 0;
+    TimePoint document_sent_at{};
     int64_t state_sent = 0;
-    TimePoint sent_at{};
     TimePoint state_sent_at{};
     std::map<std::string, wire::GroupLoad> loads;
   };
@@ -92,7 +92,8 @@
   void put_document(const std::string& key, const wire::ControlCall& call, const consensus::RaftNode& raft,
                     const DocumentLog& log);
   void register_instance(TimePoint now, const std::string& key, const wire::ControlCall& call);
-  void answer(const std::string& key, const wire::ControlCall& call, int status, std::string body = {});
+  /// Answers a call that is still open; does nothing for another.
+  void answer(const std::string& key, int status, std::string body = {});
   void send_update(TimePoint now, const std::string& node, int64_t sequence, const consensus::RaftNode& raft,
                    const DocumentLog& log);
   /// Attaches what the subscriber lacks of the fleet's state, as rows that changed where it holds some of this term.
@@ -127,7 +128,8 @@
   std::map<std::string, TimePoint> progress_;
   std::vector<WaitingCall> waiting_;
   std::map<int64_t, PendingDocument> pending_documents_;
-  std::map<std::string, wire::ControlCall> open_calls_;
+  /// The id under which each open call's forwarder knows it.
+  std::map<std::string, int64_t> open_calls_;
   Outputs outputs_;
 };
 
--- a/src/core/fleet/group_supervisor.cc
+++ b/src/core/fleet/group_supervisor.cc
@@ -136,7 +136,7 @@
   return records_.erase(item);
 }
 
-void GroupSupervisor::note_failure(TimePoint, const std::string& group) {
+void GroupSupervisor::note_failure(const std::string& group) {
   if (const auto found = records_.find(group); found != records_.end()) {
     found->second.failed = true;
   }
@@ -287,9 +287,7 @@
     silent = silent || member->silent;
   }
   broken = broken || reports(directory.find(record.group.members.front()), record.group, wire::MembershipState::BROKEN);
-  const auto loads = in_flight_.find(record.group.name);
-  const bool idle = loads == in_flight_.end() || loads->second == 0;
-  if (broken || (silent && idle)) {
+  if (broken || (silent && is_idle(record))) {
     suspect_members(now, record);
     set_phase(now, record, wire::GroupPhase::DISSOLVING,
               record.failed ? GroupReason::kEntriesReport : GroupReason::kMemberLost);
@@ -302,11 +300,14 @@
   return false;
 }
 
-bool GroupSupervisor::advance_draining(TimePoint now, Record& record) {
+bool GroupSupervisor::is_idle(const Record& record) const {
   const auto loads = in_flight_.find(record.group.name);
-  const bool idle = loads == in_flight_.end() || loads->second == 0;
+  return loads == in_flight_.end() || loads->second == 0;
+}
+
+bool GroupSupervisor::advance_draining(TimePoint now, Record& record) {
   const Duration age = now - record.since;
-  if (record.failed || age > kDrainingPatience || (idle && age > kDrainingMinimum)) {
+  if (record.failed || age > kDrainingPatience || (is_idle(record) && age > kDrainingMinimum)) {
     set_phase(now, record, wire::GroupPhase::DISSOLVING, GroupReason::kDrained);
     return true;
   }
--- a/src/core/fleet/group_supervisor.h
+++ b/src/core/fleet/group_supervisor.h
@@ -88,7 +88,7 @@
   /// Takes the groups of a newer copy instead of those it started with. Only before the first `tick`.
   void inherit(TimePoint now, const std::vector<wire::EngineGroup>& inherited);
   /// An entry saw a group's head fail or stand still.
-  void note_failure(TimePoint now, const std::string& group);
+  void note_failure(const std::string& group);
   /// Requests in flight per group, over all entries.
   void note_loads(std::map<std::string, int> in_flight) { in_flight_ = std::move(in_flight); }
   /// Before the first request, loads are not rationed by their rate.
@@ -133,6 +133,8 @@
   /// The group failed: until a member is heard again, it may be the one that died.
   void suspect_members(TimePoint now, const Record& record);
   void clear_suspects(TimePoint now, const InstanceDirectory& directory);
+  /// No entry has anything in flight there.
+  bool is_idle(const Record& record) const;
   void order_leave(TimePoint now, const Record& record, const InstanceDirectory& directory);
   /// Gives a head that left an epoch above its old group's, so that late orders cannot open that group again.
   void fence_head(TimePoint now, Record& record, const InstanceDirectory& directory);
--- a/src/core/fleet/instance_directory.cc
+++ b/src/core/fleet/instance_directory.cc
@@ -9,14 +9,17 @@
 /// How long a gone instance is remembered, so that its late reports do not bring it back.
 constexpr Duration kGoneMemory = seconds(120);
 
-/// What subscribers see of an instance; the call number alone is no news.
-bool differs(const wire::Instance& left, wire::Instance right) {
-  right.call_number = left.call_number;
-  return left != right;
-}
-
 }  // namespace
 
+bool says_the_same(const wire::Instance& left, const wire::Instance& right) {
+  if (left.call_number == right.call_number) {
+    return left == right;
+  }
+  wire::Instance same_call = right;
+  same_call.call_number = left.call_number;
+  return left == same_call;
+}
+
 void InstanceDirectory::start(TimePoint now, const std::vector<wire::Instance>& inherited) {
   rows_.clear();
   merge(now, inherited);
@@ -66,7 +69,7 @@
   if (next.model.empty()) {
     next.model = row.instance.model;
   }
-  const bool changed = differs(row.instance, next);
+  const bool changed = !says_the_same(row.instance, next);
   row.instance = std::move(next);
   return changed;
 }
--- a/src/core/fleet/instance_directory.h
+++ b/src/core/fleet/instance_directory.h
@@ -9,6 +9,9 @@
 
 namespace larchlever::fleet {
 
+/// Whether two reports of an instance say the same; the call number alone is no news.
+bool says_the_same(const wire::Instance& left, const wire::Instance& right);
+
 struct InstanceRow {
   wire::Instance instance;
   TimePoint last_heard{};
--- a/src/core/fleet/state_history.cc
+++ b/src/core/fleet/state_history.cc
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <set>
 
+#include "core/fleet/instance_directory.h"
+
 namespace larchlever::fleet {
 
 namespace {
@@ -10,12 +12,9 @@
 const std::string& key_of(const wire::Instance& instance) { return instance.id; }
 const std::string& key_of(const wire::EngineGroup& group) { return group.name; }
 
-/// What subscribers make use of; the call number alone is no news.
-bool is_same(const wire::Instance& left, wire::Instance right) {
-  right.call_number = left.call_number;
-  return left == right;
-}
-bool is_same(const wire::EngineGroup& left, const wire::EngineGroup& right) { return left == right; }
+using fleet::says_the_same;
+
+bool says_the_same(const wire::EngineGroup& left, const wire::EngineGroup& right) { return left == right; }
 
 template <typename Row, typename Versioned>
 void record_rows(int64_t version, const std::vector<Row>& rows, std::map<std::string, Versioned>& known,
@@ -25,7 +24,7 @@
     present.insert(key_of(row));
     removed.erase(key_of(row));
     const auto [found, is_new] = known.try_emplace(key_of(row), Versioned{row, version});
-    if (!is_new && !is_same(found->second.row, row)) {
+    if (!is_new && !says_the_same(found->second.row, row)) {
       found->second = {row, version};
     }
   }
--- a/src/core/fleet/target_health.h
+++ b/src/core/fleet/target_health.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include <cstdint>
+
 #include "core/base/time.h"
 
 namespace larchlever::fleet {
@@ -11,6 +13,9 @@
   bool is_streaming = false;
 };
 
+/// Stands for the age of progress that nobody saw of late.
+constexpr int32_t kNoProgressAge = -1;
+
 /// What other entries have under way at a target, as the leader last told.
 struct OthersLoad {
   int in_flight = 0;
--- a/src/core/node/node_controller.cc
+++ b/src/core/node/node_controller.cc
@@ -58,7 +58,7 @@
 void NodeController::receive(TimePoint now, wire::Envelope envelope) {
   if (envelope.__isset.raft) {
     if (raft_) {
-      replica_nodes_[envelope.raft.from_replica] = envelope.from_node;
+      replica_routes_.note(envelope.raft.from_replica, envelope.from_node);
       raft_->step(now, envelope.raft);
     }
   } else if (envelope.__isset.heartbeat) {
@@ -83,33 +83,16 @@
 
 void NodeController::written(TimePoint now, consensus::RaftOutput batch) {
   if (raft_) {
-    send_raft(now, batch.messages_after_sync);
+    send_raft(now, std::move(batch.messages_after_sync));
     raft_->synced(now, batch.ticket);
     process(now);
   }
 }
 
-void NodeController::note_replicas() {
-  for (const auto* list : {&raft_->replicas().voters, &raft_->replicas().learners}) {
-    for (const auto& replica : *list) {
-      replica_nodes_[replica.replica_id] = replica.node;
-    }
-  }
-}
-
-void NodeController::send_raft(TimePoint now, std::vector<wire::RaftMessage>& messages) {
-  for (auto& message : messages) {
-    const auto node = replica_nodes_.find(message.to_replica);
-    if (node == replica_nodes_.end()) {
-      continue;
-    }
-    wire::Envelope envelope;
-    envelope.to_node = node->second;
-    envelope.raft = std::move(message);
-    envelope.__isset.raft = true;
+void NodeController::send_raft(TimePoint now, std::vector<wire::RaftMessage> messages) {
+  for (auto& envelope : replica_routes_.address(std::move(messages))) {
     send(now, std::move(envelope));
   }
-  messages.clear();
 }
 
 void NodeController::handle_heartbeat(TimePoint now, const wire::Envelope& envelope) {
@@ -249,18 +232,6 @@
 
 // ------------------------------------------------------------------ outputs
 
-std::string NodeController::leader_node() const {
-  if (!raft_) {
-    return "";
-  }
-  for (const auto& voter : raft_->replicas().voters) {
-    if (voter.replica_id == raft_->leader().value()) {
-      return voter.node;
-    }
-  }
-  return "";
-}
-
 void NodeController::send(TimePoint, wire::Envelope envelope) {
   envelope.from_node = node_;
   envelope.from_incarnation = incarnation_.value();
@@ -321,9 +292,9 @@
     }
     apply_committed(now);
     carry_leader_outputs(now);
-    note_replicas();
+    replica_routes_.note_all(raft_->replicas());
     auto output = raft_->take_output();
-    send_raft(now, output.messages);
+    send_raft(now, std::exchange(output.messages, {}));
     if (!output.empty()) {
       outputs_.storage.push_back(std::move(output));
     }
--- a/src/core/node/node_controller.h
+++ b/src/core/node/node_controller.h
@@ -8,6 +8,7 @@
 #include <vector>
 
 #include "consensus/raft_node.h"
+#include "consensus/replica_routes.h"
 #include "core/control/control_leader.h"
 #include "core/control/control_state.h"
 #include "core/node/entry_agent.h"
@@ -106,11 +107,10 @@
   void handle_operator_request(TimePoint now, const wire::Envelope& envelope);
   void handle_reply(const wire::Envelope& envelope);
   void resend_pending(TimePoint now);
-  void send_raft(TimePoint now, std::vector<wire::RaftMessage>& messages);
-  void note_replicas();
+  void send_raft(TimePoint now, std::vector<wire::RaftMessage> messages);
   void send(TimePoint now, wire::Envelope envelope);
   wire::Envelope to_leader() const;
-  std::string leader_node() const;
+  std::string leader_node() const { return raft_ ? raft_->leader_node() : ""; }
 
   NodeControllerOptions options_;
   std::string node_;
@@ -130,7 +130,7 @@
   std::map<int64_t, Pending<wire::ClaimRequest>> claims_;
   std::map<int64_t, Pending<wire::ResolutionRequest>> resolutions_;
   /// Node of each replica that was named in a replica set or spoke to us.
-  std::map<int64_t, std::string> replica_nodes_;
+  consensus::ReplicaRoutes replica_routes_;
   std::vector<wire::Envelope> loopback_;
   NodeOutputs outputs_;
 };
