Name HTTP statuses in one place; send a document as the log holds it

Cause: read-through of the change. The same status codes stood as constants in nine files; an update carried a document as three fields with a branch at each end although the log's own message holds all three; a group's release was told twice, as a flag and as a reason; an entry's evidence named an instance that nobody ever filled in. Change: core/base/http_status; FleetUpdate carries a DocumentChange; the flag and the field are gone (a released wire format does not exist yet). Behaviour stays as it is.

--- /dev/null
+++ b/src/core/base/http_status.h
@@ -0,0 +1,20 @@
+#pragma once
+
+/// HTTP status codes that this project gives or understands.
+namespace larchlever::http_status {
+
+constexpr int kOk = 200;
+constexpr int kAccepted = 202;
+constexpr int kBadRequest = 400;
+constexpr int kUnauthorized = 401;
+constexpr int kNotFound = 404;
+constexpr int kConflict = 409;
+constexpr int kPreconditionFailed = 412;
+constexpr int kPayloadTooLarge = 413;
+constexpr int kMisdirectedRequest = 421;
+constexpr int kTooManyRequests = 429;
+constexpr int kBadGateway = 502;
+constexpr int kServiceUnavailable = 503;
+constexpr int kGatewayTimeout = 504;
+
+}  // namespace larchlever::http_status
--- a/src/core/fleet/dispatcher.cc
+++ b/src/core/fleet/dispatcher.cc
@@ -347,12 +347,12 @@
   return result;
 }
 
-std::vector<wire::InstanceFailure> Dispatcher::failures(TimePoint now) const {
-  std::vector<wire::InstanceFailure> result;
+std::vector<wire::GroupFailure> Dispatcher::failures(TimePoint now) const {
+  std::vector<wire::GroupFailure> result;
   for (const auto& group : groups_) {
     const auto health = health_.find(group.name);
     if (health != health_.end() && health->second.is_avoided(now)) {
-      wire::InstanceFailure failure;
+      wire::GroupFailure failure;
       failure.group = group.name;
       result.push_back(std::move(failure));
     }
--- a/src/core/fleet/dispatcher.h
+++ b/src/core/fleet/dispatcher.h
@@ -98,7 +98,7 @@
   /// This entry's in-flight requests per group, to be reported.
   std::vector<wire::GroupLoad> loads(TimePoint now) const;
   /// Groups that this entry avoids now.
-  std::vector<wire::InstanceFailure> failures(TimePoint now) const;
+  std::vector<wire::GroupFailure> failures(TimePoint now) const;
 
  private:
   struct Budget {
--- a/src/core/fleet/document_log.cc
+++ b/src/core/fleet/document_log.cc
@@ -24,8 +24,11 @@
   return change;
 }
 
-std::optional<std::string> unpack_document(const std::string& content, const std::string& compressed, int64_t size) {
-  return compressed.empty() ? std::optional(content) : decompress(compressed, static_cast<size_t>(size));
+std::optional<std::string> unpack_document(const wire::DocumentChange& packed) {
+  if (packed.compressed_content.empty()) {
+    return packed.content;
+  }
+  return decompress(packed.compressed_content, static_cast<size_t>(packed.content_size));
 }
 
 void DocumentLog::apply(int64_t index, std::string_view payload) {
@@ -39,7 +42,7 @@
 }
 
 bool DocumentLog::hold(wire::DocumentChange change) {
-  auto content = unpack_document(change.content, change.compressed_content, change.content_size);
+  auto content = unpack_document(change);
   if (!content) {
     return false;
   }
--- a/src/core/fleet/document_log.h
+++ b/src/core/fleet/document_log.h
@@ -14,7 +14,7 @@
 /// A document as it goes into the log: compressed when it is large.
 wire::DocumentChange pack_document(int64_t version, std::string content);
 /// The content that was packed; nothing when it is damaged.
-std::optional<std::string> unpack_document(const std::string& content, const std::string& compressed, int64_t size);
+std::optional<std::string> unpack_document(const wire::DocumentChange& packed);
 
 /// The replicated state of a registered fleet: the configuration document with the highest version ever committed.
 /// Applying the same entries in the same order gives the same state on every replica. No clock, no I/O.
--- a/src/core/fleet/fleet_controller.cc
+++ b/src/core/fleet/fleet_controller.cc
@@ -2,6 +2,7 @@
 
 #include <utility>
 
+#include "core/base/http_status.h"
 #include "wire/codec.h"
 
 namespace larchlever::fleet {
@@ -10,7 +11,6 @@
 
 constexpr Duration kCallRetry = milliseconds(250);
 constexpr Duration kHandOverRetry = milliseconds(300);
-constexpr int kUnavailable = 503;
 
 /// Identifies a call at the leader: the replica that forwards it, in one of its lives, and its number there.
 std::string call_key(const wire::Envelope& envelope) {
@@ -138,7 +138,7 @@
     if (now >= pending.deadline) {
       wire::ControlCallReply reply;
       reply.id = item->first;
-      reply.status = kUnavailable;
+      reply.status = http_status::kServiceUnavailable;
       outputs_.replies.push_back(std::move(reply));
       item = calls_.erase(item);
       continue;
--- a/src/core/fleet/fleet_leader.cc
+++ b/src/core/fleet/fleet_leader.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 
+#include "core/base/http_status.h"
 #include "core/fleet/registration.h"
 #include "core/fleet/target_health.h"
 
@@ -24,10 +25,6 @@
 /// Subscribers silent for this long are forgotten.
 constexpr Duration kSubscriberMemory = seconds(30);
 
-constexpr int kOk = 200;
-constexpr int kBadRequest = 400;
-constexpr int kUnavailable = 503;
-
 std::string error_body(const std::string& message) {
   std::string escaped;
   for (const char character : message) {
@@ -169,13 +166,7 @@
   }
   const bool repeat = now - subscriber.document_sent_at > kPushRetry;
   if (subscriber.document_version < log.version() && (repeat || subscriber.document_sent < log.version())) {
-    const auto& packed = log.packed();
-    if (packed.compressed_content.empty()) {
-      update.__set_document(packed.content);
-    } else {
-      update.__set_compressed_document(packed.compressed_content);
-      update.document_size = packed.content_size;
-    }
+    update.__set_document(log.packed());
     subscriber.document_sent = log.version();
     subscriber.document_sent_at = now;
   }
@@ -293,9 +284,9 @@
       break;
     case wire::ControlCallKind::GET_DOCUMENT:
       if (log.version() == 0) {
-        answer(key, kUnavailable, error_body("no document was accepted yet; send one"));
+        answer(key, http_status::kServiceUnavailable, error_body("no document was accepted yet; send one"));
       } else {
-        answer(key, kOk, log.content());
+        answer(key, http_status::kOk, log.content());
       }
       break;
   }
@@ -310,7 +301,7 @@
     std::string error;
     const auto report = parse_registration(call.instance_id, call.body, error);
     if (!report) {
-      answer(key, kBadRequest, error_body(error));
+      answer(key, http_status::kBadRequest, error_body(error));
       return;
     }
     leaving = report->state == wire::InstanceState::DRAINING;
@@ -321,7 +312,7 @@
     // Acknowledged only once every live node knows: from then on no new work may reach the instance.
     waiting_.push_back({key, version_, now});
   } else {
-    answer(key, kOk, "{}");
+    answer(key, http_status::kOk, "{}");
   }
 }
 
@@ -329,15 +320,16 @@
                                const DocumentLog& log) {
   const auto parsed = document::parse_document(call.body);
   if (parsed.document == nullptr) {
-    answer(key, kBadRequest, error_body(parsed.error.message));
+    answer(key, http_status::kBadRequest, error_body(parsed.error.message));
     return;
   }
   if (raft.replicas().voters.size() < options_.minimum_voters) {
-    answer(key, kUnavailable, error_body("the log has too few voters yet; send the document again"));
+    answer(key, http_status::kServiceUnavailable,
+           error_body("the log has too few voters yet; send the document again"));
     return;
   }
   if (parsed.document->version <= log.version()) {
-    answer(key, kOk, "{}");
+    answer(key, http_status::kOk, "{}");
     return;
   }
   outputs_.proposals.emplace_back(pack_document(parsed.document->version, call.body), key);
@@ -345,7 +337,7 @@
 
 void FleetLeader::proposed(const std::string& key, std::optional<int64_t> index, int64_t term) {
   if (!index) {
-    answer(key, kUnavailable, error_body("leadership ended; send the document again"));
+    answer(key, http_status::kServiceUnavailable, error_body("leadership ended; send the document again"));
     return;
   }
   pending_documents_[*index] = {key, term};
@@ -359,9 +351,9 @@
   const auto [key, proposed_term] = pending->second;
   pending_documents_.erase(pending);
   if (term == proposed_term) {
-    answer(key, kOk, "{}");
+    answer(key, http_status::kOk, "{}");
   } else {
-    answer(key, kUnavailable, error_body("leadership changed; send the document again"));
+    answer(key, http_status::kServiceUnavailable, error_body("leadership changed; send the document again"));
   }
 }
 
@@ -381,7 +373,7 @@
     }
     const bool patience_over = now - waiting.since > options_.confirmation_patience;
     if (confirmed || (published && patience_over)) {
-      answer(waiting.key, kOk, "{}");
+      answer(waiting.key, http_status::kOk, "{}");
     } else {
       still_waiting.push_back(waiting);
     }
--- a/src/core/fleet/fleet_subscription.cc
+++ b/src/core/fleet/fleet_subscription.cc
@@ -102,10 +102,9 @@
   serving_nodes_ = std::max(1, update.serving_nodes);
   send_state_ = update.wants_state && state_.term > 0;
   bool changed = false;
-  const bool has_document = update.__isset.document || update.__isset.compressed_document;
-  if (has_document && update.document_version > document_version_) {
-    if (auto content = unpack_document(update.document, update.compressed_document, update.document_size)) {
-      document_version_ = update.document_version;
+  if (update.__isset.document && update.document.version > document_version_) {
+    if (auto content = unpack_document(update.document)) {
+      document_version_ = update.document.version;
       document_ = std::move(*content);
       changed = true;
     }
@@ -122,7 +121,7 @@
     lease_from_ = std::max(lease_from_, asked->second);
     asked_at_.erase(asked_at_.begin(), std::next(asked));
   }
-  if (update.wants_confirmation || has_document || send_state_) {
+  if (update.wants_confirmation || update.__isset.document || send_state_) {
     next_heartbeat_ = TimePoint::min();
   }
   return changed;
--- a/src/core/fleet/group_supervisor.cc
+++ b/src/core/fleet/group_supervisor.cc
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 
+#include "core/base/http_status.h"
+
 namespace larchlever::fleet {
 
 namespace {
@@ -36,11 +38,6 @@
   return instance != nullptr && instance->state == wire::InstanceState::READY && !instance->silent;
 }
 
-/// The instance's state does not fit the order: it is in no such group.
-constexpr int kConflict = 409;
-/// The instance has seen a higher epoch or fence.
-constexpr int kFenced = 412;
-
 bool is_success(int status) { return status >= 200 && status < 300; }
 
 /// Another instance was heard at the address, so the process behind `id` has ended. A row that only a copy names proves
@@ -156,7 +153,9 @@
   if (ranks && to_head && result.status != 0) {
     --record.unanswered_head_orders;
   }
-  const bool left = is_success(result.status) || result.status == kConflict || result.status == kFenced;
+  // Conflict: the instance is in no such group. Failed precondition: it has seen a higher epoch or fence.
+  const bool left = is_success(result.status) || result.status == http_status::kConflict ||
+                    result.status == http_status::kPreconditionFailed;
   if (result.order.kind != OrderKind::kLeave || !left) {
     return;  // Joins and opens are confirmed by what the instances report, never by an answer.
   }
@@ -476,7 +475,7 @@
     changed = advance(now, record, directory) || changed;
     if (record.group.phase == wire::GroupPhase::DISSOLVING && is_dissolved(now, record, directory)) {
       dissolved_.insert(record.group.name);
-      decisions_.push_back({record.group, GroupReason::kReleased, true});
+      decisions_.push_back({record.group, GroupReason::kReleased});
       item = erase_record(item);
       changed = true;
     } else {
--- a/src/core/fleet/group_supervisor.h
+++ b/src/core/fleet/group_supervisor.h
@@ -58,7 +58,6 @@
 struct GroupDecision {
   wire::EngineGroup group;
   GroupReason reason = GroupReason::kPlanned;
-  bool is_released = false;
 };
 
 /// Epochs carry the leader's term above this bit, so that every leadership's epochs exceed those of the ones before.
--- a/src/net/http_server.cc
+++ b/src/net/http_server.cc
@@ -6,6 +6,7 @@
 #include <boost/beast/http.hpp>
 #include <set>
 
+#include "core/base/http_status.h"
 #include "net/listener.h"
 
 namespace larchlever::net {
@@ -25,8 +26,6 @@
 }
 
 constexpr size_t kHeadReadSize = 4096;
-constexpr int kBadRequestStatus = 400;
-constexpr int kTooLargeStatus = 413;
 /// How long the rest of a refused request is read and dropped, so that closing does not reset the answer away.
 constexpr auto kDiscardTime = std::chrono::milliseconds(300);
 
@@ -329,7 +328,7 @@
     if (!error) {
       if (const auto fault = find_head_fault(head_of(buffer))) {
         ++stats.malformed;
-        co_await refuse(stream, kBadRequestStatus, *fault);
+        co_await refuse(stream, http_status::kBadRequest, *fault);
         break;
       }
       stream->expires_after(options.body_timeout);
@@ -349,11 +348,11 @@
       stats.timeouts += late ? 1 : 0;
       stats.malformed += malformed ? 1 : 0;
       if (large_body) {
-        co_await refuse(stream, kTooLargeStatus, "request body too large");
+        co_await refuse(stream, http_status::kPayloadTooLarge, "request body too large");
       } else if (large_head) {
-        co_await refuse(stream, kTooLargeStatus, "request head too large");
+        co_await refuse(stream, http_status::kPayloadTooLarge, "request head too large");
       } else if (malformed) {
-        co_await refuse(stream, kBadRequestStatus, "malformed HTTP request");
+        co_await refuse(stream, http_status::kBadRequest, "malformed HTTP request");
       }
       break;
     }
--- a/src/node/control_api.cc
+++ b/src/node/control_api.cc
@@ -3,6 +3,8 @@
 #include <boost/asio.hpp>
 #include <optional>
 
+#include "core/base/http_status.h"
+
 namespace larchlever::node {
 
 namespace asio = boost::asio;
@@ -12,8 +14,6 @@
 constexpr auto kAwait = asio::as_tuple(asio::use_awaitable);
 /// The controller answers every call earlier than this.
 constexpr auto kLongestWait = std::chrono::seconds(10);
-constexpr int kNotFound = 404;
-constexpr int kUnavailable = 503;
 
 constexpr std::string_view kInstancesPrefix = "/v1/instances/";
 constexpr std::string_view kHeartbeatSuffix = "/heartbeat";
@@ -71,7 +71,7 @@
   response.headers.add("Content-Type", "application/json");
   auto call = parse_call(exchange.request());
   if (!call) {
-    response.status = kNotFound;
+    response.status = http_status::kNotFound;
     response.body = R"({"error":"no such call; see the operators' page for the paths"})";
     co_await exchange.respond(std::move(response));
     co_return;
@@ -87,7 +87,7 @@
     co_await waiter->timer.async_wait(kAwait);
   }
   waiters_.erase(id);
-  response.status = waiter->reply ? waiter->reply->status : kUnavailable;
+  response.status = waiter->reply ? waiter->reply->status : http_status::kServiceUnavailable;
   response.body = waiter->reply && !waiter->reply->body.empty()
                       ? waiter->reply->body
                       : R"({"error":"no leader answered; send the call again"})";
--- a/src/node/control_process.cc
+++ b/src/node/control_process.cc
@@ -283,13 +283,14 @@
 }
 
 void ControlProcess::report_decision(const fleet::GroupDecision& decision) const {
-  log_event(settings_.name, "group_changed",
-            {{"group", decision.group.name},
-             {"epoch", std::to_string(decision.group.epoch)},
-             {"model", decision.group.model},
-             {"phase", decision.is_released ? "RELEASED" : wire::to_string(decision.group.phase)},
-             {"reason", fleet::to_string(decision.reason)},
-             {"members", joined(decision.group.members)}});
+  log_event(
+      settings_.name, "group_changed",
+      {{"group", decision.group.name},
+       {"epoch", std::to_string(decision.group.epoch)},
+       {"model", decision.group.model},
+       {"phase", decision.reason == fleet::GroupReason::kReleased ? "RELEASED" : wire::to_string(decision.group.phase)},
+       {"reason", fleet::to_string(decision.reason)},
+       {"members", joined(decision.group.members)}});
 }
 
 void ControlProcess::report_instances() {
--- a/src/node/entry_process.cc
+++ b/src/node/entry_process.cc
@@ -1,6 +1,7 @@
 #include <boost/asio.hpp>
 #include <random>
 
+#include "core/base/http_status.h"
 #include "net/http_server.h"
 #include "net/listener.h"
 #include "net/peer_transport.h"
@@ -21,8 +22,6 @@
 constexpr auto kBalancerReaction = std::chrono::milliseconds(2500);
 /// Kept back of the grace, for closing down.
 constexpr auto kStopReserve = std::chrono::milliseconds(500);
-constexpr int kOk = 200;
-constexpr int kUnavailable = 503;
 
 /// Answers the balancer's question whether this entry wants new connections.
 class ReadinessHandler : public net::HttpHandler {
@@ -31,9 +30,9 @@
 
   asio::awaitable<void> handle(net::HttpExchange& exchange) override {
     net::HttpResponse response;
-    response.status = is_ready_() ? kOk : kUnavailable;
+    response.status = is_ready_() ? http_status::kOk : http_status::kServiceUnavailable;
     response.headers.add("Content-Type", "text/plain");
-    response.body = response.status == kOk ? "ready\n" : "not ready\n";
+    response.body = response.status == http_status::kOk ? "ready\n" : "not ready\n";
     co_await exchange.respond(std::move(response));
   }
 
--- a/src/node/request_relay.cc
+++ b/src/node/request_relay.cc
@@ -3,6 +3,7 @@
 #include <boost/asio.hpp>
 #include <charconv>
 
+#include "core/base/http_status.h"
 #include "core/base/scope_exit.h"
 #include "node/clock.h"
 #include "node/logging.h"
@@ -31,14 +32,6 @@
 constexpr double kBackWhenUnavailable = 0.5;
 constexpr int kMostSendings = 6;
 
-constexpr int kUnauthorized = 401;
-constexpr int kNotFound = 404;
-constexpr int kTooManyRequests = 429;
-constexpr int kMisdirected = 421;
-constexpr int kBadGateway = 502;
-constexpr int kUnavailable = 503;
-constexpr int kGatewayTimeout = 504;
-
 bool is_success(int status) { return status >= 200 && status < 300; }
 
 std::optional<int64_t> parse_number(std::string_view text) {
@@ -92,11 +85,12 @@
   request.id = std::string(incoming.headers.find(dialect_.request_id));
   request.model = std::string(incoming.headers.find(dialect_.model));
   if (request.routes == nullptr || !state_.subscription.has_lease(request.received)) {
-    return Refusal{kUnavailable, "this node holds no confirmed configuration", kBackWhenUnavailable};
+    return Refusal{http_status::kServiceUnavailable, "this node holds no confirmed configuration",
+                   kBackWhenUnavailable};
   }
   request.route = request.routes->find_route(incoming.headers.find("host"), incoming.path());
   if (request.route == nullptr) {
-    return Refusal{kNotFound, "no route for this host and path", 0};
+    return Refusal{http_status::kNotFound, "no route for this host and path", 0};
   }
   if (auto refusal = authorise(request, incoming.headers.find(dialect_.api_key))) {
     return refusal;
@@ -137,7 +131,7 @@
   }
   request.tenant = request.routes->find_tenant(key);
   if (request.tenant == nullptr) {
-    return Refusal{kUnauthorized, "unknown key; send the tenant's key", 0};
+    return Refusal{http_status::kUnauthorized, "unknown key; send the tenant's key", 0};
   }
   return std::nullopt;
 }
@@ -209,7 +203,7 @@
         co_await give_up(request);
       } else {
         const bool busy = choice.failure == fleet::ChoiceFailure::kAllBusy;
-        Refusal refusal{kUnavailable, busy ? "all places are taken" : "no server is available",
+        Refusal refusal{http_status::kServiceUnavailable, busy ? "all places are taken" : "no server is available",
                         busy ? kBackWhenBusy : kBackWhenUnavailable};
         co_await refuse(request, std::move(refusal));
       }
@@ -272,7 +266,7 @@
 }
 
 bool RequestRelay::is_not_run(const net::HttpResponse& head) const {
-  return head.status == kMisdirected || head.headers.contains(dialect_.not_run);
+  return head.status == http_status::kMisdirectedRequest || head.headers.contains(dialect_.not_run);
 }
 
 asio::awaitable<RequestRelay::Sending> RequestRelay::send_once(RelayedRequest& request, const fleet::Target& target) {
@@ -305,7 +299,8 @@
   if (is_not_run(head)) {
     log_event("", "sending_refused",
               {{"request", request.id}, {"target", target.key}, {"status", std::to_string(head.status)}});
-    if (!target.group.empty() && (head.status == kMisdirected || head.headers.contains(dialect_.faulty_server))) {
+    if (!target.group.empty() &&
+        (head.status == http_status::kMisdirectedRequest || head.headers.contains(dialect_.faulty_server))) {
       note_failure(target, monotonic_now());
     }
     co_return Sending::kNotRun;
@@ -485,7 +480,8 @@
     response.headers.add("Retry-After", seconds_text(refusal.retry_after_seconds));
   }
   response.body = "{\"status\":" + std::to_string(refusal.status) + ",\"title\":\"" + refusal.title + "\"}";
-  const bool is_promise = refusal.status == kUnavailable || refusal.status == kTooManyRequests;
+  const bool is_promise =
+      refusal.status == http_status::kServiceUnavailable || refusal.status == http_status::kTooManyRequests;
   state_.counters.refused += is_promise ? 1 : 0;
   state_.counters.denied += is_promise ? 0 : 1;
   log_end(request, refusal.status, refusal.title);
@@ -504,12 +500,12 @@
   }
   const TimePoint now = monotonic_now();
   if (!request.may_have_run) {
-    Refusal refusal{kUnavailable, "no server took the request", kBackWhenBusy};
+    Refusal refusal{http_status::kServiceUnavailable, "no server took the request", kBackWhenBusy};
     co_await refuse(request, std::move(refusal));
     co_return;
   }
   net::HttpResponse response;
-  response.status = now >= request.due ? kGatewayTimeout : kBadGateway;
+  response.status = now >= request.due ? http_status::kGatewayTimeout : http_status::kBadGateway;
   response.headers.add("Content-Type", "application/problem+json");
   response.headers.add("Larchlever-Outcome", "unknown");
   response.body = "{\"status\":" + std::to_string(response.status) + ",\"title\":\"the answer was lost\"}";
--- a/src/simulation/registered_fleet.cc
+++ b/src/simulation/registered_fleet.cc
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 
+#include "core/base/http_status.h"
+
 namespace larchlever::simulation {
 
 namespace {
@@ -19,8 +21,6 @@
 constexpr Duration kWipeSpacing = seconds(8);
 constexpr size_t kToleratedLosses = 2;
 constexpr Duration kStateSaveInterval = milliseconds(400);
-constexpr int kOk = 200;
-constexpr int kBegun = 202;
 
 std::string document_text(int64_t version) {
   return R"({"version":)" + std::to_string(version) +
@@ -167,7 +167,7 @@
     if (put == puts_.end()) {
       continue;
     }
-    if (reply.status == kOk) {
+    if (reply.status == http_status::kOk) {
       ++result_.documents_acknowledged;
       newest_acknowledged_ = std::max(newest_acknowledged_, put->second.version);
       acknowledged_at_.try_emplace(put->second.version, queue_.now());
@@ -232,7 +232,7 @@
   const int status = instance->carry_out(queue_.now(), order, warm ? kWarmJoin : kColdJoin);
   trace("order " + std::to_string(static_cast<int>(order.kind)) + " of " + order.group + " at " + order.instance_id +
         " answered " + std::to_string(status));
-  if (order.kind == fleet::OrderKind::kJoin && status == kBegun) {
+  if (order.kind == fleet::OrderKind::kJoin && status == http_status::kAccepted) {
     check_join(before, order);
   }
   if (instance->is_open_head() && !was_open) {
--- a/src/simulation/simulated_instance.cc
+++ b/src/simulation/simulated_instance.cc
@@ -2,16 +2,11 @@
 
 #include <algorithm>
 
-namespace larchlever::simulation {
-
-namespace {
+#include "core/base/http_status.h"
 
-constexpr int kOk = 200;
-constexpr int kBegun = 202;
-constexpr int kConflict = 409;
-constexpr int kFenced = 412;
+namespace larchlever::simulation {
 
-}  // namespace
+namespace {}  // namespace
 
 SimulatedInstance::SimulatedInstance(std::string id, std::string address, std::string domain,
                                      std::vector<std::string> staged)
@@ -27,15 +22,15 @@
   if (order.kind == fleet::OrderKind::kStage) {
     staged_ = {order.model};
     has_news_ = true;
-    return kBegun;
+    return http_status::kAccepted;
   }
   const bool mine = membership_.group == order.group && membership_.epoch == order.epoch;
   if (order.kind == fleet::OrderKind::kJoin) {
     if (mine && members_ == order.members) {
-      return kOk;
+      return http_status::kOk;
     }
     if (order.epoch < highest_epoch_ || mine) {
-      return kFenced;
+      return http_status::kPreconditionFailed;
     }
     highest_epoch_ = order.epoch;
     members_ = order.members;
@@ -46,28 +41,28 @@
     ready_at_ = now + join_time;
     incomplete_since_ = TimePoint::max();
     set_state(wire::MembershipState::JOINING);
-    return kBegun;
+    return http_status::kAccepted;
   }
   if (!mine) {
-    return kConflict;
+    return http_status::kConflict;
   }
   if (order.kind == fleet::OrderKind::kLeave) {
     membership_ = {};
     members_.clear();
     has_news_ = true;
-    return kOk;
+    return http_status::kOk;
   }
   if (order.kind == fleet::OrderKind::kOpen) {
     if (membership_.state == wire::MembershipState::OPEN) {
-      return kOk;
+      return http_status::kOk;
     }
     if (membership_.state != wire::MembershipState::READY || membership_.rank != 0) {
-      return kConflict;
+      return http_status::kConflict;
     }
     set_state(wire::MembershipState::OPEN);
-    return kBegun;
+    return http_status::kAccepted;
   }
-  return kConflict;
+  return http_status::kConflict;
 }
 
 void SimulatedInstance::advance(TimePoint now) {
--- a/src/wire/gen-cpp/larchlever_types.cpp
+++ b/src/wire/gen-cpp/larchlever_types.cpp
@@ -12985,25 +12985,21 @@
 }
 
 
-InstanceFailure::~InstanceFailure() noexcept {
+GroupFailure::~GroupFailure() noexcept {
 }
 
 
-void InstanceFailure::__set_instance_id(const std::string& val) {
-  this->instance_id = val;
-}
-
-void InstanceFailure::__set_group(const std::string& val) {
+void GroupFailure::__set_group(const std::string& val) {
   this->group = val;
 }
-std::ostream& operator<<(std::ostream& out, const InstanceFailure& obj)
+std::ostream& operator<<(std::ostream& out, const GroupFailure& obj)
 {
   obj.printTo(out);
   return out;
 }
 
 
-uint32_t InstanceFailure::read(::apache::thrift::protocol::TProtocol* iprot) {
+uint32_t GroupFailure::read(::apache::thrift::protocol::TProtocol* iprot) {
 
   ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
   uint32_t xfer = 0;
@@ -13024,14 +13020,6 @@
     }
     switch (fid)
     {
-      case 1:
-        if (ftype == ::apache::thrift::protocol::T_STRING) {
-          xfer += iprot->readString(this->instance_id);
-          this->__isset.instance_id = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
       case 2:
         if (ftype == ::apache::thrift::protocol::T_STRING) {
           xfer += iprot->readString(this->group);
@@ -13052,14 +13040,10 @@
   return xfer;
 }
 
-uint32_t InstanceFailure::write(::apache::thrift::protocol::TProtocol* oprot) const {
+uint32_t GroupFailure::write(::apache::thrift::protocol::TProtocol* oprot) const {
   uint32_t xfer = 0;
   ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
-  xfer += oprot->writeStructBegin("InstanceFailure");
-
-  xfer += oprot->writeFieldBegin("instance_id", ::apache::thrift::protocol::T_STRING, 1);
-  xfer += oprot->writeString(this->instance_id);
-  xfer += oprot->writeFieldEnd();
+  xfer += oprot->writeStructBegin("GroupFailure");
 
   xfer += oprot->writeFieldBegin("group", ::apache::thrift::protocol::T_STRING, 2);
   xfer += oprot->writeString(this->group);
@@ -13070,40 +13054,34 @@
   return xfer;
 }
 
-void swap(InstanceFailure &a, InstanceFailure &b) {
+void swap(GroupFailure &a, GroupFailure &b) {
   using ::std::swap;
-  swap(a.instance_id, b.instance_id);
   swap(a.group, b.group);
   swap(a.__isset, b.__isset);
 }
 
-InstanceFailure::InstanceFailure(const InstanceFailure& other506) {
-  instance_id = other506.instance_id;
+GroupFailure::GroupFailure(const GroupFailure& other506) {
   group = other506.group;
   __isset = other506.__isset;
 }
-InstanceFailure::InstanceFailure(InstanceFailure&& other507) noexcept {
-  instance_id = std::move(other507.instance_id);
+GroupFailure::GroupFailure(GroupFailure&& other507) noexcept {
   group = std::move(other507.group);
   __isset = other507.__isset;
 }
-InstanceFailure& InstanceFailure::operator=(const InstanceFailure& other508) {
-  instance_id = other508.instance_id;
+GroupFailure& GroupFailure::operator=(const GroupFailure& other508) {
   group = other508.group;
   __isset = other508.__isset;
   return *this;
 }
-InstanceFailure& InstanceFailure::operator=(InstanceFailure&& other509) noexcept {
-  instance_id = std::move(other509.instance_id);
+GroupFailure& GroupFailure::operator=(GroupFailure&& other509) noexcept {
   group = std::move(other509.group);
   __isset = other509.__isset;
   return *this;
 }
-void InstanceFailure::printTo(std::ostream& out) const {
+void GroupFailure::printTo(std::ostream& out) const {
   using ::apache::thrift::to_string;
-  out << "InstanceFailure(";
-  out << "instance_id=" << to_string(instance_id);
-  out << ", " << "group=" << to_string(group);
+  out << "GroupFailure(";
+  out << "group=" << to_string(group);
   out << ")";
 }
 
@@ -13148,7 +13126,7 @@
   this->demand = val;
 }
 
-void FleetHeartbeat::__set_failures(const std::vector<InstanceFailure> & val) {
+void FleetHeartbeat::__set_failures(const std::vector<GroupFailure> & val) {
   this->failures = val;
 }
 
@@ -13416,7 +13394,7 @@
   xfer += oprot->writeFieldBegin("failures", ::apache::thrift::protocol::T_LIST, 10);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->failures.size()));
-    std::vector<InstanceFailure> ::const_iterator _iter527;
+    std::vector<GroupFailure> ::const_iterator _iter527;
     for (_iter527 = this->failures.begin(); _iter527 != this->failures.end(); ++_iter527)
     {
       xfer += (*_iter527).write(oprot);
@@ -13585,11 +13563,6 @@
   this->document_version = val;
 }
 
-void FleetUpdate::__set_document(const std::string& val) {
-  this->document = val;
-__isset.document = true;
-}
-
 void FleetUpdate::__set_state(const FleetState& val) {
   this->state = val;
 __isset.state = true;
@@ -13616,13 +13589,9 @@
   this->wants_confirmation = val;
 }
 
-void FleetUpdate::__set_compressed_document(const std::string& val) {
-  this->compressed_document = val;
-__isset.compressed_document = true;
-}
-
-void FleetUpdate::__set_document_size(const int64_t val) {
-  this->document_size = val;
+void FleetUpdate::__set_document(const DocumentChange& val) {
+  this->document = val;
+__isset.document = true;
 }
 std::ostream& operator<<(std::ostream& out, const FleetUpdate& obj)
 {
@@ -13712,14 +13681,6 @@
           xfer += iprot->skip(ftype);
         }
         break;
-      case 7:
-        if (ftype == ::apache::thrift::protocol::T_STRING) {
-          xfer += iprot->readBinary(this->document);
-          this->__isset.document = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
       case 8:
         if (ftype == ::apache::thrift::protocol::T_STRUCT) {
           xfer += this->state.read(iprot);
@@ -13780,18 +13741,10 @@
           xfer += iprot->skip(ftype);
         }
         break;
-      case 14:
-        if (ftype == ::apache::thrift::protocol::T_STRING) {
-          xfer += iprot->readBinary(this->compressed_document);
-          this->__isset.compressed_document = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
-      case 15:
-        if (ftype == ::apache::thrift::protocol::T_I64) {
-          xfer += iprot->readI64(this->document_size);
-          this->__isset.document_size = true;
+      case 16:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->document.read(iprot);
+          this->__isset.document = true;
         } else {
           xfer += iprot->skip(ftype);
         }
@@ -13845,11 +13798,6 @@
   xfer += oprot->writeI64(this->document_version);
   xfer += oprot->writeFieldEnd();
 
-  if (this->__isset.document) {
-    xfer += oprot->writeFieldBegin("document", ::apache::thrift::protocol::T_STRING, 7);
-    xfer += oprot->writeBinary(this->document);
-    xfer += oprot->writeFieldEnd();
-  }
   if (this->__isset.state) {
     xfer += oprot->writeFieldBegin("state", ::apache::thrift::protocol::T_STRUCT, 8);
     xfer += this->state.write(oprot);
@@ -13884,15 +13832,11 @@
   xfer += oprot->writeBool(this->wants_confirmation);
   xfer += oprot->writeFieldEnd();
 
-  if (this->__isset.compressed_document) {
-    xfer += oprot->writeFieldBegin("compressed_document", ::apache::thrift::protocol::T_STRING, 14);
-    xfer += oprot->writeBinary(this->compressed_document);
+  if (this->__isset.document) {
+    xfer += oprot->writeFieldBegin("document", ::apache::thrift::protocol::T_STRUCT, 16);
+    xfer += this->document.write(oprot);
     xfer += oprot->writeFieldEnd();
   }
-  xfer += oprot->writeFieldBegin("document_size", ::apache::thrift::protocol::T_I64, 15);
-  xfer += oprot->writeI64(this->document_size);
-  xfer += oprot->writeFieldEnd();
-
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -13906,15 +13850,13 @@
   swap(a.control_peers, b.control_peers);
   swap(a.term, b.term);
   swap(a.document_version, b.document_version);
-  swap(a.document, b.document);
   swap(a.state, b.state);
   swap(a.loads, b.loads);
   swap(a.serving_nodes, b.serving_nodes);
   swap(a.wants_state, b.wants_state);
   swap(a.state_change, b.state_change);
   swap(a.wants_confirmation, b.wants_confirmation);
-  swap(a.compressed_document, b.compressed_document);
-  swap(a.document_size, b.document_size);
+  swap(a.document, b.document);
   swap(a.__isset, b.__isset);
 }
 
@@ -13925,15 +13867,13 @@
   control_peers = other544.control_peers;
   term = other544.term;
   document_version = other544.document_version;
-  document = other544.document;
   state = other544.state;
   loads = other544.loads;
   serving_nodes = other544.serving_nodes;
   wants_state = other544.wants_state;
   state_change = other544.state_change;
   wants_confirmation = other544.wants_confirmation;
-  compressed_document = other544.compressed_document;
-  document_size = other544.document_size;
+  document = other544.document;
   __isset = other544.__isset;
 }
 FleetUpdate::FleetUpdate(FleetUpdate&& other545) noexcept {
@@ -13943,15 +13883,13 @@
   control_peers = std::move(other545.control_peers);
   term = other545.term;
   document_version = other545.document_version;
-  document = std::move(other545.document);
   state = std::move(other545.state);
   loads = std::move(other545.loads);
   serving_nodes = other545.serving_nodes;
   wants_state = other545.wants_state;
   state_change = std::move(other545.state_change);
   wants_confirmation = other545.wants_confirmation;
-  compressed_document = std::move(other545.compressed_document);
-  document_size = other545.document_size;
+  document = std::move(other545.document);
   __isset = other545.__isset;
 }
 FleetUpdate& FleetUpdate::operator=(const FleetUpdate& other546) {
@@ -13961,15 +13899,13 @@
   control_peers = other546.control_peers;
   term = other546.term;
   document_version = other546.document_version;
-  document = other546.document;
   state = other546.state;
   loads = other546.loads;
   serving_nodes = other546.serving_nodes;
   wants_state = other546.wants_state;
   state_change = other546.state_change;
   wants_confirmation = other546.wants_confirmation;
-  compressed_document = other546.compressed_document;
-  document_size = other546.document_size;
+  document = other546.document;
   __isset = other546.__isset;
   return *this;
 }
@@ -13980,15 +13916,13 @@
   control_peers = std::move(other547.control_peers);
   term = other547.term;
   document_version = other547.document_version;
-  document = std::move(other547.document);
   state = std::move(other547.state);
   loads = std::move(other547.loads);
   serving_nodes = other547.serving_nodes;
   wants_state = other547.wants_state;
   state_change = std::move(other547.state_change);
   wants_confirmation = other547.wants_confirmation;
-  compressed_document = std::move(other547.compressed_document);
-  document_size = other547.document_size;
+  document = std::move(other547.document);
   __isset = other547.__isset;
   return *this;
 }
@@ -14001,15 +13935,13 @@
   out << ", " << "control_peers=" << to_string(control_peers);
   out << ", " << "term=" << to_string(term);
   out << ", " << "document_version=" << to_string(document_version);
-  out << ", " << "document="; (__isset.document ? (out << to_string(document)) : (out << "<null>"));
   out << ", " << "state="; (__isset.state ? (out << to_string(state)) : (out << "<null>"));
   out << ", " << "loads=" << to_string(loads);
   out << ", " << "serving_nodes=" << to_string(serving_nodes);
   out << ", " << "wants_state=" << to_string(wants_state);
   out << ", " << "state_change="; (__isset.state_change ? (out << to_string(state_change)) : (out << "<null>"));
   out << ", " << "wants_confirmation=" << to_string(wants_confirmation);
-  out << ", " << "compressed_document="; (__isset.compressed_document ? (out << to_string(compressed_document)) : (out << "<null>"));
-  out << ", " << "document_size=" << to_string(document_size);
+  out << ", " << "document="; (__isset.document ? (out << to_string(document)) : (out << "<null>"));
   out << ")";
 }
 
--- a/src/wire/gen-cpp/larchlever_types.h
+++ b/src/wire/gen-cpp/larchlever_types.h
@@ -309,7 +309,7 @@
 
 class ModelDemand;
 
-class InstanceFailure;
+class GroupFailure;
 
 class FleetHeartbeat;
 
@@ -5005,50 +5005,43 @@
 
 std::ostream& operator<<(std::ostream& out, const ModelDemand& obj);
 
-typedef struct _InstanceFailure__isset {
-  _InstanceFailure__isset() : instance_id(false), group(false) {}
-  bool instance_id :1;
+typedef struct _GroupFailure__isset {
+  _GroupFailure__isset() : group(false) {}
   bool group :1;
-} _InstanceFailure__isset;
+} _GroupFailure__isset;
 
 /**
- * An entry's own evidence against an instance: it refused connections, reset or stood still.
+ * An entry's own evidence against a group's head: it refused connections, reset or stood still.
  */
-class InstanceFailure : public virtual ::apache::thrift::TBase {
+class GroupFailure : public virtual ::apache::thrift::TBase {
  public:
 
-  InstanceFailure(const InstanceFailure&);
-  InstanceFailure(InstanceFailure&&) noexcept;
-  InstanceFailure& operator=(const InstanceFailure&);
-  InstanceFailure& operator=(InstanceFailure&&) noexcept;
-  InstanceFailure() noexcept
-                  : instance_id(),
-                    group() {
+  GroupFailure(const GroupFailure&);
+  GroupFailure(GroupFailure&&) noexcept;
+  GroupFailure& operator=(const GroupFailure&);
+  GroupFailure& operator=(GroupFailure&&) noexcept;
+  GroupFailure() noexcept
+               : group() {
   }
 
-  virtual ~InstanceFailure() noexcept;
-  std::string instance_id;
+  virtual ~GroupFailure() noexcept;
   std::string group;
 
-  _InstanceFailure__isset __isset;
-
-  void __set_instance_id(const std::string& val);
+  _GroupFailure__isset __isset;
 
   void __set_group(const std::string& val);
 
-  bool operator == (const InstanceFailure & rhs) const
+  bool operator == (const GroupFailure & rhs) const
   {
-    if (!(instance_id == rhs.instance_id))
-      return false;
     if (!(group == rhs.group))
       return false;
     return true;
   }
-  bool operator != (const InstanceFailure &rhs) const {
+  bool operator != (const GroupFailure &rhs) const {
     return !(*this == rhs);
   }
 
-  bool operator < (const InstanceFailure & ) const;
+  bool operator < (const GroupFailure & ) const;
 
   uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
   uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
@@ -5056,9 +5049,9 @@
   virtual void printTo(std::ostream& out) const;
 };
 
-void swap(InstanceFailure &a, InstanceFailure &b);
+void swap(GroupFailure &a, GroupFailure &b);
 
-std::ostream& operator<<(std::ostream& out, const InstanceFailure& obj);
+std::ostream& operator<<(std::ostream& out, const GroupFailure& obj);
 
 typedef struct _FleetHeartbeat__isset {
   _FleetHeartbeat__isset() : sequence(false), zone(false), replica_id(false), control_address(false), document_version(false), held_term(false), held_version(false), loads(false), demand(false), failures(false), leaving(false), serves_requests(false), traffic_seen(false), held_state(false) {}
@@ -5114,7 +5107,7 @@
   int64_t held_version;
   std::vector<GroupLoad>  loads;
   std::vector<ModelDemand>  demand;
-  std::vector<InstanceFailure>  failures;
+  std::vector<GroupFailure>  failures;
   bool leaving;
   bool serves_requests;
   /**
@@ -5146,7 +5139,7 @@
 
   void __set_demand(const std::vector<ModelDemand> & val);
 
-  void __set_failures(const std::vector<InstanceFailure> & val);
+  void __set_failures(const std::vector<GroupFailure> & val);
 
   void __set_leaving(const bool val);
 
@@ -5207,22 +5200,20 @@
 std::ostream& operator<<(std::ostream& out, const FleetHeartbeat& obj);
 
 typedef struct _FleetUpdate__isset {
-  _FleetUpdate__isset() : sequence(false), not_leader(false), leader(false), control_peers(false), term(false), document_version(false), document(false), state(false), loads(false), serving_nodes(false), wants_state(false), state_change(false), wants_confirmation(false), compressed_document(false), document_size(false) {}
+  _FleetUpdate__isset() : sequence(false), not_leader(false), leader(false), control_peers(false), term(false), document_version(false), state(false), loads(false), serving_nodes(false), wants_state(false), state_change(false), wants_confirmation(false), document(false) {}
   bool sequence :1;
   bool not_leader :1;
   bool leader :1;
   bool control_peers :1;
   bool term :1;
   bool document_version :1;
-  bool document :1;
   bool state :1;
   bool loads :1;
   bool serving_nodes :1;
   bool wants_state :1;
   bool state_change :1;
   bool wants_confirmation :1;
-  bool compressed_document :1;
-  bool document_size :1;
+  bool document :1;
 } _FleetUpdate__isset;
 
 /**
@@ -5241,12 +5232,9 @@
                 leader(),
                 term(0),
                 document_version(0),
-                document(),
                 serving_nodes(0),
                 wants_state(0),
-                wants_confirmation(0),
-                compressed_document(),
-                document_size(0) {
+                wants_confirmation(0) {
   }
 
   virtual ~FleetUpdate() noexcept;
@@ -5262,7 +5250,6 @@
   std::vector<std::string>  control_peers;
   int64_t term;
   int64_t document_version;
-  std::string document;
   FleetState state;
   /**
    * Requests in flight per group at all nodes but the receiver.
@@ -5285,10 +5272,9 @@
    */
   bool wants_confirmation;
   /**
-   * Instead of `document` where that is large; compressed as in DocumentChange.
+   * Sent to who holds an earlier version.
    */
-  std::string compressed_document;
-  int64_t document_size;
+  DocumentChange document;
 
   _FleetUpdate__isset __isset;
 
@@ -5304,8 +5290,6 @@
 
   void __set_document_version(const int64_t val);
 
-  void __set_document(const std::string& val);
-
   void __set_state(const FleetState& val);
 
   void __set_loads(const std::vector<GroupLoad> & val);
@@ -5318,9 +5302,7 @@
 
   void __set_wants_confirmation(const bool val);
 
-  void __set_compressed_document(const std::string& val);
-
-  void __set_document_size(const int64_t val);
+  void __set_document(const DocumentChange& val);
 
   bool operator == (const FleetUpdate & rhs) const
   {
@@ -5336,10 +5318,6 @@
       return false;
     if (!(document_version == rhs.document_version))
       return false;
-    if (__isset.document != rhs.__isset.document)
-      return false;
-    else if (__isset.document && !(document == rhs.document))
-      return false;
     if (__isset.state != rhs.__isset.state)
       return false;
     else if (__isset.state && !(state == rhs.state))
@@ -5356,11 +5334,9 @@
       return false;
     if (!(wants_confirmation == rhs.wants_confirmation))
       return false;
-    if (__isset.compressed_document != rhs.__isset.compressed_document)
-      return false;
-    else if (__isset.compressed_document && !(compressed_document == rhs.compressed_document))
+    if (__isset.document != rhs.__isset.document)
       return false;
-    if (!(document_size == rhs.document_size))
+    else if (__isset.document && !(document == rhs.document))
       return false;
     return true;
   }
--- a/src/wire/larchlever.thrift
+++ b/src/wire/larchlever.thrift
@@ -585,9 +585,8 @@
   6: i32 target_latency_ms,
 }
 
-/** An entry's own evidence against an instance: it refused connections, reset or stood still. */
-struct InstanceFailure {
-  1: string instance_id,
+/** An entry's own evidence against a group's head: it refused connections, reset or stood still. */
+struct GroupFailure {
   2: string group,
 }
 
@@ -603,7 +602,7 @@
   7: i64 held_version,
   8: list<GroupLoad> loads,
   9: list<ModelDemand> demand,
-  10: list<InstanceFailure> failures,
+  10: list<GroupFailure> failures,
   11: bool leaving,
   12: bool serves_requests,
   /** The node has seen at least one caller's request since it started. */
@@ -622,7 +621,6 @@
   4: list<string> control_peers,
   5: i64 term,
   6: i64 document_version,
-  7: optional binary document,
   8: optional FleetState state,
   /** Requests in flight per group at all nodes but the receiver. */
   9: list<GroupLoad> loads,
@@ -634,9 +632,8 @@
   12: optional FleetStateChange state_change,
   /** A call waits until all nodes hold this version: confirm at once rather than with the next heartbeat. */
   13: bool wants_confirmation,
-  /** Instead of `document` where that is large; compressed as in DocumentChange. */
-  14: optional binary compressed_document,
-  15: i64 document_size,
+  /** Sent to who holds an earlier version. */
+  16: optional DocumentChange document,
 }
 
 enum ControlCallKind { HEARTBEAT = 0, DEREGISTER = 1, PUT_DOCUMENT = 2, GET_DOCUMENT = 3 }
--- a/tests/unit/document_test.cc
+++ b/tests/unit/document_test.cc
@@ -13,9 +13,13 @@
   content += std::string(20'000, 'x') + "\"}";
   const auto packed = fleet::pack_document(3, content);
   EXPECT_LT(packed.compressed_content.size(), content.size() / 10);
-  EXPECT_EQ(fleet::unpack_document(packed.content, packed.compressed_content, packed.content_size), content);
-  EXPECT_FALSE(fleet::unpack_document("", packed.compressed_content, packed.content_size + 1));
-  EXPECT_FALSE(fleet::unpack_document("", packed.compressed_content.substr(10), packed.content_size));
+  EXPECT_EQ(fleet::unpack_document(packed), content);
+  auto of_wrong_size = packed;
+  ++of_wrong_size.content_size;
+  EXPECT_FALSE(fleet::unpack_document(of_wrong_size));
+  auto damaged = packed;
+  damaged.compressed_content.erase(0, 10);
+  EXPECT_FALSE(fleet::unpack_document(damaged));
   EXPECT_EQ(fleet::pack_document(1, "small").content, "small");
   wire::Command command;
   command.__set_document(packed);
--- a/tests/unit/fleet_test.cc
+++ b/tests/unit/fleet_test.cc
@@ -2,6 +2,7 @@
 
 #include "core/engine/cost_model.h"
 #include "core/fleet/dispatcher.h"
+#include "core/fleet/document_log.h"
 #include "core/fleet/fleet_subscription.h"
 #include "core/fleet/instance_directory.h"
 #include "core/fleet/registration.h"
@@ -102,7 +103,7 @@
   envelope.fleet_update.sequence = sequence;
   envelope.fleet_update.document_version = document_version;
   if (with_document) {
-    envelope.fleet_update.__set_document("text");
+    envelope.fleet_update.__set_document(pack_document(document_version, "text"));
   }
   return envelope;
 }
