--- a/src/core/engine/cost_model.cc
+++ b/src/core/engine/cost_model.cc
@@ -55,9 +55,18 @@
 }
 
 Duration longest_pass(const document::EngineSpec& engine, const document::ModelSpec& model) {
-  const double step_ms = engine.step_ms + engine.per_sequence_ms * engine.slots;
-  const double reading_ms = engine.chunk_tokens * 1000.0 / engine.read_tokens_per_second;
-  return from_milliseconds(model.pace * engine.steps_per_pass * (step_ms + reading_ms));
+  return pass_length(engine, model, engine.slots, tokens_per_pass(engine));
+}
+
+double tokens_per_pass(const document::EngineSpec& engine) {
+  return static_cast<double>(engine.chunk_tokens) * engine.steps_per_pass;
+}
+
+Duration pass_length(const document::EngineSpec& engine, const document::ModelSpec& model, int running,
+                     double read_tokens) {
+  const double step_ms = engine.step_ms + engine.per_sequence_ms * running;
+  const double reading_ms = read_tokens * 1000.0 / engine.read_tokens_per_second;
+  return from_milliseconds(model.pace * (engine.steps_per_pass * step_ms + reading_ms));
 }
 
 Duration expected_first_event(const document::EngineSpec& engine, const document::ModelSpec& model, int running,
--- a/src/core/engine/cost_model.h
+++ b/src/core/engine/cost_model.h
@@ -33,6 +33,13 @@
 /// The longest that a group with all its slots taken lets its streams pause: a pass that reads a whole chunk each step.
 Duration longest_pass(const document::EngineSpec& engine, const document::ModelSpec& model);
 
+/// A pass of a group that writes for `running` requests and reads `read_tokens` of prompts beside.
+Duration pass_length(const document::EngineSpec& engine, const document::ModelSpec& model, int running,
+                     double read_tokens);
+
+/// The most prompt tokens that one pass reads beside its writing.
+double tokens_per_pass(const document::EngineSpec& engine);
+
 /// Time to the first event of a request of `prompt_tokens` that arrives at a group that has `running` requests, of
 /// whose prompts `waiting_tokens` are still to be read.
 Duration expected_first_event(const document::EngineSpec& engine, const document::ModelSpec& model, int running,
--- /dev/null
+++ b/src/core/engine/pass_clock.h
@@ -0,0 +1,39 @@
+#pragma once
+
+#include "core/base/time.h"
+#include "core/document/configuration_document.h"
+
+namespace larchlever::engine {
+
+/// What a group does with a request that is sent to it now.
+struct PassForecast {
+  /// From now to the request's first event.
+  Duration first_event{};
+  /// The longest pass that the group's other streams wait for meanwhile: the pause between two of their events.
+  Duration longest_pass{};
+};
+
+/// Follows the passes of one engine group by the cost model.
+///
+/// A group works in passes: each writes a few tokens for all that run and reads the prompts that arrived during the
+/// pass before. The clock knows when the pass under way ends and how many prompt tokens wait for the next one, from the
+/// requests that were sent there. It knows no more than the cost model: who sees the group run slow passes a higher
+/// `pace`. Pure; single-threaded.
+class PassClock {
+ public:
+  /// A request with `prompt_tokens` was sent; `running` do not count it.
+  void add(TimePoint now, const document::EngineSpec& engine, const document::ModelSpec& model, int running,
+           double prompt_tokens);
+  /// What a request with `prompt_tokens` would meet.
+  PassForecast forecast(TimePoint now, const document::EngineSpec& engine, const document::ModelSpec& model,
+                        int running, double prompt_tokens);
+
+ private:
+  /// Plays the passes that have ended by `now`.
+  void advance(TimePoint now, const document::EngineSpec& engine, const document::ModelSpec& model, int running);
+
+  TimePoint pass_ends_ = TimePoint::min();
+  double waiting_tokens_ = 0;
+};
+
+}  // namespace larchlever::engine
--- a/src/core/fleet/dispatcher.cc
+++ b/src/core/fleet/dispatcher.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <utility>
 
 namespace larchlever::fleet {
 
@@ -257,16 +258,53 @@
   return service.engine ? choose_group(now, service, demand, excluded) : choose_instance(now, service, excluded);
 }
 
+std::optional<Target> Dispatcher::target_of_group(TimePoint now, const std::string& group) {
+  const auto row = std::find_if(groups_.begin(), groups_.end(), [&group](const auto& item) {
+    return item.name == group && item.phase == wire::GroupPhase::OPEN;
+  });
+  const auto head = row == groups_.end() ? instances_.end() : instances_.find(row->members.front());
+  const TargetHealth& health = health_[group];
+  if (head == instances_.end() || head->second.state != wire::InstanceState::READY || health.is_avoided(now)) {
+    return std::nullopt;
+  }
+  return Target{group, row->service_name, group, head->second.id, head->second.address, health.total_in_flight(), 0};
+}
+
+std::vector<std::string> Dispatcher::doubtful_groups(TimePoint now, const std::string& service,
+                                                     const std::string& model) const {
+  std::vector<std::string> result;
+  const Duration pause = longest_pause(service, model);
+  for (const auto& group : groups_) {
+    const auto health = health_.find(group.name);
+    const bool ours = group.service_name == service && group.model == model && health != health_.end();
+    if (ours && (health->second.is_avoided(now) || health->second.is_quiet(now, pause))) {
+      result.push_back(group.name);
+    }
+  }
+  return result;
+}
+
+void Dispatcher::note_change(const Target& target) {
+  if (!target.group.empty()) {
+    changed_.insert(target.group);
+  }
+}
+
 void Dispatcher::begin(TimePoint now, const Target& target, const SendingMark& mark) {
   health_[target.key].begin(now, mark);
+  note_change(target);
 }
 
-void Dispatcher::end(const Target& target, const SendingMark& mark) { health_[target.key].end(mark); }
+void Dispatcher::end(const Target& target, const SendingMark& mark) {
+  health_[target.key].end(mark);
+  note_change(target);
+}
 
 void Dispatcher::note_progress(TimePoint now, const Target& target) { health_[target.key].note_progress(now); }
 
 void Dispatcher::note_first_event(TimePoint now, const Target& target, SendingMark& mark) {
   health_[target.key].note_first_event(now, mark);
+  note_change(target);
 }
 
 bool Dispatcher::note_failure(TimePoint now, const Target& target) {
@@ -331,18 +369,32 @@
 std::vector<wire::GroupLoad> Dispatcher::loads(TimePoint now) const {
   std::vector<wire::GroupLoad> result;
   for (const auto& [key, health] : health_) {
-    const bool progressed = health.progressed_within(now, kReportedProgress);
-    if (health.in_flight() == 0 && !progressed) {
-      continue;
+    if (health.in_flight() > 0 || health.progressed_within(now, kReportedProgress)) {
+      result.push_back(load_of(now, key, health));
+    }
+  }
+  return result;
+}
+
+wire::GroupLoad Dispatcher::load_of(TimePoint now, const std::string& key, const TargetHealth& health) {
+  const bool progressed = health.progressed_within(now, kReportedProgress);
+  wire::GroupLoad load;
+  load.group = key;
+  load.in_flight = health.in_flight();
+  load.streaming = health.streaming();
+  load.waiting_tokens = static_cast<int64_t>(health.waiting_tokens());
+  load.progress_age_ms =
+      progressed ? static_cast<int32_t>((now - health.last_progress()) / milliseconds(1)) : kNoProgressAge;
+  return load;
+}
+
+std::vector<wire::GroupLoad> Dispatcher::take_changed_loads(TimePoint now) {
+  std::vector<wire::GroupLoad> result;
+  for (const auto& key : std::exchange(changed_, {})) {
+    const auto health = health_.find(key);
+    if (health != health_.end()) {
+      result.push_back(load_of(now, key, health->second));
     }
-    wire::GroupLoad load;
-    load.group = key;
-    load.in_flight = health.in_flight();
-    load.streaming = health.streaming();
-    load.waiting_tokens = static_cast<int64_t>(health.waiting_tokens());
-    load.progress_age_ms =
-        progressed ? static_cast<int32_t>((now - health.last_progress()) / milliseconds(1)) : kNoProgressAge;
-    result.push_back(std::move(load));
   }
   return result;
 }
--- a/src/core/fleet/dispatcher.h
+++ b/src/core/fleet/dispatcher.h
@@ -67,6 +67,10 @@
   /// is expected to hold.
   Choice choose(TimePoint now, const document::ServiceSpec& service, const Demand& demand,
                 const std::set<std::string>& excluded);
+  /// The head of an open group that is not avoided; nothing when this entry knows of none of that name.
+  std::optional<Target> target_of_group(TimePoint now, const std::string& group);
+  /// Groups of a model that this entry avoids, or whose streams pause too long.
+  std::vector<std::string> doubtful_groups(TimePoint now, const std::string& service, const std::string& model) const;
   /// A request for a model arrived, with its own statement of prompt and answer, in tokens.
   void note_demand(const std::string& service, const Demand& demand, const engine::RequestSizes& sizes);
   /// Totals of what `note_demand` was told since the start, to be reported.
@@ -97,6 +101,9 @@
 
   /// This entry's in-flight requests per group, to be reported.
   std::vector<wire::GroupLoad> loads(TimePoint now) const;
+  /// The same for those that changed since the last call.
+  std::vector<wire::GroupLoad> take_changed_loads(TimePoint now);
+  bool has_changed_loads() const { return !changed_.empty(); }
   /// Groups that this entry avoids now.
   std::vector<wire::GroupFailure> failures(TimePoint now) const;
 
@@ -123,6 +130,8 @@
   int most_in_flight(const document::ServiceSpec& service, const Demand& demand) const;
   Choice choose_instance(TimePoint now, const document::ServiceSpec& service, const std::set<std::string>& excluded);
   void forget_old(TimePoint now, Budget& budget) const;
+  void note_change(const Target& target);
+  static wire::GroupLoad load_of(TimePoint now, const std::string& key, const TargetHealth& health);
 
   FleetOptions options_;
   std::string zone_;
@@ -131,6 +140,8 @@
   std::map<std::string, wire::Instance> instances_;
   std::vector<wire::EngineGroup> groups_;
   std::map<std::string, TargetHealth> health_;
+  /// Targets whose load differs from what was last told.
+  std::set<std::string> changed_;
   /// Longest pauses by service and model, from the cost models in force.
   std::map<std::pair<std::string, std::string>, Duration> longest_pauses_;
   std::map<std::string, Budget> budgets_;
--- a/src/core/fleet/fleet_controller.cc
+++ b/src/core/fleet/fleet_controller.cc
@@ -77,6 +77,11 @@
     handle_heartbeat(now, envelope);
   } else if (envelope.__isset.fleet_update) {
     subscription_.receive(now, envelope);
+  } else if (envelope.__isset.slot_report) {
+    // A replica that does not lead stays silent: the entry decides for itself when no answer comes.
+    if (is_leader(now)) {
+      leader_.slot_report(now, envelope, log_);
+    }
   } else if (envelope.__isset.control_call) {
     handle_call(now, envelope);
   } else if (envelope.__isset.control_call_reply) {
--- a/src/core/fleet/fleet_leader.cc
+++ b/src/core/fleet/fleet_leader.cc
@@ -51,6 +51,7 @@
   instances_.start(now, copy.instances);
   inherited_ = {copy.term, copy.version};
   groups_.start(now, term, copy.groups);
+  slots_.start(term);
   nodes_.clear();
   incarnations_.clear();
   replicas_.start(now);
@@ -74,6 +75,7 @@
   subscriber.document_version = report.document_version;
   subscriber.state_held = {report.held_term, report.held_version};
   subscriber.loads.clear();
+  slots_.note_loads(envelope.from_node, report.loads, true, report.grants_term, report.grants_seen);
   for (const auto& load : report.loads) {
     subscriber.loads[load.group] = load;
     if (load.progress_age_ms != kNoProgressAge) {
@@ -141,6 +143,7 @@
   row->service_address = report.control_address;
   if (arrival != membership::Arrival::kKnown) {
     subscribers_.erase(envelope.from_node);
+    slots_.forget_node(envelope.from_node);
     groups_.demand().forget_node(envelope.from_node);
   }
   note_report(now, envelope);
@@ -254,6 +257,42 @@
   groups_.note_loads(std::move(in_flight));
 }
 
+// ------------------------------------------------------------------- slots
+
+void FleetLeader::slot_report(TimePoint now, const wire::Envelope& envelope, const DocumentLog& log) {
+  const auto& report = envelope.slot_report;
+  slots_.note_loads(envelope.from_node, report.loads, false, report.grants_term, report.grants_seen);
+  for (const auto& request : report.requests) {
+    slots_.add_request(now, envelope.from_node, request);
+  }
+  answer_slots(now, log);
+}
+
+void FleetLeader::answer_slots(TimePoint now, const DocumentLog& log) {
+  if (log.parsed() == nullptr) {
+    return;  // Entries hold no document either, so none of them serves.
+  }
+  std::map<std::string, wire::SlotAnswer> answers;
+  for (auto& decision : slots_.decide(now, *log.parsed())) {
+    answers[decision.node].grants.push_back(std::move(decision.grant));
+  }
+  for (auto& [node, answer] : answers) {
+    answer.term = term_;
+    wire::Envelope envelope;
+    envelope.to_node = node;
+    envelope.__set_slot_answer(answer);
+    outputs_.envelopes.push_back(std::move(envelope));
+  }
+}
+
+void FleetLeader::forget_lost_nodes(TimePoint now) {
+  for (const auto& [node, subscriber] : subscribers_) {
+    if (now - subscriber.last_heard > options_.node_timeout) {
+      slots_.forget_node(node);
+    }
+  }
+}
+
 // ------------------------------------------------------------------- calls
 
 void FleetLeader::answer(const std::string& key, int status, std::string body) {
@@ -388,11 +427,13 @@
     next_supervision_ = now + kSupervisionInterval;
     outputs_.replicas = replicas_.next_change(now, raft, nodes_);
     update_loads(now);
+    forget_lost_nodes(now);
     version_ += instances_.tick(now) ? 1 : 0;
   }
   if (!is_collecting(now) && log.parsed() != nullptr && now >= next_group_tick_) {
     next_group_tick_ = now + kGroupInterval;
     version_ += groups_.tick(now, *log.parsed(), instances_) ? 1 : 0;
+    slots_.set_groups(groups_.snapshot());
     outputs_.orders = groups_.take_orders();
     outputs_.decisions = groups_.take_decisions();
   }
@@ -401,6 +442,7 @@
     push_news(now, raft, log);
   }
   answer_confirmed(now);
+  answer_slots(now, log);
 }
 
 FleetLeader::Outputs FleetLeader::take_outputs() {
--- a/src/core/fleet/fleet_leader.h
+++ b/src/core/fleet/fleet_leader.h
@@ -13,6 +13,7 @@
 #include "core/fleet/fleet_subscription.h"
 #include "core/fleet/group_supervisor.h"
 #include "core/fleet/instance_directory.h"
+#include "core/fleet/slot_scheduler.h"
 #include "core/fleet/state_history.h"
 #include "core/membership/node_directory.h"
 
@@ -42,6 +43,8 @@
   void start(TimePoint now, int64_t term, const wire::FleetState& copy);
   void heartbeat(TimePoint now, const wire::Envelope& envelope, const consensus::RaftNode& raft,
                  const DocumentLog& log);
+  /// An entry's questions for slots, and news of its load.
+  void slot_report(TimePoint now, const wire::Envelope& envelope, const DocumentLog& log);
   /// `key` identifies the call in the answers; the same call may arrive again under the same key.
   void call(TimePoint now, const std::string& key, const wire::ControlCall& call, const consensus::RaftNode& raft,
             const DocumentLog& log);
@@ -102,6 +105,8 @@
   bool may_publish_to(TimePoint now, const Subscriber& subscriber) const;
   void push_news(TimePoint now, const consensus::RaftNode& raft, const DocumentLog& log);
   void answer_confirmed(TimePoint now);
+  void answer_slots(TimePoint now, const DocumentLog& log);
+  void forget_lost_nodes(TimePoint now);
   void update_loads(TimePoint now);
 
   FleetOptions options_;
@@ -117,6 +122,7 @@
   TimePoint next_group_tick_{};
   InstanceDirectory instances_;
   GroupSupervisor groups_;
+  SlotScheduler slots_;
   membership::NodeDirectory nodes_;
   control::ReplicaSupervisor replicas_;
   std::map<std::string, Subscriber> subscribers_;
--- /dev/null
+++ b/src/core/fleet/slot_scheduler.cc
@@ -0,0 +1,228 @@
+#include "core/fleet/slot_scheduler.h"
+
+#include <algorithm>
+#include <tuple>
+
+#include "core/engine/cost_model.h"
+
+namespace larchlever::fleet {
+
+namespace {
+
+/// Part of the objective for pauses that a forecast pass may take; the rest is for the network and for what the cost
+/// model leaves out.
+constexpr double kGapShare = 0.85;
+
+Duration scaled(Duration duration, double factor) {
+  return Duration(static_cast<int64_t>(static_cast<double>(duration.count()) * factor));
+}
+
+}  // namespace
+
+void SlotScheduler::start(int64_t term) {
+  term_ = term;
+  groups_.clear();
+  nodes_.clear();
+  waiting_.clear();
+}
+
+void SlotScheduler::set_groups(const std::vector<wire::EngineGroup>& groups) {
+  std::set<std::string> known;
+  for (const auto& row : groups) {
+    known.insert(row.name);
+    Group& group = groups_[row.name];
+    group.service = row.service_name;
+    group.model = row.model;
+    group.is_open = row.phase == wire::GroupPhase::OPEN;
+  }
+  std::erase_if(groups_,
+                [&known](const auto& item) { return !known.contains(item.first) && item.second.in_flight == 0; });
+  for (auto& [name, group] : groups_) {
+    group.is_open = group.is_open && known.contains(name);
+  }
+}
+
+int SlotScheduler::in_flight(const std::string& group) const {
+  const auto found = groups_.find(group);
+  return found == groups_.end() ? 0 : found->second.in_flight;
+}
+
+void SlotScheduler::set_load(Node& node, const std::string& group, int in_flight) {
+  int& reported = node.in_flight[group];
+  groups_[group].in_flight += in_flight - reported;
+  reported = in_flight;
+  if (in_flight == 0) {
+    node.in_flight.erase(group);
+  }
+}
+
+void SlotScheduler::note_loads(const std::string& node_name, const std::vector<wire::GroupLoad>& loads,
+                               bool is_complete, int64_t grants_term, int64_t grants_seen) {
+  Node& node = nodes_[node_name];
+  if (is_complete) {
+    std::set<std::string> named;
+    for (const auto& load : loads) {
+      named.insert(load.group);
+    }
+    const auto before = node.in_flight;
+    for (const auto& [group, in_flight] : before) {
+      if (!named.contains(group)) {
+        set_load(node, group, 0);
+      }
+    }
+  }
+  for (const auto& load : loads) {
+    set_load(node, load.group, load.in_flight);
+  }
+  while (grants_term == term_ && !node.granted.empty() && node.granted.front().first <= grants_seen) {
+    --groups_[node.granted.front().second].in_flight;
+    node.granted.pop_front();
+  }
+}
+
+void SlotScheduler::forget_node(const std::string& node_name) {
+  const auto found = nodes_.find(node_name);
+  if (found == nodes_.end()) {
+    return;
+  }
+  for (const auto& [group, in_flight] : found->second.in_flight) {
+    groups_[group].in_flight -= in_flight;
+  }
+  for (const auto& [sequence, group] : found->second.granted) {
+    --groups_[group].in_flight;
+  }
+  nodes_.erase(found);
+  std::erase_if(waiting_, [&node_name](const auto& waiting) { return waiting.node == node_name; });
+}
+
+void SlotScheduler::add_request(TimePoint now, const std::string& node, const wire::SlotRequest& request) {
+  WaitingRequest waiting;
+  waiting.node = node;
+  waiting.request = request;
+  waiting.arrived = now;
+  waiting.patience_ends = now + milliseconds(request.patience_ms);
+  if (request.gap_ms > 0) {
+    const Duration gap = milliseconds(request.gap_ms);
+    const auto [smallest, is_first] = smallest_gaps_.try_emplace(key_of(waiting), gap);
+    smallest->second = std::min(smallest->second, gap);
+  }
+  const auto order = [](const WaitingRequest& item) {
+    return std::tuple(item.request.priority, !item.request.is_retry);
+  };
+  const auto place =
+      std::upper_bound(waiting_.begin(), waiting_.end(), waiting,
+                       [&order](const auto& left, const auto& right) { return order(left) < order(right); });
+  waiting_.insert(place, std::move(waiting));
+}
+
+bool SlotScheduler::has_open_group(const ModelKey& key) const {
+  return std::any_of(groups_.begin(), groups_.end(), [&key](const auto& item) {
+    return item.second.is_open && item.second.service == key.first && item.second.model == key.second;
+  });
+}
+
+SlotScheduler::Candidate SlotScheduler::best_group(TimePoint now, const document::EngineSpec& engine,
+                                                   const document::ModelSpec& model, const WaitingRequest& waiting) {
+  const auto& request = waiting.request;
+  const auto gap = smallest_gaps_.find(key_of(waiting));
+  const Duration longest_pass = gap == smallest_gaps_.end() ? Duration::max() : scaled(gap->second, kGapShare);
+  const bool has_objective = request.first_event_ms > 0;
+  const Duration left = waiting.arrived + milliseconds(request.first_event_ms) - now;
+  Candidate best;
+  for (auto& [name, group] : groups_) {
+    const auto& excluded = request.excluded_groups;
+    const bool fits = group.is_open && group.service == request.service_name && group.model == request.model &&
+                      group.in_flight < engine.slots &&
+                      std::find(excluded.begin(), excluded.end(), name) == excluded.end();
+    if (!fits) {
+      continue;
+    }
+    const auto forecast = group.clock.forecast(now, engine, model, group.in_flight, request.prompt_tokens);
+    if (group.in_flight > 0 && forecast.longest_pass > longest_pass) {
+      continue;
+    }
+    if (best.fit == Fit::kNone || forecast.first_event < best.first_event) {
+      best.group = name;
+      best.first_event = forecast.first_event;
+      best.fit = has_objective && forecast.first_event > left ? Fit::kLate : Fit::kInTime;
+    }
+  }
+  return best;
+}
+
+bool SlotScheduler::is_out_of_reach(const document::EngineSpec& engine, const document::ModelSpec& model,
+                                    const WaitingRequest& waiting) {
+  const auto& request = waiting.request;
+  const Duration alone =
+      engine::PassClock().forecast(waiting.arrived, engine, model, 0, request.prompt_tokens).first_event;
+  return request.first_event_ms > 0 && alone > milliseconds(request.first_event_ms);
+}
+
+void SlotScheduler::answer(const WaitingRequest& waiting, wire::SlotVerdict::type verdict,
+                           std::vector<SlotDecision>& decisions) {
+  SlotDecision decision;
+  decision.node = waiting.node;
+  decision.grant.id = waiting.request.id;
+  decision.grant.verdict = verdict;
+  decisions.push_back(std::move(decision));
+}
+
+void SlotScheduler::grant(TimePoint now, const document::EngineSpec& engine, const document::ModelSpec& model,
+                          const WaitingRequest& waiting, const Candidate& candidate,
+                          std::vector<SlotDecision>& decisions) {
+  Group& group = groups_.at(candidate.group);
+  group.clock.add(now, engine, model, group.in_flight, waiting.request.prompt_tokens);
+  ++group.in_flight;
+  Node& node = nodes_[waiting.node];
+  SlotDecision decision;
+  decision.node = waiting.node;
+  decision.grant.id = waiting.request.id;
+  decision.grant.sequence = node.next_sequence++;
+  decision.grant.verdict = wire::SlotVerdict::GRANTED;
+  decision.grant.group = candidate.group;
+  decision.grant.expected_ms = static_cast<int32_t>(candidate.first_event / milliseconds(1));
+  node.granted.emplace_back(decision.grant.sequence, candidate.group);
+  decisions.push_back(std::move(decision));
+}
+
+bool SlotScheduler::decide_one(TimePoint now, const document::ConfigurationDocument& document, WaitingRequest& waiting,
+                               std::set<ModelKey>& blocked, std::vector<SlotDecision>& decisions) {
+  const ModelKey key = key_of(waiting);
+  const auto service = document.services.find(key.first);
+  const bool known = service != document.services.end() && service->second.engine;
+  const auto* model = known ? service->second.engine->find_model(key.second) : nullptr;
+  if (model == nullptr || !has_open_group(key)) {
+    answer(waiting, wire::SlotVerdict::UNDECIDED, decisions);
+    return true;
+  }
+  const auto& engine = *service->second.engine;
+  const bool is_last_chance = now >= waiting.patience_ends;
+  if (!blocked.contains(key) || is_last_chance) {
+    const Candidate candidate = best_group(now, engine, *model, waiting);
+    // Late is better than never for who was refused before, and for who would be late anywhere.
+    const bool late_is_fine = (is_last_chance && waiting.request.is_retry) || is_out_of_reach(engine, *model, waiting);
+    if (candidate.fit == Fit::kInTime || (candidate.fit == Fit::kLate && late_is_fine)) {
+      grant(now, engine, *model, waiting, candidate, decisions);
+      return true;
+    }
+  }
+  if (is_last_chance) {
+    answer(waiting, wire::SlotVerdict::BUSY, decisions);
+    return true;
+  }
+  blocked.insert(key);
+  if (!waiting.is_told) {
+    waiting.is_told = true;
+    answer(waiting, wire::SlotVerdict::QUEUED, decisions);
+  }
+  return false;
+}
+
+std::vector<SlotDecision> SlotScheduler::decide(TimePoint now, const document::ConfigurationDocument& document) {
+  std::vector<SlotDecision> decisions;
+  std::set<ModelKey> blocked;
+  std::erase_if(waiting_, [&](auto& waiting) { return decide_one(now, document, waiting, blocked, decisions); });
+  return decisions;
+}
+
+}  // namespace larchlever::fleet
--- /dev/null
+++ b/src/core/fleet/slot_scheduler.h
@@ -0,0 +1,112 @@
+#pragma once
+
+#include <cstdint>
+#include <deque>
+#include <map>
+#include <set>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "core/base/time.h"
+#include "core/document/configuration_document.h"
+#include "core/engine/pass_clock.h"
+#include "larchlever_types.h"
+
+namespace larchlever::fleet {
+
+/// An answer to one entry's question for a slot.
+struct SlotDecision {
+  std::string node;
+  wire::SlotGrant grant;
+};
+
+/// The leader's admission to engine groups: hands out the groups' slots to the entries' requests, one by one.
+///
+/// Entries each know what they sent themselves, and of each other only what they heard a while ago; asked one by one,
+/// they would all send to the same group. The scheduler sees every request before it is sent, so it knows what each
+/// group has under way and which prompts wait there, and grants a slot only where the first event is expected in time
+/// and no pass grows so long that the other streams pause beyond their objective. A request for which no group has room
+/// waits in order, the most urgent first and among them who was refused before, until room is made or its patience
+/// ends.
+///
+/// Slots are advice: nothing breaks when a deposed leader hands out some, or when entries decide for themselves while
+/// nobody leads. Loads that entries report count a slot once they have received it. Single-threaded, deterministic.
+class SlotScheduler {
+ public:
+  /// A leadership begins in `term`; nothing is known of loads until nodes report them.
+  void start(int64_t term);
+  /// Takes the groups that exist now; only open ones get requests.
+  void set_groups(const std::vector<wire::EngineGroup>& groups);
+  /// A node reported what it has under way: at every group if `is_complete`, otherwise at those named. It has received
+  /// the slots up to `grants_seen` of `grants_term`.
+  void note_loads(const std::string& node, const std::vector<wire::GroupLoad>& loads, bool is_complete,
+                  int64_t grants_term, int64_t grants_seen);
+  /// The node is gone, and what it had under way with it.
+  void forget_node(const std::string& node);
+  void add_request(TimePoint now, const std::string& node, const wire::SlotRequest& request);
+  /// Decides what can be decided now. To be called after every input and every few milliseconds.
+  std::vector<SlotDecision> decide(TimePoint now, const document::ConfigurationDocument& document);
+
+  /// Requests that wait for a slot.
+  size_t waiting() const { return waiting_.size(); }
+  /// Requests under way at a group, slots counted that were not used yet.
+  int in_flight(const std::string& group) const;
+
+ private:
+  struct Group {
+    std::string service;
+    std::string model;
+    bool is_open = false;
+    int in_flight = 0;
+    engine::PassClock clock;
+  };
+  struct Node {
+    std::map<std::string, int> in_flight;
+    /// Slots granted that the node's reports do not count yet: sequence and group.
+    std::deque<std::pair<int64_t, std::string>> granted;
+    int64_t next_sequence = 1;
+  };
+  struct WaitingRequest {
+    std::string node;
+    wire::SlotRequest request;
+    TimePoint arrived{};
+    TimePoint patience_ends{};
+    bool is_told = false;  ///< The entry knows that it waits.
+  };
+  using ModelKey = std::pair<std::string, std::string>;  ///< Service and model.
+  enum class Fit { kInTime, kLate, kNone };
+  struct Candidate {
+    std::string group;
+    Duration first_event{};
+    Fit fit = Fit::kNone;
+  };
+
+  static ModelKey key_of(const WaitingRequest& waiting) {
+    return {waiting.request.service_name, waiting.request.model};
+  }
+  void set_load(Node& node, const std::string& group, int in_flight);
+  /// The group that would bring the first event soonest, of those with room; in time if any is.
+  Candidate best_group(TimePoint now, const document::EngineSpec& engine, const document::ModelSpec& model,
+                       const WaitingRequest& waiting);
+  /// No group, however idle, could bring the first event in time.
+  static bool is_out_of_reach(const document::EngineSpec& engine, const document::ModelSpec& model,
+                              const WaitingRequest& waiting);
+  bool has_open_group(const ModelKey& key) const;
+  /// True when the request was answered for good.
+  bool decide_one(TimePoint now, const document::ConfigurationDocument& document, WaitingRequest& waiting,
+                  std::set<ModelKey>& blocked, std::vector<SlotDecision>& decisions);
+  void grant(TimePoint now, const document::EngineSpec& engine, const document::ModelSpec& model,
+             const WaitingRequest& waiting, const Candidate& candidate, std::vector<SlotDecision>& decisions);
+  static void answer(const WaitingRequest& waiting, wire::SlotVerdict::type verdict,
+                     std::vector<SlotDecision>& decisions);
+
+  int64_t term_ = 0;
+  std::map<std::string, Group> groups_;
+  std::map<std::string, Node> nodes_;
+  std::vector<WaitingRequest> waiting_;
+  /// The strictest objective for pauses that a model's requests had.
+  std::map<ModelKey, Duration> smallest_gaps_;
+};
+
+}  // namespace larchlever::fleet
--- a/src/node/entry_process.cc
+++ b/src/node/entry_process.cc
@@ -1,5 +1,6 @@
 #include <boost/asio.hpp>
 #include <random>
+#include <tuple>
 
 #include "core/base/http_status.h"
 #include "net/http_server.h"
@@ -49,7 +50,8 @@
         identity_(make_fleet_identity(settings)),
         state_(settings.options, identity_, settings.seed_peers, std::random_device()()),
         transport_(executor, [this](wire::Envelope envelope) { receive(envelope); }),
-        relay_(executor, *find_dialect(settings.dialect), state_),
+        slots_(executor, state_, [this](wire::Envelope envelope) { send(std::move(envelope)); }),
+        relay_(executor, *find_dialect(settings.dialect), state_, slots_),
         callers_(executor, net::HttpServerOptions(), relay_),
         readiness_([this] { return is_ready(); }),
         balancer_(executor, net::HttpServerOptions(), readiness_) {}
@@ -87,6 +89,7 @@
   asio::awaitable<void> tick_loop();
   void tick();
   void receive(const wire::Envelope& envelope);
+  void send(wire::Envelope envelope);
   void adopt_document();
 
   asio::any_io_executor executor_;
@@ -94,6 +97,7 @@
   fleet::FleetIdentity identity_;
   EntryState state_;
   net::PeerTransport transport_;
+  SlotRequester slots_;
   RequestRelay relay_;
   net::HttpServer callers_;
   ReadinessHandler readiness_;
@@ -104,7 +108,16 @@
   std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
 };
 
+void EntryProcess::send(wire::Envelope envelope) {
+  envelope.from_node = identity_.peer_address;
+  envelope.from_incarnation = identity_.incarnation.value();
+  transport_.send(envelope);
+}
+
 void EntryProcess::receive(const wire::Envelope& envelope) {
+  if (envelope.__isset.slot_answer) {
+    slots_.receive(envelope.slot_answer);
+  }
   if (!envelope.__isset.fleet_update) {
     return;
   }
@@ -148,12 +161,11 @@
   content.loads = state_.dispatcher.loads(now);
   content.demand = state_.dispatcher.demand_totals();
   content.failures = state_.dispatcher.failures(now);
+  std::tie(content.grants_term, content.grants_seen) = slots_.last_grant();
   content.leaving = leaving_;
   content.traffic_seen = state_.traffic_seen;
   if (auto heartbeat = state_.subscription.tick(now, content)) {
-    heartbeat->from_node = identity_.peer_address;
-    heartbeat->from_incarnation = identity_.incarnation.value();
-    transport_.send(*heartbeat);
+    send(std::move(*heartbeat));
   }
   const bool has_lease = state_.subscription.has_lease(now);
   if (has_lease != had_lease_) {
--- /dev/null
+++ b/src/node/relayed_request.h
@@ -0,0 +1,62 @@
+#pragma once
+
+#include <memory>
+#include <set>
+#include <string>
+
+#include "core/document/route_table.h"
+#include "core/fleet/dispatcher.h"
+#include "core/requests/event_stream.h"
+#include "net/http_client.h"
+#include "net/http_server.h"
+
+namespace larchlever::node {
+
+/// A caller's request on its way: identified, and then sent until it is answered.
+struct RelayedRequest {
+  net::HttpExchange* exchange = nullptr;
+  std::shared_ptr<const document::RouteTable> routes;
+  const document::Route* route = nullptr;
+  const document::TenantSpec* tenant = nullptr;  ///< Null on public routes.
+  const document::ServiceSpec* service = nullptr;
+  std::string id;
+  std::string model;
+  double prompt_tokens = 0;
+  TimePoint received{};
+  /// The final answer is due by then: the caller's deadline or the route's timeout.
+  TimePoint due{};
+  /// The caller has less time left than callers of this route begin with: it was refused before, most likely.
+  bool is_retry = false;
+  std::set<std::string> excluded;
+  /// Sendings, and those of them that a server may have begun to run.
+  int sent = 0;
+  int runs = 0;
+  /// No server is proved not to have run it: a promise that it did not run is no longer possible.
+  bool may_have_run = false;
+  bool caller_gone = false;
+  /// The sending under way, and the load that it puts on its target.
+  std::shared_ptr<net::Cancellation> cancellation;
+  fleet::SendingMark mark;
+  TimePoint sent_at{};
+  std::string last_target;
+  int load_at_choice = 0;
+  /// When the leader that granted the slot expected the first event, counted from the sending; zero when the entry
+  /// chose the target itself.
+  Duration expected_first_event{};
+  requests::EventStream events;
+  bool head_sent = false;
+  /// When the first event or the whole answer arrived.
+  TimePoint first_event{};
+  /// Longest pause between two pieces of the stream that was passed on.
+  Duration longest_pause{};
+  TimePoint last_piece{};
+};
+
+/// Why a request is refused, and when its caller should come back; zero for never.
+struct Refusal {
+  int status = 503;
+  std::string title;
+  double retry_after_seconds = 0;
+};
+
+}  // namespace larchlever::node
--- a/src/node/request_relay.cc
+++ b/src/node/request_relay.cc
@@ -18,10 +18,9 @@
 constexpr auto kAwait = asio::as_tuple(asio::use_awaitable);
 /// A connection that does not come up in this time counts as not made; nothing was sent.
 constexpr auto kConnectTimeout = std::chrono::milliseconds(400);
-/// Pause before looking for a target again.
-constexpr auto kTargetPause = std::chrono::milliseconds(20);
-/// Part of the latency objective that a request may wait for a place before it is refused.
-constexpr int kWaitingPart = 5;
+/// A caller with this much less time than others of its route has had a try before: refused ones are told to stay
+/// away longer, and the time of a first try is lost in the network only.
+constexpr Duration kRetryDeficit = milliseconds(150);
 /// A group that brings nothing to any of this entry's requests for this long stands still.
 constexpr Duration kGroupStall = milliseconds(900);
 constexpr Duration kGroupStallEach = milliseconds(100);
@@ -55,8 +54,14 @@
 
 }  // namespace
 
-RequestRelay::RequestRelay(asio::any_io_executor executor, const Dialect& dialect, EntryState& state)
-    : executor_(executor), dialect_(dialect), state_(state), client_(executor) {}
+RequestRelay::RequestRelay(asio::any_io_executor executor, const Dialect& dialect, EntryState& state,
+                           SlotRequester& slots)
+    : executor_(executor),
+      dialect_(dialect),
+      state_(state),
+      slots_(slots),
+      targets_(executor, state, slots),
+      client_(executor) {}
 
 asio::awaitable<void> RequestRelay::handle(net::HttpExchange& exchange) {
   RelayedRequest request;
@@ -79,7 +84,7 @@
 
 // ---------------------------------------------------------------- identify
 
-std::optional<RequestRelay::Refusal> RequestRelay::identify(RelayedRequest& request) {
+std::optional<Refusal> RequestRelay::identify(RelayedRequest& request) {
   const auto& incoming = request.exchange->request();
   request.routes = state_.routes;
   request.id = std::string(incoming.headers.find(dialect_.request_id));
@@ -100,6 +105,7 @@
   Duration held = request.route->timeout;
   if (const auto deadline_ms = parse_number(incoming.headers.find(dialect_.deadline_ms))) {
     held = std::min(held, Duration(milliseconds(*deadline_ms)));
+    note_deadline(request, milliseconds(*deadline_ms));
   }
   request.due = request.received + held;
   note_demand(request);
@@ -107,6 +113,12 @@
   return std::nullopt;
 }
 
+void RequestRelay::note_deadline(RelayedRequest& request, Duration held) {
+  Duration& longest = state_.longest_deadlines[request.route->name];
+  longest = std::max(longest, held);
+  request.is_retry = held < longest - kRetryDeficit;
+}
+
 void RequestRelay::note_demand(RelayedRequest& request) {
   const auto& headers = request.exchange->request().headers;
   const auto counts = headers.find(dialect_.token_counts);
@@ -125,7 +137,7 @@
   }
 }
 
-std::optional<RequestRelay::Refusal> RequestRelay::authorise(RelayedRequest& request, std::string_view key) {
+std::optional<Refusal> RequestRelay::authorise(RelayedRequest& request, std::string_view key) {
   if (!request.routes->document().tenants || request.route->is_public) {
     return std::nullopt;
   }
@@ -140,9 +152,11 @@
 
 asio::awaitable<void> RequestRelay::relay(RelayedRequest& request) {
   while (true) {
-    auto target = co_await find_target(request);
-    if (!target) {
-      co_return;  // Refused, given up or gone: answered already.
+    const FoundTarget found = co_await targets_.find(request);
+    const auto* target = std::get_if<fleet::Target>(&found);
+    if (target == nullptr) {
+      co_await end_without_target(request, found);
+      co_return;
     }
     const Sending result = co_await send(request, *target);
     if (result == Sending::kAnswered) {
@@ -182,36 +196,13 @@
          (request.sent == 0 || state_.dispatcher.take_retry(now, request.service->name));
 }
 
-asio::awaitable<std::optional<fleet::Target>> RequestRelay::find_target(RelayedRequest& request) {
-  const TimePoint wait_until =
-      request.head_sent ? request.due
-                        : std::min(request.due, request.received + request.route->target_latency / kWaitingPart);
-  const fleet::Demand demand{request.model, request.route->target_latency, request.prompt_tokens};
-  asio::steady_timer timer(executor_);
-  while (true) {
-    const TimePoint now = monotonic_now();
-    if (request.caller_gone) {
-      ++state_.counters.caller_gone;
-      co_return std::nullopt;
-    }
-    auto choice = state_.dispatcher.choose(now, *request.service, demand, request.excluded);
-    if (choice.target) {
-      co_return choice.target;
-    }
-    if (now >= wait_until) {
-      if (request.head_sent || request.may_have_run) {
-        co_await give_up(request);
-      } else {
-        const bool busy = choice.failure == fleet::ChoiceFailure::kAllBusy;
-        Refusal refusal{http_status::kServiceUnavailable, busy ? "all places are taken" : "no server is available",
-                        busy ? kBackWhenBusy : kBackWhenUnavailable};
-        co_await refuse(request, std::move(refusal));
-      }
-      co_return std::nullopt;
-    }
-    timer.expires_after(kTargetPause);
-    co_await timer.async_wait(kAwait);
+asio::awaitable<void> RequestRelay::end_without_target(RelayedRequest& request, const FoundTarget& found) {
+  const auto* refusal = std::get_if<Refusal>(&found);
+  if (refusal != nullptr && !request.head_sent && !request.may_have_run) {
+    co_await refuse(request, *refusal);
+    co_return;
   }
+  co_await give_up(request);
 }
 
 asio::awaitable<RequestRelay::Sending> RequestRelay::send(RelayedRequest& request, const fleet::Target& target) {
@@ -219,12 +210,14 @@
   request.cancellation = cancellation;
   request.last_target = target.key;
   request.load_at_choice = target.in_flight;
-  request.most_at_choice = target.most_in_flight;
+  request.sent_at = monotonic_now();
   request.mark = {target.group.empty() ? 0 : request.prompt_tokens, false};
-  state_.dispatcher.begin(monotonic_now(), target, request.mark);
+  state_.dispatcher.begin(request.sent_at, target, request.mark);
+  note_load(target);
   state_.under_way[target.key].insert(cancellation);
   const ScopeExit finish([this, &request, &target, cancellation] {
     state_.dispatcher.end(target, request.mark);
+    note_load(target);
     state_.under_way[target.key].erase(cancellation);
     request.cancellation.reset();
   });
@@ -390,9 +383,21 @@
   co_return Sending::kAnswered;
 }
 
+void RequestRelay::note_load(const fleet::Target& target) {
+  if (!target.group.empty()) {
+    slots_.note_change();
+  }
+}
+
 void RequestRelay::note_piece(RelayedRequest& request, const fleet::Target& target, TimePoint now) {
   state_.dispatcher.note_progress(now, target);
-  state_.dispatcher.note_first_event(now, target, request.mark);
+  if (!request.mark.is_streaming) {
+    state_.dispatcher.note_first_event(now, target, request.mark);
+    note_load(target);
+    if (request.expected_first_event > Duration::zero()) {
+      state_.first_event_excess[request.model].note(now - request.sent_at - request.expected_first_event);
+    }
+  }
   if (request.head_sent) {
     request.longest_pause = std::max(request.longest_pause, now - request.last_piece);
   }
@@ -456,19 +461,24 @@
 void RequestRelay::log_end(const RelayedRequest& request, int status, const std::string& reason) const {
   const auto held = milliseconds_between(request.received, monotonic_now());
   const auto first = request.head_sent ? milliseconds_between(request.received, request.first_event) : held;
-  log_event("", "request_ended",
-            {{"request", request.id},
-             {"route", request.route == nullptr ? "" : request.route->name},
-             {"status", std::to_string(status)},
-             {"held_ms", std::to_string(held)},
-             {"first_ms", std::to_string(first)},
-             {"pause_ms", std::to_string(request.longest_pause / milliseconds(1))},
-             {"target", request.last_target},
-             {"load", std::to_string(request.load_at_choice)},
-             {"most", std::to_string(request.most_at_choice)},
-             {"sent", std::to_string(request.sent)},
-             {"runs", std::to_string(request.runs)},
-             {"reason", reason}});
+  log_event(
+      "", "request_ended",
+      {{"request", request.id},
+       {"route", request.route == nullptr ? "" : request.route->name},
+       {"model", request.model},
+       {"aim_ms", request.route == nullptr ? "" : std::to_string(request.route->target_latency / milliseconds(1))},
+       {"aim_pause_ms", request.route == nullptr ? "" : std::to_string(request.route->target_gap / milliseconds(1))},
+       {"status", std::to_string(status)},
+       {"held_ms", std::to_string(held)},
+       {"first_ms", std::to_string(first)},
+       {"pause_ms", std::to_string(request.longest_pause / milliseconds(1))},
+       {"target", request.last_target},
+       {"load", std::to_string(request.load_at_choice)},
+       {"expected_ms", std::to_string(request.expected_first_event / milliseconds(1))},
+       {"retry", request.is_retry ? "yes" : "no"},
+       {"sent", std::to_string(request.sent)},
+       {"runs", std::to_string(request.runs)},
+       {"reason", reason}});
 }
 
 asio::awaitable<void> RequestRelay::refuse(RelayedRequest& request, Refusal refusal) {
--- a/src/node/request_relay.h
+++ b/src/node/request_relay.h
@@ -3,53 +3,17 @@
 #include <boost/asio/any_io_executor.hpp>
 #include <memory>
 #include <optional>
-#include <set>
 #include <string>
 
-#include "core/requests/event_stream.h"
 #include "net/http_client.h"
 #include "net/http_server.h"
 #include "node/dialect.h"
 #include "node/entry_state.h"
+#include "node/relayed_request.h"
+#include "node/target_finder.h"
 
 namespace larchlever::node {
 
-/// A caller's request on its way: identified, and then sent until it is answered.
-struct RelayedRequest {
-  net::HttpExchange* exchange = nullptr;
-  std::shared_ptr<const document::RouteTable> routes;
-  const document::Route* route = nullptr;
-  const document::TenantSpec* tenant = nullptr;  ///< Null on public routes.
-  const document::ServiceSpec* service = nullptr;
-  std::string id;
-  std::string model;
-  TimePoint received{};
-  /// The final answer is due by then: the caller's deadline or the route's timeout.
-  TimePoint due{};
-  std::set<std::string> excluded;
-  /// Sendings, and those of them that a server may have begun to run.
-  int sent = 0;
-  int runs = 0;
-  /// No server is proved not to have run it: a promise that it did not run is no longer possible.
-  bool may_have_run = false;
-  bool caller_gone = false;
-  /// The sending under way.
-  std::shared_ptr<net::Cancellation> cancellation;
-  requests::EventStream events;
-  bool head_sent = false;
-  /// When the first event or the whole answer arrived.
-  TimePoint first_event{};
-  std::string last_target;
-  /// Load that the sending under way puts on its target.
-  fleet::SendingMark mark;
-  double prompt_tokens = 0;
-  /// Longest pause between two pieces of the stream that was passed on.
-  Duration longest_pause{};
-  TimePoint last_piece{};
-  int load_at_choice = 0;
-  int most_at_choice = 0;
-};
-
 /// Serves callers of a registered fleet: finds route and tenant, sends each request to a server, retries and resumes
 /// within the route's rules and the shared budgets, and relays the answer.
 ///
@@ -58,7 +22,7 @@
 /// One executor; not thread-safe.
 class RequestRelay : public net::HttpHandler {
  public:
-  RequestRelay(boost::asio::any_io_executor executor, const Dialect& dialect, EntryState& state);
+  RequestRelay(boost::asio::any_io_executor executor, const Dialect& dialect, EntryState& state, SlotRequester& slots);
 
   boost::asio::awaitable<void> handle(net::HttpExchange& exchange) override;
   /// Gives up what waits at groups that stand still, so that it is sent elsewhere. To be called every few ticks.
@@ -72,20 +36,19 @@
     kMayHaveRun,  ///< It may be running, or its answer was lost.
     kServerError  ///< The server ran it and failed; its answer is kept.
   };
-  struct Refusal {
-    int status = 503;
-    std::string title;
-    double retry_after_seconds = 0;
-  };
 
   std::optional<Refusal> identify(RelayedRequest& request);
   std::optional<Refusal> authorise(RelayedRequest& request, std::string_view key);
   /// Takes the request's own statement of its size, for the forecasts of load and the shares of models.
   void note_demand(RelayedRequest& request);
+  /// Notes how much time callers of the route begin with, and whether this one has had a try before.
+  void note_deadline(RelayedRequest& request, Duration held);
   /// Bytes of a stream arrived.
+  void note_load(const fleet::Target& target);
   void note_piece(RelayedRequest& request, const fleet::Target& target, TimePoint now);
   boost::asio::awaitable<void> relay(RelayedRequest& request);
-  boost::asio::awaitable<std::optional<fleet::Target>> find_target(RelayedRequest& request);
+  /// Ends the request: no target was found for it.
+  boost::asio::awaitable<void> end_without_target(RelayedRequest& request, const FoundTarget& found);
   boost::asio::awaitable<Sending> send(RelayedRequest& request, const fleet::Target& target);
   boost::asio::awaitable<Sending> send_once(RelayedRequest& request, const fleet::Target& target);
   boost::asio::awaitable<Sending> relay_whole(RelayedRequest& request, const fleet::Target& target,
@@ -106,6 +69,8 @@
   boost::asio::any_io_executor executor_;
   const Dialect& dialect_;
   EntryState& state_;
+  SlotRequester& slots_;
+  TargetFinder targets_;
   net::HttpClient client_;
 };
 
--- /dev/null
+++ b/src/node/slot_requester.cc
@@ -0,0 +1,129 @@
+#include "node/slot_requester.h"
+
+#include <algorithm>
+#include <boost/asio.hpp>
+
+#include "node/clock.h"
+
+namespace larchlever::node {
+
+namespace asio = boost::asio;
+using std::chrono::duration_cast;
+using std::chrono::milliseconds;
+
+namespace {
+
+constexpr auto kAwait = asio::as_tuple(asio::use_awaitable);
+/// The leader's first word comes within a few round trips; bounds of the wait for it while few were measured, and
+/// where measurements vary much.
+constexpr milliseconds kShortestPatience{15};
+constexpr milliseconds kLongestPatience{40};
+constexpr int kPatienceDeviations = 4;
+/// A leader that did not answer is asked again after this time; elections take several times as long.
+constexpr auto kSilencePause = milliseconds(150);
+/// A queued request is answered at the latest this long after its patience: one tick of the leader, and the way.
+constexpr milliseconds kQueueSlack{40};
+/// Changes of load within this time are told together.
+constexpr milliseconds kReportDelay{5};
+
+}  // namespace
+
+SlotRequester::SlotRequester(asio::any_io_executor executor, EntryState& state, Sender send)
+    : executor_(std::move(executor)), state_(state), send_(std::move(send)), alive_(std::make_shared<bool>(true)) {}
+
+milliseconds SlotRequester::answer_patience() const {
+  if (!answer_time_.is_measured()) {
+    return kLongestPatience;
+  }
+  const auto measured = duration_cast<milliseconds>(answer_time_.upper(kPatienceDeviations));
+  return std::clamp(measured, kShortestPatience, kLongestPatience);
+}
+
+asio::awaitable<void> SlotRequester::wait_for_answer(std::shared_ptr<Question> question, milliseconds time) {
+  question->is_answered = false;
+  question->timer.expires_after(time);
+  co_await question->timer.async_wait(kAwait);
+}
+
+asio::awaitable<wire::SlotGrant> SlotRequester::ask(wire::SlotRequest request) {
+  wire::SlotGrant undecided;
+  undecided.verdict = wire::SlotVerdict::UNDECIDED;
+  const TimePoint now = monotonic_now();
+  if (now < not_before_) {
+    co_return undecided;
+  }
+  request.id = next_id_++;
+  const int64_t id = request.id;
+  const milliseconds patience(request.patience_ms);
+  auto question = std::make_shared<Question>(executor_);
+  question->asked = now;
+  question->grant = undecided;
+  questions_[id] = question;
+  std::vector<wire::SlotRequest> requests;
+  requests.push_back(std::move(request));
+  report(std::move(requests));
+  co_await wait_for_answer(question, answer_patience());
+  if (!question->is_answered) {
+    not_before_ = monotonic_now() + kSilencePause;
+  } else if (question->grant.verdict == wire::SlotVerdict::QUEUED) {
+    co_await wait_for_answer(question, patience + kQueueSlack);
+  }
+  questions_.erase(id);
+  const bool is_open = question->grant.verdict == wire::SlotVerdict::QUEUED;
+  co_return is_open ? undecided : question->grant;
+}
+
+void SlotRequester::receive(const wire::SlotAnswer& answer) {
+  if (answer.term < grants_term_) {
+    return;  // From a leader that was deposed.
+  }
+  if (answer.term > grants_term_) {
+    grants_term_ = answer.term;
+    grants_seen_ = 0;
+  }
+  for (const auto& grant : answer.grants) {
+    grants_seen_ = std::max(grants_seen_, grant.sequence);
+    const auto found = questions_.find(grant.id);
+    if (found == questions_.end()) {
+      note_change();  // Nobody waits for the slot any more: tell the leader that it is not used.
+      continue;
+    }
+    Question& question = *found->second;
+    if (question.grant.verdict == wire::SlotVerdict::UNDECIDED) {
+      answer_time_.note(monotonic_now() - question.asked);
+    }
+    question.grant = grant;
+    question.is_answered = true;
+    question.timer.cancel();
+  }
+}
+
+void SlotRequester::note_change() {
+  if (!report_is_due_) {
+    report_is_due_ = true;
+    asio::co_spawn(executor_, report_later(), asio::detached);
+  }
+}
+
+asio::awaitable<void> SlotRequester::report_later() {
+  const std::weak_ptr<bool> alive = alive_;
+  asio::steady_timer timer(executor_, kReportDelay);
+  co_await timer.async_wait(kAwait);
+  if (!alive.expired() && report_is_due_) {
+    report({});
+  }
+}
+
+void SlotRequester::report(std::vector<wire::SlotRequest> requests) {
+  report_is_due_ = false;
+  wire::Envelope envelope;
+  envelope.to_node = state_.subscription.leader();
+  envelope.__isset.slot_report = true;
+  envelope.slot_report.requests = std::move(requests);
+  envelope.slot_report.loads = state_.dispatcher.take_changed_loads(monotonic_now());
+  envelope.slot_report.grants_term = grants_term_;
+  envelope.slot_report.grants_seen = grants_seen_;
+  send_(std::move(envelope));
+}
+
+}  // namespace larchlever::node
--- /dev/null
+++ b/src/node/slot_requester.h
@@ -0,0 +1,66 @@
+#pragma once
+
+#include <boost/asio/any_io_executor.hpp>
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <utility>
+
+#include "core/requests/latency_estimate.h"
+#include "larchlever_types.h"
+#include "node/entry_state.h"
+
+namespace larchlever::node {
+
+/// Asks the leader for slots of engine groups, and tells it of this entry's load as it changes.
+///
+/// Guarantees: `ask` returns within the request's patience and a little, whatever the leader does; while the leader
+/// does not answer, it returns at once. One executor; not thread-safe.
+class SlotRequester {
+ public:
+  /// Sends an envelope to the leader, best effort.
+  using Sender = std::function<void(wire::Envelope)>;
+
+  SlotRequester(boost::asio::any_io_executor executor, EntryState& state, Sender send);
+
+  /// The leader's decision; UNDECIDED when it gave none in time. Fills in the request's id.
+  boost::asio::awaitable<wire::SlotGrant> ask(wire::SlotRequest request);
+  void receive(const wire::SlotAnswer& answer);
+  /// The load of some group changed: the leader learns of it within a few milliseconds.
+  void note_change();
+  /// Term and sequence of the last slot received; `FleetHeartbeat` tells them.
+  std::pair<int64_t, int64_t> last_grant() const { return {grants_term_, grants_seen_}; }
+
+ private:
+  struct Question {
+    explicit Question(const boost::asio::any_io_executor& executor) : timer(executor) {}
+    boost::asio::steady_timer timer;
+    TimePoint asked{};
+    wire::SlotGrant grant;
+    bool is_answered = false;
+  };
+
+  /// Waits until the question's answer is another than `known`, or the time is over.
+  boost::asio::awaitable<void> wait_for_answer(std::shared_ptr<Question> question, std::chrono::milliseconds time);
+  boost::asio::awaitable<void> report_later();
+  void report(std::vector<wire::SlotRequest> requests);
+  std::chrono::milliseconds answer_patience() const;
+
+  boost::asio::any_io_executor executor_;
+  EntryState& state_;
+  Sender send_;
+  int64_t next_id_ = 1;
+  std::map<int64_t, std::shared_ptr<Question>> questions_;
+  requests::LatencyEstimate answer_time_;
+  /// The leader did not answer: it is not asked until then.
+  TimePoint not_before_ = TimePoint::min();
+  int64_t grants_term_ = 0;
+  int64_t grants_seen_ = 0;
+  bool report_is_due_ = false;
+  std::shared_ptr<bool> alive_;
+};
+
+}  // namespace larchlever::node
--- /dev/null
+++ b/src/node/target_finder.cc
@@ -0,0 +1,110 @@
+#include "node/target_finder.h"
+
+#include <algorithm>
+#include <boost/asio.hpp>
+
+#include "core/base/http_status.h"
+#include "node/clock.h"
+
+namespace larchlever::node {
+
+namespace asio = boost::asio;
+
+namespace {
+
+constexpr auto kAwait = asio::as_tuple(asio::use_awaitable);
+/// Pause before looking for a target again.
+constexpr auto kTargetPause = std::chrono::milliseconds(20);
+/// Part of the latency objective that a request may wait for a place before it is refused.
+constexpr int kWaitingPart = 5;
+/// How far above their mean the measured excesses of first events are allowed for, in mean deviations.
+constexpr int kExcessDeviations = 1;
+/// Times to come back after that refused requests are told, in seconds.
+constexpr double kBackWhenBusy = 0.3;
+constexpr double kBackWhenUnavailable = 0.5;
+
+int32_t to_milliseconds(Duration duration) { return static_cast<int32_t>(duration / milliseconds(1)); }
+
+Refusal busy() { return {http_status::kServiceUnavailable, "all places are taken", kBackWhenBusy}; }
+
+}  // namespace
+
+asio::awaitable<FoundTarget> TargetFinder::find(RelayedRequest& request) {
+  const TimePoint wait_until =
+      request.head_sent ? request.due
+                        : std::min(request.due, request.received + request.route->target_latency / kWaitingPart);
+  if (request.service->engine) {
+    auto answer = co_await ask_leader(request, wait_until);
+    if (answer) {
+      co_return std::move(*answer);
+    }
+  }
+  co_return co_await choose_here(request, wait_until);
+}
+
+wire::SlotRequest TargetFinder::question_for(const RelayedRequest& request, TimePoint now, TimePoint wait_until) const {
+  wire::SlotRequest question;
+  question.service_name = request.service->name;
+  question.model = request.model;
+  question.prompt_tokens = static_cast<int32_t>(request.prompt_tokens);
+  const Duration objective = request.route->target_latency;
+  if (objective > Duration::zero() && !request.head_sent) {
+    const auto excess = state_.first_event_excess.find(request.model);
+    const Duration allowance =
+        excess == state_.first_event_excess.end() ? Duration::zero() : excess->second.upper(kExcessDeviations);
+    const Duration left = request.received + objective - now - allowance;
+    question.first_event_ms = std::max(1, to_milliseconds(left));
+  }
+  question.gap_ms = to_milliseconds(request.route->target_gap);
+  const bool by_tenant = request.tenant != nullptr && request.tenant->priority >= 0;
+  question.priority = by_tenant ? request.tenant->priority : request.route->priority;
+  question.is_retry = request.is_retry || request.head_sent || request.may_have_run;
+  question.patience_ms = std::max(0, to_milliseconds(wait_until - now));
+  question.excluded_groups = state_.dispatcher.doubtful_groups(now, request.service->name, request.model);
+  question.excluded_groups.insert(question.excluded_groups.end(), request.excluded.begin(), request.excluded.end());
+  return question;
+}
+
+asio::awaitable<std::optional<FoundTarget>> TargetFinder::ask_leader(RelayedRequest& request, TimePoint wait_until) {
+  const auto question = question_for(request, monotonic_now(), wait_until);
+  const auto grant = co_await slots_.ask(question);
+  if (request.caller_gone) {
+    co_return FoundTarget(CallerGone());
+  }
+  if (grant.verdict == wire::SlotVerdict::BUSY) {
+    co_return FoundTarget(busy());
+  }
+  if (grant.verdict != wire::SlotVerdict::GRANTED) {
+    co_return std::nullopt;
+  }
+  auto target = state_.dispatcher.target_of_group(monotonic_now(), grant.group);
+  if (!target) {
+    co_return std::nullopt;
+  }
+  request.expected_first_event = milliseconds(grant.expected_ms);
+  co_return FoundTarget(std::move(*target));
+}
+
+asio::awaitable<FoundTarget> TargetFinder::choose_here(RelayedRequest& request, TimePoint wait_until) {
+  const fleet::Demand demand{request.model, request.route->target_latency, request.prompt_tokens};
+  request.expected_first_event = Duration::zero();
+  asio::steady_timer timer(executor_);
+  while (!request.caller_gone) {
+    const TimePoint now = monotonic_now();
+    auto choice = state_.dispatcher.choose(now, *request.service, demand, request.excluded);
+    if (choice.target) {
+      co_return std::move(*choice.target);
+    }
+    if (now >= wait_until) {
+      if (choice.failure == fleet::ChoiceFailure::kAllBusy) {
+        co_return busy();
+      }
+      co_return Refusal{http_status::kServiceUnavailable, "no server is available", kBackWhenUnavailable};
+    }
+    timer.expires_after(kTargetPause);
+    co_await timer.async_wait(kAwait);
+  }
+  co_return CallerGone();
+}
+
+}  // namespace larchlever::node
--- /dev/null
+++ b/src/node/target_finder.h
@@ -0,0 +1,43 @@
+#pragma once
+
+#include <boost/asio/any_io_executor.hpp>
+#include <boost/asio/awaitable.hpp>
+#include <optional>
+#include <variant>
+
+#include "node/entry_state.h"
+#include "node/relayed_request.h"
+#include "node/slot_requester.h"
+
+namespace larchlever::node {
+
+/// The caller left while its request waited.
+struct CallerGone {};
+
+/// Where a request goes, or why it goes nowhere.
+using FoundTarget = std::variant<fleet::Target, Refusal, CallerGone>;
+
+/// Finds the target of each sending: by the leader's slots for engine groups, by the entry's own choice for plain
+/// services and while no leader answers.
+///
+/// Guarantees: the answer comes within a fifth of the route's latency objective, counted from the request's arrival;
+/// or, for a stream that has begun, while it is still due. One executor; not thread-safe.
+class TargetFinder {
+ public:
+  TargetFinder(boost::asio::any_io_executor executor, EntryState& state, SlotRequester& slots)
+      : executor_(std::move(executor)), state_(state), slots_(slots) {}
+
+  boost::asio::awaitable<FoundTarget> find(RelayedRequest& request);
+
+ private:
+  /// What the leader said: a target, a refusal, or nothing.
+  boost::asio::awaitable<std::optional<FoundTarget>> ask_leader(RelayedRequest& request, TimePoint wait_until);
+  boost::asio::awaitable<FoundTarget> choose_here(RelayedRequest& request, TimePoint wait_until);
+  wire::SlotRequest question_for(const RelayedRequest& request, TimePoint now, TimePoint wait_until) const;
+
+  boost::asio::any_io_executor executor_;
+  EntryState& state_;
+  SlotRequester& slots_;
+};
+
+}  // namespace larchlever::node
--- a/src/wire/gen-cpp/larchlever_types.cpp
+++ b/src/wire/gen-cpp/larchlever_types.cpp
@@ -349,6 +349,63 @@
   }
 }
 
+int _kSlotVerdictValues[] = {
+  /**
+   * The request is to be sent to `group`.
+   */
+  SlotVerdict::GRANTED,
+  /**
+   * No slot is free yet; another answer follows within the request's patience.
+   */
+  SlotVerdict::QUEUED,
+  /**
+   * No slot became free in time.
+   */
+  SlotVerdict::BUSY,
+  /**
+   * The leader cannot tell: the entry decides by what it knows itself.
+   */
+  SlotVerdict::UNDECIDED
+};
+const char* _kSlotVerdictNames[] = {
+  /**
+   * The request is to be sent to `group`.
+   */
+  "GRANTED",
+  /**
+   * No slot is free yet; another answer follows within the request's patience.
+   */
+  "QUEUED",
+  /**
+   * No slot became free in time.
+   */
+  "BUSY",
+  /**
+   * The leader cannot tell: the entry decides by what it knows itself.
+   */
+  "UNDECIDED"
+};
+const std::map<int, const char*> _SlotVerdict_VALUES_TO_NAMES(::apache::thrift::TEnumIterator(4, _kSlotVerdictValues, _kSlotVerdictNames), ::apache::thrift::TEnumIterator(-1, nullptr, nullptr));
+
+std::ostream& operator<<(std::ostream& out, const SlotVerdict::type& val) {
+  std::map<int, const char*>::const_iterator it = _SlotVerdict_VALUES_TO_NAMES.find(val);
+  if (it != _SlotVerdict_VALUES_TO_NAMES.end()) {
+    out << it->second;
+  } else {
+    out << static_cast<int>(val);
+  }
+  return out;
+}
+
+std::string to_string(const SlotVerdict::type& val) {
+  std::map<int, const char*>::const_iterator it = _SlotVerdict_VALUES_TO_NAMES.find(val);
+  if (it != _SlotVerdict_VALUES_TO_NAMES.end()) {
+    return std::string(it->second);
+  } else {
+    return std::to_string(static_cast<int>(val));
+  }
+}
+
 int _kControlCallKindValues[] = {
   ControlCallKind::HEARTBEAT,
   ControlCallKind::DEREGISTER,
@@ -13146,6 +13203,14 @@
   this->held_state = val;
 __isset.held_state = true;
 }
+
+void FleetHeartbeat::__set_grants_term(const int64_t val) {
+  this->grants_term = val;
+}
+
+void FleetHeartbeat::__set_grants_seen(const int64_t val) {
+  this->grants_seen = val;
+}
 std::ostream& operator<<(std::ostream& out, const FleetHeartbeat& obj)
 {
   obj.printTo(out);
@@ -13322,6 +13387,22 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 15:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->grants_term);
+          this->__isset.grants_term = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 16:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->grants_seen);
+          this->__isset.grants_seen = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -13420,6 +13501,14 @@
     xfer += this->held_state.write(oprot);
     xfer += oprot->writeFieldEnd();
   }
+  xfer += oprot->writeFieldBegin("grants_term", ::apache::thrift::protocol::T_I64, 15);
+  xfer += oprot->writeI64(this->grants_term);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("grants_seen", ::apache::thrift::protocol::T_I64, 16);
+  xfer += oprot->writeI64(this->grants_seen);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -13441,6 +13530,8 @@
   swap(a.serves_requests, b.serves_requests);
   swap(a.traffic_seen, b.traffic_seen);
   swap(a.held_state, b.held_state);
+  swap(a.grants_term, b.grants_term);
+  swap(a.grants_seen, b.grants_seen);
   swap(a.__isset, b.__isset);
 }
 
@@ -13459,6 +13550,8 @@
   serves_requests = other528.serves_requests;
   traffic_seen = other528.traffic_seen;
   held_state = other528.held_state;
+  grants_term = other528.grants_term;
+  grants_seen = other528.grants_seen;
   __isset = other528.__isset;
 }
 FleetHeartbeat::FleetHeartbeat(FleetHeartbeat&& other529) noexcept {
@@ -13476,6 +13569,8 @@
   serves_requests = other529.serves_requests;
   traffic_seen = other529.traffic_seen;
   held_state = std::move(other529.held_state);
+  grants_term = other529.grants_term;
+  grants_seen = other529.grants_seen;
   __isset = other529.__isset;
 }
 FleetHeartbeat& FleetHeartbeat::operator=(const FleetHeartbeat& other530) {
@@ -13493,6 +13588,8 @@
   serves_requests = other530.serves_requests;
   traffic_seen = other530.traffic_seen;
   held_state = other530.held_state;
+  grants_term = other530.grants_term;
+  grants_seen = other530.grants_seen;
   __isset = other530.__isset;
   return *this;
 }
@@ -13511,6 +13608,8 @@
   serves_requests = other531.serves_requests;
   traffic_seen = other531.traffic_seen;
   held_state = std::move(other531.held_state);
+  grants_term = other531.grants_term;
+  grants_seen = other531.grants_seen;
   __isset = other531.__isset;
   return *this;
 }
@@ -13531,76 +13630,63 @@
   out << ", " << "serves_requests=" << to_string(serves_requests);
   out << ", " << "traffic_seen=" << to_string(traffic_seen);
   out << ", " << "held_state="; (__isset.held_state ? (out << to_string(held_state)) : (out << "<null>"));
+  out << ", " << "grants_term=" << to_string(grants_term);
+  out << ", " << "grants_seen=" << to_string(grants_seen);
   out << ")";
 }
 
 
-FleetUpdate::~FleetUpdate() noexcept {
-}
-
-
-void FleetUpdate::__set_sequence(const int64_t val) {
-  this->sequence = val;
-}
-
-void FleetUpdate::__set_not_leader(const bool val) {
-  this->not_leader = val;
+SlotRequest::~SlotRequest() noexcept {
 }
 
-void FleetUpdate::__set_leader(const std::string& val) {
-  this->leader = val;
-}
 
-void FleetUpdate::__set_control_peers(const std::vector<std::string> & val) {
-  this->control_peers = val;
+void SlotRequest::__set_id(const int64_t val) {
+  this->id = val;
 }
 
-void FleetUpdate::__set_term(const int64_t val) {
-  this->term = val;
+void SlotRequest::__set_service_name(const std::string& val) {
+  this->service_name = val;
 }
 
-void FleetUpdate::__set_document_version(const int64_t val) {
-  this->document_version = val;
+void SlotRequest::__set_model(const std::string& val) {
+  this->model = val;
 }
 
-void FleetUpdate::__set_state(const FleetState& val) {
-  this->state = val;
-__isset.state = true;
+void SlotRequest::__set_prompt_tokens(const int32_t val) {
+  this->prompt_tokens = val;
 }
 
-void FleetUpdate::__set_loads(const std::vector<GroupLoad> & val) {
-  this->loads = val;
+void SlotRequest::__set_first_event_ms(const int32_t val) {
+  this->first_event_ms = val;
 }
 
-void FleetUpdate::__set_serving_nodes(const int32_t val) {
-  this->serving_nodes = val;
+void SlotRequest::__set_gap_ms(const int32_t val) {
+  this->gap_ms = val;
 }
 
-void FleetUpdate::__set_wants_state(const bool val) {
-  this->wants_state = val;
+void SlotRequest::__set_priority(const int32_t val) {
+  this->priority = val;
 }
 
-void FleetUpdate::__set_state_change(const FleetStateChange& val) {
-  this->state_change = val;
-__isset.state_change = true;
+void SlotRequest::__set_is_retry(const bool val) {
+  this->is_retry = val;
 }
 
-void FleetUpdate::__set_wants_confirmation(const bool val) {
-  this->wants_confirmation = val;
+void SlotRequest::__set_patience_ms(const int32_t val) {
+  this->patience_ms = val;
 }
 
-void FleetUpdate::__set_document(const DocumentChange& val) {
-  this->document = val;
-__isset.document = true;
+void SlotRequest::__set_excluded_groups(const std::vector<std::string> & val) {
+  this->excluded_groups = val;
 }
-std::ostream& operator<<(std::ostream& out, const FleetUpdate& obj)
+std::ostream& operator<<(std::ostream& out, const SlotRequest& obj)
 {
   obj.printTo(out);
   return out;
 }
 
 
-uint32_t FleetUpdate::read(::apache::thrift::protocol::TProtocol* iprot) {
+uint32_t SlotRequest::read(::apache::thrift::protocol::TProtocol* iprot) {
 
   ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
   uint32_t xfer = 0;
@@ -13623,128 +13709,92 @@
     {
       case 1:
         if (ftype == ::apache::thrift::protocol::T_I64) {
-          xfer += iprot->readI64(this->sequence);
-          this->__isset.sequence = true;
+          xfer += iprot->readI64(this->id);
+          this->__isset.id = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
       case 2:
-        if (ftype == ::apache::thrift::protocol::T_BOOL) {
-          xfer += iprot->readBool(this->not_leader);
-          this->__isset.not_leader = true;
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->service_name);
+          this->__isset.service_name = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
       case 3:
         if (ftype == ::apache::thrift::protocol::T_STRING) {
-          xfer += iprot->readString(this->leader);
-          this->__isset.leader = true;
+          xfer += iprot->readString(this->model);
+          this->__isset.model = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
       case 4:
-        if (ftype == ::apache::thrift::protocol::T_LIST) {
-          {
-            this->control_peers.clear();
-            uint32_t _size532;
-            ::apache::thrift::protocol::TType _etype535;
-            xfer += iprot->readListBegin(_etype535, _size532);
-            this->control_peers.resize(_size532);
-            uint32_t _i536;
-            for (_i536 = 0; _i536 < _size532; ++_i536)
-            {
-              xfer += iprot->readString(this->control_peers[_i536]);
-            }
-            xfer += iprot->readListEnd();
-          }
-          this->__isset.control_peers = true;
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->prompt_tokens);
+          this->__isset.prompt_tokens = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
       case 5:
-        if (ftype == ::apache::thrift::protocol::T_I64) {
-          xfer += iprot->readI64(this->term);
-          this->__isset.term = true;
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->first_event_ms);
+          this->__isset.first_event_ms = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
       case 6:
-        if (ftype == ::apache::thrift::protocol::T_I64) {
-          xfer += iprot->readI64(this->document_version);
-          this->__isset.document_version = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
-      case 8:
-        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
-          xfer += this->state.read(iprot);
-          this->__isset.state = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
-      case 9:
-        if (ftype == ::apache::thrift::protocol::T_LIST) {
-          {
-            this->loads.clear();
-            uint32_t _size537;
-            ::apache::thrift::protocol::TType _etype540;
-            xfer += iprot->readListBegin(_etype540, _size537);
-            this->loads.resize(_size537);
-            uint32_t _i541;
-            for (_i541 = 0; _i541 < _size537; ++_i541)
-            {
-              xfer += this->loads[_i541].read(iprot);
-            }
-            xfer += iprot->readListEnd();
-          }
-          this->__isset.loads = true;
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->gap_ms);
+          this->__isset.gap_ms = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
-      case 10:
+      case 7:
         if (ftype == ::apache::thrift::protocol::T_I32) {
-          xfer += iprot->readI32(this->serving_nodes);
-          this->__isset.serving_nodes = true;
+          xfer += iprot->readI32(this->priority);
+          this->__isset.priority = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
-      case 11:
+      case 8:
         if (ftype == ::apache::thrift::protocol::T_BOOL) {
-          xfer += iprot->readBool(this->wants_state);
-          this->__isset.wants_state = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
-      case 12:
-        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
-          xfer += this->state_change.read(iprot);
-          this->__isset.state_change = true;
+          xfer += iprot->readBool(this->is_retry);
+          this->__isset.is_retry = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
-      case 13:
-        if (ftype == ::apache::thrift::protocol::T_BOOL) {
-          xfer += iprot->readBool(this->wants_confirmation);
-          this->__isset.wants_confirmation = true;
+      case 9:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->patience_ms);
+          this->__isset.patience_ms = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
-      case 16:
-        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
-          xfer += this->document.read(iprot);
-          this->__isset.document = true;
+      case 10:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->excluded_groups.clear();
+            uint32_t _size532;
+            ::apache::thrift::protocol::TType _etype535;
+            xfer += iprot->readListBegin(_etype535, _size532);
+            this->excluded_groups.resize(_size532);
+            uint32_t _i536;
+            for (_i536 = 0; _i536 < _size532; ++_i536)
+            {
+              xfer += iprot->readString(this->excluded_groups[_i536]);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.excluded_groups = true;
         } else {
           xfer += iprot->skip(ftype);
         }
@@ -13761,169 +13811,1080 @@
   return xfer;
 }
 
-uint32_t FleetUpdate::write(::apache::thrift::protocol::TProtocol* oprot) const {
+uint32_t SlotRequest::write(::apache::thrift::protocol::TProtocol* oprot) const {
   uint32_t xfer = 0;
   ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
-  xfer += oprot->writeStructBegin("FleetUpdate");
+  xfer += oprot->writeStructBegin("SlotRequest");
 
-  xfer += oprot->writeFieldBegin("sequence", ::apache::thrift::protocol::T_I64, 1);
-  xfer += oprot->writeI64(this->sequence);
+  xfer += oprot->writeFieldBegin("id", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeI64(this->id);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("not_leader", ::apache::thrift::protocol::T_BOOL, 2);
-  xfer += oprot->writeBool(this->not_leader);
+  xfer += oprot->writeFieldBegin("service_name", ::apache::thrift::protocol::T_STRING, 2);
+  xfer += oprot->writeString(this->service_name);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("leader", ::apache::thrift::protocol::T_STRING, 3);
-  xfer += oprot->writeString(this->leader);
+  xfer += oprot->writeFieldBegin("model", ::apache::thrift::protocol::T_STRING, 3);
+  xfer += oprot->writeString(this->model);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("control_peers", ::apache::thrift::protocol::T_LIST, 4);
-  {
-    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->control_peers.size()));
-    std::vector<std::string> ::const_iterator _iter542;
-    for (_iter542 = this->control_peers.begin(); _iter542 != this->control_peers.end(); ++_iter542)
-    {
-      xfer += oprot->writeString((*_iter542));
-    }
-    xfer += oprot->writeListEnd();
-  }
+  xfer += oprot->writeFieldBegin("prompt_tokens", ::apache::thrift::protocol::T_I32, 4);
+  xfer += oprot->writeI32(this->prompt_tokens);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("term", ::apache::thrift::protocol::T_I64, 5);
-  xfer += oprot->writeI64(this->term);
+  xfer += oprot->writeFieldBegin("first_event_ms", ::apache::thrift::protocol::T_I32, 5);
+  xfer += oprot->writeI32(this->first_event_ms);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("document_version", ::apache::thrift::protocol::T_I64, 6);
-  xfer += oprot->writeI64(this->document_version);
+  xfer += oprot->writeFieldBegin("gap_ms", ::apache::thrift::protocol::T_I32, 6);
+  xfer += oprot->writeI32(this->gap_ms);
   xfer += oprot->writeFieldEnd();
 
-  if (this->__isset.state) {
-    xfer += oprot->writeFieldBegin("state", ::apache::thrift::protocol::T_STRUCT, 8);
-    xfer += this->state.write(oprot);
-    xfer += oprot->writeFieldEnd();
-  }
-  xfer += oprot->writeFieldBegin("loads", ::apache::thrift::protocol::T_LIST, 9);
-  {
-    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->loads.size()));
-    std::vector<GroupLoad> ::const_iterator _iter543;
-    for (_iter543 = this->loads.begin(); _iter543 != this->loads.end(); ++_iter543)
-    {
-      xfer += (*_iter543).write(oprot);
-    }
-    xfer += oprot->writeListEnd();
-  }
+  xfer += oprot->writeFieldBegin("priority", ::apache::thrift::protocol::T_I32, 7);
+  xfer += oprot->writeI32(this->priority);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("serving_nodes", ::apache::thrift::protocol::T_I32, 10);
-  xfer += oprot->writeI32(this->serving_nodes);
+  xfer += oprot->writeFieldBegin("is_retry", ::apache::thrift::protocol::T_BOOL, 8);
+  xfer += oprot->writeBool(this->is_retry);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("wants_state", ::apache::thrift::protocol::T_BOOL, 11);
-  xfer += oprot->writeBool(this->wants_state);
+  xfer += oprot->writeFieldBegin("patience_ms", ::apache::thrift::protocol::T_I32, 9);
+  xfer += oprot->writeI32(this->patience_ms);
   xfer += oprot->writeFieldEnd();
 
-  if (this->__isset.state_change) {
-    xfer += oprot->writeFieldBegin("state_change", ::apache::thrift::protocol::T_STRUCT, 12);
-    xfer += this->state_change.write(oprot);
-    xfer += oprot->writeFieldEnd();
+  xfer += oprot->writeFieldBegin("excluded_groups", ::apache::thrift::protocol::T_LIST, 10);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->excluded_groups.size()));
+    std::vector<std::string> ::const_iterator _iter537;
+    for (_iter537 = this->excluded_groups.begin(); _iter537 != this->excluded_groups.end(); ++_iter537)
+    {
+      xfer += oprot->writeString((*_iter537));
+    }
+    xfer += oprot->writeListEnd();
   }
-  xfer += oprot->writeFieldBegin("wants_confirmation", ::apache::thrift::protocol::T_BOOL, 13);
-  xfer += oprot->writeBool(this->wants_confirmation);
   xfer += oprot->writeFieldEnd();
 
-  if (this->__isset.document) {
-    xfer += oprot->writeFieldBegin("document", ::apache::thrift::protocol::T_STRUCT, 16);
-    xfer += this->document.write(oprot);
-    xfer += oprot->writeFieldEnd();
-  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
 }
 
-void swap(FleetUpdate &a, FleetUpdate &b) {
+void swap(SlotRequest &a, SlotRequest &b) {
   using ::std::swap;
-  swap(a.sequence, b.sequence);
-  swap(a.not_leader, b.not_leader);
-  swap(a.leader, b.leader);
-  swap(a.control_peers, b.control_peers);
-  swap(a.term, b.term);
-  swap(a.document_version, b.document_version);
-  swap(a.state, b.state);
-  swap(a.loads, b.loads);
-  swap(a.serving_nodes, b.serving_nodes);
-  swap(a.wants_state, b.wants_state);
-  swap(a.state_change, b.state_change);
-  swap(a.wants_confirmation, b.wants_confirmation);
-  swap(a.document, b.document);
+  swap(a.id, b.id);
+  swap(a.service_name, b.service_name);
+  swap(a.model, b.model);
+  swap(a.prompt_tokens, b.prompt_tokens);
+  swap(a.first_event_ms, b.first_event_ms);
+  swap(a.gap_ms, b.gap_ms);
+  swap(a.priority, b.priority);
+  swap(a.is_retry, b.is_retry);
+  swap(a.patience_ms, b.patience_ms);
+  swap(a.excluded_groups, b.excluded_groups);
   swap(a.__isset, b.__isset);
 }
 
-FleetUpdate::FleetUpdate(const FleetUpdate& other544) {
-  sequence = other544.sequence;
-  not_leader = other544.not_leader;
-  leader = other544.leader;
-  control_peers = other544.control_peers;
-  term = other544.term;
-  document_version = other544.document_version;
-  state = other544.state;
-  loads = other544.loads;
-  serving_nodes = other544.serving_nodes;
-  wants_state = other544.wants_state;
-  state_change = other544.state_change;
-  wants_confirmation = other544.wants_confirmation;
-  document = other544.document;
-  __isset = other544.__isset;
-}
-FleetUpdate::FleetUpdate(FleetUpdate&& other545) noexcept {
+SlotRequest::SlotRequest(const SlotRequest& other538) {
+  id = other538.id;
+  service_name = other538.service_name;
+  model = other538.model;
+  prompt_tokens = other538.prompt_tokens;
+  first_event_ms = other538.first_event_ms;
+  gap_ms = other538.gap_ms;
+  priority = other538.priority;
+  is_retry = other538.is_retry;
+  patience_ms = other538.patience_ms;
+  excluded_groups = other538.excluded_groups;
+  __isset = other538.__isset;
+}
+SlotRequest::SlotRequest(SlotRequest&& other539) noexcept {
+  id = other539.id;
+  service_name = std::move(other539.service_name);
+  model = std::move(other539.model);
+  prompt_tokens = other539.prompt_tokens;
+  first_event_ms = other539.first_event_ms;
+  gap_ms = other539.gap_ms;
+  priority = other539.priority;
+  is_retry = other539.is_retry;
+  patience_ms = other539.patience_ms;
+  excluded_groups = std::move(other539.excluded_groups);
+  __isset = other539.__isset;
+}
+SlotRequest& SlotRequest::operator=(const SlotRequest& other540) {
+  id = other540.id;
+  service_name = other540.service_name;
+  model = other540.model;
+  prompt_tokens = other540.prompt_tokens;
+  first_event_ms = other540.first_event_ms;
+  gap_ms = other540.gap_ms;
+  priority = other540.priority;
+  is_retry = other540.is_retry;
+  patience_ms = other540.patience_ms;
+  excluded_groups = other540.excluded_groups;
+  __isset = other540.__isset;
+  return *this;
+}
+SlotRequest& SlotRequest::operator=(SlotRequest&& other541) noexcept {
+  id = other541.id;
+  service_name = std::move(other541.service_name);
+  model = std::move(other541.model);
+  prompt_tokens = other541.prompt_tokens;
+  first_event_ms = other541.first_event_ms;
+  gap_ms = other541.gap_ms;
+  priority = other541.priority;
+  is_retry = other541.is_retry;
+  patience_ms = other541.patience_ms;
+  excluded_groups = std::move(other541.excluded_groups);
+  __isset = other541.__isset;
+  return *this;
+}
+void SlotRequest::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "SlotRequest(";
+  out << "id=" << to_string(id);
+  out << ", " << "service_name=" << to_string(service_name);
+  out << ", " << "model=" << to_string(model);
+  out << ", " << "prompt_tokens=" << to_string(prompt_tokens);
+  out << ", " << "first_event_ms=" << to_string(first_event_ms);
+  out << ", " << "gap_ms=" << to_string(gap_ms);
+  out << ", " << "priority=" << to_string(priority);
+  out << ", " << "is_retry=" << to_string(is_retry);
+  out << ", " << "patience_ms=" << to_string(patience_ms);
+  out << ", " << "excluded_groups=" << to_string(excluded_groups);
+  out << ")";
+}
+
+
+SlotGrant::~SlotGrant() noexcept {
+}
+
+
+void SlotGrant::__set_id(const int64_t val) {
+  this->id = val;
+}
+
+void SlotGrant::__set_sequence(const int64_t val) {
+  this->sequence = val;
+}
+
+void SlotGrant::__set_verdict(const SlotVerdict::type val) {
+  this->verdict = val;
+}
+
+void SlotGrant::__set_group(const std::string& val) {
+  this->group = val;
+}
+
+void SlotGrant::__set_expected_ms(const int32_t val) {
+  this->expected_ms = val;
+}
+std::ostream& operator<<(std::ostream& out, const SlotGrant& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t SlotGrant::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->id);
+          this->__isset.id = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->sequence);
+          this->__isset.sequence = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          int32_t ecast542;
+          xfer += iprot->readI32(ecast542);
+          this->verdict = static_cast<SlotVerdict::type>(ecast542);
+          this->__isset.verdict = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->group);
+          this->__isset.group = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->expected_ms);
+          this->__isset.expected_ms = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t SlotGrant::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("SlotGrant");
+
+  xfer += oprot->writeFieldBegin("id", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeI64(this->id);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("sequence", ::apache::thrift::protocol::T_I64, 2);
+  xfer += oprot->writeI64(this->sequence);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("verdict", ::apache::thrift::protocol::T_I32, 3);
+  xfer += oprot->writeI32(static_cast<int32_t>(this->verdict));
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("group", ::apache::thrift::protocol::T_STRING, 4);
+  xfer += oprot->writeString(this->group);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("expected_ms", ::apache::thrift::protocol::T_I32, 5);
+  xfer += oprot->writeI32(this->expected_ms);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(SlotGrant &a, SlotGrant &b) {
+  using ::std::swap;
+  swap(a.id, b.id);
+  swap(a.sequence, b.sequence);
+  swap(a.verdict, b.verdict);
+  swap(a.group, b.group);
+  swap(a.expected_ms, b.expected_ms);
+  swap(a.__isset, b.__isset);
+}
+
+SlotGrant::SlotGrant(const SlotGrant& other543) {
+  id = other543.id;
+  sequence = other543.sequence;
+  verdict = other543.verdict;
+  group = other543.group;
+  expected_ms = other543.expected_ms;
+  __isset = other543.__isset;
+}
+SlotGrant::SlotGrant(SlotGrant&& other544) noexcept {
+  id = other544.id;
+  sequence = other544.sequence;
+  verdict = other544.verdict;
+  group = std::move(other544.group);
+  expected_ms = other544.expected_ms;
+  __isset = other544.__isset;
+}
+SlotGrant& SlotGrant::operator=(const SlotGrant& other545) {
+  id = other545.id;
   sequence = other545.sequence;
-  not_leader = other545.not_leader;
-  leader = std::move(other545.leader);
-  control_peers = std::move(other545.control_peers);
-  term = other545.term;
-  document_version = other545.document_version;
-  state = std::move(other545.state);
-  loads = std::move(other545.loads);
-  serving_nodes = other545.serving_nodes;
-  wants_state = other545.wants_state;
-  state_change = std::move(other545.state_change);
-  wants_confirmation = other545.wants_confirmation;
-  document = std::move(other545.document);
+  verdict = other545.verdict;
+  group = other545.group;
+  expected_ms = other545.expected_ms;
   __isset = other545.__isset;
+  return *this;
+}
+SlotGrant& SlotGrant::operator=(SlotGrant&& other546) noexcept {
+  id = other546.id;
+  sequence = other546.sequence;
+  verdict = other546.verdict;
+  group = std::move(other546.group);
+  expected_ms = other546.expected_ms;
+  __isset = other546.__isset;
+  return *this;
+}
+void SlotGrant::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "SlotGrant(";
+  out << "id=" << to_string(id);
+  out << ", " << "sequence=" << to_string(sequence);
+  out << ", " << "verdict=" << to_string(verdict);
+  out << ", " << "group=" << to_string(group);
+  out << ", " << "expected_ms=" << to_string(expected_ms);
+  out << ")";
+}
+
+
+SlotReport::~SlotReport() noexcept {
+}
+
+
+void SlotReport::__set_requests(const std::vector<SlotRequest> & val) {
+  this->requests = val;
+}
+
+void SlotReport::__set_loads(const std::vector<GroupLoad> & val) {
+  this->loads = val;
+}
+
+void SlotReport::__set_grants_term(const int64_t val) {
+  this->grants_term = val;
+}
+
+void SlotReport::__set_grants_seen(const int64_t val) {
+  this->grants_seen = val;
+}
+std::ostream& operator<<(std::ostream& out, const SlotReport& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t SlotReport::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->requests.clear();
+            uint32_t _size547;
+            ::apache::thrift::protocol::TType _etype550;
+            xfer += iprot->readListBegin(_etype550, _size547);
+            this->requests.resize(_size547);
+            uint32_t _i551;
+            for (_i551 = 0; _i551 < _size547; ++_i551)
+            {
+              xfer += this->requests[_i551].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.requests = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->loads.clear();
+            uint32_t _size552;
+            ::apache::thrift::protocol::TType _etype555;
+            xfer += iprot->readListBegin(_etype555, _size552);
+            this->loads.resize(_size552);
+            uint32_t _i556;
+            for (_i556 = 0; _i556 < _size552; ++_i556)
+            {
+              xfer += this->loads[_i556].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.loads = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->grants_term);
+          this->__isset.grants_term = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->grants_seen);
+          this->__isset.grants_seen = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t SlotReport::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("SlotReport");
+
+  xfer += oprot->writeFieldBegin("requests", ::apache::thrift::protocol::T_LIST, 1);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->requests.size()));
+    std::vector<SlotRequest> ::const_iterator _iter557;
+    for (_iter557 = this->requests.begin(); _iter557 != this->requests.end(); ++_iter557)
+    {
+      xfer += (*_iter557).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("loads", ::apache::thrift::protocol::T_LIST, 2);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->loads.size()));
+    std::vector<GroupLoad> ::const_iterator _iter558;
+    for (_iter558 = this->loads.begin(); _iter558 != this->loads.end(); ++_iter558)
+    {
+      xfer += (*_iter558).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("grants_term", ::apache::thrift::protocol::T_I64, 3);
+  xfer += oprot->writeI64(this->grants_term);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("grants_seen", ::apache::thrift::protocol::T_I64, 4);
+  xfer += oprot->writeI64(this->grants_seen);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(SlotReport &a, SlotReport &b) {
+  using ::std::swap;
+  swap(a.requests, b.requests);
+  swap(a.loads, b.loads);
+  swap(a.grants_term, b.grants_term);
+  swap(a.grants_seen, b.grants_seen);
+  swap(a.__isset, b.__isset);
+}
+
+SlotReport::SlotReport(const SlotReport& other559) {
+  requests = other559.requests;
+  loads = other559.loads;
+  grants_term = other559.grants_term;
+  grants_seen = other559.grants_seen;
+  __isset = other559.__isset;
+}
+SlotReport::SlotReport(SlotReport&& other560) noexcept {
+  requests = std::move(other560.requests);
+  loads = std::move(other560.loads);
+  grants_term = other560.grants_term;
+  grants_seen = other560.grants_seen;
+  __isset = other560.__isset;
+}
+SlotReport& SlotReport::operator=(const SlotReport& other561) {
+  requests = other561.requests;
+  loads = other561.loads;
+  grants_term = other561.grants_term;
+  grants_seen = other561.grants_seen;
+  __isset = other561.__isset;
+  return *this;
+}
+SlotReport& SlotReport::operator=(SlotReport&& other562) noexcept {
+  requests = std::move(other562.requests);
+  loads = std::move(other562.loads);
+  grants_term = other562.grants_term;
+  grants_seen = other562.grants_seen;
+  __isset = other562.__isset;
+  return *this;
+}
+void SlotReport::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "SlotReport(";
+  out << "requests=" << to_string(requests);
+  out << ", " << "loads=" << to_string(loads);
+  out << ", " << "grants_term=" << to_string(grants_term);
+  out << ", " << "grants_seen=" << to_string(grants_seen);
+  out << ")";
+}
+
+
+SlotAnswer::~SlotAnswer() noexcept {
+}
+
+
+void SlotAnswer::__set_term(const int64_t val) {
+  this->term = val;
+}
+
+void SlotAnswer::__set_grants(const std::vector<SlotGrant> & val) {
+  this->grants = val;
+}
+std::ostream& operator<<(std::ostream& out, const SlotAnswer& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t SlotAnswer::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->term);
+          this->__isset.term = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->grants.clear();
+            uint32_t _size563;
+            ::apache::thrift::protocol::TType _etype566;
+            xfer += iprot->readListBegin(_etype566, _size563);
+            this->grants.resize(_size563);
+            uint32_t _i567;
+            for (_i567 = 0; _i567 < _size563; ++_i567)
+            {
+              xfer += this->grants[_i567].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.grants = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t SlotAnswer::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("SlotAnswer");
+
+  xfer += oprot->writeFieldBegin("term", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeI64(this->term);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("grants", ::apache::thrift::protocol::T_LIST, 2);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->grants.size()));
+    std::vector<SlotGrant> ::const_iterator _iter568;
+    for (_iter568 = this->grants.begin(); _iter568 != this->grants.end(); ++_iter568)
+    {
+      xfer += (*_iter568).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(SlotAnswer &a, SlotAnswer &b) {
+  using ::std::swap;
+  swap(a.term, b.term);
+  swap(a.grants, b.grants);
+  swap(a.__isset, b.__isset);
+}
+
+SlotAnswer::SlotAnswer(const SlotAnswer& other569) {
+  term = other569.term;
+  grants = other569.grants;
+  __isset = other569.__isset;
+}
+SlotAnswer::SlotAnswer(SlotAnswer&& other570) noexcept {
+  term = other570.term;
+  grants = std::move(other570.grants);
+  __isset = other570.__isset;
+}
+SlotAnswer& SlotAnswer::operator=(const SlotAnswer& other571) {
+  term = other571.term;
+  grants = other571.grants;
+  __isset = other571.__isset;
+  return *this;
+}
+SlotAnswer& SlotAnswer::operator=(SlotAnswer&& other572) noexcept {
+  term = other572.term;
+  grants = std::move(other572.grants);
+  __isset = other572.__isset;
+  return *this;
+}
+void SlotAnswer::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "SlotAnswer(";
+  out << "term=" << to_string(term);
+  out << ", " << "grants=" << to_string(grants);
+  out << ")";
+}
+
+
+FleetUpdate::~FleetUpdate() noexcept {
+}
+
+
+void FleetUpdate::__set_sequence(const int64_t val) {
+  this->sequence = val;
+}
+
+void FleetUpdate::__set_not_leader(const bool val) {
+  this->not_leader = val;
+}
+
+void FleetUpdate::__set_leader(const std::string& val) {
+  this->leader = val;
+}
+
+void FleetUpdate::__set_control_peers(const std::vector<std::string> & val) {
+  this->control_peers = val;
+}
+
+void FleetUpdate::__set_term(const int64_t val) {
+  this->term = val;
+}
+
+void FleetUpdate::__set_document_version(const int64_t val) {
+  this->document_version = val;
+}
+
+void FleetUpdate::__set_state(const FleetState& val) {
+  this->state = val;
+__isset.state = true;
+}
+
+void FleetUpdate::__set_loads(const std::vector<GroupLoad> & val) {
+  this->loads = val;
+}
+
+void FleetUpdate::__set_serving_nodes(const int32_t val) {
+  this->serving_nodes = val;
+}
+
+void FleetUpdate::__set_wants_state(const bool val) {
+  this->wants_state = val;
+}
+
+void FleetUpdate::__set_state_change(const FleetStateChange& val) {
+  this->state_change = val;
+__isset.state_change = true;
+}
+
+void FleetUpdate::__set_wants_confirmation(const bool val) {
+  this->wants_confirmation = val;
+}
+
+void FleetUpdate::__set_document(const DocumentChange& val) {
+  this->document = val;
+__isset.document = true;
+}
+std::ostream& operator<<(std::ostream& out, const FleetUpdate& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t FleetUpdate::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->sequence);
+          this->__isset.sequence = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->not_leader);
+          this->__isset.not_leader = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->leader);
+          this->__isset.leader = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->control_peers.clear();
+            uint32_t _size573;
+            ::apache::thrift::protocol::TType _etype576;
+            xfer += iprot->readListBegin(_etype576, _size573);
+            this->control_peers.resize(_size573);
+            uint32_t _i577;
+            for (_i577 = 0; _i577 < _size573; ++_i577)
+            {
+              xfer += iprot->readString(this->control_peers[_i577]);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.control_peers = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->term);
+          this->__isset.term = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 6:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->document_version);
+          this->__isset.document_version = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 8:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->state.read(iprot);
+          this->__isset.state = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 9:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->loads.clear();
+            uint32_t _size578;
+            ::apache::thrift::protocol::TType _etype581;
+            xfer += iprot->readListBegin(_etype581, _size578);
+            this->loads.resize(_size578);
+            uint32_t _i582;
+            for (_i582 = 0; _i582 < _size578; ++_i582)
+            {
+              xfer += this->loads[_i582].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.loads = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 10:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->serving_nodes);
+          this->__isset.serving_nodes = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 11:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->wants_state);
+          this->__isset.wants_state = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 12:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->state_change.read(iprot);
+          this->__isset.state_change = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 13:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->wants_confirmation);
+          this->__isset.wants_confirmation = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 16:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->document.read(iprot);
+          this->__isset.document = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
 }
-FleetUpdate& FleetUpdate::operator=(const FleetUpdate& other546) {
-  sequence = other546.sequence;
-  not_leader = other546.not_leader;
-  leader = other546.leader;
-  control_peers = other546.control_peers;
-  term = other546.term;
-  document_version = other546.document_version;
-  state = other546.state;
-  loads = other546.loads;
-  serving_nodes = other546.serving_nodes;
-  wants_state = other546.wants_state;
-  state_change = other546.state_change;
-  wants_confirmation = other546.wants_confirmation;
-  document = other546.document;
-  __isset = other546.__isset;
-  return *this;
+
+uint32_t FleetUpdate::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("FleetUpdate");
+
+  xfer += oprot->writeFieldBegin("sequence", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeI64(this->sequence);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("not_leader", ::apache::thrift::protocol::T_BOOL, 2);
+  xfer += oprot->writeBool(this->not_leader);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("leader", ::apache::thrift::protocol::T_STRING, 3);
+  xfer += oprot->writeString(this->leader);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("control_peers", ::apache::thrift::protocol::T_LIST, 4);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->control_peers.size()));
+    std::vector<std::string> ::const_iterator _iter583;
+    for (_iter583 = this->control_peers.begin(); _iter583 != this->control_peers.end(); ++_iter583)
+    {
+      xfer += oprot->writeString((*_iter583));
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("term", ::apache::thrift::protocol::T_I64, 5);
+  xfer += oprot->writeI64(this->term);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("document_version", ::apache::thrift::protocol::T_I64, 6);
+  xfer += oprot->writeI64(this->document_version);
+  xfer += oprot->writeFieldEnd();
+
+  if (this->__isset.state) {
+    xfer += oprot->writeFieldBegin("state", ::apache::thrift::protocol::T_STRUCT, 8);
+    xfer += this->state.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
+  xfer += oprot->writeFieldBegin("loads", ::apache::thrift::protocol::T_LIST, 9);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->loads.size()));
+    std::vector<GroupLoad> ::const_iterator _iter584;
+    for (_iter584 = this->loads.begin(); _iter584 != this->loads.end(); ++_iter584)
+    {
+      xfer += (*_iter584).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("serving_nodes", ::apache::thrift::protocol::T_I32, 10);
+  xfer += oprot->writeI32(this->serving_nodes);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("wants_state", ::apache::thrift::protocol::T_BOOL, 11);
+  xfer += oprot->writeBool(this->wants_state);
+  xfer += oprot->writeFieldEnd();
+
+  if (this->__isset.state_change) {
+    xfer += oprot->writeFieldBegin("state_change", ::apache::thrift::protocol::T_STRUCT, 12);
+    xfer += this->state_change.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
+  xfer += oprot->writeFieldBegin("wants_confirmation", ::apache::thrift::protocol::T_BOOL, 13);
+  xfer += oprot->writeBool(this->wants_confirmation);
+  xfer += oprot->writeFieldEnd();
+
+  if (this->__isset.document) {
+    xfer += oprot->writeFieldBegin("document", ::apache::thrift::protocol::T_STRUCT, 16);
+    xfer += this->document.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(FleetUpdate &a, FleetUpdate &b) {
+  using ::std::swap;
+  swap(a.sequence, b.sequence);
+  swap(a.not_leader, b.not_leader);
+  swap(a.leader, b.leader);
+  swap(a.control_peers, b.control_peers);
+  swap(a.term, b.term);
+  swap(a.document_version, b.document_version);
+  swap(a.state, b.state);
+  swap(a.loads, b.loads);
+  swap(a.serving_nodes, b.serving_nodes);
+  swap(a.wants_state, b.wants_state);
+  swap(a.state_change, b.state_change);
+  swap(a.wants_confirmation, b.wants_confirmation);
+  swap(a.document, b.document);
+  swap(a.__isset, b.__isset);
 }
-FleetUpdate& FleetUpdate::operator=(FleetUpdate&& other547) noexcept {
-  sequence = other547.sequence;
-  not_leader = other547.not_leader;
-  leader = std::move(other547.leader);
-  control_peers = std::move(other547.control_peers);
-  term = other547.term;
-  document_version = other547.document_version;
-  state = std::move(other547.state);
-  loads = std::move(other547.loads);
-  serving_nodes = other547.serving_nodes;
-  wants_state = other547.wants_state;
-  state_change = std::move(other547.state_change);
-  wants_confirmation = other547.wants_confirmation;
-  document = std::move(other547.document);
-  __isset = other547.__isset;
+
+FleetUpdate::FleetUpdate(const FleetUpdate& other585) {
+  sequence = other585.sequence;
+  not_leader = other585.not_leader;
+  leader = other585.leader;
+  control_peers = other585.control_peers;
+  term = other585.term;
+  document_version = other585.document_version;
+  state = other585.state;
+  loads = other585.loads;
+  serving_nodes = other585.serving_nodes;
+  wants_state = other585.wants_state;
+  state_change = other585.state_change;
+  wants_confirmation = other585.wants_confirmation;
+  document = other585.document;
+  __isset = other585.__isset;
+}
+FleetUpdate::FleetUpdate(FleetUpdate&& other586) noexcept {
+  sequence = other586.sequence;
+  not_leader = other586.not_leader;
+  leader = std::move(other586.leader);
+  control_peers = std::move(other586.control_peers);
+  term = other586.term;
+  document_version = other586.document_version;
+  state = std::move(other586.state);
+  loads = std::move(other586.loads);
+  serving_nodes = other586.serving_nodes;
+  wants_state = other586.wants_state;
+  state_change = std::move(other586.state_change);
+  wants_confirmation = other586.wants_confirmation;
+  document = std::move(other586.document);
+  __isset = other586.__isset;
+}
+FleetUpdate& FleetUpdate::operator=(const FleetUpdate& other587) {
+  sequence = other587.sequence;
+  not_leader = other587.not_leader;
+  leader = other587.leader;
+  control_peers = other587.control_peers;
+  term = other587.term;
+  document_version = other587.document_version;
+  state = other587.state;
+  loads = other587.loads;
+  serving_nodes = other587.serving_nodes;
+  wants_state = other587.wants_state;
+  state_change = other587.state_change;
+  wants_confirmation = other587.wants_confirmation;
+  document = other587.document;
+  __isset = other587.__isset;
+  return *this;
+}
+FleetUpdate& FleetUpdate::operator=(FleetUpdate&& other588) noexcept {
+  sequence = other588.sequence;
+  not_leader = other588.not_leader;
+  leader = std::move(other588.leader);
+  control_peers = std::move(other588.control_peers);
+  term = other588.term;
+  document_version = other588.document_version;
+  state = std::move(other588.state);
+  loads = std::move(other588.loads);
+  serving_nodes = other588.serving_nodes;
+  wants_state = other588.wants_state;
+  state_change = std::move(other588.state_change);
+  wants_confirmation = other588.wants_confirmation;
+  document = std::move(other588.document);
+  __isset = other588.__isset;
   return *this;
 }
 void FleetUpdate::printTo(std::ostream& out) const {
@@ -14003,9 +14964,9 @@
         break;
       case 2:
         if (ftype == ::apache::thrift::protocol::T_I32) {
-          int32_t ecast548;
-          xfer += iprot->readI32(ecast548);
-          this->kind = static_cast<ControlCallKind::type>(ecast548);
+          int32_t ecast589;
+          xfer += iprot->readI32(ecast589);
+          this->kind = static_cast<ControlCallKind::type>(ecast589);
           this->__isset.kind = true;
         } else {
           xfer += iprot->skip(ftype);
@@ -14074,34 +15035,34 @@
   swap(a.__isset, b.__isset);
 }
 
-ControlCall::ControlCall(const ControlCall& other549) {
-  id = other549.id;
-  kind = other549.kind;
-  instance_id = other549.instance_id;
-  body = other549.body;
-  __isset = other549.__isset;
+ControlCall::ControlCall(const ControlCall& other590) {
+  id = other590.id;
+  kind = other590.kind;
+  instance_id = other590.instance_id;
+  body = other590.body;
+  __isset = other590.__isset;
 }
-ControlCall::ControlCall(ControlCall&& other550) noexcept {
-  id = other550.id;
-  kind = other550.kind;
-  instance_id = std::move(other550.instance_id);
-  body = std::move(other550.body);
-  __isset = other550.__isset;
+ControlCall::ControlCall(ControlCall&& other591) noexcept {
+  id = other591.id;
+  kind = other591.kind;
+  instance_id = std::move(other591.instance_id);
+  body = std::move(other591.body);
+  __isset = other591.__isset;
 }
-ControlCall& ControlCall::operator=(const ControlCall& other551) {
-  id = other551.id;
-  kind = other551.kind;
-  instance_id = other551.instance_id;
-  body = other551.body;
-  __isset = other551.__isset;
+ControlCall& ControlCall::operator=(const ControlCall& other592) {
+  id = other592.id;
+  kind = other592.kind;
+  instance_id = other592.instance_id;
+  body = other592.body;
+  __isset = other592.__isset;
   return *this;
 }
-ControlCall& ControlCall::operator=(ControlCall&& other552) noexcept {
-  id = other552.id;
-  kind = other552.kind;
-  instance_id = std::move(other552.instance_id);
-  body = std::move(other552.body);
-  __isset = other552.__isset;
+ControlCall& ControlCall::operator=(ControlCall&& other593) noexcept {
+  id = other593.id;
+  kind = other593.kind;
+  instance_id = std::move(other593.instance_id);
+  body = std::move(other593.body);
+  __isset = other593.__isset;
   return *this;
 }
 void ControlCall::printTo(std::ostream& out) const {
@@ -14224,30 +15185,30 @@
   swap(a.__isset, b.__isset);
 }
 
-ControlCallReply::ControlCallReply(const ControlCallReply& other553) {
-  id = other553.id;
-  status = other553.status;
-  body = other553.body;
-  __isset = other553.__isset;
+ControlCallReply::ControlCallReply(const ControlCallReply& other594) {
+  id = other594.id;
+  status = other594.status;
+  body = other594.body;
+  __isset = other594.__isset;
 }
-ControlCallReply::ControlCallReply(ControlCallReply&& other554) noexcept {
-  id = other554.id;
-  status = other554.status;
-  body = std::move(other554.body);
-  __isset = other554.__isset;
+ControlCallReply::ControlCallReply(ControlCallReply&& other595) noexcept {
+  id = other595.id;
+  status = other595.status;
+  body = std::move(other595.body);
+  __isset = other595.__isset;
 }
-ControlCallReply& ControlCallReply::operator=(const ControlCallReply& other555) {
-  id = other555.id;
-  status = other555.status;
-  body = other555.body;
-  __isset = other555.__isset;
+ControlCallReply& ControlCallReply::operator=(const ControlCallReply& other596) {
+  id = other596.id;
+  status = other596.status;
+  body = other596.body;
+  __isset = other596.__isset;
   return *this;
 }
-ControlCallReply& ControlCallReply::operator=(ControlCallReply&& other556) noexcept {
-  id = other556.id;
-  status = other556.status;
-  body = std::move(other556.body);
-  __isset = other556.__isset;
+ControlCallReply& ControlCallReply::operator=(ControlCallReply&& other597) noexcept {
+  id = other597.id;
+  status = other597.status;
+  body = std::move(other597.body);
+  __isset = other597.__isset;
   return *this;
 }
 void ControlCallReply::printTo(std::ostream& out) const {
@@ -14340,6 +15301,16 @@
   this->control_call_reply = val;
 __isset.control_call_reply = true;
 }
+
+void Envelope::__set_slot_report(const SlotReport& val) {
+  this->slot_report = val;
+__isset.slot_report = true;
+}
+
+void Envelope::__set_slot_answer(const SlotAnswer& val) {
+  this->slot_answer = val;
+__isset.slot_answer = true;
+}
 std::ostream& operator<<(std::ostream& out, const Envelope& obj)
 {
   obj.printTo(out);
@@ -14496,6 +15467,22 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 17:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->slot_report.read(iprot);
+          this->__isset.slot_report = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 18:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->slot_answer.read(iprot);
+          this->__isset.slot_answer = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -14590,6 +15577,16 @@
     xfer += this->control_call_reply.write(oprot);
     xfer += oprot->writeFieldEnd();
   }
+  if (this->__isset.slot_report) {
+    xfer += oprot->writeFieldBegin("slot_report", ::apache::thrift::protocol::T_STRUCT, 17);
+    xfer += this->slot_report.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.slot_answer) {
+    xfer += oprot->writeFieldBegin("slot_answer", ::apache::thrift::protocol::T_STRUCT, 18);
+    xfer += this->slot_answer.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -14613,85 +15610,95 @@
   swap(a.fleet_update, b.fleet_update);
   swap(a.control_call, b.control_call);
   swap(a.control_call_reply, b.control_call_reply);
+  swap(a.slot_report, b.slot_report);
+  swap(a.slot_answer, b.slot_answer);
   swap(a.__isset, b.__isset);
 }
 
-Envelope::Envelope(const Envelope& other557) {
-  from_node = other557.from_node;
-  from_incarnation = other557.from_incarnation;
-  to_node = other557.to_node;
-  raft = other557.raft;
-  heartbeat = other557.heartbeat;
-  heartbeat_reply = other557.heartbeat_reply;
-  claim_request = other557.claim_request;
-  claim_reply = other557.claim_reply;
-  resolution = other557.resolution;
-  operator_request = other557.operator_request;
-  operator_reply = other557.operator_reply;
-  resolution_reply = other557.resolution_reply;
-  fleet_heartbeat = other557.fleet_heartbeat;
-  fleet_update = other557.fleet_update;
-  control_call = other557.control_call;
-  control_call_reply = other557.control_call_reply;
-  __isset = other557.__isset;
-}
-Envelope::Envelope(Envelope&& other558) noexcept {
-  from_node = std::move(other558.from_node);
-  from_incarnation = other558.from_incarnation;
-  to_node = std::move(other558.to_node);
-  raft = std::move(other558.raft);
-  heartbeat = std::move(other558.heartbeat);
-  heartbeat_reply = std::move(other558.heartbeat_reply);
-  claim_request = std::move(other558.claim_request);
-  claim_reply = std::move(other558.claim_reply);
-  resolution = std::move(other558.resolution);
-  operator_request = std::move(other558.operator_request);
-  operator_reply = std::move(other558.operator_reply);
-  resolution_reply = std::move(other558.resolution_reply);
-  fleet_heartbeat = std::move(other558.fleet_heartbeat);
-  fleet_update = std::move(other558.fleet_update);
-  control_call = std::move(other558.control_call);
-  control_call_reply = std::move(other558.control_call_reply);
-  __isset = other558.__isset;
-}
-Envelope& Envelope::operator=(const Envelope& other559) {
-  from_node = other559.from_node;
-  from_incarnation = other559.from_incarnation;
-  to_node = other559.to_node;
-  raft = other559.raft;
-  heartbeat = other559.heartbeat;
-  heartbeat_reply = other559.heartbeat_reply;
-  claim_request = other559.claim_request;
-  claim_reply = other559.claim_reply;
-  resolution = other559.resolution;
-  operator_request = other559.operator_request;
-  operator_reply = other559.operator_reply;
-  resolution_reply = other559.resolution_reply;
-  fleet_heartbeat = other559.fleet_heartbeat;
-  fleet_update = other559.fleet_update;
-  control_call = other559.control_call;
-  control_call_reply = other559.control_call_reply;
-  __isset = other559.__isset;
-  return *this;
-}
-Envelope& Envelope::operator=(Envelope&& other560) noexcept {
-  from_node = std::move(other560.from_node);
-  from_incarnation = other560.from_incarnation;
-  to_node = std::move(other560.to_node);
-  raft = std::move(other560.raft);
-  heartbeat = std::move(other560.heartbeat);
-  heartbeat_reply = std::move(other560.heartbeat_reply);
-  claim_request = std::move(other560.claim_request);
-  claim_reply = std::move(other560.claim_reply);
-  resolution = std::move(other560.resolution);
-  operator_request = std::move(other560.operator_request);
-  operator_reply = std::move(other560.operator_reply);
-  resolution_reply = std::move(other560.resolution_reply);
-  fleet_heartbeat = std::move(other560.fleet_heartbeat);
-  fleet_update = std::move(other560.fleet_update);
-  control_call = std::move(other560.control_call);
-  control_call_reply = std::move(other560.control_call_reply);
-  __isset = other560.__isset;
+Envelope::Envelope(const Envelope& other598) {
+  from_node = other598.from_node;
+  from_incarnation = other598.from_incarnation;
+  to_node = other598.to_node;
+  raft = other598.raft;
+  heartbeat = other598.heartbeat;
+  heartbeat_reply = other598.heartbeat_reply;
+  claim_request = other598.claim_request;
+  claim_reply = other598.claim_reply;
+  resolution = other598.resolution;
+  operator_request = other598.operator_request;
+  operator_reply = other598.operator_reply;
+  resolution_reply = other598.resolution_reply;
+  fleet_heartbeat = other598.fleet_heartbeat;
+  fleet_update = other598.fleet_update;
+  control_call = other598.control_call;
+  control_call_reply = other598.control_call_reply;
+  slot_report = other598.slot_report;
+  slot_answer = other598.slot_answer;
+  __isset = other598.__isset;
+}
+Envelope::Envelope(Envelope&& other599) noexcept {
+  from_node = std::move(other599.from_node);
+  from_incarnation = other599.from_incarnation;
+  to_node = std::move(other599.to_node);
+  raft = std::move(other599.raft);
+  heartbeat = std::move(other599.heartbeat);
+  heartbeat_reply = std::move(other599.heartbeat_reply);
+  claim_request = std::move(other599.claim_request);
+  claim_reply = std::move(other599.claim_reply);
+  resolution = std::move(other599.resolution);
+  operator_request = std::move(other599.operator_request);
+  operator_reply = std::move(other599.operator_reply);
+  resolution_reply = std::move(other599.resolution_reply);
+  fleet_heartbeat = std::move(other599.fleet_heartbeat);
+  fleet_update = std::move(other599.fleet_update);
+  control_call = std::move(other599.control_call);
+  control_call_reply = std::move(other599.control_call_reply);
+  slot_report = std::move(other599.slot_report);
+  slot_answer = std::move(other599.slot_answer);
+  __isset = other599.__isset;
+}
+Envelope& Envelope::operator=(const Envelope& other600) {
+  from_node = other600.from_node;
+  from_incarnation = other600.from_incarnation;
+  to_node = other600.to_node;
+  raft = other600.raft;
+  heartbeat = other600.heartbeat;
+  heartbeat_reply = other600.heartbeat_reply;
+  claim_request = other600.claim_request;
+  claim_reply = other600.claim_reply;
+  resolution = other600.resolution;
+  operator_request = other600.operator_request;
+  operator_reply = other600.operator_reply;
+  resolution_reply = other600.resolution_reply;
+  fleet_heartbeat = other600.fleet_heartbeat;
+  fleet_update = other600.fleet_update;
+  control_call = other600.control_call;
+  control_call_reply = other600.control_call_reply;
+  slot_report = other600.slot_report;
+  slot_answer = other600.slot_answer;
+  __isset = other600.__isset;
+  return *this;
+}
+Envelope& Envelope::operator=(Envelope&& other601) noexcept {
+  from_node = std::move(other601.from_node);
+  from_incarnation = other601.from_incarnation;
+  to_node = std::move(other601.to_node);
+  raft = std::move(other601.raft);
+  heartbeat = std::move(other601.heartbeat);
+  heartbeat_reply = std::move(other601.heartbeat_reply);
+  claim_request = std::move(other601.claim_request);
+  claim_reply = std::move(other601.claim_reply);
+  resolution = std::move(other601.resolution);
+  operator_request = std::move(other601.operator_request);
+  operator_reply = std::move(other601.operator_reply);
+  resolution_reply = std::move(other601.resolution_reply);
+  fleet_heartbeat = std::move(other601.fleet_heartbeat);
+  fleet_update = std::move(other601.fleet_update);
+  control_call = std::move(other601.control_call);
+  control_call_reply = std::move(other601.control_call_reply);
+  slot_report = std::move(other601.slot_report);
+  slot_answer = std::move(other601.slot_answer);
+  __isset = other601.__isset;
   return *this;
 }
 void Envelope::printTo(std::ostream& out) const {
@@ -14713,6 +15720,8 @@
   out << ", " << "fleet_update="; (__isset.fleet_update ? (out << to_string(fleet_update)) : (out << "<null>"));
   out << ", " << "control_call="; (__isset.control_call ? (out << to_string(control_call)) : (out << "<null>"));
   out << ", " << "control_call_reply="; (__isset.control_call_reply ? (out << to_string(control_call_reply)) : (out << "<null>"));
+  out << ", " << "slot_report="; (__isset.slot_report ? (out << to_string(slot_report)) : (out << "<null>"));
+  out << ", " << "slot_answer="; (__isset.slot_answer ? (out << to_string(slot_answer)) : (out << "<null>"));
   out << ")";
 }
 
--- a/src/wire/gen-cpp/larchlever_types.h
+++ b/src/wire/gen-cpp/larchlever_types.h
@@ -174,6 +174,33 @@
 
 std::string to_string(const GroupPhase::type& val);
 
+struct SlotVerdict {
+  enum type {
+    /**
+     * The request is to be sent to `group`.
+     */
+    GRANTED = 0,
+    /**
+     * No slot is free yet; another answer follows within the request's patience.
+     */
+    QUEUED = 1,
+    /**
+     * No slot became free in time.
+     */
+    BUSY = 2,
+    /**
+     * The leader cannot tell: the entry decides by what it knows itself.
+     */
+    UNDECIDED = 3
+  };
+};
+
+extern const std::map<int, const char*> _SlotVerdict_VALUES_TO_NAMES;
+
+std::ostream& operator<<(std::ostream& out, const SlotVerdict::type& val);
+
+std::string to_string(const SlotVerdict::type& val);
+
 struct ControlCallKind {
   enum type {
     HEARTBEAT = 0,
@@ -313,6 +340,14 @@
 
 class FleetHeartbeat;
 
+class SlotRequest;
+
+class SlotGrant;
+
+class SlotReport;
+
+class SlotAnswer;
+
 class FleetUpdate;
 
 class ControlCall;
@@ -5054,7 +5089,7 @@
 std::ostream& operator<<(std::ostream& out, const GroupFailure& obj);
 
 typedef struct _FleetHeartbeat__isset {
-  _FleetHeartbeat__isset() : sequence(false), zone(false), replica_id(false), control_address(false), document_version(false), held_term(false), held_version(false), loads(false), demand(false), failures(false), leaving(false), serves_requests(false), traffic_seen(false), held_state(false) {}
+  _FleetHeartbeat__isset() : sequence(false), zone(false), replica_id(false), control_address(false), document_version(false), held_term(false), held_version(false), loads(false), demand(false), failures(false), leaving(false), serves_requests(false), traffic_seen(false), held_state(false), grants_term(false), grants_seen(false) {}
   bool sequence :1;
   bool zone :1;
   bool replica_id :1;
@@ -5069,6 +5104,8 @@
   bool serves_requests :1;
   bool traffic_seen :1;
   bool held_state :1;
+  bool grants_term :1;
+  bool grants_seen :1;
 } _FleetHeartbeat__isset;
 
 class FleetHeartbeat : public virtual ::apache::thrift::TBase {
@@ -5088,7 +5125,9 @@
                    held_version(0),
                    leaving(0),
                    serves_requests(0),
-                   traffic_seen(0) {
+                   traffic_seen(0),
+                   grants_term(0),
+                   grants_seen(0) {
   }
 
   virtual ~FleetHeartbeat() noexcept;
@@ -5118,6 +5157,11 @@
    * The copy held, sent when the leader asked for it.
    */
   FleetState held_state;
+  /**
+   * The last slot received, as in SlotReport: `loads` count it.
+   */
+  int64_t grants_term;
+  int64_t grants_seen;
 
   _FleetHeartbeat__isset __isset;
 
@@ -5149,6 +5193,10 @@
 
   void __set_held_state(const FleetState& val);
 
+  void __set_grants_term(const int64_t val);
+
+  void __set_grants_seen(const int64_t val);
+
   bool operator == (const FleetHeartbeat & rhs) const
   {
     if (!(sequence == rhs.sequence))
@@ -5181,6 +5229,10 @@
       return false;
     else if (__isset.held_state && !(held_state == rhs.held_state))
       return false;
+    if (!(grants_term == rhs.grants_term))
+      return false;
+    if (!(grants_seen == rhs.grants_seen))
+      return false;
     return true;
   }
   bool operator != (const FleetHeartbeat &rhs) const {
@@ -5199,6 +5251,344 @@
 
 std::ostream& operator<<(std::ostream& out, const FleetHeartbeat& obj);
 
+typedef struct _SlotRequest__isset {
+  _SlotRequest__isset() : id(false), service_name(false), model(false), prompt_tokens(false), first_event_ms(false), gap_ms(false), priority(false), is_retry(false), patience_ms(false), excluded_groups(false) {}
+  bool id :1;
+  bool service_name :1;
+  bool model :1;
+  bool prompt_tokens :1;
+  bool first_event_ms :1;
+  bool gap_ms :1;
+  bool priority :1;
+  bool is_retry :1;
+  bool patience_ms :1;
+  bool excluded_groups :1;
+} _SlotRequest__isset;
+
+/**
+ * An entry asks the leader for a slot of a group for one request.
+ */
+class SlotRequest : public virtual ::apache::thrift::TBase {
+ public:
+
+  SlotRequest(const SlotRequest&);
+  SlotRequest(SlotRequest&&) noexcept;
+  SlotRequest& operator=(const SlotRequest&);
+  SlotRequest& operator=(SlotRequest&&) noexcept;
+  SlotRequest() noexcept
+              : id(0),
+                service_name(),
+                model(),
+                prompt_tokens(0),
+                first_event_ms(0),
+                gap_ms(0),
+                priority(0),
+                is_retry(0),
+                patience_ms(0) {
+  }
+
+  virtual ~SlotRequest() noexcept;
+  /**
+   * Unique in the entry's life.
+   */
+  int64_t id;
+  std::string service_name;
+  std::string model;
+  int32_t prompt_tokens;
+  /**
+   * Milliseconds from now until the group must have brought the first event; zero when the route aims at none.
+   */
+  int32_t first_event_ms;
+  /**
+   * Longest pause between events that the route aims at, in milliseconds; zero for none.
+   */
+  int32_t gap_ms;
+  /**
+   * 0 is the most urgent.
+   */
+  int32_t priority;
+  /**
+   * The caller was refused before and has come back.
+   */
+  bool is_retry;
+  /**
+   * How long the request may wait for a slot, in milliseconds.
+   */
+  int32_t patience_ms;
+  /**
+   * Groups that the entry knows or believes to fail.
+   */
+  std::vector<std::string>  excluded_groups;
+
+  _SlotRequest__isset __isset;
+
+  void __set_id(const int64_t val);
+
+  void __set_service_name(const std::string& val);
+
+  void __set_model(const std::string& val);
+
+  void __set_prompt_tokens(const int32_t val);
+
+  void __set_first_event_ms(const int32_t val);
+
+  void __set_gap_ms(const int32_t val);
+
+  void __set_priority(const int32_t val);
+
+  void __set_is_retry(const bool val);
+
+  void __set_patience_ms(const int32_t val);
+
+  void __set_excluded_groups(const std::vector<std::string> & val);
+
+  bool operator == (const SlotRequest & rhs) const
+  {
+    if (!(id == rhs.id))
+      return false;
+    if (!(service_name == rhs.service_name))
+      return false;
+    if (!(model == rhs.model))
+      return false;
+    if (!(prompt_tokens == rhs.prompt_tokens))
+      return false;
+    if (!(first_event_ms == rhs.first_event_ms))
+      return false;
+    if (!(gap_ms == rhs.gap_ms))
+      return false;
+    if (!(priority == rhs.priority))
+      return false;
+    if (!(is_retry == rhs.is_retry))
+      return false;
+    if (!(patience_ms == rhs.patience_ms))
+      return false;
+    if (!(excluded_groups == rhs.excluded_groups))
+      return false;
+    return true;
+  }
+  bool operator != (const SlotRequest &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const SlotRequest & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(SlotRequest &a, SlotRequest &b);
+
+std::ostream& operator<<(std::ostream& out, const SlotRequest& obj);
+
+typedef struct _SlotGrant__isset {
+  _SlotGrant__isset() : id(false), sequence(false), verdict(false), group(false), expected_ms(false) {}
+  bool id :1;
+  bool sequence :1;
+  bool verdict :1;
+  bool group :1;
+  bool expected_ms :1;
+} _SlotGrant__isset;
+
+class SlotGrant : public virtual ::apache::thrift::TBase {
+ public:
+
+  SlotGrant(const SlotGrant&);
+  SlotGrant(SlotGrant&&) noexcept;
+  SlotGrant& operator=(const SlotGrant&);
+  SlotGrant& operator=(SlotGrant&&) noexcept;
+  SlotGrant() noexcept
+            : id(0),
+              sequence(0),
+              verdict(static_cast<SlotVerdict::type>(0)),
+              group(),
+              expected_ms(0) {
+  }
+
+  virtual ~SlotGrant() noexcept;
+  /**
+   * Id of the request.
+   */
+  int64_t id;
+  /**
+   * Rises with each slot granted to the entry in the leader's term.
+   */
+  int64_t sequence;
+  /**
+   * 
+   * @see SlotVerdict
+   */
+  SlotVerdict::type verdict;
+  std::string group;
+  /**
+   * Milliseconds after which the group's first event is expected.
+   */
+  int32_t expected_ms;
+
+  _SlotGrant__isset __isset;
+
+  void __set_id(const int64_t val);
+
+  void __set_sequence(const int64_t val);
+
+  void __set_verdict(const SlotVerdict::type val);
+
+  void __set_group(const std::string& val);
+
+  void __set_expected_ms(const int32_t val);
+
+  bool operator == (const SlotGrant & rhs) const
+  {
+    if (!(id == rhs.id))
+      return false;
+    if (!(sequence == rhs.sequence))
+      return false;
+    if (!(verdict == rhs.verdict))
+      return false;
+    if (!(group == rhs.group))
+      return false;
+    if (!(expected_ms == rhs.expected_ms))
+      return false;
+    return true;
+  }
+  bool operator != (const SlotGrant &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const SlotGrant & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(SlotGrant &a, SlotGrant &b);
+
+std::ostream& operator<<(std::ostream& out, const SlotGrant& obj);
+
+typedef struct _SlotReport__isset {
+  _SlotReport__isset() : requests(false), loads(false), grants_term(false), grants_seen(false) {}
+  bool requests :1;
+  bool loads :1;
+  bool grants_term :1;
+  bool grants_seen :1;
+} _SlotReport__isset;
+
+/**
+ * An entry's questions, and its load where it changed since it last told.
+ */
+class SlotReport : public virtual ::apache::thrift::TBase {
+ public:
+
+  SlotReport(const SlotReport&);
+  SlotReport(SlotReport&&) noexcept;
+  SlotReport& operator=(const SlotReport&);
+  SlotReport& operator=(SlotReport&&) noexcept;
+  SlotReport() noexcept
+             : grants_term(0),
+               grants_seen(0) {
+  }
+
+  virtual ~SlotReport() noexcept;
+  std::vector<SlotRequest>  requests;
+  std::vector<GroupLoad>  loads;
+  /**
+   * The last slot received, by the term and sequence it came under: `loads` count it.
+   */
+  int64_t grants_term;
+  int64_t grants_seen;
+
+  _SlotReport__isset __isset;
+
+  void __set_requests(const std::vector<SlotRequest> & val);
+
+  void __set_loads(const std::vector<GroupLoad> & val);
+
+  void __set_grants_term(const int64_t val);
+
+  void __set_grants_seen(const int64_t val);
+
+  bool operator == (const SlotReport & rhs) const
+  {
+    if (!(requests == rhs.requests))
+      return false;
+    if (!(loads == rhs.loads))
+      return false;
+    if (!(grants_term == rhs.grants_term))
+      return false;
+    if (!(grants_seen == rhs.grants_seen))
+      return false;
+    return true;
+  }
+  bool operator != (const SlotReport &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const SlotReport & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(SlotReport &a, SlotReport &b);
+
+std::ostream& operator<<(std::ostream& out, const SlotReport& obj);
+
+typedef struct _SlotAnswer__isset {
+  _SlotAnswer__isset() : term(false), grants(false) {}
+  bool term :1;
+  bool grants :1;
+} _SlotAnswer__isset;
+
+class SlotAnswer : public virtual ::apache::thrift::TBase {
+ public:
+
+  SlotAnswer(const SlotAnswer&);
+  SlotAnswer(SlotAnswer&&) noexcept;
+  SlotAnswer& operator=(const SlotAnswer&);
+  SlotAnswer& operator=(SlotAnswer&&) noexcept;
+  SlotAnswer() noexcept
+             : term(0) {
+  }
+
+  virtual ~SlotAnswer() noexcept;
+  int64_t term;
+  std::vector<SlotGrant>  grants;
+
+  _SlotAnswer__isset __isset;
+
+  void __set_term(const int64_t val);
+
+  void __set_grants(const std::vector<SlotGrant> & val);
+
+  bool operator == (const SlotAnswer & rhs) const
+  {
+    if (!(term == rhs.term))
+      return false;
+    if (!(grants == rhs.grants))
+      return false;
+    return true;
+  }
+  bool operator != (const SlotAnswer &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const SlotAnswer & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(SlotAnswer &a, SlotAnswer &b);
+
+std::ostream& operator<<(std::ostream& out, const SlotAnswer& obj);
+
 typedef struct _FleetUpdate__isset {
   _FleetUpdate__isset() : sequence(false), not_leader(false), leader(false), control_peers(false), term(false), document_version(false), state(false), loads(false), serving_nodes(false), wants_state(false), state_change(false), wants_confirmation(false), document(false) {}
   bool sequence :1;
@@ -5489,7 +5879,7 @@
 std::ostream& operator<<(std::ostream& out, const ControlCallReply& obj);
 
 typedef struct _Envelope__isset {
-  _Envelope__isset() : from_node(false), from_incarnation(false), to_node(false), raft(false), heartbeat(false), heartbeat_reply(false), claim_request(false), claim_reply(false), resolution(false), operator_request(false), operator_reply(false), resolution_reply(false), fleet_heartbeat(false), fleet_update(false), control_call(false), control_call_reply(false) {}
+  _Envelope__isset() : from_node(false), from_incarnation(false), to_node(false), raft(false), heartbeat(false), heartbeat_reply(false), claim_request(false), claim_reply(false), resolution(false), operator_request(false), operator_reply(false), resolution_reply(false), fleet_heartbeat(false), fleet_update(false), control_call(false), control_call_reply(false), slot_report(false), slot_answer(false) {}
   bool from_node :1;
   bool from_incarnation :1;
   bool to_node :1;
@@ -5506,6 +5896,8 @@
   bool fleet_update :1;
   bool control_call :1;
   bool control_call_reply :1;
+  bool slot_report :1;
+  bool slot_answer :1;
 } _Envelope__isset;
 
 class Envelope : public virtual ::apache::thrift::TBase {
@@ -5538,6 +5930,8 @@
   FleetUpdate fleet_update;
   ControlCall control_call;
   ControlCallReply control_call_reply;
+  SlotReport slot_report;
+  SlotAnswer slot_answer;
 
   _Envelope__isset __isset;
 
@@ -5573,6 +5967,10 @@
 
   void __set_control_call_reply(const ControlCallReply& val);
 
+  void __set_slot_report(const SlotReport& val);
+
+  void __set_slot_answer(const SlotAnswer& val);
+
   bool operator == (const Envelope & rhs) const
   {
     if (!(from_node == rhs.from_node))
@@ -5633,6 +6031,14 @@
       return false;
     else if (__isset.control_call_reply && !(control_call_reply == rhs.control_call_reply))
       return false;
+    if (__isset.slot_report != rhs.__isset.slot_report)
+      return false;
+    else if (__isset.slot_report && !(slot_report == rhs.slot_report))
+      return false;
+    if (__isset.slot_answer != rhs.__isset.slot_answer)
+      return false;
+    else if (__isset.slot_answer && !(slot_answer == rhs.slot_answer))
+      return false;
     return true;
   }
   bool operator != (const Envelope &rhs) const {
--- a/src/wire/larchlever.thrift
+++ b/src/wire/larchlever.thrift
@@ -609,6 +609,66 @@
   13: bool traffic_seen,
   /** The copy held, sent when the leader asked for it. */
   14: optional FleetState held_state,
+  /** The last slot received, as in SlotReport: `loads` count it. */
+  15: i64 grants_term,
+  16: i64 grants_seen,
+}
+
+/** An entry asks the leader for a slot of a group for one request. */
+struct SlotRequest {
+  /** Unique in the entry's life. */
+  1: i64 id,
+  2: string service_name,
+  3: string model,
+  4: i32 prompt_tokens,
+  /** Milliseconds from now until the group must have brought the first event; zero when the route aims at none. */
+  5: i32 first_event_ms,
+  /** Longest pause between events that the route aims at, in milliseconds; zero for none. */
+  6: i32 gap_ms,
+  /** 0 is the most urgent. */
+  7: i32 priority,
+  /** The caller was refused before and has come back. */
+  8: bool is_retry,
+  /** How long the request may wait for a slot, in milliseconds. */
+  9: i32 patience_ms,
+  /** Groups that the entry knows or believes to fail. */
+  10: list<string> excluded_groups,
+}
+
+enum SlotVerdict {
+  /** The request is to be sent to `group`. */
+  GRANTED = 0,
+  /** No slot is free yet; another answer follows within the request's patience. */
+  QUEUED = 1,
+  /** No slot became free in time. */
+  BUSY = 2,
+  /** The leader cannot tell: the entry decides by what it knows itself. */
+  UNDECIDED = 3,
+}
+
+struct SlotGrant {
+  /** Id of the request. */
+  1: i64 id,
+  /** Rises with each slot granted to the entry in the leader's term. */
+  2: i64 sequence,
+  3: SlotVerdict verdict,
+  4: string group,
+  /** Milliseconds after which the group's first event is expected. */
+  5: i32 expected_ms,
+}
+
+/** An entry's questions, and its load where it changed since it last told. */
+struct SlotReport {
+  1: list<SlotRequest> requests,
+  2: list<GroupLoad> loads,
+  /** The last slot received, by the term and sequence it came under: `loads` count it. */
+  3: i64 grants_term,
+  4: i64 grants_seen,
+}
+
+struct SlotAnswer {
+  1: i64 term,
+  2: list<SlotGrant> grants,
 }
 
 /** Answer to a heartbeat (sequence set), or a push of news (sequence zero). */
@@ -669,4 +729,6 @@
   14: optional FleetUpdate fleet_update,
   15: optional ControlCall control_call,
   16: optional ControlCallReply control_call_reply,
+  17: optional SlotReport slot_report,
+  18: optional SlotAnswer slot_answer,
 }
--- /dev/null
+++ b/tests/unit/slot_scheduler_test.cc
@@ -0,0 +1,223 @@
+#include "core/fleet/slot_scheduler.h"
+
+#include <gtest/gtest.h>
+
+#include "core/engine/cost_model.h"
+#include "core/engine/pass_clock.h"
+#include "core/requests/latency_estimate.h"
+
+namespace larchlever::fleet {
+namespace {
+
+const TimePoint kStart = TimePoint(seconds(100));
+constexpr int64_t kTerm = 7;
+
+/// Ten slots; a pass writes for 50 ms and reads 50 tokens a millisecond.
+document::ConfigurationDocument engine_document() {
+  document::ServiceSpec service;
+  service.name = "s";
+  auto& engine = service.engine.emplace();
+  engine.slots = 10;
+  engine.step_ms = 10;
+  engine.steps_per_pass = 5;
+  engine.chunk_tokens = 2000;
+  engine.read_tokens_per_second = 50'000;
+  engine.models.push_back({"m", 2, 1.0, 1.0, {}, {}});
+  document::ConfigurationDocument document;
+  document.services["s"] = service;
+  return document;
+}
+
+wire::EngineGroup open_group(const std::string& name) {
+  wire::EngineGroup group;
+  group.name = name;
+  group.service_name = "s";
+  group.model = "m";
+  group.phase = wire::GroupPhase::OPEN;
+  return group;
+}
+
+wire::SlotRequest question(int64_t id, int prompt_tokens = 500) {
+  wire::SlotRequest request;
+  request.id = id;
+  request.service_name = "s";
+  request.model = "m";
+  request.prompt_tokens = prompt_tokens;
+  request.first_event_ms = 400;
+  request.gap_ms = 250;
+  request.patience_ms = 80;
+  return request;
+}
+
+class SlotSchedulerTest : public testing::Test {
+ protected:
+  SlotSchedulerTest() {
+    scheduler_.start(kTerm);
+    scheduler_.set_groups({open_group("g1"), open_group("g2")});
+  }
+
+  /// The last verdict on a request that is put now.
+  wire::SlotGrant ask(TimePoint now, const wire::SlotRequest& request, const std::string& node = "n1") {
+    scheduler_.add_request(now, node, request);
+    const auto decisions = scheduler_.decide(now, document_);
+    return decisions.empty() ? wire::SlotGrant() : decisions.back().grant;
+  }
+
+  document::ConfigurationDocument document_ = engine_document();
+  SlotScheduler scheduler_;
+};
+
+TEST_F(SlotSchedulerTest, SpreadsRequestsOfAllEntriesAtOnce) {
+  std::map<std::string, int> granted;
+  for (int id = 0; id < 4; ++id) {
+    const auto grant = ask(kStart, question(id), "n" + std::to_string(id));
+    ASSERT_EQ(grant.verdict, wire::SlotVerdict::GRANTED);
+    ++granted[grant.group];
+  }
+  EXPECT_EQ(granted["g1"], 2);
+  EXPECT_EQ(granted["g2"], 2);
+}
+
+TEST_F(SlotSchedulerTest, LetsNoPassGrowBeyondTheObjectiveForPauses) {
+  // Of 250 ms, 85 in 100 may be used: 50 ms write, so 8,000 tokens may be read in a pass.
+  int granted = 0;
+  for (int id = 0; id < 20; ++id) {
+    granted += ask(kStart, question(id, 2'500)).verdict == wire::SlotVerdict::GRANTED ? 1 : 0;
+  }
+  EXPECT_EQ(granted, 8) << "one in the pass that begins at once, three in the next one, in each group";
+  EXPECT_EQ(ask(kStart + milliseconds(50), question(50, 2'500)).verdict, wire::SlotVerdict::QUEUED);
+  EXPECT_EQ(ask(kStart + milliseconds(150), question(51, 2'500)).verdict, wire::SlotVerdict::GRANTED)
+      << "the next pass has begun";
+}
+
+TEST_F(SlotSchedulerTest, NeverGrantsMoreThanTheSlots) {
+  int granted = 0;
+  for (int id = 0; id < 60; ++id) {
+    granted += ask(kStart + milliseconds(200) * id, question(id, 10)).verdict == wire::SlotVerdict::GRANTED ? 1 : 0;
+  }
+  EXPECT_EQ(granted, 20);
+}
+
+TEST_F(SlotSchedulerTest, CountsASlotOnceWhetherReportedOrNot) {
+  const auto grant = ask(kStart, question(1));
+  EXPECT_EQ(scheduler_.in_flight(grant.group), 1);
+  wire::GroupLoad load;
+  load.group = grant.group;
+  load.in_flight = 1;
+  scheduler_.note_loads("n1", {load}, false, kTerm, 0);
+  EXPECT_EQ(scheduler_.in_flight(grant.group), 2) << "the report was made before the slot arrived";
+  scheduler_.note_loads("n1", {load}, false, kTerm - 1, grant.sequence);
+  EXPECT_EQ(scheduler_.in_flight(grant.group), 2) << "the number is another leader's";
+  scheduler_.note_loads("n1", {load}, false, kTerm, grant.sequence);
+  EXPECT_EQ(scheduler_.in_flight(grant.group), 1);
+  scheduler_.note_loads("n1", {}, true, kTerm, grant.sequence);
+  EXPECT_EQ(scheduler_.in_flight(grant.group), 0);
+}
+
+TEST_F(SlotSchedulerTest, ALostNodeGivesItsSlotsBack) {
+  const auto grant = ask(kStart, question(1));
+  wire::GroupLoad load;
+  load.group = "g1";
+  load.in_flight = 4;
+  scheduler_.note_loads("n1", {load}, true, kTerm, 0);
+  scheduler_.forget_node("n1");
+  EXPECT_EQ(scheduler_.in_flight("g1"), 0);
+  EXPECT_EQ(scheduler_.in_flight(grant.group), 0);
+}
+
+TEST_F(SlotSchedulerTest, ARequestWithoutRoomWaitsAndIsRefusedWhenItsPatienceEnds) {
+  wire::GroupLoad full;
+  full.in_flight = 10;
+  for (const auto* group : {"g1", "g2"}) {
+    full.group = group;
+    scheduler_.note_loads("n2", {full}, false, kTerm, 0);
+  }
+  EXPECT_EQ(ask(kStart, question(1)).verdict, wire::SlotVerdict::QUEUED);
+  EXPECT_TRUE(scheduler_.decide(kStart + milliseconds(40), document_).empty()) << "told once";
+  const auto decisions = scheduler_.decide(kStart + milliseconds(81), document_);
+  ASSERT_EQ(decisions.size(), 1U);
+  EXPECT_EQ(decisions.front().grant.verdict, wire::SlotVerdict::BUSY);
+  EXPECT_EQ(scheduler_.waiting(), 0U);
+}
+
+TEST_F(SlotSchedulerTest, RoomGoesToTheMostUrgentThatWaits) {
+  wire::GroupLoad full;
+  full.in_flight = 10;
+  for (const auto* group : {"g1", "g2"}) {
+    full.group = group;
+    scheduler_.note_loads("n2", {full}, false, kTerm, 0);
+  }
+  auto ordinary = question(1);
+  ordinary.priority = 3;
+  auto urgent = question(2);
+  urgent.priority = 1;
+  ask(kStart, ordinary);
+  ask(kStart, urgent);
+  full.in_flight = 9;
+  scheduler_.note_loads("n2", {full}, false, kTerm, 0);
+  const auto decisions = scheduler_.decide(kStart + milliseconds(10), document_);
+  ASSERT_EQ(decisions.size(), 1U);
+  EXPECT_EQ(decisions.front().grant.id, 2);
+}
+
+TEST_F(SlotSchedulerTest, LeavesTheDecisionToTheEntryWhereItKnowsNoGroup) {
+  auto request = question(1);
+  request.model = "other";
+  EXPECT_EQ(ask(kStart, request).verdict, wire::SlotVerdict::UNDECIDED);
+  auto closed = open_group("g1");
+  closed.phase = wire::GroupPhase::DRAINING;
+  scheduler_.set_groups({closed});
+  EXPECT_EQ(ask(kStart, question(2)).verdict, wire::SlotVerdict::UNDECIDED);
+}
+
+TEST_F(SlotSchedulerTest, SendsNothingToGroupsThatTheEntryAvoids) {
+  for (int id = 0; id < 4; ++id) {
+    auto request = question(id);
+    request.excluded_groups = {"g1"};
+    EXPECT_EQ(ask(kStart, request).group, "g2");
+  }
+}
+
+TEST_F(SlotSchedulerTest, APromptThatIsLateAnywhereIsNotHeldBack) {
+  auto request = question(1, 40'000);
+  EXPECT_EQ(ask(kStart, request).verdict, wire::SlotVerdict::GRANTED);
+}
+
+// ---------------------------------------------------------------- forecasts
+
+TEST(PassClock, PromptsWaitForThePassUnderWayAndShareTheNext) {
+  const auto document = engine_document();
+  const auto& engine = *document.services.at("s").engine;
+  const auto& model = engine.models.front();
+  engine::PassClock clock;
+  EXPECT_EQ(clock.forecast(kStart, engine, model, 0, 500).first_event, milliseconds(60));
+  clock.add(kStart, engine, model, 1, 500);
+  // A pass without reading runs until 50 ms; the next one reads both prompts.
+  const auto next = clock.forecast(kStart, engine, model, 1, 1'000);
+  EXPECT_EQ(next.first_event, milliseconds(50 + 50 + 30));
+  EXPECT_EQ(next.longest_pass, milliseconds(80));
+  EXPECT_EQ(clock.forecast(kStart + seconds(1), engine, model, 1, 0).longest_pass, milliseconds(50)) << "all was read";
+}
+
+TEST(PassClock, APassReadsNoMoreThanItsSteps) {
+  const auto document = engine_document();
+  const auto& engine = *document.services.at("s").engine;
+  const auto& model = engine.models.front();
+  engine::PassClock clock;
+  const auto forecast = clock.forecast(kStart, engine, model, 0, 15'000);
+  EXPECT_EQ(forecast.longest_pass, milliseconds(250)) << "10,000 tokens";
+  EXPECT_EQ(forecast.first_event, milliseconds(250 + 150));
+}
+
+TEST(LatencyEstimate, FollowsMeanAndSpread) {
+  requests::LatencyEstimate estimate;
+  EXPECT_FALSE(estimate.is_measured());
+  for (int count = 0; count < 200; ++count) {
+    estimate.note(milliseconds(count % 2 == 0 ? 90 : 110));
+  }
+  EXPECT_NEAR(static_cast<double>(estimate.mean() / milliseconds(1)), 100, 3);
+  EXPECT_NEAR(static_cast<double>(estimate.upper(1) / milliseconds(1)), 110, 4);
+}
+
+}  // namespace
+}  // namespace larchlever::fleet
