Reckon reading per pass by all its steps; free servers hold weights for both models; give groups up under need only

Change: reading is bounded by chunk times steps; a group is given up only when the needy model's demand fills 0.85 of its groups and the relief is a tenth; a free server joins a group of one, which nobody opens, to hold the model that needs most servers, and stages another. Loads that no group waits for leave half (a third) of the store's places free. A test expected the old bound on reading; it now checks the arithmetic, and the old expectation at a fifth of the chunk.

--- a/src/core/engine/cost_model.cc
+++ b/src/core/engine/cost_model.cc
@@ -25,6 +25,10 @@
 
 }  // namespace
 
+double tokens_per_pass(const document::EngineSpec& engine) {
+  return static_cast<double>(engine.chunk_tokens) * engine.steps_per_pass;
+}
+
 GroupForecast forecast(const document::EngineSpec& engine, const document::ModelSpec& model, const RequestSizes& sizes,
                        int running) {
   const double count = running;
@@ -37,7 +41,7 @@
   const double pass_ms = model.pace * (engine.steps_per_pass * step_ms + reading_ms);
   GroupForecast result;
   result.pass = from_milliseconds(pass_ms);
-  result.reading_load = arrivals_per_pass * sizes.prompt / engine.chunk_tokens;
+  result.reading_load = arrivals_per_pass * sizes.prompt / tokens_per_pass(engine);
   const double load = std::min(result.reading_load, kSaturated);
   // Prompts differ much in size, so the wait of a queue with random service times is taken.
   result.first_event = from_milliseconds(pass_ms * (kPassesAlone + load / (1.0 - load)));
@@ -58,10 +62,6 @@
   return pass_length(engine, model, engine.slots, tokens_per_pass(engine));
 }
 
-double tokens_per_pass(const document::EngineSpec& engine) {
-  return static_cast<double>(engine.chunk_tokens) * engine.steps_per_pass;
-}
-
 Duration pass_length(const document::EngineSpec& engine, const document::ModelSpec& model, int running,
                      double read_tokens) {
   const double step_ms = engine.step_ms + engine.per_sequence_ms * running;
--- a/src/core/fleet/group_formation.cc
+++ b/src/core/fleet/group_formation.cc
@@ -13,7 +13,9 @@
 constexpr double kIdleNeed = 0.25;
 /// How long servers that were given up are kept for the model that wants them, once the last of them is free.
 constexpr Duration kReservationTime = milliseconds(400);
-/// Part of the loads that the store bears at once that precautions may take.
+/// Parts of the loads that the store bears at once that may be taken by what no group waits for; the rest is kept for
+/// repairs, which a load under way would slow down.
+constexpr int kStandbyPart = 2;
 constexpr int kPrecautionPart = 3;
 /// A staging that was not reported within this many load times is ordered again.
 constexpr int kStagingPatience = 2;
@@ -86,7 +88,7 @@
     const auto owner = owners_.find(id);
     const auto& membership = instance.membership;
     const bool unattached = membership.group.empty() || membership.state == wire::MembershipState::NONE ||
-                            dissolved_.contains(membership.group);
+                            is_holding_group(membership.group) || dissolved_.contains(membership.group);
     if (owner == owners_.end() && !unattached) {
       continue;
     }
@@ -148,33 +150,51 @@
     const auto* instance = directory.find(item.first);
     const auto* model = engine.find_model(item.second.model);
     const bool gone = instance == nullptr || instance->state == wire::InstanceState::GONE || model == nullptr;
-    return gone || has_staged(*instance, item.second.model) ||
-           now - item.second.since > kStagingPatience * model->load_time;
+    const bool is_loaded = !gone && (instance->model == item.second.model || has_staged(*instance, item.second.model));
+    return gone || is_loaded || now - item.second.since > kStagingPatience * model->load_time;
   });
 }
 
+bool GroupSupervisor::is_worth_a_load(const StagingPlan& plan, const document::EngineSpec& engine,
+                                      const InstanceDirectory& directory) const {
+  if (plan.priority == LoadPriority::kRepair || !limiter_.traffic_seen()) {
+    return true;
+  }
+  const int part = plan.priority == LoadPriority::kStandby ? kStandbyPart : kPrecautionPart;
+  return loads_under_way(directory) < static_cast<size_t>(engine.loads_at_once / part);
+}
+
 void GroupSupervisor::stage_weights(TimePoint now, const document::EngineSpec& engine,
                                     const std::vector<StagingPlan>& plans, const InstanceDirectory& directory) {
   forget_finished_stagings(now, engine, directory);
   for (const auto& plan : plans) {
-    // Precautions only while the store has little else to do.
-    const auto spare_loads = static_cast<size_t>(engine.loads_at_once / kPrecautionPart);
-    const bool worthwhile = plan.is_urgent || !limiter_.traffic_seen() || loads_under_way(directory) < spare_loads;
-    if (staging_.contains(plan.server) || !worthwhile) {
+    const auto* instance = directory.find(plan.server);
+    if (instance == nullptr || staging_.contains(plan.server) || !is_worth_a_load(plan, engine, directory)) {
       continue;
     }
-    if (!may_load(now, engine, directory, 1)) {
+    const size_t loads = plan.into_accelerators && has_staged(*instance, plan.model) ? 0 : 1;
+    if (!may_load(now, engine, directory, loads)) {
       return;
     }
-    limiter_.note_begun(now, 1);
+    limiter_.note_begun(now, loads);
     staging_[plan.server] = {plan.model, now};
-    InstanceOrder order;
-    order.kind = OrderKind::kStage;
-    order.instance_id = plan.server;
-    order.fence = term_;
-    order.model = plan.model;
-    send(now, order, directory);
+    order_staging(now, plan, directory);
+  }
+}
+
+void GroupSupervisor::order_staging(TimePoint now, const StagingPlan& plan, const InstanceDirectory& directory) {
+  InstanceOrder order;
+  order.kind = plan.into_accelerators ? OrderKind::kJoin : OrderKind::kStage;
+  order.instance_id = plan.server;
+  order.fence = term_;
+  order.model = plan.model;
+  if (plan.into_accelerators) {
+    // A group of its own, which nobody ever opens: joining it loads the weights.
+    order.epoch = next_epoch();
+    order.group = holding_group_name(term_, order.epoch);
+    order.members = {plan.server};
   }
+  send(now, order, directory);
 }
 
 bool GroupSupervisor::give_up_groups(TimePoint now, const GroupPlanner& planner) {
--- a/src/core/fleet/group_planner.cc
+++ b/src/core/fleet/group_planner.cc
@@ -1,8 +1,6 @@
 #include "core/fleet/group_planner.h"
 
 #include <algorithm>
-#include <limits>
-#include <set>
 #include <tuple>
 
 namespace larchlever::fleet {
@@ -11,8 +9,13 @@
 
 /// Keeps the pressure of a model without groups finite, and in order of need.
 constexpr double kNoGroups = 1e-3;
-/// Giving up a group must lower the highest pressure at least to this share of it.
-constexpr double kWorthwhileRelief = 0.95;
+/// Giving up a group must lower the highest pressure at least to this share of it: its servers are out for a drain and
+/// a warm join, some seconds, and the demand is known within some percent.
+constexpr double kWorthwhileRelief = 0.9;
+/// A model whose groups are filled to less than this part by its demand needs no more servers.
+constexpr double kPressed = 0.85;
+/// Weighs weights that a free server holds on its host above any difference of needs.
+constexpr double kHeldWeights = 1e9;
 /// A group may exceed its model's part of the servers by this share of its size.
 constexpr double kOvershoot = 0.5;
 
@@ -214,6 +217,9 @@
   }
   const auto* needy = by_pressure().front();
   const double held = groups_held(needy->model->name);
+  if (pressure(*needy, held) < kPressed) {
+    return std::nullopt;
+  }
   std::optional<GiveUpPlan> result;
   double best = pressure(*needy, held) * kWorthwhileRelief;
   for (const auto& donor : input_.needs) {
@@ -233,27 +239,16 @@
   return result;
 }
 
-const document::ModelSpec* GroupPlanner::spare_model(
-    const std::string& domain, const std::map<std::string, std::map<std::string, size_t>>& planned) const {
+const document::ModelSpec* GroupPlanner::spare_model(const PlannedServer& server) const {
   const document::ModelSpec* best = nullptr;
-  double fewest = std::numeric_limits<double>::max();
-  for (const auto* need : by_pressure()) {
-    const auto& name = need->model->name;
-    std::set<std::string> groups_here;
-    for (const size_t index : by_domain_.at(domain)) {
-      const auto group = groups_.find(input_.servers[index].group);
-      if (group != groups_.end() && group->second.model == name) {
-        groups_here.insert(group->first);
-      }
-    }
-    const auto of_domain = planned.find(domain);
-    const bool is_planned = of_domain != planned.end() && of_domain->second.contains(name);
-    const size_t spares = warm_free_servers(domain, name) + (is_planned ? of_domain->second.at(name) : 0);
-    const double spares_per_group =
-        static_cast<double>(spares) / std::max<double>(1.0, static_cast<double>(groups_here.size()));
-    if (spares_per_group < fewest) {
-      fewest = spares_per_group;
-      best = need->model;
+  double most = -1;
+  for (const auto& need : input_.needs) {
+    // Weights on the host already need no load.
+    const double servers =
+        need.groups_needed * need.model->size + (server.has_staged(need.model->name) ? kHeldWeights : 0);
+    if (servers > most) {
+      most = servers;
+      best = need.model;
     }
   }
   return best;
@@ -273,40 +268,39 @@
 }
 
 std::vector<StagingPlan> GroupPlanner::stagings() const {
-  std::vector<StagingPlan> needed;
-  std::vector<StagingPlan> for_larger_models;
-  std::vector<StagingPlan> precautions;
-  std::map<std::string, std::map<std::string, size_t>> planned;
+  std::map<LoadPriority, std::vector<StagingPlan>> plans;
   for (const auto& server : input_.servers) {
     const auto group = groups_.find(server.group);
-    const bool settled = server.group.empty() || (group != groups_.end() && group->second.is_open);
-    if (!settled) {
+    const bool is_free = server.group.empty();
+    const bool is_settled = is_free || (group != groups_.end() && group->second.is_open);
+    if (!is_settled || input_.needs.empty()) {
       continue;
     }
-    if (server.loaded_model.empty() && server.staged_models.empty()) {
-      const auto& model = spare_model(server.domain, planned)->name;
-      ++planned[server.domain][model];
-      needed.push_back({server.id, model, true});
+    if (is_free && server.loaded_model.empty()) {
+      plans[LoadPriority::kRepair].push_back({server.id, spare_model(server)->name, LoadPriority::kRepair, true});
       continue;
     }
     const auto* standby = standby_model(server);
     if (server.loaded_model.empty() || standby == nullptr || server.has_staged(standby->name)) {
       continue;
     }
-    const auto* loaded = std::find_if(input_.needs.data(), input_.needs.data() + input_.needs.size(),
-                                      [&](const auto& need) { return need.model->name == server.loaded_model; });
-    const bool is_larger = loaded == input_.needs.data() + input_.needs.size() || standby->size > loaded->model->size;
-    auto& list = is_larger ? for_larger_models : precautions;
-    list.push_back({server.id, standby->name, is_larger});
+    const auto loaded = std::find_if(input_.needs.begin(), input_.needs.end(),
+                                     [&](const auto& need) { return need.model->name == server.loaded_model; });
+    const bool is_larger = loaded == input_.needs.end() || standby->size > loaded->model->size;
+    const auto priority = is_larger || is_free ? LoadPriority::kStandby : LoadPriority::kPrecaution;
+    plans[priority].push_back({server.id, standby->name, priority, false});
   }
   // First where the fewest are lacking for a group.
-  std::stable_sort(needed.begin(), needed.end(), [this](const auto& left, const auto& right) {
+  auto& repairs = plans[LoadPriority::kRepair];
+  std::stable_sort(repairs.begin(), repairs.end(), [this](const auto& left, const auto& right) {
     return warm_free_servers(domains_.at(left.server), left.model) >
            warm_free_servers(domains_.at(right.server), right.model);
   });
-  needed.insert(needed.end(), for_larger_models.begin(), for_larger_models.end());
-  needed.insert(needed.end(), precautions.begin(), precautions.end());
-  return needed;
+  std::vector<StagingPlan> result;
+  for (const auto& [priority, list] : plans) {
+    result.insert(result.end(), list.begin(), list.end());
+  }
+  return result;
 }
 
 }  // namespace larchlever::fleet
--- a/src/core/fleet/group_planner.h
+++ b/src/core/fleet/group_planner.h
@@ -72,19 +72,28 @@
   std::string model;
 };
 
-/// Weights that a server should hold on its host.
+/// How much a load of weights is worth while loads are dear.
+enum class LoadPriority {
+  kRepair,     ///< A free server holds nothing: no group can use it without a load.
+  kStandby,    ///< A server serves a small model, and its weights would not help a larger one.
+  kPrecaution  ///< A group's survivors find other use as well.
+};
+
+/// Weights that a server should hold besides the work it does now.
 struct StagingPlan {
   std::string server;
   std::string model;
-  /// Worth a load also while loads are dear. Otherwise only a precaution.
-  bool is_urgent = false;
+  LoadPriority priority = LoadPriority::kPrecaution;
+  /// Into a free server's accelerators, so that it joins a group at once; otherwise onto its host.
+  bool into_accelerators = false;
 };
 
 /// Plans for one engine service.
 ///
 /// Models are spread over the fabric domains, and servers hold the weights of another model than the one they serve on
 /// their hosts: a group that lost a member is completed within a warm join out of its own domain, by a free server or
-/// by giving up a group of a model that can spare it.
+/// by giving up a group of a model that can spare it. Free servers hold the model that needs most servers in their
+/// accelerators and another one on their hosts, so that they are of use for both.
 ///
 /// Deterministic. Not thread-safe.
 class GroupPlanner {
@@ -120,9 +129,8 @@
   /// Open groups of `donor` in one domain that would let a group of `model` form there without a load; empty if none.
   std::vector<std::string> donors_in(const std::string& domain, const document::ModelSpec& model,
                                      const std::string& donor) const;
-  /// The model whose weights a server that holds none should get: the one that its domain's spares can help least.
-  const document::ModelSpec* spare_model(const std::string& domain,
-                                         const std::map<std::string, std::map<std::string, size_t>>& planned) const;
+  /// The model that most servers of the domain work for, or would if all its groups were whole.
+  const document::ModelSpec* spare_model(const PlannedServer& server) const;
   /// The model that a server should hold besides the one it serves.
   const document::ModelSpec* standby_model(const PlannedServer& server) const;
 
--- a/src/core/fleet/group_supervisor.cc
+++ b/src/core/fleet/group_supervisor.cc
@@ -1,6 +1,7 @@
 #include "core/fleet/group_supervisor.h"
 
 #include <algorithm>
+#include <string_view>
 
 #include "core/base/http_status.h"
 
@@ -23,8 +24,8 @@
 
 /// A member of a group that failed is not given to another group before it was heard again; by then it is silent.
 constexpr Duration kSuspicionMemory = seconds(5);
-/// Names the group of one that fences a head.
-constexpr const char* kFenceSuffix = "-fence";
+/// Ends the names of groups of one.
+constexpr std::string_view kHoldingSuffix = "-single";
 
 bool reports(const wire::Instance& instance, const wire::EngineGroup& group) {
   return instance.membership.group == group.name && instance.membership.epoch == group.epoch;
@@ -82,6 +83,12 @@
   return "";
 }
 
+std::string holding_group_name(int64_t term, int64_t epoch) {
+  return "g" + std::to_string(term) + "-" + std::to_string(epoch & kEpochNumberMask) + std::string(kHoldingSuffix);
+}
+
+bool is_holding_group(const std::string& name) { return name.ends_with(kHoldingSuffix); }
+
 bool reports_ready(const wire::Instance* instance, const wire::EngineGroup& group) {
   return reports(instance, group, wire::MembershipState::READY);
 }
@@ -215,10 +222,9 @@
     return;
   }
   InstanceOrder order = order_for(OrderKind::kJoin, record, head);
-  order.group = record.group.name + kFenceSuffix;
+  order.group = holding_group_name(term_, record.fence_epoch);
   order.epoch = record.fence_epoch;
   order.members = {head};
-  dissolved_.insert(order.group);
   send(now, order, directory);
 }
 
@@ -445,7 +451,8 @@
   for (const auto& [id, row] : directory.rows()) {
     const auto& membership = row.instance.membership;
     const bool known = membership.group.empty() || membership.state == wire::MembershipState::NONE ||
-                       records_.contains(membership.group) || dissolved_.contains(membership.group);
+                       is_holding_group(membership.group) || records_.contains(membership.group) ||
+                       dissolved_.contains(membership.group);
     // One that a group of ours owns has only not carried out our order yet.
     const bool ours = owner_of(id) != nullptr;
     if (known || ours || !row.heard_here || row.instance.state == wire::InstanceState::GONE) {
--- a/src/core/fleet/group_supervisor.h
+++ b/src/core/fleet/group_supervisor.h
@@ -64,6 +64,10 @@
 constexpr int kEpochTermShift = 20;
 constexpr int64_t kEpochNumberMask = (int64_t{1} << kEpochTermShift) - 1;
 
+/// Groups of one instance that are never opened: they give a free instance weights, or a head that left an epoch.
+std::string holding_group_name(int64_t term, int64_t epoch);
+bool is_holding_group(const std::string& name);
+
 /// True when `instance` (may be null) says that it is ready as a member of `group`.
 bool reports_ready(const wire::Instance* instance, const wire::EngineGroup& group);
 
@@ -163,6 +167,9 @@
                          const InstanceDirectory& directory);
   void stage_weights(TimePoint now, const document::EngineSpec& engine, const std::vector<StagingPlan>& plans,
                      const InstanceDirectory& directory);
+  void order_staging(TimePoint now, const StagingPlan& plan, const InstanceDirectory& directory);
+  bool is_worth_a_load(const StagingPlan& plan, const document::EngineSpec& engine,
+                       const InstanceDirectory& directory) const;
   void forget_finished_stagings(TimePoint now, const document::EngineSpec& engine, const InstanceDirectory& directory);
   bool may_load(TimePoint now, const document::EngineSpec& engine, const InstanceDirectory& directory, size_t loads);
   size_t loads_under_way(const InstanceDirectory& directory) const;
--- a/tests/unit/fleet_test.cc
+++ b/tests/unit/fleet_test.cc
@@ -305,6 +305,10 @@
   const engine::RequestSizes sizes{1640, 87};
   EXPECT_LT(engine::forecast(engine, model, sizes, 4).first_event,
             engine::forecast(engine, model, sizes, 16).first_event);
+  // A pass reads a chunk with each of its steps: at 26 running, 2,450 of 10,240 tokens, within 115 ms.
+  EXPECT_NEAR(engine::forecast(engine, model, sizes, 26).reading_load, 0.24, 0.01);
+  EXPECT_EQ(engine::most_running(engine, model, sizes, milliseconds(500)), 26);
+  engine.chunk_tokens = 2048 / 5;
   const int most = engine::most_running(engine, model, sizes, milliseconds(500));
   EXPECT_GT(most, 8);
   EXPECT_LT(most, 20) << "reading would not keep up";
--- a/tests/unit/group_planner_test.cc
+++ b/tests/unit/group_planner_test.cc
@@ -113,6 +113,9 @@
   input.needs[1].groups_needed = 6;
   EXPECT_FALSE(GroupPlanner(input).groups_to_give_up());
   input = broken_large_group(models);
+  input.needs = {{&models.large, 0.8}, {&models.small, 0.2}};
+  EXPECT_FALSE(GroupPlanner(input).groups_to_give_up()) << "one large group is enough for the demand";
+  input = broken_large_group(models);
   input.groups[0] = {"s0", "small", false, false, true};
   EXPECT_FALSE(GroupPlanner(input).groups_to_give_up());
   input = broken_large_group(models);
@@ -176,9 +179,28 @@
   ASSERT_EQ(stagings.size(), 2U);
   EXPECT_EQ(stagings[0].server, "i0");
   EXPECT_EQ(stagings[0].model, "large");
-  EXPECT_TRUE(stagings[0].is_urgent);
+  EXPECT_EQ(stagings[0].priority, LoadPriority::kStandby);
   EXPECT_EQ(stagings[1].server, "i1");
-  EXPECT_FALSE(stagings[1].is_urgent) << "a large group's survivors find use without it";
+  EXPECT_EQ(stagings[1].priority, LoadPriority::kPrecaution) << "a large group's survivors find use without it";
+}
+
+TEST(GroupPlanner, FreeServersHoldTheModelThatNeedsMostAndAnotherOnTheirHosts) {
+  const TwoModels models;
+  PlannerInput input;
+  input.servers = {server("i0", "d0", "large"), server("i1", "d0"), server("i2", "d0", "", "small"),
+                   server("i3", "d0", "large", "small")};
+  input.needs = {{&models.large, 2}, {&models.small, 1}};
+  const auto stagings = GroupPlanner(input).stagings();
+  ASSERT_EQ(stagings.size(), 3U);
+  EXPECT_EQ(stagings[0].server, "i1");
+  EXPECT_EQ(stagings[0].model, "large");
+  EXPECT_TRUE(stagings[0].into_accelerators);
+  EXPECT_EQ(stagings[1].server, "i2");
+  EXPECT_EQ(stagings[1].model, "small") << "no load is needed for it";
+  EXPECT_TRUE(stagings[1].into_accelerators);
+  EXPECT_EQ(stagings[2].server, "i0");
+  EXPECT_EQ(stagings[2].model, "small");
+  EXPECT_FALSE(stagings[2].into_accelerators);
 }
 
 // ---------------------------------------------------------- load limiter
