Name the node in every line of an entry, and drop what nothing read

Cause: request_ended carried node="" although requests are looked up by node; the limit of a group that the entry no longer decides by was still carried in Target; a constant of the relay had lost its reader with TargetFinder. Change: the process names itself once (name_process); the rest is removed.

--- a/src/cli/serve_commands.cc
+++ b/src/cli/serve_commands.cc
@@ -198,6 +198,7 @@
   }
   std::signal(SIGPIPE, SIG_IGN);
   node::configure_logging(settings->log_level, "");
+  node::name_process(settings->name);
   return FleetNodeRunner(*settings).run();
 }
 
--- a/src/core/fleet/dispatcher.cc
+++ b/src/core/fleet/dispatcher.cc
@@ -221,8 +221,8 @@
   }
   const size_t best = better_of_few(service, demand, open);
   const auto& [group, head] = open[best];
-  choice.target = Target{
-      group->name, service.name, group->name, head->id, head->address, health_[group->name].total_in_flight(), most};
+  choice.target =
+      Target{group->name, service.name, group->name, head->id, head->address, health_[group->name].total_in_flight()};
   return choice;
 }
 
@@ -246,7 +246,7 @@
     if (better) {
       best_cost = cost;
       best_doubtful = doubtful;
-      choice.target = Target{id, service.name, "", id, instance.address, health_[id].in_flight(), 0};
+      choice.target = Target{id, service.name, "", id, instance.address, health_[id].in_flight()};
       choice.failure = ChoiceFailure::kNone;
     }
   }
@@ -267,7 +267,7 @@
   if (head == instances_.end() || head->second.state != wire::InstanceState::READY || health.is_avoided(now)) {
     return std::nullopt;
   }
-  return Target{group, row->service_name, group, head->second.id, head->second.address, health.total_in_flight(), 0};
+  return Target{group, row->service_name, group, head->second.id, head->second.address, health.total_in_flight()};
 }
 
 std::vector<std::string> Dispatcher::doubtful_groups(TimePoint now, const std::string& service,
@@ -330,7 +330,7 @@
     }
     if (health.silence(now) > allowed) {
       result.push_back(
-          Target{group.name, group.service_name, group.name, group.members.front(), "", health.in_flight(), 0});
+          Target{group.name, group.service_name, group.name, group.members.front(), "", health.in_flight()});
     }
   }
   return result;
--- a/src/core/fleet/dispatcher.h
+++ b/src/core/fleet/dispatcher.h
@@ -26,9 +26,8 @@
   std::string group;
   std::string instance_id;
   std::string address;
-  /// Requests in flight there when it was chosen, this one not counted, and the most that were allowed.
+  /// Requests in flight there when it was chosen, this one not counted.
   int in_flight = 0;
-  int most_in_flight = 0;
 };
 
 /// What a request asks of an engine service; ignored for plain ones.
--- a/src/node/logging.cc
+++ b/src/node/logging.cc
@@ -19,8 +19,14 @@
   return instance;
 }
 
+/// Names the process in lines whose writer knows no node.
+std::string& process_node() {
+  static std::string name;
+  return name;
+}
+
 std::string format(std::string_view node, std::string_view event, LogFields fields) {
-  std::string line = "event=" + std::string(event) + " node=" + std::string(node);
+  std::string line = "event=" + std::string(event) + " node=" + std::string(node.empty() ? process_node() : node);
   for (const auto& [key, value] : fields) {
     const bool quoted = value.empty() || value.find_first_of(" \"\n") != std::string::npos;
     line += " " + std::string(key) + "=";
@@ -58,6 +64,8 @@
                                      : log4cplus::INFO_LOG_LEVEL);
 }
 
+void name_process(const std::string& node) { process_node() = node; }
+
 void log_event(std::string_view node, std::string_view event, LogFields fields) {
   LOG4CPLUS_INFO(logger(), format(node, event, fields));
 }
--- a/src/node/logging.h
+++ b/src/node/logging.h
@@ -11,6 +11,9 @@
 /// off.
 void configure_logging(const std::string& level, const std::string& file);
 
+/// Sets the node that lines name whose writer passes none. To be called once, before the node starts.
+void name_process(const std::string& node);
+
 using LogFields = std::initializer_list<std::pair<std::string_view, std::string>>;
 
 /// One line per change of state: `event` and its fields as key=value.
--- a/src/node/request_relay.cc
+++ b/src/node/request_relay.cc
@@ -15,12 +15,13 @@
 
 namespace {
 
-constexpr auto kAwait = asio::as_tuple(asio::use_awaitable);
 /// A connection that does not come up in this time counts as not made; nothing was sent.
 constexpr auto kConnectTimeout = std::chrono::milliseconds(400);
 /// A request is held for a lease on the configuration for this part of its time, and never longer than this.
 constexpr int kLeasePart = 4;
 constexpr Duration kLeasePatience = milliseconds(1200);
+/// Held for longer than this, a request has lost time that its objective does not allow for.
+constexpr Duration kHeldTime = milliseconds(50);
 /// A caller with this much less time than others of its route has had a try before: refused ones are told to stay
 /// away longer, and the time of a first try is lost in the network only.
 constexpr Duration kRetryDeficit = milliseconds(150);
@@ -124,7 +125,7 @@
     note_deadline(request, milliseconds(*deadline_ms));
   }
   request.due = request.received + held;
-  request.was_held = request.admitted - request.received > kRetryDeficit;
+  request.was_held = request.admitted - request.received > kHeldTime;
   note_demand(request);
   state_.dispatcher.note_request(request.received, request.service->name);
   return std::nullopt;
