Order a free server to take weights into its accelerators once, not at each tick

Each order began the join anew, so it ended only when reports happened to arrive. Ruled out: late orders (all were answered 202), groups (26 opened). Change: a staging into the accelerators ends when the instance reports the model as loaded.

--- a/src/core/fleet/group_formation.cc
+++ b/src/core/fleet/group_formation.cc
@@ -150,8 +150,10 @@
     const auto* instance = directory.find(item.first);
     const auto* model = engine.find_model(item.second.model);
     const bool gone = instance == nullptr || instance->state == wire::InstanceState::GONE || model == nullptr;
-    const bool is_loaded = !gone && (instance->model == item.second.model || has_staged(*instance, item.second.model));
-    return gone || is_loaded || now - item.second.since > kStagingPatience * model->load_time;
+    // Weights that lay on the host before say nothing about those that go into the accelerators.
+    const bool is_done = !gone && (instance->model == item.second.model ||
+                                   (!item.second.into_accelerators && has_staged(*instance, item.second.model)));
+    return gone || is_done || now - item.second.since > kStagingPatience * model->load_time;
   });
 }
 
@@ -177,7 +179,7 @@
       return;
     }
     limiter_.note_begun(now, loads);
-    staging_[plan.server] = {plan.model, now};
+    staging_[plan.server] = {plan.model, now, plan.into_accelerators};
     order_staging(now, plan, directory);
   }
 }
--- a/src/core/fleet/group_supervisor.h
+++ b/src/core/fleet/group_supervisor.h
@@ -201,6 +201,7 @@
   struct Staging {
     std::string model;
     TimePoint since{};
+    bool into_accelerators = false;
   };
   std::map<std::string, Staging> staging_;
   std::vector<InstanceOrder> orders_;
