Bound the prompt sizes that callers state by the engine's memory, and drop what nothing called

Cause: the leader's PassClock took a stated prompt size as it came: one of 2 billion tokens was forecast over 160,000 passes and kept its group believed busy for hours. Change: a prompt counts for no more than the engine's memory; nothing waits where nothing runs. Dispatcher:: has_changed_loads, which nothing called, is gone, and a comment that promised a measured pace is put right.

--- a/src/core/engine/pass_clock.cc
+++ b/src/core/engine/pass_clock.cc
@@ -11,11 +11,18 @@
 /// Passes further back than this are not played: a group with nothing to do has none, whatever the clock missed.
 constexpr Duration kLongestCatchUp = seconds(2);
 
+/// A stated size, as far as an engine can take it.
+double readable_tokens(const document::EngineSpec& engine, double prompt_tokens) {
+  const auto memory = static_cast<double>(engine.kv_capacity);
+  return std::clamp(prompt_tokens, 0.0, memory > 0 ? memory : prompt_tokens > 0 ? prompt_tokens : 0.0);
+}
+
 }  // namespace
 
 void PassClock::advance(TimePoint now, const document::EngineSpec& engine, const document::ModelSpec& model,
                         int running) {
-  if (running == 0 && waiting_tokens_ <= 0) {
+  if (running == 0) {
+    waiting_tokens_ = 0;
     pass_ends_ = std::max(pass_ends_, now);
     return;
   }
@@ -32,7 +39,7 @@
 void PassClock::add(TimePoint now, const document::EngineSpec& engine, const document::ModelSpec& model, int running,
                     double prompt_tokens) {
   advance(now, engine, model, running);
-  waiting_tokens_ += prompt_tokens;
+  waiting_tokens_ += readable_tokens(engine, prompt_tokens);
 }
 
 PassForecast PassClock::forecast(TimePoint now, const document::EngineSpec& engine, const document::ModelSpec& model,
@@ -40,7 +47,7 @@
   advance(now, engine, model, running);
   PassForecast result;
   result.first_event = std::max(Duration::zero(), pass_ends_ - now);
-  double left = waiting_tokens_ + prompt_tokens;
+  double left = waiting_tokens_ + readable_tokens(engine, prompt_tokens);
   do {
     const double read = std::min(left, tokens_per_pass(engine));
     left -= read;
--- a/src/core/engine/pass_clock.h
+++ b/src/core/engine/pass_clock.h
@@ -17,8 +17,9 @@
 ///
 /// A group works in passes: each writes a few tokens for all that run and reads the prompts that arrived during the
 /// pass before. The clock knows when the pass under way ends and how many prompt tokens wait for the next one, from the
-/// requests that were sent there. It knows no more than the cost model: who sees the group run slow passes a higher
-/// `pace`. Pure; single-threaded.
+/// requests that were sent there. It knows no more than the cost model, so a group that runs slow is not foreseen.
+/// Callers state their prompts' sizes themselves: a prompt counts for no more than the engine's memory, which holds any
+/// prompt that is taken, and where nothing runs nothing waits. Pure; single-threaded.
 class PassClock {
  public:
   /// A request with `prompt_tokens` was sent; `running` do not count it.
--- a/src/core/fleet/dispatcher.h
+++ b/src/core/fleet/dispatcher.h
@@ -102,7 +102,6 @@
   std::vector<wire::GroupLoad> loads(TimePoint now) const;
   /// The same for those that changed since the last call.
   std::vector<wire::GroupLoad> take_changed_loads(TimePoint now);
-  bool has_changed_loads() const { return !changed_.empty(); }
   /// Groups that this entry avoids now.
   std::vector<wire::GroupFailure> failures(TimePoint now) const;
 
--- a/tests/unit/slot_scheduler_test.cc
+++ b/tests/unit/slot_scheduler_test.cc
@@ -234,6 +234,19 @@
   EXPECT_EQ(forecast.first_event, milliseconds(250 + 150));
 }
 
+TEST(PassClock, AStatedSizeBeyondTheMemoryBlocksNobodyForLong) {
+  auto document = engine_document();
+  auto& engine = *document.services.at("s").engine;
+  engine.kv_capacity = 20'000;
+  const auto& model = engine.models.front();
+  engine::PassClock clock;
+  EXPECT_EQ(clock.forecast(kStart, engine, model, 0, 2e9).first_event, milliseconds(2 * 250));
+  clock.add(kStart, engine, model, 0, 2e9);
+  EXPECT_LE(clock.forecast(kStart, engine, model, 1, 0).first_event, milliseconds(3 * 250));
+  EXPECT_EQ(clock.forecast(kStart + milliseconds(10), engine, model, 0, 500).first_event, milliseconds(240 + 60))
+      << "the engine turned it away: nothing runs, so only the pass under way is waited for";
+}
+
 TEST(LatencyEstimate, FollowsMeanAndSpread) {
   requests::LatencyEstimate estimate;
   EXPECT_FALSE(estimate.is_measured());
