--- a/src/core/fleet/dispatcher.cc
+++ b/src/core/fleet/dispatcher.cc
@@ -71,15 +71,16 @@
   return found == longest_pauses_.end() ? kUnknownPause : found->second;
 }
 
-void Dispatcher::update_loads(TimePoint now, const std::vector<wire::GroupLoad>& others) {
+void Dispatcher::update_loads(TimePoint now, const std::vector<wire::GroupLoad>& totals) {
   for (auto& [key, health] : health_) {
     health.set_others({});
   }
-  for (const auto& load : others) {
+  for (const auto& load : totals) {
+    const TargetHealth& own = health_[load.group];
     OthersLoad of_others;
-    of_others.in_flight = load.in_flight;
-    of_others.streaming = load.streaming;
-    of_others.waiting_tokens = static_cast<double>(load.waiting_tokens);
+    of_others.in_flight = std::max(0, load.in_flight - own.in_flight());
+    of_others.streaming = std::max(0, load.streaming - own.streaming());
+    of_others.waiting_tokens = std::max(0.0, static_cast<double>(load.waiting_tokens) - own.waiting_tokens());
     if (load.progress_age_ms != kNoProgressAge) {
       of_others.last_progress = now - milliseconds(load.progress_age_ms);
     }
--- a/src/core/fleet/dispatcher.h
+++ b/src/core/fleet/dispatcher.h
@@ -56,8 +56,8 @@
 
   void update_state(const wire::FleetState& state);
   void update_services(const std::map<std::string, document::ServiceSpec>& services);
-  /// What all other entries have under way per group, as of `now`.
-  void update_loads(TimePoint now, const std::vector<wire::GroupLoad>& others);
+  /// What all entries, this one included, have under way per group, as of `now`.
+  void update_loads(TimePoint now, const std::vector<wire::GroupLoad>& totals);
   void set_serving_nodes(int count) { serving_nodes_ = count < 1 ? 1 : count; }
 
   /// The service of a route for one request, drawn by weight.
--- /dev/null
+++ b/src/core/fleet/entry_view.cc
@@ -0,0 +1,54 @@
+#include "core/fleet/entry_view.h"
+
+#include <set>
+#include <string>
+
+namespace larchlever::fleet {
+
+namespace {
+
+bool may_have_requests(const wire::EngineGroup& group) {
+  return group.phase != wire::GroupPhase::JOINING && group.phase != wire::GroupPhase::OPENING && !group.members.empty();
+}
+
+/// Members of engine groups stand in a fabric domain; plain instances do not.
+bool is_plain(const wire::Instance& instance) { return instance.domain.empty(); }
+
+/// Without what only group formation asks for, whose changes are no news for an entry.
+wire::Instance address_of(const wire::Instance& instance) {
+  wire::Instance result;
+  result.id = instance.id;
+  result.service_name = instance.service_name;
+  result.address = instance.address;
+  result.zone = instance.zone;
+  result.state = instance.state;
+  result.slots = instance.slots;
+  result.silent = instance.silent;
+  return result;
+}
+
+}  // namespace
+
+wire::FleetState entry_view(const wire::FleetState& state) {
+  wire::FleetState view;
+  view.term = state.term;
+  view.version = state.version;
+  std::set<std::string> heads;
+  for (const auto& group : state.groups) {
+    if (!may_have_requests(group)) {
+      continue;
+    }
+    heads.insert(group.members.front());
+    view.groups.push_back(group);
+    view.groups.back().members.resize(1);
+  }
+  for (const auto& instance : state.instances) {
+    const bool is_gone = instance.state == wire::InstanceState::GONE;
+    if (heads.contains(instance.id) || (is_plain(instance) && !is_gone)) {
+      view.instances.push_back(address_of(instance));
+    }
+  }
+  return view;
+}
+
+}  // namespace larchlever::fleet
--- a/src/core/fleet/fleet_controller.cc
+++ b/src/core/fleet/fleet_controller.cc
@@ -3,6 +3,7 @@
 #include <utility>
 
 #include "core/base/http_status.h"
+#include "core/fleet/registration.h"
 #include "wire/codec.h"
 
 namespace larchlever::fleet {
@@ -11,6 +12,8 @@
 
 constexpr Duration kCallRetry = milliseconds(250);
 constexpr Duration kHandOverRetry = milliseconds(300);
+/// How often entries are looked at that did not confirm what was pushed to them.
+constexpr Duration kDistributionInterval = milliseconds(100);
 
 /// Identifies a call at the leader: the replica that forwards it, in one of its lives, and its number there.
 std::string call_key(const wire::Envelope& envelope) {
@@ -26,7 +29,9 @@
       identity_(identity),
       random_seed_(random_seed),
       subscription_(options, identity, std::move(seeds)),
-      leader_(options, identity) {}
+      leader_(options, identity),
+      distributor_(options),
+      registrations_(options.instance_silence) {}
 
 void FleetController::start_replica(TimePoint now, ReplicaId replica_id, Incarnation boot,
                                     consensus::PersistedState persisted) {
@@ -57,13 +62,20 @@
   wire::FleetHeartbeat content;
   content.replica_id = raft_ ? raft_->id().value() : 0;
   content.leaving = leaving_;
+  content.serving_entries = distributor_.serving_entries(now);
+  content.entries_hold_version = distributor_.entries_hold_version(now);
   if (auto heartbeat = subscription_.tick(now, content)) {
     send(std::move(*heartbeat));
   }
   resend_calls(now);
+  forward_registrations(now);
   if (is_leader(now)) {
     leader_.tick(now, *raft_, log_);
   }
+  if (now >= next_distribution_) {
+    next_distribution_ = now + kDistributionInterval;
+    distribute_news(now, false);
+  }
   process(now);
 }
 
@@ -76,7 +88,11 @@
   } else if (envelope.__isset.fleet_heartbeat) {
     handle_heartbeat(now, envelope);
   } else if (envelope.__isset.fleet_update) {
-    subscription_.receive(now, envelope);
+    if (subscription_.receive(now, envelope)) {
+      distribute_news(now, envelope.fleet_update.wants_confirmation);
+    }
+  } else if (envelope.__isset.registrations) {
+    handle_registrations(now, envelope);
   } else if (envelope.__isset.slot_report) {
     // A replica that does not lead stays silent: the entry decides for itself when no answer comes.
     if (is_leader(now)) {
@@ -98,8 +114,22 @@
   }
 }
 
+std::string FleetController::known_leader() const {
+  const std::string by_log = leader_node();
+  return by_log.empty() ? subscription_.leader() : by_log;
+}
+
+DistributorSource FleetController::distributor_source() const {
+  const bool has_replicas = raft_ && !raft_->replicas().voters.empty();
+  return {subscription_, leader_node(), has_replicas ? control_peers_of(raft_->replicas()) : subscription_.peers()};
+}
+
 void FleetController::handle_heartbeat(TimePoint now, const wire::Envelope& envelope) {
-  subscription_.add_peers({envelope.fleet_heartbeat.replica_id != 0 ? envelope.from_node : ""});
+  if (envelope.fleet_heartbeat.serves_requests) {
+    handle_entry(now, envelope);
+    return;
+  }
+  subscription_.add_peers(std::vector<std::string>{envelope.from_node});
   if (is_leader(now)) {
     leader_.heartbeat(now, envelope, *raft_, log_);
     return;
@@ -113,6 +143,41 @@
   send(std::move(answer));
 }
 
+void FleetController::handle_entry(TimePoint now, const wire::Envelope& envelope) {
+  const int64_t held_before = distributor_.entries_hold_version(now);
+  distributor_.heartbeat(now, envelope, distributor_source());
+  for (auto& answer : distributor_.take_envelopes()) {
+    send(std::move(answer));
+  }
+  if (distributor_.entries_hold_version(now) > held_before) {
+    subscription_.report_now();  // A call may wait for exactly this.
+  }
+}
+
+void FleetController::distribute_news(TimePoint now, bool wants_confirmation) {
+  distributor_.push_news(now, distributor_source(), wants_confirmation);
+  for (auto& envelope : distributor_.take_envelopes()) {
+    send(std::move(envelope));
+  }
+}
+
+void FleetController::handle_registrations(TimePoint now, const wire::Envelope& envelope) {
+  if (is_leader(now)) {
+    leader_.registrations(now, envelope.registrations);
+  }
+  // Otherwise silent: the replica that sent them sends them again to whoever leads by then.
+}
+
+void FleetController::forward_registrations(TimePoint now) {
+  const auto batch = registrations_.next_batch(now, leader_node(), raft_ ? raft_->term() : 0);
+  if (batch) {
+    wire::Envelope envelope;
+    envelope.to_node = leader_node();
+    envelope.__set_registrations(*batch);
+    send(std::move(envelope));
+  }
+}
+
 void FleetController::handle_call(TimePoint now, const wire::Envelope& envelope) {
   if (is_leader(now)) {
     leader_.call(now, call_key(envelope), envelope.control_call, *raft_, log_);
@@ -129,22 +194,50 @@
 int64_t FleetController::submit(TimePoint now, wire::ControlCall call) {
   call.id = next_call_id_++;
   const int64_t id = call.id;
-  calls_[id] = {std::move(call), now + options_.call_patience, now};
-  resend_calls(now);
+  if (!take_registration(now, call)) {
+    calls_[id] = {std::move(call), now + options_.call_patience, now};
+    resend_calls(now);
+  }
   process(now);
   return id;
 }
 
+bool FleetController::take_registration(TimePoint now, const wire::ControlCall& call) {
+  if (call.kind == wire::ControlCallKind::DEREGISTER) {
+    registrations_.forget(call.instance_id);
+  }
+  if (call.kind != wire::ControlCallKind::HEARTBEAT) {
+    return false;
+  }
+  std::string error;
+  auto report = parse_registration(call.instance_id, call.body, error);
+  if (!report) {
+    reply(call.id, http_status::kBadRequest, error_body(error));
+    return true;
+  }
+  if (report->state == wire::InstanceState::DRAINING) {
+    registrations_.forget(call.instance_id);
+    return false;
+  }
+  registrations_.note(now, std::move(*report));
+  reply(call.id, http_status::kOk, "{}");
+  return true;
+}
+
+void FleetController::reply(int64_t id, int status, std::string body) {
+  wire::ControlCallReply reply;
+  reply.id = id;
+  reply.status = status;
+  reply.body = std::move(body);
+  outputs_.replies.push_back(std::move(reply));
+}
+
 void FleetController::resend_calls(TimePoint now) {
-  const std::string known_leader = leader_node();
-  const std::string& leader = known_leader.empty() ? subscription_.leader() : known_leader;
+  const std::string leader = known_leader();
   for (auto item = calls_.begin(); item != calls_.end();) {
     PendingCall& pending = item->second;
     if (now >= pending.deadline) {
-      wire::ControlCallReply reply;
-      reply.id = item->first;
-      reply.status = http_status::kServiceUnavailable;
-      outputs_.replies.push_back(std::move(reply));
+      reply(item->first, http_status::kServiceUnavailable, {});
       item = calls_.erase(item);
       continue;
     }
@@ -179,13 +272,7 @@
 
 void FleetController::note_replicas() {
   replica_routes_.note_all(raft_->replicas());
-  std::vector<std::string> nodes;
-  for (const auto* list : {&raft_->replicas().voters, &raft_->replicas().learners}) {
-    for (const auto& replica : *list) {
-      nodes.push_back(replica.node);
-    }
-  }
-  subscription_.add_peers(nodes);
+  subscription_.add_peers(control_peers_of(raft_->replicas()));
 }
 
 void FleetController::apply_committed() {
--- a/src/core/fleet/fleet_controller.h
+++ b/src/core/fleet/fleet_controller.h
@@ -9,8 +9,10 @@
 #include "consensus/raft_node.h"
 #include "consensus/replica_routes.h"
 #include "core/fleet/document_log.h"
+#include "core/fleet/entry_distributor.h"
 #include "core/fleet/fleet_leader.h"
 #include "core/fleet/fleet_subscription.h"
+#include "core/fleet/registration_relay.h"
 
 namespace larchlever::fleet {
 
@@ -25,7 +27,8 @@
 };
 
 /// All decisions of one control replica of a registered fleet: its part of the replicated log, the leader's work while
-/// it leads, and the forwarding of calls to whoever does.
+/// it leads, the forwarding of calls and registrations to whoever does, and the distribution of what it learns to the
+/// entries that subscribe to it.
 ///
 /// Inputs are methods that take the time; outputs are collected until `take_outputs`. Nothing here reads a clock or
 /// touches a file or socket. Single-threaded, deterministic.
@@ -71,10 +74,21 @@
   };
 
   std::string leader_node() const { return raft_ ? raft_->leader_node() : ""; }
+  /// Who leads as far as this replica knows, by the log or by its subscription.
+  std::string known_leader() const;
+  DistributorSource distributor_source() const;
   void send(wire::Envelope envelope);
   void send_raft(std::vector<wire::RaftMessage> messages);
   void note_replicas();
   void handle_heartbeat(TimePoint now, const wire::Envelope& envelope);
+  void handle_entry(TimePoint now, const wire::Envelope& envelope);
+  void handle_registrations(TimePoint now, const wire::Envelope& envelope);
+  /// Takes a registration that no entry must confirm: keeps it for the leader and answers it. False when the call is
+  /// another, or is to be decided by the leader.
+  bool take_registration(TimePoint now, const wire::ControlCall& call);
+  void reply(int64_t id, int status, std::string body);
+  void forward_registrations(TimePoint now);
+  void distribute_news(TimePoint now, bool wants_confirmation);
   void handle_call(TimePoint now, const wire::Envelope& envelope);
   void handle_reply(const wire::ControlCallReply& reply);
   void resend_calls(TimePoint now);
@@ -87,12 +101,15 @@
   uint64_t random_seed_;
   FleetSubscription subscription_;
   FleetLeader leader_;
+  EntryDistributor distributor_;
+  RegistrationRelay registrations_;
   std::optional<consensus::RaftNode> raft_;
   DocumentLog log_;
   int64_t led_term_ = -1;
   int64_t last_snapshot_index_ = 0;
   bool leaving_ = false;
   TimePoint next_hand_over_ = TimePoint::min();
+  TimePoint next_distribution_ = TimePoint::min();
   int64_t next_call_id_ = 1;
   std::map<int64_t, PendingCall> calls_;
   consensus::ReplicaRoutes replica_routes_;
--- a/src/core/fleet/fleet_leader.cc
+++ b/src/core/fleet/fleet_leader.cc
@@ -4,7 +4,6 @@
 
 #include "core/base/http_status.h"
 #include "core/fleet/registration.h"
-#include "core/fleet/target_health.h"
 
 namespace larchlever::fleet {
 
@@ -16,28 +15,28 @@
 constexpr Duration kGroupInterval = milliseconds(40);
 /// Changes within this time go out together, unless a call waits for them.
 constexpr Duration kPushInterval = milliseconds(40);
-/// A push that brought no confirmation in this time is repeated.
-constexpr Duration kPushRetry = milliseconds(300);
-/// How long an entry's word against a group counts.
-constexpr Duration kAccusationMemory = seconds(3);
-/// A group that any entry saw make progress this recently is not dead, only slow for others.
-constexpr Duration kAliveProgress = milliseconds(500);
-/// Subscribers silent for this long are forgotten.
-constexpr Duration kSubscriberMemory = seconds(30);
-
-std::string error_body(const std::string& message) {
-  std::string escaped;
-  for (const char character : message) {
-    escaped += character == '"' || character == '\\' ? '\'' : character;
-  }
-  return R"({"error":")" + escaped + R"("})";
-}
+/// How often the entries' loads are summed up.
+constexpr Duration kLoadInterval = milliseconds(100);
 
 }  // namespace
 
+std::vector<wire::ControlPeer> control_peers_of(const wire::ReplicaSet& replicas) {
+  std::vector<wire::ControlPeer> result;
+  for (const auto* list : {&replicas.voters, &replicas.learners}) {
+    for (const auto& replica : *list) {
+      wire::ControlPeer peer;
+      peer.address = replica.node;
+      peer.zone = replica.zone;
+      result.push_back(std::move(peer));
+    }
+  }
+  return result;
+}
+
 FleetLeader::FleetLeader(const FleetOptions& options, FleetIdentity identity)
     : options_(options),
       identity_(std::move(identity)),
+      subscribers_(options.node_timeout),
       instances_(options.instance_silence),
       groups_(options),
       replicas_(options.control) {}
@@ -45,7 +44,9 @@
 void FleetLeader::start(TimePoint now, int64_t term, const wire::FleetState& copy) {
   term_ = term;
   version_ = 1;
-  history_.start(term);
+  subscribers_.clear();
+  subscribers_.start_term(term);
+  entries_of_.clear();
   next_push_ = now;
   collecting_until_ = now + kCollectingTime;
   instances_.start(now, copy.instances);
@@ -56,10 +57,8 @@
   nodes_.clear();
   incarnations_.clear();
   replicas_.start(now);
-  subscribers_.clear();
+  entry_reports_.start();
   loads_.clear();
-  accusations_.clear();
-  progress_.clear();
   waiting_.clear();
   pending_documents_.clear();
   open_calls_.clear();
@@ -68,74 +67,58 @@
 
 // ------------------------------------------------------------------- nodes
 
-void FleetLeader::note_report(TimePoint now, const wire::Envelope& envelope) {
+void FleetLeader::note_heartbeat(TimePoint now, const wire::Envelope& envelope) {
   const auto& report = envelope.fleet_heartbeat;
-  Subscriber& subscriber = subscribers_[envelope.from_node];
-  subscriber.last_heard = now;
-  subscriber.serves_requests = report.serves_requests && !report.leaving;
-  subscriber.document_version = report.document_version;
-  subscriber.state_held = {report.held_term, report.held_version};
-  subscriber.loads.clear();
-  slots_.note_loads(envelope.from_node, report.loads, true, report.grants_term, report.grants_seen);
-  for (const auto& load : report.loads) {
-    subscriber.loads[load.group] = load;
-    if (load.progress_age_ms != kNoProgressAge) {
-      TimePoint& progress = progress_.try_emplace(load.group, TimePoint::min()).first->second;
-      progress = std::max(progress, now - milliseconds(load.progress_age_ms));
-    }
-  }
-  for (const auto& failure : report.failures) {
-    note_failure(now, envelope.from_node, failure.group);
-  }
-  if (report.traffic_seen) {
-    groups_.note_traffic();
-  }
-  groups_.demand().note_totals(now, envelope.from_node, report.demand);
+  EntriesOf& entries = entries_of_[envelope.from_node];
+  entries.term = report.held_term;
+  entries.version = report.entries_hold_version;
+  entries.serving = report.serving_entries;
   if (report.__isset.held_state && is_collecting(now)) {
-    instances_.merge(now, report.held_state.instances);
-    const std::pair order(report.held_state.term, report.held_state.version);
-    if (order > inherited_) {
-      // Copies are not joined: an older one may give a server to a group that a newer one has dissolved.
-      inherited_ = order;
-      groups_.inherit(now, report.held_state.groups);
-      slots_.set_groups(groups_.snapshot());
-      ++version_;
-    }
+    take_copy(now, report.held_state);
   }
 }
 
-void FleetLeader::note_failure(TimePoint now, const std::string& node, const std::string& group) {
-  auto& accusers = accusations_[group];
-  accusers[node] = now;
-  std::erase_if(accusers, [now](const auto& item) { return now - item.second > kAccusationMemory; });
-  const auto& rows = instances_.rows();
-  const bool member_silent = std::any_of(rows.begin(), rows.end(), [&](const auto& item) {
-    return item.second.instance.silent && item.second.instance.membership.group == group;
-  });
-  const auto progress = progress_.find(group);
-  const bool alive = progress != progress_.end() && now - progress->second < kAliveProgress;
-  if (!alive && (accusers.size() >= 2 || member_silent)) {
-    groups_.note_failure(group);
+void FleetLeader::take_copy(TimePoint now, const wire::FleetState& copy) {
+  instances_.merge(now, copy.instances);
+  const std::pair order(copy.term, copy.version);
+  if (order > inherited_) {
+    // Copies are not joined: an older one may give a server to a group that a newer one has dissolved.
+    inherited_ = order;
+    groups_.inherit(now, copy.groups);
+    slots_.set_groups(groups_.snapshot());
+    ++version_;
   }
 }
 
-Incarnation FleetLeader::rank_incarnation(const std::string& node, int64_t incarnation) {
-  auto& seen = incarnations_[node];
-  const auto found = std::find(seen.begin(), seen.end(), incarnation);
-  const auto rank = found - seen.begin() + 1;
-  if (found == seen.end()) {
-    seen.push_back(incarnation);
+void FleetLeader::end_collecting_early(TimePoint now, const wire::ReplicaSet& replicas) {
+  const auto has_nothing_newer = [&](const wire::ReplicaAddress& voter) {
+    const auto row = nodes_.rows().find(voter.node);
+    return row != nodes_.rows().end() && subscribers_.state_held(voter.node) <= inherited_;
+  };
+  if (is_collecting(now) && std::all_of(replicas.voters.begin(), replicas.voters.end(), has_nothing_newer)) {
+    collecting_until_ = now;
+  }
+}
+
+void FleetLeader::note_failures(TimePoint now, const wire::SlotReport& report) {
+  const auto& rows = instances_.rows();
+  const auto has_silent_member = [&rows](const std::string& group) {
+    return std::any_of(rows.begin(), rows.end(), [&group](const auto& item) {
+      return item.second.instance.silent && item.second.instance.membership.group == group;
+    });
+  };
+  for (const auto& group : entry_reports_.failed_groups(now, report, has_silent_member)) {
+    groups_.note_failure(group);
   }
-  return Incarnation(rank);
 }
 
 void FleetLeader::heartbeat(TimePoint now, const wire::Envelope& envelope, const consensus::RaftNode& raft,
                             const DocumentLog& log) {
   const auto& report = envelope.fleet_heartbeat;
   auto arrival = membership::Arrival::kKnown;
-  auto* row =
-      nodes_.heard(now, envelope.from_node, rank_incarnation(envelope.from_node, envelope.from_incarnation), arrival);
-  if (row == nullptr) {
+  const auto incarnation = incarnations_.rank(envelope.from_node, envelope.from_incarnation);
+  auto* row = nodes_.heard(now, envelope.from_node, incarnation, arrival);
+  if (row == nullptr || !subscribers_.heard(now, envelope)) {
     return;
   }
   row->zone = report.zone;
@@ -143,18 +126,13 @@
   row->leaving = report.leaving;
   row->peer_address = envelope.from_node;
   row->service_address = report.control_address;
-  if (arrival != membership::Arrival::kKnown) {
-    subscribers_.erase(envelope.from_node);
-    slots_.forget_node(envelope.from_node);
-    groups_.demand().forget_node(envelope.from_node);
-  }
-  note_report(now, envelope);
+  note_heartbeat(now, envelope);
+  end_collecting_early(now, raft.replicas());
   send_update(now, envelope.from_node, report.sequence, raft, log);
 }
 
 void FleetLeader::send_update(TimePoint now, const std::string& node, int64_t sequence, const consensus::RaftNode& raft,
                               const DocumentLog& log) {
-  Subscriber& subscriber = subscribers_[node];
   wire::Envelope envelope;
   envelope.to_node = node;
   envelope.__isset.fleet_update = true;
@@ -163,95 +141,54 @@
   update.term = term_;
   update.leader = identity_.peer_address;
   update.document_version = log.version();
-  update.wants_state = is_collecting(now);
-  for (const auto* list : {&raft.replicas().voters, &raft.replicas().learners}) {
-    for (const auto& replica : *list) {
-      update.control_peers.push_back(replica.node);
-    }
+  update.wants_state = is_collecting(now) && subscribers_.state_held(node) > inherited_;
+  update.control_peers = control_peers_of(raft.replicas());
+  subscribers_.add_document(now, node, log.packed(), update);
+  if (may_publish_to(now, node)) {
+    publish();
+    subscribers_.add_state(now, node, update);
   }
-  const bool repeat = now - subscriber.document_sent_at > kPushRetry;
-  if (subscriber.document_version < log.version() && (repeat || subscriber.document_sent < log.version())) {
-    update.__set_document(log.packed());
-    subscriber.document_sent = log.version();
-    subscriber.document_sent_at = now;
-  }
-  add_state(now, subscriber, update);
-  add_loads_of_others(now, subscriber, update);
-  for (const auto& [name, other] : subscribers_) {
-    update.serving_nodes += other.serves_requests && now - other.last_heard < options_.node_timeout ? 1 : 0;
+  update.wants_confirmation = !waiting_.empty();
+  for (const auto& [group, load] : loads_) {
+    update.loads.push_back(load);
   }
+  update.serving_nodes = serving_entries(now);
   outputs_.envelopes.push_back(std::move(envelope));
 }
 
-void FleetLeader::add_state(TimePoint now, Subscriber& subscriber, wire::FleetUpdate& update) {
-  const bool repeat = now - subscriber.state_sent_at > kPushRetry;
-  const bool behind = subscriber.state_held < std::pair(term_, version_);
-  if (!may_publish_to(now, subscriber) || !behind || (!repeat && subscriber.state_sent >= version_)) {
-    return;
-  }
-  if (history_.version() < version_) {
-    history_.record(version_, instances_.snapshot(), groups_.snapshot());
-  }
-  // What was sent a moment ago is on its way in order. Without a confirmation in time, only what was confirmed counts.
-  const int64_t confirmed = subscriber.state_held.first == term_ ? subscriber.state_held.second : 0;
-  const int64_t base = repeat ? confirmed : std::max(confirmed, subscriber.state_sent);
-  if (base > 0) {
-    update.__set_state_change(history_.since(base));
-  } else {
-    update.__set_state(history_.full());
+void FleetLeader::publish() {
+  if (subscribers_.history().version() < version_) {
+    subscribers_.publish(version_, instances_.snapshot(), groups_.snapshot());
   }
-  update.wants_confirmation = !waiting_.empty();
-  subscriber.state_sent = version_;
-  subscriber.state_sent_at = now;
 }
 
-void FleetLeader::add_loads_of_others(TimePoint now, const Subscriber& subscriber, wire::FleetUpdate& update) const {
-  for (const auto& [group, total] : loads_) {
-    const auto own = subscriber.loads.find(group);
-    const wire::GroupLoad none;
-    const auto& mine = own == subscriber.loads.end() ? none : own->second;
-    wire::GroupLoad load;
-    load.group = group;
-    load.in_flight = std::max(0, total.in_flight - mine.in_flight);
-    load.streaming = std::max(0, total.streaming - mine.streaming);
-    load.waiting_tokens = std::max<int64_t>(0, total.waiting_tokens - mine.waiting_tokens);
-    const auto progress = progress_.find(group);
-    load.progress_age_ms =
-        progress == progress_.end() ? kNoProgressAge : static_cast<int32_t>((now - progress->second) / milliseconds(1));
-    update.loads.push_back(std::move(load));
-  }
+bool FleetLeader::may_publish_to(TimePoint now, const std::string& node) const {
+  // While copies are collected, who holds none is better off with an older one; who holds a newer one keeps it.
+  return !is_collecting(now) || subscribers_.state_held(node) < inherited_;
 }
 
-bool FleetLeader::may_publish_to(TimePoint now, const Subscriber& subscriber) const {
-  // While copies are collected, who holds none is better off with an older one; who holds a newer one keeps it.
-  return !is_collecting(now) || subscriber.state_held < inherited_;
+int FleetLeader::serving_entries(TimePoint now) const {
+  int count = 0;
+  for (const auto& node : subscribers_.live_nodes(now)) {
+    const auto entries = entries_of_.find(node);
+    count += entries == entries_of_.end() ? 0 : entries->second.serving;
+  }
+  return count;
 }
 
 void FleetLeader::push_news(TimePoint now, const consensus::RaftNode& raft, const DocumentLog& log) {
-  std::erase_if(subscribers_, [&](const auto& item) { return now - item.second.last_heard > kSubscriberMemory; });
-  for (const auto& [node, subscriber] : subscribers_) {
-    const bool live = now - subscriber.last_heard < options_.node_timeout;
-    const bool news = subscriber.document_sent < log.version() ||
-                      (may_publish_to(now, subscriber) && subscriber.state_sent < version_);
-    if (live && news) {
+  if (!is_collecting(now)) {
+    publish();
+  }
+  for (const auto& node : subscribers_.nodes_behind(now, log.version())) {
+    if (subscribers_.state_held(node).first > 0 || may_publish_to(now, node)) {
       send_update(now, node, 0, raft, log);
     }
   }
 }
 
 void FleetLeader::update_loads(TimePoint now) {
-  loads_.clear();
-  for (const auto& [node, subscriber] : subscribers_) {
-    if (now - subscriber.last_heard > options_.node_timeout) {
-      continue;
-    }
-    for (const auto& [group, load] : subscriber.loads) {
-      auto& total = loads_[group];
-      total.in_flight += load.in_flight;
-      total.streaming += load.streaming;
-      total.waiting_tokens += load.waiting_tokens;
-    }
-  }
+  loads_ = entry_reports_.totals(now);
   std::map<std::string, int> in_flight;
   for (const auto& [group, total] : loads_) {
     in_flight[group] = total.in_flight;
@@ -263,11 +200,32 @@
 
 void FleetLeader::slot_report(TimePoint now, const wire::Envelope& envelope, const DocumentLog& log) {
   const auto& report = envelope.slot_report;
-  slots_.note_loads(envelope.from_node, report.loads, false, report.grants_term, report.grants_seen);
+  const std::string& node = envelope.from_node;
+  if (entry_reports_.note(now, envelope)) {
+    slots_.forget_node(node);
+    groups_.demand().forget_node(node);
+  }
+  note_failures(now, report);
+  if (report.traffic_seen) {
+    groups_.note_traffic();
+  }
+  slots_.note_loads(node, report.loads, report.is_complete, report.grants_term, report.grants_seen);
   for (const auto& request : report.requests) {
-    slots_.add_request(now, envelope.from_node, request);
+    slots_.add_request(now, node, request);
   }
   answer_slots(now, log);
+  if (report.is_complete) {
+    groups_.demand().note_totals(now, node, report.demand);
+    confirm_report(node);
+  }
+}
+
+void FleetLeader::confirm_report(const std::string& node) {
+  wire::Envelope envelope;
+  envelope.to_node = node;
+  envelope.__isset.slot_answer = true;
+  envelope.slot_answer.term = term_;
+  outputs_.envelopes.push_back(std::move(envelope));
 }
 
 void FleetLeader::answer_slots(TimePoint now, const DocumentLog& log) {
@@ -287,11 +245,10 @@
   }
 }
 
-void FleetLeader::forget_lost_nodes(TimePoint now) {
-  for (const auto& [node, subscriber] : subscribers_) {
-    if (now - subscriber.last_heard > options_.node_timeout) {
-      slots_.forget_node(node);
-    }
+void FleetLeader::forget_lost_entries(TimePoint now) {
+  for (const auto& node : entry_reports_.forget_silent(now)) {
+    slots_.forget_node(node);
+    groups_.demand().forget_node(node);
   }
 }
 
@@ -333,6 +290,12 @@
   }
 }
 
+void FleetLeader::registrations(TimePoint now, const wire::RegistrationBatch& batch) {
+  for (const auto& report : batch.reports) {
+    version_ += instances_.heard(now, report) ? 1 : 0;
+  }
+}
+
 void FleetLeader::register_instance(TimePoint now, const std::string& key, const wire::ControlCall& call) {
   bool changed = false;
   bool leaving = true;
@@ -398,22 +361,26 @@
   }
 }
 
+bool FleetLeader::all_hold(TimePoint now, int64_t version) const {
+  if (!subscribers_.all_hold(now, version)) {
+    return false;
+  }
+  const auto nodes = subscribers_.live_nodes(now);
+  return std::all_of(nodes.begin(), nodes.end(), [&](const auto& node) {
+    const auto entries = entries_of_.find(node);
+    return entries != entries_of_.end() && entries->second.term == term_ && entries->second.version >= version;
+  });
+}
+
 void FleetLeader::answer_confirmed(TimePoint now) {
   std::vector<WaitingCall> still_waiting;
   for (const auto& waiting : waiting_) {
     if (!open_calls_.contains(waiting.key)) {
       continue;
     }
-    bool confirmed = !is_collecting(now);
-    bool published = confirmed;
-    for (const auto& [node, subscriber] : subscribers_) {
-      const bool live = now - subscriber.last_heard < options_.node_timeout;
-      const bool holds = subscriber.state_held >= std::pair(term_, waiting.version);
-      confirmed = confirmed && (holds || !live);
-      published = published && (subscriber.state_sent >= waiting.version || !live);
-    }
+    const bool is_published = !is_collecting(now) && subscribers_.all_were_sent(now, waiting.version);
     const bool patience_over = now - waiting.since > options_.confirmation_patience;
-    if (confirmed || (published && patience_over)) {
+    if (is_published && (patience_over || all_hold(now, waiting.version))) {
       answer(waiting.key, http_status::kOk, "{}");
     } else {
       still_waiting.push_back(waiting);
@@ -428,10 +395,13 @@
   if (now >= next_supervision_) {
     next_supervision_ = now + kSupervisionInterval;
     outputs_.replicas = replicas_.next_change(now, raft, nodes_);
-    update_loads(now);
-    forget_lost_nodes(now);
+    forget_lost_entries(now);
     version_ += instances_.tick(now) ? 1 : 0;
   }
+  if (now >= next_load_sum_) {
+    next_load_sum_ = now + kLoadInterval;
+    update_loads(now);
+  }
   if (!is_collecting(now) && log.parsed() != nullptr && now >= next_group_tick_) {
     next_group_tick_ = now + kGroupInterval;
     version_ += groups_.tick(now, *log.parsed(), instances_) ? 1 : 0;
--- a/src/core/fleet/fleet_leader.h
+++ b/src/core/fleet/fleet_leader.h
@@ -9,20 +9,26 @@
 #include "consensus/raft_node.h"
 #include "core/control/replica_supervisor.h"
 #include "core/fleet/document_log.h"
+#include "core/fleet/entry_reports.h"
 #include "core/fleet/fleet_options.h"
 #include "core/fleet/fleet_subscription.h"
 #include "core/fleet/group_supervisor.h"
 #include "core/fleet/instance_directory.h"
 #include "core/fleet/slot_scheduler.h"
-#include "core/fleet/state_history.h"
+#include "core/fleet/subscriber_table.h"
+#include "core/membership/incarnation_ranks.h"
 #include "core/membership/node_directory.h"
 
 namespace larchlever::fleet {
 
-/// What the leader of a registered fleet does besides replicating: answers nodes' heartbeats, instances' registrations
-/// and operators' calls; supervises groups and the log's voters; pushes news to every node.
+/// The log's replicas, as nodes learn of them.
+std::vector<wire::ControlPeer> control_peers_of(const wire::ReplicaSet& replicas);
+
+/// What the leader of a registered fleet does besides replicating: answers control replicas' heartbeats, entries'
+/// questions for slots, instances' registrations and operators' calls; supervises groups and the log's voters; pushes
+/// news to the control replicas, which pass them on to the entries.
 ///
-/// All its state is soft and belongs to one leadership; it starts from the copies that the nodes hold.
+/// All its state is soft and belongs to one leadership; it starts from the copies that the control replicas hold.
 /// `RaftNode::is_ready_leader` must hold at every call (the owner checks). Single-threaded, deterministic.
 class FleetLeader {
  public:
@@ -45,6 +51,8 @@
                  const DocumentLog& log);
   /// An entry's questions for slots, and news of its load.
   void slot_report(TimePoint now, const wire::Envelope& envelope, const DocumentLog& log);
+  /// Heartbeats of instances that a control replica took and answered.
+  void registrations(TimePoint now, const wire::RegistrationBatch& batch);
   /// `key` identifies the call in the answers; the same call may arrive again under the same key.
   void call(TimePoint now, const std::string& key, const wire::ControlCall& call, const consensus::RaftNode& raft,
             const DocumentLog& log);
@@ -63,17 +71,12 @@
   const std::map<std::string, wire::GroupLoad>& loads() const { return loads_; }
 
  private:
-  struct Subscriber {
-    TimePoint last_heard{};
-    bool serves_requests = false;
-    int64_t document_version = 0;
-    std::pair<int64_t, int64_t> state_held{0, 0};
-    /// What was last sent to it, and when.
-    int64_t document_sent = 0;
-    TimePoint document_sent_at{};
-    int64_t state_sent = 0;
-    TimePoint state_sent_at{};
-    std::map<std::string, wire::GroupLoad> loads;
+  /// What a control replica told of the entries that subscribe to it.
+  struct EntriesOf {
+    int64_t term = 0;
+    /// The version of `term` that all of them hold.
+    int64_t version = 0;
+    int serving = 0;
   };
   /// A call answered once every live node confirmed a version of the state.
   struct WaitingCall {
@@ -86,12 +89,14 @@
     int64_t term = 0;
   };
 
-  /// Incarnations come from clocks that may be set back, so their order is the order of first arrival.
-  Incarnation rank_incarnation(const std::string& node, int64_t incarnation);
   bool is_collecting(TimePoint now) const { return now < collecting_until_; }
-  void note_report(TimePoint now, const wire::Envelope& envelope);
-  /// Takes an entry's word against a group; believed once another entry or a silent member bears it out.
-  void note_failure(TimePoint now, const std::string& node, const std::string& group);
+  void note_heartbeat(TimePoint now, const wire::Envelope& envelope);
+  /// Takes a copy of the predecessor's state if it is newer than what this leadership began with.
+  void take_copy(TimePoint now, const wire::FleetState& copy);
+  /// Every voter has reported, and none holds a newer copy: there is nothing left to wait for.
+  void end_collecting_early(TimePoint now, const wire::ReplicaSet& replicas);
+  /// A group's head fails, or stands still, by the word of entries that is borne out.
+  void note_failures(TimePoint now, const wire::SlotReport& report);
   void put_document(const std::string& key, const wire::ControlCall& call, const consensus::RaftNode& raft,
                     const DocumentLog& log);
   void register_instance(TimePoint now, const std::string& key, const wire::ControlCall& call);
@@ -99,39 +104,41 @@
   void answer(const std::string& key, int status, std::string body = {});
   void send_update(TimePoint now, const std::string& node, int64_t sequence, const consensus::RaftNode& raft,
                    const DocumentLog& log);
-  /// Attaches what the subscriber lacks of the fleet's state, as rows that changed where it holds some of this term.
-  void add_state(TimePoint now, Subscriber& subscriber, wire::FleetUpdate& update);
-  void add_loads_of_others(TimePoint now, const Subscriber& subscriber, wire::FleetUpdate& update) const;
-  bool may_publish_to(TimePoint now, const Subscriber& subscriber) const;
+  void publish();
+  bool may_publish_to(TimePoint now, const std::string& node) const;
+  int serving_entries(TimePoint now) const;
+  /// All live control replicas, and the entries that subscribe to them, hold `version`.
+  bool all_hold(TimePoint now, int64_t version) const;
   void push_news(TimePoint now, const consensus::RaftNode& raft, const DocumentLog& log);
   void answer_confirmed(TimePoint now);
   void answer_slots(TimePoint now, const DocumentLog& log);
-  void forget_lost_nodes(TimePoint now);
+  /// Tells an entry that its report arrived: a link that brings nothing back is taken for dead.
+  void confirm_report(const std::string& node);
+  void forget_lost_entries(TimePoint now);
   void update_loads(TimePoint now);
 
   FleetOptions options_;
   FleetIdentity identity_;
   int64_t term_ = 0;
   int64_t version_ = 0;
-  StateHistory history_;
+  /// The control replicas, this one included.
+  SubscriberTable subscribers_;
+  std::map<std::string, EntriesOf> entries_of_;
   TimePoint next_push_{};
   /// Order of the copy that the groups were taken from.
   std::pair<int64_t, int64_t> inherited_{0, 0};
   TimePoint collecting_until_{};
   TimePoint next_supervision_{};
+  TimePoint next_load_sum_{};
   TimePoint next_group_tick_{};
   InstanceDirectory instances_;
   GroupSupervisor groups_;
   SlotScheduler slots_;
   membership::NodeDirectory nodes_;
   control::ReplicaSupervisor replicas_;
-  std::map<std::string, Subscriber> subscribers_;
-  std::map<std::string, std::vector<int64_t>> incarnations_;
+  membership::IncarnationRanks incarnations_;
+  EntryReports entry_reports_;
   std::map<std::string, wire::GroupLoad> loads_;
-  /// Per group, which entries reported its failure, and when last.
-  std::map<std::string, std::map<std::string, TimePoint>> accusations_;
-  /// When any entry last saw progress of a group.
-  std::map<std::string, TimePoint> progress_;
   std::vector<WaitingCall> waiting_;
   std::map<int64_t, PendingDocument> pending_documents_;
   /// The id under which each open call's forwarder knows it.
--- a/src/core/fleet/fleet_options.h
+++ b/src/core/fleet/fleet_options.h
@@ -13,10 +13,14 @@
 /// Times and bounds of a fleet whose back ends register themselves. Derived from the settings; see
 /// settings/fleet_settings.h.
 struct FleetOptions {
-  /// How often a node reports to the leader.
+  /// How often a control replica reports to the leader.
   Duration heartbeat_interval = milliseconds(100);
+  /// How often an entry reports to the control replica that it subscribes to.
+  Duration entry_heartbeat_interval = milliseconds(250);
   /// A heartbeat unanswered for this long is sent to another control replica.
-  Duration heartbeat_patience = milliseconds(500);
+  Duration heartbeat_patience = milliseconds(600);
+  /// An entry leaves a control replica that has not heard its leader for this long: about what an election takes.
+  Duration publisher_patience = milliseconds(1500);
   /// A node not heard for this long is not waited for and takes no share of budgets.
   Duration node_timeout = milliseconds(1200);
   /// How long a node may serve keyed requests by what it holds, counted from when it asked.
--- a/src/core/fleet/fleet_subscription.cc
+++ b/src/core/fleet/fleet_subscription.cc
@@ -12,8 +12,10 @@
 
 /// Unanswered questions remembered; an answer to an older one extends no lease.
 constexpr size_t kRememberedQuestions = 64;
-/// While nobody leads as far as we know, one replica after the other is asked at this pace.
+/// While nobody answers, one replica after the other is asked at this pace.
 constexpr Duration kSearchInterval = milliseconds(50);
+/// An entry that found another replica than the one it prefers asks that one again at this pace.
+constexpr Duration kReturnInterval = seconds(2);
 
 std::pair<int64_t, int64_t> order_of(const wire::FleetState& state) { return {state.term, state.version}; }
 
@@ -21,31 +23,32 @@
 
 FleetSubscription::FleetSubscription(const FleetOptions& options, FleetIdentity identity,
                                      std::vector<std::string> seeds)
-    : options_(options), identity_(std::move(identity)) {
+    : options_(options), identity_(std::move(identity)), peers_(identity_.peer_address, identity_.zone) {
   add_peers(seeds);
 }
 
-void FleetSubscription::add_peers(const std::vector<std::string>& peers) {
-  for (const auto& peer : peers) {
-    if (!peer.empty() && std::find(peers_.begin(), peers_.end(), peer) == peers_.end()) {
-      peers_.push_back(peer);
-    }
+void FleetSubscription::add_peers(const std::vector<std::string>& addresses) {
+  for (const auto& address : addresses) {
+    wire::ControlPeer peer;
+    peer.address = address;
+    peers_.add(peer);
   }
 }
 
-void FleetSubscription::choose_next_target() {
-  if (peers_.empty()) {
-    return;
+void FleetSubscription::add_peers(const std::vector<wire::ControlPeer>& peers) {
+  for (const auto& peer : peers) {
+    peers_.add(peer);
   }
-  leader_ = peers_[next_peer_++ % peers_.size()];
 }
 
 void FleetSubscription::hint_leader(const std::string& leader) {
   if (!leader.empty() && leader != leader_) {
-    add_peers({leader});
+    wire::ControlPeer peer;
+    peer.address = leader;
+    peers_.add(peer);
     leader_ = leader;
     is_hinted_ = true;
-    next_heartbeat_ = TimePoint::min();
+    report_now();
   }
 }
 
@@ -53,24 +56,43 @@
   return last_answer_ == TimePoint::min() || now - last_answer_ > options_.heartbeat_patience;
 }
 
+bool FleetSubscription::is_stale(TimePoint now) const {
+  return last_fresh_answer_ == TimePoint::min() || now - last_fresh_answer_ > options_.publisher_patience;
+}
+
+std::string FleetSubscription::choose_target(TimePoint now) {
+  if (!is_entry()) {
+    if (leader_.empty() || (is_searching(now) && !std::exchange(is_hinted_, false))) {
+      leader_ = peers_.next();
+    }
+    return leader_;
+  }
+  if (publisher_.empty() || is_searching(now) || is_stale(now)) {
+    publisher_ = peers_.next();
+    return publisher_;
+  }
+  if (publisher_ != peers_.preferred() && now >= next_return_try_) {
+    next_return_try_ = now + kReturnInterval;
+    return peers_.preferred();
+  }
+  return publisher_;
+}
+
 std::optional<wire::Envelope> FleetSubscription::tick(TimePoint now, const wire::FleetHeartbeat& content) {
   if (now < next_heartbeat_) {
     return std::nullopt;
   }
-  const bool searching = is_searching(now);
-  if (leader_.empty() || (searching && !std::exchange(is_hinted_, false))) {
-    choose_next_target();
-  }
-  next_heartbeat_ = now + (searching ? kSearchInterval : options_.heartbeat_interval);
+  const Duration interval = is_entry() ? options_.entry_heartbeat_interval : options_.heartbeat_interval;
+  next_heartbeat_ = now + (is_searching(now) ? kSearchInterval : interval);
   wire::Envelope envelope;
-  envelope.to_node = leader_;
+  envelope.to_node = choose_target(now);
   envelope.__set_fleet_heartbeat(content);
   auto& heartbeat = envelope.fleet_heartbeat;
   heartbeat.sequence = next_sequence_++;
   heartbeat.zone = identity_.zone;
   heartbeat.control_address = identity_.control_address;
   heartbeat.serves_requests = identity_.serves_requests;
-  heartbeat.document_version = document_version_;
+  heartbeat.document_version = document_.version;
   heartbeat.held_term = state_.term;
   heartbeat.held_version = state_.version;
   if (std::exchange(send_state_, false)) {
@@ -83,29 +105,51 @@
   return envelope;
 }
 
-bool FleetSubscription::receive(TimePoint now, const wire::Envelope& envelope) {
+void FleetSubscription::receive_not_leader(TimePoint now, const wire::Envelope& envelope) {
   const auto& update = envelope.fleet_update;
-  add_peers(update.control_peers);
-  if (update.not_leader) {
-    const bool is_news = envelope.from_node == leader_ || is_searching(now);
-    if (is_news && update.leader != envelope.from_node) {
-      hint_leader(update.leader);
-    }
-    if (envelope.from_node == leader_) {
-      choose_next_target();
-    }
-    return false;
+  const bool is_news = envelope.from_node == leader_ || is_searching(now);
+  if (is_news && update.leader != envelope.from_node) {
+    hint_leader(update.leader);
+  }
+  if (envelope.from_node == leader_) {
+    leader_ = peers_.next();
+  }
+}
+
+void FleetSubscription::note_answer(TimePoint now, const wire::Envelope& envelope) {
+  const auto& update = envelope.fleet_update;
+  if (!is_entry()) {
+    last_answer_ = now;
+    leader_ = envelope.from_node;
+    return;
+  }
+  if (!update.leader.empty()) {
+    leader_ = update.leader;
+  }
+  const bool is_fresh =
+      update.confirmed_age_ms >= 0 && milliseconds(update.confirmed_age_ms) < options_.publisher_patience;
+  if (update.sequence == 0 && envelope.from_node != publisher_) {
+    return;  // A push of a replica that was left.
   }
   last_answer_ = now;
-  leader_ = envelope.from_node;
-  loads_ = update.loads;
-  serving_nodes_ = std::max(1, update.serving_nodes);
-  send_state_ = update.wants_state && state_.term > 0;
+  if (!is_fresh) {
+    return;
+  }
+  const bool is_better = is_stale(now) || envelope.from_node == peers_.preferred();
+  if (is_better && envelope.from_node != publisher_) {
+    publisher_ = envelope.from_node;
+    next_return_try_ = now + kReturnInterval;
+  }
+  last_fresh_answer_ = now;
+  peers_.restart();
+}
+
+bool FleetSubscription::take_content(const wire::FleetUpdate& update) {
   bool changed = false;
-  if (update.__isset.document && update.document.version > document_version_) {
+  if (update.__isset.document && update.document.version > document_.version) {
     if (auto content = unpack_document(update.document)) {
-      document_version_ = update.document.version;
-      document_ = std::move(*content);
+      document_ = update.document;
+      document_content_ = std::move(*content);
       changed = true;
     }
   }
@@ -116,25 +160,66 @@
   if (update.__isset.state_change) {
     changed = apply_change(state_, update.state_change) || changed;
   }
+  return changed;
+}
+
+void FleetSubscription::extend_lease(const wire::FleetUpdate& update) {
   const auto asked = asked_at_.find(update.sequence);
-  if (asked != asked_at_.end() && document_version_ >= update.document_version) {
-    lease_from_ = std::max(lease_from_, asked->second);
-    asked_at_.erase(asked_at_.begin(), std::next(asked));
+  const bool is_confirmed = update.confirmed_age_ms >= 0 && document_.version >= update.document_version;
+  if (asked == asked_at_.end() || !is_confirmed) {
+    return;
+  }
+  // The sender counts its age when it answers, which is no earlier than we asked.
+  lease_from_ = std::max(lease_from_, asked->second - milliseconds(update.confirmed_age_ms));
+  asked_at_.erase(asked_at_.begin(), std::next(asked));
+}
+
+void FleetSubscription::note_serving_nodes(TimePoint now, int count) {
+  // A publisher that has just started knows few: shares of budgets must not grow by that, so the most nodes heard of
+  // within the budgets' window count.
+  const bool is_old = serving_nodes_since_ == TimePoint::min() || now - serving_nodes_since_ > options_.retry_window;
+  if (count >= serving_nodes_ || is_old) {
+    serving_nodes_ = std::max(1, count);
+    serving_nodes_since_ = now;
   }
+}
+
+bool FleetSubscription::receive(TimePoint now, const wire::Envelope& envelope) {
+  const auto& update = envelope.fleet_update;
+  add_peers(update.control_peers);
+  if (update.not_leader) {
+    receive_not_leader(now, envelope);
+    return false;
+  }
+  note_answer(now, envelope);
+  if (!update.loads.empty() || !is_entry()) {
+    loads_ = update.loads;
+  }
+  note_serving_nodes(now, update.serving_nodes);
+  send_state_ = update.wants_state && state_.term > 0;
+  const bool changed = take_content(update);
+  extend_lease(update);
   if (update.wants_confirmation || update.__isset.document || send_state_) {
-    next_heartbeat_ = TimePoint::min();
+    report_now();
   }
   return changed;
 }
 
 void FleetSubscription::restore_state(const wire::FleetState& state) {
-  if (std::pair(state.term, state.version) > std::pair(state_.term, state_.version)) {
+  if (order_of(state) > order_of(state_)) {
     state_ = state;
   }
 }
 
 bool FleetSubscription::has_lease(TimePoint now) const {
-  return lease_from_ != TimePoint::min() && document_version_ > 0 && now - lease_from_ < options_.document_lease;
+  return lease_from_ != TimePoint::min() && document_.version > 0 && now - lease_from_ < options_.document_lease;
+}
+
+int64_t FleetSubscription::confirmed_age_ms(TimePoint now) const {
+  if (lease_from_ == TimePoint::min() || document_.version == 0) {
+    return -1;
+  }
+  return (now - lease_from_) / milliseconds(1) + 1;
 }
 
 }  // namespace larchlever::fleet
--- a/src/core/fleet/fleet_subscription.h
+++ b/src/core/fleet/fleet_subscription.h
@@ -8,6 +8,7 @@
 
 #include "core/base/ids.h"
 #include "core/base/time.h"
+#include "core/fleet/control_peers.h"
 #include "core/fleet/fleet_options.h"
 #include "larchlever_types.h"
 
@@ -23,8 +24,9 @@
   bool serves_requests = false;
 };
 
-/// One node's link to whichever control replica leads: finds it, reports to it, and keeps a copy of the document and of
-/// the fleet's state.
+/// One node's link to the control replica that it learns from, with its copy of the document and of the fleet's state.
+/// A control replica subscribes to the leader. An entry subscribes to any control replica, one of its own zone if it
+/// can, and leaves one that does not answer or has lost the leader.
 ///
 /// Guarantees: the document's version and the state's (term, version) never go back; `has_lease` is true only while a
 /// leader confirmed, at a moment no earlier than the lease's start, that the document held is the newest committed.
@@ -35,49 +37,70 @@
 
   /// A heartbeat to send now, if one is due; `content` carries what this node has to report.
   std::optional<wire::Envelope> tick(TimePoint now, const wire::FleetHeartbeat& content);
+  /// The next `tick` sends a heartbeat.
+  void report_now() { next_heartbeat_ = TimePoint::min(); }
   /// Takes an answer or a push. True when the document or the state changed.
   bool receive(TimePoint now, const wire::Envelope& envelope);
-  /// The node learned of the leader by other means.
+  /// This control replica learned of the leader by other means.
   void hint_leader(const std::string& leader);
-  void add_peers(const std::vector<std::string>& peers);
+  void add_peers(const std::vector<std::string>& addresses);
+  void add_peers(const std::vector<wire::ControlPeer>& peers);
   /// Takes a copy kept from before a restart, unless a newer one is held.
   void restore_state(const wire::FleetState& state);
 
   bool has_lease(TimePoint now) const;
-  /// When a leader last answered; the origin of time if none ever did.
-  TimePoint last_answer() const { return last_answer_; }
-  int64_t document_version() const { return document_version_; }
-  const std::string& document() const { return document_; }
+  /// Milliseconds since a leader knew the document held to be the newest, rounded up; negative when none ever did.
+  int64_t confirmed_age_ms(TimePoint now) const;
+  int64_t document_version() const { return document_.version; }
+  /// The document as it travels.
+  const wire::DocumentChange& packed_document() const { return document_; }
+  /// Its content; empty when none is held.
+  const std::string& document() const { return document_content_; }
   const wire::FleetState& state() const { return state_; }
   const std::vector<wire::GroupLoad>& loads() const { return loads_; }
   int serving_nodes() const { return serving_nodes_; }
+  /// Peer address of the leader, as far as this node was told; of a candidate while a control replica searches.
   const std::string& leader() const { return leader_; }
-  const std::vector<std::string>& peers() const { return peers_; }
+  const std::vector<wire::ControlPeer>& peers() const { return peers_.all(); }
   const FleetIdentity& identity() const { return identity_; }
 
  private:
-  void choose_next_target();
-  /// No leader answered of late.
+  bool is_entry() const { return identity_.serves_requests; }
+  /// Nobody answered of late.
   bool is_searching(TimePoint now) const;
+  /// Answers come, but from replicas that have no leader either.
+  bool is_stale(TimePoint now) const;
+  /// Whom the heartbeat that is due now goes to.
+  std::string choose_target(TimePoint now);
+  void receive_not_leader(TimePoint now, const wire::Envelope& envelope);
+  void note_answer(TimePoint now, const wire::Envelope& envelope);
+  bool take_content(const wire::FleetUpdate& update);
+  void extend_lease(const wire::FleetUpdate& update);
+  void note_serving_nodes(TimePoint now, int count);
 
   FleetOptions options_;
   FleetIdentity identity_;
-  std::vector<std::string> peers_;
+  ControlPeers peers_;
   std::string leader_;
-  size_t next_peer_ = 0;
+  /// Whom an entry asks; a control replica asks `leader_`.
+  std::string publisher_;
   int64_t next_sequence_ = 1;
   std::map<int64_t, TimePoint> asked_at_;
   TimePoint next_heartbeat_ = TimePoint::min();
+  TimePoint next_return_try_ = TimePoint::min();
   /// `leader_` was named by somebody and not asked yet.
   bool is_hinted_ = false;
   TimePoint last_answer_ = TimePoint::min();
+  /// The last answer of a replica that heard its leader of late.
+  TimePoint last_fresh_answer_ = TimePoint::min();
   TimePoint lease_from_ = TimePoint::min();
   bool send_state_ = false;
-  int64_t document_version_ = 0;
-  std::string document_;
+  wire::DocumentChange document_;
+  std::string document_content_;
   wire::FleetState state_;
   std::vector<wire::GroupLoad> loads_;
   int serving_nodes_ = 1;
+  TimePoint serving_nodes_since_ = TimePoint::min();
 };
 
 }  // namespace larchlever::fleet
--- a/src/core/fleet/instance_directory.cc
+++ b/src/core/fleet/instance_directory.cc
@@ -1,6 +1,7 @@
 #include "core/fleet/instance_directory.h"
 
 #include <algorithm>
+#include <tuple>
 
 namespace larchlever::fleet {
 
@@ -12,12 +13,12 @@
 }  // namespace
 
 bool says_the_same(const wire::Instance& left, const wire::Instance& right) {
-  if (left.call_number == right.call_number) {
-    return left == right;
-  }
-  wire::Instance same_call = right;
-  same_call.call_number = left.call_number;
-  return left == same_call;
+  const auto facts = [](const wire::Instance& instance) {
+    return std::tie(instance.id, instance.service_name, instance.address, instance.zone, instance.domain,
+                    instance.state, instance.slots, instance.staged_models, instance.membership, instance.silent,
+                    instance.model);
+  };
+  return facts(left) == facts(right);
 }
 
 void InstanceDirectory::start(TimePoint now, const std::vector<wire::Instance>& inherited) {
--- a/src/core/fleet/registration.cc
+++ b/src/core/fleet/registration.cc
@@ -61,6 +61,14 @@
 
 }  // namespace
 
+std::string error_body(const std::string& message) {
+  std::string escaped;
+  for (const char character : message) {
+    escaped += character == '"' || character == '\\' ? '\'' : character;
+  }
+  return R"({"error":")" + escaped + R"("})";
+}
+
 std::optional<wire::Instance> parse_registration(const std::string& instance_id, std::string_view body,
                                                  std::string& error) {
   boost::system::error_code failure;
--- /dev/null
+++ b/src/core/fleet/registration_relay.cc
@@ -0,0 +1,50 @@
+#include "core/fleet/registration_relay.h"
+
+namespace larchlever::fleet {
+
+namespace {
+
+/// Heartbeats within this time travel together. A group waits for its members' word, so it is kept short.
+constexpr Duration kBatchInterval = milliseconds(40);
+
+}  // namespace
+
+void RegistrationRelay::note(TimePoint now, wire::Instance report) {
+  Report& known = reports_[report.id];
+  if (report.call_number < known.instance.call_number) {
+    return;  // Overtaken on its way.
+  }
+  unsent_.insert(report.id);
+  known = {std::move(report), now};
+}
+
+void RegistrationRelay::forget(const std::string& instance_id) {
+  reports_.erase(instance_id);
+  unsent_.erase(instance_id);
+}
+
+std::optional<wire::RegistrationBatch> RegistrationRelay::next_batch(TimePoint now, const std::string& leader,
+                                                                     int64_t term) {
+  if (leader.empty() || now < next_batch_) {
+    return std::nullopt;
+  }
+  next_batch_ = now + kBatchInterval;
+  std::erase_if(reports_, [&](const auto& item) { return now - item.second.heard > memory_; });
+  const std::pair receiver(leader, term);
+  if (receiver != told_) {
+    told_ = receiver;
+    for (const auto& [id, report] : reports_) {
+      unsent_.insert(id);
+    }
+  }
+  wire::RegistrationBatch batch;
+  for (const auto& id : unsent_) {
+    if (const auto found = reports_.find(id); found != reports_.end()) {
+      batch.reports.push_back(found->second.instance);
+    }
+  }
+  unsent_.clear();
+  return batch.reports.empty() ? std::nullopt : std::optional(std::move(batch));
+}
+
+}  // namespace larchlever::fleet
--- a/src/core/fleet/slot_scheduler.cc
+++ b/src/core/fleet/slot_scheduler.cc
@@ -1,7 +1,9 @@
 #include "core/fleet/slot_scheduler.h"
 
 #include <algorithm>
+#include <iterator>
 #include <tuple>
+#include <utility>
 
 #include "core/engine/cost_model.h"
 
@@ -12,6 +14,8 @@
 /// Part of the objective for pauses that a forecast pass may take; the rest is for the network and for what the cost
 /// model leaves out.
 constexpr double kGapShare = 0.85;
+/// Requests that wait are looked at again this often; a pass of a group takes many times as long.
+constexpr Duration kReviewInterval = milliseconds(5);
 
 Duration scaled(Duration duration, double factor) {
   return Duration(static_cast<int64_t>(static_cast<double>(duration.count()) * factor));
@@ -22,8 +26,11 @@
 void SlotScheduler::start(int64_t term) {
   term_ = term;
   groups_.clear();
+  open_groups_.clear();
   nodes_.clear();
+  arrived_.clear();
   waiting_.clear();
+  blocked_.clear();
 }
 
 void SlotScheduler::set_groups(const std::vector<wire::EngineGroup>& groups) {
@@ -40,6 +47,16 @@
   for (auto& [name, group] : groups_) {
     group.is_open = group.is_open && known.contains(name);
   }
+  index_open_groups();
+}
+
+void SlotScheduler::index_open_groups() {
+  open_groups_.clear();
+  for (auto& item : groups_) {
+    if (item.second.is_open) {
+      open_groups_[{item.second.service, item.second.model}].push_back(&item);
+    }
+  }
 }
 
 int SlotScheduler::in_flight(const std::string& group) const {
@@ -92,7 +109,9 @@
     --groups_[group].in_flight;
   }
   nodes_.erase(found);
-  std::erase_if(waiting_, [&node_name](const auto& waiting) { return waiting.node == node_name; });
+  const auto is_of_node = [&node_name](const auto& waiting) { return waiting.node == node_name; };
+  std::erase_if(arrived_, is_of_node);
+  std::erase_if(waiting_, is_of_node);
 }
 
 void SlotScheduler::add_request(TimePoint now, const std::string& node, const wire::SlotRequest& request) {
@@ -106,7 +125,7 @@
     const auto [smallest, is_first] = smallest_gaps_.try_emplace(key_of(waiting), gap);
     smallest->second = std::min(smallest->second, gap);
   }
-  waiting_.push_back(std::move(waiting));
+  arrived_.push_back(std::move(waiting));
 }
 
 bool SlotScheduler::is_late(TimePoint now, const WaitingRequest& waiting) {
@@ -114,12 +133,6 @@
   return request.first_event_ms > 0 && now >= waiting.arrived + milliseconds(request.first_event_ms);
 }
 
-bool SlotScheduler::has_open_group(const ModelKey& key) const {
-  return std::any_of(groups_.begin(), groups_.end(), [&key](const auto& item) {
-    return item.second.is_open && item.second.service == key.first && item.second.model == key.second;
-  });
-}
-
 SlotScheduler::Candidate SlotScheduler::best_group(TimePoint now, const document::EngineSpec& engine,
                                                    const document::ModelSpec& model, const WaitingRequest& waiting) {
   const auto& request = waiting.request;
@@ -127,12 +140,16 @@
   const Duration longest_pass = gap == smallest_gaps_.end() ? Duration::max() : scaled(gap->second, kGapShare);
   const bool has_objective = request.first_event_ms > 0;
   const Duration left = waiting.arrived + milliseconds(request.first_event_ms) - now;
+  const auto open = open_groups_.find(key_of(waiting));
   Candidate best;
-  for (auto& [name, group] : groups_) {
+  if (open == open_groups_.end()) {
+    return best;
+  }
+  for (auto* item : open->second) {
+    auto& [name, group] = *item;
     const auto& excluded = request.excluded_groups;
-    const bool fits = group.is_open && group.service == request.service_name && group.model == request.model &&
-                      group.in_flight < engine.slots &&
-                      std::find(excluded.begin(), excluded.end(), name) == excluded.end();
+    const bool fits =
+        group.in_flight < engine.slots && std::find(excluded.begin(), excluded.end(), name) == excluded.end();
     if (!fits) {
       continue;
     }
@@ -185,18 +202,18 @@
 }
 
 bool SlotScheduler::decide_one(TimePoint now, const document::ConfigurationDocument& document, WaitingRequest& waiting,
-                               std::set<ModelKey>& blocked, std::vector<SlotDecision>& decisions) {
+                               std::vector<SlotDecision>& decisions) {
   const ModelKey key = key_of(waiting);
   const auto service = document.services.find(key.first);
   const bool known = service != document.services.end() && service->second.engine;
   const auto* model = known ? service->second.engine->find_model(key.second) : nullptr;
-  if (model == nullptr || !has_open_group(key)) {
+  if (model == nullptr || !open_groups_.contains(key)) {
     answer(waiting, wire::SlotVerdict::UNDECIDED, decisions);
     return true;
   }
   const auto& engine = *service->second.engine;
   const bool is_last_chance = now >= waiting.patience_ends;
-  if (!blocked.contains(key) || is_last_chance) {
+  if (!blocked_.contains(key) || is_last_chance) {
     const Candidate candidate = best_group(now, engine, *model, waiting);
     // Late is better than never for who was refused before, and for who would be late anywhere.
     const bool late_is_fine = (is_last_chance && waiting.request.is_retry) || is_out_of_reach(engine, *model, waiting);
@@ -209,7 +226,7 @@
     answer(waiting, wire::SlotVerdict::BUSY, decisions);
     return true;
   }
-  blocked.insert(key);
+  blocked_.insert(key);
   if (!waiting.is_told) {
     waiting.is_told = true;
     answer(waiting, wire::SlotVerdict::QUEUED, decisions);
@@ -217,15 +234,32 @@
   return false;
 }
 
-std::vector<SlotDecision> SlotScheduler::decide(TimePoint now, const document::ConfigurationDocument& document) {
-  std::vector<SlotDecision> decisions;
-  std::set<ModelKey> blocked;
+void SlotScheduler::decide_waiting(TimePoint now, const document::ConfigurationDocument& document,
+                                   std::vector<SlotDecision>& decisions) {
+  next_review_ = now + kReviewInterval;
+  blocked_.clear();
   const auto order = [now](const WaitingRequest& item) {
     return std::tuple(item.request.priority, is_late(now, item), item.request.is_retry, item.arrived);
   };
   std::stable_sort(waiting_.begin(), waiting_.end(),
                    [&order](const auto& left, const auto& right) { return order(left) < order(right); });
-  std::erase_if(waiting_, [&](auto& waiting) { return decide_one(now, document, waiting, blocked, decisions); });
+  std::erase_if(waiting_, [&](auto& waiting) { return decide_one(now, document, waiting, decisions); });
+}
+
+std::vector<SlotDecision> SlotScheduler::decide(TimePoint now, const document::ConfigurationDocument& document) {
+  std::vector<SlotDecision> decisions;
+  if (now >= next_review_) {
+    waiting_.insert(waiting_.end(), std::make_move_iterator(arrived_.begin()), std::make_move_iterator(arrived_.end()));
+    arrived_.clear();
+    decide_waiting(now, document, decisions);
+    return decisions;
+  }
+  // A request for whose model nobody waits goes at once; behind others it waits for the next review.
+  for (auto& arrival : std::exchange(arrived_, {})) {
+    if (!decide_one(now, document, arrival, decisions)) {
+      waiting_.push_back(std::move(arrival));
+    }
+  }
   return decisions;
 }
 
--- a/src/core/fleet/slot_scheduler.h
+++ b/src/core/fleet/slot_scheduler.h
@@ -45,11 +45,13 @@
   /// The node is gone, and what it had under way with it.
   void forget_node(const std::string& node);
   void add_request(TimePoint now, const std::string& node, const wire::SlotRequest& request);
-  /// Decides what can be decided now. To be called after every input and every few milliseconds.
+  /// Decides what can be decided now. To be called after every input and every few milliseconds. Requests that wait are
+  /// looked at again only when room was made or a little time has passed, so the cost of an input does not grow with
+  /// their number.
   std::vector<SlotDecision> decide(TimePoint now, const document::ConfigurationDocument& document);
 
   /// Requests that wait for a slot.
-  size_t waiting() const { return waiting_.size(); }
+  size_t waiting() const { return waiting_.size() + arrived_.size(); }
   /// Requests under way at a group, slots counted that were not used yet.
   int in_flight(const std::string& group) const;
 
@@ -75,6 +77,7 @@
     bool is_told = false;  ///< The entry knows that it waits.
   };
   using ModelKey = std::pair<std::string, std::string>;  ///< Service and model.
+  using GroupItem = std::pair<const std::string, Group>;
   enum class Fit { kInTime, kLate, kNone };
   struct Candidate {
     std::string group;
@@ -94,10 +97,12 @@
   /// No group, however idle, could bring the first event in time.
   static bool is_out_of_reach(const document::EngineSpec& engine, const document::ModelSpec& model,
                               const WaitingRequest& waiting);
-  bool has_open_group(const ModelKey& key) const;
   /// True when the request was answered for good.
   bool decide_one(TimePoint now, const document::ConfigurationDocument& document, WaitingRequest& waiting,
-                  std::set<ModelKey>& blocked, std::vector<SlotDecision>& decisions);
+                  std::vector<SlotDecision>& decisions);
+  void decide_waiting(TimePoint now, const document::ConfigurationDocument& document,
+                      std::vector<SlotDecision>& decisions);
+  void index_open_groups();
   void grant(TimePoint now, const document::EngineSpec& engine, const document::ModelSpec& model,
              const WaitingRequest& waiting, const Candidate& candidate, std::vector<SlotDecision>& decisions);
   static void answer(const WaitingRequest& waiting, wire::SlotVerdict::type verdict,
@@ -105,8 +110,15 @@
 
   int64_t term_ = 0;
   std::map<std::string, Group> groups_;
+  /// The open groups of each model.
+  std::map<ModelKey, std::vector<GroupItem*>> open_groups_;
   std::map<std::string, Node> nodes_;
+  /// Came since the last decision; they are decided first, unless others wait for the same model.
+  std::vector<WaitingRequest> arrived_;
   std::vector<WaitingRequest> waiting_;
+  /// Models for which no group had room for the first request that waits.
+  std::set<ModelKey> blocked_;
+  TimePoint next_review_ = TimePoint::min();
   /// The strictest objective for pauses that a model's requests had.
   std::map<ModelKey, Duration> smallest_gaps_;
 };
--- a/src/core/fleet/state_history.cc
+++ b/src/core/fleet/state_history.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <set>
+#include <string_view>
 
 #include "core/fleet/instance_directory.h"
 
@@ -16,17 +17,21 @@
 
 bool says_the_same(const wire::EngineGroup& left, const wire::EngineGroup& right) { return left == right; }
 
+/// True when any row differs from what was recorded before.
 template <typename Row, typename Versioned>
-void record_rows(int64_t version, const std::vector<Row>& rows, std::map<std::string, Versioned>& known,
+bool record_rows(int64_t version, const std::vector<Row>& rows, std::map<std::string, Versioned>& known,
                  std::map<std::string, int64_t>& removed) {
-  std::set<std::string> present;
+  bool changed = false;
+  std::set<std::string_view> present;
   for (const auto& row : rows) {
     present.insert(key_of(row));
-    removed.erase(key_of(row));
-    const auto [found, is_new] = known.try_emplace(key_of(row), Versioned{row, version});
-    if (!is_new && !says_the_same(found->second.row, row)) {
-      found->second = {row, version};
+    const auto found = known.find(key_of(row));
+    if (found != known.end() && says_the_same(found->second.row, row)) {
+      continue;
     }
+    removed.erase(key_of(row));
+    known[key_of(row)] = {row, version};
+    changed = true;
   }
   for (auto item = known.begin(); item != known.end();) {
     if (present.contains(item->first)) {
@@ -35,7 +40,9 @@
     }
     removed[item->first] = version;
     item = known.erase(item);
+    changed = true;
   }
+  return changed;
 }
 
 template <typename Row, typename Versioned>
@@ -83,6 +90,7 @@
 void StateHistory::start(int64_t term) {
   term_ = term;
   version_ = 0;
+  last_change_ = 0;
   instances_.clear();
   groups_.clear();
   removed_instances_.clear();
@@ -91,9 +99,13 @@
 
 void StateHistory::record(int64_t version, const std::vector<wire::Instance>& instances,
                           const std::vector<wire::EngineGroup>& groups) {
+  const bool is_first = version_ == 0;
   version_ = version;
-  record_rows(version, instances, instances_, removed_instances_);
-  record_rows(version, groups, groups_, removed_groups_);
+  const bool instances_changed = record_rows(version, instances, instances_, removed_instances_);
+  const bool groups_changed = record_rows(version, groups, groups_, removed_groups_);
+  if (is_first || instances_changed || groups_changed) {
+    last_change_ = version;
+  }
 }
 
 wire::FleetState StateHistory::full() const {
--- a/src/core/fleet/state_history.h
+++ b/src/core/fleet/state_history.h
@@ -21,6 +21,9 @@
               const std::vector<wire::EngineGroup>& groups);
   /// The last version recorded; 0 for none.
   int64_t version() const { return version_; }
+  /// The last version that changed, added or removed a row, which the first one always does; 0 for none. Copies of it
+  /// equal those of all later versions recorded.
+  int64_t last_change() const { return last_change_; }
   wire::FleetState full() const;
   /// What changed since `version` of the same term.
   wire::FleetStateChange since(int64_t version) const;
@@ -34,6 +37,7 @@
 
   int64_t term_ = 0;
   int64_t version_ = 0;
+  int64_t last_change_ = 0;
   std::map<std::string, Versioned<wire::Instance>> instances_;
   std::map<std::string, Versioned<wire::EngineGroup>> groups_;
   /// At which version rows were removed. Bounded by what one leadership sees come and go.
--- a/src/node/control_process.cc
+++ b/src/node/control_process.cc
@@ -295,7 +295,6 @@
 
 void ControlProcess::report_instances() {
   if (!controller_.is_leader(monotonic_now())) {
-    reported_instances_.clear();
     return;
   }
   const auto& rows = controller_.leader_view().instances().rows();
--- a/src/node/entry_process.cc
+++ b/src/node/entry_process.cc
@@ -1,6 +1,5 @@
 #include <boost/asio.hpp>
 #include <random>
-#include <tuple>
 
 #include "core/base/http_status.h"
 #include "net/http_server.h"
@@ -128,7 +127,9 @@
     state_.dispatcher.update_state(state_.subscription.state());
     adopt_document();
   }
-  state_.dispatcher.update_loads(monotonic_now(), state_.subscription.loads());
+  if (!envelope.fleet_update.loads.empty()) {
+    state_.dispatcher.update_loads(monotonic_now(), state_.subscription.loads());
+  }
   state_.dispatcher.set_serving_nodes(state_.subscription.serving_nodes());
   if (changed) {
     tick();  // Confirms what was learned without waiting for the next tick.
@@ -159,13 +160,10 @@
 
 void EntryProcess::tick() {
   const TimePoint now = monotonic_now();
+  slots_.tick(now);
   wire::FleetHeartbeat content;
-  content.loads = state_.dispatcher.loads(now);
-  content.demand = state_.dispatcher.demand_totals();
-  content.failures = state_.dispatcher.failures(now);
-  std::tie(content.grants_term, content.grants_seen) = slots_.last_grant();
   content.leaving = leaving_;
-  content.traffic_seen = state_.traffic_seen;
+  content.wants_loads = slots_.decides_alone(now);
   if (auto heartbeat = state_.subscription.tick(now, content)) {
     send(std::move(*heartbeat));
   }
--- a/src/node/relayed_request.h
+++ b/src/node/relayed_request.h
@@ -41,6 +41,8 @@
   /// The sending under way, and the load that it puts on its target.
   std::shared_ptr<net::Cancellation> cancellation;
   fleet::SendingMark mark;
+  /// The leader granted the sending a slot of its target.
+  bool has_slot = false;
   TimePoint sent_at{};
   std::string last_target;
   int load_at_choice = 0;
--- a/src/node/request_relay.cc
+++ b/src/node/request_relay.cc
@@ -231,7 +231,9 @@
   request.sent_at = monotonic_now();
   request.mark = {target.group.empty() ? 0 : request.prompt_tokens, false};
   state_.dispatcher.begin(request.sent_at, target, request.mark);
-  note_load(target);
+  if (!request.has_slot) {
+    note_load(target);  // The leader counts a slot that it granted.
+  }
   state_.under_way[target.key].insert(cancellation);
   const ScopeExit finish([this, &request, &target, cancellation] {
     state_.dispatcher.end(target, request.mark);
@@ -411,7 +413,6 @@
   state_.dispatcher.note_progress(now, target);
   if (!request.mark.is_streaming) {
     state_.dispatcher.note_first_event(now, target, request.mark);
-    note_load(target);
     if (request.expected_first_event > Duration::zero()) {
       state_.first_event_excess[request.model].note(now - request.sent_at - request.expected_first_event);
     }
--- a/src/node/slot_requester.cc
+++ b/src/node/slot_requester.cc
@@ -25,6 +25,8 @@
 constexpr milliseconds kQueueSlack{40};
 /// Changes of load within this time are told together.
 constexpr milliseconds kReportDelay{5};
+/// A complete report mends what a lost one left wrong, and shows the leader that this entry lives.
+constexpr auto kCompleteInterval = std::chrono::seconds(1);
 
 }  // namespace
 
@@ -114,15 +116,50 @@
   }
 }
 
+void SlotRequester::tick(TimePoint now) {
+  auto failures = state_.dispatcher.failures(now);
+  const bool has_new_failure = std::any_of(failures.begin(), failures.end(), [this](const auto& failure) {
+    return std::find(reported_failures_.begin(), reported_failures_.end(), failure) == reported_failures_.end();
+  });
+  const std::string& leader = state_.subscription.leader();
+  if (!leader.empty() && (now >= next_complete_ || has_new_failure || leader != reported_to_)) {
+    report_all(now, std::move(failures));
+  }
+}
+
+wire::SlotReport SlotRequester::current_report(std::vector<wire::SlotRequest> requests) const {
+  wire::SlotReport report;
+  report.requests = std::move(requests);
+  report.grants_term = grants_term_;
+  report.grants_seen = grants_seen_;
+  report.traffic_seen = state_.traffic_seen;
+  return report;
+}
+
 void SlotRequester::report(std::vector<wire::SlotRequest> requests) {
+  auto report = current_report(std::move(requests));
+  report.loads = state_.dispatcher.take_changed_loads(monotonic_now());
+  send(std::move(report));
+}
+
+void SlotRequester::report_all(TimePoint now, std::vector<wire::GroupFailure> failures) {
+  next_complete_ = now + kCompleteInterval;
+  reported_to_ = state_.subscription.leader();
+  reported_failures_ = failures;
+  auto report = current_report({});
+  state_.dispatcher.take_changed_loads(now);
+  report.loads = state_.dispatcher.loads(now);
+  report.is_complete = true;
+  report.demand = state_.dispatcher.demand_totals();
+  report.failures = std::move(failures);
+  send(std::move(report));
+}
+
+void SlotRequester::send(wire::SlotReport report) {
   report_is_due_ = false;
   wire::Envelope envelope;
   envelope.to_node = state_.subscription.leader();
-  envelope.__isset.slot_report = true;
-  envelope.slot_report.requests = std::move(requests);
-  envelope.slot_report.loads = state_.dispatcher.take_changed_loads(monotonic_now());
-  envelope.slot_report.grants_term = grants_term_;
-  envelope.slot_report.grants_seen = grants_seen_;
+  envelope.__set_slot_report(std::move(report));
   send_(std::move(envelope));
 }
 
--- a/src/node/slot_requester.h
+++ b/src/node/slot_requester.h
@@ -7,7 +7,9 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <string>
 #include <utility>
+#include <vector>
 
 #include "core/requests/latency_estimate.h"
 #include "larchlever_types.h"
@@ -15,7 +17,8 @@
 
 namespace larchlever::node {
 
-/// Asks the leader for slots of engine groups, and tells it of this entry's load as it changes.
+/// Asks the leader for slots of engine groups, and tells it of this entry's load as it changes, of its callers' demand
+/// and of groups that fail.
 ///
 /// Guarantees: `ask` returns within the request's patience and a little, whatever the leader does; while the leader
 /// does not answer, it returns at once. One executor; not thread-safe.
@@ -29,12 +32,20 @@
   /// The leader's decision; UNDECIDED when it gave none in time. Fills in the request's id.
   boost::asio::awaitable<wire::SlotGrant> ask(wire::SlotRequest request);
   void receive(const wire::SlotAnswer& answer);
-  /// The load of some group changed: the leader learns of it within a few milliseconds.
+  /// The load of some group changed in a way that the leader does not know of: it learns within a few milliseconds.
   void note_change();
-  /// Term and sequence of the last slot received; `FleetHeartbeat` tells them.
+  /// Sends a complete report when one is due: about once a second, to every new leader, and when a group began to fail.
+  /// To be called every few ticks.
+  void tick(TimePoint now);
+  /// Nobody answered a question for a slot of late, so this entry chooses targets by itself.
+  bool decides_alone(TimePoint now) const { return now < not_before_ + kAloneMemory; }
+  /// Term and sequence of the last slot received.
   std::pair<int64_t, int64_t> last_grant() const { return {grants_term_, grants_seen_}; }
 
  private:
+  /// After a silence of the leader, loads of others are asked for this long.
+  static constexpr Duration kAloneMemory = seconds(1);
+
   struct Question {
     explicit Question(const boost::asio::any_io_executor& executor) : timer(executor) {}
     boost::asio::steady_timer timer;
@@ -46,7 +57,10 @@
   /// Waits until the question's answer is another than `known`, or the time is over.
   boost::asio::awaitable<void> wait_for_answer(std::shared_ptr<Question> question, std::chrono::milliseconds time);
   boost::asio::awaitable<void> report_later();
+  wire::SlotReport current_report(std::vector<wire::SlotRequest> requests) const;
   void report(std::vector<wire::SlotRequest> requests);
+  void report_all(TimePoint now, std::vector<wire::GroupFailure> failures);
+  void send(wire::SlotReport report);
   std::chrono::milliseconds answer_patience() const;
 
   boost::asio::any_io_executor executor_;
@@ -56,7 +70,11 @@
   std::map<int64_t, std::shared_ptr<Question>> questions_;
   requests::LatencyEstimate answer_time_;
   /// The leader did not answer: it is not asked until then.
-  TimePoint not_before_ = TimePoint::min();
+  TimePoint not_before_ = TimePoint();
+  /// When the next complete report is due, whom the last one went to and which failures it named.
+  TimePoint next_complete_ = TimePoint::min();
+  std::string reported_to_;
+  std::vector<wire::GroupFailure> reported_failures_;
   int64_t grants_term_ = 0;
   int64_t grants_seen_ = 0;
   bool report_is_due_ = false;
--- a/src/node/target_finder.cc
+++ b/src/node/target_finder.cc
@@ -87,15 +87,18 @@
   }
   auto target = state_.dispatcher.target_of_group(monotonic_now(), grant.group);
   if (!target) {
+    slots_.note_change();  // The slot is not used.
     co_return std::nullopt;
   }
   request.expected_first_event = milliseconds(grant.expected_ms);
+  request.has_slot = true;
   co_return FoundTarget(std::move(*target));
 }
 
 asio::awaitable<FoundTarget> TargetFinder::choose_here(RelayedRequest& request, TimePoint wait_until) {
   const fleet::Demand demand{request.model, request.route->target_latency, request.prompt_tokens};
   request.expected_first_event = Duration::zero();
+  request.has_slot = false;
   asio::steady_timer timer(executor_);
   while (!request.caller_gone) {
     const TimePoint now = monotonic_now();
--- a/src/simulation/registered_fleet.cc
+++ b/src/simulation/registered_fleet.cc
@@ -21,6 +21,7 @@
 constexpr Duration kWipeSpacing = seconds(8);
 constexpr size_t kToleratedLosses = 2;
 constexpr Duration kStateSaveInterval = milliseconds(400);
+constexpr Duration kReportInterval = seconds(1);
 
 std::string document_text(int64_t version) {
   return R"({"version":)" + std::to_string(version) +
@@ -199,6 +200,21 @@
   queue_.after(network_delay(), [this, envelope] { deliver(envelope); });
 }
 
+void RegisteredFleet::send_from(const EntryNode& entry, wire::Envelope envelope) {
+  envelope.from_node = entry.name;
+  envelope.from_incarnation = 1;
+  send(envelope);
+}
+
+void RegisteredFleet::report_traffic(const EntryNode& entry) {
+  wire::Envelope envelope;
+  envelope.to_node = entry.subscription->leader();
+  envelope.__isset.slot_report = true;
+  envelope.slot_report.is_complete = true;
+  envelope.slot_report.traffic_seen = true;
+  send_from(entry, std::move(envelope));
+}
+
 void RegisteredFleet::deliver(const wire::Envelope& envelope) {
   if (!linked(envelope.from_node, envelope.to_node)) {
     return;
@@ -516,12 +532,12 @@
     }
   }
   for (auto& entry : entries_) {
-    wire::FleetHeartbeat content;
-    content.traffic_seen = true;
-    if (auto heartbeat = entry.subscription->tick(now, content)) {
-      heartbeat->from_node = entry.name;
-      heartbeat->from_incarnation = 1;
-      send(*heartbeat);
+    if (auto heartbeat = entry.subscription->tick(now, {})) {
+      send_from(entry, std::move(*heartbeat));
+    }
+    if (now - entry.reported_at > kReportInterval) {
+      entry.reported_at = now;
+      report_traffic(entry);
     }
   }
   for (auto& place : places_) {
--- a/src/simulation/registered_fleet.h
+++ b/src/simulation/registered_fleet.h
@@ -72,6 +72,7 @@
   struct EntryNode {
     std::string name;
     std::unique_ptr<fleet::FleetSubscription> subscription;
+    TimePoint reported_at{};
     bool cut = false;
   };
   /// A server's place: its address outlives each start.
@@ -97,6 +98,8 @@
   void sync_disk(ControlNode& node, const consensus::RaftOutput& batch);
   void deliver(const wire::Envelope& envelope);
   void send(const wire::Envelope& envelope);
+  void send_from(const EntryNode& entry, wire::Envelope envelope);
+  void report_traffic(const EntryNode& entry);
   void send_order(ControlNode& node, const fleet::InstanceOrder& order);
   int execute(const fleet::InstanceOrder& order);
   void tick();
--- a/src/wire/gen-cpp/larchlever_types.cpp
+++ b/src/wire/gen-cpp/larchlever_types.cpp
@@ -13175,18 +13175,6 @@
   this->held_version = val;
 }
 
-void FleetHeartbeat::__set_loads(const std::vector<GroupLoad> & val) {
-  this->loads = val;
-}
-
-void FleetHeartbeat::__set_demand(const std::vector<ModelDemand> & val) {
-  this->demand = val;
-}
-
-void FleetHeartbeat::__set_failures(const std::vector<GroupFailure> & val) {
-  this->failures = val;
-}
-
 void FleetHeartbeat::__set_leaving(const bool val) {
   this->leaving = val;
 }
@@ -13195,21 +13183,21 @@
   this->serves_requests = val;
 }
 
-void FleetHeartbeat::__set_traffic_seen(const bool val) {
-  this->traffic_seen = val;
-}
-
 void FleetHeartbeat::__set_held_state(const FleetState& val) {
   this->held_state = val;
 __isset.held_state = true;
 }
 
-void FleetHeartbeat::__set_grants_term(const int64_t val) {
-  this->grants_term = val;
+void FleetHeartbeat::__set_wants_loads(const bool val) {
+  this->wants_loads = val;
 }
 
-void FleetHeartbeat::__set_grants_seen(const int64_t val) {
-  this->grants_seen = val;
+void FleetHeartbeat::__set_serving_entries(const int32_t val) {
+  this->serving_entries = val;
+}
+
+void FleetHeartbeat::__set_entries_hold_version(const int64_t val) {
+  this->entries_hold_version = val;
 }
 std::ostream& operator<<(std::ostream& out, const FleetHeartbeat& obj)
 {
@@ -13295,66 +13283,6 @@
           xfer += iprot->skip(ftype);
         }
         break;
-      case 8:
-        if (ftype == ::apache::thrift::protocol::T_LIST) {
-          {
-            this->loads.clear();
-            uint32_t _size510;
-            ::apache::thrift::protocol::TType _etype513;
-            xfer += iprot->readListBegin(_etype513, _size510);
-            this->loads.resize(_size510);
-            uint32_t _i514;
-            for (_i514 = 0; _i514 < _size510; ++_i514)
-            {
-              xfer += this->loads[_i514].read(iprot);
-            }
-            xfer += iprot->readListEnd();
-          }
-          this->__isset.loads = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
-      case 9:
-        if (ftype == ::apache::thrift::protocol::T_LIST) {
-          {
-            this->demand.clear();
-            uint32_t _size515;
-            ::apache::thrift::protocol::TType _etype518;
-            xfer += iprot->readListBegin(_etype518, _size515);
-            this->demand.resize(_size515);
-            uint32_t _i519;
-            for (_i519 = 0; _i519 < _size515; ++_i519)
-            {
-              xfer += this->demand[_i519].read(iprot);
-            }
-            xfer += iprot->readListEnd();
-          }
-          this->__isset.demand = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
-      case 10:
-        if (ftype == ::apache::thrift::protocol::T_LIST) {
-          {
-            this->failures.clear();
-            uint32_t _size520;
-            ::apache::thrift::protocol::TType _etype523;
-            xfer += iprot->readListBegin(_etype523, _size520);
-            this->failures.resize(_size520);
-            uint32_t _i524;
-            for (_i524 = 0; _i524 < _size520; ++_i524)
-            {
-              xfer += this->failures[_i524].read(iprot);
-            }
-            xfer += iprot->readListEnd();
-          }
-          this->__isset.failures = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
       case 11:
         if (ftype == ::apache::thrift::protocol::T_BOOL) {
           xfer += iprot->readBool(this->leaving);
@@ -13371,14 +13299,6 @@
           xfer += iprot->skip(ftype);
         }
         break;
-      case 13:
-        if (ftype == ::apache::thrift::protocol::T_BOOL) {
-          xfer += iprot->readBool(this->traffic_seen);
-          this->__isset.traffic_seen = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
       case 14:
         if (ftype == ::apache::thrift::protocol::T_STRUCT) {
           xfer += this->held_state.read(iprot);
@@ -13387,18 +13307,26 @@
           xfer += iprot->skip(ftype);
         }
         break;
-      case 15:
-        if (ftype == ::apache::thrift::protocol::T_I64) {
-          xfer += iprot->readI64(this->grants_term);
-          this->__isset.grants_term = true;
+      case 17:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->wants_loads);
+          this->__isset.wants_loads = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
-      case 16:
+      case 18:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->serving_entries);
+          this->__isset.serving_entries = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 19:
         if (ftype == ::apache::thrift::protocol::T_I64) {
-          xfer += iprot->readI64(this->grants_seen);
-          this->__isset.grants_seen = true;
+          xfer += iprot->readI64(this->entries_hold_version);
+          this->__isset.entries_hold_version = true;
         } else {
           xfer += iprot->skip(ftype);
         }
@@ -13448,42 +13376,6 @@
   xfer += oprot->writeI64(this->held_version);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("loads", ::apache::thrift::protocol::T_LIST, 8);
-  {
-    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->loads.size()));
-    std::vector<GroupLoad> ::const_iterator _iter525;
-    for (_iter525 = this->loads.begin(); _iter525 != this->loads.end(); ++_iter525)
-    {
-      xfer += (*_iter525).write(oprot);
-    }
-    xfer += oprot->writeListEnd();
-  }
-  xfer += oprot->writeFieldEnd();
-
-  xfer += oprot->writeFieldBegin("demand", ::apache::thrift::protocol::T_LIST, 9);
-  {
-    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->demand.size()));
-    std::vector<ModelDemand> ::const_iterator _iter526;
-    for (_iter526 = this->demand.begin(); _iter526 != this->demand.end(); ++_iter526)
-    {
-      xfer += (*_iter526).write(oprot);
-    }
-    xfer += oprot->writeListEnd();
-  }
-  xfer += oprot->writeFieldEnd();
-
-  xfer += oprot->writeFieldBegin("failures", ::apache::thrift::protocol::T_LIST, 10);
-  {
-    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->failures.size()));
-    std::vector<GroupFailure> ::const_iterator _iter527;
-    for (_iter527 = this->failures.begin(); _iter527 != this->failures.end(); ++_iter527)
-    {
-      xfer += (*_iter527).write(oprot);
-    }
-    xfer += oprot->writeListEnd();
-  }
-  xfer += oprot->writeFieldEnd();
-
   xfer += oprot->writeFieldBegin("leaving", ::apache::thrift::protocol::T_BOOL, 11);
   xfer += oprot->writeBool(this->leaving);
   xfer += oprot->writeFieldEnd();
@@ -13492,21 +13384,21 @@
   xfer += oprot->writeBool(this->serves_requests);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("traffic_seen", ::apache::thrift::protocol::T_BOOL, 13);
-  xfer += oprot->writeBool(this->traffic_seen);
-  xfer += oprot->writeFieldEnd();
-
   if (this->__isset.held_state) {
     xfer += oprot->writeFieldBegin("held_state", ::apache::thrift::protocol::T_STRUCT, 14);
     xfer += this->held_state.write(oprot);
     xfer += oprot->writeFieldEnd();
   }
-  xfer += oprot->writeFieldBegin("grants_term", ::apache::thrift::protocol::T_I64, 15);
-  xfer += oprot->writeI64(this->grants_term);
+  xfer += oprot->writeFieldBegin("wants_loads", ::apache::thrift::protocol::T_BOOL, 17);
+  xfer += oprot->writeBool(this->wants_loads);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("grants_seen", ::apache::thrift::protocol::T_I64, 16);
-  xfer += oprot->writeI64(this->grants_seen);
+  xfer += oprot->writeFieldBegin("serving_entries", ::apache::thrift::protocol::T_I32, 18);
+  xfer += oprot->writeI32(this->serving_entries);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("entries_hold_version", ::apache::thrift::protocol::T_I64, 19);
+  xfer += oprot->writeI64(this->entries_hold_version);
   xfer += oprot->writeFieldEnd();
 
   xfer += oprot->writeFieldStop();
@@ -13523,94 +13415,79 @@
   swap(a.document_version, b.document_version);
   swap(a.held_term, b.held_term);
   swap(a.held_version, b.held_version);
-  swap(a.loads, b.loads);
-  swap(a.demand, b.demand);
-  swap(a.failures, b.failures);
   swap(a.leaving, b.leaving);
   swap(a.serves_requests, b.serves_requests);
-  swap(a.traffic_seen, b.traffic_seen);
   swap(a.held_state, b.held_state);
-  swap(a.grants_term, b.grants_term);
-  swap(a.grants_seen, b.grants_seen);
+  swap(a.wants_loads, b.wants_loads);
+  swap(a.serving_entries, b.serving_entries);
+  swap(a.entries_hold_version, b.entries_hold_version);
   swap(a.__isset, b.__isset);
 }
 
-FleetHeartbeat::FleetHeartbeat(const FleetHeartbeat& other528) {
-  sequence = other528.sequence;
-  zone = other528.zone;
-  replica_id = other528.replica_id;
-  control_address = other528.control_address;
-  document_version = other528.document_version;
-  held_term = other528.held_term;
-  held_version = other528.held_version;
-  loads = other528.loads;
-  demand = other528.demand;
-  failures = other528.failures;
-  leaving = other528.leaving;
-  serves_requests = other528.serves_requests;
-  traffic_seen = other528.traffic_seen;
-  held_state = other528.held_state;
-  grants_term = other528.grants_term;
-  grants_seen = other528.grants_seen;
-  __isset = other528.__isset;
-}
-FleetHeartbeat::FleetHeartbeat(FleetHeartbeat&& other529) noexcept {
-  sequence = other529.sequence;
-  zone = std::move(other529.zone);
-  replica_id = other529.replica_id;
-  control_address = std::move(other529.control_address);
-  document_version = other529.document_version;
-  held_term = other529.held_term;
-  held_version = other529.held_version;
-  loads = std::move(other529.loads);
-  demand = std::move(other529.demand);
-  failures = std::move(other529.failures);
-  leaving = other529.leaving;
-  serves_requests = other529.serves_requests;
-  traffic_seen = other529.traffic_seen;
-  held_state = std::move(other529.held_state);
-  grants_term = other529.grants_term;
-  grants_seen = other529.grants_seen;
-  __isset = other529.__isset;
-}
-FleetHeartbeat& FleetHeartbeat::operator=(const FleetHeartbeat& other530) {
-  sequence = other530.sequence;
-  zone = other530.zone;
-  replica_id = other530.replica_id;
-  control_address = other530.control_address;
-  document_version = other530.document_version;
-  held_term = other530.held_term;
-  held_version = other530.held_version;
-  loads = other530.loads;
-  demand = other530.demand;
-  failures = other530.failures;
-  leaving = other530.leaving;
-  serves_requests = other530.serves_requests;
-  traffic_seen = other530.traffic_seen;
-  held_state = other530.held_state;
-  grants_term = other530.grants_term;
-  grants_seen = other530.grants_seen;
-  __isset = other530.__isset;
-  return *this;
-}
-FleetHeartbeat& FleetHeartbeat::operator=(FleetHeartbeat&& other531) noexcept {
-  sequence = other531.sequence;
-  zone = std::move(other531.zone);
-  replica_id = other531.replica_id;
-  control_address = std::move(other531.control_address);
-  document_version = other531.document_version;
-  held_term = other531.held_term;
-  held_version = other531.held_version;
-  loads = std::move(other531.loads);
-  demand = std::move(other531.demand);
-  failures = std::move(other531.failures);
-  leaving = other531.leaving;
-  serves_requests = other531.serves_requests;
-  traffic_seen = other531.traffic_seen;
-  held_state = std::move(other531.held_state);
-  grants_term = other531.grants_term;
-  grants_seen = other531.grants_seen;
-  __isset = other531.__isset;
+FleetHeartbeat::FleetHeartbeat(const FleetHeartbeat& other510) {
+  sequence = other510.sequence;
+  zone = other510.zone;
+  replica_id = other510.replica_id;
+  control_address = other510.control_address;
+  document_version = other510.document_version;
+  held_term = other510.held_term;
+  held_version = other510.held_version;
+  leaving = other510.leaving;
+  serves_requests = other510.serves_requests;
+  held_state = other510.held_state;
+  wants_loads = other510.wants_loads;
+  serving_entries = other510.serving_entries;
+  entries_hold_version = other510.entries_hold_version;
+  __isset = other510.__isset;
+}
+FleetHeartbeat::FleetHeartbeat(FleetHeartbeat&& other511) noexcept {
+  sequence = other511.sequence;
+  zone = std::move(other511.zone);
+  replica_id = other511.replica_id;
+  control_address = std::move(other511.control_address);
+  document_version = other511.document_version;
+  held_term = other511.held_term;
+  held_version = other511.held_version;
+  leaving = other511.leaving;
+  serves_requests = other511.serves_requests;
+  held_state = std::move(other511.held_state);
+  wants_loads = other511.wants_loads;
+  serving_entries = other511.serving_entries;
+  entries_hold_version = other511.entries_hold_version;
+  __isset = other511.__isset;
+}
+FleetHeartbeat& FleetHeartbeat::operator=(const FleetHeartbeat& other512) {
+  sequence = other512.sequence;
+  zone = other512.zone;
+  replica_id = other512.replica_id;
+  control_address = other512.control_address;
+  document_version = other512.document_version;
+  held_term = other512.held_term;
+  held_version = other512.held_version;
+  leaving = other512.leaving;
+  serves_requests = other512.serves_requests;
+  held_state = other512.held_state;
+  wants_loads = other512.wants_loads;
+  serving_entries = other512.serving_entries;
+  entries_hold_version = other512.entries_hold_version;
+  __isset = other512.__isset;
+  return *this;
+}
+FleetHeartbeat& FleetHeartbeat::operator=(FleetHeartbeat&& other513) noexcept {
+  sequence = other513.sequence;
+  zone = std::move(other513.zone);
+  replica_id = other513.replica_id;
+  control_address = std::move(other513.control_address);
+  document_version = other513.document_version;
+  held_term = other513.held_term;
+  held_version = other513.held_version;
+  leaving = other513.leaving;
+  serves_requests = other513.serves_requests;
+  held_state = std::move(other513.held_state);
+  wants_loads = other513.wants_loads;
+  serving_entries = other513.serving_entries;
+  entries_hold_version = other513.entries_hold_version;
+  __isset = other513.__isset;
   return *this;
 }
 void FleetHeartbeat::printTo(std::ostream& out) const {
@@ -13623,15 +13500,12 @@
   out << ", " << "document_version=" << to_string(document_version);
   out << ", " << "held_term=" << to_string(held_term);
   out << ", " << "held_version=" << to_string(held_version);
-  out << ", " << "loads=" << to_string(loads);
-  out << ", " << "demand=" << to_string(demand);
-  out << ", " << "failures=" << to_string(failures);
   out << ", " << "leaving=" << to_string(leaving);
   out << ", " << "serves_requests=" << to_string(serves_requests);
-  out << ", " << "traffic_seen=" << to_string(traffic_seen);
   out << ", " << "held_state="; (__isset.held_state ? (out << to_string(held_state)) : (out << "<null>"));
-  out << ", " << "grants_term=" << to_string(grants_term);
-  out << ", " << "grants_seen=" << to_string(grants_seen);
+  out << ", " << "wants_loads=" << to_string(wants_loads);
+  out << ", " << "serving_entries=" << to_string(serving_entries);
+  out << ", " << "entries_hold_version=" << to_string(entries_hold_version);
   out << ")";
 }
 
@@ -13783,14 +13657,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->excluded_groups.clear();
-            uint32_t _size532;
-            ::apache::thrift::protocol::TType _etype535;
-            xfer += iprot->readListBegin(_etype535, _size532);
-            this->excluded_groups.resize(_size532);
-            uint32_t _i536;
-            for (_i536 = 0; _i536 < _size532; ++_i536)
+            uint32_t _size514;
+            ::apache::thrift::protocol::TType _etype517;
+            xfer += iprot->readListBegin(_etype517, _size514);
+            this->excluded_groups.resize(_size514);
+            uint32_t _i518;
+            for (_i518 = 0; _i518 < _size514; ++_i518)
             {
-              xfer += iprot->readString(this->excluded_groups[_i536]);
+              xfer += iprot->readString(this->excluded_groups[_i518]);
             }
             xfer += iprot->readListEnd();
           }
@@ -13855,10 +13729,10 @@
   xfer += oprot->writeFieldBegin("excluded_groups", ::apache::thrift::protocol::T_LIST, 10);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->excluded_groups.size()));
-    std::vector<std::string> ::const_iterator _iter537;
-    for (_iter537 = this->excluded_groups.begin(); _iter537 != this->excluded_groups.end(); ++_iter537)
+    std::vector<std::string> ::const_iterator _iter519;
+    for (_iter519 = this->excluded_groups.begin(); _iter519 != this->excluded_groups.end(); ++_iter519)
     {
-      xfer += oprot->writeString((*_iter537));
+      xfer += oprot->writeString((*_iter519));
     }
     xfer += oprot->writeListEnd();
   }
@@ -13884,58 +13758,58 @@
   swap(a.__isset, b.__isset);
 }
 
-SlotRequest::SlotRequest(const SlotRequest& other538) {
-  id = other538.id;
-  service_name = other538.service_name;
-  model = other538.model;
-  prompt_tokens = other538.prompt_tokens;
-  first_event_ms = other538.first_event_ms;
-  gap_ms = other538.gap_ms;
-  priority = other538.priority;
-  is_retry = other538.is_retry;
-  patience_ms = other538.patience_ms;
-  excluded_groups = other538.excluded_groups;
-  __isset = other538.__isset;
-}
-SlotRequest::SlotRequest(SlotRequest&& other539) noexcept {
-  id = other539.id;
-  service_name = std::move(other539.service_name);
-  model = std::move(other539.model);
-  prompt_tokens = other539.prompt_tokens;
-  first_event_ms = other539.first_event_ms;
-  gap_ms = other539.gap_ms;
-  priority = other539.priority;
-  is_retry = other539.is_retry;
-  patience_ms = other539.patience_ms;
-  excluded_groups = std::move(other539.excluded_groups);
-  __isset = other539.__isset;
-}
-SlotRequest& SlotRequest::operator=(const SlotRequest& other540) {
-  id = other540.id;
-  service_name = other540.service_name;
-  model = other540.model;
-  prompt_tokens = other540.prompt_tokens;
-  first_event_ms = other540.first_event_ms;
-  gap_ms = other540.gap_ms;
-  priority = other540.priority;
-  is_retry = other540.is_retry;
-  patience_ms = other540.patience_ms;
-  excluded_groups = other540.excluded_groups;
-  __isset = other540.__isset;
-  return *this;
-}
-SlotRequest& SlotRequest::operator=(SlotRequest&& other541) noexcept {
-  id = other541.id;
-  service_name = std::move(other541.service_name);
-  model = std::move(other541.model);
-  prompt_tokens = other541.prompt_tokens;
-  first_event_ms = other541.first_event_ms;
-  gap_ms = other541.gap_ms;
-  priority = other541.priority;
-  is_retry = other541.is_retry;
-  patience_ms = other541.patience_ms;
-  excluded_groups = std::move(other541.excluded_groups);
-  __isset = other541.__isset;
+SlotRequest::SlotRequest(const SlotRequest& other520) {
+  id = other520.id;
+  service_name = other520.service_name;
+  model = other520.model;
+  prompt_tokens = other520.prompt_tokens;
+  first_event_ms = other520.first_event_ms;
+  gap_ms = other520.gap_ms;
+  priority = other520.priority;
+  is_retry = other520.is_retry;
+  patience_ms = other520.patience_ms;
+  excluded_groups = other520.excluded_groups;
+  __isset = other520.__isset;
+}
+SlotRequest::SlotRequest(SlotRequest&& other521) noexcept {
+  id = other521.id;
+  service_name = std::move(other521.service_name);
+  model = std::move(other521.model);
+  prompt_tokens = other521.prompt_tokens;
+  first_event_ms = other521.first_event_ms;
+  gap_ms = other521.gap_ms;
+  priority = other521.priority;
+  is_retry = other521.is_retry;
+  patience_ms = other521.patience_ms;
+  excluded_groups = std::move(other521.excluded_groups);
+  __isset = other521.__isset;
+}
+SlotRequest& SlotRequest::operator=(const SlotRequest& other522) {
+  id = other522.id;
+  service_name = other522.service_name;
+  model = other522.model;
+  prompt_tokens = other522.prompt_tokens;
+  first_event_ms = other522.first_event_ms;
+  gap_ms = other522.gap_ms;
+  priority = other522.priority;
+  is_retry = other522.is_retry;
+  patience_ms = other522.patience_ms;
+  excluded_groups = other522.excluded_groups;
+  __isset = other522.__isset;
+  return *this;
+}
+SlotRequest& SlotRequest::operator=(SlotRequest&& other523) noexcept {
+  id = other523.id;
+  service_name = std::move(other523.service_name);
+  model = std::move(other523.model);
+  prompt_tokens = other523.prompt_tokens;
+  first_event_ms = other523.first_event_ms;
+  gap_ms = other523.gap_ms;
+  priority = other523.priority;
+  is_retry = other523.is_retry;
+  patience_ms = other523.patience_ms;
+  excluded_groups = std::move(other523.excluded_groups);
+  __isset = other523.__isset;
   return *this;
 }
 void SlotRequest::printTo(std::ostream& out) const {
@@ -14024,9 +13898,9 @@
         break;
       case 3:
         if (ftype == ::apache::thrift::protocol::T_I32) {
-          int32_t ecast542;
-          xfer += iprot->readI32(ecast542);
-          this->verdict = static_cast<SlotVerdict::type>(ecast542);
+          int32_t ecast524;
+          xfer += iprot->readI32(ecast524);
+          this->verdict = static_cast<SlotVerdict::type>(ecast524);
           this->__isset.verdict = true;
         } else {
           xfer += iprot->skip(ftype);
@@ -14100,38 +13974,38 @@
   swap(a.__isset, b.__isset);
 }
 
-SlotGrant::SlotGrant(const SlotGrant& other543) {
-  id = other543.id;
-  sequence = other543.sequence;
-  verdict = other543.verdict;
-  group = other543.group;
-  expected_ms = other543.expected_ms;
-  __isset = other543.__isset;
-}
-SlotGrant::SlotGrant(SlotGrant&& other544) noexcept {
-  id = other544.id;
-  sequence = other544.sequence;
-  verdict = other544.verdict;
-  group = std::move(other544.group);
-  expected_ms = other544.expected_ms;
-  __isset = other544.__isset;
-}
-SlotGrant& SlotGrant::operator=(const SlotGrant& other545) {
-  id = other545.id;
-  sequence = other545.sequence;
-  verdict = other545.verdict;
-  group = other545.group;
-  expected_ms = other545.expected_ms;
-  __isset = other545.__isset;
-  return *this;
-}
-SlotGrant& SlotGrant::operator=(SlotGrant&& other546) noexcept {
-  id = other546.id;
-  sequence = other546.sequence;
-  verdict = other546.verdict;
-  group = std::move(other546.group);
-  expected_ms = other546.expected_ms;
-  __isset = other546.__isset;
+SlotGrant::SlotGrant(const SlotGrant& other525) {
+  id = other525.id;
+  sequence = other525.sequence;
+  verdict = other525.verdict;
+  group = other525.group;
+  expected_ms = other525.expected_ms;
+  __isset = other525.__isset;
+}
+SlotGrant::SlotGrant(SlotGrant&& other526) noexcept {
+  id = other526.id;
+  sequence = other526.sequence;
+  verdict = other526.verdict;
+  group = std::move(other526.group);
+  expected_ms = other526.expected_ms;
+  __isset = other526.__isset;
+}
+SlotGrant& SlotGrant::operator=(const SlotGrant& other527) {
+  id = other527.id;
+  sequence = other527.sequence;
+  verdict = other527.verdict;
+  group = other527.group;
+  expected_ms = other527.expected_ms;
+  __isset = other527.__isset;
+  return *this;
+}
+SlotGrant& SlotGrant::operator=(SlotGrant&& other528) noexcept {
+  id = other528.id;
+  sequence = other528.sequence;
+  verdict = other528.verdict;
+  group = std::move(other528.group);
+  expected_ms = other528.expected_ms;
+  __isset = other528.__isset;
   return *this;
 }
 void SlotGrant::printTo(std::ostream& out) const {
@@ -14165,6 +14039,22 @@
 void SlotReport::__set_grants_seen(const int64_t val) {
   this->grants_seen = val;
 }
+
+void SlotReport::__set_is_complete(const bool val) {
+  this->is_complete = val;
+}
+
+void SlotReport::__set_demand(const std::vector<ModelDemand> & val) {
+  this->demand = val;
+}
+
+void SlotReport::__set_failures(const std::vector<GroupFailure> & val) {
+  this->failures = val;
+}
+
+void SlotReport::__set_traffic_seen(const bool val) {
+  this->traffic_seen = val;
+}
 std::ostream& operator<<(std::ostream& out, const SlotReport& obj)
 {
   obj.printTo(out);
@@ -14197,14 +14087,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->requests.clear();
-            uint32_t _size547;
-            ::apache::thrift::protocol::TType _etype550;
-            xfer += iprot->readListBegin(_etype550, _size547);
-            this->requests.resize(_size547);
-            uint32_t _i551;
-            for (_i551 = 0; _i551 < _size547; ++_i551)
+            uint32_t _size529;
+            ::apache::thrift::protocol::TType _etype532;
+            xfer += iprot->readListBegin(_etype532, _size529);
+            this->requests.resize(_size529);
+            uint32_t _i533;
+            for (_i533 = 0; _i533 < _size529; ++_i533)
             {
-              xfer += this->requests[_i551].read(iprot);
+              xfer += this->requests[_i533].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -14217,14 +14107,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->loads.clear();
-            uint32_t _size552;
-            ::apache::thrift::protocol::TType _etype555;
-            xfer += iprot->readListBegin(_etype555, _size552);
-            this->loads.resize(_size552);
-            uint32_t _i556;
-            for (_i556 = 0; _i556 < _size552; ++_i556)
+            uint32_t _size534;
+            ::apache::thrift::protocol::TType _etype537;
+            xfer += iprot->readListBegin(_etype537, _size534);
+            this->loads.resize(_size534);
+            uint32_t _i538;
+            for (_i538 = 0; _i538 < _size534; ++_i538)
             {
-              xfer += this->loads[_i556].read(iprot);
+              xfer += this->loads[_i538].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -14249,6 +14139,62 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->is_complete);
+          this->__isset.is_complete = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 6:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->demand.clear();
+            uint32_t _size539;
+            ::apache::thrift::protocol::TType _etype542;
+            xfer += iprot->readListBegin(_etype542, _size539);
+            this->demand.resize(_size539);
+            uint32_t _i543;
+            for (_i543 = 0; _i543 < _size539; ++_i543)
+            {
+              xfer += this->demand[_i543].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.demand = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 7:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->failures.clear();
+            uint32_t _size544;
+            ::apache::thrift::protocol::TType _etype547;
+            xfer += iprot->readListBegin(_etype547, _size544);
+            this->failures.resize(_size544);
+            uint32_t _i548;
+            for (_i548 = 0; _i548 < _size544; ++_i548)
+            {
+              xfer += this->failures[_i548].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.failures = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 8:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->traffic_seen);
+          this->__isset.traffic_seen = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -14269,10 +14215,10 @@
   xfer += oprot->writeFieldBegin("requests", ::apache::thrift::protocol::T_LIST, 1);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->requests.size()));
-    std::vector<SlotRequest> ::const_iterator _iter557;
-    for (_iter557 = this->requests.begin(); _iter557 != this->requests.end(); ++_iter557)
+    std::vector<SlotRequest> ::const_iterator _iter549;
+    for (_iter549 = this->requests.begin(); _iter549 != this->requests.end(); ++_iter549)
     {
-      xfer += (*_iter557).write(oprot);
+      xfer += (*_iter549).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -14281,10 +14227,10 @@
   xfer += oprot->writeFieldBegin("loads", ::apache::thrift::protocol::T_LIST, 2);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->loads.size()));
-    std::vector<GroupLoad> ::const_iterator _iter558;
-    for (_iter558 = this->loads.begin(); _iter558 != this->loads.end(); ++_iter558)
+    std::vector<GroupLoad> ::const_iterator _iter550;
+    for (_iter550 = this->loads.begin(); _iter550 != this->loads.end(); ++_iter550)
     {
-      xfer += (*_iter558).write(oprot);
+      xfer += (*_iter550).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -14298,6 +14244,38 @@
   xfer += oprot->writeI64(this->grants_seen);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("is_complete", ::apache::thrift::protocol::T_BOOL, 5);
+  xfer += oprot->writeBool(this->is_complete);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("demand", ::apache::thrift::protocol::T_LIST, 6);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->demand.size()));
+    std::vector<ModelDemand> ::const_iterator _iter551;
+    for (_iter551 = this->demand.begin(); _iter551 != this->demand.end(); ++_iter551)
+    {
+      xfer += (*_iter551).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("failures", ::apache::thrift::protocol::T_LIST, 7);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->failures.size()));
+    std::vector<GroupFailure> ::const_iterator _iter552;
+    for (_iter552 = this->failures.begin(); _iter552 != this->failures.end(); ++_iter552)
+    {
+      xfer += (*_iter552).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("traffic_seen", ::apache::thrift::protocol::T_BOOL, 8);
+  xfer += oprot->writeBool(this->traffic_seen);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -14309,37 +14287,57 @@
   swap(a.loads, b.loads);
   swap(a.grants_term, b.grants_term);
   swap(a.grants_seen, b.grants_seen);
+  swap(a.is_complete, b.is_complete);
+  swap(a.demand, b.demand);
+  swap(a.failures, b.failures);
+  swap(a.traffic_seen, b.traffic_seen);
   swap(a.__isset, b.__isset);
 }
 
-SlotReport::SlotReport(const SlotReport& other559) {
-  requests = other559.requests;
-  loads = other559.loads;
-  grants_term = other559.grants_term;
-  grants_seen = other559.grants_seen;
-  __isset = other559.__isset;
-}
-SlotReport::SlotReport(SlotReport&& other560) noexcept {
-  requests = std::move(other560.requests);
-  loads = std::move(other560.loads);
-  grants_term = other560.grants_term;
-  grants_seen = other560.grants_seen;
-  __isset = other560.__isset;
-}
-SlotReport& SlotReport::operator=(const SlotReport& other561) {
-  requests = other561.requests;
-  loads = other561.loads;
-  grants_term = other561.grants_term;
-  grants_seen = other561.grants_seen;
-  __isset = other561.__isset;
-  return *this;
-}
-SlotReport& SlotReport::operator=(SlotReport&& other562) noexcept {
-  requests = std::move(other562.requests);
-  loads = std::move(other562.loads);
-  grants_term = other562.grants_term;
-  grants_seen = other562.grants_seen;
-  __isset = other562.__isset;
+SlotReport::SlotReport(const SlotReport& other553) {
+  requests = other553.requests;
+  loads = other553.loads;
+  grants_term = other553.grants_term;
+  grants_seen = other553.grants_seen;
+  is_complete = other553.is_complete;
+  demand = other553.demand;
+  failures = other553.failures;
+  traffic_seen = other553.traffic_seen;
+  __isset = other553.__isset;
+}
+SlotReport::SlotReport(SlotReport&& other554) noexcept {
+  requests = std::move(other554.requests);
+  loads = std::move(other554.loads);
+  grants_term = other554.grants_term;
+  grants_seen = other554.grants_seen;
+  is_complete = other554.is_complete;
+  demand = std::move(other554.demand);
+  failures = std::move(other554.failures);
+  traffic_seen = other554.traffic_seen;
+  __isset = other554.__isset;
+}
+SlotReport& SlotReport::operator=(const SlotReport& other555) {
+  requests = other555.requests;
+  loads = other555.loads;
+  grants_term = other555.grants_term;
+  grants_seen = other555.grants_seen;
+  is_complete = other555.is_complete;
+  demand = other555.demand;
+  failures = other555.failures;
+  traffic_seen = other555.traffic_seen;
+  __isset = other555.__isset;
+  return *this;
+}
+SlotReport& SlotReport::operator=(SlotReport&& other556) noexcept {
+  requests = std::move(other556.requests);
+  loads = std::move(other556.loads);
+  grants_term = other556.grants_term;
+  grants_seen = other556.grants_seen;
+  is_complete = other556.is_complete;
+  demand = std::move(other556.demand);
+  failures = std::move(other556.failures);
+  traffic_seen = other556.traffic_seen;
+  __isset = other556.__isset;
   return *this;
 }
 void SlotReport::printTo(std::ostream& out) const {
@@ -14349,6 +14347,10 @@
   out << ", " << "loads=" << to_string(loads);
   out << ", " << "grants_term=" << to_string(grants_term);
   out << ", " << "grants_seen=" << to_string(grants_seen);
+  out << ", " << "is_complete=" << to_string(is_complete);
+  out << ", " << "demand=" << to_string(demand);
+  out << ", " << "failures=" << to_string(failures);
+  out << ", " << "traffic_seen=" << to_string(traffic_seen);
   out << ")";
 }
 
@@ -14404,14 +14406,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->grants.clear();
-            uint32_t _size563;
-            ::apache::thrift::protocol::TType _etype566;
-            xfer += iprot->readListBegin(_etype566, _size563);
-            this->grants.resize(_size563);
-            uint32_t _i567;
-            for (_i567 = 0; _i567 < _size563; ++_i567)
+            uint32_t _size557;
+            ::apache::thrift::protocol::TType _etype560;
+            xfer += iprot->readListBegin(_etype560, _size557);
+            this->grants.resize(_size557);
+            uint32_t _i561;
+            for (_i561 = 0; _i561 < _size557; ++_i561)
             {
-              xfer += this->grants[_i567].read(iprot);
+              xfer += this->grants[_i561].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -14444,10 +14446,10 @@
   xfer += oprot->writeFieldBegin("grants", ::apache::thrift::protocol::T_LIST, 2);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->grants.size()));
-    std::vector<SlotGrant> ::const_iterator _iter568;
-    for (_iter568 = this->grants.begin(); _iter568 != this->grants.end(); ++_iter568)
+    std::vector<SlotGrant> ::const_iterator _iter562;
+    for (_iter562 = this->grants.begin(); _iter562 != this->grants.end(); ++_iter562)
     {
-      xfer += (*_iter568).write(oprot);
+      xfer += (*_iter562).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -14465,26 +14467,26 @@
   swap(a.__isset, b.__isset);
 }
 
-SlotAnswer::SlotAnswer(const SlotAnswer& other569) {
-  term = other569.term;
-  grants = other569.grants;
-  __isset = other569.__isset;
+SlotAnswer::SlotAnswer(const SlotAnswer& other563) {
+  term = other563.term;
+  grants = other563.grants;
+  __isset = other563.__isset;
 }
-SlotAnswer::SlotAnswer(SlotAnswer&& other570) noexcept {
-  term = other570.term;
-  grants = std::move(other570.grants);
-  __isset = other570.__isset;
+SlotAnswer::SlotAnswer(SlotAnswer&& other564) noexcept {
+  term = other564.term;
+  grants = std::move(other564.grants);
+  __isset = other564.__isset;
 }
-SlotAnswer& SlotAnswer::operator=(const SlotAnswer& other571) {
-  term = other571.term;
-  grants = other571.grants;
-  __isset = other571.__isset;
+SlotAnswer& SlotAnswer::operator=(const SlotAnswer& other565) {
+  term = other565.term;
+  grants = other565.grants;
+  __isset = other565.__isset;
   return *this;
 }
-SlotAnswer& SlotAnswer::operator=(SlotAnswer&& other572) noexcept {
-  term = other572.term;
-  grants = std::move(other572.grants);
-  __isset = other572.__isset;
+SlotAnswer& SlotAnswer::operator=(SlotAnswer&& other566) noexcept {
+  term = other566.term;
+  grants = std::move(other566.grants);
+  __isset = other566.__isset;
   return *this;
 }
 void SlotAnswer::printTo(std::ostream& out) const {
@@ -14496,6 +14498,129 @@
 }
 
 
+ControlPeer::~ControlPeer() noexcept {
+}
+
+
+void ControlPeer::__set_address(const std::string& val) {
+  this->address = val;
+}
+
+void ControlPeer::__set_zone(const std::string& val) {
+  this->zone = val;
+}
+std::ostream& operator<<(std::ostream& out, const ControlPeer& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t ControlPeer::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->address);
+          this->__isset.address = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->zone);
+          this->__isset.zone = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t ControlPeer::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("ControlPeer");
+
+  xfer += oprot->writeFieldBegin("address", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->address);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("zone", ::apache::thrift::protocol::T_STRING, 2);
+  xfer += oprot->writeString(this->zone);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(ControlPeer &a, ControlPeer &b) {
+  using ::std::swap;
+  swap(a.address, b.address);
+  swap(a.zone, b.zone);
+  swap(a.__isset, b.__isset);
+}
+
+ControlPeer::ControlPeer(const ControlPeer& other567) {
+  address = other567.address;
+  zone = other567.zone;
+  __isset = other567.__isset;
+}
+ControlPeer::ControlPeer(ControlPeer&& other568) noexcept {
+  address = std::move(other568.address);
+  zone = std::move(other568.zone);
+  __isset = other568.__isset;
+}
+ControlPeer& ControlPeer::operator=(const ControlPeer& other569) {
+  address = other569.address;
+  zone = other569.zone;
+  __isset = other569.__isset;
+  return *this;
+}
+ControlPeer& ControlPeer::operator=(ControlPeer&& other570) noexcept {
+  address = std::move(other570.address);
+  zone = std::move(other570.zone);
+  __isset = other570.__isset;
+  return *this;
+}
+void ControlPeer::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "ControlPeer(";
+  out << "address=" << to_string(address);
+  out << ", " << "zone=" << to_string(zone);
+  out << ")";
+}
+
+
 FleetUpdate::~FleetUpdate() noexcept {
 }
 
@@ -14512,10 +14637,6 @@
   this->leader = val;
 }
 
-void FleetUpdate::__set_control_peers(const std::vector<std::string> & val) {
-  this->control_peers = val;
-}
-
 void FleetUpdate::__set_term(const int64_t val) {
   this->term = val;
 }
@@ -14550,6 +14671,14 @@
   this->wants_confirmation = val;
 }
 
+void FleetUpdate::__set_confirmed_age_ms(const int64_t val) {
+  this->confirmed_age_ms = val;
+}
+
+void FleetUpdate::__set_control_peers(const std::vector<ControlPeer> & val) {
+  this->control_peers = val;
+}
+
 void FleetUpdate::__set_document(const DocumentChange& val) {
   this->document = val;
 __isset.document = true;
@@ -14606,26 +14735,6 @@
           xfer += iprot->skip(ftype);
         }
         break;
-      case 4:
-        if (ftype == ::apache::thrift::protocol::T_LIST) {
-          {
-            this->control_peers.clear();
-            uint32_t _size573;
-            ::apache::thrift::protocol::TType _etype576;
-            xfer += iprot->readListBegin(_etype576, _size573);
-            this->control_peers.resize(_size573);
-            uint32_t _i577;
-            for (_i577 = 0; _i577 < _size573; ++_i577)
-            {
-              xfer += iprot->readString(this->control_peers[_i577]);
-            }
-            xfer += iprot->readListEnd();
-          }
-          this->__isset.control_peers = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
       case 5:
         if (ftype == ::apache::thrift::protocol::T_I64) {
           xfer += iprot->readI64(this->term);
@@ -14654,14 +14763,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->loads.clear();
-            uint32_t _size578;
-            ::apache::thrift::protocol::TType _etype581;
-            xfer += iprot->readListBegin(_etype581, _size578);
-            this->loads.resize(_size578);
-            uint32_t _i582;
-            for (_i582 = 0; _i582 < _size578; ++_i582)
+            uint32_t _size571;
+            ::apache::thrift::protocol::TType _etype574;
+            xfer += iprot->readListBegin(_etype574, _size571);
+            this->loads.resize(_size571);
+            uint32_t _i575;
+            for (_i575 = 0; _i575 < _size571; ++_i575)
             {
-              xfer += this->loads[_i582].read(iprot);
+              xfer += this->loads[_i575].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -14702,6 +14811,34 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 14:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->confirmed_age_ms);
+          this->__isset.confirmed_age_ms = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 15:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->control_peers.clear();
+            uint32_t _size576;
+            ::apache::thrift::protocol::TType _etype579;
+            xfer += iprot->readListBegin(_etype579, _size576);
+            this->control_peers.resize(_size576);
+            uint32_t _i580;
+            for (_i580 = 0; _i580 < _size576; ++_i580)
+            {
+              xfer += this->control_peers[_i580].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.control_peers = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       case 16:
         if (ftype == ::apache::thrift::protocol::T_STRUCT) {
           xfer += this->document.read(iprot);
@@ -14739,18 +14876,6 @@
   xfer += oprot->writeString(this->leader);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("control_peers", ::apache::thrift::protocol::T_LIST, 4);
-  {
-    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->control_peers.size()));
-    std::vector<std::string> ::const_iterator _iter583;
-    for (_iter583 = this->control_peers.begin(); _iter583 != this->control_peers.end(); ++_iter583)
-    {
-      xfer += oprot->writeString((*_iter583));
-    }
-    xfer += oprot->writeListEnd();
-  }
-  xfer += oprot->writeFieldEnd();
-
   xfer += oprot->writeFieldBegin("term", ::apache::thrift::protocol::T_I64, 5);
   xfer += oprot->writeI64(this->term);
   xfer += oprot->writeFieldEnd();
@@ -14767,10 +14892,10 @@
   xfer += oprot->writeFieldBegin("loads", ::apache::thrift::protocol::T_LIST, 9);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->loads.size()));
-    std::vector<GroupLoad> ::const_iterator _iter584;
-    for (_iter584 = this->loads.begin(); _iter584 != this->loads.end(); ++_iter584)
+    std::vector<GroupLoad> ::const_iterator _iter581;
+    for (_iter581 = this->loads.begin(); _iter581 != this->loads.end(); ++_iter581)
     {
-      xfer += (*_iter584).write(oprot);
+      xfer += (*_iter581).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -14793,6 +14918,22 @@
   xfer += oprot->writeBool(this->wants_confirmation);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("confirmed_age_ms", ::apache::thrift::protocol::T_I64, 14);
+  xfer += oprot->writeI64(this->confirmed_age_ms);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("control_peers", ::apache::thrift::protocol::T_LIST, 15);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->control_peers.size()));
+    std::vector<ControlPeer> ::const_iterator _iter582;
+    for (_iter582 = this->control_peers.begin(); _iter582 != this->control_peers.end(); ++_iter582)
+    {
+      xfer += (*_iter582).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
   if (this->__isset.document) {
     xfer += oprot->writeFieldBegin("document", ::apache::thrift::protocol::T_STRUCT, 16);
     xfer += this->document.write(oprot);
@@ -14808,7 +14949,6 @@
   swap(a.sequence, b.sequence);
   swap(a.not_leader, b.not_leader);
   swap(a.leader, b.leader);
-  swap(a.control_peers, b.control_peers);
   swap(a.term, b.term);
   swap(a.document_version, b.document_version);
   swap(a.state, b.state);
@@ -14817,15 +14957,50 @@
   swap(a.wants_state, b.wants_state);
   swap(a.state_change, b.state_change);
   swap(a.wants_confirmation, b.wants_confirmation);
+  swap(a.confirmed_age_ms, b.confirmed_age_ms);
+  swap(a.control_peers, b.control_peers);
   swap(a.document, b.document);
   swap(a.__isset, b.__isset);
 }
 
-FleetUpdate::FleetUpdate(const FleetUpdate& other585) {
+FleetUpdate::FleetUpdate(const FleetUpdate& other583) {
+  sequence = other583.sequence;
+  not_leader = other583.not_leader;
+  leader = other583.leader;
+  term = other583.term;
+  document_version = other583.document_version;
+  state = other583.state;
+  loads = other583.loads;
+  serving_nodes = other583.serving_nodes;
+  wants_state = other583.wants_state;
+  state_change = other583.state_change;
+  wants_confirmation = other583.wants_confirmation;
+  confirmed_age_ms = other583.confirmed_age_ms;
+  control_peers = other583.control_peers;
+  document = other583.document;
+  __isset = other583.__isset;
+}
+FleetUpdate::FleetUpdate(FleetUpdate&& other584) noexcept {
+  sequence = other584.sequence;
+  not_leader = other584.not_leader;
+  leader = std::move(other584.leader);
+  term = other584.term;
+  document_version = other584.document_version;
+  state = std::move(other584.state);
+  loads = std::move(other584.loads);
+  serving_nodes = other584.serving_nodes;
+  wants_state = other584.wants_state;
+  state_change = std::move(other584.state_change);
+  wants_confirmation = other584.wants_confirmation;
+  confirmed_age_ms = other584.confirmed_age_ms;
+  control_peers = std::move(other584.control_peers);
+  document = std::move(other584.document);
+  __isset = other584.__isset;
+}
+FleetUpdate& FleetUpdate::operator=(const FleetUpdate& other585) {
   sequence = other585.sequence;
   not_leader = other585.not_leader;
   leader = other585.leader;
-  control_peers = other585.control_peers;
   term = other585.term;
   document_version = other585.document_version;
   state = other585.state;
@@ -14834,14 +15009,16 @@
   wants_state = other585.wants_state;
   state_change = other585.state_change;
   wants_confirmation = other585.wants_confirmation;
+  confirmed_age_ms = other585.confirmed_age_ms;
+  control_peers = other585.control_peers;
   document = other585.document;
   __isset = other585.__isset;
+  return *this;
 }
-FleetUpdate::FleetUpdate(FleetUpdate&& other586) noexcept {
+FleetUpdate& FleetUpdate::operator=(FleetUpdate&& other586) noexcept {
   sequence = other586.sequence;
   not_leader = other586.not_leader;
   leader = std::move(other586.leader);
-  control_peers = std::move(other586.control_peers);
   term = other586.term;
   document_version = other586.document_version;
   state = std::move(other586.state);
@@ -14850,41 +15027,10 @@
   wants_state = other586.wants_state;
   state_change = std::move(other586.state_change);
   wants_confirmation = other586.wants_confirmation;
+  confirmed_age_ms = other586.confirmed_age_ms;
+  control_peers = std::move(other586.control_peers);
   document = std::move(other586.document);
   __isset = other586.__isset;
-}
-FleetUpdate& FleetUpdate::operator=(const FleetUpdate& other587) {
-  sequence = other587.sequence;
-  not_leader = other587.not_leader;
-  leader = other587.leader;
-  control_peers = other587.control_peers;
-  term = other587.term;
-  document_version = other587.document_version;
-  state = other587.state;
-  loads = other587.loads;
-  serving_nodes = other587.serving_nodes;
-  wants_state = other587.wants_state;
-  state_change = other587.state_change;
-  wants_confirmation = other587.wants_confirmation;
-  document = other587.document;
-  __isset = other587.__isset;
-  return *this;
-}
-FleetUpdate& FleetUpdate::operator=(FleetUpdate&& other588) noexcept {
-  sequence = other588.sequence;
-  not_leader = other588.not_leader;
-  leader = std::move(other588.leader);
-  control_peers = std::move(other588.control_peers);
-  term = other588.term;
-  document_version = other588.document_version;
-  state = std::move(other588.state);
-  loads = std::move(other588.loads);
-  serving_nodes = other588.serving_nodes;
-  wants_state = other588.wants_state;
-  state_change = std::move(other588.state_change);
-  wants_confirmation = other588.wants_confirmation;
-  document = std::move(other588.document);
-  __isset = other588.__isset;
   return *this;
 }
 void FleetUpdate::printTo(std::ostream& out) const {
@@ -14893,7 +15039,6 @@
   out << "sequence=" << to_string(sequence);
   out << ", " << "not_leader=" << to_string(not_leader);
   out << ", " << "leader=" << to_string(leader);
-  out << ", " << "control_peers=" << to_string(control_peers);
   out << ", " << "term=" << to_string(term);
   out << ", " << "document_version=" << to_string(document_version);
   out << ", " << "state="; (__isset.state ? (out << to_string(state)) : (out << "<null>"));
@@ -14902,6 +15047,8 @@
   out << ", " << "wants_state=" << to_string(wants_state);
   out << ", " << "state_change="; (__isset.state_change ? (out << to_string(state_change)) : (out << "<null>"));
   out << ", " << "wants_confirmation=" << to_string(wants_confirmation);
+  out << ", " << "confirmed_age_ms=" << to_string(confirmed_age_ms);
+  out << ", " << "control_peers=" << to_string(control_peers);
   out << ", " << "document="; (__isset.document ? (out << to_string(document)) : (out << "<null>"));
   out << ")";
 }
@@ -14964,9 +15111,9 @@
         break;
       case 2:
         if (ftype == ::apache::thrift::protocol::T_I32) {
-          int32_t ecast589;
-          xfer += iprot->readI32(ecast589);
-          this->kind = static_cast<ControlCallKind::type>(ecast589);
+          int32_t ecast587;
+          xfer += iprot->readI32(ecast587);
+          this->kind = static_cast<ControlCallKind::type>(ecast587);
           this->__isset.kind = true;
         } else {
           xfer += iprot->skip(ftype);
@@ -15035,34 +15182,34 @@
   swap(a.__isset, b.__isset);
 }
 
-ControlCall::ControlCall(const ControlCall& other590) {
+ControlCall::ControlCall(const ControlCall& other588) {
+  id = other588.id;
+  kind = other588.kind;
+  instance_id = other588.instance_id;
+  body = other588.body;
+  __isset = other588.__isset;
+}
+ControlCall::ControlCall(ControlCall&& other589) noexcept {
+  id = other589.id;
+  kind = other589.kind;
+  instance_id = std::move(other589.instance_id);
+  body = std::move(other589.body);
+  __isset = other589.__isset;
+}
+ControlCall& ControlCall::operator=(const ControlCall& other590) {
   id = other590.id;
   kind = other590.kind;
   instance_id = other590.instance_id;
   body = other590.body;
   __isset = other590.__isset;
+  return *this;
 }
-ControlCall::ControlCall(ControlCall&& other591) noexcept {
+ControlCall& ControlCall::operator=(ControlCall&& other591) noexcept {
   id = other591.id;
   kind = other591.kind;
   instance_id = std::move(other591.instance_id);
   body = std::move(other591.body);
   __isset = other591.__isset;
-}
-ControlCall& ControlCall::operator=(const ControlCall& other592) {
-  id = other592.id;
-  kind = other592.kind;
-  instance_id = other592.instance_id;
-  body = other592.body;
-  __isset = other592.__isset;
-  return *this;
-}
-ControlCall& ControlCall::operator=(ControlCall&& other593) noexcept {
-  id = other593.id;
-  kind = other593.kind;
-  instance_id = std::move(other593.instance_id);
-  body = std::move(other593.body);
-  __isset = other593.__isset;
   return *this;
 }
 void ControlCall::printTo(std::ostream& out) const {
@@ -15185,30 +15332,30 @@
   swap(a.__isset, b.__isset);
 }
 
-ControlCallReply::ControlCallReply(const ControlCallReply& other594) {
+ControlCallReply::ControlCallReply(const ControlCallReply& other592) {
+  id = other592.id;
+  status = other592.status;
+  body = other592.body;
+  __isset = other592.__isset;
+}
+ControlCallReply::ControlCallReply(ControlCallReply&& other593) noexcept {
+  id = other593.id;
+  status = other593.status;
+  body = std::move(other593.body);
+  __isset = other593.__isset;
+}
+ControlCallReply& ControlCallReply::operator=(const ControlCallReply& other594) {
   id = other594.id;
   status = other594.status;
   body = other594.body;
   __isset = other594.__isset;
+  return *this;
 }
-ControlCallReply::ControlCallReply(ControlCallReply&& other595) noexcept {
+ControlCallReply& ControlCallReply::operator=(ControlCallReply&& other595) noexcept {
   id = other595.id;
   status = other595.status;
   body = std::move(other595.body);
   __isset = other595.__isset;
-}
-ControlCallReply& ControlCallReply::operator=(const ControlCallReply& other596) {
-  id = other596.id;
-  status = other596.status;
-  body = other596.body;
-  __isset = other596.__isset;
-  return *this;
-}
-ControlCallReply& ControlCallReply::operator=(ControlCallReply&& other597) noexcept {
-  id = other597.id;
-  status = other597.status;
-  body = std::move(other597.body);
-  __isset = other597.__isset;
   return *this;
 }
 void ControlCallReply::printTo(std::ostream& out) const {
@@ -15221,6 +15368,127 @@
 }
 
 
+RegistrationBatch::~RegistrationBatch() noexcept {
+}
+
+
+void RegistrationBatch::__set_reports(const std::vector<Instance> & val) {
+  this->reports = val;
+}
+std::ostream& operator<<(std::ostream& out, const RegistrationBatch& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t RegistrationBatch::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->reports.clear();
+            uint32_t _size596;
+            ::apache::thrift::protocol::TType _etype599;
+            xfer += iprot->readListBegin(_etype599, _size596);
+            this->reports.resize(_size596);
+            uint32_t _i600;
+            for (_i600 = 0; _i600 < _size596; ++_i600)
+            {
+              xfer += this->reports[_i600].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.reports = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t RegistrationBatch::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("RegistrationBatch");
+
+  xfer += oprot->writeFieldBegin("reports", ::apache::thrift::protocol::T_LIST, 1);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->reports.size()));
+    std::vector<Instance> ::const_iterator _iter601;
+    for (_iter601 = this->reports.begin(); _iter601 != this->reports.end(); ++_iter601)
+    {
+      xfer += (*_iter601).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(RegistrationBatch &a, RegistrationBatch &b) {
+  using ::std::swap;
+  swap(a.reports, b.reports);
+  swap(a.__isset, b.__isset);
+}
+
+RegistrationBatch::RegistrationBatch(const RegistrationBatch& other602) {
+  reports = other602.reports;
+  __isset = other602.__isset;
+}
+RegistrationBatch::RegistrationBatch(RegistrationBatch&& other603) noexcept {
+  reports = std::move(other603.reports);
+  __isset = other603.__isset;
+}
+RegistrationBatch& RegistrationBatch::operator=(const RegistrationBatch& other604) {
+  reports = other604.reports;
+  __isset = other604.__isset;
+  return *this;
+}
+RegistrationBatch& RegistrationBatch::operator=(RegistrationBatch&& other605) noexcept {
+  reports = std::move(other605.reports);
+  __isset = other605.__isset;
+  return *this;
+}
+void RegistrationBatch::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "RegistrationBatch(";
+  out << "reports=" << to_string(reports);
+  out << ")";
+}
+
+
 Envelope::~Envelope() noexcept {
 }
 
@@ -15311,6 +15579,11 @@
   this->slot_answer = val;
 __isset.slot_answer = true;
 }
+
+void Envelope::__set_registrations(const RegistrationBatch& val) {
+  this->registrations = val;
+__isset.registrations = true;
+}
 std::ostream& operator<<(std::ostream& out, const Envelope& obj)
 {
   obj.printTo(out);
@@ -15483,6 +15756,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 19:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->registrations.read(iprot);
+          this->__isset.registrations = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -15587,6 +15868,11 @@
     xfer += this->slot_answer.write(oprot);
     xfer += oprot->writeFieldEnd();
   }
+  if (this->__isset.registrations) {
+    xfer += oprot->writeFieldBegin("registrations", ::apache::thrift::protocol::T_STRUCT, 19);
+    xfer += this->registrations.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -15612,93 +15898,98 @@
   swap(a.control_call_reply, b.control_call_reply);
   swap(a.slot_report, b.slot_report);
   swap(a.slot_answer, b.slot_answer);
+  swap(a.registrations, b.registrations);
   swap(a.__isset, b.__isset);
 }
 
-Envelope::Envelope(const Envelope& other598) {
-  from_node = other598.from_node;
-  from_incarnation = other598.from_incarnation;
-  to_node = other598.to_node;
-  raft = other598.raft;
-  heartbeat = other598.heartbeat;
-  heartbeat_reply = other598.heartbeat_reply;
-  claim_request = other598.claim_request;
-  claim_reply = other598.claim_reply;
-  resolution = other598.resolution;
-  operator_request = other598.operator_request;
-  operator_reply = other598.operator_reply;
-  resolution_reply = other598.resolution_reply;
-  fleet_heartbeat = other598.fleet_heartbeat;
-  fleet_update = other598.fleet_update;
-  control_call = other598.control_call;
-  control_call_reply = other598.control_call_reply;
-  slot_report = other598.slot_report;
-  slot_answer = other598.slot_answer;
-  __isset = other598.__isset;
-}
-Envelope::Envelope(Envelope&& other599) noexcept {
-  from_node = std::move(other599.from_node);
-  from_incarnation = other599.from_incarnation;
-  to_node = std::move(other599.to_node);
-  raft = std::move(other599.raft);
-  heartbeat = std::move(other599.heartbeat);
-  heartbeat_reply = std::move(other599.heartbeat_reply);
-  claim_request = std::move(other599.claim_request);
-  claim_reply = std::move(other599.claim_reply);
-  resolution = std::move(other599.resolution);
-  operator_request = std::move(other599.operator_request);
-  operator_reply = std::move(other599.operator_reply);
-  resolution_reply = std::move(other599.resolution_reply);
-  fleet_heartbeat = std::move(other599.fleet_heartbeat);
-  fleet_update = std::move(other599.fleet_update);
-  control_call = std::move(other599.control_call);
-  control_call_reply = std::move(other599.control_call_reply);
-  slot_report = std::move(other599.slot_report);
-  slot_answer = std::move(other599.slot_answer);
-  __isset = other599.__isset;
-}
-Envelope& Envelope::operator=(const Envelope& other600) {
-  from_node = other600.from_node;
-  from_incarnation = other600.from_incarnation;
-  to_node = other600.to_node;
-  raft = other600.raft;
-  heartbeat = other600.heartbeat;
-  heartbeat_reply = other600.heartbeat_reply;
-  claim_request = other600.claim_request;
-  claim_reply = other600.claim_reply;
-  resolution = other600.resolution;
-  operator_request = other600.operator_request;
-  operator_reply = other600.operator_reply;
-  resolution_reply = other600.resolution_reply;
-  fleet_heartbeat = other600.fleet_heartbeat;
-  fleet_update = other600.fleet_update;
-  control_call = other600.control_call;
-  control_call_reply = other600.control_call_reply;
-  slot_report = other600.slot_report;
-  slot_answer = other600.slot_answer;
-  __isset = other600.__isset;
-  return *this;
-}
-Envelope& Envelope::operator=(Envelope&& other601) noexcept {
-  from_node = std::move(other601.from_node);
-  from_incarnation = other601.from_incarnation;
-  to_node = std::move(other601.to_node);
-  raft = std::move(other601.raft);
-  heartbeat = std::move(other601.heartbeat);
-  heartbeat_reply = std::move(other601.heartbeat_reply);
-  claim_request = std::move(other601.claim_request);
-  claim_reply = std::move(other601.claim_reply);
-  resolution = std::move(other601.resolution);
-  operator_request = std::move(other601.operator_request);
-  operator_reply = std::move(other601.operator_reply);
-  resolution_reply = std::move(other601.resolution_reply);
-  fleet_heartbeat = std::move(other601.fleet_heartbeat);
-  fleet_update = std::move(other601.fleet_update);
-  control_call = std::move(other601.control_call);
-  control_call_reply = std::move(other601.control_call_reply);
-  slot_report = std::move(other601.slot_report);
-  slot_answer = std::move(other601.slot_answer);
-  __isset = other601.__isset;
+Envelope::Envelope(const Envelope& other606) {
+  from_node = other606.from_node;
+  from_incarnation = other606.from_incarnation;
+  to_node = other606.to_node;
+  raft = other606.raft;
+  heartbeat = other606.heartbeat;
+  heartbeat_reply = other606.heartbeat_reply;
+  claim_request = other606.claim_request;
+  claim_reply = other606.claim_reply;
+  resolution = other606.resolution;
+  operator_request = other606.operator_request;
+  operator_reply = other606.operator_reply;
+  resolution_reply = other606.resolution_reply;
+  fleet_heartbeat = other606.fleet_heartbeat;
+  fleet_update = other606.fleet_update;
+  control_call = other606.control_call;
+  control_call_reply = other606.control_call_reply;
+  slot_report = other606.slot_report;
+  slot_answer = other606.slot_answer;
+  registrations = other606.registrations;
+  __isset = other606.__isset;
+}
+Envelope::Envelope(Envelope&& other607) noexcept {
+  from_node = std::move(other607.from_node);
+  from_incarnation = other607.from_incarnation;
+  to_node = std::move(other607.to_node);
+  raft = std::move(other607.raft);
+  heartbeat = std::move(other607.heartbeat);
+  heartbeat_reply = std::move(other607.heartbeat_reply);
+  claim_request = std::move(other607.claim_request);
+  claim_reply = std::move(other607.claim_reply);
+  resolution = std::move(other607.resolution);
+  operator_request = std::move(other607.operator_request);
+  operator_reply = std::move(other607.operator_reply);
+  resolution_reply = std::move(other607.resolution_reply);
+  fleet_heartbeat = std::move(other607.fleet_heartbeat);
+  fleet_update = std::move(other607.fleet_update);
+  control_call = std::move(other607.control_call);
+  control_call_reply = std::move(other607.control_call_reply);
+  slot_report = std::move(other607.slot_report);
+  slot_answer = std::move(other607.slot_answer);
+  registrations = std::move(other607.registrations);
+  __isset = other607.__isset;
+}
+Envelope& Envelope::operator=(const Envelope& other608) {
+  from_node = other608.from_node;
+  from_incarnation = other608.from_incarnation;
+  to_node = other608.to_node;
+  raft = other608.raft;
+  heartbeat = other608.heartbeat;
+  heartbeat_reply = other608.heartbeat_reply;
+  claim_request = other608.claim_request;
+  claim_reply = other608.claim_reply;
+  resolution = other608.resolution;
+  operator_request = other608.operator_request;
+  operator_reply = other608.operator_reply;
+  resolution_reply = other608.resolution_reply;
+  fleet_heartbeat = other608.fleet_heartbeat;
+  fleet_update = other608.fleet_update;
+  control_call = other608.control_call;
+  control_call_reply = other608.control_call_reply;
+  slot_report = other608.slot_report;
+  slot_answer = other608.slot_answer;
+  registrations = other608.registrations;
+  __isset = other608.__isset;
+  return *this;
+}
+Envelope& Envelope::operator=(Envelope&& other609) noexcept {
+  from_node = std::move(other609.from_node);
+  from_incarnation = other609.from_incarnation;
+  to_node = std::move(other609.to_node);
+  raft = std::move(other609.raft);
+  heartbeat = std::move(other609.heartbeat);
+  heartbeat_reply = std::move(other609.heartbeat_reply);
+  claim_request = std::move(other609.claim_request);
+  claim_reply = std::move(other609.claim_reply);
+  resolution = std::move(other609.resolution);
+  operator_request = std::move(other609.operator_request);
+  operator_reply = std::move(other609.operator_reply);
+  resolution_reply = std::move(other609.resolution_reply);
+  fleet_heartbeat = std::move(other609.fleet_heartbeat);
+  fleet_update = std::move(other609.fleet_update);
+  control_call = std::move(other609.control_call);
+  control_call_reply = std::move(other609.control_call_reply);
+  slot_report = std::move(other609.slot_report);
+  slot_answer = std::move(other609.slot_answer);
+  registrations = std::move(other609.registrations);
+  __isset = other609.__isset;
   return *this;
 }
 void Envelope::printTo(std::ostream& out) const {
@@ -15722,6 +16013,7 @@
   out << ", " << "control_call_reply="; (__isset.control_call_reply ? (out << to_string(control_call_reply)) : (out << "<null>"));
   out << ", " << "slot_report="; (__isset.slot_report ? (out << to_string(slot_report)) : (out << "<null>"));
   out << ", " << "slot_answer="; (__isset.slot_answer ? (out << to_string(slot_answer)) : (out << "<null>"));
+  out << ", " << "registrations="; (__isset.registrations ? (out << to_string(registrations)) : (out << "<null>"));
   out << ")";
 }
 
--- a/src/wire/gen-cpp/larchlever_types.h
+++ b/src/wire/gen-cpp/larchlever_types.h
@@ -348,12 +348,16 @@
 
 class SlotAnswer;
 
+class ControlPeer;
+
 class FleetUpdate;
 
 class ControlCall;
 
 class ControlCallReply;
 
+class RegistrationBatch;
+
 class Envelope;
 
 typedef struct _ReplicaAddress__isset {
@@ -5089,7 +5093,7 @@
 std::ostream& operator<<(std::ostream& out, const GroupFailure& obj);
 
 typedef struct _FleetHeartbeat__isset {
-  _FleetHeartbeat__isset() : sequence(false), zone(false), replica_id(false), control_address(false), document_version(false), held_term(false), held_version(false), loads(false), demand(false), failures(false), leaving(false), serves_requests(false), traffic_seen(false), held_state(false), grants_term(false), grants_seen(false) {}
+  _FleetHeartbeat__isset() : sequence(false), zone(false), replica_id(false), control_address(false), document_version(false), held_term(false), held_version(false), leaving(false), serves_requests(false), held_state(false), wants_loads(false), serving_entries(false), entries_hold_version(false) {}
   bool sequence :1;
   bool zone :1;
   bool replica_id :1;
@@ -5097,17 +5101,18 @@
   bool document_version :1;
   bool held_term :1;
   bool held_version :1;
-  bool loads :1;
-  bool demand :1;
-  bool failures :1;
   bool leaving :1;
   bool serves_requests :1;
-  bool traffic_seen :1;
   bool held_state :1;
-  bool grants_term :1;
-  bool grants_seen :1;
+  bool wants_loads :1;
+  bool serving_entries :1;
+  bool entries_hold_version :1;
 } _FleetHeartbeat__isset;
 
+/**
+ * A node reports to the control replica that it subscribes to: a control replica to the leader, an entry to any control
+ * replica.
+ */
 class FleetHeartbeat : public virtual ::apache::thrift::TBase {
  public:
 
@@ -5125,9 +5130,9 @@
                    held_version(0),
                    leaving(0),
                    serves_requests(0),
-                   traffic_seen(0),
-                   grants_term(0),
-                   grants_seen(0) {
+                   wants_loads(0),
+                   serving_entries(0),
+                   entries_hold_version(0) {
   }
 
   virtual ~FleetHeartbeat() noexcept;
@@ -5144,24 +5149,24 @@
   int64_t document_version;
   int64_t held_term;
   int64_t held_version;
-  std::vector<GroupLoad>  loads;
-  std::vector<ModelDemand>  demand;
-  std::vector<GroupFailure>  failures;
   bool leaving;
   bool serves_requests;
-  /**
-   * The node has seen at least one caller's request since it started.
-   */
-  bool traffic_seen;
   /**
    * The copy held, sent when the leader asked for it.
    */
   FleetState held_state;
   /**
-   * The last slot received, as in SlotReport: `loads` count it.
+   * The entry chooses targets by itself at present: the answer is to carry the loads of all entries.
    */
-  int64_t grants_term;
-  int64_t grants_seen;
+  bool wants_loads;
+  /**
+   * Of a control replica: entries that subscribe to it and serve requests.
+   */
+  int32_t serving_entries;
+  /**
+   * Of a control replica: the version of `held_term` that all those entries hold at least.
+   */
+  int64_t entries_hold_version;
 
   _FleetHeartbeat__isset __isset;
 
@@ -5179,23 +5184,17 @@
 
   void __set_held_version(const int64_t val);
 
-  void __set_loads(const std::vector<GroupLoad> & val);
-
-  void __set_demand(const std::vector<ModelDemand> & val);
-
-  void __set_failures(const std::vector<GroupFailure> & val);
-
   void __set_leaving(const bool val);
 
   void __set_serves_requests(const bool val);
 
-  void __set_traffic_seen(const bool val);
-
   void __set_held_state(const FleetState& val);
 
-  void __set_grants_term(const int64_t val);
+  void __set_wants_loads(const bool val);
 
-  void __set_grants_seen(const int64_t val);
+  void __set_serving_entries(const int32_t val);
+
+  void __set_entries_hold_version(const int64_t val);
 
   bool operator == (const FleetHeartbeat & rhs) const
   {
@@ -5213,25 +5212,19 @@
       return false;
     if (!(held_version == rhs.held_version))
       return false;
-    if (!(loads == rhs.loads))
-      return false;
-    if (!(demand == rhs.demand))
-      return false;
-    if (!(failures == rhs.failures))
-      return false;
     if (!(leaving == rhs.leaving))
       return false;
     if (!(serves_requests == rhs.serves_requests))
       return false;
-    if (!(traffic_seen == rhs.traffic_seen))
-      return false;
     if (__isset.held_state != rhs.__isset.held_state)
       return false;
     else if (__isset.held_state && !(held_state == rhs.held_state))
       return false;
-    if (!(grants_term == rhs.grants_term))
+    if (!(wants_loads == rhs.wants_loads))
       return false;
-    if (!(grants_seen == rhs.grants_seen))
+    if (!(serving_entries == rhs.serving_entries))
+      return false;
+    if (!(entries_hold_version == rhs.entries_hold_version))
       return false;
     return true;
   }
@@ -5469,15 +5462,19 @@
 std::ostream& operator<<(std::ostream& out, const SlotGrant& obj);
 
 typedef struct _SlotReport__isset {
-  _SlotReport__isset() : requests(false), loads(false), grants_term(false), grants_seen(false) {}
+  _SlotReport__isset() : requests(false), loads(false), grants_term(false), grants_seen(false), is_complete(false), demand(false), failures(false), traffic_seen(false) {}
   bool requests :1;
   bool loads :1;
   bool grants_term :1;
   bool grants_seen :1;
+  bool is_complete :1;
+  bool demand :1;
+  bool failures :1;
+  bool traffic_seen :1;
 } _SlotReport__isset;
 
 /**
- * An entry's questions, and its load where it changed since it last told.
+ * An entry's questions, and its load where it changed since it last told; sent to the leader.
  */
 class SlotReport : public virtual ::apache::thrift::TBase {
  public:
@@ -5488,7 +5485,9 @@
   SlotReport& operator=(SlotReport&&) noexcept;
   SlotReport() noexcept
              : grants_term(0),
-               grants_seen(0) {
+               grants_seen(0),
+               is_complete(0),
+               traffic_seen(0) {
   }
 
   virtual ~SlotReport() noexcept;
@@ -5499,6 +5498,22 @@
    */
   int64_t grants_term;
   int64_t grants_seen;
+  /**
+   * `loads` name every group where the entry has something under way; at the others it has nothing.
+   */
+  bool is_complete;
+  /**
+   * Totals since the entry started; in complete reports.
+   */
+  std::vector<ModelDemand>  demand;
+  /**
+   * Groups that the entry avoids; in complete reports, and at once when one is added.
+   */
+  std::vector<GroupFailure>  failures;
+  /**
+   * The entry has seen at least one caller's request since it started.
+   */
+  bool traffic_seen;
 
   _SlotReport__isset __isset;
 
@@ -5510,6 +5525,14 @@
 
   void __set_grants_seen(const int64_t val);
 
+  void __set_is_complete(const bool val);
+
+  void __set_demand(const std::vector<ModelDemand> & val);
+
+  void __set_failures(const std::vector<GroupFailure> & val);
+
+  void __set_traffic_seen(const bool val);
+
   bool operator == (const SlotReport & rhs) const
   {
     if (!(requests == rhs.requests))
@@ -5520,6 +5543,14 @@
       return false;
     if (!(grants_seen == rhs.grants_seen))
       return false;
+    if (!(is_complete == rhs.is_complete))
+      return false;
+    if (!(demand == rhs.demand))
+      return false;
+    if (!(failures == rhs.failures))
+      return false;
+    if (!(traffic_seen == rhs.traffic_seen))
+      return false;
     return true;
   }
   bool operator != (const SlotReport &rhs) const {
@@ -5589,12 +5620,69 @@
 
 std::ostream& operator<<(std::ostream& out, const SlotAnswer& obj);
 
+typedef struct _ControlPeer__isset {
+  _ControlPeer__isset() : address(false), zone(false) {}
+  bool address :1;
+  bool zone :1;
+} _ControlPeer__isset;
+
+/**
+ * A control replica, as nodes learn of it.
+ */
+class ControlPeer : public virtual ::apache::thrift::TBase {
+ public:
+
+  ControlPeer(const ControlPeer&);
+  ControlPeer(ControlPeer&&) noexcept;
+  ControlPeer& operator=(const ControlPeer&);
+  ControlPeer& operator=(ControlPeer&&) noexcept;
+  ControlPeer() noexcept
+              : address(),
+                zone() {
+  }
+
+  virtual ~ControlPeer() noexcept;
+  std::string address;
+  /**
+   * Empty while it is not known.
+   */
+  std::string zone;
+
+  _ControlPeer__isset __isset;
+
+  void __set_address(const std::string& val);
+
+  void __set_zone(const std::string& val);
+
+  bool operator == (const ControlPeer & rhs) const
+  {
+    if (!(address == rhs.address))
+      return false;
+    if (!(zone == rhs.zone))
+      return false;
+    return true;
+  }
+  bool operator != (const ControlPeer &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const ControlPeer & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(ControlPeer &a, ControlPeer &b);
+
+std::ostream& operator<<(std::ostream& out, const ControlPeer& obj);
+
 typedef struct _FleetUpdate__isset {
-  _FleetUpdate__isset() : sequence(false), not_leader(false), leader(false), control_peers(false), term(false), document_version(false), state(false), loads(false), serving_nodes(false), wants_state(false), state_change(false), wants_confirmation(false), document(false) {}
+  _FleetUpdate__isset() : sequence(false), not_leader(false), leader(false), term(false), document_version(false), state(false), loads(false), serving_nodes(false), wants_state(false), state_change(false), wants_confirmation(false), confirmed_age_ms(false), control_peers(false), document(false) {}
   bool sequence :1;
   bool not_leader :1;
   bool leader :1;
-  bool control_peers :1;
   bool term :1;
   bool document_version :1;
   bool state :1;
@@ -5603,11 +5691,14 @@
   bool wants_state :1;
   bool state_change :1;
   bool wants_confirmation :1;
+  bool confirmed_age_ms :1;
+  bool control_peers :1;
   bool document :1;
 } _FleetUpdate__isset;
 
 /**
- * Answer to a heartbeat (sequence set), or a push of news (sequence zero).
+ * Answer to a heartbeat (sequence set), or a push of news (sequence zero). Control replicas get it from the leader;
+ * entries from the control replica that they subscribe to, which passes on what it holds itself.
  */
 class FleetUpdate : public virtual ::apache::thrift::TBase {
  public:
@@ -5624,7 +5715,8 @@
                 document_version(0),
                 serving_nodes(0),
                 wants_state(0),
-                wants_confirmation(0) {
+                wants_confirmation(0),
+                confirmed_age_ms(0) {
   }
 
   virtual ~FleetUpdate() noexcept;
@@ -5634,19 +5726,15 @@
    * Peer address of the leader, as far as the sender knows.
    */
   std::string leader;
-  /**
-   * Peer addresses of all control replicas known.
-   */
-  std::vector<std::string>  control_peers;
   int64_t term;
   int64_t document_version;
   FleetState state;
   /**
-   * Requests in flight per group at all nodes but the receiver.
+   * Requests in flight per group at all entries, for who asked for it.
    */
   std::vector<GroupLoad>  loads;
   /**
-   * Nodes that serve requests now; budgets that all share are split by it.
+   * Entries that serve requests now; budgets that all share are split by it.
    */
   int32_t serving_nodes;
   /**
@@ -5661,6 +5749,14 @@
    * A call waits until all nodes hold this version: confirm at once rather than with the next heartbeat.
    */
   bool wants_confirmation;
+  /**
+   * Milliseconds since a leader knew `document_version` to be the newest; negative when none ever confirmed it.
+   */
+  int64_t confirmed_age_ms;
+  /**
+   * All control replicas known.
+   */
+  std::vector<ControlPeer>  control_peers;
   /**
    * Sent to who holds an earlier version.
    */
@@ -5674,8 +5770,6 @@
 
   void __set_leader(const std::string& val);
 
-  void __set_control_peers(const std::vector<std::string> & val);
-
   void __set_term(const int64_t val);
 
   void __set_document_version(const int64_t val);
@@ -5692,6 +5786,10 @@
 
   void __set_wants_confirmation(const bool val);
 
+  void __set_confirmed_age_ms(const int64_t val);
+
+  void __set_control_peers(const std::vector<ControlPeer> & val);
+
   void __set_document(const DocumentChange& val);
 
   bool operator == (const FleetUpdate & rhs) const
@@ -5702,8 +5800,6 @@
       return false;
     if (!(leader == rhs.leader))
       return false;
-    if (!(control_peers == rhs.control_peers))
-      return false;
     if (!(term == rhs.term))
       return false;
     if (!(document_version == rhs.document_version))
@@ -5724,6 +5820,10 @@
       return false;
     if (!(wants_confirmation == rhs.wants_confirmation))
       return false;
+    if (!(confirmed_age_ms == rhs.confirmed_age_ms))
+      return false;
+    if (!(control_peers == rhs.control_peers))
+      return false;
     if (__isset.document != rhs.__isset.document)
       return false;
     else if (__isset.document && !(document == rhs.document))
@@ -5878,8 +5978,55 @@
 
 std::ostream& operator<<(std::ostream& out, const ControlCallReply& obj);
 
+typedef struct _RegistrationBatch__isset {
+  _RegistrationBatch__isset() : reports(false) {}
+  bool reports :1;
+} _RegistrationBatch__isset;
+
+/**
+ * Heartbeats of instances that a control replica took, for the leader.
+ */
+class RegistrationBatch : public virtual ::apache::thrift::TBase {
+ public:
+
+  RegistrationBatch(const RegistrationBatch&);
+  RegistrationBatch(RegistrationBatch&&) noexcept;
+  RegistrationBatch& operator=(const RegistrationBatch&);
+  RegistrationBatch& operator=(RegistrationBatch&&) noexcept;
+  RegistrationBatch() noexcept {
+  }
+
+  virtual ~RegistrationBatch() noexcept;
+  std::vector<Instance>  reports;
+
+  _RegistrationBatch__isset __isset;
+
+  void __set_reports(const std::vector<Instance> & val);
+
+  bool operator == (const RegistrationBatch & rhs) const
+  {
+    if (!(reports == rhs.reports))
+      return false;
+    return true;
+  }
+  bool operator != (const RegistrationBatch &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const RegistrationBatch & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(RegistrationBatch &a, RegistrationBatch &b);
+
+std::ostream& operator<<(std::ostream& out, const RegistrationBatch& obj);
+
 typedef struct _Envelope__isset {
-  _Envelope__isset() : from_node(false), from_incarnation(false), to_node(false), raft(false), heartbeat(false), heartbeat_reply(false), claim_request(false), claim_reply(false), resolution(false), operator_request(false), operator_reply(false), resolution_reply(false), fleet_heartbeat(false), fleet_update(false), control_call(false), control_call_reply(false), slot_report(false), slot_answer(false) {}
+  _Envelope__isset() : from_node(false), from_incarnation(false), to_node(false), raft(false), heartbeat(false), heartbeat_reply(false), claim_request(false), claim_reply(false), resolution(false), operator_request(false), operator_reply(false), resolution_reply(false), fleet_heartbeat(false), fleet_update(false), control_call(false), control_call_reply(false), slot_report(false), slot_answer(false), registrations(false) {}
   bool from_node :1;
   bool from_incarnation :1;
   bool to_node :1;
@@ -5898,6 +6045,7 @@
   bool control_call_reply :1;
   bool slot_report :1;
   bool slot_answer :1;
+  bool registrations :1;
 } _Envelope__isset;
 
 class Envelope : public virtual ::apache::thrift::TBase {
@@ -5932,6 +6080,7 @@
   ControlCallReply control_call_reply;
   SlotReport slot_report;
   SlotAnswer slot_answer;
+  RegistrationBatch registrations;
 
   _Envelope__isset __isset;
 
@@ -5971,6 +6120,8 @@
 
   void __set_slot_answer(const SlotAnswer& val);
 
+  void __set_registrations(const RegistrationBatch& val);
+
   bool operator == (const Envelope & rhs) const
   {
     if (!(from_node == rhs.from_node))
@@ -6039,6 +6190,10 @@
       return false;
     else if (__isset.slot_answer && !(slot_answer == rhs.slot_answer))
       return false;
+    if (__isset.registrations != rhs.__isset.registrations)
+      return false;
+    else if (__isset.registrations && !(registrations == rhs.registrations))
+      return false;
     return true;
   }
   bool operator != (const Envelope &rhs) const {
--- a/src/wire/larchlever.thrift
+++ b/src/wire/larchlever.thrift
@@ -590,6 +590,10 @@
   2: string group,
 }
 
+/**
+ * A node reports to the control replica that it subscribes to: a control replica to the leader, an entry to any control
+ * replica.
+ */
 struct FleetHeartbeat {
   1: i64 sequence,
   2: string zone,
@@ -600,18 +604,16 @@
   5: i64 document_version,
   6: i64 held_term,
   7: i64 held_version,
-  8: list<GroupLoad> loads,
-  9: list<ModelDemand> demand,
-  10: list<GroupFailure> failures,
   11: bool leaving,
   12: bool serves_requests,
-  /** The node has seen at least one caller's request since it started. */
-  13: bool traffic_seen,
   /** The copy held, sent when the leader asked for it. */
   14: optional FleetState held_state,
-  /** The last slot received, as in SlotReport: `loads` count it. */
-  15: i64 grants_term,
-  16: i64 grants_seen,
+  /** The entry chooses targets by itself at present: the answer is to carry the loads of all entries. */
+  17: bool wants_loads,
+  /** Of a control replica: entries that subscribe to it and serve requests. */
+  18: i32 serving_entries,
+  /** Of a control replica: the version of `held_term` that all those entries hold at least. */
+  19: i64 entries_hold_version,
 }
 
 /** An entry asks the leader for a slot of a group for one request. */
@@ -657,13 +659,21 @@
   5: i32 expected_ms,
 }
 
-/** An entry's questions, and its load where it changed since it last told. */
+/** An entry's questions, and its load where it changed since it last told; sent to the leader. */
 struct SlotReport {
   1: list<SlotRequest> requests,
   2: list<GroupLoad> loads,
   /** The last slot received, by the term and sequence it came under: `loads` count it. */
   3: i64 grants_term,
   4: i64 grants_seen,
+  /** `loads` name every group where the entry has something under way; at the others it has nothing. */
+  5: bool is_complete,
+  /** Totals since the entry started; in complete reports. */
+  6: list<ModelDemand> demand,
+  /** Groups that the entry avoids; in complete reports, and at once when one is added. */
+  7: list<GroupFailure> failures,
+  /** The entry has seen at least one caller's request since it started. */
+  8: bool traffic_seen,
 }
 
 struct SlotAnswer {
@@ -671,20 +681,28 @@
   2: list<SlotGrant> grants,
 }
 
-/** Answer to a heartbeat (sequence set), or a push of news (sequence zero). */
+/** A control replica, as nodes learn of it. */
+struct ControlPeer {
+  1: string address,
+  /** Empty while it is not known. */
+  2: string zone,
+}
+
+/**
+ * Answer to a heartbeat (sequence set), or a push of news (sequence zero). Control replicas get it from the leader;
+ * entries from the control replica that they subscribe to, which passes on what it holds itself.
+ */
 struct FleetUpdate {
   1: i64 sequence,
   2: bool not_leader,
   /** Peer address of the leader, as far as the sender knows. */
   3: string leader,
-  /** Peer addresses of all control replicas known. */
-  4: list<string> control_peers,
   5: i64 term,
   6: i64 document_version,
   8: optional FleetState state,
-  /** Requests in flight per group at all nodes but the receiver. */
+  /** Requests in flight per group at all entries, for who asked for it. */
   9: list<GroupLoad> loads,
-  /** Nodes that serve requests now; budgets that all share are split by it. */
+  /** Entries that serve requests now; budgets that all share are split by it. */
   10: i32 serving_nodes,
   /** The leader lacks its predecessor's state and asks for the copy held. */
   11: bool wants_state,
@@ -692,6 +710,10 @@
   12: optional FleetStateChange state_change,
   /** A call waits until all nodes hold this version: confirm at once rather than with the next heartbeat. */
   13: bool wants_confirmation,
+  /** Milliseconds since a leader knew `document_version` to be the newest; negative when none ever confirmed it. */
+  14: i64 confirmed_age_ms,
+  /** All control replicas known. */
+  15: list<ControlPeer> control_peers,
   /** Sent to who holds an earlier version. */
   16: optional DocumentChange document,
 }
@@ -712,6 +734,11 @@
   3: binary body,
 }
 
+/** Heartbeats of instances that a control replica took, for the leader. */
+struct RegistrationBatch {
+  1: list<Instance> reports,
+}
+
 struct Envelope {
   1: string from_node,
   2: i64 from_incarnation,
@@ -731,4 +758,5 @@
   16: optional ControlCallReply control_call_reply,
   17: optional SlotReport slot_report,
   18: optional SlotAnswer slot_answer,
+  19: optional RegistrationBatch registrations,
 }
--- a/tests/unit/fleet_test.cc
+++ b/tests/unit/fleet_test.cc
@@ -156,16 +156,27 @@
   EXPECT_EQ(asked.size(), 2U);
 }
 
-TEST(FleetSubscription, AsksAllQuicklyWhileNobodyLeadsAndFollowsAHintAtOnce) {
-  FleetSubscription subscription(FleetOptions(), entry_identity(), {"10.0.0.1:1", "10.0.0.2:1", "10.0.0.3:1"});
+std::set<std::string> nodes_asked(FleetSubscription& subscription, TimePoint from, TimePoint to) {
   std::set<std::string> asked;
-  TimePoint now = kStart;
-  for (; now < kStart + milliseconds(160); now += milliseconds(10)) {
+  for (TimePoint now = from; now < to; now += milliseconds(10)) {
     if (const auto heartbeat = subscription.tick(now, {})) {
       asked.insert(heartbeat->to_node);
     }
   }
-  EXPECT_EQ(asked.size(), 3U);
+  return asked;
+}
+
+FleetIdentity control_identity() {
+  FleetIdentity identity;
+  identity.peer_address = "10.0.0.8:1";
+  identity.control_address = "10.0.0.8:2";
+  return identity;
+}
+
+TEST(FleetSubscription, AsksAllQuicklyWhileNobodyLeadsAndFollowsAHintAtOnce) {
+  FleetSubscription subscription(FleetOptions(), control_identity(), {"10.0.0.1:1", "10.0.0.2:1", "10.0.0.3:1"});
+  const TimePoint now = kStart + milliseconds(160);
+  EXPECT_EQ(nodes_asked(subscription, kStart, now).size(), 3U);
   auto answer = update(0, 0, false);
   answer.fleet_update.not_leader = true;
   answer.fleet_update.leader = "10.0.0.9:1";
@@ -175,6 +186,88 @@
   EXPECT_EQ(heartbeat->to_node, "10.0.0.9:1");
 }
 
+TEST(FleetSubscription, AnEntryAsksAllQuicklyWhileNobodyAnswers) {
+  FleetSubscription subscription(FleetOptions(), entry_identity(), {"10.0.0.1:1", "10.0.0.2:1", "10.0.0.3:1"});
+  EXPECT_EQ(nodes_asked(subscription, kStart, kStart + milliseconds(160)).size(), 3U);
+}
+
+/// An answer of `publisher` to the question asked last, with the zones of two replicas.
+wire::Envelope answer_of(const std::string& publisher, int64_t sequence, int64_t confirmed_age_ms) {
+  auto envelope = update(sequence, 5, true);
+  envelope.from_node = publisher;
+  envelope.fleet_update.confirmed_age_ms = confirmed_age_ms;
+  envelope.fleet_update.leader = "10.0.0.1:1";
+  for (const auto* zone : {"a", "b"}) {
+    wire::ControlPeer peer;
+    peer.address = std::string("10.0.0.") + (*zone == 'a' ? "1:1" : "2:1");
+    peer.zone = zone;
+    envelope.fleet_update.control_peers.push_back(peer);
+  }
+  return envelope;
+}
+
+TEST(FleetSubscription, AnEntryStaysWithTheReplicaOfItsZoneAndLeavesOneThatLostItsLeader) {
+  auto identity = entry_identity();
+  identity.zone = "b";
+  FleetSubscription subscription(FleetOptions(), identity, {"10.0.0.1:1"});
+  TimePoint now = kStart;
+  const auto exchange = [&](int64_t age_of_b) {
+    const auto asked = subscription.tick(now, {});
+    if (asked) {
+      const bool is_b = asked->to_node == "10.0.0.2:1";
+      subscription.receive(now, answer_of(asked->to_node, asked->fleet_heartbeat.sequence, is_b ? age_of_b : 20));
+    }
+    now += milliseconds(250);
+    return asked ? asked->to_node : std::string();
+  };
+  EXPECT_EQ(exchange(20), "10.0.0.1:1") << "the only one known";
+  std::set<std::string> asked;
+  for (int round = 0; round < 12; ++round) {
+    exchange(20);
+  }
+  for (int round = 0; round < 8; ++round) {
+    asked.insert(exchange(20));
+  }
+  EXPECT_EQ(asked, std::set<std::string>{"10.0.0.2:1"}) << "its own zone's";
+  EXPECT_EQ(subscription.leader(), "10.0.0.1:1");
+  for (int round = 0; round < 12; ++round) {
+    exchange(5000);
+  }
+  int others = 0;
+  for (int round = 0; round < 8; ++round) {
+    others += exchange(5000) == "10.0.0.1:1" ? 1 : 0;
+  }
+  EXPECT_GE(others, 6) << "the replica of its zone is tried only now and then";
+  EXPECT_TRUE(subscription.has_lease(now));
+}
+
+TEST(FleetSubscription, TheLeaseCountsFromTheLeadersWordHoweverManyPassItOn) {
+  FleetOptions options;
+  options.document_lease = seconds(4);
+  FleetSubscription subscription(options, entry_identity(), {"10.0.0.1:1"});
+  const auto asked = subscription.tick(kStart, {});
+  subscription.receive(kStart + seconds(1), answer_of("10.0.0.1:1", asked->fleet_heartbeat.sequence, 1500));
+  EXPECT_TRUE(subscription.has_lease(kStart + milliseconds(2499)));
+  EXPECT_FALSE(subscription.has_lease(kStart + milliseconds(2500)));
+  const auto again = subscription.tick(kStart + seconds(2), {});
+  subscription.receive(kStart + seconds(2), answer_of("10.0.0.1:1", again->fleet_heartbeat.sequence, -1));
+  EXPECT_FALSE(subscription.has_lease(kStart + seconds(3))) << "a replica without a leader's word confirms nothing";
+}
+
+TEST(FleetSubscription, SharesOfBudgetsDoNotGrowByWhatANewPublisherDoesNotKnowYet) {
+  FleetOptions options;
+  FleetSubscription subscription(options, entry_identity(), {"10.0.0.1:1"});
+  auto many = update(0, 0, false);
+  many.fleet_update.serving_nodes = 295;
+  subscription.receive(kStart, many);
+  auto few = update(0, 0, false);
+  few.fleet_update.serving_nodes = 3;
+  subscription.receive(kStart + seconds(1), few);
+  EXPECT_EQ(subscription.serving_nodes(), 295);
+  subscription.receive(kStart + options.retry_window + seconds(1), few);
+  EXPECT_EQ(subscription.serving_nodes(), 3);
+}
+
 // ------------------------------------------------------------- dispatcher
 
 document::ServiceSpec engine_service() {
