Let an address belong to the instance that goes on reporting from it

Cause: a heartbeat that a cut delayed may arrive after its sender has crashed and another instance has registered at the address; the directory then retired the living one for good.

Change: who is heard at another's address contends for it, and wins it by reporting again after 0.7 s in which the holder is silent; a contender that stays silent is gone. Tests for the distribution to entries.

--- a/src/core/fleet/group_formation.cc
+++ b/src/core/fleet/group_formation.cc
@@ -80,7 +80,7 @@
   PlannerInput input;
   for (const auto& [id, row] : directory.rows()) {
     const auto& instance = row.instance;
-    const bool usable = row.heard_here && instance.service_name == service && !instance.silent &&
+    const bool usable = row.is_settled() && instance.service_name == service && !instance.silent &&
                         instance.state == wire::InstanceState::READY && !suspects_.contains(id);
     if (!usable) {
       continue;
--- a/src/core/fleet/group_supervisor.cc
+++ b/src/core/fleet/group_supervisor.cc
@@ -50,7 +50,7 @@
   }
   return std::any_of(directory.rows().begin(), directory.rows().end(), [&](const auto& item) {
     const auto& other = item.second.instance;
-    return other.id != id && item.second.heard_here && other.address == instance->address &&
+    return other.id != id && item.second.is_settled() && other.address == instance->address &&
            other.state != wire::InstanceState::GONE;
   });
 }
--- a/src/core/fleet/instance_directory.cc
+++ b/src/core/fleet/instance_directory.cc
@@ -9,6 +9,9 @@
 
 /// How long a gone instance is remembered, so that its late reports do not bring it back.
 constexpr Duration kGoneMemory = seconds(120);
+/// Who is heard at another's address for this long, while that one is not, has replaced it. Late heartbeats come in a
+/// burst when a cut heals; a living instance reports again and again.
+constexpr Duration kTakeoverTime = milliseconds(700);
 
 }  // namespace
 
@@ -23,56 +26,86 @@
 
 void InstanceDirectory::start(TimePoint now, const std::vector<wire::Instance>& inherited) {
   rows_.clear();
+  by_address_.clear();
   merge(now, inherited);
 }
 
 void InstanceDirectory::merge(TimePoint now, const std::vector<wire::Instance>& inherited) {
   for (const auto& instance : inherited) {
-    auto [row, is_new] = rows_.try_emplace(instance.id);
-    if (is_new) {
-      row->second = {instance, now, false};
+    const auto known = rows_.find(instance.id);
+    if (known == rows_.end()) {
+      add_row({instance, now, false});
     } else {
-      row->second.instance.state = std::max(row->second.instance.state, instance.state);
+      known->second.instance.state = std::max(known->second.instance.state, instance.state);
     }
   }
 }
 
-void InstanceDirectory::retire_previous_holder(const wire::Instance& instance) {
-  for (auto& [id, row] : rows_) {
-    const bool replaced = id != instance.id && row.instance.address == instance.address;
-    if (replaced && row.instance.state != wire::InstanceState::GONE) {
-      row.instance.state = wire::InstanceState::GONE;
-      row.instance.membership = {};
+InstanceRow& InstanceDirectory::add_row(InstanceRow row) {
+  const std::string id = row.instance.id;
+  InstanceRow& added = rows_[id] = std::move(row);
+  by_address_[added.instance.address].push_back(&added);
+  return added;
+}
+
+template <typename Action>
+void InstanceDirectory::for_others_at(const wire::Instance& instance, const Action& action) {
+  for (auto* row : by_address_[instance.address]) {
+    if (row->instance.id != instance.id && row->instance.state != wire::InstanceState::GONE) {
+      action(*row);
     }
   }
 }
 
+bool InstanceDirectory::is_held_by_another(const wire::Instance& instance) {
+  bool held = false;
+  for_others_at(instance, [&held](const InstanceRow& other) { held = held || !other.contends_since; });
+  return held;
+}
+
+void InstanceDirectory::settle_address(TimePoint now, InstanceRow& row) {
+  if (!row.contends_since) {
+    for_others_at(row.instance, [now](InstanceRow& other) { other.contends_since = now; });
+    return;
+  }
+  if (now - *row.contends_since < kTakeoverTime) {
+    return;
+  }
+  row.contends_since.reset();
+  for_others_at(row.instance, [](InstanceRow& other) {
+    other.instance.state = wire::InstanceState::GONE;
+    other.instance.membership = {};
+  });
+}
+
 bool InstanceDirectory::heard(TimePoint now, const wire::Instance& report) {
   const auto found = rows_.find(report.id);
   if (found == rows_.end()) {
-    retire_previous_holder(report);
-    rows_[report.id] = {report, now, true};
+    const bool contends = is_held_by_another(report);
+    add_row({report, now, true, contends ? std::optional(now) : std::nullopt});
     return true;
   }
   InstanceRow& row = found->second;
   if (report.call_number < row.instance.call_number || row.instance.state == wire::InstanceState::GONE) {
     return false;
   }
-  if (!row.heard_here) {
-    // A copy may still name an earlier holder of the address.
-    retire_previous_holder(report);
+  if (!row.heard_here && is_held_by_another(report)) {
+    row.contends_since = now;  // The copy may name an earlier holder of the address, or a later one.
   }
   row.last_heard = now;
   row.heard_here = true;
   wire::Instance next = report;
+  next.address = row.instance.address;  // An instance stays where it started.
   next.state = std::max(row.instance.state, report.state);
   next.silent = false;
   if (next.model.empty()) {
     next.model = row.instance.model;
   }
   const bool changed = !says_the_same(row.instance, next);
+  const bool was_settled = row.is_settled();
   row.instance = std::move(next);
-  return changed;
+  settle_address(now, row);
+  return changed || row.is_settled() != was_settled;
 }
 
 bool InstanceDirectory::deregister(TimePoint now, const std::string& id) {
@@ -82,7 +115,7 @@
     wire::Instance instance;
     instance.id = id;
     instance.state = wire::InstanceState::GONE;
-    rows_[id] = {instance, now, true};
+    add_row({instance, now, true});
     return true;
   }
   const bool changed = found->second.instance.state != wire::InstanceState::GONE;
@@ -106,11 +139,16 @@
   for (auto item = rows_.begin(); item != rows_.end();) {
     InstanceRow& row = item->second;
     if (row.instance.state == wire::InstanceState::GONE && now - row.last_heard > kGoneMemory) {
+      std::erase(by_address_[row.instance.address], &row);
       item = rows_.erase(item);
       changed = true;
       continue;
     }
-    if (overdue(row) && !row.instance.silent && !cut_off) {
+    if (overdue(row) && row.contends_since) {
+      row.instance.state = wire::InstanceState::GONE;  // A late heartbeat, and nothing after it.
+      row.contends_since.reset();
+      changed = true;
+    } else if (overdue(row) && !row.instance.silent && !cut_off) {
       row.instance.silent = true;
       changed = true;
     }
--- a/src/core/fleet/instance_directory.h
+++ b/src/core/fleet/instance_directory.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <map>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -17,13 +18,19 @@
   TimePoint last_heard{};
   /// False while the row is only inherited from the previous leader's copy.
   bool heard_here = false;
+  /// Since when the instance is heard at an address that another one holds; nothing once that is settled. Until then it
+  /// may be a late heartbeat of an instance that ended long ago.
+  std::optional<TimePoint> contends_since = std::nullopt;
+
+  /// Heard by this leader, and alone at its address: what the row says is the instance's own word.
+  bool is_settled() const { return heard_here && !contends_since; }
 };
 
 /// The leader's table of registered instances.
 ///
 /// Guarantees: an instance's state never goes back (ready, draining, gone), whatever arrives late; reports of one
-/// instance take effect in the order of their call numbers; an address belongs to the instance that registered there
-/// last. Single-threaded, deterministic.
+/// instance take effect in the order of their call numbers; an address belongs to the instance that goes on reporting
+/// from it, so a heartbeat that arrives after its sender was replaced displaces nobody. Single-threaded, deterministic.
 class InstanceDirectory {
  public:
   explicit InstanceDirectory(Duration silence) : silence_(silence) {}
@@ -45,10 +52,19 @@
   std::vector<wire::Instance> snapshot() const;
 
  private:
-  void retire_previous_holder(const wire::Instance& instance);
+  /// Calls `action` with every other row that stands at the address and is not gone.
+  template <typename Action>
+  void for_others_at(const wire::Instance& instance, const Action& action);
+  bool is_held_by_another(const wire::Instance& instance);
+  /// Notes that an instance was heard again: who contends for its address must begin anew, and it may itself win.
+  void settle_address(TimePoint now, InstanceRow& row);
+
+  InstanceRow& add_row(InstanceRow row);
 
   Duration silence_;
   std::map<std::string, InstanceRow> rows_;
+  /// The rows that name each address, gone ones included.
+  std::map<std::string, std::vector<InstanceRow*>> by_address_;
 };
 
 }  // namespace larchlever::fleet
--- /dev/null
+++ b/tests/unit/distribution_test.cc
@@ -0,0 +1,313 @@
+// How the fleet's state, the document and the lease on it reach entries through control replicas, and how reports of
+// entries and instances reach the leader.
+
+#include <gtest/gtest.h>
+
+#include "core/fleet/control_peers.h"
+#include "core/fleet/document_log.h"
+#include "core/fleet/entry_distributor.h"
+#include "core/fleet/entry_reports.h"
+#include "core/fleet/entry_view.h"
+#include "core/fleet/registration_relay.h"
+#include "core/fleet/subscriber_table.h"
+
+namespace larchlever::fleet {
+namespace {
+
+const TimePoint kStart = TimePoint(seconds(100));
+constexpr int64_t kTerm = 3;
+
+wire::Instance instance(const std::string& id, const std::string& domain = "d1") {
+  wire::Instance result;
+  result.id = id;
+  result.service_name = "s";
+  result.address = id + ":80";
+  result.domain = domain;
+  result.call_number = 1;
+  return result;
+}
+
+wire::EngineGroup group(const std::string& name, wire::GroupPhase::type phase,
+                        const std::vector<std::string>& members) {
+  wire::EngineGroup result;
+  result.name = name;
+  result.service_name = "s";
+  result.model = "m";
+  result.phase = phase;
+  result.members = members;
+  return result;
+}
+
+wire::FleetState fleet_state(int64_t version) {
+  wire::FleetState state;
+  state.term = kTerm;
+  state.version = version;
+  state.instances = {instance("i1"), instance("i2"), instance("i3"), instance("p1", "")};
+  state.groups = {group("g1", wire::GroupPhase::OPEN, {"i1", "i2"}), group("g2", wire::GroupPhase::JOINING, {"i3"})};
+  return state;
+}
+
+wire::Envelope heartbeat(const std::string& node, int64_t term, int64_t version, int64_t incarnation = 1) {
+  wire::Envelope envelope;
+  envelope.from_node = node;
+  envelope.from_incarnation = incarnation;
+  envelope.__isset.fleet_heartbeat = true;
+  envelope.fleet_heartbeat.serves_requests = true;
+  envelope.fleet_heartbeat.held_term = term;
+  envelope.fleet_heartbeat.held_version = version;
+  return envelope;
+}
+
+// ------------------------------------------------------------------ view
+
+TEST(EntryView, HoldsHeadsAndPlainInstancesOnly) {
+  const auto view = entry_view(fleet_state(4));
+  ASSERT_EQ(view.groups.size(), 1U) << "a group that forms gets no requests";
+  EXPECT_EQ(view.groups.front().members, std::vector<std::string>{"i1"});
+  ASSERT_EQ(view.instances.size(), 2U);
+  EXPECT_EQ(view.instances[0].id, "i1");
+  EXPECT_EQ(view.instances[1].id, "p1");
+}
+
+TEST(EntryView, WhatOnlyFormationAsksForIsNoNews) {
+  auto before = fleet_state(4);
+  auto after = before;
+  after.instances[0].staged_models = {"m"};
+  after.instances[1].silent = true;
+  after.instances[2].membership.group = "g2";
+  EXPECT_EQ(entry_view(before).instances, entry_view(after).instances);
+}
+
+// ------------------------------------------------------------- subscribers
+
+class SubscriberTableTest : public testing::Test {
+ protected:
+  SubscriberTableTest() : table_(seconds(1)) {
+    table_.start_term(kTerm);
+    publish(1, fleet_state(1));
+  }
+
+  void publish(int64_t version, const wire::FleetState& state) {
+    table_.publish(version, state.instances, state.groups);
+  }
+  wire::FleetUpdate update_for(TimePoint now, const std::string& node) {
+    wire::FleetUpdate update;
+    table_.add_state(now, node, update);
+    return update;
+  }
+
+  SubscriberTable table_;
+};
+
+TEST_F(SubscriberTableTest, SendsWholeStatesOnceAndThenChanges) {
+  table_.heard(kStart, heartbeat("e1", 0, 0));
+  EXPECT_TRUE(update_for(kStart, "e1").__isset.state);
+  EXPECT_FALSE(update_for(kStart, "e1").__isset.state) << "it is on its way";
+  auto state = fleet_state(2);
+  state.groups[0].phase = wire::GroupPhase::DRAINING;
+  publish(2, state);
+  const auto update = update_for(kStart, "e1");
+  ASSERT_TRUE(update.__isset.state_change);
+  EXPECT_EQ(update.state_change.groups.size(), 1U);
+  EXPECT_TRUE(update_for(kStart + milliseconds(400), "e1").__isset.state) << "nothing was confirmed: all of it again";
+}
+
+TEST_F(SubscriberTableTest, AVersionThatChangesNothingIsHeldByWhoHoldsTheOneBefore) {
+  table_.heard(kStart, heartbeat("e1", kTerm, 1));
+  publish(5, fleet_state(5));
+  EXPECT_TRUE(table_.nodes_behind(kStart, 0).empty());
+  EXPECT_TRUE(table_.all_hold(kStart, 5));
+  EXPECT_EQ(table_.held_by_all(kStart), 5);
+}
+
+TEST_F(SubscriberTableTest, AcceptsNodesThatCopiedFromAnotherPublisherOfTheTerm) {
+  table_.heard(kStart, heartbeat("e1", kTerm, 9));
+  EXPECT_FALSE(update_for(kStart, "e1").__isset.state_change) << "it is ahead of this publisher";
+  auto state = fleet_state(12);
+  state.instances.pop_back();
+  publish(12, state);
+  const auto update = update_for(kStart, "e1");
+  ASSERT_TRUE(update.__isset.state_change);
+  EXPECT_EQ(update.state_change.from_version, 9);
+  EXPECT_EQ(update.state_change.removed_instances, std::vector<std::string>{"p1"});
+}
+
+TEST_F(SubscriberTableTest, WaitsOnlyForNodesThatLive) {
+  table_.heard(kStart, heartbeat("e1", kTerm, 1));
+  table_.heard(kStart, heartbeat("e2", 0, 0));
+  EXPECT_FALSE(table_.all_hold(kStart, 1));
+  EXPECT_EQ(table_.held_by_all(kStart), 0);
+  table_.heard(kStart + milliseconds(900), heartbeat("e1", kTerm, 1));
+  EXPECT_TRUE(table_.all_hold(kStart + milliseconds(1100), 1));
+  EXPECT_EQ(table_.serving(kStart + milliseconds(1100)), 1);
+}
+
+TEST_F(SubscriberTableTest, AnEarlierLifeOfANodeSpeaksForNobody) {
+  EXPECT_TRUE(table_.heard(kStart, heartbeat("e1", kTerm, 1, 50)));
+  EXPECT_TRUE(table_.heard(kStart, heartbeat("e1", 0, 0, 20))) << "clocks may be set back";
+  EXPECT_FALSE(table_.heard(kStart, heartbeat("e1", kTerm, 1, 50)));
+  EXPECT_FALSE(table_.all_hold(kStart, 1));
+}
+
+TEST_F(SubscriberTableTest, ASubscriberOfALaterTermKeepsWhatItHolds) {
+  table_.heard(kStart, heartbeat("e1", kTerm + 1, 1));
+  EXPECT_TRUE(table_.nodes_behind(kStart, 0).empty());
+  EXPECT_FALSE(update_for(kStart, "e1").__isset.state);
+}
+
+// ------------------------------------------------------------ distributor
+
+FleetIdentity control_identity() {
+  FleetIdentity identity;
+  identity.peer_address = "10.0.0.1:1";
+  identity.control_address = "10.0.0.1:2";
+  return identity;
+}
+
+class EntryDistributorTest : public testing::Test {
+ protected:
+  EntryDistributorTest()
+      : distributor_(FleetOptions()), subscription_(FleetOptions(), control_identity(), {"10.0.0.2:1"}) {}
+
+  void learn_from_leader(TimePoint now, int64_t version) {
+    const auto asked = subscription_.tick(now, {});
+    wire::Envelope envelope;
+    envelope.from_node = "10.0.0.2:1";
+    envelope.__isset.fleet_update = true;
+    envelope.fleet_update.sequence = asked ? asked->fleet_heartbeat.sequence : 0;
+    envelope.fleet_update.document_version = 5;
+    envelope.fleet_update.serving_nodes = 40;
+    envelope.fleet_update.__set_document(pack_document(5, "text"));
+    envelope.fleet_update.__set_state(fleet_state(version));
+    subscription_.receive(now, envelope);
+  }
+  DistributorSource source() const { return {subscription_, "10.0.0.2:1", {}}; }
+
+  EntryDistributor distributor_;
+  FleetSubscription subscription_;
+};
+
+TEST_F(EntryDistributorTest, PassesOnWhatItHoldsWithTheAgeOfTheLeadersWord) {
+  learn_from_leader(kStart, 4);
+  distributor_.heartbeat(kStart + milliseconds(300), heartbeat("e1", 0, 0), source());
+  const auto answers = distributor_.take_envelopes();
+  ASSERT_EQ(answers.size(), 1U);
+  const auto& update = answers.front().fleet_update;
+  EXPECT_EQ(update.document_version, 5);
+  EXPECT_TRUE(update.__isset.document);
+  EXPECT_EQ(update.state.groups.size(), 1U) << "the part that an entry needs";
+  EXPECT_GE(update.confirmed_age_ms, 300);
+  EXPECT_EQ(update.serving_nodes, 40);
+  EXPECT_EQ(update.leader, "10.0.0.2:1");
+}
+
+TEST_F(EntryDistributorTest, AReplicaThatNeverHeardALeaderConfirmsNothing) {
+  distributor_.heartbeat(kStart, heartbeat("e1", 0, 0), {subscription_, "", {}});
+  const auto answers = distributor_.take_envelopes();
+  ASSERT_EQ(answers.size(), 1U);
+  EXPECT_LT(answers.front().fleet_update.confirmed_age_ms, 0);
+}
+
+TEST_F(EntryDistributorTest, PushesNewsOnceAndTellsWhatAllEntriesHold) {
+  learn_from_leader(kStart, 4);
+  distributor_.heartbeat(kStart, heartbeat("e1", 0, 0), source());
+  distributor_.push_news(kStart, source(), false);
+  distributor_.take_envelopes();
+  distributor_.push_news(kStart, source(), false);
+  EXPECT_TRUE(distributor_.take_envelopes().empty());
+  EXPECT_EQ(distributor_.entries_hold_version(kStart), 0);
+  distributor_.heartbeat(kStart, heartbeat("e1", kTerm, 4), source());
+  EXPECT_EQ(distributor_.entries_hold_version(kStart), 4);
+  EXPECT_EQ(distributor_.serving_entries(kStart), 1);
+}
+
+// ---------------------------------------------------------- control peers
+
+TEST(ControlPeers, PrefersItsZoneAndSpreadsNodesOverItsReplicas) {
+  std::map<std::string, int> chosen;
+  for (int number = 0; number < 60; ++number) {
+    ControlPeers peers("10.1.0." + std::to_string(number) + ":1", "b");
+    for (const auto* zone : {"a", "b", "b2", "c"}) {
+      wire::ControlPeer peer;
+      peer.address = std::string(zone) + ":1";
+      peer.zone = std::string(1, *zone);
+      peers.add(peer);
+    }
+    ++chosen[peers.preferred()];
+  }
+  EXPECT_EQ(chosen.size(), 2U);
+  EXPECT_GT(chosen["b:1"], 15);
+  EXPECT_GT(chosen["b2:1"], 15);
+}
+
+// ----------------------------------------------------------- registrations
+
+TEST(RegistrationRelay, SendsNewsInBatchesAndEverythingToANewLeader) {
+  RegistrationRelay relay(seconds(3));
+  relay.note(kStart, instance("i1"));
+  relay.note(kStart, instance("i2"));
+  EXPECT_FALSE(relay.next_batch(kStart, "", 1)) << "nobody leads";
+  ASSERT_EQ(relay.next_batch(kStart, "l1", 1)->reports.size(), 2U);
+  EXPECT_FALSE(relay.next_batch(kStart + seconds(1), "l1", 1)) << "nothing new";
+  relay.note(kStart + seconds(2), instance("i2"));
+  EXPECT_EQ(relay.next_batch(kStart + seconds(2), "l1", 1)->reports.size(), 1U);
+  EXPECT_EQ(relay.next_batch(kStart + milliseconds(2500), "l1", 2)->reports.size(), 2U) << "a new term knows nothing";
+  EXPECT_EQ(relay.next_batch(kStart + seconds(4), "l2", 3)->reports.size(), 1U) << "i1 has not reported for long";
+}
+
+TEST(RegistrationRelay, AnOvertakenReportIsDropped) {
+  RegistrationRelay relay(seconds(3));
+  auto newer = instance("i1");
+  newer.call_number = 9;
+  newer.zone = "new";
+  relay.note(kStart, newer);
+  relay.note(kStart, instance("i1"));
+  EXPECT_EQ(relay.next_batch(kStart, "l1", 1)->reports.front().zone, "new");
+}
+
+// ------------------------------------------------------------ entry reports
+
+wire::Envelope report_of(const std::string& node, int in_flight, bool accuses, int64_t incarnation = 1) {
+  wire::Envelope envelope;
+  envelope.from_node = node;
+  envelope.from_incarnation = incarnation;
+  envelope.__isset.slot_report = true;
+  wire::GroupLoad load;
+  load.group = "g1";
+  load.in_flight = in_flight;
+  load.progress_age_ms = -1;
+  envelope.slot_report.loads = {load};
+  if (accuses) {
+    envelope.slot_report.failures.emplace_back().group = "g1";
+  }
+  return envelope;
+}
+
+TEST(EntryReports, SumsLoadsAndForgetsEntriesThatFellSilent) {
+  EntryReports reports;
+  reports.note(kStart, report_of("e1", 3, false));
+  reports.note(kStart + seconds(3), report_of("e2", 4, false));
+  EXPECT_EQ(reports.totals(kStart + seconds(3)).at("g1").in_flight, 7);
+  EXPECT_EQ(reports.forget_silent(kStart + seconds(5)), std::vector<std::string>{"e1"});
+  EXPECT_EQ(reports.totals(kStart + seconds(5)).at("g1").in_flight, 4);
+  EXPECT_TRUE(reports.note(kStart + seconds(5), report_of("e2", 1, false, 2))) << "it started anew";
+}
+
+TEST(EntryReports, OneEntrysWordAgainstAGroupIsNotEnough) {
+  EntryReports reports;
+  const auto nobody_silent = [](const std::string&) { return false; };
+  const auto failed = [&](TimePoint now, const wire::Envelope& envelope) {
+    reports.note(now, envelope);
+    return reports.failed_groups(now, envelope.slot_report, nobody_silent).size();
+  };
+  EXPECT_EQ(failed(kStart, report_of("e1", 1, true)), 0U);
+  EXPECT_EQ(failed(kStart, report_of("e1", 1, true)), 0U);
+  EXPECT_EQ(failed(kStart + milliseconds(100), report_of("e2", 1, true)), 1U);
+  auto lively = report_of("e3", 1, false);
+  lively.slot_report.loads.front().progress_age_ms = 0;
+  reports.note(kStart + milliseconds(200), lively);
+  EXPECT_EQ(failed(kStart + milliseconds(300), report_of("e2", 1, true)), 0U) << "a third one sees it go on";
+}
+
+}  // namespace
+}  // namespace larchlever::fleet
