Allow for what first events take beyond the forecast by a recent quantile

Cause: each entry allowed for the mean and deviation of how much later than forecast first events came. At 295 entries each sees a few a second, so one stalled group raised the allowance until no group seemed to be in time: after the loss of a domain a sixth of the requests was refused for eight seconds while groups had 7 of 22 slots taken.

Change: the 75th percentile of the last 16 measurements.

--- a/src/node/entry_state.h
+++ b/src/node/entry_state.h
@@ -8,7 +8,7 @@
 #include "core/document/route_table.h"
 #include "core/fleet/dispatcher.h"
 #include "core/fleet/fleet_subscription.h"
-#include "core/requests/latency_estimate.h"
+#include "core/requests/recent_quantile.h"
 #include "net/http_client.h"
 
 namespace larchlever::node {
@@ -39,7 +39,7 @@
   /// What is under way at each target, so that all of it can be given up at once when the target turns out dead.
   std::map<std::string, std::set<std::shared_ptr<net::Cancellation>>> under_way;
   /// By model, how much later than the leader expected the first events come: what the cost model leaves out.
-  std::map<std::string, requests::LatencyEstimate> first_event_excess;
+  std::map<std::string, requests::RecentQuantile> first_event_excess;
   /// By route, the most time that a caller allowed its request.
   std::map<std::string, Duration> longest_deadlines;
   EntryCounters counters;
--- a/src/node/target_finder.cc
+++ b/src/node/target_finder.cc
@@ -18,8 +18,8 @@
 /// Part of the latency objective that a request may wait for a place before it is refused; who was held until this
 /// entry had a lease may wait for all of it, since all that were held come at once.
 constexpr int kWaitingPart = 5;
-/// How far above their mean the measured excesses of first events are allowed for, in mean deviations.
-constexpr int kExcessDeviations = 1;
+/// Part of the recent first events whose excess over the forecast is allowed for.
+constexpr double kExcessShare = 0.75;
 /// Times to come back after that refused requests are told, in seconds.
 constexpr double kBackWhenBusy = 0.3;
 constexpr double kBackWhenUnavailable = 0.5;
@@ -58,7 +58,7 @@
   if (objective > Duration::zero() && !request.head_sent) {
     const auto excess = state_.first_event_excess.find(request.model);
     const Duration allowance =
-        excess == state_.first_event_excess.end() ? Duration::zero() : excess->second.upper(kExcessDeviations);
+        excess == state_.first_event_excess.end() ? Duration::zero() : excess->second.value(kExcessShare);
     // Whoever was held is late already; as with those that come back, the objective counts anew.
     const Duration left = request.admitted + objective - now - allowance;
     question.first_event_ms = std::max(1, to_milliseconds(left));
--- a/tests/unit/slot_scheduler_test.cc
+++ b/tests/unit/slot_scheduler_test.cc
@@ -5,6 +5,7 @@
 #include "core/engine/cost_model.h"
 #include "core/engine/pass_clock.h"
 #include "core/requests/latency_estimate.h"
+#include "core/requests/recent_quantile.h"
 
 namespace larchlever::fleet {
 namespace {
@@ -247,6 +248,23 @@
       << "the engine turned it away: nothing runs, so only the pass under way is waited for";
 }
 
+TEST(RecentQuantile, AFewOutliersMoveNothingAndAChangeIsFollowed) {
+  requests::RecentQuantile excess;
+  EXPECT_EQ(excess.value(0.75), Duration::zero());
+  excess.note(seconds(2));
+  excess.note(milliseconds(90));
+  EXPECT_EQ(excess.value(0.75), milliseconds(90)) << "an outlier at first";
+  for (int sample = 0; sample < 40; ++sample) {
+    const bool is_outlier = sample % 5 == 0;
+    excess.note(is_outlier ? milliseconds(1200) : milliseconds(90 + sample % 3));
+  }
+  EXPECT_LE(excess.value(0.75), milliseconds(92));
+  for (int sample = 0; sample < 16; ++sample) {
+    excess.note(milliseconds(150));
+  }
+  EXPECT_EQ(excess.value(0.75), milliseconds(150));
+}
+
 TEST(LatencyEstimate, FollowsMeanAndSpread) {
   requests::LatencyEstimate estimate;
   EXPECT_FALSE(estimate.is_measured());
