--- a/src/node/request_relay.cc
+++ b/src/node/request_relay.cc
@@ -15,8 +15,9 @@
 
 namespace {
 
-/// A connection that does not come up in this time counts as not made; nothing was sent.
-constexpr auto kConnectTimeout = std::chrono::milliseconds(400);
+/// A connection that does not come up in this time counts as not made; nothing was sent. Several times a round trip
+/// between regions, and short enough that the request may still be in time elsewhere.
+constexpr auto kConnectTimeout = std::chrono::milliseconds(150);
 /// A request is held for a lease on the configuration for this part of its time, and never longer than this.
 constexpr int kLeasePart = 4;
 constexpr Duration kLeasePatience = milliseconds(1200);
