--- a/src/node/relayed_request.h
+++ b/src/node/relayed_request.h
@@ -58,6 +58,10 @@
   TimePoint last_piece{};
 };
 
+/// Times to come back after that refused requests are told, in seconds.
+constexpr double kBackWhenBusy = 0.3;
+constexpr double kBackWhenUnavailable = 0.5;
+
 /// Why a request is refused, and when its caller should come back; zero for never.
 struct Refusal {
   int status = 503;
--- /dev/null
+++ b/src/node/request_ends.cc
@@ -0,0 +1,93 @@
+#include "node/request_ends.h"
+
+#include <boost/asio.hpp>
+
+#include "core/base/http_status.h"
+#include "node/clock.h"
+#include "node/logging.h"
+
+namespace larchlever::node {
+
+namespace asio = boost::asio;
+using std::chrono::duration_cast;
+
+namespace {
+
+int64_t milliseconds_between(TimePoint from, TimePoint to) {
+  return duration_cast<std::chrono::milliseconds>(to - from).count();
+}
+
+std::string seconds_text(double value) {
+  std::string text = std::to_string(value);
+  return text.substr(0, text.find('.') + 3);
+}
+
+}  // namespace
+
+void RequestEnds::log(const RelayedRequest& request, int status, const std::string& reason) const {
+  const auto held = milliseconds_between(request.received, monotonic_now());
+  const auto first = request.head_sent ? milliseconds_between(request.received, request.first_event) : held;
+  log_event(
+      "", "request_ended",
+      {{"request", request.id},
+       {"route", request.route == nullptr ? "" : request.route->name},
+       {"model", request.model},
+       {"aim_ms", request.route == nullptr ? "" : std::to_string(request.route->target_latency / milliseconds(1))},
+       {"aim_pause_ms", request.route == nullptr ? "" : std::to_string(request.route->target_gap / milliseconds(1))},
+       {"status", std::to_string(status)},
+       {"held_ms", std::to_string(held)},
+       {"first_ms", std::to_string(first)},
+       {"pause_ms", std::to_string(request.longest_pause / milliseconds(1))},
+       {"target", request.last_target},
+       {"load", std::to_string(request.load_at_choice)},
+       {"expected_ms", std::to_string(request.expected_first_event / milliseconds(1))},
+       {"retry", request.is_retry ? "yes" : "no"},
+       {"sent", std::to_string(request.sent)},
+       {"runs", std::to_string(request.runs)},
+       {"reason", reason}});
+}
+
+asio::awaitable<void> RequestEnds::refuse(RelayedRequest& request, Refusal refusal) {
+  net::HttpResponse response;
+  response.status = refusal.status;
+  response.headers.add("Content-Type", "application/problem+json");
+  response.headers.add("Larchlever-Outcome", "not-run");
+  if (refusal.retry_after_seconds > 0) {
+    response.headers.add("Retry-After", seconds_text(refusal.retry_after_seconds));
+  }
+  response.body = "{\"status\":" + std::to_string(refusal.status) + ",\"title\":\"" + refusal.title + "\"}";
+  const bool is_promise =
+      refusal.status == http_status::kServiceUnavailable || refusal.status == http_status::kTooManyRequests;
+  state_.counters.refused += is_promise ? 1 : 0;
+  state_.counters.denied += is_promise ? 0 : 1;
+  log(request, refusal.status, refusal.title);
+  co_await request.exchange->respond(std::move(response));
+}
+
+asio::awaitable<void> RequestEnds::give_up(RelayedRequest& request) {
+  if (request.caller_gone) {
+    ++state_.counters.caller_gone;
+    co_return;
+  }
+  if (request.head_sent) {
+    ++state_.counters.failed;
+    log(request, 0, "the stream could not be continued; cut");
+    co_return;  // The connection is cut, so the caller sees that the answer broke off.
+  }
+  const TimePoint now = monotonic_now();
+  if (!request.may_have_run) {
+    Refusal refusal{http_status::kServiceUnavailable, "no server took the request", kBackWhenBusy};
+    co_await refuse(request, std::move(refusal));
+    co_return;
+  }
+  net::HttpResponse response;
+  response.status = now >= request.due ? http_status::kGatewayTimeout : http_status::kBadGateway;
+  response.headers.add("Content-Type", "application/problem+json");
+  response.headers.add("Larchlever-Outcome", "unknown");
+  response.body = "{\"status\":" + std::to_string(response.status) + ",\"title\":\"the answer was lost\"}";
+  ++state_.counters.failed;
+  log(request, response.status, "the answer was lost");
+  co_await request.exchange->respond(std::move(response));
+}
+
+}  // namespace larchlever::node
--- a/src/node/request_relay.cc
+++ b/src/node/request_relay.cc
@@ -31,9 +31,6 @@
 constexpr Duration kGroupStallEach = milliseconds(100);
 /// A single stream may pause longer, as long as its group makes progress; callers leave after two seconds.
 constexpr Duration kStreamPause = milliseconds(1600);
-/// Times to come back after that refused requests are told, in seconds.
-constexpr double kBackWhenBusy = 0.3;
-constexpr double kBackWhenUnavailable = 0.5;
 constexpr int kMostSendings = 6;
 
 bool is_success(int status) { return status >= 200 && status < 300; }
@@ -44,15 +41,6 @@
   return error == std::errc() && end == text.data() + text.size() ? std::optional(number) : std::nullopt;
 }
 
-int64_t milliseconds_between(TimePoint from, TimePoint to) {
-  return duration_cast<std::chrono::milliseconds>(to - from).count();
-}
-
-std::string seconds_text(double value) {
-  std::string text = std::to_string(value);
-  return text.substr(0, text.find('.') + 3);
-}
-
 std::chrono::milliseconds to_milliseconds(Duration duration) {
   return std::max(std::chrono::milliseconds(1), duration_cast<std::chrono::milliseconds>(duration));
 }
@@ -66,6 +54,7 @@
       state_(state),
       slots_(slots),
       lease_(lease),
+      ends_(state),
       targets_(executor, state, slots),
       client_(executor) {}
 
@@ -88,7 +77,7 @@
     co_return;
   }
   if (auto refusal = identify(request)) {
-    co_await refuse(request, std::move(*refusal));
+    co_await ends_.refuse(request, std::move(*refusal));
     co_return;
   }
   co_await relay(request);
@@ -197,12 +186,12 @@
       request.runs += began ? 1 : 0;
       const bool again = request.route->may_repeat() && request.runs < request.route->max_attempts;
       if (!again) {
-        co_await give_up(request);
+        co_await ends_.give_up(request);
         co_return;
       }
     }
     if (!may_send_again(request, now)) {
-      co_await give_up(request);
+      co_await ends_.give_up(request);
       co_return;
     }
     ++state_.counters.retries;
@@ -218,10 +207,10 @@
 asio::awaitable<void> RequestRelay::end_without_target(RelayedRequest& request, const FoundTarget& found) {
   const auto* refusal = std::get_if<Refusal>(&found);
   if (refusal != nullptr && !request.head_sent && !request.may_have_run) {
-    co_await refuse(request, *refusal);
+    co_await ends_.refuse(request, *refusal);
     co_return;
   }
-  co_await give_up(request);
+  co_await ends_.give_up(request);
 }
 
 asio::awaitable<RequestRelay::Sending> RequestRelay::send(RelayedRequest& request, const fleet::Target& target) {
@@ -399,7 +388,7 @@
   const int status = response.status;
   state_.counters.served += is_success(status) ? 1 : 0;
   state_.counters.failed += is_success(status) ? 0 : 1;
-  log_end(request, status, "the server's answer");
+  ends_.log(request, status, "the server's answer");
   co_await request.exchange->respond(std::move(response));
   co_return Sending::kAnswered;
 }
@@ -459,7 +448,7 @@
   const bool whole = stream.complete() && request.events.pending().empty() && !request.events.has_gap();
   if (whole && request.head_sent) {
     ++state_.counters.served;
-    log_end(request, stream.head().status, "the whole stream");
+    ends_.log(request, stream.head().status, "the whole stream");
     co_await request.exchange->end_stream();
     co_return Sending::kAnswered;
   }
@@ -476,72 +465,4 @@
   co_return Sending::kMayHaveRun;
 }
 
-// -------------------------------------------------------------------- ends
-
-void RequestRelay::log_end(const RelayedRequest& request, int status, const std::string& reason) const {
-  const auto held = milliseconds_between(request.received, monotonic_now());
-  const auto first = request.head_sent ? milliseconds_between(request.received, request.first_event) : held;
-  log_event(
-      "", "request_ended",
-      {{"request", request.id},
-       {"route", request.route == nullptr ? "" : request.route->name},
-       {"model", request.model},
-       {"aim_ms", request.route == nullptr ? "" : std::to_string(request.route->target_latency / milliseconds(1))},
-       {"aim_pause_ms", request.route == nullptr ? "" : std::to_string(request.route->target_gap / milliseconds(1))},
-       {"status", std::to_string(status)},
-       {"held_ms", std::to_string(held)},
-       {"first_ms", std::to_string(first)},
-       {"pause_ms", std::to_string(request.longest_pause / milliseconds(1))},
-       {"target", request.last_target},
-       {"load", std::to_string(request.load_at_choice)},
-       {"expected_ms", std::to_string(request.expected_first_event / milliseconds(1))},
-       {"retry", request.is_retry ? "yes" : "no"},
-       {"sent", std::to_string(request.sent)},
-       {"runs", std::to_string(request.runs)},
-       {"reason", reason}});
-}
-
-asio::awaitable<void> RequestRelay::refuse(RelayedRequest& request, Refusal refusal) {
-  net::HttpResponse response;
-  response.status = refusal.status;
-  response.headers.add("Content-Type", "application/problem+json");
-  response.headers.add("Larchlever-Outcome", "not-run");
-  if (refusal.retry_after_seconds > 0) {
-    response.headers.add("Retry-After", seconds_text(refusal.retry_after_seconds));
-  }
-  response.body = "{\"status\":" + std::to_string(refusal.status) + ",\"title\":\"" + refusal.title + "\"}";
-  const bool is_promise =
-      refusal.status == http_status::kServiceUnavailable || refusal.status == http_status::kTooManyRequests;
-  state_.counters.refused += is_promise ? 1 : 0;
-  state_.counters.denied += is_promise ? 0 : 1;
-  log_end(request, refusal.status, refusal.title);
-  co_await request.exchange->respond(std::move(response));
-}
-
-asio::awaitable<void> RequestRelay::give_up(RelayedRequest& request) {
-  if (request.caller_gone) {
-    ++state_.counters.caller_gone;
-    co_return;
-  }
-  if (request.head_sent) {
-    ++state_.counters.failed;
-    log_end(request, 0, "the stream could not be continued; cut");
-    co_return;  // The connection is cut, so the caller sees that the answer broke off.
-  }
-  const TimePoint now = monotonic_now();
-  if (!request.may_have_run) {
-    Refusal refusal{http_status::kServiceUnavailable, "no server took the request", kBackWhenBusy};
-    co_await refuse(request, std::move(refusal));
-    co_return;
-  }
-  net::HttpResponse response;
-  response.status = now >= request.due ? http_status::kGatewayTimeout : http_status::kBadGateway;
-  response.headers.add("Content-Type", "application/problem+json");
-  response.headers.add("Larchlever-Outcome", "unknown");
-  response.body = "{\"status\":" + std::to_string(response.status) + ",\"title\":\"the answer was lost\"}";
-  ++state_.counters.failed;
-  log_end(request, response.status, "the answer was lost");
-  co_await request.exchange->respond(std::move(response));
-}
-
 }  // namespace larchlever::node
--- a/src/node/request_relay.h
+++ b/src/node/request_relay.h
@@ -11,6 +11,7 @@
 #include "node/entry_state.h"
 #include "node/lease_gate.h"
 #include "node/relayed_request.h"
+#include "node/request_ends.h"
 #include "node/target_finder.h"
 
 namespace larchlever::node {
@@ -59,8 +60,6 @@
                                               net::ClientStream& stream);
   boost::asio::awaitable<Sending> relay_events(RelayedRequest& request, const fleet::Target& target,
                                                net::ClientStream& stream);
-  boost::asio::awaitable<void> refuse(RelayedRequest& request, Refusal refusal);
-  boost::asio::awaitable<void> give_up(RelayedRequest& request);
   net::HttpRequest upstream_request(const RelayedRequest& request, const fleet::Target& target, TimePoint now) const;
   bool is_not_run(const net::HttpResponse& head) const;
   bool may_send_again(RelayedRequest& request, TimePoint now);
@@ -68,13 +67,13 @@
   /// Cancels what waits at a dead target, as far as the retry budget lets it be sent elsewhere; the rest waits on.
   void cancel_all_at(const fleet::Target& target, TimePoint now);
   std::chrono::milliseconds patience(const RelayedRequest& request, TimePoint now) const;
-  void log_end(const RelayedRequest& request, int status, const std::string& reason) const;
 
   boost::asio::any_io_executor executor_;
   const Dialect& dialect_;
   EntryState& state_;
   SlotRequester& slots_;
   LeaseGate& lease_;
+  RequestEnds ends_;
   TargetFinder targets_;
   net::HttpClient client_;
 };
--- a/src/node/target_finder.cc
+++ b/src/node/target_finder.cc
@@ -20,10 +20,6 @@
 constexpr int kWaitingPart = 5;
 /// Part of the recent first events whose excess over the forecast is allowed for.
 constexpr double kExcessShare = 0.75;
-/// Times to come back after that refused requests are told, in seconds.
-constexpr double kBackWhenBusy = 0.3;
-constexpr double kBackWhenUnavailable = 0.5;
-
 int32_t to_milliseconds(Duration duration) { return static_cast<int32_t>(duration / milliseconds(1)); }
 
 Refusal busy() { return {http_status::kServiceUnavailable, "all places are taken", kBackWhenBusy}; }
