Forget old excesses of first events, and set at most half of the objective aside for them

Cause: after a fault that made all first events late, entries set so much aside that only the retries of refused callers were sent; these alone could bring new measurements.

Change: measurements count for four seconds; the allowance is at most half of the objective.

--- a/src/core/fleet/group_planner.h
+++ b/src/core/fleet/group_planner.h
@@ -93,8 +93,8 @@
 ///
 /// Models are spread over the fabric domains, and servers hold the weights of another model than the one they serve on
 /// their hosts: a group that lost a member is completed within a warm join out of its own domain, by a free server or
-/// by giving up a group of a model that can spare it. The free servers of a domain hold the models in their accelerators
-/// by need, each another one on its host: whichever model's group loses a member, a spare joins at once.
+/// by giving up a group of a model that can spare it. The free servers of a domain hold the models in their
+/// accelerators by need, each another one on its host: whichever model's group loses a member, a spare joins at once.
 ///
 /// Deterministic. Not thread-safe.
 class GroupPlanner {
--- a/src/node/request_relay.cc
+++ b/src/node/request_relay.cc
@@ -404,7 +404,7 @@
   if (!request.mark.is_streaming) {
     state_.dispatcher.note_first_event(now, target, request.mark);
     if (request.expected_first_event > Duration::zero()) {
-      state_.first_event_excess[request.model].note(now - request.sent_at - request.expected_first_event);
+      state_.first_event_excess[request.model].note(now, now - request.sent_at - request.expected_first_event);
     }
   }
   if (request.head_sent) {
--- a/src/node/target_finder.cc
+++ b/src/node/target_finder.cc
@@ -20,6 +20,9 @@
 constexpr int kWaitingPart = 5;
 /// Part of the recent first events whose excess over the forecast is allowed for.
 constexpr double kExcessShare = 0.75;
+/// Most of the objective that may be set aside for it: a group that is forecast within the rest is always worth a try,
+/// which also is the only way to learn that first events come sooner again.
+constexpr int kExcessPart = 2;
 int32_t to_milliseconds(Duration duration) { return static_cast<int32_t>(duration / milliseconds(1)); }
 
 Refusal busy() { return {http_status::kServiceUnavailable, "all places are taken", kBackWhenBusy}; }
@@ -54,7 +57,9 @@
   if (objective > Duration::zero() && !request.head_sent) {
     const auto excess = state_.first_event_excess.find(request.model);
     const Duration allowance =
-        excess == state_.first_event_excess.end() ? Duration::zero() : excess->second.value(kExcessShare);
+        excess == state_.first_event_excess.end()
+            ? Duration::zero()
+            : std::clamp<Duration>(excess->second.value(now, kExcessShare), Duration::zero(), objective / kExcessPart);
     // Whoever was held is late already; as with those that come back, the objective counts anew.
     const Duration left = request.admitted + objective - now - allowance;
     question.first_event_ms = std::max(1, to_milliseconds(left));
--- a/tests/unit/slot_scheduler_test.cc
+++ b/tests/unit/slot_scheduler_test.cc
@@ -250,19 +250,20 @@
 
 TEST(RecentQuantile, AFewOutliersMoveNothingAndAChangeIsFollowed) {
   requests::RecentQuantile excess;
-  EXPECT_EQ(excess.value(0.75), Duration::zero());
-  excess.note(seconds(2));
-  excess.note(milliseconds(90));
-  EXPECT_EQ(excess.value(0.75), milliseconds(90)) << "an outlier at first";
+  EXPECT_EQ(excess.value(kStart, 0.75), Duration::zero());
+  excess.note(kStart, seconds(2));
+  excess.note(kStart, milliseconds(90));
+  EXPECT_EQ(excess.value(kStart, 0.75), milliseconds(90)) << "an outlier at first";
   for (int sample = 0; sample < 40; ++sample) {
     const bool is_outlier = sample % 5 == 0;
-    excess.note(is_outlier ? milliseconds(1200) : milliseconds(90 + sample % 3));
+    excess.note(kStart, is_outlier ? milliseconds(1200) : milliseconds(90 + sample % 3));
   }
-  EXPECT_LE(excess.value(0.75), milliseconds(92));
+  EXPECT_LE(excess.value(kStart, 0.75), milliseconds(92));
   for (int sample = 0; sample < 16; ++sample) {
-    excess.note(milliseconds(150));
+    excess.note(kStart, milliseconds(150));
   }
-  EXPECT_EQ(excess.value(0.75), milliseconds(150));
+  EXPECT_EQ(excess.value(kStart, 0.75), milliseconds(150));
+  EXPECT_EQ(excess.value(kStart + seconds(5), 0.75), Duration::zero()) << "old measurements say nothing";
 }
 
 TEST(LatencyEstimate, FollowsMeanAndSpread) {
