Ask for slots in one message for one moment, and wait longer for the first answer

Change: questions of one moment travel together; before the first measured answer an entry waits 200 ms.

--- a/src/node/slot_requester.cc
+++ b/src/node/slot_requester.cc
@@ -19,6 +19,8 @@
 constexpr milliseconds kShortestPatience{15};
 constexpr milliseconds kLongestPatience{40};
 constexpr int kPatienceDeviations = 4;
+/// Before the first answer: whoever started with this entry, as after a loss of power, asks at the same moment.
+constexpr milliseconds kFirstPatience{200};
 /// A leader that did not answer is asked again after this time; elections take several times as long.
 constexpr auto kSilencePause = milliseconds(150);
 /// A queued request is answered at the latest this long after its patience: one tick of the leader, and the way.
@@ -35,7 +37,7 @@
 
 milliseconds SlotRequester::answer_patience() const {
   if (!answer_time_.is_measured()) {
-    return kLongestPatience;
+    return kFirstPatience;
   }
   const auto measured = duration_cast<milliseconds>(answer_time_.upper(kPatienceDeviations));
   return std::clamp(measured, kShortestPatience, kLongestPatience);
@@ -61,9 +63,7 @@
   question->asked = now;
   question->grant = undecided;
   questions_[id] = question;
-  std::vector<wire::SlotRequest> requests;
-  requests.push_back(std::move(request));
-  report(std::move(requests));
+  send_soon(std::move(request));
   co_await wait_for_answer(question, answer_patience());
   if (!question->is_answered) {
     not_before_ = monotonic_now() + kSilencePause;
@@ -75,6 +75,18 @@
   co_return is_open ? undecided : question->grant;
 }
 
+void SlotRequester::send_soon(wire::SlotRequest request) {
+  unsent_.push_back(std::move(request));
+  if (unsent_.size() > 1) {
+    return;
+  }
+  asio::post(executor_, [this, alive = std::weak_ptr<bool>(alive_)] {
+    if (!alive.expired()) {
+      report(std::exchange(unsent_, {}));
+    }
+  });
+}
+
 void SlotRequester::receive(const wire::SlotAnswer& answer) {
   if (answer.term < grants_term_) {
     return;  // From a leader that was deposed.
--- a/src/node/slot_requester.h
+++ b/src/node/slot_requester.h
@@ -57,6 +57,8 @@
   /// Waits until the question's answer is another than `known`, or the time is over.
   boost::asio::awaitable<void> wait_for_answer(std::shared_ptr<Question> question, std::chrono::milliseconds time);
   boost::asio::awaitable<void> report_later();
+  /// Sends the question with all others that are asked in the same moment.
+  void send_soon(wire::SlotRequest request);
   wire::SlotReport current_report(std::vector<wire::SlotRequest> requests) const;
   void report(std::vector<wire::SlotRequest> requests);
   void report_all(TimePoint now, std::vector<wire::GroupFailure> failures);
@@ -68,6 +70,8 @@
   Sender send_;
   int64_t next_id_ = 1;
   std::map<int64_t, std::shared_ptr<Question>> questions_;
+  /// Asked and not sent yet.
+  std::vector<wire::SlotRequest> unsent_;
   requests::LatencyEstimate answer_time_;
   /// The leader did not answer: it is not asked until then.
   TimePoint not_before_ = TimePoint();
--- a/tests/node/slot_requester_test.cc
+++ b/tests/node/slot_requester_test.cc
@@ -19,6 +19,16 @@
   return result;
 }
 
+wire::FleetState state_with_group(const std::string& name) {
+  wire::FleetState state;
+  wire::EngineGroup group;
+  group.name = name;
+  group.members = {"i1"};
+  group.phase = wire::GroupPhase::OPEN;
+  state.groups.push_back(group);
+  return state;
+}
+
 class SlotRequesterTest : public testing::Test {
  protected:
   SlotRequesterTest()
@@ -79,6 +89,44 @@
   EXPECT_EQ(slots_.last_grant(), std::pair(int64_t{5}, int64_t{9})) << "a deposed leader's numbers do not count";
 }
 
+TEST_F(SlotRequesterTest, QuestionsOfOneMomentTravelTogether) {
+  wire::SlotRequest request;
+  request.patience_ms = 80;
+  for (int count = 0; count < 3; ++count) {
+    asio::co_spawn(context_, slots_.ask(request), asio::detached);
+  }
+  context_.run();
+  ASSERT_EQ(reports_.size(), 1U);
+  EXPECT_EQ(reports_.front().requests.size(), 3U);
+}
+
+TEST_F(SlotRequesterTest, ANewLeaderGetsACompleteReportAtOnceAndThenOneASecond) {
+  state_.subscription.tick(monotonic_now(), {});
+  wire::Envelope envelope;
+  envelope.from_node = "10.0.0.1:1";
+  envelope.__isset.fleet_update = true;
+  envelope.fleet_update.leader = "10.0.0.1:1";
+  state_.subscription.receive(monotonic_now(), envelope);
+  const TimePoint now = monotonic_now();
+  slots_.tick(now);
+  slots_.tick(now + milliseconds(500));
+  EXPECT_EQ(reports_.size(), 1U);
+  EXPECT_TRUE(reports_.back().is_complete);
+  slots_.tick(now + milliseconds(1100));
+  EXPECT_EQ(reports_.size(), 2U);
+  envelope.fleet_update.leader = "10.0.0.2:1";
+  state_.subscription.receive(monotonic_now(), envelope);
+  slots_.tick(now + milliseconds(1200));
+  EXPECT_EQ(reports_.size(), 3U);
+  state_.dispatcher.update_state(state_with_group("g1"));
+  state_.dispatcher.avoid(now + milliseconds(1250), "g1");
+  slots_.tick(now + milliseconds(1300));
+  ASSERT_EQ(reports_.size(), 4U) << "a failure is told at once";
+  EXPECT_EQ(reports_.back().failures.size(), 1U);
+  slots_.tick(now + milliseconds(1350));
+  EXPECT_EQ(reports_.size(), 4U);
+}
+
 TEST_F(SlotRequesterTest, ASlotThatComesTooLateIsGivenBack) {
   ask();
   const size_t before = reports_.size();
