Tell the leader of groups whose streams pause too long, so that others are preferred

Cause: with 295 entries each sees one or two streams of a group, so a dead group was known only to few, and all others went on sending to it until it was dissolved, 0.75 s after the loss. A pause counted as too long only beyond the cost model's longest pass, though no pass is let grow beyond the objective for pauses.

Change: a pause beyond the objective and 40 ms makes a group quiet; entries tell the leader at once, and where two say so it prefers other groups.

--- a/src/core/fleet/dispatcher.cc
+++ b/src/core/fleet/dispatcher.cc
@@ -55,6 +55,7 @@
 
 void Dispatcher::update_services(const std::map<std::string, document::ServiceSpec>& services) {
   longest_pauses_.clear();
+  smallest_gaps_.clear();  // Routes may have other objectives now.
   for (const auto& [name, service] : services) {
     if (!service.engine) {
       continue;
@@ -67,8 +68,31 @@
 }
 
 Duration Dispatcher::longest_pause(const std::string& service, const std::string& model) const {
-  const auto found = longest_pauses_.find({service, model});
-  return found == longest_pauses_.end() ? kUnknownPause : found->second;
+  const std::pair key(service, model);
+  const auto by_cost = longest_pauses_.find(key);
+  const auto by_objective = smallest_gaps_.find(key);
+  const Duration longest = by_cost == longest_pauses_.end() ? kUnknownPause : by_cost->second;
+  return by_objective == smallest_gaps_.end() ? longest : std::min(longest, by_objective->second + kPauseSlack);
+}
+
+void Dispatcher::note_gap(const std::string& service, const std::string& model, Duration gap) {
+  if (gap > Duration::zero()) {
+    const auto [smallest, is_first] = smallest_gaps_.try_emplace({service, model}, gap);
+    smallest->second = std::min(smallest->second, gap);
+  }
+}
+
+std::vector<std::string> Dispatcher::quiet_groups(TimePoint now) const {
+  std::vector<std::string> result;
+  for (const auto& group : groups_) {
+    const auto health = health_.find(group.name);
+    const bool is_quiet = health != health_.end() && health->second.streaming() > 0 &&
+                          health->second.is_quiet(now, longest_pause(group.service_name, group.model));
+    if (is_quiet) {
+      result.push_back(group.name);
+    }
+  }
+  return result;
 }
 
 void Dispatcher::update_loads(TimePoint now, const std::vector<wire::GroupLoad>& totals) {
--- a/src/core/fleet/dispatcher.h
+++ b/src/core/fleet/dispatcher.h
@@ -72,6 +72,10 @@
   std::vector<std::string> doubtful_groups(TimePoint now, const std::string& service, const std::string& model) const;
   /// A request for a model arrived, with its own statement of prompt and answer, in tokens.
   void note_demand(const std::string& service, const Demand& demand, const engine::RequestSizes& sizes);
+  /// A request for a model aims at no pause between events longer than `gap`: no pass of its groups is let grow longer.
+  void note_gap(const std::string& service, const std::string& model, Duration gap);
+  /// Groups whose streams at this entry pause too long.
+  std::vector<std::string> quiet_groups(TimePoint now) const;
   /// Totals of what `note_demand` was told since the start, to be reported.
   std::vector<wire::ModelDemand> demand_totals() const;
   /// Brackets one sending; the load counts between them.
@@ -142,6 +146,8 @@
   std::set<std::string> changed_;
   /// Longest pauses by service and model, from the cost models in force.
   std::map<std::pair<std::string, std::string>, Duration> longest_pauses_;
+  /// The strictest objective for pauses that requests had, by service and model.
+  std::map<std::pair<std::string, std::string>, Duration> smallest_gaps_;
   std::map<std::string, Budget> budgets_;
   /// When permits for a service's model were last drawn.
   std::map<std::pair<std::string, std::string>, TimePoint> permits_drawn_;
--- a/src/core/fleet/fleet_leader.cc
+++ b/src/core/fleet/fleet_leader.cc
@@ -210,6 +210,7 @@
     groups_.note_traffic();
   }
   slots_.note_loads(node, report.loads, report.is_complete, report.grants_term, report.grants_seen);
+  slots_.note_quiet(now, node, report.quiet_groups);
   for (const auto& request : report.requests) {
     slots_.add_request(now, node, request);
   }
--- a/src/core/fleet/slot_scheduler.cc
+++ b/src/core/fleet/slot_scheduler.cc
@@ -16,6 +16,11 @@
 constexpr double kGapShare = 0.85;
 /// Requests that wait are looked at again this often; a pass of a group takes many times as long.
 constexpr Duration kReviewInterval = milliseconds(5);
+/// A node's word that its streams at a group pause too long counts for this long; it says so at least once a second
+/// while they do.
+constexpr Duration kQuietMemory = milliseconds(1200);
+/// Nodes whose word it takes: one alone may itself be slow or badly connected.
+constexpr std::ptrdiff_t kQuietWitnesses = 2;
 
 Duration scaled(Duration duration, double factor) {
   return Duration(static_cast<int64_t>(static_cast<double>(duration.count()) * factor));
@@ -97,6 +102,23 @@
   }
 }
 
+void SlotScheduler::note_quiet(TimePoint now, const std::string& node, const std::vector<std::string>& groups) {
+  for (auto& [name, group] : groups_) {
+    const bool is_named = std::find(groups.begin(), groups.end(), name) != groups.end();
+    if (is_named) {
+      group.quiet_at[node] = now;
+    } else if (!group.quiet_at.empty()) {
+      group.quiet_at.erase(node);
+    }
+  }
+}
+
+bool SlotScheduler::is_quiet(TimePoint now, const Group& group) {
+  const auto witnesses = std::count_if(group.quiet_at.begin(), group.quiet_at.end(),
+                                       [now](const auto& item) { return now - item.second < kQuietMemory; });
+  return witnesses >= kQuietWitnesses;
+}
+
 void SlotScheduler::forget_node(const std::string& node_name) {
   const auto found = nodes_.find(node_name);
   if (found == nodes_.end()) {
@@ -157,9 +179,12 @@
     if (group.in_flight > 0 && forecast.longest_pass > longest_pass) {
       continue;
     }
-    if (best.fit == Fit::kNone || forecast.first_event < best.first_event) {
+    const bool quiet = is_quiet(now, group);
+    const bool is_better = std::pair(quiet, forecast.first_event) < std::pair(best.is_quiet, best.first_event);
+    if (best.fit == Fit::kNone || is_better) {
       best.group = name;
       best.first_event = forecast.first_event;
+      best.is_quiet = quiet;
       best.fit = has_objective && forecast.first_event > left ? Fit::kLate : Fit::kInTime;
     }
   }
--- a/src/core/fleet/slot_scheduler.h
+++ b/src/core/fleet/slot_scheduler.h
@@ -42,6 +42,8 @@
   /// the slots up to `grants_seen` of `grants_term`.
   void note_loads(const std::string& node, const std::vector<wire::GroupLoad>& loads, bool is_complete,
                   int64_t grants_term, int64_t grants_seen);
+  /// The groups whose streams at the node pause too long now. Where two nodes say so, other groups are preferred.
+  void note_quiet(TimePoint now, const std::string& node, const std::vector<std::string>& groups);
   /// The node is gone, and what it had under way with it.
   void forget_node(const std::string& node);
   void add_request(TimePoint now, const std::string& node, const wire::SlotRequest& request);
@@ -62,6 +64,8 @@
     bool is_open = false;
     int in_flight = 0;
     engine::PassClock clock;
+    /// Nodes whose streams there pause too long, and when they said so.
+    std::map<std::string, TimePoint> quiet_at;
   };
   struct Node {
     std::map<std::string, int> in_flight;
@@ -83,8 +87,10 @@
     std::string group;
     Duration first_event{};
     Fit fit = Fit::kNone;
+    bool is_quiet = false;
   };
 
+  static bool is_quiet(TimePoint now, const Group& group);
   /// Past the time in which its first event could still come within the objective.
   static bool is_late(TimePoint now, const WaitingRequest& waiting);
   static ModelKey key_of(const WaitingRequest& waiting) {
--- a/src/node/request_relay.cc
+++ b/src/node/request_relay.cc
@@ -140,6 +140,7 @@
   request.prompt_tokens = static_cast<double>(prompt.value_or(0));
   if (prompt && (hint || most_out)) {
     const engine::RequestSizes sizes{static_cast<double>(*prompt), static_cast<double>(hint ? *hint : *most_out)};
+    state_.dispatcher.note_gap(request.service->name, request.model, request.route->target_gap);
     state_.dispatcher.note_demand(request.service->name, {request.model, request.route->target_latency, sizes.prompt},
                                   sizes);
   }
--- a/src/node/slot_requester.cc
+++ b/src/node/slot_requester.cc
@@ -136,15 +136,19 @@
   const std::string& leader = state_.subscription.leader();
   if (!leader.empty() && (now >= next_complete_ || has_new_failure || leader != reported_to_)) {
     report_all(now, std::move(failures));
+  } else if (!leader.empty() && state_.dispatcher.quiet_groups(now) != reported_quiet_) {
+    report({});
   }
 }
 
-wire::SlotReport SlotRequester::current_report(std::vector<wire::SlotRequest> requests) const {
+wire::SlotReport SlotRequester::current_report(std::vector<wire::SlotRequest> requests) {
+  reported_quiet_ = state_.dispatcher.quiet_groups(monotonic_now());
   wire::SlotReport report;
   report.requests = std::move(requests);
   report.grants_term = grants_term_;
   report.grants_seen = grants_seen_;
   report.traffic_seen = state_.traffic_seen;
+  report.quiet_groups = reported_quiet_;
   return report;
 }
 
--- a/src/node/slot_requester.h
+++ b/src/node/slot_requester.h
@@ -34,8 +34,8 @@
   void receive(const wire::SlotAnswer& answer);
   /// The load of some group changed in a way that the leader does not know of: it learns within a few milliseconds.
   void note_change();
-  /// Sends a complete report when one is due: about once a second, to every new leader, and when a group began to fail.
-  /// To be called every few ticks.
+  /// Sends a complete report when one is due: about once a second, to every new leader, and when a group began to fail;
+  /// and a word when streams of a group began to pause too long, or go on again. To be called every few ticks.
   void tick(TimePoint now);
   /// Nobody answered a question for a slot of late, so this entry chooses targets by itself.
   bool decides_alone(TimePoint now) const { return now < not_before_ + kAloneMemory; }
@@ -59,7 +59,7 @@
   boost::asio::awaitable<void> report_later();
   /// Sends the question with all others that are asked in the same moment.
   void send_soon(wire::SlotRequest request);
-  wire::SlotReport current_report(std::vector<wire::SlotRequest> requests) const;
+  wire::SlotReport current_report(std::vector<wire::SlotRequest> requests);
   void report(std::vector<wire::SlotRequest> requests);
   void report_all(TimePoint now, std::vector<wire::GroupFailure> failures);
   void send(wire::SlotReport report);
@@ -79,6 +79,7 @@
   TimePoint next_complete_ = TimePoint::min();
   std::string reported_to_;
   std::vector<wire::GroupFailure> reported_failures_;
+  std::vector<std::string> reported_quiet_;
   int64_t grants_term_ = 0;
   int64_t grants_seen_ = 0;
   bool report_is_due_ = false;
--- a/src/wire/gen-cpp/larchlever_types.cpp
+++ b/src/wire/gen-cpp/larchlever_types.cpp
@@ -14055,6 +14055,10 @@
 void SlotReport::__set_traffic_seen(const bool val) {
   this->traffic_seen = val;
 }
+
+void SlotReport::__set_quiet_groups(const std::vector<std::string> & val) {
+  this->quiet_groups = val;
+}
 std::ostream& operator<<(std::ostream& out, const SlotReport& obj)
 {
   obj.printTo(out);
@@ -14195,6 +14199,26 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 9:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->quiet_groups.clear();
+            uint32_t _size549;
+            ::apache::thrift::protocol::TType _etype552;
+            xfer += iprot->readListBegin(_etype552, _size549);
+            this->quiet_groups.resize(_size549);
+            uint32_t _i553;
+            for (_i553 = 0; _i553 < _size549; ++_i553)
+            {
+              xfer += iprot->readString(this->quiet_groups[_i553]);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.quiet_groups = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -14215,10 +14239,10 @@
   xfer += oprot->writeFieldBegin("requests", ::apache::thrift::protocol::T_LIST, 1);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->requests.size()));
-    std::vector<SlotRequest> ::const_iterator _iter549;
-    for (_iter549 = this->requests.begin(); _iter549 != this->requests.end(); ++_iter549)
+    std::vector<SlotRequest> ::const_iterator _iter554;
+    for (_iter554 = this->requests.begin(); _iter554 != this->requests.end(); ++_iter554)
     {
-      xfer += (*_iter549).write(oprot);
+      xfer += (*_iter554).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -14227,10 +14251,10 @@
   xfer += oprot->writeFieldBegin("loads", ::apache::thrift::protocol::T_LIST, 2);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->loads.size()));
-    std::vector<GroupLoad> ::const_iterator _iter550;
-    for (_iter550 = this->loads.begin(); _iter550 != this->loads.end(); ++_iter550)
+    std::vector<GroupLoad> ::const_iterator _iter555;
+    for (_iter555 = this->loads.begin(); _iter555 != this->loads.end(); ++_iter555)
     {
-      xfer += (*_iter550).write(oprot);
+      xfer += (*_iter555).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -14251,10 +14275,10 @@
   xfer += oprot->writeFieldBegin("demand", ::apache::thrift::protocol::T_LIST, 6);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->demand.size()));
-    std::vector<ModelDemand> ::const_iterator _iter551;
-    for (_iter551 = this->demand.begin(); _iter551 != this->demand.end(); ++_iter551)
+    std::vector<ModelDemand> ::const_iterator _iter556;
+    for (_iter556 = this->demand.begin(); _iter556 != this->demand.end(); ++_iter556)
     {
-      xfer += (*_iter551).write(oprot);
+      xfer += (*_iter556).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -14263,10 +14287,10 @@
   xfer += oprot->writeFieldBegin("failures", ::apache::thrift::protocol::T_LIST, 7);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->failures.size()));
-    std::vector<GroupFailure> ::const_iterator _iter552;
-    for (_iter552 = this->failures.begin(); _iter552 != this->failures.end(); ++_iter552)
+    std::vector<GroupFailure> ::const_iterator _iter557;
+    for (_iter557 = this->failures.begin(); _iter557 != this->failures.end(); ++_iter557)
     {
-      xfer += (*_iter552).write(oprot);
+      xfer += (*_iter557).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -14276,6 +14300,18 @@
   xfer += oprot->writeBool(this->traffic_seen);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("quiet_groups", ::apache::thrift::protocol::T_LIST, 9);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->quiet_groups.size()));
+    std::vector<std::string> ::const_iterator _iter558;
+    for (_iter558 = this->quiet_groups.begin(); _iter558 != this->quiet_groups.end(); ++_iter558)
+    {
+      xfer += oprot->writeString((*_iter558));
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -14291,53 +14327,58 @@
   swap(a.demand, b.demand);
   swap(a.failures, b.failures);
   swap(a.traffic_seen, b.traffic_seen);
+  swap(a.quiet_groups, b.quiet_groups);
   swap(a.__isset, b.__isset);
 }
 
-SlotReport::SlotReport(const SlotReport& other553) {
-  requests = other553.requests;
-  loads = other553.loads;
-  grants_term = other553.grants_term;
-  grants_seen = other553.grants_seen;
-  is_complete = other553.is_complete;
-  demand = other553.demand;
-  failures = other553.failures;
-  traffic_seen = other553.traffic_seen;
-  __isset = other553.__isset;
-}
-SlotReport::SlotReport(SlotReport&& other554) noexcept {
-  requests = std::move(other554.requests);
-  loads = std::move(other554.loads);
-  grants_term = other554.grants_term;
-  grants_seen = other554.grants_seen;
-  is_complete = other554.is_complete;
-  demand = std::move(other554.demand);
-  failures = std::move(other554.failures);
-  traffic_seen = other554.traffic_seen;
-  __isset = other554.__isset;
-}
-SlotReport& SlotReport::operator=(const SlotReport& other555) {
-  requests = other555.requests;
-  loads = other555.loads;
-  grants_term = other555.grants_term;
-  grants_seen = other555.grants_seen;
-  is_complete = other555.is_complete;
-  demand = other555.demand;
-  failures = other555.failures;
-  traffic_seen = other555.traffic_seen;
-  __isset = other555.__isset;
-  return *this;
-}
-SlotReport& SlotReport::operator=(SlotReport&& other556) noexcept {
-  requests = std::move(other556.requests);
-  loads = std::move(other556.loads);
-  grants_term = other556.grants_term;
-  grants_seen = other556.grants_seen;
-  is_complete = other556.is_complete;
-  demand = std::move(other556.demand);
-  failures = std::move(other556.failures);
-  traffic_seen = other556.traffic_seen;
-  __isset = other556.__isset;
+SlotReport::SlotReport(const SlotReport& other559) {
+  requests = other559.requests;
+  loads = other559.loads;
+  grants_term = other559.grants_term;
+  grants_seen = other559.grants_seen;
+  is_complete = other559.is_complete;
+  demand = other559.demand;
+  failures = other559.failures;
+  traffic_seen = other559.traffic_seen;
+  quiet_groups = other559.quiet_groups;
+  __isset = other559.__isset;
+}
+SlotReport::SlotReport(SlotReport&& other560) noexcept {
+  requests = std::move(other560.requests);
+  loads = std::move(other560.loads);
+  grants_term = other560.grants_term;
+  grants_seen = other560.grants_seen;
+  is_complete = other560.is_complete;
+  demand = std::move(other560.demand);
+  failures = std::move(other560.failures);
+  traffic_seen = other560.traffic_seen;
+  quiet_groups = std::move(other560.quiet_groups);
+  __isset = other560.__isset;
+}
+SlotReport& SlotReport::operator=(const SlotReport& other561) {
+  requests = other561.requests;
+  loads = other561.loads;
+  grants_term = other561.grants_term;
+  grants_seen = other561.grants_seen;
+  is_complete = other561.is_complete;
+  demand = other561.demand;
+  failures = other561.failures;
+  traffic_seen = other561.traffic_seen;
+  quiet_groups = other561.quiet_groups;
+  __isset = other561.__isset;
+  return *this;
+}
+SlotReport& SlotReport::operator=(SlotReport&& other562) noexcept {
+  requests = std::move(other562.requests);
+  loads = std::move(other562.loads);
+  grants_term = other562.grants_term;
+  grants_seen = other562.grants_seen;
+  is_complete = other562.is_complete;
+  demand = std::move(other562.demand);
+  failures = std::move(other562.failures);
+  traffic_seen = other562.traffic_seen;
+  quiet_groups = std::move(other562.quiet_groups);
+  __isset = other562.__isset;
   return *this;
 }
 void SlotReport::printTo(std::ostream& out) const {
@@ -14351,6 +14392,7 @@
   out << ", " << "demand=" << to_string(demand);
   out << ", " << "failures=" << to_string(failures);
   out << ", " << "traffic_seen=" << to_string(traffic_seen);
+  out << ", " << "quiet_groups=" << to_string(quiet_groups);
   out << ")";
 }
 
@@ -14406,14 +14448,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->grants.clear();
-            uint32_t _size557;
-            ::apache::thrift::protocol::TType _etype560;
-            xfer += iprot->readListBegin(_etype560, _size557);
-            this->grants.resize(_size557);
-            uint32_t _i561;
-            for (_i561 = 0; _i561 < _size557; ++_i561)
+            uint32_t _size563;
+            ::apache::thrift::protocol::TType _etype566;
+            xfer += iprot->readListBegin(_etype566, _size563);
+            this->grants.resize(_size563);
+            uint32_t _i567;
+            for (_i567 = 0; _i567 < _size563; ++_i567)
             {
-              xfer += this->grants[_i561].read(iprot);
+              xfer += this->grants[_i567].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -14446,10 +14488,10 @@
   xfer += oprot->writeFieldBegin("grants", ::apache::thrift::protocol::T_LIST, 2);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->grants.size()));
-    std::vector<SlotGrant> ::const_iterator _iter562;
-    for (_iter562 = this->grants.begin(); _iter562 != this->grants.end(); ++_iter562)
+    std::vector<SlotGrant> ::const_iterator _iter568;
+    for (_iter568 = this->grants.begin(); _iter568 != this->grants.end(); ++_iter568)
     {
-      xfer += (*_iter562).write(oprot);
+      xfer += (*_iter568).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -14467,26 +14509,26 @@
   swap(a.__isset, b.__isset);
 }
 
-SlotAnswer::SlotAnswer(const SlotAnswer& other563) {
-  term = other563.term;
-  grants = other563.grants;
-  __isset = other563.__isset;
+SlotAnswer::SlotAnswer(const SlotAnswer& other569) {
+  term = other569.term;
+  grants = other569.grants;
+  __isset = other569.__isset;
 }
-SlotAnswer::SlotAnswer(SlotAnswer&& other564) noexcept {
-  term = other564.term;
-  grants = std::move(other564.grants);
-  __isset = other564.__isset;
+SlotAnswer::SlotAnswer(SlotAnswer&& other570) noexcept {
+  term = other570.term;
+  grants = std::move(other570.grants);
+  __isset = other570.__isset;
 }
-SlotAnswer& SlotAnswer::operator=(const SlotAnswer& other565) {
-  term = other565.term;
-  grants = other565.grants;
-  __isset = other565.__isset;
+SlotAnswer& SlotAnswer::operator=(const SlotAnswer& other571) {
+  term = other571.term;
+  grants = other571.grants;
+  __isset = other571.__isset;
   return *this;
 }
-SlotAnswer& SlotAnswer::operator=(SlotAnswer&& other566) noexcept {
-  term = other566.term;
-  grants = std::move(other566.grants);
-  __isset = other566.__isset;
+SlotAnswer& SlotAnswer::operator=(SlotAnswer&& other572) noexcept {
+  term = other572.term;
+  grants = std::move(other572.grants);
+  __isset = other572.__isset;
   return *this;
 }
 void SlotAnswer::printTo(std::ostream& out) const {
@@ -14590,26 +14632,26 @@
   swap(a.__isset, b.__isset);
 }
 
-ControlPeer::ControlPeer(const ControlPeer& other567) {
-  address = other567.address;
-  zone = other567.zone;
-  __isset = other567.__isset;
+ControlPeer::ControlPeer(const ControlPeer& other573) {
+  address = other573.address;
+  zone = other573.zone;
+  __isset = other573.__isset;
 }
-ControlPeer::ControlPeer(ControlPeer&& other568) noexcept {
-  address = std::move(other568.address);
-  zone = std::move(other568.zone);
-  __isset = other568.__isset;
+ControlPeer::ControlPeer(ControlPeer&& other574) noexcept {
+  address = std::move(other574.address);
+  zone = std::move(other574.zone);
+  __isset = other574.__isset;
 }
-ControlPeer& ControlPeer::operator=(const ControlPeer& other569) {
-  address = other569.address;
-  zone = other569.zone;
-  __isset = other569.__isset;
+ControlPeer& ControlPeer::operator=(const ControlPeer& other575) {
+  address = other575.address;
+  zone = other575.zone;
+  __isset = other575.__isset;
   return *this;
 }
-ControlPeer& ControlPeer::operator=(ControlPeer&& other570) noexcept {
-  address = std::move(other570.address);
-  zone = std::move(other570.zone);
-  __isset = other570.__isset;
+ControlPeer& ControlPeer::operator=(ControlPeer&& other576) noexcept {
+  address = std::move(other576.address);
+  zone = std::move(other576.zone);
+  __isset = other576.__isset;
   return *this;
 }
 void ControlPeer::printTo(std::ostream& out) const {
@@ -14763,14 +14805,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->loads.clear();
-            uint32_t _size571;
-            ::apache::thrift::protocol::TType _etype574;
-            xfer += iprot->readListBegin(_etype574, _size571);
-            this->loads.resize(_size571);
-            uint32_t _i575;
-            for (_i575 = 0; _i575 < _size571; ++_i575)
+            uint32_t _size577;
+            ::apache::thrift::protocol::TType _etype580;
+            xfer += iprot->readListBegin(_etype580, _size577);
+            this->loads.resize(_size577);
+            uint32_t _i581;
+            for (_i581 = 0; _i581 < _size577; ++_i581)
             {
-              xfer += this->loads[_i575].read(iprot);
+              xfer += this->loads[_i581].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -14823,14 +14865,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->control_peers.clear();
-            uint32_t _size576;
-            ::apache::thrift::protocol::TType _etype579;
-            xfer += iprot->readListBegin(_etype579, _size576);
-            this->control_peers.resize(_size576);
-            uint32_t _i580;
-            for (_i580 = 0; _i580 < _size576; ++_i580)
+            uint32_t _size582;
+            ::apache::thrift::protocol::TType _etype585;
+            xfer += iprot->readListBegin(_etype585, _size582);
+            this->control_peers.resize(_size582);
+            uint32_t _i586;
+            for (_i586 = 0; _i586 < _size582; ++_i586)
             {
-              xfer += this->control_peers[_i580].read(iprot);
+              xfer += this->control_peers[_i586].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -14892,10 +14934,10 @@
   xfer += oprot->writeFieldBegin("loads", ::apache::thrift::protocol::T_LIST, 9);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->loads.size()));
-    std::vector<GroupLoad> ::const_iterator _iter581;
-    for (_iter581 = this->loads.begin(); _iter581 != this->loads.end(); ++_iter581)
+    std::vector<GroupLoad> ::const_iterator _iter587;
+    for (_iter587 = this->loads.begin(); _iter587 != this->loads.end(); ++_iter587)
     {
-      xfer += (*_iter581).write(oprot);
+      xfer += (*_iter587).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -14925,10 +14967,10 @@
   xfer += oprot->writeFieldBegin("control_peers", ::apache::thrift::protocol::T_LIST, 15);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->control_peers.size()));
-    std::vector<ControlPeer> ::const_iterator _iter582;
-    for (_iter582 = this->control_peers.begin(); _iter582 != this->control_peers.end(); ++_iter582)
+    std::vector<ControlPeer> ::const_iterator _iter588;
+    for (_iter588 = this->control_peers.begin(); _iter588 != this->control_peers.end(); ++_iter588)
     {
-      xfer += (*_iter582).write(oprot);
+      xfer += (*_iter588).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -14963,74 +15005,74 @@
   swap(a.__isset, b.__isset);
 }
 
-FleetUpdate::FleetUpdate(const FleetUpdate& other583) {
-  sequence = other583.sequence;
-  not_leader = other583.not_leader;
-  leader = other583.leader;
-  term = other583.term;
-  document_version = other583.document_version;
-  state = other583.state;
-  loads = other583.loads;
-  serving_nodes = other583.serving_nodes;
-  wants_state = other583.wants_state;
-  state_change = other583.state_change;
-  wants_confirmation = other583.wants_confirmation;
-  confirmed_age_ms = other583.confirmed_age_ms;
-  control_peers = other583.control_peers;
-  document = other583.document;
-  __isset = other583.__isset;
-}
-FleetUpdate::FleetUpdate(FleetUpdate&& other584) noexcept {
-  sequence = other584.sequence;
-  not_leader = other584.not_leader;
-  leader = std::move(other584.leader);
-  term = other584.term;
-  document_version = other584.document_version;
-  state = std::move(other584.state);
-  loads = std::move(other584.loads);
-  serving_nodes = other584.serving_nodes;
-  wants_state = other584.wants_state;
-  state_change = std::move(other584.state_change);
-  wants_confirmation = other584.wants_confirmation;
-  confirmed_age_ms = other584.confirmed_age_ms;
-  control_peers = std::move(other584.control_peers);
-  document = std::move(other584.document);
-  __isset = other584.__isset;
-}
-FleetUpdate& FleetUpdate::operator=(const FleetUpdate& other585) {
-  sequence = other585.sequence;
-  not_leader = other585.not_leader;
-  leader = other585.leader;
-  term = other585.term;
-  document_version = other585.document_version;
-  state = other585.state;
-  loads = other585.loads;
-  serving_nodes = other585.serving_nodes;
-  wants_state = other585.wants_state;
-  state_change = other585.state_change;
-  wants_confirmation = other585.wants_confirmation;
-  confirmed_age_ms = other585.confirmed_age_ms;
-  control_peers = other585.control_peers;
-  document = other585.document;
-  __isset = other585.__isset;
-  return *this;
-}
-FleetUpdate& FleetUpdate::operator=(FleetUpdate&& other586) noexcept {
-  sequence = other586.sequence;
-  not_leader = other586.not_leader;
-  leader = std::move(other586.leader);
-  term = other586.term;
-  document_version = other586.document_version;
-  state = std::move(other586.state);
-  loads = std::move(other586.loads);
-  serving_nodes = other586.serving_nodes;
-  wants_state = other586.wants_state;
-  state_change = std::move(other586.state_change);
-  wants_confirmation = other586.wants_confirmation;
-  confirmed_age_ms = other586.confirmed_age_ms;
-  control_peers = std::move(other586.control_peers);
-  document = std::move(other586.document);
-  __isset = other586.__isset;
+FleetUpdate::FleetUpdate(const FleetUpdate& other589) {
+  sequence = other589.sequence;
+  not_leader = other589.not_leader;
+  leader = other589.leader;
+  term = other589.term;
+  document_version = other589.document_version;
+  state = other589.state;
+  loads = other589.loads;
+  serving_nodes = other589.serving_nodes;
+  wants_state = other589.wants_state;
+  state_change = other589.state_change;
+  wants_confirmation = other589.wants_confirmation;
+  confirmed_age_ms = other589.confirmed_age_ms;
+  control_peers = other589.control_peers;
+  document = other589.document;
+  __isset = other589.__isset;
+}
+FleetUpdate::FleetUpdate(FleetUpdate&& other590) noexcept {
+  sequence = other590.sequence;
+  not_leader = other590.not_leader;
+  leader = std::move(other590.leader);
+  term = other590.term;
+  document_version = other590.document_version;
+  state = std::move(other590.state);
+  loads = std::move(other590.loads);
+  serving_nodes = other590.serving_nodes;
+  wants_state = other590.wants_state;
+  state_change = std::move(other590.state_change);
+  wants_confirmation = other590.wants_confirmation;
+  confirmed_age_ms = other590.confirmed_age_ms;
+  control_peers = std::move(other590.control_peers);
+  document = std::move(other590.document);
+  __isset = other590.__isset;
+}
+FleetUpdate& FleetUpdate::operator=(const FleetUpdate& other591) {
+  sequence = other591.sequence;
+  not_leader = other591.not_leader;
+  leader = other591.leader;
+  term = other591.term;
+  document_version = other591.document_version;
+  state = other591.state;
+  loads = other591.loads;
+  serving_nodes = other591.serving_nodes;
+  wants_state = other591.wants_state;
+  state_change = other591.state_change;
+  wants_confirmation = other591.wants_confirmation;
+  confirmed_age_ms = other591.confirmed_age_ms;
+  control_peers = other591.control_peers;
+  document = other591.document;
+  __isset = other591.__isset;
+  return *this;
+}
+FleetUpdate& FleetUpdate::operator=(FleetUpdate&& other592) noexcept {
+  sequence = other592.sequence;
+  not_leader = other592.not_leader;
+  leader = std::move(other592.leader);
+  term = other592.term;
+  document_version = other592.document_version;
+  state = std::move(other592.state);
+  loads = std::move(other592.loads);
+  serving_nodes = other592.serving_nodes;
+  wants_state = other592.wants_state;
+  state_change = std::move(other592.state_change);
+  wants_confirmation = other592.wants_confirmation;
+  confirmed_age_ms = other592.confirmed_age_ms;
+  control_peers = std::move(other592.control_peers);
+  document = std::move(other592.document);
+  __isset = other592.__isset;
   return *this;
 }
 void FleetUpdate::printTo(std::ostream& out) const {
@@ -15111,9 +15153,9 @@
         break;
       case 2:
         if (ftype == ::apache::thrift::protocol::T_I32) {
-          int32_t ecast587;
-          xfer += iprot->readI32(ecast587);
-          this->kind = static_cast<ControlCallKind::type>(ecast587);
+          int32_t ecast593;
+          xfer += iprot->readI32(ecast593);
+          this->kind = static_cast<ControlCallKind::type>(ecast593);
           this->__isset.kind = true;
         } else {
           xfer += iprot->skip(ftype);
@@ -15182,34 +15224,34 @@
   swap(a.__isset, b.__isset);
 }
 
-ControlCall::ControlCall(const ControlCall& other588) {
-  id = other588.id;
-  kind = other588.kind;
-  instance_id = other588.instance_id;
-  body = other588.body;
-  __isset = other588.__isset;
+ControlCall::ControlCall(const ControlCall& other594) {
+  id = other594.id;
+  kind = other594.kind;
+  instance_id = other594.instance_id;
+  body = other594.body;
+  __isset = other594.__isset;
 }
-ControlCall::ControlCall(ControlCall&& other589) noexcept {
-  id = other589.id;
-  kind = other589.kind;
-  instance_id = std::move(other589.instance_id);
-  body = std::move(other589.body);
-  __isset = other589.__isset;
+ControlCall::ControlCall(ControlCall&& other595) noexcept {
+  id = other595.id;
+  kind = other595.kind;
+  instance_id = std::move(other595.instance_id);
+  body = std::move(other595.body);
+  __isset = other595.__isset;
 }
-ControlCall& ControlCall::operator=(const ControlCall& other590) {
-  id = other590.id;
-  kind = other590.kind;
-  instance_id = other590.instance_id;
-  body = other590.body;
-  __isset = other590.__isset;
+ControlCall& ControlCall::operator=(const ControlCall& other596) {
+  id = other596.id;
+  kind = other596.kind;
+  instance_id = other596.instance_id;
+  body = other596.body;
+  __isset = other596.__isset;
   return *this;
 }
-ControlCall& ControlCall::operator=(ControlCall&& other591) noexcept {
-  id = other591.id;
-  kind = other591.kind;
-  instance_id = std::move(other591.instance_id);
-  body = std::move(other591.body);
-  __isset = other591.__isset;
+ControlCall& ControlCall::operator=(ControlCall&& other597) noexcept {
+  id = other597.id;
+  kind = other597.kind;
+  instance_id = std::move(other597.instance_id);
+  body = std::move(other597.body);
+  __isset = other597.__isset;
   return *this;
 }
 void ControlCall::printTo(std::ostream& out) const {
@@ -15332,30 +15374,30 @@
   swap(a.__isset, b.__isset);
 }
 
-ControlCallReply::ControlCallReply(const ControlCallReply& other592) {
-  id = other592.id;
-  status = other592.status;
-  body = other592.body;
-  __isset = other592.__isset;
+ControlCallReply::ControlCallReply(const ControlCallReply& other598) {
+  id = other598.id;
+  status = other598.status;
+  body = other598.body;
+  __isset = other598.__isset;
 }
-ControlCallReply::ControlCallReply(ControlCallReply&& other593) noexcept {
-  id = other593.id;
-  status = other593.status;
-  body = std::move(other593.body);
-  __isset = other593.__isset;
+ControlCallReply::ControlCallReply(ControlCallReply&& other599) noexcept {
+  id = other599.id;
+  status = other599.status;
+  body = std::move(other599.body);
+  __isset = other599.__isset;
 }
-ControlCallReply& ControlCallReply::operator=(const ControlCallReply& other594) {
-  id = other594.id;
-  status = other594.status;
-  body = other594.body;
-  __isset = other594.__isset;
+ControlCallReply& ControlCallReply::operator=(const ControlCallReply& other600) {
+  id = other600.id;
+  status = other600.status;
+  body = other600.body;
+  __isset = other600.__isset;
   return *this;
 }
-ControlCallReply& ControlCallReply::operator=(ControlCallReply&& other595) noexcept {
-  id = other595.id;
-  status = other595.status;
-  body = std::move(other595.body);
-  __isset = other595.__isset;
+ControlCallReply& ControlCallReply::operator=(ControlCallReply&& other601) noexcept {
+  id = other601.id;
+  status = other601.status;
+  body = std::move(other601.body);
+  __isset = other601.__isset;
   return *this;
 }
 void ControlCallReply::printTo(std::ostream& out) const {
@@ -15407,14 +15449,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->reports.clear();
-            uint32_t _size596;
-            ::apache::thrift::protocol::TType _etype599;
-            xfer += iprot->readListBegin(_etype599, _size596);
-            this->reports.resize(_size596);
-            uint32_t _i600;
-            for (_i600 = 0; _i600 < _size596; ++_i600)
+            uint32_t _size602;
+            ::apache::thrift::protocol::TType _etype605;
+            xfer += iprot->readListBegin(_etype605, _size602);
+            this->reports.resize(_size602);
+            uint32_t _i606;
+            for (_i606 = 0; _i606 < _size602; ++_i606)
             {
-              xfer += this->reports[_i600].read(iprot);
+              xfer += this->reports[_i606].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -15443,10 +15485,10 @@
   xfer += oprot->writeFieldBegin("reports", ::apache::thrift::protocol::T_LIST, 1);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->reports.size()));
-    std::vector<Instance> ::const_iterator _iter601;
-    for (_iter601 = this->reports.begin(); _iter601 != this->reports.end(); ++_iter601)
+    std::vector<Instance> ::const_iterator _iter607;
+    for (_iter607 = this->reports.begin(); _iter607 != this->reports.end(); ++_iter607)
     {
-      xfer += (*_iter601).write(oprot);
+      xfer += (*_iter607).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -15463,22 +15505,22 @@
   swap(a.__isset, b.__isset);
 }
 
-RegistrationBatch::RegistrationBatch(const RegistrationBatch& other602) {
-  reports = other602.reports;
-  __isset = other602.__isset;
+RegistrationBatch::RegistrationBatch(const RegistrationBatch& other608) {
+  reports = other608.reports;
+  __isset = other608.__isset;
 }
-RegistrationBatch::RegistrationBatch(RegistrationBatch&& other603) noexcept {
-  reports = std::move(other603.reports);
-  __isset = other603.__isset;
+RegistrationBatch::RegistrationBatch(RegistrationBatch&& other609) noexcept {
+  reports = std::move(other609.reports);
+  __isset = other609.__isset;
 }
-RegistrationBatch& RegistrationBatch::operator=(const RegistrationBatch& other604) {
-  reports = other604.reports;
-  __isset = other604.__isset;
+RegistrationBatch& RegistrationBatch::operator=(const RegistrationBatch& other610) {
+  reports = other610.reports;
+  __isset = other610.__isset;
   return *this;
 }
-RegistrationBatch& RegistrationBatch::operator=(RegistrationBatch&& other605) noexcept {
-  reports = std::move(other605.reports);
-  __isset = other605.__isset;
+RegistrationBatch& RegistrationBatch::operator=(RegistrationBatch&& other611) noexcept {
+  reports = std::move(other611.reports);
+  __isset = other611.__isset;
   return *this;
 }
 void RegistrationBatch::printTo(std::ostream& out) const {
@@ -15902,94 +15944,94 @@
   swap(a.__isset, b.__isset);
 }
 
-Envelope::Envelope(const Envelope& other606) {
-  from_node = other606.from_node;
-  from_incarnation = other606.from_incarnation;
-  to_node = other606.to_node;
-  raft = other606.raft;
-  heartbeat = other606.heartbeat;
-  heartbeat_reply = other606.heartbeat_reply;
-  claim_request = other606.claim_request;
-  claim_reply = other606.claim_reply;
-  resolution = other606.resolution;
-  operator_request = other606.operator_request;
-  operator_reply = other606.operator_reply;
-  resolution_reply = other606.resolution_reply;
-  fleet_heartbeat = other606.fleet_heartbeat;
-  fleet_update = other606.fleet_update;
-  control_call = other606.control_call;
-  control_call_reply = other606.control_call_reply;
-  slot_report = other606.slot_report;
-  slot_answer = other606.slot_answer;
-  registrations = other606.registrations;
-  __isset = other606.__isset;
-}
-Envelope::Envelope(Envelope&& other607) noexcept {
-  from_node = std::move(other607.from_node);
-  from_incarnation = other607.from_incarnation;
-  to_node = std::move(other607.to_node);
-  raft = std::move(other607.raft);
-  heartbeat = std::move(other607.heartbeat);
-  heartbeat_reply = std::move(other607.heartbeat_reply);
-  claim_request = std::move(other607.claim_request);
-  claim_reply = std::move(other607.claim_reply);
-  resolution = std::move(other607.resolution);
-  operator_request = std::move(other607.operator_request);
-  operator_reply = std::move(other607.operator_reply);
-  resolution_reply = std::move(other607.resolution_reply);
-  fleet_heartbeat = std::move(other607.fleet_heartbeat);
-  fleet_update = std::move(other607.fleet_update);
-  control_call = std::move(other607.control_call);
-  control_call_reply = std::move(other607.control_call_reply);
-  slot_report = std::move(other607.slot_report);
-  slot_answer = std::move(other607.slot_answer);
-  registrations = std::move(other607.registrations);
-  __isset = other607.__isset;
-}
-Envelope& Envelope::operator=(const Envelope& other608) {
-  from_node = other608.from_node;
-  from_incarnation = other608.from_incarnation;
-  to_node = other608.to_node;
-  raft = other608.raft;
-  heartbeat = other608.heartbeat;
-  heartbeat_reply = other608.heartbeat_reply;
-  claim_request = other608.claim_request;
-  claim_reply = other608.claim_reply;
-  resolution = other608.resolution;
-  operator_request = other608.operator_request;
-  operator_reply = other608.operator_reply;
-  resolution_reply = other608.resolution_reply;
-  fleet_heartbeat = other608.fleet_heartbeat;
-  fleet_update = other608.fleet_update;
-  control_call = other608.control_call;
-  control_call_reply = other608.control_call_reply;
-  slot_report = other608.slot_report;
-  slot_answer = other608.slot_answer;
-  registrations = other608.registrations;
-  __isset = other608.__isset;
-  return *this;
-}
-Envelope& Envelope::operator=(Envelope&& other609) noexcept {
-  from_node = std::move(other609.from_node);
-  from_incarnation = other609.from_incarnation;
-  to_node = std::move(other609.to_node);
-  raft = std::move(other609.raft);
-  heartbeat = std::move(other609.heartbeat);
-  heartbeat_reply = std::move(other609.heartbeat_reply);
-  claim_request = std::move(other609.claim_request);
-  claim_reply = std::move(other609.claim_reply);
-  resolution = std::move(other609.resolution);
-  operator_request = std::move(other609.operator_request);
-  operator_reply = std::move(other609.operator_reply);
-  resolution_reply = std::move(other609.resolution_reply);
-  fleet_heartbeat = std::move(other609.fleet_heartbeat);
-  fleet_update = std::move(other609.fleet_update);
-  control_call = std::move(other609.control_call);
-  control_call_reply = std::move(other609.control_call_reply);
-  slot_report = std::move(other609.slot_report);
-  slot_answer = std::move(other609.slot_answer);
-  registrations = std::move(other609.registrations);
-  __isset = other609.__isset;
+Envelope::Envelope(const Envelope& other612) {
+  from_node = other612.from_node;
+  from_incarnation = other612.from_incarnation;
+  to_node = other612.to_node;
+  raft = other612.raft;
+  heartbeat = other612.heartbeat;
+  heartbeat_reply = other612.heartbeat_reply;
+  claim_request = other612.claim_request;
+  claim_reply = other612.claim_reply;
+  resolution = other612.resolution;
+  operator_request = other612.operator_request;
+  operator_reply = other612.operator_reply;
+  resolution_reply = other612.resolution_reply;
+  fleet_heartbeat = other612.fleet_heartbeat;
+  fleet_update = other612.fleet_update;
+  control_call = other612.control_call;
+  control_call_reply = other612.control_call_reply;
+  slot_report = other612.slot_report;
+  slot_answer = other612.slot_answer;
+  registrations = other612.registrations;
+  __isset = other612.__isset;
+}
+Envelope::Envelope(Envelope&& other613) noexcept {
+  from_node = std::move(other613.from_node);
+  from_incarnation = other613.from_incarnation;
+  to_node = std::move(other613.to_node);
+  raft = std::move(other613.raft);
+  heartbeat = std::move(other613.heartbeat);
+  heartbeat_reply = std::move(other613.heartbeat_reply);
+  claim_request = std::move(other613.claim_request);
+  claim_reply = std::move(other613.claim_reply);
+  resolution = std::move(other613.resolution);
+  operator_request = std::move(other613.operator_request);
+  operator_reply = std::move(other613.operator_reply);
+  resolution_reply = std::move(other613.resolution_reply);
+  fleet_heartbeat = std::move(other613.fleet_heartbeat);
+  fleet_update = std::move(other613.fleet_update);
+  control_call = std::move(other613.control_call);
+  control_call_reply = std::move(other613.control_call_reply);
+  slot_report = std::move(other613.slot_report);
+  slot_answer = std::move(other613.slot_answer);
+  registrations = std::move(other613.registrations);
+  __isset = other613.__isset;
+}
+Envelope& Envelope::operator=(const Envelope& other614) {
+  from_node = other614.from_node;
+  from_incarnation = other614.from_incarnation;
+  to_node = other614.to_node;
+  raft = other614.raft;
+  heartbeat = other614.heartbeat;
+  heartbeat_reply = other614.heartbeat_reply;
+  claim_request = other614.claim_request;
+  claim_reply = other614.claim_reply;
+  resolution = other614.resolution;
+  operator_request = other614.operator_request;
+  operator_reply = other614.operator_reply;
+  resolution_reply = other614.resolution_reply;
+  fleet_heartbeat = other614.fleet_heartbeat;
+  fleet_update = other614.fleet_update;
+  control_call = other614.control_call;
+  control_call_reply = other614.control_call_reply;
+  slot_report = other614.slot_report;
+  slot_answer = other614.slot_answer;
+  registrations = other614.registrations;
+  __isset = other614.__isset;
+  return *this;
+}
+Envelope& Envelope::operator=(Envelope&& other615) noexcept {
+  from_node = std::move(other615.from_node);
+  from_incarnation = other615.from_incarnation;
+  to_node = std::move(other615.to_node);
+  raft = std::move(other615.raft);
+  heartbeat = std::move(other615.heartbeat);
+  heartbeat_reply = std::move(other615.heartbeat_reply);
+  claim_request = std::move(other615.claim_request);
+  claim_reply = std::move(other615.claim_reply);
+  resolution = std::move(other615.resolution);
+  operator_request = std::move(other615.operator_request);
+  operator_reply = std::move(other615.operator_reply);
+  resolution_reply = std::move(other615.resolution_reply);
+  fleet_heartbeat = std::move(other615.fleet_heartbeat);
+  fleet_update = std::move(other615.fleet_update);
+  control_call = std::move(other615.control_call);
+  control_call_reply = std::move(other615.control_call_reply);
+  slot_report = std::move(other615.slot_report);
+  slot_answer = std::move(other615.slot_answer);
+  registrations = std::move(other615.registrations);
+  __isset = other615.__isset;
   return *this;
 }
 void Envelope::printTo(std::ostream& out) const {
--- a/src/wire/gen-cpp/larchlever_types.h
+++ b/src/wire/gen-cpp/larchlever_types.h
@@ -5462,7 +5462,7 @@
 std::ostream& operator<<(std::ostream& out, const SlotGrant& obj);
 
 typedef struct _SlotReport__isset {
-  _SlotReport__isset() : requests(false), loads(false), grants_term(false), grants_seen(false), is_complete(false), demand(false), failures(false), traffic_seen(false) {}
+  _SlotReport__isset() : requests(false), loads(false), grants_term(false), grants_seen(false), is_complete(false), demand(false), failures(false), traffic_seen(false), quiet_groups(false) {}
   bool requests :1;
   bool loads :1;
   bool grants_term :1;
@@ -5471,6 +5471,7 @@
   bool demand :1;
   bool failures :1;
   bool traffic_seen :1;
+  bool quiet_groups :1;
 } _SlotReport__isset;
 
 /**
@@ -5514,6 +5515,10 @@
    * The entry has seen at least one caller's request since it started.
    */
   bool traffic_seen;
+  /**
+   * Groups whose streams at this entry pause for longer than they should at present.
+   */
+  std::vector<std::string>  quiet_groups;
 
   _SlotReport__isset __isset;
 
@@ -5533,6 +5538,8 @@
 
   void __set_traffic_seen(const bool val);
 
+  void __set_quiet_groups(const std::vector<std::string> & val);
+
   bool operator == (const SlotReport & rhs) const
   {
     if (!(requests == rhs.requests))
@@ -5551,6 +5558,8 @@
       return false;
     if (!(traffic_seen == rhs.traffic_seen))
       return false;
+    if (!(quiet_groups == rhs.quiet_groups))
+      return false;
     return true;
   }
   bool operator != (const SlotReport &rhs) const {
--- a/src/wire/larchlever.thrift
+++ b/src/wire/larchlever.thrift
@@ -674,6 +674,8 @@
   7: list<GroupFailure> failures,
   /** The entry has seen at least one caller's request since it started. */
   8: bool traffic_seen,
+  /** Groups whose streams at this entry pause for longer than they should at present. */
+  9: list<string> quiet_groups,
 }
 
 struct SlotAnswer {
--- a/tests/unit/fleet_test.cc
+++ b/tests/unit/fleet_test.cc
@@ -413,6 +413,22 @@
   EXPECT_FALSE(dispatcher.note_failure(kStart + seconds(1), busy)) << "it progressed for another request";
 }
 
+TEST(Dispatcher, AStreamThatPausesBeyondItsObjectiveMakesItsGroupQuiet) {
+  Dispatcher dispatcher(FleetOptions(), "z", 1);
+  dispatcher.update_state(two_groups());
+  dispatcher.note_gap("s", "m", milliseconds(250));
+  const Target target{"g0", "s", "g0", "i0", "a:0"};
+  SendingMark mark;
+  dispatcher.begin(kStart, target, mark);
+  EXPECT_TRUE(dispatcher.quiet_groups(kStart + milliseconds(600)).empty()) << "no stream has begun";
+  dispatcher.note_progress(kStart + milliseconds(600), target);
+  dispatcher.note_first_event(kStart + milliseconds(600), target, mark);
+  EXPECT_TRUE(dispatcher.quiet_groups(kStart + milliseconds(880)).empty());
+  EXPECT_EQ(dispatcher.quiet_groups(kStart + milliseconds(900)), std::vector<std::string>{"g0"});
+  dispatcher.note_progress(kStart + milliseconds(910), target);
+  EXPECT_TRUE(dispatcher.quiet_groups(kStart + milliseconds(920)).empty());
+}
+
 TEST(Dispatcher, RetriesStayWithinThePartOfTheSharedBudget) {
   FleetOptions options;
   options.retry_ratio = 0.2;
--- a/tests/unit/slot_scheduler_test.cc
+++ b/tests/unit/slot_scheduler_test.cc
@@ -204,6 +204,21 @@
   }
 }
 
+TEST_F(SlotSchedulerTest, PrefersGroupsWhoseStreamsGoOn) {
+  scheduler_.note_quiet(kStart, "n1", {"g1"});
+  EXPECT_EQ(ask(kStart, question(1)).group, "g1") << "one node's word is not enough";
+  scheduler_.note_quiet(kStart, "n2", {"g1"});
+  for (int id = 2; id < 5; ++id) {
+    EXPECT_EQ(ask(kStart, question(id)).group, "g2");
+  }
+  scheduler_.note_quiet(kStart, "n1", {"g1", "g2"});
+  scheduler_.note_quiet(kStart, "n2", {"g1", "g2"});
+  EXPECT_EQ(ask(kStart, question(5)).verdict, wire::SlotVerdict::GRANTED) << "better than none";
+  scheduler_.note_quiet(kStart, "n2", {"g2"});
+  EXPECT_EQ(ask(kStart, question(6)).group, "g1") << "its streams go on again";
+  EXPECT_EQ(ask(kStart + seconds(2), question(7)).verdict, wire::SlotVerdict::GRANTED);
+}
+
 TEST_F(SlotSchedulerTest, APromptThatIsLateAnywhereIsNotHeldBack) {
   auto request = question(1, 40'000);
   EXPECT_EQ(ask(kStart, request).verdict, wire::SlotVerdict::GRANTED);
