--- a/src/core/fleet/fleet_controller.cc
+++ b/src/core/fleet/fleet_controller.cc
@@ -14,6 +14,9 @@
 constexpr Duration kHandOverRetry = milliseconds(300);
 /// How often entries are looked at that did not confirm what was pushed to them.
 constexpr Duration kDistributionInterval = milliseconds(100);
+/// A replica that has not heard the leader for longer than this may be cut off from it: instances are sent elsewhere
+/// while their last heartbeat that got through is still young enough.
+constexpr int64_t kRegistrationPatienceMs = 1000;
 
 /// Identifies a call at the leader: the replica that forwards it, in one of its lives, and its number there.
 std::string call_key(const wire::Envelope& envelope) {
@@ -220,10 +223,18 @@
     return false;
   }
   registrations_.note(now, std::move(*report));
-  reply(call.id, http_status::kOk, "{}");
+  if (hears_leader(now)) {
+    reply(call.id, http_status::kOk, "{}");
+  } else {
+    reply(call.id, http_status::kServiceUnavailable, error_body("no leader within reach; report to another replica"));
+  }
   return true;
 }
 
+bool FleetController::hears_leader(TimePoint now) const {
+  return subscription_.answer_age_ms(now) <= kRegistrationPatienceMs;
+}
+
 void FleetController::reply(int64_t id, int status, std::string body) {
   wire::ControlCallReply reply;
   reply.id = id;
--- a/src/core/fleet/fleet_controller.h
+++ b/src/core/fleet/fleet_controller.h
@@ -83,6 +83,8 @@
   void handle_heartbeat(TimePoint now, const wire::Envelope& envelope);
   void handle_entry(TimePoint now, const wire::Envelope& envelope);
   void handle_registrations(TimePoint now, const wire::Envelope& envelope);
+  /// A leader answered this replica of late.
+  bool hears_leader(TimePoint now) const;
   /// Takes a registration that no entry must confirm: keeps it for the leader and answers it. False when the call is
   /// another, or is to be decided by the leader.
   bool take_registration(TimePoint now, const wire::ControlCall& call);
--- a/src/core/fleet/fleet_subscription.cc
+++ b/src/core/fleet/fleet_subscription.cc
@@ -1,6 +1,7 @@
 #include "core/fleet/fleet_subscription.h"
 
 #include <algorithm>
+#include <limits>
 #include <utility>
 
 #include "core/fleet/document_log.h"
@@ -215,6 +216,11 @@
   return lease_from_ != TimePoint::min() && document_.version > 0 && now - lease_from_ < options_.document_lease;
 }
 
+int64_t FleetSubscription::answer_age_ms(TimePoint now) const {
+  return last_answer_ == TimePoint::min() ? std::numeric_limits<int64_t>::max()
+                                          : (now - last_answer_) / milliseconds(1);
+}
+
 int64_t FleetSubscription::confirmed_age_ms(TimePoint now) const {
   if (lease_from_ == TimePoint::min() || document_.version == 0) {
     return -1;
--- a/src/core/fleet/fleet_subscription.h
+++ b/src/core/fleet/fleet_subscription.h
@@ -51,6 +51,8 @@
   bool has_lease(TimePoint now) const;
   /// Milliseconds since a leader knew the document held to be the newest, rounded up; negative when none ever did.
   int64_t confirmed_age_ms(TimePoint now) const;
+  /// Milliseconds since the last answer; the longest time there is when none ever came.
+  int64_t answer_age_ms(TimePoint now) const;
   int64_t document_version() const { return document_.version; }
   /// The document as it travels.
   const wire::DocumentChange& packed_document() const { return document_; }
--- a/tests/unit/distribution_test.cc
+++ b/tests/unit/distribution_test.cc
@@ -8,6 +8,7 @@
 #include "core/fleet/entry_distributor.h"
 #include "core/fleet/entry_reports.h"
 #include "core/fleet/entry_view.h"
+#include "core/fleet/fleet_controller.h"
 #include "core/fleet/registration_relay.h"
 #include "core/fleet/subscriber_table.h"
 
@@ -265,6 +266,30 @@
   EXPECT_EQ(relay.next_batch(kStart, "l1", 1)->reports.front().zone, "new");
 }
 
+wire::ControlCall heartbeat_call(const std::string& id) {
+  wire::ControlCall call;
+  call.kind = wire::ControlCallKind::HEARTBEAT;
+  call.instance_id = id;
+  call.body = R"({"service":"s","address":"10.0.2.1:80","call_seq":1})";
+  return call;
+}
+
+TEST(FleetController, AReplicaThatHearsNoLeaderSendsInstancesElsewhere) {
+  FleetController controller(FleetOptions(), control_identity(), {"10.0.0.2:1"}, 1);
+  const auto status_of = [&controller](TimePoint now) {
+    controller.submit(now, heartbeat_call("i1"));
+    const auto replies = controller.take_outputs().replies;
+    return replies.empty() ? 0 : replies.front().status;
+  };
+  EXPECT_EQ(status_of(kStart), 503);
+  wire::Envelope answer;
+  answer.from_node = "10.0.0.2:1";
+  answer.__isset.fleet_update = true;
+  controller.receive(kStart, answer);
+  EXPECT_EQ(status_of(kStart + milliseconds(900)), 200) << "an election may be under way";
+  EXPECT_EQ(status_of(kStart + milliseconds(1100)), 503) << "this replica is cut off";
+}
+
 // ------------------------------------------------------------ entry reports
 
 wire::Envelope report_of(const std::string& node, int in_flight, bool accuses, int64_t incarnation = 1) {
