--- a/src/core/fleet/entry_distributor.cc
+++ b/src/core/fleet/entry_distributor.cc
@@ -36,7 +36,8 @@
 void EntryDistributor::send(const std::string& node, wire::FleetUpdate update) {
   wire::Envelope envelope;
   envelope.to_node = node;
-  envelope.__set_fleet_update(std::move(update));
+  envelope.__isset.fleet_update = true;
+  envelope.fleet_update = std::move(update);
   envelopes_.push_back(std::move(envelope));
 }
 
--- a/src/node/slot_requester.cc
+++ b/src/node/slot_requester.cc
@@ -175,7 +175,8 @@
   report_is_due_ = false;
   wire::Envelope envelope;
   envelope.to_node = state_.subscription.leader();
-  envelope.__set_slot_report(std::move(report));
+  envelope.__isset.slot_report = true;
+  envelope.slot_report = std::move(report);
   send_(std::move(envelope));
 }
 
