Count loads under way once for all stagings

Cause: for each weight that a server might be told to load, the leader counted the loads of all forming groups anew: some hundred times each 40 ms with a look-up of 80 members, while groups are formed again after losses.

Change: counted once a plan. Decisions are the same.

--- a/src/core/fleet/group_formation.cc
+++ b/src/core/fleet/group_formation.cc
@@ -46,12 +46,11 @@
   return loads;
 }
 
-bool GroupSupervisor::may_load(TimePoint now, const document::EngineSpec& engine, const InstanceDirectory& directory,
-                               size_t loads) {
+GroupSupervisor::LoadCounts GroupSupervisor::count_loads(const InstanceDirectory& directory) const {
   const auto& rows = directory.rows();
   const auto finished = static_cast<size_t>(std::count_if(
       rows.begin(), rows.end(), [](const auto& item) { return !item.second.instance.staged_models.empty(); }));
-  return limiter_.may_begin(now, engine, loads, loads_under_way(directory), finished);
+  return {loads_under_way(directory), finished};
 }
 
 std::vector<ModelNeed> GroupSupervisor::needs_of(TimePoint now, const std::string& service,
@@ -158,27 +157,29 @@
 }
 
 bool GroupSupervisor::is_worth_a_load(const StagingPlan& plan, const document::EngineSpec& engine,
-                                      const InstanceDirectory& directory) const {
+                                      const LoadCounts& counts) const {
   if (plan.priority == LoadPriority::kRepair || !limiter_.traffic_seen()) {
     return true;
   }
   const int part = plan.priority == LoadPriority::kStandby ? kStandbyPart : kPrecautionPart;
-  return loads_under_way(directory) < static_cast<size_t>(engine.loads_at_once / part);
+  return counts.under_way < static_cast<size_t>(engine.loads_at_once / part);
 }
 
 void GroupSupervisor::stage_weights(TimePoint now, const document::EngineSpec& engine,
                                     const std::vector<StagingPlan>& plans, const InstanceDirectory& directory) {
   forget_finished_stagings(now, engine, directory);
+  LoadCounts counts = count_loads(directory);
   for (const auto& plan : plans) {
     const auto* instance = directory.find(plan.server);
-    if (instance == nullptr || staging_.contains(plan.server) || !is_worth_a_load(plan, engine, directory)) {
+    if (instance == nullptr || staging_.contains(plan.server) || !is_worth_a_load(plan, engine, counts)) {
       continue;
     }
     const size_t loads = plan.into_accelerators && has_staged(*instance, plan.model) ? 0 : 1;
-    if (!may_load(now, engine, directory, loads)) {
+    if (!limiter_.may_begin(now, engine, loads, counts.under_way, counts.finished)) {
       return;
     }
     limiter_.note_begun(now, loads);
+    ++counts.under_way;
     staging_[plan.server] = {plan.model, now, plan.into_accelerators};
     order_staging(now, plan, directory);
   }
@@ -218,7 +219,8 @@
   GroupPlanner planner(planner_input(now, service, engine, directory));
   bool changed = false;
   while (const auto plan = planner.next_group()) {
-    if (!may_load(now, engine, directory, plan->loads)) {
+    const LoadCounts counts = count_loads(directory);
+    if (!limiter_.may_begin(now, engine, plan->loads, counts.under_way, counts.finished)) {
       break;
     }
     planner.note_formed(*plan, form_group(now, service, *plan, directory));
--- a/src/core/fleet/group_supervisor.h
+++ b/src/core/fleet/group_supervisor.h
@@ -128,6 +128,11 @@
     bool head_fenced = false;
   };
 
+  struct LoadCounts {
+    size_t under_way = 0;
+    size_t finished = 0;
+  };
+
   bool advance(TimePoint now, Record& record, const InstanceDirectory& directory);
   bool advance_joining(TimePoint now, Record& record, const InstanceDirectory& directory);
   bool advance_opening(TimePoint now, Record& record, const InstanceDirectory& directory);
@@ -168,10 +173,10 @@
   void stage_weights(TimePoint now, const document::EngineSpec& engine, const std::vector<StagingPlan>& plans,
                      const InstanceDirectory& directory);
   void order_staging(TimePoint now, const StagingPlan& plan, const InstanceDirectory& directory);
-  bool is_worth_a_load(const StagingPlan& plan, const document::EngineSpec& engine,
-                       const InstanceDirectory& directory) const;
+  bool is_worth_a_load(const StagingPlan& plan, const document::EngineSpec& engine, const LoadCounts& counts) const;
   void forget_finished_stagings(TimePoint now, const document::EngineSpec& engine, const InstanceDirectory& directory);
-  bool may_load(TimePoint now, const document::EngineSpec& engine, const InstanceDirectory& directory, size_t loads);
+  /// Counts that the limits of loads depend on. Taken once for many plans: they cost a look at every instance.
+  LoadCounts count_loads(const InstanceDirectory& directory) const;
   size_t loads_under_way(const InstanceDirectory& directory) const;
   void send(TimePoint now, const InstanceOrder& order, const InstanceDirectory& directory);
   InstanceOrder order_for(OrderKind kind, const Record& record, const std::string& instance_id) const;
