--- a/src/node/target_finder.cc
+++ b/src/node/target_finder.cc
@@ -15,10 +15,8 @@
 constexpr auto kAwait = asio::as_tuple(asio::use_awaitable);
 /// Pause before looking for a target again.
 constexpr auto kTargetPause = std::chrono::milliseconds(20);
-/// Part of the latency objective that a first attempt may wait for a place before it is refused: told early, its caller
-/// may still be served elsewhere or later. Who was held until this entry had a lease, or has come back after a refusal,
-/// may wait for all of the objective: it is late already, another refusal would be its last, and after a fault all that
-/// were held come at once.
+/// Part of the latency objective that a request may wait for a place before it is refused; who was held until this
+/// entry had a lease may wait for all of it, since all that were held come at once.
 constexpr int kWaitingPart = 5;
 /// Part of the recent first events whose excess over the forecast is allowed for.
 constexpr double kExcessShare = 0.75;
@@ -36,8 +34,7 @@
     return request.due;
   }
   const Duration objective = request.route->target_latency;
-  const bool is_late_already = request.was_held || request.is_retry;
-  return std::min(request.due, request.admitted + (is_late_already ? objective : objective / kWaitingPart));
+  return std::min(request.due, request.admitted + (request.was_held ? objective : objective / kWaitingPart));
 }
 
 asio::awaitable<FoundTarget> TargetFinder::find(RelayedRequest& request) {
