Log whom a node without a leader asks, and when it finds one

Cause: a replica that never joined the log said nothing after its start, so nothing told whether it does not ask the leader or is passed over by it. Change: FleetSubscription counts whom it asked since the last answer, SearchReporter logs the counts once a second while nobody answers. No logic changed.

--- a/src/core/fleet/fleet_subscription.cc
+++ b/src/core/fleet/fleet_subscription.cc
@@ -87,6 +87,10 @@
   next_heartbeat_ = now + (is_searching(now) ? kSearchInterval : interval);
   wire::Envelope envelope;
   envelope.to_node = choose_target(now);
+  if (!is_searching(now)) {
+    asked_in_search_.clear();
+  }
+  ++asked_in_search_[envelope.to_node];
   envelope.__set_fleet_heartbeat(content);
   auto& heartbeat = envelope.fleet_heartbeat;
   heartbeat.sequence = next_sequence_++;
--- a/src/core/fleet/fleet_subscription.h
+++ b/src/core/fleet/fleet_subscription.h
@@ -65,11 +65,13 @@
   const std::string& leader() const { return leader_; }
   const std::vector<wire::ControlPeer>& peers() const { return peers_.all(); }
   const FleetIdentity& identity() const { return identity_; }
+  /// Nobody answered of late.
+  bool is_searching(TimePoint now) const;
+  /// Whom this node asked, and how often, since it last had an answer.
+  const std::map<std::string, int>& asked_in_search() const { return asked_in_search_; }
 
  private:
   bool is_entry() const { return identity_.serves_requests; }
-  /// Nobody answered of late.
-  bool is_searching(TimePoint now) const;
   /// Answers come, but from replicas that have no leader either.
   bool is_stale(TimePoint now) const;
   /// Whom the heartbeat that is due now goes to.
@@ -88,6 +90,7 @@
   std::string publisher_;
   int64_t next_sequence_ = 1;
   std::map<int64_t, TimePoint> asked_at_;
+  std::map<std::string, int> asked_in_search_;
   TimePoint next_heartbeat_ = TimePoint::min();
   TimePoint next_return_try_ = TimePoint::min();
   /// `leader_` was named by somebody and not asked yet.
--- a/src/node/control_process.cc
+++ b/src/node/control_process.cc
@@ -11,6 +11,7 @@
 #include "node/fleet_process.h"
 #include "node/logging.h"
 #include "node/replica_storage.h"
+#include "node/search_reporter.h"
 #include "wire/codec.h"
 
 namespace larchlever::node {
@@ -90,6 +91,7 @@
             [this](std::vector<consensus::RaftOutput> batches) { on_written(std::move(batches)); },
             [this](const std::string& reason) { on_storage_failure(reason); }),
         client_(executor),
+        search_(settings.name),
         api_(executor, [this](wire::ControlCall call) { return controller_.submit(monotonic_now(), std::move(call)); }),
         server_(executor, net::HttpServerOptions(), api_) {}
   ~ControlProcess() override { stop(); }
@@ -138,6 +140,7 @@
   net::PeerTransport transport_;
   ReplicaStorage storage_;
   net::HttpClient client_;
+  SearchReporter search_;
   ControlApi api_;
   net::HttpServer server_;
   /// Order of the fleet's state as last kept on disk.
@@ -381,6 +384,7 @@
     controller_.tick(monotonic_now());
     pump();
     report_changes();
+    search_.tick(monotonic_now(), controller_.subscription());
     report_instances();
     report_fleet();
     save_state();
--- a/src/node/entry_process.cc
+++ b/src/node/entry_process.cc
@@ -9,6 +9,7 @@
 #include "node/fleet_process.h"
 #include "node/logging.h"
 #include "node/request_relay.h"
+#include "node/search_reporter.h"
 
 namespace larchlever::node {
 
@@ -48,6 +49,7 @@
         settings_(settings),
         identity_(make_fleet_identity(settings)),
         state_(settings.options, identity_, settings.seed_peers, std::random_device()()),
+        search_(settings.name),
         transport_(executor, [this](wire::Envelope envelope) { receive(envelope); }),
         slots_(executor, state_, [this](wire::Envelope envelope) { send(std::move(envelope)); }),
         lease_(executor, state_),
@@ -96,6 +98,7 @@
   settings::FleetSettings settings_;
   fleet::FleetIdentity identity_;
   EntryState state_;
+  SearchReporter search_;
   net::PeerTransport transport_;
   SlotRequester slots_;
   LeaseGate lease_;
@@ -167,6 +170,7 @@
   if (auto heartbeat = state_.subscription.tick(now, content)) {
     send(std::move(*heartbeat));
   }
+  search_.tick(now, state_.subscription);
   const bool has_lease = state_.subscription.has_lease(now);
   if (has_lease != had_lease_) {
     had_lease_ = has_lease;
