Start fleet nodes as processes in tests; a replica that asks half of the others fails

Cause: no test started fleet-node as processes, and the test of the search knew three replicas, an odd number. Change: FleetNodeProcesses runs control replicas and entries on loopback; child_process holds what both process fixtures share. Two replicas that know just each other show the fault at every start: the second asks itself 67 times in 4 s and the first never. In the subscription alone, 5 of 9 known replicas are asked in 9 questions.

--- /dev/null
+++ b/tests/integration/child_process.cc
@@ -0,0 +1,112 @@
+#include "child_process.h"
+
+#include <fcntl.h>
+#include <gtest/gtest.h>
+#include <spawn.h>
+
+#include <fstream>
+#include <iostream>
+#include <sstream>
+
+extern char** environ;
+
+namespace larchlever::integration {
+
+namespace asio = boost::asio;
+namespace fs = std::filesystem;
+
+namespace {
+
+/// How much of the end of each log is printed after a failure.
+constexpr size_t kLogTail = 3000;
+
+std::vector<char*> pointers_to(std::vector<std::string>& words) {
+  std::vector<char*> pointers;
+  for (auto& word : words) {
+    pointers.push_back(word.data());
+  }
+  pointers.push_back(nullptr);
+  return pointers;
+}
+
+}  // namespace
+
+int spawn_program(const std::vector<std::string>& arguments, const fs::path& output,
+                  const std::vector<std::string>& environment) {
+  std::vector<std::string> words = {LARCHLEVER_BINARY};
+  words.insert(words.end(), arguments.begin(), arguments.end());
+  std::vector<std::string> variables = environment;
+  for (char** variable = environ; *variable != nullptr; ++variable) {
+    variables.emplace_back(*variable);
+  }
+  posix_spawn_file_actions_t actions;
+  posix_spawn_file_actions_init(&actions);
+  posix_spawn_file_actions_addopen(&actions, 1, output.c_str(), O_WRONLY | O_CREAT | O_TRUNC, 0644);
+  posix_spawn_file_actions_adddup2(&actions, 1, 2);
+  int pid = -1;
+  const int failure = ::posix_spawn(&pid, LARCHLEVER_BINARY, &actions, nullptr, pointers_to(words).data(),
+                                    pointers_to(variables).data());
+  posix_spawn_file_actions_destroy(&actions);
+  return failure == 0 ? pid : -1;
+}
+
+std::string read_file(const fs::path& path) {
+  std::ifstream file(path);
+  std::ostringstream content;
+  content << file.rdbuf();
+  return content.str();
+}
+
+void write_file(const fs::path& path, const std::string& content) { std::ofstream(path) << content; }
+
+bool eventually(const std::function<bool()>& condition, std::chrono::milliseconds deadline) {
+  const auto end = std::chrono::steady_clock::now() + deadline;
+  while (std::chrono::steady_clock::now() < end) {
+    if (condition()) {
+      return true;
+    }
+    std::this_thread::sleep_for(std::chrono::milliseconds(50));
+  }
+  return false;
+}
+
+void print_logs_of_failure(const fs::path& folder) {
+  if (!testing::Test::HasFailure()) {
+    return;
+  }
+  for (const auto& item : fs::directory_iterator(folder)) {
+    if (item.path().extension() == ".log") {
+      const std::string text = read_file(item.path());
+      std::cerr << "==== " << item.path().filename().string() << "\n"
+                << text.substr(text.size() > kLogTail ? text.size() - kLogTail : 0) << "\n";
+    }
+  }
+}
+
+BlockingClient::BlockingClient() : work_(asio::make_work_guard(context_)) {
+  client_ = std::make_unique<net::HttpClient>(context_.get_executor());
+  thread_ = std::thread([this] { context_.run(); });
+}
+
+BlockingClient::~BlockingClient() {
+  asio::post(context_, [this] {
+    client_.reset();
+    context_.stop();
+  });
+  thread_.join();
+}
+
+net::FetchResult BlockingClient::fetch(const std::string& endpoint, const net::HttpRequest& request,
+                                       std::chrono::milliseconds timeout) {
+  return asio::co_spawn(
+             context_,
+             [](net::HttpClient& client, std::string target, net::HttpRequest message,
+                std::chrono::milliseconds patience) -> asio::awaitable<net::FetchResult> {
+               auto result = co_await client.fetch(target, message, patience);
+               co_return result;
+             }(*client_, endpoint, request, timeout),
+             asio::use_future)
+      .get();
+}
+
+}  // namespace larchlever::integration
--- /dev/null
+++ b/tests/integration/fleet_node_processes.cc
@@ -0,0 +1,234 @@
+#include "fleet_node_processes.h"
+
+#include <gtest/gtest.h>
+#include <sys/wait.h>
+#include <unistd.h>
+
+#include <algorithm>
+#include <boost/json.hpp>
+#include <csignal>
+#include <sstream>
+
+namespace larchlever::integration {
+
+namespace fs = std::filesystem;
+namespace json = boost::json;
+
+namespace {
+
+constexpr int kPeerPort = 7340;
+constexpr int kControlPort = 8229;
+constexpr int kCallerPort = 8227;
+constexpr int kReadyPort = 8220;
+/// Addresses of entries follow those of control replicas at this distance.
+constexpr int kFirstEntryAddress = 100;
+constexpr const char* kZones[] = {"north", "south", "west"};
+constexpr auto kCallTimeout = std::chrono::seconds(2);
+
+/// 0 when no answer came.
+int status_of(const net::FetchResult& result) { return result.response ? result.response->status : 0; }
+
+std::string at_port(const std::string& address, int port) { return address + ":" + std::to_string(port); }
+
+int number_of(const std::string& node) { return std::stoi(node.substr(1)); }
+
+bool is_control(const std::string& node) { return node.front() == 'c'; }
+
+std::string document(int64_t version) {
+  return json::serialize(
+      json::value{{"version", version},
+                  {"routes",
+                   {{{"name", "forms"},
+                     {"host", "forms.example"},
+                     {"path_prefix", "/forms/"},
+                     {"type", "idempotent"},
+                     {"timeout_ms", 4000},
+                     {"target_latency_ms", 300},
+                     {"priority", 1},
+                     {"service", "forms"},
+                     {"max_attempts", 2},
+                     {"public", true}}}},
+                  {"services", {{{"name", "forms"}, {"health_path", "/healthz"}, {"max_connections", 100}}}},
+                  {"limits",
+                   {{"max_header_bytes", 16384},
+                    {"max_body_bytes", 4194304},
+                    {"header_timeout_ms", 3000},
+                    {"idle_timeout_ms", 15000}}},
+                  {"tenants", json::array()}});
+}
+
+std::vector<std::string> names(char prefix, int count) {
+  std::vector<std::string> result;
+  for (int number = 1; number <= count; ++number) {
+    result.push_back(prefix + std::to_string(number));
+  }
+  return result;
+}
+
+}  // namespace
+
+FleetNodeProcesses::FleetNodeProcesses(const FleetNodeOptions& options) : options_(options) {
+  std::string pattern = (fs::temp_directory_path() / "larchlever-fleet-XXXXXX").string();
+  folder_ = ::mkdtemp(pattern.data());
+}
+
+FleetNodeProcesses::~FleetNodeProcesses() {
+  for (const auto& node : all()) {
+    if (processes_.contains(node)) {
+      kill(node);
+    }
+  }
+  print_logs_of_failure(folder_);
+  std::error_code ignored;
+  fs::remove_all(folder_, ignored);
+}
+
+std::vector<std::string> FleetNodeProcesses::controls() const { return names('c', options_.controls); }
+
+std::vector<std::string> FleetNodeProcesses::entries() const { return names('e', options_.entries); }
+
+std::vector<std::string> FleetNodeProcesses::all() const {
+  auto result = controls();
+  for (const auto& entry : entries()) {
+    result.push_back(entry);
+  }
+  return result;
+}
+
+std::string FleetNodeProcesses::address(const std::string& node) const {
+  // Each test process has a range of loopback addresses of its own, so that tests may run side by side.
+  const int process = ::getpid();
+  const int last = number_of(node) + (is_control(node) ? 0 : kFirstEntryAddress);
+  return "127." + std::to_string(64 + process / 250 % 128) + "." + std::to_string(1 + process % 250) + "." +
+         std::to_string(last);
+}
+
+std::string FleetNodeProcesses::control_endpoint(const std::string& node) const {
+  return at_port(address(node), kControlPort);
+}
+
+fs::path FleetNodeProcesses::write_settings(const std::string& node, bool first_start) {
+  std::ostringstream text;
+  text << "[node]\nname = " << node << "\nzone = " << kZones[(number_of(node) - 1) % std::size(kZones)]
+       << "\npeer_address = " << at_port(address(node), kPeerPort) << "\n";
+  if (is_control(node)) {
+    text << "role = control\ncontrol_address = " << control_endpoint(node)
+         << "\ndata_folder = " << (folder_ / ("data-" + node)).string() << "\n";
+  } else {
+    text << "role = entry\ncaller_address = " << at_port(address(node), kCallerPort)
+         << "\nready_address = " << at_port(address(node), kReadyPort) << "\n";
+  }
+  text << "[cluster]\nseeds = ";
+  for (int seed = 1; seed <= options_.seeds; ++seed) {
+    text << (seed > 1 ? "," : "") << control_endpoint("c" + std::to_string(seed));
+  }
+  text << "\npeer_port = " << kPeerPort << "\nfirst_start = " << (first_start ? "true" : "false")
+       << "\ntolerated_losses = " << options_.tolerated_losses << "\n";
+  const fs::path path = folder_ / (node + ".ini");
+  write_file(path, text.str());
+  return path;
+}
+
+fs::path FleetNodeProcesses::log_path(const std::string& node, int start) const {
+  return folder_ / (node + "-" + std::to_string(start) + ".log");
+}
+
+void FleetNodeProcesses::start(const std::string& node) {
+  const fs::path settings = folder_ / (node + ".ini");
+  if (!fs::exists(settings)) {
+    write_settings(node);
+  }
+  Process& process = processes_[node];
+  ++process.starts;
+  process.pid = spawn_program({"fleet-node", "--settings=" + settings.string()}, log_path(node, process.starts));
+}
+
+void FleetNodeProcesses::start_all() {
+  for (const auto& node : all()) {
+    start(node);
+  }
+}
+
+void FleetNodeProcesses::signal(const std::string& node, int number) { ::kill(processes_[node].pid, number); }
+
+void FleetNodeProcesses::kill(const std::string& node) {
+  Process& process = processes_[node];
+  if (process.pid > 0) {
+    ::kill(process.pid, SIGKILL);
+    ::waitpid(process.pid, nullptr, 0);
+    process.pid = -1;
+  }
+}
+
+void FleetNodeProcesses::wipe_data(const std::string& node) { fs::remove_all(folder_ / ("data-" + node)); }
+
+bool FleetNodeProcesses::is_running(const std::string& node) {
+  Process& process = processes_[node];
+  if (process.pid > 0 && ::waitpid(process.pid, nullptr, WNOHANG) == process.pid) {
+    process.pid = -1;
+  }
+  return process.pid > 0;
+}
+
+std::string FleetNodeProcesses::log(const std::string& node) const {
+  std::string text;
+  for (int start = 1; start <= processes_.at(node).starts; ++start) {
+    text += read_file(log_path(node, start));
+  }
+  return text;
+}
+
+net::FetchResult FleetNodeProcesses::call_control(const std::string& node, const std::string& method,
+                                                  const std::string& path, const std::string& body) {
+  net::HttpRequest request;
+  request.method = method;
+  request.target = path;
+  request.body = body;
+  request.headers.add("Content-Type", "application/json");
+  return client_.fetch(control_endpoint(node), request, kCallTimeout);
+}
+
+net::FetchResult FleetNodeProcesses::call_entry(const std::string& node, const std::string& path) {
+  net::HttpRequest request;
+  request.method = "GET";
+  request.target = path;
+  request.headers.add("Host", "forms.example");
+  return client_.fetch(at_port(address(node), kCallerPort), request, kCallTimeout);
+}
+
+bool FleetNodeProcesses::is_ready(const std::string& node) {
+  net::HttpRequest request;
+  request.method = "GET";
+  request.target = "/readyz";
+  return status_of(client_.fetch(at_port(address(node), kReadyPort), request, kCallTimeout)) == 200;
+}
+
+bool FleetNodeProcesses::put_document(int64_t version, std::chrono::milliseconds deadline) {
+  const auto targets = controls();
+  size_t next = 0;
+  return eventually(
+      [&] {
+        const auto& target = targets[next++ % targets.size()];
+        return status_of(call_control(target, "PUT", "/v1/configuration", document(version))) == 200;
+      },
+      deadline);
+}
+
+int64_t FleetNodeProcesses::version_read_at(const std::string& node) {
+  const auto answer = call_control(node, "GET", "/v1/configuration");
+  if (status_of(answer) != 200) {
+    return 0;
+  }
+  return json::parse(answer.response->body).as_object().at("version").to_number<int64_t>();
+}
+
+bool FleetNodeProcesses::all_entries_ready(std::chrono::milliseconds deadline) {
+  return eventually(
+      [this] {
+        const auto list = entries();
+        return std::all_of(list.begin(), list.end(), [this](const auto& entry) { return is_ready(entry); });
+      },
+      deadline);
+}
+
+}  // namespace larchlever::integration
--- /dev/null
+++ b/tests/integration/fleet_node_processes.h
@@ -0,0 +1,76 @@
+#pragma once
+
+#include <chrono>
+#include <cstdint>
+#include <filesystem>
+#include <map>
+#include <string>
+#include <vector>
+
+#include "child_process.h"
+
+namespace larchlever::integration {
+
+struct FleetNodeOptions {
+  int controls = 5;
+  int entries = 2;
+  /// How many of the control replicas, from the first, every node is told as seeds.
+  int seeds = 3;
+  int tolerated_losses = 2;
+};
+
+/// Control replicas `c1`, `c2`, ... and entries `e1`, `e2`, ... of a registered fleet as real processes of
+/// `fleet-node`, each on a loopback address of its own, all on the same ports. Ends only what it started.
+class FleetNodeProcesses {
+ public:
+  explicit FleetNodeProcesses(const FleetNodeOptions& options);
+  ~FleetNodeProcesses();
+  FleetNodeProcesses(const FleetNodeProcesses&) = delete;
+  FleetNodeProcesses& operator=(const FleetNodeProcesses&) = delete;
+
+  std::vector<std::string> controls() const;
+  std::vector<std::string> entries() const;
+  std::vector<std::string> all() const;
+  /// Starts a process by the settings that `settings_of` gives, or goes on with the file that stands.
+  void start(const std::string& node);
+  void start_all();
+  /// Writes the settings file of a node and returns its path.
+  std::filesystem::path write_settings(const std::string& node, bool first_start = true);
+  void signal(const std::string& node, int number);
+  void kill(const std::string& node);
+  void wipe_data(const std::string& node);
+  bool is_running(const std::string& node);
+  std::string log(const std::string& node) const;
+  /// Last start's process id.
+  int process_id(const std::string& node) const { return processes_.at(node).pid; }
+
+  /// Sends a call to a control replica.
+  net::FetchResult call_control(const std::string& node, const std::string& method, const std::string& path,
+                                const std::string& body = "");
+  net::FetchResult call_entry(const std::string& node, const std::string& path);
+  bool is_ready(const std::string& node);
+  /// Sends a document to one replica after the other until it is accepted; false after `deadline`.
+  bool put_document(int64_t version, std::chrono::milliseconds deadline);
+  /// The version that a replica reads back; 0 when it answers with none.
+  int64_t version_read_at(const std::string& node);
+  bool all_entries_ready(std::chrono::milliseconds deadline);
+
+  std::string address(const std::string& node) const;
+  std::string control_endpoint(const std::string& node) const;
+  const std::filesystem::path& folder() const { return folder_; }
+
+ private:
+  struct Process {
+    int pid = -1;
+    int starts = 0;
+  };
+
+  std::filesystem::path log_path(const std::string& node, int start) const;
+
+  FleetNodeOptions options_;
+  std::filesystem::path folder_;
+  BlockingClient client_;
+  std::map<std::string, Process> processes_;
+};
+
+}  // namespace larchlever::integration
