Move a search for the leader on in one place only

Cause: a control replica that was answered 'not the leader' moved on to the next known replica, and its next question, still searching, moved on again. Of an even number of replicas it so asked every other one for ever; whether the leader was among them was decided in the first milliseconds. Class: two owners of one cursor, a livelock of discovery. Change: the answer only forgets the asked replica; the next question alone chooses another. entry_agent, the search of the other control plane, steps in one place already.

--- a/src/core/fleet/fleet_subscription.cc
+++ b/src/core/fleet/fleet_subscription.cc
@@ -117,7 +117,9 @@
     hint_leader(update.leader);
   }
   if (envelope.from_node == leader_) {
-    leader_ = peers_.next();
+    // Only the next question moves on to another replica. Moving on here as well would ask every other one of an even
+    // number of replicas, over and over, and perhaps never the leader.
+    leader_.clear();
   }
 }
 
