Take the settings file from the environment, and try a failed start again

Cause: fleet-node knew its settings file by a flag alone, and the deploy file gave that flag one fixed path; and a process that could not bind an address at once ended. A start that fails is tried again every 0.2 s for 30 s, with a log line each time; addresses are bound before the data folder is touched. The test of the taken port no longer lets the started processes inherit its socket.

--- a/src/cli/command_line.cc
+++ b/src/cli/command_line.cc
@@ -6,7 +6,8 @@
 
 #include "cli/flags.h"
 
-DEFINE_string(settings, "", "settings file (serve, bootstrap, check-settings, emulate)");
+DEFINE_string(settings, "",
+              "settings file of a node or of stand-ins; default: what the variable LARCHLEVER_CONFIG names");
 DEFINE_string(node, "127.0.0.1:7300", "admin address of any node, IP:PORT; several separated by commas");
 DEFINE_string(output, "table", "table or json");
 DEFINE_string(operator_name, "", "who makes the change; default: the USER variable");
--- a/src/cli/serve_commands.cc
+++ b/src/cli/serve_commands.cc
@@ -1,5 +1,6 @@
 #include <boost/asio.hpp>
 #include <csignal>
+#include <cstdlib>
 #include <filesystem>
 #include <iostream>
 
@@ -20,19 +21,41 @@
 
 namespace {
 
+/// Names the settings file where no flag does: platforms that run several nodes on a machine set it for each.
+constexpr const char* kSettingsVariable = "LARCHLEVER_CONFIG";
+
+/// The settings file that the flag names, else the environment; empty when neither does.
+std::string settings_path() {
+  if (!FLAGS_settings.empty()) {
+    return FLAGS_settings;
+  }
+  const char* path = std::getenv(kSettingsVariable);
+  return path == nullptr ? std::string() : path;
+}
+
 void print_faults(const std::vector<std::string>& faults) {
   for (const auto& fault : faults) {
-    std::cerr << FLAGS_settings << ": " << fault << "\n";
+    std::cerr << settings_path() << ": " << fault << "\n";
   }
 }
 
-std::optional<settings::NodeSettings> load_settings() {
-  std::vector<std::string> faults;
-  if (FLAGS_settings.empty()) {
-    std::cerr << "larchlever: name the settings file with --settings FILE\n";
+/// The text of the settings file. Nothing, with the reason printed, when none is named or it cannot be read.
+std::optional<std::string> read_settings() {
+  const std::string path = settings_path();
+  if (path.empty()) {
+    std::cerr << "larchlever: name the settings file with --settings FILE or in the variable " << kSettingsVariable
+              << "\n";
     return std::nullopt;
   }
-  const auto text = settings::read_text_file(FLAGS_settings, faults);
+  std::vector<std::string> faults;
+  auto text = settings::read_text_file(path, faults);
+  print_faults(faults);
+  return text;
+}
+
+std::optional<settings::NodeSettings> load_settings() {
+  std::vector<std::string> faults;
+  const auto text = read_settings();
   auto parsed = text ? settings::parse_node_settings(*text, faults) : std::nullopt;
   print_faults(faults);
   return parsed;
@@ -44,7 +67,7 @@
   if (!load_settings()) {
     return kExitInvalid;
   }
-  std::cout << FLAGS_settings << ": no faults\n";
+  std::cout << settings_path() << ": no faults\n";
   return kExitDone;
 }
 
@@ -99,10 +122,15 @@
 namespace {
 
 constexpr auto kSettingsCheckInterval = std::chrono::seconds(1);
+/// Pause before a start that failed is tried again. What stood in its way, most likely a predecessor that still holds a
+/// port, is gone within its grace.
+constexpr auto kStartRetryPause = std::chrono::milliseconds(200);
+/// Longest time for which a start is tried again: well over the time in which platforms end a predecessor by force.
+constexpr auto kStartPatience = std::chrono::seconds(30);
 
 std::optional<settings::FleetSettings> load_fleet_settings() {
   std::vector<std::string> faults;
-  const auto text = settings::read_text_file(FLAGS_settings, faults);
+  const auto text = read_settings();
   auto parsed = text ? settings::parse_fleet_settings(*text, faults) : std::nullopt;
   if (parsed && node::find_dialect(parsed->dialect) == nullptr) {
     faults.push_back("[node] dialect = '" + parsed->dialect + "': unknown; use larchlever, or the name of an adapter");
@@ -116,34 +144,62 @@
 class FleetNodeRunner {
  public:
   explicit FleetNodeRunner(const settings::FleetSettings& settings)
-      : context_(1), signals_(context_, SIGTERM, SIGINT, SIGHUP), check_timer_(context_) {
-    process_ = settings.role == settings::FleetRole::kEntry
-                   ? node::make_entry_process(context_.get_executor(), settings)
-                   : node::make_control_process(context_.get_executor(), settings);
-  }
+      : context_(1),
+        signals_(context_, SIGTERM, SIGINT, SIGHUP),
+        check_timer_(context_),
+        start_timer_(context_),
+        settings_(settings) {}
 
   int run() {
-    std::string error;
-    if (!process_->start(error)) {
-      std::cerr << "larchlever: " << error << "\n";
-      return kExitFailed;
-    }
     written_at_ = settings_time();
+    start_deadline_ = std::chrono::steady_clock::now() + kStartPatience;
     await_signal();
-    await_check();
+    try_start();
     context_.run();
-    return kExitDone;
+    return exit_code_;
   }
 
  private:
   static std::filesystem::file_time_type settings_time() {
     std::error_code ignored;
-    return std::filesystem::last_write_time(FLAGS_settings, ignored);
+    return std::filesystem::last_write_time(settings_path(), ignored);
+  }
+
+  /// Starts the node; where that fails, tries again until the patience is over.
+  void try_start() {
+    auto process = settings_.role == settings::FleetRole::kEntry
+                       ? node::make_entry_process(context_.get_executor(), settings_)
+                       : node::make_control_process(context_.get_executor(), settings_);
+    std::string error;
+    if (process->start(error)) {
+      process_ = std::move(process);
+      await_check();
+      return;
+    }
+    process->stop();
+    const bool gives_up = std::chrono::steady_clock::now() >= start_deadline_;
+    node::log_problem(settings_.name, "start_failed", {{"reason", error}, {"tried_again", gives_up ? "no" : "yes"}});
+    if (gives_up) {
+      exit_code_ = kExitFailed;
+      context_.stop();
+      return;
+    }
+    start_timer_.expires_after(kStartRetryPause);
+    start_timer_.async_wait([this](boost::system::error_code code) {
+      if (!code) {
+        try_start();
+      }
+    });
   }
 
   void reload() {
     written_at_ = settings_time();
-    if (const auto settings = load_fleet_settings()) {
+    const auto settings = load_fleet_settings();
+    if (!settings) {
+      return;
+    }
+    settings_ = *settings;
+    if (process_ != nullptr) {
       process_->reload(*settings);
     }
   }
@@ -177,14 +233,20 @@
   }
 
   asio::awaitable<void> stop() {
-    co_await process_->drain();
-    process_->stop();
+    if (process_ != nullptr) {
+      co_await process_->drain();
+      process_->stop();
+    }
     context_.stop();
   }
 
   asio::io_context context_;
   asio::signal_set signals_;
   asio::steady_timer check_timer_;
+  asio::steady_timer start_timer_;
+  settings::FleetSettings settings_;
+  std::chrono::steady_clock::time_point start_deadline_;
+  int exit_code_ = kExitDone;
   std::filesystem::file_time_type written_at_;
   std::unique_ptr<node::FleetProcess> process_;
 };
@@ -204,7 +266,7 @@
 
 int run_emulate() {
   std::vector<std::string> faults;
-  const auto text = settings::read_text_file(FLAGS_settings, faults);
+  const auto text = read_settings();
   const auto parsed = text ? emulator::parse_fleet_settings(*text, faults) : std::nullopt;
   print_faults(faults);
   if (!parsed) {
--- a/src/node/control_process.cc
+++ b/src/node/control_process.cc
@@ -164,7 +164,9 @@
 
 bool ControlProcess::start(std::string& error) {
   const auto [host, port] = net::split_endpoint(settings_.peer_address);
-  if (!transport_.listen(host, static_cast<uint16_t>(std::stoi(port)), error)) {
+  // All addresses are bound before the data folder is touched, so that a start that fails on one leaves no trace.
+  if (!transport_.listen(host, static_cast<uint16_t>(std::stoi(port)), error) ||
+      !net::listen_on(server_, settings_.control_address, error)) {
     return false;
   }
   std::optional<wire::ReplicaAddress> founder;
@@ -175,9 +177,6 @@
     founder->zone = settings_.zone;
   }
   auto opened = storage_.open(founder, error);
-  if (!net::listen_on(server_, settings_.control_address, error)) {
-    return false;
-  }
   if (opened) {
     start_replica(std::move(*opened));
   } else {
--- a/tests/integration/fleet_node_start_test.cc
+++ b/tests/integration/fleet_node_start_test.cc
@@ -1,3 +1,4 @@
+#include <fcntl.h>
 #include <gtest/gtest.h>
 
 #include <random>
@@ -75,6 +76,7 @@
   const tcp::endpoint endpoint(boost::asio::ip::make_address(taken_by_another.substr(0, colon)),
                                static_cast<uint16_t>(std::stoi(taken_by_another.substr(colon + 1))));
   auto holder = std::make_unique<tcp::acceptor>(context, endpoint);
+  ASSERT_EQ(::fcntl(holder->native_handle(), F_SETFD, FD_CLOEXEC), 0) << "the processes started must not hold it too";
   fleet.start_all();
   EXPECT_TRUE(
       eventually([&] { return fleet.log("c1").find("cannot listen on") != std::string::npos; }, kStartPatience));
