Let any majority of the seeds agree on who makes the first log

Cause: the seed whose address sorted lowest, recognised by comparing texts, was the only one that could make the first log. While it was away, or spelled otherwise, nobody did, and no line said what was waited for; when it lost its disk and came back with the settings of the first start it made a second log. Change: ClusterFormation (pure; the simulator runs it too). Seeds tell each other their choice of a founder, kept on disk before it is told; whoever a majority has chosen founds. All choose the lowest seed they hear, at once when all are there, else after 1 s. Who holds a log says so, which ends it. Endpoints are compared in canonical spelling, a peer address nobody can dial is refused, cluster_not_formed names each second who is missing and the remedy. Batches still under way when a replica starts anew no longer report to it. Weighed: a fixed founder (what stood); all seeds as first voters under identities derived from their addresses (any two go on at once, but a seed that lost its disk would vote twice); a founder chosen anew after a silence (two logs when the first returns).

--- a/src/core/fleet/fleet_controller.cc
+++ b/src/core/fleet/fleet_controller.cc
@@ -30,8 +30,9 @@
                                  std::vector<std::string> seeds, uint64_t random_seed)
     : options_(options),
       identity_(identity),
+      seeds_(std::move(seeds)),
       random_seed_(random_seed),
-      subscription_(options, identity, std::move(seeds)),
+      subscription_(options, identity, seeds_),
       leader_(options, identity),
       distributor_(options),
       registrations_(options.instance_silence) {}
@@ -47,13 +48,54 @@
   raft_.emplace(replica_id, boot, options_.raft, std::move(persisted), random_seed_, now);
 }
 
-bool FleetController::is_leader(TimePoint now) const {
-  return raft_ && raft_->is_ready_leader(now) && led_term_ == raft_->term();
+// ---------------------------------------------------------------- formation
+
+void FleetController::begin_forming(TimePoint now, const std::string& stored_choice) {
+  formation_.emplace(now, identity_.peer_address, seeds_, stored_choice);
+}
+
+void FleetController::choice_stored() {
+  if (formation_) {
+    formation_->choice_stored();
+  }
+}
+
+void FleetController::tick_formation(TimePoint now) {
+  if (!formation_) {
+    return;
+  }
+  if (holds_log() || formation_->is_over()) {
+    formation_.reset();
+    return;
+  }
+  for (auto& notice : formation_->tick(now)) {
+    send(std::move(notice));
+  }
+  outputs_.founder_choice = formation_->choice_to_store();
+  outputs_.founds_cluster = formation_->may_found();
+}
+
+void FleetController::handle_formation(TimePoint now, const wire::Envelope& envelope) {
+  if (formation_) {
+    formation_->receive(now, envelope.from_node, envelope.formation);
+  }
+  if (holds_log() && !envelope.formation.holds_log) {
+    wire::Envelope answer;
+    answer.to_node = envelope.from_node;
+    answer.__isset.formation = true;
+    answer.formation.holds_log = true;
+    send(std::move(answer));
+  }
 }
 
 // ------------------------------------------------------------------- inputs
 
+bool FleetController::is_leader(TimePoint now) const {
+  return raft_ && raft_->is_ready_leader(now) && led_term_ == raft_->term();
+}
+
 void FleetController::tick(TimePoint now) {
+  tick_formation(now);
   if (raft_) {
     raft_->tick(now);
     subscription_.hint_leader(leader_node());
@@ -88,6 +130,8 @@
       replica_routes_.note(envelope.raft.from_replica, envelope.from_node);
       raft_->step(now, envelope.raft);
     }
+  } else if (envelope.__isset.formation) {
+    handle_formation(now, envelope);
   } else if (envelope.__isset.fleet_heartbeat) {
     handle_heartbeat(now, envelope);
   } else if (envelope.__isset.fleet_update) {
--- a/src/core/fleet/fleet_controller.h
+++ b/src/core/fleet/fleet_controller.h
@@ -8,6 +8,7 @@
 
 #include "consensus/raft_node.h"
 #include "consensus/replica_routes.h"
+#include "core/fleet/cluster_formation.h"
 #include "core/fleet/document_log.h"
 #include "core/fleet/entry_distributor.h"
 #include "core/fleet/fleet_leader.h"
@@ -24,6 +25,11 @@
   std::vector<GroupDecision> decisions;
   /// Answers to calls submitted here.
   std::vector<wire::ControlCallReply> replies;
+  /// While a fleet forms: the founder that this seed chose, to be on disk before `FleetController::choice_stored`.
+  /// Handed out again until then.
+  std::optional<std::string> founder_choice;
+  /// This seed is to make the first log and start again on it, with `start_replica`. Handed out again until then.
+  bool founds_cluster = false;
 };
 
 /// All decisions of one control replica of a registered fleet: its part of the replicated log, the leader's work while
@@ -41,6 +47,12 @@
   /// `replica_failed`.
   void start_replica(TimePoint now, ReplicaId replica_id, Incarnation boot, consensus::PersistedState persisted);
   void replica_failed() { raft_.reset(); }
+  /// Takes part in forming a new fleet until this replica holds a log or hears of one. `stored_choice` is what the disk
+  /// holds of an earlier life's choice, empty if nothing.
+  void begin_forming(TimePoint now, const std::string& stored_choice);
+  void choice_stored();
+  /// Null unless this replica takes part in forming a fleet.
+  const ClusterFormation* formation() const { return formation_ ? &*formation_ : nullptr; }
   /// The fleet's state as this replica held it before it restarted; newer copies replace it.
   void restore_state(const wire::FleetState& state) { subscription_.restore_state(state); }
 
@@ -73,6 +85,9 @@
     TimePoint next_send{};
   };
 
+  bool holds_log() const { return raft_ && !raft_->replicas().voters.empty(); }
+  void handle_formation(TimePoint now, const wire::Envelope& envelope);
+  void tick_formation(TimePoint now);
   std::string leader_node() const { return raft_ ? raft_->leader_node() : ""; }
   /// Who leads as far as this replica knows, by the log or by its subscription.
   std::string known_leader() const;
@@ -100,12 +115,15 @@
 
   FleetOptions options_;
   FleetIdentity identity_;
+  /// Peer addresses of the seeds, as the settings named them at the start.
+  std::vector<std::string> seeds_;
   uint64_t random_seed_;
   FleetSubscription subscription_;
   FleetLeader leader_;
   EntryDistributor distributor_;
   RegistrationRelay registrations_;
   std::optional<consensus::RaftNode> raft_;
+  std::optional<ClusterFormation> formation_;
   DocumentLog log_;
   int64_t led_term_ = -1;
   int64_t last_snapshot_index_ = 0;
--- a/src/node/control_process.cc
+++ b/src/node/control_process.cc
@@ -27,6 +27,8 @@
 constexpr auto kOrderConnectTimeout = std::chrono::milliseconds(400);
 /// How often the leader logs a summary of the fleet.
 constexpr Duration kFleetReportInterval = seconds(1);
+/// How often a seed logs what it waits for while the fleet is not formed.
+constexpr Duration kFormationReportInterval = seconds(1);
 /// Shortest time between two copies of the fleet's state on disk.
 constexpr Duration kStateSaveInterval = milliseconds(400);
 /// Pause before a failed data folder is opened again: a full disk may have room by then.
@@ -117,8 +119,17 @@
     if (const auto copy = wire::decode<wire::FleetState>(opened.copy)) {
       controller_.restore_state(*copy);
     }
+    // A seed that was stopped before the fleet was formed goes on with it, whatever later settings say.
+    const bool forms = !opened.holds_log() && (settings_.may_found_cluster() || opened.formation);
+    const std::string choice = opened.formation.value_or("");
     controller_.start_replica(monotonic_now(), opened.replica_id, opened.boot, std::move(opened.persisted));
+    if (forms) {
+      controller_.begin_forming(monotonic_now(), choice);
+    }
   }
+  void store_choice(const std::string& choice);
+  void found_cluster();
+  void report_formation();
   void save_state();
   void on_written(std::vector<consensus::RaftOutput> batches);
   void on_storage_failure(const std::string& reason);
@@ -148,6 +159,7 @@
   TimePoint next_save_{};
   bool was_leader_ = false;
   TimePoint next_fleet_report_{};
+  TimePoint next_formation_report_{};
   /// What was last logged of an instance; a difference is logged.
   struct ReportedInstance {
     wire::InstanceState::type state = wire::InstanceState::READY;
@@ -169,14 +181,7 @@
       !net::listen_on(server_, settings_.control_address, error)) {
     return false;
   }
-  std::optional<wire::ReplicaAddress> founder;
-  if (settings_.founds_cluster()) {
-    founder.emplace();
-    founder->replica_id = new_replica_id().value();
-    founder->node = settings_.peer_address;
-    founder->zone = settings_.zone;
-  }
-  auto opened = storage_.open(founder, error);
+  auto opened = storage_.open(error);
   if (opened) {
     start_replica(std::move(*opened));
   } else {
@@ -187,7 +192,7 @@
             {{"role", "control"},
              {"zone", settings_.zone},
              {"peer", settings_.peer_address},
-             {"founds_cluster", founder ? "yes" : "no"}});
+             {"forms_cluster", controller_.formation() != nullptr ? "yes" : "no"}});
   return true;
 }
 
@@ -215,7 +220,7 @@
     }
     storage_.close();
     std::string error;
-    auto opened = storage_.open(std::nullopt, error);
+    auto opened = storage_.open(error);
     if (opened) {
       start_replica(std::move(*opened));
       co_return;
@@ -224,6 +229,44 @@
   }
 }
 
+void ControlProcess::store_choice(const std::string& choice) {
+  std::string error;
+  if (!storage_.store_formation(choice, error)) {
+    log_problem(settings_.name, "founder_not_stored", {{"founder", choice}, {"reason", error}});
+    return;  // Asked for again at the next tick.
+  }
+  log_event(settings_.name, "founder_chosen", {{"founder", choice}});
+  controller_.choice_stored();
+}
+
+void ControlProcess::found_cluster() {
+  std::string error;
+  auto opened = storage_.found(settings_.peer_address, settings_.zone, error);
+  if (!opened) {
+    on_storage_failure(error);
+    return;
+  }
+  log_event(settings_.name, "cluster_founded", {{"replica", std::to_string(opened->replica_id.value())}});
+  start_replica(std::move(*opened));
+}
+
+void ControlProcess::report_formation() {
+  const TimePoint now = monotonic_now();
+  const auto* formation = controller_.formation();
+  if (formation == nullptr || now < next_formation_report_) {
+    return;
+  }
+  const bool is_first = next_formation_report_ == TimePoint{};
+  next_formation_report_ = now + kFormationReportInterval;
+  if (!is_first) {
+    log_problem(settings_.name, "cluster_not_formed",
+                {{"seeds_heard", joined(formation->heard(now))},
+                 {"needed", std::to_string(formation->majority())},
+                 {"founder", formation->choice()},
+                 {"remedy", "start the seeds that are missing, or correct their addresses in the settings"}});
+  }
+}
+
 void ControlProcess::renew_identity() {
   std::string error;
   auto opened = storage_.renew_identity(error);
@@ -243,6 +286,12 @@
   for (auto& batch : outputs.storage) {
     storage_.submit(std::move(batch));
   }
+  if (outputs.founder_choice) {
+    store_choice(*outputs.founder_choice);
+  }
+  if (outputs.founds_cluster) {
+    found_cluster();
+  }
   for (auto& order : outputs.orders) {
     asio::co_spawn(executor_, send_order(std::move(order)), asio::detached);
   }
@@ -383,6 +432,7 @@
     controller_.tick(monotonic_now());
     pump();
     report_changes();
+    report_formation();
     search_.tick(monotonic_now(), controller_.subscription());
     report_instances();
     report_fleet();
--- a/src/node/replica_storage.cc
+++ b/src/node/replica_storage.cc
@@ -12,6 +12,7 @@
 namespace {
 
 constexpr const char* kBootFile = "boots";
+constexpr const char* kFormationFile = "formation";
 constexpr int kFileMode = 0644;
 
 }  // namespace
@@ -22,14 +23,22 @@
   return ReplicaId(static_cast<int64_t>((high | source()) >> 1U));
 }
 
-std::optional<storage::StorageError> found_cluster(storage::DataFolder& folder, const wire::ReplicaAddress& founder) {
-  const auto state = consensus::RaftNode::bootstrap(founder);
+namespace {
+
+std::optional<storage::StorageError> write_first_log(storage::DataFolder& folder,
+                                                     const consensus::PersistedState& first) {
   consensus::RaftOutput output;
-  output.hard_state = state.hard_state;
-  output.entries = state.entries;
+  output.hard_state = first.hard_state;
+  output.entries = first.entries;
+  return folder.write({&output});
+}
+
+}  // namespace
+
+std::optional<storage::StorageError> found_cluster(storage::DataFolder& folder, const wire::ReplicaAddress& founder) {
   auto problem = folder.assign_identity(ReplicaId(founder.replica_id));
   if (!problem) {
-    problem = folder.write({&output});
+    problem = write_first_log(folder, consensus::RaftNode::bootstrap(founder));
   }
   return problem;
 }
@@ -43,8 +52,7 @@
 
 ReplicaStorage::~ReplicaStorage() { close(); }
 
-std::optional<ReplicaStorage::Opened> ReplicaStorage::open(const std::optional<wire::ReplicaAddress>& founder,
-                                                           std::string& error) {
+std::optional<ReplicaStorage::Opened> ReplicaStorage::open(std::string& error) {
   storage::StorageError failure;
   auto folder = storage::DataFolder::open(path_, file_system_, failure);
   if (folder == nullptr) {
@@ -57,28 +65,54 @@
     return std::nullopt;
   }
   opened.boot = *boot;
-  if (folder->replica_id() != ReplicaId()) {
-    opened.replica_id = folder->replica_id();
-    opened.persisted = folder->take_recovered();
-    opened.copy = folder->read_copy();
-  } else {
-    const auto problem = founder ? found_cluster(*folder, *founder) : folder->assign_identity(new_replica_id());
-    if (problem) {
+  if (folder->replica_id() == ReplicaId()) {
+    if (const auto problem = folder->assign_identity(new_replica_id())) {
       error = problem->message;
       return std::nullopt;
     }
-    opened.replica_id = folder->replica_id();
-    if (founder) {
-      opened.persisted = consensus::RaftNode::bootstrap(*founder);
-    }
+  } else {
+    opened.persisted = folder->take_recovered();
+    opened.copy = folder->read_copy();
+  }
+  opened.replica_id = folder->replica_id();
+  if (opened.holds_log()) {
+    forget_formation();
+  } else {
+    opened.formation = read_formation();
+  }
+  start_worker(std::move(folder));
+  return opened;
+}
+
+std::optional<ReplicaStorage::Opened> ReplicaStorage::found(const std::string& node, const std::string& zone,
+                                                            std::string& error) {
+  auto folder = stop_worker();
+  if (folder == nullptr) {
+    error = "the data folder has failed";
+    return std::nullopt;
+  }
+  const auto boot = next_boot(error);
+  if (!boot) {
+    return std::nullopt;
+  }
+  Opened opened;
+  opened.boot = *boot;
+  opened.replica_id = folder->replica_id();
+  wire::ReplicaAddress founder;
+  founder.replica_id = opened.replica_id.value();
+  founder.node = node;
+  founder.zone = zone;
+  opened.persisted = consensus::RaftNode::bootstrap(founder);
+  if (const auto problem = write_first_log(*folder, opened.persisted)) {
+    error = problem->message;
+    return std::nullopt;
   }
   start_worker(std::move(folder));
   return opened;
 }
 
 std::optional<ReplicaStorage::Opened> ReplicaStorage::renew_identity(std::string& error) {
-  auto folder = worker_ ? worker_->stop() : nullptr;
-  worker_.reset();
+  auto folder = stop_worker();
   if (folder == nullptr) {
     error = "the data folder has failed";
     return std::nullopt;
@@ -87,6 +121,7 @@
   if (!boot) {
     return std::nullopt;
   }
+  forget_formation();  // A log stood here, so the fleet was formed.
   Opened opened;
   opened.boot = *boot;
   opened.replica_id = new_replica_id();
@@ -103,24 +138,54 @@
   int64_t boot = 0;
   std::ifstream(file) >> boot;
   ++boot;
+  if (!write_small_file(kBootFile, std::to_string(boot) + "\n", error)) {
+    return std::nullopt;
+  }
+  return Incarnation(boot);
+}
+
+bool ReplicaStorage::write_small_file(const std::string& name, const std::string& text, std::string& error) const {
+  const std::string file = path_ + "/" + name;
   const std::string written = file + ".new";
-  const std::string text = std::to_string(boot) + "\n";
   const int descriptor = ::open(written.c_str(), O_WRONLY | O_CREAT | O_TRUNC | O_CLOEXEC, kFileMode);
   const bool stored =
       descriptor >= 0 && ::write(descriptor, text.data(), text.size()) == std::ssize(text) && ::fsync(descriptor) == 0;
   if (descriptor >= 0) {
     ::close(descriptor);
   }
-  if (!stored || ::rename(written.c_str(), file.c_str()) != 0) {
+  if (!stored || ::rename(written.c_str(), file.c_str()) != 0 || !sync_folder()) {
     error = "cannot write " + file + "; free space on the disk or correct its permissions";
-    return std::nullopt;
+    return false;
   }
+  return true;
+}
+
+bool ReplicaStorage::sync_folder() const {
   const int folder = ::open(path_.c_str(), O_RDONLY | O_DIRECTORY | O_CLOEXEC);
+  const bool synced = folder >= 0 && ::fsync(folder) == 0;
   if (folder >= 0) {
-    ::fsync(folder);
     ::close(folder);
   }
-  return Incarnation(boot);
+  return synced;
+}
+
+bool ReplicaStorage::store_formation(const std::string& choice, std::string& error) {
+  return write_small_file(kFormationFile, choice + "\n", error);
+}
+
+std::optional<std::string> ReplicaStorage::read_formation() const {
+  std::ifstream file(path_ + "/" + kFormationFile);
+  std::string choice;
+  if (!file) {
+    return std::nullopt;
+  }
+  std::getline(file, choice);
+  return choice;
+}
+
+void ReplicaStorage::forget_formation() const {
+  // Where the removal is lost with the power, the folder holds a log all the same, and the next opening removes it.
+  ::unlink((path_ + "/" + kFormationFile).c_str());
 }
 
 void ReplicaStorage::start_worker(std::unique_ptr<storage::DataFolder> folder) {
@@ -155,9 +220,14 @@
   }
 }
 
-void ReplicaStorage::close() {
-  alive_ = std::make_shared<bool>(true);  // What is still under way reports to nobody.
+std::unique_ptr<storage::DataFolder> ReplicaStorage::stop_worker() {
+  // What is still under way reports to nobody: a replica that starts anew numbers its batches from the beginning.
+  alive_ = std::make_shared<bool>(true);
+  auto folder = worker_ ? worker_->stop() : nullptr;
   worker_.reset();
+  return folder;
 }
 
+void ReplicaStorage::close() { stop_worker(); }
+
 }  // namespace larchlever::node
--- a/src/node/replica_storage.h
+++ b/src/node/replica_storage.h
@@ -35,6 +35,10 @@
     Incarnation boot;
     /// What `submit_copy` kept last; empty when there is none.
     std::string copy;
+    /// What `store_formation` kept; nothing when this folder takes part in forming no fleet, or holds a log.
+    std::optional<std::string> formation;
+
+    bool holds_log() const { return !persisted.entries.empty() || persisted.snapshot.index > 0; }
   };
 
   ReplicaStorage(boost::asio::any_io_executor executor, std::string path, OnWritten on_written, OnFailure on_failure);
@@ -42,9 +46,13 @@
   ReplicaStorage(const ReplicaStorage&) = delete;
   ReplicaStorage& operator=(const ReplicaStorage&) = delete;
 
-  /// Opens the folder; an empty one gets an identity, and the first log when `founder` is given. Nothing with `error`
-  /// set when it cannot be opened.
-  std::optional<Opened> open(const std::optional<wire::ReplicaAddress>& founder, std::string& error);
+  /// Opens the folder; an empty one gets an identity. Nothing with `error` set when it cannot be opened.
+  std::optional<Opened> open(std::string& error);
+  /// Notes that this folder takes part in forming a new fleet, and which founder it chose; empty while it has not. On
+  /// disk when this returns; false with `error` set when it could not be written.
+  bool store_formation(const std::string& choice, std::string& error);
+  /// Makes the first log of a new fleet, whose only voter is this replica at `node`. The folder must hold no log.
+  std::optional<Opened> found(const std::string& node, const std::string& zone, std::string& error);
   /// Sets the log aside and starts an empty one under a new identity.
   std::optional<Opened> renew_identity(std::string& error);
   void submit(consensus::RaftOutput batch);
@@ -56,7 +64,14 @@
  private:
   /// Counts the openings on disk, since clocks may be set back. Nothing when the disk refuses.
   std::optional<Incarnation> next_boot(std::string& error);
+  /// Replaces a small file beside the log; on disk when this returns true.
+  bool write_small_file(const std::string& name, const std::string& text, std::string& error) const;
+  std::optional<std::string> read_formation() const;
+  void forget_formation() const;
+  bool sync_folder() const;
   void start_worker(std::unique_ptr<storage::DataFolder> folder);
+  /// Ends the worker once all submitted is written; what it has to report is dropped. Null when the folder failed.
+  std::unique_ptr<storage::DataFolder> stop_worker();
 
   boost::asio::any_io_executor executor_;
   std::string path_;
--- a/src/settings/fleet_settings.cc
+++ b/src/settings/fleet_settings.cc
@@ -23,6 +23,11 @@
 
 std::string host_of(const std::string& endpoint) { return endpoint.substr(0, endpoint.rfind(':')); }
 
+bool is_unspecified(const std::string& endpoint) {
+  const std::string host = host_of(endpoint);
+  return host == "0.0.0.0" || host == "[::]";
+}
+
 void read_node(const IniDocument& document, FleetSettings& settings, std::vector<std::string>& errors) {
   SectionReader node("node", document.find("node"), errors);
   settings.name = node.required_text("name");
@@ -30,6 +35,9 @@
   const auto role = node.choice("role", "entry", {"entry", "control"});
   settings.role = role == "control" ? FleetRole::kControl : FleetRole::kEntry;
   settings.peer_address = node.address("peer_address", true);
+  if (is_unspecified(settings.peer_address)) {
+    node.fault("peer_address", settings.peer_address, "no address that peers can dial; name the node's own IP");
+  }
   const bool is_entry = settings.role == FleetRole::kEntry;
   settings.caller_address = node.address("caller_address", is_entry);
   settings.ready_address = node.address("ready_address", is_entry);
@@ -59,7 +67,7 @@
       cluster.fault("seeds", seed, "not IP:PORT; list control addresses");
       continue;
     }
-    settings.seed_peers.push_back(host_of(seed) + ":" + std::to_string(peer_port));
+    settings.seed_peers.push_back(host_of(canonical_endpoint(seed)) + ":" + std::to_string(peer_port));
   }
   cluster.finish();
 }
@@ -91,9 +99,9 @@
 
 }  // namespace
 
-bool FleetSettings::founds_cluster() const {
-  const auto lowest = std::min_element(seeds.begin(), seeds.end());
-  return first_start && lowest != seeds.end() && *lowest == control_address;
+bool FleetSettings::may_found_cluster() const {
+  const bool is_seed = std::find(seed_peers.begin(), seed_peers.end(), peer_address) != seed_peers.end();
+  return first_start && role == FleetRole::kControl && is_seed;
 }
 
 std::optional<FleetSettings> parse_fleet_settings(const std::string& text, std::vector<std::string>& errors) {
--- a/src/settings/fleet_settings.h
+++ b/src/settings/fleet_settings.h
@@ -36,8 +36,8 @@
   std::string log_level = "info";
   fleet::FleetOptions options;
 
-  /// This replica makes the first log: it is first start, and of all seeds its address sorts lowest.
-  bool founds_cluster() const;
+  /// First start, and this replica is one of the seeds, which settle among them who makes the first log.
+  bool may_found_cluster() const;
 };
 
 /// Reads and checks a whole settings text. Returns nothing when there are faults; all of them are in `errors`.
--- a/src/settings/ini_document.cc
+++ b/src/settings/ini_document.cc
@@ -6,6 +6,8 @@
 #include <algorithm>
 #include <charconv>
 #include <cstdlib>
+#include <optional>
+#include <utility>
 
 namespace larchlever::settings {
 
@@ -159,8 +161,9 @@
   }
   if (!is_ip_endpoint(*value)) {
     fault(key, *value, "not an address; write IP:PORT with a literal IP, for example 10.0.0.1:7400");
+    return *value;
   }
-  return *value;
+  return canonical_endpoint(*value);
 }
 
 std::vector<std::string> SectionReader::list(const std::string& key) {
@@ -201,21 +204,37 @@
   }
 }
 
-bool is_ip_endpoint(std::string_view text) {
+namespace {
+
+/// Host and port of a literal endpoint, both in canonical spelling.
+std::optional<std::pair<std::string, int64_t>> parse_endpoint(std::string_view text) {
   const size_t colon = text.rfind(':');
-  if (colon == std::string_view::npos) {
-    return false;
-  }
   int64_t port = -1;
-  if (!parse_integer(text.substr(colon + 1), port) || port < 0 || port > 65535) {
-    return false;
+  if (colon == std::string_view::npos || !parse_integer(text.substr(colon + 1), port) || port < 0 || port > 65535) {
+    return std::nullopt;
   }
   std::string host(text.substr(0, colon));
-  unsigned char buffer[sizeof(in6_addr)];
-  if (host.size() > 2 && host.front() == '[' && host.back() == ']') {
-    return inet_pton(AF_INET6, host.substr(1, host.size() - 2).c_str(), buffer) == 1;
+  const bool is_bracketed = host.size() > 2 && host.front() == '[' && host.back() == ']';
+  const int family = is_bracketed ? AF_INET6 : AF_INET;
+  if (is_bracketed) {
+    host = host.substr(1, host.size() - 2);
+  }
+  in6_addr address{};
+  char spelled[INET6_ADDRSTRLEN] = {};
+  if (inet_pton(family, host.c_str(), &address) != 1 ||
+      inet_ntop(family, &address, spelled, sizeof(spelled)) == nullptr) {
+    return std::nullopt;
   }
-  return inet_pton(AF_INET, host.c_str(), buffer) == 1;
+  return std::pair(is_bracketed ? "[" + std::string(spelled) + "]" : std::string(spelled), port);
+}
+
+}  // namespace
+
+bool is_ip_endpoint(std::string_view text) { return parse_endpoint(text).has_value(); }
+
+std::string canonical_endpoint(std::string_view text) {
+  const auto parsed = parse_endpoint(text);
+  return parsed ? parsed->first + ":" + std::to_string(parsed->second) : std::string(text);
 }
 
 std::vector<std::string> split_list(std::string_view text) {
--- a/src/settings/ini_document.h
+++ b/src/settings/ini_document.h
@@ -42,7 +42,7 @@
   double fraction(const std::string& key, double fallback);
   /// A time as NUMBERms or NUMBERs, for example 2500ms or 2.5s; above 0.
   std::chrono::microseconds duration(const std::string& key, std::chrono::microseconds fallback);
-  /// IP:PORT with a literal IP address; empty when absent and not required.
+  /// IP:PORT with a literal IP address, in its canonical spelling; empty when absent and not required.
   std::string address(const std::string& key, bool required);
   std::vector<std::string> list(const std::string& key);
   std::string choice(const std::string& key, const std::string& fallback, const std::vector<std::string>& allowed);
@@ -63,6 +63,9 @@
 /// True for IP:PORT with a literal IPv4 or bracketed IPv6 address and a port up to 65535.
 bool is_ip_endpoint(std::string_view text);
 
+/// The one spelling of an endpoint that `is_ip_endpoint` accepts, so that equal endpoints are equal texts.
+std::string canonical_endpoint(std::string_view text);
+
 /// Comma-separated items, trimmed; empty items are dropped.
 std::vector<std::string> split_list(std::string_view text);
 
--- a/src/simulation/registered_fleet.cc
+++ b/src/simulation/registered_fleet.cc
@@ -95,7 +95,7 @@
 
 // ---------------------------------------------------------------- processes
 
-void RegisteredFleet::start_control(ControlNode& node, bool founds) {
+void RegisteredFleet::start_control(ControlNode& node) {
   fleet::FleetIdentity identity;
   identity.peer_address = node.name;
   identity.control_address = node.name;
@@ -106,22 +106,41 @@
   ++node.life;
   if (node.disk.replica_id() == ReplicaId()) {
     node.disk.assign_identity(ReplicaId(draw(1, INT64_MAX - 1)));
-    if (founds) {
-      wire::ReplicaAddress founder;
-      founder.replica_id = node.disk.replica_id().value();
-      founder.node = node.name;
-      const auto state = consensus::RaftNode::bootstrap(founder);
-      consensus::RaftOutput output;
-      output.hard_state = state.hard_state;
-      output.entries = state.entries;
-      node.disk.submit(output);
-      node.disk.sync_oldest();
-    }
   }
   node.controller->restore_state(node.saved_state);
+  start_replica(node);
+  // The settings are those of the first start, however often a replica starts and whatever it lost.
+  const bool is_seed = std::find(seeds.begin(), seeds.end(), node.name) != seeds.end();
+  if (is_seed && !holds_log(node)) {
+    node.controller->begin_forming(queue_.now(), node.founder_choice);
+  }
+}
+
+bool RegisteredFleet::holds_log(const ControlNode& node) {
+  return !node.disk.image().entries.empty() || node.disk.image().snapshot.index > 0;
+}
+
+void RegisteredFleet::start_replica(ControlNode& node) {
   node.controller->start_replica(queue_.now(), node.disk.replica_id(), Incarnation(++node.boots), node.disk.image());
 }
 
+void RegisteredFleet::found_cluster(ControlNode& node) {
+  trace(node.name + " founds");
+  ++result_.logs_founded;
+  wire::ReplicaAddress founder;
+  founder.replica_id = node.disk.replica_id().value();
+  founder.node = node.name;
+  const auto state = consensus::RaftNode::bootstrap(founder);
+  consensus::RaftOutput output;
+  output.hard_state = state.hard_state;
+  output.entries = state.entries;
+  node.disk.submit(output);
+  while (node.disk.in_flight() > 0) {
+    node.disk.sync_oldest();
+  }
+  start_replica(node);
+}
+
 void RegisteredFleet::stop_control(ControlNode& node, bool power_lost) {
   trace(node.name + " stops");
   node.up = false;
@@ -163,6 +182,13 @@
   for (const auto& order : outputs.orders) {
     send_order(node, order);
   }
+  if (outputs.founder_choice) {
+    node.founder_choice = *outputs.founder_choice;
+    node.controller->choice_stored();
+  }
+  if (outputs.founds_cluster) {
+    found_cluster(node);
+  }
   for (const auto& reply : outputs.replies) {
     const auto put = puts_.find({node.name, reply.id});
     if (put == puts_.end()) {
@@ -380,6 +406,9 @@
       result_.open_at_end += group.phase == wire::GroupPhase::OPEN ? 1 : 0;
     }
   }
+  if (result_.logs_founded != 1) {
+    violate("FORMATION: " + std::to_string(result_.logs_founded) + " logs were founded");
+  }
   if (leaders != 1) {
     violate("REST: " + std::to_string(leaders) + " leaders after the faults ended");
   }
@@ -407,7 +436,7 @@
       }
       queue_.after(milliseconds(draw(100, 900)), [this, &each] {
         if (!each.up) {
-          start_control(each, false);
+          start_control(each);
         }
       });
     }
@@ -427,10 +456,11 @@
     last_wipe_ = queue_.now();
     node.disk.lose();
     node.saved_state = {};
+    node.founder_choice.clear();
   }
   queue_.after(milliseconds(draw(100, 3000)), [this, &node] {
     if (!node.up) {
-      start_control(node, false);
+      start_control(node);
     }
   });
 }
@@ -479,7 +509,7 @@
   for (auto& node : controls_) {
     node.cut = false;
     if (!node.up) {
-      start_control(node, false);
+      start_control(node);
     }
   }
   for (auto& entry : entries_) {
@@ -528,7 +558,8 @@
     carry_outputs(node);
     if (node.controller->needs_new_identity()) {
       node.disk.assign_identity(ReplicaId(draw(1, INT64_MAX - 1)));
-      node.controller->start_replica(now, node.disk.replica_id(), Incarnation(++node.boots), node.disk.image());
+      node.founder_choice.clear();
+      start_replica(node);
     }
   }
   for (auto& entry : entries_) {
@@ -568,7 +599,7 @@
 
 RegisteredFleetResult RegisteredFleet::run() {
   for (size_t number = 0; number < controls_.size(); ++number) {
-    queue_.after(milliseconds(draw(0, 300)), [this, number] { start_control(controls_[number], number == 0); });
+    queue_.after(milliseconds(draw(0, 300)), [this, number] { start_control(controls_[number]); });
   }
   for (auto& place : places_) {
     place.instance = std::make_unique<SimulatedInstance>("i" + std::to_string(next_instance_++), place.address,
--- a/src/simulation/registered_fleet.h
+++ b/src/simulation/registered_fleet.h
@@ -40,11 +40,13 @@
   uint64_t groups_opened = 0;
   uint64_t faults = 0;
   uint64_t open_at_end = 0;
+  uint64_t logs_founded = 0;
 };
 
 /// A registered fleet in virtual time: five control replicas and three entries run the daemon's own FleetController and
 /// FleetSubscription over a network that delays, loses and cuts; servers carry out orders late, die and come back;
 /// operators send documents. Checked all the while:
+/// - the seeds found one log, whoever comes late or returns with an empty disk and the settings of the first start;
 /// - an acknowledged document is never lost, and nobody serves by an older one longer than the lease;
 /// - a head opens only when every member was ready under the group's name and epoch;
 /// - no server takes a join to another group while the head of its group is open;
@@ -62,6 +64,8 @@
     VirtualDisk disk;
     int64_t boots = 0;
     int64_t next_replica = 0;
+    /// Kept on its disk while the fleet forms.
+    std::string founder_choice;
     uint64_t life = 0;
     /// The fleet's state as last kept on disk, and when.
     wire::FleetState saved_state;
@@ -92,7 +96,10 @@
   Duration network_delay();
   bool linked(const std::string& left, const std::string& right) const;
 
-  void start_control(ControlNode& node, bool founds);
+  void start_control(ControlNode& node);
+  void start_replica(ControlNode& node);
+  void found_cluster(ControlNode& node);
+  static bool holds_log(const ControlNode& node);
   void stop_control(ControlNode& node, bool power_lost);
   void carry_outputs(ControlNode& node);
   void sync_disk(ControlNode& node, const consensus::RaftOutput& batch);
--- a/src/wire/gen-cpp/larchlever_types.cpp
+++ b/src/wire/gen-cpp/larchlever_types.cpp
@@ -15531,6 +15531,129 @@
 }
 
 
+FormationNotice::~FormationNotice() noexcept {
+}
+
+
+void FormationNotice::__set_choice(const std::string& val) {
+  this->choice = val;
+}
+
+void FormationNotice::__set_holds_log(const bool val) {
+  this->holds_log = val;
+}
+std::ostream& operator<<(std::ostream& out, const FormationNotice& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t FormationNotice::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->choice);
+          this->__isset.choice = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->holds_log);
+          this->__isset.holds_log = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t FormationNotice::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("FormationNotice");
+
+  xfer += oprot->writeFieldBegin("choice", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->choice);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("holds_log", ::apache::thrift::protocol::T_BOOL, 2);
+  xfer += oprot->writeBool(this->holds_log);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(FormationNotice &a, FormationNotice &b) {
+  using ::std::swap;
+  swap(a.choice, b.choice);
+  swap(a.holds_log, b.holds_log);
+  swap(a.__isset, b.__isset);
+}
+
+FormationNotice::FormationNotice(const FormationNotice& other612) {
+  choice = other612.choice;
+  holds_log = other612.holds_log;
+  __isset = other612.__isset;
+}
+FormationNotice::FormationNotice(FormationNotice&& other613) noexcept {
+  choice = std::move(other613.choice);
+  holds_log = other613.holds_log;
+  __isset = other613.__isset;
+}
+FormationNotice& FormationNotice::operator=(const FormationNotice& other614) {
+  choice = other614.choice;
+  holds_log = other614.holds_log;
+  __isset = other614.__isset;
+  return *this;
+}
+FormationNotice& FormationNotice::operator=(FormationNotice&& other615) noexcept {
+  choice = std::move(other615.choice);
+  holds_log = other615.holds_log;
+  __isset = other615.__isset;
+  return *this;
+}
+void FormationNotice::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "FormationNotice(";
+  out << "choice=" << to_string(choice);
+  out << ", " << "holds_log=" << to_string(holds_log);
+  out << ")";
+}
+
+
 Envelope::~Envelope() noexcept {
 }
 
@@ -15626,6 +15749,11 @@
   this->registrations = val;
 __isset.registrations = true;
 }
+
+void Envelope::__set_formation(const FormationNotice& val) {
+  this->formation = val;
+__isset.formation = true;
+}
 std::ostream& operator<<(std::ostream& out, const Envelope& obj)
 {
   obj.printTo(out);
@@ -15806,6 +15934,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 20:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->formation.read(iprot);
+          this->__isset.formation = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -15915,6 +16051,11 @@
     xfer += this->registrations.write(oprot);
     xfer += oprot->writeFieldEnd();
   }
+  if (this->__isset.formation) {
+    xfer += oprot->writeFieldBegin("formation", ::apache::thrift::protocol::T_STRUCT, 20);
+    xfer += this->formation.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -15941,97 +16082,102 @@
   swap(a.slot_report, b.slot_report);
   swap(a.slot_answer, b.slot_answer);
   swap(a.registrations, b.registrations);
+  swap(a.formation, b.formation);
   swap(a.__isset, b.__isset);
 }
 
-Envelope::Envelope(const Envelope& other612) {
-  from_node = other612.from_node;
-  from_incarnation = other612.from_incarnation;
-  to_node = other612.to_node;
-  raft = other612.raft;
-  heartbeat = other612.heartbeat;
-  heartbeat_reply = other612.heartbeat_reply;
-  claim_request = other612.claim_request;
-  claim_reply = other612.claim_reply;
-  resolution = other612.resolution;
-  operator_request = other612.operator_request;
-  operator_reply = other612.operator_reply;
-  resolution_reply = other612.resolution_reply;
-  fleet_heartbeat = other612.fleet_heartbeat;
-  fleet_update = other612.fleet_update;
-  control_call = other612.control_call;
-  control_call_reply = other612.control_call_reply;
-  slot_report = other612.slot_report;
-  slot_answer = other612.slot_answer;
-  registrations = other612.registrations;
-  __isset = other612.__isset;
-}
-Envelope::Envelope(Envelope&& other613) noexcept {
-  from_node = std::move(other613.from_node);
-  from_incarnation = other613.from_incarnation;
-  to_node = std::move(other613.to_node);
-  raft = std::move(other613.raft);
-  heartbeat = std::move(other613.heartbeat);
-  heartbeat_reply = std::move(other613.heartbeat_reply);
-  claim_request = std::move(other613.claim_request);
-  claim_reply = std::move(other613.claim_reply);
-  resolution = std::move(other613.resolution);
-  operator_request = std::move(other613.operator_request);
-  operator_reply = std::move(other613.operator_reply);
-  resolution_reply = std::move(other613.resolution_reply);
-  fleet_heartbeat = std::move(other613.fleet_heartbeat);
-  fleet_update = std::move(other613.fleet_update);
-  control_call = std::move(other613.control_call);
-  control_call_reply = std::move(other613.control_call_reply);
-  slot_report = std::move(other613.slot_report);
-  slot_answer = std::move(other613.slot_answer);
-  registrations = std::move(other613.registrations);
-  __isset = other613.__isset;
-}
-Envelope& Envelope::operator=(const Envelope& other614) {
-  from_node = other614.from_node;
-  from_incarnation = other614.from_incarnation;
-  to_node = other614.to_node;
-  raft = other614.raft;
-  heartbeat = other614.heartbeat;
-  heartbeat_reply = other614.heartbeat_reply;
-  claim_request = other614.claim_request;
-  claim_reply = other614.claim_reply;
-  resolution = other614.resolution;
-  operator_request = other614.operator_request;
-  operator_reply = other614.operator_reply;
-  resolution_reply = other614.resolution_reply;
-  fleet_heartbeat = other614.fleet_heartbeat;
-  fleet_update = other614.fleet_update;
-  control_call = other614.control_call;
-  control_call_reply = other614.control_call_reply;
-  slot_report = other614.slot_report;
-  slot_answer = other614.slot_answer;
-  registrations = other614.registrations;
-  __isset = other614.__isset;
-  return *this;
-}
-Envelope& Envelope::operator=(Envelope&& other615) noexcept {
-  from_node = std::move(other615.from_node);
-  from_incarnation = other615.from_incarnation;
-  to_node = std::move(other615.to_node);
-  raft = std::move(other615.raft);
-  heartbeat = std::move(other615.heartbeat);
-  heartbeat_reply = std::move(other615.heartbeat_reply);
-  claim_request = std::move(other615.claim_request);
-  claim_reply = std::move(other615.claim_reply);
-  resolution = std::move(other615.resolution);
-  operator_request = std::move(other615.operator_request);
-  operator_reply = std::move(other615.operator_reply);
-  resolution_reply = std::move(other615.resolution_reply);
-  fleet_heartbeat = std::move(other615.fleet_heartbeat);
-  fleet_update = std::move(other615.fleet_update);
-  control_call = std::move(other615.control_call);
-  control_call_reply = std::move(other615.control_call_reply);
-  slot_report = std::move(other615.slot_report);
-  slot_answer = std::move(other615.slot_answer);
-  registrations = std::move(other615.registrations);
-  __isset = other615.__isset;
+Envelope::Envelope(const Envelope& other616) {
+  from_node = other616.from_node;
+  from_incarnation = other616.from_incarnation;
+  to_node = other616.to_node;
+  raft = other616.raft;
+  heartbeat = other616.heartbeat;
+  heartbeat_reply = other616.heartbeat_reply;
+  claim_request = other616.claim_request;
+  claim_reply = other616.claim_reply;
+  resolution = other616.resolution;
+  operator_request = other616.operator_request;
+  operator_reply = other616.operator_reply;
+  resolution_reply = other616.resolution_reply;
+  fleet_heartbeat = other616.fleet_heartbeat;
+  fleet_update = other616.fleet_update;
+  control_call = other616.control_call;
+  control_call_reply = other616.control_call_reply;
+  slot_report = other616.slot_report;
+  slot_answer = other616.slot_answer;
+  registrations = other616.registrations;
+  formation = other616.formation;
+  __isset = other616.__isset;
+}
+Envelope::Envelope(Envelope&& other617) noexcept {
+  from_node = std::move(other617.from_node);
+  from_incarnation = other617.from_incarnation;
+  to_node = std::move(other617.to_node);
+  raft = std::move(other617.raft);
+  heartbeat = std::move(other617.heartbeat);
+  heartbeat_reply = std::move(other617.heartbeat_reply);
+  claim_request = std::move(other617.claim_request);
+  claim_reply = std::move(other617.claim_reply);
+  resolution = std::move(other617.resolution);
+  operator_request = std::move(other617.operator_request);
+  operator_reply = std::move(other617.operator_reply);
+  resolution_reply = std::move(other617.resolution_reply);
+  fleet_heartbeat = std::move(other617.fleet_heartbeat);
+  fleet_update = std::move(other617.fleet_update);
+  control_call = std::move(other617.control_call);
+  control_call_reply = std::move(other617.control_call_reply);
+  slot_report = std::move(other617.slot_report);
+  slot_answer = std::move(other617.slot_answer);
+  registrations = std::move(other617.registrations);
+  formation = std::move(other617.formation);
+  __isset = other617.__isset;
+}
+Envelope& Envelope::operator=(const Envelope& other618) {
+  from_node = other618.from_node;
+  from_incarnation = other618.from_incarnation;
+  to_node = other618.to_node;
+  raft = other618.raft;
+  heartbeat = other618.heartbeat;
+  heartbeat_reply = other618.heartbeat_reply;
+  claim_request = other618.claim_request;
+  claim_reply = other618.claim_reply;
+  resolution = other618.resolution;
+  operator_request = other618.operator_request;
+  operator_reply = other618.operator_reply;
+  resolution_reply = other618.resolution_reply;
+  fleet_heartbeat = other618.fleet_heartbeat;
+  fleet_update = other618.fleet_update;
+  control_call = other618.control_call;
+  control_call_reply = other618.control_call_reply;
+  slot_report = other618.slot_report;
+  slot_answer = other618.slot_answer;
+  registrations = other618.registrations;
+  formation = other618.formation;
+  __isset = other618.__isset;
+  return *this;
+}
+Envelope& Envelope::operator=(Envelope&& other619) noexcept {
+  from_node = std::move(other619.from_node);
+  from_incarnation = other619.from_incarnation;
+  to_node = std::move(other619.to_node);
+  raft = std::move(other619.raft);
+  heartbeat = std::move(other619.heartbeat);
+  heartbeat_reply = std::move(other619.heartbeat_reply);
+  claim_request = std::move(other619.claim_request);
+  claim_reply = std::move(other619.claim_reply);
+  resolution = std::move(other619.resolution);
+  operator_request = std::move(other619.operator_request);
+  operator_reply = std::move(other619.operator_reply);
+  resolution_reply = std::move(other619.resolution_reply);
+  fleet_heartbeat = std::move(other619.fleet_heartbeat);
+  fleet_update = std::move(other619.fleet_update);
+  control_call = std::move(other619.control_call);
+  control_call_reply = std::move(other619.control_call_reply);
+  slot_report = std::move(other619.slot_report);
+  slot_answer = std::move(other619.slot_answer);
+  registrations = std::move(other619.registrations);
+  formation = std::move(other619.formation);
+  __isset = other619.__isset;
   return *this;
 }
 void Envelope::printTo(std::ostream& out) const {
@@ -16056,6 +16202,7 @@
   out << ", " << "slot_report="; (__isset.slot_report ? (out << to_string(slot_report)) : (out << "<null>"));
   out << ", " << "slot_answer="; (__isset.slot_answer ? (out << to_string(slot_answer)) : (out << "<null>"));
   out << ", " << "registrations="; (__isset.registrations ? (out << to_string(registrations)) : (out << "<null>"));
+  out << ", " << "formation="; (__isset.formation ? (out << to_string(formation)) : (out << "<null>"));
   out << ")";
 }
 
--- a/src/wire/gen-cpp/larchlever_types.h
+++ b/src/wire/gen-cpp/larchlever_types.h
@@ -358,6 +358,8 @@
 
 class RegistrationBatch;
 
+class FormationNotice;
+
 class Envelope;
 
 typedef struct _ReplicaAddress__isset {
@@ -6034,8 +6036,69 @@
 
 std::ostream& operator<<(std::ostream& out, const RegistrationBatch& obj);
 
+typedef struct _FormationNotice__isset {
+  _FormationNotice__isset() : choice(false), holds_log(false) {}
+  bool choice :1;
+  bool holds_log :1;
+} _FormationNotice__isset;
+
+/**
+ * What a seed of a new fleet says to the others until one of them has made the first log.
+ */
+class FormationNotice : public virtual ::apache::thrift::TBase {
+ public:
+
+  FormationNotice(const FormationNotice&);
+  FormationNotice(FormationNotice&&) noexcept;
+  FormationNotice& operator=(const FormationNotice&);
+  FormationNotice& operator=(FormationNotice&&) noexcept;
+  FormationNotice() noexcept
+                  : choice(),
+                    holds_log(0) {
+  }
+
+  virtual ~FormationNotice() noexcept;
+  /**
+   * Peer address of the seed that the sender lets make the first log, as its disk holds it; empty while it has not chosen.
+   */
+  std::string choice;
+  /**
+   * The sender holds a log: the fleet exists.
+   */
+  bool holds_log;
+
+  _FormationNotice__isset __isset;
+
+  void __set_choice(const std::string& val);
+
+  void __set_holds_log(const bool val);
+
+  bool operator == (const FormationNotice & rhs) const
+  {
+    if (!(choice == rhs.choice))
+      return false;
+    if (!(holds_log == rhs.holds_log))
+      return false;
+    return true;
+  }
+  bool operator != (const FormationNotice &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const FormationNotice & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(FormationNotice &a, FormationNotice &b);
+
+std::ostream& operator<<(std::ostream& out, const FormationNotice& obj);
+
 typedef struct _Envelope__isset {
-  _Envelope__isset() : from_node(false), from_incarnation(false), to_node(false), raft(false), heartbeat(false), heartbeat_reply(false), claim_request(false), claim_reply(false), resolution(false), operator_request(false), operator_reply(false), resolution_reply(false), fleet_heartbeat(false), fleet_update(false), control_call(false), control_call_reply(false), slot_report(false), slot_answer(false), registrations(false) {}
+  _Envelope__isset() : from_node(false), from_incarnation(false), to_node(false), raft(false), heartbeat(false), heartbeat_reply(false), claim_request(false), claim_reply(false), resolution(false), operator_request(false), operator_reply(false), resolution_reply(false), fleet_heartbeat(false), fleet_update(false), control_call(false), control_call_reply(false), slot_report(false), slot_answer(false), registrations(false), formation(false) {}
   bool from_node :1;
   bool from_incarnation :1;
   bool to_node :1;
@@ -6055,6 +6118,7 @@
   bool slot_report :1;
   bool slot_answer :1;
   bool registrations :1;
+  bool formation :1;
 } _Envelope__isset;
 
 class Envelope : public virtual ::apache::thrift::TBase {
@@ -6090,6 +6154,7 @@
   SlotReport slot_report;
   SlotAnswer slot_answer;
   RegistrationBatch registrations;
+  FormationNotice formation;
 
   _Envelope__isset __isset;
 
@@ -6131,6 +6196,8 @@
 
   void __set_registrations(const RegistrationBatch& val);
 
+  void __set_formation(const FormationNotice& val);
+
   bool operator == (const Envelope & rhs) const
   {
     if (!(from_node == rhs.from_node))
@@ -6203,6 +6270,10 @@
       return false;
     else if (__isset.registrations && !(registrations == rhs.registrations))
       return false;
+    if (__isset.formation != rhs.__isset.formation)
+      return false;
+    else if (__isset.formation && !(formation == rhs.formation))
+      return false;
     return true;
   }
   bool operator != (const Envelope &rhs) const {
--- a/src/wire/larchlever.thrift
+++ b/src/wire/larchlever.thrift
@@ -741,6 +741,14 @@
   1: list<Instance> reports,
 }
 
+/** What a seed of a new fleet says to the others until one of them has made the first log. */
+struct FormationNotice {
+  /** Peer address of the seed that the sender lets make the first log, as its disk holds it; empty while it has not chosen. */
+  1: string choice,
+  /** The sender holds a log: the fleet exists. */
+  2: bool holds_log,
+}
+
 struct Envelope {
   1: string from_node,
   2: i64 from_incarnation,
@@ -761,4 +769,5 @@
   17: optional SlotReport slot_report,
   18: optional SlotAnswer slot_answer,
   19: optional RegistrationBatch registrations,
+  20: optional FormationNotice formation,
 }
--- a/tests/integration/fleet_node_start_test.cc
+++ b/tests/integration/fleet_node_start_test.cc
@@ -103,7 +103,7 @@
   fleet.start("c1");
   ASSERT_TRUE(fleet.put_document(7, kStartPatience));
   EXPECT_TRUE(eventually([&] { return fleet.version_read_at("c1") == 7; }, kStartPatience));
-  EXPECT_EQ(fleet.log("c1").find("founds_cluster=yes"), std::string::npos);
+  EXPECT_EQ(fleet.log("c1").find("event=cluster_founded"), std::string::npos);
 }
 
 }  // namespace
--- a/tests/unit/fleet_test.cc
+++ b/tests/unit/fleet_test.cc
@@ -523,10 +523,35 @@
   EXPECT_EQ(settings->options.document_lease, milliseconds(5500));
   EXPECT_EQ(settings->options.minimum_voters, 5U);
   EXPECT_EQ(settings->seed_peers.back(), "10.0.0.2:7000");
-  EXPECT_TRUE(settings->founds_cluster());
+  EXPECT_TRUE(settings->may_found_cluster());
   EXPECT_DOUBLE_EQ(settings->options.retry_ratio, 0.25);
 }
 
+std::optional<settings::FleetSettings> parse_addresses(const std::string& peer, const std::string& control,
+                                                       const std::string& seeds) {
+  std::vector<std::string> errors;
+  return settings::parse_fleet_settings(
+      "[node]\nname = c1\nzone = a\nrole = control\npeer_address = " + peer + "\ncontrol_address = " + control +
+          "\ndata_folder = /tmp/x\n[cluster]\nseeds = " + seeds + "\npeer_port = 7000\nfirst_start = true\n",
+      errors);
+}
+
+TEST(FleetSettings, ASeedKnowsItselfHoweverItsAddressIsSpelled) {
+  const auto any_address = parse_addresses("10.0.0.1:7000", "0.0.0.0:8000", "10.0.0.1:8000, 10.0.0.2:8000");
+  ASSERT_TRUE(any_address);
+  EXPECT_TRUE(any_address->may_found_cluster());
+  const auto long_port = parse_addresses("10.0.0.1:07000", "10.0.0.1:8000", "10.0.0.1:08000");
+  ASSERT_TRUE(long_port);
+  EXPECT_TRUE(long_port->may_found_cluster());
+  const auto version_6 = parse_addresses("[fd00:0:0::1]:7000", "[fd00::1]:8000", "[fd00::0001]:8000");
+  ASSERT_TRUE(version_6);
+  EXPECT_TRUE(version_6->may_found_cluster());
+  const auto no_seed = parse_addresses("10.0.0.3:7000", "10.0.0.3:8000", "10.0.0.1:8000, 10.0.0.2:8000");
+  ASSERT_TRUE(no_seed);
+  EXPECT_FALSE(no_seed->may_found_cluster());
+  EXPECT_FALSE(parse_addresses("0.0.0.0:7000", "10.0.0.3:8000", "10.0.0.1:8000")) << "peers cannot dial it";
+}
+
 TEST(FleetSettings, ReportsEveryFaultAtOnceWithItsRemedy) {
   std::vector<std::string> errors;
   EXPECT_FALSE(settings::parse_fleet_settings(
