--- a/tests/integration/child_process.cc
+++ b/tests/integration/child_process.cc
@@ -3,6 +3,7 @@
 #include <fcntl.h>
 #include <gtest/gtest.h>
 #include <spawn.h>
+#include <unistd.h>
 
 #include <fstream>
 #include <iostream>
@@ -29,10 +30,25 @@
   return pointers;
 }
 
+/// The writing end of a pipe that takes nothing more. Both ends stay open as long as the test runs.
+int full_pipe() {
+  static const int writing_end = [] {
+    int ends[2] = {-1, -1};
+    EXPECT_EQ(::pipe2(ends, O_CLOEXEC | O_NONBLOCK), 0);
+    const std::string filling(4096, '.');
+    while (::write(ends[1], filling.data(), filling.size()) > 0) {
+    }
+    // The processes under test get a pipe as any other: one whose writes block.
+    EXPECT_EQ(::fcntl(ends[1], F_SETFL, 0), 0);
+    return ends[1];
+  }();
+  return writing_end;
+}
+
 }  // namespace
 
 int spawn_program(const std::vector<std::string>& arguments, const fs::path& output,
-                  const std::vector<std::string>& environment) {
+                  const std::vector<std::string>& environment, StandardOutput kind) {
   std::vector<std::string> words = {LARCHLEVER_BINARY};
   words.insert(words.end(), arguments.begin(), arguments.end());
   std::vector<std::string> variables = environment;
@@ -41,8 +57,21 @@
   }
   posix_spawn_file_actions_t actions;
   posix_spawn_file_actions_init(&actions);
-  posix_spawn_file_actions_addopen(&actions, 1, output.c_str(), O_WRONLY | O_CREAT | O_TRUNC, 0644);
-  posix_spawn_file_actions_adddup2(&actions, 1, 2);
+  switch (kind) {
+    case StandardOutput::kFile:
+      posix_spawn_file_actions_addopen(&actions, 1, output.c_str(), O_WRONLY | O_CREAT | O_TRUNC, 0644);
+      posix_spawn_file_actions_adddup2(&actions, 1, 2);
+      break;
+    case StandardOutput::kFullPipe:
+      posix_spawn_file_actions_adddup2(&actions, full_pipe(), 1);
+      posix_spawn_file_actions_adddup2(&actions, full_pipe(), 2);
+      break;
+    case StandardOutput::kClosed:
+      for (const int descriptor : {0, 1, 2}) {
+        posix_spawn_file_actions_addclose(&actions, descriptor);
+      }
+      break;
+  }
   int pid = -1;
   const int failure = ::posix_spawn(&pid, LARCHLEVER_BINARY, &actions, nullptr, pointers_to(words).data(),
                                     pointers_to(variables).data());
--- a/tests/integration/child_process.h
+++ b/tests/integration/child_process.h
@@ -13,10 +13,19 @@
 
 namespace larchlever::integration {
 
-/// Starts the program under test with standard output and standard error going to `output`. `environment` is added to
-/// this process's own, as NAME=VALUE. Returns the process id, or -1.
+/// Where a process under test writes.
+enum class StandardOutput {
+  kFile,
+  /// Into a pipe that is full already and that nobody reads.
+  kFullPipe,
+  /// Standard input, output and error are closed.
+  kClosed,
+};
+
+/// Starts the program under test with standard output and standard error going to `output`, unless `kind` says
+/// otherwise. `environment` is added to this process's own, as NAME=VALUE. Returns the process id, or -1.
 int spawn_program(const std::vector<std::string>& arguments, const std::filesystem::path& output,
-                  const std::vector<std::string>& environment = {});
+                  const std::vector<std::string>& environment = {}, StandardOutput kind = StandardOutput::kFile);
 
 std::string read_file(const std::filesystem::path& path);
 void write_file(const std::filesystem::path& path, const std::string& content);
--- a/tests/integration/fleet_node_processes.cc
+++ b/tests/integration/fleet_node_processes.cc
@@ -134,17 +134,27 @@
 }
 
 void FleetNodeProcesses::spawn(const std::string& node, const std::vector<std::string>& arguments,
-                               const std::vector<std::string>& environment) {
+                               const std::vector<std::string>& environment, StandardOutput output) {
   if (!fs::exists(folder_ / (node + ".ini"))) {
     write_settings(node);
   }
   Process& process = processes_[node];
   ++process.starts;
-  process.pid = spawn_program(arguments, log_path(node, process.starts), environment);
+  process.pid = spawn_program(arguments, log_path(node, process.starts), environment, output);
 }
 
-void FleetNodeProcesses::start(const std::string& node) {
-  spawn(node, {"fleet-node", "--settings=" + (folder_ / (node + ".ini")).string()}, {});
+void FleetNodeProcesses::start(const std::string& node) { spawn(node, {"fleet-node", settings_flag(node)}, {}); }
+
+std::string FleetNodeProcesses::settings_flag(const std::string& node) const {
+  return "--settings=" + (folder_ / (node + ".ini")).string();
+}
+
+void FleetNodeProcesses::start_into_full_pipe(const std::string& node) {
+  spawn(node, {"fleet-node", settings_flag(node)}, {}, StandardOutput::kFullPipe);
+}
+
+void FleetNodeProcesses::start_without_descriptors(const std::string& node) {
+  spawn(node, {"fleet-node", settings_flag(node)}, {}, StandardOutput::kClosed);
 }
 
 void FleetNodeProcesses::start_by_environment(const std::string& node) {
--- a/tests/integration/fleet_node_processes.h
+++ b/tests/integration/fleet_node_processes.h
@@ -35,6 +35,9 @@
   void start(const std::string& node);
   /// The same, with the file named by the environment alone.
   void start_by_environment(const std::string& node);
+  /// The same, with a standard output that takes nothing.
+  void start_into_full_pipe(const std::string& node);
+  void start_without_descriptors(const std::string& node);
   void start_all();
   /// Writes the settings file of a node and returns its path.
   std::filesystem::path write_settings(const std::string& node, bool first_start = true);
@@ -68,7 +71,8 @@
   };
 
   void spawn(const std::string& node, const std::vector<std::string>& arguments,
-             const std::vector<std::string>& environment);
+             const std::vector<std::string>& environment, StandardOutput output = StandardOutput::kFile);
+  std::string settings_flag(const std::string& node) const;
   std::filesystem::path log_path(const std::string& node, int start) const;
 
   FleetNodeOptions options_;
--- a/tests/integration/fleet_node_start_test.cc
+++ b/tests/integration/fleet_node_start_test.cc
@@ -106,5 +106,46 @@
   EXPECT_EQ(fleet.log("c1").find("event=cluster_founded"), std::string::npos);
 }
 
+// The seed that makes the first log may lose its disk later and be started by the same settings again. It founded a
+// second log, of which it was the only voter, and never came back to the first; every call to it was answered 503.
+TEST(FleetNodeStart, ASeedThatLostItsDiskJoinsByTheSettingsOfTheFirstStart) {
+  FleetNodeProcesses fleet({});
+  fleet.start_all();
+  ASSERT_TRUE(fleet.put_document(7, kStartPatience));
+  ASSERT_TRUE(fleet.all_entries_ready(kStartPatience));
+  fleet.kill("c1");
+  fleet.wipe_data("c1");
+  fleet.start("c1");
+  EXPECT_TRUE(eventually([&] { return fleet.version_read_at("c1") == 7; }, kStartPatience));
+  ASSERT_TRUE(fleet.put_document(8, kStartPatience));
+  EXPECT_TRUE(eventually([&] { return fleet.version_read_at("c1") == 8; }, kStartPatience));
+}
+
+// Log lines go to standard output. When that is a pipe whose reader does not read, a blocking write stops the whole
+// process once the pipe is full, and with it leases, elections and every request.
+TEST(FleetNodeStart, ServesWhileNobodyReadsItsLog) {
+  FleetNodeProcesses fleet({});
+  for (const auto& node : fleet.all()) {
+    fleet.start_into_full_pipe(node);
+  }
+  ASSERT_TRUE(fleet.put_document(7, kStartPatience));
+  EXPECT_TRUE(fleet.all_entries_ready(kStartPatience));
+}
+
+// A process may be started without standard descriptors. The first files it opens then take their numbers, and log
+// lines go into whatever that is: a connection to a peer, or the replicated log.
+TEST(FleetNodeStart, ServesWithoutStandardDescriptors) {
+  FleetNodeProcesses fleet({});
+  for (const auto& node : fleet.all()) {
+    fleet.start_without_descriptors(node);
+  }
+  ASSERT_TRUE(fleet.put_document(7, kStartPatience));
+  ASSERT_TRUE(fleet.all_entries_ready(kStartPatience));
+  for (const auto& node : fleet.all()) {
+    const auto descriptor = "/proc/" + std::to_string(fleet.process_id(node)) + "/fd/1";
+    EXPECT_EQ(std::filesystem::read_symlink(descriptor), "/dev/null") << node;
+  }
+}
+
 }  // namespace
 }  // namespace larchlever::integration
--- /dev/null
+++ b/tests/unit/platform_template_test.cc
@@ -0,0 +1,118 @@
+#include <gtest/gtest.h>
+
+#include <fstream>
+#include <functional>
+#include <map>
+#include <sstream>
+
+#include "settings/fleet_settings.h"
+
+namespace larchlever::settings {
+namespace {
+
+/// Fields of the platform by dotted name; one that is missing has no value.
+using Fields = std::map<std::string, std::string>;
+
+Fields control_fields() {
+  return {{"node_name", "core-1"},
+          {"zone", "north"},
+          {"ip", "10.0.0.1"},
+          {"internal_ports.0", "7340"},
+          {"listen.control_plane", "10.0.0.1:8229"},
+          {"listen.frontend", "10.0.0.1:8227"},
+          {"listen.ready", "10.0.0.1:8220"},
+          {"data_dir", "/data/control"},
+          {"seeds", "10.0.0.1:8229,10.0.0.2:8229,10.0.0.3:8229"},
+          {"bootstrap", "true"},
+          {"fault_tolerance.machines", "2"},
+          {"heartbeat_ms", "1200"},
+          {"bounds.revoke_ms", "5000"},
+          {"bounds.stall_ms", "5000"},
+          {"bounds.catch_up_s", "4"},
+          {"bounds.ceiling_window_s", "5"},
+          {"bounds.retry_window_s", "10"},
+          {"bounds.retry_ratio", "0.2"},
+          {"bounds.retry_slack", "136"},
+          {"bounds.grace_s", "8"}};
+}
+
+std::string value_of(const Fields& fields, const std::string& name) {
+  const auto found = fields.find(name);
+  return found == fields.end() ? std::string() : found->second;
+}
+
+/// Replaces every `{{#name}} .. {{/name}}` by what stands inside where the field has a value, and by nothing otherwise.
+std::string without_empty_sections(std::string text, const Fields& fields) {
+  for (size_t start = text.find("{{#"); start != std::string::npos; start = text.find("{{#", start)) {
+    const size_t name_end = text.find("}}", start);
+    const std::string name = text.substr(start + 3, name_end - start - 3);
+    const std::string closing = "{{/" + name + "}}";
+    const size_t end = text.find(closing, name_end);
+    EXPECT_NE(end, std::string::npos) << "section " << name << " is not closed";
+    const std::string content = text.substr(name_end + 2, end - name_end - 2);
+    text.replace(start, end + closing.size() - start, fields.contains(name) ? content : "");
+  }
+  return text;
+}
+
+/// Fills a template as the platform does.
+std::string fill(const std::string& file, const Fields& fields) {
+  std::ifstream stream(std::string(LARCHLEVER_SOURCE_FOLDER) + "/platform/" + file);
+  std::ostringstream content;
+  content << stream.rdbuf();
+  std::string text = without_empty_sections(content.str(), fields);
+  for (size_t start = text.find("{{"); start != std::string::npos; start = text.find("{{", start)) {
+    const size_t end = text.find("}}", start);
+    text.replace(start, end + 2 - start, value_of(fields, text.substr(start + 2, end - start - 2)));
+  }
+  return text;
+}
+
+std::string faults_of(const std::string& text) {
+  std::vector<std::string> errors;
+  parse_fleet_settings(text, errors);
+  std::string all;
+  for (const auto& error : errors) {
+    all += error + "\n";
+  }
+  return all;
+}
+
+/// Fields that no node can run without.
+bool is_essential(const std::string& field) {
+  return !field.starts_with("bounds.") && field != "heartbeat_ms" && field != "fault_tolerance.machines" &&
+         field != "bootstrap";
+}
+
+// A platform whose fields lacked any one of the bounds left a line like "stall = ms" in the filled template; every
+// process of the fleet ended at once, exit code 3, with
+//   [bounds] stall = 'ms': not a time above 0; write a number with its unit, for example 2500ms or 2.5s
+// though the settings have a default for each.
+TEST(PlatformTemplates, EveryFieldThatHasADefaultMayBeMissing) {
+  for (const std::string file : {"control.ini", "entry.ini"}) {
+    EXPECT_EQ(faults_of(fill(file, control_fields())), "") << file;
+    for (const auto& [field, value] : control_fields()) {
+      Fields fields = control_fields();
+      fields.erase(field);
+      if (!is_essential(field)) {
+        EXPECT_EQ(faults_of(fill(file, fields)), "") << file << " without " << field;
+      }
+    }
+  }
+}
+
+TEST(PlatformTemplates, CarryTheValuesThatAreGiven) {
+  std::vector<std::string> errors;
+  Fields fields = control_fields();
+  fields["bounds.revoke_ms"] = "6000";
+  fields["bounds.stall_ms"] = "7000";
+  const auto settings = parse_fleet_settings(fill("control.ini", fields), errors);
+  ASSERT_TRUE(settings) << errors.front();
+  EXPECT_EQ(settings->options.document_lease, milliseconds(5500));
+  EXPECT_EQ(settings->options.stall_time, milliseconds(7000));
+  EXPECT_EQ(settings->options.minimum_voters, 5U);
+  EXPECT_TRUE(settings->may_found_cluster());
+}
+
+}  // namespace
+}  // namespace larchlever::settings
