Never wait for the reader of the log; open closed descriptors; let fields be missing

Cause: log lines went out with blocking writes, so a reader that does not read stopped the whole process; closed standard descriptors were taken by the event loop, which got the log's lines; a template left a unit without its number where the platform had no value, which ends every process. Change: LogOutput asks whether the reader takes bytes, keeps 256 KiB at the most and drops and counts what is beyond; main opens closed standard descriptors on the null device; templates leave lines without value out, so that the settings' defaults hold; without a stated tolerance the fleet bears what its seeds bear (before: nothing, one voter was enough). A value of zero is still handed on as given.

--- a/src/cli/main.cc
+++ b/src/cli/main.cc
@@ -6,8 +6,10 @@
 #include <vector>
 
 #include "cli/command_line.h"
+#include "node/logging.h"
 
 int main(int argc, char** argv) {
+  larchlever::node::open_standard_descriptors();
   try {
     gflags::SetUsageMessage("larchlever COMMAND [ARGUMENTS]; 'larchlever help' lists the commands");
     gflags::SetVersionString(LARCHLEVER_VERSION);
--- a/src/cli/serve_commands.cc
+++ b/src/cli/serve_commands.cc
@@ -225,6 +225,7 @@
       if (code) {
         return;
       }
+      node::flush_log();
       if (settings_time() != written_at_) {
         reload();
       }
--- a/src/node/logging.cc
+++ b/src/node/logging.cc
@@ -1,13 +1,19 @@
 #include "node/logging.h"
 
-#include <log4cplus/consoleappender.h>
+#include <fcntl.h>
+#include <log4cplus/appender.h>
 #include <log4cplus/fileappender.h>
 #include <log4cplus/initializer.h>
 #include <log4cplus/layout.h>
 #include <log4cplus/logger.h>
 #include <log4cplus/loggingmacros.h>
+#include <unistd.h>
 
+#include <cerrno>
 #include <memory>
+#include <sstream>
+
+#include "node/log_output.h"
 
 namespace larchlever::node {
 
@@ -19,6 +25,43 @@
   return instance;
 }
 
+/// Lines that wait for the reader of standard output: some seconds of a busy node's, and little beside its memory.
+constexpr size_t kMostKeptBytes = 256 * 1024;
+
+/// Lays lines out and writes them to standard output without waiting for its reader.
+class StandardOutputAppender : public log4cplus::Appender {
+ public:
+  StandardOutputAppender() : output_(STDOUT_FILENO, kMostKeptBytes) {}
+  ~StandardOutputAppender() override { destructorImpl(); }
+  StandardOutputAppender(const StandardOutputAppender&) = delete;
+  StandardOutputAppender& operator=(const StandardOutputAppender&) = delete;
+
+  void close() override {
+    output_.flush();
+    closed = true;
+  }
+  void flush() {
+    const log4cplus::thread::MutexGuard guard(access_mutex);
+    output_.flush();
+  }
+
+ protected:
+  /// Called with the appender's lock held.
+  void append(const log4cplus::spi::InternalLoggingEvent& event) override {
+    std::ostringstream line;
+    layout->formatAndAppend(line, event);
+    output_.write(line.str());
+  }
+
+ private:
+  LogOutput output_;
+};
+
+log4cplus::helpers::SharedObjectPtr<StandardOutputAppender>& standard_output() {
+  static log4cplus::helpers::SharedObjectPtr<StandardOutputAppender> appender;
+  return appender;
+}
+
 /// Names the process in lines whose writer knows no node.
 std::string& process_node() {
   static std::string name;
@@ -50,7 +93,8 @@
   log.removeAllAppenders();
   log4cplus::SharedAppenderPtr appender;
   if (file.empty()) {
-    appender = new log4cplus::ConsoleAppender(/*logToStdErr=*/false, /*immediateFlush=*/true);
+    standard_output() = new StandardOutputAppender();
+    appender = standard_output().get();
   } else {
     appender = new log4cplus::FileAppender(file, std::ios_base::app);
   }
@@ -64,6 +108,21 @@
                                      : log4cplus::INFO_LOG_LEVEL);
 }
 
+void flush_log() {
+  if (standard_output()) {
+    standard_output()->flush();
+  }
+}
+
+void open_standard_descriptors() {
+  for (const int descriptor : {STDIN_FILENO, STDOUT_FILENO, STDERR_FILENO}) {
+    if (::fcntl(descriptor, F_GETFD) < 0 && errno == EBADF) {
+      // Takes the lowest number that is free, which is this one.
+      static_cast<void>(::open("/dev/null", O_RDWR));
+    }
+  }
+}
+
 void name_process(const std::string& node) { process_node() = node; }
 
 void log_event(std::string_view node, std::string_view event, LogFields fields) {
--- a/src/settings/fleet_settings.cc
+++ b/src/settings/fleet_settings.cc
@@ -56,7 +56,9 @@
   settings.seeds = cluster.list("seeds");
   const auto peer_port = cluster.integer("peer_port", 0, 1, 65535);
   settings.first_start = cluster.flag("first_start", false);
-  const auto losses = cluster.integer("tolerated_losses", 0, 0, 8);
+  // Where nobody says what may be lost, at least what the seeds bear among them.
+  const auto borne_by_seeds = settings.seeds.empty() ? 0 : static_cast<int64_t>((settings.seeds.size() - 1) / 2);
+  const auto losses = cluster.integer("tolerated_losses", borne_by_seeds, 0, 8);
   settings.options.minimum_voters = static_cast<size_t>(2 * losses + 1);
   settings.options.control.minimum_voters = settings.options.minimum_voters;
   if (settings.seeds.empty()) {
--- a/tests/unit/platform_template_test.cc
+++ b/tests/unit/platform_template_test.cc
@@ -101,6 +101,15 @@
   }
 }
 
+TEST(PlatformTemplates, AFleetBearsWhatItsSeedsBearWhereNobodySaysMore) {
+  std::vector<std::string> errors;
+  Fields fields = control_fields();
+  fields.erase("fault_tolerance.machines");
+  const auto settings = parse_fleet_settings(fill("control.ini", fields), errors);
+  ASSERT_TRUE(settings);
+  EXPECT_EQ(settings->options.minimum_voters, 3U);
+}
+
 TEST(PlatformTemplates, CarryTheValuesThatAreGiven) {
   std::vector<std::string> errors;
   Fields fields = control_fields();
