Soak real processes: engines that form groups, callers, and kills, stops, pauses and lost disks

Cause: groups of engines had run in the simulator and on stand-ins in virtual time only, never under fleet-node as processes.

--- a/tests/integration/fleet_node_processes.cc
+++ b/tests/integration/fleet_node_processes.cc
@@ -22,9 +22,12 @@
 constexpr int kReadyPort = 8220;
 /// Addresses of entries follow those of control replicas at this distance.
 constexpr int kFirstEntryAddress = 100;
+constexpr int kFirstEngineAddress = 150;
 constexpr const char* kZones[] = {"north", "south", "west"};
 constexpr auto kCallTimeout = std::chrono::seconds(2);
 
+constexpr auto kModelTimeout = std::chrono::seconds(5);
+
 /// 0 when no answer came.
 int status_of(const net::FetchResult& result) { return result.response ? result.response->status : 0; }
 
@@ -34,21 +37,35 @@
 
 bool is_control(const std::string& node) { return node.front() == 'c'; }
 
+json::value engine_model(const char* name, int size, double fraction) {
+  return {{"name", name}, {"size", size}, {"fraction", fraction}, {"pace", 1}, {"load_s", 1}, {"warm_s", 1}};
+}
+
 std::string document(int64_t version) {
+  const json::value forms_route = {{"name", "forms"},      {"host", "forms.example"}, {"path_prefix", "/forms/"},
+                                   {"type", "idempotent"}, {"timeout_ms", 4000},      {"target_latency_ms", 300},
+                                   {"priority", 1},        {"service", "forms"},      {"max_attempts", 2},
+                                   {"public", true}};
+  const json::value engine_route = {{"name", "chat"},      {"host", "chat.example"}, {"path_prefix", "/chat/"},
+                                    {"type", "streaming"}, {"timeout_ms", 4000},     {"target_latency_ms", 500},
+                                    {"priority", 1},       {"service", "engines"},   {"max_attempts", 2},
+                                    {"public", true},      {"sticky", true},         {"resumable", true},
+                                    {"target_gap_ms", 300}};
+  const json::value engine = {{"slots", 8},
+                              {"kv_capacity", 1000000},
+                              {"models", json::array{engine_model("large", 4, 0.6), engine_model("small", 2, 0.4)}},
+                              {"step_ms", 1},
+                              {"read_per_s", 100000},
+                              {"loads_per_s", 4},
+                              {"loads_at_once", 6},
+                              {"cached_prefixes", 1},
+                              {"form_ms", 100}};
   return json::serialize(
       json::value{{"version", version},
-                  {"routes",
-                   {{{"name", "forms"},
-                     {"host", "forms.example"},
-                     {"path_prefix", "/forms/"},
-                     {"type", "idempotent"},
-                     {"timeout_ms", 4000},
-                     {"target_latency_ms", 300},
-                     {"priority", 1},
-                     {"service", "forms"},
-                     {"max_attempts", 2},
-                     {"public", true}}}},
-                  {"services", {{{"name", "forms"}, {"health_path", "/healthz"}, {"max_connections", 100}}}},
+                  {"routes", json::array{forms_route, engine_route}},
+                  {"services",
+                   {{{"name", "forms"}, {"health_path", "/healthz"}, {"max_connections", 100}},
+                    {{"name", "engines"}, {"health_path", "/healthz"}, {"max_connections", 100}, {"engine", engine}}}},
                   {"limits",
                    {{"max_header_bytes", 16384},
                     {"max_body_bytes", 4194304},
@@ -169,6 +186,15 @@
 
 void FleetNodeProcesses::signal(const std::string& node, int number) { ::kill(processes_[node].pid, number); }
 
+int FleetNodeProcesses::terminate(const std::string& node) {
+  Process& process = processes_[node];
+  int status = 0;
+  ::kill(process.pid, SIGTERM);
+  ::waitpid(process.pid, &status, 0);
+  process.pid = -1;
+  return WIFEXITED(status) ? WEXITSTATUS(status) : -1;
+}
+
 void FleetNodeProcesses::kill(const std::string& node) {
   Process& process = processes_[node];
   if (process.pid > 0) {
@@ -206,12 +232,27 @@
   return client_.fetch(control_endpoint(node), request, kCallTimeout);
 }
 
-net::FetchResult FleetNodeProcesses::call_entry(const std::string& node, const std::string& path) {
+net::FetchResult FleetNodeProcesses::call_model(BlockingClient& client, const std::string& entry,
+                                                const std::string& model, const std::string& request_id) const {
   net::HttpRequest request;
-  request.method = "GET";
-  request.target = path;
-  request.headers.add("Host", "forms.example");
-  return client_.fetch(at_port(address(node), kCallerPort), request, kCallTimeout);
+  request.method = "POST";
+  request.target = "/chat/1";
+  request.headers.add("Host", "chat.example");
+  request.headers.add("Larchlever-Request-Id", request_id);
+  request.headers.add("Larchlever-Deadline-Ms", "3000");
+  request.headers.add("Larchlever-Model", model);
+  request.headers.add("Larchlever-Tokens", "100,25");
+  request.body = "{}";
+  return client.fetch(at_port(address(entry), kCallerPort), request, kModelTimeout);
+}
+
+std::vector<std::string> FleetNodeProcesses::engine_addresses(int count) const {
+  std::vector<std::string> result;
+  const std::string first = address("c1");
+  for (int number = 0; number < count; ++number) {
+    result.push_back(first.substr(0, first.rfind('.') + 1) + std::to_string(kFirstEngineAddress + number));
+  }
+  return result;
 }
 
 bool FleetNodeProcesses::is_ready(const std::string& node) {
--- a/tests/integration/fleet_node_processes.h
+++ b/tests/integration/fleet_node_processes.h
@@ -43,6 +43,8 @@
   std::filesystem::path write_settings(const std::string& node, bool first_start = true);
   void signal(const std::string& node, int number);
   void kill(const std::string& node);
+  /// Asks a process to stop and waits for its end; its exit code.
+  int terminate(const std::string& node);
   void wipe_data(const std::string& node);
   bool is_running(const std::string& node);
   std::string log(const std::string& node) const;
@@ -52,7 +54,11 @@
   /// Sends a call to a control replica.
   net::FetchResult call_control(const std::string& node, const std::string& method, const std::string& path,
                                 const std::string& body = "");
-  net::FetchResult call_entry(const std::string& node, const std::string& path);
+  /// Asks a model for a stream through an entry, with a client of the caller's own, which may live on another thread.
+  net::FetchResult call_model(BlockingClient& client, const std::string& entry, const std::string& model,
+                              const std::string& request_id) const;
+  /// Loopback addresses for stand-ins of engines that belong to this fleet.
+  std::vector<std::string> engine_addresses(int count) const;
   bool is_ready(const std::string& node);
   /// Sends a document to one replica after the other until it is accepted; false after `deadline`.
   bool put_document(int64_t version, std::chrono::milliseconds deadline);
--- /dev/null
+++ b/tests/integration/registered_engines.cc
@@ -0,0 +1,225 @@
+#include "registered_engines.h"
+
+#include <gtest/gtest.h>
+
+#include <boost/json.hpp>
+
+#include "core/base/http_status.h"
+#include "net/listener.h"
+#include "node/clock.h"
+#include "node/dialect.h"
+
+namespace larchlever::integration {
+
+namespace asio = boost::asio;
+namespace json = boost::json;
+
+namespace {
+
+constexpr int kPort = 9000;
+constexpr auto kReportTimeout = std::chrono::seconds(1);
+constexpr auto kReporterPause = std::chrono::milliseconds(20);
+
+fleet::OrderKind kind_of(const std::string& operation) {
+  if (operation == "join") {
+    return fleet::OrderKind::kJoin;
+  }
+  if (operation == "open") {
+    return fleet::OrderKind::kOpen;
+  }
+  return operation == "leave" ? fleet::OrderKind::kLeave : fleet::OrderKind::kStage;
+}
+
+std::string text_of(const json::object& body, const char* key) {
+  const auto* value = body.if_contains(key);
+  return value == nullptr ? std::string() : json::value_to<std::string>(*value);
+}
+
+std::string name_of(wire::MembershipState::type state) {
+  switch (state) {
+    case wire::MembershipState::JOINING:
+      return "joining";
+    case wire::MembershipState::READY:
+      return "ready";
+    case wire::MembershipState::OPEN:
+      return "open";
+    case wire::MembershipState::CLOSING:
+      return "closing";
+    case wire::MembershipState::BROKEN:
+      return "broken";
+    default:
+      return "none";
+  }
+}
+
+std::string registration_of(const wire::Instance& instance, int slots) {
+  json::object body{{"service", instance.service_name},
+                    {"address", instance.address},
+                    {"zone", instance.zone},
+                    {"domain", instance.domain},
+                    {"slots", slots},
+                    {"state", "ready"},
+                    {"call_seq", instance.call_number},
+                    {"staged", json::value_from(instance.staged_models)}};
+  if (!instance.model.empty()) {
+    body["models"] = json::array{json::object{{"name", instance.model}, {"version", 1}}};
+  }
+  const auto& membership = instance.membership;
+  if (!membership.group.empty()) {
+    body["group"] = json::object{{"name", membership.group},
+                                 {"epoch", membership.epoch},
+                                 {"rank", membership.rank},
+                                 {"state", name_of(membership.state)}};
+  }
+  return json::serialize(body);
+}
+
+}  // namespace
+
+/// One server: its state in a group under a lock, since reports are made on another thread than calls are served on.
+class RegisteredEngines::Server : public net::HttpHandler {
+ public:
+  Server(RegisteredEngines& engines, const std::string& id, const std::string& address, const std::string& domain)
+      : engines_(engines),
+        dialect_(*node::find_dialect("larchlever")),
+        instance_(id, address, domain, {}),
+        server_(engines.client_.context().get_executor(), net::HttpServerOptions(), *this) {
+    asio::post(engines.client_.context(), asio::use_future([this, address] {
+                 std::string error;
+                 EXPECT_TRUE(net::listen_on(server_, address, error)) << error;
+               }))
+        .get();
+  }
+  ~Server() override {
+    asio::post(engines_.client_.context(), asio::use_future([this] { server_.close_all(); })).get();
+  }
+
+  asio::awaitable<void> handle(net::HttpExchange& exchange) override {
+    if (exchange.request().path() == dialect_.order_path) {
+      co_await take_order(exchange);
+    } else {
+      co_await serve(exchange);
+    }
+  }
+
+  const std::string& id() const { return instance_.id(); }
+  bool is_open_head() {
+    const std::lock_guard lock(mutex_);
+    instance_.advance(node::monotonic_now());
+    return instance_.is_open_head();
+  }
+  /// The next report, when one is due.
+  std::optional<std::string> report() {
+    const std::lock_guard lock(mutex_);
+    const TimePoint now = node::monotonic_now();
+    instance_.advance(now);
+    if (now < next_report_ && !instance_.has_news()) {
+      return std::nullopt;
+    }
+    next_report_ = now + engines_.options_.heartbeat_interval;
+    return registration_of(instance_.report(), 8);
+  }
+
+ private:
+  asio::awaitable<void> take_order(net::HttpExchange& exchange) {
+    const auto body = json::parse(exchange.request().body).as_object();
+    fleet::InstanceOrder order;
+    order.kind = kind_of(text_of(body, "operation"));
+    order.group = text_of(body, "group");
+    order.epoch = body.at("epoch").to_number<int64_t>();
+    order.model = text_of(body, "model");
+    if (const auto* members = body.if_contains("members")) {
+      order.members = json::value_to<std::vector<std::string>>(*members);
+    }
+    net::HttpResponse response;
+    {
+      const std::lock_guard lock(mutex_);
+      response.status = instance_.carry_out(node::monotonic_now(), order, engines_.options_.join_time);
+    }
+    co_await exchange.respond(std::move(response));
+  }
+
+  asio::awaitable<void> serve(net::HttpExchange& exchange) {
+    net::HttpResponse head;
+    head.headers.add(dialect_.request_id, std::string(exchange.request().headers.find(dialect_.request_id)));
+    if (!is_open_head()) {
+      ++engines_.misdirected_;
+      head.status = http_status::kMisdirectedRequest;
+      head.headers.add(dialect_.not_run, "1");
+      co_await exchange.respond(std::move(head));
+      co_return;
+    }
+    ++engines_.served_;
+    head.headers.add(dialect_.signature, "signed-" + id());
+    head.headers.add("Content-Type", "text/event-stream");
+    co_await exchange.begin_stream(head);
+    asio::steady_timer timer(engines_.client_.context());
+    const auto await = asio::as_tuple(asio::use_awaitable);
+    for (int event = 1; event <= engines_.options_.events; ++event) {
+      timer.expires_after(engines_.options_.event_pause);
+      co_await timer.async_wait(await);
+      const std::string piece = "id: " + std::to_string(event) + "\ndata: token\n\n";
+      co_await exchange.write_piece(piece);
+    }
+    co_await exchange.end_stream();
+  }
+
+  RegisteredEngines& engines_;
+  const node::Dialect& dialect_;
+  std::mutex mutex_;
+  simulation::SimulatedInstance instance_;
+  TimePoint next_report_{};
+  net::HttpServer server_;
+};
+
+RegisteredEngines::RegisteredEngines(const Options& options, const std::vector<std::string>& addresses,
+                                     std::vector<std::string> controls)
+    : options_(options), controls_(std::move(controls)) {
+  for (size_t number = 0; number < addresses.size(); ++number) {
+    const std::string domain = "d" + std::to_string(number / static_cast<size_t>(options_.servers_per_domain));
+    servers_.push_back(std::make_unique<Server>(*this, "i" + std::to_string(number + 1),
+                                                addresses[number] + ":" + std::to_string(kPort), domain));
+  }
+  reporter_ = std::thread([this] { keep_reporting(); });
+}
+
+RegisteredEngines::~RegisteredEngines() {
+  stopped_ = true;
+  reporter_.join();
+  servers_.clear();
+}
+
+int RegisteredEngines::open_groups() {
+  int count = 0;
+  for (const auto& server : servers_) {
+    count += server->is_open_head() ? 1 : 0;
+  }
+  return count;
+}
+
+void RegisteredEngines::keep_reporting() {
+  size_t next_control = 0;
+  while (!stopped_) {
+    for (const auto& server : servers_) {
+      const auto report = server->report();
+      if (!report) {
+        continue;
+      }
+      net::HttpRequest request;
+      request.method = "POST";
+      request.target = "/v1/instances/" + server->id() + "/heartbeat";
+      request.headers.add("Content-Type", "application/json");
+      request.body = *report;
+      for (size_t attempt = 0; attempt < controls_.size() && !stopped_; ++attempt) {
+        const auto result = client_.fetch(controls_[next_control % controls_.size()], request, kReportTimeout);
+        if (result.response && result.response->status == http_status::kOk) {
+          break;
+        }
+        ++next_control;  // That replica is away or knows no leader: the next one takes reports from now on.
+      }
+    }
+    std::this_thread::sleep_for(kReporterPause);
+  }
+}
+
+}  // namespace larchlever::integration
--- /dev/null
+++ b/tests/integration/registered_engines.h
@@ -0,0 +1,62 @@
+#pragma once
+
+#include <atomic>
+#include <chrono>
+#include <cstdint>
+#include <memory>
+#include <mutex>
+#include <set>
+#include <string>
+#include <thread>
+#include <vector>
+
+#include "child_process.h"
+#include "net/http_server.h"
+#include "simulation/simulated_instance.h"
+
+namespace larchlever::integration {
+
+/// Engine servers on loopback that register themselves at control replicas, form groups as they are ordered and answer
+/// requests at the heads of open groups with a stream of events. Groups behave as SimulatedInstance does; what a test
+/// of the whole path needs of real engines beyond that is the check that no request runs at a server that is not an
+/// open head.
+class RegisteredEngines {
+ public:
+  struct Options {
+    int domains = 2;
+    int servers_per_domain = 4;
+    std::chrono::milliseconds join_time{300};
+    std::chrono::milliseconds heartbeat_interval{400};
+    int events = 5;
+    std::chrono::milliseconds event_pause{10};
+  };
+
+  /// `addresses` are loopback addresses, one a server; `controls` where heartbeats go.
+  RegisteredEngines(const Options& options, const std::vector<std::string>& addresses,
+                    std::vector<std::string> controls);
+  ~RegisteredEngines();
+  RegisteredEngines(const RegisteredEngines&) = delete;
+  RegisteredEngines& operator=(const RegisteredEngines&) = delete;
+
+  /// Servers that lead an open group now.
+  int open_groups();
+  uint64_t served() const { return served_; }
+  /// Requests that reached a server which led no open group; each was turned away.
+  uint64_t misdirected() const { return misdirected_; }
+
+ private:
+  class Server;
+
+  void keep_reporting();
+
+  Options options_;
+  std::vector<std::string> controls_;
+  BlockingClient client_;
+  std::vector<std::unique_ptr<Server>> servers_;
+  std::atomic<uint64_t> served_ = 0;
+  std::atomic<uint64_t> misdirected_ = 0;
+  std::atomic<bool> stopped_ = false;
+  std::thread reporter_;
+};
+
+}  // namespace larchlever::integration
