--- a/tests/integration/fleet_node_start_test.cc
+++ b/tests/integration/fleet_node_start_test.cc
@@ -121,6 +121,29 @@
   EXPECT_TRUE(eventually([&] { return fleet.version_read_at("c1") == 8; }, kStartPatience));
 }
 
+// A settings file that is read while it is being written is refused, and is read again until it is whole.
+TEST(FleetNodeStart, ReadsARefusedSettingsFileAgain) {
+  FleetNodeOptions options;
+  options.controls = 1;
+  options.entries = 0;
+  options.seeds = 1;
+  options.tolerated_losses = 0;
+  FleetNodeProcesses fleet(options);
+  fleet.start("c1");
+  ASSERT_TRUE(fleet.put_document(7, kStartPatience));
+  const auto path = fleet.folder() / "c1.ini";
+  const std::string whole = read_file(path);
+  write_file(path, whole.substr(0, whole.size() / 2));
+  const auto written_at = std::filesystem::last_write_time(path);
+  EXPECT_TRUE(
+      eventually([&] { return fleet.log("c1").find("event=settings_refused") != std::string::npos; }, kStartPatience));
+  write_file(path, whole);
+  std::filesystem::last_write_time(path, written_at);
+  EXPECT_TRUE(
+      eventually([&] { return fleet.log("c1").find("event=settings_reloaded") != std::string::npos; }, kStartPatience));
+  EXPECT_TRUE(fleet.is_running("c1"));
+}
+
 // Log lines go to standard output. When that is a pipe whose reader does not read, a blocking write stops the whole
 // process once the pipe is full, and with it leases, elections and every request.
 TEST(FleetNodeStart, ServesWhileNobodyReadsItsLog) {
--- /dev/null
+++ b/tests/node/listener_lifetime_test.cc
@@ -0,0 +1,52 @@
+#include <gtest/gtest.h>
+
+#include <boost/asio.hpp>
+#include <memory>
+
+#include "net/http_server.h"
+#include "net/peer_transport.h"
+
+namespace larchlever::net {
+namespace {
+
+class NoHandler : public HttpHandler {
+ public:
+  boost::asio::awaitable<void> handle(HttpExchange& /*exchange*/) override { co_return; }
+};
+
+// A node whose start fails on its second address drops the listener of its first one, which accepts nothing yet: its
+// coroutine has not begun. It then began on freed memory. The reports of the sanitizer:
+//   heap-use-after-free in std::__shared_count ... PeerTransport::Implementation::accept_loop
+TEST(ListenerLifetime, ATransportMayEndBeforeItAccepts) {
+  boost::asio::io_context context;
+  std::string error;
+  auto transport = std::make_unique<PeerTransport>(context.get_executor(), [](const wire::Envelope&) {});
+  ASSERT_TRUE(transport->listen("127.0.0.1", 0, error)) << error;
+  transport.reset();
+  context.run();
+}
+
+TEST(ListenerLifetime, AServerMayEndBeforeItAccepts) {
+  boost::asio::io_context context;
+  NoHandler handler;
+  std::string error;
+  auto server = std::make_unique<HttpServer>(context.get_executor(), HttpServerOptions(), handler);
+  ASSERT_TRUE(server->listen("127.0.0.1", 0, error)) << error;
+  server.reset();
+  context.run();
+}
+
+// A message to a peer starts a coroutine that dials; the transport may end first.
+TEST(ListenerLifetime, ATransportMayEndBeforeItDials) {
+  boost::asio::io_context context;
+  auto transport = std::make_unique<PeerTransport>(context.get_executor(), [](const wire::Envelope&) {});
+  wire::Envelope envelope;
+  envelope.from_node = "127.0.0.1:1";
+  envelope.to_node = "127.0.0.1:2";
+  transport->send(envelope);
+  transport.reset();
+  context.run();
+}
+
+}  // namespace
+}  // namespace larchlever::net
