Hold listeners from the call on, and read a refused settings file again

Cause: coroutines of PeerTransport and HttpServer took hold of their object when they began, which is later than when they were called; a start that fails on its second address drops the first listener in between. A refused settings file was remembered by its time stamp as read, and its faults went to standard error by a write that may wait. Change: the coroutines hold their object as an argument; a refused file is read again each second and logged as settings_refused.

--- a/src/cli/serve_commands.cc
+++ b/src/cli/serve_commands.cc
@@ -39,12 +39,16 @@
   }
 }
 
+void print_no_settings() {
+  std::cerr << "larchlever: name the settings file with --settings FILE or in the variable " << kSettingsVariable
+            << "\n";
+}
+
 /// The text of the settings file. Nothing, with the reason printed, when none is named or it cannot be read.
 std::optional<std::string> read_settings() {
   const std::string path = settings_path();
   if (path.empty()) {
-    std::cerr << "larchlever: name the settings file with --settings FILE or in the variable " << kSettingsVariable
-              << "\n";
+    print_no_settings();
     return std::nullopt;
   }
   std::vector<std::string> faults;
@@ -128,15 +132,14 @@
 /// Longest time for which a start is tried again: well over the time in which platforms end a predecessor by force.
 constexpr auto kStartPatience = std::chrono::seconds(30);
 
-std::optional<settings::FleetSettings> load_fleet_settings() {
-  std::vector<std::string> faults;
-  const auto text = read_settings();
+/// The checked settings of a fleet node. Nothing, with every fault in `faults`, when the file is no good.
+std::optional<settings::FleetSettings> load_fleet_settings(std::vector<std::string>& faults) {
+  const auto text = settings::read_text_file(settings_path(), faults);
   auto parsed = text ? settings::parse_fleet_settings(*text, faults) : std::nullopt;
   if (parsed && node::find_dialect(parsed->dialect) == nullptr) {
     faults.push_back("[node] dialect = '" + parsed->dialect + "': unknown; use larchlever, or the name of an adapter");
     parsed.reset();
   }
-  print_faults(faults);
   return parsed;
 }
 
@@ -193,11 +196,18 @@
   }
 
   void reload() {
-    written_at_ = settings_time();
-    const auto settings = load_fleet_settings();
+    const auto written_at = settings_time();
+    std::vector<std::string> faults;
+    const auto settings = load_fleet_settings(faults);
     if (!settings) {
+      // The file may be in the middle of being written, within one tick of its time stamp: it is read again.
+      written_at_ = std::filesystem::file_time_type::min();
+      for (const auto& fault : faults) {
+        node::log_problem(settings_.name, "settings_refused", {{"reason", fault}});
+      }
       return;
     }
+    written_at_ = written_at;
     settings_ = *settings;
     if (process_ != nullptr) {
       process_->reload(*settings);
@@ -255,8 +265,14 @@
 }  // namespace
 
 int run_fleet_node() {
-  const auto settings = load_fleet_settings();
+  if (settings_path().empty()) {
+    print_no_settings();
+    return kExitInvalid;
+  }
+  std::vector<std::string> faults;
+  const auto settings = load_fleet_settings(faults);
   if (!settings) {
+    print_faults(faults);
     return kExitInvalid;
   }
   std::signal(SIGPIPE, SIG_IGN);
--- a/src/net/http_server.cc
+++ b/src/net/http_server.cc
@@ -53,7 +53,8 @@
   Implementation(asio::any_io_executor given, HttpServerOptions given_options, HttpHandler& given_handler)
       : executor(std::move(given)), options(given_options), handler(&given_handler), acceptor(executor) {}
 
-  asio::awaitable<void> accept_loop();
+  /// Holds the server from the call on: the coroutine begins when the executor gets to it.
+  asio::awaitable<void> accept_loop(std::shared_ptr<Implementation> self);
   asio::awaitable<void> serve(std::shared_ptr<beast::tcp_stream> stream);
   asio::awaitable<beast::error_code> read_head_bytes(beast::tcp_stream& stream, beast::flat_buffer& buffer,
                                                      bool is_first);
@@ -239,8 +240,7 @@
 
 }  // namespace
 
-asio::awaitable<void> HttpServer::Implementation::accept_loop() {
-  auto self = shared_from_this();
+asio::awaitable<void> HttpServer::Implementation::accept_loop(std::shared_ptr<Implementation> self) {
   while (acceptor.is_open()) {
     asio::ip::tcp::socket socket(executor);
     auto [error] = co_await acceptor.async_accept(socket, kAwait);
@@ -393,7 +393,7 @@
   }
   self.closed = false;
   self.draining = false;
-  asio::co_spawn(self.executor, self.accept_loop(), asio::detached);
+  asio::co_spawn(self.executor, self.accept_loop(implementation_), asio::detached);
   return bound;
 }
 
--- a/src/net/peer_transport.cc
+++ b/src/net/peer_transport.cc
@@ -58,10 +58,13 @@
   Implementation(asio::any_io_executor given, Receiver given_receiver)
       : executor(std::move(given)), receiver(std::move(given_receiver)), acceptor(executor) {}
 
-  asio::awaitable<void> accept_loop();
-  asio::awaitable<void> read_loop(LinkPointer link);
-  asio::awaitable<void> write_loop(LinkPointer link);
-  asio::awaitable<void> dial(LinkPointer link, std::string endpoint);
+  // Coroutines begin when the executor gets to them, by when the transport may be gone: each holds what it works on
+  // from the call on, as `self`.
+  using Self = std::shared_ptr<Implementation>;
+  asio::awaitable<void> accept_loop(Self self);
+  asio::awaitable<void> read_loop(Self self, LinkPointer link);
+  asio::awaitable<void> write_loop(Self self, LinkPointer link);
+  asio::awaitable<void> dial(Self self, LinkPointer link, std::string endpoint);
   /// False when the link sent something that is no frame of ours.
   bool consume(const LinkPointer& link, std::string& buffer);
   void close(const LinkPointer& link);
@@ -78,8 +81,7 @@
   PeerStats stats;
 };
 
-asio::awaitable<void> PeerTransport::Implementation::accept_loop() {
-  auto self = shared_from_this();
+asio::awaitable<void> PeerTransport::Implementation::accept_loop(Self self) {
   while (acceptor.is_open()) {
     auto link = std::make_shared<Link>(executor);
     auto [error] = co_await acceptor.async_accept(link->socket, kAwait);
@@ -94,7 +96,7 @@
     configure(link->socket);
     link->connected = true;
     links.insert(link);
-    asio::co_spawn(executor, read_loop(link), asio::detached);
+    asio::co_spawn(executor, read_loop(self, link), asio::detached);
   }
 }
 
@@ -124,8 +126,7 @@
   return true;
 }
 
-asio::awaitable<void> PeerTransport::Implementation::read_loop(LinkPointer link) {
-  auto self = shared_from_this();
+asio::awaitable<void> PeerTransport::Implementation::read_loop(Self self, LinkPointer link) {
   std::string buffer;
   std::string piece(kReadSize, '\0');
   while (!link->closed) {
@@ -133,7 +134,7 @@
     if (error) {
       break;
     }
-    stats.bytes_received += count;
+    self->stats.bytes_received += count;
     link->unanswered_since.reset();
     buffer.append(piece.data(), count);
     if (!consume(link, buffer)) {
@@ -143,8 +144,7 @@
   close(link);
 }
 
-asio::awaitable<void> PeerTransport::Implementation::write_loop(LinkPointer link) {
-  auto self = shared_from_this();
+asio::awaitable<void> PeerTransport::Implementation::write_loop(Self self, LinkPointer link) {
   while (!link->queue.empty() && !link->closed) {
     // One write for everything that waits: fewer system calls when messages come in bursts.
     std::vector<std::string> batch(std::make_move_iterator(link->queue.begin()),
@@ -161,8 +161,8 @@
       close(link);
       break;
     }
-    stats.bytes_sent += count;
-    stats.frames_sent += batch.size();
+    self->stats.bytes_sent += count;
+    self->stats.frames_sent += batch.size();
   }
   link->writing = false;
 }
@@ -191,12 +191,11 @@
   link->queue.push_back(std::move(frame));
   if (link->connected && !link->writing) {
     link->writing = true;
-    asio::co_spawn(executor, write_loop(link), asio::detached);
+    asio::co_spawn(executor, write_loop(shared_from_this(), link), asio::detached);
   }
 }
 
-asio::awaitable<void> PeerTransport::Implementation::dial(LinkPointer link, std::string endpoint) {
-  auto self = shared_from_this();
+asio::awaitable<void> PeerTransport::Implementation::dial(Self self, LinkPointer link, std::string endpoint) {
   const auto [host, port] = split_endpoint(endpoint);
   boost::system::error_code invalid;
   const auto address = asio::ip::make_address(host, invalid);
@@ -225,9 +224,9 @@
   link->connected = true;
   if (!link->queue.empty() && !link->writing) {
     link->writing = true;
-    asio::co_spawn(executor, write_loop(link), asio::detached);
+    asio::co_spawn(executor, write_loop(self, link), asio::detached);
   }
-  co_await read_loop(link);
+  co_await read_loop(self, link);
 }
 
 PeerTransport::PeerTransport(asio::any_io_executor executor, Receiver receiver)
@@ -241,7 +240,7 @@
   if (!bound) {
     return std::nullopt;
   }
-  asio::co_spawn(self.executor, self.accept_loop(), asio::detached);
+  asio::co_spawn(self.executor, self.accept_loop(implementation_), asio::detached);
   return bound;
 }
 
@@ -279,7 +278,7 @@
     link->node = node;
     self.links.insert(link);
     found = self.by_node.emplace(node, link).first;
-    asio::co_spawn(self.executor, self.dial(link, endpoint), asio::detached);
+    asio::co_spawn(self.executor, self.dial(implementation_, link, endpoint), asio::detached);
   }
   if (!found->second->unanswered_since) {
     found->second->unanswered_since = now;
