Forget what other entries had under way once nobody tells any more

Cause: an entry is told the others' loads only while no leader decides for it, and kept the last word for ever. Streams that others had then looked as if they stood still, and every request of that entry left the group out; with one group for a model all its requests were refused, with several the fleet lost part of its groups to that entry. Class: evidence without an end of its validity, that keeps itself alive because acting on it prevents the contrary from being seen. Change: loads count for 1 s after they were told.

--- a/src/core/fleet/dispatcher.cc
+++ b/src/core/fleet/dispatcher.cc
@@ -29,6 +29,8 @@
 constexpr double kOverbooking = 2.0;
 /// Loads of other entries are this old, and permits are drawn anew as often.
 constexpr Duration kPermitInterval = milliseconds(100);
+/// How long loads of other entries count: as many as four answers to an entry that asks for them.
+constexpr Duration kLoadMemory = seconds(1);
 /// Groups drawn by lot, of which the best is taken: were all entries to take the best of all by what they last heard,
 /// they would all take the same one.
 constexpr size_t kGroupsCompared = 3;
@@ -96,9 +98,8 @@
 }
 
 void Dispatcher::update_loads(TimePoint now, const std::vector<wire::GroupLoad>& totals) {
-  for (auto& [key, health] : health_) {
-    health.set_others({});
-  }
+  forget_loads();
+  loads_told_at_ = now;
   for (const auto& load : totals) {
     const TargetHealth& own = health_[load.group];
     OthersLoad of_others;
@@ -112,6 +113,21 @@
   }
 }
 
+void Dispatcher::forget_loads() {
+  for (auto& [key, health] : health_) {
+    health.set_others({});
+  }
+  loads_told_at_ = TimePoint::min();
+}
+
+void Dispatcher::forget_old_loads(TimePoint now) {
+  // Loads are told only while nobody leads. Kept beyond that, streams that others had once would seem to stand still,
+  // and their group would be left alone for good: nothing sent there, nothing is seen to the contrary.
+  if (loads_told_at_ != TimePoint::min() && now - loads_told_at_ > kLoadMemory) {
+    forget_loads();
+  }
+}
+
 const std::string& Dispatcher::choose_service(const document::Route& route) {
   double total = 0;
   for (const auto& target : route.services) {
@@ -280,6 +296,7 @@
 
 Choice Dispatcher::choose(TimePoint now, const document::ServiceSpec& service, const Demand& demand,
                           const std::set<std::string>& excluded) {
+  forget_old_loads(now);
   return service.engine ? choose_group(now, service, demand, excluded) : choose_instance(now, service, excluded);
 }
 
@@ -296,7 +313,8 @@
 }
 
 std::vector<std::string> Dispatcher::doubtful_groups(TimePoint now, const std::string& service,
-                                                     const std::string& model) const {
+                                                     const std::string& model) {
+  forget_old_loads(now);
   std::vector<std::string> result;
   const Duration pause = longest_pause(service, model);
   for (const auto& group : groups_) {
--- a/src/core/fleet/dispatcher.h
+++ b/src/core/fleet/dispatcher.h
@@ -69,7 +69,7 @@
   /// The head of an open group that is not avoided; nothing when this entry knows of none of that name.
   std::optional<Target> target_of_group(TimePoint now, const std::string& group);
   /// Groups of a model that this entry avoids, or whose streams pause too long.
-  std::vector<std::string> doubtful_groups(TimePoint now, const std::string& service, const std::string& model) const;
+  std::vector<std::string> doubtful_groups(TimePoint now, const std::string& service, const std::string& model);
   /// A request for a model arrived, with its own statement of prompt and answer, in tokens.
   void note_demand(const std::string& service, const Demand& demand, const engine::RequestSizes& sizes);
   /// A request for a model aims at no pause between events longer than `gap`: no pass of its groups is let grow longer.
@@ -115,6 +115,9 @@
     std::deque<TimePoint> retries;
   };
 
+  void forget_loads();
+  /// Forgets what other entries had under way when nobody told of it lately.
+  void forget_old_loads(TimePoint now);
   double cost_of(const std::string& key, const std::string& zone);
   /// Longest pause between events of a healthy group of this service and model.
   Duration longest_pause(const std::string& service, const std::string& model) const;
@@ -151,6 +154,8 @@
   std::map<std::string, Budget> budgets_;
   /// When permits for a service's model were last drawn.
   std::map<std::pair<std::string, std::string>, TimePoint> permits_drawn_;
+  /// When the loads of other entries were last told; `TimePoint::min()` when none are held.
+  TimePoint loads_told_at_ = TimePoint::min();
   /// Sizes of the requests for each model, by service and model.
   std::map<std::pair<std::string, std::string>, engine::SizeEstimate> sizes_;
   std::map<std::pair<std::string, std::string>, wire::ModelDemand> demand_;
