Do not take an entry's own pause for that of its groups

Cause: an entry that stood still judged, at its first tick after, how long its groups had brought nothing, before it read what they had sent: healthy groups counted as stalled, whole answers were cut and the groups left alone for seconds. Change: a tick that comes 250 ms late says so (stood_still), and silence counts from then on. The soak's gate plays the seeds that failed, 31 and 58, beside 1 and 2.

--- a/src/core/fleet/dispatcher.cc
+++ b/src/core/fleet/dispatcher.cc
@@ -343,6 +343,12 @@
   note_change(target);
 }
 
+void Dispatcher::note_own_pause(TimePoint now) {
+  for (auto& [key, health] : health_) {
+    health.restart_watch(now);
+  }
+}
+
 void Dispatcher::note_progress(TimePoint now, const Target& target) { health_[target.key].note_progress(now); }
 
 void Dispatcher::note_first_event(TimePoint now, const Target& target, SendingMark& mark) {
--- a/src/core/fleet/dispatcher.h
+++ b/src/core/fleet/dispatcher.h
@@ -68,6 +68,8 @@
                 const std::set<std::string>& excluded);
   /// The head of an open group that is not avoided; nothing when this entry knows of none of that name.
   std::optional<Target> target_of_group(TimePoint now, const std::string& group);
+  /// This entry stood still until now, and what its targets sent meanwhile was not read: their silence is its own.
+  void note_own_pause(TimePoint now);
   /// Groups of a model that this entry avoids, or whose streams pause too long.
   std::vector<std::string> doubtful_groups(TimePoint now, const std::string& service, const std::string& model);
   /// A request for a model arrived, with its own statement of prompt and answer, in tokens.
--- a/src/core/fleet/target_health.cc
+++ b/src/core/fleet/target_health.cc
@@ -30,6 +30,11 @@
   }
 }
 
+void TargetHealth::restart_watch(TimePoint now) {
+  busy_since_ = now;
+  streaming_since_ = now;
+}
+
 void TargetHealth::end(const SendingMark& mark) {
   in_flight_ = std::max(0, in_flight_ - 1);
   ++permits_;
--- a/src/core/fleet/target_health.h
+++ b/src/core/fleet/target_health.h
@@ -37,6 +37,8 @@
   /// How many more requests this entry may send there until its part of the free places is drawn anew.
   void set_permits(int permits) { permits_ = permits; }
   bool has_permit() const { return permits_ > 0; }
+  /// Silence counts from now on: until now this entry itself did not look.
+  void restart_watch(TimePoint now);
   void avoid_until(TimePoint until) { avoid_until_ = until; }
 
   int in_flight() const { return in_flight_; }
--- a/src/node/entry_process.cc
+++ b/src/node/entry_process.cc
@@ -19,6 +19,9 @@
 
 constexpr auto kAwait = asio::as_tuple(asio::use_awaitable);
 constexpr auto kTickInterval = std::chrono::milliseconds(25);
+/// A tick that comes this much later than the one before tells that this process stood still: ten ticks, and well below
+/// the time after which a silent group counts as stalled.
+constexpr Duration kOwnPause = milliseconds(250);
 /// How long a stopping entry still gets new connections: the balancer asks once a second and wants two misses.
 constexpr auto kBalancerReaction = std::chrono::milliseconds(2500);
 /// Kept back of the grace, for closing down.
@@ -183,7 +186,16 @@
 asio::awaitable<void> EntryProcess::tick_loop() {
   const auto alive = alive_;
   asio::steady_timer timer(executor_);
+  TimePoint last_tick = monotonic_now();
   while (*alive) {
+    const TimePoint now = monotonic_now();
+    if (now - last_tick > kOwnPause) {
+      // Answers that arrived meanwhile wait in the sockets. Judged before they are read, healthy groups would count as
+      // stalled and their whole answers would be cut.
+      state_.dispatcher.note_own_pause(now);
+      log_problem(settings_.name, "stood_still", {{"for_ms", std::to_string((now - last_tick) / milliseconds(1))}});
+    }
+    last_tick = now;
     tick();
     relay_.abandon_stalled(monotonic_now());
     timer.expires_after(kTickInterval);
--- a/tests/integration/fleet_node_processes.cc
+++ b/tests/integration/fleet_node_processes.cc
@@ -147,7 +147,7 @@
   }
   text << "\npeer_port = " << kPeerPort << "\nfirst_start = " << (first_start ? "true" : "false")
        << "\ntolerated_losses = " << options_.tolerated_losses << "\n";
-  const fs::path path = folder_ / (node + ".ini");
+  fs::path path = folder_ / (node + ".ini");
   write_file(path, text.str());
   return path;
 }
--- a/tests/integration/fleet_node_soak_test.cc
+++ b/tests/integration/fleet_node_soak_test.cc
@@ -5,6 +5,7 @@
 #include <csignal>
 #include <cstdlib>
 #include <mutex>
+#include <numeric>
 #include <random>
 #include <set>
 #include <thread>
@@ -211,17 +212,25 @@
   }
 }
 
-// Two seeds in the gate. By hand: LARCHLEVER_SOAK_SEEDS=FIRST-LAST integration_tests --gtest_filter=FleetNodeSoak.*
+/// The seeds of the gate, unless the environment names a range, as FIRST-LAST.
+std::vector<uint64_t> seeds_to_play() {
+  const char* range = std::getenv("LARCHLEVER_SOAK_SEEDS");
+  if (range == nullptr) {
+    // Seeds 31 and 58 once left callers without an answer after all was calm: an entry shunned a healthy group.
+    return {1, 2, 31, 58};
+  }
+  char* rest = nullptr;
+  const uint64_t first = std::strtoull(range, &rest, 10);
+  const uint64_t last = *rest == '-' ? std::strtoull(rest + 1, nullptr, 10) : first;
+  std::vector<uint64_t> seeds(last - first + 1);
+  std::iota(seeds.begin(), seeds.end(), first);
+  return seeds;
+}
+
+// By hand: LARCHLEVER_SOAK_SEEDS=FIRST-LAST integration_tests --gtest_filter=FleetNodeSoak.*
 // With LARCHLEVER_KEEP_LOGS set, the whole logs of a seed that fails stay where the output says.
 TEST(FleetNodeSoak, ServesThroughKillsStopsPausesAndLostDisks) {
-  uint64_t first = 1;
-  uint64_t last = 2;
-  if (const char* range = std::getenv("LARCHLEVER_SOAK_SEEDS")) {
-    char* rest = nullptr;
-    first = std::strtoull(range, &rest, 10);
-    last = *rest == '-' ? std::strtoull(rest + 1, nullptr, 10) : first;
-  }
-  for (uint64_t seed = first; seed <= last; ++seed) {
+  for (const uint64_t seed : seeds_to_play()) {
     soak(seed);
   }
 }
