Count an entry's patience with a replica from the leader's word, once

Cause: an entry took an answer as fresh while the leader's word in it was younger than 1.5 s, and waited 1.5 s more after the last fresh one: three seconds with a replica that had lost its leader, then a heartbeat's time on each of the others. Change: what counts is when the leader spoke; while only replicas answer that hear no leader, the others are asked each 100 ms. A replica that gives up its identity does not take part in forming a fleet again.

--- a/src/core/fleet/fleet_subscription.cc
+++ b/src/core/fleet/fleet_subscription.cc
@@ -15,6 +15,9 @@
 constexpr size_t kRememberedQuestions = 64;
 /// While nobody answers, one replica after the other is asked at this pace.
 constexpr Duration kSearchInterval = milliseconds(50);
+/// While only replicas answer that hear no leader, entries ask one after the other at this pace: five in half a second,
+/// and no flood on replicas that are busy electing.
+constexpr Duration kStaleSearchInterval = milliseconds(100);
 /// An entry that found another replica than the one it prefers asks that one again at this pace.
 constexpr Duration kReturnInterval = seconds(2);
 
@@ -58,7 +61,17 @@
 }
 
 bool FleetSubscription::is_stale(TimePoint now) const {
-  return last_fresh_answer_ == TimePoint::min() || now - last_fresh_answer_ > options_.publisher_patience;
+  return leader_word_ == TimePoint::min() || now - leader_word_ > options_.publisher_patience;
+}
+
+Duration FleetSubscription::interval(TimePoint now) const {
+  if (is_searching(now)) {
+    return kSearchInterval;
+  }
+  if (!is_entry()) {
+    return options_.heartbeat_interval;
+  }
+  return is_stale(now) ? kStaleSearchInterval : options_.entry_heartbeat_interval;
 }
 
 std::string FleetSubscription::choose_target(TimePoint now) {
@@ -83,8 +96,7 @@
   if (now < next_heartbeat_) {
     return std::nullopt;
   }
-  const Duration interval = is_entry() ? options_.entry_heartbeat_interval : options_.heartbeat_interval;
-  next_heartbeat_ = now + (is_searching(now) ? kSearchInterval : interval);
+  next_heartbeat_ = now + interval(now);
   wire::Envelope envelope;
   envelope.to_node = choose_target(now);
   if (!is_searching(now)) {
@@ -133,8 +145,10 @@
   if (!update.leader.empty()) {
     leader_ = update.leader;
   }
-  const bool is_fresh =
-      update.confirmed_age_ms >= 0 && milliseconds(update.confirmed_age_ms) < options_.publisher_patience;
+  // What counts is how old the leader's word is, not when it was passed on: else an entry would stay with a replica
+  // that lost its leader for twice its patience, and miss a configuration that is confirmed meanwhile.
+  const Duration age = milliseconds(update.confirmed_age_ms);
+  const bool is_fresh = update.confirmed_age_ms >= 0 && age < options_.publisher_patience;
   if (update.sequence == 0 && envelope.from_node != publisher_) {
     return;  // A push of a replica that was left.
   }
@@ -147,7 +161,7 @@
     publisher_ = envelope.from_node;
     next_return_try_ = now + kReturnInterval;
   }
-  last_fresh_answer_ = now;
+  leader_word_ = std::max(leader_word_, now - age);
   peers_.restart();
 }
 
--- a/src/core/fleet/fleet_subscription.h
+++ b/src/core/fleet/fleet_subscription.h
@@ -74,6 +74,8 @@
   bool is_entry() const { return identity_.serves_requests; }
   /// Answers come, but from replicas that have no leader either.
   bool is_stale(TimePoint now) const;
+  /// From one heartbeat to the next.
+  Duration interval(TimePoint now) const;
   /// Whom the heartbeat that is due now goes to.
   std::string choose_target(TimePoint now);
   void receive_not_leader(TimePoint now, const wire::Envelope& envelope);
@@ -96,8 +98,8 @@
   /// `leader_` was named by somebody and not asked yet.
   bool is_hinted_ = false;
   TimePoint last_answer_ = TimePoint::min();
-  /// The last answer of a replica that heard its leader of late.
-  TimePoint last_fresh_answer_ = TimePoint::min();
+  /// The newest moment at which a leader spoke, as far as answers of replicas that heard one of late tell.
+  TimePoint leader_word_ = TimePoint::min();
   TimePoint lease_from_ = TimePoint::min();
   bool send_state_ = false;
   wire::DocumentChange document_;
--- a/src/node/control_process.cc
+++ b/src/node/control_process.cc
@@ -119,10 +119,14 @@
     if (const auto copy = wire::decode<wire::FleetState>(opened.copy)) {
       controller_.restore_state(*copy);
     }
+    controller_.start_replica(monotonic_now(), opened.replica_id, opened.boot, std::move(opened.persisted));
+  }
+  /// Starts on a folder as it was found, which may be the first start of a whole fleet.
+  void start_opened(ReplicaStorage::Opened opened) {
     // A seed that was stopped before the fleet was formed goes on with it, whatever later settings say.
     const bool forms = !opened.holds_log() && (settings_.may_found_cluster() || opened.formation);
     const std::string choice = opened.formation.value_or("");
-    controller_.start_replica(monotonic_now(), opened.replica_id, opened.boot, std::move(opened.persisted));
+    start_replica(std::move(opened));
     if (forms) {
       controller_.begin_forming(monotonic_now(), choice);
     }
@@ -183,7 +187,7 @@
   }
   auto opened = storage_.open(error);
   if (opened) {
-    start_replica(std::move(*opened));
+    start_opened(std::move(*opened));
   } else {
     on_storage_failure(error);
   }
@@ -222,7 +226,7 @@
     std::string error;
     auto opened = storage_.open(error);
     if (opened) {
-      start_replica(std::move(*opened));
+      start_opened(std::move(*opened));
       co_return;
     }
     log_problem(settings_.name, "data_folder_unusable", {{"reason", error}});
