A new leader that takes an old report for a server's present word, failing

The leader before had formed and opened another group around that server meanwhile. Change: a test of relay and leader.

--- /dev/null
+++ b/tests/unit/registration_age_test.cc
@@ -0,0 +1,48 @@
+#include <gtest/gtest.h>
+
+#include "core/fleet/fleet_leader.h"
+#include "core/fleet/registration_relay.h"
+
+namespace larchlever::fleet {
+namespace {
+
+// A leader that was about to be deposed formed a new group around a head and opened it; nobody else learned of that.
+// Its successor was handed what another replica had last heard of the head, a second before, took it for the head's
+// present word and gave the head to another group while the first one was open:
+//   6.397 s core-1 group_changed group=g2-82 phase=OPENING members=i-04e3799ed7,...
+//   6.790 s core-2 leadership_begun
+//   7.580 s core-2 order_answered operation=join instance=i-04e3799ed7 group=g3-1-single status=202
+// What an instance said before a leadership began is no word of its own on what it does in it.
+TEST(RegistrationAge, AReportFromBeforeTheLeadershipDoesNotSettleAnInstance) {
+  const TimePoint heard_at{seconds(100)};
+  wire::Instance report;
+  report.id = "i0";
+  report.service_name = "s";
+  report.address = "10.0.2.1:80";
+  report.domain = "d0";
+  report.call_number = 7;
+  report.membership.group = "g2-16";
+  report.membership.epoch = 16;
+  report.membership.state = wire::MembershipState::OPEN;
+  RegistrationRelay relay(seconds(3));
+  relay.note(heard_at, report);
+
+  FleetLeader leader({}, {});
+  const TimePoint began = heard_at + seconds(1);
+  leader.start(began, 3, {});
+  const auto batch = relay.next_batch(began + milliseconds(50), "10.0.0.1:7000", 3);
+  ASSERT_TRUE(batch);
+  leader.registrations(began + milliseconds(51), *batch);
+  ASSERT_TRUE(leader.instances().rows().contains("i0"));
+  EXPECT_FALSE(leader.instances().rows().at("i0").is_settled());
+
+  report.call_number = 8;
+  relay.note(began + milliseconds(200), report);
+  const auto next = relay.next_batch(began + milliseconds(250), "10.0.0.1:7000", 3);
+  ASSERT_TRUE(next);
+  leader.registrations(began + milliseconds(251), *next);
+  EXPECT_TRUE(leader.instances().rows().at("i0").is_settled());
+}
+
+}  // namespace
+}  // namespace larchlever::fleet
