--- a/tests/unit/group_supervisor_test.cc
+++ b/tests/unit/group_supervisor_test.cc
@@ -63,5 +63,64 @@
   EXPECT_TRUE(supervisor.snapshot().empty()) << "the group of one is nobody's to dissolve";
 }
 
+/// Join orders that a supervisor sends in a second of ticks while every order is answered as done.
+size_t joins_while_all_is_answered(GroupSupervisor& supervisor, TimePoint from, const InstanceDirectory& directory) {
+  const auto document = document_with_engine();
+  size_t joins = 0;
+  for (TimePoint now = from; now < from + seconds(1); now += milliseconds(40)) {
+    supervisor.tick(now, document, directory);
+    for (const auto& order : supervisor.take_orders()) {
+      joins += order.kind == OrderKind::kJoin ? 1 : 0;
+      InstanceOrderResult result;
+      result.order = order;
+      result.status = 200;
+      supervisor.order_result(now, result);
+    }
+  }
+  return joins;
+}
+
+// A deposed leader had dissolved a group and formed another one around its head, which nobody else learned of. Its
+// successor still held the first group, dissolved it, got its leave answered (it names a group that the head is no
+// longer in, so nothing happens), and to fence late orders joined the head to a group of its own, while the other one
+// was open:
+//   6.397 s core-1 group_changed group=g2-82 phase=OPENING members=i-04e3799ed7,...
+//   7.492 s core-2 group_changed group=g2-16 phase=DISSOLVING
+//   7.580 s core-2 order_answered operation=join instance=i-04e3799ed7 group=g3-1-single status=202
+TEST(GroupSupervisor, AHeadIsNotFencedBeforeItSaysWhichGroupItIsIn) {
+  std::vector<wire::Instance> copy;
+  wire::EngineGroup group;
+  group.name = "g2-16";
+  group.epoch = 16;
+  group.service_name = "s";
+  group.model = "large";
+  group.phase = wire::GroupPhase::OPEN;
+  for (int number = 0; number < 4; ++number) {
+    auto instance = instance_with_staged("large");
+    instance.id = "i" + std::to_string(number);
+    instance.address = "a:" + std::to_string(number);
+    instance.model = "large";
+    instance.membership.group = group.name;
+    instance.membership.epoch = group.epoch;
+    instance.membership.rank = number;
+    instance.membership.state = number == 0 ? wire::MembershipState::OPEN : wire::MembershipState::READY;
+    copy.push_back(instance);
+    group.members.push_back(instance.id);
+  }
+  InstanceDirectory directory(seconds(3));
+  directory.start(kStart, copy);
+  GroupSupervisor supervisor{FleetOptions()};
+  supervisor.start(kStart, 3, {group});
+  supervisor.note_failure(group.name);
+  EXPECT_EQ(joins_while_all_is_answered(supervisor, kStart, directory), 0U) << "the head has not spoken yet";
+  auto head = copy.front();
+  head.call_number = 9;
+  head.membership.group = "g2-82";
+  head.membership.epoch = 82;
+  directory.heard(kStart + seconds(1), head);
+  EXPECT_EQ(joins_while_all_is_answered(supervisor, kStart + seconds(1), directory), 0U)
+      << "it is open in another group, and an order to the old one cannot take effect any more";
+}
+
 }  // namespace
 }  // namespace larchlever::fleet
