Take a report from before a leadership as news, not as the instance's present word

Cause: replicas handed a new leader what they had heard last of each server, up to 2.8 s old, and it counted as heard under the new leadership: a group the leader before had formed meanwhile was not seen, and its members were given to others. Change: each report carries the newest leader's term that the replica knew when it took the heartbeat. Reports of a lower term update the row but do not settle it. Ways weighed: the report's age (wants clocks that run alike and a bound on the time under way) and the known term (an order of events, without clocks); the second was built.

--- a/src/core/fleet/fleet_leader.cc
+++ b/src/core/fleet/fleet_leader.cc
@@ -293,7 +293,11 @@
 
 void FleetLeader::registrations(TimePoint now, const wire::RegistrationBatch& batch) {
   for (const auto& report : batch.reports) {
-    version_ += instances_.heard(now, report) ? 1 : 0;
+    // Taken before the replica knew of this leadership, it may be older than the last orders of the one before.
+    const bool is_present = report.known_term >= term_;
+    const bool changed =
+        is_present ? instances_.heard(now, report.instance) : instances_.heard_before(now, report.instance);
+    version_ += changed ? 1 : 0;
   }
 }
 
--- a/src/core/fleet/instance_directory.cc
+++ b/src/core/fleet/instance_directory.cc
@@ -92,8 +92,27 @@
   if (!row.heard_here && is_held_by_another(report)) {
     row.contends_since = now;  // The copy may name an earlier holder of the address, or a later one.
   }
+  const bool was_settled = row.is_settled();
   row.last_heard = now;
   row.heard_here = true;
+  const bool changed = take_report(row, report);
+  settle_address(now, row);
+  return changed || row.is_settled() != was_settled;
+}
+
+bool InstanceDirectory::heard_before(TimePoint now, const wire::Instance& report) {
+  const auto found = rows_.find(report.id);
+  if (found == rows_.end()) {
+    add_row({report, now, false});
+    return true;
+  }
+  InstanceRow& row = found->second;
+  const bool is_news = !row.heard_here && report.call_number > row.instance.call_number &&
+                       row.instance.state != wire::InstanceState::GONE;
+  return is_news && take_report(row, report);
+}
+
+bool InstanceDirectory::take_report(InstanceRow& row, const wire::Instance& report) {
   wire::Instance next = report;
   next.address = row.instance.address;  // An instance stays where it started.
   next.state = std::max(row.instance.state, report.state);
@@ -102,10 +121,8 @@
     next.model = row.instance.model;
   }
   const bool changed = !says_the_same(row.instance, next);
-  const bool was_settled = row.is_settled();
   row.instance = std::move(next);
-  settle_address(now, row);
-  return changed || row.is_settled() != was_settled;
+  return changed;
 }
 
 bool InstanceDirectory::deregister(TimePoint now, const std::string& id) {
--- a/src/core/fleet/instance_directory.h
+++ b/src/core/fleet/instance_directory.h
@@ -16,7 +16,7 @@
 struct InstanceRow {
   wire::Instance instance;
   TimePoint last_heard{};
-  /// False while the row is only inherited from the previous leader's copy.
+  /// False while nothing is known but what the instance said before this leadership.
   bool heard_here = false;
   /// Since when the instance is heard at an address that another one holds; nothing once that is settled. Until then it
   /// may be a late heartbeat of an instance that ended long ago.
@@ -41,6 +41,9 @@
   void merge(TimePoint now, const std::vector<wire::Instance>& inherited);
   /// Notes a heartbeat. True when it changed something that subscribers must know.
   bool heard(TimePoint now, const wire::Instance& report);
+  /// Notes a heartbeat that may be older than this leadership: news, but not the instance's word on what it does now.
+  /// True when it changed something that subscribers must know.
+  bool heard_before(TimePoint now, const wire::Instance& report);
   /// The instance said that it leaves for good. True when that is news.
   bool deregister(TimePoint now, const std::string& id);
   /// Marks instances silent or heard again, and forgets those long gone. True when something changed. When more than
@@ -60,6 +63,8 @@
   void settle_address(TimePoint now, InstanceRow& row);
 
   InstanceRow& add_row(InstanceRow row);
+  /// Takes what a newer report says; state only moves forward. True when it changed something.
+  static bool take_report(InstanceRow& row, const wire::Instance& report);
 
   Duration silence_;
   std::map<std::string, InstanceRow> rows_;
--- a/src/core/fleet/registration_relay.cc
+++ b/src/core/fleet/registration_relay.cc
@@ -11,11 +11,13 @@
 
 void RegistrationRelay::note(TimePoint now, wire::Instance report) {
   Report& known = reports_[report.id];
-  if (report.call_number < known.instance.call_number) {
+  if (report.call_number < known.report.instance.call_number) {
     return;  // Overtaken on its way.
   }
   unsent_.insert(report.id);
-  known = {std::move(report), now};
+  known.report.instance = std::move(report);
+  known.report.known_term = told_.second;
+  known.heard = now;
 }
 
 void RegistrationRelay::forget(const std::string& instance_id) {
@@ -40,7 +42,7 @@
   wire::RegistrationBatch batch;
   for (const auto& id : unsent_) {
     if (const auto found = reports_.find(id); found != reports_.end()) {
-      batch.reports.push_back(found->second.instance);
+      batch.reports.push_back(found->second.report);
     }
   }
   unsent_.clear();
--- a/src/wire/gen-cpp/larchlever_types.cpp
+++ b/src/wire/gen-cpp/larchlever_types.cpp
@@ -15410,11 +15410,134 @@
 }
 
 
+RegistrationReport::~RegistrationReport() noexcept {
+}
+
+
+void RegistrationReport::__set_instance(const Instance& val) {
+  this->instance = val;
+}
+
+void RegistrationReport::__set_known_term(const int64_t val) {
+  this->known_term = val;
+}
+std::ostream& operator<<(std::ostream& out, const RegistrationReport& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t RegistrationReport::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->instance.read(iprot);
+          this->__isset.instance = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->known_term);
+          this->__isset.known_term = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t RegistrationReport::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("RegistrationReport");
+
+  xfer += oprot->writeFieldBegin("instance", ::apache::thrift::protocol::T_STRUCT, 1);
+  xfer += this->instance.write(oprot);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("known_term", ::apache::thrift::protocol::T_I64, 2);
+  xfer += oprot->writeI64(this->known_term);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(RegistrationReport &a, RegistrationReport &b) {
+  using ::std::swap;
+  swap(a.instance, b.instance);
+  swap(a.known_term, b.known_term);
+  swap(a.__isset, b.__isset);
+}
+
+RegistrationReport::RegistrationReport(const RegistrationReport& other602) {
+  instance = other602.instance;
+  known_term = other602.known_term;
+  __isset = other602.__isset;
+}
+RegistrationReport::RegistrationReport(RegistrationReport&& other603) noexcept {
+  instance = std::move(other603.instance);
+  known_term = other603.known_term;
+  __isset = other603.__isset;
+}
+RegistrationReport& RegistrationReport::operator=(const RegistrationReport& other604) {
+  instance = other604.instance;
+  known_term = other604.known_term;
+  __isset = other604.__isset;
+  return *this;
+}
+RegistrationReport& RegistrationReport::operator=(RegistrationReport&& other605) noexcept {
+  instance = std::move(other605.instance);
+  known_term = other605.known_term;
+  __isset = other605.__isset;
+  return *this;
+}
+void RegistrationReport::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "RegistrationReport(";
+  out << "instance=" << to_string(instance);
+  out << ", " << "known_term=" << to_string(known_term);
+  out << ")";
+}
+
+
 RegistrationBatch::~RegistrationBatch() noexcept {
 }
 
 
-void RegistrationBatch::__set_reports(const std::vector<Instance> & val) {
+void RegistrationBatch::__set_reports(const std::vector<RegistrationReport> & val) {
   this->reports = val;
 }
 std::ostream& operator<<(std::ostream& out, const RegistrationBatch& obj)
@@ -15449,14 +15572,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->reports.clear();
-            uint32_t _size602;
-            ::apache::thrift::protocol::TType _etype605;
-            xfer += iprot->readListBegin(_etype605, _size602);
-            this->reports.resize(_size602);
-            uint32_t _i606;
-            for (_i606 = 0; _i606 < _size602; ++_i606)
+            uint32_t _size606;
+            ::apache::thrift::protocol::TType _etype609;
+            xfer += iprot->readListBegin(_etype609, _size606);
+            this->reports.resize(_size606);
+            uint32_t _i610;
+            for (_i610 = 0; _i610 < _size606; ++_i610)
             {
-              xfer += this->reports[_i606].read(iprot);
+              xfer += this->reports[_i610].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -15485,10 +15608,10 @@
   xfer += oprot->writeFieldBegin("reports", ::apache::thrift::protocol::T_LIST, 1);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->reports.size()));
-    std::vector<Instance> ::const_iterator _iter607;
-    for (_iter607 = this->reports.begin(); _iter607 != this->reports.end(); ++_iter607)
+    std::vector<RegistrationReport> ::const_iterator _iter611;
+    for (_iter611 = this->reports.begin(); _iter611 != this->reports.end(); ++_iter611)
     {
-      xfer += (*_iter607).write(oprot);
+      xfer += (*_iter611).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -15505,22 +15628,22 @@
   swap(a.__isset, b.__isset);
 }
 
-RegistrationBatch::RegistrationBatch(const RegistrationBatch& other608) {
-  reports = other608.reports;
-  __isset = other608.__isset;
+RegistrationBatch::RegistrationBatch(const RegistrationBatch& other612) {
+  reports = other612.reports;
+  __isset = other612.__isset;
 }
-RegistrationBatch::RegistrationBatch(RegistrationBatch&& other609) noexcept {
-  reports = std::move(other609.reports);
-  __isset = other609.__isset;
+RegistrationBatch::RegistrationBatch(RegistrationBatch&& other613) noexcept {
+  reports = std::move(other613.reports);
+  __isset = other613.__isset;
 }
-RegistrationBatch& RegistrationBatch::operator=(const RegistrationBatch& other610) {
-  reports = other610.reports;
-  __isset = other610.__isset;
+RegistrationBatch& RegistrationBatch::operator=(const RegistrationBatch& other614) {
+  reports = other614.reports;
+  __isset = other614.__isset;
   return *this;
 }
-RegistrationBatch& RegistrationBatch::operator=(RegistrationBatch&& other611) noexcept {
-  reports = std::move(other611.reports);
-  __isset = other611.__isset;
+RegistrationBatch& RegistrationBatch::operator=(RegistrationBatch&& other615) noexcept {
+  reports = std::move(other615.reports);
+  __isset = other615.__isset;
   return *this;
 }
 void RegistrationBatch::printTo(std::ostream& out) const {
@@ -15623,26 +15746,26 @@
   swap(a.__isset, b.__isset);
 }
 
-FormationNotice::FormationNotice(const FormationNotice& other612) {
-  choice = other612.choice;
-  holds_log = other612.holds_log;
-  __isset = other612.__isset;
+FormationNotice::FormationNotice(const FormationNotice& other616) {
+  choice = other616.choice;
+  holds_log = other616.holds_log;
+  __isset = other616.__isset;
 }
-FormationNotice::FormationNotice(FormationNotice&& other613) noexcept {
-  choice = std::move(other613.choice);
-  holds_log = other613.holds_log;
-  __isset = other613.__isset;
+FormationNotice::FormationNotice(FormationNotice&& other617) noexcept {
+  choice = std::move(other617.choice);
+  holds_log = other617.holds_log;
+  __isset = other617.__isset;
 }
-FormationNotice& FormationNotice::operator=(const FormationNotice& other614) {
-  choice = other614.choice;
-  holds_log = other614.holds_log;
-  __isset = other614.__isset;
+FormationNotice& FormationNotice::operator=(const FormationNotice& other618) {
+  choice = other618.choice;
+  holds_log = other618.holds_log;
+  __isset = other618.__isset;
   return *this;
 }
-FormationNotice& FormationNotice::operator=(FormationNotice&& other615) noexcept {
-  choice = std::move(other615.choice);
-  holds_log = other615.holds_log;
-  __isset = other615.__isset;
+FormationNotice& FormationNotice::operator=(FormationNotice&& other619) noexcept {
+  choice = std::move(other619.choice);
+  holds_log = other619.holds_log;
+  __isset = other619.__isset;
   return *this;
 }
 void FormationNotice::printTo(std::ostream& out) const {
@@ -16086,98 +16209,98 @@
   swap(a.__isset, b.__isset);
 }
 
-Envelope::Envelope(const Envelope& other616) {
-  from_node = other616.from_node;
-  from_incarnation = other616.from_incarnation;
-  to_node = other616.to_node;
-  raft = other616.raft;
-  heartbeat = other616.heartbeat;
-  heartbeat_reply = other616.heartbeat_reply;
-  claim_request = other616.claim_request;
-  claim_reply = other616.claim_reply;
-  resolution = other616.resolution;
-  operator_request = other616.operator_request;
-  operator_reply = other616.operator_reply;
-  resolution_reply = other616.resolution_reply;
-  fleet_heartbeat = other616.fleet_heartbeat;
-  fleet_update = other616.fleet_update;
-  control_call = other616.control_call;
-  control_call_reply = other616.control_call_reply;
-  slot_report = other616.slot_report;
-  slot_answer = other616.slot_answer;
-  registrations = other616.registrations;
-  formation = other616.formation;
-  __isset = other616.__isset;
-}
-Envelope::Envelope(Envelope&& other617) noexcept {
-  from_node = std::move(other617.from_node);
-  from_incarnation = other617.from_incarnation;
-  to_node = std::move(other617.to_node);
-  raft = std::move(other617.raft);
-  heartbeat = std::move(other617.heartbeat);
-  heartbeat_reply = std::move(other617.heartbeat_reply);
-  claim_request = std::move(other617.claim_request);
-  claim_reply = std::move(other617.claim_reply);
-  resolution = std::move(other617.resolution);
-  operator_request = std::move(other617.operator_request);
-  operator_reply = std::move(other617.operator_reply);
-  resolution_reply = std::move(other617.resolution_reply);
-  fleet_heartbeat = std::move(other617.fleet_heartbeat);
-  fleet_update = std::move(other617.fleet_update);
-  control_call = std::move(other617.control_call);
-  control_call_reply = std::move(other617.control_call_reply);
-  slot_report = std::move(other617.slot_report);
-  slot_answer = std::move(other617.slot_answer);
-  registrations = std::move(other617.registrations);
-  formation = std::move(other617.formation);
-  __isset = other617.__isset;
-}
-Envelope& Envelope::operator=(const Envelope& other618) {
-  from_node = other618.from_node;
-  from_incarnation = other618.from_incarnation;
-  to_node = other618.to_node;
-  raft = other618.raft;
-  heartbeat = other618.heartbeat;
-  heartbeat_reply = other618.heartbeat_reply;
-  claim_request = other618.claim_request;
-  claim_reply = other618.claim_reply;
-  resolution = other618.resolution;
-  operator_request = other618.operator_request;
-  operator_reply = other618.operator_reply;
-  resolution_reply = other618.resolution_reply;
-  fleet_heartbeat = other618.fleet_heartbeat;
-  fleet_update = other618.fleet_update;
-  control_call = other618.control_call;
-  control_call_reply = other618.control_call_reply;
-  slot_report = other618.slot_report;
-  slot_answer = other618.slot_answer;
-  registrations = other618.registrations;
-  formation = other618.formation;
-  __isset = other618.__isset;
-  return *this;
-}
-Envelope& Envelope::operator=(Envelope&& other619) noexcept {
-  from_node = std::move(other619.from_node);
-  from_incarnation = other619.from_incarnation;
-  to_node = std::move(other619.to_node);
-  raft = std::move(other619.raft);
-  heartbeat = std::move(other619.heartbeat);
-  heartbeat_reply = std::move(other619.heartbeat_reply);
-  claim_request = std::move(other619.claim_request);
-  claim_reply = std::move(other619.claim_reply);
-  resolution = std::move(other619.resolution);
-  operator_request = std::move(other619.operator_request);
-  operator_reply = std::move(other619.operator_reply);
-  resolution_reply = std::move(other619.resolution_reply);
-  fleet_heartbeat = std::move(other619.fleet_heartbeat);
-  fleet_update = std::move(other619.fleet_update);
-  control_call = std::move(other619.control_call);
-  control_call_reply = std::move(other619.control_call_reply);
-  slot_report = std::move(other619.slot_report);
-  slot_answer = std::move(other619.slot_answer);
-  registrations = std::move(other619.registrations);
-  formation = std::move(other619.formation);
-  __isset = other619.__isset;
+Envelope::Envelope(const Envelope& other620) {
+  from_node = other620.from_node;
+  from_incarnation = other620.from_incarnation;
+  to_node = other620.to_node;
+  raft = other620.raft;
+  heartbeat = other620.heartbeat;
+  heartbeat_reply = other620.heartbeat_reply;
+  claim_request = other620.claim_request;
+  claim_reply = other620.claim_reply;
+  resolution = other620.resolution;
+  operator_request = other620.operator_request;
+  operator_reply = other620.operator_reply;
+  resolution_reply = other620.resolution_reply;
+  fleet_heartbeat = other620.fleet_heartbeat;
+  fleet_update = other620.fleet_update;
+  control_call = other620.control_call;
+  control_call_reply = other620.control_call_reply;
+  slot_report = other620.slot_report;
+  slot_answer = other620.slot_answer;
+  registrations = other620.registrations;
+  formation = other620.formation;
+  __isset = other620.__isset;
+}
+Envelope::Envelope(Envelope&& other621) noexcept {
+  from_node = std::move(other621.from_node);
+  from_incarnation = other621.from_incarnation;
+  to_node = std::move(other621.to_node);
+  raft = std::move(other621.raft);
+  heartbeat = std::move(other621.heartbeat);
+  heartbeat_reply = std::move(other621.heartbeat_reply);
+  claim_request = std::move(other621.claim_request);
+  claim_reply = std::move(other621.claim_reply);
+  resolution = std::move(other621.resolution);
+  operator_request = std::move(other621.operator_request);
+  operator_reply = std::move(other621.operator_reply);
+  resolution_reply = std::move(other621.resolution_reply);
+  fleet_heartbeat = std::move(other621.fleet_heartbeat);
+  fleet_update = std::move(other621.fleet_update);
+  control_call = std::move(other621.control_call);
+  control_call_reply = std::move(other621.control_call_reply);
+  slot_report = std::move(other621.slot_report);
+  slot_answer = std::move(other621.slot_answer);
+  registrations = std::move(other621.registrations);
+  formation = std::move(other621.formation);
+  __isset = other621.__isset;
+}
+Envelope& Envelope::operator=(const Envelope& other622) {
+  from_node = other622.from_node;
+  from_incarnation = other622.from_incarnation;
+  to_node = other622.to_node;
+  raft = other622.raft;
+  heartbeat = other622.heartbeat;
+  heartbeat_reply = other622.heartbeat_reply;
+  claim_request = other622.claim_request;
+  claim_reply = other622.claim_reply;
+  resolution = other622.resolution;
+  operator_request = other622.operator_request;
+  operator_reply = other622.operator_reply;
+  resolution_reply = other622.resolution_reply;
+  fleet_heartbeat = other622.fleet_heartbeat;
+  fleet_update = other622.fleet_update;
+  control_call = other622.control_call;
+  control_call_reply = other622.control_call_reply;
+  slot_report = other622.slot_report;
+  slot_answer = other622.slot_answer;
+  registrations = other622.registrations;
+  formation = other622.formation;
+  __isset = other622.__isset;
+  return *this;
+}
+Envelope& Envelope::operator=(Envelope&& other623) noexcept {
+  from_node = std::move(other623.from_node);
+  from_incarnation = other623.from_incarnation;
+  to_node = std::move(other623.to_node);
+  raft = std::move(other623.raft);
+  heartbeat = std::move(other623.heartbeat);
+  heartbeat_reply = std::move(other623.heartbeat_reply);
+  claim_request = std::move(other623.claim_request);
+  claim_reply = std::move(other623.claim_reply);
+  resolution = std::move(other623.resolution);
+  operator_request = std::move(other623.operator_request);
+  operator_reply = std::move(other623.operator_reply);
+  resolution_reply = std::move(other623.resolution_reply);
+  fleet_heartbeat = std::move(other623.fleet_heartbeat);
+  fleet_update = std::move(other623.fleet_update);
+  control_call = std::move(other623.control_call);
+  control_call_reply = std::move(other623.control_call_reply);
+  slot_report = std::move(other623.slot_report);
+  slot_answer = std::move(other623.slot_answer);
+  registrations = std::move(other623.registrations);
+  formation = std::move(other623.formation);
+  __isset = other623.__isset;
   return *this;
 }
 void Envelope::printTo(std::ostream& out) const {
--- a/src/wire/gen-cpp/larchlever_types.h
+++ b/src/wire/gen-cpp/larchlever_types.h
@@ -356,6 +356,8 @@
 
 class ControlCallReply;
 
+class RegistrationReport;
+
 class RegistrationBatch;
 
 class FormationNotice;
@@ -5989,6 +5991,63 @@
 
 std::ostream& operator<<(std::ostream& out, const ControlCallReply& obj);
 
+typedef struct _RegistrationReport__isset {
+  _RegistrationReport__isset() : instance(false), known_term(false) {}
+  bool instance :1;
+  bool known_term :1;
+} _RegistrationReport__isset;
+
+/**
+ * A heartbeat of an instance, as a control replica took it.
+ */
+class RegistrationReport : public virtual ::apache::thrift::TBase {
+ public:
+
+  RegistrationReport(const RegistrationReport&);
+  RegistrationReport(RegistrationReport&&) noexcept;
+  RegistrationReport& operator=(const RegistrationReport&);
+  RegistrationReport& operator=(RegistrationReport&&) noexcept;
+  RegistrationReport() noexcept
+                     : known_term(0) {
+  }
+
+  virtual ~RegistrationReport() noexcept;
+  Instance instance;
+  /**
+   * Term of the newest leader that the replica knew of when it took the heartbeat; 0 for none.
+   */
+  int64_t known_term;
+
+  _RegistrationReport__isset __isset;
+
+  void __set_instance(const Instance& val);
+
+  void __set_known_term(const int64_t val);
+
+  bool operator == (const RegistrationReport & rhs) const
+  {
+    if (!(instance == rhs.instance))
+      return false;
+    if (!(known_term == rhs.known_term))
+      return false;
+    return true;
+  }
+  bool operator != (const RegistrationReport &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const RegistrationReport & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(RegistrationReport &a, RegistrationReport &b);
+
+std::ostream& operator<<(std::ostream& out, const RegistrationReport& obj);
+
 typedef struct _RegistrationBatch__isset {
   _RegistrationBatch__isset() : reports(false) {}
   bool reports :1;
@@ -6008,11 +6067,11 @@
   }
 
   virtual ~RegistrationBatch() noexcept;
-  std::vector<Instance>  reports;
+  std::vector<RegistrationReport>  reports;
 
   _RegistrationBatch__isset __isset;
 
-  void __set_reports(const std::vector<Instance> & val);
+  void __set_reports(const std::vector<RegistrationReport> & val);
 
   bool operator == (const RegistrationBatch & rhs) const
   {
--- a/src/wire/larchlever.thrift
+++ b/src/wire/larchlever.thrift
@@ -736,9 +736,16 @@
   3: binary body,
 }
 
+/** A heartbeat of an instance, as a control replica took it. */
+struct RegistrationReport {
+  1: Instance instance,
+  /** Term of the newest leader that the replica knew of when it took the heartbeat; 0 for none. */
+  2: i64 known_term,
+}
+
 /** Heartbeats of instances that a control replica took, for the leader. */
 struct RegistrationBatch {
-  1: list<Instance> reports,
+  1: list<RegistrationReport> reports,
 }
 
 /** What a seed of a new fleet says to the others until one of them has made the first log. */
--- a/tests/unit/distribution_test.cc
+++ b/tests/unit/distribution_test.cc
@@ -263,7 +263,7 @@
   newer.zone = "new";
   relay.note(kStart, newer);
   relay.note(kStart, instance("i1"));
-  EXPECT_EQ(relay.next_batch(kStart, "l1", 1)->reports.front().zone, "new");
+  EXPECT_EQ(relay.next_batch(kStart, "l1", 1)->reports.front().instance.zone, "new");
 }
 
 wire::ControlCall heartbeat_call(const std::string& id) {
