Fence an inherited head only after it has said that it left

Cause: a new leader dissolved a group of its predecessor's, got the leave answered, and fenced the head against late orders by a join of its own, although the head led another group by then that only the predecessor knew. Change: the head of an inherited group is fenced once its own report under this leadership says that it is not in the group; one that reports a higher epoch needs no fence, its old group is released and the other one adopted. Found on the way: a head that confirmed its leave and ended before it was fenced kept its members for good; they are asked to leave now, and released after the stall time.

--- a/src/core/fleet/group_supervisor.cc
+++ b/src/core/fleet/group_supervisor.cc
@@ -127,6 +127,7 @@
     Record record;
     record.group = group;
     record.since = now;
+    record.is_inherited = true;
     record.may_be_open = true;
     record.unanswered_head_orders = 1;  // What the predecessor sent is not known.
     if (group.phase == wire::GroupPhase::JOINING) {
@@ -222,7 +223,15 @@
   }
 }
 
+bool GroupSupervisor::head_says_it_left(const Record& record, const InstanceDirectory& directory) {
+  const auto head = directory.rows().find(record.group.members.front());
+  return head != directory.rows().end() && head->second.is_settled() && !reports(head->second.instance, record.group);
+}
+
 void GroupSupervisor::fence_head(TimePoint now, Record& record, const InstanceDirectory& directory) {
+  if (record.is_inherited && !head_says_it_left(record, directory)) {
+    return;
+  }
   const auto& head = record.group.members.front();
   if (record.fence_epoch == 0) {
     record.fence_epoch = next_epoch();
@@ -355,7 +364,9 @@
     }
     return;
   }
-  send(now, order_for(OrderKind::kLeave, record, members.front()), directory);
+  if (!record.head_left) {
+    send(now, order_for(OrderKind::kLeave, record, members.front()), directory);
+  }
   const auto* head = directory.find(members.front());
   if (can_take_work(head) && now - record.since < kHeadPatience) {
     return;
@@ -372,8 +383,8 @@
 }
 
 bool GroupSupervisor::is_dissolved(TimePoint now, const Record& record, const InstanceDirectory& directory) const {
-  if (record.head_left) {
-    return !record.may_be_open || record.unanswered_head_orders <= 0 || record.head_fenced;
+  if (record.head_left && (!record.may_be_open || record.unanswered_head_orders <= 0 || record.head_fenced)) {
+    return true;
   }
   const bool stalled =
       record.member_left_at != TimePoint::max() && now - record.member_left_at > options_.stall_time + kStallMargin;
@@ -417,7 +428,9 @@
       }
       if (record.head_left) {
         fence_head(now, record, directory);
-      } else {
+      }
+      // A head that left may end before it is fenced: its members leave then as they would with an unreachable one.
+      if (!record.head_left || now - record.since > kHeadPatience) {
         order_leave(now, record, directory);
       }
       return false;
@@ -475,6 +488,7 @@
       continue;  // Other members may still report.
     }
     record.group.phase = intact ? wire::GroupPhase::OPEN : wire::GroupPhase::DISSOLVING;
+    record.is_inherited = true;
     record.may_be_open = true;
     record.unanswered_head_orders = 1;
     record.since = now;
--- a/src/core/fleet/group_supervisor.h
+++ b/src/core/fleet/group_supervisor.h
@@ -116,6 +116,8 @@
     /// An order to open may have been sent, so the head may be open whatever it last reported.
     bool may_be_open = false;
     bool failed = false;
+    /// An earlier leadership formed it, and may since have given its head to a group that nobody told us of.
+    bool is_inherited = false;
     /// Drained so that another model gets its servers.
     bool is_given_up = false;
     /// When a member that is not the head confirmed that it left.
@@ -144,7 +146,11 @@
   /// No entry has anything in flight there.
   bool is_idle(const Record& record) const;
   void order_leave(TimePoint now, const Record& record, const InstanceDirectory& directory);
-  /// Gives a head that left an epoch above its old group's, so that late orders cannot open that group again.
+  /// The head's own word under this leadership that it is not in the group.
+  static bool head_says_it_left(const Record& record, const InstanceDirectory& directory);
+  /// Gives a head that left an epoch above its old group's, so that late orders cannot open that group again. The head
+  /// of an inherited group is left alone until it has said where it is: it may lead another group by now, which an
+  /// order to join breaks off.
   void fence_head(TimePoint now, Record& record, const InstanceDirectory& directory);
   int64_t next_epoch() { return (term_ << kEpochTermShift) + next_number_++; }
   bool is_dissolved(TimePoint now, const Record& record, const InstanceDirectory& directory) const;
--- a/tests/unit/group_supervisor_test.cc
+++ b/tests/unit/group_supervisor_test.cc
@@ -80,16 +80,15 @@
   return joins;
 }
 
-// A deposed leader had dissolved a group and formed another one around its head, which nobody else learned of. Its
-// successor still held the first group, dissolved it, got its leave answered (it names a group that the head is no
-// longer in, so nothing happens), and to fence late orders joined the head to a group of its own, while the other one
-// was open:
-//   6.397 s core-1 group_changed group=g2-82 phase=OPENING members=i-04e3799ed7,...
-//   7.492 s core-2 group_changed group=g2-16 phase=DISSOLVING
-//   7.580 s core-2 order_answered operation=join instance=i-04e3799ed7 group=g3-1-single status=202
-TEST(GroupSupervisor, AHeadIsNotFencedBeforeItSaysWhichGroupItIsIn) {
-  std::vector<wire::Instance> copy;
+struct InheritedGroup {
   wire::EngineGroup group;
+  std::vector<wire::Instance> instances;
+};
+
+/// An open group of four, as a new leader finds it in the copy of its predecessor's state.
+InheritedGroup inherited_open_group() {
+  InheritedGroup result;
+  auto& group = result.group;
   group.name = "g2-16";
   group.epoch = 16;
   group.service_name = "s";
@@ -104,16 +103,28 @@
     instance.membership.epoch = group.epoch;
     instance.membership.rank = number;
     instance.membership.state = number == 0 ? wire::MembershipState::OPEN : wire::MembershipState::READY;
-    copy.push_back(instance);
+    result.instances.push_back(instance);
     group.members.push_back(instance.id);
   }
+  return result;
+}
+
+// A deposed leader had dissolved a group and formed another one around its head, which nobody else learned of. Its
+// successor still held the first group, dissolved it, got its leave answered (it names a group that the head is no
+// longer in, so nothing happens), and to fence late orders joined the head to a group of its own, while the other one
+// was open:
+//   6.397 s core-1 group_changed group=g2-82 phase=OPENING members=i-04e3799ed7,...
+//   7.492 s core-2 group_changed group=g2-16 phase=DISSOLVING
+//   7.580 s core-2 order_answered operation=join instance=i-04e3799ed7 group=g3-1-single status=202
+TEST(GroupSupervisor, AHeadIsNotFencedBeforeItSaysWhichGroupItIsIn) {
+  const InheritedGroup inherited = inherited_open_group();
   InstanceDirectory directory(seconds(3));
-  directory.start(kStart, copy);
+  directory.start(kStart, inherited.instances);
   GroupSupervisor supervisor{FleetOptions()};
-  supervisor.start(kStart, 3, {group});
-  supervisor.note_failure(group.name);
+  supervisor.start(kStart, 3, {inherited.group});
+  supervisor.note_failure(inherited.group.name);
   EXPECT_EQ(joins_while_all_is_answered(supervisor, kStart, directory), 0U) << "the head has not spoken yet";
-  auto head = copy.front();
+  auto head = inherited.instances.front();
   head.call_number = 9;
   head.membership.group = "g2-82";
   head.membership.epoch = 82;
@@ -122,5 +133,28 @@
       << "it is open in another group, and an order to the old one cannot take effect any more";
 }
 
+// A head confirmed that it left and ended before it could be fenced against late orders. Its three living servers were
+// kept for it: nobody ever confirms the fence, and they served nothing for the rest of the leadership.
+TEST(GroupSupervisor, MembersAreReleasedWhenTheirHeadEndsBeforeItIsFenced) {
+  const InheritedGroup inherited = inherited_open_group();
+  const std::string head = inherited.group.members.front();
+  InstanceDirectory directory(seconds(3));
+  directory.start(kStart, inherited.instances);
+  const FleetOptions options;
+  GroupSupervisor supervisor{options};
+  supervisor.start(kStart, 3, {inherited.group});
+  supervisor.note_failure(inherited.group.name);
+  const TimePoint head_ends = kStart + milliseconds(100);
+  const TimePoint end = kStart + options.stall_time + seconds(4);
+  for (TimePoint now = kStart; now < end; now += milliseconds(40)) {
+    supervisor.tick(now, document_with_engine(), directory);
+    for (const auto& order : supervisor.take_orders()) {
+      const bool is_answered = order.instance_id != head || now < head_ends;
+      supervisor.order_result(now, {order, is_answered ? 200 : 0});
+    }
+  }
+  EXPECT_EQ(supervisor.owner_of("i1"), nullptr) << "the head cannot serve without it: it stands still by now";
+}
+
 }  // namespace
 }  // namespace larchlever::fleet
