Find dead groups by the words of all entries that have streams there

Cause: a group whose member died was given up by each entry on its own evidence, 0.6 to 0.9 s after the last event; until then it got new requests. Change: entries tell the leader when the streams of a group are overdue by what they used to pause (mean and four mean deviations); once three entries and three quarters of those with streams there say so, and the longest pass that the cost model expects is over, the leader dissolves the group and tells the entries that use it (SilenceWatch). A request that may have run no longer waits for a slot that would still be in time: it cannot be refused any more. A group with a member that is cut off from its head is dissolved and formed again of the same servers, as before, only sooner; that stays open.

--- a/src/core/engine/pass_clock.cc
+++ b/src/core/engine/pass_clock.cc
@@ -11,6 +11,9 @@
 /// Passes further back than this are not played: a group with nothing to do has none, whatever the clock missed.
 constexpr Duration kLongestCatchUp = seconds(2);
 
+/// Passes that ended within this time are recent: longer than what first events take beyond the cost model's forecast.
+constexpr Duration kRecentPasses = milliseconds(500);
+
 /// A stated size, as far as an engine can take it.
 double readable_tokens(const document::EngineSpec& engine, double prompt_tokens) {
   const auto memory = static_cast<double>(engine.kv_capacity);
@@ -24,6 +27,7 @@
   if (running == 0) {
     waiting_tokens_ = 0;
     pass_ends_ = std::max(pass_ends_, now);
+    longest_pass_ = Duration::zero();
     return;
   }
   if (pass_ends_ == TimePoint::min() || now - pass_ends_ > kLongestCatchUp) {
@@ -32,7 +36,13 @@
   while (pass_ends_ <= now) {
     const double read = std::min(waiting_tokens_, tokens_per_pass(engine));
     waiting_tokens_ -= read;
-    pass_ends_ += std::max<Duration>(milliseconds(1), pass_length(engine, model, running, read));
+    const Duration pass = std::max<Duration>(milliseconds(1), pass_length(engine, model, running, read));
+    const bool is_old = longest_pass_ended_ == TimePoint::min() || pass_ends_ - longest_pass_ended_ > kRecentPasses;
+    pass_ends_ += pass;
+    if (is_old || pass >= longest_pass_) {
+      longest_pass_ = pass;
+      longest_pass_ended_ = pass_ends_;
+    }
   }
 }
 
--- a/src/core/engine/pass_clock.h
+++ b/src/core/engine/pass_clock.h
@@ -28,6 +28,9 @@
   /// What a request with `prompt_tokens` would meet.
   PassForecast forecast(TimePoint now, const document::EngineSpec& engine, const document::ModelSpec& model,
                         int running, double prompt_tokens);
+  /// The longest of the passes of the last half second, the one under way included, as of the last call; zero while
+  /// nothing ran. The group's own passes lag behind the clock's by what the cost model leaves out.
+  Duration longest_recent_pass() const { return longest_pass_; }
 
  private:
   /// Plays the passes that have ended by `now`.
@@ -35,6 +38,8 @@
 
   TimePoint pass_ends_ = TimePoint::min();
   double waiting_tokens_ = 0;
+  Duration longest_pass_{};
+  TimePoint longest_pass_ended_ = TimePoint::min();
 };
 
 }  // namespace larchlever::engine
--- a/src/core/fleet/dispatcher.cc
+++ b/src/core/fleet/dispatcher.cc
@@ -88,9 +88,9 @@
   std::vector<std::string> result;
   for (const auto& group : groups_) {
     const auto health = health_.find(group.name);
-    const bool is_quiet = health != health_.end() && health->second.streaming() > 0 &&
-                          health->second.is_quiet(now, longest_pause(group.service_name, group.model));
-    if (is_quiet) {
+    const bool is_overdue =
+        health != health_.end() && health->second.is_overdue(now, longest_pause(group.service_name, group.model));
+    if (is_overdue) {
       result.push_back(group.name);
     }
   }
--- a/src/core/fleet/fleet_leader.cc
+++ b/src/core/fleet/fleet_leader.cc
@@ -211,6 +211,7 @@
   }
   slots_.note_loads(node, report.loads, report.is_complete, report.grants_term, report.grants_seen);
   slots_.note_quiet(now, node, report.quiet_groups);
+  fail_silent_groups(now, log);
   for (const auto& request : report.requests) {
     slots_.add_request(now, node, request);
   }
@@ -246,6 +247,26 @@
   }
 }
 
+void FleetLeader::fail_silent_groups(TimePoint now, const DocumentLog& log) {
+  if (log.parsed() == nullptr) {
+    return;
+  }
+  std::map<std::string, wire::SlotAnswer> answers;
+  for (const auto& group : slots_.find_failed_groups(now, *log.parsed())) {
+    groups_.note_failure(group);
+    for (const auto& node : slots_.nodes_at(group)) {
+      answers[node].failed_groups.push_back(group);
+    }
+  }
+  for (auto& [node, answer] : answers) {
+    answer.term = term_;
+    wire::Envelope envelope;
+    envelope.to_node = node;
+    envelope.__set_slot_answer(answer);
+    outputs_.envelopes.push_back(std::move(envelope));
+  }
+}
+
 void FleetLeader::forget_lost_entries(TimePoint now) {
   for (const auto& node : entry_reports_.forget_silent(now)) {
     slots_.forget_node(node);
@@ -419,6 +440,7 @@
     push_news(now, raft, log);
   }
   answer_confirmed(now);
+  fail_silent_groups(now, log);
   answer_slots(now, log);
 }
 
--- a/src/core/fleet/fleet_leader.h
+++ b/src/core/fleet/fleet_leader.h
@@ -115,6 +115,8 @@
   /// Tells an entry that its report arrived: a link that brings nothing back is taken for dead.
   void confirm_report(const std::string& node);
   void forget_lost_entries(TimePoint now);
+  /// Groups that stand still by the word of several entries: dissolved, and the entries that use them told at once.
+  void fail_silent_groups(TimePoint now, const DocumentLog& log);
   void update_loads(TimePoint now);
 
   FleetOptions options_;
--- a/src/core/fleet/slot_scheduler.cc
+++ b/src/core/fleet/slot_scheduler.cc
@@ -16,11 +16,6 @@
 constexpr double kGapShare = 0.85;
 /// Requests that wait are looked at again this often; a pass of a group takes many times as long.
 constexpr Duration kReviewInterval = milliseconds(5);
-/// A node's word that its streams at a group pause too long counts for this long; it says so at least once a second
-/// while they do.
-constexpr Duration kQuietMemory = milliseconds(1200);
-/// Nodes whose word it takes: one alone may itself be slow or badly connected.
-constexpr std::ptrdiff_t kQuietWitnesses = 2;
 
 Duration scaled(Duration duration, double factor) {
   return Duration(static_cast<int64_t>(static_cast<double>(duration.count()) * factor));
@@ -31,6 +26,7 @@
 void SlotScheduler::start(int64_t term) {
   term_ = term;
   groups_.clear();
+  silence_ = SilenceWatch();
   open_groups_.clear();
   nodes_.clear();
   arrived_.clear();
@@ -45,7 +41,7 @@
     Group& group = groups_[row.name];
     group.service = row.service_name;
     group.model = row.model;
-    group.is_open = row.phase == wire::GroupPhase::OPEN;
+    group.is_open = row.phase == wire::GroupPhase::OPEN && !group.has_failed;
   }
   std::erase_if(groups_,
                 [&known](const auto& item) { return !known.contains(item.first) && item.second.in_flight == 0; });
@@ -90,11 +86,13 @@
     for (const auto& [group, in_flight] : before) {
       if (!named.contains(group)) {
         set_load(node, group, 0);
+        silence_.note_streams(node_name, group, 0);
       }
     }
   }
   for (const auto& load : loads) {
     set_load(node, load.group, load.in_flight);
+    silence_.note_streams(node_name, load.group, load.streaming);
   }
   while (grants_term == term_ && !node.granted.empty() && node.granted.front().first <= grants_seen) {
     --groups_[node.granted.front().second].in_flight;
@@ -102,24 +100,49 @@
   }
 }
 
-void SlotScheduler::note_quiet(TimePoint now, const std::string& node, const std::vector<std::string>& groups) {
-  for (auto& [name, group] : groups_) {
-    const bool is_named = std::find(groups.begin(), groups.end(), name) != groups.end();
-    if (is_named) {
-      group.quiet_at[node] = now;
-    } else if (!group.quiet_at.empty()) {
-      group.quiet_at.erase(node);
+std::vector<std::string> SlotScheduler::find_failed_groups(TimePoint now,
+                                                           const document::ConfigurationDocument& document) {
+  std::vector<std::string> result;
+  for (const auto& name : silence_.quiet_groups()) {
+    const auto found = groups_.find(name);
+    if (found == groups_.end() || !found->second.is_open) {
+      continue;
+    }
+    Group& group = found->second;
+    const auto service = document.services.find(group.service);
+    const bool known = service != document.services.end() && service->second.engine;
+    const auto* model = known ? service->second.engine->find_model(group.model) : nullptr;
+    if (model == nullptr) {
+      continue;
     }
+    const auto next = group.clock.forecast(now, *service->second.engine, *model, group.in_flight, 0);
+    const Duration longest_pass = std::max(next.longest_pass, group.clock.longest_recent_pass());
+    if (silence_.stands_still(now, name, longest_pass)) {
+      group.has_failed = true;
+      group.is_open = false;
+      result.push_back(name);
+    }
+  }
+  if (!result.empty()) {
+    index_open_groups();
   }
+  return result;
 }
 
-bool SlotScheduler::is_quiet(TimePoint now, const Group& group) {
-  const auto witnesses = std::count_if(group.quiet_at.begin(), group.quiet_at.end(),
-                                       [now](const auto& item) { return now - item.second < kQuietMemory; });
-  return witnesses >= kQuietWitnesses;
+std::vector<std::string> SlotScheduler::nodes_at(const std::string& group) const {
+  std::vector<std::string> result;
+  for (const auto& [name, node] : nodes_) {
+    const bool has_slot =
+        std::any_of(node.granted.begin(), node.granted.end(), [&](const auto& slot) { return slot.second == group; });
+    if (has_slot || node.in_flight.contains(group)) {
+      result.push_back(name);
+    }
+  }
+  return result;
 }
 
 void SlotScheduler::forget_node(const std::string& node_name) {
+  silence_.forget_node(node_name);
   const auto found = nodes_.find(node_name);
   if (found == nodes_.end()) {
     return;
@@ -179,7 +202,7 @@
     if (group.in_flight > 0 && forecast.longest_pass > longest_pass) {
       continue;
     }
-    const bool quiet = is_quiet(now, group);
+    const bool quiet = silence_.is_quiet(now, name);
     const bool is_better = std::pair(quiet, forecast.first_event) < std::pair(best.is_quiet, best.first_event);
     if (best.fit == Fit::kNone || is_better) {
       best.group = name;
--- a/src/core/fleet/slot_scheduler.h
+++ b/src/core/fleet/slot_scheduler.h
@@ -11,6 +11,7 @@
 #include "core/base/time.h"
 #include "core/document/configuration_document.h"
 #include "core/engine/pass_clock.h"
+#include "core/fleet/silence_watch.h"
 #include "larchlever_types.h"
 
 namespace larchlever::fleet {
@@ -43,7 +44,13 @@
   void note_loads(const std::string& node, const std::vector<wire::GroupLoad>& loads, bool is_complete,
                   int64_t grants_term, int64_t grants_seen);
   /// The groups whose streams at the node pause too long now. Where two nodes say so, other groups are preferred.
-  void note_quiet(TimePoint now, const std::string& node, const std::vector<std::string>& groups);
+  void note_quiet(TimePoint now, const std::string& node, const std::vector<std::string>& groups) {
+    silence_.note_quiet(now, node, groups);
+  }
+  /// Groups that are found to stand still since the last call; they get no requests any more.
+  std::vector<std::string> find_failed_groups(TimePoint now, const document::ConfigurationDocument& document);
+  /// Nodes that have something under way at the group.
+  std::vector<std::string> nodes_at(const std::string& group) const;
   /// The node is gone, and what it had under way with it.
   void forget_node(const std::string& node);
   void add_request(TimePoint now, const std::string& node, const wire::SlotRequest& request);
@@ -63,9 +70,9 @@
     std::string model;
     bool is_open = false;
     int in_flight = 0;
+    /// Found to stand still; a group that is formed again has another name.
+    bool has_failed = false;
     engine::PassClock clock;
-    /// Nodes whose streams there pause too long, and when they said so.
-    std::map<std::string, TimePoint> quiet_at;
   };
   struct Node {
     std::map<std::string, int> in_flight;
@@ -90,7 +97,6 @@
     bool is_quiet = false;
   };
 
-  static bool is_quiet(TimePoint now, const Group& group);
   /// Past the time in which its first event could still come within the objective.
   static bool is_late(TimePoint now, const WaitingRequest& waiting);
   static ModelKey key_of(const WaitingRequest& waiting) {
@@ -116,6 +122,7 @@
 
   int64_t term_ = 0;
   std::map<std::string, Group> groups_;
+  SilenceWatch silence_;
   /// The open groups of each model.
   std::map<ModelKey, std::vector<GroupItem*>> open_groups_;
   std::map<std::string, Node> nodes_;
--- a/src/core/fleet/target_health.cc
+++ b/src/core/fleet/target_health.cc
@@ -8,6 +8,12 @@
 
 /// What others saw is known this much later.
 constexpr Duration kNewsDelay = milliseconds(250);
+/// Events of several streams that arrive within this time come of one pass.
+constexpr Duration kSamePass = milliseconds(5);
+/// Streams are overdue after a pause this many deviations above the mean one. Never sooner than the floor, which covers
+/// a resent packet of a nearby server.
+constexpr int kOverdueDeviations = 4;
+constexpr Duration kOverdueFloor = milliseconds(80);
 
 }  // namespace
 
@@ -48,6 +54,14 @@
   }
 }
 
+void TargetHealth::note_progress(TimePoint now) {
+  const TimePoint before = std::max(streaming_since_, last_progress_);
+  last_progress_ = now;
+  if (streaming_ > 0 && now - before > kSamePass) {
+    pauses_.note(now - before);
+  }
+}
+
 bool TargetHealth::progressed_within(TimePoint now, Duration age) const {
   return last_progress_ != TimePoint::min() && now - last_progress_ < age;
 }
@@ -60,6 +74,16 @@
   return others_stream && now - std::max(others_.last_progress, last_progress_) > longest_pause + kNewsDelay;
 }
 
+bool TargetHealth::is_overdue(TimePoint now, Duration longest_pause) const {
+  if (streaming_ == 0) {
+    return false;
+  }
+  const Duration allowed = pauses_.is_measured()
+                               ? std::clamp<Duration>(pauses_.upper(kOverdueDeviations), kOverdueFloor, longest_pause)
+                               : longest_pause;
+  return now - std::max(streaming_since_, last_progress_) > allowed;
+}
+
 Duration TargetHealth::silence(TimePoint now) const {
   return in_flight_ == 0 ? Duration::zero() : now - std::max(busy_since_, last_progress_);
 }
--- a/src/core/fleet/target_health.h
+++ b/src/core/fleet/target_health.h
@@ -3,6 +3,7 @@
 #include <cstdint>
 
 #include "core/base/time.h"
+#include "core/requests/latency_estimate.h"
 
 namespace larchlever::fleet {
 
@@ -31,7 +32,7 @@
  public:
   void begin(TimePoint now, const SendingMark& mark);
   void note_first_event(TimePoint now, SendingMark& mark);
-  void note_progress(TimePoint now) { last_progress_ = now; }
+  void note_progress(TimePoint now);
   void end(const SendingMark& mark);
   void set_others(const OthersLoad& others) { others_ = others; }
   /// How many more requests this entry may send there until its part of the free places is drawn anew.
@@ -52,6 +53,9 @@
   bool progressed_within(TimePoint now, Duration age) const;
   /// Streams go on there, yet none brought anything for longer than `longest_pause`, whoever watches.
   bool is_quiet(TimePoint now, Duration longest_pause) const;
+  /// Streams of this entry go on there, and bring nothing for clearly longer than they used to, if `longest_pause`
+  /// allows no less.
+  bool is_overdue(TimePoint now, Duration longest_pause) const;
   /// This entry's own requests have waited this long since it last saw progress; zero when it has none there.
   Duration silence(TimePoint now) const;
 
@@ -64,6 +68,8 @@
   TimePoint busy_since_ = TimePoint::min();
   TimePoint streaming_since_ = TimePoint::min();
   TimePoint last_progress_ = TimePoint::min();
+  /// Times between two signs of progress while streams went on.
+  requests::LatencyEstimate pauses_;
   TimePoint avoid_until_ = TimePoint::min();
   OthersLoad others_;
 };
--- a/src/node/entry_process.cc
+++ b/src/node/entry_process.cc
@@ -124,6 +124,9 @@
 void EntryProcess::receive(const wire::Envelope& envelope) {
   if (envelope.__isset.slot_answer) {
     slots_.receive(envelope.slot_answer);
+    for (const auto& group : envelope.slot_answer.failed_groups) {
+      relay_.abandon_failed(monotonic_now(), group);
+    }
   }
   if (!envelope.__isset.fleet_update) {
     return;
--- a/src/node/request_relay.cc
+++ b/src/node/request_relay.cc
@@ -349,6 +349,17 @@
   }
 }
 
+void RequestRelay::abandon_failed(TimePoint now, const std::string& group) {
+  const auto target = state_.dispatcher.target_of_group(now, group);
+  if (!target) {
+    return;  // Avoided already, or gone.
+  }
+  ++state_.counters.stalls;
+  log_event("", "group_failed", {{"group", group}, {"requests", std::to_string(state_.under_way[target->key].size())}});
+  state_.dispatcher.avoid(now, target->key);
+  cancel_all_at(*target, now);
+}
+
 // ------------------------------------------------------------------- relay
 
 asio::awaitable<RequestRelay::Sending> RequestRelay::relay_whole(RelayedRequest& request, const fleet::Target& target,
--- a/src/node/target_finder.cc
+++ b/src/node/target_finder.cc
@@ -54,7 +54,8 @@
   question.model = request.model;
   question.prompt_tokens = static_cast<int32_t>(request.prompt_tokens);
   const Duration objective = request.route->target_latency;
-  if (objective > Duration::zero() && !request.head_sent) {
+  // Once it may have run, it cannot be refused any more: the soonest group is best, in time or not.
+  if (objective > Duration::zero() && !request.head_sent && !request.may_have_run) {
     const auto excess = state_.first_event_excess.find(request.model);
     const Duration allowance =
         excess == state_.first_event_excess.end()
--- a/src/wire/gen-cpp/larchlever_types.cpp
+++ b/src/wire/gen-cpp/larchlever_types.cpp
@@ -14408,6 +14408,10 @@
 void SlotAnswer::__set_grants(const std::vector<SlotGrant> & val) {
   this->grants = val;
 }
+
+void SlotAnswer::__set_failed_groups(const std::vector<std::string> & val) {
+  this->failed_groups = val;
+}
 std::ostream& operator<<(std::ostream& out, const SlotAnswer& obj)
 {
   obj.printTo(out);
@@ -14464,6 +14468,26 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->failed_groups.clear();
+            uint32_t _size568;
+            ::apache::thrift::protocol::TType _etype571;
+            xfer += iprot->readListBegin(_etype571, _size568);
+            this->failed_groups.resize(_size568);
+            uint32_t _i572;
+            for (_i572 = 0; _i572 < _size568; ++_i572)
+            {
+              xfer += iprot->readString(this->failed_groups[_i572]);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.failed_groups = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -14488,10 +14512,22 @@
   xfer += oprot->writeFieldBegin("grants", ::apache::thrift::protocol::T_LIST, 2);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->grants.size()));
-    std::vector<SlotGrant> ::const_iterator _iter568;
-    for (_iter568 = this->grants.begin(); _iter568 != this->grants.end(); ++_iter568)
+    std::vector<SlotGrant> ::const_iterator _iter573;
+    for (_iter573 = this->grants.begin(); _iter573 != this->grants.end(); ++_iter573)
+    {
+      xfer += (*_iter573).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("failed_groups", ::apache::thrift::protocol::T_LIST, 3);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->failed_groups.size()));
+    std::vector<std::string> ::const_iterator _iter574;
+    for (_iter574 = this->failed_groups.begin(); _iter574 != this->failed_groups.end(); ++_iter574)
     {
-      xfer += (*_iter568).write(oprot);
+      xfer += oprot->writeString((*_iter574));
     }
     xfer += oprot->writeListEnd();
   }
@@ -14506,29 +14542,34 @@
   using ::std::swap;
   swap(a.term, b.term);
   swap(a.grants, b.grants);
+  swap(a.failed_groups, b.failed_groups);
   swap(a.__isset, b.__isset);
 }
 
-SlotAnswer::SlotAnswer(const SlotAnswer& other569) {
-  term = other569.term;
-  grants = other569.grants;
-  __isset = other569.__isset;
+SlotAnswer::SlotAnswer(const SlotAnswer& other575) {
+  term = other575.term;
+  grants = other575.grants;
+  failed_groups = other575.failed_groups;
+  __isset = other575.__isset;
 }
-SlotAnswer::SlotAnswer(SlotAnswer&& other570) noexcept {
-  term = other570.term;
-  grants = std::move(other570.grants);
-  __isset = other570.__isset;
+SlotAnswer::SlotAnswer(SlotAnswer&& other576) noexcept {
+  term = other576.term;
+  grants = std::move(other576.grants);
+  failed_groups = std::move(other576.failed_groups);
+  __isset = other576.__isset;
 }
-SlotAnswer& SlotAnswer::operator=(const SlotAnswer& other571) {
-  term = other571.term;
-  grants = other571.grants;
-  __isset = other571.__isset;
+SlotAnswer& SlotAnswer::operator=(const SlotAnswer& other577) {
+  term = other577.term;
+  grants = other577.grants;
+  failed_groups = other577.failed_groups;
+  __isset = other577.__isset;
   return *this;
 }
-SlotAnswer& SlotAnswer::operator=(SlotAnswer&& other572) noexcept {
-  term = other572.term;
-  grants = std::move(other572.grants);
-  __isset = other572.__isset;
+SlotAnswer& SlotAnswer::operator=(SlotAnswer&& other578) noexcept {
+  term = other578.term;
+  grants = std::move(other578.grants);
+  failed_groups = std::move(other578.failed_groups);
+  __isset = other578.__isset;
   return *this;
 }
 void SlotAnswer::printTo(std::ostream& out) const {
@@ -14536,6 +14577,7 @@
   out << "SlotAnswer(";
   out << "term=" << to_string(term);
   out << ", " << "grants=" << to_string(grants);
+  out << ", " << "failed_groups=" << to_string(failed_groups);
   out << ")";
 }
 
@@ -14632,26 +14674,26 @@
   swap(a.__isset, b.__isset);
 }
 
-ControlPeer::ControlPeer(const ControlPeer& other573) {
-  address = other573.address;
-  zone = other573.zone;
-  __isset = other573.__isset;
+ControlPeer::ControlPeer(const ControlPeer& other579) {
+  address = other579.address;
+  zone = other579.zone;
+  __isset = other579.__isset;
 }
-ControlPeer::ControlPeer(ControlPeer&& other574) noexcept {
-  address = std::move(other574.address);
-  zone = std::move(other574.zone);
-  __isset = other574.__isset;
+ControlPeer::ControlPeer(ControlPeer&& other580) noexcept {
+  address = std::move(other580.address);
+  zone = std::move(other580.zone);
+  __isset = other580.__isset;
 }
-ControlPeer& ControlPeer::operator=(const ControlPeer& other575) {
-  address = other575.address;
-  zone = other575.zone;
-  __isset = other575.__isset;
+ControlPeer& ControlPeer::operator=(const ControlPeer& other581) {
+  address = other581.address;
+  zone = other581.zone;
+  __isset = other581.__isset;
   return *this;
 }
-ControlPeer& ControlPeer::operator=(ControlPeer&& other576) noexcept {
-  address = std::move(other576.address);
-  zone = std::move(other576.zone);
-  __isset = other576.__isset;
+ControlPeer& ControlPeer::operator=(ControlPeer&& other582) noexcept {
+  address = std::move(other582.address);
+  zone = std::move(other582.zone);
+  __isset = other582.__isset;
   return *this;
 }
 void ControlPeer::printTo(std::ostream& out) const {
@@ -14805,14 +14847,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->loads.clear();
-            uint32_t _size577;
-            ::apache::thrift::protocol::TType _etype580;
-            xfer += iprot->readListBegin(_etype580, _size577);
-            this->loads.resize(_size577);
-            uint32_t _i581;
-            for (_i581 = 0; _i581 < _size577; ++_i581)
+            uint32_t _size583;
+            ::apache::thrift::protocol::TType _etype586;
+            xfer += iprot->readListBegin(_etype586, _size583);
+            this->loads.resize(_size583);
+            uint32_t _i587;
+            for (_i587 = 0; _i587 < _size583; ++_i587)
             {
-              xfer += this->loads[_i581].read(iprot);
+              xfer += this->loads[_i587].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -14865,14 +14907,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->control_peers.clear();
-            uint32_t _size582;
-            ::apache::thrift::protocol::TType _etype585;
-            xfer += iprot->readListBegin(_etype585, _size582);
-            this->control_peers.resize(_size582);
-            uint32_t _i586;
-            for (_i586 = 0; _i586 < _size582; ++_i586)
+            uint32_t _size588;
+            ::apache::thrift::protocol::TType _etype591;
+            xfer += iprot->readListBegin(_etype591, _size588);
+            this->control_peers.resize(_size588);
+            uint32_t _i592;
+            for (_i592 = 0; _i592 < _size588; ++_i592)
             {
-              xfer += this->control_peers[_i586].read(iprot);
+              xfer += this->control_peers[_i592].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -14934,10 +14976,10 @@
   xfer += oprot->writeFieldBegin("loads", ::apache::thrift::protocol::T_LIST, 9);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->loads.size()));
-    std::vector<GroupLoad> ::const_iterator _iter587;
-    for (_iter587 = this->loads.begin(); _iter587 != this->loads.end(); ++_iter587)
+    std::vector<GroupLoad> ::const_iterator _iter593;
+    for (_iter593 = this->loads.begin(); _iter593 != this->loads.end(); ++_iter593)
     {
-      xfer += (*_iter587).write(oprot);
+      xfer += (*_iter593).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -14967,10 +15009,10 @@
   xfer += oprot->writeFieldBegin("control_peers", ::apache::thrift::protocol::T_LIST, 15);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->control_peers.size()));
-    std::vector<ControlPeer> ::const_iterator _iter588;
-    for (_iter588 = this->control_peers.begin(); _iter588 != this->control_peers.end(); ++_iter588)
+    std::vector<ControlPeer> ::const_iterator _iter594;
+    for (_iter594 = this->control_peers.begin(); _iter594 != this->control_peers.end(); ++_iter594)
     {
-      xfer += (*_iter588).write(oprot);
+      xfer += (*_iter594).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -15005,74 +15047,74 @@
   swap(a.__isset, b.__isset);
 }
 
-FleetUpdate::FleetUpdate(const FleetUpdate& other589) {
-  sequence = other589.sequence;
-  not_leader = other589.not_leader;
-  leader = other589.leader;
-  term = other589.term;
-  document_version = other589.document_version;
-  state = other589.state;
-  loads = other589.loads;
-  serving_nodes = other589.serving_nodes;
-  wants_state = other589.wants_state;
-  state_change = other589.state_change;
-  wants_confirmation = other589.wants_confirmation;
-  confirmed_age_ms = other589.confirmed_age_ms;
-  control_peers = other589.control_peers;
-  document = other589.document;
-  __isset = other589.__isset;
-}
-FleetUpdate::FleetUpdate(FleetUpdate&& other590) noexcept {
-  sequence = other590.sequence;
-  not_leader = other590.not_leader;
-  leader = std::move(other590.leader);
-  term = other590.term;
-  document_version = other590.document_version;
-  state = std::move(other590.state);
-  loads = std::move(other590.loads);
-  serving_nodes = other590.serving_nodes;
-  wants_state = other590.wants_state;
-  state_change = std::move(other590.state_change);
-  wants_confirmation = other590.wants_confirmation;
-  confirmed_age_ms = other590.confirmed_age_ms;
-  control_peers = std::move(other590.control_peers);
-  document = std::move(other590.document);
-  __isset = other590.__isset;
-}
-FleetUpdate& FleetUpdate::operator=(const FleetUpdate& other591) {
-  sequence = other591.sequence;
-  not_leader = other591.not_leader;
-  leader = other591.leader;
-  term = other591.term;
-  document_version = other591.document_version;
-  state = other591.state;
-  loads = other591.loads;
-  serving_nodes = other591.serving_nodes;
-  wants_state = other591.wants_state;
-  state_change = other591.state_change;
-  wants_confirmation = other591.wants_confirmation;
-  confirmed_age_ms = other591.confirmed_age_ms;
-  control_peers = other591.control_peers;
-  document = other591.document;
-  __isset = other591.__isset;
-  return *this;
-}
-FleetUpdate& FleetUpdate::operator=(FleetUpdate&& other592) noexcept {
-  sequence = other592.sequence;
-  not_leader = other592.not_leader;
-  leader = std::move(other592.leader);
-  term = other592.term;
-  document_version = other592.document_version;
-  state = std::move(other592.state);
-  loads = std::move(other592.loads);
-  serving_nodes = other592.serving_nodes;
-  wants_state = other592.wants_state;
-  state_change = std::move(other592.state_change);
-  wants_confirmation = other592.wants_confirmation;
-  confirmed_age_ms = other592.confirmed_age_ms;
-  control_peers = std::move(other592.control_peers);
-  document = std::move(other592.document);
-  __isset = other592.__isset;
+FleetUpdate::FleetUpdate(const FleetUpdate& other595) {
+  sequence = other595.sequence;
+  not_leader = other595.not_leader;
+  leader = other595.leader;
+  term = other595.term;
+  document_version = other595.document_version;
+  state = other595.state;
+  loads = other595.loads;
+  serving_nodes = other595.serving_nodes;
+  wants_state = other595.wants_state;
+  state_change = other595.state_change;
+  wants_confirmation = other595.wants_confirmation;
+  confirmed_age_ms = other595.confirmed_age_ms;
+  control_peers = other595.control_peers;
+  document = other595.document;
+  __isset = other595.__isset;
+}
+FleetUpdate::FleetUpdate(FleetUpdate&& other596) noexcept {
+  sequence = other596.sequence;
+  not_leader = other596.not_leader;
+  leader = std::move(other596.leader);
+  term = other596.term;
+  document_version = other596.document_version;
+  state = std::move(other596.state);
+  loads = std::move(other596.loads);
+  serving_nodes = other596.serving_nodes;
+  wants_state = other596.wants_state;
+  state_change = std::move(other596.state_change);
+  wants_confirmation = other596.wants_confirmation;
+  confirmed_age_ms = other596.confirmed_age_ms;
+  control_peers = std::move(other596.control_peers);
+  document = std::move(other596.document);
+  __isset = other596.__isset;
+}
+FleetUpdate& FleetUpdate::operator=(const FleetUpdate& other597) {
+  sequence = other597.sequence;
+  not_leader = other597.not_leader;
+  leader = other597.leader;
+  term = other597.term;
+  document_version = other597.document_version;
+  state = other597.state;
+  loads = other597.loads;
+  serving_nodes = other597.serving_nodes;
+  wants_state = other597.wants_state;
+  state_change = other597.state_change;
+  wants_confirmation = other597.wants_confirmation;
+  confirmed_age_ms = other597.confirmed_age_ms;
+  control_peers = other597.control_peers;
+  document = other597.document;
+  __isset = other597.__isset;
+  return *this;
+}
+FleetUpdate& FleetUpdate::operator=(FleetUpdate&& other598) noexcept {
+  sequence = other598.sequence;
+  not_leader = other598.not_leader;
+  leader = std::move(other598.leader);
+  term = other598.term;
+  document_version = other598.document_version;
+  state = std::move(other598.state);
+  loads = std::move(other598.loads);
+  serving_nodes = other598.serving_nodes;
+  wants_state = other598.wants_state;
+  state_change = std::move(other598.state_change);
+  wants_confirmation = other598.wants_confirmation;
+  confirmed_age_ms = other598.confirmed_age_ms;
+  control_peers = std::move(other598.control_peers);
+  document = std::move(other598.document);
+  __isset = other598.__isset;
   return *this;
 }
 void FleetUpdate::printTo(std::ostream& out) const {
@@ -15153,9 +15195,9 @@
         break;
       case 2:
         if (ftype == ::apache::thrift::protocol::T_I32) {
-          int32_t ecast593;
-          xfer += iprot->readI32(ecast593);
-          this->kind = static_cast<ControlCallKind::type>(ecast593);
+          int32_t ecast599;
+          xfer += iprot->readI32(ecast599);
+          this->kind = static_cast<ControlCallKind::type>(ecast599);
           this->__isset.kind = true;
         } else {
           xfer += iprot->skip(ftype);
@@ -15224,34 +15266,34 @@
   swap(a.__isset, b.__isset);
 }
 
-ControlCall::ControlCall(const ControlCall& other594) {
-  id = other594.id;
-  kind = other594.kind;
-  instance_id = other594.instance_id;
-  body = other594.body;
-  __isset = other594.__isset;
+ControlCall::ControlCall(const ControlCall& other600) {
+  id = other600.id;
+  kind = other600.kind;
+  instance_id = other600.instance_id;
+  body = other600.body;
+  __isset = other600.__isset;
 }
-ControlCall::ControlCall(ControlCall&& other595) noexcept {
-  id = other595.id;
-  kind = other595.kind;
-  instance_id = std::move(other595.instance_id);
-  body = std::move(other595.body);
-  __isset = other595.__isset;
+ControlCall::ControlCall(ControlCall&& other601) noexcept {
+  id = other601.id;
+  kind = other601.kind;
+  instance_id = std::move(other601.instance_id);
+  body = std::move(other601.body);
+  __isset = other601.__isset;
 }
-ControlCall& ControlCall::operator=(const ControlCall& other596) {
-  id = other596.id;
-  kind = other596.kind;
-  instance_id = other596.instance_id;
-  body = other596.body;
-  __isset = other596.__isset;
+ControlCall& ControlCall::operator=(const ControlCall& other602) {
+  id = other602.id;
+  kind = other602.kind;
+  instance_id = other602.instance_id;
+  body = other602.body;
+  __isset = other602.__isset;
   return *this;
 }
-ControlCall& ControlCall::operator=(ControlCall&& other597) noexcept {
-  id = other597.id;
-  kind = other597.kind;
-  instance_id = std::move(other597.instance_id);
-  body = std::move(other597.body);
-  __isset = other597.__isset;
+ControlCall& ControlCall::operator=(ControlCall&& other603) noexcept {
+  id = other603.id;
+  kind = other603.kind;
+  instance_id = std::move(other603.instance_id);
+  body = std::move(other603.body);
+  __isset = other603.__isset;
   return *this;
 }
 void ControlCall::printTo(std::ostream& out) const {
@@ -15374,30 +15416,30 @@
   swap(a.__isset, b.__isset);
 }
 
-ControlCallReply::ControlCallReply(const ControlCallReply& other598) {
-  id = other598.id;
-  status = other598.status;
-  body = other598.body;
-  __isset = other598.__isset;
+ControlCallReply::ControlCallReply(const ControlCallReply& other604) {
+  id = other604.id;
+  status = other604.status;
+  body = other604.body;
+  __isset = other604.__isset;
 }
-ControlCallReply::ControlCallReply(ControlCallReply&& other599) noexcept {
-  id = other599.id;
-  status = other599.status;
-  body = std::move(other599.body);
-  __isset = other599.__isset;
+ControlCallReply::ControlCallReply(ControlCallReply&& other605) noexcept {
+  id = other605.id;
+  status = other605.status;
+  body = std::move(other605.body);
+  __isset = other605.__isset;
 }
-ControlCallReply& ControlCallReply::operator=(const ControlCallReply& other600) {
-  id = other600.id;
-  status = other600.status;
-  body = other600.body;
-  __isset = other600.__isset;
+ControlCallReply& ControlCallReply::operator=(const ControlCallReply& other606) {
+  id = other606.id;
+  status = other606.status;
+  body = other606.body;
+  __isset = other606.__isset;
   return *this;
 }
-ControlCallReply& ControlCallReply::operator=(ControlCallReply&& other601) noexcept {
-  id = other601.id;
-  status = other601.status;
-  body = std::move(other601.body);
-  __isset = other601.__isset;
+ControlCallReply& ControlCallReply::operator=(ControlCallReply&& other607) noexcept {
+  id = other607.id;
+  status = other607.status;
+  body = std::move(other607.body);
+  __isset = other607.__isset;
   return *this;
 }
 void ControlCallReply::printTo(std::ostream& out) const {
@@ -15502,26 +15544,26 @@
   swap(a.__isset, b.__isset);
 }
 
-RegistrationReport::RegistrationReport(const RegistrationReport& other602) {
-  instance = other602.instance;
-  known_term = other602.known_term;
-  __isset = other602.__isset;
+RegistrationReport::RegistrationReport(const RegistrationReport& other608) {
+  instance = other608.instance;
+  known_term = other608.known_term;
+  __isset = other608.__isset;
 }
-RegistrationReport::RegistrationReport(RegistrationReport&& other603) noexcept {
-  instance = std::move(other603.instance);
-  known_term = other603.known_term;
-  __isset = other603.__isset;
+RegistrationReport::RegistrationReport(RegistrationReport&& other609) noexcept {
+  instance = std::move(other609.instance);
+  known_term = other609.known_term;
+  __isset = other609.__isset;
 }
-RegistrationReport& RegistrationReport::operator=(const RegistrationReport& other604) {
-  instance = other604.instance;
-  known_term = other604.known_term;
-  __isset = other604.__isset;
+RegistrationReport& RegistrationReport::operator=(const RegistrationReport& other610) {
+  instance = other610.instance;
+  known_term = other610.known_term;
+  __isset = other610.__isset;
   return *this;
 }
-RegistrationReport& RegistrationReport::operator=(RegistrationReport&& other605) noexcept {
-  instance = std::move(other605.instance);
-  known_term = other605.known_term;
-  __isset = other605.__isset;
+RegistrationReport& RegistrationReport::operator=(RegistrationReport&& other611) noexcept {
+  instance = std::move(other611.instance);
+  known_term = other611.known_term;
+  __isset = other611.__isset;
   return *this;
 }
 void RegistrationReport::printTo(std::ostream& out) const {
@@ -15572,14 +15614,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->reports.clear();
-            uint32_t _size606;
-            ::apache::thrift::protocol::TType _etype609;
-            xfer += iprot->readListBegin(_etype609, _size606);
-            this->reports.resize(_size606);
-            uint32_t _i610;
-            for (_i610 = 0; _i610 < _size606; ++_i610)
+            uint32_t _size612;
+            ::apache::thrift::protocol::TType _etype615;
+            xfer += iprot->readListBegin(_etype615, _size612);
+            this->reports.resize(_size612);
+            uint32_t _i616;
+            for (_i616 = 0; _i616 < _size612; ++_i616)
             {
-              xfer += this->reports[_i610].read(iprot);
+              xfer += this->reports[_i616].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -15608,10 +15650,10 @@
   xfer += oprot->writeFieldBegin("reports", ::apache::thrift::protocol::T_LIST, 1);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->reports.size()));
-    std::vector<RegistrationReport> ::const_iterator _iter611;
-    for (_iter611 = this->reports.begin(); _iter611 != this->reports.end(); ++_iter611)
+    std::vector<RegistrationReport> ::const_iterator _iter617;
+    for (_iter617 = this->reports.begin(); _iter617 != this->reports.end(); ++_iter617)
     {
-      xfer += (*_iter611).write(oprot);
+      xfer += (*_iter617).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -15628,22 +15670,22 @@
   swap(a.__isset, b.__isset);
 }
 
-RegistrationBatch::RegistrationBatch(const RegistrationBatch& other612) {
-  reports = other612.reports;
-  __isset = other612.__isset;
+RegistrationBatch::RegistrationBatch(const RegistrationBatch& other618) {
+  reports = other618.reports;
+  __isset = other618.__isset;
 }
-RegistrationBatch::RegistrationBatch(RegistrationBatch&& other613) noexcept {
-  reports = std::move(other613.reports);
-  __isset = other613.__isset;
+RegistrationBatch::RegistrationBatch(RegistrationBatch&& other619) noexcept {
+  reports = std::move(other619.reports);
+  __isset = other619.__isset;
 }
-RegistrationBatch& RegistrationBatch::operator=(const RegistrationBatch& other614) {
-  reports = other614.reports;
-  __isset = other614.__isset;
+RegistrationBatch& RegistrationBatch::operator=(const RegistrationBatch& other620) {
+  reports = other620.reports;
+  __isset = other620.__isset;
   return *this;
 }
-RegistrationBatch& RegistrationBatch::operator=(RegistrationBatch&& other615) noexcept {
-  reports = std::move(other615.reports);
-  __isset = other615.__isset;
+RegistrationBatch& RegistrationBatch::operator=(RegistrationBatch&& other621) noexcept {
+  reports = std::move(other621.reports);
+  __isset = other621.__isset;
   return *this;
 }
 void RegistrationBatch::printTo(std::ostream& out) const {
@@ -15746,26 +15788,26 @@
   swap(a.__isset, b.__isset);
 }
 
-FormationNotice::FormationNotice(const FormationNotice& other616) {
-  choice = other616.choice;
-  holds_log = other616.holds_log;
-  __isset = other616.__isset;
+FormationNotice::FormationNotice(const FormationNotice& other622) {
+  choice = other622.choice;
+  holds_log = other622.holds_log;
+  __isset = other622.__isset;
 }
-FormationNotice::FormationNotice(FormationNotice&& other617) noexcept {
-  choice = std::move(other617.choice);
-  holds_log = other617.holds_log;
-  __isset = other617.__isset;
+FormationNotice::FormationNotice(FormationNotice&& other623) noexcept {
+  choice = std::move(other623.choice);
+  holds_log = other623.holds_log;
+  __isset = other623.__isset;
 }
-FormationNotice& FormationNotice::operator=(const FormationNotice& other618) {
-  choice = other618.choice;
-  holds_log = other618.holds_log;
-  __isset = other618.__isset;
+FormationNotice& FormationNotice::operator=(const FormationNotice& other624) {
+  choice = other624.choice;
+  holds_log = other624.holds_log;
+  __isset = other624.__isset;
   return *this;
 }
-FormationNotice& FormationNotice::operator=(FormationNotice&& other619) noexcept {
-  choice = std::move(other619.choice);
-  holds_log = other619.holds_log;
-  __isset = other619.__isset;
+FormationNotice& FormationNotice::operator=(FormationNotice&& other625) noexcept {
+  choice = std::move(other625.choice);
+  holds_log = other625.holds_log;
+  __isset = other625.__isset;
   return *this;
 }
 void FormationNotice::printTo(std::ostream& out) const {
@@ -16209,98 +16251,98 @@
   swap(a.__isset, b.__isset);
 }
 
-Envelope::Envelope(const Envelope& other620) {
-  from_node = other620.from_node;
-  from_incarnation = other620.from_incarnation;
-  to_node = other620.to_node;
-  raft = other620.raft;
-  heartbeat = other620.heartbeat;
-  heartbeat_reply = other620.heartbeat_reply;
-  claim_request = other620.claim_request;
-  claim_reply = other620.claim_reply;
-  resolution = other620.resolution;
-  operator_request = other620.operator_request;
-  operator_reply = other620.operator_reply;
-  resolution_reply = other620.resolution_reply;
-  fleet_heartbeat = other620.fleet_heartbeat;
-  fleet_update = other620.fleet_update;
-  control_call = other620.control_call;
-  control_call_reply = other620.control_call_reply;
-  slot_report = other620.slot_report;
-  slot_answer = other620.slot_answer;
-  registrations = other620.registrations;
-  formation = other620.formation;
-  __isset = other620.__isset;
-}
-Envelope::Envelope(Envelope&& other621) noexcept {
-  from_node = std::move(other621.from_node);
-  from_incarnation = other621.from_incarnation;
-  to_node = std::move(other621.to_node);
-  raft = std::move(other621.raft);
-  heartbeat = std::move(other621.heartbeat);
-  heartbeat_reply = std::move(other621.heartbeat_reply);
-  claim_request = std::move(other621.claim_request);
-  claim_reply = std::move(other621.claim_reply);
-  resolution = std::move(other621.resolution);
-  operator_request = std::move(other621.operator_request);
-  operator_reply = std::move(other621.operator_reply);
-  resolution_reply = std::move(other621.resolution_reply);
-  fleet_heartbeat = std::move(other621.fleet_heartbeat);
-  fleet_update = std::move(other621.fleet_update);
-  control_call = std::move(other621.control_call);
-  control_call_reply = std::move(other621.control_call_reply);
-  slot_report = std::move(other621.slot_report);
-  slot_answer = std::move(other621.slot_answer);
-  registrations = std::move(other621.registrations);
-  formation = std::move(other621.formation);
-  __isset = other621.__isset;
-}
-Envelope& Envelope::operator=(const Envelope& other622) {
-  from_node = other622.from_node;
-  from_incarnation = other622.from_incarnation;
-  to_node = other622.to_node;
-  raft = other622.raft;
-  heartbeat = other622.heartbeat;
-  heartbeat_reply = other622.heartbeat_reply;
-  claim_request = other622.claim_request;
-  claim_reply = other622.claim_reply;
-  resolution = other622.resolution;
-  operator_request = other622.operator_request;
-  operator_reply = other622.operator_reply;
-  resolution_reply = other622.resolution_reply;
-  fleet_heartbeat = other622.fleet_heartbeat;
-  fleet_update = other622.fleet_update;
-  control_call = other622.control_call;
-  control_call_reply = other622.control_call_reply;
-  slot_report = other622.slot_report;
-  slot_answer = other622.slot_answer;
-  registrations = other622.registrations;
-  formation = other622.formation;
-  __isset = other622.__isset;
-  return *this;
-}
-Envelope& Envelope::operator=(Envelope&& other623) noexcept {
-  from_node = std::move(other623.from_node);
-  from_incarnation = other623.from_incarnation;
-  to_node = std::move(other623.to_node);
-  raft = std::move(other623.raft);
-  heartbeat = std::move(other623.heartbeat);
-  heartbeat_reply = std::move(other623.heartbeat_reply);
-  claim_request = std::move(other623.claim_request);
-  claim_reply = std::move(other623.claim_reply);
-  resolution = std::move(other623.resolution);
-  operator_request = std::move(other623.operator_request);
-  operator_reply = std::move(other623.operator_reply);
-  resolution_reply = std::move(other623.resolution_reply);
-  fleet_heartbeat = std::move(other623.fleet_heartbeat);
-  fleet_update = std::move(other623.fleet_update);
-  control_call = std::move(other623.control_call);
-  control_call_reply = std::move(other623.control_call_reply);
-  slot_report = std::move(other623.slot_report);
-  slot_answer = std::move(other623.slot_answer);
-  registrations = std::move(other623.registrations);
-  formation = std::move(other623.formation);
-  __isset = other623.__isset;
+Envelope::Envelope(const Envelope& other626) {
+  from_node = other626.from_node;
+  from_incarnation = other626.from_incarnation;
+  to_node = other626.to_node;
+  raft = other626.raft;
+  heartbeat = other626.heartbeat;
+  heartbeat_reply = other626.heartbeat_reply;
+  claim_request = other626.claim_request;
+  claim_reply = other626.claim_reply;
+  resolution = other626.resolution;
+  operator_request = other626.operator_request;
+  operator_reply = other626.operator_reply;
+  resolution_reply = other626.resolution_reply;
+  fleet_heartbeat = other626.fleet_heartbeat;
+  fleet_update = other626.fleet_update;
+  control_call = other626.control_call;
+  control_call_reply = other626.control_call_reply;
+  slot_report = other626.slot_report;
+  slot_answer = other626.slot_answer;
+  registrations = other626.registrations;
+  formation = other626.formation;
+  __isset = other626.__isset;
+}
+Envelope::Envelope(Envelope&& other627) noexcept {
+  from_node = std::move(other627.from_node);
+  from_incarnation = other627.from_incarnation;
+  to_node = std::move(other627.to_node);
+  raft = std::move(other627.raft);
+  heartbeat = std::move(other627.heartbeat);
+  heartbeat_reply = std::move(other627.heartbeat_reply);
+  claim_request = std::move(other627.claim_request);
+  claim_reply = std::move(other627.claim_reply);
+  resolution = std::move(other627.resolution);
+  operator_request = std::move(other627.operator_request);
+  operator_reply = std::move(other627.operator_reply);
+  resolution_reply = std::move(other627.resolution_reply);
+  fleet_heartbeat = std::move(other627.fleet_heartbeat);
+  fleet_update = std::move(other627.fleet_update);
+  control_call = std::move(other627.control_call);
+  control_call_reply = std::move(other627.control_call_reply);
+  slot_report = std::move(other627.slot_report);
+  slot_answer = std::move(other627.slot_answer);
+  registrations = std::move(other627.registrations);
+  formation = std::move(other627.formation);
+  __isset = other627.__isset;
+}
+Envelope& Envelope::operator=(const Envelope& other628) {
+  from_node = other628.from_node;
+  from_incarnation = other628.from_incarnation;
+  to_node = other628.to_node;
+  raft = other628.raft;
+  heartbeat = other628.heartbeat;
+  heartbeat_reply = other628.heartbeat_reply;
+  claim_request = other628.claim_request;
+  claim_reply = other628.claim_reply;
+  resolution = other628.resolution;
+  operator_request = other628.operator_request;
+  operator_reply = other628.operator_reply;
+  resolution_reply = other628.resolution_reply;
+  fleet_heartbeat = other628.fleet_heartbeat;
+  fleet_update = other628.fleet_update;
+  control_call = other628.control_call;
+  control_call_reply = other628.control_call_reply;
+  slot_report = other628.slot_report;
+  slot_answer = other628.slot_answer;
+  registrations = other628.registrations;
+  formation = other628.formation;
+  __isset = other628.__isset;
+  return *this;
+}
+Envelope& Envelope::operator=(Envelope&& other629) noexcept {
+  from_node = std::move(other629.from_node);
+  from_incarnation = other629.from_incarnation;
+  to_node = std::move(other629.to_node);
+  raft = std::move(other629.raft);
+  heartbeat = std::move(other629.heartbeat);
+  heartbeat_reply = std::move(other629.heartbeat_reply);
+  claim_request = std::move(other629.claim_request);
+  claim_reply = std::move(other629.claim_reply);
+  resolution = std::move(other629.resolution);
+  operator_request = std::move(other629.operator_request);
+  operator_reply = std::move(other629.operator_reply);
+  resolution_reply = std::move(other629.resolution_reply);
+  fleet_heartbeat = std::move(other629.fleet_heartbeat);
+  fleet_update = std::move(other629.fleet_update);
+  control_call = std::move(other629.control_call);
+  control_call_reply = std::move(other629.control_call_reply);
+  slot_report = std::move(other629.slot_report);
+  slot_answer = std::move(other629.slot_answer);
+  registrations = std::move(other629.registrations);
+  formation = std::move(other629.formation);
+  __isset = other629.__isset;
   return *this;
 }
 void Envelope::printTo(std::ostream& out) const {
--- a/src/wire/gen-cpp/larchlever_types.h
+++ b/src/wire/gen-cpp/larchlever_types.h
@@ -5583,9 +5583,10 @@
 std::ostream& operator<<(std::ostream& out, const SlotReport& obj);
 
 typedef struct _SlotAnswer__isset {
-  _SlotAnswer__isset() : term(false), grants(false) {}
+  _SlotAnswer__isset() : term(false), grants(false), failed_groups(false) {}
   bool term :1;
   bool grants :1;
+  bool failed_groups :1;
 } _SlotAnswer__isset;
 
 class SlotAnswer : public virtual ::apache::thrift::TBase {
@@ -5602,6 +5603,10 @@
   virtual ~SlotAnswer() noexcept;
   int64_t term;
   std::vector<SlotGrant>  grants;
+  /**
+   * Groups that stand still by the word of several entries: what is under way there is to be sent elsewhere.
+   */
+  std::vector<std::string>  failed_groups;
 
   _SlotAnswer__isset __isset;
 
@@ -5609,12 +5614,16 @@
 
   void __set_grants(const std::vector<SlotGrant> & val);
 
+  void __set_failed_groups(const std::vector<std::string> & val);
+
   bool operator == (const SlotAnswer & rhs) const
   {
     if (!(term == rhs.term))
       return false;
     if (!(grants == rhs.grants))
       return false;
+    if (!(failed_groups == rhs.failed_groups))
+      return false;
     return true;
   }
   bool operator != (const SlotAnswer &rhs) const {
--- a/src/wire/larchlever.thrift
+++ b/src/wire/larchlever.thrift
@@ -681,6 +681,8 @@
 struct SlotAnswer {
   1: i64 term,
   2: list<SlotGrant> grants,
+  /** Groups that stand still by the word of several entries: what is under way there is to be sent elsewhere. */
+  3: list<string> failed_groups,
 }
 
 /** A control replica, as nodes learn of it. */
