Guess nobody's second try from its deadline; let who can only be late be passed by

Cause: a request with 150 ms less than the most time seen on its route was taken for a returning one. Order of waiting and late slots rested on it. And a request that could only be late stopped everybody behind it for its model until its patience ended. Change: no guess. Requests wait by priority, then by arrival; first all that can be in time, then, at the end of its patience, whoever is left gets a slot late, if there is one. Only a request that found no room stops those behind it.

--- a/src/core/fleet/slot_scheduler.cc
+++ b/src/core/fleet/slot_scheduler.cc
@@ -250,7 +250,7 @@
 }
 
 bool SlotScheduler::decide_one(TimePoint now, const document::ConfigurationDocument& document, WaitingRequest& waiting,
-                               std::vector<SlotDecision>& decisions) {
+                               bool is_last_chance, std::vector<SlotDecision>& decisions) {
   const ModelKey key = key_of(waiting);
   const auto service = document.services.find(key.first);
   const bool known = service != document.services.end() && service->second.engine;
@@ -260,21 +260,22 @@
     return true;
   }
   const auto& engine = *service->second.engine;
-  const bool is_last_chance = now >= waiting.patience_ends;
   if (!blocked_.contains(key) || is_last_chance) {
     const Candidate candidate = best_group(now, engine, *model, waiting);
-    // Late is better than never for who was refused before, and for who would be late anywhere.
-    const bool late_is_fine = (is_last_chance && waiting.request.is_retry) || is_out_of_reach(engine, *model, waiting);
+    // Late is better than never at the end of its patience, and for who would be late anywhere.
+    const bool late_is_fine = is_last_chance || is_out_of_reach(engine, *model, waiting);
     if (candidate.fit == Fit::kInTime || (candidate.fit == Fit::kLate && late_is_fine)) {
       grant(now, engine, *model, waiting, candidate, decisions);
       return true;
     }
+    if (candidate.fit == Fit::kNone) {
+      blocked_.insert(key);
+    }
   }
   if (is_last_chance) {
     answer(waiting, wire::SlotVerdict::BUSY, decisions);
     return true;
   }
-  blocked_.insert(key);
   if (!waiting.is_told) {
     waiting.is_told = true;
     answer(waiting, wire::SlotVerdict::QUEUED, decisions);
@@ -287,11 +288,15 @@
   next_review_ = now + kReviewInterval;
   blocked_.clear();
   const auto order = [now](const WaitingRequest& item) {
-    return std::tuple(item.request.priority, is_late(now, item), item.request.is_retry, item.arrived);
+    return std::tuple(item.request.priority, is_late(now, item), item.arrived);
   };
   std::stable_sort(waiting_.begin(), waiting_.end(),
                    [&order](const auto& left, const auto& right) { return order(left) < order(right); });
-  std::erase_if(waiting_, [&](auto& waiting) { return decide_one(now, document, waiting, decisions); });
+  // First all that can be in time: room that one of them has use for goes to nobody late.
+  std::erase_if(waiting_, [&](auto& waiting) { return decide_one(now, document, waiting, false, decisions); });
+  std::erase_if(waiting_, [&](auto& waiting) {
+    return now >= waiting.patience_ends && decide_one(now, document, waiting, true, decisions);
+  });
 }
 
 std::vector<SlotDecision> SlotScheduler::decide(TimePoint now, const document::ConfigurationDocument& document) {
@@ -304,7 +309,7 @@
   }
   // A request for whose model nobody waits goes at once; behind others it waits for the next review.
   for (auto& arrival : std::exchange(arrived_, {})) {
-    if (!decide_one(now, document, arrival, decisions)) {
+    if (!decide_one(now, document, arrival, false, decisions)) {
       waiting_.push_back(std::move(arrival));
     }
   }
--- a/src/core/fleet/slot_scheduler.h
+++ b/src/core/fleet/slot_scheduler.h
@@ -28,8 +28,8 @@
 /// they would all send to the same group. The scheduler sees every request before it is sent, so it knows what each
 /// group has under way and which prompts wait there, and grants a slot only where the first event is expected in time
 /// and no pass grows so long that the other streams pause beyond their objective. A request for which no group has room
-/// waits in order, the most urgent first and among them who was refused before, until room is made or its patience
-/// ends.
+/// waits in order, the most urgent first. One that can only be late lets those behind it go first, and gets a slot late
+/// when its patience ends, if there is one: a late answer is worth more than none.
 ///
 /// Slots are advice: nothing breaks when a deposed leader hands out some, or when entries decide for themselves while
 /// nobody leads. Loads that entries report count a slot once they have received it. Single-threaded, deterministic.
@@ -109,9 +109,10 @@
   /// No group, however idle, could bring the first event in time.
   static bool is_out_of_reach(const document::EngineSpec& engine, const document::ModelSpec& model,
                               const WaitingRequest& waiting);
-  /// True when the request was answered for good.
+  /// True when the request was answered for good. At its last chance it may be late, and is refused where there is no
+  /// room even so.
   bool decide_one(TimePoint now, const document::ConfigurationDocument& document, WaitingRequest& waiting,
-                  std::vector<SlotDecision>& decisions);
+                  bool is_last_chance, std::vector<SlotDecision>& decisions);
   void decide_waiting(TimePoint now, const document::ConfigurationDocument& document,
                       std::vector<SlotDecision>& decisions);
   void index_open_groups();
--- a/src/node/entry_state.h
+++ b/src/node/entry_state.h
@@ -40,8 +40,6 @@
   std::map<std::string, std::set<std::shared_ptr<net::Cancellation>>> under_way;
   /// By model, how much later than the leader expected the first events come: what the cost model leaves out.
   std::map<std::string, requests::RecentQuantile> first_event_excess;
-  /// By route, the most time that a caller allowed its request.
-  std::map<std::string, Duration> longest_deadlines;
   EntryCounters counters;
   bool traffic_seen = false;
 };
--- a/src/node/relayed_request.h
+++ b/src/node/relayed_request.h
@@ -29,8 +29,6 @@
   TimePoint admitted{};
   /// The final answer is due by then: the caller's deadline or the route's timeout.
   TimePoint due{};
-  /// The caller has less time left than callers of this route begin with: it was refused before, most likely.
-  bool is_retry = false;
   std::set<std::string> excluded;
   /// Sendings, and those of them that a server may have begun to run.
   int sent = 0;
--- a/src/node/request_ends.cc
+++ b/src/node/request_ends.cc
@@ -41,7 +41,6 @@
        {"target", request.last_target},
        {"load", std::to_string(request.load_at_choice)},
        {"expected_ms", std::to_string(request.expected_first_event / milliseconds(1))},
-       {"retry", request.is_retry ? "yes" : "no"},
        {"sent", std::to_string(request.sent)},
        {"runs", std::to_string(request.runs)},
        {"reason", reason}});
--- a/src/node/request_relay.cc
+++ b/src/node/request_relay.cc
@@ -23,9 +23,6 @@
 constexpr Duration kLeasePatience = milliseconds(1200);
 /// Held for longer than this, a request has lost time that its objective does not allow for.
 constexpr Duration kHeldTime = milliseconds(50);
-/// A caller with this much less time than others of its route has had a try before: refused ones are told to stay
-/// away longer, and the time of a first try is lost in the network only.
-constexpr Duration kRetryDeficit = milliseconds(150);
 /// A group that brings nothing to any of this entry's requests for this long stands still.
 constexpr Duration kGroupStall = milliseconds(900);
 constexpr Duration kGroupStallEach = milliseconds(100);
@@ -112,7 +109,6 @@
   Duration held = request.route->timeout;
   if (const auto deadline_ms = parse_number(incoming.headers.find(dialect_.deadline_ms))) {
     held = std::min(held, Duration(milliseconds(*deadline_ms)));
-    note_deadline(request, milliseconds(*deadline_ms));
   }
   request.due = request.received + held;
   request.was_held = request.admitted - request.received > kHeldTime;
@@ -121,12 +117,6 @@
   return std::nullopt;
 }
 
-void RequestRelay::note_deadline(RelayedRequest& request, Duration held) {
-  Duration& longest = state_.longest_deadlines[request.route->name];
-  longest = std::max(longest, held);
-  request.is_retry = held < longest - kRetryDeficit;
-}
-
 void RequestRelay::note_demand(RelayedRequest& request) {
   const auto& headers = request.exchange->request().headers;
   const auto counts = headers.find(dialect_.token_counts);
--- a/src/node/request_relay.h
+++ b/src/node/request_relay.h
@@ -49,7 +49,6 @@
   /// Takes the request's own statement of its size, for the forecasts of load and the shares of models.
   void note_demand(RelayedRequest& request);
   /// Notes how much time callers of the route begin with, and whether this one has had a try before.
-  void note_deadline(RelayedRequest& request, Duration held);
   /// Bytes of a stream arrived.
   void note_load(const fleet::Target& target);
   void note_piece(RelayedRequest& request, const fleet::Target& target, TimePoint now);
--- a/src/node/target_finder.cc
+++ b/src/node/target_finder.cc
@@ -68,7 +68,6 @@
   question.gap_ms = to_milliseconds(request.route->target_gap);
   const bool by_tenant = request.tenant != nullptr && request.tenant->priority >= 0;
   question.priority = by_tenant ? request.tenant->priority : request.route->priority;
-  question.is_retry = request.is_retry || request.was_held || request.head_sent || request.may_have_run;
   question.patience_ms = std::max(0, to_milliseconds(wait_until - now));
   question.excluded_groups = state_.dispatcher.doubtful_groups(now, request.service->name, request.model);
   question.excluded_groups.insert(question.excluded_groups.end(), request.excluded.begin(), request.excluded.end());
--- a/src/wire/gen-cpp/larchlever_types.cpp
+++ b/src/wire/gen-cpp/larchlever_types.cpp
@@ -13542,10 +13542,6 @@
   this->priority = val;
 }
 
-void SlotRequest::__set_is_retry(const bool val) {
-  this->is_retry = val;
-}
-
 void SlotRequest::__set_patience_ms(const int32_t val) {
   this->patience_ms = val;
 }
@@ -13637,14 +13633,6 @@
           xfer += iprot->skip(ftype);
         }
         break;
-      case 8:
-        if (ftype == ::apache::thrift::protocol::T_BOOL) {
-          xfer += iprot->readBool(this->is_retry);
-          this->__isset.is_retry = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
       case 9:
         if (ftype == ::apache::thrift::protocol::T_I32) {
           xfer += iprot->readI32(this->patience_ms);
@@ -13718,10 +13706,6 @@
   xfer += oprot->writeI32(this->priority);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("is_retry", ::apache::thrift::protocol::T_BOOL, 8);
-  xfer += oprot->writeBool(this->is_retry);
-  xfer += oprot->writeFieldEnd();
-
   xfer += oprot->writeFieldBegin("patience_ms", ::apache::thrift::protocol::T_I32, 9);
   xfer += oprot->writeI32(this->patience_ms);
   xfer += oprot->writeFieldEnd();
@@ -13752,7 +13736,6 @@
   swap(a.first_event_ms, b.first_event_ms);
   swap(a.gap_ms, b.gap_ms);
   swap(a.priority, b.priority);
-  swap(a.is_retry, b.is_retry);
   swap(a.patience_ms, b.patience_ms);
   swap(a.excluded_groups, b.excluded_groups);
   swap(a.__isset, b.__isset);
@@ -13766,7 +13749,6 @@
   first_event_ms = other520.first_event_ms;
   gap_ms = other520.gap_ms;
   priority = other520.priority;
-  is_retry = other520.is_retry;
   patience_ms = other520.patience_ms;
   excluded_groups = other520.excluded_groups;
   __isset = other520.__isset;
@@ -13779,7 +13761,6 @@
   first_event_ms = other521.first_event_ms;
   gap_ms = other521.gap_ms;
   priority = other521.priority;
-  is_retry = other521.is_retry;
   patience_ms = other521.patience_ms;
   excluded_groups = std::move(other521.excluded_groups);
   __isset = other521.__isset;
@@ -13792,7 +13773,6 @@
   first_event_ms = other522.first_event_ms;
   gap_ms = other522.gap_ms;
   priority = other522.priority;
-  is_retry = other522.is_retry;
   patience_ms = other522.patience_ms;
   excluded_groups = other522.excluded_groups;
   __isset = other522.__isset;
@@ -13806,7 +13786,6 @@
   first_event_ms = other523.first_event_ms;
   gap_ms = other523.gap_ms;
   priority = other523.priority;
-  is_retry = other523.is_retry;
   patience_ms = other523.patience_ms;
   excluded_groups = std::move(other523.excluded_groups);
   __isset = other523.__isset;
@@ -13822,7 +13801,6 @@
   out << ", " << "first_event_ms=" << to_string(first_event_ms);
   out << ", " << "gap_ms=" << to_string(gap_ms);
   out << ", " << "priority=" << to_string(priority);
-  out << ", " << "is_retry=" << to_string(is_retry);
   out << ", " << "patience_ms=" << to_string(patience_ms);
   out << ", " << "excluded_groups=" << to_string(excluded_groups);
   out << ")";
--- a/src/wire/gen-cpp/larchlever_types.h
+++ b/src/wire/gen-cpp/larchlever_types.h
@@ -5249,7 +5249,7 @@
 std::ostream& operator<<(std::ostream& out, const FleetHeartbeat& obj);
 
 typedef struct _SlotRequest__isset {
-  _SlotRequest__isset() : id(false), service_name(false), model(false), prompt_tokens(false), first_event_ms(false), gap_ms(false), priority(false), is_retry(false), patience_ms(false), excluded_groups(false) {}
+  _SlotRequest__isset() : id(false), service_name(false), model(false), prompt_tokens(false), first_event_ms(false), gap_ms(false), priority(false), patience_ms(false), excluded_groups(false) {}
   bool id :1;
   bool service_name :1;
   bool model :1;
@@ -5257,7 +5257,6 @@
   bool first_event_ms :1;
   bool gap_ms :1;
   bool priority :1;
-  bool is_retry :1;
   bool patience_ms :1;
   bool excluded_groups :1;
 } _SlotRequest__isset;
@@ -5280,7 +5279,6 @@
                 first_event_ms(0),
                 gap_ms(0),
                 priority(0),
-                is_retry(0),
                 patience_ms(0) {
   }
 
@@ -5304,10 +5302,6 @@
    * 0 is the most urgent.
    */
   int32_t priority;
-  /**
-   * The caller was refused before and has come back.
-   */
-  bool is_retry;
   /**
    * How long the request may wait for a slot, in milliseconds.
    */
@@ -5333,8 +5327,6 @@
 
   void __set_priority(const int32_t val);
 
-  void __set_is_retry(const bool val);
-
   void __set_patience_ms(const int32_t val);
 
   void __set_excluded_groups(const std::vector<std::string> & val);
@@ -5355,8 +5347,6 @@
       return false;
     if (!(priority == rhs.priority))
       return false;
-    if (!(is_retry == rhs.is_retry))
-      return false;
     if (!(patience_ms == rhs.patience_ms))
       return false;
     if (!(excluded_groups == rhs.excluded_groups))
--- a/src/wire/larchlever.thrift
+++ b/src/wire/larchlever.thrift
@@ -629,8 +629,6 @@
   6: i32 gap_ms,
   /** 0 is the most urgent. */
   7: i32 priority,
-  /** The caller was refused before and has come back. */
-  8: bool is_retry,
   /** How long the request may wait for a slot, in milliseconds. */
   9: i32 patience_ms,
   /** Groups that the entry knows or believes to fail. */
