Bound what is overdue by strict objectives; forget groups nobody speaks of

A pause objective under 40 ms made the bounds of a clamp cross; groups whose last word was withdrawn stayed in the watch as empty rows; a bare boolean said whether late answers are allowed. Change: minimum and maximum instead of the clamp; empty rows are dropped; an enumeration.

--- a/src/core/fleet/silence_watch.cc
+++ b/src/core/fleet/silence_watch.cc
@@ -1,7 +1,6 @@
 #include "core/fleet/silence_watch.h"
 
 #include <algorithm>
-#include <iterator>
 
 namespace larchlever::fleet {
 
@@ -33,17 +32,22 @@
     return;
   }
   found->second.streams.erase(node);
-  if (found->second.streams.empty() && found->second.quiet.empty()) {
+  if (found->second.is_empty()) {
     groups_.erase(found);
   }
 }
 
+void SilenceWatch::forget_empty_groups() {
+  std::erase_if(groups_, [](const auto& item) { return item.second.is_empty(); });
+}
+
 void SilenceWatch::note_quiet(TimePoint now, const std::string& node, const std::vector<std::string>& groups) {
   for (auto& [name, group] : groups_) {
     if (std::find(groups.begin(), groups.end(), name) == groups.end()) {
       group.quiet.erase(node);
     }
   }
+  forget_empty_groups();
   for (const auto& name : groups) {
     Word& word = groups_[name].quiet.try_emplace(node, Word{now, now}).first->second;
     word.first = now - word.last > kWordMemory ? now : word.first;
@@ -52,12 +56,11 @@
 }
 
 void SilenceWatch::forget_node(const std::string& node) {
-  for (auto item = groups_.begin(); item != groups_.end();) {
-    item->second.streams.erase(node);
-    item->second.quiet.erase(node);
-    const bool is_empty = item->second.streams.empty() && item->second.quiet.empty();
-    item = is_empty ? groups_.erase(item) : std::next(item);
+  for (auto& [name, group] : groups_) {
+    group.streams.erase(node);
+    group.quiet.erase(node);
   }
+  forget_empty_groups();
 }
 
 bool SilenceWatch::is_quiet(TimePoint now, const std::string& group) const {
--- a/src/core/fleet/silence_watch.h
+++ b/src/core/fleet/silence_watch.h
@@ -38,8 +38,12 @@
   struct Group {
     std::map<std::string, int> streams;
     std::map<std::string, Word> quiet;
+
+    bool is_empty() const { return streams.empty() && quiet.empty(); }
   };
 
+  void forget_empty_groups();
+
   std::map<std::string, Group> groups_;
 };
 
--- a/src/core/fleet/slot_scheduler.cc
+++ b/src/core/fleet/slot_scheduler.cc
@@ -250,7 +250,7 @@
 }
 
 bool SlotScheduler::decide_one(TimePoint now, const document::ConfigurationDocument& document, WaitingRequest& waiting,
-                               bool is_last_chance, std::vector<SlotDecision>& decisions) {
+                               LateAnswers late_answers, std::vector<SlotDecision>& decisions) {
   const ModelKey key = key_of(waiting);
   const auto service = document.services.find(key.first);
   const bool known = service != document.services.end() && service->second.engine;
@@ -260,6 +260,7 @@
     return true;
   }
   const auto& engine = *service->second.engine;
+  const bool is_last_chance = late_answers == LateAnswers::kAllowed;
   if (!blocked_.contains(key) || is_last_chance) {
     const Candidate candidate = best_group(now, engine, *model, waiting);
     // Late is better than never at the end of its patience, and for who would be late anywhere.
@@ -293,9 +294,10 @@
   std::stable_sort(waiting_.begin(), waiting_.end(),
                    [&order](const auto& left, const auto& right) { return order(left) < order(right); });
   // First all that can be in time: room that one of them has use for goes to nobody late.
-  std::erase_if(waiting_, [&](auto& waiting) { return decide_one(now, document, waiting, false, decisions); });
+  std::erase_if(waiting_,
+                [&](auto& waiting) { return decide_one(now, document, waiting, LateAnswers::kNotYet, decisions); });
   std::erase_if(waiting_, [&](auto& waiting) {
-    return now >= waiting.patience_ends && decide_one(now, document, waiting, true, decisions);
+    return now >= waiting.patience_ends && decide_one(now, document, waiting, LateAnswers::kAllowed, decisions);
   });
 }
 
@@ -309,7 +311,7 @@
   }
   // A request for whose model nobody waits goes at once; behind others it waits for the next review.
   for (auto& arrival : std::exchange(arrived_, {})) {
-    if (!decide_one(now, document, arrival, false, decisions)) {
+    if (!decide_one(now, document, arrival, LateAnswers::kNotYet, decisions)) {
       waiting_.push_back(std::move(arrival));
     }
   }
--- a/src/core/fleet/slot_scheduler.h
+++ b/src/core/fleet/slot_scheduler.h
@@ -90,6 +90,8 @@
   using ModelKey = std::pair<std::string, std::string>;  ///< Service and model.
   using GroupItem = std::pair<const std::string, Group>;
   enum class Fit { kInTime, kLate, kNone };
+  /// Whether a request whose patience is over may be answered late; it is refused where there is no room even so.
+  enum class LateAnswers { kNotYet, kAllowed };
   struct Candidate {
     std::string group;
     Duration first_event{};
@@ -109,10 +111,9 @@
   /// No group, however idle, could bring the first event in time.
   static bool is_out_of_reach(const document::EngineSpec& engine, const document::ModelSpec& model,
                               const WaitingRequest& waiting);
-  /// True when the request was answered for good. At its last chance it may be late, and is refused where there is no
-  /// room even so.
+  /// True when the request was answered for good.
   bool decide_one(TimePoint now, const document::ConfigurationDocument& document, WaitingRequest& waiting,
-                  bool is_last_chance, std::vector<SlotDecision>& decisions);
+                  LateAnswers late_answers, std::vector<SlotDecision>& decisions);
   void decide_waiting(TimePoint now, const document::ConfigurationDocument& document,
                       std::vector<SlotDecision>& decisions);
   void index_open_groups();
--- a/src/core/fleet/target_health.cc
+++ b/src/core/fleet/target_health.cc
@@ -78,9 +78,8 @@
   if (streaming_ == 0) {
     return false;
   }
-  const Duration allowed = pauses_.is_measured()
-                               ? std::clamp<Duration>(pauses_.upper(kOverdueDeviations), kOverdueFloor, longest_pause)
-                               : longest_pause;
+  const Duration usual = std::max<Duration>(pauses_.upper(kOverdueDeviations), kOverdueFloor);
+  const Duration allowed = pauses_.is_measured() ? std::min(usual, longest_pause) : longest_pause;
   return now - std::max(streaming_since_, last_progress_) > allowed;
 }
 
--- a/tests/unit/silence_watch_test.cc
+++ b/tests/unit/silence_watch_test.cc
@@ -33,6 +33,10 @@
   EXPECT_TRUE(watch.stands_still(later, "g", kPass));
   watch.note_quiet(later, entry(0), {});
   EXPECT_FALSE(watch.stands_still(later, "g", kPass)) << "one of them saw progress again";
+  for (int number = 0; number < 8; ++number) {
+    watch.note_quiet(later, entry(number), {});
+  }
+  EXPECT_TRUE(watch.quiet_groups().empty());
 }
 
 TEST(SilenceWatch, TwoEntriesAloneProveNothing) {
@@ -86,5 +90,16 @@
   EXPECT_TRUE(health.is_overdue(now + milliseconds(241), kLongestPause));
 }
 
+TEST(TargetHealth, AStrictObjectiveBoundsWhatIsAllowed) {
+  constexpr Duration kLongestPause = milliseconds(60);
+  TargetHealth health;
+  SendingMark mark;
+  health.begin(kStart, mark);
+  health.note_first_event(kStart, mark);
+  health.note_progress(kStart + milliseconds(20));
+  EXPECT_FALSE(health.is_overdue(kStart + milliseconds(80), kLongestPause));
+  EXPECT_TRUE(health.is_overdue(kStart + milliseconds(81), kLongestPause));
+}
+
 }  // namespace
 }  // namespace larchlever::fleet
