Send slot answers of the leader from one place

Cause: read-through; grants, failed groups and confirmations of reports each built the same envelope. Change: FleetLeader::send_slot_answer serves all three. Format, build with warnings as errors, lint of the changed file and 198 of 198 unit tests pass; node, integration and sanitized tests were not run again.

--- a/src/core/fleet/fleet_leader.cc
+++ b/src/core/fleet/fleet_leader.cc
@@ -222,14 +222,16 @@
   }
 }
 
-void FleetLeader::confirm_report(const std::string& node) {
+void FleetLeader::send_slot_answer(const std::string& node, wire::SlotAnswer answer) {
+  answer.term = term_;
   wire::Envelope envelope;
   envelope.to_node = node;
-  envelope.__isset.slot_answer = true;
-  envelope.slot_answer.term = term_;
+  envelope.__set_slot_answer(answer);
   outputs_.envelopes.push_back(std::move(envelope));
 }
 
+void FleetLeader::confirm_report(const std::string& node) { send_slot_answer(node, {}); }
+
 void FleetLeader::answer_slots(TimePoint now, const DocumentLog& log) {
   if (log.parsed() == nullptr) {
     return;  // Entries hold no document either, so none of them serves.
@@ -239,11 +241,7 @@
     answers[decision.node].grants.push_back(std::move(decision.grant));
   }
   for (auto& [node, answer] : answers) {
-    answer.term = term_;
-    wire::Envelope envelope;
-    envelope.to_node = node;
-    envelope.__set_slot_answer(answer);
-    outputs_.envelopes.push_back(std::move(envelope));
+    send_slot_answer(node, std::move(answer));
   }
 }
 
@@ -259,11 +257,7 @@
     }
   }
   for (auto& [node, answer] : answers) {
-    answer.term = term_;
-    wire::Envelope envelope;
-    envelope.to_node = node;
-    envelope.__set_slot_answer(answer);
-    outputs_.envelopes.push_back(std::move(envelope));
+    send_slot_answer(node, std::move(answer));
   }
 }
 
--- a/src/core/fleet/fleet_leader.h
+++ b/src/core/fleet/fleet_leader.h
@@ -112,6 +112,7 @@
   void push_news(TimePoint now, const consensus::RaftNode& raft, const DocumentLog& log);
   void answer_confirmed(TimePoint now);
   void answer_slots(TimePoint now, const DocumentLog& log);
+  void send_slot_answer(const std::string& node, wire::SlotAnswer answer);
   /// Tells an entry that its report arrived: a link that brings nothing back is taken for dead.
   void confirm_report(const std::string& node);
   void forget_lost_entries(TimePoint now);
