Name in the logs which requests are copies of one another

Cause: servers end under one request again and again, and the logs could not show that two requests are the same, nor which instance a sending was lost at. Change: a fingerprint over caller, host, method, target and body, named in every line on a request's end or a sending that failed, with the instance. No decision uses it yet.

--- a/src/node/relayed_request.h
+++ b/src/node/relayed_request.h
@@ -7,6 +7,7 @@
 #include "core/document/route_table.h"
 #include "core/fleet/dispatcher.h"
 #include "core/requests/event_stream.h"
+#include "core/requests/request_fingerprint.h"
 #include "net/http_client.h"
 #include "net/http_server.h"
 
@@ -20,6 +21,8 @@
   const document::TenantSpec* tenant = nullptr;  ///< Null on public routes.
   const document::ServiceSpec* service = nullptr;
   std::string id;
+  /// The same for every copy of this request, whoever takes it.
+  requests::RequestFingerprint fingerprint;
   std::string model;
   double prompt_tokens = 0;
   TimePoint received{};
--- a/src/node/request_ends.cc
+++ b/src/node/request_ends.cc
@@ -30,6 +30,7 @@
   log_event(
       "", "request_ended",
       {{"request", request.id},
+       {"fingerprint", to_string(request.fingerprint)},
        {"route", request.route == nullptr ? "" : request.route->name},
        {"model", request.model},
        {"aim_ms", request.route == nullptr ? "" : std::to_string(request.route->target_latency / milliseconds(1))},
--- a/src/node/request_relay.cc
+++ b/src/node/request_relay.cc
@@ -104,6 +104,9 @@
   if (auto refusal = authorise(request, incoming.headers.find(dialect_.api_key))) {
     return refusal;
   }
+  request.fingerprint =
+      requests::fingerprint_of({request.tenant == nullptr ? "" : request.tenant->name, incoming.headers.find("host"),
+                                incoming.method, incoming.target, incoming.body});
   const auto& services = request.routes->document().services;
   request.service = &services.at(state_.dispatcher.choose_service(*request.route));
   Duration held = request.route->timeout;
@@ -281,7 +284,12 @@
     if (failed_at < request.due) {
       note_failure(target, failed_at);
     }
-    log_event("", "sending_failed", {{"request", request.id}, {"target", target.key}, {"reason", opened.error}});
+    log_event("", "sending_failed",
+              {{"request", request.id},
+               {"fingerprint", to_string(request.fingerprint)},
+               {"target", target.key},
+               {"instance", target.instance_id},
+               {"reason", opened.error}});
     co_return opened.state == net::SendState::kNotSent ? Sending::kNotRun : Sending::kMayHaveRun;
   }
   const auto& head = opened.stream->head();
@@ -371,7 +379,12 @@
     co_return Sending::kAnswered;
   }
   if (!stream.complete()) {
-    log_event("", "answer_broke_off", {{"request", request.id}, {"target", target.key}, {"reason", stream.error()}});
+    log_event("", "answer_broke_off",
+              {{"request", request.id},
+               {"fingerprint", to_string(request.fingerprint)},
+               {"target", target.key},
+               {"instance", target.instance_id},
+               {"reason", stream.error()}});
     co_return Sending::kMayHaveRun;
   }
   state_.dispatcher.note_progress(monotonic_now(), target);
@@ -457,7 +470,9 @@
   const TimePoint now = monotonic_now();
   log_event("", "stream_broke_off",
             {{"request", request.id},
+             {"fingerprint", to_string(request.fingerprint)},
              {"target", target.key},
+             {"instance", target.instance_id},
              {"reason", stream.error()},
              {"last_event", request.events.last_id() ? std::to_string(*request.events.last_id()) : "none"}});
   if (now < request.due) {
