A request that ends every server it reaches, failing

Cause looked for: repeats of one request that ends who runs it. The stand-in engines learn to end under a body, refuse connections and start again after 3 s. Processes under test no longer inherit the stand-ins' listening sockets, which went on taking connections for servers that had ended.

--- a/tests/integration/child_process.cc
+++ b/tests/integration/child_process.cc
@@ -72,6 +72,8 @@
       }
       break;
   }
+  // A listening socket of a stand-in, inherited, would go on taking connections after the stand-in closed it.
+  posix_spawn_file_actions_addclosefrom_np(&actions, 3);
   int pid = -1;
   const int failure = ::posix_spawn(&pid, LARCHLEVER_BINARY, &actions, nullptr, pointers_to(words).data(),
                                     pointers_to(variables).data());
--- a/tests/integration/fleet_node_processes.cc
+++ b/tests/integration/fleet_node_processes.cc
@@ -239,7 +239,8 @@
 }
 
 net::FetchResult FleetNodeProcesses::call_model(BlockingClient& client, const std::string& entry,
-                                                const std::string& model, const std::string& request_id) const {
+                                                const std::string& model, const std::string& request_id,
+                                                const std::string& body) const {
   net::HttpRequest request;
   request.method = "POST";
   request.target = "/chat/1";
@@ -248,7 +249,7 @@
   request.headers.add("Larchlever-Deadline-Ms", "3000");
   request.headers.add("Larchlever-Model", model);
   request.headers.add("Larchlever-Tokens", "100,25");
-  request.body = "{}";
+  request.body = body;
   return client.fetch(at_port(address(entry), kCallerPort), request, kModelTimeout);
 }
 
--- a/tests/integration/fleet_node_processes.h
+++ b/tests/integration/fleet_node_processes.h
@@ -56,7 +56,7 @@
                                 const std::string& body = "");
   /// Asks a model for a stream through an entry, with a client of the caller's own, which may live on another thread.
   net::FetchResult call_model(BlockingClient& client, const std::string& entry, const std::string& model,
-                              const std::string& request_id) const;
+                              const std::string& request_id, const std::string& body = "{}") const;
   /// Loopback addresses for stand-ins of engines that belong to this fleet.
   std::vector<std::string> engine_addresses(int count) const;
   bool is_ready(const std::string& node);
--- a/tests/integration/registered_engines.cc
+++ b/tests/integration/registered_engines.cc
@@ -82,13 +82,10 @@
   Server(RegisteredEngines& engines, const std::string& id, const std::string& address, const std::string& domain)
       : engines_(engines),
         dialect_(*node::find_dialect("larchlever")),
+        first_id_(id),
         instance_(id, address, domain, {}),
         server_(engines.client_.context().get_executor(), net::HttpServerOptions(), *this) {
-    asio::post(engines.client_.context(), asio::use_future([this, address] {
-                 std::string error;
-                 EXPECT_TRUE(net::listen_on(server_, address, error)) << error;
-               }))
-        .get();
+    listen();
   }
   ~Server() override {
     asio::post(engines_.client_.context(), asio::use_future([this] { server_.close_all(); })).get();
@@ -102,16 +99,37 @@
     }
   }
 
-  const std::string& id() const { return instance_.id(); }
+  std::string id() {
+    const std::lock_guard lock(mutex_);
+    return instance_.id();
+  }
+  /// Starts again when its time has come after an end.
+  void restart_if_due() {
+    {
+      const std::lock_guard lock(mutex_);
+      if (!down_until_ || node::monotonic_now() < *down_until_) {
+        return;
+      }
+      ++starts_;
+      instance_ = simulation::SimulatedInstance(first_id_ + "-" + std::to_string(starts_), instance_.address(),
+                                                instance_.domain(), instance_.staged());
+      next_report_ = TimePoint{};
+      down_until_.reset();
+    }
+    listen();
+  }
   bool is_open_head() {
     const std::lock_guard lock(mutex_);
     instance_.advance(node::monotonic_now());
-    return instance_.is_open_head();
+    return !down_until_ && instance_.is_open_head();
   }
   /// The next report, when one is due.
   std::optional<std::string> report() {
     const std::lock_guard lock(mutex_);
     const TimePoint now = node::monotonic_now();
+    if (down_until_) {
+      return std::nullopt;
+    }
     instance_.advance(now);
     if (now < next_report_ && !instance_.has_news()) {
       return std::nullopt;
@@ -121,6 +139,26 @@
   }
 
  private:
+  void listen() {
+    asio::post(engines_.client_.context(), asio::use_future([this] {
+                 std::string error;
+                 EXPECT_TRUE(net::listen_on(server_, instance_.address(), error)) << error;
+               }))
+        .get();
+  }
+
+  /// As when the process dies: every connection is dropped, and new ones are refused.
+  void end() {
+    const std::lock_guard lock(mutex_);
+    if (down_until_) {
+      return;
+    }
+    down_until_ = node::monotonic_now() + engines_.options_.restart_time;
+    server_.close_all();
+    const std::lock_guard record(engines_.record_mutex_);
+    engines_.ends_.push_back(std::chrono::steady_clock::now());
+  }
+
   asio::awaitable<void> take_order(net::HttpExchange& exchange) {
     const auto body = json::parse(exchange.request().body).as_object();
     fleet::InstanceOrder order;
@@ -149,6 +187,12 @@
       co_await exchange.respond(std::move(head));
       co_return;
     }
+    const bool ends_server =
+        !engines_.options_.ending_body.empty() && exchange.request().body == engines_.options_.ending_body;
+    if (ends_server) {
+      const std::lock_guard record(engines_.record_mutex_);
+      engines_.ending_arrivals_.push_back(std::chrono::steady_clock::now());
+    }
     ++engines_.served_;
     head.headers.add(dialect_.signature, "signed-" + id());
     head.headers.add("Content-Type", "text/event-stream");
@@ -159,7 +203,13 @@
       timer.expires_after(engines_.options_.event_pause);
       co_await timer.async_wait(await);
       const std::string piece = "id: " + std::to_string(event) + "\ndata: token\n\n";
-      co_await exchange.write_piece(piece);
+      if (!co_await exchange.write_piece(piece)) {
+        co_return;
+      }
+      if (ends_server) {
+        end();
+        co_return;
+      }
     }
     co_await exchange.end_stream();
   }
@@ -167,6 +217,10 @@
   RegisteredEngines& engines_;
   const node::Dialect& dialect_;
   std::mutex mutex_;
+  std::string first_id_;
+  int starts_ = 1;
+  /// While the server is down, when it starts again.
+  std::optional<TimePoint> down_until_;
   simulation::SimulatedInstance instance_;
   TimePoint next_report_{};
   net::HttpServer server_;
@@ -197,10 +251,21 @@
   return count;
 }
 
+std::vector<RegisteredEngines::Moment> RegisteredEngines::ending_arrivals() {
+  const std::lock_guard record(record_mutex_);
+  return ending_arrivals_;
+}
+
+std::vector<RegisteredEngines::Moment> RegisteredEngines::ends() {
+  const std::lock_guard record(record_mutex_);
+  return ends_;
+}
+
 void RegisteredEngines::keep_reporting() {
   size_t next_control = 0;
   while (!stopped_) {
     for (const auto& server : servers_) {
+      server->restart_if_due();
       const auto report = server->report();
       if (!report) {
         continue;
--- a/tests/integration/registered_engines.h
+++ b/tests/integration/registered_engines.h
@@ -29,8 +29,14 @@
     std::chrono::milliseconds heartbeat_interval{400};
     int events = 5;
     std::chrono::milliseconds event_pause{10};
+    /// A request with this body ends the server that runs it, after its first event; empty for none does.
+    std::string ending_body;
+    /// A server that ended starts again after this time, under another id, with what its host holds.
+    std::chrono::milliseconds restart_time{3000};
   };
 
+  using Moment = std::chrono::steady_clock::time_point;
+
   /// `addresses` are loopback addresses, one a server; `controls` where heartbeats go.
   RegisteredEngines(const Options& options, const std::vector<std::string>& addresses,
                     std::vector<std::string> controls);
@@ -43,6 +49,10 @@
   uint64_t served() const { return served_; }
   /// Requests that reached a server which led no open group; each was turned away.
   uint64_t misdirected() const { return misdirected_; }
+  /// When requests with `ending_body` reached open heads, in order.
+  std::vector<Moment> ending_arrivals();
+  /// When servers ended under them, in order.
+  std::vector<Moment> ends();
 
  private:
   class Server;
@@ -55,6 +65,9 @@
   std::vector<std::unique_ptr<Server>> servers_;
   std::atomic<uint64_t> served_ = 0;
   std::atomic<uint64_t> misdirected_ = 0;
+  std::mutex record_mutex_;
+  std::vector<Moment> ending_arrivals_;
+  std::vector<Moment> ends_;
   std::atomic<bool> stopped_ = false;
   std::thread reporter_;
 };
