--- a/src/core/fleet/entry_distributor.cc
+++ b/src/core/fleet/entry_distributor.cc
@@ -15,8 +15,7 @@
     entries_.start_term(state.term);
   }
   taken_ = order;
-  const auto view = entry_view(state);
-  entries_.publish(state.version, view.instances, view.groups);
+  entries_.publish(entry_view(state));
 }
 
 wire::FleetUpdate EntryDistributor::update_for(TimePoint now, const std::string& node,
--- a/src/core/fleet/entry_view.cc
+++ b/src/core/fleet/entry_view.cc
@@ -33,6 +33,7 @@
   wire::FleetState view;
   view.term = state.term;
   view.version = state.version;
+  view.blocked_requests = state.blocked_requests;
   std::set<std::string> heads;
   for (const auto& group : state.groups) {
     if (!may_have_requests(group)) {
--- a/src/core/fleet/fleet_leader.cc
+++ b/src/core/fleet/fleet_leader.cc
@@ -58,6 +58,7 @@
   incarnations_.clear();
   replicas_.start(now);
   entry_reports_.start();
+  blocker_.start(now, copy.blocked_requests);
   loads_.clear();
   waiting_.clear();
   pending_documents_.clear();
@@ -80,6 +81,7 @@
 
 void FleetLeader::take_copy(TimePoint now, const wire::FleetState& copy) {
   instances_.merge(now, copy.instances);
+  blocker_.inherit(now, copy.blocked_requests);
   const std::pair order(copy.term, copy.version);
   if (order > inherited_) {
     // Copies are not joined: an older one may give a server to a group that a newer one has dissolved.
@@ -158,7 +160,12 @@
 
 void FleetLeader::publish() {
   if (subscribers_.history().version() < version_) {
-    subscribers_.publish(version_, instances_.snapshot(), groups_.snapshot());
+    wire::FleetState state;
+    state.version = version_;
+    state.instances = instances_.snapshot();
+    state.groups = groups_.snapshot();
+    state.blocked_requests = blocker_.rows();
+    subscribers_.publish(state);
   }
 }
 
@@ -211,9 +218,14 @@
   }
   slots_.note_loads(node, report.loads, report.is_complete, report.grants_term, report.grants_seen);
   slots_.note_quiet(now, node, report.quiet_groups);
+  note_server_ends(now, report);
   fail_silent_groups(now, log);
   for (const auto& request : report.requests) {
-    slots_.add_request(now, node, request);
+    if (request.__isset.trial_of) {
+      answer_trial(now, node, request);
+    } else {
+      slots_.add_request(now, node, request);
+    }
   }
   answer_slots(now, log);
   if (report.is_complete) {
@@ -222,6 +234,34 @@
   }
 }
 
+void FleetLeader::note_server_ends(TimePoint now, const wire::SlotReport& report) {
+  bool changed = false;
+  for (const auto& end : report.server_ends) {
+    const TimePoint ended_at = now - milliseconds(std::max<int64_t>(0, end.age_ms));
+    const bool is_news = blocker_.note_end({requests::RequestFingerprint(end.fingerprint), end.instance_id, ended_at});
+    changed = changed || is_news;
+  }
+  for (const int64_t fingerprint : report.answered_requests) {
+    const bool is_news = blocker_.note_answered(requests::RequestFingerprint(fingerprint));
+    changed = changed || is_news;
+  }
+  if (changed) {
+    ++version_;
+    next_push_ = now;  // Every entry goes on sending the request until it learns of this.
+  }
+}
+
+void FleetLeader::answer_trial(TimePoint now, const std::string& node, const wire::SlotRequest& request) {
+  const bool is_granted = blocker_.grant_trial(now, requests::RequestFingerprint(request.trial_of));
+  version_ += is_granted ? 1 : 0;
+  wire::SlotGrant grant;
+  grant.id = request.id;
+  grant.verdict = is_granted ? wire::SlotVerdict::GRANTED : wire::SlotVerdict::BUSY;
+  wire::SlotAnswer answer;
+  answer.grants.push_back(std::move(grant));
+  send_slot_answer(node, std::move(answer));
+}
+
 void FleetLeader::send_slot_answer(const std::string& node, wire::SlotAnswer answer) {
   answer.term = term_;
   wire::Envelope envelope;
@@ -417,6 +457,7 @@
     outputs_.replicas = replicas_.next_change(now, raft, nodes_);
     forget_lost_entries(now);
     version_ += instances_.tick(now) ? 1 : 0;
+    version_ += blocker_.tick(now) ? 1 : 0;
   }
   if (now >= next_load_sum_) {
     next_load_sum_ = now + kLoadInterval;
--- a/src/core/fleet/fleet_leader.h
+++ b/src/core/fleet/fleet_leader.h
@@ -14,6 +14,7 @@
 #include "core/fleet/fleet_subscription.h"
 #include "core/fleet/group_supervisor.h"
 #include "core/fleet/instance_directory.h"
+#include "core/fleet/request_blocker.h"
 #include "core/fleet/slot_scheduler.h"
 #include "core/fleet/subscriber_table.h"
 #include "core/membership/incarnation_ranks.h"
@@ -69,6 +70,8 @@
   const wire::EngineGroup* owner_of(const std::string& instance) const { return groups_.owner_of(instance); }
   /// What is under way per group, over all entries.
   const std::map<std::string, wire::GroupLoad>& loads() const { return loads_; }
+  /// Requests that are sent to no server, since they end those that run them.
+  std::vector<wire::BlockedRequest> blocked_requests() const { return blocker_.rows(); }
 
  private:
   /// What a control replica told of the entries that subscribe to it.
@@ -112,6 +115,9 @@
   void push_news(TimePoint now, const consensus::RaftNode& raft, const DocumentLog& log);
   void answer_confirmed(TimePoint now);
   void answer_slots(TimePoint now, const DocumentLog& log);
+  /// Takes an entry's words on servers that ended under its requests.
+  void note_server_ends(TimePoint now, const wire::SlotReport& report);
+  void answer_trial(TimePoint now, const std::string& node, const wire::SlotRequest& request);
   void send_slot_answer(const std::string& node, wire::SlotAnswer answer);
   /// Tells an entry that its report arrived: a link that brings nothing back is taken for dead.
   void confirm_report(const std::string& node);
@@ -141,6 +147,7 @@
   control::ReplicaSupervisor replicas_;
   membership::IncarnationRanks incarnations_;
   EntryReports entry_reports_;
+  RequestBlocker blocker_;
   std::map<std::string, wire::GroupLoad> loads_;
   std::vector<WaitingCall> waiting_;
   std::map<int64_t, PendingDocument> pending_documents_;
--- /dev/null
+++ b/src/core/fleet/request_blocker.h
@@ -0,0 +1,56 @@
+#pragma once
+
+#include <map>
+#include <string>
+#include <vector>
+
+#include "core/base/time.h"
+#include "core/fleet/server_ends.h"
+#include "larchlever_types.h"
+
+namespace larchlever::fleet {
+
+/// The leader's decision which requests are sent to no server any more, since they end those that run them.
+///
+/// Load pattern: a caller sends one request again and again to all entries; each time it ends a server, and cuts all
+/// that runs beside it. Entries report every end with the requests that ran there. The third end under one request
+/// blocks it everywhere. It may be wrongly blocked, or its cause be mended at the servers: after a while one copy is
+/// tried, alone, and if its server answers the request is free again.
+///
+/// Limits: three ends, since a request that only ran beside the harmful one is cut once or twice before that one is
+/// known; two trials, so that a harmful request ends five servers in an hour however often it comes; 1,024 blocked
+/// requests, those blocked last, some 20 KB in a copy of the state. Blocks outlast a leadership as rows of the
+/// published state. Single-threaded, deterministic.
+class RequestBlocker {
+ public:
+  /// A leadership begins with the rows of the state it inherits; the wait for a trial begins anew.
+  void start(TimePoint now, const std::vector<wire::BlockedRequest>& inherited);
+  /// Adds rows of a copy that arrived later.
+  void inherit(TimePoint now, const std::vector<wire::BlockedRequest>& rows);
+  /// A server ended while it ran the request. True when the rows changed; so with all that follow.
+  bool note_end(const ServerEnd& end);
+  /// A server ran the request and answered.
+  bool note_answered(requests::RequestFingerprint request);
+  /// Grants the trial of a blocked request that is due, once.
+  bool grant_trial(TimePoint now, requests::RequestFingerprint request);
+  bool tick(TimePoint now);
+  std::vector<wire::BlockedRequest> rows() const;
+
+ private:
+  enum class Phase { kWaiting, kTrialDue, kTrialRunning };
+  struct Blocked {
+    int trials = 0;
+    Phase phase = Phase::kWaiting;
+    /// When the phase began.
+    TimePoint since{};
+  };
+
+  void block(TimePoint now, requests::RequestFingerprint request, int trials);
+  static Duration wait_of(const Blocked& blocked);
+  static void set_phase(TimePoint now, Blocked& blocked, Phase phase);
+
+  ServerEnds ends_;
+  std::map<requests::RequestFingerprint, Blocked> blocked_;
+};
+
+}  // namespace larchlever::fleet
--- a/src/core/fleet/state_history.cc
+++ b/src/core/fleet/state_history.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <set>
 #include <string_view>
+#include <utility>
 
 #include "core/fleet/instance_directory.h"
 
@@ -12,19 +13,25 @@
 
 const std::string& key_of(const wire::Instance& instance) { return instance.id; }
 const std::string& key_of(const wire::EngineGroup& group) { return group.name; }
+int64_t key_of(const wire::BlockedRequest& request) { return request.fingerprint; }
+
+/// What keys are compared by without copying them.
+std::string_view view_of(const std::string& key) { return key; }
+int64_t view_of(int64_t key) { return key; }
 
 using fleet::says_the_same;
 
 bool says_the_same(const wire::EngineGroup& left, const wire::EngineGroup& right) { return left == right; }
+bool says_the_same(const wire::BlockedRequest& left, const wire::BlockedRequest& right) { return left == right; }
 
 /// True when any row differs from what was recorded before.
-template <typename Row, typename Versioned>
-bool record_rows(int64_t version, const std::vector<Row>& rows, std::map<std::string, Versioned>& known,
-                 std::map<std::string, int64_t>& removed) {
+template <typename Row, typename Key, typename Versioned>
+bool record_rows(int64_t version, const std::vector<Row>& rows, std::map<Key, Versioned>& known,
+                 std::map<Key, int64_t>& removed) {
   bool changed = false;
-  std::set<std::string_view> present;
+  std::set<decltype(view_of(std::declval<const Key&>()))> present;
   for (const auto& row : rows) {
-    present.insert(key_of(row));
+    present.insert(view_of(key_of(row)));
     const auto found = known.find(key_of(row));
     if (found != known.end() && says_the_same(found->second.row, row)) {
       continue;
@@ -34,7 +41,7 @@
     changed = true;
   }
   for (auto item = known.begin(); item != known.end();) {
-    if (present.contains(item->first)) {
+    if (present.contains(view_of(item->first))) {
       ++item;
       continue;
     }
@@ -45,8 +52,8 @@
   return changed;
 }
 
-template <typename Row, typename Versioned>
-std::vector<Row> rows_since(int64_t version, const std::map<std::string, Versioned>& known) {
+template <typename Row, typename Key, typename Versioned>
+std::vector<Row> rows_since(int64_t version, const std::map<Key, Versioned>& known) {
   std::vector<Row> result;
   for (const auto& [key, versioned] : known) {
     if (versioned.changed_at > version) {
@@ -56,8 +63,9 @@
   return result;
 }
 
-std::vector<std::string> keys_since(int64_t version, const std::map<std::string, int64_t>& removed) {
-  std::vector<std::string> result;
+template <typename Key>
+std::vector<Key> keys_since(int64_t version, const std::map<Key, int64_t>& removed) {
+  std::vector<Key> result;
   for (const auto& [key, removed_at] : removed) {
     if (removed_at > version) {
       result.push_back(key);
@@ -66,10 +74,10 @@
   return result;
 }
 
-template <typename Row>
-void merge_rows(std::vector<Row>& rows, const std::vector<Row>& changed, const std::vector<std::string>& removed) {
-  const std::set<std::string> gone(removed.begin(), removed.end());
-  std::map<std::string, const Row*> news;
+template <typename Row, typename Key>
+void merge_rows(std::vector<Row>& rows, const std::vector<Row>& changed, const std::vector<Key>& removed) {
+  const std::set<Key> gone(removed.begin(), removed.end());
+  std::map<Key, const Row*> news;
   for (const auto& row : changed) {
     news[key_of(row)] = &row;
   }
@@ -95,16 +103,19 @@
   groups_.clear();
   removed_instances_.clear();
   removed_groups_.clear();
+  blocked_requests_.clear();
+  removed_blocked_requests_.clear();
 }
 
-void StateHistory::record(int64_t version, const std::vector<wire::Instance>& instances,
-                          const std::vector<wire::EngineGroup>& groups) {
+void StateHistory::record(const wire::FleetState& state) {
   const bool is_first = version_ == 0;
-  version_ = version;
-  const bool instances_changed = record_rows(version, instances, instances_, removed_instances_);
-  const bool groups_changed = record_rows(version, groups, groups_, removed_groups_);
-  if (is_first || instances_changed || groups_changed) {
-    last_change_ = version;
+  version_ = state.version;
+  const bool instances_changed = record_rows(version_, state.instances, instances_, removed_instances_);
+  const bool groups_changed = record_rows(version_, state.groups, groups_, removed_groups_);
+  const bool blocked_changed =
+      record_rows(version_, state.blocked_requests, blocked_requests_, removed_blocked_requests_);
+  if (is_first || instances_changed || groups_changed || blocked_changed) {
+    last_change_ = version_;
   }
 }
 
@@ -114,6 +125,7 @@
   state.version = version_;
   state.instances = rows_since<wire::Instance>(0, instances_);
   state.groups = rows_since<wire::EngineGroup>(0, groups_);
+  state.blocked_requests = rows_since<wire::BlockedRequest>(0, blocked_requests_);
   return state;
 }
 
@@ -126,6 +138,8 @@
   change.groups = rows_since<wire::EngineGroup>(version, groups_);
   change.removed_instances = keys_since(version, removed_instances_);
   change.removed_groups = keys_since(version, removed_groups_);
+  change.blocked_requests = rows_since<wire::BlockedRequest>(version, blocked_requests_);
+  change.removed_blocked_requests = keys_since(version, removed_blocked_requests_);
   return change;
 }
 
@@ -136,6 +150,7 @@
   }
   merge_rows(state.instances, change.instances, change.removed_instances);
   merge_rows(state.groups, change.groups, change.removed_groups);
+  merge_rows(state.blocked_requests, change.blocked_requests, change.removed_blocked_requests);
   state.version = change.version;
   return true;
 }
--- a/src/core/fleet/state_history.h
+++ b/src/core/fleet/state_history.h
@@ -16,9 +16,8 @@
  public:
   /// A leadership begins with nothing published.
   void start(int64_t term);
-  /// Publishes the state as of `version`, which must exceed all before.
-  void record(int64_t version, const std::vector<wire::Instance>& instances,
-              const std::vector<wire::EngineGroup>& groups);
+  /// Publishes the rows of `state` as of its version, which must exceed all before; its term does not matter.
+  void record(const wire::FleetState& state);
   /// The last version recorded; 0 for none.
   int64_t version() const { return version_; }
   /// The last version that changed, added or removed a row, which the first one always does; 0 for none. Copies of it
@@ -40,9 +39,11 @@
   int64_t last_change_ = 0;
   std::map<std::string, Versioned<wire::Instance>> instances_;
   std::map<std::string, Versioned<wire::EngineGroup>> groups_;
+  std::map<int64_t, Versioned<wire::BlockedRequest>> blocked_requests_;
   /// At which version rows were removed. Bounded by what one leadership sees come and go.
   std::map<std::string, int64_t> removed_instances_;
   std::map<std::string, int64_t> removed_groups_;
+  std::map<int64_t, int64_t> removed_blocked_requests_;
 };
 
 /// Brings a copy up to date. False, and no effect, when `change` does not follow on what `state` holds.
--- a/src/core/fleet/subscriber_table.h
+++ b/src/core/fleet/subscriber_table.h
@@ -31,11 +31,8 @@
   void start_term(int64_t term);
   /// Nobody subscribes any more.
   void clear();
-  /// The state as of `version`, which must exceed all before in this term.
-  void publish(int64_t version, const std::vector<wire::Instance>& instances,
-               const std::vector<wire::EngineGroup>& groups) {
-    history_.record(version, instances, groups);
-  }
+  /// The rows of `state` as of its version, which must exceed all before in this term.
+  void publish(const wire::FleetState& state) { history_.record(state); }
   const StateHistory& history() const { return history_; }
 
   /// Notes what a node says that it holds. False when the heartbeat stems from an earlier life of the node.
--- a/src/node/control_process.cc
+++ b/src/node/control_process.cc
@@ -144,6 +144,7 @@
   void report_decision(const fleet::GroupDecision& decision) const;
   void report_fleet();
   void report_instances();
+  void report_blocked_requests();
   asio::awaitable<void> tick_loop();
   asio::awaitable<void> send_order(fleet::InstanceOrder order);
 
@@ -173,6 +174,8 @@
     bool operator==(const ReportedInstance&) const = default;
   };
   std::map<std::string, ReportedInstance> reported_instances_;
+  /// The blocked requests as last logged.
+  std::vector<wire::BlockedRequest> reported_blocked_;
   int64_t known_version_ = 0;
   size_t known_voters_ = 0;
   std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
@@ -375,6 +378,34 @@
   }
 }
 
+void ControlProcess::report_blocked_requests() {
+  if (!controller_.is_leader(monotonic_now())) {
+    return;
+  }
+  auto rows = controller_.leader_view().blocked_requests();
+  const auto is_in = [](const auto& list, const wire::BlockedRequest& row) {
+    return std::find(list.begin(), list.end(), row) != list.end();
+  };
+  for (const auto& row : rows) {
+    if (!is_in(reported_blocked_, row)) {
+      log_event(settings_.name, "request_blocked",
+                {{"fingerprint", to_string(requests::RequestFingerprint(row.fingerprint))},
+                 {"trials", std::to_string(row.trials)},
+                 {"trial_due", row.trial_due ? "yes" : "no"},
+                 {"wait_ms", std::to_string(row.wait_ms)}});
+    }
+  }
+  for (const auto& row : reported_blocked_) {
+    const bool is_known = std::any_of(rows.begin(), rows.end(),
+                                      [&row](const auto& known) { return known.fingerprint == row.fingerprint; });
+    if (!is_known) {
+      log_event(settings_.name, "request_freed",
+                {{"fingerprint", to_string(requests::RequestFingerprint(row.fingerprint))}});
+    }
+  }
+  reported_blocked_ = std::move(rows);
+}
+
 void ControlProcess::report_fleet() {
   const TimePoint now = monotonic_now();
   if (now < next_fleet_report_ || !controller_.is_leader(now)) {
@@ -439,6 +470,7 @@
     report_formation();
     search_.tick(monotonic_now(), controller_.subscription());
     report_instances();
+    report_blocked_requests();
     report_fleet();
     save_state();
     if (controller_.needs_new_identity()) {
--- a/src/node/entry_process.cc
+++ b/src/node/entry_process.cc
@@ -134,6 +134,7 @@
   const bool changed = state_.subscription.receive(monotonic_now(), envelope);
   if (changed) {
     state_.dispatcher.update_state(state_.subscription.state());
+    state_.blocked.update(monotonic_now(), state_.subscription.state().blocked_requests);
     adopt_document();
   }
   if (!envelope.fleet_update.loads.empty()) {
--- a/src/node/entry_state.h
+++ b/src/node/entry_state.h
@@ -6,6 +6,7 @@
 #include <string>
 
 #include "core/document/route_table.h"
+#include "core/fleet/blocked_requests.h"
 #include "core/fleet/dispatcher.h"
 #include "core/fleet/fleet_subscription.h"
 #include "core/requests/recent_quantile.h"
@@ -20,6 +21,7 @@
   uint64_t refused = 0;
   uint64_t failed = 0;
   uint64_t denied = 0;
+  uint64_t blocked = 0;
   uint64_t caller_gone = 0;
   uint64_t retries = 0;
   uint64_t resumed = 0;
@@ -34,6 +36,8 @@
 
   fleet::FleetSubscription subscription;
   fleet::Dispatcher dispatcher;
+  /// Requests that end the servers that run them.
+  fleet::BlockedRequests blocked;
   /// Null until the first document arrived.
   std::shared_ptr<const document::RouteTable> routes;
   /// What is under way at each target, so that all of it can be given up at once when the target turns out dead.
--- a/src/node/relayed_request.h
+++ b/src/node/relayed_request.h
@@ -39,6 +39,8 @@
   /// No server is proved not to have run it: a promise that it did not run is no longer possible.
   bool may_have_run = false;
   bool caller_gone = false;
+  /// The request is blocked, and the leader lets this entry send it once.
+  bool is_trial = false;
   /// The sending under way, and the load that it puts on its target.
   std::shared_ptr<net::Cancellation> cancellation;
   fleet::SendingMark mark;
--- a/src/node/request_relay.cc
+++ b/src/node/request_relay.cc
@@ -52,6 +52,7 @@
       slots_(slots),
       lease_(lease),
       ends_(state),
+      blocks_(executor, state, slots),
       targets_(executor, state, slots),
       client_(executor) {}
 
@@ -154,6 +155,12 @@
 
 asio::awaitable<void> RequestRelay::relay(RelayedRequest& request) {
   while (true) {
+    // Asked before each sending: a request under which servers end elsewhere meanwhile must not end one more.
+    if (!co_await blocks_.admit(request)) {
+      const FoundTarget none = blocks_.refuse(request);
+      co_await end_without_target(request, none);
+      co_return;
+    }
     const FoundTarget found = co_await targets_.find(request);
     const auto* target = std::get_if<fleet::Target>(&found);
     if (target == nullptr) {
@@ -290,6 +297,9 @@
                {"target", target.key},
                {"instance", target.instance_id},
                {"reason", opened.error}});
+    if (opened.state != net::SendState::kNotSent && failed_at < request.due) {
+      blocks_.answer_lost(request, target);
+    }
     co_return opened.state == net::SendState::kNotSent ? Sending::kNotRun : Sending::kMayHaveRun;
   }
   const auto& head = opened.stream->head();
@@ -385,8 +395,12 @@
                {"target", target.key},
                {"instance", target.instance_id},
                {"reason", stream.error()}});
+    if (monotonic_now() < request.due) {
+      blocks_.answer_lost(request, target);
+    }
     co_return Sending::kMayHaveRun;
   }
+  blocks_.answered(request);
   state_.dispatcher.note_progress(monotonic_now(), target);
   const bool unsigned_success = is_success(response.status) && !response.headers.contains(dialect_.signature);
   if (unsigned_success) {
@@ -462,6 +476,7 @@
   }
   const bool whole = stream.complete() && request.events.pending().empty() && !request.events.has_gap();
   if (whole && request.head_sent) {
+    blocks_.answered(request);
     ++state_.counters.served;
     ends_.log(request, stream.head().status, "the whole stream");
     co_await request.exchange->end_stream();
@@ -477,6 +492,7 @@
              {"last_event", request.events.last_id() ? std::to_string(*request.events.last_id()) : "none"}});
   if (now < request.due) {
     note_failure(target, now);
+    blocks_.answer_lost(request, target);
   }
   ++state_.counters.resumed;
   co_return Sending::kMayHaveRun;
--- a/src/node/request_relay.h
+++ b/src/node/request_relay.h
@@ -7,6 +7,7 @@
 
 #include "net/http_client.h"
 #include "net/http_server.h"
+#include "node/block_gate.h"
 #include "node/dialect.h"
 #include "node/entry_state.h"
 #include "node/lease_gate.h"
@@ -75,6 +76,7 @@
   SlotRequester& slots_;
   LeaseGate& lease_;
   RequestEnds ends_;
+  BlockGate blocks_;
   TargetFinder targets_;
   net::HttpClient client_;
 };
--- a/src/node/slot_requester.cc
+++ b/src/node/slot_requester.cc
@@ -75,6 +75,13 @@
   co_return is_open ? undecided : question->grant;
 }
 
+asio::awaitable<bool> SlotRequester::ask_for_trial(requests::RequestFingerprint request) {
+  wire::SlotRequest question;
+  question.__set_trial_of(request.value());
+  const auto grant = co_await ask(std::move(question));
+  co_return grant.verdict == wire::SlotVerdict::GRANTED;
+}
+
 void SlotRequester::send_soon(wire::SlotRequest request) {
   unsent_.push_back(std::move(request));
   if (unsent_.size() > 1) {
@@ -134,6 +141,9 @@
     return std::find(reported_failures_.begin(), reported_failures_.end(), failure) == reported_failures_.end();
   });
   const std::string& leader = state_.subscription.leader();
+  if (state_.blocked.has_news()) {
+    note_change();
+  }
   if (!leader.empty() && (now >= next_complete_ || has_new_failure || leader != reported_to_)) {
     report_all(now, std::move(failures));
   } else if (!leader.empty() && state_.dispatcher.quiet_groups(now) != reported_quiet_) {
@@ -149,6 +159,8 @@
   report.grants_seen = grants_seen_;
   report.traffic_seen = state_.traffic_seen;
   report.quiet_groups = reported_quiet_;
+  report.server_ends = state_.blocked.take_ends(monotonic_now());
+  report.answered_requests = state_.blocked.take_answered();
   return report;
 }
 
@@ -160,6 +172,7 @@
 
 void SlotRequester::report_all(TimePoint now, std::vector<wire::GroupFailure> failures) {
   next_complete_ = now + kCompleteInterval;
+  const bool is_new_leader = reported_to_ != state_.subscription.leader();
   reported_to_ = state_.subscription.leader();
   reported_failures_ = failures;
   auto report = current_report({});
@@ -168,6 +181,9 @@
   report.is_complete = true;
   report.demand = state_.dispatcher.demand_totals();
   report.failures = std::move(failures);
+  if (is_new_leader) {
+    report.server_ends = state_.blocked.recent_ends(now);
+  }
   send(std::move(report));
 }
 
--- a/src/node/slot_requester.h
+++ b/src/node/slot_requester.h
@@ -31,6 +31,8 @@
 
   /// The leader's decision; UNDECIDED when it gave none in time. Fills in the request's id.
   boost::asio::awaitable<wire::SlotGrant> ask(wire::SlotRequest request);
+  /// Whether the leader lets this entry send a blocked request once.
+  boost::asio::awaitable<bool> ask_for_trial(requests::RequestFingerprint request);
   void receive(const wire::SlotAnswer& answer);
   /// The load of some group changed in a way that the leader does not know of: it learns within a few milliseconds.
   void note_change();
--- a/src/wire/gen-cpp/larchlever_types.cpp
+++ b/src/wire/gen-cpp/larchlever_types.cpp
@@ -12122,6 +12122,173 @@
 }
 
 
+BlockedRequest::~BlockedRequest() noexcept {
+}
+
+
+void BlockedRequest::__set_fingerprint(const int64_t val) {
+  this->fingerprint = val;
+}
+
+void BlockedRequest::__set_trials(const int32_t val) {
+  this->trials = val;
+}
+
+void BlockedRequest::__set_trial_due(const bool val) {
+  this->trial_due = val;
+}
+
+void BlockedRequest::__set_wait_ms(const int64_t val) {
+  this->wait_ms = val;
+}
+std::ostream& operator<<(std::ostream& out, const BlockedRequest& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t BlockedRequest::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->fingerprint);
+          this->__isset.fingerprint = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->trials);
+          this->__isset.trials = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->trial_due);
+          this->__isset.trial_due = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->wait_ms);
+          this->__isset.wait_ms = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t BlockedRequest::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("BlockedRequest");
+
+  xfer += oprot->writeFieldBegin("fingerprint", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeI64(this->fingerprint);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("trials", ::apache::thrift::protocol::T_I32, 2);
+  xfer += oprot->writeI32(this->trials);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("trial_due", ::apache::thrift::protocol::T_BOOL, 3);
+  xfer += oprot->writeBool(this->trial_due);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("wait_ms", ::apache::thrift::protocol::T_I64, 4);
+  xfer += oprot->writeI64(this->wait_ms);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(BlockedRequest &a, BlockedRequest &b) {
+  using ::std::swap;
+  swap(a.fingerprint, b.fingerprint);
+  swap(a.trials, b.trials);
+  swap(a.trial_due, b.trial_due);
+  swap(a.wait_ms, b.wait_ms);
+  swap(a.__isset, b.__isset);
+}
+
+BlockedRequest::BlockedRequest(const BlockedRequest& other454) noexcept {
+  fingerprint = other454.fingerprint;
+  trials = other454.trials;
+  trial_due = other454.trial_due;
+  wait_ms = other454.wait_ms;
+  __isset = other454.__isset;
+}
+BlockedRequest::BlockedRequest(BlockedRequest&& other455) noexcept {
+  fingerprint = other455.fingerprint;
+  trials = other455.trials;
+  trial_due = other455.trial_due;
+  wait_ms = other455.wait_ms;
+  __isset = other455.__isset;
+}
+BlockedRequest& BlockedRequest::operator=(const BlockedRequest& other456) noexcept {
+  fingerprint = other456.fingerprint;
+  trials = other456.trials;
+  trial_due = other456.trial_due;
+  wait_ms = other456.wait_ms;
+  __isset = other456.__isset;
+  return *this;
+}
+BlockedRequest& BlockedRequest::operator=(BlockedRequest&& other457) noexcept {
+  fingerprint = other457.fingerprint;
+  trials = other457.trials;
+  trial_due = other457.trial_due;
+  wait_ms = other457.wait_ms;
+  __isset = other457.__isset;
+  return *this;
+}
+void BlockedRequest::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "BlockedRequest(";
+  out << "fingerprint=" << to_string(fingerprint);
+  out << ", " << "trials=" << to_string(trials);
+  out << ", " << "trial_due=" << to_string(trial_due);
+  out << ", " << "wait_ms=" << to_string(wait_ms);
+  out << ")";
+}
+
+
 FleetState::~FleetState() noexcept {
 }
 
@@ -12141,6 +12308,10 @@
 void FleetState::__set_groups(const std::vector<EngineGroup> & val) {
   this->groups = val;
 }
+
+void FleetState::__set_blocked_requests(const std::vector<BlockedRequest> & val) {
+  this->blocked_requests = val;
+}
 std::ostream& operator<<(std::ostream& out, const FleetState& obj)
 {
   obj.printTo(out);
@@ -12189,14 +12360,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->instances.clear();
-            uint32_t _size454;
-            ::apache::thrift::protocol::TType _etype457;
-            xfer += iprot->readListBegin(_etype457, _size454);
-            this->instances.resize(_size454);
-            uint32_t _i458;
-            for (_i458 = 0; _i458 < _size454; ++_i458)
+            uint32_t _size458;
+            ::apache::thrift::protocol::TType _etype461;
+            xfer += iprot->readListBegin(_etype461, _size458);
+            this->instances.resize(_size458);
+            uint32_t _i462;
+            for (_i462 = 0; _i462 < _size458; ++_i462)
             {
-              xfer += this->instances[_i458].read(iprot);
+              xfer += this->instances[_i462].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -12209,14 +12380,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->groups.clear();
-            uint32_t _size459;
-            ::apache::thrift::protocol::TType _etype462;
-            xfer += iprot->readListBegin(_etype462, _size459);
-            this->groups.resize(_size459);
-            uint32_t _i463;
-            for (_i463 = 0; _i463 < _size459; ++_i463)
+            uint32_t _size463;
+            ::apache::thrift::protocol::TType _etype466;
+            xfer += iprot->readListBegin(_etype466, _size463);
+            this->groups.resize(_size463);
+            uint32_t _i467;
+            for (_i467 = 0; _i467 < _size463; ++_i467)
             {
-              xfer += this->groups[_i463].read(iprot);
+              xfer += this->groups[_i467].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -12225,6 +12396,26 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->blocked_requests.clear();
+            uint32_t _size468;
+            ::apache::thrift::protocol::TType _etype471;
+            xfer += iprot->readListBegin(_etype471, _size468);
+            this->blocked_requests.resize(_size468);
+            uint32_t _i472;
+            for (_i472 = 0; _i472 < _size468; ++_i472)
+            {
+              xfer += this->blocked_requests[_i472].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.blocked_requests = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -12253,10 +12444,10 @@
   xfer += oprot->writeFieldBegin("instances", ::apache::thrift::protocol::T_LIST, 3);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->instances.size()));
-    std::vector<Instance> ::const_iterator _iter464;
-    for (_iter464 = this->instances.begin(); _iter464 != this->instances.end(); ++_iter464)
+    std::vector<Instance> ::const_iterator _iter473;
+    for (_iter473 = this->instances.begin(); _iter473 != this->instances.end(); ++_iter473)
     {
-      xfer += (*_iter464).write(oprot);
+      xfer += (*_iter473).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -12265,10 +12456,22 @@
   xfer += oprot->writeFieldBegin("groups", ::apache::thrift::protocol::T_LIST, 4);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->groups.size()));
-    std::vector<EngineGroup> ::const_iterator _iter465;
-    for (_iter465 = this->groups.begin(); _iter465 != this->groups.end(); ++_iter465)
+    std::vector<EngineGroup> ::const_iterator _iter474;
+    for (_iter474 = this->groups.begin(); _iter474 != this->groups.end(); ++_iter474)
+    {
+      xfer += (*_iter474).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("blocked_requests", ::apache::thrift::protocol::T_LIST, 5);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->blocked_requests.size()));
+    std::vector<BlockedRequest> ::const_iterator _iter475;
+    for (_iter475 = this->blocked_requests.begin(); _iter475 != this->blocked_requests.end(); ++_iter475)
     {
-      xfer += (*_iter465).write(oprot);
+      xfer += (*_iter475).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -12285,37 +12488,42 @@
   swap(a.version, b.version);
   swap(a.instances, b.instances);
   swap(a.groups, b.groups);
+  swap(a.blocked_requests, b.blocked_requests);
   swap(a.__isset, b.__isset);
 }
 
-FleetState::FleetState(const FleetState& other466) {
-  term = other466.term;
-  version = other466.version;
-  instances = other466.instances;
-  groups = other466.groups;
-  __isset = other466.__isset;
-}
-FleetState::FleetState(FleetState&& other467) noexcept {
-  term = other467.term;
-  version = other467.version;
-  instances = std::move(other467.instances);
-  groups = std::move(other467.groups);
-  __isset = other467.__isset;
-}
-FleetState& FleetState::operator=(const FleetState& other468) {
-  term = other468.term;
-  version = other468.version;
-  instances = other468.instances;
-  groups = other468.groups;
-  __isset = other468.__isset;
+FleetState::FleetState(const FleetState& other476) {
+  term = other476.term;
+  version = other476.version;
+  instances = other476.instances;
+  groups = other476.groups;
+  blocked_requests = other476.blocked_requests;
+  __isset = other476.__isset;
+}
+FleetState::FleetState(FleetState&& other477) noexcept {
+  term = other477.term;
+  version = other477.version;
+  instances = std::move(other477.instances);
+  groups = std::move(other477.groups);
+  blocked_requests = std::move(other477.blocked_requests);
+  __isset = other477.__isset;
+}
+FleetState& FleetState::operator=(const FleetState& other478) {
+  term = other478.term;
+  version = other478.version;
+  instances = other478.instances;
+  groups = other478.groups;
+  blocked_requests = other478.blocked_requests;
+  __isset = other478.__isset;
   return *this;
 }
-FleetState& FleetState::operator=(FleetState&& other469) noexcept {
-  term = other469.term;
-  version = other469.version;
-  instances = std::move(other469.instances);
-  groups = std::move(other469.groups);
-  __isset = other469.__isset;
+FleetState& FleetState::operator=(FleetState&& other479) noexcept {
+  term = other479.term;
+  version = other479.version;
+  instances = std::move(other479.instances);
+  groups = std::move(other479.groups);
+  blocked_requests = std::move(other479.blocked_requests);
+  __isset = other479.__isset;
   return *this;
 }
 void FleetState::printTo(std::ostream& out) const {
@@ -12325,6 +12533,7 @@
   out << ", " << "version=" << to_string(version);
   out << ", " << "instances=" << to_string(instances);
   out << ", " << "groups=" << to_string(groups);
+  out << ", " << "blocked_requests=" << to_string(blocked_requests);
   out << ")";
 }
 
@@ -12360,6 +12569,14 @@
 void FleetStateChange::__set_removed_groups(const std::vector<std::string> & val) {
   this->removed_groups = val;
 }
+
+void FleetStateChange::__set_blocked_requests(const std::vector<BlockedRequest> & val) {
+  this->blocked_requests = val;
+}
+
+void FleetStateChange::__set_removed_blocked_requests(const std::vector<int64_t> & val) {
+  this->removed_blocked_requests = val;
+}
 std::ostream& operator<<(std::ostream& out, const FleetStateChange& obj)
 {
   obj.printTo(out);
@@ -12416,14 +12633,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->instances.clear();
-            uint32_t _size470;
-            ::apache::thrift::protocol::TType _etype473;
-            xfer += iprot->readListBegin(_etype473, _size470);
-            this->instances.resize(_size470);
-            uint32_t _i474;
-            for (_i474 = 0; _i474 < _size470; ++_i474)
+            uint32_t _size480;
+            ::apache::thrift::protocol::TType _etype483;
+            xfer += iprot->readListBegin(_etype483, _size480);
+            this->instances.resize(_size480);
+            uint32_t _i484;
+            for (_i484 = 0; _i484 < _size480; ++_i484)
             {
-              xfer += this->instances[_i474].read(iprot);
+              xfer += this->instances[_i484].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -12436,14 +12653,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->removed_instances.clear();
-            uint32_t _size475;
-            ::apache::thrift::protocol::TType _etype478;
-            xfer += iprot->readListBegin(_etype478, _size475);
-            this->removed_instances.resize(_size475);
-            uint32_t _i479;
-            for (_i479 = 0; _i479 < _size475; ++_i479)
+            uint32_t _size485;
+            ::apache::thrift::protocol::TType _etype488;
+            xfer += iprot->readListBegin(_etype488, _size485);
+            this->removed_instances.resize(_size485);
+            uint32_t _i489;
+            for (_i489 = 0; _i489 < _size485; ++_i489)
             {
-              xfer += iprot->readString(this->removed_instances[_i479]);
+              xfer += iprot->readString(this->removed_instances[_i489]);
             }
             xfer += iprot->readListEnd();
           }
@@ -12456,14 +12673,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->groups.clear();
-            uint32_t _size480;
-            ::apache::thrift::protocol::TType _etype483;
-            xfer += iprot->readListBegin(_etype483, _size480);
-            this->groups.resize(_size480);
-            uint32_t _i484;
-            for (_i484 = 0; _i484 < _size480; ++_i484)
+            uint32_t _size490;
+            ::apache::thrift::protocol::TType _etype493;
+            xfer += iprot->readListBegin(_etype493, _size490);
+            this->groups.resize(_size490);
+            uint32_t _i494;
+            for (_i494 = 0; _i494 < _size490; ++_i494)
             {
-              xfer += this->groups[_i484].read(iprot);
+              xfer += this->groups[_i494].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -12476,14 +12693,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->removed_groups.clear();
-            uint32_t _size485;
-            ::apache::thrift::protocol::TType _etype488;
-            xfer += iprot->readListBegin(_etype488, _size485);
-            this->removed_groups.resize(_size485);
-            uint32_t _i489;
-            for (_i489 = 0; _i489 < _size485; ++_i489)
+            uint32_t _size495;
+            ::apache::thrift::protocol::TType _etype498;
+            xfer += iprot->readListBegin(_etype498, _size495);
+            this->removed_groups.resize(_size495);
+            uint32_t _i499;
+            for (_i499 = 0; _i499 < _size495; ++_i499)
             {
-              xfer += iprot->readString(this->removed_groups[_i489]);
+              xfer += iprot->readString(this->removed_groups[_i499]);
             }
             xfer += iprot->readListEnd();
           }
@@ -12492,6 +12709,46 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 8:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->blocked_requests.clear();
+            uint32_t _size500;
+            ::apache::thrift::protocol::TType _etype503;
+            xfer += iprot->readListBegin(_etype503, _size500);
+            this->blocked_requests.resize(_size500);
+            uint32_t _i504;
+            for (_i504 = 0; _i504 < _size500; ++_i504)
+            {
+              xfer += this->blocked_requests[_i504].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.blocked_requests = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 9:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->removed_blocked_requests.clear();
+            uint32_t _size505;
+            ::apache::thrift::protocol::TType _etype508;
+            xfer += iprot->readListBegin(_etype508, _size505);
+            this->removed_blocked_requests.resize(_size505);
+            uint32_t _i509;
+            for (_i509 = 0; _i509 < _size505; ++_i509)
+            {
+              xfer += iprot->readI64(this->removed_blocked_requests[_i509]);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.removed_blocked_requests = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -12524,10 +12781,10 @@
   xfer += oprot->writeFieldBegin("instances", ::apache::thrift::protocol::T_LIST, 4);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->instances.size()));
-    std::vector<Instance> ::const_iterator _iter490;
-    for (_iter490 = this->instances.begin(); _iter490 != this->instances.end(); ++_iter490)
+    std::vector<Instance> ::const_iterator _iter510;
+    for (_iter510 = this->instances.begin(); _iter510 != this->instances.end(); ++_iter510)
     {
-      xfer += (*_iter490).write(oprot);
+      xfer += (*_iter510).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -12536,10 +12793,10 @@
   xfer += oprot->writeFieldBegin("removed_instances", ::apache::thrift::protocol::T_LIST, 5);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->removed_instances.size()));
-    std::vector<std::string> ::const_iterator _iter491;
-    for (_iter491 = this->removed_instances.begin(); _iter491 != this->removed_instances.end(); ++_iter491)
+    std::vector<std::string> ::const_iterator _iter511;
+    for (_iter511 = this->removed_instances.begin(); _iter511 != this->removed_instances.end(); ++_iter511)
     {
-      xfer += oprot->writeString((*_iter491));
+      xfer += oprot->writeString((*_iter511));
     }
     xfer += oprot->writeListEnd();
   }
@@ -12548,10 +12805,10 @@
   xfer += oprot->writeFieldBegin("groups", ::apache::thrift::protocol::T_LIST, 6);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->groups.size()));
-    std::vector<EngineGroup> ::const_iterator _iter492;
-    for (_iter492 = this->groups.begin(); _iter492 != this->groups.end(); ++_iter492)
+    std::vector<EngineGroup> ::const_iterator _iter512;
+    for (_iter512 = this->groups.begin(); _iter512 != this->groups.end(); ++_iter512)
     {
-      xfer += (*_iter492).write(oprot);
+      xfer += (*_iter512).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -12560,10 +12817,34 @@
   xfer += oprot->writeFieldBegin("removed_groups", ::apache::thrift::protocol::T_LIST, 7);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->removed_groups.size()));
-    std::vector<std::string> ::const_iterator _iter493;
-    for (_iter493 = this->removed_groups.begin(); _iter493 != this->removed_groups.end(); ++_iter493)
+    std::vector<std::string> ::const_iterator _iter513;
+    for (_iter513 = this->removed_groups.begin(); _iter513 != this->removed_groups.end(); ++_iter513)
+    {
+      xfer += oprot->writeString((*_iter513));
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("blocked_requests", ::apache::thrift::protocol::T_LIST, 8);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->blocked_requests.size()));
+    std::vector<BlockedRequest> ::const_iterator _iter514;
+    for (_iter514 = this->blocked_requests.begin(); _iter514 != this->blocked_requests.end(); ++_iter514)
+    {
+      xfer += (*_iter514).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("removed_blocked_requests", ::apache::thrift::protocol::T_LIST, 9);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I64, static_cast<uint32_t>(this->removed_blocked_requests.size()));
+    std::vector<int64_t> ::const_iterator _iter515;
+    for (_iter515 = this->removed_blocked_requests.begin(); _iter515 != this->removed_blocked_requests.end(); ++_iter515)
     {
-      xfer += oprot->writeString((*_iter493));
+      xfer += oprot->writeI64((*_iter515));
     }
     xfer += oprot->writeListEnd();
   }
@@ -12583,49 +12864,59 @@
   swap(a.removed_instances, b.removed_instances);
   swap(a.groups, b.groups);
   swap(a.removed_groups, b.removed_groups);
+  swap(a.blocked_requests, b.blocked_requests);
+  swap(a.removed_blocked_requests, b.removed_blocked_requests);
   swap(a.__isset, b.__isset);
 }
 
-FleetStateChange::FleetStateChange(const FleetStateChange& other494) {
-  term = other494.term;
-  from_version = other494.from_version;
-  version = other494.version;
-  instances = other494.instances;
-  removed_instances = other494.removed_instances;
-  groups = other494.groups;
-  removed_groups = other494.removed_groups;
-  __isset = other494.__isset;
-}
-FleetStateChange::FleetStateChange(FleetStateChange&& other495) noexcept {
-  term = other495.term;
-  from_version = other495.from_version;
-  version = other495.version;
-  instances = std::move(other495.instances);
-  removed_instances = std::move(other495.removed_instances);
-  groups = std::move(other495.groups);
-  removed_groups = std::move(other495.removed_groups);
-  __isset = other495.__isset;
-}
-FleetStateChange& FleetStateChange::operator=(const FleetStateChange& other496) {
-  term = other496.term;
-  from_version = other496.from_version;
-  version = other496.version;
-  instances = other496.instances;
-  removed_instances = other496.removed_instances;
-  groups = other496.groups;
-  removed_groups = other496.removed_groups;
-  __isset = other496.__isset;
-  return *this;
-}
-FleetStateChange& FleetStateChange::operator=(FleetStateChange&& other497) noexcept {
-  term = other497.term;
-  from_version = other497.from_version;
-  version = other497.version;
-  instances = std::move(other497.instances);
-  removed_instances = std::move(other497.removed_instances);
-  groups = std::move(other497.groups);
-  removed_groups = std::move(other497.removed_groups);
-  __isset = other497.__isset;
+FleetStateChange::FleetStateChange(const FleetStateChange& other516) {
+  term = other516.term;
+  from_version = other516.from_version;
+  version = other516.version;
+  instances = other516.instances;
+  removed_instances = other516.removed_instances;
+  groups = other516.groups;
+  removed_groups = other516.removed_groups;
+  blocked_requests = other516.blocked_requests;
+  removed_blocked_requests = other516.removed_blocked_requests;
+  __isset = other516.__isset;
+}
+FleetStateChange::FleetStateChange(FleetStateChange&& other517) noexcept {
+  term = other517.term;
+  from_version = other517.from_version;
+  version = other517.version;
+  instances = std::move(other517.instances);
+  removed_instances = std::move(other517.removed_instances);
+  groups = std::move(other517.groups);
+  removed_groups = std::move(other517.removed_groups);
+  blocked_requests = std::move(other517.blocked_requests);
+  removed_blocked_requests = std::move(other517.removed_blocked_requests);
+  __isset = other517.__isset;
+}
+FleetStateChange& FleetStateChange::operator=(const FleetStateChange& other518) {
+  term = other518.term;
+  from_version = other518.from_version;
+  version = other518.version;
+  instances = other518.instances;
+  removed_instances = other518.removed_instances;
+  groups = other518.groups;
+  removed_groups = other518.removed_groups;
+  blocked_requests = other518.blocked_requests;
+  removed_blocked_requests = other518.removed_blocked_requests;
+  __isset = other518.__isset;
+  return *this;
+}
+FleetStateChange& FleetStateChange::operator=(FleetStateChange&& other519) noexcept {
+  term = other519.term;
+  from_version = other519.from_version;
+  version = other519.version;
+  instances = std::move(other519.instances);
+  removed_instances = std::move(other519.removed_instances);
+  groups = std::move(other519.groups);
+  removed_groups = std::move(other519.removed_groups);
+  blocked_requests = std::move(other519.blocked_requests);
+  removed_blocked_requests = std::move(other519.removed_blocked_requests);
+  __isset = other519.__isset;
   return *this;
 }
 void FleetStateChange::printTo(std::ostream& out) const {
@@ -12638,6 +12929,8 @@
   out << ", " << "removed_instances=" << to_string(removed_instances);
   out << ", " << "groups=" << to_string(groups);
   out << ", " << "removed_groups=" << to_string(removed_groups);
+  out << ", " << "blocked_requests=" << to_string(blocked_requests);
+  out << ", " << "removed_blocked_requests=" << to_string(removed_blocked_requests);
   out << ")";
 }
 
@@ -12785,38 +13078,38 @@
   swap(a.__isset, b.__isset);
 }
 
-GroupLoad::GroupLoad(const GroupLoad& other498) {
-  group = other498.group;
-  in_flight = other498.in_flight;
-  streaming = other498.streaming;
-  waiting_tokens = other498.waiting_tokens;
-  progress_age_ms = other498.progress_age_ms;
-  __isset = other498.__isset;
-}
-GroupLoad::GroupLoad(GroupLoad&& other499) noexcept {
-  group = std::move(other499.group);
-  in_flight = other499.in_flight;
-  streaming = other499.streaming;
-  waiting_tokens = other499.waiting_tokens;
-  progress_age_ms = other499.progress_age_ms;
-  __isset = other499.__isset;
-}
-GroupLoad& GroupLoad::operator=(const GroupLoad& other500) {
-  group = other500.group;
-  in_flight = other500.in_flight;
-  streaming = other500.streaming;
-  waiting_tokens = other500.waiting_tokens;
-  progress_age_ms = other500.progress_age_ms;
-  __isset = other500.__isset;
-  return *this;
-}
-GroupLoad& GroupLoad::operator=(GroupLoad&& other501) noexcept {
-  group = std::move(other501.group);
-  in_flight = other501.in_flight;
-  streaming = other501.streaming;
-  waiting_tokens = other501.waiting_tokens;
-  progress_age_ms = other501.progress_age_ms;
-  __isset = other501.__isset;
+GroupLoad::GroupLoad(const GroupLoad& other520) {
+  group = other520.group;
+  in_flight = other520.in_flight;
+  streaming = other520.streaming;
+  waiting_tokens = other520.waiting_tokens;
+  progress_age_ms = other520.progress_age_ms;
+  __isset = other520.__isset;
+}
+GroupLoad::GroupLoad(GroupLoad&& other521) noexcept {
+  group = std::move(other521.group);
+  in_flight = other521.in_flight;
+  streaming = other521.streaming;
+  waiting_tokens = other521.waiting_tokens;
+  progress_age_ms = other521.progress_age_ms;
+  __isset = other521.__isset;
+}
+GroupLoad& GroupLoad::operator=(const GroupLoad& other522) {
+  group = other522.group;
+  in_flight = other522.in_flight;
+  streaming = other522.streaming;
+  waiting_tokens = other522.waiting_tokens;
+  progress_age_ms = other522.progress_age_ms;
+  __isset = other522.__isset;
+  return *this;
+}
+GroupLoad& GroupLoad::operator=(GroupLoad&& other523) noexcept {
+  group = std::move(other523.group);
+  in_flight = other523.in_flight;
+  streaming = other523.streaming;
+  waiting_tokens = other523.waiting_tokens;
+  progress_age_ms = other523.progress_age_ms;
+  __isset = other523.__isset;
   return *this;
 }
 void GroupLoad::printTo(std::ostream& out) const {
@@ -12991,42 +13284,42 @@
   swap(a.__isset, b.__isset);
 }
 
-ModelDemand::ModelDemand(const ModelDemand& other502) {
-  service_name = other502.service_name;
-  model = other502.model;
-  received = other502.received;
-  prompt_tokens = other502.prompt_tokens;
-  answer_tokens = other502.answer_tokens;
-  target_latency_ms = other502.target_latency_ms;
-  __isset = other502.__isset;
-}
-ModelDemand::ModelDemand(ModelDemand&& other503) noexcept {
-  service_name = std::move(other503.service_name);
-  model = std::move(other503.model);
-  received = other503.received;
-  prompt_tokens = other503.prompt_tokens;
-  answer_tokens = other503.answer_tokens;
-  target_latency_ms = other503.target_latency_ms;
-  __isset = other503.__isset;
-}
-ModelDemand& ModelDemand::operator=(const ModelDemand& other504) {
-  service_name = other504.service_name;
-  model = other504.model;
-  received = other504.received;
-  prompt_tokens = other504.prompt_tokens;
-  answer_tokens = other504.answer_tokens;
-  target_latency_ms = other504.target_latency_ms;
-  __isset = other504.__isset;
-  return *this;
-}
-ModelDemand& ModelDemand::operator=(ModelDemand&& other505) noexcept {
-  service_name = std::move(other505.service_name);
-  model = std::move(other505.model);
-  received = other505.received;
-  prompt_tokens = other505.prompt_tokens;
-  answer_tokens = other505.answer_tokens;
-  target_latency_ms = other505.target_latency_ms;
-  __isset = other505.__isset;
+ModelDemand::ModelDemand(const ModelDemand& other524) {
+  service_name = other524.service_name;
+  model = other524.model;
+  received = other524.received;
+  prompt_tokens = other524.prompt_tokens;
+  answer_tokens = other524.answer_tokens;
+  target_latency_ms = other524.target_latency_ms;
+  __isset = other524.__isset;
+}
+ModelDemand::ModelDemand(ModelDemand&& other525) noexcept {
+  service_name = std::move(other525.service_name);
+  model = std::move(other525.model);
+  received = other525.received;
+  prompt_tokens = other525.prompt_tokens;
+  answer_tokens = other525.answer_tokens;
+  target_latency_ms = other525.target_latency_ms;
+  __isset = other525.__isset;
+}
+ModelDemand& ModelDemand::operator=(const ModelDemand& other526) {
+  service_name = other526.service_name;
+  model = other526.model;
+  received = other526.received;
+  prompt_tokens = other526.prompt_tokens;
+  answer_tokens = other526.answer_tokens;
+  target_latency_ms = other526.target_latency_ms;
+  __isset = other526.__isset;
+  return *this;
+}
+ModelDemand& ModelDemand::operator=(ModelDemand&& other527) noexcept {
+  service_name = std::move(other527.service_name);
+  model = std::move(other527.model);
+  received = other527.received;
+  prompt_tokens = other527.prompt_tokens;
+  answer_tokens = other527.answer_tokens;
+  target_latency_ms = other527.target_latency_ms;
+  __isset = other527.__isset;
   return *this;
 }
 void ModelDemand::printTo(std::ostream& out) const {
@@ -13117,22 +13410,22 @@
   swap(a.__isset, b.__isset);
 }
 
-GroupFailure::GroupFailure(const GroupFailure& other506) {
-  group = other506.group;
-  __isset = other506.__isset;
+GroupFailure::GroupFailure(const GroupFailure& other528) {
+  group = other528.group;
+  __isset = other528.__isset;
 }
-GroupFailure::GroupFailure(GroupFailure&& other507) noexcept {
-  group = std::move(other507.group);
-  __isset = other507.__isset;
+GroupFailure::GroupFailure(GroupFailure&& other529) noexcept {
+  group = std::move(other529.group);
+  __isset = other529.__isset;
 }
-GroupFailure& GroupFailure::operator=(const GroupFailure& other508) {
-  group = other508.group;
-  __isset = other508.__isset;
+GroupFailure& GroupFailure::operator=(const GroupFailure& other530) {
+  group = other530.group;
+  __isset = other530.__isset;
   return *this;
 }
-GroupFailure& GroupFailure::operator=(GroupFailure&& other509) noexcept {
-  group = std::move(other509.group);
-  __isset = other509.__isset;
+GroupFailure& GroupFailure::operator=(GroupFailure&& other531) noexcept {
+  group = std::move(other531.group);
+  __isset = other531.__isset;
   return *this;
 }
 void GroupFailure::printTo(std::ostream& out) const {
@@ -13424,70 +13717,70 @@
   swap(a.__isset, b.__isset);
 }
 
-FleetHeartbeat::FleetHeartbeat(const FleetHeartbeat& other510) {
-  sequence = other510.sequence;
-  zone = other510.zone;
-  replica_id = other510.replica_id;
-  control_address = other510.control_address;
-  document_version = other510.document_version;
-  held_term = other510.held_term;
-  held_version = other510.held_version;
-  leaving = other510.leaving;
-  serves_requests = other510.serves_requests;
-  held_state = other510.held_state;
-  wants_loads = other510.wants_loads;
-  serving_entries = other510.serving_entries;
-  entries_hold_version = other510.entries_hold_version;
-  __isset = other510.__isset;
-}
-FleetHeartbeat::FleetHeartbeat(FleetHeartbeat&& other511) noexcept {
-  sequence = other511.sequence;
-  zone = std::move(other511.zone);
-  replica_id = other511.replica_id;
-  control_address = std::move(other511.control_address);
-  document_version = other511.document_version;
-  held_term = other511.held_term;
-  held_version = other511.held_version;
-  leaving = other511.leaving;
-  serves_requests = other511.serves_requests;
-  held_state = std::move(other511.held_state);
-  wants_loads = other511.wants_loads;
-  serving_entries = other511.serving_entries;
-  entries_hold_version = other511.entries_hold_version;
-  __isset = other511.__isset;
-}
-FleetHeartbeat& FleetHeartbeat::operator=(const FleetHeartbeat& other512) {
-  sequence = other512.sequence;
-  zone = other512.zone;
-  replica_id = other512.replica_id;
-  control_address = other512.control_address;
-  document_version = other512.document_version;
-  held_term = other512.held_term;
-  held_version = other512.held_version;
-  leaving = other512.leaving;
-  serves_requests = other512.serves_requests;
-  held_state = other512.held_state;
-  wants_loads = other512.wants_loads;
-  serving_entries = other512.serving_entries;
-  entries_hold_version = other512.entries_hold_version;
-  __isset = other512.__isset;
-  return *this;
-}
-FleetHeartbeat& FleetHeartbeat::operator=(FleetHeartbeat&& other513) noexcept {
-  sequence = other513.sequence;
-  zone = std::move(other513.zone);
-  replica_id = other513.replica_id;
-  control_address = std::move(other513.control_address);
-  document_version = other513.document_version;
-  held_term = other513.held_term;
-  held_version = other513.held_version;
-  leaving = other513.leaving;
-  serves_requests = other513.serves_requests;
-  held_state = std::move(other513.held_state);
-  wants_loads = other513.wants_loads;
-  serving_entries = other513.serving_entries;
-  entries_hold_version = other513.entries_hold_version;
-  __isset = other513.__isset;
+FleetHeartbeat::FleetHeartbeat(const FleetHeartbeat& other532) {
+  sequence = other532.sequence;
+  zone = other532.zone;
+  replica_id = other532.replica_id;
+  control_address = other532.control_address;
+  document_version = other532.document_version;
+  held_term = other532.held_term;
+  held_version = other532.held_version;
+  leaving = other532.leaving;
+  serves_requests = other532.serves_requests;
+  held_state = other532.held_state;
+  wants_loads = other532.wants_loads;
+  serving_entries = other532.serving_entries;
+  entries_hold_version = other532.entries_hold_version;
+  __isset = other532.__isset;
+}
+FleetHeartbeat::FleetHeartbeat(FleetHeartbeat&& other533) noexcept {
+  sequence = other533.sequence;
+  zone = std::move(other533.zone);
+  replica_id = other533.replica_id;
+  control_address = std::move(other533.control_address);
+  document_version = other533.document_version;
+  held_term = other533.held_term;
+  held_version = other533.held_version;
+  leaving = other533.leaving;
+  serves_requests = other533.serves_requests;
+  held_state = std::move(other533.held_state);
+  wants_loads = other533.wants_loads;
+  serving_entries = other533.serving_entries;
+  entries_hold_version = other533.entries_hold_version;
+  __isset = other533.__isset;
+}
+FleetHeartbeat& FleetHeartbeat::operator=(const FleetHeartbeat& other534) {
+  sequence = other534.sequence;
+  zone = other534.zone;
+  replica_id = other534.replica_id;
+  control_address = other534.control_address;
+  document_version = other534.document_version;
+  held_term = other534.held_term;
+  held_version = other534.held_version;
+  leaving = other534.leaving;
+  serves_requests = other534.serves_requests;
+  held_state = other534.held_state;
+  wants_loads = other534.wants_loads;
+  serving_entries = other534.serving_entries;
+  entries_hold_version = other534.entries_hold_version;
+  __isset = other534.__isset;
+  return *this;
+}
+FleetHeartbeat& FleetHeartbeat::operator=(FleetHeartbeat&& other535) noexcept {
+  sequence = other535.sequence;
+  zone = std::move(other535.zone);
+  replica_id = other535.replica_id;
+  control_address = std::move(other535.control_address);
+  document_version = other535.document_version;
+  held_term = other535.held_term;
+  held_version = other535.held_version;
+  leaving = other535.leaving;
+  serves_requests = other535.serves_requests;
+  held_state = std::move(other535.held_state);
+  wants_loads = other535.wants_loads;
+  serving_entries = other535.serving_entries;
+  entries_hold_version = other535.entries_hold_version;
+  __isset = other535.__isset;
   return *this;
 }
 void FleetHeartbeat::printTo(std::ostream& out) const {
@@ -13549,6 +13842,11 @@
 void SlotRequest::__set_excluded_groups(const std::vector<std::string> & val) {
   this->excluded_groups = val;
 }
+
+void SlotRequest::__set_trial_of(const int64_t val) {
+  this->trial_of = val;
+__isset.trial_of = true;
+}
 std::ostream& operator<<(std::ostream& out, const SlotRequest& obj)
 {
   obj.printTo(out);
@@ -13645,14 +13943,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->excluded_groups.clear();
-            uint32_t _size514;
-            ::apache::thrift::protocol::TType _etype517;
-            xfer += iprot->readListBegin(_etype517, _size514);
-            this->excluded_groups.resize(_size514);
-            uint32_t _i518;
-            for (_i518 = 0; _i518 < _size514; ++_i518)
+            uint32_t _size536;
+            ::apache::thrift::protocol::TType _etype539;
+            xfer += iprot->readListBegin(_etype539, _size536);
+            this->excluded_groups.resize(_size536);
+            uint32_t _i540;
+            for (_i540 = 0; _i540 < _size536; ++_i540)
             {
-              xfer += iprot->readString(this->excluded_groups[_i518]);
+              xfer += iprot->readString(this->excluded_groups[_i540]);
             }
             xfer += iprot->readListEnd();
           }
@@ -13661,6 +13959,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 11:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->trial_of);
+          this->__isset.trial_of = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -13713,15 +14019,20 @@
   xfer += oprot->writeFieldBegin("excluded_groups", ::apache::thrift::protocol::T_LIST, 10);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->excluded_groups.size()));
-    std::vector<std::string> ::const_iterator _iter519;
-    for (_iter519 = this->excluded_groups.begin(); _iter519 != this->excluded_groups.end(); ++_iter519)
+    std::vector<std::string> ::const_iterator _iter541;
+    for (_iter541 = this->excluded_groups.begin(); _iter541 != this->excluded_groups.end(); ++_iter541)
     {
-      xfer += oprot->writeString((*_iter519));
+      xfer += oprot->writeString((*_iter541));
     }
     xfer += oprot->writeListEnd();
   }
   xfer += oprot->writeFieldEnd();
 
+  if (this->__isset.trial_of) {
+    xfer += oprot->writeFieldBegin("trial_of", ::apache::thrift::protocol::T_I64, 11);
+    xfer += oprot->writeI64(this->trial_of);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -13738,57 +14049,62 @@
   swap(a.priority, b.priority);
   swap(a.patience_ms, b.patience_ms);
   swap(a.excluded_groups, b.excluded_groups);
+  swap(a.trial_of, b.trial_of);
   swap(a.__isset, b.__isset);
 }
 
-SlotRequest::SlotRequest(const SlotRequest& other520) {
-  id = other520.id;
-  service_name = other520.service_name;
-  model = other520.model;
-  prompt_tokens = other520.prompt_tokens;
-  first_event_ms = other520.first_event_ms;
-  gap_ms = other520.gap_ms;
-  priority = other520.priority;
-  patience_ms = other520.patience_ms;
-  excluded_groups = other520.excluded_groups;
-  __isset = other520.__isset;
-}
-SlotRequest::SlotRequest(SlotRequest&& other521) noexcept {
-  id = other521.id;
-  service_name = std::move(other521.service_name);
-  model = std::move(other521.model);
-  prompt_tokens = other521.prompt_tokens;
-  first_event_ms = other521.first_event_ms;
-  gap_ms = other521.gap_ms;
-  priority = other521.priority;
-  patience_ms = other521.patience_ms;
-  excluded_groups = std::move(other521.excluded_groups);
-  __isset = other521.__isset;
-}
-SlotRequest& SlotRequest::operator=(const SlotRequest& other522) {
-  id = other522.id;
-  service_name = other522.service_name;
-  model = other522.model;
-  prompt_tokens = other522.prompt_tokens;
-  first_event_ms = other522.first_event_ms;
-  gap_ms = other522.gap_ms;
-  priority = other522.priority;
-  patience_ms = other522.patience_ms;
-  excluded_groups = other522.excluded_groups;
-  __isset = other522.__isset;
+SlotRequest::SlotRequest(const SlotRequest& other542) {
+  id = other542.id;
+  service_name = other542.service_name;
+  model = other542.model;
+  prompt_tokens = other542.prompt_tokens;
+  first_event_ms = other542.first_event_ms;
+  gap_ms = other542.gap_ms;
+  priority = other542.priority;
+  patience_ms = other542.patience_ms;
+  excluded_groups = other542.excluded_groups;
+  trial_of = other542.trial_of;
+  __isset = other542.__isset;
+}
+SlotRequest::SlotRequest(SlotRequest&& other543) noexcept {
+  id = other543.id;
+  service_name = std::move(other543.service_name);
+  model = std::move(other543.model);
+  prompt_tokens = other543.prompt_tokens;
+  first_event_ms = other543.first_event_ms;
+  gap_ms = other543.gap_ms;
+  priority = other543.priority;
+  patience_ms = other543.patience_ms;
+  excluded_groups = std::move(other543.excluded_groups);
+  trial_of = other543.trial_of;
+  __isset = other543.__isset;
+}
+SlotRequest& SlotRequest::operator=(const SlotRequest& other544) {
+  id = other544.id;
+  service_name = other544.service_name;
+  model = other544.model;
+  prompt_tokens = other544.prompt_tokens;
+  first_event_ms = other544.first_event_ms;
+  gap_ms = other544.gap_ms;
+  priority = other544.priority;
+  patience_ms = other544.patience_ms;
+  excluded_groups = other544.excluded_groups;
+  trial_of = other544.trial_of;
+  __isset = other544.__isset;
   return *this;
 }
-SlotRequest& SlotRequest::operator=(SlotRequest&& other523) noexcept {
-  id = other523.id;
-  service_name = std::move(other523.service_name);
-  model = std::move(other523.model);
-  prompt_tokens = other523.prompt_tokens;
-  first_event_ms = other523.first_event_ms;
-  gap_ms = other523.gap_ms;
-  priority = other523.priority;
-  patience_ms = other523.patience_ms;
-  excluded_groups = std::move(other523.excluded_groups);
-  __isset = other523.__isset;
+SlotRequest& SlotRequest::operator=(SlotRequest&& other545) noexcept {
+  id = other545.id;
+  service_name = std::move(other545.service_name);
+  model = std::move(other545.model);
+  prompt_tokens = other545.prompt_tokens;
+  first_event_ms = other545.first_event_ms;
+  gap_ms = other545.gap_ms;
+  priority = other545.priority;
+  patience_ms = other545.patience_ms;
+  excluded_groups = std::move(other545.excluded_groups);
+  trial_of = other545.trial_of;
+  __isset = other545.__isset;
   return *this;
 }
 void SlotRequest::printTo(std::ostream& out) const {
@@ -13803,6 +14119,7 @@
   out << ", " << "priority=" << to_string(priority);
   out << ", " << "patience_ms=" << to_string(patience_ms);
   out << ", " << "excluded_groups=" << to_string(excluded_groups);
+  out << ", " << "trial_of="; (__isset.trial_of ? (out << to_string(trial_of)) : (out << "<null>"));
   out << ")";
 }
 
@@ -13876,9 +14193,9 @@
         break;
       case 3:
         if (ftype == ::apache::thrift::protocol::T_I32) {
-          int32_t ecast524;
-          xfer += iprot->readI32(ecast524);
-          this->verdict = static_cast<SlotVerdict::type>(ecast524);
+          int32_t ecast546;
+          xfer += iprot->readI32(ecast546);
+          this->verdict = static_cast<SlotVerdict::type>(ecast546);
           this->__isset.verdict = true;
         } else {
           xfer += iprot->skip(ftype);
@@ -13952,38 +14269,38 @@
   swap(a.__isset, b.__isset);
 }
 
-SlotGrant::SlotGrant(const SlotGrant& other525) {
-  id = other525.id;
-  sequence = other525.sequence;
-  verdict = other525.verdict;
-  group = other525.group;
-  expected_ms = other525.expected_ms;
-  __isset = other525.__isset;
-}
-SlotGrant::SlotGrant(SlotGrant&& other526) noexcept {
-  id = other526.id;
-  sequence = other526.sequence;
-  verdict = other526.verdict;
-  group = std::move(other526.group);
-  expected_ms = other526.expected_ms;
-  __isset = other526.__isset;
-}
-SlotGrant& SlotGrant::operator=(const SlotGrant& other527) {
-  id = other527.id;
-  sequence = other527.sequence;
-  verdict = other527.verdict;
-  group = other527.group;
-  expected_ms = other527.expected_ms;
-  __isset = other527.__isset;
+SlotGrant::SlotGrant(const SlotGrant& other547) {
+  id = other547.id;
+  sequence = other547.sequence;
+  verdict = other547.verdict;
+  group = other547.group;
+  expected_ms = other547.expected_ms;
+  __isset = other547.__isset;
+}
+SlotGrant::SlotGrant(SlotGrant&& other548) noexcept {
+  id = other548.id;
+  sequence = other548.sequence;
+  verdict = other548.verdict;
+  group = std::move(other548.group);
+  expected_ms = other548.expected_ms;
+  __isset = other548.__isset;
+}
+SlotGrant& SlotGrant::operator=(const SlotGrant& other549) {
+  id = other549.id;
+  sequence = other549.sequence;
+  verdict = other549.verdict;
+  group = other549.group;
+  expected_ms = other549.expected_ms;
+  __isset = other549.__isset;
   return *this;
 }
-SlotGrant& SlotGrant::operator=(SlotGrant&& other528) noexcept {
-  id = other528.id;
-  sequence = other528.sequence;
-  verdict = other528.verdict;
-  group = std::move(other528.group);
-  expected_ms = other528.expected_ms;
-  __isset = other528.__isset;
+SlotGrant& SlotGrant::operator=(SlotGrant&& other550) noexcept {
+  id = other550.id;
+  sequence = other550.sequence;
+  verdict = other550.verdict;
+  group = std::move(other550.group);
+  expected_ms = other550.expected_ms;
+  __isset = other550.__isset;
   return *this;
 }
 void SlotGrant::printTo(std::ostream& out) const {
@@ -13998,6 +14315,151 @@
 }
 
 
+RequestServerEnd::~RequestServerEnd() noexcept {
+}
+
+
+void RequestServerEnd::__set_fingerprint(const int64_t val) {
+  this->fingerprint = val;
+}
+
+void RequestServerEnd::__set_instance_id(const std::string& val) {
+  this->instance_id = val;
+}
+
+void RequestServerEnd::__set_age_ms(const int64_t val) {
+  this->age_ms = val;
+}
+std::ostream& operator<<(std::ostream& out, const RequestServerEnd& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t RequestServerEnd::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->fingerprint);
+          this->__isset.fingerprint = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->instance_id);
+          this->__isset.instance_id = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->age_ms);
+          this->__isset.age_ms = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t RequestServerEnd::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("RequestServerEnd");
+
+  xfer += oprot->writeFieldBegin("fingerprint", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeI64(this->fingerprint);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("instance_id", ::apache::thrift::protocol::T_STRING, 2);
+  xfer += oprot->writeString(this->instance_id);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("age_ms", ::apache::thrift::protocol::T_I64, 3);
+  xfer += oprot->writeI64(this->age_ms);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(RequestServerEnd &a, RequestServerEnd &b) {
+  using ::std::swap;
+  swap(a.fingerprint, b.fingerprint);
+  swap(a.instance_id, b.instance_id);
+  swap(a.age_ms, b.age_ms);
+  swap(a.__isset, b.__isset);
+}
+
+RequestServerEnd::RequestServerEnd(const RequestServerEnd& other551) {
+  fingerprint = other551.fingerprint;
+  instance_id = other551.instance_id;
+  age_ms = other551.age_ms;
+  __isset = other551.__isset;
+}
+RequestServerEnd::RequestServerEnd(RequestServerEnd&& other552) noexcept {
+  fingerprint = other552.fingerprint;
+  instance_id = std::move(other552.instance_id);
+  age_ms = other552.age_ms;
+  __isset = other552.__isset;
+}
+RequestServerEnd& RequestServerEnd::operator=(const RequestServerEnd& other553) {
+  fingerprint = other553.fingerprint;
+  instance_id = other553.instance_id;
+  age_ms = other553.age_ms;
+  __isset = other553.__isset;
+  return *this;
+}
+RequestServerEnd& RequestServerEnd::operator=(RequestServerEnd&& other554) noexcept {
+  fingerprint = other554.fingerprint;
+  instance_id = std::move(other554.instance_id);
+  age_ms = other554.age_ms;
+  __isset = other554.__isset;
+  return *this;
+}
+void RequestServerEnd::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "RequestServerEnd(";
+  out << "fingerprint=" << to_string(fingerprint);
+  out << ", " << "instance_id=" << to_string(instance_id);
+  out << ", " << "age_ms=" << to_string(age_ms);
+  out << ")";
+}
+
+
 SlotReport::~SlotReport() noexcept {
 }
 
@@ -14037,6 +14499,14 @@
 void SlotReport::__set_quiet_groups(const std::vector<std::string> & val) {
   this->quiet_groups = val;
 }
+
+void SlotReport::__set_server_ends(const std::vector<RequestServerEnd> & val) {
+  this->server_ends = val;
+}
+
+void SlotReport::__set_answered_requests(const std::vector<int64_t> & val) {
+  this->answered_requests = val;
+}
 std::ostream& operator<<(std::ostream& out, const SlotReport& obj)
 {
   obj.printTo(out);
@@ -14069,14 +14539,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->requests.clear();
-            uint32_t _size529;
-            ::apache::thrift::protocol::TType _etype532;
-            xfer += iprot->readListBegin(_etype532, _size529);
-            this->requests.resize(_size529);
-            uint32_t _i533;
-            for (_i533 = 0; _i533 < _size529; ++_i533)
+            uint32_t _size555;
+            ::apache::thrift::protocol::TType _etype558;
+            xfer += iprot->readListBegin(_etype558, _size555);
+            this->requests.resize(_size555);
+            uint32_t _i559;
+            for (_i559 = 0; _i559 < _size555; ++_i559)
             {
-              xfer += this->requests[_i533].read(iprot);
+              xfer += this->requests[_i559].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -14089,14 +14559,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->loads.clear();
-            uint32_t _size534;
-            ::apache::thrift::protocol::TType _etype537;
-            xfer += iprot->readListBegin(_etype537, _size534);
-            this->loads.resize(_size534);
-            uint32_t _i538;
-            for (_i538 = 0; _i538 < _size534; ++_i538)
+            uint32_t _size560;
+            ::apache::thrift::protocol::TType _etype563;
+            xfer += iprot->readListBegin(_etype563, _size560);
+            this->loads.resize(_size560);
+            uint32_t _i564;
+            for (_i564 = 0; _i564 < _size560; ++_i564)
             {
-              xfer += this->loads[_i538].read(iprot);
+              xfer += this->loads[_i564].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -14133,14 +14603,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->demand.clear();
-            uint32_t _size539;
-            ::apache::thrift::protocol::TType _etype542;
-            xfer += iprot->readListBegin(_etype542, _size539);
-            this->demand.resize(_size539);
-            uint32_t _i543;
-            for (_i543 = 0; _i543 < _size539; ++_i543)
+            uint32_t _size565;
+            ::apache::thrift::protocol::TType _etype568;
+            xfer += iprot->readListBegin(_etype568, _size565);
+            this->demand.resize(_size565);
+            uint32_t _i569;
+            for (_i569 = 0; _i569 < _size565; ++_i569)
             {
-              xfer += this->demand[_i543].read(iprot);
+              xfer += this->demand[_i569].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -14153,14 +14623,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->failures.clear();
-            uint32_t _size544;
-            ::apache::thrift::protocol::TType _etype547;
-            xfer += iprot->readListBegin(_etype547, _size544);
-            this->failures.resize(_size544);
-            uint32_t _i548;
-            for (_i548 = 0; _i548 < _size544; ++_i548)
+            uint32_t _size570;
+            ::apache::thrift::protocol::TType _etype573;
+            xfer += iprot->readListBegin(_etype573, _size570);
+            this->failures.resize(_size570);
+            uint32_t _i574;
+            for (_i574 = 0; _i574 < _size570; ++_i574)
             {
-              xfer += this->failures[_i548].read(iprot);
+              xfer += this->failures[_i574].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -14181,14 +14651,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->quiet_groups.clear();
-            uint32_t _size549;
-            ::apache::thrift::protocol::TType _etype552;
-            xfer += iprot->readListBegin(_etype552, _size549);
-            this->quiet_groups.resize(_size549);
-            uint32_t _i553;
-            for (_i553 = 0; _i553 < _size549; ++_i553)
+            uint32_t _size575;
+            ::apache::thrift::protocol::TType _etype578;
+            xfer += iprot->readListBegin(_etype578, _size575);
+            this->quiet_groups.resize(_size575);
+            uint32_t _i579;
+            for (_i579 = 0; _i579 < _size575; ++_i579)
             {
-              xfer += iprot->readString(this->quiet_groups[_i553]);
+              xfer += iprot->readString(this->quiet_groups[_i579]);
             }
             xfer += iprot->readListEnd();
           }
@@ -14197,6 +14667,46 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 10:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->server_ends.clear();
+            uint32_t _size580;
+            ::apache::thrift::protocol::TType _etype583;
+            xfer += iprot->readListBegin(_etype583, _size580);
+            this->server_ends.resize(_size580);
+            uint32_t _i584;
+            for (_i584 = 0; _i584 < _size580; ++_i584)
+            {
+              xfer += this->server_ends[_i584].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.server_ends = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 11:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->answered_requests.clear();
+            uint32_t _size585;
+            ::apache::thrift::protocol::TType _etype588;
+            xfer += iprot->readListBegin(_etype588, _size585);
+            this->answered_requests.resize(_size585);
+            uint32_t _i589;
+            for (_i589 = 0; _i589 < _size585; ++_i589)
+            {
+              xfer += iprot->readI64(this->answered_requests[_i589]);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.answered_requests = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -14217,10 +14727,10 @@
   xfer += oprot->writeFieldBegin("requests", ::apache::thrift::protocol::T_LIST, 1);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->requests.size()));
-    std::vector<SlotRequest> ::const_iterator _iter554;
-    for (_iter554 = this->requests.begin(); _iter554 != this->requests.end(); ++_iter554)
+    std::vector<SlotRequest> ::const_iterator _iter590;
+    for (_iter590 = this->requests.begin(); _iter590 != this->requests.end(); ++_iter590)
     {
-      xfer += (*_iter554).write(oprot);
+      xfer += (*_iter590).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -14229,10 +14739,10 @@
   xfer += oprot->writeFieldBegin("loads", ::apache::thrift::protocol::T_LIST, 2);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->loads.size()));
-    std::vector<GroupLoad> ::const_iterator _iter555;
-    for (_iter555 = this->loads.begin(); _iter555 != this->loads.end(); ++_iter555)
+    std::vector<GroupLoad> ::const_iterator _iter591;
+    for (_iter591 = this->loads.begin(); _iter591 != this->loads.end(); ++_iter591)
     {
-      xfer += (*_iter555).write(oprot);
+      xfer += (*_iter591).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -14253,10 +14763,10 @@
   xfer += oprot->writeFieldBegin("demand", ::apache::thrift::protocol::T_LIST, 6);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->demand.size()));
-    std::vector<ModelDemand> ::const_iterator _iter556;
-    for (_iter556 = this->demand.begin(); _iter556 != this->demand.end(); ++_iter556)
+    std::vector<ModelDemand> ::const_iterator _iter592;
+    for (_iter592 = this->demand.begin(); _iter592 != this->demand.end(); ++_iter592)
     {
-      xfer += (*_iter556).write(oprot);
+      xfer += (*_iter592).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -14265,10 +14775,10 @@
   xfer += oprot->writeFieldBegin("failures", ::apache::thrift::protocol::T_LIST, 7);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->failures.size()));
-    std::vector<GroupFailure> ::const_iterator _iter557;
-    for (_iter557 = this->failures.begin(); _iter557 != this->failures.end(); ++_iter557)
+    std::vector<GroupFailure> ::const_iterator _iter593;
+    for (_iter593 = this->failures.begin(); _iter593 != this->failures.end(); ++_iter593)
     {
-      xfer += (*_iter557).write(oprot);
+      xfer += (*_iter593).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -14281,10 +14791,34 @@
   xfer += oprot->writeFieldBegin("quiet_groups", ::apache::thrift::protocol::T_LIST, 9);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->quiet_groups.size()));
-    std::vector<std::string> ::const_iterator _iter558;
-    for (_iter558 = this->quiet_groups.begin(); _iter558 != this->quiet_groups.end(); ++_iter558)
+    std::vector<std::string> ::const_iterator _iter594;
+    for (_iter594 = this->quiet_groups.begin(); _iter594 != this->quiet_groups.end(); ++_iter594)
+    {
+      xfer += oprot->writeString((*_iter594));
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("server_ends", ::apache::thrift::protocol::T_LIST, 10);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->server_ends.size()));
+    std::vector<RequestServerEnd> ::const_iterator _iter595;
+    for (_iter595 = this->server_ends.begin(); _iter595 != this->server_ends.end(); ++_iter595)
+    {
+      xfer += (*_iter595).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("answered_requests", ::apache::thrift::protocol::T_LIST, 11);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I64, static_cast<uint32_t>(this->answered_requests.size()));
+    std::vector<int64_t> ::const_iterator _iter596;
+    for (_iter596 = this->answered_requests.begin(); _iter596 != this->answered_requests.end(); ++_iter596)
     {
-      xfer += oprot->writeString((*_iter558));
+      xfer += oprot->writeI64((*_iter596));
     }
     xfer += oprot->writeListEnd();
   }
@@ -14306,57 +14840,67 @@
   swap(a.failures, b.failures);
   swap(a.traffic_seen, b.traffic_seen);
   swap(a.quiet_groups, b.quiet_groups);
+  swap(a.server_ends, b.server_ends);
+  swap(a.answered_requests, b.answered_requests);
   swap(a.__isset, b.__isset);
 }
 
-SlotReport::SlotReport(const SlotReport& other559) {
-  requests = other559.requests;
-  loads = other559.loads;
-  grants_term = other559.grants_term;
-  grants_seen = other559.grants_seen;
-  is_complete = other559.is_complete;
-  demand = other559.demand;
-  failures = other559.failures;
-  traffic_seen = other559.traffic_seen;
-  quiet_groups = other559.quiet_groups;
-  __isset = other559.__isset;
-}
-SlotReport::SlotReport(SlotReport&& other560) noexcept {
-  requests = std::move(other560.requests);
-  loads = std::move(other560.loads);
-  grants_term = other560.grants_term;
-  grants_seen = other560.grants_seen;
-  is_complete = other560.is_complete;
-  demand = std::move(other560.demand);
-  failures = std::move(other560.failures);
-  traffic_seen = other560.traffic_seen;
-  quiet_groups = std::move(other560.quiet_groups);
-  __isset = other560.__isset;
-}
-SlotReport& SlotReport::operator=(const SlotReport& other561) {
-  requests = other561.requests;
-  loads = other561.loads;
-  grants_term = other561.grants_term;
-  grants_seen = other561.grants_seen;
-  is_complete = other561.is_complete;
-  demand = other561.demand;
-  failures = other561.failures;
-  traffic_seen = other561.traffic_seen;
-  quiet_groups = other561.quiet_groups;
-  __isset = other561.__isset;
-  return *this;
-}
-SlotReport& SlotReport::operator=(SlotReport&& other562) noexcept {
-  requests = std::move(other562.requests);
-  loads = std::move(other562.loads);
-  grants_term = other562.grants_term;
-  grants_seen = other562.grants_seen;
-  is_complete = other562.is_complete;
-  demand = std::move(other562.demand);
-  failures = std::move(other562.failures);
-  traffic_seen = other562.traffic_seen;
-  quiet_groups = std::move(other562.quiet_groups);
-  __isset = other562.__isset;
+SlotReport::SlotReport(const SlotReport& other597) {
+  requests = other597.requests;
+  loads = other597.loads;
+  grants_term = other597.grants_term;
+  grants_seen = other597.grants_seen;
+  is_complete = other597.is_complete;
+  demand = other597.demand;
+  failures = other597.failures;
+  traffic_seen = other597.traffic_seen;
+  quiet_groups = other597.quiet_groups;
+  server_ends = other597.server_ends;
+  answered_requests = other597.answered_requests;
+  __isset = other597.__isset;
+}
+SlotReport::SlotReport(SlotReport&& other598) noexcept {
+  requests = std::move(other598.requests);
+  loads = std::move(other598.loads);
+  grants_term = other598.grants_term;
+  grants_seen = other598.grants_seen;
+  is_complete = other598.is_complete;
+  demand = std::move(other598.demand);
+  failures = std::move(other598.failures);
+  traffic_seen = other598.traffic_seen;
+  quiet_groups = std::move(other598.quiet_groups);
+  server_ends = std::move(other598.server_ends);
+  answered_requests = std::move(other598.answered_requests);
+  __isset = other598.__isset;
+}
+SlotReport& SlotReport::operator=(const SlotReport& other599) {
+  requests = other599.requests;
+  loads = other599.loads;
+  grants_term = other599.grants_term;
+  grants_seen = other599.grants_seen;
+  is_complete = other599.is_complete;
+  demand = other599.demand;
+  failures = other599.failures;
+  traffic_seen = other599.traffic_seen;
+  quiet_groups = other599.quiet_groups;
+  server_ends = other599.server_ends;
+  answered_requests = other599.answered_requests;
+  __isset = other599.__isset;
+  return *this;
+}
+SlotReport& SlotReport::operator=(SlotReport&& other600) noexcept {
+  requests = std::move(other600.requests);
+  loads = std::move(other600.loads);
+  grants_term = other600.grants_term;
+  grants_seen = other600.grants_seen;
+  is_complete = other600.is_complete;
+  demand = std::move(other600.demand);
+  failures = std::move(other600.failures);
+  traffic_seen = other600.traffic_seen;
+  quiet_groups = std::move(other600.quiet_groups);
+  server_ends = std::move(other600.server_ends);
+  answered_requests = std::move(other600.answered_requests);
+  __isset = other600.__isset;
   return *this;
 }
 void SlotReport::printTo(std::ostream& out) const {
@@ -14371,6 +14915,8 @@
   out << ", " << "failures=" << to_string(failures);
   out << ", " << "traffic_seen=" << to_string(traffic_seen);
   out << ", " << "quiet_groups=" << to_string(quiet_groups);
+  out << ", " << "server_ends=" << to_string(server_ends);
+  out << ", " << "answered_requests=" << to_string(answered_requests);
   out << ")";
 }
 
@@ -14430,14 +14976,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->grants.clear();
-            uint32_t _size563;
-            ::apache::thrift::protocol::TType _etype566;
-            xfer += iprot->readListBegin(_etype566, _size563);
-            this->grants.resize(_size563);
-            uint32_t _i567;
-            for (_i567 = 0; _i567 < _size563; ++_i567)
+            uint32_t _size601;
+            ::apache::thrift::protocol::TType _etype604;
+            xfer += iprot->readListBegin(_etype604, _size601);
+            this->grants.resize(_size601);
+            uint32_t _i605;
+            for (_i605 = 0; _i605 < _size601; ++_i605)
             {
-              xfer += this->grants[_i567].read(iprot);
+              xfer += this->grants[_i605].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -14450,14 +14996,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->failed_groups.clear();
-            uint32_t _size568;
-            ::apache::thrift::protocol::TType _etype571;
-            xfer += iprot->readListBegin(_etype571, _size568);
-            this->failed_groups.resize(_size568);
-            uint32_t _i572;
-            for (_i572 = 0; _i572 < _size568; ++_i572)
+            uint32_t _size606;
+            ::apache::thrift::protocol::TType _etype609;
+            xfer += iprot->readListBegin(_etype609, _size606);
+            this->failed_groups.resize(_size606);
+            uint32_t _i610;
+            for (_i610 = 0; _i610 < _size606; ++_i610)
             {
-              xfer += iprot->readString(this->failed_groups[_i572]);
+              xfer += iprot->readString(this->failed_groups[_i610]);
             }
             xfer += iprot->readListEnd();
           }
@@ -14490,10 +15036,10 @@
   xfer += oprot->writeFieldBegin("grants", ::apache::thrift::protocol::T_LIST, 2);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->grants.size()));
-    std::vector<SlotGrant> ::const_iterator _iter573;
-    for (_iter573 = this->grants.begin(); _iter573 != this->grants.end(); ++_iter573)
+    std::vector<SlotGrant> ::const_iterator _iter611;
+    for (_iter611 = this->grants.begin(); _iter611 != this->grants.end(); ++_iter611)
     {
-      xfer += (*_iter573).write(oprot);
+      xfer += (*_iter611).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -14502,10 +15048,10 @@
   xfer += oprot->writeFieldBegin("failed_groups", ::apache::thrift::protocol::T_LIST, 3);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->failed_groups.size()));
-    std::vector<std::string> ::const_iterator _iter574;
-    for (_iter574 = this->failed_groups.begin(); _iter574 != this->failed_groups.end(); ++_iter574)
+    std::vector<std::string> ::const_iterator _iter612;
+    for (_iter612 = this->failed_groups.begin(); _iter612 != this->failed_groups.end(); ++_iter612)
     {
-      xfer += oprot->writeString((*_iter574));
+      xfer += oprot->writeString((*_iter612));
     }
     xfer += oprot->writeListEnd();
   }
@@ -14524,30 +15070,30 @@
   swap(a.__isset, b.__isset);
 }
 
-SlotAnswer::SlotAnswer(const SlotAnswer& other575) {
-  term = other575.term;
-  grants = other575.grants;
-  failed_groups = other575.failed_groups;
-  __isset = other575.__isset;
+SlotAnswer::SlotAnswer(const SlotAnswer& other613) {
+  term = other613.term;
+  grants = other613.grants;
+  failed_groups = other613.failed_groups;
+  __isset = other613.__isset;
 }
-SlotAnswer::SlotAnswer(SlotAnswer&& other576) noexcept {
-  term = other576.term;
-  grants = std::move(other576.grants);
-  failed_groups = std::move(other576.failed_groups);
-  __isset = other576.__isset;
+SlotAnswer::SlotAnswer(SlotAnswer&& other614) noexcept {
+  term = other614.term;
+  grants = std::move(other614.grants);
+  failed_groups = std::move(other614.failed_groups);
+  __isset = other614.__isset;
 }
-SlotAnswer& SlotAnswer::operator=(const SlotAnswer& other577) {
-  term = other577.term;
-  grants = other577.grants;
-  failed_groups = other577.failed_groups;
-  __isset = other577.__isset;
+SlotAnswer& SlotAnswer::operator=(const SlotAnswer& other615) {
+  term = other615.term;
+  grants = other615.grants;
+  failed_groups = other615.failed_groups;
+  __isset = other615.__isset;
   return *this;
 }
-SlotAnswer& SlotAnswer::operator=(SlotAnswer&& other578) noexcept {
-  term = other578.term;
-  grants = std::move(other578.grants);
-  failed_groups = std::move(other578.failed_groups);
-  __isset = other578.__isset;
+SlotAnswer& SlotAnswer::operator=(SlotAnswer&& other616) noexcept {
+  term = other616.term;
+  grants = std::move(other616.grants);
+  failed_groups = std::move(other616.failed_groups);
+  __isset = other616.__isset;
   return *this;
 }
 void SlotAnswer::printTo(std::ostream& out) const {
@@ -14652,26 +15198,26 @@
   swap(a.__isset, b.__isset);
 }
 
-ControlPeer::ControlPeer(const ControlPeer& other579) {
-  address = other579.address;
-  zone = other579.zone;
-  __isset = other579.__isset;
+ControlPeer::ControlPeer(const ControlPeer& other617) {
+  address = other617.address;
+  zone = other617.zone;
+  __isset = other617.__isset;
 }
-ControlPeer::ControlPeer(ControlPeer&& other580) noexcept {
-  address = std::move(other580.address);
-  zone = std::move(other580.zone);
-  __isset = other580.__isset;
+ControlPeer::ControlPeer(ControlPeer&& other618) noexcept {
+  address = std::move(other618.address);
+  zone = std::move(other618.zone);
+  __isset = other618.__isset;
 }
-ControlPeer& ControlPeer::operator=(const ControlPeer& other581) {
-  address = other581.address;
-  zone = other581.zone;
-  __isset = other581.__isset;
+ControlPeer& ControlPeer::operator=(const ControlPeer& other619) {
+  address = other619.address;
+  zone = other619.zone;
+  __isset = other619.__isset;
   return *this;
 }
-ControlPeer& ControlPeer::operator=(ControlPeer&& other582) noexcept {
-  address = std::move(other582.address);
-  zone = std::move(other582.zone);
-  __isset = other582.__isset;
+ControlPeer& ControlPeer::operator=(ControlPeer&& other620) noexcept {
+  address = std::move(other620.address);
+  zone = std::move(other620.zone);
+  __isset = other620.__isset;
   return *this;
 }
 void ControlPeer::printTo(std::ostream& out) const {
@@ -14825,14 +15371,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->loads.clear();
-            uint32_t _size583;
-            ::apache::thrift::protocol::TType _etype586;
-            xfer += iprot->readListBegin(_etype586, _size583);
-            this->loads.resize(_size583);
-            uint32_t _i587;
-            for (_i587 = 0; _i587 < _size583; ++_i587)
+            uint32_t _size621;
+            ::apache::thrift::protocol::TType _etype624;
+            xfer += iprot->readListBegin(_etype624, _size621);
+            this->loads.resize(_size621);
+            uint32_t _i625;
+            for (_i625 = 0; _i625 < _size621; ++_i625)
             {
-              xfer += this->loads[_i587].read(iprot);
+              xfer += this->loads[_i625].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -14885,14 +15431,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->control_peers.clear();
-            uint32_t _size588;
-            ::apache::thrift::protocol::TType _etype591;
-            xfer += iprot->readListBegin(_etype591, _size588);
-            this->control_peers.resize(_size588);
-            uint32_t _i592;
-            for (_i592 = 0; _i592 < _size588; ++_i592)
+            uint32_t _size626;
+            ::apache::thrift::protocol::TType _etype629;
+            xfer += iprot->readListBegin(_etype629, _size626);
+            this->control_peers.resize(_size626);
+            uint32_t _i630;
+            for (_i630 = 0; _i630 < _size626; ++_i630)
             {
-              xfer += this->control_peers[_i592].read(iprot);
+              xfer += this->control_peers[_i630].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -14954,10 +15500,10 @@
   xfer += oprot->writeFieldBegin("loads", ::apache::thrift::protocol::T_LIST, 9);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->loads.size()));
-    std::vector<GroupLoad> ::const_iterator _iter593;
-    for (_iter593 = this->loads.begin(); _iter593 != this->loads.end(); ++_iter593)
+    std::vector<GroupLoad> ::const_iterator _iter631;
+    for (_iter631 = this->loads.begin(); _iter631 != this->loads.end(); ++_iter631)
     {
-      xfer += (*_iter593).write(oprot);
+      xfer += (*_iter631).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -14987,10 +15533,10 @@
   xfer += oprot->writeFieldBegin("control_peers", ::apache::thrift::protocol::T_LIST, 15);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->control_peers.size()));
-    std::vector<ControlPeer> ::const_iterator _iter594;
-    for (_iter594 = this->control_peers.begin(); _iter594 != this->control_peers.end(); ++_iter594)
+    std::vector<ControlPeer> ::const_iterator _iter632;
+    for (_iter632 = this->control_peers.begin(); _iter632 != this->control_peers.end(); ++_iter632)
     {
-      xfer += (*_iter594).write(oprot);
+      xfer += (*_iter632).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -15025,74 +15571,74 @@
   swap(a.__isset, b.__isset);
 }
 
-FleetUpdate::FleetUpdate(const FleetUpdate& other595) {
-  sequence = other595.sequence;
-  not_leader = other595.not_leader;
-  leader = other595.leader;
-  term = other595.term;
-  document_version = other595.document_version;
-  state = other595.state;
-  loads = other595.loads;
-  serving_nodes = other595.serving_nodes;
-  wants_state = other595.wants_state;
-  state_change = other595.state_change;
-  wants_confirmation = other595.wants_confirmation;
-  confirmed_age_ms = other595.confirmed_age_ms;
-  control_peers = other595.control_peers;
-  document = other595.document;
-  __isset = other595.__isset;
-}
-FleetUpdate::FleetUpdate(FleetUpdate&& other596) noexcept {
-  sequence = other596.sequence;
-  not_leader = other596.not_leader;
-  leader = std::move(other596.leader);
-  term = other596.term;
-  document_version = other596.document_version;
-  state = std::move(other596.state);
-  loads = std::move(other596.loads);
-  serving_nodes = other596.serving_nodes;
-  wants_state = other596.wants_state;
-  state_change = std::move(other596.state_change);
-  wants_confirmation = other596.wants_confirmation;
-  confirmed_age_ms = other596.confirmed_age_ms;
-  control_peers = std::move(other596.control_peers);
-  document = std::move(other596.document);
-  __isset = other596.__isset;
-}
-FleetUpdate& FleetUpdate::operator=(const FleetUpdate& other597) {
-  sequence = other597.sequence;
-  not_leader = other597.not_leader;
-  leader = other597.leader;
-  term = other597.term;
-  document_version = other597.document_version;
-  state = other597.state;
-  loads = other597.loads;
-  serving_nodes = other597.serving_nodes;
-  wants_state = other597.wants_state;
-  state_change = other597.state_change;
-  wants_confirmation = other597.wants_confirmation;
-  confirmed_age_ms = other597.confirmed_age_ms;
-  control_peers = other597.control_peers;
-  document = other597.document;
-  __isset = other597.__isset;
+FleetUpdate::FleetUpdate(const FleetUpdate& other633) {
+  sequence = other633.sequence;
+  not_leader = other633.not_leader;
+  leader = other633.leader;
+  term = other633.term;
+  document_version = other633.document_version;
+  state = other633.state;
+  loads = other633.loads;
+  serving_nodes = other633.serving_nodes;
+  wants_state = other633.wants_state;
+  state_change = other633.state_change;
+  wants_confirmation = other633.wants_confirmation;
+  confirmed_age_ms = other633.confirmed_age_ms;
+  control_peers = other633.control_peers;
+  document = other633.document;
+  __isset = other633.__isset;
+}
+FleetUpdate::FleetUpdate(FleetUpdate&& other634) noexcept {
+  sequence = other634.sequence;
+  not_leader = other634.not_leader;
+  leader = std::move(other634.leader);
+  term = other634.term;
+  document_version = other634.document_version;
+  state = std::move(other634.state);
+  loads = std::move(other634.loads);
+  serving_nodes = other634.serving_nodes;
+  wants_state = other634.wants_state;
+  state_change = std::move(other634.state_change);
+  wants_confirmation = other634.wants_confirmation;
+  confirmed_age_ms = other634.confirmed_age_ms;
+  control_peers = std::move(other634.control_peers);
+  document = std::move(other634.document);
+  __isset = other634.__isset;
+}
+FleetUpdate& FleetUpdate::operator=(const FleetUpdate& other635) {
+  sequence = other635.sequence;
+  not_leader = other635.not_leader;
+  leader = other635.leader;
+  term = other635.term;
+  document_version = other635.document_version;
+  state = other635.state;
+  loads = other635.loads;
+  serving_nodes = other635.serving_nodes;
+  wants_state = other635.wants_state;
+  state_change = other635.state_change;
+  wants_confirmation = other635.wants_confirmation;
+  confirmed_age_ms = other635.confirmed_age_ms;
+  control_peers = other635.control_peers;
+  document = other635.document;
+  __isset = other635.__isset;
   return *this;
 }
-FleetUpdate& FleetUpdate::operator=(FleetUpdate&& other598) noexcept {
-  sequence = other598.sequence;
-  not_leader = other598.not_leader;
-  leader = std::move(other598.leader);
-  term = other598.term;
-  document_version = other598.document_version;
-  state = std::move(other598.state);
-  loads = std::move(other598.loads);
-  serving_nodes = other598.serving_nodes;
-  wants_state = other598.wants_state;
-  state_change = std::move(other598.state_change);
-  wants_confirmation = other598.wants_confirmation;
-  confirmed_age_ms = other598.confirmed_age_ms;
-  control_peers = std::move(other598.control_peers);
-  document = std::move(other598.document);
-  __isset = other598.__isset;
+FleetUpdate& FleetUpdate::operator=(FleetUpdate&& other636) noexcept {
+  sequence = other636.sequence;
+  not_leader = other636.not_leader;
+  leader = std::move(other636.leader);
+  term = other636.term;
+  document_version = other636.document_version;
+  state = std::move(other636.state);
+  loads = std::move(other636.loads);
+  serving_nodes = other636.serving_nodes;
+  wants_state = other636.wants_state;
+  state_change = std::move(other636.state_change);
+  wants_confirmation = other636.wants_confirmation;
+  confirmed_age_ms = other636.confirmed_age_ms;
+  control_peers = std::move(other636.control_peers);
+  document = std::move(other636.document);
+  __isset = other636.__isset;
   return *this;
 }
 void FleetUpdate::printTo(std::ostream& out) const {
@@ -15173,9 +15719,9 @@
         break;
       case 2:
         if (ftype == ::apache::thrift::protocol::T_I32) {
-          int32_t ecast599;
-          xfer += iprot->readI32(ecast599);
-          this->kind = static_cast<ControlCallKind::type>(ecast599);
+          int32_t ecast637;
+          xfer += iprot->readI32(ecast637);
+          this->kind = static_cast<ControlCallKind::type>(ecast637);
           this->__isset.kind = true;
         } else {
           xfer += iprot->skip(ftype);
@@ -15244,34 +15790,34 @@
   swap(a.__isset, b.__isset);
 }
 
-ControlCall::ControlCall(const ControlCall& other600) {
-  id = other600.id;
-  kind = other600.kind;
-  instance_id = other600.instance_id;
-  body = other600.body;
-  __isset = other600.__isset;
-}
-ControlCall::ControlCall(ControlCall&& other601) noexcept {
-  id = other601.id;
-  kind = other601.kind;
-  instance_id = std::move(other601.instance_id);
-  body = std::move(other601.body);
-  __isset = other601.__isset;
-}
-ControlCall& ControlCall::operator=(const ControlCall& other602) {
-  id = other602.id;
-  kind = other602.kind;
-  instance_id = other602.instance_id;
-  body = other602.body;
-  __isset = other602.__isset;
+ControlCall::ControlCall(const ControlCall& other638) {
+  id = other638.id;
+  kind = other638.kind;
+  instance_id = other638.instance_id;
+  body = other638.body;
+  __isset = other638.__isset;
+}
+ControlCall::ControlCall(ControlCall&& other639) noexcept {
+  id = other639.id;
+  kind = other639.kind;
+  instance_id = std::move(other639.instance_id);
+  body = std::move(other639.body);
+  __isset = other639.__isset;
+}
+ControlCall& ControlCall::operator=(const ControlCall& other640) {
+  id = other640.id;
+  kind = other640.kind;
+  instance_id = other640.instance_id;
+  body = other640.body;
+  __isset = other640.__isset;
   return *this;
 }
-ControlCall& ControlCall::operator=(ControlCall&& other603) noexcept {
-  id = other603.id;
-  kind = other603.kind;
-  instance_id = std::move(other603.instance_id);
-  body = std::move(other603.body);
-  __isset = other603.__isset;
+ControlCall& ControlCall::operator=(ControlCall&& other641) noexcept {
+  id = other641.id;
+  kind = other641.kind;
+  instance_id = std::move(other641.instance_id);
+  body = std::move(other641.body);
+  __isset = other641.__isset;
   return *this;
 }
 void ControlCall::printTo(std::ostream& out) const {
@@ -15394,30 +15940,30 @@
   swap(a.__isset, b.__isset);
 }
 
-ControlCallReply::ControlCallReply(const ControlCallReply& other604) {
-  id = other604.id;
-  status = other604.status;
-  body = other604.body;
-  __isset = other604.__isset;
+ControlCallReply::ControlCallReply(const ControlCallReply& other642) {
+  id = other642.id;
+  status = other642.status;
+  body = other642.body;
+  __isset = other642.__isset;
 }
-ControlCallReply::ControlCallReply(ControlCallReply&& other605) noexcept {
-  id = other605.id;
-  status = other605.status;
-  body = std::move(other605.body);
-  __isset = other605.__isset;
+ControlCallReply::ControlCallReply(ControlCallReply&& other643) noexcept {
+  id = other643.id;
+  status = other643.status;
+  body = std::move(other643.body);
+  __isset = other643.__isset;
 }
-ControlCallReply& ControlCallReply::operator=(const ControlCallReply& other606) {
-  id = other606.id;
-  status = other606.status;
-  body = other606.body;
-  __isset = other606.__isset;
+ControlCallReply& ControlCallReply::operator=(const ControlCallReply& other644) {
+  id = other644.id;
+  status = other644.status;
+  body = other644.body;
+  __isset = other644.__isset;
   return *this;
 }
-ControlCallReply& ControlCallReply::operator=(ControlCallReply&& other607) noexcept {
-  id = other607.id;
-  status = other607.status;
-  body = std::move(other607.body);
-  __isset = other607.__isset;
+ControlCallReply& ControlCallReply::operator=(ControlCallReply&& other645) noexcept {
+  id = other645.id;
+  status = other645.status;
+  body = std::move(other645.body);
+  __isset = other645.__isset;
   return *this;
 }
 void ControlCallReply::printTo(std::ostream& out) const {
@@ -15522,26 +16068,26 @@
   swap(a.__isset, b.__isset);
 }
 
-RegistrationReport::RegistrationReport(const RegistrationReport& other608) {
-  instance = other608.instance;
-  known_term = other608.known_term;
-  __isset = other608.__isset;
+RegistrationReport::RegistrationReport(const RegistrationReport& other646) {
+  instance = other646.instance;
+  known_term = other646.known_term;
+  __isset = other646.__isset;
 }
-RegistrationReport::RegistrationReport(RegistrationReport&& other609) noexcept {
-  instance = std::move(other609.instance);
-  known_term = other609.known_term;
-  __isset = other609.__isset;
+RegistrationReport::RegistrationReport(RegistrationReport&& other647) noexcept {
+  instance = std::move(other647.instance);
+  known_term = other647.known_term;
+  __isset = other647.__isset;
 }
-RegistrationReport& RegistrationReport::operator=(const RegistrationReport& other610) {
-  instance = other610.instance;
-  known_term = other610.known_term;
-  __isset = other610.__isset;
+RegistrationReport& RegistrationReport::operator=(const RegistrationReport& other648) {
+  instance = other648.instance;
+  known_term = other648.known_term;
+  __isset = other648.__isset;
   return *this;
 }
-RegistrationReport& RegistrationReport::operator=(RegistrationReport&& other611) noexcept {
-  instance = std::move(other611.instance);
-  known_term = other611.known_term;
-  __isset = other611.__isset;
+RegistrationReport& RegistrationReport::operator=(RegistrationReport&& other649) noexcept {
+  instance = std::move(other649.instance);
+  known_term = other649.known_term;
+  __isset = other649.__isset;
   return *this;
 }
 void RegistrationReport::printTo(std::ostream& out) const {
@@ -15592,14 +16138,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->reports.clear();
-            uint32_t _size612;
-            ::apache::thrift::protocol::TType _etype615;
-            xfer += iprot->readListBegin(_etype615, _size612);
-            this->reports.resize(_size612);
-            uint32_t _i616;
-            for (_i616 = 0; _i616 < _size612; ++_i616)
+            uint32_t _size650;
+            ::apache::thrift::protocol::TType _etype653;
+            xfer += iprot->readListBegin(_etype653, _size650);
+            this->reports.resize(_size650);
+            uint32_t _i654;
+            for (_i654 = 0; _i654 < _size650; ++_i654)
             {
-              xfer += this->reports[_i616].read(iprot);
+              xfer += this->reports[_i654].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -15628,10 +16174,10 @@
   xfer += oprot->writeFieldBegin("reports", ::apache::thrift::protocol::T_LIST, 1);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->reports.size()));
-    std::vector<RegistrationReport> ::const_iterator _iter617;
-    for (_iter617 = this->reports.begin(); _iter617 != this->reports.end(); ++_iter617)
+    std::vector<RegistrationReport> ::const_iterator _iter655;
+    for (_iter655 = this->reports.begin(); _iter655 != this->reports.end(); ++_iter655)
     {
-      xfer += (*_iter617).write(oprot);
+      xfer += (*_iter655).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -15648,22 +16194,22 @@
   swap(a.__isset, b.__isset);
 }
 
-RegistrationBatch::RegistrationBatch(const RegistrationBatch& other618) {
-  reports = other618.reports;
-  __isset = other618.__isset;
+RegistrationBatch::RegistrationBatch(const RegistrationBatch& other656) {
+  reports = other656.reports;
+  __isset = other656.__isset;
 }
-RegistrationBatch::RegistrationBatch(RegistrationBatch&& other619) noexcept {
-  reports = std::move(other619.reports);
-  __isset = other619.__isset;
+RegistrationBatch::RegistrationBatch(RegistrationBatch&& other657) noexcept {
+  reports = std::move(other657.reports);
+  __isset = other657.__isset;
 }
-RegistrationBatch& RegistrationBatch::operator=(const RegistrationBatch& other620) {
-  reports = other620.reports;
-  __isset = other620.__isset;
+RegistrationBatch& RegistrationBatch::operator=(const RegistrationBatch& other658) {
+  reports = other658.reports;
+  __isset = other658.__isset;
   return *this;
 }
-RegistrationBatch& RegistrationBatch::operator=(RegistrationBatch&& other621) noexcept {
-  reports = std::move(other621.reports);
-  __isset = other621.__isset;
+RegistrationBatch& RegistrationBatch::operator=(RegistrationBatch&& other659) noexcept {
+  reports = std::move(other659.reports);
+  __isset = other659.__isset;
   return *this;
 }
 void RegistrationBatch::printTo(std::ostream& out) const {
@@ -15766,26 +16312,26 @@
   swap(a.__isset, b.__isset);
 }
 
-FormationNotice::FormationNotice(const FormationNotice& other622) {
-  choice = other622.choice;
-  holds_log = other622.holds_log;
-  __isset = other622.__isset;
+FormationNotice::FormationNotice(const FormationNotice& other660) {
+  choice = other660.choice;
+  holds_log = other660.holds_log;
+  __isset = other660.__isset;
 }
-FormationNotice::FormationNotice(FormationNotice&& other623) noexcept {
-  choice = std::move(other623.choice);
-  holds_log = other623.holds_log;
-  __isset = other623.__isset;
+FormationNotice::FormationNotice(FormationNotice&& other661) noexcept {
+  choice = std::move(other661.choice);
+  holds_log = other661.holds_log;
+  __isset = other661.__isset;
 }
-FormationNotice& FormationNotice::operator=(const FormationNotice& other624) {
-  choice = other624.choice;
-  holds_log = other624.holds_log;
-  __isset = other624.__isset;
+FormationNotice& FormationNotice::operator=(const FormationNotice& other662) {
+  choice = other662.choice;
+  holds_log = other662.holds_log;
+  __isset = other662.__isset;
   return *this;
 }
-FormationNotice& FormationNotice::operator=(FormationNotice&& other625) noexcept {
-  choice = std::move(other625.choice);
-  holds_log = other625.holds_log;
-  __isset = other625.__isset;
+FormationNotice& FormationNotice::operator=(FormationNotice&& other663) noexcept {
+  choice = std::move(other663.choice);
+  holds_log = other663.holds_log;
+  __isset = other663.__isset;
   return *this;
 }
 void FormationNotice::printTo(std::ostream& out) const {
@@ -16229,98 +16775,98 @@
   swap(a.__isset, b.__isset);
 }
 
-Envelope::Envelope(const Envelope& other626) {
-  from_node = other626.from_node;
-  from_incarnation = other626.from_incarnation;
-  to_node = other626.to_node;
-  raft = other626.raft;
-  heartbeat = other626.heartbeat;
-  heartbeat_reply = other626.heartbeat_reply;
-  claim_request = other626.claim_request;
-  claim_reply = other626.claim_reply;
-  resolution = other626.resolution;
-  operator_request = other626.operator_request;
-  operator_reply = other626.operator_reply;
-  resolution_reply = other626.resolution_reply;
-  fleet_heartbeat = other626.fleet_heartbeat;
-  fleet_update = other626.fleet_update;
-  control_call = other626.control_call;
-  control_call_reply = other626.control_call_reply;
-  slot_report = other626.slot_report;
-  slot_answer = other626.slot_answer;
-  registrations = other626.registrations;
-  formation = other626.formation;
-  __isset = other626.__isset;
-}
-Envelope::Envelope(Envelope&& other627) noexcept {
-  from_node = std::move(other627.from_node);
-  from_incarnation = other627.from_incarnation;
-  to_node = std::move(other627.to_node);
-  raft = std::move(other627.raft);
-  heartbeat = std::move(other627.heartbeat);
-  heartbeat_reply = std::move(other627.heartbeat_reply);
-  claim_request = std::move(other627.claim_request);
-  claim_reply = std::move(other627.claim_reply);
-  resolution = std::move(other627.resolution);
-  operator_request = std::move(other627.operator_request);
-  operator_reply = std::move(other627.operator_reply);
-  resolution_reply = std::move(other627.resolution_reply);
-  fleet_heartbeat = std::move(other627.fleet_heartbeat);
-  fleet_update = std::move(other627.fleet_update);
-  control_call = std::move(other627.control_call);
-  control_call_reply = std::move(other627.control_call_reply);
-  slot_report = std::move(other627.slot_report);
-  slot_answer = std::move(other627.slot_answer);
-  registrations = std::move(other627.registrations);
-  formation = std::move(other627.formation);
-  __isset = other627.__isset;
-}
-Envelope& Envelope::operator=(const Envelope& other628) {
-  from_node = other628.from_node;
-  from_incarnation = other628.from_incarnation;
-  to_node = other628.to_node;
-  raft = other628.raft;
-  heartbeat = other628.heartbeat;
-  heartbeat_reply = other628.heartbeat_reply;
-  claim_request = other628.claim_request;
-  claim_reply = other628.claim_reply;
-  resolution = other628.resolution;
-  operator_request = other628.operator_request;
-  operator_reply = other628.operator_reply;
-  resolution_reply = other628.resolution_reply;
-  fleet_heartbeat = other628.fleet_heartbeat;
-  fleet_update = other628.fleet_update;
-  control_call = other628.control_call;
-  control_call_reply = other628.control_call_reply;
-  slot_report = other628.slot_report;
-  slot_answer = other628.slot_answer;
-  registrations = other628.registrations;
-  formation = other628.formation;
-  __isset = other628.__isset;
-  return *this;
-}
-Envelope& Envelope::operator=(Envelope&& other629) noexcept {
-  from_node = std::move(other629.from_node);
-  from_incarnation = other629.from_incarnation;
-  to_node = std::move(other629.to_node);
-  raft = std::move(other629.raft);
-  heartbeat = std::move(other629.heartbeat);
-  heartbeat_reply = std::move(other629.heartbeat_reply);
-  claim_request = std::move(other629.claim_request);
-  claim_reply = std::move(other629.claim_reply);
-  resolution = std::move(other629.resolution);
-  operator_request = std::move(other629.operator_request);
-  operator_reply = std::move(other629.operator_reply);
-  resolution_reply = std::move(other629.resolution_reply);
-  fleet_heartbeat = std::move(other629.fleet_heartbeat);
-  fleet_update = std::move(other629.fleet_update);
-  control_call = std::move(other629.control_call);
-  control_call_reply = std::move(other629.control_call_reply);
-  slot_report = std::move(other629.slot_report);
-  slot_answer = std::move(other629.slot_answer);
-  registrations = std::move(other629.registrations);
-  formation = std::move(other629.formation);
-  __isset = other629.__isset;
+Envelope::Envelope(const Envelope& other664) {
+  from_node = other664.from_node;
+  from_incarnation = other664.from_incarnation;
+  to_node = other664.to_node;
+  raft = other664.raft;
+  heartbeat = other664.heartbeat;
+  heartbeat_reply = other664.heartbeat_reply;
+  claim_request = other664.claim_request;
+  claim_reply = other664.claim_reply;
+  resolution = other664.resolution;
+  operator_request = other664.operator_request;
+  operator_reply = other664.operator_reply;
+  resolution_reply = other664.resolution_reply;
+  fleet_heartbeat = other664.fleet_heartbeat;
+  fleet_update = other664.fleet_update;
+  control_call = other664.control_call;
+  control_call_reply = other664.control_call_reply;
+  slot_report = other664.slot_report;
+  slot_answer = other664.slot_answer;
+  registrations = other664.registrations;
+  formation = other664.formation;
+  __isset = other664.__isset;
+}
+Envelope::Envelope(Envelope&& other665) noexcept {
+  from_node = std::move(other665.from_node);
+  from_incarnation = other665.from_incarnation;
+  to_node = std::move(other665.to_node);
+  raft = std::move(other665.raft);
+  heartbeat = std::move(other665.heartbeat);
+  heartbeat_reply = std::move(other665.heartbeat_reply);
+  claim_request = std::move(other665.claim_request);
+  claim_reply = std::move(other665.claim_reply);
+  resolution = std::move(other665.resolution);
+  operator_request = std::move(other665.operator_request);
+  operator_reply = std::move(other665.operator_reply);
+  resolution_reply = std::move(other665.resolution_reply);
+  fleet_heartbeat = std::move(other665.fleet_heartbeat);
+  fleet_update = std::move(other665.fleet_update);
+  control_call = std::move(other665.control_call);
+  control_call_reply = std::move(other665.control_call_reply);
+  slot_report = std::move(other665.slot_report);
+  slot_answer = std::move(other665.slot_answer);
+  registrations = std::move(other665.registrations);
+  formation = std::move(other665.formation);
+  __isset = other665.__isset;
+}
+Envelope& Envelope::operator=(const Envelope& other666) {
+  from_node = other666.from_node;
+  from_incarnation = other666.from_incarnation;
+  to_node = other666.to_node;
+  raft = other666.raft;
+  heartbeat = other666.heartbeat;
+  heartbeat_reply = other666.heartbeat_reply;
+  claim_request = other666.claim_request;
+  claim_reply = other666.claim_reply;
+  resolution = other666.resolution;
+  operator_request = other666.operator_request;
+  operator_reply = other666.operator_reply;
+  resolution_reply = other666.resolution_reply;
+  fleet_heartbeat = other666.fleet_heartbeat;
+  fleet_update = other666.fleet_update;
+  control_call = other666.control_call;
+  control_call_reply = other666.control_call_reply;
+  slot_report = other666.slot_report;
+  slot_answer = other666.slot_answer;
+  registrations = other666.registrations;
+  formation = other666.formation;
+  __isset = other666.__isset;
+  return *this;
+}
+Envelope& Envelope::operator=(Envelope&& other667) noexcept {
+  from_node = std::move(other667.from_node);
+  from_incarnation = other667.from_incarnation;
+  to_node = std::move(other667.to_node);
+  raft = std::move(other667.raft);
+  heartbeat = std::move(other667.heartbeat);
+  heartbeat_reply = std::move(other667.heartbeat_reply);
+  claim_request = std::move(other667.claim_request);
+  claim_reply = std::move(other667.claim_reply);
+  resolution = std::move(other667.resolution);
+  operator_request = std::move(other667.operator_request);
+  operator_reply = std::move(other667.operator_reply);
+  resolution_reply = std::move(other667.resolution_reply);
+  fleet_heartbeat = std::move(other667.fleet_heartbeat);
+  fleet_update = std::move(other667.fleet_update);
+  control_call = std::move(other667.control_call);
+  control_call_reply = std::move(other667.control_call_reply);
+  slot_report = std::move(other667.slot_report);
+  slot_answer = std::move(other667.slot_answer);
+  registrations = std::move(other667.registrations);
+  formation = std::move(other667.formation);
+  __isset = other667.__isset;
   return *this;
 }
 void Envelope::printTo(std::ostream& out) const {
--- a/src/wire/gen-cpp/larchlever_types.h
+++ b/src/wire/gen-cpp/larchlever_types.h
@@ -328,6 +328,8 @@
 
 class EngineGroup;
 
+class BlockedRequest;
+
 class FleetState;
 
 class FleetStateChange;
@@ -344,6 +346,8 @@
 
 class SlotGrant;
 
+class RequestServerEnd;
+
 class SlotReport;
 
 class SlotAnswer;
@@ -4721,12 +4725,91 @@
 
 std::ostream& operator<<(std::ostream& out, const EngineGroup& obj);
 
+typedef struct _BlockedRequest__isset {
+  _BlockedRequest__isset() : fingerprint(false), trials(false), trial_due(false), wait_ms(false) {}
+  bool fingerprint :1;
+  bool trials :1;
+  bool trial_due :1;
+  bool wait_ms :1;
+} _BlockedRequest__isset;
+
+/**
+ * A request that is sent to no server, since servers ended while they ran it.
+ */
+class BlockedRequest : public virtual ::apache::thrift::TBase {
+ public:
+
+  BlockedRequest(const BlockedRequest&) noexcept;
+  BlockedRequest(BlockedRequest&&) noexcept;
+  BlockedRequest& operator=(const BlockedRequest&) noexcept;
+  BlockedRequest& operator=(BlockedRequest&&) noexcept;
+  BlockedRequest() noexcept
+                 : fingerprint(0),
+                   trials(0),
+                   trial_due(0),
+                   wait_ms(0) {
+  }
+
+  virtual ~BlockedRequest() noexcept;
+  int64_t fingerprint;
+  /**
+   * Sendings granted since, to find out whether it still ends servers.
+   */
+  int32_t trials;
+  /**
+   * The leader may grant one now.
+   */
+  bool trial_due;
+  /**
+   * How long the present wait lasts in all, in milliseconds.
+   */
+  int64_t wait_ms;
+
+  _BlockedRequest__isset __isset;
+
+  void __set_fingerprint(const int64_t val);
+
+  void __set_trials(const int32_t val);
+
+  void __set_trial_due(const bool val);
+
+  void __set_wait_ms(const int64_t val);
+
+  bool operator == (const BlockedRequest & rhs) const
+  {
+    if (!(fingerprint == rhs.fingerprint))
+      return false;
+    if (!(trials == rhs.trials))
+      return false;
+    if (!(trial_due == rhs.trial_due))
+      return false;
+    if (!(wait_ms == rhs.wait_ms))
+      return false;
+    return true;
+  }
+  bool operator != (const BlockedRequest &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const BlockedRequest & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(BlockedRequest &a, BlockedRequest &b);
+
+std::ostream& operator<<(std::ostream& out, const BlockedRequest& obj);
+
 typedef struct _FleetState__isset {
-  _FleetState__isset() : term(false), version(false), instances(false), groups(false) {}
+  _FleetState__isset() : term(false), version(false), instances(false), groups(false), blocked_requests(false) {}
   bool term :1;
   bool version :1;
   bool instances :1;
   bool groups :1;
+  bool blocked_requests :1;
 } _FleetState__isset;
 
 /**
@@ -4749,6 +4832,7 @@
   int64_t version;
   std::vector<Instance>  instances;
   std::vector<EngineGroup>  groups;
+  std::vector<BlockedRequest>  blocked_requests;
 
   _FleetState__isset __isset;
 
@@ -4760,6 +4844,8 @@
 
   void __set_groups(const std::vector<EngineGroup> & val);
 
+  void __set_blocked_requests(const std::vector<BlockedRequest> & val);
+
   bool operator == (const FleetState & rhs) const
   {
     if (!(term == rhs.term))
@@ -4770,6 +4856,8 @@
       return false;
     if (!(groups == rhs.groups))
       return false;
+    if (!(blocked_requests == rhs.blocked_requests))
+      return false;
     return true;
   }
   bool operator != (const FleetState &rhs) const {
@@ -4789,7 +4877,7 @@
 std::ostream& operator<<(std::ostream& out, const FleetState& obj);
 
 typedef struct _FleetStateChange__isset {
-  _FleetStateChange__isset() : term(false), from_version(false), version(false), instances(false), removed_instances(false), groups(false), removed_groups(false) {}
+  _FleetStateChange__isset() : term(false), from_version(false), version(false), instances(false), removed_instances(false), groups(false), removed_groups(false), blocked_requests(false), removed_blocked_requests(false) {}
   bool term :1;
   bool from_version :1;
   bool version :1;
@@ -4797,6 +4885,8 @@
   bool removed_instances :1;
   bool groups :1;
   bool removed_groups :1;
+  bool blocked_requests :1;
+  bool removed_blocked_requests :1;
 } _FleetStateChange__isset;
 
 /**
@@ -4826,6 +4916,11 @@
   std::vector<std::string>  removed_instances;
   std::vector<EngineGroup>  groups;
   std::vector<std::string>  removed_groups;
+  std::vector<BlockedRequest>  blocked_requests;
+  /**
+   * Fingerprints.
+   */
+  std::vector<int64_t>  removed_blocked_requests;
 
   _FleetStateChange__isset __isset;
 
@@ -4843,6 +4938,10 @@
 
   void __set_removed_groups(const std::vector<std::string> & val);
 
+  void __set_blocked_requests(const std::vector<BlockedRequest> & val);
+
+  void __set_removed_blocked_requests(const std::vector<int64_t> & val);
+
   bool operator == (const FleetStateChange & rhs) const
   {
     if (!(term == rhs.term))
@@ -4859,6 +4958,10 @@
       return false;
     if (!(removed_groups == rhs.removed_groups))
       return false;
+    if (!(blocked_requests == rhs.blocked_requests))
+      return false;
+    if (!(removed_blocked_requests == rhs.removed_blocked_requests))
+      return false;
     return true;
   }
   bool operator != (const FleetStateChange &rhs) const {
@@ -5249,7 +5352,7 @@
 std::ostream& operator<<(std::ostream& out, const FleetHeartbeat& obj);
 
 typedef struct _SlotRequest__isset {
-  _SlotRequest__isset() : id(false), service_name(false), model(false), prompt_tokens(false), first_event_ms(false), gap_ms(false), priority(false), patience_ms(false), excluded_groups(false) {}
+  _SlotRequest__isset() : id(false), service_name(false), model(false), prompt_tokens(false), first_event_ms(false), gap_ms(false), priority(false), patience_ms(false), excluded_groups(false), trial_of(false) {}
   bool id :1;
   bool service_name :1;
   bool model :1;
@@ -5259,6 +5362,7 @@
   bool priority :1;
   bool patience_ms :1;
   bool excluded_groups :1;
+  bool trial_of :1;
 } _SlotRequest__isset;
 
 /**
@@ -5279,7 +5383,8 @@
                 first_event_ms(0),
                 gap_ms(0),
                 priority(0),
-                patience_ms(0) {
+                patience_ms(0),
+                trial_of(0) {
   }
 
   virtual ~SlotRequest() noexcept;
@@ -5310,6 +5415,10 @@
    * Groups that the entry knows or believes to fail.
    */
   std::vector<std::string>  excluded_groups;
+  /**
+   * Set when the entry asks for no slot, but whether it may send this blocked request once.
+   */
+  int64_t trial_of;
 
   _SlotRequest__isset __isset;
 
@@ -5331,6 +5440,8 @@
 
   void __set_excluded_groups(const std::vector<std::string> & val);
 
+  void __set_trial_of(const int64_t val);
+
   bool operator == (const SlotRequest & rhs) const
   {
     if (!(id == rhs.id))
@@ -5351,6 +5462,10 @@
       return false;
     if (!(excluded_groups == rhs.excluded_groups))
       return false;
+    if (__isset.trial_of != rhs.__isset.trial_of)
+      return false;
+    else if (__isset.trial_of && !(trial_of == rhs.trial_of))
+      return false;
     return true;
   }
   bool operator != (const SlotRequest &rhs) const {
@@ -5455,8 +5570,73 @@
 
 std::ostream& operator<<(std::ostream& out, const SlotGrant& obj);
 
+typedef struct _RequestServerEnd__isset {
+  _RequestServerEnd__isset() : fingerprint(false), instance_id(false), age_ms(false) {}
+  bool fingerprint :1;
+  bool instance_id :1;
+  bool age_ms :1;
+} _RequestServerEnd__isset;
+
+/**
+ * A server ended while it ran a request of the sender.
+ */
+class RequestServerEnd : public virtual ::apache::thrift::TBase {
+ public:
+
+  RequestServerEnd(const RequestServerEnd&);
+  RequestServerEnd(RequestServerEnd&&) noexcept;
+  RequestServerEnd& operator=(const RequestServerEnd&);
+  RequestServerEnd& operator=(RequestServerEnd&&) noexcept;
+  RequestServerEnd() noexcept
+                   : fingerprint(0),
+                     instance_id(),
+                     age_ms(0) {
+  }
+
+  virtual ~RequestServerEnd() noexcept;
+  int64_t fingerprint;
+  std::string instance_id;
+  /**
+   * Milliseconds since the sender noticed it.
+   */
+  int64_t age_ms;
+
+  _RequestServerEnd__isset __isset;
+
+  void __set_fingerprint(const int64_t val);
+
+  void __set_instance_id(const std::string& val);
+
+  void __set_age_ms(const int64_t val);
+
+  bool operator == (const RequestServerEnd & rhs) const
+  {
+    if (!(fingerprint == rhs.fingerprint))
+      return false;
+    if (!(instance_id == rhs.instance_id))
+      return false;
+    if (!(age_ms == rhs.age_ms))
+      return false;
+    return true;
+  }
+  bool operator != (const RequestServerEnd &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const RequestServerEnd & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(RequestServerEnd &a, RequestServerEnd &b);
+
+std::ostream& operator<<(std::ostream& out, const RequestServerEnd& obj);
+
 typedef struct _SlotReport__isset {
-  _SlotReport__isset() : requests(false), loads(false), grants_term(false), grants_seen(false), is_complete(false), demand(false), failures(false), traffic_seen(false), quiet_groups(false) {}
+  _SlotReport__isset() : requests(false), loads(false), grants_term(false), grants_seen(false), is_complete(false), demand(false), failures(false), traffic_seen(false), quiet_groups(false), server_ends(false), answered_requests(false) {}
   bool requests :1;
   bool loads :1;
   bool grants_term :1;
@@ -5466,6 +5646,8 @@
   bool failures :1;
   bool traffic_seen :1;
   bool quiet_groups :1;
+  bool server_ends :1;
+  bool answered_requests :1;
 } _SlotReport__isset;
 
 /**
@@ -5513,6 +5695,14 @@
    * Groups whose streams at this entry pause for longer than they should at present.
    */
   std::vector<std::string>  quiet_groups;
+  /**
+   * Servers that ended under the entry's requests since its last report; the newest again for a new leader.
+   */
+  std::vector<RequestServerEnd>  server_ends;
+  /**
+   * Fingerprints of suspected or blocked requests that a server answered.
+   */
+  std::vector<int64_t>  answered_requests;
 
   _SlotReport__isset __isset;
 
@@ -5534,6 +5724,10 @@
 
   void __set_quiet_groups(const std::vector<std::string> & val);
 
+  void __set_server_ends(const std::vector<RequestServerEnd> & val);
+
+  void __set_answered_requests(const std::vector<int64_t> & val);
+
   bool operator == (const SlotReport & rhs) const
   {
     if (!(requests == rhs.requests))
@@ -5554,6 +5748,10 @@
       return false;
     if (!(quiet_groups == rhs.quiet_groups))
       return false;
+    if (!(server_ends == rhs.server_ends))
+      return false;
+    if (!(answered_requests == rhs.answered_requests))
+      return false;
     return true;
   }
   bool operator != (const SlotReport &rhs) const {
--- a/src/wire/larchlever.thrift
+++ b/src/wire/larchlever.thrift
@@ -542,12 +542,24 @@
   6: GroupPhase phase,
 }
 
+/** A request that is sent to no server, since servers ended while they ran it. */
+struct BlockedRequest {
+  1: i64 fingerprint,
+  /** Sendings granted since, to find out whether it still ends servers. */
+  2: i32 trials,
+  /** The leader may grant one now. */
+  3: bool trial_due,
+  /** How long the present wait lasts in all, in milliseconds. */
+  4: i64 wait_ms,
+}
+
 /** The leader's soft state, as its subscribers copy it. Ordered by (term, version). */
 struct FleetState {
   1: i64 term,
   2: i64 version,
   3: list<Instance> instances,
   4: list<EngineGroup> groups,
+  5: list<BlockedRequest> blocked_requests,
 }
 
 /** Rows of the fleet's state that changed between two versions of one term. */
@@ -560,6 +572,9 @@
   5: list<string> removed_instances,
   6: list<EngineGroup> groups,
   7: list<string> removed_groups,
+  8: list<BlockedRequest> blocked_requests,
+  /** Fingerprints. */
+  9: list<i64> removed_blocked_requests,
 }
 
 struct GroupLoad {
@@ -633,6 +648,8 @@
   9: i32 patience_ms,
   /** Groups that the entry knows or believes to fail. */
   10: list<string> excluded_groups,
+  /** Set when the entry asks for no slot, but whether it may send this blocked request once. */
+  11: optional i64 trial_of,
 }
 
 enum SlotVerdict {
@@ -657,6 +674,14 @@
   5: i32 expected_ms,
 }
 
+/** A server ended while it ran a request of the sender. */
+struct RequestServerEnd {
+  1: i64 fingerprint,
+  2: string instance_id,
+  /** Milliseconds since the sender noticed it. */
+  3: i64 age_ms,
+}
+
 /** An entry's questions, and its load where it changed since it last told; sent to the leader. */
 struct SlotReport {
   1: list<SlotRequest> requests,
@@ -674,6 +699,10 @@
   8: bool traffic_seen,
   /** Groups whose streams at this entry pause for longer than they should at present. */
   9: list<string> quiet_groups,
+  /** Servers that ended under the entry's requests since its last report; the newest again for a new leader. */
+  10: list<RequestServerEnd> server_ends,
+  /** Fingerprints of suspected or blocked requests that a server answered. */
+  11: list<i64> answered_requests,
 }
 
 struct SlotAnswer {
--- a/tests/integration/server_ending_request_test.cc
+++ b/tests/integration/server_ending_request_test.cc
@@ -134,6 +134,9 @@
   const auto later = std::count_if(arrivals.begin(), arrivals.end(), [limit](auto at) { return at > limit; });
   EXPECT_LE(later, kLaterArrivals) << arrivals.size() << " arrivals, " << ends.size() << " servers ended";
   EXPECT_LE(ends.size(), 6U);
+  RecordProperty("arrivals", std::to_string(arrivals.size()));
+  RecordProperty("ended", std::to_string(ends.size()));
+  RecordProperty("other_served", std::to_string(ordinary.served()) + " of " + std::to_string(ordinary.sent()));
   EXPECT_EQ(statuses.back(), 503) << "a copy that is not sent any more has not run";
   EXPECT_GE(ordinary.served() * 100, ordinary.sent() * 95)
       << ordinary.served() << " of " << ordinary.sent() << " other requests served";
--- a/tests/unit/distribution_test.cc
+++ b/tests/unit/distribution_test.cc
@@ -88,8 +88,9 @@
     publish(1, fleet_state(1));
   }
 
-  void publish(int64_t version, const wire::FleetState& state) {
-    table_.publish(version, state.instances, state.groups);
+  void publish(int64_t version, wire::FleetState state) {
+    state.version = version;
+    table_.publish(state);
   }
   wire::FleetUpdate update_for(TimePoint now, const std::string& node) {
     wire::FleetUpdate update;
--- a/tests/unit/state_history_test.cc
+++ b/tests/unit/state_history_test.cc
@@ -21,11 +21,20 @@
   return result;
 }
 
+wire::FleetState state_of(int64_t version, std::vector<wire::Instance> instances,
+                          std::vector<wire::EngineGroup> groups) {
+  wire::FleetState state;
+  state.version = version;
+  state.instances = std::move(instances);
+  state.groups = std::move(groups);
+  return state;
+}
+
 TEST(StateHistory, TellsOnlyWhatChangedSinceAVersion) {
   StateHistory history;
   history.start(7);
-  history.record(1, {instance("i1"), instance("i2")}, {group("g1", wire::GroupPhase::JOINING)});
-  history.record(2, {instance("i1", 9), instance("i3")}, {group("g1", wire::GroupPhase::OPEN)});
+  history.record(state_of(1, {instance("i1"), instance("i2")}, {group("g1", wire::GroupPhase::JOINING)}));
+  history.record(state_of(2, {instance("i1", 9), instance("i3")}, {group("g1", wire::GroupPhase::OPEN)}));
   const auto change = history.since(1);
   ASSERT_EQ(change.instances.size(), 1U) << "a call number alone is no news";
   EXPECT_EQ(change.instances.front().id, "i3");
@@ -39,10 +48,10 @@
 TEST(StateHistory, ACopyTakesOnlyChangesThatFollowOnIt) {
   StateHistory history;
   history.start(7);
-  history.record(1, {instance("i1")}, {});
+  history.record(state_of(1, {instance("i1")}, {}));
   wire::FleetState copy = history.full();
-  history.record(2, {instance("i1"), instance("i2")}, {});
-  history.record(3, {instance("i1"), instance("i2"), instance("i3")}, {});
+  history.record(state_of(2, {instance("i1"), instance("i2")}, {}));
+  history.record(state_of(3, {instance("i1"), instance("i2"), instance("i3")}, {}));
   EXPECT_FALSE(apply_change(copy, history.since(2))) << "the change before it was lost";
   auto of_other_term = history.since(1);
   of_other_term.term = 8;
@@ -53,6 +62,25 @@
   EXPECT_FALSE(apply_change(copy, history.since(1))) << "known already";
 }
 
+TEST(StateHistory, TellsOfBlockedRequestsThatComeChangeAndGo) {
+  StateHistory history;
+  history.start(7);
+  auto state = state_of(1, {}, {});
+  state.blocked_requests.resize(2);
+  state.blocked_requests[0].fingerprint = 5;
+  state.blocked_requests[1].fingerprint = -6;
+  history.record(state);
+  wire::FleetState copy = history.full();
+  EXPECT_EQ(copy.blocked_requests.size(), 2U);
+  state.version = 2;
+  state.blocked_requests.pop_back();
+  state.blocked_requests[0].trials = 1;
+  history.record(state);
+  EXPECT_EQ(history.last_change(), 2);
+  EXPECT_TRUE(apply_change(copy, history.since(1)));
+  EXPECT_EQ(copy.blocked_requests, state.blocked_requests);
+}
+
 TEST(StateHistory, CopiesThatMissChangesCatchUpWhateverTheOrder) {
   std::mt19937 random(20261202);
   const auto draw = [&random](int most) { return std::uniform_int_distribution<int>(0, most)(random); };
@@ -73,7 +101,7 @@
     for (const auto& [key, row] : present) {
       rows.push_back(row);
     }
-    history.record(version, rows, {});
+    history.record(state_of(version, rows, {}));
     if (draw(2) > 0) {
       continue;  // Lost on the way.
     }
