--- a/tests/integration/server_ending_request_test.cc
+++ b/tests/integration/server_ending_request_test.cc
@@ -142,5 +142,39 @@
       << ordinary.served() << " of " << ordinary.sent() << " other requests served";
 }
 
+// The block must not be lost with who decided it: a leader that begins, an entry and a replica that start again know it
+// from the state that they copy.
+TEST_F(ServerEndingRequest, StaysBlockedWhenItsLeaderAndAnEntryAreLost) {
+  send_copies(8, "first-");
+  const size_t ended_before = engines_->ends().size();
+  ASSERT_GE(ended_before, 3U);
+  for (const auto& node : fleet_.controls()) {
+    if (fleet_.log(node).find("event=leadership_begun") != std::string::npos) {
+      fleet_.kill(node);
+      fleet_.start(node);
+    }
+  }
+  fleet_.kill("e1");
+  fleet_.start("e1");
+  ASSERT_TRUE(fleet_.all_entries_ready(kPatience));
+  const auto statuses = send_copies(10, "second-");
+  EXPECT_LE(engines_->ends().size(), ended_before + 1);
+  EXPECT_EQ(std::count(statuses.begin(), statuses.end(), 503), 10);
+}
+
+// Everything ends at once, so that only the replicas' disks remember.
+TEST_F(ServerEndingRequest, StaysBlockedWhenAllProcessesWereKilled) {
+  send_copies(8, "first-");
+  const size_t ended_before = engines_->ends().size();
+  ASSERT_GE(ended_before, 3U);
+  for (const auto& node : fleet_.all()) {
+    fleet_.kill(node);
+  }
+  fleet_.start_all();
+  ASSERT_TRUE(fleet_.all_entries_ready(kPatience));
+  send_copies(10, "second-");
+  EXPECT_LE(engines_->ends().size(), ended_before + 1);
+}
+
 }  // namespace
 }  // namespace larchlever::integration
