Servers that return under their id, and reports of another writer, failing

Cause looked for: reports are ordered by call number alone, whatever start of the server they stem from, and read leniently. Stand-ins now send every field that reports always carry. Only a field for the birth was added to the messages.

--- a/src/simulation/registered_fleet.cc
+++ b/src/simulation/registered_fleet.cc
@@ -325,10 +325,10 @@
       {wire::MembershipState::JOINING, "joining"}, {wire::MembershipState::READY, "ready"},
       {wire::MembershipState::OPEN, "open"},       {wire::MembershipState::CLOSING, "closing"},
       {wire::MembershipState::BROKEN, "broken"},   {wire::MembershipState::NONE, ""}};
-  std::string body = R"({"service":"engines","address":")" + report.address + R"(","zone":"a","domain":")" +
-                     report.domain + R"(","state":")" +
-                     (report.state == wire::InstanceState::READY ? "ready" : "draining") + R"(","call_seq":)" +
-                     std::to_string(report.call_number) + R"(,"staged":[)";
+  std::string body = R"({"service":"engines","address":")" + report.address +
+                     R"(","zone":"a","version":"v1","slots":8,"cold_left_ms":0,"domain":")" + report.domain +
+                     R"(","state":")" + (report.state == wire::InstanceState::READY ? "ready" : "draining") +
+                     R"(","call_seq":)" + std::to_string(report.call_number) + R"(,"staged":[)";
   for (const auto& staged : report.staged_models) {
     body += "\"" + staged + "\"";
   }
--- a/src/wire/gen-cpp/larchlever_types.cpp
+++ b/src/wire/gen-cpp/larchlever_types.cpp
@@ -11575,6 +11575,10 @@
 void Instance::__set_model(const std::string& val) {
   this->model = val;
 }
+
+void Instance::__set_born_ms(const int64_t val) {
+  this->born_ms = val;
+}
 std::ostream& operator<<(std::ostream& out, const Instance& obj)
 {
   obj.printTo(out);
@@ -11713,6 +11717,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 13:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->born_ms);
+          this->__isset.born_ms = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -11786,6 +11798,10 @@
   xfer += oprot->writeString(this->model);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("born_ms", ::apache::thrift::protocol::T_I64, 13);
+  xfer += oprot->writeI64(this->born_ms);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -11805,6 +11821,7 @@
   swap(a.membership, b.membership);
   swap(a.silent, b.silent);
   swap(a.model, b.model);
+  swap(a.born_ms, b.born_ms);
   swap(a.__isset, b.__isset);
 }
 
@@ -11821,6 +11838,7 @@
   membership = other439.membership;
   silent = other439.silent;
   model = other439.model;
+  born_ms = other439.born_ms;
   __isset = other439.__isset;
 }
 Instance::Instance(Instance&& other440) noexcept {
@@ -11836,6 +11854,7 @@
   membership = std::move(other440.membership);
   silent = other440.silent;
   model = std::move(other440.model);
+  born_ms = other440.born_ms;
   __isset = other440.__isset;
 }
 Instance& Instance::operator=(const Instance& other441) {
@@ -11851,6 +11870,7 @@
   membership = other441.membership;
   silent = other441.silent;
   model = other441.model;
+  born_ms = other441.born_ms;
   __isset = other441.__isset;
   return *this;
 }
@@ -11867,6 +11887,7 @@
   membership = std::move(other442.membership);
   silent = other442.silent;
   model = std::move(other442.model);
+  born_ms = other442.born_ms;
   __isset = other442.__isset;
   return *this;
 }
@@ -11885,6 +11906,7 @@
   out << ", " << "membership=" << to_string(membership);
   out << ", " << "silent=" << to_string(silent);
   out << ", " << "model=" << to_string(model);
+  out << ", " << "born_ms=" << to_string(born_ms);
   out << ")";
 }
 
--- a/src/wire/gen-cpp/larchlever_types.h
+++ b/src/wire/gen-cpp/larchlever_types.h
@@ -4504,7 +4504,7 @@
 std::ostream& operator<<(std::ostream& out, const GroupMembership& obj);
 
 typedef struct _Instance__isset {
-  _Instance__isset() : id(false), service_name(false), address(false), zone(false), domain(false), state(false), slots(false), call_number(false), staged_models(false), membership(false), silent(false), model(false) {}
+  _Instance__isset() : id(false), service_name(false), address(false), zone(false), domain(false), state(false), slots(false), call_number(false), staged_models(false), membership(false), silent(false), model(false), born_ms(false) {}
   bool id :1;
   bool service_name :1;
   bool address :1;
@@ -4517,6 +4517,7 @@
   bool membership :1;
   bool silent :1;
   bool model :1;
+  bool born_ms :1;
 } _Instance__isset;
 
 /**
@@ -4539,7 +4540,8 @@
              slots(0),
              call_number(0),
              silent(0),
-             model() {
+             model(),
+             born_ms(0) {
   }
 
   virtual ~Instance() noexcept;
@@ -4568,6 +4570,10 @@
    * The model of the instance's last group since its start, whose weights it still holds; empty when it had none.
    */
   std::string model;
+  /**
+   * Unix milliseconds of the start that says this; 0 when it does not tell. A new start is a new incarnation.
+   */
+  int64_t born_ms;
 
   _Instance__isset __isset;
 
@@ -4595,6 +4601,8 @@
 
   void __set_model(const std::string& val);
 
+  void __set_born_ms(const int64_t val);
+
   bool operator == (const Instance & rhs) const
   {
     if (!(id == rhs.id))
@@ -4621,6 +4629,8 @@
       return false;
     if (!(model == rhs.model))
       return false;
+    if (!(born_ms == rhs.born_ms))
+      return false;
     return true;
   }
   bool operator != (const Instance &rhs) const {
--- a/src/wire/larchlever.thrift
+++ b/src/wire/larchlever.thrift
@@ -528,6 +528,8 @@
   11: bool silent,
   /** The model of the instance's last group since its start, whose weights it still holds; empty when it had none. */
   12: string model,
+  /** Unix milliseconds of the start that says this; 0 when it does not tell. A new start is a new incarnation. */
+  13: i64 born_ms,
 }
 
 enum GroupPhase { JOINING = 0, OPENING = 1, OPEN = 2, DRAINING = 3, DISSOLVING = 4 }
--- a/tests/integration/registered_engines.cc
+++ b/tests/integration/registered_engines.cc
@@ -2,6 +2,7 @@
 
 #include <gtest/gtest.h>
 
+#include <algorithm>
 #include <boost/json.hpp>
 
 #include "core/base/http_status.h"
@@ -17,6 +18,8 @@
 namespace {
 
 constexpr int kPort = 9000;
+/// Servers that return under their id have called this often in their first life, as after some minutes.
+constexpr int64_t kCallsBeforeTest = 1000;
 constexpr auto kReportTimeout = std::chrono::seconds(1);
 constexpr auto kReporterPause = std::chrono::milliseconds(20);
 
@@ -52,18 +55,28 @@
   }
 }
 
-std::string registration_of(const wire::Instance& instance, int slots) {
+int64_t unix_milliseconds() {
+  return std::chrono::duration_cast<std::chrono::milliseconds>(std::chrono::system_clock::now().time_since_epoch())
+      .count();
+}
+
+std::string registration_of(const wire::Instance& instance, int slots, std::optional<int64_t> born_ms) {
   json::object body{{"service", instance.service_name},
                     {"address", instance.address},
                     {"zone", instance.zone},
+                    {"version", "v1"},
                     {"domain", instance.domain},
                     {"slots", slots},
                     {"state", "ready"},
+                    {"cold_left_ms", 0},
                     {"call_seq", instance.call_number},
                     {"staged", json::value_from(instance.staged_models)}};
   if (!instance.model.empty()) {
     body["models"] = json::array{json::object{{"name", instance.model}, {"version", 1}}};
   }
+  if (born_ms) {
+    body["born"] = *born_ms;
+  }
   const auto& membership = instance.membership;
   if (!membership.group.empty()) {
     body["group"] = json::object{{"name", membership.group},
@@ -111,8 +124,10 @@
         return;
       }
       ++starts_;
-      instance_ = simulation::SimulatedInstance(first_id_ + "-" + std::to_string(starts_), instance_.address(),
-                                                instance_.domain(), instance_.staged());
+      const bool keeps_id = engines_.options_.keeps_id;
+      instance_ = simulation::SimulatedInstance(keeps_id ? first_id_ : first_id_ + "-" + std::to_string(starts_),
+                                                instance_.address(), instance_.domain(), instance_.staged());
+      born_ms_ = unix_milliseconds();
       next_report_ = TimePoint{};
       down_until_.reset();
     }
@@ -123,6 +138,10 @@
     instance_.advance(node::monotonic_now());
     return !down_until_ && instance_.is_open_head();
   }
+  bool is_in_group() {
+    const std::lock_guard lock(mutex_);
+    return !down_until_ && !instance_.membership().group.empty();
+  }
   /// The next report, when one is due.
   std::optional<std::string> report() {
     const std::lock_guard lock(mutex_);
@@ -135,7 +154,7 @@
       return std::nullopt;
     }
     next_report_ = now + engines_.options_.heartbeat_interval;
-    return registration_of(instance_.report(), 8);
+    return registration_of(instance_.report(), 8, engines_.options_.keeps_id ? std::optional(born_ms_) : std::nullopt);
   }
 
  private:
@@ -219,6 +238,7 @@
   std::mutex mutex_;
   std::string first_id_;
   int starts_ = 1;
+  int64_t born_ms_ = unix_milliseconds();
   /// While the server is down, when it starts again.
   std::optional<TimePoint> down_until_;
   simulation::SimulatedInstance instance_;
@@ -261,6 +281,11 @@
   return ends_;
 }
 
+int RegisteredEngines::servers_in_groups() {
+  return static_cast<int>(
+      std::count_if(servers_.begin(), servers_.end(), [](const auto& server) { return server->is_in_group(); }));
+}
+
 void RegisteredEngines::keep_reporting() {
   size_t next_control = 0;
   while (!stopped_) {
--- a/tests/integration/registered_engines.h
+++ b/tests/integration/registered_engines.h
@@ -33,6 +33,8 @@
     std::string ending_body;
     /// A server that ended starts again after this time, under another id, with what its host holds.
     std::chrono::milliseconds restart_time{3000};
+    /// It starts again under the id that it had, and its reports tell when it was born.
+    bool keeps_id = false;
   };
 
   using Moment = std::chrono::steady_clock::time_point;
@@ -46,6 +48,8 @@
 
   /// Servers that lead an open group now.
   int open_groups();
+  /// Servers that are up and members of a group.
+  int servers_in_groups();
   uint64_t served() const { return served_; }
   /// Requests that reached a server which led no open group; each was turned away.
   uint64_t misdirected() const { return misdirected_; }
--- /dev/null
+++ b/tests/integration/registration_test.cc
@@ -0,0 +1,187 @@
+#include <gtest/gtest.h>
+
+#include <atomic>
+#include <boost/json.hpp>
+#include <thread>
+
+#include "core/base/http_status.h"
+#include "fleet_node_processes.h"
+#include "net/http_server.h"
+#include "net/listener.h"
+#include "node/dialect.h"
+
+namespace larchlever::integration {
+namespace {
+
+namespace asio = boost::asio;
+namespace json = boost::json;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+constexpr auto kPatience = seconds(15);
+constexpr int64_t kBorn = 1'780'000'000'000;
+
+/// A plain server of the service `forms`, which answers everything.
+class FormsServer : public net::HttpHandler {
+ public:
+  FormsServer(BlockingClient& client, const std::string& address)
+      : client_(client), server_(client.context().get_executor(), net::HttpServerOptions(), *this) {
+    asio::post(client.context(), asio::use_future([this, address] {
+                 std::string error;
+                 EXPECT_TRUE(net::listen_on(server_, address, error)) << error;
+               }))
+        .get();
+  }
+  ~FormsServer() override {
+    asio::post(client_.context(), asio::use_future([this] { server_.close_all(); })).get();
+  }
+
+  asio::awaitable<void> handle(net::HttpExchange& exchange) override {
+    const auto& dialect = *node::find_dialect("larchlever");
+    ++served_;
+    net::HttpResponse response;
+    response.status = http_status::kOk;
+    response.headers.add(dialect.request_id, std::string(exchange.request().headers.find(dialect.request_id)));
+    response.headers.add(dialect.signature, "signed");
+    response.body = "form";
+    co_await exchange.respond(std::move(response));
+  }
+  int served() const { return served_; }
+
+ private:
+  BlockingClient& client_;
+  net::HttpServer server_;
+  std::atomic<int> served_ = 0;
+};
+
+FleetNodeOptions small_fleet() {
+  FleetNodeOptions options;
+  options.controls = 3;
+  options.entries = 1;
+  options.tolerated_losses = 1;
+  return options;
+}
+
+class RegistrationOfServers : public testing::Test {
+ protected:
+  void SetUp() override {
+    const auto addresses = fleet_.engine_addresses(2);
+    good_address_ = addresses[0] + ":9000";
+    other_address_ = addresses[1] + ":9000";
+    good_ = std::make_unique<FormsServer>(client_, good_address_);
+    other_ = std::make_unique<FormsServer>(client_, other_address_);
+    fleet_.start_all();
+    ASSERT_TRUE(fleet_.put_document(7, kPatience));
+    ASSERT_TRUE(fleet_.all_entries_ready(kPatience));
+  }
+
+  static json::object heartbeat(const std::string& address, int64_t call_number) {
+    return {{"service", "forms"}, {"address", address}, {"zone", "north"},   {"version", "v1"},
+            {"slots", 8},         {"state", "ready"},   {"cold_left_ms", 0}, {"call_seq", call_number}};
+  }
+  int report(const std::string& id, const std::string& body) {
+    const auto result =
+        fleet_.call_control("c" + std::to_string(1 + calls_++ % 3), "POST", "/v1/instances/" + id + "/heartbeat", body);
+    return result.response ? result.response->status : 0;
+  }
+  int report(const std::string& id, const json::object& body) { return report(id, json::serialize(body)); }
+  bool is_served() {
+    net::HttpRequest request;
+    request.target = "/forms/1";
+    request.headers.add("Host", "forms.example");
+    request.headers.add("Larchlever-Request-Id", "r" + std::to_string(calls_++));
+    request.headers.add("Larchlever-Deadline-Ms", "1000");
+    const auto result = client_.fetch(fleet_.address("e1") + ":8227", request, seconds(3));
+    return result.response && result.response->status == http_status::kOk;
+  }
+
+  FleetNodeProcesses fleet_{small_fleet()};
+  BlockingClient client_;
+  std::string good_address_;
+  std::string other_address_;
+  std::unique_ptr<FormsServer> good_;
+  std::unique_ptr<FormsServer> other_;
+  int calls_ = 0;
+};
+
+// The only server of a service drained, was silent for two seconds and started again under its id, born later and
+// counting from 1. Its reports were answered and its state stayed what it had said last: not served for as long as
+// anyone watched.
+TEST_F(RegistrationOfServers, OneThatDrainedAndStartsAgainUnderItsIdIsServed) {
+  auto body = heartbeat(good_address_, 1001);
+  body["born"] = kBorn;
+  ASSERT_EQ(report("i1", body), 200);
+  ASSERT_TRUE(eventually([this] { return is_served(); }, kPatience));
+  body["call_seq"] = 1002;
+  body["state"] = "draining";
+  EXPECT_TRUE(eventually([&] { return report("i1", body) == 200; }, kPatience));
+  EXPECT_FALSE(is_served());
+  std::this_thread::sleep_for(seconds(2));
+  auto reborn = heartbeat(good_address_, 1);
+  reborn["born"] = kBorn + 5000;
+  EXPECT_TRUE(eventually([&] { return report("i1", reborn) == 200; }, kPatience));
+  EXPECT_TRUE(eventually([this] { return is_served(); }, seconds(2)));
+  // A late word of the life before changes nothing, though it counts higher.
+  EXPECT_TRUE(eventually([&] { return report("i1", body) == 200; }, kPatience));
+  EXPECT_TRUE(is_served());
+}
+
+// Reports of another writer, beside a good server's: each was answered 200 and its address got requests.
+TEST_F(RegistrationOfServers, ReportsOfAnotherWriterAreRefusedAndHarmNobody) {
+  ASSERT_EQ(report("i1", heartbeat(good_address_, 1)), 200);
+  ASSERT_TRUE(eventually([this] { return is_served(); }, kPatience));
+  std::vector<std::pair<std::string, std::string>> bodies = {{"body", "\xff\xfe{"}, {"body", "[]"}, {"body", ""}};
+  const auto with = [&](const char* field, const json::value& value) {
+    auto body = heartbeat(other_address_, 5);
+    body[field] = value;
+    bodies.emplace_back(field, json::serialize(body));
+  };
+  with("state", "resting");
+  with("state", 7);
+  with("state", nullptr);
+  with("call_seq", "x");
+  with("call_seq", 1.5);
+  with("call_seq", -1);
+  with("slots", nullptr);
+  with("slots", 1e300);
+  with("zone", 3);
+  with("version", json::array());
+  with("cold_left_ms", "0");
+  with("born", "soon");
+  with("born", 1.5);
+  with("born", nullptr);
+  with("service", json::array{"forms"});
+  with("service", "nobody-named-this");
+  with("address", "somewhere");
+  with("domain", 4);
+  with("staged", "large");
+  with("models", json::object());
+  with("group", json::object{{"name", "g1"}, {"epoch", 1}, {"rank", 0}, {"state", "dreaming"}});
+  for (const char* field : {"service", "address", "zone", "version", "slots", "state", "cold_left_ms", "call_seq"}) {
+    auto body = heartbeat(other_address_, 5);
+    body.erase(field);
+    bodies.emplace_back(field, json::serialize(body));
+  }
+  for (const auto& [field, body] : bodies) {
+    // Under an id of its own, and under the good server's.
+    for (const auto* id : {"i2", "i1"}) {
+      const auto answer = fleet_.call_control("c" + std::to_string(1 + calls_++ % 3), "POST",
+                                              std::string("/v1/instances/") + id + "/heartbeat", body);
+      ASSERT_TRUE(answer.response) << body;
+      EXPECT_EQ(answer.response->status, 400) << body;
+      EXPECT_NE(answer.response->body.find(field), std::string::npos) << answer.response->body << " to " << body;
+    }
+  }
+  std::this_thread::sleep_for(milliseconds(300));
+  for (int request = 0; request < 30; ++request) {
+    EXPECT_TRUE(is_served());
+  }
+  EXPECT_EQ(other_->served(), 0);
+  for (const auto& node : fleet_.all()) {
+    EXPECT_TRUE(fleet_.is_running(node)) << node << " ended";
+  }
+  EXPECT_NE((fleet_.log("c1") + fleet_.log("c2") + fleet_.log("c3")).find("event=malformed_report"), std::string::npos);
+}
+
+}  // namespace
+}  // namespace larchlever::integration
--- a/tests/integration/server_ending_request_test.cc
+++ b/tests/integration/server_ending_request_test.cc
@@ -84,18 +84,19 @@
 /// Three replicas, three entries and 24 engine servers, up and serving.
 class ServerEndingRequest : public testing::Test {
  protected:
-  void SetUp() override {
+  void SetUp() override { start(engine_options()); }
+
+  void start(const RegisteredEngines::Options& options) {
     std::vector<std::string> controls;
     for (const auto& node : fleet_.controls()) {
       controls.push_back(fleet_.control_endpoint(node));
     }
-    const auto options = engine_options();
     engines_ = std::make_unique<RegisteredEngines>(
         options, fleet_.engine_addresses(options.domains * options.servers_per_domain), controls);
     fleet_.start_all();
     ASSERT_TRUE(fleet_.put_document(7, kPatience));
     ASSERT_TRUE(fleet_.all_entries_ready(kPatience));
-    ASSERT_TRUE(eventually([&] { return engines_->open_groups() >= 6; }, kPatience)) << "no groups";
+    ASSERT_TRUE(eventually([&] { return engines_->open_groups() >= 8; }, kPatience)) << "no groups";
   }
 
   /// Sends copies of the harmful request to entries drawn by lot, and returns the statuses that they got.
@@ -176,5 +177,30 @@
   EXPECT_LE(engines_->ends().size(), ended_before + 1);
 }
 
+class ReturningServers : public ServerEndingRequest {
+ protected:
+  void SetUp() override {
+    auto options = engine_options();
+    options.keeps_id = true;
+    start(options);
+  }
+};
+
+// Servers that ended started again under the ids that they had, holding nothing, their counts anew. Their reports were
+// taken for late ones until they had called as often as in their life before, and their rows went on naming groups,
+// weights and states of that life, so none of them was ever used again.
+TEST_F(ReturningServers, AreUsedAgainUnderTheirIds) {
+  const int in_groups_before = engines_->servers_in_groups();
+  send_copies(8, "copy-");
+  ASSERT_GE(engines_->ends().size(), 3U);
+  EXPECT_TRUE(eventually([&] { return engines_->servers_in_groups() >= in_groups_before; }, seconds(12)))
+      << engines_->servers_in_groups() << " of " << in_groups_before << " servers in groups after they came back";
+  OrdinaryCallers ordinary(fleet_);
+  std::this_thread::sleep_for(seconds(3));
+  ordinary.stop();
+  EXPECT_GE(ordinary.served() * 100, ordinary.sent() * 99)
+      << ordinary.served() << " of " << ordinary.sent() << " requests served";
+}
+
 }  // namespace
 }  // namespace larchlever::integration
--- /dev/null
+++ b/tests/unit/incarnation_test.cc
@@ -0,0 +1,152 @@
+#include <gtest/gtest.h>
+
+#include "core/fleet/instance_directory.h"
+#include "core/fleet/registration_relay.h"
+
+// A server may start again under the id that it had: (id, born) tells one incarnation from another.
+
+namespace larchlever::fleet {
+namespace {
+
+const TimePoint kStart = TimePoint(seconds(100));
+constexpr int64_t kBorn = 1'780'000'000'000;
+
+wire::Instance report(int64_t born_ms, int64_t call_number, const std::string& address = "a:1") {
+  wire::Instance result;
+  result.id = "i1";
+  result.service_name = "s";
+  result.address = address;
+  result.born_ms = born_ms;
+  result.call_number = call_number;
+  return result;
+}
+
+wire::Instance in_group(wire::Instance instance) {
+  instance.membership.group = "g1";
+  instance.membership.epoch = 7;
+  instance.membership.state = wire::MembershipState::OPEN;
+  instance.model = "large";
+  instance.staged_models = {"large"};
+  return instance;
+}
+
+wire::Instance draining(wire::Instance instance) {
+  instance.state = wire::InstanceState::DRAINING;
+  return instance;
+}
+
+TEST(Incarnation, ANewerOneWinsAtOnceAndKnowsNothingOfBefore) {
+  InstanceDirectory directory{seconds(3)};
+  directory.heard(kStart, in_group(report(kBorn, 900)));
+  directory.heard(kStart, draining(in_group(report(kBorn, 901))));
+  EXPECT_TRUE(directory.heard(kStart + seconds(1), report(kBorn + 1, 1, "a:2")));
+  const auto* row = directory.find("i1");
+  EXPECT_EQ(row->state, wire::InstanceState::READY);
+  EXPECT_EQ(row->call_number, 1);
+  EXPECT_EQ(row->address, "a:2");
+  EXPECT_EQ(row->membership, wire::GroupMembership());
+  EXPECT_TRUE(row->model.empty());
+  EXPECT_TRUE(row->staged_models.empty());
+}
+
+TEST(Incarnation, ANewerOneReturnsFromWhatHadGone) {
+  InstanceDirectory directory{seconds(3)};
+  directory.heard(kStart, report(kBorn, 900));
+  directory.deregister(kStart, "i1");
+  EXPECT_FALSE(directory.heard(kStart + seconds(1), report(kBorn, 901))) << "gone is gone";
+  EXPECT_TRUE(directory.heard(kStart + seconds(2), report(kBorn + 1, 1)));
+  EXPECT_EQ(directory.find("i1")->state, wire::InstanceState::READY);
+}
+
+TEST(Incarnation, AnEarlierOneThatArrivesLateChangesNothing) {
+  InstanceDirectory directory{seconds(3)};
+  directory.heard(kStart, report(kBorn + 1, 3));
+  EXPECT_FALSE(directory.heard(kStart + milliseconds(10), draining(report(kBorn, 900))));
+  EXPECT_FALSE(directory.heard(kStart + milliseconds(20), draining(report(kBorn, 901))));
+  EXPECT_EQ(directory.find("i1")->state, wire::InstanceState::READY);
+  EXPECT_EQ(directory.find("i1")->born_ms, kBorn + 1);
+}
+
+TEST(Incarnation, AClockThatWasSetBackIsBelievedOnceTheStartIsHeardAgainAndAgain) {
+  InstanceDirectory directory{seconds(3)};
+  directory.heard(kStart, report(kBorn, 900));
+  bool taken = false;
+  for (int call = 1; call <= 4; ++call) {
+    taken = directory.heard(kStart + milliseconds(1200 * call), report(kBorn - 60'000, call)) || taken;
+  }
+  EXPECT_TRUE(taken);
+  EXPECT_EQ(directory.find("i1")->born_ms, kBorn - 60'000);
+}
+
+TEST(Incarnation, AClockThatWasSetBackIsNotBelievedBesideALivingOne) {
+  InstanceDirectory directory{seconds(3)};
+  directory.heard(kStart, report(kBorn, 900));
+  for (int call = 1; call <= 6; ++call) {
+    const TimePoint now = kStart + milliseconds(1200 * call);
+    directory.heard(now, report(kBorn, 900 + call));
+    EXPECT_FALSE(directory.heard(now + milliseconds(100), report(kBorn - 60'000, call)));
+  }
+  EXPECT_EQ(directory.find("i1")->born_ms, kBorn);
+}
+
+TEST(Incarnation, WithoutAWordOnItsBirthACountThatStartsAnewIsANewStartOnceItIsHeardAgainAndAgain) {
+  InstanceDirectory directory{seconds(3)};
+  directory.heard(kStart, in_group(report(0, 900)));
+  EXPECT_FALSE(directory.heard(kStart + seconds(2), report(0, 1))) << "perhaps a late one";
+  bool taken = false;
+  for (int call = 2; call <= 5; ++call) {
+    taken = directory.heard(kStart + seconds(2) + milliseconds(1200 * call), report(0, call)) || taken;
+  }
+  EXPECT_TRUE(taken);
+  EXPECT_EQ(directory.find("i1")->call_number, 5);
+  EXPECT_TRUE(directory.find("i1")->membership.group.empty());
+}
+
+TEST(Incarnation, LateReportsOfAnInstanceThatLeftDoNotBringItBack) {
+  InstanceDirectory directory{seconds(3)};
+  directory.heard(kStart, report(0, 900));
+  directory.deregister(kStart, "i1");
+  for (int call = 896; call <= 899; ++call) {
+    directory.heard(kStart + milliseconds(300 * (call - 895)), report(0, call));
+  }
+  EXPECT_EQ(directory.find("i1")->state, wire::InstanceState::GONE);
+}
+
+TEST(Incarnation, ACopyOfAnEarlierOneDoesNotReplaceALaterOne) {
+  InstanceDirectory directory{seconds(3)};
+  directory.start(kStart, {draining(report(kBorn, 900))});
+  EXPECT_TRUE(directory.heard(kStart, report(kBorn + 1, 1)));
+  directory.merge(kStart, {draining(report(kBorn, 950))});
+  EXPECT_EQ(directory.find("i1")->state, wire::InstanceState::READY);
+  EXPECT_EQ(directory.find("i1")->born_ms, kBorn + 1);
+}
+
+TEST(Incarnation, ACopyOfALaterOneReplacesAnEarlierOne) {
+  InstanceDirectory directory{seconds(3)};
+  directory.start(kStart, {draining(report(kBorn, 900))});
+  directory.merge(kStart, {report(kBorn + 1, 3)});
+  EXPECT_EQ(directory.find("i1")->state, wire::InstanceState::READY);
+  EXPECT_EQ(directory.find("i1")->call_number, 3);
+}
+
+TEST(Incarnation, AReportFromBeforeTheLeadershipNamesANewerOne) {
+  InstanceDirectory directory{seconds(3)};
+  directory.start(kStart, {draining(report(kBorn, 900))});
+  EXPECT_TRUE(directory.heard_before(kStart, report(kBorn + 1, 2)));
+  EXPECT_EQ(directory.find("i1")->state, wire::InstanceState::READY);
+}
+
+TEST(Incarnation, SubscribersAreToldOfANewOne) { EXPECT_FALSE(says_the_same(report(kBorn, 1), report(kBorn + 1, 1))); }
+
+TEST(Incarnation, TheRelayForwardsANewOneThatCountsLower) {
+  RegistrationRelay relay(seconds(3));
+  relay.note(kStart, report(kBorn, 900));
+  ASSERT_TRUE(relay.next_batch(kStart, "leader", 2));
+  relay.note(kStart + seconds(1), report(kBorn + 1, 1));
+  const auto batch = relay.next_batch(kStart + seconds(1), "leader", 2);
+  ASSERT_TRUE(batch);
+  EXPECT_EQ(batch->reports.front().instance.born_ms, kBorn + 1);
+}
+
+}  // namespace
+}  // namespace larchlever::fleet
