--- a/src/core/fleet/dispatcher.cc
+++ b/src/core/fleet/dispatcher.cc
@@ -4,6 +4,8 @@
 #include <cmath>
 #include <utility>
 
+#include "core/fleet/instance_directory.h"
+
 namespace larchlever::fleet {
 
 namespace {
@@ -35,24 +37,47 @@
 /// they would all take the same one.
 constexpr size_t kGroupsCompared = 3;
 
+/// Load and failures of a plain instance are counted by incarnation: nothing of an earlier one is held against a later.
+std::string key_of(const wire::Instance& instance) {
+  return instance.born_ms == 0 ? instance.id : instance.id + "@" + std::to_string(instance.born_ms);
+}
+
 }  // namespace
 
 Dispatcher::Dispatcher(const FleetOptions& options, std::string zone, uint64_t seed)
     : options_(options), zone_(std::move(zone)), random_(seed) {}
 
-void Dispatcher::update_state(const wire::FleetState& state) {
-  instances_.clear();
+std::vector<std::string> Dispatcher::update_state(const wire::FleetState& state) {
+  const auto before = std::exchange(instances_, {});
+  std::set<std::string> restarted;
+  std::vector<std::string> lost;
   for (const auto& instance : state.instances) {
+    const auto known = before.find(instance.id);
+    if (known != before.end() && is_other_incarnation(known->second, instance)) {
+      restarted.insert(instance.id);
+      lost.push_back(key_of(known->second));
+    }
     instances_[instance.id] = instance;
   }
+  for (const auto& group : groups_) {
+    if (restarted.contains(group.members.front())) {
+      lost.push_back(group.name);
+    }
+  }
   groups_ = state.groups;
+  forget_unknown_targets();
+  return lost;
+}
+
+void Dispatcher::forget_unknown_targets() {
   std::set<std::string> known;
   for (const auto& group : groups_) {
     known.insert(group.name);
   }
-  std::erase_if(health_, [&](const auto& item) {
-    return item.second.in_flight() == 0 && !known.contains(item.first) && !instances_.contains(item.first);
-  });
+  for (const auto& [id, instance] : instances_) {
+    known.insert(key_of(instance));
+  }
+  std::erase_if(health_, [&](const auto& item) { return item.second.in_flight() == 0 && !known.contains(item.first); });
 }
 
 void Dispatcher::update_services(const std::map<std::string, document::ServiceSpec>& services) {
@@ -274,20 +299,22 @@
   double best_cost = 0;
   bool best_doubtful = true;
   for (const auto& [id, instance] : instances_) {
-    const bool fits =
-        instance.service_name == service.name && instance.state == wire::InstanceState::READY && !excluded.contains(id);
-    if (!fits) {
+    if (instance.service_name != service.name || instance.state != wire::InstanceState::READY) {
+      continue;
+    }
+    const std::string key = key_of(instance);
+    if (excluded.contains(key)) {
       continue;
     }
     // Doubtful instances are better than none: they may only be cut off from the control replicas.
-    const bool doubtful = instance.silent || health_[id].is_avoided(now);
-    const double cost = cost_of(id, instance.zone);
+    const bool doubtful = instance.silent || health_[key].is_avoided(now);
+    const double cost = cost_of(key, instance.zone);
     const bool better =
         !choice.target || (best_doubtful && !doubtful) || (best_doubtful == doubtful && cost < best_cost);
     if (better) {
       best_cost = cost;
       best_doubtful = doubtful;
-      choice.target = Target{id, service.name, "", id, instance.address, health_[id].in_flight()};
+      choice.target = Target{key, service.name, "", id, instance.address, health_[key].in_flight()};
       choice.failure = ChoiceFailure::kNone;
     }
   }
--- a/src/core/fleet/dispatcher.h
+++ b/src/core/fleet/dispatcher.h
@@ -20,7 +20,7 @@
 
 /// Where a request may be sent: a plain instance, or the head of an open group.
 struct Target {
-  /// The group's name, or the instance's id where there is no group. Load and failures are counted under it.
+  /// The group's name, or the instance's incarnation where there is no group. Load and failures are counted under it.
   std::string key;
   std::string service;
   std::string group;
@@ -54,7 +54,8 @@
  public:
   Dispatcher(const FleetOptions& options, std::string zone, uint64_t seed);
 
-  void update_state(const wire::FleetState& state);
+  /// Takes the leader's state. Returns the keys of targets whose server started again: what is under way there is lost.
+  std::vector<std::string> update_state(const wire::FleetState& state);
   void update_services(const std::map<std::string, document::ServiceSpec>& services);
   /// What all entries, this one included, have under way per group, as of `now`.
   void update_loads(TimePoint now, const std::vector<wire::GroupLoad>& totals);
@@ -117,6 +118,8 @@
     std::deque<TimePoint> retries;
   };
 
+  /// Forgets the health of targets that exist no more.
+  void forget_unknown_targets();
   void forget_loads();
   /// Forgets what other entries had under way when nobody told of it lately.
   void forget_old_loads(TimePoint now);
--- a/src/core/fleet/entry_view.cc
+++ b/src/core/fleet/entry_view.cc
@@ -24,6 +24,7 @@
   result.state = instance.state;
   result.slots = instance.slots;
   result.silent = instance.silent;
+  result.born_ms = instance.born_ms;
   return result;
 }
 
@@ -42,6 +43,7 @@
     heads.insert(group.members.front());
     view.groups.push_back(group);
     view.groups.back().members.resize(1);
+    view.groups.back().member_born_ms.clear();
   }
   for (const auto& instance : state.instances) {
     const bool is_gone = instance.state == wire::InstanceState::GONE;
--- a/src/core/fleet/fleet_controller.cc
+++ b/src/core/fleet/fleet_controller.cc
@@ -1,6 +1,8 @@
 #include "core/fleet/fleet_controller.h"
 
+#include <algorithm>
 #include <utility>
+#include <variant>
 
 #include "core/base/http_status.h"
 #include "core/fleet/registration.h"
@@ -256,10 +258,14 @@
   if (call.kind != wire::ControlCallKind::HEARTBEAT) {
     return false;
   }
-  std::string error;
-  auto report = parse_registration(call.instance_id, call.body, error);
-  if (!report) {
-    reply(call.id, http_status::kBadRequest, error_body(error));
+  auto parsed = parse_registration(call.instance_id, call.body);
+  if (const auto* fault = std::get_if<MalformedReport>(&parsed)) {
+    refuse(call, *fault);
+    return true;
+  }
+  auto* report = std::get_if<wire::Instance>(&parsed);
+  if (const auto fault = find_service_fault(*report)) {
+    refuse(call, *fault);
     return true;
   }
   if (report->state == wire::InstanceState::DRAINING) {
@@ -275,6 +281,24 @@
   return true;
 }
 
+std::optional<MalformedReport> FleetController::find_service_fault(const wire::Instance& report) const {
+  auto fault = find_unknown_service(report, log_.parsed().get());
+  if (!fault) {
+    return std::nullopt;
+  }
+  // A server whose service was taken out of the configuration goes on reporting, and may say that it leaves.
+  const auto& instances = subscription_.state().instances;
+  const bool is_known = std::any_of(instances.begin(), instances.end(), [&report](const auto& instance) {
+    return instance.id == report.id && instance.service_name == report.service_name;
+  });
+  return is_known ? std::nullopt : std::move(fault);
+}
+
+void FleetController::refuse(const wire::ControlCall& call, const MalformedReport& fault) {
+  outputs_.malformed_reports.emplace_back(call.instance_id, fault);
+  reply(call.id, http_status::kBadRequest, error_body(fault.message));
+}
+
 bool FleetController::hears_leader(TimePoint now) const {
   return subscription_.answer_age_ms(now) <= kRegistrationPatienceMs;
 }
--- a/src/core/fleet/fleet_controller.h
+++ b/src/core/fleet/fleet_controller.h
@@ -4,6 +4,7 @@
 #include <map>
 #include <optional>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "consensus/raft_node.h"
@@ -13,6 +14,7 @@
 #include "core/fleet/entry_distributor.h"
 #include "core/fleet/fleet_leader.h"
 #include "core/fleet/fleet_subscription.h"
+#include "core/fleet/registration.h"
 #include "core/fleet/registration_relay.h"
 
 namespace larchlever::fleet {
@@ -25,6 +27,8 @@
   std::vector<GroupDecision> decisions;
   /// Answers to calls submitted here.
   std::vector<wire::ControlCallReply> replies;
+  /// Reports that were refused here, by instance; to be logged.
+  std::vector<std::pair<std::string, MalformedReport>> malformed_reports;
   /// While a fleet forms: the founder that this seed chose, to be on disk before `FleetController::choice_stored`.
   /// Handed out again until then.
   std::optional<std::string> founder_choice;
@@ -103,6 +107,9 @@
   /// Takes a registration that no entry must confirm: keeps it for the leader and answers it. False when the call is
   /// another, or is to be decided by the leader.
   bool take_registration(TimePoint now, const wire::ControlCall& call);
+  /// What is wrong with a report that names a service nobody knows of.
+  std::optional<MalformedReport> find_service_fault(const wire::Instance& report) const;
+  void refuse(const wire::ControlCall& call, const MalformedReport& fault);
   void reply(int64_t id, int status, std::string body);
   void forward_registrations(TimePoint now);
   void distribute_news(TimePoint now, bool wants_confirmation);
--- a/src/core/fleet/fleet_leader.cc
+++ b/src/core/fleet/fleet_leader.cc
@@ -360,14 +360,14 @@
   bool changed = false;
   bool leaving = true;
   if (call.kind == wire::ControlCallKind::DEREGISTER) {
-    changed = instances_.deregister(now, call.instance_id);
+    changed = instances_.deregister(now, call.instance_id, parse_birth(call.body));
   } else {
-    std::string error;
-    const auto report = parse_registration(call.instance_id, call.body, error);
-    if (!report) {
-      answer(key, http_status::kBadRequest, error_body(error));
+    const auto parsed = parse_registration(call.instance_id, call.body);
+    if (const auto* fault = std::get_if<MalformedReport>(&parsed)) {
+      answer(key, http_status::kBadRequest, error_body(fault->message));
       return;
     }
+    const auto* report = std::get_if<wire::Instance>(&parsed);
     leaving = report->state == wire::InstanceState::DRAINING;
     changed = instances_.heard(now, *report);
   }
--- a/src/core/fleet/group_formation.cc
+++ b/src/core/fleet/group_formation.cc
@@ -130,6 +130,7 @@
   record.group.model = plan.model->name;
   record.group.phase = wire::GroupPhase::JOINING;
   record.group.members = plan.members;
+  note_births(record.group, directory);
   record.since = now;
   std::string name = record.group.name;
   decisions_.push_back({record.group, GroupReason::kPlanned});
@@ -148,7 +149,9 @@
   std::erase_if(staging_, [&](const auto& item) {
     const auto* instance = directory.find(item.first);
     const auto* model = engine.find_model(item.second.model);
-    const bool gone = instance == nullptr || instance->state == wire::InstanceState::GONE || model == nullptr;
+    const bool is_other_start = instance != nullptr && instance->born_ms != item.second.born_ms;
+    const bool gone = instance == nullptr || instance->state == wire::InstanceState::GONE || model == nullptr ||
+                      is_other_start;  // That one knows nothing of the order.
     // Weights that lay on the host before say nothing about those that go into the accelerators.
     const bool is_done = !gone && (instance->model == item.second.model ||
                                    (!item.second.into_accelerators && has_staged(*instance, item.second.model)));
@@ -180,7 +183,7 @@
     }
     limiter_.note_begun(now, loads);
     ++counts.under_way;
-    staging_[plan.server] = {plan.model, now, plan.into_accelerators};
+    staging_[plan.server] = {plan.model, now, plan.into_accelerators, instance->born_ms};
     order_staging(now, plan, directory);
   }
 }
--- a/src/core/fleet/group_supervisor.cc
+++ b/src/core/fleet/group_supervisor.cc
@@ -43,6 +43,15 @@
   return instance != nullptr && instance->state == wire::InstanceState::READY && !instance->silent;
 }
 
+/// The member of that rank as it reports itself; null when it is not known, or only another incarnation of it is: that
+/// one knows nothing of the group, and what it joins late under the group's name is not what was seen ready.
+const wire::Instance* find_member(const wire::EngineGroup& group, size_t rank, const InstanceDirectory& directory) {
+  const auto* member = directory.find(group.members[rank]);
+  const int64_t born_ms = rank < group.member_born_ms.size() ? group.member_born_ms[rank] : 0;
+  const bool is_other = member != nullptr && born_ms != 0 && member->born_ms != 0 && member->born_ms != born_ms;
+  return is_other ? nullptr : member;
+}
+
 bool is_success(int status) { return status >= 200 && status < 300; }
 
 /// Pause between two plans, so that planning takes a stated part of a small core whatever the fleet's size.
@@ -251,8 +260,8 @@
 bool GroupSupervisor::advance_joining(TimePoint now, Record& record, const InstanceDirectory& directory) {
   size_t ready = 0;
   bool lost = now - record.since > kJoiningPatience || record.failed;
-  for (const auto& id : record.group.members) {
-    const auto* member = directory.find(id);
+  for (size_t rank = 0; rank < record.group.members.size(); ++rank) {
+    const auto* member = find_member(record.group, rank, directory);
     lost = lost || !can_take_work(member);
     ready += reports_ready(member, record.group) ? 1 : 0;
   }
@@ -276,11 +285,12 @@
 }
 
 bool GroupSupervisor::advance_opening(TimePoint now, Record& record, const InstanceDirectory& directory) {
-  const bool complete = std::all_of(record.group.members.begin(), record.group.members.end(), [&](const auto& id) {
-    const auto* member = directory.find(id);
-    return can_take_work(member) && reports(*member, record.group) &&
-           member->membership.state != wire::MembershipState::BROKEN;
-  });
+  bool complete = true;
+  for (size_t rank = 0; rank < record.group.members.size(); ++rank) {
+    const auto* member = find_member(record.group, rank, directory);
+    complete = complete && can_take_work(member) && reports(*member, record.group) &&
+               member->membership.state != wire::MembershipState::BROKEN;
+  }
   if (!complete || record.failed) {
     set_phase(now, record, wire::GroupPhase::DISSOLVING,
               complete ? GroupReason::kEntriesReport : GroupReason::kNotComplete);
@@ -299,8 +309,9 @@
   bool broken = record.failed;
   bool leaving = false;
   bool silent = false;
-  for (const auto& id : record.group.members) {
-    const auto* member = directory.find(id);
+  for (size_t rank = 0; rank < record.group.members.size(); ++rank) {
+    const auto& id = record.group.members[rank];
+    const auto* member = find_member(record.group, rank, directory);
     if (member == nullptr) {
       broken = true;
       continue;
@@ -438,6 +449,14 @@
   return false;
 }
 
+void GroupSupervisor::note_births(wire::EngineGroup& group, const InstanceDirectory& directory) {
+  group.member_born_ms.clear();
+  for (const auto& id : group.members) {
+    const auto* member = directory.find(id);
+    group.member_born_ms.push_back(member == nullptr ? 0 : member->born_ms);
+  }
+}
+
 GroupSupervisor::Record GroupSupervisor::reported_group(const wire::Instance& instance,
                                                         const InstanceDirectory& directory) const {
   Record record;
@@ -456,6 +475,7 @@
   for (const auto& [rank, id] : by_rank) {
     record.group.members.push_back(id);
   }
+  note_births(record.group, directory);
   return record;
 }
 
--- a/src/core/fleet/group_supervisor.h
+++ b/src/core/fleet/group_supervisor.h
@@ -158,6 +158,8 @@
   /// Takes over groups that instances report and no predecessor told of, as after the loss of all control replicas.
   bool adopt_unknown(TimePoint now, const document::ConfigurationDocument& document,
                      const InstanceDirectory& directory);
+  /// The group is formed of its members as they are now.
+  static void note_births(wire::EngineGroup& group, const InstanceDirectory& directory);
   /// A record of the group that `instance` reports, with every member found; the head is empty when it is not known.
   Record reported_group(const wire::Instance& instance, const InstanceDirectory& directory) const;
   /// All members of the group are known and its head is open: nothing but the memory of it was lost.
@@ -214,6 +216,8 @@
     std::string model;
     TimePoint since{};
     bool into_accelerators = false;
+    /// Birth of the incarnation that was ordered; 0 when it does not tell.
+    int64_t born_ms = 0;
   };
   std::map<std::string, Staging> staging_;
   std::vector<InstanceOrder> orders_;
--- a/src/core/fleet/instance_directory.cc
+++ b/src/core/fleet/instance_directory.cc
@@ -13,13 +13,23 @@
 /// burst when a cut heals; a living instance reports again and again.
 constexpr Duration kTakeoverTime = milliseconds(700);
 
+/// A start that tells no birth, or an earlier one, is believed when it was heard this often over this time while the
+/// one before was silent. Without a birth only the count tells it from reports that were delayed, by seconds at times.
+constexpr int kRivalReports = 3;
+constexpr Duration kRivalTime = kTakeoverTime;
+constexpr Duration kUnsaidRivalTime = seconds(3);
+
 }  // namespace
 
+bool is_other_incarnation(const wire::Instance& left, const wire::Instance& right) {
+  return left.born_ms != 0 && right.born_ms != 0 && left.born_ms != right.born_ms;
+}
+
 bool says_the_same(const wire::Instance& left, const wire::Instance& right) {
   const auto facts = [](const wire::Instance& instance) {
     return std::tie(instance.id, instance.service_name, instance.address, instance.zone, instance.domain,
                     instance.state, instance.slots, instance.staged_models, instance.membership, instance.silent,
-                    instance.model);
+                    instance.model, instance.born_ms);
   };
   return facts(left) == facts(right);
 }
@@ -35,12 +45,47 @@
     const auto known = rows_.find(instance.id);
     if (known == rows_.end()) {
       add_row({instance, now, false});
-    } else {
+    } else if (!is_other_incarnation(known->second.instance, instance)) {
       known->second.instance.state = std::max(known->second.instance.state, instance.state);
+    } else if (instance.born_ms > known->second.instance.born_ms) {
+      replace(now, known->second, instance, false);
     }
   }
 }
 
+InstanceDirectory::ReportAge InstanceDirectory::age_of(const wire::Instance& known, const wire::Instance& report) {
+  if (is_other_incarnation(known, report)) {
+    return report.born_ms > known.born_ms ? ReportAge::kNewIncarnation : ReportAge::kPerhapsNew;
+  }
+  if (report.call_number >= known.call_number) {
+    return ReportAge::kCurrent;
+  }
+  const bool is_same_for_sure = known.born_ms != 0 && known.born_ms == report.born_ms;
+  return is_same_for_sure ? ReportAge::kLate : ReportAge::kPerhapsNew;
+}
+
+bool InstanceDirectory::note_rival(TimePoint now, InstanceRow& row, const wire::Instance& report) {
+  auto& rival = row.rival;
+  if (!rival || rival->born_ms != report.born_ms) {
+    rival = RivalIncarnation{report.born_ms, report.call_number, now, 1};
+    return false;
+  }
+  if (report.call_number <= rival->call_number) {
+    return false;
+  }
+  rival->call_number = report.call_number;
+  ++rival->reports;
+  const Duration needed = report.born_ms == 0 ? kUnsaidRivalTime : kRivalTime;
+  return rival->reports >= kRivalReports && now - rival->since >= needed;
+}
+
+void InstanceDirectory::replace(TimePoint now, InstanceRow& row, const wire::Instance& report, bool heard_here) {
+  std::erase(by_address_[row.instance.address], &row);
+  const bool contends = heard_here && is_held_by_another(report);
+  row = InstanceRow{report, now, heard_here, contends ? std::optional(now) : std::nullopt};
+  by_address_[report.address].push_back(&row);
+}
+
 InstanceRow& InstanceDirectory::add_row(InstanceRow row) {
   const std::string id = row.instance.id;
   InstanceRow& added = rows_[id] = std::move(row);
@@ -86,9 +131,17 @@
     return true;
   }
   InstanceRow& row = found->second;
-  if (report.call_number < row.instance.call_number || row.instance.state == wire::InstanceState::GONE) {
+  const ReportAge age = age_of(row.instance, report);
+  const bool is_new =
+      age == ReportAge::kNewIncarnation || (age == ReportAge::kPerhapsNew && note_rival(now, row, report));
+  if (is_new) {
+    replace(now, row, report, true);
+    return true;
+  }
+  if (age != ReportAge::kCurrent || row.instance.state == wire::InstanceState::GONE) {
     return false;
   }
+  row.rival.reset();
   if (!row.heard_here && is_held_by_another(report)) {
     row.contends_since = now;  // The copy may name an earlier holder of the address, or a later one.
   }
@@ -107,14 +160,21 @@
     return true;
   }
   InstanceRow& row = found->second;
-  const bool is_news = !row.heard_here && report.call_number > row.instance.call_number &&
+  const ReportAge age = age_of(row.instance, report);
+  if (age == ReportAge::kNewIncarnation) {
+    replace(now, row, report, false);
+    return true;
+  }
+  const bool is_news = age == ReportAge::kCurrent && !row.heard_here && report.call_number > row.instance.call_number &&
                        row.instance.state != wire::InstanceState::GONE;
   return is_news && take_report(row, report);
 }
 
 bool InstanceDirectory::take_report(InstanceRow& row, const wire::Instance& report) {
   wire::Instance next = report;
-  next.address = row.instance.address;  // An instance stays where it started.
+  next.address = row.instance.address;  // An instance stays where it started, and of the service that it started as.
+  next.service_name = row.instance.service_name;
+  next.born_ms = std::max(row.instance.born_ms, report.born_ms);
   next.state = std::max(row.instance.state, report.state);
   next.silent = false;
   if (next.model.empty()) {
@@ -125,17 +185,23 @@
   return changed;
 }
 
-bool InstanceDirectory::deregister(TimePoint now, const std::string& id) {
+bool InstanceDirectory::deregister(TimePoint now, const std::string& id, int64_t born_ms) {
   const auto found = rows_.find(id);
+  const bool is_late = found != rows_.end() && born_ms != 0 && born_ms < found->second.instance.born_ms;
+  if (is_late) {
+    return false;
+  }
   if (found == rows_.end()) {
     // Unknown here, yet its late heartbeats must not register it.
     wire::Instance instance;
     instance.id = id;
+    instance.born_ms = born_ms;
     instance.state = wire::InstanceState::GONE;
     add_row({instance, now, true});
     return true;
   }
   const bool changed = found->second.instance.state != wire::InstanceState::GONE;
+  found->second.instance.born_ms = std::max(found->second.instance.born_ms, born_ms);
   found->second.instance.state = wire::InstanceState::GONE;
   found->second.last_heard = now;
   return changed;
--- a/src/core/fleet/instance_directory.h
+++ b/src/core/fleet/instance_directory.h
@@ -13,6 +13,19 @@
 /// Whether two reports of an instance say the same; the call number alone is no news.
 bool says_the_same(const wire::Instance& left, const wire::Instance& right);
 
+/// Whether two reports under one id stem from different starts of the server; not known, hence false, where either does
+/// not tell its birth.
+bool is_other_incarnation(const wire::Instance& left, const wire::Instance& right);
+
+/// A start of a server that speaks under the id of a row as if it came before: a late report, or a new start whose
+/// clock was set back or that does not tell its birth.
+struct RivalIncarnation {
+  int64_t born_ms = 0;
+  int64_t call_number = 0;
+  TimePoint since{};
+  int reports = 0;
+};
+
 struct InstanceRow {
   wire::Instance instance;
   TimePoint last_heard{};
@@ -21,15 +34,21 @@
   /// Since when the instance is heard at an address that another one holds; nothing once that is settled. Until then it
   /// may be a late heartbeat of an instance that ended long ago.
   std::optional<TimePoint> contends_since = std::nullopt;
+  /// Heard since the row's own incarnation was last heard.
+  std::optional<RivalIncarnation> rival = std::nullopt;
 
   /// Heard by this leader, and alone at its address: what the row says is the instance's own word.
   bool is_settled() const { return heard_here && !contends_since; }
 };
 
-/// The leader's table of registered instances.
+/// The leader's table of registered instances. A server may start again under its id: (id, birth) is an incarnation,
+/// and a row tells of the newest one alone.
 ///
-/// Guarantees: an instance's state never goes back (ready, draining, gone), whatever arrives late; reports of one
-/// instance take effect in the order of their call numbers; an address belongs to the instance that goes on reporting
+/// Guarantees: an incarnation's state never goes back (ready, draining, gone), whatever arrives late; its reports take
+/// effect in the order of their call numbers; one that was born later replaces an earlier one at once, with all that
+/// was known of that, and an earlier one changes nothing, whatever its call number. An incarnation that seems to come
+/// before, since its clock was set back or it tells no birth, is believed once it is heard again and again while the
+/// other is not. An address belongs to the instance that goes on reporting
 /// from it, so a heartbeat that arrives after its sender was replaced displaces nobody. Single-threaded, deterministic.
 class InstanceDirectory {
  public:
@@ -44,8 +63,9 @@
   /// Notes a heartbeat that may be older than this leadership: news, but not the instance's word on what it does now.
   /// True when it changed something that subscribers must know.
   bool heard_before(TimePoint now, const wire::Instance& report);
-  /// The instance said that it leaves for good. True when that is news.
-  bool deregister(TimePoint now, const std::string& id);
+  /// The instance said that it leaves for good; `born_ms` is 0 where it does not tell its birth. True when that is
+  /// news.
+  bool deregister(TimePoint now, const std::string& id, int64_t born_ms = 0);
   /// Marks instances silent or heard again, and forgets those long gone. True when something changed. When more than
   /// half of all ready instances are silent at once, it is we who are cut off: nothing is marked.
   bool tick(TimePoint now);
@@ -62,6 +82,17 @@
   /// Notes that an instance was heard again: who contends for its address must begin anew, and it may itself win.
   void settle_address(TimePoint now, InstanceRow& row);
 
+  enum class ReportAge {
+    kNewIncarnation,  ///< Of a later start than the row tells of.
+    kCurrent,         ///< Of the row's start, and not overtaken.
+    kPerhapsNew,      ///< Counts lower or was born earlier; a late one, unless it is heard again and again.
+    kLate
+  };
+  static ReportAge age_of(const wire::Instance& known, const wire::Instance& report);
+  /// Notes a report that seems to come before. True when its incarnation is to be believed.
+  static bool note_rival(TimePoint now, InstanceRow& row, const wire::Instance& report);
+  /// The row tells of another incarnation from now on.
+  void replace(TimePoint now, InstanceRow& row, const wire::Instance& report, bool heard_here);
   InstanceRow& add_row(InstanceRow row);
   /// Takes what a newer report says; state only moves forward. True when it changed something.
   static bool take_report(InstanceRow& row, const wire::Instance& report);
--- a/src/core/fleet/registration_relay.cc
+++ b/src/core/fleet/registration_relay.cc
@@ -11,8 +11,12 @@
 
 void RegistrationRelay::note(TimePoint now, wire::Instance report) {
   Report& known = reports_[report.id];
-  if (report.call_number < known.report.instance.call_number) {
-    return;  // Overtaken on its way.
+  const auto& newest = known.report.instance;
+  const bool is_lower = report.call_number < newest.call_number;
+  const bool is_same_start = report.born_ms != 0 && report.born_ms == newest.born_ms;
+  const bool tells_no_birth = report.born_ms == 0 && newest.born_ms == 0;
+  if (is_lower && (is_same_start || (tells_no_birth && unsent_.contains(report.id)))) {
+    return;  // Overtaken on its way. Whether another start came before is for the leader to judge.
   }
   unsent_.insert(report.id);
   known.report.instance = std::move(report);
--- a/src/core/fleet/registration_relay.h
+++ b/src/core/fleet/registration_relay.h
@@ -16,9 +16,9 @@
 /// forwards them to the leader in batches. The instance is answered at once, whether there is a leader or not.
 ///
 /// Guarantees: what was taken here within `memory` reaches every leader that this replica learns of, as long as a link
-/// to it stands; later heartbeats replace earlier ones, so a batch is bounded by the number of instances. Each names
-/// the term that was known here when it was taken: a term of the receiver's own proves that the instance spoke after
-/// the receiver was elected, with no clocks compared. Single-threaded, deterministic.
+/// to it stands; later heartbeats replace earlier ones of an incarnation, so a batch is bounded by the number of
+/// instances. Each names the term that was known here when it was taken: a term of the receiver's own proves that the
+/// instance spoke after the receiver was elected, with no clocks compared. Single-threaded, deterministic.
 class RegistrationRelay {
  public:
   /// An instance that did not report for `memory` is left to the leader's own judgement.
--- a/src/node/control_process.cc
+++ b/src/node/control_process.cc
@@ -29,6 +29,8 @@
 constexpr Duration kFleetReportInterval = seconds(1);
 /// How often a seed logs what it waits for while the fleet is not formed.
 constexpr Duration kFormationReportInterval = seconds(1);
+/// Shortest time between two lines on reports that were refused.
+constexpr Duration kMalformedReportInterval = milliseconds(200);
 /// Shortest time between two copies of the fleet's state on disk.
 constexpr Duration kStateSaveInterval = milliseconds(400);
 /// Pause before a failed data folder is opened again: a full disk may have room by then.
@@ -141,6 +143,7 @@
   void renew_identity();
   void pump();
   void report_changes();
+  void report_malformed(const std::string& instance, const fleet::MalformedReport& fault);
   void report_decision(const fleet::GroupDecision& decision) const;
   void report_fleet();
   void report_instances();
@@ -171,11 +174,15 @@
     bool silent = false;
     std::string model;
     std::vector<std::string> staged_models;
+    int64_t born_ms = 0;
     bool operator==(const ReportedInstance&) const = default;
   };
   std::map<std::string, ReportedInstance> reported_instances_;
   /// The blocked requests as last logged.
   std::vector<wire::BlockedRequest> reported_blocked_;
+  /// Reports of instances that were refused since the start.
+  uint64_t malformed_reports_ = 0;
+  TimePoint next_malformed_report_{};
   int64_t known_version_ = 0;
   size_t known_voters_ = 0;
   std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
@@ -305,11 +312,28 @@
   for (const auto& decision : outputs.decisions) {
     report_decision(decision);
   }
+  for (const auto& [instance, fault] : outputs.malformed_reports) {
+    report_malformed(instance, fault);
+  }
   for (const auto& reply : outputs.replies) {
     api_.complete(reply);
   }
 }
 
+void ControlProcess::report_malformed(const std::string& instance, const fleet::MalformedReport& fault) {
+  const TimePoint now = monotonic_now();
+  ++malformed_reports_;
+  if (now < next_malformed_report_) {
+    return;  // Counted in the next line: another writer may report as often as all servers together.
+  }
+  next_malformed_report_ = now + kMalformedReportInterval;
+  log_problem(settings_.name, "malformed_report",
+              {{"instance", instance},
+               {"field", fault.field},
+               {"reason", fault.message},
+               {"refused_so_far", std::to_string(malformed_reports_)}});
+}
+
 void ControlProcess::save_state() {
   const TimePoint now = monotonic_now();
   const auto& state = controller_.subscription().state();
@@ -359,7 +383,7 @@
   std::erase_if(reported_instances_, [&rows](const auto& item) { return !rows.contains(item.first); });
   for (const auto& [id, row] : rows) {
     const ReportedInstance state{row.instance.state, row.instance.silent, row.instance.model,
-                                 row.instance.staged_models};
+                                 row.instance.staged_models, row.instance.born_ms};
     const auto [reported, is_new] = reported_instances_.try_emplace(id, state);
     if (!is_new && reported->second == state) {
       continue;
@@ -367,6 +391,7 @@
     reported->second = state;
     log_event(settings_.name, "instance_changed",
               {{"instance", id},
+               {"born", std::to_string(state.born_ms)},
                {"service", row.instance.service_name},
                {"zone", row.instance.zone},
                {"domain", row.instance.domain},
--- a/src/node/entry_process.cc
+++ b/src/node/entry_process.cc
@@ -133,7 +133,9 @@
   }
   const bool changed = state_.subscription.receive(monotonic_now(), envelope);
   if (changed) {
-    state_.dispatcher.update_state(state_.subscription.state());
+    for (const auto& target : state_.dispatcher.update_state(state_.subscription.state())) {
+      relay_.abandon_lost(target);
+    }
     state_.blocked.update(monotonic_now(), state_.subscription.state().blocked_requests);
     adopt_document();
   }
--- a/src/node/request_relay.cc
+++ b/src/node/request_relay.cc
@@ -229,7 +229,11 @@
   const ScopeExit finish([this, &request, &target, cancellation] {
     state_.dispatcher.end(target, request.mark);
     note_load(target);
-    state_.under_way[target.key].erase(cancellation);
+    auto& under_way = state_.under_way[target.key];
+    under_way.erase(cancellation);
+    if (under_way.empty()) {
+      state_.under_way.erase(target.key);
+    }
     request.cancellation.reset();
   });
   co_return co_await send_once(request, target);
@@ -357,6 +361,18 @@
   }
 }
 
+void RequestRelay::abandon_lost(const std::string& target_key) {
+  const auto found = state_.under_way.find(target_key);
+  if (found == state_.under_way.end() || found->second.empty()) {
+    return;
+  }
+  log_event("", "server_started_again", {{"target", target_key}, {"requests", std::to_string(found->second.size())}});
+  const auto under_way = found->second;
+  for (const auto& cancellation : under_way) {
+    cancellation->cancel();
+  }
+}
+
 void RequestRelay::abandon_failed(TimePoint now, const std::string& group) {
   const auto target = state_.dispatcher.target_of_group(now, group);
   if (!target) {
--- a/src/node/request_relay.h
+++ b/src/node/request_relay.h
@@ -31,6 +31,8 @@
   boost::asio::awaitable<void> handle(net::HttpExchange& exchange) override;
   /// Gives up what waits at groups that stand still, so that it is sent elsewhere. To be called every few ticks.
   void abandon_stalled(TimePoint now);
+  /// The target's server started again: nothing of what is under way there comes back.
+  void abandon_lost(const std::string& target_key);
   /// The leader found that the group stands still.
   void abandon_failed(TimePoint now, const std::string& group);
 
--- a/src/wire/gen-cpp/larchlever_types.cpp
+++ b/src/wire/gen-cpp/larchlever_types.cpp
@@ -11938,6 +11938,10 @@
 void EngineGroup::__set_phase(const GroupPhase::type val) {
   this->phase = val;
 }
+
+void EngineGroup::__set_member_born_ms(const std::vector<int64_t> & val) {
+  this->member_born_ms = val;
+}
 std::ostream& operator<<(std::ostream& out, const EngineGroup& obj)
 {
   obj.printTo(out);
@@ -12028,6 +12032,26 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 7:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->member_born_ms.clear();
+            uint32_t _size449;
+            ::apache::thrift::protocol::TType _etype452;
+            xfer += iprot->readListBegin(_etype452, _size449);
+            this->member_born_ms.resize(_size449);
+            uint32_t _i453;
+            for (_i453 = 0; _i453 < _size449; ++_i453)
+            {
+              xfer += iprot->readI64(this->member_born_ms[_i453]);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.member_born_ms = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -12064,10 +12088,10 @@
   xfer += oprot->writeFieldBegin("members", ::apache::thrift::protocol::T_LIST, 5);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->members.size()));
-    std::vector<std::string> ::const_iterator _iter449;
-    for (_iter449 = this->members.begin(); _iter449 != this->members.end(); ++_iter449)
+    std::vector<std::string> ::const_iterator _iter454;
+    for (_iter454 = this->members.begin(); _iter454 != this->members.end(); ++_iter454)
     {
-      xfer += oprot->writeString((*_iter449));
+      xfer += oprot->writeString((*_iter454));
     }
     xfer += oprot->writeListEnd();
   }
@@ -12077,6 +12101,18 @@
   xfer += oprot->writeI32(static_cast<int32_t>(this->phase));
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("member_born_ms", ::apache::thrift::protocol::T_LIST, 7);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I64, static_cast<uint32_t>(this->member_born_ms.size()));
+    std::vector<int64_t> ::const_iterator _iter455;
+    for (_iter455 = this->member_born_ms.begin(); _iter455 != this->member_born_ms.end(); ++_iter455)
+    {
+      xfer += oprot->writeI64((*_iter455));
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -12090,45 +12126,50 @@
   swap(a.model, b.model);
   swap(a.members, b.members);
   swap(a.phase, b.phase);
+  swap(a.member_born_ms, b.member_born_ms);
   swap(a.__isset, b.__isset);
 }
 
-EngineGroup::EngineGroup(const EngineGroup& other450) {
-  name = other450.name;
-  epoch = other450.epoch;
-  service_name = other450.service_name;
-  model = other450.model;
-  members = other450.members;
-  phase = other450.phase;
-  __isset = other450.__isset;
-}
-EngineGroup::EngineGroup(EngineGroup&& other451) noexcept {
-  name = std::move(other451.name);
-  epoch = other451.epoch;
-  service_name = std::move(other451.service_name);
-  model = std::move(other451.model);
-  members = std::move(other451.members);
-  phase = other451.phase;
-  __isset = other451.__isset;
-}
-EngineGroup& EngineGroup::operator=(const EngineGroup& other452) {
-  name = other452.name;
-  epoch = other452.epoch;
-  service_name = other452.service_name;
-  model = other452.model;
-  members = other452.members;
-  phase = other452.phase;
-  __isset = other452.__isset;
+EngineGroup::EngineGroup(const EngineGroup& other456) {
+  name = other456.name;
+  epoch = other456.epoch;
+  service_name = other456.service_name;
+  model = other456.model;
+  members = other456.members;
+  phase = other456.phase;
+  member_born_ms = other456.member_born_ms;
+  __isset = other456.__isset;
+}
+EngineGroup::EngineGroup(EngineGroup&& other457) noexcept {
+  name = std::move(other457.name);
+  epoch = other457.epoch;
+  service_name = std::move(other457.service_name);
+  model = std::move(other457.model);
+  members = std::move(other457.members);
+  phase = other457.phase;
+  member_born_ms = std::move(other457.member_born_ms);
+  __isset = other457.__isset;
+}
+EngineGroup& EngineGroup::operator=(const EngineGroup& other458) {
+  name = other458.name;
+  epoch = other458.epoch;
+  service_name = other458.service_name;
+  model = other458.model;
+  members = other458.members;
+  phase = other458.phase;
+  member_born_ms = other458.member_born_ms;
+  __isset = other458.__isset;
   return *this;
 }
-EngineGroup& EngineGroup::operator=(EngineGroup&& other453) noexcept {
-  name = std::move(other453.name);
-  epoch = other453.epoch;
-  service_name = std::move(other453.service_name);
-  model = std::move(other453.model);
-  members = std::move(other453.members);
-  phase = other453.phase;
-  __isset = other453.__isset;
+EngineGroup& EngineGroup::operator=(EngineGroup&& other459) noexcept {
+  name = std::move(other459.name);
+  epoch = other459.epoch;
+  service_name = std::move(other459.service_name);
+  model = std::move(other459.model);
+  members = std::move(other459.members);
+  phase = other459.phase;
+  member_born_ms = std::move(other459.member_born_ms);
+  __isset = other459.__isset;
   return *this;
 }
 void EngineGroup::printTo(std::ostream& out) const {
@@ -12140,6 +12181,7 @@
   out << ", " << "model=" << to_string(model);
   out << ", " << "members=" << to_string(members);
   out << ", " << "phase=" << to_string(phase);
+  out << ", " << "member_born_ms=" << to_string(member_born_ms);
   out << ")";
 }
 
@@ -12270,34 +12312,34 @@
   swap(a.__isset, b.__isset);
 }
 
-BlockedRequest::BlockedRequest(const BlockedRequest& other454) noexcept {
-  fingerprint = other454.fingerprint;
-  trials = other454.trials;
-  trial_due = other454.trial_due;
-  wait_ms = other454.wait_ms;
-  __isset = other454.__isset;
-}
-BlockedRequest::BlockedRequest(BlockedRequest&& other455) noexcept {
-  fingerprint = other455.fingerprint;
-  trials = other455.trials;
-  trial_due = other455.trial_due;
-  wait_ms = other455.wait_ms;
-  __isset = other455.__isset;
-}
-BlockedRequest& BlockedRequest::operator=(const BlockedRequest& other456) noexcept {
-  fingerprint = other456.fingerprint;
-  trials = other456.trials;
-  trial_due = other456.trial_due;
-  wait_ms = other456.wait_ms;
-  __isset = other456.__isset;
+BlockedRequest::BlockedRequest(const BlockedRequest& other460) noexcept {
+  fingerprint = other460.fingerprint;
+  trials = other460.trials;
+  trial_due = other460.trial_due;
+  wait_ms = other460.wait_ms;
+  __isset = other460.__isset;
+}
+BlockedRequest::BlockedRequest(BlockedRequest&& other461) noexcept {
+  fingerprint = other461.fingerprint;
+  trials = other461.trials;
+  trial_due = other461.trial_due;
+  wait_ms = other461.wait_ms;
+  __isset = other461.__isset;
+}
+BlockedRequest& BlockedRequest::operator=(const BlockedRequest& other462) noexcept {
+  fingerprint = other462.fingerprint;
+  trials = other462.trials;
+  trial_due = other462.trial_due;
+  wait_ms = other462.wait_ms;
+  __isset = other462.__isset;
   return *this;
 }
-BlockedRequest& BlockedRequest::operator=(BlockedRequest&& other457) noexcept {
-  fingerprint = other457.fingerprint;
-  trials = other457.trials;
-  trial_due = other457.trial_due;
-  wait_ms = other457.wait_ms;
-  __isset = other457.__isset;
+BlockedRequest& BlockedRequest::operator=(BlockedRequest&& other463) noexcept {
+  fingerprint = other463.fingerprint;
+  trials = other463.trials;
+  trial_due = other463.trial_due;
+  wait_ms = other463.wait_ms;
+  __isset = other463.__isset;
   return *this;
 }
 void BlockedRequest::printTo(std::ostream& out) const {
@@ -12382,14 +12424,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->instances.clear();
-            uint32_t _size458;
-            ::apache::thrift::protocol::TType _etype461;
-            xfer += iprot->readListBegin(_etype461, _size458);
-            this->instances.resize(_size458);
-            uint32_t _i462;
-            for (_i462 = 0; _i462 < _size458; ++_i462)
+            uint32_t _size464;
+            ::apache::thrift::protocol::TType _etype467;
+            xfer += iprot->readListBegin(_etype467, _size464);
+            this->instances.resize(_size464);
+            uint32_t _i468;
+            for (_i468 = 0; _i468 < _size464; ++_i468)
             {
-              xfer += this->instances[_i462].read(iprot);
+              xfer += this->instances[_i468].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -12402,14 +12444,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->groups.clear();
-            uint32_t _size463;
-            ::apache::thrift::protocol::TType _etype466;
-            xfer += iprot->readListBegin(_etype466, _size463);
-            this->groups.resize(_size463);
-            uint32_t _i467;
-            for (_i467 = 0; _i467 < _size463; ++_i467)
+            uint32_t _size469;
+            ::apache::thrift::protocol::TType _etype472;
+            xfer += iprot->readListBegin(_etype472, _size469);
+            this->groups.resize(_size469);
+            uint32_t _i473;
+            for (_i473 = 0; _i473 < _size469; ++_i473)
             {
-              xfer += this->groups[_i467].read(iprot);
+              xfer += this->groups[_i473].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -12422,14 +12464,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->blocked_requests.clear();
-            uint32_t _size468;
-            ::apache::thrift::protocol::TType _etype471;
-            xfer += iprot->readListBegin(_etype471, _size468);
-            this->blocked_requests.resize(_size468);
-            uint32_t _i472;
-            for (_i472 = 0; _i472 < _size468; ++_i472)
+            uint32_t _size474;
+            ::apache::thrift::protocol::TType _etype477;
+            xfer += iprot->readListBegin(_etype477, _size474);
+            this->blocked_requests.resize(_size474);
+            uint32_t _i478;
+            for (_i478 = 0; _i478 < _size474; ++_i478)
             {
-              xfer += this->blocked_requests[_i472].read(iprot);
+              xfer += this->blocked_requests[_i478].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -12466,10 +12508,10 @@
   xfer += oprot->writeFieldBegin("instances", ::apache::thrift::protocol::T_LIST, 3);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->instances.size()));
-    std::vector<Instance> ::const_iterator _iter473;
-    for (_iter473 = this->instances.begin(); _iter473 != this->instances.end(); ++_iter473)
+    std::vector<Instance> ::const_iterator _iter479;
+    for (_iter479 = this->instances.begin(); _iter479 != this->instances.end(); ++_iter479)
     {
-      xfer += (*_iter473).write(oprot);
+      xfer += (*_iter479).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -12478,10 +12520,10 @@
   xfer += oprot->writeFieldBegin("groups", ::apache::thrift::protocol::T_LIST, 4);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->groups.size()));
-    std::vector<EngineGroup> ::const_iterator _iter474;
-    for (_iter474 = this->groups.begin(); _iter474 != this->groups.end(); ++_iter474)
+    std::vector<EngineGroup> ::const_iterator _iter480;
+    for (_iter480 = this->groups.begin(); _iter480 != this->groups.end(); ++_iter480)
     {
-      xfer += (*_iter474).write(oprot);
+      xfer += (*_iter480).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -12490,10 +12532,10 @@
   xfer += oprot->writeFieldBegin("blocked_requests", ::apache::thrift::protocol::T_LIST, 5);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->blocked_requests.size()));
-    std::vector<BlockedRequest> ::const_iterator _iter475;
-    for (_iter475 = this->blocked_requests.begin(); _iter475 != this->blocked_requests.end(); ++_iter475)
+    std::vector<BlockedRequest> ::const_iterator _iter481;
+    for (_iter481 = this->blocked_requests.begin(); _iter481 != this->blocked_requests.end(); ++_iter481)
     {
-      xfer += (*_iter475).write(oprot);
+      xfer += (*_iter481).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -12514,38 +12556,38 @@
   swap(a.__isset, b.__isset);
 }
 
-FleetState::FleetState(const FleetState& other476) {
-  term = other476.term;
-  version = other476.version;
-  instances = other476.instances;
-  groups = other476.groups;
-  blocked_requests = other476.blocked_requests;
-  __isset = other476.__isset;
-}
-FleetState::FleetState(FleetState&& other477) noexcept {
-  term = other477.term;
-  version = other477.version;
-  instances = std::move(other477.instances);
-  groups = std::move(other477.groups);
-  blocked_requests = std::move(other477.blocked_requests);
-  __isset = other477.__isset;
-}
-FleetState& FleetState::operator=(const FleetState& other478) {
-  term = other478.term;
-  version = other478.version;
-  instances = other478.instances;
-  groups = other478.groups;
-  blocked_requests = other478.blocked_requests;
-  __isset = other478.__isset;
+FleetState::FleetState(const FleetState& other482) {
+  term = other482.term;
+  version = other482.version;
+  instances = other482.instances;
+  groups = other482.groups;
+  blocked_requests = other482.blocked_requests;
+  __isset = other482.__isset;
+}
+FleetState::FleetState(FleetState&& other483) noexcept {
+  term = other483.term;
+  version = other483.version;
+  instances = std::move(other483.instances);
+  groups = std::move(other483.groups);
+  blocked_requests = std::move(other483.blocked_requests);
+  __isset = other483.__isset;
+}
+FleetState& FleetState::operator=(const FleetState& other484) {
+  term = other484.term;
+  version = other484.version;
+  instances = other484.instances;
+  groups = other484.groups;
+  blocked_requests = other484.blocked_requests;
+  __isset = other484.__isset;
   return *this;
 }
-FleetState& FleetState::operator=(FleetState&& other479) noexcept {
-  term = other479.term;
-  version = other479.version;
-  instances = std::move(other479.instances);
-  groups = std::move(other479.groups);
-  blocked_requests = std::move(other479.blocked_requests);
-  __isset = other479.__isset;
+FleetState& FleetState::operator=(FleetState&& other485) noexcept {
+  term = other485.term;
+  version = other485.version;
+  instances = std::move(other485.instances);
+  groups = std::move(other485.groups);
+  blocked_requests = std::move(other485.blocked_requests);
+  __isset = other485.__isset;
   return *this;
 }
 void FleetState::printTo(std::ostream& out) const {
@@ -12655,14 +12697,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->instances.clear();
-            uint32_t _size480;
-            ::apache::thrift::protocol::TType _etype483;
-            xfer += iprot->readListBegin(_etype483, _size480);
-            this->instances.resize(_size480);
-            uint32_t _i484;
-            for (_i484 = 0; _i484 < _size480; ++_i484)
+            uint32_t _size486;
+            ::apache::thrift::protocol::TType _etype489;
+            xfer += iprot->readListBegin(_etype489, _size486);
+            this->instances.resize(_size486);
+            uint32_t _i490;
+            for (_i490 = 0; _i490 < _size486; ++_i490)
             {
-              xfer += this->instances[_i484].read(iprot);
+              xfer += this->instances[_i490].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -12675,14 +12717,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->removed_instances.clear();
-            uint32_t _size485;
-            ::apache::thrift::protocol::TType _etype488;
-            xfer += iprot->readListBegin(_etype488, _size485);
-            this->removed_instances.resize(_size485);
-            uint32_t _i489;
-            for (_i489 = 0; _i489 < _size485; ++_i489)
+            uint32_t _size491;
+            ::apache::thrift::protocol::TType _etype494;
+            xfer += iprot->readListBegin(_etype494, _size491);
+            this->removed_instances.resize(_size491);
+            uint32_t _i495;
+            for (_i495 = 0; _i495 < _size491; ++_i495)
             {
-              xfer += iprot->readString(this->removed_instances[_i489]);
+              xfer += iprot->readString(this->removed_instances[_i495]);
             }
             xfer += iprot->readListEnd();
           }
@@ -12695,14 +12737,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->groups.clear();
-            uint32_t _size490;
-            ::apache::thrift::protocol::TType _etype493;
-            xfer += iprot->readListBegin(_etype493, _size490);
-            this->groups.resize(_size490);
-            uint32_t _i494;
-            for (_i494 = 0; _i494 < _size490; ++_i494)
+            uint32_t _size496;
+            ::apache::thrift::protocol::TType _etype499;
+            xfer += iprot->readListBegin(_etype499, _size496);
+            this->groups.resize(_size496);
+            uint32_t _i500;
+            for (_i500 = 0; _i500 < _size496; ++_i500)
             {
-              xfer += this->groups[_i494].read(iprot);
+              xfer += this->groups[_i500].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -12715,14 +12757,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->removed_groups.clear();
-            uint32_t _size495;
-            ::apache::thrift::protocol::TType _etype498;
-            xfer += iprot->readListBegin(_etype498, _size495);
-            this->removed_groups.resize(_size495);
-            uint32_t _i499;
-            for (_i499 = 0; _i499 < _size495; ++_i499)
+            uint32_t _size501;
+            ::apache::thrift::protocol::TType _etype504;
+            xfer += iprot->readListBegin(_etype504, _size501);
+            this->removed_groups.resize(_size501);
+            uint32_t _i505;
+            for (_i505 = 0; _i505 < _size501; ++_i505)
             {
-              xfer += iprot->readString(this->removed_groups[_i499]);
+              xfer += iprot->readString(this->removed_groups[_i505]);
             }
             xfer += iprot->readListEnd();
           }
@@ -12735,14 +12777,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->blocked_requests.clear();
-            uint32_t _size500;
-            ::apache::thrift::protocol::TType _etype503;
-            xfer += iprot->readListBegin(_etype503, _size500);
-            this->blocked_requests.resize(_size500);
-            uint32_t _i504;
-            for (_i504 = 0; _i504 < _size500; ++_i504)
+            uint32_t _size506;
+            ::apache::thrift::protocol::TType _etype509;
+            xfer += iprot->readListBegin(_etype509, _size506);
+            this->blocked_requests.resize(_size506);
+            uint32_t _i510;
+            for (_i510 = 0; _i510 < _size506; ++_i510)
             {
-              xfer += this->blocked_requests[_i504].read(iprot);
+              xfer += this->blocked_requests[_i510].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -12755,14 +12797,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->removed_blocked_requests.clear();
-            uint32_t _size505;
-            ::apache::thrift::protocol::TType _etype508;
-            xfer += iprot->readListBegin(_etype508, _size505);
-            this->removed_blocked_requests.resize(_size505);
-            uint32_t _i509;
-            for (_i509 = 0; _i509 < _size505; ++_i509)
+            uint32_t _size511;
+            ::apache::thrift::protocol::TType _etype514;
+            xfer += iprot->readListBegin(_etype514, _size511);
+            this->removed_blocked_requests.resize(_size511);
+            uint32_t _i515;
+            for (_i515 = 0; _i515 < _size511; ++_i515)
             {
-              xfer += iprot->readI64(this->removed_blocked_requests[_i509]);
+              xfer += iprot->readI64(this->removed_blocked_requests[_i515]);
             }
             xfer += iprot->readListEnd();
           }
@@ -12803,10 +12845,10 @@
   xfer += oprot->writeFieldBegin("instances", ::apache::thrift::protocol::T_LIST, 4);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->instances.size()));
-    std::vector<Instance> ::const_iterator _iter510;
-    for (_iter510 = this->instances.begin(); _iter510 != this->instances.end(); ++_iter510)
+    std::vector<Instance> ::const_iterator _iter516;
+    for (_iter516 = this->instances.begin(); _iter516 != this->instances.end(); ++_iter516)
     {
-      xfer += (*_iter510).write(oprot);
+      xfer += (*_iter516).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -12815,10 +12857,10 @@
   xfer += oprot->writeFieldBegin("removed_instances", ::apache::thrift::protocol::T_LIST, 5);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->removed_instances.size()));
-    std::vector<std::string> ::const_iterator _iter511;
-    for (_iter511 = this->removed_instances.begin(); _iter511 != this->removed_instances.end(); ++_iter511)
+    std::vector<std::string> ::const_iterator _iter517;
+    for (_iter517 = this->removed_instances.begin(); _iter517 != this->removed_instances.end(); ++_iter517)
     {
-      xfer += oprot->writeString((*_iter511));
+      xfer += oprot->writeString((*_iter517));
     }
     xfer += oprot->writeListEnd();
   }
@@ -12827,10 +12869,10 @@
   xfer += oprot->writeFieldBegin("groups", ::apache::thrift::protocol::T_LIST, 6);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->groups.size()));
-    std::vector<EngineGroup> ::const_iterator _iter512;
-    for (_iter512 = this->groups.begin(); _iter512 != this->groups.end(); ++_iter512)
+    std::vector<EngineGroup> ::const_iterator _iter518;
+    for (_iter518 = this->groups.begin(); _iter518 != this->groups.end(); ++_iter518)
     {
-      xfer += (*_iter512).write(oprot);
+      xfer += (*_iter518).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -12839,10 +12881,10 @@
   xfer += oprot->writeFieldBegin("removed_groups", ::apache::thrift::protocol::T_LIST, 7);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->removed_groups.size()));
-    std::vector<std::string> ::const_iterator _iter513;
-    for (_iter513 = this->removed_groups.begin(); _iter513 != this->removed_groups.end(); ++_iter513)
+    std::vector<std::string> ::const_iterator _iter519;
+    for (_iter519 = this->removed_groups.begin(); _iter519 != this->removed_groups.end(); ++_iter519)
     {
-      xfer += oprot->writeString((*_iter513));
+      xfer += oprot->writeString((*_iter519));
     }
     xfer += oprot->writeListEnd();
   }
@@ -12851,10 +12893,10 @@
   xfer += oprot->writeFieldBegin("blocked_requests", ::apache::thrift::protocol::T_LIST, 8);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->blocked_requests.size()));
-    std::vector<BlockedRequest> ::const_iterator _iter514;
-    for (_iter514 = this->blocked_requests.begin(); _iter514 != this->blocked_requests.end(); ++_iter514)
+    std::vector<BlockedRequest> ::const_iterator _iter520;
+    for (_iter520 = this->blocked_requests.begin(); _iter520 != this->blocked_requests.end(); ++_iter520)
     {
-      xfer += (*_iter514).write(oprot);
+      xfer += (*_iter520).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -12863,10 +12905,10 @@
   xfer += oprot->writeFieldBegin("removed_blocked_requests", ::apache::thrift::protocol::T_LIST, 9);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I64, static_cast<uint32_t>(this->removed_blocked_requests.size()));
-    std::vector<int64_t> ::const_iterator _iter515;
-    for (_iter515 = this->removed_blocked_requests.begin(); _iter515 != this->removed_blocked_requests.end(); ++_iter515)
+    std::vector<int64_t> ::const_iterator _iter521;
+    for (_iter521 = this->removed_blocked_requests.begin(); _iter521 != this->removed_blocked_requests.end(); ++_iter521)
     {
-      xfer += oprot->writeI64((*_iter515));
+      xfer += oprot->writeI64((*_iter521));
     }
     xfer += oprot->writeListEnd();
   }
@@ -12891,54 +12933,54 @@
   swap(a.__isset, b.__isset);
 }
 
-FleetStateChange::FleetStateChange(const FleetStateChange& other516) {
-  term = other516.term;
-  from_version = other516.from_version;
-  version = other516.version;
-  instances = other516.instances;
-  removed_instances = other516.removed_instances;
-  groups = other516.groups;
-  removed_groups = other516.removed_groups;
-  blocked_requests = other516.blocked_requests;
-  removed_blocked_requests = other516.removed_blocked_requests;
-  __isset = other516.__isset;
-}
-FleetStateChange::FleetStateChange(FleetStateChange&& other517) noexcept {
-  term = other517.term;
-  from_version = other517.from_version;
-  version = other517.version;
-  instances = std::move(other517.instances);
-  removed_instances = std::move(other517.removed_instances);
-  groups = std::move(other517.groups);
-  removed_groups = std::move(other517.removed_groups);
-  blocked_requests = std::move(other517.blocked_requests);
-  removed_blocked_requests = std::move(other517.removed_blocked_requests);
-  __isset = other517.__isset;
-}
-FleetStateChange& FleetStateChange::operator=(const FleetStateChange& other518) {
-  term = other518.term;
-  from_version = other518.from_version;
-  version = other518.version;
-  instances = other518.instances;
-  removed_instances = other518.removed_instances;
-  groups = other518.groups;
-  removed_groups = other518.removed_groups;
-  blocked_requests = other518.blocked_requests;
-  removed_blocked_requests = other518.removed_blocked_requests;
-  __isset = other518.__isset;
+FleetStateChange::FleetStateChange(const FleetStateChange& other522) {
+  term = other522.term;
+  from_version = other522.from_version;
+  version = other522.version;
+  instances = other522.instances;
+  removed_instances = other522.removed_instances;
+  groups = other522.groups;
+  removed_groups = other522.removed_groups;
+  blocked_requests = other522.blocked_requests;
+  removed_blocked_requests = other522.removed_blocked_requests;
+  __isset = other522.__isset;
+}
+FleetStateChange::FleetStateChange(FleetStateChange&& other523) noexcept {
+  term = other523.term;
+  from_version = other523.from_version;
+  version = other523.version;
+  instances = std::move(other523.instances);
+  removed_instances = std::move(other523.removed_instances);
+  groups = std::move(other523.groups);
+  removed_groups = std::move(other523.removed_groups);
+  blocked_requests = std::move(other523.blocked_requests);
+  removed_blocked_requests = std::move(other523.removed_blocked_requests);
+  __isset = other523.__isset;
+}
+FleetStateChange& FleetStateChange::operator=(const FleetStateChange& other524) {
+  term = other524.term;
+  from_version = other524.from_version;
+  version = other524.version;
+  instances = other524.instances;
+  removed_instances = other524.removed_instances;
+  groups = other524.groups;
+  removed_groups = other524.removed_groups;
+  blocked_requests = other524.blocked_requests;
+  removed_blocked_requests = other524.removed_blocked_requests;
+  __isset = other524.__isset;
   return *this;
 }
-FleetStateChange& FleetStateChange::operator=(FleetStateChange&& other519) noexcept {
-  term = other519.term;
-  from_version = other519.from_version;
-  version = other519.version;
-  instances = std::move(other519.instances);
-  removed_instances = std::move(other519.removed_instances);
-  groups = std::move(other519.groups);
-  removed_groups = std::move(other519.removed_groups);
-  blocked_requests = std::move(other519.blocked_requests);
-  removed_blocked_requests = std::move(other519.removed_blocked_requests);
-  __isset = other519.__isset;
+FleetStateChange& FleetStateChange::operator=(FleetStateChange&& other525) noexcept {
+  term = other525.term;
+  from_version = other525.from_version;
+  version = other525.version;
+  instances = std::move(other525.instances);
+  removed_instances = std::move(other525.removed_instances);
+  groups = std::move(other525.groups);
+  removed_groups = std::move(other525.removed_groups);
+  blocked_requests = std::move(other525.blocked_requests);
+  removed_blocked_requests = std::move(other525.removed_blocked_requests);
+  __isset = other525.__isset;
   return *this;
 }
 void FleetStateChange::printTo(std::ostream& out) const {
@@ -13100,38 +13142,38 @@
   swap(a.__isset, b.__isset);
 }
 
-GroupLoad::GroupLoad(const GroupLoad& other520) {
-  group = other520.group;
-  in_flight = other520.in_flight;
-  streaming = other520.streaming;
-  waiting_tokens = other520.waiting_tokens;
-  progress_age_ms = other520.progress_age_ms;
-  __isset = other520.__isset;
-}
-GroupLoad::GroupLoad(GroupLoad&& other521) noexcept {
-  group = std::move(other521.group);
-  in_flight = other521.in_flight;
-  streaming = other521.streaming;
-  waiting_tokens = other521.waiting_tokens;
-  progress_age_ms = other521.progress_age_ms;
-  __isset = other521.__isset;
-}
-GroupLoad& GroupLoad::operator=(const GroupLoad& other522) {
-  group = other522.group;
-  in_flight = other522.in_flight;
-  streaming = other522.streaming;
-  waiting_tokens = other522.waiting_tokens;
-  progress_age_ms = other522.progress_age_ms;
-  __isset = other522.__isset;
+GroupLoad::GroupLoad(const GroupLoad& other526) {
+  group = other526.group;
+  in_flight = other526.in_flight;
+  streaming = other526.streaming;
+  waiting_tokens = other526.waiting_tokens;
+  progress_age_ms = other526.progress_age_ms;
+  __isset = other526.__isset;
+}
+GroupLoad::GroupLoad(GroupLoad&& other527) noexcept {
+  group = std::move(other527.group);
+  in_flight = other527.in_flight;
+  streaming = other527.streaming;
+  waiting_tokens = other527.waiting_tokens;
+  progress_age_ms = other527.progress_age_ms;
+  __isset = other527.__isset;
+}
+GroupLoad& GroupLoad::operator=(const GroupLoad& other528) {
+  group = other528.group;
+  in_flight = other528.in_flight;
+  streaming = other528.streaming;
+  waiting_tokens = other528.waiting_tokens;
+  progress_age_ms = other528.progress_age_ms;
+  __isset = other528.__isset;
   return *this;
 }
-GroupLoad& GroupLoad::operator=(GroupLoad&& other523) noexcept {
-  group = std::move(other523.group);
-  in_flight = other523.in_flight;
-  streaming = other523.streaming;
-  waiting_tokens = other523.waiting_tokens;
-  progress_age_ms = other523.progress_age_ms;
-  __isset = other523.__isset;
+GroupLoad& GroupLoad::operator=(GroupLoad&& other529) noexcept {
+  group = std::move(other529.group);
+  in_flight = other529.in_flight;
+  streaming = other529.streaming;
+  waiting_tokens = other529.waiting_tokens;
+  progress_age_ms = other529.progress_age_ms;
+  __isset = other529.__isset;
   return *this;
 }
 void GroupLoad::printTo(std::ostream& out) const {
@@ -13306,42 +13348,42 @@
   swap(a.__isset, b.__isset);
 }
 
-ModelDemand::ModelDemand(const ModelDemand& other524) {
-  service_name = other524.service_name;
-  model = other524.model;
-  received = other524.received;
-  prompt_tokens = other524.prompt_tokens;
-  answer_tokens = other524.answer_tokens;
-  target_latency_ms = other524.target_latency_ms;
-  __isset = other524.__isset;
+ModelDemand::ModelDemand(const ModelDemand& other530) {
+  service_name = other530.service_name;
+  model = other530.model;
+  received = other530.received;
+  prompt_tokens = other530.prompt_tokens;
+  answer_tokens = other530.answer_tokens;
+  target_latency_ms = other530.target_latency_ms;
+  __isset = other530.__isset;
 }
-ModelDemand::ModelDemand(ModelDemand&& other525) noexcept {
-  service_name = std::move(other525.service_name);
-  model = std::move(other525.model);
-  received = other525.received;
-  prompt_tokens = other525.prompt_tokens;
-  answer_tokens = other525.answer_tokens;
-  target_latency_ms = other525.target_latency_ms;
-  __isset = other525.__isset;
+ModelDemand::ModelDemand(ModelDemand&& other531) noexcept {
+  service_name = std::move(other531.service_name);
+  model = std::move(other531.model);
+  received = other531.received;
+  prompt_tokens = other531.prompt_tokens;
+  answer_tokens = other531.answer_tokens;
+  target_latency_ms = other531.target_latency_ms;
+  __isset = other531.__isset;
 }
-ModelDemand& ModelDemand::operator=(const ModelDemand& other526) {
-  service_name = other526.service_name;
-  model = other526.model;
-  received = other526.received;
-  prompt_tokens = other526.prompt_tokens;
-  answer_tokens = other526.answer_tokens;
-  target_latency_ms = other526.target_latency_ms;
-  __isset = other526.__isset;
+ModelDemand& ModelDemand::operator=(const ModelDemand& other532) {
+  service_name = other532.service_name;
+  model = other532.model;
+  received = other532.received;
+  prompt_tokens = other532.prompt_tokens;
+  answer_tokens = other532.answer_tokens;
+  target_latency_ms = other532.target_latency_ms;
+  __isset = other532.__isset;
   return *this;
 }
-ModelDemand& ModelDemand::operator=(ModelDemand&& other527) noexcept {
-  service_name = std::move(other527.service_name);
-  model = std::move(other527.model);
-  received = other527.received;
-  prompt_tokens = other527.prompt_tokens;
-  answer_tokens = other527.answer_tokens;
-  target_latency_ms = other527.target_latency_ms;
-  __isset = other527.__isset;
+ModelDemand& ModelDemand::operator=(ModelDemand&& other533) noexcept {
+  service_name = std::move(other533.service_name);
+  model = std::move(other533.model);
+  received = other533.received;
+  prompt_tokens = other533.prompt_tokens;
+  answer_tokens = other533.answer_tokens;
+  target_latency_ms = other533.target_latency_ms;
+  __isset = other533.__isset;
   return *this;
 }
 void ModelDemand::printTo(std::ostream& out) const {
@@ -13432,22 +13474,22 @@
   swap(a.__isset, b.__isset);
 }
 
-GroupFailure::GroupFailure(const GroupFailure& other528) {
-  group = other528.group;
-  __isset = other528.__isset;
+GroupFailure::GroupFailure(const GroupFailure& other534) {
+  group = other534.group;
+  __isset = other534.__isset;
 }
-GroupFailure::GroupFailure(GroupFailure&& other529) noexcept {
-  group = std::move(other529.group);
-  __isset = other529.__isset;
+GroupFailure::GroupFailure(GroupFailure&& other535) noexcept {
+  group = std::move(other535.group);
+  __isset = other535.__isset;
 }
-GroupFailure& GroupFailure::operator=(const GroupFailure& other530) {
-  group = other530.group;
-  __isset = other530.__isset;
+GroupFailure& GroupFailure::operator=(const GroupFailure& other536) {
+  group = other536.group;
+  __isset = other536.__isset;
   return *this;
 }
-GroupFailure& GroupFailure::operator=(GroupFailure&& other531) noexcept {
-  group = std::move(other531.group);
-  __isset = other531.__isset;
+GroupFailure& GroupFailure::operator=(GroupFailure&& other537) noexcept {
+  group = std::move(other537.group);
+  __isset = other537.__isset;
   return *this;
 }
 void GroupFailure::printTo(std::ostream& out) const {
@@ -13739,70 +13781,70 @@
   swap(a.__isset, b.__isset);
 }
 
-FleetHeartbeat::FleetHeartbeat(const FleetHeartbeat& other532) {
-  sequence = other532.sequence;
-  zone = other532.zone;
-  replica_id = other532.replica_id;
-  control_address = other532.control_address;
-  document_version = other532.document_version;
-  held_term = other532.held_term;
-  held_version = other532.held_version;
-  leaving = other532.leaving;
-  serves_requests = other532.serves_requests;
-  held_state = other532.held_state;
-  wants_loads = other532.wants_loads;
-  serving_entries = other532.serving_entries;
-  entries_hold_version = other532.entries_hold_version;
-  __isset = other532.__isset;
-}
-FleetHeartbeat::FleetHeartbeat(FleetHeartbeat&& other533) noexcept {
-  sequence = other533.sequence;
-  zone = std::move(other533.zone);
-  replica_id = other533.replica_id;
-  control_address = std::move(other533.control_address);
-  document_version = other533.document_version;
-  held_term = other533.held_term;
-  held_version = other533.held_version;
-  leaving = other533.leaving;
-  serves_requests = other533.serves_requests;
-  held_state = std::move(other533.held_state);
-  wants_loads = other533.wants_loads;
-  serving_entries = other533.serving_entries;
-  entries_hold_version = other533.entries_hold_version;
-  __isset = other533.__isset;
-}
-FleetHeartbeat& FleetHeartbeat::operator=(const FleetHeartbeat& other534) {
-  sequence = other534.sequence;
-  zone = other534.zone;
-  replica_id = other534.replica_id;
-  control_address = other534.control_address;
-  document_version = other534.document_version;
-  held_term = other534.held_term;
-  held_version = other534.held_version;
-  leaving = other534.leaving;
-  serves_requests = other534.serves_requests;
-  held_state = other534.held_state;
-  wants_loads = other534.wants_loads;
-  serving_entries = other534.serving_entries;
-  entries_hold_version = other534.entries_hold_version;
-  __isset = other534.__isset;
+FleetHeartbeat::FleetHeartbeat(const FleetHeartbeat& other538) {
+  sequence = other538.sequence;
+  zone = other538.zone;
+  replica_id = other538.replica_id;
+  control_address = other538.control_address;
+  document_version = other538.document_version;
+  held_term = other538.held_term;
+  held_version = other538.held_version;
+  leaving = other538.leaving;
+  serves_requests = other538.serves_requests;
+  held_state = other538.held_state;
+  wants_loads = other538.wants_loads;
+  serving_entries = other538.serving_entries;
+  entries_hold_version = other538.entries_hold_version;
+  __isset = other538.__isset;
+}
+FleetHeartbeat::FleetHeartbeat(FleetHeartbeat&& other539) noexcept {
+  sequence = other539.sequence;
+  zone = std::move(other539.zone);
+  replica_id = other539.replica_id;
+  control_address = std::move(other539.control_address);
+  document_version = other539.document_version;
+  held_term = other539.held_term;
+  held_version = other539.held_version;
+  leaving = other539.leaving;
+  serves_requests = other539.serves_requests;
+  held_state = std::move(other539.held_state);
+  wants_loads = other539.wants_loads;
+  serving_entries = other539.serving_entries;
+  entries_hold_version = other539.entries_hold_version;
+  __isset = other539.__isset;
+}
+FleetHeartbeat& FleetHeartbeat::operator=(const FleetHeartbeat& other540) {
+  sequence = other540.sequence;
+  zone = other540.zone;
+  replica_id = other540.replica_id;
+  control_address = other540.control_address;
+  document_version = other540.document_version;
+  held_term = other540.held_term;
+  held_version = other540.held_version;
+  leaving = other540.leaving;
+  serves_requests = other540.serves_requests;
+  held_state = other540.held_state;
+  wants_loads = other540.wants_loads;
+  serving_entries = other540.serving_entries;
+  entries_hold_version = other540.entries_hold_version;
+  __isset = other540.__isset;
   return *this;
 }
-FleetHeartbeat& FleetHeartbeat::operator=(FleetHeartbeat&& other535) noexcept {
-  sequence = other535.sequence;
-  zone = std::move(other535.zone);
-  replica_id = other535.replica_id;
-  control_address = std::move(other535.control_address);
-  document_version = other535.document_version;
-  held_term = other535.held_term;
-  held_version = other535.held_version;
-  leaving = other535.leaving;
-  serves_requests = other535.serves_requests;
-  held_state = std::move(other535.held_state);
-  wants_loads = other535.wants_loads;
-  serving_entries = other535.serving_entries;
-  entries_hold_version = other535.entries_hold_version;
-  __isset = other535.__isset;
+FleetHeartbeat& FleetHeartbeat::operator=(FleetHeartbeat&& other541) noexcept {
+  sequence = other541.sequence;
+  zone = std::move(other541.zone);
+  replica_id = other541.replica_id;
+  control_address = std::move(other541.control_address);
+  document_version = other541.document_version;
+  held_term = other541.held_term;
+  held_version = other541.held_version;
+  leaving = other541.leaving;
+  serves_requests = other541.serves_requests;
+  held_state = std::move(other541.held_state);
+  wants_loads = other541.wants_loads;
+  serving_entries = other541.serving_entries;
+  entries_hold_version = other541.entries_hold_version;
+  __isset = other541.__isset;
   return *this;
 }
 void FleetHeartbeat::printTo(std::ostream& out) const {
@@ -13965,14 +14007,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->excluded_groups.clear();
-            uint32_t _size536;
-            ::apache::thrift::protocol::TType _etype539;
-            xfer += iprot->readListBegin(_etype539, _size536);
-            this->excluded_groups.resize(_size536);
-            uint32_t _i540;
-            for (_i540 = 0; _i540 < _size536; ++_i540)
+            uint32_t _size542;
+            ::apache::thrift::protocol::TType _etype545;
+            xfer += iprot->readListBegin(_etype545, _size542);
+            this->excluded_groups.resize(_size542);
+            uint32_t _i546;
+            for (_i546 = 0; _i546 < _size542; ++_i546)
             {
-              xfer += iprot->readString(this->excluded_groups[_i540]);
+              xfer += iprot->readString(this->excluded_groups[_i546]);
             }
             xfer += iprot->readListEnd();
           }
@@ -14041,10 +14083,10 @@
   xfer += oprot->writeFieldBegin("excluded_groups", ::apache::thrift::protocol::T_LIST, 10);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->excluded_groups.size()));
-    std::vector<std::string> ::const_iterator _iter541;
-    for (_iter541 = this->excluded_groups.begin(); _iter541 != this->excluded_groups.end(); ++_iter541)
+    std::vector<std::string> ::const_iterator _iter547;
+    for (_iter547 = this->excluded_groups.begin(); _iter547 != this->excluded_groups.end(); ++_iter547)
     {
-      xfer += oprot->writeString((*_iter541));
+      xfer += oprot->writeString((*_iter547));
     }
     xfer += oprot->writeListEnd();
   }
@@ -14075,58 +14117,58 @@
   swap(a.__isset, b.__isset);
 }
 
-SlotRequest::SlotRequest(const SlotRequest& other542) {
-  id = other542.id;
-  service_name = other542.service_name;
-  model = other542.model;
-  prompt_tokens = other542.prompt_tokens;
-  first_event_ms = other542.first_event_ms;
-  gap_ms = other542.gap_ms;
-  priority = other542.priority;
-  patience_ms = other542.patience_ms;
-  excluded_groups = other542.excluded_groups;
-  trial_of = other542.trial_of;
-  __isset = other542.__isset;
-}
-SlotRequest::SlotRequest(SlotRequest&& other543) noexcept {
-  id = other543.id;
-  service_name = std::move(other543.service_name);
-  model = std::move(other543.model);
-  prompt_tokens = other543.prompt_tokens;
-  first_event_ms = other543.first_event_ms;
-  gap_ms = other543.gap_ms;
-  priority = other543.priority;
-  patience_ms = other543.patience_ms;
-  excluded_groups = std::move(other543.excluded_groups);
-  trial_of = other543.trial_of;
-  __isset = other543.__isset;
-}
-SlotRequest& SlotRequest::operator=(const SlotRequest& other544) {
-  id = other544.id;
-  service_name = other544.service_name;
-  model = other544.model;
-  prompt_tokens = other544.prompt_tokens;
-  first_event_ms = other544.first_event_ms;
-  gap_ms = other544.gap_ms;
-  priority = other544.priority;
-  patience_ms = other544.patience_ms;
-  excluded_groups = other544.excluded_groups;
-  trial_of = other544.trial_of;
-  __isset = other544.__isset;
+SlotRequest::SlotRequest(const SlotRequest& other548) {
+  id = other548.id;
+  service_name = other548.service_name;
+  model = other548.model;
+  prompt_tokens = other548.prompt_tokens;
+  first_event_ms = other548.first_event_ms;
+  gap_ms = other548.gap_ms;
+  priority = other548.priority;
+  patience_ms = other548.patience_ms;
+  excluded_groups = other548.excluded_groups;
+  trial_of = other548.trial_of;
+  __isset = other548.__isset;
+}
+SlotRequest::SlotRequest(SlotRequest&& other549) noexcept {
+  id = other549.id;
+  service_name = std::move(other549.service_name);
+  model = std::move(other549.model);
+  prompt_tokens = other549.prompt_tokens;
+  first_event_ms = other549.first_event_ms;
+  gap_ms = other549.gap_ms;
+  priority = other549.priority;
+  patience_ms = other549.patience_ms;
+  excluded_groups = std::move(other549.excluded_groups);
+  trial_of = other549.trial_of;
+  __isset = other549.__isset;
+}
+SlotRequest& SlotRequest::operator=(const SlotRequest& other550) {
+  id = other550.id;
+  service_name = other550.service_name;
+  model = other550.model;
+  prompt_tokens = other550.prompt_tokens;
+  first_event_ms = other550.first_event_ms;
+  gap_ms = other550.gap_ms;
+  priority = other550.priority;
+  patience_ms = other550.patience_ms;
+  excluded_groups = other550.excluded_groups;
+  trial_of = other550.trial_of;
+  __isset = other550.__isset;
   return *this;
 }
-SlotRequest& SlotRequest::operator=(SlotRequest&& other545) noexcept {
-  id = other545.id;
-  service_name = std::move(other545.service_name);
-  model = std::move(other545.model);
-  prompt_tokens = other545.prompt_tokens;
-  first_event_ms = other545.first_event_ms;
-  gap_ms = other545.gap_ms;
-  priority = other545.priority;
-  patience_ms = other545.patience_ms;
-  excluded_groups = std::move(other545.excluded_groups);
-  trial_of = other545.trial_of;
-  __isset = other545.__isset;
+SlotRequest& SlotRequest::operator=(SlotRequest&& other551) noexcept {
+  id = other551.id;
+  service_name = std::move(other551.service_name);
+  model = std::move(other551.model);
+  prompt_tokens = other551.prompt_tokens;
+  first_event_ms = other551.first_event_ms;
+  gap_ms = other551.gap_ms;
+  priority = other551.priority;
+  patience_ms = other551.patience_ms;
+  excluded_groups = std::move(other551.excluded_groups);
+  trial_of = other551.trial_of;
+  __isset = other551.__isset;
   return *this;
 }
 void SlotRequest::printTo(std::ostream& out) const {
@@ -14215,9 +14257,9 @@
         break;
       case 3:
         if (ftype == ::apache::thrift::protocol::T_I32) {
-          int32_t ecast546;
-          xfer += iprot->readI32(ecast546);
-          this->verdict = static_cast<SlotVerdict::type>(ecast546);
+          int32_t ecast552;
+          xfer += iprot->readI32(ecast552);
+          this->verdict = static_cast<SlotVerdict::type>(ecast552);
           this->__isset.verdict = true;
         } else {
           xfer += iprot->skip(ftype);
@@ -14291,38 +14333,38 @@
   swap(a.__isset, b.__isset);
 }
 
-SlotGrant::SlotGrant(const SlotGrant& other547) {
-  id = other547.id;
-  sequence = other547.sequence;
-  verdict = other547.verdict;
-  group = other547.group;
-  expected_ms = other547.expected_ms;
-  __isset = other547.__isset;
+SlotGrant::SlotGrant(const SlotGrant& other553) {
+  id = other553.id;
+  sequence = other553.sequence;
+  verdict = other553.verdict;
+  group = other553.group;
+  expected_ms = other553.expected_ms;
+  __isset = other553.__isset;
 }
-SlotGrant::SlotGrant(SlotGrant&& other548) noexcept {
-  id = other548.id;
-  sequence = other548.sequence;
-  verdict = other548.verdict;
-  group = std::move(other548.group);
-  expected_ms = other548.expected_ms;
-  __isset = other548.__isset;
+SlotGrant::SlotGrant(SlotGrant&& other554) noexcept {
+  id = other554.id;
+  sequence = other554.sequence;
+  verdict = other554.verdict;
+  group = std::move(other554.group);
+  expected_ms = other554.expected_ms;
+  __isset = other554.__isset;
 }
-SlotGrant& SlotGrant::operator=(const SlotGrant& other549) {
-  id = other549.id;
-  sequence = other549.sequence;
-  verdict = other549.verdict;
-  group = other549.group;
-  expected_ms = other549.expected_ms;
-  __isset = other549.__isset;
+SlotGrant& SlotGrant::operator=(const SlotGrant& other555) {
+  id = other555.id;
+  sequence = other555.sequence;
+  verdict = other555.verdict;
+  group = other555.group;
+  expected_ms = other555.expected_ms;
+  __isset = other555.__isset;
   return *this;
 }
-SlotGrant& SlotGrant::operator=(SlotGrant&& other550) noexcept {
-  id = other550.id;
-  sequence = other550.sequence;
-  verdict = other550.verdict;
-  group = std::move(other550.group);
-  expected_ms = other550.expected_ms;
-  __isset = other550.__isset;
+SlotGrant& SlotGrant::operator=(SlotGrant&& other556) noexcept {
+  id = other556.id;
+  sequence = other556.sequence;
+  verdict = other556.verdict;
+  group = std::move(other556.group);
+  expected_ms = other556.expected_ms;
+  __isset = other556.__isset;
   return *this;
 }
 void SlotGrant::printTo(std::ostream& out) const {
@@ -14446,30 +14488,30 @@
   swap(a.__isset, b.__isset);
 }
 
-RequestServerEnd::RequestServerEnd(const RequestServerEnd& other551) {
-  fingerprint = other551.fingerprint;
-  instance_id = other551.instance_id;
-  age_ms = other551.age_ms;
-  __isset = other551.__isset;
+RequestServerEnd::RequestServerEnd(const RequestServerEnd& other557) {
+  fingerprint = other557.fingerprint;
+  instance_id = other557.instance_id;
+  age_ms = other557.age_ms;
+  __isset = other557.__isset;
 }
-RequestServerEnd::RequestServerEnd(RequestServerEnd&& other552) noexcept {
-  fingerprint = other552.fingerprint;
-  instance_id = std::move(other552.instance_id);
-  age_ms = other552.age_ms;
-  __isset = other552.__isset;
+RequestServerEnd::RequestServerEnd(RequestServerEnd&& other558) noexcept {
+  fingerprint = other558.fingerprint;
+  instance_id = std::move(other558.instance_id);
+  age_ms = other558.age_ms;
+  __isset = other558.__isset;
 }
-RequestServerEnd& RequestServerEnd::operator=(const RequestServerEnd& other553) {
-  fingerprint = other553.fingerprint;
-  instance_id = other553.instance_id;
-  age_ms = other553.age_ms;
-  __isset = other553.__isset;
+RequestServerEnd& RequestServerEnd::operator=(const RequestServerEnd& other559) {
+  fingerprint = other559.fingerprint;
+  instance_id = other559.instance_id;
+  age_ms = other559.age_ms;
+  __isset = other559.__isset;
   return *this;
 }
-RequestServerEnd& RequestServerEnd::operator=(RequestServerEnd&& other554) noexcept {
-  fingerprint = other554.fingerprint;
-  instance_id = std::move(other554.instance_id);
-  age_ms = other554.age_ms;
-  __isset = other554.__isset;
+RequestServerEnd& RequestServerEnd::operator=(RequestServerEnd&& other560) noexcept {
+  fingerprint = other560.fingerprint;
+  instance_id = std::move(other560.instance_id);
+  age_ms = other560.age_ms;
+  __isset = other560.__isset;
   return *this;
 }
 void RequestServerEnd::printTo(std::ostream& out) const {
@@ -14561,14 +14603,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->requests.clear();
-            uint32_t _size555;
-            ::apache::thrift::protocol::TType _etype558;
-            xfer += iprot->readListBegin(_etype558, _size555);
-            this->requests.resize(_size555);
-            uint32_t _i559;
-            for (_i559 = 0; _i559 < _size555; ++_i559)
+            uint32_t _size561;
+            ::apache::thrift::protocol::TType _etype564;
+            xfer += iprot->readListBegin(_etype564, _size561);
+            this->requests.resize(_size561);
+            uint32_t _i565;
+            for (_i565 = 0; _i565 < _size561; ++_i565)
             {
-              xfer += this->requests[_i559].read(iprot);
+              xfer += this->requests[_i565].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -14581,14 +14623,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->loads.clear();
-            uint32_t _size560;
-            ::apache::thrift::protocol::TType _etype563;
-            xfer += iprot->readListBegin(_etype563, _size560);
-            this->loads.resize(_size560);
-            uint32_t _i564;
-            for (_i564 = 0; _i564 < _size560; ++_i564)
+            uint32_t _size566;
+            ::apache::thrift::protocol::TType _etype569;
+            xfer += iprot->readListBegin(_etype569, _size566);
+            this->loads.resize(_size566);
+            uint32_t _i570;
+            for (_i570 = 0; _i570 < _size566; ++_i570)
             {
-              xfer += this->loads[_i564].read(iprot);
+              xfer += this->loads[_i570].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -14625,14 +14667,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->demand.clear();
-            uint32_t _size565;
-            ::apache::thrift::protocol::TType _etype568;
-            xfer += iprot->readListBegin(_etype568, _size565);
-            this->demand.resize(_size565);
-            uint32_t _i569;
-            for (_i569 = 0; _i569 < _size565; ++_i569)
+            uint32_t _size571;
+            ::apache::thrift::protocol::TType _etype574;
+            xfer += iprot->readListBegin(_etype574, _size571);
+            this->demand.resize(_size571);
+            uint32_t _i575;
+            for (_i575 = 0; _i575 < _size571; ++_i575)
             {
-              xfer += this->demand[_i569].read(iprot);
+              xfer += this->demand[_i575].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -14645,14 +14687,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->failures.clear();
-            uint32_t _size570;
-            ::apache::thrift::protocol::TType _etype573;
-            xfer += iprot->readListBegin(_etype573, _size570);
-            this->failures.resize(_size570);
-            uint32_t _i574;
-            for (_i574 = 0; _i574 < _size570; ++_i574)
+            uint32_t _size576;
+            ::apache::thrift::protocol::TType _etype579;
+            xfer += iprot->readListBegin(_etype579, _size576);
+            this->failures.resize(_size576);
+            uint32_t _i580;
+            for (_i580 = 0; _i580 < _size576; ++_i580)
             {
-              xfer += this->failures[_i574].read(iprot);
+              xfer += this->failures[_i580].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -14673,14 +14715,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->quiet_groups.clear();
-            uint32_t _size575;
-            ::apache::thrift::protocol::TType _etype578;
-            xfer += iprot->readListBegin(_etype578, _size575);
-            this->quiet_groups.resize(_size575);
-            uint32_t _i579;
-            for (_i579 = 0; _i579 < _size575; ++_i579)
+            uint32_t _size581;
+            ::apache::thrift::protocol::TType _etype584;
+            xfer += iprot->readListBegin(_etype584, _size581);
+            this->quiet_groups.resize(_size581);
+            uint32_t _i585;
+            for (_i585 = 0; _i585 < _size581; ++_i585)
             {
-              xfer += iprot->readString(this->quiet_groups[_i579]);
+              xfer += iprot->readString(this->quiet_groups[_i585]);
             }
             xfer += iprot->readListEnd();
           }
@@ -14693,14 +14735,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->server_ends.clear();
-            uint32_t _size580;
-            ::apache::thrift::protocol::TType _etype583;
-            xfer += iprot->readListBegin(_etype583, _size580);
-            this->server_ends.resize(_size580);
-            uint32_t _i584;
-            for (_i584 = 0; _i584 < _size580; ++_i584)
+            uint32_t _size586;
+            ::apache::thrift::protocol::TType _etype589;
+            xfer += iprot->readListBegin(_etype589, _size586);
+            this->server_ends.resize(_size586);
+            uint32_t _i590;
+            for (_i590 = 0; _i590 < _size586; ++_i590)
             {
-              xfer += this->server_ends[_i584].read(iprot);
+              xfer += this->server_ends[_i590].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -14713,14 +14755,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->answered_requests.clear();
-            uint32_t _size585;
-            ::apache::thrift::protocol::TType _etype588;
-            xfer += iprot->readListBegin(_etype588, _size585);
-            this->answered_requests.resize(_size585);
-            uint32_t _i589;
-            for (_i589 = 0; _i589 < _size585; ++_i589)
+            uint32_t _size591;
+            ::apache::thrift::protocol::TType _etype594;
+            xfer += iprot->readListBegin(_etype594, _size591);
+            this->answered_requests.resize(_size591);
+            uint32_t _i595;
+            for (_i595 = 0; _i595 < _size591; ++_i595)
             {
-              xfer += iprot->readI64(this->answered_requests[_i589]);
+              xfer += iprot->readI64(this->answered_requests[_i595]);
             }
             xfer += iprot->readListEnd();
           }
@@ -14749,10 +14791,10 @@
   xfer += oprot->writeFieldBegin("requests", ::apache::thrift::protocol::T_LIST, 1);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->requests.size()));
-    std::vector<SlotRequest> ::const_iterator _iter590;
-    for (_iter590 = this->requests.begin(); _iter590 != this->requests.end(); ++_iter590)
+    std::vector<SlotRequest> ::const_iterator _iter596;
+    for (_iter596 = this->requests.begin(); _iter596 != this->requests.end(); ++_iter596)
     {
-      xfer += (*_iter590).write(oprot);
+      xfer += (*_iter596).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -14761,10 +14803,10 @@
   xfer += oprot->writeFieldBegin("loads", ::apache::thrift::protocol::T_LIST, 2);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->loads.size()));
-    std::vector<GroupLoad> ::const_iterator _iter591;
-    for (_iter591 = this->loads.begin(); _iter591 != this->loads.end(); ++_iter591)
+    std::vector<GroupLoad> ::const_iterator _iter597;
+    for (_iter597 = this->loads.begin(); _iter597 != this->loads.end(); ++_iter597)
     {
-      xfer += (*_iter591).write(oprot);
+      xfer += (*_iter597).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -14785,10 +14827,10 @@
   xfer += oprot->writeFieldBegin("demand", ::apache::thrift::protocol::T_LIST, 6);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->demand.size()));
-    std::vector<ModelDemand> ::const_iterator _iter592;
-    for (_iter592 = this->demand.begin(); _iter592 != this->demand.end(); ++_iter592)
+    std::vector<ModelDemand> ::const_iterator _iter598;
+    for (_iter598 = this->demand.begin(); _iter598 != this->demand.end(); ++_iter598)
     {
-      xfer += (*_iter592).write(oprot);
+      xfer += (*_iter598).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -14797,10 +14839,10 @@
   xfer += oprot->writeFieldBegin("failures", ::apache::thrift::protocol::T_LIST, 7);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->failures.size()));
-    std::vector<GroupFailure> ::const_iterator _iter593;
-    for (_iter593 = this->failures.begin(); _iter593 != this->failures.end(); ++_iter593)
+    std::vector<GroupFailure> ::const_iterator _iter599;
+    for (_iter599 = this->failures.begin(); _iter599 != this->failures.end(); ++_iter599)
     {
-      xfer += (*_iter593).write(oprot);
+      xfer += (*_iter599).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -14813,10 +14855,10 @@
   xfer += oprot->writeFieldBegin("quiet_groups", ::apache::thrift::protocol::T_LIST, 9);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->quiet_groups.size()));
-    std::vector<std::string> ::const_iterator _iter594;
-    for (_iter594 = this->quiet_groups.begin(); _iter594 != this->quiet_groups.end(); ++_iter594)
+    std::vector<std::string> ::const_iterator _iter600;
+    for (_iter600 = this->quiet_groups.begin(); _iter600 != this->quiet_groups.end(); ++_iter600)
     {
-      xfer += oprot->writeString((*_iter594));
+      xfer += oprot->writeString((*_iter600));
     }
     xfer += oprot->writeListEnd();
   }
@@ -14825,10 +14867,10 @@
   xfer += oprot->writeFieldBegin("server_ends", ::apache::thrift::protocol::T_LIST, 10);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->server_ends.size()));
-    std::vector<RequestServerEnd> ::const_iterator _iter595;
-    for (_iter595 = this->server_ends.begin(); _iter595 != this->server_ends.end(); ++_iter595)
+    std::vector<RequestServerEnd> ::const_iterator _iter601;
+    for (_iter601 = this->server_ends.begin(); _iter601 != this->server_ends.end(); ++_iter601)
     {
-      xfer += (*_iter595).write(oprot);
+      xfer += (*_iter601).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -14837,10 +14879,10 @@
   xfer += oprot->writeFieldBegin("answered_requests", ::apache::thrift::protocol::T_LIST, 11);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I64, static_cast<uint32_t>(this->answered_requests.size()));
-    std::vector<int64_t> ::const_iterator _iter596;
-    for (_iter596 = this->answered_requests.begin(); _iter596 != this->answered_requests.end(); ++_iter596)
+    std::vector<int64_t> ::const_iterator _iter602;
+    for (_iter602 = this->answered_requests.begin(); _iter602 != this->answered_requests.end(); ++_iter602)
     {
-      xfer += oprot->writeI64((*_iter596));
+      xfer += oprot->writeI64((*_iter602));
     }
     xfer += oprot->writeListEnd();
   }
@@ -14867,62 +14909,62 @@
   swap(a.__isset, b.__isset);
 }
 
-SlotReport::SlotReport(const SlotReport& other597) {
-  requests = other597.requests;
-  loads = other597.loads;
-  grants_term = other597.grants_term;
-  grants_seen = other597.grants_seen;
-  is_complete = other597.is_complete;
-  demand = other597.demand;
-  failures = other597.failures;
-  traffic_seen = other597.traffic_seen;
-  quiet_groups = other597.quiet_groups;
-  server_ends = other597.server_ends;
-  answered_requests = other597.answered_requests;
-  __isset = other597.__isset;
-}
-SlotReport::SlotReport(SlotReport&& other598) noexcept {
-  requests = std::move(other598.requests);
-  loads = std::move(other598.loads);
-  grants_term = other598.grants_term;
-  grants_seen = other598.grants_seen;
-  is_complete = other598.is_complete;
-  demand = std::move(other598.demand);
-  failures = std::move(other598.failures);
-  traffic_seen = other598.traffic_seen;
-  quiet_groups = std::move(other598.quiet_groups);
-  server_ends = std::move(other598.server_ends);
-  answered_requests = std::move(other598.answered_requests);
-  __isset = other598.__isset;
-}
-SlotReport& SlotReport::operator=(const SlotReport& other599) {
-  requests = other599.requests;
-  loads = other599.loads;
-  grants_term = other599.grants_term;
-  grants_seen = other599.grants_seen;
-  is_complete = other599.is_complete;
-  demand = other599.demand;
-  failures = other599.failures;
-  traffic_seen = other599.traffic_seen;
-  quiet_groups = other599.quiet_groups;
-  server_ends = other599.server_ends;
-  answered_requests = other599.answered_requests;
-  __isset = other599.__isset;
+SlotReport::SlotReport(const SlotReport& other603) {
+  requests = other603.requests;
+  loads = other603.loads;
+  grants_term = other603.grants_term;
+  grants_seen = other603.grants_seen;
+  is_complete = other603.is_complete;
+  demand = other603.demand;
+  failures = other603.failures;
+  traffic_seen = other603.traffic_seen;
+  quiet_groups = other603.quiet_groups;
+  server_ends = other603.server_ends;
+  answered_requests = other603.answered_requests;
+  __isset = other603.__isset;
+}
+SlotReport::SlotReport(SlotReport&& other604) noexcept {
+  requests = std::move(other604.requests);
+  loads = std::move(other604.loads);
+  grants_term = other604.grants_term;
+  grants_seen = other604.grants_seen;
+  is_complete = other604.is_complete;
+  demand = std::move(other604.demand);
+  failures = std::move(other604.failures);
+  traffic_seen = other604.traffic_seen;
+  quiet_groups = std::move(other604.quiet_groups);
+  server_ends = std::move(other604.server_ends);
+  answered_requests = std::move(other604.answered_requests);
+  __isset = other604.__isset;
+}
+SlotReport& SlotReport::operator=(const SlotReport& other605) {
+  requests = other605.requests;
+  loads = other605.loads;
+  grants_term = other605.grants_term;
+  grants_seen = other605.grants_seen;
+  is_complete = other605.is_complete;
+  demand = other605.demand;
+  failures = other605.failures;
+  traffic_seen = other605.traffic_seen;
+  quiet_groups = other605.quiet_groups;
+  server_ends = other605.server_ends;
+  answered_requests = other605.answered_requests;
+  __isset = other605.__isset;
   return *this;
 }
-SlotReport& SlotReport::operator=(SlotReport&& other600) noexcept {
-  requests = std::move(other600.requests);
-  loads = std::move(other600.loads);
-  grants_term = other600.grants_term;
-  grants_seen = other600.grants_seen;
-  is_complete = other600.is_complete;
-  demand = std::move(other600.demand);
-  failures = std::move(other600.failures);
-  traffic_seen = other600.traffic_seen;
-  quiet_groups = std::move(other600.quiet_groups);
-  server_ends = std::move(other600.server_ends);
-  answered_requests = std::move(other600.answered_requests);
-  __isset = other600.__isset;
+SlotReport& SlotReport::operator=(SlotReport&& other606) noexcept {
+  requests = std::move(other606.requests);
+  loads = std::move(other606.loads);
+  grants_term = other606.grants_term;
+  grants_seen = other606.grants_seen;
+  is_complete = other606.is_complete;
+  demand = std::move(other606.demand);
+  failures = std::move(other606.failures);
+  traffic_seen = other606.traffic_seen;
+  quiet_groups = std::move(other606.quiet_groups);
+  server_ends = std::move(other606.server_ends);
+  answered_requests = std::move(other606.answered_requests);
+  __isset = other606.__isset;
   return *this;
 }
 void SlotReport::printTo(std::ostream& out) const {
@@ -14998,14 +15040,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->grants.clear();
-            uint32_t _size601;
-            ::apache::thrift::protocol::TType _etype604;
-            xfer += iprot->readListBegin(_etype604, _size601);
-            this->grants.resize(_size601);
-            uint32_t _i605;
-            for (_i605 = 0; _i605 < _size601; ++_i605)
+            uint32_t _size607;
+            ::apache::thrift::protocol::TType _etype610;
+            xfer += iprot->readListBegin(_etype610, _size607);
+            this->grants.resize(_size607);
+            uint32_t _i611;
+            for (_i611 = 0; _i611 < _size607; ++_i611)
             {
-              xfer += this->grants[_i605].read(iprot);
+              xfer += this->grants[_i611].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -15018,14 +15060,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->failed_groups.clear();
-            uint32_t _size606;
-            ::apache::thrift::protocol::TType _etype609;
-            xfer += iprot->readListBegin(_etype609, _size606);
-            this->failed_groups.resize(_size606);
-            uint32_t _i610;
-            for (_i610 = 0; _i610 < _size606; ++_i610)
+            uint32_t _size612;
+            ::apache::thrift::protocol::TType _etype615;
+            xfer += iprot->readListBegin(_etype615, _size612);
+            this->failed_groups.resize(_size612);
+            uint32_t _i616;
+            for (_i616 = 0; _i616 < _size612; ++_i616)
             {
-              xfer += iprot->readString(this->failed_groups[_i610]);
+              xfer += iprot->readString(this->failed_groups[_i616]);
             }
             xfer += iprot->readListEnd();
           }
@@ -15058,10 +15100,10 @@
   xfer += oprot->writeFieldBegin("grants", ::apache::thrift::protocol::T_LIST, 2);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->grants.size()));
-    std::vector<SlotGrant> ::const_iterator _iter611;
-    for (_iter611 = this->grants.begin(); _iter611 != this->grants.end(); ++_iter611)
+    std::vector<SlotGrant> ::const_iterator _iter617;
+    for (_iter617 = this->grants.begin(); _iter617 != this->grants.end(); ++_iter617)
     {
-      xfer += (*_iter611).write(oprot);
+      xfer += (*_iter617).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -15070,10 +15112,10 @@
   xfer += oprot->writeFieldBegin("failed_groups", ::apache::thrift::protocol::T_LIST, 3);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->failed_groups.size()));
-    std::vector<std::string> ::const_iterator _iter612;
-    for (_iter612 = this->failed_groups.begin(); _iter612 != this->failed_groups.end(); ++_iter612)
+    std::vector<std::string> ::const_iterator _iter618;
+    for (_iter618 = this->failed_groups.begin(); _iter618 != this->failed_groups.end(); ++_iter618)
     {
-      xfer += oprot->writeString((*_iter612));
+      xfer += oprot->writeString((*_iter618));
     }
     xfer += oprot->writeListEnd();
   }
@@ -15092,30 +15134,30 @@
   swap(a.__isset, b.__isset);
 }
 
-SlotAnswer::SlotAnswer(const SlotAnswer& other613) {
-  term = other613.term;
-  grants = other613.grants;
-  failed_groups = other613.failed_groups;
-  __isset = other613.__isset;
+SlotAnswer::SlotAnswer(const SlotAnswer& other619) {
+  term = other619.term;
+  grants = other619.grants;
+  failed_groups = other619.failed_groups;
+  __isset = other619.__isset;
 }
-SlotAnswer::SlotAnswer(SlotAnswer&& other614) noexcept {
-  term = other614.term;
-  grants = std::move(other614.grants);
-  failed_groups = std::move(other614.failed_groups);
-  __isset = other614.__isset;
+SlotAnswer::SlotAnswer(SlotAnswer&& other620) noexcept {
+  term = other620.term;
+  grants = std::move(other620.grants);
+  failed_groups = std::move(other620.failed_groups);
+  __isset = other620.__isset;
 }
-SlotAnswer& SlotAnswer::operator=(const SlotAnswer& other615) {
-  term = other615.term;
-  grants = other615.grants;
-  failed_groups = other615.failed_groups;
-  __isset = other615.__isset;
+SlotAnswer& SlotAnswer::operator=(const SlotAnswer& other621) {
+  term = other621.term;
+  grants = other621.grants;
+  failed_groups = other621.failed_groups;
+  __isset = other621.__isset;
   return *this;
 }
-SlotAnswer& SlotAnswer::operator=(SlotAnswer&& other616) noexcept {
-  term = other616.term;
-  grants = std::move(other616.grants);
-  failed_groups = std::move(other616.failed_groups);
-  __isset = other616.__isset;
+SlotAnswer& SlotAnswer::operator=(SlotAnswer&& other622) noexcept {
+  term = other622.term;
+  grants = std::move(other622.grants);
+  failed_groups = std::move(other622.failed_groups);
+  __isset = other622.__isset;
   return *this;
 }
 void SlotAnswer::printTo(std::ostream& out) const {
@@ -15220,26 +15262,26 @@
   swap(a.__isset, b.__isset);
 }
 
-ControlPeer::ControlPeer(const ControlPeer& other617) {
-  address = other617.address;
-  zone = other617.zone;
-  __isset = other617.__isset;
+ControlPeer::ControlPeer(const ControlPeer& other623) {
+  address = other623.address;
+  zone = other623.zone;
+  __isset = other623.__isset;
 }
-ControlPeer::ControlPeer(ControlPeer&& other618) noexcept {
-  address = std::move(other618.address);
-  zone = std::move(other618.zone);
-  __isset = other618.__isset;
+ControlPeer::ControlPeer(ControlPeer&& other624) noexcept {
+  address = std::move(other624.address);
+  zone = std::move(other624.zone);
+  __isset = other624.__isset;
 }
-ControlPeer& ControlPeer::operator=(const ControlPeer& other619) {
-  address = other619.address;
-  zone = other619.zone;
-  __isset = other619.__isset;
+ControlPeer& ControlPeer::operator=(const ControlPeer& other625) {
+  address = other625.address;
+  zone = other625.zone;
+  __isset = other625.__isset;
   return *this;
 }
-ControlPeer& ControlPeer::operator=(ControlPeer&& other620) noexcept {
-  address = std::move(other620.address);
-  zone = std::move(other620.zone);
-  __isset = other620.__isset;
+ControlPeer& ControlPeer::operator=(ControlPeer&& other626) noexcept {
+  address = std::move(other626.address);
+  zone = std::move(other626.zone);
+  __isset = other626.__isset;
   return *this;
 }
 void ControlPeer::printTo(std::ostream& out) const {
@@ -15393,14 +15435,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->loads.clear();
-            uint32_t _size621;
-            ::apache::thrift::protocol::TType _etype624;
-            xfer += iprot->readListBegin(_etype624, _size621);
-            this->loads.resize(_size621);
-            uint32_t _i625;
-            for (_i625 = 0; _i625 < _size621; ++_i625)
+            uint32_t _size627;
+            ::apache::thrift::protocol::TType _etype630;
+            xfer += iprot->readListBegin(_etype630, _size627);
+            this->loads.resize(_size627);
+            uint32_t _i631;
+            for (_i631 = 0; _i631 < _size627; ++_i631)
             {
-              xfer += this->loads[_i625].read(iprot);
+              xfer += this->loads[_i631].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -15453,14 +15495,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->control_peers.clear();
-            uint32_t _size626;
-            ::apache::thrift::protocol::TType _etype629;
-            xfer += iprot->readListBegin(_etype629, _size626);
-            this->control_peers.resize(_size626);
-            uint32_t _i630;
-            for (_i630 = 0; _i630 < _size626; ++_i630)
+            uint32_t _size632;
+            ::apache::thrift::protocol::TType _etype635;
+            xfer += iprot->readListBegin(_etype635, _size632);
+            this->control_peers.resize(_size632);
+            uint32_t _i636;
+            for (_i636 = 0; _i636 < _size632; ++_i636)
             {
-              xfer += this->control_peers[_i630].read(iprot);
+              xfer += this->control_peers[_i636].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -15522,10 +15564,10 @@
   xfer += oprot->writeFieldBegin("loads", ::apache::thrift::protocol::T_LIST, 9);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->loads.size()));
-    std::vector<GroupLoad> ::const_iterator _iter631;
-    for (_iter631 = this->loads.begin(); _iter631 != this->loads.end(); ++_iter631)
+    std::vector<GroupLoad> ::const_iterator _iter637;
+    for (_iter637 = this->loads.begin(); _iter637 != this->loads.end(); ++_iter637)
     {
-      xfer += (*_iter631).write(oprot);
+      xfer += (*_iter637).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -15555,10 +15597,10 @@
   xfer += oprot->writeFieldBegin("control_peers", ::apache::thrift::protocol::T_LIST, 15);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->control_peers.size()));
-    std::vector<ControlPeer> ::const_iterator _iter632;
-    for (_iter632 = this->control_peers.begin(); _iter632 != this->control_peers.end(); ++_iter632)
+    std::vector<ControlPeer> ::const_iterator _iter638;
+    for (_iter638 = this->control_peers.begin(); _iter638 != this->control_peers.end(); ++_iter638)
     {
-      xfer += (*_iter632).write(oprot);
+      xfer += (*_iter638).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -15593,74 +15635,74 @@
   swap(a.__isset, b.__isset);
 }
 
-FleetUpdate::FleetUpdate(const FleetUpdate& other633) {
-  sequence = other633.sequence;
-  not_leader = other633.not_leader;
-  leader = other633.leader;
-  term = other633.term;
-  document_version = other633.document_version;
-  state = other633.state;
-  loads = other633.loads;
-  serving_nodes = other633.serving_nodes;
-  wants_state = other633.wants_state;
-  state_change = other633.state_change;
-  wants_confirmation = other633.wants_confirmation;
-  confirmed_age_ms = other633.confirmed_age_ms;
-  control_peers = other633.control_peers;
-  document = other633.document;
-  __isset = other633.__isset;
-}
-FleetUpdate::FleetUpdate(FleetUpdate&& other634) noexcept {
-  sequence = other634.sequence;
-  not_leader = other634.not_leader;
-  leader = std::move(other634.leader);
-  term = other634.term;
-  document_version = other634.document_version;
-  state = std::move(other634.state);
-  loads = std::move(other634.loads);
-  serving_nodes = other634.serving_nodes;
-  wants_state = other634.wants_state;
-  state_change = std::move(other634.state_change);
-  wants_confirmation = other634.wants_confirmation;
-  confirmed_age_ms = other634.confirmed_age_ms;
-  control_peers = std::move(other634.control_peers);
-  document = std::move(other634.document);
-  __isset = other634.__isset;
-}
-FleetUpdate& FleetUpdate::operator=(const FleetUpdate& other635) {
-  sequence = other635.sequence;
-  not_leader = other635.not_leader;
-  leader = other635.leader;
-  term = other635.term;
-  document_version = other635.document_version;
-  state = other635.state;
-  loads = other635.loads;
-  serving_nodes = other635.serving_nodes;
-  wants_state = other635.wants_state;
-  state_change = other635.state_change;
-  wants_confirmation = other635.wants_confirmation;
-  confirmed_age_ms = other635.confirmed_age_ms;
-  control_peers = other635.control_peers;
-  document = other635.document;
-  __isset = other635.__isset;
+FleetUpdate::FleetUpdate(const FleetUpdate& other639) {
+  sequence = other639.sequence;
+  not_leader = other639.not_leader;
+  leader = other639.leader;
+  term = other639.term;
+  document_version = other639.document_version;
+  state = other639.state;
+  loads = other639.loads;
+  serving_nodes = other639.serving_nodes;
+  wants_state = other639.wants_state;
+  state_change = other639.state_change;
+  wants_confirmation = other639.wants_confirmation;
+  confirmed_age_ms = other639.confirmed_age_ms;
+  control_peers = other639.control_peers;
+  document = other639.document;
+  __isset = other639.__isset;
+}
+FleetUpdate::FleetUpdate(FleetUpdate&& other640) noexcept {
+  sequence = other640.sequence;
+  not_leader = other640.not_leader;
+  leader = std::move(other640.leader);
+  term = other640.term;
+  document_version = other640.document_version;
+  state = std::move(other640.state);
+  loads = std::move(other640.loads);
+  serving_nodes = other640.serving_nodes;
+  wants_state = other640.wants_state;
+  state_change = std::move(other640.state_change);
+  wants_confirmation = other640.wants_confirmation;
+  confirmed_age_ms = other640.confirmed_age_ms;
+  control_peers = std::move(other640.control_peers);
+  document = std::move(other640.document);
+  __isset = other640.__isset;
+}
+FleetUpdate& FleetUpdate::operator=(const FleetUpdate& other641) {
+  sequence = other641.sequence;
+  not_leader = other641.not_leader;
+  leader = other641.leader;
+  term = other641.term;
+  document_version = other641.document_version;
+  state = other641.state;
+  loads = other641.loads;
+  serving_nodes = other641.serving_nodes;
+  wants_state = other641.wants_state;
+  state_change = other641.state_change;
+  wants_confirmation = other641.wants_confirmation;
+  confirmed_age_ms = other641.confirmed_age_ms;
+  control_peers = other641.control_peers;
+  document = other641.document;
+  __isset = other641.__isset;
   return *this;
 }
-FleetUpdate& FleetUpdate::operator=(FleetUpdate&& other636) noexcept {
-  sequence = other636.sequence;
-  not_leader = other636.not_leader;
-  leader = std::move(other636.leader);
-  term = other636.term;
-  document_version = other636.document_version;
-  state = std::move(other636.state);
-  loads = std::move(other636.loads);
-  serving_nodes = other636.serving_nodes;
-  wants_state = other636.wants_state;
-  state_change = std::move(other636.state_change);
-  wants_confirmation = other636.wants_confirmation;
-  confirmed_age_ms = other636.confirmed_age_ms;
-  control_peers = std::move(other636.control_peers);
-  document = std::move(other636.document);
-  __isset = other636.__isset;
+FleetUpdate& FleetUpdate::operator=(FleetUpdate&& other642) noexcept {
+  sequence = other642.sequence;
+  not_leader = other642.not_leader;
+  leader = std::move(other642.leader);
+  term = other642.term;
+  document_version = other642.document_version;
+  state = std::move(other642.state);
+  loads = std::move(other642.loads);
+  serving_nodes = other642.serving_nodes;
+  wants_state = other642.wants_state;
+  state_change = std::move(other642.state_change);
+  wants_confirmation = other642.wants_confirmation;
+  confirmed_age_ms = other642.confirmed_age_ms;
+  control_peers = std::move(other642.control_peers);
+  document = std::move(other642.document);
+  __isset = other642.__isset;
   return *this;
 }
 void FleetUpdate::printTo(std::ostream& out) const {
@@ -15741,9 +15783,9 @@
         break;
       case 2:
         if (ftype == ::apache::thrift::protocol::T_I32) {
-          int32_t ecast637;
-          xfer += iprot->readI32(ecast637);
-          this->kind = static_cast<ControlCallKind::type>(ecast637);
+          int32_t ecast643;
+          xfer += iprot->readI32(ecast643);
+          this->kind = static_cast<ControlCallKind::type>(ecast643);
           this->__isset.kind = true;
         } else {
           xfer += iprot->skip(ftype);
@@ -15812,34 +15854,34 @@
   swap(a.__isset, b.__isset);
 }
 
-ControlCall::ControlCall(const ControlCall& other638) {
-  id = other638.id;
-  kind = other638.kind;
-  instance_id = other638.instance_id;
-  body = other638.body;
-  __isset = other638.__isset;
+ControlCall::ControlCall(const ControlCall& other644) {
+  id = other644.id;
+  kind = other644.kind;
+  instance_id = other644.instance_id;
+  body = other644.body;
+  __isset = other644.__isset;
 }
-ControlCall::ControlCall(ControlCall&& other639) noexcept {
-  id = other639.id;
-  kind = other639.kind;
-  instance_id = std::move(other639.instance_id);
-  body = std::move(other639.body);
-  __isset = other639.__isset;
+ControlCall::ControlCall(ControlCall&& other645) noexcept {
+  id = other645.id;
+  kind = other645.kind;
+  instance_id = std::move(other645.instance_id);
+  body = std::move(other645.body);
+  __isset = other645.__isset;
 }
-ControlCall& ControlCall::operator=(const ControlCall& other640) {
-  id = other640.id;
-  kind = other640.kind;
-  instance_id = other640.instance_id;
-  body = other640.body;
-  __isset = other640.__isset;
+ControlCall& ControlCall::operator=(const ControlCall& other646) {
+  id = other646.id;
+  kind = other646.kind;
+  instance_id = other646.instance_id;
+  body = other646.body;
+  __isset = other646.__isset;
   return *this;
 }
-ControlCall& ControlCall::operator=(ControlCall&& other641) noexcept {
-  id = other641.id;
-  kind = other641.kind;
-  instance_id = std::move(other641.instance_id);
-  body = std::move(other641.body);
-  __isset = other641.__isset;
+ControlCall& ControlCall::operator=(ControlCall&& other647) noexcept {
+  id = other647.id;
+  kind = other647.kind;
+  instance_id = std::move(other647.instance_id);
+  body = std::move(other647.body);
+  __isset = other647.__isset;
   return *this;
 }
 void ControlCall::printTo(std::ostream& out) const {
@@ -15962,30 +16004,30 @@
   swap(a.__isset, b.__isset);
 }
 
-ControlCallReply::ControlCallReply(const ControlCallReply& other642) {
-  id = other642.id;
-  status = other642.status;
-  body = other642.body;
-  __isset = other642.__isset;
+ControlCallReply::ControlCallReply(const ControlCallReply& other648) {
+  id = other648.id;
+  status = other648.status;
+  body = other648.body;
+  __isset = other648.__isset;
 }
-ControlCallReply::ControlCallReply(ControlCallReply&& other643) noexcept {
-  id = other643.id;
-  status = other643.status;
-  body = std::move(other643.body);
-  __isset = other643.__isset;
+ControlCallReply::ControlCallReply(ControlCallReply&& other649) noexcept {
+  id = other649.id;
+  status = other649.status;
+  body = std::move(other649.body);
+  __isset = other649.__isset;
 }
-ControlCallReply& ControlCallReply::operator=(const ControlCallReply& other644) {
-  id = other644.id;
-  status = other644.status;
-  body = other644.body;
-  __isset = other644.__isset;
+ControlCallReply& ControlCallReply::operator=(const ControlCallReply& other650) {
+  id = other650.id;
+  status = other650.status;
+  body = other650.body;
+  __isset = other650.__isset;
   return *this;
 }
-ControlCallReply& ControlCallReply::operator=(ControlCallReply&& other645) noexcept {
-  id = other645.id;
-  status = other645.status;
-  body = std::move(other645.body);
-  __isset = other645.__isset;
+ControlCallReply& ControlCallReply::operator=(ControlCallReply&& other651) noexcept {
+  id = other651.id;
+  status = other651.status;
+  body = std::move(other651.body);
+  __isset = other651.__isset;
   return *this;
 }
 void ControlCallReply::printTo(std::ostream& out) const {
@@ -16090,26 +16132,26 @@
   swap(a.__isset, b.__isset);
 }
 
-RegistrationReport::RegistrationReport(const RegistrationReport& other646) {
-  instance = other646.instance;
-  known_term = other646.known_term;
-  __isset = other646.__isset;
+RegistrationReport::RegistrationReport(const RegistrationReport& other652) {
+  instance = other652.instance;
+  known_term = other652.known_term;
+  __isset = other652.__isset;
 }
-RegistrationReport::RegistrationReport(RegistrationReport&& other647) noexcept {
-  instance = std::move(other647.instance);
-  known_term = other647.known_term;
-  __isset = other647.__isset;
+RegistrationReport::RegistrationReport(RegistrationReport&& other653) noexcept {
+  instance = std::move(other653.instance);
+  known_term = other653.known_term;
+  __isset = other653.__isset;
 }
-RegistrationReport& RegistrationReport::operator=(const RegistrationReport& other648) {
-  instance = other648.instance;
-  known_term = other648.known_term;
-  __isset = other648.__isset;
+RegistrationReport& RegistrationReport::operator=(const RegistrationReport& other654) {
+  instance = other654.instance;
+  known_term = other654.known_term;
+  __isset = other654.__isset;
   return *this;
 }
-RegistrationReport& RegistrationReport::operator=(RegistrationReport&& other649) noexcept {
-  instance = std::move(other649.instance);
-  known_term = other649.known_term;
-  __isset = other649.__isset;
+RegistrationReport& RegistrationReport::operator=(RegistrationReport&& other655) noexcept {
+  instance = std::move(other655.instance);
+  known_term = other655.known_term;
+  __isset = other655.__isset;
   return *this;
 }
 void RegistrationReport::printTo(std::ostream& out) const {
@@ -16160,14 +16202,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->reports.clear();
-            uint32_t _size650;
-            ::apache::thrift::protocol::TType _etype653;
-            xfer += iprot->readListBegin(_etype653, _size650);
-            this->reports.resize(_size650);
-            uint32_t _i654;
-            for (_i654 = 0; _i654 < _size650; ++_i654)
+            uint32_t _size656;
+            ::apache::thrift::protocol::TType _etype659;
+            xfer += iprot->readListBegin(_etype659, _size656);
+            this->reports.resize(_size656);
+            uint32_t _i660;
+            for (_i660 = 0; _i660 < _size656; ++_i660)
             {
-              xfer += this->reports[_i654].read(iprot);
+              xfer += this->reports[_i660].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -16196,10 +16238,10 @@
   xfer += oprot->writeFieldBegin("reports", ::apache::thrift::protocol::T_LIST, 1);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->reports.size()));
-    std::vector<RegistrationReport> ::const_iterator _iter655;
-    for (_iter655 = this->reports.begin(); _iter655 != this->reports.end(); ++_iter655)
+    std::vector<RegistrationReport> ::const_iterator _iter661;
+    for (_iter661 = this->reports.begin(); _iter661 != this->reports.end(); ++_iter661)
     {
-      xfer += (*_iter655).write(oprot);
+      xfer += (*_iter661).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -16216,22 +16258,22 @@
   swap(a.__isset, b.__isset);
 }
 
-RegistrationBatch::RegistrationBatch(const RegistrationBatch& other656) {
-  reports = other656.reports;
-  __isset = other656.__isset;
+RegistrationBatch::RegistrationBatch(const RegistrationBatch& other662) {
+  reports = other662.reports;
+  __isset = other662.__isset;
 }
-RegistrationBatch::RegistrationBatch(RegistrationBatch&& other657) noexcept {
-  reports = std::move(other657.reports);
-  __isset = other657.__isset;
+RegistrationBatch::RegistrationBatch(RegistrationBatch&& other663) noexcept {
+  reports = std::move(other663.reports);
+  __isset = other663.__isset;
 }
-RegistrationBatch& RegistrationBatch::operator=(const RegistrationBatch& other658) {
-  reports = other658.reports;
-  __isset = other658.__isset;
+RegistrationBatch& RegistrationBatch::operator=(const RegistrationBatch& other664) {
+  reports = other664.reports;
+  __isset = other664.__isset;
   return *this;
 }
-RegistrationBatch& RegistrationBatch::operator=(RegistrationBatch&& other659) noexcept {
-  reports = std::move(other659.reports);
-  __isset = other659.__isset;
+RegistrationBatch& RegistrationBatch::operator=(RegistrationBatch&& other665) noexcept {
+  reports = std::move(other665.reports);
+  __isset = other665.__isset;
   return *this;
 }
 void RegistrationBatch::printTo(std::ostream& out) const {
@@ -16334,26 +16376,26 @@
   swap(a.__isset, b.__isset);
 }
 
-FormationNotice::FormationNotice(const FormationNotice& other660) {
-  choice = other660.choice;
-  holds_log = other660.holds_log;
-  __isset = other660.__isset;
+FormationNotice::FormationNotice(const FormationNotice& other666) {
+  choice = other666.choice;
+  holds_log = other666.holds_log;
+  __isset = other666.__isset;
 }
-FormationNotice::FormationNotice(FormationNotice&& other661) noexcept {
-  choice = std::move(other661.choice);
-  holds_log = other661.holds_log;
-  __isset = other661.__isset;
+FormationNotice::FormationNotice(FormationNotice&& other667) noexcept {
+  choice = std::move(other667.choice);
+  holds_log = other667.holds_log;
+  __isset = other667.__isset;
 }
-FormationNotice& FormationNotice::operator=(const FormationNotice& other662) {
-  choice = other662.choice;
-  holds_log = other662.holds_log;
-  __isset = other662.__isset;
+FormationNotice& FormationNotice::operator=(const FormationNotice& other668) {
+  choice = other668.choice;
+  holds_log = other668.holds_log;
+  __isset = other668.__isset;
   return *this;
 }
-FormationNotice& FormationNotice::operator=(FormationNotice&& other663) noexcept {
-  choice = std::move(other663.choice);
-  holds_log = other663.holds_log;
-  __isset = other663.__isset;
+FormationNotice& FormationNotice::operator=(FormationNotice&& other669) noexcept {
+  choice = std::move(other669.choice);
+  holds_log = other669.holds_log;
+  __isset = other669.__isset;
   return *this;
 }
 void FormationNotice::printTo(std::ostream& out) const {
@@ -16797,98 +16839,98 @@
   swap(a.__isset, b.__isset);
 }
 
-Envelope::Envelope(const Envelope& other664) {
-  from_node = other664.from_node;
-  from_incarnation = other664.from_incarnation;
-  to_node = other664.to_node;
-  raft = other664.raft;
-  heartbeat = other664.heartbeat;
-  heartbeat_reply = other664.heartbeat_reply;
-  claim_request = other664.claim_request;
-  claim_reply = other664.claim_reply;
-  resolution = other664.resolution;
-  operator_request = other664.operator_request;
-  operator_reply = other664.operator_reply;
-  resolution_reply = other664.resolution_reply;
-  fleet_heartbeat = other664.fleet_heartbeat;
-  fleet_update = other664.fleet_update;
-  control_call = other664.control_call;
-  control_call_reply = other664.control_call_reply;
-  slot_report = other664.slot_report;
-  slot_answer = other664.slot_answer;
-  registrations = other664.registrations;
-  formation = other664.formation;
-  __isset = other664.__isset;
-}
-Envelope::Envelope(Envelope&& other665) noexcept {
-  from_node = std::move(other665.from_node);
-  from_incarnation = other665.from_incarnation;
-  to_node = std::move(other665.to_node);
-  raft = std::move(other665.raft);
-  heartbeat = std::move(other665.heartbeat);
-  heartbeat_reply = std::move(other665.heartbeat_reply);
-  claim_request = std::move(other665.claim_request);
-  claim_reply = std::move(other665.claim_reply);
-  resolution = std::move(other665.resolution);
-  operator_request = std::move(other665.operator_request);
-  operator_reply = std::move(other665.operator_reply);
-  resolution_reply = std::move(other665.resolution_reply);
-  fleet_heartbeat = std::move(other665.fleet_heartbeat);
-  fleet_update = std::move(other665.fleet_update);
-  control_call = std::move(other665.control_call);
-  control_call_reply = std::move(other665.control_call_reply);
-  slot_report = std::move(other665.slot_report);
-  slot_answer = std::move(other665.slot_answer);
-  registrations = std::move(other665.registrations);
-  formation = std::move(other665.formation);
-  __isset = other665.__isset;
-}
-Envelope& Envelope::operator=(const Envelope& other666) {
-  from_node = other666.from_node;
-  from_incarnation = other666.from_incarnation;
-  to_node = other666.to_node;
-  raft = other666.raft;
-  heartbeat = other666.heartbeat;
-  heartbeat_reply = other666.heartbeat_reply;
-  claim_request = other666.claim_request;
-  claim_reply = other666.claim_reply;
-  resolution = other666.resolution;
-  operator_request = other666.operator_request;
-  operator_reply = other666.operator_reply;
-  resolution_reply = other666.resolution_reply;
-  fleet_heartbeat = other666.fleet_heartbeat;
-  fleet_update = other666.fleet_update;
-  control_call = other666.control_call;
-  control_call_reply = other666.control_call_reply;
-  slot_report = other666.slot_report;
-  slot_answer = other666.slot_answer;
-  registrations = other666.registrations;
-  formation = other666.formation;
-  __isset = other666.__isset;
+Envelope::Envelope(const Envelope& other670) {
+  from_node = other670.from_node;
+  from_incarnation = other670.from_incarnation;
+  to_node = other670.to_node;
+  raft = other670.raft;
+  heartbeat = other670.heartbeat;
+  heartbeat_reply = other670.heartbeat_reply;
+  claim_request = other670.claim_request;
+  claim_reply = other670.claim_reply;
+  resolution = other670.resolution;
+  operator_request = other670.operator_request;
+  operator_reply = other670.operator_reply;
+  resolution_reply = other670.resolution_reply;
+  fleet_heartbeat = other670.fleet_heartbeat;
+  fleet_update = other670.fleet_update;
+  control_call = other670.control_call;
+  control_call_reply = other670.control_call_reply;
+  slot_report = other670.slot_report;
+  slot_answer = other670.slot_answer;
+  registrations = other670.registrations;
+  formation = other670.formation;
+  __isset = other670.__isset;
+}
+Envelope::Envelope(Envelope&& other671) noexcept {
+  from_node = std::move(other671.from_node);
+  from_incarnation = other671.from_incarnation;
+  to_node = std::move(other671.to_node);
+  raft = std::move(other671.raft);
+  heartbeat = std::move(other671.heartbeat);
+  heartbeat_reply = std::move(other671.heartbeat_reply);
+  claim_request = std::move(other671.claim_request);
+  claim_reply = std::move(other671.claim_reply);
+  resolution = std::move(other671.resolution);
+  operator_request = std::move(other671.operator_request);
+  operator_reply = std::move(other671.operator_reply);
+  resolution_reply = std::move(other671.resolution_reply);
+  fleet_heartbeat = std::move(other671.fleet_heartbeat);
+  fleet_update = std::move(other671.fleet_update);
+  control_call = std::move(other671.control_call);
+  control_call_reply = std::move(other671.control_call_reply);
+  slot_report = std::move(other671.slot_report);
+  slot_answer = std::move(other671.slot_answer);
+  registrations = std::move(other671.registrations);
+  formation = std::move(other671.formation);
+  __isset = other671.__isset;
+}
+Envelope& Envelope::operator=(const Envelope& other672) {
+  from_node = other672.from_node;
+  from_incarnation = other672.from_incarnation;
+  to_node = other672.to_node;
+  raft = other672.raft;
+  heartbeat = other672.heartbeat;
+  heartbeat_reply = other672.heartbeat_reply;
+  claim_request = other672.claim_request;
+  claim_reply = other672.claim_reply;
+  resolution = other672.resolution;
+  operator_request = other672.operator_request;
+  operator_reply = other672.operator_reply;
+  resolution_reply = other672.resolution_reply;
+  fleet_heartbeat = other672.fleet_heartbeat;
+  fleet_update = other672.fleet_update;
+  control_call = other672.control_call;
+  control_call_reply = other672.control_call_reply;
+  slot_report = other672.slot_report;
+  slot_answer = other672.slot_answer;
+  registrations = other672.registrations;
+  formation = other672.formation;
+  __isset = other672.__isset;
   return *this;
 }
-Envelope& Envelope::operator=(Envelope&& other667) noexcept {
-  from_node = std::move(other667.from_node);
-  from_incarnation = other667.from_incarnation;
-  to_node = std::move(other667.to_node);
-  raft = std::move(other667.raft);
-  heartbeat = std::move(other667.heartbeat);
-  heartbeat_reply = std::move(other667.heartbeat_reply);
-  claim_request = std::move(other667.claim_request);
-  claim_reply = std::move(other667.claim_reply);
-  resolution = std::move(other667.resolution);
-  operator_request = std::move(other667.operator_request);
-  operator_reply = std::move(other667.operator_reply);
-  resolution_reply = std::move(other667.resolution_reply);
-  fleet_heartbeat = std::move(other667.fleet_heartbeat);
-  fleet_update = std::move(other667.fleet_update);
-  control_call = std::move(other667.control_call);
-  control_call_reply = std::move(other667.control_call_reply);
-  slot_report = std::move(other667.slot_report);
-  slot_answer = std::move(other667.slot_answer);
-  registrations = std::move(other667.registrations);
-  formation = std::move(other667.formation);
-  __isset = other667.__isset;
+Envelope& Envelope::operator=(Envelope&& other673) noexcept {
+  from_node = std::move(other673.from_node);
+  from_incarnation = other673.from_incarnation;
+  to_node = std::move(other673.to_node);
+  raft = std::move(other673.raft);
+  heartbeat = std::move(other673.heartbeat);
+  heartbeat_reply = std::move(other673.heartbeat_reply);
+  claim_request = std::move(other673.claim_request);
+  claim_reply = std::move(other673.claim_reply);
+  resolution = std::move(other673.resolution);
+  operator_request = std::move(other673.operator_request);
+  operator_reply = std::move(other673.operator_reply);
+  resolution_reply = std::move(other673.resolution_reply);
+  fleet_heartbeat = std::move(other673.fleet_heartbeat);
+  fleet_update = std::move(other673.fleet_update);
+  control_call = std::move(other673.control_call);
+  control_call_reply = std::move(other673.control_call_reply);
+  slot_report = std::move(other673.slot_report);
+  slot_answer = std::move(other673.slot_answer);
+  registrations = std::move(other673.registrations);
+  formation = std::move(other673.formation);
+  __isset = other673.__isset;
   return *this;
 }
 void Envelope::printTo(std::ostream& out) const {
--- a/src/wire/gen-cpp/larchlever_types.h
+++ b/src/wire/gen-cpp/larchlever_types.h
@@ -4650,13 +4650,14 @@
 std::ostream& operator<<(std::ostream& out, const Instance& obj);
 
 typedef struct _EngineGroup__isset {
-  _EngineGroup__isset() : name(false), epoch(false), service_name(false), model(false), members(false), phase(false) {}
+  _EngineGroup__isset() : name(false), epoch(false), service_name(false), model(false), members(false), phase(false), member_born_ms(false) {}
   bool name :1;
   bool epoch :1;
   bool service_name :1;
   bool model :1;
   bool members :1;
   bool phase :1;
+  bool member_born_ms :1;
 } _EngineGroup__isset;
 
 /**
@@ -4688,6 +4689,10 @@
    * @see GroupPhase
    */
   GroupPhase::type phase;
+  /**
+   * Births of the members that it was formed of, in their order; 0 for one that does not tell.
+   */
+  std::vector<int64_t>  member_born_ms;
 
   _EngineGroup__isset __isset;
 
@@ -4703,6 +4708,8 @@
 
   void __set_phase(const GroupPhase::type val);
 
+  void __set_member_born_ms(const std::vector<int64_t> & val);
+
   bool operator == (const EngineGroup & rhs) const
   {
     if (!(name == rhs.name))
@@ -4717,6 +4724,8 @@
       return false;
     if (!(phase == rhs.phase))
       return false;
+    if (!(member_born_ms == rhs.member_born_ms))
+      return false;
     return true;
   }
   bool operator != (const EngineGroup &rhs) const {
--- a/src/wire/larchlever.thrift
+++ b/src/wire/larchlever.thrift
@@ -542,6 +542,8 @@
   4: string model,
   5: list<string> members,
   6: GroupPhase phase,
+  /** Births of the members that it was formed of, in their order; 0 for one that does not tell. */
+  7: list<i64> member_born_ms,
 }
 
 /** A request that is sent to no server, since servers ended while they ran it. */
--- a/tests/unit/distribution_test.cc
+++ b/tests/unit/distribution_test.cc
@@ -271,7 +271,8 @@
   wire::ControlCall call;
   call.kind = wire::ControlCallKind::HEARTBEAT;
   call.instance_id = id;
-  call.body = R"({"service":"s","address":"10.0.2.1:80","call_seq":1})";
+  call.body = R"({"service":"s","address":"10.0.2.1:80","zone":"a","version":"v1","slots":8,"state":"ready",)"
+              R"("cold_left_ms":0,"call_seq":1})";
   return call;
 }
 
--- a/tests/unit/fleet_test.cc
+++ b/tests/unit/fleet_test.cc
@@ -108,29 +108,63 @@
   EXPECT_FALSE(directory.find("i0")->silent);
 }
 
-TEST(Registration, ReadsMembershipAndRefusesWhatNamesNoService) {
-  std::string error;
-  const auto report =
-      parse_registration("i1",
-                         R"({"service":"s","address":"a:1","state":"draining","call_seq":9,"staged":["m"],)"
-                         R"("models":[{"name":"m"}],"group":{"name":"g","epoch":12,"rank":1,"state":"open"},"new":1})",
-                         error);
-  ASSERT_TRUE(report) << error;
+constexpr const char* kWholeReport =
+    R"({"service":"s","address":"10.0.0.1:80","zone":"a","version":"v1","slots":8,"state":"draining","cold_left_ms":0,)"
+    R"("call_seq":9,"born":1780000000000,"domain":"d1","staged":["m"],"models":[{"name":"m"}],)"
+    R"("group":{"name":"g","epoch":12,"rank":1,"state":"open"},"new":1})";
+
+/// The field at fault; empty when the report was read.
+std::string fault_of(const std::string& body) {
+  const auto parsed = parse_registration("i1", body);
+  const auto* fault = std::get_if<MalformedReport>(&parsed);
+  return fault == nullptr ? "" : fault->field;
+}
+
+std::string without(const std::string& text, const std::string& part, const std::string& other = "") {
+  std::string result = text;
+  return result.replace(result.find(part), part.size(), other);
+}
+
+TEST(Registration, ReadsAWholeReport) {
+  const auto parsed = parse_registration("i1", kWholeReport);
+  const auto* report = std::get_if<wire::Instance>(&parsed);
+  ASSERT_NE(report, nullptr);
   EXPECT_EQ(report->state, wire::InstanceState::DRAINING);
   EXPECT_EQ(report->membership.epoch, 12);
   EXPECT_EQ(report->membership.state, wire::MembershipState::OPEN);
   EXPECT_EQ(report->model, "m");
-  EXPECT_FALSE(parse_registration("i1", R"({"service":"s"})", error));
-  EXPECT_NE(error.find("send both"), std::string::npos);
-  EXPECT_FALSE(parse_registration("i1", "{", error));
-}
-
-TEST(Registration, NumbersOutOfRangeAreNoReasonToStop) {
-  std::string error;
-  const auto report =
-      parse_registration("i1", R"({"service":"s","address":"a:1","call_seq":1.5,"slots":1e300})", error);
-  ASSERT_TRUE(report) << error;
-  EXPECT_EQ(report->call_number, 0);
+  EXPECT_EQ(report->domain, "d1");
+  EXPECT_EQ(report->born_ms, 1780000000000);
+}
+
+TEST(Registration, AReportWithoutABirthAGroupOrWeightsIsWhole) {
+  const std::string plain =
+      R"({"service":"s","address":"10.0.0.1:80","zone":"a","version":"v1","slots":8,"state":"ready",)"
+      R"("cold_left_ms":0.5,"call_seq":0,"group":null})";
+  EXPECT_EQ(fault_of(plain), "");
+}
+
+TEST(Registration, NamesTheFieldThatIsMissingOrOfAnotherType) {
+  EXPECT_EQ(fault_of("{"), "body");
+  EXPECT_EQ(fault_of(R"({"service":"s"})"), "address");
+  EXPECT_EQ(fault_of(without(kWholeReport, R"("state":"draining")", R"("state":"resting")")), "state");
+  EXPECT_EQ(fault_of(without(kWholeReport, R"("slots":8)", R"("slots":1e300)")), "slots");
+  EXPECT_EQ(fault_of(without(kWholeReport, R"("call_seq":9)", R"("call_seq":1.5)")), "call_seq");
+  EXPECT_EQ(fault_of(without(kWholeReport, R"("call_seq":9)", R"("call_seq":18446744073709551615)")), "call_seq");
+  EXPECT_EQ(fault_of(without(kWholeReport, R"("born":1780000000000)", R"("born":1.5)")), "born");
+  EXPECT_EQ(fault_of(without(kWholeReport, R"("epoch":12)", R"("epoch":"12")")), "group.epoch");
+  EXPECT_EQ(fault_of(without(kWholeReport, R"(["m"])", R"([7])")), "staged");
+}
+
+TEST(Registration, AServiceThatNobodyNamesIsAFaultOnceADocumentIsHeld) {
+  wire::Instance report;
+  report.service_name = "s";
+  EXPECT_FALSE(find_unknown_service(report, nullptr));
+  document::ConfigurationDocument document;
+  ASSERT_TRUE(find_unknown_service(report, &document));
+  EXPECT_EQ(find_unknown_service(report, &document)->field, "service");
+  document.services["s"];
+  EXPECT_FALSE(find_unknown_service(report, &document));
 }
 
 // ---------------------------------------------------------- subscription
