A suspended entry that wakes with an old lease, failing

Cause looked for: the steady clock does not count the time that a machine is suspended. The clock gets one home in net/, with a seam by which a test moves it past a suspension that timers do not see; it still reads the steady clock.

--- a/src/node/clock.h
+++ b/src/node/clock.h
@@ -1,14 +1,9 @@
 #pragma once
 
-#include <chrono>
-
-#include "core/base/time.h"
+#include "net/clock.h"
 
 namespace larchlever::node {
 
-/// The steady clock as decision logic takes it.
-inline TimePoint monotonic_now() {
-  return TimePoint(std::chrono::duration_cast<Duration>(std::chrono::steady_clock::now().time_since_epoch()));
-}
+using net::monotonic_now;
 
 }  // namespace larchlever::node
--- a/tests/integration/registration_test.cc
+++ b/tests/integration/registration_test.cc
@@ -1,19 +1,15 @@
 #include <gtest/gtest.h>
 
-#include <atomic>
 #include <boost/json.hpp>
 #include <thread>
 
 #include "core/base/http_status.h"
 #include "fleet_node_processes.h"
-#include "net/http_server.h"
-#include "net/listener.h"
-#include "node/dialect.h"
+#include "forms_server.h"
 
 namespace larchlever::integration {
 namespace {
 
-namespace asio = boost::asio;
 namespace json = boost::json;
 using std::chrono::milliseconds;
 using std::chrono::seconds;
@@ -21,39 +17,6 @@
 constexpr auto kPatience = seconds(15);
 constexpr int64_t kBorn = 1'780'000'000'000;
 
-/// A plain server of the service `forms`, which answers everything.
-class FormsServer : public net::HttpHandler {
- public:
-  FormsServer(BlockingClient& client, const std::string& address)
-      : client_(client), server_(client.context().get_executor(), net::HttpServerOptions(), *this) {
-    asio::post(client.context(), asio::use_future([this, address] {
-                 std::string error;
-                 EXPECT_TRUE(net::listen_on(server_, address, error)) << error;
-               }))
-        .get();
-  }
-  ~FormsServer() override {
-    asio::post(client_.context(), asio::use_future([this] { server_.close_all(); })).get();
-  }
-
-  asio::awaitable<void> handle(net::HttpExchange& exchange) override {
-    const auto& dialect = *node::find_dialect("larchlever");
-    ++served_;
-    net::HttpResponse response;
-    response.status = http_status::kOk;
-    response.headers.add(dialect.request_id, std::string(exchange.request().headers.find(dialect.request_id)));
-    response.headers.add(dialect.signature, "signed");
-    response.body = "form";
-    co_await exchange.respond(std::move(response));
-  }
-  int served() const { return served_; }
-
- private:
-  BlockingClient& client_;
-  net::HttpServer server_;
-  std::atomic<int> served_ = 0;
-};
-
 FleetNodeOptions small_fleet() {
   FleetNodeOptions options;
   options.controls = 3;
--- /dev/null
+++ b/tests/integration/suspension_test.cc
@@ -0,0 +1,121 @@
+#include <gtest/gtest.h>
+
+#include <csignal>
+#include <thread>
+
+#include "fleet_node_processes.h"
+#include "forms_server.h"
+#include "net/clock.h"
+#include "node/fleet_process.h"
+#include "settings/fleet_settings.h"
+
+// A suspended machine: its steady clock, and with it every timer, does not count the time that it slept. The entry runs
+// in the test's own process, whose clock can be moved past a suspension; the control replicas are processes.
+
+namespace larchlever::integration {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+constexpr auto kPatience = seconds(15);
+constexpr auto kSleep = seconds(30);
+
+FleetNodeOptions options() {
+  FleetNodeOptions result;
+  result.controls = 3;
+  result.entries = 1;
+  result.tolerated_losses = 1;
+  return result;
+}
+
+class SuspendedEntry : public testing::Test {
+ protected:
+  void start(milliseconds server_delay) {
+    const std::string server_address = fleet_.engine_addresses(1)[0] + ":9000";
+    server_ = std::make_unique<FormsServer>(client_, server_address, server_delay);
+    for (const auto& node : fleet_.controls()) {
+      fleet_.start(node);
+    }
+    std::vector<std::string> errors;
+    const auto settings = settings::parse_fleet_settings(read_file(fleet_.write_settings("e1")), errors);
+    ASSERT_TRUE(settings) << errors.front();
+    on_entry_thread([&] {
+      std::string error;
+      entry_ = node::make_entry_process(entry_client_.context().get_executor(), *settings);
+      EXPECT_TRUE(entry_->start(error)) << error;
+    });
+    ASSERT_TRUE(fleet_.put_document(7, kPatience));
+    ASSERT_TRUE(fleet_.all_entries_ready(kPatience));
+    const std::string report = R"({"service":"forms","address":")" + server_address +
+                               R"(","zone":"north","version":"v1","slots":8,"state":"ready","cold_left_ms":0,)" +
+                               R"("call_seq":1})";
+    ASSERT_TRUE(eventually(
+        [&] {
+          const auto result = fleet_.call_control("c1", "POST", "/v1/instances/i1/heartbeat", report);
+          return result.response && result.response->status == 200;
+        },
+        kPatience));
+  }
+  void TearDown() override {
+    if (entry_ != nullptr) {
+      on_entry_thread([this] { entry_.reset(); });
+    }
+  }
+
+  void on_entry_thread(const std::function<void()>& action) {
+    boost::asio::post(entry_client_.context(), boost::asio::use_future(action)).get();
+  }
+  /// The status that a caller gets; 0 for none.
+  int ask(milliseconds deadline) {
+    net::HttpRequest request;
+    request.target = "/forms/1";
+    request.headers.add("Host", "forms.example");
+    request.headers.add("Larchlever-Request-Id", "r" + std::to_string(calls_++));
+    request.headers.add("Larchlever-Deadline-Ms", std::to_string(deadline.count()));
+    const auto result = client_.fetch(fleet_.address("e1") + ":8227", request, seconds(5));
+    return result.response ? result.response->status : 0;
+  }
+
+  FleetNodeProcesses fleet_{options()};
+  BlockingClient client_;
+  /// Its thread runs the entry.
+  BlockingClient entry_client_;
+  std::unique_ptr<FormsServer> server_;
+  std::unique_ptr<node::FleetProcess> entry_;
+  int calls_ = 0;
+};
+
+// An entry woke up with a lease that by its steady clock had seconds left, though the configuration may have changed
+// and keys been revoked while it slept, and served by it.
+TEST_F(SuspendedEntry, ServesNothingByALeaseFromBeforeItSlept) {
+  start(milliseconds(0));
+  ASSERT_TRUE(eventually([this] { return ask(seconds(1)) == 200; }, kPatience));
+  // Nobody answers the entry, so it cannot learn what it missed.
+  for (const auto& node : fleet_.controls()) {
+    fleet_.signal(node, SIGSTOP);
+  }
+  net::simulate_suspension(kSleep);
+  EXPECT_EQ(ask(seconds(1)), 503);
+  for (const auto& node : fleet_.controls()) {
+    fleet_.signal(node, SIGCONT);
+  }
+  EXPECT_TRUE(eventually([this] { return ask(seconds(1)) == 200; }, kPatience));
+}
+
+// A request whose deadline had passed while the entry slept was held until the entry's timer had run the rest of its
+// time.
+TEST_F(SuspendedEntry, EndsWhatIsOverdueWhenItWakes) {
+  start(seconds(4));
+  int status = 0;
+  std::thread caller([&] { status = ask(milliseconds(3500)); });
+  ASSERT_TRUE(eventually([this] { return server_->served() == 1; }, kPatience));
+  net::simulate_suspension(kSleep);
+  const auto woken = std::chrono::steady_clock::now();
+  caller.join();
+  EXPECT_EQ(status, 504);
+  EXPECT_LT(std::chrono::steady_clock::now() - woken, milliseconds(500));
+}
+
+}  // namespace
+}  // namespace larchlever::integration
