Count leases and deadlines by the boot-time clock

Cause: the steady clock stands still while a machine is suspended, so an entry woke with a lease that looked valid, and timers ran the rest of a time that was over. Change: one clock, CLOCK_BOOTTIME, for all leases, timeouts and deadlines in net/ and node/; after a pause of its own an entry ends what is overdue, and a control replica counts nobody's silence in that time against them (no mass expiry, no confirmation in the name of nodes that only seem lost).

--- a/src/core/base/time.h
+++ b/src/core/base/time.h
@@ -26,6 +26,12 @@
 inline int64_t to_microseconds(TimePoint time) { return time.time_since_epoch().count(); }
 inline TimePoint from_microseconds(int64_t value) { return TimePoint(Duration(value)); }
 
+/// When somebody counts as last heard after this process stood still for `pause` until `now`: the pause is no silence
+/// of theirs. Whoever was heard since keeps that moment.
+inline TimePoint heard_after_pause(TimePoint now, TimePoint last_heard, Duration pause) {
+  return last_heard + pause < now ? last_heard + pause : now;
+}
+
 /// Greatest relative difference of two machines' monotonic clocks that every lease allows for.
 constexpr double kMaximumClockDrift = 0.01;
 
--- a/src/core/fleet/entry_distributor.h
+++ b/src/core/fleet/entry_distributor.h
@@ -36,6 +36,8 @@
   /// Pushes what is new to the entries that lack it. To be called after every news and a few times a second.
   void push_news(TimePoint now, const DistributorSource& source, bool wants_confirmation);
 
+  /// This process stood still for `pause`: no entry's silence in that time counts.
+  void note_own_pause(TimePoint now, Duration pause) { entries_.note_own_pause(now, pause); }
   int serving_entries(TimePoint now) const { return entries_.serving(now); }
   /// The last version of the source's term that every live entry holds.
   int64_t entries_hold_version(TimePoint now) const { return entries_.held_by_all(now); }
--- a/src/core/fleet/entry_reports.cc
+++ b/src/core/fleet/entry_reports.cc
@@ -50,6 +50,12 @@
   return is_new;
 }
 
+void EntryReports::note_own_pause(TimePoint now, Duration pause) {
+  for (auto& [node, entry] : entries_) {
+    entry.last_heard = heard_after_pause(now, entry.last_heard, pause);
+  }
+}
+
 std::vector<std::string> EntryReports::forget_silent(TimePoint now) {
   std::vector<std::string> forgotten;
   for (auto item = entries_.begin(); item != entries_.end();) {
--- a/src/core/fleet/entry_reports.h
+++ b/src/core/fleet/entry_reports.h
@@ -18,6 +18,8 @@
   void start();
   /// Takes a report. True when it is the first one of this life of the node: what was known of it before is void.
   bool note(TimePoint now, const wire::Envelope& envelope);
+  /// This process stood still for `pause` until now: no entry's silence in that time counts.
+  void note_own_pause(TimePoint now, Duration pause);
   /// Forgets entries that have not reported of late, and returns them.
   std::vector<std::string> forget_silent(TimePoint now);
   /// What is under way per group, over all entries.
--- a/src/core/fleet/fleet_controller.h
+++ b/src/core/fleet/fleet_controller.h
@@ -68,6 +68,11 @@
   /// `FleetOptions::call_patience`.
   int64_t submit(TimePoint now, wire::ControlCall call);
 
+  /// This process stood still for `pause` until now: nobody else's silence in that time counts.
+  void note_own_pause(TimePoint now, Duration pause) {
+    leader_.note_own_pause(now, pause);
+    distributor_.note_own_pause(now, pause);
+  }
   void begin_leaving() { leaving_ = true; }
   /// Peer addresses learned from settings.
   void add_peers(const std::vector<std::string>& peers) { subscription_.add_peers(peers); }
--- a/src/core/fleet/fleet_leader.cc
+++ b/src/core/fleet/fleet_leader.cc
@@ -479,6 +479,13 @@
   answer_slots(now, log);
 }
 
+void FleetLeader::note_own_pause(TimePoint now, Duration pause) {
+  subscribers_.note_own_pause(now, pause);
+  instances_.note_own_pause(now, pause);
+  entry_reports_.note_own_pause(now, pause);
+  nodes_.note_own_pause(now, pause);
+}
+
 FleetLeader::Outputs FleetLeader::take_outputs() {
   Outputs result = std::move(outputs_);
   outputs_ = Outputs();
--- a/src/core/fleet/fleet_leader.h
+++ b/src/core/fleet/fleet_leader.h
@@ -62,6 +62,8 @@
   void proposed(const std::string& key, std::optional<int64_t> index, int64_t term);
   /// The entry at `index`, of `term`, was applied.
   void applied(int64_t index, int64_t term);
+  /// This process stood still for `pause`: nobody's silence in that time counts against them.
+  void note_own_pause(TimePoint now, Duration pause);
   void tick(TimePoint now, const consensus::RaftNode& raft, const DocumentLog& log);
   Outputs take_outputs();
 
--- a/src/core/fleet/instance_directory.cc
+++ b/src/core/fleet/instance_directory.cc
@@ -240,6 +240,12 @@
   return changed;
 }
 
+void InstanceDirectory::note_own_pause(TimePoint now, Duration pause) {
+  for (auto& [id, row] : rows_) {
+    row.last_heard = heard_after_pause(now, row.last_heard, pause);
+  }
+}
+
 const wire::Instance* InstanceDirectory::find(const std::string& id) const {
   const auto found = rows_.find(id);
   return found == rows_.end() ? nullptr : &found->second.instance;
--- a/src/core/fleet/instance_directory.h
+++ b/src/core/fleet/instance_directory.h
@@ -70,6 +70,9 @@
   /// half of all ready instances are silent at once, it is we who are cut off: nothing is marked.
   bool tick(TimePoint now);
 
+  /// This process stood still for `pause` until now: no instance's silence in that time counts.
+  void note_own_pause(TimePoint now, Duration pause);
+
   const std::map<std::string, InstanceRow>& rows() const { return rows_; }
   const wire::Instance* find(const std::string& id) const;
   std::vector<wire::Instance> snapshot() const;
--- a/src/core/fleet/subscriber_table.cc
+++ b/src/core/fleet/subscriber_table.cc
@@ -63,6 +63,12 @@
   return version >= history_.last_change() ? std::max(version, history_.version()) : version;
 }
 
+void SubscriberTable::note_own_pause(TimePoint now, Duration pause) {
+  for (auto& [node, subscriber] : subscribers_) {
+    subscriber.last_heard = heard_after_pause(now, subscriber.last_heard, pause);
+  }
+}
+
 void SubscriberTable::add_document(TimePoint now, const std::string& node, const wire::DocumentChange& document,
                                    wire::FleetUpdate& update) {
   Subscriber& subscriber = subscribers_[node];
--- a/src/core/fleet/subscriber_table.h
+++ b/src/core/fleet/subscriber_table.h
@@ -37,6 +37,8 @@
 
   /// Notes what a node says that it holds. False when the heartbeat stems from an earlier life of the node.
   bool heard(TimePoint now, const wire::Envelope& envelope);
+  /// This process stood still for `pause` until now: no node's silence in that time counts.
+  void note_own_pause(TimePoint now, Duration pause);
   /// Attaches the document if the node lacks it.
   void add_document(TimePoint now, const std::string& node, const wire::DocumentChange& document,
                     wire::FleetUpdate& update);
--- a/src/core/membership/node_directory.cc
+++ b/src/core/membership/node_directory.cc
@@ -32,6 +32,12 @@
   return found == rows_.end() ? nullptr : &found->second;
 }
 
+void NodeDirectory::note_own_pause(TimePoint now, Duration pause) {
+  for (auto& [node, row] : rows_) {
+    row.last_heard = heard_after_pause(now, row.last_heard, pause);
+  }
+}
+
 std::vector<const NodeRow*> NodeDirectory::live(TimePoint now, Duration timeout) const {
   std::vector<const NodeRow*> result;
   for (const auto& [node, row] : rows_) {
--- a/src/core/membership/node_directory.h
+++ b/src/core/membership/node_directory.h
@@ -35,6 +35,8 @@
   NodeRow* heard(TimePoint now, const std::string& node, Incarnation incarnation, Arrival& arrival);
   const std::map<std::string, NodeRow>& rows() const { return rows_; }
   NodeRow* find(const std::string& node);
+  /// This process stood still for `pause` until now: no node's silence in that time counts.
+  void note_own_pause(TimePoint now, Duration pause);
   /// Nodes heard within `timeout` that are not leaving.
   std::vector<const NodeRow*> live(TimePoint now, Duration timeout) const;
   /// Nodes that hold an unexpired configuration lease but have not confirmed `revision`.
--- a/src/net/http_client.cc
+++ b/src/net/http_client.cc
@@ -9,6 +9,7 @@
 #include <map>
 
 #include "core/base/scope_exit.h"
+#include "net/clock.h"
 
 namespace larchlever::net {
 
@@ -36,12 +37,12 @@
   explicit Connection(const asio::any_io_executor& executor) : stream(executor) {}
   beast::tcp_stream stream;
   beast::flat_buffer buffer;
-  std::chrono::steady_clock::time_point usable_until = std::chrono::steady_clock::time_point::max();
+  TimePoint usable_until = TimePoint::max();
 };
 
 /// Until when a connection may be used again, by the answer's `Keep-Alive: timeout=N`.
-std::chrono::steady_clock::time_point usable_until(std::string_view keep_alive) {
-  const auto now = std::chrono::steady_clock::now();
+TimePoint usable_until(std::string_view keep_alive) {
+  const TimePoint now = monotonic_now();
   const size_t position = keep_alive.find("timeout=");
   if (position == std::string_view::npos) {
     return now + kDefaultKeepAlive;
@@ -95,7 +96,7 @@
     while (!list.empty()) {
       auto connection = std::move(list.back());
       list.pop_back();
-      const bool expired = std::chrono::steady_clock::now() >= connection->usable_until;
+      const bool expired = monotonic_now() >= connection->usable_until;
       if (!expired && !is_stale(connection->stream.socket())) {
         ++stats.reused;
         return connection;
--- a/src/net/peer_transport.cc
+++ b/src/net/peer_transport.cc
@@ -6,6 +6,7 @@
 #include <deque>
 #include <set>
 
+#include "net/clock.h"
 #include "net/frame.h"
 #include "net/http_types.h"
 #include "net/listener.h"
@@ -39,7 +40,7 @@
   bool writing = false;
   bool closed = false;
   /// When the first message left since something last came back; nothing while the peer answers.
-  std::optional<std::chrono::steady_clock::time_point> unanswered_since;
+  std::optional<TimePoint> unanswered_since;
 };
 
 using LinkPointer = std::shared_ptr<Link>;
@@ -75,7 +76,7 @@
   tcp::acceptor acceptor;
   std::map<std::string, std::string> addresses;
   std::map<std::string, LinkPointer> by_node;
-  std::map<std::string, std::chrono::steady_clock::time_point> redial_after;
+  std::map<std::string, TimePoint> redial_after;
   std::set<LinkPointer> links;
   bool stopped = false;
   PeerStats stats;
@@ -215,7 +216,7 @@
   timer.cancel();
   if (error || link->closed) {
     ++stats.connect_failures;
-    redial_after[link->node] = std::chrono::steady_clock::now() + kRedialPause;
+    redial_after[link->node] = monotonic_now() + kRedialPause;
     close(link);
     co_return;
   }
@@ -254,7 +255,7 @@
     return;
   }
   const std::string& node = envelope.to_node;
-  const auto now = std::chrono::steady_clock::now();
+  const auto now = monotonic_now();
   auto found = self.by_node.find(node);
   if (found != self.by_node.end() && found->second->unanswered_since &&
       now - *found->second->unanswered_since > kSilenceLimit) {
--- a/src/node/control_process.cc
+++ b/src/node/control_process.cc
@@ -29,6 +29,9 @@
 constexpr Duration kFleetReportInterval = seconds(1);
 /// How often a seed logs what it waits for while the fleet is not formed.
 constexpr Duration kFormationReportInterval = seconds(1);
+/// A tick that comes this much later than the one before tells that this process stood still: a dozen ticks, and a
+/// small part of the time after which a node counts as lost.
+constexpr Duration kOwnPause = milliseconds(250);
 /// Shortest time between two lines on reports that were refused.
 constexpr Duration kMalformedReportInterval = milliseconds(200);
 /// Shortest time between two copies of the fleet's state on disk.
@@ -488,8 +491,16 @@
 asio::awaitable<void> ControlProcess::tick_loop() {
   const auto alive = alive_;
   asio::steady_timer timer(executor_);
+  TimePoint last_tick = monotonic_now();
   while (*alive) {
-    controller_.tick(monotonic_now());
+    const TimePoint now = monotonic_now();
+    if (now - last_tick > kOwnPause) {
+      // What others sent meanwhile was not read: judged by it, every node and instance would count as lost at once.
+      controller_.note_own_pause(now, now - last_tick);
+      log_problem(settings_.name, "stood_still", {{"for_ms", std::to_string((now - last_tick) / milliseconds(1))}});
+    }
+    last_tick = now;
+    controller_.tick(now);
     pump();
     report_changes();
     report_formation();
@@ -542,14 +553,13 @@
 
 asio::awaitable<void> ControlProcess::drain() {
   asio::steady_timer timer(executor_);
-  const auto deadline = std::chrono::steady_clock::now() + kHandOverPatience;
+  const TimePoint deadline = monotonic_now() + kHandOverPatience;
   controller_.begin_leaving();
   log_event(settings_.name, "draining", {{"leads", was_leader_ ? "yes" : "no"}});
   do {
     timer.expires_after(kTickInterval);
     co_await timer.async_wait(kAwait);
-  } while (controller_.raft() != nullptr && controller_.raft()->is_leader() &&
-           std::chrono::steady_clock::now() < deadline);
+  } while (controller_.raft() != nullptr && controller_.raft()->is_leader() && monotonic_now() < deadline);
 }
 
 }  // namespace
--- a/src/node/entry_process.cc
+++ b/src/node/entry_process.cc
@@ -199,6 +199,7 @@
       // Answers that arrived meanwhile wait in the sockets. Judged before they are read, healthy groups would count as
       // stalled and their whole answers would be cut.
       state_.dispatcher.note_own_pause(now);
+      relay_.abandon_overdue(now);
       log_problem(settings_.name, "stood_still", {{"for_ms", std::to_string((now - last_tick) / milliseconds(1))}});
     }
     last_tick = now;
@@ -211,8 +212,7 @@
 
 asio::awaitable<void> EntryProcess::drain() {
   asio::steady_timer timer(executor_);
-  const auto deadline = std::chrono::steady_clock::now() +
-                        std::chrono::duration_cast<std::chrono::milliseconds>(settings_.stop_grace) - kStopReserve;
+  const TimePoint deadline = monotonic_now() + settings_.stop_grace - kStopReserve;
   leaving_ = true;
   callers_.begin_draining();
   log_event(settings_.name, "draining", {{"requests", std::to_string(callers_.stats().active_requests)}});
@@ -221,7 +221,7 @@
   co_await timer.async_wait(kAwait);
   callers_.stop_accepting();
   callers_.close_idle();
-  while (callers_.stats().active_requests > 0 && std::chrono::steady_clock::now() < deadline) {
+  while (callers_.stats().active_requests > 0 && monotonic_now() < deadline) {
     timer.expires_after(kTickInterval);
     co_await timer.async_wait(kAwait);
   }
--- a/src/node/request_relay.cc
+++ b/src/node/request_relay.cc
@@ -226,9 +226,11 @@
     note_load(target);  // The leader counts a slot that it granted.
   }
   state_.under_way[target.key].insert(cancellation);
+  under_way_.insert(&request);
   const ScopeExit finish([this, &request, &target, cancellation] {
     state_.dispatcher.end(target, request.mark);
     note_load(target);
+    under_way_.erase(&request);
     auto& under_way = state_.under_way[target.key];
     under_way.erase(cancellation);
     if (under_way.empty()) {
@@ -361,6 +363,15 @@
   }
 }
 
+void RequestRelay::abandon_overdue(TimePoint now) {
+  const auto under_way = under_way_;
+  for (auto* request : under_way) {
+    if (request->due <= now && request->cancellation) {
+      request->cancellation->cancel();
+    }
+  }
+}
+
 void RequestRelay::abandon_lost(const std::string& target_key) {
   const auto found = state_.under_way.find(target_key);
   if (found == state_.under_way.end() || found->second.empty()) {
--- a/src/node/request_relay.h
+++ b/src/node/request_relay.h
@@ -3,6 +3,7 @@
 #include <boost/asio/any_io_executor.hpp>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 
 #include "net/http_client.h"
@@ -31,6 +32,9 @@
   boost::asio::awaitable<void> handle(net::HttpExchange& exchange) override;
   /// Gives up what waits at groups that stand still, so that it is sent elsewhere. To be called every few ticks.
   void abandon_stalled(TimePoint now);
+  /// Ends what is past its deadline. To be called after this process stood still: timers did not count that time where
+  /// the machine was suspended.
+  void abandon_overdue(TimePoint now);
   /// The target's server started again: nothing of what is under way there comes back.
   void abandon_lost(const std::string& target_key);
   /// The leader found that the group stands still.
@@ -81,6 +85,8 @@
   BlockGate blocks_;
   TargetFinder targets_;
   net::HttpClient client_;
+  /// Requests that have a sending under way.
+  std::set<RelayedRequest*> under_way_;
 };
 
 }  // namespace larchlever::node
--- a/tests/integration/suspension_test.cc
+++ b/tests/integration/suspension_test.cc
@@ -107,9 +107,12 @@
 // time.
 TEST_F(SuspendedEntry, EndsWhatIsOverdueWhenItWakes) {
   start(seconds(4));
+  const auto reaches_server = [this] { return ask(milliseconds(100)) != 0 && server_->served() > 0; };
+  ASSERT_TRUE(eventually(reaches_server, kPatience)) << "the entry knows of no server";
+  const int served_before = server_->served();
   int status = 0;
-  std::thread caller([&] { status = ask(milliseconds(3500)); });
-  ASSERT_TRUE(eventually([this] { return server_->served() == 1; }, kPatience));
+  std::jthread caller([&] { status = ask(milliseconds(3500)); });
+  ASSERT_TRUE(eventually([&] { return server_->served() > served_before; }, kPatience));
   net::simulate_suspension(kSleep);
   const auto woken = std::chrono::steady_clock::now();
   caller.join();
--- a/tests/unit/fleet_test.cc
+++ b/tests/unit/fleet_test.cc
@@ -108,6 +108,23 @@
   EXPECT_FALSE(directory.find("i0")->silent);
 }
 
+TEST(InstanceDirectory, OnesOwnPauseIsNobodysSilence) {
+  InstanceDirectory directory{seconds(3)};
+  for (int number = 0; number < 4; ++number) {
+    directory.heard(kStart, instance("i" + std::to_string(number), "a:" + std::to_string(number)));
+  }
+  const TimePoint woken = kStart + seconds(11);
+  directory.heard(woken, instance("i0", "a:0", 2));  // Read before the pause was noticed.
+  directory.heard(woken, instance("i1", "a:1", 2));
+  directory.heard(woken, instance("i2", "a:2", 2));
+  directory.note_own_pause(woken, seconds(10));
+  EXPECT_FALSE(directory.tick(woken));
+  EXPECT_FALSE(directory.find("i3")->silent);
+  EXPECT_TRUE(directory.tick(woken + milliseconds(2100)));
+  EXPECT_TRUE(directory.find("i3")->silent) << "one second before the pause and two after it";
+  EXPECT_FALSE(directory.find("i0")->silent);
+}
+
 constexpr const char* kWholeReport =
     R"({"service":"s","address":"10.0.0.1:80","zone":"a","version":"v1","slots":8,"state":"draining","cold_left_ms":0,)"
     R"("call_seq":9,"born":1780000000000,"domain":"d1","staged":["m"],"models":[{"name":"m"}],)"
@@ -350,6 +367,26 @@
 
 // ------------------------------------------------------------- dispatcher
 
+TEST(Dispatcher, AnInstanceThatStartedAgainIsATargetOfItsOwn) {
+  Dispatcher dispatcher(FleetOptions(), "a", 1);
+  document::ServiceSpec plain;
+  plain.name = "s";
+  wire::FleetState state;
+  state.instances = {instance("i1", "a:1")};
+  state.instances[0].born_ms = 1000;
+  EXPECT_TRUE(dispatcher.update_state(state).empty());
+  const auto before = dispatcher.choose(kStart, plain, {}, {}).target;
+  ASSERT_TRUE(before);
+  dispatcher.begin(kStart, *before);
+  state.instances[0].born_ms = 2000;
+  EXPECT_EQ(dispatcher.update_state(state), std::vector<std::string>{before->key});
+  const auto after = dispatcher.choose(kStart, plain, {}, {before->key}).target;
+  ASSERT_TRUE(after) << "what an earlier start did is not held against it";
+  EXPECT_NE(after->key, before->key);
+  EXPECT_EQ(after->in_flight, 0);
+  EXPECT_TRUE(dispatcher.update_state(state).empty());
+}
+
 document::ServiceSpec engine_service() {
   document::ServiceSpec service;
   service.name = "s";
