--- a/tests/unit/incarnation_test.cc
+++ b/tests/unit/incarnation_test.cc
@@ -1,5 +1,6 @@
 #include <gtest/gtest.h>
 
+#include "core/fleet/group_supervisor.h"
 #include "core/fleet/instance_directory.h"
 #include "core/fleet/registration_relay.h"
 
@@ -148,5 +149,39 @@
   EXPECT_EQ(batch->reports.front().instance.born_ms, kBorn + 1);
 }
 
+// A member that started again joins by an order that arrives late, and reports itself ready under the group's name: it
+// is not the member that was seen ready when the group was opened.
+TEST(Incarnation, AMemberThatStartedAgainIsALostMemberOfItsGroup) {
+  const auto member = [](const std::string& id, int64_t born_ms, int rank) {
+    wire::Instance result = report(born_ms, 5, id + ":1");
+    result.id = id;
+    result.domain = "d0";
+    result.membership.group = "g2-1";
+    result.membership.epoch = 9;
+    result.membership.rank = rank;
+    result.membership.state = rank == 0 ? wire::MembershipState::OPEN : wire::MembershipState::READY;
+    return result;
+  };
+  wire::EngineGroup group;
+  group.name = "g2-1";
+  group.epoch = 9;
+  group.service_name = "s";
+  group.model = "large";
+  group.members = {"i1", "i2"};
+  group.member_born_ms = {kBorn, kBorn};
+  group.phase = wire::GroupPhase::OPEN;
+  InstanceDirectory directory{seconds(3)};
+  directory.heard(kStart, member("i1", kBorn, 0));
+  directory.heard(kStart, member("i2", kBorn, 1));
+  GroupSupervisor supervisor{FleetOptions()};
+  supervisor.start(kStart, 3, {group});
+  const document::ConfigurationDocument document;
+  supervisor.tick(kStart, document, directory);
+  EXPECT_EQ(supervisor.snapshot().front().phase, wire::GroupPhase::OPEN);
+  directory.heard(kStart + seconds(1), member("i2", kBorn + 1, 1));
+  supervisor.tick(kStart + seconds(1), document, directory);
+  EXPECT_EQ(supervisor.snapshot().front().phase, wire::GroupPhase::DISSOLVING);
+}
+
 }  // namespace
 }  // namespace larchlever::fleet
--- a/tests/unit/parser_fuzz_test.cc
+++ b/tests/unit/parser_fuzz_test.cc
@@ -1,8 +1,11 @@
 #include <gtest/gtest.h>
 
+#include <boost/json.hpp>
+#include <cstdlib>
 #include <functional>
 #include <random>
 
+#include "core/fleet/registration.h"
 #include "core/requests/stream_verifier.h"
 #include "net/frame.h"
 #include "settings/change_file.h"
@@ -15,7 +18,11 @@
 namespace larchlever {
 namespace {
 
-constexpr int kRounds = 4000;
+/// By hand for longer: LARCHLEVER_FUZZ_ROUNDS=N.
+int rounds() {
+  const char* given = std::getenv("LARCHLEVER_FUZZ_ROUNDS");
+  return given == nullptr ? 4000 : std::atoi(given);
+}
 
 /// A sample with some bytes changed, cut out, doubled or cut off.
 std::string mutate(std::string sample, std::mt19937_64& random) {
@@ -45,7 +52,8 @@
 
 void fuzz(const std::string& sample, const std::function<void(const std::string&)>& parse) {
   std::mt19937_64 random(20261202);
-  for (int round = 0; round < kRounds; ++round) {
+  const int count = rounds();
+  for (int round = 0; round < count; ++round) {
     parse(mutate(sample, random));
   }
 }
@@ -127,5 +135,44 @@
   });
 }
 
+/// What another writer may send for a report: each field of a whole one missing, or of any other type or range.
+void expect_usable_or_named(const std::string& body) {
+  const auto parsed = fleet::parse_registration("i1", body);
+  if (const auto* fault = std::get_if<fleet::MalformedReport>(&parsed)) {
+    EXPECT_FALSE(fault->field.empty()) << body;
+    EXPECT_FALSE(fault->message.empty()) << body;
+    return;
+  }
+  const auto& report = std::get<wire::Instance>(parsed);
+  EXPECT_EQ(report.id, "i1");
+  EXPECT_FALSE(report.service_name.empty()) << body;
+  EXPECT_NE(report.address.find(':'), std::string::npos) << body;
+  EXPECT_GE(report.call_number, 0) << body;
+  EXPECT_GE(report.slots, 0) << body;
+  EXPECT_GE(report.born_ms, 0) << body;
+  EXPECT_NE(report.state, wire::InstanceState::GONE) << body;
+}
+
+TEST(ParserFuzz, RegistrationsOfAnotherWriter) {
+  const std::string whole =
+      R"({"service":"s","address":"10.0.0.1:80","zone":"a","version":"v1","slots":8,"state":"ready","cold_left_ms":0,)"
+      R"("call_seq":9,"born":1780000000000,"domain":"d1","staged":["m",{"name":"n"}],"models":[{"name":"m"}],)"
+      R"("group":{"name":"g","epoch":12,"rank":1,"state":"open"}})";
+  fuzz(whole, expect_usable_or_named);
+  const boost::json::object report = boost::json::parse(whole).as_object();
+  const boost::json::array others = {
+      nullptr, true, -1, 1.5, 1e300, "", "text", boost::json::array(), boost::json::object(), UINT64_MAX};
+  for (const auto& field : report) {
+    auto lacking = report;
+    lacking.erase(field.key());
+    expect_usable_or_named(boost::json::serialize(lacking));
+    for (const auto& other : others) {
+      auto changed = report;
+      changed[field.key()] = other;
+      expect_usable_or_named(boost::json::serialize(changed));
+    }
+  }
+}
+
 }  // namespace
 }  // namespace larchlever
