One place for what a control replica logs

Change: ControlLog writes group changes, refused reports, instances, blocked requests and the summary; the process only calls it. No line differs.

--- a/src/node/control_process.cc
+++ b/src/node/control_process.cc
@@ -7,6 +7,7 @@
 #include "net/peer_transport.h"
 #include "node/clock.h"
 #include "node/control_api.h"
+#include "node/control_log.h"
 #include "node/dialect.h"
 #include "node/fleet_process.h"
 #include "node/logging.h"
@@ -25,15 +26,11 @@
 constexpr auto kTickInterval = std::chrono::milliseconds(20);
 constexpr auto kOrderTimeout = std::chrono::milliseconds(800);
 constexpr auto kOrderConnectTimeout = std::chrono::milliseconds(400);
-/// How often the leader logs a summary of the fleet.
-constexpr Duration kFleetReportInterval = seconds(1);
 /// How often a seed logs what it waits for while the fleet is not formed.
 constexpr Duration kFormationReportInterval = seconds(1);
 /// A tick that comes this much later than the one before tells that this process stood still: a dozen ticks, and a
 /// small part of the time after which a node counts as lost.
 constexpr Duration kOwnPause = milliseconds(250);
-/// Shortest time between two lines on reports that were refused.
-constexpr Duration kMalformedReportInterval = milliseconds(200);
 /// Shortest time between two copies of the fleet's state on disk.
 constexpr Duration kStateSaveInterval = milliseconds(400);
 /// Pause before a failed data folder is opened again: a full disk may have room by then.
@@ -71,14 +68,6 @@
   return json::serialize(body);
 }
 
-std::string joined(const std::vector<std::string>& items) {
-  std::string result;
-  for (const auto& item : items) {
-    result += (result.empty() ? "" : ",") + item;
-  }
-  return result;
-}
-
 /// Drives a FleetController in real time: clock, peer links, data folder, control calls and orders to engines.
 class ControlProcess : public FleetProcess {
  public:
@@ -99,6 +88,7 @@
             [this](const std::string& reason) { on_storage_failure(reason); }),
         client_(executor),
         search_(settings.name),
+        control_log_(settings.name),
         api_(executor, [this](wire::ControlCall call) { return controller_.submit(monotonic_now(), std::move(call)); }),
         server_(executor, net::HttpServerOptions(), api_) {}
   ~ControlProcess() override { stop(); }
@@ -146,11 +136,6 @@
   void renew_identity();
   void pump();
   void report_changes();
-  void report_malformed(const std::string& instance, const fleet::MalformedReport& fault);
-  void report_decision(const fleet::GroupDecision& decision) const;
-  void report_fleet();
-  void report_instances();
-  void report_blocked_requests();
   asio::awaitable<void> tick_loop();
   asio::awaitable<void> send_order(fleet::InstanceOrder order);
 
@@ -163,29 +148,14 @@
   ReplicaStorage storage_;
   net::HttpClient client_;
   SearchReporter search_;
+  ControlLog control_log_;
   ControlApi api_;
   net::HttpServer server_;
   /// Order of the fleet's state as last kept on disk.
   std::pair<int64_t, int64_t> saved_state_{0, 0};
   TimePoint next_save_{};
   bool was_leader_ = false;
-  TimePoint next_fleet_report_{};
   TimePoint next_formation_report_{};
-  /// What was last logged of an instance; a difference is logged.
-  struct ReportedInstance {
-    wire::InstanceState::type state = wire::InstanceState::READY;
-    bool silent = false;
-    std::string model;
-    std::vector<std::string> staged_models;
-    int64_t born_ms = 0;
-    bool operator==(const ReportedInstance&) const = default;
-  };
-  std::map<std::string, ReportedInstance> reported_instances_;
-  /// The blocked requests as last logged.
-  std::vector<wire::BlockedRequest> reported_blocked_;
-  /// Reports of instances that were refused since the start.
-  uint64_t malformed_reports_ = 0;
-  TimePoint next_malformed_report_{};
   int64_t known_version_ = 0;
   size_t known_voters_ = 0;
   std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
@@ -313,30 +283,16 @@
     asio::co_spawn(executor_, send_order(std::move(order)), asio::detached);
   }
   for (const auto& decision : outputs.decisions) {
-    report_decision(decision);
+    control_log_.group_changed(decision);
   }
   for (const auto& [instance, fault] : outputs.malformed_reports) {
-    report_malformed(instance, fault);
+    control_log_.malformed_report(monotonic_now(), instance, fault);
   }
   for (const auto& reply : outputs.replies) {
     api_.complete(reply);
   }
 }
 
-void ControlProcess::report_malformed(const std::string& instance, const fleet::MalformedReport& fault) {
-  const TimePoint now = monotonic_now();
-  ++malformed_reports_;
-  if (now < next_malformed_report_) {
-    return;  // Counted in the next line: another writer may report as often as all servers together.
-  }
-  next_malformed_report_ = now + kMalformedReportInterval;
-  log_problem(settings_.name, "malformed_report",
-              {{"instance", instance},
-               {"field", fault.field},
-               {"reason", fault.message},
-               {"refused_so_far", std::to_string(malformed_reports_)}});
-}
-
 void ControlProcess::save_state() {
   const TimePoint now = monotonic_now();
   const auto& state = controller_.subscription().state();
@@ -367,127 +323,6 @@
   }
 }
 
-void ControlProcess::report_decision(const fleet::GroupDecision& decision) const {
-  log_event(
-      settings_.name, "group_changed",
-      {{"group", decision.group.name},
-       {"epoch", std::to_string(decision.group.epoch)},
-       {"model", decision.group.model},
-       {"phase", decision.reason == fleet::GroupReason::kReleased ? "RELEASED" : wire::to_string(decision.group.phase)},
-       {"reason", fleet::to_string(decision.reason)},
-       {"members", joined(decision.group.members)}});
-}
-
-void ControlProcess::report_instances() {
-  if (!controller_.is_leader(monotonic_now())) {
-    return;
-  }
-  const auto& rows = controller_.leader_view().instances().rows();
-  std::erase_if(reported_instances_, [&rows](const auto& item) { return !rows.contains(item.first); });
-  for (const auto& [id, row] : rows) {
-    const ReportedInstance state{row.instance.state, row.instance.silent, row.instance.model,
-                                 row.instance.staged_models, row.instance.born_ms};
-    const auto [reported, is_new] = reported_instances_.try_emplace(id, state);
-    if (!is_new && reported->second == state) {
-      continue;
-    }
-    reported->second = state;
-    log_event(settings_.name, "instance_changed",
-              {{"instance", id},
-               {"born", std::to_string(state.born_ms)},
-               {"service", row.instance.service_name},
-               {"zone", row.instance.zone},
-               {"domain", row.instance.domain},
-               {"address", row.instance.address},
-               {"state", wire::to_string(state.state)},
-               {"silent", state.silent ? "yes" : "no"},
-               {"model", state.model},
-               {"staged", joined(state.staged_models)}});
-  }
-}
-
-void ControlProcess::report_blocked_requests() {
-  if (!controller_.is_leader(monotonic_now())) {
-    return;
-  }
-  auto rows = controller_.leader_view().blocked_requests();
-  const auto is_in = [](const auto& list, const wire::BlockedRequest& row) {
-    return std::find(list.begin(), list.end(), row) != list.end();
-  };
-  for (const auto& row : rows) {
-    if (!is_in(reported_blocked_, row)) {
-      log_event(settings_.name, "request_blocked",
-                {{"fingerprint", to_string(requests::RequestFingerprint(row.fingerprint))},
-                 {"trials", std::to_string(row.trials)},
-                 {"trial_due", row.trial_due ? "yes" : "no"},
-                 {"wait_ms", std::to_string(row.wait_ms)}});
-    }
-  }
-  for (const auto& row : reported_blocked_) {
-    const bool is_known = std::any_of(rows.begin(), rows.end(),
-                                      [&row](const auto& known) { return known.fingerprint == row.fingerprint; });
-    if (!is_known) {
-      log_event(settings_.name, "request_freed",
-                {{"fingerprint", to_string(requests::RequestFingerprint(row.fingerprint))}});
-    }
-  }
-  reported_blocked_ = std::move(rows);
-}
-
-void ControlProcess::report_fleet() {
-  const TimePoint now = monotonic_now();
-  if (now < next_fleet_report_ || !controller_.is_leader(now)) {
-    return;
-  }
-  next_fleet_report_ = now + kFleetReportInterval;
-  const auto& view = controller_.leader_view();
-  size_t grouped = 0;
-  size_t serving = 0;
-  std::map<std::string, int> groups;
-  std::map<std::string, int> loads;
-  for (const auto& group : view.groups()) {
-    grouped += group.members.size();
-    const bool open = group.phase == wire::GroupPhase::OPEN;
-    serving += open ? group.members.size() : 0;
-    ++groups[group.model + (open ? "" : "/" + wire::to_string(group.phase))];
-    const auto load = view.loads().find(group.name);
-    loads[group.model] += load == view.loads().end() ? 0 : load->second.in_flight;
-  }
-  size_t ready = 0;
-  size_t silent = 0;
-  for (const auto& [id, row] : view.instances().rows()) {
-    ready += row.instance.state == wire::InstanceState::READY && !row.instance.silent ? 1 : 0;
-    silent += row.instance.silent && row.instance.state != wire::InstanceState::GONE ? 1 : 0;
-  }
-  std::string free_text;
-  for (const auto& [id, row] : view.instances().rows()) {
-    const auto& instance = row.instance;
-    const bool idle = !instance.domain.empty() && instance.state == wire::InstanceState::READY && !instance.silent &&
-                      view.owner_of(id) == nullptr;
-    if (idle) {
-      free_text += (free_text.empty() ? "" : ",") + instance.domain + "/" +
-                   (instance.model.empty() ? "none" : instance.model) + "/" +
-                   (instance.staged_models.empty() ? "none" : instance.staged_models.back());
-    }
-  }
-  std::string group_text;
-  for (const auto& [model, count] : groups) {
-    group_text += (group_text.empty() ? "" : ",") + model + ":" + std::to_string(count);
-  }
-  std::string load_text;
-  for (const auto& [model, count] : loads) {
-    load_text += (load_text.empty() ? "" : ",") + model + ":" + std::to_string(count);
-  }
-  log_event(settings_.name, "fleet_summary",
-            {{"ready", std::to_string(ready)},
-             {"silent", std::to_string(silent)},
-             {"in_groups", std::to_string(grouped)},
-             {"serving", std::to_string(serving)},
-             {"groups", group_text},
-             {"free", free_text},
-             {"in_flight", load_text}});
-}
-
 asio::awaitable<void> ControlProcess::tick_loop() {
   const auto alive = alive_;
   asio::steady_timer timer(executor_);
@@ -505,9 +340,9 @@
     report_changes();
     report_formation();
     search_.tick(monotonic_now(), controller_.subscription());
-    report_instances();
-    report_blocked_requests();
-    report_fleet();
+    if (controller_.is_leader(monotonic_now())) {
+      control_log_.report(monotonic_now(), controller_.leader_view());
+    }
     save_state();
     if (controller_.needs_new_identity()) {
       renew_identity();
--- a/src/node/logging.cc
+++ b/src/node/logging.cc
@@ -133,4 +133,12 @@
   LOG4CPLUS_WARN(logger(), format(node, event, fields));
 }
 
+std::string joined(const std::vector<std::string>& items) {
+  std::string result;
+  for (const auto& item : items) {
+    result += (result.empty() ? "" : ",") + item;
+  }
+  return result;
+}
+
 }  // namespace larchlever::node
--- a/src/node/logging.h
+++ b/src/node/logging.h
@@ -4,6 +4,7 @@
 #include <string>
 #include <string_view>
 #include <utility>
+#include <vector>
 
 namespace larchlever::node {
 
@@ -27,4 +28,7 @@
 void log_event(std::string_view node, std::string_view event, LogFields fields);
 void log_problem(std::string_view node, std::string_view event, LogFields fields);
 
+/// The items of a field that lists several.
+std::string joined(const std::vector<std::string>& items);
+
 }  // namespace larchlever::node
