Keep words on ended servers until a leader is known

Cause: an entry without a leader took what it had to tell out of its list and sent it nowhere; ends of a blocked request were listed again at each new one. Change: taken only when a leader is known; each explained end is listed once.

--- a/src/core/fleet/server_ends.cc
+++ b/src/core/fleet/server_ends.cc
@@ -73,7 +73,11 @@
     return;
   }
   const auto ends = found->second.ends;
-  explained_.insert(explained_.end(), ends.begin(), ends.end());
+  for (const auto& end : ends) {
+    if (!holds(explained_, end)) {
+      explained_.push_back(end);
+    }
+  }
   if (explained_.size() > kMostExplained) {
     explained_.erase(explained_.begin(), explained_.end() - kMostExplained);
   }
--- a/src/node/slot_requester.cc
+++ b/src/node/slot_requester.cc
@@ -141,7 +141,7 @@
     return std::find(reported_failures_.begin(), reported_failures_.end(), failure) == reported_failures_.end();
   });
   const std::string& leader = state_.subscription.leader();
-  if (state_.blocked.has_news()) {
+  if (!leader.empty() && state_.blocked.has_news()) {
     note_change();
   }
   if (!leader.empty() && (now >= next_complete_ || has_new_failure || leader != reported_to_)) {
@@ -159,8 +159,10 @@
   report.grants_seen = grants_seen_;
   report.traffic_seen = state_.traffic_seen;
   report.quiet_groups = reported_quiet_;
-  report.server_ends = state_.blocked.take_ends(monotonic_now());
-  report.answered_requests = state_.blocked.take_answered();
+  if (!state_.subscription.leader().empty()) {
+    report.server_ends = state_.blocked.take_ends(monotonic_now());
+    report.answered_requests = state_.blocked.take_answered();
+  }
   return report;
 }
 
