--- a/src/node/entry_process.cc
+++ b/src/node/entry_process.cc
@@ -125,7 +125,7 @@
   if (envelope.__isset.slot_answer) {
     slots_.receive(envelope.slot_answer);
     for (const auto& group : envelope.slot_answer.failed_groups) {
-      relay_.abandon_failed(monotonic_now(), group);
+      relay_.sendings().abandon_failed(monotonic_now(), group);
     }
   }
   if (!envelope.__isset.fleet_update) {
@@ -134,7 +134,7 @@
   const bool changed = state_.subscription.receive(monotonic_now(), envelope);
   if (changed) {
     for (const auto& target : state_.dispatcher.update_state(state_.subscription.state())) {
-      relay_.abandon_lost(target);
+      relay_.sendings().abandon_lost(target);
     }
     state_.blocked.update(monotonic_now(), state_.subscription.state().blocked_requests);
     adopt_document();
@@ -199,12 +199,12 @@
       // Answers that arrived meanwhile wait in the sockets. Judged before they are read, healthy groups would count as
       // stalled and their whole answers would be cut.
       state_.dispatcher.note_own_pause(now);
-      relay_.abandon_overdue(now);
+      relay_.sendings().abandon_overdue(now);
       log_problem(settings_.name, "stood_still", {{"for_ms", std::to_string((now - last_tick) / milliseconds(1))}});
     }
     last_tick = now;
     tick();
-    relay_.abandon_stalled(monotonic_now());
+    relay_.sendings().abandon_stalled(monotonic_now());
     timer.expires_after(kTickInterval);
     co_await timer.async_wait(kAwait);
   }
--- a/src/node/entry_state.h
+++ b/src/node/entry_state.h
@@ -2,7 +2,6 @@
 
 #include <map>
 #include <memory>
-#include <set>
 #include <string>
 
 #include "core/document/route_table.h"
@@ -10,7 +9,6 @@
 #include "core/fleet/dispatcher.h"
 #include "core/fleet/fleet_subscription.h"
 #include "core/requests/recent_quantile.h"
-#include "net/http_client.h"
 
 namespace larchlever::node {
 
@@ -40,8 +38,6 @@
   fleet::BlockedRequests blocked;
   /// Null until the first document arrived.
   std::shared_ptr<const document::RouteTable> routes;
-  /// What is under way at each target, so that all of it can be given up at once when the target turns out dead.
-  std::map<std::string, std::set<std::shared_ptr<net::Cancellation>>> under_way;
   /// By model, how much later than the leader expected the first events come: what the cost model leaves out.
   std::map<std::string, requests::RecentQuantile> first_event_excess;
   EntryCounters counters;
--- a/src/node/request_relay.cc
+++ b/src/node/request_relay.cc
@@ -23,9 +23,6 @@
 constexpr Duration kLeasePatience = milliseconds(1200);
 /// Held for longer than this, a request has lost time that its objective does not allow for.
 constexpr Duration kHeldTime = milliseconds(50);
-/// A group that brings nothing to any of this entry's requests for this long stands still.
-constexpr Duration kGroupStall = milliseconds(900);
-constexpr Duration kGroupStallEach = milliseconds(100);
 /// A single stream may pause longer, as long as its group makes progress; callers leave after two seconds.
 constexpr Duration kStreamPause = milliseconds(1600);
 constexpr int kMostSendings = 6;
@@ -53,6 +50,7 @@
       lease_(lease),
       ends_(state),
       blocks_(executor, state, slots),
+      sendings_(state),
       targets_(executor, state, slots),
       client_(executor) {}
 
@@ -225,17 +223,11 @@
   if (!request.has_slot) {
     note_load(target);  // The leader counts a slot that it granted.
   }
-  state_.under_way[target.key].insert(cancellation);
-  under_way_.insert(&request);
-  const ScopeExit finish([this, &request, &target, cancellation] {
+  sendings_.begin(request, target);
+  const ScopeExit finish([this, &request, &target] {
     state_.dispatcher.end(target, request.mark);
     note_load(target);
-    under_way_.erase(&request);
-    auto& under_way = state_.under_way[target.key];
-    under_way.erase(cancellation);
-    if (under_way.empty()) {
-      state_.under_way.erase(target.key);
-    }
+    sendings_.end(request, target);
     request.cancellation.reset();
   });
   co_return co_await send_once(request, target);
@@ -295,7 +287,7 @@
   if (opened.stream == nullptr) {
     const TimePoint failed_at = monotonic_now();
     if (failed_at < request.due) {
-      note_failure(target, failed_at);
+      sendings_.note_failure(target, failed_at);
     }
     log_event("", "sending_failed",
               {{"request", request.id},
@@ -319,7 +311,7 @@
               {{"request", request.id}, {"target", target.key}, {"status", std::to_string(head.status)}});
     if (!target.group.empty() &&
         (head.status == http_status::kMisdirectedRequest || head.headers.contains(dialect_.faulty_server))) {
-      note_failure(target, monotonic_now());
+      sendings_.note_failure(target, monotonic_now());
     }
     co_return Sending::kNotRun;
   }
@@ -332,69 +324,6 @@
   co_return co_await relay_whole(request, target, *opened.stream);
 }
 
-void RequestRelay::note_failure(const fleet::Target& target, TimePoint now) {
-  if (!state_.dispatcher.note_failure(now, target)) {
-    return;
-  }
-  ++state_.counters.stalls;
-  if (target.group.empty()) {
-    return;
-  }
-  cancel_all_at(target, now);
-}
-
-void RequestRelay::cancel_all_at(const fleet::Target& target, TimePoint now) {
-  const auto under_way = state_.under_way[target.key];
-  int left = state_.dispatcher.retries_left(now, target.service);
-  for (const auto& cancellation : under_way) {
-    if (left-- <= 0) {
-      return;
-    }
-    cancellation->cancel();
-  }
-}
-
-void RequestRelay::abandon_stalled(TimePoint now) {
-  for (const auto& target : state_.dispatcher.stalled_groups(now, kGroupStall, kGroupStallEach)) {
-    ++state_.counters.stalls;
-    log_event("", "group_stalled", {{"group", target.group}, {"requests", std::to_string(target.in_flight)}});
-    state_.dispatcher.avoid(now, target.key);
-    cancel_all_at(target, now);
-  }
-}
-
-void RequestRelay::abandon_overdue(TimePoint now) {
-  const auto under_way = under_way_;
-  for (auto* request : under_way) {
-    if (request->due <= now && request->cancellation) {
-      request->cancellation->cancel();
-    }
-  }
-}
-
-void RequestRelay::abandon_lost(const std::string& target_key) {
-  const auto found = state_.under_way.find(target_key);
-  if (found == state_.under_way.end() || found->second.empty()) {
-    return;
-  }
-  log_event("", "server_started_again", {{"target", target_key}, {"requests", std::to_string(found->second.size())}});
-  const auto under_way = found->second;
-  for (const auto& cancellation : under_way) {
-    cancellation->cancel();
-  }
-}
-
-void RequestRelay::abandon_failed(TimePoint now, const std::string& group) {
-  const auto target = state_.dispatcher.target_of_group(now, group);
-  if (!target) {
-    return;  // Avoided already, or gone.
-  }
-  ++state_.counters.stalls;
-  log_event("", "group_failed", {{"group", group}, {"requests", std::to_string(state_.under_way[target->key].size())}});
-  state_.dispatcher.avoid(now, target->key);
-  cancel_all_at(*target, now);
-}
-
 // ------------------------------------------------------------------- relay
 
 asio::awaitable<RequestRelay::Sending> RequestRelay::relay_whole(RelayedRequest& request, const fleet::Target& target,
@@ -518,7 +447,7 @@
              {"reason", stream.error()},
              {"last_event", request.events.last_id() ? std::to_string(*request.events.last_id()) : "none"}});
   if (now < request.due) {
-    note_failure(target, now);
+    sendings_.note_failure(target, now);
     blocks_.answer_lost(request, target);
   }
   ++state_.counters.resumed;
--- a/src/node/request_relay.h
+++ b/src/node/request_relay.h
@@ -3,7 +3,6 @@
 #include <boost/asio/any_io_executor.hpp>
 #include <memory>
 #include <optional>
-#include <set>
 #include <string>
 
 #include "net/http_client.h"
@@ -14,6 +13,7 @@
 #include "node/lease_gate.h"
 #include "node/relayed_request.h"
 #include "node/request_ends.h"
+#include "node/sendings_under_way.h"
 #include "node/target_finder.h"
 
 namespace larchlever::node {
@@ -30,15 +30,8 @@
                LeaseGate& lease);
 
   boost::asio::awaitable<void> handle(net::HttpExchange& exchange) override;
-  /// Gives up what waits at groups that stand still, so that it is sent elsewhere. To be called every few ticks.
-  void abandon_stalled(TimePoint now);
-  /// Ends what is past its deadline. To be called after this process stood still: timers did not count that time where
-  /// the machine was suspended.
-  void abandon_overdue(TimePoint now);
-  /// The target's server started again: nothing of what is under way there comes back.
-  void abandon_lost(const std::string& target_key);
-  /// The leader found that the group stands still.
-  void abandon_failed(TimePoint now, const std::string& group);
+  /// What is under way, to be given up where it cannot come back.
+  SendingsUnderWay& sendings() { return sendings_; }
 
  private:
   /// What one sending came to.
@@ -71,9 +64,6 @@
   net::HttpRequest upstream_request(const RelayedRequest& request, const fleet::Target& target, TimePoint now) const;
   bool is_not_run(const net::HttpResponse& head) const;
   bool may_send_again(RelayedRequest& request, TimePoint now);
-  void note_failure(const fleet::Target& target, TimePoint now);
-  /// Cancels what waits at a dead target, as far as the retry budget lets it be sent elsewhere; the rest waits on.
-  void cancel_all_at(const fleet::Target& target, TimePoint now);
   std::chrono::milliseconds patience(const RelayedRequest& request, TimePoint now) const;
 
   boost::asio::any_io_executor executor_;
@@ -83,10 +73,9 @@
   LeaseGate& lease_;
   RequestEnds ends_;
   BlockGate blocks_;
+  SendingsUnderWay sendings_;
   TargetFinder targets_;
   net::HttpClient client_;
-  /// Requests that have a sending under way.
-  std::set<RelayedRequest*> under_way_;
 };
 
 }  // namespace larchlever::node
