Count loads once for all groups of a plan

Cause: the leader counted the loads under way, a look at every server and every group that forms, anew for each group of a plan. With 3,000 servers a tick took 0.25 to 0.45 s while groups formed; the leader lost its leadership, and each successor dissolved what was still joining (190 of 429 groups) and began anew. Hypothesis: counted once, with the plan's own loads added, it keeps its lead.

--- a/tests/unit/group_supervisor_test.cc
+++ b/tests/unit/group_supervisor_test.cc
@@ -63,6 +63,30 @@
   EXPECT_TRUE(supervisor.snapshot().empty()) << "the group of one is nobody's to dissolve";
 }
 
+// The loads of the groups formed in one plan count against each other, though they are counted only once a plan.
+TEST(GroupSupervisor, AllGroupsOfOnePlanTogetherKeepTheLimitOfLoads) {
+  InstanceDirectory directory(seconds(3));
+  for (int number = 0; number < 24; ++number) {
+    auto free = instance_with_staged("");
+    free.staged_models.clear();
+    free.id = "i" + std::to_string(number);
+    free.address = "a:" + std::to_string(number + 1);
+    directory.heard(kStart, free);
+  }
+  auto document = document_with_engine();
+  document.services["s"].engine->loads_at_once = 8;
+  GroupSupervisor supervisor{FleetOptions()};
+  supervisor.start(kStart, 3, {});
+  for (int tick = 1; tick <= 20; ++tick) {
+    supervisor.tick(kStart + milliseconds(40 * tick), document, directory);
+  }
+  size_t servers_loading = 0;
+  for (const auto& group : supervisor.snapshot()) {
+    servers_loading += group.members.size();
+  }
+  EXPECT_EQ(servers_loading, 8U) << "two groups of four; nobody has finished a load yet";
+}
+
 /// Join orders that a supervisor sends in a second of ticks while every order is answered as done.
 size_t joins_while_all_is_answered(GroupSupervisor& supervisor, TimePoint from, const InstanceDirectory& directory) {
   const auto document = document_with_engine();
