Log what a server asked for when it turned a request away

Cause: the log named the status alone, so that neither the rest that a server asks for nor whether it was kept could be read from it. Change: sending_refused names the instance and its Retry-After.

--- a/src/node/request_relay.cc
+++ b/src/node/request_relay.cc
@@ -308,7 +308,11 @@
   }
   if (is_not_run(head)) {
     log_event("", "sending_refused",
-              {{"request", request.id}, {"target", target.key}, {"status", std::to_string(head.status)}});
+              {{"request", request.id},
+               {"target", target.key},
+               {"instance", target.instance_id},
+               {"status", std::to_string(head.status)},
+               {"retry_after", std::string(head.headers.find("retry-after"))}});
     if (!target.group.empty() &&
         (head.status == http_status::kMisdirectedRequest || head.headers.contains(dialect_.faulty_server))) {
       sendings_.note_failure(target, monotonic_now());
