Servers that ask for rest or say that they leave, failing

Cause: nothing reads Retry-After and the leaving header of a server's answer. Change: real processes: plain servers and a group's head that turn requests away with Retry-After: 3, one that leaves; stand-ins for them.

--- a/tests/integration/forms_server.h
+++ b/tests/integration/forms_server.h
@@ -5,6 +5,7 @@
 #include <atomic>
 #include <boost/asio.hpp>
 #include <chrono>
+#include <mutex>
 #include <string>
 
 #include "child_process.h"
@@ -12,10 +13,12 @@
 #include "net/http_server.h"
 #include "net/listener.h"
 #include "node/dialect.h"
+#include "server_arrivals.h"
 
 namespace larchlever::integration {
 
-/// A plain server of the service `forms`, which answers everything, after `delay`.
+/// A plain server of the service `forms`, which answers everything, after `delay`; or turns it away and asks for rest,
+/// or says in its answers that it leaves.
 class FormsServer : public net::HttpHandler {
  public:
   FormsServer(BlockingClient& client, const std::string& address, std::chrono::milliseconds delay = {})
@@ -32,23 +35,55 @@
 
   boost::asio::awaitable<void> handle(net::HttpExchange& exchange) override {
     const auto& dialect = *node::find_dialect("larchlever");
+    const std::string request_id(exchange.request().headers.find(dialect.request_id));
+    const std::string rest = rest_asked();
+    arrivals_.add(request_id, !rest.empty());
+    net::HttpResponse response;
+    response.headers.add(dialect.request_id, request_id);
+    if (is_leaving_) {
+      response.headers.add(kLeavingHeader, "1");
+    }
+    if (!rest.empty()) {
+      response.status = http_status::kServiceUnavailable;
+      response.headers.add(dialect.not_run, "1");
+      response.headers.add("Retry-After", rest);
+      co_await exchange.respond(std::move(response));
+      co_return;
+    }
     ++served_;
     boost::asio::steady_timer timer(client_.context(), delay_);
     co_await timer.async_wait(boost::asio::as_tuple(boost::asio::use_awaitable));
-    net::HttpResponse response;
     response.status = http_status::kOk;
-    response.headers.add(dialect.request_id, std::string(exchange.request().headers.find(dialect.request_id)));
     response.headers.add(dialect.signature, "signed");
     response.body = "form";
     co_await exchange.respond(std::move(response));
   }
   int served() const { return served_; }
+  /// Turns everything away from now on with this `Retry-After`; empty for serving again.
+  void ask_for_rest(const std::string& retry_after) {
+    const std::lock_guard lock(mutex_);
+    rest_asked_ = retry_after;
+  }
+  /// Serves on, but says in every answer that it leaves.
+  void start_leaving() { is_leaving_ = true; }
+  std::vector<Arrival> arrivals() const { return arrivals_.all(); }
 
  private:
+  static constexpr const char* kLeavingHeader = "Larchlever-Leaving";
+
+  std::string rest_asked() {
+    const std::lock_guard lock(mutex_);
+    return rest_asked_;
+  }
+
   BlockingClient& client_;
   std::chrono::milliseconds delay_;
   net::HttpServer server_;
   std::atomic<int> served_ = 0;
+  std::atomic<bool> is_leaving_ = false;
+  std::mutex mutex_;
+  std::string rest_asked_;
+  ArrivalRecord arrivals_;
 };
 
 }  // namespace larchlever::integration
--- a/tests/integration/registered_engines.cc
+++ b/tests/integration/registered_engines.cc
@@ -138,6 +138,16 @@
     instance_.advance(node::monotonic_now());
     return !down_until_ && instance_.is_open_head();
   }
+  /// True when this server leads an open group of the model; it then turns every request away from now on.
+  bool ask_for_rest(const std::string& model, const std::string& retry_after) {
+    const std::lock_guard lock(mutex_);
+    instance_.advance(node::monotonic_now());
+    if (down_until_ || !instance_.is_open_head() || instance_.model() != model) {
+      return false;
+    }
+    rest_asked_ = retry_after;
+    return true;
+  }
   bool is_in_group() {
     const std::lock_guard lock(mutex_);
     return !down_until_ && !instance_.membership().group.empty();
@@ -171,6 +181,11 @@
         .get();
   }
 
+  std::string rest_asked() {
+    const std::lock_guard lock(mutex_);
+    return rest_asked_;
+  }
+
   /// As when the process dies: every connection is dropped, and new ones are refused.
   void end() {
     const std::lock_guard lock(mutex_);
@@ -211,6 +226,15 @@
       co_await exchange.respond(std::move(head));
       co_return;
     }
+    const std::string rest = rest_asked();
+    if (!rest.empty()) {
+      engines_.turned_away_.add(std::string(exchange.request().headers.find(dialect_.request_id)), true);
+      head.status = http_status::kServiceUnavailable;
+      head.headers.add(dialect_.not_run, "1");
+      head.headers.add("Retry-After", rest);
+      co_await exchange.respond(std::move(head));
+      co_return;
+    }
     const bool ends_server =
         !engines_.options_.ending_body.empty() && exchange.request().body == engines_.options_.ending_body;
     if (ends_server) {
@@ -248,6 +272,7 @@
   std::optional<TimePoint> down_until_;
   simulation::SimulatedInstance instance_;
   TimePoint next_report_{};
+  std::string rest_asked_;
   net::HttpServer server_;
 };
 
@@ -286,6 +311,12 @@
   return ends_;
 }
 
+void RegisteredEngines::ask_one_head_for_rest(const std::string& model, const std::string& retry_after) {
+  const bool found = std::any_of(servers_.begin(), servers_.end(),
+                                 [&](const auto& server) { return server->ask_for_rest(model, retry_after); });
+  EXPECT_TRUE(found) << "no open group of " << model;
+}
+
 int RegisteredEngines::servers_in_groups() {
   return static_cast<int>(
       std::count_if(servers_.begin(), servers_.end(), [](const auto& server) { return server->is_in_group(); }));
--- a/tests/integration/registered_engines.h
+++ b/tests/integration/registered_engines.h
@@ -12,6 +12,7 @@
 
 #include "child_process.h"
 #include "net/http_server.h"
+#include "server_arrivals.h"
 #include "simulation/simulated_instance.h"
 
 namespace larchlever::integration {
@@ -57,6 +58,10 @@
   std::vector<Moment> ending_arrivals();
   /// When servers ended under them, in order.
   std::vector<Moment> ends();
+  /// From now on one head of an open group of `model` turns every request away and asks for rest with `retry_after`.
+  void ask_one_head_for_rest(const std::string& model, const std::string& retry_after);
+  /// What that head turned away.
+  std::vector<Arrival> turned_away() const { return turned_away_.all(); }
 
  private:
   class Server;
@@ -72,6 +77,7 @@
   std::mutex record_mutex_;
   std::vector<Moment> ending_arrivals_;
   std::vector<Moment> ends_;
+  ArrivalRecord turned_away_;
   std::atomic<bool> stopped_ = false;
   std::thread reporter_;
 };
--- /dev/null
+++ b/tests/integration/server_notices_test.cc
@@ -0,0 +1,254 @@
+#include <gtest/gtest.h>
+
+#include <algorithm>
+#include <boost/json.hpp>
+#include <mutex>
+#include <thread>
+
+#include "core/base/http_status.h"
+#include "fleet_node_processes.h"
+#include "forms_server.h"
+#include "registered_engines.h"
+
+namespace larchlever::integration {
+namespace {
+
+namespace json = boost::json;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+using Clock = std::chrono::steady_clock;
+
+constexpr auto kPatience = seconds(15);
+/// A server that asked for rest gets no more than this many requests from an entry until the rest is over.
+constexpr int64_t kMostInRest = 2;
+constexpr auto kRest = seconds(3);
+constexpr const char* kRestText = "3";
+constexpr auto kRequestPause = milliseconds(66);
+constexpr auto kLoadTime = seconds(8);
+/// An entry may go on sending to a server for this long after it passed on an answer in which that server leaves.
+constexpr auto kDrainTime = seconds(2);
+
+/// What a caller was told, and when.
+struct Answer {
+  int status = 0;
+  double retry_after_seconds = 0;
+  Clock::time_point sent;
+  Clock::duration took{};
+};
+
+bool is_served(const Answer& answer) { return answer.status == http_status::kOk; }
+
+FleetNodeOptions fleet_options() {
+  FleetNodeOptions options;
+  options.controls = 3;
+  options.entries = 4;
+  options.tolerated_losses = 1;
+  return options;
+}
+
+/// Three replicas, four entries with callers of their own, and two plain servers that report themselves ready.
+class ServerNotices : public testing::Test {
+ protected:
+  void SetUp() override {
+    const auto addresses = fleet_.engine_addresses(2);
+    first_address_ = addresses[0] + ":9000";
+    second_address_ = addresses[1] + ":9000";
+    first_ = std::make_unique<FormsServer>(servers_client_, first_address_);
+    second_ = std::make_unique<FormsServer>(servers_client_, second_address_);
+    fleet_.start_all();
+    ASSERT_TRUE(fleet_.put_document(7, kPatience));
+    ASSERT_TRUE(fleet_.all_entries_ready(kPatience));
+    reporter_ = std::thread([this] { keep_reporting(); });
+    BlockingClient client;
+    for (const auto& entry : fleet_.entries()) {
+      ASSERT_TRUE(eventually([&] { return is_served(call(client, entry)); }, kPatience));
+    }
+    ASSERT_TRUE(eventually(
+        [&] {
+          call(client, "e1");
+          return first_->served() > 0 && second_->served() > 0;
+        },
+        kPatience));
+  }
+  void TearDown() override {
+    stopped_ = true;
+    reporter_.join();
+  }
+
+  void keep_reporting() {
+    for (int64_t number = 1; !stopped_; ++number) {
+      report("i1", first_address_, number);
+      report("i2", second_address_, number);
+      std::this_thread::sleep_for(milliseconds(400));
+    }
+  }
+  void report(const std::string& id, const std::string& address, int64_t number) {
+    const json::object body = {{"service", "forms"}, {"address", address}, {"zone", "north"},   {"version", "v1"},
+                               {"slots", 8},         {"state", "ready"},   {"cold_left_ms", 0}, {"call_seq", number}};
+    fleet_.call_control("c1", "POST", "/v1/instances/" + id + "/heartbeat", json::serialize(body));
+  }
+  Answer call(BlockingClient& client, const std::string& entry) {
+    net::HttpRequest request;
+    request.target = "/forms/1";
+    request.headers.add("Host", "forms.example");
+    request.headers.add("Larchlever-Request-Id", entry + "-" + std::to_string(next_request_++));
+    request.headers.add("Larchlever-Deadline-Ms", "2000");
+    Answer answer;
+    answer.sent = Clock::now();
+    const auto result = client.fetch(fleet_.address(entry) + ":8227", request, seconds(3));
+    answer.took = Clock::now() - answer.sent;
+    if (result.response) {
+      answer.status = result.response->status;
+      answer.retry_after_seconds = std::atof(std::string(result.response->headers.find("retry-after")).c_str());
+    }
+    return answer;
+  }
+  /// Fifteen requests a second at each entry for `time`.
+  std::vector<Answer> load(Clock::duration time) {
+    std::vector<Answer> answers;
+    std::mutex mutex;
+    std::vector<std::thread> callers;
+    for (const auto& entry : fleet_.entries()) {
+      callers.emplace_back([&, entry] {
+        BlockingClient client;
+        const auto end = Clock::now() + time;
+        while (Clock::now() < end) {
+          const Answer answer = call(client, entry);
+          {
+            const std::lock_guard lock(mutex);
+            answers.push_back(answer);
+          }
+          std::this_thread::sleep_for(kRequestPause);
+        }
+      });
+    }
+    for (auto& caller : callers) {
+      caller.join();
+    }
+    return answers;
+  }
+
+  FleetNodeProcesses fleet_{fleet_options()};
+  BlockingClient servers_client_;
+  std::string first_address_;
+  std::string second_address_;
+  std::unique_ptr<FormsServer> first_;
+  std::unique_ptr<FormsServer> second_;
+  std::atomic<int> next_request_ = 0;
+  std::atomic<bool> stopped_ = false;
+  std::thread reporter_;
+};
+
+// A server that was full turned requests away and asked each entry for three seconds of rest. Nobody read that: every
+// entry went on sending to it, 15 times within one rest on a recorded day, and each of these sendings cost a part of
+// the retry budget, so that requests ended unserved while another server stood free:
+//   sending_refused request=e1-57 target=i1 status=503
+//   request_ended status=503 sent=1 runs=0 reason="no server took the request"
+TEST_F(ServerNotices, AServerThatAsksForRestIsLeftAloneAndAFreeOneServesAll) {
+  first_->ask_for_rest(kRestText);
+  const auto answers = load(kLoadTime);
+  EXPECT_LE(most_within_rest(first_->arrivals(), kRest), kMostInRest);
+  const auto served = std::count_if(answers.begin(), answers.end(), is_served);
+  EXPECT_EQ(served, std::ssize(answers)) << "the second server was free";
+  // Its rest over, it is tried again, and serves again once it takes requests.
+  const int served_before = first_->served();
+  first_->ask_for_rest("");
+  load(kRest + seconds(1));
+  EXPECT_GT(first_->served(), served_before);
+}
+
+TEST_F(ServerNotices, CallersAreToldWhenTheFirstServerComesBackFromItsRest) {
+  first_->ask_for_rest(kRestText);
+  second_->ask_for_rest(kRestText);
+  const auto answers = load(kLoadTime);
+  EXPECT_LE(most_within_rest(first_->arrivals(), kRest), kMostInRest);
+  EXPECT_LE(most_within_rest(second_->arrivals(), kRest), kMostInRest);
+  for (const auto& answer : answers) {
+    EXPECT_EQ(answer.status, http_status::kServiceUnavailable);
+    EXPECT_LT(answer.took, milliseconds(500)) << "it was known at once that nobody serves";
+    EXPECT_GT(answer.retry_after_seconds, 0);
+    EXPECT_LE(answer.retry_after_seconds, 3.0);
+  }
+  // Most callers meet servers that rest for a while yet, and are told so.
+  const auto told_to_wait = std::count_if(answers.begin(), answers.end(),
+                                          [](const auto& answer) { return answer.retry_after_seconds > 1.0; });
+  EXPECT_GT(told_to_wait * 2, std::ssize(answers));
+  first_->ask_for_rest("");
+  second_->ask_for_rest("");
+  std::this_thread::sleep_for(kRest);
+  const auto later = load(seconds(2));
+  EXPECT_EQ(std::count_if(later.begin(), later.end(), is_served), std::ssize(later));
+}
+
+// A server said in its answers that it leaves, while its reports went on saying that it is ready; 246 requests were
+// sent to it later than the two seconds in which it wants to be left.
+TEST_F(ServerNotices, AServerThatSaysInItsAnswersThatItLeavesIsLeft) {
+  first_->start_leaving();
+  const auto begin = Clock::now();
+  const auto answers = load(kLoadTime);
+  const auto arrivals = first_->arrivals();
+  const auto late = std::count_if(arrivals.begin(), arrivals.end(),
+                                  [begin](const auto& arrival) { return arrival.at > begin + kDrainTime; });
+  EXPECT_EQ(late, 0);
+  EXPECT_EQ(std::count_if(answers.begin(), answers.end(), is_served), std::ssize(answers));
+}
+
+FleetNodeOptions engine_fleet_options() {
+  FleetNodeOptions options = fleet_options();
+  options.entries = 3;
+  return options;
+}
+
+/// Three replicas, three entries and engine servers in four groups of the model that is asked for.
+class EngineNotices : public testing::Test {
+ protected:
+  void SetUp() override {
+    RegisteredEngines::Options options;
+    options.domains = 2;
+    options.servers_per_domain = 8;
+    std::vector<std::string> controls;
+    for (const auto& node : fleet_.controls()) {
+      controls.push_back(fleet_.control_endpoint(node));
+    }
+    engines_ = std::make_unique<RegisteredEngines>(
+        options, fleet_.engine_addresses(options.domains * options.servers_per_domain), controls);
+    fleet_.start_all();
+    ASSERT_TRUE(fleet_.put_document(7, kPatience));
+    ASSERT_TRUE(fleet_.all_entries_ready(kPatience));
+    ASSERT_TRUE(eventually([&] { return engines_->open_groups() >= 5; }, kPatience)) << "no groups";
+  }
+
+  FleetNodeProcesses fleet_{engine_fleet_options()};
+  std::unique_ptr<RegisteredEngines> engines_;
+};
+
+// The heads of engine groups ask for rest in the same way. The leader, which hears nothing of it, goes on granting
+// slots there.
+TEST_F(EngineNotices, AHeadThatAsksForRestIsLeftAloneAndOtherGroupsServeAll) {
+  engines_->ask_one_head_for_rest("small", kRestText);
+  std::atomic<int> sent = 0;
+  std::atomic<int> served = 0;
+  std::vector<std::thread> callers;
+  for (const auto& entry : fleet_.entries()) {
+    callers.emplace_back([&, entry] {
+      BlockingClient client;
+      const auto end = Clock::now() + kLoadTime;
+      while (Clock::now() < end) {
+        const std::string id = entry + "-" + std::to_string(++sent);
+        const auto result = fleet_.call_model(client, entry, "small", id, "{\"n\":\"" + id + "\"}");
+        served += result.response && result.response->status == http_status::kOk ? 1 : 0;
+        std::this_thread::sleep_for(kRequestPause);
+      }
+    });
+  }
+  for (auto& caller : callers) {
+    caller.join();
+  }
+  const auto turned_away = engines_->turned_away();
+  EXPECT_GT(turned_away.size(), 0U) << "no request reached the head";
+  EXPECT_LE(most_within_rest(turned_away, kRest), kMostInRest);
+  EXPECT_EQ(served, sent);
+}
+
+}  // namespace
+}  // namespace larchlever::integration
