Streams that break off before their first event, failing

Cause: a stream that is lost before its first event is counted as not run, a guess against the caller's limit on servers. Change: real processes; servers that take a stream and drop it after so many events.

--- a/tests/integration/registered_engines.cc
+++ b/tests/integration/registered_engines.cc
@@ -240,13 +240,22 @@
       const std::lock_guard record(engines_.record_mutex_);
       engines_.ending_arrivals_.push_back(std::chrono::steady_clock::now());
     }
+    const bool breaks_off =
+        !engines_.options_.breaking_body.empty() && exchange.request().body == engines_.options_.breaking_body;
+    int events = engines_.options_.events;
+    if (breaks_off) {
+      const auto& before_breaks = engines_.options_.events_before_breaks;
+      const size_t number = engines_.broken_off_.all().size();
+      events = number < before_breaks.size() ? before_breaks[number] : 0;
+      engines_.broken_off_.add(std::string(exchange.request().headers.find(dialect_.request_id)), false);
+    }
     ++engines_.served_;
     head.headers.add(dialect_.signature, "signed-" + id());
     head.headers.add("Content-Type", "text/event-stream");
     co_await exchange.begin_stream(head);
     asio::steady_timer timer(engines_.client_.context());
     const auto await = asio::as_tuple(asio::use_awaitable);
-    for (int event = 1; event <= engines_.options_.events; ++event) {
+    for (int event = 1; event <= events; ++event) {
       timer.expires_after(engines_.options_.event_pause);
       co_await timer.async_wait(await);
       const std::string piece = "id: " + std::to_string(event) + "\ndata: token\n\n";
@@ -258,7 +267,9 @@
         co_return;
       }
     }
-    co_await exchange.end_stream();
+    if (!breaks_off) {
+      co_await exchange.end_stream();
+    }
   }
 
   RegisteredEngines& engines_;
--- a/tests/integration/registered_engines.h
+++ b/tests/integration/registered_engines.h
@@ -32,6 +32,10 @@
     std::chrono::milliseconds event_pause{10};
     /// A request with this body ends the server that runs it, after its first event; empty for none does.
     std::string ending_body;
+    /// A stream whose request has this body is broken off, by dropping its connection; empty for none is. One after the
+    /// other brings so many events before; those beyond the list bring none.
+    std::string breaking_body;
+    std::vector<int> events_before_breaks;
     /// A server that ended starts again after this time, under another id, with what its host holds.
     std::chrono::milliseconds restart_time{3000};
     /// It starts again under the id that it had, and its reports tell when it was born.
@@ -58,6 +62,8 @@
   std::vector<Moment> ending_arrivals();
   /// When servers ended under them, in order.
   std::vector<Moment> ends();
+  /// Requests with `breaking_body` that reached open heads.
+  std::vector<Arrival> broken_off() const { return broken_off_.all(); }
   /// From now on one head of an open group of `model` turns every request away and asks for rest with `retry_after`.
   void ask_one_head_for_rest(const std::string& model, const std::string& retry_after);
   /// What that head turned away.
@@ -78,6 +84,7 @@
   std::vector<Moment> ending_arrivals_;
   std::vector<Moment> ends_;
   ArrivalRecord turned_away_;
+  ArrivalRecord broken_off_;
   std::atomic<bool> stopped_ = false;
   std::thread reporter_;
 };
