Count every server that took a request against its limit

Cause: a stream lost before its first event was counted as one that no server ran, though the server may run it to the end. Change: whatever was sent and is not proved to have not run counts. Conclusion: a rule, kept whatever it costs.

--- a/src/node/request_relay.cc
+++ b/src/node/request_relay.cc
@@ -180,10 +180,9 @@
     }
     if (result != Sending::kNotRun) {
       request.may_have_run = true;
-      // A stream that brought no event was still waiting for its first token, most likely.
-      const bool began =
-          request.events.last_id() || request.route->repeatability != document::Repeatability::kStreaming;
-      request.runs += began ? 1 : 0;
+      // Whatever it brought: a server that took a request may run it to the end after its connection was lost, so only
+      // proof to the contrary spares the request one of the servers that its route allows.
+      ++request.runs;
       const bool again = request.route->may_repeat() && request.runs < request.route->max_attempts;
       if (!again) {
         co_await ends_.give_up(request);
