--- /dev/null
+++ b/tests/integration/ending_server.h
@@ -0,0 +1,79 @@
+#pragma once
+
+#include <atomic>
+#include <boost/asio.hpp>
+#include <chrono>
+#include <memory>
+#include <mutex>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "child_process.h"
+#include "net/http_server.h"
+
+namespace larchlever::integration {
+
+/// A plain server of the service `forms` that ends under one request: its answer breaks off, and with it all that runs
+/// there. It starts again after three seconds, under its id, born later. What becomes of its port meanwhile is `Port`.
+class EndingServer : public net::HttpHandler {
+ public:
+  enum class Port {
+    /// Connections are refused some milliseconds later: a process's listening socket outlives its connections.
+    kClosesLater,
+    /// Something in front of the server holds the port: connections are taken and closed.
+    kHeld,
+  };
+  using Moment = std::chrono::steady_clock::time_point;
+
+  /// When servers ended, over all of a test.
+  class Ends {
+   public:
+    void add() {
+      const std::lock_guard lock(mutex_);
+      moments_.push_back(std::chrono::steady_clock::now());
+    }
+    std::vector<Moment> all() const {
+      const std::lock_guard lock(mutex_);
+      return moments_;
+    }
+
+   private:
+    mutable std::mutex mutex_;
+    std::vector<Moment> moments_;
+  };
+
+  /// `client` lends its thread.
+  EndingServer(BlockingClient& client, std::string id, std::string address, Port port, Ends& ends);
+  ~EndingServer() override;
+  EndingServer(const EndingServer&) = delete;
+  EndingServer& operator=(const EndingServer&) = delete;
+
+  boost::asio::awaitable<void> handle(net::HttpExchange& exchange) override;
+  /// The next report of this server; nothing while it is down.
+  std::optional<std::string> report();
+  const std::string& id() const { return id_; }
+
+  /// The body that ends who runs it.
+  static constexpr const char* kEndingBody = "ends who runs it";
+
+ private:
+  void listen();
+  void end();
+  /// Takes connections and closes them.
+  boost::asio::awaitable<void> close_what_comes();
+
+  BlockingClient& client_;
+  const std::string id_;
+  const std::string address_;
+  const Port port_;
+  Ends& ends_;
+  std::mutex mutex_;
+  std::optional<Moment> down_until_;
+  int64_t born_ms_;
+  int64_t call_number_ = 0;
+  std::unique_ptr<net::HttpServer> server_;
+  boost::asio::ip::tcp::acceptor held_port_;
+};
+
+}  // namespace larchlever::integration
--- /dev/null
+++ b/tests/integration/lost_server_test.cc
@@ -0,0 +1,200 @@
+#include <gtest/gtest.h>
+
+#include <algorithm>
+#include <atomic>
+#include <random>
+#include <thread>
+
+#include "core/base/http_status.h"
+#include "ending_server.h"
+#include "fleet_node_processes.h"
+
+namespace larchlever::integration {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+constexpr auto kPatience = seconds(15);
+constexpr int kServers = 12;
+constexpr int kCopies = 35;
+constexpr auto kCopyPause = milliseconds(285);
+/// Servers may go on ending for this long after the third one, and so many of them later.
+constexpr auto kTimeToStop = seconds(1);
+constexpr int kLaterEnds = 3;
+constexpr int kServedPercent = 95;
+constexpr int kCallers = 4;
+constexpr auto kCallPause = milliseconds(100);
+
+FleetNodeOptions fleet_options() {
+  FleetNodeOptions options;
+  options.controls = 3;
+  options.entries = 5;
+  options.tolerated_losses = 1;
+  return options;
+}
+
+/// Three replicas, five entries and twelve plain servers, which report themselves.
+class LostServers : public testing::Test {
+ protected:
+  void start(EndingServer::Port port) {
+    const auto addresses = fleet_.engine_addresses(kServers);
+    for (int number = 0; number < kServers; ++number) {
+      const auto& address = addresses[static_cast<size_t>(number)];
+      servers_.push_back(std::make_unique<EndingServer>(servers_client_, "i" + std::to_string(number + 1),
+                                                        address + ":9000", port, ends_));
+    }
+    fleet_.start_all();
+    ASSERT_TRUE(fleet_.put_document(7, kPatience));
+    ASSERT_TRUE(fleet_.all_entries_ready(kPatience));
+    reporter_ = std::thread([this] { keep_reporting(); });
+    BlockingClient client;
+    for (const auto& entry : fleet_.entries()) {
+      ASSERT_TRUE(eventually([&] { return call(client, entry, "warm up") == http_status::kOk; }, kPatience));
+    }
+  }
+  void TearDown() override {
+    stopped_ = true;
+    if (reporter_.joinable()) {
+      reporter_.join();
+    }
+  }
+
+  void keep_reporting() {
+    BlockingClient client;
+    size_t next_control = 0;
+    while (!stopped_) {
+      for (const auto& server : servers_) {
+        if (const auto body = server->report()) {
+          next_control = send_report(client, server->id(), *body, next_control);
+        }
+      }
+      std::this_thread::sleep_for(milliseconds(300));
+    }
+  }
+  /// Returns the replica that took the report, for the next one.
+  size_t send_report(BlockingClient& client, const std::string& id, const std::string& body, size_t control) {
+    net::HttpRequest request;
+    request.method = "POST";
+    request.target = "/v1/instances/" + id + "/heartbeat";
+    request.headers.add("Content-Type", "application/json");
+    request.body = body;
+    const auto controls = fleet_.controls();
+    for (size_t attempt = 0; attempt < controls.size(); ++attempt, ++control) {
+      const auto& node = controls[control % controls.size()];
+      const auto result = client.fetch(fleet_.control_endpoint(node), request, milliseconds(500));
+      if (result.response && result.response->status == http_status::kOk) {
+        break;
+      }
+    }
+    return control;
+  }
+
+  int call(BlockingClient& client, const std::string& entry, const std::string& body) {
+    net::HttpRequest request;
+    request.method = "POST";
+    request.target = "/forms/1";
+    request.body = body;
+    request.headers.add("Host", "forms.example");
+    request.headers.add("Larchlever-Request-Id", entry + "-" + std::to_string(next_request_++));
+    request.headers.add("Larchlever-Deadline-Ms", "2000");
+    const auto result = client.fetch(fleet_.address(entry) + ":8227", request, seconds(3));
+    return result.response ? result.response->status : 0;
+  }
+
+  void call_ordinarily(int caller) {
+    BlockingClient client;
+    const auto entries = fleet_.entries();
+    for (int round = 0; !callers_stop_; ++round) {
+      const auto& entry = entries[static_cast<size_t>(caller + round) % entries.size()];
+      ++sent_;
+      const int status = call(client, entry, "ordinary " + std::to_string(next_request_));
+      served_ += status == http_status::kOk ? 1 : 0;
+      std::this_thread::sleep_for(kCallPause);
+    }
+  }
+
+  /// Sends the harmful request to entries drawn by lot beside ordinary ones; `after_second_end` is called once.
+  void send_copies(const std::function<void()>& after_second_end) {
+    std::vector<std::thread> callers;
+    for (int number = 0; number < kCallers; ++number) {
+      callers.emplace_back([this, number] { call_ordinarily(number); });
+    }
+    std::mt19937_64 random(37);
+    BlockingClient client;
+    const auto entries = fleet_.entries();
+    bool called = false;
+    for (int copy = 0; copy < kCopies; ++copy) {
+      call(client, entries[random() % entries.size()], EndingServer::kEndingBody);
+      if (!called && ends_.all().size() >= 2) {
+        called = true;
+        after_second_end();
+      }
+      std::this_thread::sleep_for(kCopyPause);
+    }
+    callers_stop_ = true;
+    for (auto& caller : callers) {
+      caller.join();
+    }
+  }
+
+  void expect_few_ends() {
+    const auto ends = ends_.all();
+    ASSERT_GE(ends.size(), 1U) << "the request did no harm";
+    if (ends.size() >= 3) {
+      const auto limit = ends[2] + kTimeToStop;
+      const auto later = std::count_if(ends.begin(), ends.end(), [limit](auto at) { return at > limit; });
+      EXPECT_LE(later, kLaterEnds) << ends.size() << " servers ended";
+    }
+    EXPECT_GE(served_ * 100, sent_ * kServedPercent) << served_ << " of " << sent_ << " other requests served";
+    std::cout << ends.size() << " servers ended; " << served_ << " of " << sent_ << " other requests served\n";
+  }
+
+  void kill_leader() {
+    for (const auto& node : fleet_.controls()) {
+      if (fleet_.log(node).find("event=leadership_begun") != std::string::npos) {
+        fleet_.kill(node);
+        fleet_.start(node);
+        return;
+      }
+    }
+    ADD_FAILURE() << "nobody leads";
+  }
+
+  FleetNodeProcesses fleet_{fleet_options()};
+  BlockingClient servers_client_;
+  EndingServer::Ends ends_;
+  std::vector<std::unique_ptr<EndingServer>> servers_;
+  std::thread reporter_;
+  std::atomic<bool> stopped_ = false;
+  std::atomic<bool> callers_stop_ = false;
+  std::atomic<int> next_request_ = 0;
+  std::atomic<int> sent_ = 0;
+  std::atomic<int> served_ = 0;
+};
+
+// One request ended every server that ran it. The entry looked at the listening socket once, at the moment at which the
+// answer broke off; the port closed some milliseconds later, so most ends were never reported, and 18 servers ended, 11
+// of them later than a second after the third. Of 18 ends these were all that was noticed:
+//   server_ended_under_request instance=i4 ends_seen_here=1   (4 lines in 10 s)
+TEST_F(LostServers, AreNoticedWhenTheirPortClosesLater) {
+  start(EndingServer::Port::kClosesLater);
+  send_copies([] {});
+  expect_few_ends();
+}
+
+// Something in front of the server holds its port, so that no connection is ever refused: 27 servers ended.
+TEST_F(LostServers, AreNoticedWhenTheirPortIsHeld) {
+  start(EndingServer::Port::kHeld);
+  send_copies([] {});
+  expect_few_ends();
+}
+
+TEST_F(LostServers, AreNoticedWhenTheLeaderIsLostBetweenTheSecondAndTheThird) {
+  start(EndingServer::Port::kClosesLater);
+  send_copies([this] { kill_leader(); });
+  expect_few_ends();
+}
+
+}  // namespace
+}  // namespace larchlever::integration
