Tell the end of a server by what is seen of it afterwards

Cause: one look at the listener in the moment of a lost answer. Ports close some milliseconds later, or are held and never refuse. Change: LostAnswers, a pure module, keeps what was lost at an incarnation until evidence settles it: refused, closed connection after connection, silent, a later birth; or progress, a port that stays open. Ends that are only likely count at the leader alone, and the server's own later report takes them back, with the blocks made for them. Reports of ends name the incarnation. Servers found to have ended are avoided at once. Copies under way at once are not held back yet.

--- a/src/core/fleet/blocked_requests.cc
+++ b/src/core/fleet/blocked_requests.cc
@@ -21,6 +21,7 @@
   report.fingerprint = end.request.value();
   report.instance_id = end.instance_id;
   report.age_ms = (now - end.at) / milliseconds(1);
+  report.__set_is_likely(end.certainty == Certainty::kLikely);
   return report;
 }
 
@@ -80,6 +81,9 @@
     unreported_.push_back(end);
   }
   ends_.forget_old(end.at);
+  if (end.certainty == Certainty::kLikely) {
+    return ends_.count(end.request);  // The leader hears the servers' reports, which may show the contrary.
+  }
   const size_t count = ends_.note(end);
   if (count >= kEndsThatBlock) {
     ends_.explain(end.request);
--- a/src/core/fleet/dispatcher.cc
+++ b/src/core/fleet/dispatcher.cc
@@ -37,11 +37,6 @@
 /// they would all take the same one.
 constexpr size_t kGroupsCompared = 3;
 
-/// Load and failures of a plain instance are counted by incarnation: nothing of an earlier one is held against a later.
-std::string key_of(const wire::Instance& instance) {
-  return instance.born_ms == 0 ? instance.id : instance.id + "@" + std::to_string(instance.born_ms);
-}
-
 }  // namespace
 
 Dispatcher::Dispatcher(const FleetOptions& options, std::string zone, uint64_t seed)
@@ -55,7 +50,7 @@
     const auto known = before.find(instance.id);
     if (known != before.end() && is_other_incarnation(known->second, instance)) {
       restarted.insert(instance.id);
-      lost.push_back(key_of(known->second));
+      lost.push_back(incarnation_of(known->second));
     }
     instances_[instance.id] = instance;
   }
@@ -75,7 +70,7 @@
     known.insert(group.name);
   }
   for (const auto& [id, instance] : instances_) {
-    known.insert(key_of(instance));
+    known.insert(incarnation_of(instance));
   }
   std::erase_if(health_, [&](const auto& item) { return item.second.in_flight() == 0 && !known.contains(item.first); });
 }
@@ -221,7 +216,7 @@
 
 Target Dispatcher::target_at(const wire::EngineGroup& group, const wire::Instance& head) {
   const int in_flight = health_[group.name].total_in_flight();
-  return {group.name, group.service_name, group.name, head.id, head.address, in_flight, key_of(head)};
+  return {group.name, group.service_name, group.name, head.id, head.address, in_flight, incarnation_of(head)};
 }
 
 size_t Dispatcher::better_of_few(const document::ServiceSpec& service, const Demand& demand,
@@ -272,7 +267,7 @@
       continue;
     }
     const TargetHealth& health = health_[group.name];
-    if (health.is_avoided(now) || !notices_.may_send(now, key_of(*head))) {
+    if (health.is_avoided(now) || !notices_.may_send(now, incarnation_of(*head))) {
       continue;
     }
     if (health.total_in_flight() >= most || !health.has_permit()) {
@@ -306,7 +301,7 @@
     if (instance.service_name != service.name || instance.state != wire::InstanceState::READY) {
       continue;
     }
-    const std::string key = key_of(instance);
+    const std::string key = incarnation_of(instance);
     if (excluded.contains(key) || !notices_.may_send(now, key)) {
       continue;
     }
@@ -361,7 +356,7 @@
                                                     const std::string& model) const {
   TimePoint first = TimePoint::max();
   for (const auto* server : servers_of(service, model)) {
-    first = std::min(first, notices_.free_at(now, key_of(*server)));
+    first = std::min(first, notices_.free_at(now, incarnation_of(*server)));
   }
   const bool all_rest = first > now && first != TimePoint::max();
   return all_rest ? std::optional(first) : std::nullopt;
@@ -391,7 +386,7 @@
     const bool is_doubtful =
         health != health_.end() && (health->second.is_avoided(now) || health->second.is_quiet(now, pause));
     const auto* head = find_ready(group.members.front());
-    const bool wants_none = head != nullptr && !notices_.may_send(now, key_of(*head));
+    const bool wants_none = head != nullptr && !notices_.may_send(now, incarnation_of(*head));
     if (is_doubtful || wants_none) {
       result.push_back(group.name);
     }
--- a/src/core/fleet/dispatcher.h
+++ b/src/core/fleet/dispatcher.h
@@ -21,7 +21,8 @@
 
 /// Where a request may be sent: a plain instance, or the head of an open group.
 struct Target {
-  /// The group's name, or the instance's incarnation where there is no group. Load and failures are counted under it.
+  /// The group's name, or the instance's incarnation where there is no group. Load and failures are counted under it,
+  /// so that nothing of an earlier start is held against a later.
   std::string key;
   std::string service;
   std::string group;
--- a/src/core/fleet/fleet_leader.cc
+++ b/src/core/fleet/fleet_leader.cc
@@ -238,7 +238,9 @@
   bool changed = false;
   for (const auto& end : report.server_ends) {
     const TimePoint ended_at = now - milliseconds(std::max<int64_t>(0, end.age_ms));
-    const bool is_news = blocker_.note_end({requests::RequestFingerprint(end.fingerprint), end.instance_id, ended_at});
+    const Certainty certainty = end.is_likely ? Certainty::kLikely : Certainty::kProved;
+    const bool is_news =
+        blocker_.note_end({requests::RequestFingerprint(end.fingerprint), end.instance_id, ended_at, certainty});
     changed = changed || is_news;
   }
   for (const int64_t fingerprint : report.answered_requests) {
@@ -353,6 +355,16 @@
     const bool changed =
         is_present ? instances_.heard(now, report.instance) : instances_.heard_before(now, report.instance);
     version_ += changed ? 1 : 0;
+    note_life(now, report.instance);
+  }
+}
+
+void FleetLeader::note_life(TimePoint now, const wire::Instance& report) {
+  // Without a birth, a later start under the same id would be taken for the one that ended.
+  const bool frees_requests = report.born_ms != 0 && blocker_.note_heard(now, incarnation_of(report));
+  if (frees_requests) {
+    ++version_;
+    next_push_ = now;
   }
 }
 
@@ -370,6 +382,7 @@
     const auto* report = std::get_if<wire::Instance>(&parsed);
     leaving = report->state == wire::InstanceState::DRAINING;
     changed = instances_.heard(now, *report);
+    note_life(now, *report);
   }
   version_ += changed ? 1 : 0;
   if (leaving) {
--- a/src/core/fleet/fleet_leader.h
+++ b/src/core/fleet/fleet_leader.h
@@ -119,6 +119,8 @@
   void answer_slots(TimePoint now, const DocumentLog& log);
   /// Takes an entry's words on servers that ended under its requests.
   void note_server_ends(TimePoint now, const wire::SlotReport& report);
+  /// A server reported itself.
+  void note_life(TimePoint now, const wire::Instance& report);
   void answer_trial(TimePoint now, const std::string& node, const wire::SlotRequest& request);
   void send_slot_answer(const std::string& node, wire::SlotAnswer answer);
   /// Tells an entry that its report arrived: a link that brings nothing back is taken for dead.
--- a/src/core/fleet/instance_directory.cc
+++ b/src/core/fleet/instance_directory.cc
@@ -25,6 +25,10 @@
   return left.born_ms != 0 && right.born_ms != 0 && left.born_ms != right.born_ms;
 }
 
+std::string incarnation_of(const wire::Instance& instance) {
+  return instance.born_ms == 0 ? instance.id : instance.id + "@" + std::to_string(instance.born_ms);
+}
+
 bool says_the_same(const wire::Instance& left, const wire::Instance& right) {
   const auto facts = [](const wire::Instance& instance) {
     return std::tie(instance.id, instance.service_name, instance.address, instance.zone, instance.domain,
--- a/src/core/fleet/instance_directory.h
+++ b/src/core/fleet/instance_directory.h
@@ -17,6 +17,9 @@
 /// not tell its birth.
 bool is_other_incarnation(const wire::Instance& left, const wire::Instance& right);
 
+/// The name of a server's start: its id, and its birth where it tells one.
+std::string incarnation_of(const wire::Instance& instance);
+
 /// A start of a server that speaks under the id of a row as if it came before: a late report, or a new start whose
 /// clock was set back or that does not tell its birth.
 struct RivalIncarnation {
--- /dev/null
+++ b/src/core/fleet/lost_answers.h
@@ -0,0 +1,71 @@
+#pragma once
+
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "core/base/time.h"
+#include "core/fleet/server_ends.h"
+#include "core/requests/request_fingerprint.h"
+
+namespace larchlever::fleet {
+
+/// What a connection to a server's address shows, whoever stands behind it.
+enum class Look {
+  kRefused,  ///< Nobody listens there.
+  kClosed,   ///< It is taken, and closed before anything was sent.
+  kOpen,     ///< It is taken and stays open.
+  kSilent,   ///< No word comes back in time; the way there may be cut.
+};
+
+/// A server that ended, and the requests that ran there at that moment.
+struct EndedServer {
+  TimePoint at{};
+  Certainty certainty = Certainty::kProved;
+  std::vector<requests::RequestFingerprint> requests;
+};
+
+/// Answers that were lost, until something shows whether their server ended or only a connection did.
+///
+/// Load pattern: a request ends the servers that run it. A port closes some milliseconds after the connections of its
+/// process, or is held by something in front of it and never refuses, or the whole machine falls silent; so one look at
+/// the moment of the loss misses most ends. Beside it, answers are lost where no server ends: connections are reset,
+/// bytes are spoilt, heads cut the streams of a member.
+/// Evidence, the first that comes decides. The server ended: it refuses a connection; it is reported to have started
+/// again; it closes, or leaves without a word, connection after connection for `kConfirmation`, which is likely and no
+/// proof. It lives: it makes progress with another request later than what was on the way when the answer was lost, or
+/// still keeps a connection open by then. What stays open is dropped after the last look.
+/// Limits: seven looks in two seconds at a server that seems to be gone, three at one that listens. Losses that come
+/// later than the first by more than the time of the buffers accuse nobody: the server was gone when they arrived.
+/// Single-threaded, deterministic.
+class LostAnswers {
+ public:
+  /// The answer of the request was lost at that incarnation of a server. True when it must be looked at from now on, as
+  /// `next_look` says.
+  bool note_loss(TimePoint now, const std::string& incarnation, requests::RequestFingerprint request);
+  /// The server made progress with a request.
+  void note_progress(TimePoint now, const std::string& incarnation);
+  std::optional<EndedServer> note_look(TimePoint now, const std::string& incarnation, Look look);
+  /// A later incarnation was reported in place of this one.
+  std::optional<EndedServer> note_restart(const std::string& incarnation);
+  /// When to look at the server again; nothing once that is not needed.
+  std::optional<TimePoint> next_look(const std::string& incarnation) const;
+
+ private:
+  struct Case {
+    TimePoint lost_at{};
+    std::vector<requests::RequestFingerprint> requests;
+    size_t looks = 0;
+    /// Since when every look has shown no server.
+    std::optional<TimePoint> gone_since;
+    bool is_settled = false;
+  };
+
+  std::optional<EndedServer> settle(Case& lost, Certainty certainty);
+  void forget_old(TimePoint now);
+
+  std::map<std::string, Case> cases_;
+};
+
+}  // namespace larchlever::fleet
--- a/src/core/fleet/request_blocker.cc
+++ b/src/core/fleet/request_blocker.cc
@@ -17,6 +17,8 @@
 /// A trial that brought no word for this long has failed: longer than callers wait for an answer.
 constexpr Duration kTrialPatience = seconds(15);
 constexpr size_t kMostBlocked = 1024;
+/// A server that lives reports each second or two; one that is not heard for this long has ended.
+constexpr Duration kReportPatience = seconds(30);
 
 }  // namespace
 
@@ -33,6 +35,7 @@
 void RequestBlocker::start(TimePoint now, const std::vector<wire::BlockedRequest>& inherited) {
   ends_ = ServerEnds();
   blocked_.clear();
+  likely_ended_.clear();
   inherit(now, inherited);
 }
 
@@ -57,7 +60,26 @@
   set_phase(now, blocked, Phase::kWaiting);
 }
 
+bool RequestBlocker::note_heard(TimePoint now, const std::string& incarnation) {
+  if (!likely_ended_.contains(incarnation)) {
+    return false;
+  }
+  bool changed = false;
+  for (const auto request : ends_.refute(incarnation, now)) {
+    const auto blocked = blocked_.find(request);
+    const bool was_blocked_for_it = blocked != blocked_.end() && blocked->second.trials == 0;
+    if (was_blocked_for_it && ends_.count(request) < kEndsThatBlock) {
+      blocked_.erase(blocked);
+      changed = true;
+    }
+  }
+  return changed;
+}
+
 bool RequestBlocker::note_end(const ServerEnd& end) {
+  if (end.certainty == Certainty::kLikely) {
+    likely_ended_[end.instance_id] = end.at;
+  }
   const size_t count = ends_.note(end);
   const auto known = blocked_.find(end.request);
   if (known != blocked_.end()) {
@@ -93,6 +115,7 @@
 
 bool RequestBlocker::tick(TimePoint now) {
   ends_.forget_old(now);
+  std::erase_if(likely_ended_, [now](const auto& item) { return now - item.second > kReportPatience; });
   bool changed = false;
   for (auto item = blocked_.begin(); item != blocked_.end();) {
     Blocked& blocked = item->second;
--- a/src/core/fleet/request_blocker.h
+++ b/src/core/fleet/request_blocker.h
@@ -29,6 +29,9 @@
   void inherit(TimePoint now, const std::vector<wire::BlockedRequest>& rows);
   /// A server ended while it ran the request. True when the rows changed; so with all that follow.
   bool note_end(const ServerEnd& end);
+  /// An incarnation of a server was heard: ends of it that were only likely are none, and who was blocked for them is
+  /// free.
+  bool note_heard(TimePoint now, const std::string& incarnation);
   /// A server ran the request and answered.
   bool note_answered(requests::RequestFingerprint request);
   /// Grants the trial of a blocked request that is due, once.
@@ -51,6 +54,8 @@
 
   ServerEnds ends_;
   std::map<requests::RequestFingerprint, Blocked> blocked_;
+  /// Incarnations that likely ended, and when: what each report of a server is compared with.
+  std::map<std::string, TimePoint> likely_ended_;
 };
 
 }  // namespace larchlever::fleet
--- a/src/core/fleet/server_ends.cc
+++ b/src/core/fleet/server_ends.cc
@@ -21,6 +21,9 @@
   return left.instance_id == right.instance_id && apart < kSameEnd;
 }
 
+/// A report that was on the way when its sender ended arrives within this time.
+constexpr Duration kReportOnTheWay = milliseconds(300);
+
 bool holds(const std::vector<ServerEnd>& ends, const ServerEnd& end) {
   return std::any_of(ends.begin(), ends.end(), [&end](const ServerEnd& known) { return is_same(known, end); });
 }
@@ -54,6 +57,26 @@
   return found == suspects_.end() ? TimePoint::min() : found->second.last;
 }
 
+std::vector<requests::RequestFingerprint> ServerEnds::refute(const std::string& incarnation, TimePoint heard) {
+  const auto is_refuted = [&](const ServerEnd& end) {
+    return end.instance_id == incarnation && end.certainty == Certainty::kLikely && end.at + kReportOnTheWay < heard;
+  };
+  std::vector<requests::RequestFingerprint> affected;
+  std::vector<requests::RequestFingerprint> cleared;
+  for (auto& [request, suspect] : suspects_) {
+    if (std::erase_if(suspect.ends, is_refuted) > 0) {
+      affected.push_back(request);
+    }
+    if (suspect.ends.empty()) {
+      cleared.push_back(request);
+    }
+  }
+  for (const auto request : cleared) {
+    erase(request);
+  }
+  return affected;
+}
+
 void ServerEnds::erase(requests::RequestFingerprint request) {
   const auto found = suspects_.find(request);
   if (found != suspects_.end()) {
--- a/src/core/fleet/server_ends.h
+++ b/src/core/fleet/server_ends.h
@@ -12,11 +12,20 @@
 
 namespace larchlever::fleet {
 
+/// How sure it is that a server ended.
+enum class Certainty {
+  kProved,
+  /// Nothing answers at its address. Its own later report shows the contrary.
+  kLikely
+};
+
 /// A server ended while it ran a request.
 struct ServerEnd {
   requests::RequestFingerprint request;
+  /// The incarnation that ended: an id, and the birth where the server tells one.
   std::string instance_id;
   TimePoint at{};
+  Certainty certainty = Certainty::kProved;
 };
 
 /// Which servers ended under which requests: everything that ran at a server when it ended is noted, so that the one
@@ -36,6 +45,9 @@
   bool is_suspect(requests::RequestFingerprint request) const { return suspects_.contains(request); }
   /// When a server last ended under the request; `TimePoint::min()` for never.
   TimePoint last_end(requests::RequestFingerprint request) const;
+  /// The incarnation was heard at `heard`: it did not end before, where that was only likely. Returns the requests that
+  /// have one end less.
+  std::vector<requests::RequestFingerprint> refute(const std::string& incarnation, TimePoint heard);
   /// The request did not end the server that ran it.
   void forget(requests::RequestFingerprint request) { erase(request); }
   /// The request is known to end servers: its ends are not counted against others, earlier or later ones.
--- a/src/net/listener_probe.cc
+++ b/src/net/listener_probe.cc
@@ -10,6 +10,13 @@
 namespace asio = boost::asio;
 namespace beast = boost::beast;
 
+namespace {
+
+/// Who does not serve closes within a round trip or two.
+constexpr auto kCloseTime = std::chrono::milliseconds(15);
+
+}  // namespace
+
 asio::awaitable<ListenerState> probe_listener(const std::string& endpoint, std::chrono::milliseconds timeout) {
   const auto [host, port] = split_endpoint(endpoint);
   boost::system::error_code error;
@@ -24,7 +31,16 @@
   if (error == asio::error::connection_refused) {
     co_return ListenerState::kRefused;
   }
-  co_return error ? ListenerState::kUnknown : ListenerState::kListening;
+  if (error) {
+    co_return ListenerState::kUnknown;
+  }
+  // A server that takes the connection says nothing before it was asked.
+  stream.expires_after(kCloseTime);
+  char byte = 0;
+  const auto space = asio::buffer(&byte, 1);
+  std::tie(error, std::ignore) = co_await stream.async_read_some(space, asio::as_tuple(asio::use_awaitable));
+  const bool was_kept = !error || error == beast::error::timeout;
+  co_return was_kept ? ListenerState::kListening : ListenerState::kClosed;
 }
 
 }  // namespace larchlever::net
--- a/src/node/block_gate.cc
+++ b/src/node/block_gate.cc
@@ -20,6 +20,20 @@
 /// Callers of a blocked request are told to come back no sooner than this.
 constexpr Duration kShortestReturn = seconds(1);
 
+fleet::Look look_of(net::ListenerState state) {
+  switch (state) {
+    case net::ListenerState::kRefused:
+      return fleet::Look::kRefused;
+    case net::ListenerState::kClosed:
+      return fleet::Look::kClosed;
+    case net::ListenerState::kListening:
+      return fleet::Look::kOpen;
+    case net::ListenerState::kUnknown:
+      break;
+  }
+  return fleet::Look::kSilent;
+}
+
 }  // namespace
 
 BlockGate::BlockGate(asio::any_io_executor executor, EntryState& state, SlotRequester& slots)
@@ -56,30 +70,45 @@
 }
 
 void BlockGate::answer_lost(const RelayedRequest& request, const fleet::Target& target) {
-  auto& lost = lost_at_[target.instance_id];
-  lost.push_back(request.fingerprint);
-  if (lost.size() == 1) {
-    asio::co_spawn(executor_, probe(target), asio::detached);
+  if (lost_.note_loss(monotonic_now(), target.incarnation, request.fingerprint)) {
+    asio::co_spawn(executor_, watch(target), asio::detached);
   }
 }
 
-asio::awaitable<void> BlockGate::probe(fleet::Target target) {
+asio::awaitable<void> BlockGate::watch(fleet::Target target) {
   const std::weak_ptr<bool> alive = alive_;
-  const auto state = co_await net::probe_listener(target.address, kProbeTimeout);
-  if (alive.expired()) {
-    co_return;
+  asio::steady_timer timer(executor_);
+  while (const auto next = lost_.next_look(target.incarnation)) {
+    timer.expires_after(std::max(Duration::zero(), *next - monotonic_now()));
+    co_await timer.async_wait(asio::as_tuple(asio::use_awaitable));
+    if (alive.expired()) {
+      co_return;
+    }
+    const auto state = co_await net::probe_listener(target.address, kProbeTimeout);
+    if (alive.expired()) {
+      co_return;
+    }
+    const TimePoint now = monotonic_now();
+    if (const auto ended = lost_.note_look(now, target.incarnation, look_of(state))) {
+      state_.dispatcher.avoid(now, target.key);
+      note_ended(target.incarnation, *ended);
+    }
   }
-  const auto lost = std::move(lost_at_[target.instance_id]);
-  lost_at_.erase(target.instance_id);
-  if (state != net::ListenerState::kRefused) {
-    co_return;
+}
+
+void BlockGate::started_again(const std::string& incarnation) {
+  if (const auto ended = lost_.note_restart(incarnation)) {
+    note_ended(incarnation, *ended);
   }
-  const TimePoint now = monotonic_now();
-  for (const auto fingerprint : lost) {
-    const size_t ends = state_.blocked.note_end({fingerprint, target.instance_id, now});
+}
+
+void BlockGate::note_ended(const std::string& incarnation, const fleet::EndedServer& ended) {
+  for (const auto fingerprint : ended.requests) {
+    const size_t ends = state_.blocked.note_end({fingerprint, incarnation, ended.at, ended.certainty});
     log_event("", "server_ended_under_request",
               {{"fingerprint", to_string(fingerprint)},
-               {"instance", target.instance_id},
+               {"instance", incarnation},
+               {"is_proved", ended.certainty == fleet::Certainty::kProved ? "yes" : "no"},
                {"ends_seen_here", std::to_string(ends)}});
   }
   slots_.note_change();  // The leader hears of it within milliseconds.
--- a/src/node/block_gate.h
+++ b/src/node/block_gate.h
@@ -2,11 +2,10 @@
 
 #include <boost/asio/any_io_executor.hpp>
 #include <boost/asio/awaitable.hpp>
-#include <map>
 #include <memory>
 #include <string>
-#include <vector>
 
+#include "core/fleet/lost_answers.h"
 #include "node/entry_state.h"
 #include "node/relayed_request.h"
 #include "node/slot_requester.h"
@@ -16,8 +15,8 @@
 /// Keeps requests from servers that would end under them: it finds out which servers ended while they ran a request,
 /// and lets no request pass that is blocked for it (`fleet::BlockedRequests`).
 ///
-/// An answer that breaks off does not prove that its server ended: connections are reset, and heads cut streams when a
-/// member is lost. Only a server that then refuses connections counts. One executor; not thread-safe.
+/// An answer that breaks off does not prove that its server ended; `fleet::LostAnswers` weighs what is seen of the
+/// server afterwards, and this class looks. One executor; not thread-safe.
 class BlockGate {
  public:
   BlockGate(boost::asio::any_io_executor executor, EntryState& state, SlotRequester& slots);
@@ -30,16 +29,20 @@
   void answer_lost(const RelayedRequest& request, const fleet::Target& target);
   /// A server ran the request and answered whole.
   void answered(const RelayedRequest& request);
+  /// The target made progress with a request.
+  void progressed(TimePoint now, const fleet::Target& target) { lost_.note_progress(now, target.incarnation); }
+  /// The incarnation has started again as another one.
+  void started_again(const std::string& incarnation);
 
  private:
-  /// Finds out whether the instance ended, for all whose answers were lost there in this moment.
-  boost::asio::awaitable<void> probe(fleet::Target target);
+  /// Looks at the target until it is known whether it ended.
+  boost::asio::awaitable<void> watch(fleet::Target target);
+  void note_ended(const std::string& incarnation, const fleet::EndedServer& ended);
 
   boost::asio::any_io_executor executor_;
   EntryState& state_;
   SlotRequester& slots_;
-  /// By instance: requests whose answers were lost there, while it is probed.
-  std::map<std::string, std::vector<requests::RequestFingerprint>> lost_at_;
+  fleet::LostAnswers lost_;
   std::shared_ptr<bool> alive_;
 };
 
--- a/src/node/entry_process.cc
+++ b/src/node/entry_process.cc
@@ -135,6 +135,7 @@
   if (changed) {
     for (const auto& target : state_.dispatcher.update_state(state_.subscription.state())) {
       relay_.sendings().abandon_lost(target);
+      relay_.blocks().started_again(target);
     }
     state_.blocked.update(monotonic_now(), state_.subscription.state().blocked_requests);
     adopt_document();
--- a/src/node/request_relay.cc
+++ b/src/node/request_relay.cc
@@ -375,7 +375,7 @@
     co_return Sending::kMayHaveRun;
   }
   blocks_.answered(request);
-  state_.dispatcher.note_progress(monotonic_now(), target);
+  note_progress(target, monotonic_now());
   const bool unsigned_success = is_success(response.status) && !response.headers.contains(dialect_.signature);
   if (unsigned_success) {
     co_return Sending::kMayHaveRun;
@@ -402,8 +402,13 @@
   }
 }
 
-void RequestRelay::note_piece(RelayedRequest& request, const fleet::Target& target, TimePoint now) {
+void RequestRelay::note_progress(const fleet::Target& target, TimePoint now) {
   state_.dispatcher.note_progress(now, target);
+  blocks_.progressed(now, target);
+}
+
+void RequestRelay::note_piece(RelayedRequest& request, const fleet::Target& target, TimePoint now) {
+  note_progress(target, now);
   if (!request.mark.is_streaming) {
     state_.dispatcher.note_first_event(now, target, request.mark);
     if (request.expected_first_event > Duration::zero()) {
--- a/src/node/request_relay.h
+++ b/src/node/request_relay.h
@@ -32,6 +32,8 @@
   boost::asio::awaitable<void> handle(net::HttpExchange& exchange) override;
   /// What is under way, to be given up where it cannot come back.
   SendingsUnderWay& sendings() { return sendings_; }
+  /// What is known of servers that end under requests.
+  BlockGate& blocks() { return blocks_; }
 
  private:
   /// What one sending came to.
@@ -48,9 +50,10 @@
   std::optional<Refusal> authorise(RelayedRequest& request, std::string_view key);
   /// Takes the request's own statement of its size, for the forecasts of load and the shares of models.
   void note_demand(RelayedRequest& request);
-  /// Notes how much time callers of the route begin with, and whether this one has had a try before.
-  /// Bytes of a stream arrived.
   void note_load(const fleet::Target& target);
+  /// The target answered or brought a part of an answer.
+  void note_progress(const fleet::Target& target, TimePoint now);
+  /// Bytes of a stream arrived.
   void note_piece(RelayedRequest& request, const fleet::Target& target, TimePoint now);
   boost::asio::awaitable<void> relay(RelayedRequest& request);
   /// Ends the request: no target was found for it.
--- a/src/wire/gen-cpp/larchlever_types.cpp
+++ b/src/wire/gen-cpp/larchlever_types.cpp
@@ -14394,6 +14394,11 @@
 void RequestServerEnd::__set_age_ms(const int64_t val) {
   this->age_ms = val;
 }
+
+void RequestServerEnd::__set_is_likely(const bool val) {
+  this->is_likely = val;
+__isset.is_likely = true;
+}
 std::ostream& operator<<(std::ostream& out, const RequestServerEnd& obj)
 {
   obj.printTo(out);
@@ -14446,6 +14451,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->is_likely);
+          this->__isset.is_likely = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -14475,6 +14488,11 @@
   xfer += oprot->writeI64(this->age_ms);
   xfer += oprot->writeFieldEnd();
 
+  if (this->__isset.is_likely) {
+    xfer += oprot->writeFieldBegin("is_likely", ::apache::thrift::protocol::T_BOOL, 4);
+    xfer += oprot->writeBool(this->is_likely);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -14485,6 +14503,7 @@
   swap(a.fingerprint, b.fingerprint);
   swap(a.instance_id, b.instance_id);
   swap(a.age_ms, b.age_ms);
+  swap(a.is_likely, b.is_likely);
   swap(a.__isset, b.__isset);
 }
 
@@ -14492,18 +14511,21 @@
   fingerprint = other557.fingerprint;
   instance_id = other557.instance_id;
   age_ms = other557.age_ms;
+  is_likely = other557.is_likely;
   __isset = other557.__isset;
 }
 RequestServerEnd::RequestServerEnd(RequestServerEnd&& other558) noexcept {
   fingerprint = other558.fingerprint;
   instance_id = std::move(other558.instance_id);
   age_ms = other558.age_ms;
+  is_likely = other558.is_likely;
   __isset = other558.__isset;
 }
 RequestServerEnd& RequestServerEnd::operator=(const RequestServerEnd& other559) {
   fingerprint = other559.fingerprint;
   instance_id = other559.instance_id;
   age_ms = other559.age_ms;
+  is_likely = other559.is_likely;
   __isset = other559.__isset;
   return *this;
 }
@@ -14511,6 +14533,7 @@
   fingerprint = other560.fingerprint;
   instance_id = std::move(other560.instance_id);
   age_ms = other560.age_ms;
+  is_likely = other560.is_likely;
   __isset = other560.__isset;
   return *this;
 }
@@ -14520,6 +14543,7 @@
   out << "fingerprint=" << to_string(fingerprint);
   out << ", " << "instance_id=" << to_string(instance_id);
   out << ", " << "age_ms=" << to_string(age_ms);
+  out << ", " << "is_likely="; (__isset.is_likely ? (out << to_string(is_likely)) : (out << "<null>"));
   out << ")";
 }
 
--- a/src/wire/gen-cpp/larchlever_types.h
+++ b/src/wire/gen-cpp/larchlever_types.h
@@ -5590,10 +5590,11 @@
 std::ostream& operator<<(std::ostream& out, const SlotGrant& obj);
 
 typedef struct _RequestServerEnd__isset {
-  _RequestServerEnd__isset() : fingerprint(false), instance_id(false), age_ms(false) {}
+  _RequestServerEnd__isset() : fingerprint(false), instance_id(false), age_ms(false), is_likely(false) {}
   bool fingerprint :1;
   bool instance_id :1;
   bool age_ms :1;
+  bool is_likely :1;
 } _RequestServerEnd__isset;
 
 /**
@@ -5609,16 +5610,24 @@
   RequestServerEnd() noexcept
                    : fingerprint(0),
                      instance_id(),
-                     age_ms(0) {
+                     age_ms(0),
+                     is_likely(0) {
   }
 
   virtual ~RequestServerEnd() noexcept;
   int64_t fingerprint;
+  /**
+   * Its incarnation: the id, and its birth where it tells one.
+   */
   std::string instance_id;
   /**
    * Milliseconds since the sender noticed it.
    */
   int64_t age_ms;
+  /**
+   * Nothing answers there; the server's own later report shows the contrary.
+   */
+  bool is_likely;
 
   _RequestServerEnd__isset __isset;
 
@@ -5628,6 +5637,8 @@
 
   void __set_age_ms(const int64_t val);
 
+  void __set_is_likely(const bool val);
+
   bool operator == (const RequestServerEnd & rhs) const
   {
     if (!(fingerprint == rhs.fingerprint))
@@ -5636,6 +5647,10 @@
       return false;
     if (!(age_ms == rhs.age_ms))
       return false;
+    if (__isset.is_likely != rhs.__isset.is_likely)
+      return false;
+    else if (__isset.is_likely && !(is_likely == rhs.is_likely))
+      return false;
     return true;
   }
   bool operator != (const RequestServerEnd &rhs) const {
--- a/src/wire/larchlever.thrift
+++ b/src/wire/larchlever.thrift
@@ -681,9 +681,12 @@
 /** A server ended while it ran a request of the sender. */
 struct RequestServerEnd {
   1: i64 fingerprint,
+  /** Its incarnation: the id, and its birth where it tells one. */
   2: string instance_id,
   /** Milliseconds since the sender noticed it. */
   3: i64 age_ms,
+  /** Nothing answers there; the server's own later report shows the contrary. */
+  4: optional bool is_likely,
 }
 
 /** An entry's questions, and its load where it changed since it last told; sent to the leader. */
--- /dev/null
+++ b/tests/unit/lost_answers_test.cc
@@ -0,0 +1,134 @@
+#include "core/fleet/lost_answers.h"
+
+#include <gtest/gtest.h>
+
+#include "core/fleet/blocked_requests.h"
+#include "core/fleet/request_blocker.h"
+
+namespace larchlever::fleet {
+namespace {
+
+using requests::RequestFingerprint;
+
+const RequestFingerprint kFirst(1);
+const RequestFingerprint kSecond(2);
+constexpr const char* kServer = "i1@5";
+
+TimePoint at(double seconds_from_start) {
+  return TimePoint(Duration(static_cast<int64_t>(seconds_from_start * 1e6) + 1'000'000'000));
+}
+
+/// Answers of both requests were lost at one server.
+LostAnswers two_lost() {
+  LostAnswers lost;
+  EXPECT_TRUE(lost.note_loss(at(1), kServer, kFirst));
+  EXPECT_FALSE(lost.note_loss(at(1.05), kServer, kSecond)) << "it is looked at already";
+  return lost;
+}
+
+TEST(LostAnswers, APortThatClosesLaterProvesTheEnd) {
+  auto lost = two_lost();
+  EXPECT_EQ(lost.next_look(kServer), at(1));
+  EXPECT_FALSE(lost.note_look(at(1), kServer, Look::kOpen));
+  EXPECT_EQ(lost.next_look(kServer), at(1.02));
+  const auto ended = lost.note_look(at(1.02), kServer, Look::kRefused);
+  ASSERT_TRUE(ended);
+  EXPECT_EQ(ended->certainty, Certainty::kProved);
+  EXPECT_EQ(ended->requests, (std::vector{kFirst, kSecond}));
+  EXPECT_FALSE(lost.next_look(kServer));
+}
+
+TEST(LostAnswers, AHeldPortMakesTheEndLikely) {
+  auto lost = two_lost();
+  EXPECT_FALSE(lost.note_look(at(1), kServer, Look::kClosed));
+  EXPECT_FALSE(lost.note_look(at(1.06), kServer, Look::kClosed));
+  const auto ended = lost.note_look(at(1.15), kServer, Look::kClosed);
+  ASSERT_TRUE(ended);
+  EXPECT_EQ(ended->certainty, Certainty::kLikely);
+}
+
+TEST(LostAnswers, AServerThatClosesSomeConnectionsLives) {
+  auto lost = two_lost();
+  EXPECT_FALSE(lost.note_look(at(1), kServer, Look::kClosed));
+  EXPECT_FALSE(lost.note_look(at(1.02), kServer, Look::kClosed));
+  EXPECT_FALSE(lost.note_look(at(1.06), kServer, Look::kOpen));
+  EXPECT_FALSE(lost.next_look(kServer)) << "it listens";
+}
+
+TEST(LostAnswers, ProgressShowsThatItLivesUnlessItWasOnTheWay) {
+  auto lost = two_lost();
+  lost.note_progress(at(1.05), kServer);
+  EXPECT_TRUE(lost.next_look(kServer));
+  lost.note_progress(at(1.2), kServer);
+  EXPECT_FALSE(lost.next_look(kServer));
+  EXPECT_FALSE(lost.note_look(at(1.3), kServer, Look::kRefused)) << "nothing was lost there any more";
+}
+
+TEST(LostAnswers, ALaterStartProvesTheEnd) {
+  auto lost = two_lost();
+  const auto ended = lost.note_restart(kServer);
+  ASSERT_TRUE(ended);
+  EXPECT_EQ(ended->certainty, Certainty::kProved);
+  EXPECT_FALSE(lost.note_restart(kServer));
+}
+
+TEST(LostAnswers, WhatIsLostAtAServerThatIsGoneAccusesNobody) {
+  auto lost = two_lost();
+  lost.note_look(at(1), kServer, Look::kClosed);
+  lost.note_loss(at(1.5), kServer, RequestFingerprint(3));
+  const auto ended = lost.note_look(at(1.6), kServer, Look::kClosed);
+  ASSERT_TRUE(ended);
+  EXPECT_EQ(ended->requests.size(), 2U);
+}
+
+TEST(LostAnswers, LooksEnd) {
+  auto lost = two_lost();
+  int looks = 0;
+  while (const auto next = lost.next_look(kServer)) {
+    ++looks;
+    lost.note_look(*next, kServer, looks % 2 == 0 ? Look::kSilent : Look::kOpen);
+  }
+  EXPECT_LE(looks, 7);
+}
+
+ServerEnd likely_end(RequestFingerprint request, const std::string& incarnation, double time) {
+  return {request, incarnation, at(time), Certainty::kLikely};
+}
+
+// A cut between one entry and many servers looks like their end to that entry; the servers go on reporting.
+TEST(RequestBlocker, FreesWhoWasBlockedForServersThatAreHeardLater) {
+  RequestBlocker blocker;
+  blocker.start(at(0), {});
+  blocker.note_end(likely_end(kFirst, "i1@5", 1));
+  blocker.note_end(likely_end(kFirst, "i2@5", 1));
+  EXPECT_TRUE(blocker.note_end(likely_end(kFirst, "i3@5", 1)));
+  EXPECT_FALSE(blocker.note_heard(at(1.1), "i1@5")) << "that report was on the way";
+  EXPECT_FALSE(blocker.note_heard(at(2), "i1@9")) << "another start of the server";
+  EXPECT_EQ(blocker.rows().size(), 1U);
+  EXPECT_TRUE(blocker.note_heard(at(2), "i1@5"));
+  EXPECT_TRUE(blocker.rows().empty());
+}
+
+TEST(RequestBlocker, KeepsWhoIsBlockedForProvedEnds) {
+  RequestBlocker blocker;
+  blocker.start(at(0), {});
+  for (const char* incarnation : {"i1@5", "i2@5", "i3@5"}) {
+    blocker.note_end({kFirst, incarnation, at(1)});
+  }
+  EXPECT_FALSE(blocker.note_heard(at(2), "i1@5"));
+  EXPECT_EQ(blocker.rows().size(), 1U);
+}
+
+TEST(BlockedRequests, LeaveLikelyEndsToTheLeader) {
+  BlockedRequests blocked;
+  for (const char* incarnation : {"i1@5", "i2@5", "i3@5"}) {
+    blocked.note_end(likely_end(kFirst, incarnation, 1));
+  }
+  EXPECT_EQ(blocked.judge(at(1), kFirst), BlockedRequests::Verdict::kFree);
+  const auto reports = blocked.take_ends(at(1));
+  ASSERT_EQ(reports.size(), 3U);
+  EXPECT_TRUE(reports[0].is_likely);
+}
+
+}  // namespace
+}  // namespace larchlever::fleet
