Let one repeat go at a time of a request under which servers ended

Cause: an entry repeats a request in the millisecond in which its answer was lost, before its own word, or those of others, made the leader block it. Change: before a repeat the entry waits for the first look at the lost server (8 ms at most, 30 ms where it seems gone) and asks the leader in the message that tells of the end. The leader refuses what is blocked, and lets one repeat a second go where servers ended. Without an answer the entry decides for itself; an older leader gives none. Innocent requests ask once where their server ended.

--- a/src/core/fleet/fleet_leader.cc
+++ b/src/core/fleet/fleet_leader.cc
@@ -223,6 +223,8 @@
   for (const auto& request : report.requests) {
     if (request.__isset.trial_of) {
       answer_trial(now, node, request);
+    } else if (request.__isset.repeat_of) {
+      answer_repeat(now, node, request);
     } else {
       slots_.add_request(now, node, request);
     }
@@ -256,8 +258,16 @@
 void FleetLeader::answer_trial(TimePoint now, const std::string& node, const wire::SlotRequest& request) {
   const bool is_granted = blocker_.grant_trial(now, requests::RequestFingerprint(request.trial_of));
   version_ += is_granted ? 1 : 0;
+  answer_question(node, request.id, is_granted);
+}
+
+void FleetLeader::answer_repeat(TimePoint now, const std::string& node, const wire::SlotRequest& request) {
+  answer_question(node, request.id, blocker_.grant_repeat(now, requests::RequestFingerprint(request.repeat_of)));
+}
+
+void FleetLeader::answer_question(const std::string& node, int64_t id, bool is_granted) {
   wire::SlotGrant grant;
-  grant.id = request.id;
+  grant.id = id;
   grant.verdict = is_granted ? wire::SlotVerdict::GRANTED : wire::SlotVerdict::BUSY;
   wire::SlotAnswer answer;
   answer.grants.push_back(std::move(grant));
--- a/src/core/fleet/fleet_leader.h
+++ b/src/core/fleet/fleet_leader.h
@@ -122,6 +122,8 @@
   /// A server reported itself.
   void note_life(TimePoint now, const wire::Instance& report);
   void answer_trial(TimePoint now, const std::string& node, const wire::SlotRequest& request);
+  void answer_repeat(TimePoint now, const std::string& node, const wire::SlotRequest& request);
+  void answer_question(const std::string& node, int64_t id, bool is_granted);
   void send_slot_answer(const std::string& node, wire::SlotAnswer answer);
   /// Tells an entry that its report arrived: a link that brings nothing back is taken for dead.
   void confirm_report(const std::string& node);
--- a/src/core/fleet/lost_answers.cc
+++ b/src/core/fleet/lost_answers.cc
@@ -90,6 +90,16 @@
   return found->second.lost_at + kLooks.at(found->second.looks);
 }
 
+bool LostAnswers::awaits_first_look(const std::string& incarnation) const {
+  const auto found = cases_.find(incarnation);
+  return found != cases_.end() && !found->second.is_settled && found->second.looks == 0;
+}
+
+bool LostAnswers::seems_gone(const std::string& incarnation) const {
+  const auto found = cases_.find(incarnation);
+  return found != cases_.end() && !found->second.is_settled && found->second.gone_since.has_value();
+}
+
 void LostAnswers::forget_old(TimePoint now) {
   std::erase_if(cases_, [now](const auto& item) { return now - item.second.lost_at > kMemory; });
 }
--- a/src/core/fleet/lost_answers.h
+++ b/src/core/fleet/lost_answers.h
@@ -49,6 +49,12 @@
   std::optional<EndedServer> note_look(TimePoint now, const std::string& incarnation, Look look);
   /// A later incarnation was reported in place of this one.
   std::optional<EndedServer> note_restart(const std::string& incarnation);
+  /// Answers were lost there, and nothing shows that the server lives.
+  bool is_doubtful(const std::string& incarnation) const { return cases_.contains(incarnation); }
+  /// The server was not looked at yet.
+  bool awaits_first_look(const std::string& incarnation) const;
+  /// The last look showed no server, and it is not settled yet whether it ended.
+  bool seems_gone(const std::string& incarnation) const;
   /// When to look at the server again; nothing once that is not needed.
   std::optional<TimePoint> next_look(const std::string& incarnation) const;
 
--- a/src/core/fleet/request_blocker.cc
+++ b/src/core/fleet/request_blocker.cc
@@ -17,6 +17,8 @@
 /// A trial that brought no word for this long has failed: longer than callers wait for an answer.
 constexpr Duration kTrialPatience = seconds(15);
 constexpr size_t kMostBlocked = 1024;
+/// A repeat that brought no word for this long harms nobody: a harmful request ends its server within half a second.
+constexpr Duration kRepeatPatience = seconds(1);
 /// A server that lives reports each second or two; one that is not heard for this long has ended.
 constexpr Duration kReportPatience = seconds(30);
 
@@ -35,6 +37,7 @@
 void RequestBlocker::start(TimePoint now, const std::vector<wire::BlockedRequest>& inherited) {
   ends_ = ServerEnds();
   blocked_.clear();
+  repeats_.clear();
   likely_ended_.clear();
   inherit(now, inherited);
 }
@@ -100,9 +103,25 @@
 
 bool RequestBlocker::note_answered(requests::RequestFingerprint request) {
   ends_.forget(request);
+  repeats_.erase(request);
   return blocked_.erase(request) > 0;
 }
 
+bool RequestBlocker::grant_repeat(TimePoint now, requests::RequestFingerprint request) {
+  if (blocked_.contains(request)) {
+    return false;
+  }
+  if (!ends_.is_suspect(request)) {
+    return true;
+  }
+  const auto [granted, is_first] = repeats_.try_emplace(request, now);
+  if (!is_first && now - granted->second < kRepeatPatience) {
+    return false;
+  }
+  granted->second = now;
+  return true;
+}
+
 bool RequestBlocker::grant_trial(TimePoint now, requests::RequestFingerprint request) {
   const auto found = blocked_.find(request);
   if (found == blocked_.end() || found->second.phase != Phase::kTrialDue) {
@@ -115,6 +134,7 @@
 
 bool RequestBlocker::tick(TimePoint now) {
   ends_.forget_old(now);
+  std::erase_if(repeats_, [now](const auto& item) { return now - item.second >= kRepeatPatience; });
   std::erase_if(likely_ended_, [now](const auto& item) { return now - item.second > kReportPatience; });
   bool changed = false;
   for (auto item = blocked_.begin(); item != blocked_.end();) {
--- a/src/core/fleet/request_blocker.h
+++ b/src/core/fleet/request_blocker.h
@@ -34,6 +34,9 @@
   bool note_heard(TimePoint now, const std::string& incarnation);
   /// A server ran the request and answered.
   bool note_answered(requests::RequestFingerprint request);
+  /// Whether a request whose answer was lost may be sent again. One under which servers ended goes to one server at a
+  /// time, whichever entries ask: copies that end their servers at once would otherwise all go on to second ones.
+  bool grant_repeat(TimePoint now, requests::RequestFingerprint request);
   /// Grants the trial of a blocked request that is due, once.
   bool grant_trial(TimePoint now, requests::RequestFingerprint request);
   bool tick(TimePoint now);
@@ -54,6 +57,8 @@
 
   ServerEnds ends_;
   std::map<requests::RequestFingerprint, Blocked> blocked_;
+  /// Repeats of requests under which servers ended: when the last one was granted, until it is answered.
+  std::map<requests::RequestFingerprint, TimePoint> repeats_;
   /// Incarnations that likely ended, and when: what each report of a server is compared with.
   std::map<std::string, TimePoint> likely_ended_;
 };
--- a/src/node/block_gate.cc
+++ b/src/node/block_gate.cc
@@ -17,6 +17,12 @@
 
 /// As long as a connection for a request may take.
 constexpr auto kProbeTimeout = std::chrono::milliseconds(150);
+/// A refused connection is known within a round trip or two; a server that keeps the connection is not waited for.
+constexpr Duration kFirstLookPatience = milliseconds(8);
+/// One that dropped it is looked at again 20 ms after the loss, when the port of a process that ended is closed. It is
+/// a tenth of the pause that callers of streams allow.
+constexpr Duration kSecondLookPatience = milliseconds(30);
+constexpr Duration kLookPause = milliseconds(1);
 /// Callers of a blocked request are told to come back no sooner than this.
 constexpr Duration kShortestReturn = seconds(1);
 
@@ -39,7 +45,33 @@
 BlockGate::BlockGate(asio::any_io_executor executor, EntryState& state, SlotRequester& slots)
     : executor_(std::move(executor)), state_(state), slots_(slots), alive_(std::make_shared<bool>(true)) {}
 
+asio::awaitable<bool> BlockGate::may_repeat(RelayedRequest& request) {
+  const std::string incarnation = std::exchange(request.answer_lost_at, "");
+  if (incarnation.empty()) {
+    co_return true;
+  }
+  // What the looks show goes to the leader before the question, which it then answers by the words of all entries.
+  asio::steady_timer timer(executor_);
+  const TimePoint begin = monotonic_now();
+  const auto is_worth_waiting = [&] {
+    const Duration waited = monotonic_now() - begin;
+    return (lost_.awaits_first_look(incarnation) && waited < kFirstLookPatience) ||
+           (lost_.seems_gone(incarnation) && waited < kSecondLookPatience);
+  };
+  while (is_worth_waiting()) {
+    timer.expires_after(kLookPause);
+    co_await timer.async_wait(asio::as_tuple(asio::use_awaitable));
+  }
+  if (!lost_.is_doubtful(incarnation)) {
+    co_return true;
+  }
+  co_return co_await slots_.ask_for_repeat(request.fingerprint);
+}
+
 asio::awaitable<bool> BlockGate::admit(RelayedRequest& request) {
+  if (!co_await may_repeat(request)) {
+    co_return false;
+  }
   const Verdict verdict = state_.blocked.judge(monotonic_now(), request.fingerprint);
   if (verdict == Verdict::kFree) {
     co_return true;
@@ -69,7 +101,8 @@
   state_.blocked.note_answered(monotonic_now(), request.fingerprint);
 }
 
-void BlockGate::answer_lost(const RelayedRequest& request, const fleet::Target& target) {
+void BlockGate::answer_lost(RelayedRequest& request, const fleet::Target& target) {
+  request.answer_lost_at = target.incarnation;
   if (lost_.note_loss(monotonic_now(), target.incarnation, request.fingerprint)) {
     asio::co_spawn(executor_, watch(target), asio::detached);
   }
--- a/src/node/block_gate.h
+++ b/src/node/block_gate.h
@@ -26,7 +26,7 @@
   /// What the caller of a request that may not be sent is told.
   Refusal refuse(const RelayedRequest& request);
   /// The answer of the request was lost at the target after it was sent there.
-  void answer_lost(const RelayedRequest& request, const fleet::Target& target);
+  void answer_lost(RelayedRequest& request, const fleet::Target& target);
   /// A server ran the request and answered whole.
   void answered(const RelayedRequest& request);
   /// The target made progress with a request.
@@ -35,6 +35,8 @@
   void started_again(const std::string& incarnation);
 
  private:
+  /// Whether a request whose last answer was lost may go to another server.
+  boost::asio::awaitable<bool> may_repeat(RelayedRequest& request);
   /// Looks at the target until it is known whether it ended.
   boost::asio::awaitable<void> watch(fleet::Target target);
   void note_ended(const std::string& incarnation, const fleet::EndedServer& ended);
--- a/src/node/relayed_request.h
+++ b/src/node/relayed_request.h
@@ -48,6 +48,8 @@
   bool has_slot = false;
   TimePoint sent_at{};
   std::string last_target;
+  /// The incarnation of the server at which the last answer was lost, until the request is sent again.
+  std::string answer_lost_at;
   int load_at_choice = 0;
   /// When the leader that granted the slot expected the first event, counted from the sending; zero when the entry
   /// chose the target itself.
--- a/src/node/slot_requester.cc
+++ b/src/node/slot_requester.cc
@@ -82,6 +82,13 @@
   co_return grant.verdict == wire::SlotVerdict::GRANTED;
 }
 
+asio::awaitable<bool> SlotRequester::ask_for_repeat(requests::RequestFingerprint request) {
+  wire::SlotRequest question;
+  question.__set_repeat_of(request.value());
+  const auto grant = co_await ask(std::move(question));
+  co_return grant.verdict != wire::SlotVerdict::BUSY;
+}
+
 void SlotRequester::send_soon(wire::SlotRequest request) {
   unsent_.push_back(std::move(request));
   if (unsent_.size() > 1) {
--- a/src/node/slot_requester.h
+++ b/src/node/slot_requester.h
@@ -33,6 +33,9 @@
   boost::asio::awaitable<wire::SlotGrant> ask(wire::SlotRequest request);
   /// Whether the leader lets this entry send a blocked request once.
   boost::asio::awaitable<bool> ask_for_trial(requests::RequestFingerprint request);
+  /// Whether a request whose answer was lost may be sent again, as the leader decides with this entry's own word
+  /// included. An entry that gets no word decides for itself.
+  boost::asio::awaitable<bool> ask_for_repeat(requests::RequestFingerprint request);
   void receive(const wire::SlotAnswer& answer);
   /// The load of some group changed in a way that the leader does not know of: it learns within a few milliseconds.
   void note_change();
--- a/src/wire/gen-cpp/larchlever_types.cpp
+++ b/src/wire/gen-cpp/larchlever_types.cpp
@@ -13911,6 +13911,11 @@
   this->trial_of = val;
 __isset.trial_of = true;
 }
+
+void SlotRequest::__set_repeat_of(const int64_t val) {
+  this->repeat_of = val;
+__isset.repeat_of = true;
+}
 std::ostream& operator<<(std::ostream& out, const SlotRequest& obj)
 {
   obj.printTo(out);
@@ -14031,6 +14036,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 12:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->repeat_of);
+          this->__isset.repeat_of = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -14097,6 +14110,11 @@
     xfer += oprot->writeI64(this->trial_of);
     xfer += oprot->writeFieldEnd();
   }
+  if (this->__isset.repeat_of) {
+    xfer += oprot->writeFieldBegin("repeat_of", ::apache::thrift::protocol::T_I64, 12);
+    xfer += oprot->writeI64(this->repeat_of);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -14114,6 +14132,7 @@
   swap(a.patience_ms, b.patience_ms);
   swap(a.excluded_groups, b.excluded_groups);
   swap(a.trial_of, b.trial_of);
+  swap(a.repeat_of, b.repeat_of);
   swap(a.__isset, b.__isset);
 }
 
@@ -14128,6 +14147,7 @@
   patience_ms = other548.patience_ms;
   excluded_groups = other548.excluded_groups;
   trial_of = other548.trial_of;
+  repeat_of = other548.repeat_of;
   __isset = other548.__isset;
 }
 SlotRequest::SlotRequest(SlotRequest&& other549) noexcept {
@@ -14141,6 +14161,7 @@
   patience_ms = other549.patience_ms;
   excluded_groups = std::move(other549.excluded_groups);
   trial_of = other549.trial_of;
+  repeat_of = other549.repeat_of;
   __isset = other549.__isset;
 }
 SlotRequest& SlotRequest::operator=(const SlotRequest& other550) {
@@ -14154,6 +14175,7 @@
   patience_ms = other550.patience_ms;
   excluded_groups = other550.excluded_groups;
   trial_of = other550.trial_of;
+  repeat_of = other550.repeat_of;
   __isset = other550.__isset;
   return *this;
 }
@@ -14168,6 +14190,7 @@
   patience_ms = other551.patience_ms;
   excluded_groups = std::move(other551.excluded_groups);
   trial_of = other551.trial_of;
+  repeat_of = other551.repeat_of;
   __isset = other551.__isset;
   return *this;
 }
@@ -14184,6 +14207,7 @@
   out << ", " << "patience_ms=" << to_string(patience_ms);
   out << ", " << "excluded_groups=" << to_string(excluded_groups);
   out << ", " << "trial_of="; (__isset.trial_of ? (out << to_string(trial_of)) : (out << "<null>"));
+  out << ", " << "repeat_of="; (__isset.repeat_of ? (out << to_string(repeat_of)) : (out << "<null>"));
   out << ")";
 }
 
--- a/src/wire/gen-cpp/larchlever_types.h
+++ b/src/wire/gen-cpp/larchlever_types.h
@@ -5371,7 +5371,7 @@
 std::ostream& operator<<(std::ostream& out, const FleetHeartbeat& obj);
 
 typedef struct _SlotRequest__isset {
-  _SlotRequest__isset() : id(false), service_name(false), model(false), prompt_tokens(false), first_event_ms(false), gap_ms(false), priority(false), patience_ms(false), excluded_groups(false), trial_of(false) {}
+  _SlotRequest__isset() : id(false), service_name(false), model(false), prompt_tokens(false), first_event_ms(false), gap_ms(false), priority(false), patience_ms(false), excluded_groups(false), trial_of(false), repeat_of(false) {}
   bool id :1;
   bool service_name :1;
   bool model :1;
@@ -5382,6 +5382,7 @@
   bool patience_ms :1;
   bool excluded_groups :1;
   bool trial_of :1;
+  bool repeat_of :1;
 } _SlotRequest__isset;
 
 /**
@@ -5403,7 +5404,8 @@
                 gap_ms(0),
                 priority(0),
                 patience_ms(0),
-                trial_of(0) {
+                trial_of(0),
+                repeat_of(0) {
   }
 
   virtual ~SlotRequest() noexcept;
@@ -5438,6 +5440,10 @@
    * Set when the entry asks for no slot, but whether it may send this blocked request once.
    */
   int64_t trial_of;
+  /**
+   * Set when the entry asks for no slot, but whether it may send this request again, whose answer was lost.
+   */
+  int64_t repeat_of;
 
   _SlotRequest__isset __isset;
 
@@ -5461,6 +5467,8 @@
 
   void __set_trial_of(const int64_t val);
 
+  void __set_repeat_of(const int64_t val);
+
   bool operator == (const SlotRequest & rhs) const
   {
     if (!(id == rhs.id))
@@ -5485,6 +5493,10 @@
       return false;
     else if (__isset.trial_of && !(trial_of == rhs.trial_of))
       return false;
+    if (__isset.repeat_of != rhs.__isset.repeat_of)
+      return false;
+    else if (__isset.repeat_of && !(repeat_of == rhs.repeat_of))
+      return false;
     return true;
   }
   bool operator != (const SlotRequest &rhs) const {
--- a/src/wire/larchlever.thrift
+++ b/src/wire/larchlever.thrift
@@ -654,6 +654,8 @@
   10: list<string> excluded_groups,
   /** Set when the entry asks for no slot, but whether it may send this blocked request once. */
   11: optional i64 trial_of,
+  /** Set when the entry asks for no slot, but whether it may send this request again, whose answer was lost. */
+  12: optional i64 repeat_of,
 }
 
 enum SlotVerdict {
--- a/tests/unit/lost_answers_test.cc
+++ b/tests/unit/lost_answers_test.cc
@@ -119,6 +119,24 @@
   EXPECT_EQ(blocker.rows().size(), 1U);
 }
 
+TEST(RequestBlocker, LetsOneRepeatGoAtATimeUnderWhichServersEnded) {
+  RequestBlocker blocker;
+  blocker.start(at(0), {});
+  EXPECT_TRUE(blocker.grant_repeat(at(1), kFirst));
+  EXPECT_TRUE(blocker.grant_repeat(at(1), kFirst)) << "no server ended under it";
+  blocker.note_end({kFirst, "i1@5", at(1)});
+  EXPECT_TRUE(blocker.grant_repeat(at(1), kFirst));
+  EXPECT_FALSE(blocker.grant_repeat(at(1.1), kFirst));
+  EXPECT_TRUE(blocker.grant_repeat(at(1.1), kSecond));
+  EXPECT_TRUE(blocker.grant_repeat(at(2.1), kFirst)) << "the first one harmed nobody";
+  blocker.note_answered(kFirst);
+  EXPECT_TRUE(blocker.grant_repeat(at(2.2), kFirst));
+  blocker.note_end({kFirst, "i2@5", at(3)});
+  blocker.note_end({kFirst, "i3@5", at(3)});
+  blocker.note_end({kFirst, "i4@5", at(3)});
+  EXPECT_FALSE(blocker.grant_repeat(at(9), kFirst)) << "it is blocked";
+}
+
 TEST(BlockedRequests, LeaveLikelyEndsToTheLeader) {
   BlockedRequests blocked;
   for (const char* incarnation : {"i1@5", "i2@5", "i3@5"}) {
