Hold a run against the attempt of a history that it belongs to

Cause: the check held the run of an earlier, cut attempt against later attempts of the same repeatable request. They carry no key, so nothing ties them together, and 'not-run' is true of each of them. Change: such a run is excused where an earlier attempt spans it and its caller was not told that it had not run. Requests that may not be repeated, and keyed ones, are checked as before; a run that no attempt explains, or of the refused attempt itself, still counts. Both stand in a unit test.

--- a/src/load/history.cc
+++ b/src/load/history.cc
@@ -15,6 +15,21 @@
   return "request " + record.tag + (record.key.empty() ? "" : " (key " + record.key + ")") + " through " + record.node;
 }
 
+/// The run began within an earlier attempt of this repeatable request whose caller was not told that it had not run.
+/// Nothing ties attempts without a key together, so a node can speak of the attempt at hand alone.
+bool belongs_to_earlier_attempt(const ExecutionRecord& run, const HistoryRecord& record,
+                                const std::vector<HistoryRecord>& history) {
+  if (!record.safe || !record.key.empty()) {
+    return false;
+  }
+  return std::any_of(history.begin(), history.end(), [&](const HistoryRecord& other) {
+    const bool is_earlier = other.tag == record.tag && other.done_ms <= record.sent_ms;
+    const bool spans_run =
+        other.sent_ms <= run.started_ms + kClockRounding && run.started_ms <= other.done_ms + kClockRounding;
+    return is_earlier && spans_run && other.outcome != "not-run";
+  });
+}
+
 /// Every sending of a request and every run of it, in order of time: a fault names one of them, and which of the others
 /// explains it is seen only beside them.
 std::string story_of(const std::string& tag, const std::vector<HistoryRecord>& history,
@@ -77,7 +92,7 @@
       // Later sendings of the same request may run it; what had started when the caller was told may not exist, nor
       // may anything start when no sending followed.
       const bool before = run->started_ms + kClockRounding < record.done_ms && run->started_ms >= record.sent_ms;
-      const bool earlier = run->started_ms < record.sent_ms;
+      const bool earlier = run->started_ms < record.sent_ms && !belongs_to_earlier_attempt(*run, record, history);
       const bool after_the_last = record.sent_ms == last_sent[record.tag] && run->started_ms > record.done_ms;
       if (before || earlier || after_the_last) {
         faults.push_back("false not-run: " + name_of(record) + " ran on " + run->machine +
--- a/tests/unit/settings_test.cc
+++ b/tests/unit/settings_test.cc
@@ -100,5 +100,49 @@
   EXPECT_TRUE(check_history({denied}, {}).empty());
 }
 
+TEST(History, HoldsARunAgainstTheAttemptThatItBelongsTo) {
+  using load::check_history;
+  using load::ExecutionRecord;
+  using load::HistoryRecord;
+  HistoryRecord cut;
+  cut.tag = "t";
+  cut.node = "n1";
+  cut.safe = true;
+  cut.status = 502;
+  cut.outcome = "unknown";
+  cut.sent_ms = 100;
+  cut.done_ms = 200;
+  HistoryRecord refused = cut;
+  refused.status = 503;
+  refused.outcome = "not-run";
+  refused.sent_ms = 300;
+  refused.done_ms = 400;
+  ExecutionRecord run;
+  run.tag = "t";
+  run.machine = "m1";
+  run.started_ms = 150;
+  EXPECT_TRUE(check_history({cut, refused}, {run}).empty());
+  auto between = run;
+  between.started_ms = 250;
+  EXPECT_EQ(check_history({cut, refused}, {between}).size(), 1U) << "a run that no attempt explains";
+  auto within = run;
+  within.started_ms = 350;
+  EXPECT_EQ(check_history({cut, refused}, {within}).size(), 1U) << "a run of the refused attempt itself";
+  auto denied = cut;
+  denied.outcome = "not-run";
+  EXPECT_EQ(check_history({denied, refused}, {run}).size(), 2U) << "an earlier attempt that was denied falsely";
+  auto unsafe_cut = cut;
+  auto unsafe_refused = refused;
+  unsafe_cut.safe = false;
+  unsafe_refused.safe = false;
+  EXPECT_EQ(check_history({unsafe_cut, unsafe_refused}, {run}).size(), 1U)
+      << "who may not repeat asks for all attempts";
+  auto keyed_cut = cut;
+  auto keyed_refused = refused;
+  keyed_cut.key = "k";
+  keyed_refused.key = "k";
+  EXPECT_EQ(check_history({keyed_cut, keyed_refused}, {run}).size(), 1U) << "a key ties the attempts together";
+}
+
 }  // namespace
 }  // namespace larchlever::settings
