Count the servers that serve, not which of them are spares

Cause: the test asked for as many servers in any group as before. Two of the 24 are spares: the small model has its share, and two servers make no large group. A spare that came back sits in a holding group, one that left a group reports none. Change: as many servers in groups with an open head as before, and every server that came back was given weights since, which the fault of that time denied it.

--- a/tests/integration/registered_engines.cc
+++ b/tests/integration/registered_engines.cc
@@ -147,9 +147,19 @@
     rest_asked_ = retry_after;
     return true;
   }
-  bool is_in_group() {
+  /// The group of which this server is a member; empty for none, and while it is down.
+  std::string group() {
     const std::lock_guard lock(mutex_);
-    return !down_until_ && !instance_.membership().group.empty();
+    return down_until_ ? std::string() : instance_.membership().group;
+  }
+  bool has_restarted() {
+    const std::lock_guard lock(mutex_);
+    return !down_until_ && starts_ > 1;
+  }
+  /// A start begins with empty accelerators: who holds weights was ordered to join a group since.
+  bool holds_weights() {
+    const std::lock_guard lock(mutex_);
+    return !instance_.model().empty();
   }
   /// The next report, when one is due.
   std::optional<std::string> report() {
@@ -327,9 +337,26 @@
   EXPECT_TRUE(found) << "no open group of " << model;
 }
 
-int RegisteredEngines::servers_in_groups() {
+int RegisteredEngines::servers_in_serving_groups() {
+  std::set<std::string> serving;
+  for (const auto& server : servers_) {
+    if (server->is_open_head()) {
+      serving.insert(server->group());
+    }
+  }
+  return static_cast<int>(std::count_if(servers_.begin(), servers_.end(),
+                                        [&](const auto& server) { return serving.contains(server->group()); }));
+}
+
+int RegisteredEngines::restarted_servers() {
   return static_cast<int>(
-      std::count_if(servers_.begin(), servers_.end(), [](const auto& server) { return server->is_in_group(); }));
+      std::count_if(servers_.begin(), servers_.end(), [](const auto& server) { return server->has_restarted(); }));
+}
+
+int RegisteredEngines::restarted_servers_with_weights() {
+  return static_cast<int>(std::count_if(servers_.begin(), servers_.end(), [](const auto& server) {
+    return server->has_restarted() && server->holds_weights();
+  }));
 }
 
 void RegisteredEngines::keep_reporting() {
--- a/tests/integration/registered_engines.h
+++ b/tests/integration/registered_engines.h
@@ -53,8 +53,11 @@
 
   /// Servers that lead an open group now.
   int open_groups();
-  /// Servers that are up and members of a group.
-  int servers_in_groups();
+  /// Servers that are up and members of a group whose head is open.
+  int servers_in_serving_groups();
+  /// Servers that started again after an end, and those of them that were given weights since.
+  int restarted_servers();
+  int restarted_servers_with_weights();
   uint64_t served() const { return served_; }
   /// Requests that reached a server which led no open group; each was turned away.
   uint64_t misdirected() const { return misdirected_; }
