Zones that operators empty, failing

Cause: an operator who must empty a zone has no order for it. The call gets 404, and the zone's servers go on getting requests. Change: real processes, a plain server and a domain of engines in each of two zones, callers all the while: an emptied zone gets nothing from a second after the acknowledgement until it is restored; that outlasts the leader and the loss of all processes; an unknown zone is named; with every zone emptied callers are refused at once.

--- a/tests/integration/registered_engines.cc
+++ b/tests/integration/registered_engines.cc
@@ -60,7 +60,8 @@
       .count();
 }
 
-std::string registration_of(const wire::Instance& instance, int slots, std::optional<int64_t> born_ms) {
+std::string registration_of(const wire::Instance& instance, int slots, int64_t cold_left_ms,
+                            std::optional<int64_t> born_ms) {
   json::object body{{"service", instance.service_name},
                     {"address", instance.address},
                     {"zone", instance.zone},
@@ -68,7 +69,7 @@
                     {"domain", instance.domain},
                     {"slots", slots},
                     {"state", "ready"},
-                    {"cold_left_ms", 0},
+                    {"cold_left_ms", cold_left_ms},
                     {"call_seq", instance.call_number},
                     {"staged", json::value_from(instance.staged_models)}};
   if (!instance.model.empty()) {
@@ -92,9 +93,11 @@
 /// One server: its state in a group under a lock, since reports are made on another thread than calls are served on.
 class RegisteredEngines::Server : public net::HttpHandler {
  public:
-  Server(RegisteredEngines& engines, const std::string& id, const std::string& address, const std::string& domain)
+  Server(RegisteredEngines& engines, const std::string& id, const std::string& address, const std::string& domain,
+         const std::string& zone)
       : engines_(engines),
         dialect_(*node::find_dialect("larchlever")),
+        zone_(zone),
         first_id_(id),
         instance_(id, address, domain, {}),
         server_(std::make_unique<net::HttpServer>(engines.client_.context().get_executor(), net::HttpServerOptions(),
@@ -174,11 +177,21 @@
     }
     next_report_ = now + engines_.options_.heartbeat_interval;
     auto instance = instance_.report();
+    instance.zone = zone_;
+    const int64_t cold_left_ms = std::max<int64_t>(0, (cold_until_ - now) / std::chrono::milliseconds(1));
     if (!engines_.options_.keeps_id) {
-      return registration_of(instance, 8, std::nullopt);
+      return registration_of(instance, 8, cold_left_ms, std::nullopt);
     }
     instance.call_number += starts_ == 1 ? kCallsBeforeTest : 0;
-    return registration_of(instance, 8, born_ms_);
+    return registration_of(instance, 8, cold_left_ms, born_ms_);
+  }
+  const std::string& zone() const { return zone_; }
+  std::vector<Arrival> arrivals() const { return arrivals_.all(); }
+  /// Told with the next report, which is due at once.
+  void turn_cold(std::chrono::milliseconds time) {
+    const std::lock_guard lock(mutex_);
+    cold_until_ = node::monotonic_now() + time;
+    next_report_ = TimePoint{};
   }
 
  private:
@@ -235,6 +248,7 @@
       co_await exchange.respond(std::move(head));
       co_return;
     }
+    arrivals_.add(std::string(exchange.request().headers.find(dialect_.request_id)), false);
     const std::string rest = rest_asked();
     if (!rest.empty()) {
       engines_.turned_away_.add(std::string(exchange.request().headers.find(dialect_.request_id)), true);
@@ -284,6 +298,8 @@
 
   RegisteredEngines& engines_;
   const node::Dialect& dialect_;
+  std::string zone_;
+  ArrivalRecord arrivals_;
   std::mutex mutex_;
   std::string first_id_;
   int starts_ = 1;
@@ -292,6 +308,7 @@
   std::optional<TimePoint> down_until_;
   simulation::SimulatedInstance instance_;
   TimePoint next_report_{};
+  TimePoint cold_until_{};
   std::string rest_asked_;
   std::unique_ptr<net::HttpServer> server_;
 };
@@ -300,9 +317,10 @@
                                      std::vector<std::string> controls)
     : options_(options), controls_(std::move(controls)) {
   for (size_t number = 0; number < addresses.size(); ++number) {
-    const std::string domain = "d" + std::to_string(number / static_cast<size_t>(options_.servers_per_domain));
-    servers_.push_back(std::make_unique<Server>(*this, "i" + std::to_string(number + 1),
-                                                addresses[number] + ":" + std::to_string(kPort), domain));
+    const size_t domain = number / static_cast<size_t>(options_.servers_per_domain);
+    servers_.push_back(std::make_unique<Server>(
+        *this, "i" + std::to_string(number + 1), addresses[number] + ":" + std::to_string(kPort),
+        "d" + std::to_string(domain), options_.zones[domain % options_.zones.size()]));
   }
   reporter_ = std::thread([this] { keep_reporting(); });
 }
@@ -331,6 +349,25 @@
   return ends_;
 }
 
+std::vector<Arrival> RegisteredEngines::arrivals_in(const std::string& zone) {
+  std::vector<Arrival> result;
+  for (const auto& server : servers_) {
+    if (server->zone() == zone) {
+      const auto arrivals = server->arrivals();
+      result.insert(result.end(), arrivals.begin(), arrivals.end());
+    }
+  }
+  return result;
+}
+
+void RegisteredEngines::turn_cold(const std::string& zone, std::chrono::milliseconds time) {
+  for (const auto& server : servers_) {
+    if (server->zone() == zone) {
+      server->turn_cold(time);
+    }
+  }
+}
+
 void RegisteredEngines::ask_one_head_for_rest(const std::string& model, const std::string& retry_after) {
   const bool found = std::any_of(servers_.begin(), servers_.end(),
                                  [&](const auto& server) { return server->ask_for_rest(model, retry_after); });
--- a/tests/integration/registered_engines.h
+++ b/tests/integration/registered_engines.h
@@ -40,6 +40,8 @@
     std::chrono::milliseconds restart_time{3000};
     /// It starts again under the id that it had, and its reports tell when it was born.
     bool keeps_id = false;
+    /// Zones of the domains, in turn.
+    std::vector<std::string> zones = {"a"};
   };
 
   using Moment = std::chrono::steady_clock::time_point;
@@ -67,6 +69,10 @@
   std::vector<Moment> ends();
   /// Requests with `breaking_body` that reached open heads.
   std::vector<Arrival> broken_off() const { return broken_off_.all(); }
+  /// Requests that reached open heads of the zone.
+  std::vector<Arrival> arrivals_in(const std::string& zone);
+  /// The servers of the zone say from now on that they are cold, for `time`.
+  void turn_cold(const std::string& zone, std::chrono::milliseconds time);
   /// From now on one head of an open group of `model` turns every request away and asks for rest with `retry_after`.
   void ask_one_head_for_rest(const std::string& model, const std::string& retry_after);
   /// What that head turned away.
