--- a/src/cli/command_line.cc
+++ b/src/cli/command_line.cc
@@ -9,6 +9,7 @@
 DEFINE_string(settings, "",
               "settings file of a node or of stand-ins; default: what the variable LARCHLEVER_CONFIG names");
 DEFINE_string(node, "127.0.0.1:7300", "admin address of any node, IP:PORT; several separated by commas");
+DEFINE_string(control, "", "control address of any control replica, IP:PORT; several separated by commas");
 DEFINE_string(output, "table", "table or json");
 DEFINE_string(operator_name, "", "who makes the change; default: the USER variable");
 DEFINE_string(command_id, "", "id under which a change may be sent again; default: a new one, printed");
@@ -63,6 +64,13 @@
       {"drain",
        {"empty a machine for a planned stop: drain MACHINE [--undo]",
         [](const auto& arguments) { return run_drain(arguments); }}},
+      {"zones", {"zones of a registered fleet, and which are evacuated", [](const auto&) { return run_zones(); }}},
+      {"evacuate",
+       {"send nothing more to the servers of a zone: evacuate ZONE --control IP:PORT",
+        [](const auto& arguments) { return run_evacuate(arguments); }}},
+      {"restore",
+       {"take a zone back into use: restore ZONE --control IP:PORT",
+        [](const auto& arguments) { return run_restore(arguments); }}},
       {"load", {"send requests to nodes on loopback and check what came back", [](const auto&) { return run_load(); }}},
       {"bench", {"measure this build against its budgets", [](const auto&) { return run_bench(); }}},
       {"simulate",
@@ -91,7 +99,7 @@
     std::cout << name << " ";
   }
   std::cout << "completion version help\"\n"
-               "  local flags=\"--settings --node --output --operator_name --command_id --dry_run --undo\"\n"
+               "  local flags=\"--settings --node --control --output --operator_name --command_id --dry_run --undo\"\n"
                "  local word=\"${COMP_WORDS[COMP_CWORD]}\"\n"
                "  if [ \"$COMP_CWORD\" -eq 1 ]; then COMPREPLY=($(compgen -W \"$commands\" -- \"$word\"))\n"
                "  elif [[ \"$word\" == -* ]]; then COMPREPLY=($(compgen -W \"$flags\" -- \"$word\"))\n"
--- a/src/cli/flags.h
+++ b/src/cli/flags.h
@@ -4,6 +4,7 @@
 
 DECLARE_string(settings);
 DECLARE_string(node);
+DECLARE_string(control);
 DECLARE_string(output);
 DECLARE_string(operator_name);
 DECLARE_string(command_id);
--- a/src/core/document/configuration_document.cc
+++ b/src/core/document/configuration_document.cc
@@ -203,6 +203,7 @@
   service.name = reader.text("name");
   service.health_path = reader.text("health_path");
   service.max_connections = reader.integer("max_connections", 0);
+  service.cold_requests_per_second = std::max(0.0, reader.number("cold_per_s", 0));
   if (const auto* engine = reader.find("engine")) {
     service.engine = read_engine(*engine, place + ".engine");
   }
--- a/src/core/document/configuration_document.h
+++ b/src/core/document/configuration_document.h
@@ -87,6 +87,8 @@
   std::string name;
   std::string health_path;
   int max_connections = 0;
+  /// Requests a second that a cold server bears; 0 when cold servers bear as many as others.
+  double cold_requests_per_second = 0;
   /// Present when the service's servers are model engines that work in groups.
   std::optional<EngineSpec> engine;
 };
--- a/src/core/fleet/dispatcher.cc
+++ b/src/core/fleet/dispatcher.cc
@@ -5,6 +5,7 @@
 #include <utility>
 
 #include "core/fleet/instance_directory.h"
+#include "core/fleet/zone_evacuations.h"
 
 namespace larchlever::fleet {
 
@@ -40,7 +41,7 @@
 }  // namespace
 
 Dispatcher::Dispatcher(const FleetOptions& options, std::string zone, uint64_t seed)
-    : options_(options), zone_(std::move(zone)), random_(seed) {}
+    : options_(options), zone_(std::move(zone)), random_(seed), cold_shares_(seed) {}
 
 std::vector<std::string> Dispatcher::update_state(const wire::FleetState& state) {
   const auto before = std::exchange(instances_, {});
@@ -260,17 +261,15 @@
   std::vector<OpenGroup> open;
   std::vector<OpenGroup> quiet;
   for (const auto& group : groups_) {
-    const bool fits = group.phase == wire::GroupPhase::OPEN && group.service_name == service.name &&
-                      group.model == demand.model && !excluded.contains(group.name);
-    const auto* head = fits ? find_ready(group.members.front()) : nullptr;
-    if (head == nullptr) {
+    const auto* head = ready_head(group, service.name, demand.model);
+    if (head == nullptr || excluded.contains(group.name)) {
       continue;
     }
     const TargetHealth& health = health_[group.name];
     if (health.is_avoided(now) || !notices_.may_send(now, incarnation_of(*head))) {
       continue;
     }
-    if (health.total_in_flight() >= most || !health.has_permit()) {
+    if (health.total_in_flight() >= most || !health.has_permit() || !has_cold_room(now, service, *head)) {
       any_busy = true;
       continue;
     }
@@ -287,6 +286,7 @@
   }
   const size_t best = better_of_few(service, demand, open);
   const auto& [group, head] = open[best];
+  note_cold_sending(now, service, *head);
   choice.target = target_at(*group, *head);
   return choice;
 }
@@ -297,14 +297,19 @@
   choice.failure = ChoiceFailure::kNoTarget;
   double best_cost = 0;
   bool best_doubtful = true;
+  const wire::Instance* best = nullptr;
   for (const auto& [id, instance] : instances_) {
-    if (instance.service_name != service.name || instance.state != wire::InstanceState::READY) {
+    if (instance.service_name != service.name || !takes_requests(instance)) {
       continue;
     }
     const std::string key = incarnation_of(instance);
     if (excluded.contains(key) || !notices_.may_send(now, key)) {
       continue;
     }
+    if (!has_cold_room(now, service, instance)) {
+      choice.failure = choice.target ? choice.failure : ChoiceFailure::kAllBusy;
+      continue;
+    }
     // Doubtful instances are better than none: they may only be cut off from the control replicas.
     const bool doubtful = instance.silent || health_[key].is_avoided(now);
     const double cost = cost_of(key, instance.zone);
@@ -313,10 +318,14 @@
     if (better) {
       best_cost = cost;
       best_doubtful = doubtful;
+      best = &instance;
       choice.target = Target{key, service.name, "", id, instance.address, health_[key].in_flight(), key};
       choice.failure = ChoiceFailure::kNone;
     }
   }
+  if (best != nullptr) {
+    note_cold_sending(now, service, *best);
+  }
   return choice;
 }
 
@@ -328,24 +337,68 @@
 
 const wire::Instance* Dispatcher::find_ready(const std::string& id) const {
   const auto found = instances_.find(id);
-  const bool is_ready = found != instances_.end() && found->second.state == wire::InstanceState::READY;
-  return is_ready ? &found->second : nullptr;
+  return found != instances_.end() && takes_requests(found->second) ? &found->second : nullptr;
+}
+
+bool Dispatcher::takes_requests(const wire::Instance& instance) const {
+  return instance.state == wire::InstanceState::READY && !is_evacuated(evacuations_, instance.zone);
+}
+
+const wire::Instance* Dispatcher::ready_head(const wire::EngineGroup& group, const std::string& service,
+                                             const std::string& model) const {
+  const bool fits = group.phase == wire::GroupPhase::OPEN && group.service_name == service && group.model == model &&
+                    !is_evacuated(evacuations_, group);
+  return fits ? find_ready(group.members.front()) : nullptr;
+}
+
+bool Dispatcher::has_cold_room(TimePoint now, const document::ServiceSpec& service, const wire::Instance& instance) {
+  return !instance.cold ||
+         cold_shares_.may_send(now, incarnation_of(instance), service.cold_requests_per_second, serving_nodes_);
+}
+
+void Dispatcher::note_cold_sending(TimePoint now, const document::ServiceSpec& service,
+                                   const wire::Instance& instance) {
+  if (instance.cold) {
+    cold_shares_.note_sent(now, incarnation_of(instance), service.cold_requests_per_second, serving_nodes_);
+  }
+}
+
+bool Dispatcher::may_send(TimePoint now, const Target& target) const {
+  return notices_.may_send(now, target.incarnation) && !is_evacuated_target(target);
+}
+
+bool Dispatcher::is_evacuated_target(const Target& target) const {
+  if (evacuations_.zones.empty()) {
+    return false;
+  }
+  const auto instance = instances_.find(target.instance_id);
+  const auto group =
+      std::find_if(groups_.begin(), groups_.end(), [&target](const auto& item) { return item.name == target.group; });
+  return (instance != instances_.end() && is_evacuated(evacuations_, instance->second.zone)) ||
+         (group != groups_.end() && is_evacuated(evacuations_, *group));
+}
+
+bool Dispatcher::is_emptied(const std::string& service, const std::string& model) const {
+  if (evacuations_.zones.empty() || !servers_of(service, model).empty()) {
+    return false;
+  }
+  return std::any_of(instances_.begin(), instances_.end(), [&](const auto& item) {
+    return item.second.service_name == service && is_evacuated(evacuations_, item.second.zone);
+  });
 }
 
 std::vector<const wire::Instance*> Dispatcher::servers_of(const std::string& service, const std::string& model) const {
   std::vector<const wire::Instance*> result;
   if (model.empty()) {
     for (const auto& [id, instance] : instances_) {
-      if (instance.service_name == service && instance.state == wire::InstanceState::READY) {
+      if (instance.service_name == service && takes_requests(instance)) {
         result.push_back(&instance);
       }
     }
     return result;
   }
   for (const auto& group : groups_) {
-    const bool fits = group.phase == wire::GroupPhase::OPEN && group.service_name == service && group.model == model;
-    const auto* head = fits ? find_ready(group.members.front()) : nullptr;
-    if (head != nullptr) {
+    if (const auto* head = ready_head(group, service, model)) {
       result.push_back(head);
     }
   }
@@ -354,6 +407,9 @@
 
 std::optional<TimePoint> Dispatcher::all_rest_until(TimePoint now, const std::string& service,
                                                     const std::string& model) const {
+  if (notices_.size() == 0) {
+    return std::nullopt;  // Asked for each request: servers are looked at only where one has asked for rest.
+  }
   TimePoint first = TimePoint::max();
   for (const auto* server : servers_of(service, model)) {
     first = std::min(first, notices_.free_at(now, incarnation_of(*server)));
@@ -363,8 +419,8 @@
 }
 
 std::optional<Target> Dispatcher::target_of_group(TimePoint now, const std::string& group) {
-  const auto row = std::find_if(groups_.begin(), groups_.end(), [&group](const auto& item) {
-    return item.name == group && item.phase == wire::GroupPhase::OPEN;
+  const auto row = std::find_if(groups_.begin(), groups_.end(), [this, &group](const auto& item) {
+    return item.name == group && item.phase == wire::GroupPhase::OPEN && !is_evacuated(evacuations_, item);
   });
   const auto* head = row == groups_.end() ? nullptr : find_ready(row->members.front());
   if (head == nullptr || health_[group].is_avoided(now)) {
--- a/src/core/fleet/dispatcher.h
+++ b/src/core/fleet/dispatcher.h
@@ -12,6 +12,7 @@
 #include "core/base/time.h"
 #include "core/document/configuration_document.h"
 #include "core/engine/cost_model.h"
+#include "core/fleet/cold_start.h"
 #include "core/fleet/fleet_options.h"
 #include "core/fleet/server_notices.h"
 #include "core/fleet/target_health.h"
@@ -63,6 +64,8 @@
   void update_services(const std::map<std::string, document::ServiceSpec>& services);
   /// What all entries, this one included, have under way per group, as of `now`.
   void update_loads(TimePoint now, const std::vector<wire::GroupLoad>& totals);
+  /// Takes the zones whose servers get no requests.
+  void update_evacuations(const wire::ZoneEvacuations& evacuations) { evacuations_ = evacuations; }
   void set_serving_nodes(int count) { serving_nodes_ = count < 1 ? 1 : count; }
 
   /// The service of a route for one request, drawn by weight.
@@ -105,8 +108,11 @@
     notices_.note_rest(now, target.incarnation, rest);
   }
   bool note_leaving(TimePoint now, const Target& target) { return notices_.note_leaving(now, target.incarnation); }
-  /// Whether the target's server takes requests of this entry now: it neither rests nor leaves.
-  bool may_send(TimePoint now, const Target& target) const { return notices_.may_send(now, target.incarnation); }
+  /// Whether the target's server takes requests of this entry now: it neither rests nor leaves, and its zone is not
+  /// evacuated.
+  bool may_send(TimePoint now, const Target& target) const;
+  /// Every server that runs the model stands in an evacuated zone; for plain services the model is empty.
+  bool is_emptied(const std::string& service, const std::string& model) const;
   /// When the first of the servers that serve the model rests no longer, if all of them rest now; for plain services
   /// the model is empty. Servers that leave do not count.
   std::optional<TimePoint> all_rest_until(TimePoint now, const std::string& service, const std::string& model) const;
@@ -143,6 +149,14 @@
   Duration longest_pause(const std::string& service, const std::string& model) const;
   /// The instance of that id, if it takes requests.
   const wire::Instance* find_ready(const std::string& id) const;
+  /// The head of the group, if the group serves that model and its head takes requests.
+  const wire::Instance* ready_head(const wire::EngineGroup& group, const std::string& service,
+                                   const std::string& model) const;
+  bool takes_requests(const wire::Instance& instance) const;
+  bool is_evacuated_target(const Target& target) const;
+  /// A server that is cold has room for one more request of this entry; always true of others.
+  bool has_cold_room(TimePoint now, const document::ServiceSpec& service, const wire::Instance& instance);
+  void note_cold_sending(TimePoint now, const document::ServiceSpec& service, const wire::Instance& instance);
   /// Servers that take the requests of a service, heads of open groups where it has a model.
   std::vector<const wire::Instance*> servers_of(const std::string& service, const std::string& model) const;
   /// An open group and its head.
@@ -170,6 +184,8 @@
   std::map<std::string, wire::Instance> instances_;
   std::vector<wire::EngineGroup> groups_;
   ServerNotices notices_;
+  wire::ZoneEvacuations evacuations_;
+  ColdStartShares cold_shares_;
   std::map<std::string, TargetHealth> health_;
   /// Targets whose load differs from what was last told.
   std::set<std::string> changed_;
--- a/src/core/fleet/entry_distributor.cc
+++ b/src/core/fleet/entry_distributor.cc
@@ -25,9 +25,11 @@
   update.leader = source.leader;
   update.term = taken_.first;
   update.document_version = subscription.document_version();
+  update.evacuation_revision = subscription.evacuations().revision;
   update.confirmed_age_ms = subscription.confirmed_age_ms(now);
   update.serving_nodes = subscription.serving_nodes();
   entries_.add_document(now, node, subscription.packed_document(), update);
+  entries_.add_evacuations(node, subscription.evacuations(), update);
   entries_.add_state(now, node, update);
   return update;
 }
@@ -60,8 +62,8 @@
   if (new_leader) {
     announced_leader_ = source.leader;
   }
-  const auto nodes =
-      new_leader ? entries_.live_nodes(now) : entries_.nodes_behind(now, source.subscription.document_version());
+  const LogRevisions newest{source.subscription.document_version(), source.subscription.evacuations().revision};
+  const auto nodes = new_leader ? entries_.live_nodes(now) : entries_.nodes_behind(now, newest);
   for (const auto& node : nodes) {
     auto update = update_for(now, node, source);
     update.wants_confirmation = wants_confirmation;
--- a/src/core/fleet/entry_view.cc
+++ b/src/core/fleet/entry_view.cc
@@ -25,6 +25,7 @@
   result.slots = instance.slots;
   result.silent = instance.silent;
   result.born_ms = instance.born_ms;
+  result.cold = instance.cold;
   return result;
 }
 
--- a/src/core/fleet/fleet_controller.cc
+++ b/src/core/fleet/fleet_controller.cc
@@ -41,7 +41,7 @@
 
 void FleetController::start_replica(TimePoint now, ReplicaId replica_id, Incarnation boot,
                                     consensus::PersistedState persisted) {
-  log_ = DocumentLog();
+  log_ = FleetLog();
   led_term_ = -1;
   last_snapshot_index_ = persisted.snapshot.index;
   if (!persisted.snapshot_state.empty()) {
@@ -376,10 +376,8 @@
   if (!is_leader(now)) {
     return;  // Deposed in the meantime: nothing of this leaves.
   }
-  for (auto& [change, key] : outputs.proposals) {
-    wire::Command command;
-    command.__set_document(change);
-    leader_.proposed(key, raft_->propose(now, wire::encode(command)), raft_->term());
+  for (const auto& proposal : outputs.proposals) {
+    leader_.proposed(proposal.call_key, raft_->propose(now, wire::encode(proposal.command)), raft_->term());
   }
   if (outputs.replicas) {
     raft_->propose_replicas(now, *outputs.replicas);
--- a/src/core/fleet/fleet_controller.h
+++ b/src/core/fleet/fleet_controller.h
@@ -10,9 +10,9 @@
 #include "consensus/raft_node.h"
 #include "consensus/replica_routes.h"
 #include "core/fleet/cluster_formation.h"
-#include "core/fleet/document_log.h"
 #include "core/fleet/entry_distributor.h"
 #include "core/fleet/fleet_leader.h"
+#include "core/fleet/fleet_log.h"
 #include "core/fleet/fleet_subscription.h"
 #include "core/fleet/registration.h"
 #include "core/fleet/registration_relay.h"
@@ -80,7 +80,7 @@
   bool needs_new_identity() const { return raft_ && raft_->identity_rejected(); }
   /// Sends nothing of an order once this fails: another leader may act by now.
   bool may_order(TimePoint now) const { return is_leader(now); }
-  const DocumentLog& log() const { return log_; }
+  const FleetLog& log() const { return log_; }
   /// The leader's view; only meaningful while `is_leader`.
   const FleetLeader& leader_view() const { return leader_; }
   const consensus::RaftNode* raft() const { return raft_ ? &*raft_ : nullptr; }
@@ -136,7 +136,7 @@
   RegistrationRelay registrations_;
   std::optional<consensus::RaftNode> raft_;
   std::optional<ClusterFormation> formation_;
-  DocumentLog log_;
+  FleetLog log_;
   int64_t led_term_ = -1;
   int64_t last_snapshot_index_ = 0;
   bool leaving_ = false;
--- a/src/core/fleet/fleet_leader.cc
+++ b/src/core/fleet/fleet_leader.cc
@@ -1,9 +1,11 @@
 #include "core/fleet/fleet_leader.h"
 
 #include <algorithm>
+#include <boost/json.hpp>
 
 #include "core/base/http_status.h"
 #include "core/fleet/registration.h"
+#include "core/fleet/zone_evacuations.h"
 
 namespace larchlever::fleet {
 
@@ -18,6 +20,16 @@
 /// How often the entries' loads are summed up.
 constexpr Duration kLoadInterval = milliseconds(100);
 
+/// The zones, and those of them that are evacuated, as operators read them back.
+std::string zones_body(const std::set<std::string>& known, const wire::ZoneEvacuations& evacuations) {
+  namespace json = boost::json;
+  json::object body;
+  body["zones"] = json::array(known.begin(), known.end());
+  body["evacuated"] = json::array(evacuations.zones.begin(), evacuations.zones.end());
+  body["revision"] = evacuations.revision;
+  return json::serialize(body);
+}
+
 }  // namespace
 
 std::vector<wire::ControlPeer> control_peers_of(const wire::ReplicaSet& replicas) {
@@ -53,7 +65,7 @@
   inherited_ = {copy.term, copy.version};
   groups_.start(now, term, copy.groups);
   slots_.start(term);
-  slots_.set_groups(groups_.snapshot());  // Requests come at once; the groups are those of before until told otherwise.
+  update_slot_groups();  // Requests come at once; the groups are those of before until told otherwise.
   nodes_.clear();
   incarnations_.clear();
   replicas_.start(now);
@@ -61,7 +73,7 @@
   blocker_.start(now, copy.blocked_requests);
   loads_.clear();
   waiting_.clear();
-  pending_documents_.clear();
+  pending_commands_.clear();
   open_calls_.clear();
   outputs_ = Outputs();
 }
@@ -87,7 +99,7 @@
     // Copies are not joined: an older one may give a server to a group that a newer one has dissolved.
     inherited_ = order;
     groups_.inherit(now, copy.groups);
-    slots_.set_groups(groups_.snapshot());
+    update_slot_groups();
     ++version_;
   }
 }
@@ -115,7 +127,7 @@
 }
 
 void FleetLeader::heartbeat(TimePoint now, const wire::Envelope& envelope, const consensus::RaftNode& raft,
-                            const DocumentLog& log) {
+                            const FleetLog& log) {
   const auto& report = envelope.fleet_heartbeat;
   auto arrival = membership::Arrival::kKnown;
   const auto incarnation = incarnations_.rank(envelope.from_node, envelope.from_incarnation);
@@ -134,7 +146,7 @@
 }
 
 void FleetLeader::send_update(TimePoint now, const std::string& node, int64_t sequence, const consensus::RaftNode& raft,
-                              const DocumentLog& log) {
+                              const FleetLog& log) {
   wire::Envelope envelope;
   envelope.to_node = node;
   envelope.__isset.fleet_update = true;
@@ -143,9 +155,11 @@
   update.term = term_;
   update.leader = identity_.peer_address;
   update.document_version = log.version();
+  update.evacuation_revision = log.evacuations().revision;
   update.wants_state = is_collecting(now) && subscribers_.state_held(node) > inherited_;
   update.control_peers = control_peers_of(raft.replicas());
   subscribers_.add_document(now, node, log.packed(), update);
+  subscribers_.add_evacuations(node, log.evacuations(), update);
   if (may_publish_to(now, node)) {
     publish();
     subscribers_.add_state(now, node, update);
@@ -183,11 +197,12 @@
   return count;
 }
 
-void FleetLeader::push_news(TimePoint now, const consensus::RaftNode& raft, const DocumentLog& log) {
+void FleetLeader::push_news(TimePoint now, const consensus::RaftNode& raft, const FleetLog& log) {
   if (!is_collecting(now)) {
     publish();
   }
-  for (const auto& node : subscribers_.nodes_behind(now, log.version())) {
+  const LogRevisions newest{log.version(), log.evacuations().revision};
+  for (const auto& node : subscribers_.nodes_behind(now, newest)) {
     if (subscribers_.state_held(node).first > 0 || may_publish_to(now, node)) {
       send_update(now, node, 0, raft, log);
     }
@@ -205,7 +220,7 @@
 
 // ------------------------------------------------------------------- slots
 
-void FleetLeader::slot_report(TimePoint now, const wire::Envelope& envelope, const DocumentLog& log) {
+void FleetLeader::slot_report(TimePoint now, const wire::Envelope& envelope, const FleetLog& log) {
   const auto& report = envelope.slot_report;
   const std::string& node = envelope.from_node;
   if (entry_reports_.note(now, envelope)) {
@@ -284,7 +299,7 @@
 
 void FleetLeader::confirm_report(const std::string& node) { send_slot_answer(node, {}); }
 
-void FleetLeader::answer_slots(TimePoint now, const DocumentLog& log) {
+void FleetLeader::answer_slots(TimePoint now, const FleetLog& log) {
   if (log.parsed() == nullptr) {
     return;  // Entries hold no document either, so none of them serves.
   }
@@ -297,7 +312,7 @@
   }
 }
 
-void FleetLeader::fail_silent_groups(TimePoint now, const DocumentLog& log) {
+void FleetLeader::fail_silent_groups(TimePoint now, const FleetLog& log) {
   if (log.parsed() == nullptr) {
     return;
   }
@@ -336,7 +351,7 @@
 }
 
 void FleetLeader::call(TimePoint now, const std::string& key, const wire::ControlCall& call,
-                       const consensus::RaftNode& raft, const DocumentLog& log) {
+                       const consensus::RaftNode& raft, const FleetLog& log) {
   if (!open_calls_.emplace(key, call.id).second) {
     return;  // Repeated while its first arrival is still waiting.
   }
@@ -355,6 +370,13 @@
         answer(key, http_status::kOk, log.content());
       }
       break;
+    case wire::ControlCallKind::EVACUATE_ZONE:
+    case wire::ControlCallKind::RESTORE_ZONE:
+      change_evacuation(key, call, raft);
+      break;
+    case wire::ControlCallKind::GET_ZONES:
+      answer(key, http_status::kOk, zones_body(known_zones(raft), log.evacuations()));
+      break;
   }
 }
 
@@ -404,43 +426,114 @@
 }
 
 void FleetLeader::put_document(const std::string& key, const wire::ControlCall& call, const consensus::RaftNode& raft,
-                               const DocumentLog& log) {
+                               const FleetLog& log) {
   const auto parsed = document::parse_document(call.body);
   if (parsed.document == nullptr) {
     answer(key, http_status::kBadRequest, error_body(parsed.error.message));
     return;
   }
-  if (raft.replicas().voters.size() < options_.minimum_voters) {
-    answer(key, http_status::kServiceUnavailable,
-           error_body("the log has too few voters yet; send the document again"));
+  if (!may_propose(key, raft)) {
     return;
   }
   if (parsed.document->version <= log.version()) {
     answer(key, http_status::kOk, "{}");
     return;
   }
-  outputs_.proposals.emplace_back(pack_document(parsed.document->version, call.body), key);
+  Proposal proposal;
+  proposal.command.__set_document(pack_document(parsed.document->version, call.body));
+  proposal.call_key = key;
+  outputs_.proposals.push_back(std::move(proposal));
+}
+
+bool FleetLeader::may_propose(const std::string& key, const consensus::RaftNode& raft) {
+  if (raft.replicas().voters.size() >= options_.minimum_voters) {
+    return true;
+  }
+  answer(key, http_status::kServiceUnavailable, error_body("the log has too few voters yet; send the call again"));
+  return false;
+}
+
+void FleetLeader::change_evacuation(const std::string& key, const wire::ControlCall& call,
+                                    const consensus::RaftNode& raft) {
+  const auto known = known_zones(raft);
+  if (!known.contains(call.zone)) {
+    std::string names;
+    for (const auto& zone : known) {
+      names += (names.empty() ? "" : ", ") + zone;
+    }
+    answer(key, http_status::kNotFound, error_body("no zone '" + call.zone + "'; the zones are " + names));
+    return;
+  }
+  if (!may_propose(key, raft)) {
+    return;
+  }
+  // Also an order that seems carried out already: one to the contrary may stand in the log, not committed yet.
+  Proposal proposal;
+  proposal.command.__isset.zone_evacuation = true;
+  proposal.command.zone_evacuation.zone = call.zone;
+  proposal.command.zone_evacuation.begins = call.kind == wire::ControlCallKind::EVACUATE_ZONE;
+  proposal.call_key = key;
+  outputs_.proposals.push_back(std::move(proposal));
+}
+
+std::set<std::string> FleetLeader::known_zones(const consensus::RaftNode& raft) const {
+  std::set<std::string> zones(options_.zones.begin(), options_.zones.end());
+  for (const auto& [id, row] : instances_.rows()) {
+    zones.insert(row.instance.zone);
+  }
+  for (const auto& voter : raft.replicas().voters) {
+    zones.insert(voter.zone);
+  }
+  zones.erase("");
+  return zones;
+}
+
+void FleetLeader::note_evacuations(TimePoint now, const FleetLog& log) {
+  if (log.evacuations().revision == evacuations_.revision) {
+    return;
+  }
+  for (const auto& zone : evacuations_.zones) {
+    if (!is_evacuated(log.evacuations(), zone)) {
+      version_ += instances_.expect_cold(now, zone) ? 1 : 0;
+    }
+  }
+  evacuations_ = log.evacuations();
+  groups_.set_evacuations(evacuations_);
+  update_slot_groups();
+}
+
+void FleetLeader::update_slot_groups() {
+  auto groups = groups_.snapshot();
+  std::erase_if(groups, [this](const auto& group) { return is_evacuated(evacuations_, group); });
+  std::set<std::string> cold;
+  for (const auto& group : groups) {
+    const auto* head = group.members.empty() ? nullptr : instances_.find(group.members.front());
+    if (head != nullptr && head->cold) {
+      cold.insert(group.name);
+    }
+  }
+  slots_.set_groups(groups, cold);
 }
 
 void FleetLeader::proposed(const std::string& key, std::optional<int64_t> index, int64_t term) {
   if (!index) {
-    answer(key, http_status::kServiceUnavailable, error_body("leadership ended; send the document again"));
+    answer(key, http_status::kServiceUnavailable, error_body("leadership ended; send the call again"));
     return;
   }
-  pending_documents_[*index] = {key, term};
+  pending_commands_[*index] = {key, term};
 }
 
 void FleetLeader::applied(int64_t index, int64_t term) {
-  const auto pending = pending_documents_.find(index);
-  if (pending == pending_documents_.end()) {
+  const auto pending = pending_commands_.find(index);
+  if (pending == pending_commands_.end()) {
     return;
   }
   const auto [key, proposed_term] = pending->second;
-  pending_documents_.erase(pending);
+  pending_commands_.erase(pending);
   if (term == proposed_term) {
     answer(key, http_status::kOk, "{}");
   } else {
-    answer(key, http_status::kServiceUnavailable, error_body("leadership changed; send the document again"));
+    answer(key, http_status::kServiceUnavailable, error_body("leadership changed; send the call again"));
   }
 }
 
@@ -474,7 +567,8 @@
 
 // -------------------------------------------------------------------- time
 
-void FleetLeader::tick(TimePoint now, const consensus::RaftNode& raft, const DocumentLog& log) {
+void FleetLeader::tick(TimePoint now, const consensus::RaftNode& raft, const FleetLog& log) {
+  note_evacuations(now, log);
   if (now >= next_supervision_) {
     next_supervision_ = now + kSupervisionInterval;
     outputs_.replicas = replicas_.next_change(now, raft, nodes_);
@@ -489,7 +583,7 @@
   if (!is_collecting(now) && log.parsed() != nullptr && now >= next_group_tick_) {
     next_group_tick_ = now + kGroupInterval;
     version_ += groups_.tick(now, *log.parsed(), instances_) ? 1 : 0;
-    slots_.set_groups(groups_.snapshot());
+    update_slot_groups();
     outputs_.orders = groups_.take_orders();
     outputs_.decisions = groups_.take_decisions();
   }
--- a/src/core/fleet/fleet_leader.h
+++ b/src/core/fleet/fleet_leader.h
@@ -3,13 +3,14 @@
 #include <cstdint>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
 #include "consensus/raft_node.h"
 #include "core/control/replica_supervisor.h"
-#include "core/fleet/document_log.h"
 #include "core/fleet/entry_reports.h"
+#include "core/fleet/fleet_log.h"
 #include "core/fleet/fleet_options.h"
 #include "core/fleet/fleet_subscription.h"
 #include "core/fleet/group_supervisor.h"
@@ -35,36 +36,40 @@
  public:
   FleetLeader(const FleetOptions& options, FleetIdentity identity);
 
+  /// A command to append to the log, with the call that waits for it.
+  struct Proposal {
+    wire::Command command;
+    std::string call_key;
+  };
+
   struct Outputs {
     std::vector<wire::Envelope> envelopes;
     std::vector<InstanceOrder> orders;
     std::vector<GroupDecision> decisions;
     std::optional<wire::ReplicaSet> replicas;
-    /// Documents to append to the log, with the call that waits for each.
-    std::vector<std::pair<wire::DocumentChange, std::string>> proposals;
+    std::vector<Proposal> proposals;
     /// Answers to calls, by call key.
     std::vector<std::pair<std::string, wire::ControlCallReply>> replies;
   };
 
   /// A leadership begins; `copy` is the state that this node held as a subscriber.
   void start(TimePoint now, int64_t term, const wire::FleetState& copy);
-  void heartbeat(TimePoint now, const wire::Envelope& envelope, const consensus::RaftNode& raft,
-                 const DocumentLog& log);
+  void heartbeat(TimePoint now, const wire::Envelope& envelope, const consensus::RaftNode& raft, const FleetLog& log);
   /// An entry's questions for slots, and news of its load.
-  void slot_report(TimePoint now, const wire::Envelope& envelope, const DocumentLog& log);
+  void slot_report(TimePoint now, const wire::Envelope& envelope, const FleetLog& log);
   /// Heartbeats of instances that a control replica took and answered.
   void registrations(TimePoint now, const wire::RegistrationBatch& batch);
   /// `key` identifies the call in the answers; the same call may arrive again under the same key.
   void call(TimePoint now, const std::string& key, const wire::ControlCall& call, const consensus::RaftNode& raft,
-            const DocumentLog& log);
+            const FleetLog& log);
   void order_result(TimePoint now, const InstanceOrderResult& result) { groups_.order_result(now, result); }
-  /// The document of `key` was appended to the log, or could not be.
+  /// The command of the call `key` was appended to the log, or could not be.
   void proposed(const std::string& key, std::optional<int64_t> index, int64_t term);
   /// The entry at `index`, of `term`, was applied.
   void applied(int64_t index, int64_t term);
   /// This process stood still for `pause`: nobody's silence in that time counts against them.
   void note_own_pause(TimePoint now, Duration pause);
-  void tick(TimePoint now, const consensus::RaftNode& raft, const DocumentLog& log);
+  void tick(TimePoint now, const consensus::RaftNode& raft, const FleetLog& log);
   Outputs take_outputs();
 
   const InstanceDirectory& instances() const { return instances_; }
@@ -89,7 +94,8 @@
     int64_t version = 0;
     TimePoint since{};
   };
-  struct PendingDocument {
+  /// A call answered once the command that it asked for is committed.
+  struct PendingCommand {
     std::string key;
     int64_t term = 0;
   };
@@ -103,20 +109,29 @@
   /// A group's head fails, or stands still, by the word of entries that is borne out.
   void note_failures(TimePoint now, const wire::SlotReport& report);
   void put_document(const std::string& key, const wire::ControlCall& call, const consensus::RaftNode& raft,
-                    const DocumentLog& log);
+                    const FleetLog& log);
+  /// False, and the call is answered, while the log has too few voters to bear the losses that it must.
+  bool may_propose(const std::string& key, const consensus::RaftNode& raft);
+  void change_evacuation(const std::string& key, const wire::ControlCall& call, const consensus::RaftNode& raft);
+  /// Zones that the settings name, and those of servers and control replicas.
+  std::set<std::string> known_zones(const consensus::RaftNode& raft) const;
+  /// The log's evacuations changed: groups and slots follow, and servers of restored zones count as cold at first.
+  void note_evacuations(TimePoint now, const FleetLog& log);
+  /// Groups that may get requests, as far as zones matter, to the scheduler.
+  void update_slot_groups();
   void register_instance(TimePoint now, const std::string& key, const wire::ControlCall& call);
   /// Answers a call that is still open; does nothing for another.
   void answer(const std::string& key, int status, std::string body = {});
   void send_update(TimePoint now, const std::string& node, int64_t sequence, const consensus::RaftNode& raft,
-                   const DocumentLog& log);
+                   const FleetLog& log);
   void publish();
   bool may_publish_to(TimePoint now, const std::string& node) const;
   int serving_entries(TimePoint now) const;
   /// All live control replicas, and the entries that subscribe to them, hold `version`.
   bool all_hold(TimePoint now, int64_t version) const;
-  void push_news(TimePoint now, const consensus::RaftNode& raft, const DocumentLog& log);
+  void push_news(TimePoint now, const consensus::RaftNode& raft, const FleetLog& log);
   void answer_confirmed(TimePoint now);
-  void answer_slots(TimePoint now, const DocumentLog& log);
+  void answer_slots(TimePoint now, const FleetLog& log);
   /// Takes an entry's words on servers that ended under its requests.
   void note_server_ends(TimePoint now, const wire::SlotReport& report);
   /// A server reported itself.
@@ -129,7 +144,7 @@
   void confirm_report(const std::string& node);
   void forget_lost_entries(TimePoint now);
   /// Groups that stand still by the word of several entries: dissolved, and the entries that use them told at once.
-  void fail_silent_groups(TimePoint now, const DocumentLog& log);
+  void fail_silent_groups(TimePoint now, const FleetLog& log);
   void update_loads(TimePoint now);
 
   FleetOptions options_;
@@ -156,7 +171,9 @@
   RequestBlocker blocker_;
   std::map<std::string, wire::GroupLoad> loads_;
   std::vector<WaitingCall> waiting_;
-  std::map<int64_t, PendingDocument> pending_documents_;
+  std::map<int64_t, PendingCommand> pending_commands_;
+  /// The log's evacuations as groups and slots follow them.
+  wire::ZoneEvacuations evacuations_;
   /// The id under which each open call's forwarder knows it.
   std::map<std::string, int64_t> open_calls_;
   Outputs outputs_;
--- a/src/core/fleet/document_log.cc
+++ b/src/core/fleet/fleet_log.cc
@@ -1,6 +1,7 @@
-#include "core/fleet/document_log.h"
+#include "core/fleet/fleet_log.h"
 
 #include "core/base/compression.h"
+#include "core/fleet/zone_evacuations.h"
 #include "wire/codec.h"
 
 namespace larchlever::fleet {
@@ -31,17 +32,21 @@
   return decompress(packed.compressed_content, static_cast<size_t>(packed.content_size));
 }
 
-void DocumentLog::apply(int64_t index, std::string_view payload) {
+void FleetLog::apply(int64_t index, std::string_view payload) {
   applied_index_ = index;
   auto command = wire::decode<wire::Command>(payload);
-  const bool newer = command && command->__isset.document && command->document.version > change_.version;
-  if (!newer) {
+  if (!command) {
     return;
   }
-  hold(std::move(command->document));
+  if (command->__isset.document && command->document.version > change_.version) {
+    hold(std::move(command->document));
+  }
+  if (command->__isset.zone_evacuation) {
+    apply_evacuation(evacuations_, command->zone_evacuation);
+  }
 }
 
-bool DocumentLog::hold(wire::DocumentChange change) {
+bool FleetLog::hold(wire::DocumentChange change) {
   auto content = unpack_document(change);
   if (!content) {
     return false;
@@ -52,14 +57,31 @@
   return true;
 }
 
-std::string DocumentLog::snapshot() const { return wire::encode(change_); }
+std::string FleetLog::snapshot() const {
+  wire::FleetLogSnapshot snapshot;
+  snapshot.version = change_.version;
+  snapshot.content = change_.content;
+  snapshot.compressed_content = change_.compressed_content;
+  snapshot.content_size = change_.content_size;
+  snapshot.evacuations = evacuations_;
+  return wire::encode(snapshot);
+}
 
-bool DocumentLog::restore(std::string_view bytes) {
-  auto change = wire::decode<wire::DocumentChange>(bytes);
-  if (!change) {
+bool FleetLog::restore(std::string_view bytes) {
+  auto snapshot = wire::decode<wire::FleetLogSnapshot>(bytes);
+  if (!snapshot) {
     return false;
   }
-  return hold(std::move(*change));
+  wire::DocumentChange change;
+  change.version = snapshot->version;
+  change.content = std::move(snapshot->content);
+  change.compressed_content = std::move(snapshot->compressed_content);
+  change.content_size = snapshot->content_size;
+  if (!hold(std::move(change))) {
+    return false;
+  }
+  evacuations_ = std::move(snapshot->evacuations);
+  return true;
 }
 
 }  // namespace larchlever::fleet
--- a/src/core/fleet/document_log.h
+++ b/src/core/fleet/fleet_log.h
@@ -16,11 +16,14 @@
 /// The content that was packed; nothing when it is damaged.
 std::optional<std::string> unpack_document(const wire::DocumentChange& packed);
 
-/// The replicated state of a registered fleet: the configuration document with the highest version ever committed.
-/// Applying the same entries in the same order gives the same state on every replica. No clock, no I/O.
-class DocumentLog {
+/// The replicated state of a registered fleet: the configuration document with the highest version ever committed, and
+/// the zones that operators evacuated. Orders on zones take effect in the order in which they were committed: they
+/// carry no version, so a late repeat cannot be told from a new order. Applying the same entries in the same order
+/// gives the same state on every replica. No clock, no I/O.
+class FleetLog {
  public:
-  /// Applies a committed command; a document whose version is not above the held one changes nothing.
+  /// Applies a committed command; a document whose version is not above the held one changes nothing, nor does an order
+  /// on a zone that is carried out already.
   void apply(int64_t index, std::string_view payload);
   std::string snapshot() const;
   /// False when the bytes are unreadable; the state is then unchanged.
@@ -31,6 +34,7 @@
   const std::string& content() const { return content_; }
   /// The document as it is stored and sent: compressed where that is worth it.
   const wire::DocumentChange& packed() const { return change_; }
+  const wire::ZoneEvacuations& evacuations() const { return evacuations_; }
   /// Null before the first document.
   const std::shared_ptr<const document::ConfigurationDocument>& parsed() const { return parsed_; }
 
@@ -41,6 +45,7 @@
 
   wire::DocumentChange change_;
   std::string content_;
+  wire::ZoneEvacuations evacuations_;
   std::shared_ptr<const document::ConfigurationDocument> parsed_;
 };
 
--- a/src/core/fleet/fleet_options.h
+++ b/src/core/fleet/fleet_options.h
@@ -3,6 +3,7 @@
 #include <cstddef>
 #include <cstdint>
 #include <string>
+#include <vector>
 
 #include "consensus/raft_node.h"
 #include "core/base/time.h"
@@ -37,7 +38,9 @@
   Duration call_patience = milliseconds(900);
   /// Window over which loads of weights are limited.
   Duration load_window = seconds(5);
-  /// No document is acknowledged before the log has this many voters.
+  /// Zones that the settings name; servers and control replicas may stand in others.
+  std::vector<std::string> zones;
+  /// No change is acknowledged before the log has this many voters.
   size_t minimum_voters = 1;
   /// Replication of the log and repair of its voters.
   consensus::RaftOptions raft;
--- a/src/core/fleet/fleet_subscription.cc
+++ b/src/core/fleet/fleet_subscription.cc
@@ -4,7 +4,7 @@
 #include <limits>
 #include <utility>
 
-#include "core/fleet/document_log.h"
+#include "core/fleet/fleet_log.h"
 #include "core/fleet/state_history.h"
 
 namespace larchlever::fleet {
@@ -110,6 +110,7 @@
   heartbeat.control_address = identity_.control_address;
   heartbeat.serves_requests = identity_.serves_requests;
   heartbeat.document_version = document_.version;
+  heartbeat.evacuation_revision = evacuations_.revision;
   heartbeat.held_term = state_.term;
   heartbeat.held_version = state_.version;
   if (std::exchange(send_state_, false)) {
@@ -174,6 +175,10 @@
       changed = true;
     }
   }
+  if (update.__isset.evacuations && update.evacuations.revision > evacuations_.revision) {
+    evacuations_ = update.evacuations;
+    changed = true;
+  }
   if (update.__isset.state && order_of(update.state) > order_of(state_)) {
     state_ = update.state;
     changed = true;
@@ -186,7 +191,9 @@
 
 void FleetSubscription::extend_lease(const wire::FleetUpdate& update) {
   const auto asked = asked_at_.find(update.sequence);
-  const bool is_confirmed = update.confirmed_age_ms >= 0 && document_.version >= update.document_version;
+  const bool holds_newest =
+      document_.version >= update.document_version && evacuations_.revision >= update.evacuation_revision;
+  const bool is_confirmed = update.confirmed_age_ms >= 0 && holds_newest;
   if (asked == asked_at_.end() || !is_confirmed) {
     return;
   }
@@ -220,7 +227,7 @@
   send_state_ = update.wants_state && state_.term > 0;
   const bool changed = take_content(update);
   extend_lease(update);
-  if (update.wants_confirmation || update.__isset.document || send_state_) {
+  if (update.wants_confirmation || update.__isset.document || update.__isset.evacuations || send_state_) {
     report_now();
   }
   return changed;
--- a/src/core/fleet/fleet_subscription.h
+++ b/src/core/fleet/fleet_subscription.h
@@ -28,9 +28,9 @@
 /// A control replica subscribes to the leader. An entry subscribes to any control replica, one of its own zone if it
 /// can, and leaves one that does not answer or has lost the leader.
 ///
-/// Guarantees: the document's version and the state's (term, version) never go back; `has_lease` is true only while a
-/// leader confirmed, at a moment no earlier than the lease's start, that the document held is the newest committed.
-/// Single-threaded, deterministic.
+/// Guarantees: the document's version, the evacuations' revision and the state's (term, version) never go back;
+/// `has_lease` is true only while a leader confirmed, at a moment no earlier than the lease's start, that the document
+/// and the evacuations held are the newest committed. Single-threaded, deterministic.
 class FleetSubscription {
  public:
   FleetSubscription(const FleetOptions& options, FleetIdentity identity, std::vector<std::string> seeds);
@@ -39,7 +39,7 @@
   std::optional<wire::Envelope> tick(TimePoint now, const wire::FleetHeartbeat& content);
   /// The next `tick` sends a heartbeat.
   void report_now() { next_heartbeat_ = TimePoint::min(); }
-  /// Takes an answer or a push. True when the document or the state changed.
+  /// Takes an answer or a push. True when the document, the evacuations or the state changed.
   bool receive(TimePoint now, const wire::Envelope& envelope);
   /// This control replica learned of the leader by other means.
   void hint_leader(const std::string& leader);
@@ -58,6 +58,7 @@
   const wire::DocumentChange& packed_document() const { return document_; }
   /// Its content; empty when none is held.
   const std::string& document() const { return document_content_; }
+  const wire::ZoneEvacuations& evacuations() const { return evacuations_; }
   const wire::FleetState& state() const { return state_; }
   const std::vector<wire::GroupLoad>& loads() const { return loads_; }
   int serving_nodes() const { return serving_nodes_; }
@@ -104,6 +105,7 @@
   bool send_state_ = false;
   wire::DocumentChange document_;
   std::string document_content_;
+  wire::ZoneEvacuations evacuations_;
   wire::FleetState state_;
   std::vector<wire::GroupLoad> loads_;
   int serving_nodes_ = 1;
--- a/src/core/fleet/group_formation.cc
+++ b/src/core/fleet/group_formation.cc
@@ -4,6 +4,7 @@
 #include <algorithm>
 
 #include "core/fleet/group_supervisor.h"
+#include "core/fleet/zone_evacuations.h"
 
 namespace larchlever::fleet {
 
@@ -80,7 +81,8 @@
   for (const auto& [id, row] : directory.rows()) {
     const auto& instance = row.instance;
     const bool usable = row.is_settled() && instance.service_name == service && !instance.silent &&
-                        instance.state == wire::InstanceState::READY && !suspects_.contains(id);
+                        instance.state == wire::InstanceState::READY && !suspects_.contains(id) &&
+                        !is_evacuated(evacuations_, instance.zone);
     if (!usable) {
       continue;
     }
@@ -102,8 +104,9 @@
   for (const auto& [name, record] : records_) {
     if (record.group.service_name == service) {
       const auto phase = record.group.phase;
-      input.groups.push_back(
-          {name, record.group.model, phase == wire::GroupPhase::OPEN, counts(phase), record.is_given_up});
+      const bool is_kept_aside = is_evacuated(evacuations_, record.group);
+      input.groups.push_back({name, record.group.model, phase == wire::GroupPhase::OPEN && !is_kept_aside,
+                              counts(phase) && !is_kept_aside, record.is_given_up});
     }
   }
   input.needs = needs_of(now, service, engine, input.servers.size());
@@ -130,7 +133,7 @@
   record.group.model = plan.model->name;
   record.group.phase = wire::GroupPhase::JOINING;
   record.group.members = plan.members;
-  note_births(record.group, directory);
+  note_members(record.group, directory);
   record.since = now;
   std::string name = record.group.name;
   decisions_.push_back({record.group, GroupReason::kPlanned});
--- a/src/core/fleet/group_supervisor.cc
+++ b/src/core/fleet/group_supervisor.cc
@@ -449,12 +449,17 @@
   return false;
 }
 
-void GroupSupervisor::note_births(wire::EngineGroup& group, const InstanceDirectory& directory) {
+void GroupSupervisor::note_members(wire::EngineGroup& group, const InstanceDirectory& directory) {
   group.member_born_ms.clear();
+  std::set<std::string> zones;
   for (const auto& id : group.members) {
     const auto* member = directory.find(id);
     group.member_born_ms.push_back(member == nullptr ? 0 : member->born_ms);
+    if (member != nullptr) {
+      zones.insert(member->zone);
+    }
   }
+  group.zones.assign(zones.begin(), zones.end());
 }
 
 GroupSupervisor::Record GroupSupervisor::reported_group(const wire::Instance& instance,
@@ -475,7 +480,7 @@
   for (const auto& [rank, id] : by_rank) {
     record.group.members.push_back(id);
   }
-  note_births(record.group, directory);
+  note_members(record.group, directory);
   return record;
 }
 
--- a/src/core/fleet/group_supervisor.h
+++ b/src/core/fleet/group_supervisor.h
@@ -96,6 +96,9 @@
   void note_loads(std::map<std::string, int> in_flight) { in_flight_ = std::move(in_flight); }
   /// Before the first request, loads are not rationed by their rate.
   void note_traffic() { limiter_.note_traffic(); }
+  /// Groups with members in evacuated zones are kept as they are, so that they serve at once when the zone is restored;
+  /// until then they count for nothing, and no server there joins another.
+  void set_evacuations(const wire::ZoneEvacuations& evacuations) { evacuations_ = evacuations; }
   /// The demand that groups are shared out by.
   DemandTracker& demand() { return demand_; }
   void order_result(TimePoint now, const InstanceOrderResult& result);
@@ -159,7 +162,7 @@
   bool adopt_unknown(TimePoint now, const document::ConfigurationDocument& document,
                      const InstanceDirectory& directory);
   /// The group is formed of its members as they are now.
-  static void note_births(wire::EngineGroup& group, const InstanceDirectory& directory);
+  static void note_members(wire::EngineGroup& group, const InstanceDirectory& directory);
   /// A record of the group that `instance` reports, with every member found; the head is empty when it is not known.
   Record reported_group(const wire::Instance& instance, const InstanceDirectory& directory) const;
   /// All members of the group are known and its head is open: nothing but the memory of it was lost.
@@ -202,6 +205,7 @@
   /// Groups known to be dissolved whose names instances may still report.
   std::set<std::string> dissolved_;
   std::map<std::string, int> in_flight_;
+  wire::ZoneEvacuations evacuations_;
   std::map<std::string, TimePoint> sent_at_;
   /// Members of groups that failed, and when.
   std::map<std::string, TimePoint> suspects_;
--- a/src/core/fleet/instance_directory.cc
+++ b/src/core/fleet/instance_directory.cc
@@ -18,6 +18,10 @@
 constexpr int kRivalReports = 3;
 constexpr Duration kRivalTime = kTakeoverTime;
 constexpr Duration kUnsaidRivalTime = seconds(3);
+/// Reports are batched and forwarded: one that arrives now may have been written this long ago.
+constexpr Duration kReportTransit = milliseconds(300);
+/// Longest time for which an instance counts as cold without its own word; several reports fall into it.
+constexpr Duration kExpectedCold = seconds(5);
 
 }  // namespace
 
@@ -33,7 +37,7 @@
   const auto facts = [](const wire::Instance& instance) {
     return std::tie(instance.id, instance.service_name, instance.address, instance.zone, instance.domain,
                     instance.state, instance.slots, instance.staged_models, instance.membership, instance.silent,
-                    instance.model, instance.born_ms);
+                    instance.model, instance.born_ms, instance.cold);
   };
   return facts(left) == facts(right);
 }
@@ -48,7 +52,8 @@
   for (const auto& instance : inherited) {
     const auto known = rows_.find(instance.id);
     if (known == rows_.end()) {
-      add_row({instance, now, false});
+      InstanceRow& row = add_row({instance, now, false});
+      row.cold_until = instance.cold ? now + kExpectedCold : TimePoint::min();
     } else if (!is_other_incarnation(known->second.instance, instance)) {
       known->second.instance.state = std::max(known->second.instance.state, instance.state);
     } else if (instance.born_ms > known->second.instance.born_ms) {
@@ -87,6 +92,7 @@
   std::erase(by_address_[row.instance.address], &row);
   const bool contends = heard_here && is_held_by_another(report);
   row = InstanceRow{report, now, heard_here, contends ? std::optional(now) : std::nullopt};
+  row.instance.cold = take_warmth(now, row, report);
   by_address_[report.address].push_back(&row);
 }
 
@@ -131,7 +137,8 @@
   const auto found = rows_.find(report.id);
   if (found == rows_.end()) {
     const bool contends = is_held_by_another(report);
-    add_row({report, now, true, contends ? std::optional(now) : std::nullopt});
+    InstanceRow& added = add_row({report, now, true, contends ? std::optional(now) : std::nullopt});
+    added.instance.cold = take_warmth(now, added, report);
     return true;
   }
   InstanceRow& row = found->second;
@@ -152,7 +159,7 @@
   const bool was_settled = row.is_settled();
   row.last_heard = now;
   row.heard_here = true;
-  const bool changed = take_report(row, report);
+  const bool changed = take_report(now, row, report);
   settle_address(now, row);
   return changed || row.is_settled() != was_settled;
 }
@@ -160,7 +167,8 @@
 bool InstanceDirectory::heard_before(TimePoint now, const wire::Instance& report) {
   const auto found = rows_.find(report.id);
   if (found == rows_.end()) {
-    add_row({report, now, false});
+    InstanceRow& added = add_row({report, now, false});
+    added.instance.cold = take_warmth(now, added, report);
     return true;
   }
   InstanceRow& row = found->second;
@@ -171,11 +179,33 @@
   }
   const bool is_news = age == ReportAge::kCurrent && !row.heard_here && report.call_number > row.instance.call_number &&
                        row.instance.state != wire::InstanceState::GONE;
-  return is_news && take_report(row, report);
+  return is_news && take_report(now, row, report);
 }
 
-bool InstanceDirectory::take_report(InstanceRow& row, const wire::Instance& report) {
+bool InstanceDirectory::take_warmth(TimePoint now, InstanceRow& row, const wire::Instance& report) {
+  const TimePoint told_until = now + milliseconds(report.cold_left_ms);
+  const bool is_present = now >= row.warmth_known_from;
+  row.cold_until = is_present ? told_until : std::max(row.cold_until, told_until);
+  return row.cold_until > now;
+}
+
+bool InstanceDirectory::expect_cold(TimePoint now, const std::string& zone) {
+  bool changed = false;
+  for (auto& [id, row] : rows_) {
+    if (row.instance.zone != zone) {
+      continue;
+    }
+    row.warmth_known_from = now + kReportTransit;
+    row.cold_until = std::max(row.cold_until, now + kExpectedCold);
+    changed = changed || !row.instance.cold;
+    row.instance.cold = true;
+  }
+  return changed;
+}
+
+bool InstanceDirectory::take_report(TimePoint now, InstanceRow& row, const wire::Instance& report) {
   wire::Instance next = report;
+  next.cold = take_warmth(now, row, report);
   next.address = row.instance.address;  // An instance stays where it started, and of the service that it started as.
   next.service_name = row.instance.service_name;
   next.born_ms = std::max(row.instance.born_ms, report.born_ms);
@@ -231,6 +261,10 @@
       changed = true;
       continue;
     }
+    if (row.instance.cold && now >= row.cold_until) {
+      row.instance.cold = false;
+      changed = true;
+    }
     if (overdue(row) && row.contends_since) {
       row.instance.state = wire::InstanceState::GONE;  // A late heartbeat, and nothing after it.
       row.contends_since.reset();
--- a/src/core/fleet/instance_directory.h
+++ b/src/core/fleet/instance_directory.h
@@ -39,6 +39,10 @@
   std::optional<TimePoint> contends_since = std::nullopt;
   /// Heard since the row's own incarnation was last heard.
   std::optional<RivalIncarnation> rival = std::nullopt;
+  /// Until when it bears few requests, as far as is known.
+  TimePoint cold_until = TimePoint::min();
+  /// What was reported before says nothing of whether it is cold.
+  TimePoint warmth_known_from = TimePoint::min();
 
   /// Heard by this leader, and alone at its address: what the row says is the instance's own word.
   bool is_settled() const { return heard_here && !contends_since; }
@@ -69,6 +73,9 @@
   /// The instance said that it leaves for good; `born_ms` is 0 where it does not tell its birth. True when that is
   /// news.
   bool deregister(TimePoint now, const std::string& id, int64_t born_ms = 0);
+  /// The instances of a zone may have turned cold without a word: they count as cold until they report that they are
+  /// not. True when that is news.
+  bool expect_cold(TimePoint now, const std::string& zone);
   /// Marks instances silent or heard again, and forgets those long gone. True when something changed. When more than
   /// half of all ready instances are silent at once, it is we who are cut off: nothing is marked.
   bool tick(TimePoint now);
@@ -101,7 +108,9 @@
   void replace(TimePoint now, InstanceRow& row, const wire::Instance& report, bool heard_here);
   InstanceRow& add_row(InstanceRow row);
   /// Takes what a newer report says; state only moves forward. True when it changed something.
-  static bool take_report(InstanceRow& row, const wire::Instance& report);
+  static bool take_report(TimePoint now, InstanceRow& row, const wire::Instance& report);
+  /// Takes what a report says of being cold. True when the instance is cold now.
+  static bool take_warmth(TimePoint now, InstanceRow& row, const wire::Instance& report);
 
   Duration silence_;
   std::map<std::string, InstanceRow> rows_;
--- a/src/core/fleet/registration.cc
+++ b/src/core/fleet/registration.cc
@@ -1,5 +1,6 @@
 #include "core/fleet/registration.h"
 
+#include <algorithm>
 #include <array>
 #include <boost/json.hpp>
 #include <charconv>
@@ -15,6 +16,8 @@
 
 /// Larger numbers of slots than this are no number of slots.
 constexpr int64_t kMostSlots = 1'000'000;
+/// Whoever says that it stays cold for longer than an hour means something else.
+constexpr double kLongestColdMs = 3'600'000;
 constexpr int64_t kMostNumber = std::numeric_limits<int64_t>::max();
 
 constexpr std::array<std::pair<std::string_view, wire::InstanceState::type>, 2> kStates{
@@ -67,11 +70,13 @@
     }
     return number;
   }
-  void positive_number(const char* key) const {
+  double positive_number(const char* key) const {
     const auto* value = find(key);
-    if (value == nullptr || !value->is_number() || value->to_number<double>() < 0) {
+    const double number = value != nullptr && value->is_number() ? value->to_number<double>() : -1;
+    if (!(number >= 0)) {
       fail(prefix_ + key, "a number from 0");
     }
+    return number;
   }
   template <typename Names>
   auto one_of(const char* key, const Names& names) const {
@@ -167,7 +172,7 @@
   instance.address = read_address(reader);
   instance.zone = reader.text("zone");
   reader.text("version");
-  reader.positive_number("cold_left_ms");
+  instance.cold_left_ms = static_cast<int32_t>(std::min(reader.positive_number("cold_left_ms"), kLongestColdMs));
   instance.slots = static_cast<int32_t>(reader.whole_number("slots", 0, kMostSlots));
   instance.call_number = reader.whole_number("call_seq", 0, kMostNumber);
   instance.state = reader.one_of("state", kStates);
--- a/src/core/fleet/slot_scheduler.cc
+++ b/src/core/fleet/slot_scheduler.cc
@@ -34,7 +34,7 @@
   blocked_.clear();
 }
 
-void SlotScheduler::set_groups(const std::vector<wire::EngineGroup>& groups) {
+void SlotScheduler::set_groups(const std::vector<wire::EngineGroup>& groups, const std::set<std::string>& cold) {
   std::set<std::string> known;
   for (const auto& row : groups) {
     known.insert(row.name);
@@ -42,6 +42,7 @@
     group.service = row.service_name;
     group.model = row.model;
     group.is_open = row.phase == wire::GroupPhase::OPEN && !group.has_failed;
+    group.is_cold = cold.contains(row.name);
   }
   std::erase_if(groups_,
                 [&known](const auto& item) { return !known.contains(item.first) && item.second.in_flight == 0; });
@@ -178,8 +179,9 @@
   return request.first_event_ms > 0 && now >= waiting.arrived + milliseconds(request.first_event_ms);
 }
 
-SlotScheduler::Candidate SlotScheduler::best_group(TimePoint now, const document::EngineSpec& engine,
+SlotScheduler::Candidate SlotScheduler::best_group(TimePoint now, const document::ServiceSpec& service,
                                                    const document::ModelSpec& model, const WaitingRequest& waiting) {
+  const auto& engine = *service.engine;
   const auto& request = waiting.request;
   const auto gap = smallest_gaps_.find(key_of(waiting));
   const Duration longest_pass = gap == smallest_gaps_.end() ? Duration::max() : scaled(gap->second, kGapShare);
@@ -195,7 +197,7 @@
     const auto& excluded = request.excluded_groups;
     const bool fits =
         group.in_flight < engine.slots && std::find(excluded.begin(), excluded.end(), name) == excluded.end();
-    if (!fits) {
+    if (!fits || (group.is_cold && !group.cold_grants.has_room(now, service.cold_requests_per_second))) {
       continue;
     }
     const auto forecast = group.clock.forecast(now, engine, model, group.in_flight, request.prompt_tokens);
@@ -237,6 +239,9 @@
   Group& group = groups_.at(candidate.group);
   group.clock.add(now, engine, model, group.in_flight, waiting.request.prompt_tokens);
   ++group.in_flight;
+  if (group.is_cold) {
+    group.cold_grants.note(now);
+  }
   Node& node = nodes_[waiting.node];
   SlotDecision decision;
   decision.node = waiting.node;
@@ -262,7 +267,7 @@
   const auto& engine = *service->second.engine;
   const bool is_last_chance = late_answers == LateAnswers::kAllowed;
   if (!blocked_.contains(key) || is_last_chance) {
-    const Candidate candidate = best_group(now, engine, *model, waiting);
+    const Candidate candidate = best_group(now, service->second, *model, waiting);
     // Late is better than never at the end of its patience, and for who would be late anywhere.
     const bool late_is_fine = is_last_chance || is_out_of_reach(engine, *model, waiting);
     if (candidate.fit == Fit::kInTime || (candidate.fit == Fit::kLate && late_is_fine)) {
--- a/src/core/fleet/slot_scheduler.h
+++ b/src/core/fleet/slot_scheduler.h
@@ -11,6 +11,7 @@
 #include "core/base/time.h"
 #include "core/document/configuration_document.h"
 #include "core/engine/pass_clock.h"
+#include "core/fleet/cold_start.h"
 #include "core/fleet/silence_watch.h"
 #include "larchlever_types.h"
 
@@ -37,8 +38,9 @@
  public:
   /// A leadership begins in `term`; nothing is known of loads until nodes report them.
   void start(int64_t term);
-  /// Takes the groups that exist now; only open ones get requests.
-  void set_groups(const std::vector<wire::EngineGroup>& groups);
+  /// Takes the groups that may get requests now; only open ones do. The heads of those named in `cold` are cold and get
+  /// no more requests a second than their service says that a cold server bears.
+  void set_groups(const std::vector<wire::EngineGroup>& groups, const std::set<std::string>& cold = {});
   /// A node reported what it has under way: at every group if `is_complete`, otherwise at those named. It has received
   /// the slots up to `grants_seen` of `grants_term`.
   void note_loads(const std::string& node, const std::vector<wire::GroupLoad>& loads, bool is_complete,
@@ -72,6 +74,8 @@
     int in_flight = 0;
     /// Found to stand still; a group that is formed again has another name.
     bool has_failed = false;
+    bool is_cold = false;
+    RateWindow cold_grants;
     engine::PassClock clock;
   };
   struct Node {
@@ -106,7 +110,7 @@
   }
   void set_load(Node& node, const std::string& group, int in_flight);
   /// The group that would bring the first event soonest, of those with room; in time if any is.
-  Candidate best_group(TimePoint now, const document::EngineSpec& engine, const document::ModelSpec& model,
+  Candidate best_group(TimePoint now, const document::ServiceSpec& service, const document::ModelSpec& model,
                        const WaitingRequest& waiting);
   /// No group, however idle, could bring the first event in time.
   static bool is_out_of_reach(const document::EngineSpec& engine, const document::ModelSpec& model,
--- a/src/core/fleet/subscriber_table.cc
+++ b/src/core/fleet/subscriber_table.cc
@@ -44,7 +44,7 @@
   }
   subscriber.last_heard = now;
   subscriber.serves_requests = report.serves_requests && !report.leaving;
-  subscriber.document_version = report.document_version;
+  subscriber.held = {report.document_version, report.evacuation_revision};
   subscriber.state_held = {report.held_term, report.held_version};
   std::erase_if(subscribers_, [now](const auto& item) { return now - item.second.last_heard > kSubscriberMemory; });
   return true;
@@ -73,13 +73,22 @@
                                    wire::FleetUpdate& update) {
   Subscriber& subscriber = subscribers_[node];
   const bool is_repeat = is_due_again(now, subscriber.document_sent_at);
-  if (subscriber.document_version < document.version && (is_repeat || subscriber.document_sent < document.version)) {
+  if (subscriber.held.document < document.version && (is_repeat || subscriber.sent.document < document.version)) {
     update.__set_document(document);
-    subscriber.document_sent = document.version;
+    subscriber.sent.document = document.version;
     subscriber.document_sent_at = now;
   }
 }
 
+void SubscriberTable::add_evacuations(const std::string& node, const wire::ZoneEvacuations& evacuations,
+                                      wire::FleetUpdate& update) {
+  Subscriber& subscriber = subscribers_[node];
+  if (subscriber.held.evacuations < evacuations.revision) {
+    update.__set_evacuations(evacuations);
+    subscriber.sent.evacuations = evacuations.revision;
+  }
+}
+
 void SubscriberTable::add_state(TimePoint now, const std::string& node, wire::FleetUpdate& update) {
   Subscriber& subscriber = subscribers_[node];
   const bool is_repeat = is_due_again(now, subscriber.state_sent_at);
@@ -99,15 +108,16 @@
   subscriber.state_sent_at = now;
 }
 
-std::vector<std::string> SubscriberTable::nodes_behind(TimePoint now, int64_t document_version) const {
+std::vector<std::string> SubscriberTable::nodes_behind(TimePoint now, const LogRevisions& newest) const {
   std::vector<std::string> result;
   for (const auto& [node, subscriber] : subscribers_) {
-    const bool lacks_document =
-        subscriber.document_version < document_version && subscriber.document_sent < document_version;
+    const bool lacks_document = std::max(subscriber.held.document, subscriber.sent.document) < newest.document;
+    const bool lacks_evacuations =
+        std::max(subscriber.held.evacuations, subscriber.sent.evacuations) < newest.evacuations;
     const bool lacks_state = subscriber.state_held.first <= term_ &&
                              version_held(subscriber) < history_.last_change() &&
                              subscriber.state_sent < history_.last_change();
-    if (is_live(now, subscriber) && (lacks_document || lacks_state)) {
+    if (is_live(now, subscriber) && (lacks_document || lacks_evacuations || lacks_state)) {
       result.push_back(node);
     }
   }
--- a/src/core/fleet/subscriber_table.h
+++ b/src/core/fleet/subscriber_table.h
@@ -13,6 +13,12 @@
 
 namespace larchlever::fleet {
 
+/// How far the log's state goes that a node holds or is to hold.
+struct LogRevisions {
+  int64_t document = 0;
+  int64_t evacuations = 0;
+};
+
 /// The nodes that copy one publisher's document and state: what each holds, what is on its way to it, and hence what it
 /// is to be sent. The leader publishes to control replicas, each control replica to its entries.
 ///
@@ -42,10 +48,12 @@
   /// Attaches the document if the node lacks it.
   void add_document(TimePoint now, const std::string& node, const wire::DocumentChange& document,
                     wire::FleetUpdate& update);
+  /// Attaches the evacuations if the node lacks them. They are small: repeated with every update until confirmed.
+  void add_evacuations(const std::string& node, const wire::ZoneEvacuations& evacuations, wire::FleetUpdate& update);
   /// Attaches the state, or the rows that changed, if the node lacks them.
   void add_state(TimePoint now, const std::string& node, wire::FleetUpdate& update);
-  /// Live nodes to which something published, or the document, was not sent yet.
-  std::vector<std::string> nodes_behind(TimePoint now, int64_t document_version) const;
+  /// Live nodes to which something published, or the log's state of those revisions, was not sent yet.
+  std::vector<std::string> nodes_behind(TimePoint now, const LogRevisions& newest) const;
   /// All nodes heard of late.
   std::vector<std::string> live_nodes(TimePoint now) const;
   StateOrder state_held(const std::string& node) const;
@@ -64,10 +72,10 @@
     Incarnation life;
     TimePoint last_heard{};
     bool serves_requests = false;
-    int64_t document_version = 0;
+    LogRevisions held;
     StateOrder state_held{0, 0};
     /// What was last sent to it, and when.
-    int64_t document_sent = 0;
+    LogRevisions sent;
     TimePoint document_sent_at = TimePoint::min();
     int64_t state_sent = 0;
     TimePoint state_sent_at = TimePoint::min();
--- a/src/node/control_api.cc
+++ b/src/node/control_api.cc
@@ -19,6 +19,20 @@
 constexpr std::string_view kHeartbeatSuffix = "/heartbeat";
 constexpr std::string_view kDeregisterSuffix = "/deregister";
 constexpr std::string_view kConfigurationPath = "/v1/configuration";
+constexpr std::string_view kZonesPath = "/v1/zones";
+constexpr std::string_view kZonePrefix = "/v1/zones/";
+constexpr std::string_view kEvacuateSuffix = "/evacuate";
+constexpr std::string_view kRestoreSuffix = "/restore";
+
+/// Takes `prefix` and `suffix` off a path; false, and the path as it was, when it has not both around something.
+bool strip(std::string_view& path, std::string_view prefix, std::string_view suffix) {
+  if (path.size() <= prefix.size() + suffix.size() || !path.starts_with(prefix) || !path.ends_with(suffix)) {
+    return false;
+  }
+  path.remove_prefix(prefix.size());
+  path.remove_suffix(suffix.size());
+  return true;
+}
 
 std::optional<wire::ControlCall> parse_call(const net::HttpRequest& request) {
   wire::ControlCall call;
@@ -29,20 +43,28 @@
     call.kind = is_put ? wire::ControlCallKind::PUT_DOCUMENT : wire::ControlCallKind::GET_DOCUMENT;
     return is_put || request.method == "GET" ? std::optional(call) : std::nullopt;
   }
-  if (request.method != "POST" || !path.starts_with(kInstancesPrefix)) {
+  if (path == kZonesPath) {
+    call.kind = wire::ControlCallKind::GET_ZONES;
+    return request.method == "GET" ? std::optional(call) : std::nullopt;
+  }
+  if (request.method != "POST") {
     return std::nullopt;
   }
-  path.remove_prefix(kInstancesPrefix.size());
-  if (path.ends_with(kHeartbeatSuffix)) {
-    path.remove_suffix(kHeartbeatSuffix.size());
+  if (strip(path, kInstancesPrefix, kHeartbeatSuffix)) {
     call.kind = wire::ControlCallKind::HEARTBEAT;
-  } else if (path.ends_with(kDeregisterSuffix)) {
-    path.remove_suffix(kDeregisterSuffix.size());
+    call.instance_id = std::string(path);
+  } else if (strip(path, kInstancesPrefix, kDeregisterSuffix)) {
     call.kind = wire::ControlCallKind::DEREGISTER;
+    call.instance_id = std::string(path);
+  } else if (strip(path, kZonePrefix, kEvacuateSuffix)) {
+    call.kind = wire::ControlCallKind::EVACUATE_ZONE;
+    call.zone = std::string(path);
+  } else if (strip(path, kZonePrefix, kRestoreSuffix)) {
+    call.kind = wire::ControlCallKind::RESTORE_ZONE;
+    call.zone = std::string(path);
   } else {
     return std::nullopt;
   }
-  call.instance_id = std::string(path);
   return call;
 }
 
--- a/src/node/control_process.cc
+++ b/src/node/control_process.cc
@@ -157,6 +157,7 @@
   bool was_leader_ = false;
   TimePoint next_formation_report_{};
   int64_t known_version_ = 0;
+  int64_t known_evacuations_ = 0;
   size_t known_voters_ = 0;
   std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
 };
@@ -317,6 +318,12 @@
     known_version_ = controller_.log().version();
     log_event(settings_.name, "document_committed", {{"version", std::to_string(known_version_)}});
   }
+  const auto& evacuations = controller_.log().evacuations();
+  if (evacuations.revision != known_evacuations_) {
+    known_evacuations_ = evacuations.revision;
+    log_event(settings_.name, "evacuations_committed",
+              {{"revision", std::to_string(evacuations.revision)}, {"zones", joined(evacuations.zones)}});
+  }
   if (raft != nullptr && raft->replicas().voters.size() != known_voters_) {
     known_voters_ = raft->replicas().voters.size();
     log_event(settings_.name, "voters_changed", {{"voters", std::to_string(known_voters_)}});
--- a/src/node/entry_process.cc
+++ b/src/node/entry_process.cc
@@ -96,6 +96,7 @@
   void receive(const wire::Envelope& envelope);
   void send(wire::Envelope envelope);
   void adopt_document();
+  void adopt_evacuations();
 
   asio::any_io_executor executor_;
   settings::FleetSettings settings_;
@@ -110,6 +111,7 @@
   ReadinessHandler readiness_;
   net::HttpServer balancer_;
   int64_t document_version_ = 0;
+  int64_t evacuation_revision_ = 0;
   bool had_lease_ = false;
   bool leaving_ = false;
   std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
@@ -133,6 +135,7 @@
   }
   const bool changed = state_.subscription.receive(monotonic_now(), envelope);
   if (changed) {
+    adopt_evacuations();
     for (const auto& target : state_.dispatcher.update_state(state_.subscription.state())) {
       relay_.sendings().abandon_lost(target);
       relay_.blocks().started_again(target);
@@ -171,6 +174,17 @@
   log_event(settings_.name, "document_in_force", {{"version", std::to_string(document_version_)}});
 }
 
+void EntryProcess::adopt_evacuations() {
+  const auto& evacuations = state_.subscription.evacuations();
+  if (evacuations.revision == evacuation_revision_) {
+    return;
+  }
+  evacuation_revision_ = evacuations.revision;
+  state_.dispatcher.update_evacuations(evacuations);
+  log_event(settings_.name, "evacuations_in_force",
+            {{"revision", std::to_string(evacuations.revision)}, {"zones", joined(evacuations.zones)}});
+}
+
 void EntryProcess::tick() {
   const TimePoint now = monotonic_now();
   slots_.tick(now);
--- a/src/node/target_finder.cc
+++ b/src/node/target_finder.cc
@@ -126,6 +126,12 @@
     if (auto refusal = refusal_while_all_rest(request, wait_until)) {
       co_return std::move(*refusal);
     }
+    const bool is_emptied =
+        state_.dispatcher.is_emptied(request.service->name, request.service->engine ? request.model : "");
+    if (is_emptied) {
+      co_return Refusal{http_status::kServiceUnavailable, "all zones with servers for it are evacuated",
+                        kBackWhenUnavailable};
+    }
     if (now >= wait_until) {
       if (choice.failure == fleet::ChoiceFailure::kAllBusy) {
         co_return busy();
--- a/src/settings/fleet_settings.cc
+++ b/src/settings/fleet_settings.cc
@@ -11,6 +11,7 @@
 
 /// Of the time in which a revoked key must stop working, what is left for sending a request on after the check.
 constexpr Duration kRevocationMargin = milliseconds(500);
+constexpr Duration kEvacuationMargin = kRevocationMargin;
 /// An instance is silent once two of its heartbeats are overdue.
 constexpr int kMissedHeartbeats = 2;
 constexpr Duration kHeartbeatSlack = milliseconds(300);
@@ -61,6 +62,7 @@
   const auto losses = cluster.integer("tolerated_losses", borne_by_seeds, 0, 8);
   settings.options.minimum_voters = static_cast<size_t>(2 * losses + 1);
   settings.options.control.minimum_voters = settings.options.minimum_voters;
+  settings.options.zones = cluster.list("zones");
   if (settings.seeds.empty()) {
     cluster.fault("seeds", "", "missing; list the control addresses of up to three control replicas");
   }
@@ -77,7 +79,11 @@
 void read_bounds(const IniDocument& document, FleetSettings& settings, std::vector<std::string>& errors) {
   SectionReader bounds("bounds", document.find("bounds"), errors);
   auto& options = settings.options;
-  options.document_lease = bounds.duration("revocation", seconds(5)) - kRevocationMargin;
+  // One lease covers both: an entry that is cut off sends by an old key, or into an emptied zone, no longer than this.
+  const Duration revocation = bounds.duration("revocation", seconds(5));
+  const Duration by_revocation = revocation - kRevocationMargin;
+  const Duration by_evacuation = bounds.duration("evacuation", revocation) - kEvacuationMargin;
+  options.document_lease = std::min(by_revocation, by_evacuation);
   options.instance_silence =
       kMissedHeartbeats * bounds.duration("instance_heartbeat", milliseconds(1200)) + kHeartbeatSlack;
   options.stall_time = bounds.duration("stall", seconds(5));
@@ -88,7 +94,9 @@
   options.retry_slack = bounds.fraction("retry_slack", 10);
   settings.stop_grace = bounds.duration("stop_grace", seconds(8));
   if (options.document_lease < 3 * options.heartbeat_interval) {
-    bounds.fault("revocation", "", "too short for a lease of three heartbeats; raise it");
+    const bool is_revocation = by_revocation <= by_evacuation;
+    bounds.fault(is_revocation ? "revocation" : "evacuation", "",
+                 "too short for a lease of three heartbeats; raise it");
   }
   bounds.finish();
 }
--- a/src/simulation/registered_fleet.cc
+++ b/src/simulation/registered_fleet.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 
 #include "core/base/http_status.h"
+#include "core/fleet/zone_evacuations.h"
 
 namespace larchlever::simulation {
 
@@ -22,6 +23,11 @@
 constexpr size_t kToleratedLosses = 2;
 constexpr Duration kStateSaveInterval = milliseconds(400);
 constexpr Duration kReportInterval = seconds(1);
+constexpr const char* kZones[] = {"a", "b", "c"};
+/// An operator waits for an answer before it sends an order again, gives it up after a while, and rests between orders.
+constexpr Duration kOrderRetry = seconds(1);
+constexpr Duration kOrderPatience = seconds(5);
+constexpr Duration kOrderPause = seconds(2);
 
 std::string document_text(int64_t version) {
   return R"({"version":)" + std::to_string(version) +
@@ -32,7 +38,8 @@
 
 }  // namespace
 
-RegisteredFleet::RegisteredFleet(const RegisteredFleetOptions& options) : options_(options), random_(options.seed) {
+RegisteredFleet::RegisteredFleet(const RegisteredFleetOptions& options)
+    : options_(options), random_(options.seed), operators_random_(options.seed) {
   auto& fleet = options_.fleet;
   fleet.minimum_voters = 2 * kToleratedLosses + 1;
   fleet.control.minimum_voters = fleet.minimum_voters;
@@ -58,6 +65,7 @@
     Place place;
     place.address = "10.0.2." + std::to_string(number + 1) + ":80";
     place.domain = "d" + std::to_string(number / kServersPerDomain);
+    place.zone = options_.operators_evacuate ? kZones[number / kServersPerDomain] : kZones[0];
     places_.push_back(std::move(place));
   }
 }
@@ -190,6 +198,13 @@
     found_cluster(node);
   }
   for (const auto& reply : outputs.replies) {
+    if (pending_zone_calls_.erase({node.name, reply.id}) > 0) {
+      if (reply.status == http_status::kOk && !zone_orders_.back().acknowledged) {
+        ++result_.evacuations_acknowledged;
+        zone_orders_.back().acknowledged = queue_.now();
+      }
+      continue;
+    }
     const auto put = puts_.find({node.name, reply.id});
     if (put == puts_.end()) {
       continue;
@@ -253,9 +268,15 @@
     }
   }
   for (auto& entry : entries_) {
-    if (entry.name == envelope.to_node && envelope.__isset.fleet_update) {
-      entry.subscription->receive(queue_.now(), envelope);
+    if (entry.name != envelope.to_node || !envelope.__isset.fleet_update) {
+      continue;
+    }
+    auto received = envelope;
+    if (options_.entries_miss_evacuations) {
+      received.fleet_update.__isset.evacuations = false;
+      received.fleet_update.evacuation_revision = 0;
     }
+    entry.subscription->receive(queue_.now(), received);
   }
 }
 
@@ -325,10 +346,10 @@
       {wire::MembershipState::JOINING, "joining"}, {wire::MembershipState::READY, "ready"},
       {wire::MembershipState::OPEN, "open"},       {wire::MembershipState::CLOSING, "closing"},
       {wire::MembershipState::BROKEN, "broken"},   {wire::MembershipState::NONE, ""}};
-  std::string body = R"({"service":"engines","address":")" + report.address +
-                     R"(","zone":"a","version":"v1","slots":8,"cold_left_ms":0,"domain":")" + report.domain +
-                     R"(","state":")" + (report.state == wire::InstanceState::READY ? "ready" : "draining") +
-                     R"(","call_seq":)" + std::to_string(report.call_number) + R"(,"staged":[)";
+  std::string body = R"({"service":"engines","address":")" + report.address + R"(","zone":")" + place.zone +
+                     R"(","version":"v1","slots":8,"cold_left_ms":0,"domain":")" + report.domain + R"(","state":")" +
+                     (report.state == wire::InstanceState::READY ? "ready" : "draining") + R"(","call_seq":)" +
+                     std::to_string(report.call_number) + R"(,"staged":[)";
   for (const auto& staged : report.staged_models) {
     body += "\"" + staged + "\"";
   }
@@ -374,12 +395,31 @@
   }
 }
 
+const RegisteredFleet::ZoneOrder* RegisteredFleet::settled_order(const std::string& zone, Duration age) const {
+  const auto last = std::find_if(zone_orders_.rbegin(), zone_orders_.rend(),
+                                 [&zone](const auto& order) { return order.zone == zone; });
+  const bool is_settled =
+      last != zone_orders_.rend() && last->acknowledged && queue_.now() - *last->acknowledged >= age;
+  return is_settled ? &*last : nullptr;
+}
+
+void RegisteredFleet::check_evacuations(const std::string& who, const wire::ZoneEvacuations& held, Duration age) {
+  for (const std::string zone : kZones) {
+    const auto* order = settled_order(zone, age);
+    if (order != nullptr && fleet::is_evacuated(held, zone) != order->begins) {
+      violate("EVACUATION: " + who + " goes against the order that " + zone + " be " +
+              (order->begins ? "evacuated" : "restored"));
+    }
+  }
+}
+
 void RegisteredFleet::check_leases() {
   for (const auto& entry : entries_) {
     const bool serves = options_.entries_ignore_leases || entry.subscription->has_lease(queue_.now());
     if (!serves || entry.subscription->document_version() == 0) {
       continue;
     }
+    check_evacuations(entry.name, entry.subscription->evacuations(), options_.fleet.document_lease);
     for (const auto& [version, at] : acknowledged_at_) {
       const bool due = queue_.now() - at > options_.fleet.document_lease;
       if (due && entry.subscription->document_version() < version) {
@@ -402,6 +442,7 @@
       violate("LOST: version " + std::to_string(newest_acknowledged_) + " was acknowledged, the leader holds " +
               std::to_string(node.controller->log().version()));
     }
+    check_evacuations(node.name, node.controller->log().evacuations(), Duration::zero());
     for (const auto& group : node.controller->leader_view().groups()) {
       result_.open_at_end += group.phase == wire::GroupPhase::OPEN ? 1 : 0;
     }
@@ -544,6 +585,37 @@
   });
 }
 
+void RegisteredFleet::begin_zone_order() {
+  ZoneOrder order;
+  order.zone = kZones[operators_random_() % std::size(kZones)];
+  const auto last = std::find_if(zone_orders_.rbegin(), zone_orders_.rend(),
+                                 [&order](const auto& other) { return other.zone == order.zone; });
+  order.begins = last == zone_orders_.rend() || !last->begins;
+  order.first_sent = queue_.now();
+  zone_orders_.push_back(order);
+  send_zone_order();
+}
+
+void RegisteredFleet::send_zone_order() {
+  const ZoneOrder& order = zone_orders_.back();
+  const bool is_over = order.acknowledged || queue_.now() - order.first_sent > kOrderPatience;
+  if (is_over) {
+    if (!calm_) {
+      queue_.after(kOrderPause, [this] { begin_zone_order(); });
+    }
+    return;
+  }
+  auto& node = controls_[operators_random_() % kControls];
+  if (node.up && !node.cut) {
+    wire::ControlCall call;
+    call.kind = order.begins ? wire::ControlCallKind::EVACUATE_ZONE : wire::ControlCallKind::RESTORE_ZONE;
+    call.zone = order.zone;
+    pending_zone_calls_.emplace(node.name, node.controller->submit(queue_.now(), std::move(call)));
+    carry_outputs(node);
+  }
+  queue_.after(kOrderRetry, [this] { send_zone_order(); });
+}
+
 void RegisteredFleet::tick() {
   const TimePoint now = queue_.now();
   for (auto& node : controls_) {
@@ -610,6 +682,9 @@
   queue_.after(kTick, [this] { tick(); });
   queue_.after(milliseconds(600), [this] { put_document(next_version_++); });
   queue_.after(seconds(6), [this] { strike(); });
+  if (options_.operators_evacuate) {
+    queue_.after(seconds(6), [this] { begin_zone_order(); });
+  }
   queue_.after(options_.fault_time, [this] { heal_all(); });
   const auto stop = [this] { return !result_.violations.empty(); };
   queue_.run_until(TimePoint(options_.fault_time + options_.calm_time), stop);
--- a/src/simulation/registered_fleet.h
+++ b/src/simulation/registered_fleet.h
@@ -4,6 +4,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <random>
 #include <set>
 #include <string>
@@ -27,8 +28,11 @@
   fleet::FleetOptions fleet;
   /// How long a head that misses a member really stands still before it is broken.
   Duration server_stall = seconds(5);
+  /// Operators evacuate and restore zones, one order after the other.
+  bool operators_evacuate = false;
   /// Planted defects, to show that the checks find them.
   bool entries_ignore_leases = false;
+  bool entries_miss_evacuations = false;
   bool lying_disks = false;
   /// If set, told of every order carried out, every report and every fault.
   std::function<void(const std::string&)> trace;
@@ -37,6 +41,7 @@
 struct RegisteredFleetResult {
   std::vector<std::string> violations;
   uint64_t documents_acknowledged = 0;
+  uint64_t evacuations_acknowledged = 0;
   uint64_t groups_opened = 0;
   uint64_t faults = 0;
   uint64_t open_at_end = 0;
@@ -50,6 +55,8 @@
 /// - an acknowledged document is never lost, and nobody serves by an older one longer than the lease;
 /// - a head opens only when every member was ready under the group's name and epoch;
 /// - no server takes a join to another group while the head of its group is open;
+/// - an acknowledged order to evacuate or restore a zone is never lost, and nobody serves against it longer than the
+///   lease;
 /// - at the end the fleet comes to rest: a leader, the newest document everywhere, groups open.
 /// The same seed gives the same run.
 class RegisteredFleet {
@@ -83,6 +90,7 @@
   struct Place {
     std::string address;
     std::string domain;
+    std::string zone;
     std::unique_ptr<SimulatedInstance> instance;
     bool reachable = true;
     std::vector<std::string> staged;
@@ -90,6 +98,13 @@
   struct PendingPut {
     int64_t version = 0;
   };
+  /// An operator's order on a zone, sent again until it is acknowledged or its time is over.
+  struct ZoneOrder {
+    std::string zone;
+    bool begins = false;
+    TimePoint first_sent{};
+    std::optional<TimePoint> acknowledged;
+  };
 
   bool chance(double probability);
   int64_t draw(int64_t least, int64_t most);
@@ -114,6 +129,12 @@
   /// Sends a heartbeat now and at every interval from now on.
   void keep_beating(Place& place);
   void put_document(int64_t version);
+  void begin_zone_order();
+  void send_zone_order();
+  /// The last order on the zone, if it was acknowledged at least `age` ago.
+  const ZoneOrder* settled_order(const std::string& zone, Duration age) const;
+  /// Compares what somebody holds with the orders acknowledged at least `age` ago.
+  void check_evacuations(const std::string& who, const wire::ZoneEvacuations& held, Duration age);
   void strike();
   void strike_control();
   void strike_server();
@@ -139,6 +160,10 @@
   /// When each version was first acknowledged.
   std::map<int64_t, TimePoint> acknowledged_at_;
   std::map<std::pair<std::string, int64_t>, PendingPut> puts_;
+  /// Operators' own, so that runs without their orders are the same as ever.
+  std::mt19937_64 operators_random_;
+  std::vector<ZoneOrder> zone_orders_;
+  std::set<std::pair<std::string, int64_t>> pending_zone_calls_;
   std::set<std::pair<std::string, int64_t>> ever_ready_;
   TimePoint last_wipe_ = TimePoint::min();
   bool calm_ = false;
--- a/src/wire/gen-cpp/larchlever_types.cpp
+++ b/src/wire/gen-cpp/larchlever_types.cpp
@@ -410,15 +410,21 @@
   ControlCallKind::HEARTBEAT,
   ControlCallKind::DEREGISTER,
   ControlCallKind::PUT_DOCUMENT,
-  ControlCallKind::GET_DOCUMENT
+  ControlCallKind::GET_DOCUMENT,
+  ControlCallKind::EVACUATE_ZONE,
+  ControlCallKind::RESTORE_ZONE,
+  ControlCallKind::GET_ZONES
 };
 const char* _kControlCallKindNames[] = {
   "HEARTBEAT",
   "DEREGISTER",
   "PUT_DOCUMENT",
-  "GET_DOCUMENT"
+  "GET_DOCUMENT",
+  "EVACUATE_ZONE",
+  "RESTORE_ZONE",
+  "GET_ZONES"
 };
-const std::map<int, const char*> _ControlCallKind_VALUES_TO_NAMES(::apache::thrift::TEnumIterator(4, _kControlCallKindValues, _kControlCallKindNames), ::apache::thrift::TEnumIterator(-1, nullptr, nullptr));
+const std::map<int, const char*> _ControlCallKind_VALUES_TO_NAMES(::apache::thrift::TEnumIterator(7, _kControlCallKindValues, _kControlCallKindNames), ::apache::thrift::TEnumIterator(-1, nullptr, nullptr));
 
 std::ostream& operator<<(std::ostream& out, const ControlCallKind::type& val) {
   std::map<int, const char*>::const_iterator it = _ControlCallKind_VALUES_TO_NAMES.find(val);
@@ -7191,6 +7197,461 @@
 }
 
 
+ZoneEvacuationChange::~ZoneEvacuationChange() noexcept {
+}
+
+
+void ZoneEvacuationChange::__set_zone(const std::string& val) {
+  this->zone = val;
+}
+
+void ZoneEvacuationChange::__set_begins(const bool val) {
+  this->begins = val;
+}
+std::ostream& operator<<(std::ostream& out, const ZoneEvacuationChange& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t ZoneEvacuationChange::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->zone);
+          this->__isset.zone = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->begins);
+          this->__isset.begins = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t ZoneEvacuationChange::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("ZoneEvacuationChange");
+
+  xfer += oprot->writeFieldBegin("zone", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->zone);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("begins", ::apache::thrift::protocol::T_BOOL, 2);
+  xfer += oprot->writeBool(this->begins);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(ZoneEvacuationChange &a, ZoneEvacuationChange &b) {
+  using ::std::swap;
+  swap(a.zone, b.zone);
+  swap(a.begins, b.begins);
+  swap(a.__isset, b.__isset);
+}
+
+ZoneEvacuationChange::ZoneEvacuationChange(const ZoneEvacuationChange& other246) {
+  zone = other246.zone;
+  begins = other246.begins;
+  __isset = other246.__isset;
+}
+ZoneEvacuationChange::ZoneEvacuationChange(ZoneEvacuationChange&& other247) noexcept {
+  zone = std::move(other247.zone);
+  begins = other247.begins;
+  __isset = other247.__isset;
+}
+ZoneEvacuationChange& ZoneEvacuationChange::operator=(const ZoneEvacuationChange& other248) {
+  zone = other248.zone;
+  begins = other248.begins;
+  __isset = other248.__isset;
+  return *this;
+}
+ZoneEvacuationChange& ZoneEvacuationChange::operator=(ZoneEvacuationChange&& other249) noexcept {
+  zone = std::move(other249.zone);
+  begins = other249.begins;
+  __isset = other249.__isset;
+  return *this;
+}
+void ZoneEvacuationChange::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "ZoneEvacuationChange(";
+  out << "zone=" << to_string(zone);
+  out << ", " << "begins=" << to_string(begins);
+  out << ")";
+}
+
+
+ZoneEvacuations::~ZoneEvacuations() noexcept {
+}
+
+
+void ZoneEvacuations::__set_revision(const int64_t val) {
+  this->revision = val;
+}
+
+void ZoneEvacuations::__set_zones(const std::vector<std::string> & val) {
+  this->zones = val;
+}
+std::ostream& operator<<(std::ostream& out, const ZoneEvacuations& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t ZoneEvacuations::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->revision);
+          this->__isset.revision = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->zones.clear();
+            uint32_t _size250;
+            ::apache::thrift::protocol::TType _etype253;
+            xfer += iprot->readListBegin(_etype253, _size250);
+            this->zones.resize(_size250);
+            uint32_t _i254;
+            for (_i254 = 0; _i254 < _size250; ++_i254)
+            {
+              xfer += iprot->readString(this->zones[_i254]);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.zones = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t ZoneEvacuations::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("ZoneEvacuations");
+
+  xfer += oprot->writeFieldBegin("revision", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeI64(this->revision);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("zones", ::apache::thrift::protocol::T_LIST, 2);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->zones.size()));
+    std::vector<std::string> ::const_iterator _iter255;
+    for (_iter255 = this->zones.begin(); _iter255 != this->zones.end(); ++_iter255)
+    {
+      xfer += oprot->writeString((*_iter255));
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(ZoneEvacuations &a, ZoneEvacuations &b) {
+  using ::std::swap;
+  swap(a.revision, b.revision);
+  swap(a.zones, b.zones);
+  swap(a.__isset, b.__isset);
+}
+
+ZoneEvacuations::ZoneEvacuations(const ZoneEvacuations& other256) {
+  revision = other256.revision;
+  zones = other256.zones;
+  __isset = other256.__isset;
+}
+ZoneEvacuations::ZoneEvacuations(ZoneEvacuations&& other257) noexcept {
+  revision = other257.revision;
+  zones = std::move(other257.zones);
+  __isset = other257.__isset;
+}
+ZoneEvacuations& ZoneEvacuations::operator=(const ZoneEvacuations& other258) {
+  revision = other258.revision;
+  zones = other258.zones;
+  __isset = other258.__isset;
+  return *this;
+}
+ZoneEvacuations& ZoneEvacuations::operator=(ZoneEvacuations&& other259) noexcept {
+  revision = other259.revision;
+  zones = std::move(other259.zones);
+  __isset = other259.__isset;
+  return *this;
+}
+void ZoneEvacuations::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "ZoneEvacuations(";
+  out << "revision=" << to_string(revision);
+  out << ", " << "zones=" << to_string(zones);
+  out << ")";
+}
+
+
+FleetLogSnapshot::~FleetLogSnapshot() noexcept {
+}
+
+
+void FleetLogSnapshot::__set_version(const int64_t val) {
+  this->version = val;
+}
+
+void FleetLogSnapshot::__set_content(const std::string& val) {
+  this->content = val;
+}
+
+void FleetLogSnapshot::__set_compressed_content(const std::string& val) {
+  this->compressed_content = val;
+}
+
+void FleetLogSnapshot::__set_content_size(const int64_t val) {
+  this->content_size = val;
+}
+
+void FleetLogSnapshot::__set_evacuations(const ZoneEvacuations& val) {
+  this->evacuations = val;
+}
+std::ostream& operator<<(std::ostream& out, const FleetLogSnapshot& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t FleetLogSnapshot::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->version);
+          this->__isset.version = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readBinary(this->content);
+          this->__isset.content = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readBinary(this->compressed_content);
+          this->__isset.compressed_content = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->content_size);
+          this->__isset.content_size = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->evacuations.read(iprot);
+          this->__isset.evacuations = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t FleetLogSnapshot::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("FleetLogSnapshot");
+
+  xfer += oprot->writeFieldBegin("version", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeI64(this->version);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("content", ::apache::thrift::protocol::T_STRING, 2);
+  xfer += oprot->writeBinary(this->content);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("compressed_content", ::apache::thrift::protocol::T_STRING, 3);
+  xfer += oprot->writeBinary(this->compressed_content);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("content_size", ::apache::thrift::protocol::T_I64, 4);
+  xfer += oprot->writeI64(this->content_size);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("evacuations", ::apache::thrift::protocol::T_STRUCT, 5);
+  xfer += this->evacuations.write(oprot);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(FleetLogSnapshot &a, FleetLogSnapshot &b) {
+  using ::std::swap;
+  swap(a.version, b.version);
+  swap(a.content, b.content);
+  swap(a.compressed_content, b.compressed_content);
+  swap(a.content_size, b.content_size);
+  swap(a.evacuations, b.evacuations);
+  swap(a.__isset, b.__isset);
+}
+
+FleetLogSnapshot::FleetLogSnapshot(const FleetLogSnapshot& other260) {
+  version = other260.version;
+  content = other260.content;
+  compressed_content = other260.compressed_content;
+  content_size = other260.content_size;
+  evacuations = other260.evacuations;
+  __isset = other260.__isset;
+}
+FleetLogSnapshot::FleetLogSnapshot(FleetLogSnapshot&& other261) noexcept {
+  version = other261.version;
+  content = std::move(other261.content);
+  compressed_content = std::move(other261.compressed_content);
+  content_size = other261.content_size;
+  evacuations = std::move(other261.evacuations);
+  __isset = other261.__isset;
+}
+FleetLogSnapshot& FleetLogSnapshot::operator=(const FleetLogSnapshot& other262) {
+  version = other262.version;
+  content = other262.content;
+  compressed_content = other262.compressed_content;
+  content_size = other262.content_size;
+  evacuations = other262.evacuations;
+  __isset = other262.__isset;
+  return *this;
+}
+FleetLogSnapshot& FleetLogSnapshot::operator=(FleetLogSnapshot&& other263) noexcept {
+  version = other263.version;
+  content = std::move(other263.content);
+  compressed_content = std::move(other263.compressed_content);
+  content_size = other263.content_size;
+  evacuations = std::move(other263.evacuations);
+  __isset = other263.__isset;
+  return *this;
+}
+void FleetLogSnapshot::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "FleetLogSnapshot(";
+  out << "version=" << to_string(version);
+  out << ", " << "content=" << to_string(content);
+  out << ", " << "compressed_content=" << to_string(compressed_content);
+  out << ", " << "content_size=" << to_string(content_size);
+  out << ", " << "evacuations=" << to_string(evacuations);
+  out << ")";
+}
+
+
 Command::~Command() noexcept {
 }
 
@@ -7248,6 +7709,11 @@
   this->document = val;
 __isset.document = true;
 }
+
+void Command::__set_zone_evacuation(const ZoneEvacuationChange& val) {
+  this->zone_evacuation = val;
+__isset.zone_evacuation = true;
+}
 std::ostream& operator<<(std::ostream& out, const Command& obj)
 {
   obj.printTo(out);
@@ -7336,14 +7802,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->resolutions.clear();
-            uint32_t _size246;
-            ::apache::thrift::protocol::TType _etype249;
-            xfer += iprot->readListBegin(_etype249, _size246);
-            this->resolutions.resize(_size246);
-            uint32_t _i250;
-            for (_i250 = 0; _i250 < _size246; ++_i250)
+            uint32_t _size264;
+            ::apache::thrift::protocol::TType _etype267;
+            xfer += iprot->readListBegin(_etype267, _size264);
+            this->resolutions.resize(_size264);
+            uint32_t _i268;
+            for (_i268 = 0; _i268 < _size264; ++_i268)
             {
-              xfer += this->resolutions[_i250].read(iprot);
+              xfer += this->resolutions[_i268].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -7376,6 +7842,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 12:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->zone_evacuation.read(iprot);
+          this->__isset.zone_evacuation = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -7431,10 +7905,10 @@
     xfer += oprot->writeFieldBegin("resolutions", ::apache::thrift::protocol::T_LIST, 8);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->resolutions.size()));
-      std::vector<ClaimResolution> ::const_iterator _iter251;
-      for (_iter251 = this->resolutions.begin(); _iter251 != this->resolutions.end(); ++_iter251)
+      std::vector<ClaimResolution> ::const_iterator _iter269;
+      for (_iter269 = this->resolutions.begin(); _iter269 != this->resolutions.end(); ++_iter269)
       {
-        xfer += (*_iter251).write(oprot);
+        xfer += (*_iter269).write(oprot);
       }
       xfer += oprot->writeListEnd();
     }
@@ -7455,6 +7929,11 @@
     xfer += this->document.write(oprot);
     xfer += oprot->writeFieldEnd();
   }
+  if (this->__isset.zone_evacuation) {
+    xfer += oprot->writeFieldBegin("zone_evacuation", ::apache::thrift::protocol::T_STRUCT, 12);
+    xfer += this->zone_evacuation.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -7473,65 +7952,70 @@
   swap(a.entry_loss, b.entry_loss);
   swap(a.drain, b.drain);
   swap(a.document, b.document);
+  swap(a.zone_evacuation, b.zone_evacuation);
   swap(a.__isset, b.__isset);
 }
 
-Command::Command(const Command& other252) {
-  at_ms = other252.at_ms;
-  change = other252.change;
-  machine_observation = other252.machine_observation;
-  group_creation = other252.group_creation;
-  group_transition = other252.group_transition;
-  machine_release = other252.machine_release;
-  claims = other252.claims;
-  resolutions = other252.resolutions;
-  entry_loss = other252.entry_loss;
-  drain = other252.drain;
-  document = other252.document;
-  __isset = other252.__isset;
-}
-Command::Command(Command&& other253) noexcept {
-  at_ms = other253.at_ms;
-  change = std::move(other253.change);
-  machine_observation = std::move(other253.machine_observation);
-  group_creation = std::move(other253.group_creation);
-  group_transition = std::move(other253.group_transition);
-  machine_release = std::move(other253.machine_release);
-  claims = std::move(other253.claims);
-  resolutions = std::move(other253.resolutions);
-  entry_loss = std::move(other253.entry_loss);
-  drain = std::move(other253.drain);
-  document = std::move(other253.document);
-  __isset = other253.__isset;
-}
-Command& Command::operator=(const Command& other254) {
-  at_ms = other254.at_ms;
-  change = other254.change;
-  machine_observation = other254.machine_observation;
-  group_creation = other254.group_creation;
-  group_transition = other254.group_transition;
-  machine_release = other254.machine_release;
-  claims = other254.claims;
-  resolutions = other254.resolutions;
-  entry_loss = other254.entry_loss;
-  drain = other254.drain;
-  document = other254.document;
-  __isset = other254.__isset;
+Command::Command(const Command& other270) {
+  at_ms = other270.at_ms;
+  change = other270.change;
+  machine_observation = other270.machine_observation;
+  group_creation = other270.group_creation;
+  group_transition = other270.group_transition;
+  machine_release = other270.machine_release;
+  claims = other270.claims;
+  resolutions = other270.resolutions;
+  entry_loss = other270.entry_loss;
+  drain = other270.drain;
+  document = other270.document;
+  zone_evacuation = other270.zone_evacuation;
+  __isset = other270.__isset;
+}
+Command::Command(Command&& other271) noexcept {
+  at_ms = other271.at_ms;
+  change = std::move(other271.change);
+  machine_observation = std::move(other271.machine_observation);
+  group_creation = std::move(other271.group_creation);
+  group_transition = std::move(other271.group_transition);
+  machine_release = std::move(other271.machine_release);
+  claims = std::move(other271.claims);
+  resolutions = std::move(other271.resolutions);
+  entry_loss = std::move(other271.entry_loss);
+  drain = std::move(other271.drain);
+  document = std::move(other271.document);
+  zone_evacuation = std::move(other271.zone_evacuation);
+  __isset = other271.__isset;
+}
+Command& Command::operator=(const Command& other272) {
+  at_ms = other272.at_ms;
+  change = other272.change;
+  machine_observation = other272.machine_observation;
+  group_creation = other272.group_creation;
+  group_transition = other272.group_transition;
+  machine_release = other272.machine_release;
+  claims = other272.claims;
+  resolutions = other272.resolutions;
+  entry_loss = other272.entry_loss;
+  drain = other272.drain;
+  document = other272.document;
+  zone_evacuation = other272.zone_evacuation;
+  __isset = other272.__isset;
   return *this;
 }
-Command& Command::operator=(Command&& other255) noexcept {
-  at_ms = other255.at_ms;
-  change = std::move(other255.change);
-  machine_observation = std::move(other255.machine_observation);
-  group_creation = std::move(other255.group_creation);
-  group_transition = std::move(other255.group_transition);
-  machine_release = std::move(other255.machine_release);
-  claims = std::move(other255.claims);
-  resolutions = std::move(other255.resolutions);
-  entry_loss = std::move(other255.entry_loss);
-  drain = std::move(other255.drain);
-  document = std::move(other255.document);
-  __isset = other255.__isset;
+Command& Command::operator=(Command&& other273) noexcept {
+  at_ms = other273.at_ms;
+  change = std::move(other273.change);
+  machine_observation = std::move(other273.machine_observation);
+  group_creation = std::move(other273.group_creation);
+  group_transition = std::move(other273.group_transition);
+  machine_release = std::move(other273.machine_release);
+  claims = std::move(other273.claims);
+  resolutions = std::move(other273.resolutions);
+  entry_loss = std::move(other273.entry_loss);
+  drain = std::move(other273.drain);
+  document = std::move(other273.document);
+  zone_evacuation = std::move(other273.zone_evacuation);
+  __isset = other273.__isset;
   return *this;
 }
 void Command::printTo(std::ostream& out) const {
@@ -7548,6 +8032,7 @@
   out << ", " << "entry_loss="; (__isset.entry_loss ? (out << to_string(entry_loss)) : (out << "<null>"));
   out << ", " << "drain="; (__isset.drain ? (out << to_string(drain)) : (out << "<null>"));
   out << ", " << "document="; (__isset.document ? (out << to_string(document)) : (out << "<null>"));
+  out << ", " << "zone_evacuation="; (__isset.zone_evacuation ? (out << to_string(zone_evacuation)) : (out << "<null>"));
   out << ")";
 }
 
@@ -7644,26 +8129,26 @@
   swap(a.__isset, b.__isset);
 }
 
-CommandAnswer::CommandAnswer(const CommandAnswer& other256) {
-  command_id = other256.command_id;
-  answer = other256.answer;
-  __isset = other256.__isset;
+CommandAnswer::CommandAnswer(const CommandAnswer& other274) {
+  command_id = other274.command_id;
+  answer = other274.answer;
+  __isset = other274.__isset;
 }
-CommandAnswer::CommandAnswer(CommandAnswer&& other257) noexcept {
-  command_id = std::move(other257.command_id);
-  answer = std::move(other257.answer);
-  __isset = other257.__isset;
+CommandAnswer::CommandAnswer(CommandAnswer&& other275) noexcept {
+  command_id = std::move(other275.command_id);
+  answer = std::move(other275.answer);
+  __isset = other275.__isset;
 }
-CommandAnswer& CommandAnswer::operator=(const CommandAnswer& other258) {
-  command_id = other258.command_id;
-  answer = other258.answer;
-  __isset = other258.__isset;
+CommandAnswer& CommandAnswer::operator=(const CommandAnswer& other276) {
+  command_id = other276.command_id;
+  answer = other276.answer;
+  __isset = other276.__isset;
   return *this;
 }
-CommandAnswer& CommandAnswer::operator=(CommandAnswer&& other259) noexcept {
-  command_id = std::move(other259.command_id);
-  answer = std::move(other259.answer);
-  __isset = other259.__isset;
+CommandAnswer& CommandAnswer::operator=(CommandAnswer&& other277) noexcept {
+  command_id = std::move(other277.command_id);
+  answer = std::move(other277.answer);
+  __isset = other277.__isset;
   return *this;
 }
 void CommandAnswer::printTo(std::ostream& out) const {
@@ -7758,14 +8243,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->records.clear();
-            uint32_t _size260;
-            ::apache::thrift::protocol::TType _etype263;
-            xfer += iprot->readListBegin(_etype263, _size260);
-            this->records.resize(_size260);
-            uint32_t _i264;
-            for (_i264 = 0; _i264 < _size260; ++_i264)
+            uint32_t _size278;
+            ::apache::thrift::protocol::TType _etype281;
+            xfer += iprot->readListBegin(_etype281, _size278);
+            this->records.resize(_size278);
+            uint32_t _i282;
+            for (_i282 = 0; _i282 < _size278; ++_i282)
             {
-              xfer += this->records[_i264].read(iprot);
+              xfer += this->records[_i282].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -7778,14 +8263,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->machines.clear();
-            uint32_t _size265;
-            ::apache::thrift::protocol::TType _etype268;
-            xfer += iprot->readListBegin(_etype268, _size265);
-            this->machines.resize(_size265);
-            uint32_t _i269;
-            for (_i269 = 0; _i269 < _size265; ++_i269)
+            uint32_t _size283;
+            ::apache::thrift::protocol::TType _etype286;
+            xfer += iprot->readListBegin(_etype286, _size283);
+            this->machines.resize(_size283);
+            uint32_t _i287;
+            for (_i287 = 0; _i287 < _size283; ++_i287)
             {
-              xfer += this->machines[_i269].read(iprot);
+              xfer += this->machines[_i287].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -7798,14 +8283,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->claims.clear();
-            uint32_t _size270;
-            ::apache::thrift::protocol::TType _etype273;
-            xfer += iprot->readListBegin(_etype273, _size270);
-            this->claims.resize(_size270);
-            uint32_t _i274;
-            for (_i274 = 0; _i274 < _size270; ++_i274)
+            uint32_t _size288;
+            ::apache::thrift::protocol::TType _etype291;
+            xfer += iprot->readListBegin(_etype291, _size288);
+            this->claims.resize(_size288);
+            uint32_t _i292;
+            for (_i292 = 0; _i292 < _size288; ++_i292)
             {
-              xfer += this->claims[_i274].read(iprot);
+              xfer += this->claims[_i292].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -7818,14 +8303,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->audit.clear();
-            uint32_t _size275;
-            ::apache::thrift::protocol::TType _etype278;
-            xfer += iprot->readListBegin(_etype278, _size275);
-            this->audit.resize(_size275);
-            uint32_t _i279;
-            for (_i279 = 0; _i279 < _size275; ++_i279)
+            uint32_t _size293;
+            ::apache::thrift::protocol::TType _etype296;
+            xfer += iprot->readListBegin(_etype296, _size293);
+            this->audit.resize(_size293);
+            uint32_t _i297;
+            for (_i297 = 0; _i297 < _size293; ++_i297)
             {
-              xfer += this->audit[_i279].read(iprot);
+              xfer += this->audit[_i297].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -7838,14 +8323,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->answers.clear();
-            uint32_t _size280;
-            ::apache::thrift::protocol::TType _etype283;
-            xfer += iprot->readListBegin(_etype283, _size280);
-            this->answers.resize(_size280);
-            uint32_t _i284;
-            for (_i284 = 0; _i284 < _size280; ++_i284)
+            uint32_t _size298;
+            ::apache::thrift::protocol::TType _etype301;
+            xfer += iprot->readListBegin(_etype301, _size298);
+            this->answers.resize(_size298);
+            uint32_t _i302;
+            for (_i302 = 0; _i302 < _size298; ++_i302)
             {
-              xfer += this->answers[_i284].read(iprot);
+              xfer += this->answers[_i302].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -7910,10 +8395,10 @@
   xfer += oprot->writeFieldBegin("records", ::apache::thrift::protocol::T_LIST, 2);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->records.size()));
-    std::vector<Record> ::const_iterator _iter285;
-    for (_iter285 = this->records.begin(); _iter285 != this->records.end(); ++_iter285)
+    std::vector<Record> ::const_iterator _iter303;
+    for (_iter303 = this->records.begin(); _iter303 != this->records.end(); ++_iter303)
     {
-      xfer += (*_iter285).write(oprot);
+      xfer += (*_iter303).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -7922,10 +8407,10 @@
   xfer += oprot->writeFieldBegin("machines", ::apache::thrift::protocol::T_LIST, 3);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->machines.size()));
-    std::vector<Machine> ::const_iterator _iter286;
-    for (_iter286 = this->machines.begin(); _iter286 != this->machines.end(); ++_iter286)
+    std::vector<Machine> ::const_iterator _iter304;
+    for (_iter304 = this->machines.begin(); _iter304 != this->machines.end(); ++_iter304)
     {
-      xfer += (*_iter286).write(oprot);
+      xfer += (*_iter304).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -7934,10 +8419,10 @@
   xfer += oprot->writeFieldBegin("claims", ::apache::thrift::protocol::T_LIST, 4);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->claims.size()));
-    std::vector<Claim> ::const_iterator _iter287;
-    for (_iter287 = this->claims.begin(); _iter287 != this->claims.end(); ++_iter287)
+    std::vector<Claim> ::const_iterator _iter305;
+    for (_iter305 = this->claims.begin(); _iter305 != this->claims.end(); ++_iter305)
     {
-      xfer += (*_iter287).write(oprot);
+      xfer += (*_iter305).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -7946,10 +8431,10 @@
   xfer += oprot->writeFieldBegin("audit", ::apache::thrift::protocol::T_LIST, 5);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->audit.size()));
-    std::vector<AuditRecord> ::const_iterator _iter288;
-    for (_iter288 = this->audit.begin(); _iter288 != this->audit.end(); ++_iter288)
+    std::vector<AuditRecord> ::const_iterator _iter306;
+    for (_iter306 = this->audit.begin(); _iter306 != this->audit.end(); ++_iter306)
     {
-      xfer += (*_iter288).write(oprot);
+      xfer += (*_iter306).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -7958,10 +8443,10 @@
   xfer += oprot->writeFieldBegin("answers", ::apache::thrift::protocol::T_LIST, 6);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->answers.size()));
-    std::vector<CommandAnswer> ::const_iterator _iter289;
-    for (_iter289 = this->answers.begin(); _iter289 != this->answers.end(); ++_iter289)
+    std::vector<CommandAnswer> ::const_iterator _iter307;
+    for (_iter307 = this->answers.begin(); _iter307 != this->answers.end(); ++_iter307)
     {
-      xfer += (*_iter289).write(oprot);
+      xfer += (*_iter307).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -8003,58 +8488,58 @@
   swap(a.__isset, b.__isset);
 }
 
-ControlSnapshot::ControlSnapshot(const ControlSnapshot& other290) {
-  applied_index = other290.applied_index;
-  records = other290.records;
-  machines = other290.machines;
-  claims = other290.claims;
-  audit = other290.audit;
-  answers = other290.answers;
-  next_group_id = other290.next_group_id;
-  clock_ms = other290.clock_ms;
-  oldest_delta_revision = other290.oldest_delta_revision;
-  history_digest = other290.history_digest;
-  __isset = other290.__isset;
-}
-ControlSnapshot::ControlSnapshot(ControlSnapshot&& other291) noexcept {
-  applied_index = other291.applied_index;
-  records = std::move(other291.records);
-  machines = std::move(other291.machines);
-  claims = std::move(other291.claims);
-  audit = std::move(other291.audit);
-  answers = std::move(other291.answers);
-  next_group_id = other291.next_group_id;
-  clock_ms = other291.clock_ms;
-  oldest_delta_revision = other291.oldest_delta_revision;
-  history_digest = other291.history_digest;
-  __isset = other291.__isset;
-}
-ControlSnapshot& ControlSnapshot::operator=(const ControlSnapshot& other292) {
-  applied_index = other292.applied_index;
-  records = other292.records;
-  machines = other292.machines;
-  claims = other292.claims;
-  audit = other292.audit;
-  answers = other292.answers;
-  next_group_id = other292.next_group_id;
-  clock_ms = other292.clock_ms;
-  oldest_delta_revision = other292.oldest_delta_revision;
-  history_digest = other292.history_digest;
-  __isset = other292.__isset;
+ControlSnapshot::ControlSnapshot(const ControlSnapshot& other308) {
+  applied_index = other308.applied_index;
+  records = other308.records;
+  machines = other308.machines;
+  claims = other308.claims;
+  audit = other308.audit;
+  answers = other308.answers;
+  next_group_id = other308.next_group_id;
+  clock_ms = other308.clock_ms;
+  oldest_delta_revision = other308.oldest_delta_revision;
+  history_digest = other308.history_digest;
+  __isset = other308.__isset;
+}
+ControlSnapshot::ControlSnapshot(ControlSnapshot&& other309) noexcept {
+  applied_index = other309.applied_index;
+  records = std::move(other309.records);
+  machines = std::move(other309.machines);
+  claims = std::move(other309.claims);
+  audit = std::move(other309.audit);
+  answers = std::move(other309.answers);
+  next_group_id = other309.next_group_id;
+  clock_ms = other309.clock_ms;
+  oldest_delta_revision = other309.oldest_delta_revision;
+  history_digest = other309.history_digest;
+  __isset = other309.__isset;
+}
+ControlSnapshot& ControlSnapshot::operator=(const ControlSnapshot& other310) {
+  applied_index = other310.applied_index;
+  records = other310.records;
+  machines = other310.machines;
+  claims = other310.claims;
+  audit = other310.audit;
+  answers = other310.answers;
+  next_group_id = other310.next_group_id;
+  clock_ms = other310.clock_ms;
+  oldest_delta_revision = other310.oldest_delta_revision;
+  history_digest = other310.history_digest;
+  __isset = other310.__isset;
   return *this;
 }
-ControlSnapshot& ControlSnapshot::operator=(ControlSnapshot&& other293) noexcept {
-  applied_index = other293.applied_index;
-  records = std::move(other293.records);
-  machines = std::move(other293.machines);
-  claims = std::move(other293.claims);
-  audit = std::move(other293.audit);
-  answers = std::move(other293.answers);
-  next_group_id = other293.next_group_id;
-  clock_ms = other293.clock_ms;
-  oldest_delta_revision = other293.oldest_delta_revision;
-  history_digest = other293.history_digest;
-  __isset = other293.__isset;
+ControlSnapshot& ControlSnapshot::operator=(ControlSnapshot&& other311) noexcept {
+  applied_index = other311.applied_index;
+  records = std::move(other311.records);
+  machines = std::move(other311.machines);
+  claims = std::move(other311.claims);
+  audit = std::move(other311.audit);
+  answers = std::move(other311.answers);
+  next_group_id = other311.next_group_id;
+  clock_ms = other311.clock_ms;
+  oldest_delta_revision = other311.oldest_delta_revision;
+  history_digest = other311.history_digest;
+  __isset = other311.__isset;
   return *this;
 }
 void ControlSnapshot::printTo(std::ostream& out) const {
@@ -8251,46 +8736,46 @@
   swap(a.__isset, b.__isset);
 }
 
-MachineSighting::MachineSighting(const MachineSighting& other294) {
-  machine = other294.machine;
-  incarnation = other294.incarnation;
-  seen_ago_ms = other294.seen_ago_ms;
-  group_id = other294.group_id;
-  epoch = other294.epoch;
-  loaded = other294.loaded;
-  load = other294.load;
-  __isset = other294.__isset;
-}
-MachineSighting::MachineSighting(MachineSighting&& other295) noexcept {
-  machine = std::move(other295.machine);
-  incarnation = other295.incarnation;
-  seen_ago_ms = other295.seen_ago_ms;
-  group_id = other295.group_id;
-  epoch = other295.epoch;
-  loaded = other295.loaded;
-  load = other295.load;
-  __isset = other295.__isset;
-}
-MachineSighting& MachineSighting::operator=(const MachineSighting& other296) {
-  machine = other296.machine;
-  incarnation = other296.incarnation;
-  seen_ago_ms = other296.seen_ago_ms;
-  group_id = other296.group_id;
-  epoch = other296.epoch;
-  loaded = other296.loaded;
-  load = other296.load;
-  __isset = other296.__isset;
+MachineSighting::MachineSighting(const MachineSighting& other312) {
+  machine = other312.machine;
+  incarnation = other312.incarnation;
+  seen_ago_ms = other312.seen_ago_ms;
+  group_id = other312.group_id;
+  epoch = other312.epoch;
+  loaded = other312.loaded;
+  load = other312.load;
+  __isset = other312.__isset;
+}
+MachineSighting::MachineSighting(MachineSighting&& other313) noexcept {
+  machine = std::move(other313.machine);
+  incarnation = other313.incarnation;
+  seen_ago_ms = other313.seen_ago_ms;
+  group_id = other313.group_id;
+  epoch = other313.epoch;
+  loaded = other313.loaded;
+  load = other313.load;
+  __isset = other313.__isset;
+}
+MachineSighting& MachineSighting::operator=(const MachineSighting& other314) {
+  machine = other314.machine;
+  incarnation = other314.incarnation;
+  seen_ago_ms = other314.seen_ago_ms;
+  group_id = other314.group_id;
+  epoch = other314.epoch;
+  loaded = other314.loaded;
+  load = other314.load;
+  __isset = other314.__isset;
   return *this;
 }
-MachineSighting& MachineSighting::operator=(MachineSighting&& other297) noexcept {
-  machine = std::move(other297.machine);
-  incarnation = other297.incarnation;
-  seen_ago_ms = other297.seen_ago_ms;
-  group_id = other297.group_id;
-  epoch = other297.epoch;
-  loaded = other297.loaded;
-  load = other297.load;
-  __isset = other297.__isset;
+MachineSighting& MachineSighting::operator=(MachineSighting&& other315) noexcept {
+  machine = std::move(other315.machine);
+  incarnation = other315.incarnation;
+  seen_ago_ms = other315.seen_ago_ms;
+  group_id = other315.group_id;
+  epoch = other315.epoch;
+  loaded = other315.loaded;
+  load = other315.load;
+  __isset = other315.__isset;
   return *this;
 }
 void MachineSighting::printTo(std::ostream& out) const {
@@ -8433,34 +8918,34 @@
   swap(a.__isset, b.__isset);
 }
 
-TenantDemand::TenantDemand(const TenantDemand& other298) {
-  tenant = other298.tenant;
-  running = other298.running;
-  waiting = other298.waiting;
-  held = other298.held;
-  __isset = other298.__isset;
-}
-TenantDemand::TenantDemand(TenantDemand&& other299) noexcept {
-  tenant = std::move(other299.tenant);
-  running = other299.running;
-  waiting = other299.waiting;
-  held = other299.held;
-  __isset = other299.__isset;
-}
-TenantDemand& TenantDemand::operator=(const TenantDemand& other300) {
-  tenant = other300.tenant;
-  running = other300.running;
-  waiting = other300.waiting;
-  held = other300.held;
-  __isset = other300.__isset;
+TenantDemand::TenantDemand(const TenantDemand& other316) {
+  tenant = other316.tenant;
+  running = other316.running;
+  waiting = other316.waiting;
+  held = other316.held;
+  __isset = other316.__isset;
+}
+TenantDemand::TenantDemand(TenantDemand&& other317) noexcept {
+  tenant = std::move(other317.tenant);
+  running = other317.running;
+  waiting = other317.waiting;
+  held = other317.held;
+  __isset = other317.__isset;
+}
+TenantDemand& TenantDemand::operator=(const TenantDemand& other318) {
+  tenant = other318.tenant;
+  running = other318.running;
+  waiting = other318.waiting;
+  held = other318.held;
+  __isset = other318.__isset;
   return *this;
 }
-TenantDemand& TenantDemand::operator=(TenantDemand&& other301) noexcept {
-  tenant = std::move(other301.tenant);
-  running = other301.running;
-  waiting = other301.waiting;
-  held = other301.held;
-  __isset = other301.__isset;
+TenantDemand& TenantDemand::operator=(TenantDemand&& other319) noexcept {
+  tenant = std::move(other319.tenant);
+  running = other319.running;
+  waiting = other319.waiting;
+  held = other319.held;
+  __isset = other319.__isset;
   return *this;
 }
 void TenantDemand::printTo(std::ostream& out) const {
@@ -8585,14 +9070,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->sightings.clear();
-            uint32_t _size302;
-            ::apache::thrift::protocol::TType _etype305;
-            xfer += iprot->readListBegin(_etype305, _size302);
-            this->sightings.resize(_size302);
-            uint32_t _i306;
-            for (_i306 = 0; _i306 < _size302; ++_i306)
+            uint32_t _size320;
+            ::apache::thrift::protocol::TType _etype323;
+            xfer += iprot->readListBegin(_etype323, _size320);
+            this->sightings.resize(_size320);
+            uint32_t _i324;
+            for (_i324 = 0; _i324 < _size320; ++_i324)
             {
-              xfer += this->sightings[_i306].read(iprot);
+              xfer += this->sightings[_i324].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -8605,14 +9090,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->demand.clear();
-            uint32_t _size307;
-            ::apache::thrift::protocol::TType _etype310;
-            xfer += iprot->readListBegin(_etype310, _size307);
-            this->demand.resize(_size307);
-            uint32_t _i311;
-            for (_i311 = 0; _i311 < _size307; ++_i311)
+            uint32_t _size325;
+            ::apache::thrift::protocol::TType _etype328;
+            xfer += iprot->readListBegin(_etype328, _size325);
+            this->demand.resize(_size325);
+            uint32_t _i329;
+            for (_i329 = 0; _i329 < _size325; ++_i329)
             {
-              xfer += this->demand[_i311].read(iprot);
+              xfer += this->demand[_i329].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -8697,10 +9182,10 @@
   xfer += oprot->writeFieldBegin("sightings", ::apache::thrift::protocol::T_LIST, 5);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->sightings.size()));
-    std::vector<MachineSighting> ::const_iterator _iter312;
-    for (_iter312 = this->sightings.begin(); _iter312 != this->sightings.end(); ++_iter312)
+    std::vector<MachineSighting> ::const_iterator _iter330;
+    for (_iter330 = this->sightings.begin(); _iter330 != this->sightings.end(); ++_iter330)
     {
-      xfer += (*_iter312).write(oprot);
+      xfer += (*_iter330).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -8709,10 +9194,10 @@
   xfer += oprot->writeFieldBegin("demand", ::apache::thrift::protocol::T_LIST, 6);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->demand.size()));
-    std::vector<TenantDemand> ::const_iterator _iter313;
-    for (_iter313 = this->demand.begin(); _iter313 != this->demand.end(); ++_iter313)
+    std::vector<TenantDemand> ::const_iterator _iter331;
+    for (_iter331 = this->demand.begin(); _iter331 != this->demand.end(); ++_iter331)
     {
-      xfer += (*_iter313).write(oprot);
+      xfer += (*_iter331).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -8759,62 +9244,62 @@
   swap(a.__isset, b.__isset);
 }
 
-Heartbeat::Heartbeat(const Heartbeat& other314) {
-  sequence = other314.sequence;
-  zone = other314.zone;
-  applied_revision = other314.applied_revision;
-  watch_version = other314.watch_version;
-  sightings = other314.sightings;
-  demand = other314.demand;
-  leaving = other314.leaving;
-  replica_id = other314.replica_id;
-  peer_address = other314.peer_address;
-  acknowledged_sequence = other314.acknowledged_sequence;
-  service_address = other314.service_address;
-  __isset = other314.__isset;
-}
-Heartbeat::Heartbeat(Heartbeat&& other315) noexcept {
-  sequence = other315.sequence;
-  zone = std::move(other315.zone);
-  applied_revision = other315.applied_revision;
-  watch_version = other315.watch_version;
-  sightings = std::move(other315.sightings);
-  demand = std::move(other315.demand);
-  leaving = other315.leaving;
-  replica_id = other315.replica_id;
-  peer_address = std::move(other315.peer_address);
-  acknowledged_sequence = other315.acknowledged_sequence;
-  service_address = std::move(other315.service_address);
-  __isset = other315.__isset;
-}
-Heartbeat& Heartbeat::operator=(const Heartbeat& other316) {
-  sequence = other316.sequence;
-  zone = other316.zone;
-  applied_revision = other316.applied_revision;
-  watch_version = other316.watch_version;
-  sightings = other316.sightings;
-  demand = other316.demand;
-  leaving = other316.leaving;
-  replica_id = other316.replica_id;
-  peer_address = other316.peer_address;
-  acknowledged_sequence = other316.acknowledged_sequence;
-  service_address = other316.service_address;
-  __isset = other316.__isset;
+Heartbeat::Heartbeat(const Heartbeat& other332) {
+  sequence = other332.sequence;
+  zone = other332.zone;
+  applied_revision = other332.applied_revision;
+  watch_version = other332.watch_version;
+  sightings = other332.sightings;
+  demand = other332.demand;
+  leaving = other332.leaving;
+  replica_id = other332.replica_id;
+  peer_address = other332.peer_address;
+  acknowledged_sequence = other332.acknowledged_sequence;
+  service_address = other332.service_address;
+  __isset = other332.__isset;
+}
+Heartbeat::Heartbeat(Heartbeat&& other333) noexcept {
+  sequence = other333.sequence;
+  zone = std::move(other333.zone);
+  applied_revision = other333.applied_revision;
+  watch_version = other333.watch_version;
+  sightings = std::move(other333.sightings);
+  demand = std::move(other333.demand);
+  leaving = other333.leaving;
+  replica_id = other333.replica_id;
+  peer_address = std::move(other333.peer_address);
+  acknowledged_sequence = other333.acknowledged_sequence;
+  service_address = std::move(other333.service_address);
+  __isset = other333.__isset;
+}
+Heartbeat& Heartbeat::operator=(const Heartbeat& other334) {
+  sequence = other334.sequence;
+  zone = other334.zone;
+  applied_revision = other334.applied_revision;
+  watch_version = other334.watch_version;
+  sightings = other334.sightings;
+  demand = other334.demand;
+  leaving = other334.leaving;
+  replica_id = other334.replica_id;
+  peer_address = other334.peer_address;
+  acknowledged_sequence = other334.acknowledged_sequence;
+  service_address = other334.service_address;
+  __isset = other334.__isset;
   return *this;
 }
-Heartbeat& Heartbeat::operator=(Heartbeat&& other317) noexcept {
-  sequence = other317.sequence;
-  zone = std::move(other317.zone);
-  applied_revision = other317.applied_revision;
-  watch_version = other317.watch_version;
-  sightings = std::move(other317.sightings);
-  demand = std::move(other317.demand);
-  leaving = other317.leaving;
-  replica_id = other317.replica_id;
-  peer_address = std::move(other317.peer_address);
-  acknowledged_sequence = other317.acknowledged_sequence;
-  service_address = std::move(other317.service_address);
-  __isset = other317.__isset;
+Heartbeat& Heartbeat::operator=(Heartbeat&& other335) noexcept {
+  sequence = other335.sequence;
+  zone = std::move(other335.zone);
+  applied_revision = other335.applied_revision;
+  watch_version = other335.watch_version;
+  sightings = std::move(other335.sightings);
+  demand = std::move(other335.demand);
+  leaving = other335.leaving;
+  replica_id = other335.replica_id;
+  peer_address = std::move(other335.peer_address);
+  acknowledged_sequence = other335.acknowledged_sequence;
+  service_address = std::move(other335.service_address);
+  __isset = other335.__isset;
   return *this;
 }
 void Heartbeat::printTo(std::ostream& out) const {
@@ -8944,30 +9429,30 @@
   swap(a.__isset, b.__isset);
 }
 
-GroupLease::GroupLease(const GroupLease& other318) noexcept {
-  group_id = other318.group_id;
-  epoch = other318.epoch;
-  load = other318.load;
-  __isset = other318.__isset;
+GroupLease::GroupLease(const GroupLease& other336) noexcept {
+  group_id = other336.group_id;
+  epoch = other336.epoch;
+  load = other336.load;
+  __isset = other336.__isset;
 }
-GroupLease::GroupLease(GroupLease&& other319) noexcept {
-  group_id = other319.group_id;
-  epoch = other319.epoch;
-  load = other319.load;
-  __isset = other319.__isset;
+GroupLease::GroupLease(GroupLease&& other337) noexcept {
+  group_id = other337.group_id;
+  epoch = other337.epoch;
+  load = other337.load;
+  __isset = other337.__isset;
 }
-GroupLease& GroupLease::operator=(const GroupLease& other320) noexcept {
-  group_id = other320.group_id;
-  epoch = other320.epoch;
-  load = other320.load;
-  __isset = other320.__isset;
+GroupLease& GroupLease::operator=(const GroupLease& other338) noexcept {
+  group_id = other338.group_id;
+  epoch = other338.epoch;
+  load = other338.load;
+  __isset = other338.__isset;
   return *this;
 }
-GroupLease& GroupLease::operator=(GroupLease&& other321) noexcept {
-  group_id = other321.group_id;
-  epoch = other321.epoch;
-  load = other321.load;
-  __isset = other321.__isset;
+GroupLease& GroupLease::operator=(GroupLease&& other339) noexcept {
+  group_id = other339.group_id;
+  epoch = other339.epoch;
+  load = other339.load;
+  __isset = other339.__isset;
   return *this;
 }
 void GroupLease::printTo(std::ostream& out) const {
@@ -9072,26 +9557,26 @@
   swap(a.__isset, b.__isset);
 }
 
-TenantBudget::TenantBudget(const TenantBudget& other322) {
-  tenant = other322.tenant;
-  concurrent = other322.concurrent;
-  __isset = other322.__isset;
+TenantBudget::TenantBudget(const TenantBudget& other340) {
+  tenant = other340.tenant;
+  concurrent = other340.concurrent;
+  __isset = other340.__isset;
 }
-TenantBudget::TenantBudget(TenantBudget&& other323) noexcept {
-  tenant = std::move(other323.tenant);
-  concurrent = other323.concurrent;
-  __isset = other323.__isset;
+TenantBudget::TenantBudget(TenantBudget&& other341) noexcept {
+  tenant = std::move(other341.tenant);
+  concurrent = other341.concurrent;
+  __isset = other341.__isset;
 }
-TenantBudget& TenantBudget::operator=(const TenantBudget& other324) {
-  tenant = other324.tenant;
-  concurrent = other324.concurrent;
-  __isset = other324.__isset;
+TenantBudget& TenantBudget::operator=(const TenantBudget& other342) {
+  tenant = other342.tenant;
+  concurrent = other342.concurrent;
+  __isset = other342.__isset;
   return *this;
 }
-TenantBudget& TenantBudget::operator=(TenantBudget&& other325) noexcept {
-  tenant = std::move(other325.tenant);
-  concurrent = other325.concurrent;
-  __isset = other325.__isset;
+TenantBudget& TenantBudget::operator=(TenantBudget&& other343) noexcept {
+  tenant = std::move(other343.tenant);
+  concurrent = other343.concurrent;
+  __isset = other343.__isset;
   return *this;
 }
 void TenantBudget::printTo(std::ostream& out) const {
@@ -9195,26 +9680,26 @@
   swap(a.__isset, b.__isset);
 }
 
-WatchTarget::WatchTarget(const WatchTarget& other326) {
-  machine = other326.machine;
-  endpoint = other326.endpoint;
-  __isset = other326.__isset;
+WatchTarget::WatchTarget(const WatchTarget& other344) {
+  machine = other344.machine;
+  endpoint = other344.endpoint;
+  __isset = other344.__isset;
 }
-WatchTarget::WatchTarget(WatchTarget&& other327) noexcept {
-  machine = std::move(other327.machine);
-  endpoint = std::move(other327.endpoint);
-  __isset = other327.__isset;
+WatchTarget::WatchTarget(WatchTarget&& other345) noexcept {
+  machine = std::move(other345.machine);
+  endpoint = std::move(other345.endpoint);
+  __isset = other345.__isset;
 }
-WatchTarget& WatchTarget::operator=(const WatchTarget& other328) {
-  machine = other328.machine;
-  endpoint = other328.endpoint;
-  __isset = other328.__isset;
+WatchTarget& WatchTarget::operator=(const WatchTarget& other346) {
+  machine = other346.machine;
+  endpoint = other346.endpoint;
+  __isset = other346.__isset;
   return *this;
 }
-WatchTarget& WatchTarget::operator=(WatchTarget&& other329) noexcept {
-  machine = std::move(other329.machine);
-  endpoint = std::move(other329.endpoint);
-  __isset = other329.__isset;
+WatchTarget& WatchTarget::operator=(WatchTarget&& other347) noexcept {
+  machine = std::move(other347.machine);
+  endpoint = std::move(other347.endpoint);
+  __isset = other347.__isset;
   return *this;
 }
 void WatchTarget::printTo(std::ostream& out) const {
@@ -9361,14 +9846,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->records.clear();
-            uint32_t _size330;
-            ::apache::thrift::protocol::TType _etype333;
-            xfer += iprot->readListBegin(_etype333, _size330);
-            this->records.resize(_size330);
-            uint32_t _i334;
-            for (_i334 = 0; _i334 < _size330; ++_i334)
+            uint32_t _size348;
+            ::apache::thrift::protocol::TType _etype351;
+            xfer += iprot->readListBegin(_etype351, _size348);
+            this->records.resize(_size348);
+            uint32_t _i352;
+            for (_i352 = 0; _i352 < _size348; ++_i352)
             {
-              xfer += this->records[_i334].read(iprot);
+              xfer += this->records[_i352].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -9389,14 +9874,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->leases.clear();
-            uint32_t _size335;
-            ::apache::thrift::protocol::TType _etype338;
-            xfer += iprot->readListBegin(_etype338, _size335);
-            this->leases.resize(_size335);
-            uint32_t _i339;
-            for (_i339 = 0; _i339 < _size335; ++_i339)
+            uint32_t _size353;
+            ::apache::thrift::protocol::TType _etype356;
+            xfer += iprot->readListBegin(_etype356, _size353);
+            this->leases.resize(_size353);
+            uint32_t _i357;
+            for (_i357 = 0; _i357 < _size353; ++_i357)
             {
-              xfer += this->leases[_i339].read(iprot);
+              xfer += this->leases[_i357].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -9409,14 +9894,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->budgets.clear();
-            uint32_t _size340;
-            ::apache::thrift::protocol::TType _etype343;
-            xfer += iprot->readListBegin(_etype343, _size340);
-            this->budgets.resize(_size340);
-            uint32_t _i344;
-            for (_i344 = 0; _i344 < _size340; ++_i344)
+            uint32_t _size358;
+            ::apache::thrift::protocol::TType _etype361;
+            xfer += iprot->readListBegin(_etype361, _size358);
+            this->budgets.resize(_size358);
+            uint32_t _i362;
+            for (_i362 = 0; _i362 < _size358; ++_i362)
             {
-              xfer += this->budgets[_i344].read(iprot);
+              xfer += this->budgets[_i362].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -9437,14 +9922,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->watches.clear();
-            uint32_t _size345;
-            ::apache::thrift::protocol::TType _etype348;
-            xfer += iprot->readListBegin(_etype348, _size345);
-            this->watches.resize(_size345);
-            uint32_t _i349;
-            for (_i349 = 0; _i349 < _size345; ++_i349)
+            uint32_t _size363;
+            ::apache::thrift::protocol::TType _etype366;
+            xfer += iprot->readListBegin(_etype366, _size363);
+            this->watches.resize(_size363);
+            uint32_t _i367;
+            for (_i367 = 0; _i367 < _size363; ++_i367)
             {
-              xfer += this->watches[_i349].read(iprot);
+              xfer += this->watches[_i367].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -9505,10 +9990,10 @@
   xfer += oprot->writeFieldBegin("records", ::apache::thrift::protocol::T_LIST, 7);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->records.size()));
-    std::vector<Record> ::const_iterator _iter350;
-    for (_iter350 = this->records.begin(); _iter350 != this->records.end(); ++_iter350)
+    std::vector<Record> ::const_iterator _iter368;
+    for (_iter368 = this->records.begin(); _iter368 != this->records.end(); ++_iter368)
     {
-      xfer += (*_iter350).write(oprot);
+      xfer += (*_iter368).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -9521,10 +10006,10 @@
   xfer += oprot->writeFieldBegin("leases", ::apache::thrift::protocol::T_LIST, 9);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->leases.size()));
-    std::vector<GroupLease> ::const_iterator _iter351;
-    for (_iter351 = this->leases.begin(); _iter351 != this->leases.end(); ++_iter351)
+    std::vector<GroupLease> ::const_iterator _iter369;
+    for (_iter369 = this->leases.begin(); _iter369 != this->leases.end(); ++_iter369)
     {
-      xfer += (*_iter351).write(oprot);
+      xfer += (*_iter369).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -9533,10 +10018,10 @@
   xfer += oprot->writeFieldBegin("budgets", ::apache::thrift::protocol::T_LIST, 10);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->budgets.size()));
-    std::vector<TenantBudget> ::const_iterator _iter352;
-    for (_iter352 = this->budgets.begin(); _iter352 != this->budgets.end(); ++_iter352)
+    std::vector<TenantBudget> ::const_iterator _iter370;
+    for (_iter370 = this->budgets.begin(); _iter370 != this->budgets.end(); ++_iter370)
     {
-      xfer += (*_iter352).write(oprot);
+      xfer += (*_iter370).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -9549,10 +10034,10 @@
   xfer += oprot->writeFieldBegin("watches", ::apache::thrift::protocol::T_LIST, 12);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->watches.size()));
-    std::vector<WatchTarget> ::const_iterator _iter353;
-    for (_iter353 = this->watches.begin(); _iter353 != this->watches.end(); ++_iter353)
+    std::vector<WatchTarget> ::const_iterator _iter371;
+    for (_iter371 = this->watches.begin(); _iter371 != this->watches.end(); ++_iter371)
     {
-      xfer += (*_iter353).write(oprot);
+      xfer += (*_iter371).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -9585,70 +10070,70 @@
   swap(a.__isset, b.__isset);
 }
 
-HeartbeatReply::HeartbeatReply(const HeartbeatReply& other354) {
-  sequence = other354.sequence;
-  not_leader = other354.not_leader;
-  leader = other354.leader;
-  term = other354.term;
-  revision = other354.revision;
-  full = other354.full;
-  records = other354.records;
-  lease_ms = other354.lease_ms;
-  leases = other354.leases;
-  budgets = other354.budgets;
-  watch_version = other354.watch_version;
-  watches = other354.watches;
-  serve_lease_ms = other354.serve_lease_ms;
-  __isset = other354.__isset;
-}
-HeartbeatReply::HeartbeatReply(HeartbeatReply&& other355) noexcept {
-  sequence = other355.sequence;
-  not_leader = other355.not_leader;
-  leader = std::move(other355.leader);
-  term = other355.term;
-  revision = other355.revision;
-  full = other355.full;
-  records = std::move(other355.records);
-  lease_ms = other355.lease_ms;
-  leases = std::move(other355.leases);
-  budgets = std::move(other355.budgets);
-  watch_version = other355.watch_version;
-  watches = std::move(other355.watches);
-  serve_lease_ms = other355.serve_lease_ms;
-  __isset = other355.__isset;
-}
-HeartbeatReply& HeartbeatReply::operator=(const HeartbeatReply& other356) {
-  sequence = other356.sequence;
-  not_leader = other356.not_leader;
-  leader = other356.leader;
-  term = other356.term;
-  revision = other356.revision;
-  full = other356.full;
-  records = other356.records;
-  lease_ms = other356.lease_ms;
-  leases = other356.leases;
-  budgets = other356.budgets;
-  watch_version = other356.watch_version;
-  watches = other356.watches;
-  serve_lease_ms = other356.serve_lease_ms;
-  __isset = other356.__isset;
+HeartbeatReply::HeartbeatReply(const HeartbeatReply& other372) {
+  sequence = other372.sequence;
+  not_leader = other372.not_leader;
+  leader = other372.leader;
+  term = other372.term;
+  revision = other372.revision;
+  full = other372.full;
+  records = other372.records;
+  lease_ms = other372.lease_ms;
+  leases = other372.leases;
+  budgets = other372.budgets;
+  watch_version = other372.watch_version;
+  watches = other372.watches;
+  serve_lease_ms = other372.serve_lease_ms;
+  __isset = other372.__isset;
+}
+HeartbeatReply::HeartbeatReply(HeartbeatReply&& other373) noexcept {
+  sequence = other373.sequence;
+  not_leader = other373.not_leader;
+  leader = std::move(other373.leader);
+  term = other373.term;
+  revision = other373.revision;
+  full = other373.full;
+  records = std::move(other373.records);
+  lease_ms = other373.lease_ms;
+  leases = std::move(other373.leases);
+  budgets = std::move(other373.budgets);
+  watch_version = other373.watch_version;
+  watches = std::move(other373.watches);
+  serve_lease_ms = other373.serve_lease_ms;
+  __isset = other373.__isset;
+}
+HeartbeatReply& HeartbeatReply::operator=(const HeartbeatReply& other374) {
+  sequence = other374.sequence;
+  not_leader = other374.not_leader;
+  leader = other374.leader;
+  term = other374.term;
+  revision = other374.revision;
+  full = other374.full;
+  records = other374.records;
+  lease_ms = other374.lease_ms;
+  leases = other374.leases;
+  budgets = other374.budgets;
+  watch_version = other374.watch_version;
+  watches = other374.watches;
+  serve_lease_ms = other374.serve_lease_ms;
+  __isset = other374.__isset;
   return *this;
 }
-HeartbeatReply& HeartbeatReply::operator=(HeartbeatReply&& other357) noexcept {
-  sequence = other357.sequence;
-  not_leader = other357.not_leader;
-  leader = std::move(other357.leader);
-  term = other357.term;
-  revision = other357.revision;
-  full = other357.full;
-  records = std::move(other357.records);
-  lease_ms = other357.lease_ms;
-  leases = std::move(other357.leases);
-  budgets = std::move(other357.budgets);
-  watch_version = other357.watch_version;
-  watches = std::move(other357.watches);
-  serve_lease_ms = other357.serve_lease_ms;
-  __isset = other357.__isset;
+HeartbeatReply& HeartbeatReply::operator=(HeartbeatReply&& other375) noexcept {
+  sequence = other375.sequence;
+  not_leader = other375.not_leader;
+  leader = std::move(other375.leader);
+  term = other375.term;
+  revision = other375.revision;
+  full = other375.full;
+  records = std::move(other375.records);
+  lease_ms = other375.lease_ms;
+  leases = std::move(other375.leases);
+  budgets = std::move(other375.budgets);
+  watch_version = other375.watch_version;
+  watches = std::move(other375.watches);
+  serve_lease_ms = other375.serve_lease_ms;
+  __isset = other375.__isset;
   return *this;
 }
 void HeartbeatReply::printTo(std::ostream& out) const {
@@ -9763,26 +10248,26 @@
   swap(a.__isset, b.__isset);
 }
 
-ClaimRequest::ClaimRequest(const ClaimRequest& other358) {
-  request_id = other358.request_id;
-  claim = other358.claim;
-  __isset = other358.__isset;
+ClaimRequest::ClaimRequest(const ClaimRequest& other376) {
+  request_id = other376.request_id;
+  claim = other376.claim;
+  __isset = other376.__isset;
 }
-ClaimRequest::ClaimRequest(ClaimRequest&& other359) noexcept {
-  request_id = other359.request_id;
-  claim = std::move(other359.claim);
-  __isset = other359.__isset;
+ClaimRequest::ClaimRequest(ClaimRequest&& other377) noexcept {
+  request_id = other377.request_id;
+  claim = std::move(other377.claim);
+  __isset = other377.__isset;
 }
-ClaimRequest& ClaimRequest::operator=(const ClaimRequest& other360) {
-  request_id = other360.request_id;
-  claim = other360.claim;
-  __isset = other360.__isset;
+ClaimRequest& ClaimRequest::operator=(const ClaimRequest& other378) {
+  request_id = other378.request_id;
+  claim = other378.claim;
+  __isset = other378.__isset;
   return *this;
 }
-ClaimRequest& ClaimRequest::operator=(ClaimRequest&& other361) noexcept {
-  request_id = other361.request_id;
-  claim = std::move(other361.claim);
-  __isset = other361.__isset;
+ClaimRequest& ClaimRequest::operator=(ClaimRequest&& other379) noexcept {
+  request_id = other379.request_id;
+  claim = std::move(other379.claim);
+  __isset = other379.__isset;
   return *this;
 }
 void ClaimRequest::printTo(std::ostream& out) const {
@@ -9937,38 +10422,38 @@
   swap(a.__isset, b.__isset);
 }
 
-ClaimReply::ClaimReply(const ClaimReply& other362) {
-  request_id = other362.request_id;
-  decided = other362.decided;
-  granted = other362.granted;
-  standing = other362.standing;
-  message = other362.message;
-  __isset = other362.__isset;
-}
-ClaimReply::ClaimReply(ClaimReply&& other363) noexcept {
-  request_id = other363.request_id;
-  decided = other363.decided;
-  granted = other363.granted;
-  standing = std::move(other363.standing);
-  message = std::move(other363.message);
-  __isset = other363.__isset;
-}
-ClaimReply& ClaimReply::operator=(const ClaimReply& other364) {
-  request_id = other364.request_id;
-  decided = other364.decided;
-  granted = other364.granted;
-  standing = other364.standing;
-  message = other364.message;
-  __isset = other364.__isset;
+ClaimReply::ClaimReply(const ClaimReply& other380) {
+  request_id = other380.request_id;
+  decided = other380.decided;
+  granted = other380.granted;
+  standing = other380.standing;
+  message = other380.message;
+  __isset = other380.__isset;
+}
+ClaimReply::ClaimReply(ClaimReply&& other381) noexcept {
+  request_id = other381.request_id;
+  decided = other381.decided;
+  granted = other381.granted;
+  standing = std::move(other381.standing);
+  message = std::move(other381.message);
+  __isset = other381.__isset;
+}
+ClaimReply& ClaimReply::operator=(const ClaimReply& other382) {
+  request_id = other382.request_id;
+  decided = other382.decided;
+  granted = other382.granted;
+  standing = other382.standing;
+  message = other382.message;
+  __isset = other382.__isset;
   return *this;
 }
-ClaimReply& ClaimReply::operator=(ClaimReply&& other365) noexcept {
-  request_id = other365.request_id;
-  decided = other365.decided;
-  granted = other365.granted;
-  standing = std::move(other365.standing);
-  message = std::move(other365.message);
-  __isset = other365.__isset;
+ClaimReply& ClaimReply::operator=(ClaimReply&& other383) noexcept {
+  request_id = other383.request_id;
+  decided = other383.decided;
+  granted = other383.granted;
+  standing = std::move(other383.standing);
+  message = std::move(other383.message);
+  __isset = other383.__isset;
   return *this;
 }
 void ClaimReply::printTo(std::ostream& out) const {
@@ -10075,26 +10560,26 @@
   swap(a.__isset, b.__isset);
 }
 
-ResolutionRequest::ResolutionRequest(const ResolutionRequest& other366) {
-  request_id = other366.request_id;
-  resolution = other366.resolution;
-  __isset = other366.__isset;
+ResolutionRequest::ResolutionRequest(const ResolutionRequest& other384) {
+  request_id = other384.request_id;
+  resolution = other384.resolution;
+  __isset = other384.__isset;
 }
-ResolutionRequest::ResolutionRequest(ResolutionRequest&& other367) noexcept {
-  request_id = other367.request_id;
-  resolution = std::move(other367.resolution);
-  __isset = other367.__isset;
+ResolutionRequest::ResolutionRequest(ResolutionRequest&& other385) noexcept {
+  request_id = other385.request_id;
+  resolution = std::move(other385.resolution);
+  __isset = other385.__isset;
 }
-ResolutionRequest& ResolutionRequest::operator=(const ResolutionRequest& other368) {
-  request_id = other368.request_id;
-  resolution = other368.resolution;
-  __isset = other368.__isset;
+ResolutionRequest& ResolutionRequest::operator=(const ResolutionRequest& other386) {
+  request_id = other386.request_id;
+  resolution = other386.resolution;
+  __isset = other386.__isset;
   return *this;
 }
-ResolutionRequest& ResolutionRequest::operator=(ResolutionRequest&& other369) noexcept {
-  request_id = other369.request_id;
-  resolution = std::move(other369.resolution);
-  __isset = other369.__isset;
+ResolutionRequest& ResolutionRequest::operator=(ResolutionRequest&& other387) noexcept {
+  request_id = other387.request_id;
+  resolution = std::move(other387.resolution);
+  __isset = other387.__isset;
   return *this;
 }
 void ResolutionRequest::printTo(std::ostream& out) const {
@@ -10181,22 +10666,22 @@
   swap(a.__isset, b.__isset);
 }
 
-ResolutionReply::ResolutionReply(const ResolutionReply& other370) noexcept {
-  request_id = other370.request_id;
-  __isset = other370.__isset;
+ResolutionReply::ResolutionReply(const ResolutionReply& other388) noexcept {
+  request_id = other388.request_id;
+  __isset = other388.__isset;
 }
-ResolutionReply::ResolutionReply(ResolutionReply&& other371) noexcept {
-  request_id = other371.request_id;
-  __isset = other371.__isset;
+ResolutionReply::ResolutionReply(ResolutionReply&& other389) noexcept {
+  request_id = other389.request_id;
+  __isset = other389.__isset;
 }
-ResolutionReply& ResolutionReply::operator=(const ResolutionReply& other372) noexcept {
-  request_id = other372.request_id;
-  __isset = other372.__isset;
+ResolutionReply& ResolutionReply::operator=(const ResolutionReply& other390) noexcept {
+  request_id = other390.request_id;
+  __isset = other390.__isset;
   return *this;
 }
-ResolutionReply& ResolutionReply::operator=(ResolutionReply&& other373) noexcept {
-  request_id = other373.request_id;
-  __isset = other373.__isset;
+ResolutionReply& ResolutionReply::operator=(ResolutionReply&& other391) noexcept {
+  request_id = other391.request_id;
+  __isset = other391.__isset;
   return *this;
 }
 void ResolutionReply::printTo(std::ostream& out) const {
@@ -10278,9 +10763,9 @@
         break;
       case 2:
         if (ftype == ::apache::thrift::protocol::T_I32) {
-          int32_t ecast374;
-          xfer += iprot->readI32(ecast374);
-          this->action = static_cast<OperatorAction::type>(ecast374);
+          int32_t ecast392;
+          xfer += iprot->readI32(ecast392);
+          this->action = static_cast<OperatorAction::type>(ecast392);
           this->__isset.action = true;
         } else {
           xfer += iprot->skip(ftype);
@@ -10390,46 +10875,46 @@
   swap(a.__isset, b.__isset);
 }
 
-OperatorRequest::OperatorRequest(const OperatorRequest& other375) {
-  request_id = other375.request_id;
-  action = other375.action;
-  change = other375.change;
-  dry_run = other375.dry_run;
-  prefix = other375.prefix;
-  drain = other375.drain;
-  minimum_revision = other375.minimum_revision;
-  __isset = other375.__isset;
-}
-OperatorRequest::OperatorRequest(OperatorRequest&& other376) noexcept {
-  request_id = other376.request_id;
-  action = other376.action;
-  change = std::move(other376.change);
-  dry_run = other376.dry_run;
-  prefix = std::move(other376.prefix);
-  drain = std::move(other376.drain);
-  minimum_revision = other376.minimum_revision;
-  __isset = other376.__isset;
-}
-OperatorRequest& OperatorRequest::operator=(const OperatorRequest& other377) {
-  request_id = other377.request_id;
-  action = other377.action;
-  change = other377.change;
-  dry_run = other377.dry_run;
-  prefix = other377.prefix;
-  drain = other377.drain;
-  minimum_revision = other377.minimum_revision;
-  __isset = other377.__isset;
+OperatorRequest::OperatorRequest(const OperatorRequest& other393) {
+  request_id = other393.request_id;
+  action = other393.action;
+  change = other393.change;
+  dry_run = other393.dry_run;
+  prefix = other393.prefix;
+  drain = other393.drain;
+  minimum_revision = other393.minimum_revision;
+  __isset = other393.__isset;
+}
+OperatorRequest::OperatorRequest(OperatorRequest&& other394) noexcept {
+  request_id = other394.request_id;
+  action = other394.action;
+  change = std::move(other394.change);
+  dry_run = other394.dry_run;
+  prefix = std::move(other394.prefix);
+  drain = std::move(other394.drain);
+  minimum_revision = other394.minimum_revision;
+  __isset = other394.__isset;
+}
+OperatorRequest& OperatorRequest::operator=(const OperatorRequest& other395) {
+  request_id = other395.request_id;
+  action = other395.action;
+  change = other395.change;
+  dry_run = other395.dry_run;
+  prefix = other395.prefix;
+  drain = other395.drain;
+  minimum_revision = other395.minimum_revision;
+  __isset = other395.__isset;
   return *this;
 }
-OperatorRequest& OperatorRequest::operator=(OperatorRequest&& other378) noexcept {
-  request_id = other378.request_id;
-  action = other378.action;
-  change = std::move(other378.change);
-  dry_run = other378.dry_run;
-  prefix = std::move(other378.prefix);
-  drain = std::move(other378.drain);
-  minimum_revision = other378.minimum_revision;
-  __isset = other378.__isset;
+OperatorRequest& OperatorRequest::operator=(OperatorRequest&& other396) noexcept {
+  request_id = other396.request_id;
+  action = other396.action;
+  change = std::move(other396.change);
+  dry_run = other396.dry_run;
+  prefix = std::move(other396.prefix);
+  drain = std::move(other396.drain);
+  minimum_revision = other396.minimum_revision;
+  __isset = other396.__isset;
   return *this;
 }
 void OperatorRequest::printTo(std::ostream& out) const {
@@ -10640,50 +11125,50 @@
   swap(a.__isset, b.__isset);
 }
 
-NodeStatus::NodeStatus(const NodeStatus& other379) {
-  node = other379.node;
-  zone = other379.zone;
-  incarnation = other379.incarnation;
-  revision = other379.revision;
-  live = other379.live;
-  leaving = other379.leaving;
-  replica_id = other379.replica_id;
-  service_address = other379.service_address;
-  __isset = other379.__isset;
-}
-NodeStatus::NodeStatus(NodeStatus&& other380) noexcept {
-  node = std::move(other380.node);
-  zone = std::move(other380.zone);
-  incarnation = other380.incarnation;
-  revision = other380.revision;
-  live = other380.live;
-  leaving = other380.leaving;
-  replica_id = other380.replica_id;
-  service_address = std::move(other380.service_address);
-  __isset = other380.__isset;
-}
-NodeStatus& NodeStatus::operator=(const NodeStatus& other381) {
-  node = other381.node;
-  zone = other381.zone;
-  incarnation = other381.incarnation;
-  revision = other381.revision;
-  live = other381.live;
-  leaving = other381.leaving;
-  replica_id = other381.replica_id;
-  service_address = other381.service_address;
-  __isset = other381.__isset;
+NodeStatus::NodeStatus(const NodeStatus& other397) {
+  node = other397.node;
+  zone = other397.zone;
+  incarnation = other397.incarnation;
+  revision = other397.revision;
+  live = other397.live;
+  leaving = other397.leaving;
+  replica_id = other397.replica_id;
+  service_address = other397.service_address;
+  __isset = other397.__isset;
+}
+NodeStatus::NodeStatus(NodeStatus&& other398) noexcept {
+  node = std::move(other398.node);
+  zone = std::move(other398.zone);
+  incarnation = other398.incarnation;
+  revision = other398.revision;
+  live = other398.live;
+  leaving = other398.leaving;
+  replica_id = other398.replica_id;
+  service_address = std::move(other398.service_address);
+  __isset = other398.__isset;
+}
+NodeStatus& NodeStatus::operator=(const NodeStatus& other399) {
+  node = other399.node;
+  zone = other399.zone;
+  incarnation = other399.incarnation;
+  revision = other399.revision;
+  live = other399.live;
+  leaving = other399.leaving;
+  replica_id = other399.replica_id;
+  service_address = other399.service_address;
+  __isset = other399.__isset;
   return *this;
 }
-NodeStatus& NodeStatus::operator=(NodeStatus&& other382) noexcept {
-  node = std::move(other382.node);
-  zone = std::move(other382.zone);
-  incarnation = other382.incarnation;
-  revision = other382.revision;
-  live = other382.live;
-  leaving = other382.leaving;
-  replica_id = other382.replica_id;
-  service_address = std::move(other382.service_address);
-  __isset = other382.__isset;
+NodeStatus& NodeStatus::operator=(NodeStatus&& other400) noexcept {
+  node = std::move(other400.node);
+  zone = std::move(other400.zone);
+  incarnation = other400.incarnation;
+  revision = other400.revision;
+  live = other400.live;
+  leaving = other400.leaving;
+  replica_id = other400.replica_id;
+  service_address = std::move(other400.service_address);
+  __isset = other400.__isset;
   return *this;
 }
 void NodeStatus::printTo(std::ostream& out) const {
@@ -10800,14 +11285,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->nodes.clear();
-            uint32_t _size383;
-            ::apache::thrift::protocol::TType _etype386;
-            xfer += iprot->readListBegin(_etype386, _size383);
-            this->nodes.resize(_size383);
-            uint32_t _i387;
-            for (_i387 = 0; _i387 < _size383; ++_i387)
+            uint32_t _size401;
+            ::apache::thrift::protocol::TType _etype404;
+            xfer += iprot->readListBegin(_etype404, _size401);
+            this->nodes.resize(_size401);
+            uint32_t _i405;
+            for (_i405 = 0; _i405 < _size401; ++_i405)
             {
-              xfer += this->nodes[_i387].read(iprot);
+              xfer += this->nodes[_i405].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -10820,14 +11305,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->machines.clear();
-            uint32_t _size388;
-            ::apache::thrift::protocol::TType _etype391;
-            xfer += iprot->readListBegin(_etype391, _size388);
-            this->machines.resize(_size388);
-            uint32_t _i392;
-            for (_i392 = 0; _i392 < _size388; ++_i392)
+            uint32_t _size406;
+            ::apache::thrift::protocol::TType _etype409;
+            xfer += iprot->readListBegin(_etype409, _size406);
+            this->machines.resize(_size406);
+            uint32_t _i410;
+            for (_i410 = 0; _i410 < _size406; ++_i410)
             {
-              xfer += this->machines[_i392].read(iprot);
+              xfer += this->machines[_i410].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -10840,14 +11325,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->groups.clear();
-            uint32_t _size393;
-            ::apache::thrift::protocol::TType _etype396;
-            xfer += iprot->readListBegin(_etype396, _size393);
-            this->groups.resize(_size393);
-            uint32_t _i397;
-            for (_i397 = 0; _i397 < _size393; ++_i397)
+            uint32_t _size411;
+            ::apache::thrift::protocol::TType _etype414;
+            xfer += iprot->readListBegin(_etype414, _size411);
+            this->groups.resize(_size411);
+            uint32_t _i415;
+            for (_i415 = 0; _i415 < _size411; ++_i415)
             {
-              xfer += this->groups[_i397].read(iprot);
+              xfer += this->groups[_i415].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -10900,10 +11385,10 @@
   xfer += oprot->writeFieldBegin("nodes", ::apache::thrift::protocol::T_LIST, 5);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->nodes.size()));
-    std::vector<NodeStatus> ::const_iterator _iter398;
-    for (_iter398 = this->nodes.begin(); _iter398 != this->nodes.end(); ++_iter398)
+    std::vector<NodeStatus> ::const_iterator _iter416;
+    for (_iter416 = this->nodes.begin(); _iter416 != this->nodes.end(); ++_iter416)
     {
-      xfer += (*_iter398).write(oprot);
+      xfer += (*_iter416).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -10912,10 +11397,10 @@
   xfer += oprot->writeFieldBegin("machines", ::apache::thrift::protocol::T_LIST, 6);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->machines.size()));
-    std::vector<Machine> ::const_iterator _iter399;
-    for (_iter399 = this->machines.begin(); _iter399 != this->machines.end(); ++_iter399)
+    std::vector<Machine> ::const_iterator _iter417;
+    for (_iter417 = this->machines.begin(); _iter417 != this->machines.end(); ++_iter417)
     {
-      xfer += (*_iter399).write(oprot);
+      xfer += (*_iter417).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -10924,10 +11409,10 @@
   xfer += oprot->writeFieldBegin("groups", ::apache::thrift::protocol::T_LIST, 7);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->groups.size()));
-    std::vector<Group> ::const_iterator _iter400;
-    for (_iter400 = this->groups.begin(); _iter400 != this->groups.end(); ++_iter400)
+    std::vector<Group> ::const_iterator _iter418;
+    for (_iter418 = this->groups.begin(); _iter418 != this->groups.end(); ++_iter418)
     {
-      xfer += (*_iter400).write(oprot);
+      xfer += (*_iter418).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -10955,50 +11440,50 @@
   swap(a.__isset, b.__isset);
 }
 
-StatusReport::StatusReport(const StatusReport& other401) {
-  leader = other401.leader;
-  term = other401.term;
-  commit_index = other401.commit_index;
-  replicas = other401.replicas;
-  nodes = other401.nodes;
-  machines = other401.machines;
-  groups = other401.groups;
-  stranded_accelerators = other401.stranded_accelerators;
-  __isset = other401.__isset;
-}
-StatusReport::StatusReport(StatusReport&& other402) noexcept {
-  leader = std::move(other402.leader);
-  term = other402.term;
-  commit_index = other402.commit_index;
-  replicas = std::move(other402.replicas);
-  nodes = std::move(other402.nodes);
-  machines = std::move(other402.machines);
-  groups = std::move(other402.groups);
-  stranded_accelerators = other402.stranded_accelerators;
-  __isset = other402.__isset;
-}
-StatusReport& StatusReport::operator=(const StatusReport& other403) {
-  leader = other403.leader;
-  term = other403.term;
-  commit_index = other403.commit_index;
-  replicas = other403.replicas;
-  nodes = other403.nodes;
-  machines = other403.machines;
-  groups = other403.groups;
-  stranded_accelerators = other403.stranded_accelerators;
-  __isset = other403.__isset;
+StatusReport::StatusReport(const StatusReport& other419) {
+  leader = other419.leader;
+  term = other419.term;
+  commit_index = other419.commit_index;
+  replicas = other419.replicas;
+  nodes = other419.nodes;
+  machines = other419.machines;
+  groups = other419.groups;
+  stranded_accelerators = other419.stranded_accelerators;
+  __isset = other419.__isset;
+}
+StatusReport::StatusReport(StatusReport&& other420) noexcept {
+  leader = std::move(other420.leader);
+  term = other420.term;
+  commit_index = other420.commit_index;
+  replicas = std::move(other420.replicas);
+  nodes = std::move(other420.nodes);
+  machines = std::move(other420.machines);
+  groups = std::move(other420.groups);
+  stranded_accelerators = other420.stranded_accelerators;
+  __isset = other420.__isset;
+}
+StatusReport& StatusReport::operator=(const StatusReport& other421) {
+  leader = other421.leader;
+  term = other421.term;
+  commit_index = other421.commit_index;
+  replicas = other421.replicas;
+  nodes = other421.nodes;
+  machines = other421.machines;
+  groups = other421.groups;
+  stranded_accelerators = other421.stranded_accelerators;
+  __isset = other421.__isset;
   return *this;
 }
-StatusReport& StatusReport::operator=(StatusReport&& other404) noexcept {
-  leader = std::move(other404.leader);
-  term = other404.term;
-  commit_index = other404.commit_index;
-  replicas = std::move(other404.replicas);
-  nodes = std::move(other404.nodes);
-  machines = std::move(other404.machines);
-  groups = std::move(other404.groups);
-  stranded_accelerators = other404.stranded_accelerators;
-  __isset = other404.__isset;
+StatusReport& StatusReport::operator=(StatusReport&& other422) noexcept {
+  leader = std::move(other422.leader);
+  term = other422.term;
+  commit_index = other422.commit_index;
+  replicas = std::move(other422.replicas);
+  nodes = std::move(other422.nodes);
+  machines = std::move(other422.machines);
+  groups = std::move(other422.groups);
+  stranded_accelerators = other422.stranded_accelerators;
+  __isset = other422.__isset;
   return *this;
 }
 void StatusReport::printTo(std::ostream& out) const {
@@ -11128,14 +11613,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->missing_nodes.clear();
-            uint32_t _size405;
-            ::apache::thrift::protocol::TType _etype408;
-            xfer += iprot->readListBegin(_etype408, _size405);
-            this->missing_nodes.resize(_size405);
-            uint32_t _i409;
-            for (_i409 = 0; _i409 < _size405; ++_i409)
+            uint32_t _size423;
+            ::apache::thrift::protocol::TType _etype426;
+            xfer += iprot->readListBegin(_etype426, _size423);
+            this->missing_nodes.resize(_size423);
+            uint32_t _i427;
+            for (_i427 = 0; _i427 < _size423; ++_i427)
             {
-              xfer += iprot->readString(this->missing_nodes[_i409]);
+              xfer += iprot->readString(this->missing_nodes[_i427]);
             }
             xfer += iprot->readListEnd();
           }
@@ -11148,14 +11633,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->records.clear();
-            uint32_t _size410;
-            ::apache::thrift::protocol::TType _etype413;
-            xfer += iprot->readListBegin(_etype413, _size410);
-            this->records.resize(_size410);
-            uint32_t _i414;
-            for (_i414 = 0; _i414 < _size410; ++_i414)
+            uint32_t _size428;
+            ::apache::thrift::protocol::TType _etype431;
+            xfer += iprot->readListBegin(_etype431, _size428);
+            this->records.resize(_size428);
+            uint32_t _i432;
+            for (_i432 = 0; _i432 < _size428; ++_i432)
             {
-              xfer += this->records[_i414].read(iprot);
+              xfer += this->records[_i432].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -11168,14 +11653,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->audit.clear();
-            uint32_t _size415;
-            ::apache::thrift::protocol::TType _etype418;
-            xfer += iprot->readListBegin(_etype418, _size415);
-            this->audit.resize(_size415);
-            uint32_t _i419;
-            for (_i419 = 0; _i419 < _size415; ++_i419)
+            uint32_t _size433;
+            ::apache::thrift::protocol::TType _etype436;
+            xfer += iprot->readListBegin(_etype436, _size433);
+            this->audit.resize(_size433);
+            uint32_t _i437;
+            for (_i437 = 0; _i437 < _size433; ++_i437)
             {
-              xfer += this->audit[_i419].read(iprot);
+              xfer += this->audit[_i437].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -11232,10 +11717,10 @@
   xfer += oprot->writeFieldBegin("missing_nodes", ::apache::thrift::protocol::T_LIST, 6);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->missing_nodes.size()));
-    std::vector<std::string> ::const_iterator _iter420;
-    for (_iter420 = this->missing_nodes.begin(); _iter420 != this->missing_nodes.end(); ++_iter420)
+    std::vector<std::string> ::const_iterator _iter438;
+    for (_iter438 = this->missing_nodes.begin(); _iter438 != this->missing_nodes.end(); ++_iter438)
     {
-      xfer += oprot->writeString((*_iter420));
+      xfer += oprot->writeString((*_iter438));
     }
     xfer += oprot->writeListEnd();
   }
@@ -11244,10 +11729,10 @@
   xfer += oprot->writeFieldBegin("records", ::apache::thrift::protocol::T_LIST, 7);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->records.size()));
-    std::vector<Record> ::const_iterator _iter421;
-    for (_iter421 = this->records.begin(); _iter421 != this->records.end(); ++_iter421)
+    std::vector<Record> ::const_iterator _iter439;
+    for (_iter439 = this->records.begin(); _iter439 != this->records.end(); ++_iter439)
     {
-      xfer += (*_iter421).write(oprot);
+      xfer += (*_iter439).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -11256,10 +11741,10 @@
   xfer += oprot->writeFieldBegin("audit", ::apache::thrift::protocol::T_LIST, 8);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->audit.size()));
-    std::vector<AuditRecord> ::const_iterator _iter422;
-    for (_iter422 = this->audit.begin(); _iter422 != this->audit.end(); ++_iter422)
+    std::vector<AuditRecord> ::const_iterator _iter440;
+    for (_iter440 = this->audit.begin(); _iter440 != this->audit.end(); ++_iter440)
     {
-      xfer += (*_iter422).write(oprot);
+      xfer += (*_iter440).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -11289,54 +11774,54 @@
   swap(a.__isset, b.__isset);
 }
 
-OperatorReply::OperatorReply(const OperatorReply& other423) {
-  request_id = other423.request_id;
-  not_leader = other423.not_leader;
-  leader = other423.leader;
-  answer = other423.answer;
-  in_force = other423.in_force;
-  missing_nodes = other423.missing_nodes;
-  records = other423.records;
-  audit = other423.audit;
-  status = other423.status;
-  __isset = other423.__isset;
-}
-OperatorReply::OperatorReply(OperatorReply&& other424) noexcept {
-  request_id = other424.request_id;
-  not_leader = other424.not_leader;
-  leader = std::move(other424.leader);
-  answer = std::move(other424.answer);
-  in_force = other424.in_force;
-  missing_nodes = std::move(other424.missing_nodes);
-  records = std::move(other424.records);
-  audit = std::move(other424.audit);
-  status = std::move(other424.status);
-  __isset = other424.__isset;
-}
-OperatorReply& OperatorReply::operator=(const OperatorReply& other425) {
-  request_id = other425.request_id;
-  not_leader = other425.not_leader;
-  leader = other425.leader;
-  answer = other425.answer;
-  in_force = other425.in_force;
-  missing_nodes = other425.missing_nodes;
-  records = other425.records;
-  audit = other425.audit;
-  status = other425.status;
-  __isset = other425.__isset;
+OperatorReply::OperatorReply(const OperatorReply& other441) {
+  request_id = other441.request_id;
+  not_leader = other441.not_leader;
+  leader = other441.leader;
+  answer = other441.answer;
+  in_force = other441.in_force;
+  missing_nodes = other441.missing_nodes;
+  records = other441.records;
+  audit = other441.audit;
+  status = other441.status;
+  __isset = other441.__isset;
+}
+OperatorReply::OperatorReply(OperatorReply&& other442) noexcept {
+  request_id = other442.request_id;
+  not_leader = other442.not_leader;
+  leader = std::move(other442.leader);
+  answer = std::move(other442.answer);
+  in_force = other442.in_force;
+  missing_nodes = std::move(other442.missing_nodes);
+  records = std::move(other442.records);
+  audit = std::move(other442.audit);
+  status = std::move(other442.status);
+  __isset = other442.__isset;
+}
+OperatorReply& OperatorReply::operator=(const OperatorReply& other443) {
+  request_id = other443.request_id;
+  not_leader = other443.not_leader;
+  leader = other443.leader;
+  answer = other443.answer;
+  in_force = other443.in_force;
+  missing_nodes = other443.missing_nodes;
+  records = other443.records;
+  audit = other443.audit;
+  status = other443.status;
+  __isset = other443.__isset;
   return *this;
 }
-OperatorReply& OperatorReply::operator=(OperatorReply&& other426) noexcept {
-  request_id = other426.request_id;
-  not_leader = other426.not_leader;
-  leader = std::move(other426.leader);
-  answer = std::move(other426.answer);
-  in_force = other426.in_force;
-  missing_nodes = std::move(other426.missing_nodes);
-  records = std::move(other426.records);
-  audit = std::move(other426.audit);
-  status = std::move(other426.status);
-  __isset = other426.__isset;
+OperatorReply& OperatorReply::operator=(OperatorReply&& other444) noexcept {
+  request_id = other444.request_id;
+  not_leader = other444.not_leader;
+  leader = std::move(other444.leader);
+  answer = std::move(other444.answer);
+  in_force = other444.in_force;
+  missing_nodes = std::move(other444.missing_nodes);
+  records = std::move(other444.records);
+  audit = std::move(other444.audit);
+  status = std::move(other444.status);
+  __isset = other444.__isset;
   return *this;
 }
 void OperatorReply::printTo(std::ostream& out) const {
@@ -11428,9 +11913,9 @@
         break;
       case 4:
         if (ftype == ::apache::thrift::protocol::T_I32) {
-          int32_t ecast427;
-          xfer += iprot->readI32(ecast427);
-          this->state = static_cast<MembershipState::type>(ecast427);
+          int32_t ecast445;
+          xfer += iprot->readI32(ecast445);
+          this->state = static_cast<MembershipState::type>(ecast445);
           this->__isset.state = true;
         } else {
           xfer += iprot->skip(ftype);
@@ -11483,34 +11968,34 @@
   swap(a.__isset, b.__isset);
 }
 
-GroupMembership::GroupMembership(const GroupMembership& other428) {
-  group = other428.group;
-  epoch = other428.epoch;
-  rank = other428.rank;
-  state = other428.state;
-  __isset = other428.__isset;
-}
-GroupMembership::GroupMembership(GroupMembership&& other429) noexcept {
-  group = std::move(other429.group);
-  epoch = other429.epoch;
-  rank = other429.rank;
-  state = other429.state;
-  __isset = other429.__isset;
-}
-GroupMembership& GroupMembership::operator=(const GroupMembership& other430) {
-  group = other430.group;
-  epoch = other430.epoch;
-  rank = other430.rank;
-  state = other430.state;
-  __isset = other430.__isset;
+GroupMembership::GroupMembership(const GroupMembership& other446) {
+  group = other446.group;
+  epoch = other446.epoch;
+  rank = other446.rank;
+  state = other446.state;
+  __isset = other446.__isset;
+}
+GroupMembership::GroupMembership(GroupMembership&& other447) noexcept {
+  group = std::move(other447.group);
+  epoch = other447.epoch;
+  rank = other447.rank;
+  state = other447.state;
+  __isset = other447.__isset;
+}
+GroupMembership& GroupMembership::operator=(const GroupMembership& other448) {
+  group = other448.group;
+  epoch = other448.epoch;
+  rank = other448.rank;
+  state = other448.state;
+  __isset = other448.__isset;
   return *this;
 }
-GroupMembership& GroupMembership::operator=(GroupMembership&& other431) noexcept {
-  group = std::move(other431.group);
-  epoch = other431.epoch;
-  rank = other431.rank;
-  state = other431.state;
-  __isset = other431.__isset;
+GroupMembership& GroupMembership::operator=(GroupMembership&& other449) noexcept {
+  group = std::move(other449.group);
+  epoch = other449.epoch;
+  rank = other449.rank;
+  state = other449.state;
+  __isset = other449.__isset;
   return *this;
 }
 void GroupMembership::printTo(std::ostream& out) const {
@@ -11579,6 +12064,14 @@
 void Instance::__set_born_ms(const int64_t val) {
   this->born_ms = val;
 }
+
+void Instance::__set_cold_left_ms(const int32_t val) {
+  this->cold_left_ms = val;
+}
+
+void Instance::__set_cold(const bool val) {
+  this->cold = val;
+}
 std::ostream& operator<<(std::ostream& out, const Instance& obj)
 {
   obj.printTo(out);
@@ -11649,9 +12142,9 @@
         break;
       case 6:
         if (ftype == ::apache::thrift::protocol::T_I32) {
-          int32_t ecast432;
-          xfer += iprot->readI32(ecast432);
-          this->state = static_cast<InstanceState::type>(ecast432);
+          int32_t ecast450;
+          xfer += iprot->readI32(ecast450);
+          this->state = static_cast<InstanceState::type>(ecast450);
           this->__isset.state = true;
         } else {
           xfer += iprot->skip(ftype);
@@ -11677,14 +12170,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->staged_models.clear();
-            uint32_t _size433;
-            ::apache::thrift::protocol::TType _etype436;
-            xfer += iprot->readListBegin(_etype436, _size433);
-            this->staged_models.resize(_size433);
-            uint32_t _i437;
-            for (_i437 = 0; _i437 < _size433; ++_i437)
+            uint32_t _size451;
+            ::apache::thrift::protocol::TType _etype454;
+            xfer += iprot->readListBegin(_etype454, _size451);
+            this->staged_models.resize(_size451);
+            uint32_t _i455;
+            for (_i455 = 0; _i455 < _size451; ++_i455)
             {
-              xfer += iprot->readString(this->staged_models[_i437]);
+              xfer += iprot->readString(this->staged_models[_i455]);
             }
             xfer += iprot->readListEnd();
           }
@@ -11725,6 +12218,22 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 14:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->cold_left_ms);
+          this->__isset.cold_left_ms = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 15:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->cold);
+          this->__isset.cold = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -11777,10 +12286,10 @@
   xfer += oprot->writeFieldBegin("staged_models", ::apache::thrift::protocol::T_LIST, 9);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->staged_models.size()));
-    std::vector<std::string> ::const_iterator _iter438;
-    for (_iter438 = this->staged_models.begin(); _iter438 != this->staged_models.end(); ++_iter438)
+    std::vector<std::string> ::const_iterator _iter456;
+    for (_iter456 = this->staged_models.begin(); _iter456 != this->staged_models.end(); ++_iter456)
     {
-      xfer += oprot->writeString((*_iter438));
+      xfer += oprot->writeString((*_iter456));
     }
     xfer += oprot->writeListEnd();
   }
@@ -11802,6 +12311,14 @@
   xfer += oprot->writeI64(this->born_ms);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("cold_left_ms", ::apache::thrift::protocol::T_I32, 14);
+  xfer += oprot->writeI32(this->cold_left_ms);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("cold", ::apache::thrift::protocol::T_BOOL, 15);
+  xfer += oprot->writeBool(this->cold);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -11822,73 +12339,83 @@
   swap(a.silent, b.silent);
   swap(a.model, b.model);
   swap(a.born_ms, b.born_ms);
+  swap(a.cold_left_ms, b.cold_left_ms);
+  swap(a.cold, b.cold);
   swap(a.__isset, b.__isset);
 }
 
-Instance::Instance(const Instance& other439) {
-  id = other439.id;
-  service_name = other439.service_name;
-  address = other439.address;
-  zone = other439.zone;
-  domain = other439.domain;
-  state = other439.state;
-  slots = other439.slots;
-  call_number = other439.call_number;
-  staged_models = other439.staged_models;
-  membership = other439.membership;
-  silent = other439.silent;
-  model = other439.model;
-  born_ms = other439.born_ms;
-  __isset = other439.__isset;
-}
-Instance::Instance(Instance&& other440) noexcept {
-  id = std::move(other440.id);
-  service_name = std::move(other440.service_name);
-  address = std::move(other440.address);
-  zone = std::move(other440.zone);
-  domain = std::move(other440.domain);
-  state = other440.state;
-  slots = other440.slots;
-  call_number = other440.call_number;
-  staged_models = std::move(other440.staged_models);
-  membership = std::move(other440.membership);
-  silent = other440.silent;
-  model = std::move(other440.model);
-  born_ms = other440.born_ms;
-  __isset = other440.__isset;
-}
-Instance& Instance::operator=(const Instance& other441) {
-  id = other441.id;
-  service_name = other441.service_name;
-  address = other441.address;
-  zone = other441.zone;
-  domain = other441.domain;
-  state = other441.state;
-  slots = other441.slots;
-  call_number = other441.call_number;
-  staged_models = other441.staged_models;
-  membership = other441.membership;
-  silent = other441.silent;
-  model = other441.model;
-  born_ms = other441.born_ms;
-  __isset = other441.__isset;
+Instance::Instance(const Instance& other457) {
+  id = other457.id;
+  service_name = other457.service_name;
+  address = other457.address;
+  zone = other457.zone;
+  domain = other457.domain;
+  state = other457.state;
+  slots = other457.slots;
+  call_number = other457.call_number;
+  staged_models = other457.staged_models;
+  membership = other457.membership;
+  silent = other457.silent;
+  model = other457.model;
+  born_ms = other457.born_ms;
+  cold_left_ms = other457.cold_left_ms;
+  cold = other457.cold;
+  __isset = other457.__isset;
+}
+Instance::Instance(Instance&& other458) noexcept {
+  id = std::move(other458.id);
+  service_name = std::move(other458.service_name);
+  address = std::move(other458.address);
+  zone = std::move(other458.zone);
+  domain = std::move(other458.domain);
+  state = other458.state;
+  slots = other458.slots;
+  call_number = other458.call_number;
+  staged_models = std::move(other458.staged_models);
+  membership = std::move(other458.membership);
+  silent = other458.silent;
+  model = std::move(other458.model);
+  born_ms = other458.born_ms;
+  cold_left_ms = other458.cold_left_ms;
+  cold = other458.cold;
+  __isset = other458.__isset;
+}
+Instance& Instance::operator=(const Instance& other459) {
+  id = other459.id;
+  service_name = other459.service_name;
+  address = other459.address;
+  zone = other459.zone;
+  domain = other459.domain;
+  state = other459.state;
+  slots = other459.slots;
+  call_number = other459.call_number;
+  staged_models = other459.staged_models;
+  membership = other459.membership;
+  silent = other459.silent;
+  model = other459.model;
+  born_ms = other459.born_ms;
+  cold_left_ms = other459.cold_left_ms;
+  cold = other459.cold;
+  __isset = other459.__isset;
   return *this;
 }
-Instance& Instance::operator=(Instance&& other442) noexcept {
-  id = std::move(other442.id);
-  service_name = std::move(other442.service_name);
-  address = std::move(other442.address);
-  zone = std::move(other442.zone);
-  domain = std::move(other442.domain);
-  state = other442.state;
-  slots = other442.slots;
-  call_number = other442.call_number;
-  staged_models = std::move(other442.staged_models);
-  membership = std::move(other442.membership);
-  silent = other442.silent;
-  model = std::move(other442.model);
-  born_ms = other442.born_ms;
-  __isset = other442.__isset;
+Instance& Instance::operator=(Instance&& other460) noexcept {
+  id = std::move(other460.id);
+  service_name = std::move(other460.service_name);
+  address = std::move(other460.address);
+  zone = std::move(other460.zone);
+  domain = std::move(other460.domain);
+  state = other460.state;
+  slots = other460.slots;
+  call_number = other460.call_number;
+  staged_models = std::move(other460.staged_models);
+  membership = std::move(other460.membership);
+  silent = other460.silent;
+  model = std::move(other460.model);
+  born_ms = other460.born_ms;
+  cold_left_ms = other460.cold_left_ms;
+  cold = other460.cold;
+  __isset = other460.__isset;
   return *this;
 }
 void Instance::printTo(std::ostream& out) const {
@@ -11907,6 +12434,8 @@
   out << ", " << "silent=" << to_string(silent);
   out << ", " << "model=" << to_string(model);
   out << ", " << "born_ms=" << to_string(born_ms);
+  out << ", " << "cold_left_ms=" << to_string(cold_left_ms);
+  out << ", " << "cold=" << to_string(cold);
   out << ")";
 }
 
@@ -11942,6 +12471,10 @@
 void EngineGroup::__set_member_born_ms(const std::vector<int64_t> & val) {
   this->member_born_ms = val;
 }
+
+void EngineGroup::__set_zones(const std::vector<std::string> & val) {
+  this->zones = val;
+}
 std::ostream& operator<<(std::ostream& out, const EngineGroup& obj)
 {
   obj.printTo(out);
@@ -12006,14 +12539,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->members.clear();
-            uint32_t _size443;
-            ::apache::thrift::protocol::TType _etype446;
-            xfer += iprot->readListBegin(_etype446, _size443);
-            this->members.resize(_size443);
-            uint32_t _i447;
-            for (_i447 = 0; _i447 < _size443; ++_i447)
+            uint32_t _size461;
+            ::apache::thrift::protocol::TType _etype464;
+            xfer += iprot->readListBegin(_etype464, _size461);
+            this->members.resize(_size461);
+            uint32_t _i465;
+            for (_i465 = 0; _i465 < _size461; ++_i465)
             {
-              xfer += iprot->readString(this->members[_i447]);
+              xfer += iprot->readString(this->members[_i465]);
             }
             xfer += iprot->readListEnd();
           }
@@ -12024,9 +12557,9 @@
         break;
       case 6:
         if (ftype == ::apache::thrift::protocol::T_I32) {
-          int32_t ecast448;
-          xfer += iprot->readI32(ecast448);
-          this->phase = static_cast<GroupPhase::type>(ecast448);
+          int32_t ecast466;
+          xfer += iprot->readI32(ecast466);
+          this->phase = static_cast<GroupPhase::type>(ecast466);
           this->__isset.phase = true;
         } else {
           xfer += iprot->skip(ftype);
@@ -12036,14 +12569,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->member_born_ms.clear();
-            uint32_t _size449;
-            ::apache::thrift::protocol::TType _etype452;
-            xfer += iprot->readListBegin(_etype452, _size449);
-            this->member_born_ms.resize(_size449);
-            uint32_t _i453;
-            for (_i453 = 0; _i453 < _size449; ++_i453)
+            uint32_t _size467;
+            ::apache::thrift::protocol::TType _etype470;
+            xfer += iprot->readListBegin(_etype470, _size467);
+            this->member_born_ms.resize(_size467);
+            uint32_t _i471;
+            for (_i471 = 0; _i471 < _size467; ++_i471)
             {
-              xfer += iprot->readI64(this->member_born_ms[_i453]);
+              xfer += iprot->readI64(this->member_born_ms[_i471]);
             }
             xfer += iprot->readListEnd();
           }
@@ -12052,6 +12585,26 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 8:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->zones.clear();
+            uint32_t _size472;
+            ::apache::thrift::protocol::TType _etype475;
+            xfer += iprot->readListBegin(_etype475, _size472);
+            this->zones.resize(_size472);
+            uint32_t _i476;
+            for (_i476 = 0; _i476 < _size472; ++_i476)
+            {
+              xfer += iprot->readString(this->zones[_i476]);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.zones = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -12088,10 +12641,10 @@
   xfer += oprot->writeFieldBegin("members", ::apache::thrift::protocol::T_LIST, 5);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->members.size()));
-    std::vector<std::string> ::const_iterator _iter454;
-    for (_iter454 = this->members.begin(); _iter454 != this->members.end(); ++_iter454)
+    std::vector<std::string> ::const_iterator _iter477;
+    for (_iter477 = this->members.begin(); _iter477 != this->members.end(); ++_iter477)
     {
-      xfer += oprot->writeString((*_iter454));
+      xfer += oprot->writeString((*_iter477));
     }
     xfer += oprot->writeListEnd();
   }
