@@ -12104,10 +12657,22 @@
   xfer += oprot->writeFieldBegin("member_born_ms", ::apache::thrift::protocol::T_LIST, 7);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I64, static_cast<uint32_t>(this->member_born_ms.size()));
-    std::vector<int64_t> ::const_iterator _iter455;
-    for (_iter455 = this->member_born_ms.begin(); _iter455 != this->member_born_ms.end(); ++_iter455)
+    std::vector<int64_t> ::const_iterator _iter478;
+    for (_iter478 = this->member_born_ms.begin(); _iter478 != this->member_born_ms.end(); ++_iter478)
+    {
+      xfer += oprot->writeI64((*_iter478));
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("zones", ::apache::thrift::protocol::T_LIST, 8);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->zones.size()));
+    std::vector<std::string> ::const_iterator _iter479;
+    for (_iter479 = this->zones.begin(); _iter479 != this->zones.end(); ++_iter479)
     {
-      xfer += oprot->writeI64((*_iter455));
+      xfer += oprot->writeString((*_iter479));
     }
     xfer += oprot->writeListEnd();
   }
@@ -12127,49 +12692,54 @@
   swap(a.members, b.members);
   swap(a.phase, b.phase);
   swap(a.member_born_ms, b.member_born_ms);
+  swap(a.zones, b.zones);
   swap(a.__isset, b.__isset);
 }
 
-EngineGroup::EngineGroup(const EngineGroup& other456) {
-  name = other456.name;
-  epoch = other456.epoch;
-  service_name = other456.service_name;
-  model = other456.model;
-  members = other456.members;
-  phase = other456.phase;
-  member_born_ms = other456.member_born_ms;
-  __isset = other456.__isset;
-}
-EngineGroup::EngineGroup(EngineGroup&& other457) noexcept {
-  name = std::move(other457.name);
-  epoch = other457.epoch;
-  service_name = std::move(other457.service_name);
-  model = std::move(other457.model);
-  members = std::move(other457.members);
-  phase = other457.phase;
-  member_born_ms = std::move(other457.member_born_ms);
-  __isset = other457.__isset;
-}
-EngineGroup& EngineGroup::operator=(const EngineGroup& other458) {
-  name = other458.name;
-  epoch = other458.epoch;
-  service_name = other458.service_name;
-  model = other458.model;
-  members = other458.members;
-  phase = other458.phase;
-  member_born_ms = other458.member_born_ms;
-  __isset = other458.__isset;
+EngineGroup::EngineGroup(const EngineGroup& other480) {
+  name = other480.name;
+  epoch = other480.epoch;
+  service_name = other480.service_name;
+  model = other480.model;
+  members = other480.members;
+  phase = other480.phase;
+  member_born_ms = other480.member_born_ms;
+  zones = other480.zones;
+  __isset = other480.__isset;
+}
+EngineGroup::EngineGroup(EngineGroup&& other481) noexcept {
+  name = std::move(other481.name);
+  epoch = other481.epoch;
+  service_name = std::move(other481.service_name);
+  model = std::move(other481.model);
+  members = std::move(other481.members);
+  phase = other481.phase;
+  member_born_ms = std::move(other481.member_born_ms);
+  zones = std::move(other481.zones);
+  __isset = other481.__isset;
+}
+EngineGroup& EngineGroup::operator=(const EngineGroup& other482) {
+  name = other482.name;
+  epoch = other482.epoch;
+  service_name = other482.service_name;
+  model = other482.model;
+  members = other482.members;
+  phase = other482.phase;
+  member_born_ms = other482.member_born_ms;
+  zones = other482.zones;
+  __isset = other482.__isset;
   return *this;
 }
-EngineGroup& EngineGroup::operator=(EngineGroup&& other459) noexcept {
-  name = std::move(other459.name);
-  epoch = other459.epoch;
-  service_name = std::move(other459.service_name);
-  model = std::move(other459.model);
-  members = std::move(other459.members);
-  phase = other459.phase;
-  member_born_ms = std::move(other459.member_born_ms);
-  __isset = other459.__isset;
+EngineGroup& EngineGroup::operator=(EngineGroup&& other483) noexcept {
+  name = std::move(other483.name);
+  epoch = other483.epoch;
+  service_name = std::move(other483.service_name);
+  model = std::move(other483.model);
+  members = std::move(other483.members);
+  phase = other483.phase;
+  member_born_ms = std::move(other483.member_born_ms);
+  zones = std::move(other483.zones);
+  __isset = other483.__isset;
   return *this;
 }
 void EngineGroup::printTo(std::ostream& out) const {
@@ -12182,6 +12752,7 @@
   out << ", " << "members=" << to_string(members);
   out << ", " << "phase=" << to_string(phase);
   out << ", " << "member_born_ms=" << to_string(member_born_ms);
+  out << ", " << "zones=" << to_string(zones);
   out << ")";
 }
 
@@ -12312,34 +12883,34 @@
   swap(a.__isset, b.__isset);
 }
 
-BlockedRequest::BlockedRequest(const BlockedRequest& other460) noexcept {
-  fingerprint = other460.fingerprint;
-  trials = other460.trials;
-  trial_due = other460.trial_due;
-  wait_ms = other460.wait_ms;
-  __isset = other460.__isset;
+BlockedRequest::BlockedRequest(const BlockedRequest& other484) noexcept {
+  fingerprint = other484.fingerprint;
+  trials = other484.trials;
+  trial_due = other484.trial_due;
+  wait_ms = other484.wait_ms;
+  __isset = other484.__isset;
 }
-BlockedRequest::BlockedRequest(BlockedRequest&& other461) noexcept {
-  fingerprint = other461.fingerprint;
-  trials = other461.trials;
-  trial_due = other461.trial_due;
-  wait_ms = other461.wait_ms;
-  __isset = other461.__isset;
-}
-BlockedRequest& BlockedRequest::operator=(const BlockedRequest& other462) noexcept {
-  fingerprint = other462.fingerprint;
-  trials = other462.trials;
-  trial_due = other462.trial_due;
-  wait_ms = other462.wait_ms;
-  __isset = other462.__isset;
+BlockedRequest::BlockedRequest(BlockedRequest&& other485) noexcept {
+  fingerprint = other485.fingerprint;
+  trials = other485.trials;
+  trial_due = other485.trial_due;
+  wait_ms = other485.wait_ms;
+  __isset = other485.__isset;
+}
+BlockedRequest& BlockedRequest::operator=(const BlockedRequest& other486) noexcept {
+  fingerprint = other486.fingerprint;
+  trials = other486.trials;
+  trial_due = other486.trial_due;
+  wait_ms = other486.wait_ms;
+  __isset = other486.__isset;
   return *this;
 }
-BlockedRequest& BlockedRequest::operator=(BlockedRequest&& other463) noexcept {
-  fingerprint = other463.fingerprint;
-  trials = other463.trials;
-  trial_due = other463.trial_due;
-  wait_ms = other463.wait_ms;
-  __isset = other463.__isset;
+BlockedRequest& BlockedRequest::operator=(BlockedRequest&& other487) noexcept {
+  fingerprint = other487.fingerprint;
+  trials = other487.trials;
+  trial_due = other487.trial_due;
+  wait_ms = other487.wait_ms;
+  __isset = other487.__isset;
   return *this;
 }
 void BlockedRequest::printTo(std::ostream& out) const {
@@ -12424,14 +12995,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->instances.clear();
-            uint32_t _size464;
-            ::apache::thrift::protocol::TType _etype467;
-            xfer += iprot->readListBegin(_etype467, _size464);
-            this->instances.resize(_size464);
-            uint32_t _i468;
-            for (_i468 = 0; _i468 < _size464; ++_i468)
+            uint32_t _size488;
+            ::apache::thrift::protocol::TType _etype491;
+            xfer += iprot->readListBegin(_etype491, _size488);
+            this->instances.resize(_size488);
+            uint32_t _i492;
+            for (_i492 = 0; _i492 < _size488; ++_i492)
             {
-              xfer += this->instances[_i468].read(iprot);
+              xfer += this->instances[_i492].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -12444,14 +13015,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->groups.clear();
-            uint32_t _size469;
-            ::apache::thrift::protocol::TType _etype472;
-            xfer += iprot->readListBegin(_etype472, _size469);
-            this->groups.resize(_size469);
-            uint32_t _i473;
-            for (_i473 = 0; _i473 < _size469; ++_i473)
+            uint32_t _size493;
+            ::apache::thrift::protocol::TType _etype496;
+            xfer += iprot->readListBegin(_etype496, _size493);
+            this->groups.resize(_size493);
+            uint32_t _i497;
+            for (_i497 = 0; _i497 < _size493; ++_i497)
             {
-              xfer += this->groups[_i473].read(iprot);
+              xfer += this->groups[_i497].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -12464,14 +13035,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->blocked_requests.clear();
-            uint32_t _size474;
-            ::apache::thrift::protocol::TType _etype477;
-            xfer += iprot->readListBegin(_etype477, _size474);
-            this->blocked_requests.resize(_size474);
-            uint32_t _i478;
-            for (_i478 = 0; _i478 < _size474; ++_i478)
+            uint32_t _size498;
+            ::apache::thrift::protocol::TType _etype501;
+            xfer += iprot->readListBegin(_etype501, _size498);
+            this->blocked_requests.resize(_size498);
+            uint32_t _i502;
+            for (_i502 = 0; _i502 < _size498; ++_i502)
             {
-              xfer += this->blocked_requests[_i478].read(iprot);
+              xfer += this->blocked_requests[_i502].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -12508,10 +13079,10 @@
   xfer += oprot->writeFieldBegin("instances", ::apache::thrift::protocol::T_LIST, 3);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->instances.size()));
-    std::vector<Instance> ::const_iterator _iter479;
-    for (_iter479 = this->instances.begin(); _iter479 != this->instances.end(); ++_iter479)
+    std::vector<Instance> ::const_iterator _iter503;
+    for (_iter503 = this->instances.begin(); _iter503 != this->instances.end(); ++_iter503)
     {
-      xfer += (*_iter479).write(oprot);
+      xfer += (*_iter503).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -12520,10 +13091,10 @@
   xfer += oprot->writeFieldBegin("groups", ::apache::thrift::protocol::T_LIST, 4);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->groups.size()));
-    std::vector<EngineGroup> ::const_iterator _iter480;
-    for (_iter480 = this->groups.begin(); _iter480 != this->groups.end(); ++_iter480)
+    std::vector<EngineGroup> ::const_iterator _iter504;
+    for (_iter504 = this->groups.begin(); _iter504 != this->groups.end(); ++_iter504)
     {
-      xfer += (*_iter480).write(oprot);
+      xfer += (*_iter504).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -12532,10 +13103,10 @@
   xfer += oprot->writeFieldBegin("blocked_requests", ::apache::thrift::protocol::T_LIST, 5);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->blocked_requests.size()));
-    std::vector<BlockedRequest> ::const_iterator _iter481;
-    for (_iter481 = this->blocked_requests.begin(); _iter481 != this->blocked_requests.end(); ++_iter481)
+    std::vector<BlockedRequest> ::const_iterator _iter505;
+    for (_iter505 = this->blocked_requests.begin(); _iter505 != this->blocked_requests.end(); ++_iter505)
     {
-      xfer += (*_iter481).write(oprot);
+      xfer += (*_iter505).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -12556,38 +13127,38 @@
   swap(a.__isset, b.__isset);
 }
 
-FleetState::FleetState(const FleetState& other482) {
-  term = other482.term;
-  version = other482.version;
-  instances = other482.instances;
-  groups = other482.groups;
-  blocked_requests = other482.blocked_requests;
-  __isset = other482.__isset;
-}
-FleetState::FleetState(FleetState&& other483) noexcept {
-  term = other483.term;
-  version = other483.version;
-  instances = std::move(other483.instances);
-  groups = std::move(other483.groups);
-  blocked_requests = std::move(other483.blocked_requests);
-  __isset = other483.__isset;
-}
-FleetState& FleetState::operator=(const FleetState& other484) {
-  term = other484.term;
-  version = other484.version;
-  instances = other484.instances;
-  groups = other484.groups;
-  blocked_requests = other484.blocked_requests;
-  __isset = other484.__isset;
+FleetState::FleetState(const FleetState& other506) {
+  term = other506.term;
+  version = other506.version;
+  instances = other506.instances;
+  groups = other506.groups;
+  blocked_requests = other506.blocked_requests;
+  __isset = other506.__isset;
+}
+FleetState::FleetState(FleetState&& other507) noexcept {
+  term = other507.term;
+  version = other507.version;
+  instances = std::move(other507.instances);
+  groups = std::move(other507.groups);
+  blocked_requests = std::move(other507.blocked_requests);
+  __isset = other507.__isset;
+}
+FleetState& FleetState::operator=(const FleetState& other508) {
+  term = other508.term;
+  version = other508.version;
+  instances = other508.instances;
+  groups = other508.groups;
+  blocked_requests = other508.blocked_requests;
+  __isset = other508.__isset;
   return *this;
 }
-FleetState& FleetState::operator=(FleetState&& other485) noexcept {
-  term = other485.term;
-  version = other485.version;
-  instances = std::move(other485.instances);
-  groups = std::move(other485.groups);
-  blocked_requests = std::move(other485.blocked_requests);
-  __isset = other485.__isset;
+FleetState& FleetState::operator=(FleetState&& other509) noexcept {
+  term = other509.term;
+  version = other509.version;
+  instances = std::move(other509.instances);
+  groups = std::move(other509.groups);
+  blocked_requests = std::move(other509.blocked_requests);
+  __isset = other509.__isset;
   return *this;
 }
 void FleetState::printTo(std::ostream& out) const {
@@ -12697,14 +13268,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->instances.clear();
-            uint32_t _size486;
-            ::apache::thrift::protocol::TType _etype489;
-            xfer += iprot->readListBegin(_etype489, _size486);
-            this->instances.resize(_size486);
-            uint32_t _i490;
-            for (_i490 = 0; _i490 < _size486; ++_i490)
+            uint32_t _size510;
+            ::apache::thrift::protocol::TType _etype513;
+            xfer += iprot->readListBegin(_etype513, _size510);
+            this->instances.resize(_size510);
+            uint32_t _i514;
+            for (_i514 = 0; _i514 < _size510; ++_i514)
             {
-              xfer += this->instances[_i490].read(iprot);
+              xfer += this->instances[_i514].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -12717,14 +13288,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->removed_instances.clear();
-            uint32_t _size491;
-            ::apache::thrift::protocol::TType _etype494;
-            xfer += iprot->readListBegin(_etype494, _size491);
-            this->removed_instances.resize(_size491);
-            uint32_t _i495;
-            for (_i495 = 0; _i495 < _size491; ++_i495)
+            uint32_t _size515;
+            ::apache::thrift::protocol::TType _etype518;
+            xfer += iprot->readListBegin(_etype518, _size515);
+            this->removed_instances.resize(_size515);
+            uint32_t _i519;
+            for (_i519 = 0; _i519 < _size515; ++_i519)
             {
-              xfer += iprot->readString(this->removed_instances[_i495]);
+              xfer += iprot->readString(this->removed_instances[_i519]);
             }
             xfer += iprot->readListEnd();
           }
@@ -12737,14 +13308,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->groups.clear();
-            uint32_t _size496;
-            ::apache::thrift::protocol::TType _etype499;
-            xfer += iprot->readListBegin(_etype499, _size496);
-            this->groups.resize(_size496);
-            uint32_t _i500;
-            for (_i500 = 0; _i500 < _size496; ++_i500)
+            uint32_t _size520;
+            ::apache::thrift::protocol::TType _etype523;
+            xfer += iprot->readListBegin(_etype523, _size520);
+            this->groups.resize(_size520);
+            uint32_t _i524;
+            for (_i524 = 0; _i524 < _size520; ++_i524)
             {
-              xfer += this->groups[_i500].read(iprot);
+              xfer += this->groups[_i524].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -12757,14 +13328,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->removed_groups.clear();
-            uint32_t _size501;
-            ::apache::thrift::protocol::TType _etype504;
-            xfer += iprot->readListBegin(_etype504, _size501);
-            this->removed_groups.resize(_size501);
-            uint32_t _i505;
-            for (_i505 = 0; _i505 < _size501; ++_i505)
+            uint32_t _size525;
+            ::apache::thrift::protocol::TType _etype528;
+            xfer += iprot->readListBegin(_etype528, _size525);
+            this->removed_groups.resize(_size525);
+            uint32_t _i529;
+            for (_i529 = 0; _i529 < _size525; ++_i529)
             {
-              xfer += iprot->readString(this->removed_groups[_i505]);
+              xfer += iprot->readString(this->removed_groups[_i529]);
             }
             xfer += iprot->readListEnd();
           }
@@ -12777,14 +13348,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->blocked_requests.clear();
-            uint32_t _size506;
-            ::apache::thrift::protocol::TType _etype509;
-            xfer += iprot->readListBegin(_etype509, _size506);
-            this->blocked_requests.resize(_size506);
-            uint32_t _i510;
-            for (_i510 = 0; _i510 < _size506; ++_i510)
+            uint32_t _size530;
+            ::apache::thrift::protocol::TType _etype533;
+            xfer += iprot->readListBegin(_etype533, _size530);
+            this->blocked_requests.resize(_size530);
+            uint32_t _i534;
+            for (_i534 = 0; _i534 < _size530; ++_i534)
             {
-              xfer += this->blocked_requests[_i510].read(iprot);
+              xfer += this->blocked_requests[_i534].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -12797,14 +13368,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->removed_blocked_requests.clear();
-            uint32_t _size511;
-            ::apache::thrift::protocol::TType _etype514;
-            xfer += iprot->readListBegin(_etype514, _size511);
-            this->removed_blocked_requests.resize(_size511);
-            uint32_t _i515;
-            for (_i515 = 0; _i515 < _size511; ++_i515)
+            uint32_t _size535;
+            ::apache::thrift::protocol::TType _etype538;
+            xfer += iprot->readListBegin(_etype538, _size535);
+            this->removed_blocked_requests.resize(_size535);
+            uint32_t _i539;
+            for (_i539 = 0; _i539 < _size535; ++_i539)
             {
-              xfer += iprot->readI64(this->removed_blocked_requests[_i515]);
+              xfer += iprot->readI64(this->removed_blocked_requests[_i539]);
             }
             xfer += iprot->readListEnd();
           }
@@ -12845,10 +13416,10 @@
   xfer += oprot->writeFieldBegin("instances", ::apache::thrift::protocol::T_LIST, 4);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->instances.size()));
-    std::vector<Instance> ::const_iterator _iter516;
-    for (_iter516 = this->instances.begin(); _iter516 != this->instances.end(); ++_iter516)
+    std::vector<Instance> ::const_iterator _iter540;
+    for (_iter540 = this->instances.begin(); _iter540 != this->instances.end(); ++_iter540)
     {
-      xfer += (*_iter516).write(oprot);
+      xfer += (*_iter540).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -12857,10 +13428,10 @@
   xfer += oprot->writeFieldBegin("removed_instances", ::apache::thrift::protocol::T_LIST, 5);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->removed_instances.size()));
-    std::vector<std::string> ::const_iterator _iter517;
-    for (_iter517 = this->removed_instances.begin(); _iter517 != this->removed_instances.end(); ++_iter517)
+    std::vector<std::string> ::const_iterator _iter541;
+    for (_iter541 = this->removed_instances.begin(); _iter541 != this->removed_instances.end(); ++_iter541)
     {
-      xfer += oprot->writeString((*_iter517));
+      xfer += oprot->writeString((*_iter541));
     }
     xfer += oprot->writeListEnd();
   }
@@ -12869,10 +13440,10 @@
   xfer += oprot->writeFieldBegin("groups", ::apache::thrift::protocol::T_LIST, 6);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->groups.size()));
-    std::vector<EngineGroup> ::const_iterator _iter518;
-    for (_iter518 = this->groups.begin(); _iter518 != this->groups.end(); ++_iter518)
+    std::vector<EngineGroup> ::const_iterator _iter542;
+    for (_iter542 = this->groups.begin(); _iter542 != this->groups.end(); ++_iter542)
     {
-      xfer += (*_iter518).write(oprot);
+      xfer += (*_iter542).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -12881,10 +13452,10 @@
   xfer += oprot->writeFieldBegin("removed_groups", ::apache::thrift::protocol::T_LIST, 7);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->removed_groups.size()));
-    std::vector<std::string> ::const_iterator _iter519;
-    for (_iter519 = this->removed_groups.begin(); _iter519 != this->removed_groups.end(); ++_iter519)
+    std::vector<std::string> ::const_iterator _iter543;
+    for (_iter543 = this->removed_groups.begin(); _iter543 != this->removed_groups.end(); ++_iter543)
     {
-      xfer += oprot->writeString((*_iter519));
+      xfer += oprot->writeString((*_iter543));
     }
     xfer += oprot->writeListEnd();
   }
@@ -12893,10 +13464,10 @@
   xfer += oprot->writeFieldBegin("blocked_requests", ::apache::thrift::protocol::T_LIST, 8);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->blocked_requests.size()));
-    std::vector<BlockedRequest> ::const_iterator _iter520;
-    for (_iter520 = this->blocked_requests.begin(); _iter520 != this->blocked_requests.end(); ++_iter520)
+    std::vector<BlockedRequest> ::const_iterator _iter544;
+    for (_iter544 = this->blocked_requests.begin(); _iter544 != this->blocked_requests.end(); ++_iter544)
     {
-      xfer += (*_iter520).write(oprot);
+      xfer += (*_iter544).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -12905,10 +13476,10 @@
   xfer += oprot->writeFieldBegin("removed_blocked_requests", ::apache::thrift::protocol::T_LIST, 9);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I64, static_cast<uint32_t>(this->removed_blocked_requests.size()));
-    std::vector<int64_t> ::const_iterator _iter521;
-    for (_iter521 = this->removed_blocked_requests.begin(); _iter521 != this->removed_blocked_requests.end(); ++_iter521)
+    std::vector<int64_t> ::const_iterator _iter545;
+    for (_iter545 = this->removed_blocked_requests.begin(); _iter545 != this->removed_blocked_requests.end(); ++_iter545)
     {
-      xfer += oprot->writeI64((*_iter521));
+      xfer += oprot->writeI64((*_iter545));
     }
     xfer += oprot->writeListEnd();
   }
@@ -12933,54 +13504,54 @@
   swap(a.__isset, b.__isset);
 }
 
-FleetStateChange::FleetStateChange(const FleetStateChange& other522) {
-  term = other522.term;
-  from_version = other522.from_version;
-  version = other522.version;
-  instances = other522.instances;
-  removed_instances = other522.removed_instances;
-  groups = other522.groups;
-  removed_groups = other522.removed_groups;
-  blocked_requests = other522.blocked_requests;
-  removed_blocked_requests = other522.removed_blocked_requests;
-  __isset = other522.__isset;
-}
-FleetStateChange::FleetStateChange(FleetStateChange&& other523) noexcept {
-  term = other523.term;
-  from_version = other523.from_version;
-  version = other523.version;
-  instances = std::move(other523.instances);
-  removed_instances = std::move(other523.removed_instances);
-  groups = std::move(other523.groups);
-  removed_groups = std::move(other523.removed_groups);
-  blocked_requests = std::move(other523.blocked_requests);
-  removed_blocked_requests = std::move(other523.removed_blocked_requests);
-  __isset = other523.__isset;
-}
-FleetStateChange& FleetStateChange::operator=(const FleetStateChange& other524) {
-  term = other524.term;
-  from_version = other524.from_version;
-  version = other524.version;
-  instances = other524.instances;
-  removed_instances = other524.removed_instances;
-  groups = other524.groups;
-  removed_groups = other524.removed_groups;
-  blocked_requests = other524.blocked_requests;
-  removed_blocked_requests = other524.removed_blocked_requests;
-  __isset = other524.__isset;
+FleetStateChange::FleetStateChange(const FleetStateChange& other546) {
+  term = other546.term;
+  from_version = other546.from_version;
+  version = other546.version;
+  instances = other546.instances;
+  removed_instances = other546.removed_instances;
+  groups = other546.groups;
+  removed_groups = other546.removed_groups;
+  blocked_requests = other546.blocked_requests;
+  removed_blocked_requests = other546.removed_blocked_requests;
+  __isset = other546.__isset;
+}
+FleetStateChange::FleetStateChange(FleetStateChange&& other547) noexcept {
+  term = other547.term;
+  from_version = other547.from_version;
+  version = other547.version;
+  instances = std::move(other547.instances);
+  removed_instances = std::move(other547.removed_instances);
+  groups = std::move(other547.groups);
+  removed_groups = std::move(other547.removed_groups);
+  blocked_requests = std::move(other547.blocked_requests);
+  removed_blocked_requests = std::move(other547.removed_blocked_requests);
+  __isset = other547.__isset;
+}
+FleetStateChange& FleetStateChange::operator=(const FleetStateChange& other548) {
+  term = other548.term;
+  from_version = other548.from_version;
+  version = other548.version;
+  instances = other548.instances;
+  removed_instances = other548.removed_instances;
+  groups = other548.groups;
+  removed_groups = other548.removed_groups;
+  blocked_requests = other548.blocked_requests;
+  removed_blocked_requests = other548.removed_blocked_requests;
+  __isset = other548.__isset;
   return *this;
 }
-FleetStateChange& FleetStateChange::operator=(FleetStateChange&& other525) noexcept {
-  term = other525.term;
-  from_version = other525.from_version;
-  version = other525.version;
-  instances = std::move(other525.instances);
-  removed_instances = std::move(other525.removed_instances);
-  groups = std::move(other525.groups);
-  removed_groups = std::move(other525.removed_groups);
-  blocked_requests = std::move(other525.blocked_requests);
-  removed_blocked_requests = std::move(other525.removed_blocked_requests);
-  __isset = other525.__isset;
+FleetStateChange& FleetStateChange::operator=(FleetStateChange&& other549) noexcept {
+  term = other549.term;
+  from_version = other549.from_version;
+  version = other549.version;
+  instances = std::move(other549.instances);
+  removed_instances = std::move(other549.removed_instances);
+  groups = std::move(other549.groups);
+  removed_groups = std::move(other549.removed_groups);
+  blocked_requests = std::move(other549.blocked_requests);
+  removed_blocked_requests = std::move(other549.removed_blocked_requests);
+  __isset = other549.__isset;
   return *this;
 }
 void FleetStateChange::printTo(std::ostream& out) const {
@@ -13142,38 +13713,38 @@
   swap(a.__isset, b.__isset);
 }
 
-GroupLoad::GroupLoad(const GroupLoad& other526) {
-  group = other526.group;
-  in_flight = other526.in_flight;
-  streaming = other526.streaming;
-  waiting_tokens = other526.waiting_tokens;
-  progress_age_ms = other526.progress_age_ms;
-  __isset = other526.__isset;
-}
-GroupLoad::GroupLoad(GroupLoad&& other527) noexcept {
-  group = std::move(other527.group);
-  in_flight = other527.in_flight;
-  streaming = other527.streaming;
-  waiting_tokens = other527.waiting_tokens;
-  progress_age_ms = other527.progress_age_ms;
-  __isset = other527.__isset;
-}
-GroupLoad& GroupLoad::operator=(const GroupLoad& other528) {
-  group = other528.group;
-  in_flight = other528.in_flight;
-  streaming = other528.streaming;
-  waiting_tokens = other528.waiting_tokens;
-  progress_age_ms = other528.progress_age_ms;
-  __isset = other528.__isset;
+GroupLoad::GroupLoad(const GroupLoad& other550) {
+  group = other550.group;
+  in_flight = other550.in_flight;
+  streaming = other550.streaming;
+  waiting_tokens = other550.waiting_tokens;
+  progress_age_ms = other550.progress_age_ms;
+  __isset = other550.__isset;
+}
+GroupLoad::GroupLoad(GroupLoad&& other551) noexcept {
+  group = std::move(other551.group);
+  in_flight = other551.in_flight;
+  streaming = other551.streaming;
+  waiting_tokens = other551.waiting_tokens;
+  progress_age_ms = other551.progress_age_ms;
+  __isset = other551.__isset;
+}
+GroupLoad& GroupLoad::operator=(const GroupLoad& other552) {
+  group = other552.group;
+  in_flight = other552.in_flight;
+  streaming = other552.streaming;
+  waiting_tokens = other552.waiting_tokens;
+  progress_age_ms = other552.progress_age_ms;
+  __isset = other552.__isset;
   return *this;
 }
-GroupLoad& GroupLoad::operator=(GroupLoad&& other529) noexcept {
-  group = std::move(other529.group);
-  in_flight = other529.in_flight;
-  streaming = other529.streaming;
-  waiting_tokens = other529.waiting_tokens;
-  progress_age_ms = other529.progress_age_ms;
-  __isset = other529.__isset;
+GroupLoad& GroupLoad::operator=(GroupLoad&& other553) noexcept {
+  group = std::move(other553.group);
+  in_flight = other553.in_flight;
+  streaming = other553.streaming;
+  waiting_tokens = other553.waiting_tokens;
+  progress_age_ms = other553.progress_age_ms;
+  __isset = other553.__isset;
   return *this;
 }
 void GroupLoad::printTo(std::ostream& out) const {
@@ -13348,42 +13919,42 @@
   swap(a.__isset, b.__isset);
 }
 
-ModelDemand::ModelDemand(const ModelDemand& other530) {
-  service_name = other530.service_name;
-  model = other530.model;
-  received = other530.received;
-  prompt_tokens = other530.prompt_tokens;
-  answer_tokens = other530.answer_tokens;
-  target_latency_ms = other530.target_latency_ms;
-  __isset = other530.__isset;
-}
-ModelDemand::ModelDemand(ModelDemand&& other531) noexcept {
-  service_name = std::move(other531.service_name);
-  model = std::move(other531.model);
-  received = other531.received;
-  prompt_tokens = other531.prompt_tokens;
-  answer_tokens = other531.answer_tokens;
-  target_latency_ms = other531.target_latency_ms;
-  __isset = other531.__isset;
-}
-ModelDemand& ModelDemand::operator=(const ModelDemand& other532) {
-  service_name = other532.service_name;
-  model = other532.model;
-  received = other532.received;
-  prompt_tokens = other532.prompt_tokens;
-  answer_tokens = other532.answer_tokens;
-  target_latency_ms = other532.target_latency_ms;
-  __isset = other532.__isset;
+ModelDemand::ModelDemand(const ModelDemand& other554) {
+  service_name = other554.service_name;
+  model = other554.model;
+  received = other554.received;
+  prompt_tokens = other554.prompt_tokens;
+  answer_tokens = other554.answer_tokens;
+  target_latency_ms = other554.target_latency_ms;
+  __isset = other554.__isset;
+}
+ModelDemand::ModelDemand(ModelDemand&& other555) noexcept {
+  service_name = std::move(other555.service_name);
+  model = std::move(other555.model);
+  received = other555.received;
+  prompt_tokens = other555.prompt_tokens;
+  answer_tokens = other555.answer_tokens;
+  target_latency_ms = other555.target_latency_ms;
+  __isset = other555.__isset;
+}
+ModelDemand& ModelDemand::operator=(const ModelDemand& other556) {
+  service_name = other556.service_name;
+  model = other556.model;
+  received = other556.received;
+  prompt_tokens = other556.prompt_tokens;
+  answer_tokens = other556.answer_tokens;
+  target_latency_ms = other556.target_latency_ms;
+  __isset = other556.__isset;
   return *this;
 }
-ModelDemand& ModelDemand::operator=(ModelDemand&& other533) noexcept {
-  service_name = std::move(other533.service_name);
-  model = std::move(other533.model);
-  received = other533.received;
-  prompt_tokens = other533.prompt_tokens;
-  answer_tokens = other533.answer_tokens;
-  target_latency_ms = other533.target_latency_ms;
-  __isset = other533.__isset;
+ModelDemand& ModelDemand::operator=(ModelDemand&& other557) noexcept {
+  service_name = std::move(other557.service_name);
+  model = std::move(other557.model);
+  received = other557.received;
+  prompt_tokens = other557.prompt_tokens;
+  answer_tokens = other557.answer_tokens;
+  target_latency_ms = other557.target_latency_ms;
+  __isset = other557.__isset;
   return *this;
 }
 void ModelDemand::printTo(std::ostream& out) const {
@@ -13474,22 +14045,22 @@
   swap(a.__isset, b.__isset);
 }
 
-GroupFailure::GroupFailure(const GroupFailure& other534) {
-  group = other534.group;
-  __isset = other534.__isset;
+GroupFailure::GroupFailure(const GroupFailure& other558) {
+  group = other558.group;
+  __isset = other558.__isset;
 }
-GroupFailure::GroupFailure(GroupFailure&& other535) noexcept {
-  group = std::move(other535.group);
-  __isset = other535.__isset;
+GroupFailure::GroupFailure(GroupFailure&& other559) noexcept {
+  group = std::move(other559.group);
+  __isset = other559.__isset;
 }
-GroupFailure& GroupFailure::operator=(const GroupFailure& other536) {
-  group = other536.group;
-  __isset = other536.__isset;
+GroupFailure& GroupFailure::operator=(const GroupFailure& other560) {
+  group = other560.group;
+  __isset = other560.__isset;
   return *this;
 }
-GroupFailure& GroupFailure::operator=(GroupFailure&& other537) noexcept {
-  group = std::move(other537.group);
-  __isset = other537.__isset;
+GroupFailure& GroupFailure::operator=(GroupFailure&& other561) noexcept {
+  group = std::move(other561.group);
+  __isset = other561.__isset;
   return *this;
 }
 void GroupFailure::printTo(std::ostream& out) const {
@@ -13556,6 +14127,10 @@
 void FleetHeartbeat::__set_entries_hold_version(const int64_t val) {
   this->entries_hold_version = val;
 }
+
+void FleetHeartbeat::__set_evacuation_revision(const int64_t val) {
+  this->evacuation_revision = val;
+}
 std::ostream& operator<<(std::ostream& out, const FleetHeartbeat& obj)
 {
   obj.printTo(out);
@@ -13688,6 +14263,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 20:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->evacuation_revision);
+          this->__isset.evacuation_revision = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -13758,6 +14341,10 @@
   xfer += oprot->writeI64(this->entries_hold_version);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("evacuation_revision", ::apache::thrift::protocol::T_I64, 20);
+  xfer += oprot->writeI64(this->evacuation_revision);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -13778,73 +14365,78 @@
   swap(a.wants_loads, b.wants_loads);
   swap(a.serving_entries, b.serving_entries);
   swap(a.entries_hold_version, b.entries_hold_version);
+  swap(a.evacuation_revision, b.evacuation_revision);
   swap(a.__isset, b.__isset);
 }
 
-FleetHeartbeat::FleetHeartbeat(const FleetHeartbeat& other538) {
-  sequence = other538.sequence;
-  zone = other538.zone;
-  replica_id = other538.replica_id;
-  control_address = other538.control_address;
-  document_version = other538.document_version;
-  held_term = other538.held_term;
-  held_version = other538.held_version;
-  leaving = other538.leaving;
-  serves_requests = other538.serves_requests;
-  held_state = other538.held_state;
-  wants_loads = other538.wants_loads;
-  serving_entries = other538.serving_entries;
-  entries_hold_version = other538.entries_hold_version;
-  __isset = other538.__isset;
-}
-FleetHeartbeat::FleetHeartbeat(FleetHeartbeat&& other539) noexcept {
-  sequence = other539.sequence;
-  zone = std::move(other539.zone);
-  replica_id = other539.replica_id;
-  control_address = std::move(other539.control_address);
-  document_version = other539.document_version;
-  held_term = other539.held_term;
-  held_version = other539.held_version;
-  leaving = other539.leaving;
-  serves_requests = other539.serves_requests;
-  held_state = std::move(other539.held_state);
-  wants_loads = other539.wants_loads;
-  serving_entries = other539.serving_entries;
-  entries_hold_version = other539.entries_hold_version;
-  __isset = other539.__isset;
-}
-FleetHeartbeat& FleetHeartbeat::operator=(const FleetHeartbeat& other540) {
-  sequence = other540.sequence;
-  zone = other540.zone;
-  replica_id = other540.replica_id;
-  control_address = other540.control_address;
-  document_version = other540.document_version;
-  held_term = other540.held_term;
-  held_version = other540.held_version;
-  leaving = other540.leaving;
-  serves_requests = other540.serves_requests;
-  held_state = other540.held_state;
-  wants_loads = other540.wants_loads;
-  serving_entries = other540.serving_entries;
-  entries_hold_version = other540.entries_hold_version;
-  __isset = other540.__isset;
+FleetHeartbeat::FleetHeartbeat(const FleetHeartbeat& other562) {
+  sequence = other562.sequence;
+  zone = other562.zone;
+  replica_id = other562.replica_id;
+  control_address = other562.control_address;
+  document_version = other562.document_version;
+  held_term = other562.held_term;
+  held_version = other562.held_version;
+  leaving = other562.leaving;
+  serves_requests = other562.serves_requests;
+  held_state = other562.held_state;
+  wants_loads = other562.wants_loads;
+  serving_entries = other562.serving_entries;
+  entries_hold_version = other562.entries_hold_version;
+  evacuation_revision = other562.evacuation_revision;
+  __isset = other562.__isset;
+}
+FleetHeartbeat::FleetHeartbeat(FleetHeartbeat&& other563) noexcept {
+  sequence = other563.sequence;
+  zone = std::move(other563.zone);
+  replica_id = other563.replica_id;
+  control_address = std::move(other563.control_address);
+  document_version = other563.document_version;
+  held_term = other563.held_term;
+  held_version = other563.held_version;
+  leaving = other563.leaving;
+  serves_requests = other563.serves_requests;
+  held_state = std::move(other563.held_state);
+  wants_loads = other563.wants_loads;
+  serving_entries = other563.serving_entries;
+  entries_hold_version = other563.entries_hold_version;
+  evacuation_revision = other563.evacuation_revision;
+  __isset = other563.__isset;
+}
+FleetHeartbeat& FleetHeartbeat::operator=(const FleetHeartbeat& other564) {
+  sequence = other564.sequence;
+  zone = other564.zone;
+  replica_id = other564.replica_id;
+  control_address = other564.control_address;
+  document_version = other564.document_version;
+  held_term = other564.held_term;
+  held_version = other564.held_version;
+  leaving = other564.leaving;
+  serves_requests = other564.serves_requests;
+  held_state = other564.held_state;
+  wants_loads = other564.wants_loads;
+  serving_entries = other564.serving_entries;
+  entries_hold_version = other564.entries_hold_version;
+  evacuation_revision = other564.evacuation_revision;
+  __isset = other564.__isset;
   return *this;
 }
-FleetHeartbeat& FleetHeartbeat::operator=(FleetHeartbeat&& other541) noexcept {
-  sequence = other541.sequence;
-  zone = std::move(other541.zone);
-  replica_id = other541.replica_id;
-  control_address = std::move(other541.control_address);
-  document_version = other541.document_version;
-  held_term = other541.held_term;
-  held_version = other541.held_version;
-  leaving = other541.leaving;
-  serves_requests = other541.serves_requests;
-  held_state = std::move(other541.held_state);
-  wants_loads = other541.wants_loads;
-  serving_entries = other541.serving_entries;
-  entries_hold_version = other541.entries_hold_version;
-  __isset = other541.__isset;
+FleetHeartbeat& FleetHeartbeat::operator=(FleetHeartbeat&& other565) noexcept {
+  sequence = other565.sequence;
+  zone = std::move(other565.zone);
+  replica_id = other565.replica_id;
+  control_address = std::move(other565.control_address);
+  document_version = other565.document_version;
+  held_term = other565.held_term;
+  held_version = other565.held_version;
+  leaving = other565.leaving;
+  serves_requests = other565.serves_requests;
+  held_state = std::move(other565.held_state);
+  wants_loads = other565.wants_loads;
+  serving_entries = other565.serving_entries;
+  entries_hold_version = other565.entries_hold_version;
+  evacuation_revision = other565.evacuation_revision;
+  __isset = other565.__isset;
   return *this;
 }
 void FleetHeartbeat::printTo(std::ostream& out) const {
@@ -13863,6 +14455,7 @@
   out << ", " << "wants_loads=" << to_string(wants_loads);
   out << ", " << "serving_entries=" << to_string(serving_entries);
   out << ", " << "entries_hold_version=" << to_string(entries_hold_version);
+  out << ", " << "evacuation_revision=" << to_string(evacuation_revision);
   out << ")";
 }
 
@@ -14012,14 +14605,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->excluded_groups.clear();
-            uint32_t _size542;
-            ::apache::thrift::protocol::TType _etype545;
-            xfer += iprot->readListBegin(_etype545, _size542);
-            this->excluded_groups.resize(_size542);
-            uint32_t _i546;
-            for (_i546 = 0; _i546 < _size542; ++_i546)
+            uint32_t _size566;
+            ::apache::thrift::protocol::TType _etype569;
+            xfer += iprot->readListBegin(_etype569, _size566);
+            this->excluded_groups.resize(_size566);
+            uint32_t _i570;
+            for (_i570 = 0; _i570 < _size566; ++_i570)
             {
-              xfer += iprot->readString(this->excluded_groups[_i546]);
+              xfer += iprot->readString(this->excluded_groups[_i570]);
             }
             xfer += iprot->readListEnd();
           }
@@ -14096,10 +14689,10 @@
   xfer += oprot->writeFieldBegin("excluded_groups", ::apache::thrift::protocol::T_LIST, 10);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->excluded_groups.size()));
-    std::vector<std::string> ::const_iterator _iter547;
-    for (_iter547 = this->excluded_groups.begin(); _iter547 != this->excluded_groups.end(); ++_iter547)
+    std::vector<std::string> ::const_iterator _iter571;
+    for (_iter571 = this->excluded_groups.begin(); _iter571 != this->excluded_groups.end(); ++_iter571)
     {
-      xfer += oprot->writeString((*_iter547));
+      xfer += oprot->writeString((*_iter571));
     }
     xfer += oprot->writeListEnd();
   }
@@ -14136,62 +14729,62 @@
   swap(a.__isset, b.__isset);
 }
 
-SlotRequest::SlotRequest(const SlotRequest& other548) {
-  id = other548.id;
-  service_name = other548.service_name;
-  model = other548.model;
-  prompt_tokens = other548.prompt_tokens;
-  first_event_ms = other548.first_event_ms;
-  gap_ms = other548.gap_ms;
-  priority = other548.priority;
-  patience_ms = other548.patience_ms;
-  excluded_groups = other548.excluded_groups;
-  trial_of = other548.trial_of;
-  repeat_of = other548.repeat_of;
-  __isset = other548.__isset;
-}
-SlotRequest::SlotRequest(SlotRequest&& other549) noexcept {
-  id = other549.id;
-  service_name = std::move(other549.service_name);
-  model = std::move(other549.model);
-  prompt_tokens = other549.prompt_tokens;
-  first_event_ms = other549.first_event_ms;
-  gap_ms = other549.gap_ms;
-  priority = other549.priority;
-  patience_ms = other549.patience_ms;
-  excluded_groups = std::move(other549.excluded_groups);
-  trial_of = other549.trial_of;
-  repeat_of = other549.repeat_of;
-  __isset = other549.__isset;
-}
-SlotRequest& SlotRequest::operator=(const SlotRequest& other550) {
-  id = other550.id;
-  service_name = other550.service_name;
-  model = other550.model;
-  prompt_tokens = other550.prompt_tokens;
-  first_event_ms = other550.first_event_ms;
-  gap_ms = other550.gap_ms;
-  priority = other550.priority;
-  patience_ms = other550.patience_ms;
-  excluded_groups = other550.excluded_groups;
-  trial_of = other550.trial_of;
-  repeat_of = other550.repeat_of;
-  __isset = other550.__isset;
+SlotRequest::SlotRequest(const SlotRequest& other572) {
+  id = other572.id;
+  service_name = other572.service_name;
+  model = other572.model;
+  prompt_tokens = other572.prompt_tokens;
+  first_event_ms = other572.first_event_ms;
+  gap_ms = other572.gap_ms;
+  priority = other572.priority;
+  patience_ms = other572.patience_ms;
+  excluded_groups = other572.excluded_groups;
+  trial_of = other572.trial_of;
+  repeat_of = other572.repeat_of;
+  __isset = other572.__isset;
+}
+SlotRequest::SlotRequest(SlotRequest&& other573) noexcept {
+  id = other573.id;
+  service_name = std::move(other573.service_name);
+  model = std::move(other573.model);
+  prompt_tokens = other573.prompt_tokens;
+  first_event_ms = other573.first_event_ms;
+  gap_ms = other573.gap_ms;
+  priority = other573.priority;
+  patience_ms = other573.patience_ms;
+  excluded_groups = std::move(other573.excluded_groups);
+  trial_of = other573.trial_of;
+  repeat_of = other573.repeat_of;
+  __isset = other573.__isset;
+}
+SlotRequest& SlotRequest::operator=(const SlotRequest& other574) {
+  id = other574.id;
+  service_name = other574.service_name;
+  model = other574.model;
+  prompt_tokens = other574.prompt_tokens;
+  first_event_ms = other574.first_event_ms;
+  gap_ms = other574.gap_ms;
+  priority = other574.priority;
+  patience_ms = other574.patience_ms;
+  excluded_groups = other574.excluded_groups;
+  trial_of = other574.trial_of;
+  repeat_of = other574.repeat_of;
+  __isset = other574.__isset;
   return *this;
 }
-SlotRequest& SlotRequest::operator=(SlotRequest&& other551) noexcept {
-  id = other551.id;
-  service_name = std::move(other551.service_name);
-  model = std::move(other551.model);
-  prompt_tokens = other551.prompt_tokens;
-  first_event_ms = other551.first_event_ms;
-  gap_ms = other551.gap_ms;
-  priority = other551.priority;
-  patience_ms = other551.patience_ms;
-  excluded_groups = std::move(other551.excluded_groups);
-  trial_of = other551.trial_of;
-  repeat_of = other551.repeat_of;
-  __isset = other551.__isset;
+SlotRequest& SlotRequest::operator=(SlotRequest&& other575) noexcept {
+  id = other575.id;
+  service_name = std::move(other575.service_name);
+  model = std::move(other575.model);
+  prompt_tokens = other575.prompt_tokens;
+  first_event_ms = other575.first_event_ms;
+  gap_ms = other575.gap_ms;
+  priority = other575.priority;
+  patience_ms = other575.patience_ms;
+  excluded_groups = std::move(other575.excluded_groups);
+  trial_of = other575.trial_of;
+  repeat_of = other575.repeat_of;
+  __isset = other575.__isset;
   return *this;
 }
 void SlotRequest::printTo(std::ostream& out) const {
@@ -14281,9 +14874,9 @@
         break;
       case 3:
         if (ftype == ::apache::thrift::protocol::T_I32) {
-          int32_t ecast552;
-          xfer += iprot->readI32(ecast552);
-          this->verdict = static_cast<SlotVerdict::type>(ecast552);
+          int32_t ecast576;
+          xfer += iprot->readI32(ecast576);
+          this->verdict = static_cast<SlotVerdict::type>(ecast576);
           this->__isset.verdict = true;
         } else {
           xfer += iprot->skip(ftype);
@@ -14357,38 +14950,38 @@
   swap(a.__isset, b.__isset);
 }
 
-SlotGrant::SlotGrant(const SlotGrant& other553) {
-  id = other553.id;
-  sequence = other553.sequence;
-  verdict = other553.verdict;
-  group = other553.group;
-  expected_ms = other553.expected_ms;
-  __isset = other553.__isset;
-}
-SlotGrant::SlotGrant(SlotGrant&& other554) noexcept {
-  id = other554.id;
-  sequence = other554.sequence;
-  verdict = other554.verdict;
-  group = std::move(other554.group);
-  expected_ms = other554.expected_ms;
-  __isset = other554.__isset;
-}
-SlotGrant& SlotGrant::operator=(const SlotGrant& other555) {
-  id = other555.id;
-  sequence = other555.sequence;
-  verdict = other555.verdict;
-  group = other555.group;
-  expected_ms = other555.expected_ms;
-  __isset = other555.__isset;
+SlotGrant::SlotGrant(const SlotGrant& other577) {
+  id = other577.id;
+  sequence = other577.sequence;
+  verdict = other577.verdict;
+  group = other577.group;
+  expected_ms = other577.expected_ms;
+  __isset = other577.__isset;
+}
+SlotGrant::SlotGrant(SlotGrant&& other578) noexcept {
+  id = other578.id;
+  sequence = other578.sequence;
+  verdict = other578.verdict;
+  group = std::move(other578.group);
+  expected_ms = other578.expected_ms;
+  __isset = other578.__isset;
+}
+SlotGrant& SlotGrant::operator=(const SlotGrant& other579) {
+  id = other579.id;
+  sequence = other579.sequence;
+  verdict = other579.verdict;
+  group = other579.group;
+  expected_ms = other579.expected_ms;
+  __isset = other579.__isset;
   return *this;
 }
-SlotGrant& SlotGrant::operator=(SlotGrant&& other556) noexcept {
-  id = other556.id;
-  sequence = other556.sequence;
-  verdict = other556.verdict;
-  group = std::move(other556.group);
-  expected_ms = other556.expected_ms;
-  __isset = other556.__isset;
+SlotGrant& SlotGrant::operator=(SlotGrant&& other580) noexcept {
+  id = other580.id;
+  sequence = other580.sequence;
+  verdict = other580.verdict;
+  group = std::move(other580.group);
+  expected_ms = other580.expected_ms;
+  __isset = other580.__isset;
   return *this;
 }
 void SlotGrant::printTo(std::ostream& out) const {
@@ -14531,34 +15124,34 @@
   swap(a.__isset, b.__isset);
 }
 
-RequestServerEnd::RequestServerEnd(const RequestServerEnd& other557) {
-  fingerprint = other557.fingerprint;
-  instance_id = other557.instance_id;
-  age_ms = other557.age_ms;
-  is_likely = other557.is_likely;
-  __isset = other557.__isset;
-}
-RequestServerEnd::RequestServerEnd(RequestServerEnd&& other558) noexcept {
-  fingerprint = other558.fingerprint;
-  instance_id = std::move(other558.instance_id);
-  age_ms = other558.age_ms;
-  is_likely = other558.is_likely;
-  __isset = other558.__isset;
-}
-RequestServerEnd& RequestServerEnd::operator=(const RequestServerEnd& other559) {
-  fingerprint = other559.fingerprint;
-  instance_id = other559.instance_id;
-  age_ms = other559.age_ms;
-  is_likely = other559.is_likely;
-  __isset = other559.__isset;
+RequestServerEnd::RequestServerEnd(const RequestServerEnd& other581) {
+  fingerprint = other581.fingerprint;
+  instance_id = other581.instance_id;
+  age_ms = other581.age_ms;
+  is_likely = other581.is_likely;
+  __isset = other581.__isset;
+}
+RequestServerEnd::RequestServerEnd(RequestServerEnd&& other582) noexcept {
+  fingerprint = other582.fingerprint;
+  instance_id = std::move(other582.instance_id);
+  age_ms = other582.age_ms;
+  is_likely = other582.is_likely;
+  __isset = other582.__isset;
+}
+RequestServerEnd& RequestServerEnd::operator=(const RequestServerEnd& other583) {
+  fingerprint = other583.fingerprint;
+  instance_id = other583.instance_id;
+  age_ms = other583.age_ms;
+  is_likely = other583.is_likely;
+  __isset = other583.__isset;
   return *this;
 }
-RequestServerEnd& RequestServerEnd::operator=(RequestServerEnd&& other560) noexcept {
-  fingerprint = other560.fingerprint;
-  instance_id = std::move(other560.instance_id);
-  age_ms = other560.age_ms;
-  is_likely = other560.is_likely;
-  __isset = other560.__isset;
+RequestServerEnd& RequestServerEnd::operator=(RequestServerEnd&& other584) noexcept {
+  fingerprint = other584.fingerprint;
+  instance_id = std::move(other584.instance_id);
+  age_ms = other584.age_ms;
+  is_likely = other584.is_likely;
+  __isset = other584.__isset;
   return *this;
 }
 void RequestServerEnd::printTo(std::ostream& out) const {
@@ -14651,14 +15244,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->requests.clear();
-            uint32_t _size561;
-            ::apache::thrift::protocol::TType _etype564;
-            xfer += iprot->readListBegin(_etype564, _size561);
-            this->requests.resize(_size561);
-            uint32_t _i565;
-            for (_i565 = 0; _i565 < _size561; ++_i565)
+            uint32_t _size585;
+            ::apache::thrift::protocol::TType _etype588;
+            xfer += iprot->readListBegin(_etype588, _size585);
+            this->requests.resize(_size585);
+            uint32_t _i589;
+            for (_i589 = 0; _i589 < _size585; ++_i589)
             {
-              xfer += this->requests[_i565].read(iprot);
+              xfer += this->requests[_i589].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -14671,14 +15264,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->loads.clear();
-            uint32_t _size566;
-            ::apache::thrift::protocol::TType _etype569;
-            xfer += iprot->readListBegin(_etype569, _size566);
-            this->loads.resize(_size566);
-            uint32_t _i570;
-            for (_i570 = 0; _i570 < _size566; ++_i570)
+            uint32_t _size590;
+            ::apache::thrift::protocol::TType _etype593;
+            xfer += iprot->readListBegin(_etype593, _size590);
+            this->loads.resize(_size590);
+            uint32_t _i594;
+            for (_i594 = 0; _i594 < _size590; ++_i594)
             {
-              xfer += this->loads[_i570].read(iprot);
+              xfer += this->loads[_i594].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -14715,14 +15308,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->demand.clear();
-            uint32_t _size571;
-            ::apache::thrift::protocol::TType _etype574;
-            xfer += iprot->readListBegin(_etype574, _size571);
-            this->demand.resize(_size571);
-            uint32_t _i575;
-            for (_i575 = 0; _i575 < _size571; ++_i575)
+            uint32_t _size595;
+            ::apache::thrift::protocol::TType _etype598;
+            xfer += iprot->readListBegin(_etype598, _size595);
+            this->demand.resize(_size595);
+            uint32_t _i599;
+            for (_i599 = 0; _i599 < _size595; ++_i599)
             {
-              xfer += this->demand[_i575].read(iprot);
+              xfer += this->demand[_i599].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -14735,14 +15328,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->failures.clear();
-            uint32_t _size576;
-            ::apache::thrift::protocol::TType _etype579;
-            xfer += iprot->readListBegin(_etype579, _size576);
-            this->failures.resize(_size576);
-            uint32_t _i580;
-            for (_i580 = 0; _i580 < _size576; ++_i580)
+            uint32_t _size600;
+            ::apache::thrift::protocol::TType _etype603;
+            xfer += iprot->readListBegin(_etype603, _size600);
+            this->failures.resize(_size600);
+            uint32_t _i604;
+            for (_i604 = 0; _i604 < _size600; ++_i604)
             {
-              xfer += this->failures[_i580].read(iprot);
+              xfer += this->failures[_i604].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -14763,14 +15356,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->quiet_groups.clear();
-            uint32_t _size581;
-            ::apache::thrift::protocol::TType _etype584;
-            xfer += iprot->readListBegin(_etype584, _size581);
-            this->quiet_groups.resize(_size581);
-            uint32_t _i585;
-            for (_i585 = 0; _i585 < _size581; ++_i585)
+            uint32_t _size605;
+            ::apache::thrift::protocol::TType _etype608;
+            xfer += iprot->readListBegin(_etype608, _size605);
+            this->quiet_groups.resize(_size605);
+            uint32_t _i609;
+            for (_i609 = 0; _i609 < _size605; ++_i609)
             {
-              xfer += iprot->readString(this->quiet_groups[_i585]);
+              xfer += iprot->readString(this->quiet_groups[_i609]);
             }
             xfer += iprot->readListEnd();
           }
@@ -14783,14 +15376,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->server_ends.clear();
-            uint32_t _size586;
-            ::apache::thrift::protocol::TType _etype589;
-            xfer += iprot->readListBegin(_etype589, _size586);
-            this->server_ends.resize(_size586);
-            uint32_t _i590;
-            for (_i590 = 0; _i590 < _size586; ++_i590)
+            uint32_t _size610;
+            ::apache::thrift::protocol::TType _etype613;
+            xfer += iprot->readListBegin(_etype613, _size610);
+            this->server_ends.resize(_size610);
+            uint32_t _i614;
+            for (_i614 = 0; _i614 < _size610; ++_i614)
             {
-              xfer += this->server_ends[_i590].read(iprot);
+              xfer += this->server_ends[_i614].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -14803,14 +15396,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->answered_requests.clear();
-            uint32_t _size591;
-            ::apache::thrift::protocol::TType _etype594;
-            xfer += iprot->readListBegin(_etype594, _size591);
-            this->answered_requests.resize(_size591);
-            uint32_t _i595;
-            for (_i595 = 0; _i595 < _size591; ++_i595)
+            uint32_t _size615;
+            ::apache::thrift::protocol::TType _etype618;
+            xfer += iprot->readListBegin(_etype618, _size615);
+            this->answered_requests.resize(_size615);
+            uint32_t _i619;
+            for (_i619 = 0; _i619 < _size615; ++_i619)
             {
-              xfer += iprot->readI64(this->answered_requests[_i595]);
+              xfer += iprot->readI64(this->answered_requests[_i619]);
             }
             xfer += iprot->readListEnd();
           }
@@ -14839,10 +15432,10 @@
   xfer += oprot->writeFieldBegin("requests", ::apache::thrift::protocol::T_LIST, 1);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->requests.size()));
-    std::vector<SlotRequest> ::const_iterator _iter596;
-    for (_iter596 = this->requests.begin(); _iter596 != this->requests.end(); ++_iter596)
+    std::vector<SlotRequest> ::const_iterator _iter620;
+    for (_iter620 = this->requests.begin(); _iter620 != this->requests.end(); ++_iter620)
     {
-      xfer += (*_iter596).write(oprot);
+      xfer += (*_iter620).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -14851,10 +15444,10 @@
   xfer += oprot->writeFieldBegin("loads", ::apache::thrift::protocol::T_LIST, 2);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->loads.size()));
-    std::vector<GroupLoad> ::const_iterator _iter597;
-    for (_iter597 = this->loads.begin(); _iter597 != this->loads.end(); ++_iter597)
+    std::vector<GroupLoad> ::const_iterator _iter621;
+    for (_iter621 = this->loads.begin(); _iter621 != this->loads.end(); ++_iter621)
     {
-      xfer += (*_iter597).write(oprot);
+      xfer += (*_iter621).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -14875,10 +15468,10 @@
   xfer += oprot->writeFieldBegin("demand", ::apache::thrift::protocol::T_LIST, 6);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->demand.size()));
-    std::vector<ModelDemand> ::const_iterator _iter598;
-    for (_iter598 = this->demand.begin(); _iter598 != this->demand.end(); ++_iter598)
+    std::vector<ModelDemand> ::const_iterator _iter622;
+    for (_iter622 = this->demand.begin(); _iter622 != this->demand.end(); ++_iter622)
     {
-      xfer += (*_iter598).write(oprot);
+      xfer += (*_iter622).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -14887,10 +15480,10 @@
   xfer += oprot->writeFieldBegin("failures", ::apache::thrift::protocol::T_LIST, 7);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->failures.size()));
-    std::vector<GroupFailure> ::const_iterator _iter599;
-    for (_iter599 = this->failures.begin(); _iter599 != this->failures.end(); ++_iter599)
+    std::vector<GroupFailure> ::const_iterator _iter623;
+    for (_iter623 = this->failures.begin(); _iter623 != this->failures.end(); ++_iter623)
     {
-      xfer += (*_iter599).write(oprot);
+      xfer += (*_iter623).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -14903,10 +15496,10 @@
   xfer += oprot->writeFieldBegin("quiet_groups", ::apache::thrift::protocol::T_LIST, 9);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->quiet_groups.size()));
-    std::vector<std::string> ::const_iterator _iter600;
-    for (_iter600 = this->quiet_groups.begin(); _iter600 != this->quiet_groups.end(); ++_iter600)
+    std::vector<std::string> ::const_iterator _iter624;
+    for (_iter624 = this->quiet_groups.begin(); _iter624 != this->quiet_groups.end(); ++_iter624)
     {
-      xfer += oprot->writeString((*_iter600));
+      xfer += oprot->writeString((*_iter624));
     }
     xfer += oprot->writeListEnd();
   }
@@ -14915,10 +15508,10 @@
   xfer += oprot->writeFieldBegin("server_ends", ::apache::thrift::protocol::T_LIST, 10);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->server_ends.size()));
-    std::vector<RequestServerEnd> ::const_iterator _iter601;
-    for (_iter601 = this->server_ends.begin(); _iter601 != this->server_ends.end(); ++_iter601)
+    std::vector<RequestServerEnd> ::const_iterator _iter625;
+    for (_iter625 = this->server_ends.begin(); _iter625 != this->server_ends.end(); ++_iter625)
     {
-      xfer += (*_iter601).write(oprot);
+      xfer += (*_iter625).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -14927,10 +15520,10 @@
   xfer += oprot->writeFieldBegin("answered_requests", ::apache::thrift::protocol::T_LIST, 11);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I64, static_cast<uint32_t>(this->answered_requests.size()));
-    std::vector<int64_t> ::const_iterator _iter602;
-    for (_iter602 = this->answered_requests.begin(); _iter602 != this->answered_requests.end(); ++_iter602)
+    std::vector<int64_t> ::const_iterator _iter626;
+    for (_iter626 = this->answered_requests.begin(); _iter626 != this->answered_requests.end(); ++_iter626)
     {
-      xfer += oprot->writeI64((*_iter602));
+      xfer += oprot->writeI64((*_iter626));
     }
     xfer += oprot->writeListEnd();
   }
@@ -14957,62 +15550,62 @@
   swap(a.__isset, b.__isset);
 }
 
-SlotReport::SlotReport(const SlotReport& other603) {
-  requests = other603.requests;
-  loads = other603.loads;
-  grants_term = other603.grants_term;
-  grants_seen = other603.grants_seen;
-  is_complete = other603.is_complete;
-  demand = other603.demand;
-  failures = other603.failures;
-  traffic_seen = other603.traffic_seen;
-  quiet_groups = other603.quiet_groups;
-  server_ends = other603.server_ends;
-  answered_requests = other603.answered_requests;
-  __isset = other603.__isset;
-}
-SlotReport::SlotReport(SlotReport&& other604) noexcept {
-  requests = std::move(other604.requests);
-  loads = std::move(other604.loads);
-  grants_term = other604.grants_term;
-  grants_seen = other604.grants_seen;
-  is_complete = other604.is_complete;
-  demand = std::move(other604.demand);
-  failures = std::move(other604.failures);
-  traffic_seen = other604.traffic_seen;
-  quiet_groups = std::move(other604.quiet_groups);
-  server_ends = std::move(other604.server_ends);
-  answered_requests = std::move(other604.answered_requests);
-  __isset = other604.__isset;
-}
-SlotReport& SlotReport::operator=(const SlotReport& other605) {
-  requests = other605.requests;
-  loads = other605.loads;
-  grants_term = other605.grants_term;
-  grants_seen = other605.grants_seen;
-  is_complete = other605.is_complete;
-  demand = other605.demand;
-  failures = other605.failures;
-  traffic_seen = other605.traffic_seen;
-  quiet_groups = other605.quiet_groups;
-  server_ends = other605.server_ends;
-  answered_requests = other605.answered_requests;
-  __isset = other605.__isset;
+SlotReport::SlotReport(const SlotReport& other627) {
+  requests = other627.requests;
+  loads = other627.loads;
+  grants_term = other627.grants_term;
+  grants_seen = other627.grants_seen;
+  is_complete = other627.is_complete;
+  demand = other627.demand;
+  failures = other627.failures;
+  traffic_seen = other627.traffic_seen;
+  quiet_groups = other627.quiet_groups;
+  server_ends = other627.server_ends;
+  answered_requests = other627.answered_requests;
+  __isset = other627.__isset;
+}
+SlotReport::SlotReport(SlotReport&& other628) noexcept {
+  requests = std::move(other628.requests);
+  loads = std::move(other628.loads);
+  grants_term = other628.grants_term;
+  grants_seen = other628.grants_seen;
+  is_complete = other628.is_complete;
+  demand = std::move(other628.demand);
+  failures = std::move(other628.failures);
+  traffic_seen = other628.traffic_seen;
+  quiet_groups = std::move(other628.quiet_groups);
+  server_ends = std::move(other628.server_ends);
+  answered_requests = std::move(other628.answered_requests);
+  __isset = other628.__isset;
+}
+SlotReport& SlotReport::operator=(const SlotReport& other629) {
+  requests = other629.requests;
+  loads = other629.loads;
+  grants_term = other629.grants_term;
+  grants_seen = other629.grants_seen;
+  is_complete = other629.is_complete;
+  demand = other629.demand;
+  failures = other629.failures;
+  traffic_seen = other629.traffic_seen;
+  quiet_groups = other629.quiet_groups;
+  server_ends = other629.server_ends;
+  answered_requests = other629.answered_requests;
+  __isset = other629.__isset;
   return *this;
 }
-SlotReport& SlotReport::operator=(SlotReport&& other606) noexcept {
-  requests = std::move(other606.requests);
-  loads = std::move(other606.loads);
-  grants_term = other606.grants_term;
-  grants_seen = other606.grants_seen;
-  is_complete = other606.is_complete;
-  demand = std::move(other606.demand);
-  failures = std::move(other606.failures);
-  traffic_seen = other606.traffic_seen;
-  quiet_groups = std::move(other606.quiet_groups);
-  server_ends = std::move(other606.server_ends);
-  answered_requests = std::move(other606.answered_requests);
-  __isset = other606.__isset;
+SlotReport& SlotReport::operator=(SlotReport&& other630) noexcept {
+  requests = std::move(other630.requests);
+  loads = std::move(other630.loads);
+  grants_term = other630.grants_term;
+  grants_seen = other630.grants_seen;
+  is_complete = other630.is_complete;
+  demand = std::move(other630.demand);
+  failures = std::move(other630.failures);
+  traffic_seen = other630.traffic_seen;
+  quiet_groups = std::move(other630.quiet_groups);
+  server_ends = std::move(other630.server_ends);
+  answered_requests = std::move(other630.answered_requests);
+  __isset = other630.__isset;
   return *this;
 }
 void SlotReport::printTo(std::ostream& out) const {
@@ -15088,14 +15681,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->grants.clear();
-            uint32_t _size607;
-            ::apache::thrift::protocol::TType _etype610;
-            xfer += iprot->readListBegin(_etype610, _size607);
-            this->grants.resize(_size607);
-            uint32_t _i611;
-            for (_i611 = 0; _i611 < _size607; ++_i611)
+            uint32_t _size631;
+            ::apache::thrift::protocol::TType _etype634;
+            xfer += iprot->readListBegin(_etype634, _size631);
+            this->grants.resize(_size631);
+            uint32_t _i635;
+            for (_i635 = 0; _i635 < _size631; ++_i635)
             {
-              xfer += this->grants[_i611].read(iprot);
+              xfer += this->grants[_i635].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -15108,14 +15701,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->failed_groups.clear();
-            uint32_t _size612;
-            ::apache::thrift::protocol::TType _etype615;
-            xfer += iprot->readListBegin(_etype615, _size612);
-            this->failed_groups.resize(_size612);
-            uint32_t _i616;
-            for (_i616 = 0; _i616 < _size612; ++_i616)
+            uint32_t _size636;
+            ::apache::thrift::protocol::TType _etype639;
+            xfer += iprot->readListBegin(_etype639, _size636);
+            this->failed_groups.resize(_size636);
+            uint32_t _i640;
+            for (_i640 = 0; _i640 < _size636; ++_i640)
             {
-              xfer += iprot->readString(this->failed_groups[_i616]);
+              xfer += iprot->readString(this->failed_groups[_i640]);
             }
             xfer += iprot->readListEnd();
           }
@@ -15148,10 +15741,10 @@
   xfer += oprot->writeFieldBegin("grants", ::apache::thrift::protocol::T_LIST, 2);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->grants.size()));
-    std::vector<SlotGrant> ::const_iterator _iter617;
-    for (_iter617 = this->grants.begin(); _iter617 != this->grants.end(); ++_iter617)
+    std::vector<SlotGrant> ::const_iterator _iter641;
+    for (_iter641 = this->grants.begin(); _iter641 != this->grants.end(); ++_iter641)
     {
-      xfer += (*_iter617).write(oprot);
+      xfer += (*_iter641).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -15160,10 +15753,10 @@
   xfer += oprot->writeFieldBegin("failed_groups", ::apache::thrift::protocol::T_LIST, 3);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->failed_groups.size()));
-    std::vector<std::string> ::const_iterator _iter618;
-    for (_iter618 = this->failed_groups.begin(); _iter618 != this->failed_groups.end(); ++_iter618)
+    std::vector<std::string> ::const_iterator _iter642;
+    for (_iter642 = this->failed_groups.begin(); _iter642 != this->failed_groups.end(); ++_iter642)
     {
-      xfer += oprot->writeString((*_iter618));
+      xfer += oprot->writeString((*_iter642));
     }
     xfer += oprot->writeListEnd();
   }
@@ -15182,30 +15775,30 @@
   swap(a.__isset, b.__isset);
 }
 
-SlotAnswer::SlotAnswer(const SlotAnswer& other619) {
-  term = other619.term;
-  grants = other619.grants;
-  failed_groups = other619.failed_groups;
-  __isset = other619.__isset;
+SlotAnswer::SlotAnswer(const SlotAnswer& other643) {
+  term = other643.term;
+  grants = other643.grants;
+  failed_groups = other643.failed_groups;
+  __isset = other643.__isset;
 }
-SlotAnswer::SlotAnswer(SlotAnswer&& other620) noexcept {
-  term = other620.term;
-  grants = std::move(other620.grants);
-  failed_groups = std::move(other620.failed_groups);
-  __isset = other620.__isset;
+SlotAnswer::SlotAnswer(SlotAnswer&& other644) noexcept {
+  term = other644.term;
+  grants = std::move(other644.grants);
+  failed_groups = std::move(other644.failed_groups);
+  __isset = other644.__isset;
 }
-SlotAnswer& SlotAnswer::operator=(const SlotAnswer& other621) {
-  term = other621.term;
-  grants = other621.grants;
-  failed_groups = other621.failed_groups;
-  __isset = other621.__isset;
+SlotAnswer& SlotAnswer::operator=(const SlotAnswer& other645) {
+  term = other645.term;
+  grants = other645.grants;
+  failed_groups = other645.failed_groups;
+  __isset = other645.__isset;
   return *this;
 }
-SlotAnswer& SlotAnswer::operator=(SlotAnswer&& other622) noexcept {
-  term = other622.term;
-  grants = std::move(other622.grants);
-  failed_groups = std::move(other622.failed_groups);
-  __isset = other622.__isset;
+SlotAnswer& SlotAnswer::operator=(SlotAnswer&& other646) noexcept {
+  term = other646.term;
+  grants = std::move(other646.grants);
+  failed_groups = std::move(other646.failed_groups);
+  __isset = other646.__isset;
   return *this;
 }
 void SlotAnswer::printTo(std::ostream& out) const {
@@ -15310,26 +15903,26 @@
   swap(a.__isset, b.__isset);
 }
 
-ControlPeer::ControlPeer(const ControlPeer& other623) {
-  address = other623.address;
-  zone = other623.zone;
-  __isset = other623.__isset;
+ControlPeer::ControlPeer(const ControlPeer& other647) {
+  address = other647.address;
+  zone = other647.zone;
+  __isset = other647.__isset;
 }
-ControlPeer::ControlPeer(ControlPeer&& other624) noexcept {
-  address = std::move(other624.address);
-  zone = std::move(other624.zone);
-  __isset = other624.__isset;
+ControlPeer::ControlPeer(ControlPeer&& other648) noexcept {
+  address = std::move(other648.address);
+  zone = std::move(other648.zone);
+  __isset = other648.__isset;
 }
-ControlPeer& ControlPeer::operator=(const ControlPeer& other625) {
-  address = other625.address;
-  zone = other625.zone;
-  __isset = other625.__isset;
+ControlPeer& ControlPeer::operator=(const ControlPeer& other649) {
+  address = other649.address;
+  zone = other649.zone;
+  __isset = other649.__isset;
   return *this;
 }
-ControlPeer& ControlPeer::operator=(ControlPeer&& other626) noexcept {
-  address = std::move(other626.address);
-  zone = std::move(other626.zone);
-  __isset = other626.__isset;
+ControlPeer& ControlPeer::operator=(ControlPeer&& other650) noexcept {
+  address = std::move(other650.address);
+  zone = std::move(other650.zone);
+  __isset = other650.__isset;
   return *this;
 }
 void ControlPeer::printTo(std::ostream& out) const {
@@ -15403,6 +15996,15 @@
   this->document = val;
 __isset.document = true;
 }
+
+void FleetUpdate::__set_evacuation_revision(const int64_t val) {
+  this->evacuation_revision = val;
+}
+
+void FleetUpdate::__set_evacuations(const ZoneEvacuations& val) {
+  this->evacuations = val;
+__isset.evacuations = true;
+}
 std::ostream& operator<<(std::ostream& out, const FleetUpdate& obj)
 {
   obj.printTo(out);
@@ -15483,14 +16085,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->loads.clear();
-            uint32_t _size627;
-            ::apache::thrift::protocol::TType _etype630;
-            xfer += iprot->readListBegin(_etype630, _size627);
-            this->loads.resize(_size627);
-            uint32_t _i631;
-            for (_i631 = 0; _i631 < _size627; ++_i631)
+            uint32_t _size651;
+            ::apache::thrift::protocol::TType _etype654;
+            xfer += iprot->readListBegin(_etype654, _size651);
+            this->loads.resize(_size651);
+            uint32_t _i655;
+            for (_i655 = 0; _i655 < _size651; ++_i655)
             {
-              xfer += this->loads[_i631].read(iprot);
+              xfer += this->loads[_i655].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -15543,14 +16145,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->control_peers.clear();
-            uint32_t _size632;
-            ::apache::thrift::protocol::TType _etype635;
-            xfer += iprot->readListBegin(_etype635, _size632);
-            this->control_peers.resize(_size632);
-            uint32_t _i636;
-            for (_i636 = 0; _i636 < _size632; ++_i636)
+            uint32_t _size656;
+            ::apache::thrift::protocol::TType _etype659;
+            xfer += iprot->readListBegin(_etype659, _size656);
+            this->control_peers.resize(_size656);
+            uint32_t _i660;
+            for (_i660 = 0; _i660 < _size656; ++_i660)
             {
-              xfer += this->control_peers[_i636].read(iprot);
+              xfer += this->control_peers[_i660].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -15567,6 +16169,22 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 17:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->evacuation_revision);
+          this->__isset.evacuation_revision = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 18:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->evacuations.read(iprot);
+          this->__isset.evacuations = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -15612,10 +16230,10 @@
   xfer += oprot->writeFieldBegin("loads", ::apache::thrift::protocol::T_LIST, 9);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->loads.size()));
-    std::vector<GroupLoad> ::const_iterator _iter637;
-    for (_iter637 = this->loads.begin(); _iter637 != this->loads.end(); ++_iter637)
+    std::vector<GroupLoad> ::const_iterator _iter661;
+    for (_iter661 = this->loads.begin(); _iter661 != this->loads.end(); ++_iter661)
     {
-      xfer += (*_iter637).write(oprot);
+      xfer += (*_iter661).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -15645,10 +16263,10 @@
   xfer += oprot->writeFieldBegin("control_peers", ::apache::thrift::protocol::T_LIST, 15);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->control_peers.size()));
-    std::vector<ControlPeer> ::const_iterator _iter638;
-    for (_iter638 = this->control_peers.begin(); _iter638 != this->control_peers.end(); ++_iter638)
+    std::vector<ControlPeer> ::const_iterator _iter662;
+    for (_iter662 = this->control_peers.begin(); _iter662 != this->control_peers.end(); ++_iter662)
     {
-      xfer += (*_iter638).write(oprot);
+      xfer += (*_iter662).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -15659,6 +16277,15 @@
     xfer += this->document.write(oprot);
     xfer += oprot->writeFieldEnd();
   }
+  xfer += oprot->writeFieldBegin("evacuation_revision", ::apache::thrift::protocol::T_I64, 17);
+  xfer += oprot->writeI64(this->evacuation_revision);
+  xfer += oprot->writeFieldEnd();
+
+  if (this->__isset.evacuations) {
+    xfer += oprot->writeFieldBegin("evacuations", ::apache::thrift::protocol::T_STRUCT, 18);
+    xfer += this->evacuations.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -15680,77 +16307,87 @@
   swap(a.confirmed_age_ms, b.confirmed_age_ms);
   swap(a.control_peers, b.control_peers);
   swap(a.document, b.document);
+  swap(a.evacuation_revision, b.evacuation_revision);
+  swap(a.evacuations, b.evacuations);
   swap(a.__isset, b.__isset);
 }
 
-FleetUpdate::FleetUpdate(const FleetUpdate& other639) {
-  sequence = other639.sequence;
-  not_leader = other639.not_leader;
-  leader = other639.leader;
-  term = other639.term;
-  document_version = other639.document_version;
-  state = other639.state;
-  loads = other639.loads;
-  serving_nodes = other639.serving_nodes;
-  wants_state = other639.wants_state;
-  state_change = other639.state_change;
-  wants_confirmation = other639.wants_confirmation;
-  confirmed_age_ms = other639.confirmed_age_ms;
-  control_peers = other639.control_peers;
-  document = other639.document;
-  __isset = other639.__isset;
-}
-FleetUpdate::FleetUpdate(FleetUpdate&& other640) noexcept {
-  sequence = other640.sequence;
-  not_leader = other640.not_leader;
-  leader = std::move(other640.leader);
-  term = other640.term;
-  document_version = other640.document_version;
-  state = std::move(other640.state);
-  loads = std::move(other640.loads);
-  serving_nodes = other640.serving_nodes;
-  wants_state = other640.wants_state;
-  state_change = std::move(other640.state_change);
-  wants_confirmation = other640.wants_confirmation;
-  confirmed_age_ms = other640.confirmed_age_ms;
-  control_peers = std::move(other640.control_peers);
-  document = std::move(other640.document);
-  __isset = other640.__isset;
-}
-FleetUpdate& FleetUpdate::operator=(const FleetUpdate& other641) {
-  sequence = other641.sequence;
-  not_leader = other641.not_leader;
-  leader = other641.leader;
-  term = other641.term;
-  document_version = other641.document_version;
-  state = other641.state;
-  loads = other641.loads;
-  serving_nodes = other641.serving_nodes;
-  wants_state = other641.wants_state;
-  state_change = other641.state_change;
-  wants_confirmation = other641.wants_confirmation;
-  confirmed_age_ms = other641.confirmed_age_ms;
-  control_peers = other641.control_peers;
-  document = other641.document;
-  __isset = other641.__isset;
+FleetUpdate::FleetUpdate(const FleetUpdate& other663) {
+  sequence = other663.sequence;
+  not_leader = other663.not_leader;
+  leader = other663.leader;
+  term = other663.term;
+  document_version = other663.document_version;
+  state = other663.state;
+  loads = other663.loads;
+  serving_nodes = other663.serving_nodes;
+  wants_state = other663.wants_state;
+  state_change = other663.state_change;
+  wants_confirmation = other663.wants_confirmation;
+  confirmed_age_ms = other663.confirmed_age_ms;
+  control_peers = other663.control_peers;
+  document = other663.document;
+  evacuation_revision = other663.evacuation_revision;
+  evacuations = other663.evacuations;
+  __isset = other663.__isset;
+}
+FleetUpdate::FleetUpdate(FleetUpdate&& other664) noexcept {
+  sequence = other664.sequence;
+  not_leader = other664.not_leader;
+  leader = std::move(other664.leader);
+  term = other664.term;
+  document_version = other664.document_version;
+  state = std::move(other664.state);
+  loads = std::move(other664.loads);
+  serving_nodes = other664.serving_nodes;
+  wants_state = other664.wants_state;
+  state_change = std::move(other664.state_change);
+  wants_confirmation = other664.wants_confirmation;
+  confirmed_age_ms = other664.confirmed_age_ms;
+  control_peers = std::move(other664.control_peers);
+  document = std::move(other664.document);
+  evacuation_revision = other664.evacuation_revision;
+  evacuations = std::move(other664.evacuations);
+  __isset = other664.__isset;
+}
+FleetUpdate& FleetUpdate::operator=(const FleetUpdate& other665) {
+  sequence = other665.sequence;
+  not_leader = other665.not_leader;
+  leader = other665.leader;
+  term = other665.term;
+  document_version = other665.document_version;
+  state = other665.state;
+  loads = other665.loads;
+  serving_nodes = other665.serving_nodes;
+  wants_state = other665.wants_state;
+  state_change = other665.state_change;
+  wants_confirmation = other665.wants_confirmation;
+  confirmed_age_ms = other665.confirmed_age_ms;
+  control_peers = other665.control_peers;
+  document = other665.document;
+  evacuation_revision = other665.evacuation_revision;
+  evacuations = other665.evacuations;
+  __isset = other665.__isset;
   return *this;
 }
-FleetUpdate& FleetUpdate::operator=(FleetUpdate&& other642) noexcept {
-  sequence = other642.sequence;
-  not_leader = other642.not_leader;
-  leader = std::move(other642.leader);
-  term = other642.term;
-  document_version = other642.document_version;
-  state = std::move(other642.state);
-  loads = std::move(other642.loads);
-  serving_nodes = other642.serving_nodes;
-  wants_state = other642.wants_state;
-  state_change = std::move(other642.state_change);
-  wants_confirmation = other642.wants_confirmation;
-  confirmed_age_ms = other642.confirmed_age_ms;
-  control_peers = std::move(other642.control_peers);
-  document = std::move(other642.document);
-  __isset = other642.__isset;
+FleetUpdate& FleetUpdate::operator=(FleetUpdate&& other666) noexcept {
+  sequence = other666.sequence;
+  not_leader = other666.not_leader;
+  leader = std::move(other666.leader);
+  term = other666.term;
+  document_version = other666.document_version;
+  state = std::move(other666.state);
+  loads = std::move(other666.loads);
+  serving_nodes = other666.serving_nodes;
+  wants_state = other666.wants_state;
+  state_change = std::move(other666.state_change);
+  wants_confirmation = other666.wants_confirmation;
+  confirmed_age_ms = other666.confirmed_age_ms;
+  control_peers = std::move(other666.control_peers);
+  document = std::move(other666.document);
+  evacuation_revision = other666.evacuation_revision;
+  evacuations = std::move(other666.evacuations);
+  __isset = other666.__isset;
   return *this;
 }
 void FleetUpdate::printTo(std::ostream& out) const {
@@ -15770,6 +16407,8 @@
   out << ", " << "confirmed_age_ms=" << to_string(confirmed_age_ms);
   out << ", " << "control_peers=" << to_string(control_peers);
   out << ", " << "document="; (__isset.document ? (out << to_string(document)) : (out << "<null>"));
+  out << ", " << "evacuation_revision=" << to_string(evacuation_revision);
+  out << ", " << "evacuations="; (__isset.evacuations ? (out << to_string(evacuations)) : (out << "<null>"));
   out << ")";
 }
 
@@ -15793,6 +16432,10 @@
 void ControlCall::__set_body(const std::string& val) {
   this->body = val;
 }
+
+void ControlCall::__set_zone(const std::string& val) {
+  this->zone = val;
+}
 std::ostream& operator<<(std::ostream& out, const ControlCall& obj)
 {
   obj.printTo(out);
@@ -15831,9 +16474,9 @@
         break;
       case 2:
         if (ftype == ::apache::thrift::protocol::T_I32) {
-          int32_t ecast643;
-          xfer += iprot->readI32(ecast643);
-          this->kind = static_cast<ControlCallKind::type>(ecast643);
+          int32_t ecast667;
+          xfer += iprot->readI32(ecast667);
+          this->kind = static_cast<ControlCallKind::type>(ecast667);
           this->__isset.kind = true;
         } else {
           xfer += iprot->skip(ftype);
@@ -15855,6 +16498,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->zone);
+          this->__isset.zone = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -15888,6 +16539,10 @@
   xfer += oprot->writeBinary(this->body);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("zone", ::apache::thrift::protocol::T_STRING, 5);
+  xfer += oprot->writeString(this->zone);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -15899,37 +16554,42 @@
   swap(a.kind, b.kind);
   swap(a.instance_id, b.instance_id);
   swap(a.body, b.body);
+  swap(a.zone, b.zone);
   swap(a.__isset, b.__isset);
 }
 
-ControlCall::ControlCall(const ControlCall& other644) {
-  id = other644.id;
-  kind = other644.kind;
-  instance_id = other644.instance_id;
-  body = other644.body;
-  __isset = other644.__isset;
+ControlCall::ControlCall(const ControlCall& other668) {
+  id = other668.id;
+  kind = other668.kind;
+  instance_id = other668.instance_id;
+  body = other668.body;
+  zone = other668.zone;
+  __isset = other668.__isset;
 }
-ControlCall::ControlCall(ControlCall&& other645) noexcept {
-  id = other645.id;
-  kind = other645.kind;
-  instance_id = std::move(other645.instance_id);
-  body = std::move(other645.body);
-  __isset = other645.__isset;
+ControlCall::ControlCall(ControlCall&& other669) noexcept {
+  id = other669.id;
+  kind = other669.kind;
+  instance_id = std::move(other669.instance_id);
+  body = std::move(other669.body);
+  zone = std::move(other669.zone);
+  __isset = other669.__isset;
 }
-ControlCall& ControlCall::operator=(const ControlCall& other646) {
-  id = other646.id;
-  kind = other646.kind;
-  instance_id = other646.instance_id;
-  body = other646.body;
-  __isset = other646.__isset;
+ControlCall& ControlCall::operator=(const ControlCall& other670) {
+  id = other670.id;
+  kind = other670.kind;
+  instance_id = other670.instance_id;
+  body = other670.body;
+  zone = other670.zone;
+  __isset = other670.__isset;
   return *this;
 }
-ControlCall& ControlCall::operator=(ControlCall&& other647) noexcept {
-  id = other647.id;
-  kind = other647.kind;
-  instance_id = std::move(other647.instance_id);
-  body = std::move(other647.body);
-  __isset = other647.__isset;
+ControlCall& ControlCall::operator=(ControlCall&& other671) noexcept {
+  id = other671.id;
+  kind = other671.kind;
+  instance_id = std::move(other671.instance_id);
+  body = std::move(other671.body);
+  zone = std::move(other671.zone);
+  __isset = other671.__isset;
   return *this;
 }
 void ControlCall::printTo(std::ostream& out) const {
@@ -15939,6 +16599,7 @@
   out << ", " << "kind=" << to_string(kind);
   out << ", " << "instance_id=" << to_string(instance_id);
   out << ", " << "body=" << to_string(body);
+  out << ", " << "zone=" << to_string(zone);
   out << ")";
 }
 
@@ -16052,30 +16713,30 @@
   swap(a.__isset, b.__isset);
 }
 
-ControlCallReply::ControlCallReply(const ControlCallReply& other648) {
-  id = other648.id;
-  status = other648.status;
-  body = other648.body;
-  __isset = other648.__isset;
+ControlCallReply::ControlCallReply(const ControlCallReply& other672) {
+  id = other672.id;
+  status = other672.status;
+  body = other672.body;
+  __isset = other672.__isset;
 }
-ControlCallReply::ControlCallReply(ControlCallReply&& other649) noexcept {
-  id = other649.id;
-  status = other649.status;
-  body = std::move(other649.body);
-  __isset = other649.__isset;
+ControlCallReply::ControlCallReply(ControlCallReply&& other673) noexcept {
+  id = other673.id;
+  status = other673.status;
+  body = std::move(other673.body);
+  __isset = other673.__isset;
 }
-ControlCallReply& ControlCallReply::operator=(const ControlCallReply& other650) {
-  id = other650.id;
-  status = other650.status;
-  body = other650.body;
-  __isset = other650.__isset;
+ControlCallReply& ControlCallReply::operator=(const ControlCallReply& other674) {
+  id = other674.id;
+  status = other674.status;
+  body = other674.body;
+  __isset = other674.__isset;
   return *this;
 }
-ControlCallReply& ControlCallReply::operator=(ControlCallReply&& other651) noexcept {
-  id = other651.id;
-  status = other651.status;
-  body = std::move(other651.body);
-  __isset = other651.__isset;
+ControlCallReply& ControlCallReply::operator=(ControlCallReply&& other675) noexcept {
+  id = other675.id;
+  status = other675.status;
+  body = std::move(other675.body);
+  __isset = other675.__isset;
   return *this;
 }
 void ControlCallReply::printTo(std::ostream& out) const {
@@ -16180,26 +16841,26 @@
   swap(a.__isset, b.__isset);
 }
 
-RegistrationReport::RegistrationReport(const RegistrationReport& other652) {
-  instance = other652.instance;
-  known_term = other652.known_term;
-  __isset = other652.__isset;
+RegistrationReport::RegistrationReport(const RegistrationReport& other676) {
+  instance = other676.instance;
+  known_term = other676.known_term;
+  __isset = other676.__isset;
 }
-RegistrationReport::RegistrationReport(RegistrationReport&& other653) noexcept {
-  instance = std::move(other653.instance);
-  known_term = other653.known_term;
-  __isset = other653.__isset;
+RegistrationReport::RegistrationReport(RegistrationReport&& other677) noexcept {
+  instance = std::move(other677.instance);
+  known_term = other677.known_term;
+  __isset = other677.__isset;
 }
-RegistrationReport& RegistrationReport::operator=(const RegistrationReport& other654) {
-  instance = other654.instance;
-  known_term = other654.known_term;
-  __isset = other654.__isset;
+RegistrationReport& RegistrationReport::operator=(const RegistrationReport& other678) {
+  instance = other678.instance;
+  known_term = other678.known_term;
+  __isset = other678.__isset;
   return *this;
 }
-RegistrationReport& RegistrationReport::operator=(RegistrationReport&& other655) noexcept {
-  instance = std::move(other655.instance);
-  known_term = other655.known_term;
-  __isset = other655.__isset;
+RegistrationReport& RegistrationReport::operator=(RegistrationReport&& other679) noexcept {
+  instance = std::move(other679.instance);
+  known_term = other679.known_term;
+  __isset = other679.__isset;
   return *this;
 }
 void RegistrationReport::printTo(std::ostream& out) const {
@@ -16250,14 +16911,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->reports.clear();
-            uint32_t _size656;
-            ::apache::thrift::protocol::TType _etype659;
-            xfer += iprot->readListBegin(_etype659, _size656);
-            this->reports.resize(_size656);
-            uint32_t _i660;
-            for (_i660 = 0; _i660 < _size656; ++_i660)
+            uint32_t _size680;
+            ::apache::thrift::protocol::TType _etype683;
+            xfer += iprot->readListBegin(_etype683, _size680);
+            this->reports.resize(_size680);
+            uint32_t _i684;
+            for (_i684 = 0; _i684 < _size680; ++_i684)
             {
-              xfer += this->reports[_i660].read(iprot);
+              xfer += this->reports[_i684].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -16286,10 +16947,10 @@
   xfer += oprot->writeFieldBegin("reports", ::apache::thrift::protocol::T_LIST, 1);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->reports.size()));
-    std::vector<RegistrationReport> ::const_iterator _iter661;
-    for (_iter661 = this->reports.begin(); _iter661 != this->reports.end(); ++_iter661)
+    std::vector<RegistrationReport> ::const_iterator _iter685;
+    for (_iter685 = this->reports.begin(); _iter685 != this->reports.end(); ++_iter685)
     {
-      xfer += (*_iter661).write(oprot);
+      xfer += (*_iter685).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -16306,22 +16967,22 @@
   swap(a.__isset, b.__isset);
 }
 
-RegistrationBatch::RegistrationBatch(const RegistrationBatch& other662) {
-  reports = other662.reports;
-  __isset = other662.__isset;
+RegistrationBatch::RegistrationBatch(const RegistrationBatch& other686) {
+  reports = other686.reports;
+  __isset = other686.__isset;
 }
-RegistrationBatch::RegistrationBatch(RegistrationBatch&& other663) noexcept {
-  reports = std::move(other663.reports);
-  __isset = other663.__isset;
+RegistrationBatch::RegistrationBatch(RegistrationBatch&& other687) noexcept {
+  reports = std::move(other687.reports);
+  __isset = other687.__isset;
 }
-RegistrationBatch& RegistrationBatch::operator=(const RegistrationBatch& other664) {
-  reports = other664.reports;
-  __isset = other664.__isset;
+RegistrationBatch& RegistrationBatch::operator=(const RegistrationBatch& other688) {
+  reports = other688.reports;
+  __isset = other688.__isset;
   return *this;
 }
-RegistrationBatch& RegistrationBatch::operator=(RegistrationBatch&& other665) noexcept {
-  reports = std::move(other665.reports);
-  __isset = other665.__isset;
+RegistrationBatch& RegistrationBatch::operator=(RegistrationBatch&& other689) noexcept {
+  reports = std::move(other689.reports);
+  __isset = other689.__isset;
   return *this;
 }
 void RegistrationBatch::printTo(std::ostream& out) const {
@@ -16424,26 +17085,26 @@
   swap(a.__isset, b.__isset);
 }
 
-FormationNotice::FormationNotice(const FormationNotice& other666) {
-  choice = other666.choice;
-  holds_log = other666.holds_log;
-  __isset = other666.__isset;
+FormationNotice::FormationNotice(const FormationNotice& other690) {
+  choice = other690.choice;
+  holds_log = other690.holds_log;
+  __isset = other690.__isset;
 }
-FormationNotice::FormationNotice(FormationNotice&& other667) noexcept {
-  choice = std::move(other667.choice);
-  holds_log = other667.holds_log;
-  __isset = other667.__isset;
+FormationNotice::FormationNotice(FormationNotice&& other691) noexcept {
+  choice = std::move(other691.choice);
+  holds_log = other691.holds_log;
+  __isset = other691.__isset;
 }
-FormationNotice& FormationNotice::operator=(const FormationNotice& other668) {
-  choice = other668.choice;
-  holds_log = other668.holds_log;
-  __isset = other668.__isset;
+FormationNotice& FormationNotice::operator=(const FormationNotice& other692) {
+  choice = other692.choice;
+  holds_log = other692.holds_log;
+  __isset = other692.__isset;
   return *this;
 }
-FormationNotice& FormationNotice::operator=(FormationNotice&& other669) noexcept {
-  choice = std::move(other669.choice);
-  holds_log = other669.holds_log;
-  __isset = other669.__isset;
+FormationNotice& FormationNotice::operator=(FormationNotice&& other693) noexcept {
+  choice = std::move(other693.choice);
+  holds_log = other693.holds_log;
+  __isset = other693.__isset;
   return *this;
 }
 void FormationNotice::printTo(std::ostream& out) const {
@@ -16887,98 +17548,98 @@
   swap(a.__isset, b.__isset);
 }
 
-Envelope::Envelope(const Envelope& other670) {
-  from_node = other670.from_node;
-  from_incarnation = other670.from_incarnation;
-  to_node = other670.to_node;
-  raft = other670.raft;
-  heartbeat = other670.heartbeat;
-  heartbeat_reply = other670.heartbeat_reply;
-  claim_request = other670.claim_request;
-  claim_reply = other670.claim_reply;
-  resolution = other670.resolution;
-  operator_request = other670.operator_request;
-  operator_reply = other670.operator_reply;
-  resolution_reply = other670.resolution_reply;
-  fleet_heartbeat = other670.fleet_heartbeat;
-  fleet_update = other670.fleet_update;
-  control_call = other670.control_call;
-  control_call_reply = other670.control_call_reply;
-  slot_report = other670.slot_report;
-  slot_answer = other670.slot_answer;
-  registrations = other670.registrations;
-  formation = other670.formation;
-  __isset = other670.__isset;
-}
-Envelope::Envelope(Envelope&& other671) noexcept {
-  from_node = std::move(other671.from_node);
-  from_incarnation = other671.from_incarnation;
-  to_node = std::move(other671.to_node);
-  raft = std::move(other671.raft);
-  heartbeat = std::move(other671.heartbeat);
-  heartbeat_reply = std::move(other671.heartbeat_reply);
-  claim_request = std::move(other671.claim_request);
-  claim_reply = std::move(other671.claim_reply);
-  resolution = std::move(other671.resolution);
-  operator_request = std::move(other671.operator_request);
-  operator_reply = std::move(other671.operator_reply);
-  resolution_reply = std::move(other671.resolution_reply);
-  fleet_heartbeat = std::move(other671.fleet_heartbeat);
-  fleet_update = std::move(other671.fleet_update);
-  control_call = std::move(other671.control_call);
-  control_call_reply = std::move(other671.control_call_reply);
-  slot_report = std::move(other671.slot_report);
-  slot_answer = std::move(other671.slot_answer);
-  registrations = std::move(other671.registrations);
-  formation = std::move(other671.formation);
-  __isset = other671.__isset;
-}
-Envelope& Envelope::operator=(const Envelope& other672) {
-  from_node = other672.from_node;
-  from_incarnation = other672.from_incarnation;
-  to_node = other672.to_node;
-  raft = other672.raft;
-  heartbeat = other672.heartbeat;
-  heartbeat_reply = other672.heartbeat_reply;
-  claim_request = other672.claim_request;
-  claim_reply = other672.claim_reply;
-  resolution = other672.resolution;
-  operator_request = other672.operator_request;
-  operator_reply = other672.operator_reply;
-  resolution_reply = other672.resolution_reply;
-  fleet_heartbeat = other672.fleet_heartbeat;
-  fleet_update = other672.fleet_update;
-  control_call = other672.control_call;
-  control_call_reply = other672.control_call_reply;
-  slot_report = other672.slot_report;
-  slot_answer = other672.slot_answer;
-  registrations = other672.registrations;
-  formation = other672.formation;
-  __isset = other672.__isset;
+Envelope::Envelope(const Envelope& other694) {
+  from_node = other694.from_node;
+  from_incarnation = other694.from_incarnation;
+  to_node = other694.to_node;
+  raft = other694.raft;
+  heartbeat = other694.heartbeat;
+  heartbeat_reply = other694.heartbeat_reply;
+  claim_request = other694.claim_request;
+  claim_reply = other694.claim_reply;
+  resolution = other694.resolution;
+  operator_request = other694.operator_request;
+  operator_reply = other694.operator_reply;
+  resolution_reply = other694.resolution_reply;
+  fleet_heartbeat = other694.fleet_heartbeat;
+  fleet_update = other694.fleet_update;
+  control_call = other694.control_call;
+  control_call_reply = other694.control_call_reply;
+  slot_report = other694.slot_report;
+  slot_answer = other694.slot_answer;
+  registrations = other694.registrations;
+  formation = other694.formation;
+  __isset = other694.__isset;
+}
+Envelope::Envelope(Envelope&& other695) noexcept {
+  from_node = std::move(other695.from_node);
+  from_incarnation = other695.from_incarnation;
+  to_node = std::move(other695.to_node);
+  raft = std::move(other695.raft);
+  heartbeat = std::move(other695.heartbeat);
+  heartbeat_reply = std::move(other695.heartbeat_reply);
+  claim_request = std::move(other695.claim_request);
+  claim_reply = std::move(other695.claim_reply);
+  resolution = std::move(other695.resolution);
+  operator_request = std::move(other695.operator_request);
+  operator_reply = std::move(other695.operator_reply);
+  resolution_reply = std::move(other695.resolution_reply);
+  fleet_heartbeat = std::move(other695.fleet_heartbeat);
+  fleet_update = std::move(other695.fleet_update);
+  control_call = std::move(other695.control_call);
+  control_call_reply = std::move(other695.control_call_reply);
+  slot_report = std::move(other695.slot_report);
+  slot_answer = std::move(other695.slot_answer);
+  registrations = std::move(other695.registrations);
+  formation = std::move(other695.formation);
+  __isset = other695.__isset;
+}
+Envelope& Envelope::operator=(const Envelope& other696) {
+  from_node = other696.from_node;
+  from_incarnation = other696.from_incarnation;
+  to_node = other696.to_node;
+  raft = other696.raft;
+  heartbeat = other696.heartbeat;
+  heartbeat_reply = other696.heartbeat_reply;
+  claim_request = other696.claim_request;
+  claim_reply = other696.claim_reply;
+  resolution = other696.resolution;
+  operator_request = other696.operator_request;
+  operator_reply = other696.operator_reply;
+  resolution_reply = other696.resolution_reply;
+  fleet_heartbeat = other696.fleet_heartbeat;
+  fleet_update = other696.fleet_update;
+  control_call = other696.control_call;
+  control_call_reply = other696.control_call_reply;
+  slot_report = other696.slot_report;
+  slot_answer = other696.slot_answer;
+  registrations = other696.registrations;
+  formation = other696.formation;
+  __isset = other696.__isset;
   return *this;
 }
-Envelope& Envelope::operator=(Envelope&& other673) noexcept {
-  from_node = std::move(other673.from_node);
-  from_incarnation = other673.from_incarnation;
-  to_node = std::move(other673.to_node);
-  raft = std::move(other673.raft);
-  heartbeat = std::move(other673.heartbeat);
-  heartbeat_reply = std::move(other673.heartbeat_reply);
-  claim_request = std::move(other673.claim_request);
-  claim_reply = std::move(other673.claim_reply);
-  resolution = std::move(other673.resolution);
-  operator_request = std::move(other673.operator_request);
-  operator_reply = std::move(other673.operator_reply);
-  resolution_reply = std::move(other673.resolution_reply);
-  fleet_heartbeat = std::move(other673.fleet_heartbeat);
-  fleet_update = std::move(other673.fleet_update);
-  control_call = std::move(other673.control_call);
-  control_call_reply = std::move(other673.control_call_reply);
-  slot_report = std::move(other673.slot_report);
-  slot_answer = std::move(other673.slot_answer);
-  registrations = std::move(other673.registrations);
-  formation = std::move(other673.formation);
-  __isset = other673.__isset;
+Envelope& Envelope::operator=(Envelope&& other697) noexcept {
+  from_node = std::move(other697.from_node);
+  from_incarnation = other697.from_incarnation;
+  to_node = std::move(other697.to_node);
+  raft = std::move(other697.raft);
+  heartbeat = std::move(other697.heartbeat);
+  heartbeat_reply = std::move(other697.heartbeat_reply);
+  claim_request = std::move(other697.claim_request);
+  claim_reply = std::move(other697.claim_reply);
+  resolution = std::move(other697.resolution);
+  operator_request = std::move(other697.operator_request);
+  operator_reply = std::move(other697.operator_reply);
+  resolution_reply = std::move(other697.resolution_reply);
+  fleet_heartbeat = std::move(other697.fleet_heartbeat);
+  fleet_update = std::move(other697.fleet_update);
+  control_call = std::move(other697.control_call);
+  control_call_reply = std::move(other697.control_call_reply);
+  slot_report = std::move(other697.slot_report);
+  slot_answer = std::move(other697.slot_answer);
+  registrations = std::move(other697.registrations);
+  formation = std::move(other697.formation);
+  __isset = other697.__isset;
   return *this;
 }
 void Envelope::printTo(std::ostream& out) const {
--- a/src/wire/gen-cpp/larchlever_types.h
+++ b/src/wire/gen-cpp/larchlever_types.h
@@ -206,7 +206,10 @@
     HEARTBEAT = 0,
     DEREGISTER = 1,
     PUT_DOCUMENT = 2,
-    GET_DOCUMENT = 3
+    GET_DOCUMENT = 3,
+    EVACUATE_ZONE = 4,
+    RESTORE_ZONE = 5,
+    GET_ZONES = 6
   };
 };
 
@@ -286,6 +289,12 @@
 
 class DocumentChange;
 
+class ZoneEvacuationChange;
+
+class ZoneEvacuations;
+
+class FleetLogSnapshot;
+
 class Command;
 
 class CommandAnswer;
@@ -2967,8 +2976,199 @@
 
 std::ostream& operator<<(std::ostream& out, const DocumentChange& obj);
 
+typedef struct _ZoneEvacuationChange__isset {
+  _ZoneEvacuationChange__isset() : zone(false), begins(false) {}
+  bool zone :1;
+  bool begins :1;
+} _ZoneEvacuationChange__isset;
+
+/**
+ * An operator's order to empty a zone, or to take that back.
+ */
+class ZoneEvacuationChange : public virtual ::apache::thrift::TBase {
+ public:
+
+  ZoneEvacuationChange(const ZoneEvacuationChange&);
+  ZoneEvacuationChange(ZoneEvacuationChange&&) noexcept;
+  ZoneEvacuationChange& operator=(const ZoneEvacuationChange&);
+  ZoneEvacuationChange& operator=(ZoneEvacuationChange&&) noexcept;
+  ZoneEvacuationChange() noexcept
+                       : zone(),
+                         begins(0) {
+  }
+
+  virtual ~ZoneEvacuationChange() noexcept;
+  std::string zone;
+  bool begins;
+
+  _ZoneEvacuationChange__isset __isset;
+
+  void __set_zone(const std::string& val);
+
+  void __set_begins(const bool val);
+
+  bool operator == (const ZoneEvacuationChange & rhs) const
+  {
+    if (!(zone == rhs.zone))
+      return false;
+    if (!(begins == rhs.begins))
+      return false;
+    return true;
+  }
+  bool operator != (const ZoneEvacuationChange &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const ZoneEvacuationChange & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(ZoneEvacuationChange &a, ZoneEvacuationChange &b);
+
+std::ostream& operator<<(std::ostream& out, const ZoneEvacuationChange& obj);
+
+typedef struct _ZoneEvacuations__isset {
+  _ZoneEvacuations__isset() : revision(false), zones(false) {}
+  bool revision :1;
+  bool zones :1;
+} _ZoneEvacuations__isset;
+
+/**
+ * The zones whose servers get no requests, by operators' orders.
+ */
+class ZoneEvacuations : public virtual ::apache::thrift::TBase {
+ public:
+
+  ZoneEvacuations(const ZoneEvacuations&);
+  ZoneEvacuations(ZoneEvacuations&&) noexcept;
+  ZoneEvacuations& operator=(const ZoneEvacuations&);
+  ZoneEvacuations& operator=(ZoneEvacuations&&) noexcept;
+  ZoneEvacuations() noexcept
+                  : revision(0) {
+  }
+
+  virtual ~ZoneEvacuations() noexcept;
+  /**
+   * Rises with each change of `zones`.
+   */
+  int64_t revision;
+  /**
+   * Sorted.
+   */
+  std::vector<std::string>  zones;
+
+  _ZoneEvacuations__isset __isset;
+
+  void __set_revision(const int64_t val);
+
+  void __set_zones(const std::vector<std::string> & val);
+
+  bool operator == (const ZoneEvacuations & rhs) const
+  {
+    if (!(revision == rhs.revision))
+      return false;
+    if (!(zones == rhs.zones))
+      return false;
+    return true;
+  }
+  bool operator != (const ZoneEvacuations &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const ZoneEvacuations & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(ZoneEvacuations &a, ZoneEvacuations &b);
+
+std::ostream& operator<<(std::ostream& out, const ZoneEvacuations& obj);
+
+typedef struct _FleetLogSnapshot__isset {
+  _FleetLogSnapshot__isset() : version(false), content(false), compressed_content(false), content_size(false), evacuations(false) {}
+  bool version :1;
+  bool content :1;
+  bool compressed_content :1;
+  bool content_size :1;
+  bool evacuations :1;
+} _FleetLogSnapshot__isset;
+
+/**
+ * The replicated state of a registered fleet, as stored in snapshots. Fields 1 to 4 are those of DocumentChange, which
+ * earlier versions stored alone.
+ */
+class FleetLogSnapshot : public virtual ::apache::thrift::TBase {
+ public:
+
+  FleetLogSnapshot(const FleetLogSnapshot&);
+  FleetLogSnapshot(FleetLogSnapshot&&) noexcept;
+  FleetLogSnapshot& operator=(const FleetLogSnapshot&);
+  FleetLogSnapshot& operator=(FleetLogSnapshot&&) noexcept;
+  FleetLogSnapshot() noexcept
+                   : version(0),
+                     content(),
+                     compressed_content(),
+                     content_size(0) {
+  }
+
+  virtual ~FleetLogSnapshot() noexcept;
+  int64_t version;
+  std::string content;
+  std::string compressed_content;
+  int64_t content_size;
+  ZoneEvacuations evacuations;
+
+  _FleetLogSnapshot__isset __isset;
+
+  void __set_version(const int64_t val);
+
+  void __set_content(const std::string& val);
+
+  void __set_compressed_content(const std::string& val);
+
+  void __set_content_size(const int64_t val);
+
+  void __set_evacuations(const ZoneEvacuations& val);
+
+  bool operator == (const FleetLogSnapshot & rhs) const
+  {
+    if (!(version == rhs.version))
+      return false;
+    if (!(content == rhs.content))
+      return false;
+    if (!(compressed_content == rhs.compressed_content))
+      return false;
+    if (!(content_size == rhs.content_size))
+      return false;
+    if (!(evacuations == rhs.evacuations))
+      return false;
+    return true;
+  }
+  bool operator != (const FleetLogSnapshot &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const FleetLogSnapshot & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(FleetLogSnapshot &a, FleetLogSnapshot &b);
+
+std::ostream& operator<<(std::ostream& out, const FleetLogSnapshot& obj);
+
 typedef struct _Command__isset {
-  _Command__isset() : at_ms(false), change(false), machine_observation(false), group_creation(false), group_transition(false), machine_release(false), claims(false), resolutions(false), entry_loss(false), drain(false), document(false) {}
+  _Command__isset() : at_ms(false), change(false), machine_observation(false), group_creation(false), group_transition(false), machine_release(false), claims(false), resolutions(false), entry_loss(false), drain(false), document(false), zone_evacuation(false) {}
   bool at_ms :1;
   bool change :1;
   bool machine_observation :1;
@@ -2980,6 +3180,7 @@
   bool entry_loss :1;
   bool drain :1;
   bool document :1;
+  bool zone_evacuation :1;
 } _Command__isset;
 
 class Command : public virtual ::apache::thrift::TBase {
@@ -3008,6 +3209,7 @@
   EntryLoss entry_loss;
   MachineDrain drain;
   DocumentChange document;
+  ZoneEvacuationChange zone_evacuation;
 
   _Command__isset __isset;
 
@@ -3033,6 +3235,8 @@
 
   void __set_document(const DocumentChange& val);
 
+  void __set_zone_evacuation(const ZoneEvacuationChange& val);
+
   bool operator == (const Command & rhs) const
   {
     if (!(at_ms == rhs.at_ms))
@@ -3077,6 +3281,10 @@
       return false;
     else if (__isset.document && !(document == rhs.document))
       return false;
+    if (__isset.zone_evacuation != rhs.__isset.zone_evacuation)
+      return false;
+    else if (__isset.zone_evacuation && !(zone_evacuation == rhs.zone_evacuation))
+      return false;
     return true;
   }
   bool operator != (const Command &rhs) const {
@@ -4504,7 +4712,7 @@
 std::ostream& operator<<(std::ostream& out, const GroupMembership& obj);
 
 typedef struct _Instance__isset {
-  _Instance__isset() : id(false), service_name(false), address(false), zone(false), domain(false), state(false), slots(false), call_number(false), staged_models(false), membership(false), silent(false), model(false), born_ms(false) {}
+  _Instance__isset() : id(false), service_name(false), address(false), zone(false), domain(false), state(false), slots(false), call_number(false), staged_models(false), membership(false), silent(false), model(false), born_ms(false), cold_left_ms(false), cold(false) {}
   bool id :1;
   bool service_name :1;
   bool address :1;
@@ -4518,6 +4726,8 @@
   bool silent :1;
   bool model :1;
   bool born_ms :1;
+  bool cold_left_ms :1;
+  bool cold :1;
 } _Instance__isset;
 
 /**
@@ -4541,7 +4751,9 @@
              call_number(0),
              silent(0),
              model(),
-             born_ms(0) {
+             born_ms(0),
+             cold_left_ms(0),
+             cold(0) {
   }
 
   virtual ~Instance() noexcept;
@@ -4574,6 +4786,14 @@
    * Unix milliseconds of the start that says this; 0 when it does not tell. A new start is a new incarnation.
    */
   int64_t born_ms;
+  /**
+   * For how much longer it bears few requests, in milliseconds, as it said itself.
+   */
+  int32_t cold_left_ms;
+  /**
+   * It bears few requests now, by its own word or because it stood in an emptied zone until just now.
+   */
+  bool cold;
 
   _Instance__isset __isset;
 
@@ -4603,6 +4823,10 @@
 
   void __set_born_ms(const int64_t val);
 
+  void __set_cold_left_ms(const int32_t val);
+
+  void __set_cold(const bool val);
+
   bool operator == (const Instance & rhs) const
   {
     if (!(id == rhs.id))
@@ -4631,6 +4855,10 @@
       return false;
     if (!(born_ms == rhs.born_ms))
       return false;
+    if (!(cold_left_ms == rhs.cold_left_ms))
+      return false;
+    if (!(cold == rhs.cold))
+      return false;
     return true;
   }
   bool operator != (const Instance &rhs) const {
@@ -4650,7 +4878,7 @@
 std::ostream& operator<<(std::ostream& out, const Instance& obj);
 
 typedef struct _EngineGroup__isset {
-  _EngineGroup__isset() : name(false), epoch(false), service_name(false), model(false), members(false), phase(false), member_born_ms(false) {}
+  _EngineGroup__isset() : name(false), epoch(false), service_name(false), model(false), members(false), phase(false), member_born_ms(false), zones(false) {}
   bool name :1;
   bool epoch :1;
   bool service_name :1;
@@ -4658,6 +4886,7 @@
   bool members :1;
   bool phase :1;
   bool member_born_ms :1;
+  bool zones :1;
 } _EngineGroup__isset;
 
 /**
@@ -4693,6 +4922,10 @@
    * Births of the members that it was formed of, in their order; 0 for one that does not tell.
    */
   std::vector<int64_t>  member_born_ms;
+  /**
+   * Zones of its members, each once; none when an earlier version formed it.
+   */
+  std::vector<std::string>  zones;
 
   _EngineGroup__isset __isset;
 
@@ -4710,6 +4943,8 @@
 
   void __set_member_born_ms(const std::vector<int64_t> & val);
 
+  void __set_zones(const std::vector<std::string> & val);
+
   bool operator == (const EngineGroup & rhs) const
   {
     if (!(name == rhs.name))
@@ -4726,6 +4961,8 @@
       return false;
     if (!(member_born_ms == rhs.member_born_ms))
       return false;
+    if (!(zones == rhs.zones))
+      return false;
     return true;
   }
   bool operator != (const EngineGroup &rhs) const {
@@ -5219,7 +5456,7 @@
 std::ostream& operator<<(std::ostream& out, const GroupFailure& obj);
 
 typedef struct _FleetHeartbeat__isset {
-  _FleetHeartbeat__isset() : sequence(false), zone(false), replica_id(false), control_address(false), document_version(false), held_term(false), held_version(false), leaving(false), serves_requests(false), held_state(false), wants_loads(false), serving_entries(false), entries_hold_version(false) {}
+  _FleetHeartbeat__isset() : sequence(false), zone(false), replica_id(false), control_address(false), document_version(false), held_term(false), held_version(false), leaving(false), serves_requests(false), held_state(false), wants_loads(false), serving_entries(false), entries_hold_version(false), evacuation_revision(false) {}
   bool sequence :1;
   bool zone :1;
   bool replica_id :1;
@@ -5233,6 +5470,7 @@
   bool wants_loads :1;
   bool serving_entries :1;
   bool entries_hold_version :1;
+  bool evacuation_revision :1;
 } _FleetHeartbeat__isset;
 
 /**
@@ -5258,7 +5496,8 @@
                    serves_requests(0),
                    wants_loads(0),
                    serving_entries(0),
-                   entries_hold_version(0) {
+                   entries_hold_version(0),
+                   evacuation_revision(0) {
   }
 
   virtual ~FleetHeartbeat() noexcept;
@@ -5293,6 +5532,10 @@
    * Of a control replica: the version of `held_term` that all those entries hold at least.
    */
   int64_t entries_hold_version;
+  /**
+   * Revision of the evacuations held.
+   */
+  int64_t evacuation_revision;
 
   _FleetHeartbeat__isset __isset;
 
@@ -5322,6 +5565,8 @@
 
   void __set_entries_hold_version(const int64_t val);
 
+  void __set_evacuation_revision(const int64_t val);
+
   bool operator == (const FleetHeartbeat & rhs) const
   {
     if (!(sequence == rhs.sequence))
@@ -5352,6 +5597,8 @@
       return false;
     if (!(entries_hold_version == rhs.entries_hold_version))
       return false;
+    if (!(evacuation_revision == rhs.evacuation_revision))
+      return false;
     return true;
   }
   bool operator != (const FleetHeartbeat &rhs) const {
@@ -5935,7 +6182,7 @@
 std::ostream& operator<<(std::ostream& out, const ControlPeer& obj);
 
 typedef struct _FleetUpdate__isset {
-  _FleetUpdate__isset() : sequence(false), not_leader(false), leader(false), term(false), document_version(false), state(false), loads(false), serving_nodes(false), wants_state(false), state_change(false), wants_confirmation(false), confirmed_age_ms(false), control_peers(false), document(false) {}
+  _FleetUpdate__isset() : sequence(false), not_leader(false), leader(false), term(false), document_version(false), state(false), loads(false), serving_nodes(false), wants_state(false), state_change(false), wants_confirmation(false), confirmed_age_ms(false), control_peers(false), document(false), evacuation_revision(false), evacuations(false) {}
   bool sequence :1;
   bool not_leader :1;
   bool leader :1;
@@ -5950,6 +6197,8 @@
   bool confirmed_age_ms :1;
   bool control_peers :1;
   bool document :1;
+  bool evacuation_revision :1;
+  bool evacuations :1;
 } _FleetUpdate__isset;
 
 /**
@@ -5972,7 +6221,8 @@
                 serving_nodes(0),
                 wants_state(0),
                 wants_confirmation(0),
-                confirmed_age_ms(0) {
+                confirmed_age_ms(0),
+                evacuation_revision(0) {
   }
 
   virtual ~FleetUpdate() noexcept;
@@ -6017,6 +6267,14 @@
    * Sent to who holds an earlier version.
    */
   DocumentChange document;
+  /**
+   * Revision of the evacuations that was the newest when `document_version` was.
+   */
+  int64_t evacuation_revision;
+  /**
+   * Sent to who holds an earlier revision.
+   */
+  ZoneEvacuations evacuations;
 
   _FleetUpdate__isset __isset;
 
@@ -6048,6 +6306,10 @@
 
   void __set_document(const DocumentChange& val);
 
+  void __set_evacuation_revision(const int64_t val);
+
+  void __set_evacuations(const ZoneEvacuations& val);
+
   bool operator == (const FleetUpdate & rhs) const
   {
     if (!(sequence == rhs.sequence))
@@ -6084,6 +6346,12 @@
       return false;
     else if (__isset.document && !(document == rhs.document))
       return false;
+    if (!(evacuation_revision == rhs.evacuation_revision))
+      return false;
+    if (__isset.evacuations != rhs.__isset.evacuations)
+      return false;
+    else if (__isset.evacuations && !(evacuations == rhs.evacuations))
+      return false;
     return true;
   }
   bool operator != (const FleetUpdate &rhs) const {
@@ -6103,11 +6371,12 @@
 std::ostream& operator<<(std::ostream& out, const FleetUpdate& obj);
 
 typedef struct _ControlCall__isset {
-  _ControlCall__isset() : id(false), kind(false), instance_id(false), body(false) {}
+  _ControlCall__isset() : id(false), kind(false), instance_id(false), body(false), zone(false) {}
   bool id :1;
   bool kind :1;
   bool instance_id :1;
   bool body :1;
+  bool zone :1;
 } _ControlCall__isset;
 
 /**
@@ -6124,7 +6393,8 @@
               : id(0),
                 kind(static_cast<ControlCallKind::type>(0)),
                 instance_id(),
-                body() {
+                body(),
+                zone() {
   }
 
   virtual ~ControlCall() noexcept;
@@ -6136,6 +6406,10 @@
   ControlCallKind::type kind;
   std::string instance_id;
   std::string body;
+  /**
+   * Of an order to evacuate or restore.
+   */
+  std::string zone;
 
   _ControlCall__isset __isset;
 
@@ -6147,6 +6421,8 @@
 
   void __set_body(const std::string& val);
 
+  void __set_zone(const std::string& val);
+
   bool operator == (const ControlCall & rhs) const
   {
     if (!(id == rhs.id))
@@ -6157,6 +6433,8 @@
       return false;
     if (!(body == rhs.body))
       return false;
+    if (!(zone == rhs.zone))
+      return false;
     return true;
   }
   bool operator != (const ControlCall &rhs) const {
--- a/src/wire/larchlever.thrift
+++ b/src/wire/larchlever.thrift
@@ -320,6 +320,32 @@
   4: i64 content_size,
 }
 
+/** An operator's order to empty a zone, or to take that back. */
+struct ZoneEvacuationChange {
+  1: string zone,
+  2: bool begins,
+}
+
+/** The zones whose servers get no requests, by operators' orders. */
+struct ZoneEvacuations {
+  /** Rises with each change of `zones`. */
+  1: i64 revision,
+  /** Sorted. */
+  2: list<string> zones,
+}
+
+/**
+ * The replicated state of a registered fleet, as stored in snapshots. Fields 1 to 4 are those of DocumentChange, which
+ * earlier versions stored alone.
+ */
+struct FleetLogSnapshot {
+  1: i64 version,
+  2: binary content,
+  3: binary compressed_content,
+  4: i64 content_size,
+  5: ZoneEvacuations evacuations,
+}
+
 struct Command {
   /** Leader's wall clock, carried for expiry and audit; never decreases along the log. */
   1: i64 at_ms,
@@ -333,6 +359,7 @@
   9: optional EntryLoss entry_loss,
   10: optional MachineDrain drain,
   11: optional DocumentChange document,
+  12: optional ZoneEvacuationChange zone_evacuation,
 }
 
 struct CommandAnswer {
@@ -530,6 +557,10 @@
   12: string model,
   /** Unix milliseconds of the start that says this; 0 when it does not tell. A new start is a new incarnation. */
   13: i64 born_ms,
+  /** For how much longer it bears few requests, in milliseconds, as it said itself. */
+  14: i32 cold_left_ms,
+  /** It bears few requests now, by its own word or because it stood in an emptied zone until just now. */
+  15: bool cold,
 }
 
 enum GroupPhase { JOINING = 0, OPENING = 1, OPEN = 2, DRAINING = 3, DISSOLVING = 4 }
@@ -544,6 +575,8 @@
   6: GroupPhase phase,
   /** Births of the members that it was formed of, in their order; 0 for one that does not tell. */
   7: list<i64> member_born_ms,
+  /** Zones of its members, each once; none when an earlier version formed it. */
+  8: list<string> zones,
 }
 
 /** A request that is sent to no server, since servers ended while they ran it. */
@@ -633,6 +666,8 @@
   18: i32 serving_entries,
   /** Of a control replica: the version of `held_term` that all those entries hold at least. */
   19: i64 entries_hold_version,
+  /** Revision of the evacuations held. */
+  20: i64 evacuation_revision,
 }
 
 /** An entry asks the leader for a slot of a group for one request. */
@@ -756,9 +791,21 @@
   15: list<ControlPeer> control_peers,
   /** Sent to who holds an earlier version. */
   16: optional DocumentChange document,
+  /** Revision of the evacuations that was the newest when `document_version` was. */
+  17: i64 evacuation_revision,
+  /** Sent to who holds an earlier revision. */
+  18: optional ZoneEvacuations evacuations,
 }
 
-enum ControlCallKind { HEARTBEAT = 0, DEREGISTER = 1, PUT_DOCUMENT = 2, GET_DOCUMENT = 3 }
+enum ControlCallKind {
+  HEARTBEAT = 0,
+  DEREGISTER = 1,
+  PUT_DOCUMENT = 2,
+  GET_DOCUMENT = 3,
+  EVACUATE_ZONE = 4,
+  RESTORE_ZONE = 5,
+  GET_ZONES = 6,
+}
 
 /** A call of an instance or operator, forwarded to the leader by the replica that received it. */
 struct ControlCall {
@@ -766,6 +813,8 @@
   2: ControlCallKind kind,
   3: string instance_id,
   4: binary body,
+  /** Of an order to evacuate or restore. */
+  5: string zone,
 }
 
 struct ControlCallReply {
--- a/tests/integration/zone_evacuation_test.cc
+++ b/tests/integration/zone_evacuation_test.cc
@@ -171,8 +171,9 @@
     if (!answer.response || answer.response->status != http_status::kOk) {
       return "no answer";
     }
+    const json::value body = json::parse(answer.response->body);
     std::string result;
-    for (const auto& zone : json::parse(answer.response->body).as_object().at("evacuated").as_array()) {
+    for (const auto& zone : body.as_object().at("evacuated").as_array()) {
       result += (result.empty() ? "" : ",") + json::value_to<std::string>(zone);
     }
     return result.empty() ? "none" : result;
--- /dev/null
+++ b/tests/unit/cold_start_test.cc
@@ -0,0 +1,184 @@
+// A zone of servers comes back cold under full load: how many requests reach one of them in a second.
+
+#include "core/fleet/cold_start.h"
+
+#include <gtest/gtest.h>
+
+#include <algorithm>
+#include <vector>
+
+#include "core/fleet/dispatcher.h"
+#include "core/fleet/instance_directory.h"
+#include "core/fleet/slot_scheduler.h"
+
+namespace larchlever::fleet {
+namespace {
+
+const TimePoint kStart = TimePoint(seconds(100));
+constexpr double kColdPerSecond = 14;
+/// What such a server bears in any second, as its operators state it: half as much again, and five.
+constexpr size_t kMostInASecond = 26;
+
+size_t most_in_a_second(std::vector<TimePoint> times) {
+  std::sort(times.begin(), times.end());
+  size_t most = 0;
+  for (size_t first = 0, last = 0; last < times.size(); ++last) {
+    while (times[last] - times[first] >= seconds(1)) {
+      ++first;
+    }
+    most = std::max(most, last - first + 1);
+  }
+  return most;
+}
+
+TEST(RateWindow, HoldsTheRateInEverySecondOfABurst) {
+  RateWindow window;
+  std::vector<TimePoint> sent;
+  for (TimePoint now = kStart; now < kStart + seconds(5); now += milliseconds(3)) {
+    if (window.has_room(now, kColdPerSecond)) {
+      window.note(now);
+      sent.push_back(now);
+    }
+  }
+  EXPECT_LE(most_in_a_second(sent), 14U);
+  EXPECT_GE(sent.size(), 14U * 5) << "what the server bears is used";
+  EXPECT_TRUE(window.has_room(kStart, 0)) << "no limit";
+}
+
+// Every entry has work for the server at any moment, and all learn at the same moment that it is cold.
+TEST(ColdStartShares, AddUpToWhatTheServerBearsAtAnyNumberOfEntries) {
+  for (const int entries : {1, 3, 9, 84, 984}) {
+    for (uint64_t seed = 1; seed <= 20; ++seed) {
+      std::vector<ColdStartShares> shares;
+      for (int entry = 0; entry < entries; ++entry) {
+        shares.emplace_back(seed * 1000 + static_cast<uint64_t>(entry));
+      }
+      std::vector<TimePoint> sent;
+      for (TimePoint now = kStart; now < kStart + seconds(6); now += milliseconds(10)) {
+        for (auto& share : shares) {
+          if (share.may_send(now, "i1", kColdPerSecond, entries)) {
+            share.note_sent(now, "i1", kColdPerSecond, entries);
+            sent.push_back(now);
+          }
+        }
+      }
+      EXPECT_LE(most_in_a_second(sent), kMostInASecond) << entries << " entries, seed " << seed;
+      EXPECT_GT(sent.size(), 6U) << entries << " entries, seed " << seed << ": a cold server is not left idle";
+    }
+  }
+}
+
+document::ConfigurationDocument engine_document() {
+  document::ServiceSpec service;
+  service.name = "s";
+  service.cold_requests_per_second = kColdPerSecond;
+  auto& engine = service.engine.emplace();
+  engine.slots = 1000;
+  engine.step_ms = 10;
+  engine.read_tokens_per_second = 50'000;
+  engine.models.push_back({"m", 2, 1.0, 1.0, {}, {}});
+  document::ConfigurationDocument document;
+  document.services["s"] = service;
+  return document;
+}
+
+wire::EngineGroup open_group(const std::string& name) {
+  wire::EngineGroup group;
+  group.name = name;
+  group.service_name = "s";
+  group.model = "m";
+  group.phase = wire::GroupPhase::OPEN;
+  return group;
+}
+
+TEST(SlotScheduler, GrantsAColdHeadNoMoreThanItBearsAndTheRestElsewhere) {
+  SlotScheduler scheduler;
+  scheduler.start(1);
+  scheduler.set_groups({open_group("cold"), open_group("warm")}, {"cold"});
+  const auto document = engine_document();
+  std::vector<TimePoint> at_cold;
+  int at_warm = 0;
+  int64_t id = 0;
+  for (TimePoint now = kStart; now < kStart + seconds(3); now += milliseconds(5)) {
+    wire::SlotRequest request;
+    request.id = ++id;
+    request.service_name = "s";
+    request.model = "m";
+    request.prompt_tokens = 1;
+    request.patience_ms = 100;
+    scheduler.add_request(now, "n1", request);
+    for (const auto& decision : scheduler.decide(now, document)) {
+      if (decision.grant.verdict == wire::SlotVerdict::GRANTED) {
+        decision.grant.group == "cold" ? at_cold.push_back(now) : static_cast<void>(++at_warm);
+      }
+    }
+    scheduler.note_loads("n1", {}, true, 1, id);
+  }
+  EXPECT_LE(most_in_a_second(at_cold), 14U);
+  EXPECT_GE(at_cold.size(), 14U);
+  EXPECT_GT(at_warm, 400);
+}
+
+TEST(Dispatcher, SendsAColdServerOnlyItsShareWhileNoLeaderCounts) {
+  Dispatcher dispatcher(FleetOptions(), "a", 1);
+  dispatcher.set_serving_nodes(9);
+  wire::FleetState state;
+  for (const std::string id : {"i1", "i2"}) {
+    wire::Instance instance;
+    instance.id = id;
+    instance.service_name = "s";
+    instance.address = id + ":80";
+    instance.zone = "a";
+    instance.cold = id == "i1";
+    state.instances.push_back(instance);
+  }
+  dispatcher.update_state(state);
+  document::ServiceSpec service;
+  service.name = "s";
+  service.cold_requests_per_second = kColdPerSecond;
+  int at_cold = 0;
+  for (TimePoint now = kStart; now < kStart + seconds(9); now += milliseconds(10)) {
+    const auto choice = dispatcher.choose(now, service, {}, {});
+    ASSERT_TRUE(choice.target);
+    at_cold += choice.target->instance_id == "i1" ? 1 : 0;
+  }
+  EXPECT_LE(at_cold, 8) << "a ninth of half of what it bears, over nine seconds, and the first";
+  EXPECT_GE(at_cold, 1);
+}
+
+wire::Instance report(int64_t call_number, int cold_left_ms) {
+  wire::Instance result;
+  result.id = "i1";
+  result.service_name = "s";
+  result.address = "a:1";
+  result.zone = "north";
+  result.call_number = call_number;
+  result.cold_left_ms = cold_left_ms;
+  return result;
+}
+
+TEST(InstanceDirectory, KnowsHowLongAServerIsColdByItsOwnWord) {
+  InstanceDirectory directory{seconds(3)};
+  directory.heard(kStart, report(1, 2000));
+  EXPECT_TRUE(directory.find("i1")->cold);
+  EXPECT_FALSE(directory.heard(kStart + seconds(1), report(2, 1000))) << "no news for anybody";
+  EXPECT_TRUE(directory.tick(kStart + milliseconds(2000)));
+  EXPECT_FALSE(directory.find("i1")->cold);
+  EXPECT_TRUE(directory.heard(kStart + milliseconds(2100), report(3, 3000))) << "it may turn cold at any moment";
+  EXPECT_TRUE(directory.find("i1")->cold);
+}
+
+// A report that was under way when the zone was restored says nothing of what became of its servers in between.
+TEST(InstanceDirectory, ExpectsServersOfARestoredZoneToBeColdUntilTheySayOtherwise) {
+  InstanceDirectory directory{seconds(3)};
+  directory.heard(kStart, report(1, 0));
+  EXPECT_TRUE(directory.expect_cold(kStart, "north"));
+  directory.heard(kStart + milliseconds(100), report(2, 0));
+  EXPECT_TRUE(directory.find("i1")->cold);
+  directory.heard(kStart + milliseconds(1200), report(3, 0));
+  EXPECT_FALSE(directory.find("i1")->cold);
+  EXPECT_FALSE(directory.expect_cold(kStart, "south"));
+}
+
+}  // namespace
+}  // namespace larchlever::fleet
--- a/tests/unit/distribution_test.cc
+++ b/tests/unit/distribution_test.cc
@@ -4,11 +4,11 @@
 #include <gtest/gtest.h>
 
 #include "core/fleet/control_peers.h"
-#include "core/fleet/document_log.h"
 #include "core/fleet/entry_distributor.h"
 #include "core/fleet/entry_reports.h"
 #include "core/fleet/entry_view.h"
 #include "core/fleet/fleet_controller.h"
+#include "core/fleet/fleet_log.h"
 #include "core/fleet/registration_relay.h"
 #include "core/fleet/subscriber_table.h"
 
@@ -117,7 +117,7 @@
 TEST_F(SubscriberTableTest, AVersionThatChangesNothingIsHeldByWhoHoldsTheOneBefore) {
   table_.heard(kStart, heartbeat("e1", kTerm, 1));
   publish(5, fleet_state(5));
-  EXPECT_TRUE(table_.nodes_behind(kStart, 0).empty());
+  EXPECT_TRUE(table_.nodes_behind(kStart, {}).empty());
   EXPECT_TRUE(table_.all_hold(kStart, 5));
   EXPECT_EQ(table_.held_by_all(kStart), 5);
 }
@@ -153,7 +153,7 @@
 
 TEST_F(SubscriberTableTest, ASubscriberOfALaterTermKeepsWhatItHolds) {
   table_.heard(kStart, heartbeat("e1", kTerm + 1, 1));
-  EXPECT_TRUE(table_.nodes_behind(kStart, 0).empty());
+  EXPECT_TRUE(table_.nodes_behind(kStart, {}).empty());
   EXPECT_FALSE(update_for(kStart, "e1").__isset.state);
 }
 
--- a/tests/unit/document_test.cc
+++ b/tests/unit/document_test.cc
@@ -2,13 +2,13 @@
 
 #include "core/document/configuration_document.h"
 #include "core/document/route_table.h"
-#include "core/fleet/document_log.h"
+#include "core/fleet/fleet_log.h"
 #include "wire/codec.h"
 
 namespace larchlever::document {
 namespace {
 
-TEST(DocumentLog, StoresLargeDocumentsCompressedAndRestoresThem) {
+TEST(FleetLog, StoresLargeDocumentsCompressedAndRestoresThem) {
   std::string content = R"({"version":3,"routes":[],"services":[],"note":")";
   content += std::string(20'000, 'x') + "\"}";
   const auto packed = fleet::pack_document(3, content);
@@ -23,10 +23,10 @@
   EXPECT_EQ(fleet::pack_document(1, "small").content, "small");
   wire::Command command;
   command.__set_document(packed);
-  fleet::DocumentLog log;
+  fleet::FleetLog log;
   log.apply(1, wire::encode(command));
   EXPECT_EQ(log.content(), content);
-  fleet::DocumentLog restored;
+  fleet::FleetLog restored;
   ASSERT_TRUE(restored.restore(log.snapshot()));
   EXPECT_EQ(restored.content(), content);
   EXPECT_EQ(restored.version(), 3);
--- a/tests/unit/fleet_test.cc
+++ b/tests/unit/fleet_test.cc
@@ -2,7 +2,7 @@
 
 #include "core/engine/cost_model.h"
 #include "core/fleet/dispatcher.h"
-#include "core/fleet/document_log.h"
+#include "core/fleet/fleet_log.h"
 #include "core/fleet/fleet_subscription.h"
 #include "core/fleet/instance_directory.h"
 #include "core/fleet/registration.h"
--- a/tests/unit/platform_template_test.cc
+++ b/tests/unit/platform_template_test.cc
@@ -27,6 +27,7 @@
           {"fault_tolerance.machines", "2"},
           {"heartbeat_ms", "1200"},
           {"bounds.revoke_ms", "5000"},
+          {"bounds.evacuate_ms", "5000"},
           {"bounds.stall_ms", "5000"},
           {"bounds.catch_up_s", "4"},
           {"bounds.ceiling_window_s", "5"},
@@ -114,6 +115,7 @@
   std::vector<std::string> errors;
   Fields fields = control_fields();
   fields["bounds.revoke_ms"] = "6000";
+  fields["bounds.evacuate_ms"] = "9000";
   fields["bounds.stall_ms"] = "7000";
   const auto settings = parse_fleet_settings(fill("control.ini", fields), errors);
   ASSERT_TRUE(settings) << errors.front();
@@ -123,5 +125,14 @@
   EXPECT_TRUE(settings->may_found_cluster());
 }
 
+TEST(PlatformTemplates, TheShorterOfTwoBoundsMakesTheLease) {
+  std::vector<std::string> errors;
+  Fields fields = control_fields();
+  fields["bounds.evacuate_ms"] = "3000";
+  const auto settings = parse_fleet_settings(fill("entry.ini", fields), errors);
+  ASSERT_TRUE(settings) << errors.front();
+  EXPECT_EQ(settings->options.document_lease, milliseconds(2500));
+}
+
 }  // namespace
 }  // namespace larchlever::settings
--- a/tests/unit/registered_fleet_test.cc
+++ b/tests/unit/registered_fleet_test.cc
@@ -45,6 +45,20 @@
   EXPECT_EQ(first.faults, second.faults);
 }
 
+// Orders on zones beside lost leaders, cut entries and lost disks: what was acknowledged holds for who may serve.
+TEST(RegisteredFleet, KeepsAcknowledgedEvacuationsUnderFaults) {
+  uint64_t acknowledged = 0;
+  for (uint64_t seed = 1; seed <= kSeeds / 2; ++seed) {
+    RegisteredFleetOptions options;
+    options.seed = seed;
+    options.operators_evacuate = true;
+    const auto result = RegisteredFleet(options).run();
+    ASSERT_TRUE(result.violations.empty()) << "seed " << seed << ": " << result.violations.front();
+    acknowledged += result.evacuations_acknowledged;
+  }
+  EXPECT_GT(acknowledged, 5 * kSeeds / 2);
+}
+
 std::string first_violation(const std::function<void(RegisteredFleetOptions&)>& plant) {
   for (uint64_t seed = 1; seed <= kSeedsForADefect; ++seed) {
     RegisteredFleetOptions options;
@@ -63,6 +77,14 @@
   EXPECT_NE(violation.find("LEASE"), std::string::npos) << violation;
 }
 
+TEST(RegisteredFleet, CatchesEntriesThatServeAgainstAnEvacuation) {
+  const auto violation = first_violation([](auto& options) {
+    options.operators_evacuate = true;
+    options.entries_miss_evacuations = true;
+  });
+  EXPECT_NE(violation.find("EVACUATION"), std::string::npos) << violation;
+}
+
 TEST(RegisteredFleet, CatchesMembersFreedBeforeTheirHeadStands) {
   // A head that misses a member goes on for longer than the supervisor believes.
   const auto violation = first_violation([](auto& options) {
--- /dev/null
+++ b/tests/unit/zone_evacuations_test.cc
@@ -0,0 +1,280 @@
+// Zones that operators evacuate: how orders are kept, how they reach entries, and what groups and choices make of them.
+
+#include "core/fleet/zone_evacuations.h"
+
+#include <gtest/gtest.h>
+
+#include "core/fleet/dispatcher.h"
+#include "core/fleet/entry_distributor.h"
+#include "core/fleet/fleet_log.h"
+#include "core/fleet/fleet_subscription.h"
+#include "core/fleet/group_supervisor.h"
+#include "wire/codec.h"
+
+namespace larchlever::fleet {
+namespace {
+
+const TimePoint kStart = TimePoint(seconds(100));
+
+wire::ZoneEvacuationChange order(const std::string& zone, bool begins) {
+  wire::ZoneEvacuationChange change;
+  change.zone = zone;
+  change.begins = begins;
+  return change;
+}
+
+wire::ZoneEvacuations evacuated(const std::string& zone, int64_t revision = 1) {
+  wire::ZoneEvacuations evacuations;
+  evacuations.revision = revision;
+  evacuations.zones = {zone};
+  return evacuations;
+}
+
+wire::Instance server(const std::string& id, const std::string& zone, const std::string& domain = "") {
+  wire::Instance result;
+  result.id = id;
+  result.service_name = "s";
+  result.address = id + ":80";
+  result.zone = zone;
+  result.domain = domain;
+  result.call_number = 1;
+  return result;
+}
+
+wire::EngineGroup open_group(const std::string& name, const std::string& head, const std::vector<std::string>& zones) {
+  wire::EngineGroup group;
+  group.name = name;
+  group.service_name = "s";
+  group.model = "m";
+  group.phase = wire::GroupPhase::OPEN;
+  group.members = {head};
+  group.zones = zones;
+  return group;
+}
+
+document::ServiceSpec engine_service(int size = 1) {
+  document::ServiceSpec service;
+  service.name = "s";
+  auto& engine = service.engine.emplace();
+  engine.slots = 10;
+  engine.models.push_back({"m", size, 1.0, 1.0, {}, {}});
+  return service;
+}
+
+TEST(ZoneEvacuations, ChangeNothingWhenAnOrderArrivesAgain) {
+  wire::ZoneEvacuations evacuations;
+  apply_evacuation(evacuations, order("b", true));
+  apply_evacuation(evacuations, order("a", true));
+  EXPECT_EQ(evacuations.zones, (std::vector<std::string>{"a", "b"}));
+  EXPECT_EQ(evacuations.revision, 2);
+  apply_evacuation(evacuations, order("b", true));
+  apply_evacuation(evacuations, order("c", false));
+  EXPECT_EQ(evacuations.revision, 2);
+  apply_evacuation(evacuations, order("b", false));
+  EXPECT_FALSE(is_evacuated(evacuations, "b"));
+  EXPECT_TRUE(is_evacuated(evacuations, "a"));
+  EXPECT_EQ(evacuations.revision, 3);
+}
+
+TEST(FleetLog, KeepsEvacuationsInItsSnapshotAndReadsOnesWithoutThem) {
+  FleetLog log;
+  wire::Command command;
+  command.__set_zone_evacuation(order("a", true));
+  log.apply(1, wire::encode(command));
+  FleetLog restored;
+  ASSERT_TRUE(restored.restore(log.snapshot()));
+  EXPECT_EQ(restored.evacuations(), evacuated("a"));
+  FleetLog from_earlier_version;
+  const auto document = pack_document(7, R"({"version":7})");
+  ASSERT_TRUE(from_earlier_version.restore(wire::encode(document)));
+  EXPECT_EQ(from_earlier_version.version(), 7);
+  EXPECT_TRUE(from_earlier_version.evacuations().zones.empty());
+}
+
+/// A replica's link to the leader, which confirms document 5 and evacuations of a revision.
+class ConfirmedSubscription : public testing::Test {
+ protected:
+  ConfirmedSubscription() : subscription_(FleetOptions(), identity(), {"10.0.0.2:1"}) {}
+
+  static FleetIdentity identity() {
+    FleetIdentity result;
+    result.peer_address = "10.0.0.1:1";
+    return result;
+  }
+  void learn(TimePoint now, int64_t revision, bool is_sent) {
+    const auto asked = subscription_.tick(now, {});
+    wire::Envelope envelope;
+    envelope.from_node = "10.0.0.2:1";
+    envelope.__isset.fleet_update = true;
+    auto& update = envelope.fleet_update;
+    update.sequence = asked ? asked->fleet_heartbeat.sequence : 0;
+    update.document_version = 5;
+    update.__set_document(pack_document(5, "text"));
+    update.evacuation_revision = revision;
+    if (is_sent) {
+      update.__set_evacuations(evacuated("a", revision));
+    }
+    subscription_.receive(now, envelope);
+  }
+
+  FleetSubscription subscription_;
+};
+
+// Cut off from the order, an entry must stop before the order's bound ends: its lease covers evacuations too.
+TEST_F(ConfirmedSubscription, GivesNoLeaseToWhoLacksTheNewestEvacuations) {
+  learn(kStart, 3, false);
+  EXPECT_FALSE(subscription_.has_lease(kStart));
+  learn(kStart + milliseconds(200), 3, true);
+  EXPECT_TRUE(subscription_.has_lease(kStart + milliseconds(200)));
+  EXPECT_TRUE(is_evacuated(subscription_.evacuations(), "a"));
+}
+
+TEST_F(ConfirmedSubscription, NeverGoesBackToEarlierEvacuations) {
+  learn(kStart, 3, true);
+  learn(kStart + milliseconds(200), 2, true);
+  EXPECT_EQ(subscription_.evacuations().revision, 3);
+}
+
+TEST_F(ConfirmedSubscription, IsPassedOnToEntriesThatLackIt) {
+  learn(kStart, 3, true);
+  EntryDistributor distributor{FleetOptions()};
+  wire::Envelope heartbeat;
+  heartbeat.from_node = "e1";
+  heartbeat.from_incarnation = 1;
+  heartbeat.__isset.fleet_heartbeat = true;
+  heartbeat.fleet_heartbeat.serves_requests = true;
+  heartbeat.fleet_heartbeat.document_version = 5;
+  distributor.heartbeat(kStart, heartbeat, {subscription_, "10.0.0.2:1", {}});
+  const auto first = distributor.take_envelopes();
+  ASSERT_EQ(first.size(), 1U);
+  EXPECT_EQ(first.front().fleet_update.evacuations, evacuated("a", 3));
+  heartbeat.fleet_heartbeat.evacuation_revision = 3;
+  distributor.heartbeat(kStart, heartbeat, {subscription_, "10.0.0.2:1", {}});
+  const auto second = distributor.take_envelopes();
+  ASSERT_EQ(second.size(), 1U);
+  EXPECT_FALSE(second.front().fleet_update.__isset.evacuations);
+  EXPECT_EQ(second.front().fleet_update.evacuation_revision, 3);
+}
+
+TEST(Dispatcher, SendsNothingIntoAnEvacuatedZone) {
+  Dispatcher dispatcher(FleetOptions(), "a", 1);
+  wire::FleetState state;
+  state.instances = {server("i1", "a", "d1"), server("i2", "b", "d2"), server("i3", "b", "d2")};
+  state.groups = {open_group("g1", "i1", {"a"}), open_group("g2", "i2", {"b"}), open_group("g3", "i3", {"a", "b"})};
+  dispatcher.update_state(state);
+  const auto service = engine_service();
+  const auto held = dispatcher.target_of_group(kStart, "g1");
+  ASSERT_TRUE(held);
+  EXPECT_TRUE(dispatcher.may_send(kStart, *held));
+  dispatcher.update_evacuations(evacuated("a"));
+  EXPECT_FALSE(dispatcher.may_send(kStart, *held)) << "the order came while the connection was made";
+  EXPECT_FALSE(dispatcher.target_of_group(kStart, "g1"));
+  EXPECT_FALSE(dispatcher.target_of_group(kStart, "g3")) << "a member stands in the zone";
+  for (int number = 0; number < 20; ++number) {
+    const auto choice = dispatcher.choose(kStart + milliseconds(200 * number), service, {"m", {}, 10}, {});
+    ASSERT_TRUE(choice.target);
+    EXPECT_EQ(choice.target->group, "g2");
+  }
+  EXPECT_FALSE(dispatcher.is_emptied("s", "m"));
+  auto both = evacuated("a", 2);
+  both.zones.emplace_back("b");
+  dispatcher.update_evacuations(both);
+  EXPECT_FALSE(dispatcher.choose(kStart + seconds(9), service, {"m", {}, 10}, {}).target);
+  EXPECT_TRUE(dispatcher.is_emptied("s", "m"));
+}
+
+TEST(Dispatcher, ChoosesNoPlainInstanceInAnEvacuatedZone) {
+  Dispatcher dispatcher(FleetOptions(), "a", 1);
+  wire::FleetState state;
+  state.instances = {server("i1", "a"), server("i2", "b")};
+  dispatcher.update_state(state);
+  dispatcher.update_evacuations(evacuated("a"));
+  document::ServiceSpec service;
+  service.name = "s";
+  for (int number = 0; number < 20; ++number) {
+    const auto choice = dispatcher.choose(kStart, service, {}, {});
+    ASSERT_TRUE(choice.target);
+    EXPECT_EQ(choice.target->instance_id, "i2");
+  }
+}
+
+/// A supervisor over servers that carry out every order at once.
+class EvacuatedGroups : public testing::Test {
+ protected:
+  EvacuatedGroups() : directory_(seconds(3)), supervisor_(FleetOptions()) {
+    document_.services["s"] = engine_service(2);
+    document_.services["s"].engine->loads_at_once = 100;
+    document_.services["s"].engine->loads_per_second = 1000;
+    for (int number = 0; number < 8; ++number) {
+      const std::string id = "i" + std::to_string(number);
+      servers_[id] = server(id, number < 4 ? "a" : "b", number < 4 ? "d1" : "d2");
+    }
+    supervisor_.start(kStart, 3, {});
+  }
+
+  void run_for(Duration time) {
+    const TimePoint end = now_ + time;
+    for (; now_ < end; now_ += milliseconds(40)) {
+      for (auto& [id, instance] : servers_) {
+        ++instance.call_number;
+        directory_.heard(now_, instance);
+      }
+      supervisor_.tick(now_, document_, directory_);
+      for (const auto& order : supervisor_.take_orders()) {
+        carry_out(order);
+      }
+    }
+  }
+  void carry_out(const InstanceOrder& order) {
+    auto& membership = servers_[order.instance_id].membership;
+    if (order.kind == OrderKind::kJoin) {
+      servers_[order.instance_id].model = order.model;
+      membership.group = order.group;
+      membership.epoch = order.epoch;
+      membership.rank = order.members.front() == order.instance_id ? 0 : 1;
+      membership.state = wire::MembershipState::READY;
+      ++joins_;
+    } else if (order.kind == OrderKind::kOpen) {
+      membership.state = wire::MembershipState::OPEN;
+    }
+  }
+  int open_groups_in(const std::string& zone) const {
+    const auto groups = supervisor_.snapshot();
+    return static_cast<int>(std::count_if(groups.begin(), groups.end(), [&zone](const auto& group) {
+      return group.phase == wire::GroupPhase::OPEN && group.zones == std::vector<std::string>{zone};
+    }));
+  }
+
+  TimePoint now_ = kStart;
+  document::ConfigurationDocument document_;
+  InstanceDirectory directory_;
+  GroupSupervisor supervisor_;
+  std::map<std::string, wire::Instance> servers_;
+  int joins_ = 0;
+};
+
+// Loads are dear and take a quarter of a minute: what stood before the order stands when it is taken back.
+TEST_F(EvacuatedGroups, StayAsTheyAreUntilTheZoneIsRestored) {
+  run_for(seconds(2));
+  ASSERT_EQ(open_groups_in("a"), 2);
+  ASSERT_EQ(open_groups_in("b"), 2);
+  supervisor_.set_evacuations(evacuated("a"));
+  const int joins_before = joins_;
+  run_for(seconds(10));
+  EXPECT_EQ(open_groups_in("a"), 2);
+  EXPECT_EQ(open_groups_in("b"), 2);
+  EXPECT_EQ(joins_, joins_before);
+}
+
+TEST_F(EvacuatedGroups, AreNotFormedAnewInTheZone) {
+  supervisor_.set_evacuations(evacuated("a"));
+  run_for(seconds(4));
+  EXPECT_EQ(open_groups_in("a"), 0);
+  EXPECT_EQ(open_groups_in("b"), 2);
+  supervisor_.set_evacuations({});
+  run_for(seconds(2));
+  EXPECT_EQ(open_groups_in("a"), 2);
+}
+
+}  // namespace
+}  // namespace larchlever::fleet
