Close a kept connection only after an answer that said so

Change: an answer says that its connection closes by what holds when its head is written, and only then is the connection closed after it. A stopping entry closes the others once they have rested for a second.

--- a/src/net/http_server.cc
+++ b/src/net/http_server.cc
@@ -4,6 +4,7 @@
 #include <boost/asio.hpp>
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
+#include <map>
 #include <set>
 
 #include "core/base/http_status.h"
@@ -67,7 +68,8 @@
   bool draining = false;
   bool closed = false;
   std::set<std::shared_ptr<beast::tcp_stream>> streams;
-  std::set<std::shared_ptr<beast::tcp_stream>> idle;
+  /// Connections on which no request is being read or served, and since when.
+  std::map<std::shared_ptr<beast::tcp_stream>, std::chrono::steady_clock::time_point> idle;
   HttpServerStats stats;
 };
 
@@ -75,9 +77,14 @@
 
 class BeastExchange : public HttpExchange, public std::enable_shared_from_this<BeastExchange> {
  public:
-  BeastExchange(std::shared_ptr<beast::tcp_stream> stream, const HttpServerOptions& options,
+  /// `draining` is the server's own flag, which may change while the request is served.
+  BeastExchange(std::shared_ptr<beast::tcp_stream> stream, const HttpServerOptions& options, const bool& draining,
                 http::request<http::string_body> message)
-      : stream_(std::move(stream)), options_(options), keep_alive_(message.keep_alive()), version_(message.version()) {
+      : stream_(std::move(stream)),
+        options_(options),
+        draining_(draining),
+        keep_alive_(message.keep_alive()),
+        version_(message.version()) {
     request_.method = std::string(message.method_string());
     request_.target = std::string(message.target());
     for (const auto& field : message) {
@@ -220,12 +227,16 @@
         message.insert(name, value);
       }
     }
+    // Decided now and not when the request was read: a connection is closed only after an answer that said so, since
+    // the caller's next request may be under way otherwise.
+    keep_alive_ = keep_alive_ && !draining_;
     message.keep_alive(keep_alive_);
   }
 
   std::shared_ptr<beast::tcp_stream> stream_;
   /// A copy: the server's options may change while the request is served.
   HttpServerOptions options_;
+  const bool& draining_;
   HttpRequest request_;
   bool keep_alive_ = false;
   unsigned version_ = 11;
@@ -300,7 +311,7 @@
 asio::awaitable<void> HttpServer::Implementation::refuse(std::shared_ptr<beast::tcp_stream> stream, int status,
                                                          std::string title) {
   http::request<http::string_body> empty;
-  auto exchange = std::make_shared<BeastExchange>(stream, options, std::move(empty));
+  auto exchange = std::make_shared<BeastExchange>(stream, options, draining, std::move(empty));
   exchange->close_after();
   auto answer = problem(status, title, "send a valid HTTP/1.1 request within the limits");
   co_await exchange->respond(std::move(answer));
@@ -321,7 +332,7 @@
     RequestParser parser;
     parser.header_limit(static_cast<uint32_t>(options.largest_head));
     parser.body_limit(options.largest_body);
-    idle.insert(stream);
+    idle.emplace(stream, std::chrono::steady_clock::now());
     beast::error_code error = co_await read_head_bytes(*stream, buffer, first);
     idle.erase(stream);
     first = false;
@@ -358,10 +369,7 @@
     }
     ++stats.requests;
     ++stats.active_requests;
-    auto exchange = std::make_shared<BeastExchange>(stream, options, parser.release());
-    if (draining) {
-      exchange->close_after();
-    }
+    auto exchange = std::make_shared<BeastExchange>(stream, options, draining, parser.release());
     stream->expires_never();
     bool failed = false;
     try {
@@ -371,7 +379,7 @@
     }
     exchange->end_watch();
     --stats.active_requests;
-    if (failed || !exchange->finished() || !exchange->keep_alive() || draining) {
+    if (failed || !exchange->finished() || !exchange->keep_alive()) {
       break;
     }
   }
@@ -417,10 +425,13 @@
 
 void HttpServer::begin_draining() { implementation_->draining = true; }
 
-void HttpServer::close_idle() {
+void HttpServer::close_idle(std::chrono::milliseconds idle_for) {
+  const auto resting_since = std::chrono::steady_clock::now() - idle_for;
   const auto idle = implementation_->idle;
-  for (const auto& stream : idle) {
-    stream->cancel();
+  for (const auto& [stream, since] : idle) {
+    if (since <= resting_since) {
+      stream->cancel();
+    }
   }
 }
 
--- a/src/net/http_server.h
+++ b/src/net/http_server.h
@@ -82,11 +82,12 @@
   std::optional<uint16_t> listen(const std::string& address, uint16_t port, std::string& error);
   /// Limits for connections and requests that come from now on.
   void set_options(const HttpServerOptions& options);
-  /// From now on every answer says `Connection: close`; new connections are still served.
+  /// Every answer whose head is written from now on says `Connection: close`, and its connection is closed after it;
+  /// new connections are still served.
   void begin_draining();
-  /// Closes connections on which no request is being read or served.
-  void close_idle();
-  /// New connections are refused and kept ones closed after their present request.
+  /// Closes connections on which no request has been read or served for this long.
+  void close_idle(std::chrono::milliseconds idle_for = {});
+  /// The same as draining, and new connections are refused.
   void stop_accepting();
   /// Drops everything at once, as when the process dies.
   void close_all();
--- a/src/node/entry_process.cc
+++ b/src/node/entry_process.cc
@@ -24,6 +24,9 @@
 constexpr Duration kOwnPause = milliseconds(250);
 /// How long a stopping entry still gets new connections: the balancer asks once a second and wants two misses.
 constexpr auto kBalancerReaction = std::chrono::milliseconds(2500);
+/// A stopping entry closes a connection whose last answer did not say so only once it has rested for this long: a
+/// caller that uses it again at once is told with the next answer.
+constexpr auto kRestBeforeClose = std::chrono::seconds(1);
 /// Kept back of the grace, for closing down.
 constexpr auto kStopReserve = std::chrono::milliseconds(500);
 
@@ -235,8 +238,8 @@
   timer.expires_after(kBalancerReaction);
   co_await timer.async_wait(kAwait);
   callers_.stop_accepting();
-  callers_.close_idle();
-  while (callers_.stats().active_requests > 0 && monotonic_now() < deadline) {
+  while (callers_.stats().open_connections > 0 && monotonic_now() < deadline) {
+    callers_.close_idle(kRestBeforeClose);
     timer.expires_after(kTickInterval);
     co_await timer.async_wait(kAwait);
   }
