Requests that leave their home region, failing

Cause: a route may name the regions in which its requests run; nothing reads it. Change: real processes in regions of their own; the set-up of zones is shared with the tests of evacuations.

--- a/tests/integration/fleet_node_processes.cc
+++ b/tests/integration/fleet_node_processes.cc
@@ -53,6 +53,14 @@
                                     {"priority", 1},       {"service", "engines"},   {"max_attempts", 2},
                                     {"public", true},      {"sticky", true},         {"resumable", true},
                                     {"target_gap_ms", 300}};
+  auto forms_at_home = forms_route;
+  forms_at_home.as_object()["name"] = "forms-at-home";
+  forms_at_home.as_object()["host"] = "forms-north.example";
+  forms_at_home.as_object()["allowed_regions"] = json::array{"region-north"};
+  auto chat_at_home = engine_route;
+  chat_at_home.as_object()["name"] = "chat-at-home";
+  chat_at_home.as_object()["host"] = "chat-north.example";
+  chat_at_home.as_object()["allowed_regions"] = json::array{"region-north"};
   const json::value engine = {{"slots", 8},
                               {"kv_capacity", 1000000},
                               {"models", json::array{engine_model("large", 4, 0.6), engine_model("small", 2, 0.4)}},
@@ -64,7 +72,7 @@
                               {"form_ms", 100}};
   return json::serialize(
       json::value{{"version", version},
-                  {"routes", json::array{forms_route, engine_route}},
+                  {"routes", json::array{forms_route, engine_route, forms_at_home, chat_at_home}},
                   {"services",
                    {{{"name", "forms"}, {"health_path", "/healthz"}, {"max_connections", 100}},
                     {{"name", "engines"}, {"health_path", "/healthz"}, {"max_connections", 100}, {"engine", engine}}}},
@@ -145,6 +153,10 @@
   for (int seed = 1; seed <= options_.seeds; ++seed) {
     text << (seed > 1 ? "," : "") << control_endpoint("c" + std::to_string(seed));
   }
+  text << "\nzones = ";
+  for (const auto* zone : kZones) {
+    text << (zone == kZones[0] ? "" : ", ") << zone << ":region-" << zone;
+  }
   text << "\npeer_port = " << kPeerPort << "\nfirst_start = " << (first_start ? "true" : "false")
        << "\ntolerated_losses = " << options_.tolerated_losses << "\n";
   fs::path path = folder_ / (node + ".ini");
--- /dev/null
+++ b/tests/integration/zoned_fleet.h
@@ -0,0 +1,170 @@
+#pragma once
+
+#include <gtest/gtest.h>
+
+#include <algorithm>
+#include <atomic>
+#include <boost/json.hpp>
+#include <chrono>
+#include <memory>
+#include <string>
+#include <thread>
+#include <vector>
+
+#include "core/base/http_status.h"
+#include "fleet_node_processes.h"
+#include "forms_server.h"
+#include "registered_engines.h"
+
+namespace larchlever::integration {
+
+/// Three replicas, three entries, and in each of two zones, which are regions of their own, a plain server and a domain
+/// of engines; callers all the while.
+class ZonedFleet : public testing::Test {
+ protected:
+  using Clock = std::chrono::steady_clock;
+  static constexpr auto kPatience = std::chrono::seconds(15);
+  static constexpr const char* kNorth = "north";
+  static constexpr const char* kSouth = "south";
+
+  static FleetNodeOptions fleet_options() {
+    FleetNodeOptions options;
+    options.controls = 3;
+    options.entries = 3;
+    options.tolerated_losses = 1;
+    return options;
+  }
+
+  static RegisteredEngines::Options engine_options() {
+    RegisteredEngines::Options options;
+    options.domains = 2;
+    options.servers_per_domain = 6;
+    options.zones = {kNorth, kSouth};
+    return options;
+  }
+
+  void SetUp() override {
+    const auto addresses = fleet_.engine_addresses(2 + engine_options().domains * engine_options().servers_per_domain);
+    for (const auto* zone : {kNorth, kSouth}) {
+      const std::string address = addresses[forms_.size()] + ":9000";
+      forms_.push_back({zone, address, std::make_unique<FormsServer>(servers_client_, address)});
+    }
+    std::vector<std::string> controls;
+    for (const auto& node : fleet_.controls()) {
+      controls.push_back(fleet_.control_endpoint(node));
+    }
+    engines_ = std::make_unique<RegisteredEngines>(
+        engine_options(), std::vector<std::string>(addresses.begin() + 2, addresses.end()), controls);
+    fleet_.start_all();
+    ASSERT_TRUE(fleet_.put_document(7, kPatience));
+    ASSERT_TRUE(fleet_.all_entries_ready(kPatience));
+    reporter_ = std::thread([this] { keep_reporting(); });
+    ASSERT_TRUE(eventually([this] { return engines_->open_groups() >= 4; }, kPatience)) << "no groups";
+    for (const auto& entry : fleet_.entries()) {
+      callers_.emplace_back([this, entry] { keep_calling(entry); });
+    }
+    ASSERT_TRUE(
+        eventually([this] { return reaches(kNorth, Clock::now()) && reaches(kSouth, Clock::now()); }, kPatience));
+  }
+  void TearDown() override {
+    stopped_ = true;
+    for (auto& caller : callers_) {
+      caller.join();
+    }
+    if (reporter_.joinable()) {
+      reporter_.join();
+    }
+  }
+
+  void keep_reporting() {
+    BlockingClient client;
+    size_t next_control = 0;
+    for (int64_t number = 1; !stopped_; ++number) {
+      for (const auto& server : forms_) {
+        const boost::json::object body = {
+            {"service", "forms"}, {"address", server.address}, {"zone", server.zone}, {"version", "v1"},
+            {"slots", 8},         {"state", "ready"},          {"cold_left_ms", 0},   {"call_seq", number}};
+        net::HttpRequest request;
+        request.method = "POST";
+        request.target = "/v1/instances/forms-" + server.zone + "/heartbeat";
+        request.body = boost::json::serialize(body);
+        const auto controls = fleet_.controls();
+        for (size_t attempt = 0; attempt < controls.size(); ++attempt, ++next_control) {
+          const auto& control = controls[next_control % controls.size()];
+          const auto result = client.fetch(fleet_.control_endpoint(control), request, std::chrono::milliseconds(500));
+          if (result.response && result.response->status == http_status::kOk) {
+            break;
+          }
+        }
+      }
+      std::this_thread::sleep_for(std::chrono::milliseconds(300));
+    }
+  }
+  /// Plain requests and streams of both models in turn.
+  void keep_calling(const std::string& entry) {
+    BlockingClient client;
+    for (int number = 0; !stopped_; ++number) {
+      const std::string id = entry + "-" + std::to_string(number);
+      net::FetchResult result;
+      if (number % 3 == 0) {
+        net::HttpRequest request;
+        request.target = "/forms/1";
+        request.headers.add("Host", "forms.example");
+        request.headers.add("Larchlever-Request-Id", id);
+        request.headers.add("Larchlever-Deadline-Ms", "2000");
+        result = client.fetch(fleet_.address(entry) + ":8227", request, std::chrono::seconds(3));
+      } else {
+        result = fleet_.call_model(client, entry, number % 3 == 1 ? "small" : "large", id);
+      }
+      ++sent_;
+      served_ += result.response && result.response->status == http_status::kOk ? 1 : 0;
+      std::this_thread::sleep_for(std::chrono::milliseconds(20));
+    }
+  }
+
+  /// All requests that reached the servers of a zone.
+  std::vector<Arrival> arrivals_in(const std::string& zone) {
+    auto all = engines_->arrivals_in(zone);
+    for (const auto& server : forms_) {
+      if (server.zone == zone) {
+        const auto plain = server.server->arrivals();
+        all.insert(all.end(), plain.begin(), plain.end());
+      }
+    }
+    return all;
+  }
+  /// Those that did so between two moments.
+  int64_t arrivals(const std::string& zone, Clock::time_point from, Clock::time_point to) {
+    const auto all = arrivals_in(zone);
+    return std::count_if(all.begin(), all.end(),
+                         [&](const auto& arrival) { return arrival.at >= from && arrival.at < to; });
+  }
+  /// Both kinds of servers of a zone got requests shortly before `at`.
+  bool reaches(const std::string& zone, Clock::time_point at) {
+    const auto is_recent = [at](const Arrival& arrival) { return arrival.at > at - std::chrono::seconds(1); };
+    const auto engines = engines_->arrivals_in(zone);
+    const bool plain = std::any_of(forms_.begin(), forms_.end(), [&](const auto& server) {
+      const auto list = server.server->arrivals();
+      return server.zone == zone && std::any_of(list.begin(), list.end(), is_recent);
+    });
+    return plain && std::any_of(engines.begin(), engines.end(), is_recent);
+  }
+
+  struct PlainServer {
+    std::string zone;
+    std::string address;
+    std::unique_ptr<FormsServer> server;
+  };
+
+  FleetNodeProcesses fleet_{fleet_options()};
+  BlockingClient servers_client_;
+  std::vector<PlainServer> forms_;
+  std::unique_ptr<RegisteredEngines> engines_;
+  std::thread reporter_;
+  std::vector<std::thread> callers_;
+  std::atomic<bool> stopped_ = false;
+  std::atomic<int> sent_ = 0;
+  std::atomic<int> served_ = 0;
+};
+
+}  // namespace larchlever::integration
