--- a/src/core/base/http_status.h
+++ b/src/core/base/http_status.h
@@ -7,6 +7,7 @@
 constexpr int kAccepted = 202;
 constexpr int kBadRequest = 400;
 constexpr int kUnauthorized = 401;
+constexpr int kForbidden = 403;
 constexpr int kNotFound = 404;
 constexpr int kConflict = 409;
 constexpr int kPreconditionFailed = 412;
--- a/src/core/document/configuration_document.cc
+++ b/src/core/document/configuration_document.cc
@@ -137,6 +137,17 @@
   return services;
 }
 
+std::vector<std::string> read_texts(const FieldReader& reader, const char* key) {
+  std::vector<std::string> result;
+  for (const auto& item : reader.list(key)) {
+    if (!item.is_string()) {
+      throw InvalidDocument(reader.place() + "." + key + " holds something that is no text; send texts");
+    }
+    result.emplace_back(item.as_string());
+  }
+  return result;
+}
+
 Route read_route(const json::value& value, size_t position) {
   const FieldReader reader(value, "routes[" + std::to_string(position) + "]");
   Route route;
@@ -152,6 +163,7 @@
   route.is_public = reader.flag("public");
   route.resumable = reader.flag("resumable");
   route.services = read_route_services(reader);
+  route.home_regions = read_texts(reader, "allowed_regions");
   if (route.timeout <= Duration::zero()) {
     throw InvalidDocument(reader.place() + ".timeout_ms must be above 0; say how long a request may be held");
   }
@@ -228,12 +240,10 @@
     TenantSpec tenant;
     tenant.name = reader.text("name");
     tenant.priority = reader.integer("priority", -1);
-    for (const auto& key : reader.list("api_keys")) {
-      if (!key.is_string()) {
-        throw InvalidDocument(reader.place() + ".api_keys holds something that is no text; send texts");
-      }
-      tenant.api_keys.emplace_back(key.as_string());
-      const auto [holder, is_new] = holders.emplace(tenant.api_keys.back(), tenant.name);
+    tenant.home_regions = read_texts(reader, "allowed_regions");
+    tenant.api_keys = read_texts(reader, "api_keys");
+    for (const auto& key : tenant.api_keys) {
+      const auto [holder, is_new] = holders.emplace(key, tenant.name);
       if (!is_new && holder->second != tenant.name) {
         throw InvalidDocument("tenants '" + holder->second + "' and '" + tenant.name +
                               "' share a key; give each tenant keys of its own");
--- a/src/core/document/configuration_document.h
+++ b/src/core/document/configuration_document.h
@@ -40,6 +40,8 @@
   bool is_public = false;
   bool resumable = false;
   std::vector<WeightedService> services;
+  /// Regions in which requests may run; any when empty.
+  std::vector<std::string> home_regions;
 
   /// A request of this route may run more than once.
   bool may_repeat() const {
@@ -105,6 +107,8 @@
   std::string name;
   int priority = -1;  ///< -1 when the route's priority holds.
   std::vector<std::string> api_keys;
+  /// Regions in which the tenant's requests may run; any when empty.
+  std::vector<std::string> home_regions;
 };
 
 struct ConfigurationDocument {
--- a/src/core/fleet/dispatcher.cc
+++ b/src/core/fleet/dispatcher.cc
@@ -217,7 +217,8 @@
 
 Target Dispatcher::target_at(const wire::EngineGroup& group, const wire::Instance& head) {
   const int in_flight = health_[group.name].total_in_flight();
-  return {group.name, group.service_name, group.name, head.id, head.address, in_flight, incarnation_of(head)};
+  return {group.name,   group.service_name, group.name,           head.id,
+          head.address, in_flight,          incarnation_of(head), zones_of(group, head)};
 }
 
 size_t Dispatcher::better_of_few(const document::ServiceSpec& service, const Demand& demand,
@@ -262,7 +263,9 @@
   std::vector<OpenGroup> quiet;
   for (const auto& group : groups_) {
     const auto* head = ready_head(group, service.name, demand.model);
-    if (head == nullptr || excluded.contains(group.name)) {
+    const bool fits = head != nullptr && !excluded.contains(group.name) &&
+                      document::are_allowed(demand.allowed_zones, zones_of(group, *head));
+    if (!fits) {
       continue;
     }
     const TargetHealth& health = health_[group.name];
@@ -291,7 +294,7 @@
   return choice;
 }
 
-Choice Dispatcher::choose_instance(TimePoint now, const document::ServiceSpec& service,
+Choice Dispatcher::choose_instance(TimePoint now, const document::ServiceSpec& service, const Demand& demand,
                                    const std::set<std::string>& excluded) {
   Choice choice;
   choice.failure = ChoiceFailure::kNoTarget;
@@ -299,7 +302,9 @@
   bool best_doubtful = true;
   const wire::Instance* best = nullptr;
   for (const auto& [id, instance] : instances_) {
-    if (instance.service_name != service.name || !takes_requests(instance)) {
+    const bool fits = instance.service_name == service.name && takes_requests(instance) &&
+                      document::are_allowed(demand.allowed_zones, {instance.zone});
+    if (!fits) {
       continue;
     }
     const std::string key = incarnation_of(instance);
@@ -319,7 +324,8 @@
       best_cost = cost;
       best_doubtful = doubtful;
       best = &instance;
-      choice.target = Target{key, service.name, "", id, instance.address, health_[key].in_flight(), key};
+      choice.target =
+          Target{key, service.name, "", id, instance.address, health_[key].in_flight(), key, {instance.zone}};
       choice.failure = ChoiceFailure::kNone;
     }
   }
@@ -332,7 +338,8 @@
 Choice Dispatcher::choose(TimePoint now, const document::ServiceSpec& service, const Demand& demand,
                           const std::set<std::string>& excluded) {
   forget_old_loads(now);
-  return service.engine ? choose_group(now, service, demand, excluded) : choose_instance(now, service, excluded);
+  return service.engine ? choose_group(now, service, demand, excluded)
+                        : choose_instance(now, service, demand, excluded);
 }
 
 const wire::Instance* Dispatcher::find_ready(const std::string& id) const {
@@ -364,27 +371,31 @@
 }
 
 bool Dispatcher::may_send(TimePoint now, const Target& target) const {
-  return notices_.may_send(now, target.incarnation) && !is_evacuated_target(target);
+  const bool is_emptied = std::any_of(target.zones.begin(), target.zones.end(),
+                                      [this](const auto& zone) { return is_evacuated(evacuations_, zone); });
+  return !is_emptied && notices_.may_send(now, target.incarnation);
 }
 
-bool Dispatcher::is_evacuated_target(const Target& target) const {
-  if (evacuations_.zones.empty()) {
-    return false;
-  }
-  const auto instance = instances_.find(target.instance_id);
-  const auto group =
-      std::find_if(groups_.begin(), groups_.end(), [&target](const auto& item) { return item.name == target.group; });
-  return (instance != instances_.end() && is_evacuated(evacuations_, instance->second.zone)) ||
-         (group != groups_.end() && is_evacuated(evacuations_, *group));
+std::vector<std::string> Dispatcher::zones_of(const wire::EngineGroup& group, const wire::Instance& head) {
+  return group.zones.empty() ? std::vector<std::string>{head.zone} : group.zones;
 }
 
-bool Dispatcher::is_emptied(const std::string& service, const std::string& model) const {
-  if (evacuations_.zones.empty() || !servers_of(service, model).empty()) {
+bool Dispatcher::is_emptied(const std::string& service, const std::string& model,
+                            const std::set<std::string>* allowed_zones) const {
+  if (evacuations_.zones.empty()) {
     return false;
   }
-  return std::any_of(instances_.begin(), instances_.end(), [&](const auto& item) {
-    return item.second.service_name == service && is_evacuated(evacuations_, item.second.zone);
+  const auto is_home = [allowed_zones](const std::string& zone) {
+    return document::are_allowed(allowed_zones, {zone});
+  };
+  const auto servers = servers_of(service, model);
+  const bool has_server =
+      std::any_of(servers.begin(), servers.end(), [&](const auto* server) { return is_home(server->zone); });
+  const bool has_emptied_server = std::any_of(instances_.begin(), instances_.end(), [&](const auto& item) {
+    const auto& instance = item.second;
+    return instance.service_name == service && is_evacuated(evacuations_, instance.zone) && is_home(instance.zone);
   });
+  return !has_server && has_emptied_server;
 }
 
 std::vector<const wire::Instance*> Dispatcher::servers_of(const std::string& service, const std::string& model) const {
--- a/src/core/fleet/dispatcher.h
+++ b/src/core/fleet/dispatcher.h
@@ -11,6 +11,7 @@
 
 #include "core/base/time.h"
 #include "core/document/configuration_document.h"
+#include "core/document/home_regions.h"
 #include "core/engine/cost_model.h"
 #include "core/fleet/cold_start.h"
 #include "core/fleet/fleet_options.h"
@@ -33,14 +34,18 @@
   int in_flight = 0;
   /// The start of the server that the request is meant for: its id, and its birth where it tells one.
   std::string incarnation = {};
+  /// Zones of the servers that the request reaches.
+  std::vector<std::string> zones = {};
 };
 
-/// What a request asks of an engine service; ignored for plain ones.
+/// What a request asks of a service; model, latency and tokens are ignored for plain ones.
 struct Demand {
   std::string model;
   /// Time to the first event that its route aims at.
   Duration target_latency{};
   double prompt_tokens = 0;
+  /// Zones of its home regions; null when it may run anywhere.
+  const std::set<std::string>* allowed_zones = nullptr;
 };
 
 enum class ChoiceFailure { kNone, kNoTarget, kAllBusy };
@@ -112,7 +117,9 @@
   /// evacuated.
   bool may_send(TimePoint now, const Target& target) const;
   /// Every server that runs the model stands in an evacuated zone; for plain services the model is empty.
-  bool is_emptied(const std::string& service, const std::string& model) const;
+  /// Where `allowed_zones` is not null, only servers there count.
+  bool is_emptied(const std::string& service, const std::string& model,
+                  const std::set<std::string>* allowed_zones = nullptr) const;
   /// When the first of the servers that serve the model rests no longer, if all of them rest now; for plain services
   /// the model is empty. Servers that leave do not count.
   std::optional<TimePoint> all_rest_until(TimePoint now, const std::string& service, const std::string& model) const;
@@ -153,7 +160,8 @@
   const wire::Instance* ready_head(const wire::EngineGroup& group, const std::string& service,
                                    const std::string& model) const;
   bool takes_requests(const wire::Instance& instance) const;
-  bool is_evacuated_target(const Target& target) const;
+  /// Zones that a request to the group reaches; its head's for a group formed by an earlier version.
+  static std::vector<std::string> zones_of(const wire::EngineGroup& group, const wire::Instance& head);
   /// A server that is cold has room for one more request of this entry; always true of others.
   bool has_cold_room(TimePoint now, const document::ServiceSpec& service, const wire::Instance& instance);
   void note_cold_sending(TimePoint now, const document::ServiceSpec& service, const wire::Instance& instance);
@@ -172,7 +180,8 @@
   Choice choose_group(TimePoint now, const document::ServiceSpec& service, const Demand& demand,
                       const std::set<std::string>& excluded);
   int most_in_flight(const document::ServiceSpec& service, const Demand& demand) const;
-  Choice choose_instance(TimePoint now, const document::ServiceSpec& service, const std::set<std::string>& excluded);
+  Choice choose_instance(TimePoint now, const document::ServiceSpec& service, const Demand& demand,
+                         const std::set<std::string>& excluded);
   void forget_old(TimePoint now, Budget& budget) const;
   void note_change(const Target& target);
   static wire::GroupLoad load_of(TimePoint now, const std::string& key, const TargetHealth& health);
--- a/src/core/fleet/fleet_leader.cc
+++ b/src/core/fleet/fleet_leader.cc
@@ -432,6 +432,10 @@
     answer(key, http_status::kBadRequest, error_body(parsed.error.message));
     return;
   }
+  if (const auto error = document::find_unknown_region(options_.zones, *parsed.document)) {
+    answer(key, http_status::kBadRequest, error_body(error->message));
+    return;
+  }
   if (!may_propose(key, raft)) {
     return;
   }
@@ -477,7 +481,10 @@
 }
 
 std::set<std::string> FleetLeader::known_zones(const consensus::RaftNode& raft) const {
-  std::set<std::string> zones(options_.zones.begin(), options_.zones.end());
+  std::set<std::string> zones;
+  for (const auto& [zone, region] : options_.zones) {
+    zones.insert(zone);
+  }
   for (const auto& [id, row] : instances_.rows()) {
     zones.insert(row.instance.zone);
   }
--- a/src/core/fleet/fleet_options.h
+++ b/src/core/fleet/fleet_options.h
@@ -3,11 +3,11 @@
 #include <cstddef>
 #include <cstdint>
 #include <string>
-#include <vector>
 
 #include "consensus/raft_node.h"
 #include "core/base/time.h"
 #include "core/control/control_options.h"
+#include "core/document/home_regions.h"
 
 namespace larchlever::fleet {
 
@@ -38,8 +38,9 @@
   Duration call_patience = milliseconds(900);
   /// Window over which loads of weights are limited.
   Duration load_window = seconds(5);
-  /// Zones that the settings name; servers and control replicas may stand in others.
-  std::vector<std::string> zones;
+  /// Zones that the settings name, each with its region where they tell it; servers and control replicas may stand in
+  /// others.
+  document::ZoneRegions zones;
   /// No change is acknowledged before the log has this many voters.
   size_t minimum_voters = 1;
   /// Replication of the log and repair of its voters.
--- a/src/core/fleet/slot_scheduler.cc
+++ b/src/core/fleet/slot_scheduler.cc
@@ -43,6 +43,7 @@
     group.model = row.model;
     group.is_open = row.phase == wire::GroupPhase::OPEN && !group.has_failed;
     group.is_cold = cold.contains(row.name);
+    group.zones = row.zones;
   }
   std::erase_if(groups_,
                 [&known](const auto& item) { return !known.contains(item.first) && item.second.in_flight == 0; });
@@ -179,6 +180,13 @@
   return request.first_event_ms > 0 && now >= waiting.arrived + milliseconds(request.first_event_ms);
 }
 
+bool SlotScheduler::is_home(const WaitingRequest& waiting, const Group& group) {
+  const auto& request = waiting.request;
+  const auto& homes = request.allowed_zones;
+  return !request.__isset.allowed_zones ||
+         (!group.zones.empty() && std::includes(homes.begin(), homes.end(), group.zones.begin(), group.zones.end()));
+}
+
 SlotScheduler::Candidate SlotScheduler::best_group(TimePoint now, const document::ServiceSpec& service,
                                                    const document::ModelSpec& model, const WaitingRequest& waiting) {
   const auto& engine = *service.engine;
@@ -195,8 +203,8 @@
   for (auto* item : open->second) {
     auto& [name, group] = *item;
     const auto& excluded = request.excluded_groups;
-    const bool fits =
-        group.in_flight < engine.slots && std::find(excluded.begin(), excluded.end(), name) == excluded.end();
+    const bool fits = group.in_flight < engine.slots && is_home(waiting, group) &&
+                      std::find(excluded.begin(), excluded.end(), name) == excluded.end();
     if (!fits || (group.is_cold && !group.cold_grants.has_room(now, service.cold_requests_per_second))) {
       continue;
     }
@@ -266,7 +274,7 @@
   }
   const auto& engine = *service->second.engine;
   const bool is_last_chance = late_answers == LateAnswers::kAllowed;
-  if (!blocked_.contains(key) || is_last_chance) {
+  if (!blocked_.contains(queue_of(waiting)) || is_last_chance) {
     const Candidate candidate = best_group(now, service->second, *model, waiting);
     // Late is better than never at the end of its patience, and for who would be late anywhere.
     const bool late_is_fine = is_last_chance || is_out_of_reach(engine, *model, waiting);
@@ -275,7 +283,7 @@
       return true;
     }
     if (candidate.fit == Fit::kNone) {
-      blocked_.insert(key);
+      blocked_.insert(queue_of(waiting));
     }
   }
   if (is_last_chance) {
--- a/src/core/fleet/slot_scheduler.h
+++ b/src/core/fleet/slot_scheduler.h
@@ -76,6 +76,8 @@
     bool has_failed = false;
     bool is_cold = false;
     RateWindow cold_grants;
+    /// Zones of its members, sorted.
+    std::vector<std::string> zones;
     engine::PassClock clock;
   };
   struct Node {
@@ -92,6 +94,8 @@
     bool is_told = false;  ///< The entry knows that it waits.
   };
   using ModelKey = std::pair<std::string, std::string>;  ///< Service and model.
+  /// Requests that compete for the same groups: of one model, with the same homes.
+  using QueueKey = std::pair<ModelKey, std::vector<std::string>>;
   using GroupItem = std::pair<const std::string, Group>;
   enum class Fit { kInTime, kLate, kNone };
   /// Whether a request whose patience is over may be answered late; it is refused where there is no room even so.
@@ -108,6 +112,9 @@
   static ModelKey key_of(const WaitingRequest& waiting) {
     return {waiting.request.service_name, waiting.request.model};
   }
+  static QueueKey queue_of(const WaitingRequest& waiting) { return {key_of(waiting), waiting.request.allowed_zones}; }
+  /// The request has no homes, or all of the group's members stand in them.
+  static bool is_home(const WaitingRequest& waiting, const Group& group);
   void set_load(Node& node, const std::string& group, int in_flight);
   /// The group that would bring the first event soonest, of those with room; in time if any is.
   Candidate best_group(TimePoint now, const document::ServiceSpec& service, const document::ModelSpec& model,
@@ -135,8 +142,8 @@
   /// Came since the last decision; they are decided first, unless others wait for the same model.
   std::vector<WaitingRequest> arrived_;
   std::vector<WaitingRequest> waiting_;
-  /// Models for which no group had room for the first request that waits.
-  std::set<ModelKey> blocked_;
+  /// Queues for whose first request no group had room.
+  std::set<QueueKey> blocked_;
   TimePoint next_review_ = TimePoint::min();
   /// The strictest objective for pauses that a model's requests had.
   std::map<ModelKey, Duration> smallest_gaps_;
--- a/src/node/entry_state.h
+++ b/src/node/entry_state.h
@@ -30,10 +30,12 @@
 struct EntryState {
   EntryState(const fleet::FleetOptions& options, const fleet::FleetIdentity& identity,
              const std::vector<std::string>& seeds, uint64_t random_seed)
-      : subscription(options, identity, seeds), dispatcher(options, identity.zone, random_seed) {}
+      : subscription(options, identity, seeds), dispatcher(options, identity.zone, random_seed), zones(options.zones) {}
 
   fleet::FleetSubscription subscription;
   fleet::Dispatcher dispatcher;
+  /// The region of each zone that the settings name.
+  document::ZoneRegions zones;
   /// Requests that end the servers that run them.
   fleet::BlockedRequests blocked;
   /// Null until the first document arrived.
--- a/src/node/relayed_request.h
+++ b/src/node/relayed_request.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <memory>
+#include <optional>
 #include <set>
 #include <string>
 
@@ -24,6 +25,8 @@
   /// The same for every copy of this request, whoever takes it.
   requests::RequestFingerprint fingerprint;
   std::string model;
+  /// Zones of the home regions of its route and tenant; nothing when it may run anywhere.
+  std::optional<std::set<std::string>> allowed_zones;
   double prompt_tokens = 0;
   TimePoint received{};
   /// It was held until this entry had a lease on the configuration, longer than a target may be waited for.
@@ -63,6 +66,11 @@
   TimePoint last_piece{};
 };
 
+/// The zones that bind the request, or null.
+inline const std::set<std::string>* home_zones(const RelayedRequest& request) {
+  return request.allowed_zones ? &*request.allowed_zones : nullptr;
+}
+
 /// Times to come back after that refused requests are told, in seconds.
 constexpr double kBackWhenBusy = 0.3;
 constexpr double kBackWhenUnavailable = 0.5;
--- a/src/node/request_relay.cc
+++ b/src/node/request_relay.cc
@@ -104,6 +104,11 @@
   if (auto refusal = authorise(request, incoming.headers.find(dialect_.api_key))) {
     return refusal;
   }
+  request.allowed_zones = document::allowed_zones(state_.zones, *request.route, request.tenant);
+  if (request.allowed_zones && request.allowed_zones->empty()) {
+    return Refusal{http_status::kForbidden, "route and tenant have no region in common; correct their allowed_regions",
+                   0};
+  }
   request.fingerprint =
       requests::fingerprint_of({request.tenant == nullptr ? "" : request.tenant->name, incoming.headers.find("host"),
                                 incoming.method, incoming.target, incoming.body});
--- a/src/node/target_finder.cc
+++ b/src/node/target_finder.cc
@@ -23,6 +23,9 @@
 /// Most of the objective that may be set aside for it: a group that is forecast within the rest is always worth a try,
 /// which also is the only way to learn that first events come sooner again.
 constexpr int kExcessPart = 2;
+/// Plain services have none.
+const std::string kNoModel;
+
 int32_t to_milliseconds(Duration duration) { return static_cast<int32_t>(duration / milliseconds(1)); }
 
 Refusal busy() { return {http_status::kServiceUnavailable, "all places are taken", kBackWhenBusy}; }
@@ -84,6 +87,9 @@
   const bool by_tenant = request.tenant != nullptr && request.tenant->priority >= 0;
   question.priority = by_tenant ? request.tenant->priority : request.route->priority;
   question.patience_ms = std::max(0, to_milliseconds(wait_until - now));
+  if (request.allowed_zones) {
+    question.__set_allowed_zones({request.allowed_zones->begin(), request.allowed_zones->end()});
+  }
   question.excluded_groups = state_.dispatcher.doubtful_groups(now, request.service->name, request.model);
   question.excluded_groups.insert(question.excluded_groups.end(), request.excluded.begin(), request.excluded.end());
   return question;
@@ -103,7 +109,10 @@
   }
   const TimePoint now = monotonic_now();
   auto target = state_.dispatcher.target_of_group(now, grant.group);
-  if (!target || !state_.dispatcher.may_send(now, *target)) {
+  // A leader of an earlier version grants slots without regard to homes.
+  const bool is_usable =
+      target && state_.dispatcher.may_send(now, *target) && document::are_allowed(home_zones(request), target->zones);
+  if (!is_usable) {
     slots_.note_change();  // The slot is not used.
     co_return std::nullopt;
   }
@@ -113,7 +122,7 @@
 }
 
 asio::awaitable<FoundTarget> TargetFinder::choose_here(RelayedRequest& request, TimePoint wait_until) {
-  const fleet::Demand demand{request.model, request.route->target_latency, request.prompt_tokens};
+  const fleet::Demand demand{request.model, request.route->target_latency, request.prompt_tokens, home_zones(request)};
   request.expected_first_event = Duration::zero();
   request.has_slot = false;
   asio::steady_timer timer(executor_);
@@ -126,9 +135,8 @@
     if (auto refusal = refusal_while_all_rest(request, wait_until)) {
       co_return std::move(*refusal);
     }
-    const bool is_emptied =
-        state_.dispatcher.is_emptied(request.service->name, request.service->engine ? request.model : "");
-    if (is_emptied) {
+    const std::string& model = request.service->engine ? request.model : kNoModel;
+    if (state_.dispatcher.is_emptied(request.service->name, model, home_zones(request))) {
       co_return Refusal{http_status::kServiceUnavailable, "all zones with servers for it are evacuated",
                         kBackWhenUnavailable};
     }
--- a/src/settings/fleet_settings.cc
+++ b/src/settings/fleet_settings.cc
@@ -62,7 +62,14 @@
   const auto losses = cluster.integer("tolerated_losses", borne_by_seeds, 0, 8);
   settings.options.minimum_voters = static_cast<size_t>(2 * losses + 1);
   settings.options.control.minimum_voters = settings.options.minimum_voters;
-  settings.options.zones = cluster.list("zones");
+  for (const auto& entry : cluster.list("zones")) {
+    const size_t colon = entry.find(':');
+    const std::string region = colon == std::string::npos ? "" : entry.substr(colon + 1);
+    if (colon == 0) {
+      cluster.fault("zones", entry, "no zone before the colon; write ZONE or ZONE:REGION");
+    }
+    settings.options.zones[entry.substr(0, colon)] = region;
+  }
   if (settings.seeds.empty()) {
     cluster.fault("seeds", "", "missing; list the control addresses of up to three control replicas");
   }
--- a/src/wire/gen-cpp/larchlever_types.cpp
+++ b/src/wire/gen-cpp/larchlever_types.cpp
@@ -14509,6 +14509,11 @@
   this->repeat_of = val;
 __isset.repeat_of = true;
 }
+
+void SlotRequest::__set_allowed_zones(const std::vector<std::string> & val) {
+  this->allowed_zones = val;
+__isset.allowed_zones = true;
+}
 std::ostream& operator<<(std::ostream& out, const SlotRequest& obj)
 {
   obj.printTo(out);
@@ -14637,6 +14642,26 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 13:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->allowed_zones.clear();
+            uint32_t _size571;
+            ::apache::thrift::protocol::TType _etype574;
+            xfer += iprot->readListBegin(_etype574, _size571);
+            this->allowed_zones.resize(_size571);
+            uint32_t _i575;
+            for (_i575 = 0; _i575 < _size571; ++_i575)
+            {
+              xfer += iprot->readString(this->allowed_zones[_i575]);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.allowed_zones = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -14689,10 +14714,10 @@
   xfer += oprot->writeFieldBegin("excluded_groups", ::apache::thrift::protocol::T_LIST, 10);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->excluded_groups.size()));
-    std::vector<std::string> ::const_iterator _iter571;
-    for (_iter571 = this->excluded_groups.begin(); _iter571 != this->excluded_groups.end(); ++_iter571)
+    std::vector<std::string> ::const_iterator _iter576;
+    for (_iter576 = this->excluded_groups.begin(); _iter576 != this->excluded_groups.end(); ++_iter576)
     {
-      xfer += oprot->writeString((*_iter571));
+      xfer += oprot->writeString((*_iter576));
     }
     xfer += oprot->writeListEnd();
   }
@@ -14708,6 +14733,19 @@
     xfer += oprot->writeI64(this->repeat_of);
     xfer += oprot->writeFieldEnd();
   }
+  if (this->__isset.allowed_zones) {
+    xfer += oprot->writeFieldBegin("allowed_zones", ::apache::thrift::protocol::T_LIST, 13);
+    {
+      xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->allowed_zones.size()));
+      std::vector<std::string> ::const_iterator _iter577;
+      for (_iter577 = this->allowed_zones.begin(); _iter577 != this->allowed_zones.end(); ++_iter577)
+      {
+        xfer += oprot->writeString((*_iter577));
+      }
+      xfer += oprot->writeListEnd();
+    }
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -14726,65 +14764,70 @@
   swap(a.excluded_groups, b.excluded_groups);
   swap(a.trial_of, b.trial_of);
   swap(a.repeat_of, b.repeat_of);
+  swap(a.allowed_zones, b.allowed_zones);
   swap(a.__isset, b.__isset);
 }
 
-SlotRequest::SlotRequest(const SlotRequest& other572) {
-  id = other572.id;
-  service_name = other572.service_name;
-  model = other572.model;
-  prompt_tokens = other572.prompt_tokens;
-  first_event_ms = other572.first_event_ms;
-  gap_ms = other572.gap_ms;
-  priority = other572.priority;
-  patience_ms = other572.patience_ms;
-  excluded_groups = other572.excluded_groups;
-  trial_of = other572.trial_of;
-  repeat_of = other572.repeat_of;
-  __isset = other572.__isset;
-}
-SlotRequest::SlotRequest(SlotRequest&& other573) noexcept {
-  id = other573.id;
-  service_name = std::move(other573.service_name);
-  model = std::move(other573.model);
-  prompt_tokens = other573.prompt_tokens;
-  first_event_ms = other573.first_event_ms;
-  gap_ms = other573.gap_ms;
-  priority = other573.priority;
-  patience_ms = other573.patience_ms;
-  excluded_groups = std::move(other573.excluded_groups);
-  trial_of = other573.trial_of;
-  repeat_of = other573.repeat_of;
-  __isset = other573.__isset;
-}
-SlotRequest& SlotRequest::operator=(const SlotRequest& other574) {
-  id = other574.id;
-  service_name = other574.service_name;
-  model = other574.model;
-  prompt_tokens = other574.prompt_tokens;
-  first_event_ms = other574.first_event_ms;
-  gap_ms = other574.gap_ms;
-  priority = other574.priority;
-  patience_ms = other574.patience_ms;
-  excluded_groups = other574.excluded_groups;
-  trial_of = other574.trial_of;
-  repeat_of = other574.repeat_of;
-  __isset = other574.__isset;
+SlotRequest::SlotRequest(const SlotRequest& other578) {
+  id = other578.id;
+  service_name = other578.service_name;
+  model = other578.model;
+  prompt_tokens = other578.prompt_tokens;
+  first_event_ms = other578.first_event_ms;
+  gap_ms = other578.gap_ms;
+  priority = other578.priority;
+  patience_ms = other578.patience_ms;
+  excluded_groups = other578.excluded_groups;
+  trial_of = other578.trial_of;
+  repeat_of = other578.repeat_of;
+  allowed_zones = other578.allowed_zones;
+  __isset = other578.__isset;
+}
+SlotRequest::SlotRequest(SlotRequest&& other579) noexcept {
+  id = other579.id;
+  service_name = std::move(other579.service_name);
+  model = std::move(other579.model);
+  prompt_tokens = other579.prompt_tokens;
+  first_event_ms = other579.first_event_ms;
+  gap_ms = other579.gap_ms;
+  priority = other579.priority;
+  patience_ms = other579.patience_ms;
+  excluded_groups = std::move(other579.excluded_groups);
+  trial_of = other579.trial_of;
+  repeat_of = other579.repeat_of;
+  allowed_zones = std::move(other579.allowed_zones);
+  __isset = other579.__isset;
+}
+SlotRequest& SlotRequest::operator=(const SlotRequest& other580) {
+  id = other580.id;
+  service_name = other580.service_name;
+  model = other580.model;
+  prompt_tokens = other580.prompt_tokens;
+  first_event_ms = other580.first_event_ms;
+  gap_ms = other580.gap_ms;
+  priority = other580.priority;
+  patience_ms = other580.patience_ms;
+  excluded_groups = other580.excluded_groups;
+  trial_of = other580.trial_of;
+  repeat_of = other580.repeat_of;
+  allowed_zones = other580.allowed_zones;
+  __isset = other580.__isset;
   return *this;
 }
-SlotRequest& SlotRequest::operator=(SlotRequest&& other575) noexcept {
-  id = other575.id;
-  service_name = std::move(other575.service_name);
-  model = std::move(other575.model);
-  prompt_tokens = other575.prompt_tokens;
-  first_event_ms = other575.first_event_ms;
-  gap_ms = other575.gap_ms;
-  priority = other575.priority;
-  patience_ms = other575.patience_ms;
-  excluded_groups = std::move(other575.excluded_groups);
-  trial_of = other575.trial_of;
-  repeat_of = other575.repeat_of;
-  __isset = other575.__isset;
+SlotRequest& SlotRequest::operator=(SlotRequest&& other581) noexcept {
+  id = other581.id;
+  service_name = std::move(other581.service_name);
+  model = std::move(other581.model);
+  prompt_tokens = other581.prompt_tokens;
+  first_event_ms = other581.first_event_ms;
+  gap_ms = other581.gap_ms;
+  priority = other581.priority;
+  patience_ms = other581.patience_ms;
+  excluded_groups = std::move(other581.excluded_groups);
+  trial_of = other581.trial_of;
+  repeat_of = other581.repeat_of;
+  allowed_zones = std::move(other581.allowed_zones);
+  __isset = other581.__isset;
   return *this;
 }
 void SlotRequest::printTo(std::ostream& out) const {
@@ -14801,6 +14844,7 @@
   out << ", " << "excluded_groups=" << to_string(excluded_groups);
   out << ", " << "trial_of="; (__isset.trial_of ? (out << to_string(trial_of)) : (out << "<null>"));
   out << ", " << "repeat_of="; (__isset.repeat_of ? (out << to_string(repeat_of)) : (out << "<null>"));
+  out << ", " << "allowed_zones="; (__isset.allowed_zones ? (out << to_string(allowed_zones)) : (out << "<null>"));
   out << ")";
 }
 
@@ -14874,9 +14918,9 @@
         break;
       case 3:
         if (ftype == ::apache::thrift::protocol::T_I32) {
-          int32_t ecast576;
-          xfer += iprot->readI32(ecast576);
-          this->verdict = static_cast<SlotVerdict::type>(ecast576);
+          int32_t ecast582;
+          xfer += iprot->readI32(ecast582);
+          this->verdict = static_cast<SlotVerdict::type>(ecast582);
           this->__isset.verdict = true;
         } else {
           xfer += iprot->skip(ftype);
@@ -14950,38 +14994,38 @@
   swap(a.__isset, b.__isset);
 }
 
-SlotGrant::SlotGrant(const SlotGrant& other577) {
-  id = other577.id;
-  sequence = other577.sequence;
-  verdict = other577.verdict;
-  group = other577.group;
-  expected_ms = other577.expected_ms;
-  __isset = other577.__isset;
+SlotGrant::SlotGrant(const SlotGrant& other583) {
+  id = other583.id;
+  sequence = other583.sequence;
+  verdict = other583.verdict;
+  group = other583.group;
+  expected_ms = other583.expected_ms;
+  __isset = other583.__isset;
 }
-SlotGrant::SlotGrant(SlotGrant&& other578) noexcept {
-  id = other578.id;
-  sequence = other578.sequence;
-  verdict = other578.verdict;
-  group = std::move(other578.group);
-  expected_ms = other578.expected_ms;
-  __isset = other578.__isset;
+SlotGrant::SlotGrant(SlotGrant&& other584) noexcept {
+  id = other584.id;
+  sequence = other584.sequence;
+  verdict = other584.verdict;
+  group = std::move(other584.group);
+  expected_ms = other584.expected_ms;
+  __isset = other584.__isset;
 }
-SlotGrant& SlotGrant::operator=(const SlotGrant& other579) {
-  id = other579.id;
-  sequence = other579.sequence;
-  verdict = other579.verdict;
-  group = other579.group;
-  expected_ms = other579.expected_ms;
-  __isset = other579.__isset;
+SlotGrant& SlotGrant::operator=(const SlotGrant& other585) {
+  id = other585.id;
+  sequence = other585.sequence;
+  verdict = other585.verdict;
+  group = other585.group;
+  expected_ms = other585.expected_ms;
+  __isset = other585.__isset;
   return *this;
 }
-SlotGrant& SlotGrant::operator=(SlotGrant&& other580) noexcept {
-  id = other580.id;
-  sequence = other580.sequence;
-  verdict = other580.verdict;
-  group = std::move(other580.group);
-  expected_ms = other580.expected_ms;
-  __isset = other580.__isset;
+SlotGrant& SlotGrant::operator=(SlotGrant&& other586) noexcept {
+  id = other586.id;
+  sequence = other586.sequence;
+  verdict = other586.verdict;
+  group = std::move(other586.group);
+  expected_ms = other586.expected_ms;
+  __isset = other586.__isset;
   return *this;
 }
 void SlotGrant::printTo(std::ostream& out) const {
@@ -15124,34 +15168,34 @@
   swap(a.__isset, b.__isset);
 }
 
-RequestServerEnd::RequestServerEnd(const RequestServerEnd& other581) {
-  fingerprint = other581.fingerprint;
-  instance_id = other581.instance_id;
-  age_ms = other581.age_ms;
-  is_likely = other581.is_likely;
-  __isset = other581.__isset;
-}
-RequestServerEnd::RequestServerEnd(RequestServerEnd&& other582) noexcept {
-  fingerprint = other582.fingerprint;
-  instance_id = std::move(other582.instance_id);
-  age_ms = other582.age_ms;
-  is_likely = other582.is_likely;
-  __isset = other582.__isset;
-}
-RequestServerEnd& RequestServerEnd::operator=(const RequestServerEnd& other583) {
-  fingerprint = other583.fingerprint;
-  instance_id = other583.instance_id;
-  age_ms = other583.age_ms;
-  is_likely = other583.is_likely;
-  __isset = other583.__isset;
+RequestServerEnd::RequestServerEnd(const RequestServerEnd& other587) {
+  fingerprint = other587.fingerprint;
+  instance_id = other587.instance_id;
+  age_ms = other587.age_ms;
+  is_likely = other587.is_likely;
+  __isset = other587.__isset;
+}
+RequestServerEnd::RequestServerEnd(RequestServerEnd&& other588) noexcept {
+  fingerprint = other588.fingerprint;
+  instance_id = std::move(other588.instance_id);
+  age_ms = other588.age_ms;
+  is_likely = other588.is_likely;
+  __isset = other588.__isset;
+}
+RequestServerEnd& RequestServerEnd::operator=(const RequestServerEnd& other589) {
+  fingerprint = other589.fingerprint;
+  instance_id = other589.instance_id;
+  age_ms = other589.age_ms;
+  is_likely = other589.is_likely;
+  __isset = other589.__isset;
   return *this;
 }
-RequestServerEnd& RequestServerEnd::operator=(RequestServerEnd&& other584) noexcept {
-  fingerprint = other584.fingerprint;
-  instance_id = std::move(other584.instance_id);
-  age_ms = other584.age_ms;
-  is_likely = other584.is_likely;
-  __isset = other584.__isset;
+RequestServerEnd& RequestServerEnd::operator=(RequestServerEnd&& other590) noexcept {
+  fingerprint = other590.fingerprint;
+  instance_id = std::move(other590.instance_id);
+  age_ms = other590.age_ms;
+  is_likely = other590.is_likely;
+  __isset = other590.__isset;
   return *this;
 }
 void RequestServerEnd::printTo(std::ostream& out) const {
@@ -15244,14 +15288,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->requests.clear();
-            uint32_t _size585;
-            ::apache::thrift::protocol::TType _etype588;
-            xfer += iprot->readListBegin(_etype588, _size585);
-            this->requests.resize(_size585);
-            uint32_t _i589;
-            for (_i589 = 0; _i589 < _size585; ++_i589)
+            uint32_t _size591;
+            ::apache::thrift::protocol::TType _etype594;
+            xfer += iprot->readListBegin(_etype594, _size591);
+            this->requests.resize(_size591);
+            uint32_t _i595;
+            for (_i595 = 0; _i595 < _size591; ++_i595)
             {
-              xfer += this->requests[_i589].read(iprot);
+              xfer += this->requests[_i595].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -15264,14 +15308,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->loads.clear();
-            uint32_t _size590;
-            ::apache::thrift::protocol::TType _etype593;
-            xfer += iprot->readListBegin(_etype593, _size590);
-            this->loads.resize(_size590);
-            uint32_t _i594;
-            for (_i594 = 0; _i594 < _size590; ++_i594)
+            uint32_t _size596;
+            ::apache::thrift::protocol::TType _etype599;
+            xfer += iprot->readListBegin(_etype599, _size596);
+            this->loads.resize(_size596);
+            uint32_t _i600;
+            for (_i600 = 0; _i600 < _size596; ++_i600)
             {
-              xfer += this->loads[_i594].read(iprot);
+              xfer += this->loads[_i600].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -15308,14 +15352,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->demand.clear();
-            uint32_t _size595;
-            ::apache::thrift::protocol::TType _etype598;
-            xfer += iprot->readListBegin(_etype598, _size595);
-            this->demand.resize(_size595);
-            uint32_t _i599;
-            for (_i599 = 0; _i599 < _size595; ++_i599)
+            uint32_t _size601;
+            ::apache::thrift::protocol::TType _etype604;
+            xfer += iprot->readListBegin(_etype604, _size601);
+            this->demand.resize(_size601);
+            uint32_t _i605;
+            for (_i605 = 0; _i605 < _size601; ++_i605)
             {
-              xfer += this->demand[_i599].read(iprot);
+              xfer += this->demand[_i605].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -15328,14 +15372,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->failures.clear();
-            uint32_t _size600;
-            ::apache::thrift::protocol::TType _etype603;
-            xfer += iprot->readListBegin(_etype603, _size600);
-            this->failures.resize(_size600);
-            uint32_t _i604;
-            for (_i604 = 0; _i604 < _size600; ++_i604)
+            uint32_t _size606;
+            ::apache::thrift::protocol::TType _etype609;
+            xfer += iprot->readListBegin(_etype609, _size606);
+            this->failures.resize(_size606);
+            uint32_t _i610;
+            for (_i610 = 0; _i610 < _size606; ++_i610)
             {
-              xfer += this->failures[_i604].read(iprot);
+              xfer += this->failures[_i610].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -15356,14 +15400,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->quiet_groups.clear();
-            uint32_t _size605;
-            ::apache::thrift::protocol::TType _etype608;
-            xfer += iprot->readListBegin(_etype608, _size605);
-            this->quiet_groups.resize(_size605);
-            uint32_t _i609;
-            for (_i609 = 0; _i609 < _size605; ++_i609)
+            uint32_t _size611;
+            ::apache::thrift::protocol::TType _etype614;
+            xfer += iprot->readListBegin(_etype614, _size611);
+            this->quiet_groups.resize(_size611);
+            uint32_t _i615;
+            for (_i615 = 0; _i615 < _size611; ++_i615)
             {
-              xfer += iprot->readString(this->quiet_groups[_i609]);
+              xfer += iprot->readString(this->quiet_groups[_i615]);
             }
             xfer += iprot->readListEnd();
           }
@@ -15376,14 +15420,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->server_ends.clear();
-            uint32_t _size610;
-            ::apache::thrift::protocol::TType _etype613;
-            xfer += iprot->readListBegin(_etype613, _size610);
-            this->server_ends.resize(_size610);
-            uint32_t _i614;
-            for (_i614 = 0; _i614 < _size610; ++_i614)
+            uint32_t _size616;
+            ::apache::thrift::protocol::TType _etype619;
+            xfer += iprot->readListBegin(_etype619, _size616);
+            this->server_ends.resize(_size616);
+            uint32_t _i620;
+            for (_i620 = 0; _i620 < _size616; ++_i620)
             {
-              xfer += this->server_ends[_i614].read(iprot);
+              xfer += this->server_ends[_i620].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -15396,14 +15440,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->answered_requests.clear();
-            uint32_t _size615;
-            ::apache::thrift::protocol::TType _etype618;
-            xfer += iprot->readListBegin(_etype618, _size615);
-            this->answered_requests.resize(_size615);
-            uint32_t _i619;
-            for (_i619 = 0; _i619 < _size615; ++_i619)
+            uint32_t _size621;
+            ::apache::thrift::protocol::TType _etype624;
+            xfer += iprot->readListBegin(_etype624, _size621);
+            this->answered_requests.resize(_size621);
+            uint32_t _i625;
+            for (_i625 = 0; _i625 < _size621; ++_i625)
             {
-              xfer += iprot->readI64(this->answered_requests[_i619]);
+              xfer += iprot->readI64(this->answered_requests[_i625]);
             }
             xfer += iprot->readListEnd();
           }
@@ -15432,10 +15476,10 @@
   xfer += oprot->writeFieldBegin("requests", ::apache::thrift::protocol::T_LIST, 1);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->requests.size()));
-    std::vector<SlotRequest> ::const_iterator _iter620;
-    for (_iter620 = this->requests.begin(); _iter620 != this->requests.end(); ++_iter620)
+    std::vector<SlotRequest> ::const_iterator _iter626;
+    for (_iter626 = this->requests.begin(); _iter626 != this->requests.end(); ++_iter626)
     {
-      xfer += (*_iter620).write(oprot);
+      xfer += (*_iter626).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -15444,10 +15488,10 @@
   xfer += oprot->writeFieldBegin("loads", ::apache::thrift::protocol::T_LIST, 2);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->loads.size()));
-    std::vector<GroupLoad> ::const_iterator _iter621;
-    for (_iter621 = this->loads.begin(); _iter621 != this->loads.end(); ++_iter621)
+    std::vector<GroupLoad> ::const_iterator _iter627;
+    for (_iter627 = this->loads.begin(); _iter627 != this->loads.end(); ++_iter627)
     {
-      xfer += (*_iter621).write(oprot);
+      xfer += (*_iter627).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -15468,10 +15512,10 @@
   xfer += oprot->writeFieldBegin("demand", ::apache::thrift::protocol::T_LIST, 6);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->demand.size()));
-    std::vector<ModelDemand> ::const_iterator _iter622;
-    for (_iter622 = this->demand.begin(); _iter622 != this->demand.end(); ++_iter622)
+    std::vector<ModelDemand> ::const_iterator _iter628;
+    for (_iter628 = this->demand.begin(); _iter628 != this->demand.end(); ++_iter628)
     {
-      xfer += (*_iter622).write(oprot);
+      xfer += (*_iter628).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -15480,10 +15524,10 @@
   xfer += oprot->writeFieldBegin("failures", ::apache::thrift::protocol::T_LIST, 7);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->failures.size()));
-    std::vector<GroupFailure> ::const_iterator _iter623;
-    for (_iter623 = this->failures.begin(); _iter623 != this->failures.end(); ++_iter623)
+    std::vector<GroupFailure> ::const_iterator _iter629;
+    for (_iter629 = this->failures.begin(); _iter629 != this->failures.end(); ++_iter629)
     {
-      xfer += (*_iter623).write(oprot);
+      xfer += (*_iter629).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -15496,10 +15540,10 @@
   xfer += oprot->writeFieldBegin("quiet_groups", ::apache::thrift::protocol::T_LIST, 9);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->quiet_groups.size()));
-    std::vector<std::string> ::const_iterator _iter624;
-    for (_iter624 = this->quiet_groups.begin(); _iter624 != this->quiet_groups.end(); ++_iter624)
+    std::vector<std::string> ::const_iterator _iter630;
+    for (_iter630 = this->quiet_groups.begin(); _iter630 != this->quiet_groups.end(); ++_iter630)
     {
-      xfer += oprot->writeString((*_iter624));
+      xfer += oprot->writeString((*_iter630));
     }
     xfer += oprot->writeListEnd();
   }
@@ -15508,10 +15552,10 @@
   xfer += oprot->writeFieldBegin("server_ends", ::apache::thrift::protocol::T_LIST, 10);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->server_ends.size()));
-    std::vector<RequestServerEnd> ::const_iterator _iter625;
-    for (_iter625 = this->server_ends.begin(); _iter625 != this->server_ends.end(); ++_iter625)
+    std::vector<RequestServerEnd> ::const_iterator _iter631;
+    for (_iter631 = this->server_ends.begin(); _iter631 != this->server_ends.end(); ++_iter631)
     {
-      xfer += (*_iter625).write(oprot);
+      xfer += (*_iter631).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -15520,10 +15564,10 @@
   xfer += oprot->writeFieldBegin("answered_requests", ::apache::thrift::protocol::T_LIST, 11);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I64, static_cast<uint32_t>(this->answered_requests.size()));
-    std::vector<int64_t> ::const_iterator _iter626;
-    for (_iter626 = this->answered_requests.begin(); _iter626 != this->answered_requests.end(); ++_iter626)
+    std::vector<int64_t> ::const_iterator _iter632;
+    for (_iter632 = this->answered_requests.begin(); _iter632 != this->answered_requests.end(); ++_iter632)
     {
-      xfer += oprot->writeI64((*_iter626));
+      xfer += oprot->writeI64((*_iter632));
     }
     xfer += oprot->writeListEnd();
   }
@@ -15550,62 +15594,62 @@
   swap(a.__isset, b.__isset);
 }
 
-SlotReport::SlotReport(const SlotReport& other627) {
-  requests = other627.requests;
-  loads = other627.loads;
-  grants_term = other627.grants_term;
-  grants_seen = other627.grants_seen;
-  is_complete = other627.is_complete;
-  demand = other627.demand;
-  failures = other627.failures;
-  traffic_seen = other627.traffic_seen;
-  quiet_groups = other627.quiet_groups;
-  server_ends = other627.server_ends;
-  answered_requests = other627.answered_requests;
-  __isset = other627.__isset;
-}
-SlotReport::SlotReport(SlotReport&& other628) noexcept {
-  requests = std::move(other628.requests);
-  loads = std::move(other628.loads);
-  grants_term = other628.grants_term;
-  grants_seen = other628.grants_seen;
-  is_complete = other628.is_complete;
-  demand = std::move(other628.demand);
-  failures = std::move(other628.failures);
-  traffic_seen = other628.traffic_seen;
-  quiet_groups = std::move(other628.quiet_groups);
-  server_ends = std::move(other628.server_ends);
-  answered_requests = std::move(other628.answered_requests);
-  __isset = other628.__isset;
-}
-SlotReport& SlotReport::operator=(const SlotReport& other629) {
-  requests = other629.requests;
-  loads = other629.loads;
-  grants_term = other629.grants_term;
-  grants_seen = other629.grants_seen;
-  is_complete = other629.is_complete;
-  demand = other629.demand;
-  failures = other629.failures;
-  traffic_seen = other629.traffic_seen;
-  quiet_groups = other629.quiet_groups;
-  server_ends = other629.server_ends;
-  answered_requests = other629.answered_requests;
-  __isset = other629.__isset;
+SlotReport::SlotReport(const SlotReport& other633) {
+  requests = other633.requests;
+  loads = other633.loads;
+  grants_term = other633.grants_term;
+  grants_seen = other633.grants_seen;
+  is_complete = other633.is_complete;
+  demand = other633.demand;
+  failures = other633.failures;
+  traffic_seen = other633.traffic_seen;
+  quiet_groups = other633.quiet_groups;
+  server_ends = other633.server_ends;
+  answered_requests = other633.answered_requests;
+  __isset = other633.__isset;
+}
+SlotReport::SlotReport(SlotReport&& other634) noexcept {
+  requests = std::move(other634.requests);
+  loads = std::move(other634.loads);
+  grants_term = other634.grants_term;
+  grants_seen = other634.grants_seen;
+  is_complete = other634.is_complete;
+  demand = std::move(other634.demand);
+  failures = std::move(other634.failures);
+  traffic_seen = other634.traffic_seen;
+  quiet_groups = std::move(other634.quiet_groups);
+  server_ends = std::move(other634.server_ends);
+  answered_requests = std::move(other634.answered_requests);
+  __isset = other634.__isset;
+}
+SlotReport& SlotReport::operator=(const SlotReport& other635) {
+  requests = other635.requests;
+  loads = other635.loads;
+  grants_term = other635.grants_term;
+  grants_seen = other635.grants_seen;
+  is_complete = other635.is_complete;
+  demand = other635.demand;
+  failures = other635.failures;
+  traffic_seen = other635.traffic_seen;
+  quiet_groups = other635.quiet_groups;
+  server_ends = other635.server_ends;
+  answered_requests = other635.answered_requests;
+  __isset = other635.__isset;
   return *this;
 }
-SlotReport& SlotReport::operator=(SlotReport&& other630) noexcept {
-  requests = std::move(other630.requests);
-  loads = std::move(other630.loads);
-  grants_term = other630.grants_term;
-  grants_seen = other630.grants_seen;
-  is_complete = other630.is_complete;
-  demand = std::move(other630.demand);
-  failures = std::move(other630.failures);
-  traffic_seen = other630.traffic_seen;
-  quiet_groups = std::move(other630.quiet_groups);
-  server_ends = std::move(other630.server_ends);
-  answered_requests = std::move(other630.answered_requests);
-  __isset = other630.__isset;
+SlotReport& SlotReport::operator=(SlotReport&& other636) noexcept {
+  requests = std::move(other636.requests);
+  loads = std::move(other636.loads);
+  grants_term = other636.grants_term;
+  grants_seen = other636.grants_seen;
+  is_complete = other636.is_complete;
+  demand = std::move(other636.demand);
+  failures = std::move(other636.failures);
+  traffic_seen = other636.traffic_seen;
+  quiet_groups = std::move(other636.quiet_groups);
+  server_ends = std::move(other636.server_ends);
+  answered_requests = std::move(other636.answered_requests);
+  __isset = other636.__isset;
   return *this;
 }
 void SlotReport::printTo(std::ostream& out) const {
@@ -15681,14 +15725,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->grants.clear();
-            uint32_t _size631;
-            ::apache::thrift::protocol::TType _etype634;
-            xfer += iprot->readListBegin(_etype634, _size631);
-            this->grants.resize(_size631);
-            uint32_t _i635;
-            for (_i635 = 0; _i635 < _size631; ++_i635)
+            uint32_t _size637;
+            ::apache::thrift::protocol::TType _etype640;
+            xfer += iprot->readListBegin(_etype640, _size637);
+            this->grants.resize(_size637);
+            uint32_t _i641;
+            for (_i641 = 0; _i641 < _size637; ++_i641)
             {
-              xfer += this->grants[_i635].read(iprot);
+              xfer += this->grants[_i641].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -15701,14 +15745,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->failed_groups.clear();
-            uint32_t _size636;
-            ::apache::thrift::protocol::TType _etype639;
-            xfer += iprot->readListBegin(_etype639, _size636);
-            this->failed_groups.resize(_size636);
-            uint32_t _i640;
-            for (_i640 = 0; _i640 < _size636; ++_i640)
+            uint32_t _size642;
+            ::apache::thrift::protocol::TType _etype645;
+            xfer += iprot->readListBegin(_etype645, _size642);
+            this->failed_groups.resize(_size642);
+            uint32_t _i646;
+            for (_i646 = 0; _i646 < _size642; ++_i646)
             {
-              xfer += iprot->readString(this->failed_groups[_i640]);
+              xfer += iprot->readString(this->failed_groups[_i646]);
             }
             xfer += iprot->readListEnd();
           }
@@ -15741,10 +15785,10 @@
   xfer += oprot->writeFieldBegin("grants", ::apache::thrift::protocol::T_LIST, 2);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->grants.size()));
-    std::vector<SlotGrant> ::const_iterator _iter641;
-    for (_iter641 = this->grants.begin(); _iter641 != this->grants.end(); ++_iter641)
+    std::vector<SlotGrant> ::const_iterator _iter647;
+    for (_iter647 = this->grants.begin(); _iter647 != this->grants.end(); ++_iter647)
     {
-      xfer += (*_iter641).write(oprot);
+      xfer += (*_iter647).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -15753,10 +15797,10 @@
   xfer += oprot->writeFieldBegin("failed_groups", ::apache::thrift::protocol::T_LIST, 3);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->failed_groups.size()));
-    std::vector<std::string> ::const_iterator _iter642;
-    for (_iter642 = this->failed_groups.begin(); _iter642 != this->failed_groups.end(); ++_iter642)
+    std::vector<std::string> ::const_iterator _iter648;
+    for (_iter648 = this->failed_groups.begin(); _iter648 != this->failed_groups.end(); ++_iter648)
     {
-      xfer += oprot->writeString((*_iter642));
+      xfer += oprot->writeString((*_iter648));
     }
     xfer += oprot->writeListEnd();
   }
@@ -15775,30 +15819,30 @@
   swap(a.__isset, b.__isset);
 }
 
-SlotAnswer::SlotAnswer(const SlotAnswer& other643) {
-  term = other643.term;
-  grants = other643.grants;
-  failed_groups = other643.failed_groups;
-  __isset = other643.__isset;
+SlotAnswer::SlotAnswer(const SlotAnswer& other649) {
+  term = other649.term;
+  grants = other649.grants;
+  failed_groups = other649.failed_groups;
+  __isset = other649.__isset;
 }
-SlotAnswer::SlotAnswer(SlotAnswer&& other644) noexcept {
-  term = other644.term;
-  grants = std::move(other644.grants);
-  failed_groups = std::move(other644.failed_groups);
-  __isset = other644.__isset;
+SlotAnswer::SlotAnswer(SlotAnswer&& other650) noexcept {
+  term = other650.term;
+  grants = std::move(other650.grants);
+  failed_groups = std::move(other650.failed_groups);
+  __isset = other650.__isset;
 }
-SlotAnswer& SlotAnswer::operator=(const SlotAnswer& other645) {
-  term = other645.term;
-  grants = other645.grants;
-  failed_groups = other645.failed_groups;
-  __isset = other645.__isset;
+SlotAnswer& SlotAnswer::operator=(const SlotAnswer& other651) {
+  term = other651.term;
+  grants = other651.grants;
+  failed_groups = other651.failed_groups;
+  __isset = other651.__isset;
   return *this;
 }
-SlotAnswer& SlotAnswer::operator=(SlotAnswer&& other646) noexcept {
-  term = other646.term;
-  grants = std::move(other646.grants);
-  failed_groups = std::move(other646.failed_groups);
-  __isset = other646.__isset;
+SlotAnswer& SlotAnswer::operator=(SlotAnswer&& other652) noexcept {
+  term = other652.term;
+  grants = std::move(other652.grants);
+  failed_groups = std::move(other652.failed_groups);
+  __isset = other652.__isset;
   return *this;
 }
 void SlotAnswer::printTo(std::ostream& out) const {
@@ -15903,26 +15947,26 @@
   swap(a.__isset, b.__isset);
 }
 
-ControlPeer::ControlPeer(const ControlPeer& other647) {
-  address = other647.address;
-  zone = other647.zone;
-  __isset = other647.__isset;
+ControlPeer::ControlPeer(const ControlPeer& other653) {
+  address = other653.address;
+  zone = other653.zone;
+  __isset = other653.__isset;
 }
-ControlPeer::ControlPeer(ControlPeer&& other648) noexcept {
-  address = std::move(other648.address);
-  zone = std::move(other648.zone);
-  __isset = other648.__isset;
+ControlPeer::ControlPeer(ControlPeer&& other654) noexcept {
+  address = std::move(other654.address);
+  zone = std::move(other654.zone);
+  __isset = other654.__isset;
 }
-ControlPeer& ControlPeer::operator=(const ControlPeer& other649) {
-  address = other649.address;
-  zone = other649.zone;
-  __isset = other649.__isset;
+ControlPeer& ControlPeer::operator=(const ControlPeer& other655) {
+  address = other655.address;
+  zone = other655.zone;
+  __isset = other655.__isset;
   return *this;
 }
-ControlPeer& ControlPeer::operator=(ControlPeer&& other650) noexcept {
-  address = std::move(other650.address);
-  zone = std::move(other650.zone);
-  __isset = other650.__isset;
+ControlPeer& ControlPeer::operator=(ControlPeer&& other656) noexcept {
+  address = std::move(other656.address);
+  zone = std::move(other656.zone);
+  __isset = other656.__isset;
   return *this;
 }
 void ControlPeer::printTo(std::ostream& out) const {
@@ -16085,14 +16129,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->loads.clear();
-            uint32_t _size651;
-            ::apache::thrift::protocol::TType _etype654;
-            xfer += iprot->readListBegin(_etype654, _size651);
-            this->loads.resize(_size651);
-            uint32_t _i655;
-            for (_i655 = 0; _i655 < _size651; ++_i655)
+            uint32_t _size657;
+            ::apache::thrift::protocol::TType _etype660;
+            xfer += iprot->readListBegin(_etype660, _size657);
+            this->loads.resize(_size657);
+            uint32_t _i661;
+            for (_i661 = 0; _i661 < _size657; ++_i661)
             {
-              xfer += this->loads[_i655].read(iprot);
+              xfer += this->loads[_i661].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -16145,14 +16189,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->control_peers.clear();
-            uint32_t _size656;
-            ::apache::thrift::protocol::TType _etype659;
-            xfer += iprot->readListBegin(_etype659, _size656);
-            this->control_peers.resize(_size656);
-            uint32_t _i660;
-            for (_i660 = 0; _i660 < _size656; ++_i660)
+            uint32_t _size662;
+            ::apache::thrift::protocol::TType _etype665;
+            xfer += iprot->readListBegin(_etype665, _size662);
+            this->control_peers.resize(_size662);
+            uint32_t _i666;
+            for (_i666 = 0; _i666 < _size662; ++_i666)
             {
-              xfer += this->control_peers[_i660].read(iprot);
+              xfer += this->control_peers[_i666].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -16230,10 +16274,10 @@
   xfer += oprot->writeFieldBegin("loads", ::apache::thrift::protocol::T_LIST, 9);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->loads.size()));
-    std::vector<GroupLoad> ::const_iterator _iter661;
-    for (_iter661 = this->loads.begin(); _iter661 != this->loads.end(); ++_iter661)
+    std::vector<GroupLoad> ::const_iterator _iter667;
+    for (_iter667 = this->loads.begin(); _iter667 != this->loads.end(); ++_iter667)
     {
-      xfer += (*_iter661).write(oprot);
+      xfer += (*_iter667).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -16263,10 +16307,10 @@
   xfer += oprot->writeFieldBegin("control_peers", ::apache::thrift::protocol::T_LIST, 15);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->control_peers.size()));
-    std::vector<ControlPeer> ::const_iterator _iter662;
-    for (_iter662 = this->control_peers.begin(); _iter662 != this->control_peers.end(); ++_iter662)
+    std::vector<ControlPeer> ::const_iterator _iter668;
+    for (_iter668 = this->control_peers.begin(); _iter668 != this->control_peers.end(); ++_iter668)
     {
-      xfer += (*_iter662).write(oprot);
+      xfer += (*_iter668).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -16312,82 +16356,82 @@
   swap(a.__isset, b.__isset);
 }
 
-FleetUpdate::FleetUpdate(const FleetUpdate& other663) {
-  sequence = other663.sequence;
-  not_leader = other663.not_leader;
-  leader = other663.leader;
-  term = other663.term;
-  document_version = other663.document_version;
-  state = other663.state;
-  loads = other663.loads;
-  serving_nodes = other663.serving_nodes;
-  wants_state = other663.wants_state;
-  state_change = other663.state_change;
-  wants_confirmation = other663.wants_confirmation;
-  confirmed_age_ms = other663.confirmed_age_ms;
-  control_peers = other663.control_peers;
-  document = other663.document;
-  evacuation_revision = other663.evacuation_revision;
-  evacuations = other663.evacuations;
-  __isset = other663.__isset;
-}
-FleetUpdate::FleetUpdate(FleetUpdate&& other664) noexcept {
-  sequence = other664.sequence;
-  not_leader = other664.not_leader;
-  leader = std::move(other664.leader);
-  term = other664.term;
-  document_version = other664.document_version;
-  state = std::move(other664.state);
-  loads = std::move(other664.loads);
-  serving_nodes = other664.serving_nodes;
-  wants_state = other664.wants_state;
-  state_change = std::move(other664.state_change);
-  wants_confirmation = other664.wants_confirmation;
-  confirmed_age_ms = other664.confirmed_age_ms;
-  control_peers = std::move(other664.control_peers);
-  document = std::move(other664.document);
-  evacuation_revision = other664.evacuation_revision;
-  evacuations = std::move(other664.evacuations);
-  __isset = other664.__isset;
-}
-FleetUpdate& FleetUpdate::operator=(const FleetUpdate& other665) {
-  sequence = other665.sequence;
-  not_leader = other665.not_leader;
-  leader = other665.leader;
-  term = other665.term;
-  document_version = other665.document_version;
-  state = other665.state;
-  loads = other665.loads;
-  serving_nodes = other665.serving_nodes;
-  wants_state = other665.wants_state;
-  state_change = other665.state_change;
-  wants_confirmation = other665.wants_confirmation;
-  confirmed_age_ms = other665.confirmed_age_ms;
-  control_peers = other665.control_peers;
-  document = other665.document;
-  evacuation_revision = other665.evacuation_revision;
-  evacuations = other665.evacuations;
-  __isset = other665.__isset;
+FleetUpdate::FleetUpdate(const FleetUpdate& other669) {
+  sequence = other669.sequence;
+  not_leader = other669.not_leader;
+  leader = other669.leader;
+  term = other669.term;
+  document_version = other669.document_version;
+  state = other669.state;
+  loads = other669.loads;
+  serving_nodes = other669.serving_nodes;
+  wants_state = other669.wants_state;
+  state_change = other669.state_change;
+  wants_confirmation = other669.wants_confirmation;
+  confirmed_age_ms = other669.confirmed_age_ms;
+  control_peers = other669.control_peers;
+  document = other669.document;
+  evacuation_revision = other669.evacuation_revision;
+  evacuations = other669.evacuations;
+  __isset = other669.__isset;
+}
+FleetUpdate::FleetUpdate(FleetUpdate&& other670) noexcept {
+  sequence = other670.sequence;
+  not_leader = other670.not_leader;
+  leader = std::move(other670.leader);
+  term = other670.term;
+  document_version = other670.document_version;
+  state = std::move(other670.state);
+  loads = std::move(other670.loads);
+  serving_nodes = other670.serving_nodes;
+  wants_state = other670.wants_state;
+  state_change = std::move(other670.state_change);
+  wants_confirmation = other670.wants_confirmation;
+  confirmed_age_ms = other670.confirmed_age_ms;
+  control_peers = std::move(other670.control_peers);
+  document = std::move(other670.document);
+  evacuation_revision = other670.evacuation_revision;
+  evacuations = std::move(other670.evacuations);
+  __isset = other670.__isset;
+}
+FleetUpdate& FleetUpdate::operator=(const FleetUpdate& other671) {
+  sequence = other671.sequence;
+  not_leader = other671.not_leader;
+  leader = other671.leader;
+  term = other671.term;
+  document_version = other671.document_version;
+  state = other671.state;
+  loads = other671.loads;
+  serving_nodes = other671.serving_nodes;
+  wants_state = other671.wants_state;
+  state_change = other671.state_change;
+  wants_confirmation = other671.wants_confirmation;
+  confirmed_age_ms = other671.confirmed_age_ms;
+  control_peers = other671.control_peers;
+  document = other671.document;
+  evacuation_revision = other671.evacuation_revision;
+  evacuations = other671.evacuations;
+  __isset = other671.__isset;
   return *this;
 }
-FleetUpdate& FleetUpdate::operator=(FleetUpdate&& other666) noexcept {
-  sequence = other666.sequence;
-  not_leader = other666.not_leader;
-  leader = std::move(other666.leader);
-  term = other666.term;
-  document_version = other666.document_version;
-  state = std::move(other666.state);
-  loads = std::move(other666.loads);
-  serving_nodes = other666.serving_nodes;
-  wants_state = other666.wants_state;
-  state_change = std::move(other666.state_change);
-  wants_confirmation = other666.wants_confirmation;
-  confirmed_age_ms = other666.confirmed_age_ms;
-  control_peers = std::move(other666.control_peers);
-  document = std::move(other666.document);
-  evacuation_revision = other666.evacuation_revision;
-  evacuations = std::move(other666.evacuations);
-  __isset = other666.__isset;
+FleetUpdate& FleetUpdate::operator=(FleetUpdate&& other672) noexcept {
+  sequence = other672.sequence;
+  not_leader = other672.not_leader;
+  leader = std::move(other672.leader);
+  term = other672.term;
+  document_version = other672.document_version;
+  state = std::move(other672.state);
+  loads = std::move(other672.loads);
+  serving_nodes = other672.serving_nodes;
+  wants_state = other672.wants_state;
+  state_change = std::move(other672.state_change);
+  wants_confirmation = other672.wants_confirmation;
+  confirmed_age_ms = other672.confirmed_age_ms;
+  control_peers = std::move(other672.control_peers);
+  document = std::move(other672.document);
+  evacuation_revision = other672.evacuation_revision;
+  evacuations = std::move(other672.evacuations);
+  __isset = other672.__isset;
   return *this;
 }
 void FleetUpdate::printTo(std::ostream& out) const {
@@ -16474,9 +16518,9 @@
         break;
       case 2:
         if (ftype == ::apache::thrift::protocol::T_I32) {
-          int32_t ecast667;
-          xfer += iprot->readI32(ecast667);
-          this->kind = static_cast<ControlCallKind::type>(ecast667);
+          int32_t ecast673;
+          xfer += iprot->readI32(ecast673);
+          this->kind = static_cast<ControlCallKind::type>(ecast673);
           this->__isset.kind = true;
         } else {
           xfer += iprot->skip(ftype);
@@ -16558,38 +16602,38 @@
   swap(a.__isset, b.__isset);
 }
 
-ControlCall::ControlCall(const ControlCall& other668) {
-  id = other668.id;
-  kind = other668.kind;
-  instance_id = other668.instance_id;
-  body = other668.body;
-  zone = other668.zone;
-  __isset = other668.__isset;
-}
-ControlCall::ControlCall(ControlCall&& other669) noexcept {
-  id = other669.id;
-  kind = other669.kind;
-  instance_id = std::move(other669.instance_id);
-  body = std::move(other669.body);
-  zone = std::move(other669.zone);
-  __isset = other669.__isset;
+ControlCall::ControlCall(const ControlCall& other674) {
+  id = other674.id;
+  kind = other674.kind;
+  instance_id = other674.instance_id;
+  body = other674.body;
+  zone = other674.zone;
+  __isset = other674.__isset;
 }
-ControlCall& ControlCall::operator=(const ControlCall& other670) {
-  id = other670.id;
-  kind = other670.kind;
-  instance_id = other670.instance_id;
-  body = other670.body;
-  zone = other670.zone;
-  __isset = other670.__isset;
+ControlCall::ControlCall(ControlCall&& other675) noexcept {
+  id = other675.id;
+  kind = other675.kind;
+  instance_id = std::move(other675.instance_id);
+  body = std::move(other675.body);
+  zone = std::move(other675.zone);
+  __isset = other675.__isset;
+}
+ControlCall& ControlCall::operator=(const ControlCall& other676) {
+  id = other676.id;
+  kind = other676.kind;
+  instance_id = other676.instance_id;
+  body = other676.body;
+  zone = other676.zone;
+  __isset = other676.__isset;
   return *this;
 }
-ControlCall& ControlCall::operator=(ControlCall&& other671) noexcept {
-  id = other671.id;
-  kind = other671.kind;
-  instance_id = std::move(other671.instance_id);
-  body = std::move(other671.body);
-  zone = std::move(other671.zone);
-  __isset = other671.__isset;
+ControlCall& ControlCall::operator=(ControlCall&& other677) noexcept {
+  id = other677.id;
+  kind = other677.kind;
+  instance_id = std::move(other677.instance_id);
+  body = std::move(other677.body);
+  zone = std::move(other677.zone);
+  __isset = other677.__isset;
   return *this;
 }
 void ControlCall::printTo(std::ostream& out) const {
@@ -16713,30 +16757,30 @@
   swap(a.__isset, b.__isset);
 }
 
-ControlCallReply::ControlCallReply(const ControlCallReply& other672) {
-  id = other672.id;
-  status = other672.status;
-  body = other672.body;
-  __isset = other672.__isset;
+ControlCallReply::ControlCallReply(const ControlCallReply& other678) {
+  id = other678.id;
+  status = other678.status;
+  body = other678.body;
+  __isset = other678.__isset;
 }
-ControlCallReply::ControlCallReply(ControlCallReply&& other673) noexcept {
-  id = other673.id;
-  status = other673.status;
-  body = std::move(other673.body);
-  __isset = other673.__isset;
+ControlCallReply::ControlCallReply(ControlCallReply&& other679) noexcept {
+  id = other679.id;
+  status = other679.status;
+  body = std::move(other679.body);
+  __isset = other679.__isset;
 }
-ControlCallReply& ControlCallReply::operator=(const ControlCallReply& other674) {
-  id = other674.id;
-  status = other674.status;
-  body = other674.body;
-  __isset = other674.__isset;
+ControlCallReply& ControlCallReply::operator=(const ControlCallReply& other680) {
+  id = other680.id;
+  status = other680.status;
+  body = other680.body;
+  __isset = other680.__isset;
   return *this;
 }
-ControlCallReply& ControlCallReply::operator=(ControlCallReply&& other675) noexcept {
-  id = other675.id;
-  status = other675.status;
-  body = std::move(other675.body);
-  __isset = other675.__isset;
+ControlCallReply& ControlCallReply::operator=(ControlCallReply&& other681) noexcept {
+  id = other681.id;
+  status = other681.status;
+  body = std::move(other681.body);
+  __isset = other681.__isset;
   return *this;
 }
 void ControlCallReply::printTo(std::ostream& out) const {
@@ -16841,26 +16885,26 @@
   swap(a.__isset, b.__isset);
 }
 
-RegistrationReport::RegistrationReport(const RegistrationReport& other676) {
-  instance = other676.instance;
-  known_term = other676.known_term;
-  __isset = other676.__isset;
+RegistrationReport::RegistrationReport(const RegistrationReport& other682) {
+  instance = other682.instance;
+  known_term = other682.known_term;
+  __isset = other682.__isset;
 }
-RegistrationReport::RegistrationReport(RegistrationReport&& other677) noexcept {
-  instance = std::move(other677.instance);
-  known_term = other677.known_term;
-  __isset = other677.__isset;
+RegistrationReport::RegistrationReport(RegistrationReport&& other683) noexcept {
+  instance = std::move(other683.instance);
+  known_term = other683.known_term;
+  __isset = other683.__isset;
 }
-RegistrationReport& RegistrationReport::operator=(const RegistrationReport& other678) {
-  instance = other678.instance;
-  known_term = other678.known_term;
-  __isset = other678.__isset;
+RegistrationReport& RegistrationReport::operator=(const RegistrationReport& other684) {
+  instance = other684.instance;
+  known_term = other684.known_term;
+  __isset = other684.__isset;
   return *this;
 }
-RegistrationReport& RegistrationReport::operator=(RegistrationReport&& other679) noexcept {
-  instance = std::move(other679.instance);
-  known_term = other679.known_term;
-  __isset = other679.__isset;
+RegistrationReport& RegistrationReport::operator=(RegistrationReport&& other685) noexcept {
+  instance = std::move(other685.instance);
+  known_term = other685.known_term;
+  __isset = other685.__isset;
   return *this;
 }
 void RegistrationReport::printTo(std::ostream& out) const {
@@ -16911,14 +16955,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->reports.clear();
-            uint32_t _size680;
-            ::apache::thrift::protocol::TType _etype683;
-            xfer += iprot->readListBegin(_etype683, _size680);
-            this->reports.resize(_size680);
-            uint32_t _i684;
-            for (_i684 = 0; _i684 < _size680; ++_i684)
+            uint32_t _size686;
+            ::apache::thrift::protocol::TType _etype689;
+            xfer += iprot->readListBegin(_etype689, _size686);
+            this->reports.resize(_size686);
+            uint32_t _i690;
+            for (_i690 = 0; _i690 < _size686; ++_i690)
             {
-              xfer += this->reports[_i684].read(iprot);
+              xfer += this->reports[_i690].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -16947,10 +16991,10 @@
   xfer += oprot->writeFieldBegin("reports", ::apache::thrift::protocol::T_LIST, 1);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->reports.size()));
-    std::vector<RegistrationReport> ::const_iterator _iter685;
-    for (_iter685 = this->reports.begin(); _iter685 != this->reports.end(); ++_iter685)
+    std::vector<RegistrationReport> ::const_iterator _iter691;
+    for (_iter691 = this->reports.begin(); _iter691 != this->reports.end(); ++_iter691)
     {
-      xfer += (*_iter685).write(oprot);
+      xfer += (*_iter691).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -16967,22 +17011,22 @@
   swap(a.__isset, b.__isset);
 }
 
-RegistrationBatch::RegistrationBatch(const RegistrationBatch& other686) {
-  reports = other686.reports;
-  __isset = other686.__isset;
+RegistrationBatch::RegistrationBatch(const RegistrationBatch& other692) {
+  reports = other692.reports;
+  __isset = other692.__isset;
 }
-RegistrationBatch::RegistrationBatch(RegistrationBatch&& other687) noexcept {
-  reports = std::move(other687.reports);
-  __isset = other687.__isset;
+RegistrationBatch::RegistrationBatch(RegistrationBatch&& other693) noexcept {
+  reports = std::move(other693.reports);
+  __isset = other693.__isset;
 }
-RegistrationBatch& RegistrationBatch::operator=(const RegistrationBatch& other688) {
-  reports = other688.reports;
-  __isset = other688.__isset;
+RegistrationBatch& RegistrationBatch::operator=(const RegistrationBatch& other694) {
+  reports = other694.reports;
+  __isset = other694.__isset;
   return *this;
 }
-RegistrationBatch& RegistrationBatch::operator=(RegistrationBatch&& other689) noexcept {
-  reports = std::move(other689.reports);
-  __isset = other689.__isset;
+RegistrationBatch& RegistrationBatch::operator=(RegistrationBatch&& other695) noexcept {
+  reports = std::move(other695.reports);
+  __isset = other695.__isset;
   return *this;
 }
 void RegistrationBatch::printTo(std::ostream& out) const {
@@ -17085,26 +17129,26 @@
   swap(a.__isset, b.__isset);
 }
 
-FormationNotice::FormationNotice(const FormationNotice& other690) {
-  choice = other690.choice;
-  holds_log = other690.holds_log;
-  __isset = other690.__isset;
+FormationNotice::FormationNotice(const FormationNotice& other696) {
+  choice = other696.choice;
+  holds_log = other696.holds_log;
+  __isset = other696.__isset;
 }
-FormationNotice::FormationNotice(FormationNotice&& other691) noexcept {
-  choice = std::move(other691.choice);
-  holds_log = other691.holds_log;
-  __isset = other691.__isset;
+FormationNotice::FormationNotice(FormationNotice&& other697) noexcept {
+  choice = std::move(other697.choice);
+  holds_log = other697.holds_log;
+  __isset = other697.__isset;
 }
-FormationNotice& FormationNotice::operator=(const FormationNotice& other692) {
-  choice = other692.choice;
-  holds_log = other692.holds_log;
-  __isset = other692.__isset;
+FormationNotice& FormationNotice::operator=(const FormationNotice& other698) {
+  choice = other698.choice;
+  holds_log = other698.holds_log;
+  __isset = other698.__isset;
   return *this;
 }
-FormationNotice& FormationNotice::operator=(FormationNotice&& other693) noexcept {
-  choice = std::move(other693.choice);
-  holds_log = other693.holds_log;
-  __isset = other693.__isset;
+FormationNotice& FormationNotice::operator=(FormationNotice&& other699) noexcept {
+  choice = std::move(other699.choice);
+  holds_log = other699.holds_log;
+  __isset = other699.__isset;
   return *this;
 }
 void FormationNotice::printTo(std::ostream& out) const {
@@ -17548,98 +17592,98 @@
   swap(a.__isset, b.__isset);
 }
 
-Envelope::Envelope(const Envelope& other694) {
-  from_node = other694.from_node;
-  from_incarnation = other694.from_incarnation;
-  to_node = other694.to_node;
-  raft = other694.raft;
-  heartbeat = other694.heartbeat;
-  heartbeat_reply = other694.heartbeat_reply;
-  claim_request = other694.claim_request;
-  claim_reply = other694.claim_reply;
-  resolution = other694.resolution;
-  operator_request = other694.operator_request;
-  operator_reply = other694.operator_reply;
-  resolution_reply = other694.resolution_reply;
-  fleet_heartbeat = other694.fleet_heartbeat;
-  fleet_update = other694.fleet_update;
-  control_call = other694.control_call;
-  control_call_reply = other694.control_call_reply;
-  slot_report = other694.slot_report;
-  slot_answer = other694.slot_answer;
-  registrations = other694.registrations;
-  formation = other694.formation;
-  __isset = other694.__isset;
-}
-Envelope::Envelope(Envelope&& other695) noexcept {
-  from_node = std::move(other695.from_node);
-  from_incarnation = other695.from_incarnation;
-  to_node = std::move(other695.to_node);
-  raft = std::move(other695.raft);
-  heartbeat = std::move(other695.heartbeat);
-  heartbeat_reply = std::move(other695.heartbeat_reply);
-  claim_request = std::move(other695.claim_request);
-  claim_reply = std::move(other695.claim_reply);
-  resolution = std::move(other695.resolution);
-  operator_request = std::move(other695.operator_request);
-  operator_reply = std::move(other695.operator_reply);
-  resolution_reply = std::move(other695.resolution_reply);
-  fleet_heartbeat = std::move(other695.fleet_heartbeat);
-  fleet_update = std::move(other695.fleet_update);
-  control_call = std::move(other695.control_call);
-  control_call_reply = std::move(other695.control_call_reply);
-  slot_report = std::move(other695.slot_report);
-  slot_answer = std::move(other695.slot_answer);
-  registrations = std::move(other695.registrations);
-  formation = std::move(other695.formation);
-  __isset = other695.__isset;
-}
-Envelope& Envelope::operator=(const Envelope& other696) {
-  from_node = other696.from_node;
-  from_incarnation = other696.from_incarnation;
-  to_node = other696.to_node;
-  raft = other696.raft;
-  heartbeat = other696.heartbeat;
-  heartbeat_reply = other696.heartbeat_reply;
-  claim_request = other696.claim_request;
-  claim_reply = other696.claim_reply;
-  resolution = other696.resolution;
-  operator_request = other696.operator_request;
-  operator_reply = other696.operator_reply;
-  resolution_reply = other696.resolution_reply;
-  fleet_heartbeat = other696.fleet_heartbeat;
-  fleet_update = other696.fleet_update;
-  control_call = other696.control_call;
-  control_call_reply = other696.control_call_reply;
-  slot_report = other696.slot_report;
-  slot_answer = other696.slot_answer;
-  registrations = other696.registrations;
-  formation = other696.formation;
-  __isset = other696.__isset;
+Envelope::Envelope(const Envelope& other700) {
+  from_node = other700.from_node;
+  from_incarnation = other700.from_incarnation;
+  to_node = other700.to_node;
+  raft = other700.raft;
+  heartbeat = other700.heartbeat;
+  heartbeat_reply = other700.heartbeat_reply;
+  claim_request = other700.claim_request;
+  claim_reply = other700.claim_reply;
+  resolution = other700.resolution;
+  operator_request = other700.operator_request;
+  operator_reply = other700.operator_reply;
+  resolution_reply = other700.resolution_reply;
+  fleet_heartbeat = other700.fleet_heartbeat;
+  fleet_update = other700.fleet_update;
+  control_call = other700.control_call;
+  control_call_reply = other700.control_call_reply;
+  slot_report = other700.slot_report;
+  slot_answer = other700.slot_answer;
+  registrations = other700.registrations;
+  formation = other700.formation;
+  __isset = other700.__isset;
+}
+Envelope::Envelope(Envelope&& other701) noexcept {
+  from_node = std::move(other701.from_node);
+  from_incarnation = other701.from_incarnation;
+  to_node = std::move(other701.to_node);
+  raft = std::move(other701.raft);
+  heartbeat = std::move(other701.heartbeat);
+  heartbeat_reply = std::move(other701.heartbeat_reply);
+  claim_request = std::move(other701.claim_request);
+  claim_reply = std::move(other701.claim_reply);
+  resolution = std::move(other701.resolution);
+  operator_request = std::move(other701.operator_request);
+  operator_reply = std::move(other701.operator_reply);
+  resolution_reply = std::move(other701.resolution_reply);
+  fleet_heartbeat = std::move(other701.fleet_heartbeat);
+  fleet_update = std::move(other701.fleet_update);
+  control_call = std::move(other701.control_call);
+  control_call_reply = std::move(other701.control_call_reply);
+  slot_report = std::move(other701.slot_report);
+  slot_answer = std::move(other701.slot_answer);
+  registrations = std::move(other701.registrations);
+  formation = std::move(other701.formation);
+  __isset = other701.__isset;
+}
+Envelope& Envelope::operator=(const Envelope& other702) {
+  from_node = other702.from_node;
+  from_incarnation = other702.from_incarnation;
+  to_node = other702.to_node;
+  raft = other702.raft;
+  heartbeat = other702.heartbeat;
+  heartbeat_reply = other702.heartbeat_reply;
+  claim_request = other702.claim_request;
+  claim_reply = other702.claim_reply;
+  resolution = other702.resolution;
+  operator_request = other702.operator_request;
+  operator_reply = other702.operator_reply;
+  resolution_reply = other702.resolution_reply;
+  fleet_heartbeat = other702.fleet_heartbeat;
+  fleet_update = other702.fleet_update;
+  control_call = other702.control_call;
+  control_call_reply = other702.control_call_reply;
+  slot_report = other702.slot_report;
+  slot_answer = other702.slot_answer;
+  registrations = other702.registrations;
+  formation = other702.formation;
+  __isset = other702.__isset;
   return *this;
 }
-Envelope& Envelope::operator=(Envelope&& other697) noexcept {
-  from_node = std::move(other697.from_node);
-  from_incarnation = other697.from_incarnation;
-  to_node = std::move(other697.to_node);
-  raft = std::move(other697.raft);
-  heartbeat = std::move(other697.heartbeat);
-  heartbeat_reply = std::move(other697.heartbeat_reply);
-  claim_request = std::move(other697.claim_request);
-  claim_reply = std::move(other697.claim_reply);
-  resolution = std::move(other697.resolution);
-  operator_request = std::move(other697.operator_request);
-  operator_reply = std::move(other697.operator_reply);
-  resolution_reply = std::move(other697.resolution_reply);
-  fleet_heartbeat = std::move(other697.fleet_heartbeat);
-  fleet_update = std::move(other697.fleet_update);
-  control_call = std::move(other697.control_call);
-  control_call_reply = std::move(other697.control_call_reply);
-  slot_report = std::move(other697.slot_report);
-  slot_answer = std::move(other697.slot_answer);
-  registrations = std::move(other697.registrations);
-  formation = std::move(other697.formation);
-  __isset = other697.__isset;
+Envelope& Envelope::operator=(Envelope&& other703) noexcept {
+  from_node = std::move(other703.from_node);
+  from_incarnation = other703.from_incarnation;
+  to_node = std::move(other703.to_node);
+  raft = std::move(other703.raft);
+  heartbeat = std::move(other703.heartbeat);
+  heartbeat_reply = std::move(other703.heartbeat_reply);
+  claim_request = std::move(other703.claim_request);
+  claim_reply = std::move(other703.claim_reply);
+  resolution = std::move(other703.resolution);
+  operator_request = std::move(other703.operator_request);
+  operator_reply = std::move(other703.operator_reply);
+  resolution_reply = std::move(other703.resolution_reply);
+  fleet_heartbeat = std::move(other703.fleet_heartbeat);
+  fleet_update = std::move(other703.fleet_update);
+  control_call = std::move(other703.control_call);
+  control_call_reply = std::move(other703.control_call_reply);
+  slot_report = std::move(other703.slot_report);
+  slot_answer = std::move(other703.slot_answer);
+  registrations = std::move(other703.registrations);
+  formation = std::move(other703.formation);
+  __isset = other703.__isset;
   return *this;
 }
 void Envelope::printTo(std::ostream& out) const {
--- a/src/wire/gen-cpp/larchlever_types.h
+++ b/src/wire/gen-cpp/larchlever_types.h
@@ -5618,7 +5618,7 @@
 std::ostream& operator<<(std::ostream& out, const FleetHeartbeat& obj);
 
 typedef struct _SlotRequest__isset {
-  _SlotRequest__isset() : id(false), service_name(false), model(false), prompt_tokens(false), first_event_ms(false), gap_ms(false), priority(false), patience_ms(false), excluded_groups(false), trial_of(false), repeat_of(false) {}
+  _SlotRequest__isset() : id(false), service_name(false), model(false), prompt_tokens(false), first_event_ms(false), gap_ms(false), priority(false), patience_ms(false), excluded_groups(false), trial_of(false), repeat_of(false), allowed_zones(false) {}
   bool id :1;
   bool service_name :1;
   bool model :1;
@@ -5630,6 +5630,7 @@
   bool excluded_groups :1;
   bool trial_of :1;
   bool repeat_of :1;
+  bool allowed_zones :1;
 } _SlotRequest__isset;
 
 /**
@@ -5691,6 +5692,10 @@
    * Set when the entry asks for no slot, but whether it may send this request again, whose answer was lost.
    */
   int64_t repeat_of;
+  /**
+   * Zones of the request's home regions, sorted, where it may run; absent when it may run anywhere.
+   */
+  std::vector<std::string>  allowed_zones;
 
   _SlotRequest__isset __isset;
 
@@ -5716,6 +5721,8 @@
 
   void __set_repeat_of(const int64_t val);
 
+  void __set_allowed_zones(const std::vector<std::string> & val);
+
   bool operator == (const SlotRequest & rhs) const
   {
     if (!(id == rhs.id))
@@ -5744,6 +5751,10 @@
       return false;
     else if (__isset.repeat_of && !(repeat_of == rhs.repeat_of))
       return false;
+    if (__isset.allowed_zones != rhs.__isset.allowed_zones)
+      return false;
+    else if (__isset.allowed_zones && !(allowed_zones == rhs.allowed_zones))
+      return false;
     return true;
   }
   bool operator != (const SlotRequest &rhs) const {
--- a/src/wire/larchlever.thrift
+++ b/src/wire/larchlever.thrift
@@ -691,6 +691,8 @@
   11: optional i64 trial_of,
   /** Set when the entry asks for no slot, but whether it may send this request again, whose answer was lost. */
   12: optional i64 repeat_of,
+  /** Zones of the request's home regions, sorted, where it may run; absent when it may run anywhere. */
+  13: optional list<string> allowed_zones,
 }
 
 enum SlotVerdict {
