A block that a new leader frees without a trial, failing

Cause: found by reading: a likely end that is taken back frees a blocked request when fewer than three ends count, and a new leader counts none of those that an inherited block rests on.

--- a/tests/unit/lost_answers_test.cc
+++ b/tests/unit/lost_answers_test.cc
@@ -109,6 +109,21 @@
   EXPECT_TRUE(blocker.rows().empty());
 }
 
+// A new leader holds the block and none of the ends that it rests on. One likely end that it heard of itself, and that was
+// taken back, freed the request without a trial.
+TEST(RequestBlocker, KeepsABlockWhoseEndsAnEarlierLeaderCounted) {
+  RequestBlocker before;
+  before.start(at(0), {});
+  for (const char* incarnation : {"i1@5", "i2@5", "i3@5"}) {
+    before.note_end({kFirst, incarnation, at(1)});
+  }
+  RequestBlocker after;
+  after.start(at(2), before.rows());
+  after.note_end(likely_end(kFirst, "i4@5", 2));
+  EXPECT_FALSE(after.note_heard(at(3), "i4@5"));
+  EXPECT_EQ(after.rows().size(), 1U);
+}
+
 TEST(RequestBlocker, KeepsWhoIsBlockedForProvedEnds) {
   RequestBlocker blocker;
   blocker.start(at(0), {});
