--- a/src/core/fleet/request_blocker.cc
+++ b/src/core/fleet/request_blocker.cc
@@ -46,12 +46,12 @@
   for (const auto& row : rows) {
     const requests::RequestFingerprint request(row.fingerprint);
     if (!blocked_.contains(request)) {
-      block(now, request, row.trials);
+      block(now, request, row.trials).is_inherited = true;
     }
   }
 }
 
-void RequestBlocker::block(TimePoint now, requests::RequestFingerprint request, int trials) {
+RequestBlocker::Blocked& RequestBlocker::block(TimePoint now, requests::RequestFingerprint request, int trials) {
   if (blocked_.size() >= kMostBlocked) {
     const auto oldest = std::min_element(blocked_.begin(), blocked_.end(), [](const auto& left, const auto& right) {
       return left.second.since < right.second.since;
@@ -61,6 +61,7 @@
   Blocked& blocked = blocked_[request];
   blocked.trials = trials;
   set_phase(now, blocked, Phase::kWaiting);
+  return blocked;
 }
 
 bool RequestBlocker::note_heard(TimePoint now, const std::string& incarnation) {
@@ -70,7 +71,8 @@
   bool changed = false;
   for (const auto request : ends_.refute(incarnation, now)) {
     const auto blocked = blocked_.find(request);
-    const bool was_blocked_for_it = blocked != blocked_.end() && blocked->second.trials == 0;
+    const bool was_blocked_for_it =
+        blocked != blocked_.end() && blocked->second.trials == 0 && !blocked->second.is_inherited;
     if (was_blocked_for_it && ends_.count(request) < kEndsThatBlock) {
       blocked_.erase(blocked);
       changed = true;
--- a/src/core/fleet/request_blocker.h
+++ b/src/core/fleet/request_blocker.h
@@ -49,9 +49,11 @@
     Phase phase = Phase::kWaiting;
     /// When the phase began.
     TimePoint since{};
+    /// An earlier leadership counted the ends that it rests on, so those counted here say nothing against it.
+    bool is_inherited = false;
   };
 
-  void block(TimePoint now, requests::RequestFingerprint request, int trials);
+  Blocked& block(TimePoint now, requests::RequestFingerprint request, int trials);
   static Duration wait_of(const Blocked& blocked);
   static void set_phase(TimePoint now, Blocked& blocked, Phase phase);
 
