--- a/src/settings/fleet_settings.cc
+++ b/src/settings/fleet_settings.cc
@@ -12,6 +12,7 @@
 /// Of the time in which a revoked key must stop working, what is left for sending a request on after the check.
 constexpr Duration kRevocationMargin = milliseconds(500);
 constexpr Duration kEvacuationMargin = kRevocationMargin;
+constexpr int64_t kMostBufferMegabytes = 1'000'000;
 /// An instance is silent once two of its heartbeats are overdue.
 constexpr int kMissedHeartbeats = 2;
 constexpr Duration kHeartbeatSlack = milliseconds(300);
@@ -46,6 +47,7 @@
   settings.metrics_address = node.address("metrics_address", false);
   settings.data_folder = node.text("data_folder", "");
   settings.dialect = node.text("dialect", settings.dialect);
+  settings.answer_buffers = static_cast<size_t>(node.integer("answer_buffers_mb", 0, 0, kMostBufferMegabytes)) << 20U;
   if (!is_entry && settings.data_folder.empty()) {
     node.fault("data_folder", "", "missing; a control replica keeps the log on disk, name a folder");
   }
--- a/src/settings/fleet_settings.h
+++ b/src/settings/fleet_settings.h
@@ -33,6 +33,9 @@
   std::string dialect = "larchlever";
   /// A stopping process is killed after this time.
   Duration stop_grace = seconds(8);
+  /// Bytes of answers that an entry holds for callers that have not read them yet; 0 for a part of the machine's
+  /// memory.
+  size_t answer_buffers = 0;
   std::string log_level = "info";
   fleet::FleetOptions options;
 
--- a/tests/integration/fleet_node_processes.cc
+++ b/tests/integration/fleet_node_processes.cc
@@ -147,7 +147,8 @@
          << "\ndata_folder = " << (folder_ / ("data-" + node)).string() << "\n";
   } else {
     text << "role = entry\ncaller_address = " << at_port(address(node), kCallerPort)
-         << "\nready_address = " << at_port(address(node), kReadyPort) << "\n";
+         << "\nready_address = " << at_port(address(node), kReadyPort) << "\n"
+         << options_.entry_settings;
   }
   text << "[cluster]\nseeds = ";
   for (int seed = 1; seed <= options_.seeds; ++seed) {
@@ -222,6 +223,12 @@
   }
 }
 
+size_t FleetNodeProcesses::resident_bytes(const std::string& node) const {
+  const std::string status = read_file("/proc/" + std::to_string(process_id(node)) + "/status");
+  const size_t line = status.find("VmRSS:");
+  return line == std::string::npos ? 0 : std::strtoull(status.c_str() + line + 6, nullptr, 10) * 1024;
+}
+
 void FleetNodeProcesses::wipe_data(const std::string& node) { fs::remove_all(folder_ / ("data-" + node)); }
 
 bool FleetNodeProcesses::is_running(const std::string& node) {
--- a/tests/integration/fleet_node_processes.h
+++ b/tests/integration/fleet_node_processes.h
@@ -17,6 +17,8 @@
   /// How many of the control replicas, from the first, every node is told as seeds.
   int seeds = 3;
   int tolerated_losses = 2;
+  /// Further lines of the entries' section `node`.
+  std::string entry_settings;
 };
 
 /// Control replicas `c1`, `c2`, ... and entries `e1`, `e2`, ... of a registered fleet as real processes of
@@ -50,6 +52,8 @@
   std::string log(const std::string& node) const;
   /// Last start's process id.
   int process_id(const std::string& node) const { return processes_.at(node).pid; }
+  /// Memory that the process holds now, in bytes; 0 when it is gone.
+  size_t resident_bytes(const std::string& node) const;
 
   /// Sends a call to a control replica.
   net::FetchResult call_control(const std::string& node, const std::string& method, const std::string& path,
--- a/tests/integration/forms_server.h
+++ b/tests/integration/forms_server.h
@@ -56,7 +56,7 @@
     co_await timer.async_wait(boost::asio::as_tuple(boost::asio::use_awaitable));
     response.status = http_status::kOk;
     response.headers.add(dialect.signature, "signed");
-    response.body = "form";
+    response.body = exchange.request().path() == kLargePath ? std::string(kLargeBytes, 'x') : "form";
     co_await exchange.respond(std::move(response));
   }
   int served() const { return served_; }
@@ -69,6 +69,10 @@
   void start_leaving() { is_leaving_ = true; }
   std::vector<Arrival> arrivals() const { return arrivals_.all(); }
 
+  /// Answered with so many bytes.
+  static constexpr const char* kLargePath = "/forms/large";
+  static constexpr size_t kLargeBytes = 400'000;
+
  private:
   static constexpr const char* kLeavingHeader = "Larchlever-Leaving";
 
--- /dev/null
+++ b/tests/integration/slow_reader_test.cc
@@ -0,0 +1,123 @@
+#include <gtest/gtest.h>
+
+#include <boost/asio.hpp>
+#include <boost/json.hpp>
+#include <thread>
+
+#include "core/base/http_status.h"
+#include "fleet_node_processes.h"
+#include "forms_server.h"
+
+namespace larchlever::integration {
+namespace {
+
+namespace asio = boost::asio;
+namespace json = boost::json;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+using Clock = std::chrono::steady_clock;
+
+constexpr auto kPatience = seconds(15);
+constexpr int kReaders = 500;
+/// Half of the memory of the smallest machines that entries run on.
+constexpr size_t kMostMemory = 80'000'000;
+constexpr auto kInTime = milliseconds(300);
+
+FleetNodeOptions fleet_options() {
+  FleetNodeOptions options;
+  options.controls = 3;
+  options.entries = 1;
+  options.tolerated_losses = 1;
+  options.entry_settings = "answer_buffers_mb = 10\n";
+  return options;
+}
+
+/// One entry, and a server whose large answers hundreds of callers ask for and never read.
+class SlowReaders : public testing::Test {
+ protected:
+  void SetUp() override {
+    server_address_ = fleet_.engine_addresses(1)[0] + ":9000";
+    server_ = std::make_unique<FormsServer>(client_, server_address_);
+    fleet_.start_all();
+    ASSERT_TRUE(fleet_.put_document(7, kPatience));
+    ASSERT_TRUE(fleet_.all_entries_ready(kPatience));
+    reporter_ = std::thread([this] { keep_reporting(); });
+    ASSERT_TRUE(eventually([this] { return call() == http_status::kOk; }, kPatience));
+  }
+  void TearDown() override {
+    stopped_ = true;
+    reporter_.join();
+  }
+
+  void keep_reporting() {
+    BlockingClient client;
+    for (int64_t number = 1; !stopped_; ++number) {
+      const json::object body = {
+          {"service", "forms"}, {"address", server_address_}, {"zone", "north"},   {"version", "v1"},
+          {"slots", 8},         {"state", "ready"},           {"cold_left_ms", 0}, {"call_seq", number}};
+      net::HttpRequest request;
+      request.method = "POST";
+      request.target = "/v1/instances/i1/heartbeat";
+      request.body = json::serialize(body);
+      client.fetch(fleet_.control_endpoint("c1"), request, milliseconds(500));
+      std::this_thread::sleep_for(milliseconds(400));
+    }
+  }
+  int call() {
+    net::HttpRequest request;
+    request.target = "/forms/1";
+    request.headers.add("Host", "forms.example");
+    request.headers.add("Larchlever-Request-Id", "e1-" + std::to_string(next_request_++));
+    request.headers.add("Larchlever-Deadline-Ms", "2000");
+    const auto result = client_.fetch(fleet_.address("e1") + ":8227", request, seconds(3));
+    return result.response ? result.response->status : 0;
+  }
+  /// Asks for a large answer on a connection of its own, which takes little by itself.
+  asio::ip::tcp::socket ask_and_leave_unread() {
+    asio::ip::tcp::socket socket(context_);
+    socket.open(asio::ip::tcp::v4());
+    socket.set_option(asio::socket_base::receive_buffer_size(4096));
+    socket.connect({asio::ip::make_address(fleet_.address("e1")), 8227});
+    const std::string request = std::string("GET ") + FormsServer::kLargePath +
+                                " HTTP/1.1\r\nHost: forms.example\r\nLarchlever-Request-Id: e1-large-" +
+                                std::to_string(next_request_++) + "\r\nLarchlever-Deadline-Ms: 4000\r\n\r\n";
+    asio::write(socket, asio::buffer(request));
+    return socket;
+  }
+
+  FleetNodeProcesses fleet_{fleet_options()};
+  BlockingClient client_;
+  asio::io_context context_;
+  std::string server_address_;
+  std::unique_ptr<FormsServer> server_;
+  std::thread reporter_;
+  std::atomic<bool> stopped_ = false;
+  std::atomic<int> next_request_ = 0;
+};
+
+// Whole answers were held until their callers had read them, however many callers read nothing.
+TEST_F(SlowReaders, AnswersThatNobodyReadsTakeBoundedMemory) {
+  std::vector<asio::ip::tcp::socket> readers;
+  for (int number = 0; number < kReaders; ++number) {
+    readers.push_back(ask_and_leave_unread());
+  }
+  ASSERT_TRUE(eventually([this] { return server_->served() >= kReaders; }, kPatience)) << server_->served();
+  std::this_thread::sleep_for(seconds(1));
+  EXPECT_LT(fleet_.resident_bytes("e1"), kMostMemory);
+  int in_time = 0;
+  for (int number = 0; number < 50; ++number) {
+    const auto sent = Clock::now();
+    in_time += call() == http_status::kOk && Clock::now() - sent < kInTime ? 1 : 0;
+  }
+  EXPECT_GE(in_time, 49);
+  EXPECT_LT(fleet_.resident_bytes("e1"), kMostMemory);
+  // Who reads in the end gets the whole answer.
+  std::string answer;
+  boost::system::error_code error;
+  asio::read(readers.front(), asio::dynamic_buffer(answer), asio::transfer_at_least(FormsServer::kLargeBytes), error);
+  EXPECT_FALSE(error) << error.message();
+  EXPECT_NE(answer.find(" 200 "), std::string::npos);
+}
+
+}  // namespace
+}  // namespace larchlever::integration
--- a/tests/unit/lost_answers_test.cc
+++ b/tests/unit/lost_answers_test.cc
@@ -109,8 +109,8 @@
   EXPECT_TRUE(blocker.rows().empty());
 }
 
-// A new leader holds the block and none of the ends that it rests on. One likely end that it heard of itself, and that was
-// taken back, freed the request without a trial.
+// A new leader holds the block and none of the ends that it rests on. One likely end that it heard of itself, and that
+// was taken back, freed the request without a trial.
 TEST(RequestBlocker, KeepsABlockWhoseEndsAnEarlierLeaderCounted) {
   RequestBlocker before;
   before.start(at(0), {});
