End a stopped process without waiting for its libraries

Cause: after a process had closed its sockets and its data folder, its return ran the destructors of libraries, which wait for threads of theirs. Ruled out: requests left (0), connections held open. Change: the process logs that it stopped and ends at once. Not seen off the users' machines, so the test holds what can be seen here: the line is the last one, and the process is gone.

--- a/src/cli/serve_commands.cc
+++ b/src/cli/serve_commands.cc
@@ -278,7 +278,13 @@
   std::signal(SIGPIPE, SIG_IGN);
   node::configure_logging(settings->log_level, "");
   node::name_process(settings->name);
-  return FleetNodeRunner(*settings).run();
+  FleetNodeRunner runner(*settings);
+  const int exit_code = runner.run();
+  node::log_event(settings->name, "stopped", {{"exit_code", std::to_string(exit_code)}});
+  node::flush_log();
+  // Sockets and data folder are closed. Returning would run the destructors of libraries, some of which wait for
+  // threads of theirs: a stopped process must not stay until it is killed.
+  std::_Exit(exit_code);
 }
 
 int run_emulate() {
--- a/tests/integration/fleet_node_start_test.cc
+++ b/tests/integration/fleet_node_start_test.cc
@@ -170,5 +170,27 @@
   }
 }
 
+// Processes that had closed everything waited in the destructors of libraries, for threads of theirs, until they were
+// killed at the end of their grace: six of six entries of a rolling stop, 4 s after their last line.
+TEST(FleetNodeStop, AStoppedProcessSaysSoAndIsGone) {
+  FleetNodeOptions options;
+  options.controls = 3;
+  options.entries = 1;
+  options.tolerated_losses = 1;
+  FleetNodeProcesses fleet(options);
+  fleet.start_all();
+  ASSERT_TRUE(fleet.put_document(7, std::chrono::seconds(15)));
+  ASSERT_TRUE(fleet.all_entries_ready(std::chrono::seconds(15)));
+  for (const std::string node : {"e1", "c2"}) {
+    const auto asked = std::chrono::steady_clock::now();
+    EXPECT_EQ(fleet.terminate(node), 0) << node;
+    EXPECT_LT(std::chrono::steady_clock::now() - asked, std::chrono::seconds(6)) << node;
+    const std::string log = fleet.log(node);
+    const size_t stopped = log.find("event=stopped");
+    ASSERT_NE(stopped, std::string::npos) << node;
+    EXPECT_EQ(log.find('\n', stopped), log.size() - 1) << node << " went on after it had stopped";
+  }
+}
+
 }  // namespace
 }  // namespace larchlever::integration
