Draw new turns when a server turns cold again

Cause: found by reading: the turns of entries at a cold server stayed from the time before, and had all passed when it turned cold again within a minute. Change: turns are forgotten when the server is warm; zones are looked at only for requests that have homes.

--- a/src/core/fleet/cold_start.cc
+++ b/src/core/fleet/cold_start.cc
@@ -6,9 +6,8 @@
 
 namespace {
 
+/// Part of a server's rate that entries share out while no leader counts for all of them.
 constexpr double kSharedOut = 0.5;
-/// A server that nobody asked about for this long after its turn is warm or gone.
-constexpr Duration kTurnMemory = seconds(60);
 
 }  // namespace
 
@@ -30,7 +29,6 @@
   }
   const auto [next, is_first] = next_.try_emplace(incarnation, now);
   if (is_first) {
-    forget_old(now);
     const auto longest = turn(per_second, entries).count();
     next->second = now + Duration(std::uniform_int_distribution<int64_t>(1, std::max<int64_t>(1, longest))(random_));
   }
@@ -43,8 +41,8 @@
   }
 }
 
-void ColdStartShares::forget_old(TimePoint now) {
-  std::erase_if(next_, [now](const auto& item) { return now - item.second > kTurnMemory; });
+void ColdStartShares::keep_only(const std::set<std::string>& cold) {
+  std::erase_if(next_, [&cold](const auto& item) { return !cold.contains(item.first); });
 }
 
 }  // namespace larchlever::fleet
--- a/src/core/fleet/cold_start.h
+++ b/src/core/fleet/cold_start.h
@@ -3,6 +3,7 @@
 #include <deque>
 #include <map>
 #include <random>
+#include <set>
 #include <string>
 
 #include "core/base/time.h"
@@ -38,10 +39,12 @@
   /// all; 0 is no limit.
   bool may_send(TimePoint now, const std::string& incarnation, double per_second, int entries);
   void note_sent(TimePoint now, const std::string& incarnation, double per_second, int entries);
+  /// Forgets the servers that are cold no more: one that turns cold again begins anew, and its entries draw new turns.
+  void keep_only(const std::set<std::string>& cold);
+  bool empty() const { return next_.empty(); }
 
  private:
   static Duration turn(double per_second, int entries);
-  void forget_old(TimePoint now);
 
   std::mt19937_64 random_;
   /// When this entry may send to each cold server next.
--- a/src/core/fleet/dispatcher.cc
+++ b/src/core/fleet/dispatcher.cc
@@ -62,9 +62,23 @@
   }
   groups_ = state.groups;
   forget_unknown_targets();
+  forget_warm_servers();
   return lost;
 }
 
+void Dispatcher::forget_warm_servers() {
+  if (cold_shares_.empty()) {
+    return;
+  }
+  std::set<std::string> cold;
+  for (const auto& [id, instance] : instances_) {
+    if (instance.cold) {
+      cold.insert(incarnation_of(instance));
+    }
+  }
+  cold_shares_.keep_only(cold);
+}
+
 void Dispatcher::forget_unknown_targets() {
   std::set<std::string> known;
   for (const auto& group : groups_) {
@@ -263,9 +277,7 @@
   std::vector<OpenGroup> quiet;
   for (const auto& group : groups_) {
     const auto* head = ready_head(group, service.name, demand.model);
-    const bool fits = head != nullptr && !excluded.contains(group.name) &&
-                      document::are_allowed(demand.allowed_zones, zones_of(group, *head));
-    if (!fits) {
+    if (head == nullptr || excluded.contains(group.name) || !is_home(demand, group, *head)) {
       continue;
     }
     const TargetHealth& health = health_[group.name];
@@ -302,8 +314,8 @@
   bool best_doubtful = true;
   const wire::Instance* best = nullptr;
   for (const auto& [id, instance] : instances_) {
-    const bool fits = instance.service_name == service.name && takes_requests(instance) &&
-                      document::are_allowed(demand.allowed_zones, {instance.zone});
+    const bool is_home = demand.allowed_zones == nullptr || demand.allowed_zones->contains(instance.zone);
+    const bool fits = instance.service_name == service.name && takes_requests(instance) && is_home;
     if (!fits) {
       continue;
     }
@@ -376,6 +388,10 @@
   return !is_emptied && notices_.may_send(now, target.incarnation);
 }
 
+bool Dispatcher::is_home(const Demand& demand, const wire::EngineGroup& group, const wire::Instance& head) {
+  return demand.allowed_zones == nullptr || document::are_allowed(demand.allowed_zones, zones_of(group, head));
+}
+
 std::vector<std::string> Dispatcher::zones_of(const wire::EngineGroup& group, const wire::Instance& head) {
   return group.zones.empty() ? std::vector<std::string>{head.zone} : group.zones;
 }
--- a/src/core/fleet/dispatcher.h
+++ b/src/core/fleet/dispatcher.h
@@ -148,6 +148,7 @@
 
   /// Forgets the health of targets that exist no more.
   void forget_unknown_targets();
+  void forget_warm_servers();
   void forget_loads();
   /// Forgets what other entries had under way when nobody told of it lately.
   void forget_old_loads(TimePoint now);
@@ -160,6 +161,8 @@
   const wire::Instance* ready_head(const wire::EngineGroup& group, const std::string& service,
                                    const std::string& model) const;
   bool takes_requests(const wire::Instance& instance) const;
+  /// The request has no homes, or the group's servers all stand in them.
+  static bool is_home(const Demand& demand, const wire::EngineGroup& group, const wire::Instance& head);
   /// Zones that a request to the group reaches; its head's for a group formed by an earlier version.
   static std::vector<std::string> zones_of(const wire::EngineGroup& group, const wire::Instance& head);
   /// A server that is cold has room for one more request of this entry; always true of others.
--- a/tests/unit/cold_start_test.cc
+++ b/tests/unit/cold_start_test.cc
@@ -68,6 +68,28 @@
   }
 }
 
+// Turns drawn when the server was cold the last time have all passed: without new ones every entry would send at once.
+TEST(ColdStartShares, AreDrawnAnewWhenTheServerTurnsColdAgain) {
+  constexpr int kEntries = 84;
+  std::vector<ColdStartShares> shares;
+  for (uint64_t entry = 0; entry < kEntries; ++entry) {
+    shares.emplace_back(entry);
+    shares.back().may_send(kStart, "i1", kColdPerSecond, kEntries);
+    shares.back().keep_only({});
+  }
+  const TimePoint again = kStart + seconds(20);
+  size_t sent = 0;
+  for (TimePoint now = again; now < again + seconds(1); now += milliseconds(10)) {
+    for (auto& share : shares) {
+      if (share.may_send(now, "i1", kColdPerSecond, kEntries)) {
+        share.note_sent(now, "i1", kColdPerSecond, kEntries);
+        ++sent;
+      }
+    }
+  }
+  EXPECT_LE(sent, kMostInASecond);
+}
+
 document::ConfigurationDocument engine_document() {
   document::ServiceSpec service;
   service.name = "s";
