Let an entry's requests end before the test takes it away

Cause: a test destroyed its entry as soon as the caller had the answer; the request's own end came a moment later and used the entry. A process is not concerned: it ends without destroying what its requests use. Change: the test drains the entry first, as a process does.

--- a/tests/integration/suspension_test.cc
+++ b/tests/integration/suspension_test.cc
@@ -58,9 +58,12 @@
         kPatience));
   }
   void TearDown() override {
-    if (entry_ != nullptr) {
-      on_entry_thread([this] { entry_.reset(); });
+    if (entry_ == nullptr) {
+      return;
     }
+    // As a process ends: its requests use it until they have ended, and a caller has its answer a moment before that.
+    boost::asio::co_spawn(entry_client_.context(), entry_->drain(), boost::asio::use_future).get();
+    on_entry_thread([this] { entry_.reset(); });
   }
 
   void on_entry_thread(const std::function<void()>& action) {
