Draw each request of a load by the seed and its number

Cause: one generator served all callers, so which kind, tenant and size a number got, and which nodes its attempts took, hung on how callers interleaved. A failing history named a request (t5-292) whose kind the same seed did not give again. Change: every request has a generator of its own, seeded by the load's seed and the request's number.

--- a/src/load/load_generator.cc
+++ b/src/load/load_generator.cc
@@ -64,20 +64,20 @@
 }
 
 LoadGenerator::LoadGenerator(asio::any_io_executor executor, LoadOptions options)
-    : executor_(executor), options_(std::move(options)), client_(executor), random_(options_.seed) {}
+    : executor_(executor), options_(std::move(options)), client_(executor) {}
 
-int LoadGenerator::random_number(int least, int most) {
-  return std::uniform_int_distribution<int>(least, most)(random_);
+int LoadGenerator::Work::random_number(int least, int most) {
+  return std::uniform_int_distribution<int>(least, most)(random);
 }
 
 void LoadGenerator::fill_model_request(Work& work) {
   const auto& tenant =
-      options_.tenants[static_cast<size_t>(random_number(0, static_cast<int>(options_.tenants.size()) - 1))];
-  const int tokens = random_number(1, options_.most_tokens);
-  std::string prompt = "shared text " + std::to_string(random_number(1, options_.prompts)) + " ";
+      options_.tenants[static_cast<size_t>(work.random_number(0, static_cast<int>(options_.tenants.size()) - 1))];
+  const int tokens = work.random_number(1, options_.most_tokens);
+  std::string prompt = "shared text " + std::to_string(work.random_number(1, options_.prompts)) + " ";
   prompt.resize(options_.prompt_bytes, '.');
   prompt += " question " + work.tag;
-  work.stream = random_number(0, 1) == 1;
+  work.stream = work.random_number(0, 1) == 1;
   json::object message;
   message["role"] = "user";
   message["content"] = prompt;
@@ -100,10 +100,12 @@
 LoadGenerator::Work LoadGenerator::next_work() {
   Work work;
   work.tag = "t" + std::to_string(options_.seed) + "-" + std::to_string(++started_);
-  const int roll = random_number(0, 99);
+  std::seed_seq seeds{options_.seed, started_};
+  work.random.seed(seeds);
+  const int roll = work.random_number(0, 99);
   const bool service = !options_.service_path.empty() && roll < options_.service_percent;
   if (service) {
-    const bool post = random_number(0, 1) == 1;
+    const bool post = work.random_number(0, 1) == 1;
     work.kind = post ? Kind::kServicePost : Kind::kServiceGet;
     work.request.method = post ? "POST" : "GET";
     work.request.target = options_.service_path + "/" + work.tag;
@@ -132,18 +134,18 @@
   return work;
 }
 
-asio::awaitable<HistoryRecord> LoadGenerator::send(const Work& work) {
+asio::awaitable<HistoryRecord> LoadGenerator::send(Work& work) {
   HistoryRecord record;
   record.tag = work.tag;
   record.key = work.key;
   record.safe = work.kind == Kind::kSafe || work.kind == Kind::kServiceGet;
-  record.node = options_.nodes[static_cast<size_t>(random_number(0, static_cast<int>(options_.nodes.size()) - 1))];
+  record.node = options_.nodes[static_cast<size_t>(work.random_number(0, static_cast<int>(options_.nodes.size()) - 1))];
   record.expected = work.expected;
   record.sent_ms = wall_ms();
   const auto began = Clock::now();
   net::OpenOptions open;
   open.timeout = options_.timeout;
-  open.fresh_connection = random_number(0, 3) == 0;
+  open.fresh_connection = work.random_number(0, 3) == 0;
   auto opened = co_await client_.open(record.node, work.request, open);
   if (opened.stream != nullptr) {
     record.status = opened.stream->head().status;
--- a/src/load/load_generator.h
+++ b/src/load/load_generator.h
@@ -49,7 +49,8 @@
 double percentile(std::vector<double> samples, double percent);
 
 /// Callers that send model and plain requests, resend keyed ones until they know, and record what they were told.
-/// Bounded in number; one executor.
+/// What a request is and which nodes its attempts take follows from the seed and its number alone, however callers
+/// interleave. Bounded in number; one executor.
 class LoadGenerator {
  public:
   LoadGenerator(boost::asio::any_io_executor executor, LoadOptions options);
@@ -70,19 +71,20 @@
     std::string expected;
     net::HttpRequest request;
     bool stream = false;
+    std::mt19937_64 random;
+
+    int random_number(int least, int most);
   };
 
   boost::asio::awaitable<void> caller();
   boost::asio::awaitable<void> perform(Work work);
-  boost::asio::awaitable<HistoryRecord> send(const Work& work);
+  boost::asio::awaitable<HistoryRecord> send(Work& work);
   Work next_work();
   void fill_model_request(Work& work);
-  int random_number(int least, int most);
 
   boost::asio::any_io_executor executor_;
   LoadOptions options_;
   net::HttpClient client_;
-  std::mt19937_64 random_;
   uint64_t started_ = 0;
   int running_ = 0;
   bool stopped_ = false;
