Log each failed attempt and each request that is given up in the polled stack

Cause: nothing told why an attempt had failed or what its caller was told, so the explanations of a false "not-run" (not sent, refused unstarted, lost after the send, cut) could not be told apart. Change: attempt_failed names request, target, result and reason; request_given_up the outcome told. A fault of a history names the id under which each run was sent, which is the one in these lines.

--- a/src/core/requests/retry_state.h
+++ b/src/core/requests/retry_state.h
@@ -3,6 +3,7 @@
 #include <map>
 #include <set>
 #include <string>
+#include <string_view>
 
 #include "core/base/time.h"
 #include "core/requests/outcome.h"
@@ -30,6 +31,21 @@
   kCutInStream,       ///< Part of the answer came; its offset is known.
 };
 
+/// As logs name it.
+constexpr std::string_view to_string(AttemptResult result) {
+  switch (result) {
+    case AttemptResult::kNotSent:
+      return "not sent";
+    case AttemptResult::kRefusedUnstarted:
+      return "refused unstarted";
+    case AttemptResult::kLostAfterSend:
+      return "lost after send";
+    case AttemptResult::kCutInStream:
+      return "cut in stream";
+  }
+  return "unknown";
+}
+
 /// Decides what may follow a failed attempt of one request.
 ///
 /// Rules: an attempt that provably did not run may be repeated elsewhere; one that may have run only if the request is
--- a/src/load/history.cc
+++ b/src/load/history.cc
@@ -45,7 +45,8 @@
                                              (record.whole ? ", whole" : ", cut"));
   }
   for (const auto* run : runs) {
-    moments.emplace_back(run->started_ms, "begun on " + run->machine + (run->completed ? ", completed" : ", ended"));
+    moments.emplace_back(run->started_ms, "begun on " + run->machine + " as " + run->request_id +
+                                              (run->completed ? ", completed" : ", ended"));
   }
   std::stable_sort(moments.begin(), moments.end(),
                    [](const auto& left, const auto& right) { return left.first < right.first; });
--- a/src/load/history.h
+++ b/src/load/history.h
@@ -23,6 +23,7 @@
 
 /// What the stand-ins say truly ran.
 struct ExecutionRecord {
+  std::string request_id;  ///< The id that the node gave the request.
   std::string tag;
   std::string key;
   std::string machine;
--- a/src/load/load_generator.cc
+++ b/src/load/load_generator.cc
@@ -244,6 +244,7 @@
   for (const auto& item : value.as_object().at("executions").as_array()) {
     const auto& object = item.as_object();
     ExecutionRecord record;
+    record.request_id = std::string(object.at("request").as_string());
     record.tag = std::string(object.at("tag").as_string());
     record.key = std::string(object.at("key").as_string());
     record.machine = std::string(object.at("machine").as_string());
--- a/src/node/front_answers.cc
+++ b/src/node/front_answers.cc
@@ -1,5 +1,7 @@
 #include "node/front_answers.h"
 
+#include "node/logging.h"
+
 namespace larchlever::node {
 
 namespace asio = boost::asio;
@@ -30,6 +32,14 @@
   return body;
 }
 
+void log_failed_attempt(const std::string& node, const FailedAttempt& attempt) {
+  log_event(node, "attempt_failed",
+            {{"request", attempt.request},
+             {"target", attempt.target},
+             {"result", std::string(requests::to_string(attempt.result))},
+             {"reason", attempt.reason}});
+}
+
 Problem no_configuration_problem() {
   return {503, "this node may not dispatch now: it cannot confirm its configuration",
           "send the request again; the balancer will choose another node", kRetryAfterSeconds};
--- a/src/node/front_answers.h
+++ b/src/node/front_answers.h
@@ -5,6 +5,7 @@
 #include <string>
 
 #include "core/requests/outcome.h"
+#include "core/requests/retry_state.h"
 #include "net/http_server.h"
 
 namespace larchlever::node {
@@ -50,6 +51,15 @@
 /// earlier one under the same key may have: so the outcome is "not-run" only without a key.
 boost::asio::awaitable<void> refuse_unclaimed(net::HttpExchange& exchange, const Problem& problem, FrontStats& stats);
 
+/// One attempt at a back end that brought no whole answer, for the log.
+struct FailedAttempt {
+  std::string request;  ///< The id that the back end was given; empty for plain services.
+  std::string target;
+  requests::AttemptResult result = requests::AttemptResult::kNotSent;
+  std::string reason;
+};
+void log_failed_attempt(const std::string& node, const FailedAttempt& attempt);
+
 /// The refusal of a node that cannot confirm its configuration.
 Problem no_configuration_problem();
 
--- a/src/node/model_front.cc
+++ b/src/node/model_front.cc
@@ -5,6 +5,7 @@
 
 #include "core/base/scope_exit.h"
 #include "core/requests/stream_verifier.h"
+#include "node/logging.h"
 
 namespace larchlever::node {
 
@@ -169,6 +170,7 @@
       if (last.answered) {
         co_return;
       }
+      log_failed_attempt(runtime_.settings().name, {call.request_id, group.endpoint, last.result, last.reason});
       if (!retries.may_retry(NodeRuntime::now(), last.result, call.model.tenant, retry_budget_)) {
         break;
       }
@@ -351,6 +353,11 @@
   if (call.caller_gone) {
     co_return;
   }
+  log_event(runtime_.settings().name, "request_given_up",
+            {{"request", call.request_id},
+             {"outcome", std::string(requests::to_string(call.outcome))},
+             {"held_ms", std::to_string((NodeRuntime::now() - call.started) / milliseconds(1))},
+             {"reason", last.reason}});
   const bool not_run = call.outcome == Outcome::kNotRun;
   Problem problem{not_run ? 503 : 502, not_run ? "the request could not be placed: " + last.reason : last.reason,
                   not_run ? "send the request again later; it did not run"
--- a/src/node/service_front.cc
+++ b/src/node/service_front.cc
@@ -122,6 +122,7 @@
       co_return;
     }
     runtime_.endpoints().report(NodeRuntime::now(), endpoint, false);
+    log_failed_attempt(runtime_.settings().name, {"", endpoint, result, call.reason});
     const bool again = retries.may_retry(NodeRuntime::now(), result, call.ticket.tenant, retry_budget_);
     call.outcome = retries.outcome();
     if (call.begun || !again) {
