Let no node deny a run of an earlier attempt that the caller tells of

What callers saw: a request without a key had begun through one node, which was killed; sent again, it came to a node that was cut off and turned it away as "not-run". The request had run. Cause: "not-run" was true of the attempt and is read as a word on the request. Nothing ties attempts without a key together, so the second node cannot know. Evidence: the polled stack says "not-run" only where no byte left, or the engine said that it had not begun, and an engine says so before it notes a run; that leaves the story of two attempts. With one node cut off and another killed under load the histories show it as it was listed: a run on one machine, then refusals by other nodes, each counted once ("sent to n6, begun on celje-d1-m1, status 0; sent to n3, 503 not-run; sent to n3, 503 not-run"). Change: callers that send a request again without a key name what they know in Larchlever-Earlier-Outcome; every refusal of both stacks answers by it. The load generator sends it. An unsafe request, which is sent again only after "not-run", is answered as before.

--- a/src/core/requests/outcome.h
+++ b/src/core/requests/outcome.h
@@ -24,4 +24,21 @@
   return "unknown";
 }
 
+/// The outcome that a header names. Nothing named: no attempt came before, so nothing ran. Unreadable: anything may
+/// have.
+constexpr Outcome parse_outcome(std::string_view text) {
+  if (text.empty() || text == to_string(Outcome::kNotRun)) {
+    return Outcome::kNotRun;
+  }
+  return text == to_string(Outcome::kRan) ? Outcome::kRan : Outcome::kUnknown;
+}
+
+/// What is known of a request after an attempt, by what was known before it.
+constexpr Outcome combined(Outcome earlier, Outcome attempt) {
+  if (earlier == Outcome::kRan || attempt == Outcome::kRan) {
+    return Outcome::kRan;
+  }
+  return earlier == Outcome::kUnknown ? earlier : attempt;
+}
+
 }  // namespace larchlever::requests
--- a/src/load/history.h
+++ b/src/load/history.h
@@ -15,7 +15,8 @@
   std::string expected;  ///< The answer that is right for this request.
   int64_t sent_ms = 0;   ///< Wall clock.
   int64_t done_ms = 0;
-  int status = 0;  ///< Zero when no answer came.
+  bool was_sent = false;  ///< False when no byte reached the node.
+  int status = 0;         ///< Zero when no answer came.
   std::string outcome;
   bool whole = false;  ///< The answer came to its proper end.
   std::string answer;
--- a/src/load/load_generator.cc
+++ b/src/load/load_generator.cc
@@ -21,6 +21,14 @@
       .count();
 }
 
+/// What an attempt tells of whether its request ran. One without an answer may have run, unless nothing was sent.
+requests::Outcome outcome_of(const HistoryRecord& record) {
+  if (record.status == 0) {
+    return record.was_sent ? requests::Outcome::kUnknown : requests::Outcome::kNotRun;
+  }
+  return record.outcome.empty() ? requests::Outcome::kUnknown : requests::parse_outcome(record.outcome);
+}
+
 double elapsed_ms(Clock::time_point since) {
   return std::chrono::duration<double, std::milli>(Clock::now() - since).count();
 }
@@ -147,6 +155,7 @@
   open.timeout = options_.timeout;
   open.fresh_connection = work.random_number(0, 3) == 0;
   auto opened = co_await client_.open(record.node, work.request, open);
+  record.was_sent = opened.state != net::SendState::kNotSent;
   if (opened.stream != nullptr) {
     record.status = opened.stream->head().status;
     record.outcome = std::string(opened.stream->head().headers.find("larchlever-outcome"));
@@ -195,6 +204,11 @@
     }
     report_.not_run += record.outcome == "not-run" ? 1 : 0;
     report_.unknown += record.outcome == "unknown" ? 1 : 0;
+    report_.refused_after_loss += work.earlier_outcome != requests::Outcome::kNotRun && record.status >= 400 ? 1 : 0;
+    work.earlier_outcome = requests::combined(work.earlier_outcome, outcome_of(record));
+    if (work.earlier_outcome != requests::Outcome::kNotRun) {
+      work.request.headers.set("Larchlever-Earlier-Outcome", std::string(requests::to_string(work.earlier_outcome)));
+    }
     // Unsafe without a key: only a caller who was told that nothing ran may try again.
     const bool may_repeat = record.safe || !work.key.empty() || record.outcome == "not-run";
     if (!may_repeat || stopped_) {
--- a/src/load/load_generator.h
+++ b/src/load/load_generator.h
@@ -7,6 +7,7 @@
 #include <string>
 #include <vector>
 
+#include "core/requests/outcome.h"
 #include "load/history.h"
 #include "net/http_client.h"
 
@@ -38,6 +39,8 @@
   uint64_t answered = 0;
   uint64_t not_run = 0;
   uint64_t unknown = 0;
+  /// Attempts answered with an error after an earlier attempt of the request had been sent and not answered whole.
+  uint64_t refused_after_loss = 0;
   uint64_t lost = 0;
   double seconds = 0;
   std::vector<double> latency_ms;      ///< Whole answers, each from its first sending.
@@ -72,6 +75,8 @@
     net::HttpRequest request;
     bool stream = false;
     std::mt19937_64 random;
+    /// What its attempts so far tell of whether it ran.
+    requests::Outcome earlier_outcome = requests::Outcome::kNotRun;
 
     int random_number(int least, int most);
   };
--- a/src/node/front_answers.cc
+++ b/src/node/front_answers.cc
@@ -1,6 +1,7 @@
 #include "node/front_answers.h"
 
 #include "node/logging.h"
+#include "node/outcome_header.h"
 
 namespace larchlever::node {
 
@@ -45,7 +46,8 @@
           "send the request again; the balancer will choose another node", kRetryAfterSeconds};
 }
 
-asio::awaitable<void> send_problem(net::HttpExchange& exchange, const Problem& problem, Outcome outcome) {
+asio::awaitable<void> send_problem(net::HttpExchange& exchange, const Problem& problem, Outcome attempt) {
+  const Outcome outcome = outcome_told(exchange.request(), attempt);
   net::HttpResponse response;
   response.status = problem.status;
   response.headers.add("Content-Type", "application/problem+json");
--- a/src/node/front_answers.h
+++ b/src/node/front_answers.h
@@ -43,9 +43,9 @@
 /// The problem as its JSON body, outcome included.
 boost::json::object problem_object(const Problem& problem, requests::Outcome outcome);
 
-/// Answers with the problem and its outcome.
+/// Answers with the problem and with what is known of the request after this attempt.
 boost::asio::awaitable<void> send_problem(net::HttpExchange& exchange, const Problem& problem,
-                                          requests::Outcome outcome);
+                                          requests::Outcome attempt);
 
 /// Answers a request that is refused before its key, if it has one, was looked up. This sending did not run, but an
 /// earlier one under the same key may have: so the outcome is "not-run" only without a key.
--- a/src/node/request_ends.cc
+++ b/src/node/request_ends.cc
@@ -5,6 +5,7 @@
 #include "core/base/http_status.h"
 #include "node/clock.h"
 #include "node/logging.h"
+#include "node/outcome_header.h"
 
 namespace larchlever::node {
 
@@ -51,7 +52,8 @@
   net::HttpResponse response;
   response.status = refusal.status;
   response.headers.add("Content-Type", "application/problem+json");
-  response.headers.add("Larchlever-Outcome", "not-run");
+  const auto outcome = outcome_told(request.exchange->request(), requests::Outcome::kNotRun);
+  response.headers.add("Larchlever-Outcome", std::string(requests::to_string(outcome)));
   if (refusal.retry_after_seconds > 0) {
     response.headers.add("Retry-After", seconds_text(refusal.retry_after_seconds));
   }
--- a/tests/integration/fleet_test.cc
+++ b/tests/integration/fleet_test.cc
@@ -224,6 +224,40 @@
   EXPECT_GT(report.answered, 600U);
 }
 
+// A node was killed with repeatable requests under way, and their callers sent them again without a key. One attempt
+// came to a node that was cut off and turned it away as not run, so its caller was told that a request had not run
+// which had begun through the first node:
+//   false not-run: request t5-292 through 127.0.0.1:46283 ran on ljubljana-d2-m1
+TEST(Fleet, ARequestThatAKilledNodeHadSentIsNotDeniedByAnotherNode) {
+  ProcessFleet fleet({6, 4, ""});
+  fleet.start();
+  ASSERT_FALSE(testing::Test::HasFatalFailure());
+  load::LoadOptions options;
+  options.requests = 600;
+  options.callers = 40;
+  options.keyed_percent = 0;
+  options.safe_percent = 100;
+  options.most_tokens = 200;
+  options.seed = 292;
+  options.timeout = std::chrono::milliseconds(40'000);
+  options.nodes = {fleet.service("n1"), fleet.service("n3"), fleet.service("n6")};
+  load::LoadReport report;
+  const auto faults = fleet.run_load(options, report, [&] {
+    fleet.cut_off("n3", true, true);
+    ASSERT_TRUE(eventually([&] {
+      const auto refused = fleet.fetch("n3", fleet.model_request("through the cut", 2, false));
+      return refused.response && refused.response->status == 503;
+    }));
+    fleet.kill_node("n6", SIGKILL);
+    std::this_thread::sleep_for(std::chrono::milliseconds(1500));
+    fleet.heal_links();
+  });
+  for (const auto& fault : faults) {
+    ADD_FAILURE() << fault;
+  }
+  EXPECT_GT(report.refused_after_loss, 0U) << "no attempt was turned away after one whose answer was lost";
+}
+
 // A repeatable request without a key was cut while a machine ran it, and its caller sent it again: three nodes turned
 // those attempts away as not run, which is true of each of them. The check of histories held the earlier run against
 // them, as one beside much other work did:
