Never deny a keyed repeatable request whose key was not looked up

What callers saw: a repeatable request with a key ran through one node; sent again under the key while its machines were gone, another node answered "not-run". Keys of repeatable requests take no claim, and only refusals before the routing counted such a key as not looked up; a request that found no place, or whose service had no endpoint, told the word of the attempt. Change: one rule for all answers to requests that hold no claim (unclaimed_outcome).

--- a/src/node/front_answers.cc
+++ b/src/node/front_answers.cc
@@ -59,9 +59,13 @@
   co_await exchange.respond(std::move(response));
 }
 
+Outcome unclaimed_outcome(const net::HttpRequest& request, Outcome attempt) {
+  const bool is_keyed = request.headers.contains("idempotency-key");
+  return is_keyed && attempt == Outcome::kNotRun ? Outcome::kUnknown : attempt;
+}
+
 asio::awaitable<void> refuse_unclaimed(net::HttpExchange& exchange, const Problem& problem, FrontStats& stats) {
-  const bool keyed = exchange.request().headers.contains("idempotency-key");
-  const Outcome outcome = keyed ? Outcome::kUnknown : Outcome::kNotRun;
+  const Outcome outcome = unclaimed_outcome(exchange.request(), Outcome::kNotRun);
   stats.count(outcome);
   co_await send_problem(exchange, problem, outcome);
 }
--- a/src/node/front_answers.h
+++ b/src/node/front_answers.h
@@ -47,8 +47,11 @@
 boost::asio::awaitable<void> send_problem(net::HttpExchange& exchange, const Problem& problem,
                                           requests::Outcome attempt);
 
-/// Answers a request that is refused before its key, if it has one, was looked up. This sending did not run, but an
-/// earlier one under the same key may have: so the outcome is "not-run" only without a key.
+/// What an attempt tells of a request whose key, if it has one, was not looked up: an earlier attempt under the same
+/// key may have run.
+requests::Outcome unclaimed_outcome(const net::HttpRequest& request, requests::Outcome attempt);
+
+/// Answers a request that is refused before its key, if it has one, was looked up.
 boost::asio::awaitable<void> refuse_unclaimed(net::HttpExchange& exchange, const Problem& problem, FrontStats& stats);
 
 /// One attempt at a back end that brought no whole answer, for the log.
--- a/src/node/model_front.cc
+++ b/src/node/model_front.cc
@@ -70,6 +70,8 @@
   net::ClientStream* upstream = nullptr;
 
   bool needs_claim() const { return !model.safe && !model.key.empty(); }
+  /// What this call tells of its request: a key of a repeatable request is never looked up.
+  Outcome outcome_known() const { return claimed ? outcome : unclaimed_outcome(exchange.request(), outcome); }
 };
 
 asio::awaitable<void> ModelFront::handle(net::HttpExchange& exchange) {
@@ -186,7 +188,7 @@
                             adapter ? "adapter '" + call.model.adapter + "' is not permitted for this tenant"
                                     : "model '" + call.model.model + "' is not offered to this tenant",
                             "ask for a model that /v1/models lists, or have your operator permit it", 0};
-      co_await send_problem(call.exchange, problem, call.outcome);
+      co_await send_problem(call.exchange, problem, call.outcome_known());
       co_return;
     }
     if (now >= call.queue_deadline) {
@@ -355,7 +357,7 @@
   }
   log_event(runtime_.settings().name, "request_given_up",
             {{"request", call.request_id},
-             {"outcome", std::string(requests::to_string(call.outcome))},
+             {"outcome", std::string(requests::to_string(call.outcome_known()))},
              {"held_ms", std::to_string((NodeRuntime::now() - call.started) / milliseconds(1))},
              {"reason", last.reason}});
   const bool not_run = call.outcome == Outcome::kNotRun;
@@ -371,7 +373,7 @@
     co_await call.exchange.write_piece(event);
     co_return;
   }
-  co_await send_problem(call.exchange, problem, call.outcome);
+  co_await send_problem(call.exchange, problem, call.outcome_known());
 }
 
 }  // namespace larchlever::node
--- a/src/node/service_front.cc
+++ b/src/node/service_front.cc
@@ -100,7 +100,8 @@
         not_run ? 503 : 502, call.reason,
         not_run ? "send the request again later; it did not run" : "check whether it ran before sending it again",
         not_run ? kRetryAfterSeconds : 0};
-    co_await send_problem(exchange, problem, call.outcome);
+    const Outcome known = call.claimed ? call.outcome : unclaimed_outcome(exchange.request(), call.outcome);
+    co_await send_problem(exchange, problem, known);
   }
 }
 
--- a/tests/integration/fleet_test.cc
+++ b/tests/integration/fleet_test.cc
@@ -90,6 +90,29 @@
   EXPECT_EQ(executions_of(fleet, "another letter"), 0);
 }
 
+// The key of a repeatable request is not looked up, and still an attempt that found no place was told "not-run" under
+// it, though the request had run through another node.
+TEST(Fleet, AKeyedRepeatableRequestThatRanIsNotDeniedLater) {
+  ProcessFleet fleet({3, 1, "[requests]\nqueue_timeout_ms = 300\n"});
+  fleet.start();
+  ASSERT_FALSE(testing::Test::HasFatalFailure());
+  auto request = fleet.model_request("letter 18", 4, false, "letter-18");
+  request.headers.add("Larchlever-Repeat", "safe");
+  const auto first = fleet.fetch("n2", request);
+  ASSERT_TRUE(first.response);
+  ASSERT_EQ(first.response->status, 200) << first.response->body;
+  fleet.fault_everywhere("die");
+  net::FetchResult refused;
+  ASSERT_TRUE(eventually([&] {
+    refused = fleet.fetch("n3", request);
+    return refused.response && refused.response->status == 503;
+  }));
+  EXPECT_EQ(outcome(refused), "unknown") << refused.response->body;
+  auto without_key = request;
+  without_key.headers.remove("Idempotency-Key");
+  EXPECT_EQ(outcome(fleet.fetch("n3", without_key)), "not-run") << "nothing ties it to the first";
+}
+
 TEST(Fleet, ALostMachineEndsItsGroupAndTheGroupReforms) {
   ProcessFleet fleet({5, 3, ""});
   fleet.start();
@@ -274,18 +297,11 @@
   options.most_tokens = 400;
   options.seed = 37;
   options.timeout = std::chrono::milliseconds(40'000);
-  const auto fault_everywhere = [&fleet](const std::string& action) {
-    for (const std::string zone : {"ljubljana", "celje", "koper"}) {
-      for (const std::string machine : {"-d1-m1", "-d1-m2", "-d1-m3", "-d2-m1", "-d2-m2", "-d2-m3"}) {
-        fleet.fault(zone + machine, action);
-      }
-    }
-  };
   const auto fault_all_machines = [&] {
     ASSERT_TRUE(eventually([&] { return fleet.executions().size() > 12; }));
-    fault_everywhere("die");
+    fleet.fault_everywhere("die");
     std::this_thread::sleep_for(std::chrono::seconds(4));
-    fault_everywhere("return");
+    fleet.fault_everywhere("return");
   };
   load::LoadReport report;
   const auto faults = fleet.run_load(options, report, fault_all_machines, load::NotRunScope::kAttempt);
--- a/tests/integration/process_fleet.cc
+++ b/tests/integration/process_fleet.cc
@@ -278,6 +278,14 @@
   return result.response && result.response->status == 200;
 }
 
+void ProcessFleet::fault_everywhere(const std::string& action) {
+  for (const std::string zone : {"ljubljana", "celje", "koper"}) {
+    for (const std::string machine : {"-d1-m1", "-d1-m2", "-d1-m3", "-d2-m1", "-d2-m2", "-d2-m3"}) {
+      fault(zone + machine, action);
+    }
+  }
+}
+
 std::vector<load::ExecutionRecord> ProcessFleet::executions() {
   std::string error;
   auto result = on_context([](net::HttpClient& client, std::string endpoint,
--- a/tests/integration/process_fleet.h
+++ b/tests/integration/process_fleet.h
@@ -49,6 +49,8 @@
   net::FetchResult fetch_endpoint(const std::string& endpoint, const net::HttpRequest& request);
   net::HttpRequest model_request(const std::string& prompt, int tokens, bool stream, const std::string& key = "");
   bool fault(const std::string& machine, const std::string& action);
+  /// The same for every machine.
+  void fault_everywhere(const std::string& action);
   /// Runs callers until they are done; history and executions are then compared.
   std::vector<std::string> run_load(load::LoadOptions options, load::LoadReport& report,
                                     const std::function<void()>& meanwhile = {},
