--- a/tests/integration/ending_server.cc
+++ b/tests/integration/ending_server.cc
@@ -2,6 +2,7 @@
 
 #include <gtest/gtest.h>
 
+#include <array>
 #include <boost/json.hpp>
 
 #include "core/base/http_status.h"
@@ -20,6 +21,12 @@
 constexpr auto kDownTime = std::chrono::seconds(3);
 constexpr auto kPortClosesAfter = std::chrono::milliseconds(5);
 
+asio::awaitable<void> close_after_request(asio::ip::tcp::socket socket) {
+  std::array<char, 4096> request{};
+  const asio::mutable_buffer space(request.data(), request.size());
+  co_await socket.async_read_some(space, kAwait);
+}
+
 int64_t unix_milliseconds() {
   return std::chrono::duration_cast<std::chrono::milliseconds>(std::chrono::system_clock::now().time_since_epoch())
       .count();
@@ -112,6 +119,9 @@
     if (error) {
       co_return;
     }
+    if (port_ == Port::kProxied) {
+      asio::co_spawn(client_.context(), close_after_request(std::move(socket)), asio::detached);
+    }
   }
 }
 
--- a/tests/integration/ending_server.h
+++ b/tests/integration/ending_server.h
@@ -23,6 +23,9 @@
     kClosesLater,
     /// Something in front of the server holds the port: connections are taken and closed.
     kHeld,
+    /// A proxy in front of the server holds the port: connections are taken and kept until a request was read, then
+    /// closed without an answer.
+    kProxied,
   };
   using Moment = std::chrono::steady_clock::time_point;
 
@@ -66,7 +69,7 @@
  private:
   void listen();
   void end();
-  /// Takes connections and closes them.
+  /// Takes connections and closes them, those of a proxy once they have brought something.
   boost::asio::awaitable<void> close_what_comes();
 
   BlockingClient& client_;
--- a/tests/integration/lost_server_test.cc
+++ b/tests/integration/lost_server_test.cc
@@ -211,6 +211,15 @@
   expect_few_ends();
 }
 
+// A proxy in front of the server takes connections and reads a request before it closes, which looks like a server that
+// lives: one request ended 29 servers, 23 of them later than a second after the third, and 58 of 99 other requests were
+// served.
+TEST_F(LostServers, AreNoticedBehindAProxyThatTakesRequests) {
+  start(EndingServer::Port::kProxied);
+  send_copies([] {});
+  expect_few_ends();
+}
+
 class LostServersOfManyEntries : public LostServers {
  protected:
   LostServersOfManyEntries() : LostServers(9) {}
