Count servers as likely ended that keep their port and make no progress

What callers saw: one request ended 27 and 29 servers behind proxies that take connections, and 84 and 104 of some 325 other requests were lost with them. Cause: a connection that stays open for 60 ms was taken for the proof that the server lives, and the case was dropped. Evidence: the same play with the port closed ends 3 servers; the looks of the failing play are all "open". Change: an open port decides nothing. Without progress since, the end is likely and counts at the leader until the server's own next report takes it back, as other likely ends do.

--- a/src/core/fleet/lost_answers.cc
+++ b/src/core/fleet/lost_answers.cc
@@ -13,9 +13,9 @@
                                          milliseconds(400), milliseconds(1000), milliseconds(2000)};
 /// What was in buffers and on the way when a server ended has arrived by then.
 constexpr Duration kOnTheWay = milliseconds(100);
-/// A listener that stands this long after the loss belongs to a server that lives: a process closes all of its sockets
-/// within milliseconds.
-constexpr Duration kOpenProves = milliseconds(60);
+/// A listener that stands this long after the loss will not close by itself: a process closes all of its sockets within
+/// milliseconds.
+constexpr Duration kPortClosesWithin = milliseconds(60);
 /// A server that closes connections because it has too many takes some in between.
 constexpr Duration kConfirmation = milliseconds(100);
 /// Longer than a server takes to start again.
@@ -60,9 +60,7 @@
   }
   if (look == Look::kOpen) {
     lost.gone_since.reset();
-    if (now - lost.lost_at >= kOpenProves) {
-      cases_.erase(found);
-    }
+    lost.keeps_port = now - lost.lost_at >= kPortClosesWithin;
     return std::nullopt;
   }
   if (!lost.gone_since) {
@@ -74,6 +72,14 @@
   return std::nullopt;
 }
 
+std::optional<EndedServer> LostAnswers::take_suspicion(const std::string& incarnation) {
+  const auto found = cases_.find(incarnation);
+  if (found == cases_.end() || found->second.is_settled || !found->second.keeps_port) {
+    return std::nullopt;
+  }
+  return settle(found->second, Certainty::kLikely);
+}
+
 std::optional<EndedServer> LostAnswers::note_restart(const std::string& incarnation) {
   const auto found = cases_.find(incarnation);
   if (found == cases_.end() || found->second.is_settled) {
@@ -84,7 +90,8 @@
 
 std::optional<TimePoint> LostAnswers::next_look(const std::string& incarnation) const {
   const auto found = cases_.find(incarnation);
-  if (found == cases_.end() || found->second.is_settled || found->second.looks >= kLooks.size()) {
+  const bool is_over = found == cases_.end() || found->second.is_settled || found->second.keeps_port;
+  if (is_over || found->second.looks >= kLooks.size()) {
     return std::nullopt;
   }
   return found->second.lost_at + kLooks.at(found->second.looks);
--- a/src/core/fleet/lost_answers.h
+++ b/src/core/fleet/lost_answers.h
@@ -34,8 +34,9 @@
 /// bytes are spoilt, heads cut the streams of a member.
 /// Evidence, the first that comes decides. The server ended: it refuses a connection; it is reported to have started
 /// again; it closes, or leaves without a word, connection after connection for `kConfirmation`, which is likely and no
-/// proof. It lives: it makes progress with another request later than what was on the way when the answer was lost, or
-/// still keeps a connection open by then. What stays open is dropped after the last look.
+/// proof. It lives: it makes progress with another request later than what was on the way when the answer was lost. A
+/// connection that it keeps open shows neither, since a proxy in front of a dead server keeps it open as well: the end
+/// is then likely until the server is heard.
 /// Limits: seven looks in two seconds at a server that seems to be gone, three at one that listens. Losses that come
 /// later than the first by more than the time of the buffers accuse nobody: the server was gone when they arrived.
 /// Single-threaded, deterministic.
@@ -49,6 +50,9 @@
   std::optional<EndedServer> note_look(TimePoint now, const std::string& incarnation, Look look);
   /// A later incarnation was reported in place of this one.
   std::optional<EndedServer> note_restart(const std::string& incarnation);
+  /// Once, when the looks at the server are over because it keeps connections open, and it made no progress since: it
+  /// likely ended, and its own next report shows whether it did.
+  std::optional<EndedServer> take_suspicion(const std::string& incarnation);
   /// Answers were lost there, and nothing shows that the server lives.
   bool is_doubtful(const std::string& incarnation) const { return cases_.contains(incarnation); }
   /// The server was not looked at yet.
@@ -65,6 +69,8 @@
     size_t looks = 0;
     /// Since when every look has shown no server.
     std::optional<TimePoint> gone_since;
+    /// It keeps connections open, later than a process that ends would.
+    bool keeps_port = false;
     bool is_settled = false;
   };
 
--- a/src/core/fleet/server_ends.h
+++ b/src/core/fleet/server_ends.h
@@ -15,7 +15,7 @@
 /// How sure it is that a server ended.
 enum class Certainty {
   kProved,
-  /// Nothing answers at its address. Its own later report shows the contrary.
+  /// It answers nothing, whoever takes connections at its address. Its own later report shows the contrary.
   kLikely
 };
 
--- a/src/node/block_gate.cc
+++ b/src/node/block_gate.cc
@@ -127,6 +127,9 @@
       note_ended(target.incarnation, *ended);
     }
   }
+  if (const auto ended = lost_.take_suspicion(target.incarnation)) {
+    note_ended(target.incarnation, *ended);
+  }
 }
 
 void BlockGate::started_again(const std::string& incarnation) {
--- a/tests/unit/lost_answers_test.cc
+++ b/tests/unit/lost_answers_test.cc
@@ -55,6 +55,26 @@
   EXPECT_FALSE(lost.next_look(kServer)) << "it listens";
 }
 
+// A proxy in front of a dead server keeps connections open, and its server was taken for one that lives.
+TEST(LostAnswers, APortThatStaysOpenMakesTheEndLikelyOnce) {
+  auto lost = two_lost();
+  EXPECT_FALSE(lost.note_look(at(1.02), kServer, Look::kOpen));
+  EXPECT_FALSE(lost.take_suspicion(kServer)) << "the port of a process closes later than its connections";
+  EXPECT_FALSE(lost.note_look(at(1.06), kServer, Look::kOpen));
+  const auto ended = lost.take_suspicion(kServer);
+  ASSERT_TRUE(ended);
+  EXPECT_EQ(ended->certainty, Certainty::kLikely);
+  EXPECT_EQ(ended->requests, (std::vector{kFirst, kSecond}));
+  EXPECT_FALSE(lost.take_suspicion(kServer));
+}
+
+TEST(LostAnswers, AServerThatMadeProgressIsNotSuspected) {
+  auto lost = two_lost();
+  lost.note_progress(at(1.15), kServer);
+  lost.note_look(at(1.16), kServer, Look::kOpen);
+  EXPECT_FALSE(lost.take_suspicion(kServer));
+}
+
 TEST(LostAnswers, ProgressShowsThatItLivesUnlessItWasOnTheWay) {
   auto lost = two_lost();
   lost.note_progress(at(1.05), kServer);
--- a/tests/unit/server_end_replay_test.cc
+++ b/tests/unit/server_end_replay_test.cc
@@ -43,6 +43,10 @@
   bool is_harmful = false;
   /// Connections to a server that is down are taken and closed, instead of refused.
   bool holds_port = false;
+  /// A proxy in front of a server that is down takes connections and keeps them until a request was read.
+  bool is_proxied = false;
+  /// The repeated request comes as seldom as a harmful one, though it harms nobody.
+  bool is_seldom = false;
   /// Part of the answers that is lost although their servers live.
   double lost_share = 0;
   /// From the second second on, the first entry reaches no server for so long.
@@ -119,7 +123,7 @@
     finish_sendings();
     look();
     tell_leader();
-    if ((now_ - start_) % (trouble_.is_harmful ? kHarmfulInterval : kPopularInterval) < kStep) {
+    if ((now_ - start_) % (trouble_.is_harmful || trouble_.is_seldom ? kHarmfulInterval : kPopularInterval) < kStep) {
       send(kRepeated);
     }
     if ((now_ - start_) % kOtherInterval < kStep) {
@@ -216,27 +220,34 @@
       return Look::kSilent;
     }
     const bool has_port = now_ - servers_.at(server).down_since < kPortClosesAfter;
-    if (is_up(server) || has_port || watched != incarnation(server)) {
+    if (is_up(server) || has_port || trouble_.is_proxied || watched != incarnation(server)) {
       return Look::kOpen;
     }
     return trouble_.holds_port ? Look::kClosed : Look::kRefused;
   }
 
+  static void note_ended(Entry& entry, const std::string& incarnation, const std::optional<EndedServer>& ended) {
+    if (!ended) {
+      return;
+    }
+    for (const auto request : ended->requests) {
+      entry.blocked.note_end({request, incarnation, ended->at, ended->certainty});
+    }
+  }
+
   void look() {
     for (size_t index = 0; index < entries_.size(); ++index) {
       Entry& entry = entries_.at(index);
       for (auto item = entry.watched.begin(); item != entry.watched.end();) {
         const auto next = entry.lost.next_look(item->first);
         if (!next) {
+          note_ended(entry, item->first, entry.lost.take_suspicion(item->first));
           item = entry.watched.erase(item);
           continue;
         }
         if (*next <= now_) {
-          if (const auto ended = entry.lost.note_look(now_, item->first, look_at(index, item->first, item->second))) {
-            for (const auto request : ended->requests) {
-              entry.blocked.note_end({request, item->first, ended->at, ended->certainty});
-            }
-          }
+          const Look seen = look_at(index, item->first, item->second);
+          note_ended(entry, item->first, entry.lost.note_look(now_, item->first, seen));
         }
         ++item;
       }
@@ -319,6 +330,13 @@
   EXPECT_EQ(totals.others_blocked, 0);
 }
 
+// The port stays open, so that no look tells the server that ended from one that lives.
+TEST(ServerEndReplay, AHarmfulRequestEndsFewServersBehindProxies) {
+  const auto totals = replay({.is_harmful = true, .is_proxied = true});
+  EXPECT_EQ(totals.late_ends, 0);
+  EXPECT_EQ(totals.others_blocked, 0);
+}
+
 // Good requests: what blocks them must be over after one heartbeat, and what is lost singly must block nothing.
 TEST(ServerEndReplay, LostAnswersBlockNobody) {
   const auto totals = replay({.lost_share = 0.03});
@@ -326,6 +344,14 @@
   EXPECT_EQ(totals.others_blocked, 0);
 }
 
+// A caller that sends one good request again and again while links lose a third of all answers: a block that rests on
+// nothing but lost answers is over when one of the servers reports.
+TEST(ServerEndReplay, LostAnswersOfASeldomRequestBlockItForAHeartbeatAtMost) {
+  const auto totals = replay({.is_seldom = true, .lost_share = 0.3});
+  EXPECT_LE(totals.longest_block, kHeartbeat + kPublication);
+  EXPECT_EQ(totals.others_blocked, 0);
+}
+
 TEST(ServerEndReplay, ACutBetweenAnEntryAndAllServersBlocksForAHeartbeatAtMost) {
   const auto totals = replay({.cut = seconds(4)});
   EXPECT_LE(totals.longest_block, kHeartbeat + kPublication);
