--- a/src/core/fleet/group_planner.cc
+++ b/src/core/fleet/group_planner.cc
@@ -252,7 +252,7 @@
   return spares;
 }
 
-GroupPlanner::SpareCounts GroupPlanner::spares_held() const {
+GroupPlanner::SpareCounts GroupPlanner::count_spares() const {
   SpareCounts spares;
   for (const auto& server : input_.servers) {
     if (server.group.empty() && !server.loaded_model.empty()) {
@@ -294,7 +294,7 @@
 
 std::vector<StagingPlan> GroupPlanner::stagings() const {
   std::map<LoadPriority, std::vector<StagingPlan>> plans;
-  SpareCounts spares = spares_held();
+  SpareCounts spares = count_spares();
   for (const auto& server : input_.servers) {
     const auto group = groups_.find(server.group);
     const bool is_free = server.group.empty();
--- a/src/core/fleet/group_planner.h
+++ b/src/core/fleet/group_planner.h
@@ -137,7 +137,7 @@
                                      const std::string& donor) const;
   /// How many free servers of each domain hold each model in their accelerators, or are about to.
   using SpareCounts = std::map<std::pair<std::string, std::string>, int>;
-  SpareCounts spares_held() const;
+  SpareCounts count_spares() const;
   /// The model that a free server should hold: the one with most need for each spare of its domain.
   const document::ModelSpec* spare_model(const PlannedServer& server, const SpareCounts& spares) const;
   /// The model that a server should hold besides the one it serves.
