--- a/tests/integration/slow_reader_test.cc
+++ b/tests/integration/slow_reader_test.cc
@@ -22,6 +22,8 @@
 /// Half of the memory of the smallest machines that entries run on.
 constexpr size_t kMostMemory = 80'000'000;
 constexpr auto kInTime = milliseconds(300);
+/// Longer than the test.
+constexpr auto kLongDeadline = seconds(30);
 
 FleetNodeOptions fleet_options() {
   FleetNodeOptions options;
@@ -73,14 +75,15 @@
     return result.response ? result.response->status : 0;
   }
   /// Asks for a large answer on a connection of its own, which takes little by itself.
-  asio::ip::tcp::socket ask_and_leave_unread() {
+  asio::ip::tcp::socket ask_and_leave_unread(milliseconds deadline = seconds(4)) {
     asio::ip::tcp::socket socket(context_);
     socket.open(asio::ip::tcp::v4());
     socket.set_option(asio::socket_base::receive_buffer_size(4096));
     socket.connect({asio::ip::make_address(fleet_.address("e1")), 8227});
     const std::string request = std::string("GET ") + FormsServer::kLargePath +
                                 " HTTP/1.1\r\nHost: forms.example\r\nLarchlever-Request-Id: e1-large-" +
-                                std::to_string(next_request_++) + "\r\nLarchlever-Deadline-Ms: 4000\r\n\r\n";
+                                std::to_string(next_request_++) +
+                                "\r\nLarchlever-Deadline-Ms: " + std::to_string(deadline.count()) + "\r\n\r\n";
     asio::write(socket, asio::buffer(request));
     return socket;
   }
@@ -123,5 +126,26 @@
   EXPECT_EQ(whole.response->body.size(), FormsServer::kLargeBytes);
 }
 
+// A caller that stalls must not lose its answer to the bound on what is held for others: it reads again well before its
+// deadline, whether its answer still found room or not.
+TEST_F(SlowReaders, WhoReadsAgainWithinItsDeadlineGetsItsWholeAnswer) {
+  auto first = ask_and_leave_unread(kLongDeadline);
+  std::vector<asio::ip::tcp::socket> readers;
+  for (int number = 0; number < kReaders; ++number) {
+    readers.push_back(ask_and_leave_unread());
+  }
+  auto last = ask_and_leave_unread(kLongDeadline);
+  ASSERT_TRUE(eventually([this] { return server_->served() >= kReaders + 2; }, kPatience)) << server_->served();
+  std::this_thread::sleep_for(seconds(2));
+  for (auto* stalled : {&first, &last}) {
+    std::string answer;
+    boost::system::error_code error;
+    const auto whole = asio::transfer_at_least(FormsServer::kLargeBytes);
+    asio::read(*stalled, asio::dynamic_buffer(answer), whole, error);
+    EXPECT_FALSE(error) << error.message() << " after " << answer.size() << " bytes";
+    EXPECT_NE(answer.find(" 200 "), std::string::npos);
+  }
+}
+
 }  // namespace
 }  // namespace larchlever::integration
