Release no member that a late order took back into its group

Cause: a head out of reach, its member told to leave and confirming, and that group's own order to join carried out late, after the leave. The head was whole again and opened, and 5.7 s after the leave the member counted as free, since a head that lacks a member is broken by then. Change: a member that is heard in the group after it left is asked to leave again, and the time counts from then. Figures: GroupSupervisor.AMemberThatALateOrderTookBackIsNotReleased failed, passes.

--- a/src/core/fleet/group_supervisor.cc
+++ b/src/core/fleet/group_supervisor.cc
@@ -191,7 +191,7 @@
   if (to_head) {
     record.head_left = true;
   } else {
-    record.member_left_at = std::min(record.member_left_at, now);
+    record.members_left.try_emplace(result.order.instance_id, now);
   }
 }
 
@@ -374,6 +374,14 @@
   });
 }
 
+void GroupSupervisor::forget_returned_members(Record& record, const InstanceDirectory& directory) {
+  std::erase_if(record.members_left, [&](const auto& left) {
+    const auto row = directory.rows().find(left.first);
+    return row != directory.rows().end() && row->second.is_settled() && row->second.last_heard > left.second &&
+           reports(row->second.instance, record.group);
+  });
+}
+
 void GroupSupervisor::order_leave(TimePoint now, const Record& record, const InstanceDirectory& directory) {
   const auto& members = record.group.members;
   if (record.failed) {
@@ -392,7 +400,7 @@
   if (can_take_work(head) && now - record.since < kHeadPatience) {
     return;
   }
-  if (record.member_left_at != TimePoint::max()) {
+  if (!record.members_left.empty()) {
     return;  // One is enough: the head stands still without it.
   }
   for (size_t rank = 1; rank < members.size(); ++rank) {
@@ -407,8 +415,9 @@
   if (record.head_left && (!record.may_be_open || record.unanswered_head_orders <= 0 || record.head_fenced)) {
     return true;
   }
-  const bool stalled =
-      record.member_left_at != TimePoint::max() && now - record.member_left_at > options_.stall_time + kStallMargin;
+  const bool stalled = std::any_of(record.members_left.begin(), record.members_left.end(), [&](const auto& left) {
+    return now - left.second > options_.stall_time + kStallMargin;
+  });
   if (stalled) {
     return true;
   }
@@ -444,6 +453,7 @@
     case wire::GroupPhase::DRAINING:
       return advance_draining(now, record);
     case wire::GroupPhase::DISSOLVING:
+      forget_returned_members(record, directory);
       if (is_dissolved(now, record, directory)) {
         return false;
       }
--- a/src/core/fleet/group_supervisor.h
+++ b/src/core/fleet/group_supervisor.h
@@ -124,8 +124,8 @@
     bool is_inherited = false;
     /// Drained so that another model gets its servers.
     bool is_given_up = false;
-    /// When a member that is not the head confirmed that it left.
-    TimePoint member_left_at = TimePoint::max();
+    /// Members other than the head that confirmed that they left, and when.
+    std::map<std::string, TimePoint> members_left;
     bool head_left = false;
     /// Orders to join or open that the head may still carry out: sent, and not answered.
     int unanswered_head_orders = 0;
@@ -149,6 +149,8 @@
   void clear_suspects(TimePoint now, const InstanceDirectory& directory);
   /// No entry has anything in flight there.
   bool is_idle(const Record& record) const;
+  /// An order to join that was carried out late took a member back that had left: the head may lack nobody.
+  static void forget_returned_members(Record& record, const InstanceDirectory& directory);
   void order_leave(TimePoint now, const Record& record, const InstanceDirectory& directory);
   /// The head's own word under this leadership that it is not in the group.
   static bool head_says_it_left(const Record& record, const InstanceDirectory& directory);
--- a/tests/unit/group_supervisor_test.cc
+++ b/tests/unit/group_supervisor_test.cc
@@ -180,5 +180,36 @@
   EXPECT_EQ(supervisor.owner_of("i1"), nullptr) << "the head cannot serve without it: it stands still by now";
 }
 
+// A member of a group whose head was out of reach confirmed that it left; an order to join that was carried out late
+// took it back, and the head, whole again, was opened by another late order. The member was given to a further group
+// while that head was open, since it had left longer than the stall time ago:
+//   TWO: i24 takes a join to g2-80-single while the head of g2-43 is open
+TEST(GroupSupervisor, AMemberThatALateOrderTookBackIsNotReleased) {
+  const InheritedGroup inherited = inherited_open_group();
+  InstanceDirectory directory(seconds(3));
+  directory.start(kStart, inherited.instances);
+  const FleetOptions options;
+  GroupSupervisor supervisor{options};
+  supervisor.start(kStart, 3, {inherited.group});
+  supervisor.note_failure(inherited.group.name);
+  const TimePoint taken_back = kStart + milliseconds(500);
+  const TimePoint end = kStart + options.stall_time + seconds(4);
+  int64_t call_number = 10;
+  for (TimePoint now = kStart; now < end; now += milliseconds(40)) {
+    supervisor.tick(now, document_with_engine(), directory);
+    for (const auto& order : supervisor.take_orders()) {
+      const bool is_answered = order.instance_id == "i1" && now < taken_back;
+      supervisor.order_result(now, {order, is_answered ? 200 : 0});
+    }
+    if (now >= taken_back) {
+      auto member = inherited.instances[1];
+      member.call_number = ++call_number;
+      directory.heard(now, member);
+    }
+  }
+  ASSERT_NE(supervisor.owner_of("i1"), nullptr) << "its head may serve";
+  EXPECT_EQ(supervisor.owner_of("i1")->name, inherited.group.name);
+}
+
 }  // namespace
 }  // namespace larchlever::fleet
