Send no earlier outcome with a key

Cause: found by reading. The load generator named earlier outcomes for keyed requests as well, which docs/CALLERS.md reserves for those without a key. A node then answers by the caller's word, so a history could no longer catch a keyed request that the node itself denies falsely: the strict check lost what it held. Change: only requests without a key carry the header.

--- a/src/load/load_generator.cc
+++ b/src/load/load_generator.cc
@@ -206,7 +206,8 @@
     report_.unknown += record.outcome == "unknown" ? 1 : 0;
     report_.refused_after_loss += work.earlier_outcome != requests::Outcome::kNotRun && record.status >= 400 ? 1 : 0;
     work.earlier_outcome = requests::combined(work.earlier_outcome, outcome_of(record));
-    if (work.earlier_outcome != requests::Outcome::kNotRun) {
+    // With a key the node must know by itself.
+    if (work.key.empty() && work.earlier_outcome != requests::Outcome::kNotRun) {
       work.request.headers.set("Larchlever-Earlier-Outcome", std::string(requests::to_string(work.earlier_outcome)));
     }
     // Unsafe without a key: only a caller who was told that nothing ran may try again.
