Log how many targets a request's entry had ruled out, and which groups an entry reports as failed

Callers got "all places are taken" at entries that could reach no server. The logs did not show whether the places were taken (groups dissolved on other entries' word) or ruled out by the entry itself: request_ended now has ruled_out, and an entry logs group_failures_reported once for each new failure that it tells the leader. No decision changes.

--- a/src/node/relayed_request.h
+++ b/src/node/relayed_request.h
@@ -36,6 +36,8 @@
   /// Deadline of the final response: the caller's deadline or the route's timeout, whichever is earlier.
   TimePoint deadline{};
   std::set<std::string> excluded_targets;
+  /// Number of targets that the last search for a target ruled out: those above, and those that this entry avoids.
+  size_t ruled_out_targets = 0;
   /// Attempts sent, and those that a server may have begun to run.
   int attempts_sent = 0;
   int possible_runs = 0;
--- a/src/node/request_completion.cc
+++ b/src/node/request_completion.cc
@@ -44,6 +44,7 @@
        {"expected_ms", std::to_string(request.expected_first_event_delay / milliseconds(1))},
        {"sent", std::to_string(request.attempts_sent)},
        {"runs", std::to_string(request.possible_runs)},
+       {"ruled_out", std::to_string(request.ruled_out_targets)},
        {"reason", reason}});
 }
 
--- a/src/node/slot_requester.cc
+++ b/src/node/slot_requester.cc
@@ -4,6 +4,7 @@
 #include <boost/asio.hpp>
 
 #include "node/clock.h"
+#include "node/logging.h"
 
 namespace larchlever::node {
 
@@ -160,9 +161,8 @@
 
 void SlotRequester::tick(TimePoint now) {
   auto failures = state_.dispatcher.group_failures(now);
-  const bool has_new_failure = std::any_of(failures.begin(), failures.end(), [this](const auto& failure) {
-    return std::find(reported_failures_.begin(), reported_failures_.end(), failure) == reported_failures_.end();
-  });
+  const bool has_new_failure =
+      std::any_of(failures.begin(), failures.end(), [this](const auto& failure) { return is_unreported(failure); });
   const std::string& leader = state_.subscription.leader();
   if (!leader.empty() &&
       (state_.blocked_request_tracker.has_unreported() || state_.dispatcher.has_unreported_limits())) {
@@ -197,10 +197,28 @@
   send(std::move(report));
 }
 
+bool SlotRequester::is_unreported(const wire::GroupFailure& failure) const {
+  return std::find(reported_failures_.begin(), reported_failures_.end(), failure) == reported_failures_.end();
+}
+
+void SlotRequester::log_new_failures(const std::vector<wire::GroupFailure>& failures) const {
+  std::vector<std::string> groups;
+  for (const auto& failure : failures) {
+    if (is_unreported(failure)) {
+      groups.push_back(failure.group);
+    }
+  }
+  if (!groups.empty()) {
+    log_event("", "group_failures_reported",
+              {{"groups", join_items(groups)}, {"leader", state_.subscription.leader()}});
+  }
+}
+
 void SlotRequester::send_complete_report(TimePoint now, std::vector<wire::GroupFailure> failures) {
   next_complete_report_ = now + kCompleteReportInterval;
   const bool is_new_leader = last_report_leader_ != state_.subscription.leader();
   last_report_leader_ = state_.subscription.leader();
+  log_new_failures(failures);
   reported_failures_ = failures;
   auto report = make_report({});
   state_.dispatcher.take_changed_group_loads(now);
--- a/src/node/slot_requester.h
+++ b/src/node/slot_requester.h
@@ -70,6 +70,9 @@
   void queue_request(wire::SlotRequest request);
   wire::SlotReport make_report(std::vector<wire::SlotRequest> requests);
   void send_report(std::vector<wire::SlotRequest> requests);
+  /// Whether the last complete report did not contain the failure.
+  bool is_unreported(const wire::GroupFailure& failure) const;
+  void log_new_failures(const std::vector<wire::GroupFailure>& failures) const;
   void send_complete_report(TimePoint now, std::vector<wire::GroupFailure> failures);
   void send(wire::SlotReport report);
   std::chrono::milliseconds response_timeout() const;
--- a/src/node/target_finder.cc
+++ b/src/node/target_finder.cc
@@ -79,7 +79,7 @@
   return Refusal{http_status::kServiceUnavailable, "all servers asked for rest", *first_available_at - now};
 }
 
-wire::SlotRequest TargetFinder::make_slot_request(const RelayedRequest& request, TimePoint now,
+wire::SlotRequest TargetFinder::make_slot_request(RelayedRequest& request, TimePoint now,
                                                   TimePoint wait_until) const {
   wire::SlotRequest slot_request;
   slot_request.service_name = request.service->name;
@@ -109,6 +109,7 @@
   slot_request.excluded_groups = state_.dispatcher.groups_to_avoid(now, request.service->name, request.model);
   slot_request.excluded_groups.insert(slot_request.excluded_groups.end(), request.excluded_targets.begin(),
                                       request.excluded_targets.end());
+  request.ruled_out_targets = slot_request.excluded_groups.size();
   return slot_request;
 }
 
--- a/src/node/target_finder.h
+++ b/src/node/target_finder.h
@@ -46,7 +46,7 @@
                                                 TimePoint now, TimePoint wait_until) const;
   /// Returns until when a request may wait for a target.
   static TimePoint wait_deadline(const RelayedRequest& request);
-  wire::SlotRequest make_slot_request(const RelayedRequest& request, TimePoint now, TimePoint wait_until) const;
+  wire::SlotRequest make_slot_request(RelayedRequest& request, TimePoint now, TimePoint wait_until) const;
 
   boost::asio::any_io_executor executor_;
   EntryState& state_;
