Entries may connect to servers from an address of their own, and proxies tell their clients apart

A fault between one entry and the servers could not be brought about by a test: all processes connect from the same loopback address. [node] outbound_address names the local address of an entry's connections to servers (multi-homed machines need it too), and FaultProxy takes faults for single clients, among them holding all data as a partition does. No decision changes; without the setting the operating system chooses the address as before.

--- a/src/load/fault_proxy.cc
+++ b/src/load/fault_proxy.cc
@@ -1,5 +1,7 @@
 #include "load/fault_proxy.h"
 
+#include <map>
+
 #include "net/http_types.h"
 
 namespace larchlever::load {
@@ -11,6 +13,8 @@
 
 constexpr auto kAwait = asio::as_tuple(asio::use_awaitable);
 constexpr size_t kReadBufferBytes = 16 * 1024;
+/// Interval at which held data is checked for release.
+constexpr auto kHoldCheckInterval = std::chrono::milliseconds(2);
 
 struct ProxiedConnection {
   explicit ProxiedConnection(const asio::any_io_executor& executor)
@@ -18,6 +22,8 @@
   tcp::socket client;
   tcp::socket upstream;
   tcp::socket duplicate;
+  /// IP address of the client.
+  std::string client_address;
   uint64_t sent_upstream = 0;
   uint64_t sent_downstream = 0;
   int open_directions = 2;  ///< Directions that still relay data.
@@ -40,11 +46,19 @@
   asio::awaitable<void> accept_loop();
   asio::awaitable<void> relay_connection(std::shared_ptr<ProxiedConnection> connection);
   asio::awaitable<void> relay_direction(std::shared_ptr<ProxiedConnection> connection, bool upstream);
+  /// Returns once the connection's data is not held, or the client has reset the connection.
+  asio::awaitable<void> wait_while_held(std::shared_ptr<ProxiedConnection> connection);
+
+  const ProxyFaults& faults_of(const std::string& client) const {
+    const auto found = client_faults.find(client);
+    return found == client_faults.end() ? faults : found->second;
+  }
 
   asio::any_io_executor executor;
   tcp::acceptor acceptor;
   std::string upstream_endpoint;
   ProxyFaults faults;
+  std::map<std::string, ProxyFaults> client_faults;
   std::set<std::shared_ptr<ProxiedConnection>> open_connections;
   ProxyStats stats;
 };
@@ -57,7 +71,10 @@
     if (error) {
       co_return;
     }
-    if (faults.refuse_connections || upstream_endpoint.empty()) {
+    boost::system::error_code endpoint_error;
+    const auto client = connection->client.remote_endpoint(endpoint_error);
+    connection->client_address = endpoint_error ? "" : client.address().to_string();
+    if (faults_of(connection->client_address).refuse_connections || upstream_endpoint.empty()) {
       connection->reset();
       continue;
     }
@@ -66,8 +83,18 @@
   }
 }
 
+asio::awaitable<void> FaultProxy::Implementation::wait_while_held(std::shared_ptr<ProxiedConnection> connection) {
+  auto self = shared_from_this();
+  asio::steady_timer timer(executor);
+  while (faults_of(connection->client_address).hold && connection->client.is_open()) {
+    timer.expires_after(kHoldCheckInterval);
+    co_await timer.async_wait(kAwait);
+  }
+}
+
 asio::awaitable<void> FaultProxy::Implementation::relay_connection(std::shared_ptr<ProxiedConnection> connection) {
   auto self = shared_from_this();
+  co_await wait_while_held(connection);
   const auto [host, port] = net::split_endpoint(upstream_endpoint);
   const tcp::endpoint endpoint(asio::ip::make_address(host), static_cast<uint16_t>(std::stoi(port)));
   auto [error] = co_await connection->upstream.async_connect(endpoint, kAwait);
@@ -75,7 +102,7 @@
     connection->reset();
     co_return;
   }
-  if (faults.duplicate_connect) {
+  if (faults_of(connection->client_address).duplicate_connect) {
     co_await connection->duplicate.async_connect(endpoint, kAwait);
   }
   boost::system::error_code ignored;
@@ -99,19 +126,22 @@
     if (error) {
       break;
     }
-    if (faults.delay.count() > 0) {
-      timer.expires_after(faults.delay);
+    co_await wait_while_held(connection);
+    const ProxyFaults current_faults = faults_of(connection->client_address);
+    if (current_faults.delay.count() > 0) {
+      timer.expires_after(current_faults.delay);
       co_await timer.async_wait(kAwait);
     }
-    if (faults.max_bytes_per_second > 0) {
-      timer.expires_after(std::chrono::microseconds(received_bytes * 1'000'000 / faults.max_bytes_per_second));
+    if (current_faults.max_bytes_per_second > 0) {
+      timer.expires_after(std::chrono::microseconds(received_bytes * 1'000'000 / current_faults.max_bytes_per_second));
       co_await timer.async_wait(kAwait);
     }
-    if (upstream ? faults.drop_upstream : faults.drop_downstream) {
+    if (upstream ? current_faults.drop_upstream : current_faults.drop_downstream) {
       stats.bytes_dropped += received_bytes;
       continue;
     }
-    const auto& byte_limit = upstream ? faults.reset_after_upstream_bytes : faults.reset_after_downstream_bytes;
+    const auto& byte_limit =
+        upstream ? current_faults.reset_after_upstream_bytes : current_faults.reset_after_downstream_bytes;
     const size_t allowed_bytes = byte_limit && sent + received_bytes > *byte_limit
                                      ? static_cast<size_t>(*byte_limit - std::min(*byte_limit, sent))
                                      : received_bytes;
@@ -155,6 +185,12 @@
 
 void FaultProxy::set_faults(const ProxyFaults& faults) { implementation_->faults = faults; }
 
+void FaultProxy::set_client_faults(const std::string& client, const ProxyFaults& faults) {
+  implementation_->client_faults[client] = faults;
+}
+
+void FaultProxy::clear_client_faults(const std::string& client) { implementation_->client_faults.erase(client); }
+
 void FaultProxy::reset_all() {
   const auto open_connections = std::move(implementation_->open_connections);
   implementation_->open_connections.clear();
@@ -163,6 +199,16 @@
   }
 }
 
+void FaultProxy::reset_client(const std::string& client) {
+  const auto is_from_client = [&client](const auto& connection) { return connection->client_address == client; };
+  for (const auto& connection : implementation_->open_connections) {
+    if (is_from_client(connection)) {
+      connection->reset();
+    }
+  }
+  std::erase_if(implementation_->open_connections, is_from_client);
+}
+
 const ProxyStats& FaultProxy::stats() const { return implementation_->stats; }
 
 }  // namespace larchlever::load
--- a/src/load/fault_proxy.h
+++ b/src/load/fault_proxy.h
@@ -3,6 +3,7 @@
 #include <boost/asio.hpp>
 #include <chrono>
 #include <cstdint>
+#include <map>
 #include <memory>
 #include <optional>
 #include <set>
@@ -19,6 +20,8 @@
   bool drop_downstream = false;
   /// Resets new connections at once.
   bool refuse_connections = false;
+  /// Holds data of both directions and new connections until this fault is cleared, as a partition of the network does.
+  bool hold = false;
   /// Resets the connection once this many bytes were sent in the given direction.
   std::optional<uint64_t> reset_after_upstream_bytes;
   std::optional<uint64_t> reset_after_downstream_bytes;
@@ -48,8 +51,13 @@
   std::string listen();
   void set_upstream(const std::string& endpoint);
   void set_faults(const ProxyFaults& faults);
+  /// Sets faults for connections from the IP address `client`, in place of those of `set_faults`.
+  void set_client_faults(const std::string& client, const ProxyFaults& faults);
+  void clear_client_faults(const std::string& client);
   /// Resets every open connection.
   void reset_all();
+  /// Resets every open connection from the IP address `client`.
+  void reset_client(const std::string& client);
   const ProxyStats& stats() const;
 
  private:
--- a/src/net/http_client.cc
+++ b/src/net/http_client.cc
@@ -90,7 +90,12 @@
 }  // namespace
 
 struct HttpClient::Implementation : std::enable_shared_from_this<HttpClient::Implementation> {
-  explicit Implementation(asio::any_io_executor given_executor) : executor(std::move(given_executor)) {}
+  Implementation(asio::any_io_executor given_executor, const std::string& given_local_address)
+      : executor(std::move(given_executor)) {
+    if (!given_local_address.empty()) {
+      local_address = asio::ip::make_address(given_local_address);
+    }
+  }
 
   std::unique_ptr<Connection> take_idle_connection(const std::string& endpoint) {
     auto& list = idle_connections[endpoint];
@@ -115,6 +120,7 @@
   }
 
   asio::any_io_executor executor;
+  std::optional<asio::ip::address> local_address;
   std::map<std::string, std::deque<std::unique_ptr<Connection>>> idle_connections;
   HttpClientStats stats;
 };
@@ -199,8 +205,8 @@
 
 }  // namespace
 
-HttpClient::HttpClient(asio::any_io_executor executor)
-    : implementation_(std::make_shared<Implementation>(std::move(executor))) {}
+HttpClient::HttpClient(asio::any_io_executor executor, const std::string& local_address)
+    : implementation_(std::make_shared<Implementation>(std::move(executor), local_address)) {}
 
 HttpClient::~HttpClient() = default;
 
@@ -229,6 +235,9 @@
       co_return result;
     }
     connection = std::make_unique<Connection>(self->executor);
+    if (self->local_address) {
+      connection->stream.bind_to(*self->local_address);
+    }
     connection->stream.expires_after(std::min(timeout, options.connect_timeout));
     drop_connection_on_cancel(options, *connection);
     const asio::ip::tcp::endpoint target(address, static_cast<uint16_t>(std::stoi(port)));
--- a/src/net/http_client.h
+++ b/src/net/http_client.h
@@ -89,7 +89,8 @@
 /// reference must outlive the call. Pass named objects: GCC 12 destroys some temporaries in co_await expressions twice.
 class HttpClient {
  public:
-  explicit HttpClient(boost::asio::any_io_executor executor);
+  /// If `local_address` is not empty, connections originate from this IP address.
+  explicit HttpClient(boost::asio::any_io_executor executor, const std::string& local_address = "");
   ~HttpClient();
   HttpClient(const HttpClient&) = delete;
   HttpClient& operator=(const HttpClient&) = delete;
--- a/src/net/listener_probe.cc
+++ b/src/net/listener_probe.cc
@@ -19,7 +19,8 @@
 
 }  // namespace
 
-asio::awaitable<ListenerState> probe_listener(const std::string& endpoint, std::chrono::milliseconds timeout) {
+asio::awaitable<ListenerState> probe_listener(const std::string& endpoint, std::chrono::milliseconds timeout,
+                                              const std::string& local_address) {
   const auto [host, port] = split_endpoint(endpoint);
   boost::system::error_code error;
   const auto address = asio::ip::make_address(host, error);
@@ -27,6 +28,9 @@
     co_return ListenerState::kUnknown;
   }
   TimedStream stream(co_await asio::this_coro::executor);
+  if (!local_address.empty()) {
+    stream.bind_to(asio::ip::make_address(local_address));
+  }
   stream.expires_after(timeout);
   const asio::ip::tcp::endpoint remote(address, static_cast<uint16_t>(std::stoi(port)));
   std::tie(error) = co_await stream.async_connect(remote, asio::as_tuple(asio::use_awaitable));
--- a/src/net/listener_probe.h
+++ b/src/net/listener_probe.h
@@ -19,7 +19,9 @@
 };
 
 /// Connects to `endpoint`, which is IP:PORT, sends nothing and checks for a short time whether the connection stays
-/// open. Takes at most `timeout` plus that time. `endpoint` must outlive the call.
-boost::asio::awaitable<ListenerState> probe_listener(const std::string& endpoint, std::chrono::milliseconds timeout);
+/// open. Takes at most `timeout` plus that time. If `local_address` is not empty, the connection originates from this
+/// IP address. `endpoint` and `local_address` must outlive the call.
+boost::asio::awaitable<ListenerState> probe_listener(const std::string& endpoint, std::chrono::milliseconds timeout,
+                                                     const std::string& local_address);
 
 }  // namespace larchlever::net
--- a/src/net/timed_stream.cc
+++ b/src/net/timed_stream.cc
@@ -76,6 +76,13 @@
 
 TimedStream::~TimedStream() { state_->close(); }
 
+void TimedStream::bind_to(const asio::ip::address& local_address) {
+  const asio::ip::tcp::endpoint local(local_address, 0);
+  ErrorCode ignored;  // A socket that could not be bound fails in `async_connect`.
+  state_->socket.open(local.protocol(), ignored);
+  state_->socket.bind(local, ignored);
+}
+
 void TimedStream::expires_after(std::chrono::milliseconds timeout) {
   state_->deadline = steady_clock::now() + timeout;
   state_->grace_end.reset();
--- a/src/net/timed_stream.h
+++ b/src/net/timed_stream.h
@@ -32,6 +32,8 @@
   executor_type get_executor() { return state_->socket.get_executor(); }
   boost::asio::ip::tcp::socket& socket() { return state_->socket; }
 
+  /// Makes connections originate from this local IP address. Call before `async_connect`.
+  void bind_to(const boost::asio::ip::address& local_address);
   /// Sets one deadline for all operations that follow, until the next call.
   void expires_after(std::chrono::milliseconds timeout);
   void expires_never();
--- a/src/node/blocked_request_guard.cc
+++ b/src/node/blocked_request_guard.cc
@@ -44,10 +44,11 @@
 }  // namespace
 
 BlockedRequestGuard::BlockedRequestGuard(asio::any_io_executor executor, EntryState& state,
-                                         SlotRequester& slot_requester)
+                                         SlotRequester& slot_requester, std::string outbound_address)
     : executor_(std::move(executor)),
       state_(state),
       slot_requester_(slot_requester),
+      outbound_address_(std::move(outbound_address)),
       alive_(std::make_shared<bool>(true)) {}
 
 asio::awaitable<bool> BlockedRequestGuard::may_retry_after_loss(RelayedRequest& request) {
@@ -123,7 +124,7 @@
     if (alive.expired()) {
       co_return;
     }
-    const auto state = co_await net::probe_listener(target.address, kProbeTimeout);
+    const auto state = co_await net::probe_listener(target.address, kProbeTimeout, outbound_address_);
     if (alive.expired()) {
       co_return;
     }
--- a/src/node/blocked_request_guard.h
+++ b/src/node/blocked_request_guard.h
@@ -19,7 +19,9 @@
 /// `fleet::CrashDetector` evaluates the results. Runs on one executor; not thread-safe.
 class BlockedRequestGuard {
  public:
-  BlockedRequestGuard(boost::asio::any_io_executor executor, EntryState& state, SlotRequester& slot_requester);
+  /// Probes originate from the local IP address `outbound_address` unless it is empty.
+  BlockedRequestGuard(boost::asio::any_io_executor executor, EntryState& state, SlotRequester& slot_requester,
+                      std::string outbound_address);
 
   /// Returns whether the request may be sent now. Asks the leader for permission when a trial of a blocked request is
   /// due.
@@ -47,6 +49,7 @@
   boost::asio::any_io_executor executor_;
   EntryState& state_;
   SlotRequester& slot_requester_;
+  std::string outbound_address_;
   fleet::CrashDetector lost_responses_;
   std::shared_ptr<bool> alive_;
 };
--- a/src/node/entry_process.cc
+++ b/src/node/entry_process.cc
@@ -75,7 +75,7 @@
         slot_requester_(executor, state_, [this](wire::Envelope envelope) { send(std::move(envelope)); }),
         lease_gate_(executor, state_),
         request_relay_(executor, *find_dialect(settings.dialect), state_, slot_requester_, lease_gate_,
-                       response_buffer_bytes(settings)),
+                       RequestRelay::Options{response_buffer_bytes(settings), settings.outbound_address}),
         caller_server_(executor, net::HttpServerOptions(), request_relay_),
         readiness_handler_([this] { return is_ready(); }),
         readiness_server_(executor, net::HttpServerOptions(), readiness_handler_) {}
--- a/src/node/request_relay.cc
+++ b/src/node/request_relay.cc
@@ -43,18 +43,18 @@
 }  // namespace
 
 RequestRelay::RequestRelay(asio::any_io_executor executor, const Dialect& dialect, EntryState& state,
-                           SlotRequester& slot_requester, LeaseGate& lease_gate, size_t response_buffer_bytes)
+                           SlotRequester& slot_requester, LeaseGate& lease_gate, const Options& options)
     : executor_(executor),
       dialect_(dialect),
       state_(state),
       slot_requester_(slot_requester),
       lease_gate_(lease_gate),
       completion_(state),
-      blocked_request_guard_(executor, state, slot_requester),
+      blocked_request_guard_(executor, state, slot_requester, options.outbound_address),
       in_flight_attempts_(state),
       target_finder_(executor, state, slot_requester),
-      client_(executor),
-      response_buffers_(response_buffer_bytes) {}
+      client_(executor, options.outbound_address),
+      response_buffers_(options.response_buffer_bytes) {}
 
 asio::awaitable<void> RequestRelay::handle(net::HttpExchange& exchange) {
   RelayedRequest request;
--- a/src/node/request_relay.h
+++ b/src/node/request_relay.h
@@ -27,9 +27,15 @@
 /// complete. Runs on one executor; not thread-safe.
 class RequestRelay : public net::HttpHandler {
  public:
-  /// `response_buffer_bytes` limits how many bytes of responses are buffered for callers that have not read them yet.
+  struct Options {
+    /// Limit on the bytes of responses that are buffered for callers that have not read them yet.
+    size_t response_buffer_bytes = 0;
+    /// Local IP address from which servers are connected to; empty lets the operating system choose.
+    std::string outbound_address;
+  };
+
   RequestRelay(boost::asio::any_io_executor executor, const Dialect& dialect, EntryState& state,
-               SlotRequester& slot_requester, LeaseGate& lease_gate, size_t response_buffer_bytes);
+               SlotRequester& slot_requester, LeaseGate& lease_gate, const Options& options);
 
   boost::asio::awaitable<void> handle(net::HttpExchange& exchange) override;
   /// Attempts in flight, so that those that cannot complete can be cancelled.
--- a/src/node/target_finder.cc
+++ b/src/node/target_finder.cc
@@ -79,8 +79,7 @@
   return Refusal{http_status::kServiceUnavailable, "all servers asked for rest", *first_available_at - now};
 }
 
-wire::SlotRequest TargetFinder::make_slot_request(RelayedRequest& request, TimePoint now,
-                                                  TimePoint wait_until) const {
+wire::SlotRequest TargetFinder::make_slot_request(RelayedRequest& request, TimePoint now, TimePoint wait_until) const {
   wire::SlotRequest slot_request;
   slot_request.service_name = request.service->name;
   slot_request.model = request.model;
--- a/src/settings/fleet_settings.cc
+++ b/src/settings/fleet_settings.cc
@@ -47,6 +47,11 @@
   settings.ready_address = node_section.read_address("ready_address", is_entry);
   settings.control_address = node_section.read_address("control_address", !is_entry);
   settings.metrics_address = node_section.read_address("metrics_address", false);
+  settings.outbound_address = node_section.read_string("outbound_address", "");
+  if (!settings.outbound_address.empty() && !is_ip_endpoint(settings.outbound_address + ":0")) {
+    node_section.add_error("outbound_address", settings.outbound_address,
+                           "not an IP address; use one of this machine's own, without a port");
+  }
   settings.data_folder = node_section.read_string("data_folder", "");
   settings.dialect = node_section.read_string("dialect", settings.dialect);
   settings.answer_buffer_bytes =
--- a/src/settings/fleet_settings.h
+++ b/src/settings/fleet_settings.h
@@ -23,6 +23,8 @@
   /// Listen address for calls from instances and operators; control replicas only.
   std::string control_address;
   std::string metrics_address;
+  /// Local IP address from which an entry connects to servers; empty lets the operating system choose.
+  std::string outbound_address;
   std::string data_folder;
   /// Control addresses of the configured seed replicas, and their peer addresses: the same hosts with `peer_port`.
   std::vector<std::string> seed_control_addresses;
