--- a/tests/integration/fleet_node_processes.cc
+++ b/tests/integration/fleet_node_processes.cc
@@ -61,6 +61,14 @@
                                     {"priority", 1},       {"service", "engines"},   {"max_attempts", 2},
                                     {"public", true},      {"sticky", true},         {"resumable", true},
                                     {"target_gap_ms", 300}};
+  auto orders_route = forms_route;
+  orders_route.as_object()["name"] = "orders";
+  orders_route.as_object()["host"] = "orders.example";
+  orders_route.as_object()["type"] = "non_idempotent";
+  auto office_route = forms_route;
+  office_route.as_object()["name"] = "office-forms";
+  office_route.as_object()["host"] = "office.example";
+  office_route.as_object()["public"] = false;
   auto region_bound_forms_route = forms_route;
   region_bound_forms_route.as_object()["name"] = "forms-at-home";
   region_bound_forms_route.as_object()["host"] = "forms-north.example";
@@ -80,7 +88,8 @@
                               {"form_ms", 100}};
   return json::serialize(
       json::value{{"version", version},
-                  {"routes", json::array{forms_route, engine_route, region_bound_forms_route, region_bound_chat_route}},
+                  {"routes", json::array{forms_route, orders_route, office_route, engine_route,
+                                         region_bound_forms_route, region_bound_chat_route}},
                   {"services",
                    {{{"name", "forms"}, {"health_path", "/healthz"}, {"max_connections", 100}},
                     {{"name", "engines"}, {"health_path", "/healthz"}, {"max_connections", 100}, {"engine", engine}}}},
@@ -89,7 +98,7 @@
                     {"max_body_bytes", 4194304},
                     {"header_timeout_ms", 3000},
                     {"idle_timeout_ms", 15000}}},
-                  {"tenants", json::array()}});
+                  {"tenants", {{{"name", "office"}, {"api_keys", json::array{FleetNodeProcesses::kOfficeKey}}}}}});
 }
 
 std::vector<std::string> numbered_names(char prefix, int count) {
@@ -170,6 +179,7 @@
   } else {
     text << "role = entry\ncaller_address = " << caller_endpoint(node)
          << "\nready_address = " << with_port(address(node), kReadyPort) << "\n"
+         << (options_.binds_entries_to_own_address ? "outbound_address = " + address(node) + "\n" : "")
          << options_.entry_settings;
   }
   text << "[cluster]\nseeds = ";
--- a/tests/integration/fleet_node_processes.h
+++ b/tests/integration/fleet_node_processes.h
@@ -21,6 +21,8 @@
   int tolerated_losses = 2;
   /// Further lines of the section `node` in the settings of entries.
   std::string entry_settings;
+  /// Entries connect to servers from their own address, so that a proxy can tell them apart.
+  bool binds_entries_to_own_address = false;
   /// Timeout of the route to the plain service `forms`.
   std::chrono::milliseconds forms_timeout{4000};
 };
@@ -32,6 +34,8 @@
  public:
   /// Version of the configuration document that `start_serving` sends.
   static constexpr int64_t kFirstDocumentVersion = 7;
+  /// API key of the tenant `office`, which only the route to `office.example` requires.
+  static constexpr const char* kOfficeKey = "office-key";
 
   explicit FleetNodeProcesses(const FleetNodeOptions& options);
   ~FleetNodeProcesses();
--- a/tests/integration/forms_server.h
+++ b/tests/integration/forms_server.h
@@ -36,6 +36,10 @@
   ~FormsServer() override { destroy_server_on_client_thread(client_, server_); }
 
   boost::asio::awaitable<void> handle(net::HttpExchange& exchange) override {
+    if (exchange.request().path() == kHealthPath) {
+      co_await exchange.respond(net::HttpResponse());
+      co_return;
+    }
     const auto& dialect = *node::find_dialect("larchlever");
     const std::string request_id(exchange.request().headers.find(dialect.request_id_header));
     const std::string retry_after_header = current_retry_after();
@@ -82,6 +86,8 @@
   static constexpr size_t kLargeBodyBytes = 400'000;
 
  private:
+  /// `health_path` of the service. Health checks are not recorded as arrivals.
+  static constexpr const char* kHealthPath = "/healthz";
   static constexpr const char* kLeavingHeader = "Larchlever-Leaving";
 
   std::string current_retry_after() {
--- a/tests/integration/registered_engines.cc
+++ b/tests/integration/registered_engines.cc
@@ -200,6 +200,9 @@
     next_report_ = now + engines_.options_.heartbeat_interval;
     auto instance = instance_.take_report();
     instance.zone = zone_;
+    if (engines_.options_.reported_address) {
+      instance.address = engines_.options_.reported_address(instance.address);
+    }
     const int64_t cold_left_ms = std::max<int64_t>(0, (cold_until_ - now) / std::chrono::milliseconds(1));
     if (!engines_.options_.keeps_id_on_restart) {
       return registration_body(instance, 8, cold_left_ms, std::nullopt);
--- a/tests/integration/registered_engines.h
+++ b/tests/integration/registered_engines.h
@@ -3,6 +3,7 @@
 #include <atomic>
 #include <chrono>
 #include <cstdint>
+#include <functional>
 #include <memory>
 #include <mutex>
 #include <set>
@@ -43,6 +44,9 @@
     bool keeps_id_on_restart = false;
     /// Zones assigned to the domains in turn.
     std::vector<std::string> zones = {"a"};
+    /// Returns the address that a server reports instead of the one that it listens on, such as that of a proxy. May be
+    /// empty.
+    std::function<std::string(const std::string& listen_address)> reported_address;
   };
 
   using Timestamp = std::chrono::steady_clock::time_point;
