--- a/src/core/fleet/dispatcher.cc
+++ b/src/core/fleet/dispatcher.cc
@@ -67,6 +67,11 @@
     }
   }
   groups_ = state.groups;
+  std::set<std::string> addresses;
+  for (const auto& instance : state.instances) {
+    addresses.insert(instance.address);
+  }
+  links_.retain_servers(addresses);
   remove_unknown_targets();
   remove_unlimited_servers();
   return restarted_keys;
@@ -120,7 +125,7 @@
     const auto health = health_.find(group.name);
     const bool is_overdue =
         health != health_.end() && health->second.is_overdue(now, longest_pause(group.service_name, group.model));
-    if (is_overdue) {
+    if (is_overdue && !links_.are_all_silent_since(health->second.last_progress())) {
       result.push_back(group.name);
     }
   }
@@ -236,7 +241,8 @@
           head.address,
           in_flight,
           incarnation_name(head),
-          group_zones(group, head)};
+          group_zones(group, head),
+          {head.address, head.zone}};
 }
 
 size_t Dispatcher::cheapest_of_sample(const document::ServiceSpec& service, const RequestRequirements& requirements,
@@ -286,7 +292,8 @@
   std::vector<OpenGroup> quiet;
   for (const auto& group : groups_) {
     const auto* head = available_head(group, service.name, requirements.model);
-    if (head == nullptr || excluded.contains(group.name) || !is_in_allowed_zones(requirements, group, *head)) {
+    if (head == nullptr || excluded.contains(group.name) || is_out_of_reach(*head) ||
+        !is_in_allowed_zones(requirements, group, *head)) {
       continue;
     }
     const TargetHealth& health = health_[group.name];
@@ -401,6 +408,52 @@
   return result;
 }
 
+bool Dispatcher::are_all_links_lost(const std::string& service, const std::string& model,
+                                    const std::set<std::string>* allowed_zones) const {
+  if (!links_.has_lost_links()) {
+    return false;  // Fast path, because this is called for each request.
+  }
+  bool has_server = false;
+  for (const auto* server : available_servers(service, model)) {
+    if (allowed_zones != nullptr && !allowed_zones->contains(server->zone)) {
+      continue;
+    }
+    if (!links_.is_lost({server->address, server->zone})) {
+      return false;
+    }
+    has_server = true;
+  }
+  return has_server;
+}
+
+bool Dispatcher::is_any_link_lost(const std::string& service, const std::string& model) const {
+  const auto servers =
+      links_.has_lost_links() ? available_servers(service, model) : std::vector<const wire::Instance*>();
+  return std::any_of(servers.begin(), servers.end(), [this](const auto* server) {
+    return links_.is_lost({server->address, server->zone});
+  });
+}
+
+std::string Dispatcher::service_at(const std::string& address) const {
+  const auto found = std::find_if(instances_.begin(), instances_.end(),
+                                  [&address](const auto& item) { return item.second.address == address; });
+  return found == instances_.end() ? std::string() : found->second.service_name;
+}
+
+void Dispatcher::forgive_failures(const std::string& address) {
+  for (const auto& [id, instance] : instances_) {
+    if (instance.address != address) {
+      continue;
+    }
+    health_[incarnation_name(instance)].avoid_until(TimePoint::min());
+    for (const auto& group : groups_) {
+      if (group.members.front() == id) {
+        health_[group.name].avoid_until(TimePoint::min());
+      }
+    }
+  }
+}
+
 std::optional<TimePoint> Dispatcher::all_backing_off_until(TimePoint now, const std::string& service,
                                                            const std::string& model) const {
   if (notices_.size() == 0) {
@@ -420,7 +473,7 @@
   });
   const auto* head =
       matching_group == groups_.end() ? nullptr : find_available_instance(matching_group->members.front());
-  if (head == nullptr || health_[group].is_avoided(now)) {
+  if (head == nullptr || is_out_of_reach(*head) || health_[group].is_avoided(now)) {
     return std::nullopt;
   }
   return make_target(*matching_group, *head);
@@ -437,9 +490,12 @@
     }
     const auto health = health_.find(group.name);
     const bool is_suspect =
-        health != health_.end() && (health->second.is_avoided(now) || health->second.is_quiet(now, pause));
+        health != health_.end() &&
+        (health->second.is_avoided(now) ||
+         (health->second.is_quiet(now, pause) && !links_.are_all_silent_since(health->second.last_progress())));
     const auto* head = find_available_instance(group.members.front());
-    const bool refuses_requests = head != nullptr && !notices_.may_send(now, incarnation_name(*head));
+    const bool refuses_requests =
+        head != nullptr && (is_out_of_reach(*head) || !notices_.may_send(now, incarnation_name(*head)));
     if (is_suspect || refuses_requests) {
       result.push_back(group.name);
     }
@@ -574,8 +630,12 @@
   for (const auto& group : groups_) {
     const auto health = health_.find(group.name);
     if (health != health_.end() && health->second.is_avoided(now)) {
+      const auto* head = find_available_instance(group.members.front());
       wire::GroupFailure failure;
       failure.group = group.name;
+      if (head != nullptr && links_.explains_failure(now, {head->address, head->zone})) {
+        failure.__set_is_own_link_suspected(true);
+      }
       result.push_back(std::move(failure));
     }
   }
--- a/src/core/fleet/dispatcher.h
+++ b/src/core/fleet/dispatcher.h
@@ -16,6 +16,7 @@
 #include "core/fleet/fleet_options.h"
 #include "core/fleet/rate_shares.h"
 #include "core/fleet/server_limits.h"
+#include "core/fleet/server_links.h"
 #include "core/fleet/server_notices.h"
 #include "core/fleet/target_health.h"
 #include "larchlever_types.h"
@@ -38,6 +39,10 @@
   std::string incarnation = {};
   /// Zones of the servers that process the request.
   std::vector<std::string> zones = {};
+  /// The server that the request is sent to, as the end of a link.
+  LinkedServer server = {};
+  /// Another entry, which relays the request to a server of its choice. `address` is its relay address.
+  bool is_relay_peer = false;
 };
 
 /// Requirements of a request. Plain services ignore model, latency and tokens.
@@ -86,6 +91,21 @@
   /// Updates the zones whose servers get no requests.
   void update_evacuations(const wire::ZoneEvacuations& evacuations) { evacuations_ = evacuations; }
   void set_serving_nodes(int count) { serving_nodes_ = count < 1 ? 1 : count; }
+  /// The links between this entry and the servers.
+  ServerLinks& links() { return links_; }
+  const ServerLinks& links() const { return links_; }
+  /// Whether other entries can relay requests. If so, servers whose links are lost are not chosen.
+  void set_relay_available(bool is_available) { is_relay_available_ = is_available; }
+  /// Whether this entry has servers for the model but reaches none of them; the model is empty for plain services. If
+  /// `allowed_zones` is not null, only servers in these zones count.
+  bool are_all_links_lost(const std::string& service, const std::string& model,
+                          const std::set<std::string>* allowed_zones) const;
+  /// Whether the link to any server of the model is lost.
+  bool is_any_link_lost(const std::string& service, const std::string& model) const;
+  /// The service of the server at this address; empty if there is none.
+  std::string service_at(const std::string& address) const;
+  /// Targets at these addresses are used again at once, although requests failed there.
+  void forgive_failures(const std::string& address);
 
   /// Chooses one of the services of the route at random, by weight.
   const std::string& choose_service(const document::Route& route);
@@ -211,6 +231,10 @@
   double request_rate_limit(const document::ServiceSpec& service, const wire::Instance& instance,
                             const std::string& incarnation) const;
   void note_rate_limited_attempt(TimePoint now, const document::ServiceSpec& service, const wire::Instance& instance);
+  /// The link to the server is lost, and other entries can relay requests to it.
+  bool is_out_of_reach(const wire::Instance& instance) const {
+    return is_relay_available_ && links_.is_lost({instance.address, instance.zone});
+  }
   /// Available servers of a service; heads of open groups if a model is given.
   std::vector<const wire::Instance*> available_servers(const std::string& service, const std::string& model) const;
   /// An open group and its head.
@@ -260,6 +284,8 @@
   int serving_nodes_ = 1;
   std::map<std::string, wire::Instance> instances_;
   std::vector<wire::EngineGroup> groups_;
+  ServerLinks links_;
+  bool is_relay_available_ = false;
   ServerNotices notices_;
   ServerLimits observed_limits_;
   /// Rate limits published by the leader, from the reports of all entries, by incarnation.
--- a/src/core/fleet/dispatcher_rates.cc
+++ b/src/core/fleet/dispatcher_rates.cc
@@ -19,7 +19,8 @@
   for (const auto& [id, instance] : instances_) {
     const bool is_in_allowed_zones =
         requirements.allowed_zones == nullptr || requirements.allowed_zones->contains(instance.zone);
-    const bool is_eligible = instance.service_name == service.name && is_available(instance) && is_in_allowed_zones;
+    const bool is_eligible = instance.service_name == service.name && is_available(instance) && is_in_allowed_zones &&
+                             !is_out_of_reach(instance);
     if (!is_eligible) {
       continue;
     }
@@ -45,7 +46,7 @@
   const auto& instance = *candidate.instance;
   return {candidate.incarnation, instance.service_name, "",
           instance.id,           instance.address,      health_[candidate.incarnation].in_flight(),
-          candidate.incarnation, {instance.zone}};
+          candidate.incarnation, {instance.zone},       {instance.address, instance.zone}};
 }
 
 DispatchDecision Dispatcher::choose_by_local_share(TimePoint now, const document::ServiceSpec& service,
--- a/src/core/fleet/entry_distributor.cc
+++ b/src/core/fleet/entry_distributor.cc
@@ -1,11 +1,22 @@
 #include "core/fleet/entry_distributor.h"
 
+#include <algorithm>
 #include <utility>
 
 #include "core/fleet/entry_view.h"
+#include "core/fleet/relay_peers.h"
 
 namespace larchlever::fleet {
 
+namespace {
+
+/// Relay peers that one entry is told of. They are repeated with each answer, so that an entry always has current ones.
+constexpr size_t kRelayPeersPerEntry = 8;
+/// Relay peers of one replica that the other replicas are told of.
+constexpr size_t kSharedRelayPeers = 16;
+
+}  // namespace
+
 void EntryDistributor::publish_state(const wire::FleetState& state) {
   const std::pair state_version(state.term, state.version);
   if (state_version <= published_version_) {
@@ -34,6 +45,25 @@
   return update;
 }
 
+std::vector<wire::RelayPeer> EntryDistributor::relay_peers_to_share(TimePoint now, const std::string& replica) const {
+  return select_relay_peers(subscribers_.relay_peers(now), replica, "", kSharedRelayPeers);
+}
+
+std::vector<wire::RelayPeer> EntryDistributor::relay_peers_for(TimePoint now, const wire::Envelope& heartbeat,
+                                                               const FleetSubscription& subscription) const {
+  auto candidates = subscribers_.relay_peers(now);
+  for (const auto& peer : subscription.relay_peers()) {
+    const bool is_known = std::any_of(candidates.begin(), candidates.end(),
+                                      [&peer](const auto& known) { return known.address == peer.address; });
+    if (!is_known) {
+      candidates.push_back(peer);
+    }
+  }
+  const auto& report = heartbeat.fleet_heartbeat;
+  std::erase_if(candidates, [&report](const auto& peer) { return peer.address == report.relay_address; });
+  return select_relay_peers(candidates, heartbeat.from_node, report.zone, kRelayPeersPerEntry);
+}
+
 void EntryDistributor::send(const std::string& node, wire::FleetUpdate update) {
   wire::Envelope envelope;
   envelope.to_node = node;
@@ -51,6 +81,7 @@
   auto update = make_update(now, envelope.from_node, source);
   update.sequence = envelope.fleet_heartbeat.sequence;
   update.control_peers = source.control_peers;
+  update.__set_relay_peers(relay_peers_for(now, envelope, source.subscription));
   if (envelope.fleet_heartbeat.wants_loads) {
     update.loads = source.subscription.loads();
   }
--- a/src/core/fleet/entry_distributor.h
+++ b/src/core/fleet/entry_distributor.h
@@ -39,6 +39,8 @@
   /// This process was suspended for `pause` until now, so that time does not count towards the entries' timeouts.
   void note_own_pause(TimePoint now, Duration pause) { subscribers_.note_own_pause(now, pause); }
   int serving_entries(TimePoint now) const { return subscribers_.serving_count(now); }
+  /// Entries of this replica that relay requests, as far as the other replicas are told of them.
+  std::vector<wire::RelayPeer> relay_peers_to_share(TimePoint now, const std::string& replica) const;
   /// The newest version of the source's term that every live entry holds.
   int64_t entries_hold_version(TimePoint now) const { return subscribers_.newest_version_held_by_all(now); }
   std::vector<wire::Envelope> take_envelopes();
@@ -46,6 +48,9 @@
  private:
   void publish_state(const wire::FleetState& state);
   wire::FleetUpdate make_update(TimePoint now, const std::string& node, const DistributorSource& source);
+  /// Entries that may relay requests for the sender of a heartbeat: entries of this replica and of others.
+  std::vector<wire::RelayPeer> relay_peers_for(TimePoint now, const wire::Envelope& heartbeat,
+                                               const FleetSubscription& subscription) const;
   void send(const std::string& node, wire::FleetUpdate update);
 
   SubscriberTable subscribers_;
--- a/src/core/fleet/entry_reports.cc
+++ b/src/core/fleet/entry_reports.cc
@@ -45,7 +45,9 @@
     }
   }
   for (const auto& failure : report.failures) {
-    failure_reports_[failure.group][envelope.from_node] = now;
+    if (!failure.is_own_link_suspected) {
+      failure_reports_[failure.group][envelope.from_node] = now;
+    }
   }
   return is_new_incarnation;
 }
--- a/src/core/fleet/fleet_controller.cc
+++ b/src/core/fleet/fleet_controller.cc
@@ -16,6 +16,8 @@
 constexpr Duration kLeadershipTransferRetryInterval = milliseconds(300);
 /// How often entries with unconfirmed updates are checked.
 constexpr Duration kEntryPushInterval = milliseconds(100);
+/// How often the leader is told which entries relay requests.
+constexpr Duration kRelayPeerInterval = seconds(1);
 /// A replica without an answer from the leader for longer than this may be partitioned from it. It then rejects
 /// heartbeats of instances, so that they report to another replica before the leader considers them silent.
 constexpr int64_t kMaxLeaderSilenceMs = 1000;
@@ -111,7 +113,13 @@
   content.leaving = is_leaving_;
   content.serving_entries = entry_distributor_.serving_entries(now);
   content.entries_hold_version = entry_distributor_.entries_hold_version(now);
+  if (now >= next_relay_peers_) {
+    content.__set_relay_peers(entry_distributor_.relay_peers_to_share(now, identity_.peer_address));
+  }
   if (auto heartbeat = subscription_.tick(now, content)) {
+    if (content.__isset.relay_peers) {
+      next_relay_peers_ = now + kRelayPeerInterval;
+    }
     send(std::move(*heartbeat));
   }
   send_pending_calls(now);
--- a/src/core/fleet/fleet_controller.h
+++ b/src/core/fleet/fleet_controller.h
@@ -144,6 +144,7 @@
   bool is_leaving_ = false;
   TimePoint next_leadership_transfer_ = TimePoint::min();
   TimePoint next_entry_push_ = TimePoint::min();
+  TimePoint next_relay_peers_ = TimePoint::min();
   int64_t next_call_id_ = 1;
   std::map<int64_t, PendingCall> pending_calls_;
   consensus::ReplicaRoutes replica_routes_;
--- a/src/core/fleet/fleet_leader.cc
+++ b/src/core/fleet/fleet_leader.cc
@@ -16,6 +16,8 @@
 constexpr Duration kPushInterval = milliseconds(40);
 /// How often the loads of all entries are summed.
 constexpr Duration kLoadUpdateInterval = milliseconds(100);
+/// How often a control replica is told which entries relay requests. They change as seldom as entries come and go.
+constexpr Duration kRelayPeerInterval = seconds(1);
 
 }  // namespace
 
@@ -75,6 +77,9 @@
   entries.term = report.held_term;
   entries.version = report.entries_hold_version;
   entries.serving_count = report.serving_entries;
+  if (report.__isset.relay_peers) {
+    entries.relay_peers = report.relay_peers;
+  }
   if (report.__isset.held_state && is_recovering_state(now)) {
     merge_state_copy(now, report.held_state);
   }
@@ -160,6 +165,7 @@
     update.loads.push_back(load);
   }
   update.serving_nodes = serving_entries(now);
+  add_relay_peers(now, node, update);
   outputs_.envelopes.push_back(std::move(envelope));
 }
 
@@ -189,6 +195,22 @@
   return count;
 }
 
+void FleetLeader::add_relay_peers(TimePoint now, const std::string& node, wire::FleetUpdate& update) {
+  EntrySubscribers& receiver = entry_subscribers_[node];
+  if (now < receiver.next_relay_peers) {
+    return;
+  }
+  receiver.next_relay_peers = now + kRelayPeerInterval;
+  update.__isset.relay_peers = true;
+  for (const auto& replica : control_subscribers_.live_nodes(now)) {
+    const auto entries = entry_subscribers_.find(replica);
+    if (entries != entry_subscribers_.end()) {
+      update.relay_peers.insert(update.relay_peers.end(), entries->second.relay_peers.begin(),
+                                entries->second.relay_peers.end());
+    }
+  }
+}
+
 void FleetLeader::push_updates(TimePoint now, const consensus::RaftNode& raft, const FleetLog& log) {
   if (!is_recovering_state(now)) {
     publish_state();
--- a/src/core/fleet/fleet_leader.h
+++ b/src/core/fleet/fleet_leader.h
@@ -92,6 +92,9 @@
     /// The newest state version of `term` that all of them hold.
     int64_t version = 0;
     int serving_count = 0;
+    std::vector<wire::RelayPeer> relay_peers;
+    /// When the replica is next sent the relay peers of all replicas.
+    TimePoint next_relay_peers = TimePoint::min();
   };
   /// A call that is answered once every live node has confirmed state `version`.
   struct UnconfirmedCall {
@@ -133,6 +136,8 @@
   void publish_state();
   bool may_send_state_to(TimePoint now, const std::string& node) const;
   int serving_entries(TimePoint now) const;
+  /// Adds the relay peers of all live replicas to the update if they are due.
+  void add_relay_peers(TimePoint now, const std::string& node, wire::FleetUpdate& update);
   /// All live control replicas and the entries that subscribe to them hold state `version`.
   bool is_held_by_all(TimePoint now, int64_t version) const;
   void push_updates(TimePoint now, const consensus::RaftNode& raft, const FleetLog& log);
--- a/src/core/fleet/fleet_subscription.cc
+++ b/src/core/fleet/fleet_subscription.cc
@@ -224,6 +224,9 @@
     loads_ = update.loads;
   }
   update_serving_nodes(now, update.serving_nodes);
+  if (update.__isset.relay_peers) {
+    relay_peers_ = update.relay_peers;
+  }
   attach_state_ = update.wants_state && state_.term > 0;
   const bool changed = apply_content(update);
   extend_lease(update);
--- a/src/core/fleet/fleet_subscription.h
+++ b/src/core/fleet/fleet_subscription.h
@@ -61,6 +61,8 @@
   const wire::FleetState& state() const { return state_; }
   const std::vector<wire::GroupLoad>& loads() const { return loads_; }
   int serving_nodes() const { return serving_nodes_; }
+  /// Entries that relay requests, as last received.
+  const std::vector<wire::RelayPeer>& relay_peers() const { return relay_peers_; }
   /// Peer address of the last known leader. While a control replica searches for the leader, the replica it tries now.
   const std::string& leader() const { return leader_; }
   const std::vector<wire::ControlPeer>& peers() const { return peers_.all(); }
@@ -106,6 +108,7 @@
   wire::ZoneEvacuations evacuations_;
   wire::FleetState state_;
   std::vector<wire::GroupLoad> loads_;
+  std::vector<wire::RelayPeer> relay_peers_;
   int serving_nodes_ = 1;
   TimePoint serving_nodes_updated_at_ = TimePoint::min();
 };
--- a/src/core/fleet/subscriber_table.cc
+++ b/src/core/fleet/subscriber_table.cc
@@ -44,6 +44,9 @@
   }
   subscriber.last_heartbeat = now;
   subscriber.serves_requests = report.serves_requests && !report.leaving;
+  subscriber.zone = report.zone;
+  const bool can_relay = report.__isset.relay_address && !report.leaving && !report.reaches_no_server;
+  subscriber.relay_address = can_relay ? report.relay_address : "";
   subscriber.held_revisions = {report.document_version, report.evacuation_revision};
   subscriber.held_state_version = {report.held_term, report.held_version};
   std::erase_if(subscribers_,
@@ -149,6 +152,19 @@
   }));
 }
 
+std::vector<wire::RelayPeer> SubscriberTable::relay_peers(TimePoint now) const {
+  std::vector<wire::RelayPeer> result;
+  for (const auto& [node, subscriber] : subscribers_) {
+    if (subscriber.serves_requests && !subscriber.relay_address.empty() && is_live(now, subscriber)) {
+      wire::RelayPeer peer;
+      peer.address = subscriber.relay_address;
+      peer.zone = subscriber.zone;
+      result.push_back(std::move(peer));
+    }
+  }
+  return result;
+}
+
 bool SubscriberTable::is_held_by_all(TimePoint now, int64_t version) const {
   return std::all_of(subscribers_.begin(), subscribers_.end(), [&](const auto& item) {
     return !is_live(now, item.second) || newest_equal_version(item.second) >= version;
--- a/src/core/fleet/subscriber_table.h
+++ b/src/core/fleet/subscriber_table.h
@@ -61,6 +61,8 @@
   StateVersion held_state_version(const std::string& node) const;
   /// Number of live nodes that serve callers' requests.
   int serving_count(TimePoint now) const;
+  /// Live nodes that relay requests of other entries.
+  std::vector<wire::RelayPeer> relay_peers(TimePoint now) const;
 
   /// Every live node holds `version` or a later one; a copy whose rows equal `version` counts as holding it.
   bool is_held_by_all(TimePoint now, int64_t version) const;
@@ -74,6 +76,9 @@
     Incarnation incarnation;
     TimePoint last_heartbeat{};
     bool serves_requests = false;
+    std::string zone;
+    /// Empty if it relays no requests at present.
+    std::string relay_address;
     LogRevisions held_revisions;
     StateVersion held_state_version{0, 0};
     /// The versions last sent to it, and when.
--- a/src/net/http_client.cc
+++ b/src/net/http_client.cc
@@ -210,6 +210,10 @@
 
 HttpClient::~HttpClient() = default;
 
+void HttpClient::close_idle_connections(const std::string& endpoint) {
+  implementation_->idle_connections.erase(endpoint);
+}
+
 const HttpClientStats& HttpClient::stats() const { return implementation_->stats; }
 
 asio::awaitable<OpenResult> HttpClient::open(const std::string& endpoint, const HttpRequest& request,
--- a/src/net/http_client.h
+++ b/src/net/http_client.h
@@ -101,6 +101,8 @@
   /// Sends a request and returns once the response head is received.
   boost::asio::awaitable<OpenResult> open(const std::string& endpoint, const HttpRequest& request,
                                           const OpenOptions& options);
+  /// Closes the idle connections to the endpoint.
+  void close_idle_connections(const std::string& endpoint);
   const HttpClientStats& stats() const;
 
  private:
--- a/src/node/blocked_request_guard.cc
+++ b/src/node/blocked_request_guard.cc
@@ -109,6 +109,9 @@
 }
 
 void BlockedRequestGuard::note_lost_response(RelayedRequest& request, const fleet::DispatchTarget& target) {
+  if (state_.dispatcher.links().explains_failure(monotonic_now(), target.server)) {
+    return;
+  }
   request.lost_response_incarnation = target.incarnation;
   if (lost_responses_.note_lost_response(monotonic_now(), target.incarnation, request.fingerprint)) {
     asio::co_spawn(executor_, probe_until_resolved(target), asio::detached);
@@ -131,12 +134,21 @@
     const TimePoint now = monotonic_now();
     if (const auto ended = lost_responses_.note_probe(now, target.incarnation, to_look(state))) {
       state_.dispatcher.avoid_target(now, target.key);
-      record_ended_server(target.incarnation, *ended);
+      record_end_seen_here(target, *ended);
     }
   }
   if (const auto ended = lost_responses_.take_suspected_crash(target.incarnation)) {
-    record_ended_server(target.incarnation, *ended);
+    record_end_seen_here(target, *ended);
+  }
+}
+
+void BlockedRequestGuard::record_end_seen_here(const fleet::DispatchTarget& target, const fleet::CrashedServer& ended) {
+  if (state_.dispatcher.links().explains_failure(monotonic_now(), target.server)) {
+    log_event("", "server_end_not_counted",
+              {{"instance", target.incarnation}, {"reason", "links of this node are lost"}});
+    return;
   }
+  record_ended_server(target.incarnation, ended);
 }
 
 void BlockedRequestGuard::note_server_restarted(const std::string& incarnation) {
--- a/src/node/dialect.h
+++ b/src/node/dialect.h
@@ -29,6 +29,8 @@
   /// Rate limit of the server in requests per second, shared by all entries. Present in all responses while the limit
   /// applies.
   std::string limit_header = "Larchlever-Limit";
+  /// Path at which engines describe their state, without using a slot.
+  std::string engine_report_path = "/engine/report";
   /// Path at which engines accept orders.
   std::string engine_order_path = "/engine/orders";
   /// Name of the order that loads a model onto a host without joining a group.
--- a/src/node/entry_process.cc
+++ b/src/node/entry_process.cc
@@ -11,6 +11,7 @@
 #include "node/clock.h"
 #include "node/fleet_process.h"
 #include "node/leader_search_logger.h"
+#include "node/link_prober.h"
 #include "node/logging.h"
 #include "node/request_relay.h"
 
@@ -62,6 +63,17 @@
   std::function<bool()> is_ready_;
 };
 
+/// Passes requests that other entries received from their callers to the relay.
+class PeerRequestHandler : public net::HttpHandler {
+ public:
+  explicit PeerRequestHandler(RequestRelay& relay) : relay_(relay) {}
+
+  asio::awaitable<void> handle(net::HttpExchange& exchange) override { co_await relay_.handle_for_peer(exchange); }
+
+ private:
+  RequestRelay& relay_;
+};
+
 /// Serves callers, and keeps its copy of the configuration and fleet state up to date through the subscription.
 class EntryProcess : public FleetProcess {
  public:
@@ -75,15 +87,23 @@
         slot_requester_(executor, state_, [this](wire::Envelope envelope) { send(std::move(envelope)); }),
         lease_gate_(executor, state_),
         request_relay_(executor, *find_dialect(settings.dialect), state_, slot_requester_, lease_gate_,
-                       RequestRelay::Options{response_buffer_bytes(settings), settings.outbound_address}),
+                       RequestRelay::Options{response_buffer_bytes(settings), settings.outbound_address,
+                                             settings.peer_address, !settings.relay_address.empty()}),
+        link_prober_(executor, *find_dialect(settings.dialect), state_, request_relay_.client(),
+                     request_relay_.in_flight_attempts()),
+        relay_handler_(request_relay_),
+        relay_server_(executor, net::HttpServerOptions(), relay_handler_),
         caller_server_(executor, net::HttpServerOptions(), request_relay_),
         readiness_handler_([this] { return is_ready(); }),
-        readiness_server_(executor, net::HttpServerOptions(), readiness_handler_) {}
+        readiness_server_(executor, net::HttpServerOptions(), readiness_handler_) {
+    state_.dispatcher.set_relay_available(!settings.relay_address.empty());
+  }
   ~EntryProcess() override { stop(); }
 
   bool start(std::string& error) override {
     const auto [host, port] = net::split_endpoint(settings_.peer_address);
     if (!transport_.listen(host, static_cast<uint16_t>(std::stoi(port)), error) ||
+        (!settings_.relay_address.empty() && !net::listen_on(relay_server_, settings_.relay_address, error)) ||
         !net::listen_on(caller_server_, settings_.caller_address, error) ||
         !net::listen_on(readiness_server_, settings_.ready_address, error)) {
       return false;
@@ -104,6 +124,7 @@
   void stop() override {
     *alive_ = false;
     caller_server_.close_all();
+    relay_server_.close_all();
     readiness_server_.close_all();
     transport_.close_all();
   }
@@ -126,6 +147,9 @@
   SlotRequester slot_requester_;
   LeaseGate lease_gate_;
   RequestRelay request_relay_;
+  LinkProber link_prober_;
+  PeerRequestHandler relay_handler_;
+  net::HttpServer relay_server_;
   net::HttpServer caller_server_;
   ReadinessHandler readiness_handler_;
   net::HttpServer readiness_server_;
@@ -162,6 +186,7 @@
     state_.blocked_request_tracker.update(monotonic_now(), state_.subscription.state().blocked_requests);
     apply_document();
   }
+  state_.relay_peers.update(state_.subscription.relay_peers());
   if (!envelope.fleet_update.loads.empty()) {
     state_.dispatcher.update_loads(monotonic_now(), state_.subscription.loads());
   }
@@ -192,6 +217,7 @@
   // A caller that reads nothing for this long is treated as disconnected.
   options.write_timeout = options.idle_timeout;
   caller_server_.set_options(options);
+  relay_server_.set_options(options);
   log_event(settings_.name, "document_in_force", {{"version", std::to_string(document_version_)}});
 }
 
@@ -212,6 +238,10 @@
   wire::FleetHeartbeat content;
   content.leaving = is_draining_;
   content.wants_loads = slot_requester_.decides_locally(now);
+  if (!settings_.relay_address.empty()) {
+    content.__set_relay_address(settings_.relay_address);
+    content.reaches_no_server = state_.dispatcher.links().reaches_no_server();
+  }
   if (auto heartbeat = state_.subscription.tick(now, content)) {
     send(std::move(*heartbeat));
   }
@@ -235,11 +265,13 @@
       // Responses that arrived during the pause are still in the socket buffers. Without this correction, healthy
       // groups would count as stalled and their complete responses would be cut.
       state_.dispatcher.restart_silence_timers(now);
+      state_.dispatcher.links().restart_silence_timers(now);
       request_relay_.in_flight_attempts().cancel_overdue(now);
       log_warning(settings_.name, "stood_still", {{"for_ms", std::to_string((now - last_tick) / milliseconds(1))}});
     }
     last_tick = now;
     tick();
+    link_prober_.tick(now);
     request_relay_.in_flight_attempts().cancel_stalled(monotonic_now());
     timer.expires_after(kTickInterval);
     co_await timer.async_wait(kAwaitWithError);
@@ -251,12 +283,15 @@
   const TimePoint deadline = monotonic_now() + settings_.stop_grace_period - kShutdownReserve;
   is_draining_ = true;
   caller_server_.begin_draining();
+  relay_server_.begin_draining();
   log_event(settings_.name, "draining", {{"requests", std::to_string(caller_server_.stats().active_requests)}});
   // The load balancer reacts with a delay; requests that it still sends are served.
   timer.expires_after(kLoadBalancerDelay);
   co_await timer.async_wait(kAwaitWithError);
   caller_server_.stop_accepting();
-  while (caller_server_.stats().open_connections > 0 && monotonic_now() < deadline) {
+  relay_server_.stop_accepting();
+  while (caller_server_.stats().open_connections + relay_server_.stats().active_requests > 0 &&
+         monotonic_now() < deadline) {
     caller_server_.close_idle_connections(kIdleBeforeClose);
     timer.expires_after(kTickInterval);
     co_await timer.async_wait(kAwaitWithError);
--- a/src/node/entry_state.h
+++ b/src/node/entry_state.h
@@ -8,6 +8,7 @@
 #include "core/fleet/blocked_requests.h"
 #include "core/fleet/dispatcher.h"
 #include "core/fleet/fleet_subscription.h"
+#include "core/fleet/relay_peers.h"
 #include "core/requests/recent_quantile.h"
 
 namespace larchlever::node {
@@ -25,6 +26,12 @@
   uint64_t retries = 0;
   uint64_t resumed = 0;
   uint64_t stalls = 0;
+  /// Attempts that other entries relayed, by result: a server's response, a refusal, or neither.
+  uint64_t relayed_by_peers = 0;
+  uint64_t refused_by_peers = 0;
+  uint64_t failed_at_peers = 0;
+  /// Requests that this entry relayed for others.
+  uint64_t relayed_for_peers = 0;
 };
 
 /// State shared by the components of an entry, all on one thread.
@@ -33,10 +40,13 @@
              const std::vector<std::string>& seeds, uint64_t random_seed)
       : subscription(options, identity, seeds),
         dispatcher(options, identity.zone, random_seed),
+        relay_peers(identity.zone, random_seed),
         zone_regions(options.zones) {}
 
   fleet::FleetSubscription subscription;
   fleet::Dispatcher dispatcher;
+  /// Entries that relay requests to servers that this one does not reach.
+  fleet::RelayPeers relay_peers;
   /// Maps each zone in the settings to its region.
   document::ZoneRegions zone_regions;
   /// Requests that are known to crash the servers that run them.
--- a/src/node/in_flight_attempts.cc
+++ b/src/node/in_flight_attempts.cc
@@ -14,7 +14,8 @@
 }  // namespace
 
 void InFlightAttempts::add_attempt(const RelayedRequest& request, const fleet::DispatchTarget& target) {
-  attempts_by_target_[target.key][request.cancellation] = request.deadline;
+  attempts_by_target_[target.key][request.cancellation] = {request.deadline, target.service, target.server.address,
+                                                           request.route->is_retry_safe()};
 }
 
 void InFlightAttempts::remove_attempt(const RelayedRequest& request, const fleet::DispatchTarget& target) {
@@ -25,9 +26,9 @@
   }
 }
 
-InFlightAttempts::AttemptDeadlines InFlightAttempts::attempts_at(const std::string& target_key) const {
+InFlightAttempts::Attempts InFlightAttempts::attempts_at(const std::string& target_key) const {
   const auto found = attempts_by_target_.find(target_key);
-  return found == attempts_by_target_.end() ? AttemptDeadlines() : found->second;
+  return found == attempts_by_target_.end() ? Attempts() : found->second;
 }
 
 void InFlightAttempts::note_failure(const fleet::DispatchTarget& target, TimePoint now) {
@@ -42,7 +43,7 @@
 
 void InFlightAttempts::cancel_at_target(const fleet::DispatchTarget& target, TimePoint now) {
   int retry_allowance = state_.dispatcher.remaining_retries(now, target.service);
-  for (const auto& [cancellation, deadline] : attempts_at(target.key)) {
+  for (const auto& [cancellation, attempt] : attempts_at(target.key)) {
     if (retry_allowance-- <= 0) {
       return;
     }
@@ -76,16 +77,34 @@
     return;
   }
   log_event("", "server_started_again", {{"target", target_key}, {"requests", std::to_string(lost_attempts.size())}});
-  for (const auto& [cancellation, deadline] : lost_attempts) {
+  for (const auto& [cancellation, attempt] : lost_attempts) {
     cancellation->cancel();
   }
 }
 
+void InFlightAttempts::cancel_at_lost_link(TimePoint now, const std::string& server_address) {
+  const auto attempts_snapshot = attempts_by_target_;
+  std::map<std::string, int> retry_allowances;
+  for (const auto& [key, attempts] : attempts_snapshot) {
+    for (const auto& [cancellation, attempt] : attempts) {
+      if (attempt.server_address != server_address || !attempt.is_repeatable) {
+        continue;
+      }
+      const auto allowance =
+          retry_allowances.try_emplace(attempt.service, state_.dispatcher.remaining_retries(now, attempt.service))
+              .first;
+      if (allowance->second-- > 0) {
+        cancellation->cancel();
+      }
+    }
+  }
+}
+
 void InFlightAttempts::cancel_overdue(TimePoint now) {
   const auto attempts_snapshot = attempts_by_target_;
   for (const auto& [key, attempts] : attempts_snapshot) {
-    for (const auto& [cancellation, deadline] : attempts) {
-      if (deadline <= now) {
+    for (const auto& [cancellation, attempt] : attempts) {
+      if (attempt.deadline <= now) {
         cancellation->cancel();
       }
     }
--- a/src/node/in_flight_attempts.h
+++ b/src/node/in_flight_attempts.h
@@ -26,20 +26,30 @@
   void cancel_at_failed_group(TimePoint now, const std::string& group);
   /// Cancels attempts at a target whose server restarted, since they cannot complete.
   void cancel_at_restarted_server(const std::string& target_key);
+  /// Cancels attempts that may be repeated and that wait for a server whose link is lost, as far as the retry budget
+  /// covers their retries.
+  void cancel_at_lost_link(TimePoint now, const std::string& server_address);
   /// Cancels attempts past their deadline. Call after this process was paused: timers do not count time during which
   /// the machine was suspended.
   void cancel_overdue(TimePoint now);
 
  private:
-  /// Attempts at one target, with their deadlines.
-  using AttemptDeadlines = std::map<std::shared_ptr<net::Cancellation>, TimePoint>;
+  struct Attempt {
+    TimePoint deadline;
+    std::string service;
+    /// Empty if the attempt is relayed by another entry.
+    std::string server_address;
+    bool is_repeatable = false;
+  };
+  /// Attempts at one target.
+  using Attempts = std::map<std::shared_ptr<net::Cancellation>, Attempt>;
 
   /// Cancels attempts at a dead target, as far as the retry budget covers their retries. The rest keep waiting.
   void cancel_at_target(const fleet::DispatchTarget& target, TimePoint now);
-  AttemptDeadlines attempts_at(const std::string& target_key) const;
+  Attempts attempts_at(const std::string& target_key) const;
 
   EntryState& state_;
-  std::map<std::string, AttemptDeadlines> attempts_by_target_;
+  std::map<std::string, Attempts> attempts_by_target_;
 };
 
 }  // namespace larchlever::node
--- a/src/node/relayed_request.h
+++ b/src/node/relayed_request.h
@@ -11,6 +11,7 @@
 #include "core/requests/request_fingerprint.h"
 #include "net/http_client.h"
 #include "net/http_server.h"
+#include "node/relay_protocol.h"
 
 namespace larchlever::node {
 
@@ -35,6 +36,14 @@
   TimePoint admitted_at{};
   /// Deadline of the final response: the caller's deadline or the route's timeout, whichever is earlier.
   TimePoint deadline{};
+  /// Peer address of the entry that received the request from its caller, if that is not this one. That entry decides
+  /// about retries.
+  std::string relayed_for;
+  /// Relay address of the peer that the last attempt was sent to; empty if it was sent to a server.
+  std::string relay_peer;
+  std::set<std::string> excluded_peers;
+  /// Servers that this entry could not connect to.
+  int failed_connections = 0;
   std::set<std::string> excluded_targets;
   /// Number of targets that the last search for a target ruled out: those above, and those that this entry avoids.
   size_t ruled_out_targets = 0;
@@ -84,6 +93,8 @@
   int status = 503;
   std::string title;
   Duration retry_after{};
+  /// What the entry is told for which this one relays the request, if any.
+  RelayResult relay_result = RelayResult::kRefused;
 };
 
 }  // namespace larchlever::node
--- a/src/node/request_completion.cc
+++ b/src/node/request_completion.cc
@@ -45,6 +45,8 @@
        {"sent", std::to_string(request.attempts_sent)},
        {"runs", std::to_string(request.possible_runs)},
        {"ruled_out", std::to_string(request.ruled_out_targets)},
+       {"relay_peer", request.relay_peer},
+       {"relayed_for", request.relayed_for},
        {"reason", reason}});
 }
 
@@ -57,6 +59,9 @@
   if (refusal.retry_after > Duration::zero()) {
     response.headers.add("Retry-After", requests::format_retry_after(refusal.retry_after));
   }
+  if (!request.relayed_for.empty()) {
+    set_relay_result(response.headers, refusal.relay_result, request.last_target);
+  }
   response.body = "{\"status\":" + std::to_string(refusal.status) + ",\"title\":\"" + refusal.title + "\"}";
   const bool is_retryable =
       refusal.status == http_status::kServiceUnavailable || refusal.status == http_status::kTooManyRequests;
@@ -78,7 +83,8 @@
   }
   const TimePoint now = monotonic_now();
   if (!request.may_have_run) {
-    Refusal refusal{http_status::kServiceUnavailable, "no server took the request", kRetryAfterBusy};
+    Refusal refusal{http_status::kServiceUnavailable, "no server took the request", kRetryAfterBusy,
+                    request.attempts_sent > 0 ? RelayResult::kNotRun : RelayResult::kNotSent};
     co_await send_refusal(request, std::move(refusal));
     co_return;
   }
@@ -86,6 +92,9 @@
   response.status = now >= request.deadline ? http_status::kGatewayTimeout : http_status::kBadGateway;
   response.headers.add("Content-Type", "application/problem+json");
   response.headers.add("Larchlever-Outcome", "unknown");
+  if (!request.relayed_for.empty()) {
+    set_relay_result(response.headers, RelayResult::kLost, request.last_target);
+  }
   response.body = "{\"status\":" + std::to_string(response.status) + ",\"title\":\"the answer was lost\"}";
   ++state_.counters.failed;
   log_completion(request, response.status, "the answer was lost");
--- a/src/node/request_relay.cc
+++ b/src/node/request_relay.cc
@@ -27,6 +27,9 @@
 /// Maximum gap in a stream, even if its group makes progress; callers disconnect after two seconds.
 constexpr Duration kMaxStreamGap = milliseconds(1600);
 constexpr int kMaxAttempts = 6;
+/// How long a peer may take to respond to a request that can be repeated: longer than a server under load takes to send
+/// its first event.
+constexpr std::chrono::milliseconds kPeerResponseTimeout{1500};
 
 bool is_success(int status) { return status >= 200 && status < 300; }
 
@@ -46,6 +49,8 @@
                            SlotRequester& slot_requester, LeaseGate& lease_gate, const Options& options)
     : executor_(executor),
       dialect_(dialect),
+      peer_address_(options.peer_address),
+      uses_relay_peers_(options.uses_relay_peers),
       state_(state),
       slot_requester_(slot_requester),
       lease_gate_(lease_gate),
@@ -56,11 +61,10 @@
       client_(executor, options.outbound_address),
       response_buffers_(options.response_buffer_bytes) {}
 
-asio::awaitable<void> RequestRelay::handle(net::HttpExchange& exchange) {
-  RelayedRequest request;
+void RequestRelay::begin_request(RelayedRequest& request, net::HttpExchange& exchange) {
   request.exchange = &exchange;
   request.received_at = monotonic_now();
-  ++state_.counters.requests;
+  request.admitted_at = request.received_at;
   state_.traffic_seen = true;
   exchange.notify_on_disconnect([&request] {
     request.caller_disconnected = true;
@@ -68,6 +72,12 @@
       request.cancellation->cancel();
     }
   });
+}
+
+asio::awaitable<void> RequestRelay::handle(net::HttpExchange& exchange) {
+  RelayedRequest request;
+  ++state_.counters.requests;
+  begin_request(request, exchange);
   co_await lease_gate_.wait_for_lease(lease_wait_deadline(request));
   request.admitted_at = monotonic_now();
   if (request.caller_disconnected) {
@@ -95,8 +105,8 @@
   request.id = std::string(incoming.headers.find(dialect_.request_id_header));
   request.model = std::string(incoming.headers.find(dialect_.model_header));
   if (request.routes == nullptr || !state_.subscription.has_lease(request.admitted_at)) {
-    return Refusal{http_status::kServiceUnavailable, "this node has no confirmed configuration",
-                   kRetryAfterUnavailable};
+    return Refusal{http_status::kServiceUnavailable, "this node has no confirmed configuration", kRetryAfterUnavailable,
+                   RelayResult::kNotSent};
   }
   request.route = request.routes->find_route(incoming.headers.find("host"), incoming.path());
   if (request.route == nullptr) {
@@ -122,7 +132,10 @@
   request.deadline = request.received_at + allowed_time;
   request.was_held_for_lease = request.admitted_at - request.received_at > kLeaseWaitThreshold;
   record_demand(request);
-  state_.dispatcher.note_request(request.received_at, request.service->name);
+  if (request.relayed_for.empty()) {
+    // Otherwise the other entry has counted the request, for the retry budget that all entries share.
+    state_.dispatcher.note_request(request.received_at, request.service->name);
+  }
   return std::nullopt;
 }
 
@@ -141,6 +154,9 @@
     const engine::RequestTokenCounts sizes{static_cast<double>(*prompt),
                                            static_cast<double>(hint ? *hint : *max_output)};
     state_.dispatcher.record_gap_objective(request.service->name, request.model, request.route->target_event_gap);
+    if (!request.relayed_for.empty()) {
+      return;  // The other entry reports the demand.
+    }
     state_.dispatcher.record_demand(request.service->name, {request.model, request.route->target_latency, sizes.prompt},
                                     sizes);
   }
@@ -168,7 +184,7 @@
       co_await finish_without_target(request, no_target);
       co_return;
     }
-    const FoundTarget found = co_await target_finder_.find(request);
+    const FoundTarget found = co_await find_target(request);
     const auto* target = std::get_if<fleet::DispatchTarget>(&found);
     if (target == nullptr) {
       co_await finish_without_target(request, found);
@@ -179,14 +195,19 @@
       co_return;
     }
     const TimePoint now = monotonic_now();
-    request.excluded_targets.insert(target->key);
+    if (result == DispatchResult::kNotRelayed && now < request.deadline) {
+      continue;  // Nothing arrived at a server, so this is no retry.
+    }
+    if (!target->is_relay_peer) {
+      request.excluded_targets.insert(target->key);
+    }
     if (result == DispatchResult::kServerError) {
       request.may_have_run = true;
       ++request.possible_runs;  // The retry budget was already charged when the response was discarded.
       ++state_.counters.retries;
       continue;
     }
-    if (result != DispatchResult::kNotRun) {
+    if (result == DispatchResult::kMayHaveRun) {
       request.may_have_run = true;
       // A server may run a request to the end after its connection was lost. Unless it is proved otherwise, the attempt
       // therefore counts against the route's maximum.
@@ -206,6 +227,9 @@
 }
 
 bool RequestRelay::may_retry(RelayedRequest& request, TimePoint now) {
+  if (!request.relayed_for.empty() && request.attempts_sent > 0) {
+    return false;  // The entry that received the request decides.
+  }
   // An attempt that was never sent does not use the retry budget, which counts requests that reach servers.
   return now < request.deadline && request.attempts_sent < kMaxAttempts && !request.caller_disconnected &&
          (request.attempts_sent == 0 || state_.dispatcher.try_take_retry(now, request.service->name));
@@ -237,17 +261,27 @@
   request.last_incarnation = target.incarnation;
   request.target_load = target.in_flight;
   request.sent_at = monotonic_now();
+  request.relay_peer = target.is_relay_peer ? target.address : "";
+  in_flight_attempts_.add_attempt(request, target);
+  const ScopeExit finish_on_exit([this, &request, &target] {
+    in_flight_attempts_.remove_attempt(request, target);
+    request.cancellation.reset();
+  });
+  if (target.is_relay_peer) {
+    state_.relay_peers.begin_request(target.address);
+    const ScopeExit end_at_peer([this, &target] { state_.relay_peers.end_request(target.address); });
+    co_return co_await send_attempt(request, target);
+  }
   request.load_mark = {target.group.empty() ? 0 : request.prompt_tokens, false};
   state_.dispatcher.begin_attempt(request.sent_at, target, request.load_mark);
+  state_.dispatcher.links().begin_wait(request.sent_at, target.server);
   if (!request.has_slot) {
     report_load_change(target);  // A slot granted by the leader is already in its count.
   }
-  in_flight_attempts_.add_attempt(request, target);
-  const ScopeExit finish_on_exit([this, &request, &target] {
+  const ScopeExit end_at_server([this, &request, &target] {
+    state_.dispatcher.links().end_wait(target.server);
     state_.dispatcher.end_attempt(target, request.load_mark);
     report_load_change(target);
-    in_flight_attempts_.remove_attempt(request, target);
-    request.cancellation.reset();
   });
   co_return co_await send_attempt(request, target);
 }
@@ -264,6 +298,7 @@
       outgoing.headers.add(name, value);
     }
   }
+  remove_relay_headers(outgoing.headers);
   outgoing.headers.remove(dialect_.api_key_header);
   outgoing.headers.remove(dialect_.tenant_header);
   outgoing.headers.remove(dialect_.priority_class_header);
@@ -290,12 +325,50 @@
   return head.status == http_status::kMisdirectedRequest || head.headers.contains(dialect_.not_run_header);
 }
 
+RequestRelay::DispatchResult RequestRelay::note_failed_open(RelayedRequest& request,
+                                                            const fleet::DispatchTarget& target,
+                                                            const net::OpenResult& opened) {
+  const TimePoint now = monotonic_now();
+  const bool was_sent = opened.state != net::SendState::kNotSent;
+  const bool was_withheld = !was_sent && !state_.dispatcher.may_send(now, target);
+  const bool has_failed = now < request.deadline && !was_withheld;
+  log_event("", "sending_failed",
+            {{"request", request.id},
+             {"fingerprint", to_string(request.fingerprint)},
+             {"target", target.key},
+             {"instance", target.instance_id},
+             {"reason", opened.error}});
+  if (target.is_relay_peer) {
+    ++state_.counters.failed_at_peers;
+    request.excluded_peers.insert(target.address);
+    state_.relay_peers.note_unavailable(now, target.address);
+  } else if (has_failed) {
+    if (!request.cancellation->cancelled()) {
+      state_.dispatcher.links().note_failure(now, target.server);
+    }
+    // The route may allow only one more attempt at a server.
+    request.failed_connections += was_sent ? kFailedConnectionsUntilRelay : 1;
+    in_flight_attempts_.note_failure(target, now);
+    if (was_sent) {
+      blocked_request_guard_.note_lost_response(request, target);
+    }
+  }
+  if (was_sent) {
+    return DispatchResult::kMayHaveRun;
+  }
+  return target.is_relay_peer ? DispatchResult::kNotRelayed : DispatchResult::kNotRun;
+}
+
 asio::awaitable<RequestRelay::DispatchResult> RequestRelay::send_attempt(RelayedRequest& request,
                                                                          const fleet::DispatchTarget& target) {
   const TimePoint now = monotonic_now();
-  const auto outgoing = make_upstream_request(request, target, now);
+  const auto outgoing =
+      target.is_relay_peer ? make_request_for_peer(request, now) : make_upstream_request(request, target, now);
   net::OpenOptions options;
   options.timeout = read_timeout(request, now);
+  if (target.is_relay_peer && request.route->is_retry_safe()) {
+    options.timeout = std::min(options.timeout, kPeerResponseTimeout);
+  }
   options.connect_timeout = kConnectTimeout;
   options.cancellation = request.cancellation;
   // The server may have asked for a pause while the connection was being established.
@@ -308,21 +381,14 @@
     co_return DispatchResult::kAnswered;
   }
   if (opened.stream == nullptr) {
-    const TimePoint failed_at = monotonic_now();
-    const bool was_withheld = opened.state == net::SendState::kNotSent && !may_send();
-    if (failed_at < request.deadline && !was_withheld) {
-      in_flight_attempts_.note_failure(target, failed_at);
-    }
-    log_event("", "sending_failed",
-              {{"request", request.id},
-               {"fingerprint", to_string(request.fingerprint)},
-               {"target", target.key},
-               {"instance", target.instance_id},
-               {"reason", opened.error}});
-    if (opened.state != net::SendState::kNotSent && failed_at < request.deadline) {
-      blocked_request_guard_.note_lost_response(request, target);
+    co_return note_failed_open(request, target, opened);
+  }
+  if (target.is_relay_peer) {
+    if (const auto result = co_await handle_peer_response(request, target, *opened.stream)) {
+      co_return *result;
     }
-    co_return opened.state == net::SendState::kNotSent ? DispatchResult::kNotRun : DispatchResult::kMayHaveRun;
+  } else {
+    state_.dispatcher.links().note_contact(monotonic_now(), target.server);
   }
   const auto& head = opened.stream->head();
   const auto echoed_id = head.headers.find(dialect_.request_id_header);
@@ -330,8 +396,10 @@
     log_warning("", "answer_of_another_request", {{"request", request.id}, {"target", target.key}});
     co_return DispatchResult::kMayHaveRun;
   }
-  record_server_notices(state_, dialect_, {target, request.sent_at, head});
-  if (proves_not_run(head)) {
+  if (!target.is_relay_peer) {
+    record_server_notices(state_, dialect_, {target, request.sent_at, head});
+  }
+  if (!target.is_relay_peer && proves_not_run(head)) {
     log_event("", "sending_refused",
               {{"request", request.id},
                {"target", target.key},
@@ -359,7 +427,7 @@
 asio::awaitable<RequestRelay::DispatchResult> RequestRelay::relay_buffered(RelayedRequest& request,
                                                                            const fleet::DispatchTarget& target,
                                                                            net::ClientStream& stream) {
-  net::HttpResponse response = stream.head();
+  net::HttpResponse response = head_for_receiver(request, stream.head());
   // A response may be relayed before its end only if it is a success, carries the server's signature, and its end can
   // be told from a truncation.
   const bool may_stream_early = is_success(response.status) && response.headers.contains(dialect_.signature_header) &&
@@ -392,7 +460,7 @@
                {"target", target.key},
                {"instance", target.instance_id},
                {"reason", stream.error()}});
-    if (monotonic_now() < request.deadline) {
+    if (monotonic_now() < request.deadline && !target.is_relay_peer) {
       blocked_request_guard_.note_lost_response(request, target);
     }
     co_return DispatchResult::kMayHaveRun;
@@ -427,7 +495,8 @@
                                                                              std::string buffered_prefix) {
   request.response_started = true;
   request.first_event_at = monotonic_now();
-  bool is_open = co_await request.exchange->begin_stream(stream.head());
+  const auto head = head_for_receiver(request, stream.head());
+  bool is_open = co_await request.exchange->begin_stream(head);
   std::string chunk = std::move(buffered_prefix);
   while (is_open && !chunk.empty()) {
     is_open = co_await request.exchange->write_piece(chunk);
@@ -463,13 +532,17 @@
 }
 
 void RequestRelay::note_progress(const fleet::DispatchTarget& target, TimePoint now) {
+  if (target.is_relay_peer) {
+    return;
+  }
+  state_.dispatcher.links().note_contact(now, target.server);
   state_.dispatcher.note_progress(now, target);
   blocked_request_guard_.note_target_progress(now, target);
 }
 
 void RequestRelay::note_chunk(RelayedRequest& request, const fleet::DispatchTarget& target, TimePoint now) {
   note_progress(target, now);
-  if (!request.load_mark.is_streaming) {
+  if (!target.is_relay_peer && !request.load_mark.is_streaming) {
     state_.dispatcher.note_first_event(now, target, request.load_mark);
     if (request.expected_first_event_delay > Duration::zero()) {
       state_.first_event_excess[request.model].add_sample(now,
@@ -507,7 +580,8 @@
     if (!request.response_started) {
       request.response_started = true;
       request.first_event_at = monotonic_now();
-      if (!co_await request.exchange->begin_stream(stream.head())) {
+      const auto head = head_for_receiver(request, stream.head());
+      if (!co_await request.exchange->begin_stream(head)) {
         co_return DispatchResult::kAnswered;
       }
     }
@@ -534,7 +608,7 @@
        {"instance", target.instance_id},
        {"reason", stream.error()},
        {"last_event", request.event_stream.last_id() ? std::to_string(*request.event_stream.last_id()) : "none"}});
-  if (now < request.deadline) {
+  if (now < request.deadline && !target.is_relay_peer) {
     in_flight_attempts_.note_failure(target, now);
     blocked_request_guard_.note_lost_response(request, target);
   }
--- a/src/node/request_relay.h
+++ b/src/node/request_relay.h
@@ -24,7 +24,8 @@
 ///
 /// Guarantees: a request that may not be repeated is sent again only if no byte was sent or the server proved that it
 /// did not run; 429, 503, 408 and 421 are sent only for requests that did not run; a truncated response never looks
-/// complete. Runs on one executor; not thread-safe.
+/// complete. A request goes through at most one other entry, which sends it to at most one server; retries are decided
+/// here. Runs on one executor; not thread-safe.
 class RequestRelay : public net::HttpHandler {
  public:
   struct Options {
@@ -32,14 +33,22 @@
     size_t response_buffer_bytes = 0;
     /// Local IP address from which servers are connected to; empty lets the operating system choose.
     std::string outbound_address;
+    /// Peer address of this entry.
+    std::string peer_address;
+    /// Requests are relayed by other entries if this one reaches no server for them.
+    bool uses_relay_peers = false;
   };
 
   RequestRelay(boost::asio::any_io_executor executor, const Dialect& dialect, EntryState& state,
                SlotRequester& slot_requester, LeaseGate& lease_gate, const Options& options);
 
   boost::asio::awaitable<void> handle(net::HttpExchange& exchange) override;
+  /// Serves a request that another entry received from its caller. It is checked like a caller's request.
+  boost::asio::awaitable<void> handle_for_peer(net::HttpExchange& exchange);
   /// Attempts in flight, so that those that cannot complete can be cancelled.
   InFlightAttempts& in_flight_attempts() { return in_flight_attempts_; }
+  /// The client for connections to servers.
+  net::HttpClient& client() { return client_; }
   /// Detection and blocking of requests that crash servers.
   BlockedRequestGuard& blocked_request_guard() { return blocked_request_guard_; }
 
@@ -47,11 +56,14 @@
   /// Result of one attempt.
   enum class DispatchResult {
     kAnswered,    ///< The caller has its final response or has disconnected.
+    kNotRelayed,  ///< The peer sent it to no server.
     kNotRun,      ///< Proved that no server ran it.
     kMayHaveRun,  ///< It may still run, or its response was lost.
     kServerError  ///< The server returned a 5xx status and the request may be retried.
   };
 
+  /// Starts the request's clock and follows its caller's connection.
+  void begin_request(RelayedRequest& request, net::HttpExchange& exchange);
   /// Returns until when a request may wait for a configuration lease.
   TimePoint lease_wait_deadline(const RelayedRequest& request) const;
   std::optional<Refusal> resolve_route(RelayedRequest& request);
@@ -64,6 +76,28 @@
   /// Called when bytes of a stream arrived.
   void note_chunk(RelayedRequest& request, const fleet::DispatchTarget& target, TimePoint now);
   boost::asio::awaitable<void> dispatch_until_done(RelayedRequest& request);
+  /// Finds a server, or a peer if this entry reaches no server for the request.
+  boost::asio::awaitable<FoundTarget> find_target(RelayedRequest& request);
+  /// Whether there are servers for the request but the links to all of them are lost.
+  bool are_servers_out_of_reach(const RelayedRequest& request) const;
+  /// Whether a peer is preferred although servers seem to be in reach: connections of the request have failed, or it
+  /// may not be repeated and links are doubtful.
+  bool should_avoid_own_links(const RelayedRequest& request) const;
+  /// Whether the links to some of the servers for the request are lost.
+  bool is_any_server_out_of_reach(const RelayedRequest& request) const;
+  std::optional<fleet::DispatchTarget> choose_relay_peer(const RelayedRequest& request);
+  net::HttpRequest make_request_for_peer(const RelayedRequest& request, TimePoint now) const;
+  /// Handles the response head of a peer. Returns nothing if the response is a server's and is to be relayed like one.
+  boost::asio::awaitable<std::optional<DispatchResult>> handle_peer_response(RelayedRequest& request,
+                                                                             const fleet::DispatchTarget& target,
+                                                                             net::ClientStream& stream);
+  /// Responds to the caller with a peer's refusal.
+  boost::asio::awaitable<DispatchResult> pass_on_refusal(RelayedRequest& request, net::ClientStream& stream);
+  /// Evaluates an attempt that got no response head.
+  DispatchResult note_failed_open(RelayedRequest& request, const fleet::DispatchTarget& target,
+                                  const net::OpenResult& opened);
+  /// The response's head as the caller, or the entry for which the request is relayed, gets it.
+  static net::HttpResponse head_for_receiver(const RelayedRequest& request, const net::HttpResponse& head);
   /// Responds to a request for which no target was found.
   boost::asio::awaitable<void> finish_without_target(RelayedRequest& request, const FoundTarget& found);
   /// Responds to a request that did not succeed and may not be retried.
@@ -84,8 +118,13 @@
   bool may_retry(RelayedRequest& request, TimePoint now);
   std::chrono::milliseconds read_timeout(const RelayedRequest& request, TimePoint now) const;
 
+  /// A request that failed to connect to this many servers is sent through a peer, before it tries all servers.
+  static constexpr int kFailedConnectionsUntilRelay = 2;
+
   boost::asio::any_io_executor executor_;
   const Dialect& dialect_;
+  const std::string peer_address_;
+  const bool uses_relay_peers_;
   EntryState& state_;
   SlotRequester& slot_requester_;
   LeaseGate& lease_gate_;
--- a/src/node/target_finder.cc
+++ b/src/node/target_finder.cc
@@ -192,7 +192,8 @@
   if (choice.failure == fleet::DispatchFailure::kAllBusy) {
     return busy_refusal();
   }
-  return Refusal{http_status::kServiceUnavailable, "no server is available", kRetryAfterUnavailable};
+  return Refusal{http_status::kServiceUnavailable, "no server is available", kRetryAfterUnavailable,
+                 RelayResult::kNotSent};
 }
 
 asio::awaitable<FoundTarget> TargetFinder::choose_locally(RelayedRequest& request, TimePoint wait_until) {
--- a/src/settings/fleet_settings.cc
+++ b/src/settings/fleet_settings.cc
@@ -45,6 +45,11 @@
   const bool is_entry = settings.role == FleetRole::kEntry;
   settings.caller_address = node_section.read_address("caller_address", is_entry);
   settings.ready_address = node_section.read_address("ready_address", is_entry);
+  settings.relay_address = node_section.read_address("relay_address", false);
+  if (is_wildcard_address(settings.relay_address)) {
+    node_section.add_error("relay_address", settings.relay_address,
+                           "not an address that other entries can connect to; use the node's own IP");
+  }
   settings.control_address = node_section.read_address("control_address", !is_entry);
   settings.metrics_address = node_section.read_address("metrics_address", false);
   settings.outbound_address = node_section.read_string("outbound_address", "");
--- a/src/settings/fleet_settings.h
+++ b/src/settings/fleet_settings.h
@@ -20,6 +20,9 @@
   /// Listen addresses for callers and for the load balancer's readiness checks; entries only.
   std::string caller_address;
   std::string ready_address;
+  /// Listen address for requests that other entries ask this one to relay; empty if this entry neither relays requests
+  /// nor has its own relayed.
+  std::string relay_address;
   /// Listen address for calls from instances and operators; control replicas only.
   std::string control_address;
   std::string metrics_address;
--- a/src/wire/gen-cpp/larchlever_types.cpp
+++ b/src/wire/gen-cpp/larchlever_types.cpp
@@ -14127,6 +14127,11 @@
 void GroupFailure::__set_group(const std::string& val) {
   this->group = val;
 }
+
+void GroupFailure::__set_is_own_link_suspected(const bool val) {
+  this->is_own_link_suspected = val;
+__isset.is_own_link_suspected = true;
+}
 std::ostream& operator<<(std::ostream& out, const GroupFailure& obj)
 {
   obj.printTo(out);
@@ -14163,6 +14168,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->is_own_link_suspected);
+          this->__isset.is_own_link_suspected = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -14184,6 +14197,11 @@
   xfer += oprot->writeString(this->group);
   xfer += oprot->writeFieldEnd();
 
+  if (this->__isset.is_own_link_suspected) {
+    xfer += oprot->writeFieldBegin("is_own_link_suspected", ::apache::thrift::protocol::T_BOOL, 3);
+    xfer += oprot->writeBool(this->is_own_link_suspected);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -14192,24 +14210,29 @@
 void swap(GroupFailure &a, GroupFailure &b) {
   using ::std::swap;
   swap(a.group, b.group);
+  swap(a.is_own_link_suspected, b.is_own_link_suspected);
   swap(a.__isset, b.__isset);
 }
 
 GroupFailure::GroupFailure(const GroupFailure& other576) {
   group = other576.group;
+  is_own_link_suspected = other576.is_own_link_suspected;
   __isset = other576.__isset;
 }
 GroupFailure::GroupFailure(GroupFailure&& other577) noexcept {
   group = std::move(other577.group);
+  is_own_link_suspected = other577.is_own_link_suspected;
   __isset = other577.__isset;
 }
 GroupFailure& GroupFailure::operator=(const GroupFailure& other578) {
   group = other578.group;
+  is_own_link_suspected = other578.is_own_link_suspected;
   __isset = other578.__isset;
   return *this;
 }
 GroupFailure& GroupFailure::operator=(GroupFailure&& other579) noexcept {
   group = std::move(other579.group);
+  is_own_link_suspected = other579.is_own_link_suspected;
   __isset = other579.__isset;
   return *this;
 }
@@ -14217,6 +14240,130 @@
   using ::apache::thrift::to_string;
   out << "GroupFailure(";
   out << "group=" << to_string(group);
+  out << ", " << "is_own_link_suspected="; (__isset.is_own_link_suspected ? (out << to_string(is_own_link_suspected)) : (out << "<null>"));
+  out << ")";
+}
+
+
+RelayPeer::~RelayPeer() noexcept {
+}
+
+
+void RelayPeer::__set_address(const std::string& val) {
+  this->address = val;
+}
+
+void RelayPeer::__set_zone(const std::string& val) {
+  this->zone = val;
+}
+std::ostream& operator<<(std::ostream& out, const RelayPeer& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t RelayPeer::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->address);
+          this->__isset.address = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->zone);
+          this->__isset.zone = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t RelayPeer::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("RelayPeer");
+
+  xfer += oprot->writeFieldBegin("address", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->address);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("zone", ::apache::thrift::protocol::T_STRING, 2);
+  xfer += oprot->writeString(this->zone);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(RelayPeer &a, RelayPeer &b) {
+  using ::std::swap;
+  swap(a.address, b.address);
+  swap(a.zone, b.zone);
+  swap(a.__isset, b.__isset);
+}
+
+RelayPeer::RelayPeer(const RelayPeer& other580) {
+  address = other580.address;
+  zone = other580.zone;
+  __isset = other580.__isset;
+}
+RelayPeer::RelayPeer(RelayPeer&& other581) noexcept {
+  address = std::move(other581.address);
+  zone = std::move(other581.zone);
+  __isset = other581.__isset;
+}
+RelayPeer& RelayPeer::operator=(const RelayPeer& other582) {
+  address = other582.address;
+  zone = other582.zone;
+  __isset = other582.__isset;
+  return *this;
+}
+RelayPeer& RelayPeer::operator=(RelayPeer&& other583) noexcept {
+  address = std::move(other583.address);
+  zone = std::move(other583.zone);
+  __isset = other583.__isset;
+  return *this;
+}
+void RelayPeer::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "RelayPeer(";
+  out << "address=" << to_string(address);
+  out << ", " << "zone=" << to_string(zone);
   out << ")";
 }
 
@@ -14281,6 +14428,20 @@
 void FleetHeartbeat::__set_evacuation_revision(const int64_t val) {
   this->evacuation_revision = val;
 }
+
+void FleetHeartbeat::__set_relay_address(const std::string& val) {
+  this->relay_address = val;
+__isset.relay_address = true;
+}
+
+void FleetHeartbeat::__set_relay_peers(const std::vector<RelayPeer> & val) {
+  this->relay_peers = val;
+__isset.relay_peers = true;
+}
+
+void FleetHeartbeat::__set_reaches_no_server(const bool val) {
+  this->reaches_no_server = val;
+}
 std::ostream& operator<<(std::ostream& out, const FleetHeartbeat& obj)
 {
   obj.printTo(out);
@@ -14421,6 +14582,42 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 21:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->relay_address);
+          this->__isset.relay_address = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 22:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->relay_peers.clear();
+            uint32_t _size584;
+            ::apache::thrift::protocol::TType _etype587;
+            xfer += iprot->readListBegin(_etype587, _size584);
+            this->relay_peers.resize(_size584);
+            uint32_t _i588;
+            for (_i588 = 0; _i588 < _size584; ++_i588)
+            {
+              xfer += this->relay_peers[_i588].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.relay_peers = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 23:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->reaches_no_server);
+          this->__isset.reaches_no_server = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -14495,6 +14692,28 @@
   xfer += oprot->writeI64(this->evacuation_revision);
   xfer += oprot->writeFieldEnd();
 
+  if (this->__isset.relay_address) {
+    xfer += oprot->writeFieldBegin("relay_address", ::apache::thrift::protocol::T_STRING, 21);
+    xfer += oprot->writeString(this->relay_address);
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.relay_peers) {
+    xfer += oprot->writeFieldBegin("relay_peers", ::apache::thrift::protocol::T_LIST, 22);
+    {
+      xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->relay_peers.size()));
+      std::vector<RelayPeer> ::const_iterator _iter589;
+      for (_iter589 = this->relay_peers.begin(); _iter589 != this->relay_peers.end(); ++_iter589)
+      {
+        xfer += (*_iter589).write(oprot);
+      }
+      xfer += oprot->writeListEnd();
+    }
+    xfer += oprot->writeFieldEnd();
+  }
+  xfer += oprot->writeFieldBegin("reaches_no_server", ::apache::thrift::protocol::T_BOOL, 23);
+  xfer += oprot->writeBool(this->reaches_no_server);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -14516,77 +14735,92 @@
   swap(a.serving_entries, b.serving_entries);
   swap(a.entries_hold_version, b.entries_hold_version);
   swap(a.evacuation_revision, b.evacuation_revision);
+  swap(a.relay_address, b.relay_address);
+  swap(a.relay_peers, b.relay_peers);
+  swap(a.reaches_no_server, b.reaches_no_server);
   swap(a.__isset, b.__isset);
 }
 
-FleetHeartbeat::FleetHeartbeat(const FleetHeartbeat& other580) {
-  sequence = other580.sequence;
-  zone = other580.zone;
-  replica_id = other580.replica_id;
-  control_address = other580.control_address;
-  document_version = other580.document_version;
-  held_term = other580.held_term;
-  held_version = other580.held_version;
-  leaving = other580.leaving;
-  serves_requests = other580.serves_requests;
-  held_state = other580.held_state;
-  wants_loads = other580.wants_loads;
-  serving_entries = other580.serving_entries;
-  entries_hold_version = other580.entries_hold_version;
-  evacuation_revision = other580.evacuation_revision;
-  __isset = other580.__isset;
-}
-FleetHeartbeat::FleetHeartbeat(FleetHeartbeat&& other581) noexcept {
-  sequence = other581.sequence;
-  zone = std::move(other581.zone);
-  replica_id = other581.replica_id;
-  control_address = std::move(other581.control_address);
-  document_version = other581.document_version;
-  held_term = other581.held_term;
-  held_version = other581.held_version;
-  leaving = other581.leaving;
-  serves_requests = other581.serves_requests;
-  held_state = std::move(other581.held_state);
-  wants_loads = other581.wants_loads;
-  serving_entries = other581.serving_entries;
-  entries_hold_version = other581.entries_hold_version;
-  evacuation_revision = other581.evacuation_revision;
-  __isset = other581.__isset;
-}
-FleetHeartbeat& FleetHeartbeat::operator=(const FleetHeartbeat& other582) {
-  sequence = other582.sequence;
-  zone = other582.zone;
-  replica_id = other582.replica_id;
-  control_address = other582.control_address;
-  document_version = other582.document_version;
-  held_term = other582.held_term;
-  held_version = other582.held_version;
-  leaving = other582.leaving;
-  serves_requests = other582.serves_requests;
-  held_state = other582.held_state;
-  wants_loads = other582.wants_loads;
-  serving_entries = other582.serving_entries;
-  entries_hold_version = other582.entries_hold_version;
-  evacuation_revision = other582.evacuation_revision;
-  __isset = other582.__isset;
+FleetHeartbeat::FleetHeartbeat(const FleetHeartbeat& other590) {
+  sequence = other590.sequence;
+  zone = other590.zone;
+  replica_id = other590.replica_id;
+  control_address = other590.control_address;
+  document_version = other590.document_version;
+  held_term = other590.held_term;
+  held_version = other590.held_version;
+  leaving = other590.leaving;
+  serves_requests = other590.serves_requests;
+  held_state = other590.held_state;
+  wants_loads = other590.wants_loads;
+  serving_entries = other590.serving_entries;
+  entries_hold_version = other590.entries_hold_version;
+  evacuation_revision = other590.evacuation_revision;
+  relay_address = other590.relay_address;
+  relay_peers = other590.relay_peers;
+  reaches_no_server = other590.reaches_no_server;
+  __isset = other590.__isset;
+}
+FleetHeartbeat::FleetHeartbeat(FleetHeartbeat&& other591) noexcept {
+  sequence = other591.sequence;
+  zone = std::move(other591.zone);
+  replica_id = other591.replica_id;
+  control_address = std::move(other591.control_address);
+  document_version = other591.document_version;
+  held_term = other591.held_term;
+  held_version = other591.held_version;
+  leaving = other591.leaving;
+  serves_requests = other591.serves_requests;
+  held_state = std::move(other591.held_state);
+  wants_loads = other591.wants_loads;
+  serving_entries = other591.serving_entries;
+  entries_hold_version = other591.entries_hold_version;
+  evacuation_revision = other591.evacuation_revision;
+  relay_address = std::move(other591.relay_address);
+  relay_peers = std::move(other591.relay_peers);
+  reaches_no_server = other591.reaches_no_server;
+  __isset = other591.__isset;
+}
+FleetHeartbeat& FleetHeartbeat::operator=(const FleetHeartbeat& other592) {
+  sequence = other592.sequence;
+  zone = other592.zone;
+  replica_id = other592.replica_id;
+  control_address = other592.control_address;
+  document_version = other592.document_version;
+  held_term = other592.held_term;
+  held_version = other592.held_version;
+  leaving = other592.leaving;
+  serves_requests = other592.serves_requests;
+  held_state = other592.held_state;
+  wants_loads = other592.wants_loads;
+  serving_entries = other592.serving_entries;
+  entries_hold_version = other592.entries_hold_version;
+  evacuation_revision = other592.evacuation_revision;
+  relay_address = other592.relay_address;
+  relay_peers = other592.relay_peers;
+  reaches_no_server = other592.reaches_no_server;
+  __isset = other592.__isset;
   return *this;
 }
-FleetHeartbeat& FleetHeartbeat::operator=(FleetHeartbeat&& other583) noexcept {
-  sequence = other583.sequence;
-  zone = std::move(other583.zone);
-  replica_id = other583.replica_id;
-  control_address = std::move(other583.control_address);
-  document_version = other583.document_version;
-  held_term = other583.held_term;
-  held_version = other583.held_version;
-  leaving = other583.leaving;
-  serves_requests = other583.serves_requests;
-  held_state = std::move(other583.held_state);
-  wants_loads = other583.wants_loads;
-  serving_entries = other583.serving_entries;
-  entries_hold_version = other583.entries_hold_version;
-  evacuation_revision = other583.evacuation_revision;
-  __isset = other583.__isset;
+FleetHeartbeat& FleetHeartbeat::operator=(FleetHeartbeat&& other593) noexcept {
+  sequence = other593.sequence;
+  zone = std::move(other593.zone);
+  replica_id = other593.replica_id;
+  control_address = std::move(other593.control_address);
+  document_version = other593.document_version;
+  held_term = other593.held_term;
+  held_version = other593.held_version;
+  leaving = other593.leaving;
+  serves_requests = other593.serves_requests;
+  held_state = std::move(other593.held_state);
+  wants_loads = other593.wants_loads;
+  serving_entries = other593.serving_entries;
+  entries_hold_version = other593.entries_hold_version;
+  evacuation_revision = other593.evacuation_revision;
+  relay_address = std::move(other593.relay_address);
+  relay_peers = std::move(other593.relay_peers);
+  reaches_no_server = other593.reaches_no_server;
+  __isset = other593.__isset;
   return *this;
 }
 void FleetHeartbeat::printTo(std::ostream& out) const {
@@ -14606,6 +14840,9 @@
   out << ", " << "serving_entries=" << to_string(serving_entries);
   out << ", " << "entries_hold_version=" << to_string(entries_hold_version);
   out << ", " << "evacuation_revision=" << to_string(evacuation_revision);
+  out << ", " << "relay_address="; (__isset.relay_address ? (out << to_string(relay_address)) : (out << "<null>"));
+  out << ", " << "relay_peers="; (__isset.relay_peers ? (out << to_string(relay_peers)) : (out << "<null>"));
+  out << ", " << "reaches_no_server=" << to_string(reaches_no_server);
   out << ")";
 }
 
@@ -14765,14 +15002,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->excluded_groups.clear();
-            uint32_t _size584;
-            ::apache::thrift::protocol::TType _etype587;
-            xfer += iprot->readListBegin(_etype587, _size584);
-            this->excluded_groups.resize(_size584);
-            uint32_t _i588;
-            for (_i588 = 0; _i588 < _size584; ++_i588)
+            uint32_t _size594;
+            ::apache::thrift::protocol::TType _etype597;
+            xfer += iprot->readListBegin(_etype597, _size594);
+            this->excluded_groups.resize(_size594);
+            uint32_t _i598;
+            for (_i598 = 0; _i598 < _size594; ++_i598)
             {
-              xfer += iprot->readString(this->excluded_groups[_i588]);
+              xfer += iprot->readString(this->excluded_groups[_i598]);
             }
             xfer += iprot->readListEnd();
           }
@@ -14801,14 +15038,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->allowed_zones.clear();
-            uint32_t _size589;
-            ::apache::thrift::protocol::TType _etype592;
-            xfer += iprot->readListBegin(_etype592, _size589);
-            this->allowed_zones.resize(_size589);
-            uint32_t _i593;
-            for (_i593 = 0; _i593 < _size589; ++_i593)
+            uint32_t _size599;
+            ::apache::thrift::protocol::TType _etype602;
+            xfer += iprot->readListBegin(_etype602, _size599);
+            this->allowed_zones.resize(_size599);
+            uint32_t _i603;
+            for (_i603 = 0; _i603 < _size599; ++_i603)
             {
-              xfer += iprot->readString(this->allowed_zones[_i593]);
+              xfer += iprot->readString(this->allowed_zones[_i603]);
             }
             xfer += iprot->readListEnd();
           }
@@ -14821,14 +15058,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->rated_servers.clear();
-            uint32_t _size594;
-            ::apache::thrift::protocol::TType _etype597;
-            xfer += iprot->readListBegin(_etype597, _size594);
-            this->rated_servers.resize(_size594);
-            uint32_t _i598;
-            for (_i598 = 0; _i598 < _size594; ++_i598)
+            uint32_t _size604;
+            ::apache::thrift::protocol::TType _etype607;
+            xfer += iprot->readListBegin(_etype607, _size604);
+            this->rated_servers.resize(_size604);
+            uint32_t _i608;
+            for (_i608 = 0; _i608 < _size604; ++_i608)
             {
-              xfer += iprot->readString(this->rated_servers[_i598]);
+              xfer += iprot->readString(this->rated_servers[_i608]);
             }
             xfer += iprot->readListEnd();
           }
@@ -14889,10 +15126,10 @@
   xfer += oprot->writeFieldBegin("excluded_groups", ::apache::thrift::protocol::T_LIST, 10);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->excluded_groups.size()));
-    std::vector<std::string> ::const_iterator _iter599;
-    for (_iter599 = this->excluded_groups.begin(); _iter599 != this->excluded_groups.end(); ++_iter599)
+    std::vector<std::string> ::const_iterator _iter609;
+    for (_iter609 = this->excluded_groups.begin(); _iter609 != this->excluded_groups.end(); ++_iter609)
     {
-      xfer += oprot->writeString((*_iter599));
+      xfer += oprot->writeString((*_iter609));
     }
     xfer += oprot->writeListEnd();
   }
@@ -14912,10 +15149,10 @@
     xfer += oprot->writeFieldBegin("allowed_zones", ::apache::thrift::protocol::T_LIST, 13);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->allowed_zones.size()));
-      std::vector<std::string> ::const_iterator _iter600;
-      for (_iter600 = this->allowed_zones.begin(); _iter600 != this->allowed_zones.end(); ++_iter600)
+      std::vector<std::string> ::const_iterator _iter610;
+      for (_iter610 = this->allowed_zones.begin(); _iter610 != this->allowed_zones.end(); ++_iter610)
       {
-        xfer += oprot->writeString((*_iter600));
+        xfer += oprot->writeString((*_iter610));
       }
       xfer += oprot->writeListEnd();
     }
@@ -14925,10 +15162,10 @@
     xfer += oprot->writeFieldBegin("rated_servers", ::apache::thrift::protocol::T_LIST, 14);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->rated_servers.size()));
-      std::vector<std::string> ::const_iterator _iter601;
-      for (_iter601 = this->rated_servers.begin(); _iter601 != this->rated_servers.end(); ++_iter601)
+      std::vector<std::string> ::const_iterator _iter611;
+      for (_iter611 = this->rated_servers.begin(); _iter611 != this->rated_servers.end(); ++_iter611)
       {
-        xfer += oprot->writeString((*_iter601));
+        xfer += oprot->writeString((*_iter611));
       }
       xfer += oprot->writeListEnd();
     }
@@ -14957,70 +15194,70 @@
   swap(a.__isset, b.__isset);
 }
 
-SlotRequest::SlotRequest(const SlotRequest& other602) {
-  id = other602.id;
-  service_name = other602.service_name;
-  model = other602.model;
-  prompt_tokens = other602.prompt_tokens;
-  first_event_ms = other602.first_event_ms;
-  gap_ms = other602.gap_ms;
-  priority = other602.priority;
-  patience_ms = other602.patience_ms;
-  excluded_groups = other602.excluded_groups;
-  trial_of = other602.trial_of;
-  repeat_of = other602.repeat_of;
-  allowed_zones = other602.allowed_zones;
-  rated_servers = other602.rated_servers;
-  __isset = other602.__isset;
-}
-SlotRequest::SlotRequest(SlotRequest&& other603) noexcept {
-  id = other603.id;
-  service_name = std::move(other603.service_name);
-  model = std::move(other603.model);
-  prompt_tokens = other603.prompt_tokens;
-  first_event_ms = other603.first_event_ms;
-  gap_ms = other603.gap_ms;
-  priority = other603.priority;
-  patience_ms = other603.patience_ms;
-  excluded_groups = std::move(other603.excluded_groups);
-  trial_of = other603.trial_of;
-  repeat_of = other603.repeat_of;
-  allowed_zones = std::move(other603.allowed_zones);
-  rated_servers = std::move(other603.rated_servers);
-  __isset = other603.__isset;
-}
-SlotRequest& SlotRequest::operator=(const SlotRequest& other604) {
-  id = other604.id;
-  service_name = other604.service_name;
-  model = other604.model;
-  prompt_tokens = other604.prompt_tokens;
-  first_event_ms = other604.first_event_ms;
-  gap_ms = other604.gap_ms;
-  priority = other604.priority;
-  patience_ms = other604.patience_ms;
-  excluded_groups = other604.excluded_groups;
-  trial_of = other604.trial_of;
-  repeat_of = other604.repeat_of;
-  allowed_zones = other604.allowed_zones;
-  rated_servers = other604.rated_servers;
-  __isset = other604.__isset;
+SlotRequest::SlotRequest(const SlotRequest& other612) {
+  id = other612.id;
+  service_name = other612.service_name;
+  model = other612.model;
+  prompt_tokens = other612.prompt_tokens;
+  first_event_ms = other612.first_event_ms;
+  gap_ms = other612.gap_ms;
+  priority = other612.priority;
+  patience_ms = other612.patience_ms;
+  excluded_groups = other612.excluded_groups;
+  trial_of = other612.trial_of;
+  repeat_of = other612.repeat_of;
+  allowed_zones = other612.allowed_zones;
+  rated_servers = other612.rated_servers;
+  __isset = other612.__isset;
+}
+SlotRequest::SlotRequest(SlotRequest&& other613) noexcept {
+  id = other613.id;
+  service_name = std::move(other613.service_name);
+  model = std::move(other613.model);
+  prompt_tokens = other613.prompt_tokens;
+  first_event_ms = other613.first_event_ms;
+  gap_ms = other613.gap_ms;
+  priority = other613.priority;
+  patience_ms = other613.patience_ms;
+  excluded_groups = std::move(other613.excluded_groups);
+  trial_of = other613.trial_of;
+  repeat_of = other613.repeat_of;
+  allowed_zones = std::move(other613.allowed_zones);
+  rated_servers = std::move(other613.rated_servers);
+  __isset = other613.__isset;
+}
+SlotRequest& SlotRequest::operator=(const SlotRequest& other614) {
+  id = other614.id;
+  service_name = other614.service_name;
+  model = other614.model;
+  prompt_tokens = other614.prompt_tokens;
+  first_event_ms = other614.first_event_ms;
+  gap_ms = other614.gap_ms;
+  priority = other614.priority;
+  patience_ms = other614.patience_ms;
+  excluded_groups = other614.excluded_groups;
+  trial_of = other614.trial_of;
+  repeat_of = other614.repeat_of;
+  allowed_zones = other614.allowed_zones;
+  rated_servers = other614.rated_servers;
+  __isset = other614.__isset;
   return *this;
 }
-SlotRequest& SlotRequest::operator=(SlotRequest&& other605) noexcept {
-  id = other605.id;
-  service_name = std::move(other605.service_name);
-  model = std::move(other605.model);
-  prompt_tokens = other605.prompt_tokens;
-  first_event_ms = other605.first_event_ms;
-  gap_ms = other605.gap_ms;
-  priority = other605.priority;
-  patience_ms = other605.patience_ms;
-  excluded_groups = std::move(other605.excluded_groups);
-  trial_of = other605.trial_of;
-  repeat_of = other605.repeat_of;
-  allowed_zones = std::move(other605.allowed_zones);
-  rated_servers = std::move(other605.rated_servers);
-  __isset = other605.__isset;
+SlotRequest& SlotRequest::operator=(SlotRequest&& other615) noexcept {
+  id = other615.id;
+  service_name = std::move(other615.service_name);
+  model = std::move(other615.model);
+  prompt_tokens = other615.prompt_tokens;
+  first_event_ms = other615.first_event_ms;
+  gap_ms = other615.gap_ms;
+  priority = other615.priority;
+  patience_ms = other615.patience_ms;
+  excluded_groups = std::move(other615.excluded_groups);
+  trial_of = other615.trial_of;
+  repeat_of = other615.repeat_of;
+  allowed_zones = std::move(other615.allowed_zones);
+  rated_servers = std::move(other615.rated_servers);
+  __isset = other615.__isset;
   return *this;
 }
 void SlotRequest::printTo(std::ostream& out) const {
@@ -15122,9 +15359,9 @@
         break;
       case 3:
         if (ftype == ::apache::thrift::protocol::T_I32) {
-          int32_t ecast606;
-          xfer += iprot->readI32(ecast606);
-          this->verdict = static_cast<SlotVerdict::type>(ecast606);
+          int32_t ecast616;
+          xfer += iprot->readI32(ecast616);
+          this->verdict = static_cast<SlotVerdict::type>(ecast616);
           this->__isset.verdict = true;
         } else {
           xfer += iprot->skip(ftype);
@@ -15226,46 +15463,46 @@
   swap(a.__isset, b.__isset);
 }
 
-SlotGrant::SlotGrant(const SlotGrant& other607) {
-  id = other607.id;
-  sequence = other607.sequence;
-  verdict = other607.verdict;
-  group = other607.group;
-  expected_ms = other607.expected_ms;
-  server = other607.server;
-  retry_after_ms = other607.retry_after_ms;
-  __isset = other607.__isset;
-}
-SlotGrant::SlotGrant(SlotGrant&& other608) noexcept {
-  id = other608.id;
-  sequence = other608.sequence;
-  verdict = other608.verdict;
-  group = std::move(other608.group);
-  expected_ms = other608.expected_ms;
-  server = std::move(other608.server);
-  retry_after_ms = other608.retry_after_ms;
-  __isset = other608.__isset;
-}
-SlotGrant& SlotGrant::operator=(const SlotGrant& other609) {
-  id = other609.id;
-  sequence = other609.sequence;
-  verdict = other609.verdict;
-  group = other609.group;
-  expected_ms = other609.expected_ms;
-  server = other609.server;
-  retry_after_ms = other609.retry_after_ms;
-  __isset = other609.__isset;
+SlotGrant::SlotGrant(const SlotGrant& other617) {
+  id = other617.id;
+  sequence = other617.sequence;
+  verdict = other617.verdict;
+  group = other617.group;
+  expected_ms = other617.expected_ms;
+  server = other617.server;
+  retry_after_ms = other617.retry_after_ms;
+  __isset = other617.__isset;
+}
+SlotGrant::SlotGrant(SlotGrant&& other618) noexcept {
+  id = other618.id;
+  sequence = other618.sequence;
+  verdict = other618.verdict;
+  group = std::move(other618.group);
+  expected_ms = other618.expected_ms;
+  server = std::move(other618.server);
+  retry_after_ms = other618.retry_after_ms;
+  __isset = other618.__isset;
+}
+SlotGrant& SlotGrant::operator=(const SlotGrant& other619) {
+  id = other619.id;
+  sequence = other619.sequence;
+  verdict = other619.verdict;
+  group = other619.group;
+  expected_ms = other619.expected_ms;
+  server = other619.server;
+  retry_after_ms = other619.retry_after_ms;
+  __isset = other619.__isset;
   return *this;
 }
-SlotGrant& SlotGrant::operator=(SlotGrant&& other610) noexcept {
-  id = other610.id;
-  sequence = other610.sequence;
-  verdict = other610.verdict;
-  group = std::move(other610.group);
-  expected_ms = other610.expected_ms;
-  server = std::move(other610.server);
-  retry_after_ms = other610.retry_after_ms;
-  __isset = other610.__isset;
+SlotGrant& SlotGrant::operator=(SlotGrant&& other620) noexcept {
+  id = other620.id;
+  sequence = other620.sequence;
+  verdict = other620.verdict;
+  group = std::move(other620.group);
+  expected_ms = other620.expected_ms;
+  server = std::move(other620.server);
+  retry_after_ms = other620.retry_after_ms;
+  __isset = other620.__isset;
   return *this;
 }
 void SlotGrant::printTo(std::ostream& out) const {
@@ -15410,34 +15647,34 @@
   swap(a.__isset, b.__isset);
 }
 
-RequestServerEnd::RequestServerEnd(const RequestServerEnd& other611) {
-  fingerprint = other611.fingerprint;
-  instance_id = other611.instance_id;
-  age_ms = other611.age_ms;
-  is_likely = other611.is_likely;
-  __isset = other611.__isset;
-}
-RequestServerEnd::RequestServerEnd(RequestServerEnd&& other612) noexcept {
-  fingerprint = other612.fingerprint;
-  instance_id = std::move(other612.instance_id);
-  age_ms = other612.age_ms;
-  is_likely = other612.is_likely;
-  __isset = other612.__isset;
-}
-RequestServerEnd& RequestServerEnd::operator=(const RequestServerEnd& other613) {
-  fingerprint = other613.fingerprint;
-  instance_id = other613.instance_id;
-  age_ms = other613.age_ms;
-  is_likely = other613.is_likely;
-  __isset = other613.__isset;
+RequestServerEnd::RequestServerEnd(const RequestServerEnd& other621) {
+  fingerprint = other621.fingerprint;
+  instance_id = other621.instance_id;
+  age_ms = other621.age_ms;
+  is_likely = other621.is_likely;
+  __isset = other621.__isset;
+}
+RequestServerEnd::RequestServerEnd(RequestServerEnd&& other622) noexcept {
+  fingerprint = other622.fingerprint;
+  instance_id = std::move(other622.instance_id);
+  age_ms = other622.age_ms;
+  is_likely = other622.is_likely;
+  __isset = other622.__isset;
+}
+RequestServerEnd& RequestServerEnd::operator=(const RequestServerEnd& other623) {
+  fingerprint = other623.fingerprint;
+  instance_id = other623.instance_id;
+  age_ms = other623.age_ms;
+  is_likely = other623.is_likely;
+  __isset = other623.__isset;
   return *this;
 }
-RequestServerEnd& RequestServerEnd::operator=(RequestServerEnd&& other614) noexcept {
-  fingerprint = other614.fingerprint;
-  instance_id = std::move(other614.instance_id);
-  age_ms = other614.age_ms;
-  is_likely = other614.is_likely;
-  __isset = other614.__isset;
+RequestServerEnd& RequestServerEnd::operator=(RequestServerEnd&& other624) noexcept {
+  fingerprint = other624.fingerprint;
+  instance_id = std::move(other624.instance_id);
+  age_ms = other624.age_ms;
+  is_likely = other624.is_likely;
+  __isset = other624.__isset;
   return *this;
 }
 void RequestServerEnd::printTo(std::ostream& out) const {
@@ -15562,30 +15799,30 @@
   swap(a.__isset, b.__isset);
 }
 
-ServerLimitReport::ServerLimitReport(const ServerLimitReport& other615) {
-  incarnation = other615.incarnation;
-  per_second = other615.per_second;
-  age_ms = other615.age_ms;
-  __isset = other615.__isset;
+ServerLimitReport::ServerLimitReport(const ServerLimitReport& other625) {
+  incarnation = other625.incarnation;
+  per_second = other625.per_second;
+  age_ms = other625.age_ms;
+  __isset = other625.__isset;
 }
-ServerLimitReport::ServerLimitReport(ServerLimitReport&& other616) noexcept {
-  incarnation = std::move(other616.incarnation);
-  per_second = other616.per_second;
-  age_ms = other616.age_ms;
-  __isset = other616.__isset;
+ServerLimitReport::ServerLimitReport(ServerLimitReport&& other626) noexcept {
+  incarnation = std::move(other626.incarnation);
+  per_second = other626.per_second;
+  age_ms = other626.age_ms;
+  __isset = other626.__isset;
 }
-ServerLimitReport& ServerLimitReport::operator=(const ServerLimitReport& other617) {
-  incarnation = other617.incarnation;
-  per_second = other617.per_second;
-  age_ms = other617.age_ms;
-  __isset = other617.__isset;
+ServerLimitReport& ServerLimitReport::operator=(const ServerLimitReport& other627) {
+  incarnation = other627.incarnation;
+  per_second = other627.per_second;
+  age_ms = other627.age_ms;
+  __isset = other627.__isset;
   return *this;
 }
-ServerLimitReport& ServerLimitReport::operator=(ServerLimitReport&& other618) noexcept {
-  incarnation = std::move(other618.incarnation);
-  per_second = other618.per_second;
-  age_ms = other618.age_ms;
-  __isset = other618.__isset;
+ServerLimitReport& ServerLimitReport::operator=(ServerLimitReport&& other628) noexcept {
+  incarnation = std::move(other628.incarnation);
+  per_second = other628.per_second;
+  age_ms = other628.age_ms;
+  __isset = other628.__isset;
   return *this;
 }
 void ServerLimitReport::printTo(std::ostream& out) const {
@@ -15681,14 +15918,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->requests.clear();
-            uint32_t _size619;
-            ::apache::thrift::protocol::TType _etype622;
-            xfer += iprot->readListBegin(_etype622, _size619);
-            this->requests.resize(_size619);
-            uint32_t _i623;
-            for (_i623 = 0; _i623 < _size619; ++_i623)
+            uint32_t _size629;
+            ::apache::thrift::protocol::TType _etype632;
+            xfer += iprot->readListBegin(_etype632, _size629);
+            this->requests.resize(_size629);
+            uint32_t _i633;
+            for (_i633 = 0; _i633 < _size629; ++_i633)
             {
-              xfer += this->requests[_i623].read(iprot);
+              xfer += this->requests[_i633].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -15701,14 +15938,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->loads.clear();
-            uint32_t _size624;
-            ::apache::thrift::protocol::TType _etype627;
-            xfer += iprot->readListBegin(_etype627, _size624);
-            this->loads.resize(_size624);
-            uint32_t _i628;
-            for (_i628 = 0; _i628 < _size624; ++_i628)
+            uint32_t _size634;
+            ::apache::thrift::protocol::TType _etype637;
+            xfer += iprot->readListBegin(_etype637, _size634);
+            this->loads.resize(_size634);
+            uint32_t _i638;
+            for (_i638 = 0; _i638 < _size634; ++_i638)
             {
-              xfer += this->loads[_i628].read(iprot);
+              xfer += this->loads[_i638].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -15745,14 +15982,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->demand.clear();
-            uint32_t _size629;
-            ::apache::thrift::protocol::TType _etype632;
-            xfer += iprot->readListBegin(_etype632, _size629);
-            this->demand.resize(_size629);
-            uint32_t _i633;
-            for (_i633 = 0; _i633 < _size629; ++_i633)
+            uint32_t _size639;
+            ::apache::thrift::protocol::TType _etype642;
+            xfer += iprot->readListBegin(_etype642, _size639);
+            this->demand.resize(_size639);
+            uint32_t _i643;
+            for (_i643 = 0; _i643 < _size639; ++_i643)
             {
-              xfer += this->demand[_i633].read(iprot);
+              xfer += this->demand[_i643].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -15765,14 +16002,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->failures.clear();
-            uint32_t _size634;
-            ::apache::thrift::protocol::TType _etype637;
-            xfer += iprot->readListBegin(_etype637, _size634);
-            this->failures.resize(_size634);
-            uint32_t _i638;
-            for (_i638 = 0; _i638 < _size634; ++_i638)
+            uint32_t _size644;
+            ::apache::thrift::protocol::TType _etype647;
+            xfer += iprot->readListBegin(_etype647, _size644);
+            this->failures.resize(_size644);
+            uint32_t _i648;
+            for (_i648 = 0; _i648 < _size644; ++_i648)
             {
-              xfer += this->failures[_i638].read(iprot);
+              xfer += this->failures[_i648].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -15793,14 +16030,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->quiet_groups.clear();
-            uint32_t _size639;
-            ::apache::thrift::protocol::TType _etype642;
-            xfer += iprot->readListBegin(_etype642, _size639);
-            this->quiet_groups.resize(_size639);
-            uint32_t _i643;
-            for (_i643 = 0; _i643 < _size639; ++_i643)
+            uint32_t _size649;
+            ::apache::thrift::protocol::TType _etype652;
+            xfer += iprot->readListBegin(_etype652, _size649);
+            this->quiet_groups.resize(_size649);
+            uint32_t _i653;
+            for (_i653 = 0; _i653 < _size649; ++_i653)
             {
-              xfer += iprot->readString(this->quiet_groups[_i643]);
+              xfer += iprot->readString(this->quiet_groups[_i653]);
             }
             xfer += iprot->readListEnd();
           }
@@ -15813,14 +16050,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->server_ends.clear();
-            uint32_t _size644;
-            ::apache::thrift::protocol::TType _etype647;
-            xfer += iprot->readListBegin(_etype647, _size644);
-            this->server_ends.resize(_size644);
-            uint32_t _i648;
-            for (_i648 = 0; _i648 < _size644; ++_i648)
+            uint32_t _size654;
+            ::apache::thrift::protocol::TType _etype657;
+            xfer += iprot->readListBegin(_etype657, _size654);
+            this->server_ends.resize(_size654);
+            uint32_t _i658;
+            for (_i658 = 0; _i658 < _size654; ++_i658)
             {
-              xfer += this->server_ends[_i648].read(iprot);
+              xfer += this->server_ends[_i658].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -15833,14 +16070,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->answered_requests.clear();
-            uint32_t _size649;
-            ::apache::thrift::protocol::TType _etype652;
-            xfer += iprot->readListBegin(_etype652, _size649);
-            this->answered_requests.resize(_size649);
-            uint32_t _i653;
-            for (_i653 = 0; _i653 < _size649; ++_i653)
+            uint32_t _size659;
+            ::apache::thrift::protocol::TType _etype662;
+            xfer += iprot->readListBegin(_etype662, _size659);
+            this->answered_requests.resize(_size659);
+            uint32_t _i663;
+            for (_i663 = 0; _i663 < _size659; ++_i663)
             {
-              xfer += iprot->readI64(this->answered_requests[_i653]);
+              xfer += iprot->readI64(this->answered_requests[_i663]);
             }
             xfer += iprot->readListEnd();
           }
@@ -15853,14 +16090,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->server_limits.clear();
-            uint32_t _size654;
-            ::apache::thrift::protocol::TType _etype657;
-            xfer += iprot->readListBegin(_etype657, _size654);
-            this->server_limits.resize(_size654);
-            uint32_t _i658;
-            for (_i658 = 0; _i658 < _size654; ++_i658)
+            uint32_t _size664;
+            ::apache::thrift::protocol::TType _etype667;
+            xfer += iprot->readListBegin(_etype667, _size664);
+            this->server_limits.resize(_size664);
+            uint32_t _i668;
+            for (_i668 = 0; _i668 < _size664; ++_i668)
             {
-              xfer += this->server_limits[_i658].read(iprot);
+              xfer += this->server_limits[_i668].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -15889,10 +16126,10 @@
   xfer += oprot->writeFieldBegin("requests", ::apache::thrift::protocol::T_LIST, 1);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->requests.size()));
-    std::vector<SlotRequest> ::const_iterator _iter659;
-    for (_iter659 = this->requests.begin(); _iter659 != this->requests.end(); ++_iter659)
+    std::vector<SlotRequest> ::const_iterator _iter669;
+    for (_iter669 = this->requests.begin(); _iter669 != this->requests.end(); ++_iter669)
     {
-      xfer += (*_iter659).write(oprot);
+      xfer += (*_iter669).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -15901,10 +16138,10 @@
   xfer += oprot->writeFieldBegin("loads", ::apache::thrift::protocol::T_LIST, 2);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->loads.size()));
-    std::vector<GroupLoad> ::const_iterator _iter660;
-    for (_iter660 = this->loads.begin(); _iter660 != this->loads.end(); ++_iter660)
+    std::vector<GroupLoad> ::const_iterator _iter670;
+    for (_iter670 = this->loads.begin(); _iter670 != this->loads.end(); ++_iter670)
     {
-      xfer += (*_iter660).write(oprot);
+      xfer += (*_iter670).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -15925,10 +16162,10 @@
   xfer += oprot->writeFieldBegin("demand", ::apache::thrift::protocol::T_LIST, 6);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->demand.size()));
-    std::vector<ModelDemand> ::const_iterator _iter661;
-    for (_iter661 = this->demand.begin(); _iter661 != this->demand.end(); ++_iter661)
+    std::vector<ModelDemand> ::const_iterator _iter671;
+    for (_iter671 = this->demand.begin(); _iter671 != this->demand.end(); ++_iter671)
     {
-      xfer += (*_iter661).write(oprot);
+      xfer += (*_iter671).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -15937,10 +16174,10 @@
   xfer += oprot->writeFieldBegin("failures", ::apache::thrift::protocol::T_LIST, 7);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->failures.size()));
-    std::vector<GroupFailure> ::const_iterator _iter662;
-    for (_iter662 = this->failures.begin(); _iter662 != this->failures.end(); ++_iter662)
+    std::vector<GroupFailure> ::const_iterator _iter672;
+    for (_iter672 = this->failures.begin(); _iter672 != this->failures.end(); ++_iter672)
     {
-      xfer += (*_iter662).write(oprot);
+      xfer += (*_iter672).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -15953,10 +16190,10 @@
   xfer += oprot->writeFieldBegin("quiet_groups", ::apache::thrift::protocol::T_LIST, 9);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->quiet_groups.size()));
-    std::vector<std::string> ::const_iterator _iter663;
-    for (_iter663 = this->quiet_groups.begin(); _iter663 != this->quiet_groups.end(); ++_iter663)
+    std::vector<std::string> ::const_iterator _iter673;
+    for (_iter673 = this->quiet_groups.begin(); _iter673 != this->quiet_groups.end(); ++_iter673)
     {
-      xfer += oprot->writeString((*_iter663));
+      xfer += oprot->writeString((*_iter673));
     }
     xfer += oprot->writeListEnd();
   }
@@ -15965,10 +16202,10 @@
   xfer += oprot->writeFieldBegin("server_ends", ::apache::thrift::protocol::T_LIST, 10);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->server_ends.size()));
-    std::vector<RequestServerEnd> ::const_iterator _iter664;
-    for (_iter664 = this->server_ends.begin(); _iter664 != this->server_ends.end(); ++_iter664)
+    std::vector<RequestServerEnd> ::const_iterator _iter674;
+    for (_iter674 = this->server_ends.begin(); _iter674 != this->server_ends.end(); ++_iter674)
     {
-      xfer += (*_iter664).write(oprot);
+      xfer += (*_iter674).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -15977,10 +16214,10 @@
   xfer += oprot->writeFieldBegin("answered_requests", ::apache::thrift::protocol::T_LIST, 11);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I64, static_cast<uint32_t>(this->answered_requests.size()));
-    std::vector<int64_t> ::const_iterator _iter665;
-    for (_iter665 = this->answered_requests.begin(); _iter665 != this->answered_requests.end(); ++_iter665)
+    std::vector<int64_t> ::const_iterator _iter675;
+    for (_iter675 = this->answered_requests.begin(); _iter675 != this->answered_requests.end(); ++_iter675)
     {
-      xfer += oprot->writeI64((*_iter665));
+      xfer += oprot->writeI64((*_iter675));
     }
     xfer += oprot->writeListEnd();
   }
@@ -15989,10 +16226,10 @@
   xfer += oprot->writeFieldBegin("server_limits", ::apache::thrift::protocol::T_LIST, 12);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->server_limits.size()));
-    std::vector<ServerLimitReport> ::const_iterator _iter666;
-    for (_iter666 = this->server_limits.begin(); _iter666 != this->server_limits.end(); ++_iter666)
+    std::vector<ServerLimitReport> ::const_iterator _iter676;
+    for (_iter676 = this->server_limits.begin(); _iter676 != this->server_limits.end(); ++_iter676)
     {
-      xfer += (*_iter666).write(oprot);
+      xfer += (*_iter676).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -16020,66 +16257,66 @@
   swap(a.__isset, b.__isset);
 }
 
-SlotReport::SlotReport(const SlotReport& other667) {
-  requests = other667.requests;
-  loads = other667.loads;
-  grants_term = other667.grants_term;
-  grants_seen = other667.grants_seen;
-  is_complete = other667.is_complete;
-  demand = other667.demand;
-  failures = other667.failures;
-  traffic_seen = other667.traffic_seen;
-  quiet_groups = other667.quiet_groups;
-  server_ends = other667.server_ends;
-  answered_requests = other667.answered_requests;
-  server_limits = other667.server_limits;
-  __isset = other667.__isset;
-}
-SlotReport::SlotReport(SlotReport&& other668) noexcept {
-  requests = std::move(other668.requests);
-  loads = std::move(other668.loads);
-  grants_term = other668.grants_term;
-  grants_seen = other668.grants_seen;
-  is_complete = other668.is_complete;
-  demand = std::move(other668.demand);
-  failures = std::move(other668.failures);
-  traffic_seen = other668.traffic_seen;
-  quiet_groups = std::move(other668.quiet_groups);
-  server_ends = std::move(other668.server_ends);
-  answered_requests = std::move(other668.answered_requests);
-  server_limits = std::move(other668.server_limits);
-  __isset = other668.__isset;
-}
-SlotReport& SlotReport::operator=(const SlotReport& other669) {
-  requests = other669.requests;
-  loads = other669.loads;
-  grants_term = other669.grants_term;
-  grants_seen = other669.grants_seen;
-  is_complete = other669.is_complete;
-  demand = other669.demand;
-  failures = other669.failures;
-  traffic_seen = other669.traffic_seen;
-  quiet_groups = other669.quiet_groups;
-  server_ends = other669.server_ends;
-  answered_requests = other669.answered_requests;
-  server_limits = other669.server_limits;
-  __isset = other669.__isset;
+SlotReport::SlotReport(const SlotReport& other677) {
+  requests = other677.requests;
+  loads = other677.loads;
+  grants_term = other677.grants_term;
+  grants_seen = other677.grants_seen;
+  is_complete = other677.is_complete;
+  demand = other677.demand;
+  failures = other677.failures;
+  traffic_seen = other677.traffic_seen;
+  quiet_groups = other677.quiet_groups;
+  server_ends = other677.server_ends;
+  answered_requests = other677.answered_requests;
+  server_limits = other677.server_limits;
+  __isset = other677.__isset;
+}
+SlotReport::SlotReport(SlotReport&& other678) noexcept {
+  requests = std::move(other678.requests);
+  loads = std::move(other678.loads);
+  grants_term = other678.grants_term;
+  grants_seen = other678.grants_seen;
+  is_complete = other678.is_complete;
+  demand = std::move(other678.demand);
+  failures = std::move(other678.failures);
+  traffic_seen = other678.traffic_seen;
+  quiet_groups = std::move(other678.quiet_groups);
+  server_ends = std::move(other678.server_ends);
+  answered_requests = std::move(other678.answered_requests);
+  server_limits = std::move(other678.server_limits);
+  __isset = other678.__isset;
+}
+SlotReport& SlotReport::operator=(const SlotReport& other679) {
+  requests = other679.requests;
+  loads = other679.loads;
+  grants_term = other679.grants_term;
+  grants_seen = other679.grants_seen;
+  is_complete = other679.is_complete;
+  demand = other679.demand;
+  failures = other679.failures;
+  traffic_seen = other679.traffic_seen;
+  quiet_groups = other679.quiet_groups;
+  server_ends = other679.server_ends;
+  answered_requests = other679.answered_requests;
+  server_limits = other679.server_limits;
+  __isset = other679.__isset;
   return *this;
 }
-SlotReport& SlotReport::operator=(SlotReport&& other670) noexcept {
-  requests = std::move(other670.requests);
-  loads = std::move(other670.loads);
-  grants_term = other670.grants_term;
-  grants_seen = other670.grants_seen;
-  is_complete = other670.is_complete;
-  demand = std::move(other670.demand);
-  failures = std::move(other670.failures);
-  traffic_seen = other670.traffic_seen;
-  quiet_groups = std::move(other670.quiet_groups);
-  server_ends = std::move(other670.server_ends);
-  answered_requests = std::move(other670.answered_requests);
-  server_limits = std::move(other670.server_limits);
-  __isset = other670.__isset;
+SlotReport& SlotReport::operator=(SlotReport&& other680) noexcept {
+  requests = std::move(other680.requests);
+  loads = std::move(other680.loads);
+  grants_term = other680.grants_term;
+  grants_seen = other680.grants_seen;
+  is_complete = other680.is_complete;
+  demand = std::move(other680.demand);
+  failures = std::move(other680.failures);
+  traffic_seen = other680.traffic_seen;
+  quiet_groups = std::move(other680.quiet_groups);
+  server_ends = std::move(other680.server_ends);
+  answered_requests = std::move(other680.answered_requests);
+  server_limits = std::move(other680.server_limits);
+  __isset = other680.__isset;
   return *this;
 }
 void SlotReport::printTo(std::ostream& out) const {
@@ -16156,14 +16393,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->grants.clear();
-            uint32_t _size671;
-            ::apache::thrift::protocol::TType _etype674;
-            xfer += iprot->readListBegin(_etype674, _size671);
-            this->grants.resize(_size671);
-            uint32_t _i675;
-            for (_i675 = 0; _i675 < _size671; ++_i675)
+            uint32_t _size681;
+            ::apache::thrift::protocol::TType _etype684;
+            xfer += iprot->readListBegin(_etype684, _size681);
+            this->grants.resize(_size681);
+            uint32_t _i685;
+            for (_i685 = 0; _i685 < _size681; ++_i685)
             {
-              xfer += this->grants[_i675].read(iprot);
+              xfer += this->grants[_i685].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -16176,14 +16413,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->failed_groups.clear();
-            uint32_t _size676;
-            ::apache::thrift::protocol::TType _etype679;
-            xfer += iprot->readListBegin(_etype679, _size676);
-            this->failed_groups.resize(_size676);
-            uint32_t _i680;
-            for (_i680 = 0; _i680 < _size676; ++_i680)
+            uint32_t _size686;
+            ::apache::thrift::protocol::TType _etype689;
+            xfer += iprot->readListBegin(_etype689, _size686);
+            this->failed_groups.resize(_size686);
+            uint32_t _i690;
+            for (_i690 = 0; _i690 < _size686; ++_i690)
             {
-              xfer += iprot->readString(this->failed_groups[_i680]);
+              xfer += iprot->readString(this->failed_groups[_i690]);
             }
             xfer += iprot->readListEnd();
           }
@@ -16216,10 +16453,10 @@
   xfer += oprot->writeFieldBegin("grants", ::apache::thrift::protocol::T_LIST, 2);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->grants.size()));
-    std::vector<SlotGrant> ::const_iterator _iter681;
-    for (_iter681 = this->grants.begin(); _iter681 != this->grants.end(); ++_iter681)
+    std::vector<SlotGrant> ::const_iterator _iter691;
+    for (_iter691 = this->grants.begin(); _iter691 != this->grants.end(); ++_iter691)
     {
-      xfer += (*_iter681).write(oprot);
+      xfer += (*_iter691).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -16228,10 +16465,10 @@
   xfer += oprot->writeFieldBegin("failed_groups", ::apache::thrift::protocol::T_LIST, 3);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->failed_groups.size()));
-    std::vector<std::string> ::const_iterator _iter682;
-    for (_iter682 = this->failed_groups.begin(); _iter682 != this->failed_groups.end(); ++_iter682)
+    std::vector<std::string> ::const_iterator _iter692;
+    for (_iter692 = this->failed_groups.begin(); _iter692 != this->failed_groups.end(); ++_iter692)
     {
-      xfer += oprot->writeString((*_iter682));
+      xfer += oprot->writeString((*_iter692));
     }
     xfer += oprot->writeListEnd();
   }
@@ -16250,30 +16487,30 @@
   swap(a.__isset, b.__isset);
 }
 
-SlotAnswer::SlotAnswer(const SlotAnswer& other683) {
-  term = other683.term;
-  grants = other683.grants;
-  failed_groups = other683.failed_groups;
-  __isset = other683.__isset;
+SlotAnswer::SlotAnswer(const SlotAnswer& other693) {
+  term = other693.term;
+  grants = other693.grants;
+  failed_groups = other693.failed_groups;
+  __isset = other693.__isset;
 }
-SlotAnswer::SlotAnswer(SlotAnswer&& other684) noexcept {
-  term = other684.term;
-  grants = std::move(other684.grants);
-  failed_groups = std::move(other684.failed_groups);
-  __isset = other684.__isset;
+SlotAnswer::SlotAnswer(SlotAnswer&& other694) noexcept {
+  term = other694.term;
+  grants = std::move(other694.grants);
+  failed_groups = std::move(other694.failed_groups);
+  __isset = other694.__isset;
 }
-SlotAnswer& SlotAnswer::operator=(const SlotAnswer& other685) {
-  term = other685.term;
-  grants = other685.grants;
-  failed_groups = other685.failed_groups;
-  __isset = other685.__isset;
+SlotAnswer& SlotAnswer::operator=(const SlotAnswer& other695) {
+  term = other695.term;
+  grants = other695.grants;
+  failed_groups = other695.failed_groups;
+  __isset = other695.__isset;
   return *this;
 }
-SlotAnswer& SlotAnswer::operator=(SlotAnswer&& other686) noexcept {
-  term = other686.term;
-  grants = std::move(other686.grants);
-  failed_groups = std::move(other686.failed_groups);
-  __isset = other686.__isset;
+SlotAnswer& SlotAnswer::operator=(SlotAnswer&& other696) noexcept {
+  term = other696.term;
+  grants = std::move(other696.grants);
+  failed_groups = std::move(other696.failed_groups);
+  __isset = other696.__isset;
   return *this;
 }
 void SlotAnswer::printTo(std::ostream& out) const {
@@ -16378,26 +16615,26 @@
   swap(a.__isset, b.__isset);
 }
 
-ControlPeer::ControlPeer(const ControlPeer& other687) {
-  address = other687.address;
-  zone = other687.zone;
-  __isset = other687.__isset;
+ControlPeer::ControlPeer(const ControlPeer& other697) {
+  address = other697.address;
+  zone = other697.zone;
+  __isset = other697.__isset;
 }
-ControlPeer::ControlPeer(ControlPeer&& other688) noexcept {
-  address = std::move(other688.address);
-  zone = std::move(other688.zone);
-  __isset = other688.__isset;
+ControlPeer::ControlPeer(ControlPeer&& other698) noexcept {
+  address = std::move(other698.address);
+  zone = std::move(other698.zone);
+  __isset = other698.__isset;
 }
-ControlPeer& ControlPeer::operator=(const ControlPeer& other689) {
-  address = other689.address;
-  zone = other689.zone;
-  __isset = other689.__isset;
+ControlPeer& ControlPeer::operator=(const ControlPeer& other699) {
+  address = other699.address;
+  zone = other699.zone;
+  __isset = other699.__isset;
   return *this;
 }
-ControlPeer& ControlPeer::operator=(ControlPeer&& other690) noexcept {
-  address = std::move(other690.address);
-  zone = std::move(other690.zone);
-  __isset = other690.__isset;
+ControlPeer& ControlPeer::operator=(ControlPeer&& other700) noexcept {
+  address = std::move(other700.address);
+  zone = std::move(other700.zone);
+  __isset = other700.__isset;
   return *this;
 }
 void ControlPeer::printTo(std::ostream& out) const {
@@ -16480,6 +16717,11 @@
   this->evacuations = val;
 __isset.evacuations = true;
 }
+
+void FleetUpdate::__set_relay_peers(const std::vector<RelayPeer> & val) {
+  this->relay_peers = val;
+__isset.relay_peers = true;
+}
 std::ostream& operator<<(std::ostream& out, const FleetUpdate& obj)
 {
   obj.printTo(out);
@@ -16560,14 +16802,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->loads.clear();
-            uint32_t _size691;
-            ::apache::thrift::protocol::TType _etype694;
-            xfer += iprot->readListBegin(_etype694, _size691);
-            this->loads.resize(_size691);
-            uint32_t _i695;
-            for (_i695 = 0; _i695 < _size691; ++_i695)
+            uint32_t _size701;
+            ::apache::thrift::protocol::TType _etype704;
+            xfer += iprot->readListBegin(_etype704, _size701);
+            this->loads.resize(_size701);
+            uint32_t _i705;
+            for (_i705 = 0; _i705 < _size701; ++_i705)
             {
-              xfer += this->loads[_i695].read(iprot);
+              xfer += this->loads[_i705].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -16620,14 +16862,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->control_peers.clear();
-            uint32_t _size696;
-            ::apache::thrift::protocol::TType _etype699;
-            xfer += iprot->readListBegin(_etype699, _size696);
-            this->control_peers.resize(_size696);
-            uint32_t _i700;
-            for (_i700 = 0; _i700 < _size696; ++_i700)
+            uint32_t _size706;
+            ::apache::thrift::protocol::TType _etype709;
+            xfer += iprot->readListBegin(_etype709, _size706);
+            this->control_peers.resize(_size706);
+            uint32_t _i710;
+            for (_i710 = 0; _i710 < _size706; ++_i710)
             {
-              xfer += this->control_peers[_i700].read(iprot);
+              xfer += this->control_peers[_i710].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -16660,6 +16902,26 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 19:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->relay_peers.clear();
+            uint32_t _size711;
+            ::apache::thrift::protocol::TType _etype714;
+            xfer += iprot->readListBegin(_etype714, _size711);
+            this->relay_peers.resize(_size711);
+            uint32_t _i715;
+            for (_i715 = 0; _i715 < _size711; ++_i715)
+            {
+              xfer += this->relay_peers[_i715].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.relay_peers = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -16705,10 +16967,10 @@
   xfer += oprot->writeFieldBegin("loads", ::apache::thrift::protocol::T_LIST, 9);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->loads.size()));
-    std::vector<GroupLoad> ::const_iterator _iter701;
-    for (_iter701 = this->loads.begin(); _iter701 != this->loads.end(); ++_iter701)
+    std::vector<GroupLoad> ::const_iterator _iter716;
+    for (_iter716 = this->loads.begin(); _iter716 != this->loads.end(); ++_iter716)
     {
-      xfer += (*_iter701).write(oprot);
+      xfer += (*_iter716).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -16738,10 +17000,10 @@
   xfer += oprot->writeFieldBegin("control_peers", ::apache::thrift::protocol::T_LIST, 15);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->control_peers.size()));
-    std::vector<ControlPeer> ::const_iterator _iter702;
-    for (_iter702 = this->control_peers.begin(); _iter702 != this->control_peers.end(); ++_iter702)
+    std::vector<ControlPeer> ::const_iterator _iter717;
+    for (_iter717 = this->control_peers.begin(); _iter717 != this->control_peers.end(); ++_iter717)
     {
-      xfer += (*_iter702).write(oprot);
+      xfer += (*_iter717).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -16761,6 +17023,19 @@
     xfer += this->evacuations.write(oprot);
     xfer += oprot->writeFieldEnd();
   }
+  if (this->__isset.relay_peers) {
+    xfer += oprot->writeFieldBegin("relay_peers", ::apache::thrift::protocol::T_LIST, 19);
+    {
+      xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->relay_peers.size()));
+      std::vector<RelayPeer> ::const_iterator _iter718;
+      for (_iter718 = this->relay_peers.begin(); _iter718 != this->relay_peers.end(); ++_iter718)
+      {
+        xfer += (*_iter718).write(oprot);
+      }
+      xfer += oprot->writeListEnd();
+    }
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -16784,85 +17059,90 @@
   swap(a.document, b.document);
   swap(a.evacuation_revision, b.evacuation_revision);
   swap(a.evacuations, b.evacuations);
+  swap(a.relay_peers, b.relay_peers);
   swap(a.__isset, b.__isset);
 }
 
-FleetUpdate::FleetUpdate(const FleetUpdate& other703) {
-  sequence = other703.sequence;
-  not_leader = other703.not_leader;
-  leader = other703.leader;
-  term = other703.term;
-  document_version = other703.document_version;
-  state = other703.state;
-  loads = other703.loads;
-  serving_nodes = other703.serving_nodes;
-  wants_state = other703.wants_state;
-  state_change = other703.state_change;
-  wants_confirmation = other703.wants_confirmation;
-  confirmed_age_ms = other703.confirmed_age_ms;
-  control_peers = other703.control_peers;
-  document = other703.document;
-  evacuation_revision = other703.evacuation_revision;
-  evacuations = other703.evacuations;
-  __isset = other703.__isset;
-}
-FleetUpdate::FleetUpdate(FleetUpdate&& other704) noexcept {
-  sequence = other704.sequence;
-  not_leader = other704.not_leader;
-  leader = std::move(other704.leader);
-  term = other704.term;
-  document_version = other704.document_version;
-  state = std::move(other704.state);
-  loads = std::move(other704.loads);
-  serving_nodes = other704.serving_nodes;
-  wants_state = other704.wants_state;
-  state_change = std::move(other704.state_change);
-  wants_confirmation = other704.wants_confirmation;
-  confirmed_age_ms = other704.confirmed_age_ms;
-  control_peers = std::move(other704.control_peers);
-  document = std::move(other704.document);
-  evacuation_revision = other704.evacuation_revision;
-  evacuations = std::move(other704.evacuations);
-  __isset = other704.__isset;
-}
-FleetUpdate& FleetUpdate::operator=(const FleetUpdate& other705) {
-  sequence = other705.sequence;
-  not_leader = other705.not_leader;
-  leader = other705.leader;
-  term = other705.term;
-  document_version = other705.document_version;
-  state = other705.state;
-  loads = other705.loads;
-  serving_nodes = other705.serving_nodes;
-  wants_state = other705.wants_state;
-  state_change = other705.state_change;
-  wants_confirmation = other705.wants_confirmation;
-  confirmed_age_ms = other705.confirmed_age_ms;
-  control_peers = other705.control_peers;
-  document = other705.document;
-  evacuation_revision = other705.evacuation_revision;
-  evacuations = other705.evacuations;
-  __isset = other705.__isset;
+FleetUpdate::FleetUpdate(const FleetUpdate& other719) {
+  sequence = other719.sequence;
+  not_leader = other719.not_leader;
+  leader = other719.leader;
+  term = other719.term;
+  document_version = other719.document_version;
+  state = other719.state;
+  loads = other719.loads;
+  serving_nodes = other719.serving_nodes;
+  wants_state = other719.wants_state;
+  state_change = other719.state_change;
+  wants_confirmation = other719.wants_confirmation;
+  confirmed_age_ms = other719.confirmed_age_ms;
+  control_peers = other719.control_peers;
+  document = other719.document;
+  evacuation_revision = other719.evacuation_revision;
+  evacuations = other719.evacuations;
+  relay_peers = other719.relay_peers;
+  __isset = other719.__isset;
+}
+FleetUpdate::FleetUpdate(FleetUpdate&& other720) noexcept {
+  sequence = other720.sequence;
+  not_leader = other720.not_leader;
+  leader = std::move(other720.leader);
+  term = other720.term;
+  document_version = other720.document_version;
+  state = std::move(other720.state);
+  loads = std::move(other720.loads);
+  serving_nodes = other720.serving_nodes;
+  wants_state = other720.wants_state;
+  state_change = std::move(other720.state_change);
+  wants_confirmation = other720.wants_confirmation;
+  confirmed_age_ms = other720.confirmed_age_ms;
+  control_peers = std::move(other720.control_peers);
+  document = std::move(other720.document);
+  evacuation_revision = other720.evacuation_revision;
+  evacuations = std::move(other720.evacuations);
+  relay_peers = std::move(other720.relay_peers);
+  __isset = other720.__isset;
+}
+FleetUpdate& FleetUpdate::operator=(const FleetUpdate& other721) {
+  sequence = other721.sequence;
+  not_leader = other721.not_leader;
+  leader = other721.leader;
+  term = other721.term;
+  document_version = other721.document_version;
+  state = other721.state;
+  loads = other721.loads;
+  serving_nodes = other721.serving_nodes;
+  wants_state = other721.wants_state;
+  state_change = other721.state_change;
+  wants_confirmation = other721.wants_confirmation;
+  confirmed_age_ms = other721.confirmed_age_ms;
+  control_peers = other721.control_peers;
+  document = other721.document;
+  evacuation_revision = other721.evacuation_revision;
+  evacuations = other721.evacuations;
+  relay_peers = other721.relay_peers;
+  __isset = other721.__isset;
   return *this;
 }
-FleetUpdate& FleetUpdate::operator=(FleetUpdate&& other706) noexcept {
-  sequence = other706.sequence;
-  not_leader = other706.not_leader;
-  leader = std::move(other706.leader);
-  term = other706.term;
-  document_version = other706.document_version;
-  state = std::move(other706.state);
-  loads = std::move(other706.loads);
-  serving_nodes = other706.serving_nodes;
-  wants_state = other706.wants_state;
-  state_change = std::move(other706.state_change);
-  wants_confirmation = other706.wants_confirmation;
-  confirmed_age_ms = other706.confirmed_age_ms;
-  control_peers = std::move(other706.control_peers);
-  document = std::move(other706.document);
-  evacuation_revision = other706.evacuation_revision;
-  evacuations = std::move(other706.evacuations);
-  __isset = other706.__isset;
+FleetUpdate& FleetUpdate::operator=(FleetUpdate&& other722) noexcept {
+  sequence = other722.sequence;
+  not_leader = other722.not_leader;
+  leader = std::move(other722.leader);
+  term = other722.term;
+  document_version = other722.document_version;
+  state = std::move(other722.state);
+  loads = std::move(other722.loads);
+  serving_nodes = other722.serving_nodes;
+  wants_state = other722.wants_state;
+  state_change = std::move(other722.state_change);
+  wants_confirmation = other722.wants_confirmation;
+  confirmed_age_ms = other722.confirmed_age_ms;
+  control_peers = std::move(other722.control_peers);
+  document = std::move(other722.document);
+  evacuation_revision = other722.evacuation_revision;
+  evacuations = std::move(other722.evacuations);
+  relay_peers = std::move(other722.relay_peers);
+  __isset = other722.__isset;
   return *this;
 }
 void FleetUpdate::printTo(std::ostream& out) const {
@@ -16884,6 +17164,7 @@
   out << ", " << "document="; (__isset.document ? (out << to_string(document)) : (out << "<null>"));
   out << ", " << "evacuation_revision=" << to_string(evacuation_revision);
   out << ", " << "evacuations="; (__isset.evacuations ? (out << to_string(evacuations)) : (out << "<null>"));
+  out << ", " << "relay_peers="; (__isset.relay_peers ? (out << to_string(relay_peers)) : (out << "<null>"));
   out << ")";
 }
 
@@ -16949,9 +17230,9 @@
         break;
       case 2:
         if (ftype == ::apache::thrift::protocol::T_I32) {
-          int32_t ecast707;
-          xfer += iprot->readI32(ecast707);
-          this->kind = static_cast<ControlCallKind::type>(ecast707);
+          int32_t ecast723;
+          xfer += iprot->readI32(ecast723);
+          this->kind = static_cast<ControlCallKind::type>(ecast723);
           this->__isset.kind = true;
         } else {
           xfer += iprot->skip(ftype);
@@ -17033,38 +17314,38 @@
   swap(a.__isset, b.__isset);
 }
 
-ControlCall::ControlCall(const ControlCall& other708) {
-  id = other708.id;
-  kind = other708.kind;
-  instance_id = other708.instance_id;
-  body = other708.body;
-  zone = other708.zone;
-  __isset = other708.__isset;
-}
-ControlCall::ControlCall(ControlCall&& other709) noexcept {
-  id = other709.id;
-  kind = other709.kind;
-  instance_id = std::move(other709.instance_id);
-  body = std::move(other709.body);
-  zone = std::move(other709.zone);
-  __isset = other709.__isset;
-}
-ControlCall& ControlCall::operator=(const ControlCall& other710) {
-  id = other710.id;
-  kind = other710.kind;
-  instance_id = other710.instance_id;
-  body = other710.body;
-  zone = other710.zone;
-  __isset = other710.__isset;
+ControlCall::ControlCall(const ControlCall& other724) {
+  id = other724.id;
+  kind = other724.kind;
+  instance_id = other724.instance_id;
+  body = other724.body;
+  zone = other724.zone;
+  __isset = other724.__isset;
+}
+ControlCall::ControlCall(ControlCall&& other725) noexcept {
+  id = other725.id;
+  kind = other725.kind;
+  instance_id = std::move(other725.instance_id);
+  body = std::move(other725.body);
+  zone = std::move(other725.zone);
+  __isset = other725.__isset;
+}
+ControlCall& ControlCall::operator=(const ControlCall& other726) {
+  id = other726.id;
+  kind = other726.kind;
+  instance_id = other726.instance_id;
+  body = other726.body;
+  zone = other726.zone;
+  __isset = other726.__isset;
   return *this;
 }
-ControlCall& ControlCall::operator=(ControlCall&& other711) noexcept {
-  id = other711.id;
-  kind = other711.kind;
-  instance_id = std::move(other711.instance_id);
-  body = std::move(other711.body);
-  zone = std::move(other711.zone);
-  __isset = other711.__isset;
+ControlCall& ControlCall::operator=(ControlCall&& other727) noexcept {
+  id = other727.id;
+  kind = other727.kind;
+  instance_id = std::move(other727.instance_id);
+  body = std::move(other727.body);
+  zone = std::move(other727.zone);
+  __isset = other727.__isset;
   return *this;
 }
 void ControlCall::printTo(std::ostream& out) const {
@@ -17188,30 +17469,30 @@
   swap(a.__isset, b.__isset);
 }
 
-ControlCallReply::ControlCallReply(const ControlCallReply& other712) {
-  id = other712.id;
-  status = other712.status;
-  body = other712.body;
-  __isset = other712.__isset;
+ControlCallReply::ControlCallReply(const ControlCallReply& other728) {
+  id = other728.id;
+  status = other728.status;
+  body = other728.body;
+  __isset = other728.__isset;
 }
-ControlCallReply::ControlCallReply(ControlCallReply&& other713) noexcept {
-  id = other713.id;
-  status = other713.status;
-  body = std::move(other713.body);
-  __isset = other713.__isset;
+ControlCallReply::ControlCallReply(ControlCallReply&& other729) noexcept {
+  id = other729.id;
+  status = other729.status;
+  body = std::move(other729.body);
+  __isset = other729.__isset;
 }
-ControlCallReply& ControlCallReply::operator=(const ControlCallReply& other714) {
-  id = other714.id;
-  status = other714.status;
-  body = other714.body;
-  __isset = other714.__isset;
+ControlCallReply& ControlCallReply::operator=(const ControlCallReply& other730) {
+  id = other730.id;
+  status = other730.status;
+  body = other730.body;
+  __isset = other730.__isset;
   return *this;
 }
-ControlCallReply& ControlCallReply::operator=(ControlCallReply&& other715) noexcept {
-  id = other715.id;
-  status = other715.status;
-  body = std::move(other715.body);
-  __isset = other715.__isset;
+ControlCallReply& ControlCallReply::operator=(ControlCallReply&& other731) noexcept {
+  id = other731.id;
+  status = other731.status;
+  body = std::move(other731.body);
+  __isset = other731.__isset;
   return *this;
 }
 void ControlCallReply::printTo(std::ostream& out) const {
@@ -17316,26 +17597,26 @@
   swap(a.__isset, b.__isset);
 }
 
-RegistrationReport::RegistrationReport(const RegistrationReport& other716) {
-  instance = other716.instance;
-  known_term = other716.known_term;
-  __isset = other716.__isset;
+RegistrationReport::RegistrationReport(const RegistrationReport& other732) {
+  instance = other732.instance;
+  known_term = other732.known_term;
+  __isset = other732.__isset;
 }
-RegistrationReport::RegistrationReport(RegistrationReport&& other717) noexcept {
-  instance = std::move(other717.instance);
-  known_term = other717.known_term;
-  __isset = other717.__isset;
+RegistrationReport::RegistrationReport(RegistrationReport&& other733) noexcept {
+  instance = std::move(other733.instance);
+  known_term = other733.known_term;
+  __isset = other733.__isset;
 }
-RegistrationReport& RegistrationReport::operator=(const RegistrationReport& other718) {
-  instance = other718.instance;
-  known_term = other718.known_term;
-  __isset = other718.__isset;
+RegistrationReport& RegistrationReport::operator=(const RegistrationReport& other734) {
+  instance = other734.instance;
+  known_term = other734.known_term;
+  __isset = other734.__isset;
   return *this;
 }
-RegistrationReport& RegistrationReport::operator=(RegistrationReport&& other719) noexcept {
-  instance = std::move(other719.instance);
-  known_term = other719.known_term;
-  __isset = other719.__isset;
+RegistrationReport& RegistrationReport::operator=(RegistrationReport&& other735) noexcept {
+  instance = std::move(other735.instance);
+  known_term = other735.known_term;
+  __isset = other735.__isset;
   return *this;
 }
 void RegistrationReport::printTo(std::ostream& out) const {
@@ -17386,14 +17667,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->reports.clear();
-            uint32_t _size720;
-            ::apache::thrift::protocol::TType _etype723;
-            xfer += iprot->readListBegin(_etype723, _size720);
-            this->reports.resize(_size720);
-            uint32_t _i724;
-            for (_i724 = 0; _i724 < _size720; ++_i724)
+            uint32_t _size736;
+            ::apache::thrift::protocol::TType _etype739;
+            xfer += iprot->readListBegin(_etype739, _size736);
+            this->reports.resize(_size736);
+            uint32_t _i740;
+            for (_i740 = 0; _i740 < _size736; ++_i740)
             {
-              xfer += this->reports[_i724].read(iprot);
+              xfer += this->reports[_i740].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -17422,10 +17703,10 @@
   xfer += oprot->writeFieldBegin("reports", ::apache::thrift::protocol::T_LIST, 1);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->reports.size()));
-    std::vector<RegistrationReport> ::const_iterator _iter725;
-    for (_iter725 = this->reports.begin(); _iter725 != this->reports.end(); ++_iter725)
+    std::vector<RegistrationReport> ::const_iterator _iter741;
+    for (_iter741 = this->reports.begin(); _iter741 != this->reports.end(); ++_iter741)
     {
-      xfer += (*_iter725).write(oprot);
+      xfer += (*_iter741).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -17442,22 +17723,22 @@
   swap(a.__isset, b.__isset);
 }
 
-RegistrationBatch::RegistrationBatch(const RegistrationBatch& other726) {
-  reports = other726.reports;
-  __isset = other726.__isset;
+RegistrationBatch::RegistrationBatch(const RegistrationBatch& other742) {
+  reports = other742.reports;
+  __isset = other742.__isset;
 }
-RegistrationBatch::RegistrationBatch(RegistrationBatch&& other727) noexcept {
-  reports = std::move(other727.reports);
-  __isset = other727.__isset;
+RegistrationBatch::RegistrationBatch(RegistrationBatch&& other743) noexcept {
+  reports = std::move(other743.reports);
+  __isset = other743.__isset;
 }
-RegistrationBatch& RegistrationBatch::operator=(const RegistrationBatch& other728) {
-  reports = other728.reports;
-  __isset = other728.__isset;
+RegistrationBatch& RegistrationBatch::operator=(const RegistrationBatch& other744) {
+  reports = other744.reports;
+  __isset = other744.__isset;
   return *this;
 }
-RegistrationBatch& RegistrationBatch::operator=(RegistrationBatch&& other729) noexcept {
-  reports = std::move(other729.reports);
-  __isset = other729.__isset;
+RegistrationBatch& RegistrationBatch::operator=(RegistrationBatch&& other745) noexcept {
+  reports = std::move(other745.reports);
+  __isset = other745.__isset;
   return *this;
 }
 void RegistrationBatch::printTo(std::ostream& out) const {
@@ -17560,26 +17841,26 @@
   swap(a.__isset, b.__isset);
 }
 
-FormationNotice::FormationNotice(const FormationNotice& other730) {
-  choice = other730.choice;
-  holds_log = other730.holds_log;
-  __isset = other730.__isset;
+FormationNotice::FormationNotice(const FormationNotice& other746) {
+  choice = other746.choice;
+  holds_log = other746.holds_log;
+  __isset = other746.__isset;
 }
-FormationNotice::FormationNotice(FormationNotice&& other731) noexcept {
-  choice = std::move(other731.choice);
-  holds_log = other731.holds_log;
-  __isset = other731.__isset;
+FormationNotice::FormationNotice(FormationNotice&& other747) noexcept {
+  choice = std::move(other747.choice);
+  holds_log = other747.holds_log;
+  __isset = other747.__isset;
 }
-FormationNotice& FormationNotice::operator=(const FormationNotice& other732) {
-  choice = other732.choice;
-  holds_log = other732.holds_log;
-  __isset = other732.__isset;
+FormationNotice& FormationNotice::operator=(const FormationNotice& other748) {
+  choice = other748.choice;
+  holds_log = other748.holds_log;
+  __isset = other748.__isset;
   return *this;
 }
-FormationNotice& FormationNotice::operator=(FormationNotice&& other733) noexcept {
-  choice = std::move(other733.choice);
-  holds_log = other733.holds_log;
-  __isset = other733.__isset;
+FormationNotice& FormationNotice::operator=(FormationNotice&& other749) noexcept {
+  choice = std::move(other749.choice);
+  holds_log = other749.holds_log;
+  __isset = other749.__isset;
   return *this;
 }
 void FormationNotice::printTo(std::ostream& out) const {
@@ -18023,98 +18304,98 @@
   swap(a.__isset, b.__isset);
 }
 
-Envelope::Envelope(const Envelope& other734) {
-  from_node = other734.from_node;
-  from_incarnation = other734.from_incarnation;
-  to_node = other734.to_node;
-  raft = other734.raft;
-  heartbeat = other734.heartbeat;
-  heartbeat_reply = other734.heartbeat_reply;
-  claim_request = other734.claim_request;
-  claim_reply = other734.claim_reply;
-  resolution = other734.resolution;
-  operator_request = other734.operator_request;
-  operator_reply = other734.operator_reply;
-  resolution_reply = other734.resolution_reply;
-  fleet_heartbeat = other734.fleet_heartbeat;
-  fleet_update = other734.fleet_update;
-  control_call = other734.control_call;
-  control_call_reply = other734.control_call_reply;
-  slot_report = other734.slot_report;
-  slot_answer = other734.slot_answer;
-  registrations = other734.registrations;
-  formation = other734.formation;
-  __isset = other734.__isset;
-}
-Envelope::Envelope(Envelope&& other735) noexcept {
-  from_node = std::move(other735.from_node);
-  from_incarnation = other735.from_incarnation;
-  to_node = std::move(other735.to_node);
-  raft = std::move(other735.raft);
-  heartbeat = std::move(other735.heartbeat);
-  heartbeat_reply = std::move(other735.heartbeat_reply);
-  claim_request = std::move(other735.claim_request);
-  claim_reply = std::move(other735.claim_reply);
-  resolution = std::move(other735.resolution);
-  operator_request = std::move(other735.operator_request);
-  operator_reply = std::move(other735.operator_reply);
-  resolution_reply = std::move(other735.resolution_reply);
-  fleet_heartbeat = std::move(other735.fleet_heartbeat);
-  fleet_update = std::move(other735.fleet_update);
-  control_call = std::move(other735.control_call);
-  control_call_reply = std::move(other735.control_call_reply);
-  slot_report = std::move(other735.slot_report);
-  slot_answer = std::move(other735.slot_answer);
-  registrations = std::move(other735.registrations);
-  formation = std::move(other735.formation);
-  __isset = other735.__isset;
-}
-Envelope& Envelope::operator=(const Envelope& other736) {
-  from_node = other736.from_node;
-  from_incarnation = other736.from_incarnation;
-  to_node = other736.to_node;
-  raft = other736.raft;
-  heartbeat = other736.heartbeat;
-  heartbeat_reply = other736.heartbeat_reply;
-  claim_request = other736.claim_request;
-  claim_reply = other736.claim_reply;
-  resolution = other736.resolution;
-  operator_request = other736.operator_request;
-  operator_reply = other736.operator_reply;
-  resolution_reply = other736.resolution_reply;
-  fleet_heartbeat = other736.fleet_heartbeat;
-  fleet_update = other736.fleet_update;
-  control_call = other736.control_call;
-  control_call_reply = other736.control_call_reply;
-  slot_report = other736.slot_report;
-  slot_answer = other736.slot_answer;
-  registrations = other736.registrations;
-  formation = other736.formation;
-  __isset = other736.__isset;
+Envelope::Envelope(const Envelope& other750) {
+  from_node = other750.from_node;
+  from_incarnation = other750.from_incarnation;
+  to_node = other750.to_node;
+  raft = other750.raft;
+  heartbeat = other750.heartbeat;
+  heartbeat_reply = other750.heartbeat_reply;
+  claim_request = other750.claim_request;
+  claim_reply = other750.claim_reply;
+  resolution = other750.resolution;
+  operator_request = other750.operator_request;
+  operator_reply = other750.operator_reply;
+  resolution_reply = other750.resolution_reply;
+  fleet_heartbeat = other750.fleet_heartbeat;
+  fleet_update = other750.fleet_update;
+  control_call = other750.control_call;
+  control_call_reply = other750.control_call_reply;
+  slot_report = other750.slot_report;
+  slot_answer = other750.slot_answer;
+  registrations = other750.registrations;
+  formation = other750.formation;
+  __isset = other750.__isset;
+}
+Envelope::Envelope(Envelope&& other751) noexcept {
+  from_node = std::move(other751.from_node);
+  from_incarnation = other751.from_incarnation;
+  to_node = std::move(other751.to_node);
+  raft = std::move(other751.raft);
+  heartbeat = std::move(other751.heartbeat);
+  heartbeat_reply = std::move(other751.heartbeat_reply);
+  claim_request = std::move(other751.claim_request);
+  claim_reply = std::move(other751.claim_reply);
+  resolution = std::move(other751.resolution);
+  operator_request = std::move(other751.operator_request);
+  operator_reply = std::move(other751.operator_reply);
+  resolution_reply = std::move(other751.resolution_reply);
+  fleet_heartbeat = std::move(other751.fleet_heartbeat);
+  fleet_update = std::move(other751.fleet_update);
+  control_call = std::move(other751.control_call);
+  control_call_reply = std::move(other751.control_call_reply);
+  slot_report = std::move(other751.slot_report);
+  slot_answer = std::move(other751.slot_answer);
+  registrations = std::move(other751.registrations);
+  formation = std::move(other751.formation);
+  __isset = other751.__isset;
+}
+Envelope& Envelope::operator=(const Envelope& other752) {
+  from_node = other752.from_node;
+  from_incarnation = other752.from_incarnation;
+  to_node = other752.to_node;
+  raft = other752.raft;
+  heartbeat = other752.heartbeat;
+  heartbeat_reply = other752.heartbeat_reply;
+  claim_request = other752.claim_request;
+  claim_reply = other752.claim_reply;
+  resolution = other752.resolution;
+  operator_request = other752.operator_request;
+  operator_reply = other752.operator_reply;
+  resolution_reply = other752.resolution_reply;
+  fleet_heartbeat = other752.fleet_heartbeat;
+  fleet_update = other752.fleet_update;
+  control_call = other752.control_call;
+  control_call_reply = other752.control_call_reply;
+  slot_report = other752.slot_report;
+  slot_answer = other752.slot_answer;
+  registrations = other752.registrations;
+  formation = other752.formation;
+  __isset = other752.__isset;
   return *this;
 }
-Envelope& Envelope::operator=(Envelope&& other737) noexcept {
-  from_node = std::move(other737.from_node);
-  from_incarnation = other737.from_incarnation;
-  to_node = std::move(other737.to_node);
-  raft = std::move(other737.raft);
-  heartbeat = std::move(other737.heartbeat);
-  heartbeat_reply = std::move(other737.heartbeat_reply);
-  claim_request = std::move(other737.claim_request);
-  claim_reply = std::move(other737.claim_reply);
-  resolution = std::move(other737.resolution);
-  operator_request = std::move(other737.operator_request);
-  operator_reply = std::move(other737.operator_reply);
-  resolution_reply = std::move(other737.resolution_reply);
-  fleet_heartbeat = std::move(other737.fleet_heartbeat);
-  fleet_update = std::move(other737.fleet_update);
-  control_call = std::move(other737.control_call);
-  control_call_reply = std::move(other737.control_call_reply);
-  slot_report = std::move(other737.slot_report);
-  slot_answer = std::move(other737.slot_answer);
-  registrations = std::move(other737.registrations);
-  formation = std::move(other737.formation);
-  __isset = other737.__isset;
+Envelope& Envelope::operator=(Envelope&& other753) noexcept {
+  from_node = std::move(other753.from_node);
+  from_incarnation = other753.from_incarnation;
+  to_node = std::move(other753.to_node);
+  raft = std::move(other753.raft);
+  heartbeat = std::move(other753.heartbeat);
+  heartbeat_reply = std::move(other753.heartbeat_reply);
+  claim_request = std::move(other753.claim_request);
+  claim_reply = std::move(other753.claim_reply);
+  resolution = std::move(other753.resolution);
+  operator_request = std::move(other753.operator_request);
+  operator_reply = std::move(other753.operator_reply);
+  resolution_reply = std::move(other753.resolution_reply);
+  fleet_heartbeat = std::move(other753.fleet_heartbeat);
+  fleet_update = std::move(other753.fleet_update);
+  control_call = std::move(other753.control_call);
+  control_call_reply = std::move(other753.control_call_reply);
+  slot_report = std::move(other753.slot_report);
+  slot_answer = std::move(other753.slot_answer);
+  registrations = std::move(other753.registrations);
+  formation = std::move(other753.formation);
+  __isset = other753.__isset;
   return *this;
 }
 void Envelope::printTo(std::ostream& out) const {
--- a/src/wire/gen-cpp/larchlever_types.h
+++ b/src/wire/gen-cpp/larchlever_types.h
@@ -349,6 +349,8 @@
 
 class GroupFailure;
 
+class RelayPeer;
+
 class FleetHeartbeat;
 
 class SlotRequest;
@@ -5452,8 +5454,9 @@
 std::ostream& operator<<(std::ostream& out, const ModelDemand& obj);
 
 typedef struct _GroupFailure__isset {
-  _GroupFailure__isset() : group(false) {}
+  _GroupFailure__isset() : group(false), is_own_link_suspected(false) {}
   bool group :1;
+  bool is_own_link_suspected :1;
 } _GroupFailure__isset;
 
 /**
@@ -5467,20 +5470,32 @@
   GroupFailure& operator=(const GroupFailure&);
   GroupFailure& operator=(GroupFailure&&) noexcept;
   GroupFailure() noexcept
-               : group() {
+               : group(),
+                 is_own_link_suspected(0) {
   }
 
   virtual ~GroupFailure() noexcept;
   std::string group;
+  /**
+   * The entry's own links to servers probably failed. The observation then only counts beside others that do not depend
+   * on these links.
+   */
+  bool is_own_link_suspected;
 
   _GroupFailure__isset __isset;
 
   void __set_group(const std::string& val);
 
+  void __set_is_own_link_suspected(const bool val);
+
   bool operator == (const GroupFailure & rhs) const
   {
     if (!(group == rhs.group))
       return false;
+    if (__isset.is_own_link_suspected != rhs.__isset.is_own_link_suspected)
+      return false;
+    else if (__isset.is_own_link_suspected && !(is_own_link_suspected == rhs.is_own_link_suspected))
+      return false;
     return true;
   }
   bool operator != (const GroupFailure &rhs) const {
@@ -5499,8 +5514,66 @@
 
 std::ostream& operator<<(std::ostream& out, const GroupFailure& obj);
 
+typedef struct _RelayPeer__isset {
+  _RelayPeer__isset() : address(false), zone(false) {}
+  bool address :1;
+  bool zone :1;
+} _RelayPeer__isset;
+
+/**
+ * An entry that relays requests of other entries to servers.
+ */
+class RelayPeer : public virtual ::apache::thrift::TBase {
+ public:
+
+  RelayPeer(const RelayPeer&);
+  RelayPeer(RelayPeer&&) noexcept;
+  RelayPeer& operator=(const RelayPeer&);
+  RelayPeer& operator=(RelayPeer&&) noexcept;
+  RelayPeer() noexcept
+            : address(),
+              zone() {
+  }
+
+  virtual ~RelayPeer() noexcept;
+  /**
+   * IP:PORT at which it accepts requests from other entries.
+   */
+  std::string address;
+  std::string zone;
+
+  _RelayPeer__isset __isset;
+
+  void __set_address(const std::string& val);
+
+  void __set_zone(const std::string& val);
+
+  bool operator == (const RelayPeer & rhs) const
+  {
+    if (!(address == rhs.address))
+      return false;
+    if (!(zone == rhs.zone))
+      return false;
+    return true;
+  }
+  bool operator != (const RelayPeer &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const RelayPeer & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(RelayPeer &a, RelayPeer &b);
+
+std::ostream& operator<<(std::ostream& out, const RelayPeer& obj);
+
 typedef struct _FleetHeartbeat__isset {
-  _FleetHeartbeat__isset() : sequence(false), zone(false), replica_id(false), control_address(false), document_version(false), held_term(false), held_version(false), leaving(false), serves_requests(false), held_state(false), wants_loads(false), serving_entries(false), entries_hold_version(false), evacuation_revision(false) {}
+  _FleetHeartbeat__isset() : sequence(false), zone(false), replica_id(false), control_address(false), document_version(false), held_term(false), held_version(false), leaving(false), serves_requests(false), held_state(false), wants_loads(false), serving_entries(false), entries_hold_version(false), evacuation_revision(false), relay_address(false), relay_peers(false), reaches_no_server(false) {}
   bool sequence :1;
   bool zone :1;
   bool replica_id :1;
@@ -5515,6 +5588,9 @@
   bool serving_entries :1;
   bool entries_hold_version :1;
   bool evacuation_revision :1;
+  bool relay_address :1;
+  bool relay_peers :1;
+  bool reaches_no_server :1;
 } _FleetHeartbeat__isset;
 
 /**
@@ -5541,7 +5617,9 @@
                    wants_loads(0),
                    serving_entries(0),
                    entries_hold_version(0),
-                   evacuation_revision(0) {
+                   evacuation_revision(0),
+                   relay_address(),
+                   reaches_no_server(0) {
   }
 
   virtual ~FleetHeartbeat() noexcept;
@@ -5580,6 +5658,18 @@
    * Revision of the evacuations that the sender holds.
    */
   int64_t evacuation_revision;
+  /**
+   * Address at which an entry relays requests of other entries; absent if it relays none.
+   */
+  std::string relay_address;
+  /**
+   * On control replicas: some of the subscribed entries that relay requests. Absent if unchanged.
+   */
+  std::vector<RelayPeer>  relay_peers;
+  /**
+   * On entries: the links to all servers are lost, so that it can relay nothing at present.
+   */
+  bool reaches_no_server;
 
   _FleetHeartbeat__isset __isset;
 
@@ -5611,6 +5701,12 @@
 
   void __set_evacuation_revision(const int64_t val);
 
+  void __set_relay_address(const std::string& val);
+
+  void __set_relay_peers(const std::vector<RelayPeer> & val);
+
+  void __set_reaches_no_server(const bool val);
+
   bool operator == (const FleetHeartbeat & rhs) const
   {
     if (!(sequence == rhs.sequence))
@@ -5643,6 +5739,16 @@
       return false;
     if (!(evacuation_revision == rhs.evacuation_revision))
       return false;
+    if (__isset.relay_address != rhs.__isset.relay_address)
+      return false;
+    else if (__isset.relay_address && !(relay_address == rhs.relay_address))
+      return false;
+    if (__isset.relay_peers != rhs.__isset.relay_peers)
+      return false;
+    else if (__isset.relay_peers && !(relay_peers == rhs.relay_peers))
+      return false;
+    if (!(reaches_no_server == rhs.reaches_no_server))
+      return false;
     return true;
   }
   bool operator != (const FleetHeartbeat &rhs) const {
@@ -6356,7 +6462,7 @@
 std::ostream& operator<<(std::ostream& out, const ControlPeer& obj);
 
 typedef struct _FleetUpdate__isset {
-  _FleetUpdate__isset() : sequence(false), not_leader(false), leader(false), term(false), document_version(false), state(false), loads(false), serving_nodes(false), wants_state(false), state_change(false), wants_confirmation(false), confirmed_age_ms(false), control_peers(false), document(false), evacuation_revision(false), evacuations(false) {}
+  _FleetUpdate__isset() : sequence(false), not_leader(false), leader(false), term(false), document_version(false), state(false), loads(false), serving_nodes(false), wants_state(false), state_change(false), wants_confirmation(false), confirmed_age_ms(false), control_peers(false), document(false), evacuation_revision(false), evacuations(false), relay_peers(false) {}
   bool sequence :1;
   bool not_leader :1;
   bool leader :1;
@@ -6373,6 +6479,7 @@
   bool document :1;
   bool evacuation_revision :1;
   bool evacuations :1;
+  bool relay_peers :1;
 } _FleetUpdate__isset;
 
 /**
@@ -6449,6 +6556,10 @@
    * Sent if the receiver holds an earlier revision.
    */
   ZoneEvacuations evacuations;
+  /**
+   * Entries that relay requests for others: to control replicas some of all, to an entry those that it may use.
+   */
+  std::vector<RelayPeer>  relay_peers;
 
   _FleetUpdate__isset __isset;
 
@@ -6484,6 +6595,8 @@
 
   void __set_evacuations(const ZoneEvacuations& val);
 
+  void __set_relay_peers(const std::vector<RelayPeer> & val);
+
   bool operator == (const FleetUpdate & rhs) const
   {
     if (!(sequence == rhs.sequence))
@@ -6526,6 +6639,10 @@
       return false;
     else if (__isset.evacuations && !(evacuations == rhs.evacuations))
       return false;
+    if (__isset.relay_peers != rhs.__isset.relay_peers)
+      return false;
+    else if (__isset.relay_peers && !(relay_peers == rhs.relay_peers))
+      return false;
     return true;
   }
   bool operator != (const FleetUpdate &rhs) const {
--- a/src/wire/larchlever.thrift
+++ b/src/wire/larchlever.thrift
@@ -667,6 +667,18 @@
 /** An entry's own observation that a group's head failed: it refused or reset connections, or stalled. */
 struct GroupFailure {
   2: string group,
+  /**
+   * The entry's own links to servers probably failed. The observation then only counts beside others that do not depend
+   * on these links.
+   */
+  3: optional bool is_own_link_suspected,
+}
+
+/** An entry that relays requests of other entries to servers. */
+struct RelayPeer {
+  /** IP:PORT at which it accepts requests from other entries. */
+  1: string address,
+  2: string zone,
 }
 
 /**
@@ -695,6 +707,12 @@
   19: i64 entries_hold_version,
   /** Revision of the evacuations that the sender holds. */
   20: i64 evacuation_revision,
+  /** Address at which an entry relays requests of other entries; absent if it relays none. */
+  21: optional string relay_address,
+  /** On control replicas: some of the subscribed entries that relay requests. Absent if unchanged. */
+  22: optional list<RelayPeer> relay_peers,
+  /** On entries: the links to all servers are lost, so that it can relay nothing at present. */
+  23: bool reaches_no_server,
 }
 
 /** Request of an entry to the leader for a slot in a group for one request. */
@@ -856,6 +874,8 @@
   17: i64 evacuation_revision,
   /** Sent if the receiver holds an earlier revision. */
   18: optional ZoneEvacuations evacuations,
+  /** Entries that relay requests for others: to control replicas some of all, to an entry those that it may use. */
+  19: optional list<RelayPeer> relay_peers,
 }
 
 enum ControlCallKind {
--- a/tests/integration/fleet_node_processes.cc
+++ b/tests/integration/fleet_node_processes.cc
@@ -19,6 +19,7 @@
 namespace {
 
 constexpr int kPeerPort = 7340;
+constexpr int kRelayPort = 7355;
 constexpr int kControlPort = 8229;
 constexpr int kCallerPort = 8227;
 /// Callers wait for this much longer than the deadline in their request.
@@ -178,6 +179,7 @@
          << "\ndata_folder = " << (folder_ / ("data-" + node)).string() << "\n";
   } else {
     text << "role = entry\ncaller_address = " << caller_endpoint(node)
+         << "\nrelay_address = " << with_port(address(node), kRelayPort)
          << "\nready_address = " << with_port(address(node), kReadyPort) << "\n"
          << (options_.binds_entries_to_own_address ? "outbound_address = " + address(node) + "\n" : "")
          << options_.entry_settings;
--- a/tests/integration/registered_engines.cc
+++ b/tests/integration/registered_engines.cc
@@ -112,6 +112,8 @@
   asio::awaitable<void> handle(net::HttpExchange& exchange) override {
     if (exchange.request().path() == dialect_.engine_order_path) {
       co_await handle_order(exchange);
+    } else if (exchange.request().path() == dialect_.engine_report_path) {
+      co_await exchange.respond(net::HttpResponse());
     } else {
       co_await serve(exchange);
     }
--- a/tests/unit/platform_template_test.cc
+++ b/tests/unit/platform_template_test.cc
@@ -18,6 +18,7 @@
           {"zone", "north"},
           {"ip", "10.0.0.1"},
           {"internal_ports.0", "7340"},
+          {"internal_ports.1", "7355"},
           {"listen.control_plane", "10.0.0.1:8229"},
           {"listen.frontend", "10.0.0.1:8227"},
           {"listen.ready", "10.0.0.1:8220"},
