--- a/src/core/fleet/server_links.cc
+++ b/src/core/fleet/server_links.cc
@@ -124,6 +124,21 @@
   const auto is_unknown = [&addresses](const auto& item) { return !addresses.contains(item.first); };
   std::erase_if(links_, [&](const auto& item) { return is_unknown(item) && item.second.waits == 0; });
   std::erase_if(lost_since_, is_unknown);
+  remove_empty_scopes();
+}
+
+void ServerLinks::forget_server(const std::string& address) {
+  links_.erase(address);
+  lost_since_.erase(address);
+  remove_empty_scopes();
+}
+
+void ServerLinks::remove_empty_scopes() {
+  std::erase_if(lost_scopes_, [this](const auto& item) {
+    return std::none_of(links_.begin(), links_.end(), [&item](const auto& link) {
+      return item.first == kAllZones || link.second.zone == item.first;
+    });
+  });
 }
 
 std::optional<TimePoint> ServerLinks::evidence_start(TimePoint now, const std::string& address,
--- a/src/core/fleet/server_links.h
+++ b/src/core/fleet/server_links.h
@@ -52,6 +52,8 @@
   void restart_silence_timers(TimePoint now);
   /// Forgets all other servers.
   void retain_servers(const std::set<std::string>& addresses);
+  /// Forgets a server that can no longer be probed.
+  void forget_server(const std::string& address);
   /// Looks for silent scopes. Call every few ticks.
   void tick(TimePoint now);
 
@@ -109,6 +111,8 @@
   bool is_in_lost_scope(const std::string& zone, TimePoint last_contact) const;
   void mark_lost(TimePoint now, const std::string& address, const Link& link);
   void update_hold_time(TimePoint now, const Link& lost_link);
+  /// A scope without known servers cannot be probed, so it is not lost.
+  void remove_empty_scopes();
   TimePoint newest_contact(const std::string& scope) const;
   void check_scope(TimePoint now, const std::string& scope, const std::vector<Evidence>& evidence);
   /// A server of the zone was heard: the zone is not lost as a whole.
--- a/src/node/link_prober.cc
+++ b/src/node/link_prober.cc
@@ -43,12 +43,14 @@
   links.tick(now);
   for (auto& server : links.take_due_probes(now)) {
     std::string path = probe_path(server.address);
-    if (!path.empty()) {
-      asio::co_spawn(executor_, probe(std::move(server), std::move(path)), asio::detached);
+    if (path.empty()) {
+      links.forget_server(server.address);
+      continue;
     }
+    asio::co_spawn(executor_, probe(std::move(server), std::move(path)), asio::detached);
   }
   apply_changes(now);
-  log_changes();
+  log_changes(now);
 }
 
 asio::awaitable<void> LinkProber::probe(fleet::LinkedServer server, std::string path) {
@@ -81,11 +83,18 @@
   }
 }
 
-void LinkProber::log_changes() {
+void LinkProber::log_changes(TimePoint now) {
   const auto summary = state_.dispatcher.links().summary();
+  if (summary.empty()) {
+    lossy_since_.reset();
+  } else if (!lossy_since_) {
+    lossy_since_ = now;
+  }
+  // A presumed loss that the first probes disprove is not worth a line.
+  const bool is_unconfirmed = lossy_since_ && now - *lossy_since_ < kProbeTimeout;
   const bool is_change =
       summary.lost_scopes != logged_summary_.lost_scopes || summary.empty() != logged_summary_.empty();
-  if (!is_change) {
+  if (is_unconfirmed || !is_change) {
     return;
   }
   logged_summary_ = summary;
--- a/src/node/link_prober.h
+++ b/src/node/link_prober.h
@@ -3,6 +3,7 @@
 #include <boost/asio/any_io_executor.hpp>
 #include <boost/asio/awaitable.hpp>
 #include <memory>
+#include <optional>
 #include <string>
 
 #include "core/fleet/server_links.h"
@@ -30,7 +31,7 @@
   /// Path that the server at this address answers without running a request; empty if its service is unknown.
   std::string probe_path(const std::string& address) const;
   void apply_changes(TimePoint now);
-  void log_changes();
+  void log_changes(TimePoint now);
 
   boost::asio::any_io_executor executor_;
   const Dialect& dialect_;
@@ -38,6 +39,8 @@
   net::HttpClient& client_;
   InFlightAttempts& in_flight_attempts_;
   fleet::LinkSummary logged_summary_;
+  /// When links were first lost in the current series of losses.
+  std::optional<TimePoint> lossy_since_;
   std::shared_ptr<bool> alive_;
 };
 
--- a/tests/integration/partitioned_entries_test.cc
+++ b/tests/integration/partitioned_entries_test.cc
@@ -50,6 +50,13 @@
   EXPECT_GE(served_share(results, fleet_.entries(), healed_for_sure_at, Clock::now()), 1 - kMaxShareDifference)
       << describe_unserved(results, fleet_.entries(), healed_for_sure_at, Clock::now());
   expect_promises_kept(results);
+  // Sound groups were dissolved, and sound servers counted as ended, on the word of partitioned entries.
+  for (const auto& node : fleet_.control_replicas()) {
+    EXPECT_EQ(fleet_.log(node).find("entries report a failure"), std::string::npos) << node;
+  }
+  for (const auto& entry : fleet_.entries()) {
+    EXPECT_EQ(fleet_.log(entry).find("event=server_ended_under_request"), std::string::npos) << entry;
+  }
 }
 
 const std::vector<std::string> kOneEntry = {"e1"};
--- a/tests/integration/relayed_requests_test.cc
+++ b/tests/integration/relayed_requests_test.cc
@@ -291,5 +291,49 @@
   EXPECT_FALSE(has_arrived("after-revocation"));
 }
 
+struct LatencyQuantiles {
+  double p50_ms = 0;
+  double p99_ms = 0;
+  double requests_per_second = 0;
+};
+
+// Prints the latency that the longer way adds. To run it: integration_tests --gtest_also_run_disabled_tests
+// --gtest_filter='*DISABLED_LatencyOfTheLongerWay'
+TEST_F(RelayedRequests, DISABLED_LatencyOfTheLongerWay) {
+  constexpr int kRequests = 3000;
+  for (auto& server : plain_servers_) {
+    server->set_delay({});
+  }
+  const auto measure = [this](const std::string& entry) {
+    BlockingClient client;
+    std::vector<double> latencies_ms;
+    const auto begin = Clock::now();
+    for (int number = 0; number < kRequests; ++number) {
+      const auto sent_at = Clock::now();
+      const auto result = fleet_.call_forms(client, entry, entry + "-" + std::to_string(number));
+      EXPECT_TRUE(result.response && result.response->status == http_status::kOk);
+      latencies_ms.push_back(std::chrono::duration<double, std::milli>(Clock::now() - sent_at).count());
+    }
+    const double elapsed_seconds = std::chrono::duration<double>(Clock::now() - begin).count();
+    std::sort(latencies_ms.begin(), latencies_ms.end());
+    return LatencyQuantiles{latencies_ms[kRequests / 2], latencies_ms[kRequests * 99 / 100],
+                            kRequests / elapsed_seconds};
+  };
+  const auto print = [](const char* way, const LatencyQuantiles& quantiles) {
+    std::cout << way << ": p50 " << quantiles.p50_ms << " ms, p99 " << quantiles.p99_ms << " ms, "
+              << quantiles.requests_per_second << " requests/s" << std::endl;
+  };
+  print("direct", measure("e1"));
+  partition({"e1"}, PartitionKind::kReset);
+  BlockingClient client;
+  ASSERT_TRUE(wait_until(
+      [&] {
+        fleet_.call_forms(client, "e1", "warm-up");
+        return fleet_.log("e1").find("event=server_links_lost") != std::string::npos;
+      },
+      seconds(5)));
+  print("relayed", measure("e1"));
+}
+
 }  // namespace
 }  // namespace larchlever::integration
--- a/tests/unit/server_links_test.cc
+++ b/tests/unit/server_links_test.cc
@@ -174,6 +174,27 @@
   EXPECT_EQ(links_.summary().lost_servers, std::vector<std::string>{});
 }
 
+// A zone whose servers were all replaced while its links were presumed lost stayed lost, since nobody was probed there.
+TEST_F(ServerLinksTest, ScopeIsNotLostOnceAllItsServersAreReplaced) {
+  const TimePoint lost_at = lose_all();
+  links_.note_contact(lost_at + milliseconds(50), kSouth1);
+  const LinkedServer replacement{"10.0.0.9:80", "north"};
+  EXPECT_TRUE(links_.is_lost(replacement));
+  links_.end_wait(kNorth1);
+  links_.retain_servers({kSouth1.address, kSouth2.address, replacement.address});
+  EXPECT_FALSE(links_.is_lost(replacement));
+  EXPECT_FALSE(links_.has_lost_links());
+}
+
+TEST_F(ServerLinksTest, ServerThatCannotBeProbedIsForgotten) {
+  const TimePoint lost_at = lose_all();
+  for (const auto& server : kAllServers) {
+    links_.note_probe(lost_at + milliseconds(100), server, false);
+    links_.forget_server(server.address);
+  }
+  EXPECT_FALSE(links_.has_lost_links());
+}
+
 // The number of probes must not grow with the number of servers.
 TEST_F(ServerLinksTest, ProbesAreBounded) {
   ServerLinks links;
