Requests whose entry rules out every group of their model go to a peer; one builder of forwarded requests

Cause: each refused connection has its group avoided for 2 s; with all groups of a model avoided the leader can only answer busy, and no link counted as lost, since kept connections were heard. Now such a request is sent through a peer.

Headers of forwarded requests were copied in two places; upstream_request.cc does it for both.

--- a/src/core/fleet/dispatcher.cc
+++ b/src/core/fleet/dispatcher.cc
@@ -426,6 +426,23 @@
   return has_server;
 }
 
+bool Dispatcher::are_all_groups_ruled_out(TimePoint now, const std::string& service, const std::string& model,
+                                          const std::set<std::string>& excluded) {
+  const auto avoided = groups_to_avoid(now, service, model);
+  bool has_group = false;
+  for (const auto& group : groups_) {
+    if (available_head(group, service, model) == nullptr) {
+      continue;
+    }
+    has_group = true;
+    const bool is_avoided = std::find(avoided.begin(), avoided.end(), group.name) != avoided.end();
+    if (!is_avoided && !excluded.contains(group.name)) {
+      return false;
+    }
+  }
+  return has_group;
+}
+
 bool Dispatcher::is_any_link_lost(const std::string& service, const std::string& model) const {
   const auto servers =
       links_.has_lost_links() ? available_servers(service, model) : std::vector<const wire::Instance*>();
--- a/src/core/fleet/dispatcher.h
+++ b/src/core/fleet/dispatcher.h
@@ -100,6 +100,9 @@
   /// `allowed_zones` is not null, only servers in these zones count.
   bool are_all_links_lost(const std::string& service, const std::string& model,
                           const std::set<std::string>* allowed_zones) const;
+  /// Whether this entry avoids or excludes every group of the model that it could send requests to.
+  bool are_all_groups_ruled_out(TimePoint now, const std::string& service, const std::string& model,
+                                const std::set<std::string>& excluded);
   /// Whether the link to any server of the model is lost.
   bool is_any_link_lost(const std::string& service, const std::string& model) const;
   /// The service of the server at this address; empty if there is none.
--- a/src/node/request_relay.cc
+++ b/src/node/request_relay.cc
@@ -8,6 +8,7 @@
 #include "node/clock.h"
 #include "node/logging.h"
 #include "node/server_notices.h"
+#include "node/upstream_request.h"
 
 namespace larchlever::node {
 
@@ -286,33 +287,6 @@
   co_return co_await send_attempt(request, target);
 }
 
-net::HttpRequest RequestRelay::make_upstream_request(const RelayedRequest& request, const fleet::DispatchTarget& target,
-                                                     TimePoint now) const {
-  const auto& incoming = request.exchange->request();
-  net::HttpRequest outgoing;
-  outgoing.method = incoming.method;
-  outgoing.target = incoming.target;
-  outgoing.body = incoming.body;
-  for (const auto& [name, value] : incoming.headers.all()) {
-    if (!net::is_hop_by_hop(name, incoming.headers) && !net::equals_ignoring_case(name, "content-length")) {
-      outgoing.headers.add(name, value);
-    }
-  }
-  remove_relay_headers(outgoing.headers);
-  outgoing.headers.remove(dialect_.api_key_header);
-  outgoing.headers.remove(dialect_.tenant_header);
-  outgoing.headers.remove(dialect_.priority_class_header);
-  outgoing.headers.set(dialect_.deadline_ms_header, std::to_string(to_milliseconds(request.deadline - now).count()));
-  outgoing.headers.set(dialect_.expect_instance_header, target.instance_id);
-  if (request.tenant != nullptr) {
-    outgoing.headers.set(dialect_.tenant_header, request.tenant->name);
-  }
-  if (request.event_stream.last_id()) {
-    outgoing.headers.set(dialect_.last_event_id_header, std::to_string(*request.event_stream.last_id()));
-  }
-  return outgoing;
-}
-
 std::chrono::milliseconds RequestRelay::read_timeout(const RelayedRequest& request, TimePoint now) const {
   const Duration left = request.deadline - now;
   if (request.route->route_type != document::RouteType::kStreaming || !request.route->is_retry_safe()) {
@@ -362,8 +336,9 @@
 asio::awaitable<RequestRelay::DispatchResult> RequestRelay::send_attempt(RelayedRequest& request,
                                                                          const fleet::DispatchTarget& target) {
   const TimePoint now = monotonic_now();
-  const auto outgoing =
-      target.is_relay_peer ? make_request_for_peer(request, now) : make_upstream_request(request, target, now);
+  const RelayInstructions instructions{peer_address_, state_.subscription.document_version(), request.excluded_targets};
+  const auto outgoing = target.is_relay_peer ? make_request_for_peer(dialect_, request, instructions, now)
+                                             : make_request_for_server(dialect_, request, target, now);
   net::OpenOptions options;
   options.timeout = read_timeout(request, now);
   if (target.is_relay_peer && request.route->is_retry_safe()) {
--- a/src/node/request_relay.h
+++ b/src/node/request_relay.h
@@ -83,10 +83,10 @@
   /// Whether a peer is preferred although servers seem to be in reach: connections of the request have failed, or it
   /// may not be repeated and links are doubtful.
   bool should_avoid_own_links(const RelayedRequest& request) const;
-  /// Whether the links to some of the servers for the request are lost.
-  bool is_any_server_out_of_reach(const RelayedRequest& request) const;
+  /// Whether a peer may find a server for a request that this entry found none for: it does not reach some of the
+  /// servers, or its own failures rule out all of them.
+  bool may_be_served_by_peer(const RelayedRequest& request);
   std::optional<fleet::DispatchTarget> choose_relay_peer(const RelayedRequest& request);
-  net::HttpRequest make_request_for_peer(const RelayedRequest& request, TimePoint now) const;
   /// Handles the response head of a peer. Returns nothing if the response is a server's and is to be relayed like one.
   boost::asio::awaitable<std::optional<DispatchResult>> handle_peer_response(RelayedRequest& request,
                                                                              const fleet::DispatchTarget& target,
@@ -112,8 +112,6 @@
                                                           net::ClientStream& stream, std::string buffered_prefix);
   boost::asio::awaitable<DispatchResult> relay_events(RelayedRequest& request, const fleet::DispatchTarget& target,
                                                       net::ClientStream& stream);
-  net::HttpRequest make_upstream_request(const RelayedRequest& request, const fleet::DispatchTarget& target,
-                                         TimePoint now) const;
   bool proves_not_run(const net::HttpResponse& head) const;
   bool may_retry(RelayedRequest& request, TimePoint now);
   std::chrono::milliseconds read_timeout(const RelayedRequest& request, TimePoint now) const;
--- a/src/node/request_relay_peers.cc
+++ b/src/node/request_relay_peers.cc
@@ -57,9 +57,17 @@
   return uses_relay_peers_ && state_.dispatcher.are_all_links_lost(request.service->name, model, home_zones(request));
 }
 
-bool RequestRelay::is_any_server_out_of_reach(const RelayedRequest& request) const {
-  const std::string& model = request.service->engine ? request.model : kNoModel;
-  return uses_relay_peers_ && state_.dispatcher.is_any_link_lost(request.service->name, model);
+bool RequestRelay::may_be_served_by_peer(const RelayedRequest& request) {
+  if (!uses_relay_peers_) {
+    return false;
+  }
+  auto& dispatcher = state_.dispatcher;
+  const std::string& service = request.service->name;
+  if (!request.service->engine) {
+    return dispatcher.is_any_link_lost(service, kNoModel);
+  }
+  return dispatcher.is_any_link_lost(service, request.model) ||
+         dispatcher.are_all_groups_ruled_out(monotonic_now(), service, request.model, request.excluded_targets);
 }
 
 bool RequestRelay::should_avoid_own_links(const RelayedRequest& request) const {
@@ -100,7 +108,7 @@
                       kRetryAfterUnavailable, RelayResult::kNotSent};
   }
   auto found = co_await target_finder_.find(request);
-  const bool may_be_served_elsewhere = std::holds_alternative<Refusal>(found) && is_any_server_out_of_reach(request);
+  const bool may_be_served_elsewhere = std::holds_alternative<Refusal>(found) && may_be_served_by_peer(request);
   if (may_be_served_elsewhere) {
     if (auto peer = choose_relay_peer(request)) {
       co_return std::move(*peer);
@@ -109,28 +117,6 @@
   co_return found;
 }
 
-net::HttpRequest RequestRelay::make_request_for_peer(const RelayedRequest& request, TimePoint now) const {
-  const auto& incoming = request.exchange->request();
-  net::HttpRequest outgoing;
-  outgoing.method = incoming.method;
-  outgoing.target = incoming.target;
-  outgoing.body = incoming.body;
-  for (const auto& [name, value] : incoming.headers.all()) {
-    if (!net::is_hop_by_hop(name, incoming.headers) && !net::equals_ignoring_case(name, "content-length")) {
-      outgoing.headers.add(name, value);
-    }
-  }
-  remove_relay_headers(outgoing.headers);
-  const auto remaining = std::chrono::duration_cast<std::chrono::milliseconds>(request.deadline - now);
-  outgoing.headers.set(dialect_.deadline_ms_header, std::to_string(std::max<int64_t>(1, remaining.count())));
-  if (request.event_stream.last_id()) {
-    outgoing.headers.set(dialect_.last_event_id_header, std::to_string(*request.event_stream.last_id()));
-  }
-  add_relay_instructions(outgoing.headers,
-                         {peer_address_, state_.subscription.document_version(), request.excluded_targets});
-  return outgoing;
-}
-
 asio::awaitable<std::optional<RequestRelay::DispatchResult>> RequestRelay::handle_peer_response(
     RelayedRequest& request, const fleet::DispatchTarget& target, net::ClientStream& stream) {
   const auto& headers = stream.head().headers;
