--- a/src/node/entry_process.cc
+++ b/src/node/entry_process.cc
@@ -136,6 +136,8 @@
   void receive(const wire::Envelope& envelope);
   void send(wire::Envelope envelope);
   void apply_document();
+  /// Applies the number of entries that share budgets.
+  void apply_entry_count();
   void apply_evacuations();
 
   asio::any_io_executor executor_;
@@ -155,6 +157,8 @@
   net::HttpServer readiness_server_;
   int64_t document_version_ = 0;
   int64_t evacuation_revision_ = 0;
+  /// Number of entries that share budgets.
+  int entry_count_ = 0;
   bool had_lease_ = false;
   bool is_draining_ = false;
   std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
@@ -190,12 +194,21 @@
   if (!envelope.fleet_update.loads.empty()) {
     state_.dispatcher.update_loads(monotonic_now(), state_.subscription.loads());
   }
-  state_.dispatcher.set_serving_nodes(state_.subscription.serving_nodes());
+  apply_entry_count();
   if (changed) {
     tick();  // Acknowledge the update without waiting for the next tick.
   }
 }
 
+void EntryProcess::apply_entry_count() {
+  const int count = state_.subscription.serving_nodes();
+  if (count != entry_count_) {
+    entry_count_ = count;
+    log_event(settings_.name, "entry_count_changed", {{"entries", std::to_string(count)}});
+  }
+  state_.dispatcher.set_serving_nodes(count);
+}
+
 void EntryProcess::apply_document() {
   if (state_.subscription.document_version() == document_version_) {
     return;
--- a/src/node/entry_state.h
+++ b/src/node/entry_state.h
@@ -24,6 +24,8 @@
   uint64_t refused_blocked = 0;
   uint64_t caller_disconnects = 0;
   uint64_t retries = 0;
+  /// Retries that the entry's share of the retry budget did not allow.
+  uint64_t retries_over_budget = 0;
   uint64_t resumed = 0;
   uint64_t stalls = 0;
   /// Attempts that other entries relayed, by result: a server's response, a refusal, or neither.
--- a/src/node/request_relay.cc
+++ b/src/node/request_relay.cc
@@ -231,9 +231,16 @@
   if (!request.relayed_for.empty() && request.attempts_sent > 0) {
     return false;  // The entry that received the request decides.
   }
+  if (now >= request.deadline || request.attempts_sent >= kMaxAttempts || request.caller_disconnected) {
+    return false;
+  }
   // An attempt that was never sent does not use the retry budget, which counts requests that reach servers.
-  return now < request.deadline && request.attempts_sent < kMaxAttempts && !request.caller_disconnected &&
-         (request.attempts_sent == 0 || state_.dispatcher.try_take_retry(now, request.service->name));
+  if (request.attempts_sent == 0 || state_.dispatcher.try_take_retry(now, request.service->name)) {
+    return true;
+  }
+  ++state_.counters.retries_over_budget;
+  log_event("", "retry_over_budget", {{"request", request.id}, {"service", request.service->name}});
+  return false;
 }
 
 asio::awaitable<void> RequestRelay::finish_without_target(RelayedRequest& request, const FoundTarget& found) {
