--- a/tests/integration/fleet_node_processes.cc
+++ b/tests/integration/fleet_node_processes.cc
@@ -47,16 +47,16 @@
   return {{"name", name}, {"size", size}, {"fraction", fraction}, {"pace", 1}, {"load_s", 1}, {"warm_s", 1}};
 }
 
-std::string make_document(int64_t version, std::chrono::milliseconds forms_timeout, const json::array& api_keys) {
+std::string make_document(int64_t version, const FleetNodeOptions& options, const json::array& api_keys) {
   const json::value forms_route = {{"name", "forms"},
                                    {"host", "forms.example"},
                                    {"path_prefix", "/forms/"},
                                    {"type", "idempotent"},
-                                   {"timeout_ms", forms_timeout.count()},
+                                   {"timeout_ms", options.forms_timeout.count()},
                                    {"target_latency_ms", 300},
                                    {"priority", 1},
                                    {"service", "forms"},
-                                   {"max_attempts", 2},
+                                   {"max_attempts", options.forms_max_attempts},
                                    {"public", true}};
   const json::value engine_route = {{"name", "chat"},      {"host", "chat.example"}, {"path_prefix", "/chat/"},
                                     {"type", "streaming"}, {"timeout_ms", 4000},     {"target_latency_ms", 500},
@@ -210,7 +210,8 @@
     text << (zone == kZones[0] ? "" : ", ") << zone << ":region-" << zone;
   }
   text << "\npeer_port = " << kPeerPort << "\nfirst_start = " << (first_start ? "true" : "false")
-       << "\ntolerated_losses = " << options_.tolerated_losses << "\n";
+       << "\ntolerated_losses = " << options_.tolerated_losses << "\n[bounds]\n"
+       << options_.bounds_settings;
   fs::path path = folder_ / (node + ".ini");
   write_file(path, text.str());
   return path;
@@ -363,11 +364,11 @@
 }
 
 bool FleetNodeProcesses::put_document(int64_t version, std::chrono::milliseconds timeout) {
-  return put_content(make_document(version, options_.forms_timeout, json::array{kOfficeKey}), timeout);
+  return put_content(make_document(version, options_, json::array{kOfficeKey}), timeout);
 }
 
 bool FleetNodeProcesses::put_document_without_keys(int64_t version, std::chrono::milliseconds timeout) {
-  return put_content(make_document(version, options_.forms_timeout, json::array{}), timeout);
+  return put_content(make_document(version, options_, json::array{}), timeout);
 }
 
 bool FleetNodeProcesses::put_content(const std::string& document, std::chrono::milliseconds timeout) {
--- a/tests/integration/fleet_node_processes.h
+++ b/tests/integration/fleet_node_processes.h
@@ -21,10 +21,14 @@
   int tolerated_losses = 2;
   /// Further lines of the section `node` in the settings of entries.
   std::string entry_settings;
+  /// Lines of the section `bounds` in the settings of every node.
+  std::string bounds_settings;
   /// Entries connect to servers from their own address, so that a proxy can tell them apart.
   bool binds_entries_to_own_address = false;
   /// Timeout of the route to the plain service `forms`.
   std::chrono::milliseconds forms_timeout{4000};
+  /// Maximum number of attempts on the routes to `forms`.
+  int forms_max_attempts = 2;
 };
 
 /// Runs the control replicas `c1`, `c2`, ... and the entries `e1`, `e2`, ... of a registered fleet as `fleet-node`
--- a/tests/integration/forms_server.h
+++ b/tests/integration/forms_server.h
@@ -7,6 +7,7 @@
 #include <chrono>
 #include <memory>
 #include <mutex>
+#include <random>
 #include <string>
 
 #include "announced_rate_limits.h"
@@ -44,7 +45,8 @@
     const std::string request_id(exchange.request().headers.find(dialect.request_id_header));
     const std::string retry_after_header = current_retry_after();
     const std::string limit = rate_limits_.for_next_response();
-    arrivals_.add(request_id, !retry_after_header.empty(), !limit.empty());
+    const bool is_rejected = !retry_after_header.empty() || random_share_(random_engine_) < rejected_share_;
+    arrivals_.add(request_id, is_rejected, !limit.empty());
     net::HttpResponse response;
     response.headers.add(dialect.request_id_header, request_id);
     if (is_leaving_) {
@@ -53,10 +55,12 @@
     if (!limit.empty()) {
       response.headers.add(dialect.limit_header, limit);
     }
-    if (!retry_after_header.empty()) {
+    if (is_rejected) {
       response.status = http_status::kServiceUnavailable;
       response.headers.add(dialect.not_run_header, "1");
-      response.headers.add("Retry-After", retry_after_header);
+      if (!retry_after_header.empty()) {
+        response.headers.add("Retry-After", retry_after_header);
+      }
       co_await exchange.respond(std::move(response));
       co_return;
     }
@@ -78,6 +82,8 @@
     const std::lock_guard lock(mutex_);
     current_retry_after_ = retry_after;
   }
+  /// From now on rejects this share of the requests, without a Retry-After header.
+  void reject_share(double share) { rejected_share_ = share; }
   /// From now on announces this rate limit in every response while still serving; an empty value announces none.
   void announce_rate_limit(const std::string& per_second) { rate_limits_.set(per_second); }
   std::vector<RateLimitPhase> rate_limit_phases() const { return rate_limits_.phases(); }
@@ -107,6 +113,9 @@
   std::atomic<bool> is_leaving_ = false;
   std::mutex mutex_;
   std::string current_retry_after_;
+  std::atomic<double> rejected_share_ = 0;
+  std::mt19937_64 random_engine_{1};
+  std::uniform_real_distribution<> random_share_{0, 1};
   AnnouncedRateLimits rate_limits_;
   ArrivalRecord arrivals_;
 };
--- a/tests/integration/partitioned_fleet.h
+++ b/tests/integration/partitioned_fleet.h
@@ -32,12 +32,13 @@
  protected:
   using Clock = std::chrono::steady_clock;
   static constexpr auto kWaitTimeout = std::chrono::seconds(20);
-  static constexpr size_t kPlainServers = 3;
   static constexpr int kEngines = 16;
 
-  explicit PartitionedFleetFixture(int entries = 9) : fleet_(fleet_options(entries)) {}
+  explicit PartitionedFleetFixture(int entries = 9) : PartitionedFleetFixture(fleet_options(entries), 3) {}
+  PartitionedFleetFixture(const FleetNodeOptions& options, size_t plain_server_count)
+      : fleet_(options), plain_server_count_(plain_server_count) {}
 
-  static FleetNodeOptions fleet_options(int entries) {
+  static FleetNodeOptions fleet_options(int entries = 9) {
     FleetNodeOptions options;
     options.control_replicas = 3;
     options.entries = entries;
@@ -47,14 +48,14 @@
   }
 
   void SetUp() override {
-    const auto addresses = fleet_.engine_addresses(static_cast<int>(kPlainServers) + kEngines);
+    const auto addresses = fleet_.engine_addresses(static_cast<int>(plain_server_count_) + kEngines);
     for (const auto& address : addresses) {
       add_proxy(address + ":9000");
     }
-    for (size_t number = kPlainServers; number < addresses.size(); ++number) {
+    for (size_t number = plain_server_count_; number < addresses.size(); ++number) {
       engine_addresses_.push_back(addresses[number] + ":9000");
     }
-    for (size_t number = 0; number < kPlainServers; ++number) {
+    for (size_t number = 0; number < plain_server_count_; ++number) {
       plain_addresses_.push_back(addresses[number] + ":9000");
       plain_servers_.push_back(
           std::make_unique<FormsServer>(servers_client_, plain_addresses_.back(), std::chrono::milliseconds(10)));
@@ -64,7 +65,8 @@
     engine_options.servers_per_domain = kEngines / 2;
     engine_options.reported_address = [this](const std::string& address) { return proxy_endpoints_.at(address); };
     engines_ = std::make_unique<RegisteredEngines>(
-        engine_options, std::vector<std::string>(addresses.begin() + kPlainServers, addresses.end()),
+        engine_options,
+        std::vector<std::string>(addresses.begin() + static_cast<std::ptrdiff_t>(plain_server_count_), addresses.end()),
         fleet_.control_endpoints());
     ASSERT_TRUE(fleet_.start_serving(kWaitTimeout));
     reporter_ = std::thread([this] { report_until_stopped(); });
@@ -182,6 +184,7 @@
   }
 
   FleetNodeProcesses fleet_;
+  const size_t plain_server_count_;
   BlockingClient servers_client_;
   std::vector<std::string> plain_addresses_;
   std::vector<std::string> engine_addresses_;
