Restarted entries and moving load cannot exceed the budget for retries

What callers and servers saw: a service got more repeats in 10 s than all entries together may send, while several entries were restarted.

Cause: an entry's share of a sum is forgotten with its process. A restarted entry took its share of the slack and of the ratio anew although what its predecessor spent still counted; one that started beside a new leader divided the slack by the few entries it had heard of.

Change: RetryBudget, in a directory of its own. Requests earn credits that expire after 0.4 windows; credit of a dead process or of load that moved then fits into the budget (0.7 x 1.4 < 1). The slack of an entry is withheld for one window after its start, in which it also hears of the other entries. Dispatcher.LimitsRetriesToItsShareOfBudget starts the budget a window earlier and checks the same sums, and the number that remains.

With 4 requests a second an entry earns a retry only after 1.8 s, so that one that lives for a shorter time has none: the price of remembering nothing.

--- a/src/core/fleet/dispatcher.cc
+++ b/src/core/fleet/dispatcher.cc
@@ -21,8 +21,6 @@
 constexpr Duration kDefaultLongestPause = seconds(1);
 /// A group counts as stalled after this multiple of the longest expected pause.
 constexpr int kStallPauseMultiple = 2;
-/// Fraction of the retry budget that entries use, because they learn about each other with a delay.
-constexpr double kUsableBudgetShare = 0.7;
 /// Fraction of a head's slots that may be filled, because the load of other entries is known with a delay.
 constexpr double kUsableSlotShare = 0.92;
 /// Penalty for a target in another zone, in requests in flight and in milliseconds to the first event.
@@ -41,7 +39,11 @@
 }  // namespace
 
 Dispatcher::Dispatcher(const FleetOptions& options, std::string zone, uint64_t seed)
-    : options_(options), zone_(std::move(zone)), random_engine_(seed), rate_shares_(seed) {}
+    : options_(options),
+      zone_(std::move(zone)),
+      random_engine_(seed),
+      rate_shares_(seed),
+      retry_budget_({options.retry_ratio, options.retry_slack, options.retry_window}) {}
 
 std::vector<std::string> Dispatcher::update_state(const wire::FleetState& state) {
   const auto previous = std::exchange(instances_, {});
@@ -516,36 +518,6 @@
   return result;
 }
 
-void Dispatcher::drop_expired(TimePoint now, RetryHistory& history) const {
-  for (auto* times : {&history.requests, &history.retries}) {
-    while (!times->empty() && now - times->front() > options_.retry_window) {
-      times->pop_front();
-    }
-  }
-}
-
-void Dispatcher::note_request(TimePoint now, const std::string& service) {
-  RetryHistory& history = retry_histories_[service];
-  drop_expired(now, history);
-  history.requests.push_back(now);
-}
-
-int Dispatcher::remaining_retries(TimePoint now, const std::string& service) {
-  RetryHistory& history = retry_histories_[service];
-  drop_expired(now, history);
-  const double allowed = kUsableBudgetShare * (options_.retry_ratio * static_cast<double>(history.requests.size()) +
-                                               options_.retry_slack / serving_nodes_);
-  return static_cast<int>(allowed) - static_cast<int>(history.retries.size());
-}
-
-bool Dispatcher::try_take_retry(TimePoint now, const std::string& service) {
-  if (remaining_retries(now, service) < 1) {
-    return false;
-  }
-  retry_histories_[service].retries.push_back(now);
-  return true;
-}
-
 std::vector<wire::GroupLoad> Dispatcher::group_loads(TimePoint now) const {
   std::vector<wire::GroupLoad> result;
   for (const auto& [key, health] : health_) {
--- a/src/core/fleet/dispatcher.h
+++ b/src/core/fleet/dispatcher.h
@@ -15,6 +15,7 @@
 #include "core/engine/cost_model.h"
 #include "core/fleet/fleet_options.h"
 #include "core/fleet/rate_shares.h"
+#include "core/fleet/retry_budget/retry_budget.h"
 #include "core/fleet/server_limits.h"
 #include "core/fleet/server_links.h"
 #include "core/fleet/server_notices.h"
@@ -90,7 +91,10 @@
   void update_loads(TimePoint now, const std::vector<wire::GroupLoad>& totals);
   /// Updates the zones whose servers get no requests.
   void update_evacuations(const wire::ZoneEvacuations& evacuations) { evacuations_ = evacuations; }
-  void set_serving_nodes(int count) { serving_nodes_ = count < 1 ? 1 : count; }
+  void set_serving_nodes(int count) {
+    serving_nodes_ = count < 1 ? 1 : count;
+    retry_budget_.set_entry_count(serving_nodes_);
+  }
   /// The links between this entry and the servers.
   ServerLinks& links() { return links_; }
   const ServerLinks& links() const { return links_; }
@@ -184,12 +188,8 @@
   /// Avoids the target for `kAvoidanceTime`.
   void avoid_target(TimePoint now, const std::string& key) { health_[key].avoid_until(now + kAvoidanceTime); }
 
-  /// The retry budget: `note_request` counts a request, `try_take_retry` consumes a retry if this entry's share of the
-  /// budget allows it.
-  void note_request(TimePoint now, const std::string& service);
-  bool try_take_retry(TimePoint now, const std::string& service);
-  /// How many retries `try_take_retry` would grant now.
-  int remaining_retries(TimePoint now, const std::string& service);
+  /// This entry's share of the budget for retries.
+  RetryBudget& retry_budget() { return retry_budget_; }
 
   /// This entry's load per group, to be reported to the leader.
   std::vector<wire::GroupLoad> group_loads(TimePoint now) const;
@@ -199,11 +199,6 @@
   std::vector<wire::GroupFailure> group_failures(TimePoint now) const;
 
  private:
-  struct RetryHistory {
-    std::deque<TimePoint> requests;
-    std::deque<TimePoint> retries;
-  };
-
   /// Removes the health records of targets that no longer exist.
   void remove_unknown_targets();
   /// Removes rate state of servers that are no longer rate-limited.
@@ -277,7 +272,6 @@
                                          const std::vector<InstanceCandidate>& candidates);
   /// Lists the rate-limited servers for which the leader must be asked, if one of them is the best candidate.
   DispatchDecision choose_for_leader_admission(TimePoint now, const std::vector<InstanceCandidate>& candidates);
-  void drop_expired(TimePoint now, RetryHistory& history) const;
   void mark_load_changed(const DispatchTarget& target);
   static wire::GroupLoad make_group_load(TimePoint now, const std::string& key, const TargetHealth& health);
 
@@ -306,7 +300,7 @@
   std::map<std::pair<std::string, std::string>, Duration> longest_pauses_;
   /// Smallest objective for pauses of all requests, by service and model.
   std::map<std::pair<std::string, std::string>, Duration> min_gap_objectives_;
-  std::map<std::string, RetryHistory> retry_histories_;
+  RetryBudget retry_budget_;
   /// When permits were last recalculated, by service and model.
   std::map<std::pair<std::string, std::string>, TimePoint> permits_refreshed_at_;
   /// When the loads of other entries were last reported; `TimePoint::min()` if there are none.
--- a/src/node/entry_process.cc
+++ b/src/node/entry_process.cc
@@ -97,6 +97,7 @@
         readiness_handler_([this] { return is_ready(); }),
         readiness_server_(executor, net::HttpServerOptions(), readiness_handler_) {
     state_.dispatcher.set_relay_available(!settings.relay_address.empty());
+    state_.dispatcher.retry_budget().start(monotonic_now());
   }
   ~EntryProcess() override { stop(); }
 
--- a/src/node/in_flight_attempts.cc
+++ b/src/node/in_flight_attempts.cc
@@ -42,7 +42,7 @@
 }
 
 void InFlightAttempts::cancel_at_target(const fleet::DispatchTarget& target, TimePoint now) {
-  int retry_allowance = state_.dispatcher.remaining_retries(now, target.service);
+  int retry_allowance = state_.dispatcher.retry_budget().remaining(now, target.service);
   for (const auto& [cancellation, attempt] : attempts_at(target.key)) {
     if (retry_allowance-- <= 0) {
       return;
@@ -91,7 +91,7 @@
         continue;
       }
       const auto allowance =
-          retry_allowances.try_emplace(attempt.service, state_.dispatcher.remaining_retries(now, attempt.service))
+          retry_allowances.try_emplace(attempt.service, state_.dispatcher.retry_budget().remaining(now, attempt.service))
               .first;
       if (allowance->second-- > 0) {
         cancellation->cancel();
--- a/src/node/request_relay.cc
+++ b/src/node/request_relay.cc
@@ -135,7 +135,7 @@
   record_demand(request);
   if (request.relayed_for.empty()) {
     // Otherwise the other entry has counted the request, for the retry budget that all entries share.
-    state_.dispatcher.note_request(request.received_at, request.service->name);
+    state_.dispatcher.retry_budget().note_request(request.received_at, request.service->name);
   }
   return std::nullopt;
 }
@@ -235,7 +235,7 @@
     return false;
   }
   // An attempt that was never sent does not use the retry budget, which counts requests that reach servers.
-  if (request.attempts_sent == 0 || state_.dispatcher.try_take_retry(now, request.service->name)) {
+  if (request.attempts_sent == 0 || state_.dispatcher.retry_budget().try_take(now, request.service->name)) {
     return true;
   }
   ++state_.counters.retries_over_budget;
--- a/tests/unit/fleet_test.cc
+++ b/tests/unit/fleet_test.cc
@@ -539,15 +539,18 @@
   options.retry_slack = 40;
   Dispatcher dispatcher(options, "z", 1);
   dispatcher.set_serving_nodes(4);
+  RetryBudget& budget = dispatcher.retry_budget();
+  budget.start(kStart - options.retry_window);
   for (int count = 0; count < 100; ++count) {
-    dispatcher.note_request(kStart, "s");
+    budget.note_request(kStart, "s");
   }
+  EXPECT_EQ(budget.remaining(kStart, "s"), 21);
   int granted = 0;
-  while (dispatcher.try_take_retry(kStart, "s")) {
+  while (budget.try_take(kStart, "s")) {
     ++granted;
   }
   EXPECT_EQ(granted, 21);  // 0.7 x (0.2 x 100 + 40 / 4)
-  EXPECT_TRUE(dispatcher.try_take_retry(kStart + options.retry_window + seconds(1), "s")) << "the window has passed";
+  EXPECT_TRUE(budget.try_take(kStart + options.retry_window + seconds(1), "s")) << "the window has passed";
 }
 
 // -------------------------------------------------------------- cost model
--- a/tests/unit/retry_budget_test.cc
+++ b/tests/unit/retry_budget_test.cc
@@ -105,6 +105,7 @@
   }
   void start(size_t index, TimePoint now) {
     entries_[index] = {std::make_unique<Dispatcher>(options_, "north", random_()), now};
+    entries_[index].dispatcher->retry_budget().start(now);
   }
   int running_count() const {
     return static_cast<int>(std::count_if(entries_.begin(), entries_.end(),
@@ -142,8 +143,8 @@
       if (entry == nullptr) {
         continue;
       }
-      entry->note_request(now, kService);
-      for (int retry = 0; retry < kMaxRetriesPerRequest && entry->try_take_retry(now, kService); ++retry) {
+      entry->retry_budget().note_request(now, kService);
+      for (int retry = 0; retry < kMaxRetriesPerRequest && entry->retry_budget().try_take(now, kService); ++retry) {
         ++retries_.back();
       }
     }
