--- a/tests/integration/retry_budget_test.cc
+++ b/tests/integration/retry_budget_test.cc
@@ -121,15 +121,24 @@
   expect_budget_kept(callers.stop());
 }
 
+class RetryBudgetOfPartitionedFleet : public RetryBudgetOfFleet, public testing::WithParamInterface<PartitionKind> {};
+
 // Requests that other entries relayed reached servers more often than anybody had counted.
-TEST_F(RetryBudgetOfFleet, IsKeptWhileMostEntriesAreCutOffFromServers) {
+TEST_P(RetryBudgetOfPartitionedFleet, IsKeptWhileMostEntriesAreCutOffFromServers) {
   reject_most_requests();
   MixedCallers callers(fleet_, caller_options());
   std::this_thread::sleep_for(seconds(3));
-  partition({"e1", "e2", "e3", "e4", "e5", "e6"}, PartitionKind::kReset);
+  partition({"e1", "e2", "e3", "e4", "e5", "e6"}, GetParam());
   std::this_thread::sleep_for(kLoadTime);
   expect_budget_kept(callers.stop());
 }
 
+INSTANTIATE_TEST_SUITE_P(All, RetryBudgetOfPartitionedFleet,
+                         testing::Values(PartitionKind::kReset, PartitionKind::kHang, PartitionKind::kRefuseNew),
+                         [](const auto& test) {
+                           const bool is_reset = test.param == PartitionKind::kReset;
+                           return is_reset ? "Reset" : test.param == PartitionKind::kHang ? "Hang" : "RefuseNew";
+                         });
+
 }  // namespace
 }  // namespace larchlever::integration
