Read the parts of prompts, and log them for requests that were not served

The logs name a request by its fingerprint alone, so that requests which end servers could not be told to have a part of their prompts in common.

--- a/src/node/dialect.h
+++ b/src/node/dialect.h
@@ -19,6 +19,8 @@
   std::string signature_header = "Larchlever-Signature";
   std::string model_header = "Larchlever-Model";
   std::string token_counts_header = "Larchlever-Tokens";
+  /// Lists the parts of the prompt; see requests/prompt_parts.h.
+  std::string prompt_parts_header = "Larchlever-Prompt-Parts";
   std::string length_hint_header = "Larchlever-Length-Hint";
   std::string priority_class_header = "Larchlever-Priority";
   std::string last_event_id_header = "Last-Event-Id";
--- a/src/node/in_flight_attempts.cc
+++ b/src/node/in_flight_attempts.cc
@@ -91,7 +91,8 @@
         continue;
       }
       const auto allowance =
-          retry_allowances.try_emplace(attempt.service, state_.dispatcher.retry_budget().remaining(now, attempt.service))
+          retry_allowances
+              .try_emplace(attempt.service, state_.dispatcher.retry_budget().remaining(now, attempt.service))
               .first;
       if (allowance->second-- > 0) {
         cancellation->cancel();
--- a/src/node/relayed_request.h
+++ b/src/node/relayed_request.h
@@ -4,6 +4,7 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <vector>
 
 #include "core/document/route_table.h"
 #include "core/fleet/dispatcher.h"
@@ -25,6 +26,8 @@
   std::string id;
   /// Identical for all copies of this request, at every entry.
   requests::RequestFingerprint fingerprint;
+  /// Parts of the prompt that other requests may share.
+  std::vector<requests::RequestFingerprint> prompt_parts;
   std::string model;
   /// Zones in the home regions of the request's route and tenant; nothing if it may run anywhere.
   std::optional<std::set<std::string>> allowed_zones;
--- a/src/node/request_completion.cc
+++ b/src/node/request_completion.cc
@@ -19,6 +19,16 @@
   return duration_cast<std::chrono::milliseconds>(to - from).count();
 }
 
+bool is_success(int status) { return status >= 200 && status < 300; }
+
+std::string join_fingerprints(const std::vector<requests::RequestFingerprint>& fingerprints) {
+  std::vector<std::string> texts;
+  for (const auto fingerprint : fingerprints) {
+    texts.push_back(to_string(fingerprint));
+  }
+  return join_items(texts);
+}
+
 }  // namespace
 
 void RequestCompletion::log_completion(const RelayedRequest& request, int status, const std::string& reason) const {
@@ -31,6 +41,7 @@
        {"fingerprint", to_string(request.fingerprint)},
        {"route", request.route == nullptr ? "" : request.route->name},
        {"model", request.model},
+       {"prompt_parts", is_success(status) ? "" : join_fingerprints(request.prompt_parts)},
        {"aim_ms", request.route == nullptr ? "" : std::to_string(request.route->target_latency / milliseconds(1))},
        {"aim_pause_ms",
         request.route == nullptr ? "" : std::to_string(request.route->target_event_gap / milliseconds(1))},
--- a/src/node/request_relay.cc
+++ b/src/node/request_relay.cc
@@ -5,6 +5,7 @@
 
 #include "core/base/http_status.h"
 #include "core/base/scope_exit.h"
+#include "core/requests/prompt_parts.h"
 #include "node/clock.h"
 #include "node/logging.h"
 #include "node/server_notices.h"
@@ -126,6 +127,9 @@
                                      incoming.headers.find("host"), incoming.method, incoming.target, incoming.body});
   const auto& services = request.routes->document().services;
   request.service = &services.at(state_.dispatcher.choose_service(*request.route));
+  request.prompt_parts =
+      requests::fingerprint_shared_parts({request.tenant == nullptr ? "" : request.tenant->name, request.service->name},
+                                         incoming.headers.find(dialect_.prompt_parts_header));
   Duration allowed_time = request.route->timeout;
   if (const auto deadline_ms = parse_number(incoming.headers.find(dialect_.deadline_ms_header))) {
     allowed_time = std::min(allowed_time, Duration(milliseconds(*deadline_ms)));
