--- a/tests/integration/fleet_node_processes.cc
+++ b/tests/integration/fleet_node_processes.cc
@@ -322,7 +322,7 @@
 
 net::FetchResult FleetNodeProcesses::call_model(BlockingClient& client, const std::string& entry,
                                                 const std::string& model, const std::string& request_id,
-                                                const std::string& body) const {
+                                                const std::string& body, const std::string& prompt_parts) const {
   net::HttpRequest request;
   request.method = "POST";
   request.target = "/chat/1";
@@ -331,6 +331,9 @@
   request.headers.add("Larchlever-Deadline-Ms", "3000");
   request.headers.add("Larchlever-Model", model);
   request.headers.add("Larchlever-Tokens", "100,25");
+  if (!prompt_parts.empty()) {
+    request.headers.add("Larchlever-Prompt-Parts", prompt_parts);
+  }
   request.body = body;
   return client.fetch(caller_endpoint(entry), request, kModelCallTimeout);
 }
--- a/tests/integration/fleet_node_processes.h
+++ b/tests/integration/fleet_node_processes.h
@@ -79,7 +79,8 @@
                                 const std::string& body = "");
   /// Sends a streaming request for a model through an entry. `client` belongs to the calling thread.
   net::FetchResult call_model(BlockingClient& client, const std::string& entry, const std::string& model,
-                              const std::string& request_id, const std::string& body = "{}") const;
+                              const std::string& request_id, const std::string& body = "{}",
+                              const std::string& prompt_parts = "") const;
   /// Sends a request for the plain service `forms` through an entry: a POST if `body` is not empty, otherwise a GET.
   /// `timeout` is sent as the deadline of the request; the client waits for one second more.
   net::FetchResult call_forms(BlockingClient& client, const std::string& entry, const std::string& request_id,
--- a/tests/integration/registered_engines.cc
+++ b/tests/integration/registered_engines.cc
@@ -265,6 +265,14 @@
     co_await exchange.respond(std::move(response));
   }
 
+  bool crashes(const net::HttpRequest& request) const {
+    const auto& options = engines_.options_;
+    const auto parts = request.headers.find(dialect_.prompt_parts_header);
+    return (!options.crash_body.empty() && request.body == options.crash_body) ||
+           (!options.crash_prompt_part.empty() &&
+            parts.find(options.crash_prompt_part + ":") != std::string_view::npos);
+  }
+
   asio::awaitable<void> serve(net::HttpExchange& exchange) {
     net::HttpResponse response_head;
     response_head.headers.add(dialect_.request_id_header,
@@ -290,8 +298,7 @@
       co_await exchange.respond(std::move(response_head));
       co_return;
     }
-    const bool crashes_server =
-        !engines_.options_.crash_body.empty() && exchange.request().body == engines_.options_.crash_body;
+    const bool crashes_server = crashes(exchange.request());
     if (crashes_server) {
       const std::lock_guard record(engines_.record_mutex_);
       engines_.crash_request_arrivals_.push_back(std::chrono::steady_clock::now());
--- a/tests/integration/registered_engines.h
+++ b/tests/integration/registered_engines.h
@@ -34,6 +34,8 @@
     std::chrono::milliseconds event_pause{10};
     /// A request with this body crashes the server that runs it, after the first event. Empty for none.
     std::string crash_body;
+    /// The same for requests that list this part of their prompt. Empty for none.
+    std::string crash_prompt_part;
     /// A request with this body gets a stream that is aborted by closing the connection. Empty for none. Element i of
     /// `events_before_aborts` is the number of events sent before the i-th abort; aborts beyond the list send none.
     std::string abort_body;
@@ -72,7 +74,7 @@
   uint64_t served_count() const { return served_count_; }
   /// Number of requests rejected because they reached a server that was not the head of an open group.
   uint64_t misdirected() const { return misdirected_; }
-  /// Arrival times of requests with `crash_body` at open heads, in order.
+  /// Arrival times of requests that crash servers, at open heads, in order.
   std::vector<Timestamp> crash_request_arrivals();
   /// Times of the crashes that these requests caused, in order.
   std::vector<Timestamp> crash_times();
