--- a/src/core/fleet/blocked_requests.cc
+++ b/src/core/fleet/crash_attribution/blocked_requests.cc
@@ -1,4 +1,4 @@
-#include "core/fleet/blocked_requests.h"
+#include "core/fleet/crash_attribution/blocked_requests.h"
 
 #include <algorithm>
 #include <utility>
--- a/src/core/fleet/crash_detector.cc
+++ b/src/core/fleet/crash_attribution/crash_detector.cc
@@ -1,4 +1,4 @@
-#include "core/fleet/crash_detector.h"
+#include "core/fleet/crash_attribution/crash_detector.h"
 
 #include <array>
 #include <utility>
--- a/src/core/fleet/crash_detector.h
+++ b/src/core/fleet/crash_attribution/crash_detector.h
@@ -6,7 +6,7 @@
 #include <vector>
 
 #include "core/base/time.h"
-#include "core/fleet/server_crash_history.h"
+#include "core/fleet/crash_attribution/server_crash_history.h"
 #include "core/requests/request_fingerprint.h"
 
 namespace larchlever::fleet {
--- a/src/core/fleet/request_blocker.cc
+++ b/src/core/fleet/crash_attribution/request_blocker.cc
@@ -1,9 +1,9 @@
-#include "core/fleet/request_blocker.h"
+#include "core/fleet/crash_attribution/request_blocker.h"
 
 #include <algorithm>
 #include <array>
 
-#include "core/fleet/blocked_requests.h"
+#include "core/fleet/crash_attribution/blocked_requests.h"
 
 namespace larchlever::fleet {
 
--- a/src/core/fleet/request_blocker.h
+++ b/src/core/fleet/crash_attribution/request_blocker.h
@@ -5,7 +5,7 @@
 #include <vector>
 
 #include "core/base/time.h"
-#include "core/fleet/server_crash_history.h"
+#include "core/fleet/crash_attribution/server_crash_history.h"
 #include "larchlever_types.h"
 
 namespace larchlever::fleet {
--- a/src/core/fleet/server_crash_history.cc
+++ b/src/core/fleet/crash_attribution/server_crash_history.cc
@@ -1,4 +1,4 @@
-#include "core/fleet/server_crash_history.h"
+#include "core/fleet/crash_attribution/server_crash_history.h"
 
 #include <algorithm>
 
--- a/src/node/blocked_request_guard.h
+++ b/src/node/blocked_request_guard.h
@@ -5,7 +5,7 @@
 #include <memory>
 #include <string>
 
-#include "core/fleet/crash_detector.h"
+#include "core/fleet/crash_attribution/crash_detector.h"
 #include "node/entry_state.h"
 #include "node/relayed_request.h"
 #include "node/slot_requester.h"
--- a/src/node/entry_state.h
+++ b/src/node/entry_state.h
@@ -5,7 +5,7 @@
 #include <string>
 
 #include "core/document/route_table.h"
-#include "core/fleet/blocked_requests.h"
+#include "core/fleet/crash_attribution/blocked_requests.h"
 #include "core/fleet/dispatcher.h"
 #include "core/fleet/fleet_subscription.h"
 #include "core/fleet/relay_peers.h"
--- a/tests/unit/blocked_requests_test.cc
+++ b/tests/unit/blocked_requests_test.cc
@@ -1,8 +1,8 @@
-#include "core/fleet/blocked_requests.h"
+#include "core/fleet/crash_attribution/blocked_requests.h"
 
 #include <gtest/gtest.h>
 
-#include "core/fleet/request_blocker.h"
+#include "core/fleet/crash_attribution/request_blocker.h"
 
 namespace larchlever::fleet {
 namespace {
