Parts of prompts that crash servers are found and blocked

Cause: the unit of blame was the whole request. Blame was counted by a fingerprint of tenant, host, path and body, so that no count reached three except through the system's own repeats, which blocked requests that merely ran beside the harmful ones.

Change: a crash counts against each part of the prompts that ran there, too, in the same module and protocol. A part is suspected from its first crash on; that is published, entries where it was answered object, and requests with it run on one server at a time, first attempts as well. After three crashes under different requests and 0.2 s without objection it is blocked; its crashes no longer count against anything else, and requests blocked because of them are unblocked. A request is no explanation for crashes under its part.

--- a/src/core/fleet/crash_attribution/blocked_requests.cc
+++ b/src/core/fleet/crash_attribution/blocked_requests.cc
@@ -18,10 +18,13 @@
 
 wire::RequestServerEnd make_report(TimePoint now, const ServerCrash& end) {
   wire::RequestServerEnd report;
-  report.fingerprint = end.request.value();
+  report.fingerprint = end.cause.value();
   report.instance_id = end.instance_id;
   report.age_ms = (now - end.at) / milliseconds(1);
   report.__set_is_likely(end.certainty == CrashCertainty::kLikely);
+  if (end.kind == CauseKind::kPromptPart) {
+    report.__set_request_of_part(end.request_of_part.value());
+  }
   return report;
 }
 
@@ -43,7 +46,8 @@
     const auto known = rows_.find(request);
     const bool is_unchanged = known != rows_.end() && known->second.row == row;
     updated_rows[request] = {row, is_unchanged ? known->second.received_at : now};
-    if (known == rows_.end() && recently_answered_.contains(now, request)) {
+    const CauseKind kind = row.is_prompt_part ? CauseKind::kPromptPart : CauseKind::kRequest;
+    if (known == rows_.end() && recently_answered(kind).contains(now, request)) {
       report_answered(request);
     }
   }
@@ -57,6 +61,9 @@
 
 BlockedRequests::Verdict BlockedRequests::verdict_for(TimePoint now, requests::RequestFingerprint request) const {
   const auto found = rows_.find(request);
+  if (found != rows_.end() && found->second.row.is_suspect) {
+    return Verdict::kSuspected;
+  }
   if (found != rows_.end()) {
     return found->second.row.trial_due ? Verdict::kTrialDue : Verdict::kBlocked;
   }
@@ -75,8 +82,13 @@
                                                         : Duration::zero();
 }
 
+int BlockedRequests::server_ends(requests::RequestFingerprint request) const {
+  const auto found = rows_.find(request);
+  return found == rows_.end() ? 0 : found->second.row.server_ends;
+}
+
 size_t BlockedRequests::note_server_end(const ServerCrash& end) {
-  if (recently_answered_.contains(end.at, end.request)) {
+  if (recently_answered(end.kind).contains(end.at, end.cause)) {
     return 0;
   }
   if (unreported_ends_.size() < kMaxUnreportedEnds) {
@@ -84,25 +96,25 @@
   }
   server_ends_.forget_old(end.at);
   if (end.certainty == CrashCertainty::kLikely) {
-    return server_ends_.count(end.request);  // The leader also gets the servers' reports, which may refute it.
+    return server_ends_.count(end.cause);  // The leader also gets the servers' reports, which may refute it.
   }
   const size_t count = server_ends_.note(end);
   if (count >= kServerEndsToBlock) {
-    server_ends_.mark_as_cause(end.request);
+    server_ends_.mark_as_cause(end.cause);
   }
   return count;
 }
 
-void BlockedRequests::note_answered(TimePoint now, requests::RequestFingerprint request) {
-  recently_answered_.add(now, request);
-  if (server_ends_.is_suspect(request) || rows_.contains(request)) {
-    report_answered(request);
+void BlockedRequests::note_answered(TimePoint now, requests::RequestFingerprint cause, CauseKind kind) {
+  recently_answered(kind).add(now, cause);
+  if (server_ends_.is_suspect(cause) || rows_.contains(cause)) {
+    report_answered(cause);
   }
 }
 
 void BlockedRequests::report_answered(requests::RequestFingerprint request) {
   server_ends_.forget(request);
-  std::erase_if(unreported_ends_, [request](const ServerCrash& end) { return end.request == request; });
+  std::erase_if(unreported_ends_, [request](const ServerCrash& end) { return end.cause == request; });
   unreported_answered_.push_back(request.value());
 }
 
--- a/src/core/fleet/crash_attribution/crash_detector.cc
+++ b/src/core/fleet/crash_attribution/crash_detector.cc
@@ -24,8 +24,7 @@
 
 }  // namespace
 
-bool CrashDetector::note_lost_response(TimePoint now, const std::string& incarnation,
-                                       requests::RequestFingerprint request) {
+bool CrashDetector::note_lost_response(TimePoint now, const std::string& incarnation, LostRequest request) {
   remove_old_suspicions(now);
   const auto [found, is_first] = suspicions_.try_emplace(incarnation);
   Suspicion& suspicion = found->second;
@@ -33,7 +32,7 @@
     suspicion.lost_at = now;
   }
   if (!suspicion.is_decided && now - suspicion.lost_at <= kResponseTransitTime) {
-    suspicion.requests.push_back(request);
+    suspicion.requests.push_back(std::move(request));
   }
   return is_first;
 }
--- a/src/core/fleet/crash_attribution/crash_detector.h
+++ b/src/core/fleet/crash_attribution/crash_detector.h
@@ -3,6 +3,7 @@
 #include <map>
 #include <optional>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "core/base/time.h"
@@ -19,11 +20,25 @@
   kTimedOut,  ///< No reply in time; the network may be partitioned.
 };
 
+/// A request whose response was lost.
+struct LostRequest {
+  // NOLINTNEXTLINE(google-explicit-constructor,hicpp-explicit-conversions): a request without parts.
+  LostRequest(requests::RequestFingerprint request) : fingerprint(request) {}
+  LostRequest(requests::RequestFingerprint request, std::vector<requests::RequestFingerprint> parts)
+      : fingerprint(request), prompt_parts(std::move(parts)) {}
+
+  bool operator==(const LostRequest&) const = default;
+
+  requests::RequestFingerprint fingerprint;
+  /// Parts of its prompt that other requests may share.
+  std::vector<requests::RequestFingerprint> prompt_parts;
+};
+
 /// A server that crashed, and the requests that ran there at that time.
 struct CrashedServer {
   TimePoint at{};
   CrashCertainty certainty = CrashCertainty::kConfirmed;
-  std::vector<requests::RequestFingerprint> requests;
+  std::vector<LostRequest> requests;
 };
 
 /// Decides, after responses of a server were lost, whether the server crashed or only connections failed.
@@ -50,7 +65,7 @@
  public:
   /// The response to the request was lost at this incarnation of a server. True when the caller must start to probe the
   /// server at the times of `next_probe_time`.
-  bool note_lost_response(TimePoint now, const std::string& incarnation, requests::RequestFingerprint request);
+  bool note_lost_response(TimePoint now, const std::string& incarnation, LostRequest request);
   /// The server made progress with a request, which clears it of suspicion unless the data may have been in transit.
   void note_progress(TimePoint now, const std::string& incarnation);
   /// Records the result of a probe. Returns the crash when the probe decides that the server crashed.
@@ -72,7 +87,7 @@
  private:
   struct Suspicion {
     TimePoint lost_at{};
-    std::vector<requests::RequestFingerprint> requests;
+    std::vector<LostRequest> requests;
     size_t probes = 0;
     /// Start of the current series of failed probes.
     std::optional<TimePoint> down_since;
--- a/src/core/fleet/crash_attribution/request_blocker.cc
+++ b/src/core/fleet/crash_attribution/request_blocker.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <array>
+#include <iterator>
 
 #include "core/fleet/crash_attribution/blocked_requests.h"
 
@@ -37,6 +38,7 @@
 
 void RequestBlocker::start(TimePoint now, const std::vector<wire::BlockedRequest>& inherited) {
   server_ends_ = ServerCrashHistory();
+  suspect_parts_ = SuspectParts();
   blocked_.clear();
   granted_retries_.clear();
   likely_ended_at_.clear();
@@ -46,13 +48,17 @@
 void RequestBlocker::add_inherited(TimePoint now, const std::vector<wire::BlockedRequest>& rows) {
   for (const auto& row : rows) {
     const requests::RequestFingerprint request(row.fingerprint);
-    if (!blocked_.contains(request)) {
-      block(now, request, row.trials).is_inherited = true;
+    if (row.is_suspect || blocked_.contains(request)) {
+      continue;  // Entries report the server ends under suspects to each new leader.
     }
+    BlockState& blocked = block(now, request, row.is_prompt_part ? CauseKind::kPromptPart : CauseKind::kRequest);
+    blocked.trials = row.trials;
+    blocked.server_ends = static_cast<size_t>(std::max(0, row.server_ends));
+    blocked.is_inherited = true;
   }
 }
 
-RequestBlocker::BlockState& RequestBlocker::block(TimePoint now, requests::RequestFingerprint request, int trials) {
+RequestBlocker::BlockState& RequestBlocker::block(TimePoint now, requests::RequestFingerprint request, CauseKind kind) {
   if (blocked_.size() >= kMaxBlockedRequests) {
     const auto oldest = std::min_element(blocked_.begin(), blocked_.end(), [](const auto& left, const auto& right) {
       return left.second.phase_started_at < right.second.phase_started_at;
@@ -60,11 +66,33 @@
     blocked_.erase(oldest);
   }
   BlockState& blocked = blocked_[request];
-  blocked.trials = trials;
+  blocked = BlockState();
+  blocked.kind = kind;
+  blocked.server_ends = server_ends_.count(request);
   set_phase(now, blocked, Phase::kWaiting);
   return blocked;
 }
 
+bool RequestBlocker::block_parts(TimePoint now) {
+  bool changed = false;
+  while (const auto part = suspect_parts_.take_cause(now, server_ends_)) {
+    block(now, *part, CauseKind::kPromptPart);
+    server_ends_.mark_as_cause(*part);
+    unblock_explained_requests();
+    suspect_parts_.remove_cleared(server_ends_);
+    changed = true;
+  }
+  return changed;
+}
+
+void RequestBlocker::unblock_explained_requests() {
+  std::erase_if(blocked_, [this](const auto& item) {
+    const auto& [request, blocked] = item;
+    return blocked.kind == CauseKind::kRequest && is_refutable(blocked) &&
+           server_ends_.count(request) < kServerEndsToBlock;
+  });
+}
+
 bool RequestBlocker::note_incarnation_alive(TimePoint now, const std::string& incarnation) {
   if (!likely_ended_at_.contains(incarnation)) {
     return false;
@@ -72,8 +100,7 @@
   bool changed = false;
   for (const auto request : server_ends_.retract(incarnation, now)) {
     const auto blocked = blocked_.find(request);
-    const bool was_blocked_by_its_end =
-        blocked != blocked_.end() && blocked->second.trials == 0 && !blocked->second.is_inherited;
+    const bool was_blocked_by_its_end = blocked != blocked_.end() && is_refutable(blocked->second);
     if (was_blocked_by_its_end && server_ends_.count(request) < kServerEndsToBlock) {
       blocked_.erase(blocked);
       changed = true;
@@ -83,31 +110,48 @@
 }
 
 bool RequestBlocker::note_server_end(const ServerCrash& end) {
+  const bool is_part = end.kind == CauseKind::kPromptPart;
+  if (is_part && suspect_parts_.is_known_sound(end.at, end.cause)) {
+    return false;
+  }
   if (end.certainty == CrashCertainty::kLikely) {
     likely_ended_at_[end.instance_id] = end.at;
   }
   const size_t count = server_ends_.note(end);
-  const auto known = blocked_.find(end.request);
+  const auto known = blocked_.find(end.cause);
   if (known != blocked_.end()) {
-    server_ends_.mark_as_cause(end.request);
+    server_ends_.mark_as_cause(end.cause);
     const bool was_trial = known->second.phase == Phase::kTrialRunning;
     if (was_trial) {
       set_phase(end.at, known->second, Phase::kWaiting);
     }
     return was_trial;
   }
+  if (is_part) {
+    return count > 0 && suspect_parts_.note_crash(end, server_ends_);
+  }
   if (count < kServerEndsToBlock) {
     return false;
   }
-  block(end.at, end.request, 0);
-  server_ends_.mark_as_cause(end.request);
+  block(end.at, end.cause, CauseKind::kRequest);
+  server_ends_.mark_as_cause(end.cause);
   return true;
 }
 
-bool RequestBlocker::note_answered(requests::RequestFingerprint request) {
+bool RequestBlocker::note_answered(TimePoint now, requests::RequestFingerprint request) {
+  const auto blocked = blocked_.find(request);
+  const bool was_suspect = suspect_parts_.is_suspect(request);
+  const bool was_blocked = blocked != blocked_.end();
+  const bool is_part = was_suspect || (was_blocked && blocked->second.kind == CauseKind::kPromptPart);
   server_ends_.forget(request);
   granted_retries_.erase(request);
-  return blocked_.erase(request) > 0;
+  if (is_part) {
+    suspect_parts_.note_answered(now, request);
+  }
+  if (was_blocked) {
+    blocked_.erase(blocked);
+  }
+  return was_suspect || was_blocked;
 }
 
 bool RequestBlocker::grant_retry(TimePoint now, requests::RequestFingerprint request) {
@@ -135,33 +179,36 @@
   return true;
 }
 
+bool RequestBlocker::advance(TimePoint now, BlockState& blocked, bool& is_expired) {
+  const Duration age = now - blocked.phase_started_at;
+  const bool has_trials_left = static_cast<size_t>(blocked.trials) < kTrialDelays.size();
+  const bool is_wait_over = blocked.phase == Phase::kWaiting && age >= wait_time(blocked);
+  const bool was_not_sent_again = blocked.phase == Phase::kTrialDue && age >= kFinalBlockTime;
+  is_expired = (is_wait_over && !has_trials_left) || was_not_sent_again;
+  if (is_expired) {
+    return true;
+  }
+  if (is_wait_over) {
+    set_phase(now, blocked, Phase::kTrialDue);
+    return true;
+  }
+  if (blocked.phase == Phase::kTrialRunning && age >= kTrialTimeout) {
+    set_phase(now, blocked, Phase::kWaiting);
+    return true;
+  }
+  return false;
+}
+
 bool RequestBlocker::tick(TimePoint now) {
   server_ends_.forget_old(now);
   std::erase_if(granted_retries_, [now](const auto& item) { return now - item.second >= kRetryTimeout; });
   std::erase_if(likely_ended_at_, [now](const auto& item) { return now - item.second > kServerReportTimeout; });
-  bool changed = false;
+  bool changed = suspect_parts_.remove_cleared(server_ends_);
+  changed = block_parts(now) || changed;
   for (auto item = blocked_.begin(); item != blocked_.end();) {
-    BlockState& blocked = item->second;
-    const Duration age = now - blocked.phase_started_at;
-    const bool has_trials_left = static_cast<size_t>(blocked.trials) < kTrialDelays.size();
-    const bool is_wait_over = blocked.phase == Phase::kWaiting && age >= wait_time(blocked);
-    if (is_wait_over && !has_trials_left) {
-      item = blocked_.erase(item);
-      changed = true;
-      continue;
-    }
-    if (is_wait_over) {
-      set_phase(now, blocked, Phase::kTrialDue);
-      changed = true;
-    } else if (blocked.phase == Phase::kTrialDue && age >= kFinalBlockTime) {
-      item = blocked_.erase(item);  // The request was not sent again.
-      changed = true;
-      continue;
-    } else if (blocked.phase == Phase::kTrialRunning && age >= kTrialTimeout) {
-      set_phase(now, blocked, Phase::kWaiting);
-      changed = true;
-    }
-    ++item;
+    bool is_expired = false;
+    changed = advance(now, item->second, is_expired) || changed;
+    item = is_expired ? blocked_.erase(item) : std::next(item);
   }
   return changed;
 }
@@ -175,6 +222,17 @@
     row.trials = blocked.trials;
     row.trial_due = blocked.phase == Phase::kTrialDue;
     row.wait_ms = wait_time(blocked) / milliseconds(1);
+    if (blocked.kind == CauseKind::kPromptPart) {
+      row.__set_is_prompt_part(true);
+    }
+    row.__set_server_ends(static_cast<int32_t>(blocked.server_ends));
+    result.push_back(row);
+  }
+  for (const auto part : suspect_parts_.all()) {
+    wire::BlockedRequest row;
+    row.fingerprint = part.value();
+    row.__set_is_prompt_part(true);
+    row.__set_is_suspect(true);
     result.push_back(row);
   }
   return result;
--- a/src/core/fleet/crash_attribution/server_crash_history.h
+++ b/src/core/fleet/crash_attribution/server_crash_history.h
@@ -20,21 +20,36 @@
   kLikely
 };
 
+/// Number of server ends that block a request or a part of prompts.
+constexpr size_t kServerEndsToBlock = 3;
+
+/// What a crash is attributed to.
+enum class CauseKind {
+  kRequest,
+  /// A part of a prompt, which may occur in many requests.
+  kPromptPart
+};
+
 /// A server crashed while it ran a request.
 struct ServerCrash {
-  requests::RequestFingerprint request;
+  /// Fingerprint of the request, or of a part of its prompt.
+  requests::RequestFingerprint cause;
   /// The crashed incarnation: id, and birth if known (see incarnation_name).
   std::string instance_id;
   TimePoint at{};
   CrashCertainty certainty = CrashCertainty::kConfirmed;
+  CauseKind kind = CauseKind::kRequest;
+  /// The request that had the part in its prompt, if `cause` is one.
+  requests::RequestFingerprint request_of_part{};
 };
 
-/// Records which servers crashed while they ran which requests. Every request that ran on a crashed server is recorded,
-/// so that the one that was present at each crash can be identified.
+/// Records which servers crashed while they ran which requests, or requests with which parts in their prompts.
+/// Everything that ran on a crashed server is recorded, so that what was present at each crash can be identified.
 ///
 /// Load pattern: one request crashes every server that runs it and is repeated at any entry, while many other requests
 /// run on the same servers by chance. Two rules separate cause from chance: a request that a server answered is
-/// removed, and a crash that is attributed to a known harmful request does not count against others.
+/// removed, and a crash that is attributed to a known cause does not count against others. A request is no explanation
+/// for crashes under a part, since repetitions of one request with a harmful part look like a harmful request.
 ///
 /// Keeps the `kMaxSuspects` requests with the latest crashes, about a megabyte at most. Single-threaded, deterministic.
 class ServerCrashHistory {
@@ -51,7 +66,7 @@
   std::vector<requests::RequestFingerprint> retract(const std::string& incarnation, TimePoint reported_at);
   /// The request did not crash the server that ran it.
   void forget(requests::RequestFingerprint request) { erase(request); }
-  /// The request is known to crash servers: its recorded crashes no longer count against other requests, now or later.
+  /// The request or part is known to crash servers: its recorded crashes no longer count against others, now or later.
   void mark_as_cause(requests::RequestFingerprint request);
   /// Removes crashes older than ten minutes.
   void forget_old(TimePoint now);
@@ -67,6 +82,8 @@
 
   void erase(requests::RequestFingerprint request);
   bool is_explained(const ServerCrash& crash) const;
+  /// Removes crashes from the records of others, as far as the crashes of `cause` explain them.
+  void remove_explained(const ServerCrash& cause);
 
   std::map<requests::RequestFingerprint, SuspectRequest> suspects_;
   /// The suspects by the time of their last crash, oldest first.
--- /dev/null
+++ b/src/core/fleet/crash_attribution/suspect_parts.cc
@@ -0,0 +1,88 @@
+#include "core/fleet/crash_attribution/suspect_parts.h"
+
+#include <algorithm>
+#include <iterator>
+#include <utility>
+
+namespace larchlever::fleet {
+
+namespace {
+
+/// Servers must have crashed under this many different requests with a part. If they crashed under repetitions of one
+/// request, the request is the cause.
+constexpr size_t kMinRequests = 2;
+/// Requests kept for each suspect, to compare how many have it.
+constexpr size_t kMaxRequestsPerSuspect = 64;
+
+}  // namespace
+
+bool SuspectParts::note_crash(const ServerCrash& crash, const ServerCrashHistory& crashes) {
+  const auto known = suspects_.find(crash.cause);
+  const bool is_new = known == suspects_.end();
+  if (is_new && suspects_.size() >= kMaxSuspects) {
+    drop_least_suspected(crashes);
+  }
+  Suspect& suspect = is_new ? suspects_[crash.cause] : known->second;
+  if (suspect.requests.size() < kMaxRequestsPerSuspect) {
+    suspect.requests.insert(crash.request_of_part);
+  }
+  return is_new;
+}
+
+void SuspectParts::note_answered(TimePoint now, requests::RequestFingerprint part) {
+  suspects_.erase(part);
+  sound_.add(now, part);
+}
+
+void SuspectParts::drop_least_suspected(const ServerCrashHistory& crashes) {
+  const auto least = std::min_element(suspects_.begin(), suspects_.end(), [&](const auto& left, const auto& right) {
+    return std::pair(crashes.count(left.first), crashes.last_crash(left.first)) <
+           std::pair(crashes.count(right.first), crashes.last_crash(right.first));
+  });
+  suspects_.erase(least);
+}
+
+bool SuspectParts::remove_cleared(const ServerCrashHistory& crashes) {
+  return std::erase_if(suspects_, [&](const auto& item) { return crashes.count(item.first) == 0; }) > 0;
+}
+
+bool SuspectParts::is_cause(TimePoint now, requests::RequestFingerprint part, const Suspect& suspect,
+                            const ServerCrashHistory& crashes) const {
+  const bool may_be_objected_to = !suspect.published_at || now - *suspect.published_at < kObjectionTime;
+  return !may_be_objected_to && suspect.requests.size() >= kMinRequests && crashes.count(part) >= kServerEndsToBlock;
+}
+
+std::optional<requests::RequestFingerprint> SuspectParts::take_cause(TimePoint now, const ServerCrashHistory& crashes) {
+  auto cause = suspects_.end();
+  for (auto item = suspects_.begin(); item != suspects_.end(); ++item) {
+    auto& [part, suspect] = *item;
+    const bool is_candidate = is_cause(now, part, suspect, crashes);
+    suspect.published_at = suspect.published_at.value_or(now);
+    if (!is_candidate) {
+      continue;
+    }
+    const auto is_more_likely = [&] {
+      const size_t count = crashes.count(part);
+      const size_t best_count = crashes.count(cause->first);
+      return count > best_count || (count == best_count && suspect.requests.size() < cause->second.requests.size());
+    };
+    if (cause == suspects_.end() || is_more_likely()) {
+      cause = item;
+    }
+  }
+  if (cause == suspects_.end()) {
+    return std::nullopt;
+  }
+  const auto part = cause->first;
+  suspects_.erase(cause);
+  return part;
+}
+
+std::vector<requests::RequestFingerprint> SuspectParts::all() const {
+  std::vector<requests::RequestFingerprint> result;
+  std::transform(suspects_.begin(), suspects_.end(), std::back_inserter(result),
+                 [](const auto& item) { return item.first; });
+  return result;
+}
+
+}  // namespace larchlever::fleet
--- /dev/null
+++ b/src/core/fleet/crash_attribution/suspect_parts.h
@@ -0,0 +1,61 @@
+#pragma once
+
+#include <map>
+#include <optional>
+#include <set>
+#include <vector>
+
+#include "core/base/time.h"
+#include "core/fleet/crash_attribution/server_crash_history.h"
+#include "core/requests/recently_answered.h"
+#include "core/requests/request_fingerprint.h"
+
+namespace larchlever::fleet {
+
+/// Parts of prompts under which servers crashed, until it is known whether they are the cause.
+///
+/// Load pattern: one part crashes every server that runs a request with it, no two of these requests are alike, and
+/// dozens of sound requests that share their other parts run on the same servers. A part is suspected from its first
+/// crash on, which is published, so that entries where a request with this part was answered can report that. It is the
+/// cause if enough servers crashed under different requests with it, and no entry has objected for `kObjectionTime`. If
+/// several parts were present at the same crashes, it is the one that the fewest requests have in common.
+///
+/// Limits: `kMaxSuspects` parts, those with the fewest crashes are dropped first. Single-threaded, deterministic.
+class SuspectParts {
+ public:
+  /// Time for entries to learn of a suspect and to report that it was answered.
+  static constexpr Duration kObjectionTime = milliseconds(200);
+  static constexpr size_t kMaxSuspects = 256;
+
+  /// A server crashed under the part. Returns true if the part was not suspected before.
+  bool note_crash(const ServerCrash& crash, const ServerCrashHistory& crashes);
+  /// A request with the part was answered: it is no cause, and is not suspected again for some time.
+  void note_answered(TimePoint now, requests::RequestFingerprint part);
+  bool is_suspect(requests::RequestFingerprint part) const { return suspects_.contains(part); }
+  bool is_known_sound(TimePoint now, requests::RequestFingerprint part) { return sound_.contains(now, part); }
+  /// Removes suspects without crashes. Returns true if there were any.
+  bool remove_cleared(const ServerCrashHistory& crashes);
+  /// Returns a part that is known to be the cause of its crashes now, and removes it from the suspects.
+  std::optional<requests::RequestFingerprint> take_cause(TimePoint now, const ServerCrashHistory& crashes);
+  std::vector<requests::RequestFingerprint> all() const;
+
+ private:
+  struct Suspect {
+    /// When the suspicion was published; unset until the next look at the suspects.
+    std::optional<TimePoint> published_at;
+    /// The requests that had the part when servers crashed, as far as kept.
+    std::set<requests::RequestFingerprint> requests;
+  };
+
+  void drop_least_suspected(const ServerCrashHistory& crashes);
+  bool is_cause(TimePoint now, requests::RequestFingerprint part, const Suspect& suspect,
+                const ServerCrashHistory& crashes) const;
+
+  /// A part that begins to crash servers, although requests with it were answered before, is suspected after this time.
+  static constexpr Duration kSoundPartLifetime = seconds(10);
+
+  std::map<requests::RequestFingerprint, Suspect> suspects_;
+  requests::RecentlyAnsweredRequests sound_{kSoundPartLifetime};
+};
+
+}  // namespace larchlever::fleet
--- a/src/core/fleet/fleet_leader.cc
+++ b/src/core/fleet/fleet_leader.cc
@@ -271,12 +271,14 @@
   for (const auto& end : report.server_ends) {
     const TimePoint ended_at = now - milliseconds(std::max<int64_t>(0, end.age_ms));
     const CrashCertainty certainty = end.is_likely ? CrashCertainty::kLikely : CrashCertainty::kConfirmed;
-    const bool is_new_information = request_blocker_.note_server_end(
-        {requests::RequestFingerprint(end.fingerprint), end.instance_id, ended_at, certainty});
+    const CauseKind kind = end.__isset.request_of_part ? CauseKind::kPromptPart : CauseKind::kRequest;
+    const bool is_new_information =
+        request_blocker_.note_server_end({requests::RequestFingerprint(end.fingerprint), end.instance_id, ended_at,
+                                          certainty, kind, requests::RequestFingerprint(end.request_of_part)});
     changed = changed || is_new_information;
   }
   for (const int64_t fingerprint : report.answered_requests) {
-    const bool is_new_information = request_blocker_.note_answered(requests::RequestFingerprint(fingerprint));
+    const bool is_new_information = request_blocker_.note_answered(now, requests::RequestFingerprint(fingerprint));
     changed = changed || is_new_information;
   }
   if (changed) {
@@ -413,7 +415,10 @@
     outputs_.proposed_replicas = replica_supervisor_.next_replica_set(now, raft, node_directory_);
     remove_timed_out_entries(now);
     version_ += instance_directory_.tick(now) ? 1 : 0;
-    version_ += request_blocker_.tick(now) ? 1 : 0;
+    if (request_blocker_.tick(now)) {
+      ++version_;
+      next_push_ = now;  // A block must reach all entries before they send more.
+    }
   }
   if (now >= next_load_update_) {
     next_load_update_ = now + kLoadUpdateInterval;
--- a/src/core/requests/recently_answered.h
+++ b/src/core/requests/recently_answered.h
@@ -9,14 +9,16 @@
 
 namespace larchlever::requests {
 
-/// The requests that servers answered recently. An entry is kept for one to two times `kGenerationLifetime`, or less
-/// under high load: two generations hold at most `kMaxRequestsPerGeneration` requests each. Constant time per request
-/// and a few hundred kilobytes of memory. Single-threaded, deterministic.
+/// The requests, or parts of prompts, that servers answered recently. An entry is kept for one to two lifetimes, or
+/// less under high load: two generations hold at most `kMaxRequestsPerGeneration` requests each. Constant time per
+/// request and a few hundred kilobytes of memory. Single-threaded, deterministic.
 class RecentlyAnsweredRequests {
  public:
-  static constexpr Duration kGenerationLifetime = seconds(30);
+  static constexpr Duration kDefaultLifetime = seconds(30);
   static constexpr size_t kMaxRequestsPerGeneration = 4096;
 
+  explicit RecentlyAnsweredRequests(Duration lifetime = kDefaultLifetime) : lifetime_(lifetime) {}
+
   void add(TimePoint now, RequestFingerprint request) {
     drop_expired(now);
     if (current_generation_.size() >= kMaxRequestsPerGeneration) {
@@ -31,10 +33,10 @@
 
  private:
   void drop_expired(TimePoint now) {
-    if (now - rotated_at_ >= 2 * kGenerationLifetime) {
+    if (now - rotated_at_ >= 2 * lifetime_) {
       current_generation_.clear();
     }
-    if (now - rotated_at_ >= kGenerationLifetime) {
+    if (now - rotated_at_ >= lifetime_) {
       rotate(now);
     }
   }
@@ -44,6 +46,7 @@
     current_generation_.clear();
   }
 
+  Duration lifetime_;
   TimePoint rotated_at_{};
   std::unordered_set<RequestFingerprint> current_generation_;
   std::unordered_set<RequestFingerprint> previous_generation_;
--- a/src/node/blocked_request_guard.cc
+++ b/src/node/blocked_request_guard.cc
@@ -53,10 +53,10 @@
       outbound_address_(std::move(outbound_address)),
       alive_(std::make_shared<bool>(true)) {}
 
-asio::awaitable<bool> BlockedRequestGuard::may_retry_after_loss(RelayedRequest& request) {
+asio::awaitable<bool> BlockedRequestGuard::may_have_ended_server(RelayedRequest& request) {
   const std::string incarnation = std::exchange(request.lost_response_incarnation, "");
   if (incarnation.empty()) {
-    co_return true;
+    co_return false;
   }
   // The probe results must reach the leader before the request for permission, so that the leader can decide from the
   // observations of all entries.
@@ -71,43 +71,87 @@
     timer.expires_after(kProbeWaitInterval);
     co_await timer.async_wait(asio::as_tuple(asio::use_awaitable));
   }
-  if (!lost_responses_.is_suspected(incarnation)) {
-    co_return true;
+  co_return lost_responses_.is_suspected(incarnation);
+}
+
+std::vector<requests::RequestFingerprint> BlockedRequestGuard::causes_to_ask_for(const RelayedRequest& request,
+                                                                                 bool may_have_ended_server) {
+  auto& tracker = state_.blocked_request_tracker;
+  const TimePoint now = monotonic_now();
+  std::vector<requests::RequestFingerprint> result;
+  if (may_have_ended_server) {
+    result.push_back(request.fingerprint);
+  }
+  for (const auto part : request.prompt_parts) {
+    const bool is_suspected = tracker.verdict_for(now, part) == Verdict::kSuspected || may_have_ended_server;
+    if (is_suspected && !tracker.is_sound_part(now, part)) {
+      result.push_back(part);
+    }
   }
-  co_return co_await slot_requester_.request_retry_permission(request.fingerprint);
+  return result;
 }
 
 asio::awaitable<bool> BlockedRequestGuard::admit(RelayedRequest& request) {
-  if (!co_await may_retry_after_loss(request)) {
+  const bool may_have_ended = co_await may_have_ended_server(request);
+  if (!co_await admit_cause(request, request.fingerprint)) {
     co_return false;
   }
-  const Verdict verdict = state_.blocked_request_tracker.verdict_for(monotonic_now(), request.fingerprint);
-  if (verdict == Verdict::kAllowed) {
+  for (const auto part : request.prompt_parts) {
+    if (!co_await admit_cause(request, part)) {
+      co_return false;
+    }
+  }
+  for (const auto cause : causes_to_ask_for(request, may_have_ended)) {
+    if (!co_await slot_requester_.request_retry_permission(cause)) {
+      request.withheld_cause = cause;
+      co_return false;
+    }
+  }
+  co_return true;
+}
+
+asio::awaitable<bool> BlockedRequestGuard::admit_cause(RelayedRequest& request, requests::RequestFingerprint cause) {
+  const Verdict verdict = state_.blocked_request_tracker.verdict_for(monotonic_now(), cause);
+  if (verdict == Verdict::kAllowed || verdict == Verdict::kSuspected) {
     co_return true;
   }
+  request.withheld_cause = cause;
   if (request.attempts_sent > 0) {
     co_return false;  // A blocked request is sent at most once per caller request, trial or not.
   }
-  if (verdict == Verdict::kTrialDue && !request.is_trial) {
-    request.is_trial = co_await slot_requester_.request_trial(request.fingerprint);
-    if (request.is_trial) {
-      log_event("", "blocked_request_tried",
-                {{"request", request.id}, {"fingerprint", to_string(request.fingerprint)}});
+  if (verdict == Verdict::kTrialDue && request.trial_of != cause) {
+    const bool is_granted = co_await slot_requester_.request_trial(cause);
+    if (is_granted) {
+      request.trial_of = cause;
+      log_event("", "blocked_request_tried", {{"request", request.id}, {"fingerprint", to_string(cause)}});
     }
   }
-  co_return request.is_trial;
+  co_return request.trial_of == cause;
 }
 
 Refusal BlockedRequestGuard::make_refusal(const RelayedRequest& request) {
   ++state_.counters.refused_blocked;
-  const Duration remaining_block_time =
-      state_.blocked_request_tracker.remaining_block_time(monotonic_now(), request.fingerprint);
-  return {http_status::kServiceUnavailable, "servers ended while they ran this request; it is temporarily blocked",
+  const auto cause = request.withheld_cause.value_or(request.fingerprint);
+  const bool is_part = cause != request.fingerprint;
+  const Duration remaining_block_time = state_.blocked_request_tracker.remaining_block_time(monotonic_now(), cause);
+  log_event("", "request_withheld",
+            {{"request", request.id},
+             {"cause", to_string(cause)},
+             {"kind", is_part ? "prompt_part" : "request"},
+             {"server_ends", std::to_string(state_.blocked_request_tracker.server_ends(cause))},
+             {"blocked_for_ms", std::to_string(remaining_block_time / milliseconds(1))}});
+  return {http_status::kServiceUnavailable,
+          is_part ? "servers ended while they ran requests with a part of this prompt; they are temporarily blocked"
+                  : "servers ended while they ran this request; it is temporarily blocked",
           std::max(remaining_block_time, kMinRetryAfter)};
 }
 
 void BlockedRequestGuard::note_response(const RelayedRequest& request) {
-  state_.blocked_request_tracker.note_answered(monotonic_now(), request.fingerprint);
+  const TimePoint now = monotonic_now();
+  state_.blocked_request_tracker.note_answered(now, request.fingerprint);
+  for (const auto part : request.prompt_parts) {
+    state_.blocked_request_tracker.note_answered(now, part, fleet::CauseKind::kPromptPart);
+  }
 }
 
 void BlockedRequestGuard::note_lost_response(RelayedRequest& request, const fleet::DispatchTarget& target) {
@@ -115,7 +159,8 @@
     return;
   }
   request.lost_response_incarnation = target.incarnation;
-  if (lost_responses_.note_lost_response(monotonic_now(), target.incarnation, request.fingerprint)) {
+  if (lost_responses_.note_lost_response(monotonic_now(), target.incarnation,
+                                         fleet::LostRequest(request.fingerprint, request.prompt_parts))) {
     asio::co_spawn(executor_, probe_until_resolved(target), asio::detached);
   }
 }
@@ -170,15 +215,25 @@
   }
 }
 
+void BlockedRequestGuard::record_end_under(const fleet::ServerCrash& end) {
+  const size_t observed_ends = state_.blocked_request_tracker.note_server_end(end);
+  log_event("", "server_ended_under_request",
+            {{"fingerprint", to_string(end.cause)},
+             {"kind", end.kind == fleet::CauseKind::kPromptPart ? "prompt_part" : "request"},
+             {"instance", end.instance_id},
+             {"is_proved", end.certainty == fleet::CrashCertainty::kConfirmed ? "yes" : "no"},
+             {"ends_seen_here", std::to_string(observed_ends)}});
+}
+
 void BlockedRequestGuard::record_ended_server(const std::string& incarnation, const fleet::CrashedServer& ended) {
-  for (const auto fingerprint : ended.requests) {
-    const size_t observed_ends =
-        state_.blocked_request_tracker.note_server_end({fingerprint, incarnation, ended.at, ended.certainty});
-    log_event("", "server_ended_under_request",
-              {{"fingerprint", to_string(fingerprint)},
-               {"instance", incarnation},
-               {"is_proved", ended.certainty == fleet::CrashCertainty::kConfirmed ? "yes" : "no"},
-               {"ends_seen_here", std::to_string(observed_ends)}});
+  for (const auto& request : ended.requests) {
+    record_end_under({request.fingerprint, incarnation, ended.at, ended.certainty});
+    for (const auto part : request.prompt_parts) {
+      if (!state_.blocked_request_tracker.is_sound_part(ended.at, part)) {
+        record_end_under(
+            {part, incarnation, ended.at, ended.certainty, fleet::CauseKind::kPromptPart, request.fingerprint});
+      }
+    }
   }
   slot_requester_.note_load_change();  // The leader gets the report within milliseconds.
 }
--- a/src/node/blocked_request_guard.h
+++ b/src/node/blocked_request_guard.h
@@ -4,6 +4,7 @@
 #include <boost/asio/awaitable.hpp>
 #include <memory>
 #include <string>
+#include <vector>
 
 #include "core/fleet/crash_attribution/crash_detector.h"
 #include "node/entry_state.h"
@@ -12,8 +13,8 @@
 
 namespace larchlever::node {
 
-/// Protects servers from requests that crash them. Detects which servers ended while they ran a request, and withholds
-/// requests that are blocked for it (`fleet::BlockedRequests`).
+/// Protects servers from requests that crash them, by themselves or by a part of their prompt. Detects which servers
+/// ended while they ran a request, and withholds requests that are blocked for it (`fleet::BlockedRequests`).
 ///
 /// A lost response does not prove that the server ended. This class probes the server afterwards, and
 /// `fleet::CrashDetector` evaluates the results. Runs on one executor; not thread-safe.
@@ -40,12 +41,19 @@
   void note_server_restarted(const std::string& incarnation);
 
  private:
-  /// Returns whether the request may go to another server, if its last response was lost.
-  boost::asio::awaitable<bool> may_retry_after_loss(RelayedRequest& request);
+  /// Waits until it is known whether the server that lost the request's last response may have ended. Returns false if
+  /// it has not, or if no response was lost.
+  boost::asio::awaitable<bool> may_have_ended_server(RelayedRequest& request);
+  /// Returns what of the request needs the leader's permission to be sent: the request itself, or parts of its prompt.
+  std::vector<requests::RequestFingerprint> causes_to_ask_for(const RelayedRequest& request,
+                                                              bool may_have_ended_server);
+  /// Returns whether the request may be sent in spite of this cause, which may be blocked.
+  boost::asio::awaitable<bool> admit_cause(RelayedRequest& request, requests::RequestFingerprint cause);
   /// Probes the target until it is known whether its server ended.
   boost::asio::awaitable<void> probe_until_resolved(fleet::DispatchTarget target);
   /// Records an end that only this entry's connections show, unless its own links explain it.
   boost::asio::awaitable<void> record_end_seen_here(fleet::DispatchTarget target, fleet::CrashedServer ended);
+  void record_end_under(const fleet::ServerCrash& end);
   void record_ended_server(const std::string& incarnation, const fleet::CrashedServer& ended);
 
   boost::asio::any_io_executor executor_;
--- a/src/node/fleet_change_logger.cc
+++ b/src/node/fleet_change_logger.cc
@@ -74,8 +74,10 @@
   };
   for (const auto& row : rows) {
     if (!is_listed(logged_blocked_requests_, row)) {
-      log_event(node_name_, "request_blocked",
+      log_event(node_name_, row.is_suspect ? "prompt_part_suspected" : "request_blocked",
                 {{"fingerprint", to_string(requests::RequestFingerprint(row.fingerprint))},
+                 {"kind", row.is_prompt_part ? "prompt_part" : "request"},
+                 {"server_ends", std::to_string(row.server_ends)},
                  {"trials", std::to_string(row.trials)},
                  {"trial_due", row.trial_due ? "yes" : "no"},
                  {"wait_ms", std::to_string(row.wait_ms)}});
--- a/src/node/relayed_request.h
+++ b/src/node/relayed_request.h
@@ -56,8 +56,10 @@
   /// Set once some attempt is not proved not to have run; the outcome "not-run" can then no longer be reported.
   bool may_have_run = false;
   bool caller_disconnected = false;
-  /// The request is blocked, but the leader permits this entry one trial attempt.
-  bool is_trial = false;
+  /// Blocked request or part for which the leader permits this entry one trial attempt.
+  std::optional<requests::RequestFingerprint> trial_of;
+  /// The request or part of its prompt because of which the request was not sent.
+  std::optional<requests::RequestFingerprint> withheld_cause;
   /// The current attempt, and the load that it puts on its target.
   std::shared_ptr<net::Cancellation> cancellation;
   fleet::AttemptState load_mark;
--- a/src/wire/gen-cpp/larchlever_types.cpp
+++ b/src/wire/gen-cpp/larchlever_types.cpp
@@ -12800,6 +12800,21 @@
 void BlockedRequest::__set_wait_ms(const int64_t val) {
   this->wait_ms = val;
 }
+
+void BlockedRequest::__set_is_prompt_part(const bool val) {
+  this->is_prompt_part = val;
+__isset.is_prompt_part = true;
+}
+
+void BlockedRequest::__set_is_suspect(const bool val) {
+  this->is_suspect = val;
+__isset.is_suspect = true;
+}
+
+void BlockedRequest::__set_server_ends(const int32_t val) {
+  this->server_ends = val;
+__isset.server_ends = true;
+}
 std::ostream& operator<<(std::ostream& out, const BlockedRequest& obj)
 {
   obj.printTo(out);
@@ -12860,6 +12875,30 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->is_prompt_part);
+          this->__isset.is_prompt_part = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 6:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->is_suspect);
+          this->__isset.is_suspect = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 7:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->server_ends);
+          this->__isset.server_ends = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -12893,6 +12932,21 @@
   xfer += oprot->writeI64(this->wait_ms);
   xfer += oprot->writeFieldEnd();
 
+  if (this->__isset.is_prompt_part) {
+    xfer += oprot->writeFieldBegin("is_prompt_part", ::apache::thrift::protocol::T_BOOL, 5);
+    xfer += oprot->writeBool(this->is_prompt_part);
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.is_suspect) {
+    xfer += oprot->writeFieldBegin("is_suspect", ::apache::thrift::protocol::T_BOOL, 6);
+    xfer += oprot->writeBool(this->is_suspect);
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.server_ends) {
+    xfer += oprot->writeFieldBegin("server_ends", ::apache::thrift::protocol::T_I32, 7);
+    xfer += oprot->writeI32(this->server_ends);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -12904,6 +12958,9 @@
   swap(a.trials, b.trials);
   swap(a.trial_due, b.trial_due);
   swap(a.wait_ms, b.wait_ms);
+  swap(a.is_prompt_part, b.is_prompt_part);
+  swap(a.is_suspect, b.is_suspect);
+  swap(a.server_ends, b.server_ends);
   swap(a.__isset, b.__isset);
 }
 
@@ -12912,6 +12969,9 @@
   trials = other484.trials;
   trial_due = other484.trial_due;
   wait_ms = other484.wait_ms;
+  is_prompt_part = other484.is_prompt_part;
+  is_suspect = other484.is_suspect;
+  server_ends = other484.server_ends;
   __isset = other484.__isset;
 }
 BlockedRequest::BlockedRequest(BlockedRequest&& other485) noexcept {
@@ -12919,6 +12979,9 @@
   trials = other485.trials;
   trial_due = other485.trial_due;
   wait_ms = other485.wait_ms;
+  is_prompt_part = other485.is_prompt_part;
+  is_suspect = other485.is_suspect;
+  server_ends = other485.server_ends;
   __isset = other485.__isset;
 }
 BlockedRequest& BlockedRequest::operator=(const BlockedRequest& other486) noexcept {
@@ -12926,6 +12989,9 @@
   trials = other486.trials;
   trial_due = other486.trial_due;
   wait_ms = other486.wait_ms;
+  is_prompt_part = other486.is_prompt_part;
+  is_suspect = other486.is_suspect;
+  server_ends = other486.server_ends;
   __isset = other486.__isset;
   return *this;
 }
@@ -12934,6 +13000,9 @@
   trials = other487.trials;
   trial_due = other487.trial_due;
   wait_ms = other487.wait_ms;
+  is_prompt_part = other487.is_prompt_part;
+  is_suspect = other487.is_suspect;
+  server_ends = other487.server_ends;
   __isset = other487.__isset;
   return *this;
 }
@@ -12944,6 +13013,9 @@
   out << ", " << "trials=" << to_string(trials);
   out << ", " << "trial_due=" << to_string(trial_due);
   out << ", " << "wait_ms=" << to_string(wait_ms);
+  out << ", " << "is_prompt_part="; (__isset.is_prompt_part ? (out << to_string(is_prompt_part)) : (out << "<null>"));
+  out << ", " << "is_suspect="; (__isset.is_suspect ? (out << to_string(is_suspect)) : (out << "<null>"));
+  out << ", " << "server_ends="; (__isset.server_ends ? (out << to_string(server_ends)) : (out << "<null>"));
   out << ")";
 }
 
@@ -15539,6 +15611,11 @@
   this->is_likely = val;
 __isset.is_likely = true;
 }
+
+void RequestServerEnd::__set_request_of_part(const int64_t val) {
+  this->request_of_part = val;
+__isset.request_of_part = true;
+}
 std::ostream& operator<<(std::ostream& out, const RequestServerEnd& obj)
 {
   obj.printTo(out);
@@ -15599,6 +15676,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->request_of_part);
+          this->__isset.request_of_part = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -15633,6 +15718,11 @@
     xfer += oprot->writeBool(this->is_likely);
     xfer += oprot->writeFieldEnd();
   }
+  if (this->__isset.request_of_part) {
+    xfer += oprot->writeFieldBegin("request_of_part", ::apache::thrift::protocol::T_I64, 5);
+    xfer += oprot->writeI64(this->request_of_part);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -15644,6 +15734,7 @@
   swap(a.instance_id, b.instance_id);
   swap(a.age_ms, b.age_ms);
   swap(a.is_likely, b.is_likely);
+  swap(a.request_of_part, b.request_of_part);
   swap(a.__isset, b.__isset);
 }
 
@@ -15652,6 +15743,7 @@
   instance_id = other621.instance_id;
   age_ms = other621.age_ms;
   is_likely = other621.is_likely;
+  request_of_part = other621.request_of_part;
   __isset = other621.__isset;
 }
 RequestServerEnd::RequestServerEnd(RequestServerEnd&& other622) noexcept {
@@ -15659,6 +15751,7 @@
   instance_id = std::move(other622.instance_id);
   age_ms = other622.age_ms;
   is_likely = other622.is_likely;
+  request_of_part = other622.request_of_part;
   __isset = other622.__isset;
 }
 RequestServerEnd& RequestServerEnd::operator=(const RequestServerEnd& other623) {
@@ -15666,6 +15759,7 @@
   instance_id = other623.instance_id;
   age_ms = other623.age_ms;
   is_likely = other623.is_likely;
+  request_of_part = other623.request_of_part;
   __isset = other623.__isset;
   return *this;
 }
@@ -15674,6 +15768,7 @@
   instance_id = std::move(other624.instance_id);
   age_ms = other624.age_ms;
   is_likely = other624.is_likely;
+  request_of_part = other624.request_of_part;
   __isset = other624.__isset;
   return *this;
 }
@@ -15684,6 +15779,7 @@
   out << ", " << "instance_id=" << to_string(instance_id);
   out << ", " << "age_ms=" << to_string(age_ms);
   out << ", " << "is_likely="; (__isset.is_likely ? (out << to_string(is_likely)) : (out << "<null>"));
+  out << ", " << "request_of_part="; (__isset.request_of_part ? (out << to_string(request_of_part)) : (out << "<null>"));
   out << ")";
 }
 
--- a/src/wire/gen-cpp/larchlever_types.h
+++ b/src/wire/gen-cpp/larchlever_types.h
@@ -5004,15 +5004,19 @@
 std::ostream& operator<<(std::ostream& out, const EngineGroup& obj);
 
 typedef struct _BlockedRequest__isset {
-  _BlockedRequest__isset() : fingerprint(false), trials(false), trial_due(false), wait_ms(false) {}
+  _BlockedRequest__isset() : fingerprint(false), trials(false), trial_due(false), wait_ms(false), is_prompt_part(false), is_suspect(false), server_ends(false) {}
   bool fingerprint :1;
   bool trials :1;
   bool trial_due :1;
   bool wait_ms :1;
+  bool is_prompt_part :1;
+  bool is_suspect :1;
+  bool server_ends :1;
 } _BlockedRequest__isset;
 
 /**
- * A request that is no longer dispatched because servers crashed while they ran it.
+ * A request, or a part of prompts, that is no longer dispatched because servers crashed while they ran it, or that is
+ * suspected of that.
  */
 class BlockedRequest : public virtual ::apache::thrift::TBase {
  public:
@@ -5025,10 +5029,16 @@
                  : fingerprint(0),
                    trials(0),
                    trial_due(0),
-                   wait_ms(0) {
+                   wait_ms(0),
+                   is_prompt_part(0),
+                   is_suspect(0),
+                   server_ends(0) {
   }
 
   virtual ~BlockedRequest() noexcept;
+  /**
+   * Of the request or the part.
+   */
   int64_t fingerprint;
   /**
    * Number of trial dispatches granted since then, to find out whether the request still crashes servers.
@@ -5042,6 +5052,19 @@
    * Total length of the current wait for the next trial, in milliseconds.
    */
   int64_t wait_ms;
+  /**
+   * Set if requests are blocked that have this part in their prompts.
+   */
+  bool is_prompt_part;
+  /**
+   * Set if nothing is blocked yet. Requests with the part are dispatched with the leader's permission, and entries
+   * where one was answered report that.
+   */
+  bool is_suspect;
+  /**
+   * Number of servers that crashed under it when this row was made.
+   */
+  int32_t server_ends;
 
   _BlockedRequest__isset __isset;
 
@@ -5053,6 +5076,12 @@
 
   void __set_wait_ms(const int64_t val);
 
+  void __set_is_prompt_part(const bool val);
+
+  void __set_is_suspect(const bool val);
+
+  void __set_server_ends(const int32_t val);
+
   bool operator == (const BlockedRequest & rhs) const
   {
     if (!(fingerprint == rhs.fingerprint))
@@ -5063,6 +5092,18 @@
       return false;
     if (!(wait_ms == rhs.wait_ms))
       return false;
+    if (__isset.is_prompt_part != rhs.__isset.is_prompt_part)
+      return false;
+    else if (__isset.is_prompt_part && !(is_prompt_part == rhs.is_prompt_part))
+      return false;
+    if (__isset.is_suspect != rhs.__isset.is_suspect)
+      return false;
+    else if (__isset.is_suspect && !(is_suspect == rhs.is_suspect))
+      return false;
+    if (__isset.server_ends != rhs.__isset.server_ends)
+      return false;
+    else if (__isset.server_ends && !(server_ends == rhs.server_ends))
+      return false;
     return true;
   }
   bool operator != (const BlockedRequest &rhs) const {
@@ -5841,8 +5882,8 @@
    */
   int64_t trial_of;
   /**
-   * If set, the entry requests no slot but permission to resend the request with this fingerprint, whose response was
-   * lost.
+   * If set, the entry requests no slot but permission to send the request with this fingerprint, whose response was
+   * lost, or a request with this suspected part of its prompt.
    */
   int64_t repeat_of;
   /**
@@ -6048,11 +6089,12 @@
 std::ostream& operator<<(std::ostream& out, const SlotGrant& obj);
 
 typedef struct _RequestServerEnd__isset {
-  _RequestServerEnd__isset() : fingerprint(false), instance_id(false), age_ms(false), is_likely(false) {}
+  _RequestServerEnd__isset() : fingerprint(false), instance_id(false), age_ms(false), is_likely(false), request_of_part(false) {}
   bool fingerprint :1;
   bool instance_id :1;
   bool age_ms :1;
   bool is_likely :1;
+  bool request_of_part :1;
 } _RequestServerEnd__isset;
 
 /**
@@ -6069,7 +6111,8 @@
                    : fingerprint(0),
                      instance_id(),
                      age_ms(0),
-                     is_likely(0) {
+                     is_likely(0),
+                     request_of_part(0) {
   }
 
   virtual ~RequestServerEnd() noexcept;
@@ -6086,6 +6129,10 @@
    * Set if no process answers at the server's address. A later report of the server itself disproves the end.
    */
   bool is_likely;
+  /**
+   * Fingerprint of the request, if `fingerprint` is that of a part of its prompt.
+   */
+  int64_t request_of_part;
 
   _RequestServerEnd__isset __isset;
 
@@ -6097,6 +6144,8 @@
 
   void __set_is_likely(const bool val);
 
+  void __set_request_of_part(const int64_t val);
+
   bool operator == (const RequestServerEnd & rhs) const
   {
     if (!(fingerprint == rhs.fingerprint))
@@ -6109,6 +6158,10 @@
       return false;
     else if (__isset.is_likely && !(is_likely == rhs.is_likely))
       return false;
+    if (__isset.request_of_part != rhs.__isset.request_of_part)
+      return false;
+    else if (__isset.request_of_part && !(request_of_part == rhs.request_of_part))
+      return false;
     return true;
   }
   bool operator != (const RequestServerEnd &rhs) const {
--- a/src/wire/larchlever.thrift
+++ b/src/wire/larchlever.thrift
@@ -599,8 +599,12 @@
   8: list<string> zones,
 }
 
-/** A request that is no longer dispatched because servers crashed while they ran it. */
+/**
+ * A request, or a part of prompts, that is no longer dispatched because servers crashed while they ran it, or that is
+ * suspected of that.
+ */
 struct BlockedRequest {
+  /** Of the request or the part. */
   1: i64 fingerprint,
   /** Number of trial dispatches granted since then, to find out whether the request still crashes servers. */
   2: i32 trials,
@@ -608,6 +612,15 @@
   3: bool trial_due,
   /** Total length of the current wait for the next trial, in milliseconds. */
   4: i64 wait_ms,
+  /** Set if requests are blocked that have this part in their prompts. */
+  5: optional bool is_prompt_part,
+  /**
+   * Set if nothing is blocked yet. Requests with the part are dispatched with the leader's permission, and entries
+   * where one was answered report that.
+   */
+  6: optional bool is_suspect,
+  /** Number of servers that crashed under it when this row was made. */
+  7: optional i32 server_ends,
 }
 
 /** The leader's soft state, as copied by its subscribers. Ordered by (term, version). */
@@ -738,8 +751,8 @@
    */
   11: optional i64 trial_of,
   /**
-   * If set, the entry requests no slot but permission to resend the request with this fingerprint, whose response was
-   * lost.
+   * If set, the entry requests no slot but permission to send the request with this fingerprint, whose response was
+   * lost, or a request with this suspected part of its prompt.
    */
   12: optional i64 repeat_of,
   /** Zones of the request's home regions in which it may run, sorted; absent if it may run anywhere. */
@@ -786,6 +799,8 @@
   3: i64 age_ms,
   /** Set if no process answers at the server's address. A later report of the server itself disproves the end. */
   4: optional bool is_likely,
+  /** Fingerprint of the request, if `fingerprint` is that of a part of its prompt. */
+  5: optional i64 request_of_part,
 }
 
 /**
