A part is blocked only if it was at a considerable share of all crashes

When a zone fails, parts that are new and have not been answered yet can be at three of many crashes at once; they would have been blocked for half a minute although they harm nothing. A cause must now have been at a third of the crashes since its first one. Found by reading; the unit test SuspectParts.PartAtFewOfManyCrashesIsNotBlocked guards it.

--- a/src/core/fleet/crash_attribution/request_blocker.cc
+++ b/src/core/fleet/crash_attribution/request_blocker.cc
@@ -97,6 +97,7 @@
   if (!likely_ended_at_.contains(incarnation)) {
     return false;
   }
+  suspect_parts_.retract_likely_crashes(incarnation);
   bool changed = false;
   for (const auto request : server_ends_.retract(incarnation, now)) {
     const auto blocked = blocked_.find(request);
@@ -111,6 +112,7 @@
 
 bool RequestBlocker::note_server_end(const ServerCrash& end) {
   const bool is_part = end.kind == CauseKind::kPromptPart;
+  suspect_parts_.count_crash(end);
   if (is_part && suspect_parts_.is_known_sound(end.at, end.cause)) {
     return false;
   }
--- a/src/core/fleet/crash_attribution/server_crash_history.cc
+++ b/src/core/fleet/crash_attribution/server_crash_history.cc
@@ -16,11 +16,6 @@
 /// Limit of recorded crashes that are attributed to a harmful request; each such request has a handful.
 constexpr size_t kMaxExplainedCrashes = 1024;
 
-bool is_same_crash(const ServerCrash& left, const ServerCrash& right) {
-  const Duration apart = left.at > right.at ? left.at - right.at : right.at - left.at;
-  return left.instance_id == right.instance_id && apart < kSameCrashWindow;
-}
-
 /// A report that was in transit when its sender crashed arrives within this time.
 constexpr Duration kReportTransitTime = milliseconds(300);
 
@@ -37,6 +32,11 @@
 
 }  // namespace
 
+bool is_same_crash(const ServerCrash& left, const ServerCrash& right) {
+  const Duration apart = left.at > right.at ? left.at - right.at : right.at - left.at;
+  return left.instance_id == right.instance_id && apart < kSameCrashWindow;
+}
+
 size_t ServerCrashHistory::note(const ServerCrash& crash) {
   if (is_explained(crash)) {
     return count(crash.cause);
--- a/src/core/fleet/crash_attribution/server_crash_history.h
+++ b/src/core/fleet/crash_attribution/server_crash_history.h
@@ -43,6 +43,9 @@
   requests::RequestFingerprint request_of_part{};
 };
 
+/// Whether two reports refer to the same crash of a server.
+bool is_same_crash(const ServerCrash& left, const ServerCrash& right);
+
 /// Records which servers crashed while they ran which requests, or requests with which parts in their prompts.
 /// Everything that ran on a crashed server is recorded, so that what was present at each crash can be identified.
 ///
--- a/src/core/fleet/crash_attribution/suspect_parts.cc
+++ b/src/core/fleet/crash_attribution/suspect_parts.cc
@@ -14,8 +14,37 @@
 /// Requests kept for each suspect, to compare how many have it.
 constexpr size_t kMaxRequestsPerSuspect = 64;
 
+/// A cause must have been present at one in this many of the crashes since its first one.
+constexpr size_t kMaxCrashesPerCauseCrash = 3;
+/// Crashes of one event, such as the failure of a zone, are noticed within this time.
+constexpr Duration kSameEventTime = seconds(1);
+constexpr size_t kMaxRecentCrashes = 1024;
+
 }  // namespace
 
+void SuspectParts::count_crash(const ServerCrash& crash) {
+  const bool is_known = std::any_of(recent_crashes_.rbegin(), recent_crashes_.rend(),
+                                    [&crash](const ServerCrash& known) { return is_same_crash(known, crash); });
+  if (is_known) {
+    return;
+  }
+  recent_crashes_.push_back(crash);
+  if (recent_crashes_.size() > kMaxRecentCrashes) {
+    recent_crashes_.pop_front();
+  }
+}
+
+void SuspectParts::retract_likely_crashes(const std::string& incarnation) {
+  std::erase_if(recent_crashes_, [&incarnation](const ServerCrash& crash) {
+    return crash.instance_id == incarnation && crash.certainty == CrashCertainty::kLikely;
+  });
+}
+
+size_t SuspectParts::count_crashes_since(TimePoint from) const {
+  return static_cast<size_t>(std::count_if(recent_crashes_.begin(), recent_crashes_.end(),
+                                           [from](const ServerCrash& crash) { return crash.at >= from; }));
+}
+
 bool SuspectParts::note_crash(const ServerCrash& crash, const ServerCrashHistory& crashes) {
   const auto known = suspects_.find(crash.cause);
   const bool is_new = known == suspects_.end();
@@ -23,6 +52,7 @@
     drop_least_suspected(crashes);
   }
   Suspect& suspect = is_new ? suspects_[crash.cause] : known->second;
+  suspect.first_crash_at = is_new ? crash.at : std::min(suspect.first_crash_at, crash.at);
   if (suspect.requests.size() < kMaxRequestsPerSuspect) {
     suspect.requests.insert(crash.request_of_part);
   }
@@ -49,7 +79,11 @@
 bool SuspectParts::is_cause(TimePoint now, requests::RequestFingerprint part, const Suspect& suspect,
                             const ServerCrashHistory& crashes) const {
   const bool may_be_objected_to = !suspect.published_at || now - *suspect.published_at < kObjectionTime;
-  return !may_be_objected_to && suspect.requests.size() >= kMinRequests && crashes.count(part) >= kServerEndsToBlock;
+  if (may_be_objected_to || suspect.requests.size() < kMinRequests || crashes.count(part) < kServerEndsToBlock) {
+    return false;
+  }
+  const size_t all_crashes = count_crashes_since(suspect.first_crash_at - kSameEventTime);
+  return crashes.count(part) * kMaxCrashesPerCauseCrash >= all_crashes;
 }
 
 std::optional<requests::RequestFingerprint> SuspectParts::take_cause(TimePoint now, const ServerCrashHistory& crashes) {
--- a/src/core/fleet/crash_attribution/suspect_parts.h
+++ b/src/core/fleet/crash_attribution/suspect_parts.h
@@ -1,8 +1,10 @@
 #pragma once
 
+#include <deque>
 #include <map>
 #include <optional>
 #include <set>
+#include <string>
 #include <vector>
 
 #include "core/base/time.h"
@@ -17,8 +19,10 @@
 /// Load pattern: one part crashes every server that runs a request with it, no two of these requests are alike, and
 /// dozens of sound requests that share their other parts run on the same servers. A part is suspected from its first
 /// crash on, which is published, so that entries where a request with this part was answered can report that. It is the
-/// cause if enough servers crashed under different requests with it, and no entry has objected for `kObjectionTime`. If
-/// several parts were present at the same crashes, it is the one that the fewest requests have in common.
+/// cause if enough servers crashed under different requests with it, and no entry has objected for `kObjectionTime`. It
+/// must also have been present at a considerable share of all crashes meanwhile: when a zone fails, some parts are at
+/// several of many crashes. If several parts were present at the same crashes, it is the one that the fewest requests
+/// have in common.
 ///
 /// Limits: `kMaxSuspects` parts, those with the fewest crashes are dropped first. Single-threaded, deterministic.
 class SuspectParts {
@@ -27,6 +31,10 @@
   static constexpr Duration kObjectionTime = milliseconds(200);
   static constexpr size_t kMaxSuspects = 256;
 
+  /// A server crashed, whatever ran there. Must be called before `note_crash`.
+  void count_crash(const ServerCrash& crash);
+  /// The incarnation reported: its likely crashes did not happen.
+  void retract_likely_crashes(const std::string& incarnation);
   /// A server crashed under the part. Returns true if the part was not suspected before.
   bool note_crash(const ServerCrash& crash, const ServerCrashHistory& crashes);
   /// A request with the part was answered: it is no cause, and is not suspected again for some time.
@@ -43,11 +51,14 @@
   struct Suspect {
     /// When the suspicion was published; unset until the next look at the suspects.
     std::optional<TimePoint> published_at;
+    TimePoint first_crash_at{};
     /// The requests that had the part when servers crashed, as far as kept.
     std::set<requests::RequestFingerprint> requests;
   };
 
   void drop_least_suspected(const ServerCrashHistory& crashes);
+  /// Number of servers that crashed at `from` or later, as far as kept.
+  size_t count_crashes_since(TimePoint from) const;
   bool is_cause(TimePoint now, requests::RequestFingerprint part, const Suspect& suspect,
                 const ServerCrashHistory& crashes) const;
 
@@ -55,6 +66,8 @@
   static constexpr Duration kSoundPartLifetime = seconds(10);
 
   std::map<requests::RequestFingerprint, Suspect> suspects_;
+  /// One entry per crashed server, in the order of their reports.
+  std::deque<ServerCrash> recent_crashes_;
   requests::RecentlyAnsweredRequests sound_{kSoundPartLifetime};
 };
 
--- a/tests/unit/suspect_parts_test.cc
+++ b/tests/unit/suspect_parts_test.cc
@@ -223,6 +223,24 @@
   EXPECT_FALSE(row_of(blocker, kHarmfulPart));
 }
 
+// When a zone failed, parts that were new and had not been answered yet were at several of the crashes.
+TEST(SuspectParts, PartAtFewOfManyCrashesIsNotBlocked) {
+  RequestBlocker blocker;
+  blocker.start(at(0), {});
+  for (int number = 0; number < 16; ++number) {
+    const std::string instance = "i" + std::to_string(number);
+    blocker.note_server_end(crash_under_request(number, instance, 1));
+    if (number < 4) {
+      blocker.note_server_end(crash_under_part(kSharedPart, number, instance, 1));
+    }
+  }
+  tick_until(blocker, 1, 3);
+  EXPECT_FALSE(is_blocked(blocker, kSharedPart));
+  crash_three_servers(blocker, kSharedPart, 4);
+  tick_until(blocker, 4, 5);
+  EXPECT_TRUE(is_blocked(blocker, kSharedPart)) << "at seven of 19 crashes";
+}
+
 // Callers that invent parts must not cost memory without a bound.
 TEST(SuspectParts, LimitsTheNumberOfSuspects) {
   RequestBlocker blocker;
