--- a/src/core/fleet/crash_attribution/request_blocker.cc
+++ b/src/core/fleet/crash_attribution/request_blocker.cc
@@ -163,6 +163,9 @@
   if (!server_ends_.is_suspect(request)) {
     return true;
   }
+  if (server_ends_.count(request) >= kServerEndsToBlock) {
+    return false;  // A part that is blocked unless an entry objects.
+  }
   const auto [granted, is_first] = granted_retries_.try_emplace(request, now);
   if (!is_first && now - granted->second < kRetryTimeout) {
     return false;
--- a/tests/unit/suspect_parts_test.cc
+++ b/tests/unit/suspect_parts_test.cc
@@ -154,6 +154,17 @@
   EXPECT_TRUE(blocker.grant_retry(at(1.1), kSharedPart)) << "no server crashed under it";
 }
 
+// While entries could still object to a part with three crashes, requests with it crashed further servers.
+TEST(SuspectParts, PartWithEnoughCrashesIsNotSentWhileEntriesMayObject) {
+  RequestBlocker blocker;
+  blocker.start(at(0), {});
+  crash_three_servers(blocker, kHarmfulPart, 1);
+  EXPECT_FALSE(is_blocked(blocker, kHarmfulPart));
+  EXPECT_FALSE(blocker.grant_retry(at(1.21), kHarmfulPart));
+  EXPECT_TRUE(blocker.note_answered(at(1.3), kHarmfulPart));
+  EXPECT_TRUE(blocker.grant_retry(at(1.31), kHarmfulPart)) << "an entry objected";
+}
+
 TEST(SuspectParts, TwoHarmfulPartsAreBothBlocked) {
   RequestBlocker blocker;
   blocker.start(at(0), {});
