Entries of a new fleet have their share of the retry slack from its first document on

Callers saw: 503 "no server took the request" after a single rejected attempt, at each entry of a fleet that was less than ten seconds old. The pipeline failed on it: EngineResponseHeaders.HeadRetryAfterIsRespectedAndOtherGroupsServeAllRequests, 201 of 204 served.

Cause: withholds the slack for one window after each start, since a predecessor's retries may still count. It did so where there is no predecessor, too.

Evidence: kept logs of a red run (1 of 6, six at once): one `retry_over_budget` per entry, 1.1 s after the first document was committed, for its first request that met the group at rest; e1-5, e2-12, e3-9.

Change: no request is served before the first document is committed, so that an entry which started earlier has no predecessor. The leader notes the latest time at which it led and no document was committed; replicas and entries are told its age (FleetUpdate.no_document_age_ms, optional: builds that do not send it leave the entry waiting). The age counts from the time of the heartbeat that it answers, like that of the lease, so that it is never too late. The entry waits half a second more, until it knows the number of entries. A leader that did not see the first document tells nothing. Entries that restart wait a window, as before.

Weighed: the leader vouches for entries whose earlier incarnation it has not seen within the window. An entry that reaches replicas but not the leader would be vouched for wrongly.

--- a/src/core/fleet/entry_distributor.cc
+++ b/src/core/fleet/entry_distributor.cc
@@ -39,6 +39,7 @@
   update.evacuation_revision = subscription.evacuations().revision;
   update.confirmed_age_ms = subscription.confirmed_age_ms(now);
   update.serving_nodes = subscription.serving_nodes();
+  set_no_document_age(now, subscription.no_document_until(), update);
   subscribers_.add_document(now, node, subscription.packed_document(), update);
   subscribers_.add_evacuations(node, subscription.evacuations(), update);
   subscribers_.add_state(now, node, update);
--- a/src/core/fleet/fleet_leader.cc
+++ b/src/core/fleet/fleet_leader.cc
@@ -165,6 +165,7 @@
     update.loads.push_back(load);
   }
   update.serving_nodes = serving_entries(now);
+  set_no_document_age(now, no_document_until_, update);
   add_relay_peers(now, node, update);
   outputs_.envelopes.push_back(std::move(envelope));
 }
@@ -409,6 +410,9 @@
 // -------------------------------------------------------------------- time
 
 void FleetLeader::tick(TimePoint now, const consensus::RaftNode& raft, const FleetLog& log) {
+  if (log.document_version() == 0) {
+    no_document_until_ = now;
+  }
   adopt_evacuations(now, log);
   if (now >= next_supervision_) {
     next_supervision_ = now + kSupervisionInterval;
--- a/src/core/fleet/fleet_leader.h
+++ b/src/core/fleet/fleet_leader.h
@@ -174,6 +174,8 @@
   TimePoint next_supervision_{};
   TimePoint next_load_update_{};
   TimePoint next_group_supervision_{};
+  /// The latest time at which this replica led and no document was committed yet.
+  TimePoint no_document_until_ = TimePoint::min();
   InstanceDirectory instance_directory_;
   GroupSupervisor group_supervisor_;
   SlotScheduler slot_scheduler_;
--- a/src/core/fleet/fleet_subscription.cc
+++ b/src/core/fleet/fleet_subscription.cc
@@ -25,6 +25,12 @@
 
 }  // namespace
 
+void set_no_document_age(TimePoint now, TimePoint no_document_until, wire::FleetUpdate& update) {
+  if (no_document_until != TimePoint::min()) {
+    update.__set_no_document_age_ms((now - no_document_until) / milliseconds(1) + 1);
+  }
+}
+
 FleetSubscription::FleetSubscription(const FleetOptions& options, PeerIdentity identity, std::vector<std::string> seeds)
     : options_(options), identity_(std::move(identity)), peers_(identity_.peer_address, identity_.zone) {
   add_peers(seeds);
@@ -201,6 +207,15 @@
   heartbeat_sent_at_.erase(heartbeat_sent_at_.begin(), std::next(sent));
 }
 
+void FleetSubscription::extend_time_without_document(const wire::FleetUpdate& update) {
+  const auto sent = heartbeat_sent_at_.find(update.sequence);
+  if (sent == heartbeat_sent_at_.end() || !update.__isset.no_document_age_ms) {
+    return;
+  }
+  // As with the lease, the age counts from a time that is not after the publisher computed it.
+  no_document_until_ = std::max(no_document_until_, sent->second - milliseconds(update.no_document_age_ms));
+}
+
 void FleetSubscription::update_serving_nodes(TimePoint now, int count) {
   // A publisher that has just started knows only few nodes. Shares of budgets must not grow because of that, so the
   // highest count within the budgets' window is used.
@@ -229,6 +244,7 @@
   }
   attach_state_ = update.wants_state && state_.term > 0;
   const bool changed = apply_content(update);
+  extend_time_without_document(update);
   extend_lease(update);
   if (update.wants_confirmation || update.__isset.document || update.__isset.evacuations || attach_state_) {
     send_heartbeat_on_next_tick();
--- a/src/core/fleet/fleet_subscription.h
+++ b/src/core/fleet/fleet_subscription.h
@@ -24,6 +24,9 @@
   bool serves_requests = false;
 };
 
+/// Reports the age of `no_document_until` in an update, rounded up; nothing if it is the minimum, which is unknown.
+void set_no_document_age(TimePoint now, TimePoint no_document_until, wire::FleetUpdate& update);
+
 /// A node's subscription to one control replica (its publisher), with the local copies of the configuration document,
 /// the evacuations and the fleet's state. A control replica subscribes to the leader. An entry subscribes to any
 /// control replica, preferably one in its own zone, and leaves a publisher that does not answer or has lost the leader.
@@ -61,6 +64,9 @@
   const wire::FleetState& state() const { return state_; }
   const std::vector<wire::GroupLoad>& loads() const { return loads_; }
   int serving_nodes() const { return serving_nodes_; }
+  /// The latest known time at which no document was committed yet, so that no entry had served a request; the minimum
+  /// if unknown. Wrong only if all control replicas lost their data since.
+  TimePoint no_document_until() const { return no_document_until_; }
   /// Entries that relay requests, as last received.
   const std::vector<wire::RelayPeer>& relay_peers() const { return relay_peers_; }
   /// Peer address of the last known leader. While a control replica searches for the leader, the replica it tries now.
@@ -83,6 +89,7 @@
   void record_answer(TimePoint now, const wire::Envelope& envelope);
   bool apply_content(const wire::FleetUpdate& update);
   void extend_lease(const wire::FleetUpdate& update);
+  void extend_time_without_document(const wire::FleetUpdate& update);
   void update_serving_nodes(TimePoint now, int count);
 
   FleetOptions options_;
@@ -102,6 +109,7 @@
   /// The latest time, according to answers of publishers, at which the leader confirmed a publisher's document.
   TimePoint last_leader_confirmation_ = TimePoint::min();
   TimePoint lease_start_ = TimePoint::min();
+  TimePoint no_document_until_ = TimePoint::min();
   bool attach_state_ = false;
   wire::DocumentChange document_;
   std::string document_content_;
--- a/src/core/fleet/retry_budget/retry_budget.cc
+++ b/src/core/fleet/retry_budget/retry_budget.cc
@@ -12,6 +12,9 @@
 /// lifetime, they and those of the window itself stay within the budget.
 constexpr double kCreditLifetimeShare = 0.4;
 static_assert(kUsableShare * (1 + kCreditLifetimeShare) <= 1);
+/// How long after the fleet's first document an entry may still know few of the other entries. Twice the time that an
+/// entry's heartbeat takes to be counted.
+constexpr Duration kEntryCountSettleTime = milliseconds(500);
 /// Rounding errors of sums of portions.
 constexpr double kTolerance = 1e-6;
 
@@ -59,6 +62,17 @@
   return std::max(0.0, kUsableShare * limits_.slack / entry_count_ - share.spent_slack.sum());
 }
 
+void RetryBudget::start(TimePoint now) {
+  started_at_ = now;
+  slack_available_at_ = now + limits_.window;
+}
+
+void RetryBudget::note_no_requests_until(TimePoint time) {
+  if (started_at_ <= time) {
+    slack_available_at_ = std::min(started_at_ + limits_.window, time + kEntryCountSettleTime);
+  }
+}
+
 void RetryBudget::note_request(TimePoint now, const std::string& service) {
   if (slack_available_at_ == TimePoint::max()) {
     start(now);
--- a/src/core/fleet/retry_budget/retry_budget.h
+++ b/src/core/fleet/retry_budget/retry_budget.h
@@ -23,7 +23,8 @@
 /// - Each request earns a credit of a fraction of a retry, which expires soon. A restarted entry has no credit that its
 ///   predecessor may have spent.
 /// - The slack is divided evenly among the entries. For one window after its start, an entry leaves its share to its
-///   predecessor, whose retries may still count.
+///   predecessor, whose retries may still count. An entry that started before the fleet served its first request has no
+///   such predecessor.
 ///
 /// The guarantee requires that the service's requests per window do not drop by more than the unused part of the budget
 /// from one window to the next. Single-threaded, deterministic.
@@ -32,7 +33,9 @@
   explicit RetryBudget(const RetryLimits& limits) : limits_(limits) {}
 
   /// The entry started at this time. Without it, the first request counts as the start.
-  void start(TimePoint now) { slack_available_at_ = now + limits_.window; }
+  void start(TimePoint now);
+  /// No entry had sent a request to a server by `time`, the latest such time known.
+  void note_no_requests_until(TimePoint time);
   /// Sets the highest number of entries that shared the budget within the last window.
   void set_entry_count(int count) { entry_count_ = count < 1 ? 1 : count; }
   /// Records a request that a caller sent to this entry.
@@ -71,6 +74,7 @@
 
   RetryLimits limits_;
   int entry_count_ = 1;
+  TimePoint started_at_ = TimePoint::max();
   TimePoint slack_available_at_ = TimePoint::max();
   std::map<std::string, ServiceShare> shares_;
 };
--- a/src/node/entry_process.cc
+++ b/src/node/entry_process.cc
@@ -196,6 +196,7 @@
     state_.dispatcher.update_loads(monotonic_now(), state_.subscription.loads());
   }
   apply_entry_count();
+  state_.dispatcher.retry_budget().note_no_requests_until(state_.subscription.no_document_until());
   if (changed) {
     tick();  // Acknowledge the update without waiting for the next tick.
   }
--- a/src/wire/gen-cpp/larchlever_types.cpp
+++ b/src/wire/gen-cpp/larchlever_types.cpp
@@ -16818,6 +16818,11 @@
   this->relay_peers = val;
 __isset.relay_peers = true;
 }
+
+void FleetUpdate::__set_no_document_age_ms(const int64_t val) {
+  this->no_document_age_ms = val;
+__isset.no_document_age_ms = true;
+}
 std::ostream& operator<<(std::ostream& out, const FleetUpdate& obj)
 {
   obj.printTo(out);
@@ -17018,6 +17023,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 20:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->no_document_age_ms);
+          this->__isset.no_document_age_ms = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -17132,6 +17145,11 @@
     }
     xfer += oprot->writeFieldEnd();
   }
+  if (this->__isset.no_document_age_ms) {
+    xfer += oprot->writeFieldBegin("no_document_age_ms", ::apache::thrift::protocol::T_I64, 20);
+    xfer += oprot->writeI64(this->no_document_age_ms);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -17156,6 +17174,7 @@
   swap(a.evacuation_revision, b.evacuation_revision);
   swap(a.evacuations, b.evacuations);
   swap(a.relay_peers, b.relay_peers);
+  swap(a.no_document_age_ms, b.no_document_age_ms);
   swap(a.__isset, b.__isset);
 }
 
@@ -17177,6 +17196,7 @@
   evacuation_revision = other719.evacuation_revision;
   evacuations = other719.evacuations;
   relay_peers = other719.relay_peers;
+  no_document_age_ms = other719.no_document_age_ms;
   __isset = other719.__isset;
 }
 FleetUpdate::FleetUpdate(FleetUpdate&& other720) noexcept {
@@ -17197,6 +17217,7 @@
   evacuation_revision = other720.evacuation_revision;
   evacuations = std::move(other720.evacuations);
   relay_peers = std::move(other720.relay_peers);
+  no_document_age_ms = other720.no_document_age_ms;
   __isset = other720.__isset;
 }
 FleetUpdate& FleetUpdate::operator=(const FleetUpdate& other721) {
@@ -17217,6 +17238,7 @@
   evacuation_revision = other721.evacuation_revision;
   evacuations = other721.evacuations;
   relay_peers = other721.relay_peers;
+  no_document_age_ms = other721.no_document_age_ms;
   __isset = other721.__isset;
   return *this;
 }
@@ -17238,6 +17260,7 @@
   evacuation_revision = other722.evacuation_revision;
   evacuations = std::move(other722.evacuations);
   relay_peers = std::move(other722.relay_peers);
+  no_document_age_ms = other722.no_document_age_ms;
   __isset = other722.__isset;
   return *this;
 }
@@ -17261,6 +17284,7 @@
   out << ", " << "evacuation_revision=" << to_string(evacuation_revision);
   out << ", " << "evacuations="; (__isset.evacuations ? (out << to_string(evacuations)) : (out << "<null>"));
   out << ", " << "relay_peers="; (__isset.relay_peers ? (out << to_string(relay_peers)) : (out << "<null>"));
+  out << ", " << "no_document_age_ms="; (__isset.no_document_age_ms ? (out << to_string(no_document_age_ms)) : (out << "<null>"));
   out << ")";
 }
 
--- a/src/wire/gen-cpp/larchlever_types.h
+++ b/src/wire/gen-cpp/larchlever_types.h
@@ -6515,7 +6515,7 @@
 std::ostream& operator<<(std::ostream& out, const ControlPeer& obj);
 
 typedef struct _FleetUpdate__isset {
-  _FleetUpdate__isset() : sequence(false), not_leader(false), leader(false), term(false), document_version(false), state(false), loads(false), serving_nodes(false), wants_state(false), state_change(false), wants_confirmation(false), confirmed_age_ms(false), control_peers(false), document(false), evacuation_revision(false), evacuations(false), relay_peers(false) {}
+  _FleetUpdate__isset() : sequence(false), not_leader(false), leader(false), term(false), document_version(false), state(false), loads(false), serving_nodes(false), wants_state(false), state_change(false), wants_confirmation(false), confirmed_age_ms(false), control_peers(false), document(false), evacuation_revision(false), evacuations(false), relay_peers(false), no_document_age_ms(false) {}
   bool sequence :1;
   bool not_leader :1;
   bool leader :1;
@@ -6533,6 +6533,7 @@
   bool evacuation_revision :1;
   bool evacuations :1;
   bool relay_peers :1;
+  bool no_document_age_ms :1;
 } _FleetUpdate__isset;
 
 /**
@@ -6556,7 +6557,8 @@
                 wants_state(0),
                 wants_confirmation(0),
                 confirmed_age_ms(0),
-                evacuation_revision(0) {
+                evacuation_revision(0),
+                no_document_age_ms(0) {
   }
 
   virtual ~FleetUpdate() noexcept;
@@ -6613,6 +6615,10 @@
    * Entries that relay requests for others: to control replicas some of all, to an entry those that it may use.
    */
   std::vector<RelayPeer>  relay_peers;
+  /**
+   * Milliseconds since the last time at which a leader knew that no document was committed yet.
+   */
+  int64_t no_document_age_ms;
 
   _FleetUpdate__isset __isset;
 
@@ -6650,6 +6656,8 @@
 
   void __set_relay_peers(const std::vector<RelayPeer> & val);
 
+  void __set_no_document_age_ms(const int64_t val);
+
   bool operator == (const FleetUpdate & rhs) const
   {
     if (!(sequence == rhs.sequence))
@@ -6696,6 +6704,10 @@
       return false;
     else if (__isset.relay_peers && !(relay_peers == rhs.relay_peers))
       return false;
+    if (__isset.no_document_age_ms != rhs.__isset.no_document_age_ms)
+      return false;
+    else if (__isset.no_document_age_ms && !(no_document_age_ms == rhs.no_document_age_ms))
+      return false;
     return true;
   }
   bool operator != (const FleetUpdate &rhs) const {
--- a/src/wire/larchlever.thrift
+++ b/src/wire/larchlever.thrift
@@ -891,6 +891,8 @@
   18: optional ZoneEvacuations evacuations,
   /** Entries that relay requests for others: to control replicas some of all, to an entry those that it may use. */
   19: optional list<RelayPeer> relay_peers,
+  /** Milliseconds since the last time at which a leader knew that no document was committed yet. */
+  20: optional i64 no_document_age_ms,
 }
 
 enum ControlCallKind {
--- a/tests/unit/distribution_test.cc
+++ b/tests/unit/distribution_test.cc
@@ -179,6 +179,7 @@
     envelope.fleet_update.sequence = sent_heartbeat ? sent_heartbeat->fleet_heartbeat.sequence : 0;
     envelope.fleet_update.document_version = 5;
     envelope.fleet_update.serving_nodes = 40;
+    set_no_document_age(now, no_document_until_, envelope.fleet_update);
     envelope.fleet_update.__set_document(pack_document(5, "text"));
     envelope.fleet_update.__set_state(fleet_state(version));
     subscription_.receive(now, envelope);
@@ -187,6 +188,8 @@
 
   EntryDistributor distributor_;
   FleetSubscription subscription_;
+  /// What the leader reports.
+  TimePoint no_document_until_ = TimePoint::min();
 };
 
 TEST_F(EntryDistributorTest, AnswersHeartbeatWithHeldStateAndConfirmationAge) {
@@ -210,6 +213,31 @@
   EXPECT_LT(answers.front().fleet_update.confirmed_age_ms, 0);
 }
 
+/// What an entry learns from the answer to the heartbeat that it sends now.
+TimePoint no_document_until_at_entry(TimePoint now, EntryDistributor& distributor, const DistributorSource& source) {
+  FleetSubscription entry(FleetOptions(), {"10.0.0.7:1", "a", "", Incarnation(1), true}, {"10.0.0.1:1"});
+  auto sent_heartbeat = entry.tick(now, {});
+  sent_heartbeat->from_node = "10.0.0.7:1";
+  distributor.handle_heartbeat(now, *sent_heartbeat, source);
+  auto answers = distributor.take_envelopes();
+  answers.front().from_node = "10.0.0.1:1";
+  entry.receive(now + milliseconds(400), answers.front());
+  return entry.no_document_until();
+}
+
+// The slack of retries depends on it: a later time than the true one lets a restarted entry retry like its predecessor.
+TEST_F(EntryDistributorTest, TellsEntriesUntilWhenThereWasNoDocument) {
+  EXPECT_EQ(no_document_until_at_entry(kStart, distributor_, source()), TimePoint::min());
+  receive_leader_update(kStart, 4);
+  EXPECT_EQ(no_document_until_at_entry(kStart, distributor_, source()), TimePoint::min())
+      << "the leader does not know it, as one of an old build";
+  no_document_until_ = kStart - seconds(3);
+  receive_leader_update(kStart + seconds(1), 5);
+  const TimePoint learned = no_document_until_at_entry(kStart + seconds(2), distributor_, source());
+  EXPECT_LE(learned, no_document_until_);
+  EXPECT_GE(learned, no_document_until_ - milliseconds(10));
+}
+
 TEST_F(EntryDistributorTest, PushesUpdateOnceAndReportsVersionHeldByAllEntries) {
   receive_leader_update(kStart, 4);
   distributor_.handle_heartbeat(kStart, heartbeat("e1", 0, 0), source());
--- a/tests/unit/retry_budget_test.cc
+++ b/tests/unit/retry_budget_test.cc
@@ -17,6 +17,12 @@
 constexpr int kMaxRetriesPerRequest = 5;
 /// By then a restarted entry knows how many entries there are.
 constexpr Duration kCountDelay = milliseconds(1500);
+/// When the first document of a new fleet is committed.
+constexpr TimePoint kFirstDocument = TimePoint() + milliseconds(600);
+/// The entries of a new fleet start at random times until then.
+constexpr Duration kStartSpread = milliseconds(600);
+/// After this time, the other entries know of an entry of a new fleet.
+constexpr Duration kNewEntryDelay = milliseconds(500);
 
 FleetOptions fleet_options() {
   FleetOptions options;
@@ -38,6 +44,8 @@
   /// Entries that run from the start on; the others are added and removed at disruptions in turn.
   int initial_entries = 9;
   Duration length = seconds(30);
+  /// The fleet is new: its entries start before its first document, and learn so. Requests begin with the document.
+  bool is_new_fleet = false;
   double requests_per_second = 36;
 };
 
@@ -49,7 +57,9 @@
   RetryPlayback(DisruptionSchedule schedule, uint64_t seed) : schedule_(std::move(schedule)), random_(seed) {
     entries_.resize(kEntries);
     for (size_t index = 0; index < static_cast<size_t>(schedule_.initial_entries); ++index) {
-      start(index, TimePoint());
+      const Duration delay =
+          schedule_.is_new_fleet ? kStartSpread * static_cast<int>(random_() % 100) / 100 : Duration();
+      start(index, TimePoint() + delay);
     }
   }
 
@@ -63,13 +73,15 @@
         next_disruption += schedule_.interval;
       }
       update_counts(now);
-      send_requests(now);
+      if (!schedule_.is_new_fleet || now >= kFirstDocument) {
+        send_requests(now);
+      }
     }
   }
 
   /// Largest number of retries beyond what is allowed in any window; not positive if the bound holds.
   double max_excess() const {
-    const auto window = static_cast<size_t>(options_.retry_window / kStep);
+    const auto window = window_steps();
     double result = -options_.retry_slack;
     for (size_t begin = 0; begin < retries_.size(); ++begin) {
       const double counted = sum(retries_, begin, begin + window);
@@ -81,12 +93,9 @@
     return result;
   }
   /// Retries per allowed retry over the last whole window.
-  double last_window_use() const {
-    const auto window = static_cast<size_t>(options_.retry_window / kStep);
-    const size_t begin = retries_.size() - window;
-    return sum(retries_, begin, retries_.size()) /
-           (options_.retry_ratio * sum(requests_, begin, requests_.size()) + options_.retry_slack);
-  }
+  double last_window_use() const { return window_use(retries_.size() - window_steps()); }
+  /// Retries per allowed retry over the first whole window with requests.
+  double first_window_use() const { return window_use(static_cast<size_t>(kFirstDocument.time_since_epoch() / kStep)); }
 
  private:
   static constexpr size_t kEntries = 9;
@@ -103,6 +112,11 @@
     }
     return result;
   }
+  size_t window_steps() const { return static_cast<size_t>(options_.retry_window / kStep); }
+  double window_use(size_t begin) const {
+    const size_t end = begin + window_steps();
+    return sum(retries_, begin, end) / (options_.retry_ratio * sum(requests_, begin, end) + options_.retry_slack);
+  }
   void start(size_t index, TimePoint now) {
     entries_[index] = {std::make_unique<Dispatcher>(options_, "north", random_()), now};
     entries_[index].dispatcher->retry_budget().start(now);
@@ -124,13 +138,27 @@
       }
     }
   }
+  bool is_entry_of_new_fleet(const Entry& entry) const {
+    return schedule_.is_new_fleet && entry.started_at <= kFirstDocument;
+  }
+  int count_known_to(const Entry& entry, TimePoint now) {
+    if (is_entry_of_new_fleet(entry)) {
+      const auto is_known = [now](const Entry& other) { return now - other.started_at >= kNewEntryDelay; };
+      const int known = static_cast<int>(std::count_if(entries_.begin(), entries_.end(), is_known));
+      return now < kFirstDocument + kNewEntryDelay ? std::max(1, known) : max_running_;
+    }
+    // A new leader, too, knows few entries at first.
+    const bool knows_few = now - entry.started_at < kCountDelay;
+    return knows_few ? 1 + static_cast<int>(random_() % kEntries) : max_running_;
+  }
   void update_counts(TimePoint now) {
     max_running_ = std::max(max_running_, running_count());
     for (auto& entry : entries_) {
       if (entry.dispatcher != nullptr) {
-        // A new leader, too, knows few entries at first.
-        const bool knows_few = now - entry.started_at < kCountDelay;
-        entry.dispatcher->set_serving_nodes(knows_few ? 1 + static_cast<int>(random_() % kEntries) : max_running_);
+        entry.dispatcher->set_serving_nodes(count_known_to(entry, now));
+        if (schedule_.is_new_fleet) {
+          entry.dispatcher->retry_budget().note_no_requests_until(std::min(now, kFirstDocument));
+        }
       }
     }
   }
@@ -221,6 +249,13 @@
   everything.moves_load = true;
   everything.initial_entries = 6;
   result.push_back(everything);
+  const size_t schedule_count = result.size();
+  for (size_t index = 0; index < schedule_count; ++index) {
+    DisruptionSchedule new_fleet = result[index];
+    new_fleet.name += "OfNewFleet";
+    new_fleet.is_new_fleet = true;
+    result.push_back(new_fleet);
+  }
   return result;
 }
 
@@ -234,5 +269,24 @@
   EXPECT_GE(playback.last_window_use(), 0.66);
 }
 
+// Entries of a new fleet rejected retries for a whole window, although none of them has a predecessor that retried.
+TEST(RetryBudget, IsUsedFromTheFirstDocumentOn) {
+  auto new_fleet = schedule("StartOfNewFleet");
+  new_fleet.is_new_fleet = true;
+  RetryPlayback playback(new_fleet, 1);
+  playback.run();
+  EXPECT_GE(playback.first_window_use(), 0.6);
+}
+
+// An entry that started after requests were served may have a predecessor whose retries still count.
+TEST(RetryBudget, LeavesSlackToPredecessorOfEntryStartedAfterTheFirstDocument) {
+  RetryBudget budget({0.2, 40, seconds(10)});
+  const TimePoint start = kFirstDocument + milliseconds(1);
+  budget.start(start);
+  budget.note_no_requests_until(kFirstDocument);
+  EXPECT_EQ(budget.remaining(start + seconds(9), kService), 0);
+  EXPECT_GT(budget.remaining(start + seconds(10), kService), 0);
+}
+
 }  // namespace
 }  // namespace larchlever::fleet
