Failing test: parts of prompts whose leader is lost while they are suspected

IsBlockedIfTheLeaderIsLostBeforeThePartIsKnown: the leader is killed after the second crash. The checks are those of the test beside it, moved into one method.

--- a/tests/integration/crashing_prompt_part_test.cc
+++ b/tests/integration/crashing_prompt_part_test.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <atomic>
+#include <functional>
 #include <iostream>
 #include <map>
 #include <mutex>
@@ -119,6 +120,19 @@
     return text;
   }
 
+  /// Starts all callers, those of harmful requests after `kTimeBefore`. Runs `during` once harmful requests are sent,
+  /// and checks how many servers crashed and how many sound requests were served.
+  void send_requests_and_check(const std::function<void()>& during);
+  void kill_leader() {
+    for (const auto& node : fleet_.control_replicas()) {
+      if (fleet_.log(node).find("event=leadership_begun") != std::string::npos) {
+        fleet_.kill(node);
+        return;
+      }
+    }
+    ADD_FAILURE() << "there is no leader";
+  }
+
   std::vector<TimedResult> sound_results_;
   std::vector<TimedResult> harmful_results_;
 
@@ -151,15 +165,14 @@
   std::vector<std::thread> callers_;
 };
 
-// One part of many prompts, no two of them alike, crashed every server that wrote on it. Only repetitions of whole
-// requests were recognized, so that servers crashed one after the other, and sound requests with them.
-TEST_P(CrashingPromptPart, IsBlockedWithoutSoundRequestsThatShareItsOtherParts) {
+void CrashingPromptPart::send_requests_and_check(const std::function<void()>& during) {
   start_callers(kSoundCallers, kSoundInterval, GetParam().sound, sound_results_);
   const auto began_at = Clock::now();
   std::this_thread::sleep_for(kTimeBefore);
   const auto harm_began_at = Clock::now();
   start_callers(kHarmfulCallers, kHarmfulInterval, GetParam().harmful, harmful_results_);
-  std::this_thread::sleep_for(kTimeDuring);
+  during();
+  std::this_thread::sleep_until(harm_began_at + kTimeDuring);
   const auto crashes = engines_->crash_times();
   const auto arrivals = engines_->crash_request_arrivals();
   ASSERT_FALSE(crashes.empty());
@@ -176,6 +189,20 @@
       << describe_unserved(sound_results_, last_allowed + kMaxDisturbance);
 }
 
+// One part of many prompts, no two of them alike, crashed every server that wrote on it. Only repetitions of whole
+// requests were recognized, so that servers crashed one after the other, and sound requests with them.
+TEST_P(CrashingPromptPart, IsBlockedWithoutSoundRequestsThatShareItsOtherParts) {
+  send_requests_and_check([] {});
+}
+
+// Entries sent requests with a suspected part while no leader answered, all at the same time.
+TEST_P(CrashingPromptPart, IsBlockedIfTheLeaderIsLostBeforeThePartIsKnown) {
+  send_requests_and_check([this] {
+    ASSERT_TRUE(wait_until([this] { return engines_->crash_times().size() >= 2; }, kTimeDuring));
+    kill_leader();
+  });
+}
+
 INSTANTIATE_TEST_SUITE_P(
     Place, CrashingPromptPart,
     testing::Values(PromptLayout{"SecondOfThree", "a0:40,SUBJECT:300,OWN:100", "a0:40,dead:300,OWN:100"},
