Suspected parts of prompts stay suspected while leaders change

Callers saw: sound requests failing with "no server is available" after the leader was lost while a part of prompts crashed servers: ten servers ended under it (five allowed), until no model had a group left.

Cause: the suspicion lived in the leader's answers only. An entry took a leader that did not answer within 15 to 40 ms for permission, so that all entries sent requests with the suspected part at the same time; and a new leader began without suspects, so that its first state withdrew them at all entries and erased the crashes these had counted.

Change: for a published suspect, the entry asks the leader also while it backs off, waits up to 200 ms, and withholds the request without an answer. A new leader inherits suspects with the rows of the state for three seconds, and permits none of them in its first second, in which entries report the crashes they counted.

--- a/src/core/fleet/crash_attribution/request_blocker.cc
+++ b/src/core/fleet/crash_attribution/request_blocker.cc
@@ -48,8 +48,12 @@
 void RequestBlocker::add_inherited(TimePoint now, const std::vector<wire::BlockedRequest>& rows) {
   for (const auto& row : rows) {
     const requests::RequestFingerprint request(row.fingerprint);
-    if (row.is_suspect || blocked_.contains(request)) {
-      continue;  // Entries report the server ends under suspects to each new leader.
+    if (blocked_.contains(request)) {
+      continue;
+    }
+    if (row.is_suspect) {
+      suspect_parts_.inherit(now, request);
+      continue;
     }
     BlockState& blocked = block(now, request, row.is_prompt_part ? CauseKind::kPromptPart : CauseKind::kRequest);
     blocked.trials = row.trials;
@@ -79,7 +83,7 @@
     block(now, *part, CauseKind::kPromptPart);
     server_ends_.mark_as_cause(*part);
     unblock_explained_requests();
-    suspect_parts_.remove_cleared(server_ends_);
+    suspect_parts_.remove_cleared(now, server_ends_);
     changed = true;
   }
   return changed;
@@ -160,9 +164,12 @@
   if (blocked_.contains(request)) {
     return false;
   }
-  if (!server_ends_.is_suspect(request)) {
+  if (!server_ends_.is_suspect(request) && !suspect_parts_.is_suspect(request)) {
     return true;
   }
+  if (suspect_parts_.awaits_reports(now, request)) {
+    return false;
+  }
   if (server_ends_.count(request) >= kServerEndsToBlock) {
     return false;  // A part that is blocked unless an entry objects.
   }
@@ -208,7 +215,7 @@
   server_ends_.forget_old(now);
   std::erase_if(granted_retries_, [now](const auto& item) { return now - item.second >= kRetryTimeout; });
   std::erase_if(likely_ended_at_, [now](const auto& item) { return now - item.second > kServerReportTimeout; });
-  bool changed = suspect_parts_.remove_cleared(server_ends_);
+  bool changed = suspect_parts_.remove_cleared(now, server_ends_);
   changed = block_parts(now) || changed;
   for (auto item = blocked_.begin(); item != blocked_.end();) {
     bool is_expired = false;
--- a/src/core/fleet/crash_attribution/suspect_parts.cc
+++ b/src/core/fleet/crash_attribution/suspect_parts.cc
@@ -22,6 +22,23 @@
 
 }  // namespace
 
+void SuspectParts::inherit(TimePoint now, requests::RequestFingerprint part) {
+  if (suspects_.size() >= kMaxSuspects || is_known_sound(now, part)) {
+    return;
+  }
+  const auto [suspect, is_new] = suspects_.try_emplace(part);
+  if (is_new) {
+    suspect->second.first_crash_at = now;
+    suspect->second.inherited_at = now;
+  }
+}
+
+bool SuspectParts::awaits_reports(TimePoint now, requests::RequestFingerprint part) const {
+  const auto suspect = suspects_.find(part);
+  return suspect != suspects_.end() && suspect->second.inherited_at &&
+         now - *suspect->second.inherited_at < kReportTime;
+}
+
 void SuspectParts::count_crash(const ServerCrash& crash) {
   const bool is_known = std::any_of(recent_crashes_.rbegin(), recent_crashes_.rend(),
                                     [&crash](const ServerCrash& known) { return is_same_crash(known, crash); });
@@ -72,8 +89,12 @@
   suspects_.erase(least);
 }
 
-bool SuspectParts::remove_cleared(const ServerCrashHistory& crashes) {
-  return std::erase_if(suspects_, [&](const auto& item) { return crashes.count(item.first) == 0; }) > 0;
+bool SuspectParts::remove_cleared(TimePoint now, const ServerCrashHistory& crashes) {
+  return std::erase_if(suspects_, [&](const auto& item) {
+           const auto& [part, suspect] = item;
+           const bool is_kept = suspect.inherited_at && now - *suspect.inherited_at < kInheritedSuspicionTime;
+           return crashes.count(part) == 0 && !is_kept;
+         }) > 0;
 }
 
 bool SuspectParts::is_cause(TimePoint now, requests::RequestFingerprint part, const Suspect& suspect,
--- a/src/core/fleet/crash_attribution/suspect_parts.h
+++ b/src/core/fleet/crash_attribution/suspect_parts.h
@@ -29,8 +29,14 @@
  public:
   /// Time for entries to learn of a suspect and to report that it was answered.
   static constexpr Duration kObjectionTime = milliseconds(200);
+  /// Entries report to a new leader once they learn of it, at the latest after this time.
+  static constexpr Duration kReportTime = seconds(1);
+  /// How long an inherited suspect is kept without reports of crashes under it.
+  static constexpr Duration kInheritedSuspicionTime = seconds(3);
   static constexpr size_t kMaxSuspects = 256;
 
+  /// The previous leader suspected the part. Entries report the crashes under it within `kInheritedSuspicionTime`.
+  void inherit(TimePoint now, requests::RequestFingerprint part);
   /// A server crashed, whatever ran there. Must be called before `note_crash`.
   void count_crash(const ServerCrash& crash);
   /// The incarnation reported: its likely crashes did not happen.
@@ -40,9 +46,11 @@
   /// A request with the part was answered: it is no cause, and is not suspected again for some time.
   void note_answered(TimePoint now, requests::RequestFingerprint part);
   bool is_suspect(requests::RequestFingerprint part) const { return suspects_.contains(part); }
+  /// Whether entries may not have reported yet which servers crashed under the part while another leader led.
+  bool awaits_reports(TimePoint now, requests::RequestFingerprint part) const;
   bool is_known_sound(TimePoint now, requests::RequestFingerprint part) { return sound_.contains(now, part); }
   /// Removes suspects without crashes. Returns true if there were any.
-  bool remove_cleared(const ServerCrashHistory& crashes);
+  bool remove_cleared(TimePoint now, const ServerCrashHistory& crashes);
   /// Returns a part that is known to be the cause of its crashes now, and removes it from the suspects.
   std::optional<requests::RequestFingerprint> take_cause(TimePoint now, const ServerCrashHistory& crashes);
   std::vector<requests::RequestFingerprint> all() const;
@@ -52,6 +60,8 @@
     /// When the suspicion was published; unset until the next look at the suspects.
     std::optional<TimePoint> published_at;
     TimePoint first_crash_at{};
+    /// When it was taken over from the previous leader; unset if this leader suspected it.
+    std::optional<TimePoint> inherited_at;
     /// The requests that had the part when servers crashed, as far as kept.
     std::set<requests::RequestFingerprint> requests;
   };
--- a/src/node/blocked_request_guard.cc
+++ b/src/node/blocked_request_guard.cc
@@ -102,7 +102,7 @@
     }
   }
   for (const auto cause : causes_to_ask_for(request, may_have_ended)) {
-    if (!co_await slot_requester_.request_retry_permission(cause)) {
+    if (!co_await is_permitted_by_leader(cause)) {
       request.withheld_cause = cause;
       co_return false;
     }
@@ -110,6 +110,14 @@
   co_return true;
 }
 
+asio::awaitable<bool> BlockedRequestGuard::is_permitted_by_leader(requests::RequestFingerprint cause) {
+  const bool is_suspected = state_.blocked_request_tracker.verdict_for(monotonic_now(), cause) == Verdict::kSuspected;
+  if (is_suspected) {
+    co_return co_await slot_requester_.request_suspect_permission(cause);
+  }
+  co_return co_await slot_requester_.request_retry_permission(cause);
+}
+
 asio::awaitable<bool> BlockedRequestGuard::admit_cause(RelayedRequest& request, requests::RequestFingerprint cause) {
   const Verdict verdict = state_.blocked_request_tracker.verdict_for(monotonic_now(), cause);
   if (verdict == Verdict::kAllowed || verdict == Verdict::kSuspected) {
--- a/src/node/blocked_request_guard.h
+++ b/src/node/blocked_request_guard.h
@@ -47,6 +47,8 @@
   /// Returns what of the request needs the leader's permission to be sent: the request itself, or parts of its prompt.
   std::vector<requests::RequestFingerprint> causes_to_ask_for(const RelayedRequest& request,
                                                               bool may_have_ended_server);
+  /// Returns whether the leader permits a request with this cause, which is suspected or may have ended a server.
+  boost::asio::awaitable<bool> is_permitted_by_leader(requests::RequestFingerprint cause);
   /// Returns whether the request may be sent in spite of this cause, which may be blocked.
   boost::asio::awaitable<bool> admit_cause(RelayedRequest& request, requests::RequestFingerprint cause);
   /// Probes the target until it is known whether its server ended.
--- a/src/node/slot_requester.cc
+++ b/src/node/slot_requester.cc
@@ -22,6 +22,8 @@
 constexpr int kTimeoutDeviations = 4;
 /// Timeout before the first answer. Entries that start at the same time, as after a power failure, all ask at once.
 constexpr milliseconds kInitialResponseTimeout{200};
+/// Timeout for permission to send a request with a suspected part, which is withheld without an answer.
+constexpr milliseconds kSuspectResponseTimeout{200};
 /// How long a leader that did not answer is not asked again. Elections take several times as long.
 constexpr auto kLeaderBackoff = milliseconds(150);
 /// A queued request is answered at most this long after its queue timeout: one tick of the leader plus network time.
@@ -46,6 +48,12 @@
   return result;
 }
 
+wire::SlotGrant undecided_grant() {
+  wire::SlotGrant grant;
+  grant.verdict = wire::SlotVerdict::UNDECIDED;
+  return grant;
+}
+
 }  // namespace
 
 SlotRequester::SlotRequester(asio::any_io_executor executor, EntryState& state, Sender send)
@@ -67,21 +75,22 @@
 }
 
 asio::awaitable<wire::SlotGrant> SlotRequester::request_slot(wire::SlotRequest request) {
-  wire::SlotGrant undecided;
-  undecided.verdict = wire::SlotVerdict::UNDECIDED;
-  const TimePoint now = monotonic_now();
-  if (now < leader_backoff_until_) {
-    co_return undecided;
+  if (!is_leader_responsive(monotonic_now())) {
+    co_return undecided_grant();
   }
+  co_return co_await ask_leader(std::move(request), response_timeout());
+}
+
+asio::awaitable<wire::SlotGrant> SlotRequester::ask_leader(wire::SlotRequest request, milliseconds timeout) {
   request.id = next_request_id_++;
   const int64_t id = request.id;
   const milliseconds queue_timeout(request.patience_ms);
   auto pending_request = std::make_shared<PendingRequest>(executor_);
-  pending_request->asked_at = now;
-  pending_request->grant = undecided;
+  pending_request->asked_at = monotonic_now();
+  pending_request->grant = undecided_grant();
   pending_requests_[id] = pending_request;
   queue_request(std::move(request));
-  co_await wait_for_answer(pending_request, response_timeout());
+  co_await wait_for_answer(pending_request, timeout);
   if (!pending_request->is_answered) {
     leader_backoff_until_ = monotonic_now() + kLeaderBackoff;
   } else if (pending_request->grant.verdict == wire::SlotVerdict::QUEUED) {
@@ -89,7 +98,7 @@
   }
   pending_requests_.erase(id);
   const bool is_still_queued = pending_request->grant.verdict == wire::SlotVerdict::QUEUED;
-  co_return is_still_queued ? undecided : pending_request->grant;
+  co_return is_still_queued ? undecided_grant() : pending_request->grant;
 }
 
 asio::awaitable<bool> SlotRequester::request_trial(requests::RequestFingerprint request) {
@@ -106,6 +115,13 @@
   co_return grant.verdict != wire::SlotVerdict::BUSY;
 }
 
+asio::awaitable<bool> SlotRequester::request_suspect_permission(requests::RequestFingerprint part) {
+  wire::SlotRequest slot_request;
+  slot_request.__set_repeat_of(part.value());
+  const auto grant = co_await ask_leader(std::move(slot_request), kSuspectResponseTimeout);
+  co_return grant.verdict == wire::SlotVerdict::GRANTED;
+}
+
 void SlotRequester::queue_request(wire::SlotRequest request) {
   unsent_requests_.push_back(std::move(request));
   if (unsent_requests_.size() > 1) {
--- a/src/node/slot_requester.h
+++ b/src/node/slot_requester.h
@@ -36,6 +36,9 @@
   /// Returns whether a request whose response was lost may be retried. The leader decides from the observations of all
   /// entries, including this one. Returns true if the leader does not decide.
   boost::asio::awaitable<bool> request_retry_permission(requests::RequestFingerprint request);
+  /// Returns whether the leader permits a request with a suspected part to be sent. Returns false if the leader does
+  /// not decide: entries that decide on their own would all send such requests at the same time.
+  boost::asio::awaitable<bool> request_suspect_permission(requests::RequestFingerprint part);
   void receive(const wire::SlotAnswer& answer);
   /// Schedules a report to the leader within a few milliseconds. Call when the load of a group changed in a way that
   /// the leader does not know of.
@@ -62,6 +65,8 @@
     bool is_answered = false;
   };
 
+  /// Asks the leader, also if it recently left a request unanswered.
+  boost::asio::awaitable<wire::SlotGrant> ask_leader(wire::SlotRequest request, std::chrono::milliseconds timeout);
   /// Waits until an answer to the request arrives, or until the timeout.
   boost::asio::awaitable<void> wait_for_answer(std::shared_ptr<PendingRequest> pending_request,
                                                std::chrono::milliseconds timeout);
--- a/tests/integration/crashing_prompt_part_test.cc
+++ b/tests/integration/crashing_prompt_part_test.cc
@@ -24,6 +24,8 @@
 constexpr auto kSoundInterval = milliseconds(25);
 constexpr auto kTimeBefore = seconds(3);
 constexpr auto kTimeDuring = seconds(9);
+/// Until then, all entries know of a suspicion that the leader logged.
+constexpr auto kPublishTime = milliseconds(80);
 /// At most this many servers may crash under one part, with those that got it before anything was known of it.
 constexpr size_t kMaxCrashes = 5;
 /// From this time after the last allowed crash on, the part must reach no server.
@@ -123,15 +125,8 @@
   /// Starts all callers, those of harmful requests after `kTimeBefore`. Runs `during` once harmful requests are sent,
   /// and checks how many servers crashed and how many sound requests were served.
   void send_requests_and_check(const std::function<void()>& during);
-  void kill_leader() {
-    for (const auto& node : fleet_.control_replicas()) {
-      if (fleet_.log(node).find("event=leadership_begun") != std::string::npos) {
-        fleet_.kill(node);
-        return;
-      }
-    }
-    ADD_FAILURE() << "there is no leader";
-  }
+  bool leader_has_logged(const std::string& event) { return fleet_.log(leader()).find(event) != std::string::npos; }
+  void kill_leader() { fleet_.kill(leader()); }
 
   std::vector<TimedResult> sound_results_;
   std::vector<TimedResult> harmful_results_;
@@ -157,6 +152,15 @@
     }
   }
 
+  /// The first replica that has led.
+  std::string leader() {
+    const auto replicas = fleet_.control_replicas();
+    const auto found = std::find_if(replicas.begin(), replicas.end(), [this](const auto& node) {
+      return fleet_.log(node).find("event=leadership_begun") != std::string::npos;
+    });
+    return found == replicas.end() ? "" : *found;
+  }
+
   static constexpr int kSubjects = 10;
 
   std::mutex mutex_;
@@ -196,6 +200,15 @@
 }
 
 // Entries sent requests with a suspected part while no leader answered, all at the same time.
+TEST_P(CrashingPromptPart, IsBlockedIfTheLeaderIsLostWhileThePartIsSuspected) {
+  send_requests_and_check([this] {
+    ASSERT_TRUE(wait_until([this] { return leader_has_logged("event=prompt_part_suspected"); }, kTimeDuring));
+    std::this_thread::sleep_for(kPublishTime);
+    kill_leader();
+  });
+}
+
+// Retries whose leader is lost before it decides on them, while nothing is suspected yet, end further servers.
 TEST_P(CrashingPromptPart, IsBlockedIfTheLeaderIsLostBeforeThePartIsKnown) {
   send_requests_and_check([this] {
     ASSERT_TRUE(wait_until([this] { return engines_->crash_times().size() >= 2; }, kTimeDuring));
--- a/tests/node/slot_requester_test.cc
+++ b/tests/node/slot_requester_test.cc
@@ -12,6 +12,8 @@
 
 namespace asio = boost::asio;
 
+const requests::RequestFingerprint kSuspectedPart(7);
+
 fleet::PeerIdentity identity() {
   fleet::PeerIdentity result;
   result.peer_address = "10.0.1.1:1";
@@ -49,6 +51,14 @@
     return pending_grant.get();
   }
 
+  bool is_suspect_permitted() {
+    auto permission =
+        asio::co_spawn(context_, slot_requester_.request_suspect_permission(kSuspectedPart), asio::use_future);
+    context_.restart();
+    context_.run();
+    return permission.get();
+  }
+
   void deliver_grant(int64_t term, int64_t id, wire::SlotVerdict::type verdict, int64_t sequence = 0) {
     wire::SlotAnswer message;
     message.term = term;
@@ -90,6 +100,17 @@
       << "grants of a deposed leader must be ignored";
 }
 
+// Entries that decided on their own sent requests with a suspected part to many servers at the same time.
+TEST_F(SlotRequesterTest, RequestWithSuspectedPartIsWithheldWithoutAnswer) {
+  EXPECT_FALSE(is_suspect_permitted());
+  EXPECT_FALSE(slot_requester_.is_leader_responsive(monotonic_now()));
+  on_report_ = [this](const wire::SlotReport& report) {
+    const int64_t id = report.requests.front().id;
+    asio::post(context_, [this, id] { deliver_grant(5, id, wire::SlotVerdict::GRANTED); });
+  };
+  EXPECT_TRUE(is_suspect_permitted()) << "the leader is asked, although it was silent before";
+}
+
 TEST_F(SlotRequesterTest, BatchesConcurrentRequests) {
   wire::SlotRequest request;
   request.patience_ms = 80;
--- a/tests/unit/suspect_parts_test.cc
+++ b/tests/unit/suspect_parts_test.cc
@@ -202,6 +202,39 @@
   EXPECT_FALSE(row->is_suspect);
 }
 
+// While a new leader knew nothing of the suspicion, all entries sent requests with the part.
+TEST(SuspectParts, SuspicionSurvivesAChangeOfLeader) {
+  RequestBlocker old_leader;
+  old_leader.start(at(0), {});
+  old_leader.note_server_end(crash_under_part(kHarmfulPart, 1, "i1", 1));
+  old_leader.note_server_end(crash_under_part(kHarmfulPart, 2, "i2", 1.1));
+  RequestBlocker new_leader;
+  new_leader.start(at(2), old_leader.rows());
+  ASSERT_TRUE(row_of(new_leader, kHarmfulPart));
+  EXPECT_TRUE(row_of(new_leader, kHarmfulPart)->is_suspect);
+  EXPECT_FALSE(new_leader.grant_retry(at(2.1), kHarmfulPart)) << "entries may report enough crashes to block it";
+  EXPECT_TRUE(new_leader.grant_retry(at(3.1), kHarmfulPart));
+  EXPECT_FALSE(new_leader.grant_retry(at(3.2), kHarmfulPart)) << "one server at a time";
+  for (int number = 1; number <= 3; ++number) {
+    new_leader.note_server_end(crash_under_part(kHarmfulPart, number, "i" + std::to_string(number), 1 + 0.1 * number));
+  }
+  tick_until(new_leader, 3.3, 3.7);
+  EXPECT_TRUE(is_blocked(new_leader, kHarmfulPart));
+}
+
+// A part stayed suspected, although no entry knew of a crash under it.
+TEST(SuspectParts, InheritedSuspicionEndsWithoutReportsOfCrashes) {
+  RequestBlocker old_leader;
+  old_leader.start(at(0), {});
+  old_leader.note_server_end(crash_under_part(kSharedPart, 1, "i1", 1));
+  RequestBlocker new_leader;
+  new_leader.start(at(2), old_leader.rows());
+  tick_until(new_leader, 2, 5.2);
+  EXPECT_FALSE(row_of(new_leader, kSharedPart));
+  EXPECT_TRUE(new_leader.grant_retry(at(5.2), kSharedPart));
+  EXPECT_TRUE(new_leader.grant_retry(at(5.3), kSharedPart));
+}
+
 // The third crash came under a leader that had not heard of the first two.
 TEST(SuspectParts, CrashesUnderAPartAreReportedToANewLeader) {
   BlockedRequests entry;
