Count a response that is lost just after the server's crash was decided

Cause: two streams ran on a server that crashed. Lost responses were counted up to the decision only. The harmful request came second: no crash was reported under its part, so that the leader permitted its retry beside that of another entry.

Change: CrashDetector::note_lost_response returns the crash if it is decided already, for responses lost within the transit time after the first. The guard reports it like one that a probe decides.

Before and after: CrashDetector.ResponseLostJustAfterTheCrashWasDecidedIsCounted fails without the change.

--- a/src/core/fleet/crash_attribution/crash_detector.cc
+++ b/src/core/fleet/crash_attribution/crash_detector.cc
@@ -24,17 +24,24 @@
 
 }  // namespace
 
-bool CrashDetector::note_lost_response(TimePoint now, const std::string& incarnation, LostRequest request) {
+LostResponseOutcome CrashDetector::note_lost_response(TimePoint now, const std::string& incarnation,
+                                                      LostRequest request) {
   remove_old_suspicions(now);
   const auto [found, is_first] = suspicions_.try_emplace(incarnation);
   Suspicion& suspicion = found->second;
   if (is_first) {
     suspicion.lost_at = now;
   }
-  if (!suspicion.is_decided && now - suspicion.lost_at <= kResponseTransitTime) {
-    suspicion.requests.push_back(std::move(request));
+  LostResponseOutcome outcome;
+  outcome.starts_probing = is_first;
+  if (now - suspicion.lost_at > kResponseTransitTime) {
+    return outcome;
   }
-  return is_first;
+  suspicion.requests.push_back(std::move(request));
+  if (suspicion.is_decided) {
+    outcome.crash = decide(suspicion, suspicion.certainty);
+  }
+  return outcome;
 }
 
 void CrashDetector::note_progress(TimePoint now, const std::string& incarnation) {
@@ -46,6 +53,7 @@
 
 std::optional<CrashedServer> CrashDetector::decide(Suspicion& suspicion, CrashCertainty certainty) {
   suspicion.is_decided = true;
+  suspicion.certainty = certainty;
   return CrashedServer{suspicion.lost_at, certainty, std::exchange(suspicion.requests, {})};
 }
 
--- a/src/core/fleet/crash_attribution/crash_detector.h
+++ b/src/core/fleet/crash_attribution/crash_detector.h
@@ -41,6 +41,14 @@
   std::vector<LostRequest> requests;
 };
 
+/// What follows from a lost response.
+struct LostResponseOutcome {
+  /// The caller must start to probe the server at the times of `CrashDetector::next_probe_time`.
+  bool starts_probing = false;
+  /// The request ran on a server that is already known to have crashed.
+  std::optional<CrashedServer> crash;
+};
+
 /// Decides, after responses of a server were lost, whether the server crashed or only connections failed.
 ///
 /// Load pattern: a request crashes the servers that run it. A server's port closes some milliseconds after the
@@ -63,9 +71,8 @@
 /// Single-threaded, deterministic.
 class CrashDetector {
  public:
-  /// The response to the request was lost at this incarnation of a server. True when the caller must start to probe the
-  /// server at the times of `next_probe_time`.
-  bool note_lost_response(TimePoint now, const std::string& incarnation, LostRequest request);
+  /// The response to the request was lost at this incarnation of a server.
+  LostResponseOutcome note_lost_response(TimePoint now, const std::string& incarnation, LostRequest request);
   /// The server made progress with a request, which clears it of suspicion unless the data may have been in transit.
   void note_progress(TimePoint now, const std::string& incarnation);
   /// Records the result of a probe. Returns the crash when the probe decides that the server crashed.
@@ -94,6 +101,7 @@
     /// The server accepted a connection later than a crashed process could have.
     bool port_stays_open = false;
     bool is_decided = false;
+    CrashCertainty certainty = CrashCertainty::kLikely;
   };
 
   std::optional<CrashedServer> decide(Suspicion& suspicion, CrashCertainty certainty);
--- a/src/node/blocked_request_guard.cc
+++ b/src/node/blocked_request_guard.cc
@@ -167,10 +167,14 @@
     return;
   }
   request.lost_response_incarnation = target.incarnation;
-  if (lost_responses_.note_lost_response(monotonic_now(), target.incarnation,
-                                         fleet::LostRequest(request.fingerprint, request.prompt_parts))) {
+  const auto outcome = lost_responses_.note_lost_response(
+      monotonic_now(), target.incarnation, fleet::LostRequest(request.fingerprint, request.prompt_parts));
+  if (outcome.starts_probing) {
     asio::co_spawn(executor_, probe_until_resolved(target), asio::detached);
   }
+  if (outcome.crash) {
+    asio::co_spawn(executor_, record_end_seen_here(target, *outcome.crash), asio::detached);
+  }
 }
 
 asio::awaitable<void> BlockedRequestGuard::probe_until_resolved(fleet::DispatchTarget target) {
--- a/tests/unit/crash_detector_test.cc
+++ b/tests/unit/crash_detector_test.cc
@@ -12,6 +12,7 @@
 
 const RequestFingerprint kFirst(1);
 const RequestFingerprint kSecond(2);
+const RequestFingerprint kThird(3);
 constexpr const char* kServer = "i1@5";
 
 TimePoint at(double seconds_from_start) {
@@ -21,8 +22,8 @@
 /// A detector that recorded lost responses of both requests at one server.
 CrashDetector detector_with_two_lost_responses() {
   CrashDetector detector;
-  EXPECT_TRUE(detector.note_lost_response(at(1), kServer, kFirst));
-  EXPECT_FALSE(detector.note_lost_response(at(1.05), kServer, kSecond)) << "probing has already started";
+  EXPECT_TRUE(detector.note_lost_response(at(1), kServer, kFirst).starts_probing);
+  EXPECT_FALSE(detector.note_lost_response(at(1.05), kServer, kSecond).starts_probing) << "probing has already started";
   return detector;
 }
 
@@ -103,6 +104,20 @@
   EXPECT_EQ(crashed->requests.size(), 2U);
 }
 
+// The refused probe was seen between the ends of two streams of one server: the harmful request, whose stream ended
+// last, was not counted and retried at once.
+TEST(CrashDetector, ResponseLostJustAfterTheCrashWasDecidedIsCounted) {
+  auto detector = detector_with_two_lost_responses();
+  ASSERT_TRUE(detector.note_probe(at(1.06), kServer, ProbeResult::kRefused));
+  const auto outcome = detector.note_lost_response(at(1.061), kServer, kThird);
+  EXPECT_FALSE(outcome.starts_probing);
+  ASSERT_TRUE(outcome.crash);
+  EXPECT_EQ(outcome.crash->certainty, CrashCertainty::kConfirmed);
+  EXPECT_EQ(outcome.crash->at, at(1));
+  EXPECT_EQ(outcome.crash->requests, std::vector<LostRequest>{kThird});
+  EXPECT_FALSE(detector.note_lost_response(at(1.2), kServer, kThird).crash) << "it was sent to a server that was down";
+}
+
 TEST(CrashDetector, NumberOfProbesIsBounded) {
   auto detector = detector_with_two_lost_responses();
   int probes = 0;
--- a/tests/unit/server_crash_replay_test.cc
+++ b/tests/unit/server_crash_replay_test.cc
@@ -213,9 +213,12 @@
 
   void lose_response(const Attempt& attempt) {
     Entry& entry = entries_.at(attempt.entry);
-    if (entry.lost_responses.note_lost_response(now_, incarnation(attempt.server), attempt.request)) {
-      entry.probed[incarnation(attempt.server)] = attempt.server;
+    const std::string server = incarnation(attempt.server);
+    const auto outcome = entry.lost_responses.note_lost_response(now_, server, attempt.request);
+    if (outcome.starts_probing) {
+      entry.probed[server] = attempt.server;
     }
+    note_crashed(entry, server, outcome.crash);
   }
 
   ProbeResult probe(size_t entry, const std::string& probed, size_t server) const {
