Entries repeat to a new leader which suspected parts were answered

Read, not seen: since a new leader inherits suspects, their rows stay with the entries. An entry reports that a suspect was answered when its row is new; if that report was lost with the old leader, only another answer within the 200 ms of objection time would have cleared the part, and a sound part could have been blocked after three crashes beside it.

Change: the complete report to a new leader names the rows that were answered here recently, beside the recent ends.

PartIsClearedAgainIfTheReportWasLostWithTheLeader fails without the change.

--- a/src/core/fleet/crash_attribution/blocked_requests.cc
+++ b/src/core/fleet/crash_attribution/blocked_requests.cc
@@ -128,4 +128,15 @@
   return make_reports(now, server_ends_.newest_crashes(kMaxRecentEnds));
 }
 
+std::vector<int64_t> BlockedRequests::recently_answered_rows(TimePoint now) {
+  std::vector<int64_t> result;
+  for (const auto& [cause, received] : rows_) {
+    const CauseKind kind = received.row.is_prompt_part ? CauseKind::kPromptPart : CauseKind::kRequest;
+    if (recently_answered(kind).contains(now, cause)) {
+      result.push_back(cause.value());
+    }
+  }
+  return result;
+}
+
 }  // namespace larchlever::fleet
--- a/src/core/fleet/crash_attribution/blocked_requests.h
+++ b/src/core/fleet/crash_attribution/blocked_requests.h
@@ -49,6 +49,9 @@
   std::vector<int64_t> take_answered_requests();
   /// The most recent server ends observed here, for a newly elected leader.
   std::vector<wire::RequestServerEnd> recent_ends(TimePoint now) const;
+  /// What the leader suspects or blocks although it was answered here recently, for a newly elected leader: its
+  /// predecessor may have been lost before the report that it was answered arrived.
+  std::vector<int64_t> recently_answered_rows(TimePoint now);
   bool has_unreported() const { return !unreported_ends_.empty() || !unreported_answered_.empty(); }
 
  private:
--- a/src/node/slot_requester.cc
+++ b/src/node/slot_requester.cc
@@ -245,6 +245,7 @@
   report.failures = std::move(failures);
   if (is_new_leader) {
     report.server_ends = state_.blocked_request_tracker.recent_ends(now);
+    report.answered_requests = state_.blocked_request_tracker.recently_answered_rows(now);
   }
   send(std::move(report));
 }
--- a/tests/unit/suspect_parts_test.cc
+++ b/tests/unit/suspect_parts_test.cc
@@ -222,6 +222,27 @@
   EXPECT_TRUE(is_blocked(new_leader, kHarmfulPart));
 }
 
+// The report that a part was answered was lost with the leader, and the next one had no reason to expect another.
+TEST(SuspectParts, PartIsClearedAgainIfTheReportWasLostWithTheLeader) {
+  RequestBlocker old_leader;
+  old_leader.start(at(0), {});
+  old_leader.note_server_end(crash_under_part(kSharedPart, 1, "i1", 1));
+  BlockedRequests entry;
+  entry.note_answered(at(0.5), kSharedPart, CauseKind::kPromptPart);
+  entry.update(at(1.1), old_leader.rows());
+  EXPECT_EQ(entry.take_answered_requests().size(), 1U);
+  RequestBlocker new_leader;
+  new_leader.start(at(2), old_leader.rows());
+  entry.update(at(2.1), new_leader.rows());
+  EXPECT_TRUE(entry.take_answered_requests().empty());
+  for (const int64_t answered : entry.recently_answered_rows(at(2.2))) {
+    new_leader.note_answered(at(2.2), RequestFingerprint(answered));
+  }
+  crash_three_servers(new_leader, kSharedPart, 2.3);
+  tick_until(new_leader, 2.3, 3);
+  EXPECT_FALSE(row_of(new_leader, kSharedPart));
+}
+
 // A part stayed suspected, although no entry knew of a crash under it.
 TEST(SuspectParts, InheritedSuspicionEndsWithoutReportsOfCrashes) {
   RequestBlocker old_leader;
@@ -296,6 +317,24 @@
   EXPECT_EQ(blocker.rows().size(), SuspectParts::kMaxSuspects);
 }
 
+/// Sends the reports of all entries to the leader, and its rows to all entries.
+void exchange_reports(std::vector<BlockedRequests>& entries, RequestBlocker& blocker, double now) {
+  for (auto& entry : entries) {
+    for (const auto& end : entry.take_unreported_ends(at(now))) {
+      blocker.note_server_end({RequestFingerprint(end.fingerprint), end.instance_id, at(now) - milliseconds(end.age_ms),
+                               CrashCertainty::kConfirmed, CauseKind::kPromptPart,
+                               RequestFingerprint(end.request_of_part)});
+    }
+  }
+  blocker.tick(at(now));
+  for (auto& entry : entries) {
+    entry.update(at(now), blocker.rows());
+    for (const int64_t answered : entry.take_answered_requests()) {
+      blocker.note_answered(at(now), RequestFingerprint(answered));
+    }
+  }
+}
+
 // With sound requests on the same servers, only the harmful part may be blocked, whatever shares its crashes by chance.
 TEST(SuspectParts, OnlyTheHarmfulPartIsBlockedInMixedTraffic) {
   for (unsigned seed = 1; seed <= 50; ++seed) {
@@ -318,20 +357,7 @@
         entry.note_server_end(crash_under_part(part, crash * 100 + victim, instance, time));
       }
       for (double now = time; now < time + 0.15; now += 0.05) {
-        for (auto& entry : entries) {
-          for (const auto& end : entry.take_unreported_ends(at(now))) {
-            blocker.note_server_end({RequestFingerprint(end.fingerprint), end.instance_id, at(time),
-                                     CrashCertainty::kConfirmed, CauseKind::kPromptPart,
-                                     RequestFingerprint(end.request_of_part)});
-          }
-        }
-        blocker.tick(at(now));
-        for (auto& entry : entries) {
-          entry.update(at(now), blocker.rows());
-          for (const int64_t answered : entry.take_answered_requests()) {
-            blocker.note_answered(at(now), RequestFingerprint(answered));
-          }
-        }
+        exchange_reports(entries, blocker, now);
       }
     }
     tick_until(blocker, 5, 6);
@@ -342,5 +368,81 @@
   }
 }
 
+/// Crashes servers with requests that carry parts which others use, to have these blocked.
+class PartAdversary {
+ public:
+  explicit PartAdversary(unsigned seed) : random_(seed) { leader_.start(at(0), {}); }
+
+  /// Plays `kRounds` rounds of 50 ms. Returns how often a part was found blocked that others use.
+  int count_wrong_blocks() {
+    int count = 0;
+    for (int round = 0; round < kRounds; ++round) {
+      now_ = 1 + round * 0.05;
+      answer_sound_requests(round);
+      if (round > kRoundsPerUse && draw(2) == 0) {
+        crash_server(round);
+      }
+      exchange_reports(entries_, leader_, now_);
+      if (round % kRoundsPerLeader == kRoundsPerLeader - 1) {
+        replace_leader();
+      }
+      for (int victim = 0; victim < kVictims; ++victim) {
+        count += is_blocked(leader_, part_of(victim)) ? 1 : 0;
+      }
+    }
+    return count;
+  }
+
+ private:
+  static constexpr int kRounds = 600;
+  static constexpr int kVictims = 6;
+  /// Each part is used at one entry only, once in this many rounds, which is less than the lifetime of an answer.
+  static constexpr int kRoundsPerUse = 100;
+  static constexpr int kRoundsPerLeader = 70;
+
+  int draw(int bound) { return static_cast<int>(random_() % static_cast<unsigned>(bound)); }
+  static RequestFingerprint part_of(int victim) { return RequestFingerprint(100 + victim); }
+  void answer_sound_requests(int round) {
+    for (int victim = 0; victim < kVictims; ++victim) {
+      if (round % kRoundsPerUse == victim) {
+        entries_[static_cast<size_t>(victim)].note_answered(at(now_), part_of(victim), CauseKind::kPromptPart);
+      }
+    }
+  }
+  void crash_server(int round) {
+    auto& entry = entries_[static_cast<size_t>(kVictims + draw(2))];
+    const int carried = 1 + draw(kVictims);
+    for (int number = 0; number < carried; ++number) {
+      entry.note_server_end(crash_under_part(part_of(draw(kVictims)), round, "i" + std::to_string(round), now_));
+    }
+  }
+  void replace_leader() {
+    const auto rows = leader_.rows();
+    leader_.start(at(now_), rows);
+    for (auto& entry : entries_) {
+      for (const auto& end : entry.recent_ends(at(now_))) {
+        leader_.note_server_end({RequestFingerprint(end.fingerprint), end.instance_id,
+                                 at(now_) - milliseconds(end.age_ms), CrashCertainty::kConfirmed,
+                                 CauseKind::kPromptPart, RequestFingerprint(end.request_of_part)});
+      }
+      for (const int64_t answered : entry.recently_answered_rows(at(now_))) {
+        leader_.note_answered(at(now_), RequestFingerprint(answered));
+      }
+    }
+  }
+
+  std::mt19937 random_;
+  RequestBlocker leader_;
+  std::vector<BlockedRequests> entries_{9};
+  double now_ = 0;
+};
+
+// Crashing requests that carry the parts of others must not have these blocked, whichever parts are chosen.
+TEST(SuspectParts, AdversaryCannotBlockPartsThatOthersUse) {
+  for (unsigned seed = 1; seed <= 50; ++seed) {
+    EXPECT_EQ(PartAdversary(seed).count_wrong_blocks(), 0) << "seed " << seed;
+  }
+}
+
 }  // namespace
 }  // namespace larchlever::fleet
