Tests: responses that end with their connection are told from cut ones

A response with neither length nor chunks is whole when its connection ends; one that ends inside its head, its length or a chunk is cut.

--- a/tests/node/http_test.cc
+++ b/tests/node/http_test.cc
@@ -216,11 +216,22 @@
       write(bytes);
     });
   }
+  /// Accepts one connection, reads a request, answers with `bytes` and ends the connection.
+  void accept_answer_and_close(const std::string& bytes) {
+    acceptor_.async_accept(socket_, [this, bytes](boost::system::error_code error) {
+      ASSERT_FALSE(error);
+      socket_.async_read_some(asio::buffer(request_), [this, bytes](boost::system::error_code, size_t) {
+        write(bytes);
+        socket_.shutdown(asio::ip::tcp::socket::shutdown_send);
+      });
+    });
+  }
   void write(const std::string& bytes) { asio::write(socket_, asio::buffer(bytes)); }
 
  private:
   asio::ip::tcp::acceptor acceptor_;
   asio::ip::tcp::socket socket_;
+  std::array<char, 4096> request_{};
 };
 
 constexpr auto kShortTimeout = std::chrono::milliseconds(100);
@@ -311,6 +322,65 @@
   EXPECT_TRUE(run_coroutine(context, read_until_timeout()));
 }
 
+/// A response whose connection ends after its last byte.
+struct EndedResponse {
+  std::string name;
+  std::string bytes;
+  /// What the client reads; no status if the head is not complete.
+  int status = 0;
+  std::string body;
+  bool is_complete = false;
+  bool is_delimited_by_close = false;
+};
+
+std::ostream& operator<<(std::ostream& out, const EndedResponse& response) { return out << response.name; }
+
+class ResponsesThatEndWithTheirConnection : public testing::TestWithParam<EndedResponse> {};
+
+// A response without a length or chunks is whole when its connection ends; any other one is cut.
+TEST_P(ResponsesThatEndWithTheirConnection, AreToldFromResponsesThatWereCut) {
+  const EndedResponse& expected = GetParam();
+  asio::io_context context(1);
+  ManualServer server(context);
+  server.accept_answer_and_close(expected.bytes);
+  HttpClient client(context.get_executor());
+  const std::string endpoint = server.endpoint();
+  const HttpRequest request;
+  const OpenOptions options;
+  const auto read_all = [&]() -> asio::awaitable<void> {
+    const auto opened = co_await client.open(endpoint, request, options);
+    EXPECT_EQ(opened.stream == nullptr, expected.status == 0);
+    if (opened.stream == nullptr) {
+      EXPECT_FALSE(opened.error.empty());
+      co_return;
+    }
+    EXPECT_EQ(opened.stream->head().status, expected.status);
+    std::string body;
+    for (std::string piece = "?"; !piece.empty(); body += piece) {
+      piece = co_await opened.stream->read_some(kShortTimeout);
+    }
+    EXPECT_EQ(body, expected.body);
+    EXPECT_EQ(opened.stream->complete(), expected.is_complete) << opened.stream->error();
+    EXPECT_EQ(opened.stream->error().empty(), expected.is_complete);
+    EXPECT_EQ(opened.stream->delimited_by_close(), expected.is_delimited_by_close);
+  };
+  EXPECT_TRUE(run_coroutine(context, read_all()));
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    Http, ResponsesThatEndWithTheirConnection,
+    testing::Values(
+        EndedResponse{"NeitherLengthNorChunks", "HTTP/1.1 200 OK\r\n\r\nwhole", 200, "whole", true, true},
+        EndedResponse{"NoBodyAtAll", "HTTP/1.1 200 OK\r\n\r\n", 200, "", true, true},
+        EndedResponse{"OldProtocolVersion", "HTTP/1.0 200 OK\r\n\r\nwhole", 200, "whole", true, true},
+        EndedResponse{"InsideTheHead", "HTTP/1.1 200 OK\r\nContent-Ty", 0, "", false, false},
+        EndedResponse{"InsideTheLength", "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\ncut", 200, "cut", false, false},
+        EndedResponse{"InsideAChunk", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n9\r\ncut", 200, "cut",
+                      false, false},
+        EndedResponse{"BeforeTheLastChunk", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n3\r\ncut\r\n", 200,
+                      "cut", false, false}),
+    [](const auto& test) { return test.param.name; });
+
 // Guards against a server that, after a pause of its process, closes a kept-alive connection as idle although the next
 // request is already in its socket.
 TEST(HttpServer, ServesRequestThatArrivedDuringProcessPause) {
