--- a/tests/unit/suspect_parts_test.cc
+++ b/tests/unit/suspect_parts_test.cc
@@ -410,7 +410,8 @@
     }
   }
   void crash_server(int round) {
-    auto& entry = entries_[static_cast<size_t>(kVictims + draw(2))];
+    const int entry_number = kVictims + draw(2);
+    auto& entry = entries_[static_cast<size_t>(entry_number)];
     const int carried = 1 + draw(kVictims);
     for (int number = 0; number < carried; ++number) {
       entry.note_server_end(crash_under_part(part_of(draw(kVictims)), round, "i" + std::to_string(round), now_));
