Tests of the retry budget and of suspect parts: one builder, one reporter

Found on a second reading: the schedules of retry_budget_test were built by eight runs of the same assignments, and the adversary of suspect_parts_test repeated the loop that passes an entry's reports to the leader.

Change: schedules are lists of designated initializers with the same values; report_ends serves both loops.

--- a/tests/unit/retry_budget_test.cc
+++ b/tests/unit/retry_budget_test.cc
@@ -206,49 +206,25 @@
   }
 }
 
-DisruptionSchedule schedule(const std::string& name) {
-  DisruptionSchedule result;
-  result.name = name;
-  return result;
-}
-
 std::vector<DisruptionSchedule> schedules() {
-  std::vector<DisruptionSchedule> result;
-  result.push_back(schedule("StartOfFleet"));
-  auto one_by_one = schedule("OneEntryAtATime");
-  one_by_one.interval = milliseconds(250);
-  one_by_one.restarted = 1;
-  result.push_back(one_by_one);
-  auto herds = schedule("HerdsOfEntries");
-  herds.interval = milliseconds(2500);
-  herds.restarted = 6;
-  result.push_back(herds);
-  auto busy = schedule("AllEntriesUnderHeavyLoad");
-  busy.interval = seconds(3);
-  busy.restarted = 9;
-  busy.requests_per_second = 600;
-  result.push_back(busy);
-  auto short_day = schedule("AllEntriesOnAShortDay");
-  short_day.interval = seconds(4);
-  short_day.restarted = 9;
-  short_day.requests_per_second = 165;
-  short_day.length = seconds(15);
-  result.push_back(short_day);
-  auto moves = schedule("LoadMovesBetweenEntries");
-  moves.interval = seconds(5);
-  moves.moves_load = true;
-  moves.requests_per_second = 600;
-  result.push_back(moves);
-  auto changing = schedule("NumberOfEntriesChanges");
-  changing.interval = seconds(4);
-  changing.initial_entries = 3;
-  result.push_back(changing);
-  auto everything = schedule("RestartsWhileLoadMoves");
-  everything.interval = milliseconds(800);
-  everything.restarted = 2;
-  everything.moves_load = true;
-  everything.initial_entries = 6;
-  result.push_back(everything);
+  std::vector<DisruptionSchedule> result = {
+      {.name = "StartOfFleet"},
+      {.name = "OneEntryAtATime", .interval = milliseconds(250), .restarted = 1},
+      {.name = "HerdsOfEntries", .interval = milliseconds(2500), .restarted = 6},
+      {.name = "AllEntriesUnderHeavyLoad", .interval = seconds(3), .restarted = 9, .requests_per_second = 600},
+      {.name = "AllEntriesOnAShortDay",
+       .interval = seconds(4),
+       .restarted = 9,
+       .length = seconds(15),
+       .requests_per_second = 165},
+      {.name = "LoadMovesBetweenEntries", .interval = seconds(5), .moves_load = true, .requests_per_second = 600},
+      {.name = "NumberOfEntriesChanges", .interval = seconds(4), .initial_entries = 3},
+      {.name = "RestartsWhileLoadMoves",
+       .interval = milliseconds(800),
+       .restarted = 2,
+       .moves_load = true,
+       .initial_entries = 6},
+  };
   const size_t schedule_count = result.size();
   for (size_t index = 0; index < schedule_count; ++index) {
     DisruptionSchedule new_fleet = result[index];
@@ -264,16 +240,14 @@
 
 // The budget protects servers without refusing retries that it has room for.
 TEST(RetryBudget, IsUsedWithoutDisruption) {
-  RetryPlayback playback(schedule("StartOfFleet"), 1);
+  RetryPlayback playback({.name = "StartOfFleet"}, 1);
   playback.run();
   EXPECT_GE(playback.last_window_use(), 0.66);
 }
 
 // Entries of a new fleet rejected retries for a whole window, although none of them has a predecessor that retried.
 TEST(RetryBudget, IsUsedFromTheFirstDocumentOn) {
-  auto new_fleet = schedule("StartOfNewFleet");
-  new_fleet.is_new_fleet = true;
-  RetryPlayback playback(new_fleet, 1);
+  RetryPlayback playback({.name = "StartOfNewFleet", .is_new_fleet = true}, 1);
   playback.run();
   EXPECT_GE(playback.first_window_use(), 0.6);
 }
--- a/tests/unit/suspect_parts_test.cc
+++ b/tests/unit/suspect_parts_test.cc
@@ -317,14 +317,19 @@
   EXPECT_EQ(blocker.rows().size(), SuspectParts::kMaxSuspects);
 }
 
+/// Passes an entry's reports of crashes under parts to the leader.
+void report_ends(RequestBlocker& blocker, const std::vector<wire::RequestServerEnd>& ends, double now) {
+  for (const auto& end : ends) {
+    blocker.note_server_end({RequestFingerprint(end.fingerprint), end.instance_id, at(now) - milliseconds(end.age_ms),
+                             CrashCertainty::kConfirmed, CauseKind::kPromptPart,
+                             RequestFingerprint(end.request_of_part)});
+  }
+}
+
 /// Sends the reports of all entries to the leader, and its rows to all entries.
 void exchange_reports(std::vector<BlockedRequests>& entries, RequestBlocker& blocker, double now) {
   for (auto& entry : entries) {
-    for (const auto& end : entry.take_unreported_ends(at(now))) {
-      blocker.note_server_end({RequestFingerprint(end.fingerprint), end.instance_id, at(now) - milliseconds(end.age_ms),
-                               CrashCertainty::kConfirmed, CauseKind::kPromptPart,
-                               RequestFingerprint(end.request_of_part)});
-    }
+    report_ends(blocker, entry.take_unreported_ends(at(now)), now);
   }
   blocker.tick(at(now));
   for (auto& entry : entries) {
@@ -421,11 +426,7 @@
     const auto rows = leader_.rows();
     leader_.start(at(now_), rows);
     for (auto& entry : entries_) {
-      for (const auto& end : entry.recent_ends(at(now_))) {
-        leader_.note_server_end({RequestFingerprint(end.fingerprint), end.instance_id,
-                                 at(now_) - milliseconds(end.age_ms), CrashCertainty::kConfirmed,
-                                 CauseKind::kPromptPart, RequestFingerprint(end.request_of_part)});
-      }
+      report_ends(leader_, entry.recent_ends(at(now_)), now_);
       for (const int64_t answered : entry.recently_answered_rows(at(now_))) {
         leader_.note_answered(at(now_), RequestFingerprint(answered));
       }
