A control replica that stands still says what kept it busy; the leader logs its load each second

stood_still named only the length of a pause. It now adds the measured busy time and the kinds of work with their time, pieces, rows and longest piece; leader_load gives the same each second while the replica leads.

--- a/src/node/control_process.cc
+++ b/src/node/control_process.cc
@@ -2,6 +2,7 @@
 #include <boost/json.hpp>
 #include <random>
 
+#include "core/base/work_meter.h"
 #include "net/http_client.h"
 #include "net/listener.h"
 #include "net/peer_transport.h"
@@ -31,6 +32,10 @@
 /// If ticks are further apart than this, the process was paused. A dozen ticks, and a small fraction of the time after
 /// which a node counts as lost.
 constexpr Duration kProcessPauseThreshold = milliseconds(250);
+/// How often the leader logs what its time went into.
+constexpr Duration kLoadLogInterval = seconds(1);
+/// Kinds of work listed in one log line, those that took the most time.
+constexpr size_t kMaxLoggedWorkKinds = 4;
 /// Minimum time between two saves of the fleet state to disk.
 constexpr Duration kStateSaveInterval = milliseconds(400);
 /// Delay before a failed data folder is opened again; a full disk may have space by then.
@@ -68,6 +73,28 @@
   return json::serialize(body);
 }
 
+/// Kind of work that a message causes, and how many rows it holds.
+std::pair<const char*, int64_t> classify_message(const wire::Envelope& envelope) {
+  if (envelope.__isset.raft) {
+    return {"consensus", 1};
+  }
+  if (envelope.__isset.slot_report) {
+    const auto& report = envelope.slot_report;
+    return {"entry_reports", static_cast<int64_t>(report.requests.size() + report.loads.size() +
+                                                  report.server_ends.size() + report.answered_requests.size())};
+  }
+  if (envelope.__isset.registrations) {
+    return {"registrations", static_cast<int64_t>(envelope.registrations.reports.size())};
+  }
+  if (envelope.__isset.fleet_heartbeat) {
+    return {envelope.fleet_heartbeat.serves_requests ? "entry_heartbeats" : "replica_heartbeats", 1};
+  }
+  if (envelope.__isset.fleet_update) {
+    return {"updates", 1};
+  }
+  return {"calls", 1};
+}
+
 /// Runs a FleetController in real time: clock, peer connections, data folder, control calls and orders to engines.
 class ControlProcess : public FleetProcess {
  public:
@@ -77,11 +104,7 @@
         dialect_(*find_dialect(settings.dialect)),
         identity_(make_fleet_identity(settings)),
         controller_(settings.options, identity_, settings.seed_peer_addresses, std::random_device()()),
-        transport_(executor,
-                   [this](wire::Envelope envelope) {
-                     controller_.receive(monotonic_now(), envelope);
-                     process_outputs();
-                   }),
+        transport_(executor, [this](const wire::Envelope& envelope) { receive(envelope); }),
         storage_(
             executor, settings.data_folder,
             [this](std::vector<consensus::RaftOutput> batches) { on_written(std::move(batches)); },
@@ -137,6 +160,18 @@
   asio::awaitable<void> reopen_storage();
   void renew_identity();
   void process_outputs();
+  void receive(const wire::Envelope& envelope);
+  /// Runs `work` and adds its time to the totals of this kind.
+  template <typename Work>
+  void measure(std::string_view kind, int64_t rows, const Work& work) {
+    const TimePoint started_at = monotonic_now();
+    work();
+    work_meter_.add(kind, monotonic_now() - started_at, rows);
+  }
+  /// Handles a pause of this process: messages that arrived meanwhile have not been read yet.
+  void note_pause(TimePoint now, Duration pause);
+  void log_load(TimePoint now);
+  void run_tick(TimePoint now);
   void log_state_changes();
   asio::awaitable<void> tick_loop();
   asio::awaitable<void> send_order(fleet::InstanceOrder order);
@@ -157,6 +192,9 @@
   std::pair<int64_t, int64_t> saved_state_version_{0, 0};
   TimePoint next_state_save_{};
   bool was_leader_ = false;
+  /// What this process did since the last line of `log_load`, or since its last pause.
+  WorkMeter work_meter_;
+  TimePoint work_measured_since_{};
   TimePoint next_formation_log_{};
   int64_t logged_document_version_ = 0;
   int64_t logged_evacuation_revision_ = 0;
@@ -332,28 +370,71 @@
   }
 }
 
+void ControlProcess::receive(const wire::Envelope& envelope) {
+  const auto [kind, rows] = classify_message(envelope);
+  measure(kind, rows, [this, &envelope] {
+    controller_.receive(monotonic_now(), envelope);
+    process_outputs();
+  });
+}
+
+void ControlProcess::note_pause(TimePoint now, Duration pause) {
+  // Messages that arrived during the pause have not been read yet. Without this correction, every node and instance
+  // would count as lost at once.
+  controller_.note_own_pause(now, pause);
+  const Duration busy = work_meter_.busy();
+  log_warning(settings_.name, "stood_still",
+              {{"for_ms", std::to_string(pause / milliseconds(1))},
+               {"leads", was_leader_ ? "yes" : "no"},
+               {"busy_ms", std::to_string(busy / milliseconds(1))},
+               {"measured_ms", std::to_string((now - work_measured_since_) / milliseconds(1))},
+               {"work", format_work(work_meter_.take_totals(), kMaxLoggedWorkKinds)}});
+  work_measured_since_ = now;
+}
+
+void ControlProcess::log_load(TimePoint now) {
+  const Duration measured = now - work_measured_since_;
+  if (measured < kLoadLogInterval) {
+    return;
+  }
+  const int64_t busy_percent = work_meter_.busy() * 100 / measured;
+  const auto totals = work_meter_.take_totals();
+  work_measured_since_ = now;
+  if (was_leader_) {
+    log_event(settings_.name, "leader_load",
+              {{"busy_percent", std::to_string(busy_percent)}, {"work", format_work(totals, kMaxLoggedWorkKinds)}});
+  }
+}
+
+void ControlProcess::run_tick(TimePoint now) {
+  measure("tick", 1, [this, now] {
+    controller_.tick(now);
+    process_outputs();
+  });
+  measure("change_log", 1, [this] {
+    log_state_changes();
+    log_formation_progress();
+    search_logger_.tick(monotonic_now(), controller_.subscription());
+    if (controller_.is_leader(monotonic_now())) {
+      change_logger_.log_changes(monotonic_now(), controller_.leader_view());
+    }
+  });
+  measure("state_save", 1, [this] { save_state(); });
+}
+
 asio::awaitable<void> ControlProcess::tick_loop() {
   const auto alive = alive_;
   asio::steady_timer timer(executor_);
   TimePoint last_tick = monotonic_now();
+  work_measured_since_ = last_tick;
   while (*alive) {
     const TimePoint now = monotonic_now();
     if (now - last_tick > kProcessPauseThreshold) {
-      // Messages that arrived during the pause have not been read yet. Without this correction, every node and instance
-      // would count as lost at once.
-      controller_.note_own_pause(now, now - last_tick);
-      log_warning(settings_.name, "stood_still", {{"for_ms", std::to_string((now - last_tick) / milliseconds(1))}});
+      note_pause(now, now - last_tick);
     }
     last_tick = now;
-    controller_.tick(now);
-    process_outputs();
-    log_state_changes();
-    log_formation_progress();
-    search_logger_.tick(monotonic_now(), controller_.subscription());
-    if (controller_.is_leader(monotonic_now())) {
-      change_logger_.log_changes(monotonic_now(), controller_.leader_view());
-    }
-    save_state();
+    log_load(now);
+    run_tick(now);
     if (controller_.needs_new_identity()) {
       renew_identity();
     }
