--- a/src/simulation/registered_fleet.cc
+++ b/src/simulation/registered_fleet.cc
@@ -347,35 +347,17 @@
     return;
   }
   auto& node = control_replicas_[static_cast<size_t>(draw_integer(0, kControlReplicaCount - 1))];
-  const auto report = slot.instance->take_report();
+  auto report = slot.instance->take_report();
+  report.zone = slot.zone;
   trace(report.id + " reports " + report.membership.group + " state " + std::to_string(report.membership.state) +
         " to " + node.name + (node.is_running && !node.is_isolated && slot.reachable ? "" : ", lost"));
   if (!node.is_running || node.is_isolated || !slot.reachable) {
     return;
   }
-  // The controller parses heartbeats from JSON, so encode the report as a server would.
-  const auto& membership = report.membership;
-  static const std::map<wire::MembershipState::type, std::string> states = {
-      {wire::MembershipState::JOINING, "joining"}, {wire::MembershipState::READY, "ready"},
-      {wire::MembershipState::OPEN, "open"},       {wire::MembershipState::CLOSING, "closing"},
-      {wire::MembershipState::BROKEN, "broken"},   {wire::MembershipState::NONE, ""}};
-  std::string body = R"({"service":"engines","address":")" + report.address + R"(","zone":")" + slot.zone +
-                     R"(","version":"v1","slots":8,"cold_left_ms":0,"domain":")" + report.domain + R"(","state":")" +
-                     (report.state == wire::InstanceState::READY ? "ready" : "draining") + R"(","call_seq":)" +
-                     std::to_string(report.call_number) + R"(,"staged":[)";
-  for (const auto& staged : report.staged_models) {
-    body += "\"" + staged + "\"";
-  }
-  body += R"(],"models":[{"name":")" + report.model + R"("}])";
-  if (!membership.group.empty()) {
-    body += R"(,"group":{"name":")" + membership.group + R"(","epoch":)" + std::to_string(membership.epoch) +
-            R"(,"rank":)" + std::to_string(membership.rank) + R"(,"state":")" + states.at(membership.state) + R"("})";
-  }
-  body += "}";
   wire::ControlCall call;
   call.kind = wire::ControlCallKind::HEARTBEAT;
   call.instance_id = report.id;
-  call.body = std::move(body);
+  call.body = heartbeat_body(report);
   node.controller->submit_call(queue_.now(), std::move(call));
   process_outputs(node);
 }
--- a/src/simulation/simulated_instance.cc
+++ b/src/simulation/simulated_instance.cc
@@ -6,7 +6,27 @@
 
 namespace larchlever::simulation {
 
-namespace {}  // namespace
+namespace {
+
+const char* membership_state_name(wire::MembershipState::type state) {
+  switch (state) {
+    case wire::MembershipState::NONE:
+      return "";
+    case wire::MembershipState::JOINING:
+      return "joining";
+    case wire::MembershipState::READY:
+      return "ready";
+    case wire::MembershipState::OPEN:
+      return "open";
+    case wire::MembershipState::CLOSING:
+      return "closing";
+    case wire::MembershipState::BROKEN:
+      return "broken";
+  }
+  return "";
+}
+
+}  // namespace
 
 SimulatedInstance::SimulatedInstance(std::string id, std::string address, std::string domain,
                                      std::vector<std::string> staged)
@@ -96,4 +116,25 @@
   return instance;
 }
 
+std::string heartbeat_body(const wire::Instance& report) {
+  const auto& membership = report.membership;
+  std::string body = R"({"service":")" + report.service_name + R"(","address":")" + report.address + R"(","zone":")" +
+                     report.zone + R"(","version":"v1","slots":8,"cold_left_ms":0,"domain":")" + report.domain +
+                     R"(","state":")" + (report.state == wire::InstanceState::READY ? "ready" : "draining") +
+                     R"(","call_seq":)" + std::to_string(report.call_number) + R"(,"staged":[)";
+  for (const auto& staged : report.staged_models) {
+    body += "\"" + staged + "\"";
+  }
+  body += R"(],"models":[{"name":")" + report.model + R"("}])";
+  if (report.born_ms != 0) {
+    body += R"(,"born":)" + std::to_string(report.born_ms);
+  }
+  if (!membership.group.empty()) {
+    body += R"(,"group":{"name":")" + membership.group + R"(","epoch":)" + std::to_string(membership.epoch) +
+            R"(,"rank":)" + std::to_string(membership.rank) + R"(,"state":")" +
+            membership_state_name(membership.state) + R"("})";
+  }
+  return body + "}";
+}
+
 }  // namespace larchlever::simulation
--- a/src/simulation/simulated_instance.h
+++ b/src/simulation/simulated_instance.h
@@ -62,4 +62,7 @@
   bool has_unreported_changes_ = true;
 };
 
+/// The body of a heartbeat call with this report, in the JSON form that servers send.
+std::string heartbeat_body(const wire::Instance& report);
+
 }  // namespace larchlever::simulation
