A subscriber that lost an update of the state is sent it again while the state keeps changing

Cause: a change of the state builds on the last one sent; one that is not confirmed counted as lost only 300 ms after the last send, and every send began that time anew. After one lost update a subscriber (an entry, or a replica with all of its entries) therefore rejected all further changes for as long as there was one each 300 ms. Documents are sent whole and are not affected, as seen.

Evidence: LostUpdateIsRepeatedWhileStateKeepsChanging never caught up before (4 s, a change each 40 ms).

Change: the time counts from the first send without progress of the subscriber.

--- a/src/core/fleet/fleet_subscription.cc
+++ b/src/core/fleet/fleet_subscription.cc
@@ -189,6 +189,9 @@
     changed = true;
   }
   if (update.__isset.state_change) {
+    const bool builds_on_lost_update =
+        update.state_change.term == state_.term && update.state_change.from_version > state_.version;
+    missed_state_changes_ += builds_on_lost_update ? 1 : 0;
     changed = apply_change(state_, update.state_change) || changed;
   }
   return changed;
--- a/src/core/fleet/fleet_subscription.h
+++ b/src/core/fleet/fleet_subscription.h
@@ -53,6 +53,8 @@
   bool has_lease(TimePoint now) const;
   /// Milliseconds, rounded up, since a leader last confirmed the local document as the newest; negative if none did.
   int64_t confirmed_age_ms(TimePoint now) const;
+  /// Number of state changes received that build on an update which never arrived.
+  int64_t missed_state_changes() const { return missed_state_changes_; }
   /// Milliseconds since the last answer; the maximum of int64_t if there was none.
   int64_t last_answer_age_ms(TimePoint now) const;
   int64_t document_version() const { return document_.version; }
@@ -115,6 +117,7 @@
   std::string document_content_;
   wire::ZoneEvacuations evacuations_;
   wire::FleetState state_;
+  int64_t missed_state_changes_ = 0;
   std::vector<wire::GroupLoad> loads_;
   std::vector<wire::RelayPeer> relay_peers_;
   int serving_nodes_ = 1;
--- a/src/core/fleet/subscriber_table.cc
+++ b/src/core/fleet/subscriber_table.cc
@@ -12,8 +12,8 @@
 constexpr Duration kSubscriberRetention = seconds(30);
 constexpr Duration kCleanupInterval = seconds(1);
 
-bool is_resend_due(TimePoint now, TimePoint sent_at) {
-  return sent_at == TimePoint::min() || now - sent_at > kPushRetryInterval;
+bool is_resend_due(TimePoint now, TimePoint unconfirmed_since) {
+  return unconfirmed_since == TimePoint::min() || now - unconfirmed_since > kPushRetryInterval;
 }
 
 }  // namespace
@@ -23,7 +23,7 @@
   history_.start_term(term);
   for (auto& [node, subscriber] : subscribers_) {
     subscriber.sent_state_version = 0;
-    subscriber.state_sent_at = TimePoint::min();
+    subscriber.state_unconfirmed_since = TimePoint::min();
   }
   recount(live_counts_.by_heartbeat.empty() ? TimePoint::min() : live_counts_.by_heartbeat.rbegin()->first);
 }
@@ -52,13 +52,22 @@
   const bool can_relay = report.__isset.relay_address && !report.leaving && !report.reaches_no_server;
   subscriber.relay_address = can_relay ? report.relay_address : "";
   subscriber.held_revisions = {report.document_version, report.evacuation_revision};
-  subscriber.held_state_version = {report.held_term, report.held_version};
+  note_held_state(now, subscriber, {report.held_term, report.held_version});
   add_to_counts(envelope.from_node, subscriber);
   remove_expired_counts(now);
   forget_old_subscribers(now);
   return true;
 }
 
+void SubscriberTable::note_held_state(TimePoint now, Subscriber& subscriber, const StateVersion& held) const {
+  if (held == subscriber.held_state_version) {
+    return;
+  }
+  subscriber.held_state_version = held;
+  const bool holds_all_sent = held.first == term_ && held.second >= subscriber.sent_state_version;
+  subscriber.state_unconfirmed_since = holds_all_sent ? TimePoint::min() : now;
+}
+
 void SubscriberTable::forget_old_subscribers(TimePoint now) {
   if (now < next_cleanup_) {
     return;
@@ -161,14 +170,14 @@
 
 void SubscriberTable::add_state(TimePoint now, const std::string& node, wire::FleetUpdate& update) {
   Subscriber& subscriber = subscribers_[node];
-  const bool is_resend = is_resend_due(now, subscriber.state_sent_at);
+  const bool is_resend = is_resend_due(now, subscriber.state_unconfirmed_since);
   const int64_t held_version = newest_equal_version(subscriber);
   const bool is_behind = subscriber.held_state_version.first <= term_ && held_version < history_.last_changed_version();
   if (!is_behind || (!is_resend && subscriber.sent_state_version >= history_.last_changed_version())) {
     return;
   }
-  // Messages arrive in order, so a delta may build on what was just sent. If that was not confirmed in time it may be
-  // lost, and the delta must start from the confirmed version.
+  // Messages arrive in order, so a delta may build on what was just sent. If the node makes no progress, some of that
+  // may be lost, and the delta must start from the confirmed version.
   const int64_t base_version = is_resend ? held_version : std::max(held_version, subscriber.sent_state_version);
   if (base_version > 0) {
     update.__set_state_change(history_.changes_since(base_version));
@@ -176,7 +185,7 @@
     update.__set_state(history_.full_state());
   }
   subscriber.sent_state_version = history_.version();
-  subscriber.state_sent_at = now;
+  subscriber.state_unconfirmed_since = is_resend ? now : subscriber.state_unconfirmed_since;
 }
 
 std::vector<std::string> SubscriberTable::nodes_to_update(TimePoint now, const LogRevisions& newest) const {
--- a/src/core/fleet/subscriber_table.h
+++ b/src/core/fleet/subscriber_table.h
@@ -25,9 +25,9 @@
 ///
 /// The cost of a heartbeat and of the counts over live nodes does not grow with the number of nodes.
 ///
-/// Guarantees: data that a node has not confirmed is resent, with all later changes, only after a retry interval. A
-/// version of a term denotes the same state at every publisher, so a node may move between publishers. Single-threaded,
-/// deterministic.
+/// Guarantees: data that a node has not confirmed is resent, with all later changes, only after a retry interval
+/// without progress, however often the state changes meanwhile. A version of a term denotes the same state at every
+/// publisher, so a node may move between publishers. Single-threaded, deterministic.
 class SubscriberTable {
  public:
   /// Term and version of a copy of the state; copies are ordered by it.
@@ -90,7 +90,8 @@
     LogRevisions sent_revisions;
     TimePoint document_sent_at = TimePoint::min();
     int64_t sent_state_version = 0;
-    TimePoint state_sent_at = TimePoint::min();
+    /// Since when it has confirmed no more of the state although some was sent; the minimum if it holds all of that.
+    TimePoint state_unconfirmed_since = TimePoint::min();
     TimePoint relay_peers_sent_at = TimePoint::min();
     /// Whether it is part of `live_counts_`.
     bool is_counted = false;
@@ -108,6 +109,7 @@
   /// Whether a counted node is no longer live; then the counts do not hold until the next heartbeat.
   bool has_expired_count(TimePoint now) const;
   int64_t held_version_of_term(const Subscriber& subscriber) const;
+  void note_held_state(TimePoint now, Subscriber& subscriber, const StateVersion& held) const;
   void add_to_counts(const std::string& node, Subscriber& subscriber);
   void remove_from_counts(const std::string& node, Subscriber& subscriber);
   void remove_expired_counts(TimePoint now);
--- a/src/node/leader_search_logger.cc
+++ b/src/node/leader_search_logger.cc
@@ -19,7 +19,20 @@
 
 }  // namespace
 
+void LeaderSearchLogger::log_missed_changes(TimePoint now, const fleet::FleetSubscription& subscription) {
+  const int64_t missed = subscription.missed_state_changes();
+  if (missed == logged_missed_changes_ || now < next_missed_changes_log_) {
+    return;
+  }
+  next_missed_changes_log_ = now + kLogInterval;
+  log_warning(node_name_, "state_changes_missed",
+              {{"changes", std::to_string(missed - logged_missed_changes_)},
+               {"held_version", std::to_string(subscription.state().version)}});
+  logged_missed_changes_ = missed;
+}
+
 void LeaderSearchLogger::tick(TimePoint now, const fleet::FleetSubscription& subscription) {
+  log_missed_changes(now, subscription);
   if (!subscription.is_searching(now)) {
     if (was_logged_) {
       log_event(node_name_, "leader_found", {{"leader", subscription.leader()}});
--- a/tests/unit/distribution_test.cc
+++ b/tests/unit/distribution_test.cc
@@ -155,6 +155,44 @@
   EXPECT_FALSE(table_.is_held_by_all(kStart, 1));
 }
 
+// Guards against subscribers that stay behind after one lost update for as long as the state keeps changing: each
+// change builds on the lost one, and leaving servers go on receiving requests.
+TEST_F(SubscriberTableTest, LostUpdateIsRepeatedWhileStateKeepsChanging) {
+  constexpr Duration kChangeInterval = milliseconds(40);
+  constexpr Duration kHeartbeatInterval = milliseconds(250);
+  /// Half of the time within which a server that leaves gets no more requests.
+  constexpr Duration kMaxDelay = seconds(1);
+  auto state = fleet_state(1);
+  wire::FleetState copy = state;
+  TimePoint now = kStart;
+  TimePoint next_heartbeat = kStart;
+  int64_t version = 1;
+  constexpr int64_t kLostVersion = 3;
+  TimePoint lost_at = TimePoint::max();
+  TimePoint caught_up_at = TimePoint::max();
+  while (now < kStart + seconds(4) && caught_up_at == TimePoint::max()) {
+    now += kChangeInterval;
+    state.groups[0].epoch = ++version;
+    publish(version, state);
+    if (now >= next_heartbeat) {
+      next_heartbeat = now + kHeartbeatInterval;
+      table_.record_heartbeat(now, heartbeat("e1", kTerm, copy.version));
+    }
+    const auto update = update_for(now, "e1");
+    if (version == kLostVersion) {
+      lost_at = now;
+      continue;
+    }
+    if (update.__isset.state) {
+      copy = update.state;
+    } else if (update.__isset.state_change) {
+      apply_change(copy, update.state_change);
+    }
+    caught_up_at = version > kLostVersion && copy.version == version ? now : TimePoint::max();
+  }
+  EXPECT_LE((caught_up_at - lost_at) / milliseconds(1), kMaxDelay / milliseconds(1));
+}
+
 TEST_F(SubscriberTableTest, SendsNoStateToSubscriberOfLaterTerm) {
   table_.record_heartbeat(kStart, heartbeat("e1", kTerm + 1, 1));
   EXPECT_TRUE(table_.nodes_to_update(kStart, {}).empty());
