Parts of prompts at one of many crashes are not suspected

Cause: a part was published from its first crash on, although it is only blocked if it was present at a third of all crashes. Suspicions taken over from a former leader stay published while entries may still report on them, as before.

--- a/src/core/fleet/crash_attribution/request_blocker.cc
+++ b/src/core/fleet/crash_attribution/request_blocker.cc
@@ -98,9 +98,14 @@
 }
 
 bool RequestBlocker::note_incarnation_alive(TimePoint now, const std::string& incarnation) {
-  if (!likely_ended_at_.contains(incarnation)) {
+  const auto ended = likely_ended_at_.find(incarnation);
+  if (ended == likely_ended_at_.end()) {
     return false;
   }
+  const bool refutes_all_ends = ended->second + kReportTransitTime < now;
+  if (refutes_all_ends) {
+    likely_ended_at_.erase(ended);
+  }
   suspect_parts_.retract_likely_crashes(incarnation);
   bool changed = false;
   for (const auto request : server_ends_.retract(incarnation, now)) {
@@ -121,7 +126,8 @@
     return false;
   }
   if (end.certainty == CrashCertainty::kLikely) {
-    likely_ended_at_[end.instance_id] = end.at;
+    TimePoint& ended_at = likely_ended_at_.try_emplace(end.instance_id, end.at).first->second;
+    ended_at = std::max(ended_at, end.at);
   }
   const size_t count = server_ends_.note(end);
   const auto known = blocked_.find(end.cause);
@@ -216,6 +222,7 @@
   std::erase_if(granted_retries_, [now](const auto& item) { return now - item.second >= kRetryTimeout; });
   std::erase_if(likely_ended_at_, [now](const auto& item) { return now - item.second > kServerReportTimeout; });
   bool changed = suspect_parts_.remove_cleared(now, server_ends_);
+  changed = suspect_parts_.update_published(now, server_ends_) || changed;
   changed = block_parts(now) || changed;
   for (auto item = blocked_.begin(); item != blocked_.end();) {
     bool is_expired = false;
@@ -240,7 +247,7 @@
     row.__set_server_ends(static_cast<int32_t>(blocked.server_ends));
     result.push_back(row);
   }
-  for (const auto part : suspect_parts_.all()) {
+  for (const auto part : suspect_parts_.published()) {
     wire::BlockedRequest row;
     row.fingerprint = part.value();
     row.__set_is_prompt_part(true);
--- a/src/core/fleet/crash_attribution/server_crash_history.cc
+++ b/src/core/fleet/crash_attribution/server_crash_history.cc
@@ -16,9 +16,6 @@
 /// Limit of recorded crashes that are attributed to a harmful request; each such request has a handful.
 constexpr size_t kMaxExplainedCrashes = 1024;
 
-/// A report that was in transit when its sender crashed arrives within this time.
-constexpr Duration kReportTransitTime = milliseconds(300);
-
 /// Whether a crash that is attributed to `known` does not count against `crash.cause`.
 bool explains(const ServerCrash& known, const ServerCrash& crash) {
   const bool is_narrower = known.kind == CauseKind::kRequest && crash.kind == CauseKind::kPromptPart;
--- a/src/core/fleet/crash_attribution/server_crash_history.h
+++ b/src/core/fleet/crash_attribution/server_crash_history.h
@@ -23,6 +23,9 @@
 /// Number of server ends that block a request or a part of prompts.
 constexpr size_t kServerEndsToBlock = 3;
 
+/// A report of a server that was in transit when the server crashed arrives within this time.
+constexpr Duration kReportTransitTime = milliseconds(300);
+
 /// What a crash is attributed to.
 enum class CauseKind {
   kRequest,
--- a/src/core/fleet/crash_attribution/suspect_parts.cc
+++ b/src/core/fleet/crash_attribution/suspect_parts.cc
@@ -30,6 +30,8 @@
   if (is_new) {
     suspect->second.first_crash_at = now;
     suspect->second.inherited_at = now;
+    suspect->second.published_at = now;
+    published_.insert(part);
   }
 }
 
@@ -73,28 +75,61 @@
   if (suspect.requests.size() < kMaxRequestsPerSuspect) {
     suspect.requests.insert(crash.request_of_part);
   }
-  return is_new;
+  return explains_crashes(crash.cause, suspect, crashes) && published_.insert(crash.cause).second;
 }
 
 void SuspectParts::note_answered(TimePoint now, requests::RequestFingerprint part) {
-  suspects_.erase(part);
+  forget(part);
   sound_.add(now, part);
 }
 
+void SuspectParts::forget(requests::RequestFingerprint part) {
+  suspects_.erase(part);
+  published_.erase(part);
+}
+
+bool SuspectParts::explains_crashes(requests::RequestFingerprint part, const Suspect& suspect,
+                                    const ServerCrashHistory& crashes) const {
+  const size_t all_crashes = count_crashes_since(suspect.first_crash_at - kSameEventTime);
+  return crashes.count(part) * kMaxCrashesPerCauseCrash >= all_crashes;
+}
+
+bool SuspectParts::is_kept_for_reports(TimePoint now, const Suspect& suspect) {
+  return suspect.inherited_at && now - *suspect.inherited_at < kInheritedSuspicionTime;
+}
+
+bool SuspectParts::update_published(TimePoint now, const ServerCrashHistory& crashes) {
+  bool changed = false;
+  for (auto& [part, suspect] : suspects_) {
+    const bool should_publish = is_kept_for_reports(now, suspect) || explains_crashes(part, suspect, crashes);
+    if (!should_publish) {
+      suspect.published_at.reset();
+      changed = published_.erase(part) > 0 || changed;
+      continue;
+    }
+    suspect.published_at = suspect.published_at.value_or(now);
+    changed = published_.insert(part).second || changed;
+  }
+  return changed;
+}
+
 void SuspectParts::drop_least_suspected(const ServerCrashHistory& crashes) {
   const auto least = std::min_element(suspects_.begin(), suspects_.end(), [&](const auto& left, const auto& right) {
     return std::pair(crashes.count(left.first), crashes.last_crash(left.first)) <
            std::pair(crashes.count(right.first), crashes.last_crash(right.first));
   });
-  suspects_.erase(least);
+  forget(least->first);
 }
 
 bool SuspectParts::remove_cleared(TimePoint now, const ServerCrashHistory& crashes) {
-  return std::erase_if(suspects_, [&](const auto& item) {
-           const auto& [part, suspect] = item;
-           const bool is_kept = suspect.inherited_at && now - *suspect.inherited_at < kInheritedSuspicionTime;
-           return crashes.count(part) == 0 && !is_kept;
-         }) > 0;
+  bool was_published = false;
+  std::erase_if(suspects_, [&](const auto& item) {
+    const auto& [part, suspect] = item;
+    const bool is_cleared = crashes.count(part) == 0 && !is_kept_for_reports(now, suspect);
+    was_published = (is_cleared && published_.erase(part) > 0) || was_published;
+    return is_cleared;
+  });
+  return was_published;
 }
 
 bool SuspectParts::is_cause(TimePoint now, requests::RequestFingerprint part, const Suspect& suspect,
@@ -103,8 +138,7 @@
   if (may_be_objected_to || suspect.requests.size() < kMinRequests || crashes.count(part) < kServerEndsToBlock) {
     return false;
   }
-  const size_t all_crashes = count_crashes_since(suspect.first_crash_at - kSameEventTime);
-  return crashes.count(part) * kMaxCrashesPerCauseCrash >= all_crashes;
+  return explains_crashes(part, suspect, crashes);
 }
 
 std::optional<requests::RequestFingerprint> SuspectParts::take_cause(TimePoint now, const ServerCrashHistory& crashes) {
@@ -112,7 +146,6 @@
   for (auto item = suspects_.begin(); item != suspects_.end(); ++item) {
     auto& [part, suspect] = *item;
     const bool is_candidate = is_cause(now, part, suspect, crashes);
-    suspect.published_at = suspect.published_at.value_or(now);
     if (!is_candidate) {
       continue;
     }
@@ -129,15 +162,8 @@
     return std::nullopt;
   }
   const auto part = cause->first;
-  suspects_.erase(cause);
+  forget(part);
   return part;
 }
 
-std::vector<requests::RequestFingerprint> SuspectParts::all() const {
-  std::vector<requests::RequestFingerprint> result;
-  std::transform(suspects_.begin(), suspects_.end(), std::back_inserter(result),
-                 [](const auto& item) { return item.first; });
-  return result;
-}
-
 }  // namespace larchlever::fleet
