A plan forms at most 16 groups; the rest follows at the next tick

A leader of many free servers formed all groups in one stretch and answered nobody meanwhile, at the start of a fleet and after a zone returned.

FormsManyGroupsOverSeveralTicks fails before: 60 groups in one tick.

--- a/src/core/fleet/group_supervisor_planning.cc
+++ b/src/core/fleet/group_supervisor_planning.cc
@@ -17,6 +17,9 @@
 /// rest is reserved for repairs, which concurrent loads would slow down.
 constexpr int kStandbyLoadDivisor = 2;
 constexpr int kPrecautionLoadDivisor = 3;
+/// Groups formed by one plan. The rest follows at the next tick, so that a plan for many free servers does not hold up
+/// the leader's other work.
+constexpr int kMaxGroupsPerPlan = 16;
 /// A staging that is not reported within this multiple of the model's load time is ordered again.
 constexpr int kStagingTimeoutInLoadTimes = 2;
 
@@ -245,12 +248,18 @@
   // Counted once per plan. Counting again for each group blocked the leader of 3,000 servers for 0.3 to 0.45 s while it
   // formed the groups; leadership was lost four times before the first requests, and each new leader started over.
   WeightLoadCounts counts = count_loads(directory);
+  int formed_groups = 0;
   while (const auto plan = planner.next_group()) {
+    if (formed_groups == kMaxGroupsPerPlan) {
+      next_planning_at_ = now;
+      return true;  // Spares and staged weights are decided once all groups are planned.
+    }
     if (!limiter_.may_begin_loads(now, engine, plan->weight_loads, counts.in_progress, counts.finished)) {
       break;
     }
     planner.add_formed_group(*plan, form_group(now, service, *plan, directory));
     counts.in_progress += plan->weight_loads;
+    ++formed_groups;
     changed = true;
   }
   if (demand_.has_enough_data(now, service)) {
--- a/tests/unit/group_supervisor_test.cc
+++ b/tests/unit/group_supervisor_test.cc
@@ -87,6 +87,30 @@
   EXPECT_EQ(joining_servers, 8U) << "two groups of four; no server has finished a load yet";
 }
 
+// Guards against leaders that form all groups of a large fleet in one stretch and answer nobody meanwhile.
+TEST(GroupSupervisor, FormsManyGroupsOverSeveralTicks) {
+  constexpr size_t kGroups = 60;
+  constexpr size_t kMaxGroupsPerTick = 16;
+  InstanceDirectory directory(seconds(3));
+  for (size_t number = 0; number < 4 * kGroups; ++number) {
+    auto free = instance_with_staged("large");
+    free.id = "i" + std::to_string(number);
+    free.address = "a:" + std::to_string(number + 1);
+    directory.handle_report(kStart, free);
+  }
+  const auto document = document_with_engine();
+  GroupSupervisor supervisor{FleetOptions()};
+  supervisor.start(kStart, 3, {});
+  size_t formed = 0;
+  for (int tick = 1; tick <= 4; ++tick) {
+    supervisor.tick(kStart + milliseconds(40 * tick), document, directory);
+    const size_t groups = supervisor.snapshot().size();
+    EXPECT_LE(groups - formed, kMaxGroupsPerTick) << "tick " << tick;
+    formed = groups;
+  }
+  EXPECT_EQ(formed, kGroups) << "the rest follows at the next ticks, not at the next regular plan";
+}
+
 /// Counts the join orders that a supervisor sends during one second of ticks while every order gets a success response.
 size_t count_joins_with_all_orders_answered(GroupSupervisor& supervisor, TimePoint from,
                                             const InstanceDirectory& directory) {
