Simulators: one clock of processor time, and the daemon's WorkMeter for what a replica did

The thread's processor clock stood three times (SimulatedFleet had it; ChargedFleet and HeartbeatCost wrote it again): one header now. ReplicaLoad added up times by step beside WorkMeter, which does just that, and nothing read its sums; it holds a WorkMeter, and LeaderOfLargeFleet prints its kinds. ChargedFleet::result counted suspects anew onto the sum of an earlier call; it is const.

No change of the daemon.

--- a/src/simulation/charged_fleet.cc
+++ b/src/simulation/charged_fleet.cc
@@ -221,20 +221,21 @@
   }
 }
 
-ChargedFleetResult ChargedFleet::result() {
+ChargedFleetResult ChargedFleet::result() const {
+  ChargedFleetResult result = result_;
   const int leader = leader_index();
   if (leader >= 0) {
-    result_.leader = replicas_[static_cast<size_t>(leader)]->load;
+    result.leader = replicas_[static_cast<size_t>(leader)]->load;
     for (const auto& row : replicas_[static_cast<size_t>(leader)]->controller->leader_view().blocked_requests()) {
-      (row.is_suspect ? result_.suspected_parts : result_.blocked_causes) += 1;
+      (row.is_suspect ? result.suspected_parts : result.blocked_causes) += 1;
     }
   }
-  result_.elapsed = queue_.now() - measured_since_;
-  result_.acknowledged_leavings =
+  result.elapsed = queue_.now() - measured_since_;
+  result.acknowledged_leavings =
       static_cast<uint64_t>(std::count_if(leavings_.begin(), leavings_.end(), [](const Leaving& leaving) {
         return leaving.acknowledged_at != TimePoint::max();
       }));
-  return result_;
+  return result;
 }
 
 }  // namespace larchlever::simulation
--- a/src/simulation/charged_fleet.h
+++ b/src/simulation/charged_fleet.h
@@ -9,6 +9,7 @@
 #include <string>
 #include <vector>
 
+#include "core/base/work_meter.h"
 #include "core/fleet/crash_attribution/blocked_requests.h"
 #include "core/fleet/fleet_controller.h"
 #include "simulation/event_queue.h"
@@ -30,8 +31,7 @@
 
 /// Processor use of one control replica. All times are virtual: measured processor time divided by the share of a core.
 struct ReplicaLoad {
-  Duration busy{};
-  std::map<std::string, Duration> busy_by_step;
+  WorkMeter work;
   Duration longest_step{};
   std::string longest_step_name;
   /// Longest time between the starts of two ticks.
@@ -69,7 +69,7 @@
   void advance(Duration duration);
   /// Discards everything measured so far.
   void reset_measurements();
-  ChargedFleetResult result();
+  ChargedFleetResult result() const;
 
   /// All servers of the zone crash now and restart after `down_time`.
   void crash_zone(int zone, Duration down_time);
--- a/src/simulation/charged_fleet_replicas.cc
+++ b/src/simulation/charged_fleet_replicas.cc
@@ -1,12 +1,11 @@
 // The part of ChargedFleet that runs control replicas, charges them for their processor time, and delivers messages.
 
-#include <time.h>
-
 #include <algorithm>
 #include <utility>
 
 #include "core/base/http_status.h"
 #include "simulation/charged_fleet_nodes.h"
+#include "simulation/processor_clock.h"
 #include "wire/codec.h"
 
 namespace larchlever::simulation {
@@ -20,13 +19,6 @@
 /// Processor time of sending or receiving one message: system calls and the event loop.
 constexpr Duration kMessageCost = microseconds(5);
 
-Duration thread_processor_time() {
-  timespec time{};
-  clock_gettime(CLOCK_THREAD_CPUTIME_ID, &time);
-  return std::chrono::duration_cast<Duration>(std::chrono::seconds(time.tv_sec) +
-                                              std::chrono::nanoseconds(time.tv_nsec));
-}
-
 const char* step_name(const wire::Envelope& envelope) {
   if (envelope.__isset.raft) {
     return "consensus";
@@ -57,16 +49,17 @@
   const Step step = std::move(replica.steps.front());
   replica.steps.pop_front();
   std::vector<wire::Envelope> sent;
-  const Duration before = thread_processor_time();
+  const int64_t before_ns = thread_processor_time_ns();
   step.work();
   process_outputs(replica, sent);
   for (const auto& envelope : sent) {
     wire::encode(envelope);
   }
-  const Duration used = thread_processor_time() - before + kMessageCost * static_cast<int64_t>(sent.size() + 1);
+  const auto measured =
+      std::chrono::duration_cast<Duration>(std::chrono::nanoseconds(thread_processor_time_ns() - before_ns));
+  const Duration used = measured + kMessageCost * static_cast<int64_t>(sent.size() + 1);
   const Duration charged = std::chrono::duration_cast<Duration>(used / options_.processor_share);
-  replica.load.busy += charged;
-  replica.load.busy_by_step[step.name] += charged;
+  replica.load.work.add(step.name, charged);
   if (charged > replica.load.longest_step) {
     replica.load.longest_step = charged;
     replica.load.longest_step_name = step.name;
--- a/src/simulation/simulated_fleet.cc
+++ b/src/simulation/simulated_fleet.cc
@@ -1,8 +1,8 @@
 #include "simulation/simulated_fleet.h"
 
 #include <algorithm>
-#include <ctime>
 
+#include "simulation/processor_clock.h"
 #include "wire/codec.h"
 
 namespace larchlever::simulation {
@@ -14,12 +14,6 @@
 constexpr int64_t kIncarnationStep = 1'000'000;
 constexpr Duration kMembershipInterval = seconds(1);
 
-int64_t thread_time_ns() {
-  timespec time{};
-  ::clock_gettime(CLOCK_THREAD_CPUTIME_ID, &time);
-  return time.tv_sec * 1'000'000'000LL + time.tv_nsec;
-}
-
 }  // namespace
 
 SimulatedFleet::SimulatedFleet(const SimulatedFleetOptions& options, EventQueue& queue, InvariantMonitor& monitor)
@@ -208,9 +202,9 @@
     work();
     return;
   }
-  const int64_t cpu_time_before_ns = thread_time_ns();
+  const int64_t cpu_time_before_ns = thread_processor_time_ns();
   work();
-  node.cost.processor_ns += thread_time_ns() - cpu_time_before_ns;
+  node.cost.processor_ns += thread_processor_time_ns() - cpu_time_before_ns;
 }
 
 void SimulatedFleet::send_envelope(SimulatedNode& from, const wire::Envelope& envelope) {
--- a/tests/integration/leader_load_test.cc
+++ b/tests/integration/leader_load_test.cc
@@ -15,6 +15,7 @@
 /// Half of the shortest time within which a server that leaves gets no more requests.
 constexpr Duration kMaxLeavingDelay = seconds(1);
 constexpr int kReplicas = 5;
+constexpr size_t kPrintedWorkKinds = 4;
 constexpr Duration kStartTimeout = seconds(60);
 /// Servers beyond whole groups stay spare.
 constexpr double kServingShare = 0.75;
@@ -35,9 +36,10 @@
   }
 
   ChargedFleetResult expect_leader_kept_up() {
-    const auto result = fleet_.result();
-    std::cout << "leader busy " << 100 * to_ms(result.leader.busy) / to_ms(result.elapsed) << " %, longest step "
-              << to_ms(result.leader.longest_step) << " ms (" << result.leader.longest_step_name << ")\n";
+    auto result = fleet_.result();
+    std::cout << "leader busy " << 100 * to_ms(result.leader.work.busy()) / to_ms(result.elapsed) << " %, longest step "
+              << to_ms(result.leader.longest_step) << " ms (" << result.leader.longest_step_name << "), "
+              << format_work(result.leader.work.take_totals(), kPrintedWorkKinds) << "\n";
     EXPECT_LE(to_ms(result.leader.longest_tick_gap), to_ms(kMaxTickGap));
     EXPECT_EQ(result.leader_changes, 0);
     return result;
--- a/tests/unit/heartbeat_cost_test.cc
+++ b/tests/unit/heartbeat_cost_test.cc
@@ -1,13 +1,13 @@
 // Processor time of an entry's heartbeat at the control replica that it subscribes to.
 
 #include <gtest/gtest.h>
-#include <time.h>
 
 #include <algorithm>
 #include <string>
 #include <vector>
 
 #include "core/fleet/entry_distributor.h"
+#include "simulation/processor_clock.h"
 
 namespace larchlever::fleet {
 namespace {
@@ -19,12 +19,6 @@
 constexpr double kMaxGrowth = 3;
 constexpr int kRepetitions = 5;
 
-double thread_processor_ms() {
-  timespec time{};
-  clock_gettime(CLOCK_THREAD_CPUTIME_ID, &time);
-  return static_cast<double>(time.tv_sec) * 1e3 + static_cast<double>(time.tv_nsec) / 1e6;
-}
-
 wire::Envelope heartbeat(int entry, int64_t sequence) {
   wire::Envelope envelope;
   envelope.from_node = "10.1." + std::to_string(entry / 200) + "." + std::to_string(entry % 200) + ":7340";
@@ -37,7 +31,7 @@
   return envelope;
 }
 
-/// Processor time of `kMeasuredHeartbeats` heartbeats, a quarter of a second apart for each entry.
+/// Processor time in nanoseconds of `kMeasuredHeartbeats` heartbeats, a quarter of a second apart for each entry.
 double measure_heartbeats(int entries) {
   const FleetOptions options;
   FleetSubscription subscription(options, {"10.0.0.1:1", "zone-0", "10.0.0.1:2", Incarnation(1), false}, {});
@@ -55,11 +49,11 @@
   for (int entry = 0; entry < entries; ++entry) {
     report(entry);
   }
-  const double before = thread_processor_ms();
+  const int64_t before_ns = simulation::thread_processor_time_ns();
   for (int number = 0; number < kMeasuredHeartbeats; ++number) {
     report(number % entries);
   }
-  return thread_processor_ms() - before;
+  return static_cast<double>(simulation::thread_processor_time_ns() - before_ns);
 }
 
 // Guards against control replicas that a few hundred entries keep busy with heartbeats alone: each heartbeat cost more
