--- a/src/core/fleet/fleet_leader.cc
+++ b/src/core/fleet/fleet_leader.cc
@@ -40,6 +40,7 @@
       control_subscribers_(options.node_timeout),
       instance_directory_(options.instance_timeout),
       group_supervisor_(options),
+      slot_scheduler_(options.admission),
       replica_supervisor_(options.control) {}
 
 void FleetLeader::begin_leadership(TimePoint now, int64_t term, const wire::FleetState& copy) {
--- a/src/core/fleet/fleet_options.h
+++ b/src/core/fleet/fleet_options.h
@@ -11,6 +11,21 @@
 
 namespace larchlever::fleet {
 
+/// Parts of admission control that are off unless the settings turn them on.
+struct AdmissionOptions {
+  /// Requests that compete for the same servers are admitted by the shares of their tenants (core/fair_share).
+  bool fair_shares = false;
+  /// The sizes of answers are predicted from earlier answers (core/engine/answer_size_estimator.h).
+  bool learned_costs = false;
+  /// The speeds of groups and plain servers are learned from what entries observe (core/fleet/server_speeds.h).
+  bool observed_speeds = false;
+  /// The leader counts the slots of plain servers over all entries and chooses the server of each request.
+  bool plain_server_slots = false;
+  /// Requests whose turn would come too late are refused at once and told when to return
+  /// (core/fleet/turn_forecast.h).
+  bool turn_forecasts = false;
+};
+
 /// Timeouts and limits of a fleet whose back ends register themselves. Derived from the settings; see
 /// settings/fleet_settings.h.
 struct FleetOptions {
@@ -52,6 +67,7 @@
   double retry_ratio = 0.2;
   double retry_slack = 10;
   Duration retry_window = seconds(10);
+  AdmissionOptions admission;
 };
 
 }  // namespace larchlever::fleet
--- a/src/core/fleet/slot_scheduler.h
+++ b/src/core/fleet/slot_scheduler.h
@@ -11,6 +11,7 @@
 #include "core/base/time.h"
 #include "core/document/configuration_document.h"
 #include "core/engine/pass_simulator.h"
+#include "core/fleet/fleet_options.h"
 #include "core/fleet/group_stall_detector.h"
 #include "core/fleet/server_rate_limiter.h"
 #include "larchlever_types.h"
@@ -40,6 +41,7 @@
 /// leader. An entry's load reports include a slot once the entry has received it. Single-threaded, deterministic.
 class SlotScheduler {
  public:
+  explicit SlotScheduler(const AdmissionOptions& options = {}) : options_(options) {}
   /// Starts a new leadership in `term`. Loads are unknown until nodes report them.
   void start(int64_t term);
   /// Sets all servers with a request rate limit.
@@ -183,6 +185,7 @@
   static void add_decision(const WaitingRequest& waiting, wire::SlotVerdict::type verdict,
                            std::vector<SlotDecision>& decisions);
 
+  AdmissionOptions options_;
   int64_t term_ = 0;
   std::map<std::string, TrackedGroup> groups_;
   GroupStallDetector silence_watch_;
--- a/src/settings/fleet_settings.cc
+++ b/src/settings/fleet_settings.cc
@@ -128,6 +128,17 @@
   bounds_section.report_unknown_keys();
 }
 
+void read_admission(const IniDocument& document, FleetSettings& settings, std::vector<std::string>& errors) {
+  SectionReader reader("admission", document.find_section("admission"), errors);
+  auto& admission = settings.options.admission;
+  admission.fair_shares = reader.read_flag("fair_shares", false);
+  admission.learned_costs = reader.read_flag("learned_costs", false);
+  admission.observed_speeds = reader.read_flag("observed_speeds", false);
+  admission.plain_server_slots = reader.read_flag("plain_server_slots", false);
+  admission.turn_forecasts = reader.read_flag("turn_forecasts", false);
+  reader.report_unknown_keys();
+}
+
 void read_log(const IniDocument& document, FleetSettings& settings, std::vector<std::string>& errors) {
   SectionReader reader("log", document.find_section("log"), errors);
   settings.log_level = reader.read_choice("level", "info", {"debug", "info", "warn", "error", "off"});
@@ -145,7 +156,7 @@
 std::optional<FleetSettings> parse_fleet_settings(const std::string& text, std::vector<std::string>& errors) {
   const size_t errors_before = errors.size();
   const IniDocument document = IniDocument::parse(text, errors);
-  static const std::set<std::string> sections = {"node", "cluster", "bounds", "log"};
+  static const std::set<std::string> sections = {"node", "cluster", "bounds", "admission", "log"};
   for (const auto& section : document.sections()) {
     if (!sections.contains(section.name)) {
       errors.push_back("[" + section.name + "]: unknown section; remove it or correct its spelling");
@@ -155,6 +166,7 @@
   read_node(document, settings, errors);
   read_cluster(document, settings, errors);
   read_bounds(document, settings, errors);
+  read_admission(document, settings, errors);
   read_log(document, settings, errors);
   // Log entries may contain whole configuration documents, so frequent snapshots are cheaper than a long log.
   settings.options.control.snapshot_interval_entries = 64;
--- a/src/wire/gen-cpp/larchlever_types.cpp
+++ b/src/wire/gen-cpp/larchlever_types.cpp
@@ -13815,6 +13815,16 @@
 void GroupLoad::__set_progress_age_ms(const int32_t val) {
   this->progress_age_ms = val;
 }
+
+void GroupLoad::__set_interval_count(const int32_t val) {
+  this->interval_count = val;
+__isset.interval_count = true;
+}
+
+void GroupLoad::__set_interval_ms(const double val) {
+  this->interval_ms = val;
+__isset.interval_ms = true;
+}
 std::ostream& operator<<(std::ostream& out, const GroupLoad& obj)
 {
   obj.printTo(out);
@@ -13883,6 +13893,22 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 6:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->interval_count);
+          this->__isset.interval_count = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 7:
+        if (ftype == ::apache::thrift::protocol::T_DOUBLE) {
+          xfer += iprot->readDouble(this->interval_ms);
+          this->__isset.interval_ms = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -13920,6 +13946,16 @@
   xfer += oprot->writeI64(this->waiting_tokens);
   xfer += oprot->writeFieldEnd();
 
+  if (this->__isset.interval_count) {
+    xfer += oprot->writeFieldBegin("interval_count", ::apache::thrift::protocol::T_I32, 6);
+    xfer += oprot->writeI32(this->interval_count);
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.interval_ms) {
+    xfer += oprot->writeFieldBegin("interval_ms", ::apache::thrift::protocol::T_DOUBLE, 7);
+    xfer += oprot->writeDouble(this->interval_ms);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -13932,6 +13968,8 @@
   swap(a.streaming, b.streaming);
   swap(a.waiting_tokens, b.waiting_tokens);
   swap(a.progress_age_ms, b.progress_age_ms);
+  swap(a.interval_count, b.interval_count);
+  swap(a.interval_ms, b.interval_ms);
   swap(a.__isset, b.__isset);
 }
 
@@ -13941,6 +13979,8 @@
   streaming = other568.streaming;
   waiting_tokens = other568.waiting_tokens;
   progress_age_ms = other568.progress_age_ms;
+  interval_count = other568.interval_count;
+  interval_ms = other568.interval_ms;
   __isset = other568.__isset;
 }
 GroupLoad::GroupLoad(GroupLoad&& other569) noexcept {
@@ -13949,6 +13989,8 @@
   streaming = other569.streaming;
   waiting_tokens = other569.waiting_tokens;
   progress_age_ms = other569.progress_age_ms;
+  interval_count = other569.interval_count;
+  interval_ms = other569.interval_ms;
   __isset = other569.__isset;
 }
 GroupLoad& GroupLoad::operator=(const GroupLoad& other570) {
@@ -13957,6 +13999,8 @@
   streaming = other570.streaming;
   waiting_tokens = other570.waiting_tokens;
   progress_age_ms = other570.progress_age_ms;
+  interval_count = other570.interval_count;
+  interval_ms = other570.interval_ms;
   __isset = other570.__isset;
   return *this;
 }
@@ -13966,6 +14010,8 @@
   streaming = other571.streaming;
   waiting_tokens = other571.waiting_tokens;
   progress_age_ms = other571.progress_age_ms;
+  interval_count = other571.interval_count;
+  interval_ms = other571.interval_ms;
   __isset = other571.__isset;
   return *this;
 }
@@ -13977,6 +14023,8 @@
   out << ", " << "streaming=" << to_string(streaming);
   out << ", " << "waiting_tokens=" << to_string(waiting_tokens);
   out << ", " << "progress_age_ms=" << to_string(progress_age_ms);
+  out << ", " << "interval_count="; (__isset.interval_count ? (out << to_string(interval_count)) : (out << "<null>"));
+  out << ", " << "interval_ms="; (__isset.interval_ms ? (out << to_string(interval_ms)) : (out << "<null>"));
   out << ")";
 }
 
@@ -14978,6 +15026,26 @@
   this->rated_servers = val;
 __isset.rated_servers = true;
 }
+
+void SlotRequest::__set_tenant(const std::string& val) {
+  this->tenant = val;
+__isset.tenant = true;
+}
+
+void SlotRequest::__set_answer_tokens(const int32_t val) {
+  this->answer_tokens = val;
+__isset.answer_tokens = true;
+}
+
+void SlotRequest::__set_fingerprint(const int64_t val) {
+  this->fingerprint = val;
+__isset.fingerprint = true;
+}
+
+void SlotRequest::__set_plain_servers(const std::vector<std::string> & val) {
+  this->plain_servers = val;
+__isset.plain_servers = true;
+}
 std::ostream& operator<<(std::ostream& out, const SlotRequest& obj)
 {
   obj.printTo(out);
@@ -15146,6 +15214,50 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 15:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->tenant);
+          this->__isset.tenant = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 16:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->answer_tokens);
+          this->__isset.answer_tokens = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 17:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->fingerprint);
+          this->__isset.fingerprint = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 18:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->plain_servers.clear();
+            uint32_t _size609;
+            ::apache::thrift::protocol::TType _etype612;
+            xfer += iprot->readListBegin(_etype612, _size609);
+            this->plain_servers.resize(_size609);
+            uint32_t _i613;
+            for (_i613 = 0; _i613 < _size609; ++_i613)
+            {
+              xfer += iprot->readString(this->plain_servers[_i613]);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.plain_servers = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -15198,10 +15310,10 @@
   xfer += oprot->writeFieldBegin("excluded_groups", ::apache::thrift::protocol::T_LIST, 10);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->excluded_groups.size()));
-    std::vector<std::string> ::const_iterator _iter609;
-    for (_iter609 = this->excluded_groups.begin(); _iter609 != this->excluded_groups.end(); ++_iter609)
+    std::vector<std::string> ::const_iterator _iter614;
+    for (_iter614 = this->excluded_groups.begin(); _iter614 != this->excluded_groups.end(); ++_iter614)
     {
-      xfer += oprot->writeString((*_iter609));
+      xfer += oprot->writeString((*_iter614));
     }
     xfer += oprot->writeListEnd();
   }
@@ -15221,10 +15333,10 @@
     xfer += oprot->writeFieldBegin("allowed_zones", ::apache::thrift::protocol::T_LIST, 13);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->allowed_zones.size()));
-      std::vector<std::string> ::const_iterator _iter610;
-      for (_iter610 = this->allowed_zones.begin(); _iter610 != this->allowed_zones.end(); ++_iter610)
+      std::vector<std::string> ::const_iterator _iter615;
+      for (_iter615 = this->allowed_zones.begin(); _iter615 != this->allowed_zones.end(); ++_iter615)
       {
-        xfer += oprot->writeString((*_iter610));
+        xfer += oprot->writeString((*_iter615));
       }
       xfer += oprot->writeListEnd();
     }
@@ -15234,10 +15346,38 @@
     xfer += oprot->writeFieldBegin("rated_servers", ::apache::thrift::protocol::T_LIST, 14);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->rated_servers.size()));
-      std::vector<std::string> ::const_iterator _iter611;
-      for (_iter611 = this->rated_servers.begin(); _iter611 != this->rated_servers.end(); ++_iter611)
+      std::vector<std::string> ::const_iterator _iter616;
+      for (_iter616 = this->rated_servers.begin(); _iter616 != this->rated_servers.end(); ++_iter616)
       {
-        xfer += oprot->writeString((*_iter611));
+        xfer += oprot->writeString((*_iter616));
+      }
+      xfer += oprot->writeListEnd();
+    }
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.tenant) {
+    xfer += oprot->writeFieldBegin("tenant", ::apache::thrift::protocol::T_STRING, 15);
+    xfer += oprot->writeString(this->tenant);
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.answer_tokens) {
+    xfer += oprot->writeFieldBegin("answer_tokens", ::apache::thrift::protocol::T_I32, 16);
+    xfer += oprot->writeI32(this->answer_tokens);
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.fingerprint) {
+    xfer += oprot->writeFieldBegin("fingerprint", ::apache::thrift::protocol::T_I64, 17);
+    xfer += oprot->writeI64(this->fingerprint);
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.plain_servers) {
+    xfer += oprot->writeFieldBegin("plain_servers", ::apache::thrift::protocol::T_LIST, 18);
+    {
+      xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->plain_servers.size()));
+      std::vector<std::string> ::const_iterator _iter617;
+      for (_iter617 = this->plain_servers.begin(); _iter617 != this->plain_servers.end(); ++_iter617)
+      {
+        xfer += oprot->writeString((*_iter617));
       }
       xfer += oprot->writeListEnd();
     }
@@ -15263,73 +15403,93 @@
   swap(a.repeat_of, b.repeat_of);
   swap(a.allowed_zones, b.allowed_zones);
   swap(a.rated_servers, b.rated_servers);
+  swap(a.tenant, b.tenant);
+  swap(a.answer_tokens, b.answer_tokens);
+  swap(a.fingerprint, b.fingerprint);
+  swap(a.plain_servers, b.plain_servers);
   swap(a.__isset, b.__isset);
 }
 
-SlotRequest::SlotRequest(const SlotRequest& other612) {
-  id = other612.id;
-  service_name = other612.service_name;
-  model = other612.model;
-  prompt_tokens = other612.prompt_tokens;
-  first_event_ms = other612.first_event_ms;
-  gap_ms = other612.gap_ms;
-  priority = other612.priority;
-  patience_ms = other612.patience_ms;
-  excluded_groups = other612.excluded_groups;
-  trial_of = other612.trial_of;
-  repeat_of = other612.repeat_of;
-  allowed_zones = other612.allowed_zones;
-  rated_servers = other612.rated_servers;
-  __isset = other612.__isset;
-}
-SlotRequest::SlotRequest(SlotRequest&& other613) noexcept {
-  id = other613.id;
-  service_name = std::move(other613.service_name);
-  model = std::move(other613.model);
-  prompt_tokens = other613.prompt_tokens;
-  first_event_ms = other613.first_event_ms;
-  gap_ms = other613.gap_ms;
-  priority = other613.priority;
-  patience_ms = other613.patience_ms;
-  excluded_groups = std::move(other613.excluded_groups);
-  trial_of = other613.trial_of;
-  repeat_of = other613.repeat_of;
-  allowed_zones = std::move(other613.allowed_zones);
-  rated_servers = std::move(other613.rated_servers);
-  __isset = other613.__isset;
-}
-SlotRequest& SlotRequest::operator=(const SlotRequest& other614) {
-  id = other614.id;
-  service_name = other614.service_name;
-  model = other614.model;
-  prompt_tokens = other614.prompt_tokens;
-  first_event_ms = other614.first_event_ms;
-  gap_ms = other614.gap_ms;
-  priority = other614.priority;
-  patience_ms = other614.patience_ms;
-  excluded_groups = other614.excluded_groups;
-  trial_of = other614.trial_of;
-  repeat_of = other614.repeat_of;
-  allowed_zones = other614.allowed_zones;
-  rated_servers = other614.rated_servers;
-  __isset = other614.__isset;
+SlotRequest::SlotRequest(const SlotRequest& other618) {
+  id = other618.id;
+  service_name = other618.service_name;
+  model = other618.model;
+  prompt_tokens = other618.prompt_tokens;
+  first_event_ms = other618.first_event_ms;
+  gap_ms = other618.gap_ms;
+  priority = other618.priority;
+  patience_ms = other618.patience_ms;
+  excluded_groups = other618.excluded_groups;
+  trial_of = other618.trial_of;
+  repeat_of = other618.repeat_of;
+  allowed_zones = other618.allowed_zones;
+  rated_servers = other618.rated_servers;
+  tenant = other618.tenant;
+  answer_tokens = other618.answer_tokens;
+  fingerprint = other618.fingerprint;
+  plain_servers = other618.plain_servers;
+  __isset = other618.__isset;
+}
+SlotRequest::SlotRequest(SlotRequest&& other619) noexcept {
+  id = other619.id;
+  service_name = std::move(other619.service_name);
+  model = std::move(other619.model);
+  prompt_tokens = other619.prompt_tokens;
+  first_event_ms = other619.first_event_ms;
+  gap_ms = other619.gap_ms;
+  priority = other619.priority;
+  patience_ms = other619.patience_ms;
+  excluded_groups = std::move(other619.excluded_groups);
+  trial_of = other619.trial_of;
+  repeat_of = other619.repeat_of;
+  allowed_zones = std::move(other619.allowed_zones);
+  rated_servers = std::move(other619.rated_servers);
+  tenant = std::move(other619.tenant);
+  answer_tokens = other619.answer_tokens;
+  fingerprint = other619.fingerprint;
+  plain_servers = std::move(other619.plain_servers);
+  __isset = other619.__isset;
+}
+SlotRequest& SlotRequest::operator=(const SlotRequest& other620) {
+  id = other620.id;
+  service_name = other620.service_name;
+  model = other620.model;
+  prompt_tokens = other620.prompt_tokens;
+  first_event_ms = other620.first_event_ms;
+  gap_ms = other620.gap_ms;
+  priority = other620.priority;
+  patience_ms = other620.patience_ms;
+  excluded_groups = other620.excluded_groups;
+  trial_of = other620.trial_of;
+  repeat_of = other620.repeat_of;
+  allowed_zones = other620.allowed_zones;
+  rated_servers = other620.rated_servers;
+  tenant = other620.tenant;
+  answer_tokens = other620.answer_tokens;
+  fingerprint = other620.fingerprint;
+  plain_servers = other620.plain_servers;
+  __isset = other620.__isset;
   return *this;
 }
-SlotRequest& SlotRequest::operator=(SlotRequest&& other615) noexcept {
-  id = other615.id;
-  service_name = std::move(other615.service_name);
-  model = std::move(other615.model);
-  prompt_tokens = other615.prompt_tokens;
-  first_event_ms = other615.first_event_ms;
-  gap_ms = other615.gap_ms;
-  priority = other615.priority;
-  patience_ms = other615.patience_ms;
-  excluded_groups = std::move(other615.excluded_groups);
-  trial_of = other615.trial_of;
-  repeat_of = other615.repeat_of;
-  allowed_zones = std::move(other615.allowed_zones);
-  rated_servers = std::move(other615.rated_servers);
-  __isset = other615.__isset;
+SlotRequest& SlotRequest::operator=(SlotRequest&& other621) noexcept {
+  id = other621.id;
+  service_name = std::move(other621.service_name);
+  model = std::move(other621.model);
+  prompt_tokens = other621.prompt_tokens;
+  first_event_ms = other621.first_event_ms;
+  gap_ms = other621.gap_ms;
+  priority = other621.priority;
+  patience_ms = other621.patience_ms;
+  excluded_groups = std::move(other621.excluded_groups);
+  trial_of = other621.trial_of;
+  repeat_of = other621.repeat_of;
+  allowed_zones = std::move(other621.allowed_zones);
+  rated_servers = std::move(other621.rated_servers);
+  tenant = std::move(other621.tenant);
+  answer_tokens = other621.answer_tokens;
+  fingerprint = other621.fingerprint;
+  plain_servers = std::move(other621.plain_servers);
+  __isset = other621.__isset;
   return *this;
 }
 void SlotRequest::printTo(std::ostream& out) const {
@@ -15348,6 +15508,10 @@
   out << ", " << "repeat_of="; (__isset.repeat_of ? (out << to_string(repeat_of)) : (out << "<null>"));
   out << ", " << "allowed_zones="; (__isset.allowed_zones ? (out << to_string(allowed_zones)) : (out << "<null>"));
   out << ", " << "rated_servers="; (__isset.rated_servers ? (out << to_string(rated_servers)) : (out << "<null>"));
+  out << ", " << "tenant="; (__isset.tenant ? (out << to_string(tenant)) : (out << "<null>"));
+  out << ", " << "answer_tokens="; (__isset.answer_tokens ? (out << to_string(answer_tokens)) : (out << "<null>"));
+  out << ", " << "fingerprint="; (__isset.fingerprint ? (out << to_string(fingerprint)) : (out << "<null>"));
+  out << ", " << "plain_servers="; (__isset.plain_servers ? (out << to_string(plain_servers)) : (out << "<null>"));
   out << ")";
 }
 
@@ -15431,9 +15595,9 @@
         break;
       case 3:
         if (ftype == ::apache::thrift::protocol::T_I32) {
-          int32_t ecast616;
-          xfer += iprot->readI32(ecast616);
-          this->verdict = static_cast<SlotVerdict::type>(ecast616);
+          int32_t ecast622;
+          xfer += iprot->readI32(ecast622);
+          this->verdict = static_cast<SlotVerdict::type>(ecast622);
           this->__isset.verdict = true;
         } else {
           xfer += iprot->skip(ftype);
@@ -15535,46 +15699,46 @@
   swap(a.__isset, b.__isset);
 }
 
-SlotGrant::SlotGrant(const SlotGrant& other617) {
-  id = other617.id;
-  sequence = other617.sequence;
-  verdict = other617.verdict;
-  group = other617.group;
-  expected_ms = other617.expected_ms;
-  server = other617.server;
-  retry_after_ms = other617.retry_after_ms;
-  __isset = other617.__isset;
+SlotGrant::SlotGrant(const SlotGrant& other623) {
+  id = other623.id;
+  sequence = other623.sequence;
+  verdict = other623.verdict;
+  group = other623.group;
+  expected_ms = other623.expected_ms;
+  server = other623.server;
+  retry_after_ms = other623.retry_after_ms;
+  __isset = other623.__isset;
 }
-SlotGrant::SlotGrant(SlotGrant&& other618) noexcept {
-  id = other618.id;
-  sequence = other618.sequence;
-  verdict = other618.verdict;
-  group = std::move(other618.group);
-  expected_ms = other618.expected_ms;
-  server = std::move(other618.server);
-  retry_after_ms = other618.retry_after_ms;
-  __isset = other618.__isset;
+SlotGrant::SlotGrant(SlotGrant&& other624) noexcept {
+  id = other624.id;
+  sequence = other624.sequence;
+  verdict = other624.verdict;
+  group = std::move(other624.group);
+  expected_ms = other624.expected_ms;
+  server = std::move(other624.server);
+  retry_after_ms = other624.retry_after_ms;
+  __isset = other624.__isset;
 }
-SlotGrant& SlotGrant::operator=(const SlotGrant& other619) {
-  id = other619.id;
-  sequence = other619.sequence;
-  verdict = other619.verdict;
-  group = other619.group;
-  expected_ms = other619.expected_ms;
-  server = other619.server;
-  retry_after_ms = other619.retry_after_ms;
-  __isset = other619.__isset;
+SlotGrant& SlotGrant::operator=(const SlotGrant& other625) {
+  id = other625.id;
+  sequence = other625.sequence;
+  verdict = other625.verdict;
+  group = other625.group;
+  expected_ms = other625.expected_ms;
+  server = other625.server;
+  retry_after_ms = other625.retry_after_ms;
+  __isset = other625.__isset;
   return *this;
 }
-SlotGrant& SlotGrant::operator=(SlotGrant&& other620) noexcept {
-  id = other620.id;
-  sequence = other620.sequence;
-  verdict = other620.verdict;
-  group = std::move(other620.group);
-  expected_ms = other620.expected_ms;
-  server = std::move(other620.server);
-  retry_after_ms = other620.retry_after_ms;
-  __isset = other620.__isset;
+SlotGrant& SlotGrant::operator=(SlotGrant&& other626) noexcept {
+  id = other626.id;
+  sequence = other626.sequence;
+  verdict = other626.verdict;
+  group = std::move(other626.group);
+  expected_ms = other626.expected_ms;
+  server = std::move(other626.server);
+  retry_after_ms = other626.retry_after_ms;
+  __isset = other626.__isset;
   return *this;
 }
 void SlotGrant::printTo(std::ostream& out) const {
@@ -15738,38 +15902,38 @@
   swap(a.__isset, b.__isset);
 }
 
-RequestServerEnd::RequestServerEnd(const RequestServerEnd& other621) {
-  fingerprint = other621.fingerprint;
-  instance_id = other621.instance_id;
-  age_ms = other621.age_ms;
-  is_likely = other621.is_likely;
-  request_of_part = other621.request_of_part;
-  __isset = other621.__isset;
+RequestServerEnd::RequestServerEnd(const RequestServerEnd& other627) {
+  fingerprint = other627.fingerprint;
+  instance_id = other627.instance_id;
+  age_ms = other627.age_ms;
+  is_likely = other627.is_likely;
+  request_of_part = other627.request_of_part;
+  __isset = other627.__isset;
 }
-RequestServerEnd::RequestServerEnd(RequestServerEnd&& other622) noexcept {
-  fingerprint = other622.fingerprint;
-  instance_id = std::move(other622.instance_id);
-  age_ms = other622.age_ms;
-  is_likely = other622.is_likely;
-  request_of_part = other622.request_of_part;
-  __isset = other622.__isset;
-}
-RequestServerEnd& RequestServerEnd::operator=(const RequestServerEnd& other623) {
-  fingerprint = other623.fingerprint;
-  instance_id = other623.instance_id;
-  age_ms = other623.age_ms;
-  is_likely = other623.is_likely;
-  request_of_part = other623.request_of_part;
-  __isset = other623.__isset;
+RequestServerEnd::RequestServerEnd(RequestServerEnd&& other628) noexcept {
+  fingerprint = other628.fingerprint;
+  instance_id = std::move(other628.instance_id);
+  age_ms = other628.age_ms;
+  is_likely = other628.is_likely;
+  request_of_part = other628.request_of_part;
+  __isset = other628.__isset;
+}
+RequestServerEnd& RequestServerEnd::operator=(const RequestServerEnd& other629) {
+  fingerprint = other629.fingerprint;
+  instance_id = other629.instance_id;
+  age_ms = other629.age_ms;
+  is_likely = other629.is_likely;
+  request_of_part = other629.request_of_part;
+  __isset = other629.__isset;
   return *this;
 }
-RequestServerEnd& RequestServerEnd::operator=(RequestServerEnd&& other624) noexcept {
-  fingerprint = other624.fingerprint;
-  instance_id = std::move(other624.instance_id);
-  age_ms = other624.age_ms;
-  is_likely = other624.is_likely;
-  request_of_part = other624.request_of_part;
-  __isset = other624.__isset;
+RequestServerEnd& RequestServerEnd::operator=(RequestServerEnd&& other630) noexcept {
+  fingerprint = other630.fingerprint;
+  instance_id = std::move(other630.instance_id);
+  age_ms = other630.age_ms;
+  is_likely = other630.is_likely;
+  request_of_part = other630.request_of_part;
+  __isset = other630.__isset;
   return *this;
 }
 void RequestServerEnd::printTo(std::ostream& out) const {
@@ -15895,30 +16059,30 @@
   swap(a.__isset, b.__isset);
 }
 
-ServerLimitReport::ServerLimitReport(const ServerLimitReport& other625) {
-  incarnation = other625.incarnation;
-  per_second = other625.per_second;
-  age_ms = other625.age_ms;
-  __isset = other625.__isset;
+ServerLimitReport::ServerLimitReport(const ServerLimitReport& other631) {
+  incarnation = other631.incarnation;
+  per_second = other631.per_second;
+  age_ms = other631.age_ms;
+  __isset = other631.__isset;
 }
-ServerLimitReport::ServerLimitReport(ServerLimitReport&& other626) noexcept {
-  incarnation = std::move(other626.incarnation);
-  per_second = other626.per_second;
-  age_ms = other626.age_ms;
-  __isset = other626.__isset;
+ServerLimitReport::ServerLimitReport(ServerLimitReport&& other632) noexcept {
+  incarnation = std::move(other632.incarnation);
+  per_second = other632.per_second;
+  age_ms = other632.age_ms;
+  __isset = other632.__isset;
 }
-ServerLimitReport& ServerLimitReport::operator=(const ServerLimitReport& other627) {
-  incarnation = other627.incarnation;
-  per_second = other627.per_second;
-  age_ms = other627.age_ms;
-  __isset = other627.__isset;
+ServerLimitReport& ServerLimitReport::operator=(const ServerLimitReport& other633) {
+  incarnation = other633.incarnation;
+  per_second = other633.per_second;
+  age_ms = other633.age_ms;
+  __isset = other633.__isset;
   return *this;
 }
-ServerLimitReport& ServerLimitReport::operator=(ServerLimitReport&& other628) noexcept {
-  incarnation = std::move(other628.incarnation);
-  per_second = other628.per_second;
-  age_ms = other628.age_ms;
-  __isset = other628.__isset;
+ServerLimitReport& ServerLimitReport::operator=(ServerLimitReport&& other634) noexcept {
+  incarnation = std::move(other634.incarnation);
+  per_second = other634.per_second;
+  age_ms = other634.age_ms;
+  __isset = other634.__isset;
   return *this;
 }
 void ServerLimitReport::printTo(std::ostream& out) const {
@@ -16014,14 +16178,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->requests.clear();
-            uint32_t _size629;
-            ::apache::thrift::protocol::TType _etype632;
-            xfer += iprot->readListBegin(_etype632, _size629);
-            this->requests.resize(_size629);
-            uint32_t _i633;
-            for (_i633 = 0; _i633 < _size629; ++_i633)
+            uint32_t _size635;
+            ::apache::thrift::protocol::TType _etype638;
+            xfer += iprot->readListBegin(_etype638, _size635);
+            this->requests.resize(_size635);
+            uint32_t _i639;
+            for (_i639 = 0; _i639 < _size635; ++_i639)
             {
-              xfer += this->requests[_i633].read(iprot);
+              xfer += this->requests[_i639].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -16034,14 +16198,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->loads.clear();
-            uint32_t _size634;
-            ::apache::thrift::protocol::TType _etype637;
-            xfer += iprot->readListBegin(_etype637, _size634);
-            this->loads.resize(_size634);
-            uint32_t _i638;
-            for (_i638 = 0; _i638 < _size634; ++_i638)
+            uint32_t _size640;
+            ::apache::thrift::protocol::TType _etype643;
+            xfer += iprot->readListBegin(_etype643, _size640);
+            this->loads.resize(_size640);
+            uint32_t _i644;
+            for (_i644 = 0; _i644 < _size640; ++_i644)
             {
-              xfer += this->loads[_i638].read(iprot);
+              xfer += this->loads[_i644].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -16078,14 +16242,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->demand.clear();
-            uint32_t _size639;
-            ::apache::thrift::protocol::TType _etype642;
-            xfer += iprot->readListBegin(_etype642, _size639);
-            this->demand.resize(_size639);
-            uint32_t _i643;
-            for (_i643 = 0; _i643 < _size639; ++_i643)
+            uint32_t _size645;
+            ::apache::thrift::protocol::TType _etype648;
+            xfer += iprot->readListBegin(_etype648, _size645);
+            this->demand.resize(_size645);
+            uint32_t _i649;
+            for (_i649 = 0; _i649 < _size645; ++_i649)
             {
-              xfer += this->demand[_i643].read(iprot);
+              xfer += this->demand[_i649].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -16098,14 +16262,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->failures.clear();
-            uint32_t _size644;
-            ::apache::thrift::protocol::TType _etype647;
-            xfer += iprot->readListBegin(_etype647, _size644);
-            this->failures.resize(_size644);
-            uint32_t _i648;
-            for (_i648 = 0; _i648 < _size644; ++_i648)
+            uint32_t _size650;
+            ::apache::thrift::protocol::TType _etype653;
+            xfer += iprot->readListBegin(_etype653, _size650);
+            this->failures.resize(_size650);
+            uint32_t _i654;
+            for (_i654 = 0; _i654 < _size650; ++_i654)
             {
-              xfer += this->failures[_i648].read(iprot);
+              xfer += this->failures[_i654].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -16126,14 +16290,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->quiet_groups.clear();
-            uint32_t _size649;
-            ::apache::thrift::protocol::TType _etype652;
-            xfer += iprot->readListBegin(_etype652, _size649);
-            this->quiet_groups.resize(_size649);
-            uint32_t _i653;
-            for (_i653 = 0; _i653 < _size649; ++_i653)
+            uint32_t _size655;
+            ::apache::thrift::protocol::TType _etype658;
+            xfer += iprot->readListBegin(_etype658, _size655);
+            this->quiet_groups.resize(_size655);
+            uint32_t _i659;
+            for (_i659 = 0; _i659 < _size655; ++_i659)
             {
-              xfer += iprot->readString(this->quiet_groups[_i653]);
+              xfer += iprot->readString(this->quiet_groups[_i659]);
             }
             xfer += iprot->readListEnd();
           }
@@ -16146,14 +16310,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->server_ends.clear();
-            uint32_t _size654;
-            ::apache::thrift::protocol::TType _etype657;
-            xfer += iprot->readListBegin(_etype657, _size654);
-            this->server_ends.resize(_size654);
-            uint32_t _i658;
-            for (_i658 = 0; _i658 < _size654; ++_i658)
+            uint32_t _size660;
+            ::apache::thrift::protocol::TType _etype663;
+            xfer += iprot->readListBegin(_etype663, _size660);
+            this->server_ends.resize(_size660);
+            uint32_t _i664;
+            for (_i664 = 0; _i664 < _size660; ++_i664)
             {
-              xfer += this->server_ends[_i658].read(iprot);
+              xfer += this->server_ends[_i664].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -16166,14 +16330,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->answered_requests.clear();
-            uint32_t _size659;
-            ::apache::thrift::protocol::TType _etype662;
-            xfer += iprot->readListBegin(_etype662, _size659);
-            this->answered_requests.resize(_size659);
-            uint32_t _i663;
-            for (_i663 = 0; _i663 < _size659; ++_i663)
+            uint32_t _size665;
+            ::apache::thrift::protocol::TType _etype668;
+            xfer += iprot->readListBegin(_etype668, _size665);
+            this->answered_requests.resize(_size665);
+            uint32_t _i669;
+            for (_i669 = 0; _i669 < _size665; ++_i669)
             {
-              xfer += iprot->readI64(this->answered_requests[_i663]);
+              xfer += iprot->readI64(this->answered_requests[_i669]);
             }
             xfer += iprot->readListEnd();
           }
@@ -16186,14 +16350,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->server_limits.clear();
-            uint32_t _size664;
-            ::apache::thrift::protocol::TType _etype667;
-            xfer += iprot->readListBegin(_etype667, _size664);
-            this->server_limits.resize(_size664);
-            uint32_t _i668;
-            for (_i668 = 0; _i668 < _size664; ++_i668)
+            uint32_t _size670;
+            ::apache::thrift::protocol::TType _etype673;
+            xfer += iprot->readListBegin(_etype673, _size670);
+            this->server_limits.resize(_size670);
+            uint32_t _i674;
+            for (_i674 = 0; _i674 < _size670; ++_i674)
             {
-              xfer += this->server_limits[_i668].read(iprot);
+              xfer += this->server_limits[_i674].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -16222,10 +16386,10 @@
   xfer += oprot->writeFieldBegin("requests", ::apache::thrift::protocol::T_LIST, 1);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->requests.size()));
-    std::vector<SlotRequest> ::const_iterator _iter669;
-    for (_iter669 = this->requests.begin(); _iter669 != this->requests.end(); ++_iter669)
+    std::vector<SlotRequest> ::const_iterator _iter675;
+    for (_iter675 = this->requests.begin(); _iter675 != this->requests.end(); ++_iter675)
     {
-      xfer += (*_iter669).write(oprot);
+      xfer += (*_iter675).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -16234,10 +16398,10 @@
   xfer += oprot->writeFieldBegin("loads", ::apache::thrift::protocol::T_LIST, 2);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->loads.size()));
-    std::vector<GroupLoad> ::const_iterator _iter670;
-    for (_iter670 = this->loads.begin(); _iter670 != this->loads.end(); ++_iter670)
+    std::vector<GroupLoad> ::const_iterator _iter676;
+    for (_iter676 = this->loads.begin(); _iter676 != this->loads.end(); ++_iter676)
     {
-      xfer += (*_iter670).write(oprot);
+      xfer += (*_iter676).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -16258,10 +16422,10 @@
   xfer += oprot->writeFieldBegin("demand", ::apache::thrift::protocol::T_LIST, 6);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->demand.size()));
-    std::vector<ModelDemand> ::const_iterator _iter671;
-    for (_iter671 = this->demand.begin(); _iter671 != this->demand.end(); ++_iter671)
+    std::vector<ModelDemand> ::const_iterator _iter677;
+    for (_iter677 = this->demand.begin(); _iter677 != this->demand.end(); ++_iter677)
     {
-      xfer += (*_iter671).write(oprot);
+      xfer += (*_iter677).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -16270,10 +16434,10 @@
   xfer += oprot->writeFieldBegin("failures", ::apache::thrift::protocol::T_LIST, 7);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->failures.size()));
-    std::vector<GroupFailure> ::const_iterator _iter672;
-    for (_iter672 = this->failures.begin(); _iter672 != this->failures.end(); ++_iter672)
+    std::vector<GroupFailure> ::const_iterator _iter678;
+    for (_iter678 = this->failures.begin(); _iter678 != this->failures.end(); ++_iter678)
     {
-      xfer += (*_iter672).write(oprot);
+      xfer += (*_iter678).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -16286,10 +16450,10 @@
   xfer += oprot->writeFieldBegin("quiet_groups", ::apache::thrift::protocol::T_LIST, 9);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->quiet_groups.size()));
-    std::vector<std::string> ::const_iterator _iter673;
-    for (_iter673 = this->quiet_groups.begin(); _iter673 != this->quiet_groups.end(); ++_iter673)
+    std::vector<std::string> ::const_iterator _iter679;
+    for (_iter679 = this->quiet_groups.begin(); _iter679 != this->quiet_groups.end(); ++_iter679)
     {
-      xfer += oprot->writeString((*_iter673));
+      xfer += oprot->writeString((*_iter679));
     }
     xfer += oprot->writeListEnd();
   }
@@ -16298,10 +16462,10 @@
   xfer += oprot->writeFieldBegin("server_ends", ::apache::thrift::protocol::T_LIST, 10);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->server_ends.size()));
-    std::vector<RequestServerEnd> ::const_iterator _iter674;
-    for (_iter674 = this->server_ends.begin(); _iter674 != this->server_ends.end(); ++_iter674)
+    std::vector<RequestServerEnd> ::const_iterator _iter680;
+    for (_iter680 = this->server_ends.begin(); _iter680 != this->server_ends.end(); ++_iter680)
     {
-      xfer += (*_iter674).write(oprot);
+      xfer += (*_iter680).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -16310,10 +16474,10 @@
   xfer += oprot->writeFieldBegin("answered_requests", ::apache::thrift::protocol::T_LIST, 11);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I64, static_cast<uint32_t>(this->answered_requests.size()));
-    std::vector<int64_t> ::const_iterator _iter675;
-    for (_iter675 = this->answered_requests.begin(); _iter675 != this->answered_requests.end(); ++_iter675)
+    std::vector<int64_t> ::const_iterator _iter681;
+    for (_iter681 = this->answered_requests.begin(); _iter681 != this->answered_requests.end(); ++_iter681)
     {
-      xfer += oprot->writeI64((*_iter675));
+      xfer += oprot->writeI64((*_iter681));
     }
     xfer += oprot->writeListEnd();
   }
@@ -16322,10 +16486,10 @@
   xfer += oprot->writeFieldBegin("server_limits", ::apache::thrift::protocol::T_LIST, 12);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->server_limits.size()));
-    std::vector<ServerLimitReport> ::const_iterator _iter676;
-    for (_iter676 = this->server_limits.begin(); _iter676 != this->server_limits.end(); ++_iter676)
+    std::vector<ServerLimitReport> ::const_iterator _iter682;
+    for (_iter682 = this->server_limits.begin(); _iter682 != this->server_limits.end(); ++_iter682)
     {
-      xfer += (*_iter676).write(oprot);
+      xfer += (*_iter682).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -16353,66 +16517,66 @@
   swap(a.__isset, b.__isset);
 }
 
-SlotReport::SlotReport(const SlotReport& other677) {
-  requests = other677.requests;
-  loads = other677.loads;
-  grants_term = other677.grants_term;
-  grants_seen = other677.grants_seen;
-  is_complete = other677.is_complete;
-  demand = other677.demand;
-  failures = other677.failures;
-  traffic_seen = other677.traffic_seen;
-  quiet_groups = other677.quiet_groups;
-  server_ends = other677.server_ends;
-  answered_requests = other677.answered_requests;
-  server_limits = other677.server_limits;
-  __isset = other677.__isset;
-}
-SlotReport::SlotReport(SlotReport&& other678) noexcept {
-  requests = std::move(other678.requests);
-  loads = std::move(other678.loads);
-  grants_term = other678.grants_term;
-  grants_seen = other678.grants_seen;
-  is_complete = other678.is_complete;
-  demand = std::move(other678.demand);
-  failures = std::move(other678.failures);
-  traffic_seen = other678.traffic_seen;
-  quiet_groups = std::move(other678.quiet_groups);
-  server_ends = std::move(other678.server_ends);
-  answered_requests = std::move(other678.answered_requests);
-  server_limits = std::move(other678.server_limits);
-  __isset = other678.__isset;
-}
-SlotReport& SlotReport::operator=(const SlotReport& other679) {
-  requests = other679.requests;
-  loads = other679.loads;
-  grants_term = other679.grants_term;
-  grants_seen = other679.grants_seen;
-  is_complete = other679.is_complete;
-  demand = other679.demand;
-  failures = other679.failures;
-  traffic_seen = other679.traffic_seen;
-  quiet_groups = other679.quiet_groups;
-  server_ends = other679.server_ends;
-  answered_requests = other679.answered_requests;
-  server_limits = other679.server_limits;
-  __isset = other679.__isset;
+SlotReport::SlotReport(const SlotReport& other683) {
+  requests = other683.requests;
+  loads = other683.loads;
+  grants_term = other683.grants_term;
+  grants_seen = other683.grants_seen;
+  is_complete = other683.is_complete;
+  demand = other683.demand;
+  failures = other683.failures;
+  traffic_seen = other683.traffic_seen;
+  quiet_groups = other683.quiet_groups;
+  server_ends = other683.server_ends;
+  answered_requests = other683.answered_requests;
+  server_limits = other683.server_limits;
+  __isset = other683.__isset;
+}
+SlotReport::SlotReport(SlotReport&& other684) noexcept {
+  requests = std::move(other684.requests);
+  loads = std::move(other684.loads);
+  grants_term = other684.grants_term;
+  grants_seen = other684.grants_seen;
+  is_complete = other684.is_complete;
+  demand = std::move(other684.demand);
+  failures = std::move(other684.failures);
+  traffic_seen = other684.traffic_seen;
+  quiet_groups = std::move(other684.quiet_groups);
+  server_ends = std::move(other684.server_ends);
+  answered_requests = std::move(other684.answered_requests);
+  server_limits = std::move(other684.server_limits);
+  __isset = other684.__isset;
+}
+SlotReport& SlotReport::operator=(const SlotReport& other685) {
+  requests = other685.requests;
+  loads = other685.loads;
+  grants_term = other685.grants_term;
+  grants_seen = other685.grants_seen;
+  is_complete = other685.is_complete;
+  demand = other685.demand;
+  failures = other685.failures;
+  traffic_seen = other685.traffic_seen;
+  quiet_groups = other685.quiet_groups;
+  server_ends = other685.server_ends;
+  answered_requests = other685.answered_requests;
+  server_limits = other685.server_limits;
+  __isset = other685.__isset;
   return *this;
 }
-SlotReport& SlotReport::operator=(SlotReport&& other680) noexcept {
-  requests = std::move(other680.requests);
-  loads = std::move(other680.loads);
-  grants_term = other680.grants_term;
-  grants_seen = other680.grants_seen;
-  is_complete = other680.is_complete;
-  demand = std::move(other680.demand);
-  failures = std::move(other680.failures);
-  traffic_seen = other680.traffic_seen;
-  quiet_groups = std::move(other680.quiet_groups);
-  server_ends = std::move(other680.server_ends);
-  answered_requests = std::move(other680.answered_requests);
-  server_limits = std::move(other680.server_limits);
-  __isset = other680.__isset;
+SlotReport& SlotReport::operator=(SlotReport&& other686) noexcept {
+  requests = std::move(other686.requests);
+  loads = std::move(other686.loads);
+  grants_term = other686.grants_term;
+  grants_seen = other686.grants_seen;
+  is_complete = other686.is_complete;
+  demand = std::move(other686.demand);
+  failures = std::move(other686.failures);
+  traffic_seen = other686.traffic_seen;
+  quiet_groups = std::move(other686.quiet_groups);
+  server_ends = std::move(other686.server_ends);
+  answered_requests = std::move(other686.answered_requests);
+  server_limits = std::move(other686.server_limits);
+  __isset = other686.__isset;
   return *this;
 }
 void SlotReport::printTo(std::ostream& out) const {
@@ -16489,14 +16653,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->grants.clear();
-            uint32_t _size681;
-            ::apache::thrift::protocol::TType _etype684;
-            xfer += iprot->readListBegin(_etype684, _size681);
-            this->grants.resize(_size681);
-            uint32_t _i685;
-            for (_i685 = 0; _i685 < _size681; ++_i685)
+            uint32_t _size687;
+            ::apache::thrift::protocol::TType _etype690;
+            xfer += iprot->readListBegin(_etype690, _size687);
+            this->grants.resize(_size687);
+            uint32_t _i691;
+            for (_i691 = 0; _i691 < _size687; ++_i691)
             {
-              xfer += this->grants[_i685].read(iprot);
+              xfer += this->grants[_i691].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -16509,14 +16673,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->failed_groups.clear();
-            uint32_t _size686;
-            ::apache::thrift::protocol::TType _etype689;
-            xfer += iprot->readListBegin(_etype689, _size686);
-            this->failed_groups.resize(_size686);
-            uint32_t _i690;
-            for (_i690 = 0; _i690 < _size686; ++_i690)
+            uint32_t _size692;
+            ::apache::thrift::protocol::TType _etype695;
+            xfer += iprot->readListBegin(_etype695, _size692);
+            this->failed_groups.resize(_size692);
+            uint32_t _i696;
+            for (_i696 = 0; _i696 < _size692; ++_i696)
             {
-              xfer += iprot->readString(this->failed_groups[_i690]);
+              xfer += iprot->readString(this->failed_groups[_i696]);
             }
             xfer += iprot->readListEnd();
           }
@@ -16549,10 +16713,10 @@
   xfer += oprot->writeFieldBegin("grants", ::apache::thrift::protocol::T_LIST, 2);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->grants.size()));
-    std::vector<SlotGrant> ::const_iterator _iter691;
-    for (_iter691 = this->grants.begin(); _iter691 != this->grants.end(); ++_iter691)
+    std::vector<SlotGrant> ::const_iterator _iter697;
+    for (_iter697 = this->grants.begin(); _iter697 != this->grants.end(); ++_iter697)
     {
-      xfer += (*_iter691).write(oprot);
+      xfer += (*_iter697).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -16561,10 +16725,10 @@
   xfer += oprot->writeFieldBegin("failed_groups", ::apache::thrift::protocol::T_LIST, 3);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->failed_groups.size()));
-    std::vector<std::string> ::const_iterator _iter692;
-    for (_iter692 = this->failed_groups.begin(); _iter692 != this->failed_groups.end(); ++_iter692)
+    std::vector<std::string> ::const_iterator _iter698;
+    for (_iter698 = this->failed_groups.begin(); _iter698 != this->failed_groups.end(); ++_iter698)
     {
-      xfer += oprot->writeString((*_iter692));
+      xfer += oprot->writeString((*_iter698));
     }
     xfer += oprot->writeListEnd();
   }
@@ -16583,30 +16747,30 @@
   swap(a.__isset, b.__isset);
 }
 
-SlotAnswer::SlotAnswer(const SlotAnswer& other693) {
-  term = other693.term;
-  grants = other693.grants;
-  failed_groups = other693.failed_groups;
-  __isset = other693.__isset;
+SlotAnswer::SlotAnswer(const SlotAnswer& other699) {
+  term = other699.term;
+  grants = other699.grants;
+  failed_groups = other699.failed_groups;
+  __isset = other699.__isset;
 }
-SlotAnswer::SlotAnswer(SlotAnswer&& other694) noexcept {
-  term = other694.term;
-  grants = std::move(other694.grants);
-  failed_groups = std::move(other694.failed_groups);
-  __isset = other694.__isset;
+SlotAnswer::SlotAnswer(SlotAnswer&& other700) noexcept {
+  term = other700.term;
+  grants = std::move(other700.grants);
+  failed_groups = std::move(other700.failed_groups);
+  __isset = other700.__isset;
 }
-SlotAnswer& SlotAnswer::operator=(const SlotAnswer& other695) {
-  term = other695.term;
-  grants = other695.grants;
-  failed_groups = other695.failed_groups;
-  __isset = other695.__isset;
+SlotAnswer& SlotAnswer::operator=(const SlotAnswer& other701) {
+  term = other701.term;
+  grants = other701.grants;
+  failed_groups = other701.failed_groups;
+  __isset = other701.__isset;
   return *this;
 }
-SlotAnswer& SlotAnswer::operator=(SlotAnswer&& other696) noexcept {
-  term = other696.term;
-  grants = std::move(other696.grants);
-  failed_groups = std::move(other696.failed_groups);
-  __isset = other696.__isset;
+SlotAnswer& SlotAnswer::operator=(SlotAnswer&& other702) noexcept {
+  term = other702.term;
+  grants = std::move(other702.grants);
+  failed_groups = std::move(other702.failed_groups);
+  __isset = other702.__isset;
   return *this;
 }
 void SlotAnswer::printTo(std::ostream& out) const {
@@ -16711,26 +16875,26 @@
   swap(a.__isset, b.__isset);
 }
 
-ControlPeer::ControlPeer(const ControlPeer& other697) {
-  address = other697.address;
-  zone = other697.zone;
-  __isset = other697.__isset;
+ControlPeer::ControlPeer(const ControlPeer& other703) {
+  address = other703.address;
+  zone = other703.zone;
+  __isset = other703.__isset;
 }
-ControlPeer::ControlPeer(ControlPeer&& other698) noexcept {
-  address = std::move(other698.address);
-  zone = std::move(other698.zone);
-  __isset = other698.__isset;
+ControlPeer::ControlPeer(ControlPeer&& other704) noexcept {
+  address = std::move(other704.address);
+  zone = std::move(other704.zone);
+  __isset = other704.__isset;
 }
-ControlPeer& ControlPeer::operator=(const ControlPeer& other699) {
-  address = other699.address;
-  zone = other699.zone;
-  __isset = other699.__isset;
+ControlPeer& ControlPeer::operator=(const ControlPeer& other705) {
+  address = other705.address;
+  zone = other705.zone;
+  __isset = other705.__isset;
   return *this;
 }
-ControlPeer& ControlPeer::operator=(ControlPeer&& other700) noexcept {
-  address = std::move(other700.address);
-  zone = std::move(other700.zone);
-  __isset = other700.__isset;
+ControlPeer& ControlPeer::operator=(ControlPeer&& other706) noexcept {
+  address = std::move(other706.address);
+  zone = std::move(other706.zone);
+  __isset = other706.__isset;
   return *this;
 }
 void ControlPeer::printTo(std::ostream& out) const {
@@ -16903,14 +17067,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->loads.clear();
-            uint32_t _size701;
-            ::apache::thrift::protocol::TType _etype704;
-            xfer += iprot->readListBegin(_etype704, _size701);
-            this->loads.resize(_size701);
-            uint32_t _i705;
-            for (_i705 = 0; _i705 < _size701; ++_i705)
+            uint32_t _size707;
+            ::apache::thrift::protocol::TType _etype710;
+            xfer += iprot->readListBegin(_etype710, _size707);
+            this->loads.resize(_size707);
+            uint32_t _i711;
+            for (_i711 = 0; _i711 < _size707; ++_i711)
             {
-              xfer += this->loads[_i705].read(iprot);
+              xfer += this->loads[_i711].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -16963,14 +17127,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->control_peers.clear();
-            uint32_t _size706;
-            ::apache::thrift::protocol::TType _etype709;
-            xfer += iprot->readListBegin(_etype709, _size706);
-            this->control_peers.resize(_size706);
-            uint32_t _i710;
-            for (_i710 = 0; _i710 < _size706; ++_i710)
+            uint32_t _size712;
+            ::apache::thrift::protocol::TType _etype715;
+            xfer += iprot->readListBegin(_etype715, _size712);
+            this->control_peers.resize(_size712);
+            uint32_t _i716;
+            for (_i716 = 0; _i716 < _size712; ++_i716)
             {
-              xfer += this->control_peers[_i710].read(iprot);
+              xfer += this->control_peers[_i716].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -17007,14 +17171,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->relay_peers.clear();
-            uint32_t _size711;
-            ::apache::thrift::protocol::TType _etype714;
-            xfer += iprot->readListBegin(_etype714, _size711);
-            this->relay_peers.resize(_size711);
-            uint32_t _i715;
-            for (_i715 = 0; _i715 < _size711; ++_i715)
+            uint32_t _size717;
+            ::apache::thrift::protocol::TType _etype720;
+            xfer += iprot->readListBegin(_etype720, _size717);
+            this->relay_peers.resize(_size717);
+            uint32_t _i721;
+            for (_i721 = 0; _i721 < _size717; ++_i721)
             {
-              xfer += this->relay_peers[_i715].read(iprot);
+              xfer += this->relay_peers[_i721].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -17076,10 +17240,10 @@
   xfer += oprot->writeFieldBegin("loads", ::apache::thrift::protocol::T_LIST, 9);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->loads.size()));
-    std::vector<GroupLoad> ::const_iterator _iter716;
-    for (_iter716 = this->loads.begin(); _iter716 != this->loads.end(); ++_iter716)
+    std::vector<GroupLoad> ::const_iterator _iter722;
+    for (_iter722 = this->loads.begin(); _iter722 != this->loads.end(); ++_iter722)
     {
-      xfer += (*_iter716).write(oprot);
+      xfer += (*_iter722).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -17109,10 +17273,10 @@
   xfer += oprot->writeFieldBegin("control_peers", ::apache::thrift::protocol::T_LIST, 15);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->control_peers.size()));
-    std::vector<ControlPeer> ::const_iterator _iter717;
-    for (_iter717 = this->control_peers.begin(); _iter717 != this->control_peers.end(); ++_iter717)
+    std::vector<ControlPeer> ::const_iterator _iter723;
+    for (_iter723 = this->control_peers.begin(); _iter723 != this->control_peers.end(); ++_iter723)
     {
-      xfer += (*_iter717).write(oprot);
+      xfer += (*_iter723).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -17136,10 +17300,10 @@
     xfer += oprot->writeFieldBegin("relay_peers", ::apache::thrift::protocol::T_LIST, 19);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->relay_peers.size()));
-      std::vector<RelayPeer> ::const_iterator _iter718;
-      for (_iter718 = this->relay_peers.begin(); _iter718 != this->relay_peers.end(); ++_iter718)
+      std::vector<RelayPeer> ::const_iterator _iter724;
+      for (_iter724 = this->relay_peers.begin(); _iter724 != this->relay_peers.end(); ++_iter724)
       {
-        xfer += (*_iter718).write(oprot);
+        xfer += (*_iter724).write(oprot);
       }
       xfer += oprot->writeListEnd();
     }
@@ -17178,90 +17342,90 @@
   swap(a.__isset, b.__isset);
 }
 
-FleetUpdate::FleetUpdate(const FleetUpdate& other719) {
-  sequence = other719.sequence;
-  not_leader = other719.not_leader;
-  leader = other719.leader;
-  term = other719.term;
-  document_version = other719.document_version;
-  state = other719.state;
-  loads = other719.loads;
-  serving_nodes = other719.serving_nodes;
-  wants_state = other719.wants_state;
-  state_change = other719.state_change;
-  wants_confirmation = other719.wants_confirmation;
-  confirmed_age_ms = other719.confirmed_age_ms;
-  control_peers = other719.control_peers;
-  document = other719.document;
-  evacuation_revision = other719.evacuation_revision;
-  evacuations = other719.evacuations;
-  relay_peers = other719.relay_peers;
-  no_document_age_ms = other719.no_document_age_ms;
-  __isset = other719.__isset;
-}
-FleetUpdate::FleetUpdate(FleetUpdate&& other720) noexcept {
-  sequence = other720.sequence;
-  not_leader = other720.not_leader;
-  leader = std::move(other720.leader);
-  term = other720.term;
-  document_version = other720.document_version;
-  state = std::move(other720.state);
-  loads = std::move(other720.loads);
-  serving_nodes = other720.serving_nodes;
-  wants_state = other720.wants_state;
-  state_change = std::move(other720.state_change);
-  wants_confirmation = other720.wants_confirmation;
-  confirmed_age_ms = other720.confirmed_age_ms;
-  control_peers = std::move(other720.control_peers);
-  document = std::move(other720.document);
-  evacuation_revision = other720.evacuation_revision;
-  evacuations = std::move(other720.evacuations);
-  relay_peers = std::move(other720.relay_peers);
-  no_document_age_ms = other720.no_document_age_ms;
-  __isset = other720.__isset;
-}
-FleetUpdate& FleetUpdate::operator=(const FleetUpdate& other721) {
-  sequence = other721.sequence;
-  not_leader = other721.not_leader;
-  leader = other721.leader;
-  term = other721.term;
-  document_version = other721.document_version;
-  state = other721.state;
-  loads = other721.loads;
-  serving_nodes = other721.serving_nodes;
-  wants_state = other721.wants_state;
-  state_change = other721.state_change;
-  wants_confirmation = other721.wants_confirmation;
-  confirmed_age_ms = other721.confirmed_age_ms;
-  control_peers = other721.control_peers;
-  document = other721.document;
-  evacuation_revision = other721.evacuation_revision;
-  evacuations = other721.evacuations;
-  relay_peers = other721.relay_peers;
-  no_document_age_ms = other721.no_document_age_ms;
-  __isset = other721.__isset;
+FleetUpdate::FleetUpdate(const FleetUpdate& other725) {
+  sequence = other725.sequence;
+  not_leader = other725.not_leader;
+  leader = other725.leader;
+  term = other725.term;
+  document_version = other725.document_version;
+  state = other725.state;
+  loads = other725.loads;
+  serving_nodes = other725.serving_nodes;
+  wants_state = other725.wants_state;
+  state_change = other725.state_change;
+  wants_confirmation = other725.wants_confirmation;
+  confirmed_age_ms = other725.confirmed_age_ms;
+  control_peers = other725.control_peers;
+  document = other725.document;
+  evacuation_revision = other725.evacuation_revision;
+  evacuations = other725.evacuations;
+  relay_peers = other725.relay_peers;
+  no_document_age_ms = other725.no_document_age_ms;
+  __isset = other725.__isset;
+}
+FleetUpdate::FleetUpdate(FleetUpdate&& other726) noexcept {
+  sequence = other726.sequence;
+  not_leader = other726.not_leader;
+  leader = std::move(other726.leader);
+  term = other726.term;
+  document_version = other726.document_version;
+  state = std::move(other726.state);
+  loads = std::move(other726.loads);
+  serving_nodes = other726.serving_nodes;
+  wants_state = other726.wants_state;
+  state_change = std::move(other726.state_change);
+  wants_confirmation = other726.wants_confirmation;
+  confirmed_age_ms = other726.confirmed_age_ms;
+  control_peers = std::move(other726.control_peers);
+  document = std::move(other726.document);
+  evacuation_revision = other726.evacuation_revision;
+  evacuations = std::move(other726.evacuations);
+  relay_peers = std::move(other726.relay_peers);
+  no_document_age_ms = other726.no_document_age_ms;
+  __isset = other726.__isset;
+}
+FleetUpdate& FleetUpdate::operator=(const FleetUpdate& other727) {
+  sequence = other727.sequence;
+  not_leader = other727.not_leader;
+  leader = other727.leader;
+  term = other727.term;
+  document_version = other727.document_version;
+  state = other727.state;
+  loads = other727.loads;
+  serving_nodes = other727.serving_nodes;
+  wants_state = other727.wants_state;
+  state_change = other727.state_change;
+  wants_confirmation = other727.wants_confirmation;
+  confirmed_age_ms = other727.confirmed_age_ms;
+  control_peers = other727.control_peers;
+  document = other727.document;
+  evacuation_revision = other727.evacuation_revision;
+  evacuations = other727.evacuations;
+  relay_peers = other727.relay_peers;
+  no_document_age_ms = other727.no_document_age_ms;
+  __isset = other727.__isset;
   return *this;
 }
-FleetUpdate& FleetUpdate::operator=(FleetUpdate&& other722) noexcept {
-  sequence = other722.sequence;
-  not_leader = other722.not_leader;
-  leader = std::move(other722.leader);
-  term = other722.term;
-  document_version = other722.document_version;
-  state = std::move(other722.state);
-  loads = std::move(other722.loads);
-  serving_nodes = other722.serving_nodes;
-  wants_state = other722.wants_state;
-  state_change = std::move(other722.state_change);
-  wants_confirmation = other722.wants_confirmation;
-  confirmed_age_ms = other722.confirmed_age_ms;
-  control_peers = std::move(other722.control_peers);
-  document = std::move(other722.document);
-  evacuation_revision = other722.evacuation_revision;
-  evacuations = std::move(other722.evacuations);
-  relay_peers = std::move(other722.relay_peers);
-  no_document_age_ms = other722.no_document_age_ms;
-  __isset = other722.__isset;
+FleetUpdate& FleetUpdate::operator=(FleetUpdate&& other728) noexcept {
+  sequence = other728.sequence;
+  not_leader = other728.not_leader;
+  leader = std::move(other728.leader);
+  term = other728.term;
+  document_version = other728.document_version;
+  state = std::move(other728.state);
+  loads = std::move(other728.loads);
+  serving_nodes = other728.serving_nodes;
+  wants_state = other728.wants_state;
+  state_change = std::move(other728.state_change);
+  wants_confirmation = other728.wants_confirmation;
+  confirmed_age_ms = other728.confirmed_age_ms;
+  control_peers = std::move(other728.control_peers);
+  document = std::move(other728.document);
+  evacuation_revision = other728.evacuation_revision;
+  evacuations = std::move(other728.evacuations);
+  relay_peers = std::move(other728.relay_peers);
+  no_document_age_ms = other728.no_document_age_ms;
+  __isset = other728.__isset;
   return *this;
 }
 void FleetUpdate::printTo(std::ostream& out) const {
@@ -17350,9 +17514,9 @@
         break;
       case 2:
         if (ftype == ::apache::thrift::protocol::T_I32) {
-          int32_t ecast723;
-          xfer += iprot->readI32(ecast723);
-          this->kind = static_cast<ControlCallKind::type>(ecast723);
+          int32_t ecast729;
+          xfer += iprot->readI32(ecast729);
+          this->kind = static_cast<ControlCallKind::type>(ecast729);
           this->__isset.kind = true;
         } else {
           xfer += iprot->skip(ftype);
@@ -17434,38 +17598,38 @@
   swap(a.__isset, b.__isset);
 }
 
-ControlCall::ControlCall(const ControlCall& other724) {
-  id = other724.id;
-  kind = other724.kind;
-  instance_id = other724.instance_id;
-  body = other724.body;
-  zone = other724.zone;
-  __isset = other724.__isset;
-}
-ControlCall::ControlCall(ControlCall&& other725) noexcept {
-  id = other725.id;
-  kind = other725.kind;
-  instance_id = std::move(other725.instance_id);
-  body = std::move(other725.body);
-  zone = std::move(other725.zone);
-  __isset = other725.__isset;
+ControlCall::ControlCall(const ControlCall& other730) {
+  id = other730.id;
+  kind = other730.kind;
+  instance_id = other730.instance_id;
+  body = other730.body;
+  zone = other730.zone;
+  __isset = other730.__isset;
 }
-ControlCall& ControlCall::operator=(const ControlCall& other726) {
-  id = other726.id;
-  kind = other726.kind;
-  instance_id = other726.instance_id;
-  body = other726.body;
-  zone = other726.zone;
-  __isset = other726.__isset;
+ControlCall::ControlCall(ControlCall&& other731) noexcept {
+  id = other731.id;
+  kind = other731.kind;
+  instance_id = std::move(other731.instance_id);
+  body = std::move(other731.body);
+  zone = std::move(other731.zone);
+  __isset = other731.__isset;
+}
+ControlCall& ControlCall::operator=(const ControlCall& other732) {
+  id = other732.id;
+  kind = other732.kind;
+  instance_id = other732.instance_id;
+  body = other732.body;
+  zone = other732.zone;
+  __isset = other732.__isset;
   return *this;
 }
-ControlCall& ControlCall::operator=(ControlCall&& other727) noexcept {
-  id = other727.id;
-  kind = other727.kind;
-  instance_id = std::move(other727.instance_id);
-  body = std::move(other727.body);
-  zone = std::move(other727.zone);
-  __isset = other727.__isset;
+ControlCall& ControlCall::operator=(ControlCall&& other733) noexcept {
+  id = other733.id;
+  kind = other733.kind;
+  instance_id = std::move(other733.instance_id);
+  body = std::move(other733.body);
+  zone = std::move(other733.zone);
+  __isset = other733.__isset;
   return *this;
 }
 void ControlCall::printTo(std::ostream& out) const {
@@ -17589,30 +17753,30 @@
   swap(a.__isset, b.__isset);
 }
 
-ControlCallReply::ControlCallReply(const ControlCallReply& other728) {
-  id = other728.id;
-  status = other728.status;
-  body = other728.body;
-  __isset = other728.__isset;
+ControlCallReply::ControlCallReply(const ControlCallReply& other734) {
+  id = other734.id;
+  status = other734.status;
+  body = other734.body;
+  __isset = other734.__isset;
 }
-ControlCallReply::ControlCallReply(ControlCallReply&& other729) noexcept {
-  id = other729.id;
-  status = other729.status;
-  body = std::move(other729.body);
-  __isset = other729.__isset;
+ControlCallReply::ControlCallReply(ControlCallReply&& other735) noexcept {
+  id = other735.id;
+  status = other735.status;
+  body = std::move(other735.body);
+  __isset = other735.__isset;
 }
-ControlCallReply& ControlCallReply::operator=(const ControlCallReply& other730) {
-  id = other730.id;
-  status = other730.status;
-  body = other730.body;
-  __isset = other730.__isset;
+ControlCallReply& ControlCallReply::operator=(const ControlCallReply& other736) {
+  id = other736.id;
+  status = other736.status;
+  body = other736.body;
+  __isset = other736.__isset;
   return *this;
 }
-ControlCallReply& ControlCallReply::operator=(ControlCallReply&& other731) noexcept {
-  id = other731.id;
-  status = other731.status;
-  body = std::move(other731.body);
-  __isset = other731.__isset;
+ControlCallReply& ControlCallReply::operator=(ControlCallReply&& other737) noexcept {
+  id = other737.id;
+  status = other737.status;
+  body = std::move(other737.body);
+  __isset = other737.__isset;
   return *this;
 }
 void ControlCallReply::printTo(std::ostream& out) const {
@@ -17717,26 +17881,26 @@
   swap(a.__isset, b.__isset);
 }
 
-RegistrationReport::RegistrationReport(const RegistrationReport& other732) {
-  instance = other732.instance;
-  known_term = other732.known_term;
-  __isset = other732.__isset;
+RegistrationReport::RegistrationReport(const RegistrationReport& other738) {
+  instance = other738.instance;
+  known_term = other738.known_term;
+  __isset = other738.__isset;
 }
-RegistrationReport::RegistrationReport(RegistrationReport&& other733) noexcept {
-  instance = std::move(other733.instance);
-  known_term = other733.known_term;
-  __isset = other733.__isset;
+RegistrationReport::RegistrationReport(RegistrationReport&& other739) noexcept {
+  instance = std::move(other739.instance);
+  known_term = other739.known_term;
+  __isset = other739.__isset;
 }
-RegistrationReport& RegistrationReport::operator=(const RegistrationReport& other734) {
-  instance = other734.instance;
-  known_term = other734.known_term;
-  __isset = other734.__isset;
+RegistrationReport& RegistrationReport::operator=(const RegistrationReport& other740) {
+  instance = other740.instance;
+  known_term = other740.known_term;
+  __isset = other740.__isset;
   return *this;
 }
-RegistrationReport& RegistrationReport::operator=(RegistrationReport&& other735) noexcept {
-  instance = std::move(other735.instance);
-  known_term = other735.known_term;
-  __isset = other735.__isset;
+RegistrationReport& RegistrationReport::operator=(RegistrationReport&& other741) noexcept {
+  instance = std::move(other741.instance);
+  known_term = other741.known_term;
+  __isset = other741.__isset;
   return *this;
 }
 void RegistrationReport::printTo(std::ostream& out) const {
@@ -17787,14 +17951,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->reports.clear();
-            uint32_t _size736;
-            ::apache::thrift::protocol::TType _etype739;
-            xfer += iprot->readListBegin(_etype739, _size736);
-            this->reports.resize(_size736);
-            uint32_t _i740;
-            for (_i740 = 0; _i740 < _size736; ++_i740)
+            uint32_t _size742;
+            ::apache::thrift::protocol::TType _etype745;
+            xfer += iprot->readListBegin(_etype745, _size742);
+            this->reports.resize(_size742);
+            uint32_t _i746;
+            for (_i746 = 0; _i746 < _size742; ++_i746)
             {
-              xfer += this->reports[_i740].read(iprot);
+              xfer += this->reports[_i746].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -17823,10 +17987,10 @@
   xfer += oprot->writeFieldBegin("reports", ::apache::thrift::protocol::T_LIST, 1);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->reports.size()));
-    std::vector<RegistrationReport> ::const_iterator _iter741;
-    for (_iter741 = this->reports.begin(); _iter741 != this->reports.end(); ++_iter741)
+    std::vector<RegistrationReport> ::const_iterator _iter747;
+    for (_iter747 = this->reports.begin(); _iter747 != this->reports.end(); ++_iter747)
     {
-      xfer += (*_iter741).write(oprot);
+      xfer += (*_iter747).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -17843,22 +18007,22 @@
   swap(a.__isset, b.__isset);
 }
 
-RegistrationBatch::RegistrationBatch(const RegistrationBatch& other742) {
-  reports = other742.reports;
-  __isset = other742.__isset;
+RegistrationBatch::RegistrationBatch(const RegistrationBatch& other748) {
+  reports = other748.reports;
+  __isset = other748.__isset;
 }
-RegistrationBatch::RegistrationBatch(RegistrationBatch&& other743) noexcept {
-  reports = std::move(other743.reports);
-  __isset = other743.__isset;
+RegistrationBatch::RegistrationBatch(RegistrationBatch&& other749) noexcept {
+  reports = std::move(other749.reports);
+  __isset = other749.__isset;
 }
-RegistrationBatch& RegistrationBatch::operator=(const RegistrationBatch& other744) {
-  reports = other744.reports;
-  __isset = other744.__isset;
+RegistrationBatch& RegistrationBatch::operator=(const RegistrationBatch& other750) {
+  reports = other750.reports;
+  __isset = other750.__isset;
   return *this;
 }
-RegistrationBatch& RegistrationBatch::operator=(RegistrationBatch&& other745) noexcept {
-  reports = std::move(other745.reports);
-  __isset = other745.__isset;
+RegistrationBatch& RegistrationBatch::operator=(RegistrationBatch&& other751) noexcept {
+  reports = std::move(other751.reports);
+  __isset = other751.__isset;
   return *this;
 }
 void RegistrationBatch::printTo(std::ostream& out) const {
@@ -17961,26 +18125,26 @@
   swap(a.__isset, b.__isset);
 }
 
-FormationNotice::FormationNotice(const FormationNotice& other746) {
-  choice = other746.choice;
-  holds_log = other746.holds_log;
-  __isset = other746.__isset;
+FormationNotice::FormationNotice(const FormationNotice& other752) {
+  choice = other752.choice;
+  holds_log = other752.holds_log;
+  __isset = other752.__isset;
 }
-FormationNotice::FormationNotice(FormationNotice&& other747) noexcept {
-  choice = std::move(other747.choice);
-  holds_log = other747.holds_log;
-  __isset = other747.__isset;
+FormationNotice::FormationNotice(FormationNotice&& other753) noexcept {
+  choice = std::move(other753.choice);
+  holds_log = other753.holds_log;
+  __isset = other753.__isset;
 }
-FormationNotice& FormationNotice::operator=(const FormationNotice& other748) {
-  choice = other748.choice;
-  holds_log = other748.holds_log;
-  __isset = other748.__isset;
+FormationNotice& FormationNotice::operator=(const FormationNotice& other754) {
+  choice = other754.choice;
+  holds_log = other754.holds_log;
+  __isset = other754.__isset;
   return *this;
 }
-FormationNotice& FormationNotice::operator=(FormationNotice&& other749) noexcept {
-  choice = std::move(other749.choice);
-  holds_log = other749.holds_log;
-  __isset = other749.__isset;
+FormationNotice& FormationNotice::operator=(FormationNotice&& other755) noexcept {
+  choice = std::move(other755.choice);
+  holds_log = other755.holds_log;
+  __isset = other755.__isset;
   return *this;
 }
 void FormationNotice::printTo(std::ostream& out) const {
@@ -18424,98 +18588,98 @@
   swap(a.__isset, b.__isset);
 }
 
-Envelope::Envelope(const Envelope& other750) {
-  from_node = other750.from_node;
-  from_incarnation = other750.from_incarnation;
-  to_node = other750.to_node;
-  raft = other750.raft;
-  heartbeat = other750.heartbeat;
-  heartbeat_reply = other750.heartbeat_reply;
-  claim_request = other750.claim_request;
-  claim_reply = other750.claim_reply;
-  resolution = other750.resolution;
-  operator_request = other750.operator_request;
-  operator_reply = other750.operator_reply;
-  resolution_reply = other750.resolution_reply;
-  fleet_heartbeat = other750.fleet_heartbeat;
-  fleet_update = other750.fleet_update;
-  control_call = other750.control_call;
-  control_call_reply = other750.control_call_reply;
-  slot_report = other750.slot_report;
-  slot_answer = other750.slot_answer;
-  registrations = other750.registrations;
-  formation = other750.formation;
-  __isset = other750.__isset;
-}
-Envelope::Envelope(Envelope&& other751) noexcept {
-  from_node = std::move(other751.from_node);
-  from_incarnation = other751.from_incarnation;
-  to_node = std::move(other751.to_node);
-  raft = std::move(other751.raft);
-  heartbeat = std::move(other751.heartbeat);
-  heartbeat_reply = std::move(other751.heartbeat_reply);
-  claim_request = std::move(other751.claim_request);
-  claim_reply = std::move(other751.claim_reply);
-  resolution = std::move(other751.resolution);
-  operator_request = std::move(other751.operator_request);
-  operator_reply = std::move(other751.operator_reply);
-  resolution_reply = std::move(other751.resolution_reply);
-  fleet_heartbeat = std::move(other751.fleet_heartbeat);
-  fleet_update = std::move(other751.fleet_update);
-  control_call = std::move(other751.control_call);
-  control_call_reply = std::move(other751.control_call_reply);
-  slot_report = std::move(other751.slot_report);
-  slot_answer = std::move(other751.slot_answer);
-  registrations = std::move(other751.registrations);
-  formation = std::move(other751.formation);
-  __isset = other751.__isset;
-}
-Envelope& Envelope::operator=(const Envelope& other752) {
-  from_node = other752.from_node;
-  from_incarnation = other752.from_incarnation;
-  to_node = other752.to_node;
-  raft = other752.raft;
-  heartbeat = other752.heartbeat;
-  heartbeat_reply = other752.heartbeat_reply;
-  claim_request = other752.claim_request;
-  claim_reply = other752.claim_reply;
-  resolution = other752.resolution;
-  operator_request = other752.operator_request;
-  operator_reply = other752.operator_reply;
-  resolution_reply = other752.resolution_reply;
-  fleet_heartbeat = other752.fleet_heartbeat;
-  fleet_update = other752.fleet_update;
-  control_call = other752.control_call;
-  control_call_reply = other752.control_call_reply;
-  slot_report = other752.slot_report;
-  slot_answer = other752.slot_answer;
-  registrations = other752.registrations;
-  formation = other752.formation;
-  __isset = other752.__isset;
+Envelope::Envelope(const Envelope& other756) {
+  from_node = other756.from_node;
+  from_incarnation = other756.from_incarnation;
+  to_node = other756.to_node;
+  raft = other756.raft;
+  heartbeat = other756.heartbeat;
+  heartbeat_reply = other756.heartbeat_reply;
+  claim_request = other756.claim_request;
+  claim_reply = other756.claim_reply;
+  resolution = other756.resolution;
+  operator_request = other756.operator_request;
+  operator_reply = other756.operator_reply;
+  resolution_reply = other756.resolution_reply;
+  fleet_heartbeat = other756.fleet_heartbeat;
+  fleet_update = other756.fleet_update;
+  control_call = other756.control_call;
+  control_call_reply = other756.control_call_reply;
+  slot_report = other756.slot_report;
+  slot_answer = other756.slot_answer;
+  registrations = other756.registrations;
+  formation = other756.formation;
+  __isset = other756.__isset;
+}
+Envelope::Envelope(Envelope&& other757) noexcept {
+  from_node = std::move(other757.from_node);
+  from_incarnation = other757.from_incarnation;
+  to_node = std::move(other757.to_node);
+  raft = std::move(other757.raft);
+  heartbeat = std::move(other757.heartbeat);
+  heartbeat_reply = std::move(other757.heartbeat_reply);
+  claim_request = std::move(other757.claim_request);
+  claim_reply = std::move(other757.claim_reply);
+  resolution = std::move(other757.resolution);
+  operator_request = std::move(other757.operator_request);
+  operator_reply = std::move(other757.operator_reply);
+  resolution_reply = std::move(other757.resolution_reply);
+  fleet_heartbeat = std::move(other757.fleet_heartbeat);
+  fleet_update = std::move(other757.fleet_update);
+  control_call = std::move(other757.control_call);
+  control_call_reply = std::move(other757.control_call_reply);
+  slot_report = std::move(other757.slot_report);
+  slot_answer = std::move(other757.slot_answer);
+  registrations = std::move(other757.registrations);
+  formation = std::move(other757.formation);
+  __isset = other757.__isset;
+}
+Envelope& Envelope::operator=(const Envelope& other758) {
+  from_node = other758.from_node;
+  from_incarnation = other758.from_incarnation;
+  to_node = other758.to_node;
+  raft = other758.raft;
+  heartbeat = other758.heartbeat;
+  heartbeat_reply = other758.heartbeat_reply;
+  claim_request = other758.claim_request;
+  claim_reply = other758.claim_reply;
+  resolution = other758.resolution;
+  operator_request = other758.operator_request;
+  operator_reply = other758.operator_reply;
+  resolution_reply = other758.resolution_reply;
+  fleet_heartbeat = other758.fleet_heartbeat;
+  fleet_update = other758.fleet_update;
+  control_call = other758.control_call;
+  control_call_reply = other758.control_call_reply;
+  slot_report = other758.slot_report;
+  slot_answer = other758.slot_answer;
+  registrations = other758.registrations;
+  formation = other758.formation;
+  __isset = other758.__isset;
   return *this;
 }
-Envelope& Envelope::operator=(Envelope&& other753) noexcept {
-  from_node = std::move(other753.from_node);
-  from_incarnation = other753.from_incarnation;
-  to_node = std::move(other753.to_node);
-  raft = std::move(other753.raft);
-  heartbeat = std::move(other753.heartbeat);
-  heartbeat_reply = std::move(other753.heartbeat_reply);
-  claim_request = std::move(other753.claim_request);
-  claim_reply = std::move(other753.claim_reply);
-  resolution = std::move(other753.resolution);
-  operator_request = std::move(other753.operator_request);
-  operator_reply = std::move(other753.operator_reply);
-  resolution_reply = std::move(other753.resolution_reply);
-  fleet_heartbeat = std::move(other753.fleet_heartbeat);
-  fleet_update = std::move(other753.fleet_update);
-  control_call = std::move(other753.control_call);
-  control_call_reply = std::move(other753.control_call_reply);
-  slot_report = std::move(other753.slot_report);
-  slot_answer = std::move(other753.slot_answer);
-  registrations = std::move(other753.registrations);
-  formation = std::move(other753.formation);
-  __isset = other753.__isset;
+Envelope& Envelope::operator=(Envelope&& other759) noexcept {
+  from_node = std::move(other759.from_node);
+  from_incarnation = other759.from_incarnation;
+  to_node = std::move(other759.to_node);
+  raft = std::move(other759.raft);
+  heartbeat = std::move(other759.heartbeat);
+  heartbeat_reply = std::move(other759.heartbeat_reply);
+  claim_request = std::move(other759.claim_request);
+  claim_reply = std::move(other759.claim_reply);
+  resolution = std::move(other759.resolution);
+  operator_request = std::move(other759.operator_request);
+  operator_reply = std::move(other759.operator_reply);
+  resolution_reply = std::move(other759.resolution_reply);
+  fleet_heartbeat = std::move(other759.fleet_heartbeat);
+  fleet_update = std::move(other759.fleet_update);
+  control_call = std::move(other759.control_call);
+  control_call_reply = std::move(other759.control_call_reply);
+  slot_report = std::move(other759.slot_report);
+  slot_answer = std::move(other759.slot_answer);
+  registrations = std::move(other759.registrations);
+  formation = std::move(other759.formation);
+  __isset = other759.__isset;
   return *this;
 }
 void Envelope::printTo(std::ostream& out) const {
--- a/src/wire/gen-cpp/larchlever_types.h
+++ b/src/wire/gen-cpp/larchlever_types.h
@@ -5324,12 +5324,14 @@
 std::ostream& operator<<(std::ostream& out, const FleetStateChange& obj);
 
 typedef struct _GroupLoad__isset {
-  _GroupLoad__isset() : group(false), in_flight(false), streaming(false), waiting_tokens(false), progress_age_ms(false) {}
+  _GroupLoad__isset() : group(false), in_flight(false), streaming(false), waiting_tokens(false), progress_age_ms(false), interval_count(false), interval_ms(false) {}
   bool group :1;
   bool in_flight :1;
   bool streaming :1;
   bool waiting_tokens :1;
   bool progress_age_ms :1;
+  bool interval_count :1;
+  bool interval_ms :1;
 } _GroupLoad__isset;
 
 class GroupLoad : public virtual ::apache::thrift::TBase {
@@ -5344,7 +5346,9 @@
               in_flight(0),
               streaming(0),
               waiting_tokens(0),
-              progress_age_ms(0) {
+              progress_age_ms(0),
+              interval_count(0),
+              interval_ms(0) {
   }
 
   virtual ~GroupLoad() noexcept;
@@ -5362,6 +5366,12 @@
    * Milliseconds since the sender last received an event or response from the group; negative if it never did.
    */
   int32_t progress_age_ms;
+  /**
+   * Intervals that the sender measured since its last report of this target, and their mean in milliseconds: pauses
+   * between the events of a group's streams, or response times of a plain server. Absent if there were none.
+   */
+  int32_t interval_count;
+  double interval_ms;
 
   _GroupLoad__isset __isset;
 
@@ -5375,6 +5385,10 @@
 
   void __set_progress_age_ms(const int32_t val);
 
+  void __set_interval_count(const int32_t val);
+
+  void __set_interval_ms(const double val);
+
   bool operator == (const GroupLoad & rhs) const
   {
     if (!(group == rhs.group))
@@ -5387,6 +5401,14 @@
       return false;
     if (!(progress_age_ms == rhs.progress_age_ms))
       return false;
+    if (__isset.interval_count != rhs.__isset.interval_count)
+      return false;
+    else if (__isset.interval_count && !(interval_count == rhs.interval_count))
+      return false;
+    if (__isset.interval_ms != rhs.__isset.interval_ms)
+      return false;
+    else if (__isset.interval_ms && !(interval_ms == rhs.interval_ms))
+      return false;
     return true;
   }
   bool operator != (const GroupLoad &rhs) const {
@@ -5809,7 +5831,7 @@
 std::ostream& operator<<(std::ostream& out, const FleetHeartbeat& obj);
 
 typedef struct _SlotRequest__isset {
-  _SlotRequest__isset() : id(false), service_name(false), model(false), prompt_tokens(false), first_event_ms(false), gap_ms(false), priority(false), patience_ms(false), excluded_groups(false), trial_of(false), repeat_of(false), allowed_zones(false), rated_servers(false) {}
+  _SlotRequest__isset() : id(false), service_name(false), model(false), prompt_tokens(false), first_event_ms(false), gap_ms(false), priority(false), patience_ms(false), excluded_groups(false), trial_of(false), repeat_of(false), allowed_zones(false), rated_servers(false), tenant(false), answer_tokens(false), fingerprint(false), plain_servers(false) {}
   bool id :1;
   bool service_name :1;
   bool model :1;
@@ -5823,6 +5845,10 @@
   bool repeat_of :1;
   bool allowed_zones :1;
   bool rated_servers :1;
+  bool tenant :1;
+  bool answer_tokens :1;
+  bool fingerprint :1;
+  bool plain_servers :1;
 } _SlotRequest__isset;
 
 /**
@@ -5845,7 +5871,10 @@
                 priority(0),
                 patience_ms(0),
                 trial_of(0),
-                repeat_of(0) {
+                repeat_of(0),
+                tenant(),
+                answer_tokens(0),
+                fingerprint(0) {
   }
 
   virtual ~SlotRequest() noexcept;
@@ -5895,6 +5924,23 @@
    * a group. Absent if it requests a group.
    */
   std::vector<std::string>  rated_servers;
+  /**
+   * Name of the caller's tenant; absent if the route needs no key.
+   */
+  std::string tenant;
+  /**
+   * Tokens that the answer is expected to have; absent if unknown.
+   */
+  int32_t answer_tokens;
+  /**
+   * Equal for all attempts of a caller at the same request; see requests::RequestFingerprint.
+   */
+  int64_t fingerprint;
+  /**
+   * Incarnations of plain servers whose slots the leader counts, in order of preference. The entry requests a slot of
+   * one of them instead of a group. Absent if it requests a group.
+   */
+  std::vector<std::string>  plain_servers;
 
   _SlotRequest__isset __isset;
 
@@ -5924,6 +5970,14 @@
 
   void __set_rated_servers(const std::vector<std::string> & val);
 
+  void __set_tenant(const std::string& val);
+
+  void __set_answer_tokens(const int32_t val);
+
+  void __set_fingerprint(const int64_t val);
+
+  void __set_plain_servers(const std::vector<std::string> & val);
+
   bool operator == (const SlotRequest & rhs) const
   {
     if (!(id == rhs.id))
@@ -5960,6 +6014,22 @@
       return false;
     else if (__isset.rated_servers && !(rated_servers == rhs.rated_servers))
       return false;
+    if (__isset.tenant != rhs.__isset.tenant)
+      return false;
+    else if (__isset.tenant && !(tenant == rhs.tenant))
+      return false;
+    if (__isset.answer_tokens != rhs.__isset.answer_tokens)
+      return false;
+    else if (__isset.answer_tokens && !(answer_tokens == rhs.answer_tokens))
+      return false;
+    if (__isset.fingerprint != rhs.__isset.fingerprint)
+      return false;
+    else if (__isset.fingerprint && !(fingerprint == rhs.fingerprint))
+      return false;
+    if (__isset.plain_servers != rhs.__isset.plain_servers)
+      return false;
+    else if (__isset.plain_servers && !(plain_servers == rhs.plain_servers))
+      return false;
     return true;
   }
   bool operator != (const SlotRequest &rhs) const {
@@ -6026,11 +6096,11 @@
    */
   int32_t expected_ms;
   /**
-   * The server of `rated_servers` to which the request must be sent.
+   * The server of `rated_servers` or `plain_servers` to which the request must be sent.
    */
   std::string server;
   /**
-   * With BUSY: milliseconds after which the rate limits of the servers admit the request.
+   * With BUSY: milliseconds after which there is expected to be room for the request.
    */
   int32_t retry_after_ms;
 
--- a/src/wire/larchlever.thrift
+++ b/src/wire/larchlever.thrift
@@ -661,6 +661,12 @@
   5: i64 waiting_tokens,
   /** Milliseconds since the sender last received an event or response from the group; negative if it never did. */
   3: i32 progress_age_ms,
+  /**
+   * Intervals that the sender measured since its last report of this target, and their mean in milliseconds: pauses
+   * between the events of a group's streams, or response times of a plain server. Absent if there were none.
+   */
+  6: optional i32 interval_count,
+  7: optional double interval_ms,
 }
 
 /**
@@ -762,6 +768,17 @@
    * a group. Absent if it requests a group.
    */
   14: optional list<string> rated_servers,
+  /** Name of the caller's tenant; absent if the route needs no key. */
+  15: optional string tenant,
+  /** Tokens that the answer is expected to have; absent if unknown. */
+  16: optional i32 answer_tokens,
+  /** Equal for all attempts of a caller at the same request; see requests::RequestFingerprint. */
+  17: optional i64 fingerprint,
+  /**
+   * Incarnations of plain servers whose slots the leader counts, in order of preference. The entry requests a slot of
+   * one of them instead of a group. Absent if it requests a group.
+   */
+  18: optional list<string> plain_servers,
 }
 
 enum SlotVerdict {
@@ -784,9 +801,9 @@
   4: string group,
   /** Milliseconds after which the group's first event is expected. */
   5: i32 expected_ms,
-  /** The server of `rated_servers` to which the request must be sent. */
+  /** The server of `rated_servers` or `plain_servers` to which the request must be sent. */
   6: optional string server,
-  /** With BUSY: milliseconds after which the rate limits of the servers admit the request. */
+  /** With BUSY: milliseconds after which there is expected to be room for the request. */
   7: optional i32 retry_after_ms,
 }
 
