Entries report the pauses of streams; the leader can join them to a factor per group

What callers saw: a group that runs several times slower than its cost model gets requests as if it were fast, and their first events come late. Cause: PassSimulator derives passes from the cost model alone, and nothing tells the leader how long they take.

Change, behind admission.observed_speeds: an entry measures the pauses between events of a group's streams (mean of the last five without the longest; a pause that lasts counts once it is longer than usual; its own standstill does not) and reports them in GroupLoad.interval_count and interval_ms. A complete report takes the intervals before the list of changed groups is dropped. PassSimulator takes a time factor and tells what the model expects of its recent passes. Nothing uses the factor yet.

--- a/src/core/engine/pass_simulator.cc
+++ b/src/core/engine/pass_simulator.cc
@@ -25,6 +25,10 @@
                                            : 0.0);
 }
 
+Duration scale_duration(Duration duration, double factor) {
+  return Duration(static_cast<int64_t>(static_cast<double>(duration.count()) * factor));
+}
+
 }  // namespace
 
 void PassSimulator::advance(TimePoint now, const document::EngineSpec& engine, const document::ModelSpec& model,
@@ -33,6 +37,7 @@
     waiting_tokens_ = 0;
     current_pass_ends_at_ = std::max(current_pass_ends_at_, now);
     longest_recent_pass_ = Duration::zero();
+    recent_passes_.clear();
     return;
   }
   if (current_pass_ends_at_ == TimePoint::min() || now - current_pass_ends_at_ > kMaxCatchUp) {
@@ -41,7 +46,10 @@
   while (current_pass_ends_at_ <= now) {
     const double prefill_tokens = std::min(waiting_tokens_, max_prefill_tokens_per_pass(engine));
     waiting_tokens_ -= prefill_tokens;
-    const Duration pass = std::max<Duration>(milliseconds(1), pass_duration(engine, model, running, prefill_tokens));
+    const Duration modelled =
+        std::max<Duration>(milliseconds(1), pass_duration(engine, model, running, prefill_tokens));
+    recent_passes_.add(modelled);
+    const Duration pass = scale_duration(modelled, time_factor_);
     const bool has_expired = longest_recent_pass_ended_at_ == TimePoint::min() ||
                              current_pass_ends_at_ - longest_recent_pass_ended_at_ > kRecentPassWindow;
     current_pass_ends_at_ += pass;
@@ -67,11 +75,18 @@
   do {
     const double prefill_tokens = std::min(remaining_tokens, max_prefill_tokens_per_pass(engine));
     remaining_tokens -= prefill_tokens;
-    const Duration pass = pass_duration(engine, model, running + 1, prefill_tokens);
+    const Duration pass = scale_duration(pass_duration(engine, model, running + 1, prefill_tokens), time_factor_);
     result.longest_pass = std::max(result.longest_pass, pass);
     result.time_to_first_event += pass;
   } while (remaining_tokens > 0);
   return result;
 }
 
+std::optional<Duration> PassSimulator::usual_pass(TimePoint now, const document::EngineSpec& engine,
+                                                  const document::ModelSpec& model, int running) const {
+  PassSimulator current = *this;
+  current.advance(now, engine, model, running);
+  return current.recent_passes_.is_empty() ? std::nullopt : std::optional(current.recent_passes_.value());
+}
+
 }  // namespace larchlever::engine
--- a/src/core/fleet/dispatcher.cc
+++ b/src/core/fleet/dispatcher.cc
@@ -481,7 +481,13 @@
   }
 }
 
-void Dispatcher::note_progress(TimePoint now, const DispatchTarget& target) { health_[target.key].note_progress(now); }
+void Dispatcher::note_progress(TimePoint now, const DispatchTarget& target) {
+  TargetHealth& health = health_[target.key];
+  const auto pause = health.note_progress(now);
+  if (options_.admission.observed_speeds && pause && !target.group.empty()) {
+    health.stream_pauses().add(*pause);
+  }
+}
 
 void Dispatcher::note_first_event(TimePoint now, const DispatchTarget& target, AttemptState& attempt) {
   health_[target.key].note_first_event(now, attempt);
@@ -518,9 +524,9 @@
   return result;
 }
 
-std::vector<wire::GroupLoad> Dispatcher::group_loads(TimePoint now) const {
+std::vector<wire::GroupLoad> Dispatcher::group_loads(TimePoint now) {
   std::vector<wire::GroupLoad> result;
-  for (const auto& [key, health] : health_) {
+  for (auto& [key, health] : health_) {
     if (health.in_flight() > 0 || health.progressed_within(now, kMaxReportedProgressAge)) {
       result.push_back(make_group_load(now, key, health));
     }
@@ -528,7 +534,7 @@
   return result;
 }
 
-wire::GroupLoad Dispatcher::make_group_load(TimePoint now, const std::string& key, const TargetHealth& health) {
+wire::GroupLoad Dispatcher::make_group_load(TimePoint now, const std::string& key, TargetHealth& health) {
   const bool progressed = health.progressed_within(now, kMaxReportedProgressAge);
   wire::GroupLoad load;
   load.group = key;
@@ -537,6 +543,10 @@
   load.waiting_tokens = static_cast<int64_t>(health.waiting_tokens());
   load.progress_age_ms =
       progressed ? static_cast<int32_t>((now - health.last_progress()) / milliseconds(1)) : kUnknownProgressAge;
+  if (const auto pauses = health.stream_pauses().take_report(health.ongoing_pause(now))) {
+    load.__set_interval_count(pauses->count);
+    load.__set_interval_ms(std::chrono::duration<double, std::milli>(pauses->typical).count());
+  }
   return load;
 }
 
--- a/src/core/fleet/dispatcher.h
+++ b/src/core/fleet/dispatcher.h
@@ -191,8 +191,8 @@
   /// This entry's share of the budget for retries.
   RetryBudget& retry_budget() { return retry_budget_; }
 
-  /// This entry's load per group, to be reported to the leader.
-  std::vector<wire::GroupLoad> group_loads(TimePoint now) const;
+  /// This entry's load per group, to be reported to the leader. The pauses of streams are in one report only.
+  std::vector<wire::GroupLoad> group_loads(TimePoint now);
   /// The same for groups whose load changed since the last call.
   std::vector<wire::GroupLoad> take_changed_group_loads(TimePoint now);
   /// Groups that this entry avoids now.
@@ -273,7 +273,8 @@
   /// Lists the rate-limited servers for which the leader must be asked, if one of them is the best candidate.
   DispatchDecision choose_for_leader_admission(TimePoint now, const std::vector<InstanceCandidate>& candidates);
   void mark_load_changed(const DispatchTarget& target);
-  static wire::GroupLoad make_group_load(TimePoint now, const std::string& key, const TargetHealth& health);
+  /// Includes the pauses of streams since the last report.
+  static wire::GroupLoad make_group_load(TimePoint now, const std::string& key, TargetHealth& health);
 
   FleetOptions options_;
   std::string zone_;
--- a/src/core/fleet/target_health.cc
+++ b/src/core/fleet/target_health.cc
@@ -33,12 +33,14 @@
   waiting_tokens_ -= attempt.prompt_tokens;
   if (streaming_++ == 0) {
     streaming_since_ = now;
+    stream_pauses_.clear();
   }
 }
 
 void TargetHealth::restart_silence_timer(TimePoint now) {
   busy_since_ = now;
   streaming_since_ = now;
+  stream_pauses_.clear();
 }
 
 void TargetHealth::end_attempt(const AttemptState& attempt) {
@@ -54,12 +56,15 @@
   }
 }
 
-void TargetHealth::note_progress(TimePoint now) {
+std::optional<Duration> TargetHealth::note_progress(TimePoint now) {
   const TimePoint previous = std::max(streaming_since_, last_progress_);
   last_progress_ = now;
-  if (streaming_ > 0 && now - previous > kSamePassWindow) {
-    pause_estimate_.add_sample(now - previous);
+  const Duration pause = now - previous;
+  if (streaming_ == 0 || pause <= kSamePassWindow) {
+    return std::nullopt;
   }
+  pause_estimate_.add_sample(pause);
+  return pause;
 }
 
 bool TargetHealth::progressed_within(TimePoint now, Duration age) const {
@@ -83,6 +88,10 @@
   return now - std::max(streaming_since_, last_progress_) > allowed;
 }
 
+Duration TargetHealth::ongoing_pause(TimePoint now) const {
+  return streaming_ == 0 ? Duration::zero() : now - std::max(streaming_since_, last_progress_);
+}
+
 Duration TargetHealth::silence_duration(TimePoint now) const {
   return in_flight_ == 0 ? Duration::zero() : now - std::max(busy_since_, last_progress_);
 }
--- a/src/core/fleet/target_health.h
+++ b/src/core/fleet/target_health.h
@@ -1,8 +1,10 @@
 #pragma once
 
 #include <cstdint>
+#include <optional>
 
 #include "core/base/time.h"
+#include "core/fleet/stream_pauses.h"
 #include "core/requests/latency_estimate.h"
 
 namespace larchlever::fleet {
@@ -32,14 +34,17 @@
  public:
   void begin_attempt(TimePoint now, const AttemptState& attempt);
   void note_first_event(TimePoint now, AttemptState& attempt);
-  void note_progress(TimePoint now);
+  /// Returns the pause that the event ended, if streams were active. Further events of the same engine pass end none.
+  std::optional<Duration> note_progress(TimePoint now);
   void end_attempt(const AttemptState& attempt);
   void set_other_entries_load(const OtherEntriesLoad& others) { other_entries_ = others; }
   /// Number of further requests that this entry may send to the target until its share of the free slots is
   /// recalculated.
   void set_permits(int permits) { permits_ = permits; }
   bool has_permit() const { return permits_ > 0; }
-  /// Measures silence from now on, because this entry was paused until now and read no responses.
+  /// Pauses of this entry's streams that the leader shall know of. Cleared when the first of several streams starts.
+  StreamPauses& stream_pauses() { return stream_pauses_; }
+  /// Measures silence and pauses from now on, because this entry was paused until now and read no responses.
   void restart_silence_timer(TimePoint now);
   void avoid_until(TimePoint until) { avoid_until_ = until; }
 
@@ -58,6 +63,8 @@
   /// This entry has active streams, and none produced an event for clearly longer than the usual pause, or for longer
   /// than `longest_pause`.
   bool is_overdue(TimePoint now, Duration longest_pause) const;
+  /// How long this entry's streams have paused; zero if there are none.
+  Duration ongoing_pause(TimePoint now) const;
   /// How long this entry's requests have waited since the last progress; zero if there are none.
   Duration silence_duration(TimePoint now) const;
 
@@ -72,6 +79,7 @@
   TimePoint last_progress_ = TimePoint::min();
   /// Intervals between progress events while streams were active.
   requests::LatencyEstimate pause_estimate_;
+  StreamPauses stream_pauses_;
   TimePoint avoid_until_ = TimePoint::min();
   OtherEntriesLoad other_entries_;
 };
--- a/src/node/slot_requester.cc
+++ b/src/node/slot_requester.cc
@@ -237,8 +237,8 @@
   log_new_failures(failures);
   reported_failures_ = failures;
   auto report = make_report({});
-  state_.dispatcher.take_changed_group_loads(now);
   report.loads = state_.dispatcher.group_loads(now);
+  state_.dispatcher.take_changed_group_loads(now);  // Included.
   report.is_complete = true;
   report.server_limits = make_limit_reports(now, state_.dispatcher.take_all_limits(now));
   report.demand = state_.dispatcher.demand_totals();
