--- a/src/core/fleet/fleet_leader.cc
+++ b/src/core/fleet/fleet_leader.cc
@@ -247,6 +247,9 @@
   if (report.traffic_seen) {
     group_supervisor_.note_traffic();
   }
+  if (log.parsed_document() != nullptr) {
+    slot_scheduler_.note_pauses(now, *log.parsed_document(), node, report.loads);
+  }
   slot_scheduler_.note_loads(node, report.loads, report.is_complete, report.grants_term, report.grants_seen);
   slot_scheduler_.note_quiet_groups(now, node, report.quiet_groups);
   record_server_ends(now, report);
--- a/src/core/fleet/fleet_leader.h
+++ b/src/core/fleet/fleet_leader.h
@@ -82,6 +82,8 @@
   const wire::EngineGroup* group_of(const std::string& instance) const { return group_supervisor_.owner_of(instance); }
   /// Load per group, summed over all entries.
   const std::map<std::string, wire::GroupLoad>& loads() const { return group_loads_; }
+  /// Groups that are slower than the cost model says, with the factor.
+  std::map<std::string, double> slow_groups(TimePoint now) const { return slot_scheduler_.slow_groups(now); }
   /// Requests that entries must not send to any server because they crash the servers that run them.
   std::vector<wire::BlockedRequest> blocked_requests() const { return request_blocker_.rows(); }
 
--- a/src/core/fleet/slot_scheduler.cc
+++ b/src/core/fleet/slot_scheduler.cc
@@ -35,6 +35,7 @@
   term_ = term;
   groups_.clear();
   silence_watch_ = GroupStallDetector();
+  speeds_ = ServerSpeeds();
   open_groups_.clear();
   nodes_.clear();
   new_requests_.clear();
@@ -62,6 +63,7 @@
   for (auto& [name, group] : groups_) {
     group.is_open = group.is_open && known.contains(name);
   }
+  retain_speeds_of_known_groups();
   index_open_groups();
 }
 
@@ -124,13 +126,12 @@
       continue;
     }
     TrackedGroup& group = found->second;
-    const auto service = document.services.find(group.service);
-    const bool known = service != document.services.end() && service->second.engine;
-    const auto* model = known ? service->second.engine->find_model(group.model) : nullptr;
+    const auto [engine, model] = engine_of(document, group);
     if (model == nullptr) {
       continue;
     }
-    const auto next = group.pass_clock.forecast(now, *service->second.engine, *model, group.in_flight, 0);
+    apply_pace(now, name, group);
+    const auto next = group.pass_clock.forecast(now, *engine, *model, group.in_flight, 0);
     const Duration longest_pass = std::max(next.longest_pass, group.pass_clock.longest_recent_pass());
     if (silence_watch_.is_stalled(now, name, longest_pass)) {
       group.has_failed = true;
@@ -158,6 +159,7 @@
 
 void SlotScheduler::forget_node(const std::string& node_name) {
   silence_watch_.forget_node(node_name);
+  speeds_.forget_entry(node_name);
   const auto found = nodes_.find(node_name);
   if (found == nodes_.end()) {
     return;
@@ -268,19 +270,25 @@
     if (!is_eligible || rate_limiter_.next_allowed_at(now, service, group.rate_limited_head) > now) {
       continue;
     }
+    const double time_factor = apply_pace_or_trial(now, name, group);
     const auto forecast = group.pass_clock.forecast(now, engine, model, group.in_flight, request.prompt_tokens);
-    if (group.in_flight > 0 && forecast.longest_pass > longest_pass) {
+    const bool is_slow = time_factor > 1;
+    const Duration modelled_pass =
+        is_slow ? scale_duration(forecast.longest_pass, 1 / time_factor) : forecast.longest_pass;
+    if (group.in_flight > 0 && modelled_pass > longest_pass) {
       continue;
     }
     const bool is_quiet_group = silence_watch_.is_quiet(now, name);
-    const bool is_better =
-        std::pair(is_quiet_group, forecast.time_to_first_event) < std::pair(best.is_quiet, best.first_event);
+    const bool is_late = has_objective && forecast.time_to_first_event > remaining_time;
+    const bool is_too_slow = is_slow && (is_late || forecast.longest_pass > longest_pass);
+    const bool is_better = std::tuple(is_quiet_group, is_too_slow, forecast.time_to_first_event) <
+                           std::tuple(best.is_quiet, best.is_too_slow, best.first_event);
     if (best.feasibility == Feasibility::kNone || is_better) {
       best.name = name;
       best.first_event = forecast.time_to_first_event;
       best.is_quiet = is_quiet_group;
-      best.feasibility =
-          has_objective && forecast.time_to_first_event > remaining_time ? Feasibility::kLate : Feasibility::kInTime;
+      best.is_too_slow = is_too_slow;
+      best.feasibility = is_late ? Feasibility::kLate : Feasibility::kInTime;
     }
   }
   return best;
@@ -326,6 +334,9 @@
                                      const SlotCandidate& candidate, std::vector<SlotDecision>& decisions) {
   TrackedGroup& group = groups_.at(candidate.name);
   group.pass_clock.add(now, *service.engine, model, group.in_flight, waiting.request.prompt_tokens);
+  if (group.in_flight == 0) {
+    speeds_.note_trial(now, candidate.name);
+  }
   ++group.in_flight;
   rate_limiter_.note_request(now, service, group.rate_limited_head);
   NodeLoads& node = nodes_[waiting.node];
--- a/src/core/fleet/slot_scheduler.h
+++ b/src/core/fleet/slot_scheduler.h
@@ -14,6 +14,7 @@
 #include "core/fleet/fleet_options.h"
 #include "core/fleet/group_stall_detector.h"
 #include "core/fleet/server_rate_limiter.h"
+#include "core/fleet/server_speeds.h"
 #include "larchlever_types.h"
 
 namespace larchlever::fleet {
@@ -53,6 +54,12 @@
   /// received the grants up to sequence `grants_seen` of term `grants_term`.
   void note_loads(const std::string& node, const std::vector<wire::GroupLoad>& loads, bool is_complete,
                   int64_t grants_term, int64_t grants_seen);
+  /// Learns the speeds of groups from the pauses in a load report. Call before `note_loads`, because the pauses are
+  /// those of the load until now.
+  void note_pauses(TimePoint now, const document::ConfigurationDocument& document, const std::string& node,
+                   const std::vector<wire::GroupLoad>& loads);
+  /// The groups that are slower than the cost model says, with the factor. They get fewer requests.
+  std::map<std::string, double> slow_groups(TimePoint now) const { return speeds_.slow_targets(now); }
   /// The complete list of groups whose streams at the node currently pause too long. If two nodes report a group, other
   /// groups are preferred.
   void note_quiet_groups(TimePoint now, const std::string& node, const std::vector<std::string>& groups) {
@@ -128,6 +135,13 @@
     Duration first_event{};
     Feasibility feasibility = Feasibility::kNone;
     bool is_quiet = false;
+    /// The group misses an objective of the request only because it is slower than the cost model says.
+    bool is_too_slow = false;
+  };
+  /// The engine and model of a group; null if the document does not have them.
+  struct GroupEngine {
+    const document::EngineSpec* engine = nullptr;
+    const document::ModelSpec* model = nullptr;
   };
 
   /// Whether the objective for the first event has already passed.
@@ -140,9 +154,15 @@
   static bool asks_for_plain_server(const WaitingRequest& waiting) { return waiting.request.__isset.rated_servers; }
   /// Whether all members of the group are in zones that the request allows.
   static bool is_in_allowed_zones(const WaitingRequest& waiting, const TrackedGroup& group);
+  static GroupEngine engine_of(const document::ConfigurationDocument& document, const TrackedGroup& group);
+  /// Makes the group's simulated passes take as long as observed. Returns the factor.
+  double apply_pace(TimePoint now, const std::string& name, TrackedGroup& group) const;
+  /// The same for placing a request; a slow group that is due for a trial request counts as fast.
+  double apply_pace_or_trial(TimePoint now, const std::string& name, TrackedGroup& group) const;
+  void retain_speeds_of_known_groups();
   void set_load(NodeLoads& node, const std::string& group, int in_flight);
   /// The group with room that is expected to produce the first event soonest; one that meets the objective, if any
-  /// does.
+  /// does. A group that misses an objective because it is slow is used only if no other has room.
   SlotCandidate best_group(TimePoint now, const document::ServiceSpec& service, const document::ModelSpec& model,
                            const WaitingRequest& waiting);
   /// The first of the requested plain servers whose rate limit allows a request.
@@ -189,6 +209,7 @@
   int64_t term_ = 0;
   std::map<std::string, TrackedGroup> groups_;
   GroupStallDetector silence_watch_;
+  ServerSpeeds speeds_;
   /// The open groups of each model.
   std::map<ModelKey, std::vector<GroupItem*>> open_groups_;
   std::map<std::string, NodeLoads> nodes_;
--- a/src/node/fleet_change_logger.cc
+++ b/src/node/fleet_change_logger.cc
@@ -94,6 +94,23 @@
   logged_blocked_requests_ = std::move(rows);
 }
 
+void FleetChangeLogger::log_pace_changes(TimePoint now, const fleet::FleetLeader& leader) {
+  const auto slow_groups = leader.slow_groups(now);
+  for (const auto& [group, factor] : slow_groups) {
+    if (logged_slow_groups_.insert(group).second) {
+      log_event(node_name_, "group_pace_changed",
+                {{"group", group}, {"pace", "slow"}, {"time_factor", std::to_string(factor)}});
+    }
+  }
+  std::erase_if(logged_slow_groups_, [&](const auto& group) {
+    const bool is_over = !slow_groups.contains(group);
+    if (is_over) {
+      log_event(node_name_, "group_pace_changed", {{"group", group}, {"pace", "normal"}});
+    }
+    return is_over;
+  });
+}
+
 void FleetChangeLogger::log_fleet_summary(TimePoint now, const fleet::FleetLeader& leader_view) {
   if (now < next_summary_) {
     return;
--- a/src/node/fleet_change_logger.h
+++ b/src/node/fleet_change_logger.h
@@ -2,6 +2,7 @@
 
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -25,6 +26,7 @@
   void log_changes(TimePoint now, const fleet::FleetLeader& leader) {
     log_instance_changes(leader);
     log_blocked_request_changes(leader);
+    log_pace_changes(now, leader);
     log_fleet_summary(now, leader);
   }
 
@@ -42,11 +44,15 @@
 
   void log_instance_changes(const fleet::FleetLeader& leader);
   void log_blocked_request_changes(const fleet::FleetLeader& leader);
+  /// Logs which groups began or ended to count as slow.
+  void log_pace_changes(TimePoint now, const fleet::FleetLeader& leader);
   void log_fleet_summary(TimePoint now, const fleet::FleetLeader& leader);
 
   std::string node_name_;
   std::map<std::string, LoggedInstance> logged_instances_;
   std::vector<wire::BlockedRequest> logged_blocked_requests_;
+  /// Groups last logged as slow.
+  std::set<std::string> logged_slow_groups_;
   /// Number of instance reports refused since the process started.
   uint64_t malformed_report_count_ = 0;
   TimePoint next_malformed_report_log_{};
