Leader counts the slots of plain servers and learns their speed

Callers saw late answers while two sound servers had room: each entry chose by its own requests in flight, so a server seven times slower got as many requests as a fast one.

Change, behind admission.plain_server_slots (off by default): entries ask the leader for a slot of a plain server as they do for groups, and report loads and response times of plain servers. A control replica logs plain_server_slow and plain_server_no_longer_slow.

--- a/src/core/fleet/dispatcher.cc
+++ b/src/core/fleet/dispatcher.cc
@@ -88,6 +88,7 @@
     known.insert(incarnation_name(instance));
   }
   std::erase_if(health_, [&](const auto& item) { return item.second.in_flight() == 0 && !known.contains(item.first); });
+  std::erase_if(unreported_response_times_, [&known](const auto& item) { return !known.contains(item.first); });
 }
 
 void Dispatcher::update_services(const std::map<std::string, document::ServiceSpec>& services) {
@@ -460,8 +461,8 @@
 }
 
 void Dispatcher::mark_load_changed(const DispatchTarget& target) {
-  if (!target.group.empty()) {
-    changed_groups_.insert(target.group);
+  if (is_load_reported(target)) {
+    changed_groups_.insert(target.key);
   }
 }
 
--- a/src/core/fleet/dispatcher.h
+++ b/src/core/fleet/dispatcher.h
@@ -121,6 +121,19 @@
   DispatchDecision choose_target(TimePoint now, const document::ServiceSpec& service,
                                  const RequestRequirements& requirements, const std::set<std::string>& excluded,
                                  RateAuthority authority = RateAuthority::kLocalShare);
+  /// The plain servers among which the leader chooses one for the request, best first; empty if the leader does not
+  /// count their slots. Suspect servers are listed only if there are no others.
+  std::vector<DispatchTarget> plain_server_candidates(TimePoint now, const document::ServiceSpec& service,
+                                                      const RequestRequirements& requirements,
+                                                      const std::set<std::string>& excluded);
+  /// Whether changes of this entry's load on the target are reported to the leader at once.
+  bool is_load_reported(const DispatchTarget& target) const {
+    return !target.group.empty() || options_.admission.plain_server_slots;
+  }
+  /// Records the time from sending a request to a plain server until its response arrived.
+  void note_response_time(const DispatchTarget& target, Duration elapsed);
+  /// Adds the response times of plain servers recorded since the last report to the loads that are reported.
+  void move_response_times_to(std::vector<wire::GroupLoad>& loads);
   /// The leader cannot grant a request to the server before `until`; other servers are preferred until then.
   void note_rate_limited_until(TimePoint until, const DispatchTarget& target) {
     rate_limited_until_[target.incarnation] = until;
@@ -296,6 +309,12 @@
   std::map<std::string, TargetHealth> health_;
   /// Groups whose load changed since it was last reported.
   std::set<std::string> changed_groups_;
+  struct ResponseTimeSum {
+    int count = 0;
+    double total_ms = 0;
+  };
+  /// Response times of plain servers that were not reported yet, by incarnation.
+  std::map<std::string, ResponseTimeSum> unreported_response_times_;
   /// Longest pauses by service and model, from the current cost models.
   std::map<std::pair<std::string, std::string>, Duration> longest_pauses_;
   /// Smallest objective for pauses of all requests, by service and model.
--- a/src/core/fleet/dispatcher_rates.cc
+++ b/src/core/fleet/dispatcher_rates.cc
@@ -96,6 +96,45 @@
                                              : choose_by_local_share(now, service, candidates);
 }
 
+std::vector<DispatchTarget> Dispatcher::plain_server_candidates(TimePoint now, const document::ServiceSpec& service,
+                                                                const RequestRequirements& requirements,
+                                                                const std::set<std::string>& excluded) {
+  std::vector<DispatchTarget> result;
+  if (!options_.admission.plain_server_slots) {
+    return result;
+  }
+  const auto candidates = rank_instances(now, service, requirements, excluded);
+  for (const auto& candidate : candidates) {
+    if (candidate.is_suspect == candidates.front().is_suspect) {  // Suspect servers are ranked last.
+      result.push_back(make_target(candidate));
+    }
+  }
+  return result;
+}
+
+void Dispatcher::note_response_time(const DispatchTarget& target, Duration elapsed) {
+  const bool is_reported = options_.admission.plain_server_slots && target.group.empty();
+  if (!is_reported) {
+    return;
+  }
+  ResponseTimeSum& sum = unreported_response_times_[target.key];
+  ++sum.count;
+  sum.total_ms += std::chrono::duration<double, std::milli>(elapsed).count();
+  changed_groups_.insert(target.key);
+}
+
+void Dispatcher::move_response_times_to(std::vector<wire::GroupLoad>& loads) {
+  for (auto& load : loads) {
+    const auto found = unreported_response_times_.find(load.group);
+    if (found == unreported_response_times_.end()) {
+      continue;
+    }
+    load.__set_interval_count(found->second.count);
+    load.__set_interval_ms(found->second.total_ms / found->second.count);
+    unreported_response_times_.erase(found);
+  }
+}
+
 // -------------------------------------------------------------------- rates
 
 void Dispatcher::remove_unlimited_servers() {
--- a/src/core/fleet/fleet_controller.h
+++ b/src/core/fleet/fleet_controller.h
@@ -25,6 +25,8 @@
   std::vector<consensus::RaftOutput> storage_batches;
   std::vector<InstanceOrder> orders;
   std::vector<GroupDecision> decisions;
+  /// Plain servers that began or ceased to count as slow; to be logged.
+  std::vector<PlainServerSpeedChange> plain_speed_changes;
   /// Replies to calls that were submitted with `FleetController::submit_call`.
   std::vector<wire::ControlCallReply> replies;
   /// Instance reports that this replica rejected, with the instance id; to be logged.
--- a/src/core/fleet/fleet_leader.cc
+++ b/src/core/fleet/fleet_leader.cc
@@ -247,6 +247,7 @@
   if (report.traffic_seen) {
     group_supervisor_.note_traffic();
   }
+  slot_scheduler_.note_response_times(now, node, report.loads);
   slot_scheduler_.note_loads(node, report.loads, report.is_complete, report.grants_term, report.grants_seen);
   slot_scheduler_.note_quiet_groups(now, node, report.quiet_groups);
   record_server_ends(now, report);
@@ -406,6 +407,23 @@
     }
   }
   slot_scheduler_.set_groups(groups, rated_heads);
+  if (options_.admission.plain_server_slots) {
+    slot_scheduler_.set_plain_servers(available_plain_servers());
+  }
+}
+
+std::vector<PlainServer> FleetLeader::available_plain_servers() const {
+  std::vector<PlainServer> result;
+  for (const auto& [id, row] : instance_directory_.rows()) {
+    const auto& instance = row.instance;
+    // Members of groups get no requests of their own, and entries avoid silent servers if there are others.
+    const bool is_available = instance.state == wire::InstanceState::READY && instance.membership.group.empty() &&
+                              !is_evacuated(adopted_evacuations_, instance.zone);
+    if (is_available) {
+      result.push_back({incarnation_name(instance), instance.service_name, instance.slots});
+    }
+  }
+  return result;
 }
 
 // -------------------------------------------------------------------- time
@@ -443,6 +461,9 @@
   reply_to_confirmed_calls(now);
   fail_stalled_groups(now, log);
   answer_slot_requests(now, log);
+  for (auto& change : slot_scheduler_.take_plain_speed_changes(now)) {
+    outputs_.plain_speed_changes.push_back(std::move(change));
+  }
 }
 
 void FleetLeader::note_own_pause(TimePoint now, Duration pause) {
--- a/src/core/fleet/fleet_leader.h
+++ b/src/core/fleet/fleet_leader.h
@@ -48,6 +48,8 @@
     std::vector<wire::Envelope> envelopes;
     std::vector<InstanceOrder> orders;
     std::vector<GroupDecision> decisions;
+    /// Plain servers that began or ceased to count as slow; to be logged.
+    std::vector<PlainServerSpeedChange> plain_speed_changes;
     std::optional<wire::ReplicaSet> proposed_replicas;
     std::vector<Proposal> proposals;
     /// Replies to calls, with the call key.
@@ -126,8 +128,10 @@
   std::set<std::string> known_zones(const consensus::RaftNode& raft) const;
   /// Applies changed evacuations of the log to groups and slots. Instances of restored zones count as cold at first.
   void adopt_evacuations(TimePoint now, const FleetLog& log);
-  /// Passes the groups outside evacuated zones, and the rate limits of servers, to the slot scheduler.
+  /// Passes the groups and plain servers outside evacuated zones, and the rate limits of servers, to the slot
+  /// scheduler.
   void update_scheduler_groups();
+  std::vector<PlainServer> available_plain_servers() const;
   void register_instance(TimePoint now, const std::string& key, const wire::ControlCall& call);
   /// Replies to a call that is still open; does nothing otherwise.
   void reply_to_call(const std::string& key, int status, std::string body = {});
--- a/src/core/fleet/slot_scheduler.cc
+++ b/src/core/fleet/slot_scheduler.cc
@@ -42,6 +42,7 @@
   blocked_queues_.clear();
   retry_after_until_.clear();
   rate_limiter_.clear();
+  plain_servers_.clear();
 }
 
 void SlotScheduler::set_groups(const std::vector<wire::EngineGroup>& groups,
@@ -158,6 +159,7 @@
 
 void SlotScheduler::forget_node(const std::string& node_name) {
   silence_watch_.forget_node(node_name);
+  plain_servers_.forget_entry(node_name);
   const auto found = nodes_.find(node_name);
   if (found == nodes_.end()) {
     return;
@@ -201,8 +203,8 @@
 }
 
 SlotScheduler::QueueKey SlotScheduler::queue_key(const WaitingRequest& waiting) {
-  QueueKey key{model_key(waiting), waiting.request.allowed_zones, waiting.request.rated_servers};
-  std::sort(key.rated_servers.begin(), key.rated_servers.end());  // Entries list them in different orders.
+  QueueKey key{model_key(waiting), waiting.request.allowed_zones, requested_servers(waiting)};
+  std::sort(key.plain_servers.begin(), key.plain_servers.end());  // Entries list them in different orders.
   return key;
 }
 
@@ -211,42 +213,6 @@
   return is_in_allowed_zones(waiting, group) && std::find(excluded.begin(), excluded.end(), name) == excluded.end();
 }
 
-SlotScheduler::SlotCandidate SlotScheduler::best_server(TimePoint now, const document::ServiceSpec& service,
-                                                        const WaitingRequest& waiting) {
-  SlotCandidate best;
-  for (const auto& server : waiting.request.rated_servers) {
-    if (rate_limiter_.next_allowed_at(now, service, server) <= now) {
-      best.name = server;
-      best.feasibility = Feasibility::kInTime;
-      break;
-    }
-  }
-  return best;
-}
-
-std::optional<SlotScheduler::LimitedServers> SlotScheduler::limited_servers(TimePoint now,
-                                                                            const document::ServiceSpec& service,
-                                                                            const WaitingRequest& waiting) {
-  std::vector<std::string> servers = waiting.request.rated_servers;
-  if (!asks_for_plain_server(waiting)) {
-    for (const auto* item : open_groups_.at(model_key(waiting))) {
-      if (may_use_group(waiting, item->first, item->second)) {
-        servers.push_back(item->second.rate_limited_head);
-      }
-    }
-  }
-  LimitedServers result{TimePoint::max(), 0};
-  for (const auto& server : servers) {
-    const auto limit = rate_limiter_.limit_of(server);
-    if (!limit) {
-      return std::nullopt;
-    }
-    result.next_allowed_at = std::min(result.next_allowed_at, rate_limiter_.next_allowed_at(now, service, server));
-    result.requests_per_second += *limit;
-  }
-  return servers.empty() ? std::nullopt : std::optional(result);
-}
-
 SlotScheduler::SlotCandidate SlotScheduler::best_group(TimePoint now, const document::ServiceSpec& service,
                                                        const document::ModelSpec& model,
                                                        const WaitingRequest& waiting) {
@@ -337,14 +303,6 @@
   node.unreported_grants.emplace_back(grant.sequence, candidate.name);
 }
 
-void SlotScheduler::grant_server_slot(TimePoint now, const document::ServiceSpec& service,
-                                      const WaitingRequest& waiting, const SlotCandidate& candidate,
-                                      std::vector<SlotDecision>& decisions) {
-  rate_limiter_.note_request(now, service, candidate.name);
-  add_decision(waiting, wire::SlotVerdict::GRANTED, decisions);
-  decisions.back().grant.__set_server(candidate.name);
-}
-
 std::optional<SlotScheduler::RequestedService> SlotScheduler::find_requested_service(
     const document::ConfigurationDocument& document, const WaitingRequest& waiting) const {
   const ModelKey key = model_key(waiting);
@@ -352,6 +310,9 @@
   if (service == document.services.end()) {
     return std::nullopt;
   }
+  if (asks_for_server_slot(waiting) && !knows_requested_server(waiting)) {
+    return std::nullopt;
+  }
   if (asks_for_plain_server(waiting)) {
     return RequestedService{service->second, nullptr};
   }
@@ -394,7 +355,7 @@
   if (may_have_room && try_grant(now, *requested, waiting, late_answers, decisions)) {
     return true;
   }
-  const bool has_other_servers = asks_for_plain_server(waiting) && waiting.request.patience_ms <= 0;
+  const bool has_other_servers = waiting.request.__isset.rated_servers && waiting.request.patience_ms <= 0;
   if (has_other_servers) {
     // The entry uses another server; the request is not queued.
     add_decision(waiting, wire::SlotVerdict::BUSY, decisions);
--- a/src/core/fleet/slot_scheduler.h
+++ b/src/core/fleet/slot_scheduler.h
@@ -13,6 +13,7 @@
 #include "core/engine/pass_simulator.h"
 #include "core/fleet/fleet_options.h"
 #include "core/fleet/group_stall_detector.h"
+#include "core/fleet/plain_servers/plain_server_slots.h"
 #include "core/fleet/server_rate_limiter.h"
 #include "larchlever_types.h"
 
@@ -33,6 +34,9 @@
 /// room; waiting requests are ordered by priority. Requests that can only be late are served after the others, and get
 /// a slot at their queue deadline if one is free: a late answer is better than none.
 ///
+/// If enabled, it also counts the slots of plain servers over all entries and chooses the server of each request; see
+/// PlainServerSlots. Their loads are counted under their incarnations, like those of groups under the groups' names.
+///
 /// The scheduler also applies the rate limits of servers, both heads of groups and plain servers. If only rate-limited
 /// servers can serve a request, it waits if it can be sent before its queue deadline, and is refused immediately
 /// otherwise. Capacity is given by priority, then by age.
@@ -46,6 +50,12 @@
   void start(int64_t term);
   /// Sets all servers with a request rate limit.
   void set_rate_limited_servers(const std::vector<RateLimitedServer>& servers) { rate_limiter_.set_servers(servers); }
+  /// Sets all plain servers that may get requests.
+  void set_plain_servers(const std::vector<PlainServer>& servers) { plain_servers_.set_servers(servers); }
+  /// Plain servers that began or ceased to count as slow, for the log.
+  std::vector<PlainServerSpeedChange> take_plain_speed_changes(TimePoint now) {
+    return plain_servers_.take_speed_changes(now);
+  }
   /// Updates the groups; only open groups get requests. `heads` maps groups to the incarnations of heads that are
   /// rate-limited.
   void set_groups(const std::vector<wire::EngineGroup>& groups, const std::map<std::string, std::string>& heads = {});
@@ -53,6 +63,9 @@
   /// received the grants up to sequence `grants_seen` of term `grants_term`.
   void note_loads(const std::string& node, const std::vector<wire::GroupLoad>& loads, bool is_complete,
                   int64_t grants_term, int64_t grants_seen);
+  /// Records the response times of plain servers in a load report. Call before `note_loads`, since the times were
+  /// measured under the previous loads.
+  void note_response_times(TimePoint now, const std::string& node, const std::vector<wire::GroupLoad>& loads);
   /// The complete list of groups whose streams at the node currently pause too long. If two nodes report a group, other
   /// groups are preferred.
   void note_quiet_groups(TimePoint now, const std::string& node, const std::vector<std::string>& groups) {
@@ -107,7 +120,7 @@
   struct QueueKey {
     ModelKey model;
     std::vector<std::string> allowed_zones;
-    std::vector<std::string> rated_servers;
+    std::vector<std::string> plain_servers;
     auto operator<=>(const QueueKey&) const = default;
   };
   /// Aggregate of the servers that serve a queue, if all of them are rate-limited.
@@ -128,6 +141,8 @@
     Duration first_event{};
     Feasibility feasibility = Feasibility::kNone;
     bool is_quiet = false;
+    /// The choice among plain servers whose slots are counted.
+    PlainServerChoice server_choice;
   };
 
   /// Whether the objective for the first event has already passed.
@@ -136,8 +151,16 @@
     return {waiting.request.service_name, waiting.request.model};
   }
   static QueueKey queue_key(const WaitingRequest& waiting);
+  /// Whether the request asks for a slot of a plain server.
+  static bool asks_for_server_slot(const WaitingRequest& waiting) { return waiting.request.__isset.plain_servers; }
   /// Whether the request asks for a plain server instead of a group.
-  static bool asks_for_plain_server(const WaitingRequest& waiting) { return waiting.request.__isset.rated_servers; }
+  static bool asks_for_plain_server(const WaitingRequest& waiting) {
+    return waiting.request.__isset.rated_servers || asks_for_server_slot(waiting);
+  }
+  /// The plain servers that the request may be sent to.
+  static const std::vector<std::string>& requested_servers(const WaitingRequest& waiting) {
+    return asks_for_server_slot(waiting) ? waiting.request.plain_servers : waiting.request.rated_servers;
+  }
   /// Whether all members of the group are in zones that the request allows.
   static bool is_in_allowed_zones(const WaitingRequest& waiting, const TrackedGroup& group);
   void set_load(NodeLoads& node, const std::string& group, int in_flight);
@@ -145,8 +168,16 @@
   /// does.
   SlotCandidate best_group(TimePoint now, const document::ServiceSpec& service, const document::ModelSpec& model,
                            const WaitingRequest& waiting);
-  /// The first of the requested plain servers whose rate limit allows a request.
+  /// The best of the requested plain servers whose rate limits allow a request.
   SlotCandidate best_server(TimePoint now, const document::ServiceSpec& service, const WaitingRequest& waiting);
+  /// The first of the requested plain servers whose rate limit allows a request; their slots are not counted.
+  SlotCandidate first_permitted_server(TimePoint now, const document::ServiceSpec& service,
+                                       const WaitingRequest& waiting);
+  /// The best of the requested plain servers that have a free slot.
+  SlotCandidate best_server_with_slot(TimePoint now, const document::ServiceSpec& service,
+                                      const WaitingRequest& waiting);
+  /// Whether this leader counts slots and knows one of the requested plain servers.
+  bool knows_requested_server(const WaitingRequest& waiting) const;
   /// Whether the request may be sent to the group, regardless of free slots.
   static bool may_use_group(const WaitingRequest& waiting, const std::string& name, const TrackedGroup& group);
   /// Aggregate of the servers that may serve the request, if every one of them has a rate limit.
@@ -188,6 +219,7 @@
   AdmissionOptions options_;
   int64_t term_ = 0;
   std::map<std::string, TrackedGroup> groups_;
+  PlainServerSlots plain_servers_;
   GroupStallDetector silence_watch_;
   /// The open groups of each model.
   std::map<ModelKey, std::vector<GroupItem*>> open_groups_;
--- a/src/node/fleet_change_logger.cc
+++ b/src/node/fleet_change_logger.cc
@@ -41,6 +41,14 @@
              {"members", join_items(decision.group.members)}});
 }
 
+void FleetChangeLogger::log_speed_change(const fleet::PlainServerSpeedChange& change) const {
+  log_event(node_name_, change.is_slow ? "plain_server_slow" : "plain_server_no_longer_slow",
+            {{"instance", change.incarnation},
+             {"service", change.service},
+             {"typical_ms", std::to_string(static_cast<int64_t>(change.typical_ms))},
+             {"service_ms", std::to_string(static_cast<int64_t>(change.service_ms))}});
+}
+
 void FleetChangeLogger::log_instance_changes(const fleet::FleetLeader& leader) {
   const auto& rows = leader.instances().rows();
   std::erase_if(logged_instances_, [&rows](const auto& item) { return !rows.contains(item.first); });
--- a/src/node/request_relay.cc
+++ b/src/node/request_relay.cc
@@ -457,6 +457,9 @@
   if (unsigned_success) {
     co_return DispatchResult::kMayHaveRun;
   }
+  if (is_success(response.status)) {
+    note_response_time(request, target, monotonic_now());
+  }
   const bool should_retry = response.status >= 500 && request.route->is_retry_safe() && !request.response_started &&
                             request.possible_runs + 1 < request.route->max_attempts &&
                             may_retry(request, monotonic_now());
@@ -512,11 +515,18 @@
 }
 
 void RequestRelay::report_load_change(const fleet::DispatchTarget& target) {
-  if (!target.group.empty()) {
+  if (state_.dispatcher.is_load_reported(target)) {
     slot_requester_.note_load_change();
   }
 }
 
+void RequestRelay::note_response_time(const RelayedRequest& request, const fleet::DispatchTarget& target,
+                                      TimePoint now) {
+  if (!target.is_relay_peer) {
+    state_.dispatcher.note_response_time(target, now - request.sent_at);
+  }
+}
+
 void RequestRelay::note_progress(const fleet::DispatchTarget& target, TimePoint now) {
   if (target.is_relay_peer) {
     return;
@@ -530,7 +540,8 @@
   note_progress(target, now);
   if (!target.is_relay_peer && !request.load_mark.is_streaming) {
     state_.dispatcher.note_first_event(now, target, request.load_mark);
-    if (request.expected_first_event_delay > Duration::zero()) {
+    note_response_time(request, target, now);
+    if (request.expected_first_event_delay > Duration::zero() && !target.group.empty()) {
       state_.first_event_excess[request.model].add_sample(now,
                                                           now - request.sent_at - request.expected_first_event_delay);
     }
--- a/src/node/slot_requester.cc
+++ b/src/node/slot_requester.cc
@@ -252,6 +252,7 @@
 
 void SlotRequester::send(wire::SlotReport report) {
   is_report_scheduled_ = false;
+  state_.dispatcher.move_response_times_to(report.loads);
   wire::Envelope envelope;
   envelope.to_node = state_.subscription.leader();
   envelope.__isset.slot_report = true;
--- a/src/node/target_finder.cc
+++ b/src/node/target_finder.cc
@@ -59,11 +59,14 @@
   if (auto refusal = refusal_if_all_backing_off(request, wait_until)) {
     co_return std::move(*refusal);
   }
+  std::optional<FoundTarget> leader_decision;
   if (request.service->engine) {
-    auto leader_decision = co_await ask_leader(request, wait_until);
-    if (leader_decision) {
-      co_return std::move(*leader_decision);
-    }
+    leader_decision = co_await ask_leader(request, wait_until);
+  } else {
+    leader_decision = co_await request_server_slot(request, wait_until);
+  }
+  if (leader_decision) {
+    co_return std::move(*leader_decision);
   }
   co_return co_await choose_locally(request, wait_until);
 }
@@ -138,6 +141,45 @@
   co_return FoundTarget(std::move(*target));
 }
 
+asio::awaitable<std::optional<FoundTarget>> TargetFinder::request_server_slot(RelayedRequest& request,
+                                                                              TimePoint wait_until) {
+  const TimePoint now = monotonic_now();
+  const fleet::RequestRequirements demand{kNoModel, request.route->target_latency, 0, home_zones(request)};
+  const auto candidates =
+      state_.dispatcher.plain_server_candidates(now, *request.service, demand, request.excluded_targets);
+  if (candidates.empty()) {
+    co_return std::nullopt;
+  }
+  auto slot_request = make_slot_request(request, now, wait_until);
+  slot_request.model = kNoModel;  // Callers may name a model for a plain service, too.
+  std::vector<std::string> incarnations;
+  for (const auto& candidate : candidates) {
+    incarnations.push_back(candidate.incarnation);
+  }
+  slot_request.__set_plain_servers(incarnations);
+  const auto grant = co_await slot_requester_.request_slot(slot_request);
+  if (request.caller_disconnected) {
+    slot_requester_.note_load_change();  // Report that the slot is unused.
+    co_return FoundTarget(CallerDisconnected());
+  }
+  if (grant.verdict == wire::SlotVerdict::BUSY) {
+    co_return FoundTarget(refusal_from_grant(grant));
+  }
+  if (grant.verdict != wire::SlotVerdict::GRANTED) {
+    co_return std::nullopt;
+  }
+  const auto target = std::find_if(candidates.begin(), candidates.end(),
+                                   [&grant](const auto& item) { return item.incarnation == grant.server; });
+  const bool is_usable = target != candidates.end() && state_.dispatcher.may_send(monotonic_now(), *target);
+  if (!is_usable) {
+    slot_requester_.note_load_change();
+    co_return std::nullopt;
+  }
+  request.expected_first_event_delay = milliseconds(grant.expected_ms);
+  request.has_slot = true;
+  co_return FoundTarget(*target);
+}
+
 asio::awaitable<std::optional<FoundTarget>> TargetFinder::request_rate_permit(RelayedRequest& request,
                                                                               const fleet::DispatchDecision& choice,
                                                                               TimePoint wait_until) {
--- a/src/node/target_finder.h
+++ b/src/node/target_finder.h
@@ -17,8 +17,8 @@
 /// The target of a request, or why there is none.
 using FoundTarget = std::variant<fleet::DispatchTarget, Refusal, CallerDisconnected>;
 
-/// Finds the target of each attempt. For engine groups the leader grants slots; for plain services, and while no leader
-/// answers, the entry chooses itself.
+/// Finds the target of each attempt. For engine groups, and for plain servers if their slots are counted, the leader
+/// grants slots; otherwise, and while no leader answers, the entry chooses itself.
 ///
 /// Guarantees: returns within a fifth of the route's latency objective, or within all of it for a request that waited
 /// for a configuration lease. For a stream that has started, returns before the request's deadline. Runs on one
@@ -35,6 +35,8 @@
  private:
   /// Asks the leader. Returns a target, a refusal, or nothing if the leader did not decide.
   boost::asio::awaitable<std::optional<FoundTarget>> ask_leader(RelayedRequest& request, TimePoint wait_until);
+  /// The same for a slot of a plain server.
+  boost::asio::awaitable<std::optional<FoundTarget>> request_server_slot(RelayedRequest& request, TimePoint wait_until);
   boost::asio::awaitable<FoundTarget> choose_locally(RelayedRequest& request, TimePoint wait_until);
   /// Asks the leader for a permit at one of the rate-limited servers of the choice. Returns nothing if there is no
   /// permit and another server may take the request.
--- a/tests/integration/fleet_node_processes.cc
+++ b/tests/integration/fleet_node_processes.cc
@@ -211,7 +211,8 @@
   }
   text << "\npeer_port = " << kPeerPort << "\nfirst_start = " << (first_start ? "true" : "false")
        << "\ntolerated_losses = " << options_.tolerated_losses << "\n[bounds]\n"
-       << options_.bounds_settings;
+       << options_.bounds_settings << "\n[admission]\n"
+       << options_.admission_settings;
   fs::path path = folder_ / (node + ".ini");
   write_file(path, text.str());
   return path;
--- a/tests/integration/fleet_node_processes.h
+++ b/tests/integration/fleet_node_processes.h
@@ -23,6 +23,8 @@
   std::string entry_settings;
   /// Lines of the section `bounds` in the settings of every node.
   std::string bounds_settings;
+  /// Lines of the section `admission` in the settings of every node.
+  std::string admission_settings;
   /// Entries connect to servers from their own address, so that a proxy can tell them apart.
   bool binds_entries_to_own_address = false;
   /// Timeout of the route to the plain service `forms`.
--- a/tests/integration/forms_server.h
+++ b/tests/integration/forms_server.h
@@ -5,6 +5,7 @@
 #include <atomic>
 #include <boost/asio.hpp>
 #include <chrono>
+#include <limits>
 #include <memory>
 #include <mutex>
 #include <random>
@@ -65,9 +66,16 @@
       co_return;
     }
     ++served_count_;
-    boost::asio::steady_timer timer(client_.context(), delay_.load());
+    boost::asio::steady_timer timer(client_.context());
+    while (running_ >= slots_) {
+      timer.expires_after(kSlotPollInterval);
+      co_await timer.async_wait(boost::asio::as_tuple(boost::asio::use_awaitable));
+    }
+    ++running_;
+    timer.expires_after(delay_.load());
     exchange.notify_on_disconnect([this] { ++abandoned_count_; });
     co_await timer.async_wait(boost::asio::as_tuple(boost::asio::use_awaitable));
+    --running_;
     response.status = http_status::kOk;
     response.headers.add(dialect.signature_header, "signed");
     response.body = exchange.request().path() == kLargePath ? std::string(kLargeBodyBytes, 'x') : "form";
@@ -75,6 +83,8 @@
   }
   int served_count() const { return served_count_; }
   void set_delay(std::chrono::milliseconds delay) { delay_ = delay; }
+  /// From now on runs at most this many requests at a time; others wait.
+  void set_slots(int slots) { slots_ = slots; }
   /// Number of requests whose sender closed the connection before the response.
   int abandoned_count() const { return abandoned_count_; }
   /// From now on rejects every request with this value of `Retry-After`; an empty value ends this.
@@ -99,6 +109,7 @@
   /// `health_path` of the service. Health checks are not recorded as arrivals.
   static constexpr const char* kHealthPath = "/healthz";
   static constexpr const char* kLeavingHeader = "Larchlever-Leaving";
+  static constexpr auto kSlotPollInterval = std::chrono::milliseconds(1);
 
   std::string current_retry_after() {
     const std::lock_guard lock(mutex_);
@@ -107,6 +118,9 @@
 
   BlockingClient& client_;
   std::atomic<std::chrono::milliseconds> delay_;
+  std::atomic<int> slots_ = std::numeric_limits<int>::max();
+  /// Changed only by the thread of `client_`.
+  int running_ = 0;
   std::atomic<int> abandoned_count_ = 0;
   std::unique_ptr<net::HttpServer> server_;
   std::atomic<int> served_count_ = 0;
--- a/tests/integration/plain_fleet.h
+++ b/tests/integration/plain_fleet.h
@@ -109,6 +109,8 @@
   BlockingClient servers_client_;
   std::vector<std::string> addresses_;
   std::vector<std::unique_ptr<FormsServer>> servers_;
+  /// Slots that the servers report, if positive. Set before `SetUp`.
+  int reported_slots_ = 0;
 
  private:
   void report_until_stopped() {
@@ -116,7 +118,10 @@
     ReportSender reports(fleet_.control_endpoints());
     for (int64_t number = 1; !stopped_; ++number) {
       for (size_t index = 0; index < addresses_.size(); ++index) {
-        const auto report = plain_server_report(addresses_[index], "north", number);
+        auto report = plain_server_report(addresses_[index], "north", number);
+        if (reported_slots_ > 0) {
+          report["slots"] = reported_slots_;
+        }
         reports.send(client, "i" + std::to_string(index + 1), boost::json::serialize(report));
       }
       std::this_thread::sleep_for(kReportInterval);
--- /dev/null
+++ b/tests/integration/plain_server_slots_test.cc
@@ -0,0 +1,76 @@
+#include <gtest/gtest.h>
+
+#include <algorithm>
+
+#include "plain_fleet.h"
+
+namespace larchlever::integration {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+constexpr int kSlots = 4;
+constexpr auto kFastTime = milliseconds(50);
+constexpr auto kSlowTime = 7 * kFastTime;
+/// Objective of the route to `forms`.
+constexpr auto kObjective = milliseconds(300);
+/// Callers have a server back within this time after it is fast again.
+constexpr auto kRecoveryTime = seconds(2);
+
+FleetNodeOptions fleet_options() {
+  FleetNodeOptions options;
+  options.control_replicas = 5;
+  options.entries = 9;
+  options.admission_settings = "plain_server_slots = true\n";
+  return options;
+}
+
+/// Runs five control replicas, nine entries with callers of their own, and three plain servers of four slots. Two of
+/// the servers can serve twice the load.
+class PlainServerSlotsFleet : public PlainServerFleetFixture {
+ protected:
+  PlainServerSlotsFleet() : PlainServerFleetFixture(fleet_options(), 3) {
+    reported_slots_ = kSlots;
+    for (auto& server : servers_) {
+      server->set_slots(kSlots);
+      server->set_delay(kFastTime);
+    }
+  }
+
+  /// Share of the requests of the next `time` that the first server gets.
+  double first_server_share_during(Clock::duration time) {
+    const int before = servers_.front()->served_count();
+    const auto responses = send_load_for(time);
+    const int count = servers_.front()->served_count() - before;
+    return count / static_cast<double>(std::max<size_t>(1, responses.size()));
+  }
+};
+
+double share_in_time(const std::vector<TimedResponse>& responses) {
+  const auto in_time = std::count_if(responses.begin(), responses.end(), [](const auto& timed_response) {
+    return is_served(timed_response) && timed_response.latency <= kObjective;
+  });
+  return static_cast<double>(in_time) / static_cast<double>(std::max<size_t>(1, responses.size()));
+}
+
+// A server seven times slower than the others got 0.29 of the requests, so that 0.15 of all were late: each entry
+// counted only its own requests.
+TEST_F(PlainServerSlotsFleet, SlowServerDelaysFewRequestsAndIsUsedAgainOnceFast) {
+  servers_.front()->set_delay(kSlowTime);
+  send_load_for(seconds(2));
+  const int slow_before = servers_.front()->served_count();
+  const auto responses = send_load_for(seconds(8));
+  const int slow_count = servers_.front()->served_count() - slow_before;
+  RecordProperty("in_time_permille", static_cast<int>(share_in_time(responses) * 1000));
+  RecordProperty("slow_server_count", slow_count);
+  EXPECT_GE(share_in_time(responses), 0.97) << slow_count << " of " << responses.size() << " at the slow server";
+  EXPECT_LE(slow_count, std::ssize(responses) / 20);
+
+  servers_.front()->set_delay(kFastTime);
+  send_load_for(kRecoveryTime);
+  EXPECT_GE(first_server_share_during(seconds(2)), 0.2);
+}
+
+}  // namespace
+}  // namespace larchlever::integration
