--- a/src/node/target_finder.cc
+++ b/src/node/target_finder.cc
@@ -147,7 +147,7 @@
   const fleet::RequestRequirements demand{kNoModel, request.route->target_latency, 0, home_zones(request)};
   const auto candidates =
       state_.dispatcher.plain_server_candidates(now, *request.service, demand, request.excluded_targets);
-  if (candidates.empty()) {
+  if (candidates.empty() || state_.subscription.leader().empty()) {
     co_return std::nullopt;
   }
   auto slot_request = make_slot_request(request, now, wait_until);
--- a/tests/integration/plain_server_slots_test.cc
+++ b/tests/integration/plain_server_slots_test.cc
@@ -72,5 +72,24 @@
   EXPECT_GE(first_server_share_during(seconds(2)), 0.2);
 }
 
+// The rate limit that a server announces must bind although its slots are free, and the others take the rest.
+TEST_F(PlainServerSlotsFleet, AnnouncedRateLimitBindsBesideSlots) {
+  servers_.front()->announce_rate_limit("10");
+  const auto responses = send_load_for(seconds(8));
+  EXPECT_LE(max_requests_after_announcement(servers_.front()->arrivals()), max_requests_in_window(10));
+  EXPECT_EQ(std::count_if(responses.begin(), responses.end(), is_served), std::ssize(responses));
+}
+
+// Without a leader, no request may fail or wait for a slot: entries choose servers themselves.
+TEST_F(PlainServerSlotsFleet, EntriesServeWithoutLeader) {
+  send_load_for(seconds(1));
+  for (const auto* control : {"c1", "c2", "c3"}) {
+    fleet_.kill(control);
+  }
+  const auto responses = send_load_for(seconds(3));  // Shorter than the lease of the configuration document.
+  EXPECT_EQ(std::count_if(responses.begin(), responses.end(), is_served), std::ssize(responses));
+  EXPECT_GE(share_in_time(responses), 0.97);
+}
+
 }  // namespace
 }  // namespace larchlever::integration
