--- a/tests/integration/plain_server_slots_test.cc
+++ b/tests/integration/plain_server_slots_test.cc
@@ -47,6 +47,18 @@
   }
 };
 
+/// Number of times that a control replica logged this event.
+int64_t count_logged(const FleetNodeProcesses& fleet, const std::string& event) {
+  int64_t count = 0;
+  for (const auto& control : fleet.control_replicas()) {
+    const std::string log = fleet.log(control);
+    for (size_t found = log.find(event); found != std::string::npos; found = log.find(event, found + 1)) {
+      ++count;
+    }
+  }
+  return count;
+}
+
 double share_in_time(const std::vector<TimedResponse>& responses) {
   const auto in_time = std::count_if(responses.begin(), responses.end(), [](const auto& timed_response) {
     return is_served(timed_response) && timed_response.latency <= kObjective;
@@ -70,6 +82,11 @@
   servers_.front()->set_delay(kFastTime);
   send_load_for(kRecoveryTime);
   EXPECT_GE(first_server_share_during(seconds(2)), 0.2);
+
+  constexpr int64_t kMaxLines = 5;  // One change each, with some allowance for other delays of the machine.
+  EXPECT_GE(count_logged(fleet_, "plain_server_slow"), 1);
+  EXPECT_LE(count_logged(fleet_, "plain_server_slow"), kMaxLines);
+  EXPECT_GE(count_logged(fleet_, "plain_server_no_longer_slow"), 1);
 }
 
 // The rate limit that a server announces must bind although its slots are free, and the others take the rest.
