Refuse requests at once whose turn comes too late, behind admission.turn_forecasts

Callers saw: a request that cannot be served waits until the end of its patience for a refusal without a time. Cause: SlotScheduler forecasts turns only where rate limits are the cause. Change: one mechanism for full groups and for rate limits, in slot_scheduler_refusals.cc: TurnPace replaces LimitedServers, and comes from TurnForecast for groups. A request waits if its turn may come in time or a group has room, and is refused otherwise. The queue is ordered by a caller's first arrival if it returns as told. With the flag off nothing changes.

--- a/src/core/fleet/slot_scheduler.cc
+++ b/src/core/fleet/slot_scheduler.cc
@@ -17,14 +17,6 @@
 /// Interval between reviews of waiting requests; an engine pass takes many times as long.
 constexpr Duration kReviewInterval = milliseconds(5);
 
-/// Maximum retry delay given to callers that are refused because of rate limits, even if more callers are waiting: a
-/// limit seldom lasts longer.
-constexpr Duration kMaxRetryAfter = seconds(30);
-
-Duration time_for_requests(double requests, double requests_per_second) {
-  return std::chrono::duration_cast<Duration>(std::chrono::duration<double>(requests / requests_per_second));
-}
-
 Duration scale_duration(Duration duration, double factor) {
   return Duration(static_cast<int64_t>(static_cast<double>(duration.count()) * factor));
 }
@@ -41,6 +33,7 @@
   waiting_requests_.clear();
   blocked_queues_.clear();
   retry_after_until_.clear();
+  queue_turns_.clear();
   rate_limiter_.clear();
 }
 
@@ -82,6 +75,7 @@
 void SlotScheduler::set_load(NodeLoads& node, const std::string& group, int in_flight) {
   int& reported = node.in_flight[group];
   groups_[group].in_flight += in_flight - reported;
+  groups_[group].released += reported - in_flight;
   reported = in_flight;
   if (in_flight == 0) {
     node.in_flight.erase(group);
@@ -110,7 +104,9 @@
   }
   while (grants_term == term_ && !node.unreported_grants.empty() &&
          node.unreported_grants.front().first <= grants_seen) {
-    --groups_[node.unreported_grants.front().second].in_flight;
+    TrackedGroup& group = groups_[node.unreported_grants.front().second];
+    --group.in_flight;
+    ++group.released;
     node.unreported_grants.pop_front();
   }
 }
@@ -179,12 +175,14 @@
   waiting.node = node;
   waiting.request = request;
   waiting.arrived_at = now;
+  waiting.first_arrived_at = now;
   waiting.queue_deadline = now + milliseconds(request.patience_ms);
   if (request.gap_ms > 0) {
     const Duration gap = milliseconds(request.gap_ms);
     const auto [smallest, is_first] = min_gap_objectives_.try_emplace(model_key(waiting), gap);
     smallest->second = std::min(smallest->second, gap);
   }
+  restore_place(now, waiting);
   new_requests_.push_back(std::move(waiting));
 }
 
@@ -224,29 +222,6 @@
   return best;
 }
 
-std::optional<SlotScheduler::LimitedServers> SlotScheduler::limited_servers(TimePoint now,
-                                                                            const document::ServiceSpec& service,
-                                                                            const WaitingRequest& waiting) {
-  std::vector<std::string> servers = waiting.request.rated_servers;
-  if (!asks_for_plain_server(waiting)) {
-    for (const auto* item : open_groups_.at(model_key(waiting))) {
-      if (may_use_group(waiting, item->first, item->second)) {
-        servers.push_back(item->second.rate_limited_head);
-      }
-    }
-  }
-  LimitedServers result{TimePoint::max(), 0};
-  for (const auto& server : servers) {
-    const auto limit = rate_limiter_.limit_of(server);
-    if (!limit) {
-      return std::nullopt;
-    }
-    result.next_allowed_at = std::min(result.next_allowed_at, rate_limiter_.next_allowed_at(now, service, server));
-    result.requests_per_second += *limit;
-  }
-  return servers.empty() ? std::nullopt : std::optional(result);
-}
-
 SlotScheduler::SlotCandidate SlotScheduler::best_group(TimePoint now, const document::ServiceSpec& service,
                                                        const document::ModelSpec& model,
                                                        const WaitingRequest& waiting) {
@@ -303,24 +278,6 @@
   decisions.push_back(std::move(decision));
 }
 
-void SlotScheduler::refuse(TimePoint now, const WaitingRequest& waiting, int requests_ahead,
-                           std::vector<SlotDecision>& decisions) {
-  add_decision(waiting, wire::SlotVerdict::BUSY, decisions);
-  const auto queue = queue_key(waiting);
-  const auto blocked = blocked_queues_.find(queue);
-  if (blocked == blocked_queues_.end() || !blocked->second) {
-    return;
-  }
-  const auto& limited = *blocked->second;
-  TimePoint& retry_at = retry_after_until_[queue];
-  const TimePoint turn =
-      std::max(limited.next_allowed_at + time_for_requests(requests_ahead, limited.requests_per_second),
-               retry_at + time_for_requests(1, limited.requests_per_second));
-  retry_at = std::min(turn, now + kMaxRetryAfter);
-  const auto wait = std::chrono::ceil<milliseconds>(std::max<Duration>(retry_at - now, milliseconds(1)));
-  decisions.back().grant.__set_retry_after_ms(static_cast<int32_t>(wait.count()));
-}
-
 void SlotScheduler::grant_group_slot(TimePoint now, const document::ServiceSpec& service,
                                      const document::ModelSpec& model, const WaitingRequest& waiting,
                                      const SlotCandidate& candidate, std::vector<SlotDecision>& decisions) {
@@ -373,10 +330,11 @@
   if (candidate.feasibility == Feasibility::kInTime || (candidate.feasibility == Feasibility::kLate && may_be_late)) {
     is_plain_service ? grant_server_slot(now, service, waiting, candidate, decisions)
                      : grant_group_slot(now, service, *model, waiting, candidate, decisions);
+    forget_place(waiting);
     return true;
   }
   if (candidate.feasibility == Feasibility::kNone) {
-    blocked_queues_.insert_or_assign(queue_key(waiting), limited_servers(now, service, waiting));
+    blocked_queues_.insert_or_assign(queue_key(waiting), rate_limited_pace(now, service, waiting));
   }
   return false;
 }
@@ -411,40 +369,20 @@
   return false;
 }
 
-void SlotScheduler::refuse_beyond_queue_deadline(TimePoint now, std::vector<SlotDecision>& decisions) {
-  std::map<QueueKey, int> requests_ahead;
-  std::erase_if(waiting_requests_, [&](const auto& waiting) {
-    const auto queue = queue_key(waiting);
-    const auto blocked = blocked_queues_.find(queue);
-    if (blocked == blocked_queues_.end() || !blocked->second) {
-      return false;
-    }
-    const auto& limited = *blocked->second;
-    int& requests_before = requests_ahead[queue];
-    if (limited.next_allowed_at + time_for_requests(requests_before, limited.requests_per_second) <=
-        waiting.queue_deadline) {
-      ++requests_before;
-      return false;
-    }
-    refuse(now, waiting, requests_before, decisions);
-    return true;
-  });
-}
-
 void SlotScheduler::decide_waiting_requests(TimePoint now, const document::ConfigurationDocument& document,
                                             std::vector<SlotDecision>& decisions) {
   next_review_ = now + kReviewInterval;
   blocked_queues_.clear();
   std::erase_if(retry_after_until_, [now](const auto& item) { return item.second <= now; });
   const auto order = [now](const WaitingRequest& item) {
-    return std::tuple(item.request.priority, has_missed_objective(now, item), item.arrived_at);
+    return std::tuple(item.request.priority, has_missed_objective(now, item), item.first_arrived_at);
   };
   std::stable_sort(waiting_requests_.begin(), waiting_requests_.end(),
                    [&order](const auto& left, const auto& right) { return order(left) < order(right); });
   // First decide all requests that can be in time, so that late requests do not use capacity that these need.
   std::erase_if(waiting_requests_,
                 [&](auto& waiting) { return decide_request(now, document, waiting, LateAnswers::kNotYet, decisions); });
-  refuse_beyond_queue_deadline(now, decisions);
+  refuse_beyond_queue_deadline(now, document, decisions);
   std::erase_if(waiting_requests_, [&](auto& waiting) {
     return now >= waiting.queue_deadline && decide_request(now, document, waiting, LateAnswers::kAllowed, decisions);
   });
@@ -457,6 +395,7 @@
                              std::make_move_iterator(new_requests_.end()));
     new_requests_.clear();
     decide_waiting_requests(now, document, decisions);
+    note_pool_loads(now, document);
     return decisions;
   }
   // A request for whose servers no other request waits is decided immediately; otherwise it waits for the next review.
--- a/src/core/fleet/slot_scheduler.h
+++ b/src/core/fleet/slot_scheduler.h
@@ -3,6 +3,7 @@
 #include <cstdint>
 #include <deque>
 #include <map>
+#include <optional>
 #include <set>
 #include <string>
 #include <utility>
@@ -13,7 +14,9 @@
 #include "core/engine/pass_simulator.h"
 #include "core/fleet/fleet_options.h"
 #include "core/fleet/group_stall_detector.h"
+#include "core/fleet/return_schedule.h"
 #include "core/fleet/server_rate_limiter.h"
+#include "core/fleet/turn_forecast.h"
 #include "larchlever_types.h"
 
 namespace larchlever::fleet {
@@ -37,6 +40,10 @@
 /// servers can serve a request, it waits if it can be sent before its queue deadline, and is refused immediately
 /// otherwise. Capacity is given by priority, then by age.
 ///
+/// With turn forecasts, a request that waits for a full pool of groups is refused as early: as soon as its turn is
+/// expected after its queue deadline. Its caller is told when to return and keeps its place until then (TurnForecast,
+/// ReturnSchedule; slot_scheduler_refusals.cc).
+///
 /// Grants are advisory: nothing breaks if a deposed leader grants slots, or if entries decide alone while there is no
 /// leader. An entry's load reports include a slot once the entry has received it. Single-threaded, deterministic.
 class SlotScheduler {
@@ -87,6 +94,8 @@
     /// Zones of the members, sorted.
     std::vector<std::string> zones;
     engine::PassSimulator pass_clock;
+    /// Slots released minus slots taken without a grant since the last review.
+    int released = 0;
   };
   struct NodeLoads {
     std::map<std::string, int> in_flight;
@@ -98,8 +107,14 @@
     std::string node;
     wire::SlotRequest request;
     TimePoint arrived_at{};
+    /// Orders the queue: arrival of the caller's first attempt, if it was told to return now; otherwise `arrived_at`.
+    TimePoint first_arrived_at{};
+    /// When its caller was told to return, if it came clearly before that time.
+    std::optional<TimePoint> awaited_at;
     TimePoint queue_deadline{};
     bool is_queued_sent = false;  ///< The verdict QUEUED was sent to the entry.
+    /// Its turn was compared with those of callers that were told to return before it.
+    bool is_turn_checked = false;
   };
   using ModelKey = std::pair<std::string, std::string>;  ///< Service and model.
   /// Requests that compete for the same servers: for one model with the same allowed zones, or for the same plain
@@ -110,12 +125,19 @@
     std::vector<std::string> rated_servers;
     auto operator<=>(const QueueKey&) const = default;
   };
-  /// Aggregate of the servers that serve a queue, if all of them are rate-limited.
-  struct LimitedServers {
-    /// When the first of them may get a request.
-    TimePoint next_allowed_at{};
-    /// Sum of their limits, in requests per second.
-    double requests_per_second = 0;
+  /// What is known about the turns of a queue that was blocked.
+  struct QueueTurns {
+    TurnForecast forecast;
+    ReturnSchedule returns;
+    TimePoint blocked_at{};  ///< Most recently.
+    /// As of the current review.
+    std::optional<TurnPace> pace;
+    int free_slots = 0;
+  };
+  struct PoolSlots {
+    int busy = 0;
+    int free = 0;
+    int released = 0;
   };
   using GroupItem = std::pair<const std::string, TrackedGroup>;
   enum class Feasibility { kInTime, kLate, kNone };
@@ -149,9 +171,9 @@
   SlotCandidate best_server(TimePoint now, const document::ServiceSpec& service, const WaitingRequest& waiting);
   /// Whether the request may be sent to the group, regardless of free slots.
   static bool may_use_group(const WaitingRequest& waiting, const std::string& name, const TrackedGroup& group);
-  /// Aggregate of the servers that may serve the request, if every one of them has a rate limit.
-  std::optional<LimitedServers> limited_servers(TimePoint now, const document::ServiceSpec& service,
-                                                const WaitingRequest& waiting);
+  /// The pace at which the servers that may serve the request accept requests, if every one of them has a rate limit.
+  std::optional<TurnPace> rate_limited_pace(TimePoint now, const document::ServiceSpec& service,
+                                            const WaitingRequest& waiting);
   /// Whether even an idle group could not meet the objective for the first event.
   static bool is_objective_unreachable(const document::EngineSpec& engine, const document::ModelSpec& model,
                                        const WaitingRequest& waiting);
@@ -171,11 +193,32 @@
                       LateAnswers late_answers, std::vector<SlotDecision>& decisions);
   void decide_waiting_requests(TimePoint now, const document::ConfigurationDocument& document,
                                std::vector<SlotDecision>& decisions);
-  /// Refuses requests that rate limits would delay beyond their queue deadline.
-  void refuse_beyond_queue_deadline(TimePoint now, std::vector<SlotDecision>& decisions);
-  /// Refuses a request. If rate limits are the cause, the answer states when to retry, which is after the retries of
+  /// Refuses requests whose turn is expected after their queue deadline.
+  void refuse_beyond_queue_deadline(TimePoint now, const document::ConfigurationDocument& document,
+                                    std::vector<SlotDecision>& decisions);
+  /// Whether the turn of the request is expected after its queue deadline, `requests_ahead` waiting before it.
+  bool is_turn_too_late(TimePoint now, const document::ConfigurationDocument& document, WaitingRequest& waiting,
+                        int requests_ahead);
+  /// Whether a group has room for the request even though its queue is blocked by another one.
+  bool has_room(TimePoint now, const document::ConfigurationDocument& document, const WaitingRequest& waiting);
+  /// Refuses a request. If its turn can be forecast, the answer states when to retry, which is after the retries of
   /// callers that were refused before.
   void refuse(TimePoint now, const WaitingRequest& waiting, int requests_ahead, std::vector<SlotDecision>& decisions);
+  /// The next time to retry without turn forecasts, and with rate limits as the cause.
+  TimePoint next_retry_at(TimePoint now, const QueueKey& queue, const TurnPace& pace, int requests_ahead);
+  /// The pace of a blocked queue; empty if it is not blocked or nothing is known.
+  std::optional<TurnPace> queue_pace(const QueueKey& queue) const;
+  /// Forecasts the pace of each queue for the current review.
+  void update_paces(TimePoint now, const document::ConfigurationDocument& document);
+  static ReturnSchedule::Place place_of(const WaitingRequest& waiting);
+  /// Slots of the groups that serve the queue.
+  PoolSlots pool_slots(const document::ConfigurationDocument& document, const QueueKey& queue) const;
+  /// Gives the request the place that its caller was promised, if it returns as told.
+  void restore_place(TimePoint now, WaitingRequest& waiting);
+  /// The caller of the request needs no place any more.
+  void forget_place(const WaitingRequest& waiting);
+  /// Updates the forecasts of all queues after a review.
+  void note_pool_loads(TimePoint now, const document::ConfigurationDocument& document);
   void index_open_groups();
   void grant_group_slot(TimePoint now, const document::ServiceSpec& service, const document::ModelSpec& model,
                         const WaitingRequest& waiting, const SlotCandidate& candidate,
@@ -196,9 +239,11 @@
   /// model.
   std::vector<WaitingRequest> new_requests_;
   std::vector<WaitingRequest> waiting_requests_;
-  /// Queues whose first request found no server with room, with the aggregate of their servers if all of them are
+  /// Queues whose first request found no server with room, with the pace of their servers if all of them are
   /// rate-limited.
-  std::map<QueueKey, std::optional<LimitedServers>> blocked_queues_;
+  std::map<QueueKey, std::optional<TurnPace>> blocked_queues_;
+  /// Queues that were blocked recently; empty without turn forecasts.
+  std::map<QueueKey, QueueTurns> queue_turns_;
   /// The latest retry time given to callers that were refused because of rate limits, by queue.
   std::map<QueueKey, TimePoint> retry_after_until_;
   ServerRateLimiter rate_limiter_;
