Spread retry times at the entry while nobody forecasts turns; log the time told

Callers saw: "all places are taken" with 300 ms for everybody; "the servers' limits are used up" would be said of full groups. Change, with admission.turn_forecasts: without a time from the leader, Retry-After is random within 150 to 450 ms; a time from the leader for a group is told as "all places are taken". request_ended has retry_after_ms (empty if none), with the flag off too.

--- a/src/node/entry_state.h
+++ b/src/node/entry_state.h
@@ -2,6 +2,7 @@
 
 #include <map>
 #include <memory>
+#include <random>
 #include <string>
 
 #include "core/document/route_table.h"
@@ -43,7 +44,9 @@
       : subscription(options, identity, seeds),
         dispatcher(options, identity.zone, random_seed),
         relay_peers(identity.zone, random_seed),
-        zone_regions(options.zones) {}
+        zone_regions(options.zones),
+        admission(options.admission),
+        refusal_random_engine(random_seed) {}
 
   fleet::FleetSubscription subscription;
   fleet::Dispatcher dispatcher;
@@ -51,6 +54,9 @@
   fleet::RelayPeers relay_peers;
   /// Maps each zone in the settings to its region.
   document::ZoneRegions zone_regions;
+  fleet::AdmissionOptions admission;
+  /// Spreads the retry times of refused callers.
+  std::mt19937_64 refusal_random_engine;
   /// Requests that are known to crash the servers that run them.
   fleet::BlockedRequests blocked_request_tracker;
   /// Null until the first configuration document arrives.
--- a/src/node/request_completion.cc
+++ b/src/node/request_completion.cc
@@ -31,7 +31,8 @@
 
 }  // namespace
 
-void RequestCompletion::log_completion(const RelayedRequest& request, int status, const std::string& reason) const {
+void RequestCompletion::log_completion(const RelayedRequest& request, int status, const std::string& reason,
+                                       Duration retry_after) const {
   const auto elapsed_ms = milliseconds_between(request.received_at, monotonic_now());
   const auto first_event_ms =
       request.response_started ? milliseconds_between(request.received_at, request.first_event_at) : elapsed_ms;
@@ -58,6 +59,7 @@
        {"ruled_out", std::to_string(request.ruled_out_targets)},
        {"relay_peer", request.relay_peer},
        {"relayed_for", request.relayed_for},
+       {"retry_after_ms", retry_after > Duration::zero() ? std::to_string(retry_after / milliseconds(1)) : ""},
        {"reason", reason}});
 }
 
@@ -78,7 +80,7 @@
       refusal.status == http_status::kServiceUnavailable || refusal.status == http_status::kTooManyRequests;
   state_.counters.refused_retryable += is_retryable ? 1 : 0;
   state_.counters.refused_permanently += is_retryable ? 0 : 1;
-  log_completion(request, refusal.status, refusal.title);
+  log_completion(request, refusal.status, refusal.title, refusal.retry_after);
   co_await request.exchange->respond(std::move(response));
 }
 
--- a/src/node/request_completion.h
+++ b/src/node/request_completion.h
@@ -17,7 +17,8 @@
   explicit RequestCompletion(EntryState& state) : state_(state) {}
 
   /// Logs the end of a request; `status` is 0 if its response was cut.
-  void log_completion(const RelayedRequest& request, int status, const std::string& reason) const;
+  void log_completion(const RelayedRequest& request, int status, const std::string& reason,
+                      Duration retry_after = Duration::zero()) const;
   /// Responds to a request that did not run.
   boost::asio::awaitable<void> send_refusal(RelayedRequest& request, Refusal refusal);
   /// Responds to a request that will not be retried, according to whether it may have run.
--- a/src/node/target_finder.cc
+++ b/src/node/target_finder.cc
@@ -34,14 +34,8 @@
 /// How long the leader is not asked again about servers for which it had no permit.
 constexpr Duration kNoPermitBackoff = milliseconds(100);
 
-Refusal busy_refusal() { return {http_status::kServiceUnavailable, "all places are taken", kRetryAfterBusy}; }
-
-Refusal refusal_from_grant(const wire::SlotGrant& grant) {
-  if (!grant.__isset.retry_after_ms) {
-    return busy_refusal();
-  }
-  return {http_status::kServiceUnavailable, "the servers' limits are used up", milliseconds(grant.retry_after_ms)};
-}
+constexpr const char* kAllPlacesTaken = "all places are taken";
+constexpr const char* kLimitsUsedUp = "the servers' limits are used up";
 
 }  // namespace
 
@@ -112,6 +106,24 @@
   return slot_request;
 }
 
+Refusal TargetFinder::busy_refusal() const {
+  Duration retry_after = kRetryAfterBusy;
+  if (state_.admission.turn_forecasts) {
+    // Nobody knows the turns of the callers, which are refused in the same moments. They return one after the other if
+    // each gets its own random time; the mean remains.
+    std::uniform_int_distribution<int64_t> spread(kRetryAfterBusy.count() / 2, kRetryAfterBusy.count() * 3 / 2);
+    retry_after = Duration(spread(state_.refusal_random_engine));
+  }
+  return {http_status::kServiceUnavailable, kAllPlacesTaken, retry_after};
+}
+
+Refusal TargetFinder::refusal_from_grant(const wire::SlotGrant& grant, const char* cause) const {
+  if (!grant.__isset.retry_after_ms) {
+    return busy_refusal();
+  }
+  return {http_status::kServiceUnavailable, cause, milliseconds(grant.retry_after_ms)};
+}
+
 asio::awaitable<std::optional<FoundTarget>> TargetFinder::ask_leader(RelayedRequest& request, TimePoint wait_until) {
   const auto slot_request = make_slot_request(request, monotonic_now(), wait_until);
   const auto grant = co_await slot_requester_.request_slot(slot_request);
@@ -119,7 +131,9 @@
     co_return FoundTarget(CallerDisconnected());
   }
   if (grant.verdict == wire::SlotVerdict::BUSY) {
-    co_return FoundTarget(refusal_from_grant(grant));
+    // Without forecasts, the leader names times only if rate limits are the cause. With them, groups may be full as
+    // well.
+    co_return FoundTarget(refusal_from_grant(grant, state_.admission.turn_forecasts ? kAllPlacesTaken : kLimitsUsedUp));
   }
   if (grant.verdict != wire::SlotVerdict::GRANTED) {
     co_return std::nullopt;
@@ -161,7 +175,7 @@
     co_return std::nullopt;
   }
   if (grant.verdict == wire::SlotVerdict::BUSY && !choice.target) {
-    co_return FoundTarget(refusal_from_grant(grant));
+    co_return FoundTarget(refusal_from_grant(grant, kLimitsUsedUp));
   }
   if (grant.verdict == wire::SlotVerdict::BUSY) {
     for (const auto& target : choice.rate_limited_targets) {
--- a/src/node/target_finder.h
+++ b/src/node/target_finder.h
@@ -44,6 +44,10 @@
   /// Returns the refusal for a request that has no target, or nothing if it may wait longer.
   std::optional<Refusal> refusal_without_target(const RelayedRequest& request, const fleet::DispatchDecision& choice,
                                                 TimePoint now, TimePoint wait_until) const;
+  /// The refusal of a request for which no target has room. With turn forecasts its retry time is spread at random.
+  Refusal busy_refusal() const;
+  /// The refusal of a request that the leader refused. `cause` is its title if the leader names a time to retry.
+  Refusal refusal_from_grant(const wire::SlotGrant& grant, const char* cause) const;
   /// Returns until when a request may wait for a target.
   static TimePoint wait_deadline(const RelayedRequest& request);
   wire::SlotRequest make_slot_request(RelayedRequest& request, TimePoint now, TimePoint wait_until) const;
