--- a/src/core/fleet/plain_servers/plain_server_slots.h
+++ b/src/core/fleet/plain_servers/plain_server_slots.h
@@ -73,6 +73,11 @@
   void set_servers(const std::vector<PlainServer>& servers);
   void clear();
   bool knows(const std::string& incarnation) const { return servers_.contains(incarnation); }
+  /// Slots of the server; 0 if it is not known.
+  int slots_of(const std::string& incarnation) const {
+    const auto found = servers_.find(incarnation);
+    return found == servers_.end() ? 0 : found->second.server.slots;
+  }
   /// Records response times that an entry measured while `in_flight` requests were at the server.
   void note_response_times(TimePoint now, const std::string& incarnation, const ResponseTimeSample& sample,
                            int in_flight);
--- a/src/core/fleet/slot_scheduler_servers.cc
+++ b/src/core/fleet/slot_scheduler_servers.cc
@@ -63,29 +63,6 @@
   }
 }
 
-std::optional<SlotScheduler::LimitedServers> SlotScheduler::limited_servers(TimePoint now,
-                                                                            const document::ServiceSpec& service,
-                                                                            const WaitingRequest& waiting) {
-  std::vector<std::string> servers = requested_servers(waiting);
-  if (!asks_for_plain_server(waiting)) {
-    for (const auto* item : open_groups_.at(model_key(waiting))) {
-      if (may_use_group(waiting, item->first, item->second)) {
-        servers.push_back(item->second.rate_limited_head);
-      }
-    }
-  }
-  LimitedServers result{TimePoint::max(), 0};
-  for (const auto& server : servers) {
-    const auto limit = rate_limiter_.limit_of(server);
-    if (!limit) {
-      return std::nullopt;
-    }
-    result.next_allowed_at = std::min(result.next_allowed_at, rate_limiter_.next_allowed_at(now, service, server));
-    result.requests_per_second += *limit;
-  }
-  return servers.empty() ? std::nullopt : std::optional(result);
-}
-
 void SlotScheduler::grant_server_slot(TimePoint now, const document::ServiceSpec& service,
                                       const WaitingRequest& waiting, const SlotCandidate& candidate,
                                       std::vector<SlotDecision>& decisions) {
