--- a/src/core/requests/event_stream.cc
+++ b/src/core/requests/event_stream.cc
@@ -44,6 +44,7 @@
     if (id) {
       has_gap_ = has_gap_ || (last_id_ && *id != *last_id_ + 1);
       last_id_ = id;
+      ++event_count_;
     }
     complete_events.append(event);
   }
--- a/src/core/requests/event_stream.h
+++ b/src/core/requests/event_stream.h
@@ -18,6 +18,8 @@
   void restart() { pending_.clear(); }
   /// Id of the last event returned that has one; nothing before that.
   const std::optional<int64_t>& last_id() const { return last_id_; }
+  /// Number of events returned that have an id.
+  int64_t event_count() const { return event_count_; }
   /// Bytes of an incomplete event.
   const std::string& pending() const { return pending_; }
   /// Whether an id was not the successor of the one before; the stream must then not be reported as complete.
@@ -26,6 +28,7 @@
  private:
   std::string pending_;
   std::optional<int64_t> last_id_;
+  int64_t event_count_ = 0;
   bool has_gap_ = false;
 };
 
