Place requests by the work that groups still have to do

Placement went by the first event alone, which depends above all on when the current engine pass ends. Long answers met by chance in some groups and filled them while others had room.

With admission.learned_costs, the leader tracks the expected ends of a group's requests (GroupWork) and chooses, among the groups whose first event is surely in time, the one where the fewest requests run while the answer is produced (score_placement). Requests that it did not grant count as average ones, requests without a predicted size have the mean of their model. TrackedGroup::time_factor is 1; it is the place for a learned factor. With the flag off the order is as before: quiet groups last, then the first event.

--- a/src/core/fleet/slot_scheduler.cc
+++ b/src/core/fleet/slot_scheduler.cc
@@ -41,6 +41,7 @@
   waiting_requests_.clear();
   blocked_queues_.clear();
   retry_after_until_.clear();
+  granted_sizes_.clear();
   rate_limiter_.clear();
 }
 
@@ -259,6 +260,7 @@
   const Duration remaining_time = waiting.arrived_at + milliseconds(request.first_event_ms) - now;
   const auto open = open_groups_.find(model_key(waiting));
   SlotCandidate best;
+  engine::PlacementScore best_score;
   if (open == open_groups_.end()) {
     return best;
   }
@@ -273,12 +275,12 @@
       continue;
     }
     const bool is_quiet_group = silence_watch_.is_quiet(now, name);
-    const bool is_better =
-        std::pair(is_quiet_group, forecast.time_to_first_event) < std::pair(best.is_quiet, best.first_event);
-    if (best.feasibility == Feasibility::kNone || is_better) {
+    const engine::PlacementScore score = score_group(now, engine, model, waiting, group,
+                                                     {is_quiet_group, forecast.time_to_first_event, 0}, remaining_time);
+    if (best.feasibility == Feasibility::kNone || score < best_score) {
+      best_score = score;
       best.name = name;
       best.first_event = forecast.time_to_first_event;
-      best.is_quiet = is_quiet_group;
       best.feasibility =
           has_objective && forecast.time_to_first_event > remaining_time ? Feasibility::kLate : Feasibility::kInTime;
     }
@@ -326,6 +328,7 @@
                                      const SlotCandidate& candidate, std::vector<SlotDecision>& decisions) {
   TrackedGroup& group = groups_.at(candidate.name);
   group.pass_clock.add(now, *service.engine, model, group.in_flight, waiting.request.prompt_tokens);
+  note_granted_work(now, *service.engine, model, waiting, group, candidate.first_event);
   ++group.in_flight;
   rate_limiter_.note_request(now, service, group.rate_limited_head);
   NodeLoads& node = nodes_[waiting.node];
--- a/src/core/fleet/slot_scheduler.h
+++ b/src/core/fleet/slot_scheduler.h
@@ -10,6 +10,9 @@
 
 #include "core/base/time.h"
 #include "core/document/configuration_document.h"
+#include "core/engine/cost_model.h"
+#include "core/engine/group_placement.h"
+#include "core/engine/group_work.h"
 #include "core/engine/pass_simulator.h"
 #include "core/fleet/fleet_options.h"
 #include "core/fleet/group_stall_detector.h"
@@ -87,6 +90,10 @@
     /// Zones of the members, sorted.
     std::vector<std::string> zones;
     engine::PassSimulator pass_clock;
+    /// Factor by which answers take longer than the cost model expects.
+    double time_factor = 1;
+    /// Tracked only with learned costs.
+    engine::GroupWork work;
   };
   struct NodeLoads {
     std::map<std::string, int> in_flight;
@@ -127,7 +134,6 @@
     std::string name;
     Duration first_event{};
     Feasibility feasibility = Feasibility::kNone;
-    bool is_quiet = false;
   };
 
   /// Whether the objective for the first event has already passed.
@@ -145,6 +151,20 @@
   /// does.
   SlotCandidate best_group(TimePoint now, const document::ServiceSpec& service, const document::ModelSpec& model,
                            const WaitingRequest& waiting);
+  /// Tokens that the request's answer is expected to have; the mean of the model if the entry does not say.
+  double expected_answer_tokens(const document::EngineSpec& engine, const WaitingRequest& waiting) const;
+  /// Accounts for requests of the group that ended, or that were not granted here, since the last call.
+  void reconcile_work(TimePoint now, const document::EngineSpec& engine, const document::ModelSpec& model,
+                      TrackedGroup& group) const;
+  /// How well the group suits the request, which is due in `time_left`. Without learned costs, only the first event
+  /// counts.
+  engine::PlacementScore score_group(TimePoint now, const document::EngineSpec& engine,
+                                     const document::ModelSpec& model, const WaitingRequest& waiting,
+                                     TrackedGroup& group, const engine::PlacementForecast& forecast,
+                                     Duration time_left) const;
+  /// Records the expected end of a request that was granted a slot; does nothing without learned costs.
+  void note_granted_work(TimePoint now, const document::EngineSpec& engine, const document::ModelSpec& model,
+                         const WaitingRequest& waiting, TrackedGroup& group, Duration first_event);
   /// The first of the requested plain servers whose rate limit allows a request.
   SlotCandidate best_server(TimePoint now, const document::ServiceSpec& service, const WaitingRequest& waiting);
   /// Whether the request may be sent to the group, regardless of free slots.
@@ -205,6 +225,8 @@
   TimePoint next_review_ = TimePoint::min();
   /// Smallest objective for pauses of all requests, by model.
   std::map<ModelKey, Duration> min_gap_objectives_;
+  /// Mean sizes of the granted requests, by model; only with learned costs.
+  std::map<ModelKey, engine::RequestSizeEstimator> granted_sizes_;
 };
 
 }  // namespace larchlever::fleet
