Entries predict answers, learn from the streams they relay, and tell the leader

The leader knew nothing of how long an answer would be, and the planner took hints and maxima for demand.

With admission.learned_costs, an entry predicts the tokens of each answer of an engine (AnswerSizes), sends the mean with the slot request and reports it as demand. It learns from complete streams that one attempt sent from the beginning. request_ended has the fields predicted_tokens and answer_tokens; the line answer_size_errors gives the ratios of actual to predicted sizes once a minute, because entries of a registered fleet export no metrics. With the flag off nothing is predicted or sent; answer_tokens is logged all the same.

Not tested: that resumed streams are left out, on the level of processes.

--- a/src/node/entry_process.cc
+++ b/src/node/entry_process.cc
@@ -261,6 +261,7 @@
     send(std::move(*heartbeat));
   }
   search_logger_.tick(now, state_.subscription);
+  state_.answer_sizes.tick(now, settings_.name);
   const bool has_lease = state_.subscription.has_lease(now);
   if (has_lease != had_lease_) {
     had_lease_ = has_lease;
--- a/src/node/entry_state.h
+++ b/src/node/entry_state.h
@@ -10,6 +10,7 @@
 #include "core/fleet/fleet_subscription.h"
 #include "core/fleet/relay_peers.h"
 #include "core/requests/recent_quantile.h"
+#include "node/answer_sizes.h"
 
 namespace larchlever::node {
 
@@ -43,7 +44,8 @@
       : subscription(options, identity, seeds),
         dispatcher(options, identity.zone, random_seed),
         relay_peers(identity.zone, random_seed),
-        zone_regions(options.zones) {}
+        zone_regions(options.zones),
+        answer_sizes(options.admission.learned_costs) {}
 
   fleet::FleetSubscription subscription;
   fleet::Dispatcher dispatcher;
@@ -57,6 +59,7 @@
   std::shared_ptr<const document::RouteTable> routes;
   /// By model: actual minus predicted time to the first event, an error that the leader's cost model leaves out.
   std::map<std::string, requests::RecentQuantile> first_event_excess;
+  AnswerSizes answer_sizes;
   EntryCounters counters;
   bool traffic_seen = false;
 };
--- a/src/node/relayed_request.h
+++ b/src/node/relayed_request.h
@@ -7,6 +7,7 @@
 #include <vector>
 
 #include "core/document/route_table.h"
+#include "core/engine/answer_size_estimator.h"
 #include "core/fleet/dispatcher.h"
 #include "core/requests/event_stream.h"
 #include "core/requests/request_fingerprint.h"
@@ -32,6 +33,11 @@
   /// Zones in the home regions of the request's route and tenant; nothing if it may run anywhere.
   std::optional<std::set<std::string>> allowed_zones;
   double prompt_tokens = 0;
+  engine::DeclaredAnswerSize declared_answer;
+  /// Empty without learned costs, and for plain services.
+  std::optional<engine::AnswerSizePrediction> predicted_answer;
+  /// Tokens of the answer; set once a whole stream of an engine was relayed.
+  std::optional<int64_t> answer_tokens;
   TimePoint received_at{};
   /// The request waited for this entry's configuration lease for longer than kLeaseWaitThreshold.
   bool was_held_for_lease = false;
@@ -76,6 +82,8 @@
   /// the target itself.
   Duration expected_first_event_delay{};
   requests::EventStreamSplitter event_stream;
+  /// The stream, or what the caller has of it, did not come from one attempt alone.
+  bool is_resumed = false;
   bool response_started = false;
   /// When the first event or the complete response arrived.
   TimePoint first_event_at{};
--- a/src/node/request_completion.cc
+++ b/src/node/request_completion.cc
@@ -1,6 +1,7 @@
 #include "node/request_completion.h"
 
 #include <boost/asio.hpp>
+#include <cmath>
 
 #include "core/base/http_status.h"
 #include "core/requests/retry_after.h"
@@ -54,6 +55,9 @@
        {"load", std::to_string(request.target_load)},
        {"expected_ms", std::to_string(request.expected_first_event_delay / milliseconds(1))},
        {"sent", std::to_string(request.attempts_sent)},
+       {"predicted_tokens",
+        request.predicted_answer ? std::to_string(std::llround(request.predicted_answer->mean)) : ""},
+       {"answer_tokens", request.answer_tokens ? std::to_string(*request.answer_tokens) : ""},
        {"runs", std::to_string(request.possible_runs)},
        {"ruled_out", std::to_string(request.ruled_out_targets)},
        {"relay_peer", request.relay_peer},
--- a/src/node/request_relay.cc
+++ b/src/node/request_relay.cc
@@ -148,16 +148,23 @@
   const auto& headers = request.exchange->request().headers;
   const auto counts = headers.find(dialect_.token_counts_header);
   const size_t comma = counts.find(',');
-  if (request.model.empty() || comma == std::string_view::npos) {
+  if (request.model.empty()) {
     return;
   }
-  const auto prompt = parse_number(counts.substr(0, comma));
-  const auto max_output = parse_number(counts.substr(comma + 1));
+  const bool has_counts = comma != std::string_view::npos;
+  const auto max_output = has_counts ? parse_number(counts.substr(comma + 1)) : std::nullopt;
   const auto hint = parse_number(headers.find(dialect_.length_hint_header));
+  request.declared_answer = {hint, max_output};
+  state_.answer_sizes.predict(request);
+  if (!has_counts) {
+    return;
+  }
+  const auto prompt = parse_number(counts.substr(0, comma));
   request.prompt_tokens = static_cast<double>(prompt.value_or(0));
   if (prompt && (hint || max_output)) {
-    const engine::RequestTokenCounts sizes{static_cast<double>(*prompt),
-                                           static_cast<double>(hint ? *hint : *max_output)};
+    const auto declared_tokens = static_cast<double>(hint ? *hint : *max_output);
+    const double answer_tokens = request.predicted_answer ? request.predicted_answer->mean : declared_tokens;
+    const engine::RequestTokenCounts sizes{static_cast<double>(*prompt), answer_tokens};
     state_.dispatcher.record_gap_objective(request.service->name, request.model, request.route->target_event_gap);
     if (!request.relayed_for.empty()) {
       return;  // The other entry reports the demand.
@@ -544,6 +551,8 @@
 asio::awaitable<RequestRelay::DispatchResult> RequestRelay::relay_events(RelayedRequest& request,
                                                                          const fleet::DispatchTarget& target,
                                                                          net::ClientStream& stream) {
+  request.is_resumed = request.event_stream.last_id().has_value() ||
+                       request.exchange->request().headers.contains(dialect_.last_event_id_header);
   request.event_stream.restart();
   while (true) {
     const TimePoint now = monotonic_now();
@@ -581,6 +590,7 @@
   if (is_complete && request.response_started) {
     blocked_request_guard_.note_response(request);
     ++state_.counters.served;
+    state_.answer_sizes.observe(monotonic_now(), request);
     completion_.log_completion(request, stream.head().status, "the whole stream");
     co_await request.exchange->end_stream();
     co_return DispatchResult::kAnswered;
--- a/src/node/target_finder.cc
+++ b/src/node/target_finder.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <boost/asio.hpp>
+#include <cmath>
 
 #include "core/base/http_status.h"
 #include "node/clock.h"
@@ -102,6 +103,9 @@
   const bool has_tenant_priority = request.tenant != nullptr && request.tenant->priority >= 0;
   slot_request.priority = has_tenant_priority ? request.tenant->priority : request.route->priority;
   slot_request.patience_ms = std::max(0, to_milliseconds(wait_until - now));
+  if (request.predicted_answer) {
+    slot_request.__set_answer_tokens(static_cast<int32_t>(std::ceil(request.predicted_answer->mean)));
+  }
   if (request.allowed_zones) {
     slot_request.__set_allowed_zones({request.allowed_zones->begin(), request.allowed_zones->end()});
   }
