--- a/src/core/fleet/slot_scheduler.cc
+++ b/src/core/fleet/slot_scheduler.cc
@@ -11,16 +11,9 @@
 
 namespace {
 
-/// Fraction of the objective for pauses that a forecast engine pass may take; the rest is for the network and for
-/// effects that the cost model omits.
-constexpr double kMaxPassShareOfGap = 0.85;
 /// Interval between reviews of waiting requests; an engine pass takes many times as long.
 constexpr Duration kReviewInterval = milliseconds(5);
 
-Duration scale_duration(Duration duration, double factor) {
-  return Duration(static_cast<int64_t>(static_cast<double>(duration.count()) * factor));
-}
-
 }  // namespace
 
 void SlotScheduler::start(int64_t term) {
@@ -35,6 +28,7 @@
   blocked_queues_.clear();
   retry_after_until_.clear();
   queue_turns_.clear();
+  granted_sizes_.clear();
   rate_limiter_.clear();
   plain_servers_.clear();
 }
@@ -195,77 +189,12 @@
   return request.first_event_ms > 0 && now >= waiting.arrived_at + milliseconds(request.first_event_ms);
 }
 
-bool SlotScheduler::is_in_allowed_zones(const WaitingRequest& waiting, const TrackedGroup& group) {
-  const auto& request = waiting.request;
-  const auto& homes = request.allowed_zones;
-  return !request.__isset.allowed_zones ||
-         (!group.zones.empty() && std::includes(homes.begin(), homes.end(), group.zones.begin(), group.zones.end()));
-}
-
 SlotScheduler::QueueKey SlotScheduler::queue_key(const WaitingRequest& waiting) {
   QueueKey key{model_key(waiting), waiting.request.allowed_zones, requested_servers(waiting)};
   std::sort(key.plain_servers.begin(), key.plain_servers.end());  // Entries list them in different orders.
   return key;
 }
 
-bool SlotScheduler::may_use_group(const WaitingRequest& waiting, const std::string& name, const TrackedGroup& group) {
-  const auto& excluded = waiting.request.excluded_groups;
-  return is_in_allowed_zones(waiting, group) && std::find(excluded.begin(), excluded.end(), name) == excluded.end();
-}
-
-SlotScheduler::SlotCandidate SlotScheduler::best_group(TimePoint now, const document::ServiceSpec& service,
-                                                       const document::ModelSpec& model,
-                                                       const WaitingRequest& waiting) {
-  const auto& engine = *service.engine;
-  const auto& request = waiting.request;
-  const auto gap = min_gap_objectives_.find(model_key(waiting));
-  const Duration longest_pass =
-      gap == min_gap_objectives_.end() ? Duration::max() : scale_duration(gap->second, kMaxPassShareOfGap);
-  const bool has_objective = request.first_event_ms > 0;
-  const Duration remaining_time = waiting.arrived_at + milliseconds(request.first_event_ms) - now;
-  const auto open = open_groups_.find(model_key(waiting));
-  SlotCandidate best;
-  if (open == open_groups_.end()) {
-    return best;
-  }
-  for (auto* item : open->second) {
-    auto& [name, group] = *item;
-    const bool is_eligible = group.in_flight < engine.slots && may_use_group(waiting, name, group);
-    if (!is_eligible || rate_limiter_.next_allowed_at(now, service, group.rate_limited_head) > now) {
-      continue;
-    }
-    const double time_factor = apply_pace_or_trial(now, name, group);
-    const auto forecast = group.pass_clock.forecast(now, engine, model, group.in_flight, request.prompt_tokens);
-    const bool is_slow = time_factor > 1;
-    const Duration modelled_pass =
-        is_slow ? scale_duration(forecast.longest_pass, 1 / time_factor) : forecast.longest_pass;
-    if (group.in_flight > 0 && modelled_pass > longest_pass) {
-      continue;
-    }
-    const bool is_quiet_group = silence_watch_.is_quiet(now, name);
-    const bool is_late = has_objective && forecast.time_to_first_event > remaining_time;
-    const bool is_too_slow = is_slow && (is_late || forecast.longest_pass > longest_pass);
-    const bool is_better = std::tuple(is_quiet_group, is_too_slow, forecast.time_to_first_event) <
-                           std::tuple(best.is_quiet, best.is_too_slow, best.first_event);
-    if (best.feasibility == Feasibility::kNone || is_better) {
-      best.name = name;
-      best.first_event = forecast.time_to_first_event;
-      best.is_quiet = is_quiet_group;
-      best.is_too_slow = is_too_slow;
-      best.feasibility = is_late ? Feasibility::kLate : Feasibility::kInTime;
-    }
-  }
-  return best;
-}
-
-bool SlotScheduler::is_objective_unreachable(const document::EngineSpec& engine, const document::ModelSpec& model,
-                                             const WaitingRequest& waiting) {
-  const auto& request = waiting.request;
-  const Duration idle_first_event =
-      engine::PassSimulator().forecast(waiting.arrived_at, engine, model, 0, request.prompt_tokens).time_to_first_event;
-  return request.first_event_ms > 0 && idle_first_event > milliseconds(request.first_event_ms);
-}
-
 void SlotScheduler::add_decision(const WaitingRequest& waiting, wire::SlotVerdict::type verdict,
                                  std::vector<SlotDecision>& decisions) {
   SlotDecision decision;
@@ -275,25 +204,6 @@
   decisions.push_back(std::move(decision));
 }
 
-void SlotScheduler::grant_group_slot(TimePoint now, const document::ServiceSpec& service,
-                                     const document::ModelSpec& model, const WaitingRequest& waiting,
-                                     const SlotCandidate& candidate, std::vector<SlotDecision>& decisions) {
-  TrackedGroup& group = groups_.at(candidate.name);
-  group.pass_clock.add(now, *service.engine, model, group.in_flight, waiting.request.prompt_tokens);
-  if (group.in_flight == 0) {
-    speeds_.note_trial(now, candidate.name);
-  }
-  ++group.in_flight;
-  rate_limiter_.note_request(now, service, group.rate_limited_head);
-  NodeLoads& node = nodes_[waiting.node];
-  add_decision(waiting, wire::SlotVerdict::GRANTED, decisions);
-  auto& grant = decisions.back().grant;
-  grant.sequence = node.next_sequence++;
-  grant.group = candidate.name;
-  grant.expected_ms = static_cast<int32_t>(candidate.first_event / milliseconds(1));
-  node.unreported_grants.emplace_back(grant.sequence, candidate.name);
-}
-
 std::optional<SlotScheduler::RequestedService> SlotScheduler::find_requested_service(
     const document::ConfigurationDocument& document, const WaitingRequest& waiting) const {
   const ModelKey key = model_key(waiting);
--- a/src/core/fleet/slot_scheduler.h
+++ b/src/core/fleet/slot_scheduler.h
@@ -11,9 +11,13 @@
 
 #include "core/base/time.h"
 #include "core/document/configuration_document.h"
+#include "core/engine/cost_model.h"
+#include "core/engine/group_placement.h"
+#include "core/engine/group_work.h"
 #include "core/engine/pass_simulator.h"
 #include "core/fleet/fleet_options.h"
 #include "core/fleet/group_stall_detector.h"
+#include "core/fleet/placement_explanation.h"
 #include "core/fleet/plain_servers/plain_server_slots.h"
 #include "core/fleet/return_schedule.h"
 #include "core/fleet/server_rate_limiter.h"
@@ -116,6 +120,10 @@
     engine::PassSimulator pass_clock;
     /// Slots released minus slots taken without a grant since the last review.
     int released = 0;
+    /// Factor by which answers take longer than the cost model expects.
+    double time_factor = 1;
+    /// Tracked only with learned costs.
+    engine::GroupWork work;
   };
   struct NodeLoads {
     std::map<std::string, int> in_flight;
@@ -169,11 +177,17 @@
     std::string name;
     Duration first_event{};
     Feasibility feasibility = Feasibility::kNone;
-    bool is_quiet = false;
     /// The choice among plain servers whose slots are counted.
     PlainServerChoice server_choice;
-    /// The group misses an objective of the request only because it is slower than the cost model says.
-    bool is_too_slow = false;
+  };
+  /// What speaks for and against giving a request to a group now.
+  struct GroupAssessment {
+    RuledOut ruled_out = RuledOut::kNo;
+    engine::RequestForecast forecast;
+    /// The first event is expected after the objective.
+    bool is_late = false;
+    /// Only if the group is not ruled out.
+    engine::PlacementScore score;
   };
   /// The engine and model of a group; null if the document does not have them.
   struct GroupEngine {
@@ -206,10 +220,28 @@
   double apply_pace_or_trial(TimePoint now, const std::string& name, TrackedGroup& group) const;
   void retain_speeds_of_known_groups();
   void set_load(NodeLoads& node, const std::string& group, int in_flight);
+  /// Longest pass that keeps the pauses of the model's streams within their objective.
+  Duration max_pass(const WaitingRequest& waiting) const;
+  GroupAssessment assess_group(TimePoint now, const document::ServiceSpec& service, const document::ModelSpec& model,
+                               const WaitingRequest& waiting, GroupItem& item);
   /// The group with room that is expected to produce the first event soonest; one that meets the objective, if any
   /// does. A group that misses an objective because it is slow is used only if no other has room.
   SlotCandidate best_group(TimePoint now, const document::ServiceSpec& service, const document::ModelSpec& model,
                            const WaitingRequest& waiting);
+  /// Tokens that the request's answer is expected to have; the mean of the model if the entry does not say.
+  double expected_answer_tokens(const document::EngineSpec& engine, const WaitingRequest& waiting) const;
+  /// Accounts for requests of the group that ended, or that were not granted here, since the last call.
+  void reconcile_work(TimePoint now, const document::EngineSpec& engine, const document::ModelSpec& model,
+                      TrackedGroup& group) const;
+  /// How well the group suits the request, which is due in `time_left`. Without learned costs, only the first event
+  /// counts.
+  engine::PlacementScore score_group(TimePoint now, const document::EngineSpec& engine,
+                                     const document::ModelSpec& model, const WaitingRequest& waiting,
+                                     TrackedGroup& group, const engine::PlacementForecast& forecast,
+                                     Duration time_left) const;
+  /// Records the expected end of a request that was granted a slot; does nothing without learned costs.
+  void note_granted_work(TimePoint now, const document::EngineSpec& engine, const document::ModelSpec& model,
+                         const WaitingRequest& waiting, TrackedGroup& group, Duration first_event);
   /// The best of the requested plain servers whose rate limits allow a request.
   SlotCandidate best_server(TimePoint now, const document::ServiceSpec& service, const WaitingRequest& waiting);
   /// The first of the requested plain servers whose rate limit allows a request; their slots are not counted.
@@ -305,6 +337,8 @@
   TimePoint next_review_ = TimePoint::min();
   /// Smallest objective for pauses of all requests, by model.
   std::map<ModelKey, Duration> min_gap_objectives_;
+  /// Mean sizes of the granted requests, by model; only with learned costs.
+  std::map<ModelKey, engine::RequestSizeEstimator> granted_sizes_;
 };
 
 }  // namespace larchlever::fleet
--- a/src/node/entry_state.h
+++ b/src/node/entry_state.h
@@ -11,6 +11,7 @@
 #include "core/fleet/fleet_subscription.h"
 #include "core/fleet/relay_peers.h"
 #include "core/requests/recent_quantile.h"
+#include "node/answer_sizes.h"
 
 namespace larchlever::node {
 
@@ -46,7 +47,8 @@
         relay_peers(identity.zone, random_seed),
         zone_regions(options.zones),
         admission(options.admission),
-        refusal_random_engine(random_seed) {}
+        refusal_random_engine(random_seed),
+        answer_sizes(options.admission.learned_costs) {}
 
   fleet::FleetSubscription subscription;
   fleet::Dispatcher dispatcher;
@@ -63,6 +65,7 @@
   std::shared_ptr<const document::RouteTable> routes;
   /// By model: actual minus predicted time to the first event, an error that the leader's cost model leaves out.
   std::map<std::string, requests::RecentQuantile> first_event_excess;
+  AnswerSizes answer_sizes;
   EntryCounters counters;
   bool traffic_seen = false;
 };
