Cost model: expected occupation of a slot by one request

Shares of tenants are counted in the time of a slot. expected_occupation adds the passes for the prompt and the answer.

--- a/src/core/engine/cost_model.cc
+++ b/src/core/engine/cost_model.cc
@@ -83,6 +83,15 @@
   return from_milliseconds(model.time_factor * (decode_ms * (kMeanRemainingPassShare + passes) + prefill_ms));
 }
 
+Duration expected_occupation(const document::EngineSpec& engine, const document::ModelSpec& model,
+                             const RequestTokenCounts& sizes, int running) {
+  const double prompt_passes = sizes.prompt / max_prefill_tokens_per_pass(engine);
+  const double passes = prompt_passes + count_answer_passes(engine, sizes);
+  const double decode_ms = engine.steps_per_pass * (engine.step_ms + engine.per_sequence_ms * running);
+  const double prefill_ms = sizes.prompt * 1000.0 / engine.prefill_tokens_per_second;
+  return from_milliseconds(model.time_factor * (passes * decode_ms + prefill_ms));
+}
+
 double sustainable_requests_per_second(const document::EngineSpec& engine, const document::ModelSpec& model,
                                        const RequestTokenCounts& sizes, Duration target) {
   const int running = target > Duration::zero() ? max_running_requests(engine, model, sizes, target) : engine.slots;
--- a/src/core/engine/cost_model.h
+++ b/src/core/engine/cost_model.h
@@ -47,6 +47,11 @@
 Duration expected_time_to_first_event(const document::EngineSpec& engine, const document::ModelSpec& model, int running,
                                       double waiting_tokens, double prompt_tokens);
 
+/// Time for which one request occupies a slot of a group with `running` requests: the passes that process its prompt
+/// and those that decode its answer. Prompts of other requests are not included.
+Duration expected_occupation(const document::EngineSpec& engine, const document::ModelSpec& model,
+                             const RequestTokenCounts& sizes, int running);
+
 /// Requests per second that a group serves with `max_running_requests` at all times. All slots are used if `target` is
 /// zero.
 double sustainable_requests_per_second(const document::EngineSpec& engine, const document::ModelSpec& model,
