Slot scheduler: admission by the shares of tenants, off by default

Change: with AdmissionOptions::fair_shares the leader keeps a ledger for each pool and orders waiting requests by it; grants without waiting are charged too. Entries send tenant and fingerprint. The queue of waiting requests has its own file. With the flag off the order is as before.

--- a/src/core/fleet/slot_scheduler.cc
+++ b/src/core/fleet/slot_scheduler.cc
@@ -2,7 +2,6 @@
 
 #include <algorithm>
 #include <iterator>
-#include <tuple>
 #include <utility>
 
 #include "core/engine/cost_model.h"
@@ -14,8 +13,6 @@
 /// Fraction of the objective for pauses that a forecast engine pass may take; the rest is for the network and for
 /// effects that the cost model omits.
 constexpr double kMaxPassShareOfGap = 0.85;
-/// Interval between reviews of waiting requests; an engine pass takes many times as long.
-constexpr Duration kReviewInterval = milliseconds(5);
 
 /// Maximum retry delay given to callers that are refused because of rate limits, even if more callers are waiting: a
 /// limit seldom lasts longer.
@@ -42,6 +39,7 @@
   blocked_queues_.clear();
   retry_after_until_.clear();
   rate_limiter_.clear();
+  ledgers_.clear();
 }
 
 void SlotScheduler::set_groups(const std::vector<wire::EngineGroup>& groups,
@@ -392,10 +390,10 @@
   const bool is_last_chance = late_answers == LateAnswers::kAllowed;
   const bool may_have_room = is_last_chance || !blocked_queues_.contains(queue_key(waiting));
   if (may_have_room && try_grant(now, *requested, waiting, late_answers, decisions)) {
+    charge_grant(now, waiting);
     return true;
   }
-  const bool has_other_servers = asks_for_plain_server(waiting) && waiting.request.patience_ms <= 0;
-  if (has_other_servers) {
+  if (has_other_servers(waiting)) {
     // The entry uses another server; the request is not queued.
     add_decision(waiting, wire::SlotVerdict::BUSY, decisions);
     return true;
@@ -431,27 +429,9 @@
   });
 }
 
-void SlotScheduler::decide_waiting_requests(TimePoint now, const document::ConfigurationDocument& document,
-                                            std::vector<SlotDecision>& decisions) {
-  next_review_ = now + kReviewInterval;
-  blocked_queues_.clear();
-  std::erase_if(retry_after_until_, [now](const auto& item) { return item.second <= now; });
-  const auto order = [now](const WaitingRequest& item) {
-    return std::tuple(item.request.priority, has_missed_objective(now, item), item.arrived_at);
-  };
-  std::stable_sort(waiting_requests_.begin(), waiting_requests_.end(),
-                   [&order](const auto& left, const auto& right) { return order(left) < order(right); });
-  // First decide all requests that can be in time, so that late requests do not use capacity that these need.
-  std::erase_if(waiting_requests_,
-                [&](auto& waiting) { return decide_request(now, document, waiting, LateAnswers::kNotYet, decisions); });
-  refuse_beyond_queue_deadline(now, decisions);
-  std::erase_if(waiting_requests_, [&](auto& waiting) {
-    return now >= waiting.queue_deadline && decide_request(now, document, waiting, LateAnswers::kAllowed, decisions);
-  });
-}
-
 std::vector<SlotDecision> SlotScheduler::decide(TimePoint now, const document::ConfigurationDocument& document) {
   std::vector<SlotDecision> decisions;
+  note_arrivals(now, document);
   if (now >= next_review_) {
     waiting_requests_.insert(waiting_requests_.end(), std::make_move_iterator(new_requests_.begin()),
                              std::make_move_iterator(new_requests_.end()));
--- a/src/core/fleet/slot_scheduler.h
+++ b/src/core/fleet/slot_scheduler.h
@@ -11,6 +11,7 @@
 #include "core/base/time.h"
 #include "core/document/configuration_document.h"
 #include "core/engine/pass_simulator.h"
+#include "core/fair_share/share_ledger.h"
 #include "core/fleet/fleet_options.h"
 #include "core/fleet/group_stall_detector.h"
 #include "core/fleet/server_rate_limiter.h"
@@ -35,7 +36,7 @@
 ///
 /// The scheduler also applies the rate limits of servers, both heads of groups and plain servers. If only rate-limited
 /// servers can serve a request, it waits if it can be sent before its queue deadline, and is refused immediately
-/// otherwise. Capacity is given by priority, then by age.
+/// otherwise. Capacity is given by priority, then by age; with AdmissionOptions::fair_shares, by the shares of tenants.
 ///
 /// Grants are advisory: nothing breaks if a deposed leader grants slots, or if entries decide alone while there is no
 /// leader. An entry's load reports include a slot once the entry has received it. Single-threaded, deterministic.
@@ -100,6 +101,8 @@
     TimePoint arrived_at{};
     TimePoint queue_deadline{};
     bool is_queued_sent = false;  ///< The verdict QUEUED was sent to the entry.
+    /// What the request costs its tenant's share; see request_cost.
+    double cost = 0;
   };
   using ModelKey = std::pair<std::string, std::string>;  ///< Service and model.
   /// Requests that compete for the same servers: for one model with the same allowed zones, or for the same plain
@@ -138,6 +141,10 @@
   static QueueKey queue_key(const WaitingRequest& waiting);
   /// Whether the request asks for a plain server instead of a group.
   static bool asks_for_plain_server(const WaitingRequest& waiting) { return waiting.request.__isset.rated_servers; }
+  /// Whether the entry uses another server if the requested ones have no room, so the request is never queued.
+  static bool has_other_servers(const WaitingRequest& waiting) {
+    return asks_for_plain_server(waiting) && waiting.request.patience_ms <= 0;
+  }
   /// Whether all members of the group are in zones that the request allows.
   static bool is_in_allowed_zones(const WaitingRequest& waiting, const TrackedGroup& group);
   void set_load(NodeLoads& node, const std::string& group, int in_flight);
@@ -171,6 +178,21 @@
                       LateAnswers late_answers, std::vector<SlotDecision>& decisions);
   void decide_waiting_requests(TimePoint now, const document::ConfigurationDocument& document,
                                std::vector<SlotDecision>& decisions);
+  /// Sorts the waiting requests by priority, then those that can still be in time first, then by age.
+  void sort_by_priority(TimePoint now);
+  /// Sorts the waiting requests of each pool by the shares of their tenants.
+  void sort_by_shares(TimePoint now);
+  /// The servers whose room a request takes part of, for its tenant's share.
+  static ModelKey pool_key(const WaitingRequest& waiting);
+  /// Expected occupation of a group's slot in milliseconds; a constant for plain servers, whose answers are of similar
+  /// duration.
+  static double request_cost(const RequestedService& requested, const WaitingRequest& waiting);
+  static fair_share::PendingRequest pending_request(TimePoint now, const WaitingRequest& waiting);
+  /// Counts the new requests as demand of their tenants.
+  void note_arrivals(TimePoint now, const document::ConfigurationDocument& document);
+  /// Charges a granted request to its tenant.
+  void charge_grant(TimePoint now, const WaitingRequest& waiting);
+  void forget_silent_tenants(TimePoint now);
   /// Refuses requests that rate limits would delay beyond their queue deadline.
   void refuse_beyond_queue_deadline(TimePoint now, std::vector<SlotDecision>& decisions);
   /// Refuses a request. If rate limits are the cause, the answer states when to retry, which is after the retries of
@@ -203,6 +225,9 @@
   std::map<QueueKey, TimePoint> retry_after_until_;
   ServerRateLimiter rate_limiter_;
   TimePoint next_review_ = TimePoint::min();
+  /// Shares of tenants by pool (service and model, no model for plain servers); empty unless they are turned on.
+  std::map<ModelKey, fair_share::ShareLedger> ledgers_;
+  TimePoint next_ledger_cleanup_ = TimePoint::min();
   /// Smallest objective for pauses of all requests, by model.
   std::map<ModelKey, Duration> min_gap_objectives_;
 };
--- a/src/node/target_finder.cc
+++ b/src/node/target_finder.cc
@@ -101,6 +101,10 @@
   slot_request.gap_ms = to_milliseconds(request.route->target_event_gap);
   const bool has_tenant_priority = request.tenant != nullptr && request.tenant->priority >= 0;
   slot_request.priority = has_tenant_priority ? request.tenant->priority : request.route->priority;
+  if (request.tenant != nullptr) {
+    slot_request.__set_tenant(request.tenant->name);
+  }
+  slot_request.__set_fingerprint(request.fingerprint.value());
   slot_request.patience_ms = std::max(0, to_milliseconds(wait_until - now));
   if (request.allowed_zones) {
     slot_request.__set_allowed_zones({request.allowed_zones->begin(), request.allowed_zones->end()});
