--- a/src/core/fleet/plain_servers/plain_server_slots.cc
+++ b/src/core/fleet/plain_servers/plain_server_slots.cc
@@ -52,6 +52,26 @@
   next_review_ = TimePoint::min();
 }
 
+std::vector<std::string> PlainServerSlots::servers_of(const std::string& service) const {
+  std::vector<std::string> result;
+  for (const auto& [incarnation, tracked] : servers_) {
+    if (tracked.server.service == service) {
+      result.push_back(incarnation);
+    }
+  }
+  return result;
+}
+
+Duration PlainServerSlots::expected_response(TimePoint now, const std::string& incarnation, const std::string& entry,
+                                             int in_flight) const {
+  const auto found = servers_.find(incarnation);
+  if (found == servers_.end()) {
+    return Duration::zero();
+  }
+  const auto expected_ms = found->second.speed.expected_ms(now, entry, load_share(found->second, in_flight));
+  return from_milliseconds(expected_ms.value_or(0));
+}
+
 double PlainServerSlots::load_share(const TrackedServer& tracked, int in_flight) {
   return tracked.server.slots > 0 ? static_cast<double>(in_flight) / tracked.server.slots : 0;
 }
--- a/src/core/fleet/plain_servers/plain_server_slots.h
+++ b/src/core/fleet/plain_servers/plain_server_slots.h
@@ -78,6 +78,11 @@
     const auto found = servers_.find(incarnation);
     return found == servers_.end() ? 0 : found->second.server.slots;
   }
+  /// Incarnations of the service's servers.
+  std::vector<std::string> servers_of(const std::string& service) const;
+  /// Expected response time for a request of `entry` with `in_flight` others at the server; zero if nothing is known.
+  Duration expected_response(TimePoint now, const std::string& incarnation, const std::string& entry,
+                             int in_flight) const;
   /// Records response times that an entry measured while `in_flight` requests were at the server.
   void note_response_times(TimePoint now, const std::string& incarnation, const ResponseTimeSample& sample,
                            int in_flight);
--- a/src/core/fleet/return_schedule.cc
+++ b/src/core/fleet/return_schedule.cc
@@ -42,7 +42,7 @@
     }
     forget(*caller.fingerprint);
   }
-  const double turns_before = requests_ahead + expected_before(caller.place, TimePoint::max());
+  const double turns_before = requests_ahead + expected_before(caller, TimePoint::max());
   // The caller is back half of its patience before its turn, so that it is not late if its turn comes earlier.
   const Duration turn_delay = pace.turn_at(turns_before) - now - limits.patience / 2;
   const Duration delay = std::max(bounded_return_delay(turn_delay, limits.longest_delay), kMinReturnDelay);
@@ -52,9 +52,11 @@
   return delay;
 }
 
-double ReturnSchedule::expected_before(const Place& place, TimePoint until) const {
-  const auto count = std::count_if(returns_.begin(), returns_.upper_bound(until),
-                                   [&place](const auto& item) { return item.second.caller.place < place; });
+double ReturnSchedule::expected_before(const RefusedCaller& caller, TimePoint until) const {
+  const auto count = std::count_if(returns_.begin(), returns_.upper_bound(until), [&caller](const auto& item) {
+    const auto& other = item.second.caller;
+    return other.tenant == caller.tenant && other.place < caller.place;
+  });
   return kept_share_ * static_cast<double>(count);
 }
 
--- a/src/core/fleet/return_schedule.h
+++ b/src/core/fleet/return_schedule.h
@@ -4,6 +4,7 @@
 #include <cstdint>
 #include <map>
 #include <optional>
+#include <string>
 
 #include "core/base/time.h"
 #include "core/fleet/turn_forecast.h"
@@ -35,6 +36,9 @@
     /// Empty if the caller cannot be recognized when it returns.
     std::optional<int64_t> fingerprint;
     Place place;
+    /// Callers with the same value are served in the order of their places. Those of others are not compared, because
+    /// the order between tenants follows their shares.
+    std::string tenant = {};
   };
   struct DelayLimits {
     /// How long a request waits in the queue.
@@ -52,9 +56,9 @@
   /// Refuses a caller that `requests_ahead` waiting requests precede; returns after which time it is to return.
   Duration assign(TimePoint now, const RefusedCaller& caller, const TurnPace& pace, double requests_ahead,
                   const DelayLimits& limits);
-  /// Expected number of callers with a place before `place` that return by `until`. Callers that do not return although
-  /// they were told to are allowed for.
-  double expected_before(const Place& place, TimePoint until) const;
+  /// Expected number of callers that were told to return by `until` and stand before `caller`. Callers that do not
+  /// return are allowed for.
+  double expected_before(const RefusedCaller& caller, TimePoint until) const;
   /// Empty if the caller was not told to return, or is too late. A caller that comes at its time takes its place.
   std::optional<Return> note_return(TimePoint now, int64_t fingerprint);
   /// The caller was served.
--- a/src/core/fleet/slot_scheduler.cc
+++ b/src/core/fleet/slot_scheduler.cc
@@ -2,20 +2,12 @@
 
 #include <algorithm>
 #include <iterator>
-#include <tuple>
 #include <utility>
 
 #include "core/engine/cost_model.h"
 
 namespace larchlever::fleet {
 
-namespace {
-
-/// Interval between reviews of waiting requests; an engine pass takes many times as long.
-constexpr Duration kReviewInterval = milliseconds(5);
-
-}  // namespace
-
 void SlotScheduler::start(int64_t term) {
   term_ = term;
   groups_.clear();
@@ -31,6 +23,7 @@
   granted_sizes_.clear();
   rate_limiter_.clear();
   plain_servers_.clear();
+  ledgers_.clear();
 }
 
 void SlotScheduler::set_groups(const std::vector<wire::EngineGroup>& groups,
@@ -255,10 +248,10 @@
   const bool is_last_chance = late_answers == LateAnswers::kAllowed;
   const bool may_have_room = is_last_chance || !blocked_queues_.contains(queue_key(waiting));
   if (may_have_room && try_grant(now, *requested, waiting, late_answers, decisions)) {
+    charge_grant(now, waiting);
     return true;
   }
-  const bool has_other_servers = waiting.request.__isset.rated_servers && waiting.request.patience_ms <= 0;
-  if (has_other_servers) {
+  if (has_other_servers(waiting)) {
     // The entry uses another server; the request is not queued.
     add_decision(waiting, wire::SlotVerdict::BUSY, decisions);
     return true;
@@ -274,27 +267,9 @@
   return false;
 }
 
-void SlotScheduler::decide_waiting_requests(TimePoint now, const document::ConfigurationDocument& document,
-                                            std::vector<SlotDecision>& decisions) {
-  next_review_ = now + kReviewInterval;
-  blocked_queues_.clear();
-  std::erase_if(retry_after_until_, [now](const auto& item) { return item.second <= now; });
-  const auto order = [now](const WaitingRequest& item) {
-    return std::tuple(item.request.priority, has_missed_objective(now, item), item.first_arrived_at);
-  };
-  std::stable_sort(waiting_requests_.begin(), waiting_requests_.end(),
-                   [&order](const auto& left, const auto& right) { return order(left) < order(right); });
-  // First decide all requests that can be in time, so that late requests do not use capacity that these need.
-  std::erase_if(waiting_requests_,
-                [&](auto& waiting) { return decide_request(now, document, waiting, LateAnswers::kNotYet, decisions); });
-  refuse_beyond_queue_deadline(now, document, decisions);
-  std::erase_if(waiting_requests_, [&](auto& waiting) {
-    return now >= waiting.queue_deadline && decide_request(now, document, waiting, LateAnswers::kAllowed, decisions);
-  });
-}
-
 std::vector<SlotDecision> SlotScheduler::decide(TimePoint now, const document::ConfigurationDocument& document) {
   std::vector<SlotDecision> decisions;
+  note_arrivals(now, document);
   if (now >= next_review_) {
     waiting_requests_.insert(waiting_requests_.end(), std::make_move_iterator(new_requests_.begin()),
                              std::make_move_iterator(new_requests_.end()));
--- a/src/core/fleet/slot_scheduler.h
+++ b/src/core/fleet/slot_scheduler.h
@@ -15,6 +15,7 @@
 #include "core/engine/group_placement.h"
 #include "core/engine/group_work.h"
 #include "core/engine/pass_simulator.h"
+#include "core/fair_share/share_ledger.h"
 #include "core/fleet/fleet_options.h"
 #include "core/fleet/group_stall_detector.h"
 #include "core/fleet/placement_explanation.h"
@@ -47,7 +48,7 @@
 ///
 /// The scheduler also applies the rate limits of servers, both heads of groups and plain servers. If only rate-limited
 /// servers can serve a request, it waits if it can be sent before its queue deadline, and is refused immediately
-/// otherwise. Capacity is given by priority, then by age.
+/// otherwise. Capacity is given by priority, then by age; with AdmissionOptions::fair_shares, by the shares of tenants.
 ///
 /// With turn forecasts, a request that waits for a full pool of groups is refused as early: as soon as its turn is
 /// expected after its queue deadline. Its caller is told when to return and keeps its place until then (TurnForecast,
@@ -100,6 +101,10 @@
   /// are reviewed only at intervals, so the cost of an input does not grow with their number.
   std::vector<SlotDecision> decide(TimePoint now, const document::ConfigurationDocument& document);
 
+  /// Where a request with these properties would be sent now, and why. Changes no state.
+  PlacementExplanation explain(TimePoint now, const document::ConfigurationDocument& document,
+                               const PlacementQuery& query) const;
+
   /// Number of requests that wait for a slot.
   size_t waiting_count() const { return waiting_requests_.size() + new_requests_.size(); }
   /// Requests in flight at a group, including granted slots that are not used yet.
@@ -143,6 +148,8 @@
     bool is_queued_sent = false;  ///< The verdict QUEUED was sent to the entry.
     /// Its turn was compared with those of callers that were told to return before it.
     bool is_turn_checked = false;
+    /// What the request costs its tenant's share; see request_cost.
+    double cost = 0;
   };
   using ModelKey = std::pair<std::string, std::string>;  ///< Service and model.
   /// Requests that compete for the same servers: for one model with the same allowed zones, or for the same plain
@@ -211,6 +218,10 @@
   static const std::vector<std::string>& requested_servers(const WaitingRequest& waiting) {
     return asks_for_server_slot(waiting) ? waiting.request.plain_servers : waiting.request.rated_servers;
   }
+  /// Whether the entry uses another server if the requested ones have no room, so the request is never queued.
+  static bool has_other_servers(const WaitingRequest& waiting) {
+    return waiting.request.__isset.rated_servers && waiting.request.patience_ms <= 0;
+  }
   /// Whether all members of the group are in zones that the request allows.
   static bool is_in_allowed_zones(const WaitingRequest& waiting, const TrackedGroup& group);
   static GroupEngine engine_of(const document::ConfigurationDocument& document, const TrackedGroup& group);
@@ -276,6 +287,21 @@
                       LateAnswers late_answers, std::vector<SlotDecision>& decisions);
   void decide_waiting_requests(TimePoint now, const document::ConfigurationDocument& document,
                                std::vector<SlotDecision>& decisions);
+  /// Sorts the waiting requests by priority, then those that can still be in time first, then by age.
+  void sort_by_priority(TimePoint now);
+  /// Sorts the waiting requests of each pool by the shares of their tenants.
+  void sort_by_shares(TimePoint now);
+  /// The servers whose room a request takes part of, for its tenant's share.
+  static ModelKey pool_key(const WaitingRequest& waiting);
+  /// Expected occupation of a group's slot in milliseconds; a constant for plain servers, whose answers are of similar
+  /// duration.
+  static double request_cost(const RequestedService& requested, const WaitingRequest& waiting);
+  static fair_share::PendingRequest pending_request(TimePoint now, const WaitingRequest& waiting);
+  /// Counts the new requests as demand of their tenants.
+  void note_arrivals(TimePoint now, const document::ConfigurationDocument& document);
+  /// Charges a granted request to its tenant.
+  void charge_grant(TimePoint now, const WaitingRequest& waiting);
+  void forget_silent_tenants(TimePoint now);
   /// Refuses requests whose turn is expected after their queue deadline.
   void refuse_beyond_queue_deadline(TimePoint now, const document::ConfigurationDocument& document,
                                     std::vector<SlotDecision>& decisions);
@@ -293,7 +319,7 @@
   std::optional<TurnPace> queue_pace(const QueueKey& queue) const;
   /// Forecasts the pace of each queue for the current review.
   void update_paces(TimePoint now, const document::ConfigurationDocument& document);
-  static ReturnSchedule::Place place_of(const WaitingRequest& waiting);
+  ReturnSchedule::RefusedCaller refused_caller(const WaitingRequest& waiting) const;
   /// Slots of the plain servers of the queue; none are free where the leader does not count them.
   PoolSlots plain_pool_slots(const QueueKey& queue) const;
   /// Slots of the groups or plain servers that serve the queue.
@@ -304,6 +330,14 @@
   void forget_place(const WaitingRequest& waiting);
   /// Updates the forecasts of all queues after a review.
   void note_pool_loads(TimePoint now, const document::ConfigurationDocument& document);
+  static WaitingRequest make_waiting_request(TimePoint now, const PlacementQuery& query);
+  /// The candidates for the request, and the chosen one; for a copy of the scheduler, because forecasts advance the
+  /// simulated passes.
+  void explain_groups(TimePoint now, const WaitingRequest& waiting, PlacementExplanation& explanation);
+  void explain_servers(TimePoint now, const WaitingRequest& waiting, PlacementExplanation& explanation);
+  /// The requests that wait for the same servers, and when the request would get its turn behind them.
+  void explain_queue(TimePoint now, const document::ConfigurationDocument& document, const WaitingRequest& waiting,
+                     PlacementExplanation& explanation);
   void index_open_groups();
   void grant_group_slot(TimePoint now, const document::ServiceSpec& service, const document::ModelSpec& model,
                         const WaitingRequest& waiting, const SlotCandidate& candidate,
@@ -335,6 +369,9 @@
   std::map<QueueKey, TimePoint> retry_after_until_;
   ServerRateLimiter rate_limiter_;
   TimePoint next_review_ = TimePoint::min();
+  /// Shares of tenants by pool (service and model, no model for plain servers); empty unless they are turned on.
+  std::map<ModelKey, fair_share::ShareLedger> ledgers_;
+  TimePoint next_ledger_cleanup_ = TimePoint::min();
   /// Smallest objective for pauses of all requests, by model.
   std::map<ModelKey, Duration> min_gap_objectives_;
   /// Mean sizes of the granted requests, by model; only with learned costs.
--- a/src/core/fleet/slot_scheduler_refusals.cc
+++ b/src/core/fleet/slot_scheduler_refusals.cc
@@ -141,7 +141,7 @@
   const auto turns = queue_turns_.find(queue);
   if (turns != queue_turns_.end() && !waiting.is_turn_checked) {
     // Callers that return later than this check are among the waiting requests by then.
-    turns_before += turns->second.returns.expected_before(place_of(waiting), waiting.queue_deadline);
+    turns_before += turns->second.returns.expected_before(refused_caller(waiting), waiting.queue_deadline);
     waiting.is_turn_checked = true;
   }
   if (blocked_queues_.at(queue)) {
@@ -204,9 +204,7 @@
     return;
   }
   const auto& request = waiting.request;
-  ReturnSchedule::RefusedCaller caller;
-  caller.fingerprint = request.__isset.fingerprint ? std::optional(request.fingerprint) : std::nullopt;
-  caller.place = place_of(waiting);
+  const auto caller = refused_caller(waiting);
   ReturnSchedule::DelayLimits limits;
   limits.patience = milliseconds(request.patience_ms);
   limits.longest_delay =
@@ -215,8 +213,13 @@
       to_retry_after_ms(turns->second.returns.assign(now, caller, *pace, requests_ahead, limits)));
 }
 
-ReturnSchedule::Place SlotScheduler::place_of(const WaitingRequest& waiting) {
-  return {waiting.request.priority, waiting.first_arrived_at};
+ReturnSchedule::RefusedCaller SlotScheduler::refused_caller(const WaitingRequest& waiting) const {
+  const auto& request = waiting.request;
+  ReturnSchedule::RefusedCaller caller;
+  caller.fingerprint = request.__isset.fingerprint ? std::optional(request.fingerprint) : std::nullopt;
+  caller.place = {request.priority, waiting.first_arrived_at};
+  caller.tenant = options_.fair_shares ? request.tenant : "";
+  return caller;
 }
 
 void SlotScheduler::restore_place(TimePoint now, WaitingRequest& waiting) {
