larchlever explain: where a request would be sent now, and why

What operators lacked: a request's place is decided at the leader from loads, paces, shares and waiting requests, and nothing but the log of a sent request showed the result.

Change: POST /v1/explain at any control replica (larchlever explain on the command line, text or JSON) answers with the candidates for a request of a route, model, tenant and size: load, expected first event and longest pass, pace, work to do, what rules each out, the one that would be chosen, the tenant's usage and share, and the expected wait. It runs the code that places requests on a copy of the scheduler, so nothing changes.

--- a/src/cli/command_line.cc
+++ b/src/cli/command_line.cc
@@ -12,6 +12,10 @@
 DEFINE_string(node, "127.0.0.1:7300", "admin address of any node, IP:PORT; several separated by commas");
 DEFINE_string(control, "", "control address of any control replica, IP:PORT; several separated by commas");
 DEFINE_string(output, "table", "table or json");
+DEFINE_string(route, "", "explain: name of the request's route");
+DEFINE_string(tenant, "", "explain: name of the request's tenant; default: none");
+DEFINE_int32(prompt_tokens, 0, "explain: size of the prompt; default: the engine's typical size");
+DEFINE_int32(answer_tokens, 0, "explain: expected size of the answer; default: the engine's typical size");
 DEFINE_string(operator_name, "", "operator recorded with the change; default: the environment variable USER");
 DEFINE_string(command_id, "", "idempotency id of a change, for safe retries; default: a new one, which is printed");
 DEFINE_bool(dry_run, false, "apply: only show the diff and the validation result");
@@ -26,7 +30,7 @@
 DEFINE_int32(hollow, 0, "simulate: measure how fleets scale, up to this many nodes that run only the controllers");
 DEFINE_string(targets, "", "load: service addresses of nodes on loopback, separated by commas");
 DEFINE_string(tenants, "", "load: tenants to send requests for, separated by commas");
-DEFINE_string(model, "census", "load: model to request");
+DEFINE_string(model, "census", "load: model to request; explain: model of the request");
 DEFINE_string(service_path, "", "load: request path of an HTTP service without a model; empty for none");
 DEFINE_string(execution_log, "",
               "load: membership address of the emulator, to check the results against its execution log");
@@ -75,6 +79,10 @@
       {"restore",
        {"resume sending requests to a zone: restore ZONE --control IP:PORT",
         [](const auto& arguments) { return run_restore(arguments); }}},
+      {"explain",
+       {"where a request would be sent now, and why: --control IP:PORT --route NAME [--tenant] [--model] "
+        "[--prompt_tokens] [--answer_tokens]",
+        [](const auto&) { return run_explain(); }}},
       {"load", {"send requests to nodes on loopback and check the responses", [](const auto&) { return run_load(); }}},
       {"bench",
        {"run the benchmarks and compare the results with their budgets", [](const auto&) { return run_bench(); }}},
@@ -105,7 +113,8 @@
     std::cout << name << " ";
   }
   std::cout << "completion version help\"\n"
-               "  local flags=\"--settings --node --control --output --operator_name --command_id --dry_run --undo\"\n"
+               "  local flags=\"--settings --node --control --output --route --tenant --prompt_tokens --answer_tokens "
+               "--operator_name --command_id --dry_run --undo\"\n"
                "  local word=\"${COMP_WORDS[COMP_CWORD]}\"\n"
                "  if [ \"$COMP_CWORD\" -eq 1 ]; then COMPREPLY=($(compgen -W \"$commands\" -- \"$word\"))\n"
                "  elif [[ \"$word\" == -* ]]; then COMPREPLY=($(compgen -W \"$flags\" -- \"$word\"))\n"
--- a/src/cli/command_line.h
+++ b/src/cli/command_line.h
@@ -33,6 +33,7 @@
 int run_machines();
 int run_drain(const std::vector<std::string>& arguments);
 int run_audit();
+int run_explain();
 int run_zones();
 int run_evacuate(const std::vector<std::string>& arguments);
 int run_restore(const std::vector<std::string>& arguments);
--- a/src/core/fleet/fleet_leader.h
+++ b/src/core/fleet/fleet_leader.h
@@ -125,6 +125,8 @@
                     const FleetLog& log);
   /// Returns false and answers the call with an error while the log has fewer voters than fault tolerance requires.
   bool may_propose(const std::string& key, const consensus::RaftNode& raft);
+  /// Replies with the placement that a request with the properties in the call's body would get now. Changes no state.
+  void explain_placement(TimePoint now, const std::string& key, const wire::ControlCall& call, const FleetLog& log);
   void change_evacuation(const std::string& key, const wire::ControlCall& call, const consensus::RaftNode& raft);
   /// Zones from the settings and zones of registered instances and voters.
   std::set<std::string> known_zones(const consensus::RaftNode& raft) const;
--- a/src/core/fleet/fleet_leader_calls.cc
+++ b/src/core/fleet/fleet_leader_calls.cc
@@ -6,6 +6,7 @@
 
 #include "core/base/http_status.h"
 #include "core/fleet/fleet_leader.h"
+#include "core/fleet/placement_explanation.h"
 #include "core/fleet/registration.h"
 
 namespace larchlever::fleet {
@@ -64,7 +65,26 @@
     case wire::ControlCallKind::GET_ZONES:
       reply_to_call(key, http_status::kOk, zones_json(known_zones(raft), log.evacuations()));
       break;
+    case wire::ControlCallKind::EXPLAIN_PLACEMENT:
+      explain_placement(now, key, call, log);
+      break;
+  }
+}
+
+void FleetLeader::explain_placement(TimePoint now, const std::string& key, const wire::ControlCall& call,
+                                    const FleetLog& log) {
+  const auto document = log.parsed_document();
+  if (document == nullptr) {
+    reply_to_call(key, http_status::kServiceUnavailable, error_body("no document has been accepted yet; send one"));
+    return;
+  }
+  const auto query = parse_placement_query(call.body, *document);
+  if (const auto* error = std::get_if<PlacementQueryError>(&query)) {
+    reply_to_call(key, http_status::kBadRequest, error_body(error->message));
+    return;
   }
+  const auto explanation = slot_scheduler_.explain(now, *document, std::get<PlacementQuery>(query));
+  reply_to_call(key, http_status::kOk, to_json(explanation));
 }
 
 void FleetLeader::handle_registrations(TimePoint now, const wire::RegistrationBatch& batch) {
--- a/src/node/control_api.cc
+++ b/src/node/control_api.cc
@@ -20,6 +20,7 @@
 constexpr std::string_view kDeregisterSuffix = "/deregister";
 constexpr std::string_view kConfigurationPath = "/v1/configuration";
 constexpr std::string_view kZonesPath = "/v1/zones";
+constexpr std::string_view kExplainPath = "/v1/explain";
 constexpr std::string_view kZonePrefix = "/v1/zones/";
 constexpr std::string_view kEvacuateSuffix = "/evacuate";
 constexpr std::string_view kRestoreSuffix = "/restore";
@@ -51,6 +52,10 @@
   if (request.method != "POST") {
     return std::nullopt;
   }
+  if (path == kExplainPath) {
+    call.kind = wire::ControlCallKind::EXPLAIN_PLACEMENT;
+    return call;
+  }
   if (strip_affixes(path, kInstancesPrefix, kHeartbeatSuffix)) {
     call.kind = wire::ControlCallKind::HEARTBEAT;
     call.instance_id = std::string(path);
--- a/src/node/control_api.h
+++ b/src/node/control_api.h
@@ -11,8 +11,8 @@
 namespace larchlever::node {
 
 /// HTTP interface for instances and operators: registration under /v1/instances, the configuration document under
-/// /v1/configuration, zone evacuation under /v1/zones. Any control replica accepts these calls; the leader answers
-/// them. Runs on one executor; not thread-safe.
+/// /v1/configuration, zone evacuation under /v1/zones, the explanation of a placement under /v1/explain. Any control
+/// replica accepts these calls; the leader answers them. Runs on one executor; not thread-safe.
 class ControlApi : public net::HttpHandler {
  public:
   /// `submit` passes a call to the controller and returns the call's id.
--- a/src/wire/gen-cpp/larchlever_types.cpp
+++ b/src/wire/gen-cpp/larchlever_types.cpp
@@ -413,7 +413,11 @@
   ControlCallKind::GET_DOCUMENT,
   ControlCallKind::EVACUATE_ZONE,
   ControlCallKind::RESTORE_ZONE,
-  ControlCallKind::GET_ZONES
+  ControlCallKind::GET_ZONES,
+  /**
+   * Explains where a request with the properties in `body` (JSON) would be sent now.
+   */
+  ControlCallKind::EXPLAIN_PLACEMENT
 };
 const char* _kControlCallKindNames[] = {
   "HEARTBEAT",
@@ -422,9 +426,13 @@
   "GET_DOCUMENT",
   "EVACUATE_ZONE",
   "RESTORE_ZONE",
-  "GET_ZONES"
+  "GET_ZONES",
+  /**
+   * Explains where a request with the properties in `body` (JSON) would be sent now.
+   */
+  "EXPLAIN_PLACEMENT"
 };
-const std::map<int, const char*> _ControlCallKind_VALUES_TO_NAMES(::apache::thrift::TEnumIterator(7, _kControlCallKindValues, _kControlCallKindNames), ::apache::thrift::TEnumIterator(-1, nullptr, nullptr));
+const std::map<int, const char*> _ControlCallKind_VALUES_TO_NAMES(::apache::thrift::TEnumIterator(8, _kControlCallKindValues, _kControlCallKindNames), ::apache::thrift::TEnumIterator(-1, nullptr, nullptr));
 
 std::ostream& operator<<(std::ostream& out, const ControlCallKind::type& val) {
   std::map<int, const char*>::const_iterator it = _ControlCallKind_VALUES_TO_NAMES.find(val);
--- a/src/wire/gen-cpp/larchlever_types.h
+++ b/src/wire/gen-cpp/larchlever_types.h
@@ -209,7 +209,11 @@
     GET_DOCUMENT = 3,
     EVACUATE_ZONE = 4,
     RESTORE_ZONE = 5,
-    GET_ZONES = 6
+    GET_ZONES = 6,
+    /**
+     * Explains where a request with the properties in `body` (JSON) would be sent now.
+     */
+    EXPLAIN_PLACEMENT = 7
   };
 };
 
--- a/src/wire/larchlever.thrift
+++ b/src/wire/larchlever.thrift
@@ -920,6 +920,8 @@
   EVACUATE_ZONE = 4,
   RESTORE_ZONE = 5,
   GET_ZONES = 6,
+  /** Explains where a request with the properties in `body` (JSON) would be sent now. */
+  EXPLAIN_PLACEMENT = 7,
 }
 
 /** A call of an instance or operator, forwarded to the leader by the replica that received it. */
