Mend what reviews of the joined parts found

Response times that are no numbers are refused. - With slots missing and all limits permitting, callers were told the limits' time. - Callers of all tenants were told times as if only their own tenant waited; equal shares take turns now. - Callers without a tenant shared one fingerprint, so that one's promise turned others away; they carry none now. - Plain requests without an objective, or that may have run, were refused without waiting. - Grants to requests with other servers were charged but never counted as wanted. - Groups that a request may not use were forecast nevertheless, which advanced their simulated passes with all flags off. - explain: late or blocked choices were named as chosen, servers without a number of slots as full, allowed regions were left out. - Per review and request: the queue's key is built once, remaining work is computed only where it decides. Not mended: excluded groups still block a queue for others; a promised place is lost when the list of servers changes.

--- a/src/core/engine/group_placement.h
+++ b/src/core/engine/group_placement.h
@@ -10,12 +10,12 @@
 struct PlacementForecast {
   /// Streams of the group pause too long.
   bool is_quiet = false;
-  /// The group misses an objective of the request only because it is slower than the cost model says.
-  bool is_too_slow = false;
   /// Time from now to the request's first event.
   Duration first_event{};
   /// Mean number of the group's present requests that still run while the request's answer is produced.
   double mean_running = 0;
+  /// The group misses an objective of the request only because it is slower than the cost model says.
+  bool is_too_slow = false;
 };
 
 /// How well a group suits a request; the lowest is the best.
--- a/src/core/fleet/fleet_leader_calls.cc
+++ b/src/core/fleet/fleet_leader_calls.cc
@@ -78,7 +78,7 @@
     reply_to_call(key, http_status::kServiceUnavailable, error_body("no document has been accepted yet; send one"));
     return;
   }
-  const auto query = parse_placement_query(call.body, *document);
+  const auto query = parse_placement_query(call.body, *document, options_.zones);
   if (const auto* error = std::get_if<PlacementQueryError>(&query)) {
     reply_to_call(key, http_status::kBadRequest, error_body(error->message));
     return;
--- a/src/core/fleet/placement_explanation.cc
+++ b/src/core/fleet/placement_explanation.cc
@@ -70,11 +70,12 @@
   return std::nullopt;
 }
 
-/// Sets the tenant and the priority that follows from it. Returns an error message, or nothing.
+/// Sets the tenant, and the priority and zones that follow from it. Returns an error message, or nothing.
 std::optional<std::string> set_tenant(const json::object& body, const document::ConfigurationDocument& document,
-                                      PlacementQuery& query) {
+                                      const document::ZoneRegions& zones, PlacementQuery& query) {
   query.priority = query.route->priority;
   query.tenant = string_field(body, "tenant");
+  query.allowed_zones = document::allowed_zones(zones, *query.route, nullptr);
   if (query.tenant.empty()) {
     return std::nullopt;
   }
@@ -85,13 +86,15 @@
     return "no tenant '" + query.tenant + "' in the configuration";
   }
   query.priority = tenant->priority >= 0 ? tenant->priority : query.priority;
+  query.allowed_zones = document::allowed_zones(zones, *query.route, &*tenant);
   return std::nullopt;
 }
 
 }  // namespace
 
-std::variant<PlacementQuery, PlacementQueryError> parse_placement_query(
-    std::string_view body, const document::ConfigurationDocument& document) {
+std::variant<PlacementQuery, PlacementQueryError> parse_placement_query(std::string_view body,
+                                                                        const document::ConfigurationDocument& document,
+                                                                        const document::ZoneRegions& zones) {
   const auto fields = parse_json_object(body);
   const std::string route_name = string_field(fields, "route");
   const auto has_name = [&route_name](const document::Route& route) { return route.name == route_name; };
@@ -107,7 +110,7 @@
   if (const auto message = set_model(fields, query)) {
     return PlacementQueryError{*message};
   }
-  if (const auto message = set_tenant(fields, document, query)) {
+  if (const auto message = set_tenant(fields, document, zones, query)) {
     return PlacementQueryError{*message};
   }
   return query;
--- a/src/core/fleet/placement_explanation.h
+++ b/src/core/fleet/placement_explanation.h
@@ -1,12 +1,14 @@
 #pragma once
 
 #include <optional>
+#include <set>
 #include <string>
 #include <string_view>
 #include <variant>
 #include <vector>
 
 #include "core/base/time.h"
+#include "core/document/allowed_regions.h"
 #include "core/document/configuration_document.h"
 
 /// Explains where a request would be sent now, without sending it.
@@ -23,6 +25,8 @@
   int priority = 0;
   int prompt_tokens = 0;
   int answer_tokens = 0;
+  /// Zones of the allowed regions; absent if it may run anywhere.
+  std::optional<std::set<std::string>> allowed_zones;
 };
 
 struct PlacementQueryError {
@@ -31,8 +35,9 @@
 
 /// Parses the JSON query of an operator: `route` and, optionally, `model`, `tenant`, `prompt_tokens`, `answer_tokens`.
 /// Token counts that are absent or not positive become the engine's typical ones. The result points into `document`.
-std::variant<PlacementQuery, PlacementQueryError> parse_placement_query(
-    std::string_view body, const document::ConfigurationDocument& document);
+std::variant<PlacementQuery, PlacementQueryError> parse_placement_query(std::string_view body,
+                                                                        const document::ConfigurationDocument& document,
+                                                                        const document::ZoneRegions& zones);
 
 /// Why a server or group would not get the request.
 enum class RuledOut {
--- a/src/core/fleet/plain_servers/plain_server_slots.cc
+++ b/src/core/fleet/plain_servers/plain_server_slots.cc
@@ -1,6 +1,7 @@
 #include "core/fleet/plain_servers/plain_server_slots.h"
 
 #include <algorithm>
+#include <cmath>
 #include <set>
 
 namespace larchlever::fleet {
@@ -83,8 +84,10 @@
 void PlainServerSlots::note_response_times(TimePoint now, const std::string& incarnation,
                                            const ResponseTimeSample& sample, int in_flight) {
   const auto found = servers_.find(incarnation);
-  if (found != servers_.end() && sample.count > 0) {
-    found->second.speed.note_sample(now, sample, load_share(found->second, in_flight));
+  const bool is_valid = sample.count > 0 && std::isfinite(sample.mean_ms) && sample.mean_ms > 0;
+  if (found != servers_.end() && is_valid) {
+    // The request itself was in flight, too.
+    found->second.speed.note_sample(now, sample, load_share(found->second, std::max(0, in_flight - 1)));
   }
 }
 
@@ -99,7 +102,7 @@
       continue;
     }
     const TrackedServer& tracked = found->second;
-    const double share = load_share(tracked, candidate.in_flight + 1);
+    const double share = load_share(tracked, candidate.in_flight);
     const auto expected = tracked.speed.expected_ms(now, request.entry, share);
     if (!expected) {
       unknown.push_back(options.size());
--- a/src/core/fleet/plain_servers/plain_server_slots.h
+++ b/src/core/fleet/plain_servers/plain_server_slots.h
@@ -106,7 +106,7 @@
     const PlainServerCandidate* candidate = nullptr;
     const TrackedServer* tracked = nullptr;
     double expected_ms = 0;
-    /// Share of the slots in use if it gets the request.
+    /// Share of the slots that other requests use.
     double load_share = 0;
   };
 
--- a/src/core/fleet/plain_servers/server_speed.cc
+++ b/src/core/fleet/plain_servers/server_speed.cc
@@ -9,6 +9,8 @@
 
 /// Weight of one sample in the factor of its load. Small, so that a change of speed is not taken for an effect of load.
 constexpr double kLoadFactorWeight = 1.0 / 32;
+/// The load factors are learned only while the time at low load was measured this recently.
+constexpr Duration kReferenceLifetime = seconds(2);
 /// Upper bound of one sample's effect on a load factor, which limits the effect of an entry with a bad link.
 constexpr double kMaxSampleFactor = 3.0;
 /// An entry's link counts as slow if its responses take this many times the typical time, and a retransmission longer.
@@ -22,7 +24,7 @@
 }  // namespace
 
 size_t PlainServerSpeed::level_of(double load_share) {
-  const double level = std::ceil(load_share * static_cast<double>(kLoadLevels)) - 1;
+  const double level = std::floor(load_share * static_cast<double>(kLoadLevels));
   return static_cast<size_t>(std::clamp(level, 0.0, static_cast<double>(kLoadLevels - 1)));
 }
 
@@ -31,7 +33,11 @@
   const auto typical = times_.typical_ms();
   ResponseTimeSample at_low_load = sample;
   at_low_load.mean_ms /= load_factors_[level];
-  if (typical) {
+  if (level == 0) {
+    last_reference_at_ = now;
+  }
+  // Without recent samples at low load, errors of the factors and of the typical time would reinforce each other.
+  if (typical && now - last_reference_at_ <= kReferenceLifetime) {
     learn_load_factor(level, sample.mean_ms / std::max(*typical, 1.0));
   }
   times_.add(now, at_low_load);
--- a/src/core/fleet/plain_servers/server_speed.h
+++ b/src/core/fleet/plain_servers/server_speed.h
@@ -17,7 +17,7 @@
 /// deterministic.
 class PlainServerSpeed {
  public:
-  /// `load_share` is the share of the server's slots that were in use, from 0 to 1.
+  /// `load_share` is the share of the server's slots that other requests used, from 0 to 1.
   void note_sample(TimePoint now, const ResponseTimeSample& sample, double load_share);
   /// Expected response time in milliseconds for a request of `entry` at this load; empty if nothing is known.
   std::optional<double> expected_ms(TimePoint now, const std::string& entry, double load_share) const;
@@ -43,6 +43,8 @@
   RecentResponseTimes times_;
   /// How many times as long a response takes at each level of load; not falling.
   std::array<double, kLoadLevels> load_factors_{1, 1, 1, 1};
+  /// When a response at low load was last measured.
+  TimePoint last_reference_at_{};
   /// By entry.
   std::map<std::string, SlowLink> slow_links_;
 };
--- a/src/core/fleet/return_schedule.cc
+++ b/src/core/fleet/return_schedule.cc
@@ -42,7 +42,8 @@
     }
     forget(*caller.fingerprint);
   }
-  const double turns_before = requests_ahead + expected_before(caller, TimePoint::max());
+  const double own_before = expected_before(caller, TimePoint::max());
+  const double turns_before = requests_ahead + own_before + expected_of_others(caller, own_before);
   // The caller is back half of its patience before its turn, so that it is not late if its turn comes earlier.
   const Duration turn_delay = pace.turn_at(turns_before) - now - limits.patience / 2;
   const Duration delay = std::max(bounded_return_delay(turn_delay, limits.longest_delay), kMinReturnDelay);
@@ -55,11 +56,19 @@
 double ReturnSchedule::expected_before(const RefusedCaller& caller, TimePoint until) const {
   const auto count = std::count_if(returns_.begin(), returns_.upper_bound(until), [&caller](const auto& item) {
     const auto& other = item.second.caller;
-    return other.tenant == caller.tenant && other.place < caller.place;
+    return other.place < caller.place && other.tenant == caller.tenant;
   });
   return kept_share_ * static_cast<double>(count);
 }
 
+double ReturnSchedule::expected_of_others(const RefusedCaller& caller, double own_before) const {
+  double result = 0;
+  for (const auto& [tenant, count] : returns_by_tenant_) {
+    result += tenant == caller.tenant ? 0 : std::min(own_before, kept_share_ * static_cast<double>(count));
+  }
+  return result;
+}
+
 std::optional<ReturnSchedule::Return> ReturnSchedule::note_return(TimePoint now, int64_t fingerprint) {
   drop_lapsed(now);
   const auto found = returns_by_fingerprint_.find(fingerprint);
@@ -96,6 +105,7 @@
 
 void ReturnSchedule::add(TimePoint return_at, const ExpectedReturn& expected) {
   const auto added = returns_.emplace(return_at, expected);
+  ++returns_by_tenant_[expected.caller.tenant];
   if (expected.caller.fingerprint) {
     returns_by_fingerprint_.emplace(*expected.caller.fingerprint, added);
   }
@@ -105,6 +115,10 @@
   if (const auto fingerprint = expected->second.caller.fingerprint) {
     returns_by_fingerprint_.erase(*fingerprint);
   }
+  const auto count = returns_by_tenant_.find(expected->second.caller.tenant);
+  if (--count->second == 0) {
+    returns_by_tenant_.erase(count);
+  }
   returns_.erase(expected);
 }
 
--- a/src/core/fleet/return_schedule.h
+++ b/src/core/fleet/return_schedule.h
@@ -76,12 +76,16 @@
   };
   using Returns = std::multimap<TimePoint, ExpectedReturn>;  ///< By the time at which the caller is to return.
 
+  /// Expected number of callers of other tenants that are served before `caller`, which `own_before` of its own tenant
+  /// precede: tenants above their shares are served in turn.
+  double expected_of_others(const RefusedCaller& caller, double own_before) const;
   void add(TimePoint return_at, const ExpectedReturn& expected);
   void erase(Returns::iterator expected);
   void note_kept(bool is_kept);
 
   Returns returns_;
   std::map<int64_t, Returns::iterator> returns_by_fingerprint_;
+  std::map<std::string, size_t> returns_by_tenant_;
   /// Moving average of the share of callers that returned.
   double kept_share_ = 1;
 };
--- a/src/core/fleet/server_speeds.cc
+++ b/src/core/fleet/server_speeds.cc
@@ -136,7 +136,7 @@
 
 void ServerSpeeds::note_trial(TimePoint now, const std::string& name) {
   const auto found = targets_.find(name);
-  if (found == targets_.end() || !found->second.is_slow) {
+  if (found == targets_.end() || factor_of(now, found->second) <= 1) {
     return;
   }
   Target& target = found->second;
--- a/src/core/fleet/slot_scheduler.cc
+++ b/src/core/fleet/slot_scheduler.cc
@@ -65,7 +65,7 @@
 void SlotScheduler::set_load(NodeLoads& node, const std::string& group, int in_flight) {
   int& reported = node.in_flight[group];
   groups_[group].in_flight += in_flight - reported;
-  groups_[group].released += reported - in_flight;
+  groups_[group].released += options_.turn_forecasts ? reported - in_flight : 0;
   reported = in_flight;
   if (in_flight == 0) {
     node.in_flight.erase(group);
@@ -96,7 +96,7 @@
          node.unreported_grants.front().first <= grants_seen) {
     TrackedGroup& group = groups_[node.unreported_grants.front().second];
     --group.in_flight;
-    ++group.released;
+    group.released += options_.turn_forecasts ? 1 : 0;
     node.unreported_grants.pop_front();
   }
 }
@@ -165,6 +165,7 @@
   WaitingRequest waiting;
   waiting.node = node;
   waiting.request = request;
+  set_queue(waiting);
   waiting.arrived_at = now;
   waiting.first_arrived_at = now;
   waiting.queue_deadline = now + milliseconds(request.patience_ms);
@@ -182,10 +183,10 @@
   return request.first_event_ms > 0 && now >= waiting.arrived_at + milliseconds(request.first_event_ms);
 }
 
-SlotScheduler::QueueKey SlotScheduler::queue_key(const WaitingRequest& waiting) {
+void SlotScheduler::set_queue(WaitingRequest& waiting) {
   QueueKey key{model_key(waiting), waiting.request.allowed_zones, requested_servers(waiting)};
   std::sort(key.plain_servers.begin(), key.plain_servers.end());  // Entries list them in different orders.
-  return key;
+  waiting.queue = std::make_shared<const QueueKey>(std::move(key));
 }
 
 void SlotScheduler::add_decision(const WaitingRequest& waiting, wire::SlotVerdict::type verdict,
--- a/src/core/fleet/slot_scheduler.h
+++ b/src/core/fleet/slot_scheduler.h
@@ -3,6 +3,7 @@
 #include <cstdint>
 #include <deque>
 #include <map>
+#include <memory>
 #include <optional>
 #include <set>
 #include <string>
@@ -136,9 +137,20 @@
     std::deque<std::pair<int64_t, std::string>> unreported_grants;
     int64_t next_sequence = 1;
   };
+  using ModelKey = std::pair<std::string, std::string>;  ///< Service and model.
+  /// Requests that compete for the same servers: for one model with the same allowed zones, or for the same plain
+  /// servers.
+  struct QueueKey {
+    ModelKey model;
+    std::vector<std::string> allowed_zones;
+    std::vector<std::string> plain_servers;
+    auto operator<=>(const QueueKey&) const = default;
+  };
   struct WaitingRequest {
     std::string node;
     wire::SlotRequest request;
+    /// Set on arrival, because it is looked up several times at each review.
+    std::shared_ptr<const QueueKey> queue;
     TimePoint arrived_at{};
     /// Orders the queue: arrival of the caller's first attempt, if it was told to return now; otherwise `arrived_at`.
     TimePoint first_arrived_at{};
@@ -151,15 +163,6 @@
     /// What the request costs its tenant's share; see request_cost.
     double cost = 0;
   };
-  using ModelKey = std::pair<std::string, std::string>;  ///< Service and model.
-  /// Requests that compete for the same servers: for one model with the same allowed zones, or for the same plain
-  /// servers.
-  struct QueueKey {
-    ModelKey model;
-    std::vector<std::string> allowed_zones;
-    std::vector<std::string> plain_servers;
-    auto operator<=>(const QueueKey&) const = default;
-  };
   /// What is known about the turns of a queue that was blocked.
   struct QueueTurns {
     TurnForecast forecast;
@@ -207,7 +210,8 @@
   static ModelKey model_key(const WaitingRequest& waiting) {
     return {waiting.request.service_name, waiting.request.model};
   }
-  static QueueKey queue_key(const WaitingRequest& waiting);
+  static const QueueKey& queue_key(const WaitingRequest& waiting) { return *waiting.queue; }
+  static void set_queue(WaitingRequest& waiting);
   /// Whether the request asks for a slot of a plain server.
   static bool asks_for_server_slot(const WaitingRequest& waiting) { return waiting.request.__isset.plain_servers; }
   /// Whether the request asks for a plain server instead of a group.
@@ -308,7 +312,7 @@
   /// Whether the turn of the request is expected after its queue deadline, `requests_ahead` waiting before it.
   bool is_turn_too_late(TimePoint now, const document::ConfigurationDocument& document, WaitingRequest& waiting,
                         int requests_ahead);
-  /// Whether a group has room for the request even though its queue is blocked by another one.
+  /// Whether a group or server has room for the request even though its queue is blocked by another one.
   bool has_room(TimePoint now, const document::ConfigurationDocument& document, const WaitingRequest& waiting);
   /// Refuses a request. If its turn can be forecast, the answer states when to retry, which is after the retries of
   /// callers that were refused before.
@@ -331,6 +335,8 @@
   /// Updates the forecasts of all queues after a review.
   void note_pool_loads(TimePoint now, const document::ConfigurationDocument& document);
   static WaitingRequest make_waiting_request(TimePoint now, const PlacementQuery& query);
+  /// The name of the candidate if the request would be granted to it now, otherwise empty.
+  std::string chosen_now(const SlotCandidate& candidate, const WaitingRequest& waiting) const;
   /// The candidates for the request, and the chosen one; for a copy of the scheduler, because forecasts advance the
   /// simulated passes.
   void explain_groups(TimePoint now, const WaitingRequest& waiting, PlacementExplanation& explanation);
--- a/src/core/fleet/slot_scheduler_costs.cc
+++ b/src/core/fleet/slot_scheduler_costs.cc
@@ -1,3 +1,5 @@
+// The part of SlotScheduler that places requests by the work that groups still have to do.
+
 #include <algorithm>
 #include <utility>
 
@@ -44,13 +46,16 @@
   if (!options_.learned_costs) {
     return engine::score_placement(forecast, Duration::zero());
   }
+  auto score = engine::score_placement(forecast, time_left);
+  if (score.timing != engine::PlacementScore::Timing::kSurely) {
+    return score;
+  }
   reconcile_work(now, engine, model, group);
   const double tokens = expected_answer_tokens(engine, waiting);
   const Duration period =
       forecast.first_event + answer_time(engine, model, group.in_flight + 1, tokens, group.time_factor);
-  engine::PlacementForecast with_work = forecast;
-  with_work.mean_running = group.work.mean_running(now, period);
-  return engine::score_placement(with_work, time_left);
+  score.mean_running = group.work.mean_running(now, period);
+  return score;
 }
 
 void SlotScheduler::note_granted_work(TimePoint now, const document::EngineSpec& engine,
--- a/src/core/fleet/slot_scheduler_explain.cc
+++ b/src/core/fleet/slot_scheduler_explain.cc
@@ -17,12 +17,23 @@
   request.gap_ms = static_cast<int32_t>(query.route->target_event_gap / milliseconds(1));
   request.priority = query.priority;
   request.__set_tenant(query.tenant);
+  if (query.allowed_zones) {
+    request.__set_allowed_zones({query.allowed_zones->begin(), query.allowed_zones->end()});
+  }
   waiting.arrived_at = now;
   waiting.first_arrived_at = now;
   waiting.queue_deadline = now;
+  set_queue(waiting);
   return waiting;
 }
 
+std::string SlotScheduler::chosen_now(const SlotCandidate& candidate, const WaitingRequest& waiting) const {
+  // A late candidate is used only at the end of the request's patience, one of a blocked queue after those that wait.
+  const bool is_granted =
+      candidate.feasibility == Feasibility::kInTime && !blocked_queues_.contains(queue_key(waiting));
+  return is_granted ? candidate.name : "";
+}
+
 void SlotScheduler::explain_groups(TimePoint now, const WaitingRequest& waiting, PlacementExplanation& explanation) {
   const auto& service = *explanation.query.service;
   const auto* model = service.engine->find_model(waiting.request.model);
@@ -42,10 +53,13 @@
     candidate.time_factor = group.time_factor;
     candidate.first_event = assessment.forecast.time_to_first_event;
     candidate.longest_pass = assessment.forecast.longest_pass;
+    if (options_.learned_costs) {
+      reconcile_work(now, *service.engine, *model, group);
+    }
     candidate.remaining_work = group.work.remaining(now);
     explanation.candidates.push_back(std::move(candidate));
   }
-  explanation.chosen = best_group(now, service, *model, waiting).name;
+  explanation.chosen = chosen_now(best_group(now, service, *model, waiting), waiting);
 }
 
 void SlotScheduler::explain_servers(TimePoint now, const WaitingRequest& waiting, PlacementExplanation& explanation) {
@@ -55,16 +69,17 @@
     candidate.in_flight = in_flight(server);
     candidate.slots = plain_servers_.slots_of(server);
     candidate.first_event = plain_servers_.expected_response(now, server, waiting.node, candidate.in_flight);
-    if (candidate.in_flight >= candidate.slots) {
+    if (candidate.slots > 0 && candidate.in_flight >= candidate.slots) {
       candidate.ruled_out = RuledOut::kNoFreeSlot;
     } else if (rate_limiter_.next_allowed_at(now, *explanation.query.service, server) > now) {
       candidate.ruled_out = RuledOut::kRateLimit;
-    } else if (candidate.first_event > milliseconds(waiting.request.first_event_ms)) {
+    } else if (waiting.request.first_event_ms > 0 &&
+               candidate.first_event > milliseconds(waiting.request.first_event_ms)) {
       candidate.ruled_out = RuledOut::kFirstEvent;
     }
     explanation.candidates.push_back(std::move(candidate));
   }
-  explanation.chosen = best_server(now, *explanation.query.service, waiting).name;
+  explanation.chosen = chosen_now(best_server(now, *explanation.query.service, waiting), waiting);
 }
 
 void SlotScheduler::explain_queue(TimePoint now, const document::ConfigurationDocument& document,
@@ -110,6 +125,7 @@
     copy.explain_groups(now, waiting, explanation);
   } else {
     waiting.request.__set_plain_servers(copy.plain_servers_.servers_of(query.service->name));
+    set_queue(waiting);
     copy.explain_servers(now, waiting, explanation);
   }
   copy.explain_queue(now, document, waiting, explanation);
--- a/src/core/fleet/slot_scheduler_groups.cc
+++ b/src/core/fleet/slot_scheduler_groups.cc
@@ -90,8 +90,10 @@
   }
   engine::PlacementScore best_score;
   for (auto* item : open->second) {
-    // Full groups are the most frequent case under load, and need no forecast.
-    if (item->second.in_flight >= service.engine->slots) {
+    // Only groups that may get the request need a forecast; under load most are full.
+    const TrackedGroup& group = item->second;
+    const bool is_eligible = group.in_flight < service.engine->slots && may_use_group(waiting, item->first, group);
+    if (!is_eligible || rate_limiter_.next_allowed_at(now, service, group.rate_limited_head) > now) {
       continue;
     }
     const auto assessment = assess_group(now, service, model, waiting, *item);
--- a/src/core/fleet/slot_scheduler_queue.cc
+++ b/src/core/fleet/slot_scheduler_queue.cc
@@ -80,9 +80,14 @@
 }
 
 void SlotScheduler::charge_grant(TimePoint now, const WaitingRequest& waiting) {
-  if (options_.fair_shares) {
-    ledgers_[pool_key(waiting)].note_admission(now, pending_request(now, waiting));
+  if (!options_.fair_shares) {
+    return;
+  }
+  auto& ledger = ledgers_[pool_key(waiting)];
+  if (has_other_servers(waiting)) {
+    ledger.note_arrival(now, pending_request(now, waiting));  // Its demand counts only if it is admitted.
   }
+  ledger.note_admission(now, pending_request(now, waiting));
 }
 
 void SlotScheduler::forget_silent_tenants(TimePoint now) {
--- a/src/core/fleet/slot_scheduler_refusals.cc
+++ b/src/core/fleet/slot_scheduler_refusals.cc
@@ -1,3 +1,5 @@
+// The part of SlotScheduler that refuses requests and tells their callers when to return.
+
 #include <algorithm>
 #include <cmath>
 
@@ -59,7 +61,9 @@
     result.next_turn_at = std::min(result.next_turn_at, rate_limiter_.next_allowed_at(now, service, server));
     result.turns_per_second += *limit;
   }
-  return servers.empty() ? std::nullopt : std::optional(result);
+  // Some limit admits a request now, so slots are what is missing.
+  const bool lacks_slots = result.next_turn_at <= now && (options_.turn_forecasts || asks_for_server_slot(waiting));
+  return servers.empty() || lacks_slots ? std::nullopt : std::optional(result);
 }
 
 SlotScheduler::PoolSlots SlotScheduler::plain_pool_slots(const QueueKey& queue) const {
--- a/src/core/fleet/slot_scheduler_speeds.cc
+++ b/src/core/fleet/slot_scheduler_speeds.cc
@@ -53,6 +53,9 @@
 }
 
 void SlotScheduler::retain_speeds_of_known_groups() {
+  if (!options_.observed_speeds) {
+    return;
+  }
   std::vector<std::string> names;
   names.reserve(groups_.size());
   for (const auto& [name, group] : groups_) {
--- a/src/node/target_finder.cc
+++ b/src/node/target_finder.cc
@@ -86,7 +86,7 @@
   // A request that may have run can no longer be refused as busy, so any group is acceptable, in time or not; the
   // leader picks the fastest.
   if (objective > Duration::zero() && !request.response_started && !request.may_have_run) {
-    const auto excess = state_.first_event_excess.find(request.model);
+    const auto excess = state_.first_event_excess.find(request.service->engine ? request.model : kNoModel);
     const Duration allowance = excess == state_.first_event_excess.end()
                                    ? Duration::zero()
                                    : std::clamp<Duration>(excess->second.value(now, kExcessQuantile), Duration::zero(),
@@ -102,7 +102,10 @@
   if (request.tenant != nullptr) {
     slot_request.__set_tenant(request.tenant->name);
   }
-  slot_request.__set_fingerprint(request.fingerprint.value());
+  if (request.tenant != nullptr) {
+    // Without a tenant, all callers of one URL would count as the same caller.
+    slot_request.__set_fingerprint(request.fingerprint.value());
+  }
   slot_request.patience_ms = std::max(0, to_milliseconds(wait_until - now));
   if (request.predicted_answer) {
     slot_request.__set_answer_tokens(static_cast<int32_t>(std::ceil(request.predicted_answer->mean)));
@@ -172,7 +175,9 @@
   if (candidates.empty() || state_.subscription.leader().empty()) {
     co_return std::nullopt;
   }
-  auto slot_request = make_slot_request(request, now, wait_until);
+  // Without an objective, or if it may have run, the request is better late than refused.
+  const bool may_be_late = request.route->target_latency <= Duration::zero() || request.may_have_run;
+  auto slot_request = make_slot_request(request, now, may_be_late ? request.deadline : wait_until);
   slot_request.model = kNoModel;  // Callers may name a model for a plain service, too.
   std::vector<std::string> incarnations;
   for (const auto& candidate : candidates) {
@@ -185,7 +190,7 @@
     co_return FoundTarget(CallerDisconnected());
   }
   if (grant.verdict == wire::SlotVerdict::BUSY) {
-    co_return FoundTarget(refusal_from_grant(grant));
+    co_return FoundTarget(refusal_from_grant(grant, kAllPlacesTaken));
   }
   if (grant.verdict != wire::SlotVerdict::GRANTED) {
     co_return std::nullopt;
