--- a/tests/integration/fleet_node_processes.cc
+++ b/tests/integration/fleet_node_processes.cc
@@ -33,6 +33,8 @@
 constexpr auto kCallTimeout = std::chrono::seconds(2);
 
 constexpr auto kModelCallTimeout = std::chrono::seconds(5);
+/// Deadline of requests with an API key.
+constexpr auto kKeyedCallTimeout = std::chrono::seconds(2);
 
 /// Returns 0 if there is no response.
 int status_of(const net::FetchResult& result) { return result.response ? result.response->status : 0; }
@@ -100,7 +102,9 @@
                     {"max_body_bytes", 4194304},
                     {"header_timeout_ms", 3000},
                     {"idle_timeout_ms", 15000}}},
-                  {"tenants", {{{"name", "office"}, {"api_keys", api_keys}}}}});
+                  {"tenants",
+                   {{{"name", "office"}, {"api_keys", api_keys}},
+                    {{"name", "archive"}, {"api_keys", json::array{FleetNodeProcesses::kArchiveKey}}}}}});
 }
 
 net::HttpRequest make_forms_request(const std::string& request_id, const std::string& body,
@@ -345,6 +349,14 @@
   return client.fetch(caller_endpoint(entry), make_forms_request(request_id, body, timeout), timeout + kDeadlineMargin);
 }
 
+net::FetchResult FleetNodeProcesses::call_forms_with_key(BlockingClient& client, const std::string& entry,
+                                                         const std::string& request_id, const std::string& key) const {
+  auto request = make_forms_request(request_id, "", kKeyedCallTimeout);
+  request.headers.set("Host", "office.example");
+  request.headers.add("Larchlever-Key", key);
+  return client.fetch(caller_endpoint(entry), request, kKeyedCallTimeout + kDeadlineMargin);
+}
+
 net::FetchResult FleetNodeProcesses::call_forms_for(BlockingClient& client, const std::string& entry,
                                                     const std::string& request_id,
                                                     std::chrono::milliseconds patience) const {
--- a/tests/integration/fleet_node_processes.h
+++ b/tests/integration/fleet_node_processes.h
@@ -42,6 +42,8 @@
   static constexpr int64_t kFirstDocumentVersion = 7;
   /// API key of the tenant `office`, which only the route to `office.example` requires.
   static constexpr const char* kOfficeKey = "office-key";
+  /// API key of the tenant `archive`, which that route accepts as well.
+  static constexpr const char* kArchiveKey = "archive-key";
 
   explicit FleetNodeProcesses(const FleetNodeOptions& options);
   ~FleetNodeProcesses();
@@ -88,6 +90,9 @@
   net::FetchResult call_forms(BlockingClient& client, const std::string& entry, const std::string& request_id,
                               const std::string& body = "",
                               std::chrono::milliseconds timeout = std::chrono::seconds(2)) const;
+  /// Sends a GET for the plain service `forms` on the route that requires an API key.
+  net::FetchResult call_forms_with_key(BlockingClient& client, const std::string& entry, const std::string& request_id,
+                                       const std::string& key) const;
   /// Sends a request for the plain service `forms` with a deadline of several seconds and closes the connection after
   /// `patience`.
   net::FetchResult call_forms_for(BlockingClient& client, const std::string& entry, const std::string& request_id,
