Equal requests of a tenant are not taken for early returns

Cause, from the failing test of contending tenants: all requests of a tenant for one URL without a body have the same fingerprint. While one of them had been told a time, every other was refused at once as a caller that returns too early, also the small tenant's with its turn in time (33 to 38 of 40 served), and all were told the same moment. Now an equal request that comes before the time told waits like a newcomer and is told its own time; the promise of the first stands.

--- a/src/core/fleet/return_schedule.cc
+++ b/src/core/fleet/return_schedule.cc
@@ -35,11 +35,9 @@
 
 Duration ReturnSchedule::assign(TimePoint now, const RefusedCaller& caller, const TurnPace& pace, double requests_ahead,
                                 const DelayLimits& limits) {
-  if (caller.fingerprint) {
-    const auto known = returns_by_fingerprint_.find(*caller.fingerprint);
-    if (known != returns_by_fingerprint_.end() && known->second->first > now) {
-      return std::max<Duration>(known->second->first - now, kMinReturnDelay);
-    }
+  // Either the caller returned early, or another caller sent an equal request; the time of the first one stands.
+  const bool is_awaited = caller.fingerprint && is_expected_after(now, *caller.fingerprint);
+  if (caller.fingerprint && !is_awaited) {
     forget(*caller.fingerprint);
   }
   const double own_before = expected_before(caller, TimePoint::max());
@@ -47,12 +45,17 @@
   // The caller is back half of its patience before its turn, so that it is not late if its turn comes earlier.
   const Duration turn_delay = pace.turn_at(turns_before) - now - limits.patience / 2;
   const Duration delay = std::max(bounded_return_delay(turn_delay, limits.longest_delay), kMinReturnDelay);
-  if (returns_.size() < kMaxCallers) {
+  if (!is_awaited && returns_.size() < kMaxCallers) {
     add(now + delay, {caller, now + delay - delay / kEarlyReturnDivisor});
   }
   return delay;
 }
 
+bool ReturnSchedule::is_expected_after(TimePoint now, int64_t fingerprint) const {
+  const auto known = returns_by_fingerprint_.find(fingerprint);
+  return known != returns_by_fingerprint_.end() && known->second->first > now;
+}
+
 double ReturnSchedule::expected_before(const RefusedCaller& caller, TimePoint until) const {
   const auto count = std::count_if(returns_.begin(), returns_.upper_bound(until), [&caller](const auto& item) {
     const auto& other = item.second.caller;
--- a/src/core/fleet/return_schedule.h
+++ b/src/core/fleet/return_schedule.h
@@ -79,6 +79,7 @@
   /// Expected number of callers of other tenants that are served before `caller`, which `own_before` of its own tenant
   /// precede: tenants above their shares are served in turn.
   double expected_of_others(const RefusedCaller& caller, double own_before) const;
+  bool is_expected_after(TimePoint now, int64_t fingerprint) const;
   void add(TimePoint return_at, const ExpectedReturn& expected);
   void erase(Returns::iterator expected);
   void note_kept(bool is_kept);
--- a/src/core/fleet/slot_scheduler_refusals.cc
+++ b/src/core/fleet/slot_scheduler_refusals.cc
@@ -166,12 +166,6 @@
     if (!blocked_queues_.contains(queue)) {
       return false;
     }
-    const bool is_early_return = waiting.awaited_at && now < *waiting.awaited_at;
-    if (is_early_return && !has_room(now, document, waiting)) {
-      add_decision(waiting, wire::SlotVerdict::BUSY, decisions);
-      decisions.back().grant.__set_retry_after_ms(to_retry_after_ms(*waiting.awaited_at - now));
-      return true;
-    }
     int& requests_before = requests_ahead[queue];
     if (!is_turn_too_late(now, document, waiting, requests_before)) {
       ++requests_before;
