Requests wait longer for counted slots of plain servers

Cause: slots that were filled together become free together, so that for up to half a response time none does, longer than the fifth of the objective (60 ms) that a request waited. Change: a plain request with counted slots waits for up to 0.4 of its objective; requests whose turn would come later are refused at once by the forecast, so nobody waits in vain.

--- a/src/node/target_finder.cc
+++ b/src/node/target_finder.cc
@@ -19,6 +19,9 @@
 /// A request may wait for a target for a fifth of its latency objective before it is refused. A request that waited for
 /// a configuration lease may use the whole objective, since all such requests are released at once.
 constexpr int kWaitDivisor = 5;
+/// A request may wait for a counted slot of a plain server for this part of its latency objective. A few slots that are
+/// all in use become free within one response time, and the response still fits into the rest.
+constexpr int kServerSlotWaitPercent = 40;
 /// Quantile of the recent prediction errors of the first event that is allowed for.
 constexpr double kExcessQuantile = 0.75;
 /// At most half of the objective is set aside for prediction errors. A group predicted to respond within the other half
@@ -177,7 +180,10 @@
   }
   // Without an objective, or if it may have run, the request is better late than refused.
   const bool may_be_late = request.route->target_latency <= Duration::zero() || request.may_have_run;
-  auto slot_request = make_slot_request(request, now, may_be_late ? request.deadline : wait_until);
+  const Duration longest_wait = request.route->target_latency * kServerSlotWaitPercent / 100;
+  const TimePoint longest_wait_end = std::max(wait_until, request.admitted_at + longest_wait);
+  auto slot_request =
+      make_slot_request(request, now, may_be_late ? request.deadline : std::min(request.deadline, longest_wait_end));
   slot_request.model = kNoModel;  // Callers may name a model for a plain service, too.
   std::vector<std::string> incarnations;
   for (const auto& candidate : candidates) {
