--- a/src/core/fleet/fleet_leader_calls.cc
+++ b/src/core/fleet/fleet_leader_calls.cc
@@ -73,7 +73,7 @@
 
 void FleetLeader::explain_placement(TimePoint now, const std::string& key, const wire::ControlCall& call,
                                     const FleetLog& log) {
-  const auto document = log.parsed_document();
+  const auto& document = log.parsed_document();
   if (document == nullptr) {
     reply_to_call(key, http_status::kServiceUnavailable, error_body("no document has been accepted yet; send one"));
     return;
