--- a/tests/integration/contending_tenants_test.cc
+++ b/tests/integration/contending_tenants_test.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <mutex>
+#include <string>
 #include <thread>
 
 #include "plain_fleet.h"
@@ -114,7 +115,9 @@
   EXPECT_GE(small_tenant_.share_in_time(), 0.95) << small_tenant_.served << " of " << small_tenant_.sent << " served";
 }
 
-INSTANTIATE_TEST_SUITE_P(Entries, ContendingTenants, testing::Values(1, 9));
+std::string name_of(const testing::TestParamInfo<int>& info) { return std::to_string(info.param) + "Entries"; }
+
+INSTANTIATE_TEST_SUITE_P(With, ContendingTenants, testing::Values(1, 9), name_of);
 
 }  // namespace
 }  // namespace larchlever::integration
