Compute the pause of a group's streams only while there are streams

Found by the undefined-behaviour sanitizer: without a stream and without earlier progress the time since the beginning of the clock overflows. The condition that guarded it before the pauses were measured comes first again.

--- a/src/core/fleet/target_health.cc
+++ b/src/core/fleet/target_health.cc
@@ -59,8 +59,11 @@
 std::optional<Duration> TargetHealth::note_progress(TimePoint now) {
   const TimePoint previous = std::max(streaming_since_, last_progress_);
   last_progress_ = now;
+  if (streaming_ == 0) {
+    return std::nullopt;
+  }
   const Duration pause = now - previous;
-  if (streaming_ == 0 || pause <= kSamePassWindow) {
+  if (pause <= kSamePassWindow) {
     return std::nullopt;
   }
   pause_estimate_.add_sample(pause);
