--- a/src/core/engine/pass_simulator.cc
+++ b/src/core/engine/pass_simulator.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 
+#include "core/base/scale_duration.h"
 #include "core/engine/cost_model.h"
 
 namespace larchlever::engine {
@@ -25,10 +26,6 @@
                                            : 0.0);
 }
 
-Duration scale_duration(Duration duration, double factor) {
-  return Duration(static_cast<int64_t>(static_cast<double>(duration.count()) * factor));
-}
-
 }  // namespace
 
 void PassSimulator::advance(TimePoint now, const document::EngineSpec& engine, const document::ModelSpec& model,
--- a/src/core/fleet/slot_scheduler_groups.cc
+++ b/src/core/fleet/slot_scheduler_groups.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 
+#include "core/base/scale_duration.h"
 #include "core/fleet/slot_scheduler.h"
 
 namespace larchlever::fleet {
@@ -12,10 +13,6 @@
 /// effects that the cost model omits.
 constexpr double kMaxPassShareOfGap = 0.85;
 
-Duration scale_duration(Duration duration, double factor) {
-  return Duration(static_cast<int64_t>(static_cast<double>(duration.count()) * factor));
-}
-
 }  // namespace
 
 bool SlotScheduler::is_in_allowed_zones(const WaitingRequest& waiting, const TrackedGroup& group) {
