Log who cancelled an attempt, and how long a group had been silent

Callers' streams were cut with "Operation canceled", which stood for a caller that left, a stalled group, a group that the leader called failed, a lost link and a restarted server alike (docs/incidents/silent-servers.md). sending_failed, stream_broke_off and answer_broke_off name what cancelled the attempt (cancelled_by); group_stalled and group_failed tell the silence at that moment (silent_ms). No logic changes.

--- a/src/core/fleet/dispatcher.cc
+++ b/src/core/fleet/dispatcher.cc
@@ -525,6 +525,11 @@
   return result;
 }
 
+Duration Dispatcher::silence_at(TimePoint now, const std::string& key) const {
+  const auto found = health_.find(key);
+  return found == health_.end() ? Duration::zero() : found->second.silence_duration(now);
+}
+
 std::vector<wire::GroupLoad> Dispatcher::group_loads(TimePoint now) {
   std::vector<wire::GroupLoad> result;
   for (auto& [key, health] : health_) {
--- a/src/core/fleet/dispatcher.h
+++ b/src/core/fleet/dispatcher.h
@@ -171,6 +171,8 @@
   /// `timeout_per_request` for each of them: a group that gets many requests at once first processes all their prompts.
   /// The timeout is shorter if streams have started.
   std::vector<DispatchTarget> stalled_groups(TimePoint now, Duration base_timeout, Duration timeout_per_request) const;
+  /// How long this entry's requests at the target have waited since its last progress; zero if there are none.
+  Duration silence_at(TimePoint now, const std::string& key) const;
   /// Records a Retry-After delay or a shutdown announcement in a response. `note_leaving` returns true for the first
   /// announcement.
   void note_retry_after(TimePoint now, const DispatchTarget& target, Duration delay) {
--- a/src/net/http_client.h
+++ b/src/net/http_client.h
@@ -8,6 +8,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <string_view>
 
 #include "net/http_types.h"
 
@@ -56,18 +57,23 @@
 /// Cancels a request while it is connecting, waiting for the response head or reading the body.
 class Cancellation {
  public:
-  void cancel() {
+  /// `cause` is for the log. The first one counts.
+  void cancel(std::string_view cause = "cancelled") {
+    cause_ = cancelled_ ? cause_ : std::string(cause);
     cancelled_ = true;
     if (on_cancel_) {
       on_cancel_();
     }
   }
   bool cancelled() const { return cancelled_; }
+  /// Why the request was cancelled; empty if it was not.
+  const std::string& cause() const { return cause_; }
   /// Sets the function that `cancel` calls. The code that currently owns the connection sets it.
   void set_cancel_callback(std::function<void()> on_cancel) { on_cancel_ = std::move(on_cancel); }
 
  private:
   bool cancelled_ = false;
+  std::string cause_;
   std::function<void()> on_cancel_;
 };
 
--- a/src/node/in_flight_attempts.cc
+++ b/src/node/in_flight_attempts.cc
@@ -11,6 +11,8 @@
 constexpr Duration kBaseStallTime = milliseconds(900);
 constexpr Duration kStallTimePerRequest = milliseconds(100);
 
+std::string to_text(Duration duration) { return std::to_string(duration / milliseconds(1)); }
+
 }  // namespace
 
 void InFlightAttempts::add_attempt(const RelayedRequest& request, const fleet::DispatchTarget& target) {
@@ -37,26 +39,29 @@
   }
   ++state_.counters.stalls;
   if (!target.group.empty()) {
-    cancel_at_target(target, now);
+    cancel_at_target(target, now, "another attempt failed there");
   }
 }
 
-void InFlightAttempts::cancel_at_target(const fleet::DispatchTarget& target, TimePoint now) {
+void InFlightAttempts::cancel_at_target(const fleet::DispatchTarget& target, TimePoint now, std::string_view cause) {
   int retry_allowance = state_.dispatcher.retry_budget().remaining(now, target.service);
   for (const auto& [cancellation, attempt] : attempts_at(target.key)) {
     if (retry_allowance-- <= 0) {
       return;
     }
-    cancellation->cancel();
+    cancellation->cancel(cause);
   }
 }
 
 void InFlightAttempts::cancel_stalled(TimePoint now) {
   for (const auto& target : state_.dispatcher.stalled_groups(now, kBaseStallTime, kStallTimePerRequest)) {
     ++state_.counters.stalls;
-    log_event("", "group_stalled", {{"group", target.group}, {"requests", std::to_string(target.in_flight)}});
+    log_event("", "group_stalled",
+              {{"group", target.group},
+               {"requests", std::to_string(target.in_flight)},
+               {"silent_ms", to_text(state_.dispatcher.silence_at(now, target.key))}});
     state_.dispatcher.avoid_target(now, target.key);
-    cancel_at_target(target, now);
+    cancel_at_target(target, now, "group stalled");
   }
 }
 
@@ -66,9 +71,12 @@
     return;  // The target is already avoided, or no longer exists.
   }
   ++state_.counters.stalls;
-  log_event("", "group_failed", {{"group", group}, {"requests", std::to_string(attempts_at(target->key).size())}});
+  log_event("", "group_failed",
+            {{"group", group},
+             {"requests", std::to_string(attempts_at(target->key).size())},
+             {"silent_ms", to_text(state_.dispatcher.silence_at(now, target->key))}});
   state_.dispatcher.avoid_target(now, target->key);
-  cancel_at_target(*target, now);
+  cancel_at_target(*target, now, "group failed");
 }
 
 void InFlightAttempts::cancel_at_restarted_server(const std::string& target_key) {
@@ -78,7 +86,7 @@
   }
   log_event("", "server_started_again", {{"target", target_key}, {"requests", std::to_string(lost_attempts.size())}});
   for (const auto& [cancellation, attempt] : lost_attempts) {
-    cancellation->cancel();
+    cancellation->cancel("server restarted");
   }
 }
 
@@ -95,7 +103,7 @@
               .try_emplace(attempt.service, state_.dispatcher.retry_budget().remaining(now, attempt.service))
               .first;
       if (allowance->second-- > 0) {
-        cancellation->cancel();
+        cancellation->cancel("link lost");
       }
     }
   }
@@ -106,7 +114,7 @@
   for (const auto& [key, attempts] : attempts_snapshot) {
     for (const auto& [cancellation, attempt] : attempts) {
       if (attempt.deadline <= now) {
-        cancellation->cancel();
+        cancellation->cancel("overdue after a pause of this process");
       }
     }
   }
--- a/src/node/in_flight_attempts.h
+++ b/src/node/in_flight_attempts.h
@@ -3,6 +3,7 @@
 #include <map>
 #include <memory>
 #include <string>
+#include <string_view>
 
 #include "node/entry_state.h"
 #include "node/relayed_request.h"
@@ -45,7 +46,7 @@
   using Attempts = std::map<std::shared_ptr<net::Cancellation>, Attempt>;
 
   /// Cancels attempts at a dead target, as far as the retry budget covers their retries. The rest keep waiting.
-  void cancel_at_target(const fleet::DispatchTarget& target, TimePoint now);
+  void cancel_at_target(const fleet::DispatchTarget& target, TimePoint now, std::string_view cause);
   Attempts attempts_at(const std::string& target_key) const;
 
   EntryState& state_;
--- a/src/node/request_relay.cc
+++ b/src/node/request_relay.cc
@@ -71,7 +71,7 @@
   exchange.notify_on_disconnect([&request] {
     request.caller_disconnected = true;
     if (request.cancellation) {
-      request.cancellation->cancel();
+      request.cancellation->cancel("caller disconnected");
     }
   });
 }
@@ -329,6 +329,7 @@
              {"fingerprint", to_string(request.fingerprint)},
              {"target", target.key},
              {"instance", target.instance_id},
+             {"cancelled_by", request.cancellation->cause()},
              {"reason", opened.error}});
   if (target.is_relay_peer) {
     ++state_.counters.failed_at_peers;
@@ -452,6 +453,7 @@
                {"fingerprint", to_string(request.fingerprint)},
                {"target", target.key},
                {"instance", target.instance_id},
+               {"cancelled_by", request.cancellation->cause()},
                {"reason", stream.error()}});
     if (monotonic_now() < request.deadline && !target.is_relay_peer) {
       blocked_request_guard_.note_lost_response(request, target);
@@ -613,6 +615,7 @@
        {"fingerprint", to_string(request.fingerprint)},
        {"target", target.key},
        {"instance", target.instance_id},
+       {"cancelled_by", request.cancellation->cause()},
        {"reason", stream.error()},
        {"last_event", request.event_stream.last_id() ? std::to_string(*request.event_stream.last_id()) : "none"}});
   if (now < request.deadline && !target.is_relay_peer) {
