Tests of streams at servers that fall silent for a second

What callers saw: streams at sound servers that had been silent for about a second ended without their end, or were answered 502, because entries and the leader take the silence for a failure: entries cancel the attempts before another server has taken them, and the leader orders the members of the group to leave.

The stand-in servers can now be silent for a while, end their streams when they are ordered to leave, and lose a member whose head then stands still. The fleet of the tests gets a route for streams that may not be repeated.

--- a/tests/integration/fleet_node_processes.cc
+++ b/tests/integration/fleet_node_processes.cc
@@ -60,10 +60,18 @@
                                    {"service", "forms"},
                                    {"max_attempts", options.forms_max_attempts},
                                    {"public", true}};
-  const json::value engine_route = {{"name", "chat"},      {"host", "chat.example"}, {"path_prefix", "/chat/"},
-                                    {"type", "streaming"}, {"timeout_ms", 4000},     {"target_latency_ms", 500},
-                                    {"priority", 1},       {"service", "engines"},   {"max_attempts", 2},
-                                    {"public", true},      {"sticky", true},         {"resumable", true},
+  const json::value engine_route = {{"name", "chat"},
+                                    {"host", "chat.example"},
+                                    {"path_prefix", "/chat/"},
+                                    {"type", "streaming"},
+                                    {"timeout_ms", options.chat_timeout.count()},
+                                    {"target_latency_ms", 500},
+                                    {"priority", 1},
+                                    {"service", "engines"},
+                                    {"max_attempts", 2},
+                                    {"public", true},
+                                    {"sticky", true},
+                                    {"resumable", true},
                                     {"target_gap_ms", 300}};
   auto orders_route = forms_route;
   orders_route.as_object()["name"] = "orders";
@@ -81,6 +89,10 @@
   region_bound_chat_route.as_object()["name"] = "chat-at-home";
   region_bound_chat_route.as_object()["host"] = "chat-north.example";
   region_bound_chat_route.as_object()["allowed_regions"] = json::array{"region-north"};
+  auto non_resumable_chat_route = engine_route;
+  non_resumable_chat_route.as_object()["name"] = "chat-once";
+  non_resumable_chat_route.as_object()["host"] = "chat-once.example";
+  non_resumable_chat_route.as_object()["resumable"] = false;
   const json::value engine = {{"slots", 8},
                               {"kv_capacity", 1000000},
                               {"models", json::array{engine_model("large", 4, 0.6), engine_model("small", 2, 0.4)}},
@@ -93,7 +105,7 @@
   return json::serialize(
       json::value{{"version", version},
                   {"routes", json::array{forms_route, orders_route, office_route, engine_route,
-                                         region_bound_forms_route, region_bound_chat_route}},
+                                         region_bound_forms_route, region_bound_chat_route, non_resumable_chat_route}},
                   {"services",
                    {{{"name", "forms"}, {"health_path", "/healthz"}, {"max_connections", 100}},
                     {{"name", "engines"}, {"health_path", "/healthz"}, {"max_connections", 100}, {"engine", engine}}}},
--- a/tests/integration/fleet_node_processes.h
+++ b/tests/integration/fleet_node_processes.h
@@ -31,6 +31,8 @@
   std::chrono::milliseconds forms_timeout{4000};
   /// Maximum number of attempts on the routes to `forms`.
   int forms_max_attempts = 2;
+  /// Timeout of the routes to the models.
+  std::chrono::milliseconds chat_timeout{4000};
 };
 
 /// Runs the control replicas `c1`, `c2`, ... and the entries `e1`, `e2`, ... of a registered fleet as `fleet-node`
--- a/tests/integration/registered_engines.cc
+++ b/tests/integration/registered_engines.cc
@@ -4,8 +4,11 @@
 
 #include <algorithm>
 #include <boost/json.hpp>
+#include <cmath>
+#include <random>
 
 #include "core/base/http_status.h"
+#include "core/base/scope_exit.h"
 #include "net/listener.h"
 #include "node/clock.h"
 #include "node/dialect.h"
@@ -23,6 +26,7 @@
 /// with `keeps_id_on_restart`.
 constexpr int64_t kFirstLifeCallNumberOffset = 1000;
 constexpr auto kReportTimeout = std::chrono::seconds(1);
+constexpr auto kSilencePollInterval = std::chrono::milliseconds(10);
 constexpr auto kReportPollInterval = std::chrono::milliseconds(20);
 
 fleet::OrderKind order_kind(const std::string& operation) {
@@ -110,6 +114,7 @@
   ~Server() override { destroy_server_on_client_thread(engines_.client_, server_); }
 
   asio::awaitable<void> handle(net::HttpExchange& exchange) override {
+    co_await wait_while_silent();
     if (exchange.request().path() == dialect_.engine_order_path) {
       co_await handle_order(exchange);
     } else if (exchange.request().path() == dialect_.engine_report_path) {
@@ -192,7 +197,7 @@
   std::optional<std::string> report() {
     const std::lock_guard lock(mutex_);
     const TimePoint now = node::monotonic_now();
-    if (down_until_) {
+    if (down_until_ || now < silent_until_) {
       return std::nullopt;
     }
     instance_.advance(now);
@@ -220,6 +225,15 @@
     cold_until_ = node::monotonic_now() + time;
     next_report_ = TimePoint{};
   }
+  void silence_for(Duration time) {
+    const std::lock_guard lock(mutex_);
+    silent_until_ = std::max(silent_until_, node::monotonic_now() + time);
+  }
+  int running_stream_count() const { return running_stream_count_; }
+  /// Crashes the server from another thread than the one that handles requests.
+  void crash_from_outside() {
+    asio::post(engines_.client_.context(), asio::use_future([this] { crash(); })).get();
+  }
 
  private:
   void listen() {
@@ -247,6 +261,21 @@
     engines_.crash_times_.push_back(std::chrono::steady_clock::now());
   }
 
+  bool is_silent() {
+    const std::lock_guard lock(mutex_);
+    return node::monotonic_now() < silent_until_;
+  }
+
+  /// Returns early if the engines are being destroyed.
+  asio::awaitable<void> wait_while_silent() {
+    asio::steady_timer timer(engines_.client_.context());
+    const auto await = asio::as_tuple(asio::use_awaitable);
+    while (is_silent() && !engines_.stopped_) {
+      timer.expires_after(kSilencePollInterval);
+      co_await timer.async_wait(await);
+    }
+  }
+
   asio::awaitable<void> handle_order(net::HttpExchange& exchange) {
     const auto body = json::parse(exchange.request().body).as_object();
     fleet::InstanceOrder order;
@@ -315,12 +344,23 @@
     ++engines_.served_count_;
     response_head.headers.add(dialect_.signature_header, "signed-" + id());
     response_head.headers.add("Content-Type", "text/event-stream");
+    const std::string group_at_start = group();
+    ++running_stream_count_;
+    const ScopeExit count_end([this] { --running_stream_count_; });
+    if (engines_.options_.ends_streams_on_leave) {
+      exchange.notify_on_disconnect([] {});  // Enables `caller_disconnected()`.
+    }
     co_await exchange.begin_stream(response_head);
     asio::steady_timer timer(engines_.client_.context());
     const auto await = asio::as_tuple(asio::use_awaitable);
     for (int event = 1; event <= events; ++event) {
       timer.expires_after(engines_.options_.event_pause);
       co_await timer.async_wait(await);
+      co_await wait_while_silent();
+      if (engines_.options_.ends_streams_on_leave && group() != group_at_start) {
+        engines_.streams_ended_by_leave_ += exchange.caller_disconnected() ? 0 : 1;
+        co_return;
+      }
       const std::string piece = "id: " + std::to_string(event) + "\ndata: token\n\n";
       if (!co_await exchange.write_piece(piece)) {
         co_return;
@@ -331,6 +371,7 @@
       }
     }
     if (!aborts_stream) {
+      co_await wait_while_silent();
       co_await exchange.end_stream();
     }
   }
@@ -348,6 +389,8 @@
   simulation::SimulatedInstance instance_;
   TimePoint next_report_{};
   TimePoint cold_until_{};
+  TimePoint silent_until_{};
+  std::atomic<int> running_stream_count_ = 0;
   std::string current_retry_after_;
   AnnouncedRateLimits rate_limits_;
   bool has_announced_limit_ = false;
@@ -449,6 +492,62 @@
   return result;
 }
 
+void RegisteredEngines::silence_all(std::chrono::milliseconds time) {
+  for (const auto& server : servers_) {
+    server->silence_for(time);
+  }
+}
+
+void RegisteredEngines::silence_open_heads(double share, std::chrono::milliseconds time, uint64_t seed) {
+  std::vector<Server*> heads;
+  for (const auto& server : servers_) {
+    if (server->is_open_head()) {
+      heads.push_back(server.get());
+    }
+  }
+  std::mt19937_64 random(seed);
+  std::shuffle(heads.begin(), heads.end(), random);
+  heads.resize(static_cast<size_t>(std::ceil(share * static_cast<double>(heads.size()))));
+  for (auto* head : heads) {
+    head->silence_for(time);
+  }
+}
+
+int RegisteredEngines::crash_member_of_busiest_group() {
+  const auto busiest = std::max_element(servers_.begin(), servers_.end(), [](const auto& left, const auto& right) {
+    return left->running_stream_count() < right->running_stream_count();
+  });
+  const auto& head = *busiest;
+  const auto member = std::find_if(servers_.begin(), servers_.end(), [&](const auto& server) {
+    return server != head && server->is_in_group() && server->group() == head->group();
+  });
+  if (member == servers_.end()) {
+    ADD_FAILURE() << "the busiest group has no other member";
+    return 0;
+  }
+  head->silence_for(options_.restart_delay);
+  (*member)->crash_from_outside();
+  return head->running_stream_count();
+}
+
+int RegisteredEngines::running_stream_count() {
+  int count = 0;
+  for (const auto& server : servers_) {
+    count += server->running_stream_count();
+  }
+  return count;
+}
+
+std::set<std::string> RegisteredEngines::open_groups() {
+  std::set<std::string> result;
+  for (const auto& server : servers_) {
+    if (server->is_open_head()) {
+      result.insert(server->group());
+    }
+  }
+  return result;
+}
+
 int RegisteredEngines::count_servers_in_groups() {
   return static_cast<int>(
       std::count_if(servers_.begin(), servers_.end(), [](const auto& server) { return server->is_in_group(); }));
--- a/tests/integration/registered_engines.h
+++ b/tests/integration/registered_engines.h
@@ -44,6 +44,8 @@
     std::chrono::milliseconds restart_delay{3000};
     /// A restarted server keeps its id, and its reports contain its start time.
     bool keeps_id_on_restart = false;
+    /// A head that leaves its group closes the connections of the streams that it runs.
+    bool ends_streams_on_leave = false;
     /// Zones assigned to the domains in turn.
     std::vector<std::string> zones = {"a"};
     /// Returns the address that a server reports instead of the one that it listens on, such as that of a proxy. May be
@@ -98,6 +100,20 @@
     std::vector<RateLimitPhase> limits;
   };
   std::vector<RateLimitedHead> rate_limited_heads();
+  /// For `time` from now on, no server writes anything: streams pause, responses and reports are held back. Connections
+  /// stay open and new ones are accepted. Afterwards the servers send and serve what they held back.
+  void silence_all(std::chrono::milliseconds time);
+  /// The same at this share of the heads of open groups, rounded up, chosen at random.
+  void silence_open_heads(double share, std::chrono::milliseconds time, uint64_t seed);
+  /// Ends a member of the group that runs most streams, other than its head, until `restart_delay` has passed. The head
+  /// is silent for as long. Returns the number of streams that the head runs.
+  int crash_member_of_busiest_group();
+  /// Number of streams that servers run now.
+  int running_stream_count();
+  /// Names of the groups whose head is open now.
+  std::set<std::string> open_groups();
+  /// Number of streams ended because of `ends_streams_on_leave` before their callers had closed the connection.
+  uint64_t streams_ended_by_leave() const { return streams_ended_by_leave_; }
   /// Requests that `make_one_head_reject` caused to be rejected.
   std::vector<Arrival> rejected_arrivals() const { return rejected_arrivals_.all(); }
 
@@ -112,6 +128,7 @@
   std::vector<std::unique_ptr<Server>> servers_;
   std::atomic<uint64_t> served_count_ = 0;
   std::atomic<uint64_t> misdirected_ = 0;
+  std::atomic<uint64_t> streams_ended_by_leave_ = 0;
   std::mutex record_mutex_;
   std::vector<Timestamp> crash_request_arrivals_;
   std::vector<Timestamp> crash_times_;
