Look for another server beside a silent one, and keep the first until the other delivers

Cause: entries took silence for a failure and cancelled the attempts at a stalled or failed group, at a lost link, and after a pause of 1.6 s, before anything else could serve them; also attempts whose request may not be repeated, has no attempt left, or is relayed for another entry. Class: an action on an unproven suspicion that cannot be undone (break before make).

Change: such attempts are suspected, not cancelled. A request that may be repeated looks for another target beside the suspected attempt (a hedge), within the route's attempts and the retry budget, and never at a group that is silent as well. The attempt goes on; if it delivers first, the hedge is abandoned, and once the hedge has delivered its first bytes, it takes over and the first attempt is closed. A lost response is counted against a server only if the entry did not end the attempt itself. Attempts whose server restarted or whose deadline has passed are cancelled as before.

--- a/src/core/fleet/dispatcher.cc
+++ b/src/core/fleet/dispatcher.cc
@@ -317,7 +317,7 @@
     auto& list = health.is_quiet(now, longest_pause(service.name, group.model)) ? quiet : open;
     list.emplace_back(&group, head);
   }
-  if (open.empty()) {
+  if (open.empty() && !requirements.excludes_quiet_groups) {
     open = std::move(quiet);  // Better than no target: all groups may pause for a legitimate reason.
   }
   DispatchDecision decision;
@@ -437,7 +437,7 @@
 }
 
 std::vector<std::string> Dispatcher::groups_to_avoid(TimePoint now, const std::string& service,
-                                                     const std::string& model) {
+                                                     const std::string& model, bool includes_all_quiet) {
   expire_reported_loads(now);
   std::vector<std::string> result;
   const Duration pause = longest_pause(service, model);
@@ -446,10 +446,10 @@
       continue;
     }
     const auto health = health_.find(group.name);
-    const bool is_suspect =
-        health != health_.end() &&
-        (health->second.is_avoided(now) ||
-         (health->second.is_quiet(now, pause) && !links_.are_all_silent_since(health->second.last_progress())));
+    const bool is_suspect = health != health_.end() &&
+                            (health->second.is_avoided(now) ||
+                             (health->second.is_quiet(now, pause) &&
+                              (includes_all_quiet || !links_.are_all_silent_since(health->second.last_progress()))));
     const auto* head = find_available_instance(group.members.front());
     const bool refuses_requests =
         head != nullptr && (is_out_of_reach(*head) || !notices_.may_send(now, incarnation_name(*head)));
--- a/src/core/fleet/dispatcher.h
+++ b/src/core/fleet/dispatcher.h
@@ -44,6 +44,11 @@
   LinkedServer server = {};
   /// Another entry, which relays the request to a server of its choice. `address` is its relay address.
   bool is_relay_peer = false;
+  /// The leader granted a slot there; its count of the load contains the request.
+  bool has_slot = false;
+  /// Time from sending to the first event, as predicted by the leader that granted the slot; zero if this entry chose
+  /// the target itself.
+  Duration expected_first_event_delay{};
 };
 
 /// Requirements of a request. Plain services ignore model, latency and tokens.
@@ -54,6 +59,8 @@
   double prompt_tokens = 0;
   /// Zones of the allowed regions; null if the request may run anywhere.
   const std::set<std::string>* allowed_zones = nullptr;
+  /// Silent groups are no choice, not even if there are no others: the request already runs at a silent one.
+  bool excludes_quiet_groups = false;
 };
 
 enum class DispatchFailure { kNone, kNoTarget, kAllBusy };
@@ -144,8 +151,9 @@
   /// silence is not the fault of the targets.
   void restart_silence_timers(TimePoint now);
   /// Groups of a model that are avoided, whose streams pause too long, or whose head asked for a backoff or is shutting
-  /// down.
-  std::vector<std::string> groups_to_avoid(TimePoint now, const std::string& service, const std::string& model);
+  /// down. While every server is silent, groups whose streams pause are included only with `includes_all_quiet`.
+  std::vector<std::string> groups_to_avoid(TimePoint now, const std::string& service, const std::string& model,
+                                           bool includes_all_quiet = false);
   /// Records a request for a model, with the prompt and answer sizes that it states, in tokens.
   void record_demand(const std::string& service, const RequestRequirements& requirements,
                      const engine::RequestTokenCounts& sizes);
--- a/src/node/entry_process.cc
+++ b/src/node/entry_process.cc
@@ -175,7 +175,7 @@
   if (envelope.__isset.slot_answer) {
     slot_requester_.receive(envelope.slot_answer);
     for (const auto& group : envelope.slot_answer.failed_groups) {
-      request_relay_.in_flight_attempts().cancel_at_failed_group(monotonic_now(), group);
+      request_relay_.in_flight_attempts().suspect_at_failed_group(monotonic_now(), group);
     }
   }
   if (!envelope.__isset.fleet_update) {
@@ -282,13 +282,14 @@
       // groups would count as stalled and their complete responses would be cut.
       state_.dispatcher.restart_silence_timers(now);
       state_.dispatcher.links().restart_silence_timers(now);
+      request_relay_.in_flight_attempts().restart_silence_timers(now);
       request_relay_.in_flight_attempts().cancel_overdue(now);
       log_warning(settings_.name, "stood_still", {{"for_ms", std::to_string((now - last_tick) / milliseconds(1))}});
     }
     last_tick = now;
     tick();
     link_prober_.tick(now);
-    request_relay_.in_flight_attempts().cancel_stalled(monotonic_now());
+    request_relay_.in_flight_attempts().suspect_silent(monotonic_now());
     timer.expires_after(kTickInterval);
     co_await timer.async_wait(kAwaitWithError);
   }
--- a/src/node/entry_state.h
+++ b/src/node/entry_state.h
@@ -30,6 +30,9 @@
   uint64_t retries_over_budget = 0;
   uint64_t resumed = 0;
   uint64_t stalls = 0;
+  /// Requests for which a second server was looked for while theirs was silent, and those that it took over.
+  uint64_t hedges = 0;
+  uint64_t superseded = 0;
   /// Attempts that other entries relayed, by result: a server's response, a refusal, or neither.
   uint64_t relayed_by_peers = 0;
   uint64_t refused_by_peers = 0;
--- a/src/node/in_flight_attempts.cc
+++ b/src/node/in_flight_attempts.cc
@@ -15,22 +15,44 @@
 
 }  // namespace
 
-void InFlightAttempts::add_attempt(const RelayedRequest& request, const fleet::DispatchTarget& target) {
-  attempts_by_target_[target.key][request.cancellation] = {request.deadline, target.service, target.server.address,
-                                                           request.route->is_retry_safe()};
-}
+void InFlightAttempts::add_attempt(RelayAttempt& attempt) { attempts_by_target_[attempt.target.key].insert(&attempt); }
 
-void InFlightAttempts::remove_attempt(const RelayedRequest& request, const fleet::DispatchTarget& target) {
-  auto& attempts = attempts_by_target_[target.key];
-  attempts.erase(request.cancellation);
-  if (attempts.empty()) {
-    attempts_by_target_.erase(target.key);
+void InFlightAttempts::remove_attempt(RelayAttempt& attempt) {
+  const auto found = attempts_by_target_.find(attempt.target.key);
+  if (found == attempts_by_target_.end()) {
+    return;
+  }
+  found->second.erase(&attempt);
+  if (found->second.empty()) {
+    attempts_by_target_.erase(found);
   }
 }
 
-InFlightAttempts::Attempts InFlightAttempts::attempts_at(const std::string& target_key) const {
+std::vector<RelayAttempt*> InFlightAttempts::attempts_at(const std::string& target_key) const {
   const auto found = attempts_by_target_.find(target_key);
-  return found == attempts_by_target_.end() ? Attempts() : found->second;
+  return found == attempts_by_target_.end() ? std::vector<RelayAttempt*>()
+                                            : std::vector<RelayAttempt*>(found->second.begin(), found->second.end());
+}
+
+std::vector<RelayAttempt*> InFlightAttempts::all_attempts() const {
+  std::vector<RelayAttempt*> result;
+  for (const auto& [key, attempts] : attempts_by_target_) {
+    result.insert(result.end(), attempts.begin(), attempts.end());
+  }
+  return result;
+}
+
+void InFlightAttempts::suspect(RelayAttempt& attempt, std::string_view cause) {
+  attempt.is_suspected = true;
+  if (attempt.on_suspected) {
+    attempt.on_suspected(cause);
+  }
+}
+
+void InFlightAttempts::suspect_at_target(const std::string& target_key, std::string_view cause) {
+  for (auto* attempt : attempts_at(target_key)) {
+    suspect(*attempt, cause);
+  }
 }
 
 void InFlightAttempts::note_failure(const fleet::DispatchTarget& target, TimePoint now) {
@@ -39,21 +61,11 @@
   }
   ++state_.counters.stalls;
   if (!target.group.empty()) {
-    cancel_at_target(target, now, "another attempt failed there");
-  }
-}
-
-void InFlightAttempts::cancel_at_target(const fleet::DispatchTarget& target, TimePoint now, std::string_view cause) {
-  int retry_allowance = state_.dispatcher.retry_budget().remaining(now, target.service);
-  for (const auto& [cancellation, attempt] : attempts_at(target.key)) {
-    if (retry_allowance-- <= 0) {
-      return;
-    }
-    cancellation->cancel(cause);
+    suspect_at_target(target.key, "another attempt failed there");
   }
 }
 
-void InFlightAttempts::cancel_stalled(TimePoint now) {
+void InFlightAttempts::suspect_silent(TimePoint now) {
   for (const auto& target : state_.dispatcher.stalled_groups(now, kBaseStallTime, kStallTimePerRequest)) {
     ++state_.counters.stalls;
     log_event("", "group_stalled",
@@ -61,11 +73,19 @@
                {"requests", std::to_string(target.in_flight)},
                {"silent_ms", to_text(state_.dispatcher.silence_at(now, target.key))}});
     state_.dispatcher.avoid_target(now, target.key);
-    cancel_at_target(target, now, "group stalled");
+    suspect_at_target(target.key, "group stalled");
+  }
+  for (const auto& [key, attempts] : attempts_by_target_) {
+    for (auto* attempt : attempts) {
+      const bool waits = attempt->awaiting_since != TimePoint::max() && !attempt->is_suspected;
+      if (waits && now - attempt->awaiting_since > attempt->max_silence) {
+        suspect(*attempt, "response paused");
+      }
+    }
   }
 }
 
-void InFlightAttempts::cancel_at_failed_group(TimePoint now, const std::string& group) {
+void InFlightAttempts::suspect_at_failed_group(TimePoint now, const std::string& group) {
   const auto target = state_.dispatcher.target_of_group(now, group);
   if (!target) {
     return;  // The target is already avoided, or no longer exists.
@@ -76,7 +96,15 @@
              {"requests", std::to_string(attempts_at(target->key).size())},
              {"silent_ms", to_text(state_.dispatcher.silence_at(now, target->key))}});
   state_.dispatcher.avoid_target(now, target->key);
-  cancel_at_target(*target, now, "group failed");
+  suspect_at_target(target->key, "group failed");
+}
+
+void InFlightAttempts::suspect_at_lost_link(const std::string& server_address) {
+  for (auto* attempt : all_attempts()) {
+    if (attempt->target.server.address == server_address) {
+      suspect(*attempt, "link lost");
+    }
+  }
 }
 
 void InFlightAttempts::cancel_at_restarted_server(const std::string& target_key) {
@@ -85,37 +113,23 @@
     return;
   }
   log_event("", "server_started_again", {{"target", target_key}, {"requests", std::to_string(lost_attempts.size())}});
-  for (const auto& [cancellation, attempt] : lost_attempts) {
-    cancellation->cancel("server restarted");
+  for (auto* attempt : lost_attempts) {
+    attempt->cancellation->cancel("server restarted");
   }
 }
 
-void InFlightAttempts::cancel_at_lost_link(TimePoint now, const std::string& server_address) {
-  const auto attempts_snapshot = attempts_by_target_;
-  std::map<std::string, int> retry_allowances;
-  for (const auto& [key, attempts] : attempts_snapshot) {
-    for (const auto& [cancellation, attempt] : attempts) {
-      if (attempt.server_address != server_address || !attempt.is_repeatable) {
-        continue;
-      }
-      const auto allowance =
-          retry_allowances
-              .try_emplace(attempt.service, state_.dispatcher.retry_budget().remaining(now, attempt.service))
-              .first;
-      if (allowance->second-- > 0) {
-        cancellation->cancel("link lost");
-      }
+void InFlightAttempts::cancel_overdue(TimePoint now) {
+  for (auto* attempt : all_attempts()) {
+    if (attempt->deadline <= now) {
+      attempt->cancellation->cancel("overdue after a pause of this process");
     }
   }
 }
 
-void InFlightAttempts::cancel_overdue(TimePoint now) {
-  const auto attempts_snapshot = attempts_by_target_;
-  for (const auto& [key, attempts] : attempts_snapshot) {
-    for (const auto& [cancellation, attempt] : attempts) {
-      if (attempt.deadline <= now) {
-        cancellation->cancel("overdue after a pause of this process");
-      }
+void InFlightAttempts::restart_silence_timers(TimePoint now) {
+  for (auto* attempt : all_attempts()) {
+    if (attempt->awaiting_since != TimePoint::max()) {
+      attempt->begin_wait(now);
     }
   }
 }
--- a/src/node/link_prober.h
+++ b/src/node/link_prober.h
@@ -30,7 +30,7 @@
   boost::asio::awaitable<void> probe(fleet::LinkedServer server, std::string path);
   /// Path that the server at this address answers without running a request; empty if its service is unknown.
   std::string probe_path(const std::string& address) const;
-  void apply_changes(TimePoint now);
+  void apply_changes();
   void log_changes(TimePoint now);
 
   boost::asio::any_io_executor executor_;
--- a/src/node/relayed_request.h
+++ b/src/node/relayed_request.h
@@ -11,14 +11,15 @@
 #include "core/fleet/dispatcher.h"
 #include "core/requests/event_stream.h"
 #include "core/requests/request_fingerprint.h"
-#include "net/http_client.h"
 #include "net/http_server.h"
+#include "node/hedge.h"
+#include "node/relay_attempt.h"
 #include "node/relay_protocol.h"
 
 namespace larchlever::node {
 
 /// A caller's request while it is being relayed: its route and tenant, and the state of its attempts.
-struct RelayedRequest {
+struct RelayedRequest : std::enable_shared_from_this<RelayedRequest> {
   net::HttpExchange* exchange = nullptr;
   std::shared_ptr<const document::RouteTable> routes;
   const document::Route* route = nullptr;
@@ -66,20 +67,17 @@
   std::optional<requests::RequestFingerprint> trial_of;
   /// The request or part of its prompt because of which the request was not sent.
   std::optional<requests::RequestFingerprint> withheld_cause;
-  /// The current attempt, and the load that it puts on its target.
-  std::shared_ptr<net::Cancellation> cancellation;
-  fleet::AttemptState load_mark;
-  /// The leader granted the attempt a slot at its target.
-  bool has_slot = false;
-  TimePoint sent_at{};
+  /// The attempt whose response is relayed; null between attempts.
+  RelayAttempt* main_attempt = nullptr;
+  /// The search for a second target while the main attempt's is silent; null if there is none.
+  std::shared_ptr<Hedge> hedge;
+  /// The last attempt that became the main one, for the log.
   std::string last_target;
   /// Incarnation of the server that the last attempt was sent to.
   std::string last_incarnation;
   /// Incarnation of the server whose response was lost last; empty once the request may be sent again.
   std::string lost_response_incarnation;
   int target_load = 0;
-  /// Time from sending to the first event, as predicted by the leader that granted the slot; zero if this entry chose
-  /// the target itself.
   Duration expected_first_event_delay{};
   requests::EventStreamSplitter event_stream;
   /// The stream, or what the caller has of it, did not come from one attempt alone.
--- a/src/node/request_relay.h
+++ b/src/node/request_relay.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <algorithm>
 #include <boost/asio/any_io_executor.hpp>
 #include <memory>
 #include <optional>
@@ -24,7 +25,8 @@
 ///
 /// Guarantees: a request that may not be repeated is sent again only if no byte was sent or the server proved that it
 /// did not run; 429, 503, 408 and 421 are sent only for requests that did not run; a truncated response never looks
-/// complete. A request goes through at most one other entry, which sends it to at most one server; retries are decided
+/// complete; a response is not ended because its server is silent, but continued by another server if that one delivers
+/// first. A request goes through at most one other entry, which sends it to at most one server; retries are decided
 /// here. Runs on one executor; not thread-safe.
 class RequestRelay : public net::HttpHandler {
  public:
@@ -72,14 +74,14 @@
   void record_demand(RelayedRequest& request);
   void report_load_change(const fleet::DispatchTarget& target);
   /// Records how long a successful response, or the first event of a stream, took.
-  void note_response_time(const RelayedRequest& request, const fleet::DispatchTarget& target, TimePoint now);
+  void note_response_time(const RelayAttempt& attempt, TimePoint now);
   /// Called when the target responded or sent part of a response.
   void note_progress(const fleet::DispatchTarget& target, TimePoint now);
   /// Called when bytes of a stream arrived.
-  void note_chunk(RelayedRequest& request, const fleet::DispatchTarget& target, TimePoint now);
+  void note_chunk(RelayedRequest& request, RelayAttempt& attempt, TimePoint now);
   boost::asio::awaitable<void> dispatch_until_done(RelayedRequest& request);
   /// Finds a server, or a peer if this entry reaches no server for the request.
-  boost::asio::awaitable<FoundTarget> find_target(RelayedRequest& request);
+  boost::asio::awaitable<FoundTarget> find_target(RelayedRequest& request, const TargetSearch& search);
   /// Whether there are servers for the request but the links to all of them are lost.
   bool are_servers_out_of_reach(const RelayedRequest& request) const;
   /// Whether a peer is preferred although servers seem to be in reach: connections of the request have failed, or it
@@ -91,35 +93,63 @@
   std::optional<fleet::DispatchTarget> choose_relay_peer(const RelayedRequest& request);
   /// Handles the response head of a peer. Returns nothing if the response is a server's and is to be relayed like one.
   boost::asio::awaitable<std::optional<DispatchResult>> handle_peer_response(RelayedRequest& request,
-                                                                             const fleet::DispatchTarget& target,
-                                                                             net::ClientStream& stream);
+                                                                             const RelayAttempt& attempt);
   /// Responds to the caller with a peer's refusal.
   boost::asio::awaitable<DispatchResult> pass_on_refusal(RelayedRequest& request, net::ClientStream& stream);
   /// Evaluates an attempt that got no response head.
-  DispatchResult note_failed_open(RelayedRequest& request, const fleet::DispatchTarget& target,
-                                  const net::OpenResult& opened);
+  DispatchResult note_failed_open(RelayedRequest& request, const RelayAttempt& attempt, const net::OpenResult& opened);
   /// The response's head as the caller, or the entry for which the request is relayed, gets it.
   static net::HttpResponse head_for_receiver(const RelayedRequest& request, const net::HttpResponse& head);
   /// Responds to a request for which no target was found.
   boost::asio::awaitable<void> finish_without_target(RelayedRequest& request, const FoundTarget& found);
   /// Responds to a request that did not succeed and may not be retried.
   boost::asio::awaitable<void> finish_without_retry(RelayedRequest& request);
-  boost::asio::awaitable<DispatchResult> run_attempt(RelayedRequest& request, const fleet::DispatchTarget& target);
-  boost::asio::awaitable<DispatchResult> send_attempt(RelayedRequest& request, const fleet::DispatchTarget& target);
-  boost::asio::awaitable<DispatchResult> relay_buffered(RelayedRequest& request, const fleet::DispatchTarget& target,
-                                                        net::ClientStream& stream);
+  /// Sends the request to the target and relays the response, or that of another server that has taken over while the
+  /// target was silent.
+  boost::asio::awaitable<DispatchResult> run_with_successors(RelayedRequest& request,
+                                                             const fleet::DispatchTarget& target);
+  /// Records what an attempt without a response for the caller means for further ones.
+  static void note_ended_attempt(RelayedRequest& request, const fleet::DispatchTarget& target, DispatchResult result);
+  /// Registers an attempt at the target, which counts as load until it is destroyed.
+  std::unique_ptr<RelayAttempt> begin_attempt(RelayedRequest& request, const fleet::DispatchTarget& target);
+  void end_attempt(RelayAttempt& attempt);
+  /// Sends the attempt unless its response has already begun, and relays the response.
+  boost::asio::awaitable<DispatchResult> run_attempt(RelayedRequest& request, RelayAttempt& attempt);
+  /// Sends the attempt and reads the head of its response. Returns nothing if the response is to be relayed.
+  boost::asio::awaitable<std::optional<DispatchResult>> open_attempt(RelayedRequest& request, RelayAttempt& attempt);
+  /// Returns nothing if the response with this head is to be relayed.
+  std::optional<DispatchResult> check_response_head(RelayedRequest& request, const RelayAttempt& attempt);
+  /// Whether another server may be looked for beside the suspected attempt.
+  bool may_hedge(RelayedRequest& request, const RelayAttempt& suspected) const;
+  void start_hedge(const std::shared_ptr<RelayedRequest>& request, const RelayAttempt& suspected,
+                   std::string_view cause);
+  static void abandon_hedge(RelayedRequest& request, std::string_view cause);
+  boost::asio::awaitable<void> run_hedge(std::shared_ptr<RelayedRequest> request, std::shared_ptr<Hedge> hedge);
+  /// Sends the attempt of a hedge. Returns kAnswered once the first bytes of its response arrived.
+  boost::asio::awaitable<DispatchResult> wait_for_first_bytes(RelayedRequest& request, RelayAttempt& attempt);
+  /// Ends the main attempt in favour of the successor.
+  void hand_over(RelayedRequest& request, Hedge& hedge, std::unique_ptr<RelayAttempt> successor);
+  /// Waits until the request's hedge is done. Returns the attempt that takes over, or null.
+  boost::asio::awaitable<std::unique_ptr<RelayAttempt>> take_successor(RelayedRequest& request);
+  boost::asio::awaitable<DispatchResult> relay_response(RelayedRequest& request, RelayAttempt& attempt);
+  /// Returns the next bytes of the response; empty at its end, after a failure, or at the request's deadline.
+  static boost::asio::awaitable<std::string> read_chunk(const RelayedRequest& request, RelayAttempt& attempt);
+  boost::asio::awaitable<DispatchResult> relay_buffered(RelayedRequest& request, RelayAttempt& attempt);
   /// Relays a successful response as it arrives, at the speed at which the caller reads, after the prefix that is
   /// already buffered.
-  boost::asio::awaitable<DispatchResult> relay_unbuffered(RelayedRequest& request, const fleet::DispatchTarget& target,
-                                                          net::ClientStream& stream, std::string buffered_prefix);
-  boost::asio::awaitable<DispatchResult> relay_events(RelayedRequest& request, const fleet::DispatchTarget& target,
-                                                      net::ClientStream& stream);
+  boost::asio::awaitable<DispatchResult> relay_unbuffered(RelayedRequest& request, RelayAttempt& attempt,
+                                                          std::string buffered_prefix);
+  boost::asio::awaitable<DispatchResult> relay_events(RelayedRequest& request, RelayAttempt& attempt);
   bool proves_not_run(const net::HttpResponse& head) const;
   bool may_retry(RelayedRequest& request, TimePoint now);
-  std::chrono::milliseconds read_timeout(const RelayedRequest& request, TimePoint now) const;
+  /// At least one, since zero stands for no time-out.
+  static std::chrono::milliseconds to_milliseconds(Duration duration) {
+    return std::max(std::chrono::milliseconds(1), std::chrono::duration_cast<std::chrono::milliseconds>(duration));
+  }
 
   /// A request that failed to connect to this many servers is sent through a peer, before it tries all servers.
   static constexpr int kFailedConnectionsUntilRelay = 2;
+  static constexpr int kMaxAttempts = 6;
 
   boost::asio::any_io_executor executor_;
   const Dialect& dialect_;
--- a/src/node/request_relay_peers.cc
+++ b/src/node/request_relay_peers.cc
@@ -33,7 +33,8 @@
     co_await exchange.respond(std::move(response));
     co_return;
   }
-  RelayedRequest request;
+  const auto shared_request = std::make_shared<RelayedRequest>();
+  RelayedRequest& request = *shared_request;
   ++state_.counters.relayed_for_peers;
   begin_request(request, exchange);
   request.relayed_for = instructions->sender;
@@ -95,7 +96,7 @@
   return target;
 }
 
-asio::awaitable<FoundTarget> RequestRelay::find_target(RelayedRequest& request) {
+asio::awaitable<FoundTarget> RequestRelay::find_target(RelayedRequest& request, const TargetSearch& search) {
   const bool is_out_of_reach = are_servers_out_of_reach(request);
   if (is_out_of_reach || should_avoid_own_links(request)) {
     if (auto peer = choose_relay_peer(request)) {
@@ -107,7 +108,7 @@
     co_return Refusal{http_status::kServiceUnavailable, "no node reaches a server for the request",
                       kRetryAfterUnavailable, RelayResult::kNotSent};
   }
-  auto found = co_await target_finder_.find(request);
+  auto found = co_await target_finder_.find(request, search);
   const bool may_be_served_elsewhere = std::holds_alternative<Refusal>(found) && may_be_served_by_peer(request);
   if (may_be_served_elsewhere) {
     if (auto peer = choose_relay_peer(request)) {
@@ -118,7 +119,9 @@
 }
 
 asio::awaitable<std::optional<RequestRelay::DispatchResult>> RequestRelay::handle_peer_response(
-    RelayedRequest& request, const fleet::DispatchTarget& target, net::ClientStream& stream) {
+    RelayedRequest& request, const RelayAttempt& attempt) {
+  const auto& target = attempt.target;
+  auto& stream = *attempt.stream;
   const auto& headers = stream.head().headers;
   const auto result = find_relay_result(headers);
   request.last_target = find_relay_target(headers);
@@ -131,7 +134,9 @@
              {"relay_peer", target.address},
              {"target", request.last_target},
              {"status", std::to_string(stream.head().status)}});
-  const bool is_final_refusal = result == RelayResult::kRefused && !request.may_have_run && !request.response_started;
+  const bool is_only_attempt = request.main_attempt == &attempt && request.hedge == nullptr;
+  const bool is_final_refusal =
+      result == RelayResult::kRefused && is_only_attempt && !request.may_have_run && !request.response_started;
   if (is_final_refusal) {
     ++state_.counters.refused_by_peers;
     co_return co_await pass_on_refusal(request, stream);
--- a/src/node/target_finder.cc
+++ b/src/node/target_finder.cc
@@ -43,8 +43,8 @@
 
 }  // namespace
 
-TimePoint TargetFinder::wait_deadline(const RelayedRequest& request) {
-  if (request.response_started) {
+TimePoint TargetFinder::wait_deadline(const RelayedRequest& request, const TargetSearch& search) {
+  if (request.response_started || search.hedge != nullptr) {
     return request.deadline;
   }
   const Duration objective = request.route->target_latency;
@@ -52,21 +52,21 @@
                   request.admitted_at + (request.was_held_for_lease ? objective : objective / kWaitDivisor));
 }
 
-asio::awaitable<FoundTarget> TargetFinder::find(RelayedRequest& request) {
-  const TimePoint wait_until = wait_deadline(request);
+asio::awaitable<FoundTarget> TargetFinder::find(RelayedRequest& request, const TargetSearch& search) {
+  const TimePoint wait_until = wait_deadline(request, search);
   if (auto refusal = refusal_if_all_backing_off(request, wait_until)) {
     co_return std::move(*refusal);
   }
   std::optional<FoundTarget> leader_decision;
   if (request.service->engine) {
-    leader_decision = co_await ask_leader(request, wait_until);
+    leader_decision = co_await ask_leader(request, search, wait_until);
   } else {
-    leader_decision = co_await request_server_slot(request, wait_until);
+    leader_decision = co_await request_server_slot(request, search, wait_until);
   }
   if (leader_decision) {
     co_return std::move(*leader_decision);
   }
-  co_return co_await choose_locally(request, wait_until);
+  co_return co_await choose_locally(request, search, wait_until);
 }
 
 std::optional<Refusal> TargetFinder::refusal_if_all_backing_off(const RelayedRequest& request, TimePoint until) const {
@@ -80,7 +80,8 @@
   return Refusal{http_status::kServiceUnavailable, "all servers asked for rest", *first_available_at - now};
 }
 
-wire::SlotRequest TargetFinder::make_slot_request(RelayedRequest& request, TimePoint now, TimePoint wait_until) const {
+wire::SlotRequest TargetFinder::make_slot_request(RelayedRequest& request, const TargetSearch& search, TimePoint now,
+                                                  TimePoint wait_until) const {
   wire::SlotRequest slot_request;
   slot_request.service_name = request.service->name;
   slot_request.model = request.model;
@@ -88,7 +89,8 @@
   const Duration objective = request.route->target_latency;
   // A request that may have run can no longer be refused as busy, so any group is acceptable, in time or not; the
   // leader picks the fastest.
-  if (objective > Duration::zero() && !request.response_started && !request.may_have_run) {
+  const bool may_be_late = request.response_started || request.may_have_run || search.hedge != nullptr;
+  if (objective > Duration::zero() && !may_be_late) {
     const auto excess = state_.first_event_excess.find(request.service->engine ? request.model : kNoModel);
     const Duration allowance = excess == state_.first_event_excess.end()
                                    ? Duration::zero()
@@ -116,7 +118,8 @@
   if (request.allowed_zones) {
     slot_request.__set_allowed_zones({request.allowed_zones->begin(), request.allowed_zones->end()});
   }
-  slot_request.excluded_groups = state_.dispatcher.groups_to_avoid(now, request.service->name, request.model);
+  slot_request.excluded_groups =
+      state_.dispatcher.groups_to_avoid(now, request.service->name, request.model, search.hedge != nullptr);
   slot_request.excluded_groups.insert(slot_request.excluded_groups.end(), request.excluded_targets.begin(),
                                       request.excluded_targets.end());
   request.ruled_out_targets = slot_request.excluded_groups.size();
@@ -141,10 +144,12 @@
   return {http_status::kServiceUnavailable, cause, milliseconds(grant.retry_after_ms)};
 }
 
-asio::awaitable<std::optional<FoundTarget>> TargetFinder::ask_leader(RelayedRequest& request, TimePoint wait_until) {
-  const auto slot_request = make_slot_request(request, monotonic_now(), wait_until);
+asio::awaitable<std::optional<FoundTarget>> TargetFinder::ask_leader(RelayedRequest& request,
+                                                                     const TargetSearch& search, TimePoint wait_until) {
+  const auto slot_request = make_slot_request(request, search, monotonic_now(), wait_until);
   const auto grant = co_await slot_requester_.request_slot(slot_request);
-  if (request.caller_disconnected) {
+  if (search.is_over(request)) {
+    slot_requester_.note_load_change();  // Report that the slot is unused.
     co_return FoundTarget(CallerDisconnected());
   }
   if (grant.verdict == wire::SlotVerdict::BUSY) {
@@ -164,26 +169,27 @@
     slot_requester_.note_load_change();  // Report that the slot is unused.
     co_return std::nullopt;
   }
-  request.expected_first_event_delay = milliseconds(grant.expected_ms);
-  request.has_slot = true;
+  target->expected_first_event_delay = milliseconds(grant.expected_ms);
+  target->has_slot = true;
   co_return FoundTarget(std::move(*target));
 }
 
 asio::awaitable<std::optional<FoundTarget>> TargetFinder::request_server_slot(RelayedRequest& request,
+                                                                              const TargetSearch& search,
                                                                               TimePoint wait_until) {
   const TimePoint now = monotonic_now();
   const fleet::RequestRequirements demand{kNoModel, request.route->target_latency, 0, home_zones(request)};
-  const auto candidates =
-      state_.dispatcher.plain_server_candidates(now, *request.service, demand, request.excluded_targets);
+  auto candidates = state_.dispatcher.plain_server_candidates(now, *request.service, demand, request.excluded_targets);
   if (candidates.empty() || state_.subscription.leader().empty()) {
     co_return std::nullopt;
   }
   // Without an objective, or if it may have run, the request is better late than refused.
-  const bool may_be_late = request.route->target_latency <= Duration::zero() || request.may_have_run;
+  const bool may_be_late =
+      request.route->target_latency <= Duration::zero() || request.may_have_run || search.hedge != nullptr;
   const Duration longest_wait = request.route->target_latency * kServerSlotWaitPercent / 100;
   const TimePoint longest_wait_end = std::max(wait_until, request.admitted_at + longest_wait);
-  auto slot_request =
-      make_slot_request(request, now, may_be_late ? request.deadline : std::min(request.deadline, longest_wait_end));
+  auto slot_request = make_slot_request(request, search, now,
+                                        may_be_late ? request.deadline : std::min(request.deadline, longest_wait_end));
   slot_request.model = kNoModel;  // Callers may name a model for a plain service, too.
   std::vector<std::string> incarnations;
   for (const auto& candidate : candidates) {
@@ -191,7 +197,7 @@
   }
   slot_request.__set_plain_servers(incarnations);
   const auto grant = co_await slot_requester_.request_slot(slot_request);
-  if (request.caller_disconnected) {
+  if (search.is_over(request)) {
     slot_requester_.note_load_change();  // Report that the slot is unused.
     co_return FoundTarget(CallerDisconnected());
   }
@@ -201,30 +207,31 @@
   if (grant.verdict != wire::SlotVerdict::GRANTED) {
     co_return std::nullopt;
   }
-  const auto target = std::find_if(candidates.begin(), candidates.end(),
-                                   [&grant](const auto& item) { return item.incarnation == grant.server; });
+  auto target = std::find_if(candidates.begin(), candidates.end(),
+                             [&grant](const auto& item) { return item.incarnation == grant.server; });
   const bool is_usable = target != candidates.end() && state_.dispatcher.may_send(monotonic_now(), *target);
   if (!is_usable) {
     slot_requester_.note_load_change();
     co_return std::nullopt;
   }
-  request.expected_first_event_delay = milliseconds(grant.expected_ms);
-  request.has_slot = true;
-  co_return FoundTarget(*target);
+  target->expected_first_event_delay = milliseconds(grant.expected_ms);
+  target->has_slot = true;
+  co_return FoundTarget(std::move(*target));
 }
 
 asio::awaitable<std::optional<FoundTarget>> TargetFinder::request_rate_permit(RelayedRequest& request,
+                                                                              const TargetSearch& search,
                                                                               const fleet::DispatchDecision& choice,
                                                                               TimePoint wait_until) {
   const TimePoint now = monotonic_now();
-  auto slot_request = make_slot_request(request, now, choice.target ? now : wait_until);
+  auto slot_request = make_slot_request(request, search, now, choice.target ? now : wait_until);
   std::vector<std::string> incarnations;
   for (const auto& target : choice.rate_limited_targets) {
     incarnations.push_back(target.incarnation);
   }
   slot_request.__set_rated_servers(incarnations);
   const auto grant = co_await slot_requester_.request_slot(slot_request);
-  if (request.caller_disconnected) {
+  if (search.is_over(request)) {
     co_return FoundTarget(CallerDisconnected());
   }
   if (grant.verdict == wire::SlotVerdict::GRANTED) {
@@ -271,19 +278,18 @@
                  RelayResult::kNotSent};
 }
 
-asio::awaitable<FoundTarget> TargetFinder::choose_locally(RelayedRequest& request, TimePoint wait_until) {
+asio::awaitable<FoundTarget> TargetFinder::choose_locally(RelayedRequest& request, const TargetSearch& search,
+                                                          TimePoint wait_until) {
   const fleet::RequestRequirements demand{request.model, request.route->target_latency, request.prompt_tokens,
-                                          home_zones(request)};
-  request.expected_first_event_delay = Duration::zero();
-  request.has_slot = false;
+                                          home_zones(request), search.hedge != nullptr};
   auto authority = slot_requester_.is_leader_responsive(monotonic_now()) ? fleet::RateAuthority::kLeader
                                                                          : fleet::RateAuthority::kLocalShare;
   asio::steady_timer timer(executor_);
-  while (!request.caller_disconnected) {
+  while (!search.is_over(request)) {
     const TimePoint now = monotonic_now();
     auto choice = state_.dispatcher.choose_target(now, *request.service, demand, request.excluded_targets, authority);
     if (!choice.rate_limited_targets.empty()) {
-      auto permitted_target = co_await request_rate_permit(request, choice, wait_until);
+      auto permitted_target = co_await request_rate_permit(request, search, choice, wait_until);
       if (permitted_target) {
         co_return std::move(*permitted_target);
       }
--- a/src/node/target_finder.h
+++ b/src/node/target_finder.h
@@ -11,36 +11,52 @@
 
 namespace larchlever::node {
 
-/// The caller disconnected while its request waited.
+/// The caller disconnected while its request waited, or the hedge was abandoned.
 struct CallerDisconnected {};
 
 /// The target of a request, or why there is none.
 using FoundTarget = std::variant<fleet::DispatchTarget, Refusal, CallerDisconnected>;
 
+/// What one search for a target is for.
+struct TargetSearch {
+  /// The hedge that the search belongs to; null for the only attempt of a request. A hedge takes a target at any time
+  /// before the request's deadline, but none that is silent as well.
+  const Hedge* hedge = nullptr;
+
+  bool is_over(const RelayedRequest& request) const {
+    return request.caller_disconnected || (hedge != nullptr && hedge->is_abandoned);
+  }
+};
+
 /// Finds the target of each attempt. For engine groups, and for plain servers if their slots are counted, the leader
 /// grants slots; otherwise, and while no leader answers, the entry chooses itself.
 ///
 /// Guarantees: returns within a fifth of the route's latency objective, or within all of it for a request that waited
-/// for a configuration lease. For a stream that has started, returns before the request's deadline. Runs on one
-/// executor; not thread-safe.
+/// for a configuration lease. For a stream that has started, or a hedge, returns before the request's deadline. Runs on
+/// one executor; not thread-safe.
 class TargetFinder {
  public:
   TargetFinder(boost::asio::any_io_executor executor, EntryState& state, SlotRequester& slot_requester)
       : executor_(std::move(executor)), state_(state), slot_requester_(slot_requester) {}
 
-  boost::asio::awaitable<FoundTarget> find(RelayedRequest& request);
+  boost::asio::awaitable<FoundTarget> find(RelayedRequest& request, const TargetSearch& search);
   /// Returns a refusal if every server that could run the request has asked for a pause that ends after `until`.
   std::optional<Refusal> refusal_if_all_backing_off(const RelayedRequest& request, TimePoint until) const;
 
  private:
   /// Asks the leader. Returns a target, a refusal, or nothing if the leader did not decide.
-  boost::asio::awaitable<std::optional<FoundTarget>> ask_leader(RelayedRequest& request, TimePoint wait_until);
+  boost::asio::awaitable<std::optional<FoundTarget>> ask_leader(RelayedRequest& request, const TargetSearch& search,
+                                                                TimePoint wait_until);
   /// The same for a slot of a plain server.
-  boost::asio::awaitable<std::optional<FoundTarget>> request_server_slot(RelayedRequest& request, TimePoint wait_until);
-  boost::asio::awaitable<FoundTarget> choose_locally(RelayedRequest& request, TimePoint wait_until);
+  boost::asio::awaitable<std::optional<FoundTarget>> request_server_slot(RelayedRequest& request,
+                                                                         const TargetSearch& search,
+                                                                         TimePoint wait_until);
+  boost::asio::awaitable<FoundTarget> choose_locally(RelayedRequest& request, const TargetSearch& search,
+                                                     TimePoint wait_until);
   /// Asks the leader for a permit at one of the rate-limited servers of the choice. Returns nothing if there is no
   /// permit and another server may take the request.
   boost::asio::awaitable<std::optional<FoundTarget>> request_rate_permit(RelayedRequest& request,
+                                                                         const TargetSearch& search,
                                                                          const fleet::DispatchDecision& choice,
                                                                          TimePoint wait_until);
   /// Returns the refusal for a request that has no target, or nothing if it may wait longer.
@@ -51,8 +67,9 @@
   /// The refusal of a request that the leader refused. `cause` is its title if the leader names a time to retry.
   Refusal refusal_from_grant(const wire::SlotGrant& grant, const char* cause) const;
   /// Returns until when a request may wait for a target.
-  static TimePoint wait_deadline(const RelayedRequest& request);
-  wire::SlotRequest make_slot_request(RelayedRequest& request, TimePoint now, TimePoint wait_until) const;
+  static TimePoint wait_deadline(const RelayedRequest& request, const TargetSearch& search);
+  wire::SlotRequest make_slot_request(RelayedRequest& request, const TargetSearch& search, TimePoint now,
+                                      TimePoint wait_until) const;
 
   boost::asio::any_io_executor executor_;
   EntryState& state_;
