Log why the leader gives up a group, and how long it was silent

The logs tell that a group was dissolved because "entries report a failure". They don't tell whether the leader concluded it from silent streams or from the entries' failure reports, which entries reported it, and how long the group had been silent by then: of the cut streams of silent servers nobody can say which suspicion cut them.

The leader returns one event for each group that it gives up, and the control process logs it as group_given_up with cause, silent_ms and entries. GroupStallDetector::find_stall returns the evidence that is_stalled only used. No decision changes.

--- a/src/core/fleet/entry_reports.cc
+++ b/src/core/fleet/entry_reports.cc
@@ -90,10 +90,19 @@
   return result;
 }
 
-size_t EntryReports::count_failure_reporters(TimePoint now, const std::string& group) {
+std::vector<std::string> EntryReports::failure_reporters(TimePoint now, const std::string& group) {
   auto& reporters = failure_reports_[group];
   std::erase_if(reporters, [now](const auto& item) { return now - item.second > kFailureReportRetention; });
-  return reporters.size();
+  std::vector<std::string> result;
+  for (const auto& [node, reported_at] : reporters) {
+    result.push_back(node);
+  }
+  return result;
+}
+
+Duration EntryReports::silence_duration(TimePoint now, const std::string& group) const {
+  const auto progress = last_progress_.find(group);
+  return progress == last_progress_.end() ? Duration::zero() : now - progress->second;
 }
 
 bool EntryReports::has_recent_progress(TimePoint now, const std::string& group) const {
--- a/src/core/fleet/entry_reports.h
+++ b/src/core/fleet/entry_reports.h
@@ -31,7 +31,7 @@
                                          const Predicate& has_silent_member) {
     std::vector<std::string> result;
     for (const auto& failure : report.failures) {
-      const bool is_confirmed = count_failure_reporters(now, failure.group) >= 2 || has_silent_member(failure.group);
+      const bool is_confirmed = failure_reporters(now, failure.group).size() >= 2 || has_silent_member(failure.group);
       if (is_confirmed && !has_recent_progress(now, failure.group)) {
         result.push_back(failure.group);
       }
@@ -39,6 +39,11 @@
     return result;
   }
 
+  /// The entries that recently reported the group as failed.
+  std::vector<std::string> failure_reporters(TimePoint now, const std::string& group);
+  /// Time since the group last made progress for any entry; zero if none reported any.
+  Duration silence_duration(TimePoint now, const std::string& group) const;
+
  private:
   struct Entry {
     int64_t incarnation = 0;
@@ -46,7 +51,6 @@
     std::map<std::string, wire::GroupLoad> loads;
   };
 
-  size_t count_failure_reporters(TimePoint now, const std::string& group);
   bool has_recent_progress(TimePoint now, const std::string& group) const;
 
   std::map<std::string, Entry> entries_;
--- a/src/core/fleet/fleet_controller.cc
+++ b/src/core/fleet/fleet_controller.cc
@@ -401,6 +401,8 @@
   }
   outputs_.orders.insert(outputs_.orders.end(), outputs.orders.begin(), outputs.orders.end());
   outputs_.decisions.insert(outputs_.decisions.end(), outputs.decisions.begin(), outputs.decisions.end());
+  outputs_.suspicion_events.insert(outputs_.suspicion_events.end(), outputs.suspicion_events.begin(),
+                                   outputs.suspicion_events.end());
   outputs_.plain_speed_changes.insert(outputs_.plain_speed_changes.end(), outputs.plain_speed_changes.begin(),
                                       outputs.plain_speed_changes.end());
 }
--- a/src/core/fleet/fleet_controller.h
+++ b/src/core/fleet/fleet_controller.h
@@ -27,6 +27,8 @@
   std::vector<GroupDecision> decisions;
   /// Plain servers that began or ceased to count as slow; to be logged.
   std::vector<PlainServerSpeedChange> plain_speed_changes;
+  /// Conclusions about groups that failed or seem to have failed; to be logged.
+  std::vector<SuspicionEvent> suspicion_events;
   /// Replies to calls that were submitted with `FleetController::submit_call`.
   std::vector<wire::ControlCallReply> replies;
   /// Instance reports that this replica rejected, with the instance id; to be logged.
--- a/src/core/fleet/fleet_leader.cc
+++ b/src/core/fleet/fleet_leader.cc
@@ -119,7 +119,14 @@
     });
   };
   for (const auto& group : entry_reports_.failed_groups(now, report, has_silent_member)) {
-    group_supervisor_.note_failure(group);
+    give_up_group({SuspicionStep::kGivenUp, group, SuspicionCause::kEntriesReportFailure,
+                   entry_reports_.silence_duration(now, group), entry_reports_.failure_reporters(now, group)});
+  }
+}
+
+void FleetLeader::give_up_group(SuspicionEvent conclusion) {
+  if (group_supervisor_.note_failure(conclusion.group)) {
+    outputs_.suspicion_events.push_back(std::move(conclusion));
   }
 }
 
@@ -358,9 +365,10 @@
   }
   std::map<std::string, wire::SlotAnswer> answers;
   for (const auto& group : slot_scheduler_.find_failed_groups(now, *log.parsed_document())) {
-    group_supervisor_.note_failure(group);
-    for (const auto& node : slot_scheduler_.nodes_using_group(group)) {
-      answers[node].failed_groups.push_back(group);
+    give_up_group({SuspicionStep::kGivenUp, group.name, SuspicionCause::kStreamsSilent,
+                   now - group.streams.silent_since, group.streams.entries});
+    for (const auto& node : slot_scheduler_.nodes_using_group(group.name)) {
+      answers[node].failed_groups.push_back(group.name);
     }
   }
   for (auto& [node, answer] : answers) {
--- a/src/core/fleet/fleet_leader.h
+++ b/src/core/fleet/fleet_leader.h
@@ -15,6 +15,7 @@
 #include "core/fleet/fleet_options.h"
 #include "core/fleet/fleet_subscription.h"
 #include "core/fleet/group_supervisor.h"
+#include "core/fleet/group_suspicion_event.h"
 #include "core/fleet/instance_directory.h"
 #include "core/fleet/server_limits.h"
 #include "core/fleet/slot_scheduler.h"
@@ -48,6 +49,8 @@
     std::vector<wire::Envelope> envelopes;
     std::vector<InstanceOrder> orders;
     std::vector<GroupDecision> decisions;
+    /// What the leader concluded about groups that failed or seem to have failed; to be logged.
+    std::vector<SuspicionEvent> suspicion_events;
     /// Plain servers that began or ceased to count as slow; to be logged.
     std::vector<PlainServerSpeedChange> plain_speed_changes;
     std::optional<wire::ReplicaSet> proposed_replicas;
@@ -166,6 +169,8 @@
   void remove_timed_out_entries(TimePoint now);
   /// Dissolves groups that several entries report as stalled and notifies the entries that use them.
   void fail_stalled_groups(TimePoint now, const FleetLog& log);
+  /// Dissolves a group that failed.
+  void give_up_group(SuspicionEvent conclusion);
   void update_loads(TimePoint now);
 
   FleetOptions options_;
--- a/src/core/fleet/group_stall_detector.cc
+++ b/src/core/fleet/group_stall_detector.cc
@@ -1,6 +1,7 @@
 #include "core/fleet/group_stall_detector.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace larchlever::fleet {
 
@@ -74,21 +75,26 @@
   return static_cast<size_t>(reporting_entries) >= kMinQuietReports;
 }
 
-bool GroupStallDetector::is_stalled(TimePoint now, const std::string& group, Duration longest_pass) const {
+std::optional<StalledStreams> GroupStallDetector::find_stall(TimePoint now, const std::string& group,
+                                                             Duration longest_pass) const {
   const auto found = groups_.find(group);
   if (found == groups_.end()) {
-    return false;
+    return std::nullopt;
   }
   const Duration min_report_age = longest_pass * kMaxPassPercent / 100 + kPassSlack - kSilenceBeforeReport;
   const auto& [streams, quiet] = found->second;
-  size_t reporting_entries = 0;
+  StalledStreams stalled;
+  stalled.silent_since = TimePoint::min();
   for (const auto& [node, report] : quiet) {
-    const bool counts =
-        streams.contains(node) && now - report.last_at < kReportTimeout && now - report.first_at >= min_report_age;
-    reporting_entries += counts ? 1 : 0;
+    if (streams.contains(node) && now - report.last_at < kReportTimeout && now - report.first_at >= min_report_age) {
+      stalled.entries.push_back(node);
+      stalled.silent_since = std::max(stalled.silent_since, report.first_at - kSilenceBeforeReport);
+    }
   }
-  return reporting_entries >= kMinStallReports &&
-         static_cast<double>(reporting_entries) >= kMinStallReportShare * static_cast<double>(streams.size());
+  const bool is_stalled =
+      stalled.entries.size() >= kMinStallReports &&
+      static_cast<double>(stalled.entries.size()) >= kMinStallReportShare * static_cast<double>(streams.size());
+  return is_stalled ? std::optional(std::move(stalled)) : std::nullopt;
 }
 
 std::vector<std::string> GroupStallDetector::quiet_groups() const {
--- a/src/core/fleet/group_stall_detector.h
+++ b/src/core/fleet/group_stall_detector.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <map>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -8,6 +9,14 @@
 
 namespace larchlever::fleet {
 
+/// Streams of a group that stopped at most entries.
+struct StalledStreams {
+  /// When the streams stopped at the last of `entries`.
+  TimePoint silent_since{};
+  /// The entries that report it.
+  std::vector<std::string> entries;
+};
+
 /// Detects from reports of the entries that a group has stalled.
 ///
 /// Load pattern: a member crashes, and all streams of its group stop from one engine pass (the step that produces the
@@ -29,7 +38,11 @@
   bool is_quiet(TimePoint now, const std::string& group) const;
   /// Most entries with streams there report the group as quiet, for longer than a pass should take. `longest_pass` is
   /// the longest pause of its streams by the cost model.
-  bool is_stalled(TimePoint now, const std::string& group, Duration longest_pass) const;
+  bool is_stalled(TimePoint now, const std::string& group, Duration longest_pass) const {
+    return find_stall(now, group, longest_pass).has_value();
+  }
+  /// The same with the evidence; nullopt if the group is not stalled.
+  std::optional<StalledStreams> find_stall(TimePoint now, const std::string& group, Duration longest_pass) const;
   /// Groups that at least one entry reports as quiet.
   std::vector<std::string> quiet_groups() const;
 
--- a/src/core/fleet/group_supervisor.cc
+++ b/src/core/fleet/group_supervisor.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <string_view>
+#include <utility>
 
 #include "core/base/http_status.h"
 
@@ -170,10 +171,9 @@
   return records_.erase(item);
 }
 
-void GroupSupervisor::note_failure(const std::string& group) {
-  if (const auto found = records_.find(group); found != records_.end()) {
-    found->second.failure_reported = true;
-  }
+bool GroupSupervisor::note_failure(const std::string& group) {
+  const auto found = records_.find(group);
+  return found != records_.end() && !std::exchange(found->second.failure_reported, true);
 }
 
 void GroupSupervisor::order_result(TimePoint now, const InstanceOrderResult& result) {
--- a/src/core/fleet/group_supervisor.h
+++ b/src/core/fleet/group_supervisor.h
@@ -100,8 +100,8 @@
   /// Adds groups that earlier leaders released; instances that still report one of them are free. Names from state
   /// copies of any age are valid, since a released group never exists again.
   void add_released_groups(const std::vector<std::string>& names);
-  /// An entry reported that the group's head failed or stalled.
-  void note_failure(const std::string& group);
+  /// An entry reported that the group's head failed or stalled. Returns true for the first such report.
+  bool note_failure(const std::string& group);
   /// Sets the number of in-flight requests per group, over all entries.
   void note_loads(std::map<std::string, int> in_flight) { in_flight_ = std::move(in_flight); }
   /// Enables the rate limit on weight loads, which does not apply before the first request.
--- /dev/null
+++ b/src/core/fleet/group_suspicion_event.h
@@ -0,0 +1,33 @@
+#pragma once
+
+#include <string>
+#include <vector>
+
+#include "core/base/time.h"
+
+namespace larchlever::fleet {
+
+/// Why the leader doubts a group.
+enum class SuspicionCause {
+  kStreamsSilent,         ///< Most entries with streams there report them as overdue.
+  kEntriesReportFailure,  ///< Entries report that the head failed.
+};
+const char* to_string(SuspicionCause cause);
+
+/// What the leader concluded about a group.
+enum class SuspicionStep {
+  kGivenUp,  ///< The group is dissolved.
+};
+
+/// One conclusion of the leader about a group that failed or seems to have failed, for the log.
+struct SuspicionEvent {
+  SuspicionStep step = SuspicionStep::kGivenUp;
+  std::string group;
+  SuspicionCause cause = SuspicionCause::kStreamsSilent;
+  /// How long the group had been silent, as far as the leader knows.
+  Duration silent_for{};
+  /// The entries whose reports led to the conclusion.
+  std::vector<std::string> entries;
+};
+
+}  // namespace larchlever::fleet
--- a/src/core/fleet/slot_scheduler.cc
+++ b/src/core/fleet/slot_scheduler.cc
@@ -101,9 +101,9 @@
   }
 }
 
-std::vector<std::string> SlotScheduler::find_failed_groups(TimePoint now,
-                                                           const document::ConfigurationDocument& document) {
-  std::vector<std::string> result;
+std::vector<StalledGroup> SlotScheduler::find_failed_groups(TimePoint now,
+                                                            const document::ConfigurationDocument& document) {
+  std::vector<StalledGroup> result;
   for (const auto& name : silence_watch_.quiet_groups()) {
     const auto found = groups_.find(name);
     if (found == groups_.end() || !found->second.is_open) {
@@ -117,10 +117,10 @@
     apply_pace(now, name, group);
     const auto next = group.pass_clock.forecast(now, *engine, *model, group.in_flight, 0);
     const Duration longest_pass = std::max(next.longest_pass, group.pass_clock.longest_recent_pass());
-    if (silence_watch_.is_stalled(now, name, longest_pass)) {
+    if (auto streams = silence_watch_.find_stall(now, name, longest_pass)) {
       group.has_failed = true;
       group.is_open = false;
-      result.push_back(name);
+      result.push_back({name, std::move(*streams)});
     }
   }
   if (!result.empty()) {
--- a/src/core/fleet/slot_scheduler.h
+++ b/src/core/fleet/slot_scheduler.h
@@ -35,6 +35,12 @@
   wire::SlotGrant grant;
 };
 
+/// A group whose streams stopped.
+struct StalledGroup {
+  std::string name;
+  StalledStreams streams;
+};
+
 /// The leader's admission control for engine groups: grants group slots to the requests of all entries, one by one.
 ///
 /// Each entry knows its own requests, but the requests of other entries only with a delay, so entries that decided
@@ -92,7 +98,7 @@
     silence_watch_.note_quiet(now, node, groups);
   }
   /// Returns the groups found to be stalled since the last call. They get no more requests.
-  std::vector<std::string> find_failed_groups(TimePoint now, const document::ConfigurationDocument& document);
+  std::vector<StalledGroup> find_failed_groups(TimePoint now, const document::ConfigurationDocument& document);
   /// Nodes that have requests or unreported grants at the group.
   std::vector<std::string> nodes_using_group(const std::string& group) const;
   /// Removes a lost node with its requests and load.
--- a/src/node/control_process.cc
+++ b/src/node/control_process.cc
@@ -326,6 +326,9 @@
   for (const auto& decision : outputs.decisions) {
     change_logger_.log_group_change(decision);
   }
+  for (const auto& event : outputs.suspicion_events) {
+    change_logger_.log_suspicion(event);
+  }
   for (const auto& change : outputs.plain_speed_changes) {
     change_logger_.log_speed_change(change);
   }
--- a/src/node/fleet_change_logger.cc
+++ b/src/node/fleet_change_logger.cc
@@ -13,6 +13,14 @@
 /// Minimum time between two log lines about refused reports.
 constexpr Duration kMalformedReportLogInterval = milliseconds(200);
 
+const char* event_name(fleet::SuspicionStep step) {
+  switch (step) {
+    case fleet::SuspicionStep::kGivenUp:
+      return "group_given_up";
+  }
+  return "";
+}
+
 }  // namespace
 
 void FleetChangeLogger::log_malformed_report(TimePoint now, const std::string& instance,
@@ -41,6 +49,14 @@
              {"members", join_items(decision.group.members)}});
 }
 
+void FleetChangeLogger::log_suspicion(const fleet::SuspicionEvent& event) const {
+  log_event(node_name_, event_name(event.step),
+            {{"group", event.group},
+             {"cause", fleet::to_string(event.cause)},
+             {"silent_ms", std::to_string(event.silent_for / milliseconds(1))},
+             {"entries", join_items(event.entries)}});
+}
+
 void FleetChangeLogger::log_speed_change(const fleet::PlainServerSpeedChange& change) const {
   log_event(node_name_, change.is_slow ? "plain_server_slow" : "plain_server_no_longer_slow",
             {{"instance", change.incarnation},
--- a/src/node/fleet_change_logger.h
+++ b/src/node/fleet_change_logger.h
@@ -19,6 +19,7 @@
   explicit FleetChangeLogger(std::string name) : node_name_(std::move(name)) {}
 
   void log_group_change(const fleet::GroupDecision& decision) const;
+  void log_suspicion(const fleet::SuspicionEvent& event) const;
   void log_speed_change(const fleet::PlainServerSpeedChange& change) const;
   /// Logs that a report of an instance was refused. Rate-limited to a few lines a second, each with the total refused
   /// so far.
--- a/tests/unit/group_stall_detector_test.cc
+++ b/tests/unit/group_stall_detector_test.cc
@@ -39,6 +39,20 @@
   EXPECT_TRUE(detector.quiet_groups().empty());
 }
 
+// Guards against a log that blames a stall on entries that saw none, or that hides how long the streams were silent.
+TEST(GroupStallDetector, StatesWhoReportsAStallAndSinceWhen) {
+  auto detector = detector_with_streams(4);
+  for (int number = 0; number < 3; ++number) {
+    detector.note_quiet(kStart + milliseconds(10 * number), entry(number), {"g"});
+  }
+  const auto stall = detector.find_stall(kStart + milliseconds(200), "g", kPass);
+  ASSERT_TRUE(stall);
+  EXPECT_EQ(stall->entries, (std::vector<std::string>{entry(0), entry(1), entry(2)}));
+  EXPECT_EQ(stall->silent_since, kStart + milliseconds(20) - milliseconds(80))
+      << "streams are overdue for 80 ms when they are first reported";
+  EXPECT_FALSE(detector.find_stall(kStart + milliseconds(200), "other", kPass));
+}
+
 TEST(GroupStallDetector, TwoEntriesAreNotEnoughForAStall) {
   auto detector = detector_with_streams(2);
   detector.note_quiet(kStart, entry(0), {"g"});
