Entries tell the leader whether a group refused them or was only silent

Entries report every group that they avoid, and two reports dissolve it. They avoid groups whose head refused or reset a connection, but also groups that did not answer in time, or that the leader called stalled: the report does not tell these apart, and an attempt that the entry cancelled itself counted as a failed connection of its server too.

A target's health keeps the evidence for its avoidance. GroupFailure gets the optional field is_silence: no connection failed. An avoidance for mere silence ends with the next progress, so a group that goes on is used again at once.

Old leaders ignore the field, and reports without it count as before. The leader does not use the field yet.

Evidence: Dispatcher.ReportsWhetherAGroupIsAvoidedForSilenceOnly and Dispatcher.AvoidanceForSilenceEndsWithProgress; on the old code the former does not compile (no field), and its avoidance lasts two seconds whatever the group does.

--- a/src/core/fleet/dispatcher.cc
+++ b/src/core/fleet/dispatcher.cc
@@ -495,12 +495,12 @@
   mark_load_changed(target);
 }
 
-bool Dispatcher::note_failure(TimePoint now, const DispatchTarget& target) {
+bool Dispatcher::note_failure(TimePoint now, const DispatchTarget& target, FailureEvidence evidence) {
   TargetHealth& health = health_[target.key];
   if (health.progressed_within(now, kRecentProgressAge)) {
     return false;
   }
-  health.avoid_until(now + kAvoidanceTime);
+  health.avoid_until(now + kAvoidanceTime, evidence);
   return true;
 }
 
@@ -578,6 +578,9 @@
       if (head != nullptr && links_.explains_failure(now, {head->address, head->zone})) {
         failure.__set_is_own_link_suspected(true);
       }
+      if (health->second.is_avoided_for_silence(now)) {
+        failure.__set_is_silence(true);
+      }
       result.push_back(std::move(failure));
     }
   }
--- a/src/core/fleet/dispatcher.h
+++ b/src/core/fleet/dispatcher.h
@@ -172,8 +172,9 @@
   /// The first event of the attempt arrived.
   void note_first_event(TimePoint now, const DispatchTarget& target, AttemptState& attempt);
   /// The target refused or reset the connection, or stalled. Returns true if the target is now avoided; its other
-  /// in-flight requests will not be answered either.
-  bool note_failure(TimePoint now, const DispatchTarget& target);
+  /// in-flight requests will probably not be answered either.
+  bool note_failure(TimePoint now, const DispatchTarget& target,
+                    FailureEvidence evidence = FailureEvidence::kConnection);
 
   /// Groups where requests of this entry are in flight but none made progress for longer than `base_timeout` plus
   /// `timeout_per_request` for each of them: a group that gets many requests at once first processes all their prompts.
@@ -208,8 +209,10 @@
   std::optional<TimePoint> all_backing_off_until(TimePoint now, const std::string& service,
                                                  const std::string& model) const;
 
-  /// Avoids the target for `kAvoidanceTime`.
-  void avoid_target(TimePoint now, const std::string& key) { health_[key].avoid_until(now + kAvoidanceTime); }
+  /// Avoids the target for `kAvoidanceTime`; if it is only silent, at most until it makes progress.
+  void avoid_target(TimePoint now, const std::string& key, FailureEvidence evidence = FailureEvidence::kSilence) {
+    health_[key].avoid_until(now + kAvoidanceTime, evidence);
+  }
 
   /// This entry's share of the budget for retries.
   RetryBudget& retry_budget() { return retry_budget_; }
--- a/src/core/fleet/dispatcher_links.cc
+++ b/src/core/fleet/dispatcher_links.cc
@@ -61,10 +61,10 @@
     if (instance.address != address) {
       continue;
     }
-    health_[incarnation_name(instance)].avoid_until(TimePoint::min());
+    health_[incarnation_name(instance)].stop_avoiding();
     for (const auto& group : groups_) {
       if (group.members.front() == id) {
-        health_[group.name].avoid_until(TimePoint::min());
+        health_[group.name].stop_avoiding();
       }
     }
   }
--- a/src/core/fleet/target_health.cc
+++ b/src/core/fleet/target_health.cc
@@ -43,6 +43,18 @@
   stream_pauses_.clear();
 }
 
+void TargetHealth::avoid_until(TimePoint until, FailureEvidence evidence) {
+  avoid_until_ = until;
+  if (evidence == FailureEvidence::kConnection) {
+    connection_failed_until_ = until;
+  }
+}
+
+void TargetHealth::stop_avoiding() {
+  avoid_until_ = TimePoint::min();
+  connection_failed_until_ = TimePoint::min();
+}
+
 void TargetHealth::end_attempt(const AttemptState& attempt) {
   in_flight_ = std::max(0, in_flight_ - 1);
   ++permits_;
@@ -59,6 +71,9 @@
 std::optional<Duration> TargetHealth::note_progress(TimePoint now) {
   const TimePoint previous = std::max(streaming_since_, last_progress_);
   last_progress_ = now;
+  if (is_avoided_for_silence(now)) {
+    stop_avoiding();
+  }
   if (streaming_ == 0) {
     return std::nullopt;
   }
--- a/src/core/fleet/target_health.h
+++ b/src/core/fleet/target_health.h
@@ -9,6 +9,12 @@
 
 namespace larchlever::fleet {
 
+/// What shows that a target failed.
+enum class FailureEvidence {
+  kConnection,  ///< It refused or reset a connection, or its end was seen otherwise.
+  kSilence,     ///< It did not answer in time. Sound servers may be silent too.
+};
+
 /// State of one request attempt, from dispatch to completion.
 struct AttemptState {
   double prompt_tokens = 0;
@@ -46,7 +52,9 @@
   StreamPauses& stream_pauses() { return stream_pauses_; }
   /// Measures silence and pauses from now on, because this entry was paused until now and read no responses.
   void restart_silence_timer(TimePoint now);
-  void avoid_until(TimePoint until) { avoid_until_ = until; }
+  /// Avoids the target until `until`; if it is only silent, at most until it makes progress.
+  void avoid_until(TimePoint until, FailureEvidence evidence);
+  void stop_avoiding();
 
   int in_flight() const { return in_flight_; }
   int streaming() const { return streaming_; }
@@ -56,6 +64,8 @@
   double total_waiting_tokens() const { return waiting_tokens_ + other_entries_.waiting_tokens; }
   TimePoint last_progress() const { return last_progress_; }
   bool is_avoided(TimePoint now) const { return now < avoid_until_; }
+  /// It is avoided only because it did not answer in time.
+  bool is_avoided_for_silence(TimePoint now) const { return is_avoided(now) && now >= connection_failed_until_; }
   bool progressed_within(TimePoint now, Duration age) const;
   /// There are active streams, but none produced an event for longer than `longest_pause`. Uses the other entries'
   /// reports if this entry has no stream there.
@@ -81,6 +91,8 @@
   requests::LatencyEstimate pause_estimate_;
   StreamPauses stream_pauses_;
   TimePoint avoid_until_ = TimePoint::min();
+  /// Until when the target is avoided because a connection failed.
+  TimePoint connection_failed_until_ = TimePoint::min();
   OtherEntriesLoad other_entries_;
 };
 
--- a/src/net/http_client.cc
+++ b/src/net/http_client.cc
@@ -249,6 +249,7 @@
     if (error) {
       ++self->stats.failed_requests;
       result.error = "cannot connect to " + endpoint + ": " + error.message();
+      result.timed_out = error == beast::error::timeout;
       co_return result;
     }
     ++self->stats.connections;
@@ -273,6 +274,7 @@
   if (write_error) {
     ++self->stats.failed_requests;
     result.error = "sending to " + endpoint + " failed: " + write_error.message();
+    result.timed_out = write_error == beast::error::timeout;
     co_return result;
   }
   auto parser = std::make_unique<Parser>();
@@ -284,6 +286,7 @@
   if (read_error) {
     ++self->stats.failed_requests;
     result.error = "no response from " + endpoint + ": " + read_error.message();
+    result.timed_out = read_error == beast::error::timeout;
     co_return result;
   }
   result.state = SendState::kResponseStarted;
--- a/src/net/http_client.h
+++ b/src/net/http_client.h
@@ -52,6 +52,8 @@
   std::unique_ptr<ClientStream> stream;
   SendState state = SendState::kNotSent;
   std::string error;
+  /// The failure is that something did not happen in time.
+  bool timed_out = false;
 };
 
 /// Cancels a request while it is connecting, waiting for the response head or reading the body.
--- a/src/node/blocked_request_guard.cc
+++ b/src/node/blocked_request_guard.cc
@@ -192,7 +192,9 @@
     }
     const TimePoint now = monotonic_now();
     if (const auto ended = lost_responses_.note_probe(now, target.incarnation, to_look(state))) {
-      state_.dispatcher.avoid_target(now, target.key);
+      const bool is_proved = ended->certainty == fleet::CrashCertainty::kConfirmed;
+      state_.dispatcher.avoid_target(
+          now, target.key, is_proved ? fleet::FailureEvidence::kConnection : fleet::FailureEvidence::kSilence);
       co_await record_end_seen_here(target, *ended);
     }
   }
--- a/src/node/in_flight_attempts.cc
+++ b/src/node/in_flight_attempts.cc
@@ -55,8 +55,9 @@
   }
 }
 
-void InFlightAttempts::note_failure(const fleet::DispatchTarget& target, TimePoint now) {
-  if (!state_.dispatcher.note_failure(now, target)) {
+void InFlightAttempts::note_failure(const fleet::DispatchTarget& target, TimePoint now,
+                                    fleet::FailureEvidence evidence) {
+  if (!state_.dispatcher.note_failure(now, target, evidence)) {
     return;
   }
   ++state_.counters.stalls;
--- a/src/node/in_flight_attempts.h
+++ b/src/node/in_flight_attempts.h
@@ -25,7 +25,8 @@
   void add_attempt(RelayAttempt& attempt);
   void remove_attempt(RelayAttempt& attempt);
   /// Records a failed attempt. If it suggests that the target is dead, all other attempts there are suspected.
-  void note_failure(const fleet::DispatchTarget& target, TimePoint now);
+  void note_failure(const fleet::DispatchTarget& target, TimePoint now,
+                    fleet::FailureEvidence evidence = fleet::FailureEvidence::kConnection);
   /// Suspects attempts at groups that have stalled, and attempts that wait too long. Call every few ticks.
   void suspect_silent(TimePoint now);
   /// Suspects attempts at a group that the leader found to be stalled.
--- a/src/node/request_relay_attempts.cc
+++ b/src/node/request_relay_attempts.cc
@@ -125,7 +125,8 @@
     }
     // The route may allow only one more attempt at a server.
     request.failed_connections += was_sent ? kFailedConnectionsUntilRelay : 1;
-    in_flight_attempts_.note_failure(target, now);
+    in_flight_attempts_.note_failure(
+        target, now, opened.timed_out ? fleet::FailureEvidence::kSilence : fleet::FailureEvidence::kConnection);
     if (was_sent) {
       blocked_request_guard_.note_lost_response(request, target);
     }
--- a/src/wire/gen-cpp/larchlever_types.cpp
+++ b/src/wire/gen-cpp/larchlever_types.cpp
@@ -14260,6 +14260,11 @@
   this->is_own_link_suspected = val;
 __isset.is_own_link_suspected = true;
 }
+
+void GroupFailure::__set_is_silence(const bool val) {
+  this->is_silence = val;
+__isset.is_silence = true;
+}
 std::ostream& operator<<(std::ostream& out, const GroupFailure& obj)
 {
   obj.printTo(out);
@@ -14304,6 +14309,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->is_silence);
+          this->__isset.is_silence = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -14330,6 +14343,11 @@
     xfer += oprot->writeBool(this->is_own_link_suspected);
     xfer += oprot->writeFieldEnd();
   }
+  if (this->__isset.is_silence) {
+    xfer += oprot->writeFieldBegin("is_silence", ::apache::thrift::protocol::T_BOOL, 4);
+    xfer += oprot->writeBool(this->is_silence);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -14339,28 +14357,33 @@
   using ::std::swap;
   swap(a.group, b.group);
   swap(a.is_own_link_suspected, b.is_own_link_suspected);
+  swap(a.is_silence, b.is_silence);
   swap(a.__isset, b.__isset);
 }
 
 GroupFailure::GroupFailure(const GroupFailure& other576) {
   group = other576.group;
   is_own_link_suspected = other576.is_own_link_suspected;
+  is_silence = other576.is_silence;
   __isset = other576.__isset;
 }
 GroupFailure::GroupFailure(GroupFailure&& other577) noexcept {
   group = std::move(other577.group);
   is_own_link_suspected = other577.is_own_link_suspected;
+  is_silence = other577.is_silence;
   __isset = other577.__isset;
 }
 GroupFailure& GroupFailure::operator=(const GroupFailure& other578) {
   group = other578.group;
   is_own_link_suspected = other578.is_own_link_suspected;
+  is_silence = other578.is_silence;
   __isset = other578.__isset;
   return *this;
 }
 GroupFailure& GroupFailure::operator=(GroupFailure&& other579) noexcept {
   group = std::move(other579.group);
   is_own_link_suspected = other579.is_own_link_suspected;
+  is_silence = other579.is_silence;
   __isset = other579.__isset;
   return *this;
 }
@@ -14369,6 +14392,7 @@
   out << "GroupFailure(";
   out << "group=" << to_string(group);
   out << ", " << "is_own_link_suspected="; (__isset.is_own_link_suspected ? (out << to_string(is_own_link_suspected)) : (out << "<null>"));
+  out << ", " << "is_silence="; (__isset.is_silence ? (out << to_string(is_silence)) : (out << "<null>"));
   out << ")";
 }
 
--- a/src/wire/gen-cpp/larchlever_types.h
+++ b/src/wire/gen-cpp/larchlever_types.h
@@ -5521,9 +5521,10 @@
 std::ostream& operator<<(std::ostream& out, const ModelDemand& obj);
 
 typedef struct _GroupFailure__isset {
-  _GroupFailure__isset() : group(false), is_own_link_suspected(false) {}
+  _GroupFailure__isset() : group(false), is_own_link_suspected(false), is_silence(false) {}
   bool group :1;
   bool is_own_link_suspected :1;
+  bool is_silence :1;
 } _GroupFailure__isset;
 
 /**
@@ -5538,7 +5539,8 @@
   GroupFailure& operator=(GroupFailure&&) noexcept;
   GroupFailure() noexcept
                : group(),
-                 is_own_link_suspected(0) {
+                 is_own_link_suspected(0),
+                 is_silence(0) {
   }
 
   virtual ~GroupFailure() noexcept;
@@ -5548,6 +5550,11 @@
    * on these links.
    */
   bool is_own_link_suspected;
+  /**
+   * The entry only waited too long for an answer; no connection was refused or reset. Silence alone is no failure: it
+   * counts as proof only beside independent evidence.
+   */
+  bool is_silence;
 
   _GroupFailure__isset __isset;
 
@@ -5555,6 +5562,8 @@
 
   void __set_is_own_link_suspected(const bool val);
 
+  void __set_is_silence(const bool val);
+
   bool operator == (const GroupFailure & rhs) const
   {
     if (!(group == rhs.group))
@@ -5563,6 +5572,10 @@
       return false;
     else if (__isset.is_own_link_suspected && !(is_own_link_suspected == rhs.is_own_link_suspected))
       return false;
+    if (__isset.is_silence != rhs.__isset.is_silence)
+      return false;
+    else if (__isset.is_silence && !(is_silence == rhs.is_silence))
+      return false;
     return true;
   }
   bool operator != (const GroupFailure &rhs) const {
@@ -6492,7 +6505,8 @@
   int64_t term;
   std::vector<SlotGrant>  grants;
   /**
-   * Groups that have stalled according to several entries. Their in-flight requests must be sent elsewhere.
+   * Groups that have stalled according to several entries. Another place must be found for their in-flight requests;
+   * the groups may still go on with them.
    */
   std::vector<std::string>  failed_groups;
 
--- a/src/wire/larchlever.thrift
+++ b/src/wire/larchlever.thrift
@@ -691,6 +691,11 @@
    * on these links.
    */
   3: optional bool is_own_link_suspected,
+  /**
+   * The entry only waited too long for an answer; no connection was refused or reset. Silence alone is no failure: it
+   * counts as proof only beside independent evidence.
+   */
+  4: optional bool is_silence,
 }
 
 /** An entry that relays requests of other entries to servers. */
@@ -863,7 +868,10 @@
 struct SlotAnswer {
   1: i64 term,
   2: list<SlotGrant> grants,
-  /** Groups that have stalled according to several entries. Their in-flight requests must be sent elsewhere. */
+  /**
+   * Groups that have stalled according to several entries. Another place must be found for their in-flight requests;
+   * the groups may still go on with them.
+   */
   3: list<string> failed_groups,
 }
 
--- a/tests/unit/fleet_test.cc
+++ b/tests/unit/fleet_test.cc
@@ -517,6 +517,40 @@
       << "it made progress for another request";
 }
 
+// Guards against time-outs that the leader takes for refused connections, and against the reverse.
+TEST(Dispatcher, ReportsWhetherAGroupIsAvoidedForSilenceOnly) {
+  Dispatcher dispatcher(FleetOptions(), "z", 1);
+  dispatcher.update_state(state_with_two_groups());
+  const DispatchTarget target{"g0", "s", "g0", "i0", "a:0"};
+  const auto is_silence = [&dispatcher](TimePoint now) {
+    const auto failures = dispatcher.group_failures(now);
+    return failures.size() == 1 && failures.front().is_silence;
+  };
+  dispatcher.avoid_target(kStart, "g0");
+  EXPECT_TRUE(is_silence(kStart));
+  EXPECT_TRUE(dispatcher.note_failure(kStart + seconds(1), target));
+  EXPECT_FALSE(is_silence(kStart + seconds(1))) << "a failed connection is more than silence";
+  dispatcher.note_failure(kStart + seconds(2), target, FailureEvidence::kSilence);
+  EXPECT_FALSE(is_silence(kStart + seconds(2))) << "later silence does not undo it";
+  EXPECT_TRUE(is_silence(kStart + milliseconds(3500))) << "only the silence is recent";
+}
+
+// Guards against a group that an entry shuns for two seconds although it goes on after a shorter silence.
+TEST(Dispatcher, AvoidanceForSilenceEndsWithProgress) {
+  Dispatcher dispatcher(FleetOptions(), "z", 1);
+  dispatcher.update_state(state_with_two_groups());
+  const DispatchTarget target{"g0", "s", "g0", "i0", "a:0"};
+  dispatcher.begin_attempt(kStart, target);
+  dispatcher.avoid_target(kStart + seconds(1), "g0");
+  EXPECT_EQ(dispatcher.groups_to_avoid(kStart + seconds(1), "s", "m"), std::vector<std::string>{"g0"});
+  dispatcher.note_progress(kStart + milliseconds(1200), target);
+  EXPECT_TRUE(dispatcher.groups_to_avoid(kStart + milliseconds(1200), "s", "m").empty());
+  EXPECT_TRUE(dispatcher.group_failures(kStart + milliseconds(1200)).empty());
+  dispatcher.avoid_target(kStart + seconds(2), "g0", FailureEvidence::kConnection);
+  dispatcher.note_progress(kStart + milliseconds(2100), target);
+  EXPECT_EQ(dispatcher.group_failures(kStart + milliseconds(2100)).size(), 1U) << "a failed connection is evidence";
+}
+
 TEST(Dispatcher, ReportsGroupQuietWhenStreamGapExceedsObjective) {
   Dispatcher dispatcher(FleetOptions(), "z", 1);
   dispatcher.update_state(state_with_two_groups());
