Suspect a silent group instead of dissolving it

Callers lost streams of sound servers that were silent for about a second: both entries of such a stream gave it up, and its first server, which would have gone on, was ordered to leave its group meanwhile.

Cause: the leader took silence for failure. A group whose streams stood still for 0.1 to 0.5 s (most entries' quiet reports), or that two entries avoided, was dissolved: all members got leave orders, which end the streams that still run there, and it was never used again.

Silence is now a suspicion. SilentGroups decides about it: - A silent group gets no requests, and the entries that use it are told, but it keeps its members and streams. With the first progress it gets requests again at once. - It is dissolved on proof (two entries report failed connections, a member's heartbeats are missing; the supervisor sees lost, replaced and broken members as before) or after 2 s of silence, which callers don't wait out. - Entries' reports with is_silence lead to a suspicion, not to dissolution, unless a member is silent. Reports that echo the leader's own suspicion don't renew it. - If all requests have moved away, no progress can show that the group is sound. It is tried again once all its members sent heartbeats after the suspicion, but only once without progress. - A new leader counts silence from its own first reports.

group_suspected and group_suspicion_ended are logged beside group_given_up; group_changed says "silent for too long".

Its requests are sent elsewhere as early as before.

--- a/src/core/fleet/entry_reports.cc
+++ b/src/core/fleet/entry_reports.cc
@@ -3,8 +3,6 @@
 #include <algorithm>
 #include <iterator>
 
-#include "core/fleet/target_health.h"
-
 namespace larchlever::fleet {
 
 namespace {
@@ -46,7 +44,8 @@
   }
   for (const auto& failure : report.failures) {
     if (!failure.is_own_link_suspected) {
-      failure_reports_[failure.group][envelope.from_node] = now;
+      const auto evidence = failure.is_silence ? FailureEvidence::kSilence : FailureEvidence::kConnection;
+      failure_reports_[failure.group][envelope.from_node] = {now, evidence};
     }
   }
   return is_new_incarnation;
@@ -90,19 +89,33 @@
   return result;
 }
 
-std::vector<std::string> EntryReports::failure_reporters(TimePoint now, const std::string& group) {
-  auto& reporters = failure_reports_[group];
-  std::erase_if(reporters, [now](const auto& item) { return now - item.second > kFailureReportRetention; });
+std::vector<std::string> EntryReports::silent_groups(TimePoint now, const wire::SlotReport& report) {
   std::vector<std::string> result;
-  for (const auto& [node, reported_at] : reporters) {
-    result.push_back(node);
+  for (const auto& failure : report.failures) {
+    const bool is_confirmed = failure_reporters(now, failure.group, FailureEvidence::kSilence).size() >= 2;
+    if (is_confirmed && !has_recent_progress(now, failure.group)) {
+      result.push_back(failure.group);
+    }
+  }
+  return result;
+}
+
+std::vector<std::string> EntryReports::failure_reporters(TimePoint now, const std::string& group,
+                                                         FailureEvidence weakest) {
+  auto& reports = failure_reports_[group];
+  std::erase_if(reports, [now](const auto& item) { return now - item.second.reported_at > kFailureReportRetention; });
+  std::vector<std::string> result;
+  for (const auto& [node, report] : reports) {
+    if (weakest == FailureEvidence::kSilence || report.evidence == FailureEvidence::kConnection) {
+      result.push_back(node);
+    }
   }
   return result;
 }
 
-Duration EntryReports::silence_duration(TimePoint now, const std::string& group) const {
+TimePoint EntryReports::last_progress(const std::string& group) const {
   const auto progress = last_progress_.find(group);
-  return progress == last_progress_.end() ? Duration::zero() : now - progress->second;
+  return progress == last_progress_.end() ? TimePoint::min() : progress->second;
 }
 
 bool EntryReports::has_recent_progress(TimePoint now, const std::string& group) const {
--- a/src/core/fleet/entry_reports.h
+++ b/src/core/fleet/entry_reports.h
@@ -6,6 +6,7 @@
 #include <vector>
 
 #include "core/base/time.h"
+#include "core/fleet/target_health.h"
 #include "larchlever_types.h"
 
 namespace larchlever::fleet {
@@ -25,13 +26,14 @@
   /// Load per group, summed over all entries.
   std::map<std::string, wire::GroupLoad> total_loads(TimePoint now) const;
   /// Groups that `report` names as failed and that made no recent progress for any entry. One reporting entry suffices
-  /// if `has_silent_member` holds for the group; otherwise two are required.
+  /// if `has_silent_member` holds for the group; otherwise two are required that saw more than silence.
   template <typename Predicate>
   std::vector<std::string> failed_groups(TimePoint now, const wire::SlotReport& report,
                                          const Predicate& has_silent_member) {
     std::vector<std::string> result;
     for (const auto& failure : report.failures) {
-      const bool is_confirmed = failure_reporters(now, failure.group).size() >= 2 || has_silent_member(failure.group);
+      const bool is_confirmed = failure_reporters(now, failure.group, FailureEvidence::kConnection).size() >= 2 ||
+                                has_silent_member(failure.group);
       if (is_confirmed && !has_recent_progress(now, failure.group)) {
         result.push_back(failure.group);
       }
@@ -39,10 +41,14 @@
     return result;
   }
 
-  /// The entries that recently reported the group as failed.
-  std::vector<std::string> failure_reporters(TimePoint now, const std::string& group);
-  /// Time since the group last made progress for any entry; zero if none reported any.
-  Duration silence_duration(TimePoint now, const std::string& group) const;
+  /// Groups that `report` names, that made no recent progress for any entry, and that at least two entries report as
+  /// failed or silent.
+  std::vector<std::string> silent_groups(TimePoint now, const wire::SlotReport& report);
+  /// The entries that recently reported the group as failed; with `FailureEvidence::kSilence` also those to which it
+  /// was only silent.
+  std::vector<std::string> failure_reporters(TimePoint now, const std::string& group, FailureEvidence weakest);
+  /// When the group last made progress for any entry; `TimePoint::min()` if none reported any.
+  TimePoint last_progress(const std::string& group) const;
 
  private:
   struct Entry {
@@ -54,8 +60,12 @@
   bool has_recent_progress(TimePoint now, const std::string& group) const;
 
   std::map<std::string, Entry> entries_;
-  /// Per group, the entries that reported its failure and the time of their last such report.
-  std::map<std::string, std::map<std::string, TimePoint>> failure_reports_;
+  struct FailureReport {
+    TimePoint reported_at{};
+    FailureEvidence evidence = FailureEvidence::kConnection;
+  };
+  /// Per group, the entries that reported its failure, with their last such report.
+  std::map<std::string, std::map<std::string, FailureReport>> failure_reports_;
   /// Per group, when it last made progress for any entry.
   std::map<std::string, TimePoint> last_progress_;
 };
--- a/src/core/fleet/fleet_leader.cc
+++ b/src/core/fleet/fleet_leader.cc
@@ -19,6 +19,19 @@
 /// How often a control replica is told which entries relay requests. They change as seldom as entries come and go.
 constexpr Duration kRelayPeerInterval = seconds(1);
 
+GroupChangeReason dissolution_reason(SuspicionCause cause) {
+  switch (cause) {
+    case SuspicionCause::kStreamsSilent:
+    case SuspicionCause::kEntriesReportSilence:
+      return GroupChangeReason::kSilentTooLong;
+    case SuspicionCause::kEntriesReportFailure:
+      return GroupChangeReason::kEntriesReportedFailure;
+    case SuspicionCause::kMemberSilent:
+      return GroupChangeReason::kMemberLost;
+  }
+  return GroupChangeReason::kEntriesReportedFailure;
+}
+
 }  // namespace
 
 std::vector<wire::ControlPeer> control_peers_of(const wire::ReplicaSet& replicas) {
@@ -62,6 +75,7 @@
   incarnation_ranks_.clear();
   replica_supervisor_.start(now);
   entry_reports_.clear();
+  silent_groups_.clear();
   request_blocker_.start(now, copy.blocked_requests);
   group_loads_.clear();
   unconfirmed_calls_.clear();
@@ -111,22 +125,29 @@
   }
 }
 
-void FleetLeader::handle_reported_failures(TimePoint now, const wire::SlotReport& report) {
+bool FleetLeader::has_silent_member(const std::string& group) const {
   const auto& rows = instance_directory_.rows();
-  const auto has_silent_member = [&rows](const std::string& group) {
-    return std::any_of(rows.begin(), rows.end(), [&group](const auto& item) {
-      return item.second.instance.silent && item.second.instance.membership.group == group;
-    });
-  };
-  for (const auto& group : entry_reports_.failed_groups(now, report, has_silent_member)) {
-    give_up_group({SuspicionStep::kGivenUp, group, SuspicionCause::kEntriesReportFailure,
-                   entry_reports_.silence_duration(now, group), entry_reports_.failure_reporters(now, group)});
-  }
+  return std::any_of(rows.begin(), rows.end(), [&group](const auto& item) {
+    return item.second.instance.silent && item.second.instance.membership.group == group;
+  });
 }
 
-void FleetLeader::give_up_group(SuspicionEvent conclusion) {
-  if (group_supervisor_.note_failure(conclusion.group)) {
-    outputs_.suspicion_events.push_back(std::move(conclusion));
+void FleetLeader::handle_reported_failures(TimePoint now, const wire::SlotReport& report) {
+  const auto has_missing_heartbeats = [this](const std::string& group) { return has_silent_member(group); };
+  for (const auto& group : entry_reports_.failed_groups(now, report, has_missing_heartbeats)) {
+    if (group_supervisor_.find_live_group(group) == nullptr) {
+      continue;
+    }
+    group_supervisor_.note_failure(group);  // Groups of a newer state copy are not marked as failed yet.
+    const auto entries = entry_reports_.failure_reporters(now, group, FailureEvidence::kSilence);
+    if (auto event = silent_groups_.give_up(now, group, SuspicionCause::kEntriesReportFailure,
+                                            entry_reports_.last_progress(group), entries)) {
+      apply_suspicion_event(now, std::move(*event));
+    }
+  }
+  for (const auto& group : entry_reports_.silent_groups(now, report)) {
+    suspect_group(now, group, SuspicionCause::kEntriesReportSilence, now,
+                  entry_reports_.failure_reporters(now, group, FailureEvidence::kSilence));
   }
 }
 
@@ -262,7 +283,8 @@
   slot_scheduler_.note_quiet_groups(now, node, report.quiet_groups);
   record_server_ends(now, report);
   record_server_limits(now, report);
-  fail_stalled_groups(now, log);
+  suspect_stalled_groups(now, log);
+  review_suspected_groups(now);
   for (const auto& request : report.requests) {
     if (request.__isset.trial_of) {
       answer_trial_request(now, node, request);
@@ -359,23 +381,75 @@
   }
 }
 
-void FleetLeader::fail_stalled_groups(TimePoint now, const FleetLog& log) {
+void FleetLeader::suspect_stalled_groups(TimePoint now, const FleetLog& log) {
   if (log.parsed_document() == nullptr) {
     return;
   }
-  std::map<std::string, wire::SlotAnswer> answers;
   for (const auto& group : slot_scheduler_.find_failed_groups(now, *log.parsed_document())) {
-    give_up_group({SuspicionStep::kGivenUp, group.name, SuspicionCause::kStreamsSilent,
-                   now - group.streams.silent_since, group.streams.entries});
-    for (const auto& node : slot_scheduler_.nodes_using_group(group.name)) {
-      answers[node].failed_groups.push_back(group.name);
-    }
+    suspect_group(now, group.name, SuspicionCause::kStreamsSilent, group.streams.silent_since, group.streams.entries);
   }
-  for (auto& [node, answer] : answers) {
+}
+
+void FleetLeader::suspect_group(TimePoint now, const std::string& group, SuspicionCause cause, TimePoint silent_since,
+                                const std::vector<std::string>& entries) {
+  auto event = group_supervisor_.find_live_group(group) == nullptr
+                   ? std::nullopt
+                   : silent_groups_.suspect(now, group, cause, silent_since, entries);
+  if (!event) {
+    return;
+  }
+  apply_suspicion_event(now, std::move(*event));
+  for (const auto& node : slot_scheduler_.nodes_using_group(group)) {
+    wire::SlotAnswer answer;
+    answer.failed_groups.push_back(group);
     send_slot_answer(node, std::move(answer));
   }
 }
 
+void FleetLeader::review_suspected_groups(TimePoint now) {
+  for (const auto& group : silent_groups_.groups_to_review()) {
+    if (auto event = silent_groups_.review(now, group, suspected_group_state(group))) {
+      apply_suspicion_event(now, std::move(*event));
+    }
+  }
+}
+
+SuspectedGroupState FleetLeader::suspected_group_state(const std::string& name) const {
+  SuspectedGroupState state;
+  state.last_progress = entry_reports_.last_progress(name);
+  state.are_streams_moving = slot_scheduler_.are_streams_moving(name);
+  state.has_requests = slot_scheduler_.in_flight(name) > 0;
+  const auto* group = group_supervisor_.find_live_group(name);
+  if (group == nullptr) {
+    return state;
+  }
+  state.all_members_reported_at = TimePoint::max();
+  for (const auto& member : group->members) {
+    const auto row = instance_directory_.rows().find(member);
+    const bool is_known = row != instance_directory_.rows().end();
+    state.has_silent_member = state.has_silent_member || (is_known && row->second.instance.silent);
+    const TimePoint reported_at = is_known ? row->second.last_report_at : TimePoint::min();
+    state.all_members_reported_at = std::min(state.all_members_reported_at, reported_at);
+  }
+  return state;
+}
+
+void FleetLeader::apply_suspicion_event(TimePoint now, SuspicionEvent event) {
+  switch (event.step) {
+    case SuspicionStep::kSuspected:
+      slot_scheduler_.suspend_group(event.group);
+      break;
+    case SuspicionStep::kCleared:
+      slot_scheduler_.resume_group(now, event.group);
+      break;
+    case SuspicionStep::kGivenUp:
+      slot_scheduler_.suspend_group(event.group);
+      group_supervisor_.note_failure(event.group, dissolution_reason(event.cause));
+      break;
+  }
+  outputs_.suspicion_events.push_back(std::move(event));
+}
+
 void FleetLeader::remove_timed_out_entries(TimePoint now) {
   for (const auto& node : entry_reports_.remove_timed_out(now)) {
     slot_scheduler_.forget_node(node);
@@ -401,6 +475,7 @@
 
 void FleetLeader::update_scheduler_groups() {
   auto groups = group_supervisor_.snapshot();
+  retain_suspicions(groups);
   std::erase_if(groups, [this](const auto& group) { return is_evacuated(adopted_evacuations_, group); });
   std::vector<RateLimitedServer> rated_servers;
   for (const auto& [id, row] : instance_directory_.rows()) {
@@ -423,6 +498,16 @@
   }
 }
 
+void FleetLeader::retain_suspicions(const std::vector<wire::EngineGroup>& groups) {
+  std::set<std::string> kept;
+  for (const auto& group : groups) {
+    if (group.phase != wire::GroupPhase::DISSOLVING) {
+      kept.insert(group.name);
+    }
+  }
+  silent_groups_.retain(kept);
+}
+
 std::vector<PlainServer> FleetLeader::available_plain_servers() const {
   std::vector<PlainServer> result;
   for (const auto& [id, row] : instance_directory_.rows()) {
@@ -470,7 +555,8 @@
     push_updates(now, raft, log);
   }
   reply_to_confirmed_calls(now);
-  fail_stalled_groups(now, log);
+  suspect_stalled_groups(now, log);
+  review_suspected_groups(now);
   answer_slot_requests(now, log);
   for (auto& change : slot_scheduler_.take_plain_speed_changes(now)) {
     outputs_.plain_speed_changes.push_back(std::move(change));
@@ -481,6 +567,7 @@
   control_subscribers_.note_own_pause(now, pause);
   instance_directory_.note_own_pause(now, pause);
   entry_reports_.note_own_pause(now, pause);
+  silent_groups_.note_own_pause(now, pause);
   node_directory_.exclude_own_pause(now, pause);
 }
 
--- a/src/core/fleet/fleet_leader.h
+++ b/src/core/fleet/fleet_leader.h
@@ -18,6 +18,7 @@
 #include "core/fleet/group_suspicion_event.h"
 #include "core/fleet/instance_directory.h"
 #include "core/fleet/server_limits.h"
+#include "core/fleet/silent_groups.h"
 #include "core/fleet/slot_scheduler.h"
 #include "core/fleet/subscriber_table.h"
 #include "core/membership/incarnation_ranks.h"
@@ -138,6 +139,8 @@
   /// Passes the groups and plain servers outside evacuated zones, and the rate limits of servers, to the slot
   /// scheduler.
   void update_scheduler_groups();
+  /// Forgets what is known of the silence of groups that are gone or being dissolved.
+  void retain_suspicions(const std::vector<wire::EngineGroup>& groups);
   std::vector<PlainServer> available_plain_servers() const;
   void register_instance(TimePoint now, const std::string& key, const wire::ControlCall& call);
   /// Replies to a call that is still open; does nothing otherwise.
@@ -167,10 +170,17 @@
   /// Acknowledges an entry's report with an empty answer; an entry treats a link without answers as broken.
   void acknowledge_report(const std::string& node);
   void remove_timed_out_entries(TimePoint now);
-  /// Dissolves groups that several entries report as stalled and notifies the entries that use them.
-  void fail_stalled_groups(TimePoint now, const FleetLog& log);
-  /// Dissolves a group that failed.
-  void give_up_group(SuspicionEvent conclusion);
+  /// Suspects groups that several entries report as stalled.
+  void suspect_stalled_groups(TimePoint now, const FleetLog& log);
+  /// Withholds requests from a group that is silent since `silent_since`, and tells the entries that use it.
+  void suspect_group(TimePoint now, const std::string& group, SuspicionCause cause, TimePoint silent_since,
+                     const std::vector<std::string>& entries);
+  /// Ends suspicions of groups that make progress, and gives up those that are silent for too long.
+  void review_suspected_groups(TimePoint now);
+  SuspectedGroupState suspected_group_state(const std::string& name) const;
+  bool has_silent_member(const std::string& group) const;
+  /// Logs a conclusion about a group and acts on it.
+  void apply_suspicion_event(TimePoint now, SuspicionEvent event);
   void update_loads(TimePoint now);
 
   FleetOptions options_;
@@ -196,6 +206,7 @@
   control::ReplicaSupervisor replica_supervisor_;
   membership::IncarnationRanks incarnation_ranks_;
   EntryReports entry_reports_;
+  SilentGroups silent_groups_;
   RequestBlocker request_blocker_;
   ServerLimits server_limits_;
   std::map<std::string, wire::GroupLoad> group_loads_;
--- a/src/core/fleet/group_stall_detector.cc
+++ b/src/core/fleet/group_stall_detector.cc
@@ -97,6 +97,27 @@
   return is_stalled ? std::optional(std::move(stalled)) : std::nullopt;
 }
 
+bool GroupStallDetector::are_streams_moving(const std::string& group) const {
+  const auto found = groups_.find(group);
+  if (found == groups_.end() || found->second.streams.empty()) {
+    return false;
+  }
+  const auto& [streams, quiet] = found->second;
+  const auto quiet_entries =
+      std::count_if(streams.begin(), streams.end(), [&quiet](const auto& item) { return quiet.contains(item.first); });
+  return static_cast<double>(quiet_entries) < kMinStallReportShare * static_cast<double>(streams.size());
+}
+
+void GroupStallDetector::restart_silence(TimePoint now, const std::string& group) {
+  const auto found = groups_.find(group);
+  if (found == groups_.end()) {
+    return;
+  }
+  for (auto& [node, report] : found->second.quiet) {
+    report.first_at = now;
+  }
+}
+
 std::vector<std::string> GroupStallDetector::quiet_groups() const {
   std::vector<std::string> result;
   for (const auto& [name, group] : groups_) {
--- a/src/core/fleet/group_stall_detector.h
+++ b/src/core/fleet/group_stall_detector.h
@@ -43,6 +43,10 @@
   }
   /// The same with the evidence; nullopt if the group is not stalled.
   std::optional<StalledStreams> find_stall(TimePoint now, const std::string& group, Duration longest_pass) const;
+  /// Entries have streams of the group, and too few report them as quiet for a stall, whatever the duration.
+  bool are_streams_moving(const std::string& group) const;
+  /// The group made progress: reports of its silence count from now on.
+  void restart_silence(TimePoint now, const std::string& group);
   /// Groups that at least one entry reports as quiet.
   std::vector<std::string> quiet_groups() const;
 
--- a/src/core/fleet/group_supervisor.cc
+++ b/src/core/fleet/group_supervisor.cc
@@ -93,6 +93,8 @@
       return "not complete";
     case GroupChangeReason::kEntriesReportedFailure:
       return "entries report a failure";
+    case GroupChangeReason::kSilentTooLong:
+      return "silent for too long";
     case GroupChangeReason::kMemberLost:
       return "member lost";
     case GroupChangeReason::kMemberLeaving:
@@ -171,9 +173,11 @@
   return records_.erase(item);
 }
 
-bool GroupSupervisor::note_failure(const std::string& group) {
+void GroupSupervisor::note_failure(const std::string& group, GroupChangeReason reason) {
   const auto found = records_.find(group);
-  return found != records_.end() && !std::exchange(found->second.failure_reported, true);
+  if (found != records_.end() && !std::exchange(found->second.failure_reported, true)) {
+    found->second.failure_reason = reason;
+  }
 }
 
 void GroupSupervisor::order_result(TimePoint now, const InstanceOrderResult& result) {
@@ -315,7 +319,7 @@
   }
   if (!complete || record.failure_reported) {
     set_phase(now, record, wire::GroupPhase::DISSOLVING,
-              complete ? GroupChangeReason::kEntriesReportedFailure : GroupChangeReason::kFormationFailed);
+              complete ? record.failure_reason : GroupChangeReason::kFormationFailed);
     return true;
   }
   const auto& head = record.group.members.front();
@@ -349,7 +353,7 @@
   if (broken || (silent && is_idle(record))) {
     suspect_members(now, record);
     set_phase(now, record, wire::GroupPhase::DISSOLVING,
-              record.failure_reported ? GroupChangeReason::kEntriesReportedFailure : GroupChangeReason::kMemberLost);
+              record.failure_reported ? record.failure_reason : GroupChangeReason::kMemberLost);
     return true;
   }
   if (leaving) {
@@ -607,6 +611,12 @@
   return {names.begin(), names.end()};
 }
 
+const wire::EngineGroup* GroupSupervisor::find_live_group(const std::string& name) const {
+  const auto found = records_.find(name);
+  const bool is_live = found != records_.end() && found->second.group.phase != wire::GroupPhase::DISSOLVING;
+  return is_live ? &found->second.group : nullptr;
+}
+
 const wire::EngineGroup* GroupSupervisor::owner_of(const std::string& instance_id) const {
   const auto owner = owning_group_names_.find(instance_id);
   const auto record = owner == owning_group_names_.end() ? records_.end() : records_.find(owner->second);
--- a/src/core/fleet/group_supervisor.h
+++ b/src/core/fleet/group_supervisor.h
@@ -47,6 +47,7 @@
   kHeadOpen,                ///< The head reported that it is open.
   kFormationFailed,         ///< A member was lost or did not become ready in time.
   kEntriesReportedFailure,  ///< Entries reported that the head failed or stalled.
+  kSilentTooLong,           ///< Streams were silent for longer than those of a sound group ever are.
   kMemberLost,              ///< A member is gone, replaced or silent, or reports another group.
   kMemberLeaving,           ///< A member is shutting down.
   kPreempted,               ///< The servers are needed for another model.
@@ -100,8 +101,8 @@
   /// Adds groups that earlier leaders released; instances that still report one of them are free. Names from state
   /// copies of any age are valid, since a released group never exists again.
   void add_released_groups(const std::vector<std::string>& names);
-  /// An entry reported that the group's head failed or stalled. Returns true for the first such report.
-  bool note_failure(const std::string& group);
+  /// The group failed and is to be dissolved.
+  void note_failure(const std::string& group, GroupChangeReason reason = GroupChangeReason::kEntriesReportedFailure);
   /// Sets the number of in-flight requests per group, over all entries.
   void note_loads(std::map<std::string, int> in_flight) { in_flight_ = std::move(in_flight); }
   /// Enables the rate limit on weight loads, which does not apply before the first request.
@@ -122,6 +123,8 @@
   std::vector<wire::EngineGroup> snapshot() const;
   /// Names of released groups that instances still report, for the next leader.
   std::vector<std::string> released_groups(const InstanceDirectory& directory) const;
+  /// The group with this name, unless it is unknown or being dissolved.
+  const wire::EngineGroup* find_live_group(const std::string& name) const;
   /// The group that owns the instance; null when it is free.
   const wire::EngineGroup* owner_of(const std::string& instance_id) const;
 
@@ -133,6 +136,7 @@
     /// An order to open may have been sent, so the head may be open even if its last report says otherwise.
     bool may_be_open = false;
     bool failure_reported = false;
+    GroupChangeReason failure_reason = GroupChangeReason::kEntriesReportedFailure;
     /// Formed by an earlier leader, which may since have assigned the head to a group unknown to this leader.
     bool is_inherited = false;
     /// Drained so that another model can use the servers.
--- a/src/core/fleet/group_suspicion_event.cc
+++ b/src/core/fleet/group_suspicion_event.cc
@@ -6,8 +6,12 @@
   switch (cause) {
     case SuspicionCause::kStreamsSilent:
       return "streams silent";
+    case SuspicionCause::kEntriesReportSilence:
+      return "entries report silence";
     case SuspicionCause::kEntriesReportFailure:
       return "entries report a failure";
+    case SuspicionCause::kMemberSilent:
+      return "member silent";
   }
   return "";
 }
--- a/src/core/fleet/slot_scheduler.cc
+++ b/src/core/fleet/slot_scheduler.cc
@@ -34,7 +34,8 @@
     TrackedGroup& group = groups_[row.name];
     group.service = row.service_name;
     group.model = row.model;
-    group.is_open = row.phase == wire::GroupPhase::OPEN && !group.has_failed;
+    group.is_serving = row.phase == wire::GroupPhase::OPEN;
+    group.is_open = group.is_serving && !group.is_suspended;
     const auto head = heads.find(row.name);
     group.rate_limited_head = head == heads.end() ? "" : head->second;
     group.zones = row.zones;
@@ -42,7 +43,9 @@
   std::erase_if(groups_,
                 [&known](const auto& item) { return !known.contains(item.first) && item.second.in_flight == 0; });
   for (auto& [name, group] : groups_) {
-    group.is_open = group.is_open && known.contains(name);
+    group.is_serving = group.is_serving && known.contains(name);
+    group.is_suspended = group.is_suspended && known.contains(name);
+    group.is_open = group.is_open && group.is_serving;
   }
   retain_speeds_of_known_groups();
   index_open_groups();
@@ -118,7 +121,7 @@
     const auto next = group.pass_clock.forecast(now, *engine, *model, group.in_flight, 0);
     const Duration longest_pass = std::max(next.longest_pass, group.pass_clock.longest_recent_pass());
     if (auto streams = silence_watch_.find_stall(now, name, longest_pass)) {
-      group.has_failed = true;
+      group.is_suspended = true;
       group.is_open = false;
       result.push_back({name, std::move(*streams)});
     }
@@ -129,6 +132,23 @@
   return result;
 }
 
+void SlotScheduler::suspend_group(const std::string& group) {
+  const auto found = groups_.find(group);
+  if (found != groups_.end() && !std::exchange(found->second.is_suspended, true)) {
+    found->second.is_open = false;
+    index_open_groups();
+  }
+}
+
+void SlotScheduler::resume_group(TimePoint now, const std::string& group) {
+  silence_watch_.restart_silence(now, group);
+  const auto found = groups_.find(group);
+  if (found != groups_.end() && std::exchange(found->second.is_suspended, false)) {
+    found->second.is_open = found->second.is_serving;
+    index_open_groups();
+  }
+}
+
 std::vector<std::string> SlotScheduler::nodes_using_group(const std::string& group) const {
   std::vector<std::string> result;
   for (const auto& [name, node] : nodes_) {
--- a/src/core/fleet/slot_scheduler.h
+++ b/src/core/fleet/slot_scheduler.h
@@ -97,8 +97,14 @@
   void note_quiet_groups(TimePoint now, const std::string& node, const std::vector<std::string>& groups) {
     silence_watch_.note_quiet(now, node, groups);
   }
-  /// Returns the groups found to be stalled since the last call. They get no more requests.
+  /// Returns the groups found to be stalled since the last call. They get no more requests until they are resumed.
   std::vector<StalledGroup> find_failed_groups(TimePoint now, const document::ConfigurationDocument& document);
+  /// The group gets no requests until it is resumed.
+  void suspend_group(const std::string& group);
+  /// A suspended group gets requests again, and its silence counts from now on.
+  void resume_group(TimePoint now, const std::string& group);
+  /// Entries have streams at the group, and most of them see events arrive.
+  bool are_streams_moving(const std::string& group) const { return silence_watch_.are_streams_moving(group); }
   /// Nodes that have requests or unreported grants at the group.
   std::vector<std::string> nodes_using_group(const std::string& group) const;
   /// Removes a lost node with its requests and load.
@@ -121,10 +127,13 @@
   struct TrackedGroup {
     std::string service;
     std::string model;
+    /// It is formed and may serve requests.
+    bool is_serving = false;
+    /// It gets no requests, because it is silent.
+    bool is_suspended = false;
+    /// It is serving and not suspended.
     bool is_open = false;
     int in_flight = 0;
-    /// Found to be stalled. Stays set, because a re-formed group has a new name.
-    bool has_failed = false;
     /// The head's incarnation if it is rate-limited, otherwise empty.
     std::string rate_limited_head;
     /// Zones of the members, sorted.
--- a/src/node/fleet_change_logger.cc
+++ b/src/node/fleet_change_logger.cc
@@ -15,6 +15,10 @@
 
 const char* event_name(fleet::SuspicionStep step) {
   switch (step) {
+    case fleet::SuspicionStep::kSuspected:
+      return "group_suspected";
+    case fleet::SuspicionStep::kCleared:
+      return "group_suspicion_ended";
     case fleet::SuspicionStep::kGivenUp:
       return "group_given_up";
   }
--- a/tests/unit/distribution_test.cc
+++ b/tests/unit/distribution_test.cc
@@ -448,6 +448,33 @@
   EXPECT_TRUE(reports.record(kStart + seconds(5), slot_report("e2", 1, false, 2))) << "e2 was restarted";
 }
 
+// Guards against sound silent groups that are dissolved on the word of entries that only waited for them.
+TEST(EntryReports, SilenceIsNoFailureUnlessAMemberIsSilent) {
+  EntryReports reports;
+  const auto make_silence_report = [](const std::string& node) {
+    auto envelope = slot_report(node, 1, true);
+    envelope.slot_report.failures.front().__set_is_silence(true);
+    return envelope;
+  };
+  const auto has_silent_member = [](const std::string&) { return true; };
+  const auto has_no_silent_member = [](const std::string&) { return false; };
+  const auto first = make_silence_report("e1");
+  reports.record(kStart, first);
+  EXPECT_TRUE(reports.silent_groups(kStart, first.slot_report).empty());
+  EXPECT_EQ(reports.failed_groups(kStart, first.slot_report, has_silent_member).size(), 1U);
+  const auto second = make_silence_report("e2");
+  reports.record(kStart, second);
+  EXPECT_TRUE(reports.failed_groups(kStart, second.slot_report, has_no_silent_member).empty());
+  EXPECT_EQ(reports.silent_groups(kStart, second.slot_report), std::vector<std::string>{"g1"});
+  const auto refused = slot_report("e3", 1, true);
+  reports.record(kStart, refused);
+  EXPECT_TRUE(reports.failed_groups(kStart, refused.slot_report, has_no_silent_member).empty())
+      << "one entry may have a bad link";
+  const auto upgraded = slot_report("e2", 1, true);
+  reports.record(kStart, upgraded);
+  EXPECT_EQ(reports.failed_groups(kStart, upgraded.slot_report, has_no_silent_member).size(), 1U);
+}
+
 TEST(EntryReports, RequiresTwoEntriesToReportGroupFailure) {
   EntryReports reports;
   const auto has_silent_member = [](const std::string&) { return false; };
