Probe the members of a suspected group

A silent group is dissolved after 2 s unless its failure is proven. Entries prove the failure of a head, whose connections they use. Nobody connects to the other members: the process of one that crashed is gone at once, but its group held its servers until the silence had lasted, or until its heartbeats were missing for 2.8 s.

While a group is suspected, the leader's control process opens a connection to each member that is to serve, every 0.5 s and one group per 10 ms at most. If it is refused, no process listens there, and the group is dissolved at once. Any other result proves nothing: a process that stands still accepts connections, and a time-out may be the link's. A result counts only if the group is still suspected and the instance is still its member at that address and not leaving. SilentGroups decides; the process only connects.

--- a/src/core/fleet/fleet_controller.cc
+++ b/src/core/fleet/fleet_controller.cc
@@ -403,6 +403,8 @@
   outputs_.decisions.insert(outputs_.decisions.end(), outputs.decisions.begin(), outputs.decisions.end());
   outputs_.suspicion_events.insert(outputs_.suspicion_events.end(), outputs.suspicion_events.begin(),
                                    outputs.suspicion_events.end());
+  outputs_.member_probes.insert(outputs_.member_probes.end(), outputs.member_probes.begin(),
+                                outputs.member_probes.end());
   outputs_.plain_speed_changes.insert(outputs_.plain_speed_changes.end(), outputs.plain_speed_changes.begin(),
                                       outputs.plain_speed_changes.end());
 }
--- a/src/core/fleet/fleet_controller.h
+++ b/src/core/fleet/fleet_controller.h
@@ -29,6 +29,8 @@
   std::vector<PlainServerSpeedChange> plain_speed_changes;
   /// Conclusions about groups that failed or seem to have failed; to be logged.
   std::vector<SuspicionEvent> suspicion_events;
+  /// Members of suspected groups to probe; each result is passed to `handle_member_probe`.
+  std::vector<MemberProbe> member_probes;
   /// Replies to calls that were submitted with `FleetController::submit_call`.
   std::vector<wire::ControlCallReply> replies;
   /// Instance reports that this replica rejected, with the instance id; to be logged.
@@ -70,6 +72,11 @@
   void handle_order_result(TimePoint now, const InstanceOrderResult& result) {
     leader_.handle_order_result(now, result);
   }
+  void handle_member_probe(TimePoint now, const MemberProbe& probe, MemberProbeResult result) {
+    if (is_leader(now)) {
+      leader_.handle_member_probe(now, probe, result);
+    }
+  }
   /// Submits a call of an instance or operator. Its reply appears in `FleetControllerOutputs::replies` with the
   /// returned id, at the latest after `FleetOptions::call_timeout`.
   int64_t submit_call(TimePoint now, wire::ControlCall call);
--- a/src/core/fleet/fleet_leader.cc
+++ b/src/core/fleet/fleet_leader.cc
@@ -26,6 +26,7 @@
       return GroupChangeReason::kSilentTooLong;
     case SuspicionCause::kEntriesReportFailure:
       return GroupChangeReason::kEntriesReportedFailure;
+    case SuspicionCause::kMemberRefused:
     case SuspicionCause::kMemberSilent:
       return GroupChangeReason::kMemberLost;
   }
@@ -414,6 +415,39 @@
   }
 }
 
+bool FleetLeader::is_serving_member(const wire::EngineGroup& group, const std::string& instance_id,
+                                    const std::string& address) const {
+  const auto* instance = instance_directory_.find(instance_id);
+  const bool is_member = std::find(group.members.begin(), group.members.end(), instance_id) != group.members.end();
+  return is_member && group.phase == wire::GroupPhase::OPEN && instance != nullptr && instance->address == address &&
+         instance->state == wire::InstanceState::READY;
+}
+
+void FleetLeader::probe_suspected_groups(TimePoint now) {
+  for (const auto& name : silent_groups_.take_groups_to_probe(now)) {
+    const auto* group = group_supervisor_.find_live_group(name);
+    if (group == nullptr) {
+      continue;
+    }
+    for (const auto& member : group->members) {
+      const auto* instance = instance_directory_.find(member);
+      if (instance != nullptr && is_serving_member(*group, member, instance->address)) {
+        outputs_.member_probes.push_back({name, member, instance->address});
+      }
+    }
+  }
+}
+
+void FleetLeader::handle_member_probe(TimePoint now, const MemberProbe& probe, MemberProbeResult result) {
+  const auto* group = group_supervisor_.find_live_group(probe.group);
+  if (group == nullptr || !is_serving_member(*group, probe.instance_id, probe.address)) {
+    return;
+  }
+  if (auto event = silent_groups_.note_probe(now, probe.group, result)) {
+    apply_suspicion_event(now, std::move(*event));
+  }
+}
+
 SuspectedGroupState FleetLeader::suspected_group_state(const std::string& name) const {
   SuspectedGroupState state;
   state.last_progress = entry_reports_.last_progress(name);
@@ -557,6 +591,7 @@
   reply_to_confirmed_calls(now);
   suspect_stalled_groups(now, log);
   review_suspected_groups(now);
+  probe_suspected_groups(now);
   answer_slot_requests(now, log);
   for (auto& change : slot_scheduler_.take_plain_speed_changes(now)) {
     outputs_.plain_speed_changes.push_back(std::move(change));
--- a/src/core/fleet/fleet_leader.h
+++ b/src/core/fleet/fleet_leader.h
@@ -52,6 +52,8 @@
     std::vector<GroupDecision> decisions;
     /// What the leader concluded about groups that failed or seem to have failed; to be logged.
     std::vector<SuspicionEvent> suspicion_events;
+    /// Members of suspected groups to probe; each result is passed to `handle_member_probe`.
+    std::vector<MemberProbe> member_probes;
     /// Plain servers that began or ceased to count as slow; to be logged.
     std::vector<PlainServerSpeedChange> plain_speed_changes;
     std::optional<wire::ReplicaSet> proposed_replicas;
@@ -74,6 +76,7 @@
   void handle_order_result(TimePoint now, const InstanceOrderResult& result) {
     group_supervisor_.order_result(now, result);
   }
+  void handle_member_probe(TimePoint now, const MemberProbe& probe, MemberProbeResult result);
   /// The command of call `key` was appended to the log at `index`, or rejected if there is no index.
   void command_proposed(const std::string& key, std::optional<int64_t> index, int64_t term);
   /// The log entry at `index` with `term` was applied.
@@ -177,6 +180,10 @@
                      const std::vector<std::string>& entries);
   /// Ends suspicions of groups that make progress, and gives up those that are silent for too long.
   void review_suspected_groups(TimePoint now);
+  void probe_suspected_groups(TimePoint now);
+  /// The instance serves at this address as a member of an open group. A member that leaves may refuse connections.
+  bool is_serving_member(const wire::EngineGroup& group, const std::string& instance_id,
+                         const std::string& address) const;
   SuspectedGroupState suspected_group_state(const std::string& name) const;
   bool has_silent_member(const std::string& group) const;
   /// Logs a conclusion about a group and acts on it.
--- a/src/core/fleet/group_suspicion_event.cc
+++ b/src/core/fleet/group_suspicion_event.cc
@@ -10,6 +10,8 @@
       return "entries report silence";
     case SuspicionCause::kEntriesReportFailure:
       return "entries report a failure";
+    case SuspicionCause::kMemberRefused:
+      return "member refuses connections";
     case SuspicionCause::kMemberSilent:
       return "member silent";
   }
--- a/src/core/fleet/group_suspicion_event.h
+++ b/src/core/fleet/group_suspicion_event.h
@@ -12,6 +12,7 @@
   kStreamsSilent,         ///< Most entries with streams there report them as overdue.
   kEntriesReportSilence,  ///< Entries got no answer in time.
   kEntriesReportFailure,  ///< Entries report that the head failed, for example that it refused connections.
+  kMemberRefused,         ///< No process listens at a member's address.
   kMemberSilent,          ///< A member's heartbeats are missing.
 };
 const char* to_string(SuspicionCause cause);
--- a/src/core/fleet/silent_groups.cc
+++ b/src/core/fleet/silent_groups.cc
@@ -11,6 +11,9 @@
 constexpr Duration kEchoTime = milliseconds(2500);
 /// Heartbeats that arrive within this time after a suspicion may have been sent before the group fell silent.
 constexpr Duration kHeartbeatDelay = milliseconds(300);
+/// How often the members of a suspected group are probed, and the least time between the probes of two groups.
+constexpr Duration kProbeInterval = milliseconds(500);
+constexpr Duration kMinGroupProbeSpacing = milliseconds(10);
 
 }  // namespace
 
@@ -35,6 +38,7 @@
   record.entries = entries;
   record.suspected_at = now;
   record.silent_since = silent_since;
+  record.next_probe_at = now;
   return make_event(now, SuspicionStep::kSuspected, group, record);
 }
 
@@ -93,6 +97,31 @@
   return make_event(now, SuspicionStep::kGivenUp, group, record);
 }
 
+std::vector<std::string> SilentGroups::take_groups_to_probe(TimePoint now) {
+  if (now < next_group_probe_at_) {
+    return {};
+  }
+  const auto due = std::find_if(records_.begin(), records_.end(), [now](const auto& item) {
+    return item.second.stage == Stage::kSuspected && item.second.next_probe_at <= now;
+  });
+  if (due == records_.end()) {
+    return {};
+  }
+  due->second.next_probe_at = now + kProbeInterval;
+  next_group_probe_at_ = now + kMinGroupProbeSpacing;
+  return {due->first};
+}
+
+std::optional<SuspicionEvent> SilentGroups::note_probe(TimePoint now, const std::string& group,
+                                                       MemberProbeResult result) {
+  const auto found = records_.find(group);
+  const bool is_suspected = found != records_.end() && found->second.stage == Stage::kSuspected;
+  if (!is_suspected || result != MemberProbeResult::kRefused) {
+    return std::nullopt;
+  }
+  return give_up(now, group, SuspicionCause::kMemberRefused, found->second.silent_since, found->second.entries);
+}
+
 void SilentGroups::retain(const std::set<std::string>& groups) {
   std::erase_if(records_, [&groups](const auto& item) { return !groups.contains(item.first); });
 }
--- a/src/core/fleet/silent_groups.h
+++ b/src/core/fleet/silent_groups.h
@@ -15,6 +15,18 @@
 /// longer serves nobody.
 constexpr Duration kMaxSoundSilence = seconds(2);
 
+/// A member of a suspected group, to whose address a connection is to be tried.
+struct MemberProbe {
+  std::string group;
+  std::string instance_id;
+  std::string address;
+};
+
+enum class MemberProbeResult {
+  kRefused,       ///< The machine is reachable, but no process listens there.
+  kInconclusive,  ///< Anything else. A process that stands still accepts connections, and a time-out may be the link's.
+};
+
 /// What the leader knows of a suspected group.
 struct SuspectedGroupState {
   /// When any entry last saw progress; `TimePoint::min()` if none did.
@@ -41,11 +53,14 @@
 /// that the group is sound, and it is tried with new requests once all members sent heartbeats. It is tried only once
 /// without progress: a group whose members live but whose engine hangs is given up.
 ///
+/// The members of a suspected group are probed meanwhile: the process of a sound server listens even while it is
+/// silent, so a refused connection proves the failure long before the silence does.
+///
 /// Soft state of one leadership: a new leader counts silence from its own first reports. Single-threaded,
 /// deterministic.
 class SilentGroups {
  public:
-  void clear() { records_.clear(); }
+  void clear() { *this = SilentGroups(); }
   /// Suspects a group that is silent since `silent_since`. Returns the event if this is new. Entries that avoid a group
   /// on the leader's word report it as silent too; for a while after a suspicion such reports count for nothing.
   std::optional<SuspicionEvent> suspect(TimePoint now, const std::string& group, SuspicionCause cause,
@@ -56,6 +71,11 @@
   /// event if the group was not given up before.
   std::optional<SuspicionEvent> give_up(TimePoint now, const std::string& group, SuspicionCause cause,
                                         TimePoint last_progress, const std::vector<std::string>& entries);
+  /// The suspected groups whose members are to be probed now. Few at a time, because many groups fall silent at once if
+  /// it is the leader's own link that failed.
+  std::vector<std::string> take_groups_to_probe(TimePoint now);
+  /// A member of the group was probed. Returns the event if the group is given up for it.
+  std::optional<SuspicionEvent> note_probe(TimePoint now, const std::string& group, MemberProbeResult result);
   /// Forgets all groups but these. Groups that are given up must not be listed once they are being dissolved.
   void retain(const std::set<std::string>& groups);
   /// This process was suspended for `pause` until now, so it could hear of no progress.
@@ -72,6 +92,7 @@
     TimePoint suspected_at{};
     TimePoint silent_since{};
     TimePoint cleared_at{};
+    TimePoint next_probe_at{};
     /// It was granted requests again without progress, and made none since.
     bool is_on_trial = false;
   };
@@ -83,6 +104,8 @@
   static bool is_echo(TimePoint now, const Record& record, SuspicionCause cause);
 
   std::map<std::string, Record> records_;
+  /// When the members of another group may be probed.
+  TimePoint next_group_probe_at_{};
 };
 
 }  // namespace larchlever::fleet
--- a/src/node/control_process.cc
+++ b/src/node/control_process.cc
@@ -5,6 +5,7 @@
 #include "core/base/work_meter.h"
 #include "net/http_client.h"
 #include "net/listener.h"
+#include "net/listener_probe.h"
 #include "net/peer_transport.h"
 #include "node/clock.h"
 #include "node/control_api.h"
@@ -27,6 +28,7 @@
 constexpr auto kTickInterval = std::chrono::milliseconds(20);
 constexpr auto kOrderTimeout = std::chrono::milliseconds(800);
 constexpr auto kOrderConnectTimeout = std::chrono::milliseconds(400);
+constexpr auto kMemberProbeTimeout = std::chrono::milliseconds(300);
 /// How often a seed logs that the fleet is not formed yet.
 constexpr Duration kFormationLogInterval = seconds(1);
 /// If ticks are further apart than this, the process was paused. A dozen ticks, and a small fraction of the time after
@@ -175,6 +177,7 @@
   void log_state_changes();
   asio::awaitable<void> tick_loop();
   asio::awaitable<void> send_order(fleet::InstanceOrder order);
+  asio::awaitable<void> probe_member(fleet::MemberProbe probe);
 
   asio::any_io_executor executor_;
   settings::FleetSettings settings_;
@@ -326,6 +329,9 @@
   for (const auto& decision : outputs.decisions) {
     change_logger_.log_group_change(decision);
   }
+  for (auto& probe : outputs.member_probes) {
+    asio::co_spawn(executor_, probe_member(std::move(probe)), asio::detached);
+  }
   for (const auto& event : outputs.suspicion_events) {
     change_logger_.log_suspicion(event);
   }
@@ -483,6 +489,18 @@
   controller_.handle_order_result(monotonic_now(), result);
 }
 
+asio::awaitable<void> ControlProcess::probe_member(fleet::MemberProbe probe) {
+  const auto alive = alive_;
+  const std::string outbound_address = settings_.outbound_address;
+  const auto state = co_await net::probe_listener(probe.address, kMemberProbeTimeout, outbound_address);
+  if (!*alive) {
+    co_return;
+  }
+  const auto result = state == net::ListenerState::kRefused ? fleet::MemberProbeResult::kRefused
+                                                            : fleet::MemberProbeResult::kInconclusive;
+  controller_.handle_member_probe(monotonic_now(), probe, result);
+}
+
 asio::awaitable<void> ControlProcess::drain() {
   asio::steady_timer timer(executor_);
   const TimePoint deadline = monotonic_now() + kLeadershipHandoverTimeout;
--- a/tests/unit/silent_group_replay_test.cc
+++ b/tests/unit/silent_group_replay_test.cc
@@ -156,6 +156,12 @@
         told_entries_.insert(envelope.to_node);
       }
     }
+    for (const auto& probe : outputs.member_probes) {
+      probed_members_.insert(probe.instance_id);
+      if (refusing_members_.contains(probe.instance_id)) {
+        leader_.handle_member_probe(now_, probe, MemberProbeResult::kRefused);
+      }
+    }
     for (const auto& order : outputs.orders) {
       leave_orders_ += order.kind == OrderKind::kLeave ? 1 : 0;
     }
@@ -222,6 +228,9 @@
   int64_t grants_seen_ = 0;
   int leave_orders_ = 0;
   std::set<std::string> told_entries_;
+  std::set<std::string> probed_members_;
+  /// Members whose process has ended.
+  std::set<std::string> refusing_members_;
 };
 
 // Guards against streams of sound servers that are cut because their group is dissolved for a silence that ends.
@@ -301,6 +310,34 @@
   EXPECT_LT(time_to_dissolution(seconds(1)), milliseconds(100));
 }
 
+// Guards against a crashed member, not the head, that holds up its group for two seconds: no entry connects to it.
+TEST_F(SilentGroupReplay, MemberThatRefusesConnectionsDissolvesASuspectedGroupAtOnce) {
+  run(seconds(1));
+  EXPECT_TRUE(probed_members_.empty()) << "only members of suspected groups are probed";
+  refusing_members_ = {"i1"};
+  fall_silent();
+  EXPECT_LT(time_to_dissolution(seconds(1)), milliseconds(400));
+  EXPECT_EQ(probed_members_, (std::set<std::string>{"i0", "i1"}));
+}
+
+// Guards against a late answer to a probe that dissolves a group which makes progress again.
+TEST_F(SilentGroupReplay, ProbeOfAGroupThatIsNoLongerSuspectedProvesNothing) {
+  fall_silent();
+  run(milliseconds(600));
+  go_on();
+  run(milliseconds(50));
+  leader_.handle_member_probe(now_, {"g1-1", "i1", make_instance("i1").address}, MemberProbeResult::kRefused);
+  EXPECT_EQ(time_to_dissolution(milliseconds(500)), milliseconds(500));
+}
+
+// Guards against a refusal by the process that had a member's address before.
+TEST_F(SilentGroupReplay, ProbeOfAnotherAddressProvesNothing) {
+  fall_silent();
+  run(milliseconds(600));
+  leader_.handle_member_probe(now_, {"g1-1", "i1", "10.0.9.9:1"}, MemberProbeResult::kRefused);
+  EXPECT_EQ(time_to_dissolution(milliseconds(500)), milliseconds(500));
+}
+
 // Guards against a new leader that dissolves sound groups by a silence that it did not see begin.
 TEST_F(SilentGroupReplay, NewLeaderCountsSilenceAnew) {
   fall_silent();
--- a/tests/unit/silent_groups_test.cc
+++ b/tests/unit/silent_groups_test.cc
@@ -2,6 +2,8 @@
 
 #include <gtest/gtest.h>
 
+#include <map>
+
 namespace larchlever::fleet {
 namespace {
 
@@ -145,6 +147,36 @@
   EXPECT_TRUE(groups_.suspect(at(3900), "g", SuspicionCause::kEntriesReportSilence, at(3900), kEntries));
 }
 
+// Guards against a failed group that is given up only after two seconds although nothing listens at a member any more.
+TEST_F(SilentGroupsTest, RefusedProbeProvesTheFailureOfASuspectedGroup) {
+  EXPECT_FALSE(groups_.note_probe(at(100), "g", MemberProbeResult::kRefused)) << "it is not suspected";
+  suspect(0);
+  EXPECT_EQ(groups_.take_groups_to_probe(at(200)), std::vector<std::string>{"g"});
+  EXPECT_FALSE(groups_.note_probe(at(210), "g", MemberProbeResult::kInconclusive));
+  const auto event = groups_.note_probe(at(220), "g", MemberProbeResult::kRefused);
+  ASSERT_TRUE(event);
+  EXPECT_EQ(event->step, SuspicionStep::kGivenUp);
+  EXPECT_EQ(event->cause, SuspicionCause::kMemberRefused);
+  EXPECT_EQ(event->silent_for, milliseconds(220));
+  EXPECT_TRUE(groups_.take_groups_to_probe(at(2000)).empty());
+}
+
+// Guards against probes of thousands of servers at once when the leader's own link fails.
+TEST_F(SilentGroupsTest, ProbesFewGroupsAtATimeAndEachSeldom) {
+  for (const auto* group : {"a", "b", "c"}) {
+    groups_.suspect(kStart, group, SuspicionCause::kStreamsSilent, kStart, kEntries);
+  }
+  std::map<std::string, int> probes;
+  for (int ms = 0; ms < 1000; ms += 5) {
+    const auto due = groups_.take_groups_to_probe(at(ms));
+    EXPECT_LE(due.size(), 1U);
+    for (const auto& group : due) {
+      ++probes[group];
+    }
+  }
+  EXPECT_EQ(probes, (std::map<std::string, int>{{"a", 2}, {"b", 2}, {"c", 2}}));
+}
+
 // Guards against records of groups that are long sound or gone, which every tick would review.
 TEST_F(SilentGroupsTest, ForgetsGroupsThatAreSoundOrGone) {
   suspect(0);
