Hedges: progress of a buffered answer counts, an ended attempt is not hedged, searches are renewed

Found by a review of the hedges, by reading; callers would have seen cut or late answers: - bytes of an answer that is held back did not abandon the hedge, so that a server that went on was cut off once the other one answered; - an attempt that had just failed hedged itself, which made its ordinary retry wait until the deadline and charged the retry budget for requests that were never sent; - a server's 5xx beside a hedge could lead to one run more than the route allows; the hedge now decides, and the general checks apply after it; - a search kept the groups excluded that were silent when it began: hedges ask again each 300 ms (test: a crashed group among silent ones); - a stream of which only the end was missing could not be ended by a hedge; - a suspicion found no place once and was not raised again: every 500 ms now; - a cancellation between the head and the first read of the body was lost; - a crash of a hedge's server after its head was not counted. When the main attempt ends and its hedge has not sent anything, the request itself looks for a target, with its usual limits.

The check of dissolved groups also knows the leader's new reason.

--- a/src/node/hedge.h
+++ b/src/node/hedge.h
@@ -19,11 +19,16 @@
 
   void abandon(std::string_view cause) {
     is_abandoned = true;
+    successor.reset();
     if (attempt != nullptr) {
       attempt->discard(cause);
     }
     done_signal.cancel();
   }
+  /// It may still deliver a successor.
+  bool is_live() const { return !is_abandoned && (!is_done || successor != nullptr); }
+  /// An attempt may have reached a server, and what became of it is not known yet.
+  bool is_sending() const { return !is_done && attempt != nullptr; }
   void finish() {
     is_done = true;
     done_signal.cancel();
--- a/src/node/in_flight_attempts.cc
+++ b/src/node/in_flight_attempts.cc
@@ -10,6 +10,9 @@
 /// flight there. A group that gets many requests at once reads all their prompts first.
 constexpr Duration kBaseStallTime = milliseconds(900);
 constexpr Duration kStallTimePerRequest = milliseconds(100);
+/// How often a suspicion is repeated while the target is silent: the first time, the retry budget may have been used
+/// up.
+constexpr Duration kSuspicionInterval = milliseconds(500);
 
 std::string to_text(Duration duration) { return std::to_string(duration / milliseconds(1)); }
 
@@ -42,16 +45,16 @@
   return result;
 }
 
-void InFlightAttempts::suspect(RelayAttempt& attempt, std::string_view cause) {
-  attempt.is_suspected = true;
+void InFlightAttempts::suspect(TimePoint now, RelayAttempt& attempt, std::string_view cause) {
+  attempt.suspected_at = now;
   if (attempt.on_suspected) {
     attempt.on_suspected(cause);
   }
 }
 
-void InFlightAttempts::suspect_at_target(const std::string& target_key, std::string_view cause) {
+void InFlightAttempts::suspect_at_target(TimePoint now, const std::string& target_key, std::string_view cause) {
   for (auto* attempt : attempts_at(target_key)) {
-    suspect(*attempt, cause);
+    suspect(now, *attempt, cause);
   }
 }
 
@@ -62,7 +65,7 @@
   }
   ++state_.counters.stalls;
   if (!target.group.empty()) {
-    suspect_at_target(target.key, "another attempt failed there");
+    suspect_at_target(now, target.key, "another attempt failed there");
   }
 }
 
@@ -74,13 +77,15 @@
                {"requests", std::to_string(target.in_flight)},
                {"silent_ms", to_text(state_.dispatcher.silence_at(now, target.key))}});
     state_.dispatcher.avoid_target(now, target.key);
-    suspect_at_target(target.key, "group stalled");
+    suspect_at_target(now, target.key, "group stalled");
   }
   for (const auto& [key, attempts] : attempts_by_target_) {
     for (auto* attempt : attempts) {
-      const bool waits = attempt->awaiting_since != TimePoint::max() && !attempt->is_suspected;
-      if (waits && now - attempt->awaiting_since > attempt->max_silence) {
-        suspect(*attempt, "response paused");
+      const bool waits = attempt->awaiting_since != TimePoint::max();
+      const bool is_due = attempt->suspected_at ? now - *attempt->suspected_at >= kSuspicionInterval
+                                                : waits && now - attempt->awaiting_since > attempt->max_silence;
+      if (waits && is_due) {
+        suspect(now, *attempt, "response paused");
       }
     }
   }
@@ -97,13 +102,13 @@
              {"requests", std::to_string(attempts_at(target->key).size())},
              {"silent_ms", to_text(state_.dispatcher.silence_at(now, target->key))}});
   state_.dispatcher.avoid_target(now, target->key);
-  suspect_at_target(target->key, "group failed");
+  suspect_at_target(now, target->key, "group failed");
 }
 
-void InFlightAttempts::suspect_at_lost_link(const std::string& server_address) {
+void InFlightAttempts::suspect_at_lost_link(TimePoint now, const std::string& server_address) {
   for (auto* attempt : all_attempts()) {
     if (attempt->target.server.address == server_address) {
-      suspect(*attempt, "link lost");
+      suspect(now, *attempt, "link lost");
     }
   }
 }
--- a/src/node/in_flight_attempts.h
+++ b/src/node/in_flight_attempts.h
@@ -32,7 +32,7 @@
   /// Suspects attempts at a group that the leader found to be stalled.
   void suspect_at_failed_group(TimePoint now, const std::string& group);
   /// Suspects attempts that wait for a server whose link is lost.
-  void suspect_at_lost_link(const std::string& server_address);
+  void suspect_at_lost_link(TimePoint now, const std::string& server_address);
   /// Cancels attempts at a target whose server restarted, since they cannot complete.
   void cancel_at_restarted_server(const std::string& target_key);
   /// Cancels attempts past their deadline. Call after this process was paused: timers do not count time during which
@@ -44,8 +44,8 @@
  private:
   std::vector<RelayAttempt*> attempts_at(const std::string& target_key) const;
   std::vector<RelayAttempt*> all_attempts() const;
-  void suspect_at_target(const std::string& target_key, std::string_view cause);
-  static void suspect(RelayAttempt& attempt, std::string_view cause);
+  void suspect_at_target(TimePoint now, const std::string& target_key, std::string_view cause);
+  static void suspect(TimePoint now, RelayAttempt& attempt, std::string_view cause);
 
   EntryState& state_;
   std::map<std::string, std::set<RelayAttempt*>> attempts_by_target_;
--- a/src/node/link_prober.cc
+++ b/src/node/link_prober.cc
@@ -49,7 +49,7 @@
     }
     asio::co_spawn(executor_, probe(std::move(server), std::move(path)), asio::detached);
   }
-  apply_changes();
+  apply_changes(now);
   log_changes(now);
 }
 
@@ -72,11 +72,11 @@
   }
 }
 
-void LinkProber::apply_changes() {
+void LinkProber::apply_changes(TimePoint now) {
   auto& links = state_.dispatcher.links();
   for (const auto& address : links.take_confirmed_losses()) {
     client_.close_idle_connections(address);
-    in_flight_attempts_.suspect_at_lost_link(address);
+    in_flight_attempts_.suspect_at_lost_link(now, address);
   }
   for (const auto& address : links.take_regained()) {
     state_.dispatcher.forgive_failures(address);
--- a/src/node/link_prober.h
+++ b/src/node/link_prober.h
@@ -15,7 +15,7 @@
 namespace larchlever::node {
 
 /// Probes servers to which this entry has lost its links, with new connections, and acts on what is found: requests
-/// that wait for a lost server are cancelled if they may be repeated, and a server is used again once it responds. Logs
+/// that wait for a lost server are suspected, and a server is used again once it responds. Logs
 /// the loss and the return of links. Runs on one executor; not thread-safe.
 class LinkProber {
  public:
@@ -30,7 +30,7 @@
   boost::asio::awaitable<void> probe(fleet::LinkedServer server, std::string path);
   /// Path that the server at this address answers without running a request; empty if its service is unknown.
   std::string probe_path(const std::string& address) const;
-  void apply_changes();
+  void apply_changes(TimePoint now);
   void log_changes(TimePoint now);
 
   boost::asio::any_io_executor executor_;
--- a/src/node/relay_attempt.h
+++ b/src/node/relay_attempt.h
@@ -2,6 +2,7 @@
 
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 #include <string_view>
 
@@ -31,8 +32,10 @@
   void begin_wait(TimePoint now) { awaiting_since = now; }
   void end_wait() {
     awaiting_since = TimePoint::max();
-    is_suspected = false;
+    suspected_at.reset();
   }
+  /// The attempt has ended by itself, so no other target is looked for beside it.
+  void note_end() { on_suspected = nullptr; }
 
   fleet::DispatchTarget target;
   /// Deadline of the final response.
@@ -48,7 +51,8 @@
   TimePoint awaiting_since = TimePoint::max();
   /// Silence after which the attempt is suspected on its own, even if its target makes progress for other requests.
   Duration max_silence = Duration::max();
-  bool is_suspected = false;
+  /// When the attempt was last suspected, unless bytes arrived since then.
+  std::optional<TimePoint> suspected_at;
   bool is_discarded = false;
   /// Called when the target may have failed. The attempt goes on. Empty if the request may not be repeated.
   std::function<void(std::string_view cause)> on_suspected;
--- a/src/node/request_relay.cc
+++ b/src/node/request_relay.cc
@@ -222,9 +222,12 @@
       co_return result;
     }
     note_ended_attempt(request, attempt->target, result);
+    const bool had_hedge = request.hedge != nullptr;
     auto successor = co_await take_successor(request);
     if (successor == nullptr) {
-      co_return result;
+      // With a hedge, the retry after a server's error is neither charged to the budget nor known to be allowed.
+      const bool is_unpaid_retry = had_hedge && result == DispatchResult::kServerError;
+      co_return is_unpaid_retry ? DispatchResult::kMayHaveRun : result;
     }
     attempt = std::move(successor);
   }
--- a/src/node/request_relay.h
+++ b/src/node/request_relay.h
@@ -97,7 +97,7 @@
   /// Responds to the caller with a peer's refusal.
   boost::asio::awaitable<DispatchResult> pass_on_refusal(RelayedRequest& request, net::ClientStream& stream);
   /// Evaluates an attempt that got no response head.
-  DispatchResult note_failed_open(RelayedRequest& request, const RelayAttempt& attempt, const net::OpenResult& opened);
+  DispatchResult note_failed_open(RelayedRequest& request, RelayAttempt& attempt, const net::OpenResult& opened);
   /// The response's head as the caller, or the entry for which the request is relayed, gets it.
   static net::HttpResponse head_for_receiver(const RelayedRequest& request, const net::HttpResponse& head);
   /// Responds to a request for which no target was found.
@@ -118,19 +118,25 @@
   /// Sends the attempt and reads the head of its response. Returns nothing if the response is to be relayed.
   boost::asio::awaitable<std::optional<DispatchResult>> open_attempt(RelayedRequest& request, RelayAttempt& attempt);
   /// Returns nothing if the response with this head is to be relayed.
-  std::optional<DispatchResult> check_response_head(RelayedRequest& request, const RelayAttempt& attempt);
+  std::optional<DispatchResult> check_response_head(RelayedRequest& request, RelayAttempt& attempt);
   /// Whether another server may be looked for beside the suspected attempt.
   bool may_hedge(RelayedRequest& request, const RelayAttempt& suspected) const;
   void start_hedge(const std::shared_ptr<RelayedRequest>& request, const RelayAttempt& suspected,
                    std::string_view cause);
   static void abandon_hedge(RelayedRequest& request, std::string_view cause);
+  static bool has_live_hedge(const RelayedRequest& request) {
+    return request.hedge != nullptr && request.hedge->is_live();
+  }
   boost::asio::awaitable<void> run_hedge(std::shared_ptr<RelayedRequest> request, std::shared_ptr<Hedge> hedge);
   /// Sends the attempt of a hedge. Returns kAnswered once the first bytes of its response arrived.
   boost::asio::awaitable<DispatchResult> wait_for_first_bytes(RelayedRequest& request, RelayAttempt& attempt);
   /// Ends the main attempt in favour of the successor.
   void hand_over(RelayedRequest& request, Hedge& hedge, std::unique_ptr<RelayAttempt> successor);
-  /// Waits until the request's hedge is done. Returns the attempt that takes over, or null.
+  /// The main attempt has ended. Waits for the hedge if it has sent an attempt, and ends it otherwise. Returns the
+  /// attempt that takes over, or null.
   boost::asio::awaitable<std::unique_ptr<RelayAttempt>> take_successor(RelayedRequest& request);
+  /// Evaluates a response that ended before its end.
+  void note_broken_response(RelayedRequest& request, RelayAttempt& attempt);
   boost::asio::awaitable<DispatchResult> relay_response(RelayedRequest& request, RelayAttempt& attempt);
   /// Returns the next bytes of the response; empty at its end, after a failure, or at the request's deadline.
   static boost::asio::awaitable<std::string> read_chunk(const RelayedRequest& request, RelayAttempt& attempt);
--- a/src/node/request_relay_attempts.cc
+++ b/src/node/request_relay_attempts.cc
@@ -24,6 +24,8 @@
 /// How long a peer may take to respond before another target is looked for: longer than a server under load takes to
 /// send its first event.
 constexpr Duration kPeerResponseTimeout = milliseconds(1500);
+/// Between two searches of a hedge for a target.
+constexpr auto kHedgeSearchPause = std::chrono::milliseconds(50);
 
 bool is_success(int status) { return status >= 200 && status < 300; }
 
@@ -99,13 +101,14 @@
   return head.status == http_status::kMisdirectedRequest || head.headers.contains(dialect_.not_run_header);
 }
 
-RequestRelay::DispatchResult RequestRelay::note_failed_open(RelayedRequest& request, const RelayAttempt& attempt,
+RequestRelay::DispatchResult RequestRelay::note_failed_open(RelayedRequest& request, RelayAttempt& attempt,
                                                             const net::OpenResult& opened) {
   const auto& target = attempt.target;
   const TimePoint now = monotonic_now();
   const bool was_sent = opened.state != net::SendState::kNotSent;
   const bool was_withheld = !was_sent && !state_.dispatcher.may_send(now, target);
   const bool has_failed = now < request.deadline && !was_withheld && !attempt.is_discarded;
+  attempt.note_end();
   log_event("", "sending_failed",
             {{"request", request.id},
              {"fingerprint", to_string(request.fingerprint)},
@@ -156,7 +159,7 @@
   attempt.end_wait();
   request.attempts_sent += opened.state == net::SendState::kNotSent ? 0 : 1;
   if (request.caller_disconnected) {
-    ++state_.counters.caller_disconnects;
+    state_.counters.caller_disconnects += request.main_attempt == &attempt ? 1 : 0;
     co_return DispatchResult::kAnswered;
   }
   if (opened.stream == nullptr) {
@@ -164,6 +167,9 @@
   }
   attempt.stream = std::move(opened.stream);
   attempt.cancellation->set_cancel_callback([stream = attempt.stream.get()] { stream->close(); });
+  if (attempt.cancellation->cancelled()) {
+    attempt.stream->close();  // Cancelled after the head had been read, while nothing was pending.
+  }
   if (target.is_relay_peer) {
     if (const auto result = co_await handle_peer_response(request, attempt)) {
       co_return *result;
@@ -175,7 +181,7 @@
 }
 
 std::optional<RequestRelay::DispatchResult> RequestRelay::check_response_head(RelayedRequest& request,
-                                                                              const RelayAttempt& attempt) {
+                                                                              RelayAttempt& attempt) {
   const auto& target = attempt.target;
   const auto& head = attempt.stream->head();
   const auto echoed_id = head.headers.find(dialect_.request_id_header);
@@ -198,6 +204,7 @@
              {"retry_after", std::string(head.headers.find(kRetryAfterHeader))}});
   if (!target.group.empty() &&
       (head.status == http_status::kMisdirectedRequest || head.headers.contains(dialect_.faulty_server_header))) {
+    attempt.note_end();
     in_flight_attempts_.note_failure(target, monotonic_now());
   }
   return DispatchResult::kNotRun;
@@ -208,7 +215,7 @@
 bool RequestRelay::may_hedge(RelayedRequest& request, const RelayAttempt& suspected) const {
   const TimePoint now = monotonic_now();
   const bool is_main = request.main_attempt == &suspected && !suspected.is_discarded;
-  const bool has_hedge = request.hedge != nullptr && !request.hedge->is_done;
+  const bool has_hedge = has_live_hedge(request) || (request.hedge != nullptr && request.hedge->is_sending());
   // What the caller has of a response that is no stream can only be continued by the same server.
   const bool can_be_continued =
       !request.response_started || request.route->route_type == document::RouteType::kStreaming;
@@ -238,7 +245,6 @@
 void RequestRelay::abandon_hedge(RelayedRequest& request, std::string_view cause) {
   if (request.hedge != nullptr) {
     request.hedge->abandon(cause);
-    request.hedge.reset();
   }
 }
 
@@ -253,11 +259,17 @@
     }
     const FoundTarget found = co_await find_target(*request, search);
     const auto* target = std::get_if<fleet::DispatchTarget>(&found);
+    const bool is_in_time = !search.is_over(*request) && monotonic_now() < request->deadline;
+    if (target == nullptr && is_in_time) {
+      asio::steady_timer timer(executor_, kHedgeSearchPause);
+      co_await timer.async_wait(kAwaitWithError);
+      continue;
+    }
     if (target == nullptr) {
       co_return;
     }
-    const bool is_in_time = !search.is_over(*request) && monotonic_now() < request->deadline;
-    if (!is_in_time || !state_.dispatcher.retry_budget().try_take(monotonic_now(), request->service->name)) {
+    if (!is_in_time || request->attempts_sent >= kMaxAttempts ||
+        !state_.dispatcher.retry_budget().try_take(monotonic_now(), request->service->name)) {
       slot_requester_.note_load_change();  // Report that the slot is unused.
       co_return;
     }
@@ -288,7 +300,15 @@
     co_return DispatchResult::kServerError;
   }
   attempt.unread = co_await read_chunk(request, attempt);
-  co_return attempt.unread.empty() ? DispatchResult::kMayHaveRun : DispatchResult::kAnswered;
+  // Only the end may have been missing of a stream that is resumed.
+  const bool is_empty_response = attempt.stream->complete() && (request.response_started || !is_stream);
+  if (!attempt.unread.empty() || is_empty_response) {
+    co_return DispatchResult::kAnswered;
+  }
+  if (!attempt.is_discarded) {
+    note_broken_response(request, attempt);
+  }
+  co_return DispatchResult::kMayHaveRun;
 }
 
 void RequestRelay::hand_over(RelayedRequest& request, Hedge& hedge, std::unique_ptr<RelayAttempt> successor) {
@@ -306,11 +326,14 @@
   if (hedge == nullptr) {
     co_return nullptr;
   }
-  while (!hedge->is_done && !request.caller_disconnected) {
+  while (hedge->is_sending() && !request.caller_disconnected) {
     co_await hedge->done_signal.async_wait(kAwaitWithError);
   }
   request.hedge.reset();
-  co_return std::move(hedge->successor);
+  const bool takes_over = hedge->is_live() && hedge->successor != nullptr;
+  auto successor = std::move(hedge->successor);
+  hedge->abandon("the first attempt has ended");  // The request itself looks for a target now.
+  co_return takes_over ? std::move(successor) : nullptr;
 }
 
 }  // namespace larchlever::node
--- a/src/node/request_relay_peers.cc
+++ b/src/node/request_relay_peers.cc
@@ -124,7 +124,9 @@
   auto& stream = *attempt.stream;
   const auto& headers = stream.head().headers;
   const auto result = find_relay_result(headers);
-  request.last_target = find_relay_target(headers);
+  const std::string relay_target = find_relay_target(headers);
+  const bool is_main = request.main_attempt == &attempt;
+  request.last_target = is_main ? relay_target : request.last_target;
   if (result == RelayResult::kServed) {
     ++state_.counters.relayed_by_peers;
     co_return std::nullopt;
@@ -132,9 +134,9 @@
   log_event("", "relay_ended_without_response",
             {{"request", request.id},
              {"relay_peer", target.address},
-             {"target", request.last_target},
+             {"target", relay_target},
              {"status", std::to_string(stream.head().status)}});
-  const bool is_only_attempt = request.main_attempt == &attempt && request.hedge == nullptr;
+  const bool is_only_attempt = is_main && !has_live_hedge(request);
   const bool is_final_refusal =
       result == RelayResult::kRefused && is_only_attempt && !request.may_have_run && !request.response_started;
   if (is_final_refusal) {
@@ -142,8 +144,8 @@
     co_return co_await pass_on_refusal(request, stream);
   }
   ++state_.counters.failed_at_peers;
-  if (!request.last_target.empty()) {
-    request.excluded_targets.insert(request.last_target);
+  if (!relay_target.empty()) {
+    request.excluded_targets.insert(relay_target);
   }
   if (result == RelayResult::kNotSent || result == RelayResult::kRefused) {
     --request.attempts_sent;
--- a/src/node/request_relay_responses.cc
+++ b/src/node/request_relay_responses.cc
@@ -58,9 +58,10 @@
   requests::BufferReservation buffer_share(response_buffers_);
   while (true) {
     const std::string chunk = co_await read_chunk(request, attempt);
-    if (chunk.empty()) {
+    if (chunk.empty() || attempt.is_discarded) {
       break;
     }
+    abandon_hedge(request, "the first server went on");
     response.body += chunk;
     const bool has_room = buffer_share.grow(chunk.size());
     if (!has_room && may_stream_early && !request.caller_disconnected) {
@@ -72,20 +73,11 @@
     ++state_.counters.caller_disconnects;
     co_return DispatchResult::kAnswered;
   }
-  if (!stream.complete() && attempt.is_discarded) {
+  if (attempt.is_discarded) {
     co_return DispatchResult::kMayHaveRun;
   }
   if (!stream.complete()) {
-    log_event("", "answer_broke_off",
-              {{"request", request.id},
-               {"fingerprint", to_string(request.fingerprint)},
-               {"target", target.key},
-               {"instance", target.instance_id},
-               {"cancelled_by", attempt.cancellation->cause()},
-               {"reason", stream.error()}});
-    if (monotonic_now() < request.deadline && !target.is_relay_peer) {
-      blocked_request_guard_.note_lost_response(request, target);
-    }
+    note_broken_response(request, attempt);
     co_return DispatchResult::kMayHaveRun;
   }
   blocked_request_guard_.note_response(request);
@@ -97,10 +89,13 @@
   if (is_success(response.status)) {
     note_response_time(attempt, monotonic_now());
   }
+  const bool may_be_repeated = response.status >= 500 && request.route->is_retry_safe() && !request.response_started;
+  if (may_be_repeated && has_live_hedge(request)) {
+    co_return DispatchResult::kServerError;  // The other server may still answer.
+  }
   abandon_hedge(request, "the first server answered");
-  const bool should_retry = response.status >= 500 && request.route->is_retry_safe() && !request.response_started &&
-                            request.possible_runs + 1 < request.route->max_attempts &&
-                            may_retry(request, monotonic_now());
+  const bool should_retry =
+      may_be_repeated && request.possible_runs + 1 < request.route->max_attempts && may_retry(request, monotonic_now());
   if (should_retry) {
     co_return DispatchResult::kServerError;
   }
@@ -185,10 +180,34 @@
   request.last_chunk_at = now;
 }
 
+void RequestRelay::note_broken_response(RelayedRequest& request, RelayAttempt& attempt) {
+  const auto& target = attempt.target;
+  const TimePoint now = monotonic_now();
+  const auto& last_id = request.event_stream.last_id();
+  const bool is_stream = request.route->route_type == document::RouteType::kStreaming;
+  log_event("", is_stream ? "stream_broke_off" : "answer_broke_off",
+            {{"request", request.id},
+             {"fingerprint", to_string(request.fingerprint)},
+             {"target", target.key},
+             {"instance", target.instance_id},
+             {"cancelled_by", attempt.cancellation->cause()},
+             {"reason", attempt.stream->error()},
+             {"last_event", last_id ? std::to_string(*last_id) : "none"}});
+  attempt.note_end();
+  if (now >= request.deadline || target.is_relay_peer) {
+    return;
+  }
+  if (is_stream) {
+    in_flight_attempts_.note_failure(
+        target, now,
+        attempt.cancellation->cancelled() ? fleet::FailureEvidence::kSilence : fleet::FailureEvidence::kConnection);
+  }
+  blocked_request_guard_.note_lost_response(request, target);
+}
+
 asio::awaitable<RequestRelay::DispatchResult> RequestRelay::relay_events(RelayedRequest& request,
                                                                          RelayAttempt& attempt) {
   net::ClientStream& stream = *attempt.stream;
-  const auto& target = attempt.target;
   request.is_resumed = request.event_stream.last_id().has_value() ||
                        request.exchange->request().headers.contains(dialect_.last_event_id_header);
   request.event_stream.restart();
@@ -233,20 +252,7 @@
     co_await request.exchange->end_stream();
     co_return DispatchResult::kAnswered;
   }
-  const TimePoint now = monotonic_now();
-  log_event(
-      "", "stream_broke_off",
-      {{"request", request.id},
-       {"fingerprint", to_string(request.fingerprint)},
-       {"target", target.key},
-       {"instance", target.instance_id},
-       {"cancelled_by", attempt.cancellation->cause()},
-       {"reason", stream.error()},
-       {"last_event", request.event_stream.last_id() ? std::to_string(*request.event_stream.last_id()) : "none"}});
-  if (now < request.deadline && !target.is_relay_peer) {
-    in_flight_attempts_.note_failure(target, now);
-    blocked_request_guard_.note_lost_response(request, target);
-  }
+  note_broken_response(request, attempt);
   ++state_.counters.resumed;
   co_return DispatchResult::kMayHaveRun;
 }
--- a/src/node/target_finder.cc
+++ b/src/node/target_finder.cc
@@ -38,13 +38,19 @@
 /// How long the leader is not asked again about servers for which it had no permit.
 constexpr Duration kNoPermitBackoff = milliseconds(100);
 
+/// How long a hedge waits for a target in one search. Later ones see which groups are not silent any more.
+constexpr Duration kHedgeSearchTime = milliseconds(300);
+
 constexpr const char* kAllPlacesTaken = "all places are taken";
 constexpr const char* kLimitsUsedUp = "the servers' limits are used up";
 
 }  // namespace
 
 TimePoint TargetFinder::wait_deadline(const RelayedRequest& request, const TargetSearch& search) {
-  if (request.response_started || search.hedge != nullptr) {
+  if (search.hedge != nullptr) {
+    return std::min(request.deadline, monotonic_now() + kHedgeSearchTime);
+  }
+  if (request.response_started) {
     return request.deadline;
   }
   const Duration objective = request.route->target_latency;
--- a/tests/integration/silent_servers_test.cc
+++ b/tests/integration/silent_servers_test.cc
@@ -280,6 +280,7 @@
   }
   for (const auto& node : fleet_.control_replicas()) {
     EXPECT_EQ(fleet_.log(node).find("entries report a failure"), std::string::npos) << node;
+    EXPECT_EQ(fleet_.log(node).find("silent for too long"), std::string::npos) << node;
   }
   EXPECT_EQ(engines_->streams_ended_by_leave(), 0U);
 }
@@ -298,6 +299,20 @@
   expect_complete_streams();
 }
 
+// A search for another server kept excluding the groups that were silent when it began, after they had recovered.
+TEST_F(SilentServers, StreamsOfACrashedGroupAreResumedAfterTheOthersWereSilent) {
+  auto options = engine_options();
+  options.restart_delay = std::chrono::hours(1);
+  options.event_pause = milliseconds(10);
+  ASSERT_NO_FATAL_FAILURE(start_fleet(options));
+  ASSERT_NO_FATAL_FAILURE(start_callers(kResumableHost, 16));
+  ASSERT_NO_FATAL_FAILURE(wait_for_running_streams());
+  engines_->silence_all(milliseconds(1200));
+  EXPECT_GT(engines_->crash_member_of_busiest_group(), 0) << "no stream was met";
+  ASSERT_TRUE(callers_->wait_for_complete_streams(2));
+  expect_complete_streams();
+}
+
 /// Random silences that overlap with the loss of a control replica and changes of the configuration.
 class SilentServersSoak : public SilentServers, public testing::WithParamInterface<uint64_t> {
  protected:
