Break off a stream whose event does not end

What callers saw: the head of a group sends one event and then an event without end, as a flood or byte by byte. The entry waited for its end until the deadline, with nothing for the caller in between, and then cut the stream, although another group could have gone on with it. A flood was kept whole.

Cause: any byte counted as a sign of life of the stream, so that the limit on the pause between events never applied; the splitter kept an incomplete event of any length, and searched it from its beginning with each read.

Evidence: on the code before, 4 MiB fed without an end of an event were all kept.

Change: an event may have 64 KiB without its end; beyond that the stream counts as broken off, as it does if no event has ended within the longest pause between events. An event that ends but is dropped as a repetition counts as an end. Only what is new is searched.

--- a/src/core/requests/event_stream.cc
+++ b/src/core/requests/event_stream.cc
@@ -1,5 +1,6 @@
 #include "core/requests/event_stream.h"
 
+#include <algorithm>
 #include <charconv>
 
 namespace larchlever::requests {
@@ -31,10 +32,15 @@
 }  // namespace
 
 std::string EventStreamSplitter::feed(std::string_view bytes) {
+  has_completed_event_ = false;
+  if (is_event_too_long()) {
+    return "";
+  }
   pending_.append(bytes);
   std::string complete_events;
   size_t begin = 0;
-  for (size_t end = pending_.find(kEventEnd); end != std::string::npos; end = pending_.find(kEventEnd, begin)) {
+  for (size_t end = pending_.find(kEventEnd, searched_bytes_); end != std::string::npos;
+       end = pending_.find(kEventEnd, begin)) {
     const auto event = std::string_view(pending_).substr(begin, end + kEventEnd.size() - begin);
     begin = end + kEventEnd.size();
     const auto id = parse_event_id(event);
@@ -48,8 +54,16 @@
     }
     complete_events.append(event);
   }
+  has_completed_event_ = begin > 0;
   pending_.erase(0, begin);
+  // The end of the event may have arrived in part.
+  searched_bytes_ = pending_.size() - std::min(pending_.size(), kEventEnd.size() - 1);
   return complete_events;
 }
 
+void EventStreamSplitter::restart() {
+  pending_.clear();
+  searched_bytes_ = 0;
+}
+
 }  // namespace larchlever::requests
--- a/src/node/relay_attempt.h
+++ b/src/node/relay_attempt.h
@@ -29,11 +29,14 @@
     is_discarded = true;
     cancellation->cancel(cause);
   }
-  void begin_wait(TimePoint now) { awaiting_since = now; }
-  void end_wait() {
-    awaiting_since = TimePoint::max();
-    suspected_at.reset();
+  /// Bytes are awaited; the target has made no progress since `since`.
+  void begin_wait(TimePoint since) {
+    awaiting_since = since;
+    if (suspected_at && since > *suspected_at) {
+      suspected_at.reset();
+    }
   }
+  void end_wait() { awaiting_since = TimePoint::max(); }
   /// The attempt has ended by itself, so no other target is looked for beside it.
   void note_end() { on_suspected = nullptr; }
 
@@ -51,7 +54,7 @@
   TimePoint awaiting_since = TimePoint::max();
   /// Silence after which the attempt is suspected on its own, even if its target makes progress for other requests.
   Duration max_silence = Duration::max();
-  /// When the attempt was last suspected, unless bytes arrived since then.
+  /// When the attempt was last suspected, unless its target made progress since then.
   std::optional<TimePoint> suspected_at;
   bool is_discarded = false;
   /// Called when the target may have failed. The attempt goes on. Empty if the request may not be repeated.
--- a/src/node/request_relay.h
+++ b/src/node/request_relay.h
@@ -136,10 +136,12 @@
   /// attempt that takes over, or null.
   boost::asio::awaitable<std::unique_ptr<RelayAttempt>> take_successor(RelayedRequest& request);
   /// Evaluates a response that ended before its end.
-  void note_broken_response(RelayedRequest& request, RelayAttempt& attempt);
+  void note_broken_response(RelayedRequest& request, RelayAttempt& attempt, const std::string& reason);
   boost::asio::awaitable<DispatchResult> relay_response(RelayedRequest& request, RelayAttempt& attempt);
-  /// Returns the next bytes of the response; empty at its end, after a failure, or at the request's deadline.
-  static boost::asio::awaitable<std::string> read_chunk(const RelayedRequest& request, RelayAttempt& attempt);
+  /// Returns the next bytes of the response; empty at its end, after a failure, or at the request's deadline. The
+  /// target has made no progress since `waiting_since`.
+  static boost::asio::awaitable<std::string> read_chunk(const RelayedRequest& request, RelayAttempt& attempt,
+                                                        TimePoint waiting_since);
   boost::asio::awaitable<DispatchResult> relay_buffered(RelayedRequest& request, RelayAttempt& attempt);
   /// Relays a successful response as it arrives, at the speed at which the caller reads, after the prefix that is
   /// already buffered.
--- a/src/node/request_relay_attempts.cc
+++ b/src/node/request_relay_attempts.cc
@@ -299,14 +299,24 @@
   if (!is_success(head.status) || (!is_stream && !head.headers.contains(dialect_.signature_header))) {
     co_return DispatchResult::kServerError;
   }
-  attempt.unread = co_await read_chunk(request, attempt);
+  std::string received;
+  while (received.size() <= requests::EventStreamSplitter::kMaxEventBytes) {
+    const std::string chunk = co_await read_chunk(request, attempt, attempt.sent_at);
+    received += chunk;
+    const bool is_enough = !is_stream || received.find("\n\n") != std::string::npos;
+    if (chunk.empty() || is_enough) {
+      break;
+    }
+  }
+  attempt.unread = std::move(received);
   // Only the end may have been missing of a stream that is resumed.
   const bool is_empty_response = attempt.stream->complete() && (request.response_started || !is_stream);
-  if (!attempt.unread.empty() || is_empty_response) {
+  const bool has_progress = is_stream ? attempt.unread.find("\n\n") != std::string::npos : !attempt.unread.empty();
+  if (has_progress || is_empty_response) {
     co_return DispatchResult::kAnswered;
   }
   if (!attempt.is_discarded) {
-    note_broken_response(request, attempt);
+    note_broken_response(request, attempt, attempt.stream->error());
   }
   co_return DispatchResult::kMayHaveRun;
 }
--- a/src/node/request_relay_responses.cc
+++ b/src/node/request_relay_responses.cc
@@ -32,7 +32,8 @@
   co_return co_await relay_buffered(request, attempt);
 }
 
-asio::awaitable<std::string> RequestRelay::read_chunk(const RelayedRequest& request, RelayAttempt& attempt) {
+asio::awaitable<std::string> RequestRelay::read_chunk(const RelayedRequest& request, RelayAttempt& attempt,
+                                                      TimePoint waiting_since) {
   if (!attempt.unread.empty()) {
     co_return std::exchange(attempt.unread, "");
   }
@@ -40,7 +41,7 @@
   if (now >= request.deadline) {
     co_return "";
   }
-  attempt.begin_wait(now);
+  attempt.begin_wait(waiting_since);
   std::string chunk = co_await attempt.stream->read_some(to_milliseconds(request.deadline - now));
   attempt.end_wait();
   co_return chunk;
@@ -57,7 +58,7 @@
                                 !request.response_started && !stream.delimited_by_close();
   requests::BufferReservation buffer_share(response_buffers_);
   while (true) {
-    const std::string chunk = co_await read_chunk(request, attempt);
+    const std::string chunk = co_await read_chunk(request, attempt, monotonic_now());
     if (chunk.empty() || attempt.is_discarded) {
       break;
     }
@@ -77,7 +78,7 @@
     co_return DispatchResult::kMayHaveRun;
   }
   if (!stream.complete()) {
-    note_broken_response(request, attempt);
+    note_broken_response(request, attempt, stream.error());
     co_return DispatchResult::kMayHaveRun;
   }
   blocked_request_guard_.note_response(request);
@@ -126,7 +127,7 @@
     note_progress(target, monotonic_now());
     chunk.clear();
     if (is_open) {
-      chunk = co_await read_chunk(request, attempt);
+      chunk = co_await read_chunk(request, attempt, monotonic_now());
     }
   }
   if (!is_open || request.caller_disconnected) {
@@ -180,7 +181,7 @@
   request.last_chunk_at = now;
 }
 
-void RequestRelay::note_broken_response(RelayedRequest& request, RelayAttempt& attempt) {
+void RequestRelay::note_broken_response(RelayedRequest& request, RelayAttempt& attempt, const std::string& reason) {
   const auto& target = attempt.target;
   const TimePoint now = monotonic_now();
   const auto& last_id = request.event_stream.last_id();
@@ -191,7 +192,7 @@
              {"target", target.key},
              {"instance", target.instance_id},
              {"cancelled_by", attempt.cancellation->cause()},
-             {"reason", attempt.stream->error()},
+             {"reason", reason},
              {"last_event", last_id ? std::to_string(*last_id) : "none"}});
   attempt.note_end();
   if (now >= request.deadline || target.is_relay_peer) {
@@ -212,8 +213,10 @@
                        request.exchange->request().headers.contains(dialect_.last_event_id_header);
   request.event_stream.restart();
   attempt.max_silence = kMaxStreamGap;
-  while (true) {
-    const std::string chunk = co_await read_chunk(request, attempt);
+  // Bytes of an incomplete event are no progress.
+  TimePoint waiting_since = monotonic_now();
+  while (!request.event_stream.is_event_too_long()) {
+    const std::string chunk = co_await read_chunk(request, attempt, waiting_since);
     if (request.caller_disconnected) {
       ++state_.counters.caller_disconnects;
       co_return DispatchResult::kAnswered;
@@ -224,8 +227,12 @@
     if (chunk.empty()) {
       break;
     }
-    note_chunk(request, attempt, monotonic_now());
     const std::string events = request.event_stream.feed(chunk);
+    if (!request.event_stream.has_completed_event()) {
+      continue;
+    }
+    waiting_since = monotonic_now();
+    note_chunk(request, attempt, waiting_since);
     if (events.empty()) {
       continue;
     }
@@ -241,6 +248,7 @@
       completion_.log_completion(request, 0, "the caller stopped reading the stream");
       co_return DispatchResult::kAnswered;
     }
+    waiting_since = monotonic_now();
   }
   const bool is_complete =
       stream.complete() && request.event_stream.pending().empty() && !request.event_stream.has_gap();
@@ -252,7 +260,8 @@
     co_await request.exchange->end_stream();
     co_return DispatchResult::kAnswered;
   }
-  note_broken_response(request, attempt);
+  note_broken_response(request, attempt,
+                       request.event_stream.is_event_too_long() ? "an event does not end" : stream.error());
   ++state_.counters.resumed;
   co_return DispatchResult::kMayHaveRun;
 }
--- a/tests/integration/registered_engines.cc
+++ b/tests/integration/registered_engines.cc
@@ -294,6 +294,15 @@
     co_await exchange.respond(std::move(response));
   }
 
+  /// Sends pieces of an event until the connection closes.
+  asio::awaitable<void> send_without_end(net::HttpExchange& exchange, std::string piece) {
+    asio::steady_timer timer(engines_.client_.context());
+    while (co_await exchange.write_piece(piece)) {
+      timer.expires_after(engines_.options_.event_pause);
+      co_await timer.async_wait(asio::as_tuple(asio::use_awaitable));
+    }
+  }
+
   bool crashes(const net::HttpRequest& request) const {
     const auto& options = engines_.options_;
     const auto parts = request.headers.find(dialect_.prompt_parts_header);
@@ -341,6 +350,9 @@
       events = number < events_by_server.size() ? events_by_server[number] : 0;
       engines_.aborted_streams_.add(std::string(exchange.request().headers.find(dialect_.request_id_header)), false);
     }
+    const auto endless_event = engines_.options_.endless_events.find(exchange.request().body);
+    const bool is_endless = endless_event != engines_.options_.endless_events.end() &&
+                            !exchange.request().headers.contains(dialect_.last_event_id_header);
     ++engines_.served_count_;
     response_head.headers.add(dialect_.signature_header, "signed-" + id());
     response_head.headers.add("Content-Type", "text/event-stream");
@@ -369,6 +381,10 @@
         crash();
         co_return;
       }
+      if (is_endless) {
+        co_await send_without_end(exchange, endless_event->second);
+        co_return;
+      }
     }
     if (!aborts_stream) {
       co_await wait_while_silent();
--- a/tests/integration/registered_engines.h
+++ b/tests/integration/registered_engines.h
@@ -4,6 +4,7 @@
 #include <chrono>
 #include <cstdint>
 #include <functional>
+#include <map>
 #include <memory>
 #include <mutex>
 #include <set>
@@ -40,6 +41,10 @@
     /// `events_before_aborts` is the number of events sent before the i-th abort; aborts beyond the list send none.
     std::string abort_body;
     std::vector<int> events_before_aborts;
+    /// A request with one of these bodies gets one event and then an event that does not end: the bytes that belong to
+    /// its body here, again and again with `event_pause` in between, until the connection closes. A request that
+    /// resumes a stream gets its rest.
+    std::map<std::string, std::string> endless_events;
     /// A crashed server restarts after this time, under a new id, with the staged models that its host still holds.
     std::chrono::milliseconds restart_delay{3000};
     /// A restarted server keeps its id, and its reports contain its start time.
