Break off a response that is too long to be held

What callers would see: a failure, an unsigned success or a body until close that does not end was held whole until the deadline, and a signed one as a whole part of the buffers for each caller that did not read; the entry outgrows its memory and is killed with every request that it holds.

Cause: a response that may not be relayed before its end grew past the buffers' limit. What was held of one that is relayed before its end was released from the limit before its caller had read it. The limit itself, a sixteenth of the machine's memory, is far more than a process may have where the platform gives it a small part of the machine (2 GB of 32 GB here).

Change: a response that may not be relayed before its end may use a quarter of the response buffers, and 64 KiB even if they are used up; beyond that it is broken off and handled like one whose response was lost. What is held is released when the caller has it. Without a setting the buffers are at most 16 MiB. A body until close of more than a quarter of the buffers is therefore no longer relayed, since its end cannot be told from a truncation.

--- a/src/core/requests/buffer_budget.h
+++ b/src/core/requests/buffer_budget.h
@@ -15,6 +15,7 @@
   BufferBudget(const BufferBudget&) = delete;
   BufferBudget& operator=(const BufferBudget&) = delete;
 
+  size_t limit_bytes() const { return limit_bytes_; }
   size_t reserved_bytes() const { return reserved_bytes_; }
 
  private:
--- a/src/node/entry_process.cc
+++ b/src/node/entry_process.cc
@@ -34,6 +34,8 @@
 constexpr auto kIdleBeforeClose = std::chrono::seconds(1);
 /// Responses that callers have not read yet may use one part in this many of the machine's memory.
 constexpr size_t kResponseBufferDivisor = 16;
+/// The platform may allow the process much less memory than the machine has. This fits into 256 MB.
+constexpr size_t kMaxDefaultResponseBufferBytes = 16U << 20U;
 /// Part of the grace period reserved for the final shutdown.
 constexpr auto kShutdownReserve = std::chrono::milliseconds(500);
 
@@ -43,7 +45,7 @@
   }
   const auto pages = static_cast<size_t>(std::max<int64_t>(0, ::sysconf(_SC_PHYS_PAGES)));
   const auto page_size = static_cast<size_t>(std::max<int64_t>(0, ::sysconf(_SC_PAGESIZE)));
-  return pages * page_size / kResponseBufferDivisor;
+  return std::min(pages * page_size / kResponseBufferDivisor, kMaxDefaultResponseBufferBytes);
 }
 
 /// Readiness probe for the load balancer: whether this entry accepts new connections.
--- a/src/node/request_relay.h
+++ b/src/node/request_relay.h
@@ -144,9 +144,12 @@
                                                         TimePoint waiting_since);
   boost::asio::awaitable<DispatchResult> relay_buffered(RelayedRequest& request, RelayAttempt& attempt);
   /// Relays a successful response as it arrives, at the speed at which the caller reads, after the prefix that is
-  /// already buffered.
+  /// already buffered in `buffer_share`, which is released once the prefix is written.
   boost::asio::awaitable<DispatchResult> relay_unbuffered(RelayedRequest& request, RelayAttempt& attempt,
-                                                          std::string buffered_prefix);
+                                                          std::string buffered_prefix,
+                                                          requests::BufferReservation& buffer_share);
+  /// Longest incomplete response that is held if it may not be relayed before its end.
+  size_t max_held_bytes(bool has_room) const;
   boost::asio::awaitable<DispatchResult> relay_events(RelayedRequest& request, RelayAttempt& attempt);
   bool proves_not_run(const net::HttpResponse& head) const;
   bool may_retry(RelayedRequest& request, TimePoint now);
--- a/src/node/request_relay_responses.cc
+++ b/src/node/request_relay_responses.cc
@@ -17,6 +17,10 @@
 /// Pause of a stream after which another server is looked for, even if its group makes progress; callers disconnect
 /// after two seconds.
 constexpr Duration kMaxStreamGap = milliseconds(1600);
+/// A response that may not be relayed before its end may use one part in this many of the response buffers, ...
+constexpr size_t kHeldResponseDivisor = 4;
+/// ... and this much even if they are used up.
+constexpr size_t kSmallResponseBytes = 64U << 10U;
 
 bool is_success(int status) { return status >= 200 && status < 300; }
 
@@ -47,6 +51,11 @@
   co_return chunk;
 }
 
+size_t RequestRelay::max_held_bytes(bool has_room) const {
+  return has_room ? std::max(kSmallResponseBytes, response_buffers_.limit_bytes() / kHeldResponseDivisor)
+                  : kSmallResponseBytes;
+}
+
 asio::awaitable<RequestRelay::DispatchResult> RequestRelay::relay_buffered(RelayedRequest& request,
                                                                            RelayAttempt& attempt) {
   net::ClientStream& stream = *attempt.stream;
@@ -57,7 +66,8 @@
   const bool may_stream_early = is_success(response.status) && response.headers.contains(dialect_.signature_header) &&
                                 !request.response_started && !stream.delimited_by_close();
   requests::BufferReservation buffer_share(response_buffers_);
-  while (true) {
+  bool is_too_long = false;
+  while (!is_too_long) {
     const std::string chunk = co_await read_chunk(request, attempt, monotonic_now());
     if (chunk.empty() || attempt.is_discarded) {
       break;
@@ -66,9 +76,9 @@
     response.body += chunk;
     const bool has_room = buffer_share.grow(chunk.size());
     if (!has_room && may_stream_early && !request.caller_disconnected) {
-      buffer_share.release();
-      co_return co_await relay_unbuffered(request, attempt, std::move(response.body));
+      co_return co_await relay_unbuffered(request, attempt, std::move(response.body), buffer_share);
     }
+    is_too_long = !may_stream_early && !stream.complete() && response.body.size() > max_held_bytes(has_room);
   }
   if (request.caller_disconnected) {
     ++state_.counters.caller_disconnects;
@@ -78,7 +88,7 @@
     co_return DispatchResult::kMayHaveRun;
   }
   if (!stream.complete()) {
-    note_broken_response(request, attempt, stream.error());
+    note_broken_response(request, attempt, is_too_long ? "too long to be held" : stream.error());
     co_return DispatchResult::kMayHaveRun;
   }
   blocked_request_guard_.note_response(request);
@@ -112,9 +122,9 @@
   co_return DispatchResult::kAnswered;
 }
 
-asio::awaitable<RequestRelay::DispatchResult> RequestRelay::relay_unbuffered(RelayedRequest& request,
-                                                                             RelayAttempt& attempt,
-                                                                             std::string buffered_prefix) {
+asio::awaitable<RequestRelay::DispatchResult> RequestRelay::relay_unbuffered(
+    RelayedRequest& request, RelayAttempt& attempt, std::string buffered_prefix,
+    requests::BufferReservation& buffer_share) {
   net::ClientStream& stream = *attempt.stream;
   const auto& target = attempt.target;
   request.response_started = true;
@@ -125,7 +135,8 @@
   while (is_open && !chunk.empty()) {
     is_open = co_await request.exchange->write_piece(chunk);
     note_progress(target, monotonic_now());
-    chunk.clear();
+    chunk = std::string();
+    buffer_share.release();
     if (is_open) {
       chunk = co_await read_chunk(request, attempt, monotonic_now());
     }
