Streams at silent servers go on: searches are renewed, bytes prove that a server lives

Callers: a stream that looked for another server while all were silent or avoided kept waiting for its deadline, although servers had recovered: the leader's queue keeps the exclusions of the moment of asking.

Change: a started stream and a hedge search in steps of 300 ms, each with the exclusions of its time, as long as servers may take them before the deadline. Bytes of an incomplete event count as a sign of life of the server, though not as progress of their stream.

--- a/src/node/request_relay_attempts.cc
+++ b/src/node/request_relay_attempts.cc
@@ -24,8 +24,6 @@
 /// How long a peer may take to respond before another target is looked for: longer than a server under load takes to
 /// send its first event.
 constexpr Duration kPeerResponseTimeout = milliseconds(1500);
-/// Between two searches of a hedge for a target.
-constexpr auto kHedgeSearchPause = std::chrono::milliseconds(50);
 
 bool is_success(int status) { return status >= 200 && status < 300; }
 
@@ -260,11 +258,6 @@
     const FoundTarget found = co_await find_target(*request, search);
     const auto* target = std::get_if<fleet::DispatchTarget>(&found);
     const bool is_in_time = !search.is_over(*request) && monotonic_now() < request->deadline;
-    if (target == nullptr && is_in_time) {
-      asio::steady_timer timer(executor_, kHedgeSearchPause);
-      co_await timer.async_wait(kAwaitWithError);
-      continue;
-    }
     if (target == nullptr) {
       co_return;
     }
--- a/src/node/request_relay_responses.cc
+++ b/src/node/request_relay_responses.cc
@@ -220,11 +220,12 @@
 asio::awaitable<RequestRelay::DispatchResult> RequestRelay::relay_events(RelayedRequest& request,
                                                                          RelayAttempt& attempt) {
   net::ClientStream& stream = *attempt.stream;
+  const auto& target = attempt.target;
   request.is_resumed = request.event_stream.last_id().has_value() ||
                        request.exchange->request().headers.contains(dialect_.last_event_id_header);
   request.event_stream.restart();
   attempt.max_silence = kMaxStreamGap;
-  // Bytes of an incomplete event are no progress.
+  // Bytes of an incomplete event are no progress of this stream.
   TimePoint waiting_since = monotonic_now();
   while (!request.event_stream.is_event_too_long()) {
     const std::string chunk = co_await read_chunk(request, attempt, waiting_since);
@@ -240,6 +241,7 @@
     }
     const std::string events = request.event_stream.feed(chunk);
     if (!request.event_stream.has_completed_event()) {
+      note_progress(target, monotonic_now());  // The server lives, though its event may never end.
       continue;
     }
     waiting_since = monotonic_now();
--- a/src/node/target_finder.cc
+++ b/src/node/target_finder.cc
@@ -38,28 +38,47 @@
 /// How long the leader is not asked again about servers for which it had no permit.
 constexpr Duration kNoPermitBackoff = milliseconds(100);
 
-/// How long a hedge waits for a target in one search. Later ones see which groups are not silent any more.
-constexpr Duration kHedgeSearchTime = milliseconds(300);
+/// How long one search takes for a response that must go on. The next one sees which groups are sound by then.
+constexpr Duration kSearchTime = milliseconds(300);
 
 constexpr const char* kAllPlacesTaken = "all places are taken";
 constexpr const char* kLimitsUsedUp = "the servers' limits are used up";
 
 }  // namespace
 
-TimePoint TargetFinder::wait_deadline(const RelayedRequest& request, const TargetSearch& search) {
-  if (search.hedge != nullptr) {
-    return std::min(request.deadline, monotonic_now() + kHedgeSearchTime);
-  }
-  if (request.response_started) {
-    return request.deadline;
-  }
+TimePoint TargetFinder::wait_deadline(const RelayedRequest& request) {
   const Duration objective = request.route->target_latency;
   return std::min(request.deadline,
                   request.admitted_at + (request.was_held_for_lease ? objective : objective / kWaitDivisor));
 }
 
 asio::awaitable<FoundTarget> TargetFinder::find(RelayedRequest& request, const TargetSearch& search) {
-  const TimePoint wait_until = wait_deadline(request, search);
+  const bool must_go_on = request.response_started || search.hedge != nullptr;
+  if (!must_go_on) {
+    co_return co_await search_until(request, search, wait_deadline(request));
+  }
+  asio::steady_timer timer(executor_);
+  while (true) {
+    const TimePoint search_end = std::min(request.deadline, monotonic_now() + kSearchTime);
+    auto found = co_await search_until(request, search, search_end);
+    const bool may_search_again = std::holds_alternative<Refusal>(found) && !search.is_over(request) &&
+                                  monotonic_now() < request.deadline && may_find_later(request);
+    if (!may_search_again) {
+      co_return std::move(found);
+    }
+    timer.expires_after(kTargetRetryInterval);
+    co_await timer.async_wait(kAwaitWithError);
+  }
+}
+
+bool TargetFinder::may_find_later(const RelayedRequest& request) const {
+  const std::string& model = request.service->engine ? request.model : kNoModel;
+  return !refusal_if_all_backing_off(request, request.deadline) &&
+         !state_.dispatcher.are_all_servers_evacuated(request.service->name, model, home_zones(request));
+}
+
+asio::awaitable<FoundTarget> TargetFinder::search_until(RelayedRequest& request, const TargetSearch& search,
+                                                        TimePoint wait_until) {
   if (auto refusal = refusal_if_all_backing_off(request, wait_until)) {
     co_return std::move(*refusal);
   }
--- a/src/node/target_finder.h
+++ b/src/node/target_finder.h
@@ -67,7 +67,12 @@
   /// The refusal of a request that the leader refused. `cause` is its title if the leader names a time to retry.
   Refusal refusal_from_grant(const wire::SlotGrant& grant, const char* cause) const;
   /// Returns until when a request may wait for a target.
-  static TimePoint wait_deadline(const RelayedRequest& request, const TargetSearch& search);
+  static TimePoint wait_deadline(const RelayedRequest& request);
+  /// One search, which does not see groups that are sound again after it began.
+  boost::asio::awaitable<FoundTarget> search_until(RelayedRequest& request, const TargetSearch& search,
+                                                   TimePoint wait_until);
+  /// Whether servers may take the request before its deadline, although none does now.
+  bool may_find_later(const RelayedRequest& request) const;
   wire::SlotRequest make_slot_request(RelayedRequest& request, const TargetSearch& search, TimePoint now,
                                       TimePoint wait_until) const;
 
