--- a/src/node/target_finder.cc
+++ b/src/node/target_finder.cc
@@ -175,7 +175,7 @@
   const auto grant = co_await slot_requester_.request_slot(slot_request);
   if (search.is_over(request)) {
     slot_requester_.note_load_change();  // Report that the slot is unused.
-    co_return FoundTarget(CallerDisconnected());
+    co_return FoundTarget(SearchAbandoned());
   }
   if (grant.verdict == wire::SlotVerdict::BUSY) {
     // Without forecasts, the leader names times only if rate limits are the cause. With them, groups may be full as
@@ -224,7 +224,7 @@
   const auto grant = co_await slot_requester_.request_slot(slot_request);
   if (search.is_over(request)) {
     slot_requester_.note_load_change();  // Report that the slot is unused.
-    co_return FoundTarget(CallerDisconnected());
+    co_return FoundTarget(SearchAbandoned());
   }
   if (grant.verdict == wire::SlotVerdict::BUSY) {
     co_return FoundTarget(refusal_from_grant(grant, kAllPlacesTaken));
@@ -257,7 +257,7 @@
   slot_request.__set_rated_servers(incarnations);
   const auto grant = co_await slot_requester_.request_slot(slot_request);
   if (search.is_over(request)) {
-    co_return FoundTarget(CallerDisconnected());
+    co_return FoundTarget(SearchAbandoned());
   }
   if (grant.verdict == wire::SlotVerdict::GRANTED) {
     for (const auto& target : choice.rate_limited_targets) {
@@ -330,7 +330,7 @@
     timer.expires_after(kTargetRetryInterval);
     co_await timer.async_wait(kAwaitWithError);
   }
-  co_return CallerDisconnected();
+  co_return SearchAbandoned();
 }
 
 }  // namespace larchlever::node
--- a/src/node/target_finder.h
+++ b/src/node/target_finder.h
@@ -11,11 +11,11 @@
 
 namespace larchlever::node {
 
-/// The caller disconnected while its request waited, or the hedge was abandoned.
-struct CallerDisconnected {};
+/// Nobody needs the target any more: the caller disconnected, or the hedge was abandoned.
+struct SearchAbandoned {};
 
 /// The target of a request, or why there is none.
-using FoundTarget = std::variant<fleet::DispatchTarget, Refusal, CallerDisconnected>;
+using FoundTarget = std::variant<fleet::DispatchTarget, Refusal, SearchAbandoned>;
 
 /// What one search for a target is for.
 struct TargetSearch {
