A fetch counts its time like its timers, without suspensions

Callers: a response that arrived while the machine was suspended was thrown away, because the time for the whole response was measured with the clock that counts suspensions (since the limit on the whole time was added). Seen by SuspendedEntry.EndsOverdueRequestsOnResume, 4 of 4 failed; 3 of 3 passed since.

--- a/src/net/http_client.cc
+++ b/src/net/http_client.cc
@@ -269,11 +269,12 @@
   bool delimited_by_close_ = false;
 };
 
-/// Appends the rest of the body to `body`. Returns why it could not be read, or nothing.
-asio::awaitable<std::string> read_body(ClientStream& stream, std::string& body, TimePoint deadline,
-                                       size_t max_body_bytes) {
+/// Appends the rest of the body to `body`. Returns why it could not be read, or nothing. The deadline is of the clock
+/// of the timers, which does not count suspensions: a body that arrived during one is read.
+asio::awaitable<std::string> read_body(ClientStream& stream, std::string& body,
+                                       std::chrono::steady_clock::time_point deadline, size_t max_body_bytes) {
   while (!stream.complete()) {
-    const auto time_left = std::chrono::ceil<std::chrono::milliseconds>(deadline - monotonic_now());
+    const auto time_left = std::chrono::ceil<std::chrono::milliseconds>(deadline - std::chrono::steady_clock::now());
     if (time_left <= std::chrono::milliseconds(0)) {
       co_return "it takes too long";
     }
@@ -381,7 +382,7 @@
 
 asio::awaitable<FetchResult> HttpClient::fetch(const std::string& endpoint, const HttpRequest& request,
                                                std::chrono::milliseconds timeout, size_t max_body_bytes) {
-  const TimePoint deadline = monotonic_now() + timeout;
+  const auto deadline = std::chrono::steady_clock::now() + timeout;
   FetchResult result;
   OpenOptions options;
   options.timeout = timeout;
