Logs name the calls that evacuate or restore a zone

What operators saw: a zone was used again after its evacuation had been acknowledged. The logs could not tell why: no line named such a call.

zone_call_received and zone_call_answered name each call at the replica that received it, how long it had lain unread in the socket (TCP_INFO) and whether its sender still waits; zone_change_proposed, at the leader, the replica and the call that a change of the log comes from. HttpExchange::caller_disconnected asks the socket now instead of waiting for the notice of the disconnect; nothing in the daemon used it before. No change of logic.

A suspended replica that goes on now shows, for instance: zone_call_received zone=north operation=restore unread_ms=1512 caller=gone zone_change_proposed call=127.124.128.2:7340//3 revision=3

--- a/src/core/fleet/fleet_controller.cc
+++ b/src/core/fleet/fleet_controller.cc
@@ -399,6 +399,7 @@
     envelope.__set_control_call_reply(reply);
     send(std::move(envelope));
   }
+  outputs_.zone_calls.insert(outputs_.zone_calls.end(), outputs.zone_calls.begin(), outputs.zone_calls.end());
   outputs_.orders.insert(outputs_.orders.end(), outputs.orders.begin(), outputs.orders.end());
   outputs_.decisions.insert(outputs_.decisions.end(), outputs.decisions.begin(), outputs.decisions.end());
   outputs_.suspicion_events.insert(outputs_.suspicion_events.end(), outputs.suspicion_events.begin(),
--- a/src/core/fleet/fleet_controller.h
+++ b/src/core/fleet/fleet_controller.h
@@ -31,6 +31,8 @@
   std::vector<SuspicionEvent> suspicion_events;
   /// Members of suspected groups to probe; each result is passed to `handle_member_probe`.
   std::vector<MemberProbe> member_probes;
+  /// Calls that evacuate or restore a zone, as this leader decided them; to be logged.
+  std::vector<ZoneCallDecision> zone_calls;
   /// Replies to calls that were submitted with `FleetController::submit_call`.
   std::vector<wire::ControlCallReply> replies;
   /// Instance reports that this replica rejected, with the instance id; to be logged.
--- a/src/core/fleet/fleet_leader.h
+++ b/src/core/fleet/fleet_leader.h
@@ -21,6 +21,7 @@
 #include "core/fleet/silent_groups.h"
 #include "core/fleet/slot_scheduler.h"
 #include "core/fleet/subscriber_table.h"
+#include "core/fleet/zone_evacuations.h"
 #include "core/membership/incarnation_ranks.h"
 #include "core/membership/node_directory.h"
 
@@ -58,6 +59,8 @@
     std::vector<PlainServerSpeedChange> plain_speed_changes;
     std::optional<wire::ReplicaSet> proposed_replicas;
     std::vector<Proposal> proposals;
+    /// Calls that evacuate or restore a zone; to be logged.
+    std::vector<ZoneCallDecision> zone_calls;
     /// Replies to calls, with the call key.
     std::vector<std::pair<std::string, wire::ControlCallReply>> replies;
   };
@@ -134,7 +137,8 @@
   bool may_propose(const std::string& key, const consensus::RaftNode& raft);
   /// Replies with the placement that a request with the properties in the call's body would get now. Changes no state.
   void explain_placement(TimePoint now, const std::string& key, const wire::ControlCall& call, const FleetLog& log);
-  void change_evacuation(const std::string& key, const wire::ControlCall& call, const consensus::RaftNode& raft);
+  void change_evacuation(const std::string& key, const wire::ControlCall& call, const consensus::RaftNode& raft,
+                         const FleetLog& log);
   /// Zones from the settings and zones of registered instances and voters.
   std::set<std::string> known_zones(const consensus::RaftNode& raft) const;
   /// Applies changed evacuations of the log to groups and slots. Instances of restored zones count as cold at first.
--- a/src/core/fleet/fleet_leader_calls.cc
+++ b/src/core/fleet/fleet_leader_calls.cc
@@ -60,7 +60,7 @@
       break;
     case wire::ControlCallKind::EVACUATE_ZONE:
     case wire::ControlCallKind::RESTORE_ZONE:
-      change_evacuation(key, call, raft);
+      change_evacuation(key, call, raft, log);
       break;
     case wire::ControlCallKind::GET_ZONES:
       reply_to_call(key, http_status::kOk, zones_json(known_zones(raft), log.evacuations()));
@@ -167,7 +167,7 @@
 }
 
 void FleetLeader::change_evacuation(const std::string& key, const wire::ControlCall& call,
-                                    const consensus::RaftNode& raft) {
+                                    const consensus::RaftNode& raft, const FleetLog& log) {
   const auto zones = known_zones(raft);
   if (!zones.contains(call.zone)) {
     std::string names;
@@ -186,6 +186,7 @@
   proposal.command.zone_evacuation.zone = call.zone;
   proposal.command.zone_evacuation.begins = call.kind == wire::ControlCallKind::EVACUATE_ZONE;
   proposal.call_key = key;
+  outputs_.zone_calls.push_back({key, proposal.command.zone_evacuation, log.evacuations().revision});
   outputs_.proposals.push_back(std::move(proposal));
 }
 
--- a/src/net/http_server.cc
+++ b/src/net/http_server.cc
@@ -1,5 +1,7 @@
 #include "net/http_server.h"
 
+#include <netinet/tcp.h>
+
 #include <array>
 #include <boost/asio.hpp>
 #include <boost/beast/core.hpp>
@@ -43,6 +45,21 @@
   return buffered_bytes(buffer).substr(0, find_head_end(buffer));
 }
 
+/// Returns true if the peer has closed or reset the connection and everything it sent before was read.
+bool is_closed_by_peer(int socket) {
+  char byte = 0;
+  const ssize_t count = ::recv(socket, &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+  return count == 0 || (count < 0 && errno != EAGAIN && errno != EWOULDBLOCK);
+}
+
+/// Time since data last arrived at the socket; zero if the system does not tell.
+std::chrono::milliseconds time_since_last_arrival(int socket) {
+  tcp_info info{};
+  socklen_t length = sizeof(info);
+  const bool is_known = ::getsockopt(socket, IPPROTO_TCP, TCP_INFO, &info, &length) == 0;
+  return std::chrono::milliseconds(is_known ? info.tcpi_last_data_recv : 0);
+}
+
 HttpResponse make_problem_response(int status, std::string_view title, std::string_view remedy) {
   HttpResponse response;
   response.status = status;
@@ -87,7 +104,8 @@
         options_(options),
         draining_(draining),
         keep_alive_(message.keep_alive()),
-        version_(message.version()) {
+        version_(message.version()),
+        unread_time_(time_since_last_arrival(stream_->socket().native_handle())) {
     request_.method = std::string(message.method_string());
     request_.target = std::string(message.target());
     for (const auto& field : message) {
@@ -183,7 +201,10 @@
                    asio::detached);
   }
 
-  bool caller_disconnected() const override { return disconnected_; }
+  bool caller_disconnected() const override {
+    return disconnected_ || is_closed_by_peer(stream_->socket().native_handle());
+  }
+  std::chrono::milliseconds unread_time() const override { return unread_time_; }
   /// True if a complete response was sent, so that the connection can be reused.
   bool response_sent() const { return response_sent_; }
   bool keep_alive() const { return keep_alive_; }
@@ -213,10 +234,7 @@
     if (error || self->disconnect_watch_stopped_) {
       co_return;
     }
-    char byte = 0;
-    const ssize_t count = ::recv(duplicate_descriptor, &byte, 1, MSG_PEEK | MSG_DONTWAIT);
-    const bool closed = count == 0 || (count < 0 && errno != EAGAIN && errno != EWOULDBLOCK);
-    if (closed) {
+    if (is_closed_by_peer(duplicate_descriptor)) {
       self->disconnected_ = true;
       on_disconnect();
     }
@@ -247,6 +265,7 @@
   HttpRequest request_;
   bool keep_alive_ = false;
   unsigned version_ = 11;
+  std::chrono::milliseconds unread_time_{};
   bool disconnected_ = false;
   bool chunked_ = true;
   std::optional<HttpResponse> buffered_response_;
--- a/src/node/control_api.cc
+++ b/src/node/control_api.cc
@@ -4,6 +4,8 @@
 #include <optional>
 
 #include "core/base/http_status.h"
+#include "node/clock.h"
+#include "node/logging.h"
 
 namespace larchlever::node {
 
@@ -74,6 +76,45 @@
   return call;
 }
 
+bool is_zone_change(const wire::ControlCall& call) {
+  return call.kind == wire::ControlCallKind::EVACUATE_ZONE || call.kind == wire::ControlCallKind::RESTORE_ZONE;
+}
+
+/// Stands for the reply to a call that no leader answered.
+wire::ControlCallReply no_reply() {
+  wire::ControlCallReply reply;
+  reply.status = http_status::kServiceUnavailable;
+  reply.body = R"({"error":"no leader answered; retry the call"})";
+  return reply;
+}
+
+std::string_view zone_operation(const wire::ControlCall& call) {
+  return call.kind == wire::ControlCallKind::EVACUATE_ZONE ? "evacuate" : "restore";
+}
+
+std::string_view caller_state(const net::HttpExchange& exchange) {
+  return exchange.caller_disconnected() ? "gone" : "waiting";
+}
+
+void log_zone_call_received(const net::HttpExchange& exchange, const wire::ControlCall& call) {
+  log_event("", "zone_call_received",
+            {{"zone", call.zone},
+             {"operation", std::string(zone_operation(call))},
+             {"unread_ms", std::to_string(exchange.unread_time().count())},
+             {"caller", std::string(caller_state(exchange))}});
+}
+
+void log_zone_call_answered(const net::HttpExchange& exchange, const wire::ControlCall& call,
+                            const wire::ControlCallReply& reply, Duration held) {
+  log_event("", "zone_call_answered",
+            {{"call", std::to_string(reply.id)},
+             {"zone", call.zone},
+             {"operation", std::string(zone_operation(call))},
+             {"status", std::to_string(reply.status)},
+             {"held_ms", std::to_string(held / milliseconds(1))},
+             {"caller", std::string(caller_state(exchange))}});
+}
+
 }  // namespace
 
 struct ControlApi::PendingReply {
@@ -95,16 +136,33 @@
 }
 
 asio::awaitable<void> ControlApi::handle(net::HttpExchange& exchange) {
-  net::HttpResponse response;
-  response.headers.add("Content-Type", "application/json");
-  auto call = parse_call(exchange.request());
+  const auto call = parse_call(exchange.request());
+  wire::ControlCallReply reply;
   if (!call) {
-    response.status = http_status::kNotFound;
-    response.body = R"({"error":"no such path or method; see the operators' page"})";
-    co_await exchange.respond(std::move(response));
-    co_return;
+    reply.status = http_status::kNotFound;
+    reply.body = R"({"error":"no such path or method; see the operators' page"})";
+  } else if (is_zone_change(*call)) {
+    reply = co_await change_zone(exchange, *call);
+  } else {
+    reply = co_await submit_and_wait(*call);
   }
-  const int64_t id = submit_(std::move(*call));
+  net::HttpResponse response;
+  response.headers.add("Content-Type", "application/json");
+  response.status = reply.status;
+  response.body = std::move(reply.body);
+  co_await exchange.respond(std::move(response));
+}
+
+asio::awaitable<wire::ControlCallReply> ControlApi::change_zone(net::HttpExchange& exchange, wire::ControlCall call) {
+  const auto received_at = monotonic_now();
+  log_zone_call_received(exchange, call);
+  auto reply = co_await submit_and_wait(call);
+  log_zone_call_answered(exchange, call, reply, monotonic_now() - received_at);
+  co_return reply;
+}
+
+asio::awaitable<wire::ControlCallReply> ControlApi::submit_and_wait(wire::ControlCall call) {
+  const int64_t id = submit_(std::move(call));
   auto& reply_slot = pending_replies_[id];
   if (reply_slot == nullptr) {
     reply_slot = std::make_shared<PendingReply>(executor_);
@@ -115,11 +173,11 @@
     co_await pending_reply->timer.async_wait(kAwaitWithError);
   }
   pending_replies_.erase(id);
-  response.status = pending_reply->reply ? pending_reply->reply->status : http_status::kServiceUnavailable;
-  response.body = pending_reply->reply && !pending_reply->reply->body.empty()
-                      ? pending_reply->reply->body
-                      : R"({"error":"no leader answered; retry the call"})";
-  co_await exchange.respond(std::move(response));
+  auto reply = pending_reply->reply.value_or(no_reply());
+  if (reply.body.empty()) {
+    reply.body = no_reply().body;
+  }
+  co_return reply;
 }
 
 }  // namespace larchlever::node
--- a/src/node/control_api.h
+++ b/src/node/control_api.h
@@ -25,6 +25,11 @@
  private:
   struct PendingReply;
 
+  /// Passes a call to the controller and waits for the reply; status 503 if there is none.
+  boost::asio::awaitable<wire::ControlCallReply> submit_and_wait(wire::ControlCall call);
+  /// Handles a call that evacuates or restores a zone.
+  boost::asio::awaitable<wire::ControlCallReply> change_zone(net::HttpExchange& exchange, wire::ControlCall call);
+
   boost::asio::any_io_executor executor_;
   std::function<int64_t(wire::ControlCall)> submit_;
   std::map<int64_t, std::shared_ptr<PendingReply>> pending_replies_;
--- a/src/node/control_process.cc
+++ b/src/node/control_process.cc
@@ -341,6 +341,9 @@
   for (const auto& [instance, report_error] : outputs.malformed_reports) {
     change_logger_.log_malformed_report(monotonic_now(), instance, report_error);
   }
+  for (const auto& decision : outputs.zone_calls) {
+    change_logger_.log_zone_call(decision);
+  }
   for (const auto& reply : outputs.replies) {
     api_.complete(reply);
   }
--- a/src/node/fleet_change_logger.cc
+++ b/src/node/fleet_change_logger.cc
@@ -53,6 +53,14 @@
              {"members", join_items(decision.group.members)}});
 }
 
+void FleetChangeLogger::log_zone_call(const fleet::ZoneCallDecision& decision) const {
+  log_event(node_name_, "zone_change_proposed",
+            {{"call", decision.call_key},
+             {"zone", decision.change.zone},
+             {"operation", decision.change.begins ? "evacuate" : "restore"},
+             {"revision", std::to_string(decision.revision)}});
+}
+
 void FleetChangeLogger::log_suspicion(const fleet::SuspicionEvent& event) const {
   log_event(node_name_, event_name(event.step),
             {{"group", event.group},
--- a/src/node/fleet_change_logger.h
+++ b/src/node/fleet_change_logger.h
@@ -21,6 +21,7 @@
   void log_group_change(const fleet::GroupDecision& decision) const;
   void log_suspicion(const fleet::SuspicionEvent& event) const;
   void log_speed_change(const fleet::PlainServerSpeedChange& change) const;
+  void log_zone_call(const fleet::ZoneCallDecision& decision) const;
   /// Logs that a report of an instance was refused. Rate-limited to a few lines a second, each with the total refused
   /// so far.
   void log_malformed_report(TimePoint now, const std::string& instance, const fleet::MalformedReport& report_error);
