Tests of late operators' calls and abandoned requests; they fail

Three ways in which something that its sender had given up takes effect late: - a suspended control replica reads a call that evacuates or restores a zone when it goes on and undoes the later calls that other replicas acknowledged; - a copy of a forwarded call that arrives late is a new call to the leader; - a suspended entry sends a request that may run once to a server when it goes on, although its caller has closed the connection and sent it again elsewhere.

--- a/src/simulation/registered_fleet.cc
+++ b/src/simulation/registered_fleet.cc
@@ -29,6 +29,8 @@
 constexpr Duration kZoneOrderRetryInterval = seconds(1);
 constexpr Duration kZoneOrderTimeout = seconds(5);
 constexpr Duration kZoneOrderInterval = seconds(2);
+/// Longest delay of a call that arrives once more.
+constexpr Duration kMaxCallDelay = seconds(10);
 
 std::string make_document_json(int64_t version) {
   return R"({"version":)" + std::to_string(version) +
@@ -252,6 +254,16 @@
     return;
   }
   queue_.schedule_after(draw_network_delay(), [this, envelope] { deliver(envelope); });
+  if (envelope.__isset.control_call && options_.late_call_probability > 0) {
+    repeat_call_late(envelope);
+  }
+}
+
+void RegisteredFleet::repeat_call_late(const wire::Envelope& envelope) {
+  if (std::bernoulli_distribution(options_.late_call_probability)(operator_random_)) {
+    std::uniform_int_distribution<int64_t> delay(0, kMaxCallDelay.count());
+    queue_.schedule_after(Duration(delay(operator_random_)), [this, envelope] { deliver(envelope); });
+  }
 }
 
 void RegisteredFleet::send_from(const EntryNode& entry, wire::Envelope envelope) {
--- a/src/simulation/registered_fleet.h
+++ b/src/simulation/registered_fleet.h
@@ -31,6 +31,8 @@
   Duration head_stall_time = seconds(5);
   /// If set, operators evacuate and restore zones, one order at a time.
   bool enable_zone_orders = false;
+  /// Probability that a call forwarded between control replicas arrives once more, seconds later.
+  double late_call_probability = 0;
   /// Injected defects, for tests that the checks detect them.
   bool entries_ignore_leases = false;
   bool entries_ignore_evacuations = false;
@@ -122,6 +124,8 @@
   void sync_disk(ControlReplica& node, const consensus::RaftOutput& batch);
   void deliver(const wire::Envelope& envelope);
   void send(const wire::Envelope& envelope);
+  /// Delivers some calls once more, seconds later, as a link that was cut in the meantime would.
+  void repeat_call_late(const wire::Envelope& envelope);
   void send_from(const EntryNode& entry, wire::Envelope envelope);
   void report_traffic(const EntryNode& entry);
   void send_order(ControlReplica& node, const fleet::InstanceOrder& order);
--- a/tests/integration/zone_evacuation_test.cc
+++ b/tests/integration/zone_evacuation_test.cc
@@ -1,6 +1,8 @@
 #include <gtest/gtest.h>
 
+#include <boost/asio.hpp>
 #include <boost/json.hpp>
+#include <csignal>
 #include <thread>
 
 #include "core/base/http_status.h"
@@ -17,6 +19,10 @@
 constexpr auto kMaxApplyTime = seconds(1);
 constexpr auto kObservationTime = seconds(2);
 constexpr int kMinServedPercent = 95;
+/// How long an operator waits for the answer of a control replica before it turns to another one.
+constexpr auto kOperatorPatience = seconds(1);
+/// How long a replica stays suspended after a later call was acknowledged.
+constexpr auto kSuspensionAfterLaterCall = milliseconds(500);
 
 class ZoneEvacuation : public ZonedFleetFixture {
  protected:
@@ -26,7 +32,10 @@
   /// Sends an operation to one control replica after another until one acknowledges it; returns the time of the
   /// acknowledgement.
   Clock::time_point send_zone_operation(const std::string& zone, const std::string& operation) {
-    const auto control_replicas = fleet_.control_replicas();
+    return send_zone_operation(zone, operation, fleet_.control_replicas());
+  }
+  Clock::time_point send_zone_operation(const std::string& zone, const std::string& operation,
+                                        const std::vector<std::string>& control_replicas) {
     size_t next = 0;
     const bool is_acknowledged = wait_until(
         [&] {
@@ -74,6 +83,45 @@
   std::string last_response_body_;
 };
 
+/// What an operator does with the connection to a replica that does not answer.
+enum class UnansweredConnection { kClosed, kKeptOpen };
+
+class ZoneCallsDuringSuspension : public ZoneEvacuation, public testing::WithParamInterface<std::string> {
+ protected:
+  /// Suspends the replica, sends it `operation`, gives it up after a second, has the same operation and then the
+  /// contrary one acknowledged by other replicas, and resumes the replica.
+  void supersede_call_to_suspended_replica(const std::string& operation, UnansweredConnection connection) {
+    const std::string replica = GetParam();
+    auto others = fleet_.control_replicas();
+    std::erase(others, replica);
+    fleet_.signal(replica, SIGSTOP);
+    boost::asio::ip::tcp::socket caller(caller_context_);
+    send_without_reading(caller, replica, operation);
+    std::this_thread::sleep_for(kOperatorPatience);
+    if (connection == UnansweredConnection::kClosed) {
+      caller.close();
+    }
+    send_zone_operation(kEvacuatedZone, operation, others);
+    send_zone_operation(kEvacuatedZone, operation == "restore" ? "evacuate" : "restore", others);
+    std::this_thread::sleep_for(kSuspensionAfterLaterCall);
+    fleet_.signal(replica, SIGCONT);
+    // The replica reads the call within milliseconds.
+    std::this_thread::sleep_for(kMaxApplyTime);
+  }
+
+ private:
+  void send_without_reading(boost::asio::ip::tcp::socket& caller, const std::string& replica,
+                            const std::string& operation) {
+    const auto [host, port] = net::split_endpoint(fleet_.control_endpoint(replica));
+    caller.connect({boost::asio::ip::make_address(host), static_cast<uint16_t>(std::stoi(port))});
+    const std::string request = std::string("POST /v1/zones/") + kEvacuatedZone + "/" + operation +
+                                " HTTP/1.1\r\nHost: " + host + "\r\nContent-Length: 0\r\n\r\n";
+    boost::asio::write(caller, boost::asio::buffer(request));
+  }
+
+  boost::asio::io_context caller_context_;
+};
+
 // There was no operation to evacuate a zone: each call got 404, and the servers of the zone got requests until they
 // were switched off.
 TEST_F(ZoneEvacuation, EvacuatedZoneReceivesNoRequestsUntilRestored) {
@@ -135,5 +183,31 @@
   EXPECT_TRUE(wait_until([this] { return receives_requests(kOtherZone, Clock::now()); }, seconds(5)));
 }
 
+// A suspended replica read a call after its sender had closed the connection, and undid the later calls that other
+// replicas had acknowledged: the evacuated zone got requests again.
+TEST_P(ZoneCallsDuringSuspension, AbandonedRestoreDoesNotUndoEvacuation) {
+  send_zone_operation(kEvacuatedZone, "evacuate");
+  supersede_call_to_suspended_replica("restore", UnansweredConnection::kClosed);
+  expect_zone_empty_after(Clock::now() - kMaxApplyTime);
+  EXPECT_EQ(evacuated_zones_at(GetParam()), kEvacuatedZone);
+}
+
+// The same in the other order: the restored zone would get no requests.
+TEST_P(ZoneCallsDuringSuspension, AbandonedEvacuationDoesNotUndoRestore) {
+  supersede_call_to_suspended_replica("evacuate", UnansweredConnection::kClosed);
+  EXPECT_EQ(evacuated_zones_at(GetParam()), "none");
+  EXPECT_TRUE(wait_until([this] { return receives_requests(kEvacuatedZone, Clock::now()); }, seconds(5)));
+}
+
+// Some operators' tools turn to another replica without closing the connection to the one that does not answer.
+TEST_P(ZoneCallsDuringSuspension, RestoreOnAbandonedOpenConnectionDoesNotUndoEvacuation) {
+  send_zone_operation(kEvacuatedZone, "evacuate");
+  supersede_call_to_suspended_replica("restore", UnansweredConnection::kKeptOpen);
+  EXPECT_EQ(evacuated_zones_at(GetParam()), kEvacuatedZone);
+}
+
+INSTANTIATE_TEST_SUITE_P(To, ZoneCallsDuringSuspension, testing::Values("c1", "c2", "c3"),
+                         [](const auto& info) { return info.param; });
+
 }  // namespace
 }  // namespace larchlever::integration
--- a/tests/unit/registered_fleet_test.cc
+++ b/tests/unit/registered_fleet_test.cc
@@ -75,6 +75,22 @@
   }
 }
 
+// A copy of a forwarded call that arrived seconds late was a new call to the leader and undid an acknowledged order:
+//   EVACUATION: 10.0.1.1:7000 contradicts the acknowledged order that a be evacuated
+TEST(RegisteredFleet, LateCopiesOfZoneCallsDoNotUndoLaterOrders) {
+  uint64_t acknowledged = 0;
+  for (uint64_t seed = 1; seed <= kSeedCount; ++seed) {
+    RegisteredFleetOptions options;
+    options.seed = seed;
+    options.enable_zone_orders = true;
+    options.late_call_probability = 0.5;
+    const auto result = RegisteredFleet(options).run();
+    ASSERT_TRUE(result.violations.empty()) << "seed " << seed << ": " << result.violations.front();
+    acknowledged += result.evacuations_acknowledged;
+  }
+  EXPECT_GT(acknowledged, 5 * kSeedCount);
+}
+
 /// Runs seeds with an injected defect until one violates an invariant; returns that violation, or empty if none does.
 std::string first_violation(const std::function<void(RegisteredFleetOptions&)>& enable_defect) {
   for (uint64_t seed = 1; seed <= kMaxDefectSeeds; ++seed) {
