Zone changes that arrive late between replicas change nothing

What operators saw: a zone got requests again after its evacuation had been acknowledged.

Cause, one of two: a replica sends a call to the leader again each 250 ms, and the leader forgets a call once it has answered it. A call that evacuates or restores a zone carries no version, so a copy that arrives late (a link that was cut, a process that was suspended) is a new call and undoes what was acknowledged since.

A replica asks the leader for its last zone change first, and the call names it; the leader rejects the call if another change was proposed since, and the replica starts over. The leader alone decides, before the log, so that replicas of an earlier build apply the same entries alike; calls of earlier builds name no change and are handled as before. Weighed: comparing the revision of the evacuations, but an acknowledged order that changes nothing does not raise it; a check when the log is applied, but builds would differ.

A zone call costs one more round trip between replicas.

--- a/src/core/fleet/fleet_controller.cc
+++ b/src/core/fleet/fleet_controller.cc
@@ -158,7 +158,7 @@
   } else if (envelope.__isset.control_call) {
     handle_call(now, envelope);
   } else if (envelope.__isset.control_call_reply) {
-    handle_call_reply(envelope.control_call_reply);
+    handle_call_reply(now, envelope.control_call_reply);
   }
   process_replica_outputs(now);
 }
@@ -242,17 +242,40 @@
   // Not the leader: no answer, since the forwarding replica retries the call with the leader known then.
 }
 
-void FleetController::handle_call_reply(const wire::ControlCallReply& reply) {
-  if (pending_calls_.erase(reply.id) > 0) {
+void FleetController::handle_call_reply(TimePoint now, const wire::ControlCallReply& reply) {
+  const auto answered = pending_calls_.extract(reply.id);
+  if (answered.empty()) {
+    return;
+  }
+  const PendingCall& pending = answered.mapped();
+  if (pending.zone_change == nullptr) {
     outputs_.replies.push_back(reply);
+    return;
+  }
+  const auto next = pending.zone_change->continue_after(pending.call, reply);
+  if (const auto* step = std::get_if<wire::ControlCall>(&next)) {
+    forward_zone_change(now, *step, pending.deadline, pending.zone_change);
+  } else {
+    outputs_.replies.push_back(std::get<wire::ControlCallReply>(next));
   }
 }
 
+void FleetController::forward_zone_change(TimePoint now, wire::ControlCall step, TimePoint deadline,
+                                          std::shared_ptr<ZoneChange> zone_change) {
+  step.id = next_call_id_++;  // A late reply to an earlier step is not taken for the reply to this one.
+  pending_calls_[step.id] = {step, deadline, now, std::move(zone_change)};
+  send_pending_calls(now);
+}
+
 int64_t FleetController::submit_call(TimePoint now, wire::ControlCall call) {
   call.id = next_call_id_++;
   const int64_t id = call.id;
-  if (!try_accept_registration(now, call)) {
-    pending_calls_[id] = {std::move(call), now + options_.call_timeout, now};
+  const TimePoint deadline = now + options_.call_timeout;
+  if (is_zone_change(call)) {
+    const auto zone_change = std::make_shared<ZoneChange>(std::move(call));
+    forward_zone_change(now, zone_change->make_query(), deadline, zone_change);
+  } else if (!try_accept_registration(now, call)) {
+    pending_calls_[id] = {std::move(call), deadline, now, nullptr};
     send_pending_calls(now);
   }
   process_replica_outputs(now);
@@ -324,7 +347,7 @@
   for (auto item = pending_calls_.begin(); item != pending_calls_.end();) {
     PendingCall& pending = item->second;
     if (now >= pending.deadline) {
-      reply(item->first, http_status::kServiceUnavailable, {});
+      reply(pending.zone_change ? pending.zone_change->id() : item->first, http_status::kServiceUnavailable, {});
       item = pending_calls_.erase(item);
       continue;
     }
--- a/src/core/fleet/fleet_controller.h
+++ b/src/core/fleet/fleet_controller.h
@@ -2,6 +2,7 @@
 
 #include <cstdint>
 #include <map>
+#include <memory>
 #include <optional>
 #include <string>
 #include <utility>
@@ -16,6 +17,7 @@
 #include "core/fleet/fleet_subscription.h"
 #include "core/fleet/registration.h"
 #include "core/fleet/registration_relay.h"
+#include "core/fleet/zone_change.h"
 
 namespace larchlever::fleet {
 
@@ -107,6 +109,8 @@
     wire::ControlCall call;
     TimePoint deadline{};
     TimePoint next_send{};
+    /// The zone change that this call is a step of; null for other calls.
+    std::shared_ptr<ZoneChange> zone_change;
   };
 
   bool holds_log() const { return raft_ && !raft_->replicas().voters.empty(); }
@@ -134,7 +138,10 @@
   void forward_registrations(TimePoint now);
   void push_updates_to_entries(TimePoint now, bool wants_confirmation);
   void handle_call(TimePoint now, const wire::Envelope& envelope);
-  void handle_call_reply(const wire::ControlCallReply& reply);
+  void handle_call_reply(TimePoint now, const wire::ControlCallReply& reply);
+  /// Forwards the first or next step of a zone change to the leader.
+  void forward_zone_change(TimePoint now, wire::ControlCall step, TimePoint deadline,
+                           std::shared_ptr<ZoneChange> zone_change);
   void send_pending_calls(TimePoint now);
   void apply_committed();
   void forward_leader_outputs(TimePoint now);
--- a/src/core/fleet/fleet_leader.h
+++ b/src/core/fleet/fleet_leader.h
@@ -137,6 +137,9 @@
   bool may_propose(const std::string& key, const consensus::RaftNode& raft);
   /// Replies with the placement that a request with the properties in the call's body would get now. Changes no state.
   void explain_placement(TimePoint now, const std::string& key, const wire::ControlCall& call, const FleetLog& log);
+  void reply_with_zones(const std::string& key, const consensus::RaftNode& raft, const FleetLog& log);
+  wire::ZoneChangeId last_zone_change() const;
+  /// Proposes the change, unless another one was proposed since the one that the call expects to be the last.
   void change_evacuation(const std::string& key, const wire::ControlCall& call, const consensus::RaftNode& raft,
                          const FleetLog& log);
   /// Zones from the settings and zones of registered instances and voters.
@@ -152,6 +155,7 @@
   void register_instance(TimePoint now, const std::string& key, const wire::ControlCall& call);
   /// Replies to a call that is still open; does nothing otherwise.
   void reply_to_call(const std::string& key, int status, std::string body = {});
+  void reply_to_call(const std::string& key, wire::ControlCallReply reply);
   void send_update(TimePoint now, const std::string& node, int64_t sequence, const consensus::RaftNode& raft,
                    const FleetLog& log);
   void publish_state();
@@ -223,6 +227,8 @@
   std::map<std::string, wire::GroupLoad> group_loads_;
   std::vector<UnconfirmedCall> unconfirmed_calls_;
   std::map<int64_t, PendingCommand> pending_commands_;
+  /// Zone changes proposed in this leadership.
+  int64_t zone_change_count_ = 0;
   /// The evacuations that groups and slots currently reflect.
   wire::ZoneEvacuations adopted_evacuations_;
   /// Call ids of the forwarding replicas, by call key; only calls without a reply.
--- a/src/core/fleet/fleet_leader_calls.cc
+++ b/src/core/fleet/fleet_leader_calls.cc
@@ -26,14 +26,18 @@
 }  // namespace
 
 void FleetLeader::reply_to_call(const std::string& key, int status, std::string body) {
+  wire::ControlCallReply reply;
+  reply.status = status;
+  reply.body = std::move(body);
+  reply_to_call(key, std::move(reply));
+}
+
+void FleetLeader::reply_to_call(const std::string& key, wire::ControlCallReply reply) {
   const auto call = open_call_ids_.find(key);
   if (call == open_call_ids_.end()) {
     return;
   }
-  wire::ControlCallReply reply;
   reply.id = call->second;
-  reply.status = status;
-  reply.body = std::move(body);
   outputs_.replies.emplace_back(key, std::move(reply));
   open_call_ids_.erase(call);
 }
@@ -63,7 +67,7 @@
       change_evacuation(key, call, raft, log);
       break;
     case wire::ControlCallKind::GET_ZONES:
-      reply_to_call(key, http_status::kOk, zones_json(known_zones(raft), log.evacuations()));
+      reply_with_zones(key, raft, log);
       break;
     case wire::ControlCallKind::EXPLAIN_PLACEMENT:
       explain_placement(now, key, call, log);
@@ -166,6 +170,21 @@
   return false;
 }
 
+wire::ZoneChangeId FleetLeader::last_zone_change() const {
+  wire::ZoneChangeId id;
+  id.term = term_;
+  id.number = zone_change_count_;
+  return id;
+}
+
+void FleetLeader::reply_with_zones(const std::string& key, const consensus::RaftNode& raft, const FleetLog& log) {
+  wire::ControlCallReply reply;
+  reply.status = http_status::kOk;
+  reply.body = zones_json(known_zones(raft), log.evacuations());
+  reply.__set_last_zone_change(last_zone_change());
+  reply_to_call(key, std::move(reply));
+}
+
 void FleetLeader::change_evacuation(const std::string& key, const wire::ControlCall& call,
                                     const consensus::RaftNode& raft, const FleetLog& log) {
   const auto zones = known_zones(raft);
@@ -180,13 +199,21 @@
   if (!may_propose(key, raft)) {
     return;
   }
-  // Propose the change even if it seems to be in effect: the log may hold an uncommitted change to the contrary.
+  wire::ZoneEvacuationChange change;
+  change.zone = call.zone;
+  change.begins = call.kind == wire::ControlCallKind::EVACUATE_ZONE;
+  const bool is_superseded = call.__isset.expected_zone_change && call.expected_zone_change != last_zone_change();
+  outputs_.zone_calls.push_back({key, change, log.evacuations().revision, is_superseded});
+  if (is_superseded) {
+    reply_to_call(key, http_status::kConflict, error_body("another zone change came first; retry the call"));
+    return;
+  }
+  // Propose the change even if it seems to be in effect: the log may hold an uncommitted change to the contrary. It
+  // also counts as a change in that case, since its acknowledgement supersedes earlier calls.
+  ++zone_change_count_;
   Proposal proposal;
-  proposal.command.__isset.zone_evacuation = true;
-  proposal.command.zone_evacuation.zone = call.zone;
-  proposal.command.zone_evacuation.begins = call.kind == wire::ControlCallKind::EVACUATE_ZONE;
+  proposal.command.__set_zone_evacuation(change);
   proposal.call_key = key;
-  outputs_.zone_calls.push_back({key, proposal.command.zone_evacuation, log.evacuations().revision});
   outputs_.proposals.push_back(std::move(proposal));
 }
 
--- a/src/core/fleet/zone_evacuations.h
+++ b/src/core/fleet/zone_evacuations.h
@@ -15,6 +15,8 @@
   wire::ZoneEvacuationChange change;
   /// Revision of the evacuations that the log held then.
   int64_t revision = 0;
+  /// Another change was proposed since the call was received, so it was rejected.
+  bool is_superseded = false;
 };
 
 /// Applies a change. A change without effect, such as a duplicate, leaves the revision unchanged.
--- a/src/node/control_api.cc
+++ b/src/node/control_api.cc
@@ -76,10 +76,6 @@
   return call;
 }
 
-bool is_zone_change(const wire::ControlCall& call) {
-  return call.kind == wire::ControlCallKind::EVACUATE_ZONE || call.kind == wire::ControlCallKind::RESTORE_ZONE;
-}
-
 /// Stands for the reply to a call that no leader answered.
 wire::ControlCallReply no_reply() {
   wire::ControlCallReply reply;
@@ -141,7 +137,7 @@
   if (!call) {
     reply.status = http_status::kNotFound;
     reply.body = R"({"error":"no such path or method; see the operators' page"})";
-  } else if (is_zone_change(*call)) {
+  } else if (fleet::is_zone_change(*call)) {
     reply = co_await change_zone(exchange, *call);
   } else {
     reply = co_await submit_and_wait(*call);
--- a/src/node/fleet_change_logger.cc
+++ b/src/node/fleet_change_logger.cc
@@ -54,7 +54,7 @@
 }
 
 void FleetChangeLogger::log_zone_call(const fleet::ZoneCallDecision& decision) const {
-  log_event(node_name_, "zone_change_proposed",
+  log_event(node_name_, decision.is_superseded ? "zone_change_superseded" : "zone_change_proposed",
             {{"call", decision.call_key},
              {"zone", decision.change.zone},
              {"operation", decision.change.begins ? "evacuate" : "restore"},
--- a/src/wire/gen-cpp/larchlever_types.cpp
+++ b/src/wire/gen-cpp/larchlever_types.cpp
@@ -17485,6 +17485,129 @@
 }
 
 
+ZoneChangeId::~ZoneChangeId() noexcept {
+}
+
+
+void ZoneChangeId::__set_term(const int64_t val) {
+  this->term = val;
+}
+
+void ZoneChangeId::__set_number(const int64_t val) {
+  this->number = val;
+}
+std::ostream& operator<<(std::ostream& out, const ZoneChangeId& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t ZoneChangeId::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->term);
+          this->__isset.term = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->number);
+          this->__isset.number = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t ZoneChangeId::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("ZoneChangeId");
+
+  xfer += oprot->writeFieldBegin("term", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeI64(this->term);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("number", ::apache::thrift::protocol::T_I64, 2);
+  xfer += oprot->writeI64(this->number);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(ZoneChangeId &a, ZoneChangeId &b) {
+  using ::std::swap;
+  swap(a.term, b.term);
+  swap(a.number, b.number);
+  swap(a.__isset, b.__isset);
+}
+
+ZoneChangeId::ZoneChangeId(const ZoneChangeId& other729) noexcept {
+  term = other729.term;
+  number = other729.number;
+  __isset = other729.__isset;
+}
+ZoneChangeId::ZoneChangeId(ZoneChangeId&& other730) noexcept {
+  term = other730.term;
+  number = other730.number;
+  __isset = other730.__isset;
+}
+ZoneChangeId& ZoneChangeId::operator=(const ZoneChangeId& other731) noexcept {
+  term = other731.term;
+  number = other731.number;
+  __isset = other731.__isset;
+  return *this;
+}
+ZoneChangeId& ZoneChangeId::operator=(ZoneChangeId&& other732) noexcept {
+  term = other732.term;
+  number = other732.number;
+  __isset = other732.__isset;
+  return *this;
+}
+void ZoneChangeId::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "ZoneChangeId(";
+  out << "term=" << to_string(term);
+  out << ", " << "number=" << to_string(number);
+  out << ")";
+}
+
+
 ControlCall::~ControlCall() noexcept {
 }
 
@@ -17508,6 +17631,11 @@
 void ControlCall::__set_zone(const std::string& val) {
   this->zone = val;
 }
+
+void ControlCall::__set_expected_zone_change(const ZoneChangeId& val) {
+  this->expected_zone_change = val;
+__isset.expected_zone_change = true;
+}
 std::ostream& operator<<(std::ostream& out, const ControlCall& obj)
 {
   obj.printTo(out);
@@ -17546,9 +17674,9 @@
         break;
       case 2:
         if (ftype == ::apache::thrift::protocol::T_I32) {
-          int32_t ecast729;
-          xfer += iprot->readI32(ecast729);
-          this->kind = static_cast<ControlCallKind::type>(ecast729);
+          int32_t ecast733;
+          xfer += iprot->readI32(ecast733);
+          this->kind = static_cast<ControlCallKind::type>(ecast733);
           this->__isset.kind = true;
         } else {
           xfer += iprot->skip(ftype);
@@ -17578,6 +17706,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 6:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->expected_zone_change.read(iprot);
+          this->__isset.expected_zone_change = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -17615,6 +17751,11 @@
   xfer += oprot->writeString(this->zone);
   xfer += oprot->writeFieldEnd();
 
+  if (this->__isset.expected_zone_change) {
+    xfer += oprot->writeFieldBegin("expected_zone_change", ::apache::thrift::protocol::T_STRUCT, 6);
+    xfer += this->expected_zone_change.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -17627,41 +17768,46 @@
   swap(a.instance_id, b.instance_id);
   swap(a.body, b.body);
   swap(a.zone, b.zone);
+  swap(a.expected_zone_change, b.expected_zone_change);
   swap(a.__isset, b.__isset);
 }
 
-ControlCall::ControlCall(const ControlCall& other730) {
-  id = other730.id;
-  kind = other730.kind;
-  instance_id = other730.instance_id;
-  body = other730.body;
-  zone = other730.zone;
-  __isset = other730.__isset;
+ControlCall::ControlCall(const ControlCall& other734) {
+  id = other734.id;
+  kind = other734.kind;
+  instance_id = other734.instance_id;
+  body = other734.body;
+  zone = other734.zone;
+  expected_zone_change = other734.expected_zone_change;
+  __isset = other734.__isset;
 }
-ControlCall::ControlCall(ControlCall&& other731) noexcept {
-  id = other731.id;
-  kind = other731.kind;
-  instance_id = std::move(other731.instance_id);
-  body = std::move(other731.body);
-  zone = std::move(other731.zone);
-  __isset = other731.__isset;
+ControlCall::ControlCall(ControlCall&& other735) noexcept {
+  id = other735.id;
+  kind = other735.kind;
+  instance_id = std::move(other735.instance_id);
+  body = std::move(other735.body);
+  zone = std::move(other735.zone);
+  expected_zone_change = std::move(other735.expected_zone_change);
+  __isset = other735.__isset;
 }
-ControlCall& ControlCall::operator=(const ControlCall& other732) {
-  id = other732.id;
-  kind = other732.kind;
-  instance_id = other732.instance_id;
-  body = other732.body;
-  zone = other732.zone;
-  __isset = other732.__isset;
+ControlCall& ControlCall::operator=(const ControlCall& other736) {
+  id = other736.id;
+  kind = other736.kind;
+  instance_id = other736.instance_id;
+  body = other736.body;
+  zone = other736.zone;
+  expected_zone_change = other736.expected_zone_change;
+  __isset = other736.__isset;
   return *this;
 }
-ControlCall& ControlCall::operator=(ControlCall&& other733) noexcept {
-  id = other733.id;
-  kind = other733.kind;
-  instance_id = std::move(other733.instance_id);
-  body = std::move(other733.body);
-  zone = std::move(other733.zone);
-  __isset = other733.__isset;
+ControlCall& ControlCall::operator=(ControlCall&& other737) noexcept {
+  id = other737.id;
+  kind = other737.kind;
+  instance_id = std::move(other737.instance_id);
+  body = std::move(other737.body);
+  zone = std::move(other737.zone);
+  expected_zone_change = std::move(other737.expected_zone_change);
+  __isset = other737.__isset;
   return *this;
 }
 void ControlCall::printTo(std::ostream& out) const {
@@ -17672,6 +17818,7 @@
   out << ", " << "instance_id=" << to_string(instance_id);
   out << ", " << "body=" << to_string(body);
   out << ", " << "zone=" << to_string(zone);
+  out << ", " << "expected_zone_change="; (__isset.expected_zone_change ? (out << to_string(expected_zone_change)) : (out << "<null>"));
   out << ")";
 }
 
@@ -17691,6 +17838,11 @@
 void ControlCallReply::__set_body(const std::string& val) {
   this->body = val;
 }
+
+void ControlCallReply::__set_last_zone_change(const ZoneChangeId& val) {
+  this->last_zone_change = val;
+__isset.last_zone_change = true;
+}
 std::ostream& operator<<(std::ostream& out, const ControlCallReply& obj)
 {
   obj.printTo(out);
@@ -17743,6 +17895,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->last_zone_change.read(iprot);
+          this->__isset.last_zone_change = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -17772,6 +17932,11 @@
   xfer += oprot->writeBinary(this->body);
   xfer += oprot->writeFieldEnd();
 
+  if (this->__isset.last_zone_change) {
+    xfer += oprot->writeFieldBegin("last_zone_change", ::apache::thrift::protocol::T_STRUCT, 4);
+    xfer += this->last_zone_change.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -17782,33 +17947,38 @@
   swap(a.id, b.id);
   swap(a.status, b.status);
   swap(a.body, b.body);
+  swap(a.last_zone_change, b.last_zone_change);
   swap(a.__isset, b.__isset);
 }
 
-ControlCallReply::ControlCallReply(const ControlCallReply& other734) {
-  id = other734.id;
-  status = other734.status;
-  body = other734.body;
-  __isset = other734.__isset;
+ControlCallReply::ControlCallReply(const ControlCallReply& other738) {
+  id = other738.id;
+  status = other738.status;
+  body = other738.body;
+  last_zone_change = other738.last_zone_change;
+  __isset = other738.__isset;
 }
-ControlCallReply::ControlCallReply(ControlCallReply&& other735) noexcept {
-  id = other735.id;
-  status = other735.status;
-  body = std::move(other735.body);
-  __isset = other735.__isset;
+ControlCallReply::ControlCallReply(ControlCallReply&& other739) noexcept {
+  id = other739.id;
+  status = other739.status;
+  body = std::move(other739.body);
+  last_zone_change = std::move(other739.last_zone_change);
+  __isset = other739.__isset;
 }
-ControlCallReply& ControlCallReply::operator=(const ControlCallReply& other736) {
-  id = other736.id;
-  status = other736.status;
-  body = other736.body;
-  __isset = other736.__isset;
+ControlCallReply& ControlCallReply::operator=(const ControlCallReply& other740) {
+  id = other740.id;
+  status = other740.status;
+  body = other740.body;
+  last_zone_change = other740.last_zone_change;
+  __isset = other740.__isset;
   return *this;
 }
-ControlCallReply& ControlCallReply::operator=(ControlCallReply&& other737) noexcept {
-  id = other737.id;
-  status = other737.status;
-  body = std::move(other737.body);
-  __isset = other737.__isset;
+ControlCallReply& ControlCallReply::operator=(ControlCallReply&& other741) noexcept {
+  id = other741.id;
+  status = other741.status;
+  body = std::move(other741.body);
+  last_zone_change = std::move(other741.last_zone_change);
+  __isset = other741.__isset;
   return *this;
 }
 void ControlCallReply::printTo(std::ostream& out) const {
@@ -17817,6 +17987,7 @@
   out << "id=" << to_string(id);
   out << ", " << "status=" << to_string(status);
   out << ", " << "body=" << to_string(body);
+  out << ", " << "last_zone_change="; (__isset.last_zone_change ? (out << to_string(last_zone_change)) : (out << "<null>"));
   out << ")";
 }
 
@@ -17913,26 +18084,26 @@
   swap(a.__isset, b.__isset);
 }
 
-RegistrationReport::RegistrationReport(const RegistrationReport& other738) {
-  instance = other738.instance;
-  known_term = other738.known_term;
-  __isset = other738.__isset;
+RegistrationReport::RegistrationReport(const RegistrationReport& other742) {
+  instance = other742.instance;
+  known_term = other742.known_term;
+  __isset = other742.__isset;
 }
-RegistrationReport::RegistrationReport(RegistrationReport&& other739) noexcept {
-  instance = std::move(other739.instance);
-  known_term = other739.known_term;
-  __isset = other739.__isset;
+RegistrationReport::RegistrationReport(RegistrationReport&& other743) noexcept {
+  instance = std::move(other743.instance);
+  known_term = other743.known_term;
+  __isset = other743.__isset;
 }
-RegistrationReport& RegistrationReport::operator=(const RegistrationReport& other740) {
-  instance = other740.instance;
-  known_term = other740.known_term;
-  __isset = other740.__isset;
+RegistrationReport& RegistrationReport::operator=(const RegistrationReport& other744) {
+  instance = other744.instance;
+  known_term = other744.known_term;
+  __isset = other744.__isset;
   return *this;
 }
-RegistrationReport& RegistrationReport::operator=(RegistrationReport&& other741) noexcept {
-  instance = std::move(other741.instance);
-  known_term = other741.known_term;
-  __isset = other741.__isset;
+RegistrationReport& RegistrationReport::operator=(RegistrationReport&& other745) noexcept {
+  instance = std::move(other745.instance);
+  known_term = other745.known_term;
+  __isset = other745.__isset;
   return *this;
 }
 void RegistrationReport::printTo(std::ostream& out) const {
@@ -17983,14 +18154,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->reports.clear();
-            uint32_t _size742;
-            ::apache::thrift::protocol::TType _etype745;
-            xfer += iprot->readListBegin(_etype745, _size742);
-            this->reports.resize(_size742);
-            uint32_t _i746;
-            for (_i746 = 0; _i746 < _size742; ++_i746)
+            uint32_t _size746;
+            ::apache::thrift::protocol::TType _etype749;
+            xfer += iprot->readListBegin(_etype749, _size746);
+            this->reports.resize(_size746);
+            uint32_t _i750;
+            for (_i750 = 0; _i750 < _size746; ++_i750)
             {
-              xfer += this->reports[_i746].read(iprot);
+              xfer += this->reports[_i750].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -18019,10 +18190,10 @@
   xfer += oprot->writeFieldBegin("reports", ::apache::thrift::protocol::T_LIST, 1);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->reports.size()));
-    std::vector<RegistrationReport> ::const_iterator _iter747;
-    for (_iter747 = this->reports.begin(); _iter747 != this->reports.end(); ++_iter747)
+    std::vector<RegistrationReport> ::const_iterator _iter751;
+    for (_iter751 = this->reports.begin(); _iter751 != this->reports.end(); ++_iter751)
     {
-      xfer += (*_iter747).write(oprot);
+      xfer += (*_iter751).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -18039,22 +18210,22 @@
   swap(a.__isset, b.__isset);
 }
 
-RegistrationBatch::RegistrationBatch(const RegistrationBatch& other748) {
-  reports = other748.reports;
-  __isset = other748.__isset;
+RegistrationBatch::RegistrationBatch(const RegistrationBatch& other752) {
+  reports = other752.reports;
+  __isset = other752.__isset;
 }
-RegistrationBatch::RegistrationBatch(RegistrationBatch&& other749) noexcept {
-  reports = std::move(other749.reports);
-  __isset = other749.__isset;
+RegistrationBatch::RegistrationBatch(RegistrationBatch&& other753) noexcept {
+  reports = std::move(other753.reports);
+  __isset = other753.__isset;
 }
-RegistrationBatch& RegistrationBatch::operator=(const RegistrationBatch& other750) {
-  reports = other750.reports;
-  __isset = other750.__isset;
+RegistrationBatch& RegistrationBatch::operator=(const RegistrationBatch& other754) {
+  reports = other754.reports;
+  __isset = other754.__isset;
   return *this;
 }
-RegistrationBatch& RegistrationBatch::operator=(RegistrationBatch&& other751) noexcept {
-  reports = std::move(other751.reports);
-  __isset = other751.__isset;
+RegistrationBatch& RegistrationBatch::operator=(RegistrationBatch&& other755) noexcept {
+  reports = std::move(other755.reports);
+  __isset = other755.__isset;
   return *this;
 }
 void RegistrationBatch::printTo(std::ostream& out) const {
@@ -18157,26 +18328,26 @@
   swap(a.__isset, b.__isset);
 }
 
-FormationNotice::FormationNotice(const FormationNotice& other752) {
-  choice = other752.choice;
-  holds_log = other752.holds_log;
-  __isset = other752.__isset;
+FormationNotice::FormationNotice(const FormationNotice& other756) {
+  choice = other756.choice;
+  holds_log = other756.holds_log;
+  __isset = other756.__isset;
 }
-FormationNotice::FormationNotice(FormationNotice&& other753) noexcept {
-  choice = std::move(other753.choice);
-  holds_log = other753.holds_log;
-  __isset = other753.__isset;
+FormationNotice::FormationNotice(FormationNotice&& other757) noexcept {
+  choice = std::move(other757.choice);
+  holds_log = other757.holds_log;
+  __isset = other757.__isset;
 }
-FormationNotice& FormationNotice::operator=(const FormationNotice& other754) {
-  choice = other754.choice;
-  holds_log = other754.holds_log;
-  __isset = other754.__isset;
+FormationNotice& FormationNotice::operator=(const FormationNotice& other758) {
+  choice = other758.choice;
+  holds_log = other758.holds_log;
+  __isset = other758.__isset;
   return *this;
 }
-FormationNotice& FormationNotice::operator=(FormationNotice&& other755) noexcept {
-  choice = std::move(other755.choice);
-  holds_log = other755.holds_log;
-  __isset = other755.__isset;
+FormationNotice& FormationNotice::operator=(FormationNotice&& other759) noexcept {
+  choice = std::move(other759.choice);
+  holds_log = other759.holds_log;
+  __isset = other759.__isset;
   return *this;
 }
 void FormationNotice::printTo(std::ostream& out) const {
@@ -18620,98 +18791,98 @@
   swap(a.__isset, b.__isset);
 }
 
-Envelope::Envelope(const Envelope& other756) {
-  from_node = other756.from_node;
-  from_incarnation = other756.from_incarnation;
-  to_node = other756.to_node;
-  raft = other756.raft;
-  heartbeat = other756.heartbeat;
-  heartbeat_reply = other756.heartbeat_reply;
-  claim_request = other756.claim_request;
-  claim_reply = other756.claim_reply;
-  resolution = other756.resolution;
-  operator_request = other756.operator_request;
-  operator_reply = other756.operator_reply;
-  resolution_reply = other756.resolution_reply;
-  fleet_heartbeat = other756.fleet_heartbeat;
-  fleet_update = other756.fleet_update;
-  control_call = other756.control_call;
-  control_call_reply = other756.control_call_reply;
-  slot_report = other756.slot_report;
-  slot_answer = other756.slot_answer;
-  registrations = other756.registrations;
-  formation = other756.formation;
-  __isset = other756.__isset;
-}
-Envelope::Envelope(Envelope&& other757) noexcept {
-  from_node = std::move(other757.from_node);
-  from_incarnation = other757.from_incarnation;
-  to_node = std::move(other757.to_node);
-  raft = std::move(other757.raft);
-  heartbeat = std::move(other757.heartbeat);
-  heartbeat_reply = std::move(other757.heartbeat_reply);
-  claim_request = std::move(other757.claim_request);
-  claim_reply = std::move(other757.claim_reply);
-  resolution = std::move(other757.resolution);
-  operator_request = std::move(other757.operator_request);
-  operator_reply = std::move(other757.operator_reply);
-  resolution_reply = std::move(other757.resolution_reply);
-  fleet_heartbeat = std::move(other757.fleet_heartbeat);
-  fleet_update = std::move(other757.fleet_update);
-  control_call = std::move(other757.control_call);
-  control_call_reply = std::move(other757.control_call_reply);
-  slot_report = std::move(other757.slot_report);
-  slot_answer = std::move(other757.slot_answer);
-  registrations = std::move(other757.registrations);
-  formation = std::move(other757.formation);
-  __isset = other757.__isset;
-}
-Envelope& Envelope::operator=(const Envelope& other758) {
-  from_node = other758.from_node;
-  from_incarnation = other758.from_incarnation;
-  to_node = other758.to_node;
-  raft = other758.raft;
-  heartbeat = other758.heartbeat;
-  heartbeat_reply = other758.heartbeat_reply;
-  claim_request = other758.claim_request;
-  claim_reply = other758.claim_reply;
-  resolution = other758.resolution;
-  operator_request = other758.operator_request;
-  operator_reply = other758.operator_reply;
-  resolution_reply = other758.resolution_reply;
-  fleet_heartbeat = other758.fleet_heartbeat;
-  fleet_update = other758.fleet_update;
-  control_call = other758.control_call;
-  control_call_reply = other758.control_call_reply;
-  slot_report = other758.slot_report;
-  slot_answer = other758.slot_answer;
-  registrations = other758.registrations;
-  formation = other758.formation;
-  __isset = other758.__isset;
+Envelope::Envelope(const Envelope& other760) {
+  from_node = other760.from_node;
+  from_incarnation = other760.from_incarnation;
+  to_node = other760.to_node;
+  raft = other760.raft;
+  heartbeat = other760.heartbeat;
+  heartbeat_reply = other760.heartbeat_reply;
+  claim_request = other760.claim_request;
+  claim_reply = other760.claim_reply;
+  resolution = other760.resolution;
+  operator_request = other760.operator_request;
+  operator_reply = other760.operator_reply;
+  resolution_reply = other760.resolution_reply;
+  fleet_heartbeat = other760.fleet_heartbeat;
+  fleet_update = other760.fleet_update;
+  control_call = other760.control_call;
+  control_call_reply = other760.control_call_reply;
+  slot_report = other760.slot_report;
+  slot_answer = other760.slot_answer;
+  registrations = other760.registrations;
+  formation = other760.formation;
+  __isset = other760.__isset;
+}
+Envelope::Envelope(Envelope&& other761) noexcept {
+  from_node = std::move(other761.from_node);
+  from_incarnation = other761.from_incarnation;
+  to_node = std::move(other761.to_node);
+  raft = std::move(other761.raft);
+  heartbeat = std::move(other761.heartbeat);
+  heartbeat_reply = std::move(other761.heartbeat_reply);
+  claim_request = std::move(other761.claim_request);
+  claim_reply = std::move(other761.claim_reply);
+  resolution = std::move(other761.resolution);
+  operator_request = std::move(other761.operator_request);
+  operator_reply = std::move(other761.operator_reply);
+  resolution_reply = std::move(other761.resolution_reply);
+  fleet_heartbeat = std::move(other761.fleet_heartbeat);
+  fleet_update = std::move(other761.fleet_update);
+  control_call = std::move(other761.control_call);
+  control_call_reply = std::move(other761.control_call_reply);
+  slot_report = std::move(other761.slot_report);
+  slot_answer = std::move(other761.slot_answer);
+  registrations = std::move(other761.registrations);
+  formation = std::move(other761.formation);
+  __isset = other761.__isset;
+}
+Envelope& Envelope::operator=(const Envelope& other762) {
+  from_node = other762.from_node;
+  from_incarnation = other762.from_incarnation;
+  to_node = other762.to_node;
+  raft = other762.raft;
+  heartbeat = other762.heartbeat;
+  heartbeat_reply = other762.heartbeat_reply;
+  claim_request = other762.claim_request;
+  claim_reply = other762.claim_reply;
+  resolution = other762.resolution;
+  operator_request = other762.operator_request;
+  operator_reply = other762.operator_reply;
+  resolution_reply = other762.resolution_reply;
+  fleet_heartbeat = other762.fleet_heartbeat;
+  fleet_update = other762.fleet_update;
+  control_call = other762.control_call;
+  control_call_reply = other762.control_call_reply;
+  slot_report = other762.slot_report;
+  slot_answer = other762.slot_answer;
+  registrations = other762.registrations;
+  formation = other762.formation;
+  __isset = other762.__isset;
   return *this;
 }
-Envelope& Envelope::operator=(Envelope&& other759) noexcept {
-  from_node = std::move(other759.from_node);
-  from_incarnation = other759.from_incarnation;
-  to_node = std::move(other759.to_node);
-  raft = std::move(other759.raft);
-  heartbeat = std::move(other759.heartbeat);
-  heartbeat_reply = std::move(other759.heartbeat_reply);
-  claim_request = std::move(other759.claim_request);
-  claim_reply = std::move(other759.claim_reply);
-  resolution = std::move(other759.resolution);
-  operator_request = std::move(other759.operator_request);
-  operator_reply = std::move(other759.operator_reply);
-  resolution_reply = std::move(other759.resolution_reply);
-  fleet_heartbeat = std::move(other759.fleet_heartbeat);
-  fleet_update = std::move(other759.fleet_update);
-  control_call = std::move(other759.control_call);
-  control_call_reply = std::move(other759.control_call_reply);
-  slot_report = std::move(other759.slot_report);
-  slot_answer = std::move(other759.slot_answer);
-  registrations = std::move(other759.registrations);
-  formation = std::move(other759.formation);
-  __isset = other759.__isset;
+Envelope& Envelope::operator=(Envelope&& other763) noexcept {
+  from_node = std::move(other763.from_node);
+  from_incarnation = other763.from_incarnation;
+  to_node = std::move(other763.to_node);
+  raft = std::move(other763.raft);
+  heartbeat = std::move(other763.heartbeat);
+  heartbeat_reply = std::move(other763.heartbeat_reply);
+  claim_request = std::move(other763.claim_request);
+  claim_reply = std::move(other763.claim_reply);
+  resolution = std::move(other763.resolution);
+  operator_request = std::move(other763.operator_request);
+  operator_reply = std::move(other763.operator_reply);
+  resolution_reply = std::move(other763.resolution_reply);
+  fleet_heartbeat = std::move(other763.fleet_heartbeat);
+  fleet_update = std::move(other763.fleet_update);
+  control_call = std::move(other763.control_call);
+  control_call_reply = std::move(other763.control_call_reply);
+  slot_report = std::move(other763.slot_report);
+  slot_answer = std::move(other763.slot_answer);
+  registrations = std::move(other763.registrations);
+  formation = std::move(other763.formation);
+  __isset = other763.__isset;
   return *this;
 }
 void Envelope::printTo(std::ostream& out) const {
--- a/src/wire/gen-cpp/larchlever_types.h
+++ b/src/wire/gen-cpp/larchlever_types.h
@@ -373,6 +373,8 @@
 
 class FleetUpdate;
 
+class ZoneChangeId;
+
 class ControlCall;
 
 class ControlCallReply;
@@ -6814,13 +6816,75 @@
 
 std::ostream& operator<<(std::ostream& out, const FleetUpdate& obj);
 
+typedef struct _ZoneChangeId__isset {
+  _ZoneChangeId__isset() : term(false), number(false) {}
+  bool term :1;
+  bool number :1;
+} _ZoneChangeId__isset;
+
+/**
+ * A change of the evacuated zones, in the order in which leaders propose them to the log.
+ */
+class ZoneChangeId : public virtual ::apache::thrift::TBase {
+ public:
+
+  ZoneChangeId(const ZoneChangeId&) noexcept;
+  ZoneChangeId(ZoneChangeId&&) noexcept;
+  ZoneChangeId& operator=(const ZoneChangeId&) noexcept;
+  ZoneChangeId& operator=(ZoneChangeId&&) noexcept;
+  ZoneChangeId() noexcept
+               : term(0),
+                 number(0) {
+  }
+
+  virtual ~ZoneChangeId() noexcept;
+  /**
+   * Term of the leader.
+   */
+  int64_t term;
+  /**
+   * Number of zone changes that the leader has proposed in this term, this one included.
+   */
+  int64_t number;
+
+  _ZoneChangeId__isset __isset;
+
+  void __set_term(const int64_t val);
+
+  void __set_number(const int64_t val);
+
+  bool operator == (const ZoneChangeId & rhs) const
+  {
+    if (!(term == rhs.term))
+      return false;
+    if (!(number == rhs.number))
+      return false;
+    return true;
+  }
+  bool operator != (const ZoneChangeId &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const ZoneChangeId & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(ZoneChangeId &a, ZoneChangeId &b);
+
+std::ostream& operator<<(std::ostream& out, const ZoneChangeId& obj);
+
 typedef struct _ControlCall__isset {
-  _ControlCall__isset() : id(false), kind(false), instance_id(false), body(false), zone(false) {}
+  _ControlCall__isset() : id(false), kind(false), instance_id(false), body(false), zone(false), expected_zone_change(false) {}
   bool id :1;
   bool kind :1;
   bool instance_id :1;
   bool body :1;
   bool zone :1;
+  bool expected_zone_change :1;
 } _ControlCall__isset;
 
 /**
@@ -6854,6 +6918,10 @@
    * Zone of a call to evacuate or restore.
    */
   std::string zone;
+  /**
+   * A call to evacuate or restore is rejected with status 409 unless this is the leader's last zone change.
+   */
+  ZoneChangeId expected_zone_change;
 
   _ControlCall__isset __isset;
 
@@ -6867,6 +6935,8 @@
 
   void __set_zone(const std::string& val);
 
+  void __set_expected_zone_change(const ZoneChangeId& val);
+
   bool operator == (const ControlCall & rhs) const
   {
     if (!(id == rhs.id))
@@ -6879,6 +6949,10 @@
       return false;
     if (!(zone == rhs.zone))
       return false;
+    if (__isset.expected_zone_change != rhs.__isset.expected_zone_change)
+      return false;
+    else if (__isset.expected_zone_change && !(expected_zone_change == rhs.expected_zone_change))
+      return false;
     return true;
   }
   bool operator != (const ControlCall &rhs) const {
@@ -6898,10 +6972,11 @@
 std::ostream& operator<<(std::ostream& out, const ControlCall& obj);
 
 typedef struct _ControlCallReply__isset {
-  _ControlCallReply__isset() : id(false), status(false), body(false) {}
+  _ControlCallReply__isset() : id(false), status(false), body(false), last_zone_change(false) {}
   bool id :1;
   bool status :1;
   bool body :1;
+  bool last_zone_change :1;
 } _ControlCallReply__isset;
 
 class ControlCallReply : public virtual ::apache::thrift::TBase {
@@ -6921,6 +6996,10 @@
   int64_t id;
   int32_t status;
   std::string body;
+  /**
+   * The leader's last zone change, in replies to GET_ZONES.
+   */
+  ZoneChangeId last_zone_change;
 
   _ControlCallReply__isset __isset;
 
@@ -6930,6 +7009,8 @@
 
   void __set_body(const std::string& val);
 
+  void __set_last_zone_change(const ZoneChangeId& val);
+
   bool operator == (const ControlCallReply & rhs) const
   {
     if (!(id == rhs.id))
@@ -6938,6 +7019,10 @@
       return false;
     if (!(body == rhs.body))
       return false;
+    if (__isset.last_zone_change != rhs.__isset.last_zone_change)
+      return false;
+    else if (__isset.last_zone_change && !(last_zone_change == rhs.last_zone_change))
+      return false;
     return true;
   }
   bool operator != (const ControlCallReply &rhs) const {
--- a/src/wire/larchlever.thrift
+++ b/src/wire/larchlever.thrift
@@ -932,6 +932,14 @@
   EXPLAIN_PLACEMENT = 7,
 }
 
+/** A change of the evacuated zones, in the order in which leaders propose them to the log. */
+struct ZoneChangeId {
+  /** Term of the leader. */
+  1: i64 term,
+  /** Number of zone changes that the leader has proposed in this term, this one included. */
+  2: i64 number,
+}
+
 /** A call of an instance or operator, forwarded to the leader by the replica that received it. */
 struct ControlCall {
   1: i64 id,
@@ -940,12 +948,16 @@
   4: binary body,
   /** Zone of a call to evacuate or restore. */
   5: string zone,
+  /** A call to evacuate or restore is rejected with status 409 unless this is the leader's last zone change. */
+  6: optional ZoneChangeId expected_zone_change,
 }
 
 struct ControlCallReply {
   1: i64 id,
   2: i32 status,
   3: binary body,
+  /** The leader's last zone change, in replies to GET_ZONES. */
+  4: optional ZoneChangeId last_zone_change,
 }
 
 /** A heartbeat of an instance, as received by a control replica. */
