A control replica does not act on a zone call whose sender has gone

What operators saw: a zone got requests again after its evacuation had been acknowledged, from entries of all zones.

Cause: a replica that was suspended reads the calls that its sockets hold when it goes on. Their senders closed the connection after a second, had the call and a later one acknowledged by other replicas, and the old call undid them. Evidence: zone_call_received unread_ms=1512 caller=gone, followed by a change of the log from that replica; To/ZoneCallsDuringSuspension.* failed in 9 of 9 cases.

Once the leader has told its last zone change, and before the call is forwarded, the replica asks whether the caller still waits. What the operator does after it gave the call up comes later than that, so that the leader rejects the call. A call read within a second after a pause of 0.8 s or more is answered 503: callers may give up without closing, and after a suspension of the whole machine the notice of the close may come later than the call. Weighed: the age of the bytes in the socket (TCP_INFO), which does not count a suspension of the machine.

--- a/src/core/fleet/fleet_controller.cc
+++ b/src/core/fleet/fleet_controller.cc
@@ -267,12 +267,12 @@
   send_pending_calls(now);
 }
 
-int64_t FleetController::submit_call(TimePoint now, wire::ControlCall call) {
+int64_t FleetController::submit_call(TimePoint now, wire::ControlCall call, IsCallerWaiting is_caller_waiting) {
   call.id = next_call_id_++;
   const int64_t id = call.id;
   const TimePoint deadline = now + options_.call_timeout;
   if (is_zone_change(call)) {
-    const auto zone_change = std::make_shared<ZoneChange>(std::move(call));
+    const auto zone_change = std::make_shared<ZoneChange>(std::move(call), std::move(is_caller_waiting));
     forward_zone_change(now, zone_change->make_query(), deadline, zone_change);
   } else if (!try_accept_registration(now, call)) {
     pending_calls_[id] = {std::move(call), deadline, now, nullptr};
--- a/src/core/fleet/fleet_controller.h
+++ b/src/core/fleet/fleet_controller.h
@@ -82,8 +82,9 @@
     }
   }
   /// Submits a call of an instance or operator. Its reply appears in `FleetControllerOutputs::replies` with the
-  /// returned id, at the latest after `FleetOptions::call_timeout`.
-  int64_t submit_call(TimePoint now, wire::ControlCall call);
+  /// returned id, at the latest after `FleetOptions::call_timeout`. A call that evacuates or restores a zone takes
+  /// effect only if its caller is waiting for the answer when it is forwarded.
+  int64_t submit_call(TimePoint now, wire::ControlCall call, IsCallerWaiting is_caller_waiting = nullptr);
 
   /// This process was suspended for `pause` until now, so that time does not count towards the timeouts of other nodes.
   void note_own_pause(TimePoint now, Duration pause) {
--- a/src/core/fleet/zone_change.cc
+++ b/src/core/fleet/zone_change.cc
@@ -3,6 +3,7 @@
 #include <utility>
 
 #include "core/base/http_status.h"
+#include "core/fleet/registration.h"
 
 namespace larchlever::fleet {
 
@@ -41,6 +42,9 @@
   if (!was_query || reply.status != http_status::kOk) {
     return make_reply(reply.status, reply.body);
   }
+  if (is_caller_waiting_ && !is_caller_waiting_()) {
+    return make_reply(http_status::kServiceUnavailable, error_body("the caller has gone; nothing was changed"));
+  }
   return make_change(reply);
 }
 
--- a/src/node/control_api.cc
+++ b/src/node/control_api.cc
@@ -4,6 +4,7 @@
 #include <optional>
 
 #include "core/base/http_status.h"
+#include "core/fleet/registration.h"
 #include "node/clock.h"
 #include "node/logging.h"
 
@@ -16,6 +17,9 @@
 constexpr auto kAwaitWithError = asio::as_tuple(asio::use_awaitable);
 /// Longer than the controller takes to reply to any call.
 constexpr auto kReplyTimeout = std::chrono::seconds(10);
+/// A zone call that may have lain in a socket for this long is rejected: operators turn to another replica after about
+/// a second without an answer, and what they do then must not be undone.
+constexpr Duration kMaxUnreadTime = milliseconds(800);
 
 constexpr std::string_view kInstancesPrefix = "/v1/instances/";
 constexpr std::string_view kHeartbeatSuffix = "/heartbeat";
@@ -76,14 +80,16 @@
   return call;
 }
 
-/// Stands for the reply to a call that no leader answered.
-wire::ControlCallReply no_reply() {
+wire::ControlCallReply unavailable_reply(const std::string& error) {
   wire::ControlCallReply reply;
   reply.status = http_status::kServiceUnavailable;
-  reply.body = R"({"error":"no leader answered; retry the call"})";
+  reply.body = fleet::error_body(error);
   return reply;
 }
 
+/// Stands for the reply to a call that no leader answered.
+wire::ControlCallReply no_reply() { return unavailable_reply("no leader answered; retry the call"); }
+
 std::string_view zone_operation(const wire::ControlCall& call) {
   return call.kind == wire::ControlCallKind::EVACUATE_ZONE ? "evacuate" : "restore";
 }
@@ -114,18 +120,22 @@
 }  // namespace
 
 struct ControlApi::PendingReply {
-  explicit PendingReply(const asio::any_io_executor& executor) : timer(executor) {}
+  PendingReply(const asio::any_io_executor& executor, const net::HttpExchange* given_exchange)
+      : timer(executor), exchange(given_exchange) {}
   asio::steady_timer timer;
+  /// The exchange that waits for the reply; valid as long as this object exists. Null if none does yet.
+  const net::HttpExchange* exchange;
   std::optional<wire::ControlCallReply> reply;
 };
 
-ControlApi::ControlApi(asio::any_io_executor executor, std::function<int64_t(wire::ControlCall)> submit)
-    : executor_(std::move(executor)), submit_(std::move(submit)) {}
+ControlApi::ControlApi(asio::any_io_executor executor, Submit submit, std::function<Duration()> recent_pause)
+    : executor_(std::move(executor)), submit_(std::move(submit)), recent_pause_(std::move(recent_pause)) {}
 
 void ControlApi::complete(const wire::ControlCallReply& reply) {
   auto& pending_reply = pending_replies_[reply.id];
   if (pending_reply == nullptr) {
-    pending_reply = std::make_shared<PendingReply>(executor_);  // The reply arrived while the call was being submitted.
+    // The reply arrived while the call was being submitted.
+    pending_reply = std::make_shared<PendingReply>(executor_, nullptr);
   }
   pending_reply->reply = reply;
   pending_reply->timer.cancel();
@@ -140,7 +150,7 @@
   } else if (fleet::is_zone_change(*call)) {
     reply = co_await change_zone(exchange, *call);
   } else {
-    reply = co_await submit_and_wait(*call);
+    reply = co_await submit_and_wait(exchange, *call);
   }
   net::HttpResponse response;
   response.headers.add("Content-Type", "application/json");
@@ -152,18 +162,29 @@
 asio::awaitable<wire::ControlCallReply> ControlApi::change_zone(net::HttpExchange& exchange, wire::ControlCall call) {
   const auto received_at = monotonic_now();
   log_zone_call_received(exchange, call);
-  auto reply = co_await submit_and_wait(call);
+  wire::ControlCallReply reply;
+  if (recent_pause_() < kMaxUnreadTime) {
+    reply = co_await submit_and_wait(exchange, call);
+  } else {
+    reply = unavailable_reply("this replica stood still, so the call may be old; send it again");
+  }
   log_zone_call_answered(exchange, call, reply, monotonic_now() - received_at);
   co_return reply;
 }
 
-asio::awaitable<wire::ControlCallReply> ControlApi::submit_and_wait(wire::ControlCall call) {
-  const int64_t id = submit_(std::move(call));
+asio::awaitable<wire::ControlCallReply> ControlApi::submit_and_wait(net::HttpExchange& exchange,
+                                                                    wire::ControlCall call) {
+  const auto pending_reply = std::make_shared<PendingReply>(executor_, &exchange);
+  const auto is_caller_waiting = [weak = std::weak_ptr(pending_reply)] {
+    const auto waiting = weak.lock();
+    return waiting != nullptr && !waiting->exchange->caller_disconnected();
+  };
+  const int64_t id = submit_(std::move(call), is_caller_waiting);
   auto& reply_slot = pending_replies_[id];
-  if (reply_slot == nullptr) {
-    reply_slot = std::make_shared<PendingReply>(executor_);
+  if (reply_slot != nullptr) {
+    pending_reply->reply = std::move(reply_slot->reply);
   }
-  const auto pending_reply = reply_slot;
+  reply_slot = pending_reply;
   if (!pending_reply->reply) {
     pending_reply->timer.expires_after(kReplyTimeout);
     co_await pending_reply->timer.async_wait(kAwaitWithError);
--- a/src/node/control_api.h
+++ b/src/node/control_api.h
@@ -15,8 +15,12 @@
 /// replica accepts these calls; the leader answers them. Runs on one executor; not thread-safe.
 class ControlApi : public net::HttpHandler {
  public:
-  /// `submit` passes a call to the controller and returns the call's id.
-  ControlApi(boost::asio::any_io_executor executor, std::function<int64_t(wire::ControlCall)> submit);
+  /// Passes a call to the controller and returns the call's id.
+  using Submit = std::function<int64_t(wire::ControlCall, fleet::IsCallerWaiting)>;
+
+  /// `recent_pause` returns for how long this process stood still just now; zero if it has run since then for long
+  /// enough to have read all that had arrived.
+  ControlApi(boost::asio::any_io_executor executor, Submit submit, std::function<Duration()> recent_pause);
 
   boost::asio::awaitable<void> handle(net::HttpExchange& exchange) override;
   /// Delivers the controller's reply to a call.
@@ -26,12 +30,13 @@
   struct PendingReply;
 
   /// Passes a call to the controller and waits for the reply; status 503 if there is none.
-  boost::asio::awaitable<wire::ControlCallReply> submit_and_wait(wire::ControlCall call);
+  boost::asio::awaitable<wire::ControlCallReply> submit_and_wait(net::HttpExchange& exchange, wire::ControlCall call);
   /// Handles a call that evacuates or restores a zone.
   boost::asio::awaitable<wire::ControlCallReply> change_zone(net::HttpExchange& exchange, wire::ControlCall call);
 
   boost::asio::any_io_executor executor_;
-  std::function<int64_t(wire::ControlCall)> submit_;
+  Submit submit_;
+  std::function<Duration()> recent_pause_;
   std::map<int64_t, std::shared_ptr<PendingReply>> pending_replies_;
 };
 
--- a/src/node/control_process.cc
+++ b/src/node/control_process.cc
@@ -34,6 +34,8 @@
 /// If ticks are further apart than this, the process was paused. A dozen ticks, and a small fraction of the time after
 /// which a node counts as lost.
 constexpr Duration kProcessPauseThreshold = milliseconds(250);
+/// A process has read all that had arrived in its sockets this long after a pause, many times over.
+constexpr Duration kPauseSettleTime = seconds(1);
 /// How often the leader logs what its time went into.
 constexpr Duration kLoadLogInterval = seconds(1);
 /// Kinds of work listed in one log line, those that took the most time.
@@ -114,8 +116,12 @@
         client_(executor),
         search_logger_(settings.name),
         change_logger_(settings.name),
-        api_(executor,
-             [this](wire::ControlCall call) { return controller_.submit_call(monotonic_now(), std::move(call)); }),
+        api_(
+            executor,
+            [this](wire::ControlCall call, fleet::IsCallerWaiting is_caller_waiting) {
+              return controller_.submit_call(monotonic_now(), std::move(call), std::move(is_caller_waiting));
+            },
+            [this] { return recent_pause(monotonic_now()); }),
         server_(executor, net::HttpServerOptions(), api_) {}
   ~ControlProcess() override { stop(); }
 
@@ -172,6 +178,8 @@
   }
   /// Handles a pause of this process: messages that arrived meanwhile have not been read yet.
   void note_pause(TimePoint now, Duration pause);
+  /// Length of a pause that has just ended, whether `note_pause` knows of it already or not.
+  Duration recent_pause(TimePoint now) const;
   void log_load(TimePoint now);
   void run_tick(TimePoint now);
   void log_state_changes();
@@ -198,6 +206,9 @@
   /// What this process did since the last line of `log_load`, or since its last pause.
   WorkMeter work_meter_;
   TimePoint work_measured_since_{};
+  TimePoint last_tick_ = monotonic_now();
+  TimePoint last_pause_end_{};
+  Duration last_pause_{};
   TimePoint next_formation_log_{};
   int64_t logged_document_version_ = 0;
   int64_t logged_evacuation_revision_ = 0;
@@ -397,6 +408,8 @@
   // Messages that arrived during the pause have not been read yet. Without this correction, every node and instance
   // would count as lost at once.
   controller_.note_own_pause(now, pause);
+  last_pause_end_ = now;
+  last_pause_ = pause;
   const Duration busy = work_meter_.busy();
   log_warning(settings_.name, "stood_still",
               {{"for_ms", std::to_string(pause / milliseconds(1))},
@@ -407,6 +420,14 @@
   work_measured_since_ = now;
 }
 
+Duration ControlProcess::recent_pause(TimePoint now) const {
+  const Duration since_tick = now - last_tick_;
+  if (since_tick > kProcessPauseThreshold) {
+    return since_tick;  // Sockets may be read before the first tick after a pause.
+  }
+  return now - last_pause_end_ < kPauseSettleTime ? last_pause_ : Duration::zero();
+}
+
 void ControlProcess::log_load(TimePoint now) {
   const Duration measured = now - work_measured_since_;
   if (measured < kLoadLogInterval) {
@@ -440,14 +461,14 @@
 asio::awaitable<void> ControlProcess::tick_loop() {
   const auto alive = alive_;
   asio::steady_timer timer(executor_);
-  TimePoint last_tick = monotonic_now();
-  work_measured_since_ = last_tick;
+  last_tick_ = monotonic_now();
+  work_measured_since_ = last_tick_;
   while (*alive) {
     const TimePoint now = monotonic_now();
-    if (now - last_tick > kProcessPauseThreshold) {
-      note_pause(now, now - last_tick);
+    if (now - last_tick_ > kProcessPauseThreshold) {
+      note_pause(now, now - last_tick_);
     }
-    last_tick = now;
+    last_tick_ = now;
     log_load(now);
     run_tick(now);
     if (controller_.needs_new_identity()) {
