An entry that resumes sends no requests of callers that have gone

What callers saw (TWICE): a request that may run once ran twice, after its caller had closed the connection to an entry that did not answer and sent it again through another one.

Cause: an entry that was suspended reads the requests that its sockets hold when it goes on. It learns that a caller has gone from a separate wait on the socket, which may report after the request was sent, if a target was chosen without waiting and a connection to the server was idle.

The socket of the caller is asked right before a request is written to a server or to another entry. One recv a sending. Whether this is what was reported as TWICE and REFUSED is not known: the record shows no case of those.

--- a/src/node/request_relay_attempts.cc
+++ b/src/node/request_relay_attempts.cc
@@ -149,8 +149,12 @@
   options.timeout = to_milliseconds(request.deadline - now);
   options.connect_timeout = kConnectTimeout;
   options.cancellation = attempt.cancellation;
-  // The server may have asked for a pause while the connection was being established.
-  const auto may_send = [this, &target] { return state_.dispatcher.may_send(monotonic_now(), target); };
+  // Meanwhile the server may have asked for a pause, and the caller may have closed its connection, even before this
+  // process resumed from a pause and read the request.
+  const auto may_send = [this, &request, &target] {
+    request.caller_disconnected = request.caller_disconnected || request.exchange->caller_disconnected();
+    return !request.caller_disconnected && state_.dispatcher.may_send(monotonic_now(), target);
+  };
   options.may_send = may_send;
   attempt.begin_wait(now);
   auto opened = co_await client_.open(target.address, outgoing, options);
