--- a/tests/node/cut_head_test.cc
+++ b/tests/node/cut_head_test.cc
@@ -16,6 +16,8 @@
 constexpr auto kCallTimeout = std::chrono::seconds(5);
 constexpr auto kTestTimeout = std::chrono::seconds(60);
 
+const std::string kCompleteResponse = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok";
+
 enum class ConnectionEnd { kClose, kReset };
 
 /// A head that a server sends only in part before it ends the connection.
@@ -55,8 +57,6 @@
     }
   }
 
-  const std::string kCompleteResponse = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok";
-
   asio::ip::tcp::acceptor acceptor_;
   const ConnectionEnd end_;
   const bool answers_first_;
