The time for which a call lay unread is asked for where it is logged

Every request of an entry paid a getsockopt for a figure that only the calls on zones use. No change of behaviour; the log line is the same.

--- a/src/net/http_server.cc
+++ b/src/net/http_server.cc
@@ -104,8 +104,7 @@
         options_(options),
         draining_(draining),
         keep_alive_(message.keep_alive()),
-        version_(message.version()),
-        unread_time_(time_since_last_arrival(stream_->socket().native_handle())) {
+        version_(message.version()) {
     request_.method = std::string(message.method_string());
     request_.target = std::string(message.target());
     for (const auto& field : message) {
@@ -204,7 +203,9 @@
   bool caller_disconnected() const override {
     return disconnected_ || is_closed_by_peer(stream_->socket().native_handle());
   }
-  std::chrono::milliseconds unread_time() const override { return unread_time_; }
+  std::chrono::milliseconds time_since_arrival() const override {
+    return time_since_last_arrival(stream_->socket().native_handle());
+  }
   /// True if a complete response was sent, so that the connection can be reused.
   bool response_sent() const { return response_sent_; }
   bool keep_alive() const { return keep_alive_; }
@@ -265,7 +266,6 @@
   HttpRequest request_;
   bool keep_alive_ = false;
   unsigned version_ = 11;
-  std::chrono::milliseconds unread_time_{};
   bool disconnected_ = false;
   bool chunked_ = true;
   std::optional<HttpResponse> buffered_response_;
--- a/src/net/http_server.h
+++ b/src/net/http_server.h
@@ -35,9 +35,9 @@
   virtual void notify_on_disconnect(std::function<void()> on_disconnect) = 0;
   /// Whether the client has closed its connection, as far as this has arrived here.
   virtual bool caller_disconnected() const = 0;
-  /// How long the last bytes of the request had lain in the socket when they were read. Long if this process was
-  /// suspended meanwhile; zero if the system does not tell.
-  virtual std::chrono::milliseconds unread_time() const = 0;
+  /// Time since the last bytes of the request arrived in the socket. If this is long although the request has just been
+  /// read, this process was suspended meanwhile. Zero if the system does not tell.
+  virtual std::chrono::milliseconds time_since_arrival() const = 0;
 };
 
 /// Handles requests on the server's executor. Requests of different connections are interleaved.
--- a/src/node/control_api.cc
+++ b/src/node/control_api.cc
@@ -102,7 +102,7 @@
   log_event("", "zone_call_received",
             {{"zone", call.zone},
              {"operation", std::string(zone_operation(call))},
-             {"unread_ms", std::to_string(exchange.unread_time().count())},
+             {"unread_ms", std::to_string(exchange.time_since_arrival().count())},
              {"caller", std::string(caller_state(exchange))}});
 }
 
