Logs say whose id a server's answer carries, and on which connection it came

sending_refused, answer_of_another_request and the new answer_without_id name the id in the answer, its status, and whether the connection had carried requests before. With these the hypotheses of the incident can be told apart; no change of logic.

--- a/src/net/http_client.cc
+++ b/src/net/http_client.cc
@@ -45,6 +45,8 @@
   TimedStream stream;
   beast::flat_buffer buffer{kMaxUnparsedBytes};
   TimePoint usable_until = TimePoint::max();
+  /// Other requests were sent on it before.
+  bool is_reused = false;
 };
 
 /// Returns the time until which a connection may be reused, from the response's `Keep-Alive: timeout=N`.
@@ -179,6 +181,7 @@
     auto& list = idle_connections[endpoint];
     if (list.size() < kMaxIdleConnectionsPerEndpoint) {
       connection->stream.expires_never();
+      connection->is_reused = true;
       list.push_back(std::move(connection));
     }
   }
@@ -197,7 +200,10 @@
 class BeastClientStream : public ClientStream {
  public:
   BeastClientStream(std::unique_ptr<Connection> connection, std::unique_ptr<Parser> parser, KeepConnection keep_idle)
-      : connection_(std::move(connection)), parser_(std::move(parser)), keep_idle_(std::move(keep_idle)) {
+      : on_reused_connection_(connection->is_reused),
+        connection_(std::move(connection)),
+        parser_(std::move(parser)),
+        keep_idle_(std::move(keep_idle)) {
     const auto& message = parser_->get();
     head_.status = static_cast<int>(message.result_int());
     head_.reason = std::string(message.reason());
@@ -233,6 +239,7 @@
     co_return piece;
   }
 
+  bool on_reused_connection() const override { return on_reused_connection_; }
   bool complete() const override { return complete_; }
   bool delimited_by_close() const override { return delimited_by_close_; }
   const std::string& error() const override { return error_; }
@@ -259,6 +266,7 @@
     }
   }
 
+  const bool on_reused_connection_;
   std::unique_ptr<Connection> connection_;
   std::unique_ptr<Parser> parser_;
   KeepConnection keep_idle_;
--- a/src/net/http_client.h
+++ b/src/net/http_client.h
@@ -40,6 +40,8 @@
   /// Returns the next piece of the body, which must arrive within `timeout`. Empty at the end of the body or on
   /// failure; `complete` and `error` tell which. Framing that grows without limit is a failure.
   virtual boost::asio::awaitable<std::string> read_some(std::chrono::milliseconds timeout) = 0;
+  /// True if other requests were sent on the connection before this one.
+  virtual bool on_reused_connection() const = 0;
   /// True once the whole body was received, as determined by its declared length or the final chunk.
   virtual bool complete() const = 0;
   /// True if the body has neither a length nor chunks. It ends when the connection closes, so a truncated body cannot
--- a/src/node/request_relay_attempts.cc
+++ b/src/node/request_relay_attempts.cc
@@ -27,6 +27,11 @@
 
 bool is_success(int status) { return status >= 200 && status < 300; }
 
+/// Names the connection of a response, for the log.
+std::string connection_kind(const net::ClientStream& stream) {
+  return stream.on_reused_connection() ? "reused" : "new";
+}
+
 }  // namespace
 
 // ----------------------------------------------------------------- attempts
@@ -188,7 +193,13 @@
   const auto& head = attempt.stream->head();
   const auto echoed_id = head.headers.find(dialect_.request_id_header);
   if (!echoed_id.empty() && echoed_id != request.id) {
-    log_warning("", "answer_of_another_request", {{"request", request.id}, {"target", target.key}});
+    log_warning("", "answer_of_another_request",
+                {{"request", request.id},
+                 {"target", target.key},
+                 {"instance", target.instance_id},
+                 {"answer_id", std::string(echoed_id)},
+                 {"status", std::to_string(head.status)},
+                 {"connection", connection_kind(*attempt.stream)}});
     return DispatchResult::kMayHaveRun;
   }
   if (target.is_relay_peer) {
@@ -196,6 +207,14 @@
   }
   record_server_notices(state_, dialect_, {target, attempt.sent_at, head});
   if (!proves_not_run(head)) {
+    if (echoed_id.empty() && !request.id.empty()) {
+      log_warning("", "answer_without_id",
+                  {{"request", request.id},
+                   {"target", target.key},
+                   {"instance", target.instance_id},
+                   {"status", std::to_string(head.status)},
+                   {"connection", connection_kind(*attempt.stream)}});
+    }
     return std::nullopt;
   }
   log_event("", "sending_refused",
@@ -203,6 +222,8 @@
              {"target", target.key},
              {"instance", target.instance_id},
              {"status", std::to_string(head.status)},
+             {"answer_id", std::string(echoed_id)},
+             {"connection", connection_kind(*attempt.stream)},
              {"retry_after", std::string(head.headers.find(kRetryAfterHeader))}});
   if (!target.group.empty() &&
       (head.status == http_status::kMisdirectedRequest || head.headers.contains(dialect_.faulty_server_header))) {
