--- a/src/load/fault_proxy.cc
+++ b/src/load/fault_proxy.cc
@@ -1,6 +1,7 @@
 #include "load/fault_proxy.h"
 
 #include <map>
+#include <utility>
 
 #include "net/http_types.h"
 
@@ -27,6 +28,8 @@
   uint64_t sent_upstream = 0;
   uint64_t sent_downstream = 0;
   int open_directions = 2;  ///< Directions that still relay data.
+  /// Nothing was sent upstream since the last data for the client.
+  bool has_responded = false;
 
   void reset() {
     boost::system::error_code ignored;
@@ -46,6 +49,8 @@
   asio::awaitable<void> accept_loop();
   asio::awaitable<void> relay_connection(std::shared_ptr<ProxiedConnection> connection);
   asio::awaitable<void> relay_direction(std::shared_ptr<ProxiedConnection> connection, bool upstream);
+  /// Sends the surplus response if the client begins a further request.
+  asio::awaitable<void> send_surplus_response(ProxiedConnection& connection);
   /// Returns once the connection's data is not held, or the client has reset the connection.
   asio::awaitable<void> wait_while_held(std::shared_ptr<ProxiedConnection> connection);
 
@@ -115,6 +120,16 @@
   co_await relay_direction(connection, true);
 }
 
+asio::awaitable<void> FaultProxy::Implementation::send_surplus_response(ProxiedConnection& connection) {
+  const std::string surplus = faults_of(connection.client_address).surplus_response;
+  const bool begins_further_request = std::exchange(connection.has_responded, false);
+  if (!begins_further_request || surplus.empty()) {
+    co_return;
+  }
+  ++stats.surplus_responses;
+  co_await asio::async_write(connection.client, asio::buffer(surplus), kAwait);
+}
+
 asio::awaitable<void> FaultProxy::Implementation::relay_direction(std::shared_ptr<ProxiedConnection> connection,
                                                                   bool upstream) {
   auto self = shared_from_this();
@@ -142,6 +157,11 @@
       stats.bytes_dropped += received_bytes;
       continue;
     }
+    if (upstream) {
+      co_await send_surplus_response(*connection);
+    } else {
+      connection->has_responded = true;
+    }
     const auto& byte_limit =
         upstream ? current_faults.reset_after_upstream_bytes : current_faults.reset_after_downstream_bytes;
     const size_t allowed_bytes = byte_limit && sent + received_bytes > *byte_limit
--- a/src/load/fault_proxy.h
+++ b/src/load/fault_proxy.h
@@ -29,6 +29,9 @@
   uint64_t max_bytes_per_second = 0;
   /// Opens a second, unused upstream connection for every client connection.
   bool duplicate_connect = false;
+  /// Sent to the client when it sends a request on a connection that has carried a response before, ahead of the
+  /// request's own response.
+  std::string surplus_response;
 };
 
 struct ProxyStats {
@@ -37,6 +40,7 @@
   uint64_t bytes_upstream = 0;
   uint64_t bytes_downstream = 0;
   uint64_t bytes_dropped = 0;
+  uint64_t surplus_responses = 0;
 };
 
 /// TCP proxy on loopback that injects network faults between two processes. Uses one executor; not thread-safe.
--- a/tests/integration/forms_server.h
+++ b/tests/integration/forms_server.h
@@ -76,7 +76,7 @@
     exchange.notify_on_disconnect([this] { ++abandoned_count_; });
     co_await timer.async_wait(boost::asio::as_tuple(boost::asio::use_awaitable));
     --running_;
-    response.status = http_status::kOk;
+    response.status = status_after_run_;
     response.headers.add(dialect.signature_header, "signed");
     response.body = exchange.request().path() == kLargePath ? std::string(kLargeBodyBytes, 'x') : "form";
     co_await exchange.respond(std::move(response));
@@ -94,6 +94,8 @@
   }
   /// From now on rejects this share of the requests, without a Retry-After header.
   void reject_share(double share) { rejected_share_ = share; }
+  /// From now on runs every request and answers with this status, signed and not marked as not run.
+  void set_status_after_run(int status) { status_after_run_ = status; }
   /// From now on announces this rate limit in every response while still serving; an empty value announces none.
   void announce_rate_limit(const std::string& per_second) { rate_limits_.set(per_second); }
   std::vector<RateLimitPhase> rate_limit_phases() const { return rate_limits_.phases(); }
@@ -125,6 +127,7 @@
   std::unique_ptr<net::HttpServer> server_;
   std::atomic<int> served_count_ = 0;
   std::atomic<bool> is_leaving_ = false;
+  std::atomic<int> status_after_run_ = http_status::kOk;
   std::mutex mutex_;
   std::string current_retry_after_;
   std::atomic<double> rejected_share_ = 0;
--- a/tests/integration/mixed_callers.cc
+++ b/tests/integration/mixed_callers.cc
@@ -36,9 +36,10 @@
       request.headers.add("Larchlever-Key", FleetNodeProcesses::kOfficeKey);
       break;
     case RequestKind::kStream:
+    case RequestKind::kUnsafeStream:
       request.method = "POST";
       request.target = "/chat/1";
-      request.headers.add("Host", "chat.example");
+      request.headers.add("Host", kind == RequestKind::kStream ? "chat.example" : "chat-once.example");
       request.headers.add("Larchlever-Model", std::hash<std::string>{}(id) % 2 == 0 ? "small" : "large");
       request.headers.add("Larchlever-Tokens", "100,25");
       request.body = id;
@@ -47,6 +48,8 @@
   return request;
 }
 
+bool is_stream(RequestKind kind) { return kind == RequestKind::kStream || kind == RequestKind::kUnsafeStream; }
+
 /// Whether the events of a stream are complete, in order and without duplicates.
 bool is_whole_stream(const std::string& body, int events) {
   std::string expected;
@@ -68,6 +71,8 @@
       return "keyed";
     case RequestKind::kStream:
       return "stream";
+    case RequestKind::kUnsafeStream:
+      return "unsafe-stream";
   }
   return "";
 }
@@ -109,7 +114,8 @@
     result.retry_after_seconds =
         fetched.response ? std::atof(std::string(fetched.response->headers.find("retry-after")).c_str()) : 0;
     result.is_served = fetched.response && result.status == http_status::kOk && fetched.error.empty() &&
-                       (kind != RequestKind::kStream || is_whole_stream(fetched.response->body, kStreamEvents));
+                       (is_stream(kind) ? is_whole_stream(fetched.response->body, kStreamEvents)
+                                        : fetched.response->body == kPlainBody);
     result.description =
         fetched.response ? std::to_string(result.status) + " " + fetched.response->body : fetched.error;
     results.push_back(std::move(result));
@@ -117,6 +123,8 @@
 
   /// Number of events of each stream of `RegisteredEngines` by default.
   static constexpr int kStreamEvents = 5;
+  /// Body of the responses of `FormsServer`.
+  static constexpr const char* kPlainBody = "form";
 
   const FleetNodeProcesses& fleet;
   Options options;
--- a/tests/integration/mixed_callers.h
+++ b/tests/integration/mixed_callers.h
@@ -9,8 +9,8 @@
 
 namespace larchlever::integration {
 
-/// Kinds of requests that `MixedCallers` sends in turn.
-enum class RequestKind { kRepeatable, kUnsafe, kKeyed, kStream };
+/// Kinds of requests that `MixedCallers` sends in turn. Unsafe streams may not be resumed.
+enum class RequestKind { kRepeatable, kUnsafe, kKeyed, kStream, kUnsafeStream };
 std::string to_string(RequestKind kind);
 
 /// One request without retries, and what its caller got.
--- a/tests/integration/partitioned_fleet.h
+++ b/tests/integration/partitioned_fleet.h
@@ -115,6 +115,26 @@
     });
   }
 
+  /// From now on each further request on a connection finds this response of the server ahead of its own.
+  void send_surplus_responses(const std::string& response) {
+    load::ProxyFaults faults;
+    faults.surplus_response = response;
+    run_on_proxy_thread([&] {
+      for (const auto& [address, proxy] : proxies_) {
+        proxy->set_faults(faults);
+      }
+    });
+  }
+  uint64_t surplus_response_count() {
+    uint64_t count = 0;
+    run_on_proxy_thread([&] {
+      for (const auto& [address, proxy] : proxies_) {
+        count += proxy->stats().surplus_responses;
+      }
+    });
+    return count;
+  }
+
   /// Number of connections that the entry has opened to servers.
   uint64_t connections_from(const std::string& entry) {
     uint64_t count = 0;
@@ -171,8 +191,11 @@
         ++runs[arrival.request_id];
       }
     }
+    for (const auto& arrival : engines_->arrivals_in("a")) {
+      ++runs[arrival.request_id];
+    }
     for (const auto& result : results) {
-      if (result.kind != RequestKind::kUnsafe) {
+      if (result.kind != RequestKind::kUnsafe && result.kind != RequestKind::kUnsafeStream) {
         continue;
       }
       EXPECT_LE(runs[result.request_id], 1) << result.request_id << " ran more than once";
--- /dev/null
+++ b/tests/integration/server_refusals_test.cc
@@ -0,0 +1,87 @@
+#include <gtest/gtest.h>
+
+#include <algorithm>
+
+#include "plain_fleet.h"
+
+namespace larchlever::integration {
+namespace {
+
+constexpr int kOrderCount = 20;
+constexpr int kRequestTimeout = 408;
+
+FleetNodeOptions fleet_options() {
+  FleetNodeOptions options;
+  options.control_replicas = 3;
+  options.entries = 2;
+  options.tolerated_losses = 1;
+  return options;
+}
+
+/// Runs two plain servers that answer with the status of the parameter after they ran a request.
+class StatusAfterRun : public PlainServerFleetFixture, public testing::WithParamInterface<int> {
+ protected:
+  StatusAfterRun() : PlainServerFleetFixture(fleet_options(), 2) {}
+
+  void SetUp() override {
+    PlainServerFleetFixture::SetUp();
+    for (const auto& server : servers_) {
+      server->set_status_after_run(GetParam());
+    }
+  }
+  net::HttpResponse send_order(BlockingClient& client, const std::string& id) {
+    net::HttpRequest request;
+    request.method = "POST";
+    request.target = "/forms/1";
+    request.headers.add("Host", "orders.example");
+    request.headers.add("Larchlever-Request-Id", id);
+    request.headers.add("Larchlever-Deadline-Ms", "2000");
+    const auto result = client.fetch(fleet_.caller_endpoint("e1"), request, kWaitTimeout);
+    EXPECT_TRUE(result.response) << result.error;
+    return result.response.value_or(net::HttpResponse());
+  }
+  int64_t count_runs(const std::string& id) const {
+    int64_t count = 0;
+    for (const auto& server : servers_) {
+      const auto arrivals = server->arrivals();
+      count += std::count_if(arrivals.begin(), arrivals.end(),
+                             [&id](const auto& arrival) { return arrival.request_id == id; });
+    }
+    return count;
+  }
+};
+
+using PromisesAfterRun = StatusAfterRun;
+using FailuresAfterRun = StatusAfterRun;
+
+// A server ran an order and answered it with a status that promises callers that it did not run. The entry passed it
+// on, and the caller sent the order again.
+TEST_P(PromisesAfterRun, AreNotPassedOnForOrdersThatRan) {
+  BlockingClient client;
+  for (int number = 0; number < kOrderCount; ++number) {
+    const std::string id = "e1-order-" + std::to_string(number);
+    const auto response = send_order(client, id);
+    EXPECT_EQ(count_runs(id), 1) << id;
+    EXPECT_EQ(response.status, http_status::kBadGateway) << id;
+    EXPECT_EQ(response.headers.find("Larchlever-Outcome"), "unknown") << id;
+    EXPECT_FALSE(response.headers.contains("Larchlever-Signature")) << "the server gave another status";
+  }
+}
+
+// Other failures make no promise and reach the caller as the server sent them.
+TEST_P(FailuresAfterRun, ArePassedOnUnchanged) {
+  BlockingClient client;
+  const auto response = send_order(client, "e1-order");
+  EXPECT_EQ(count_runs("e1-order"), 1);
+  EXPECT_EQ(response.status, GetParam());
+  EXPECT_EQ(response.headers.find("Larchlever-Signature"), "signed");
+  EXPECT_EQ(response.body, "form");
+}
+
+INSTANTIATE_TEST_SUITE_P(Status, PromisesAfterRun,
+                         testing::Values(http_status::kServiceUnavailable, http_status::kTooManyRequests,
+                                         kRequestTimeout));
+INSTANTIATE_TEST_SUITE_P(Status, FailuresAfterRun, testing::Values(500, http_status::kGatewayTimeout));
+
+}  // namespace
+}  // namespace larchlever::integration
