An answer counts for a request only if it carries the request's id

Cause: an entry took the next response on a reused connection for the response to its request. A server that sends a surplus answer late, marked as not run and without an id, thereby "proved" that a request did not run while it ran it; the entry sent the request to a second server, or refused it. Only an answer with another id was told apart, and it ended the attempt although the right one followed.

Change: HttpClient asks for each response whether it answers the request, discards others whole and reads on; such a connection is not kept. A response answers a request if it carries its id. If none follows, the request counts as possibly run. Requests without an id, for which nothing but the order tells, get a new connection. A success is never taken as proof that nothing ran. After a surplus response the attempt is suspected within 500 ms, so that what may be repeated is tried elsewhere.

Weighed: a new connection for each request that may run once: it costs a round trip and a connection for each, and a server that answers ahead of reading is still believed.

The stand-in of endless answers returns the id in its heads now, as servers must, so that its answers are relayed as before; three endless answers without an id are added to it.

--- a/src/net/http_client.cc
+++ b/src/net/http_client.cc
@@ -2,6 +2,7 @@
 
 #include <netinet/tcp.h>
 
+#include <array>
 #include <boost/asio.hpp>
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
@@ -30,6 +31,10 @@
 /// Limit on the bytes of a connection that are received but not parsed. The parser needs the line of a chunk's size, or
 /// a trailer, as a whole.
 constexpr size_t kMaxUnparsedBytes = kMaxResponseHeadBytes + kHeadReadBytes;
+/// Limits on the responses that are discarded before the response to a request is given up. In tiny chunks, even this
+/// many bytes take noticeable processor time.
+constexpr int kMaxDiscardedResponses = 16;
+constexpr size_t kMaxDiscardedBytes = 256 * 1024;
 
 using Parser = http::response_parser<http::buffer_body>;
 
@@ -47,6 +52,8 @@
   TimePoint usable_until = TimePoint::max();
   /// Other requests were sent on it before.
   bool is_reused = false;
+  /// It carried a response to no request, or to an earlier one, and more of them may follow.
+  bool carried_surplus_response = false;
 };
 
 /// Returns the time until which a connection may be reused, from the response's `Keep-Alive: timeout=N`.
@@ -144,6 +151,76 @@
   }
 }
 
+HttpResponse to_response_head(const Parser& parser) {
+  const auto& message = parser.get();
+  HttpResponse head;
+  head.status = static_cast<int>(message.result_int());
+  head.reason = std::string(message.reason());
+  for (const auto& field : message) {
+    head.headers.add(std::string(field.name_string()), std::string(field.value()));
+  }
+  return head;
+}
+
+/// Why reading for the request must stop, although bytes may be there: a cancellation or a deadline takes effect only
+/// while an operation is pending.
+beast::error_code find_reason_to_stop(const OpenOptions& options, std::chrono::steady_clock::time_point deadline) {
+  if (options.cancellation && options.cancellation->cancelled()) {
+    return asio::error::operation_aborted;
+  }
+  return std::chrono::steady_clock::now() < deadline ? beast::error_code() : beast::error::timeout;
+}
+
+/// Reads the rest of a response that is not needed and subtracts its length from `remaining_bytes`.
+asio::awaitable<beast::error_code> discard_body(Connection& connection, Parser& parser, const OpenOptions& options,
+                                                std::chrono::steady_clock::time_point deadline,
+                                                size_t& remaining_bytes) {
+  std::array<char, kHeadReadBytes> discarded{};
+  auto& body = parser.get().body();
+  while (!parser.is_done()) {
+    if (const auto reason = find_reason_to_stop(options, deadline)) {
+      co_return reason;
+    }
+    body.data = discarded.data();
+    body.size = discarded.size();
+    const auto [error, parsed_bytes] =
+        co_await http::async_read_some(connection.stream, connection.buffer, parser, kAwaitWithError);
+    if (error && error != http::error::need_buffer) {
+      co_return error;
+    }
+    if (parsed_bytes > remaining_bytes) {
+      co_return http::error::body_limit;
+    }
+    remaining_bytes -= parsed_bytes;
+  }
+  co_return beast::error_code();
+}
+
+/// Reads the head of the response to the request. Discards other responses ahead of it.
+asio::awaitable<beast::error_code> read_own_head(Connection& connection, const HttpRequest& request,
+                                                 const OpenOptions& options, std::unique_ptr<Parser>& parser) {
+  const auto deadline = std::chrono::steady_clock::now() + options.timeout;
+  size_t remaining_bytes = kMaxDiscardedBytes;
+  for (int discarded_responses = 0; discarded_responses <= kMaxDiscardedResponses; ++discarded_responses) {
+    auto error = co_await read_final_head(connection, request, parser);
+    if (error || !options.is_response_to_request ||
+        options.is_response_to_request(to_response_head(*parser), connection.is_reused)) {
+      co_return error;
+    }
+    connection.carried_surplus_response = true;
+    // Whether a body follows depends on the method of the other request.
+    const bool has_known_end = request.method != "HEAD" && parser->keep_alive();
+    if (!has_known_end) {
+      co_return http::error::end_of_stream;
+    }
+    error = co_await discard_body(connection, *parser, options, deadline, remaining_bytes);
+    if (error) {
+      co_return error;
+    }
+  }
+  co_return http::error::header_limit;
+}
+
 /// Returns true if the peer closed the idle connection or sent unsolicited data.
 bool is_unusable(asio::ip::tcp::socket& socket) {
   char byte = 0;
@@ -200,16 +277,10 @@
 class BeastClientStream : public ClientStream {
  public:
   BeastClientStream(std::unique_ptr<Connection> connection, std::unique_ptr<Parser> parser, KeepConnection keep_idle)
-      : on_reused_connection_(connection->is_reused),
-        connection_(std::move(connection)),
+      : connection_(std::move(connection)),
         parser_(std::move(parser)),
-        keep_idle_(std::move(keep_idle)) {
-    const auto& message = parser_->get();
-    head_.status = static_cast<int>(message.result_int());
-    head_.reason = std::string(message.reason());
-    for (const auto& field : message) {
-      head_.headers.add(std::string(field.name_string()), std::string(field.value()));
-    }
+        keep_idle_(std::move(keep_idle)),
+        head_(to_response_head(*parser_)) {
     finish_if_done();
   }
   ~BeastClientStream() override { close(); }
@@ -239,7 +310,6 @@
     co_return piece;
   }
 
-  bool on_reused_connection() const override { return on_reused_connection_; }
   bool complete() const override { return complete_; }
   bool delimited_by_close() const override { return delimited_by_close_; }
   const std::string& error() const override { return error_; }
@@ -260,13 +330,13 @@
     complete_ = true;
     reading_finished_ = true;
     // Surplus bytes after a complete response belong to no request. Such a connection is not reused.
-    if (parser_->keep_alive() && keep_idle_ && connection_->buffer.size() == 0) {
+    const bool has_surplus = connection_->carried_surplus_response || connection_->buffer.size() > 0;
+    if (parser_->keep_alive() && keep_idle_ && !has_surplus) {
       connection_->usable_until = usable_until(head_.headers.find("keep-alive"));
       keep_idle_(std::move(connection_));
     }
   }
 
-  const bool on_reused_connection_;
   std::unique_ptr<Connection> connection_;
   std::unique_ptr<Parser> parser_;
   KeepConnection keep_idle_;
@@ -373,7 +443,7 @@
     co_return result;
   }
   std::unique_ptr<Parser> parser;
-  const auto read_error = co_await read_final_head(*connection, request, parser);
+  const auto read_error = co_await read_own_head(*connection, request, options, parser);
   if (read_error) {
     ++self->stats.failed_requests;
     result.error = "no response from " + endpoint + ": " + read_error.message();
--- a/src/net/http_client.h
+++ b/src/net/http_client.h
@@ -40,8 +40,6 @@
   /// Returns the next piece of the body, which must arrive within `timeout`. Empty at the end of the body or on
   /// failure; `complete` and `error` tell which. Framing that grows without limit is a failure.
   virtual boost::asio::awaitable<std::string> read_some(std::chrono::milliseconds timeout) = 0;
-  /// True if other requests were sent on the connection before this one.
-  virtual bool on_reused_connection() const = 0;
   /// True once the whole body was received, as determined by its declared length or the final chunk.
   virtual bool complete() const = 0;
   /// True if the body has neither a length nor chunks. It ends when the connection closes, so a truncated body cannot
@@ -99,6 +97,9 @@
   /// If set, called when the connection is open, right before the first byte is sent. If it returns false, nothing is
   /// sent.
   std::function<bool()> may_send;
+  /// If set, decides by its head whether a response answers the request. Others, which a server sent late or without a
+  /// request, are discarded with their bodies; the next response on the connection is awaited within `timeout`.
+  std::function<bool(const HttpResponse& head, bool on_reused_connection)> is_response_to_request;
 };
 
 /// HTTP/1.1 client on Asio that reuses idle connections. Runs on one executor; not thread-safe. Arguments passed by
--- a/src/node/entry_state.h
+++ b/src/node/entry_state.h
@@ -29,6 +29,8 @@
   /// Retries that the entry's share of the retry budget did not allow.
   uint64_t retries_over_budget = 0;
   uint64_t resumed = 0;
+  /// Responses of servers that were discarded because they did not answer the request whose response was due.
+  uint64_t surplus_responses = 0;
   uint64_t stalls = 0;
   /// Requests for which a second server was looked for while theirs was silent, and those that it took over.
   uint64_t hedges = 0;
--- a/src/node/request_relay.h
+++ b/src/node/request_relay.h
@@ -151,6 +151,13 @@
   /// Longest incomplete response that is held if it may not be relayed before its end.
   size_t max_held_bytes(bool has_room) const;
   boost::asio::awaitable<DispatchResult> relay_events(RelayedRequest& request, RelayAttempt& attempt);
+  /// Servers return the request's id, so that a response to another request, or to none, can be told apart. A peer's
+  /// own responses have no id.
+  bool is_response_to(const RelayedRequest& request, const fleet::DispatchTarget& target,
+                      const net::HttpResponse& head) const;
+  /// The target sent a response that does not answer the request.
+  void note_surplus_response(const RelayedRequest& request, RelayAttempt& attempt, const net::HttpResponse& head,
+                             bool on_reused_connection);
   bool proves_not_run(const net::HttpResponse& head) const;
   bool may_retry(RelayedRequest& request, TimePoint now);
   /// At least one, since zero stands for no time-out.
--- a/src/node/request_relay_attempts.cc
+++ b/src/node/request_relay_attempts.cc
@@ -24,14 +24,12 @@
 /// How long a peer may take to respond before another target is looked for: longer than a server under load takes to
 /// send its first event.
 constexpr Duration kPeerResponseTimeout = milliseconds(1500);
+/// How long the response to a request may take after a response that does not answer it, before another target is
+/// looked for. The server may never send it.
+constexpr Duration kResponseAfterSurplusTimeout = milliseconds(500);
 
 bool is_success(int status) { return status >= 200 && status < 300; }
 
-/// Names the connection of a response, for the log.
-std::string connection_kind(const net::ClientStream& stream) {
-  return stream.on_reused_connection() ? "reused" : "new";
-}
-
 }  // namespace
 
 // ----------------------------------------------------------------- attempts
@@ -100,8 +98,31 @@
   co_return co_await relay_response(request, attempt);
 }
 
+bool RequestRelay::is_response_to(const RelayedRequest& request, const fleet::DispatchTarget& target,
+                                  const net::HttpResponse& head) const {
+  const auto response_id = head.headers.find(dialect_.request_id_header);
+  const bool is_from_peer_itself = target.is_relay_peer && find_relay_result(head.headers) != RelayResult::kServed;
+  return response_id == request.id || (is_from_peer_itself && response_id.empty());
+}
+
+void RequestRelay::note_surplus_response(const RelayedRequest& request, RelayAttempt& attempt,
+                                         const net::HttpResponse& head, bool on_reused_connection) {
+  const auto response_id = head.headers.find(dialect_.request_id_header);
+  log_warning("", response_id.empty() ? "answer_without_id" : "answer_of_another_request",
+              {{"request", request.id},
+               {"target", attempt.target.key},
+               {"instance", attempt.target.instance_id},
+               {"answer_id", std::string(response_id)},
+               {"status", std::to_string(head.status)},
+               {"connection", on_reused_connection ? "reused" : "new"}});
+  ++state_.counters.surplus_responses;
+  attempt.max_silence = std::min(attempt.max_silence, kResponseAfterSurplusTimeout);
+  attempt.begin_wait(monotonic_now());
+}
+
 bool RequestRelay::proves_not_run(const net::HttpResponse& head) const {
-  return head.status == http_status::kMisdirectedRequest || head.headers.contains(dialect_.not_run_header);
+  return !is_success(head.status) &&
+         (head.status == http_status::kMisdirectedRequest || head.headers.contains(dialect_.not_run_header));
 }
 
 RequestRelay::DispatchResult RequestRelay::note_failed_open(RelayedRequest& request, RelayAttempt& attempt,
@@ -161,6 +182,16 @@
     return !request.caller_disconnected && state_.dispatcher.may_send(monotonic_now(), target);
   };
   options.may_send = may_send;
+  const auto is_own_response = [this, &request, &attempt](const net::HttpResponse& head, bool on_reused_connection) {
+    const bool is_own = is_response_to(request, attempt.target, head);
+    if (!is_own) {
+      note_surplus_response(request, attempt, head, on_reused_connection);
+    }
+    return is_own;
+  };
+  options.is_response_to_request = is_own_response;
+  // Without an id, only the order of the responses tells which one answers the request.
+  options.require_new_connection = request.id.empty() && !target.is_relay_peer;
   attempt.begin_wait(now);
   auto opened = co_await client_.open(target.address, outgoing, options);
   attempt.end_wait();
@@ -191,30 +222,11 @@
                                                                               RelayAttempt& attempt) {
   const auto& target = attempt.target;
   const auto& head = attempt.stream->head();
-  const auto echoed_id = head.headers.find(dialect_.request_id_header);
-  if (!echoed_id.empty() && echoed_id != request.id) {
-    log_warning("", "answer_of_another_request",
-                {{"request", request.id},
-                 {"target", target.key},
-                 {"instance", target.instance_id},
-                 {"answer_id", std::string(echoed_id)},
-                 {"status", std::to_string(head.status)},
-                 {"connection", connection_kind(*attempt.stream)}});
-    return DispatchResult::kMayHaveRun;
-  }
   if (target.is_relay_peer) {
     return std::nullopt;
   }
   record_server_notices(state_, dialect_, {target, attempt.sent_at, head});
   if (!proves_not_run(head)) {
-    if (echoed_id.empty() && !request.id.empty()) {
-      log_warning("", "answer_without_id",
-                  {{"request", request.id},
-                   {"target", target.key},
-                   {"instance", target.instance_id},
-                   {"status", std::to_string(head.status)},
-                   {"connection", connection_kind(*attempt.stream)}});
-    }
     return std::nullopt;
   }
   log_event("", "sending_refused",
@@ -222,8 +234,6 @@
              {"target", target.key},
              {"instance", target.instance_id},
              {"status", std::to_string(head.status)},
-             {"answer_id", std::string(echoed_id)},
-             {"connection", connection_kind(*attempt.stream)},
              {"retry_after", std::string(head.headers.find(kRetryAfterHeader))}});
   if (!target.group.empty() &&
       (head.status == http_status::kMisdirectedRequest || head.headers.contains(dialect_.faulty_server_header))) {
--- a/tests/integration/endless_answers_test.cc
+++ b/tests/integration/endless_answers_test.cc
@@ -34,6 +34,8 @@
 struct EndlessAnswer {
   std::string begin;
   std::string repeated;
+  /// The head, if there is one, carries the id of the request.
+  bool has_id = true;
 };
 
 std::string signed_head(const std::string& status, const std::string& fields) {
@@ -65,6 +67,9 @@
       {"surplus", {signed_head("200 OK", "Content-Length: 4\r\n") + "form", "x"}},
       {"chunks", {signed_head("200 OK", chunked), chunk}},
       {"tiny-chunks", {signed_head("200 OK", chunked), "1\r\nx\r\n"}},
+      {"chunks-without-id", {signed_head("200 OK", chunked), chunk, false}},
+      {"tiny-chunks-without-id", {signed_head("200 OK", chunked), "1\r\nx\r\n", false}},
+      {"answers-without-id", {"", signed_head("200 OK", "Content-Length: 4\r\n") + "form", false}},
   };
 }
 
@@ -106,11 +111,22 @@
     return head.starts_with(begin) ? head.substr(begin.size(), head.find(' ', begin.size()) - begin.size()) : "";
   }
 
-  static std::string ordinary_answer(const std::string& head) {
+  /// The header line with the id of the request; empty if it has none.
+  static std::string id_line(const std::string& head) {
     const std::string name = "Larchlever-Request-Id: ";
     const size_t at = head.find(name);
-    const std::string id = at == std::string::npos ? "" : head.substr(at, head.find("\r\n", at) + 2 - at);
-    return signed_head("200 OK", id + "Content-Length: 4\r\n") + "form";
+    return at == std::string::npos ? "" : head.substr(at, head.find("\r\n", at) + 2 - at);
+  }
+
+  static std::string ordinary_answer(const std::string& head) {
+    return signed_head("200 OK", id_line(head) + "Content-Length: 4\r\n") + "form";
+  }
+
+  /// Inserts the id behind the status line of the answer.
+  static std::string begin_with_id(const EndlessAnswer& answer, const std::string& head) {
+    const size_t line_end = answer.begin.find("\r\n");
+    std::string begin = answer.begin;
+    return line_end == std::string::npos ? begin : begin.insert(line_end + 2, id_line(head));
   }
 
   asio::awaitable<void> serve(asio::ip::tcp::socket socket) {
@@ -124,7 +140,8 @@
       received.erase(0, size);
       const auto answer = answers_.find(requested_name(head));
       if (answer != answers_.end()) {
-        co_await send_without_end(socket, answer->second);
+        const std::string begin = answer->second.has_id ? begin_with_id(answer->second, head) : answer->second.begin;
+        co_await send_without_end(socket, begin, answer->second.repeated);
         co_return;
       }
       const std::string ordinary = ordinary_answer(head);
@@ -132,11 +149,12 @@
     }
   }
 
-  static asio::awaitable<void> send_without_end(asio::ip::tcp::socket& socket, const EndlessAnswer& answer) {
-    co_await asio::async_write(socket, asio::buffer(answer.begin), kAwait);
+  static asio::awaitable<void> send_without_end(asio::ip::tcp::socket& socket, const std::string& begin,
+                                                const std::string& repeated) {
+    co_await asio::async_write(socket, asio::buffer(begin), kAwait);
     std::string block;
     while (block.size() < kBlockBytes) {
-      block += answer.repeated;
+      block += repeated;
     }
     for (size_t sent_bytes = 0; sent_bytes < kMaxSentBytes; sent_bytes += block.size()) {
       auto [error, count] = co_await asio::async_write(socket, asio::buffer(block), kAwait);
