A server's 503, 429 or 408 of an order that it may have run is not passed on

What callers saw (REFUSED): an order was answered 503, 429 or 408, a promise that it did not run and never will, although a server had run it; a caller that trusts the promise sends it again.

Cause: an answer of a server without its word that it did not run the request was passed on as it came, whatever its status says to callers.

--- a/src/core/base/http_status.h
+++ b/src/core/base/http_status.h
@@ -9,6 +9,7 @@
 constexpr int kUnauthorized = 401;
 constexpr int kForbidden = 403;
 constexpr int kNotFound = 404;
+constexpr int kRequestTimeout = 408;
 constexpr int kConflict = 409;
 constexpr int kPreconditionFailed = 412;
 constexpr int kPayloadTooLarge = 413;
@@ -18,4 +19,10 @@
 constexpr int kServiceUnavailable = 503;
 constexpr int kGatewayTimeout = 504;
 
+/// Whether the status tells a caller that the request did not run and never will.
+constexpr bool promises_not_run(int status) {
+  return status == kRequestTimeout || status == kMisdirectedRequest || status == kTooManyRequests ||
+         status == kServiceUnavailable;
+}
+
 }  // namespace larchlever::http_status
--- a/src/node/request_relay_responses.cc
+++ b/src/node/request_relay_responses.cc
@@ -115,6 +115,15 @@
     co_return DispatchResult::kMayHaveRun;
   }
   const int status = response.status;
+  if (!request.route->is_retry_safe() && http_status::promises_not_run(status)) {
+    // The server did not say that the request did not run, so its caller must not be told so.
+    log_event("", "promise_withheld",
+              {{"request", request.id},
+               {"target", target.key},
+               {"instance", target.instance_id},
+               {"status", std::to_string(status)}});
+    co_return DispatchResult::kMayHaveRun;
+  }
   state_.counters.served += is_success(status) ? 1 : 0;
   state_.counters.failed += is_success(status) ? 0 : 1;
   completion_.log_completion(request, status, "the server's response");
--- a/tests/integration/at_most_once_soak_test.cc
+++ b/tests/integration/at_most_once_soak_test.cc
@@ -7,6 +7,7 @@
 #include <random>
 #include <thread>
 
+#include "core/base/http_status.h"
 #include "soak_seeds.h"
 #include "zoned_fleet.h"
 
@@ -27,12 +28,6 @@
 constexpr int kMaxFaultIntervalMs = 600;
 constexpr uint64_t kMinAnswered = 200;
 
-/// Statuses that promise that a request did not run and never will.
-bool promises_not_run(int status) {
-  return status == 408 || status == http_status::kMisdirectedRequest || status == http_status::kTooManyRequests ||
-         status == http_status::kServiceUnavailable;
-}
-
 /// Callers of a plain service and of a model whose streams are not resumable. Each request has an id of its own and is
 /// sent once; callers close the connection when their patience ends, and send another request through another entry.
 class AtMostOnceSoak : public ZonedFleetFixture, public testing::WithParamInterface<uint64_t> {
@@ -132,7 +127,7 @@
       const auto found = runs.find(id);
       const int count = found == runs.end() ? 0 : found->second;
       EXPECT_LE(count, 1) << id << " ran twice; status " << status;
-      EXPECT_TRUE(count == 0 || !promises_not_run(status)) << id << " ran although it got " << status;
+      EXPECT_TRUE(count == 0 || !http_status::promises_not_run(status)) << id << " ran although it got " << status;
       answered += status == http_status::kOk ? 1 : 0;
     }
     EXPECT_GE(answered, kMinAnswered) << "of " << statuses_.size();
--- a/tests/integration/server_refusals_test.cc
+++ b/tests/integration/server_refusals_test.cc
@@ -8,7 +8,6 @@
 namespace {
 
 constexpr int kOrderCount = 20;
-constexpr int kRequestTimeout = 408;
 
 FleetNodeOptions fleet_options() {
   FleetNodeOptions options;
@@ -80,7 +79,7 @@
 
 INSTANTIATE_TEST_SUITE_P(Status, PromisesAfterRun,
                          testing::Values(http_status::kServiceUnavailable, http_status::kTooManyRequests,
-                                         kRequestTimeout));
+                                         http_status::kRequestTimeout));
 INSTANTIATE_TEST_SUITE_P(Status, FailuresAfterRun, testing::Values(500, http_status::kGatewayTimeout));
 
 }  // namespace
