Orders to servers go over connections of their own

Cause, the same as of the requests that ran twice: the leader took the next answer on a reused connection for the answer of its order.

Orders carry no id that servers return, so each gets a new connection, which is closed after its answer; kept ones would pile up, since nothing takes them again. Requests without an id close theirs too.

--- a/src/net/http_client.cc
+++ b/src/net/http_client.cc
@@ -451,9 +451,12 @@
     co_return result;
   }
   result.state = SendState::kResponseStarted;
-  KeepConnection keep_idle = [self, endpoint](std::unique_ptr<Connection> idle_connection) {
-    self->keep_idle(endpoint, std::move(idle_connection));
-  };
+  KeepConnection keep_idle;
+  if (!options.close_after_response) {
+    keep_idle = [self, endpoint](std::unique_ptr<Connection> idle_connection) {
+      self->keep_idle(endpoint, std::move(idle_connection));
+    };
+  }
   result.stream = std::make_unique<BeastClientStream>(std::move(connection), std::move(parser), std::move(keep_idle));
   co_return result;
 }
--- a/src/net/http_client.h
+++ b/src/net/http_client.h
@@ -94,6 +94,8 @@
   /// Does not reuse an idle connection, which the server may close just as the request is sent. With a new connection,
   /// a failure to connect guarantees that nothing was sent.
   bool require_new_connection = false;
+  /// The connection is not reused for later requests.
+  bool close_after_response = false;
   /// If set, called when the connection is open, right before the first byte is sent. If it returns false, nothing is
   /// sent.
   std::function<bool()> may_send;
--- a/src/node/control_process.cc
+++ b/src/node/control_process.cc
@@ -490,6 +490,9 @@
   net::OpenOptions options;
   options.timeout = kOrderTimeout;
   options.connect_timeout = kOrderConnectTimeout;
+  // Orders have no ids by which a late response to an earlier one could be told apart.
+  options.require_new_connection = true;
+  options.close_after_response = true;
   options.may_send = [this, alive] { return *alive && controller_.may_send_orders(monotonic_now()); };
   auto opened = co_await client_.open(order.address, request, options);
   if (!*alive) {
--- a/src/node/request_relay_attempts.cc
+++ b/src/node/request_relay_attempts.cc
@@ -192,6 +192,7 @@
   options.is_response_to_request = is_own_response;
   // Without an id, only the order of the responses tells which one answers the request.
   options.require_new_connection = request.id.empty() && !target.is_relay_peer;
+  options.close_after_response = options.require_new_connection;
   attempt.begin_wait(now);
   auto opened = co_await client_.open(target.address, outgoing, options);
   attempt.end_wait();
--- a/tests/integration/surplus_answers_test.cc
+++ b/tests/integration/surplus_answers_test.cc
@@ -18,6 +18,10 @@
 /// Fewer would not show that connections are reused.
 constexpr uint64_t kMinSurplusAnswers = 20;
 
+/// The members that are left leave their group, and a new one is formed.
+constexpr int kMinOrders = 4;
+constexpr const char* kSurplusStatus = "299";
+
 /// A response that a faulty server sends where the response to another request is due.
 struct SurplusAnswer {
   std::string name;
@@ -86,6 +90,41 @@
   expect_no_surplus_body(results);
 }
 
+class SurplusOrderAnswers : public PartitionedFleetFixture {
+ protected:
+  SurplusOrderAnswers() : PartitionedFleetFixture(1) {}
+
+  /// Orders of all replicas that were answered with `status`, or with any if it is empty.
+  int count_order_answers(const std::string& status = "") const {
+    int count = 0;
+    for (const auto& replica : fleet_.control_replicas()) {
+      const std::string log = fleet_.log(replica);
+      for (size_t at = log.find("event=order_answered"); at != std::string::npos; at = log.find("event=", at + 1)) {
+        const std::string line = log.substr(at, log.find('\n', at) - at);
+        count +=
+            line.starts_with("event=order_answered") && (status.empty() || line.ends_with(" status=" + status)) ? 1 : 0;
+      }
+    }
+    return count;
+  }
+};
+
+// The leader took an answer that a server sent late for the answer of its next order, such as one that confirms that a
+// head has left its group.
+TEST_F(SurplusOrderAnswers, AreNoAnswersOfLaterOrders) {
+  send_surplus_responses("HTTP/1.1 " + std::string(kSurplusStatus) + " Surplus\r\nContent-Length: 0\r\n\r\n");
+  MixedCallers::Options streams_only;
+  streams_only.kinds = {RequestKind::kStream};
+  streams_only.interval = milliseconds(10);
+  MixedCallers callers(fleet_, streams_only);
+  ASSERT_TRUE(wait_until([this] { return engines_->running_stream_count() > 0; }, kWaitTimeout));
+  const int earlier_answers = count_order_answers();
+  engines_->crash_member_of_busiest_group();
+  EXPECT_TRUE(wait_until([&] { return count_order_answers() >= earlier_answers + kMinOrders; }, kWaitTimeout));
+  callers.stop();
+  EXPECT_EQ(count_order_answers(kSurplusStatus), 0);
+}
+
 INSTANTIATE_TEST_SUITE_P(
     Kind, SurplusAnswers,
     testing::Values(SurplusAnswer{"RefusalWithoutId", "503 Service Unavailable", kNotRun, ""},
