--- a/tests/integration/partitioned_fleet.h
+++ b/tests/integration/partitioned_fleet.h
@@ -199,9 +199,7 @@
         continue;
       }
       EXPECT_LE(runs[result.request_id], 1) << result.request_id << " ran more than once";
-      const bool was_told_not_run =
-          result.status == http_status::kServiceUnavailable || result.status == http_status::kTooManyRequests;
-      EXPECT_FALSE(was_told_not_run && runs[result.request_id] > 0)
+      EXPECT_FALSE(http_status::promises_not_run(result.status) && runs[result.request_id] > 0)
           << result.request_id << " ran, but its caller was told otherwise: " << result.description;
     }
   }
--- a/tests/integration/surplus_answers_test.cc
+++ b/tests/integration/surplus_answers_test.cc
@@ -1,9 +1,9 @@
 #include <gtest/gtest.h>
 
-#include <ostream>
 #include <string>
 
 #include "partitioned_fleet.h"
+#include "surplus_answer.h"
 
 namespace larchlever::integration {
 namespace {
@@ -14,7 +14,6 @@
 constexpr auto kLoadDuration = seconds(4);
 /// By then a partition is noticed.
 constexpr auto kDetectionTime = seconds(1);
-constexpr const char* kSurplusBody = "surplus";
 /// Fewer would not show that connections are reused.
 constexpr uint64_t kMinSurplusAnswers = 20;
 
@@ -22,28 +21,6 @@
 constexpr int kMinOrders = 4;
 constexpr const char* kSurplusStatus = "299";
 
-/// A response that a faulty server sends where the response to another request is due.
-struct SurplusAnswer {
-  std::string name;
-  std::string status;
-  /// Header lines.
-  std::string fields;
-  /// Sent ahead of it.
-  std::string interim_response;
-
-  std::string to_bytes() const {
-    const std::string body = kSurplusBody;
-    return interim_response + "HTTP/1.1 " + status + "\r\n" + fields +
-           "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
-  }
-};
-
-std::ostream& operator<<(std::ostream& out, const SurplusAnswer& answer) { return out << answer.name; }
-
-const std::string kNotRun = "Larchlever-Not-Run: 1\r\n";
-const std::string kSigned = "Larchlever-Signature: signed\r\n";
-const std::string kOtherId = "Larchlever-Request-Id: another\r\n";
-
 /// Three entries whose servers all send surplus answers. Each caller sends a request once.
 class SurplusAnswers : public PartitionedFleetFixture, public testing::WithParamInterface<SurplusAnswer> {
  protected:
@@ -54,12 +31,6 @@
     options.kinds.push_back(RequestKind::kUnsafeStream);
     return options;
   }
-  static void expect_no_surplus_body(const std::vector<CallResult>& results) {
-    for (const auto& result : results) {
-      EXPECT_EQ(result.description.find(kSurplusBody), std::string::npos)
-          << result.request_id << " got the answer of no request: " << result.description;
-    }
-  }
 };
 
 // Answers that belonged to no request, or to another one, were taken for the answers of requests: these ran twice, were
@@ -125,15 +96,8 @@
   EXPECT_EQ(count_order_answers(kSurplusStatus), 0);
 }
 
-INSTANTIATE_TEST_SUITE_P(
-    Kind, SurplusAnswers,
-    testing::Values(SurplusAnswer{"RefusalWithoutId", "503 Service Unavailable", kNotRun, ""},
-                    SurplusAnswer{"MalformedRequestWithoutId", "400 Bad Request", kNotRun, ""},
-                    SurplusAnswer{"MisdirectedWithoutId", "421 Misdirected Request", "", ""},
-                    SurplusAnswer{"RefusalOfAnotherRequest", "429 Too Many Requests", kNotRun + kOtherId, ""},
-                    SurplusAnswer{"SuccessWithoutId", "200 OK", kSigned, ""},
-                    SurplusAnswer{"SuccessAfterInterimResponse", "200 OK", kSigned, "HTTP/1.1 102 Processing\r\n\r\n"}),
-    [](const auto& info) { return info.param.name; });
+INSTANTIATE_TEST_SUITE_P(Kind, SurplusAnswers, testing::ValuesIn(surplus_answers()),
+                         [](const auto& info) { return info.param.name; });
 
 }  // namespace
 }  // namespace larchlever::integration
