--- a/src/node/request_relay.h
+++ b/src/node/request_relay.h
@@ -23,11 +23,11 @@
 /// Serves callers of a registered fleet: finds route and tenant, sends each request to a server, retries and resumes it
 /// within the route's rules and the shared retry budget, and relays the response.
 ///
-/// Guarantees: a request that may not be repeated is sent again only if no byte was sent or the server proved that it
-/// did not run; 429, 503, 408 and 421 are sent only for requests that did not run; a truncated response never looks
-/// complete; a response is not ended because its server is silent, but continued by another server if that one delivers
-/// first. A request goes through at most one other entry, which sends it to at most one server; retries are decided
-/// here. Runs on one executor; not thread-safe.
+/// Guarantees: a response is used for a request only if it carries the request's id; a request that may not be repeated
+/// is sent again only if no byte was sent or the server proved that it did not run, and its caller gets 429, 503, 408
+/// and 421 only if it did not run; a truncated response never looks complete; a response is not ended because its
+/// server is silent, but continued by another server if that one delivers first. A request goes through at most one
+/// other entry, which sends it to at most one server; retries are decided here. Runs on one executor; not thread-safe.
 class RequestRelay : public net::HttpHandler {
  public:
   struct Options {
