--- a/tests/integration/fleet_node_processes.cc
+++ b/tests/integration/fleet_node_processes.cc
@@ -141,6 +141,24 @@
 
 }  // namespace
 
+FleetNodeOptions FleetNodeOptions::with_three_replicas(int entries) {
+  FleetNodeOptions options;
+  options.control_replicas = 3;
+  options.entries = entries;
+  options.tolerated_losses = 1;
+  return options;
+}
+
+net::HttpRequest make_order(const std::string& id) {
+  net::HttpRequest request;
+  request.method = "POST";
+  request.target = "/forms/1";
+  request.headers.add("Host", "orders.example");
+  request.headers.add("Larchlever-Request-Id", id);
+  request.headers.add("Larchlever-Deadline-Ms", "3000");
+  return request;
+}
+
 FleetNodeProcesses::FleetNodeProcesses(const FleetNodeOptions& options) : options_(options) {
   std::string pattern = (fs::temp_directory_path() / "larchlever-fleet-XXXXXX").string();
   folder_ = ::mkdtemp(pattern.data());
--- a/tests/integration/fleet_node_processes.h
+++ b/tests/integration/fleet_node_processes.h
@@ -14,6 +14,9 @@
 namespace larchlever::integration {
 
 struct FleetNodeOptions {
+  /// Three control replicas, one of which may be lost.
+  static FleetNodeOptions with_three_replicas(int entries);
+
   int control_replicas = 5;
   int entries = 2;
   /// Number of control replicas, from the first on, that are seeds in the settings of every node.
@@ -35,6 +38,9 @@
   std::chrono::milliseconds chat_timeout{4000};
 };
 
+/// A request of the route `orders`, which may run at most once.
+net::HttpRequest make_order(const std::string& id);
+
 /// Runs the control replicas `c1`, `c2`, ... and the entries `e1`, `e2`, ... of a registered fleet as `fleet-node`
 /// processes. Each node has a loopback address of its own; all use the same ports. Only processes started here are
 /// ended.
--- a/tests/integration/partitioned_fleet.h
+++ b/tests/integration/partitioned_fleet.h
@@ -39,10 +39,7 @@
       : fleet_(options), plain_server_count_(plain_server_count) {}
 
   static FleetNodeOptions fleet_options(int entries = 9) {
-    FleetNodeOptions options;
-    options.control_replicas = 3;
-    options.entries = entries;
-    options.tolerated_losses = 1;
+    auto options = FleetNodeOptions::with_three_replicas(entries);
     options.binds_entries_to_own_address = true;
     return options;
   }
