Logs tell which requests a stopping entry cuts off, and how earlier attempts ended

What callers saw: no whole answer around a SIGTERM of their entry; requests that may run once ran twice or were refused and ran. The logs told neither which requests an entry ended with itself, nor, in the one line that names a request at its end, the attempts before the last.

Change, no change of logic: request_cut_off for each request without a complete response at the end of the grace period (when it was received, counted from the start of the shutdown, its target, whether its response had begun); request_ended lists the target, result and status of each attempt that ended without a response for the caller.

--- a/src/node/entry_process.cc
+++ b/src/node/entry_process.cc
@@ -299,7 +299,8 @@
 
 asio::awaitable<void> EntryProcess::drain() {
   asio::steady_timer timer(executor_);
-  const TimePoint deadline = monotonic_now() + settings_.stop_grace_period - kShutdownReserve;
+  const TimePoint began_at = monotonic_now();
+  const TimePoint deadline = began_at + settings_.stop_grace_period - kShutdownReserve;
   is_draining_ = true;
   caller_server_.begin_draining();
   relay_server_.begin_draining();
@@ -315,6 +316,7 @@
     timer.expires_after(kTickInterval);
     co_await timer.async_wait(kAwaitWithError);
   }
+  request_relay_.active_requests().log_cut_off(monotonic_now(), began_at);
   log_event(settings_.name, "drained", {{"requests_left", std::to_string(caller_server_.stats().active_requests)}});
 }
 
--- a/src/node/relayed_request.h
+++ b/src/node/relayed_request.h
@@ -57,6 +57,8 @@
   std::set<std::string> excluded_targets;
   /// Number of targets that the last search for a target ruled out: those above, and those that this entry avoids.
   size_t ruled_out_targets = 0;
+  /// Target, result and status of each attempt that ended without a response for the caller, for the log.
+  std::vector<std::string> ended_attempts;
   /// Attempts sent, and those that a server may have begun to run.
   int attempts_sent = 0;
   int possible_runs = 0;
--- a/src/node/request_completion.cc
+++ b/src/node/request_completion.cc
@@ -60,6 +60,7 @@
         request.predicted_answer ? std::to_string(std::llround(request.predicted_answer->mean)) : ""},
        {"answer_tokens", request.answer_tokens ? std::to_string(*request.answer_tokens) : ""},
        {"runs", std::to_string(request.possible_runs)},
+       {"ended_attempts", join_items(request.ended_attempts)},
        {"ruled_out", std::to_string(request.ruled_out_targets)},
        {"relay_peer", request.relay_peer},
        {"relayed_for", request.relayed_for},
--- a/src/node/request_relay.cc
+++ b/src/node/request_relay.cc
@@ -64,6 +64,7 @@
   RelayedRequest& request = *shared_request;
   ++state_.counters.requests;
   begin_request(request, exchange);
+  const ActiveRequests::Registration registration(active_requests_, request);
   co_await lease_gate_.wait_for_lease(lease_wait_deadline(request));
   request.admitted_at = monotonic_now();
   if (request.caller_disconnected) {
@@ -221,7 +222,7 @@
     if (result == DispatchResult::kAnswered) {
       co_return result;
     }
-    note_ended_attempt(request, attempt->target, result);
+    note_ended_attempt(request, *attempt, result);
     const bool had_hedge = request.hedge != nullptr;
     auto successor = co_await take_successor(request);
     if (successor == nullptr) {
@@ -233,8 +234,26 @@
   }
 }
 
-void RequestRelay::note_ended_attempt(RelayedRequest& request, const fleet::DispatchTarget& target,
-                                      DispatchResult result) {
+std::string_view RequestRelay::result_name(DispatchResult result) {
+  switch (result) {
+    case DispatchResult::kAnswered:
+      return "answered";
+    case DispatchResult::kNotRelayed:
+      return "not-relayed";
+    case DispatchResult::kNotRun:
+      return "not-run";
+    case DispatchResult::kMayHaveRun:
+      return "may-have-run";
+    case DispatchResult::kServerError:
+      return "server-error";
+  }
+  return "unknown";
+}
+
+void RequestRelay::note_ended_attempt(RelayedRequest& request, const RelayAttempt& attempt, DispatchResult result) {
+  const auto& target = attempt.target;
+  const std::string status = attempt.stream == nullptr ? "none" : std::to_string(attempt.stream->head().status);
+  request.ended_attempts.push_back(target.key + ":" + std::string(result_name(result)) + ":" + status);
   if (result == DispatchResult::kNotRelayed && monotonic_now() < request.deadline) {
     return;
   }
--- a/src/node/request_relay.h
+++ b/src/node/request_relay.h
@@ -9,6 +9,7 @@
 #include "core/requests/buffer_budget.h"
 #include "net/http_client.h"
 #include "net/http_server.h"
+#include "node/active_requests.h"
 #include "node/blocked_request_guard.h"
 #include "node/dialect.h"
 #include "node/entry_state.h"
@@ -51,6 +52,8 @@
   InFlightAttempts& in_flight_attempts() { return in_flight_attempts_; }
   /// The client for connections to servers.
   net::HttpClient& client() { return client_; }
+  /// Requests whose response is not complete.
+  ActiveRequests& active_requests() { return active_requests_; }
   /// Detection and blocking of requests that crash servers.
   BlockedRequestGuard& blocked_request_guard() { return blocked_request_guard_; }
 
@@ -64,6 +67,7 @@
     kServerError  ///< The server returned a 5xx status and the request may be retried.
   };
 
+  static std::string_view result_name(DispatchResult result);
   /// Starts the request's clock and follows its caller's connection.
   void begin_request(RelayedRequest& request, net::HttpExchange& exchange);
   /// Returns until when a request may wait for a configuration lease.
@@ -109,7 +113,7 @@
   boost::asio::awaitable<DispatchResult> run_with_successors(RelayedRequest& request,
                                                              const fleet::DispatchTarget& target);
   /// Records what an attempt without a response for the caller means for further ones.
-  static void note_ended_attempt(RelayedRequest& request, const fleet::DispatchTarget& target, DispatchResult result);
+  static void note_ended_attempt(RelayedRequest& request, const RelayAttempt& attempt, DispatchResult result);
   /// Registers an attempt at the target, which counts as load until it is destroyed.
   std::unique_ptr<RelayAttempt> begin_attempt(RelayedRequest& request, const fleet::DispatchTarget& target);
   void end_attempt(RelayAttempt& attempt);
@@ -178,6 +182,7 @@
   LeaseGate& lease_gate_;
   RequestCompletion completion_;
   BlockedRequestGuard blocked_request_guard_;
+  ActiveRequests active_requests_;
   InFlightAttempts in_flight_attempts_;
   TargetFinder target_finder_;
   net::HttpClient client_;
--- a/src/node/request_relay_attempts.cc
+++ b/src/node/request_relay_attempts.cc
@@ -311,7 +311,7 @@
       hand_over(*request, *hedge, std::move(attempt));
       co_return;
     }
-    note_ended_attempt(*request, attempt->target, result);
+    note_ended_attempt(*request, *attempt, result);
     if (result != DispatchResult::kNotRun && result != DispatchResult::kNotRelayed) {
       co_return;
     }
--- a/src/node/request_relay_peers.cc
+++ b/src/node/request_relay_peers.cc
@@ -37,6 +37,7 @@
   RelayedRequest& request = *shared_request;
   ++state_.counters.relayed_for_peers;
   begin_request(request, exchange);
+  const ActiveRequests::Registration registration(active_requests_, request);
   request.relayed_for = instructions->sender;
   request.excluded_targets = std::move(instructions->excluded_targets);
   auto refusal = resolve_route(request);
