--- a/tests/integration/at_most_once_soak_test.cc
+++ b/tests/integration/at_most_once_soak_test.cc
@@ -36,7 +36,7 @@
     net::HttpRequest request;
     request.method = "POST";
     request.target = for_model ? "/chat/1" : "/forms/1";
-    request.headers.add("Host", for_model ? "chat-once.example" : "orders.example");
+    request.headers.add("Host", for_model ? kNonResumableHost : "orders.example");
     request.headers.add("Larchlever-Request-Id", id);
     request.headers.add("Larchlever-Deadline-Ms", "3000");
     if (for_model) {
--- a/tests/integration/fleet_node_processes.cc
+++ b/tests/integration/fleet_node_processes.cc
@@ -32,6 +32,7 @@
 constexpr const char* kZones[] = {"north", "south", "west"};
 constexpr auto kCallTimeout = std::chrono::seconds(2);
 
+constexpr auto kModelDeadline = std::chrono::seconds(3);
 constexpr auto kModelCallTimeout = std::chrono::seconds(5);
 /// Deadline of requests with an API key.
 constexpr auto kKeyedCallTimeout = std::chrono::seconds(2);
@@ -61,7 +62,7 @@
                                    {"max_attempts", options.forms_max_attempts},
                                    {"public", true}};
   const json::value engine_route = {{"name", "chat"},
-                                    {"host", "chat.example"},
+                                    {"host", kResumableHost},
                                     {"path_prefix", "/chat/"},
                                     {"type", "streaming"},
                                     {"timeout_ms", options.chat_timeout.count()},
@@ -91,7 +92,7 @@
   region_bound_chat_route.as_object()["allowed_regions"] = json::array{"region-north"};
   auto non_resumable_chat_route = engine_route;
   non_resumable_chat_route.as_object()["name"] = "chat-once";
-  non_resumable_chat_route.as_object()["host"] = "chat-once.example";
+  non_resumable_chat_route.as_object()["host"] = kNonResumableHost;
   non_resumable_chat_route.as_object()["resumable"] = false;
   const json::value engine = {{"slots", 8},
                               {"kv_capacity", 1000000},
@@ -159,6 +160,28 @@
   return request;
 }
 
+net::HttpRequest make_stream_request(const std::string& host, const std::string& model, const std::string& id,
+                                     std::chrono::milliseconds deadline) {
+  net::HttpRequest request;
+  request.method = "POST";
+  request.target = "/chat/1";
+  request.headers.add("Host", host);
+  request.headers.add("Larchlever-Request-Id", id);
+  request.headers.add("Larchlever-Deadline-Ms", std::to_string(deadline.count()));
+  request.headers.add("Larchlever-Model", model);
+  request.headers.add("Larchlever-Tokens", "100,25");
+  request.body = "{\"n\":\"" + id + "\"}";
+  return request;
+}
+
+std::string make_stream_body(int events) {
+  std::string text;
+  for (int event = 1; event <= events; ++event) {
+    text += "id: " + std::to_string(event) + "\ndata: token\n\n";
+  }
+  return text;
+}
+
 FleetNodeProcesses::FleetNodeProcesses(const FleetNodeOptions& options) : options_(options) {
   std::string pattern = (fs::temp_directory_path() / "larchlever-fleet-XXXXXX").string();
   folder_ = ::mkdtemp(pattern.data());
@@ -358,14 +381,7 @@
 net::FetchResult FleetNodeProcesses::call_model(BlockingClient& client, const std::string& entry,
                                                 const std::string& model, const std::string& request_id,
                                                 const std::string& body, const std::string& prompt_parts) const {
-  net::HttpRequest request;
-  request.method = "POST";
-  request.target = "/chat/1";
-  request.headers.add("Host", "chat.example");
-  request.headers.add("Larchlever-Request-Id", request_id);
-  request.headers.add("Larchlever-Deadline-Ms", "3000");
-  request.headers.add("Larchlever-Model", model);
-  request.headers.add("Larchlever-Tokens", "100,25");
+  auto request = make_stream_request(kResumableHost, model, request_id, kModelDeadline);
   if (!prompt_parts.empty()) {
     request.headers.add("Larchlever-Prompt-Parts", prompt_parts);
   }
--- a/tests/integration/fleet_node_processes.h
+++ b/tests/integration/fleet_node_processes.h
@@ -41,6 +41,15 @@
 /// A request of the route `orders`, which may run at most once.
 net::HttpRequest make_order(const std::string& id);
 
+/// Host of the route to the models whose streams may be resumed, and of the one whose streams may not.
+constexpr const char* kResumableHost = "chat.example";
+constexpr const char* kNonResumableHost = "chat-once.example";
+/// A request of one of these routes.
+net::HttpRequest make_stream_request(const std::string& host, const std::string& model, const std::string& id,
+                                     std::chrono::milliseconds deadline);
+/// Whole response to a streaming request with this number of events.
+std::string make_stream_body(int events);
+
 /// Runs the control replicas `c1`, `c2`, ... and the entries `e1`, `e2`, ... of a registered fleet as `fleet-node`
 /// processes. Each node has a loopback address of its own; all use the same ports. Only processes started here are
 /// ended.
--- a/tests/integration/mixed_callers.cc
+++ b/tests/integration/mixed_callers.cc
@@ -39,7 +39,7 @@
     case RequestKind::kUnsafeStream:
       request.method = "POST";
       request.target = "/chat/1";
-      request.headers.add("Host", kind == RequestKind::kStream ? "chat.example" : "chat-once.example");
+      request.headers.add("Host", kind == RequestKind::kStream ? kResumableHost : kNonResumableHost);
       request.headers.add("Larchlever-Model", std::hash<std::string>{}(id) % 2 == 0 ? "small" : "large");
       request.headers.add("Larchlever-Tokens", "100,25");
       request.body = id;
--- a/tests/integration/silent_servers_test.cc
+++ b/tests/integration/silent_servers_test.cc
@@ -36,8 +36,6 @@
 constexpr int kSilenceCount = 3;
 /// Of the route for resumable streams.
 constexpr int kMaxAttempts = 2;
-constexpr const char* kResumableHost = "chat.example";
-constexpr const char* kNonResumableHost = "chat-once.example";
 
 FleetNodeOptions fleet_options() {
   auto options = FleetNodeOptions::with_three_replicas(3);
@@ -45,27 +43,6 @@
   return options;
 }
 
-net::HttpRequest stream_request(const std::string& host, const std::string& model, const std::string& id) {
-  net::HttpRequest request;
-  request.method = "POST";
-  request.target = "/chat/1";
-  request.headers.add("Host", host);
-  request.headers.add("Larchlever-Request-Id", id);
-  request.headers.add("Larchlever-Deadline-Ms", std::to_string(milliseconds(kDeadline).count()));
-  request.headers.add("Larchlever-Model", model);
-  request.headers.add("Larchlever-Tokens", "100,25");
-  request.body = "{\"n\":\"" + id + "\"}";
-  return request;
-}
-
-std::string expected_body() {
-  std::string text;
-  for (int event = 1; event <= kEvents; ++event) {
-    text += "id: " + std::to_string(event) + "\ndata: token\n\n";
-  }
-  return text;
-}
-
 /// Callers that send one stream after another through every entry until `stop`, and check each response.
 class SteadyCallers {
  public:
@@ -139,7 +116,8 @@
     BlockingClient client;
     std::this_thread::sleep_for(caller.offset);
     for (int number = 1; !stopped_; ++number) {
-      const auto request = stream_request(host_, caller.model, caller.name + "-" + std::to_string(number));
+      const auto request =
+          make_stream_request(host_, caller.model, caller.name + "-" + std::to_string(number), kDeadline);
       const auto begin = std::chrono::steady_clock::now();
       const auto result = client.fetch(fleet_.caller_endpoint(caller.entry), request, kDeadline + seconds(2));
       const auto time = std::chrono::duration_cast<milliseconds>(std::chrono::steady_clock::now() - begin);
@@ -148,7 +126,8 @@
     }
   }
   void note_result(Caller& caller, const std::string& request, const net::FetchResult& result) {
-    if (result.response && result.response->status == http_status::kOk && result.response->body == expected_body()) {
+    if (result.response && result.response->status == http_status::kOk &&
+        result.response->body == make_stream_body(kEvents)) {
       ++complete_count_;
       ++caller.complete_count;
     } else if (result.response && result.response->headers.find("Larchlever-Outcome") == "not-run") {
@@ -335,8 +314,8 @@
     callers.emplace_back([this, number, kCallerPatience] {
       BlockingClient client;
       const std::string entry = fleet_.entries()[static_cast<size_t>(number) % fleet_.entries().size()];
-      const auto request = stream_request(kResumableHost, number % 2 == 0 ? "large" : "small",
-                                          entry + "-leaves-" + std::to_string(number));
+      const auto request = make_stream_request(kResumableHost, number % 2 == 0 ? "large" : "small",
+                                               entry + "-leaves-" + std::to_string(number), kDeadline);
       const auto result = client.fetch(fleet_.caller_endpoint(entry), request, kCallerPatience);
       EXPECT_FALSE(result.response) << "the caller did not leave early";
     });
--- a/tests/integration/stream_callers.cc
+++ b/tests/integration/stream_callers.cc
@@ -62,7 +62,7 @@
     const bool is_success = result.response && result.response->status == 200;
     if (is_success && result.error.empty()) {
       ++served_count_;
-      if (result.response->body != expected_body()) {
+      if (result.response->body != make_stream_body(events_)) {
         record_wrong_response("request " + id + " at " + entry +
                               " got a complete but wrong response: " + result.response->body);
       }
@@ -73,14 +73,6 @@
   }
 }
 
-std::string StreamCallers::expected_body() const {
-  std::string text;
-  for (int event = 1; event <= events_; ++event) {
-    text += "id: " + std::to_string(event) + "\ndata: token\n\n";
-  }
-  return text;
-}
-
 std::string StreamCallers::unserved_since(Clock::time_point begin) {
   const std::lock_guard lock(mutex_);
   std::string text;
--- a/tests/integration/stream_callers.h
+++ b/tests/integration/stream_callers.h
@@ -45,7 +45,6 @@
   };
 
   void call_until_stopped(uint64_t seed, int number);
-  std::string expected_body() const;
   /// One line for each request since `begin` that was not served, with its result.
   std::string unserved_since(std::chrono::steady_clock::time_point begin);
   void record_wrong_response(std::string description);
