A stopping entry accepts only requests that end within its grace period

What callers saw: status 200 and 9 to 12 of 12 events; the connection ended 7.5 s after the SIGTERM of their entry (LOST).

Cause: an entry that shuts down takes requests from kept connections until it ends. A connection whose response head was written before the SIGTERM cannot announce its end, so its caller sends one more request when that stream is whole, 3 s after the SIGTERM or later, and the entry cuts it off with itself.

Change: ShutdownAdmission decides by the request's deadline and, while new connections still arrive, by how long requests of its route take (95 in 100, and 1.5 s for a silent server). A request that may not end in time gets 503 at once, closes its connection and is served by another node. It works because a request is then either sure to end by its own deadline, or sent while the caller can still meet another node.

--- a/src/node/entry_process.cc
+++ b/src/node/entry_process.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <boost/asio.hpp>
 #include <random>
+#include <set>
 
 #include "core/base/http_status.h"
 #include "net/http_server.h"
@@ -225,6 +226,11 @@
   document_version_ = state_.subscription.document_version();
   state_.routes = std::make_shared<document::RouteTable>(parsed.document);
   state_.dispatcher.update_services(parsed.document->services);
+  std::set<std::string> route_names;
+  for (const auto& route : parsed.document->routes) {
+    route_names.insert(route.name);
+  }
+  state_.shutdown_admission.retain_routes(route_names);
   const auto& limits = parsed.document->limits;
   net::HttpServerOptions options;
   options.head_limit_bytes = limits.max_header_bytes;
@@ -302,10 +308,11 @@
   const TimePoint began_at = monotonic_now();
   const TimePoint deadline = began_at + settings_.stop_grace_period - kShutdownReserve;
   is_draining_ = true;
+  state_.shutdown_admission.begin(began_at + kLoadBalancerDelay, deadline);
   caller_server_.begin_draining();
   relay_server_.begin_draining();
   log_event(settings_.name, "draining", {{"requests", std::to_string(caller_server_.stats().active_requests)}});
-  // The load balancer reacts with a delay; requests that it still sends are served.
+  // The load balancer reacts with a delay; requests that it still sends are served if they end in time.
   timer.expires_after(kLoadBalancerDelay);
   co_await timer.async_wait(kAwaitWithError);
   caller_server_.stop_accepting();
--- a/src/node/entry_state.h
+++ b/src/node/entry_state.h
@@ -11,6 +11,7 @@
 #include "core/fleet/fleet_subscription.h"
 #include "core/fleet/relay_peers.h"
 #include "core/requests/recent_quantile.h"
+#include "core/requests/shutdown_admission.h"
 #include "node/answer_sizes.h"
 
 namespace larchlever::node {
@@ -71,6 +72,7 @@
   /// By model: actual minus predicted time to the first event, an error that the leader's cost model leaves out.
   std::map<std::string, requests::RecentQuantile> first_event_excess;
   AnswerSizes answer_sizes;
+  requests::ShutdownAdmission shutdown_admission;
   EntryCounters counters;
   bool traffic_seen = false;
 };
--- a/src/node/request_relay.cc
+++ b/src/node/request_relay.cc
@@ -120,6 +120,10 @@
     allowed_time = std::min(allowed_time, Duration(milliseconds(*deadline_ms)));
   }
   request.deadline = request.received_at + allowed_time;
+  if (!state_.shutdown_admission.accepts(request.admitted_at, request.route->name, request.deadline)) {
+    return Refusal{http_status::kServiceUnavailable, "this node is shutting down", kRetryAfterElsewhere,
+                   RelayResult::kNotSent};
+  }
   request.was_held_for_lease = request.admitted_at - request.received_at > kLeaseWaitThreshold;
   record_demand(request);
   if (request.relayed_for.empty()) {
--- a/src/node/request_relay.h
+++ b/src/node/request_relay.h
@@ -77,6 +77,8 @@
   /// Records the request's size as stated in its headers, for load prediction and for the models' shares of capacity.
   void record_demand(RelayedRequest& request);
   void report_load_change(const fleet::DispatchTarget& target);
+  /// The caller gets a whole successful response.
+  void note_served(const RelayedRequest& request);
   /// Records how long a successful response, or the first event of a stream, took.
   void note_response_time(const RelayAttempt& attempt, TimePoint now);
   /// Called when the target responded or sent part of a response.
--- a/src/node/request_relay_responses.cc
+++ b/src/node/request_relay_responses.cc
@@ -124,8 +124,11 @@
                {"status", std::to_string(status)}});
     co_return DispatchResult::kMayHaveRun;
   }
-  state_.counters.served += is_success(status) ? 1 : 0;
-  state_.counters.failed += is_success(status) ? 0 : 1;
+  if (is_success(status)) {
+    note_served(request);
+  } else {
+    ++state_.counters.failed;
+  }
   completion_.log_completion(request, status, "the server's response");
   co_await request.exchange->respond(std::move(response));
   co_return DispatchResult::kAnswered;
@@ -162,12 +165,18 @@
     co_return DispatchResult::kAnswered;
   }
   blocked_request_guard_.note_response(request);
-  ++state_.counters.served;
+  note_served(request);
   completion_.log_completion(request, stream.head().status, "the server's response, unbuffered");
   co_await request.exchange->end_stream();
   co_return DispatchResult::kAnswered;
 }
 
+void RequestRelay::note_served(const RelayedRequest& request) {
+  const TimePoint now = monotonic_now();
+  ++state_.counters.served;
+  state_.shutdown_admission.note_completed(now, request.route->name, now - request.received_at);
+}
+
 void RequestRelay::note_response_time(const RelayAttempt& attempt, TimePoint now) {
   if (!attempt.target.is_relay_peer) {
     state_.dispatcher.note_response_time(attempt.target, now - attempt.sent_at);
@@ -276,7 +285,7 @@
       stream.complete() && request.event_stream.pending().empty() && !request.event_stream.has_gap();
   if (is_complete && request.response_started) {
     blocked_request_guard_.note_response(request);
-    ++state_.counters.served;
+    note_served(request);
     state_.answer_sizes.observe(monotonic_now(), request);
     completion_.log_completion(request, stream.head().status, "the whole stream");
     co_await request.exchange->end_stream();
