A stopping entry answers the requests that are left when its grace period ends

What callers saw: the connection closed without a response, 0.5 s before the end of the grace period, although nothing of the response had been sent.

Cause: the entry closed all connections with itself, whatever their requests waited for.

Change: the deadline of every request that is left ends. Attempts and waits for slots are cancelled, and the request ends as it does at its own deadline: 503 where no server was sent it, 504 where one may have run it. It works because nothing is decided anew: what was sent is known, and a quarter of a second of the reserve is enough to write it. A request whose deadline passes while it waits for a server is not sent any more.

--- a/src/node/active_requests.h
+++ b/src/node/active_requests.h
@@ -26,10 +26,13 @@
     RelayedRequest& request_;
   };
 
-  /// Logs every request that the shutdown, which began at `shutdown_began_at`, cuts off now.
-  void log_cut_off(TimePoint now, TimePoint shutdown_began_at) const;
+  /// Ends the deadline of every request, because the shutdown that began at `shutdown_began_at` leaves no more time.
+  /// Each then gets its final response, unless part of one was already sent.
+  void cut_off(TimePoint now, TimePoint shutdown_began_at);
 
  private:
+  static void log_cut_off(const RelayedRequest& request, TimePoint now, TimePoint shutdown_began_at);
+
   std::set<RelayedRequest*> requests_;
 };
 
--- a/src/node/entry_process.cc
+++ b/src/node/entry_process.cc
@@ -39,6 +39,8 @@
 constexpr size_t kMaxDefaultResponseBufferBytes = 16U << 20U;
 /// Part of the grace period reserved for the final shutdown.
 constexpr auto kShutdownReserve = std::chrono::milliseconds(500);
+/// Part of that reserve for the responses to requests that were cut off.
+constexpr auto kFinalResponseTime = std::chrono::milliseconds(250);
 
 size_t response_buffer_bytes(const settings::FleetSettings& settings) {
   if (settings.answer_buffer_bytes > 0) {
@@ -134,6 +136,8 @@
   }
 
  private:
+  /// The grace period is over: gives the requests that are left their final responses.
+  asio::awaitable<void> answer_remaining_requests(TimePoint shutdown_began_at);
   bool is_ready() const { return !is_draining_ && state_.subscription.has_lease(monotonic_now()); }
   asio::awaitable<void> tick_loop();
   void tick();
@@ -303,6 +307,18 @@
   }
 }
 
+asio::awaitable<void> EntryProcess::answer_remaining_requests(TimePoint shutdown_began_at) {
+  const TimePoint now = monotonic_now();
+  request_relay_.active_requests().cut_off(now, shutdown_began_at);
+  slot_requester_.stop_waiting();
+  asio::steady_timer timer(executor_);
+  while (caller_server_.stats().active_requests + relay_server_.stats().active_requests > 0 &&
+         monotonic_now() < now + kFinalResponseTime) {
+    timer.expires_after(kTickInterval);
+    co_await timer.async_wait(kAwaitWithError);
+  }
+}
+
 asio::awaitable<void> EntryProcess::drain() {
   asio::steady_timer timer(executor_);
   const TimePoint began_at = monotonic_now();
@@ -323,7 +339,7 @@
     timer.expires_after(kTickInterval);
     co_await timer.async_wait(kAwaitWithError);
   }
-  request_relay_.active_requests().log_cut_off(monotonic_now(), began_at);
+  co_await answer_remaining_requests(began_at);
   log_event(settings_.name, "drained", {{"requests_left", std::to_string(caller_server_.stats().active_requests)}});
 }
 
--- a/src/node/request_relay.cc
+++ b/src/node/request_relay.cc
@@ -193,6 +193,11 @@
       co_await finish_without_target(request, found);
       co_return;
     }
+    if (monotonic_now() >= request.deadline) {
+      slot_requester_.note_load_change();  // Report that the slot is unused.
+      co_await completion_.send_failure(request);
+      co_return;
+    }
     const DispatchResult result = co_await run_with_successors(request, *target);
     if (result == DispatchResult::kAnswered) {
       co_return;
--- a/src/node/slot_requester.cc
+++ b/src/node/slot_requester.cc
@@ -101,6 +101,12 @@
   co_return is_still_queued ? undecided_grant() : pending_request->grant;
 }
 
+void SlotRequester::stop_waiting() {
+  for (const auto& [id, pending_request] : pending_requests_) {
+    pending_request->timer.cancel();
+  }
+}
+
 asio::awaitable<bool> SlotRequester::request_trial(requests::RequestFingerprint request) {
   wire::SlotRequest slot_request;
   slot_request.__set_trial_of(request.value());
--- a/src/node/slot_requester.h
+++ b/src/node/slot_requester.h
@@ -39,6 +39,8 @@
   /// Returns whether the leader permits a request with a suspected part to be sent. Returns false if the leader does
   /// not decide: entries that decide on their own would all send such requests at the same time.
   boost::asio::awaitable<bool> request_suspect_permission(requests::RequestFingerprint part);
+  /// All requests that wait for the leader go on without a decision.
+  void stop_waiting();
   void receive(const wire::SlotAnswer& answer);
   /// Schedules a report to the leader within a few milliseconds. Call when the load of a group changed in a way that
   /// the leader does not know of.
--- a/tests/node/slot_requester_test.cc
+++ b/tests/node/slot_requester_test.cc
@@ -85,6 +85,18 @@
   EXPECT_EQ(reports_.size(), 1U) << "the second request must not wait for the leader";
 }
 
+// A request that was queued for seconds got no answer when its process shut down.
+TEST_F(SlotRequesterTest, StopsWaitingInTheQueue) {
+  on_report_ = [this](const wire::SlotReport& report) {
+    deliver_grant(1, report.requests.front().id, wire::SlotVerdict::QUEUED);
+    asio::post(context_, [this] { slot_requester_.stop_waiting(); });
+  };
+  constexpr int kPatienceMs = 5000;
+  const TimePoint before = monotonic_now();
+  EXPECT_EQ(request_slot(kPatienceMs).verdict, wire::SlotVerdict::UNDECIDED);
+  EXPECT_LT(monotonic_now() - before, seconds(1));
+}
+
 TEST_F(SlotRequesterTest, QueuedRequestGetsSlotWhenGranted) {
   on_report_ = [this](const wire::SlotReport& report) {
     const int64_t id = report.requests.front().id;
