--- a/tests/integration/entry_shutdown_test.cc
+++ b/tests/integration/entry_shutdown_test.cc
@@ -11,6 +11,7 @@
 #include "core/base/http_status.h"
 #include "engine_fleet.h"
 #include "plain_fleet.h"
+#include "stream_result.h"
 
 namespace larchlever::integration {
 namespace {
@@ -28,16 +29,6 @@
 constexpr auto kLate = seconds(3);
 constexpr int kMinLateRequests = 3;
 
-/// What a caller of a stopping entry got.
-struct StreamResult {
-  std::string id;
-  Clock::time_point sent_at;
-  int status = 0;
-  bool announces_close = false;
-  bool is_whole = false;
-  std::string description;
-};
-
 FleetNodeOptions engine_fleet_options() {
   auto options = FleetNodeOptions::with_three_replicas(3);
   options.chat_timeout = kDeadline;
@@ -61,19 +52,10 @@
     }
   }
 
-  /// Sends a stream; its id begins with the name of the entry, as records of arrivals expect.
   StreamResult send_stream(BlockingClient& client, const std::string& entry, int caller, const std::string& name) {
-    StreamResult result;
-    result.id = entry + "-" + std::to_string(caller) + "-" + name;
-    result.sent_at = Clock::now();
-    const auto request = make_stream_request(GetParam(), caller % 2 == 0 ? "large" : "small", result.id, kDeadline);
-    const auto fetched = client.fetch(fleet_.caller_endpoint(entry), request, kDeadline + seconds(2));
-    result.announces_close = fetched.response && fetched.response->headers.find("Connection") == "close";
-    result.status = fetched.response ? fetched.response->status : 0;
-    result.is_whole = result.status == http_status::kOk && fetched.response->body == make_stream_body(kEvents);
-    result.description =
-        fetched.response ? std::to_string(result.status) + " " + fetched.response->body : fetched.error;
-    return result;
+    const std::string id = entry + "-" + std::to_string(caller) + "-" + name;
+    const StreamCall call{GetParam(), caller % 2 == 0 ? "large" : "small", id, kEvents, kDeadline};
+    return integration::send_stream(fleet_, client, entry, call);
   }
 
   /// Sends one stream after another on the same connection, until a response closes it or none comes.
@@ -120,10 +102,9 @@
   for (const auto& result : results_) {
     const auto sent_after = std::chrono::duration_cast<milliseconds>(result.sent_at - signalled_at);
     late_requests += sent_after > kLate ? 1 : 0;
-    const bool is_refused = http_status::promises_not_run(result.status);
-    EXPECT_TRUE(result.is_whole || is_refused)
+    EXPECT_TRUE(result.is_whole || result.is_refused())
         << result.id << ", sent " << sent_after.count() << " ms after SIGTERM: " << result.description;
-    EXPECT_FALSE(is_refused && runs.contains(result.id)) << result.id << " ran: " << result.description;
+    EXPECT_FALSE(result.is_refused() && runs.contains(result.id)) << result.id << " ran: " << result.description;
   }
   EXPECT_GE(late_requests, kMinLateRequests) << "too few to show anything";
 }
@@ -131,7 +112,7 @@
 INSTANTIATE_TEST_SUITE_P(Route, EntryShutdown, testing::Values(kResumableHost, kNonResumableHost),
                          [](const auto& info) { return info.param == kResumableHost ? "Resumable" : "NonResumable"; });
 
-constexpr auto kSilence = seconds(20);
+constexpr auto kSilence = seconds(6);
 constexpr auto kAnswerTimeout = seconds(10);
 
 FleetNodeOptions plain_fleet_options() {
