A stopping node of a fixed fleet accepts only requests that end within its drain time

What callers saw: with a short drain_timeout_ms, a stream from a kept connection that the node had taken after SIGTERM was cut in the middle.

Change: CallerApi asks ShutdownAdmission with the request's timeout; a request that may outlast the drain time gets 503 "this node is shutting down", outcome not-run.

--- a/src/node/caller_api.cc
+++ b/src/node/caller_api.cc
@@ -20,6 +20,11 @@
   return ready_ && runtime_.controller().entry().has_configuration_lease(NodeRuntime::now());
 }
 
+bool CallerApi::ends_before_shutdown(std::string_view path) const {
+  const TimePoint now = NodeRuntime::now();
+  return shutdown_admission_.accepts(now, std::string(path), now + runtime_.settings().requests.request_timeout);
+}
+
 asio::awaitable<void> CallerApi::handle(net::HttpExchange& exchange) {
   const auto path = exchange.request().path();
   if (path == "/healthz" || path == "/readyz") {
@@ -30,6 +35,11 @@
     co_await exchange.respond(std::move(response));
     co_return;
   }
+  if (!ends_before_shutdown(path)) {
+    const auto problem = shutting_down_problem();
+    co_await refuse_without_claim(exchange, problem, stats_);
+    co_return;
+  }
   ++active_requests_;
   const ScopeExit decrement_on_exit([this] { --active_requests_; });
   if (path == "/v1/chat/completions" || path == "/v1/completions") {
--- a/src/node/caller_api.h
+++ b/src/node/caller_api.h
@@ -2,6 +2,7 @@
 
 #include <string>
 
+#include "core/requests/shutdown_admission.h"
 #include "node/idempotency_guard.h"
 #include "node/model_request_handler.h"
 #include "node/problem_responses.h"
@@ -19,10 +20,14 @@
   /// A stopping node reports itself as not ready but keeps serving.
   void set_ready(bool is_ready) { ready_ = is_ready; }
   bool is_ready() const;
+  /// Rejects requests that might not be complete at `end`, when this node stops. No new connections are accepted any
+  /// more.
+  void begin_shutdown(TimePoint end) { shutdown_admission_.begin(NodeRuntime::now(), end); }
   const RequestStats& stats() const { return stats_; }
   size_t active_requests() const { return active_requests_; }
 
  private:
+  bool ends_before_shutdown(std::string_view path) const;
   boost::asio::awaitable<void> list_models(net::HttpExchange& exchange);
 
   NodeRuntime& runtime_;
@@ -31,6 +36,7 @@
   IdempotencyGuard idempotency_guard_;
   ModelRequestHandler model_handler_;
   ServiceRequestHandler service_handler_;
+  requests::ShutdownAdmission shutdown_admission_;
   bool ready_ = true;
   size_t active_requests_ = 0;
 };
--- a/src/node/node_process.cc
+++ b/src/node/node_process.cc
@@ -57,6 +57,7 @@
   co_await timer.async_wait(await_with_error);
   caller_server_.stop_accepting();
   const TimePoint deadline = NodeRuntime::now() + settings_.drain_timeout;
+  caller_api_.begin_shutdown(deadline);
   while (caller_api_.active_requests() > 0 && NodeRuntime::now() < deadline) {
     timer.expires_after(kDrainPollInterval);
     co_await timer.async_wait(await_with_error);
--- a/src/node/problem_responses.cc
+++ b/src/node/problem_responses.cc
@@ -47,6 +47,11 @@
           "retry; the load balancer will choose another node", kRetryAfterSeconds};
 }
 
+ProblemDetails shutting_down_problem() {
+  return {503, "this node is shutting down", "send the request again on a new connection, which reaches another node",
+          0};
+}
+
 asio::awaitable<void> send_problem(net::HttpExchange& exchange, const ProblemDetails& problem, Outcome attempt) {
   const Outcome outcome = outcome_for_caller(exchange.request(), attempt);
   net::HttpResponse response;
--- a/src/node/problem_responses.h
+++ b/src/node/problem_responses.h
@@ -69,5 +69,7 @@
 
 /// The refusal of a node that cannot confirm its configuration.
 ProblemDetails unconfirmed_configuration_problem();
+/// The refusal of a node that might stop before the response is complete.
+ProblemDetails shutting_down_problem();
 
 }  // namespace larchlever::node
--- a/tests/integration/fleet_test.cc
+++ b/tests/integration/fleet_test.cc
@@ -1,9 +1,13 @@
 #include <gtest/gtest.h>
 
+#include <atomic>
 #include <boost/json.hpp>
 #include <csignal>
 #include <fstream>
+#include <mutex>
+#include <thread>
 
+#include "core/base/http_status.h"
 #include "emulator/prompt_text.h"
 #include "process_fleet.h"
 
@@ -213,6 +217,48 @@
   EXPECT_EQ(report.requests, 400U);
 }
 
+// A node took requests from kept connections while it stopped and closed these connections at the end of its drain
+// time.
+TEST(Fleet, StoppingNodeCompletesOrRefusesStreamsFromKeptConnections) {
+  constexpr int kCallers = 8;
+  constexpr int kTokens = 640;
+  constexpr auto kOffset = std::chrono::milliseconds(350);
+  ProcessFleet fleet({3, 1, "[node]\ndrain_timeout_ms = 4000\n"});
+  fleet.start();
+  ASSERT_FALSE(testing::Test::HasFatalFailure());
+  std::mutex mutex;
+  std::vector<std::string> failures;
+  std::atomic<int> served = 0;
+  std::atomic<int> refused = 0;
+  std::vector<std::jthread> callers;
+  for (int caller = 0; caller < kCallers; ++caller) {
+    callers.emplace_back([&, caller] {
+      BlockingClient client;
+      std::this_thread::sleep_for(caller * kOffset);
+      bool is_open = true;
+      for (int number = 0; is_open; ++number) {
+        const auto request = fleet.model_request(std::to_string(caller) + "-" + std::to_string(number), kTokens, true);
+        const auto result = client.fetch(fleet.service_address("n2"), request);
+        is_open = result.response && result.response->headers.find("Connection") != "close";
+        served += result.response && result.response->status == http_status::kOk ? 1 : 0;
+        refused += result.response && result.response->status == http_status::kServiceUnavailable ? 1 : 0;
+        if (!result.response) {
+          const std::lock_guard lock(mutex);
+          failures.push_back(result.error);
+        }
+      }
+    });
+  }
+  ASSERT_TRUE(wait_until([&] { return served >= kCallers; }));
+  fleet.kill_node("n2", SIGTERM);
+  EXPECT_EQ(fleet.wait_for_exit("n2"), 0);
+  callers.clear();
+  for (const auto& failure : failures) {
+    ADD_FAILURE() << failure;
+  }
+  EXPECT_GT(refused, 0);
+}
+
 TEST(Fleet, HistoryCheckPassesUnderFaults) {
   ProcessFleet fleet({6, 4, ""});
   fleet.start();
