A stopped node of a fixed fleet exits regularly although requests are left

What operators saw: serve ended by a signal instead of exit code 0 when its drain time ended before its last request; found while the incident of cut streams was reproduced.

Cause: the coroutines of requests that are left are destroyed with the context, after the node that they refer to.

Evidence: Fleet.StoppingNodeExitsRegularlyWithRequestsLeft failed (no exit code), and passes.

Change: serve ends as fleet-node does, without destructors, once its sockets and its data folder are closed.

--- a/src/cli/serve_commands.cc
+++ b/src/cli/serve_commands.cc
@@ -58,6 +58,14 @@
   return text;
 }
 
+/// Ends a process whose sockets and data folder are closed. Requests that are left refer to objects that destructors
+/// would end before them, and some destructors of libraries wait for threads and could keep the process alive until the
+/// platform kills it.
+[[noreturn]] void exit_without_destructors(int exit_code) {
+  node::flush_log();
+  std::_Exit(exit_code);
+}
+
 std::optional<settings::NodeSettings> load_node_settings() {
   std::vector<std::string> errors;
   const auto text = read_settings_file();
@@ -121,7 +129,7 @@
     }
   });
   context.run();
-  return kExitSuccess;
+  exit_without_destructors(kExitSuccess);
 }
 
 namespace {
@@ -287,10 +295,7 @@
   FleetNodeRunner runner(*settings);
   const int exit_code = runner.run();
   node::log_event(settings->name, "stopped", {{"exit_code", std::to_string(exit_code)}});
-  node::flush_log();
-  // Sockets and the data folder are closed. Exit without running library destructors, some of which wait for their
-  // threads and could keep the stopped process alive until the platform kills it.
-  std::_Exit(exit_code);
+  exit_without_destructors(exit_code);
 }
 
 int run_emulate() {
--- a/tests/integration/fleet_test.cc
+++ b/tests/integration/fleet_test.cc
@@ -259,6 +259,25 @@
   EXPECT_GT(refused, 0);
 }
 
+// A node that stopped before a request had ended crashed on its way out.
+TEST(Fleet, StoppingNodeExitsRegularlyWithRequestsLeft) {
+  ProcessFleet fleet({3, 1, "[node]\ndrain_timeout_ms = 300\n"});
+  fleet.start();
+  ASSERT_FALSE(testing::Test::HasFatalFailure());
+  ASSERT_TRUE(wait_until([&] {
+    const auto result = fleet.fetch("n2", fleet.model_request("first", 4, false));
+    return result.response && result.response->status == http_status::kOk;
+  }));
+  constexpr int kTokens = 1200;
+  std::jthread caller([&] {
+    BlockingClient client;
+    client.fetch(fleet.service_address("n2"), fleet.model_request("long", kTokens, true));
+  });
+  ASSERT_TRUE(wait_until([&] { return count_executions(fleet, "long") > 0; }));
+  fleet.kill_node("n2", SIGTERM);
+  EXPECT_EQ(fleet.wait_for_exit("n2"), 0);
+}
+
 TEST(Fleet, HistoryCheckPassesUnderFaults) {
   ProcessFleet fleet({6, 4, ""});
   fleet.start();
