A request that may run once is sent to no more servers than its route allows

Cause: max_attempts is the most servers that a request may be sent to, but the entry counted only attempts that may have run. After each refusal it sent the request on, up to six times, so that the limit held only if every proof that a request did not run was right.

Change: for requests that may not be repeated every server counts that the request was sent to; their callers get 503 with Retry-After 0.01 and may go to another server at once. Others are served as before.

--- a/src/node/relayed_request.h
+++ b/src/node/relayed_request.h
@@ -100,7 +100,7 @@
 /// Values of Retry-After for refused requests.
 constexpr Duration kRetryAfterBusy = milliseconds(300);
 constexpr Duration kRetryAfterUnavailable = milliseconds(500);
-/// Another node serves the request at once.
+/// Another node, or another server, serves the request at once.
 constexpr Duration kRetryAfterElsewhere = milliseconds(10);
 
 /// Why a request is refused, and when its caller may retry (Retry-After; zero for none).
--- a/src/node/request_relay.cc
+++ b/src/node/request_relay.cc
@@ -210,7 +210,7 @@
       ++state_.counters.retries;  // The retry budget was already charged when the response was discarded.
       continue;
     }
-    const bool may_run_again = request.route->is_retry_safe() && request.possible_runs < request.route->max_attempts;
+    const bool may_run_again = request.route->is_retry_safe() && !has_reached_attempt_limit(request);
     if (result == DispatchResult::kMayHaveRun && !may_run_again) {
       co_await completion_.send_failure(request);
       co_return;
@@ -277,7 +277,15 @@
   }
 }
 
+bool RequestRelay::has_reached_attempt_limit(const RelayedRequest& request) {
+  const int attempts = request.route->is_retry_safe() ? request.possible_runs : request.attempts_sent;
+  return attempts >= request.route->max_attempts;
+}
+
 bool RequestRelay::may_retry(RelayedRequest& request, TimePoint now) {
+  if (!request.route->is_retry_safe() && has_reached_attempt_limit(request)) {
+    return false;
+  }
   if (!request.relayed_for.empty() && request.attempts_sent > 0) {
     return false;  // The entry that received the request decides.
   }
@@ -308,6 +316,14 @@
     co_await finish_without_target(request, no_target);
     co_return;
   }
+  const bool is_turned_away = !request.may_have_run && request.attempts_sent > 0;
+  if (is_turned_away && request.relayed_for.empty() && has_reached_attempt_limit(request)) {
+    const FoundTarget no_target =
+        Refusal{http_status::kServiceUnavailable, "a server turned the request away, and its route allows no other",
+                kRetryAfterElsewhere, RelayResult::kNotRun};
+    co_await finish_without_target(request, no_target);
+    co_return;
+  }
   co_await completion_.send_failure(request);
 }
 
--- a/src/node/request_relay.h
+++ b/src/node/request_relay.h
@@ -25,10 +25,11 @@
 /// within the route's rules and the shared retry budget, and relays the response.
 ///
 /// Guarantees: a response is used for a request only if it carries the request's id; a request that may not be repeated
-/// is sent again only if no byte was sent or the server proved that it did not run, and its caller gets 429, 503, 408
-/// and 421 only if it did not run; a truncated response never looks complete; a response is not ended because its
-/// server is silent, but continued by another server if that one delivers first. A request goes through at most one
-/// other entry, which sends it to at most one server; retries are decided here. Runs on one executor; not thread-safe.
+/// is sent again only if no byte was sent or the server proved that it did not run, to no more servers than its route
+/// allows, and its caller gets 429, 503, 408 and 421 only if it did not run; a truncated response never looks complete;
+/// a response is not ended because its server is silent, but continued by another server if that one delivers first. A
+/// request goes through at most one other entry, which sends it to at most one server; retries are decided here. Runs
+/// on one executor; not thread-safe.
 class RequestRelay : public net::HttpHandler {
  public:
   struct Options {
@@ -166,6 +167,9 @@
                              bool on_reused_connection);
   bool proves_not_run(const net::HttpResponse& head) const;
   bool may_retry(RelayedRequest& request, TimePoint now);
+  /// Whether the request was sent to as many servers as its route allows. If it may be repeated, only those count that
+  /// may have run it; otherwise all do, since a proof that one did not run it may be wrong.
+  static bool has_reached_attempt_limit(const RelayedRequest& request);
   /// At least one, since zero stands for no time-out.
   static std::chrono::milliseconds to_milliseconds(Duration duration) {
     return std::max(std::chrono::milliseconds(1), std::chrono::duration_cast<std::chrono::milliseconds>(duration));
--- a/tests/integration/server_refusals_test.cc
+++ b/tests/integration/server_refusals_test.cc
@@ -65,6 +65,62 @@
   EXPECT_EQ(response.body, "form");
 }
 
+FleetNodeOptions single_attempt_options() {
+  auto options = fleet_options();
+  options.forms_max_attempts = 1;
+  options.bounds_settings = "retry_ratio = 4\n";
+  return options;
+}
+
+/// Two plain servers, one of which turns every request away, on routes that allow one server.
+class OneServerPerOrder : public PlainServerFleetFixture {
+ protected:
+  OneServerPerOrder() : PlainServerFleetFixture(single_attempt_options(), 2) {}
+
+  void SetUp() override {
+    PlainServerFleetFixture::SetUp();
+    servers_.front()->reject_share(1);
+  }
+  std::ptrdiff_t count_arrivals(const std::string& id) const {
+    std::ptrdiff_t count = 0;
+    for (const auto& server : servers_) {
+      const auto arrivals = server->arrivals();
+      count += std::count_if(arrivals.begin(), arrivals.end(),
+                             [&id](const auto& arrival) { return arrival.request_id == id; });
+    }
+    return count;
+  }
+};
+
+// A request that may run once was sent on to a second server after a refusal, although its route allows one.
+TEST_F(OneServerPerOrder, IsKeptAfterARefusal) {
+  BlockingClient client;
+  int refused = 0;
+  int served = 0;
+  for (int number = 0; number < kOrderCount; ++number) {
+    const std::string id = "e1-order-" + std::to_string(number);
+    const auto result = client.fetch(fleet_.caller_endpoint("e1"), make_order(id), kWaitTimeout);
+    ASSERT_TRUE(result.response) << result.error;
+    EXPECT_EQ(count_arrivals(id), 1) << id;
+    served += result.response->status == http_status::kOk ? 1 : 0;
+    if (result.response->status == http_status::kServiceUnavailable) {
+      ++refused;
+      EXPECT_EQ(result.response->headers.find("Larchlever-Outcome"), "not-run");
+      EXPECT_EQ(result.response->headers.find("Retry-After"), "0.01") << "the other server is free";
+    }
+  }
+  EXPECT_GT(refused, 0);
+  EXPECT_EQ(served + refused, kOrderCount);
+}
+
+// Requests that may be repeated go to another server, since one that turned them away counts as no attempt.
+TEST_F(OneServerPerOrder, DoesNotHoldForRepeatableRequests) {
+  BlockingClient client;
+  for (int number = 0; number < kOrderCount; ++number) {
+    EXPECT_EQ(call(client, "e1").status, http_status::kOk);
+  }
+}
+
 INSTANTIATE_TEST_SUITE_P(Status, PromisesAfterRun,
                          testing::Values(http_status::kServiceUnavailable, http_status::kTooManyRequests,
                                          http_status::kRequestTimeout));
