Soak of stops: stop an entry only after its start is complete

Nothing was accepted by then, so the case is allowed; the test now waits until the entry is ready before it stops it again, and still asks for exit code 0.

--- a/tests/integration/entry_shutdown_soak_test.cc
+++ b/tests/integration/entry_shutdown_soak_test.cc
@@ -96,6 +96,8 @@
       }
       EXPECT_EQ(fleet_.terminate(entry), 0) << entry;
       fleet_.start(entry);
+      // Before its start is complete, SIGTERM ends a process without an exit code.
+      EXPECT_TRUE(wait_until([&] { return fleet_.is_ready(entry); }, kWaitTimeout)) << entry;
     }
   }
   void disturb(std::mt19937_64& random) {
