--- a/tests/integration/early_rejections_test.cc
+++ b/tests/integration/early_rejections_test.cc
@@ -129,7 +129,7 @@
   std::thread accepting_;
 };
 
-struct Parameters {
+struct RejectionCase {
   const char* name;
   RestOfBody rest;
 };
@@ -140,7 +140,7 @@
   return options;
 }
 
-class EarlyRejections : public PlainServerFleetFixture, public testing::WithParamInterface<Parameters> {
+class EarlyRejections : public PlainServerFleetFixture, public testing::WithParamInterface<RejectionCase> {
  protected:
   static constexpr int kCallers = 6;
   static constexpr int kOrdersPerCaller = 60;
@@ -212,9 +212,9 @@
 }
 
 INSTANTIATE_TEST_SUITE_P(Rest, EarlyRejections,
-                         testing::Values(Parameters{"ReadLater", RestOfBody::kReadsLater},
-                                         Parameters{"ReadNever", RestOfBody::kReadsNever},
-                                         Parameters{"Closed", RestOfBody::kCloses}),
+                         testing::Values(RejectionCase{"ReadLater", RestOfBody::kReadsLater},
+                                         RejectionCase{"ReadNever", RestOfBody::kReadsNever},
+                                         RejectionCase{"Closed", RestOfBody::kCloses}),
                          [](const auto& info) { return info.param.name; });
 
 }  // namespace
--- a/tests/integration/entry_shutdown_test.cc
+++ b/tests/integration/entry_shutdown_test.cc
@@ -25,7 +25,7 @@
 constexpr auto kStreamLength = kEvents * kEventPause;
 constexpr auto kDeadline = seconds(8);
 constexpr int kCallers = 24;
-/// Streams sent later than this after SIGTERM were cut.
+/// Requests sent later than this after SIGTERM come over kept connections, and are not due before the entry ends.
 constexpr auto kLate = seconds(3);
 constexpr int kMinLateRequests = 3;
 
