Tests of refusals count arrivals in one place

OneServerPerOrder::count_arrivals and StatusAfterRun::count_runs were the same loop; count_arrivals serves both.

--- a/tests/integration/server_refusals_test.cc
+++ b/tests/integration/server_refusals_test.cc
@@ -11,6 +11,17 @@
 
 FleetNodeOptions fleet_options() { return FleetNodeOptions::with_three_replicas(2); }
 
+/// Number of times that the request reached one of the servers.
+int64_t count_arrivals(const std::vector<std::unique_ptr<FormsServer>>& servers, const std::string& id) {
+  int64_t count = 0;
+  for (const auto& server : servers) {
+    const auto arrivals = server->arrivals();
+    count += std::count_if(arrivals.begin(), arrivals.end(),
+                           [&id](const auto& arrival) { return arrival.request_id == id; });
+  }
+  return count;
+}
+
 /// Runs two plain servers that answer with the status of the parameter after they ran a request.
 class StatusAfterRun : public PlainServerFleetFixture, public testing::WithParamInterface<int> {
  protected:
@@ -27,15 +38,7 @@
     EXPECT_TRUE(result.response) << result.error;
     return result.response.value_or(net::HttpResponse());
   }
-  int64_t count_runs(const std::string& id) const {
-    int64_t count = 0;
-    for (const auto& server : servers_) {
-      const auto arrivals = server->arrivals();
-      count += std::count_if(arrivals.begin(), arrivals.end(),
-                             [&id](const auto& arrival) { return arrival.request_id == id; });
-    }
-    return count;
-  }
+  int64_t count_runs(const std::string& id) const { return count_arrivals(servers_, id); }
 };
 
 using PromisesAfterRun = StatusAfterRun;
@@ -81,15 +84,6 @@
     PlainServerFleetFixture::SetUp();
     servers_.front()->reject_share(1);
   }
-  std::ptrdiff_t count_arrivals(const std::string& id) const {
-    std::ptrdiff_t count = 0;
-    for (const auto& server : servers_) {
-      const auto arrivals = server->arrivals();
-      count += std::count_if(arrivals.begin(), arrivals.end(),
-                             [&id](const auto& arrival) { return arrival.request_id == id; });
-    }
-    return count;
-  }
 };
 
 // A request that may run once was sent on to a second server after a refusal, although its route allows one.
@@ -101,7 +95,7 @@
     const std::string id = "e1-order-" + std::to_string(number);
     const auto result = client.fetch(fleet_.caller_endpoint("e1"), make_order(id), kWaitTimeout);
     ASSERT_TRUE(result.response) << result.error;
-    EXPECT_EQ(count_arrivals(id), 1) << id;
+    EXPECT_EQ(count_arrivals(servers_, id), 1) << id;
     served += result.response->status == http_status::kOk ? 1 : 0;
     if (result.response->status == http_status::kServiceUnavailable) {
       ++refused;
