--- a/review/stand_ins_2/small_fleet.py
+++ b/review/stand_ins_2/small_fleet.py
@@ -156,6 +156,16 @@
         process.wait()
         self.record.add(f"{node} killed")
 
+    def terminate(self, node):
+        process = self.processes.pop(node)
+        process.send_signal(signal.SIGTERM)
+        try:
+            process.wait(BOUNDS["grace_s"])
+        except subprocess.TimeoutExpired:
+            process.send_signal(signal.SIGKILL)
+            process.wait()
+        self.record.add(f"{node} stopped by SIGTERM")
+
     def log(self, node):
         with open(os.path.join(self.folder, node + ".log")) as file:
             return file.read()
