Requests: trailers and lines of chunk sizes are bounded

What callers saw: in a trial, clients that keep no limit ended a process; it ran out of memory, and all requests at it were lost.

Cause: the limit on heads ends with the head. The parser needs the line of a chunk's size and the whole trailer in one piece, and the read buffer of a connection, which had no limit, grew until they ended. Every listener that uses HttpServer was open to it.

Change: the read buffer holds the longest head and one read. What does not fit is rejected with 413, as a head is. No client that keeps within max_header_bytes meets it: a trailer or extension as long as the longest head still passes.

--- a/src/net/http_server.cc
+++ b/src/net/http_server.cc
@@ -2,6 +2,7 @@
 
 #include <netinet/tcp.h>
 
+#include <algorithm>
 #include <array>
 #include <boost/asio.hpp>
 #include <boost/beast/core.hpp>
@@ -353,12 +354,14 @@
 }
 
 asio::awaitable<void> HttpServer::Implementation::serve(std::shared_ptr<TimedStream> stream) {
+  // The parser needs a head, the line of a chunk's size and the trailer as a whole, so this limits their lengths.
   beast::flat_buffer buffer;
   bool is_first_request = true;
   while (!closed) {
     RequestParser parser;
     parser.header_limit(static_cast<uint32_t>(options.head_limit_bytes));
     parser.body_limit(options.body_limit_bytes);
+    buffer.max_size(std::max(buffer.size(), options.head_limit_bytes + kHeadReadBytes));
     idle_since.emplace(stream, std::chrono::steady_clock::now());
     beast::error_code error = co_await read_head_bytes(*stream, buffer, is_first_request);
     idle_since.erase(stream);
@@ -388,7 +391,7 @@
       if (body_too_large) {
         co_await reject_request(stream, http_status::kPayloadTooLarge, "request body too large");
       } else if (head_too_large) {
-        co_await reject_request(stream, http_status::kPayloadTooLarge, "request head too large");
+        co_await reject_request(stream, http_status::kPayloadTooLarge, "request head, trailer or chunk line too large");
       } else if (malformed) {
         co_await reject_request(stream, http_status::kBadRequest, "malformed HTTP request");
       }
--- a/tests/integration/fleet_node_processes.cc
+++ b/tests/integration/fleet_node_processes.cc
@@ -1,6 +1,7 @@
 #include "fleet_node_processes.h"
 
 #include <gtest/gtest.h>
+#include <sys/resource.h>
 #include <sys/wait.h>
 #include <unistd.h>
 
@@ -113,7 +114,7 @@
                   {"limits",
                    {{"max_header_bytes", 16384},
                     {"max_body_bytes", 4194304},
-                    {"header_timeout_ms", 3000},
+                    {"header_timeout_ms", options.header_timeout.count()},
                     {"idle_timeout_ms", 15000}}},
                   {"tenants",
                    {{{"name", "office"}, {"api_keys", api_keys}},
@@ -132,6 +133,23 @@
   return request;
 }
 
+/// Lowers the limit on descriptors that processes started meanwhile inherit; 0 leaves it as it is.
+class DescriptorLimit {
+ public:
+  explicit DescriptorLimit(int max_descriptors) {
+    ::getrlimit(RLIMIT_NOFILE, &previous_);
+    rlimit lowered = previous_;
+    lowered.rlim_cur = max_descriptors > 0 ? static_cast<rlim_t>(max_descriptors) : previous_.rlim_cur;
+    ::setrlimit(RLIMIT_NOFILE, &lowered);
+  }
+  ~DescriptorLimit() { ::setrlimit(RLIMIT_NOFILE, &previous_); }
+  DescriptorLimit(const DescriptorLimit&) = delete;
+  DescriptorLimit& operator=(const DescriptorLimit&) = delete;
+
+ private:
+  rlimit previous_{};
+};
+
 std::vector<std::string> numbered_names(char prefix, int count) {
   std::vector<std::string> result;
   for (int number = 1; number <= count; ++number) {
@@ -286,6 +304,7 @@
   }
   Process& process = processes_[node];
   ++process.start_count;
+  const DescriptorLimit limit_during_spawn(options_.max_descriptors);
   process.pid = spawn_program(arguments, log_path(node, process.start_count), environment, output);
 }
 
@@ -344,10 +363,22 @@
   }
 }
 
-size_t FleetNodeProcesses::resident_bytes(const std::string& node) const {
+size_t FleetNodeProcesses::read_status_bytes(const std::string& node, const std::string& field) const {
   const std::string status = read_file("/proc/" + std::to_string(process_id(node)) + "/status");
-  const size_t line = status.find("VmRSS:");
-  return line == std::string::npos ? 0 : std::strtoull(status.c_str() + line + 6, nullptr, 10) * 1024;
+  const size_t line = status.find(field + ":");
+  return line == std::string::npos ? 0 : std::strtoull(status.c_str() + line + field.size() + 1, nullptr, 10) * 1024;
+}
+
+size_t FleetNodeProcesses::resident_bytes(const std::string& node) const { return read_status_bytes(node, "VmRSS"); }
+
+size_t FleetNodeProcesses::peak_resident_bytes(const std::string& node) const {
+  return read_status_bytes(node, "VmHWM");
+}
+
+size_t FleetNodeProcesses::open_descriptors(const std::string& node) const {
+  std::error_code ended;
+  const fs::directory_iterator descriptors("/proc/" + std::to_string(process_id(node)) + "/fd", ended);
+  return static_cast<size_t>(std::distance(begin(descriptors), end(descriptors)));
 }
 
 void FleetNodeProcesses::wipe_data(const std::string& node) { fs::remove_all(folder_ / ("data-" + node)); }
--- a/tests/integration/fleet_node_processes.h
+++ b/tests/integration/fleet_node_processes.h
@@ -36,6 +36,10 @@
   int forms_max_attempts = 2;
   /// Timeout of the routes to the models.
   std::chrono::milliseconds chat_timeout{4000};
+  /// Limit on the time until a request's head is complete.
+  std::chrono::milliseconds header_timeout{3000};
+  /// Limit on the open descriptors of each node; 0 for that of the test process.
+  int max_descriptors = 0;
 };
 
 /// A request of the route `orders`, which may run at most once.
@@ -94,6 +98,10 @@
   int process_id(const std::string& node) const { return processes_.at(node).pid; }
   /// Resident memory of the process in bytes; 0 if it has ended.
   size_t resident_bytes(const std::string& node) const;
+  /// Largest resident memory of the process since its start in bytes; 0 if it has ended.
+  size_t peak_resident_bytes(const std::string& node) const;
+  /// Number of open descriptors of the process; 0 if it has ended.
+  size_t open_descriptors(const std::string& node) const;
 
   /// Sends a request to the API of a control replica.
   net::FetchResult call_control(const std::string& node, const std::string& method, const std::string& path,
@@ -145,6 +153,8 @@
   void spawn(const std::string& node, const std::vector<std::string>& arguments,
              const std::vector<std::string>& environment, OutputTarget output = OutputTarget::kFile);
   std::string settings_flag(const std::string& node) const;
+  /// Value of a field in /proc/PID/status that is given in kB, in bytes; 0 if the process has ended.
+  size_t read_status_bytes(const std::string& node, const std::string& field) const;
   std::filesystem::path log_path(const std::string& node, int start) const;
 
   FleetNodeOptions options_;
--- /dev/null
+++ b/tests/integration/misbehaving_clients_test.cc
@@ -0,0 +1,170 @@
+#include <gtest/gtest.h>
+
+#include <boost/json.hpp>
+#include <thread>
+
+#include "client_crowd.h"
+#include "core/base/http_status.h"
+#include "fleet_node_processes.h"
+#include "forms_server.h"
+#include "server_reports.h"
+
+namespace larchlever::integration {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+constexpr auto kWaitTimeout = seconds(15);
+/// Only ends a test whose process hangs; nothing depends on how fast the crowd is served.
+constexpr auto kHangTimeout = seconds(30);
+/// How long an ordinary client waits for its answer.
+constexpr auto kPatience = seconds(8);
+/// Memory of the smallest machines on which entries and control replicas run.
+constexpr size_t kMemoryOfEntry = 260'000'000;
+constexpr size_t kMemoryOfControlReplica = 256'000'000;
+/// Descriptors that a process may hold in excess of those before the crowd came, once the crowd has left.
+constexpr size_t kMaxLeftDescriptors = 16;
+constexpr size_t kSendingClients = 40;
+/// The clients together send more than twice the memory of a machine.
+constexpr size_t kSentBytesPerClient = 16'000'000;
+
+/// A listener of a process, and the process that listens.
+struct Listener {
+  const char* name;
+  const char* node;
+  const char* port;
+  const char* method;
+  const char* target;
+  size_t memory_bytes;
+};
+
+constexpr Listener kCallers = {"Callers", "e1", ":8227", "POST", "/forms/1", kMemoryOfEntry};
+constexpr Listener kReadiness = {"Readiness", "e1", ":8220", "GET", "/ready", kMemoryOfEntry};
+constexpr Listener kRelay = {"Relay", "e1", ":7355", "POST", "/forms/1", kMemoryOfEntry};
+constexpr Listener kOperators = {"Operators", "c1", ":8229", "PUT", "/v1/configuration", kMemoryOfControlReplica};
+
+void PrintTo(const Listener& listener, std::ostream* out) { *out << listener.name; }
+
+std::string make_head(const Listener& listener, const std::string& framing) {
+  return std::string(listener.method) + " " + listener.target +
+         " HTTP/1.1\r\nHost: forms.example\r\nLarchlever-Request-Id: e1-crowd\r\n" + framing + "\r\n\r\n";
+}
+
+std::string make_chunked_head(const Listener& listener) { return make_head(listener, "Transfer-Encoding: chunked"); }
+
+/// Runs three control replicas, one entry and a plain server.
+class MisbehavingClients : public testing::TestWithParam<Listener> {
+ protected:
+  explicit MisbehavingClients(const FleetNodeOptions& options = FleetNodeOptions::with_three_replicas(1))
+      : fleet_(options) {}
+
+  void SetUp() override {
+    server_address_ = fleet_.engine_addresses(1)[0] + ":9000";
+    server_ = std::make_unique<FormsServer>(client_, server_address_);
+    ASSERT_TRUE(fleet_.start_serving(kWaitTimeout));
+    reporter_ = std::thread([this] { report_until_stopped(); });
+    ASSERT_TRUE(wait_until([this] { return call_forms("first") == http_status::kOk; }, kWaitTimeout));
+    process_id_ = fleet_.process_id(GetParam().node);
+    descriptors_before_ = fleet_.open_descriptors(GetParam().node);
+  }
+  void TearDown() override {
+    stopped_ = true;
+    if (reporter_.joinable()) {
+      reporter_.join();
+    }
+  }
+  void report_until_stopped() {
+    BlockingClient client;
+    ReportSender reports({fleet_.control_endpoint("c1"), fleet_.control_endpoint("c2")});
+    for (int64_t number = 1; !stopped_; ++number) {
+      reports.send(client, "i1", boost::json::serialize(plain_server_report(server_address_, "north", number)));
+      std::this_thread::sleep_for(milliseconds(400));
+    }
+  }
+
+  std::string crowd_endpoint() const { return fleet_.address(GetParam().node) + GetParam().port; }
+
+  static int status_of(const net::FetchResult& result) { return result.response ? result.response->status : 0; }
+  int call_forms(const std::string& id, const std::string& body = "") {
+    BlockingClient client;
+    return status_of(fleet_.call_forms(client, "e1", "e1-" + id, body, kPatience));
+  }
+  int call_at(const std::string& endpoint, const std::string& target) {
+    BlockingClient client;
+    net::HttpRequest request;
+    request.target = target;
+    return status_of(client.fetch(endpoint, request, kPatience));
+  }
+  /// Sends one ordinary request to the process that the crowd calls, on a new connection.
+  int call_process() {
+    const std::string name = GetParam().name;
+    if (name == kOperators.name) {
+      return call_at(crowd_endpoint(), "/v1/configuration");
+    }
+    return name == kReadiness.name ? call_at(crowd_endpoint(), "/ready") : call_forms("ordinary", "form");
+  }
+
+  /// The crowd is still connected.
+  void expect_process_serves() {
+    const auto& listener = GetParam();
+    RecordProperty("peak_megabytes", std::to_string(fleet_.peak_resident_bytes(listener.node) / 1'000'000));
+    EXPECT_LT(fleet_.peak_resident_bytes(listener.node), listener.memory_bytes);
+    EXPECT_EQ(call_process(), http_status::kOk);
+    EXPECT_LT(fleet_.peak_resident_bytes(listener.node), listener.memory_bytes);
+    EXPECT_TRUE(fleet_.is_running(listener.node));
+    EXPECT_EQ(fleet_.process_id(listener.node), process_id_);
+  }
+  void expect_descriptors_are_released() {
+    EXPECT_TRUE(wait_until(
+        [this] { return fleet_.open_descriptors(GetParam().node) <= descriptors_before_ + kMaxLeftDescriptors; },
+        kHangTimeout))
+        << fleet_.open_descriptors(GetParam().node) << " open, " << descriptors_before_ << " before";
+  }
+  void run_crowd(size_t client_count, const ClientScript& script) {
+    {
+      const ClientCrowd crowd(crowd_endpoint(), client_count, script);
+      EXPECT_TRUE(crowd.wait_until_settled(kHangTimeout)) << "a client neither sent everything nor was disconnected";
+      RecordProperty("disconnected", std::to_string(crowd.disconnected_count()));
+      expect_process_serves();
+    }
+    expect_descriptors_are_released();
+  }
+
+  FleetNodeProcesses fleet_;
+  BlockingClient client_;
+  std::string server_address_;
+  std::unique_ptr<FormsServer> server_;
+  std::thread reporter_;
+  std::atomic<bool> stopped_ = false;
+  int process_id_ = -1;
+  size_t descriptors_before_ = 0;
+};
+
+std::string name_of(const testing::TestParamInfo<Listener>& info) { return info.param.name; }
+
+const auto kAllListeners = testing::Values(kCallers, kReadiness, kRelay, kOperators);
+
+// ------------------------------------------------------------------ framing
+
+/// Framing of a body that never ends, within a body that is short.
+using EndlessFraming = MisbehavingClients;
+
+// The parser buffered trailer fields until their end, without a limit.
+TEST_P(EndlessFraming, TrailersTakeBoundedMemory) {
+  run_crowd(kSendingClients,
+            {make_chunked_head(GetParam()) + "4\r\nform\r\n0\r\n", "X-Field: value\r\n", kSentBytesPerClient});
+}
+
+TEST_P(EndlessFraming, TrailerLineTakesBoundedMemory) {
+  run_crowd(kSendingClients, {make_chunked_head(GetParam()) + "4\r\nform\r\n0\r\nX: ", "x", kSentBytesPerClient});
+}
+
+TEST_P(EndlessFraming, ChunkExtensionTakesBoundedMemory) {
+  run_crowd(kSendingClients, {make_chunked_head(GetParam()) + "4;", "x", kSentBytesPerClient});
+}
+
+INSTANTIATE_TEST_SUITE_P(At, EndlessFraming, kAllListeners, name_of);
+
+}  // namespace
+}  // namespace larchlever::integration
