Connections: a peer that never pauses does not extend deadlines

What callers saw: clients that go on sending after their request was rejected, or whose body never ends, keep an entry or a control replica busy for as long as they like, and their connections stay open.

Cause: a TimedStream starts the timer of its deadline with each operation and ends it with the operation. Where bytes are always there, an operation completes before a timer fires, even one that is overdue. So neither the 0.3 s in which a rejected request is discarded nor body_timeout ever ended.

Change: an operation that begins after the deadline, and after the 200 ms that a ready socket has beyond it, fails at once. These 200 ms begin with the first operation after the deadline, so what arrived while the process stood still is read as before (TimedStream.ReadsWhatIsThereAfterItsDeadline, and the tests of pauses). The same holds for answers of servers, which use the same stream.

--- a/src/net/timed_stream.cc
+++ b/src/net/timed_stream.cc
@@ -26,9 +26,28 @@
 
 void TimedStream::State::begin_operation(Direction direction) {
   timed_out_ = false;
-  if (deadline) {
-    start_timer(direction, *deadline);
+  if (!deadline) {
+    return;
   }
+  // The timer alone would not end a series of operations that each complete at once, before it fires.
+  if (has_expired(steady_clock::now())) {
+    expire();
+    return;
+  }
+  start_timer(direction, *deadline);
+}
+
+bool TimedStream::State::has_expired(steady_clock::time_point now) {
+  if (!deadline || now < *deadline) {
+    return false;
+  }
+  grace_end = grace_end.value_or(now + kReadyGracePeriod);
+  return now >= *grace_end;
+}
+
+void TimedStream::State::expire() {
+  timed_out_ = true;
+  close();
 }
 
 TimedStream::ErrorCode TimedStream::State::end_operation(ErrorCode error) {
@@ -54,15 +73,11 @@
 
 void TimedStream::State::on_timer(Direction direction) {
   const auto now = steady_clock::now();
-  if (is_ready(direction)) {
-    grace_end = grace_end.value_or(now + kReadyGracePeriod);
-    if (now < *grace_end) {
-      start_timer(direction, now + kReadyRecheckInterval);
-      return;
-    }
+  if (is_ready(direction) && !has_expired(now)) {
+    start_timer(direction, now + kReadyRecheckInterval);
+    return;
   }
-  timed_out_ = true;
-  close();
+  expire();
 }
 
 bool TimedStream::State::is_ready(Direction direction) {
--- a/src/net/timed_stream.h
+++ b/src/net/timed_stream.h
@@ -15,8 +15,9 @@
 
 /// A TCP stream whose operations fail with `boost::beast::error::timeout` and close the socket when their deadline
 /// passes. An operation times out only if the socket is not ready for it: after a pause of the process its timers fire
-/// before its sockets are polled, and data that arrived during the pause must be read first. Runs on one executor, with
-/// one operation at a time; not thread-safe. Models Asio's AsyncReadStream and AsyncWriteStream.
+/// before its sockets are polled, and data that arrived during the pause must be read first. That holds for a moment
+/// only: a peer that sends or reads without a pause does not extend the deadline. Runs on one executor, with one
+/// operation at a time; not thread-safe. Models Asio's AsyncReadStream and AsyncWriteStream.
 class TimedStream {
  public:
   using executor_type = boost::asio::any_io_executor;
@@ -73,12 +74,16 @@
 
     boost::asio::ip::tcp::socket socket;
     std::optional<std::chrono::steady_clock::time_point> deadline;
-    /// Set when the deadline passes while the socket is ready. The operation may still complete until this time.
+    /// Set when the deadline has passed and the socket may be ready. Operations may still complete until this time.
     std::optional<std::chrono::steady_clock::time_point> grace_end;
 
    private:
     void start_timer(Direction direction, std::chrono::steady_clock::time_point expiry);
     void on_timer(Direction direction);
+    /// Returns true if the deadline has passed and so has the time that is granted to a ready socket after it.
+    bool has_expired(std::chrono::steady_clock::time_point now);
+    /// Makes the current operation fail with a timeout.
+    void expire();
     bool is_ready(Direction direction);
 
     boost::asio::steady_timer timer_;
--- a/tests/integration/misbehaving_clients_test.cc
+++ b/tests/integration/misbehaving_clients_test.cc
@@ -166,5 +166,31 @@
 
 INSTANTIATE_TEST_SUITE_P(At, EndlessFraming, kAllListeners, name_of);
 
+// ---------------------------------------------------------- rejected requests
+
+/// Clients that go on sending although their request was rejected.
+class RejectedClients : public MisbehavingClients {
+ protected:
+  static constexpr size_t kWithoutEnd = ClientScript::kWithoutEnd;
+
+  void expect_disconnected_while_sending(const ClientScript& script) {
+    const ClientCrowd crowd(crowd_endpoint(), kSendingClients, script);
+    EXPECT_TRUE(crowd.wait_until_settled(kHangTimeout)) << crowd.disconnected_count() << " were disconnected";
+    expect_process_serves();
+    expect_descriptors_are_released();
+  }
+};
+
+// A client that sends without a pause met no deadline, because each read completed before its timer fired.
+TEST_P(RejectedClients, AreDisconnectedWhileTheySendBodyOfKnownLength) {
+  expect_disconnected_while_sending({make_head(GetParam(), "Content-Length: 4000000000"), "x", kWithoutEnd});
+}
+
+TEST_P(RejectedClients, AreDisconnectedWhileTheySendOneChunk) {
+  expect_disconnected_while_sending({make_chunked_head(GetParam()) + "fffffff0\r\n", "x", kWithoutEnd});
+}
+
+INSTANTIATE_TEST_SUITE_P(At, RejectedClients, kAllListeners, name_of);
+
 }  // namespace
 }  // namespace larchlever::integration
