Requests: the bodies held by a process are bounded together

What callers saw: clients that each keep within max_body_bytes, but stop just short of the end and stay, took entries and control replicas past their memory; the platform ends such a process, and all requests at it are lost.

Cause: each body was limited, their sum was not. A body is held from its first byte for up to body_timeout, and a complete one until its answer, with a copy in the request that is forwarded.

Change: requests::BodyBudget, pure logic, shared by all listeners of a process. Beyond it, incomplete bodies are dropped with 503, Retry-After and "not run": first those of which nothing came for a second, then the longest, the oldest of about the same size. So a caller with a short body is never refused for others' long ones, and one with a long body goes before those that rest. Long bodies leave a quarter of the budget to short ones. A body that is alone is always received, so no client within the limits meets it in calm. Complete bodies count twice and are not dropped. New settings memory_mb and request_buffers_mb, the first given by the platform; by default a quarter of the memory.

Weighed: refusing new bodies while the budget is used up; resting clients would keep everybody else out for 30 s.

--- a/src/cli/serve_commands.cc
+++ b/src/cli/serve_commands.cc
@@ -8,6 +8,7 @@
 #include "cli/flags.h"
 #include "cli/region_bootstrap.h"
 #include "emulator/emulated_fleet.h"
+#include "node/allocator.h"
 #include "node/dialect.h"
 #include "node/fleet_process.h"
 #include "node/logging.h"
@@ -290,6 +291,7 @@
     return kExitInvalid;
   }
   std::signal(SIGPIPE, SIG_IGN);
+  node::return_large_blocks_when_freed();
   node::configure_logging(settings->log_level, "");
   node::set_default_node(settings->name);
   FleetNodeRunner runner(*settings);
--- a/src/net/http_server.cc
+++ b/src/net/http_server.cc
@@ -7,10 +7,12 @@
 #include <boost/asio.hpp>
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
+#include <limits>
 #include <map>
 #include <set>
 
 #include "core/base/http_status.h"
+#include "net/clock.h"
 #include "net/listener.h"
 #include "net/timed_stream.h"
 
@@ -31,9 +33,14 @@
 }
 
 constexpr size_t kHeadReadBytes = 4096;
+constexpr std::string_view kRequestRemedy = "send a valid HTTP/1.1 request within the limits";
 /// How long the rest of a rejected request is read and discarded. Closing with unread data would reset the connection,
 /// and the client could lose the response.
 constexpr auto kDiscardTimeout = std::chrono::milliseconds(300);
+/// Retry-After, in seconds, of requests for whose bodies there is no memory. Bodies in flight take less to arrive.
+constexpr const char* kOverloadRetryAfter = "1";
+/// The body of a request does not fit into the memory for bodies.
+constexpr auto kOverloadError = asio::error::no_buffer_space;
 
 std::string_view buffered_bytes(const beast::flat_buffer& buffer) {
   return {static_cast<const char*>(buffer.data().data()), buffer.size()};
@@ -73,19 +80,34 @@
 }  // namespace
 
 struct HttpServer::Implementation : std::enable_shared_from_this<HttpServer::Implementation> {
-  Implementation(asio::any_io_executor given_executor, HttpServerOptions given_options, HttpHandler& given_handler)
-      : executor(std::move(given_executor)), options(given_options), handler(&given_handler), acceptor(executor) {}
+  Implementation(asio::any_io_executor given_executor, HttpServerOptions given_options, HttpHandler& given_handler,
+                 std::shared_ptr<requests::BodyBudget> given_body_budget)
+      : executor(std::move(given_executor)),
+        options(given_options),
+        handler(&given_handler),
+        acceptor(executor),
+        body_budget(std::move(given_body_budget)) {
+    if (body_budget == nullptr) {
+      body_budget = std::make_shared<requests::BodyBudget>(std::numeric_limits<size_t>::max());
+    }
+  }
 
   /// `self` keeps the server alive from the call on, because the coroutine starts only when the executor runs it.
   asio::awaitable<void> accept_loop(std::shared_ptr<Implementation> self);
   asio::awaitable<void> serve(std::shared_ptr<TimedStream> stream);
   asio::awaitable<beast::error_code> read_head_bytes(TimedStream& stream, beast::flat_buffer& buffer, bool is_first);
-  asio::awaitable<void> reject_request(std::shared_ptr<TimedStream> stream, int status, std::string title);
+  /// Reads the request whose head is in the buffer.
+  asio::awaitable<beast::error_code> read_request(TimedStream& stream, beast::flat_buffer& buffer,
+                                                  RequestParser& parser, requests::BodyReservation& reservation);
+  /// Counts a request that could not be read. Returns the response to it, or nothing if the connection is just closed.
+  std::optional<HttpResponse> make_rejection(beast::error_code error);
+  asio::awaitable<void> reject_request(std::shared_ptr<TimedStream> stream, HttpResponse rejection);
 
   asio::any_io_executor executor;
   HttpServerOptions options;
   HttpHandler* handler;
   asio::ip::tcp::acceptor acceptor;
+  std::shared_ptr<requests::BodyBudget> body_budget;
   bool draining = false;
   bool closed = false;
   std::set<std::shared_ptr<TimedStream>> streams;
@@ -336,13 +358,61 @@
   co_return beast::error_code();
 }
 
-asio::awaitable<void> HttpServer::Implementation::reject_request(std::shared_ptr<TimedStream> stream, int status,
-                                                                 std::string title) {
+asio::awaitable<beast::error_code> HttpServer::Implementation::read_request(TimedStream& stream,
+                                                                            beast::flat_buffer& buffer,
+                                                                            RequestParser& parser,
+                                                                            requests::BodyReservation& reservation) {
+  stream.expires_after(options.body_timeout);
+  parser.eager(true);
+  while (!parser.is_done()) {
+    const auto [error, count] = co_await http::async_read_some(stream, buffer, parser, kAwaitWithError);
+    if (!error) {
+      reservation.grow_to(monotonic_now(), parser.get().body().size());
+    }
+    if (reservation.is_evicted()) {
+      co_return kOverloadError;
+    }
+    if (error) {
+      co_return error;
+    }
+  }
+  co_return reservation.complete(monotonic_now()) ? beast::error_code() : kOverloadError;
+}
+
+std::optional<HttpResponse> HttpServer::Implementation::make_rejection(beast::error_code error) {
+  if (error == kOverloadError) {
+    ++stats.overload_rejections;
+    auto response = make_problem_response(http_status::kServiceUnavailable, "the memory for request bodies is used up",
+                                          "send the request again after Retry-After");
+    response.headers.add("Retry-After", kOverloadRetryAfter);
+    return response;
+  }
+  if (error == http::error::body_limit) {
+    ++stats.oversized_requests;
+    return make_problem_response(http_status::kPayloadTooLarge, "request body too large", kRequestRemedy);
+  }
+  if (error == http::error::header_limit || error == http::error::buffer_overflow) {
+    ++stats.oversized_requests;
+    return make_problem_response(http_status::kPayloadTooLarge, "request head, trailer or chunk line too large",
+                                 kRequestRemedy);
+  }
+  if (error == beast::error::timeout) {
+    ++stats.timed_out_requests;
+    return std::nullopt;
+  }
+  if (error.category() == http::make_error_code(http::error::bad_target).category()) {
+    ++stats.malformed_requests;
+    return make_problem_response(http_status::kBadRequest, "malformed HTTP request", kRequestRemedy);
+  }
+  return std::nullopt;
+}
+
+asio::awaitable<void> HttpServer::Implementation::reject_request(std::shared_ptr<TimedStream> stream,
+                                                                 HttpResponse rejection) {
   http::request<http::string_body> empty;
   auto exchange = std::make_shared<BeastExchange>(stream, options, draining, std::move(empty));
   exchange->close_after_response();
-  auto answer = make_problem_response(status, title, "send a valid HTTP/1.1 request within the limits");
-  co_await exchange->respond(std::move(answer));
+  co_await exchange->respond(std::move(rejection));
   beast::error_code error;
   stream->socket().shutdown(asio::ip::tcp::socket::shutdown_send, error);
   stream->expires_after(kDiscardTimeout);
@@ -366,34 +436,22 @@
     beast::error_code error = co_await read_head_bytes(*stream, buffer, is_first_request);
     idle_since.erase(stream);
     is_first_request = false;
+    requests::BodyReservation reservation(*body_budget, monotonic_now(), [stream] { stream->cancel(); });
     if (!error) {
       if (const auto head_error = find_head_error(buffered_head(buffer))) {
         ++stats.malformed_requests;
-        co_await reject_request(stream, http_status::kBadRequest, *head_error);
+        co_await reject_request(stream, make_problem_response(http_status::kBadRequest, *head_error, kRequestRemedy));
         break;
       }
-      stream->expires_after(options.body_timeout);
-      auto [read_error, read_size] = co_await http::async_read(*stream, buffer, parser, kAwaitWithError);
-      error = read_error;
+      error = co_await read_request(*stream, buffer, parser, reservation);
     }
     if (error == http::error::end_of_stream || closed) {
       break;
     }
     if (error) {
-      const bool body_too_large = error == http::error::body_limit;
-      const bool head_too_large = error == http::error::header_limit || error == http::error::buffer_overflow;
-      const bool timed_out = error == beast::error::timeout;
-      const bool malformed = !body_too_large && !head_too_large &&
-                             error.category() == http::make_error_code(http::error::bad_target).category();
-      stats.oversized_requests += body_too_large || head_too_large ? 1 : 0;
-      stats.timed_out_requests += timed_out ? 1 : 0;
-      stats.malformed_requests += malformed ? 1 : 0;
-      if (body_too_large) {
-        co_await reject_request(stream, http_status::kPayloadTooLarge, "request body too large");
-      } else if (head_too_large) {
-        co_await reject_request(stream, http_status::kPayloadTooLarge, "request head, trailer or chunk line too large");
-      } else if (malformed) {
-        co_await reject_request(stream, http_status::kBadRequest, "malformed HTTP request");
+      std::string().swap(parser.get().body());  // Frees it before the client is sent the rejection.
+      if (auto rejection = make_rejection(error)) {
+        co_await reject_request(stream, std::move(*rejection));
       }
       break;
     }
@@ -418,8 +476,10 @@
   stream->close();
 }
 
-HttpServer::HttpServer(asio::any_io_executor executor, HttpServerOptions options, HttpHandler& handler)
-    : implementation_(std::make_shared<Implementation>(std::move(executor), options, handler)) {}
+HttpServer::HttpServer(asio::any_io_executor executor, HttpServerOptions options, HttpHandler& handler,
+                       std::shared_ptr<requests::BodyBudget> body_budget)
+    : implementation_(std::make_shared<Implementation>(std::move(executor), options, handler, std::move(body_budget))) {
+}
 
 HttpServer::~HttpServer() { close_all(); }
 
--- a/src/net/http_server.h
+++ b/src/net/http_server.h
@@ -10,6 +10,7 @@
 #include <string>
 #include <string_view>
 
+#include "core/requests/body_budget.h"
 #include "net/http_types.h"
 
 namespace larchlever::net {
@@ -63,6 +64,8 @@
   uint64_t malformed_requests = 0;
   uint64_t oversized_requests = 0;
   uint64_t timed_out_requests = 0;
+  /// Requests rejected because the memory for bodies was used up.
+  uint64_t overload_rejections = 0;
   uint64_t refused_connections = 0;
   int64_t open_connections = 0;
   int64_t active_requests = 0;
@@ -75,10 +78,13 @@
 
 /// Minimal HTTP/1.1 server on Asio and Beast. Supports keep-alive, limits the sizes of heads and bodies and the time
 /// for each step, and handles one request at a time per connection; pipelined requests are queued. Malformed input gets
-/// a 4xx response and the connection is closed. Runs on one executor; not thread-safe.
+/// a 4xx response and the connection is closed; so does a request for whose body there is no memory, with a 503. Runs
+/// on one executor; not thread-safe.
 class HttpServer {
  public:
-  HttpServer(boost::asio::any_io_executor executor, HttpServerOptions options, HttpHandler& handler);
+  /// Servers of one process share `body_budget`; without one, the bodies have no common limit.
+  HttpServer(boost::asio::any_io_executor executor, HttpServerOptions options, HttpHandler& handler,
+             std::shared_ptr<requests::BodyBudget> body_budget = nullptr);
   ~HttpServer();
   HttpServer(const HttpServer&) = delete;
   HttpServer& operator=(const HttpServer&) = delete;
--- /dev/null
+++ b/src/node/client_limits.cc
@@ -0,0 +1,39 @@
+#include "node/client_limits.h"
+
+#include <unistd.h>
+
+#include <algorithm>
+#include <cstdint>
+
+namespace larchlever::node {
+
+namespace {
+
+/// Bodies of requests may use one part in this many of the process's memory.
+constexpr size_t kBodyBudgetDivisor = 4;
+/// Without `memory_mb`, the process may be allowed much less memory than the machine has. This fits into 256 MB.
+constexpr size_t kMaxDefaultBodyBudgetBytes = 64U << 20U;
+
+size_t machine_memory_bytes() {
+  const auto pages = static_cast<size_t>(std::max<int64_t>(0, ::sysconf(_SC_PHYS_PAGES)));
+  const auto page_size = static_cast<size_t>(std::max<int64_t>(0, ::sysconf(_SC_PAGESIZE)));
+  return pages * page_size;
+}
+
+size_t body_budget_bytes(const settings::FleetSettings& settings) {
+  if (settings.request_buffer_bytes > 0) {
+    return settings.request_buffer_bytes;
+  }
+  if (settings.memory_bytes > 0) {
+    return settings.memory_bytes / kBodyBudgetDivisor;
+  }
+  return std::min(machine_memory_bytes() / kBodyBudgetDivisor, kMaxDefaultBodyBudgetBytes);
+}
+
+}  // namespace
+
+std::shared_ptr<requests::BodyBudget> make_body_budget(const settings::FleetSettings& settings) {
+  return std::make_shared<requests::BodyBudget>(body_budget_bytes(settings));
+}
+
+}  // namespace larchlever::node
--- a/src/node/control_process.cc
+++ b/src/node/control_process.cc
@@ -7,6 +7,7 @@
 #include "net/listener.h"
 #include "net/listener_probe.h"
 #include "net/peer_transport.h"
+#include "node/client_limits.h"
 #include "node/clock.h"
 #include "node/control_api.h"
 #include "node/dialect.h"
@@ -14,6 +15,7 @@
 #include "node/fleet_process.h"
 #include "node/leader_search_logger.h"
 #include "node/logging.h"
+#include "node/rejected_client_logger.h"
 #include "node/replica_storage.h"
 #include "wire/codec.h"
 
@@ -122,7 +124,7 @@
               return controller_.submit_call(monotonic_now(), std::move(call), std::move(is_caller_waiting));
             },
             [this] { return recent_pause(monotonic_now()); }),
-        server_(executor, net::HttpServerOptions(), api_) {}
+        server_(executor, net::HttpServerOptions(), api_, make_body_budget(settings)) {}
   ~ControlProcess() override { stop(); }
 
   bool start(std::string& error) override;
@@ -199,6 +201,7 @@
   FleetChangeLogger change_logger_;
   ControlApi api_;
   net::HttpServer server_;
+  RejectedClientLogger rejected_clients_logger_{settings_.name, "control"};
   /// Term and version of the fleet state that was last saved to disk.
   std::pair<int64_t, int64_t> saved_state_version_{0, 0};
   TimePoint next_state_save_{};
@@ -451,6 +454,7 @@
     log_state_changes();
     log_formation_progress();
     search_logger_.tick(monotonic_now(), controller_.subscription());
+    rejected_clients_logger_.tick(monotonic_now(), server_.stats());
     if (controller_.is_leader(monotonic_now())) {
       change_logger_.log_changes(monotonic_now(), controller_.leader_view());
     }
--- a/src/node/entry_process.cc
+++ b/src/node/entry_process.cc
@@ -9,11 +9,13 @@
 #include "net/http_server.h"
 #include "net/listener.h"
 #include "net/peer_transport.h"
+#include "node/client_limits.h"
 #include "node/clock.h"
 #include "node/fleet_process.h"
 #include "node/leader_search_logger.h"
 #include "node/link_prober.h"
 #include "node/logging.h"
+#include "node/rejected_client_logger.h"
 #include "node/request_relay.h"
 
 namespace larchlever::node {
@@ -97,10 +99,11 @@
         link_prober_(executor, *find_dialect(settings.dialect), state_, request_relay_.client(),
                      request_relay_.in_flight_attempts()),
         relay_handler_(request_relay_),
-        relay_server_(executor, net::HttpServerOptions(), relay_handler_),
-        caller_server_(executor, net::HttpServerOptions(), request_relay_),
+        body_budget_(make_body_budget(settings)),
+        relay_server_(executor, net::HttpServerOptions(), relay_handler_, body_budget_),
+        caller_server_(executor, net::HttpServerOptions(), request_relay_, body_budget_),
         readiness_handler_([this] { return is_ready(); }),
-        readiness_server_(executor, net::HttpServerOptions(), readiness_handler_) {
+        readiness_server_(executor, net::HttpServerOptions(), readiness_handler_, body_budget_) {
     state_.dispatcher.set_relay_available(!settings.relay_address.empty());
     state_.dispatcher.retry_budget().start(monotonic_now());
   }
@@ -159,10 +162,15 @@
   RequestRelay request_relay_;
   LinkProber link_prober_;
   PeerRequestHandler relay_handler_;
+  /// Bodies of requests of all listeners.
+  std::shared_ptr<requests::BodyBudget> body_budget_;
   net::HttpServer relay_server_;
   net::HttpServer caller_server_;
   ReadinessHandler readiness_handler_;
   net::HttpServer readiness_server_;
+  RejectedClientLogger rejected_callers_logger_{settings_.name, "callers"};
+  RejectedClientLogger rejected_peers_logger_{settings_.name, "relay"};
+  RejectedClientLogger rejected_probes_logger_{settings_.name, "readiness"};
   int64_t document_version_ = 0;
   int64_t evacuation_revision_ = 0;
   /// Number of entries that share budgets.
@@ -274,6 +282,9 @@
   }
   search_logger_.tick(now, state_.subscription);
   state_.answer_sizes.tick(now, settings_.name);
+  rejected_callers_logger_.tick(now, caller_server_.stats());
+  rejected_peers_logger_.tick(now, relay_server_.stats());
+  rejected_probes_logger_.tick(now, readiness_server_.stats());
   const bool has_lease = state_.subscription.has_lease(now);
   if (has_lease != had_lease_) {
     had_lease_ = has_lease;
--- a/src/settings/fleet_settings.cc
+++ b/src/settings/fleet_settings.cc
@@ -12,7 +12,7 @@
 /// Part of the revocation and evacuation bounds that is reserved for forwarding a request after the lease check.
 constexpr Duration kRevocationSendMargin = milliseconds(500);
 constexpr Duration kEvacuationSendMargin = kRevocationSendMargin;
-constexpr int64_t kMaxAnswerBufferMegabytes = 1'000'000;
+constexpr int64_t kMaxMegabytes = 1'000'000;
 /// An instance counts as silent after two missed heartbeats, plus a tolerance for delays.
 constexpr int kMissedHeartbeatsUntilSilent = 2;
 constexpr Duration kHeartbeatDelayTolerance = milliseconds(300);
@@ -31,6 +31,11 @@
   return host == "0.0.0.0" || host == "[::]";
 }
 
+/// Returns bytes; 0 if the key is missing.
+size_t read_megabytes(SectionReader& section, const std::string& key) {
+  return static_cast<size_t>(section.read_integer(key, 0, 0, kMaxMegabytes)) << 20U;
+}
+
 void read_node(const IniDocument& document, FleetSettings& settings, std::vector<std::string>& errors) {
   SectionReader node_section("node", document.find_section("node"), errors);
   settings.name = node_section.read_required_string("name");
@@ -59,8 +64,9 @@
   }
   settings.data_folder = node_section.read_string("data_folder", "");
   settings.dialect = node_section.read_string("dialect", settings.dialect);
-  settings.answer_buffer_bytes =
-      static_cast<size_t>(node_section.read_integer("answer_buffers_mb", 0, 0, kMaxAnswerBufferMegabytes)) << 20U;
+  settings.answer_buffer_bytes = read_megabytes(node_section, "answer_buffers_mb");
+  settings.memory_bytes = read_megabytes(node_section, "memory_mb");
+  settings.request_buffer_bytes = read_megabytes(node_section, "request_buffers_mb");
   if (!is_entry && settings.data_folder.empty()) {
     node_section.add_error("data_folder", "", "missing; a control replica stores its log on disk; set a folder");
   }
--- a/src/settings/fleet_settings.h
+++ b/src/settings/fleet_settings.h
@@ -40,6 +40,10 @@
   Duration stop_grace_period = seconds(8);
   /// Limit on the response bytes that an entry buffers for slow callers; 0 selects a share of the machine's memory.
   size_t answer_buffer_bytes = 0;
+  /// Memory that the process may use; 0 if it may use the machine's.
+  size_t memory_bytes = 0;
+  /// Limit on the bodies of requests that are being received or served; 0 selects a share of the memory.
+  size_t request_buffer_bytes = 0;
   std::string log_level = "info";
   fleet::FleetOptions options;
 
--- a/tests/integration/misbehaving_clients_test.cc
+++ b/tests/integration/misbehaving_clients_test.cc
@@ -28,6 +28,11 @@
 constexpr size_t kSendingClients = 40;
 /// The clients together send more than twice the memory of a machine.
 constexpr size_t kSentBytesPerClient = 16'000'000;
+constexpr size_t kStallingClients = 100;
+/// Bodies of which nothing has arrived for this long give way to others.
+constexpr auto kStallTime = milliseconds(1500);
+/// `max_body_bytes` of the document.
+constexpr size_t kMaxBodyBytes = 4'194'304;
 
 /// A listener of a process, and the process that listens.
 struct Listener {
@@ -53,6 +58,10 @@
 
 std::string make_chunked_head(const Listener& listener) { return make_head(listener, "Transfer-Encoding: chunked"); }
 
+std::string make_chunk(const std::string& hexadecimal_size, size_t size) {
+  return hexadecimal_size + "\r\n" + std::string(size, 'x') + "\r\n";
+}
+
 /// Runs three control replicas, one entry and a plain server.
 class MisbehavingClients : public testing::TestWithParam<Listener> {
  protected:
@@ -186,11 +195,69 @@
   expect_disconnected_while_sending({make_head(GetParam(), "Content-Length: 4000000000"), "x", kWithoutEnd});
 }
 
+TEST_P(RejectedClients, AreDisconnectedWhileTheySendChunks) {
+  expect_disconnected_while_sending({make_chunked_head(GetParam()), make_chunk("10000", 0x10000), kWithoutEnd});
+}
+
 TEST_P(RejectedClients, AreDisconnectedWhileTheySendOneChunk) {
   expect_disconnected_while_sending({make_chunked_head(GetParam()) + "fffffff0\r\n", "x", kWithoutEnd});
 }
 
 INSTANTIATE_TEST_SUITE_P(At, RejectedClients, kAllListeners, name_of);
 
+// ------------------------------------------------------------ stalled bodies
+
+/// Bodies within the limits that stop just short of their end.
+using StalledBodies = MisbehavingClients;
+
+// The bodies of incomplete requests were held without a limit on their total size.
+TEST_P(StalledBodies, OfKnownLengthTakeBoundedMemory) {
+  run_crowd(kStallingClients,
+            {make_head(GetParam(), "Content-Length: " + std::to_string(kMaxBodyBytes)), "x", kMaxBodyBytes - 1});
+}
+
+TEST_P(StalledBodies, InLargeChunksTakeBoundedMemory) {
+  constexpr size_t kChunkBytes = 0x10000;
+  const std::string chunk = make_chunk("10000", kChunkBytes);
+  run_crowd(kStallingClients, {make_chunked_head(GetParam()), chunk, (kMaxBodyBytes / kChunkBytes - 1) * chunk.size()});
+}
+
+TEST_P(StalledBodies, InSmallChunksTakeBoundedMemory) {
+  constexpr size_t kChunkBytes = 16;
+  const std::string chunk = make_chunk("10", kChunkBytes);
+  run_crowd(kStallingClients, {make_chunked_head(GetParam()), chunk, (kMaxBodyBytes / kChunkBytes - 1) * chunk.size()});
+}
+
+INSTANTIATE_TEST_SUITE_P(At, StalledBodies, kAllListeners, name_of);
+
+/// Less memory for bodies than one request within the limits needs.
+class SmallBodyBudget : public MisbehavingClients {
+ protected:
+  SmallBodyBudget() : MisbehavingClients(fleet_options()) {}
+
+  static FleetNodeOptions fleet_options() {
+    auto options = FleetNodeOptions::with_three_replicas(1);
+    options.entry_settings = "request_buffers_mb = 1\n";
+    return options;
+  }
+};
+
+TEST_P(SmallBodyBudget, ServesOneLongestBodyAlone) {
+  for (int request = 0; request < 3; ++request) {
+    EXPECT_EQ(call_forms("long-" + std::to_string(request), std::string(kMaxBodyBytes, 'x')), http_status::kOk);
+  }
+}
+
+// Clients within the limits were refused because others let long bodies rest.
+TEST_P(SmallBodyBudget, ServesOneLongestBodyBesideStalledOnes) {
+  const ClientCrowd crowd(crowd_endpoint(), kStallingClients,
+                          {make_head(GetParam(), "Content-Length: 4000000"), "x", 100'000});
+  EXPECT_TRUE(crowd.wait_until_settled(kHangTimeout));
+  std::this_thread::sleep_for(kStallTime);
+  EXPECT_EQ(call_forms("long", std::string(kMaxBodyBytes, 'x')), http_status::kOk);
+}
+
+INSTANTIATE_TEST_SUITE_P(At, SmallBodyBudget, testing::Values(kCallers), name_of);
+
 }  // namespace
 }  // namespace larchlever::integration
--- a/tests/unit/platform_template_test.cc
+++ b/tests/unit/platform_template_test.cc
@@ -27,6 +27,7 @@
           {"bootstrap", "true"},
           {"fault_tolerance.machines", "2"},
           {"heartbeat_ms", "1200"},
+          {"limits.memory_mb", "260"},
           {"bounds.revoke_ms", "5000"},
           {"bounds.evacuate_ms", "5000"},
           {"bounds.stall_ms", "5000"},
@@ -82,8 +83,8 @@
 
 /// True for fields without a default, which every node needs.
 bool is_required_field(const std::string& field) {
-  return !field.starts_with("bounds.") && field != "heartbeat_ms" && field != "fault_tolerance.machines" &&
-         field != "bootstrap";
+  return !field.starts_with("bounds.") && !field.starts_with("limits.") && field != "heartbeat_ms" &&
+         field != "fault_tolerance.machines" && field != "bootstrap";
 }
 
 // When a platform omitted an optional field, the rendered template contained a line like "stall = ms" in place of the
@@ -122,6 +123,7 @@
   EXPECT_EQ(settings->options.document_lease, milliseconds(5500));
   EXPECT_EQ(settings->options.stall_time, milliseconds(7000));
   EXPECT_EQ(settings->options.minimum_voters, 5U);
+  EXPECT_EQ(settings->memory_bytes, 260U << 20U);
   EXPECT_TRUE(settings->may_found_cluster());
 }
 
