Connections: clients cannot take all descriptors of a process

What callers saw: new connections to an entry or a control replica hang while many clients keep theirs open without completing a request. The entry cannot open connections to servers then either.

Cause: a listener accepted 20,000 connections, whatever the process may open. A client keeps its connection for as long as the timeouts of head and body allow.

Evidence: TooMany*.LeaveDescriptors, 300 clients at a process that may open 256 descriptors: with incomplete bodies none of four listeners had accepted the rest after 30 s; with incomplete heads and a long header timeout neither the callers' nor the relay listener had, and an ordinary request got no answer (6 of 6 failed).

Change: a listener may use a part of the descriptors of its process, a half for callers or the clients of a control replica, an eighth for other entries, a sixteenth for readiness probes. A connection beyond that takes the place of the one that has waited longest for a whole request; only if all are being served, it is refused as before. New setting max_descriptors, given by the platform; without it, the limit of the operating system holds. With 4,100 descriptors an entry keeps 2,050 connections of callers.

Weighed: closing idle connections by a shorter timeout; clients may use a rested connection for most of idle_timeout_ms.

--- a/src/net/http_server.cc
+++ b/src/net/http_server.cc
@@ -12,6 +12,7 @@
 #include <set>
 
 #include "core/base/http_status.h"
+#include "core/base/scope_exit.h"
 #include "net/clock.h"
 #include "net/listener.h"
 #include "net/timed_stream.h"
@@ -102,6 +103,8 @@
   /// Counts a request that could not be read. Returns the response to it, or nothing if the connection is just closed.
   std::optional<HttpResponse> make_rejection(beast::error_code error);
   asio::awaitable<void> reject_request(std::shared_ptr<TimedStream> stream, HttpResponse rejection);
+  /// Closes the connection that has waited longest for a request. Returns false if there is none.
+  bool displace_waiting_connection();
 
   asio::any_io_executor executor;
   HttpServerOptions options;
@@ -113,6 +116,8 @@
   std::set<std::shared_ptr<TimedStream>> streams;
   /// Connections on which no request is being read or served, with the time at which they became idle.
   std::map<std::shared_ptr<TimedStream>, std::chrono::steady_clock::time_point> idle_since;
+  /// Connections whose next request is awaited or being read, with the time since when.
+  std::map<std::shared_ptr<TimedStream>, std::chrono::steady_clock::time_point> waiting_since;
   HttpServerStats stats;
 };
 
@@ -314,7 +319,8 @@
       co_await retry_timer.async_wait(kAwaitWithError);
       continue;
     }
-    if (stats.open_connections >= static_cast<int64_t>(options.max_connections)) {
+    const bool is_full = stats.open_connections >= static_cast<int64_t>(options.max_connections);
+    if (is_full && !displace_waiting_connection()) {
       ++stats.refused_connections;
       continue;
     }
@@ -407,6 +413,18 @@
   return std::nullopt;
 }
 
+bool HttpServer::Implementation::displace_waiting_connection() {
+  const auto longest = std::min_element(waiting_since.begin(), waiting_since.end(),
+                                        [](const auto& a, const auto& b) { return a.second < b.second; });
+  if (longest == waiting_since.end()) {
+    return false;
+  }
+  ++stats.displaced_connections;
+  longest->first->close();
+  waiting_since.erase(longest);
+  return true;
+}
+
 asio::awaitable<void> HttpServer::Implementation::reject_request(std::shared_ptr<TimedStream> stream,
                                                                  HttpResponse rejection) {
   http::request<http::string_body> empty;
@@ -427,11 +445,13 @@
   // The parser needs a head, the line of a chunk's size and the trailer as a whole, so this limits their lengths.
   beast::flat_buffer buffer;
   bool is_first_request = true;
+  const ScopeExit end_wait_on_exit([this, &stream] { waiting_since.erase(stream); });
   while (!closed) {
     RequestParser parser;
     parser.header_limit(static_cast<uint32_t>(options.head_limit_bytes));
     parser.body_limit(options.body_limit_bytes);
     buffer.max_size(std::max(buffer.size(), options.head_limit_bytes + kHeadReadBytes));
+    waiting_since.emplace(stream, std::chrono::steady_clock::now());
     idle_since.emplace(stream, std::chrono::steady_clock::now());
     beast::error_code error = co_await read_head_bytes(*stream, buffer, is_first_request);
     idle_since.erase(stream);
@@ -455,6 +475,7 @@
       }
       break;
     }
+    waiting_since.erase(stream);
     ++stats.requests;
     ++stats.active_requests;
     auto exchange = std::make_shared<BeastExchange>(stream, options, draining, parser.release());
--- a/src/net/http_server.h
+++ b/src/net/http_server.h
@@ -55,6 +55,8 @@
   std::chrono::milliseconds body_timeout{30'000};
   std::chrono::milliseconds idle_timeout{60'000};
   std::chrono::milliseconds write_timeout{60'000};
+  /// A connection beyond this number takes the place of the one that has waited longest for its next request, whole
+  /// or in part. If requests of all connections are being served, it is refused.
   size_t max_connections = 20'000;
 };
 
@@ -67,6 +69,8 @@
   /// Requests rejected because the memory for bodies was used up.
   uint64_t overload_rejections = 0;
   uint64_t refused_connections = 0;
+  /// Connections closed in favour of new ones.
+  uint64_t displaced_connections = 0;
   int64_t open_connections = 0;
   int64_t active_requests = 0;
 };
--- a/src/node/client_limits.cc
+++ b/src/node/client_limits.cc
@@ -1,5 +1,6 @@
 #include "node/client_limits.h"
 
+#include <sys/resource.h>
 #include <unistd.h>
 
 #include <algorithm>
@@ -30,10 +31,39 @@
   return std::min(machine_memory_bytes() / kBodyBudgetDivisor, kMaxDefaultBodyBudgetBytes);
 }
 
+size_t max_descriptors(const settings::FleetSettings& settings) {
+  rlimit limit{};
+  const bool is_known = ::getrlimit(RLIMIT_NOFILE, &limit) == 0 && limit.rlim_cur != RLIM_INFINITY;
+  const size_t allowed = is_known ? limit.rlim_cur : SIZE_MAX;
+  return settings.max_descriptors > 0 ? std::min(settings.max_descriptors, allowed) : allowed;
+}
+
+size_t divisor_of(DescriptorShare share) {
+  switch (share) {
+    case DescriptorShare::kMainListener:
+      return 2;
+    case DescriptorShare::kRelayListener:
+      return 8;
+    case DescriptorShare::kReadinessListener:
+      return 16;
+  }
+  return 2;
+}
+
 }  // namespace
 
 std::shared_ptr<requests::BodyBudget> make_body_budget(const settings::FleetSettings& settings) {
   return std::make_shared<requests::BodyBudget>(body_budget_bytes(settings));
 }
 
+size_t max_connections(const settings::FleetSettings& settings, DescriptorShare share) {
+  return std::min(net::HttpServerOptions().max_connections, max_descriptors(settings) / divisor_of(share));
+}
+
+net::HttpServerOptions make_server_options(const settings::FleetSettings& settings, DescriptorShare share) {
+  net::HttpServerOptions options;
+  options.max_connections = max_connections(settings, share);
+  return options;
+}
+
 }  // namespace larchlever::node
--- a/src/node/control_process.cc
+++ b/src/node/control_process.cc
@@ -124,7 +124,8 @@
               return controller_.submit_call(monotonic_now(), std::move(call), std::move(is_caller_waiting));
             },
             [this] { return recent_pause(monotonic_now()); }),
-        server_(executor, net::HttpServerOptions(), api_, make_body_budget(settings)) {}
+        server_(executor, make_server_options(settings, DescriptorShare::kMainListener), api_,
+                make_body_budget(settings)) {}
   ~ControlProcess() override { stop(); }
 
   bool start(std::string& error) override;
--- a/src/node/entry_process.cc
+++ b/src/node/entry_process.cc
@@ -100,10 +100,13 @@
                      request_relay_.in_flight_attempts()),
         relay_handler_(request_relay_),
         body_budget_(make_body_budget(settings)),
-        relay_server_(executor, net::HttpServerOptions(), relay_handler_, body_budget_),
-        caller_server_(executor, net::HttpServerOptions(), request_relay_, body_budget_),
+        relay_server_(executor, make_server_options(settings, DescriptorShare::kRelayListener), relay_handler_,
+                      body_budget_),
+        caller_server_(executor, make_server_options(settings, DescriptorShare::kMainListener), request_relay_,
+                       body_budget_),
         readiness_handler_([this] { return is_ready(); }),
-        readiness_server_(executor, net::HttpServerOptions(), readiness_handler_, body_budget_) {
+        readiness_server_(executor, make_server_options(settings, DescriptorShare::kReadinessListener),
+                          readiness_handler_, body_budget_) {
     state_.dispatcher.set_relay_available(!settings.relay_address.empty());
     state_.dispatcher.retry_budget().start(monotonic_now());
   }
@@ -251,7 +254,9 @@
   options.idle_timeout = std::chrono::duration_cast<std::chrono::milliseconds>(limits.idle_timeout);
   // A caller that reads nothing for this long is treated as disconnected.
   options.write_timeout = options.idle_timeout;
+  options.max_connections = max_connections(settings_, DescriptorShare::kMainListener);
   caller_server_.set_options(options);
+  options.max_connections = max_connections(settings_, DescriptorShare::kRelayListener);
   relay_server_.set_options(options);
   log_event(settings_.name, "document_in_force", {{"version", std::to_string(document_version_)}});
 }
--- a/src/node/rejected_client_logger.cc
+++ b/src/node/rejected_client_logger.cc
@@ -11,7 +11,7 @@
 /// Number of clients that were rejected or disconnected.
 uint64_t count_rejected(const net::HttpServerStats& stats) {
   return stats.malformed_requests + stats.oversized_requests + stats.timed_out_requests + stats.overload_rejections +
-         stats.refused_connections;
+         stats.refused_connections + stats.displaced_connections;
 }
 
 }  // namespace
@@ -30,6 +30,7 @@
                {"timed_out", since_last_line(&net::HttpServerStats::timed_out_requests)},
                {"no_memory", since_last_line(&net::HttpServerStats::overload_rejections)},
                {"refused", since_last_line(&net::HttpServerStats::refused_connections)},
+               {"displaced", since_last_line(&net::HttpServerStats::displaced_connections)},
                {"open", std::to_string(stats.open_connections)}});
   logged_ = stats;
   next_log_ = now + kLogInterval;
--- a/src/settings/fleet_settings.cc
+++ b/src/settings/fleet_settings.cc
@@ -13,6 +13,7 @@
 constexpr Duration kRevocationSendMargin = milliseconds(500);
 constexpr Duration kEvacuationSendMargin = kRevocationSendMargin;
 constexpr int64_t kMaxMegabytes = 1'000'000;
+constexpr int64_t kMaxDescriptors = 1'000'000'000;
 /// An instance counts as silent after two missed heartbeats, plus a tolerance for delays.
 constexpr int kMissedHeartbeatsUntilSilent = 2;
 constexpr Duration kHeartbeatDelayTolerance = milliseconds(300);
@@ -67,6 +68,7 @@
   settings.answer_buffer_bytes = read_megabytes(node_section, "answer_buffers_mb");
   settings.memory_bytes = read_megabytes(node_section, "memory_mb");
   settings.request_buffer_bytes = read_megabytes(node_section, "request_buffers_mb");
+  settings.max_descriptors = static_cast<size_t>(node_section.read_integer("max_descriptors", 0, 0, kMaxDescriptors));
   if (!is_entry && settings.data_folder.empty()) {
     node_section.add_error("data_folder", "", "missing; a control replica stores its log on disk; set a folder");
   }
--- a/src/settings/fleet_settings.h
+++ b/src/settings/fleet_settings.h
@@ -44,6 +44,8 @@
   size_t memory_bytes = 0;
   /// Limit on the bodies of requests that are being received or served; 0 selects a share of the memory.
   size_t request_buffer_bytes = 0;
+  /// Descriptors that the process may open; 0 leaves it to the limit that the operating system sets.
+  size_t max_descriptors = 0;
   std::string log_level = "info";
   fleet::FleetOptions options;
 
--- a/tests/integration/misbehaving_clients_test.cc
+++ b/tests/integration/misbehaving_clients_test.cc
@@ -25,6 +25,11 @@
 constexpr size_t kMemoryOfControlReplica = 256'000'000;
 /// Descriptors that a process may hold in excess of those before the crowd came, once the crowd has left.
 constexpr size_t kMaxLeftDescriptors = 16;
+/// Limit on descriptors of processes that meet more clients than that.
+constexpr int kMaxDescriptors = 256;
+/// Clients that are too many are not left to this timeout.
+constexpr auto kLongTimeout = seconds(60);
+constexpr size_t kMoreClientsThanDescriptors = 300;
 constexpr size_t kSendingClients = 40;
 /// The clients together send more than twice the memory of a machine.
 constexpr size_t kSentBytesPerClient = 16'000'000;
@@ -259,5 +264,36 @@
 
 INSTANTIATE_TEST_SUITE_P(At, SmallBodyBudget, testing::Values(kCallers), name_of);
 
+// --------------------------------------------------------------- descriptors
+
+/// More clients than the process may have descriptors.
+class TooManyClients : public MisbehavingClients {
+ protected:
+  TooManyClients() : MisbehavingClients(fleet_options()) {}
+
+  static FleetNodeOptions fleet_options() {
+    auto options = FleetNodeOptions::with_three_replicas(1);
+    options.max_descriptors = kMaxDescriptors;
+    options.header_timeout = kLongTimeout;
+    return options;
+  }
+};
+
+using TooManyIncompleteHeads = TooManyClients;
+using TooManyIncompleteBodies = TooManyClients;
+
+// Connections of clients that never completed a request used all descriptors; nothing else was accepted or opened.
+TEST_P(TooManyIncompleteHeads, LeaveDescriptors) {
+  run_crowd(kMoreClientsThanDescriptors,
+            {std::string(GetParam().method) + " " + GetParam().target + " HTTP/1.1\r\n", "", 0});
+}
+
+TEST_P(TooManyIncompleteBodies, LeaveDescriptors) {
+  run_crowd(kMoreClientsThanDescriptors, {make_head(GetParam(), "Content-Length: 100") + "form", "", 0});
+}
+
+INSTANTIATE_TEST_SUITE_P(At, TooManyIncompleteHeads, testing::Values(kCallers, kRelay), name_of);
+INSTANTIATE_TEST_SUITE_P(At, TooManyIncompleteBodies, kAllListeners, name_of);
+
 }  // namespace
 }  // namespace larchlever::integration
--- a/tests/unit/platform_template_test.cc
+++ b/tests/unit/platform_template_test.cc
@@ -28,6 +28,7 @@
           {"fault_tolerance.machines", "2"},
           {"heartbeat_ms", "1200"},
           {"limits.memory_mb", "260"},
+          {"limits.max_fds", "4100"},
           {"bounds.revoke_ms", "5000"},
           {"bounds.evacuate_ms", "5000"},
           {"bounds.stall_ms", "5000"},
@@ -124,6 +125,7 @@
   EXPECT_EQ(settings->options.stall_time, milliseconds(7000));
   EXPECT_EQ(settings->options.minimum_voters, 5U);
   EXPECT_EQ(settings->memory_bytes, 260U << 20U);
+  EXPECT_EQ(settings->max_descriptors, 4100U);
   EXPECT_TRUE(settings->may_found_cluster());
 }
 
