Requests: a forwarded body is copied once

What callers saw: the memory of an entry grew by three times the bodies of the requests that it had at servers, while the budget for bodies counts two.

Cause: the client copied the body of its request into the message that it writes.

Change: the message refers to the body of the request, which outlives the call. The crowd counts as read once the server has taken all bytes, whether or not the crowd has read the answers.

--- a/src/net/http_client.cc
+++ b/src/net/http_client.cc
@@ -75,8 +75,9 @@
   }
 }
 
-http::request<http::string_body> to_beast(const std::string& endpoint, const HttpRequest& request) {
-  http::request<http::string_body> message;
+/// The result refers to the body of `request`.
+http::request<http::span_body<const char>> to_beast(const std::string& endpoint, const HttpRequest& request) {
+  http::request<http::span_body<const char>> message;
   message.method_string(request.method);
   message.target(request.target);
   message.version(11);
@@ -86,7 +87,7 @@
   if (!request.headers.contains("host")) {
     message.set(http::field::host, endpoint);
   }
-  message.body() = request.body;
+  message.body() = {request.body.data(), request.body.size()};
   const bool has_body_method = request.method == "POST" || request.method == "PUT" || request.method == "PATCH";
   if (!request.body.empty() || has_body_method) {
     message.content_length(request.body.size());
--- a/tests/integration/misbehaving_clients_test.cc
+++ b/tests/integration/misbehaving_clients_test.cc
@@ -34,6 +34,7 @@
 /// The clients together send more than twice the memory of a machine.
 constexpr size_t kSentBytesPerClient = 16'000'000;
 constexpr size_t kStallingClients = 100;
+constexpr auto kSlowResponse = seconds(3);
 /// Bodies of which nothing has arrived for this long give way to others.
 constexpr auto kStallTime = milliseconds(1500);
 /// `max_body_bytes` of the document.
@@ -235,6 +236,23 @@
 
 INSTANTIATE_TEST_SUITE_P(At, StalledBodies, kAllListeners, name_of);
 
+/// Whole bodies within the limits, at servers that take their time.
+class BodiesAtSlowServers : public MisbehavingClients {
+ protected:
+  void SetUp() override {
+    MisbehavingClients::SetUp();
+    server_->set_delay(kSlowResponse);
+  }
+};
+
+// A body was held three times while its request was at a server, and those of all requests had no common limit.
+TEST_P(BodiesAtSlowServers, TakeBoundedMemory) {
+  run_crowd(kStallingClients,
+            {make_head(GetParam(), "Content-Length: " + std::to_string(kMaxBodyBytes)), "x", kMaxBodyBytes});
+}
+
+INSTANTIATE_TEST_SUITE_P(At, BodiesAtSlowServers, testing::Values(kCallers, kOperators), name_of);
+
 /// Less memory for bodies than one request within the limits needs.
 class SmallBodyBudget : public MisbehavingClients {
  protected:
