--- a/src/net/http_server.cc
+++ b/src/net/http_server.cc
@@ -1,7 +1,5 @@
 #include "net/http_server.h"
 
-#include <netinet/tcp.h>
-
 #include <algorithm>
 #include <array>
 #include <boost/asio.hpp>
@@ -16,6 +14,7 @@
 #include "net/clock.h"
 #include "net/http_head_check.h"
 #include "net/listener.h"
+#include "net/server_exchange.h"
 #include "net/timed_stream.h"
 
 namespace larchlever::net {
@@ -55,21 +54,6 @@
   return buffered_bytes(buffer).substr(0, find_head_end(buffer));
 }
 
-/// Returns true if the peer has closed or reset the connection and everything it sent before was read.
-bool is_closed_by_peer(int socket) {
-  char byte = 0;
-  const ssize_t count = ::recv(socket, &byte, 1, MSG_PEEK | MSG_DONTWAIT);
-  return count == 0 || (count < 0 && errno != EAGAIN && errno != EWOULDBLOCK);
-}
-
-/// Time since data last arrived at the socket; zero if the system does not tell.
-std::chrono::milliseconds time_since_last_arrival(int socket) {
-  tcp_info info{};
-  socklen_t length = sizeof(info);
-  const bool is_known = ::getsockopt(socket, IPPROTO_TCP, TCP_INFO, &info, &length) == 0;
-  return std::chrono::milliseconds(is_known ? info.tcpi_last_data_recv : 0);
-}
-
 HttpResponse make_problem_response(int status, std::string_view title, std::string_view remedy) {
   HttpResponse response;
   response.status = status;
@@ -122,190 +106,6 @@
   HttpServerStats stats;
 };
 
-namespace {
-
-class BeastExchange : public HttpExchange, public std::enable_shared_from_this<BeastExchange> {
- public:
-  /// `draining` refers to the server's flag, which may change while the request is served.
-  BeastExchange(std::shared_ptr<TimedStream> stream, const HttpServerOptions& options, const bool& draining,
-                http::request<http::string_body> message)
-      : stream_(std::move(stream)),
-        options_(options),
-        draining_(draining),
-        keep_alive_(message.keep_alive()),
-        version_(message.version()) {
-    request_.method = std::string(message.method_string());
-    request_.target = std::string(message.target());
-    for (const auto& field : message) {
-      request_.headers.add(std::string(field.name_string()), std::string(field.value()));
-    }
-    request_.body = std::move(message.body());
-  }
-
-  const HttpRequest& request() const override { return request_; }
-
-  asio::awaitable<void> respond(HttpResponse response) override {
-    http::response<http::string_body> message;
-    fill_head(response, message);
-    message.body() = std::move(response.body);
-    const bool no_body = response.status == 204 || response.status == 304;
-    if (!no_body) {
-      message.content_length(request_.method == "HEAD" && response.headers.contains("content-length")
-                                 ? std::stoull(std::string(response.headers.find("content-length")))
-                                 : message.body().size());
-    }
-    http::response_serializer<http::string_body> serializer(message);
-    stream_->expires_after(options_.write_timeout);
-    beast::error_code error;
-    if (request_.method == "HEAD") {
-      std::tie(error, std::ignore) = co_await http::async_write_header(*stream_, serializer, kAwaitWithError);
-    } else {
-      std::tie(error, std::ignore) = co_await http::async_write(*stream_, serializer, kAwaitWithError);
-    }
-    response_sent_ = !error;
-    disconnected_ = disconnected_ || static_cast<bool>(error);
-  }
-
-  asio::awaitable<bool> begin_stream(const HttpResponse& head) override {
-    const bool has_length = head.headers.contains("content-length");
-    if (version_ < 11 && !has_length) {
-      buffered_response_ = head;
-      co_return !disconnected_;
-    }
-    http::response<http::empty_body> message;
-    fill_head(head, message);
-    chunked_ = !has_length;
-    if (has_length) {
-      message.set(http::field::content_length, std::string(head.headers.find("content-length")));
-    } else {
-      message.chunked(true);
-    }
-    http::response_serializer<http::empty_body> serializer(message);
-    stream_->expires_after(options_.write_timeout);
-    auto [error, count] = co_await http::async_write_header(*stream_, serializer, kAwaitWithError);
-    disconnected_ = disconnected_ || static_cast<bool>(error);
-    co_return !disconnected_;
-  }
-
-  asio::awaitable<bool> write_piece(std::string_view piece) override {
-    if (buffered_response_) {
-      buffered_response_->body.append(piece);
-      co_return !disconnected_;
-    }
-    if (!disconnected_ && !piece.empty()) {
-      stream_->expires_after(options_.write_timeout);
-      const asio::const_buffer data(piece.data(), piece.size());
-      beast::error_code error;
-      if (chunked_) {
-        std::tie(error, std::ignore) = co_await asio::async_write(*stream_, http::make_chunk(data), kAwaitWithError);
-      } else {
-        std::tie(error, std::ignore) = co_await asio::async_write(*stream_, data, kAwaitWithError);
-      }
-      disconnected_ = disconnected_ || static_cast<bool>(error);
-    }
-    co_return !disconnected_;
-  }
-
-  asio::awaitable<void> end_stream() override {
-    if (buffered_response_) {
-      HttpResponse complete_response = std::move(*buffered_response_);
-      buffered_response_.reset();
-      co_await respond(std::move(complete_response));
-      co_return;
-    }
-    if (disconnected_) {
-      co_return;
-    }
-    response_sent_ = true;
-    if (chunked_) {
-      stream_->expires_after(options_.write_timeout);
-      auto [error, count] = co_await asio::async_write(*stream_, http::make_chunk_last(), kAwaitWithError);
-      response_sent_ = !error;
-    }
-  }
-
-  void notify_on_disconnect(std::function<void()> on_disconnect) override {
-    asio::co_spawn(stream_->get_executor(), watch_for_disconnect(shared_from_this(), std::move(on_disconnect)),
-                   asio::detached);
-  }
-
-  bool caller_disconnected() const override {
-    return disconnected_ || is_closed_by_peer(stream_->socket().native_handle());
-  }
-  std::chrono::milliseconds time_since_arrival() const override {
-    return time_since_last_arrival(stream_->socket().native_handle());
-  }
-  /// True if a complete response was sent, so that the connection can be reused.
-  bool response_sent() const { return response_sent_; }
-  bool keep_alive() const { return keep_alive_; }
-  void close_after_response() { keep_alive_ = false; }
-  void stop_disconnect_watch() {
-    disconnect_watch_stopped_ = true;
-    beast::error_code ignored;
-    if (disconnect_watch_pending_) {
-      disconnect_watch_descriptor_->cancel(ignored);
-    }
-  }
-
- private:
-  static asio::awaitable<void> watch_for_disconnect(std::shared_ptr<BeastExchange> self,
-                                                    std::function<void()> on_disconnect) {
-    // A second descriptor for the same socket, so that this wait does not interfere with the stream's operations.
-    const int duplicate_descriptor = ::dup(self->stream_->socket().native_handle());
-    if (duplicate_descriptor < 0) {
-      co_return;
-    }
-    self->disconnect_watch_descriptor_ =
-        std::make_unique<asio::posix::stream_descriptor>(self->stream_->get_executor(), duplicate_descriptor);
-    self->disconnect_watch_pending_ = true;
-    auto [error] = co_await self->disconnect_watch_descriptor_->async_wait(asio::posix::stream_descriptor::wait_read,
-                                                                           kAwaitWithError);
-    self->disconnect_watch_pending_ = false;
-    if (error || self->disconnect_watch_stopped_) {
-      co_return;
-    }
-    if (is_closed_by_peer(duplicate_descriptor)) {
-      self->disconnected_ = true;
-      on_disconnect();
-    }
-  }
-
-  template <typename Message>
-  void fill_head(const HttpResponse& response, Message& message) {
-    message.result(static_cast<unsigned>(response.status));
-    if (!response.reason.empty()) {
-      message.reason(response.reason);
-    }
-    message.version(version_);
-    for (const auto& [name, value] : response.headers.all()) {
-      if (!is_hop_by_hop(name, response.headers) && !equals_ignoring_case(name, "content-length")) {
-        message.insert(name, value);
-      }
-    }
-    // Decided when the head is written, not when the request is read: a connection may only be closed after a response
-    // that announced it, because the client's next request may already be on its way.
-    keep_alive_ = keep_alive_ && !draining_;
-    message.keep_alive(keep_alive_);
-  }
-
-  std::shared_ptr<TimedStream> stream_;
-  /// A copy, because the server's options may change while the request is served.
-  HttpServerOptions options_;
-  const bool& draining_;
-  HttpRequest request_;
-  bool keep_alive_ = false;
-  unsigned version_ = 11;
-  bool disconnected_ = false;
-  bool chunked_ = true;
-  std::optional<HttpResponse> buffered_response_;
-  bool response_sent_ = false;
-  bool disconnect_watch_stopped_ = false;
-  bool disconnect_watch_pending_ = false;
-  std::unique_ptr<asio::posix::stream_descriptor> disconnect_watch_descriptor_;
-};
-
-}  // namespace
-
 asio::awaitable<void> HttpServer::Implementation::accept_loop(std::shared_ptr<Implementation> self) {
   while (acceptor.is_open()) {
     asio::ip::tcp::socket socket(executor);
@@ -429,7 +229,7 @@
 asio::awaitable<void> HttpServer::Implementation::reject_request(std::shared_ptr<TimedStream> stream,
                                                                  HttpResponse rejection) {
   http::request<http::string_body> empty;
-  auto exchange = std::make_shared<BeastExchange>(stream, options, draining, std::move(empty));
+  auto exchange = std::make_shared<ServerExchange>(stream, options, draining, std::move(empty));
   exchange->close_after_response();
   co_await exchange->respond(std::move(rejection));
   beast::error_code error;
@@ -479,7 +279,7 @@
     waiting_since.erase(stream);
     ++stats.requests;
     ++stats.active_requests;
-    auto exchange = std::make_shared<BeastExchange>(stream, options, draining, parser.release());
+    auto exchange = std::make_shared<ServerExchange>(stream, options, draining, parser.release());
     stream->expires_never();
     bool failed = false;
     try {
--- a/tests/integration/malformed_answers_test.cc
+++ b/tests/integration/malformed_answers_test.cc
@@ -26,7 +26,7 @@
   const char* first_fields;
 };
 
-void PrintTo(const MalformedAnswer& answer, std::ostream* out) { *out << answer.name; }
+std::ostream& operator<<(std::ostream& out, const MalformedAnswer& answer) { return out << answer.name; }
 
 /// Runs one entry and a plain server that answers requests for one path with a malformed head.
 class MalformedAnswers : public testing::TestWithParam<MalformedAnswer> {
--- a/tests/integration/misbehaving_clients_test.cc
+++ b/tests/integration/misbehaving_clients_test.cc
@@ -1,13 +1,10 @@
 #include <gtest/gtest.h>
 
-#include <boost/json.hpp>
 #include <thread>
 
 #include "client_crowd.h"
 #include "core/base/http_status.h"
-#include "fleet_node_processes.h"
-#include "forms_server.h"
-#include "server_reports.h"
+#include "plain_fleet.h"
 
 namespace larchlever::integration {
 namespace {
@@ -15,7 +12,6 @@
 using std::chrono::milliseconds;
 using std::chrono::seconds;
 
-constexpr auto kWaitTimeout = seconds(15);
 /// Only ends a test whose process hangs; nothing depends on how fast the crowd is served.
 constexpr auto kHangTimeout = seconds(30);
 /// How long an ordinary client waits for its answer.
@@ -55,7 +51,7 @@
 constexpr Listener kRelay = {"Relay", "e1", ":7355", "POST", "/forms/1", kMemoryOfEntry};
 constexpr Listener kOperators = {"Operators", "c1", ":8229", "PUT", "/v1/configuration", kMemoryOfControlReplica};
 
-void PrintTo(const Listener& listener, std::ostream* out) { *out << listener.name; }
+std::ostream& operator<<(std::ostream& out, const Listener& listener) { return out << listener.name; }
 
 std::string make_head(const Listener& listener, const std::string& framing) {
   return std::string(listener.method) + " " + listener.target +
@@ -69,34 +65,16 @@
 }
 
 /// Runs three control replicas, one entry and a plain server.
-class MisbehavingClients : public testing::TestWithParam<Listener> {
+class MisbehavingClients : public PlainServerFleetFixture, public testing::WithParamInterface<Listener> {
  protected:
   explicit MisbehavingClients(const FleetNodeOptions& options = FleetNodeOptions::with_three_replicas(1))
-      : fleet_(options) {}
+      : PlainServerFleetFixture(options, 1) {}
 
   void SetUp() override {
-    server_address_ = fleet_.engine_addresses(1)[0] + ":9000";
-    server_ = std::make_unique<FormsServer>(client_, server_address_);
-    ASSERT_TRUE(fleet_.start_serving(kWaitTimeout));
-    reporter_ = std::thread([this] { report_until_stopped(); });
-    ASSERT_TRUE(wait_until([this] { return call_forms("first") == http_status::kOk; }, kWaitTimeout));
+    PlainServerFleetFixture::SetUp();
     process_id_ = fleet_.process_id(GetParam().node);
     descriptors_before_ = fleet_.open_descriptors(GetParam().node);
   }
-  void TearDown() override {
-    stopped_ = true;
-    if (reporter_.joinable()) {
-      reporter_.join();
-    }
-  }
-  void report_until_stopped() {
-    BlockingClient client;
-    ReportSender reports({fleet_.control_endpoint("c1"), fleet_.control_endpoint("c2")});
-    for (int64_t number = 1; !stopped_; ++number) {
-      reports.send(client, "i1", boost::json::serialize(plain_server_report(server_address_, "north", number)));
-      std::this_thread::sleep_for(milliseconds(400));
-    }
-  }
 
   std::string crowd_endpoint() const { return fleet_.address(GetParam().node) + GetParam().port; }
 
@@ -146,12 +124,6 @@
     expect_descriptors_are_released();
   }
 
-  FleetNodeProcesses fleet_;
-  BlockingClient client_;
-  std::string server_address_;
-  std::unique_ptr<FormsServer> server_;
-  std::thread reporter_;
-  std::atomic<bool> stopped_ = false;
   int process_id_ = -1;
   size_t descriptors_before_ = 0;
 };
@@ -241,7 +213,7 @@
  protected:
   void SetUp() override {
     MisbehavingClients::SetUp();
-    server_->set_delay(kSlowResponse);
+    servers_[0]->set_delay(kSlowResponse);
   }
 };
 
--- a/tests/node/malformed_response_test.cc
+++ b/tests/node/malformed_response_test.cc
@@ -21,7 +21,7 @@
   std::string bytes;
 };
 
-void PrintTo(const ResponseBytes& response, std::ostream* out) { *out << response.name; }
+std::ostream& operator<<(std::ostream& out, const ResponseBytes& response) { return out << response.name; }
 
 std::string name_of(const testing::TestParamInfo<ResponseBytes>& test) { return test.param.name; }
 
