HttpServer: what ends with a connection keeps the server alive

Found by reading: the coroutine of a connection now uses the server when it is destroyed, which may come after the server's owner is gone. It holds a reference of its own.

--- a/src/net/http_server.cc
+++ b/src/net/http_server.cc
@@ -243,10 +243,11 @@
 }
 
 asio::awaitable<void> HttpServer::Implementation::serve(std::shared_ptr<TimedStream> stream) {
+  const auto self = shared_from_this();  // What is destroyed with this coroutine uses the server.
   // The parser needs a head, the line of a chunk's size and the trailer as a whole, so this limits their lengths.
   beast::flat_buffer buffer;
   bool is_first_request = true;
-  const ScopeExit end_wait_on_exit([this, &stream] { waiting_since.erase(stream); });
+  const ScopeExit end_wait_on_exit([&self, &stream] { self->waiting_since.erase(stream); });
   while (!closed) {
     RequestParser parser;
     parser.header_limit(static_cast<uint32_t>(options.head_limit_bytes));
@@ -261,7 +262,8 @@
     if (!error) {
       if (const auto head_error = find_head_error(buffered_head(buffer))) {
         ++stats.malformed_requests;
-        co_await reject_request(stream, make_problem_response(http_status::kBadRequest, *head_error, kRequestRemedy));
+        auto rejection = make_problem_response(http_status::kBadRequest, *head_error, kRequestRemedy);
+        co_await reject_request(stream, std::move(rejection));
         break;
       }
       error = co_await read_request(*stream, buffer, parser, reservation);
--- a/src/node/client_limits.cc
+++ b/src/node/client_limits.cc
@@ -57,7 +57,8 @@
 }
 
 size_t max_connections(const settings::FleetSettings& settings, DescriptorShare share) {
-  return std::min(net::HttpServerOptions().max_connections, max_descriptors(settings) / divisor_of(share));
+  const size_t part = std::max<size_t>(1, max_descriptors(settings) / divisor_of(share));
+  return std::min(net::HttpServerOptions().max_connections, part);
 }
 
 net::HttpServerOptions make_server_options(const settings::FleetSettings& settings, DescriptorShare share) {
